--- /dev/null
+++ b/redwingvalve/administration/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API for operators."""
--- /dev/null
+++ b/redwingvalve/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whom to serve, who waits, who is refused and when."""
--- /dev/null
+++ b/redwingvalve/at_most_once/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests run at most once."""
--- /dev/null
+++ b/redwingvalve/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against baselines, seeded, with their figures as JSON."""
--- /dev/null
+++ b/redwingvalve/cli/check.py
@@ -0,0 +1,74 @@
+"""The check command: every finding of a file at once, nothing changed."""
+
+import argparse
+import json
+import pathlib
+
+from expression import Result
+
+from redwingvalve.cli import options
+from redwingvalve.core import environment, exit_status, findings
+from redwingvalve.declaration import reader
+from redwingvalve.settings import loader
+
+SETTINGS_KEYS = ('node:', 'listen:')
+
+
+def run_check(
+    arguments: argparse.Namespace, surroundings: environment.Environment
+) -> exit_status.ExitStatus:
+    """Check a declaration or a settings file."""
+    checked = _check_file(arguments.file)
+    if checked.is_error():
+        _print_findings(checked.error, arguments.output, surroundings)
+        return exit_status.ExitStatus.FINDINGS
+    if arguments.output == 'json':
+        print(json.dumps({'findings': []}), file=surroundings.stdout)
+    else:
+        print(f'{arguments.file}: no findings', file=surroundings.stdout)
+    return exit_status.ExitStatus.SUCCESS
+
+
+def _check_file(file_name: str) -> Result[object, findings.Findings]:
+    if _looks_like_settings(file_name):
+        return loader.load_file(file_name)
+    return reader.read_file(file_name)
+
+
+def _looks_like_settings(file_name: str) -> bool:
+    try:
+        text = pathlib.Path(file_name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError):
+        return False
+    return any(line.startswith(SETTINGS_KEYS) for line in text.splitlines())
+
+
+def _print_findings(
+    found: findings.Findings, output: str, surroundings: environment.Environment
+) -> None:
+    if output == 'table':
+        print(str(found), file=surroundings.stderr)
+        return
+    rows = [
+        {
+            'file': finding.place.file_name,
+            'line': finding.place.line,
+            'column': finding.place.column,
+            'path': finding.place.path,
+            'message': finding.message,
+        }
+        for finding in found.entries
+    ]
+    print(json.dumps({'findings': rows}), file=surroundings.stdout)
+
+
+CHECK = options.Command(
+    name='check',
+    help='check a declaration or settings file and report all findings',
+    example='redwingvalve check examples/tapiceria.yaml',
+    run=run_check,
+    options=(
+        options.Option(dest='file', help='the YAML file'),
+        options.OUTPUT,
+    ),
+)
--- /dev/null
+++ b/redwingvalve/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted configuration: in force everywhere in seconds, never reverting."""
--- /dev/null
+++ b/redwingvalve/control/__init__.py
@@ -0,0 +1,1 @@
+"""The controller daemon: administration, plans, replicas."""
--- /dev/null
+++ b/redwingvalve/core/__init__.py
@@ -0,0 +1,1 @@
+"""What every slice shares: clocks, findings, outcomes, errors, invariants."""
--- /dev/null
+++ b/redwingvalve/core/exit_status.py
@@ -0,0 +1,16 @@
+"""Exit statuses of the command; documented in docs/OPERATING.md."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What the command tells the shell."""
+
+    SUCCESS = 0
+    FAILURE = 1
+    USAGE = 2
+    FINDINGS = 3
+    REFUSED = 4
+    UNREACHABLE = 5
+    BREACH = 6
+    INTERRUPTED = 130
--- /dev/null
+++ b/redwingvalve/core/findings.py
@@ -0,0 +1,46 @@
+"""Findings: what is wrong with an input, where, all reported together."""
+
+import attrs
+
+
+@attrs.frozen
+class Place:
+    """Where a finding belongs; line and column count from 1, 0 is unknown."""
+
+    file_name: str = ''
+    line: int = 0
+    column: int = 0
+    path: str = ''
+
+    def __str__(self) -> str:
+        """Return file:line:column and the path inside the document."""
+        position = ''
+        if self.line:
+            position = f':{self.line}:{self.column}'
+        where = f'{self.file_name}{position}'
+        if not self.path:
+            return where
+        return f'{where} ({self.path})' if where else self.path
+
+
+@attrs.frozen
+class Finding:
+    """One thing that is wrong, said so that a person can mend it."""
+
+    place: Place
+    message: str
+
+    def __str__(self) -> str:
+        """Return the place and the message on one line."""
+        return f'{self.place}: {self.message}'
+
+
+@attrs.frozen
+class Findings:
+    """The error side of a check: at least one finding, in reading order."""
+
+    entries: tuple[Finding, ...]
+
+    def __str__(self) -> str:
+        """Return one line per finding."""
+        return '\n'.join(str(finding) for finding in self.entries)
--- /dev/null
+++ b/redwingvalve/declaration/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator declares: models, replicas, services, client accounts."""
--- /dev/null
+++ b/redwingvalve/declaration/reader.py
@@ -0,0 +1,206 @@
+"""Reads a declaration and checks it as a whole, before any plan is made."""
+
+import pathlib
+import re
+from collections import abc as collections_abc
+
+from expression import Error, Ok, Result
+
+from redwingvalve.core import findings
+from redwingvalve.declaration import schema
+from redwingvalve.documents import binder
+
+NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
+SHA256_PATTERN = re.compile('[0-9a-f]{64}')
+LOWEST_PRIORITY = 0
+HIGHEST_PRIORITY = 9
+LARGEST_REPLICA_VMS = 64
+
+Bound = binder.BoundDocument[schema.Declaration]
+FoundIterator = collections_abc.Iterator[findings.Finding]
+
+
+def read_file(
+    file_name: str,
+) -> Result[Bound, findings.Findings]:
+    """Read and check a declaration file."""
+    try:
+        text = pathlib.Path(file_name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        place = findings.Place(file_name)
+        finding = findings.Finding(place, f'cannot be read: {error}')
+        return Error(findings.Findings((finding,)))
+    return read_text(text, file_name)
+
+
+def read_text(text: str, file_name: str) -> Result[Bound, findings.Findings]:
+    """Check a declaration given as text; file_name is for the findings."""
+    bound = binder.bind_text(text, file_name, schema.Declaration)
+    if bound.is_error():
+        return Error(bound.error)
+    found = tuple(_check(bound.ok))
+    if found:
+        return Error(findings.Findings(found))
+    return Ok(bound.ok)
+
+
+def _check(bound: Bound) -> FoundIterator:
+    for section in ('deployments', 'services', 'client_accounts'):
+        yield from _check_names(bound, section)
+    yield from _check_deployments(bound)
+    yield from _check_services(bound)
+    yield from _check_accounts(bound)
+
+
+def _check_names(bound: Bound, section: str) -> FoundIterator:
+    seen: set[str] = set()
+    for index, declared in enumerate(getattr(bound.content, section)):
+        place = bound.places.place(section, index, 'name')
+        if not NAME_PATTERN.fullmatch(declared.name):
+            yield findings.Finding(
+                place,
+                f'{declared.name!r} is no name: small letters, digits and '
+                'hyphens, at most 63',
+            )
+        if declared.name in seen:
+            yield findings.Finding(
+                place, f'the name {declared.name!r} is already taken'
+            )
+        seen.add(declared.name)
+
+
+def _check_deployments(bound: Bound) -> FoundIterator:
+    for index, deployment in enumerate(bound.content.deployments):
+        path = ('deployments', index)
+        if not 0 < deployment.vms_per_replica <= LARGEST_REPLICA_VMS:
+            yield _finding(
+                bound,
+                f'must be from 1 to {LARGEST_REPLICA_VMS}',
+                *path,
+                'vms_per_replica',
+            )
+        if deployment.replicas < 0:
+            yield _finding(bound, 'must not be negative', *path, 'replicas')
+        if not 0 <= deployment.floor_replicas <= max(deployment.replicas, 0):
+            yield _finding(
+                bound, 'must be from 0 to replicas', *path, 'floor_replicas'
+            )
+        yield from _check_positive(
+            bound,
+            deployment,
+            path,
+            (
+                'accelerators_per_vm',
+                'tokens_per_s_per_replica',
+                'max_batch_tokens',
+                'load_time_s',
+                'first_token_target_s',
+                'token_gap_target_s',
+            ),
+        )
+        yield from _check_prices(bound, deployment, path)
+
+
+def _check_prices(
+    bound: Bound, deployment: schema.ModelDeployment, path: tuple[str, int]
+) -> FoundIterator:
+    for name in (
+        'downtime_per_replica_minute',
+        'stranded_per_accelerator_minute',
+    ):
+        if getattr(deployment.prices, name) < 0:
+            yield _finding(bound, 'must not be negative', *path, 'prices', name)
+
+
+def _check_services(bound: Bound) -> FoundIterator:
+    seen_prefixes: set[str] = set()
+    for index, service in enumerate(bound.content.services):
+        path = ('services', index)
+        prefix = service.path_prefix
+        if not prefix.startswith('/') or prefix.startswith('/v1/'):
+            yield _finding(
+                bound,
+                'must start with / and not with /v1/',
+                *path,
+                'path_prefix',
+            )
+        if prefix in seen_prefixes:
+            yield _finding(
+                bound, f'{prefix!r} is already taken', *path, 'path_prefix'
+            )
+        seen_prefixes.add(prefix)
+        if not service.addresses:
+            yield _finding(
+                bound, 'at least one address is needed', *path, 'addresses'
+            )
+        yield from _check_addresses(bound, service, path)
+        yield from _check_positive(
+            bound, service, path, ('timeout_s', 'max_in_flight_per_address')
+        )
+
+
+def _check_addresses(
+    bound: Bound, service: schema.PlainService, path: tuple[str, int]
+) -> FoundIterator:
+    for place, address in enumerate(service.addresses):
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdigit():
+            yield _finding(
+                bound,
+                f'{address!r} is not host:port',
+                *path,
+                'addresses',
+                place,
+            )
+
+
+def _check_accounts(bound: Bound) -> FoundIterator:
+    known = {deployment.name for deployment in bound.content.deployments}
+    for index, account in enumerate(bound.content.client_accounts):
+        path = ('client_accounts', index)
+        if not SHA256_PATTERN.fullmatch(account.credential_sha256):
+            yield _finding(
+                bound,
+                'must be the SHA-256 of the credential, 64 small hex digits',
+                *path,
+                'credential_sha256',
+            )
+        if not LOWEST_PRIORITY <= account.priority <= HIGHEST_PRIORITY:
+            yield _finding(
+                bound,
+                f'must be from {LOWEST_PRIORITY} to {HIGHEST_PRIORITY}',
+                *path,
+                'priority',
+            )
+        yield from _check_positive(bound, account, path, ('weight',))
+        for name in (
+            'tokens_per_s',
+            'requests_per_s',
+            'penalty_per_missed_request',
+        ):
+            if getattr(account, name) < 0:
+                yield _finding(bound, 'must not be negative', *path, name)
+        for place, wanted in enumerate(account.deployments):
+            if wanted not in known:
+                yield _finding(
+                    bound,
+                    f'no deployment is named {wanted!r}',
+                    *path,
+                    'deployments',
+                    place,
+                )
+
+
+def _check_positive(
+    bound: Bound,
+    declared: object,
+    path: tuple[str, int],
+    names: tuple[str, ...],
+) -> FoundIterator:
+    for name in names:
+        if getattr(declared, name) <= 0:
+            yield _finding(bound, 'must be above zero', *path, name)
+
+
+def _finding(bound: Bound, message: str, *path: str | int) -> findings.Finding:
+    return findings.Finding(bound.places.place(*path), message)
--- /dev/null
+++ b/redwingvalve/declaration/schema.py
@@ -0,0 +1,83 @@
+"""The declaration as attrs classes; field names carry their unit.
+
+Prices are in the operator's own currency; only their ratios matter to the
+decisions (see docs/design/prices.md).
+"""
+
+import enum
+
+import attrs
+
+
+class EndpointTrust(enum.StrEnum):
+    """Whether an endpoint refuses an order with an old fencing number."""
+
+    REFUSES_OLD_ORDERS = 'refuses-old-orders'
+    IGNORES_FENCING = 'ignores-fencing'
+
+
+@attrs.frozen
+class Prices:
+    """What a minute costs when a target is missed."""
+
+    downtime_per_replica_minute: float = 1.0
+    stranded_per_accelerator_minute: float = 0.05
+
+
+@attrs.frozen
+class ModelDeployment:
+    """A model served by replicas that span several VMs of one domain."""
+
+    name: str
+    model: str
+    version: str
+    replicas: int
+    vms_per_replica: int
+    accelerators_per_vm: int = 1
+    floor_replicas: int = 0
+    adapters: tuple[str, ...] = ()
+    tokens_per_s_per_replica: float = 2000.0
+    max_batch_tokens: int = 8192
+    load_time_s: float = 60.0
+    first_token_target_s: float = 1.7
+    token_gap_target_s: float = 0.06
+    endpoint_trust: EndpointTrust = EndpointTrust.REFUSES_OLD_ORDERS
+    data_centres: tuple[str, ...] = ()
+    prices: Prices = attrs.field(factory=Prices)
+
+
+@attrs.frozen
+class PlainService:
+    """A plain service beside the model engines; paths are routed to it."""
+
+    name: str
+    path_prefix: str
+    addresses: tuple[str, ...]
+    non_idempotent_paths: tuple[str, ...] = ()
+    timeout_s: float = 10.0
+    max_in_flight_per_address: int = 64
+
+
+@attrs.frozen
+class ClientAccount:
+    """A caller's account: what it may use, how it ranks, what it costs."""
+
+    name: str
+    credential_sha256: str
+    priority: int
+    weight: float = 1.0
+    tokens_per_s: float = 0.0
+    requests_per_s: float = 0.0
+    penalty_per_missed_request: float = 0.0
+    first_token_target_s: float = 0.0
+    deployments: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Declaration:
+    """Everything an operator wants; the whole of it, never a difference."""
+
+    operator: str
+    deployments: tuple[ModelDeployment, ...] = ()
+    services: tuple[PlainService, ...] = ()
+    client_accounts: tuple[ClientAccount, ...] = ()
--- /dev/null
+++ b/redwingvalve/declaration/tests/test_reader.py
@@ -0,0 +1,93 @@
+"""A declaration is checked as a whole; each finding names its place."""
+
+import hypothesis
+from hypothesis import strategies
+
+from redwingvalve.declaration import reader
+
+GOOD = """
+operator: tapiceria
+deployments:
+  - name: quotes
+    model: quote-70b
+    version: "3"
+    replicas: 2
+    vms_per_replica: 4
+services:
+  - name: records
+    path_prefix: /records
+    addresses: ["127.0.0.1:9000"]
+client_accounts:
+  - name: depot
+    credential_sha256: "{digest}"
+    priority: 5
+    deployments: [quotes]
+""".format(digest='a' * 64)
+
+
+def findings_of(text):
+    checked = reader.read_text(text, 'wanted.yaml')
+    assert checked.is_error()
+    return [str(finding) for finding in checked.error.entries]
+
+
+def test_a_good_declaration_is_read():
+    bound = reader.read_text(GOOD, 'wanted.yaml').ok
+    assert bound.content.deployments[0].vms_per_replica == 4
+    assert bound.content.client_accounts[0].name == 'depot'
+
+
+def test_all_findings_are_reported_together_with_line_and_column():
+    bad = GOOD.replace('replicas: 2', 'replicas: two').replace(
+        'priority: 5', 'prio: 5'
+    )
+    found = findings_of(bad)
+    assert found == [
+        (
+            'wanted.yaml:7:15 (deployments[0].replicas): a whole number is '
+            "wanted here, not 'two'"
+        ),
+        (
+            'wanted.yaml:14:5 (client_accounts[0].priority): the field '
+            "'priority' is missing"
+        ),
+        "wanted.yaml:16:5 (client_accounts[0].prio): unknown field 'prio'",
+    ]
+
+
+def test_a_duplicate_name_and_an_unknown_deployment_are_found():
+    twice = GOOD.replace(
+        'services:',
+        GOOD.split('deployments:')[1].split('services:')[0].lstrip('\n')
+        + 'services:',
+    ).replace('[quotes]', '[flags]')
+    found = findings_of(twice)
+    assert any("the name 'quotes' is already taken" in line for line in found)
+    assert any("no deployment is named 'flags'" in line for line in found)
+
+
+def test_a_key_that_stands_twice_is_found():
+    found = findings_of(GOOD.replace('    model:', '    name: x\n    model:'))
+    assert found == [
+        "wanted.yaml:5:5 (deployments[0].name): 'name' stands twice"
+    ]
+
+
+def test_a_file_that_is_not_yaml_is_found_with_its_line():
+    found = findings_of('operator: [tapiceria\nservices: {')
+    assert found[0].startswith('wanted.yaml:2:')
+
+
+@hypothesis.given(strategies.text(max_size=200))
+def test_any_text_gives_findings_and_never_a_crash(text):
+    checked = reader.read_text(text, 'wanted.yaml')
+    assert checked.is_error() or checked.ok.content.operator is not None
+
+
+@hypothesis.given(
+    strategies.sampled_from(GOOD.split()),
+    strategies.sampled_from(['[', '{}', '-1', '""', 'null', '!!x y', '&a *b']),
+)
+def test_a_spoilt_declaration_gives_findings_and_never_a_crash(word, spoilt):
+    checked = reader.read_text(GOOD.replace(word, spoilt), 'wanted.yaml')
+    assert checked.is_error() or checked.ok.content.operator is not None
--- /dev/null
+++ b/redwingvalve/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Which address a caller should use, and for how long."""
--- /dev/null
+++ b/redwingvalve/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: discovery, admission, routing, relay, outcome."""
--- /dev/null
+++ b/redwingvalve/evidence/permits.py
@@ -0,0 +1,19 @@
+"""The question that the request path asks before each send."""
+
+import abc
+
+from redwingvalve.configuration import snapshot
+
+
+class ServingPermits(abc.ABC):
+    """Answers from evidence that ages out by itself."""
+
+    @abc.abstractmethod
+    def permitted(self, replica: snapshot.Replica, now_s: float) -> bool:
+        """Tell whether every VM of this epoch was seen recently enough."""
+
+    @abc.abstractmethod
+    def report_failure(
+        self, replica: snapshot.Replica, vm: str, now_s: float
+    ) -> None:
+        """Count what the request path saw: it stops new work at once."""
--- /dev/null
+++ b/redwingvalve/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries and controllers are alive, leaving or gone."""
--- /dev/null
+++ b/redwingvalve/news/__init__.py
@@ -0,0 +1,1 @@
+"""News that processes spread between each other, with bounds on its age."""
--- /dev/null
+++ b/redwingvalve/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and spans."""
--- /dev/null
+++ b/redwingvalve/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Plans: what a declaration would change, and how it is confirmed."""
--- /dev/null
+++ b/redwingvalve/platform_api/__init__.py
@@ -0,0 +1,1 @@
+"""The platform behind abstract base classes: objects, VMs, weights, orders."""
--- /dev/null
+++ b/redwingvalve/platform_api/weight_store.py
@@ -0,0 +1,26 @@
+"""The platform's rate-limited store of model weights."""
+
+import abc
+
+import attrs
+from expression import Result
+
+from redwingvalve.platform_api import object_api
+
+
+@attrs.frozen
+class LoadTicket:
+    """Leave to start one load, until expires_after_s has passed."""
+
+    ticket: str
+    expires_after_s: float
+
+
+class WeightStore(abc.ABC):
+    """Grants loads at a bounded rate."""
+
+    @abc.abstractmethod
+    async def reserve_load(
+        self, model: str, version: str
+    ) -> Result[LoadTicket, object_api.Unavailable]:
+        """Reserve one load; Unavailable tells when to come back."""
--- /dev/null
+++ b/redwingvalve/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the endpoints that run them."""
--- /dev/null
+++ b/redwingvalve/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas of VMs: formation, fencing, healing and the domain object."""
--- /dev/null
+++ b/redwingvalve/retries/__init__.py
@@ -0,0 +1,1 @@
+"""When to send again, and how an interrupted stream goes on."""
--- /dev/null
+++ b/redwingvalve/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which replica gets a request."""
--- /dev/null
+++ b/redwingvalve/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of a process, in YAML, checked as a whole."""
--- /dev/null
+++ b/redwingvalve/settings/schema.py
@@ -0,0 +1,111 @@
+"""Settings of an entry or a controller; every field carries its unit."""
+
+import attrs
+
+
+@attrs.frozen
+class NodeSettings:
+    """Who this process is; it learns its address and data centre here."""
+
+    name: str
+    data_centre: str
+    region: str
+    host: str = '127.0.0.1'
+    seed: int = 0
+
+
+@attrs.frozen
+class ListenSettings:
+    """Ports of this process; all on node.host."""
+
+    http_port: int
+    peer_port: int
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform's services are."""
+
+    object_api_url: str
+    vm_list_url: str = ''
+    weight_store_url: str = ''
+    timeout_s: float = 2.0
+    vm_list_interval_s: float = 1.0
+
+
+@attrs.frozen
+class PeerSettings:
+    """First contacts; the store's node objects name the others."""
+
+    contacts: tuple[str, ...] = ()
+    call_timeout_s: float = 1.0
+
+
+@attrs.frozen
+class RequestSettings:
+    """Bounds of the request path."""
+
+    max_body_bytes: int = 4_000_000
+    default_deadline_s: float = 60.0
+    max_deadline_s: float = 600.0
+    discovery_keep_s: float = 10.0
+    drain_timeout_s: float = 600.0
+
+
+@attrs.frozen
+class LogSettings:
+    """JSON logs; level is a standard level name."""
+
+    level: str = 'INFO'
+
+
+@attrs.frozen
+class MetricSettings:
+    """Where statsd listens; an empty host sends nothing."""
+
+    statsd_host: str = ''
+    statsd_port: int = 8125
+    prefix: str = 'redwingvalve'
+
+
+@attrs.frozen
+class TracingSettings:
+    """exporter is none, console or file; ratio is the share sampled."""
+
+    exporter: str = 'none'
+    file_name: str = ''
+    ratio: float = 1.0
+
+
+@attrs.frozen
+class TlsSettings:
+    """PEM files, read again when they change; empty names mean no TLS."""
+
+    certificate_file: str = ''
+    key_file: str = ''
+    authority_file: str = ''
+
+
+@attrs.frozen
+class TestingSettings:
+    """Only for proofs: safeguards that are switched off."""
+
+    in_test: bool = False
+    disabled_safeguards: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one process."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    peers: PeerSettings = attrs.field(factory=PeerSettings)
+    requests: RequestSettings = attrs.field(factory=RequestSettings)
+    logs: LogSettings = attrs.field(factory=LogSettings)
+    metrics: MetricSettings = attrs.field(factory=MetricSettings)
+    tracing: TracingSettings = attrs.field(factory=TracingSettings)
+    peer_tls: TlsSettings = attrs.field(factory=TlsSettings)
+    administration_tls: TlsSettings = attrs.field(factory=TlsSettings)
+    testing: TestingSettings = attrs.field(factory=TestingSettings)
--- /dev/null
+++ b/redwingvalve/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs that attack every promise."""
--- /dev/null
+++ b/redwingvalve/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, with faults that can be switched on."""
--- /dev/null
+++ b/redwingvalve/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift between our own processes."""
