Add the domain controller: leases, placement, orders, drains

One pass reads, decides and writes once for the whole domain. Placement heals from spares, merges remnants, dissolves by price and adopts what comes back.

--- a/redwingvalve/plans/making.py
+++ b/redwingvalve/plans/making.py
@@ -161,8 +161,9 @@
                 'drained first; no request is cut off',
             )
         yield from _moves(world, allocated, name, subject)
-        if name in new:
-            yield from _per_deployment(new[name], old.get(name), placed)
+        declared = new.get(name)
+        if declared is not None:
+            yield from _per_deployment(declared, old.get(name), placed)
 
 
 def _per_deployment(
--- a/redwingvalve/replicas/domain.py
+++ b/redwingvalve/replicas/domain.py
@@ -18,6 +18,7 @@
 
 KIND = 'fabricdomains'
 SCHEMA_VERSION = 1
+KEPT_EVENTS = 20
 
 
 class ReplicaState(enum.StrEnum):
@@ -63,6 +64,15 @@
     reason: str = ''
 
 
+@attrs.frozen
+class DomainEvent:
+    """What changed and why; at_s is the writer's wall clock."""
+
+    at_s: float
+    subject: str
+    message: str
+
+
 @attrs.frozen
 class Lease:
     """Who may order; a watcher times renewals by its own clock.
@@ -90,7 +100,7 @@
     write_number: int = 0
     vms: tuple[DomainVm, ...] = ()
     replicas: tuple[DomainReplica, ...] = ()
-    waiting_for: str = ''
+    events: tuple[DomainEvent, ...] = ()
 
     def vm(self, name: str) -> DomainVm | None:
         """Return a VM by name."""
@@ -123,6 +133,11 @@
         kept = tuple(each for each in self.replicas if each.name != name)
         return attrs.evolve(self, replicas=kept)
 
+    def with_event(self, event: DomainEvent) -> 'FabricDomain':
+        """Add an event; the oldest ones are dropped."""
+        kept = (*self.events, event)[-KEPT_EVENTS:]
+        return attrs.evolve(self, events=kept)
+
 
 def require_sound(domain: FabricDomain) -> None:
     """Assert the promises that one object can break by itself."""
--- /dev/null
+++ b/redwingvalve/replicas/draft.py
@@ -0,0 +1,180 @@
+"""A domain while one pass of placement changes it, with its questions."""
+
+import attrs
+
+from redwingvalve.core import invariants
+from redwingvalve.declaration import schema
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import view as view_module
+
+State = domain_module.ReplicaState
+Replica = domain_module.DomainReplica
+States = frozenset[State]
+
+
+@attrs.frozen
+class Policy:
+    """What placement goes by beside the prices.
+
+    A replaced VM is back after repair_time_s (platforms restart one in
+    minutes; measured by the operator). A serving replica is only dissolved
+    when the gain exceeds dissolve_margin times its own price, so that equal
+    or nearly equal prices never make two deployments swap VMs. With
+    heal_from_spares off a replica waits for its own VMs; for baselines only.
+    """
+
+    repair_time_s: float = 600.0
+    dissolve_margin: float = 0.25
+    heal_from_spares: bool = True
+
+
+class Draft:
+    """domain is what the steps so far have made of it."""
+
+    def __init__(
+        self,
+        view: view_module.DomainView,
+        switches: invariants.SafeguardSwitches,
+        policy: Policy,
+    ) -> None:
+        """Start from the domain as it stands."""
+        self.domain = view.domain
+        self.view = view
+        self.switches = switches
+        self.policy = policy
+
+    def in_state(self, *states: State) -> list[Replica]:
+        """Return the replicas in any of the states."""
+        return [each for each in self.domain.replicas if each.state in states]
+
+    def of(self, deployment: str, *states: State) -> list[Replica]:
+        """Return the replicas of a deployment in any of the states."""
+        return [
+            each
+            for each in self.in_state(*states)
+            if each.deployment == deployment
+        ]
+
+    def vm(self, name: str) -> view_module.VmView:
+        """Return a VM as it looks now."""
+        return self.view.vm(name)
+
+    def free_vms(self) -> list[str]:
+        """Return the spares that may be used."""
+        return [
+            vm.name
+            for vm in self.domain.spare_vms()
+            if self.vm(vm.name).usable()
+        ]
+
+    def usable_members(self, replica: Replica) -> list[str]:
+        """Return the members of which a new epoch may be formed."""
+        return [name for name in replica.members if self.vm(name).usable()]
+
+    def lost_members(self, replica: Replica) -> list[str]:
+        """Return the members that are not there."""
+        return [name for name in replica.members if not self.vm(name).there]
+
+    def runs_as_ordered(self, replica: Replica) -> bool:
+        """Tell whether every member is at its state, ready or not yet."""
+        return bool(replica.members) and all(
+            view_module.runs(self.vm(name).state, replica, name)
+            for name in replica.members
+        )
+
+    def has_leaving(self, replica: Replica) -> bool:
+        """Tell whether the VM list shows a member as leaving."""
+        return any(self.vm(name).leaving for name in replica.members)
+
+    def outdated(self, replica: Replica) -> bool:
+        """Tell whether the replica has to be replaced by another."""
+        wanted = self.view.wants(replica.deployment)
+        if wanted is None or self.has_leaving(replica):
+            return True
+        deployment = wanted.deployment
+        return (
+            replica.model,
+            replica.version,
+            replica.adapters,
+            len(replica.members),
+        ) != (
+            deployment.model,
+            deployment.version,
+            deployment.adapters,
+            deployment.vms_per_replica,
+        )
+
+    def keep_rank(self, replica: Replica) -> tuple[bool, bool, int]:
+        """Order by what is drained first: leaving, outdated, newest."""
+        return (
+            not self.has_leaving(replica),
+            not self.outdated(replica),
+            -replica.epoch,
+        )
+
+    def value_of(self, replica: Replica) -> float:
+        """Return the price of a minute without the replica."""
+        wanted = self.view.wants(replica.deployment)
+        return downtime_price(wanted.deployment) if wanted else 0.0
+
+    def set_state(self, replica: Replica, state: State, reason: str) -> None:
+        """Change the state within the epoch."""
+        self.domain = self.domain.with_replica(
+            attrs.evolve(replica, state=state, reason=reason)
+        )
+
+    def drop(self, replica: Replica) -> None:
+        """Drop a replica; its VMs become spares."""
+        self.domain = self.domain.without_replica(replica.name)
+
+    def reform(
+        self,
+        replica: Replica,
+        members: tuple[str, ...],
+        state: State,
+        reason: str,
+    ) -> None:
+        """Give the replica other members under a new epoch.
+
+        Its model, version and adapters are brought up to what is declared.
+        """
+        wanted = self.view.wants(replica.deployment)
+        changed = attrs.evolve(
+            replica,
+            epoch=self.take_epoch(),
+            state=state,
+            members=members,
+            reason=reason,
+        )
+        if wanted is not None:
+            changed = with_declared(changed, wanted.deployment)
+        self.domain = self.domain.with_replica(changed)
+
+    def take_epoch(self) -> int:
+        """Return an epoch that was never used in this domain."""
+        epoch = self.domain.next_epoch
+        self.domain = attrs.evolve(self.domain, next_epoch=epoch + 1)
+        return epoch
+
+
+def with_declared(
+    replica: Replica, deployment: schema.ModelDeployment
+) -> Replica:
+    """Return the replica with the declared model, version and adapters."""
+    return attrs.evolve(
+        replica,
+        model=deployment.model,
+        version=deployment.version,
+        adapters=deployment.adapters,
+        endpoint_trust=deployment.endpoint_trust,
+    )
+
+
+def value_rank(wanted: view_module.Wanted) -> tuple[float, str]:
+    """Order deployments by price, the dearest first."""
+    return (-downtime_price(wanted.deployment), wanted.deployment.name)
+
+
+def downtime_price(deployment: schema.ModelDeployment) -> float:
+    """Return the price of a minute without one replica."""
+    return deployment.prices.downtime_per_replica_minute
--- /dev/null
+++ b/redwingvalve/replicas/healing.py
@@ -0,0 +1,184 @@
+"""Heals broken replicas: spares first, then remnants, then cheaper replicas.
+
+Load pattern: one VM lost (daily), a rack of VMs at once (monthly). Without
+merging, two broken replicas of four VMs strand up to six accelerators beside
+each other; without the price test for dissolving, replicas of equal worth
+would swap VMs for ever, each swap costing a load.
+"""
+
+import attrs
+
+from redwingvalve.declaration import schema
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import draft as draft_module
+from redwingvalve.replicas import view as view_module
+
+State = domain_module.ReplicaState
+Replica = domain_module.DomainReplica
+Draft = draft_module.Draft
+
+
+@attrs.frozen
+class _Gift:
+    """VMs that a broken replica gives to one that ranks higher."""
+
+    donor: Replica
+    vms: tuple[str, ...]
+
+
+def heal_broken(draft: Draft) -> None:
+    """Form broken replicas anew, the dearest and the most whole first."""
+
+    def rank(replica: Replica) -> tuple[float, int, int]:
+        usable = len(draft.usable_members(replica))
+        return (-draft.value_of(replica), -usable, replica.epoch)
+
+    broken = [
+        each.name for each in sorted(draft.in_state(State.BROKEN), key=rank)
+    ]
+    for position, name in enumerate(broken):
+        _heal(draft, name, broken[position + 1 :])
+
+
+def form(draft: Draft, deployment: schema.ModelDeployment) -> bool:
+    """Form one more replica from spares; False when they do not suffice."""
+    free = draft.free_vms()[: deployment.vms_per_replica]
+    if len(free) < deployment.vms_per_replica:
+        return False
+    epoch = draft.take_epoch()
+    formed = Replica(
+        name=f'{deployment.name}-{draft.domain.name}-{epoch}',
+        deployment=deployment.name,
+        epoch=epoch,
+        state=State.FORMING,
+        members=tuple(free),
+        model=deployment.model,
+        version=deployment.version,
+        reason='formed',
+    )
+    draft.domain = draft.domain.with_replica(
+        draft_module.with_declared(formed, deployment)
+    )
+    return True
+
+
+def dissolve_for_broken(draft: Draft) -> None:
+    """Drain one replica that is cheaper to be without, if that pays."""
+    if not draft.policy.heal_from_spares or draft.in_state(State.DRAINING):
+        return
+    for wanted in sorted(draft.view.wanted, key=draft_module.value_rank):
+        held = draft.of(wanted.deployment.name, State.SERVING, State.FORMING)
+        if len(held) < wanted.replicas and _dissolve_for(draft, wanted):
+            return
+
+
+def _heal(draft: Draft, name: str, lower_ranked: list[str]) -> None:
+    replica = draft.domain.replica(name)
+    wanted = draft.view.wants(replica.deployment) if replica else None
+    # Members that are all at their state only need time to get ready.
+    if replica is None or wanted is None or draft.runs_as_ordered(replica):
+        return
+    kept = draft.usable_members(replica)[: wanted.deployment.vms_per_replica]
+    lacking = wanted.deployment.vms_per_replica - len(kept)
+    found = _find_vms(draft, lacking, lower_ranked)
+    if len(found) < lacking:
+        return
+    source = ', '.join(found) or 'its own VMs'
+    draft.reform(
+        replica, (*kept, *found), State.FORMING, f'healed with {source}'
+    )
+
+
+def _find_vms(draft: Draft, lacking: int, lower_ranked: list[str]) -> list[str]:
+    if not draft.policy.heal_from_spares:
+        return []
+    found = draft.free_vms()[:lacking]
+    gifts = _gifts(draft, lacking - len(found), lower_ranked)
+    given = [vm for gift in gifts for vm in gift.vms]
+    if len(found) + len(given) < lacking:
+        return []
+    for gift in gifts:
+        left = tuple(vm for vm in gift.donor.members if vm not in gift.vms)
+        draft.reform(
+            gift.donor, left, State.BROKEN, 'gave VMs to another replica'
+        )
+    return [*found, *given]
+
+
+def _gifts(draft: Draft, lacking: int, lower_ranked: list[str]) -> list[_Gift]:
+    """Choose VMs of the replicas that rank lowest."""
+    gifts: list[_Gift] = []
+    for name in reversed(lower_ranked):
+        donor = draft.domain.replica(name)
+        if donor is None or lacking <= 0:
+            continue
+        vms = tuple(draft.usable_members(donor)[:lacking])
+        if vms:
+            gifts.append(_Gift(donor, vms))
+            lacking -= len(vms)
+    return gifts
+
+
+def _dissolve_for(draft: Draft, wanted: view_module.Wanted) -> bool:
+    candidates = [
+        replica
+        for replica in draft.in_state(State.SERVING)
+        if _worth_dissolving(draft, replica, wanted)
+    ]
+    if not candidates:
+        return False
+    draft.set_state(
+        min(candidates, key=draft.value_of),
+        State.DRAINING,
+        f'dissolved for {wanted.deployment.name}',
+    )
+    return True
+
+
+def _worth_dissolving(
+    draft: Draft, replica: Replica, wanted: view_module.Wanted
+) -> bool:
+    other = draft.view.wants(replica.deployment)
+    if other is None or other.deployment.name == wanted.deployment.name:
+        return False
+    serving = draft.of(replica.deployment, State.SERVING)
+    if len(serving) <= other.floor_replicas:
+        return False
+    left_over_vms = (
+        len(draft.free_vms())
+        + len(draft.usable_members(replica))
+        + _largest_remnant(draft, wanted.deployment.name)
+        - wanted.deployment.vms_per_replica
+    )
+    return left_over_vms >= 0 and dissolving_pays(
+        wanted.deployment, other.deployment, left_over_vms, draft.policy
+    )
+
+
+def _largest_remnant(draft: Draft, deployment: str) -> int:
+    broken = draft.of(deployment, State.BROKEN)
+    return max((len(draft.usable_members(each)) for each in broken), default=0)
+
+
+def dissolving_pays(
+    gaining: schema.ModelDeployment,
+    losing: schema.ModelDeployment,
+    left_over_vms: int,
+    policy: draft_module.Policy,
+) -> bool:
+    """Weigh the outage that is left after a load against the other one.
+
+    Both loads are paid for: that of the replica gained, during which nothing
+    is won, and that of the one dissolved, when the lost VM is back.
+    """
+    losing_price = draft_module.downtime_price(losing)
+    stranded_price = (
+        left_over_vms
+        * losing.accelerators_per_vm
+        * losing.prices.stranded_per_accelerator_minute
+    )
+    gain = draft_module.downtime_price(gaining) - losing_price - stranded_price
+    if gain <= policy.dissolve_margin * losing_price:
+        return False
+    gained_s = policy.repair_time_s - gaining.load_time_s
+    return gain * gained_s > losing_price * losing.load_time_s
--- /dev/null
+++ b/redwingvalve/replicas/ordering.py
@@ -0,0 +1,276 @@
+"""Brings the engines of a domain to the state that the domain object names.
+
+Load pattern: a handful of orders after a change or a new controller, hundreds
+after a lost rack. An order states the desired end, so that repeating it does
+no harm; what may do harm is an order sent without the lease, or one that
+stops an engine with work in flight. Both are checked right before each send.
+
+A new holder also tells its fencing number to engines that are as they should
+be: otherwise one that refuses old numbers would not know yet that the former
+holder's is old.
+"""
+
+import random
+
+import anyio
+import attrs
+
+from redwingvalve.core import clock, invariants
+from redwingvalve.declaration import schema
+from redwingvalve.observability import logs
+from redwingvalve.platform_api import engine_orders, weight_store
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import lease
+from redwingvalve.replicas import view as view_module
+
+LEASE_CHECKED = invariants.Safeguard.LEASE_CHECKED_BEFORE_ORDER
+DRAIN_BEFORE_STOP = invariants.Safeguard.DRAIN_BEFORE_STOP
+PARALLEL_ORDERS = 16
+SHORTEST_ORDER_S = 0.2
+READ_TIMEOUT_S = 0.5
+TICKET_RETRY_S = 2.0
+LOG = logs.make_logger('replicas')
+
+
+@attrs.frozen
+class Ticket:
+    """Leave to load, or when to ask again; one replica and epoch each."""
+
+    granted: bool
+    until_s: float
+
+
+class OrderSender:
+    """Sends orders for one domain while its lease lasts."""
+
+    def __init__(
+        self,
+        orders: engine_orders.EngineOrders,
+        weights: weight_store.WeightStore,
+        time_source: clock.Clock,
+        chance: random.Random,
+        switches: invariants.SafeguardSwitches,
+    ) -> None:
+        """Send through orders, load with leave of weights."""
+        self._orders = orders
+        self._weights = weights
+        self._clock = time_source
+        self._chance = chance
+        self._switches = switches
+        self._tickets: dict[tuple[str, int], Ticket] = {}
+
+    async def converge(
+        self, view: view_module.DomainView, holding: lease.Holding
+    ) -> None:
+        """Order every engine that differs from the domain object."""
+        if not self._may_order(view, holding):
+            return
+        self._forget_tickets(view.domain)
+        for replica in view.domain.replicas:
+            if replica.state == domain_module.ReplicaState.FORMING:
+                await self._ask_to_load(view, replica)
+        limiter = anyio.CapacityLimiter(PARALLEL_ORDERS)
+        async with anyio.create_task_group() as group:
+            for vm in view.domain.vms:
+                wanted = self._wanted_order(view, vm.name, holding)
+                if wanted is not None:
+                    group.start_soon(
+                        self._send, view, vm.address, wanted, holding, limiter
+                    )
+
+    def waiting_loads(self) -> int:
+        """Return how many replicas wait for the weight store."""
+        return sum(not ticket.granted for ticket in self._tickets.values())
+
+    def _may_order(
+        self, view: view_module.DomainView, holding: lease.Holding
+    ) -> bool:
+        # An order of the former holder may still be under way, and an engine
+        # that ignores fencing would obey it after ours: two replicas then
+        # share a VM. After the wait none of them can arrive any more.
+        trusts = {each.endpoint_trust for each in view.domain.replicas}
+        trusts.update(each.deployment.endpoint_trust for each in view.wanted)
+        if schema.EndpointTrust.IGNORES_FENCING not in trusts:
+            return True
+        return (
+            self._clock.monotonic_s() >= holding.ignoring_from_s
+            or not self._switches.enabled(LEASE_CHECKED)
+        )
+
+    def _forget_tickets(self, domain: domain_module.FabricDomain) -> None:
+        live = {(each.name, each.epoch) for each in domain.replicas}
+        self._tickets = {
+            key: ticket for key, ticket in self._tickets.items() if key in live
+        }
+
+    async def _ask_to_load(
+        self, view: view_module.DomainView, replica: domain_module.DomainReplica
+    ) -> None:
+        ordered = all(
+            view_module.runs(view.vm(name).state, replica, name)
+            for name in replica.members
+        )
+        key = (replica.name, replica.epoch)
+        now_s = self._clock.monotonic_s()
+        ticket = self._tickets.get(key)
+        if ordered or (ticket is not None and now_s < ticket.until_s):
+            return
+        answer = await self._weights.reserve_load(
+            replica.model, replica.version
+        )
+        now_s = self._clock.monotonic_s()
+        if answer.is_ok():
+            until_s = now_s + answer.ok.expires_after_s
+            self._tickets[key] = Ticket(granted=True, until_s=until_s)
+            return
+        # Jitter keeps the replicas of a lost rack from asking all at once.
+        wait_s = max(answer.error.retry_after_s, TICKET_RETRY_S)
+        wait_s *= self._chance.uniform(1, 1.5)
+        self._tickets[key] = Ticket(granted=False, until_s=now_s + wait_s)
+
+    def _wanted_order(
+        self, view: view_module.DomainView, vm: str, holding: lease.Holding
+    ) -> engine_orders.EngineOrder | None:
+        seen = view.vm(vm)
+        if not seen.there or seen.state is None:
+            return None
+        replica = next(
+            (each for each in view.domain.replicas if vm in each.members), None
+        )
+        if replica is None:
+            wanted = _idle_order(vm, holding.fencing_number)
+        elif replica.state == domain_module.ReplicaState.BROKEN:
+            # Left as it is: what comes back is adopted, not loaded again.
+            return None
+        else:
+            wanted = _replica_order(vm, replica, holding.fencing_number)
+        if _is_at(seen.state, wanted):
+            knows = seen.state.highest_fencing_number >= holding.fencing_number
+            return None if knows else wanted
+        if replica is not None and not self._may_load(replica):
+            return None
+        return wanted
+
+    def _may_load(self, replica: domain_module.DomainReplica) -> bool:
+        ticket = self._tickets.get((replica.name, replica.epoch))
+        return ticket is not None and ticket.granted
+
+    async def _send(
+        self,
+        view: view_module.DomainView,
+        address: str,
+        order: engine_orders.EngineOrder,
+        holding: lease.Holding,
+        limiter: anyio.CapacityLimiter,
+    ) -> None:
+        async with limiter:
+            if not await self._may_stop(view, address, order):
+                return
+            timeout_s = self._order_timeout_s(holding)
+            if timeout_s <= 0:
+                return
+            answer = await self._orders.send(address, order, timeout_s)
+        if answer.is_error() and isinstance(
+            answer.error, engine_orders.OrderRefused
+        ):
+            LOG.warning(
+                'An engine refused an old fencing number',
+                extra={'vm': order.vm, 'fencing_number': order.fencing_number},
+            )
+
+    async def _may_stop(
+        self,
+        view: view_module.DomainView,
+        address: str,
+        order: engine_orders.EngineOrder,
+    ) -> bool:
+        state = view.vm(order.vm).state
+        if not _ends_work(view, state, order):
+            return True
+        # An entry that heard late of the drain may have sent meanwhile; a stop
+        # now would cut its caller off. Read again, right before the order.
+        answer = await self._orders.read_state(address, READ_TIMEOUT_S)
+        if answer.is_error():
+            return False
+        if answer.ok.in_flight and self._switches.enabled(DRAIN_BEFORE_STOP):
+            return False
+        invariants.require(
+            not answer.ok.in_flight,
+            'a planned stop cuts off no request in progress',
+            f'{order.vm}: {answer.ok.in_flight} in flight',
+        )
+        return True
+
+    def _order_timeout_s(self, holding: lease.Holding) -> float:
+        """Return the time the order may take; nought forbids it.
+
+        A holder that was paused may find that its lease has lapsed and that
+        another one orders the same engines; its order would undo theirs. The
+        lease is checked after the last wait, and the order ends with it.
+        """
+        remaining_s = holding.remaining_s(self._clock.monotonic_s())
+        checked = self._switches.enabled(LEASE_CHECKED)
+        if checked and remaining_s < SHORTEST_ORDER_S:
+            return 0.0
+        invariants.require(
+            remaining_s > 0,
+            'an order is sent under a lease',
+            f'the lease lapsed {-remaining_s:.3f} s ago',
+        )
+        return min(lease.ORDER_TIMEOUT_S, remaining_s)
+
+
+def _idle_order(vm: str, fencing_number: int) -> engine_orders.EngineOrder:
+    return engine_orders.EngineOrder(
+        vm=vm,
+        fencing_number=fencing_number,
+        replica='',
+        epoch=0,
+        model='',
+        version='',
+        role='idle',
+    )
+
+
+def _replica_order(
+    vm: str, replica: domain_module.DomainReplica, fencing_number: int
+) -> engine_orders.EngineOrder:
+    return engine_orders.EngineOrder(
+        vm=vm,
+        fencing_number=fencing_number,
+        replica=replica.name,
+        epoch=replica.epoch,
+        model=replica.model,
+        version=replica.version,
+        role=view_module.role_of(replica, vm),
+        members=replica.members,
+        adapters=replica.adapters,
+    )
+
+
+def _is_at(
+    state: engine_orders.EngineState, order: engine_orders.EngineOrder
+) -> bool:
+    if order.role == 'idle':
+        return not state.replica
+    names = ('replica', 'epoch', 'model', 'version', 'role')
+    same = all(getattr(state, name) == getattr(order, name) for name in names)
+    return (
+        same
+        and tuple(state.members) == order.members
+        and tuple(state.adapters) == order.adapters
+    )
+
+
+def _ends_work(
+    view: view_module.DomainView,
+    state: engine_orders.EngineState | None,
+    order: engine_orders.EngineOrder,
+) -> bool:
+    """Tell whether the order would end work of a replica that is whole.
+
+    What a replica with a missing VM had in flight is lost already.
+    """
+    if state is None or not state.replica or _is_at(state, order):
+        return False
+    return all(view.vm(name).there for name in state.members)
--- /dev/null
+++ b/redwingvalve/replicas/placement.py
@@ -0,0 +1,133 @@
+"""Decides what becomes of the replicas of one fabric domain.
+
+Load pattern: VMs die, pause, come back and are replaced one by one (47 a day
+at 9,600 VMs), a rack or the whole domain at once now and then, and versions
+roll several times a day. Without one decision over the whole domain, remnants
+of broken replicas lie idle beside each other, replicas that come back are
+loaded again, and two losses are healed with one spare.
+
+Each step takes the domain and returns the next one, so that one conditional
+write moves everything. The order of the steps is the order of the promises:
+first stop what may not serve, then adopt what runs, then heal the dearest.
+"""
+
+from redwingvalve.core import invariants
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import draft as draft_module
+from redwingvalve.replicas import healing
+from redwingvalve.replicas import view as view_module
+
+State = domain_module.ReplicaState
+Draft = draft_module.Draft
+STATE_READ_BACK = invariants.Safeguard.STATE_READ_BACK
+
+
+def next_domain(
+    view: view_module.DomainView,
+    switches: invariants.SafeguardSwitches,
+    policy: draft_module.Policy,
+) -> domain_module.FabricDomain:
+    """Return the domain as it should stand next."""
+    draft = Draft(view, switches, policy)
+    _drop_drained(draft)
+    _break_lost(draft)
+    _adopt_running(draft)
+    _retire_surplus(draft)
+    healing.heal_broken(draft)
+    _form_missing(draft)
+    _replace_outdated(draft)
+    healing.dissolve_for_broken(draft)
+    return draft.domain
+
+
+def _drop_drained(draft: Draft) -> None:
+    for replica in draft.in_state(State.DRAINING):
+        # With a VM gone nothing of the drain is left to finish.
+        if replica.name in draft.view.drained or draft.lost_members(replica):
+            draft.drop(replica)
+
+
+def _break_lost(draft: Draft) -> None:
+    for replica in draft.in_state(State.SERVING, State.FORMING):
+        lost = draft.lost_members(replica)
+        if lost:
+            draft.set_state(
+                replica, State.BROKEN, f'missing: {", ".join(lost)}'
+            )
+        elif replica.state == State.SERVING and not draft.runs_as_ordered(
+            replica
+        ):
+            draft.reform(
+                replica,
+                replica.members,
+                State.FORMING,
+                'an engine lost its state',
+            )
+
+
+def _adopt_running(draft: Draft) -> None:
+    for replica in draft.in_state(State.BROKEN, State.FORMING):
+        if not replica.members:
+            continue
+        as_ordered = view_module.reads_back(draft.view, replica)
+        # An order that was accepted is not yet a loaded model, and an engine
+        # that ignores fencing may have obeyed another holder since: callers
+        # would get errors or another model's answers. The state read back is
+        # what serves, so nothing else is believed.
+        if not as_ordered and draft.switches.enabled(STATE_READ_BACK):
+            continue
+        invariants.require(
+            as_ordered,
+            'a replica serves only after its state was read back',
+            f'{draft.domain.name}/{replica.name} epoch {replica.epoch}',
+        )
+        if not any(draft.vm(name).kept_out for name in replica.members):
+            draft.set_state(replica, State.SERVING, '')
+
+
+def _retire_surplus(draft: Draft) -> None:
+    for name in sorted({each.deployment for each in draft.domain.replicas}):
+        wanted = draft.view.wants(name)
+        _retire(draft, name, wanted.replicas if wanted else 0)
+
+
+def _retire(draft: Draft, deployment: str, wanted: int) -> None:
+    serving = draft.of(deployment, State.SERVING)
+    current = [each for each in serving if not draft.outdated(each)]
+    if len(current) >= wanted:
+        for replica in draft.of(deployment, State.BROKEN, State.FORMING):
+            draft.drop(replica)
+    surplus = max(len(serving) - wanted, 0)
+    for victim in sorted(serving, key=draft.keep_rank)[:surplus]:
+        draft.set_state(victim, State.DRAINING, 'surplus')
+
+
+def _form_missing(draft: Draft) -> None:
+    for wanted in sorted(draft.view.wanted, key=draft_module.value_rank):
+        held = draft.of(
+            wanted.deployment.name, State.FORMING, State.SERVING, State.BROKEN
+        )
+        for _ in range(wanted.replicas - len(held)):
+            if not healing.form(draft, wanted.deployment):
+                break
+
+
+def _replace_outdated(draft: Draft) -> None:
+    for wanted in draft.view.wanted:
+        _replace_one(draft, wanted)
+
+
+def _replace_one(draft: Draft, wanted: view_module.Wanted) -> None:
+    """Form a replacement first if VMs are free, else drain one."""
+    name = wanted.deployment.name
+    serving = draft.of(name, State.SERVING)
+    outdated = [each for each in serving if draft.outdated(each)]
+    if not outdated or draft.of(name, State.FORMING, State.DRAINING):
+        return
+    if healing.form(draft, wanted.deployment):
+        return
+    victim = min(outdated, key=draft.keep_rank)
+    leaving = draft.has_leaving(victim)
+    if leaving or len(serving) > wanted.floor_replicas:
+        reason = 'a VM is leaving' if leaving else 'outdated'
+        draft.set_state(victim, State.DRAINING, reason)
--- /dev/null
+++ b/redwingvalve/replicas/tests/fixtures.py
@@ -0,0 +1,77 @@
+"""A domain of VMs, a store and controllers in virtual time."""
+
+import random
+
+import attrs
+
+from redwingvalve.core import clock, invariants
+from redwingvalve.declaration import schema
+from redwingvalve.platform_api import vm_list
+from redwingvalve.replicas import controller, draft, view, witness
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.standins import memory_fleet, memory_store
+
+STEP_S = 0.5
+LOAD_S = 20.0
+
+
+def deployment(**changed):
+    declared = schema.ModelDeployment(
+        'quotes', 'm', '1', replicas=2, vms_per_replica=3, load_time_s=LOAD_S
+    )
+    return attrs.evolve(declared, **changed)
+
+
+class Bench:
+    """One fabric domain; each controller has its own way to the engines."""
+
+    def __init__(self, vms=7, wanted=None, disabled=()):
+        self.clock = clock.ManualClock(1000.0)
+        self.store = memory_store.make_memory_object_api()
+        self.fleet = memory_fleet.MemoryFleet(
+            tuple(
+                vm_list.Vm(f'vm-{i}', f'10.0.0.{i}:80', 'nave-a', 'd')
+                for i in range(vms)
+            ),
+            self.clock,
+            LOAD_S,
+        )
+        self.weights = memory_fleet.MemoryWeights(self.clock, 1.0, 4)
+        self.wanted = wanted or (view.Wanted(deployment(), 2, 0),)
+        self.disabled = disabled
+        self.ways = {}
+
+    async def begin(self, *owners):
+        body = domain_module.to_body(domain_module.FabricDomain('d', 'nave-a'))
+        await self.store.create(domain_module.KIND, 'd', body)
+        return [self.controller(owner) for owner in owners]
+
+    def controller(self, owner, store=None):
+        self.ways[owner] = memory_fleet.MemoryOrders(self.fleet)
+        tools = controller.Tools(
+            store or self.store,
+            self.ways[owner],
+            self.weights,
+            self.clock,
+            witness.BoundedWitness(),
+            random.Random(1),
+            invariants.SafeguardSwitches(self.disabled),
+            draft.Policy(),
+        )
+        return controller.make_domain_controller('d', owner, tools)
+
+    def surroundings(self):
+        return controller.Surroundings(self.fleet.vms(), self.wanted)
+
+    async def run(self, duration_s, *controllers):
+        for _ in range(int(duration_s / STEP_S)):
+            for each in controllers:
+                await each.step(self.surroundings())
+            self.clock.advance(STEP_S)
+
+    def domain(self):
+        (stored,) = self.store.list_now(domain_module.KIND).objects
+        return domain_module.from_stored(stored)
+
+    def states(self):
+        return sorted(each.state.value for each in self.domain().replicas)
--- /dev/null
+++ b/redwingvalve/replicas/view.py
@@ -0,0 +1,112 @@
+"""What a controller sees of a domain at one time; input of placement."""
+
+import attrs
+
+from redwingvalve.declaration import schema
+from redwingvalve.platform_api import engine_orders
+from redwingvalve.replicas import domain as domain_module
+
+
+@attrs.frozen
+class VmView:
+    """One VM as it looks now.
+
+    there is false once it went unseen for too long; kept_out while it has
+    come back too often of late. state is the last one that it reported.
+    """
+
+    name: str
+    there: bool
+    leaving: bool = False
+    kept_out: bool = False
+    state: engine_orders.EngineState | None = None
+
+    def usable(self) -> bool:
+        """Tell whether a replica may be formed with this VM."""
+        return (
+            self.there
+            and not self.leaving
+            and not self.kept_out
+            and self.state is not None
+        )
+
+
+@attrs.frozen
+class Wanted:
+    """The share of this domain in one deployment."""
+
+    deployment: schema.ModelDeployment
+    replicas: int
+    floor_replicas: int = 0
+
+
+@attrs.frozen
+class DomainView:
+    """A domain, its VMs and what it should hold.
+
+    drained names the DRAINING replicas of which all entries have stopped
+    sending and no work is in flight.
+    """
+
+    domain: domain_module.FabricDomain
+    vms: dict[str, VmView]
+    wanted: tuple[Wanted, ...]
+    drained: frozenset[str] = frozenset()
+
+    def vm(self, name: str) -> VmView:
+        """Return a VM; one that nobody saw yet is not there."""
+        return self.vms.get(name, VmView(name, there=False))
+
+    def wants(self, deployment: str) -> Wanted | None:
+        """Return the share in a deployment, if there is one."""
+        found = (
+            each for each in self.wanted if each.deployment.name == deployment
+        )
+        return next(found, None)
+
+
+def role_of(replica: domain_module.DomainReplica, vm: str) -> str:
+    """Return the role of a member; members[0] is the head."""
+    return 'head' if replica.members[0] == vm else 'worker'
+
+
+def runs(
+    state: engine_orders.EngineState | None,
+    replica: domain_module.DomainReplica,
+    vm: str,
+) -> bool:
+    """Tell whether an engine is at the state that the replica wants of it."""
+    if state is None:
+        return False
+    wanted = (
+        replica.name,
+        replica.epoch,
+        replica.model,
+        replica.version,
+        role_of(replica, vm),
+        replica.members,
+        replica.adapters,
+    )
+    return wanted == (
+        state.replica,
+        state.epoch,
+        state.model,
+        state.version,
+        state.role,
+        tuple(state.members),
+        tuple(state.adapters),
+    )
+
+
+def reads_back(view: DomainView, replica: domain_module.DomainReplica) -> bool:
+    """Tell whether every member is there, ready and as ordered."""
+    return all(
+        view.vm(name).there
+        and _ready(view.vm(name).state)
+        and runs(view.vm(name).state, replica, name)
+        for name in replica.members
+    )
+
+
+def _ready(state: engine_orders.EngineState | None) -> bool:
+    return state is not None and state.ready
--- /dev/null
+++ b/redwingvalve/replicas/watching.py
@@ -0,0 +1,187 @@
+"""Probes the VMs of a domain and builds the view that placement reads."""
+
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+
+from redwingvalve.core import clock, invariants
+from redwingvalve.platform_api import engine_orders, vm_list
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import sightings, witness
+from redwingvalve.replicas import view as view_module
+
+PROBE_TIMEOUT_S = 0.5
+PARALLEL_PROBES = 32
+DRAIN_BEFORE_STOP = invariants.Safeguard.DRAIN_BEFORE_STOP
+
+
+class DomainWatcher:
+    """Sees one domain through probes, the VM list and the entries."""
+
+    def __init__(
+        self,
+        orders: engine_orders.EngineOrders,
+        time_source: clock.Clock,
+        entries: witness.Witness,
+        switches: invariants.SafeguardSwitches,
+    ) -> None:
+        """Know nothing yet."""
+        self._orders = orders
+        self._clock = time_source
+        self._entries = entries
+        self._switches = switches
+        self._sightings = sightings.Sightings()
+        self._draining_since_s: dict[tuple[str, int], float] = {}
+
+    async def probe(self, domain: domain_module.FabricDomain) -> None:
+        """Read the state of every VM once."""
+        self._sightings.forget_others(frozenset(vm.name for vm in domain.vms))
+        limiter = anyio.CapacityLimiter(PARALLEL_PROBES)
+        async with anyio.create_task_group() as group:
+            for vm in domain.vms:
+                group.start_soon(self._probe_vm, vm, limiter)
+
+    async def _probe_vm(
+        self, vm: domain_module.DomainVm, limiter: anyio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            started_s = self._clock.monotonic_s()
+            answer = await self._orders.read_state(vm.address, PROBE_TIMEOUT_S)
+        now_s = self._clock.monotonic_s()
+        # A lagging VM list may give an address that another VM has by now.
+        if answer.is_ok() and answer.ok.vm == vm.name:
+            self._sightings.record_seen(vm.name, answer.ok, now_s)
+            return
+        self._sightings.record_failed(vm.name, started_s)
+        # A controller that is cut off from the engines would break replicas
+        # that serve well; an entry that sees the VM proves it wrong.
+        if self._entries.seen_by_entries(vm.name, now_s):
+            self._sightings.forgive(vm.name)
+
+    def judged(self, domain: domain_module.FabricDomain) -> bool:
+        """Tell whether enough is known to decide about every replica."""
+        now_s = self._clock.monotonic_s()
+        return all(
+            self._sightings.judged(name, now_s) for name in domain.used_vms()
+        )
+
+    def stopped_replicas(
+        self, domain: domain_module.FabricDomain
+    ) -> frozenset[str]:
+        """Return the DRAINING replicas that no entry sends to any more.
+
+        To be asked before the probe, so that the work in flight is counted
+        after the last sender stopped.
+        """
+        now_s = self._clock.monotonic_s()
+        draining = [
+            replica
+            for replica in domain.replicas
+            if replica.state == domain_module.ReplicaState.DRAINING
+        ]
+        self._draining_since_s = {
+            (each.name, each.epoch): self._draining_since_s.get(
+                (each.name, each.epoch), now_s
+            )
+            for each in draining
+        }
+        if not self._switches.enabled(DRAIN_BEFORE_STOP):
+            return frozenset(each.name for each in draining)
+        return frozenset(
+            each.name
+            for each in draining
+            if self._entries.all_stopped(
+                each, self._draining_since_s[each.name, each.epoch], now_s
+            )
+        )
+
+    def view(
+        self,
+        domain: domain_module.FabricDomain,
+        wanted: tuple[view_module.Wanted, ...],
+        stopped: frozenset[str],
+    ) -> view_module.DomainView:
+        """Return the view after a probe."""
+        noted = self._with_losses(domain)
+        views = {vm.name: self._vm_view(vm) for vm in noted.vms}
+        drained = frozenset(
+            name for name in stopped if self._is_idle(noted, name, views)
+        )
+        return view_module.DomainView(noted, views, wanted, drained)
+
+    def _vm_view(self, vm: domain_module.DomainVm) -> view_module.VmView:
+        now_s = self._clock.monotonic_s()
+        present_s = self._sightings.present_for_s(vm.name, now_s)
+        return view_module.VmView(
+            name=vm.name,
+            there=not vm.missing,
+            leaving=vm.leaving,
+            kept_out=present_s < sightings.keep_out_s(vm.flaps),
+            state=None if vm.missing else self._sightings.state(vm.name),
+        )
+
+    def _is_idle(
+        self,
+        domain: domain_module.FabricDomain,
+        name: str,
+        views: dict[str, view_module.VmView],
+    ) -> bool:
+        if not self._switches.enabled(DRAIN_BEFORE_STOP):
+            return True
+        replica = domain.replica(name)
+        states = [views[vm].state for vm in replica.members] if replica else []
+        return all(state and not state.in_flight for state in states)
+
+    def _with_losses(
+        self, domain: domain_module.FabricDomain
+    ) -> domain_module.FabricDomain:
+        return attrs.evolve(
+            domain, vms=tuple(map(self._noted_loss, domain.vms))
+        )
+
+    def _noted_loss(self, vm: domain_module.DomainVm) -> domain_module.DomainVm:
+        now_s = self._clock.monotonic_s()
+        missing = self._sightings.missing(vm.name, now_s)
+        flaps = vm.flaps + (missing and not vm.missing)
+        present_s = self._sightings.present_for_s(vm.name, now_s)
+        if not missing and present_s > sightings.RECORD_CLEARED_AFTER_S:
+            flaps = 0
+        unjudged = not self._sightings.judged(vm.name, now_s)
+        return attrs.evolve(
+            vm, missing=vm.missing if unjudged else missing, flaps=flaps
+        )
+
+
+def with_listed(
+    domain: domain_module.FabricDomain,
+    listed: collections_abc.Iterable[vm_list.Vm],
+) -> domain_module.FabricDomain:
+    """Return the domain with the VMs that the list shows.
+
+    The list lags: a VM that it no longer shows is only forgotten once it is
+    missing and belongs to no replica.
+    """
+    shown = {
+        vm.name: _domain_vm(vm, domain.vm(vm.name))
+        for vm in listed
+        if vm.fabric_domain == domain.name
+    }
+    used = domain.used_vms()
+    for vm in domain.vms:
+        if vm.name not in shown and (vm.name in used or not vm.missing):
+            shown[vm.name] = vm
+    ordered = tuple(shown[name] for name in sorted(shown))
+    return attrs.evolve(domain, vms=ordered)
+
+
+def _domain_vm(
+    vm: vm_list.Vm, before: domain_module.DomainVm | None
+) -> domain_module.DomainVm:
+    known = before or domain_module.DomainVm(vm.name, vm.address)
+    return attrs.evolve(
+        known,
+        address=vm.address,
+        accelerators=vm.accelerators,
+        leaving=vm.state == vm_list.VmState.LEAVING,
+    )
--- /dev/null
+++ b/redwingvalve/standins/memory_fleet.py
@@ -0,0 +1,201 @@
+"""Engines, a VM list and a weight store in memory and in virtual time."""
+
+import attrs
+from expression import Error, Ok, Result
+
+from redwingvalve.core import clock
+from redwingvalve.platform_api import (
+    engine_orders,
+    object_api,
+    vm_list,
+    weight_store,
+)
+
+EngineState = engine_orders.EngineState
+SEEN_ORDERS = 1000
+
+
+@attrs.define
+class MemoryEngine:
+    """One VM's engine; it loads for load_time_s after an order.
+
+    cut_off counts requests that an order ended while the replica was whole;
+    obeyed holds the orders in the order in which they took effect.
+    """
+
+    vm: vm_list.Vm
+    refuses_old: bool = True
+    alive: bool = True
+    starts: int = 1
+    state: EngineState = attrs.field(init=False)
+    ready_at_s: float = 0.0
+    cut_off: int = 0
+    loads: int = 0
+    obeyed: list[engine_orders.EngineOrder] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Start idle."""
+        self.state = self._fresh_state()
+
+    def restart(self) -> None:
+        """Come back without what was loaded."""
+        self.starts += 1
+        self.alive = True
+        self.state = self._fresh_state()
+
+    def obey(
+        self, order: engine_orders.EngineOrder, now_s: float, load_time_s: float
+    ) -> Result[EngineState, engine_orders.OrderError]:
+        """Take an order; one for the state that it is in changes nothing."""
+        if self.refuses_old and (
+            order.fencing_number < self.state.highest_fencing_number
+        ):
+            return Error(
+                engine_orders.OrderRefused(self.state.highest_fencing_number)
+            )
+        self.obeyed = [*self.obeyed, order][-SEEN_ORDERS:]
+        highest = max(order.fencing_number, self.state.highest_fencing_number)
+        same = (order.replica, order.epoch) == (
+            self.state.replica,
+            self.state.epoch,
+        )
+        if same:
+            self.state = attrs.evolve(
+                self.state, highest_fencing_number=highest
+            )
+            return Ok(self.state)
+        self.cut_off += self.state.in_flight
+        self.loads += bool(order.replica)
+        self.ready_at_s = now_s + load_time_s * bool(order.replica)
+        self.state = EngineState(
+            vm=self.vm.name,
+            incarnation=self.state.incarnation,
+            ready=False,
+            replica=order.replica,
+            epoch=order.epoch,
+            model=order.model,
+            version=order.version,
+            role=order.role,
+            members=order.members,
+            adapters=order.adapters,
+            highest_fencing_number=highest,
+        )
+        return Ok(self.state)
+
+    def state_at(self, now_s: float) -> EngineState:
+        """Return the state at a time."""
+        self.state = attrs.evolve(self.state, ready=now_s >= self.ready_at_s)
+        return self.state
+
+    def _fresh_state(self) -> EngineState:
+        return EngineState(self.vm.name, f'{self.vm.name}/{self.starts}', True)
+
+
+class MemoryFleet(vm_list.VmList):
+    """All VMs; list changes are seen at once, set lag by not calling."""
+
+    def __init__(
+        self,
+        vms: tuple[vm_list.Vm, ...],
+        time_source: clock.Clock,
+        load_time_s: float,
+    ) -> None:
+        """Start with all engines idle."""
+        self.engines = {vm.address: MemoryEngine(vm) for vm in vms}
+        self.clock = time_source
+        self.load_time_s = load_time_s
+
+    async def read(
+        self,
+    ) -> Result[tuple[vm_list.Vm, ...], object_api.Unavailable]:
+        """Return all VMs, dead ones too, as a lagging list does."""
+        return Ok(self.vms())
+
+    def vms(self) -> tuple[vm_list.Vm, ...]:
+        """Return all VMs as the list shows them."""
+        return tuple(engine.vm for engine in self.engines.values())
+
+    def engine(self, name: str) -> MemoryEngine:
+        """Return the engine of a VM."""
+        found = (
+            engine for engine in self.engines.values() if engine.vm.name == name
+        )
+        return next(found)
+
+    def set_leaving(self, name: str) -> None:
+        """Show a VM as leaving."""
+        engine = self.engine(name)
+        engine.vm = attrs.evolve(engine.vm, state=vm_list.VmState.LEAVING)
+
+
+class MemoryOrders(engine_orders.EngineOrders):
+    """One process's way to the engines; cut_off_from are unreachable."""
+
+    def __init__(self, fleet: MemoryFleet) -> None:
+        """Reach every engine."""
+        self.fleet = fleet
+        self.cut_off_from: set[str] = set()
+        self.probes = 0
+        self.sent = 0
+
+    async def send(
+        self, address: str, order: engine_orders.EngineOrder, timeout_s: float
+    ) -> Result[EngineState, engine_orders.OrderError]:
+        """Send an order."""
+        self.sent += 1
+        engine = self._reach(address)
+        if engine is None:
+            return Error(engine_orders.EngineUnreachable('no answer'))
+        return engine.obey(
+            order, self.fleet.clock.monotonic_s(), self.fleet.load_time_s
+        )
+
+    async def read_state(
+        self, address: str, timeout_s: float
+    ) -> Result[EngineState, engine_orders.EngineUnreachable]:
+        """Read a state."""
+        self.probes += 1
+        engine = self._reach(address)
+        if engine is None:
+            return Error(engine_orders.EngineUnreachable('no answer'))
+        return Ok(engine.state_at(self.fleet.clock.monotonic_s()))
+
+    def _reach(self, address: str) -> MemoryEngine | None:
+        engine = self.fleet.engines.get(address)
+        if engine is None or not engine.alive:
+            return None
+        return None if engine.vm.name in self.cut_off_from else engine
+
+
+class MemoryWeights(weight_store.WeightStore):
+    """Grants loads_per_s loads, in a bucket of burst."""
+
+    def __init__(
+        self, time_source: clock.Clock, loads_per_s: float, burst: float = 1.0
+    ) -> None:
+        """Start with a full bucket."""
+        self._clock = time_source
+        self._loads_per_s = loads_per_s
+        self._burst = burst
+        self._level = burst
+        self._filled_s = time_source.monotonic_s()
+        self.granted = 0
+
+    async def reserve_load(
+        self, model: str, version: str
+    ) -> Result[weight_store.LoadTicket, object_api.Unavailable]:
+        """Grant a load, or say when to come back."""
+        now_s = self._clock.monotonic_s()
+        gained = (now_s - self._filled_s) * self._loads_per_s
+        self._level = min(self._level + gained, self._burst)
+        self._filled_s = now_s
+        if self._level < 1:
+            wait_s = (1 - self._level) / self._loads_per_s
+            return Error(
+                object_api.Unavailable(
+                    'too many loads', maybe_applied=False, retry_after_s=wait_s
+                )
+            )
+        self._level -= 1
+        self.granted += 1
+        return Ok(weight_store.LoadTicket(f'load-{self.granted}', 60.0))
