--- /dev/null
+++ b/redwingvalve/tls/__init__.py
@@ -0,0 +1,1 @@
+"""TLS for the administration API and between our processes."""
