--- a/redwingvalve/administration/operations.py
+++ b/redwingvalve/administration/operations.py
@@ -7,7 +7,7 @@
 from expression import Error, Result
 
 from redwingvalve.administration import rights
-from redwingvalve.core import findings
+from redwingvalve.core import findings as findings_module
 from redwingvalve.platform_api import object_api
 
 STATUS_FORBIDDEN = 403
@@ -33,7 +33,7 @@
     status: int
     code: str
     message: str
-    findings: tuple[findings.Finding, ...] = ()
+    findings: tuple[findings_module.Finding, ...] = ()
     retry_after_s: float = 0.0
 
     def body(self) -> dict[str, typing.Any]:
--- /dev/null
+++ b/redwingvalve/administration/store_operations.py
@@ -0,0 +1,320 @@
+"""The actions of the API, done against the store and the plan book."""
+
+import typing
+from collections import abc as collections_abc
+
+import attrs
+from expression import Error, Ok, Result
+
+from redwingvalve.administration import (
+    drains,
+    operations,
+    rights,
+    token_operations,
+    views,
+)
+from redwingvalve.core import clock, findings
+from redwingvalve.declaration import reader
+from redwingvalve.membership import members
+from redwingvalve.plans import book as plan_book
+from redwingvalve.plans import objects, plan, world
+from redwingvalve.platform_api import object_api
+from redwingvalve.replicas import codec
+from redwingvalve.replicas import domain as domain_module
+
+EVENTS = 'events'
+AUDITS = 'audits'
+VISIBLE_KINDS = frozenset(
+    (
+        objects.DECLARATIONS,
+        objects.PLANS,
+        objects.DEPLOYMENTS,
+        objects.CLIENT_ACCOUNTS,
+        objects.SERVICES,
+        domain_module.KIND,
+        drains.KIND,
+        EVENTS,
+        'nodes',
+        'allocations',
+    )
+)
+Answer = operations.Answer
+Runner = collections_abc.Callable[
+    [operations.Call], collections_abc.Awaitable[Answer]
+]
+Versions = collections_abc.Callable[[], collections_abc.Mapping[str, int]]
+
+
+@attrs.frozen
+class Surroundings:
+    """What the operations work with; versions tells who has which."""
+
+    store: object_api.ObjectApi
+    book: plan_book.PlanBook
+    members: members.Members
+    clock: clock.Clock
+    versions: Versions
+    newest_version: collections_abc.Callable[[], int]
+
+
+class StoreOperations(operations.Operations):
+    """Does the actions; each returns JSON or why it was not done."""
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        """Work with surroundings."""
+        self._its = surroundings
+        held = token_operations.TokenOperations(surroundings.store)
+        self._runners: dict[str, Runner] = {
+            'status': self._status,
+            'replicas': self._replicas,
+            'entries': self._entries,
+            'events': self._events,
+            'audits': self._audits,
+            'describe': self._describe,
+            'plans': self._plans,
+            'plan': self._plan,
+            'confirm': self._confirm,
+            'discard': self._discard,
+            'drain': self._drain,
+            'tokens': held.listed,
+            'token-create': held.create,
+            'token-revoke': held.revoke,
+        }
+
+    async def run(self, name: str, call: operations.Call) -> Answer:
+        """Do one action and return its JSON answer."""
+        return await self._runners[name](call)
+
+    async def _status(self, call: operations.Call) -> Answer:
+        current = await world.read_current(self._its.store)
+        if current.is_error():
+            return _plan_problem(current.error)
+        declared = await self._its.store.list(objects.DEPLOYMENTS)
+        if declared.is_error():
+            return Error(operations.store_error(declared.error))
+        domains = await self._domains()
+        return domains.map(
+            lambda found: views.status(
+                current.ok.confirmed.generation,
+                views.declared_deployments(declared.ok),
+                found,
+            )
+        )
+
+    async def _replicas(self, call: operations.Call) -> Answer:
+        domains = await self._domains()
+        return domains.map(
+            lambda found: {'replicas': views.replica_rows(found)}
+        )
+
+    async def _entries(self, call: operations.Call) -> Answer:
+        rows = views.member_rows(
+            self._its.members.known(),
+            self._its.versions(),
+            self._its.newest_version(),
+        )
+        return Ok({'entries': rows})
+
+    async def _events(self, call: operations.Call) -> Answer:
+        return await self._rows(EVENTS)
+
+    async def _audits(self, call: operations.Call) -> Answer:
+        return await self._rows(AUDITS)
+
+    async def _rows(self, kind: str) -> Answer:
+        listed = await self._its.store.list(kind)
+        if listed.is_error():
+            return Error(operations.store_error(listed.error))
+        return Ok({kind: views.stored_rows(listed.ok)})
+
+    async def _describe(self, call: operations.Call) -> Answer:
+        kind = call.path['kind']
+        if kind not in VISIBLE_KINDS:
+            listed = ', '.join(sorted(VISIBLE_KINDS))
+            return operations.refuse(
+                operations.STATUS_NOT_FOUND,
+                'no-such-kind',
+                f'{kind!r} is not one of {listed}',
+            )
+        found = await self._its.store.get(kind, call.path['name'])
+        if found.is_error():
+            return Error(operations.store_error(found.error))
+        return Ok(attrs.asdict(found.ok))
+
+    async def _plans(self, call: operations.Call) -> Answer:
+        listed = await self._its.book.list()
+        if listed.is_error():
+            return _plan_problem(listed.error)
+        return Ok({'plans': [codec.to_body(each) for each in listed.ok]})
+
+    async def _plan(self, call: operations.Call) -> Answer:
+        file_name = str(call.body.get('file_name', 'declaration'))
+        checked = reader.read_text(call.body['declaration'], file_name)
+        if checked.is_error():
+            return _findings_problem(checked.error.entries)
+        declaration = checked.ok.content
+        in_force = await world.read_current(self._its.store)
+        if in_force.is_error():
+            return _plan_problem(in_force.error)
+        made = await self._its.book.propose(declaration, call.principal.name)
+        if made.is_error():
+            return _plan_problem(made.error)
+        return Ok(codec.to_body(made.ok))
+
+    async def _confirm(self, call: operations.Call) -> Answer:
+        name = call.path['name']
+        proposed = await self._its.book.read(name)
+        if proposed.is_error():
+            return _plan_problem(proposed.error)
+        allowed = rights.check_scope(call.principal, changed_names(proposed.ok))
+        if allowed.is_error():
+            return Error(operations.missing_right(allowed.error))
+        confirmed = await self._its.book.confirm(name, call.principal.name)
+        if confirmed.is_error():
+            return _plan_problem(confirmed.error)
+        return Ok({'message': f'{name} is confirmed', 'plan': name})
+
+    async def _discard(self, call: operations.Call) -> Answer:
+        name = call.path['name']
+        discarded = await self._its.book.discard(name, call.principal.name)
+        if discarded.is_error():
+            return _plan_problem(discarded.error)
+        return Ok({'message': f'{name} is discarded', 'plan': name})
+
+    async def _drain(self, call: operations.Call) -> Answer:
+        kind = call.body['kind']
+        name = call.body['name']
+        if kind not in drains.KINDS:
+            return operations.refuse(
+                operations.STATUS_UNPROCESSABLE,
+                'bad-drain',
+                f'{kind!r} is not one of {", ".join(drains.KINDS)}',
+            )
+        target = await self._drain_target(kind, name)
+        if target.is_error():
+            return Error(target.error)
+        allowed = rights.check_scope(call.principal, target.ok.names)
+        if allowed.is_error():
+            return Error(operations.missing_right(allowed.error))
+        if call.body.get('undo'):
+            return await self._undo_drain(kind, name)
+        wanted = drains.Drain(
+            kind,
+            name,
+            call.principal.name,
+            self._its.clock.wall_s(),
+            target.ok.vms,
+        )
+        made = await self._its.store.create(
+            drains.KIND, drains.object_name(kind, name), attrs.asdict(wanted)
+        )
+        already = made.is_error() and isinstance(
+            made.error, object_api.Conflict
+        )
+        if made.is_error() and not already:
+            return Error(operations.store_error(made.error))
+        return Ok({'message': f'{kind} {name} drains; nothing is cut off'})
+
+    async def _drain_target(
+        self, kind: str, name: str
+    ) -> Result[drains.Target, operations.OperationError]:
+        if kind == drains.ENTRY:
+            known = {each.name for each in self._its.members.known()}
+            found = drains.Target() if name in known else None
+        else:
+            domains = await self._domains()
+            if domains.is_error():
+                return Error(domains.error)
+            found = drains.find_target(kind, name, domains.ok)
+        if found is not None:
+            return Ok(found)
+        return operations.refuse(
+            operations.STATUS_NOT_FOUND,
+            'not-found',
+            f'no {kind} is named {name!r}',
+        )
+
+    async def _undo_drain(self, kind: str, name: str) -> Answer:
+        object_name = drains.object_name(kind, name)
+        found = await self._its.store.get(drains.KIND, object_name)
+        if found.is_error():
+            return Error(operations.store_error(found.error))
+        gone = await self._its.store.delete(
+            drains.KIND, object_name, found.ok.version
+        )
+        if gone.is_error():
+            return Error(operations.store_error(gone.error))
+        return Ok({'message': f'{kind} {name} takes work again'})
+
+    async def _domains(
+        self,
+    ) -> Result[
+        tuple[domain_module.FabricDomain, ...], operations.OperationError
+    ]:
+        listed = await self._its.store.list(domain_module.KIND)
+        if listed.is_error():
+            return Error(operations.store_error(listed.error))
+        return Ok(
+            tuple(
+                domain_module.from_stored(stored)
+                for stored in listed.ok.objects
+            )
+        )
+
+
+def changed_names(proposed: plan.Plan) -> list[str]:
+    """Return the declared names that a plan would change."""
+    return sorted(
+        {
+            change.subject.rpartition('/')[2].removeprefix('replicas of ')
+            for change in proposed.changes
+        }
+    )
+
+
+def _findings_problem(
+    found: tuple[findings.Finding, ...],
+) -> Answer:
+    return Error(
+        operations.OperationError(
+            operations.STATUS_UNPROCESSABLE,
+            'findings',
+            f'the declaration has {len(found)} findings',
+            found,
+        )
+    )
+
+
+def _plan_problem(error: plan.PlanError) -> Answer:
+    if isinstance(error, plan.PlanNotFound):
+        return operations.refuse(
+            operations.STATUS_NOT_FOUND,
+            'not-found',
+            f'no plan is named {error.plan!r}',
+        )
+    if isinstance(error, plan.StoreTrouble):
+        return operations.refuse(
+            operations.STATUS_UNAVAILABLE,
+            'store-away',
+            f'this waits for the platform store: {error.message}',
+        )
+    return operations.refuse(
+        operations.STATUS_CONFLICT, type(error).__name__, _reason(error)
+    )
+
+
+def _reason(error: typing.Any) -> str:
+    if isinstance(error, plan.PlanLost):
+        won = '; '.join(error.changes) or 'see describe plans'
+        return (
+            f'{error.confirmed_by} was faster with {error.winning_plan} '
+            f'(generation {error.generation}: {won}); plan again'
+        )
+    if isinstance(error, plan.PlanDecided):
+        return f'{error.plan} was {error.state} by {error.decided_by}'
+    return f'{error.plan} no longer holds: {error.reason}; plan again'
+
+
+def make_store_operations(surroundings: Surroundings) -> StoreOperations:
+    """Return the operations behind the API."""
+    return StoreOperations(surroundings)
--- /dev/null
+++ b/redwingvalve/administration/views.py
@@ -0,0 +1,148 @@
+"""What operators see, as plain JSON; pure."""
+
+import typing
+from collections import abc as collections_abc
+
+from redwingvalve.declaration import schema
+from redwingvalve.membership import members
+from redwingvalve.plans import objects
+from redwingvalve.platform_api import object_api
+from redwingvalve.replicas import domain as domain_module
+
+Row = dict[str, typing.Any]
+MOST_ROWS = 200
+
+
+def status(
+    generation: int,
+    deployments: collections_abc.Sequence[schema.ModelDeployment],
+    domains: collections_abc.Sequence[domain_module.FabricDomain],
+) -> Row:
+    """Return what serves, what waits and what is at risk now."""
+    rows = [_deployment(each, domains) for each in deployments]
+    return {
+        'generation': generation,
+        'deployments': rows,
+        'domains': [_domain(each) for each in domains],
+        'at_risk': list(_at_risk(deployments, rows)),
+        'waits': [
+            f'{each.name} waits for {each.waiting_for}'
+            for each in domains
+            if each.waiting_for
+        ],
+    }
+
+
+def replica_rows(
+    domains: collections_abc.Sequence[domain_module.FabricDomain],
+) -> list[Row]:
+    """Return all replicas with where they stand."""
+    return [
+        {
+            'name': replica.name,
+            'deployment': replica.deployment,
+            'state': replica.state.value,
+            'epoch': replica.epoch,
+            'fabric_domain': domain.name,
+            'data_centre': domain.data_centre,
+            'members': list(replica.members),
+            'version': replica.version,
+            'reason': replica.reason,
+        }
+        for domain in domains
+        for replica in domain.replicas
+    ]
+
+
+def member_rows(
+    known: collections_abc.Iterable[members.Member],
+    versions: collections_abc.Mapping[str, int],
+    newest: int,
+) -> list[Row]:
+    """Return our processes and the configuration each says it has."""
+    return [
+        {
+            'name': member.name,
+            'role': member.role,
+            'data_centre': member.data_centre,
+            'region': member.region,
+            'address': f'{member.host}:{member.http_port}',
+            'state': member.state.value,
+            'incarnation': member.incarnation,
+            'configuration_version': versions.get(member.name, 0),
+            'in_force': versions.get(member.name, 0) >= newest,
+        }
+        for member in sorted(known, key=lambda each: each.name)
+    ]
+
+
+def stored_rows(
+    listed: object_api.ObjectList,
+) -> list[Row]:
+    """Return the newest objects of a kind, newest first."""
+    newest = sorted(
+        listed.objects, key=lambda stored: int(stored.version), reverse=True
+    )
+    return [
+        {'name': stored.name, **stored.body} for stored in newest[:MOST_ROWS]
+    ]
+
+
+def declared_deployments(
+    listed: object_api.ObjectList,
+) -> tuple[schema.ModelDeployment, ...]:
+    """Return the deployments in force; removed ones are left out."""
+    found = (
+        objects.read_declared(stored, schema.ModelDeployment)
+        for stored in listed.objects
+    )
+    return tuple(each for each in found if each is not None)
+
+
+def _deployment(
+    deployment: schema.ModelDeployment,
+    domains: collections_abc.Sequence[domain_module.FabricDomain],
+) -> Row:
+    counts = {state: 0 for state in domain_module.ReplicaState}
+    for domain in domains:
+        for replica in domain.replicas:
+            if replica.deployment == deployment.name:
+                counts[replica.state] += 1
+    row: Row = {state.value: count for state, count in counts.items()}
+    return {
+        'name': deployment.name,
+        'wanted': deployment.replicas,
+        'floor': deployment.floor_replicas,
+        **row,
+    }
+
+
+def _domain(domain: domain_module.FabricDomain) -> Row:
+    return {
+        'name': domain.name,
+        'data_centre': domain.data_centre,
+        'vms': len(domain.vms),
+        'missing': sum(vm.missing for vm in domain.vms),
+        'spares': len(domain.spare_vms()),
+        'lease_holder': domain.lease.holder,
+        'fencing_number': domain.fencing_number,
+        'waiting_for': domain.waiting_for,
+    }
+
+
+def _at_risk(
+    deployments: collections_abc.Sequence[schema.ModelDeployment],
+    rows: collections_abc.Sequence[Row],
+) -> collections_abc.Iterator[str]:
+    for deployment, row in zip(deployments, rows, strict=True):
+        short = deployment.replicas - row['serving']
+        if short <= 0:
+            continue
+        price = short * deployment.prices.downtime_per_replica_minute
+        below = ''
+        if row['serving'] < deployment.floor_replicas:
+            below = ', below the declared floor'
+        yield (
+            f'{deployment.name}: {short} of {deployment.replicas} replicas do '
+            f'not serve, {price:.2f} a minute{below}'
+        )
