--- a/redwingvalve/admission/__init__.py
+++ b/redwingvalve/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Whom to serve, who waits, who is refused and when."""
+"""Admission: whom to serve now, who waits, who is refused at once."""
--- /dev/null
+++ b/redwingvalve/admission/account_line.py
@@ -0,0 +1,98 @@
+"""The waiting line of one account in one lane, and the rate it is served at."""
+
+import bisect
+import math
+
+from redwingvalve.admission import messages
+
+# The rate of an account is averaged over about a second: shorter follows the
+# noise of single jobs, longer keeps a burst's wrong rate past its end.
+RATE_WINDOW_S = 1.0
+RATE_TRUSTED_AFTER_S = 2.0
+
+Waiting = tuple[int, int, float, messages.AdmissionRequest]
+
+
+class AccountLine:
+    """Requests by priority, then by arrival; with their summed cost."""
+
+    def __init__(self, name: str, number: int) -> None:
+        """Start empty at virtual time 0; number breaks ties."""
+        self.name = name
+        self.number = number
+        self.weight = 1.0
+        self.penalty = 0.0
+        self.virtual_time = 0.0
+        self.version = 0
+        self.listed = False
+        self.backlog_tokens = 0.0
+        self.waiting: list[Waiting] = []
+        self._served_tokens = 0.0
+        self._served_at_s = 0.0
+        self._backlogged_since_s = 0.0
+
+    def add(
+        self,
+        request: messages.AdmissionRequest,
+        cost: float,
+        number: int,
+        now_s: float,
+    ) -> None:
+        """Put a request in its place."""
+        if not self.waiting:
+            self._backlogged_since_s = now_s
+        bisect.insort(self.waiting, (-request.priority, number, cost, request))
+        self.backlog_tokens += cost
+
+    def take_first(self) -> Waiting:
+        """Remove the request that goes next."""
+        return self._remove_at(0)
+
+    def take_last(self) -> Waiting:
+        """Remove the request that would go last."""
+        return self._remove_at(len(self.waiting) - 1)
+
+    def remove(self, priority: int, number: int) -> Waiting | None:
+        """Remove one request wherever it stands."""
+        place = bisect.bisect_left(self.waiting, (-priority, number))
+        if place >= len(self.waiting) or self.waiting[place][1] != number:
+            return None
+        return self._remove_at(place)
+
+    def backlog_ahead(self, priority: int) -> float:
+        """Return the cost that goes before a new request of a priority."""
+        if not self.waiting or self.waiting[-1][0] <= -priority:
+            return self.backlog_tokens
+        place = bisect.bisect_right(self.waiting, (-priority, math.inf))
+        return sum(entry[2] for entry in self.waiting[:place])
+
+    def served(self, cost: float, now_s: float) -> None:
+        """Count a dispatch into the measured rate."""
+        self._served_tokens = self._decayed(now_s) + cost
+        self._served_at_s = now_s
+
+    def rate_tokens_per_s(
+        self, fair_rate: float, floor_rate: float, now_s: float
+    ) -> float:
+        """Return the rate to expect: measured once the line has stood a while.
+
+        A line that only just formed has no measured rate; it counts on its
+        fair share. A line that was refused for long must not trust a measured
+        rate of nought, so the guaranteed floor bounds it.
+        """
+        measured = self._decayed(now_s) / RATE_WINDOW_S
+        stood_s = now_s - self._backlogged_since_s
+        if self.waiting and stood_s >= RATE_TRUSTED_AFTER_S:
+            return max(measured, floor_rate)
+        return max(measured, fair_rate)
+
+    def _decayed(self, now_s: float) -> float:
+        elapsed_s = now_s - self._served_at_s
+        return self._served_tokens * math.exp(-elapsed_s / RATE_WINDOW_S)
+
+    def _remove_at(self, place: int) -> Waiting:
+        entry = self.waiting.pop(place)
+        self.backlog_tokens -= entry[2]
+        if not self.waiting:
+            self.backlog_tokens = 0.0
+        return entry
--- /dev/null
+++ b/redwingvalve/admission/estimates.py
@@ -0,0 +1,94 @@
+"""What the queue learns from finished work: costs, delays, recent use."""
+
+import math
+
+from redwingvalve.admission import messages
+
+# One job changes the learned ratio by a tenth; about twenty jobs forget an
+# old habit of an account, and one odd job cannot halve its claim.
+CORRECTION_STEP = 0.1
+MIN_CORRECTION = 0.1
+MAX_CORRECTION = 10.0
+
+# The in-flight limit falls by a twentieth at most every 100 ms while first
+# tokens come later than allowed, and rises by a hundredth while they don't:
+# fast enough to halve within two seconds, slow enough not to swing.
+PRESSURE_STEP_S = 0.1
+PRESSURE_FALL = 0.95
+PRESSURE_RISE = 0.01
+PRESSURE_MIN_FACTOR = 0.2
+LATE_SHARE = 0.7
+FIRST_TOKEN_STEP = 0.05
+
+PEAK_HALF_LIFE_S = 5.0
+
+
+class CostCorrection:
+    """The ratio of used to estimated tokens, by account and kind."""
+
+    def __init__(self) -> None:
+        """Trust estimates until something is known."""
+        self._ratios: dict[tuple[str, int], float] = {}
+
+    def corrected(self, request: messages.AdmissionRequest) -> float:
+        """Return the cost to count for a request."""
+        ratio = self._ratios.get((request.account, request.kind), 1.0)
+        return max(request.estimated_tokens * ratio, 1.0)
+
+    def learn(
+        self, request: messages.AdmissionRequest, actual_tokens: float
+    ) -> None:
+        """Move the ratio of an account towards what a job used."""
+        if request.estimated_tokens <= 0 or actual_tokens <= 0:
+            return
+        key = (request.account, request.kind)
+        seen = actual_tokens / request.estimated_tokens
+        old = self._ratios.get(key, 1.0)
+        ratio = old + CORRECTION_STEP * (seen - old)
+        self._ratios[key] = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
+
+
+class FirstTokenPressure:
+    """Follows the delay from sending to the first token.
+
+    When the declared in-flight bound is too high for what the endpoints really
+    do (stragglers, dead replicas not yet noticed), work queues inside them,
+    where it can't be refused any more. factor lowers the bound until first
+    tokens are in time again.
+    """
+
+    def __init__(self, first_token_s: float) -> None:
+        """Start with an expected delay and the whole bound."""
+        self.first_token_s = first_token_s
+        self.factor = 1.0
+        self._next_fall_s = 0.0
+
+    def observed(
+        self, *, delay_s: float, allowed_s: float, now_s: float
+    ) -> None:
+        """Count one first token."""
+        bounded = min(delay_s, max(allowed_s, 0.0))
+        self.first_token_s += FIRST_TOKEN_STEP * (bounded - self.first_token_s)
+        if delay_s <= LATE_SHARE * allowed_s:
+            self.factor = min(self.factor + PRESSURE_RISE, 1.0)
+            return
+        if now_s >= self._next_fall_s:
+            self._next_fall_s = now_s + PRESSURE_STEP_S
+            lowered = self.factor * PRESSURE_FALL
+            self.factor = max(lowered, PRESSURE_MIN_FACTOR)
+
+
+class DecayingPeak:
+    """The highest recent value, halved every PEAK_HALF_LIFE_S."""
+
+    def __init__(self) -> None:
+        """Start at nought."""
+        self.level = 0.0
+        self._at_s = 0.0
+
+    def observed(self, value: float, now_s: float) -> None:
+        """Take a value in."""
+        elapsed_s = max(now_s - self._at_s, 0.0)
+        decayed = self.level * math.exp2(-elapsed_s / PEAK_HALF_LIFE_S)
+        self.level = max(value, decayed)
+        self._at_s = now_s
--- /dev/null
+++ b/redwingvalve/admission/fair_queue.py
@@ -0,0 +1,294 @@
+"""Weighted fair admission with early refusal.
+
+Load pattern: bursts of several times the normal rate, one account that asks
+for far more than its share, long jobs among short ones, and hours of demand
+above capacity. Without it the endpoints' own queues grow until every answer is
+late, and each late answer is fined although the work was done.
+
+A request is refused when it arrives if its expected wait already passes its
+deadline, and later as soon as that becomes known. The wait is the account's
+backlog in its lane over the rate at which that backlog is really served.
+"""
+
+import heapq
+
+import attrs
+
+from redwingvalve.admission import (
+    account_line,
+    estimates,
+    lane,
+    lanes,
+    messages,
+    queue,
+)
+from redwingvalve.core import invariants
+
+# Sums of floats drift by far less than a thousandth of a token.
+ROUNDING_TOKENS = 1e-3
+
+
+@attrs.define(eq=False)
+class _Sent:
+    """A request that was admitted and has not finished."""
+
+    request: messages.AdmissionRequest
+    cost: float
+    sent_at_s: float
+
+
+@attrs.define(eq=False)
+class _Place:
+    """Where a waiting request stands."""
+
+    request: messages.AdmissionRequest
+    number: int
+
+
+class FairQueue(queue.AdmissionQueue):
+    """The queue for daemons; every step is O(log n) in what waits."""
+
+    def __init__(
+        self,
+        capacity: messages.Capacity,
+        settings: messages.AdmissionSettings | None = None,
+    ) -> None:
+        """Start empty with a capacity."""
+        self._settings = settings or messages.AdmissionSettings()
+        self._capacity = capacity
+        self._lanes = lanes.LaneSet(self._settings)
+        self._places: dict[str, _Place] = {}
+        self._sent: dict[str, _Sent] = {}
+        self._latest_starts: list[tuple[float, int, str]] = []
+        self._in_flight_tokens = 0.0
+        self._number = 0
+        self._costs = estimates.CostCorrection()
+        self._pressure = estimates.FirstTokenPressure(
+            self._settings.first_token_s
+        )
+
+    def resize(self, capacity: messages.Capacity, now_s: float) -> None:
+        """Take over a new capacity; what is sent stays sent."""
+        self._capacity = capacity
+
+    def offer(
+        self, request: messages.AdmissionRequest, now_s: float
+    ) -> messages.Decision:
+        """Admit, queue or refuse a new request."""
+        cost = self._costs.corrected(request)
+        self._number += 1
+        if request.kind != messages.JobKind.LONG:
+            self._lanes.note_short_use(cost, now_s)
+        first = self._lanes.nobody_before(request.kind, self._limit_tokens())
+        if first and self._fits(cost):
+            self._lanes[request.kind].pass_by(request, cost, now_s)
+            self._send(request, cost, now_s)
+            return messages.Admitted(request.request_id)
+        if self._capacity.tokens_per_s <= 0:
+            return self._refusal(
+                request,
+                messages.RefusalReason.NO_CAPACITY,
+                self._settings.min_retry_after_s,
+            )
+        if len(self._places) >= self._settings.max_waiting:
+            return self._refusal(
+                request, messages.RefusalReason.QUEUE_FULL, self._drain_time_s()
+            )
+        return self._queue_or_refuse(request, cost, now_s)
+
+    def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
+        """Return the next waiting request if it fits now."""
+        if self._places:
+            turn = self._lanes.choose(self._limit_tokens())
+            if turn is None:
+                return None
+            (_, _, cost, request) = turn.line.waiting[0]
+            if not self._fits(cost):
+                return None
+            self._lanes[turn.kind].take(
+                turn.line, by_preference=turn.by_preference, now_s=now_s
+            )
+            del self._places[request.request_id]
+            self._send(request, cost, now_s)
+            return request
+        return None
+
+    def first_token(self, request_id: str, now_s: float) -> None:
+        """Learn how long a sent request took to its first token."""
+        sent = self._sent.get(request_id)
+        if sent is None:
+            return
+        self._pressure.observed(
+            delay_s=now_s - sent.sent_at_s,
+            allowed_s=sent.request.deadline_s - sent.request.arrived_s,
+            now_s=now_s,
+        )
+
+    def finished(
+        self, request_id: str, actual_tokens: float, now_s: float
+    ) -> None:
+        """Free what a request held and correct its account's estimate."""
+        sent = self._sent.pop(request_id, None)
+        if sent is None:
+            return
+        self._in_flight_tokens -= sent.cost
+        request = sent.request
+        in_lane = self._lanes[request.kind]
+        in_lane.in_flight_tokens -= sent.cost
+        if not self._sent:
+            self._in_flight_tokens = 0.0
+        self._costs.learn(request, actual_tokens)
+        in_lane.charge(in_lane.line(request), actual_tokens - sent.cost)
+        invariants.require(
+            self._in_flight_tokens >= -ROUNDING_TOKENS,
+            'admission-counts-in-flight',
+            f'{self._in_flight_tokens} tokens in flight after {request_id}',
+        )
+
+    def withdraw(self, request_id: str) -> bool:
+        """Forget a waiting request."""
+        place = self._places.pop(request_id, None)
+        if place is None:
+            return False
+        request = place.request
+        in_lane = self._lanes[request.kind]
+        in_lane.remove(in_lane.line(request), request.priority, place.number)
+        return True
+
+    def expired(self, now_s: float) -> tuple[messages.RefusedNow, ...]:
+        """Remove and return what can no longer meet its target."""
+        refused = self._past_latest_start(now_s)
+        for in_lane in self._lanes:
+            if in_lane.waiting_count:
+                self._refuse_tails(in_lane, now_s, refused)
+        return tuple(refused)
+
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._places)
+
+    def in_flight_tokens(self) -> float:
+        """Return the estimated tokens of all sent, unfinished requests."""
+        return self._in_flight_tokens
+
+    def _queue_or_refuse(
+        self, request: messages.AdmissionRequest, cost: float, now_s: float
+    ) -> messages.Decision:
+        in_lane = self._lanes[request.kind]
+        line = in_lane.line(request)
+        wait_s = self._wait_s(
+            in_lane, line, line.backlog_ahead(request.priority), now_s
+        )
+        latest_start_s = request.deadline_s - self._pressure.first_token_s
+        slack_s = (latest_start_s - now_s) * self._settings.wait_margin
+        if wait_s > slack_s:
+            return self._refusal(
+                request,
+                messages.RefusalReason.WOULD_MISS_TARGET,
+                wait_s - max(slack_s, 0.0),
+            )
+        in_lane.add(request, cost, self._number, now_s)
+        self._places[request.request_id] = _Place(request, self._number)
+        heapq.heappush(
+            self._latest_starts,
+            (latest_start_s, self._number, request.request_id),
+        )
+        return messages.Queued(request.request_id, wait_s)
+
+    def _limit_tokens(self) -> float:
+        return self._capacity.in_flight_tokens * self._pressure.factor
+
+    def _fits(self, cost: float) -> bool:
+        limit = self._limit_tokens()
+        # A job larger than the whole capacity may run when it is alone.
+        if not self._sent:
+            return limit > 0
+        return self._in_flight_tokens + cost <= limit
+
+    def _send(
+        self, request: messages.AdmissionRequest, cost: float, now_s: float
+    ) -> None:
+        self._sent[request.request_id] = _Sent(request, cost, now_s)
+        self._in_flight_tokens += cost
+        self._lanes[request.kind].in_flight_tokens += cost
+
+    def _wait_s(
+        self,
+        in_lane: lane.Lane,
+        line: account_line.AccountLine,
+        ahead_tokens: float,
+        now_s: float,
+    ) -> float:
+        speed = self._capacity.tokens_per_s
+        in_lane.set_rate(speed)
+        fair_rate = speed * in_lane.fair_share(line)
+        floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
+        rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
+        return ahead_tokens / rate if rate > 0 else self._drain_time_s()
+
+    def _drain_time_s(self) -> float:
+        speed = max(self._capacity.tokens_per_s, 1e-9)
+        return self._lanes.waiting_tokens() / speed
+
+    def _past_latest_start(self, now_s: float) -> list[messages.RefusedNow]:
+        refused: list[messages.RefusedNow] = []
+        while self._latest_starts and self._latest_starts[0][0] <= now_s:
+            _, number, request_id = heapq.heappop(self._latest_starts)
+            place = self._places.get(request_id)
+            if place is None or place.number != number:
+                continue
+            self.withdraw(request_id)
+            refused.append(
+                self._refusal(
+                    place.request,
+                    messages.RefusalReason.TARGET_PASSED,
+                    self._drain_time_s(),
+                )
+            )
+        return refused
+
+    def _refuse_tails(
+        self,
+        in_lane: lane.Lane,
+        now_s: float,
+        refused: list[messages.RefusedNow],
+    ) -> None:
+        for line in in_lane.lines.values():
+            while line.waiting:
+                (_, _, cost, request) = line.waiting[-1]
+                ahead = line.backlog_tokens - cost
+                wait_s = self._wait_s(in_lane, line, ahead, now_s)
+                latest_start_s = (
+                    request.deadline_s - self._pressure.first_token_s
+                )
+                if now_s + wait_s <= latest_start_s:
+                    break
+                in_lane.remove_last(line)
+                del self._places[request.request_id]
+                refused.append(
+                    self._refusal(
+                        request,
+                        messages.RefusalReason.WOULD_MISS_TARGET,
+                        now_s + wait_s - latest_start_s,
+                    )
+                )
+
+    def _refusal(
+        self,
+        request: messages.AdmissionRequest,
+        reason: messages.RefusalReason,
+        retry_after_s: float,
+    ) -> messages.RefusedNow:
+        return messages.RefusedNow(
+            request.request_id,
+            reason,
+            max(retry_after_s, self._settings.min_retry_after_s),
+        )
+
+
+def make_admission_queue(
+    capacity: messages.Capacity,
+    settings: messages.AdmissionSettings | None = None,
+) -> queue.AdmissionQueue:
+    """Return the queue that daemons use."""
+    return FairQueue(capacity, settings)
--- /dev/null
+++ b/redwingvalve/admission/lane.py
@@ -0,0 +1,228 @@
+"""One lane: weighted fair sharing between accounts, and preference by penalty.
+
+Load pattern: more asks than fit, from accounts of different weight, penalty
+and greed. Without it the greediest account takes what it asks for, and a fined
+request waits behind one that costs nothing.
+
+Half of the service goes to the account that is furthest behind its fair share
+(start-time fair queueing), so that none starves. The other half goes by
+penalty, then priority; it is charged at 1/preference_bound of its cost, so that
+a preferred account gets at most that many times its fair share.
+"""
+
+import heapq
+
+from redwingvalve.admission import account_line, messages
+
+# How long an unmet claim is remembered, as a multiple of the preference lead.
+CLAIM_LEADS = 10
+
+
+class Lane:
+    """Accounts that wait in one lane; every step is O(log accounts)."""
+
+    def __init__(self, settings: messages.AdmissionSettings) -> None:
+        """Start without accounts."""
+        self.waiting_count = 0
+        self.waiting_tokens = 0.0
+        self.in_flight_tokens = 0.0
+        self.lines: dict[str, account_line.AccountLine] = {}
+        self._settings = settings
+        self._active_weight = 0.0
+        self._virtual_time = 0.0
+        self._lead = 0.0
+        self._preferred_credit = 0.0
+        self._credit_bound = 0.0
+        self._fair: list[tuple[float, int, int]] = []
+        self._preferred: list[tuple[float, int, int]] = []
+        self._parked: list[tuple[float, float, int, int]] = []
+        self._by_number: list[account_line.AccountLine] = []
+
+    def add(
+        self,
+        request: messages.AdmissionRequest,
+        cost: float,
+        number: int,
+        now_s: float,
+    ) -> None:
+        """Let a request wait."""
+        line = self.line(request)
+        if not line.waiting:
+            self._activate(line, request)
+        line.add(request, cost, number, now_s)
+        self.waiting_count += 1
+        self.waiting_tokens += cost
+
+    def line(
+        self, request: messages.AdmissionRequest
+    ) -> account_line.AccountLine:
+        """Return the line of a request's account."""
+        line = self.lines.get(request.account)
+        if line is not None:
+            return line
+        line = account_line.AccountLine(request.account, len(self._by_number))
+        line.weight = request.weight
+        self.lines[request.account] = line
+        self._by_number.append(line)
+        return line
+
+    def set_rate(self, tokens_per_s: float) -> None:
+        """Bound how far preference may run ahead, in virtual time."""
+        weight = self._active_weight or 1.0
+        self._credit_bound = self._settings.preference_lead_s * tokens_per_s
+        self._lead = self._credit_bound / weight
+
+    def fair_share(self, line: account_line.AccountLine) -> float:
+        """Return the share of the lane that a line has by weight alone."""
+        weight = self._active_weight
+        if not line.waiting:
+            weight += line.weight
+        return line.weight / max(weight, line.weight)
+
+    def choose(self) -> tuple[account_line.AccountLine, bool] | None:
+        """Return the account whose turn it is, and whether by preference."""
+        if not self.waiting_count:
+            return None
+        if self._settings.preferred_share > 0 and self._preferred_credit >= 0:
+            line = self._first_preferred()
+            if line is not None:
+                return line, True
+        return self._first_fair(), False
+
+    def take(
+        self,
+        line: account_line.AccountLine,
+        *,
+        by_preference: bool,
+        now_s: float,
+    ) -> account_line.Waiting:
+        """Remove the line's first request and charge the account for it."""
+        entry = line.take_first()
+        cost = entry[2]
+        self._left(line, cost)
+        line.served(cost, now_s)
+        self._count_turn(cost, by_preference=by_preference)
+        # A line that this emptied has left the active weight already.
+        weight = max(self._active_weight, line.weight)
+        self._virtual_time += cost / weight
+        if by_preference:
+            cost /= self._settings.preference_bound
+        self.charge(line, cost)
+        return entry
+
+    def remove(
+        self, line: account_line.AccountLine, priority: int, number: int
+    ) -> account_line.Waiting | None:
+        """Remove one waiting request without serving it."""
+        entry = line.remove(priority, number)
+        if entry is not None:
+            self._left(line, entry[2])
+        return entry
+
+    def remove_last(
+        self, line: account_line.AccountLine
+    ) -> account_line.Waiting:
+        """Remove the request of a line that would go last."""
+        entry = line.take_last()
+        self._left(line, entry[2])
+        return entry
+
+    def charge(self, line: account_line.AccountLine, cost: float) -> None:
+        """Move an account's virtual time; a negative cost gives back."""
+        # An account that got less than its share for long would otherwise
+        # hold a claim that shuts out the others for as long again.
+        oldest = self._virtual_time - CLAIM_LEADS * self._lead
+        line.virtual_time = max(line.virtual_time + cost / line.weight, oldest)
+        line.version += 1
+        if line.waiting:
+            self._push_fair(line)
+
+    def pass_by(
+        self, request: messages.AdmissionRequest, cost: float, now_s: float
+    ) -> None:
+        """Charge a request that was admitted without waiting."""
+        line = self.line(request)
+        line.virtual_time = max(line.virtual_time, self._virtual_time)
+        line.virtual_time += cost / line.weight
+        line.served(cost, now_s)
+        weight = max(self._active_weight, line.weight)
+        self._virtual_time += cost / weight
+
+    def _activate(
+        self,
+        line: account_line.AccountLine,
+        request: messages.AdmissionRequest,
+    ) -> None:
+        # An account that was idle must not save up a claim: it would shut out
+        # the others for as long as it was away.
+        line.virtual_time = max(line.virtual_time, self._virtual_time)
+        line.weight = max(request.weight, 1e-6)
+        line.penalty = request.penalty
+        line.version += 1
+        self._active_weight += line.weight
+        self._push_fair(line)
+        if line.listed:
+            return
+        line.listed = True
+        heapq.heappush(
+            self._preferred, (-line.penalty, -request.priority, line.number)
+        )
+
+    def _left(self, line: account_line.AccountLine, cost: float) -> None:
+        self.waiting_count -= 1
+        self.waiting_tokens -= cost
+        if not line.waiting:
+            self._active_weight -= line.weight
+        if not self.waiting_count:
+            self._reset()
+
+    def _reset(self) -> None:
+        self.waiting_tokens = 0.0
+        self._active_weight = 0.0
+        self._fair.clear()
+        self._preferred.clear()
+        self._parked.clear()
+        for line in self._by_number:
+            line.listed = False
+
+    def _push_fair(self, line: account_line.AccountLine) -> None:
+        heapq.heappush(
+            self._fair, (line.virtual_time, line.number, line.version)
+        )
+
+    def _first_fair(self) -> account_line.AccountLine:
+        while True:
+            _, number, version = self._fair[0]
+            line = self._by_number[number]
+            if line.waiting and line.version == version:
+                return line
+            heapq.heappop(self._fair)
+
+    def _first_preferred(self) -> account_line.AccountLine | None:
+        limit = self._virtual_time + self._lead
+        self._unpark(limit)
+        while self._preferred:
+            line = self._by_number[self._preferred[0][2]]
+            if line.waiting and line.virtual_time <= limit:
+                return line
+            entry = heapq.heappop(self._preferred)
+            line.listed = bool(line.waiting)
+            if line.waiting:
+                heapq.heappush(self._parked, (line.virtual_time, *entry))
+        return None
+
+    def _unpark(self, limit: float) -> None:
+        while self._parked and self._parked[0][0] <= limit:
+            entry = heapq.heappop(self._parked)
+            heapq.heappush(self._preferred, entry[1:])
+
+    def _count_turn(self, cost: float, *, by_preference: bool) -> None:
+        # The credit is bounded: turns that preference could not use must not
+        # pile up into a long run of preferred service later.
+        share = self._settings.preferred_share
+        change = cost * share
+        if by_preference:
+            change -= cost
+        bound = max(self._credit_bound, cost)
+        credit = self._preferred_credit + change
+        self._preferred_credit = min(max(credit, -bound), bound)
--- /dev/null
+++ b/redwingvalve/admission/lanes.py
@@ -0,0 +1,97 @@
+"""The three lanes together: light calls, short jobs, long jobs.
+
+Load pattern: a few jobs of tens of thousands of tokens among many short ones.
+Without lanes the long ones hold the whole in-flight bound for a minute, and
+short jobs and light calls miss their targets meanwhile.
+
+Each lane is served up to its floor first, so that none starves; what is left
+goes in order of kind. Long jobs leave a reserve that follows the recent use of
+short ones, since what they hold comes back only after many seconds.
+"""
+
+import typing
+
+from redwingvalve.admission import account_line, estimates, lane, messages
+
+
+class Turn(typing.NamedTuple):
+    """Whose turn it is, and whether by preference."""
+
+    kind: messages.JobKind
+    line: account_line.AccountLine
+    by_preference: bool
+
+
+class LaneSet:
+    """One lane for each kind of job, and the order between them."""
+
+    def __init__(self, settings: messages.AdmissionSettings) -> None:
+        """Start with empty lanes."""
+        self._settings = settings
+        self._lanes = tuple(lane.Lane(settings) for _ in messages.JobKind)
+        self._floors = (
+            settings.light_floor_share,
+            settings.short_floor_share,
+            settings.long_floor_share,
+        )
+        self._short_use = estimates.DecayingPeak()
+
+    def __getitem__(self, kind: messages.JobKind) -> lane.Lane:
+        """Return the lane of a kind."""
+        return self._lanes[kind]
+
+    def __iter__(self) -> typing.Iterator[lane.Lane]:
+        """Go over the lanes in their order."""
+        return iter(self._lanes)
+
+    def choose(self, limit_tokens: float) -> Turn | None:
+        """Return whose turn it is under an in-flight bound."""
+        waiting = [
+            kind for kind in messages.JobKind if self._lanes[kind].waiting_count
+        ]
+        for kind in waiting:
+            if self._below_floor(kind, limit_tokens):
+                return self._turn(kind)
+        for other in waiting:
+            if self._below_ceiling(other, limit_tokens):
+                return self._turn(other)
+        return None
+
+    def nobody_before(
+        self, kind: messages.JobKind, limit_tokens: float
+    ) -> bool:
+        """Tell whether a new job of a kind passes everything that waits."""
+        if not any(in_lane.waiting_count for in_lane in self._lanes):
+            return self._below_ceiling(kind, limit_tokens)
+        if kind == messages.JobKind.LONG or self._lanes[kind].waiting_count:
+            return False
+        return self._below_floor(kind, limit_tokens)
+
+    def note_short_use(self, cost: float, now_s: float) -> None:
+        """Count a new job that is not long into the recent use."""
+        (light, short, _) = self._lanes
+        use = cost + light.in_flight_tokens + light.waiting_tokens
+        use += short.in_flight_tokens + short.waiting_tokens
+        self._short_use.observed(use, now_s)
+
+    def waiting_tokens(self) -> float:
+        """Return the cost of all that waits."""
+        (light, short, long) = self._lanes
+        tokens = light.waiting_tokens + short.waiting_tokens
+        return tokens + long.waiting_tokens
+
+    def _turn(self, kind: messages.JobKind) -> Turn | None:
+        chosen = self._lanes[kind].choose()
+        return Turn(kind, *chosen) if chosen else None
+
+    def _below_floor(self, kind: messages.JobKind, limit: float) -> bool:
+        in_flight = self._lanes[kind].in_flight_tokens
+        return in_flight < self._floors[kind] * limit
+
+    def _below_ceiling(self, kind: messages.JobKind, limit: float) -> bool:
+        if kind != messages.JobKind.LONG:
+            return True
+        wanted = self._short_use.level / limit if limit else 1.0
+        reserve = max(self._settings.short_reserve_share, wanted)
+        reserve = min(reserve, self._settings.max_short_reserve_share)
+        return self._lanes[kind].in_flight_tokens < (1 - reserve) * limit
--- /dev/null
+++ b/redwingvalve/admission/messages.py
@@ -0,0 +1,99 @@
+"""What goes into an admission queue and what comes out of it."""
+
+import enum
+
+import attrs
+
+
+class JobKind(enum.IntEnum):
+    """The lane of a job; a smaller number goes first when all else is even."""
+
+    LIGHT = 0
+    SHORT = 1
+    LONG = 2
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was refused before it was sent anywhere."""
+
+    WOULD_MISS_TARGET = 'would-miss-target'
+    TARGET_PASSED = 'target-passed'
+    NO_CAPACITY = 'no-capacity'
+    QUEUE_FULL = 'queue-full'
+
+
+@attrs.define(eq=False)
+class AdmissionRequest:
+    """One request that asks to be sent.
+
+    deadline_s is the moment by which its first token (or a service's answer)
+    must be with the caller; a greater priority and a greater penalty go first.
+    """
+
+    request_id: str
+    account: str
+    estimated_tokens: float
+    arrived_s: float
+    deadline_s: float
+    priority: int = 0
+    weight: float = 1.0
+    penalty: float = 0.0
+    kind: JobKind = JobKind.SHORT
+
+
+@attrs.frozen
+class Admitted:
+    """Send it now."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Queued:
+    """Keep the caller waiting; next_ready or expired will name it."""
+
+    request_id: str
+    expected_wait_s: float
+
+
+@attrs.frozen
+class RefusedNow:
+    """Answer the caller at once; the request was not run."""
+
+    request_id: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = Admitted | Queued | RefusedNow
+
+
+@attrs.frozen
+class Capacity:
+    """What this entry may use of a deployment or a service.
+
+    in_flight_tokens bounds the estimated tokens of all jobs sent and not yet
+    finished; tokens_per_s is the declared speed behind them. For a plain
+    service a call counts as one token.
+    """
+
+    in_flight_tokens: float
+    tokens_per_s: float
+
+
+@attrs.frozen
+class AdmissionSettings:
+    """Figures an operator may set; docs/operating/who-is-served.md."""
+
+    preferred_share: float = 0.5
+    preference_bound: float = 2.0
+    preference_lead_s: float = 0.5
+    light_floor_share: float = 0.1
+    short_floor_share: float = 0.5
+    long_floor_share: float = 0.15
+    short_reserve_share: float = 0.1
+    max_short_reserve_share: float = 0.5
+    wait_margin: float = 0.9
+    first_token_s: float = 0.2
+    min_retry_after_s: float = 0.5
+    max_waiting: int = 5000
--- /dev/null
+++ b/redwingvalve/admission/tests/test_fair_queue.py
@@ -0,0 +1,195 @@
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from redwingvalve.admission import fair_queue, messages
+
+Kind = messages.JobKind
+CAPACITY = messages.Capacity(in_flight_tokens=1000, tokens_per_s=1000)
+
+
+def make_request(number, account='a', tokens=100, now_s=0.0, **more):
+    more.setdefault('deadline_s', now_s + 2.0)
+    return messages.AdmissionRequest(
+        f'r{number}', account, tokens, arrived_s=now_s, **more
+    )
+
+
+def fill(queue, count=10, now_s=0.0):
+    for number in range(count):
+        queue.offer(make_request(f'f{number}', 'filler', now_s=now_s), now_s)
+
+
+def test_what_would_be_late_is_refused_when_it_arrives():
+    """The caller learns at once, with when to come back, that it is too late.
+
+    Ten jobs run and twenty wait for two seconds; the next would need more
+    than its two seconds. Waiting for its deadline first would help nobody.
+    """
+    queue = fair_queue.make_admission_queue(CAPACITY)
+    fill(queue)
+    decisions = [queue.offer(make_request(n), 0.0) for n in range(30)]
+    assert isinstance(decisions[0], messages.Queued)
+    refused = decisions[-1]
+    assert isinstance(refused, messages.RefusedNow)
+    assert refused.reason == messages.RefusalReason.WOULD_MISS_TARGET
+    assert refused.retry_after_s >= 0.5
+
+
+def test_a_queued_request_is_refused_once_capacity_is_lost():
+    """Callers that wait are told as soon as their target is out of reach.
+
+    A dozen wait for replicas that then die: with a tenth of the speed the
+    tail can't be served in time, and its callers hear so long before.
+    """
+    queue = fair_queue.make_admission_queue(CAPACITY)
+    fill(queue)
+    for number in range(12):
+        queue.offer(make_request(number), 0.0)
+    assert queue.expired(0.0) == ()
+    queue.resize(messages.Capacity(1000, 100), 0.1)
+    refused = queue.expired(0.1)
+    assert len(refused) >= 10
+    assert queue.waiting() == 12 - len(refused)
+
+
+def test_a_greedy_account_leaves_the_others_their_share():
+    """Nine callers with one job each are served though one sent two hundred.
+
+    The greedy jobs stand first and carry the same penalty; fair sharing lets
+    each other account's job through before the greedy one's second turn ends.
+    """
+    queue = fair_queue.make_admission_queue(messages.Capacity(1000, 10000))
+    fill(queue)
+    for number in range(150):
+        queue.offer(make_request(f'g{number}', 'greedy'), 0.0)
+    for number in range(9):
+        queue.offer(make_request(f'i{number}', f'innocent{number}'), 0.0)
+    order = serve(queue, 30)
+    assert sum(name == 'greedy' for name in order[:20]) <= 11
+
+
+def serve(queue, count):
+    order = []
+    sent = [f'rf{number}' for number in range(10)]
+    for turn in range(count):
+        queue.finished(sent.pop(0), 100, 0.0)
+        ready = queue.next_ready(0.0)
+        if ready is None:
+            break
+        sent.append(ready.request_id)
+        order.append(ready.account)
+    return order
+
+
+def test_the_fined_account_goes_first_and_the_other_is_not_starved():
+    """Two accounts want more than there is; the fined one gets most of it.
+
+    Both keep forty jobs waiting. The preferred account is bounded to twice its
+    fair share, so the other still gets its guaranteed part.
+    """
+    queue = fair_queue.make_admission_queue(messages.Capacity(1000, 10000))
+    fill(queue)
+    for number in range(60):
+        queue.offer(make_request(f'c{number}', 'cheap'), 0.0)
+        queue.offer(make_request(f'd{number}', 'dear', penalty=5.0), 0.0)
+    order = serve(queue, 40)
+    assert 24 <= order.count('dear') <= 34
+
+
+def test_long_jobs_leave_room_for_short_and_light_ones():
+    """A short job and a light call start at once beside a pile of long jobs.
+
+    Long jobs fill what they may; the reserve lets others start without
+    waiting the minute until a long one ends.
+    """
+    queue = fair_queue.make_admission_queue(messages.Capacity(10000, 1000))
+    for number in range(30):
+        request = make_request(
+            f'l{number}', 'l', 1000, deadline_s=99, kind=Kind.LONG
+        )
+        queue.offer(request, 0.0)
+    assert queue.in_flight_tokens() <= 9000
+    short = queue.offer(make_request('s', 's', 500), 0.0)
+    light = queue.offer(make_request('t', 't', 1, kind=Kind.LIGHT), 0.0)
+    assert isinstance(short, messages.Admitted)
+    assert isinstance(light, messages.Admitted)
+
+
+def test_used_tokens_correct_the_estimate():
+    """An account that asks for little and uses much is charged what it used."""
+    queue = fair_queue.make_admission_queue(messages.Capacity(10**6, 1000))
+    for number in range(60):
+        queue.offer(make_request(number), 0.0)
+        queue.finished(f'r{number}', 300, 0.0)
+    queue.offer(make_request('last'), 0.0)
+    assert 250 < queue.in_flight_tokens() <= 300
+
+
+class QueueMachine(stateful.RuleBasedStateMachine):
+    """Whatever comes in whatever order, no request is lost or served twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = fair_queue.make_admission_queue(CAPACITY)
+        self.waiting, self.running = set(), set()
+        self.number, self.now_s = 0, 0.0
+
+    @stateful.rule(
+        account=st.integers(0, 4),
+        kind=st.sampled_from(list(Kind)),
+        tokens=st.integers(1, 900),
+    )
+    def offer(self, account, kind, tokens):
+        self.number += 1
+        request = make_request(
+            self.number,
+            f'a{account}',
+            tokens,
+            self.now_s,
+            kind=kind,
+            penalty=float(account),
+            priority=account % 2,
+        )
+        decision = self.queue.offer(request, self.now_s)
+        if isinstance(decision, messages.Admitted):
+            self.running.add(request.request_id)
+        elif isinstance(decision, messages.Queued):
+            self.waiting.add(request.request_id)
+
+    @stateful.rule()
+    def send_next(self):
+        ready = self.queue.next_ready(self.now_s)
+        if ready is not None:
+            self.waiting.remove(ready.request_id)
+            self.running.add(ready.request_id)
+
+    @stateful.rule(tokens=st.integers(1, 900))
+    def finish(self, tokens):
+        if self.running:
+            self.queue.finished(self.running.pop(), tokens, self.now_s)
+
+    @stateful.rule()
+    def hang_up(self):
+        if self.waiting:
+            assert self.queue.withdraw(self.waiting.pop())
+
+    @stateful.rule(duration_s=st.floats(0, 1))
+    def expire(self, duration_s):
+        self.now_s += duration_s
+        for refused in self.queue.expired(self.now_s):
+            self.waiting.remove(refused.request_id)
+
+    @stateful.invariant()
+    def counts_agree(self):
+        assert self.queue.waiting() == len(self.waiting)
+
+    def teardown(self):
+        # With nothing in flight all that waits can be drained: none is stuck.
+        while self.running:
+            self.finish(1)
+        while self.waiting:
+            self.send_next()
+            self.finish(1)
+
+
+TestQueueMachine = QueueMachine.TestCase
