Add a thin entry: ASGI app, relay of streams, plain services, checks of answers

Change: callers' requests are read and checked, carried to a replica or a plain service through the Upstream class, and answered with a truthful outcome. Each send has an endpoint id of its own, so crossed and late answers are found.

--- /dev/null
+++ b/redwingvalve/entry/answer_check.py
@@ -0,0 +1,171 @@
+"""Checks that an endpoint's answer is the answer of this request, and whole.
+
+Endpoints answer late, crossed with other requests, or only in part. Symptom
+without this check: a caller is shown somebody else's text, or takes half a
+quote for a whole one. Every request goes to an endpoint under an id that no
+other send ever had, the endpoint repeats it in the header and in each chunk,
+and a stream counts as whole only when its [DONE] was seen; so an answer that
+passes is this send's own, and all of it.
+"""
+
+import json
+import re
+import typing
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.core import invariants, outcomes
+
+DONE_TEXT = b'[DONE]'
+DONE_EVENT = b'data: [DONE]\n\n'
+DATA_FIELD = b'data:'
+EVENT_END = b'\n\n'
+ID_SEPARATOR = '~'
+ID_FIRST_PATTERN = re.compile(rb'data: *\{ *"id" *: *')
+
+
+class WrongAnswerError(Exception):
+    """The endpoint sent an answer that isn't the one of this request."""
+
+
+class IncompleteAnswerError(Exception):
+    """The endpoint's answer ended before its announced end."""
+
+
+@attrs.frozen
+class AnswerIdentity:
+    """The id that the endpoint must repeat and the one the caller sees."""
+
+    endpoint_id: str
+    caller_id: str
+
+
+def make_endpoint_id(caller_id: str, entry: str, send_number: int) -> str:
+    """Return an id that no other send of any entry has.
+
+    A caller's own id is not enough: two callers may choose the same, and a
+    retry may meet the late answer of the first send. The caller's id stays
+    in front of the separator, so that ledgers of endpoints can be read.
+    """
+    return f'{caller_id}{ID_SEPARATOR}{entry}-{send_number}'
+
+
+def check_head(
+    headers: collections_abc.Iterable[tuple[str, str]],
+    identity: AnswerIdentity,
+    switches: invariants.SafeguardSwitches,
+) -> None:
+    """Raise WrongAnswerError unless the header repeats the endpoint id."""
+    if not switches.enabled(invariants.Safeguard.ANSWER_IDENTITY):
+        return
+    echoed = dict(headers).get(outcomes.REQUEST_ID_HEADER, '')
+    if echoed != identity.endpoint_id:
+        raise WrongAnswerError(
+            f'header names {echoed!r}, not {identity.endpoint_id!r}'
+        )
+
+
+class StreamChecker:
+    """Cuts a stream into events, checks each and puts the caller's id in.
+
+    Chunks of one answer begin alike up to and with their id. The first is
+    parsed; later ones are compared with that beginning, byte for byte, and
+    parsed only when they differ. A parse costs more than all the rest.
+    """
+
+    def __init__(
+        self,
+        identity: AnswerIdentity,
+        switches: invariants.SafeguardSwitches,
+    ) -> None:
+        """Expect the answer of identity."""
+        self.done = False
+        self._identity = identity
+        self._check = switches.enabled(invariants.Safeguard.ANSWER_IDENTITY)
+        self._pending = b''
+        self._expected = b''
+        self._replacement = b''
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Return the events that are complete, each with its empty line."""
+        received = self._pending + chunk if self._pending else chunk
+        if b'\r' in received:
+            received = received.replace(b'\r\n', b'\n')
+        events = received.split(EVENT_END)
+        self._pending = events.pop()
+        return [
+            passed for event in events if (passed := self._pass_event(event))
+        ]
+
+    def _pass_event(self, event: bytes) -> bytes:
+        expected = self._expected
+        if expected and event.startswith(expected):
+            rest = event[len(expected) :]
+            return b'%b%b\n\n' % (self._replacement, rest)
+        return self._pass_unusual(event)
+
+    def _pass_unusual(self, event: bytes) -> bytes:
+        if not event.startswith(DATA_FIELD):
+            return self._pass_other_field(event)
+        text = event[len(DATA_FIELD) :].strip()
+        if text == DONE_TEXT:
+            self.done = True
+            return b''
+        parsed = _parse_chunk(text)
+        answered = str(parsed.get('id', ''))
+        kind, _, request_id = answered.partition('-')
+        if self._check and request_id != self._identity.endpoint_id:
+            raise WrongAnswerError(
+                f'chunk names {request_id!r}, '
+                f'not {self._identity.endpoint_id!r}'
+            )
+        self._learn_beginning(event, answered)
+        parsed['id'] = f'{kind}-{self._identity.caller_id}'
+        return b'data: %b\n\n' % json.dumps(parsed).encode()
+
+    def _pass_other_field(self, event: bytes) -> bytes:
+        if event.startswith(b'event: error'):
+            raise IncompleteAnswerError('the endpoint reports an error')
+        # Comments keep a connection alive; they are for us alone.
+        return b''
+
+    def _learn_beginning(self, event: bytes, answered: str) -> None:
+        marker = json.dumps(answered).encode()
+        head, found, _ = event.partition(marker)
+        # Only an id in first place: nothing before it can hold another one.
+        if not found or not ID_FIRST_PATTERN.fullmatch(head):
+            return
+        kind = answered.partition('-')[0]
+        shown = json.dumps(f'{kind}-{self._identity.caller_id}').encode()
+        self._expected = head + marker
+        self._replacement = head + shown
+
+
+def check_whole_json(
+    body: bytes,
+    identity: AnswerIdentity,
+    switches: invariants.SafeguardSwitches,
+) -> dict[str, typing.Any]:
+    """Return the parsed answer with the caller's id in it."""
+    parsed = _parse_chunk(body)
+    kind, _, request_id = str(parsed.get('id', '')).partition('-')
+    checked = switches.enabled(invariants.Safeguard.ANSWER_IDENTITY)
+    if checked and request_id != identity.endpoint_id:
+        raise WrongAnswerError(
+            f'body names {request_id!r}, not {identity.endpoint_id!r}'
+        )
+    parsed['id'] = f'{kind}-{identity.caller_id}'
+    return parsed
+
+
+def _parse_chunk(text: bytes) -> dict[str, typing.Any]:
+    try:
+        parsed = json.loads(text)
+    except ValueError as error:
+        raise IncompleteAnswerError(f'not JSON: {error}') from error
+    if not isinstance(parsed, dict):
+        raise IncompleteAnswerError('not a JSON object')
+    if 'error' in parsed:
+        raise IncompleteAnswerError('the endpoint reports an error')
+    return parsed
--- /dev/null
+++ b/redwingvalve/entry/app.py
@@ -0,0 +1,219 @@
+"""The ASGI application of an entry: routes requests to what answers them."""
+
+import contextlib
+import typing
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+from opentelemetry import trace
+
+from redwingvalve.core import invariants, outcomes
+from redwingvalve.entry import (
+    accounts,
+    caller,
+    model_request,
+    parts,
+    relay,
+    responder,
+    services,
+)
+from redwingvalve.observability import logs
+
+LOGGER = logs.make_logger('entry')
+MODELS_PATH = '/v1/models'
+ENTRIES_PATH = '/v1/entries'
+
+
+class EntryApp:
+    """One entry; an ASGI 3 application."""
+
+    def __init__(self, entry_parts: parts.EntryParts) -> None:
+        """Answer requests with entry_parts."""
+        self._parts = entry_parts
+        self._accounts = accounts.AccountBook(entry_parts.source)
+        self._models = relay.ModelRelay(entry_parts)
+        self._services = services.ServiceRelay(entry_parts)
+        self.in_progress = 0
+
+    async def __call__(
+        self,
+        scope: caller.Scope,
+        receive: caller.Receive,
+        send: responder.Send,
+    ) -> None:
+        """Serve one request, or take part in the server's lifespan."""
+        if scope['type'] == 'lifespan':
+            await _lifespan(receive, send)
+            return
+        if scope['type'] != 'http':
+            return
+        with self._counted():
+            await self._answer(scope, receive, send)
+
+    @contextlib.contextmanager
+    def _counted(self) -> collections_abc.Iterator[None]:
+        self.in_progress += 1
+        try:
+            yield
+        finally:
+            self.in_progress -= 1
+
+    async def _answer(
+        self,
+        scope: caller.Scope,
+        receive: caller.Receive,
+        send: responder.Send,
+    ) -> None:
+        read = caller.read_head(
+            scope, self._parts.settings, self._parts.clock.monotonic_s()
+        )
+        if read.is_error():
+            responds = responder.Responder(read.error.request_id, send)
+            await responds.send_error(read.error)
+            return
+        head = read.ok
+        responds = responder.Responder(head.request_id, send)
+        span = self._parts.tracing.start_span(
+            'entry request',
+            head.headers,
+            attributes={
+                'redwingvalve.request_id': head.request_id,
+                'url.path': head.path,
+                'redwingvalve.entry': self._parts.members.myself().name,
+            },
+        )
+        try:
+            await self._serve(head, receive, responds, span)
+        except caller.CallerGoneError:
+            span.add_event('caller gone')
+        except invariants.InvariantBreachError:
+            LOGGER.exception('an invariant was broken')
+            raise
+        finally:
+            span.end()
+
+    async def _serve(
+        self,
+        head: caller.CallerHead,
+        receive: caller.Receive,
+        responds: responder.Responder,
+        span: trace.Span,
+    ) -> None:
+        if head.path == ENTRIES_PATH and head.method == 'GET':
+            await self._answer_entries(responds)
+            return
+        found = self._accounts.authenticate(head)
+        if found.is_error():
+            await responds.send_error(found.error)
+            return
+        if head.path == MODELS_PATH and head.method == 'GET':
+            await self._answer_models(responds)
+            return
+        read = await caller.read_body(
+            receive, head, self._parts.settings.max_body_bytes
+        )
+        if read.is_error():
+            await responds.send_error(read.error)
+            return
+        work = self._find_work(head, found.ok, read.ok)
+        if isinstance(work, outcomes.ErrorAnswer):
+            await responds.send_error(work)
+            return
+        await _run_until_gone(receive, responds, span, work)
+
+    def _find_work(
+        self,
+        head: caller.CallerHead,
+        account: typing.Any,
+        body: bytes,
+    ) -> 'Work | outcomes.ErrorAnswer':
+        current = self._parts.source.current()
+        if head.path in model_request.PROMPT_FIELDS and head.method == 'POST':
+            read = model_request.read_model_request(
+                head, account, body, current
+            )
+            if read.is_error():
+                return read.error
+            refusal = accounts.check_deployment(
+                account, read.ok.deployment, head
+            )
+            return refusal or Work(self._models.run, read.ok)
+        service = services.find_service(head.path, current.services)
+        if service is None:
+            return outcomes.ErrorAnswer(
+                status=404,
+                code='unknown-path',
+                message=f'nothing answers {head.method} {head.path}',
+                outcome=outcomes.Outcome.NOT_RUN,
+            )
+        return Work(
+            self._services.run, services.ServiceRequest(head, service, body)
+        )
+
+    async def _answer_entries(self, responds: responder.Responder) -> None:
+        listed = self._parts.directory.entries()
+        await responds.send_json(200, attrs.asdict(listed))
+
+    async def _answer_models(self, responds: responder.Responder) -> None:
+        names = [
+            name
+            for deployment in self._parts.source.current().deployments
+            for name in (deployment.name, *deployment.adapters)
+        ]
+        await responds.send_json(
+            200,
+            {
+                'object': 'list',
+                'data': [
+                    {'id': name, 'object': 'model', 'owned_by': 'redwingvalve'}
+                    for name in names
+                ],
+            },
+        )
+
+
+@attrs.frozen
+class Work:
+    """A request and the relay that runs it."""
+
+    run: collections_abc.Callable[..., collections_abc.Awaitable[None]]
+    request: typing.Any
+
+
+async def _run_until_gone(
+    receive: caller.Receive,
+    responds: responder.Responder,
+    span: trace.Span,
+    work: Work,
+) -> None:
+    """Run work; when the caller hangs up, cancel it and free its tokens."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_cancel_when_gone, receive, group.cancel_scope, span)
+        await work.run(work.request, responds, span)
+        group.cancel_scope.cancel()
+
+
+async def _cancel_when_gone(
+    receive: caller.Receive, scope: anyio.CancelScope, span: trace.Span
+) -> None:
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
+    span.add_event('caller gone')
+    scope.cancel()
+
+
+async def _lifespan(receive: caller.Receive, send: responder.Send) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'lifespan.startup':
+            await send({'type': 'lifespan.startup.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            await send({'type': 'lifespan.shutdown.complete'})
+            return
+
+
+def make_entry_app(entry_parts: parts.EntryParts) -> EntryApp:
+    """Return the application of one entry."""
+    return EntryApp(entry_parts)
--- /dev/null
+++ b/redwingvalve/entry/httpx_upstream.py
@@ -0,0 +1,102 @@
+"""Sends requests to endpoints with httpx."""
+
+import ssl
+from collections import abc as collections_abc
+
+import anyio
+import httpx
+
+from redwingvalve.entry import upstream
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 4096
+MAX_IDLE_CONNECTIONS = 512
+IDLE_CONNECTION_S = 20.0
+# Nothing of the request has left this process when one of these is raised.
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class HttpxUpstream(upstream.Upstream):
+    """One pool of connections to all endpoints."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Send through client, which this object closes."""
+        self._client = client
+        self._open: dict[int, httpx.Response] = {}
+
+    async def send(
+        self, request: upstream.UpstreamRequest
+    ) -> upstream.UpstreamAnswer:
+        """Return the head of the answer; UpstreamError when none comes."""
+        built = self._client.build_request(
+            request.method,
+            f'http://{request.address}{request.path}',
+            headers=list(request.headers),
+            content=request.body,
+            timeout=httpx.Timeout(request.timeout_s, connect=CONNECT_TIMEOUT_S),
+        )
+        try:
+            response = await self._client.send(built, stream=True)
+        except NOT_SENT_ERRORS as error:
+            raise upstream.UpstreamError(
+                _describe(error), surely_not_run=True
+            ) from error
+        except (httpx.HTTPError, httpx.InvalidURL, ssl.SSLError) as error:
+            raise upstream.UpstreamError(
+                _describe(error), surely_not_run=False
+            ) from error
+        answer = upstream.UpstreamAnswer(
+            status=response.status_code,
+            headers=tuple(
+                (name.lower(), text)
+                for name, text in response.headers.multi_items()
+            ),
+            chunks=_chunks(response),
+        )
+        self._open[id(answer)] = response
+        return answer
+
+    async def release(self, answer: upstream.UpstreamAnswer) -> None:
+        """Close or reuse the connection; cancels an unfinished answer."""
+        response = self._open.pop(id(answer), None)
+        if response is None:
+            return
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+
+async def _chunks(
+    response: httpx.Response,
+) -> collections_abc.AsyncIterator[bytes]:
+    try:
+        async for chunk in response.aiter_raw():
+            yield chunk
+    except (httpx.HTTPError, httpx.StreamError) as error:
+        raise upstream.UpstreamError(
+            _describe(error), surely_not_run=False
+        ) from error
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
+
+
+def make_httpx_upstream() -> upstream.Upstream:
+    """Return an upstream that ignores proxies and redirects."""
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+        keepalive_expiry=IDLE_CONNECTION_S,
+    )
+    return HttpxUpstream(
+        httpx.AsyncClient(
+            limits=limits,
+            trust_env=False,
+            follow_redirects=False,
+            headers={'accept-encoding': 'identity'},
+        )
+    )
--- /dev/null
+++ b/redwingvalve/entry/sends.py
@@ -0,0 +1,260 @@
+"""One send of a model request to one replica, and how it ended."""
+
+import contextlib
+import itertools
+import json
+import typing
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+from opentelemetry import trace
+
+from redwingvalve.configuration import snapshot
+from redwingvalve.core import invariants, outcomes
+from redwingvalve.entry import (
+    answer_check,
+    model_request,
+    parts,
+    responder,
+    upstream,
+)
+
+OK_STATUS = 200
+CONFLICT_STATUS = 409
+FIRST_SERVER_ERROR = 500
+CANCEL_TIMEOUT_S = 2.0
+CANCEL_PATH = '/v1/cancel'
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class SendFailure:
+    """A send that brought no whole answer; outcome is of this send alone.
+
+    retriable tells whether another replica could do better; status is the
+    endpoint's own where it answered.
+    """
+
+    outcome: outcomes.Outcome
+    message: str
+    retriable: bool = True
+    status: int = 0
+    blames_endpoint: bool = False
+
+
+@attrs.define
+class Progress:
+    """What the caller of an answer has received so far, over all sends."""
+
+    delivered_events: list[bytes] = attrs.field(factory=list)
+    sends: int = 0
+
+
+@attrs.define
+class _Exchange:
+    """An answer under way; ended once the endpoint has nothing left of it."""
+
+    answer: upstream.UpstreamAnswer | None = None
+    ended: bool = False
+
+
+class Sender:
+    """Sends model requests to replicas and passes their answers on."""
+
+    def __init__(self, entry_parts: parts.EntryParts) -> None:
+        """Number the sends of this incarnation from 1."""
+        self._parts = entry_parts
+        self._numbers = itertools.count(1)
+        myself = entry_parts.members.myself()
+        self._entry = f'{myself.name}-{myself.incarnation}'
+
+    async def send(
+        self,
+        request: model_request.ModelRequest,
+        replica: snapshot.Replica,
+        responds: responder.Responder,
+        progress: Progress,
+        span: trace.Span,
+    ) -> SendFailure | None:
+        """Send once; None when the caller has the whole answer."""
+        identity = answer_check.AnswerIdentity(
+            endpoint_id=answer_check.make_endpoint_id(
+                request.head.request_id, self._entry, next(self._numbers)
+            ),
+            caller_id=request.head.request_id,
+        )
+        outgoing = self._build(request, replica, identity, progress, span)
+        progress.sends += 1
+        try:
+            async with self._exchange(outgoing) as exchange:
+                return await self._receive(
+                    exchange, request, identity, responds, progress
+                )
+        except upstream.UpstreamError as error:
+            return self._failed_send(error)
+        except (
+            answer_check.WrongAnswerError,
+            answer_check.IncompleteAnswerError,
+        ) as error:
+            return SendFailure(
+                outcomes.Outcome.UNKNOWN, str(error), blames_endpoint=True
+            )
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self, outgoing: upstream.UpstreamRequest
+    ) -> collections_abc.AsyncIterator['_Exchange']:
+        """Open an answer; on leaving early, cancel it and free its tokens."""
+        exchange = _Exchange()
+        try:
+            exchange.answer = await self._parts.upstream.send(outgoing)
+            yield exchange
+        except upstream.UpstreamError as error:
+            exchange.ended = error.surely_not_run
+            raise
+        finally:
+            await self._tidy(exchange, outgoing)
+
+    def _build(
+        self,
+        request: model_request.ModelRequest,
+        replica: snapshot.Replica,
+        identity: answer_check.AnswerIdentity,
+        progress: Progress,
+        span: trace.Span,
+    ) -> upstream.UpstreamRequest:
+        remaining_s = max(
+            request.head.remaining_s(self._parts.clock.monotonic_s()), 0.001
+        )
+        fields: dict[str, typing.Any] = dict(
+            request.fields, model=model_request.engine_model(request)
+        )
+        headers = {
+            'content-type': responder.JSON_TYPE,
+            outcomes.REQUEST_ID_HEADER: identity.endpoint_id,
+            outcomes.PRIORITY_HEADER: str(request.priority),
+            outcomes.DEADLINE_HEADER: str(int(remaining_s * MS_PER_S)),
+            'x-redwingvalve-replica': replica.name,
+            'x-redwingvalve-epoch': str(replica.epoch),
+            **self._parts.tracing.headers(span),
+        }
+        return upstream.UpstreamRequest(
+            address=replica.members[0].address,
+            method='POST',
+            path=request.head.path,
+            headers=tuple(headers.items()),
+            body=json.dumps(fields).encode(),
+            request_id=identity.endpoint_id,
+            timeout_s=remaining_s,
+        )
+
+    async def _receive(
+        self,
+        exchange: '_Exchange',
+        request: model_request.ModelRequest,
+        identity: answer_check.AnswerIdentity,
+        responds: responder.Responder,
+        progress: Progress,
+    ) -> SendFailure | None:
+        answer = exchange.answer
+        if answer.status != OK_STATUS:
+            refusal = await _read_refusal(answer)
+            exchange.ended = True
+            return refusal
+        answer_check.check_head(answer.headers, identity, self._parts.switches)
+        if request.stream:
+            await self._relay_stream(answer, identity, responds, progress)
+            exchange.ended = True
+            return None
+        body = b''.join([chunk async for chunk in answer.chunks])
+        exchange.ended = True
+        whole = answer_check.check_whole_json(
+            body, identity, self._parts.switches
+        )
+        await responds.send_json(OK_STATUS, whole, outcomes.Outcome.RAN)
+        return None
+
+    async def _relay_stream(
+        self,
+        answer: upstream.UpstreamAnswer,
+        identity: answer_check.AnswerIdentity,
+        responds: responder.Responder,
+        progress: Progress,
+    ) -> None:
+        checker = answer_check.StreamChecker(identity, self._parts.switches)
+        async for chunk in answer.chunks:
+            events = checker.feed(chunk)
+            if not events:
+                continue
+            if not responds.started:
+                await responds.start(
+                    OK_STATUS, responder.SSE_TYPE, outcomes.Outcome.RAN
+                )
+            progress.delivered_events.extend(events)
+            await responds.write(b''.join(events))
+        complete = checker.done or not self._parts.switches.enabled(
+            invariants.Safeguard.ANSWER_COMPLETENESS
+        )
+        if not complete:
+            raise answer_check.IncompleteAnswerError('no [DONE] was seen')
+        if not responds.started:
+            await responds.start(
+                OK_STATUS, responder.SSE_TYPE, outcomes.Outcome.RAN
+            )
+        await responds.finish(answer_check.DONE_EVENT)
+
+    def _failed_send(self, error: upstream.UpstreamError) -> SendFailure:
+        # Only a connection that never stood proves that nothing ran. After
+        # the first byte the endpoint may have run all of it and died.
+        not_run = error.surely_not_run
+        if not self._parts.switches.enabled(
+            invariants.Safeguard.TRUTHFUL_NOT_RUN
+        ):
+            not_run = True
+        return SendFailure(
+            outcomes.Outcome.NOT_RUN if not_run else outcomes.Outcome.UNKNOWN,
+            str(error),
+            blames_endpoint=True,
+        )
+
+    async def _tidy(
+        self, exchange: '_Exchange', outgoing: upstream.UpstreamRequest
+    ) -> None:
+        with anyio.CancelScope(shield=True):
+            if exchange.answer is not None:
+                await self._parts.upstream.release(exchange.answer)
+            if not exchange.ended:
+                await self._cancel(outgoing)
+
+    async def _cancel(self, outgoing: upstream.UpstreamRequest) -> None:
+        """Free the tokens of a request whose answer nobody will read."""
+        cancel = attrs.evolve(
+            outgoing,
+            path=CANCEL_PATH,
+            body=json.dumps({'request_id': outgoing.request_id}).encode(),
+            timeout_s=CANCEL_TIMEOUT_S,
+        )
+        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+            try:
+                answer = await self._parts.upstream.send(cancel)
+            except upstream.UpstreamError:
+                return
+            await self._parts.upstream.release(answer)
+
+
+async def _read_refusal(answer: upstream.UpstreamAnswer) -> SendFailure:
+    """Understand an answer that isn't a success."""
+    drained = [len(chunk) async for chunk in answer.chunks]
+    said = dict(answer.headers).get(outcomes.OUTCOME_HEADER, '')
+    not_run = said == outcomes.Outcome.NOT_RUN
+    ran = said == outcomes.Outcome.RAN
+    outcome = outcomes.Outcome.UNKNOWN
+    if not_run or ran:
+        outcome = outcomes.Outcome(said)
+    return SendFailure(
+        outcome=outcome,
+        message=f'the endpoint answered {answer.status}, {sum(drained)} bytes',
+        retriable=not_run or answer.status >= FIRST_SERVER_ERROR,
+        status=answer.status,
+    )
--- /dev/null
+++ b/redwingvalve/entry/services.py
@@ -0,0 +1,267 @@
+"""Carries requests to plain services."""
+
+import itertools
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+from opentelemetry import trace
+
+from redwingvalve.core import outcomes
+from redwingvalve.declaration import schema
+from redwingvalve.entry import answer_check, caller, parts, responder, upstream
+
+# RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
+NO_BODY_STATUSES = frozenset((204, 304))
+# RFC 9110, section 7.6.1, and what this hop sets by itself.
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'host',
+        'content-length',
+        'authorization',
+        'accept-encoding',
+        'expect',
+        'date',
+        outcomes.REQUEST_ID_HEADER,
+        outcomes.OUTCOME_HEADER,
+        'traceparent',
+        'tracestate',
+    )
+)
+RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A request for a plain service."""
+
+    head: caller.CallerHead
+    service: schema.PlainService
+    body: bytes
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether it may run twice; a declared path never may."""
+        if self.head.request_key:
+            return False
+        path = self.head.path
+        if any(
+            path == listed or path.startswith(f'{listed.rstrip("/")}/')
+            for listed in self.service.non_idempotent_paths
+        ):
+            return False
+        if self.head.idempotent is not None:
+            return self.head.idempotent
+        return self.head.method in IDEMPOTENT_METHODS
+
+
+def find_service(
+    path: str, services: tuple[schema.PlainService, ...]
+) -> schema.PlainService | None:
+    """Return the service with the longest prefix of path."""
+    fitting = [
+        service
+        for service in services
+        if path == service.path_prefix
+        or path.startswith(f'{service.path_prefix.rstrip("/")}/')
+    ]
+    return max(
+        fitting, key=lambda service: len(service.path_prefix), default=None
+    )
+
+
+class ServiceRelay:
+    """Sends to the address with the fewest own requests in flight."""
+
+    def __init__(self, entry_parts: parts.EntryParts) -> None:
+        """Carry requests with entry_parts."""
+        self._parts = entry_parts
+        self._numbers = itertools.count(1)
+        self._in_flight: dict[str, int] = {}
+        myself = entry_parts.members.myself()
+        self._entry = f'{myself.name}-{myself.incarnation}-s'
+
+    async def run(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+    ) -> None:
+        """Answer the request by its deadline."""
+        tried: set[str] = set()
+        refusal = _busy()
+        while True:
+            address = self._choose(request.service, tried)
+            if address is None:
+                break
+            tried.add(address)
+            failure = await self._send(request, address, responds, span)
+            if failure is None:
+                return
+            span.add_event('send failed', {'why': str(failure)})
+            refusal = _failed(failure, refusal)
+            if not (failure.surely_not_run or request.idempotent):
+                break
+        await responds.send_error(refusal)
+
+    def _choose(
+        self, service: schema.PlainService, tried: set[str]
+    ) -> str | None:
+        free = [
+            address
+            for address in service.addresses
+            if address not in tried
+            and self._in_flight.get(address, 0)
+            < service.max_in_flight_per_address
+        ]
+        return min(
+            free,
+            key=lambda address: self._in_flight.get(address, 0),
+            default=None,
+        )
+
+    async def _send(
+        self,
+        request: ServiceRequest,
+        address: str,
+        responds: responder.Responder,
+        span: trace.Span,
+    ) -> upstream.UpstreamError | None:
+        self._in_flight[address] = self._in_flight.get(address, 0) + 1
+        try:
+            await self._exchange(request, address, responds, span)
+        except upstream.UpstreamError as error:
+            return error
+        finally:
+            self._in_flight[address] -= 1
+        return None
+
+    async def _exchange(
+        self,
+        request: ServiceRequest,
+        address: str,
+        responds: responder.Responder,
+        span: trace.Span,
+    ) -> None:
+        outgoing = self._build(request, address, span)
+        with anyio.move_on_after(outgoing.timeout_s):
+            answer, body = await self._fetch(outgoing)
+            await responds.send_whole(
+                answer.status,
+                dict(answer.headers).get('content-type', ''),
+                body,
+                outcomes.Outcome.RAN,
+                _passed_headers(answer.headers, ('content-type',)),
+            )
+            return
+        raise upstream.UpstreamError(
+            'no answer by the timeout', surely_not_run=False
+        )
+
+    async def _fetch(
+        self, outgoing: upstream.UpstreamRequest
+    ) -> tuple[upstream.UpstreamAnswer, bytes]:
+        answer = await self._parts.upstream.send(outgoing)
+        try:
+            body = await self._read(answer, outgoing)
+        except BaseException:
+            await self._parts.upstream.release(answer)
+            raise
+        await self._parts.upstream.release(answer)
+        return answer, body
+
+    def _build(
+        self, request: ServiceRequest, address: str, span: trace.Span
+    ) -> upstream.UpstreamRequest:
+        head = request.head
+        endpoint_id = answer_check.make_endpoint_id(
+            head.request_id, self._entry, next(self._numbers)
+        )
+        own = {
+            outcomes.REQUEST_ID_HEADER: endpoint_id,
+            **self._parts.tracing.headers(span),
+        }
+        query = f'?{head.query}' if head.query else ''
+        remaining_s = head.remaining_s(self._parts.clock.monotonic_s())
+        return upstream.UpstreamRequest(
+            address=address,
+            method=head.method,
+            path=f'{head.path}{query}',
+            headers=(*_passed_headers(head.headers.items()), *own.items()),
+            body=request.body,
+            request_id=endpoint_id,
+            timeout_s=max(min(remaining_s, request.service.timeout_s), 0.001),
+        )
+
+    async def _read(
+        self,
+        answer: upstream.UpstreamAnswer,
+        outgoing: upstream.UpstreamRequest,
+    ) -> bytes:
+        identity = answer_check.AnswerIdentity(outgoing.request_id, '')
+        try:
+            answer_check.check_head(
+                answer.headers, identity, self._parts.switches
+            )
+        except answer_check.WrongAnswerError as error:
+            raise upstream.UpstreamError(
+                str(error), surely_not_run=False
+            ) from error
+        body = b''.join([chunk async for chunk in answer.chunks])
+        framed = {'content-length', 'transfer-encoding'}
+        if (
+            answer.status not in NO_BODY_STATUSES
+            and outgoing.method != 'HEAD'
+            and framed.isdisjoint(dict(answer.headers))
+        ):
+            # Without a length, a body that was cut off ends like a whole one.
+            raise upstream.UpstreamError(
+                'the end of the body cannot be told', surely_not_run=False
+            )
+        return body
+
+
+def _busy() -> outcomes.ErrorAnswer:
+    return outcomes.ErrorAnswer(
+        status=503,
+        code='service-busy',
+        message='every address of the service is busy',
+        outcome=outcomes.Outcome.NOT_RUN,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _failed(
+    failure: upstream.UpstreamError, before: outcomes.ErrorAnswer
+) -> outcomes.ErrorAnswer:
+    outcome = before.outcome
+    if not failure.surely_not_run:
+        outcome = outcomes.Outcome.UNKNOWN
+    return outcomes.ErrorAnswer(
+        status=502,
+        code='service-failed',
+        message=str(failure),
+        outcome=outcome,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _passed_headers(
+    headers: collections_abc.Iterable[tuple[str, str]],
+    but: tuple[str, ...] = (),
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name not in HOP_HEADERS and name not in but
+    )
