--- /dev/null
+++ b/redwingvalve/standins/asgi.py
@@ -0,0 +1,143 @@
+"""The few lines of ASGI that every stand-in shares: one call, one exchange."""
+
+import json
+import typing
+import urllib.parse
+from collections import abc as collections_abc
+
+import attrs
+
+Scope = dict[str, typing.Any]
+Receive = collections_abc.Callable[
+    [], collections_abc.Awaitable[dict[str, typing.Any]]
+]
+Send = collections_abc.Callable[
+    [dict[str, typing.Any]], collections_abc.Awaitable[None]
+]
+Headers = collections_abc.Mapping[str, str]
+JSON_TYPE = 'application/json'
+
+
+class DroppedError(Exception):
+    """The stand-in gives no answer: the connection was aborted."""
+
+
+@attrs.define
+class Exchange:
+    """One request and its answer."""
+
+    scope: Scope
+    receive: Receive
+    send: Send
+    disconnected: bool = False
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return str(self.scope['method'])
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return str(self.scope['path'])
+
+    def query(self, name: str, default: str = '') -> str:
+        """Return one parameter of the query."""
+        pairs = urllib.parse.parse_qs(self.scope['query_string'].decode())
+        return pairs.get(name, [default])[0]
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return one request header; name is in lower case."""
+        wanted = name.encode()
+        for key, text in self.scope['headers']:
+            if key.lower() == wanted:
+                return str(text.decode('latin-1'))
+        return default
+
+    async def body(self) -> bytes:
+        """Return the whole request body."""
+        parts = []
+        while True:
+            message = await self.receive()
+            if message['type'] == 'http.disconnect':
+                raise DroppedError
+            parts.append(message.get('body', b''))
+            if not message.get('more_body'):
+                return b''.join(parts)
+
+    async def json_body(self) -> dict[str, typing.Any]:
+        """Return the body as a JSON object; ValueError when it is none."""
+        parsed = json.loads(await self.body() or b'{}')
+        if not isinstance(parsed, dict):
+            raise ValueError('a JSON object is wanted')
+        return parsed
+
+    async def wait_disconnect(self) -> None:
+        """Return when the client has gone."""
+        while not self.disconnected:
+            message = await self.receive()
+            self.disconnected = message['type'] == 'http.disconnect'
+
+    async def start(
+        self, status: int, content_type: str, headers: Headers | None = None
+    ) -> None:
+        """Send the head of an answer."""
+        fields = [(b'content-type', content_type.encode())]
+        for name, text in (headers or {}).items():
+            fields.append((name.encode(), text.encode('latin-1')))
+        await self.send(
+            {'type': 'http.response.start', 'status': status, 'headers': fields}
+        )
+
+    async def chunk(self, part: bytes) -> None:
+        """Send a part of the body."""
+        await self.send(
+            {'type': 'http.response.body', 'body': part, 'more_body': True}
+        )
+
+    async def end(self) -> None:
+        """End the body."""
+        await self.send({'type': 'http.response.body', 'body': b''})
+
+    async def answer(
+        self,
+        status: int,
+        content: typing.Any,
+        headers: Headers | None = None,
+    ) -> None:
+        """Send a whole JSON answer."""
+        text = json.dumps(content).encode()
+        fields = {'content-length': str(len(text)), **(headers or {})}
+        await self.start(status, JSON_TYPE, fields)
+        await self.send({'type': 'http.response.body', 'body': text})
+
+    def drop(self) -> typing.NoReturn:
+        """Abort the connection, so that the client gets no answer at all."""
+        abort = self.scope.get('state', {}).get('abort')
+        if abort is not None:
+            abort()
+        raise DroppedError
+
+
+Handler = collections_abc.Callable[[Exchange], collections_abc.Awaitable[None]]
+
+
+def make_asgi_app(
+    handler: Handler,
+) -> collections_abc.Callable[..., collections_abc.Awaitable[None]]:
+    """Return an ASGI app that gives each HTTP request to handler."""
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope['type'] != 'http':
+            return
+        exchange = Exchange(scope, receive, send)
+        try:
+            await handler(exchange)
+        except DroppedError:
+            return
+        except (ValueError, KeyError, TypeError) as error:
+            await exchange.answer(
+                400, {'error': {'code': 'malformed', 'message': str(error)}}
+            )
+
+    return app
--- /dev/null
+++ b/redwingvalve/standins/completions.py
@@ -0,0 +1,96 @@
+"""The OpenAI-compatible shapes of an engine's answers."""
+
+import json
+import typing
+
+import attrs
+
+from redwingvalve.standins import answers
+
+DONE = b'data: [DONE]\n\n'
+
+
+@attrs.frozen
+class CompletionRequest:
+    """What an engine needs of a request; resumed tokens were delivered."""
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    stream: bool
+    chat: bool
+    resumed: int
+
+
+def parse_request(
+    path: str, request_id: str, body: dict[str, typing.Any]
+) -> CompletionRequest:
+    """Return the request in a JSON body; ValueError when malformed."""
+    max_tokens = int(body.get('max_tokens', answers.DEFAULT_MAX_TOKENS))
+    if max_tokens < 1:
+        raise ValueError('max_tokens is at least 1')
+    resume = body.get('resume') or {}
+    return CompletionRequest(
+        request_id=request_id,
+        prompt=answers.prompt_text(body),
+        max_tokens=max_tokens,
+        priority=int(body.get('priority', 0)),
+        stream=bool(body.get('stream', False)),
+        chat=path.endswith('/chat/completions'),
+        resumed=min(len(resume.get('tokens', ())), max_tokens),
+    )
+
+
+@attrs.frozen
+class Shapes:
+    """Builds the chunks and the whole answer of one request."""
+
+    request: CompletionRequest
+    model: str
+
+    @property
+    def answer_id(self) -> str:
+        """Return the id that names the request on every chunk."""
+        prefix = 'chatcmpl' if self.request.chat else 'cmpl'
+        return f'{prefix}-{self.request.request_id}'
+
+    def chunk(self, text: str, *, last: bool) -> bytes:
+        """Return one SSE event with one token."""
+        choice: dict[str, typing.Any] = {
+            'index': 0,
+            'finish_reason': 'length' if last else None,
+        }
+        if self.request.chat:
+            choice['delta'] = {'content': text}
+        else:
+            choice['text'] = text
+        return f'data: {json.dumps(self._body(choice, "chunk"))}\n\n'.encode()
+
+    def whole(self, text: str) -> dict[str, typing.Any]:
+        """Return the whole answer."""
+        choice: dict[str, typing.Any] = {'index': 0, 'finish_reason': 'length'}
+        if self.request.chat:
+            choice['message'] = {'role': 'assistant', 'content': text}
+        else:
+            choice['text'] = text
+        prompt_tokens = answers.count_prompt_tokens(self.request.prompt)
+        usage = {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': self.request.max_tokens,
+            'total_tokens': prompt_tokens + self.request.max_tokens,
+        }
+        return {**self._body(choice, ''), 'usage': usage}
+
+    def _body(
+        self, choice: dict[str, typing.Any], suffix: str
+    ) -> dict[str, typing.Any]:
+        kind = 'chat.completion' if self.request.chat else 'text_completion'
+        if suffix and self.request.chat:
+            kind = f'{kind}.{suffix}'
+        return {
+            'id': self.answer_id,
+            'object': kind,
+            'model': self.model,
+            'choices': [choice],
+        }
--- /dev/null
+++ b/redwingvalve/standins/engine_app.py
@@ -0,0 +1,318 @@
+"""The HTTP side of a stand-in engine."""
+
+import time
+import typing
+
+import anyio
+import attrs
+
+from redwingvalve.core import outcomes
+from redwingvalve.standins import (
+    answers,
+    asgi,
+    completions,
+    engine,
+    faults,
+    ledger,
+    orders,
+)
+
+REPLICA_HEADER = 'x-redwingvalve-replica'
+EPOCH_HEADER = 'x-redwingvalve-epoch'
+COMPLETION_PATHS = ('/v1/chat/completions', '/v1/completions')
+EVENT_STREAM = 'text/event-stream'
+FOREIGN_ID = 'foreign'
+FOREIGN_PROMPT = 'a prompt of somebody else'
+
+
+class EngineApp:
+    """Routes the calls of one engine."""
+
+    def __init__(self, served: engine.Engine) -> None:
+        """Serve one engine."""
+        self._engine = served
+        self._routes = {
+            ('POST', '/v1/cancel'): self._cancel,
+            ('GET', '/state'): self._state,
+            ('POST', '/orders'): self._order,
+            ('GET', '/load'): self._load,
+            ('GET', '/cache-events'): self._cache_events,
+            ('GET', '/ledger'): self._ledger,
+            ('POST', '/faults'): self._fault,
+            ('DELETE', '/faults'): self._clear_faults,
+        }
+        for path in COMPLETION_PATHS:
+            self._routes['POST', path] = self._complete
+
+    async def handle(self, exchange: asgi.Exchange) -> None:
+        """Answer one call; proofs are served even while paused."""
+        path = exchange.path
+        if path not in {'/faults', '/ledger'}:
+            await self._engine.wait_while_paused()
+        if self._engine.dead:
+            exchange.drop()
+        if path.startswith('/kv/'):
+            await self._kv(exchange, path.removeprefix('/kv/'))
+            return
+        route = self._routes.get((exchange.method, path))
+        if route is None:
+            await exchange.answer(404, _error('not-found', path))
+            return
+        await route(exchange)
+
+    async def _state(self, exchange: asgi.Exchange) -> None:
+        await exchange.answer(200, attrs.asdict(self._engine.state()))
+
+    async def _load(self, exchange: asgi.Exchange) -> None:
+        sample = self._engine.load.visible(time.time())
+        await exchange.answer(200, attrs.asdict(sample))
+
+    async def _ledger(self, exchange: asgi.Exchange) -> None:
+        await exchange.answer(200, self._engine.ledger.as_json())
+
+    async def _order(self, exchange: asgi.Exchange) -> None:
+        applied = self._engine.apply(
+            orders.parse_order(await exchange.json_body())
+        )
+        if applied.is_error():
+            await exchange.answer(
+                409,
+                {
+                    'highest_fencing_number': applied.error.highest_fencing_number
+                },
+            )
+            return
+        await self._state(exchange)
+
+    async def _cache_events(self, exchange: asgi.Exchange) -> None:
+        cache = self._engine.cache
+        events = cache.visible(
+            int(exchange.query('after', '0')), time.monotonic()
+        )
+        rows = [
+            {
+                'number': event.number,
+                'type': event.type,
+                'prefix_hash': event.prefix_hash,
+            }
+            for event in events
+        ]
+        await exchange.answer(
+            200, {'events': rows, 'first': cache.first_number()}
+        )
+
+    async def _cancel(self, exchange: asgi.Exchange) -> None:
+        body = await exchange.json_body()
+        found = self._engine.cancel(str(body['request_id']))
+        await exchange.answer(200, {'cancelled': found})
+
+    async def _kv(self, exchange: asgi.Exchange, request_id: str) -> None:
+        if exchange.method == 'PUT':
+            body = await exchange.json_body()
+            self._engine.exported_kv[request_id] = int(body['tokens'])
+            await exchange.answer(200, {})
+            return
+        for run in self._engine.batch.runs:
+            if run.request_id == request_id:
+                await exchange.answer(
+                    200,
+                    {
+                        'request_id': request_id,
+                        'tokens': run.prefilled + run.done,
+                        'digest': answers.prompt_digest(run.prompt),
+                    },
+                )
+                return
+        await exchange.answer(404, _error('not-found', request_id))
+
+    async def _fault(self, exchange: asgi.Exchange) -> None:
+        wanted = await exchange.json_body()
+        if wanted['name'] == 'die':
+            await exchange.answer(200, {})
+            self._engine.die(float(wanted.get('restart_after_s', 0.0)))
+            return
+        if wanted['name'] == 'ignore-fencing':
+            self._engine.orders.ignores_fencing = True
+        else:
+            faults.set_fault(self._engine.faults, wanted, time.monotonic())
+        await exchange.answer(200, {})
+
+    async def _clear_faults(self, exchange: asgi.Exchange) -> None:
+        self._engine.faults = faults.EngineFaults()
+        self._engine.orders.ignores_fencing = (
+            self._engine.options.ignores_fencing
+        )
+        await exchange.answer(200, {})
+
+    async def _complete(self, exchange: asgi.Exchange) -> None:
+        request_id = exchange.header(outcomes.REQUEST_ID_HEADER, 'unnamed')
+        request = completions.parse_request(
+            exchange.path, request_id, await exchange.json_body()
+        )
+        refusal = self._refusal(exchange)
+        if refusal:
+            await exchange.answer(
+                409,
+                _error('wrong-replica', refusal),
+                {
+                    outcomes.REQUEST_ID_HEADER: request_id,
+                    outcomes.OUTCOME_HEADER: outcomes.Outcome.NOT_RUN.value,
+                },
+            )
+            return
+        async with anyio.create_task_group() as group:
+            relay = _Relay(self._engine, exchange, request)
+            group.start_soon(relay.watch_client, group.cancel_scope)
+            await relay.run()
+            group.cancel_scope.cancel()
+
+    def _refusal(self, exchange: asgi.Exchange) -> str:
+        state = self._engine.state()
+        replica = exchange.header(REPLICA_HEADER, state.replica)
+        epoch = exchange.header(EPOCH_HEADER, str(state.epoch))
+        if (replica, epoch) != (state.replica, str(state.epoch)):
+            return f'this is {state.replica} epoch {state.epoch}'
+        if state.role != 'head':
+            return f'the role of this engine is {state.role}'
+        return '' if state.ready else 'the weights are not loaded'
+
+
+class _Relay:
+    """Carries one run's tokens to its client."""
+
+    def __init__(
+        self,
+        served: engine.Engine,
+        exchange: asgi.Exchange,
+        request: completions.CompletionRequest,
+    ) -> None:
+        self._engine = served
+        self._exchange = exchange
+        self._request = request
+        self._crossed = served.faults.take_crossed()
+        self._truncated = served.faults.take_truncate()
+        state = served.orders.plain
+        self._model = state.model
+        self._version = state.version
+        self._entry = served.ledger.start(
+            ledger.LedgerEntry(
+                request_id=request.request_id,
+                started=time.time(),
+                digest=answers.prompt_digest(request.prompt),
+                epoch=state.epoch,
+                replica=state.replica,
+                vm=state.vm,
+                path=exchange.path,
+                first_token=request.resumed,
+                missing_s=served.incomplete_s(),
+            )
+        )
+        self._run = served.submit(
+            request.request_id,
+            request.prompt,
+            request.max_tokens,
+            request.priority,
+            request.resumed,
+        )
+        told = request
+        if self._crossed:
+            told = attrs.evolve(request, request_id=FOREIGN_ID)
+        self._shapes = completions.Shapes(told, self._model)
+
+    async def watch_client(self, scope: anyio.CancelScope) -> None:
+        """Free the run's tokens when the client has gone."""
+        await self._exchange.wait_disconnect()
+        self._engine.batch.cut(self._run, 'disconnected')
+        scope.cancel()
+
+    async def run(self) -> None:
+        """Answer as a stream or as a whole."""
+        try:
+            await self._answer()
+        except asgi.DroppedError:
+            # The connection was aborted: there is nobody left to tell.
+            return
+        finally:
+            self._entry.tokens = self._run.done - self._request.resumed
+            self._entry.cut = self._run.cut
+            if not self._run.ended:
+                self._engine.batch.cut(self._run, 'disconnected')
+                self._entry.cut = self._run.cut
+            self._entry.finished = time.time()
+
+    async def _answer(self) -> None:
+        if self._request.stream:
+            await self._stream()
+            return
+        while not self._run.ended:
+            await self._run.changed.wait()
+        self._drop_if_cut()
+        text = ''.join(
+            self._token(position)
+            for position in range(self._request.resumed, self._run.max_tokens)
+        )
+        answer = self._shapes.whole(text)
+        if not self._truncated:
+            await self._exchange.answer(200, answer, self._headers())
+            return
+        headers = {**self._headers(), 'content-length': '100000'}
+        await self._exchange.start(200, asgi.JSON_TYPE, headers)
+        await self._exchange.chunk(b'{"id": "half of')
+        self._exchange.drop()
+
+    async def _stream(self) -> None:
+        sent = self._request.resumed
+        started = False
+        while True:
+            await self._engine.wait_while_paused()
+            while sent < self._run.done:
+                if not started:
+                    started = True
+                    await self._start_stream()
+                last = sent + 1 == self._run.max_tokens
+                await self._exchange.chunk(
+                    self._shapes.chunk(self._token(sent), last=last)
+                )
+                sent += 1
+                if self._truncated and sent * 2 >= self._run.max_tokens:
+                    # The body ends cleanly although the answer is not whole.
+                    await self._exchange.end()
+                    return
+            if self._run.ended:
+                break
+            await self._run.changed.wait()
+        self._drop_if_cut()
+        if not started:
+            await self._start_stream()
+        await self._exchange.chunk(completions.DONE)
+        await self._exchange.end()
+
+    async def _start_stream(self) -> None:
+        await self._exchange.start(200, EVENT_STREAM, self._headers())
+
+    def _drop_if_cut(self) -> None:
+        if self._run.cut:
+            self._exchange.drop()
+
+    def _token(self, position: int) -> str:
+        prompt = FOREIGN_PROMPT if self._crossed else self._request.prompt
+        return answers.token_text(prompt, self._model, self._version, position)
+
+    def _headers(self) -> dict[str, str]:
+        told = self._shapes.request.request_id
+        return {outcomes.REQUEST_ID_HEADER: told}
+
+
+def _error(code: str, message: str) -> dict[str, typing.Any]:
+    return {
+        'error': {
+            'code': code,
+            'message': message,
+            'outcome': outcomes.Outcome.NOT_RUN.value,
+        }
+    }
+
+
+def make_engine_app(served: engine.Engine) -> typing.Any:
+    """Return the ASGI app of one engine."""
+    return asgi.make_asgi_app(EngineApp(served).handle)
--- /dev/null
+++ b/redwingvalve/standins/faults.py
@@ -0,0 +1,57 @@
+"""Faults of stand-ins, switched on over their own HTTP interface."""
+
+import typing
+
+import attrs
+
+
+@attrs.define
+class EngineFaults:
+    """Switches of an engine or service; all off by default.
+
+    crossed and truncate count the answers still to be spoiled; paused_until_s
+    is a monotonic time; serve_incomplete lets a head answer although a VM of
+    its replica is missing, as a wrong engine would.
+    """
+
+    paused_until_s: float = 0.0
+    straggle_factor: float = 1.0
+    poison_marker: str = ''
+    restart_after_s: float = 0.0
+    crossed: int = 0
+    truncate: int = 0
+    serve_incomplete: bool = False
+
+    def take_crossed(self) -> bool:
+        """Tell whether this answer is to be crossed, and count it."""
+        if not self.crossed:
+            return False
+        self.crossed -= 1
+        return True
+
+    def take_truncate(self) -> bool:
+        """Tell whether this answer is to be truncated, and count it."""
+        if not self.truncate:
+            return False
+        self.truncate -= 1
+        return True
+
+
+def set_fault(
+    faults: EngineFaults, wanted: dict[str, typing.Any], now_s: float
+) -> None:
+    """Switch on one fault other than die; ValueError when unknown."""
+    name = wanted['name']
+    if name == 'pause':
+        faults.paused_until_s = now_s + float(wanted.get('duration_s', 1.0))
+    elif name == 'straggle':
+        faults.straggle_factor = float(wanted.get('factor', 10.0))
+    elif name == 'poison':
+        faults.poison_marker = str(wanted['marker'])
+        faults.restart_after_s = float(wanted.get('restart_after_s', 0.0))
+    elif name in {'crossed', 'truncate'}:
+        setattr(faults, name, int(wanted.get('count', 1)))
+    elif name == 'serve-incomplete':
+        faults.serve_incomplete = True
+    else:
+        raise ValueError(f'unknown fault {name!r}')
--- /dev/null
+++ b/redwingvalve/standins/plain_service.py
@@ -0,0 +1,106 @@
+"""A plain service whose calls may not all be repeated."""
+
+import hashlib
+import time
+import typing
+
+import anyio
+import attrs
+
+from redwingvalve.core import outcomes
+from redwingvalve.standins import asgi, faults, ledger, serving
+
+FOREIGN_ID = 'foreign'
+
+
+@attrs.define
+class PlainService:
+    """The state of one service: its ledger, its faults, its speed.
+
+    crash_before_answer counts calls that take effect and get no answer.
+    """
+
+    name: str = 'service'
+    latency_s: float = 0.002
+    faults: faults.EngineFaults = attrs.field(factory=faults.EngineFaults)
+    ledger: ledger.Ledger = attrs.field(factory=ledger.Ledger)
+    lose_answers: int = 0
+    server: serving.StandinServer | None = None
+
+    async def handle(self, exchange: asgi.Exchange) -> None:
+        """Answer one call."""
+        if exchange.path == '/ledger':
+            await exchange.answer(200, self.ledger.as_json())
+            return
+        if exchange.path == '/faults':
+            await self._fault(exchange)
+            return
+        while time.monotonic() < self.faults.paused_until_s:
+            await anyio.sleep(0.01)
+        await self._run(exchange)
+
+    async def _fault(self, exchange: asgi.Exchange) -> None:
+        if exchange.method == 'DELETE':
+            self.faults = faults.EngineFaults()
+            self.lose_answers = 0
+            await exchange.answer(200, {})
+            return
+        wanted = await exchange.json_body()
+        if wanted['name'] == 'lose-answers':
+            self.lose_answers = int(wanted.get('count', 1))
+        elif wanted['name'] != 'die':
+            faults.set_fault(self.faults, wanted, time.monotonic())
+        await exchange.answer(200, {})
+        if wanted['name'] == 'die' and self.server is not None:
+            self.server.abort()
+
+    async def _run(self, exchange: asgi.Exchange) -> None:
+        body = await exchange.body()
+        request_id = exchange.header(outcomes.REQUEST_ID_HEADER, 'unnamed')
+        digest = call_digest(exchange.path, body)
+        entry = self.ledger.start(
+            ledger.LedgerEntry(
+                request_id=request_id,
+                started=time.time(),
+                digest=digest,
+                path=exchange.path,
+                vm=self.name,
+            )
+        )
+        marker = self.faults.poison_marker.encode()
+        if marker and marker in body and self.server is not None:
+            entry.cut = 'died'
+            self.server.abort()
+        await anyio.sleep(self.latency_s * self.faults.straggle_factor)
+        entry.finished = time.time()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            exchange.drop()
+        if self.faults.take_truncate():
+            await exchange.start(
+                200, asgi.JSON_TYPE, {'content-length': '100000'}
+            )
+            await exchange.chunk(b'{"half')
+            exchange.drop()
+        if self.faults.take_crossed():
+            request_id = FOREIGN_ID
+        await exchange.answer(
+            200,
+            {
+                'service': self.name,
+                'path': exchange.path,
+                'digest': digest,
+                'request_id': request_id,
+            },
+            {outcomes.REQUEST_ID_HEADER: request_id},
+        )
+
+
+def call_digest(path: str, body: bytes) -> str:
+    """Return the digest under which the ledger keeps a call."""
+    return hashlib.sha256(path.encode() + b'|' + body).hexdigest()[:16]
+
+
+def make_plain_service_app(service: PlainService) -> typing.Any:
+    """Return the ASGI app of a service."""
+    return asgi.make_asgi_app(service.handle)
--- /dev/null
+++ b/redwingvalve/standins/prefix_cache.py
@@ -0,0 +1,83 @@
+"""A prefix cache of limited memory whose events come late and with gaps."""
+
+import collections
+import random
+
+import attrs
+
+REMEMBERED_EVENTS = 2000
+
+
+@attrs.frozen
+class CacheEvent:
+    """A block was stored or removed; at_s is when it happened."""
+
+    number: int
+    at_s: float
+    type: str
+    prefix_hash: str
+
+
+class PrefixCache:
+    """Blocks in the order of their last use."""
+
+    def __init__(
+        self, capacity_blocks: int, lag_s: float, gap_share: float, seed: int
+    ) -> None:
+        """Hold capacity_blocks; lose gap_share of events, tell after lag_s."""
+        self._capacity_blocks = capacity_blocks
+        self._lag_s = lag_s
+        self._gap_share = gap_share
+        self._random = random.Random(seed)
+        self._blocks: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=REMEMBERED_EVENTS
+        )
+        self._number = 0
+
+    def use(self, hashes: tuple[str, ...], now_s: float) -> int:
+        """Return how many leading blocks were held, and store the rest."""
+        held = 0
+        for prefix_hash in hashes:
+            if prefix_hash not in self._blocks:
+                break
+            held += 1
+        for prefix_hash in hashes:
+            if prefix_hash not in self._blocks:
+                self._record('stored', prefix_hash, now_s)
+            self._blocks[prefix_hash] = None
+            self._blocks.move_to_end(prefix_hash)
+        while len(self._blocks) > self._capacity_blocks:
+            removed, _ = self._blocks.popitem(last=False)
+            self._record('removed', removed, now_s)
+        return held
+
+    def clear(self, now_s: float) -> None:
+        """Remove every block, as a load of another model does."""
+        for prefix_hash in tuple(self._blocks):
+            self._record('removed', prefix_hash, now_s)
+        self._blocks.clear()
+
+    def first_number(self) -> int:
+        """Return the oldest number from which the numbering is known."""
+        if not self._events:
+            return self._number + 1
+        return self._events[0].number
+
+    def visible(self, after: int, now_s: float) -> tuple[CacheEvent, ...]:
+        """Return the events after a number that are old enough to be told."""
+        return tuple(
+            event
+            for event in self._events
+            if event.number > after and event.at_s <= now_s - self._lag_s
+        )
+
+    def _record(self, event_type: str, prefix_hash: str, now_s: float) -> None:
+        self._number += 1
+        if self._random.random() < self._gap_share:
+            return
+        self._events.append(
+            CacheEvent(self._number, now_s, event_type, prefix_hash)
+        )
--- /dev/null
+++ b/redwingvalve/standins/rate_limit.py
@@ -0,0 +1,27 @@
+"""A token bucket for the stand-ins that are rate-limited."""
+
+import time
+
+
+class TokenBucket:
+    """Grants rate_per_s calls a second; a rate of 0 grants all."""
+
+    def __init__(self, rate_per_s: float, burst: float | None = None) -> None:
+        """Start full; the burst is one second's worth unless given."""
+        self.rate_per_s = rate_per_s
+        self._burst = max(1.0, rate_per_s if burst is None else burst)
+        self._held = self._burst
+        self._filled_at_s = time.monotonic()
+
+    def take(self) -> float:
+        """Take one call; return 0.0, or the seconds until one is free."""
+        if not self.rate_per_s:
+            return 0.0
+        now_s = time.monotonic()
+        gained = (now_s - self._filled_at_s) * self.rate_per_s
+        self._held = min(self._burst, self._held + gained)
+        self._filled_at_s = now_s
+        if self._held >= 1.0:
+            self._held -= 1.0
+            return 0.0
+        return (1.0 - self._held) / self.rate_per_s
--- /dev/null
+++ b/redwingvalve/standins/vm_list.py
@@ -0,0 +1,93 @@
+"""The platform's list of VMs, late by a set lag."""
+
+import time
+import typing
+
+from redwingvalve.standins import asgi
+
+VmRow = dict[str, typing.Any]
+
+
+class LaggingVmList:
+    """Every list ever set, by the time from which it is true."""
+
+    def __init__(self, lag_s: float = 1.0) -> None:
+        """Show each change after lag_s; the first list shows at once."""
+        self.lag_s = lag_s
+        self._lists: list[tuple[float, list[VmRow]]] = []
+
+    def set(self, vms: list[VmRow]) -> None:
+        """Make vms the truth from now on."""
+        since_s = time.monotonic()
+        if not self._lists:
+            since_s -= self.lag_s
+        self._lists.append((since_s, [dict(vm) for vm in vms]))
+
+    def truth(self) -> list[VmRow]:
+        """Return the list without its lag."""
+        return [dict(vm) for vm in self._lists[-1][1]] if self._lists else []
+
+    def remove(self, name: str) -> None:
+        """Take a VM off the list."""
+        self.set([vm for vm in self.truth() if vm['name'] != name])
+
+    def mark(self, name: str, state: str) -> None:
+        """Set the state of a VM, such as leaving."""
+        self.set(
+            [
+                {**vm, 'state': state} if vm['name'] == name else vm
+                for vm in self.truth()
+            ]
+        )
+
+    def visible(self) -> list[VmRow]:
+        """Return what the list shows now."""
+        shown_until_s = time.monotonic() - self.lag_s
+        visible: list[VmRow] = []
+        for since_s, vms in self._lists:
+            if since_s <= shown_until_s:
+                visible = vms
+        return visible
+
+    async def handle(self, exchange: asgi.Exchange) -> None:
+        """Answer GET /vms; PUT /vms sets the truth, for tests."""
+        if exchange.path == '/faults':
+            if exchange.method == 'POST':
+                wanted = await exchange.json_body()
+                self.lag_s = float(wanted['lag_s'])
+            await exchange.answer(200, {})
+            return
+        if exchange.path != '/vms':
+            await exchange.answer(404, {'error': {'code': 'not-found'}})
+            return
+        if exchange.method == 'PUT':
+            self.set((await exchange.json_body())['vms'])
+        await exchange.answer(200, {'vms': self.visible()})
+
+
+def make_vm_list(
+    vms: list[VmRow] | None = None, lag_s: float = 1.0
+) -> tuple[typing.Any, LaggingVmList]:
+    """Return the ASGI app and its state."""
+    listed = LaggingVmList(lag_s)
+    listed.set(vms or [])
+    return asgi.make_asgi_app(listed.handle), listed
+
+
+def make_vm_row(
+    name: str,
+    address: str,
+    data_centre: str,
+    fabric_domain: str,
+    region: str = '',
+) -> VmRow:
+    """Return one row of the list, live and with one accelerator."""
+    return {
+        'name': name,
+        'address': address,
+        'data_centre': data_centre,
+        'fabric_domain': fabric_domain,
+        'region': region,
+        'accelerators': 1,
+        'state': 'live',
+    }
