--- a/redwingvalve/standins/vm_list.py
+++ b/redwingvalve/standins/vm_list.py
@@ -6,6 +6,7 @@
 from redwingvalve.standins import asgi
 
 VmRow = dict[str, typing.Any]
+VmRows = list[VmRow]
 
 
 class LaggingVmList:
@@ -14,7 +15,7 @@
     def __init__(self, lag_s: float = 1.0) -> None:
         """Show each change after lag_s; the first list shows at once."""
         self.lag_s = lag_s
-        self._lists: list[tuple[float, list[VmRow]]] = []
+        self._lists: list[tuple[float, VmRows]] = []
 
     def set(self, vms: list[VmRow]) -> None:
         """Make vms the truth from now on."""
