--- /dev/null
+++ b/redwingvalve/demo/operator.py
@@ -0,0 +1,80 @@
+"""An operator's calls to the administration API, for the demo."""
+
+import typing
+
+import anyio
+import httpx
+
+from redwingvalve.administration import actions, rights, tokens
+from redwingvalve.platform_api import object_api
+
+POLL_INTERVAL_S = 0.1
+GIVE_UP_AFTER_S = 60.0
+
+
+class DemoOperator:
+    """One administrator at one administration API."""
+
+    def __init__(self, api_address: str, bearer: str) -> None:
+        """Call the API at host:port with a bearer token."""
+        self._base_url = f'http://{api_address}{actions.BASE_PATH}'
+        self._headers = {'authorization': f'Bearer {bearer}'}
+
+    async def plan(self, declaration: str, file_name: str) -> typing.Any:
+        """Plan a declaration."""
+        body = {'declaration': declaration, 'file_name': file_name}
+        return await self._call('POST', '/plans', body)
+
+    async def confirm(self, plan_name: str) -> typing.Any:
+        """Put a plan into force."""
+        return await self._call('POST', f'/plans/{plan_name}/confirm', {})
+
+    async def status(self) -> typing.Any:
+        """Return what serves and what is at risk."""
+        return await self._call('GET', '/status')
+
+    async def replicas(self) -> typing.Any:
+        """Return all replicas."""
+        return await self._call('GET', '/replicas')
+
+    async def wait_until_reachable(self) -> None:
+        """Wait until the API answers this token; TimeoutError gives up."""
+        with anyio.fail_after(GIVE_UP_AFTER_S):
+            while True:
+                try:
+                    await self.status()
+                except httpx.HTTPError:
+                    await anyio.sleep(POLL_INTERVAL_S)
+                else:
+                    return
+
+    async def wait_until_serving(self, deployment: str, replicas: int) -> None:
+        """Wait until so many replicas serve; TimeoutError gives up."""
+        with anyio.fail_after(GIVE_UP_AFTER_S):
+            while True:
+                status = await self.status()
+                serving = {
+                    row['name']: row['serving'] for row in status['deployments']
+                }
+                if serving.get(deployment, 0) >= replicas:
+                    return
+                await anyio.sleep(POLL_INTERVAL_S)
+
+    async def _call(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> typing.Any:
+        async with httpx.AsyncClient(headers=self._headers) as client:
+            answer = await client.request(
+                method, f'{self._base_url}{path}', json=body
+            )
+        answer.raise_for_status()
+        return answer.json()
+
+
+async def issue_first_token(store: object_api.ObjectApi) -> str:
+    """Write the first administrator's token and return its bearer."""
+    issued = tokens.issue('demo', 'demo', rights.Role.ADMINISTRATOR)
+    await store.create(
+        tokens.KIND, issued.record.token_id, tokens.encode(issued.record)
+    )
+    return issued.bearer
