--- a/redwingvalve/routing/__init__.py
+++ b/redwingvalve/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Which replica gets a request."""
+"""Routing: to which replica or address a request goes."""
--- /dev/null
+++ b/redwingvalve/routing/messages.py
@@ -0,0 +1,75 @@
+"""What routing is asked and what it learns."""
+
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Candidate:
+    """A replica or a service address that may be sent to.
+
+    serving_since_s is when this entry first saw it serve, 0 for always.
+    """
+
+    name: str
+    data_centre: str
+    epoch: int = 0
+    tokens_per_s: float = 2000.0
+    prefill_tokens_per_s: float = 20000.0
+    serving_since_s: float = 0.0
+
+
+class Prefix(typing.NamedTuple):
+    """A prefix of a prompt that an engine may hold, and its length."""
+
+    prefix_hash: str
+    tokens: float
+
+
+@attrs.define(eq=False)
+class RouteRequest:
+    """What routing knows of a request.
+
+    prefixes go from the longest to the shortest; draw is a random number of
+    64 bits, new for each choice.
+    """
+
+    request_id: str
+    draw: int
+    prompt_tokens: float = 100.0
+    output_tokens: float = 100.0
+    prefixes: tuple[Prefix, ...] = ()
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class LoadReport:
+    """An endpoint's own word of its load; at_s on this entry's clock."""
+
+    running: int
+    waiting: int
+    at_s: float
+
+
+@attrs.frozen
+class RoutingSettings:
+    """Figures an operator may set; docs/operating/who-is-served.md.
+
+    sample_size random candidates of a tier are weighed for each request. An
+    endpoint with a known prefix is preferred while its load is at most
+    preference_bound times that of the others weighed, plus one request.
+    """
+
+    sample_size: int = 6
+    preference_bound: float = 1.5
+    load_weight: float = 0.5
+    spill_margin_s: float = 0.05
+    spill_after_s: float = 0.2
+    slow_start_s: float = 30.0
+    slow_start_share: float = 0.1
+    report_max_age_s: float = 5.0
+    slowness_half_life_s: float = 10.0
+    probe_above_slowness: float = 3.0
+    max_prefixes: int = 50_000
+    max_holders: int = 4
--- /dev/null
+++ b/redwingvalve/routing/prefix_index.py
@@ -0,0 +1,58 @@
+"""Which endpoints hold which prefix, from late and gappy events.
+
+Load pattern: many requests that share a long system prompt. Without the index
+each replica computes and stores the same prefix, and the caches turn over.
+
+A wrong entry costs one recomputed prefix and nothing else, so events may be
+late or lost: a gap makes the index forget the endpoint, and what this entry
+sent itself counts as held at once.
+"""
+
+import collections
+
+
+class PrefixIndex:
+    """Holders by prefix, newest last; the oldest prefixes are forgotten."""
+
+    def __init__(self, max_prefixes: int, max_holders: int) -> None:
+        """Start empty with bounds on memory."""
+        self._max_prefixes = max_prefixes
+        self._max_holders = max_holders
+        self._holders: collections.OrderedDict[str, dict[str, None]] = (
+            collections.OrderedDict()
+        )
+        self._held: dict[str, set[str]] = collections.defaultdict(set)
+
+    def holders(self, prefix_hash: str) -> tuple[str, ...]:
+        """Return the endpoints that hold a prefix."""
+        return tuple(self._holders.get(prefix_hash, ()))
+
+    def stored(self, name: str, prefix_hash: str) -> None:
+        """Note a holder; the one noted longest ago makes room."""
+        holders = self._holders.setdefault(prefix_hash, {})
+        holders.pop(name, None)
+        holders[name] = None
+        self._held[name].add(prefix_hash)
+        self._holders.move_to_end(prefix_hash)
+        if len(holders) > self._max_holders:
+            self.removed(next(iter(holders)), prefix_hash)
+        if len(self._holders) > self._max_prefixes:
+            (oldest, names) = self._holders.popitem(last=False)
+            for holder in names:
+                self._held[holder].discard(oldest)
+
+    def removed(self, name: str, prefix_hash: str) -> None:
+        """Forget one holder of a prefix."""
+        self._held[name].discard(prefix_hash)
+        holders = self._holders.get(prefix_hash)
+        if holders is None:
+            return
+        holders.pop(name, None)
+        if not holders:
+            del self._holders[prefix_hash]
+
+    def forget_endpoint(self, name: str) -> None:
+        """Forget all that an endpoint holds."""
+        for prefix_hash in tuple(self._held.pop(name, ())):
+            self.removed(name, prefix_hash)
+        self._held.pop(name, None)
