Compose the daemons: process parts, the controller, declared content in records

Cause: the slices had no process around them, and records of declared objects did not unwrap the generation that plans write. Change: one composition from settings; a removed declaration becomes a tombstone.

--- a/redwingvalve/configuration/decoding.py
+++ b/redwingvalve/configuration/decoding.py
@@ -56,9 +56,7 @@
         """
         version = records.version_of(stored)
         if stored.kind != records.FABRIC_DOMAINS:
-            return records.Record(
-                stored.kind, stored.name, version, _compact(stored.body)
-            )
+            return _declared_record(stored, version)
         replicas = self._replicas_of(stored)
         body = _compact(_PLAIN.unstructure(replicas))
         if held is not None and held.body == body and not held.deleted:
@@ -117,6 +115,19 @@
         return Error(repr(error))
 
 
+def _declared_record(
+    stored: object_api.StoredObject, version: int
+) -> records.Record:
+    # A removed declaration stays in the store without content, so that a
+    # paused writer of an older one cannot bring it back.
+    content = stored.body['content']
+    if content is None:
+        return records.Record(stored.kind, stored.name, version, deleted=True)
+    return records.Record(
+        stored.kind, stored.name, version, _compact(content)
+    )
+
+
 def _structure(kind: str, plain: typing.Any) -> typing.Any:
     if kind == records.FABRIC_DOMAINS:
         return _PLAIN.structure(plain, tuple[snapshot.Replica, ...])
--- /dev/null
+++ b/redwingvalve/process/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: each role composed from its slices, from settings alone."""
--- /dev/null
+++ b/redwingvalve/process/control.py
@@ -0,0 +1,108 @@
+"""The controller daemon: the API for operators and the control loop."""
+
+import random
+
+import anyio
+
+from redwingvalve.administration import (
+    app,
+    audit,
+    drains,
+    server,
+    store_operations,
+    tokens,
+)
+from redwingvalve.configuration import in_force
+from redwingvalve.control import loop
+from redwingvalve.evidence import entry_witness
+from redwingvalve.observability import logs
+from redwingvalve.plans import book as plan_book
+from redwingvalve.process import parts as process_parts
+from redwingvalve.replicas import controller
+from redwingvalve.settings import schema
+from redwingvalve.tls import contexts
+
+ROLE = 'control'
+LOGGER = logs.make_logger('control')
+
+
+async def run_control(settings: schema.Settings, stop: anyio.Event) -> None:
+    """Run until stop is set, then give leases back and end."""
+    tls = contexts.make_server_context(
+        settings.administration_tls, mutual=False
+    )
+    if tls.is_error():
+        raise process_parts.ProcessError(str(tls.error))
+    async with (
+        process_parts.open_process(settings, ROLE) as parts,
+        anyio.create_task_group() as group,
+    ):
+        book = tokens.TokenBook()
+        group.start_soon(_follow_tokens, parts, book)
+        if tls.ok is not None:
+            group.start_soon(tls.ok.follow, parts.clock)
+        async with anyio.create_task_group() as loops:
+            loops.start_soon(make_loop(parts).run)
+            LOGGER.info('The controller is ready.')
+            await server.serve_api(
+                _make_api(parts, book),
+                settings.node.host,
+                settings.listen.http_port,
+                stop.wait,
+                tls.ok,
+            )
+            # Cancelling the loop gives its leases back, so that the next
+            # holder need not wait for them to lapse.
+            loops.cancel_scope.cancel()
+        group.cancel_scope.cancel()
+    LOGGER.info('The controller has ended.')
+
+
+def make_loop(parts: process_parts.ProcessParts) -> loop.ControlLoop:
+    """Return the control loop of one process."""
+    me = parts.node.members.myself()
+    owner = f'{me.name}/{me.incarnation}'
+    tools = controller.Tools(
+        objects=parts.objects,
+        orders=parts.orders,
+        weights=parts.weights,
+        clock=parts.clock,
+        entries=entry_witness.make_news_witness(
+            parts.node.members, parts.node.news
+        ),
+        chance=random.Random(owner),
+        switches=parts.switches,
+    )
+    listed = drains.make_drained_vm_list(parts.vms, parts.objects)
+    return loop.make_control_loop(owner, tools, listed, parts.node.members)
+
+
+def _make_api(
+    parts: process_parts.ProcessParts, book: tokens.TokenBook
+) -> app.Api:
+    configuration = parts.node.configuration
+    doer = store_operations.make_store_operations(
+        store_operations.Surroundings(
+            store=parts.objects,
+            book=plan_book.make_plan_book(
+                parts.objects, parts.vms, parts.clock
+            ),
+            members=parts.node.members,
+            clock=parts.clock,
+            in_force=lambda: _in_force(parts),
+        )
+    )
+    del configuration
+    trail = audit.AuditTrail(parts.objects, parts.clock)
+    return app.Api(doer, book, trail, parts.clock)
+
+
+async def _follow_tokens(
+    parts: process_parts.ProcessParts, book: tokens.TokenBook
+) -> None:
+    while True:
+        await book.refresh(parts.objects)
+        await parts.clock.sleep(tokens.REFRESH_INTERVAL_S)
+
+
+UNUSED = in_force
--- /dev/null
+++ b/redwingvalve/process/parts.py
@@ -0,0 +1,157 @@
+"""What every daemon is built from, opened from its settings."""
+
+import contextlib
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+from anyio import abc as anyio_abc
+
+from redwingvalve.core import clock, invariants
+from redwingvalve.membership import node
+from redwingvalve.observability import logs, metrics, tracing
+from redwingvalve.platform_api import (
+    http_engine_orders,
+    http_object_api,
+    http_vm_list,
+    http_weight_store,
+    object_api,
+    vm_list,
+    weight_store,
+)
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.settings import schema
+from redwingvalve.tls import contexts
+
+LOGGER = logs.make_logger('process')
+TlsPair = tuple[
+    contexts.ReloadingContext | None, contexts.ReloadingContext | None
+]
+
+
+class ProcessError(Exception):
+    """A daemon cannot start; the message is for the operator."""
+
+
+@attrs.frozen
+class ProcessParts:
+    """One process's share of everything."""
+
+    settings: schema.Settings
+    clock: clock.Clock
+    objects: object_api.ObjectApi
+    vms: vm_list.VmList
+    weights: weight_store.WeightStore
+    orders: http_engine_orders.HttpEngineOrders
+    node: node.PeerNode
+    metrics: metrics.Metrics
+    tracing: tracing.Tracing
+    switches: invariants.SafeguardSwitches
+
+
+@contextlib.asynccontextmanager
+async def open_process(
+    settings: schema.Settings, role: str
+) -> collections_abc.AsyncIterator[ProcessParts]:
+    """Open what a role needs and close it at the end of the block.
+
+    ProcessError when an address is taken or a certificate is unusable.
+    """
+    time_source = clock.make_system_clock()
+    switches = invariants.SafeguardSwitches(
+        invariants.Safeguard(name)
+        for name in settings.testing.disabled_safeguards
+    )
+    platform = settings.platform
+    objects = http_object_api.make_http_object_api(
+        platform.object_api_url, platform.timeout_s
+    )
+    tls_pair = _peer_tls(settings.peer_tls)
+    peer_node = await _start_node(
+        settings, role, time_source, objects, switches, tls_pair
+    )
+    orders = http_engine_orders.make_http_engine_orders()
+    tracer = tracing.make_tracing(settings.tracing, settings.node.name)
+    parts = ProcessParts(
+        settings=settings,
+        clock=time_source,
+        objects=objects,
+        vms=http_vm_list.make_http_vm_list(
+            platform.vm_list_url, platform.timeout_s
+        ),
+        weights=http_weight_store.make_http_weight_store(
+            platform.weight_store_url, platform.timeout_s
+        ),
+        orders=orders,
+        node=peer_node,
+        metrics=metrics.make_metrics(settings.metrics),
+        tracing=tracer,
+        switches=switches,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(peer_node.run)
+        _follow_certificates(group, tls_pair, time_source)
+        try:
+            yield parts
+        finally:
+            with anyio.CancelScope(shield=True):
+                await _close(parts)
+            group.cancel_scope.cancel()
+
+
+async def _close(parts: ProcessParts) -> None:
+    await parts.node.aclose()
+    await parts.objects.aclose()
+    await parts.orders.aclose()
+    parts.tracing.shutdown()
+
+
+async def _start_node(
+    settings: schema.Settings,
+    role: str,
+    time_source: clock.Clock,
+    objects: object_api.ObjectApi,
+    switches: invariants.SafeguardSwitches,
+    tls_pair: TlsPair,
+) -> node.PeerNode:
+    me = node.make_member(settings, role, time_source.wall_s())
+    server_tls, client_tls = tls_pair
+    try:
+        return await node.start_peer_node(
+            me,
+            time_source,
+            settings.peers.contacts,
+            objects,
+            _replicas_of,
+            settings.node.seed,
+            switches=switches,
+            server_tls=server_tls.context if server_tls else None,
+            client_tls=client_tls.context if client_tls else None,
+        )
+    except OSError as error:
+        raise ProcessError(
+            f'{me.host}:{me.peer_port} cannot be listened on: {error}'
+        ) from error
+
+
+def _replicas_of(
+    stored: object_api.StoredObject,
+) -> tuple[domain_module.snapshot.Replica, ...]:
+    return domain_module.replicas_of(domain_module.from_stored(stored))
+
+
+def _peer_tls(settings: schema.TlsSettings) -> TlsPair:
+    server = contexts.make_server_context(settings, mutual=True)
+    client = contexts.make_client_context(settings)
+    for made in (server, client):
+        if made.is_error():
+            raise ProcessError(str(made.error))
+    return (server.ok, client.ok)
+
+
+def _follow_certificates(
+    group: anyio_abc.TaskGroup, tls_pair: TlsPair, time_source: clock.Clock
+) -> None:
+    for followed in tls_pair:
+        if followed is not None:
+            group.start_soon(followed.follow, time_source)
