Add the control loop, serving permits by evidence, and the prober

Two probers for each replica by rendezvous hashing, findings over the board of news; a VM that dies silently ends all permits within 3 s (test). Shares of a dark domain move by one conditional write of the allocation.

--- /dev/null
+++ b/redwingvalve/control/loop.py
@@ -0,0 +1,167 @@
+"""Runs the domain controllers of one process.
+
+Every controller process could manage every domain; which ones it watches
+follows from rendezvous hashing over the live controllers. The lease alone
+decides who orders, so two processes that see different members do no harm.
+"""
+
+import anyio
+import attrs
+
+from redwingvalve.control import relief
+from redwingvalve.control import surroundings as surroundings_module
+from redwingvalve.core import rendezvous
+from redwingvalve.membership import members as members_module
+from redwingvalve.observability import logs
+from redwingvalve.plans import book, finishing
+from redwingvalve.platform_api import object_api, vm_list
+from redwingvalve.replicas import controller
+from redwingvalve.replicas import domain as domain_module
+
+STEP_EVERY_S = 0.5
+FINISH_EVERY_S = 2.0
+CANDIDATES = 2
+CONTROL_ROLE = 'control'
+LOG = logs.make_logger('control')
+
+
+@attrs.define
+class _Domain:
+    """One domain that this process watches."""
+
+    controller: controller.DomainController
+    relief_from_s: float = 0.0
+    created: bool = False
+
+
+class ControlLoop:
+    """Steps the domains of which this process is a candidate."""
+
+    def __init__(
+        self,
+        owner: str,
+        tools: controller.Tools,
+        vms: vm_list.VmList,
+        members: members_module.Members | None = None,
+    ) -> None:
+        """Own leases as owner, unique to this incarnation."""
+        self._owner = owner
+        self._tools = tools
+        self._vm_list = vms
+        self._members = members
+        self._book = book.make_plan_book(tools.objects, vms, tools.clock)
+        self._reader = surroundings_module.SurroundingsReader(
+            tools.objects, vms, tools.clock
+        )
+        self._domains: dict[str, _Domain] = {}
+        self._finish_from_s = 0.0
+
+    async def run(self) -> None:
+        """Step until cancelled, then give the leases back."""
+        try:
+            while True:
+                started_s = self._tools.clock.monotonic_s()
+                await self.step()
+                spent_s = self._tools.clock.monotonic_s() - started_s
+                await self._tools.clock.sleep(max(STEP_EVERY_S - spent_s, 0.05))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.release()
+
+    async def step(self) -> None:
+        """Make one pass over all domains."""
+        await self._reader.refresh()
+        await self._finish_plans()
+        self._choose_domains()
+        async with anyio.create_task_group() as group:
+            for name, watched in self._domains.items():
+                group.start_soon(self._step_domain, name, watched)
+
+    async def release(self) -> None:
+        """Give all leases back."""
+        for watched in self._domains.values():
+            await watched.controller.release()
+
+    def status(self) -> tuple[controller.DomainStatus, ...]:
+        """Return the status of each watched domain."""
+        return tuple(
+            watched.controller.status() for watched in self._domains.values()
+        )
+
+    async def _finish_plans(self) -> None:
+        now_s = self._tools.clock.monotonic_s()
+        if now_s < self._finish_from_s:
+            return
+        # Jitter keeps the controllers from all reading at one moment.
+        jitter = self._tools.chance.uniform(0.75, 1.25)
+        self._finish_from_s = now_s + FINISH_EVERY_S * jitter
+        if self._rank('plans') >= CANDIDATES:
+            return
+        done = await finishing.finish_confirmations(
+            self._tools.objects, self._book
+        )
+        if done.is_error():
+            LOG.warning('Plans wait', extra={'reason': str(done.error)})
+
+    def _choose_domains(self) -> None:
+        for vm in self._reader.vms or ():
+            name = vm.fabric_domain
+            if name in self._domains or self._rank(name) >= CANDIDATES:
+                continue
+            made = controller.make_domain_controller(
+                name, self._owner, self._tools
+            )
+            self._domains[name] = _Domain(made)
+        for name in tuple(self._domains):
+            holds = self._domains[name].controller.status().holds_lease
+            if not holds and self._rank(name) >= CANDIDATES:
+                self._domains.pop(name)
+
+    def _rank(self, key: str) -> int:
+        """Return this process's place among the candidates for a key."""
+        if self._members is None:
+            return 0
+        alive = {each.name for each in self._members.alive(CONTROL_ROLE)}
+        myself = self._members.myself().name
+        return rendezvous.ranked(key, alive | {myself}).index(myself)
+
+    async def _step_domain(self, name: str, watched: _Domain) -> None:
+        if not watched.created:
+            watched.created = await self._create(name)
+        await watched.controller.step(self._reader.of(name))
+        now_s = self._tools.clock.monotonic_s()
+        short_for_s = watched.controller.short_for_s()
+        if short_for_s < relief.SHORT_FOR_S or now_s < watched.relief_from_s:
+            return
+        watched.relief_from_s = now_s + relief.TRY_EVERY_S
+        moved = await relief.relieve(self._tools.objects, self._vm_list)
+        if moved:
+            LOG.info('Shares were moved', extra={'out_of': name})
+
+    async def _create(self, name: str) -> bool:
+        """Create the domain's object; tell whether it is there."""
+        vm = next(
+            vm for vm in self._reader.vms or () if vm.fabric_domain == name
+        )
+        fresh = domain_module.FabricDomain(
+            name=name, data_centre=vm.data_centre, region=vm.region
+        )
+        found = await self._tools.objects.get(domain_module.KIND, name)
+        if found.is_ok():
+            return True
+        if not isinstance(found.error, object_api.NotFound):
+            return False
+        made = await self._tools.objects.create(
+            domain_module.KIND, name, domain_module.to_body(fresh)
+        )
+        return made.is_ok() or isinstance(made.error, object_api.Conflict)
+
+
+def make_control_loop(
+    owner: str,
+    tools: controller.Tools,
+    vms: vm_list.VmList,
+    members: members_module.Members | None = None,
+) -> ControlLoop:
+    """Return the loop of one process."""
+    return ControlLoop(owner, tools, vms, members)
--- /dev/null
+++ b/redwingvalve/evidence/entry_witness.py
@@ -0,0 +1,86 @@
+"""What a controller learns of the entries from the board of news."""
+
+import json
+
+from redwingvalve.evidence import findings_wire, prober, table
+from redwingvalve.membership import members as members_module
+from redwingvalve.news import board
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import witness
+
+READ_EVERY_S = 0.5
+
+
+class NewsWitness(witness.Witness):
+    """Reads findings and stopped epochs; waits for a bound without them."""
+
+    def __init__(
+        self, members: members_module.Members, news: board.NewsBoard
+    ) -> None:
+        """Hear of the entries through news."""
+        self._members = members
+        self._news = news
+        self._bounded = witness.BoundedWitness()
+        self._evidence = table.EvidenceTable()
+        self._read_s: float | None = None
+
+    def seen_by_entries(self, vm: str, now_s: float) -> bool:
+        """Tell whether an entry saw the VM within the last seconds."""
+        if self._read_s is None or now_s - self._read_s >= READ_EVERY_S:
+            self._take_in(now_s)
+        return self._evidence.fresh(vm, now_s) is not None
+
+    def all_stopped(
+        self,
+        replica: domain_module.DomainReplica,
+        draining_since_s: float,
+        now_s: float,
+    ) -> bool:
+        """Tell whether every live entry said so, or the bound has passed.
+
+        An entry that is cut off cannot say it; past the bound its evidence
+        has ended or it is out of discovery, and the engine's count of work in
+        flight still guards the stop.
+        """
+        if self._bounded.all_stopped(replica, draining_since_s, now_s):
+            return True
+        entries = {
+            member.name
+            for member in self._members.alive(prober.ENTRY_ROLE)
+            if member.region == self._members.myself().region
+        }
+        return bool(entries) and entries <= self._stopped(replica)
+
+    def _stopped(self, replica: domain_module.DomainReplica) -> set[str]:
+        wanted = [replica.name, replica.epoch]
+        return {
+            published.owner
+            for published in self._news.read(prober.STOPPED_CHANNEL)
+            if wanted in _epochs(published.body)
+        }
+
+    def _take_in(self, now_s: float) -> None:
+        self._read_s = now_s
+        self._evidence.forget_old(now_s)
+        for published in self._news.read(findings_wire.CHANNEL):
+            finding = findings_wire.decode(published.body)
+            if finding is None:
+                continue
+            for seen in findings_wire.sightings(
+                finding, published.age_s, now_s
+            ):
+                self._evidence.record(seen)
+
+
+def _epochs(body: bytes) -> list[list[object]]:
+    try:
+        return list(json.loads(body))
+    except (ValueError, TypeError):
+        return []
+
+
+def make_news_witness(
+    members: members_module.Members, news: board.NewsBoard
+) -> witness.Witness:
+    """Return the witness of one controller."""
+    return NewsWitness(members, news)
--- /dev/null
+++ b/redwingvalve/evidence/serving_permits.py
@@ -0,0 +1,53 @@
+"""Permits by evidence: the implementation that the request path asks."""
+
+from redwingvalve.configuration import snapshot
+from redwingvalve.core import invariants
+from redwingvalve.evidence import permits, table
+
+EVIDENCE_REQUIRED = invariants.Safeguard.EVIDENCE_REQUIRED
+
+
+class EvidencePermits(permits.ServingPermits):
+    """Permits a replica while every VM was seen in its epoch."""
+
+    def __init__(
+        self,
+        evidence: table.EvidenceTable,
+        switches: invariants.SafeguardSwitches,
+    ) -> None:
+        """Judge by evidence."""
+        self._evidence = evidence
+        self._switches = switches
+
+    def permitted(self, replica: snapshot.Replica, now_s: float) -> bool:
+        """Tell whether every VM of this epoch was seen recently enough."""
+        if not replica.serving or not replica.members:
+            return False
+        shown = all(
+            self._evidence.shows(member.vm, replica.name, replica.epoch, now_s)
+            for member in replica.members
+        )
+        # A replica that lost a VM hangs instead of refusing: callers would
+        # wait for tokens that never come. Evidence ends by itself, so that
+        # no message has to reach this process for the sending to stop.
+        if not shown and self._switches.enabled(EVIDENCE_REQUIRED):
+            return False
+        invariants.require(
+            shown,
+            'no replica serves while a VM of it is missing',
+            f'{replica.name} epoch {replica.epoch}',
+        )
+        return True
+
+    def report_failure(
+        self, replica: snapshot.Replica, vm: str, now_s: float
+    ) -> None:
+        """Count what the request path saw: it stops new work at once."""
+        self._evidence.record_failure(vm, now_s)
+
+
+def make_serving_permits(
+    evidence: table.EvidenceTable, switches: invariants.SafeguardSwitches
+) -> permits.ServingPermits:
+    """Return permits that judge by an evidence table."""
+    return EvidencePermits(evidence, switches)
--- /dev/null
+++ b/redwingvalve/evidence/table.py
@@ -0,0 +1,96 @@
+"""The evidence table: which VM was seen when, in which replica and epoch.
+
+Load pattern: 9,600 VMs seen about once a second each, by a few entries, with
+findings that arrive late, twice or not at all. Without ageing, an entry that
+is cut off would go on sending to a replica that lost a VM long ago.
+
+Pure: times are arguments. Evidence needs no message to end; it is worth
+nothing MAX_AGE_S after the VM was seen. Grounds: new work must stop within
+3 s of a VM's loss. A finding spreads in under 0.5 s, so that 2.5 s of age
+keep the promise; probes each 0.7 s leave room for two lost ones.
+"""
+
+import attrs
+
+from redwingvalve.platform_api import engine_orders
+
+MAX_AGE_S = 2.5
+# What the request path reported counts until a newer probe says otherwise.
+FORGET_AFTER_S = 60.0
+
+
+@attrs.frozen
+class Seen:
+    """One VM, seen ready in a replica's epoch at seen_s."""
+
+    vm: str
+    replica: str
+    epoch: int
+    incarnation: str
+    model: str
+    version: str
+    seen_s: float
+
+
+class EvidenceTable:
+    """The newest sighting and the newest failure of each VM."""
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._seen: dict[str, Seen] = {}
+        self._failed_s: dict[str, float] = {}
+
+    def record(self, seen: Seen) -> None:
+        """Take a sighting unless a newer one is known."""
+        before = self._seen.get(seen.vm)
+        if before is None or before.seen_s < seen.seen_s:
+            self._seen[seen.vm] = seen
+
+    def record_failure(self, vm: str, failed_s: float) -> None:
+        """Count a failure: only a sighting after failed_s is believed."""
+        self._failed_s[vm] = max(failed_s, self._failed_s.get(vm, failed_s))
+
+    def fresh(self, vm: str, now_s: float) -> Seen | None:
+        """Return the sighting that still counts, if there is one."""
+        seen = self._seen.get(vm)
+        if seen is None or now_s - seen.seen_s > MAX_AGE_S:
+            return None
+        failed_s = self._failed_s.get(vm)
+        if failed_s is not None and failed_s >= seen.seen_s:
+            return None
+        return seen
+
+    def shows(self, vm: str, replica: str, epoch: int, now_s: float) -> bool:
+        """Tell whether a VM is there in this epoch of the replica."""
+        seen = self.fresh(vm, now_s)
+        return seen is not None and (seen.replica, seen.epoch) == (
+            replica,
+            epoch,
+        )
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop what no longer counts."""
+        limit_s = now_s - FORGET_AFTER_S
+        self._seen = {
+            vm: seen for vm, seen in self._seen.items() if seen.seen_s > limit_s
+        }
+        self._failed_s = {
+            vm: failed_s
+            for vm, failed_s in self._failed_s.items()
+            if failed_s > limit_s
+        }
+
+
+def seen_from(state: engine_orders.EngineState, seen_s: float) -> Seen | None:
+    """Return the sighting that a state is; one not ready shows nothing."""
+    if not state.ready or not state.replica:
+        return None
+    return Seen(
+        vm=state.vm,
+        replica=state.replica,
+        epoch=state.epoch,
+        incarnation=state.incarnation,
+        model=state.model,
+        version=state.version,
+        seen_s=seen_s,
+    )
--- /dev/null
+++ b/redwingvalve/evidence/tests/test_evidence.py
@@ -0,0 +1,213 @@
+"""Evidence ends by itself, spreads between entries, and counts failures."""
+
+import anyio
+import attrs
+import pytest
+
+from redwingvalve.configuration import snapshot
+from redwingvalve.core import clock, invariants
+from redwingvalve.evidence import (
+    entry_witness,
+    prober,
+    serving_permits,
+    table,
+)
+from redwingvalve.membership import members
+from redwingvalve.news import board
+from redwingvalve.platform_api import engine_orders, vm_list
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.standins import memory_fleet
+
+NAMES = ('e1', 'e2', 'e3', 'e4')
+REPLICA = snapshot.Replica(
+    'quotes-1',
+    'quotes',
+    4,
+    'd',
+    'nave-a',
+    'mvd',
+    tuple(
+        snapshot.ReplicaMember(f'vm-{i}', f'10.0.0.{i}:80') for i in range(3)
+    ),
+    True,
+)
+
+
+class Configuration(snapshot.ConfigurationSource):
+    def __init__(self):
+        self.replicas = (REPLICA,)
+
+    def current(self):
+        return snapshot.Snapshot(1, replicas=self.replicas)
+
+
+class FixedMembers(members.Members):
+    def __init__(self, name):
+        self.name = name
+
+    def myself(self):
+        return member(self.name)
+
+    def known(self):
+        return tuple(member(name) for name in NAMES)
+
+    def isolated(self):
+        return False
+
+
+def member(name):
+    return members.Member(name, 1, 'entry', 'h', 1, 2, 'nave-a', 'mvd')
+
+
+class Board(board.NewsBoard):
+    """All entries share one dict; cut_off ones are alone."""
+
+    def __init__(self, owner, shared, time_source):
+        self.owner, self.shared, self.clock = owner, shared, time_source
+
+    def publish(self, channel, key, body):
+        now_s = self.clock.monotonic_s()
+        self.shared[channel.name, self.owner, key] = (body, now_s)
+
+    def read(self, channel):
+        now_s = self.clock.monotonic_s()
+        return tuple(
+            board.NewsItem(name, owner, 1, key, 1, body, now_s - at_s)
+            for (name, owner, key), (body, at_s) in self.shared.items()
+            if name == channel.name and now_s - at_s <= channel.max_age_s
+        )
+
+
+class Entry:
+    def __init__(self, name, bench, disabled=()):
+        self.evidence = table.EvidenceTable()
+        self.permits = serving_permits.make_serving_permits(
+            self.evidence, invariants.SafeguardSwitches(disabled)
+        )
+        self.orders = memory_fleet.MemoryOrders(bench.fleet)
+        self.prober = prober.make_prober(
+            self.evidence,
+            bench.configuration,
+            FixedMembers(name),
+            Board(name, bench.news, bench.clock),
+            self.orders,
+            bench.clock,
+        )
+
+
+class Bench:
+    def __init__(self, disabled=()):
+        self.clock = clock.ManualClock(100.0)
+        self.news = {}
+        self.configuration = Configuration()
+        self.fleet = memory_fleet.MemoryFleet(
+            tuple(
+                vm_list.Vm(m.vm, m.address, 'nave-a', 'd')
+                for m in REPLICA.members
+            ),
+            self.clock,
+            0.0,
+        )
+        for position, engine in enumerate(self.fleet.engines.values()):
+            order = engine_orders.EngineOrder(
+                engine.vm.name, 1, 'quotes-1', 4, 'm', '1', f'r{position}'
+            )
+            engine.obey(order, 0.0, 0.0)
+        self.entries = {name: Entry(name, self, disabled) for name in NAMES}
+
+    async def run(self, duration_s):
+        for _ in range(round(duration_s / prober.PROBE_EVERY_S)):
+            for entry in self.entries.values():
+                await entry.prober.step()
+            self.clock.advance(prober.PROBE_EVERY_S)
+
+    def permitted(self):
+        now_s = self.clock.monotonic_s()
+        return [
+            entry.permits.permitted(REPLICA, now_s)
+            for entry in self.entries.values()
+        ]
+
+
+def test_two_entries_probe_and_all_hear_of_it():
+    async def scenario():
+        bench = Bench()
+        await bench.run(3)
+        assert all(bench.permitted())
+        probing = [e for e in bench.entries.values() if e.orders.probes]
+        assert len(probing) == prober.PROBERS
+
+    anyio.run(scenario)
+
+
+def test_a_missing_vm_stops_new_work_within_three_seconds():
+    """One VM dies without a word. Its last sighting grows old at every entry
+    by itself, also at those that get no news any more."""
+
+    async def scenario():
+        bench = Bench()
+        await bench.run(3)
+        bench.fleet.engine('vm-2').alive = False
+        bench.clock.advance(0.2)
+        await bench.run(2.8)
+        assert not any(bench.permitted())
+
+    anyio.run(scenario)
+
+
+def test_another_epoch_of_the_same_vms_gives_no_permit():
+    async def scenario():
+        bench = Bench()
+        await bench.run(3)
+        now_s = bench.clock.monotonic_s()
+        newer = attrs.evolve(REPLICA, epoch=5)
+        assert not bench.entries['e1'].permits.permitted(newer, now_s)
+
+    anyio.run(scenario)
+
+
+def test_a_failure_on_the_request_path_counts_until_the_next_sighting():
+    async def scenario():
+        bench = Bench()
+        await bench.run(3)
+        permits = bench.entries['e1'].permits
+        permits.report_failure(REPLICA, 'vm-1', bench.clock.monotonic_s())
+        assert bench.permitted().count(False) == 1
+        bench.clock.advance(0.1)
+        await bench.run(1.4)
+        assert all(bench.permitted())
+
+    anyio.run(scenario)
+
+
+def test_without_the_safeguard_the_breach_is_found():
+    async def scenario():
+        bench = Bench((invariants.Safeguard.EVIDENCE_REQUIRED,))
+        bench.fleet.engine('vm-2').alive = False
+        await bench.run(3)
+        with pytest.raises(invariants.InvariantBreachError):
+            bench.permitted()
+
+    anyio.run(scenario)
+
+
+def test_a_drain_is_acknowledged_only_once_every_live_entry_stopped():
+    async def scenario():
+        bench = Bench()
+        witness = entry_witness.make_news_witness(
+            FixedMembers('e1'), Board('control', bench.news, bench.clock)
+        )
+        draining = domain_module.DomainReplica(
+            'quotes-1', 'quotes', 4, 'draining', (), 'm', '1'
+        )
+        await bench.run(3)
+        now_s = bench.clock.monotonic_s()
+        assert witness.seen_by_entries('vm-0', now_s)
+        assert not witness.all_stopped(draining, now_s, now_s)
+        bench.configuration.replicas = (attrs.evolve(REPLICA, serving=False),)
+        await bench.entries['e1'].prober.step()
+        assert not witness.all_stopped(draining, now_s, now_s)
+        await bench.run(0.7)
+        assert witness.all_stopped(draining, now_s, now_s)
+
+    anyio.run(scenario)
--- a/redwingvalve/replicas/controller.py
+++ b/redwingvalve/replicas/controller.py
@@ -98,6 +98,7 @@
         self._store_from_s = 0.0
         self._backoff_s = 0.0
         self._store_lost_s: float | None = None
+        self._short_since_s: float | None = None
 
     async def step(self, surroundings: Surroundings) -> None:
         """Make one pass."""
@@ -135,6 +136,22 @@
             self._read.domain if self._read else None,
         )
 
+    def short_for_s(self) -> float:
+        """Return for how long the domain could not hold its shares."""
+        if self._short_since_s is None or self._holding is None:
+            return 0.0
+        return self._now_s() - self._short_since_s
+
+    def _note_shortage(
+        self,
+        following: domain_module.FabricDomain,
+        wanted: tuple[view_module.Wanted, ...],
+    ) -> None:
+        if not _is_short(following, wanted):
+            self._short_since_s = None
+        elif self._short_since_s is None:
+            self._short_since_s = self._now_s()
+
     def _waiting_for(self) -> list[str]:
         reasons = []
         if self._store_lost_s is not None:
@@ -143,6 +160,8 @@
         waiting = self._sender.waiting_loads()
         if waiting:
             reasons.append(f'{waiting} replicas wait for the weight store')
+        if self._short_since_s is not None:
+            reasons.append('replicas wait for VMs')
         return reasons
 
     def _drop_lapsed_lease(self) -> None:
@@ -227,6 +246,7 @@
         following = placement.next_domain(
             view, self._tools.switches, self._tools.policy
         )
+        self._note_shortage(following, surroundings.wanted)
         return _with_events(current, following, self._tools.clock.wall_s())
 
     async def _write(
@@ -283,6 +303,21 @@
         return self._tools.clock.monotonic_s()
 
 
+def _is_short(
+    domain: domain_module.FabricDomain,
+    wanted: tuple[view_module.Wanted, ...],
+) -> bool:
+    broken = domain_module.ReplicaState.BROKEN
+    return any(
+        share.replicas
+        > sum(
+            each.deployment == share.deployment.name and each.state != broken
+            for each in domain.replicas
+        )
+        for share in wanted
+    )
+
+
 def _with_events(
     before: domain_module.FabricDomain,
     after: domain_module.FabricDomain,
--- a/redwingvalve/replicas/shares.py
+++ b/redwingvalve/replicas/shares.py
@@ -84,6 +84,34 @@
     return Allocation(generation, tuple(_shares(ordered, counts)))
 
 
+def reallocate(
+    deployments: collections_abc.Iterable[schema.ModelDeployment],
+    capacities: tuple[DomainCapacity, ...],
+    before: Allocation,
+) -> Allocation:
+    """Move shares to where VMs are free; what has no place stays put.
+
+    The generation is kept: the operator's plan is the same, only its places
+    change.
+    """
+    declared = tuple(deployments)
+    after = allocate(before.generation, declared, capacities, before)
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    for share in after.shares:
+        counts[share.domain, share.deployment] = share.replicas
+    for deployment in declared:
+        left = before.total(deployment.name) - after.total(deployment.name)
+        for share in before.shares:
+            if share.deployment != deployment.name or left <= 0:
+                continue
+            place = (share.domain, share.deployment)
+            kept = min(max(share.replicas - counts[place], 0), left)
+            counts[place] += kept
+            left -= kept
+    ordered = sorted(declared, key=_rank)
+    return Allocation(before.generation, tuple(_shares(ordered, counts)))
+
+
 def _rank(deployment: schema.ModelDeployment) -> tuple[float, str]:
     value_per_vm = (
         deployment.prices.downtime_per_replica_minute
