Read declared objects as plans write them; use one rendezvous hash

Plans wrap each declared object with its generation, and leave tombstones; the configuration's decoder now unwraps them and skips unknown fields, so that two versions of the program can run side by side.

--- a/redwingvalve/configuration/decoding.py
+++ b/redwingvalve/configuration/decoding.py
@@ -10,9 +10,10 @@
 
 from redwingvalve.configuration import records, snapshot
 from redwingvalve.declaration import schema
-from redwingvalve.documents import binder
 from redwingvalve.observability import logs
+from redwingvalve.plans import objects
 from redwingvalve.platform_api import object_api
+from redwingvalve.replicas import codec
 
 LOG = logs.make_logger('configuration')
 DomainDecoder = collections_abc.Callable[
@@ -120,7 +121,10 @@
 def _structure(kind: str, plain: typing.Any) -> typing.Any:
     if kind == records.FABRIC_DOMAINS:
         return _PLAIN.structure(plain, tuple[snapshot.Replica, ...])
-    return binder.CONVERTER.structure(plain, _TYPES[kind])
+    content = objects.declared_content(plain)
+    if content is None:
+        return None
+    return codec.from_body(content, _TYPES[kind])
 
 
 def _decode_or_log(record: records.Record) -> typing.Any:
--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -10,8 +10,8 @@
 
 from redwingvalve.control import relief
 from redwingvalve.control import surroundings as surroundings_module
-from redwingvalve.core import rendezvous
 from redwingvalve.membership import members as members_module
+from redwingvalve.membership import rendezvous
 from redwingvalve.observability import logs
 from redwingvalve.plans import book, finishing
 from redwingvalve.platform_api import object_api, vm_list
@@ -95,7 +95,7 @@
         # Jitter keeps the controllers from all reading at one moment.
         jitter = self._tools.chance.uniform(0.75, 1.25)
         self._finish_from_s = now_s + FINISH_EVERY_S * jitter
-        if self._rank('plans') >= CANDIDATES:
+        if not self._is_candidate('plans'):
             return
         done = await finishing.finish_confirmations(
             self._tools.objects, self._book
@@ -106,7 +106,7 @@
     def _choose_domains(self) -> None:
         for vm in self._reader.vms or ():
             name = vm.fabric_domain
-            if name in self._domains or self._rank(name) >= CANDIDATES:
+            if name in self._domains or not self._is_candidate(name):
                 continue
             made = controller.make_domain_controller(
                 name, self._owner, self._tools
@@ -114,16 +114,16 @@
             self._domains[name] = _Domain(made)
         for name in tuple(self._domains):
             holds = self._domains[name].controller.status().holds_lease
-            if not holds and self._rank(name) >= CANDIDATES:
+            if not holds and not self._is_candidate(name):
                 self._domains.pop(name)
 
-    def _rank(self, key: str) -> int:
-        """Return this process's place among the candidates for a key."""
+    def _is_candidate(self, duty: str) -> bool:
         if self._members is None:
-            return 0
+            return True
         alive = {each.name for each in self._members.alive(CONTROL_ROLE)}
         myself = self._members.myself().name
-        return rendezvous.ranked(key, alive | {myself}).index(myself)
+        holders = rendezvous.holders(alive | {myself}, duty, CANDIDATES)
+        return myself in holders
 
     async def _step_domain(self, name: str, watched: _Domain) -> None:
         if not watched.created:
--- a/redwingvalve/evidence/prober.py
+++ b/redwingvalve/evidence/prober.py
@@ -12,9 +12,10 @@
 import anyio
 
 from redwingvalve.configuration import snapshot
-from redwingvalve.core import clock, rendezvous
+from redwingvalve.core import clock
 from redwingvalve.evidence import findings_wire, table
 from redwingvalve.membership import members as members_module
+from redwingvalve.membership import rendezvous
 from redwingvalve.news import board
 from redwingvalve.platform_api import engine_orders
 
@@ -174,7 +175,7 @@
 
 def probers_of(replica: str, names: set[str]) -> frozenset[str]:
     """Return the entries that probe a replica, by rendezvous hashing."""
-    return frozenset(rendezvous.ranked(replica, names)[:PROBERS])
+    return frozenset(rendezvous.holders(names, replica, PROBERS))
 
 
 def _in_region(
--- a/redwingvalve/plans/objects.py
+++ b/redwingvalve/plans/objects.py
@@ -67,6 +67,14 @@
     return codec.from_body(declared.content, target)
 
 
+def declared_content(body: object_api.Body) -> object_api.Body | None:
+    """Return the declared part of a body; None once it is removed."""
+    if 'generation' not in body or 'content' not in body:
+        # Written by hand, without a plan.
+        return body
+    return body['content']
+
+
 def declared_objects(
     declaration: schema.Declaration,
 ) -> dict[tuple[str, str], typing.Any]:
--- a/redwingvalve/replicas/domain.py
+++ b/redwingvalve/replicas/domain.py
@@ -221,6 +221,13 @@
     )
 
 
+def decode_replicas(
+    stored: object_api.StoredObject,
+) -> tuple[snapshot.Replica, ...]:
+    """Return the replicas of a stored domain; for configuration.decoding."""
+    return replicas_of(from_stored(stored))
+
+
 def count_serving(
     domains: collections_abc.Iterable[FabricDomain], deployment: str
 ) -> int:
