Show the whole path: demo from a declaration to a whole streamed answer

Cause: the slices had not met. Change: daemons composed from settings, a demo with two entries, a controller and stand-ins on one loop, what controllers wait for as news; the peer-node test writes bodies as plans do (generation and content), since records of declared objects now unwrap them. Before: no path.

--- a/redwingvalve/administration/app.py
+++ b/redwingvalve/administration/app.py
@@ -21,6 +21,7 @@
 STATUS_BAD_REQUEST = 400
 STATUS_UNAUTHORIZED = 401
 STATUS_TOO_LARGE = 413
+STATUS_SERVER_ERROR = 500
 LOGGER = logs.make_logger('administration')
 JSON_TYPES = types.MappingProxyType(
     {
@@ -57,7 +58,13 @@
             for name in actions.path_names(self._action)
         }
         call = operations.Call(principal, path, body)
-        answer = await self._api.run(self._action, call)
+        try:
+            answer = await self._api.run(self._action, call)
+        except Exception:
+            LOGGER.exception('%s failed.', self._action.name)
+            return _problem(
+                STATUS_SERVER_ERROR, 'internal', 'see the log of the controller'
+            )
         if answer.is_error():
             return _error(answer.error)
         return responses.JSONResponse(answer.ok)
--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -13,6 +13,7 @@
     token_operations,
     views,
 )
+from redwingvalve.configuration import in_force
 from redwingvalve.core import clock, findings
 from redwingvalve.declaration import reader
 from redwingvalve.membership import members
@@ -42,19 +43,21 @@
 Runner = collections_abc.Callable[
     [operations.Call], collections_abc.Awaitable[Answer]
 ]
-Versions = collections_abc.Callable[[], collections_abc.Mapping[str, int]]
+InForceReader = collections_abc.Callable[
+    [], collections_abc.Awaitable[in_force.InForce]
+]
 
 
 @attrs.frozen
 class Surroundings:
-    """What the operations work with; versions tells who has which."""
+    """What the operations work with; in_force asks the live entries."""
 
     store: object_api.ObjectApi
     book: plan_book.PlanBook
     members: members.Members
     clock: clock.Clock
-    versions: Versions
-    newest_version: collections_abc.Callable[[], int]
+    in_force: InForceReader
+    waits: collections_abc.Callable[[], list[str]]
 
 
 class StoreOperations(operations.Operations):
@@ -93,12 +96,20 @@
         if declared.is_error():
             return Error(operations.store_error(declared.error))
         domains = await self._domains()
-        return domains.map(
-            lambda found: views.status(
-                current.ok.confirmed.generation,
-                views.declared_deployments(declared.ok),
-                found,
-            )
+        if domains.is_error():
+            return Error(domains.error)
+        found = await self._its.in_force()
+        shown = views.status(
+            current.ok.confirmed.generation,
+            views.declared_deployments(declared.ok),
+            domains.ok,
+        )
+        return Ok(
+            {
+                **shown,
+                'not_in_force_on': list(found.missing),
+                'waits': self._its.waits(),
+            }
         )
 
     async def _replicas(self, call: operations.Call) -> Answer:
@@ -108,10 +119,9 @@
         )
 
     async def _entries(self, call: operations.Call) -> Answer:
+        found = await self._its.in_force()
         rows = views.member_rows(
-            self._its.members.known(),
-            self._its.versions(),
-            self._its.newest_version(),
+            self._its.members.known(), frozenset(found.missing)
         )
         return Ok({'entries': rows})
 
--- a/redwingvalve/administration/tests/test_api.py
+++ b/redwingvalve/administration/tests/test_api.py
@@ -13,6 +13,7 @@
     store_operations,
     tokens,
 )
+from redwingvalve.configuration import in_force
 from redwingvalve.core import clock
 from redwingvalve.membership import members
 from redwingvalve.plans import book as plan_book
@@ -49,6 +50,10 @@
         return False
 
 
+async def nothing_missing():
+    return in_force.InForce(1, ())
+
+
 class Bench:
     """The API over a store in memory, and a token for each role."""
 
@@ -71,7 +76,12 @@
         plans = plan_book.make_plan_book(self.store, FixedVmList(), self.clock)
         doer = store_operations.make_store_operations(
             store_operations.Surroundings(
-                self.store, plans, OneMember(), self.clock, dict, lambda: 0
+                self.store,
+                plans,
+                OneMember(),
+                self.clock,
+                nothing_missing,
+                list,
             )
         )
         trail = audit.AuditTrail(self.store, self.clock)
--- a/redwingvalve/administration/views.py
+++ b/redwingvalve/administration/views.py
@@ -25,11 +25,6 @@
         'deployments': rows,
         'domains': [_domain(each) for each in domains],
         'at_risk': list(_at_risk(deployments, rows)),
-        'waits': [
-            f'{each.name} waits for {each.waiting_for}'
-            for each in domains
-            if each.waiting_for
-        ],
     }
 
 
@@ -56,10 +51,9 @@
 
 def member_rows(
     known: collections_abc.Iterable[members.Member],
-    versions: collections_abc.Mapping[str, int],
-    newest: int,
+    lacking: frozenset[str],
 ) -> list[Row]:
-    """Return our processes and the configuration each says it has."""
+    """Return our processes; lacking are those without some configuration."""
     return [
         {
             'name': member.name,
@@ -69,8 +63,7 @@
             'address': f'{member.host}:{member.http_port}',
             'state': member.state.value,
             'incarnation': member.incarnation,
-            'configuration_version': versions.get(member.name, 0),
-            'in_force': versions.get(member.name, 0) >= newest,
+            'in_force': member.name not in lacking,
         }
         for member in sorted(known, key=lambda each: each.name)
     ]
@@ -126,7 +119,6 @@
         'spares': len(domain.spare_vms()),
         'lease_holder': domain.lease.holder,
         'fencing_number': domain.fencing_number,
-        'waiting_for': domain.waiting_for,
     }
 
 
--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,9 +1,11 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, operate, options, token
+from redwingvalve.cli import check, daemons, demo, operate, options, token
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
+    demo.DEMO,
     *operate.ALL,
     *token.ALL,
+    *daemons.ALL,
 )
--- a/redwingvalve/cli/operate.py
+++ b/redwingvalve/cli/operate.py
@@ -27,7 +27,6 @@
     'data_centre',
     'address',
     'state',
-    'configuration_version',
     'in_force',
 )
 EVENT_COLUMNS = ('at', 'who', 'action', 'target', 'result', 'detail')
@@ -47,7 +46,6 @@
     'missing',
     'spares',
     'lease_holder',
-    'waiting_for',
 )
 
 NAME = options.Option(dest='name', help='the name')
@@ -154,6 +152,8 @@
     tables.print_rows(
         status['domains'], DOMAIN_COLUMNS, surroundings, 'fabric domains'
     )
+    for name in status['not_in_force_on']:
+        tables.print_line(f'not in force on: {name}', surroundings)
     for title in ('at_risk', 'waits'):
         for line in status[title]:
             tables.print_line(
--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import ssl
 
 import anyio
 import attrs
@@ -21,6 +22,17 @@
 MS_PER_S = 1000
 
 
+@attrs.frozen
+class PeerTls:
+    """Contexts for calls between our processes; None means plain TCP."""
+
+    server: ssl.SSLContext | None = None
+    client: ssl.SSLContext | None = None
+
+
+NO_TLS = PeerTls()
+
+
 @attrs.define
 class PeerNode:
     """One process's part in the fleet; handler takes further slices' calls."""
@@ -76,6 +88,7 @@
     seed: int = 0,
     bounds: member_bounds.MembershipBounds = member_bounds.DEFAULT_BOUNDS,
     switches: invariants.SafeguardSwitches | None = None,
+    tls: PeerTls = NO_TLS,
 ) -> PeerNode:
     """Listen on me.host and me.peer_port, 0 for any; then run the result.
 
@@ -83,9 +96,9 @@
     """
     handler = handlers.make_peer_handler()
     peer_server = server.make_peer_server(handler)
-    await peer_server.start(me.host, me.peer_port)
+    await peer_server.start(me.host, me.peer_port, tls.server)
     listening = attrs.evolve(me, peer_port=peer_server.port)
-    caller = rpc.make_peer_caller(timers)
+    caller = rpc.make_peer_caller(timers, tls.client)
     present = gossip.make_gossip_members(
         listening, caller, timers, contacts, seed, bounds, switches
     )
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -12,12 +12,13 @@
     store_operations,
     tokens,
 )
-from redwingvalve.configuration import in_force
+from redwingvalve.configuration import in_force, records
 from redwingvalve.control import loop
 from redwingvalve.evidence import entry_witness
 from redwingvalve.observability import logs
 from redwingvalve.plans import book as plan_book
 from redwingvalve.process import parts as process_parts
+from redwingvalve.process import waits
 from redwingvalve.replicas import controller
 from redwingvalve.settings import schema
 from redwingvalve.tls import contexts
@@ -42,7 +43,9 @@
         if tls.ok is not None:
             group.start_soon(tls.ok.follow, parts.clock)
         async with anyio.create_task_group() as loops:
-            loops.start_soon(make_loop(parts).run)
+            control_loop = make_loop(parts)
+            loops.start_soon(control_loop.run)
+            loops.start_soon(waits.publish, control_loop, parts)
             LOGGER.info('The controller is ready.')
             await server.serve_api(
                 _make_api(parts, book),
@@ -80,7 +83,6 @@
 def _make_api(
     parts: process_parts.ProcessParts, book: tokens.TokenBook
 ) -> app.Api:
-    configuration = parts.node.configuration
     doer = store_operations.make_store_operations(
         store_operations.Surroundings(
             store=parts.objects,
@@ -90,19 +92,28 @@
             members=parts.node.members,
             clock=parts.clock,
             in_force=lambda: _in_force(parts),
+            waits=lambda: waits.read(parts.node.news),
         )
     )
-    del configuration
     trail = audit.AuditTrail(parts.objects, parts.clock)
     return app.Api(doer, book, trail, parts.clock)
 
 
+async def _in_force(parts: process_parts.ProcessParts) -> in_force.InForce:
+    """Ask every region for each kind of configuration that changed."""
+    configuration = parts.node.configuration
+    versions = configuration.table.versions()
+    answers = [
+        await configuration.in_force(kind, versions[kind])
+        for kind in records.CONFIGURATION_KINDS
+        if kind in versions
+    ]
+    return in_force.merge(answers)
+
+
 async def _follow_tokens(
     parts: process_parts.ProcessParts, book: tokens.TokenBook
 ) -> None:
     while True:
         await book.refresh(parts.objects)
         await parts.clock.sleep(tokens.REFRESH_INTERVAL_S)
-
-
-UNUSED = in_force
--- a/redwingvalve/process/parts.py
+++ b/redwingvalve/process/parts.py
@@ -88,15 +88,15 @@
         tracing=tracer,
         switches=switches,
     )
-    async with anyio.create_task_group() as group:
-        group.start_soon(peer_node.run)
-        _follow_certificates(group, tls_pair, time_source)
-        try:
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(peer_node.run)
+            _follow_certificates(group, tls_pair, time_source)
             yield parts
-        finally:
-            with anyio.CancelScope(shield=True):
-                await _close(parts)
             group.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _close(parts)
 
 
 async def _close(parts: ProcessParts) -> None:
@@ -125,8 +125,10 @@
             _replicas_of,
             settings.node.seed,
             switches=switches,
-            server_tls=server_tls.context if server_tls else None,
-            client_tls=client_tls.context if client_tls else None,
+            tls=node.PeerTls(
+                server_tls.context if server_tls else None,
+                client_tls.context if client_tls else None,
+            ),
         )
     except OSError as error:
         raise ProcessError(
--- /dev/null
+++ b/redwingvalve/process/waits.py
@@ -0,0 +1,58 @@
+"""What each controller waits for, told to all as news.
+
+The controller that holds a domain's lease knows best why the domain does not
+move on, above all while the store is away and nothing can be written; an
+operator may ask any other controller.
+"""
+
+import json
+
+from redwingvalve.control import loop
+from redwingvalve.news import board
+from redwingvalve.process import parts as process_parts
+
+PUBLISH_EVERY_S = 2.0
+CHANNEL = board.Channel(
+    name='waits',
+    reach=board.Reach.EVERYWHERE,
+    max_age_s=10.0,
+    max_item_bytes=400,
+)
+
+
+async def publish(
+    control_loop: loop.ControlLoop, parts: process_parts.ProcessParts
+) -> None:
+    """Tell, until cancelled, what this controller's domains wait for."""
+    told: set[str] = set()
+    while True:
+        waiting = {
+            status.domain: status.waiting_for
+            for status in control_loop.status()
+            if status.waiting_for
+        }
+        for domain in told - set(waiting):
+            parts.node.news.publish(CHANNEL, domain, b'')
+        for domain, reasons in waiting.items():
+            parts.node.news.publish(CHANNEL, domain, _encode(reasons))
+        told = set(waiting)
+        await parts.clock.sleep(PUBLISH_EVERY_S)
+
+
+def read(news: board.NewsBoard) -> list[str]:
+    """Return a sentence for each domain that waits."""
+    return sorted(
+        f'{published.key} ({published.owner}): {_decode(published.body)}'
+        for published in news.read(CHANNEL)
+    )
+
+
+def _encode(reasons: tuple[str, ...]) -> bytes:
+    return json.dumps('; '.join(reasons)[:300]).encode()
+
+
+def _decode(body: bytes) -> str:
+    try:
+        return str(json.loads(body))
+    except ValueError:
+        return 'unreadable'
--- a/tests/integration/test_peer_nodes.py
+++ b/tests/integration/test_peer_nodes.py
@@ -20,6 +20,13 @@
 )
 CHANNEL = board.Channel('load', board.Reach.REGION, 30.0, 100)
 ACCOUNT = {'name': 'a', 'credential_sha256': 'x', 'priority': 1}
+
+
+def declared(content):
+    """Return the body that a confirmed plan writes."""
+    return {'generation': 1, 'content': content}
+
+
 GUARD_S = 20.0
 
 
@@ -126,7 +133,9 @@
             await fleet.start('e1')
             await fleet.start('e2', objects=False)
             await fleet.start('e3', 'r2', objects=False)
-            created = await fleet.store.create('clientaccounts', 'a', ACCOUNT)
+            created = await fleet.store.create(
+                'clientaccounts', 'a', declared(ACCOUNT)
+            )
             version = int(created.ok.version)
             source = fleet.nodes['e1'].configuration
 
@@ -150,7 +159,7 @@
             assert [account.name for account in accounts] == ['a']
             fleet.store.set_outage(outage=False)
             changed = await fleet.store.create(
-                'clientaccounts', 'b', {**ACCOUNT, 'name': 'b'}
+                'clientaccounts', 'b', declared({**ACCOUNT, 'name': 'b'})
             )
             version = int(changed.ok.version)
             await everywhere()
