Wait for the VMs to be listed before the demo plans

Ruled out: a race of operators, there is one. Change: the demo plans once all VMs are seen, as an operator would.

--- a/redwingvalve/demo/operator.py
+++ b/redwingvalve/demo/operator.py
@@ -1,6 +1,7 @@
 """An operator's calls to the administration API, for the demo."""
 
 import typing
+from collections import abc as collections_abc
 
 import anyio
 import httpx
@@ -50,14 +51,32 @@
 
     async def wait_until_serving(self, deployment: str, replicas: int) -> None:
         """Wait until so many replicas serve; TimeoutError gives up."""
+
+        def serving(status: typing.Any) -> bool:
+            return any(
+                row['name'] == deployment and row['serving'] >= replicas
+                for row in status['deployments']
+            )
+
+        await self._wait_until(serving)
+
+    async def wait_until_listed(self, vms: int) -> None:
+        """Wait until the controllers have seen so many VMs.
+
+        A plan that is made while VMs still appear would be outdated by the
+        time that it is confirmed.
+        """
+
+        def listed(status: typing.Any) -> bool:
+            return sum(row['vms'] for row in status['domains']) >= vms
+
+        await self._wait_until(listed)
+
+    async def _wait_until(
+        self, holds: collections_abc.Callable[[typing.Any], bool]
+    ) -> None:
         with anyio.fail_after(GIVE_UP_AFTER_S):
-            while True:
-                status = await self.status()
-                serving = {
-                    row['name']: row['serving'] for row in status['deployments']
-                }
-                if serving.get(deployment, 0) >= replicas:
-                    return
+            while not holds(await self.status()):
                 await anyio.sleep(POLL_INTERVAL_S)
 
     async def _call(
--- a/redwingvalve/demo/story.py
+++ b/redwingvalve/demo/story.py
@@ -54,6 +54,7 @@
     bearer = await operator.issue_first_token(small.store)
     acting = operator.DemoOperator(_http_address(fleet.control), bearer)
     await acting.wait_until_reachable()
+    await acting.wait_until_listed(sum(DOMAINS.values()))
     text = declaration_file.read_text(encoding='utf-8').replace(
         UNSET_ADDRESS, small.service_address
     )
