Name entries to callers by load, data centre and room, drawn anew each time

Cause: naming every live entry sent callers to full and cut-off ones. Change: a pure draw by weight, loads said in steps, keep times that vary.

--- /dev/null
+++ b/redwingvalve/discovery/load_reports.py
@@ -0,0 +1,63 @@
+"""What entries say of their load, so that callers are spread by it.
+
+Load pattern: load changes with every request; sending each change would be a
+message for each request. A load is said in steps of a sixteenth, when the
+step changes and a few seconds after the last word, to the region only.
+"""
+
+import math
+
+from redwingvalve.core import clock
+from redwingvalve.news import board
+
+LOAD_CHANNEL = board.Channel(
+    name='entry-load',
+    reach=board.Reach.REGION,
+    max_age_s=15.0,
+    max_item_bytes=4,
+)
+LOAD_KEY = 'load'
+STEPS = 16
+REPEAT_S = 5.0
+# A step is left only when the load has moved by this share of a step beyond
+# its border; a load that swings around a border would be said all the time.
+BORDER_SHARE = 0.25
+
+
+class LoadReporter:
+    """Says this entry's load in steps."""
+
+    def __init__(self, news: board.NewsBoard, timers: clock.Clock) -> None:
+        """Nothing is said before report."""
+        self._news = news
+        self._clock = timers
+        self._said = -1
+        self._said_s = float('-inf')
+
+    def report(self, share: float) -> None:
+        """Note the share of this entry's room that is in use, 0 to 1."""
+        scaled = min(max(share, 0.0), 1.0) * STEPS
+        moved = abs(scaled - self._said - 0.5) > 0.5 + BORDER_SHARE
+        now_s = self._clock.monotonic_s()
+        if not moved and now_s - self._said_s < REPEAT_S:
+            return
+        if moved:
+            self._said = math.floor(scaled)
+        self._said_s = now_s
+        self._news.publish(LOAD_CHANNEL, LOAD_KEY, bytes([self._said]))
+
+
+def read_loads(news: board.NewsBoard) -> dict[str, float]:
+    """Return the load of each entry that has lately said it."""
+    return {
+        item.owner: item.body[0] / STEPS
+        for item in news.read(LOAD_CHANNEL)
+        if item.body
+    }
+
+
+def make_load_reporter(
+    news: board.NewsBoard, timers: clock.Clock
+) -> LoadReporter:
+    """Return a reporter that has said nothing yet."""
+    return LoadReporter(news, timers)
--- /dev/null
+++ b/redwingvalve/discovery/spread_directory.py
@@ -0,0 +1,55 @@
+"""The directory of an entry: whom it names to the callers that ask."""
+
+import random
+
+from redwingvalve.discovery import load_reports, naming
+from redwingvalve.entry import directory
+from redwingvalve.membership import members
+from redwingvalve.news import board
+
+
+class SpreadDirectory(directory.EntryDirectory):
+    """Names a few entries, drawn anew for each caller."""
+
+    def __init__(
+        self,
+        present: members.Members,
+        news: board.NewsBoard,
+        keep_s: float,
+        randomness: random.Random,
+    ) -> None:
+        """Name members of present for about keep_s."""
+        self._members = present
+        self._news = news
+        self._keep_s = keep_s
+        self._randomness = randomness
+
+    def entries(self) -> directory.EntryList:
+        """Return the entries for one caller."""
+        named = naming.name_entries(
+            self._members.known(),
+            load_reports.read_loads(self._news),
+            self._members.myself(),
+            self._keep_s,
+            self._randomness,
+            isolated=self._members.isolated(),
+        )
+        return directory.EntryList(
+            tuple(
+                directory.EntryAddress(
+                    f'{member.host}:{member.http_port}', member.data_centre
+                )
+                for member in named.entries
+            ),
+            round(named.keep_s, 1),
+        )
+
+
+def make_spread_directory(
+    present: members.Members,
+    news: board.NewsBoard,
+    keep_s: float,
+    randomness: random.Random,
+) -> directory.EntryDirectory:
+    """Return the directory that entries use."""
+    return SpreadDirectory(present, news, keep_s, randomness)
