Decide retries, poison suspects and account limits

Cause: failures must not be multiplied, one request must not kill every replica, and an account's limit must hold without a call for each request. Change: a retry budget with a truthful next step and a KV cost model; a mergeable ledger of suspects with isolation and homes; shares that follow demand by loans which end before they are used twice, with randomised tests. Conclusion: in the tests the sum of shares stayed within the limit under any cut, and two deaths refuse a poison request at every entry.

--- a/redwingvalve/limits/__init__.py
+++ b/redwingvalve/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Fleet-wide limits of client accounts, held in shares per entry."""
+"""Fleet-wide limits of accounts, held in shares per entry."""
--- /dev/null
+++ b/redwingvalve/limits/account_limits.py
@@ -0,0 +1,116 @@
+"""The limits of all accounts at one entry.
+
+ask() is called for each request and needs nothing but this process; update()
+is called about every half second with what the others published.
+"""
+
+import math
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.limits import bucket, reports, shares
+
+
+@attrs.define(eq=False)
+class _Limited:
+    """One account's limit here."""
+
+    limit_per_s: float
+    share: shares.AccountShare
+    bucket: bucket.TokenBucket
+    demand: bucket.DemandMeter = attrs.field(factory=bucket.DemandMeter)
+
+
+class AccountLimits:
+    """Shares, buckets and demand of the accounts that have a limit."""
+
+    def __init__(
+        self, entry: str, settings: shares.ShareSettings | None = None
+    ) -> None:
+        """Start without limits."""
+        self._entry = entry
+        self._settings = settings or shares.ShareSettings()
+        self._limited: dict[str, _Limited] = {}
+
+    def replace_limits(
+        self, limits_per_s: collections_abc.Mapping[str, float]
+    ) -> None:
+        """Take over the limits; nought means that an account has none."""
+        limited: dict[str, _Limited] = {}
+        for account, limit_per_s in limits_per_s.items():
+            if limit_per_s <= 0:
+                continue
+            known = self._limited.get(account) or self._make(limit_per_s)
+            known.limit_per_s = limit_per_s
+            limited[account] = known
+        self._limited = limited
+
+    def ask(self, account: str, amount: float, now_s: float) -> float:
+        """Take amount and return 0, or return the seconds to come back in."""
+        limited = self._limited.get(account)
+        if limited is None:
+            return 0.0
+        limited.demand.asked(amount, now_s)
+        wait_s = limited.bucket.take(amount, limited.share.usable_per_s, now_s)
+        return min(wait_s, self._settings.settle_s * 2)
+
+    def correct(self, account: str, amount: float) -> None:
+        """Charge the difference between what was used and estimated."""
+        limited = self._limited.get(account)
+        if limited is not None:
+            limited.bucket.correct(amount)
+
+    def update(
+        self,
+        entries: tuple[str, ...],
+        bodies: collections_abc.Iterable[tuple[str, bytes, float]],
+        now_s: float,
+    ) -> bytes:
+        """Follow what the others published and return what to publish.
+
+        bodies are (entry, body, age_s) as read from the news board; entries
+        is the configured list, this entry included.
+        """
+        heard = [
+            reports.decode(body, entry, age_s) for entry, body, age_s in bodies
+        ]
+        published: dict[str, shares.ShareReport] = {}
+        for account, limited in self._limited.items():
+            number = reports.account_number(account)
+            others = tuple(one[number] for one in heard if number in one)
+            demand = limited.demand.rate_per_s(now_s)
+            limited.share.update(
+                shares.Situation(limited.limit_per_s, entries, others, demand),
+                now_s,
+            )
+            limited.bucket.fill(limited.share.usable_per_s, now_s)
+            published[account] = self._report(limited, demand)
+        return reports.encode(published)
+
+    def usable_per_s(self, account: str) -> float:
+        """Return an account's share here; infinite without a limit."""
+        limited = self._limited.get(account)
+        return math.inf if limited is None else limited.share.usable_per_s
+
+    def _report(
+        self, limited: _Limited, demand_per_s: float
+    ) -> shares.ShareReport:
+        # Reports travel as single floats: rounding up what is held and never
+        # down keeps the sum within the limit.
+        held_per_s = limited.share.held_per_s * (1 + shares.ROUNDING_SHARE)
+        return shares.ShareReport(self._entry, demand_per_s, held_per_s)
+
+    def _make(self, limit_per_s: float) -> _Limited:
+        return _Limited(
+            limit_per_s,
+            shares.AccountShare(self._entry, self._settings),
+            bucket.TokenBucket(self._settings.burst_s),
+        )
+
+
+def make_account_limits(
+    entry: str, settings: shares.ShareSettings | None = None
+) -> AccountLimits:
+    """Return the limits of one entry; requests and tokens use one each."""
+    return AccountLimits(entry, settings)
--- /dev/null
+++ b/redwingvalve/limits/tests/test_shares.py
@@ -0,0 +1,107 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from redwingvalve.limits import account_limits
+
+ENTRIES = ('e0', 'e1', 'e2', 'e3')
+LIMIT = 1000.0
+STEP_S = 0.5
+
+
+class Fleet:
+    """Entries that publish every half second; cut pairs lose reports."""
+
+    def __init__(self):
+        self.entries = {}
+        self.bodies = {name: {} for name in ENTRIES}
+        self.now_s = 0.0
+        self.worst = 0.0
+        for name in ENTRIES:
+            limits = account_limits.make_account_limits(name)
+            limits.replace_limits({'a': LIMIT})
+            self.entries[name] = limits
+
+    def step(self, demands, cut=frozenset()):
+        self.now_s += STEP_S
+        for name, demand in demands.items():
+            self.entries[name].ask('a', demand * STEP_S, self.now_s)
+        for name, limits in self.entries.items():
+            heard = [
+                (other, body, self.now_s - at_s)
+                for other, (at_s, body) in self.bodies[name].items()
+            ]
+            body = limits.update(ENTRIES, heard, self.now_s)
+            for other in ENTRIES:
+                if other != name and (name, other) not in cut:
+                    self.bodies[other][name] = (self.now_s, body)
+            self.worst = max(self.worst, sum(self.usable().values()))
+
+    def usable(self):
+        return {
+            name: limits.usable_per_s('a')
+            for name, limits in self.entries.items()
+        }
+
+    def run(self, duration_s, demands, cut=frozenset()):
+        for _ in range(round(duration_s / STEP_S)):
+            self.step(demands, cut)
+
+
+def test_shares_follow_demand_between_entries():
+    """An account whose callers all come to one entry gets most of its limit.
+
+    When they move to another entry, the shares follow within about 15 s.
+    """
+    fleet = Fleet()
+    fleet.run(30, {'e0': 2000})
+    assert fleet.usable()['e0'] >= 0.8 * LIMIT
+    fleet.run(25, {'e3': 2000})
+    assert fleet.usable()['e3'] >= 0.8 * LIMIT
+    assert fleet.worst <= LIMIT * 1.001
+
+
+def test_a_partition_ends_loans_before_they_are_used_twice():
+    """One entry had nearly all; then the other three can't hear it.
+
+    Its loans run out and it falls to its equal share before the others take
+    theirs back. The account never gets more than its limit in sum.
+    """
+    fleet = Fleet()
+    fleet.run(30, {'e0': 2000})
+    cut = {(a, b) for a in ENTRIES for b in ENTRIES if 'e0' in {a, b}}
+    fleet.run(20, dict.fromkeys(ENTRIES, 2000), cut)
+    assert fleet.usable()['e0'] <= LIMIT / 4 + 1
+    assert fleet.worst <= LIMIT * 1.001
+
+
+PHASES = st.lists(
+    st.tuples(
+        st.integers(1, 20),
+        st.dictionaries(st.sampled_from(ENTRIES), st.integers(1, 3000)),
+        st.frozensets(
+            st.tuples(st.sampled_from(ENTRIES), st.sampled_from(ENTRIES)),
+            max_size=12,
+        ),
+    ),
+    max_size=8,
+)
+
+
+@given(PHASES)
+def test_the_sum_stays_within_the_limit_whatever_is_cut(phases):
+    """Demand jumps and reports are lost in any direction, also one way."""
+    fleet = Fleet()
+    for steps, demands, cut in phases:
+        fleet.run(steps * STEP_S, demands, cut)
+    assert fleet.worst <= LIMIT * 1.001
+
+
+def test_an_account_over_its_limit_is_told_when_to_come_back():
+    """Asking 100 times too much lets only the share through."""
+    fleet = Fleet()
+    fleet.run(10, {})
+    limits = fleet.entries['e0']
+    waits = [limits.ask('a', 50, fleet.now_s) for _ in range(100)]
+    assert 1 <= waits.count(0.0) <= LIMIT / 4 / 50 + 1
+    assert 0 < waits[-1] <= 8
+    assert limits.ask('unlimited', 10**9, fleet.now_s) == 0
--- a/redwingvalve/poison/__init__.py
+++ b/redwingvalve/poison/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that crash the endpoints that run them."""
+"""Poison requests: found by the endpoints that die under them."""
--- /dev/null
+++ b/redwingvalve/poison/channel.py
@@ -0,0 +1,13 @@
+"""The channel on which entries tell each other of suspects."""
+
+from redwingvalve.news import board
+from redwingvalve.poison import facts
+
+KEY = 'suspects'
+
+SUSPECTS = board.Channel(
+    name='suspects',
+    reach=board.Reach.EVERYWHERE,
+    max_age_s=3600.0,
+    max_item_bytes=facts.MAX_ENCODED_FACTS * facts.RECORD.size,
+)
--- /dev/null
+++ b/redwingvalve/poison/ledger.py
@@ -0,0 +1,267 @@
+"""Suspects: held to one endpoint at a time, refused after the second death.
+
+Load pattern: a single request crashes each endpoint that runs it, and its
+caller sends it again, every second, to any entry. Without the ledger one such
+request takes down a replica of four VMs a second until none is left.
+
+All that ran on an endpoint when it died is suspect after one death. A suspect
+runs alone of its kind on an endpoint, so that a second death names it and no
+other; the innocent finish elsewhere and are cleared. Two deaths refuse it.
+Entries place suspects on disjoint sets of endpoints (rendezvous hashing), so
+that two of them do not put two suspects together without knowing.
+
+Figures: news spreads within a second inside a region; a caller's resend of a
+suspect therefore waits settle_s, and only its home entry runs it. What remains:
+runs that started before the first death was known elsewhere may add deaths.
+"""
+
+import collections
+import enum
+import hashlib
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.core import invariants
+from redwingvalve.poison import facts
+
+DEATHS_TO_REFUSE = 2
+# Entries notice one death within seconds of each other; a plain service needs
+# longer than this to come back and die again under the same request.
+SAME_DEATH_S = 10.0
+
+
+class Verdict(enum.StrEnum):
+    """What may be done with a request."""
+
+    FREE = 'free'
+    ISOLATE = 'isolate'
+    WAIT = 'wait'
+    REFUSE = 'refuse'
+
+
+@attrs.frozen
+class PoisonSettings:
+    """Figures an operator may set; docs/operating/who-is-served.md."""
+
+    settle_s: float = 2.0
+    forget_after_s: float = 3600.0
+    max_facts: int = 20_000
+    max_encoded_facts: int = facts.MAX_ENCODED_FACTS
+    mass_deaths: int = 3
+    mass_window_s: float = 5.0
+    mass_sharing: int = 8
+
+
+@attrs.frozen
+class Death:
+    """An endpoint died with these requests of this entry running on it."""
+
+    endpoint: str
+    epoch: int
+    digests: frozenset[bytes]
+
+
+class SuspectLedger:
+    """What one entry knows of suspects; merges with that of others."""
+
+    def __init__(
+        self,
+        entry: str,
+        settings: PoisonSettings | None = None,
+        safeguards: invariants.SafeguardSwitches | None = None,
+    ) -> None:
+        """Start without suspects; entry is this entry's own name."""
+        self._entry = entry
+        self._settings = settings or PoisonSettings()
+        self._safeguards = safeguards or invariants.SafeguardSwitches()
+        self._states: dict[facts.Fact, facts.FactState] = {}
+        self._by_digest: dict[bytes, set[bytes]] = {}
+        self._running: dict[str, collections.Counter[bytes]] = {}
+        self._recent_deaths: dict[str, float] = {}
+        self.revision = 0
+
+    def endpoint_died(self, death: Death, now_s: float) -> None:
+        """Suspect all requests that ran there; publish encode() at once."""
+        self._recent_deaths[f'{death.endpoint}/{death.epoch}'] = now_s
+        self._running.pop(death.endpoint, None)
+        for digest in death.digests:
+            self._learn(self._fact(digest, death, now_s), False, now_s)
+
+    def judge(self, digest: bytes, home: str, now_s: float) -> Verdict:
+        """Judge a request as a caller sends it.
+
+        home is the entry that runs a resent suspect, by home_entry(); at any
+        other the caller is told to wait or is sent there.
+        """
+        verdict = self.judge_again(digest, now_s)
+        if verdict != Verdict.ISOLATE:
+            return verdict
+        newest_s = max(
+            self._states[facts.Fact(digest, death)].learned_at_s
+            for death in self._open_deaths(digest)
+        )
+        settled = now_s - newest_s >= self._settings.settle_s
+        if home != self._entry or not settled or self.running(digest):
+            return Verdict.WAIT
+        return verdict
+
+    def judge_again(self, digest: bytes, now_s: float) -> Verdict:
+        """Judge a request that this entry itself wants to send again."""
+        if digest not in self._by_digest:
+            return Verdict.FREE
+        deaths = len(self._open_deaths(digest))
+        if not deaths:
+            return Verdict.FREE
+        if deaths < DEATHS_TO_REFUSE:
+            return Verdict.ISOLATE
+        if self._safeguards.enabled(invariants.Safeguard.POISON_REFUSED):
+            return Verdict.REFUSE
+        return Verdict.ISOLATE
+
+    def free_endpoints(
+        self, own_endpoints: collections_abc.Iterable[str], now_s: float
+    ) -> frozenset[str]:
+        """Return the endpoints where a suspect may be put now.
+
+        own_endpoints are those of own_share(). When many endpoints died at
+        once, as with a rack, nearly all suspects are innocent and too many to
+        run one at a time; they then share an endpoint, and the price is that
+        a poison request among them takes its few neighbours along.
+        """
+        self._forget_recent(now_s)
+        room = 1
+        if len(self._recent_deaths) >= self._settings.mass_deaths:
+            room = self._settings.mass_sharing
+        return frozenset(
+            name
+            for name in own_endpoints
+            if name not in self._running or self._running[name].total() < room
+        )
+
+    def started(self, digest: bytes, endpoint: str) -> None:
+        """Note that a suspect runs on an endpoint."""
+        invariants.require(
+            not self.running(digest),
+            'suspect-on-one-endpoint',
+            f'{digest.hex()} starts on {endpoint}',
+        )
+        self._running.setdefault(endpoint, collections.Counter())[digest] += 1
+
+    def ended(
+        self, digest: bytes, endpoint: str, now_s: float, *, whole: bool
+    ) -> None:
+        """Note that a suspect ended; a whole answer clears it."""
+        running = self._running.get(endpoint)
+        if running is not None:
+            running.pop(digest, None)
+            if not running:
+                del self._running[endpoint]
+        if not whole:
+            return
+        for death in tuple(self._by_digest.get(digest, ())):
+            self._learn(facts.Fact(digest, death), True, now_s)
+
+    def running(self, digest: bytes) -> bool:
+        """Tell whether a suspect runs at this entry."""
+        return any(digest in counts for counts in self._running.values())
+
+    def encode(self) -> bytes:
+        """Return what to publish; revision says when it has changed."""
+        return facts.encode(self._states, self._settings.max_encoded_facts)
+
+    def merge(self, body: bytes, now_s: float) -> None:
+        """Take in what another entry published; any order, any number."""
+        for fact, cleared in facts.decode(body):
+            self._learn(fact, cleared, now_s)
+
+    def forget_old(self, now_s: float) -> None:
+        """Drop what is too old; call it about once a minute."""
+        oldest_s = now_s - self._settings.forget_after_s
+        by_age = sorted(self._states.items(), key=_learned_at_s)
+        surplus = len(by_age) - self._settings.max_facts
+        for place, (fact, state) in enumerate(by_age):
+            if place < surplus or state.learned_at_s < oldest_s:
+                self._drop(fact)
+
+    def _fact(self, digest: bytes, death: Death, now_s: float) -> facts.Fact:
+        earlier = 0
+        while True:
+            death_id = facts.make_death(death.endpoint, death.epoch, earlier)
+            fact = facts.Fact(digest, death_id)
+            state = self._states.get(fact)
+            if state is None or now_s - state.learned_at_s < SAME_DEATH_S:
+                return fact
+            earlier += 1
+
+    def _learn(self, fact: facts.Fact, cleared: bool, now_s: float) -> None:
+        state = self._states.get(fact)
+        if state is None:
+            self._states[fact] = facts.FactState(now_s, cleared)
+            self._by_digest.setdefault(fact.digest, set()).add(fact.death)
+            self.revision += 1
+            return
+        if cleared and not state.cleared:
+            state.cleared = True
+            self.revision += 1
+
+    def _open_deaths(self, digest: bytes) -> list[bytes]:
+        return [
+            death
+            for death in self._by_digest.get(digest, ())
+            if not self._states[facts.Fact(digest, death)].cleared
+        ]
+
+    def _drop(self, fact: facts.Fact) -> None:
+        del self._states[fact]
+        deaths = self._by_digest[fact.digest]
+        deaths.discard(fact.death)
+        if not deaths:
+            del self._by_digest[fact.digest]
+
+    def _forget_recent(self, now_s: float) -> None:
+        oldest_s = now_s - self._settings.mass_window_s
+        self._recent_deaths = {
+            name: at_s
+            for name, at_s in self._recent_deaths.items()
+            if at_s >= oldest_s
+        }
+
+
+def home_entry(digest: bytes, entries: collections_abc.Iterable[str]) -> str:
+    """Return the entry that runs a resent suspect (rendezvous hashing)."""
+    return max(entries, key=lambda entry: _rank(digest, entry))
+
+
+def own_share(
+    entry: str,
+    entries: collections_abc.Collection[str],
+    endpoints: collections_abc.Iterable[str],
+) -> frozenset[str]:
+    """Return the endpoints on which an entry may put suspects.
+
+    The shares of all entries are disjoint while they agree on who is alive.
+    Keep the result until entries or endpoints change.
+    """
+    return frozenset(
+        endpoint
+        for endpoint in endpoints
+        if home_entry(endpoint.encode(), entries) == entry
+    )
+
+
+def _rank(key: bytes, entry: str) -> bytes:
+    return hashlib.blake2b(entry.encode(), key=key[:64], digest_size=8).digest()
+
+
+def _learned_at_s(item: tuple[facts.Fact, facts.FactState]) -> float:
+    return item[1].learned_at_s
+
+
+def make_suspect_ledger(
+    entry: str,
+    settings: PoisonSettings | None = None,
+    safeguards: invariants.SafeguardSwitches | None = None,
+) -> SuspectLedger:
+    """Return the ledger of one entry."""
+    return SuspectLedger(entry, settings, safeguards)
--- /dev/null
+++ b/redwingvalve/poison/tests/test_ledger.py
@@ -0,0 +1,131 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from redwingvalve.poison import ledger
+
+Verdict = ledger.Verdict
+ENTRIES = ('e1', 'e2', 'e3')
+POISON, INNOCENT = b'poison!!', b'innocent'
+
+
+def make_ledger(entry='e1'):
+    return ledger.make_suspect_ledger(entry)
+
+
+def die(where, endpoint, *digests, now_s=0.0):
+    where.endpoint_died(ledger.Death(endpoint, 1, frozenset(digests)), now_s)
+
+
+def test_a_poison_request_is_refused_after_its_second_death_everywhere():
+    """The caller of a poison request is refused wherever it sends it next.
+
+    It kills a replica through e1, which tries it once more alone; that kills
+    a second. e2 and e3 have only read the news and refuse it too.
+    """
+    first, second = make_ledger('e1'), make_ledger('e2')
+    die(first, 'r1', POISON)
+    assert first.judge_again(POISON, 0.0) == Verdict.ISOLATE
+    first.started(POISON, 'r2')
+    die(first, 'r2', POISON, now_s=1.0)
+    assert first.judge_again(POISON, 1.0) == Verdict.REFUSE
+    second.merge(first.encode(), 1.5)
+    assert second.judge(POISON, 'e2', 1.5) == Verdict.REFUSE
+    third = make_ledger('e3')
+    third.merge(second.encode(), 2.0)
+    assert third.judge(POISON, 'e1', 2.0) == Verdict.REFUSE
+
+
+def test_an_innocent_that_shared_the_endpoint_is_cleared_everywhere():
+    """Who merely shared the replica is served as before once it has finished.
+
+    The clearing wins over the suspicion even where it arrives first.
+    """
+    first, second = make_ledger('e1'), make_ledger('e2')
+    die(first, 'r1', POISON, INNOCENT)
+    before = first.encode()
+    first.started(INNOCENT, 'r2')
+    first.ended(INNOCENT, 'r2', 1.0, whole=True)
+    assert first.judge(INNOCENT, 'e1', 1.0) == Verdict.FREE
+    second.merge(first.encode(), 1.0)
+    second.merge(before, 2.0)
+    assert second.judge(INNOCENT, 'e2', 9.0) == Verdict.FREE
+    assert second.judge(POISON, 'e2', 9.0) == Verdict.ISOLATE
+
+
+def test_a_resent_suspect_waits_for_news_and_runs_only_at_its_home():
+    """A caller that sends a suspect to another entry is told to come back.
+
+    Were every entry to try it, each would lose an endpoint before the news of
+    the second death arrives.
+    """
+    home = ledger.home_entry(POISON, ENTRIES)
+    for entry in ENTRIES:
+        where = make_ledger(entry)
+        die(where, 'r1', POISON)
+        assert where.judge(POISON, home, 0.5) == Verdict.WAIT
+        later = where.judge(POISON, home, 3.0)
+        assert later == (Verdict.ISOLATE if entry == home else Verdict.WAIT)
+
+
+def test_suspects_do_not_share_an_endpoint_unless_very_many_died():
+    """One suspect an endpoint after one death; a few after a rack's loss."""
+    where = make_ledger()
+    die(where, 'r1', POISON, INNOCENT)
+    where.started(POISON, 'r2')
+    assert where.free_endpoints(['r2', 'r3'], 0.0) == {'r3'}
+    for number in range(3):
+        die(where, f'x{number}', INNOCENT)
+    assert where.free_endpoints(['r2', 'r3'], 0.0) == {'r2', 'r3'}
+
+
+def test_entries_put_suspects_on_disjoint_endpoints():
+    """No two entries put suspects together, and every endpoint is used."""
+    endpoints = [f'r{number}' for number in range(60)]
+    shares = [ledger.own_share(e, ENTRIES, endpoints) for e in ENTRIES]
+    assert sum(len(share) for share in shares) == 60
+    assert len(frozenset().union(*shares)) == 60
+
+
+def test_a_death_that_two_entries_saw_counts_once():
+    """Two entries report the same death; the request is not refused for it.
+
+    A service at the same address that dies again a minute later counts anew.
+    """
+    first, second = make_ledger('e1'), make_ledger('e2')
+    die(first, 'r1', INNOCENT)
+    die(second, 'r1', INNOCENT, now_s=1.0)
+    first.merge(second.encode(), 2.0)
+    assert first.judge_again(INNOCENT, 2.0) == Verdict.ISOLATE
+    die(first, 'r1', INNOCENT, now_s=60.0)
+    assert first.judge_again(INNOCENT, 60.0) == Verdict.REFUSE
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(['r1', 'r2', 'r3']),
+        st.sampled_from([POISON, INNOCENT]),
+        st.booleans(),
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(STEPS, st.permutations(range(3)))
+def test_merging_is_commutative_and_idempotent(steps, order):
+    """Entries that have heard the same news judge alike, in any order."""
+    sources = [make_ledger(entry) for entry in ENTRIES]
+    for number, endpoint, digest, clears in steps:
+        if clears:
+            sources[number].ended(digest, endpoint, 0.0, whole=True)
+        else:
+            die(sources[number], endpoint, digest)
+    bodies = [source.encode() for source in sources]
+    one, other = make_ledger('a'), make_ledger('b')
+    for body in bodies:
+        one.merge(body, 0.0)
+    for place in (*order, *order):
+        other.merge(bodies[place], 0.0)
+    for digest in (POISON, INNOCENT):
+        assert one.judge_again(digest, 0.0) == other.judge_again(digest, 0.0)
+    assert sorted(one.encode()) == sorted(other.encode())
--- a/redwingvalve/retries/__init__.py
+++ b/redwingvalve/retries/__init__.py
@@ -1,1 +1,1 @@
-"""When to send again, and how an interrupted stream goes on."""
+"""Retries: what may be sent again, how often, and how a stream resumes."""
--- /dev/null
+++ b/redwingvalve/retries/decisions.py
@@ -0,0 +1,142 @@
+"""What to do after an attempt failed, and the outcome to tell the caller.
+
+A request that surely did not run may always be sent again, whatever it is. One
+that may have run may only be repeated if it is idempotent. Everything else ends
+with the truth as far as it is known.
+"""
+
+import enum
+
+import attrs
+
+from redwingvalve.core import invariants, outcomes
+from redwingvalve.retries import budget
+
+
+class NextStep(enum.StrEnum):
+    """What to do with a request after a failure."""
+
+    RETRY = 'retry'
+    RESUME = 'resume'
+    GIVE_UP = 'give-up'
+
+
+class GiveUpReason(enum.StrEnum):
+    """Why a request is not sent again."""
+
+    MAY_HAVE_RUN = 'may-have-run'
+    DEADLINE = 'deadline'
+    TOO_MANY_ATTEMPTS = 'too-many-attempts'
+    NO_BUDGET = 'no-budget'
+
+
+@attrs.frozen
+class FailedAttempt:
+    """One failed attempt and what is known of its request.
+
+    surely_not_run means that no byte reached the endpoint, or that it said
+    that it did not start. earlier_unknown is set when an earlier attempt of
+    the same request may have run.
+    """
+
+    idempotent: bool
+    surely_not_run: bool
+    attempts: int
+    delivered_tokens: int = 0
+    earlier_unknown: bool = False
+    deadline_s: float = 0.0
+    expected_time_s: float = 0.0
+
+
+@attrs.frozen
+class RetryDecision:
+    """The next step; outcome is what to say when it is GIVE_UP."""
+
+    step: NextStep
+    outcome: outcomes.Outcome
+    reason: GiveUpReason | None = None
+
+
+@attrs.frozen
+class RetrySettings:
+    """Figures an operator may set; docs/operating/who-is-served.md."""
+
+    max_attempts: int = 3
+    hedge_after_usual: float = 3.0
+    hedge_reserve: float = 5.0
+
+
+class RetryPolicy:
+    """Decides with a budget; pure but for the budget's count."""
+
+    def __init__(
+        self,
+        spending: budget.RetryBudget,
+        settings: RetrySettings | None = None,
+    ) -> None:
+        """Use one budget for all that is sent twice."""
+        self._budget = spending
+        self._settings = settings or RetrySettings()
+
+    def after_failure(
+        self, attempt: FailedAttempt, now_s: float
+    ) -> RetryDecision:
+        """Decide what becomes of a request whose attempt failed."""
+        outcome = _outcome(attempt)
+        if outcome != outcomes.Outcome.NOT_RUN and not attempt.idempotent:
+            return _give_up(outcome, GiveUpReason.MAY_HAVE_RUN)
+        if now_s + attempt.expected_time_s >= attempt.deadline_s:
+            return _give_up(outcome, GiveUpReason.DEADLINE)
+        if attempt.attempts >= self._settings.max_attempts:
+            return _give_up(outcome, GiveUpReason.TOO_MANY_ATTEMPTS)
+        if not self._budget.try_spend(now_s):
+            return _give_up(outcome, GiveUpReason.NO_BUDGET)
+        invariants.require(
+            attempt.idempotent or outcome == outcomes.Outcome.NOT_RUN,
+            'retry-only-what-may-run-again',
+            f'{attempt}',
+        )
+        step = NextStep.RESUME if attempt.delivered_tokens else NextStep.RETRY
+        return RetryDecision(step, outcome)
+
+    def may_hedge(
+        self,
+        *,
+        idempotent: bool,
+        waited_s: float,
+        usual_s: float,
+        now_s: float,
+    ) -> bool:
+        """Tell whether to send a second copy of a request without an answer.
+
+        Hedges leave a part of the budget to retries, and only go out after a
+        multiple of the usual delay, so that they follow stragglers and not
+        overload, in which everything is slow.
+        """
+        if not idempotent:
+            return False
+        if waited_s < self._settings.hedge_after_usual * usual_s:
+            return False
+        if self._budget.available(now_s) < self._settings.hedge_reserve + 1:
+            return False
+        return self._budget.try_spend(now_s)
+
+
+def _outcome(attempt: FailedAttempt) -> outcomes.Outcome:
+    if attempt.delivered_tokens:
+        return outcomes.Outcome.RAN
+    if attempt.surely_not_run and not attempt.earlier_unknown:
+        return outcomes.Outcome.NOT_RUN
+    return outcomes.Outcome.UNKNOWN
+
+
+def _give_up(outcome: outcomes.Outcome, reason: GiveUpReason) -> RetryDecision:
+    return RetryDecision(NextStep.GIVE_UP, outcome, reason)
+
+
+def make_retry_policy(
+    spending: budget.RetryBudget | None = None,
+    settings: RetrySettings | None = None,
+) -> RetryPolicy:
+    """Return the policy for one deployment at an entry."""
+    return RetryPolicy(spending or budget.make_retry_budget(), settings)
--- /dev/null
+++ b/redwingvalve/retries/tests/test_retries.py
@@ -0,0 +1,96 @@
+import pytest
+
+from redwingvalve.core import outcomes
+from redwingvalve.retries import budget, decisions, resumption
+
+Step = decisions.NextStep
+Outcome = outcomes.Outcome
+
+
+def make_attempt(**more):
+    fields = {
+        'idempotent': True,
+        'surely_not_run': False,
+        'attempts': 1,
+        'deadline_s': 10.0,
+        **more,
+    }
+    return decisions.FailedAttempt(**fields)
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'step', 'outcome'),
+    [
+        (make_attempt(), Step.RETRY, Outcome.UNKNOWN),
+        (make_attempt(delivered_tokens=5), Step.RESUME, Outcome.RAN),
+        (make_attempt(idempotent=False), Step.GIVE_UP, Outcome.UNKNOWN),
+        (
+            make_attempt(idempotent=False, surely_not_run=True),
+            Step.RETRY,
+            Outcome.NOT_RUN,
+        ),
+        (
+            make_attempt(
+                idempotent=False, surely_not_run=True, earlier_unknown=True
+            ),
+            Step.GIVE_UP,
+            Outcome.UNKNOWN,
+        ),
+        (make_attempt(attempts=3), Step.GIVE_UP, Outcome.UNKNOWN),
+        (make_attempt(expected_time_s=10), Step.GIVE_UP, Outcome.UNKNOWN),
+    ],
+)
+def test_only_what_may_run_again_is_sent_again(attempt, step, outcome):
+    """A quote that may have run is never repeated, and the answer says so.
+
+    The last sure attempt does not hide that an earlier one may have run.
+    """
+    decision = decisions.make_retry_policy().after_failure(attempt, 1.0)
+    assert (decision.step, decision.outcome) == (step, outcome)
+
+
+def test_a_storm_of_failures_is_not_multiplied():
+    """A thousand requests succeed, then a thousand fail at once.
+
+    At most a tenth of the successes and the reserve are sent again; the other
+    callers get their answer at once instead of loading what is left.
+    """
+    policy = decisions.make_retry_policy(spending := budget.RetryBudget())
+    for _ in range(1000):
+        spending.succeeded()
+    steps = [
+        policy.after_failure(make_attempt(), 1.0).step for _ in range(1000)
+    ]
+    assert 100 <= steps.count(Step.RETRY) <= 110
+
+
+def test_hedging_is_for_idempotent_work_and_stops_under_overload():
+    """A second copy goes out for a straggler, not when everything is slow."""
+    policy = decisions.make_retry_policy()
+
+    def hedge(idempotent, waited_s):
+        return policy.may_hedge(
+            idempotent=idempotent, waited_s=waited_s, usual_s=0.3, now_s=0.0
+        )
+
+    assert not hedge(False, 9.0)
+    assert not hedge(True, 0.5)
+    hedges = [hedge(True, 9.0) for _ in range(20)]
+    assert sum(hedges) == 5
+
+
+def test_kv_is_moved_only_where_that_beats_recomputing():
+    """A long stream of an endpoint that still answers is moved, others not."""
+    stream = resumption.StreamState(30_000, 500)
+    slow_prefill = resumption.MoveCosts(
+        prefill_tokens_per_s=5000, source_answers=True
+    )
+    moved = resumption.plan_resumption(stream, slow_prefill)
+    assert (moved.way, moved.skip_tokens) == (resumption.Way.MOVE_KV, 500)
+    dead = resumption.MoveCosts(prefill_tokens_per_s=5000)
+    recomputed = resumption.plan_resumption(stream, dead)
+    assert recomputed.way == resumption.Way.RECOMPUTE
+    cached = resumption.MoveCosts(
+        prefill_tokens_per_s=5000, cached_tokens=30_000, source_answers=True
+    )
+    assert resumption.plan_resumption(stream, cached).delay_s < 0.2
