Lend shares of limits by name, so that no cut uses a part twice

Change: each entry owns its equal part and grants pieces of it to named entries; a grant ends for its borrower before its lender counts it again, also after a pause of the borrower.

--- a/redwingvalve/limits/account_limits.py
+++ b/redwingvalve/limits/account_limits.py
@@ -52,7 +52,9 @@
         if limited is None:
             return 0.0
         limited.demand.asked(amount, now_s)
-        wait_s = limited.bucket.take(amount, limited.share.usable_per_s, now_s)
+        wait_s = limited.bucket.take(
+            amount, limited.share.usable_per_s(now_s), now_s
+        )
         return min(wait_s, self._settings.settle_s * 2)
 
     def correct(self, account: str, amount: float) -> None:
@@ -73,33 +75,40 @@
         is the configured list, this entry included.
         """
         heard = [
-            reports.decode(body, entry, age_s) for entry, body, age_s in bodies
+            reports.decode(body, entry, age_s, entries)
+            for entry, body, age_s in bodies
         ]
         published: dict[str, shares.ShareReport] = {}
         for account, limited in self._limited.items():
-            number = reports.account_number(account)
+            number = reports.number_of(account)
             others = tuple(one[number] for one in heard if number in one)
             demand = limited.demand.rate_per_s(now_s)
             limited.share.update(
                 shares.Situation(limited.limit_per_s, entries, others, demand),
                 now_s,
             )
-            limited.bucket.fill(limited.share.usable_per_s, now_s)
+            limited.bucket.fill(limited.share.usable_per_s(now_s), now_s)
             published[account] = self._report(limited, demand)
         return reports.encode(published)
 
-    def usable_per_s(self, account: str) -> float:
+    def usable_per_s(self, account: str, now_s: float) -> float:
         """Return an account's share here; infinite without a limit."""
         limited = self._limited.get(account)
-        return math.inf if limited is None else limited.share.usable_per_s
+        return (
+            math.inf if limited is None else limited.share.usable_per_s(now_s)
+        )
 
     def _report(
         self, limited: _Limited, demand_per_s: float
     ) -> shares.ShareReport:
-        # Reports travel as single floats: rounding up what is held and never
-        # down keeps the sum within the limit.
-        held_per_s = limited.share.held_per_s * (1 + shares.ROUNDING_SHARE)
-        return shares.ShareReport(self._entry, demand_per_s, held_per_s)
+        # Grants travel as single floats, which may round up; the lender's own
+        # sum keeps double precision, so they are made smaller by more than
+        # the rounding.
+        grants_per_s = {
+            entry: granted * (1 - shares.ROUNDING_SHARE)
+            for entry, granted in limited.share.grants_per_s.items()
+        }
+        return shares.ShareReport(self._entry, demand_per_s, grants_per_s)
 
     def _make(self, limit_per_s: float) -> _Limited:
         return _Limited(
--- a/redwingvalve/limits/reports.py
+++ b/redwingvalve/limits/reports.py
@@ -1,8 +1,8 @@
 """Share reports as bytes: all accounts of an entry in one news item.
 
-An account is named by the CRC-32 of its name; 12 bytes an account. Accounts
-without demand whose share is not above the floor are left out by the sender's
-choice, and counted by readers with the equal share.
+Accounts and entries are named by the CRC-32 of their names. An account takes 9
+bytes and 8 for each grant; accounts that nobody asks for and that lend nothing
+are left out.
 """
 
 import struct
@@ -12,41 +12,65 @@
 from redwingvalve.limits import shares
 from redwingvalve.news import board
 
-RECORD = struct.Struct('>Iff')
+ACCOUNT = struct.Struct('>IfB')
+GRANT = struct.Struct('>If')
 KEY = 'shares'
-MAX_ACCOUNTS = 500
+MAX_BYTES = 16_000
+NO_DEMAND_PER_S = 0.001
 
 SHARES = board.Channel(
     name='shares',
     reach=board.Reach.EVERYWHERE,
     max_age_s=3.0,
-    max_item_bytes=MAX_ACCOUNTS * RECORD.size,
+    max_item_bytes=MAX_BYTES,
 )
 
 
-def account_number(account: str) -> int:
-    """Return the number that stands for an account in reports."""
-    return zlib.crc32(account.encode())
+def number_of(name: str) -> int:
+    """Return the number that stands for a name in reports."""
+    return zlib.crc32(name.encode())
 
 
 def encode(
     by_account: collections_abc.Mapping[str, shares.ShareReport],
 ) -> bytes:
     """Return the reports of one entry as bytes."""
-    return b''.join(
-        RECORD.pack(
-            account_number(account), report.demand_per_s, report.held_per_s
+    parts: list[bytes] = []
+    for account, report in by_account.items():
+        grants = report.grants_per_s
+        if not grants and report.demand_per_s < NO_DEMAND_PER_S:
+            continue
+        parts.append(
+            ACCOUNT.pack(number_of(account), report.demand_per_s, len(grants))
         )
-        for account, report in by_account.items()
-    )
+        parts.extend(
+            GRANT.pack(number_of(entry), granted)
+            for entry, granted in grants.items()
+        )
+    return b''.join(parts)
 
 
 def decode(
-    body: bytes, entry: str, age_s: float
+    body: bytes, entry: str, age_s: float, entries: tuple[str, ...]
 ) -> dict[int, shares.ShareReport]:
-    """Return the reports of one entry by account number."""
-    whole = len(body) - len(body) % RECORD.size
-    return {
-        number: shares.ShareReport(entry, demand, held, age_s)
-        for number, demand, held in RECORD.iter_unpack(body[:whole])
-    }
+    """Return the reports of one entry by account number.
+
+    entries gives the names behind the numbers; grants to others are left out.
+    """
+    names = {number_of(name): name for name in entries}
+    found: dict[int, shares.ShareReport] = {}
+    place = 0
+    while place + ACCOUNT.size <= len(body):
+        number, demand, count = ACCOUNT.unpack_from(body, place)
+        place += ACCOUNT.size
+        end = place + count * GRANT.size
+        if end > len(body):
+            break
+        grants = {
+            names[to]: granted
+            for to, granted in GRANT.iter_unpack(body[place:end])
+            if to in names
+        }
+        place = end
+        found[number] = shares.ShareReport(entry, demand, grants, age_s)
+    return found
--- a/redwingvalve/limits/tests/test_shares.py
+++ b/redwingvalve/limits/tests/test_shares.py
@@ -38,7 +38,7 @@
 
     def usable(self):
         return {
-            name: limits.usable_per_s('a')
+            name: limits.usable_per_s('a', self.now_s)
             for name, limits in self.entries.items()
         }
 
@@ -57,7 +57,7 @@
     assert fleet.usable()['e0'] >= 0.8 * LIMIT
     fleet.run(25, {'e3': 2000})
     assert fleet.usable()['e3'] >= 0.8 * LIMIT
-    assert fleet.worst <= LIMIT * 1.001
+    assert fleet.worst <= LIMIT * 1.00001
 
 
 def test_a_partition_ends_loans_before_they_are_used_twice():
@@ -71,7 +71,7 @@
     cut = {(a, b) for a in ENTRIES for b in ENTRIES if 'e0' in {a, b}}
     fleet.run(20, dict.fromkeys(ENTRIES, 2000), cut)
     assert fleet.usable()['e0'] <= LIMIT / 4 + 1
-    assert fleet.worst <= LIMIT * 1.001
+    assert fleet.worst <= LIMIT * 1.00001
 
 
 PHASES = st.lists(
@@ -93,7 +93,19 @@
     fleet = Fleet()
     for steps, demands, cut in phases:
         fleet.run(steps * STEP_S, demands, cut)
-    assert fleet.worst <= LIMIT * 1.001
+    assert fleet.worst <= LIMIT * 1.00001
+
+
+def test_two_borrowers_that_cannot_hear_each_other_share_one_surplus():
+    """e2 and e3 both ask much and lose each other; e0 and e1 hear both.
+
+    Were each to take what looks free in its own view, both would take the
+    same part. Grants name the borrower, so the parts stay apart.
+    """
+    fleet = Fleet()
+    fleet.run(20, {'e2': 2000, 'e3': 2000}, {('e2', 'e3'), ('e3', 'e2')})
+    assert fleet.usable()['e2'] > 1.3 * LIMIT / 4
+    assert fleet.worst <= LIMIT * 1.00001
 
 
 def test_an_account_over_its_limit_is_told_when_to_come_back():
