--- a/redwingvalve/poison/ledger.py
+++ b/redwingvalve/poison/ledger.py
@@ -17,12 +17,12 @@
 
 import collections
 import enum
-import hashlib
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.core import invariants
+from redwingvalve.membership import rendezvous
 from redwingvalve.poison import facts
 
 DEATHS_TO_REFUSE = 2
@@ -230,7 +230,7 @@
 
 def home_entry(digest: bytes, entries: collections_abc.Iterable[str]) -> str:
     """Return the entry that runs a resent suspect (rendezvous hashing)."""
-    return max(entries, key=lambda entry: _rank(digest, entry))
+    return rendezvous.holders(tuple(entries), digest.hex(), 1)[0]
 
 
 def own_share(
@@ -250,10 +250,6 @@
     )
 
 
-def _rank(key: bytes, entry: str) -> bytes:
-    return hashlib.blake2b(entry.encode(), key=key[:64], digest_size=8).digest()
-
-
 def _learned_at_s(item: tuple[facts.Fact, facts.FactState]) -> float:
     return item[1].learned_at_s
 
