--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -10,6 +10,14 @@
 RATE_WINDOW_S = 1.0
 RATE_TRUSTED_AFTER_S = 2.0
 
+# Each late refusal takes a fifth off the wait that a line may promise, at most
+# ten times a second; each dispatch gives a hundredth back. The promise then
+# settles where about one in twenty of the queued is refused late.
+CAUTION_STEP_S = 0.1
+CAUTION_FALL = 0.8
+CAUTION_RISE = 0.01
+MIN_CAUTION = 0.05
+
 Waiting = tuple[int, int, float, messages.AdmissionRequest]
 
 
@@ -27,6 +35,8 @@
         self.listed = False
         self.backlog_tokens = 0.0
         self.waiting: list[Waiting] = []
+        self.caution = 1.0
+        self._next_fall_s = 0.0
         self._served_tokens = 0.0
         self._served_at_s = 0.0
         self._backlogged_since_s = 0.0
@@ -68,9 +78,20 @@
 
     def served(self, cost: float, now_s: float) -> None:
         """Count a dispatch into the measured rate."""
+        self.caution = min(self.caution + CAUTION_RISE, 1.0)
         self._served_tokens = self._decayed(now_s) + cost
         self._served_at_s = now_s
 
+    def refused_late(self, now_s: float) -> None:
+        """Promise less from now on: the expected wait was too short.
+
+        An account that others are preferred to gets less than its estimate
+        says, and its callers would wait up to their deadline for a refusal.
+        """
+        if now_s >= self._next_fall_s:
+            self._next_fall_s = now_s + CAUTION_STEP_S
+            self.caution = max(self.caution * CAUTION_FALL, MIN_CAUTION)
+
     def rate_tokens_per_s(
         self, fair_rate: float, floor_rate: float, now_s: float
     ) -> float:
--- a/redwingvalve/admission/baselines.py
+++ b/redwingvalve/admission/baselines.py
@@ -59,6 +59,10 @@
         """Refuse nothing."""
         return ()
 
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the caller's own estimate."""
+        return request.estimated_tokens
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._waiting)
--- a/redwingvalve/admission/estimates.py
+++ b/redwingvalve/admission/estimates.py
@@ -10,15 +10,19 @@
 MIN_CORRECTION = 0.1
 MAX_CORRECTION = 10.0
 
-# The in-flight limit falls by a twentieth at most every 100 ms while first
-# tokens come later than allowed, and rises by a hundredth while they don't:
-# fast enough to halve within two seconds, slow enough not to swing.
+# The in-flight limit falls by a twentieth at most every 100 ms while answers
+# are late: fast enough to halve within two seconds. It rises by a five
+# hundredth for each answer in time while work waits, to twice what is declared.
 PRESSURE_STEP_S = 0.1
 PRESSURE_FALL = 0.95
-PRESSURE_RISE = 0.01
+PRESSURE_RISE = 0.002
 PRESSURE_MIN_FACTOR = 0.2
+PRESSURE_MAX_FACTOR = 2.0
 LATE_SHARE = 0.7
 FIRST_TOKEN_STEP = 0.05
+GAP_STEP = 0.05
+GAP_LATE_SHARE = 0.75
+GAP_EARLY_SHARE = 0.6
 
 PEAK_HALF_LIFE_S = 5.0
 
@@ -48,19 +52,22 @@
         self._ratios[key] = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
 
 
-class FirstTokenPressure:
-    """Follows the delay from sending to the first token.
+class Pressure:
+    """Follows first-token delays and token gaps, and moves the bound.
 
     When the declared in-flight bound is too high for what the endpoints really
     do (stragglers, dead replicas not yet noticed), work queues inside them,
-    where it can't be refused any more. factor lowers the bound until first
-    tokens are in time again.
+    where it can't be refused any more, and tokens come slowly. When it is too
+    low, accelerators idle while callers are refused. factor multiplies the
+    bound.
     """
 
-    def __init__(self, first_token_s: float) -> None:
-        """Start with an expected delay and the whole bound."""
+    def __init__(self, first_token_s: float, token_gap_s: float) -> None:
+        """Start with an expected delay, a gap target and the whole bound."""
         self.first_token_s = first_token_s
         self.factor = 1.0
+        self._gap_target_s = token_gap_s
+        self._gap_s = 0.0
         self._next_fall_s = 0.0
 
     def observed(
@@ -69,9 +76,24 @@
         """Count one first token."""
         bounded = min(delay_s, max(allowed_s, 0.0))
         self.first_token_s += FIRST_TOKEN_STEP * (bounded - self.first_token_s)
-        if delay_s <= LATE_SHARE * allowed_s:
-            self.factor = min(self.factor + PRESSURE_RISE, 1.0)
+        if delay_s > LATE_SHARE * allowed_s:
+            self._fall(now_s)
+
+    def finished(
+        self, mean_gap_s: float, now_s: float, *, waiting: bool
+    ) -> None:
+        """Count one answer; waiting tells whether a higher bound is of use."""
+        if mean_gap_s > 0:
+            self._gap_s += GAP_STEP * (mean_gap_s - self._gap_s)
+        if self._gap_s > GAP_LATE_SHARE * self._gap_target_s:
+            self._fall(now_s)
             return
+        early = self._gap_s < GAP_EARLY_SHARE * self._gap_target_s
+        if self.factor < 1 or (waiting and early):
+            risen = self.factor + PRESSURE_RISE
+            self.factor = min(risen, PRESSURE_MAX_FACTOR)
+
+    def _fall(self, now_s: float) -> None:
         if now_s >= self._next_fall_s:
             self._next_fall_s = now_s + PRESSURE_STEP_S
             lowered = self.factor * PRESSURE_FALL
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -26,6 +26,8 @@
 
 # Sums of floats drift by far less than a thousandth of a token.
 ROUNDING_TOKENS = 1e-3
+# The mean gap of shorter answers says little.
+MIN_GAP_TOKENS = 10
 
 
 @attrs.define(eq=False)
@@ -35,6 +37,7 @@
     request: messages.AdmissionRequest
     cost: float
     sent_at_s: float
+    first_token_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -63,8 +66,8 @@
         self._in_flight_tokens = 0.0
         self._number = 0
         self._costs = estimates.CostCorrection()
-        self._pressure = estimates.FirstTokenPressure(
-            self._settings.first_token_s
+        self._pressure = estimates.Pressure(
+            self._settings.first_token_s, self._settings.token_gap_s
         )
 
     def resize(self, capacity: messages.Capacity, now_s: float) -> None:
@@ -123,6 +126,7 @@
             allowed_s=sent.request.deadline_s - sent.request.arrived_s,
             now_s=now_s,
         )
+        sent.first_token_s = now_s
 
     def finished(
         self, request_id: str, actual_tokens: float, now_s: float
@@ -138,6 +142,11 @@
         if not self._sent:
             self._in_flight_tokens = 0.0
         self._costs.learn(request, actual_tokens)
+        self._pressure.finished(
+            self._mean_gap_s(sent, actual_tokens, now_s),
+            now_s,
+            waiting=bool(self._places),
+        )
         in_lane.charge(in_lane.line(request), actual_tokens - sent.cost)
         invariants.require(
             self._in_flight_tokens >= -ROUNDING_TOKENS,
@@ -163,6 +172,10 @@
                 self._refuse_tails(in_lane, now_s, refused)
         return tuple(refused)
 
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the estimate corrected by what the account used before."""
+        return self._costs.corrected(request)
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._places)
@@ -181,6 +194,7 @@
         )
         latest_start_s = request.deadline_s - self._pressure.first_token_s
         slack_s = (latest_start_s - now_s) * self._settings.wait_margin
+        slack_s *= line.caution
         if wait_s > slack_s:
             return self._refusal(
                 request,
@@ -195,6 +209,13 @@
         )
         return messages.Queued(request.request_id, wait_s)
 
+    def _mean_gap_s(
+        self, sent: _Sent, actual_tokens: float, now_s: float
+    ) -> float:
+        if sent.first_token_s is None or actual_tokens < MIN_GAP_TOKENS:
+            return 0.0
+        return (now_s - sent.first_token_s) / actual_tokens
+
     def _limit_tokens(self) -> float:
         return self._capacity.in_flight_tokens * self._pressure.factor
 
@@ -238,6 +259,9 @@
             if place is None or place.number != number:
                 continue
             self.withdraw(request_id)
+            self._lanes[place.request.kind].line(place.request).refused_late(
+                now_s
+            )
             refused.append(
                 self._refusal(
                     place.request,
@@ -264,6 +288,7 @@
                 if now_s + wait_s <= latest_start_s:
                     break
                 in_lane.remove_last(line)
+                line.refused_late(now_s)
                 del self._places[request.request_id]
                 refused.append(
                     self._refusal(
--- a/redwingvalve/admission/messages.py
+++ b/redwingvalve/admission/messages.py
@@ -95,5 +95,6 @@
     max_short_reserve_share: float = 0.5
     wait_margin: float = 0.9
     first_token_s: float = 0.2
+    token_gap_s: float = 0.06
     min_retry_after_s: float = 0.5
     max_waiting: int = 5000
--- a/redwingvalve/admission/queue.py
+++ b/redwingvalve/admission/queue.py
@@ -52,6 +52,10 @@
     def expired(self, now_s: float) -> tuple[messages.RefusedNow, ...]:
         """Remove and return waiting requests that can't meet their target."""
 
+    @abc.abstractmethod
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the tokens to expect of a request; routing counts them."""
+
     @abc.abstractmethod
     def waiting(self) -> int:
         """Return how many requests wait."""
--- a/redwingvalve/routing/endpoint_state.py
+++ b/redwingvalve/routing/endpoint_state.py
@@ -72,13 +72,20 @@
         """Return how many requests of this entry are here."""
         return len(self._own_sent)
 
-    def reported(self, report: messages.LoadReport) -> None:
-        """Take a report in; own requests sent before it are part of it."""
+    def reported(self, report: messages.LoadReport, smoothing: float) -> None:
+        """Take a report in; own requests sent before it are part of it.
+
+        Others' requests are averaged over some reports: entries that follow
+        each last report all send to the same idle replica at once.
+        """
         if report.at_s < self._reported_at_s:
             return
         own = [at_s for at_s in self._own_sent.values() if at_s <= report.at_s]
         total = report.running + report.waiting
-        self.others = float(max(total - len(own), 0))
+        others = float(max(total - len(own), 0))
+        if math.isinf(self._reported_at_s):
+            self.others = others
+        self.others += smoothing * (others - self.others)
         self._reported_at_s = report.at_s
 
     def load_tokens(self, mean_tokens: float, oldest_s: float) -> float:
--- a/redwingvalve/routing/messages.py
+++ b/redwingvalve/routing/messages.py
@@ -61,15 +61,17 @@
     preference_bound times that of the others weighed, plus one request.
     """
 
-    sample_size: int = 6
+    sample_size: int = 2
     preference_bound: float = 1.5
-    load_weight: float = 0.5
+    load_weight: float = 0.1
+    report_smoothing: float = 0.3
+    home_distance_s: float = 0.02
     spill_margin_s: float = 0.05
-    spill_after_s: float = 0.2
     slow_start_s: float = 30.0
     slow_start_share: float = 0.1
     report_max_age_s: float = 5.0
     slowness_half_life_s: float = 10.0
     probe_above_slowness: float = 3.0
     max_prefixes: int = 50_000
-    max_holders: int = 4
+    max_holders: int = 32
+    weighed_holders: int = 3
--- a/redwingvalve/routing/prefix_index.py
+++ b/redwingvalve/routing/prefix_index.py
@@ -23,9 +23,20 @@
         )
         self._held: dict[str, set[str]] = collections.defaultdict(set)
 
-    def holders(self, prefix_hash: str) -> tuple[str, ...]:
-        """Return the endpoints that hold a prefix."""
-        return tuple(self._holders.get(prefix_hash, ()))
+    def holders(self, prefix_hash: str, draw: int, count: int) -> list[str]:
+        """Return some endpoints that hold a prefix, by a random draw."""
+        holders = self._holders.get(prefix_hash)
+        if not holders:
+            return []
+        names = list(holders)
+        if len(names) <= count:
+            return names
+        start = draw % len(names)
+        return (names + names)[start : start + count]
+
+    def holds(self, name: str, prefix_hash: str) -> bool:
+        """Tell whether an endpoint is known to hold a prefix."""
+        return name in self._holders.get(prefix_hash, ())
 
     def stored(self, name: str, prefix_hash: str) -> None:
         """Note a holder; the one noted longest ago makes room."""
--- a/redwingvalve/routing/scored.py
+++ b/redwingvalve/routing/scored.py
@@ -47,6 +47,7 @@
         self._states: dict[str, State] = {}
         self._tiers: tuple[tiers.Tier, ...] = ()
         self._tier_of: dict[str, tiers.Tier] = {}
+        self._homes = tiers.Homes(())
         self._own: dict[str, endpoint_state.OwnRequest] = {}
         self._prefixes = prefix_index.PrefixIndex(
             self._settings.max_prefixes, self._settings.max_holders
@@ -75,6 +76,7 @@
             states.values(), self._distances, self._settings
         )
         self._tier_of = {tier.data_centre: tier for tier in self._tiers}
+        self._homes = tiers.make_homes(self._tiers, self._settings)
         for tier in self._tiers:
             tier.recount(self._mean_tokens)
 
@@ -148,7 +150,7 @@
             return
         tier = self._tier_of[state.candidate.data_centre]
         tier.tokens -= state.others * self._mean_tokens
-        state.reported(report)
+        state.reported(report, self._settings.report_smoothing)
         tier.tokens += state.others * self._mean_tokens
 
     def prefix_stored(self, name: str, prefix_hash: str) -> None:
@@ -170,7 +172,7 @@
         """Return the work in generated tokens; a cached prompt is no work."""
         prompt = request.prompt_tokens
         for prefix in request.prefixes:
-            if candidate.name in self._prefixes.holders(prefix.prefix_hash):
+            if self._prefixes.holds(candidate.name, prefix.prefix_hash):
                 prompt = max(prompt - prefix.tokens, 0.0)
                 break
         relative_speed = candidate.tokens_per_s / candidate.prefill_tokens_per_s
@@ -183,16 +185,30 @@
         sample = tier.sample(request.draw, self._settings.sample_size)
         if not request.prefixes:
             return self._score(request, sample, {}, now_s)
-        for home in tier.homes(request.prefixes[-1].prefix_hash):
-            sample[home.candidate.name] = home
         cached: dict[str, float] = {}
         for prefix in request.prefixes:
-            for name in self._prefixes.holders(prefix.prefix_hash):
+            for name in self._prefixes.holders(
+                prefix.prefix_hash, request.draw, self._settings.weighed_holders
+            ):
                 if name not in cached:
                     cached[name] = prefix.tokens
                     sample[name] = self._states[name]
+        if not cached:
+            self._add_home(request.prefixes[-1], cached, sample)
         return self._score(request, sample, cached, now_s)
 
+    def _add_home(
+        self,
+        shortest: messages.Prefix,
+        cached: dict[str, float],
+        sample: dict[str, State],
+    ) -> None:
+        home = self._homes.of(shortest.prefix_hash)
+        name = home.candidate.name
+        # It holds the prefix already, or it will for the next entry's request.
+        cached[name] = shortest.tokens
+        sample[name] = home
+
     def _score(
         self,
         request: messages.RouteRequest,
--- a/redwingvalve/routing/tiers.py
+++ b/redwingvalve/routing/tiers.py
@@ -67,15 +67,24 @@
             sampled[state.candidate.name] = state
         return sampled
 
-    def homes(self, prefix_hash: str) -> tuple[State, ...]:
-        """Return where a prefix goes while no holder of it is known.
 
-        All entries compute the same homes, so that a prefix that is new to an
-        entry meets the copy which another entry caused.
-        """
-        first = zlib.crc32(prefix_hash.encode())
-        count = len(self.states)
-        return tuple(self.states[(first + step) % count] for step in (0, 1))
+class Homes:
+    """Where a prefix goes while no holder of it is known.
+
+    All entries of a region compute the same homes, over all its data centres,
+    so that a prefix that is new to an entry meets the copy which another entry
+    caused. Homes for each data centre would multiply the copies and turn the
+    caches over.
+    """
+
+    def __init__(self, states: collections_abc.Iterable[State]) -> None:
+        """Use the candidates that are near."""
+        self._states = sorted(states, key=_name)
+
+    def of(self, prefix_hash: str) -> State:
+        """Return the home of a prefix."""
+        place = zlib.crc32(prefix_hash.encode()) % len(self._states)
+        return self._states[place]
 
 
 def make_tiers(
@@ -101,6 +110,16 @@
     return tuple(sorted(made, key=_nearness))
 
 
+def make_homes(
+    made: collections_abc.Sequence[Tier], settings: messages.RoutingSettings
+) -> Homes:
+    """Return the homes among the data centres that are near enough."""
+    nearest_s = made[0].delay_s if made else 0.0
+    limit_s = nearest_s + settings.spill_margin_s + settings.home_distance_s
+    near = [tier for tier in made if tier.delay_s <= limit_s]
+    return Homes(state for tier in near for state in tier.states)
+
+
 def _distance_s(
     state: State, distances: Distances, settings: messages.RoutingSettings
 ) -> float:
