Steady the in-flight bound and bound preference by recent accounts

Cause: the bound fell on every late answer until nothing was sent for a second, and then all that waited was refused; a hot account with a high penalty pushed moderate accounts out. Change: one fall of a tenth, then a pause until its effect can show; preference counts an account's share among all recent accounts.

--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -21,6 +21,32 @@
 Waiting = tuple[int, int, float, messages.AdmissionRequest]
 
 
+class Allowance:
+    """How much more of an account may go by preference."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.level = 0.0
+        self._rate = 1.0
+        self._at_s = 0.0
+
+    def refill(self, rate: float, burst_s: float, now_s: float) -> None:
+        """Earn since the last call; all service counts, also the fair one."""
+        earned = (now_s - self._at_s) * rate
+        full = rate * burst_s
+        self.level = min(max(self.level, -full) + earned, full)
+        self._rate = rate
+        self._at_s = now_s
+
+    def spend(self, cost: float) -> None:
+        """Count service."""
+        self.level -= cost
+
+    def wait_s(self) -> float:
+        """Return when there is something to spend again."""
+        return max(-self.level, 0.0) / max(self._rate, 1e-9) + 1e-3
+
+
 class AccountLine:
     """Requests by priority, then by arrival; with their summed cost."""
 
@@ -35,6 +61,8 @@
         self.listed = False
         self.backlog_tokens = 0.0
         self.waiting: list[Waiting] = []
+        self.asked_at_s = 0.0
+        self.allowance = Allowance()
         self.caution = 1.0
         self._next_fall_s = 0.0
         self._served_tokens = 0.0
--- a/redwingvalve/admission/estimates.py
+++ b/redwingvalve/admission/estimates.py
@@ -10,15 +10,20 @@
 MIN_CORRECTION = 0.1
 MAX_CORRECTION = 10.0
 
-# The in-flight limit falls by a twentieth at most every 100 ms while answers
-# are late: fast enough to halve within two seconds. It rises by a five
-# hundredth for each answer in time while work waits, to twice what is declared.
-PRESSURE_STEP_S = 0.1
-PRESSURE_FALL = 0.95
+# The in-flight limit falls by a tenth while answers are late, and then waits
+# until first tokens can show the effect: falling on each late answer halves
+# the limit before the first one can be in time. It rises by a five hundredth
+# for each answer in time while work waits, to twice what is declared.
+PRESSURE_PAUSE_S = 0.5
+PRESSURE_PAUSE_DELAYS = 2.0
+PRESSURE_FALL = 0.9
 PRESSURE_RISE = 0.002
 PRESSURE_MIN_FACTOR = 0.2
 PRESSURE_MAX_FACTOR = 2.0
-LATE_SHARE = 0.7
+LATE_SHARE = 0.2
+LATE_STEP = 0.05
+MANY_LATE = 0.2
+FEW_LATE = 0.05
 FIRST_TOKEN_STEP = 0.05
 GAP_STEP = 0.05
 GAP_LATE_SHARE = 0.75
@@ -68,6 +73,7 @@
         self.factor = 1.0
         self._gap_target_s = token_gap_s
         self._gap_s = 0.0
+        self._late = 0.0
         self._next_fall_s = 0.0
 
     def observed(
@@ -76,7 +82,11 @@
         """Count one first token."""
         bounded = min(delay_s, max(allowed_s, 0.0))
         self.first_token_s += FIRST_TOKEN_STEP * (bounded - self.first_token_s)
-        if delay_s > LATE_SHARE * allowed_s:
+        # A few late ones are stragglers, which routing eases off; many mean
+        # that work queues inside the endpoints.
+        late = float(delay_s > LATE_SHARE * allowed_s)
+        self._late += LATE_STEP * (late - self._late)
+        if self._late > MANY_LATE:
             self._fall(now_s)
 
     def finished(
@@ -88,6 +98,8 @@
         if self._gap_s > GAP_LATE_SHARE * self._gap_target_s:
             self._fall(now_s)
             return
+        if self._late > FEW_LATE or now_s < self._next_fall_s:
+            return
         early = self._gap_s < GAP_EARLY_SHARE * self._gap_target_s
         if self.factor < 1 or (waiting and early):
             risen = self.factor + PRESSURE_RISE
@@ -95,7 +107,8 @@
 
     def _fall(self, now_s: float) -> None:
         if now_s >= self._next_fall_s:
-            self._next_fall_s = now_s + PRESSURE_STEP_S
+            pause_s = PRESSURE_PAUSE_DELAYS * self.first_token_s
+            self._next_fall_s = now_s + max(pause_s, PRESSURE_PAUSE_S)
             lowered = self.factor * PRESSURE_FALL
             self.factor = max(lowered, PRESSURE_MIN_FACTOR)
 
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -58,7 +58,6 @@
     ) -> None:
         """Start empty with a capacity."""
         self._settings = settings or messages.AdmissionSettings()
-        self._capacity = capacity
         self._lanes = lanes.LaneSet(self._settings)
         self._places: dict[str, _Place] = {}
         self._sent: dict[str, _Sent] = {}
@@ -69,10 +68,13 @@
         self._pressure = estimates.Pressure(
             self._settings.first_token_s, self._settings.token_gap_s
         )
+        self.resize(capacity, 0.0)
 
     def resize(self, capacity: messages.Capacity, now_s: float) -> None:
         """Take over a new capacity; what is sent stays sent."""
         self._capacity = capacity
+        for in_lane in self._lanes:
+            in_lane.note_speed(capacity.tokens_per_s)
 
     def offer(
         self, request: messages.AdmissionRequest, now_s: float
@@ -80,6 +82,7 @@
         """Admit, queue or refuse a new request."""
         cost = self._costs.corrected(request)
         self._number += 1
+        self._lanes[request.kind].line(request).asked_at_s = now_s
         if request.kind != messages.JobKind.LONG:
             self._lanes.note_short_use(cost, now_s)
         first = self._lanes.nobody_before(request.kind, self._limit_tokens())
@@ -102,7 +105,7 @@
     def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
         """Return the next waiting request if it fits now."""
         if self._places:
-            turn = self._lanes.choose(self._limit_tokens())
+            turn = self._lanes.choose(self._limit_tokens(), now_s)
             if turn is None:
                 return None
             (_, _, cost, request) = turn.line.waiting[0]
@@ -241,7 +244,6 @@
         now_s: float,
     ) -> float:
         speed = self._capacity.tokens_per_s
-        in_lane.set_rate(speed)
         fair_rate = speed * in_lane.fair_share(line)
         floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
         rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
--- a/redwingvalve/admission/lane.py
+++ b/redwingvalve/admission/lane.py
@@ -6,16 +6,20 @@
 
 Half of the service goes to the account that is furthest behind its fair share
 (start-time fair queueing), so that none starves. The other half goes by
-penalty, then priority; it is charged at 1/preference_bound of its cost, so that
-a preferred account gets at most that many times its fair share.
+penalty, then priority, to accounts that got at most preference_bound times
+their share among all recent accounts: beyond that a greedy account with a high
+penalty would push the moderate ones out.
 """
 
 import heapq
+import math
 
 from redwingvalve.admission import account_line, messages
 
-# How long an unmet claim is remembered, as a multiple of the preference lead.
-CLAIM_LEADS = 10
+# How long an unmet claim of an account is remembered.
+CLAIM_S = 5.0
+# Accounts that asked within this time count into the shares of preference.
+RECENT_S = 10.0
 
 
 class Lane:
@@ -30,7 +34,9 @@
         self._settings = settings
         self._active_weight = 0.0
         self._virtual_time = 0.0
-        self._lead = 0.0
+        self._speed = 1.0
+        self._recent_weight = 1.0
+        self._recent_until_s = 0.0
         self._preferred_credit = 0.0
         self._credit_bound = 0.0
         self._fair: list[tuple[float, int, int]] = []
@@ -66,11 +72,10 @@
         self._by_number.append(line)
         return line
 
-    def set_rate(self, tokens_per_s: float) -> None:
-        """Bound how far preference may run ahead, in virtual time."""
-        weight = self._active_weight or 1.0
-        self._credit_bound = self._settings.preference_lead_s * tokens_per_s
-        self._lead = self._credit_bound / weight
+    def note_speed(self, tokens_per_s: float) -> None:
+        """Take over the speed that is shared here."""
+        self._speed = tokens_per_s
+        self._credit_bound = self._settings.preference_burst_s * tokens_per_s
 
     def fair_share(self, line: account_line.AccountLine) -> float:
         """Return the share of the lane that a line has by weight alone."""
@@ -79,12 +84,14 @@
             weight += line.weight
         return line.weight / max(weight, line.weight)
 
-    def choose(self) -> tuple[account_line.AccountLine, bool] | None:
+    def choose(
+        self, now_s: float
+    ) -> tuple[account_line.AccountLine, bool] | None:
         """Return the account whose turn it is, and whether by preference."""
         if not self.waiting_count:
             return None
         if self._settings.preferred_share > 0 and self._preferred_credit >= 0:
-            line = self._first_preferred()
+            line = self._first_preferred(now_s)
             if line is not None:
                 return line, True
         return self._first_fair(), False
@@ -105,8 +112,7 @@
         # A line that this emptied has left the active weight already.
         weight = max(self._active_weight, line.weight)
         self._virtual_time += cost / weight
-        if by_preference:
-            cost /= self._settings.preference_bound
+        line.allowance.spend(cost)
         self.charge(line, cost)
         return entry
 
@@ -131,7 +137,7 @@
         """Move an account's virtual time; a negative cost gives back."""
         # An account that got less than its share for long would otherwise
         # hold a claim that shuts out the others for as long again.
-        oldest = self._virtual_time - CLAIM_LEADS * self._lead
+        oldest = self._virtual_time - self._claim_bound()
         line.virtual_time = max(line.virtual_time + cost / line.weight, oldest)
         line.version += 1
         if line.waiting:
@@ -145,6 +151,7 @@
         line.virtual_time = max(line.virtual_time, self._virtual_time)
         line.virtual_time += cost / line.weight
         line.served(cost, now_s)
+        line.allowance.spend(cost)
         weight = max(self._active_weight, line.weight)
         self._virtual_time += cost / weight
 
@@ -198,21 +205,40 @@
                 return line
             heapq.heappop(self._fair)
 
-    def _first_preferred(self) -> account_line.AccountLine | None:
-        limit = self._virtual_time + self._lead
-        self._unpark(limit)
+    def _first_preferred(self, now_s: float) -> account_line.AccountLine | None:
+        self._unpark(now_s)
         while self._preferred:
             line = self._by_number[self._preferred[0][2]]
-            if line.waiting and line.virtual_time <= limit:
+            if line.waiting and self._may_prefer(line, now_s):
                 return line
             entry = heapq.heappop(self._preferred)
             line.listed = bool(line.waiting)
             if line.waiting:
-                heapq.heappush(self._parked, (line.virtual_time, *entry))
+                again_at_s = now_s + line.allowance.wait_s()
+                heapq.heappush(self._parked, (again_at_s, *entry))
         return None
 
-    def _unpark(self, limit: float) -> None:
-        while self._parked and self._parked[0][0] <= limit:
+    def _may_prefer(self, line: account_line.AccountLine, now_s: float) -> bool:
+        rate = self._settings.preference_bound * self._speed
+        rate *= line.weight / max(self._recent(now_s), line.weight)
+        line.allowance.refill(rate, self._settings.preference_burst_s, now_s)
+        return line.allowance.level > 0
+
+    def _recent(self, now_s: float) -> float:
+        if now_s >= self._recent_until_s:
+            self._recent_until_s = now_s + 1
+            self._recent_weight = math.fsum(
+                line.weight
+                for line in self._by_number
+                if now_s - line.asked_at_s <= RECENT_S
+            )
+        return self._recent_weight
+
+    def _claim_bound(self) -> float:
+        return CLAIM_S * self._speed / max(self._recent_weight, 1e-6)
+
+    def _unpark(self, now_s: float) -> None:
+        while self._parked and self._parked[0][0] <= now_s:
             entry = heapq.heappop(self._parked)
             heapq.heappush(self._preferred, entry[1:])
 
--- a/redwingvalve/admission/lanes.py
+++ b/redwingvalve/admission/lanes.py
@@ -44,17 +44,17 @@
         """Go over the lanes in their order."""
         return iter(self._lanes)
 
-    def choose(self, limit_tokens: float) -> Turn | None:
+    def choose(self, limit_tokens: float, now_s: float) -> Turn | None:
         """Return whose turn it is under an in-flight bound."""
         waiting = [
             kind for kind in messages.JobKind if self._lanes[kind].waiting_count
         ]
         for kind in waiting:
             if self._below_floor(kind, limit_tokens):
-                return self._turn(kind)
+                return self._turn(kind, now_s)
         for other in waiting:
             if self._below_ceiling(other, limit_tokens):
-                return self._turn(other)
+                return self._turn(other, now_s)
         return None
 
     def nobody_before(
@@ -80,8 +80,8 @@
         tokens = light.waiting_tokens + short.waiting_tokens
         return tokens + long.waiting_tokens
 
-    def _turn(self, kind: messages.JobKind) -> Turn | None:
-        chosen = self._lanes[kind].choose()
+    def _turn(self, kind: messages.JobKind, now_s: float) -> Turn | None:
+        chosen = self._lanes[kind].choose(now_s)
         return Turn(kind, *chosen) if chosen else None
 
     def _below_floor(self, kind: messages.JobKind, limit: float) -> bool:
--- a/redwingvalve/admission/messages.py
+++ b/redwingvalve/admission/messages.py
@@ -87,7 +87,7 @@
 
     preferred_share: float = 0.5
     preference_bound: float = 2.0
-    preference_lead_s: float = 0.5
+    preference_burst_s: float = 1.0
     light_floor_share: float = 0.1
     short_floor_share: float = 0.5
     long_floor_share: float = 0.15
--- a/redwingvalve/bench/request_path_replicas.py
+++ b/redwingvalve/bench/request_path_replicas.py
@@ -62,7 +62,7 @@
     """A job at a replica."""
 
     job: Job
-    prefill_left: float
+    prefill_left: float | None
     tokens_left: float
 
 
@@ -108,15 +108,14 @@
         running = len(self._prefilling) + len(self._decoding)
         return running, len(self.waiting)
 
+    def decoding(self) -> list[Job]:
+        """Return the jobs that are being answered."""
+        return [stream.job for stream in self._decoding]
+
     def accept(self, job: Job) -> None:
         """Queue a job; delivered tokens are prefilled with the prompt."""
-        prefill = job.prompt_tokens + job.delivered
-        self.asked += bool(job.prefix)
-        if job.prefix in self._prefixes:
-            self.hits += 1
-            prefill -= job.prefix_tokens
         left = job.output_tokens - job.delivered
-        self.waiting.append(Stream(job, prefill, left))
+        self.waiting.append(Stream(job, None, left))
 
     def die(self) -> list[Job]:
         """Lose everything; return the jobs that were here."""
@@ -150,6 +149,8 @@
         left = budget_s * PREFILL_TOKENS_PER_S
         while self._prefilling and left > 0:
             stream = self._prefilling[0]
+            if stream.prefill_left is None:
+                stream.prefill_left = self._prefill_tokens(stream.job)
             done = min(stream.prefill_left, left)
             stream.prefill_left -= done
             left -= done
@@ -159,6 +160,17 @@
             self._start(stream, now_s, events)
         return budget_s - left / PREFILL_TOKENS_PER_S
 
+    def _prefill_tokens(self, job: Job) -> float:
+        # As in engines, the cache is looked up when a prompt's turn comes.
+        tokens = job.prompt_tokens + job.delivered
+        if not job.prefix:
+            return tokens
+        self.asked += 1
+        if job.prefix not in self._prefixes:
+            return tokens
+        self.hits += 1
+        return tokens - job.prefix_tokens
+
     def _start(self, stream: Stream, now_s: float, events: StepEvents) -> None:
         job = stream.job
         if job.poison:
--- a/redwingvalve/bench/request_path_run.py
+++ b/redwingvalve/bench/request_path_run.py
@@ -37,6 +37,7 @@
     penalties: float
     refused_share: float
     wrongly_refused_share: float
+    refused_after_100_ms_share: float
     refuse_p50_ms: float
     refuse_p99_ms: float
     first_token_p50_s: float
@@ -152,6 +153,7 @@
                     (now_s + REPORT_LAG_S, replica.name, report)
                 )
             self._spread_cache_events(now_s)
+            self._report_progress(now_s)
         while self._reports and self._reports[0][0] <= now_s:
             _, name, report = self._reports.popleft()
             for entry in self._entries:
@@ -162,6 +164,12 @@
                 other.candidates_changed(now_s)
         self._spread_suspects(now_s)
 
+    def _report_progress(self, now_s: float) -> None:
+        for replica in self._fleet.values():
+            for job in replica.decoding():
+                entry = self._entries[job.entry]
+                entry.routing.progressed(job.request_id, job.delivered, now_s)
+
     def _spread_cache_events(self, now_s: float) -> None:
         # Half a second late by the rhythm of reports, and one in ten is lost.
         for replica in self._fleet.values():
@@ -219,6 +227,8 @@
             wrongly_refused_share=_share(
                 [job for job in refused if self._idle_at(job)], jobs
             ),
+            refused_after_100_ms_share=sum(late > 100 for late in refuse_ms)
+            / max(len(refuse_ms), 1),
             refuse_p50_ms=_percentile(refuse_ms, 50),
             refuse_p99_ms=_percentile(refuse_ms, 99),
             first_token_p50_s=_percentile(first_s, 50),
--- a/redwingvalve/retries/budget.py
+++ b/redwingvalve/retries/budget.py
@@ -18,7 +18,7 @@
     """Figures an operator may set; docs/operating/who-is-served.md."""
 
     success_share: float = 0.1
-    reserve: float = 30.0
+    reserve: float = 10.0
     reserve_per_s: float = 0.2
     max_saved: float = 200.0
 
--- a/redwingvalve/routing/baselines.py
+++ b/redwingvalve/routing/baselines.py
@@ -30,6 +30,9 @@
     def first_token(self, request_id: str, now_s: float) -> None:
         """Learn nothing."""
 
+    def progressed(self, request_id: str, tokens: float, now_s: float) -> None:
+        """Learn nothing."""
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Learn nothing."""
 
--- a/redwingvalve/routing/endpoint_state.py
+++ b/redwingvalve/routing/endpoint_state.py
@@ -26,6 +26,20 @@
     tokens: float
     sent_at_s: float
     first_token_at_s: float | None = None
+    seen_tokens: float = 0.0
+    seen_at_s: float | None = None
+
+    def gap_s(self, tokens: float, now_s: float) -> float | None:
+        """Return the mean gap since the last call, None on the first one."""
+        since_s = self.seen_at_s
+        came = tokens - self.seen_tokens
+        if since_s is None:
+            since_s = self.first_token_at_s
+        if since_s is None or now_s <= since_s:
+            return None
+        self.seen_at_s = now_s
+        self.seen_tokens = tokens
+        return (now_s - since_s) / max(came, 1.0)
 
 
 class EndpointState:
--- a/redwingvalve/routing/policy.py
+++ b/redwingvalve/routing/policy.py
@@ -47,6 +47,13 @@
     def first_token(self, request_id: str, now_s: float) -> None:
         """Learn when the first token of a request came."""
 
+    @abc.abstractmethod
+    def progressed(self, request_id: str, tokens: float, now_s: float) -> None:
+        """Learn how many tokens of a stream came so far.
+
+        Call it about once a second for each stream, not for each token.
+        """
+
     @abc.abstractmethod
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a request no longer."""
--- a/redwingvalve/routing/scored.py
+++ b/redwingvalve/routing/scored.py
@@ -27,6 +27,10 @@
 USUAL_STEP = 0.05
 START_MEAN_TOKENS = 300.0
 START_FIRST_TOKEN_S = 0.3
+# A prompt or two ahead delay a first token by this much on a healthy replica;
+# only what goes beyond tells a straggler.
+QUEUE_TOLERANCE_S = 0.5
+MIN_GAP_S = 0.001
 # More than any target: a probed straggler gets one request at a time.
 BUSY_PROBE_S = 30.0
 
@@ -54,6 +58,7 @@
         )
         self._mean_tokens = START_MEAN_TOKENS
         self._usual_s = START_FIRST_TOKEN_S
+        self._usual_gap_s: float | None = None
 
     def replace_candidates(
         self,
@@ -122,7 +127,7 @@
         delay_s = now_s - own.sent_at_s
         own.state.answered(request_id)
         own.state.observed(
-            delay_s / max(self._usual_s, 1e-3),
+            (delay_s + QUEUE_TOLERANCE_S) / (self._usual_s + QUEUE_TOLERANCE_S),
             now_s,
             self._settings.slowness_half_life_s,
         )
@@ -130,6 +135,24 @@
         bounded_s = min(delay_s, 3 * self._usual_s)
         self._usual_s += USUAL_STEP * (bounded_s - self._usual_s)
 
+    def progressed(self, request_id: str, tokens: float, now_s: float) -> None:
+        """Compare the gap between tokens with the usual one."""
+        own = self._own.get(request_id)
+        if own is None:
+            return
+        gap_s = own.gap_s(tokens, now_s)
+        if gap_s is None:
+            return
+        if self._usual_gap_s is None:
+            self._usual_gap_s = gap_s
+        own.state.observed(
+            gap_s / max(self._usual_gap_s, MIN_GAP_S),
+            now_s,
+            self._settings.slowness_half_life_s,
+        )
+        bounded_s = min(gap_s, 2 * self._usual_gap_s)
+        self._usual_gap_s += USUAL_STEP * (bounded_s - self._usual_gap_s)
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a request no longer."""
         own = self._own.pop(request_id, None)
@@ -246,11 +269,15 @@
         )
         if candidate.serving_since_s:
             delay_s = (delay_s + self._usual_s) / state.ramp(now_s, settings)
-        stalled_before_s = now_s - endpoint_state.STALL_FACTOR * self._usual_s
+        stalled_before_s = now_s - endpoint_state.STALL_FACTOR * (
+            self._usual_s + QUEUE_TOLERANCE_S
+        )
         if not state.may_be_slow(stalled_before_s):
             return delay_s
         slowness = state.slowness(
-            now_s, self._usual_s, settings.slowness_half_life_s
+            now_s,
+            self._usual_s + QUEUE_TOLERANCE_S,
+            settings.slowness_half_life_s,
         )
         if slowness > settings.probe_above_slowness and state.own_count:
             return BUSY_PROBE_S + delay_s * slowness
