Begin the soak run: callers, schedule, records and the checks of promises

Cause: the ledgers of callers and endpoints have to be compared without any knowledge of how the system works inside. Change: each request's prompt or body holds its name, so that a digest finds its runs; one pure check for each promise, each shown to find its breach. Conclusion: the run itself waits for the daemons.

--- /dev/null
+++ b/redwingvalve/soak/callers.py
@@ -0,0 +1,233 @@
+"""Callers as users write them: they ask for addresses and send again."""
+
+import contextlib
+import json
+import random
+import time
+import typing
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+import httpx
+
+from redwingvalve.core import outcomes
+from redwingvalve.soak import records, work
+
+DEADLINE_S = 12.0
+GRACE_S = 4.0
+MAX_ATTEMPTS = 4
+MAX_WAIT_S = 2.0
+MEAN_PAUSE_S = 0.3
+DISCOVERY_TIMEOUT_S = 2.0
+OK_STATUS = 200
+EVENT_ERROR = 'event: error'
+DATA = 'data: '
+DONE = 'data: [DONE]'
+
+
+class Directory:
+    """What a caller knows of entries; an answer is kept as long as it says."""
+
+    def __init__(
+        self, first: tuple[str, ...], client: httpx.AsyncClient
+    ) -> None:
+        """Ask any of the first addresses."""
+        self._first = first
+        self._client = client
+        self._known: tuple[str, ...] = ()
+        self._keep_until_s = 0.0
+
+    async def addresses(self, chance: random.Random) -> tuple[str, ...]:
+        """Return the entries to use; empty while none answers."""
+        if self._known and time.monotonic() < self._keep_until_s:
+            return self._known
+        asked = [*self._known, *self._first]
+        chance.shuffle(asked)
+        for address in asked:
+            with contextlib.suppress(httpx.HTTPError, ValueError, KeyError):
+                answer = await self._client.get(
+                    f'http://{address}/v1/entries', timeout=DISCOVERY_TIMEOUT_S
+                )
+                self._keep(answer.json())
+                return self._known
+        return ()
+
+    def forget(self) -> None:
+        """Ask again next time, as a caller does whose connection broke."""
+        self._keep_until_s = 0.0
+
+    def _keep(self, answer: dict[str, typing.Any]) -> None:
+        rows = answer['entries']
+        self._known = tuple(str(row['address']) for row in rows)
+        self._keep_until_s = time.monotonic() + float(answer['keep_s'])
+
+
+@attrs.define
+class CallerSettings:
+    """Who calls; disturbed tells whether an entry may rightly be silent."""
+
+    credential: str
+    target: work.Target
+    first_entries: tuple[str, ...]
+    disturbed: collections_abc.Callable[[str, float], bool]
+
+
+class Caller:
+    """One caller: a request at a time, sent again as the outcome allows."""
+
+    def __init__(
+        self, name: str, settings: CallerSettings, chance: random.Random
+    ) -> None:
+        """Call with a connection pool of its own."""
+        self._name = name
+        self._settings = settings
+        self._chance = chance
+        self._count = 0
+        self._client = httpx.AsyncClient(
+            headers={'authorization': f'Bearer {settings.credential}'}
+        )
+        self._directory = Directory(settings.first_entries, self._client)
+        self.records: list[records.Record] = []
+
+    async def run(self, ends_at_s: float) -> None:
+        """Call until a monotonic time."""
+        async with self._client:
+            while time.monotonic() < ends_at_s:
+                await self.call(work.choose_kind(self._chance))
+                pause_s = self._chance.expovariate(1 / MEAN_PAUSE_S)
+                await anyio.sleep(pause_s)
+
+    async def call(self, kind: work.Kind, marker: str = '') -> records.Record:
+        """Make one request, with as many attempts as a caller would."""
+        self._count += 1
+        asked = work.make_work(
+            f'{self._name}-{self._count}', kind, self._settings.target, marker
+        )
+        record = records.Record(asked)
+        self.records.append(record)
+        while len(record.attempts) < MAX_ATTEMPTS and not record.answered:
+            addresses = await self._directory.addresses(self._chance)
+            if not addresses:
+                await anyio.sleep(MAX_WAIT_S)
+                record.attempts.append(_nobody_there())
+                continue
+            attempt = records.Attempt(
+                self._chance.choice(addresses), time.time()
+            )
+            record.attempts.append(attempt)
+            await self._send(asked, attempt)
+            await self._wait_after(attempt)
+        return record
+
+    async def _wait_after(self, attempt: records.Attempt) -> None:
+        if attempt.whole:
+            return
+        if attempt.broken:
+            self._directory.forget()
+        await anyio.sleep(min(MAX_WAIT_S, max(0.1, attempt.retry_after_s)))
+
+    async def _send(self, asked: work.Work, attempt: records.Attempt) -> None:
+        try:
+            with anyio.fail_after(DEADLINE_S + GRACE_S):
+                await self._exchange(asked, attempt)
+        except TimeoutError:
+            # A dead or cut-off entry is silent; any other owes an answer.
+            disturbed = self._settings.disturbed
+            attempt.overdue = not disturbed(attempt.entry, attempt.started_s)
+            attempt.broken = True
+        except httpx.HTTPError:
+            attempt.broken = True
+        attempt.ended_s = time.time()
+        if attempt.broken and not attempt.outcome:
+            attempt.outcome = outcomes.Outcome.UNKNOWN.value
+
+    async def _exchange(
+        self, asked: work.Work, attempt: records.Attempt
+    ) -> None:
+        url = f'http://{attempt.entry}{asked.path}'
+        async with self._client.stream(
+            asked.method,
+            url,
+            content=asked.body,
+            headers=_headers(asked, len(self.records)),
+            timeout=DEADLINE_S + 2 * GRACE_S,
+        ) as answer:
+            attempt.status = answer.status_code
+            said = answer.headers.get(outcomes.OUTCOME_HEADER, '')
+            if answer.status_code != OK_STATUS:
+                attempt.outcome = said
+                _read_error(await answer.aread(), attempt)
+                attempt.retry_after_s = float(
+                    answer.headers.get('retry-after', 0)
+                )
+            elif asked.streamed:
+                await _read_stream(answer, attempt)
+            else:
+                _read_whole(asked, await answer.aread(), attempt)
+
+
+def _nobody_there() -> records.Attempt:
+    return records.Attempt(
+        'nobody',
+        time.time(),
+        ended_s=time.time(),
+        outcome=outcomes.Outcome.NOT_RUN.value,
+        broken=True,
+    )
+
+
+def _headers(asked: work.Work, number: int) -> dict[str, str]:
+    headers = {
+        outcomes.REQUEST_ID_HEADER: f'{asked.name}-{number}',
+        outcomes.DEADLINE_HEADER: str(round(DEADLINE_S * 1000)),
+        outcomes.IDEMPOTENT_HEADER: str(asked.idempotent).lower(),
+        'content-type': 'application/json',
+    }
+    if not asked.idempotent:
+        headers[outcomes.REQUEST_KEY_HEADER] = f'key-{asked.name}'
+    return headers
+
+
+async def _read_stream(
+    answer: httpx.Response, attempt: records.Attempt
+) -> None:
+    failed = False
+    async for line in answer.aiter_lines():
+        failed = failed or line == EVENT_ERROR
+        if failed and line.startswith(DATA):
+            _read_error(line.removeprefix(DATA).encode(), attempt)
+            return
+        if line.startswith(f'{DATA}{{'):
+            if not attempt.text:
+                attempt.first_token_s = time.time() - attempt.started_s
+            attempt.text += _content(line)
+    # A clean end is an answer that the caller takes for whole, be there a
+    # [DONE] or not.
+    attempt.whole = True
+    attempt.outcome = outcomes.Outcome.RAN.value
+
+
+def _content(line: str) -> str:
+    choices = json.loads(line.removeprefix(DATA)).get('choices') or [{}]
+    return str(choices[0].get('delta', {}).get('content') or '')
+
+
+def _read_whole(
+    asked: work.Work, body: bytes, attempt: records.Attempt
+) -> None:
+    content = json.loads(body)
+    if asked.prompt:
+        attempt.text = content['choices'][0]['message']['content']
+    else:
+        attempt.text = content['digest']
+    attempt.whole = True
+    attempt.outcome = outcomes.Outcome.RAN.value
+
+
+def _read_error(body: bytes, attempt: records.Attempt) -> None:
+    with contextlib.suppress(ValueError, KeyError, TypeError):
+        error = json.loads(body)['error']
+        attempt.code = error['code']
+        attempt.outcome = error['outcome']
+        attempt.retry_after_s = float(error.get('retry_after_s') or 0.0)
--- /dev/null
+++ b/redwingvalve/soak/comparing.py
@@ -0,0 +1,192 @@
+"""Compares the callers' records with the endpoints' ledgers.
+
+Pure: all clocks were read before. Each function looks for the breaches of one
+promise; bounds are arguments, so that a report can state them.
+"""
+
+import collections
+import itertools
+import math
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.soak import breaches, records, work
+from redwingvalve.standins import answers, ledger
+
+Promise = breaches.Promise
+Found = collections_abc.Iterator[breaches.Breach]
+Records = collections_abc.Sequence[records.Record]
+Runs = collections_abc.Sequence[ledger.LedgerEntry]
+
+
+@attrs.frozen
+class Leaving:
+    """A VM that left from at_s on (wall), until it was taken back."""
+
+    vm: str
+    at_s: float
+    until_s: float = math.inf
+
+
+@attrs.frozen
+class Bounds:
+    """How late each safeguard may act; from the brief and issue 5."""
+
+    missing_vm_s: float = 3.0
+    leaving_s: float = 3.0
+
+
+@attrs.frozen
+class Evidence:
+    """Everything that a run left behind."""
+
+    records: Records
+    runs: Runs
+    leaving: tuple[Leaving, ...] = ()
+    versions: frozenset[tuple[str, str]] = frozenset()
+
+
+def compare(evidence: Evidence, bounds: Bounds) -> tuple[breaches.Breach, ...]:
+    """Return every breach that records and ledgers show, by time."""
+    found = itertools.chain(
+        _unanswered(evidence.records),
+        _wrong_answers(evidence.records, evidence.versions),
+        _false_not_run(evidence.records, evidence.runs),
+        _double_runs(evidence.records, evidence.runs),
+        _incomplete_replicas(evidence.runs, bounds.missing_vm_s),
+        _work_for_leaving(evidence, bounds.leaving_s),
+        _cut_by_orders(evidence.runs),
+    )
+    return tuple(sorted(found, key=lambda breach: breach.at_s))
+
+
+def _runs_by_digest(runs: Runs) -> dict[str, list[ledger.LedgerEntry]]:
+    grouped: dict[str, list[ledger.LedgerEntry]] = collections.defaultdict(list)
+    for run in runs:
+        grouped[run.digest].append(run)
+    return grouped
+
+
+def _unanswered(all_records: Records) -> Found:
+    for record in all_records:
+        for attempt in record.attempts:
+            if attempt.overdue:
+                yield breaches.Breach(
+                    Promise.ANSWERED,
+                    record.work.name,
+                    f'{attempt.entry} gave no final answer by the deadline',
+                    attempt.started_s,
+                )
+
+
+def _wrong_answers(
+    all_records: Records, versions: frozenset[tuple[str, str]]
+) -> Found:
+    for record in all_records:
+        for attempt in record.attempts:
+            if attempt.whole and not _right(record.work, attempt, versions):
+                yield breaches.Breach(
+                    Promise.WHOLE_AND_OWN,
+                    record.work.name,
+                    f'{attempt.entry} gave {attempt.text[:80]!r}'
+                    f' ({len(attempt.text)} characters) as whole',
+                    attempt.ended_s or attempt.started_s,
+                )
+
+
+def _right(
+    asked: work.Work,
+    attempt: records.Attempt,
+    versions: frozenset[tuple[str, str]],
+) -> bool:
+    if not asked.prompt:
+        return attempt.text == asked.digest
+    return any(
+        attempt.text
+        == answers.whole_text(asked.prompt, model, version, asked.max_tokens)
+        for model, version in versions
+    )
+
+
+def _false_not_run(all_records: Records, runs: Runs) -> Found:
+    by_digest = _runs_by_digest(runs)
+    for record in all_records:
+        for index, attempt in enumerate(record.attempts):
+            if not attempt.surely_not_run:
+                # A run may come of this attempt at any later time.
+                break
+            until_s = _next_start_s(record, index)
+            for run in by_digest[record.work.digest]:
+                if attempt.started_s <= run.started < until_s:
+                    yield _false_word(record, attempt, run)
+
+
+def _next_start_s(record: records.Record, index: int) -> float:
+    following = record.attempts[index + 1 :]
+    return following[0].started_s if following else math.inf
+
+
+def _false_word(
+    record: records.Record, attempt: records.Attempt, run: ledger.LedgerEntry
+) -> breaches.Breach:
+    return breaches.Breach(
+        Promise.NOT_RUN,
+        record.work.name,
+        f'{attempt.entry} said not-run ({attempt.code}), '
+        f'{run.vm} ran it as {run.request_id}',
+        run.started,
+    )
+
+
+def _double_runs(all_records: Records, runs: Runs) -> Found:
+    by_digest = _runs_by_digest(runs)
+    for record in all_records:
+        ran = by_digest[record.work.digest]
+        if record.work.idempotent or len(ran) <= 1:
+            continue
+        places = ', '.join(f'{run.vm} as {run.request_id}' for run in ran)
+        yield breaches.Breach(
+            Promise.AT_MOST_ONCE,
+            record.work.name,
+            f'it ran {len(ran)} times: {places}',
+            ran[1].started,
+        )
+
+
+def _incomplete_replicas(runs: Runs, bound_s: float) -> Found:
+    for run in runs:
+        if run.missing_s > bound_s:
+            yield breaches.Breach(
+                Promise.NO_VM_MISSING,
+                run.replica,
+                f'{run.request_id} was sent {run.missing_s:.2f} s after a VM '
+                'had gone',
+                run.started,
+            )
+
+
+def _work_for_leaving(evidence: Evidence, bound_s: float) -> Found:
+    for left in evidence.leaving:
+        for run in evidence.runs:
+            concerned = left.vm == run.vm or left.vm in run.members
+            late = left.at_s + bound_s < run.started < left.until_s
+            if concerned and late:
+                yield breaches.Breach(
+                    Promise.LEAVING,
+                    left.vm,
+                    f'{run.request_id} came {run.started - left.at_s:.2f} s '
+                    'after it began to leave',
+                    run.started,
+                )
+
+
+def _cut_by_orders(runs: Runs) -> Found:
+    for run in runs:
+        if run.cut == 'order':
+            yield breaches.Breach(
+                Promise.PLANNED_STOP,
+                run.replica,
+                f'an order cut {run.request_id} after {run.tokens} tokens',
+                run.finished or run.started,
+            )
--- /dev/null
+++ b/redwingvalve/soak/tests/test_comparing.py
@@ -0,0 +1,115 @@
+"""Each promise can be seen to break in records and ledgers."""
+
+import attrs
+import pytest
+
+from redwingvalve.soak import breaches, comparing, records, schedule, work
+from redwingvalve.standins import answers, ledger
+
+TARGET = work.Target('quotes', '/records/', '/records/job-cards')
+QUOTE = work.make_work('w1', work.Kind.QUOTE, TARGET)
+STREAM = work.make_work('w2', work.Kind.NARRATIVE, TARGET)
+VERSIONS = frozenset({('m', '1'), ('m', '2')})
+
+
+def attempt(**fields):
+    return records.Attempt('entry', 10.0, 11.0, **fields)
+
+
+def run(asked, **fields):
+    return ledger.LedgerEntry(
+        **{'request_id': 'r', 'started': 10.5, 'digest': asked.digest, **fields}
+    )
+
+
+def text_of(asked, version='1'):
+    return answers.whole_text(asked.prompt, 'm', version, asked.max_tokens)
+
+
+CASES = [
+    (
+        breaches.Promise.ANSWERED,
+        [records.Record(QUOTE, [attempt(overdue=True)])],
+        [],
+    ),
+    (
+        breaches.Promise.WHOLE_AND_OWN,
+        [records.Record(STREAM, [attempt(whole=True, text=' t0-abc')])],
+        [],
+    ),
+    (
+        breaches.Promise.WHOLE_AND_OWN,
+        [records.Record(STREAM, [attempt(whole=True, text=text_of(QUOTE))])],
+        [],
+    ),
+    (
+        breaches.Promise.NOT_RUN,
+        [records.Record(QUOTE, [attempt(outcome='not-run')])],
+        [run(QUOTE)],
+    ),
+    (
+        breaches.Promise.AT_MOST_ONCE,
+        [records.Record(QUOTE, [attempt(outcome='unknown')])],
+        [run(QUOTE), run(QUOTE, started=12.0)],
+    ),
+    (breaches.Promise.NO_VM_MISSING, [], [run(STREAM, missing_s=3.5)]),
+    (
+        breaches.Promise.LEAVING,
+        [],
+        [run(STREAM, members=('vm-1',), started=13.5)],
+    ),
+    (breaches.Promise.PLANNED_STOP, [], [run(STREAM, cut='order')]),
+]
+
+
+@pytest.mark.parametrize(('promise', 'seen', 'ran'), CASES)
+def test_a_broken_promise_is_found_and_only_that(promise, seen, ran):
+    evidence = comparing.Evidence(
+        seen, ran, (comparing.Leaving('vm-1', 10.0),), VERSIONS
+    )
+    found = comparing.compare(evidence, comparing.Bounds())
+    assert [breach.promise for breach in found] == [promise]
+
+
+def test_what_is_allowed_is_no_breach():
+    """A request may be sent again after not-run, and idempotent ones always.
+
+    The second attempt of the quote runs; the stream is resumed on another
+    replica after its first was cut by a death; work in the first seconds of
+    a leaving is in flight already.
+    """
+    seen = [
+        records.Record(
+            QUOTE,
+            [
+                attempt(outcome='not-run'),
+                records.Attempt(
+                    'e', 12.0, 13.0, whole=True, text=text_of(QUOTE)
+                ),
+            ],
+        ),
+        records.Record(
+            STREAM, [attempt(whole=True, text=text_of(STREAM, '2'))]
+        ),
+    ]
+    ran = [
+        run(QUOTE, started=12.1),
+        run(STREAM, cut='died', members=('vm-1',)),
+        run(STREAM, missing_s=0.2),
+    ]
+    evidence = comparing.Evidence(
+        seen, ran, (comparing.Leaving('vm-1', 10.0),), VERSIONS
+    )
+    assert comparing.compare(evidence, comparing.Bounds()) == ()
+
+
+def test_a_schedule_follows_from_its_seed_and_ends_in_calm():
+    first = schedule.make_schedule(3, 600.0)
+    assert first == schedule.make_schedule(3, 600.0)
+    assert first != schedule.make_schedule(4, 600.0)
+    assert {fault.name for fault in first} == set(schedule.FaultName)
+    calm = schedule.make_schedule(
+        3, 600.0, frozenset({schedule.FaultName.POISON})
+    )
+    assert schedule.FaultName.POISON not in {fault.name for fault in calm}
+    assert attrs.evolve(first[0]) in first
--- a/redwingvalve/standins/engine.py
+++ b/redwingvalve/standins/engine.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 import time
 from collections import abc as collections_abc
 
@@ -26,8 +27,10 @@
 )
 
 MISSING_TIMEOUT_S = 1.0
+# Whoever took a VM for dead may act on it for so long after its return.
+AFTERMATH_S = 15.0
 PAUSE_CHECK_S = 0.01
-NO_LIMIT = 1_000_000
+SOME_TIME_S = 0.000001
 
 
 @attrs.frozen
@@ -45,6 +48,17 @@
     seed: int = 0
 
 
+@attrs.frozen
+class Missing:
+    """How long a replica has lacked a VM, and whether a fault was the cause."""
+
+    duration_s: float = 0.0
+    by_fault: bool = False
+
+
+COMPLETE = Missing()
+
+
 class Fabric:
     """Which engines of this process are alive; a death has a time."""
 
@@ -52,16 +66,19 @@
         """Start without engines."""
         self.engines: dict[str, Engine] = {}
 
-    def missing_s(
+    def missing(
         self, state: engine_orders.EngineState, now_s: float
-    ) -> float:
+    ) -> Missing:
         """Return for how long the replica of a head has been incomplete."""
-        longest = 0.0
-        for member in state.members:
-            engine = self.engines.get(member)
-            if engine is not None:
-                longest = max(longest, engine.absent_s(state, now_s))
-        return longest
+        absences = [
+            self.engines[member].absence(state, now_s)
+            for member in state.members
+            if member in self.engines
+        ]
+        return Missing(
+            max((absent.duration_s for absent in absences), default=0.0),
+            any(absent.by_fault for absent in absences),
+        )
 
 
 class Engine:
@@ -96,6 +113,8 @@
         self._arrivals = itertools.count()
         self._stepping = False
         self._absent_since_s: float | None = None
+        self._paused_since_s = 0.0
+        self._disturbed_until_s = 0.0
 
     def attach(self, group: anyio_abc.TaskGroup) -> None:
         """Name the task group in which steps run."""
@@ -110,27 +129,31 @@
     ) -> Result[bool, engine_orders.OrderRefused]:
         """Take an order; runs that it makes impossible are cut."""
         before = self.orders.plain
+        failed = self.missing().by_fault
         applied = self.orders.apply(order, time.monotonic())
         if applied.is_ok() and applied.ok:
             self._absent_since_s = time.monotonic()
-            self.batch.cut_all('order')
+            self.batch.cut_all('incomplete' if failed else 'order')
             self.exported_kv.clear()
         if applied.is_ok() and before.model != order.model:
             self.cache.clear(time.monotonic())
         return applied
 
-    def incomplete_s(self) -> float:
+    def missing(self) -> Missing:
         """Return for how long a VM of this replica has been missing."""
-        return self._fabric.missing_s(self.orders.plain, time.monotonic())
+        return self._fabric.missing(self.orders.plain, time.monotonic())
 
-    def absent_s(self, head: engine_orders.EngineState, now_s: float) -> float:
+    def absence(self, head: engine_orders.EngineState, now_s: float) -> Missing:
         """Return for how long this VM has not been there for a replica."""
-        if self.dead and self._absent_since_s is not None:
-            return max(now_s - self._absent_since_s, 1e-6)
+        by_fault = now_s < self._disturbed_until_s
+        if self.paused():
+            return Missing(now_s - self._paused_since_s, by_fault)
         plain = self.orders.plain
-        if (plain.replica, plain.epoch) == (head.replica, head.epoch):
-            return 0.0
-        return max(now_s - (self._absent_since_s or now_s), 1e-6)
+        there = (plain.replica, plain.epoch) == (head.replica, head.epoch)
+        if there and not self.dead:
+            return COMPLETE
+        since_s = self._absent_since_s or now_s
+        return Missing(max(now_s - since_s, SOME_TIME_S), by_fault)
 
     def submit(
         self,
@@ -172,6 +195,7 @@
         """
         self.dead = True
         self._absent_since_s = time.monotonic()
+        self._disturbed_until_s = math.inf
         self.batch.cut_all('died')
         self.cache.clear(time.monotonic())
         self.orders.restart()
@@ -182,6 +206,13 @@
         """Come back idle, as a new incarnation."""
         self.dead = False
         self.faults.paused_until_s = 0.0
+        self._disturbed_until_s = time.monotonic() + AFTERMATH_S
+
+    def note_pause(self) -> None:
+        """Remember that a pause begins now, if one does."""
+        if self.paused():
+            self._paused_since_s = time.monotonic()
+            self._disturbed_until_s = self.faults.paused_until_s + AFTERMATH_S
 
     def paused(self) -> bool:
         """Tell whether the engine is paused now."""
@@ -205,12 +236,14 @@
     def _step(self) -> None:
         if self.dead or not self.orders.ready(time.monotonic()):
             return
-        incomplete_s = self.incomplete_s()
-        if incomplete_s and not self.faults.serve_incomplete:
+        missing = self.missing()
+        if missing.duration_s and not self.faults.serve_incomplete:
             # A replica that lost a VM makes no progress; its collective
             # operations time out and every run fails.
-            if incomplete_s > MISSING_TIMEOUT_S:
-                self.batch.cut_all('incomplete')
+            if missing.duration_s > MISSING_TIMEOUT_S:
+                self.batch.cut_all(
+                    'incomplete' if missing.by_fault else 'order'
+                )
             return
         for run in self.batch.admit():
             if self._is_poison(run):
--- a/redwingvalve/standins/engine_app.py
+++ b/redwingvalve/standins/engine_app.py
@@ -130,6 +130,7 @@
             self._engine.orders.ignores_fencing = True
         else:
             faults.set_fault(self._engine.faults, wanted, time.monotonic())
+            self._engine.note_pause()
         await exchange.answer(200, {})
 
     async def _clear_faults(self, exchange: asgi.Exchange) -> None:
@@ -199,7 +200,8 @@
                 vm=state.vm,
                 path=exchange.path,
                 first_token=request.resumed,
-                missing_s=served.incomplete_s(),
+                missing_s=served.missing().duration_s,
+                members=state.members,
             )
         )
         self._run = served.submit(
--- a/redwingvalve/standins/ledger.py
+++ b/redwingvalve/standins/ledger.py
@@ -7,9 +7,10 @@
 class LedgerEntry:
     """One run; times are wall seconds, finished is None until its end.
 
-    cut says why a run ended before its end: cancelled, disconnected, order,
-    died. missing_s is how long a VM of the replica had been missing when the
-    run started, 0.0 when none was. first_token is where a resume went on.
+    cut says why a run ended before its end: cancelled, disconnected, order
+    (nothing had failed), incomplete (a VM had failed), died. missing_s is how
+    long a VM of the replica had been missing when the run started, 0.0 when
+    none was. first_token is where a resume went on.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     finished: float | None = None
     cut: str = ''
     missing_s: float = 0.0
+    members: tuple[str, ...] = ()
 
 
 class Ledger:
