--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,9 +1,10 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, operate, options, token
+from redwingvalve.cli import check, operate, options, token, trace
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
     *operate.ALL,
     *token.ALL,
+    trace.TRACE,
 )
--- a/redwingvalve/soak/comparing.py
+++ b/redwingvalve/soak/comparing.py
@@ -112,10 +112,11 @@
 def _false_not_run(all_records: Records, runs: Runs) -> Found:
     by_digest = _runs_by_digest(runs)
     for record in all_records:
-        for index, attempt in enumerate(record.attempts):
-            if not attempt.surely_not_run:
-                # A run may come of this attempt at any later time.
-                break
+        # After any other outcome a run may come of it at any later time.
+        refused = itertools.takewhile(
+            lambda attempt: attempt.surely_not_run, record.attempts
+        )
+        for index, attempt in enumerate(refused):
             until_s = _next_start_s(record, index)
             for run in by_digest[record.work.digest]:
                 if attempt.started_s <= run.started < until_s:
