--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,10 +1,11 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, operate, options, token, trace
+from redwingvalve.cli import check, operate, options, report, token, trace
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
     *operate.ALL,
     *token.ALL,
+    report.REPORT,
     trace.TRACE,
 )
--- /dev/null
+++ b/redwingvalve/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Turns results of benches and experiments into plots and one HTML page."""
