--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,11 +1,12 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, operate, options, report, token, trace
+from redwingvalve.cli import check, operate, options, report, soak, token, trace
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
     *operate.ALL,
     *token.ALL,
     report.REPORT,
+    soak.SOAK,
     trace.TRACE,
 )
--- a/redwingvalve/configuration/decoding.py
+++ b/redwingvalve/configuration/decoding.py
@@ -124,9 +124,7 @@
     content = stored.body['content']
     if content is None:
         return records.Record(stored.kind, stored.name, version, deleted=True)
-    return records.Record(
-        stored.kind, stored.name, version, _compact(content)
-    )
+    return records.Record(stored.kind, stored.name, version, _compact(content))
 
 
 def _structure(kind: str, plain: typing.Any) -> typing.Any:
--- a/redwingvalve/soak/breaches.py
+++ b/redwingvalve/soak/breaches.py
@@ -20,6 +20,8 @@
     LEAVING = 'a leaving endpoint receives no new work'
     PLANNED_STOP = 'a planned stop cuts off no request'
     CONFIGURATION = 'an accepted configuration never reverts'
+    POISON = 'a poison request kills at most two endpoints'
+    INVARIANT = 'the invariants asserted inside the program hold'
     RACE = 'of two racing operators exactly one wins'
 
 
--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -98,6 +98,15 @@
                 pause_s = self._chance.expovariate(1 / MEAN_PAUSE_S)
                 await anyio.sleep(pause_s)
 
+    async def probe(self, address: str) -> bool:
+        """Tell whether an entry answers a model request whole."""
+        self._count += 1
+        name = f'{self._name}-{self._count}'
+        asked = work.make_work(name, work.Kind.NARRATIVE, self._settings.target)
+        attempt = records.Attempt(address, time.time())
+        await self._send(asked, attempt)
+        return attempt.whole
+
     async def call(self, kind: work.Kind, marker: str = '') -> records.Record:
         """Make one request, with as many attempts as a caller would."""
         self._count += 1
@@ -136,8 +145,14 @@
             disturbed = self._settings.disturbed
             attempt.overdue = not disturbed(attempt.entry, attempt.started_s)
             attempt.broken = True
+            attempt.excused = True
+        except httpx.ConnectError:
+            attempt.broken = True
+            attempt.excused = True
         except httpx.HTTPError:
             attempt.broken = True
+            disturbed = self._settings.disturbed
+            attempt.excused = disturbed(attempt.entry, attempt.started_s)
         attempt.ended_s = time.time()
         if attempt.broken and not attempt.outcome:
             attempt.outcome = outcomes.Outcome.UNKNOWN.value
@@ -174,6 +189,7 @@
         ended_s=time.time(),
         outcome=outcomes.Outcome.NOT_RUN.value,
         broken=True,
+        excused=True,
     )
 
 
--- a/redwingvalve/soak/comparing.py
+++ b/redwingvalve/soak/comparing.py
@@ -11,13 +11,14 @@
 
 import attrs
 
-from redwingvalve.soak import breaches, records, work
+from redwingvalve.soak import breaches, operators, records, work
 from redwingvalve.standins import answers, ledger
 
 Promise = breaches.Promise
 Found = collections_abc.Iterator[breaches.Breach]
 Records = collections_abc.Sequence[records.Record]
 Runs = collections_abc.Sequence[ledger.LedgerEntry]
+DEATHS_ALLOWED = 2
 
 
 @attrs.frozen
@@ -57,6 +58,8 @@
         _incomplete_replicas(evidence.runs, bounds.missing_vm_s),
         _work_for_leaving(evidence, bounds.leaving_s),
         _cut_by_orders(evidence.runs),
+        _cut_by_entries(evidence.records),
+        _deadly(evidence.records, evidence.runs),
     )
     return tuple(sorted(found, key=lambda breach: breach.at_s))
 
@@ -182,6 +185,53 @@
                 )
 
 
+def _cut_by_entries(all_records: Records) -> Found:
+    for record in all_records:
+        for attempt in record.attempts:
+            if attempt.cut:
+                yield breaches.Breach(
+                    Promise.PLANNED_STOP,
+                    attempt.entry,
+                    f'{record.work.name} was cut off by an entry that no '
+                    'fault had hit',
+                    attempt.ended_s or attempt.started_s,
+                )
+
+
+def _deadly(all_records: Records, runs: Runs) -> Found:
+    by_digest = _runs_by_digest(runs)
+    for record in all_records:
+        deadly = [
+            run
+            for run in by_digest[record.work.digest]
+            if record.work.poison and run.cut == 'died'
+        ]
+        if len(deadly) > DEATHS_ALLOWED:
+            yield breaches.Breach(
+                Promise.POISON,
+                record.work.name,
+                f'it killed {", ".join(run.vm for run in deadly)}',
+                deadly[-1].started,
+            )
+
+
+def double_wins(
+    races: collections_abc.Iterable[
+        collections_abc.Sequence[operators.Confirmation]
+    ],
+) -> Found:
+    """Yield the races that more than one operator won."""
+    for race in races:
+        won = [each for each in race if each.status == operators.OK_STATUS]
+        if len(won) > 1:
+            yield breaches.Breach(
+                Promise.RACE,
+                won[0].plan,
+                f'{", ".join(each.plan for each in won)} were all confirmed',
+                0.0,
+            )
+
+
 def _cut_by_orders(runs: Runs) -> Found:
     for run in runs:
         if run.cut == 'order':
--- /dev/null
+++ b/redwingvalve/soak/daemon_faults.py
@@ -0,0 +1,78 @@
+"""Faults of entries and controllers, and operators who race."""
+
+from redwingvalve.soak import daemons, operators, schedule, targets
+
+RACERS = 2
+VERSIONS = 3
+FEWEST_REPLICAS = 3
+NOBODY = 'nobody'
+
+
+async def entry_dies(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Kill an entry."""
+    return await _away(hit, daemons.ENTRY, fault)
+
+
+async def control_dies(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Kill a controller."""
+    return await _away(hit, daemons.CONTROL, fault)
+
+
+async def entry_pauses(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Freeze an entry."""
+    return await _pause(hit, daemons.ENTRY, fault)
+
+
+async def control_pauses(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Freeze a controller, beyond its lease now and then."""
+    return await _pause(hit, daemons.CONTROL, fault)
+
+
+async def entry_stops(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Stop an entry gracefully while callers use it."""
+    victim = hit.daemon(daemons.ENTRY, fault)
+    if victim is None:
+        return NOBODY
+    took_s = await hit.daemons.stop(victim.name, fault.duration_s)
+    hit.stop_times_s.append(took_s)
+    return f'{victim.name}, ended after {took_s:.1f} s'
+
+
+async def operators_race(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Let two operators confirm plans made from the same world."""
+    contenders = []
+    apis = hit.daemons.role(daemons.CONTROL)
+    for index in range(RACERS):
+        number = next(hit.wish_numbers)
+        wish = operators.Wish(
+            number, str(1 + number % VERSIONS), FEWEST_REPLICAS + number % 2
+        )
+        api = targets.pick(apis, (fault.where + index / RACERS) % 1)
+        declaration = operators.declaration_of(
+            wish,
+            hit.platform.service_addresses,
+            hit.platform.size.load_time_s,
+        )
+        operator = operators.Operator(api.address, hit.bearer)
+        contenders.append((operator, wish, declaration))
+    tried = await operators.race(contenders)
+    hit.races.append(tried)
+    return ', '.join(
+        f'probe-{each.wish.number}: {each.status}' for each in tried
+    )
+
+
+async def _away(hit: targets.Targets, role: str, fault: schedule.Fault) -> str:
+    victim = hit.daemon(role, fault)
+    if victim is None:
+        return NOBODY
+    await hit.daemons.kill(victim.name, fault.duration_s)
+    return victim.name
+
+
+async def _pause(hit: targets.Targets, role: str, fault: schedule.Fault) -> str:
+    victim = hit.daemon(role, fault)
+    if victim is None or not hit.daemons.can_pause:
+        return NOBODY
+    await hit.daemons.pause(victim.name, fault.duration_s)
+    return victim.name
--- /dev/null
+++ b/redwingvalve/soak/observing.py
@@ -0,0 +1,192 @@
+"""Watches the store and the entries while a run goes on."""
+
+import contextlib
+import time
+
+import anyio
+import attrs
+import httpx
+
+from redwingvalve.plans import objects
+from redwingvalve.replicas import codec
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.soak import breaches, daemons, operators, platform
+
+INTERVAL_S = 0.4
+PROBE_TIMEOUT_S = 1.0
+OK_STATUS = 200
+NEWEST_TRIED = 3
+
+
+@attrs.define
+class Generation:
+    """One confirmation as the store shows it; times are wall seconds."""
+
+    number: int
+    credential: str
+    seen_s: float
+    in_force_s: float = 0.0
+
+
+@attrs.define
+class Observer:
+    """Finds VMs in two replicas and configuration that reverts."""
+
+    platform: platform.Platform
+    daemons: daemons.Daemons
+    journal: breaches.Journal
+    found: list[breaches.Breach] = attrs.field(factory=list)
+    generations: list[Generation] = attrs.field(factory=list)
+    versions: set[tuple[str, str]] = attrs.field(factory=set)
+    moments: list[tuple[float, int, int]] = attrs.field(factory=list)
+    _accepted: dict[str, int] = attrs.field(factory=dict)
+    _reported: set[str] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            self._look_at_store()
+            self._sample()
+            await self._probe_entries()
+            await anyio.sleep(INTERVAL_S)
+
+    def _sample(self) -> None:
+        heads = len(self.platform.serving_heads())
+        self.moments.append((time.time(), heads, self.platform.stranded()))
+
+    def _look_at_store(self) -> None:
+        store = self.platform.store.store
+        domains = map(
+            domain_module.from_stored,
+            store.list_now(domain_module.KIND).objects,
+        )
+        replicas = [each for domain in domains for each in domain.replicas]
+        self.versions.update((each.model, each.version) for each in replicas)
+        self._look_at_members(replicas)
+        self._look_at_generation()
+
+    def _look_at_members(
+        self, replicas: list[domain_module.DomainReplica]
+    ) -> None:
+        holders: dict[str, str] = {}
+        for replica in replicas:
+            for member in replica.members:
+                other = holders.setdefault(member, replica.name)
+                if other != replica.name:
+                    self._breach(
+                        breaches.Promise.VM_IN_ONE,
+                        member,
+                        f'it is in {other} and {replica.name}',
+                    )
+
+    def _look_at_generation(self) -> None:
+        store = self.platform.store.store
+        named = {
+            stored.name: stored
+            for stored in store.list_now(objects.DECLARATIONS).objects
+        }
+        if objects.CURRENT not in named:
+            return
+        current = codec.from_body(
+            named[objects.CURRENT].body, objects.Confirmed
+        )
+        if self.generations and (
+            current.generation <= self.generations[-1].number
+        ):
+            return
+        self.generations.append(
+            Generation(current.generation, self._credential(), time.time())
+        )
+        self.journal.note(f'generation {current.generation} is confirmed')
+
+    def _credential(self) -> str:
+        """Return the digest that the confirmed plan declares for probes."""
+        store = self.platform.store.store
+        current = next(
+            stored
+            for stored in store.list_now(objects.DECLARATIONS).objects
+            if stored.name == objects.CURRENT
+        )
+        plan_name = codec.from_body(current.body, objects.Confirmed).plan
+        plan = next(
+            stored
+            for stored in store.list_now(objects.PLANS).objects
+            if stored.name == plan_name
+        )
+        accounts = plan.body['declaration']['client_accounts']
+        return next(
+            account['credential_sha256']
+            for account in accounts
+            if account['name'] == operators.PROBE_ACCOUNT
+        )
+
+    async def _probe_entries(self) -> None:
+        now_s = time.time()
+        answers: list[int | None] = []
+        for daemon in self.daemons.role(daemons.ENTRY):
+            index = await self._accepted_by(daemon.address)
+            disturbed = self.daemons.disturbed(daemon.address, now_s)
+            if not disturbed and not daemon.stopping:
+                answers.append(index)
+            if index is not None:
+                self._note_accepted(daemon.name, index)
+        known = [index for index in answers if index is not None]
+        if answers and len(known) == len(answers):
+            self._note_in_force(min(known))
+
+    def _note_accepted(self, name: str, index: int) -> None:
+        before = self._accepted.get(name, 0)
+        if index < before:
+            self._breach(
+                breaches.Promise.CONFIGURATION,
+                name,
+                f'it went back from generation {self.generations[before]} '
+                f'to {self.generations[index]}',
+            )
+        self._accepted[name] = max(before, index)
+
+    def _note_in_force(self, lowest: int) -> None:
+        for generation in self.generations[: lowest + 1]:
+            if not generation.in_force_s:
+                generation.in_force_s = time.time()
+
+    async def _accepted_by(self, address: str) -> int | None:
+        """Return the newest generation whose credential an entry takes."""
+        newest = len(self.generations) - 1
+        for index in range(newest, max(-1, newest - NEWEST_TRIED), -1):
+            if await self._takes(address, self.generations[index]):
+                return index
+        return None
+
+    async def _takes(self, address: str, generation: Generation) -> bool:
+        credential = credential_of(generation.credential)
+        with contextlib.suppress(httpx.HTTPError):
+            answer = await self.platform.client.get(
+                f'http://{address}/v1/models',
+                headers={'authorization': f'Bearer {credential}'},
+                timeout=PROBE_TIMEOUT_S,
+            )
+            return answer.status_code == OK_STATUS
+        return False
+
+    def _breach(
+        self, promise: breaches.Promise, subject: str, details: str
+    ) -> None:
+        if details in self._reported:
+            return
+        self._reported.add(details)
+        self.found.append(
+            breaches.Breach(promise, subject, details, time.time())
+        )
+
+
+def credential_of(digest: str) -> str:
+    """Return the probe credential with a digest; empty when unknown."""
+    return next(
+        (
+            wish.probe_credential
+            for wish in map(operators.Wish, range(1, 400))
+            if operators.digest_of(wish.probe_credential) == digest
+        ),
+        '',
+    )
--- /dev/null
+++ b/redwingvalve/soak/operators.py
@@ -0,0 +1,167 @@
+"""Operators who plan and confirm, alone and against each other."""
+
+import contextlib
+import hashlib
+import typing
+
+import anyio
+import attrs
+import httpx
+import yaml
+
+from redwingvalve.administration import actions, rights, tokens
+from redwingvalve.platform_api import object_api
+
+TIMEOUT_S = 6.0
+OK_STATUS = 200
+CREDENTIAL = 'soak-callers'
+PROBE_ACCOUNT = 'probe'
+DEPLOYMENT = 'quotes'
+MODEL = 'quote-writer'
+PREFIX = '/records/'
+NON_IDEMPOTENT = '/records/job-cards'
+
+
+@attrs.frozen
+class Wish:
+    """What varies between declarations; number names it by a credential."""
+
+    number: int
+    version: str = '1'
+    replicas: int = 4
+
+    @property
+    def probe_credential(self) -> str:
+        """Return the credential that only this declaration accepts."""
+        return f'probe-{self.number}'
+
+
+@attrs.frozen
+class Confirmation:
+    """An operator's try; status is 0 when no answer came."""
+
+    wish: Wish
+    plan: str
+    status: int
+    message: str
+
+
+def digest_of(credential: str) -> str:
+    """Return what a declaration holds of a credential."""
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
+def declaration_of(
+    wish: Wish, service_addresses: tuple[str, ...], load_time_s: float
+) -> str:
+    """Return the YAML text of a declaration."""
+    deployment: dict[str, typing.Any] = {
+        'name': DEPLOYMENT,
+        'model': MODEL,
+        'version': wish.version,
+        'replicas': wish.replicas,
+        'vms_per_replica': 4,
+        'floor_replicas': 2,
+        'load_time_s': load_time_s,
+    }
+    service = {
+        'name': 'records',
+        'path_prefix': PREFIX,
+        'addresses': list(service_addresses),
+        'non_idempotent_paths': [NON_IDEMPOTENT],
+    }
+    accounts = [
+        _account('callers', CREDENTIAL),
+        _account(PROBE_ACCOUNT, wish.probe_credential),
+    ]
+    return yaml.safe_dump(
+        {
+            'operator': 'soak',
+            'deployments': [deployment],
+            'services': [service],
+            'client_accounts': accounts,
+        }
+    )
+
+
+def _account(name: str, credential: str) -> dict[str, typing.Any]:
+    return {
+        'name': name,
+        'credential_sha256': digest_of(credential),
+        'priority': 5,
+        'deployments': [DEPLOYMENT],
+    }
+
+
+class Operator:
+    """Calls the administration API of one controller."""
+
+    def __init__(self, address: str, bearer: str) -> None:
+        """Use a bearer token at host:port."""
+        self._base_url = f'http://{address}{actions.BASE_PATH}'
+        self._headers = {'authorization': f'Bearer {bearer}'}
+
+    async def plan(self, declaration: str) -> tuple[str, str]:
+        """Return the plan's name, or an empty one and why there is none."""
+        answer = await self._post('/plans', {'declaration': declaration})
+        if answer is None:
+            return '', 'no answer'
+        if answer.status_code != OK_STATUS:
+            return '', answer.text[:200]
+        return str(answer.json()['name']), ''
+
+    async def confirm(self, wish: Wish, plan: str) -> Confirmation:
+        """Confirm a plan."""
+        answer = await self._post(f'/plans/{plan}/confirm', {})
+        if answer is None:
+            return Confirmation(wish, plan, 0, 'no answer')
+        return Confirmation(wish, plan, answer.status_code, answer.text[:200])
+
+    async def reachable(self) -> bool:
+        """Tell whether the API answers this token."""
+        with contextlib.suppress(httpx.HTTPError):
+            async with httpx.AsyncClient(
+                headers=self._headers, timeout=TIMEOUT_S
+            ) as client:
+                answer = await client.get(f'{self._base_url}/status')
+                return answer.status_code == OK_STATUS
+        return False
+
+    async def _post(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> httpx.Response | None:
+        with contextlib.suppress(httpx.HTTPError):
+            async with httpx.AsyncClient(
+                headers=self._headers, timeout=TIMEOUT_S
+            ) as client:
+                return await client.post(f'{self._base_url}{path}', json=body)
+        return None
+
+
+async def race(
+    contenders: list[tuple[Operator, Wish, str]],
+) -> list[Confirmation]:
+    """Let operators plan one after the other and confirm at one moment."""
+    planned = []
+    for operator, wish, declaration in contenders:
+        name, _ = await operator.plan(declaration)
+        if name:
+            planned.append((operator, wish, name))
+    tried: list[Confirmation] = []
+
+    async def confirm(operator: Operator, wish: Wish, name: str) -> None:
+        tried.append(await operator.confirm(wish, name))
+
+    async with anyio.create_task_group() as group:
+        for operator, wish, name in planned:
+            group.start_soon(confirm, operator, wish, name)
+    return tried
+
+
+async def issue_token(store: object_api.ObjectApi) -> str:
+    """Write an administrator's token and return its bearer."""
+    issued = tokens.issue('soak', 'soak', rights.Role.ADMINISTRATOR)
+    await store.create(
+        tokens.KIND, issued.record.token_id, tokens.encode(issued.record)
+    )
+    return issued.bearer
--- a/redwingvalve/soak/records.py
+++ b/redwingvalve/soak/records.py
@@ -5,13 +5,16 @@
 from redwingvalve.core import outcomes
 from redwingvalve.soak import work
 
+AT_ONCE_S = 0.5
+
 
 @attrs.define
 class Attempt:
     """One send; ended_s is None while no final answer has come.
 
     whole says that the end of the answer was seen; broken that the connection
-    to the entry failed; overdue that neither came by the deadline.
+    to the entry failed, excused that a fault explains it; overdue that neither
+    came by the deadline.
     """
 
     entry: str
@@ -23,10 +26,22 @@
     text: str = ''
     whole: bool = False
     broken: bool = False
+    excused: bool = False
     overdue: bool = False
     retry_after_s: float = 0.0
     first_token_s: float = 0.0
 
+    @property
+    def cut(self) -> bool:
+        """Tell whether an undisturbed entry broke off what it worked on.
+
+        An idle connection may be closed just as a request is sent; that ends
+        at once and is no breach.
+        """
+        if not self.broken or self.excused or self.ended_s is None:
+            return False
+        return bool(self.status) or self.ended_s - self.started_s > AT_ONCE_S
+
     @property
     def surely_not_run(self) -> bool:
         """Tell whether the system said that this attempt was not run."""
--- a/redwingvalve/soak/schedule.py
+++ b/redwingvalve/soak/schedule.py
@@ -32,8 +32,9 @@
     SERVICE_LOSES_ANSWERS = 'service-loses-answers'
     ENTRY_DIES = 'entry-dies'
     ENTRY_STOPS = 'entry-stops'
-    ENTRY_CUT_OFF = 'entry-cut-off'
+    ENTRY_PAUSES = 'entry-pauses'
     CONTROL_DIES = 'control-dies'
+    CONTROL_PAUSES = 'control-pauses'
     OPERATORS_RACE = 'operators-race'
 
 
@@ -54,8 +55,9 @@
         FaultName.SERVICE_LOSES_ANSWERS: 2,
         FaultName.ENTRY_DIES: 2,
         FaultName.ENTRY_STOPS: 2,
-        FaultName.ENTRY_CUT_OFF: 1,
+        FaultName.ENTRY_PAUSES: 2,
         FaultName.CONTROL_DIES: 2,
+        FaultName.CONTROL_PAUSES: 2,
         FaultName.OPERATORS_RACE: 4,
     }
 )
--- /dev/null
+++ b/redwingvalve/soak/targets.py
@@ -0,0 +1,72 @@
+"""What scheduled faults act on, and what they leave for the checks."""
+
+import itertools
+import time
+import typing
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.soak import (
+    breaches,
+    callers,
+    comparing,
+    daemons,
+    operators,
+    platform,
+    schedule,
+)
+from redwingvalve.standins import engine, plain_service
+
+Victim = typing.TypeVar('Victim')
+Endpoint = engine.Engine | plain_service.PlainService
+FIRST_NUMBER = 2
+
+
+def _numbers() -> typing.Iterator[int]:
+    return itertools.count(FIRST_NUMBER)
+
+
+@attrs.define
+class Targets:
+    """Everything that can be hit, and the notes of what was."""
+
+    platform: platform.Platform
+    daemons: daemons.Daemons
+    journal: breaches.Journal
+    bearer: str
+    poisoner: callers.Caller
+    leaving: list[comparing.Leaving] = attrs.field(factory=list)
+    races: list[list[operators.Confirmation]] = attrs.field(factory=list)
+    stop_times_s: list[float] = attrs.field(factory=list)
+    wish_numbers: typing.Iterator[int] = attrs.field(factory=_numbers)
+
+    def engine(self, fault: schedule.Fault) -> engine.Engine:
+        """Return one engine, serving or not."""
+        engines = list(self.platform.engines.engines.values())
+        return pick(engines, fault.where)
+
+    def endpoint(self, fault: schedule.Fault) -> Endpoint:
+        """Return a serving head or a service: what answers callers."""
+        endpoints = [*self.platform.serving_heads(), *self.platform.services]
+        return pick(endpoints, fault.where)
+
+    def daemon(self, role: str, fault: schedule.Fault) -> daemons.Daemon | None:
+        """Return an undisturbed daemon, if another one stays."""
+        now_s = time.time()
+        well = [
+            daemon
+            for daemon in self.daemons.role(role)
+            if not daemon.stopping and daemon.disturbed_until_s < now_s
+        ]
+        return pick(well, fault.where) if len(well) > 1 else None
+
+
+def pick(victims: collections_abc.Sequence[Victim], where: float) -> Victim:
+    """Return the victim at a share of the list."""
+    return victims[min(len(victims) - 1, int(where * len(victims)))]
+
+
+def name_of(hit: Endpoint) -> str:
+    """Return the name of an endpoint."""
+    return hit.options.vm if isinstance(hit, engine.Engine) else hit.name
--- /dev/null
+++ b/redwingvalve/soak/telling.py
@@ -0,0 +1,90 @@
+"""What a run tells: figures, and for a breach all that repeats it."""
+
+import collections
+import statistics
+import typing
+
+from redwingvalve.soak import breaches, runner
+
+NEWEST_SPANS_HINT = 'redwingvalve trace shows its hops'
+PERCENTILE_CUTS = 20
+
+
+def figures(outcome: runner.Outcome) -> dict[str, typing.Any]:
+    """Return the figures of a run as plain JSON."""
+    attempts = [
+        attempt for record in outcome.records for attempt in record.attempts
+    ]
+    first_tokens = [
+        attempt.first_token_s for attempt in attempts if attempt.first_token_s
+    ]
+    in_force = [
+        generation.in_force_s - generation.seen_s
+        for generation in outcome.generations
+        if generation.in_force_s
+    ]
+    return {
+        'seed': outcome.options.seed,
+        'duration_s': outcome.options.duration_s,
+        'disabled': list(outcome.options.disabled),
+        'faults': len(outcome.schedule),
+        'requests': len(outcome.records),
+        'answered': sum(record.answered for record in outcome.records),
+        'attempts': len(attempts),
+        'runs': outcome.runs,
+        'outcomes': dict(
+            collections.Counter(
+                f'{attempt.outcome} {attempt.code}'.strip()
+                for attempt in attempts
+            )
+        ),
+        'first_token_p50_s': round(_quantile(first_tokens, 10), 3),
+        'first_token_p95_s': round(_quantile(first_tokens, 19), 3),
+        'confirmations': len(outcome.generations),
+        'in_force_longest_s': round(max(in_force, default=0.0), 2),
+        'not_yet_in_force': len(outcome.generations) - len(in_force),
+        'stops': len(outcome.stop_times_s),
+        'breaches': dict(
+            collections.Counter(
+                breach.promise.value for breach in outcome.breaches
+            )
+        ),
+    }
+
+
+def _quantile(values: list[float], twentieth: int) -> float:
+    """Return the quantile at so many twentieths."""
+    if len(values) < 2:
+        return values[0] if values else 0.0
+    return statistics.quantiles(values, n=PERCENTILE_CUTS)[twentieth - 1]
+
+
+def breach_lines(outcome: runner.Outcome) -> list[str]:
+    """Return seed, schedule and the few events before each promise's first."""
+    if not outcome.breaches:
+        return []
+    lines = [f'seed {outcome.options.seed}', 'schedule:']
+    lines.extend(f'  {fault}' for fault in outcome.schedule)
+    told: set[breaches.Promise] = set()
+    for breach in outcome.breaches:
+        if breach.promise in told:
+            continue
+        told.add(breach.promise)
+        lines.extend(_one_breach(breach, outcome.journal))
+    return lines
+
+
+def _one_breach(
+    breach: breaches.Breach, journal: breaches.Journal
+) -> list[str]:
+    start_s = journal.started_s
+    lines = [
+        f'BREACH at {breach.at_s - start_s:.2f} s: {breach.promise.value}',
+        f'  {breach.subject}: {breach.details}',
+        '  what led to it:',
+    ]
+    lines.extend(
+        f'  {event.at_s - start_s:8.2f} s  {event.what}'
+        for event in journal.before(breach.at_s)
+    )
+    return lines
--- /dev/null
+++ b/redwingvalve/soak/wiring.py
@@ -0,0 +1,66 @@
+"""Settings of the daemons of a run, on free ports."""
+
+import contextlib
+import socket
+
+from redwingvalve.settings import schema
+from redwingvalve.soak import daemons, platform
+
+ENTRIES = 3
+CONTROLS = 2
+DATA_CENTRES = ('nave-a', 'nave-b', 'penarol-yard')
+KEEP_S = 2.0
+DRAIN_TIMEOUT_S = 30.0
+
+
+def make_daemons(
+    small: platform.Platform,
+    seed: int,
+    disabled: tuple[str, ...] = (),
+    spans_folder: str = '',
+) -> list[daemons.Daemon]:
+    """Return the daemons of a run; disabled names safeguards."""
+    names = [f'entry-{number}' for number in range(1, ENTRIES + 1)]
+    names.extend(f'control-{number}' for number in range(1, CONTROLS + 1))
+    http_ports = free_ports(len(names))
+    peer_ports = free_ports(len(names))
+    contacts = tuple(f'{platform.HOST}:{port}' for port in peer_ports[:2])
+    made = []
+    for index, name in enumerate(names):
+        settings = schema.Settings(
+            node=schema.NodeSettings(
+                name,
+                DATA_CENTRES[index % len(DATA_CENTRES)],
+                platform.REGION,
+                platform.HOST,
+                seed + index,
+            ),
+            listen=schema.ListenSettings(http_ports[index], peer_ports[index]),
+            platform=schema.PlatformSettings(
+                small.urls['objects'], small.urls['vms'], small.urls['weights']
+            ),
+            peers=schema.PeerSettings(contacts),
+            requests=schema.RequestSettings(
+                discovery_keep_s=KEEP_S, drain_timeout_s=DRAIN_TIMEOUT_S
+            ),
+            logs=schema.LogSettings('WARNING'),
+            tracing=_tracing(name, spans_folder),
+            testing=schema.TestingSettings(bool(disabled), disabled),
+        )
+        made.append(daemons.Daemon(name, name.partition('-')[0], settings))
+    return made
+
+
+def _tracing(name: str, spans_folder: str) -> schema.TracingSettings:
+    if not spans_folder:
+        return schema.TracingSettings()
+    return schema.TracingSettings('file', f'{spans_folder}/{name}.spans')
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback that were free a moment ago."""
+    with contextlib.ExitStack() as held:
+        sockets = [held.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((platform.HOST, 0))
+        return [int(each.getsockname()[1]) for each in sockets]
--- a/redwingvalve/soak/work.py
+++ b/redwingvalve/soak/work.py
@@ -63,6 +63,7 @@
     digest: str
     prompt: str = ''
     max_tokens: int = 0
+    poison: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -112,6 +113,7 @@
         answers.prompt_digest(prompt),
         prompt,
         TOKENS[kind],
+        bool(marker),
     )
 
 
--- a/redwingvalve/standins/__main__.py
+++ b/redwingvalve/standins/__main__.py
@@ -22,9 +22,9 @@
 )
 
 ENGINE_FAULTS = (
-    'faults: die {restart_after_s}, pause {duration_s}, straggle {factor}, '
-    'poison {marker, restart_after_s}, crossed {count}, truncate {count}, '
-    'serve-incomplete, ignore-fencing'
+    'faults: die {restart_after_s}, pause {duration_s}, unreachable '
+    '{duration_s}, straggle {factor}, poison {marker, restart_after_s}, '
+    'crossed {count}, truncate {count}, serve-incomplete, ignore-fencing'
 )
 SERVICE_FAULTS = (
     'faults: die, pause {duration_s}, straggle {factor}, poison {marker}, '
--- a/redwingvalve/standins/engine.py
+++ b/redwingvalve/standins/engine.py
@@ -208,16 +208,24 @@
         self.faults.paused_until_s = 0.0
         self._disturbed_until_s = time.monotonic() + AFTERMATH_S
 
-    def note_pause(self) -> None:
-        """Remember that a pause begins now, if one does."""
+    def note_disturbance(self) -> None:
+        """Remember that a pause or a cut begins now, if one does."""
         if self.paused():
             self._paused_since_s = time.monotonic()
-            self._disturbed_until_s = self.faults.paused_until_s + AFTERMATH_S
+        if self.paused() or self.unreachable():
+            until_s = max(
+                self.faults.paused_until_s, self.faults.unreachable_until_s
+            )
+            self._disturbed_until_s = until_s + AFTERMATH_S
 
     def paused(self) -> bool:
         """Tell whether the engine is paused now."""
         return time.monotonic() < self.faults.paused_until_s
 
+    def unreachable(self) -> bool:
+        """Tell whether new requests to the engine are lost now."""
+        return time.monotonic() < self.faults.unreachable_until_s
+
     async def wait_while_paused(self) -> None:
         """Return when the engine is not paused."""
         while self.paused():
--- a/redwingvalve/standins/engine_app.py
+++ b/redwingvalve/standins/engine_app.py
@@ -49,7 +49,7 @@
         path = exchange.path
         if path not in {'/faults', '/ledger'}:
             await self._engine.wait_while_paused()
-        if self._engine.dead:
+        if self._engine.dead or self._engine.unreachable():
             exchange.drop()
         if path.startswith('/kv/'):
             await self._kv(exchange, path.removeprefix('/kv/'))
@@ -130,7 +130,7 @@
             self._engine.orders.ignores_fencing = True
         else:
             faults.set_fault(self._engine.faults, wanted, time.monotonic())
-            self._engine.note_pause()
+            self._engine.note_disturbance()
         await exchange.answer(200, {})
 
     async def _clear_faults(self, exchange: asgi.Exchange) -> None:
--- a/redwingvalve/standins/faults.py
+++ b/redwingvalve/standins/faults.py
@@ -9,12 +9,14 @@
 class EngineFaults:
     """Switches of an engine or service; all off by default.
 
-    crossed and truncate count the answers still to be spoiled; paused_until_s
-    is a monotonic time; serve_incomplete lets a head answer although a VM of
-    its replica is missing, as a wrong engine would.
+    Times are monotonic; unreachable drops new requests and lets streams go
+    on. crossed and truncate count the answers still to be spoiled.
+    serve_incomplete lets a head answer although a VM of its replica is
+    missing, as a wrong engine would.
     """
 
     paused_until_s: float = 0.0
+    unreachable_until_s: float = 0.0
     straggle_factor: float = 1.0
     poison_marker: str = ''
     restart_after_s: float = 0.0
@@ -45,6 +47,9 @@
         case 'pause':
             duration_s = float(wanted.get('duration_s', 1.0))
             faults.paused_until_s = now_s + duration_s
+        case 'unreachable':
+            duration_s = float(wanted.get('duration_s', 1.0))
+            faults.unreachable_until_s = now_s + duration_s
         case 'straggle':
             faults.straggle_factor = float(wanted.get('factor', 10.0))
         case 'poison':
--- /dev/null
+++ b/tests/integration/soak_processes.py
@@ -0,0 +1,55 @@
+"""A soak run over real processes: python -m tests.integration.soak_processes.
+
+Prints one JSON line of figures, and on a breach all that repeats it.
+"""
+
+import argparse
+import functools
+import json
+import sys
+
+import anyio
+import uvloop
+
+from redwingvalve.core import invariants
+from redwingvalve.soak import runner, schedule, telling
+from tests.integration import process_daemons, processes
+
+
+def names(text, kind):
+    return map(kind, filter(None, text.split(',')))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--duration-s', type=float, default=60.0)
+    parser.add_argument('--only', default='')
+    parser.add_argument('--disable', default='')
+    parser.add_argument('--keep-logs', default='')
+    arguments = parser.parse_args()
+    options = runner.Options(
+        seed=arguments.seed,
+        duration_s=arguments.duration_s,
+        only=frozenset(names(arguments.only, schedule.FaultName)),
+        disabled=tuple(names(arguments.disable, invariants.Safeguard)),
+    )
+    with processes.make_processes() as children:
+        if arguments.keep_logs:
+            children.folder = arguments.keep_logs
+        outcome = anyio.run(
+            functools.partial(
+                runner.run_soak,
+                options,
+                lambda group: process_daemons.ProcessDaemons(children),
+            ),
+            backend_options={'loop_factory': uvloop.new_event_loop},
+        )
+    print(json.dumps(telling.figures(outcome)))
+    for line in telling.breach_lines(outcome):
+        print(line, file=sys.stderr)
+    return 6 if outcome.breaches else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
