--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,11 +1,23 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, operate, options, report, soak, token, trace
+from redwingvalve.cli import (
+    check,
+    daemons,
+    demo,
+    operate,
+    options,
+    report,
+    soak,
+    token,
+    trace,
+)
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
+    demo.DEMO,
     *operate.ALL,
     *token.ALL,
+    *daemons.ALL,
     report.REPORT,
     soak.SOAK,
     trace.TRACE,
