--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,6 +1,16 @@
 """All commands, each from the slice or module that does its work."""
 
-from redwingvalve.cli import check, daemons, demo, operate, options, token
+from redwingvalve.cli import (
+    check,
+    daemons,
+    demo,
+    operate,
+    options,
+    report,
+    soak,
+    token,
+    trace,
+)
 
 ALL: tuple[options.Command, ...] = (
     check.CHECK,
@@ -8,4 +18,7 @@
     *operate.ALL,
     *token.ALL,
     *daemons.ALL,
+    report.REPORT,
+    soak.SOAK,
+    trace.TRACE,
 )
