Hold a plan outdated only when it would promise something else

Change: at confirmation the plan is made again; it holds while its placement fits and its counts and risks are the same. Before: any change of a VM refused. After: a lost spare holds, a lost domain is refused with its name; 16 plan tests pass.

--- a/redwingvalve/plans/book.py
+++ b/redwingvalve/plans/book.py
@@ -97,7 +97,7 @@
         world, current = read.ok
         if world.generation != proposed.basis.generation:
             return Error(await self._lost(proposed, current))
-        moved = _moved(proposed.basis, making.basis_of(world))
+        moved = _moved(proposed, world)
         if moved:
             return Error(plan.PlanOutdated(name, moved))
         marked = await self._decide(
@@ -220,14 +220,36 @@
         )
 
 
-def _moved(before: plan.Basis, after: plan.Basis) -> str:
-    old = dict(before.domain_fingerprints)
-    new = dict(after.domain_fingerprints)
-    names = sorted(set(old) | set(new))
-    changed = [name for name in names if old.get(name) != new.get(name)]
-    if not changed:
+def _moved(proposed: plan.Plan, world: making.World) -> str:
+    """Say what moved, if the plan would now be another one.
+
+    VMs come and go every few minutes in a large fleet. A plan that any such
+    change made void could hardly ever be confirmed. It holds while its own
+    placement still fits and a plan made now would promise the same.
+    """
+    before = dict(proposed.basis.domain_fingerprints)
+    after = dict(making.basis_of(world).domain_fingerprints)
+    names = sorted(set(before) | set(after))
+    changed = [name for name in names if before.get(name) != after.get(name)]
+    remade = making.make_plan(
+        proposed.declaration,
+        world,
+        making.Proposal(
+            proposed.name, proposed.proposed_by, proposed.proposed_at_s
+        ),
+    )
+    fits = making.placement_fits(proposed, world)
+    if fits and _promises(remade) == _promises(proposed):
         return ''
-    return f'VMs or replicas changed in {", ".join(changed)}'
+    where = ', '.join(changed) or 'the VM list'
+    return f'VMs or replicas changed in {where}'
+
+
+def _promises(made: plan.Plan) -> tuple[object, ...]:
+    counts = tuple(
+        (change.kind, change.subject, change.count) for change in made.changes
+    )
+    return (counts, made.risks)
 
 
 def make_plan_book(
--- a/redwingvalve/plans/making.py
+++ b/redwingvalve/plans/making.py
@@ -96,6 +96,18 @@
     )
 
 
+def placement_fits(made: plan.Plan, world: World) -> bool:
+    """Tell whether each domain still has the VMs that a plan counts on."""
+    usable = {each.domain: each.usable_vms for each in capacities_of(world)}
+    sizes = {
+        each.name: each.vms_per_replica for each in made.declaration.deployments
+    }
+    for share in made.allocation.shares:
+        left = usable.get(share.domain, 0)
+        usable[share.domain] = left - share.replicas * sizes[share.deployment]
+    return all(left >= 0 for left in usable.values())
+
+
 def _object_changes(
     before: schema.Declaration, after: schema.Declaration
 ) -> collections_abc.Iterator[plan.Change]:
