Prove the whole path with real processes and a graceful stop

Cause: the demo runs on one loop only. Change: a test starts the object API, VM list, weight store, eight engines, two entries and a controller as processes, streams 60 tokens through an entry and sends it SIGTERM in the middle.

--- /dev/null
+++ b/tests/integration/test_whole_path.py
@@ -0,0 +1,173 @@
+"""The whole path with every role as a process of its own, on loopback."""
+
+import hashlib
+import json
+
+import anyio
+import httpx
+import pytest
+
+from redwingvalve.demo import caller, operator
+from redwingvalve.platform_api import http_object_api
+from redwingvalve.standins import vm_list
+from tests.integration import processes
+
+DECLARATION = """
+operator: depot
+deployments:
+  - name: quotes
+    model: quote-writer
+    version: "1"
+    replicas: 2
+    vms_per_replica: 4
+    load_time_s: 1.0
+client_accounts:
+  - name: depot
+    credential_sha256: {digest}
+    priority: 5
+    deployments: [quotes]
+""".format(digest=hashlib.sha256(b'secret').hexdigest())
+VMS = 8
+MAX_TOKENS = 60
+
+
+class Fleet:
+    """Stand-ins, two entries and a controller, by their ports."""
+
+    def __init__(self, children):
+        self.children = children
+        self.ports = processes.free_ports(9 + VMS)
+        self.store_url = self.url(0)
+        self.entries = (self.address(3), self.address(5))
+        self.api = self.address(7)
+
+    def address(self, index):
+        return f'127.0.0.1:{self.ports[index]}'
+
+    def url(self, index):
+        return f'http://{self.address(index)}'
+
+    def start(self):
+        engine_ports = self.ports[9:]
+        rows = [
+            vm_list.make_vm_row(
+                f'vm-{n}', f'127.0.0.1:{port}', 'nave-a', f'd-{n // 4}', 'mvd'
+            )
+            for n, port in enumerate(engine_ports)
+        ]
+        vms_file = f'{self.children.folder}/vms.json'
+        with open(vms_file, 'w', encoding='utf-8') as opened:
+            json.dump({'vms': rows}, opened)
+        self._standin('object-api', 0)
+        self._standin('vm-list', 1, '--vms-file', vms_file)
+        self._standin('weight-store', 2)
+        for number, port in enumerate(engine_ports):
+            self.children.start(
+                f'vm-{number}',
+                'redwingvalve.standins',
+                'engine',
+                '--port',
+                str(port),
+                '--vm',
+                f'vm-{number}',
+                '--step-s',
+                '0.05',
+            )
+        self._daemon('entry', 'entry-1', 3)
+        self._daemon('entry', 'entry-2', 5)
+        self._daemon('control', 'control-1', 7)
+
+    def _standin(self, kind, index, *more):
+        port = str(self.ports[index])
+        self.children.start(
+            kind, 'redwingvalve.standins', kind, '--port', port, *more
+        )
+
+    def _daemon(self, role, name, index):
+        settings = {
+            'node': {'name': name, 'data_centre': 'nave-a', 'region': 'mvd'},
+            'listen': {
+                'http_port': self.ports[index],
+                'peer_port': self.ports[index + 1],
+            },
+            'platform': {
+                'object_api_url': self.store_url,
+                'vm_list_url': self.url(1),
+                'weight_store_url': self.url(2),
+            },
+            'peers': {'contacts': [self.address(4)]},
+            'requests': {'discovery_keep_s': 1.0},
+        }
+        self.children.start(
+            name, 'redwingvalve', role, self.children.write_yaml(name, settings)
+        )
+
+
+async def confirm(fleet):
+    async with httpx.AsyncClient() as client:
+        kind = f'{http_object_api.GROUP_PATH}/tokens'
+        await processes.wait_answering(client, f'{fleet.store_url}{kind}')
+        await processes.wait_answering(client, f'http://{fleet.api}/healthz')
+    store = http_object_api.make_http_object_api(fleet.store_url, 5.0)
+    bearer = await operator.issue_first_token(store)
+    await store.aclose()
+    acting = operator.DemoOperator(fleet.api, bearer)
+    await acting.wait_until_reachable()
+    await acting.wait_until_listed(VMS)
+    plan = await acting.plan(DECLARATION, 'depot.yaml')
+    await acting.confirm(plan['name'])
+    await acting.wait_until_serving('quotes', 2)
+
+
+async def stream_until_whole(calling):
+    with anyio.fail_after(30):
+        while True:
+            streamed = await calling.stream_chat('quotes', 'x', 3)
+            if streamed.whole:
+                return
+            await anyio.sleep(0.1)
+
+
+@pytest.mark.slow
+def test_a_stream_arrives_whole_while_its_entry_is_stopped_gracefully():
+    """The caller sees all 60 tokens and the end, though its entry is stopped.
+
+    Order: the stream has begun; SIGTERM reaches the entry that relays it; the
+    entry is no longer named to callers, finishes the stream and ends with 0.
+    """
+
+    async def scenario(children):
+        fleet = Fleet(children)
+        fleet.start()
+        await confirm(fleet)
+        leaving = caller.DemoCaller((fleet.entries[0],), 'secret')
+        leaving.entry_address = lambda: _always(fleet.entries[0])
+        staying = caller.DemoCaller((fleet.entries[1],), 'secret')
+        await stream_until_whole(leaving)
+        await stream_until_whole(staying)
+        received = []
+
+        async def stream():
+            received.append(
+                await leaving.stream_chat('quotes', 'a long one', MAX_TOKENS)
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(stream)
+            await anyio.sleep(0.5)
+            children.children['entry-1'].stop()
+            with anyio.fail_after(30):
+                while await staying.entry_address() != fleet.entries[1]:
+                    await anyio.sleep(0.05)
+        assert received[0].whole
+        assert received[0].chunks == MAX_TOKENS
+        assert received[0].entry == fleet.entries[0]
+        assert await children.children['entry-1'].wait() == 0
+        again = await staying.stream_chat('quotes', 'another', 3)
+        assert again.whole
+
+    async def _always(address):
+        return address
+
+    with processes.make_processes() as children:
+        anyio.run(scenario, children)
