--- a/redwingvalve/reports/page.py
+++ b/redwingvalve/reports/page.py
@@ -15,27 +15,31 @@
     """Write the page and the plots into folder; return the page's path."""
     target = pathlib.Path(folder)
     target.mkdir(parents=True, exist_ok=True)
-    experiments = []
     grouped = summary.group(runs, lambda run: run.experiment)
-    for name, same in grouped.items():
-        drawn = plots.draw_all(same)
-        for short_name, png in drawn.items():
-            (target / f'{name}-{short_name}.png').write_bytes(png)
-        experiments.append(
-            {
-                'name': name,
-                'rows': summary.table(same),
-                'plots': [
-                    {'title': title, 'png': _encode(drawn[plot_name])}
-                    for plot_name, title, _ in plots.PLOTS
-                ],
-            }
-        )
+    experiments = [
+        _draw_experiment(name, same, target) for name, same in grouped.items()
+    ]
     page = target / PAGE_NAME
     page.write_text(_render(experiments), encoding='utf-8')
     return page
 
 
+def _draw_experiment(
+    name: str, same: summary.Runs, target: pathlib.Path
+) -> dict[str, object]:
+    drawn = plots.draw_all(same)
+    for short_name, png in drawn.items():
+        (target / f'{name}-{short_name}.png').write_bytes(png)
+    return {
+        'name': name,
+        'rows': summary.table(same),
+        'plots': [
+            {'title': title, 'png': _encode(drawn[plot_name])}
+            for plot_name, title, _ in plots.PLOTS
+        ],
+    }
+
+
 def _encode(png: bytes) -> str:
     return base64.b64encode(png).decode()
 
--- a/redwingvalve/soak/daemon_faults.py
+++ b/redwingvalve/soak/daemon_faults.py
@@ -47,7 +47,7 @@
         wish = operators.Wish(
             number, str(1 + number % VERSIONS), FEWEST_REPLICAS + number % 2
         )
-        api = targets.pick(apis, (fault.where + index / RACERS) % 1)
+        api = apis[(int(fault.where * RACERS) + index) % len(apis)]
         declaration = operators.declaration_of(
             wish,
             hit.platform.service_addresses,
--- a/redwingvalve/soak/wiring.py
+++ b/redwingvalve/soak/wiring.py
@@ -8,6 +8,7 @@
 
 ENTRIES = 3
 CONTROLS = 2
+CONTACTS = 2
 DATA_CENTRES = ('nave-a', 'nave-b', 'penarol-yard')
 KEEP_S = 2.0
 DRAIN_TIMEOUT_S = 30.0
@@ -22,9 +23,9 @@
     """Return the daemons of a run; disabled names safeguards."""
     names = [f'entry-{number}' for number in range(1, ENTRIES + 1)]
     names.extend(f'control-{number}' for number in range(1, CONTROLS + 1))
-    http_ports = free_ports(len(names))
-    peer_ports = free_ports(len(names))
-    contacts = tuple(f'{platform.HOST}:{port}' for port in peer_ports[:2])
+    # Drawn together, so that no port is drawn twice.
+    ports = free_ports(2 * len(names))
+    contacts = tuple(f'{platform.HOST}:{port}' for port in ports[-CONTACTS:])
     made = []
     for index, name in enumerate(names):
         settings = schema.Settings(
@@ -35,7 +36,7 @@
                 platform.HOST,
                 seed + index,
             ),
-            listen=schema.ListenSettings(http_ports[index], peer_ports[index]),
+            listen=schema.ListenSettings(ports[index], ports[-1 - index]),
             platform=schema.PlatformSettings(
                 small.urls['objects'], small.urls['vms'], small.urls['weights']
             ),
@@ -61,6 +62,6 @@
     """Return ports of the loopback that were free a moment ago."""
     with contextlib.ExitStack() as held:
         sockets = [held.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind((platform.HOST, 0))
-        return [int(each.getsockname()[1]) for each in sockets]
+        for bound in sockets:
+            bound.bind((platform.HOST, 0))
+        return [int(held_port.getsockname()[1]) for held_port in sockets]
--- a/redwingvalve/standins/faults.py
+++ b/redwingvalve/standins/faults.py
@@ -55,10 +55,8 @@
         case 'poison':
             faults.poison_marker = str(wanted['marker'])
             faults.restart_after_s = float(wanted.get('restart_after_s', 0.0))
-        case 'crossed':
-            faults.crossed = int(wanted.get('count', 1))
-        case 'truncate':
-            faults.truncate = int(wanted.get('count', 1))
+        case 'crossed' | 'truncate' as spoiled:
+            setattr(faults, spoiled, int(wanted.get('count', 1)))
         case 'serve-incomplete':
             faults.serve_incomplete = True
         case unknown:
