Show the controllers' events from the domain objects

Cause: events are kept in each domain's object, so that they cost no write of their own; the API read a kind that nobody writes. Change: the events action gathers them, newest first. Before: always none.

--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -23,7 +23,6 @@
 from redwingvalve.replicas import codec
 from redwingvalve.replicas import domain as domain_module
 
-EVENTS = 'events'
 AUDITS = 'audits'
 VISIBLE_KINDS = frozenset(
     (
@@ -34,8 +33,7 @@
         objects.SERVICES,
         domain_module.KIND,
         drains.KIND,
-        EVENTS,
-        'nodes',
+            'nodes',
         'allocations',
     )
 )
@@ -126,7 +124,10 @@
         return Ok({'entries': rows})
 
     async def _events(self, call: operations.Call) -> Answer:
-        return await self._rows(EVENTS)
+        domains = await self._domains()
+        return domains.map(
+            lambda found: {'events': views.event_rows(found)}
+        )
 
     async def _audits(self, call: operations.Call) -> Answer:
         return await self._rows(AUDITS)
--- a/redwingvalve/administration/views.py
+++ b/redwingvalve/administration/views.py
@@ -49,6 +49,24 @@
     ]
 
 
+def event_rows(
+    domains: collections_abc.Sequence[domain_module.FabricDomain],
+) -> list[Row]:
+    """Return what the controllers did, newest first."""
+    rows: list[Row] = [
+        {
+            'at_s': event.at_s,
+            'fabric_domain': domain.name,
+            'subject': event.subject,
+            'message': event.message,
+        }
+        for domain in domains
+        for event in domain.events
+    ]
+    rows.sort(key=lambda row: row['at_s'], reverse=True)
+    return rows[:MOST_ROWS]
+
+
 def member_rows(
     known: collections_abc.Iterable[members.Member],
     lacking: frozenset[str],
--- a/redwingvalve/cli/operate.py
+++ b/redwingvalve/cli/operate.py
@@ -29,7 +29,8 @@
     'state',
     'in_force',
 )
-EVENT_COLUMNS = ('at', 'who', 'action', 'target', 'result', 'detail')
+EVENT_COLUMNS = ('at_s', 'fabric_domain', 'subject', 'message')
+AUDIT_COLUMNS = ('at_s', 'who', 'action', 'target', 'result', 'detail')
 PLAN_COLUMNS = ('name', 'state', 'proposed_by', 'decided_by')
 DEPLOYMENT_COLUMNS = (
     'name',
@@ -213,7 +214,7 @@
     'audits',
     'who did what, newest first',
     '/audits',
-    _rows('audits', EVENT_COLUMNS),
+    _rows('audits', AUDIT_COLUMNS),
 )
 PLANS = _reading(
     'plans', 'plans and their state', '/plans', _rows('plans', PLAN_COLUMNS)
