--- a/redwingvalve/cli/api_client.py
+++ b/redwingvalve/cli/api_client.py
@@ -1,5 +1,6 @@
 """Calls the administration API for the command line."""
 
+import ssl
 import typing
 
 import attrs
@@ -65,7 +66,6 @@
     def _call(self, method: str, path: str, body: typing.Any) -> Answer:
         url = f'{self.base_url.rstrip("/")}/admin/v1{path}'
         headers = {'authorization': f'Bearer {self.token}'}
-        verify: typing.Any = self.authority_file or True
         try:
             answer = httpx.request(
                 method,
@@ -73,7 +73,7 @@
                 json=body,
                 headers=headers,
                 timeout=TIMEOUT_S,
-                verify=verify,
+                verify=self._verify(),
             )
         except (httpx.HTTPError, OSError, httpx.InvalidURL) as error:
             return Error(
@@ -84,6 +84,11 @@
             )
         return _read(answer)
 
+    def _verify(self) -> ssl.SSLContext | bool:
+        if not self.authority_file:
+            return True
+        return ssl.create_default_context(cafile=self.authority_file)
+
 
 def make_api_client(
     arguments: typing.Any, surroundings: environment.Environment
