--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -253,7 +253,8 @@
         )
         if gone.is_error():
             return Error(operations.store_error(gone.error))
-        return Ok({'message': f'{kind} {name} takes work again'})
+        when = 'after its restart' if kind == drains.ENTRY else 'again'
+        return Ok({'message': f'{kind} {name} takes work {when}'})
 
     async def _domains(
         self,
--- a/redwingvalve/demo/operator.py
+++ b/redwingvalve/demo/operator.py
@@ -30,6 +30,10 @@
         """Put a plan into force."""
         return await self._call('POST', f'/plans/{plan_name}/confirm', {})
 
+    async def drain(self, kind: str, name: str) -> typing.Any:
+        """Drain a vm, replica or entry."""
+        return await self._call('POST', '/drains', {'kind': kind, 'name': name})
+
     async def status(self) -> typing.Any:
         """Return what serves and what is at risk."""
         return await self._call('GET', '/status')
--- a/redwingvalve/demo/story.py
+++ b/redwingvalve/demo/story.py
@@ -52,7 +52,7 @@
     declaration_file: pathlib.Path,
 ) -> exit_status.ExitStatus:
     bearer = await operator.issue_first_token(small.store)
-    acting = operator.DemoOperator(_http_address(fleet.control), bearer)
+    acting = operator.DemoOperator(http_address(fleet.control), bearer)
     await acting.wait_until_reachable()
     await acting.wait_until_listed(sum(DOMAINS.values()))
     text = declaration_file.read_text(encoding='utf-8').replace(
@@ -65,7 +65,7 @@
     await acting.wait_until_serving(DEPLOYMENT, REPLICAS)
     operate.print_status(await acting.status(), surroundings)
     calling = caller.DemoCaller(
-        tuple(_http_address(settings) for settings in fleet.entries),
+        tuple(http_address(settings) for settings in fleet.entries),
         CREDENTIAL,
     )
     streamed = await _stream_when_ready(calling)
@@ -168,5 +168,6 @@
     )
 
 
-def _http_address(settings: schema.Settings) -> str:
+def http_address(settings: schema.Settings) -> str:
+    """Return host:port of a daemon's HTTP side."""
     return f'{settings.node.host}:{settings.listen.http_port}'
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -17,8 +17,8 @@
 from redwingvalve.evidence import entry_witness
 from redwingvalve.observability import logs
 from redwingvalve.plans import book as plan_book
+from redwingvalve.process import entry_drains, waits
 from redwingvalve.process import parts as process_parts
-from redwingvalve.process import waits
 from redwingvalve.replicas import controller
 from redwingvalve.settings import schema
 from redwingvalve.tls import contexts
@@ -46,6 +46,7 @@
             control_loop = make_loop(parts)
             loops.start_soon(control_loop.run)
             loops.start_soon(waits.publish, control_loop, parts)
+            loops.start_soon(entry_drains.publish, parts)
             LOGGER.info('The controller is ready.')
             await server.serve_api(
                 _make_api(parts, book),
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -5,6 +5,7 @@
 from redwingvalve.entry import daemon, directory, httpx_upstream
 from redwingvalve.entry import parts as entry_parts
 from redwingvalve.evidence import prober, serving_permits, table
+from redwingvalve.process import entry_drains
 from redwingvalve.process import parts as process_parts
 from redwingvalve.settings import schema
 
@@ -19,6 +20,7 @@
     ):
         evidence = table.EvidenceTable()
         group.start_soon(_make_prober(parts, evidence).run)
+        group.start_soon(entry_drains.follow, parts, parts.node.members.leave)
         await daemon.serve_entry(
             _make_entry_parts(parts, evidence), settings, stop.wait
         )
--- /dev/null
+++ b/redwingvalve/process/entry_drains.py
@@ -0,0 +1,80 @@
+"""Operators' drains of entries, told to the entries as news.
+
+Load pattern: a few drains a day, and 360 entries that must hear of them. Were
+each entry to read the store for them, that alone would be a hundred reads a
+second; two controllers read, and news carries the names.
+"""
+
+from collections import abc as collections_abc
+
+from redwingvalve.administration import drains
+from redwingvalve.membership import rendezvous
+from redwingvalve.news import board
+from redwingvalve.observability import logs
+from redwingvalve.process import parts as process_parts
+
+READ_EVERY_S = 2.0
+LISTEN_EVERY_S = 0.5
+READERS = 2
+CONTROL_ROLE = 'control'
+LOGGER = logs.make_logger('drains')
+CHANNEL = board.Channel(
+    name='entry-drains',
+    reach=board.Reach.EVERYWHERE,
+    max_age_s=10.0,
+    max_item_bytes=100,
+)
+
+
+async def publish(parts: process_parts.ProcessParts) -> None:
+    """Tell, until cancelled, which entries operators want drained."""
+    told: set[str] = set()
+    while True:
+        if _is_reader(parts):
+            found = await drains.read_drains(parts.objects)
+            if found.is_ok():
+                told = _tell(parts.node.news, told, found.ok)
+        await parts.clock.sleep(READ_EVERY_S)
+
+
+async def follow(
+    parts: process_parts.ProcessParts,
+    leave: collections_abc.Callable[[], None],
+) -> None:
+    """Call leave once when this entry is to be drained.
+
+    A member that has left does not come back under its incarnation, so that
+    late news cannot make it look alive; it takes work again after a restart.
+    """
+    mine = parts.settings.node.name
+    while not _is_wanted(parts.node.news, mine):
+        await parts.clock.sleep(LISTEN_EVERY_S)
+    LOGGER.info('An operator drains this entry.')
+    leave()
+
+
+def _is_reader(parts: process_parts.ProcessParts) -> bool:
+    present = {member.name for member in parts.node.members.alive(CONTROL_ROLE)}
+    mine = parts.settings.node.name
+    return mine in rendezvous.holders(
+        sorted(present | {mine}), CHANNEL.name, READERS
+    )
+
+
+def _tell(
+    news: board.NewsBoard,
+    told: set[str],
+    found: collections_abc.Iterable[drains.Drain],
+) -> set[str]:
+    wanted = {
+        drain.name: drain.by for drain in found if drain.kind == drains.ENTRY
+    }
+    for gone in told - set(wanted):
+        news.publish(CHANNEL, gone, b'')
+    for name, by in wanted.items():
+        news.publish(CHANNEL, name, by.encode())
+    return set(wanted)
+
+
+def _is_wanted(news: board.NewsBoard, name: str) -> bool:
+    return any(published.key == name for published in news.read(CHANNEL))
