Decide who may run a non-idempotent request: issued keys and voted keys

Cause: a caller that sends again after a crash, partition or pause must not make a quote run twice, with the store down as well. Change: keys issued by an entry are decided by that incarnation alone; a caller's own key needs two of three voters found by rendezvous hashing, with rules for restarts, joins, pauses and partitions in roster.py. Conclusion: a state machine over five entries holds with 60 runs of 40 steps; without the safeguard the breach is found.

--- a/redwingvalve/at_most_once/__init__.py
+++ b/redwingvalve/at_most_once/__init__.py
@@ -1,1 +1,1 @@
-"""Non-idempotent requests run at most once."""
+"""At most once: which entry may run a non-idempotent request, and when."""
--- /dev/null
+++ b/redwingvalve/at_most_once/roster.py
@@ -0,0 +1,221 @@
+"""The entries that may vote, as one entry sees them, and what it knows.
+
+Load pattern: entries restart, are replaced, pause, and lose each other for up
+to hours. Without rules for these times two entries that see different fleets
+each find their own voters, and a resend runs a second time.
+
+The rules, each for one failure:
+
+* A name stays in the roster until it has been gone for LONGEST_ABSENCE_S: a
+  partition must not move keys to voters on both its sides. Claims are older
+  than the memory of any voter by then.
+* The roster changes, and this entry votes, only while it sees more than half
+  of its roster alive: the smaller side of a partition stands still.
+* After a pause an entry looks around for SETTLE_S before it votes: what it
+  believed of the others is as old as the pause.
+* A voter decides about a key only if it knows the key's earlier claims. It
+  has been a voter of the key for as long as claims are remembered, or the key
+  carries a time after it became one, or it has copied the claims of so many
+  of the key's other voters that every majority among them held one of these.
+"""
+
+import collections
+import itertools
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.at_most_once import keys, ledger, voters
+from redwingvalve.membership import members
+
+SETTLE_S = 2.0
+LONGEST_PAUSE_S = 3.0
+LONGEST_ABSENCE_S = 2 * ledger.MEMORY_S
+CLOCK_SKEW_S = 5.0
+
+
+@attrs.define
+class _Period:
+    """A roster, when it began to hold, and whose claims were copied since."""
+
+    since_s: float
+    names: frozenset[str]
+    learned: set[str] = attrs.field(factory=set)
+
+
+class Roster:
+    """The names among which voters are found, with their history."""
+
+    def __init__(
+        self,
+        myself: str,
+        now_s: float,
+        *,
+        first_start: bool,
+        alone: bool = False,
+    ) -> None:
+        """Start with the own name only.
+
+        first_start says that no process had this name before, so that no
+        claim was lost with one; alone says that no other entry is expected.
+        """
+        self._myself = myself
+        self._started_s = now_s
+        self._whole = first_start
+        self._alone = alone
+        self._looked_s = now_s
+        self._settled_s = now_s + SETTLE_S
+        self._absent_since: dict[str, float] = {}
+        self._majority = True
+        self._periods: collections.deque[_Period] = collections.deque()
+        self._begin_period(frozenset((myself,)), now_s)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Return the names that hold now."""
+        return self._periods[-1].names
+
+    def voters(self, account: str, request_key: str) -> tuple[str, ...]:
+        """Return the voters of a key in the roster that holds now."""
+        return voters.voters_of(self.names, account, request_key)
+
+    def observe(
+        self,
+        known: collections_abc.Iterable[members.Member],
+        now_s: float,
+    ) -> None:
+        """Look at the members; called about every second."""
+        if now_s - self._looked_s > LONGEST_PAUSE_S:
+            self._settled_s = now_s + SETTLE_S
+        self._looked_s = now_s
+        present = {self._myself} | {
+            member.name
+            for member in known
+            if member.role == 'entry'
+            and member.state != members.MemberState.DEAD
+        }
+        self._majority = 2 * len(self.names & present) > len(self.names)
+        if not self._majority:
+            return
+        self._change((self.names | present) - self._gone(present, now_s), now_s)
+        while len(self._periods) > 1 and (
+            now_s - self._periods[1].since_s > ledger.MEMORY_S
+        ):
+            self._periods.popleft()
+
+    def introduce(
+        self, names: collections_abc.Iterable[str], now_s: float
+    ) -> None:
+        """Count further names in, such as one that asks for claims.
+
+        The smaller side of a partition must not grow into a majority.
+        """
+        if not self._majority:
+            return
+        self._change(self.names | frozenset(names), now_s)
+
+    def missing(self) -> frozenset[str]:
+        """Return the names whose claims are still to be copied."""
+        return self.names - self._periods[-1].learned - {self._myself}
+
+    def learned_from(
+        self,
+        name: str,
+        their_names: collections_abc.Iterable[str],
+        now_s: float,
+        *,
+        whole: bool,
+    ) -> None:
+        """Count the claims of another entry in; whole says it lost none."""
+        self.introduce(their_names, now_s)
+        if whole:
+            self._periods[-1].learned.add(name)
+        if not self.missing():
+            self._whole = True
+
+    def is_whole(self, now_s: float) -> bool:
+        """Tell whether this entry has every claim that its name granted."""
+        return self._whole or now_s - self._started_s > ledger.MEMORY_S
+
+    def why_not(
+        self, account: str, request_key: str, now_s: float, wall_s: float
+    ) -> str:
+        """Return why this entry may not decide about a key; empty if it may."""
+        if now_s - self._looked_s > LONGEST_PAUSE_S:
+            return 'this voter was paused'
+        if now_s < self._settled_s and not self._alone:
+            return 'this voter has just started or was paused'
+        lonely = len(self.names) == 1 and not self._alone
+        if lonely or not self._majority:
+            return 'this voter sees too few entries'
+        if not self._votes(self._periods[-1], account, request_key):
+            return 'this entry is no voter of the key'
+        if _too_old(request_key, wall_s):
+            return 'the key is older than claims are remembered'
+        if self._knows(account, request_key, now_s, wall_s):
+            return ''
+        return 'this voter does not yet know the earlier uses of the key'
+
+    def _knows(
+        self, account: str, request_key: str, now_s: float, wall_s: float
+    ) -> bool:
+        made_at_s = keys.made_at_s(request_key) or 0
+        if made_at_s > wall_s + CLOCK_SKEW_S:
+            # A time to come proves nothing about the time before.
+            made_at_s = 0
+        for index in reversed(range(len(self._periods))):
+            period = self._periods[index]
+            if not self._votes(period, account, request_key):
+                return False
+            voter_for_s = now_s - period.since_s
+            if voter_for_s > ledger.MEMORY_S:
+                return True
+            became_wall_s = wall_s - voter_for_s
+            if made_at_s > became_wall_s + CLOCK_SKEW_S:
+                return True
+            if self._copied(index, account, request_key):
+                return True
+        return False
+
+    def _copied(self, index: int, account: str, request_key: str) -> bool:
+        """Tell whether a period's copies meet every earlier majority."""
+        sources = set(self._periods[index].learned)
+        if self._whole:
+            sources.add(self._myself)
+        for period in itertools.islice(self._periods, index + 1):
+            for names in (period.names, period.names - {self._myself}):
+                chosen = voters.voters_of(names, account, request_key)
+                needed = len(chosen) - voters.votes_needed(len(chosen)) + 1
+                if chosen and len(sources.intersection(chosen)) < needed:
+                    return False
+        return True
+
+    def _votes(self, period: _Period, account: str, request_key: str) -> bool:
+        return self._myself in voters.voters_of(
+            period.names, account, request_key
+        )
+
+    def _change(self, names: frozenset[str], now_s: float) -> None:
+        if names != self.names:
+            self._begin_period(names, now_s)
+
+    def _begin_period(self, names: frozenset[str], now_s: float) -> None:
+        self._periods.append(_Period(now_s, names))
+
+    def _gone(self, present: set[str], now_s: float) -> set[str]:
+        self._absent_since = {
+            name: self._absent_since.get(name, now_s)
+            for name in self.names - present
+        }
+        return {
+            name
+            for name, since_s in self._absent_since.items()
+            if now_s - since_s > LONGEST_ABSENCE_S
+        }
+
+
+def _too_old(request_key: str, wall_s: float) -> bool:
+    made_at_s = keys.made_at_s(request_key)
+    if made_at_s is None:
+        return False
+    return wall_s - made_at_s > ledger.MEMORY_S - CLOCK_SKEW_S
--- /dev/null
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -0,0 +1,320 @@
+"""A fleet of voters under partitions, crashes, pauses and replacements."""
+
+import collections
+import itertools
+import random
+
+import anyio
+import attrs
+import hypothesis
+import pytest
+from expression import Error, Ok
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from redwingvalve.at_most_once import claims, ledger, messages, peers, voter
+from redwingvalve.core import clock, invariants, outcomes
+from redwingvalve.membership import members
+
+BASE_NAMES = ('e1', 'e2', 'e3', 'e4', 'e5')
+KEYS = ('k1', 'k2', 'k3', 'k4')
+RUN = invariants.Safeguard.RUN_AT_MOST_ONCE
+
+
+class Fleet:
+    """Entries in one process; a link is up when both ends share a side."""
+
+    def __init__(self, names=BASE_NAMES, disabled=()):
+        self.clock = clock.ManualClock(10_000.0)
+        self.switches = invariants.SafeguardSwitches(disabled)
+        self.side = {}
+        self.entries = {}
+        self.incarnations = collections.Counter()
+        self.runs = collections.defaultdict(list)
+        self.sends = 0
+        for name in names:
+            self.start(name)
+        self.settle()
+
+    def start(self, name):
+        self.incarnations[name] += 1
+        self.side.setdefault(name, 0)
+        me = members.Member(
+            name, self.incarnations[name], 'entry', 'h', 1, 2, 'dc', 'r'
+        )
+        known = View(self, me)
+        own = voter.make_voter(
+            me,
+            self.clock,
+            self.switches,
+            first_start=self.incarnations[name] == 1,
+        )
+        self.entries[name] = claims.make_claims(
+            own, Link(self, name), known, self.clock
+        )
+
+    def crash(self, name):
+        del self.entries[name]
+
+    def reach(self, one, other):
+        return other in self.entries and self.side[one] == self.side[other]
+
+    def settle(self, rounds=8):
+        """Let the entries look at each other for some seconds."""
+        for _ in range(rounds):
+            self.clock.advance(1.0)
+            for entry in tuple(self.entries.values()):
+                anyio.run(entry.look_once)
+
+    def advance(self, duration_s):
+        """Let a long time pass in which everybody looks now and then."""
+        self.settle(2)
+        self.clock.advance(duration_s)
+        self.settle()
+
+    def ask(self, name, key, account='shop'):
+        self.sends += 1
+        claim = messages.Claim(
+            account, key, name, 1, f'{name}-{self.sends}', 'digest'
+        )
+        return anyio.run(self.entries[name].claim, claim)
+
+    def run(self, name, grant):
+        """Run under a grant if it is still good; count the run."""
+        if not self.entries[name].check(grant):
+            return False
+        self.runs[grant.claim.request_key].append(self.clock.monotonic_s())
+        return True
+
+    def send(self, name, key):
+        """Claim, run and report, as the request path does."""
+        asked = self.ask(name, key)
+        if asked.is_error():
+            return asked.error
+        self.run(name, asked.ok)
+        anyio.run(
+            self.entries[name].report, asked.ok.claim, outcomes.Outcome.RAN
+        )
+        return 'ran'
+
+
+@attrs.define
+class View(members.Members):
+    fleet: Fleet
+    me: members.Member
+
+    def myself(self):
+        return self.me
+
+    def isolated(self):
+        return False
+
+    def known(self):
+        alive, dead = members.MemberState.ALIVE, members.MemberState.DEAD
+        return tuple(
+            attrs.evolve(
+                self.me,
+                name=name,
+                incarnation=number,
+                state=alive if self.fleet.reach(self.me.name, name) else dead,
+            )
+            for name, number in self.fleet.incarnations.items()
+        )
+
+
+@attrs.define
+class Link(peers.KeyPeers):
+    fleet: Fleet
+    name: str
+
+    async def _call(self, member, method, *arguments):
+        await anyio.lowlevel.checkpoint()
+        if not self.fleet.reach(self.name, member.name):
+            return Error('unreachable')
+        target = self.fleet.entries[member.name].voter
+        return Ok(getattr(target, method)(*arguments))
+
+    async def claim(self, member, claim):
+        return await self._call(member, 'vote', claim)
+
+    async def report(self, member, claim, outcome):
+        return await self._call(member, 'report', claim, outcome)
+
+    async def copy(self, member, names):
+        return await self._call(member, 'copy', names)
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Callers send the same few keys again and again, everywhere."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+        self.grants = []
+
+    def pick(self, number):
+        names = sorted(self.fleet.entries)
+        return names[number % len(names)]
+
+    @stateful.rule(number=st.integers(0, 9), key=st.sampled_from(KEYS))
+    def send(self, number, key):
+        self.fleet.send(self.pick(number), key)
+
+    @stateful.rule(number=st.integers(0, 9), key=st.sampled_from(KEYS))
+    def claim_and_pause(self, number, key):
+        name = self.pick(number)
+        asked = self.fleet.ask(name, key)
+        if asked.is_ok():
+            self.grants.append((name, asked.ok))
+
+    @stateful.rule()
+    def wake_up(self):
+        for name, grant in self.grants:
+            if name in self.fleet.entries:
+                self.fleet.run(name, grant)
+        self.grants.clear()
+
+    @stateful.rule(number=st.integers(0, 9), restart=st.booleans())
+    def crash(self, number, restart):
+        if len(self.fleet.entries) < 2:
+            return
+        name = self.pick(number)
+        self.fleet.crash(name)
+        self.grants = [held for held in self.grants if held[0] != name]
+        if restart:
+            self.fleet.start(name)
+
+    @stateful.rule()
+    def replace(self):
+        if len(self.fleet.incarnations) < 9:
+            self.fleet.start(f'n{len(self.fleet.incarnations)}')
+
+    @stateful.rule(seed=st.integers(0, 999))
+    def partition(self, seed):
+        chance = random.Random(seed)
+        for name in self.fleet.side:
+            self.fleet.side[name] = chance.choice((0, 0, 1))
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.side = dict.fromkeys(self.fleet.side, 0)
+
+    @stateful.rule()
+    def settle(self):
+        self.fleet.settle()
+
+    @stateful.rule(number=st.integers(0, 9))
+    def one_looks(self, number):
+        self.fleet.clock.advance(0.5)
+        anyio.run(self.fleet.entries[self.pick(number)].look_once)
+
+    @stateful.rule(duration_s=st.sampled_from((10, 1000, 4000)))
+    def advance(self, duration_s):
+        self.fleet.advance(duration_s)
+
+    @stateful.invariant()
+    def no_key_runs_twice_while_it_is_remembered(self):
+        for times in self.fleet.runs.values():
+            for earlier, later in itertools.pairwise(times):
+                assert later - earlier > ledger.MEMORY_S - claims.GRANT_VALID_S
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+test_no_key_runs_twice = FleetMachine.TestCase
+
+
+@pytest.mark.parametrize('lost', BASE_NAMES)
+def test_a_resend_to_another_entry_after_a_crash_does_not_run(lost):
+    """The caller sees a refusal with outcome ran for its second try.
+
+    It sends with a key of its own; an entry dies, maybe the one that ran the
+    request or a voter, and comes back without memory. The caller sends again
+    elsewhere. Any two of the three voters share one that remembers.
+    """
+    fleet = Fleet()
+    assert fleet.send('e1', 'quote-7') == 'ran'
+    fleet.crash(lost)
+    fleet.start(lost)
+    fleet.settle()
+    for name in BASE_NAMES:
+        refused = fleet.send(name, 'quote-7')
+        assert refused.outcome == outcomes.Outcome.RAN
+    assert len(fleet.runs['quote-7']) == 1
+
+
+def test_only_the_larger_side_of_a_partition_decides():
+    """Callers of the smaller side see outcome unknown; nothing runs there.
+
+    The fleet splits three to two. Both sides are asked with the same key, for
+    longer than claims are remembered.
+    """
+    fleet = Fleet()
+    fleet.side.update(e4=1, e5=1)
+    fleet.advance(ledger.MEMORY_S)
+    answers = [
+        fleet.send(name, f'k{i}') for i in range(20) for name in ('e4', 'e1')
+    ]
+    assert {answer.duplicate for answer in answers[::2]} == {False}
+    assert 'ran' in answers[1::2]
+
+
+def test_a_restarted_entry_votes_again_at_once():
+    """Callers notice nothing of a rolling restart of all entries.
+
+    Each entry restarts and copies the claims of the others before the next
+    one does. Every earlier key is still refused, every new key runs.
+    """
+    fleet = Fleet()
+    for name in BASE_NAMES:
+        assert fleet.send(name, f'before-{name}') == 'ran'
+        fleet.crash(name)
+        fleet.start(name)
+        fleet.settle()
+    for name in BASE_NAMES:
+        assert fleet.send('e1', f'before-{name}').duplicate
+        assert fleet.send(name, f'after-{name}') == 'ran'
+
+
+def test_a_restart_of_the_whole_fleet_forgets_nothing_silently():
+    """The caller sees outcome unknown: nobody remembers, so nothing runs.
+
+    All entries restart at once. A key dated after the restart is surely new
+    and runs; for any other nobody can know.
+    """
+    fleet = Fleet()
+    fleet.send('e1', 'old')
+    for name in BASE_NAMES:
+        fleet.crash(name)
+    for name in BASE_NAMES:
+        fleet.start(name)
+    fleet.advance(30)
+    assert not fleet.send('e2', 'old').duplicate
+    dated = f'at-{int(fleet.clock.wall_s())}-new'
+    assert fleet.send('e2', dated) == 'ran'
+    assert fleet.send('e3', dated).duplicate
+
+
+def test_an_issued_key_lives_and_dies_with_its_issuer():
+    """The caller sees unknown once the issuer is gone; nothing runs then.
+
+    The key names an entry and incarnation. Another entry may run the request
+    after asking it, once; a new incarnation of the same name decides nothing.
+    """
+    fleet = Fleet()
+    issue = fleet.entries['e1'].voter.issue
+    used, unused = str(issue()), str(issue())
+    assert fleet.send('e3', used) == 'ran'
+    assert fleet.send('e2', used).outcome == outcomes.Outcome.RAN
+    fleet.crash('e1')
+    fleet.start('e1')
+    fleet.settle()
+    assert fleet.send('e1', unused).outcome == outcomes.Outcome.UNKNOWN
+    assert not fleet.runs[unused]
+
+
+def test_without_the_safeguard_the_breach_is_found():
+    fleet = Fleet(disabled=(RUN,))
+    assert fleet.send('e1', 'k') == 'ran' == fleet.send('e2', 'k')
+    assert len(fleet.runs['k']) == 2
