--- /dev/null
+++ b/redwingvalve/membership/records.py
@@ -0,0 +1,39 @@
+"""Members and words as thrift records."""
+
+import types
+
+from redwingvalve.membership import members, words
+from redwingvalve.wire import messages
+
+Record = messages.peer.MemberRecord
+_STATES = types.MappingProxyType(
+    {state.value: state for state in members.MemberState}
+)
+_TEXT_FIELDS = ('name', 'role', 'host', 'data_centre', 'region', 'vm')
+_NUMBER_FIELDS = ('incarnation', 'peer_port', 'http_port')
+
+
+def to_record(word: words.Word) -> Record:
+    """Return a word as it travels."""
+    member = word.member
+    plain = {
+        name: getattr(member, name) for name in _TEXT_FIELDS + _NUMBER_FIELDS
+    }
+    return Record(state=member.state.value, heartbeat=word.heartbeat, **plain)
+
+
+def from_record(record: Record) -> words.Word | None:
+    """Return the word of a record, or None when it is unsound."""
+    state = _STATES.get(record.state)
+    if state is None or not record.name or record.incarnation is None:
+        return None
+    texts = {name: getattr(record, name) or '' for name in _TEXT_FIELDS}
+    numbers = {name: getattr(record, name) or 0 for name in _NUMBER_FIELDS}
+    member = members.Member(state=state, **texts, **numbers)
+    return words.Word(member, record.heartbeat or 0)
+
+
+def words_of(records: list[Record] | None) -> list[words.Word]:
+    """Return the words of all sound records; the others are left out."""
+    read = [from_record(record) for record in records or ()]
+    return [word for word in read if word is not None]
