--- a/redwingvalve/process/entry_drains.py
+++ b/redwingvalve/process/entry_drains.py
@@ -8,15 +8,13 @@
 from collections import abc as collections_abc
 
 from redwingvalve.administration import drains
-from redwingvalve.membership import rendezvous
 from redwingvalve.news import board
 from redwingvalve.observability import logs
+from redwingvalve.process import duties
 from redwingvalve.process import parts as process_parts
 
 READ_EVERY_S = 2.0
 LISTEN_EVERY_S = 0.5
-READERS = 2
-CONTROL_ROLE = 'control'
 LOGGER = logs.make_logger('drains')
 CHANNEL = board.Channel(
     name='entry-drains',
@@ -30,7 +28,7 @@
     """Tell, until cancelled, which entries operators want drained."""
     told: set[str] = set()
     while True:
-        if _is_reader(parts):
+        if duties.is_mine(parts, CHANNEL.name):
             found = await drains.read_drains(parts.objects)
             if found.is_ok():
                 told = _tell(parts.node.news, told, found.ok)
@@ -53,14 +51,6 @@
     leave()
 
 
-def _is_reader(parts: process_parts.ProcessParts) -> bool:
-    present = {member.name for member in parts.node.members.alive(CONTROL_ROLE)}
-    mine = parts.settings.node.name
-    return mine in rendezvous.holders(
-        sorted(present | {mine}), CHANNEL.name, READERS
-    )
-
-
 def _tell(
     news: board.NewsBoard,
     told: set[str],
