Let equals take turns in preference and charge corrections to the lane

Change: equals go by virtual time; corrections move the lane's time too; shares of speed stand in their own module.

--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -2,6 +2,7 @@
 
 import bisect
 import math
+import typing
 
 from redwingvalve.admission import messages
 
@@ -18,10 +19,17 @@
 # settles where about one in twenty of the queued is refused late.
 CAUTION_STEP_S = 0.1
 CAUTION_FALL = 0.8
-CAUTION_RISE = 0.003
+CAUTION_RISE = 0.01
 MIN_CAUTION = 0.05
 
-Waiting = tuple[int, int, float, messages.AdmissionRequest]
+
+class Waiting(typing.NamedTuple):
+    """A waiting request in its order: priority first, then arrival."""
+
+    negative_priority: int
+    number: int
+    cost: float
+    request: messages.AdmissionRequest
 
 
 class Allowance:
@@ -73,18 +81,12 @@
         self._served_at_s = 0.0
         self._backlogged_since_s = 0.0
 
-    def add(
-        self,
-        request: messages.AdmissionRequest,
-        cost: float,
-        number: int,
-        now_s: float,
-    ) -> None:
+    def add(self, waiting: Waiting, now_s: float) -> None:
         """Put a request in its place."""
         if not self.waiting:
             self._backlogged_since_s = now_s
-        bisect.insort(self.waiting, (-request.priority, number, cost, request))
-        self.backlog_tokens += cost
+        bisect.insort(self.waiting, waiting)
+        self.backlog_tokens += waiting.cost
 
     def asked(self, cost: float, now_s: float) -> None:
         """Count a request into what the account asks for."""
@@ -117,7 +119,7 @@
         if not self.waiting or self.waiting[-1][0] <= -priority:
             return self.backlog_tokens
         place = bisect.bisect_right(self.waiting, (-priority, math.inf))
-        return sum(entry[2] for entry in self.waiting[:place])
+        return math.fsum(entry.cost for entry in self.waiting[:place])
 
     def served(self, cost: float, now_s: float) -> None:
         """Count a dispatch into the measured rate."""
@@ -156,7 +158,7 @@
 
     def _remove_at(self, place: int) -> Waiting:
         entry = self.waiting.pop(place)
-        self.backlog_tokens -= entry[2]
+        self.backlog_tokens -= entry.cost
         if not self.waiting:
             self.backlog_tokens = 0.0
         return entry
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -64,13 +64,15 @@
         """Admit, queue or refuse a new request."""
         cost = self._costs.corrected(request)
         self._number += 1
-        self._lanes[request.kind].line(request).asked(cost, now_s)
+        in_lane = self._lanes[request.kind]
+        line = in_lane.line(request)
+        line.asked(cost, now_s)
         if request.kind != messages.JobKind.LONG:
             self._lanes.note_short_use(now_s)
         limit = self._in_flight.limit()
         first = self._lanes.nobody_before(request.kind, limit)
         if first and self._in_flight.has_room():
-            self._lanes[request.kind].pass_by(request, cost, now_s)
+            in_lane.pass_by(line, cost, now_s)
             self._in_flight.add(request, cost, now_s)
             return messages.Admitted(request.request_id)
         if self._capacity.tokens_per_s <= 0:
@@ -83,7 +85,7 @@
             return self._refusal(
                 request, messages.RefusalReason.QUEUE_FULL, self._drain_time_s()
             )
-        return self._queue_or_refuse(request, cost, now_s)
+        return self._queue_or_refuse(request, line, cost, now_s)
 
     def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
         """Return the next waiting request if it fits now."""
@@ -114,7 +116,7 @@
             return
         self._costs.learn(sent.request, actual_tokens)
         in_lane = self._lanes[sent.request.kind]
-        in_lane.charge(in_lane.line(sent.request), actual_tokens - sent.cost)
+        in_lane.correct(in_lane.line(sent.request), actual_tokens - sent.cost)
 
     def withdraw(self, request_id: str) -> bool:
         """Forget a waiting request."""
@@ -147,10 +149,13 @@
         return len(self._in_flight)
 
     def _queue_or_refuse(
-        self, request: messages.AdmissionRequest, cost: float, now_s: float
+        self,
+        request: messages.AdmissionRequest,
+        line: account_line.AccountLine,
+        cost: float,
+        now_s: float,
     ) -> messages.Decision:
         in_lane = self._lanes[request.kind]
-        line = in_lane.line(request)
         wait_s = self._wait_s(
             in_lane, line, line.backlog_ahead(request.priority), now_s
         )
@@ -158,7 +163,7 @@
             request.deadline_s - self._in_flight.pressure.first_token_s
         )
         slack_s = (latest_start_s - now_s) * line.caution
-        if in_lane.within_share(line, now_s):
+        if in_lane.shares.moderate(line, now_s):
             slack_s *= self._settings.moderate_wait_margin
         else:
             slack_s *= self._settings.greedy_wait_margin
@@ -168,7 +173,10 @@
                 messages.RefusalReason.WOULD_MISS_TARGET,
                 wait_s - max(slack_s, 0.0),
             )
-        in_lane.add(request, cost, self._number, now_s)
+        waiting = account_line.Waiting(
+            -request.priority, self._number, cost, request
+        )
+        in_lane.add(line, waiting, now_s)
         self._places[request.request_id] = _Place(request, self._number)
         heapq.heappush(
             self._latest_starts,
--- a/redwingvalve/admission/lane.py
+++ b/redwingvalve/admission/lane.py
@@ -12,14 +12,16 @@
 """
 
 import heapq
-import math
 
-from redwingvalve.admission import account_line, messages, preference
+from redwingvalve.admission import (
+    account_line,
+    messages,
+    preference,
+    speed_shares,
+)
 
 # How long an unmet claim of an account is remembered.
-CLAIM_S = 5.0
-# Accounts that asked within this time count into the shares of preference.
-RECENT_S = 10.0
+CLAIM_S = 1.0
 
 
 class Lane:
@@ -34,9 +36,7 @@
         self._settings = settings
         self._active_weight = 0.0
         self._virtual_time = 0.0
-        self._speed = 1.0
-        self._recent_weight = 1.0
-        self._recent_until_s = 0.0
+        self.shares = speed_shares.SpeedShares()
         self._preferred_credit = 0.0
         self._credit_bound = 0.0
         self._fair: list[tuple[float, int, int]] = []
@@ -45,16 +45,15 @@
 
     def add(
         self,
-        request: messages.AdmissionRequest,
-        cost: float,
-        number: int,
+        line: account_line.AccountLine,
+        waiting: account_line.Waiting,
         now_s: float,
     ) -> None:
-        """Let a request wait."""
-        line = self.line(request)
+        """Let a request wait in the line of its account."""
+        (_, _, cost, request) = waiting
         if not line.waiting:
             self._activate(line, request)
-        line.add(request, cost, number, now_s)
+        line.add(waiting, now_s)
         self.waiting_count += 1
         self.waiting_tokens += cost
 
@@ -70,11 +69,12 @@
         self.lines[request.account] = line
         self._by_number.append(line)
         self._preference.know(line)
+        self.shares.know(line)
         return line
 
     def note_speed(self, tokens_per_s: float) -> None:
         """Take over the speed that is shared here."""
-        self._speed = tokens_per_s
+        self.shares.speed = tokens_per_s
         self._credit_bound = self._settings.preference_burst_s * tokens_per_s
 
     def fair_share(self, line: account_line.AccountLine) -> float:
@@ -84,16 +84,6 @@
             weight += line.weight
         return line.weight / max(weight, line.weight)
 
-    def within_share(
-        self, line: account_line.AccountLine, now_s: float
-    ) -> bool:
-        """Tell whether a line asks at most its share among recent accounts.
-
-        Fair sharing serves such a line soon, whatever the others ask, so that
-        its expected wait may use nearly all of the time that is left.
-        """
-        return line.asked_tokens_per_s() <= self._share(line, now_s)
-
     def choose(
         self, now_s: float
     ) -> tuple[account_line.AccountLine, bool] | None:
@@ -145,21 +135,31 @@
         self._left(line, entry[2])
         return entry
 
+    def correct(self, line: account_line.AccountLine, cost: float) -> None:
+        """Charge what was used beyond the estimate, or give it back.
+
+        The lane's own time moves along: otherwise accounts that overstate
+        would pull it ahead and be paid back a claim on the others.
+        """
+        weight = max(self._active_weight, line.weight)
+        self._virtual_time += cost / weight
+        self.charge(line, cost)
+
     def charge(self, line: account_line.AccountLine, cost: float) -> None:
-        """Move an account's virtual time; a negative cost gives back."""
+        """Move an account's virtual time."""
         # An account that got less than its share for long would otherwise
         # hold a claim that shuts out the others for as long again.
-        oldest = self._virtual_time - self._claim_bound()
+        oldest = self._virtual_time
+        oldest -= CLAIM_S * self.shares.speed / self.shares.weight
         line.virtual_time = max(line.virtual_time + cost / line.weight, oldest)
         line.version += 1
         if line.waiting:
             self._push_fair(line)
 
     def pass_by(
-        self, request: messages.AdmissionRequest, cost: float, now_s: float
+        self, line: account_line.AccountLine, cost: float, now_s: float
     ) -> None:
         """Charge a request that was admitted without waiting."""
-        line = self.line(request)
         line.virtual_time = max(line.virtual_time, self._virtual_time)
         line.virtual_time += cost / line.weight
         line.served(cost, now_s)
@@ -212,24 +212,7 @@
     def _preferred_rate(
         self, line: account_line.AccountLine, now_s: float
     ) -> float:
-        return self._settings.preference_bound * self._share(line, now_s)
-
-    def _share(self, line: account_line.AccountLine, now_s: float) -> float:
-        share = line.weight / max(self._recent(now_s), line.weight)
-        return self._speed * share
-
-    def _recent(self, now_s: float) -> float:
-        if now_s >= self._recent_until_s:
-            self._recent_until_s = now_s + 1
-            self._recent_weight = math.fsum(
-                line.weight
-                for line in self._by_number
-                if now_s - line.asked_at_s <= RECENT_S
-            )
-        return self._recent_weight
-
-    def _claim_bound(self) -> float:
-        return CLAIM_S * self._speed / max(self._recent_weight, 1e-6)
+        return self._settings.preference_bound * self.shares.of(line, now_s)
 
     def _count_turn(self, cost: float, *, by_preference: bool) -> None:
         # The credit is bounded: turns that preference could not use must not
--- a/redwingvalve/admission/lanes.py
+++ b/redwingvalve/admission/lanes.py
@@ -13,6 +13,8 @@
 
 from redwingvalve.admission import account_line, estimates, lane, messages
 
+KINDS = tuple(messages.JobKind)
+
 
 class Turn(typing.NamedTuple):
     """Whose turn it is, and whether by preference."""
@@ -46,9 +48,7 @@
 
     def choose(self, limit: float, now_s: float) -> Turn | None:
         """Return whose turn it is under an in-flight bound."""
-        waiting = [
-            kind for kind in messages.JobKind if self._lanes[kind].waiting_count
-        ]
+        waiting = [kind for kind in KINDS if self._lanes[kind].waiting_count]
         for kind in waiting:
             if self._below_floor(kind, limit):
                 return self._turn(kind, now_s)
@@ -59,7 +59,9 @@
 
     def nobody_before(self, kind: messages.JobKind, limit: float) -> bool:
         """Tell whether a new job of a kind passes everything that waits."""
-        if not any(in_lane.waiting_count for in_lane in self._lanes):
+        (light, short, long) = self._lanes
+        waiting = light.waiting_count + short.waiting_count + long.waiting_count
+        if not waiting:
             return self._below_ceiling(kind, limit)
         if kind == messages.JobKind.LONG or self._lanes[kind].waiting_count:
             return False
--- a/redwingvalve/admission/preference.py
+++ b/redwingvalve/admission/preference.py
@@ -17,6 +17,10 @@
 Rates = collections_abc.Callable[[account_line.AccountLine, float], float]
 
 
+# Penalty and priority, both negative, then virtual time: equals take turns.
+Listed = tuple[float, int, float, int]
+
+
 class Preference:
     """Lines by penalty, then priority; every step is O(log accounts)."""
 
@@ -24,8 +28,8 @@
         """Start without lines."""
         self._settings = settings
         self._lines: list[account_line.AccountLine] = []
-        self._listed: list[tuple[float, int, int]] = []
-        self._parked: list[tuple[float, float, int, int]] = []
+        self._listed: list[Listed] = []
+        self._parked: list[tuple[float, Listed]] = []
 
     def know(self, line: account_line.AccountLine) -> None:
         """Take in a new line; its number is its place."""
@@ -36,28 +40,42 @@
         if line.listed:
             return
         line.listed = True
-        heapq.heappush(self._listed, (-line.penalty, -priority, line.number))
+        heapq.heappush(
+            self._listed,
+            (-line.penalty, -priority, line.virtual_time, line.number),
+        )
 
     def first(
         self, now_s: float, rate: Rates
     ) -> account_line.AccountLine | None:
         """Return the dearest line with an allowance; rate gives its growth."""
         while self._parked and self._parked[0][0] <= now_s:
-            heapq.heappush(self._listed, heapq.heappop(self._parked)[1:])
+            heapq.heappush(self._listed, heapq.heappop(self._parked)[1])
         while self._listed:
-            line = self._lines[self._listed[0][2]]
-            line.allowance.refill(
-                rate(line, now_s), self._settings.preference_burst_s, now_s
-            )
-            if line.waiting and line.allowance.level > 0:
+            listed = self._listed[0]
+            line = self._lines[listed[3]]
+            if not line.waiting:
+                heapq.heappop(self._listed)
+                line.listed = False
+            elif listed[2] < line.virtual_time:
+                moved = (listed[0], listed[1], line.virtual_time, listed[3])
+                heapq.heapreplace(self._listed, moved)
+            elif self._allowed(line, now_s, rate):
                 return line
-            entry = heapq.heappop(self._listed)
-            line.listed = bool(line.waiting)
-            if line.waiting:
+            else:
+                heapq.heappop(self._listed)
                 again_at_s = now_s + line.allowance.wait_s() + MIN_PARKED_S
-                heapq.heappush(self._parked, (again_at_s, *entry))
+                heapq.heappush(self._parked, (again_at_s, listed))
         return None
 
+    def _allowed(
+        self, line: account_line.AccountLine, now_s: float, rate: Rates
+    ) -> bool:
+        line.allowance.refill(
+            rate(line, now_s), self._settings.preference_burst_s, now_s
+        )
+        return line.allowance.level > 0
+
     def clear(self) -> None:
         """Forget all that is listed, when nothing waits any more."""
         self._listed.clear()
