--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -33,7 +33,7 @@
         objects.SERVICES,
         domain_module.KIND,
         drains.KIND,
-            'nodes',
+        'nodes',
         'allocations',
     )
 )
@@ -125,9 +125,7 @@
 
     async def _events(self, call: operations.Call) -> Answer:
         domains = await self._domains()
-        return domains.map(
-            lambda found: {'events': views.event_rows(found)}
-        )
+        return domains.map(lambda found: {'events': views.event_rows(found)})
 
     async def _audits(self, call: operations.Call) -> Answer:
         return await self._rows(AUDITS)
--- a/redwingvalve/at_most_once/voters.py
+++ b/redwingvalve/at_most_once/voters.py
@@ -1,8 +1,9 @@
 """Which entries decide about a caller's own key."""
 
-import hashlib
 from collections import abc as collections_abc
 
+from redwingvalve.membership import rendezvous
+
 VOTERS_PER_KEY = 3
 
 
@@ -13,19 +14,11 @@
 
     Adding or removing a name moves only the keys that it votes on.
     """
-    ranked = sorted(
-        names,
-        key=lambda name: _rank(name, account, request_key),
-        reverse=True,
+    return rendezvous.holders(
+        names, f'{account}\0{request_key}', VOTERS_PER_KEY
     )
-    return tuple(ranked[:VOTERS_PER_KEY])
 
 
 def votes_needed(voters: int) -> int:
     """Return a majority, so that any two of them share a voter."""
     return voters // 2 + 1
-
-
-def _rank(name: str, account: str, request_key: str) -> bytes:
-    text = f'{name}\0{account}\0{request_key}'
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -9,10 +9,12 @@
 from opentelemetry import trace
 
 from redwingvalve.core import invariants, outcomes
+from redwingvalve.declaration import schema
 from redwingvalve.entry import (
     accounts,
     caller,
     model_request,
+    once,
     parts,
     relay,
     responder,
@@ -23,6 +25,7 @@
 LOGGER = logs.make_logger('entry')
 MODELS_PATH = '/v1/models'
 ENTRIES_PATH = '/v1/entries'
+KEYS_PATH = '/v1/request-keys'
 
 
 class EntryApp:
@@ -34,6 +37,7 @@
         self._accounts = accounts.AccountBook(entry_parts.source)
         self._models = relay.ModelRelay(entry_parts)
         self._services = services.ServiceRelay(entry_parts)
+        self._once = _make_once(entry_parts)
         self.in_progress = 0
 
     async def __call__(
@@ -107,6 +111,9 @@
         if found.is_error():
             await responds.send_error(found.error)
             return
+        if head.path == KEYS_PATH and head.method == 'POST':
+            await self._answer_key(responds)
+            return
         if head.path == MODELS_PATH and head.method == 'GET':
             await self._answer_models(responds)
             return
@@ -120,12 +127,39 @@
         if isinstance(work, outcomes.ErrorAnswer):
             await responds.send_error(work)
             return
-        await _run_until_gone(receive, responds, span, work)
+        await _run_until_gone(
+            receive, span, self._run_work, work, responds, span
+        )
+
+    async def _run_work(
+        self, work: 'Work', responds: responder.Responder, span: trace.Span
+    ) -> None:
+        """Run work, under a claim of its key if it may run only once."""
+        if self._once is None or work.request.idempotent:
+            await work.run(work.request, responds, span, None)
+            return
+        claimed = await self._once.claim(
+            work.request.head, work.account, work.body
+        )
+        if claimed.is_error():
+            span.set_attribute('redwingvalve.refused', claimed.error.code)
+            await responds.send_error(claimed.error)
+            return
+        grant = claimed.ok
+        try:
+            await work.run(
+                work.request,
+                responds,
+                span,
+                lambda: self._once.check(grant),
+            )
+        finally:
+            await self._once.report(grant, responds.outcome)
 
     def _find_work(
         self,
         head: caller.CallerHead,
-        account: typing.Any,
+        account: schema.ClientAccount,
         body: bytes,
     ) -> 'Work | outcomes.ErrorAnswer':
         current = self._parts.source.current()
@@ -138,7 +172,7 @@
             refusal = accounts.check_deployment(
                 account, read.ok.deployment, head
             )
-            return refusal or Work(self._models.run, read.ok)
+            return refusal or Work(self._models.run, read.ok, account, body)
         service = services.find_service(head.path, current.services)
         if service is None:
             return outcomes.ErrorAnswer(
@@ -148,9 +182,18 @@
                 outcome=outcomes.Outcome.NOT_RUN,
             )
         return Work(
-            self._services.run, services.ServiceRequest(head, service, body)
+            self._services.run,
+            services.ServiceRequest(head, service, body),
+            account,
+            body,
         )
 
+    async def _answer_key(self, responds: responder.Responder) -> None:
+        if self._once is None:
+            await responds.send_error(_no_keys())
+            return
+        await responds.send_json(200, {'key': self._once.issue()})
+
     async def _answer_entries(self, responds: responder.Responder) -> None:
         listed = self._parts.directory.entries()
         await responds.send_json(200, attrs.asdict(listed))
@@ -179,18 +222,20 @@
 
     run: collections_abc.Callable[..., collections_abc.Awaitable[None]]
     request: typing.Any
+    account: schema.ClientAccount
+    body: bytes
 
 
 async def _run_until_gone(
     receive: caller.Receive,
-    responds: responder.Responder,
     span: trace.Span,
-    work: Work,
+    run: collections_abc.Callable[..., collections_abc.Awaitable[None]],
+    *arguments: typing.Any,
 ) -> None:
-    """Run work; when the caller hangs up, cancel it and free its tokens."""
+    """Run; when the caller hangs up, cancel it and free its tokens."""
     async with anyio.create_task_group() as group:
         group.start_soon(_cancel_when_gone, receive, group.cancel_scope, span)
-        await work.run(work.request, responds, span)
+        await run(*arguments)
         group.cancel_scope.cancel()
 
 
@@ -214,6 +259,21 @@
             return
 
 
+def _make_once(entry_parts: parts.EntryParts) -> once.OnceGuard | None:
+    if entry_parts.key_claims is None:
+        return None
+    return once.OnceGuard(entry_parts.key_claims, entry_parts.members.myself())
+
+
+def _no_keys() -> outcomes.ErrorAnswer:
+    return outcomes.ErrorAnswer(
+        status=503,
+        code='no-request-keys',
+        message='this entry issues no request keys',
+        outcome=outcomes.Outcome.NOT_RUN,
+    )
+
+
 def make_entry_app(entry_parts: parts.EntryParts) -> EntryApp:
     """Return the application of one entry."""
     return EntryApp(entry_parts)
--- /dev/null
+++ b/redwingvalve/entry/delivered.py
@@ -0,0 +1,65 @@
+"""What a caller has of a stream so far, so that it can go on elsewhere."""
+
+import json
+import typing
+
+import attrs
+
+from redwingvalve.entry import answer_check
+
+DATA_FIELD = b'data:'
+
+
+@attrs.define
+class Delivered:
+    """The events that were written to the caller, over all sends.
+
+    They are kept as bytes and parsed only when a stream breaks: a parse of
+    each token would cost more than its relay. kept is false for requests
+    that are never resumed, whose events are only counted.
+    """
+
+    kept: bool
+    count: int = 0
+    _events: bytearray = attrs.field(factory=bytearray)
+
+    def add(self, events: list[bytes]) -> None:
+        """Count events as delivered."""
+        self.count += len(events)
+        if self.kept:
+            for event in events:
+                self._events += event
+
+    def read(self) -> 'DeliveredText':
+        """Return the tokens delivered, and whether the answer had ended."""
+        tokens: list[str] = []
+        ended = False
+        for event in bytes(self._events).split(answer_check.EVENT_END):
+            if not event:
+                continue
+            choice = _choice(json.loads(event[len(DATA_FIELD) :]))
+            text = choice.get('text') or choice.get('delta', {}).get('content')
+            if text:
+                tokens.append(text)
+            ended = ended or choice.get('finish_reason') is not None
+        return DeliveredText(tuple(tokens), ended)
+
+
+@attrs.frozen
+class DeliveredText:
+    """Tokens in order; ended once a finish reason was delivered."""
+
+    tokens: tuple[str, ...]
+    ended: bool
+
+
+def _choice(parsed: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    choices = parsed.get('choices') or [{}]
+    return choices[0]
+
+
+def is_resumable(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether a stream is plain text, which alone can be continued."""
+    if fields.get('n', 1) != 1:
+        return False
+    return not any(name in fields for name in ('tools', 'logprobs', 'echo'))
--- a/redwingvalve/entry/parts.py
+++ b/redwingvalve/entry/parts.py
@@ -1,16 +1,22 @@
 """What the request path is built from; each part is an abstract base class."""
 
+from collections import abc as collections_abc
+
 import attrs
 
+from redwingvalve.at_most_once import claims
 from redwingvalve.configuration import snapshot
-from redwingvalve.core import clock, invariants
-from redwingvalve.entry import directory, replica_choice, upstream
+from redwingvalve.core import clock, invariants, outcomes
+from redwingvalve.entry import directory, upstream
 from redwingvalve.evidence import permits
 from redwingvalve.membership import members
 from redwingvalve.news import board
 from redwingvalve.observability import metrics, tracing
 from redwingvalve.settings import schema as settings_schema
 
+# Asked right before each send of a request that may run only once.
+MaySend = collections_abc.Callable[[], bool]
+
 
 @attrs.frozen
 class EntryParts:
@@ -27,6 +33,19 @@
     tracing: tracing.Tracing
     switches: invariants.SafeguardSwitches
     directory: directory.EntryDirectory
-    choice: replica_choice.ReplicaChoice = attrs.field(
-        factory=replica_choice.make_least_in_flight
+    key_claims: claims.KeyClaims | None = None
+
+
+def grant_expired() -> outcomes.ErrorAnswer:
+    """Return the answer to a request whose leave to be sent has run out.
+
+    Its voters may forget the claim before a send that is this late; nothing
+    was sent under it.
+    """
+    return outcomes.ErrorAnswer(
+        status=503,
+        code='request-key-expired',
+        message='the entry was held up; send again with the same key',
+        outcome=outcomes.Outcome.NOT_RUN,
+        retry_after_s=1.0,
     )
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -1,5 +1,6 @@
 """Carries a model request to a replica and its answer back."""
 
+import collections
 import contextlib
 from collections import abc as collections_abc
 
@@ -8,11 +9,44 @@
 from opentelemetry import trace
 
 from redwingvalve.configuration import snapshot
-from redwingvalve.core import invariants, outcomes
-from redwingvalve.entry import model_request, parts, responder, sends
+from redwingvalve.core import outcomes
+from redwingvalve.entry import (
+    delivered,
+    model_request,
+    parts,
+    replica_choice,
+    responder,
+    sends,
+    suspects,
+)
+from redwingvalve.observability import logs
+from redwingvalve.retries import budget, decisions
+from redwingvalve.routing import messages as routing_messages
 
+LOGGER = logs.make_logger('relay')
 RETRY_AFTER_S = 1.0
-MAX_SENDS = 3
+NextStep = decisions.NextStep
+
+
+@attrs.define
+class _Attempt:
+    """One send under way."""
+
+    replica: snapshot.Replica
+    route: routing_messages.RouteRequest
+    whole: bool = False
+
+
+@attrs.define
+class _Retries:
+    """The retry budget of one deployment and the policy that spends it."""
+
+    spending: budget.RetryBudget = attrs.field(factory=budget.make_retry_budget)
+    policy: decisions.RetryPolicy = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Spend from the own budget."""
+        self.policy = decisions.make_retry_policy(self.spending)
 
 
 class ModelRelay:
@@ -22,147 +56,236 @@
         """Carry requests with entry_parts."""
         self._parts = entry_parts
         self._sender = sends.Sender(entry_parts)
+        self.choice = replica_choice.ReplicaChoice(
+            entry_parts.source,
+            entry_parts.permits,
+            entry_parts.members.myself(),
+            entry_parts.clock,
+            entry_parts.switches,
+        )
+        self._suspects = suspects.SuspectGate(
+            entry_parts.members,
+            entry_parts.news,
+            entry_parts.clock,
+            entry_parts.switches,
+        )
+        self._retries: dict[str, _Retries] = collections.defaultdict(_Retries)
 
     async def run(
         self,
         request: model_request.ModelRequest,
         responds: responder.Responder,
         span: trace.Span,
+        may_send: parts.MaySend | None,
     ) -> None:
         """Answer the request by its deadline."""
         remaining_s = request.head.remaining_s(self._parts.clock.monotonic_s())
-        progress = sends.Progress()
+        journey = sends.Journey(
+            request,
+            responds,
+            span,
+            delivered.Delivered(
+                kept=request.idempotent
+                and request.stream
+                and delivered.is_resumable(request.fields)
+            ),
+        )
         refusal: outcomes.ErrorAnswer | None = None
         scope = anyio.move_on_after(max(remaining_s, 0))
         with scope:
-            refusal = await self._try_replicas(
-                request, responds, progress, span
-            )
+            refusal = await self._carry(journey, may_send)
         if responds.finished:
             return
         if scope.cancelled_caught:
-            refusal = _deadline_passed(progress)
+            refusal = _deadline_passed(responds.outcome)
         if refusal is not None:
             span.set_attribute('redwingvalve.refused', refusal.code)
             await responds.send_error(refusal)
 
-    async def _try_replicas(
-        self,
-        request: model_request.ModelRequest,
-        responds: responder.Responder,
-        progress: sends.Progress,
-        span: trace.Span,
+    async def _carry(
+        self, journey: sends.Journey, may_send: parts.MaySend | None
     ) -> outcomes.ErrorAnswer | None:
+        """Send until the caller has its answer; return a refusal otherwise."""
+        digest = self._suspects.digest(journey.request)
+        refusal = self._suspects.refusal(digest)
         tried: set[str] = set()
-        outcome = outcomes.Outcome.NOT_RUN
         failure: sends.SendFailure | None = None
-        while progress.sends < MAX_SENDS:
-            replica = self._choose(request, tried)
-            if replica is None:
-                break
-            tried.add(replica.name)
-            span.add_event('chosen', {'replica': replica.name})
-            failure = await self._send(
-                request, replica, responds, progress, span
-            )
+        while refusal is None:
+            attempt = self._choose(journey, digest, frozenset(tried))
+            if attempt is None:
+                return _no_replica(journey, failure)
+            if may_send is not None and not may_send():
+                return parts.grant_expired()
+            tried.add(attempt.replica.name)
+            failure = await self._send(journey, attempt, digest)
             if failure is None:
+                deployment = journey.request.deployment.name
+                self._retries[deployment].spending.succeeded()
                 return None
-            span.add_event('send failed', {'why': failure.message})
-            if failure.outcome != outcomes.Outcome.NOT_RUN:
-                outcome = failure.outcome
-            if responds.started or not _may_retry(request, failure):
-                break
-        return _refusal(failure, outcome)
+            refusal = await self._after(journey, failure, digest)
+        return refusal if not journey.responds.finished else None
 
-    async def _send(
+    def _choose(
         self,
-        request: model_request.ModelRequest,
-        replica: snapshot.Replica,
-        responds: responder.Responder,
-        progress: sends.Progress,
-        span: trace.Span,
+        journey: sends.Journey,
+        digest: bytes,
+        tried: frozenset[str],
+    ) -> _Attempt | None:
+        request = journey.request
+        identity = self._sender.next_identity(request)
+        route = self.choice.route_request(
+            request, identity.endpoint_id, tried, len(journey.resume_tokens)
+        )
+        only = self._suspects.allowed(
+            digest, self.choice.serving(request.deployment.name)
+        )
+        replica = self.choice.choose(request, route, journey.span, only)
+        return None if replica is None else _Attempt(replica, route)
+
+    async def _send(
+        self, journey: sends.Journey, attempt: _Attempt, digest: bytes
     ) -> sends.SendFailure | None:
-        with self._in_flight(replica, request.max_tokens) as ending:
-            failure = await self._sender.send(
-                request, replica, responds, progress, span
+        policy = self.choice.routing(journey.request.deployment.name)
+        identity = sends.answer_check.AnswerIdentity(
+            attempt.route.request_id, journey.request.head.request_id
+        )
+
+        def on_first_token() -> None:
+            policy.first_token(
+                identity.endpoint_id, self._parts.clock.monotonic_s()
             )
-            ending.succeeded = failure is None
-        if failure is not None and failure.blames_endpoint:
-            self._parts.permits.report_failure(
-                replica,
-                replica.members[0].vm,
-                self._parts.clock.monotonic_s(),
+
+        with self._counted(journey, attempt, digest):
+            failure = await self._sender.send(
+                journey, attempt.replica, identity, on_first_token
             )
+            attempt.whole = failure is None
+            if failure is not None and failure.blames_endpoint:
+                self._blame(attempt.replica, failure)
         return failure
 
     @contextlib.contextmanager
-    def _in_flight(
-        self, replica: snapshot.Replica, tokens: int
-    ) -> collections_abc.Iterator['_Ending']:
-        ending = _Ending()
-        self._parts.choice.began(replica, tokens)
+    def _counted(
+        self, journey: sends.Journey, attempt: _Attempt, digest: bytes
+    ) -> collections_abc.Iterator[None]:
+        policy = self.choice.routing(journey.request.deployment.name)
+        policy.sent(
+            attempt.route,
+            attempt.replica.name,
+            self._parts.clock.monotonic_s(),
+        )
+        self._suspects.began(digest, attempt.replica)
         try:
-            yield ending
+            yield
         finally:
-            self._parts.choice.ended(
-                replica, tokens, succeeded=ending.succeeded
+            self._suspects.ended(digest, attempt.replica, whole=attempt.whole)
+            policy.finished(
+                attempt.route.request_id, self._parts.clock.monotonic_s()
             )
 
-    def _choose(
-        self, request: model_request.ModelRequest, tried: set[str]
-    ) -> snapshot.Replica | None:
-        now_s = self._parts.clock.monotonic_s()
-        candidates = [
-            replica
-            for replica in self._parts.source.current().replicas
-            if replica.deployment == request.deployment.name
-            and replica.name not in tried
-            and self._may_serve(replica, now_s)
-        ]
-        return self._parts.choice.choose(candidates, request, now_s)
-
-    def _may_serve(self, replica: snapshot.Replica, now_s: float) -> bool:
-        switches = self._parts.switches
-        if not replica.serving and switches.enabled(
-            invariants.Safeguard.LEAVING_EXCLUDED
-        ):
-            return False
-        if not switches.enabled(invariants.Safeguard.EVIDENCE_REQUIRED):
-            return True
-        return self._parts.permits.permitted(replica, now_s)
+    def _blame(
+        self, replica: snapshot.Replica, failure: sends.SendFailure
+    ) -> None:
+        LOGGER.warning(
+            'a send failed',
+            extra={'replica': replica.name, 'why': failure.message},
+        )
+        self._parts.metrics.count('entry.send_failed')
+        self._parts.permits.report_failure(
+            replica,
+            replica.members[0].vm,
+            self._parts.clock.monotonic_s(),
+        )
+        if failure.outcome != outcomes.Outcome.NOT_RUN:
+            self._suspects.endpoint_died(replica)
 
+    async def _after(
+        self,
+        journey: sends.Journey,
+        failure: sends.SendFailure,
+        digest: bytes,
+    ) -> outcomes.ErrorAnswer | None:
+        """Prepare the next send, or return the refusal that ends it."""
+        if not failure.retriable:
+            return _refused_by_endpoint(failure, journey)
+        if self._suspects.refused_again(digest):
+            return suspects.poison_after_run()
+        had = delivered.DeliveredText((), ended=False)
+        if journey.delivered.kept and journey.delivered.count:
+            had = journey.delivered.read()
+        if had.ended:
+            # Only the end mark was lost: the caller has every token.
+            await sends.finish_stream(journey.responds)
+            return _failed(failure, outcomes.Outcome.RAN)
+        may_repeat = journey.request.idempotent and (
+            journey.delivered.kept or not journey.delivered.count
+        )
+        decision = self._decide(journey, failure, may_repeat=may_repeat)
+        journey.span.add_event(
+            'after failure',
+            {
+                'why': failure.message,
+                'step': decision.step.value,
+                'reason': (decision.reason or '') and decision.reason.value,
+            },
+        )
+        if decision.step == NextStep.GIVE_UP:
+            return _failed(failure, decision.outcome)
+        self._parts.metrics.count(f'entry.{decision.step.value}')
+        journey.resume_tokens = had.tokens
+        return None
 
-@attrs.define
-class _Ending:
-    succeeded: bool = False
+    def _decide(
+        self,
+        journey: sends.Journey,
+        failure: sends.SendFailure,
+        *,
+        may_repeat: bool,
+    ) -> decisions.RetryDecision:
+        head = journey.request.head
+        not_run = outcomes.Outcome.NOT_RUN
+        retries = self._retries[journey.request.deployment.name]
+        return retries.policy.after_failure(
+            decisions.FailedAttempt(
+                idempotent=may_repeat,
+                surely_not_run=failure.outcome == not_run,
+                attempts=journey.sends,
+                delivered_tokens=journey.delivered.count,
+                earlier_unknown=journey.responds.outcome != not_run,
+                deadline_s=head.arrived_s + head.deadline_s,
+            ),
+            self._parts.clock.monotonic_s(),
+        )
 
 
-def _may_retry(
-    request: model_request.ModelRequest, failure: sends.SendFailure
-) -> bool:
-    if not failure.retriable:
-        return False
-    return request.idempotent or failure.outcome == outcomes.Outcome.NOT_RUN
+def _no_replica(
+    journey: sends.Journey, failure: sends.SendFailure | None
+) -> outcomes.ErrorAnswer:
+    if failure is not None:
+        return _failed(failure, journey.responds.outcome)
+    return outcomes.ErrorAnswer(
+        status=503,
+        code='no-replica',
+        message='no replica may serve this model now',
+        outcome=journey.responds.outcome,
+        retry_after_s=RETRY_AFTER_S,
+    )
 
 
-def _refusal(
-    failure: sends.SendFailure | None, outcome: outcomes.Outcome
+def _refused_by_endpoint(
+    failure: sends.SendFailure, journey: sends.Journey
+) -> outcomes.ErrorAnswer:
+    return outcomes.ErrorAnswer(
+        status=failure.status,
+        code='endpoint-refused',
+        message=failure.message,
+        outcome=journey.responds.outcome,
+    )
+
+
+def _failed(
+    failure: sends.SendFailure, outcome: outcomes.Outcome
 ) -> outcomes.ErrorAnswer:
-    if failure is None:
-        return outcomes.ErrorAnswer(
-            status=503,
-            code='no-replica',
-            message='no replica may serve this model now',
-            outcome=outcome,
-            retry_after_s=RETRY_AFTER_S,
-        )
-    if failure.status and not failure.retriable:
-        return outcomes.ErrorAnswer(
-            status=failure.status,
-            code='endpoint-refused',
-            message=failure.message,
-            outcome=outcome,
-        )
     return outcomes.ErrorAnswer(
         status=502,
         code='endpoint-failed',
@@ -172,10 +295,7 @@
     )
 
 
-def _deadline_passed(progress: sends.Progress) -> outcomes.ErrorAnswer:
-    outcome = outcomes.Outcome.NOT_RUN
-    if progress.sends:
-        outcome = outcomes.Outcome.UNKNOWN
+def _deadline_passed(outcome: outcomes.Outcome) -> outcomes.ErrorAnswer:
     return outcomes.ErrorAnswer(
         status=504,
         code='deadline-exceeded',
--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -1,67 +1,172 @@
 """Which replica gets the next send; the policy stands in routing."""
 
-import abc
-import collections
-from collections import abc as collections_abc
+import json
+import random
+
+import xxhash
+from opentelemetry import trace
 
 from redwingvalve.configuration import snapshot
+from redwingvalve.core import clock, invariants
 from redwingvalve.entry import model_request
+from redwingvalve.evidence import permits
+from redwingvalve.membership import members
+from redwingvalve.routing import messages as routing_messages
+from redwingvalve.routing import policy, scored
 
+# Without a measured delay: a data centre of the own region is near, another
+# region is far enough that only a region without room sends there.
+NEAR_DELAY_S = 0.001
+FAR_DELAY_S = 0.05
+# Prompts are alike at their beginning: instructions first, then the case.
+PREFIX_LENGTHS = (8192, 2048, 512)
+CHARACTERS_PER_TOKEN = 4
+DRAW_BITS = 64
 
-class ReplicaChoice(abc.ABC):
-    """Chooses among replicas that may be sent to, and hears what came."""
-
-    @abc.abstractmethod
-    def choose(
-        self,
-        candidates: collections_abc.Sequence[snapshot.Replica],
-        request: model_request.ModelRequest,
-        now_s: float,
-    ) -> snapshot.Replica | None:
-        """Return a replica, or None when no candidate may take it."""
 
-    @abc.abstractmethod
-    def began(self, replica: snapshot.Replica, tokens: int) -> None:
-        """Count a send, before the first byte goes."""
+class ReplicaChoice:
+    """One routing policy for each deployment, fed with the configuration."""
 
-    @abc.abstractmethod
-    def ended(
-        self, replica: snapshot.Replica, tokens: int, *, succeeded: bool
+    def __init__(
+        self,
+        source: snapshot.ConfigurationSource,
+        serving_permits: permits.ServingPermits,
+        myself: members.Member,
+        choice_clock: clock.Clock,
+        switches: invariants.SafeguardSwitches,
     ) -> None:
-        """Count the end of a send that began with so many tokens."""
-
+        """Choose from source what serving_permits permits."""
+        self._source = source
+        self._permits = serving_permits
+        self._myself = myself
+        self._clock = choice_clock
+        self._switches = switches
+        self._random = random.Random(f'{myself.name}-{myself.incarnation}')
+        self._version = -1
+        self._replicas: dict[str, snapshot.Replica] = {}
+        self._policies: dict[str, policy.RoutingPolicy] = {}
+        self._regions: dict[str, str] = {}
 
-class LeastInFlight(ReplicaChoice):
-    """The replica with the fewest own requests; the plain baseline."""
+    def routing(self, deployment: str) -> policy.RoutingPolicy:
+        """Return the policy of a deployment in the configuration in force."""
+        self._follow()
+        if deployment not in self._policies:
+            self._policies[deployment] = self._make_policy(deployment)
+        return self._policies[deployment]
 
-    def __init__(self) -> None:
-        """Start with nothing in flight."""
-        self._in_flight: collections.Counter[str] = collections.Counter()
+    def route_request(
+        self,
+        request: model_request.ModelRequest,
+        send_id: str,
+        excluded: frozenset[str],
+        delivered_tokens: int,
+    ) -> routing_messages.RouteRequest:
+        """Return what routing needs to know of one send."""
+        text = json.dumps(request.prompt)
+        return routing_messages.RouteRequest(
+            request_id=send_id,
+            draw=self._random.getrandbits(DRAW_BITS),
+            prompt_tokens=len(text) / CHARACTERS_PER_TOKEN + delivered_tokens,
+            output_tokens=max(request.max_tokens - delivered_tokens, 1),
+            prefixes=tuple(
+                routing_messages.Prefix(
+                    xxhash.xxh64_hexdigest(text[:length]),
+                    length / CHARACTERS_PER_TOKEN,
+                )
+                for length in PREFIX_LENGTHS
+                if length < len(text)
+            ),
+            excluded=excluded,
+        )
 
     def choose(
         self,
-        candidates: collections_abc.Sequence[snapshot.Replica],
         request: model_request.ModelRequest,
-        now_s: float,
+        route: routing_messages.RouteRequest,
+        span: trace.Span,
+        only: frozenset[str] | None = None,
     ) -> snapshot.Replica | None:
-        """Return the candidate with the fewest requests of this entry."""
-        return min(
-            candidates,
-            key=lambda replica: (self._in_flight[replica.name], replica.name),
-            default=None,
+        """Return a replica that may be sent to now, or None."""
+        now_s = self._clock.monotonic_s()
+
+        def permitted(candidate: routing_messages.Candidate) -> bool:
+            if only is not None and candidate.name not in only:
+                return False
+            return self.may_serve(self._replicas[candidate.name], now_s)
+
+        chosen = self.routing(request.deployment.name).choose(
+            route, now_s, permitted
         )
+        if chosen is None:
+            span.add_event('no replica may serve')
+            return None
+        span.add_event(
+            'replica chosen',
+            {'replica': chosen.name, 'excluded': sorted(route.excluded)},
+        )
+        return self._replicas[chosen.name]
 
-    def began(self, replica: snapshot.Replica, tokens: int) -> None:
-        """Count a request up."""
-        self._in_flight[replica.name] += 1
+    def may_serve(self, replica: snapshot.Replica, now_s: float) -> bool:
+        """Tell whether new work may go to a replica."""
+        if not replica.serving and self._switches.enabled(
+            invariants.Safeguard.LEAVING_EXCLUDED
+        ):
+            return False
+        if not self._switches.enabled(invariants.Safeguard.EVIDENCE_REQUIRED):
+            return True
+        return self._permits.permitted(replica, now_s)
 
-    def ended(
-        self, replica: snapshot.Replica, tokens: int, *, succeeded: bool
-    ) -> None:
-        """Count a request down."""
-        self._in_flight[replica.name] -= 1
+    def serving(self, deployment: str) -> tuple[str, ...]:
+        """Return the names of the replicas that may get new work."""
+        self._follow()
+        now_s = self._clock.monotonic_s()
+        return tuple(
+            name
+            for name, replica in self._replicas.items()
+            if replica.deployment == deployment
+            and self.may_serve(replica, now_s)
+        )
+
+    def _follow(self) -> None:
+        current = self._source.current()
+        if current.version == self._version:
+            return
+        self._version = current.version
+        self._replicas = {replica.name: replica for replica in current.replicas}
+        self._regions = {
+            replica.data_centre: replica.region for replica in current.replicas
+        }
+        for deployment in self._policies:
+            self._replace_candidates(deployment)
 
+    def _make_policy(self, deployment: str) -> policy.RoutingPolicy:
+        made = scored.make_routing_policy(self._distance_s)
+        self._policies[deployment] = made
+        self._replace_candidates(deployment)
+        return made
+
+    def _replace_candidates(self, deployment: str) -> None:
+        speeds = {
+            declared.name: declared.tokens_per_s_per_replica
+            for declared in self._source.current().deployments
+        }
+        self._policies[deployment].replace_candidates(
+            tuple(
+                routing_messages.Candidate(
+                    name=replica.name,
+                    data_centre=replica.data_centre,
+                    epoch=replica.epoch,
+                    tokens_per_s=speeds.get(deployment, 1.0),
+                )
+                for replica in self._replicas.values()
+                if replica.deployment == deployment and replica.serving
+            ),
+            self._clock.monotonic_s(),
+        )
 
-def make_least_in_flight() -> ReplicaChoice:
-    """Return the plain baseline."""
-    return LeastInFlight()
+    def _distance_s(self, data_centre: str) -> float:
+        if data_centre == self._myself.data_centre:
+            return 0.0
+        if self._regions.get(data_centre) == self._myself.region:
+            return NEAR_DELAY_S
+        return FAR_DELAY_S
--- a/redwingvalve/entry/responder.py
+++ b/redwingvalve/entry/responder.py
@@ -24,6 +24,8 @@
     send: Send
     started: bool = False
     finished: bool = False
+    # What is known if the answer is cut off; sends set it as they begin.
+    outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
 
     async def start(
         self,
@@ -34,6 +36,7 @@
     ) -> None:
         """Send the head."""
         self.started = True
+        self.outcome = outcome
         headers = (
             ('content-type', content_type),
             (outcomes.REQUEST_ID_HEADER, self.request_id),
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -14,6 +14,7 @@
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.entry import (
     answer_check,
+    delivered,
     model_request,
     parts,
     responder,
@@ -44,11 +45,16 @@
 
 
 @attrs.define
-class Progress:
-    """What the caller of an answer has received so far, over all sends."""
+class Journey:
+    """One request on its way: what its sends have brought so far."""
 
-    delivered_events: list[bytes] = attrs.field(factory=list)
+    request: model_request.ModelRequest
+    responds: responder.Responder
+    span: trace.Span
+    delivered: delivered.Delivered
     sends: int = 0
+    resume_tokens: tuple[str, ...] = ()
+    last_endpoint_id: str = ''
 
 
 @attrs.define
@@ -69,34 +75,67 @@
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}'
 
+    def next_identity(
+        self, request: model_request.ModelRequest
+    ) -> answer_check.AnswerIdentity:
+        """Return the identity of a send that is about to begin."""
+        return answer_check.AnswerIdentity(
+            endpoint_id=answer_check.make_endpoint_id(
+                request.head.request_id, self._entry, next(self._numbers)
+            ),
+            caller_id=request.head.request_id,
+        )
+
     async def send(
         self,
-        request: model_request.ModelRequest,
+        journey: Journey,
         replica: snapshot.Replica,
-        responds: responder.Responder,
-        progress: Progress,
-        span: trace.Span,
+        identity: answer_check.AnswerIdentity,
+        on_first_token: collections_abc.Callable[[], None],
     ) -> SendFailure | None:
         """Send once; None when the caller has the whole answer."""
-        identity = answer_check.AnswerIdentity(
-            endpoint_id=answer_check.make_endpoint_id(
-                request.head.request_id, self._entry, next(self._numbers)
-            ),
-            caller_id=request.head.request_id,
+        span = self._parts.tracing.start_span(
+            'endpoint request',
+            parent=journey.span,
+            attributes={
+                'redwingvalve.replica': replica.name,
+                'redwingvalve.endpoint_request_id': identity.endpoint_id,
+                'redwingvalve.resumed_tokens': len(journey.resume_tokens),
+            },
         )
-        outgoing = self._build(request, replica, identity, progress, span)
-        progress.sends += 1
+        outgoing = self._build(journey, replica, identity, span)
+        journey.sends += 1
+        journey.last_endpoint_id = identity.endpoint_id
+        before = journey.responds.outcome
+        if before == outcomes.Outcome.NOT_RUN:
+            journey.responds.outcome = outcomes.Outcome.UNKNOWN
+        with contextlib.closing(_Ending(span)):
+            failure = await self._try(
+                journey, outgoing, identity, on_first_token
+            )
+            if failure is not None:
+                span.set_attribute('redwingvalve.failure', failure.message)
+        if failure is not None and failure.outcome == outcomes.Outcome.NOT_RUN:
+            journey.responds.outcome = before
+        return failure
+
+    async def _try(
+        self,
+        journey: Journey,
+        outgoing: upstream.UpstreamRequest,
+        identity: answer_check.AnswerIdentity,
+        on_first_token: collections_abc.Callable[[], None],
+    ) -> SendFailure | None:
         try:
             async with self._exchange(outgoing) as exchange:
                 return await self._receive(
-                    exchange, request, identity, responds, progress
+                    exchange, journey, identity, on_first_token
                 )
         except upstream.UpstreamError as error:
             return self._failed_send(error)
-        except (
-            answer_check.WrongAnswerError,
-            answer_check.IncompleteAnswerError,
-        ) as error:
+        except answer_check.WrongAnswerError as error:
+            return SendFailure(outcomes.Outcome.UNKNOWN, str(error))
+        except answer_check.IncompleteAnswerError as error:
             return SendFailure(
                 outcomes.Outcome.UNKNOWN, str(error), blames_endpoint=True
             )
@@ -118,18 +157,25 @@
 
     def _build(
         self,
-        request: model_request.ModelRequest,
+        journey: Journey,
         replica: snapshot.Replica,
         identity: answer_check.AnswerIdentity,
-        progress: Progress,
         span: trace.Span,
     ) -> upstream.UpstreamRequest:
+        request = journey.request
         remaining_s = max(
             request.head.remaining_s(self._parts.clock.monotonic_s()), 0.001
         )
         fields: dict[str, typing.Any] = dict(
-            request.fields, model=model_request.engine_model(request)
+            request.fields,
+            model=model_request.engine_model(request),
+            priority=request.priority,
         )
+        if journey.resume_tokens:
+            fields['resume'] = {
+                'request_id': journey.last_endpoint_id,
+                'tokens': list(journey.resume_tokens),
+            }
         headers = {
             'content-type': responder.JSON_TYPE,
             outcomes.REQUEST_ID_HEADER: identity.endpoint_id,
@@ -152,10 +198,9 @@
     async def _receive(
         self,
         exchange: '_Exchange',
-        request: model_request.ModelRequest,
+        journey: Journey,
         identity: answer_check.AnswerIdentity,
-        responds: responder.Responder,
-        progress: Progress,
+        on_first_token: collections_abc.Callable[[], None],
     ) -> SendFailure | None:
         answer = exchange.answer
         if answer.status != OK_STATUS:
@@ -163,8 +208,8 @@
             exchange.ended = True
             return refusal
         answer_check.check_head(answer.headers, identity, self._parts.switches)
-        if request.stream:
-            await self._relay_stream(answer, identity, responds, progress)
+        if journey.request.stream:
+            await self._relay_stream(answer, identity, journey, on_first_token)
             exchange.ended = True
             return None
         body = b''.join([chunk async for chunk in answer.chunks])
@@ -172,37 +217,37 @@
         whole = answer_check.check_whole_json(
             body, identity, self._parts.switches
         )
-        await responds.send_json(OK_STATUS, whole, outcomes.Outcome.RAN)
+        await journey.responds.send_json(OK_STATUS, whole, outcomes.Outcome.RAN)
         return None
 
     async def _relay_stream(
         self,
         answer: upstream.UpstreamAnswer,
         identity: answer_check.AnswerIdentity,
-        responds: responder.Responder,
-        progress: Progress,
+        journey: Journey,
+        on_first_token: collections_abc.Callable[[], None],
     ) -> None:
         checker = answer_check.StreamChecker(identity, self._parts.switches)
+        responds = journey.responds
+        told = False
         async for chunk in answer.chunks:
             events = checker.feed(chunk)
             if not events:
                 continue
-            if not responds.started:
-                await responds.start(
-                    OK_STATUS, responder.SSE_TYPE, outcomes.Outcome.RAN
-                )
-            progress.delivered_events.extend(events)
+            if not told:
+                told = True
+                on_first_token()
+                await _start_once(responds)
+            # Counted before they are written: a caller that hangs up in
+            # between gets no second answer, so nothing can be sent twice.
+            journey.delivered.add(events)
             await responds.write(b''.join(events))
         complete = checker.done or not self._parts.switches.enabled(
             invariants.Safeguard.ANSWER_COMPLETENESS
         )
         if not complete:
             raise answer_check.IncompleteAnswerError('no [DONE] was seen')
-        if not responds.started:
-            await responds.start(
-                OK_STATUS, responder.SSE_TYPE, outcomes.Outcome.RAN
-            )
-        await responds.finish(answer_check.DONE_EVENT)
+        await finish_stream(responds)
 
     def _failed_send(self, error: upstream.UpstreamError) -> SendFailure:
         # Only a connection that never stood proves that nothing ran. After
@@ -243,6 +288,30 @@
             await self._parts.upstream.release(answer)
 
 
+@attrs.frozen
+class _Ending:
+    """Ends a span on every way out."""
+
+    span: trace.Span
+
+    def close(self) -> None:
+        """End the span."""
+        self.span.end()
+
+
+async def finish_stream(responds: responder.Responder) -> None:
+    """End a stream that is whole."""
+    await _start_once(responds)
+    await responds.finish(answer_check.DONE_EVENT)
+
+
+async def _start_once(responds: responder.Responder) -> None:
+    if not responds.started:
+        await responds.start(
+            OK_STATUS, responder.SSE_TYPE, outcomes.Outcome.RAN
+        )
+
+
 async def _read_refusal(answer: upstream.UpstreamAnswer) -> SendFailure:
     """Understand an answer that isn't a success."""
     drained = [len(chunk) async for chunk in answer.chunks]
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -96,22 +96,23 @@
         request: ServiceRequest,
         responds: responder.Responder,
         span: trace.Span,
+        may_send: parts.MaySend | None,
     ) -> None:
         """Answer the request by its deadline."""
         tried: set[str] = set()
         refusal = _busy()
-        while True:
-            address = self._choose(request.service, tried)
-            if address is None:
-                break
+        may_send = may_send or _always
+        address = self._choose(request.service, tried)
+        while address is not None and may_send():
             tried.add(address)
             failure = await self._send(request, address, responds, span)
             if failure is None:
                 return
             span.add_event('send failed', {'why': str(failure)})
             refusal = _failed(failure, refusal)
-            if not (failure.surely_not_run or request.idempotent):
-                break
+            address = None
+            if failure.surely_not_run or request.idempotent:
+                address = self._choose(request.service, tried)
         await responds.send_error(refusal)
 
     def _choose(
@@ -137,10 +138,14 @@
         responds: responder.Responder,
         span: trace.Span,
     ) -> upstream.UpstreamError | None:
+        before = responds.outcome
+        responds.outcome = outcomes.Outcome.UNKNOWN
         self._in_flight[address] = self._in_flight.get(address, 0) + 1
         try:
             await self._exchange(request, address, responds, span)
         except upstream.UpstreamError as error:
+            if error.surely_not_run:
+                responds.outcome = before
             return error
         finally:
             self._in_flight[address] -= 1
@@ -231,6 +236,10 @@
         return body
 
 
+def _always() -> bool:
+    return True
+
+
 def _busy() -> outcomes.ErrorAnswer:
     return outcomes.ErrorAnswer(
         status=503,
--- /dev/null
+++ b/redwingvalve/entry/suspects.py
@@ -0,0 +1,151 @@
+"""Keeps poison requests from killing one endpoint after the other."""
+
+import json
+from collections import abc as collections_abc
+
+from redwingvalve.configuration import snapshot
+from redwingvalve.core import clock, invariants, outcomes
+from redwingvalve.entry import model_request
+from redwingvalve.membership import members
+from redwingvalve.news import board
+from redwingvalve.poison import channel, facts, ledger
+
+WAIT_RETRY_AFTER_S = 2.0
+
+
+class SuspectGate:
+    """What this entry runs where, and the suspects of all entries."""
+
+    def __init__(
+        self,
+        known: members.Members,
+        news: board.NewsBoard,
+        gate_clock: clock.Clock,
+        switches: invariants.SafeguardSwitches,
+    ) -> None:
+        """Tell and hear of suspects through news."""
+        self._members = known
+        self._news = news
+        self._clock = gate_clock
+        self._myself = known.myself().name
+        self._ledger = ledger.make_suspect_ledger(
+            self._myself, safeguards=switches
+        )
+        self._merged: dict[str, tuple[int, int]] = {}
+        self._told_revision = 0
+        self._on_endpoint: dict[str, list[bytes]] = {}
+
+    def digest(self, request: model_request.ModelRequest) -> bytes:
+        """Return what stays the same when a caller sends again."""
+        return facts.make_digest(
+            request.account.name.encode(),
+            request.deployment.name.encode(),
+            json.dumps(request.prompt, sort_keys=True).encode(),
+        )
+
+    def refusal(self, digest: bytes) -> outcomes.ErrorAnswer | None:
+        """Return why a request that has just arrived is not run, if so."""
+        self._hear()
+        now_s = self._clock.monotonic_s()
+        home = ledger.home_entry(digest, self._entries())
+        verdict = self._ledger.judge(digest, home, now_s)
+        if verdict == ledger.Verdict.REFUSE:
+            return _poison()
+        if verdict == ledger.Verdict.WAIT:
+            return outcomes.ErrorAnswer(
+                status=503,
+                code='suspect-request',
+                message=f'a like request may have crashed a replica; {home} '
+                'runs it alone',
+                outcome=outcomes.Outcome.NOT_RUN,
+                retry_after_s=WAIT_RETRY_AFTER_S,
+            )
+        return None
+
+    def refused_again(self, digest: bytes) -> bool:
+        """Tell whether a request that failed here may not be sent again."""
+        self._hear()
+        now_s = self._clock.monotonic_s()
+        return self._ledger.judge_again(digest, now_s) == ledger.Verdict.REFUSE
+
+    def allowed(
+        self, digest: bytes, serving: collections_abc.Iterable[str]
+    ) -> frozenset[str] | None:
+        """Return where a suspect may go; None when anywhere."""
+        now_s = self._clock.monotonic_s()
+        verdict = self._ledger.judge_again(digest, now_s)
+        if verdict == ledger.Verdict.FREE:
+            return None
+        own = ledger.own_share(self._myself, self._entries(), serving)
+        busy = {name for name, running in self._on_endpoint.items() if running}
+        free = self._ledger.free_endpoints(own, now_s)
+        return (free - busy) or free
+
+    def began(self, digest: bytes, replica: snapshot.Replica) -> bool:
+        """Count a send; True when it is one of a suspect."""
+        self._on_endpoint.setdefault(replica.name, []).append(digest)
+        now_s = self._clock.monotonic_s()
+        suspect = self._ledger.judge_again(digest, now_s) != ledger.Verdict.FREE
+        if suspect and not self._ledger.running(digest):
+            self._ledger.started(digest, replica.name)
+        return suspect
+
+    def ended(
+        self, digest: bytes, replica: snapshot.Replica, *, whole: bool
+    ) -> None:
+        """Count the end of a send; a whole answer clears a suspect."""
+        running = self._on_endpoint.get(replica.name, [])
+        if digest in running:
+            running.remove(digest)
+        if not running:
+            self._on_endpoint.pop(replica.name, None)
+        now_s = self._clock.monotonic_s()
+        self._ledger.ended(digest, replica.name, now_s, whole=whole)
+        self._tell()
+
+    def endpoint_died(self, replica: snapshot.Replica) -> None:
+        """Suspect all that ran there, and tell the others at once."""
+        now_s = self._clock.monotonic_s()
+        running = frozenset(self._on_endpoint.get(replica.name, ()))
+        if running:
+            self._ledger.endpoint_died(
+                ledger.Death(replica.name, replica.epoch, running), now_s
+            )
+            self._tell()
+
+    def _entries(self) -> tuple[str, ...]:
+        return tuple(member.name for member in self._members.alive())
+
+    def _hear(self) -> None:
+        now_s = self._clock.monotonic_s()
+        for item in self._news.read(channel.SUSPECTS):
+            seen = (item.owner_incarnation, item.number)
+            if self._merged.get(item.owner) != seen:
+                self._merged[item.owner] = seen
+                self._ledger.merge(item.body, now_s)
+
+    def _tell(self) -> None:
+        if self._ledger.revision != self._told_revision:
+            self._told_revision = self._ledger.revision
+            self._news.publish(
+                channel.SUSPECTS, channel.KEY, self._ledger.encode()
+            )
+
+
+def _poison() -> outcomes.ErrorAnswer:
+    return outcomes.ErrorAnswer(
+        status=422,
+        code='poison-request',
+        message='endpoints died twice while they ran this request',
+        outcome=outcomes.Outcome.NOT_RUN,
+    )
+
+
+def poison_after_run() -> outcomes.ErrorAnswer:
+    """Return the answer to a request whose second death was seen here."""
+    return outcomes.ErrorAnswer(
+        status=422,
+        code='poison-request',
+        message='endpoints died twice while they ran this request',
+        outcome=outcomes.Outcome.UNKNOWN,
+    )
--- /dev/null
+++ b/redwingvalve/entry/tests/test_once.py
@@ -0,0 +1,124 @@
+"""Non-idempotent requests sent again, over two entries with real claims."""
+
+import anyio
+import attrs
+
+from redwingvalve.at_most_once.tests import test_fleet
+from redwingvalve.entry import app
+from redwingvalve.entry.tests import fakes
+
+KEY = {'idempotency-key': 'quote-7'}
+BODY = {'model': 'quotes', 'messages': [{'role': 'user'}]}
+
+
+def make_entries(fleet, engines):
+    """An app for each of the fleet's entries."""
+    return {
+        name: app.make_entry_app(
+            fakes.make_parts(
+                engines,
+                members=fakes.Members(me=attrs.evolve(fakes.ENTRY, name=name)),
+                key_claims=claims,
+            )
+        )
+        for name, claims in fleet.entries.items()
+    }
+
+
+def send(entries, *calls):
+    """Send (entry, arguments) one after the other."""
+
+    async def main():
+        return [
+            await fakes.call(entries[name], **arguments)
+            for name, arguments in calls
+        ]
+
+    return anyio.run(main)
+
+
+def whole(request):
+    return fakes.answering(
+        200, b'{"id": "chatcmpl-%b"}' % request.request_id.encode()
+    )(request)
+
+
+def test_a_resend_to_another_entry_is_told_that_it_ran():
+    """The caller sees its quote once, then duplicate with outcome ran.
+
+    It sends the same key to another entry, and the same request id without a
+    key, as a caller does that saw its connection break.
+    """
+    engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
+    entries = make_entries(test_fleet.Fleet(), engines)
+    by_id = {'x-request-id': 'q8', 'x-redwingvalve-idempotent': 'false'}
+    got = send(
+        entries,
+        ('e1', {'headers': KEY, 'body': BODY}),
+        ('e2', {'headers': KEY, 'body': BODY}),
+        ('e3', {'headers': by_id, 'body': BODY}),
+        ('e4', {'headers': by_id, 'body': BODY}),
+    )
+    assert [answer.status for answer in got] == [200, 409, 200, 409]
+    assert got[1].error['outcome'] == got[3].error['outcome'] == 'ran'
+    assert len(engines.sent) == 2
+
+
+def test_a_refused_request_frees_its_key():
+    """The caller sees not-run, sends again, and is served.
+
+    The first send finds no replica. Its key must not be held against the
+    second, since nothing ran.
+    """
+    engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
+    fleet = test_fleet.Fleet()
+    entries = make_entries(fleet, engines)
+    nowhere = app.make_entry_app(
+        fakes.make_parts(
+            engines,
+            key_claims=fleet.entries['e1'],
+            permits=fakes.Permits({'r1', 'r2'}),
+        )
+    )
+    got = send(
+        {**entries, 'e0': nowhere},
+        ('e0', {'headers': KEY, 'body': BODY}),
+        ('e2', {'headers': KEY, 'body': BODY}),
+    )
+    assert got[0].error['outcome'] == 'not-run'
+    assert got[1].status == 200
+
+
+def test_a_broken_send_is_unknown_and_stays_so():
+    """The caller sees unknown twice; the endpoint was asked once.
+
+    The connection breaks after the request was sent: it may have run. No
+    entry may run it again, and none may say that it did not run.
+    """
+    engines = fakes.Engines(
+        {
+            'r1:1': fakes.failing(fakes.broken()),
+            'r2:1': fakes.failing(fakes.broken()),
+        }
+    )
+    entries = make_entries(test_fleet.Fleet(), engines)
+    got = send(
+        entries,
+        ('e1', {'headers': KEY, 'body': BODY}),
+        ('e5', {'headers': KEY, 'body': BODY}),
+    )
+    assert [answer.error['outcome'] for answer in got] == ['unknown'] * 2
+    assert len(engines.sent) == 1
+
+
+def test_an_issued_key_is_given_out_and_works_once():
+    engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
+    entries = make_entries(test_fleet.Fleet(), engines)
+    (issued,) = send(entries, ('e1', {'path': '/v1/request-keys'}))
+    key = {'idempotency-key': fakes.json.loads(issued.body)['key']}
+    got = send(
+        entries,
+        ('e2', {'headers': key, 'body': BODY}),
+        ('e1', {'headers': key, 'body': BODY}),
+    )
+    assert [answer.status for answer in got] == [200, 409]
--- /dev/null
+++ b/redwingvalve/entry/tests/test_relay.py
@@ -0,0 +1,155 @@
+"""What callers receive while endpoints break, answer wrongly or die."""
+
+import json
+
+import anyio
+import pytest
+
+from redwingvalve.core import invariants
+from redwingvalve.entry import app
+from redwingvalve.entry.tests import fakes
+
+WHOLE = [' t1', ' t2', ' t3', ' t4', ' t5', ' t6']
+ONCE = {'headers': {'x-redwingvalve-idempotent': 'false'}}
+Safeguard = invariants.Safeguard
+
+
+def two(first, second=None):
+    """r1 and r2; whichever is chosen first behaves as first."""
+    scripts = iter((first, second or fakes.streaming(6)))
+
+    async def script(request):
+        return await next(scripts)(request)
+
+    return fakes.Engines({'r1:1': script, 'r2:1': script})
+
+
+@pytest.mark.parametrize('cut_after', [0, 1, 5, 6])
+def test_an_interrupted_stream_goes_on_elsewhere(cut_after):
+    """The caller sees one whole answer with each token once.
+
+    The first replica breaks the connection after some tokens, or ends the
+    body cleanly without [DONE]. The second is asked to go on after those that
+    were delivered.
+    """
+    first = fakes.streaming(6, cut_after=cut_after, done=False)
+    (got,) = fakes.run(two(first), {'headers': {'x-request-id': 'mine'}})
+    assert got.tokens == WHOLE and got.ended
+    assert got.body.count(b'"chatcmpl-mine"') == 6
+    assert got.body.count(b'[DONE]') == 1
+
+
+def test_what_may_run_once_is_not_resumed():
+    """The caller sees its tokens, then an error event and no clean end.
+
+    The request is not idempotent and its stream breaks after two tokens;
+    running the rest again elsewhere might bill a second time.
+    """
+    engines = two(fakes.streaming(6, cut_after=2))
+    (got,) = fakes.run(engines, ONCE)
+    assert got.tokens == [' t1', ' t2'] and not got.ended
+    error = got.body.decode().partition('event: error\ndata: ')[2]
+    assert json.loads(error)['error']['outcome'] == 'ran'
+    assert len(engines.sent) == 1
+
+
+def test_an_answer_of_another_request_never_reaches_the_caller():
+    """The caller sees its own answer only.
+
+    The first replica answers with the id of another request, as when answers
+    cross on a connection. Nothing of it is delivered; the second is asked.
+    """
+    engines = two(fakes.streaming(6, echo='foreign'))
+    (got,) = fakes.run(engines, {})
+    assert got.tokens == WHOLE
+    assert b'foreign' not in got.body
+
+
+@pytest.mark.parametrize(
+    ('safeguard', 'first', 'breach'),
+    [
+        (
+            Safeguard.ANSWER_IDENTITY,
+            fakes.streaming(2, echo='foreign'),
+            lambda got: got.tokens == [' t1', ' t2'],
+        ),
+        (
+            Safeguard.ANSWER_COMPLETENESS,
+            fakes.streaming(6, cut_after=None, done=False),
+            lambda got: got.ended,
+        ),
+        (
+            Safeguard.TRUTHFUL_NOT_RUN,
+            fakes.failing(fakes.broken()),
+            lambda got: got.tokens == WHOLE,
+        ),
+    ],
+)
+def test_without_its_safeguard_each_breach_is_seen(safeguard, first, breach):
+    (got,) = fakes.run(
+        two(first), ONCE, switches=invariants.SafeguardSwitches((safeguard,))
+    )
+    assert breach(got)
+
+
+def test_a_caller_that_hangs_up_frees_its_tokens():
+    """The engine is told to cancel the request that nobody waits for."""
+
+    async def main():
+        gone = anyio.Event()
+
+        async def endless(request):
+            async def chunks():
+                yield fakes.event(request.request_id, ' t1')
+                gone.set()
+                await anyio.sleep_forever()
+
+            head = (('x-request-id', request.request_id),)
+            return fakes.upstream.UpstreamAnswer(200, head, chunks())
+
+        engines = fakes.Engines({'r1:1': endless, 'r2:1': endless})
+        application = app.make_entry_app(fakes.make_parts(engines))
+        await fakes.call(application, hang_up=gone)
+        assert engines.cancelled == [engines.sent[0].request_id]
+
+    anyio.run(main)
+
+
+def test_a_passed_deadline_is_answered_and_cancelled():
+    async def silent(request):
+        await anyio.sleep_forever()
+
+    engines = fakes.Engines({'r1:1': silent, 'r2:1': silent})
+    (got,) = fakes.run(
+        engines, {'headers': {'x-redwingvalve-deadline-ms': '30'}}
+    )
+    assert (got.status, got.error['code']) == (504, 'deadline-exceeded')
+    assert got.error['outcome'] == 'unknown'
+    assert len(engines.cancelled) == 1
+
+
+def test_a_poison_request_is_refused_after_two_deaths():
+    """The caller sees a refusal, and at most two endpoints have died.
+
+    Each endpoint that runs the request breaks its connection. The caller
+    sends it again, five times, with other replicas still up; a request of the
+    same account with another prompt is served meanwhile.
+    """
+
+    async def dying(request):
+        if 'poison' in request.body.decode():
+            raise fakes.broken()
+        return await fakes.streaming()(request)
+
+    names = ('r1', 'r2', 'r3', 'r4', 'r5')
+    engines = fakes.Engines({f'{name}:1': dying for name in names})
+    poison = {'body': {'model': 'quotes', 'messages': [{'content': 'poison'}]}}
+    answers = fakes.run(
+        engines,
+        *([poison] * 5),
+        {},
+        source=fakes.Source(fakes.make_snapshot(names)),
+    )
+    assert [got.error['code'] for got in answers[:5]] == ['poison-request'] * 5
+    assert len(engines.sent) == 3
+    assert answers[5].tokens == [' t1', ' t2', ' t3']
--- a/redwingvalve/wire/handlers.py
+++ b/redwingvalve/wire/handlers.py
@@ -52,6 +52,16 @@
     ) -> messages.peer.KeyVerdict:
         """Say whether the claimant may run the request."""
 
+    @abc.abstractmethod
+    async def report_key(self, report: messages.peer.KeyReport) -> bool:
+        """Take the claimant's word on the end of its request."""
+
+    @abc.abstractmethod
+    async def copy_keys(
+        self, request: messages.peer.KeyCopyRequest
+    ) -> messages.peer.KeyCopy:
+        """Hand out all claims to an entry that has become a voter."""
+
 
 class PeerHandler:
     """Dispatches the Peer service to the registered slices."""
@@ -90,6 +100,16 @@
         """Decide on a request key."""
         return await _registered(self.key_claim_handler).claim_key(claim)
 
+    async def report_key(self, report: messages.peer.KeyReport) -> bool:
+        """Learn what became of a claimed request."""
+        return await _registered(self.key_claim_handler).report_key(report)
+
+    async def copy_keys(
+        self, request: messages.peer.KeyCopyRequest
+    ) -> messages.peer.KeyCopy:
+        """Hand out claims of request keys."""
+        return await _registered(self.key_claim_handler).copy_keys(request)
+
 
 HandlerType = typing.TypeVar('HandlerType')
 
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -67,6 +67,23 @@
   4: i64 incarnation
   5: string request_id
   6: string digest
+  // The entries that the claimant asks; a voter that names others is silent.
+  7: list<string> voters
+}
+
+struct KeyReport {
+  1: KeyClaim claim
+  2: string outcome
+}
+
+struct KeyCopyRequest {
+  1: list<string> names
+}
+
+struct KeyCopy {
+  1: list<KeyReport> claims
+  2: list<string> names
+  3: bool whole
 }
 
 struct KeyVerdict {
@@ -142,4 +159,6 @@
   GossipReply gossip(1: GossipMessage message)
   ConfigurationReply fetch_configuration(1: ConfigurationRequest request)
   KeyVerdict claim_key(1: KeyClaim claim)
+  bool report_key(1: KeyReport report)
+  KeyCopy copy_keys(1: KeyCopyRequest request)
 }
