Drain an entry: leave discovery, serve while its answers are kept, then end

Cause: callers that keep an answer of discovery met a closed port. Change: SIGTERM makes the entry leave, serve on for discovery_keep_s and 3 s, and then end once its requests have.

--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -1,7 +1,6 @@
 """The entry process: one application served until it is told to stop."""
 
-import signal
-import typing
+import functools
 from collections import abc as collections_abc
 
 import anyio
@@ -11,33 +10,58 @@
 from redwingvalve.settings import schema as settings_schema
 
 LOGGER = logs.make_logger('entry')
+# Other entries hear of a leaving one within this time; see news and gossip.
+LEAVING_SPREADS_S = 3.0
 
 
 async def serve_entry(
     entry_parts: parts.EntryParts,
     settings: settings_schema.Settings,
     stop: collections_abc.Callable[[], collections_abc.Awaitable[None]],
+    leave: collections_abc.Callable[[], None],
 ) -> None:
-    """Serve one entry until stop returns and its requests have ended."""
+    """Serve one entry until stop returns and its requests have ended.
+
+    leave tells the other entries, so that discovery no longer names this one.
+    """
+    application = app.make_entry_app(entry_parts)
     bind = f'{settings.node.host}:{settings.listen.http_port}'
     LOGGER.info('the entry listens', extra={'address': bind})
-    await serving.serve(
-        app.make_entry_app(entry_parts),
-        bind,
-        settings.requests.drain_timeout_s,
-        stop,
-    )
+    async with anyio.create_task_group() as group:
+        if entry_parts.key_claims is not None:
+            group.start_soon(entry_parts.key_claims.keep_looking)
+        await serving.serve(
+            application,
+            bind,
+            settings.requests.drain_timeout_s,
+            functools.partial(_drain, application, entry_parts, stop, leave),
+        )
+        group.cancel_scope.cancel()
     await entry_parts.upstream.aclose()
     LOGGER.info('the entry has ended')
 
 
-async def wait_for_signal() -> None:
-    """Return when the process is told to stop."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        await _first(received)
-
+async def _drain(
+    application: app.EntryApp,
+    entry_parts: parts.EntryParts,
+    stop: collections_abc.Callable[[], collections_abc.Awaitable[None]],
+    leave: collections_abc.Callable[[], None],
+) -> None:
+    """Wait for stop, then serve on while callers may still come.
 
-async def _first(received: collections_abc.AsyncIterator[typing.Any]) -> None:
-    async for number in received:
-        LOGGER.info('told to stop', extra={'signal': int(number)})
-        return
+    A caller keeps an answer of discovery for a while and connects without
+    asking again. Without the wait it would meet a closed port; the server
+    itself lets the requests in progress finish afterwards.
+    """
+    await stop()
+    leave()
+    LOGGER.info(
+        'the entry leaves', extra={'in_progress': application.in_progress}
+    )
+    await entry_parts.clock.sleep(
+        entry_parts.settings.discovery_keep_s + LEAVING_SPREADS_S
+    )
+    LOGGER.info(
+        'the entry takes no more connections',
+        extra={'in_progress': application.in_progress},
+    )
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -1,8 +1,17 @@
 """The entry daemon: the request path with its evidence."""
 
+import random
+
 import anyio
 
-from redwingvalve.entry import daemon, directory, httpx_upstream
+from redwingvalve.at_most_once import (
+    claims,
+    first_start,
+    thrift_peers,
+    voter,
+)
+from redwingvalve.discovery import spread_directory
+from redwingvalve.entry import daemon, httpx_upstream
 from redwingvalve.entry import parts as entry_parts
 from redwingvalve.evidence import prober, serving_permits, table
 from redwingvalve.process import parts as process_parts
@@ -20,7 +29,10 @@
         evidence = table.EvidenceTable()
         group.start_soon(_make_prober(parts, evidence).run)
         await daemon.serve_entry(
-            _make_entry_parts(parts, evidence), settings, stop.wait
+            _make_entry_parts(parts, evidence, await _make_claims(parts)),
+            settings,
+            stop.wait,
+            parts.node.members.leave,
         )
         group.cancel_scope.cancel()
 
@@ -38,8 +50,33 @@
     )
 
 
+async def _make_claims(
+    parts: process_parts.ProcessParts,
+) -> claims.KeyClaims:
+    """Return the claims of request keys, answering the other entries too."""
+    myself = parts.node.members.myself()
+    own_voter = voter.make_voter(
+        myself,
+        parts.clock,
+        parts.switches,
+        first_start=await first_start.is_first_start(
+            parts.objects, myself.name
+        ),
+        alone=not parts.settings.peers.contacts,
+    )
+    parts.node.handler.key_claim_handler = thrift_peers.VoterHandler(own_voter)
+    return claims.make_claims(
+        own_voter,
+        thrift_peers.make_thrift_key_peers(parts.node.caller),
+        parts.node.members,
+        parts.clock,
+    )
+
+
 def _make_entry_parts(
-    parts: process_parts.ProcessParts, evidence: table.EvidenceTable
+    parts: process_parts.ProcessParts,
+    evidence: table.EvidenceTable,
+    key_claims: claims.KeyClaims,
 ) -> entry_parts.EntryParts:
     return entry_parts.EntryParts(
         source=parts.node.configuration,
@@ -52,7 +89,11 @@
         metrics=parts.metrics,
         tracing=parts.tracing,
         switches=parts.switches,
-        directory=directory.make_members_directory(
-            parts.node.members, parts.settings.requests.discovery_keep_s
+        directory=spread_directory.make_spread_directory(
+            parts.node.members,
+            parts.node.news,
+            parts.settings.requests.discovery_keep_s,
+            random.Random(parts.settings.node.name),
         ),
+        key_claims=key_claims,
     )
