--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -10,6 +10,7 @@
 
 from redwingvalve.control import relief
 from redwingvalve.control import surroundings as surroundings_module
+from redwingvalve.core import invariants
 from redwingvalve.membership import members as members_module
 from redwingvalve.membership import rendezvous
 from redwingvalve.observability import logs
@@ -73,9 +74,10 @@
         await self._reader.refresh()
         await self._finish_plans()
         self._choose_domains()
-        async with anyio.create_task_group() as group:
-            for name, watched in self._domains.items():
-                group.start_soon(self._step_domain, name, watched)
+        with invariants.breaches_alone():
+            async with anyio.create_task_group() as group:
+                for name, watched in self._domains.items():
+                    group.start_soon(self._step_domain, name, watched)
 
     async def release(self) -> None:
         """Give all leases back."""
--- a/redwingvalve/core/invariants.py
+++ b/redwingvalve/core/invariants.py
@@ -5,6 +5,7 @@
 daemons refuse such a switch unless their settings say that they are in a test.
 """
 
+import contextlib
 import enum
 from collections import abc as collections_abc
 
@@ -54,3 +55,24 @@
     """Raise InvariantBreachError unless holds."""
     if not holds:
         raise InvariantBreachError(invariant, details)
+
+
+@contextlib.contextmanager
+def breaches_alone() -> collections_abc.Iterator[None]:
+    """Raise a breach itself out of the group that a task group makes of it.
+
+    A daemon stops on a breach; inside a group it would look like any error.
+    """
+    try:
+        yield
+    except BaseExceptionGroup as group:
+        found = group.subgroup(InvariantBreachError)
+        if found is None:
+            raise
+        raise _first(found) from group
+
+
+def _first(group: BaseException) -> BaseException:
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return group
--- a/redwingvalve/replicas/controller.py
+++ b/redwingvalve/replicas/controller.py
@@ -279,7 +279,8 @@
         view = self._watcher.view(
             self._read.domain, surroundings.wanted or (), frozenset()
         )
-        await self._sender.converge(view, self._holding)
+        with invariants.breaches_alone():
+            await self._sender.converge(view, self._holding)
 
     def _note_failure(self, problem: object_api.ObjectError) -> None:
         """Back off with jitter, so that all do not return at one moment."""
