--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -9,10 +9,47 @@
 # noise of single jobs, longer keeps a burst's wrong rate past its end.
 RATE_WINDOW_S = 1.0
 RATE_TRUSTED_AFTER_S = 2.0
+# What an account asks is averaged for longer: it decides whether the account
+# is greedy, and a short burst of a small account must not make it so.
+ASKED_WINDOW_S = 5.0
+
+# Each late refusal takes a fifth off the wait that a line may promise, at most
+# ten times a second; each dispatch gives a little back. The promise then
+# settles where about one in twenty of the queued is refused late.
+CAUTION_STEP_S = 0.1
+CAUTION_FALL = 0.8
+CAUTION_RISE = 0.003
+MIN_CAUTION = 0.05
 
 Waiting = tuple[int, int, float, messages.AdmissionRequest]
 
 
+class Allowance:
+    """How much more of an account may go by preference."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.level = 0.0
+        self._rate = 1.0
+        self._at_s = 0.0
+
+    def refill(self, rate: float, burst_s: float, now_s: float) -> None:
+        """Earn since the last call; all service counts, also the fair one."""
+        earned = (now_s - self._at_s) * rate
+        full = rate * burst_s
+        self.level = min(max(self.level, -full) + earned, full)
+        self._rate = rate
+        self._at_s = now_s
+
+    def spend(self, cost: float) -> None:
+        """Count service."""
+        self.level -= cost
+
+    def wait_s(self) -> float:
+        """Return when there is something to spend again."""
+        return max(-self.level, 0.0) / max(self._rate, 1e-9)
+
+
 class AccountLine:
     """Requests by priority, then by arrival; with their summed cost."""
 
@@ -27,6 +64,11 @@
         self.listed = False
         self.backlog_tokens = 0.0
         self.waiting: list[Waiting] = []
+        self.asked_at_s = 0.0
+        self._asked_tokens = 0.0
+        self.allowance = Allowance()
+        self.caution = 1.0
+        self._next_fall_s = 0.0
         self._served_tokens = 0.0
         self._served_at_s = 0.0
         self._backlogged_since_s = 0.0
@@ -44,6 +86,17 @@
         bisect.insort(self.waiting, (-request.priority, number, cost, request))
         self.backlog_tokens += cost
 
+    def asked(self, cost: float, now_s: float) -> None:
+        """Count a request into what the account asks for."""
+        elapsed_s = now_s - self.asked_at_s
+        faded = math.exp(-elapsed_s / ASKED_WINDOW_S)
+        self._asked_tokens = self._asked_tokens * faded + cost
+        self.asked_at_s = now_s
+
+    def asked_tokens_per_s(self) -> float:
+        """Return the rate asked for, as of the last request."""
+        return self._asked_tokens / ASKED_WINDOW_S
+
     def take_first(self) -> Waiting:
         """Remove the request that goes next."""
         return self._remove_at(0)
@@ -68,9 +121,20 @@
 
     def served(self, cost: float, now_s: float) -> None:
         """Count a dispatch into the measured rate."""
+        self.caution = min(self.caution + CAUTION_RISE, 1.0)
         self._served_tokens = self._decayed(now_s) + cost
         self._served_at_s = now_s
 
+    def refused_late(self, now_s: float) -> None:
+        """Promise less from now on: the expected wait was too short.
+
+        An account that others are preferred to gets less than its estimate
+        says, and its callers would wait up to their deadline for a refusal.
+        """
+        if now_s >= self._next_fall_s:
+            self._next_fall_s = now_s + CAUTION_STEP_S
+            self.caution = max(self.caution * CAUTION_FALL, MIN_CAUTION)
+
     def rate_tokens_per_s(
         self, fair_rate: float, floor_rate: float, now_s: float
     ) -> float:
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -17,24 +17,12 @@
 from redwingvalve.admission import (
     account_line,
     estimates,
+    in_flight,
     lane,
     lanes,
     messages,
     queue,
 )
-from redwingvalve.core import invariants
-
-# Sums of floats drift by far less than a thousandth of a token.
-ROUNDING_TOKENS = 1e-3
-
-
-@attrs.define(eq=False)
-class _Sent:
-    """A request that was admitted and has not finished."""
-
-    request: messages.AdmissionRequest
-    cost: float
-    sent_at_s: float
 
 
 @attrs.define(eq=False)
@@ -55,21 +43,20 @@
     ) -> None:
         """Start empty with a capacity."""
         self._settings = settings or messages.AdmissionSettings()
-        self._capacity = capacity
         self._lanes = lanes.LaneSet(self._settings)
         self._places: dict[str, _Place] = {}
-        self._sent: dict[str, _Sent] = {}
         self._latest_starts: list[tuple[float, int, str]] = []
-        self._in_flight_tokens = 0.0
         self._number = 0
         self._costs = estimates.CostCorrection()
-        self._pressure = estimates.FirstTokenPressure(
-            self._settings.first_token_s
-        )
+        self._in_flight = in_flight.InFlight(self._lanes, self._settings)
+        self.resize(capacity, 0.0)
 
     def resize(self, capacity: messages.Capacity, now_s: float) -> None:
         """Take over a new capacity; what is sent stays sent."""
         self._capacity = capacity
+        self._in_flight.resize(capacity.in_flight)
+        for in_lane in self._lanes:
+            in_lane.note_speed(capacity.tokens_per_s)
 
     def offer(
         self, request: messages.AdmissionRequest, now_s: float
@@ -77,12 +64,14 @@
         """Admit, queue or refuse a new request."""
         cost = self._costs.corrected(request)
         self._number += 1
+        self._lanes[request.kind].line(request).asked(cost, now_s)
         if request.kind != messages.JobKind.LONG:
-            self._lanes.note_short_use(cost, now_s)
-        first = self._lanes.nobody_before(request.kind, self._limit_tokens())
-        if first and self._fits(cost):
+            self._lanes.note_short_use(now_s)
+        limit = self._in_flight.limit()
+        first = self._lanes.nobody_before(request.kind, limit)
+        if first and self._in_flight.has_room():
             self._lanes[request.kind].pass_by(request, cost, now_s)
-            self._send(request, cost, now_s)
+            self._in_flight.add(request, cost, now_s)
             return messages.Admitted(request.request_id)
         if self._capacity.tokens_per_s <= 0:
             return self._refusal(
@@ -98,52 +87,34 @@
 
     def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
         """Return the next waiting request if it fits now."""
-        if self._places:
-            turn = self._lanes.choose(self._limit_tokens())
-            if turn is None:
-                return None
-            (_, _, cost, request) = turn.line.waiting[0]
-            if not self._fits(cost):
-                return None
-            self._lanes[turn.kind].take(
-                turn.line, by_preference=turn.by_preference, now_s=now_s
-            )
-            del self._places[request.request_id]
-            self._send(request, cost, now_s)
-            return request
-        return None
+        if not self._places or not self._in_flight.has_room():
+            return None
+        turn = self._lanes.choose(self._in_flight.limit(), now_s)
+        if turn is None:
+            return None
+        (_, _, cost, request) = self._lanes[turn.kind].take(
+            turn.line, by_preference=turn.by_preference, now_s=now_s
+        )
+        del self._places[request.request_id]
+        self._in_flight.add(request, cost, now_s)
+        return request
 
     def first_token(self, request_id: str, now_s: float) -> None:
         """Learn how long a sent request took to its first token."""
-        sent = self._sent.get(request_id)
-        if sent is None:
-            return
-        self._pressure.observed(
-            delay_s=now_s - sent.sent_at_s,
-            allowed_s=sent.request.deadline_s - sent.request.arrived_s,
-            now_s=now_s,
-        )
+        self._in_flight.first_token(request_id, now_s)
 
     def finished(
         self, request_id: str, actual_tokens: float, now_s: float
     ) -> None:
         """Free what a request held and correct its account's estimate."""
-        sent = self._sent.pop(request_id, None)
+        sent = self._in_flight.remove(
+            request_id, actual_tokens, now_s, waiting=bool(self._places)
+        )
         if sent is None:
             return
-        self._in_flight_tokens -= sent.cost
-        request = sent.request
-        in_lane = self._lanes[request.kind]
-        in_lane.in_flight_tokens -= sent.cost
-        if not self._sent:
-            self._in_flight_tokens = 0.0
-        self._costs.learn(request, actual_tokens)
-        in_lane.charge(in_lane.line(request), actual_tokens - sent.cost)
-        invariants.require(
-            self._in_flight_tokens >= -ROUNDING_TOKENS,
-            'admission-counts-in-flight',
-            f'{self._in_flight_tokens} tokens in flight after {request_id}',
-        )
+        self._costs.learn(sent.request, actual_tokens)
+        in_lane = self._lanes[sent.request.kind]
+        in_lane.charge(in_lane.line(sent.request), actual_tokens - sent.cost)
 
     def withdraw(self, request_id: str) -> bool:
         """Forget a waiting request."""
@@ -163,13 +134,17 @@
                 self._refuse_tails(in_lane, now_s, refused)
         return tuple(refused)
 
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the estimate corrected by what the account used before."""
+        return self._costs.corrected(request)
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._places)
 
-    def in_flight_tokens(self) -> float:
-        """Return the estimated tokens of all sent, unfinished requests."""
-        return self._in_flight_tokens
+    def in_flight(self) -> int:
+        """Return how many requests are sent and not finished."""
+        return len(self._in_flight)
 
     def _queue_or_refuse(
         self, request: messages.AdmissionRequest, cost: float, now_s: float
@@ -179,8 +154,14 @@
         wait_s = self._wait_s(
             in_lane, line, line.backlog_ahead(request.priority), now_s
         )
-        latest_start_s = request.deadline_s - self._pressure.first_token_s
-        slack_s = (latest_start_s - now_s) * self._settings.wait_margin
+        latest_start_s = (
+            request.deadline_s - self._in_flight.pressure.first_token_s
+        )
+        slack_s = (latest_start_s - now_s) * line.caution
+        if in_lane.within_share(line, now_s):
+            slack_s *= self._settings.moderate_wait_margin
+        else:
+            slack_s *= self._settings.greedy_wait_margin
         if wait_s > slack_s:
             return self._refusal(
                 request,
@@ -195,23 +176,6 @@
         )
         return messages.Queued(request.request_id, wait_s)
 
-    def _limit_tokens(self) -> float:
-        return self._capacity.in_flight_tokens * self._pressure.factor
-
-    def _fits(self, cost: float) -> bool:
-        limit = self._limit_tokens()
-        # A job larger than the whole capacity may run when it is alone.
-        if not self._sent:
-            return limit > 0
-        return self._in_flight_tokens + cost <= limit
-
-    def _send(
-        self, request: messages.AdmissionRequest, cost: float, now_s: float
-    ) -> None:
-        self._sent[request.request_id] = _Sent(request, cost, now_s)
-        self._in_flight_tokens += cost
-        self._lanes[request.kind].in_flight_tokens += cost
-
     def _wait_s(
         self,
         in_lane: lane.Lane,
@@ -220,7 +184,6 @@
         now_s: float,
     ) -> float:
         speed = self._capacity.tokens_per_s
-        in_lane.set_rate(speed)
         fair_rate = speed * in_lane.fair_share(line)
         floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
         rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
@@ -238,6 +201,9 @@
             if place is None or place.number != number:
                 continue
             self.withdraw(request_id)
+            self._lanes[place.request.kind].line(place.request).refused_late(
+                now_s
+            )
             refused.append(
                 self._refusal(
                     place.request,
@@ -259,11 +225,12 @@
                 ahead = line.backlog_tokens - cost
                 wait_s = self._wait_s(in_lane, line, ahead, now_s)
                 latest_start_s = (
-                    request.deadline_s - self._pressure.first_token_s
+                    request.deadline_s - self._in_flight.pressure.first_token_s
                 )
                 if now_s + wait_s <= latest_start_s:
                     break
                 in_lane.remove_last(line)
+                line.refused_late(now_s)
                 del self._places[request.request_id]
                 refused.append(
                     self._refusal(
--- a/redwingvalve/admission/lane.py
+++ b/redwingvalve/admission/lane.py
@@ -6,16 +6,20 @@
 
 Half of the service goes to the account that is furthest behind its fair share
 (start-time fair queueing), so that none starves. The other half goes by
-penalty, then priority; it is charged at 1/preference_bound of its cost, so that
-a preferred account gets at most that many times its fair share.
+penalty, then priority (see preference.py), and is charged at only
+1/preference_bound of its cost, since a full charge would make the first half
+take back what the second one gave.
 """
 
 import heapq
+import math
 
-from redwingvalve.admission import account_line, messages
+from redwingvalve.admission import account_line, messages, preference
 
-# How long an unmet claim is remembered, as a multiple of the preference lead.
-CLAIM_LEADS = 10
+# How long an unmet claim of an account is remembered.
+CLAIM_S = 5.0
+# Accounts that asked within this time count into the shares of preference.
+RECENT_S = 10.0
 
 
 class Lane:
@@ -25,17 +29,18 @@
         """Start without accounts."""
         self.waiting_count = 0
         self.waiting_tokens = 0.0
-        self.in_flight_tokens = 0.0
+        self.in_flight = 0
         self.lines: dict[str, account_line.AccountLine] = {}
         self._settings = settings
         self._active_weight = 0.0
         self._virtual_time = 0.0
-        self._lead = 0.0
+        self._speed = 1.0
+        self._recent_weight = 1.0
+        self._recent_until_s = 0.0
         self._preferred_credit = 0.0
         self._credit_bound = 0.0
         self._fair: list[tuple[float, int, int]] = []
-        self._preferred: list[tuple[float, int, int]] = []
-        self._parked: list[tuple[float, float, int, int]] = []
+        self._preference = preference.Preference(settings)
         self._by_number: list[account_line.AccountLine] = []
 
     def add(
@@ -64,13 +69,13 @@
         line.weight = request.weight
         self.lines[request.account] = line
         self._by_number.append(line)
+        self._preference.know(line)
         return line
 
-    def set_rate(self, tokens_per_s: float) -> None:
-        """Bound how far preference may run ahead, in virtual time."""
-        weight = self._active_weight or 1.0
-        self._credit_bound = self._settings.preference_lead_s * tokens_per_s
-        self._lead = self._credit_bound / weight
+    def note_speed(self, tokens_per_s: float) -> None:
+        """Take over the speed that is shared here."""
+        self._speed = tokens_per_s
+        self._credit_bound = self._settings.preference_burst_s * tokens_per_s
 
     def fair_share(self, line: account_line.AccountLine) -> float:
         """Return the share of the lane that a line has by weight alone."""
@@ -79,12 +84,24 @@
             weight += line.weight
         return line.weight / max(weight, line.weight)
 
-    def choose(self) -> tuple[account_line.AccountLine, bool] | None:
+    def within_share(
+        self, line: account_line.AccountLine, now_s: float
+    ) -> bool:
+        """Tell whether a line asks at most its share among recent accounts.
+
+        Fair sharing serves such a line soon, whatever the others ask, so that
+        its expected wait may use nearly all of the time that is left.
+        """
+        return line.asked_tokens_per_s() <= self._share(line, now_s)
+
+    def choose(
+        self, now_s: float
+    ) -> tuple[account_line.AccountLine, bool] | None:
         """Return the account whose turn it is, and whether by preference."""
         if not self.waiting_count:
             return None
         if self._settings.preferred_share > 0 and self._preferred_credit >= 0:
-            line = self._first_preferred()
+            line = self._preference.first(now_s, self._preferred_rate)
             if line is not None:
                 return line, True
         return self._first_fair(), False
@@ -105,6 +122,7 @@
         # A line that this emptied has left the active weight already.
         weight = max(self._active_weight, line.weight)
         self._virtual_time += cost / weight
+        line.allowance.spend(cost)
         if by_preference:
             cost /= self._settings.preference_bound
         self.charge(line, cost)
@@ -131,7 +149,7 @@
         """Move an account's virtual time; a negative cost gives back."""
         # An account that got less than its share for long would otherwise
         # hold a claim that shuts out the others for as long again.
-        oldest = self._virtual_time - CLAIM_LEADS * self._lead
+        oldest = self._virtual_time - self._claim_bound()
         line.virtual_time = max(line.virtual_time + cost / line.weight, oldest)
         line.version += 1
         if line.waiting:
@@ -145,6 +163,7 @@
         line.virtual_time = max(line.virtual_time, self._virtual_time)
         line.virtual_time += cost / line.weight
         line.served(cost, now_s)
+        line.allowance.spend(cost)
         weight = max(self._active_weight, line.weight)
         self._virtual_time += cost / weight
 
@@ -161,12 +180,7 @@
         line.version += 1
         self._active_weight += line.weight
         self._push_fair(line)
-        if line.listed:
-            return
-        line.listed = True
-        heapq.heappush(
-            self._preferred, (-line.penalty, -request.priority, line.number)
-        )
+        self._preference.enter(line, request.priority)
 
     def _left(self, line: account_line.AccountLine, cost: float) -> None:
         self.waiting_count -= 1
@@ -180,10 +194,7 @@
         self.waiting_tokens = 0.0
         self._active_weight = 0.0
         self._fair.clear()
-        self._preferred.clear()
-        self._parked.clear()
-        for line in self._by_number:
-            line.listed = False
+        self._preference.clear()
 
     def _push_fair(self, line: account_line.AccountLine) -> None:
         heapq.heappush(
@@ -198,23 +209,27 @@
                 return line
             heapq.heappop(self._fair)
 
-    def _first_preferred(self) -> account_line.AccountLine | None:
-        limit = self._virtual_time + self._lead
-        self._unpark(limit)
-        while self._preferred:
-            line = self._by_number[self._preferred[0][2]]
-            if line.waiting and line.virtual_time <= limit:
-                return line
-            entry = heapq.heappop(self._preferred)
-            line.listed = bool(line.waiting)
-            if line.waiting:
-                heapq.heappush(self._parked, (line.virtual_time, *entry))
-        return None
-
-    def _unpark(self, limit: float) -> None:
-        while self._parked and self._parked[0][0] <= limit:
-            entry = heapq.heappop(self._parked)
-            heapq.heappush(self._preferred, entry[1:])
+    def _preferred_rate(
+        self, line: account_line.AccountLine, now_s: float
+    ) -> float:
+        return self._settings.preference_bound * self._share(line, now_s)
+
+    def _share(self, line: account_line.AccountLine, now_s: float) -> float:
+        share = line.weight / max(self._recent(now_s), line.weight)
+        return self._speed * share
+
+    def _recent(self, now_s: float) -> float:
+        if now_s >= self._recent_until_s:
+            self._recent_until_s = now_s + 1
+            self._recent_weight = math.fsum(
+                line.weight
+                for line in self._by_number
+                if now_s - line.asked_at_s <= RECENT_S
+            )
+        return self._recent_weight
+
+    def _claim_bound(self) -> float:
+        return CLAIM_S * self._speed / max(self._recent_weight, 1e-6)
 
     def _count_turn(self, cost: float, *, by_preference: bool) -> None:
         # The credit is bounded: turns that preference could not use must not
--- a/redwingvalve/admission/queue.py
+++ b/redwingvalve/admission/queue.py
@@ -52,10 +52,14 @@
     def expired(self, now_s: float) -> tuple[messages.RefusedNow, ...]:
         """Remove and return waiting requests that can't meet their target."""
 
+    @abc.abstractmethod
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the tokens to expect of a request; routing counts them."""
+
     @abc.abstractmethod
     def waiting(self) -> int:
         """Return how many requests wait."""
 
     @abc.abstractmethod
-    def in_flight_tokens(self) -> float:
-        """Return the estimated tokens of all sent, unfinished requests."""
+    def in_flight(self) -> int:
+        """Return how many requests are sent and not finished."""
--- a/redwingvalve/cli/operate.py
+++ b/redwingvalve/cli/operate.py
@@ -27,10 +27,10 @@
     'data_centre',
     'address',
     'state',
-    'configuration_version',
     'in_force',
 )
-EVENT_COLUMNS = ('at', 'who', 'action', 'target', 'result', 'detail')
+EVENT_COLUMNS = ('at_s', 'fabric_domain', 'subject', 'message')
+AUDIT_COLUMNS = ('at_s', 'who', 'action', 'target', 'result', 'detail')
 PLAN_COLUMNS = ('name', 'state', 'proposed_by', 'decided_by')
 DEPLOYMENT_COLUMNS = (
     'name',
@@ -47,7 +47,6 @@
     'missing',
     'spares',
     'lease_holder',
-    'waiting_for',
 )
 
 NAME = options.Option(dest='name', help='the name')
@@ -154,6 +153,8 @@
     tables.print_rows(
         status['domains'], DOMAIN_COLUMNS, surroundings, 'fabric domains'
     )
+    for name in status['not_in_force_on']:
+        tables.print_line(f'not in force on: {name}', surroundings)
     for title in ('at_risk', 'waits'):
         for line in status[title]:
             tables.print_line(
@@ -213,7 +214,7 @@
     'audits',
     'who did what, newest first',
     '/audits',
-    _rows('audits', EVENT_COLUMNS),
+    _rows('audits', AUDIT_COLUMNS),
 )
 PLANS = _reading(
     'plans', 'plans and their state', '/plans', _rows('plans', PLAN_COLUMNS)
