--- a/redwingvalve/configuration/fetching.py
+++ b/redwingvalve/configuration/fetching.py
@@ -95,20 +95,11 @@
             )
             if answer.is_error():
                 return False
-            self._take(answer.ok)
+            if self._table.take_reply(answer.ok):
+                self._changed()
             complete = bool(answer.ok.complete)
         return True
 
-    def _take(self, reply: messages.peer.RecordsReply) -> None:
-        heard = [records.from_wire(record) for record in reply.records or ()]
-        taken = [
-            self._table.take(record) for record in heard if record is not None
-        ]
-        before = self._table.versions()
-        self._table.complete(reply.versions or {})
-        if any(taken) or before != self._table.versions():
-            self._changed()
-
     def _digest(self, peer_region: str) -> int:
         # Domains of a region concern its members only, so that they are left
         # out between regions, where they always differ.
--- a/redwingvalve/configuration/records.py
+++ b/redwingvalve/configuration/records.py
@@ -68,6 +68,7 @@
             dict
         )
         self._versions: dict[str, int] = {}
+        self._deletions_since: dict[str, int] = {}
 
     def versions(self) -> dict[str, int]:
         """Return up to which version each group is known completely."""
@@ -139,18 +140,35 @@
             for record in self.live(kind)
             if record.name not in present and record.version < list_version
         ]
-        for record in absent:
-            gone = attrs.evolve(
-                record, version=list_version, body=b'', deleted=True
-            )
-            changed.append(self.take(gone))
-        for record in self._kinds[kind].values():
-            self.complete({record.group: record.version})
+        changed.extend(
+            self.take(_tombstone(record, list_version)) for record in absent
+        )
+        for group in self._groups(kind):
+            self.complete({group: list_version})
+            # What was created and deleted before this list is not in it.
+            self._forget_deletions(group, list_version)
         return any(changed)
 
+    def take_reply(self, reply: messages.peer.RecordsReply) -> bool:
+        """Take a peer's answer; True when something changed."""
+        before = self.versions()
+        heard = [from_wire(record) for record in reply.records or ()]
+        changed = [self.take(record) for record in heard if record is not None]
+        for group, names in (reply.present or {}).items():
+            changed.append(
+                self._drop_absent(group, set(names), reply.versions[group])
+            )
+        for group, since in (reply.deletions_since or {}).items():
+            if before.get(group, 0) < since:
+                self._forget_deletions(group, since)
+        self.complete(reply.versions or {})
+        return any(changed) or before != self.versions()
+
     def above(self, have: Versions, region: str) -> messages.peer.RecordsReply:
         """Return what a peer of a region lacks, oldest first."""
-        reply = messages.peer.RecordsReply(versions={}, records=[])
+        reply = messages.peer.RecordsReply(
+            versions={}, records=[], deletions_since={}, present={}
+        )
         left_bytes = MAX_ANSWER_BYTES
         for group in sorted(self._versions):
             if group.startswith(f'{FABRIC_DOMAINS}/') and (
@@ -167,9 +185,48 @@
                     break
                 have_version = record.version
                 reply.records.append(_to_wire(record))
+            self._add_deletions(reply, group, have.get(group, 0))
         reply.complete = left_bytes >= 0
         return reply
 
+    def _add_deletions(
+        self, reply: messages.peer.RecordsReply, group: str, have: int
+    ) -> None:
+        if have == 0:
+            # A newcomer holds nothing that could be deleted, and is told of
+            # no deletions; nobody may rely on it for earlier ones.
+            reply.deletions_since[group] = self._versions[group]
+            return
+        since = self._deletions_since.get(group, 0)
+        reply.deletions_since[group] = since
+        if have < since and reply.versions[group] == self._versions[group]:
+            kind = group.partition('/')[0]
+            reply.present[group] = [
+                record.name
+                for record in self.live(kind)
+                if record.group == group
+            ]
+
+    def _drop_absent(self, group: str, present: set[str], version: int) -> bool:
+        absent = [
+            record
+            for record in self.live(group.partition('/')[0])
+            if record.group == group
+            and record.name not in present
+            and record.version < version
+        ]
+        for record in absent:
+            self.take(_tombstone(record, version))
+        return bool(absent)
+
+    def _forget_deletions(self, group: str, before: int) -> None:
+        known_since = self._deletions_since.get(group, 0)
+        self._deletions_since[group] = max(known_since, before)
+
+    def _groups(self, kind: str) -> set[str]:
+        found = {record.group for record in self._kinds[kind].values()}
+        return found | ({kind} if kind in CONFIGURATION_KINDS else set())
+
     def _lacking(self, group: str, have_version: int) -> list[Record]:
         lacking = [
             record
@@ -185,6 +242,7 @@
         if len(gone) > MAX_TOMBSTONES:
             oldest = min(gone, key=lambda kept: kept.version)
             del self._kinds[kind][oldest.name]
+            self._forget_deletions(oldest.group, oldest.version)
 
 
 def from_wire(heard: WireRecord) -> Record | None:
@@ -206,6 +264,10 @@
     return int(stored.version)
 
 
+def _tombstone(record: Record, version: int) -> Record:
+    return attrs.evolve(record, version=version, body=b'', deleted=True)
+
+
 def _to_wire(record: Record) -> WireRecord:
     return WireRecord(
         kind=record.kind,
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -122,6 +122,10 @@
   1: map<string,i64> versions
   2: list<ConfigurationRecord> records
   3: bool complete
+  // Since which version deletions are known; for a group whose asker is older
+  // than that, the names that are left.
+  4: map<string,i64> deletions_since
+  5: map<string,list<string>> present
 }
 
 struct InForceRequest {
