--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -26,6 +26,8 @@
 
 # Sums of floats drift by far less than a thousandth of a token.
 ROUNDING_TOKENS = 1e-3
+# The mean gap of shorter answers says little.
+MIN_GAP_TOKENS = 10
 
 
 @attrs.define(eq=False)
@@ -35,6 +37,7 @@
     request: messages.AdmissionRequest
     cost: float
     sent_at_s: float
+    first_token_s: float | None = None
 
 
 @attrs.define(eq=False)
@@ -55,7 +58,6 @@
     ) -> None:
         """Start empty with a capacity."""
         self._settings = settings or messages.AdmissionSettings()
-        self._capacity = capacity
         self._lanes = lanes.LaneSet(self._settings)
         self._places: dict[str, _Place] = {}
         self._sent: dict[str, _Sent] = {}
@@ -63,13 +65,16 @@
         self._in_flight_tokens = 0.0
         self._number = 0
         self._costs = estimates.CostCorrection()
-        self._pressure = estimates.FirstTokenPressure(
-            self._settings.first_token_s
+        self._pressure = estimates.Pressure(
+            self._settings.first_token_s, self._settings.token_gap_s
         )
+        self.resize(capacity, 0.0)
 
     def resize(self, capacity: messages.Capacity, now_s: float) -> None:
         """Take over a new capacity; what is sent stays sent."""
         self._capacity = capacity
+        for in_lane in self._lanes:
+            in_lane.note_speed(capacity.tokens_per_s)
 
     def offer(
         self, request: messages.AdmissionRequest, now_s: float
@@ -77,6 +82,7 @@
         """Admit, queue or refuse a new request."""
         cost = self._costs.corrected(request)
         self._number += 1
+        self._lanes[request.kind].line(request).asked_at_s = now_s
         if request.kind != messages.JobKind.LONG:
             self._lanes.note_short_use(cost, now_s)
         first = self._lanes.nobody_before(request.kind, self._limit_tokens())
@@ -99,7 +105,7 @@
     def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
         """Return the next waiting request if it fits now."""
         if self._places:
-            turn = self._lanes.choose(self._limit_tokens())
+            turn = self._lanes.choose(self._limit_tokens(), now_s)
             if turn is None:
                 return None
             (_, _, cost, request) = turn.line.waiting[0]
@@ -123,6 +129,7 @@
             allowed_s=sent.request.deadline_s - sent.request.arrived_s,
             now_s=now_s,
         )
+        sent.first_token_s = now_s
 
     def finished(
         self, request_id: str, actual_tokens: float, now_s: float
@@ -138,6 +145,11 @@
         if not self._sent:
             self._in_flight_tokens = 0.0
         self._costs.learn(request, actual_tokens)
+        self._pressure.finished(
+            self._mean_gap_s(sent, actual_tokens, now_s),
+            now_s,
+            waiting=bool(self._places),
+        )
         in_lane.charge(in_lane.line(request), actual_tokens - sent.cost)
         invariants.require(
             self._in_flight_tokens >= -ROUNDING_TOKENS,
@@ -163,6 +175,10 @@
                 self._refuse_tails(in_lane, now_s, refused)
         return tuple(refused)
 
+    def expected_tokens(self, request: messages.AdmissionRequest) -> float:
+        """Return the estimate corrected by what the account used before."""
+        return self._costs.corrected(request)
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return len(self._places)
@@ -181,6 +197,7 @@
         )
         latest_start_s = request.deadline_s - self._pressure.first_token_s
         slack_s = (latest_start_s - now_s) * self._settings.wait_margin
+        slack_s *= line.caution
         if wait_s > slack_s:
             return self._refusal(
                 request,
@@ -195,6 +212,13 @@
         )
         return messages.Queued(request.request_id, wait_s)
 
+    def _mean_gap_s(
+        self, sent: _Sent, actual_tokens: float, now_s: float
+    ) -> float:
+        if sent.first_token_s is None or actual_tokens < MIN_GAP_TOKENS:
+            return 0.0
+        return (now_s - sent.first_token_s) / actual_tokens
+
     def _limit_tokens(self) -> float:
         return self._capacity.in_flight_tokens * self._pressure.factor
 
@@ -220,7 +244,6 @@
         now_s: float,
     ) -> float:
         speed = self._capacity.tokens_per_s
-        in_lane.set_rate(speed)
         fair_rate = speed * in_lane.fair_share(line)
         floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
         rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
@@ -238,6 +261,9 @@
             if place is None or place.number != number:
                 continue
             self.withdraw(request_id)
+            self._lanes[place.request.kind].line(place.request).refused_late(
+                now_s
+            )
             refused.append(
                 self._refusal(
                     place.request,
@@ -264,6 +290,7 @@
                 if now_s + wait_s <= latest_start_s:
                     break
                 in_lane.remove_last(line)
+                line.refused_late(now_s)
                 del self._places[request.request_id]
                 refused.append(
                     self._refusal(
--- a/redwingvalve/admission/messages.py
+++ b/redwingvalve/admission/messages.py
@@ -87,7 +87,7 @@
 
     preferred_share: float = 0.5
     preference_bound: float = 2.0
-    preference_lead_s: float = 0.5
+    preference_burst_s: float = 1.0
     light_floor_share: float = 0.1
     short_floor_share: float = 0.5
     long_floor_share: float = 0.15
@@ -95,5 +95,6 @@
     max_short_reserve_share: float = 0.5
     wait_margin: float = 0.9
     first_token_s: float = 0.2
+    token_gap_s: float = 0.06
     min_retry_after_s: float = 0.5
     max_waiting: int = 5000
--- a/redwingvalve/routing/scored.py
+++ b/redwingvalve/routing/scored.py
@@ -27,6 +27,10 @@
 USUAL_STEP = 0.05
 START_MEAN_TOKENS = 300.0
 START_FIRST_TOKEN_S = 0.3
+# A prompt or two ahead delay a first token by this much on a healthy replica;
+# only what goes beyond tells a straggler.
+QUEUE_TOLERANCE_S = 0.5
+MIN_GAP_S = 0.001
 # More than any target: a probed straggler gets one request at a time.
 BUSY_PROBE_S = 30.0
 
@@ -47,12 +51,14 @@
         self._states: dict[str, State] = {}
         self._tiers: tuple[tiers.Tier, ...] = ()
         self._tier_of: dict[str, tiers.Tier] = {}
+        self._homes = tiers.Homes(())
         self._own: dict[str, endpoint_state.OwnRequest] = {}
         self._prefixes = prefix_index.PrefixIndex(
             self._settings.max_prefixes, self._settings.max_holders
         )
         self._mean_tokens = START_MEAN_TOKENS
         self._usual_s = START_FIRST_TOKEN_S
+        self._usual_gap_s: float | None = None
 
     def replace_candidates(
         self,
@@ -75,6 +81,7 @@
             states.values(), self._distances, self._settings
         )
         self._tier_of = {tier.data_centre: tier for tier in self._tiers}
+        self._homes = tiers.make_homes(self._tiers, self._settings)
         for tier in self._tiers:
             tier.recount(self._mean_tokens)
 
@@ -120,7 +127,7 @@
         delay_s = now_s - own.sent_at_s
         own.state.answered(request_id)
         own.state.observed(
-            delay_s / max(self._usual_s, 1e-3),
+            (delay_s + QUEUE_TOLERANCE_S) / (self._usual_s + QUEUE_TOLERANCE_S),
             now_s,
             self._settings.slowness_half_life_s,
         )
@@ -128,6 +135,24 @@
         bounded_s = min(delay_s, 3 * self._usual_s)
         self._usual_s += USUAL_STEP * (bounded_s - self._usual_s)
 
+    def progressed(self, request_id: str, tokens: float, now_s: float) -> None:
+        """Compare the gap between tokens with the usual one."""
+        own = self._own.get(request_id)
+        if own is None:
+            return
+        gap_s = own.gap_s(tokens, now_s)
+        if gap_s is None:
+            return
+        if self._usual_gap_s is None:
+            self._usual_gap_s = gap_s
+        own.state.observed(
+            gap_s / max(self._usual_gap_s, MIN_GAP_S),
+            now_s,
+            self._settings.slowness_half_life_s,
+        )
+        bounded_s = min(gap_s, 2 * self._usual_gap_s)
+        self._usual_gap_s += USUAL_STEP * (bounded_s - self._usual_gap_s)
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a request no longer."""
         own = self._own.pop(request_id, None)
@@ -148,7 +173,7 @@
             return
         tier = self._tier_of[state.candidate.data_centre]
         tier.tokens -= state.others * self._mean_tokens
-        state.reported(report)
+        state.reported(report, self._settings.report_smoothing)
         tier.tokens += state.others * self._mean_tokens
 
     def prefix_stored(self, name: str, prefix_hash: str) -> None:
@@ -170,7 +195,7 @@
         """Return the work in generated tokens; a cached prompt is no work."""
         prompt = request.prompt_tokens
         for prefix in request.prefixes:
-            if candidate.name in self._prefixes.holders(prefix.prefix_hash):
+            if self._prefixes.holds(candidate.name, prefix.prefix_hash):
                 prompt = max(prompt - prefix.tokens, 0.0)
                 break
         relative_speed = candidate.tokens_per_s / candidate.prefill_tokens_per_s
@@ -183,16 +208,30 @@
         sample = tier.sample(request.draw, self._settings.sample_size)
         if not request.prefixes:
             return self._score(request, sample, {}, now_s)
-        for home in tier.homes(request.prefixes[-1].prefix_hash):
-            sample[home.candidate.name] = home
         cached: dict[str, float] = {}
         for prefix in request.prefixes:
-            for name in self._prefixes.holders(prefix.prefix_hash):
+            for name in self._prefixes.holders(
+                prefix.prefix_hash, request.draw, self._settings.weighed_holders
+            ):
                 if name not in cached:
                     cached[name] = prefix.tokens
                     sample[name] = self._states[name]
+        if not cached:
+            self._add_home(request.prefixes[-1], cached, sample)
         return self._score(request, sample, cached, now_s)
 
+    def _add_home(
+        self,
+        shortest: messages.Prefix,
+        cached: dict[str, float],
+        sample: dict[str, State],
+    ) -> None:
+        home = self._homes.of(shortest.prefix_hash)
+        name = home.candidate.name
+        # It holds the prefix already, or it will for the next entry's request.
+        cached[name] = shortest.tokens
+        sample[name] = home
+
     def _score(
         self,
         request: messages.RouteRequest,
@@ -230,11 +269,15 @@
         )
         if candidate.serving_since_s:
             delay_s = (delay_s + self._usual_s) / state.ramp(now_s, settings)
-        stalled_before_s = now_s - endpoint_state.STALL_FACTOR * self._usual_s
+        stalled_before_s = now_s - endpoint_state.STALL_FACTOR * (
+            self._usual_s + QUEUE_TOLERANCE_S
+        )
         if not state.may_be_slow(stalled_before_s):
             return delay_s
         slowness = state.slowness(
-            now_s, self._usual_s, settings.slowness_half_life_s
+            now_s,
+            self._usual_s + QUEUE_TOLERANCE_S,
+            settings.slowness_half_life_s,
         )
         if slowness > settings.probe_above_slowness and state.own_count:
             return BUSY_PROBE_S + delay_s * slowness
