--- a/redwingvalve/cli/soak.py
+++ b/redwingvalve/cli/soak.py
@@ -19,10 +19,10 @@
 ) -> exit_status.ExitStatus:
     """Run one seed; the status says whether a promise was broken."""
     # The stand-ins are of no use to any other command.
-    from redwingvalve.soak import daemons, runner, schedule, telling
+    from redwingvalve.soak import daemons, fleet_run, runner, schedule, telling
 
     try:
-        wanted = runner.Options(
+        wanted = fleet_run.Options(
             seed=arguments.seed,
             duration_s=arguments.duration_s,
             callers=arguments.callers,
--- /dev/null
+++ b/redwingvalve/soak/fleet_run.py
@@ -0,0 +1,206 @@
+"""A running fleet of one run: started, declared, called and compared."""
+
+import contextlib
+import random
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+
+from redwingvalve.soak import (
+    breaches,
+    callers,
+    comparing,
+    daemons,
+    observing,
+    operators,
+    platform,
+    records,
+    schedule,
+    targets,
+    wiring,
+    work,
+)
+
+CALLERS = 10
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.2
+TARGET = work.Target(
+    operators.DEPLOYMENT, operators.PREFIX, operators.NON_IDEMPOTENT
+)
+
+Faults = tuple[schedule.Fault, ...]
+MakeDaemons = collections_abc.Callable[..., daemons.Daemons]
+
+
+@attrs.frozen
+class Options:
+    """What a run is made of; left_out faults are not scheduled.
+
+    through puts something, such as a proxy, before each endpoint.
+    """
+
+    seed: int
+    duration_s: float
+    callers: int = CALLERS
+    left_out: frozenset[schedule.FaultName] = schedule.NOTHING
+    disabled: tuple[str, ...] = ()
+    only: frozenset[schedule.FaultName] = schedule.NOTHING
+    size: platform.Size = attrs.field(factory=platform.Size)
+    spans_folder: str = ''
+    through: platform.Through | None = None
+
+
+@attrs.frozen
+class Outcome:
+    """Everything that a run found."""
+
+    options: Options
+    schedule: tuple[schedule.Fault, ...]
+    breaches: tuple[breaches.Breach, ...]
+    journal: breaches.Journal
+    records: tuple[records.Record, ...]
+    generations: tuple[observing.Generation, ...]
+    stop_times_s: tuple[float, ...]
+    moments: tuple[tuple[float, int, int], ...]
+    runs: int
+
+
+class FleetRun:
+    """The parts of one run while it goes on."""
+
+    def __init__(
+        self,
+        options: Options,
+        small: platform.Platform,
+        fleet: daemons.Daemons,
+    ) -> None:
+        """Know the parts; nothing is started yet."""
+        self.options = options
+        self.platform = small
+        self.daemons = fleet
+        self.journal = breaches.Journal()
+        self.observer = observing.Observer(small, fleet, self.journal)
+        self.bearer = ''
+
+    def operator(self) -> operators.Operator:
+        """Return an operator at a controller that is there."""
+        api = self.daemons.role(daemons.CONTROL)[0].address
+        return operators.Operator(api, self.bearer)
+
+    def make_targets(self, poisoner: callers.Caller) -> targets.Targets:
+        """Return what faults can hit."""
+        return targets.Targets(
+            self.platform, self.daemons, self.journal, self.bearer, poisoner
+        )
+
+    async def start(self) -> None:
+        """Start the daemons, declare, and wait until all serves."""
+        self.bearer = await operators.issue_token(self.platform.store.store)
+        for daemon in wiring.make_daemons(
+            self.platform,
+            self.options.seed,
+            self.options.disabled,
+            self.options.spans_folder,
+        ):
+            self.daemons.by_name[daemon.name] = daemon
+            await self.daemons.start(daemon)
+        wish = operators.Wish(1)
+        with anyio.fail_after(READY_TIMEOUT_S):
+            while not await self.operator().reachable():
+                await anyio.sleep(POLL_S)
+            await self.declare(wish)
+            await self._wait_serving(wish)
+
+    async def declare(self, wish: operators.Wish) -> None:
+        """Plan and confirm until it is done, at any controller."""
+        text = operators.declaration_of(
+            wish,
+            self.platform.service_addresses,
+            self.platform.size.load_time_s,
+        )
+        while True:
+            name, why = await self.operator().plan(text)
+            if name:
+                done = await self.operator().confirm(wish, name)
+                why = done.message
+                if done.status == operators.OK_STATUS:
+                    return
+            self.journal.note(f'declaration {wish.number} waits: {why}')
+            await anyio.sleep(POLL_S)
+
+    async def _wait_serving(self, wish: operators.Wish) -> None:
+        while len(self.platform.serving_heads()) < wish.replicas:
+            await anyio.sleep(POLL_S)
+        asking = self.make_caller('first', 0)
+        for daemon in self.daemons.role(daemons.ENTRY):
+            while not await asking.probe(daemon.address):
+                await anyio.sleep(POLL_S)
+        self.journal.note('the fleet serves')
+
+    def compare(
+        self,
+        planned: Faults,
+        acting: targets.Targets,
+        calling: collections_abc.Iterable[callers.Caller],
+    ) -> Outcome:
+        """Compare what callers, endpoints and observers saw."""
+        runs = self.platform.runs()
+        seen = [record for caller in calling for record in caller.records]
+        evidence = comparing.Evidence(
+            seen,
+            runs,
+            tuple(acting.leaving),
+            frozenset(self.observer.versions),
+        )
+        found = (
+            *self.observer.found,
+            *comparing.compare(evidence, comparing.Bounds()),
+            *comparing.double_wins(acting.races),
+            *self.daemons.breaches,
+        )
+        return Outcome(
+            options=self.options,
+            schedule=planned,
+            breaches=tuple(sorted(found, key=lambda breach: breach.at_s)),
+            journal=self.journal,
+            records=tuple(seen),
+            generations=tuple(self.observer.generations),
+            stop_times_s=tuple(acting.stop_times_s),
+            moments=tuple(self.observer.moments),
+            runs=len(runs),
+        )
+
+    def make_caller(self, name: str, index: int) -> callers.Caller:
+        """Return a caller whose choices follow from the seed."""
+        settings = callers.CallerSettings(
+            operators.CREDENTIAL,
+            TARGET,
+            tuple(
+                daemon.address
+                for daemon in self.daemons.by_name.values()
+                if daemon.role == daemons.ENTRY
+            ),
+            self.daemons.disturbed,
+        )
+        chance = random.Random(self.options.seed * 1000 + index)
+        return callers.Caller(name, settings, chance)
+
+
+@contextlib.asynccontextmanager
+async def open_run(
+    options: Options, make_daemons: MakeDaemons
+) -> collections_abc.AsyncIterator[FleetRun]:
+    """Give a fleet that serves; make_daemons gets a task group."""
+    async with (
+        platform.run_platform(options.size, options.through) as small,
+        anyio.create_task_group() as group,
+    ):
+        run = FleetRun(options, small, make_daemons(group))
+        await run.start()
+        async with anyio.create_task_group() as watching:
+            watching.start_soon(run.observer.run)
+            yield run
+            watching.cancel_scope.cancel()
+        await run.daemons.end_all()
+        group.cancel_scope.cancel()
--- a/redwingvalve/soak/platform.py
+++ b/redwingvalve/soak/platform.py
@@ -23,6 +23,9 @@
 REGION = 'montevideo'
 VM_LIST_LAG_S = 0.5
 CLIENT_TIMEOUT_S = 5.0
+Through: typing.TypeAlias = collections_abc.Callable[
+    [str], collections_abc.Awaitable[str]
+]
 
 
 @attrs.frozen
@@ -107,6 +110,10 @@
             service.lose_answers = 0
 
 
+async def _directly(address: str) -> str:
+    return address
+
+
 class _Servers:
     """The servers of the stand-ins beside the engines."""
 
@@ -137,7 +144,7 @@
 
 @contextlib.asynccontextmanager
 async def run_platform(
-    size: Size,
+    size: Size, through: Through | None = None
 ) -> collections_abc.AsyncIterator[Platform]:
     """Run the stand-ins on free ports until the block ends."""
     async with (
@@ -145,7 +152,9 @@
         httpx.AsyncClient(timeout=CLIENT_TIMEOUT_S) as client,
     ):
         with contextlib.closing(_Servers()) as servers:
-            yield await _make_platform(size, engines, client, servers)
+            yield await _make_platform(
+                size, engines, client, servers, through or _directly
+            )
 
 
 async def _make_platform(
@@ -153,8 +162,9 @@
     engines: engine_host.EngineHost,
     client: httpx.AsyncClient,
     servers: _Servers,
+    through: Through,
 ) -> Platform:
-    rows = await _add_engines(engines, size)
+    rows = await _add_engines(engines, size, through)
     store_app, store = object_api_app.make_object_api()
     list_app, listed = vm_list.make_vm_list(rows, VM_LIST_LAG_S)
     weights_app, _ = weight_store.make_weight_store(
@@ -172,13 +182,19 @@
             name: f'http://{(await servers.start(app)).address}'
             for name, app in apps.items()
         },
-        tuple(each.server.address for each in services if each.server),
+        tuple(
+            [
+                await through(each.server.address)
+                for each in services
+                if each.server
+            ]
+        ),
         client,
     )
 
 
 async def _add_engines(
-    engines: engine_host.EngineHost, size: Size
+    engines: engine_host.EngineHost, size: Size, through: Through
 ) -> list[vm_list.VmRow]:
     rows = []
     for domain, data_centre, count in size.domains:
@@ -195,7 +211,7 @@
                 seed=len(rows),
             )
             await engines.add(options)
-            address = engines.address(name)
+            address = await through(engines.address(name))
             rows.append(
                 vm_list.make_vm_row(name, address, data_centre, domain, REGION)
             )
--- a/redwingvalve/soak/telling.py
+++ b/redwingvalve/soak/telling.py
@@ -4,13 +4,12 @@
 import statistics
 import typing
 
-from redwingvalve.soak import breaches, runner
+from redwingvalve.soak import breaches, fleet_run
 
-NEWEST_SPANS_HINT = 'redwingvalve trace shows its hops'
 PERCENTILE_CUTS = 20
 
 
-def figures(outcome: runner.Outcome) -> dict[str, typing.Any]:
+def figures(outcome: fleet_run.Outcome) -> dict[str, typing.Any]:
     """Return the figures of a run as plain JSON."""
     attempts = [
         attempt for record in outcome.records for attempt in record.attempts
@@ -59,7 +58,7 @@
     return statistics.quantiles(values, n=PERCENTILE_CUTS)[twentieth - 1]
 
 
-def breach_lines(outcome: runner.Outcome) -> list[str]:
+def breach_lines(outcome: fleet_run.Outcome) -> list[str]:
     """Return seed, schedule and the few events before each promise's first."""
     if not outcome.breaches:
         return []
--- a/tests/integration/soak_processes.py
+++ b/tests/integration/soak_processes.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from redwingvalve.core import invariants
-from redwingvalve.soak import runner, schedule, telling
+from redwingvalve.soak import fleet_run, runner, schedule, telling
 from tests.integration import process_daemons, processes
 
 
@@ -28,7 +28,7 @@
     parser.add_argument('--disable', default='')
     parser.add_argument('--keep-logs', default='')
     arguments = parser.parse_args()
-    options = runner.Options(
+    options = fleet_run.Options(
         seed=arguments.seed,
         duration_s=arguments.duration_s,
         only=frozenset(names(arguments.only, schedule.FaultName)),
