--- a/tests/integration/fault_proxy.py
+++ b/tests/integration/fault_proxy.py
@@ -16,6 +16,7 @@
 
 CHUNK_BYTES = 65_536
 QUIET_S = 0.05
+PARTNER_TIMEOUT_S = 1.0
 LINGER_0_S = struct.pack('ii', 1, 0)
 BROKEN = (
     anyio.BrokenResourceError,
@@ -151,7 +152,10 @@
         if self._held is None:
             mailbox, arrived = [whole], anyio.Event()
             self._held = (mailbox, arrived)
-            await arrived.wait()
+            with anyio.move_on_after(PARTNER_TIMEOUT_S):
+                await arrived.wait()
+            if not arrived.is_set():
+                self._held = None
             return mailbox[0]
         mailbox, arrived = self._held
         self._held = None
--- /dev/null
+++ b/tests/integration/promises.py
@@ -0,0 +1,279 @@
+"""Directed attacks on the promises, for fleets of real processes.
+
+Only for tests. Each attack is short and sure: with its safeguard disabled it
+breaks its promise on every run, and with it in force on none.
+"""
+
+import contextlib
+import time
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+
+from redwingvalve.core import invariants
+from redwingvalve.soak import (
+    breaches,
+    callers,
+    comparing,
+    daemons,
+    fleet_run,
+    operators,
+    schedule,
+    targets,
+    work,
+)
+from tests.integration import fault_proxy, process_daemons, processes
+
+Promise = breaches.Promise
+Safeguard = invariants.Safeguard
+SETTLE_S = 15.0
+
+
+@attrs.define
+class Stage:
+    """A fleet of processes whose endpoints stand behind fault proxies."""
+
+    run: fleet_run.FleetRun
+    hit: targets.Targets
+    proxies: dict[str, fault_proxy.FaultProxy]
+    asking: list[callers.Caller] = attrs.field(factory=list)
+
+    def caller(self) -> callers.Caller:
+        """Return a new caller, whose records count at the end."""
+        index = len(self.asking)
+        made = self.run.make_caller(f'a{index}', index)
+        self.asking.append(made)
+        return made
+
+    async def ask(self, kind: work.Kind, count: int) -> None:
+        """Let so many callers make one request each, all at once."""
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(self.caller().call, kind)
+
+    async def ask_for(self, kind: work.Kind, duration_s: float) -> None:
+        """Let four callers make requests without a pause."""
+        ends_at_s = time.monotonic() + duration_s
+
+        async def one(caller: callers.Caller) -> None:
+            while time.monotonic() < ends_at_s:
+                await caller.call(kind)
+
+        async with anyio.create_task_group() as group:
+            for _ in range(4):
+                group.start_soon(one, self.caller())
+
+    def proxies_of_services(self) -> list[fault_proxy.FaultProxy]:
+        return [
+            self.proxies[service.server.address]
+            for service in self.run.platform.services
+        ]
+
+    async def settle(self) -> None:
+        """End all faults and wait until every replica serves again."""
+        for proxy in self.proxies.values():
+            proxy.heal()
+        self.run.platform.heal()
+        wanted = operators.Wish(1).replicas
+        with anyio.move_on_after(SETTLE_S):
+            while len(self.run.platform.serving_heads()) < wanted:
+                await anyio.sleep(0.1)
+
+    def found(self) -> tuple[breaches.Breach, ...]:
+        """Compare all that callers and endpoints saw."""
+        return self.run.compare((), self.hit, self.asking).breaches
+
+
+async def cross_answers(stage: Stage) -> None:
+    """Whole answers are exchanged between two connections."""
+    for proxy in stage.proxies_of_services():
+        proxy.faults.cross_answers = 2
+    await stage.ask(work.Kind.FETCH, 12)
+
+
+async def truncate_streams(stage: Stage) -> None:
+    """Streams end cleanly in the middle, without a [DONE]."""
+    for head in stage.run.platform.serving_heads():
+        head.faults.truncate = 2
+    await stage.ask(work.Kind.NARRATIVE, 8)
+
+
+async def reset_while_running(stage: Stage) -> None:
+    """Connections break after the engines have begun to run quotes."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(stage.ask, work.Kind.QUOTE, 8)
+        await anyio.sleep(0.15)
+        for proxy in stage.proxies.values():
+            await proxy.reset_all()
+
+
+async def lose_answers_of_flags(stage: Stage) -> None:
+    """A service runs flags and dies before it answers; callers resend."""
+    for service in stage.run.platform.services:
+        service.lose_answers = 3
+    await stage.ask(work.Kind.FLAG, 6)
+
+
+async def lose_workers(stage: Stage) -> None:
+    """Each replica loses a VM while no controller is there to see it."""
+    controls = stage.run.daemons.role(daemons.CONTROL)
+    for daemon in controls:
+        daemon.away = True
+        await stage.run.daemons.end_now(daemon)
+    workers = [
+        head.state().members[-1] for head in stage.run.platform.serving_heads()
+    ]
+    engines = stage.run.platform.engines
+    for worker in workers:
+        engines.engines[worker].die()
+    await stage.ask_for(work.Kind.NARRATIVE, 6.0)
+    for worker in workers:
+        await engines.revive(worker)
+    for daemon in controls:
+        await stage.run.daemons.start(daemon)
+        daemon.away = False
+
+
+async def leave_under_load(stage: Stage) -> None:
+    """A head is told to leave while it has long work and more comes."""
+    heads = stage.run.platform.serving_heads()
+    for head in heads:
+        head.faults.straggle_factor = 3.0
+    async with anyio.create_task_group() as group:
+        group.start_soon(stage.ask, work.Kind.SCAN, 8)
+        await anyio.sleep(0.5)
+        listed = stage.run.platform.listed
+        vm = heads[0].options.vm
+        told_s = time.time() + listed.lag_s
+        listed.mark(vm, 'leaving')
+        await stage.ask_for(work.Kind.QUOTE, 7.0)
+        listed.mark(vm, 'live')
+        stage.hit.leaving.append(comparing.Leaving(vm, told_s, time.time()))
+
+
+async def wake_with_old_configuration(stage: Stage) -> None:
+    """An entry sleeps through a confirmation and wakes with the old one."""
+    sleeper = stage.run.daemons.role(daemons.ENTRY)[-1]
+    async with anyio.create_task_group() as group:
+        group.start_soon(stage.run.daemons.pause, sleeper.name, 4.0)
+        await anyio.sleep(0.2)
+        await stage.run.declare(operators.Wish(50))
+        await anyio.sleep(6.0)
+
+
+async def send_poison(stage: Stage) -> None:
+    """A request that kills each engine that runs it is sent four times."""
+    for engine in stage.run.platform.engines.engines.values():
+        engine.faults.poison_marker = 'poison-here'
+        engine.faults.restart_after_s = 1.0
+    await stage.caller().call(work.Kind.NARRATIVE, 'poison-here')
+
+
+async def stop_an_entry(stage: Stage) -> None:
+    """An entry is stopped gracefully while streams run through it."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(stage.ask_for, work.Kind.NARRATIVE, 4.0)
+        await anyio.sleep(0.5)
+        entry = stage.run.daemons.role(daemons.ENTRY)[0]
+        await stage.run.daemons.stop(entry.name, 0.5)
+
+
+async def race_operators(stage: Stage) -> None:
+    """Two operators confirm at one moment while the store loses answers."""
+    await stage.run.platform.store_fault(name='lose-answers', count=2)
+    fault = schedule.Fault(0.0, schedule.FaultName.OPERATORS_RACE, 0.1, 0.0)
+    from redwingvalve.soak import daemon_faults
+
+    await daemon_faults.operators_race(stage.hit, fault)
+    await stage.run.platform.heal_store()
+
+
+@attrs.frozen
+class Attack:
+    """An attack, the safeguard that withstands it, what breaks without."""
+
+    act: collections_abc.Callable[[Stage], collections_abc.Awaitable[None]]
+    breaks: frozenset[Promise]
+    safeguard: Safeguard | None = None
+
+    @property
+    def name(self) -> str:
+        return self.act.__name__.replace('_', ' ')
+
+
+ATTACKS = (
+    Attack(
+        cross_answers,
+        frozenset({Promise.WHOLE_AND_OWN}),
+        Safeguard.ANSWER_IDENTITY,
+    ),
+    Attack(
+        truncate_streams,
+        frozenset({Promise.WHOLE_AND_OWN}),
+        Safeguard.ANSWER_COMPLETENESS,
+    ),
+    Attack(
+        reset_while_running,
+        frozenset({Promise.NOT_RUN, Promise.AT_MOST_ONCE}),
+        Safeguard.TRUTHFUL_NOT_RUN,
+    ),
+    Attack(
+        lose_answers_of_flags,
+        frozenset({Promise.AT_MOST_ONCE}),
+        Safeguard.RUN_AT_MOST_ONCE,
+    ),
+    Attack(send_poison, frozenset({Promise.POISON}), Safeguard.POISON_REFUSED),
+    Attack(
+        leave_under_load,
+        frozenset({Promise.LEAVING}),
+        Safeguard.LEAVING_EXCLUDED,
+    ),
+    Attack(
+        leave_under_load,
+        frozenset({Promise.PLANNED_STOP}),
+        Safeguard.DRAIN_BEFORE_STOP,
+    ),
+    Attack(
+        wake_with_old_configuration,
+        frozenset({Promise.CONFIGURATION, Promise.INVARIANT}),
+        Safeguard.CONFIGURATION_ONLY_RISES,
+    ),
+    Attack(stop_an_entry, frozenset({Promise.PLANNED_STOP})),
+    Attack(race_operators, frozenset({Promise.RACE})),
+    Attack(
+        lose_workers,
+        frozenset({Promise.NO_VM_MISSING}),
+        Safeguard.EVIDENCE_REQUIRED,
+    ),
+)
+
+
+@contextlib.asynccontextmanager
+async def open_stage(
+    disabled: tuple[Safeguard, ...] = (), seed: int = 1
+) -> collections_abc.AsyncIterator[Stage]:
+    """Give a fleet of processes behind proxies, with safeguards disabled."""
+    proxies: dict[str, fault_proxy.FaultProxy] = {}
+    async with anyio.create_task_group() as group:
+
+        async def through(address: str) -> str:
+            proxy = fault_proxy.FaultProxy(address, group)
+            await proxy.start()
+            proxies[address] = proxy
+            return proxy.address
+
+        options = fleet_run.Options(
+            seed,
+            0.0,
+            disabled=tuple(each.value for each in disabled),
+            through=through,
+        )
+        with processes.make_processes() as children:
+            async with fleet_run.open_run(
+                options,
+                lambda _: process_daemons.ProcessDaemons(children),
+            ) as run:
+                hit = run.make_targets(run.make_caller('nobody', 999))
+                yield Stage(run, hit, proxies)
+        group.cancel_scope.cancel()
--- a/tests/integration/soak_processes.py
+++ b/tests/integration/soak_processes.py
@@ -32,7 +32,10 @@
         seed=arguments.seed,
         duration_s=arguments.duration_s,
         only=frozenset(names(arguments.only, schedule.FaultName)),
-        disabled=tuple(names(arguments.disable, invariants.Safeguard)),
+        disabled=tuple(
+            invariants.Safeguard(name).value
+            for name in filter(None, arguments.disable.split(','))
+        ),
     )
     with processes.make_processes() as children:
         if arguments.keep_logs:
