Let a graceful stop end with status 0, and take test ports outside the kernel's range

Cause: (1) hypercorn's shutdown leaves a cancellation on the task it ran in; the next cancel scope let it out and the entry ended with status 1 after serving all (trace: Cancelled via cancel scope ... by the entry's own task). Ruled out: a request cut off, 60 of 60 tokens had arrived. (2) ports that were free a moment ago were taken by outgoing connections of a busy machine. (3) hypercorn's InvalidStateError hid the first fault. Change: hypercorn in a task of its own, the cancellation raised instead, ports below the ephemeral range.

--- a/redwingvalve/administration/server.py
+++ b/redwingvalve/administration/server.py
@@ -1,16 +1,14 @@
 """Serves the administration API, with TLS when settings name certificates."""
 
 import ssl
-from collections import abc as collections_abc
 
-import hypercorn.asyncio
 import hypercorn.config
 
 from redwingvalve.administration import app as api_app
+from redwingvalve.core import http_server
 from redwingvalve.tls import contexts
 
 GRACEFUL_TIMEOUT_S = 10.0
-Stop = collections_abc.Callable[[], collections_abc.Awaitable[None]]
 
 
 class _ApiConfig(hypercorn.config.Config):
@@ -34,7 +32,7 @@
     api: api_app.Api,
     host: str,
     port: int,
-    stop: Stop,
+    stop: http_server.Stop,
     reloading: contexts.ReloadingContext | None = None,
 ) -> None:
     """Serve until stop returns, then let calls in progress finish."""
@@ -45,6 +43,4 @@
     config.errorlog = None
     config.accesslog = None
     config.reloading = reloading
-    await hypercorn.asyncio.serve(
-        api_app.make_api_app(api), config, shutdown_trigger=stop
-    )
+    await http_server.serve(api_app.make_api_app(api), config, stop)
--- a/redwingvalve/demo/story.py
+++ b/redwingvalve/demo/story.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import pathlib
-import socket
 import types
 from collections import abc as collections_abc
 
@@ -14,6 +13,7 @@
 from redwingvalve.demo import caller, operator, platform
 from redwingvalve.process import control, entry
 from redwingvalve.settings import schema
+from redwingvalve.standins import ports as standin_ports
 
 CREDENTIAL = 'example-depot'
 DEPLOYMENT = 'quotes'
@@ -129,7 +129,7 @@
 def make_fleet(small: platform.DemoPlatform) -> Fleet:
     """Return settings for the entries and a controller on free ports."""
     names = [f'entry-{number + 1}' for number in range(ENTRIES)]
-    ports = free_ports(2 * (ENTRIES + 1))
+    ports = standin_ports.free_ports(2 * (ENTRIES + 1))
     contact = f'{platform.HOST}:{ports[1]}'
     made = [
         _settings(name, small, (ports.pop(), ports.pop()), contact)
@@ -138,15 +138,6 @@
     return Fleet(tuple(reversed(made[1:])), made[0])
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago."""
-    with contextlib.ExitStack() as held:
-        sockets = [held.enter_context(socket.socket()) for _ in range(count)]
-        for opened in sockets:
-            opened.bind((platform.HOST, 0))
-        return [int(bound.getsockname()[1]) for bound in sockets]
-
-
 def _settings(
     name: str,
     small: platform.DemoPlatform,
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,17 +23,6 @@
 ROOT = pathlib.Path(__file__).parents[2]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Child:
     """One child process; its output goes into a file of its own."""
 
--- a/tests/integration/test_fault_proxy.py
+++ b/tests/integration/test_fault_proxy.py
@@ -4,7 +4,7 @@
 import httpx
 import pytest
 
-from redwingvalve.standins import plain_service, serving
+from redwingvalve.standins import plain_service, ports, serving
 from tests.integration import fault_proxy, processes
 
 
@@ -109,7 +109,7 @@
 def test_a_child_is_paused_resumed_and_killed_by_id():
     async def scenario():
         with processes.make_processes() as children:
-            port = processes.free_ports(1)[0]
+            port = ports.free_ports(1)[0]
             child = children.start(
                 'service',
                 'redwingvalve.standins',
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -9,7 +9,7 @@
 
 from redwingvalve.demo import caller, operator
 from redwingvalve.platform_api import http_object_api
-from redwingvalve.standins import vm_list
+from redwingvalve.standins import ports, vm_list
 from tests.integration import processes
 
 DECLARATION = """
@@ -36,7 +36,7 @@
 
     def __init__(self, children):
         self.children = children
-        self.ports = processes.free_ports(9 + VMS)
+        self.ports = ports.free_ports(9 + VMS)
         self.store_url = self.url(0)
         self.entries = (self.address(3), self.address(5))
         self.api = self.address(7)
@@ -162,7 +162,8 @@
         assert received[0].whole
         assert received[0].chunks == MAX_TOKENS
         assert received[0].entry == fleet.entries[0]
-        assert await children.children['entry-1'].wait() == 0
+        stopped = children.children['entry-1']
+        assert await stopped.wait() == 0, stopped.text()
         again = await staying.stream_chat('quotes', 'another', 3)
         assert again.whole
 
