--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -4,7 +4,7 @@
 import math
 import typing
 
-from redwingvalve.admission import messages
+from redwingvalve.admission import estimates, messages
 
 # The rate of an account is averaged over about a second: shorter follows the
 # noise of single jobs, longer keeps a burst's wrong rate past its end.
@@ -75,6 +75,7 @@
         self.asked_at_s = 0.0
         self._asked_tokens = 0.0
         self.allowance = Allowance()
+        self.costs = estimates.CostCorrection()
         self.caution = 1.0
         self._next_fall_s = 0.0
         self._served_tokens = 0.0
--- a/redwingvalve/admission/estimates.py
+++ b/redwingvalve/admission/estimates.py
@@ -2,8 +2,6 @@
 
 import math
 
-from redwingvalve.admission import messages
-
 # One job changes the learned ratio by a tenth; about twenty jobs forget an
 # old habit of an account, and one odd job cannot halve its claim.
 CORRECTION_STEP = 0.1
@@ -33,28 +31,23 @@
 
 
 class CostCorrection:
-    """The ratio of used to estimated tokens, by account and kind."""
+    """The ratio of used to estimated tokens of one account and kind."""
 
     def __init__(self) -> None:
         """Trust estimates until something is known."""
-        self._ratios: dict[tuple[str, int], float] = {}
+        self._ratio = 1.0
 
-    def corrected(self, request: messages.AdmissionRequest) -> float:
-        """Return the cost to count for a request."""
-        ratio = self._ratios.get((request.account, request.kind), 1.0)
-        return max(request.estimated_tokens * ratio, 1.0)
+    def corrected(self, estimated_tokens: float) -> float:
+        """Return the cost to count for an estimate."""
+        return max(estimated_tokens * self._ratio, 1.0)
 
-    def learn(
-        self, request: messages.AdmissionRequest, actual_tokens: float
-    ) -> None:
-        """Move the ratio of an account towards what a job used."""
-        if request.estimated_tokens <= 0 or actual_tokens <= 0:
+    def learn(self, estimated_tokens: float, actual_tokens: float) -> None:
+        """Move the ratio towards what a job used."""
+        if estimated_tokens <= 0 or actual_tokens <= 0:
             return
-        key = (request.account, request.kind)
-        seen = actual_tokens / request.estimated_tokens
-        old = self._ratios.get(key, 1.0)
-        ratio = old + CORRECTION_STEP * (seen - old)
-        self._ratios[key] = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
+        seen = actual_tokens / estimated_tokens
+        ratio = self._ratio + CORRECTION_STEP * (seen - self._ratio)
+        self._ratio = min(max(ratio, MIN_CORRECTION), MAX_CORRECTION)
 
 
 class Pressure:
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -16,7 +16,6 @@
 
 from redwingvalve.admission import (
     account_line,
-    estimates,
     in_flight,
     lane,
     lanes,
@@ -47,7 +46,6 @@
         self._places: dict[str, _Place] = {}
         self._latest_starts: list[tuple[float, int, str]] = []
         self._number = 0
-        self._costs = estimates.CostCorrection()
         self._in_flight = in_flight.InFlight(self._lanes, self._settings)
         self.resize(capacity, 0.0)
 
@@ -62,10 +60,10 @@
         self, request: messages.AdmissionRequest, now_s: float
     ) -> messages.Decision:
         """Admit, queue or refuse a new request."""
-        cost = self._costs.corrected(request)
         self._number += 1
         in_lane = self._lanes[request.kind]
         line = in_lane.line(request)
+        cost = line.costs.corrected(request.estimated_tokens)
         line.asked(cost, now_s)
         if request.kind != messages.JobKind.LONG:
             self._lanes.note_short_use(now_s)
@@ -114,9 +112,10 @@
         )
         if sent is None:
             return
-        self._costs.learn(sent.request, actual_tokens)
         in_lane = self._lanes[sent.request.kind]
-        in_lane.correct(in_lane.line(sent.request), actual_tokens - sent.cost)
+        line = in_lane.line(sent.request)
+        line.costs.learn(sent.request.estimated_tokens, actual_tokens)
+        in_lane.correct(line, actual_tokens - sent.cost)
 
     def withdraw(self, request_id: str) -> bool:
         """Forget a waiting request."""
@@ -138,7 +137,8 @@
 
     def expected_tokens(self, request: messages.AdmissionRequest) -> float:
         """Return the estimate corrected by what the account used before."""
-        return self._costs.corrected(request)
+        line = self._lanes[request.kind].line(request)
+        return line.costs.corrected(request.estimated_tokens)
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -192,6 +192,7 @@
         now_s: float,
     ) -> float:
         speed = self._capacity.tokens_per_s
+        speed *= self._lanes.speed_part(in_lane, self._in_flight.limit())
         fair_rate = speed * in_lane.fair_share(line)
         floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
         rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
--- a/redwingvalve/admission/lanes.py
+++ b/redwingvalve/admission/lanes.py
@@ -81,6 +81,17 @@
         tokens = light.waiting_tokens + short.waiting_tokens
         return tokens + long.waiting_tokens
 
+    def speed_part(self, in_lane: lane.Lane, limit: float) -> float:
+        """Return the part of the speed that a lane may count on."""
+        if in_lane is not self._lanes[messages.JobKind.LONG]:
+            return 1.0
+        return 1 - self._reserve(limit)
+
+    def _reserve(self, limit: float) -> float:
+        wanted = self._short_use.level / limit if limit else 1.0
+        reserve = max(self._settings.short_reserve_share, wanted)
+        return min(reserve, self._settings.max_short_reserve_share)
+
     def _turn(self, kind: messages.JobKind, now_s: float) -> Turn | None:
         chosen = self._lanes[kind].choose(now_s)
         return Turn(kind, *chosen) if chosen else None
@@ -92,7 +103,5 @@
     def _below_ceiling(self, kind: messages.JobKind, limit: float) -> bool:
         if kind != messages.JobKind.LONG:
             return True
-        wanted = self._short_use.level / limit if limit else 1.0
-        reserve = max(self._settings.short_reserve_share, wanted)
-        reserve = min(reserve, self._settings.max_short_reserve_share)
-        return self._lanes[kind].in_flight < (1 - reserve) * limit
+        ceiling = (1 - self._reserve(limit)) * limit
+        return self._lanes[kind].in_flight < ceiling
--- /dev/null
+++ b/redwingvalve/cli/bench.py
@@ -0,0 +1,52 @@
+"""The bench command: figures of decisions against plain baselines."""
+
+import argparse
+import types
+import typing
+from collections import abc as collections_abc
+
+from redwingvalve.bench import request_path
+from redwingvalve.cli import options
+from redwingvalve.core import environment, exit_status
+
+Bench = collections_abc.Callable[[int, str, typing.TextIO], None]
+
+
+def _request_path(seed: int, output: str, stream: typing.TextIO) -> None:
+    request_path.write_report(request_path.run_bench(seed), output, stream)
+
+
+# Each bench takes the seed, the output format and where to write.
+BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
+    {'request-path': _request_path}
+)
+
+
+def run_bench(
+    arguments: argparse.Namespace, surroundings: environment.Environment
+) -> exit_status.ExitStatus:
+    """Run one bench and write its figures."""
+    bench = BENCHES[arguments.bench]
+    bench(arguments.seed, arguments.output, surroundings.stdout)
+    return exit_status.ExitStatus.SUCCESS
+
+
+BENCH = options.Command(
+    name='bench',
+    help='measure decisions against plain baselines',
+    example='redwingvalve bench request-path --seed 1 --output json',
+    run=run_bench,
+    options=(
+        options.Option(
+            dest='bench', help='what to measure', choices=tuple(BENCHES)
+        ),
+        options.Option(
+            dest='seed',
+            flags=('--seed',),
+            type=int,
+            default=1,
+            help='the same seed gives the same load',
+        ),
+        options.OUTPUT,
+    ),
+)
--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,6 +1,7 @@
 """All commands, each from the slice or module that does its work."""
 
 from redwingvalve.cli import (
+    bench,
     check,
     daemons,
     demo,
@@ -13,6 +14,7 @@
 )
 
 ALL: tuple[options.Command, ...] = (
+    bench.BENCH,
     check.CHECK,
     demo.DEMO,
     *operate.ALL,
--- a/redwingvalve/retries/budget.py
+++ b/redwingvalve/retries/budget.py
@@ -5,9 +5,9 @@
 lost becomes half again as much work for the rest, and that fails too.
 
 Each success earns a tenth of a retry, so that over any time at most a tenth of
-the answered work is sent twice. The small reserve lets a quiet entry retry the
-few requests of one dead replica; it refills slowly, so that it can't carry a
-storm.
+the answered work is sent twice. The small reserve lets an entry that has just
+started retry what two replicas take along when they die (2 times 60 streams
+over seven entries); it refills slowly, so that it can't carry a storm.
 """
 
 import attrs
@@ -18,7 +18,7 @@
     """Figures an operator may set; docs/operating/who-is-served.md."""
 
     success_share: float = 0.1
-    reserve: float = 10.0
+    reserve: float = 20.0
     reserve_per_s: float = 0.2
     max_saved: float = 200.0
 
--- a/redwingvalve/routing/prefix_index.py
+++ b/redwingvalve/routing/prefix_index.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+from collections import abc as collections_abc
 
 
 class PrefixIndex:
@@ -18,35 +19,35 @@
         """Start empty with bounds on memory."""
         self._max_prefixes = max_prefixes
         self._max_holders = max_holders
-        self._holders: collections.OrderedDict[str, dict[str, None]] = (
+        self._holders: collections.OrderedDict[str, list[str]] = (
             collections.OrderedDict()
         )
         self._held: dict[str, set[str]] = collections.defaultdict(set)
 
-    def holders(self, prefix_hash: str, draw: int, count: int) -> list[str]:
+    def holders(
+        self, prefix_hash: str, draw: int, count: int
+    ) -> collections_abc.Sequence[str]:
         """Return some endpoints that hold a prefix, by a random draw."""
-        holders = self._holders.get(prefix_hash)
-        if not holders:
-            return []
-        names = list(holders)
+        names = self._holders.get(prefix_hash, ())
         if len(names) <= count:
             return names
         start = draw % len(names)
-        return (names + names)[start : start + count]
+        chosen = names[start : start + count]
+        return chosen + names[: count - len(chosen)]
 
     def holds(self, name: str, prefix_hash: str) -> bool:
         """Tell whether an endpoint is known to hold a prefix."""
         return name in self._holders.get(prefix_hash, ())
 
     def stored(self, name: str, prefix_hash: str) -> None:
-        """Note a holder; the one noted longest ago makes room."""
-        holders = self._holders.setdefault(prefix_hash, {})
-        holders.pop(name, None)
-        holders[name] = None
-        self._held[name].add(prefix_hash)
+        """Note a holder; the one known longest makes room."""
+        holders = self._holders.setdefault(prefix_hash, [])
+        if name not in holders:
+            holders.append(name)
+            self._held[name].add(prefix_hash)
         self._holders.move_to_end(prefix_hash)
         if len(holders) > self._max_holders:
-            self.removed(next(iter(holders)), prefix_hash)
+            self.removed(holders[0], prefix_hash)
         if len(self._holders) > self._max_prefixes:
             (oldest, names) = self._holders.popitem(last=False)
             for holder in names:
@@ -56,9 +57,9 @@
         """Forget one holder of a prefix."""
         self._held[name].discard(prefix_hash)
         holders = self._holders.get(prefix_hash)
-        if holders is None:
+        if holders is None or name not in holders:
             return
-        holders.pop(name, None)
+        holders.remove(name)
         if not holders:
             del self._holders[prefix_hash]
 
