--- a/redwingvalve/bench/request_path_entries.py
+++ b/redwingvalve/bench/request_path_entries.py
@@ -215,6 +215,9 @@
             if verdict == ledger.Verdict.REFUSE:
                 self._fail(job, now_s)
                 return
+            if verdict == ledger.Verdict.WAIT:
+                self._park_or_fail(job, now_s)
+                return
             suspect = verdict == ledger.Verdict.ISOLATE
         if suspect:
             free = self.ledger.free_endpoints(self._own_share, now_s)
@@ -231,7 +234,7 @@
             return
         if suspect:
             self._suspects.add(job.request_id)
-            self.ledger.started(_digest(job), chosen.name)
+            self.ledger.started(_digest(job), chosen.name, now_s)
         self._at[job.request_id] = chosen.name
         self.routing.sent(request, chosen.name, now_s)
         self._fleet[chosen.name].accept(job)
@@ -276,6 +279,8 @@
             self._fail(job, now_s)
             return
         self.retries += 1
+        if self.arrangement.ledger and not surely_not_run:
+            self.ledger.intends(_digest(job), now_s)
         self._send(job, now_s, frozenset((name,)))
 
     def _park_or_fail(self, job: replicas.Job, now_s: float) -> None:
@@ -287,6 +292,7 @@
 
     def _fail(self, job: replicas.Job, now_s: float) -> None:
         job.failed_s = now_s
+        self.ledger.gave_up(_digest(job), now_s)
         self.queue.finished(job.request_id, _work(job), now_s)
         self._forget(job)
 
--- a/redwingvalve/poison/facts.py
+++ b/redwingvalve/poison/facts.py
@@ -1,8 +1,9 @@
 """What is known of deaths and of what ran then, mergeable in any order.
 
-A fact is a pair of a request digest and a death of an endpoint. Facts are only
-ever added; clearing adds a mark to the same pair. The union of two ledgers is
-therefore the same whichever comes first and however often (a two-phase set).
+A fact joins a request digest to a death of an endpoint, or to a trial: an entry
+runs the suspect once more, alone. Facts are only ever added; closing one adds a
+mark to it. The union of two ledgers is therefore the same whichever comes first
+and however often (a two-phase set).
 """
 
 import hashlib
@@ -14,24 +15,26 @@
 
 DIGEST_BYTES = 8
 RECORD = struct.Struct('>8s8sB')
-CLEARED = 1
+CLOSED = 1
+TRIAL = 2
 # 17 bytes each: a body of 6.8 KB, sent only when it changes.
 MAX_ENCODED_FACTS = 400
 
 
 class Fact(typing.NamedTuple):
-    """A request was running when an endpoint died."""
+    """A request was running when an endpoint died, or is tried again."""
 
     digest: bytes
-    death: bytes
+    event: bytes
+    trial: bool = False
 
 
 @attrs.define
 class FactState:
-    """When this entry learned a fact, and whether it has been cleared."""
+    """When this entry learned a fact, and whether it still counts."""
 
     learned_at_s: float
-    cleared: bool = False
+    closed: bool = False
 
 
 def make_digest(*parts: bytes) -> bytes:
@@ -64,7 +67,7 @@
     """Return the newest facts as bytes."""
     newest = sorted(states, key=lambda fact: -states[fact].learned_at_s)
     return b''.join(
-        RECORD.pack(*fact, CLEARED if states[fact].cleared else 0)
+        RECORD.pack(fact.digest, fact.event, _marks(fact, states[fact]))
         for fact in newest[:max_facts]
     )
 
@@ -74,5 +77,11 @@
 ) -> collections_abc.Iterator[tuple[Fact, bool]]:
     """Give each fact of a body; a cut record at its end is left out."""
     whole = len(body) - len(body) % RECORD.size
-    for digest, death, mark in RECORD.iter_unpack(body[:whole]):
-        yield Fact(digest, death), bool(mark & CLEARED)
+    for digest, event, marks in RECORD.iter_unpack(body[:whole]):
+        fact = Fact(digest, event, trial=bool(marks & TRIAL))
+        yield fact, bool(marks & CLOSED)
+
+
+def _marks(fact: Fact, state: FactState) -> int:
+    marks = CLOSED if state.closed else 0
+    return marks | TRIAL if fact.trial else marks
--- a/redwingvalve/poison/ledger.py
+++ b/redwingvalve/poison/ledger.py
@@ -11,12 +11,13 @@
 that two of them do not put two suspects together without knowing.
 
 Figures: news spreads within a second inside a region; a caller's resend of a
-suspect therefore waits settle_s, and only its home entry runs it. What remains:
-runs that started before the first death was known elsewhere may add deaths.
+suspect therefore waits settle_s, only its home entry runs it, and never while
+another entry has it on trial. What remains: runs that started before the first
+death was known elsewhere may add deaths.
 """
 
-import collections
 import enum
+import itertools
 from collections import abc as collections_abc
 
 import attrs
@@ -45,6 +46,7 @@
     """Figures an operator may set; docs/operating/who-is-served.md."""
 
     settle_s: float = 2.0
+    trial_max_s: float = 600.0
     forget_after_s: float = 3600.0
     max_facts: int = 20_000
     max_encoded_facts: int = facts.MAX_ENCODED_FACTS
@@ -70,23 +72,28 @@
         entry: str,
         settings: PoisonSettings | None = None,
         safeguards: invariants.SafeguardSwitches | None = None,
+        incarnation: int = 0,
     ) -> None:
         """Start without suspects; entry is this entry's own name."""
+        self._incarnation = incarnation
         self._entry = entry
         self._settings = settings or PoisonSettings()
         self._safeguards = safeguards or invariants.SafeguardSwitches()
         self._states: dict[facts.Fact, facts.FactState] = {}
-        self._by_digest: dict[bytes, set[bytes]] = {}
-        self._running: dict[str, collections.Counter[bytes]] = {}
+        self._by_digest: dict[bytes, set[facts.Fact]] = {}
+        self._running: dict[str, set[bytes]] = {}
+        self._trials: dict[bytes, facts.Fact] = {}
+        self._trial_numbers = itertools.count()
         self._recent_deaths: dict[str, float] = {}
         self.revision = 0
 
     def endpoint_died(self, death: Death, now_s: float) -> None:
         """Suspect all requests that ran there; publish encode() at once."""
         self._recent_deaths[f'{death.endpoint}/{death.epoch}'] = now_s
-        self._running.pop(death.endpoint, None)
+        for tried in self._running.pop(death.endpoint, ()):
+            self.gave_up(tried, now_s)
         for digest in death.digests:
-            self._learn(self._fact(digest, death, now_s), False, now_s)
+            self._learn(self._fact(digest, death, now_s), now_s, closed=False)
 
     def judge(self, digest: bytes, home: str, now_s: float) -> Verdict:
         """Judge a request as a caller sends it.
@@ -98,11 +105,10 @@
         if verdict != Verdict.ISOLATE:
             return verdict
         newest_s = max(
-            self._states[facts.Fact(digest, death)].learned_at_s
-            for death in self._open_deaths(digest)
+            self._states[fact].learned_at_s for fact in self._deaths(digest)
         )
         settled = now_s - newest_s >= self._settings.settle_s
-        if home != self._entry or not settled or self.running(digest):
+        if home != self._entry or not settled or digest in self._trials:
             return Verdict.WAIT
         return verdict
 
@@ -110,11 +116,12 @@
         """Judge a request that this entry itself wants to send again."""
         if digest not in self._by_digest:
             return Verdict.FREE
-        deaths = len(self._open_deaths(digest))
+        deaths = len(self._deaths(digest))
         if not deaths:
             return Verdict.FREE
         if deaths < DEATHS_TO_REFUSE:
-            return Verdict.ISOLATE
+            elsewhere = self._on_trial_elsewhere(digest, now_s)
+            return Verdict.WAIT if elsewhere else Verdict.ISOLATE
         if self._safeguards.enabled(invariants.Safeguard.POISON_REFUSED):
             return Verdict.REFUSE
         return Verdict.ISOLATE
@@ -136,35 +143,54 @@
         return frozenset(
             name
             for name in own_endpoints
-            if name not in self._running or self._running[name].total() < room
+            if len(self._running.get(name, ())) < room
         )
 
-    def started(self, digest: bytes, endpoint: str) -> None:
-        """Note that a suspect runs on an endpoint."""
+    def started(self, digest: bytes, endpoint: str, now_s: float) -> None:
+        """Note that a suspect runs on an endpoint; publish encode() at once."""
         invariants.require(
             not self.running(digest),
             'suspect-on-one-endpoint',
             f'{digest.hex()} starts on {endpoint}',
         )
-        self._running.setdefault(endpoint, collections.Counter())[digest] += 1
+        self._running.setdefault(endpoint, set()).add(digest)
+        self.intends(digest, now_s)
+
+    def intends(self, digest: bytes, now_s: float) -> None:
+        """Claim the next trial of a suspect, before it has an endpoint.
+
+        An entry that retries what it lost calls this right after the death
+        and publishes both; otherwise the home could try it meanwhile.
+        """
+        if digest in self._trials:
+            return
+        trial_id = facts.make_death(
+            self._entry, self._incarnation, next(self._trial_numbers)
+        )
+        trial = facts.Fact(digest, trial_id, trial=True)
+        self._trials[digest] = trial
+        self._learn(trial, now_s, closed=False)
+
+    def gave_up(self, digest: bytes, now_s: float) -> None:
+        """Leave a suspect to its home; the caller may send it again."""
+        trial = self._trials.pop(digest, None)
+        if trial is not None:
+            self._learn(trial, now_s, closed=True)
 
     def ended(
         self, digest: bytes, endpoint: str, now_s: float, *, whole: bool
     ) -> None:
         """Note that a suspect ended; a whole answer clears it."""
-        running = self._running.get(endpoint)
-        if running is not None:
-            running.pop(digest, None)
-            if not running:
-                del self._running[endpoint]
+        self._running.get(endpoint, set()).discard(digest)
+        self.gave_up(digest, now_s)
         if not whole:
             return
-        for death in tuple(self._by_digest.get(digest, ())):
-            self._learn(facts.Fact(digest, death), True, now_s)
+        for fact in self._deaths(digest):
+            self._learn(fact, now_s, closed=True)
 
     def running(self, digest: bytes) -> bool:
         """Tell whether a suspect runs at this entry."""
-        return any(digest in counts for counts in self._running.values())
+        return any(digest in tried for tried in self._running.values())
 
     def encode(self) -> bytes:
         """Return what to publish; revision says when it has changed."""
@@ -172,8 +198,8 @@
 
     def merge(self, body: bytes, now_s: float) -> None:
         """Take in what another entry published; any order, any number."""
-        for fact, cleared in facts.decode(body):
-            self._learn(fact, cleared, now_s)
+        for fact, closed in facts.decode(body):
+            self._learn(fact, now_s, closed=closed)
 
     def forget_old(self, now_s: float) -> None:
         """Drop what is too old; call it about once a minute."""
@@ -194,29 +220,40 @@
                 return fact
             earlier += 1
 
-    def _learn(self, fact: facts.Fact, cleared: bool, now_s: float) -> None:
+    def _learn(self, fact: facts.Fact, now_s: float, *, closed: bool) -> None:
         state = self._states.get(fact)
         if state is None:
-            self._states[fact] = facts.FactState(now_s, cleared)
-            self._by_digest.setdefault(fact.digest, set()).add(fact.death)
+            self._states[fact] = facts.FactState(now_s, closed)
+            self._by_digest.setdefault(fact.digest, set()).add(fact)
             self.revision += 1
             return
-        if cleared and not state.cleared:
-            state.cleared = True
+        if closed and not state.closed:
+            state.closed = True
             self.revision += 1
 
-    def _open_deaths(self, digest: bytes) -> list[bytes]:
+    def _deaths(self, digest: bytes) -> list[facts.Fact]:
         return [
-            death
-            for death in self._by_digest.get(digest, ())
-            if not self._states[facts.Fact(digest, death)].cleared
+            fact
+            for fact in self._by_digest.get(digest, ())
+            if not fact.trial and not self._states[fact].closed
         ]
 
+    def _on_trial_elsewhere(self, digest: bytes, now_s: float) -> bool:
+        if digest in self._trials:
+            return False
+        oldest_s = now_s - self._settings.trial_max_s
+        return any(
+            fact.trial
+            and not self._states[fact].closed
+            and self._states[fact].learned_at_s >= oldest_s
+            for fact in self._by_digest[digest]
+        )
+
     def _drop(self, fact: facts.Fact) -> None:
         del self._states[fact]
-        deaths = self._by_digest[fact.digest]
-        deaths.discard(fact.death)
-        if not deaths:
+        known = self._by_digest[fact.digest]
+        known.discard(fact)
+        if not known:
             del self._by_digest[fact.digest]
 
     def _forget_recent(self, now_s: float) -> None:
@@ -258,6 +295,7 @@
     entry: str,
     settings: PoisonSettings | None = None,
     safeguards: invariants.SafeguardSwitches | None = None,
+    incarnation: int = 0,
 ) -> SuspectLedger:
     """Return the ledger of one entry."""
-    return SuspectLedger(entry, settings, safeguards)
+    return SuspectLedger(entry, settings, safeguards, incarnation)
--- a/redwingvalve/poison/tests/test_ledger.py
+++ b/redwingvalve/poison/tests/test_ledger.py
@@ -25,7 +25,7 @@
     first, second = make_ledger('e1'), make_ledger('e2')
     die(first, 'r1', POISON)
     assert first.judge_again(POISON, 0.0) == Verdict.ISOLATE
-    first.started(POISON, 'r2')
+    first.started(POISON, 'r2', 0.0)
     die(first, 'r2', POISON, now_s=1.0)
     assert first.judge_again(POISON, 1.0) == Verdict.REFUSE
     second.merge(first.encode(), 1.5)
@@ -43,7 +43,7 @@
     first, second = make_ledger('e1'), make_ledger('e2')
     die(first, 'r1', POISON, INNOCENT)
     before = first.encode()
-    first.started(INNOCENT, 'r2')
+    first.started(INNOCENT, 'r2', 0.0)
     first.ended(INNOCENT, 'r2', 1.0, whole=True)
     assert first.judge(INNOCENT, 'e1', 1.0) == Verdict.FREE
     second.merge(first.encode(), 1.0)
@@ -67,11 +67,31 @@
         assert later == (Verdict.ISOLATE if entry == home else Verdict.WAIT)
 
 
+def test_a_suspect_on_trial_elsewhere_is_not_tried_at_its_home():
+    """The home waits while the entry that saw the death still tries it.
+
+    Two trials at a time could cost two endpoints, a third death in all.
+    """
+    home = ledger.home_entry(POISON, ENTRIES)
+    first, second = make_ledger('other'), make_ledger(home)
+    die(first, 'r1', POISON)
+    first.intends(POISON, 0.1)
+    second.merge(first.encode(), 0.5)
+    assert second.judge(POISON, home, 5.0) == Verdict.WAIT
+    assert first.judge_again(POISON, 5.0) == Verdict.ISOLATE
+    first.started(POISON, 'r2', 5.0)
+    second.merge(first.encode(), 5.5)
+    assert second.judge(POISON, home, 5.5) == Verdict.WAIT
+    first.ended(POISON, 'r2', 6.0, whole=False)
+    second.merge(first.encode(), 6.5)
+    assert second.judge(POISON, home, 7.0) == Verdict.ISOLATE
+
+
 def test_suspects_do_not_share_an_endpoint_unless_very_many_died():
     """One suspect an endpoint after one death; a few after a rack's loss."""
     where = make_ledger()
     die(where, 'r1', POISON, INNOCENT)
-    where.started(POISON, 'r2')
+    where.started(POISON, 'r2', 0.0)
     assert where.free_endpoints(['r2', 'r3'], 0.0) == {'r3'}
     for number in range(3):
         die(where, f'x{number}', INNOCENT)
