Run hypercorn in a task of its own, so that a drain ends without an error

Cause: hypercorn cancels its own task at shutdown; anyio took it for a cancellation from outside, and a drained entry ended with status 1. Change: core.http_server runs it in a child task, for entries and controllers.

--- a/redwingvalve/administration/server.py
+++ b/redwingvalve/administration/server.py
@@ -3,10 +3,10 @@
 import ssl
 from collections import abc as collections_abc
 
-import hypercorn.asyncio
 import hypercorn.config
 
 from redwingvalve.administration import app as api_app
+from redwingvalve.core import http_server
 from redwingvalve.tls import contexts
 
 GRACEFUL_TIMEOUT_S = 10.0
@@ -45,6 +45,4 @@
     config.errorlog = None
     config.accesslog = None
     config.reloading = reloading
-    await hypercorn.asyncio.serve(
-        api_app.make_api_app(api), config, shutdown_trigger=stop
-    )
+    await http_server.run(api_app.make_api_app(api), config, stop)
--- a/redwingvalve/at_most_once/thrift_peers.py
+++ b/redwingvalve/at_most_once/thrift_peers.py
@@ -78,7 +78,7 @@
         return Ok(called.ok)
 
 
-class VoterHandler(handlers.KeyClaimHandler):
+class VoterHandler(handlers.KeyClaimHandler, handlers.KeyMemoryHandler):
     """Answers other entries from this entry's voter."""
 
     def __init__(self, own_voter: voter.Voter) -> None:
--- a/redwingvalve/entry/serving.py
+++ b/redwingvalve/entry/serving.py
@@ -3,9 +3,10 @@
 import socket
 from collections import abc as collections_abc
 
-import hypercorn.asyncio
 import hypercorn.config
 
+from redwingvalve.core import http_server
+
 KEEP_ALIVE_S = 75.0
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
 
@@ -32,10 +33,8 @@
     stop: collections_abc.Callable[[], collections_abc.Awaitable[None]],
 ) -> None:
     """Serve until stop returns, then let requests in progress finish."""
-    await hypercorn.asyncio.serve(
-        application,
-        make_config(bind, graceful_timeout_s),
-        shutdown_trigger=stop,
+    await http_server.run(
+        application, make_config(bind, graceful_timeout_s), stop
     )
 
 
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -66,7 +66,9 @@
         ),
         alone=not parts.settings.peers.contacts,
     )
-    parts.node.handler.key_claim_handler = thrift_peers.VoterHandler(own_voter)
+    answers = thrift_peers.VoterHandler(own_voter)
+    parts.node.handler.key_claim_handler = answers
+    parts.node.handler.key_memory_handler = answers
     return claims.make_claims(
         own_voter,
         thrift_peers.make_thrift_key_peers(parts.node.caller),
