--- a/redwingvalve/bench/control_cost.py
+++ b/redwingvalve/bench/control_cost.py
@@ -91,8 +91,7 @@
             await fleet.clock.sleep(measured_s)
         spent = _minus(_read(fleet), before)
         passed_s = (fleet.clock.monotonic_s() - started_s) * size
-        memory = psutil.Process().memory_info().rss - memory_before
-        p50_s, p99_s = _ages(fleet)
+        used_bytes = psutil.Process().memory_info().rss - memory_before
         return Cost(
             size=size,
             load=load,
@@ -100,10 +99,10 @@
             sent_bytes=spent.sent_bytes / passed_s,
             received_bytes=spent.received_bytes / passed_s,
             messages=spent.messages / passed_s,
-            memory_bytes=memory / size,
+            memory_bytes=used_bytes / size,
             connections=_connections(fleet),
-            news_age_p50_s=p50_s,
-            news_age_p99_s=p99_s,
+            news_age_p50_s=_age(fleet, 0.5),
+            news_age_p99_s=_age(fleet, 0.99),
         )
 
 
@@ -146,16 +145,14 @@
     )
 
 
-def _ages(fleet: peer_fleet.Fleet) -> tuple[float, float]:
+def _age(fleet: peer_fleet.Fleet, share: float) -> float:
     ages = sorted(
         item.age_s
         for each in fleet.nodes
         for item in each.news.read(peer_fleet.EVIDENCE)
         if item.owner != each.members.myself().name
     )
-    if not ages:
-        return 0.0, 0.0
-    return ages[len(ages) // 2], ages[int(len(ages) * 0.99)]
+    return ages[int(len(ages) * share)] if ages else 0.0
 
 
 def _connections(fleet: peer_fleet.Fleet) -> float:
@@ -222,7 +219,8 @@
         for name, line in lines.items():
             yield (
                 f'{load} {name}: {line["intercept"]:.3f}'
-                f' + {line["slope"]:.4f} (+-{line["slope_error"]:.4f}) a member;'
+                f' + {line["slope"]:.4f} (+-{line["slope_error"]:.4f})'
+                f' a member;'
                 f' at {TARGET_SIZE}: {line[f"at_{TARGET_SIZE}"]:.2f}'
             )
 
