--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -22,6 +22,7 @@
 
 REGIONS = 5
 DATA_CENTRES = 13
+SMALL_DATA_CENTRES = 3
 HOST = '127.0.0.1'
 
 
@@ -70,15 +71,16 @@
 EVIDENCE = board.Channel('evidence', board.Reach.REGION, 2.5, 8192)
 
 
-def place_of(index: int) -> tuple[str, str]:
-    """Return data centre and region of a member; 13 in 5 regions."""
-    data_centre = index % DATA_CENTRES
-    return f'dc-{data_centre:02d}', f'region-{data_centre % REGIONS}'
+def place_of(index: int, regions: int = REGIONS) -> tuple[str, str]:
+    """Return data centre and region of a member; 13 in 5 regions, or 3 in 1."""
+    data_centres = DATA_CENTRES if regions > 1 else SMALL_DATA_CENTRES
+    data_centre = index % data_centres
+    return f'dc-{data_centre:02d}', f'region-{data_centre % regions}'
 
 
-def make_member(index: int) -> members.Member:
+def make_member(index: int, regions: int = REGIONS) -> members.Member:
     """Return the member of an index, with names as long as real ones."""
-    data_centre, region = place_of(index)
+    data_centre, region = place_of(index, regions)
     return members.Member(
         name=f'{data_centre}-entry-{index:03d}',
         incarnation=int(time.time() * 1000),
--- a/redwingvalve/configuration/records.py
+++ b/redwingvalve/configuration/records.py
@@ -225,7 +225,9 @@
 
     def _groups(self, kind: str) -> set[str]:
         found = {record.group for record in self._kinds[kind].values()}
-        return found | ({kind} if kind in CONFIGURATION_KINDS else set())
+        if kind in CONFIGURATION_KINDS:
+            found.add(kind)
+        return found
 
     def _lacking(self, group: str, have_version: int) -> list[Record]:
         lacking = [
--- a/redwingvalve/configuration/store_watch.py
+++ b/redwingvalve/configuration/store_watch.py
@@ -17,8 +17,9 @@
 
 LOG = logs.make_logger('configuration')
 WATCHED_KINDS = (*records.CONFIGURATION_KINDS, records.FABRIC_DOMAINS)
-# After an error: doubled up to the highest, with jitter, so that 26 watchers
-# don't list in step when the store comes back.
+# After a watch that ended soon or a list that failed: doubled up to the
+# highest, with jitter, so that 26 watchers don't come back in step with the
+# store. A watch that lasted starts over at the first.
 FIRST_PAUSE_S = 0.2
 HIGHEST_PAUSE_S = 5.0
 
@@ -78,16 +79,17 @@
         version: str | None = None
         pause_s = FIRST_PAUSE_S
         while True:
+            started_s = self._clock.monotonic_s()
             if version is None:
                 version = await self.list_once(kind)
-            if version is None:
-                await self._clock.sleep(
-                    pause_s * self._randomness.uniform(0.5, 1.5)
-                )
-                pause_s = min(2 * pause_s, HIGHEST_PAUSE_S)
-                continue
-            pause_s = FIRST_PAUSE_S
-            version = await self._watch(kind, version)
+            if version is not None:
+                version = await self._watch(kind, version)
+            if self._clock.monotonic_s() - started_s > HIGHEST_PAUSE_S:
+                pause_s = FIRST_PAUSE_S
+            await self._clock.sleep(
+                pause_s * self._randomness.uniform(0.5, 1.5)
+            )
+            pause_s = min(2 * pause_s, HIGHEST_PAUSE_S)
 
     async def _watch(self, kind: str, version: str) -> str | None:
         """Follow one watch; the version to go on from, None to list anew."""
@@ -95,12 +97,10 @@
             if event.is_error():
                 if isinstance(event.error, object_api.Expired):
                     return None
-                await self._clock.sleep(FIRST_PAUSE_S)
-                return None
+                return version
             self._answered()
             version = event.ok.stored.version
             self._take_event(event.ok)
-        await self._clock.sleep(FIRST_PAUSE_S)
         return version
 
     def _take_event(self, event: object_api.WatchEvent) -> None:
--- a/redwingvalve/membership/tests/network.py
+++ b/redwingvalve/membership/tests/network.py
@@ -123,9 +123,9 @@
     def _reached_by_others(self, asker, wanted):
         others = sorted(set(self.processes) - {asker, wanted})
         for other in self.randomness.sample(others, min(2, len(others))):
-            if self._carries(asker, other) and self._carries(other, asker):
-                if wanted in self.processes and self.meet(other, wanted):
-                    return True
+            heard = self._carries(asker, other) and self._carries(other, asker)
+            if heard and wanted in self.processes and self.meet(other, wanted):
+                return True
         return False
 
     def _deliver(self, receiver, message, keep=True):
--- a/redwingvalve/platform_api/http_object_api.py
+++ b/redwingvalve/platform_api/http_object_api.py
@@ -156,6 +156,9 @@
         yield Error(_problem(answer, kind, '', written=False))
         return
     async for line in answer.aiter_lines():
+        if not line.strip():
+            # Sent to open the stream before the first event.
+            continue
         event = _decode_event(kind, line)
         yield event
         if event.is_error():
--- a/redwingvalve/wire/rpc.py
+++ b/redwingvalve/wire/rpc.py
@@ -79,7 +79,7 @@
             with anyio.fail_after(timeout_s):
                 return await self._call(address, method, argument)
         except TimeoutError:
-            return _failed(Kind.TIMEOUT, f'no answer within {timeout_s} s')
+            return failed(Kind.TIMEOUT, f'no answer within {timeout_s} s')
 
     def idle_connections(self) -> int:
         """Return how many connections carry no call."""
@@ -101,11 +101,11 @@
             try:
                 connection = await self._connect(address)
             except ConnectionRefusedError as error:
-                return _failed(
+                return failed(
                     Kind.REFUSED, str(error), surely_not_received=True
                 )
             except OSError as error:
-                return _failed(
+                return failed(
                     Kind.UNREACHABLE, str(error), surely_not_received=True
                 )
         kept = False
@@ -115,9 +115,9 @@
             return Ok(answer)
         except thrift.TApplicationException as error:
             kept = True
-            return _failed(Kind.REMOTE, str(error.message))
+            return failed(Kind.REMOTE, str(error.message))
         except server.BROKEN_CONNECTION as error:
-            return _failed(Kind.BROKEN, str(error))
+            return failed(Kind.BROKEN, str(error))
         finally:
             # A call that was cut short leaves its answer in the stream; the
             # next caller would take it for its own.
@@ -169,9 +169,10 @@
             connection.writer.close()
 
 
-def _failed(
+def failed(
     kind: Kind, message: str, *, surely_not_received: bool = False
 ) -> CallResult:
+    """Return the result of a failed call."""
     return Error(call_errors.CallError(kind, message, surely_not_received))
 
 
