--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -107,7 +107,12 @@
         await self._send(asked, attempt)
         return attempt.whole
 
-    async def call(self, kind: work.Kind, marker: str = '') -> records.Record:
+    async def call(
+        self,
+        kind: work.Kind,
+        marker: str = '',
+        max_attempts: int = MAX_ATTEMPTS,
+    ) -> records.Record:
         """Make one request, with as many attempts as a caller would."""
         self._count += 1
         asked = work.make_work(
@@ -115,7 +120,7 @@
         )
         record = records.Record(asked)
         self.records.append(record)
-        while len(record.attempts) < MAX_ATTEMPTS and not record.answered:
+        while len(record.attempts) < max_attempts and not record.answered:
             addresses = await self._directory.addresses(self._chance)
             if not addresses:
                 await anyio.sleep(MAX_WAIT_S)
@@ -126,7 +131,8 @@
             )
             record.attempts.append(attempt)
             await self._send(asked, attempt)
-            await self._wait_after(attempt)
+            if len(record.attempts) < max_attempts:
+                await self._wait_after(attempt)
         return record
 
     async def _wait_after(self, attempt: records.Attempt) -> None:
--- a/redwingvalve/soak/fleet_run.py
+++ b/redwingvalve/soak/fleet_run.py
@@ -31,6 +31,10 @@
 
 Faults = tuple[schedule.Fault, ...]
 MakeDaemons = collections_abc.Callable[..., daemons.Daemons]
+# Returns the YAML text for a wish, service addresses and a load time.
+Declare = collections_abc.Callable[
+    [operators.Wish, tuple[str, ...], float], str
+]
 
 
 @attrs.frozen
@@ -49,6 +53,9 @@
     size: platform.Size = attrs.field(factory=platform.Size)
     spans_folder: str = ''
     through: platform.Through | None = None
+    declare: Declare = operators.declaration_of
+    replicas: int = 4
+    credential: str = operators.CREDENTIAL
 
 
 @attrs.frozen
@@ -105,7 +112,7 @@
         ):
             self.daemons.by_name[daemon.name] = daemon
             await self.daemons.start(daemon)
-        wish = operators.Wish(1)
+        wish = operators.Wish(1, replicas=self.options.replicas)
         with anyio.fail_after(READY_TIMEOUT_S):
             while not await self.operator().reachable():
                 await anyio.sleep(POLL_S)
@@ -114,7 +121,7 @@
 
     async def declare(self, wish: operators.Wish) -> None:
         """Plan and confirm until it is done, at any controller."""
-        text = operators.declaration_of(
+        text = self.options.declare(
             wish,
             self.platform.service_addresses,
             self.platform.size.load_time_s,
@@ -171,10 +178,12 @@
             runs=len(runs),
         )
 
-    def make_caller(self, name: str, index: int) -> callers.Caller:
+    def make_caller(
+        self, name: str, index: int, credential: str = ''
+    ) -> callers.Caller:
         """Return a caller whose choices follow from the seed."""
         settings = callers.CallerSettings(
-            operators.CREDENTIAL,
+            credential or self.options.credential,
             TARGET,
             tuple(
                 daemon.address
