Hash the bytes of a prompt's prefix, not its text

Cause: xxhash takes no text; every prompt of more than 512 characters was answered with a bare 500. Change: the prefix is encoded first. Conclusion: the demo's short prompt had hidden it.

--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -70,7 +70,7 @@
             output_tokens=max(request.max_tokens - delivered_tokens, 1),
             prefixes=tuple(
                 routing_messages.Prefix(
-                    xxhash.xxh64_hexdigest(text[:length]),
+                    xxhash.xxh64_hexdigest(text[:length].encode()),
                     length / CHARACTERS_PER_TOKEN,
                 )
                 for length in PREFIX_LENGTHS
