--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -87,7 +87,7 @@
         now_s = self._clock.monotonic_s()
         suspect = self._ledger.judge_again(digest, now_s) != ledger.Verdict.FREE
         if suspect and not self._ledger.running(digest):
-            self._ledger.started(digest, replica.name)
+            self._ledger.started(digest, replica.name, now_s)
         return suspect
 
     def ended(
