Keep an old list from bringing back an object that was never seen

Cause: an object created and deleted before a process first listed is not held there; a list from before the deletion then looked like news, and the withdrawn object came back (write x, delete x, write y, list, old list). The machine found it once other tests ran before it, since hypothesis draws constants from the modules that are loaded. Ruled out: the tombstone rule, it needs a record. Change: a record at or below the group's complete version that is not held is refused. Before: the machine fails in the full run. After: it passes, with the case as a test of its own.

--- a/redwingvalve/configuration/records.py
+++ b/redwingvalve/configuration/records.py
@@ -106,6 +106,8 @@
             return False
         if held is not None and rises and record.version < held.version:
             return False
+        if held is None and rises and self._knows_past(record):
+            return False
         invariants.require(
             held is None or record.version > held.version,
             'configuration never reverts',
@@ -116,6 +118,15 @@
             self._bound_tombstones(record.kind)
         return True
 
+    def _knows_past(self, record: Record) -> bool:
+        """Tell whether this record was deleted before we ever saw it.
+
+        Up to the group's version every live object is held. One that is not
+        held was created and deleted in between; a late list or answer that
+        still shows it would bring a withdrawn object back.
+        """
+        return record.version <= self._versions.get(record.group, 0)
+
     def complete(self, versions: Versions) -> None:
         """Note that everything up to these versions has been taken."""
         for group, version in versions.items():
--- a/redwingvalve/configuration/tests/test_machine.py
+++ b/redwingvalve/configuration/tests/test_machine.py
@@ -183,3 +183,17 @@
     assert [each.name for each in table.above(have, 'r1').records] == ['5']
     newcomer = table.above({KIND: 300}, 'r2')
     assert [each.name for each in newcomer.records] == ['d2']
+
+
+def test_an_old_list_does_not_bring_back_what_was_never_seen():
+    """A caller's withdrawn account must not work again after an old list.
+
+    x is created and deleted before this process lists anything; then a list
+    from before the deletion arrives late. Found by the machine above.
+    """
+    table = records.make_record_table()
+    x = records.Record(KIND, 'x', 2, b'{}')
+    y = records.Record(KIND, 'y', 4, b'{}')
+    table.take_listing(KIND, {'y'}, [y], 4)
+    assert not table.take_listing(KIND, {'x'}, [x], 2)
+    assert table.live(KIND) == [y]
