--- a/redwingvalve/configuration/records.py
+++ b/redwingvalve/configuration/records.py
@@ -106,7 +106,7 @@
             return False
         if held is not None and rises and record.version < held.version:
             return False
-        if held is None and rises and self._knows_past(record):
+        if rises and self._knows_past(record):
             return False
         invariants.require(
             held is None or record.version > held.version,
@@ -119,11 +119,11 @@
         return True
 
     def _knows_past(self, record: Record) -> bool:
-        """Tell whether this record was deleted before we ever saw it.
+        """Tell whether what we hold is newer than this record.
 
-        Up to the group's version every live object is held. One that is not
-        held was created and deleted in between; a late list or answer that
-        still shows it would bring a withdrawn object back.
+        Up to the group's version every live object is held at its newest. A
+        record below it that is not held was replaced or deleted since; a late
+        list or answer that still shows it would bring it back.
         """
         return record.version <= self._versions.get(record.group, 0)
 
@@ -203,12 +203,12 @@
     def _add_deletions(
         self, reply: messages.peer.RecordsReply, group: str, have: int
     ) -> None:
-        if have == 0:
-            # A newcomer holds nothing that could be deleted, and is told of
-            # no deletions; nobody may rely on it for earlier ones.
-            reply.deletions_since[group] = self._versions[group]
-            return
+        # A newcomer is told of no deletions, and nobody may rely on it for
+        # earlier ones. It asks several peers at once, so that it may hold what
+        # an older one of them gave: the names that are present tell it.
         since = self._deletions_since.get(group, 0)
+        if have == 0:
+            since = self._versions[group]
         reply.deletions_since[group] = since
         if have < since and reply.versions[group] == self._versions[group]:
             kind = group.partition('/')[0]
--- a/redwingvalve/configuration/tests/test_machine.py
+++ b/redwingvalve/configuration/tests/test_machine.py
@@ -128,7 +128,7 @@
 
 TestConfiguration = ConfigurationMachine.TestCase
 TestConfiguration.settings = hypothesis.settings(
-    max_examples=150, stateful_step_count=30
+    max_examples=400, stateful_step_count=30
 )
 
 
@@ -197,3 +197,35 @@
     table.take_listing(KIND, {'y'}, [y], 4)
     assert not table.take_listing(KIND, {'x'}, [x], 2)
     assert table.live(KIND) == [y]
+
+
+def test_a_newcomer_that_asked_an_old_peer_first_drops_what_was_deleted():
+    """A restarted entry must not serve an account that was withdrawn.
+
+    It asks all peers at once with nothing in hand: an old one still gives x,
+    then a newer one, which never saw x, says that its version is complete.
+    Found by the machine above.
+    """
+    x = records.Record(KIND, 'x', 2, b'{}')
+    old, new, newcomer = (records.make_record_table() for _ in range(3))
+    old.take_listing(KIND, {'x'}, [x], 2)
+    new.take_listing(KIND, set(), [], 3)
+    for peer in (old, new):
+        newcomer.take_reply(peer.above({}, 'r'))
+    assert newcomer.versions()[KIND] == 3
+    assert newcomer.live(KIND) == []
+
+
+def test_an_old_list_does_not_bring_back_what_was_made_and_deleted_again():
+    """An account that was withdrawn twice must not work after an old list.
+
+    This process knows the first deletion only, then a list of after the
+    second one; the list from between the two arrives last. Found as above.
+    """
+    table = records.make_record_table()
+    table.take_listing(KIND, {'x'}, [records.Record(KIND, 'x', 2, b'{}')], 2)
+    table.take_listing(KIND, set(), [], 3)
+    table.take_listing(KIND, set(), [], 5)
+    again = records.Record(KIND, 'x', 4, b'{}')
+    assert not table.take_listing(KIND, {'x'}, [again], 4)
+    assert table.live(KIND) == []
