Tell of a suspect's trial when it begins; wait while another entry tries it

Cause: the ledger's claim of a trial needs its time and has to be published. Conclusion: the entry's tests and the whole-path tests pass.

--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -29,7 +29,9 @@
         self._clock = gate_clock
         self._myself = known.myself().name
         self._ledger = ledger.make_suspect_ledger(
-            self._myself, safeguards=switches
+            self._myself,
+            safeguards=switches,
+            incarnation=known.myself().incarnation,
         )
         self._merged: dict[str, tuple[int, int]] = {}
         self._told_revision = 0
@@ -76,6 +78,8 @@
         verdict = self._ledger.judge_again(digest, now_s)
         if verdict == ledger.Verdict.FREE:
             return None
+        if verdict == ledger.Verdict.WAIT:
+            return frozenset()
         own = ledger.own_share(self._myself, self._entries(), serving)
         busy = {name for name, running in self._on_endpoint.items() if running}
         free = self._ledger.free_endpoints(own, now_s)
@@ -87,7 +91,8 @@
         now_s = self._clock.monotonic_s()
         suspect = self._ledger.judge_again(digest, now_s) != ledger.Verdict.FREE
         if suspect and not self._ledger.running(digest):
-            self._ledger.started(digest, replica.name)
+            self._ledger.started(digest, replica.name, now_s)
+            self._tell()
         return suspect
 
     def ended(
