--- /dev/null
+++ b/redwingvalve/bench/relay_cost.py
@@ -0,0 +1,278 @@
+"""Processor time of an entry for each relayed token.
+
+An engine, the relay and the callers run in three threads with a loop each, so
+that the relay's own processor time can be read from its thread's clock. The
+engine sends one token as one HTTP chunk every TOKEN_GAP_S on each stream; each
+token carries the time at which it was sent, from which callers get its delay.
+"""
+
+import asyncio
+import contextlib
+import json
+import statistics
+import threading
+import time
+import typing
+from collections import abc as collections_abc
+
+import anyio
+import attrs
+import httpx
+import uvloop
+
+from redwingvalve.bench import relay_parts
+from redwingvalve.core import http_server
+from redwingvalve.entry import (
+    aiohttp_upstream,
+    app,
+    httpx_upstream,
+    serving,
+)
+
+TOKEN_GAP_S = 0.03
+ENGINE_PATH = '/v1/chat/completions'
+PLAIN = 'plainest relay, httpx'
+OURS_HTTPX = 'entry, httpx'
+OURS_AIOHTTP = 'entry, aiohttp reader'
+CHUNKED_HEAD = (
+    'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+    'transfer-encoding: chunked\r\nx-request-id: {}\r\n\r\n'
+)
+US_PER_S = 1_000_000
+MS_PER_S = 1000
+TOKEN_MARK = b'"delta"'
+END_MARK = b'data: [DONE]'
+Application = collections_abc.Callable[..., collections_abc.Awaitable[None]]
+
+
+@attrs.frozen
+class RelayCost:
+    """What one relay cost; delays are from the engine to the caller."""
+
+    name: str
+    tokens: int
+    processor_us_per_token: float
+    delay_p50_ms: float
+    delay_p95_ms: float
+
+
+class _EngineThread:
+    """Streams tokens over plain asyncio streams; not part of the product."""
+
+    def __init__(self, tokens: int, gap_s: float) -> None:
+        self._tokens = tokens
+        self._gap_s = gap_s
+        self.port = 0
+
+    async def serve(self, ready: threading.Event, stop: asyncio.Event) -> None:
+        server = await asyncio.start_server(self._answer, '127.0.0.1', 0)
+        self.port = server.sockets[0].getsockname()[1]
+        ready.set()
+        await stop.wait()
+        server.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        fields = dict(
+            line.split(': ', 1) for line in head.splitlines()[1:] if line
+        )
+        await reader.readexactly(int(fields['content-length']))
+        request_id = fields['x-request-id']
+        writer.write(CHUNKED_HEAD.format(request_id).encode())
+        for number in range(self._tokens):
+            await asyncio.sleep(self._gap_s)
+            _write_chunk(writer, _event(request_id, number))
+        _write_chunk(writer, b'data: [DONE]\n\n')
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        writer.close()
+
+
+def _event(request_id: str, number: int) -> bytes:
+    chunk = {
+        'id': f'chatcmpl-{request_id}',
+        'object': 'chat.completion.chunk',
+        'model': 'm',
+        'choices': [
+            {
+                'index': 0,
+                'finish_reason': None,
+                'delta': {'content': f' t{number}@{time.perf_counter():.6f}@'},
+            }
+        ],
+    }
+    return f'data: {json.dumps(chunk)}\n\n'.encode()
+
+
+def _write_chunk(writer: asyncio.StreamWriter, body: bytes) -> None:
+    writer.write(b'%x\r\n%b\r\n' % (len(body), body))
+
+
+class _Callers:
+    """Reads all streams and notes the delay of each token."""
+
+    def __init__(self, port: int, streams: int) -> None:
+        self._port = port
+        self._streams = streams
+        self.delays_s: list[float] = []
+        self.whole = 0
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(self._streams):
+                group.start_soon(self._call)
+                await anyio.sleep(TOKEN_GAP_S / self._streams)
+
+    async def _call(self) -> None:
+        reader, writer = await asyncio.open_connection('127.0.0.1', self._port)
+        body = json.dumps(
+            {'model': 'm', 'messages': [{'role': 'user'}], 'stream': True}
+        )
+        writer.write(
+            f'POST {ENGINE_PATH} HTTP/1.1\r\nhost: x\r\n'
+            f'authorization: Bearer {relay_parts.CREDENTIAL}\r\n'
+            f'content-length: {len(body)}\r\n\r\n{body}'.encode()
+        )
+        while part := await reader.read(65536):
+            now_s = time.perf_counter()
+            self.delays_s.extend(
+                now_s - float(piece)
+                for piece in part.decode().split('@')[1::2]
+            )
+            if END_MARK in part:
+                self.whole += 1
+                break
+        writer.close()
+
+
+def _plain_relay(engine_port: int) -> Application:
+    """One read and one send for each token, and nothing else."""
+    client = httpx.AsyncClient(trust_env=False, timeout=60)
+
+    async def application(
+        scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        if scope['type'] != 'http':
+            return
+        message = await receive()
+        async with client.stream(
+            'POST',
+            f'http://127.0.0.1:{engine_port}{ENGINE_PATH}',
+            content=message['body'],
+            headers={'x-request-id': 'plain'},
+        ) as answer:
+            await send(
+                {'type': 'http.response.start', 'status': 200, 'headers': []}
+            )
+            async for chunk in answer.aiter_raw():
+                await send(
+                    {
+                        'type': 'http.response.body',
+                        'body': chunk,
+                        'more_body': True,
+                    }
+                )
+        await send({'type': 'http.response.body'})
+
+    return application
+
+
+def _make_application(name: str, engine_port: int) -> Application:
+    if name == PLAIN:
+        return _plain_relay(engine_port)
+    if name == OURS_HTTPX:
+        sender = httpx_upstream.make_httpx_upstream()
+    else:
+        sender = aiohttp_upstream.make_aiohttp_upstream()
+    return app.make_entry_app(relay_parts.make_parts(sender, engine_port))
+
+
+@contextlib.contextmanager
+def _engine(
+    tokens: int, gap_s: float
+) -> collections_abc.Iterator[int]:
+    engine = _EngineThread(tokens, gap_s)
+    ready = threading.Event()
+    loops: list[tuple[asyncio.AbstractEventLoop, asyncio.Event]] = []
+
+    async def main() -> None:
+        stop = asyncio.Event()
+        loops.append((asyncio.get_running_loop(), stop))
+        await engine.serve(ready, stop)
+
+    thread = threading.Thread(target=uvloop.run, args=(main(),))
+    thread.start()
+    ready.wait()
+    try:
+        yield engine.port
+    finally:
+        loop, stop = loops[0]
+        loop.call_soon_threadsafe(stop.set)
+        thread.join()
+
+
+def _relay_thread(
+    name: str, engine_port: int, called: threading.Event, told: dict
+) -> None:
+    """Serve in this thread until called; tell its port and its cost."""
+
+    async def main() -> None:
+        listener = serving.bind_socket('127.0.0.1')
+        told['port'] = listener.getsockname()[1]
+        stop = anyio.Event()
+        config = serving.make_config(f'fd://{listener.detach()}', 5)
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                http_server.run,
+                _make_application(name, engine_port),
+                config,
+                stop.wait,
+            )
+            await anyio.sleep(0.2)
+            told['began_s'] = time.thread_time()
+            told['ready'].set()
+            while not called.is_set():
+                await anyio.sleep(0.05)
+            told['processor_s'] = time.thread_time() - told['began_s']
+            stop.set()
+
+    anyio.run(main, backend_options={'use_uvloop': True})
+
+
+def measure(name: str, streams: int, tokens: int, gap_s: float) -> RelayCost:
+    """Relay streams times tokens through one relay and return its cost."""
+    called = threading.Event()
+    told: dict[str, typing.Any] = {'ready': threading.Event()}
+    with _engine(tokens, gap_s) as engine_port:
+        relay = threading.Thread(
+            target=_relay_thread, args=(name, engine_port, called, told)
+        )
+        relay.start()
+        told['ready'].wait()
+        callers = _Callers(told['port'], streams)
+        anyio.run(callers.run, backend_options={'use_uvloop': True})
+        called.set()
+        relay.join()
+    if callers.whole != streams:
+        raise RuntimeError(f'{name}: {callers.whole} of {streams} were whole')
+    relayed = len(callers.delays_s)
+    percentiles = statistics.quantiles(callers.delays_s, n=20)
+    return RelayCost(
+        name=name,
+        tokens=relayed,
+        processor_us_per_token=told['processor_s'] / relayed * US_PER_S,
+        delay_p50_ms=statistics.median(callers.delays_s) * MS_PER_S,
+        delay_p95_ms=percentiles[-1] * MS_PER_S,
+    )
+
+
+def measure_all(
+    streams: int, tokens: int, gap_s: float = TOKEN_GAP_S
+) -> tuple[RelayCost, ...]:
+    """Measure each relay in turn; the first is the baseline."""
+    return tuple(
+        measure(name, streams, tokens, gap_s)
+        for name in (PLAIN, OURS_HTTPX, OURS_AIOHTTP)
+    )
