--- a/redwingvalve/bench/request_path_entries.py
+++ b/redwingvalve/bench/request_path_entries.py
@@ -4,6 +4,7 @@
 and hears of the others only through late news.
 """
 
+import math
 import random
 from collections import abc as collections_abc
 
@@ -161,11 +162,14 @@
         """Refuse what is out of time and send what fits."""
         for refusal in self.queue.expired(now_s):
             self._refused(refusal, now_s)
-        parked, self._parked = self._parked, []
+        parked = tuple(self._parked)
+        self._parked.clear()
         for job in parked:
             self._send(job, now_s, frozenset())
-        while (ready := self.queue.next_ready(now_s)) is not None:
+        ready = self.queue.next_ready(now_s)
+        while ready is not None:
             self._send(self._jobs[ready.request_id], now_s, frozenset())
+            ready = self.queue.next_ready(now_s)
 
     def first_token(self, job: replicas.Job, now_s: float) -> None:
         """Pass a first token on."""
@@ -175,7 +179,7 @@
     def finished(self, job: replicas.Job, now_s: float) -> None:
         """End a request that was answered in full."""
         invariants.require(
-            abs(job.delivered - job.output_tokens) < 1e-6,
+            math.isclose(job.delivered, job.output_tokens, abs_tol=1e-6),
             'delivered-once-and-whole',
             f'{job.request_id}: {job.delivered} of {job.output_tokens}',
         )
@@ -211,6 +215,9 @@
             if verdict == ledger.Verdict.REFUSE:
                 self._fail(job, now_s)
                 return
+            if verdict == ledger.Verdict.WAIT:
+                self._park_or_fail(job, now_s)
+                return
             suspect = verdict == ledger.Verdict.ISOLATE
         if suspect:
             free = self.ledger.free_endpoints(self._own_share, now_s)
@@ -227,7 +234,7 @@
             return
         if suspect:
             self._suspects.add(job.request_id)
-            self.ledger.started(_digest(job), chosen.name)
+            self.ledger.started(_digest(job), chosen.name, now_s)
         self._at[job.request_id] = chosen.name
         self.routing.sent(request, chosen.name, now_s)
         self._fleet[chosen.name].accept(job)
@@ -272,6 +279,8 @@
             self._fail(job, now_s)
             return
         self.retries += 1
+        if self.arrangement.ledger and not surely_not_run:
+            self.ledger.intends(_digest(job), now_s)
         self._send(job, now_s, frozenset((name,)))
 
     def _park_or_fail(self, job: replicas.Job, now_s: float) -> None:
@@ -283,6 +292,7 @@
 
     def _fail(self, job: replicas.Job, now_s: float) -> None:
         job.failed_s = now_s
+        self.ledger.gave_up(_digest(job), now_s)
         self.queue.finished(job.request_id, _work(job), now_s)
         self._forget(job)
 
--- a/redwingvalve/entry/serving.py
+++ b/redwingvalve/entry/serving.py
@@ -33,9 +33,8 @@
     stop: collections_abc.Callable[[], collections_abc.Awaitable[None]],
 ) -> None:
     """Serve until stop returns, then let requests in progress finish."""
-    await http_server.run(
-        application, make_config(bind, graceful_timeout_s), stop
-    )
+    config = make_config(bind, graceful_timeout_s)
+    await http_server.serve(application, config, stop)
 
 
 def bind_socket(host: str, port: int = 0) -> socket.socket:
