Count a VM's loss from its last sign of life; let entries vouch for VMs

A controller probed every VM of its domain twice a second. Now the entries' findings stand in for its own probes of serving replicas, of which it makes one in 5 s, and the time until a VM counts as missing runs from the last sign of life that anybody had.

--- a/redwingvalve/evidence/entry_witness.py
+++ b/redwingvalve/evidence/entry_witness.py
@@ -9,6 +9,7 @@
 from redwingvalve.replicas import witness
 
 READ_EVERY_S = 0.5
+VOUCHED_AGE_S = 1.2
 
 
 class NewsWitness(witness.Witness):
@@ -24,11 +25,31 @@
         self._evidence = table.EvidenceTable()
         self._read_s: float | None = None
 
-    def seen_by_entries(self, vm: str, now_s: float) -> bool:
-        """Tell whether an entry saw the VM within the last seconds."""
+    def last_seen_s(self, vm: str, now_s: float) -> float | None:
+        """Return when an entry last saw the VM ready, if any did lately."""
+        self._refresh(now_s)
+        seen = self._evidence.fresh(vm, now_s)
+        return seen.seen_s if seen is not None else None
+
+    def shows(
+        self, vm: str, replica: domain_module.DomainReplica, now_s: float
+    ) -> bool:
+        """Tell whether an entry saw the VM ready in this epoch just now.
+
+        Half of the usual age: once the sightings stop, this process has to
+        probe by itself in time to decide within 3 s of the loss.
+        """
+        self._refresh(now_s)
+        seen = self._evidence.fresh(vm, now_s)
+        return (
+            seen is not None
+            and (seen.replica, seen.epoch) == (replica.name, replica.epoch)
+            and now_s - seen.seen_s <= VOUCHED_AGE_S
+        )
+
+    def _refresh(self, now_s: float) -> None:
         if self._read_s is None or now_s - self._read_s >= READ_EVERY_S:
             self._take_in(now_s)
-        return self._evidence.fresh(vm, now_s) is not None
 
     def all_stopped(
         self,
--- a/redwingvalve/plans/making.py
+++ b/redwingvalve/plans/making.py
@@ -9,7 +9,7 @@
 from redwingvalve.declaration import schema
 from redwingvalve.plans import objects, plan
 from redwingvalve.platform_api import vm_list
-from redwingvalve.replicas import codec, shares
+from redwingvalve.replicas import codec, shares, spares
 from redwingvalve.replicas import domain as domain_module
 
 SECONDS_PER_MINUTE = 60.0
@@ -59,6 +59,7 @@
         allocation=allocated,
         changes=changes,
         risks=tuple(_risks(before, declaration, world, allocated)),
+        spares=tuple(_spares(declaration, world, allocated)),
     )
 
 
@@ -265,6 +266,31 @@
             )
 
 
+def _spares(
+    declaration: schema.Declaration,
+    world: World,
+    allocated: shares.Allocation,
+) -> collections_abc.Iterator[plan.SpareAdvice]:
+    rates = spares.FailureRates()
+    for capacity in capacities_of(world):
+        needs = tuple(
+            spares.Need(each, allocated.replicas(capacity.domain, each.name))
+            for each in declaration.deployments
+        )
+        used = sum(need.vms() for need in needs)
+        free = capacity.usable_vms - used
+        if not used:
+            continue
+        advice = spares.advise(needs, rates)
+        yield plan.SpareAdvice(
+            capacity.domain,
+            free,
+            advice.spares,
+            round(spares.price_per_minute(needs, rates, free), 4),
+            round(advice.price_per_minute, 4),
+        )
+
+
 def _has_surge(
     deployment: schema.ModelDeployment,
     world: World,
--- a/redwingvalve/plans/plan.py
+++ b/redwingvalve/plans/plan.py
@@ -47,6 +47,21 @@
     reason: str
 
 
+@attrs.frozen
+class SpareAdvice:
+    """Spare VMs of a domain under the plan, and how many would pay.
+
+    Prices are those of a minute, of idle spares and of downtime without them
+    together.
+    """
+
+    domain: str
+    spares: int
+    advised: int
+    price_per_minute: float
+    advised_price_per_minute: float
+
+
 @attrs.frozen
 class Basis:
     """The versions that a plan was made from; it holds only with these.
@@ -71,6 +86,7 @@
     allocation: shares.Allocation
     changes: tuple[Change, ...] = ()
     risks: tuple[Risk, ...] = ()
+    spares: tuple[SpareAdvice, ...] = ()
     state: PlanState = PlanState.PROPOSED
     decided_by: str = ''
 
--- a/redwingvalve/replicas/ordering.py
+++ b/redwingvalve/replicas/ordering.py
@@ -70,9 +70,16 @@
             if replica.state == domain_module.ReplicaState.FORMING:
                 await self._ask_to_load(view, replica)
         limiter = anyio.CapacityLimiter(PARALLEL_ORDERS)
+        owners = {
+            member: owner
+            for owner in view.domain.replicas
+            for member in owner.members
+        }
         async with anyio.create_task_group() as group:
             for vm in view.domain.vms:
-                wanted = self._wanted_order(view, vm.name, holding)
+                wanted = self._wanted_order(
+                    view.vm(vm.name), owners.get(vm.name), holding
+                )
                 if wanted is not None:
                     group.start_soon(
                         self._send, view, vm.address, wanted, holding, limiter
@@ -129,21 +136,20 @@
         self._tickets[key] = Ticket(granted=False, until_s=now_s + wait_s)
 
     def _wanted_order(
-        self, view: view_module.DomainView, vm: str, holding: lease.Holding
+        self,
+        seen: view_module.VmView,
+        replica: domain_module.DomainReplica | None,
+        holding: lease.Holding,
     ) -> engine_orders.EngineOrder | None:
-        seen = view.vm(vm)
         if not seen.there or seen.state is None:
             return None
-        replica = next(
-            (each for each in view.domain.replicas if vm in each.members), None
-        )
         if replica is None:
-            wanted = _idle_order(vm, holding.fencing_number)
+            wanted = _idle_order(seen.name, holding.fencing_number)
         elif replica.state == domain_module.ReplicaState.BROKEN:
             # Left as it is: what comes back is adopted, not loaded again.
             return None
         else:
-            wanted = _replica_order(vm, replica, holding.fencing_number)
+            wanted = _replica_order(seen.name, replica, holding.fencing_number)
         if _is_at(seen.state, wanted):
             knows = seen.state.highest_fencing_number >= holding.fencing_number
             return None if knows else wanted
--- a/redwingvalve/replicas/sightings.py
+++ b/redwingvalve/replicas/sightings.py
@@ -5,10 +5,10 @@
 list; without a growing time out of use, one flapping VM costs a load of the
 whole replica each time that it returns.
 
-Grounds: a VM is missing after failing for 2 s, which with a probe each half
-second decides within 3 s and forgives a pause of a second. The first return
-is free; from the second on a VM stays out for 30 s, doubling up to an hour,
-and an hour without a loss clears its record.
+Grounds: a VM is missing 2 s after its last sign of life, which with a probe
+each half second decides within 3 s and forgives a pause of a second. The
+first return is free; from the second on a VM stays out for 30 s, doubling up
+to an hour, and an hour without a loss clears its record.
 """
 
 import attrs
@@ -16,6 +16,8 @@
 from redwingvalve.platform_api import engine_orders
 
 MISSING_AFTER_S = 2.0
+# One probe that fails after a long pause of this process proves little.
+BACKDATED_S = 1.5
 FIRST_KEEP_OUT_S = 30.0
 LONGEST_KEEP_OUT_S = 3600.0
 RECORD_CLEARED_AFTER_S = 3600.0
@@ -49,19 +51,24 @@
             back_since_s = now_s
         self._sightings[vm] = Sighting(state, now_s, back_since_s)
 
-    def record_failed(self, vm: str, started_s: float) -> None:
-        """Record a probe, started at started_s, that got no answer."""
-        before = self._sightings.get(vm, Sighting())
-        if before.failing_since_s is None:
-            self._sightings[vm] = attrs.evolve(
-                before, failing_since_s=started_s
-            )
+    def record_failed(
+        self, vm: str, started_s: float, others_seen_s: float | None
+    ) -> None:
+        """Record a probe, started at started_s, that got no answer.
 
-    def forgive(self, vm: str) -> None:
-        """Take back a failure: somebody else has seen the VM."""
-        before = self._sightings.get(vm)
-        if before is not None:
-            self._sightings[vm] = attrs.evolve(before, failing_since_s=None)
+        The failing counts from the last sign of life: a controller that is
+        cut off from the engines would otherwise break replicas that entries
+        see well.
+        """
+        before = self._sightings.get(vm, Sighting())
+        since_s = before.failing_since_s
+        if since_s is None:
+            since_s = started_s
+            if before.state is not None:
+                since_s = max(before.seen_s, started_s - BACKDATED_S)
+        if others_seen_s is not None:
+            since_s = max(since_s, others_seen_s)
+        self._sightings[vm] = attrs.evolve(before, failing_since_s=since_s)
 
     def forget_others(self, vms: frozenset[str]) -> None:
         """Keep only the sightings of these VMs."""
@@ -73,6 +80,16 @@
         sighting = self._sightings.get(vm)
         return sighting.state if sighting else None
 
+    def seen_within(self, vm: str, age_s: float, now_s: float) -> bool:
+        """Tell whether the VM answered this process so lately."""
+        sighting = self._sightings.get(vm)
+        if sighting is None or sighting.state is None:
+            return False
+        return (
+            sighting.failing_since_s is None
+            and now_s - sighting.seen_s <= age_s
+        )
+
     def missing(self, vm: str, now_s: float) -> bool:
         """Tell whether the VM has been failing for too long."""
         sighting = self._sightings.get(vm)
--- a/redwingvalve/replicas/spares.py
+++ b/redwingvalve/replicas/spares.py
@@ -46,6 +46,10 @@
     deployment: schema.ModelDeployment
     replicas: int
 
+    def vms(self) -> int:
+        """Return the VMs that the replicas are made of."""
+        return self.replicas * self.deployment.vms_per_replica
+
 
 @attrs.frozen
 class Advice:
@@ -114,9 +118,7 @@
 
 
 def _vms(needs: tuple[Need, ...]) -> int:
-    return sum(
-        need.replicas * need.deployment.vms_per_replica for need in needs
-    )
+    return sum(need.vms() for need in needs)
 
 
 def _dearest_accelerators(needs: tuple[Need, ...]) -> float:
--- a/redwingvalve/replicas/view.py
+++ b/redwingvalve/replicas/view.py
@@ -55,7 +55,8 @@
 
     def vm(self, name: str) -> VmView:
         """Return a VM; one that nobody saw yet is not there."""
-        return self.vms.get(name, VmView(name, there=False))
+        found = self.vms.get(name)
+        return VmView(name, there=False) if found is None else found
 
     def wants(self, deployment: str) -> Wanted | None:
         """Return the share in a deployment, if there is one."""
--- a/redwingvalve/replicas/watching.py
+++ b/redwingvalve/replicas/watching.py
@@ -13,6 +13,7 @@
 
 PROBE_TIMEOUT_S = 0.5
 PARALLEL_PROBES = 32
+OWN_PROBE_EVERY_S = 5.0
 DRAIN_BEFORE_STOP = invariants.Safeguard.DRAIN_BEFORE_STOP
 
 
@@ -38,9 +39,30 @@
         """Read the state of every VM once."""
         self._sightings.forget_others(frozenset(vm.name for vm in domain.vms))
         limiter = anyio.CapacityLimiter(PARALLEL_PROBES)
+        vouched = self._vouched_vms(domain)
         async with anyio.create_task_group() as group:
             for vm in domain.vms:
-                group.start_soon(self._probe_vm, vm, limiter)
+                if vm.name not in vouched:
+                    group.start_soon(self._probe_vm, vm, limiter)
+
+    def _vouched_vms(
+        self, domain: domain_module.FabricDomain
+    ) -> frozenset[str]:
+        """Return the VMs that need no probe of this process's own.
+
+        Entries probe the VMs of serving replicas twice a second already; at
+        64 VMs a domain, doing so again would cost most of the processor time
+        that control may take.
+        """
+        now_s = self._clock.monotonic_s()
+        return frozenset(
+            name
+            for replica in domain.replicas
+            if replica.state == domain_module.ReplicaState.SERVING
+            for name in replica.members
+            if self._sightings.seen_within(name, OWN_PROBE_EVERY_S, now_s)
+            and self._entries.shows(name, replica, now_s)
+        )
 
     async def _probe_vm(
         self, vm: domain_module.DomainVm, limiter: anyio.CapacityLimiter
@@ -53,11 +75,9 @@
         if answer.is_ok() and answer.ok.vm == vm.name:
             self._sightings.record_seen(vm.name, answer.ok, now_s)
             return
-        self._sightings.record_failed(vm.name, started_s)
-        # A controller that is cut off from the engines would break replicas
-        # that serve well; an entry that sees the VM proves it wrong.
-        if self._entries.seen_by_entries(vm.name, now_s):
-            self._sightings.forgive(vm.name)
+        self._sightings.record_failed(
+            vm.name, started_s, self._entries.last_seen_s(vm.name, now_s)
+        )
 
     def judged(self, domain: domain_module.FabricDomain) -> bool:
         """Tell whether enough is known to decide about every replica."""
@@ -147,10 +167,11 @@
         present_s = self._sightings.present_for_s(vm.name, now_s)
         if not missing and present_s > sightings.RECORD_CLEARED_AFTER_S:
             flaps = 0
-        unjudged = not self._sightings.judged(vm.name, now_s)
-        return attrs.evolve(
-            vm, missing=vm.missing if unjudged else missing, flaps=flaps
-        )
+        if not self._sightings.judged(vm.name, now_s):
+            missing = vm.missing
+        if (vm.missing, vm.flaps) == (missing, flaps):
+            return vm
+        return attrs.evolve(vm, missing=missing, flaps=flaps)
 
 
 def with_listed(
--- a/redwingvalve/replicas/witness.py
+++ b/redwingvalve/replicas/witness.py
@@ -13,8 +13,14 @@
     """The entries as a controller hears of them."""
 
     @abc.abstractmethod
-    def seen_by_entries(self, vm: str, now_s: float) -> bool:
-        """Tell whether an entry saw the VM within the last seconds."""
+    def last_seen_s(self, vm: str, now_s: float) -> float | None:
+        """Return when an entry last saw the VM ready, if any did."""
+
+    def shows(
+        self, vm: str, replica: domain_module.DomainReplica, now_s: float
+    ) -> bool:
+        """Tell whether an entry lately saw the VM ready in this epoch."""
+        return False
 
     @abc.abstractmethod
     def all_stopped(
@@ -29,9 +35,8 @@
 class BoundedWitness(Witness):
     """Hears of no entry, and waits for the stated bound instead."""
 
-    def seen_by_entries(self, vm: str, now_s: float) -> bool:
+    def last_seen_s(self, vm: str, now_s: float) -> float | None:
         """Know of no sighting."""
-        return False
 
     def all_stopped(
         self,
