--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -16,7 +16,6 @@
 
 from redwingvalve.admission import (
     account_line,
-    estimates,
     in_flight,
     lane,
     lanes,
@@ -47,7 +46,6 @@
         self._places: dict[str, _Place] = {}
         self._latest_starts: list[tuple[float, int, str]] = []
         self._number = 0
-        self._costs = estimates.CostCorrection()
         self._in_flight = in_flight.InFlight(self._lanes, self._settings)
         self.resize(capacity, 0.0)
 
@@ -62,15 +60,17 @@
         self, request: messages.AdmissionRequest, now_s: float
     ) -> messages.Decision:
         """Admit, queue or refuse a new request."""
-        cost = self._costs.corrected(request)
         self._number += 1
-        self._lanes[request.kind].line(request).asked(cost, now_s)
+        in_lane = self._lanes[request.kind]
+        line = in_lane.line(request)
+        cost = line.costs.corrected(request.estimated_tokens)
+        line.asked(cost, now_s)
         if request.kind != messages.JobKind.LONG:
             self._lanes.note_short_use(now_s)
         limit = self._in_flight.limit()
         first = self._lanes.nobody_before(request.kind, limit)
         if first and self._in_flight.has_room():
-            self._lanes[request.kind].pass_by(request, cost, now_s)
+            in_lane.pass_by(line, cost, now_s)
             self._in_flight.add(request, cost, now_s)
             return messages.Admitted(request.request_id)
         if self._capacity.tokens_per_s <= 0:
@@ -83,7 +83,7 @@
             return self._refusal(
                 request, messages.RefusalReason.QUEUE_FULL, self._drain_time_s()
             )
-        return self._queue_or_refuse(request, cost, now_s)
+        return self._queue_or_refuse(request, line, cost, now_s)
 
     def next_ready(self, now_s: float) -> messages.AdmissionRequest | None:
         """Return the next waiting request if it fits now."""
@@ -112,9 +112,10 @@
         )
         if sent is None:
             return
-        self._costs.learn(sent.request, actual_tokens)
         in_lane = self._lanes[sent.request.kind]
-        in_lane.charge(in_lane.line(sent.request), actual_tokens - sent.cost)
+        line = in_lane.line(sent.request)
+        line.costs.learn(sent.request.estimated_tokens, actual_tokens)
+        in_lane.correct(line, actual_tokens - sent.cost)
 
     def withdraw(self, request_id: str) -> bool:
         """Forget a waiting request."""
@@ -136,7 +137,8 @@
 
     def expected_tokens(self, request: messages.AdmissionRequest) -> float:
         """Return the estimate corrected by what the account used before."""
-        return self._costs.corrected(request)
+        line = self._lanes[request.kind].line(request)
+        return line.costs.corrected(request.estimated_tokens)
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -147,10 +149,13 @@
         return len(self._in_flight)
 
     def _queue_or_refuse(
-        self, request: messages.AdmissionRequest, cost: float, now_s: float
+        self,
+        request: messages.AdmissionRequest,
+        line: account_line.AccountLine,
+        cost: float,
+        now_s: float,
     ) -> messages.Decision:
         in_lane = self._lanes[request.kind]
-        line = in_lane.line(request)
         wait_s = self._wait_s(
             in_lane, line, line.backlog_ahead(request.priority), now_s
         )
@@ -158,7 +163,7 @@
             request.deadline_s - self._in_flight.pressure.first_token_s
         )
         slack_s = (latest_start_s - now_s) * line.caution
-        if in_lane.within_share(line, now_s):
+        if in_lane.shares.moderate(line, now_s):
             slack_s *= self._settings.moderate_wait_margin
         else:
             slack_s *= self._settings.greedy_wait_margin
@@ -168,7 +173,10 @@
                 messages.RefusalReason.WOULD_MISS_TARGET,
                 wait_s - max(slack_s, 0.0),
             )
-        in_lane.add(request, cost, self._number, now_s)
+        waiting = account_line.Waiting(
+            -request.priority, self._number, cost, request
+        )
+        in_lane.add(line, waiting, now_s)
         self._places[request.request_id] = _Place(request, self._number)
         heapq.heappush(
             self._latest_starts,
@@ -184,6 +192,7 @@
         now_s: float,
     ) -> float:
         speed = self._capacity.tokens_per_s
+        speed *= self._lanes.speed_part(in_lane, self._in_flight.limit())
         fair_rate = speed * in_lane.fair_share(line)
         floor_rate = fair_rate * (1.0 - self._settings.preferred_share)
         rate = line.rate_tokens_per_s(fair_rate, floor_rate, now_s)
--- a/redwingvalve/admission/lanes.py
+++ b/redwingvalve/admission/lanes.py
@@ -13,6 +13,8 @@
 
 from redwingvalve.admission import account_line, estimates, lane, messages
 
+KINDS = tuple(messages.JobKind)
+
 
 class Turn(typing.NamedTuple):
     """Whose turn it is, and whether by preference."""
@@ -46,9 +48,7 @@
 
     def choose(self, limit: float, now_s: float) -> Turn | None:
         """Return whose turn it is under an in-flight bound."""
-        waiting = [
-            kind for kind in messages.JobKind if self._lanes[kind].waiting_count
-        ]
+        waiting = [kind for kind in KINDS if self._lanes[kind].waiting_count]
         for kind in waiting:
             if self._below_floor(kind, limit):
                 return self._turn(kind, now_s)
@@ -59,7 +59,9 @@
 
     def nobody_before(self, kind: messages.JobKind, limit: float) -> bool:
         """Tell whether a new job of a kind passes everything that waits."""
-        if not any(in_lane.waiting_count for in_lane in self._lanes):
+        (light, short, long) = self._lanes
+        waiting = light.waiting_count + short.waiting_count + long.waiting_count
+        if not waiting:
             return self._below_ceiling(kind, limit)
         if kind == messages.JobKind.LONG or self._lanes[kind].waiting_count:
             return False
@@ -79,6 +81,17 @@
         tokens = light.waiting_tokens + short.waiting_tokens
         return tokens + long.waiting_tokens
 
+    def speed_part(self, in_lane: lane.Lane, limit: float) -> float:
+        """Return the part of the speed that a lane may count on."""
+        if in_lane is not self._lanes[messages.JobKind.LONG]:
+            return 1.0
+        return 1 - self._reserve(limit)
+
+    def _reserve(self, limit: float) -> float:
+        wanted = self._short_use.level / limit if limit else 1.0
+        reserve = max(self._settings.short_reserve_share, wanted)
+        return min(reserve, self._settings.max_short_reserve_share)
+
     def _turn(self, kind: messages.JobKind, now_s: float) -> Turn | None:
         chosen = self._lanes[kind].choose(now_s)
         return Turn(kind, *chosen) if chosen else None
@@ -90,7 +103,5 @@
     def _below_ceiling(self, kind: messages.JobKind, limit: float) -> bool:
         if kind != messages.JobKind.LONG:
             return True
-        wanted = self._short_use.level / limit if limit else 1.0
-        reserve = max(self._settings.short_reserve_share, wanted)
-        reserve = min(reserve, self._settings.max_short_reserve_share)
-        return self._lanes[kind].in_flight < (1 - reserve) * limit
+        ceiling = (1 - self._reserve(limit)) * limit
+        return self._lanes[kind].in_flight < ceiling
--- a/redwingvalve/wire/handlers.py
+++ b/redwingvalve/wire/handlers.py
@@ -53,6 +53,20 @@
         """Say whether the claimant may run the request."""
 
 
+class KeyMemoryHandler(abc.ABC):
+    """Keeps claims of request keys; implemented by at_most_once."""
+
+    @abc.abstractmethod
+    async def report_key(self, report: messages.peer.KeyReport) -> bool:
+        """Take the claimant's word on the end of its request."""
+
+    @abc.abstractmethod
+    async def copy_keys(
+        self, request: messages.peer.KeyCopyRequest
+    ) -> messages.peer.KeyCopy:
+        """Hand out all claims to an entry that has become a voter."""
+
+
 class PeerHandler:
     """Dispatches the Peer service to the registered slices."""
 
@@ -61,6 +75,7 @@
         self.gossip_handler: GossipHandler | None = None
         self.configuration_handler: ConfigurationHandler | None = None
         self.key_claim_handler: KeyClaimHandler | None = None
+        self.key_memory_handler: KeyMemoryHandler | None = None
 
     async def exchange(self, packed: bytes) -> bytes:
         """Exchange gossip."""
@@ -90,6 +105,16 @@
         """Decide on a request key."""
         return await _registered(self.key_claim_handler).claim_key(claim)
 
+    async def report_key(self, report: messages.peer.KeyReport) -> bool:
+        """Learn what became of a claimed request."""
+        return await _registered(self.key_memory_handler).report_key(report)
+
+    async def copy_keys(
+        self, request: messages.peer.KeyCopyRequest
+    ) -> messages.peer.KeyCopy:
+        """Hand out claims of request keys."""
+        return await _registered(self.key_memory_handler).copy_keys(request)
+
 
 HandlerType = typing.TypeVar('HandlerType')
 
