--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.bench import request_path
+from redwingvalve.bench import replicas_report, request_path
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
 
@@ -18,7 +18,10 @@
 
 # Each bench takes the seed, the output format and where to write.
 BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
-    {'request-path': _request_path}
+    {
+        'request-path': _request_path,
+        'replicas': replicas_report.write_report,
+    }
 )
 
 
