Never heal with a VM whose last probe failed

When a domain goes dark its VMs are judged missing within half a second of each other, and replicas were formed anew with VMs that were gone as well; two of them had to load again when the domain came back.

--- a/redwingvalve/replicas/sightings.py
+++ b/redwingvalve/replicas/sightings.py
@@ -90,6 +90,11 @@
             and now_s - sighting.seen_s <= age_s
         )
 
+    def failing(self, vm: str) -> bool:
+        """Tell whether the last probe got no answer."""
+        sighting = self._sightings.get(vm)
+        return sighting is not None and sighting.failing_since_s is not None
+
     def missing(self, vm: str, now_s: float) -> bool:
         """Tell whether the VM has been failing for too long."""
         sighting = self._sightings.get(vm)
--- a/redwingvalve/replicas/tests/test_controller.py
+++ b/redwingvalve/replicas/tests/test_controller.py
@@ -49,6 +49,7 @@
         loads = sum(e.loads for e in bench.fleet.engines.values())
         for engine in bench.fleet.engines.values():
             engine.alive = False
+            await bench.run(0.5, one)
         await bench.run(60, one)
         assert bench.states() == ['broken', 'broken']
         for engine in bench.fleet.engines.values():
--- a/redwingvalve/replicas/view.py
+++ b/redwingvalve/replicas/view.py
@@ -12,13 +12,17 @@
     """One VM as it looks now.
 
     there is false once it went unseen for too long; kept_out while it has
-    come back too often of late. state is the last one that it reported.
+    come back too often of late. failing says that the last probe got no
+    answer: the VM is not missing yet, but a replica formed with it now would
+    often lose it again, and with it the state that could be adopted.
+    state is the last one that it reported.
     """
 
     name: str
     there: bool
     leaving: bool = False
     kept_out: bool = False
+    failing: bool = False
     state: engine_orders.EngineState | None = None
 
     def usable(self) -> bool:
@@ -27,6 +31,7 @@
             self.there
             and not self.leaving
             and not self.kept_out
+            and not self.failing
             and self.state is not None
         )
 
--- a/redwingvalve/replicas/watching.py
+++ b/redwingvalve/replicas/watching.py
@@ -138,6 +138,7 @@
             there=not vm.missing,
             leaving=vm.leaving,
             kept_out=present_s < sightings.keep_out_s(vm.flaps),
+            failing=self._sightings.failing(vm.name),
             state=None if vm.missing else self._sightings.state(vm.name),
         )
 
