Keep controllers to their region and off engines that they cannot see

A region that loses another must not break its replicas, nor must a process that is cut off from its peers and from every engine. Old plans are dropped beyond the newest 50.

--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -20,7 +20,7 @@
 from redwingvalve.replicas import domain as domain_module
 
 STEP_EVERY_S = 0.5
-FINISH_EVERY_S = 2.0
+FINISH_EVERY_S = 5.0
 CANDIDATES = 2
 CONTROL_ROLE = 'control'
 LOG = logs.make_logger('control')
@@ -106,14 +106,19 @@
             LOG.warning('Plans wait', extra={'reason': str(done.error)})
 
     def _choose_domains(self) -> None:
-        for vm in self._reader.vms or ():
-            name = vm.fabric_domain
-            if name in self._domains or not self._is_candidate(name):
-                continue
-            made = controller.make_domain_controller(
-                name, self._owner, self._tools
-            )
-            self._domains[name] = _Domain(made)
+        # Regions lose each other for an hour now and then; from another
+        # region every VM of this one would then look lost.
+        near = {
+            vm.fabric_domain
+            for vm in self._reader.vms or ()
+            if self._is_near(vm)
+        }
+        for name in sorted(near - set(self._domains)):
+            if self._is_candidate(name):
+                made = controller.make_domain_controller(
+                    name, self._owner, self._tools
+                )
+                self._domains[name] = _Domain(made)
         for name in tuple(self._domains):
             holds = self._domains[name].controller.status().holds_lease
             if not holds and not self._is_candidate(name):
@@ -122,10 +127,19 @@
     def _is_candidate(self, duty: str) -> bool:
         if self._members is None:
             return True
-        alive = {each.name for each in self._members.alive(CONTROL_ROLE)}
-        myself = self._members.myself().name
-        holders = rendezvous.holders(alive | {myself}, duty, CANDIDATES)
-        return myself in holders
+        myself = self._members.myself()
+        near = {
+            each.name
+            for each in self._members.alive(CONTROL_ROLE)
+            if each.region == myself.region
+        }
+        near.add(myself.name)
+        return myself.name in rendezvous.holders(near, duty, CANDIDATES)
+
+    def _is_near(self, vm: vm_list.Vm) -> bool:
+        if self._members is None or not vm.region:
+            return True
+        return vm.region == self._members.myself().region
 
     async def _step_domain(self, name: str, watched: _Domain) -> None:
         if not watched.created:
--- a/redwingvalve/evidence/entry_witness.py
+++ b/redwingvalve/evidence/entry_witness.py
@@ -31,6 +31,10 @@
         seen = self._evidence.fresh(vm, now_s)
         return seen.seen_s if seen is not None else None
 
+    def cut_off(self) -> bool:
+        """Tell whether this process has heard from nobody for too long."""
+        return self._members.isolated()
+
     def shows(
         self, vm: str, replica: domain_module.DomainReplica, now_s: float
     ) -> bool:
--- a/redwingvalve/plans/finishing.py
+++ b/redwingvalve/plans/finishing.py
@@ -6,6 +6,8 @@
 from redwingvalve.plans import world as world_module
 from redwingvalve.platform_api import object_api
 
+KEPT_PLANS = 50
+
 
 async def finish_confirmations(
     store: object_api.ObjectApi, plans: book.PlanBook
@@ -19,6 +21,7 @@
     listed = await plans.list()
     if listed.is_error():
         return Error(listed.error)
+    await _drop_oldest(store, listed.ok, current.ok.confirmed)
     for marked in listed.ok:
         if not _was_left(marked, current.ok.confirmed):
             continue
@@ -29,6 +32,26 @@
     return Ok(False)
 
 
+async def _drop_oldest(
+    store: object_api.ObjectApi,
+    kept: tuple[plan.Plan, ...],
+    confirmed: objects.Confirmed,
+) -> None:
+    """Delete plans beyond the newest ones; the one in force stays.
+
+    At 1,400 plans a day a list of them all would soon be many megabytes.
+    """
+    ended = [
+        each
+        for each in sorted(kept, key=lambda made: made.proposed_at_s)
+        if each.name != confirmed.plan and not _was_left(each, confirmed)
+    ]
+    for old in ended[: max(len(kept) - KEPT_PLANS, 0)]:
+        found = await store.get(objects.PLANS, old.name)
+        if found.is_ok():
+            await store.delete(objects.PLANS, old.name, found.ok.version)
+
+
 def _was_left(marked: plan.Plan, confirmed: objects.Confirmed) -> bool:
     return (
         marked.state == plan.PlanState.CONFIRMED
--- a/redwingvalve/plans/tests/test_book.py
+++ b/redwingvalve/plans/tests/test_book.py
@@ -153,6 +153,21 @@
     anyio.run(scenario)
 
 
+def test_old_plans_are_dropped_but_never_the_one_in_force():
+    async def scenario():
+        store = memory_store.make_memory_object_api()
+        plans = make_book(store)
+        await plans.propose(declared(), 'ana', 'first')
+        await plans.confirm('first', 'ana')
+        for index in range(finishing.KEPT_PLANS + 5):
+            await plans.propose(declared(), 'ana', f'later-{index}')
+        await finishing.finish_confirmations(store, plans)
+        names = {each.name for each in (await plans.list()).ok}
+        assert len(names) == finishing.KEPT_PLANS and 'first' in names
+
+    anyio.run(scenario)
+
+
 @pytest.mark.parametrize('writes', range(1, 7))
 def test_a_confirmed_plan_goes_on_after_its_carrier_died(writes):
     """The process that confirms dies after some write; another finds the
--- a/redwingvalve/replicas/controller.py
+++ b/redwingvalve/replicas/controller.py
@@ -114,6 +114,11 @@
             return
         stopped = self._watcher.stopped_replicas(self._read.domain)
         await self._watcher.probe(self._read.domain)
+        if self._watcher.sees_none() and self._tools.entries.cut_off():
+            # Cut off from its peers and from every engine, it would break
+            # replicas that others see serving; those others take over.
+            await self.release()
+            return
         if self._watcher.judged(self._read.domain):
             await self._decide(surroundings, stopped)
         await self._order(surroundings)
--- a/redwingvalve/replicas/sightings.py
+++ b/redwingvalve/replicas/sightings.py
@@ -90,6 +90,13 @@
             and now_s - sighting.seen_s <= age_s
         )
 
+    def all_failing(self) -> bool:
+        """Tell whether the last probe of every VM got no answer."""
+        return all(
+            sighting.failing_since_s is not None
+            for sighting in self._sightings.values()
+        )
+
     def failing(self, vm: str) -> bool:
         """Tell whether the last probe got no answer."""
         sighting = self._sightings.get(vm)
--- a/redwingvalve/replicas/view.py
+++ b/redwingvalve/replicas/view.py
@@ -27,13 +27,8 @@
 
     def usable(self) -> bool:
         """Tell whether a replica may be formed with this VM."""
-        return (
-            self.there
-            and not self.leaving
-            and not self.kept_out
-            and not self.failing
-            and self.state is not None
-        )
+        held_back = self.leaving or self.kept_out or self.failing
+        return self.there and not held_back and self.state is not None
 
 
 @attrs.frozen
--- a/redwingvalve/replicas/watching.py
+++ b/redwingvalve/replicas/watching.py
@@ -79,6 +79,10 @@
             vm.name, started_s, self._entries.last_seen_s(vm.name, now_s)
         )
 
+    def sees_none(self) -> bool:
+        """Tell whether the last probe of every VM got no answer."""
+        return self._sightings.all_failing()
+
     def judged(self, domain: domain_module.FabricDomain) -> bool:
         """Tell whether enough is known to decide about every replica."""
         now_s = self._clock.monotonic_s()
--- a/redwingvalve/replicas/witness.py
+++ b/redwingvalve/replicas/witness.py
@@ -16,6 +16,10 @@
     def last_seen_s(self, vm: str, now_s: float) -> float | None:
         """Return when an entry last saw the VM ready, if any did."""
 
+    def cut_off(self) -> bool:
+        """Tell whether this process has heard from nobody for too long."""
+        return False
+
     def shows(
         self, vm: str, replica: domain_module.DomainReplica, now_s: float
     ) -> bool:
