--- a/redwingvalve/replicas/view.py
+++ b/redwingvalve/replicas/view.py
@@ -12,23 +12,23 @@
     """One VM as it looks now.
 
     there is false once it went unseen for too long; kept_out while it has
-    come back too often of late. state is the last one that it reported.
+    come back too often of late. failing says that the last probe got no
+    answer: the VM is not missing yet, but a replica formed with it now would
+    often lose it again, and with it the state that could be adopted.
+    state is the last one that it reported.
     """
 
     name: str
     there: bool
     leaving: bool = False
     kept_out: bool = False
+    failing: bool = False
     state: engine_orders.EngineState | None = None
 
     def usable(self) -> bool:
         """Tell whether a replica may be formed with this VM."""
-        return (
-            self.there
-            and not self.leaving
-            and not self.kept_out
-            and self.state is not None
-        )
+        held_back = self.leaving or self.kept_out or self.failing
+        return self.there and not held_back and self.state is not None
 
 
 @attrs.frozen
@@ -55,7 +55,8 @@
 
     def vm(self, name: str) -> VmView:
         """Return a VM; one that nobody saw yet is not there."""
-        return self.vms.get(name, VmView(name, there=False))
+        found = self.vms.get(name)
+        return VmView(name, there=False) if found is None else found
 
     def wants(self, deployment: str) -> Wanted | None:
         """Return the share in a deployment, if there is one."""
