--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -1,9 +1,11 @@
 """All commands, each from the slice or module that does its work."""
 
 from redwingvalve.cli import (
+    bench,
     check,
     daemons,
     demo,
+    experiment,
     operate,
     options,
     report,
@@ -13,11 +15,13 @@
 )
 
 ALL: tuple[options.Command, ...] = (
+    bench.BENCH,
     check.CHECK,
     demo.DEMO,
     *operate.ALL,
     *token.ALL,
     *daemons.ALL,
+    experiment.EXPERIMENT,
     report.REPORT,
     soak.SOAK,
     trace.TRACE,
--- a/redwingvalve/wire/tests/test_rpc.py
+++ b/redwingvalve/wire/tests/test_rpc.py
@@ -19,10 +19,10 @@
         return messages.peer.KeyVerdict(verdict='run', detail=claim.account)
 
     async def report_key(self, report):
-        return True
+        raise NotImplementedError
 
     async def copy_keys(self, request):
-        return messages.peer.KeyCopy()
+        raise NotImplementedError
 
 
 async def _started():
