--- a/redwingvalve/bench/control_cost.py
+++ b/redwingvalve/bench/control_cost.py
@@ -74,13 +74,15 @@
     return None
 
 
-async def measure(size: int, load: str, measured_s: float) -> Cost:
+async def measure(
+    size: int, load: str, measured_s: float, per_vm: int = 1
+) -> Cost:
     """Run a fleet and return what its members spend on average."""
     factor = max(1.0, size / MEMBERS_AT_FULL_SPEED)
     gc.collect()
     memory_before = psutil.Process().memory_info().rss
     news = evidence_load(load, size)
-    async with peer_fleet.run_fleet(size, factor, news) as fleet:
+    async with peer_fleet.run_fleet(size, factor, news, per_vm) as fleet:
         await fleet.settled()
         await _declare(fleet, size)
         await fleet.clock.sleep(SETTLING_S)
@@ -181,7 +183,9 @@
     report: dict[str, typing.Any] = {'costs': [], 'fits': {}}
     for load in arguments.loads.split(','):
         costs = [
-            anyio.run(measure, size, load, arguments.measured_s)
+            anyio.run(
+                measure, size, load, arguments.measured_s, arguments.per_vm
+            )
             for size in sizes
         ]
         report['costs'].extend(attrs.asdict(cost) for cost in costs)
@@ -250,6 +254,13 @@
             default=MEASURED_S,
             help='how long each fleet is measured, in its own time',
         ),
+        options.Option(
+            dest='per_vm',
+            flags=('--per-vm',),
+            type=int,
+            default=1,
+            help='processes on each VM, of which one gossips for all',
+        ),
         options.OUTPUT,
     ),
 )
--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -78,24 +78,32 @@
     return f'dc-{data_centre:02d}', f'region-{data_centre % regions}'
 
 
-def make_member(index: int, regions: int = REGIONS) -> members.Member:
-    """Return the member of an index, with names as long as real ones."""
-    data_centre, region = place_of(index, regions)
+def make_member(
+    index: int, regions: int = REGIONS, per_vm: int = 1
+) -> members.Member:
+    """Return the member of an index, with names as long as real ones.
+
+    The first process of each VM is a controller when there are several.
+    """
+    vm_index, process = divmod(index, per_vm)
+    data_centre, region = place_of(vm_index, regions)
+    role = 'control' if per_vm > 1 and process == 0 else 'entry'
     return members.Member(
-        name=f'{data_centre}-entry-{index:03d}',
+        name=f'{data_centre}-{role}-{index:03d}',
         incarnation=int(time.time() * 1000),
-        role='entry',
+        role=role,
         host=HOST,
         peer_port=0,
         http_port=8080,
         data_centre=data_centre,
         region=region,
+        vm=f'vm-{vm_index:03d}' if per_vm > 1 else '',
     )
 
 
 @contextlib.asynccontextmanager
 async def run_fleet(
-    size: int, factor: float, load: NewsLoad | None
+    size: int, factor: float, load: NewsLoad | None, per_vm: int = 1
 ) -> collections_abc.AsyncIterator[Fleet]:
     """Start size nodes and stop them at the end."""
     timers = SlowClock(factor)
@@ -108,7 +116,7 @@
         contacts: tuple[str, ...] = ()
         for index in range(size):
             started = await node.start_peer_node(
-                make_member(index),
+                make_member(index, per_vm=per_vm),
                 timers,
                 contacts,
                 fleet.store,
--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -76,6 +76,7 @@
         http_port=settings.listen.http_port,
         data_centre=settings.node.data_centre,
         region=settings.node.region,
+        vm=settings.node.vm,
     )
 
 
--- a/redwingvalve/settings/schema.py
+++ b/redwingvalve/settings/schema.py
@@ -5,13 +5,18 @@
 
 @attrs.frozen
 class NodeSettings:
-    """Who this process is; it learns its address and data centre here."""
+    """Who this process is; it learns its address and data centre here.
+
+    Processes with the same vm let one of them gossip for all; set it where
+    several run on a VM. Empty means that each speaks for itself.
+    """
 
     name: str
     data_centre: str
     region: str
     host: str = '127.0.0.1'
     seed: int = 0
+    vm: str = ''
 
 
 @attrs.frozen
