--- /dev/null
+++ b/redwingvalve/news/tests/test_store.py
@@ -0,0 +1,122 @@
+"""News between stores, with lost, doubled and late differences."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from redwingvalve.news import store
+
+NAMES = ('a', 'b', 'c')
+KEYS = ('k', 'l')
+MAX_AGE_S = 30.0
+
+
+def make_item(owner, key, number, body, said_s, max_age_s=MAX_AGE_S):
+    return store.Item('load', owner, 1, key, number, body, said_s, max_age_s)
+
+
+class NewsMachine(stateful.RuleBasedStateMachine):
+    """Three processes publish and exchange; differences may go astray."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.number = 0
+        self.stores = {name: store.NewsStore(name) for name in NAMES}
+        self.said = {}
+        self.under_way = []
+
+    @stateful.rule(owner=st.sampled_from(NAMES), key=st.sampled_from(KEYS))
+    def publish(self, owner, key):
+        self.number += 1
+        body = f'{self.number}'.encode()
+        item = make_item(owner, key, self.number, body, self.now_s)
+        self.stores[owner].put(item, self.now_s)
+        self.said[owner, key] = item
+
+    @stateful.rule(asker=st.sampled_from(NAMES), asked=st.sampled_from(NAMES))
+    def ask(self, asker, asked):
+        digest = self.stores[asker].digest()
+        found = self.stores[asked].missing_from(
+            digest, self.now_s, only_named=False
+        )
+        self.under_way.append((asker, found))
+
+    @stateful.rule(place=st.integers(0, 30), again=st.booleans())
+    def deliver(self, place, again):
+        if not self.under_way:
+            return
+        place %= len(self.under_way)
+        receiver, items = self.under_way[place]
+        if not again:
+            del self.under_way[place]
+        for item in items:
+            if self.stores[receiver].may_speak(item.owner):
+                self.stores[receiver].put(item, self.now_s)
+
+    @stateful.rule(passed_s=st.floats(0.1, 20))
+    def pass_time(self, passed_s):
+        self.now_s += passed_s
+        for each in self.stores.values():
+            each.drop_old(self.now_s)
+
+    @stateful.invariant()
+    def nothing_is_newer_than_said_or_too_old(self):
+        for each in self.stores.values():
+            for item in each.read('load', self.now_s):
+                assert item.number <= self.said[item.owner, item.key].number
+                assert self.now_s - item.said_s <= MAX_AGE_S
+
+    def teardown(self):
+        for _ in NAMES:
+            for asker in NAMES:
+                for asked in NAMES:
+                    self.ask(asker, asked)
+                    self.deliver(len(self.under_way) - 1, False)
+        wanted = {
+            (item.owner, item.key): item.body
+            for item in self.said.values()
+            if not item.too_old(self.now_s)
+        }
+        for each in self.stores.values():
+            assert {
+                (item.owner, item.key): item.body
+                for item in each.read('load', self.now_s)
+            } == wanted
+
+
+TestNews = NewsMachine.TestCase
+TestNews.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=30
+)
+
+
+def test_a_returning_node_catches_up_in_bounded_pieces():
+    """A region's news of ten thousand items waits for a node that returns.
+
+    Each answer is bounded; the node asks again and has all in the end.
+    """
+    full, empty = store.NewsStore('full'), store.NewsStore('empty')
+    for owner in range(10):
+        for number in range(1, 201):
+            full.put(
+                make_item(f'o{owner}', f'{number}', number, b'x' * 50, 0), 0
+            )
+    pieces = []
+    while found := full.missing_from(empty.digest(), 1.0, only_named=False):
+        pieces.append(len(found))
+        for item in found:
+            empty.put(item, 1.0)
+    assert sum(pieces) == 2000
+    assert max(pieces) <= store.MAX_ITEMS_IN_MESSAGE
+
+
+def test_a_node_is_told_only_of_owners_that_it_is_behind_on():
+    ahead, behind = store.NewsStore('x'), store.NewsStore('y')
+    for each, number in ((ahead, 7), (behind, 5)):
+        each.put(make_item('o', 'k', number, b'x', 0), 0)
+        each.put(make_item('p', 'k', 3, b'x', 0), 0)
+    asked = behind.behind(ahead.digest())
+    assert asked == {store.owner_hash('o'): 5}
+    given = ahead.missing_from(asked, 0.0, only_named=True)
+    assert [(item.owner, item.number) for item in given] == [('o', 7)]
