--- a/redwingvalve/bench/control_cost.py
+++ b/redwingvalve/bench/control_cost.py
@@ -179,7 +179,8 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Measure at several sizes and print costs and fits."""
-    sizes = [int(size) for size in arguments.sizes.split(',')]
+    named = arguments.sizes or DEFAULT_SIZES
+    sizes = [int(size) for size in named.split(',')]
     report: dict[str, typing.Any] = {'costs': [], 'fits': {}}
     for load in arguments.loads.split(','):
         costs = [
@@ -229,38 +230,31 @@
             )
 
 
-CONTROL_COST = options.Command(
-    name='control-cost',
-    help='what control costs a node as the fleet grows',
-    example='redwingvalve bench control-cost --sizes 30,60,120',
-    run=run_control_cost,
-    options=(
-        options.Option(
-            dest='sizes',
-            flags=('--sizes',),
-            default=DEFAULT_SIZES,
-            help='numbers of members, separated by commas',
-        ),
-        options.Option(
-            dest='loads',
-            flags=('--loads',),
-            default='rest,batched,changes',
-            help='rest, batched, single, changes',
-        ),
-        options.Option(
-            dest='measured_s',
-            flags=('--measured-s',),
-            type=float,
-            default=MEASURED_S,
-            help='how long each fleet is measured, in its own time',
-        ),
-        options.Option(
-            dest='per_vm',
-            flags=('--per-vm',),
-            type=int,
-            default=1,
-            help='processes on each VM, of which one gossips for all',
-        ),
-        options.OUTPUT,
+OPTIONS = (
+    options.Option(
+        dest='sizes',
+        flags=('--sizes',),
+        default='',
+        help='fleet benches: numbers of members, separated by commas',
+    ),
+    options.Option(
+        dest='loads',
+        flags=('--loads',),
+        default='rest,batched,changes',
+        help='control-cost: rest, batched, single, changes',
+    ),
+    options.Option(
+        dest='measured_s',
+        flags=('--measured-s',),
+        type=float,
+        default=MEASURED_S,
+        help='control-cost: how long a fleet is measured, in its own time',
+    ),
+    options.Option(
+        dest='per_vm',
+        flags=('--per-vm',),
+        type=int,
+        default=1,
+        help='control-cost: processes on each VM, one of which gossips',
     ),
 )
--- a/redwingvalve/bench/spread.py
+++ b/redwingvalve/bench/spread.py
@@ -19,6 +19,7 @@
 from redwingvalve.core import environment, exit_status
 
 KIND = 'clientaccounts'
+DEFAULT_SIZES = '7,20,60'
 CHANGES = 10
 LEAVINGS = 2
 DEATHS = 3
@@ -190,7 +191,7 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Measure each size and fault and print one JSON object for each."""
-    for size in arguments.sizes.split(','):
+    for size in (arguments.sizes or DEFAULT_SIZES).split(','):
         for fault in arguments.faults.split(','):
             found = anyio.run(
                 measure, int(size), arguments.regions, fault, arguments.seed
@@ -199,37 +200,18 @@
     return exit_status.ExitStatus.SUCCESS
 
 
-SPREAD = options.Command(
-    name='spread',
-    help='how long until all processes know a death, a leaving or a change',
-    example='redwingvalve bench spread --sizes 7,20 --faults none,loss',
-    run=run_spread,
-    options=(
-        options.Option(
-            dest='sizes',
-            flags=('--sizes',),
-            default='7,20,60',
-            help='numbers of processes, separated by commas',
-        ),
-        options.Option(
-            dest='faults',
-            flags=('--faults',),
-            default='none,loss,pause',
-            help='none, loss (5%% of messages), pause (a third for 2 s)',
-        ),
-        options.Option(
-            dest='regions',
-            flags=('--regions',),
-            type=int,
-            default=1,
-            help='1 or 5 regions',
-        ),
-        options.Option(
-            dest='seed',
-            flags=('--seed',),
-            type=int,
-            default=1,
-            help='chooses who leaves, dies and pauses',
-        ),
+OPTIONS = (
+    options.Option(
+        dest='faults',
+        flags=('--faults',),
+        default='none,loss,pause',
+        help='spread: none, loss (5%% of messages), pause (a third for 2 s)',
+    ),
+    options.Option(
+        dest='regions',
+        flags=('--regions',),
+        type=int,
+        default=1,
+        help='spread: 1 or 5 regions',
     ),
 )
--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.bench import request_path
+from redwingvalve.bench import control_cost, request_path, spread
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
 
@@ -22,10 +22,24 @@
 )
 
 
+# Benches that have options of their own.
+FLEET_BENCHES: collections_abc.Mapping[str, options.Runner] = (
+    types.MappingProxyType(
+        {
+            'control-cost': control_cost.run_control_cost,
+            'spread': spread.run_spread,
+        }
+    )
+)
+
+
 def run_bench(
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Run one bench and write its figures."""
+    of_fleets = FLEET_BENCHES.get(arguments.bench)
+    if of_fleets is not None:
+        return of_fleets(arguments, surroundings)
     bench = BENCHES[arguments.bench]
     bench(arguments.seed, arguments.output, surroundings.stdout)
     return exit_status.ExitStatus.SUCCESS
@@ -38,7 +52,9 @@
     run=run_bench,
     options=(
         options.Option(
-            dest='bench', help='what to measure', choices=tuple(BENCHES)
+            dest='bench',
+            help='what to measure',
+            choices=(*BENCHES, *FLEET_BENCHES),
         ),
         options.Option(
             dest='seed',
@@ -47,6 +63,8 @@
             default=1,
             help='the same seed gives the same load',
         ),
+        *control_cost.OPTIONS,
+        *spread.OPTIONS,
         options.OUTPUT,
     ),
 )
