--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -15,7 +15,7 @@
 
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock
-from redwingvalve.membership import members, node
+from redwingvalve.membership import bounds, members, node
 from redwingvalve.news import board
 from redwingvalve.platform_api import object_api
 from redwingvalve.standins import memory_store
@@ -78,37 +78,50 @@
     return f'dc-{data_centre:02d}', f'region-{data_centre % regions}'
 
 
-def make_member(index: int, regions: int = REGIONS) -> members.Member:
-    """Return the member of an index, with names as long as real ones."""
-    data_centre, region = place_of(index, regions)
+def make_member(
+    index: int, regions: int = REGIONS, per_vm: int = 1
+) -> members.Member:
+    """Return the member of an index, with names as long as real ones.
+
+    The first process of each VM is a controller when there are several.
+    """
+    vm_index, process = divmod(index, per_vm)
+    data_centre, region = place_of(vm_index, regions)
+    role = 'control' if per_vm > 1 and process == 0 else 'entry'
     return members.Member(
-        name=f'{data_centre}-entry-{index:03d}',
+        name=f'{data_centre}-{role}-{index:03d}',
         incarnation=int(time.time() * 1000),
-        role='entry',
+        role=role,
         host=HOST,
         peer_port=0,
         http_port=8080,
         data_centre=data_centre,
         region=region,
+        vm=f'vm-{vm_index:03d}' if per_vm > 1 else '',
     )
 
 
 @contextlib.asynccontextmanager
 async def run_fleet(
-    size: int, factor: float, load: NewsLoad | None
+    size: int, factor: float, load: NewsLoad | None, per_vm: int = 1
 ) -> collections_abc.AsyncIterator[Fleet]:
     """Start size nodes and stop them at the end."""
     timers = SlowClock(factor)
+    # Calls time out on the machine's own clock.
+    judging = bounds.MembershipBounds(
+        probe_timeout_s=bounds.DEFAULT_BOUNDS.probe_timeout_s * factor
+    )
     fleet = Fleet([], memory_store.make_memory_object_api(), timers)
     async with anyio.create_task_group() as group:
         contacts: tuple[str, ...] = ()
         for index in range(size):
             started = await node.start_peer_node(
-                make_member(index),
+                make_member(index, per_vm=per_vm),
                 timers,
                 contacts,
                 fleet.store,
                 replicas_of=replicas_in,
+                bounds=judging,
             )
             contacts = contacts or (f'{HOST}:{started.server.port}',)
             fleet.nodes.append(started)
@@ -172,6 +185,7 @@
         'data_centre': data_centre,
         'epoch': epoch,
         'replicas': replicas,
+        'vms': epoch,
     }
 
 
