--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -155,8 +155,9 @@
         except httpx.ConnectError:
             attempt.broken = True
             attempt.excused = True
-        except httpx.HTTPError:
+        except httpx.HTTPError as error:
             attempt.broken = True
+            attempt.error = repr(error)
             disturbed = self._settings.disturbed
             attempt.excused = disturbed(attempt.entry, attempt.started_s)
         attempt.ended_s = time.time()
--- a/redwingvalve/soak/comparing.py
+++ b/redwingvalve/soak/comparing.py
@@ -74,15 +74,24 @@
 def _unanswered(all_records: Records) -> Found:
     for record in all_records:
         for attempt in record.attempts:
-            if attempt.overdue:
+            problem = _unanswered_because(attempt)
+            if problem:
                 yield breaches.Breach(
                     Promise.ANSWERED,
                     record.work.name,
-                    f'{attempt.entry} gave no final answer by the deadline',
+                    f'{attempt.entry} {problem}',
                     attempt.started_s,
                 )
 
 
+def _unanswered_because(attempt: records.Attempt) -> str:
+    if attempt.overdue:
+        return 'gave no final answer by the deadline'
+    if attempt.ended_s is not None and not attempt.outcome:
+        return f'answered {attempt.status} without an outcome'
+    return ''
+
+
 def _wrong_answers(
     all_records: Records, versions: frozenset[tuple[str, str]]
 ) -> Found:
@@ -192,8 +201,10 @@
                 yield breaches.Breach(
                     Promise.PLANNED_STOP,
                     attempt.entry,
-                    f'{record.work.name} was cut off by an entry that no '
-                    'fault had hit',
+                    f'{record.work.name} ({record.work.kind}, status '
+                    f'{attempt.status}) was cut off after '
+                    f'{attempt.lasted_s:.2f} s by an entry that no fault had '
+                    f'hit: {attempt.error}',
                     attempt.ended_s or attempt.started_s,
                 )
 
--- a/redwingvalve/soak/daemons.py
+++ b/redwingvalve/soak/daemons.py
@@ -158,8 +158,20 @@
         await self._ended[daemon.name].wait()
 
     async def _run(self, daemon: Daemon) -> None:
-        stop = self._stops[daemon.name]
         ended = self._ended[daemon.name]
+        scope = self._scopes[daemon.name]
+        try:
+            await self._run_to_its_end(daemon)
+        except asyncio.CancelledError:
+            # hypercorn cancels tasks of its own while it is cancelled; that
+            # must not spread to the whole run, as if the run were cancelled.
+            if not scope.cancel_called:
+                raise
+        finally:
+            ended.set()
+
+    async def _run_to_its_end(self, daemon: Daemon) -> None:
+        stop = self._stops[daemon.name]
         run = entry.run_entry if daemon.role == ENTRY else control.run_control
         try:
             with self._scopes[daemon.name]:
@@ -169,6 +181,4 @@
         except* asyncio.InvalidStateError:
             # hypercorn's server raises this when its task is cancelled with
             # connections open, as a kill does.
-            ended.set()
-        finally:
-            ended.set()
+            stop.set()
--- a/redwingvalve/soak/records.py
+++ b/redwingvalve/soak/records.py
@@ -29,6 +29,7 @@
     excused: bool = False
     overdue: bool = False
     retry_after_s: float = 0.0
+    error: str = ''
     first_token_s: float = 0.0
 
     @property
@@ -38,9 +39,14 @@
         An idle connection may be closed just as a request is sent; that ends
         at once and is no breach.
         """
-        if not self.broken or self.excused or self.ended_s is None:
+        if not self.broken or self.excused or self.overdue:
             return False
-        return bool(self.status) or self.ended_s - self.started_s > AT_ONCE_S
+        return bool(self.status) or self.lasted_s > AT_ONCE_S
+
+    @property
+    def lasted_s(self) -> float:
+        """Return how long the attempt took; 0.0 while it goes on."""
+        return (self.ended_s or self.started_s) - self.started_s
 
     @property
     def surely_not_run(self) -> bool:
--- a/redwingvalve/soak/tests/test_comparing.py
+++ b/redwingvalve/soak/tests/test_comparing.py
@@ -13,7 +13,7 @@
 
 
 def attempt(**fields):
-    return records.Attempt('entry', 10.0, 11.0, **fields)
+    return records.Attempt('entry', 10.0, 11.0, **{'outcome': 'ran', **fields})
 
 
 def run(asked, **fields):
@@ -32,6 +32,11 @@
         [records.Record(QUOTE, [attempt(overdue=True)])],
         [],
     ),
+    (
+        breaches.Promise.ANSWERED,
+        [records.Record(QUOTE, [attempt(status=500, outcome='')])],
+        [],
+    ),
     (
         breaches.Promise.WHOLE_AND_OWN,
         [records.Record(STREAM, [attempt(whole=True, text=' t0-abc')])],
@@ -84,7 +89,12 @@
             [
                 attempt(outcome='not-run'),
                 records.Attempt(
-                    'e', 12.0, 13.0, whole=True, text=text_of(QUOTE)
+                    'e',
+                    12.0,
+                    13.0,
+                    outcome='ran',
+                    whole=True,
+                    text=text_of(QUOTE),
                 ),
             ],
         ),
