--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -161,8 +161,15 @@
             disturbed = self._settings.disturbed
             attempt.excused = disturbed(attempt.entry, attempt.started_s)
         attempt.ended_s = time.time()
-        if attempt.broken and not attempt.outcome:
+        if attempt.outcome:
+            return
+        # A daemon that is killed inside this process answers 500 where a
+        # process would just be gone.
+        killed = self._settings.disturbed(attempt.entry, attempt.started_s)
+        attempt.broken = attempt.broken or killed
+        if attempt.broken:
             attempt.outcome = outcomes.Outcome.UNKNOWN.value
+            attempt.excused = attempt.excused or killed
 
     async def _exchange(
         self, asked: work.Work, attempt: records.Attempt
--- a/redwingvalve/soak/schedule.py
+++ b/redwingvalve/soak/schedule.py
@@ -8,7 +8,7 @@
 
 CALM_AT_START_S = 4.0
 CALM_AT_END_S = 15.0
-MEAN_GAP_S = 4.0
+MEAN_GAP_S = 3.0
 TOGETHER_SHARE = 0.3
 TWICE_SHARE = 0.2
 SOON_S = 1.5
@@ -90,22 +90,26 @@
 ) -> tuple[Fault, ...]:
     """Return the faults of a run in the order of their time."""
     chance = random.Random(seed)
+    kept = {
+        name: share for name, share in SHARES.items() if name not in left_out
+    }
     schedule: list[Fault] = []
     at_s = CALM_AT_START_S
     while at_s < duration_s - CALM_AT_END_S:
-        fault = _draw(chance, at_s)
+        fault = _draw(chance, at_s, kept)
         schedule.append(fault)
         if chance.random() < TOGETHER_SHARE:
             soon_s = at_s + chance.uniform(0.0, SOON_S)
-            schedule.append(_draw(chance, soon_s))
+            schedule.append(_draw(chance, soon_s, kept))
         if chance.random() < TWICE_SHARE:
             again_s = at_s + fault.duration_s * chance.uniform(0.3, 1.2)
             schedule.append(attrs.evolve(fault, at_s=again_s))
         at_s += chance.expovariate(1 / MEAN_GAP_S)
-    kept = [fault for fault in schedule if fault.name not in left_out]
-    return tuple(sorted(kept, key=lambda fault: fault.at_s))
+    return tuple(sorted(schedule, key=lambda fault: fault.at_s))
 
 
-def _draw(chance: random.Random, at_s: float) -> Fault:
-    name = chance.choices(list(SHARES), list(SHARES.values()))[0]
+def _draw(
+    chance: random.Random, at_s: float, shares: dict[FaultName, int]
+) -> Fault:
+    name = chance.choices(list(shares), list(shares.values()))[0]
     return Fault(at_s, name, chance.random(), chance.uniform(1.0, 6.0))
