--- a/redwingvalve/cli/operate.py
+++ b/redwingvalve/cli/operate.py
@@ -1,12 +1,12 @@
 """Commands of operators that call the administration API."""
 
 import argparse
-import pathlib
 import typing
 from collections import abc as collections_abc
 
 from redwingvalve.cli import api_client, options, tables
 from redwingvalve.core import environment, exit_status
+from redwingvalve.documents import files
 
 Printer = collections_abc.Callable[[typing.Any, environment.Environment], None]
 CHANGE_COLUMNS = ('kind', 'subject', 'count', 'details')
@@ -78,14 +78,13 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Send a declaration to be planned and print the plan."""
-    try:
-        text = pathlib.Path(arguments.file).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        surroundings.stderr.write(f'{arguments.file}: {error}\n')
+    text = files.read_text(arguments.file)
+    if text.is_error():
+        surroundings.stderr.write(f'{text.error}\n')
         return exit_status.ExitStatus.FINDINGS
     client = api_client.make_api_client(arguments, surroundings)
     answer = client.post(
-        '/plans', {'declaration': text, 'file_name': arguments.file}
+        '/plans', {'declaration': text.ok, 'file_name': arguments.file}
     )
     return finish(answer, arguments.output, print_plan, surroundings)
 
--- a/redwingvalve/declaration/reader.py
+++ b/redwingvalve/declaration/reader.py
@@ -1,6 +1,5 @@
 """Reads a declaration and checks it as a whole, before any plan is made."""
 
-import pathlib
 import re
 from collections import abc as collections_abc
 
@@ -8,7 +7,7 @@
 
 from redwingvalve.core import findings
 from redwingvalve.declaration import schema
-from redwingvalve.documents import binder
+from redwingvalve.documents import binder, files
 
 NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?')
 SHA256_PATTERN = re.compile('[0-9a-f]{64}')
@@ -24,13 +23,10 @@
     file_name: str,
 ) -> Result[Bound, findings.Findings]:
     """Read and check a declaration file."""
-    try:
-        text = pathlib.Path(file_name).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        place = findings.Place(file_name)
-        finding = findings.Finding(place, f'cannot be read: {error}')
-        return Error(findings.Findings((finding,)))
-    return read_text(text, file_name)
+    text = files.read_text(file_name)
+    if text.is_error():
+        return Error(text.error)
+    return read_text(text.ok, file_name)
 
 
 def read_text(text: str, file_name: str) -> Result[Bound, findings.Findings]:
--- a/redwingvalve/settings/loader.py
+++ b/redwingvalve/settings/loader.py
@@ -1,14 +1,13 @@
 """Reads a settings file and checks it as a whole."""
 
 import logging
-import pathlib
 import urllib.parse
 from collections import abc as collections_abc
 
 from expression import Error, Ok, Result
 
 from redwingvalve.core import findings, invariants
-from redwingvalve.documents import binder
+from redwingvalve.documents import binder, files
 from redwingvalve.settings import schema
 
 HIGHEST_PORT = 65535
@@ -20,13 +19,10 @@
 
 def load_file(file_name: str) -> Result[schema.Settings, findings.Findings]:
     """Read and check a settings file; every finding names its place."""
-    try:
-        text = pathlib.Path(file_name).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        place = findings.Place(file_name)
-        finding = findings.Finding(place, f'cannot be read: {error}')
-        return Error(findings.Findings((finding,)))
-    return load_text(text, file_name)
+    text = files.read_text(file_name)
+    if text.is_error():
+        return Error(text.error)
+    return load_text(text.ok, file_name)
 
 
 def load_text(
