--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import random
 import time
 import typing
 from collections import abc as collections_abc
@@ -143,8 +144,10 @@
 async def _publish(
     news: board.NewsBoard, load: NewsLoad, timers: clock.Clock
 ) -> None:
-    body = b'x' * load.item_bytes
+    # Random, so that compressing messages does not make it smaller.
+    randomness = random.Random(load.item_bytes)
     while True:
+        body = randomness.randbytes(load.item_bytes)
         for number in range(load.items):
             news.publish(EVIDENCE, f'{number}', body)
         await timers.sleep(load.interval_s)
--- a/redwingvalve/membership/table.py
+++ b/redwingvalve/membership/table.py
@@ -42,13 +42,21 @@
         self._heard_s = now_s
         self._ticked_s = now_s
         self._met_anybody = False
+        self._shown_for: tuple[int, frozenset[str]] = (-1, frozenset())
+        self._shown_members: tuple[members.Member, ...] = ()
 
     def known(self, now_s: float) -> tuple[members.Member, ...]:
         """Return every member; those of a silent region as suspect."""
-        return tuple(
-            self._shown(word.member, now_s)
-            for word in self.book.held().values()
-        )
+        silent = self._silent_regions(now_s)
+        # Asked several times a second by each slice, changed a few times a
+        # minute.
+        if self._shown_for != (self.book.revision, silent):
+            self._shown_for = (self.book.revision, silent)
+            self._shown_members = tuple(
+                _shown(word.member, silent)
+                for word in self.book.held().values()
+            )
+        return self._shown_members
 
     def isolated(self, now_s: float) -> bool:
         """Tell whether nobody was heard for too long, or we are replaced."""
@@ -177,15 +185,19 @@
         )
         return present[member.region] >= JUDGED_BY_ITSELF
 
-    def _shown(self, member: members.Member, now_s: float) -> members.Member:
-        if member.state is not State.ALIVE:
-            return member
-        if member.region == self.own.member().region:
-            return member
-        seen_s = self._region_seen_s.get(member.region, now_s)
-        if now_s - seen_s <= self.bounds.region_silence_s:
-            return member
+    def _silent_regions(self, now_s: float) -> frozenset[str]:
+        mine = self.own.member().region
+        return frozenset(
+            region
+            for region, seen_s in self._region_seen_s.items()
+            if region != mine and now_s - seen_s > self.bounds.region_silence_s
+        )
+
+
+def _shown(member: members.Member, silent: frozenset[str]) -> members.Member:
+    if member.state is State.ALIVE and member.region in silent:
         return attrs.evolve(member, state=State.SUSPECT)
+    return member
 
 
 def make_member_table(
--- a/redwingvalve/news/gossip_board.py
+++ b/redwingvalve/news/gossip_board.py
@@ -156,8 +156,8 @@
     return Record(
         channel=item.channel,
         owner=item.owner,
-        owner_incarnation=item.owner_incarnation,
-        key=item.key,
+        owner_incarnation=_unless_implied(item),
+        key=item.key or None,
         number=item.number,
         body=item.body,
         age_ms=int((now_s - item.said_s) * MS_PER_S),
@@ -165,11 +165,19 @@
     )
 
 
+def _unless_implied(item: store.Item) -> int | None:
+    if item.number // NUMBERS_PER_INCARNATION == item.owner_incarnation:
+        return None
+    return item.owner_incarnation
+
+
 def _from_record(record: Record, now_s: float) -> store.Item:
     return store.Item(
         channel=record.channel,
         owner=record.owner,
-        owner_incarnation=record.owner_incarnation or 0,
+        owner_incarnation=(
+            record.owner_incarnation or record.number // NUMBERS_PER_INCARNATION
+        ),
         key=record.key or '',
         number=record.number,
         body=record.body or b'',
