Count the deaths of a lost rack as one; promise shorter waits

Change: deaths learned among three or more within five seconds count as one; moderate accounts may fill 60 % of the time left, greedy ones 30 %.

--- a/redwingvalve/admission/messages.py
+++ b/redwingvalve/admission/messages.py
@@ -92,8 +92,8 @@
     long_floor_share: float = 0.15
     short_reserve_share: float = 0.1
     max_short_reserve_share: float = 0.5
-    moderate_wait_margin: float = 0.9
-    greedy_wait_margin: float = 0.4
+    moderate_wait_margin: float = 0.6
+    greedy_wait_margin: float = 0.3
     first_token_s: float = 0.2
     token_gap_s: float = 0.06
     min_retry_after_s: float = 0.5
--- a/redwingvalve/admission/speed_shares.py
+++ b/redwingvalve/admission/speed_shares.py
@@ -39,7 +39,7 @@
         """Tell whether an account asks at most its share.
 
         Fair sharing serves it soon, whatever the others ask, so that its
-        expected wait may use nearly all of the time that is left.
+        expected wait may use more of the time that is left.
         """
         return line.asked_tokens_per_s() <= self.of(line, now_s)
 
--- a/redwingvalve/admission/tests/test_fair_queue.py
+++ b/redwingvalve/admission/tests/test_fair_queue.py
@@ -38,15 +38,16 @@
 def test_a_queued_request_is_refused_once_capacity_is_lost():
     """Callers that wait are told as soon as their target is out of reach.
 
-    A dozen wait for replicas that then die: with a tenth of the speed the
-    tail can't be served in time, and its callers hear so long before.
+    A dozen wait for replicas that then die: with a fiftieth of the speed all
+    but the first can't be served in time, and their callers hear so at once.
     """
     queue = fair_queue.make_admission_queue(CAPACITY)
     fill(queue)
     for number in range(12):
-        queue.offer(make_request(number), 0.0)
+        queue.offer(make_request(number, deadline_s=4.5), 0.0)
+    assert queue.waiting() == 12
     assert queue.expired(0.0) == ()
-    queue.resize(messages.Capacity(10, 100), 0.1)
+    queue.resize(messages.Capacity(10, 20), 0.1)
     refused = queue.expired(0.1)
     assert len(refused) >= 10
     assert queue.waiting() == 12 - len(refused)
--- a/redwingvalve/poison/facts.py
+++ b/redwingvalve/poison/facts.py
@@ -31,10 +31,14 @@
 
 @attrs.define
 class FactState:
-    """When this entry learned a fact, and whether it still counts."""
+    """When this entry learned a fact, and whether it still counts.
+
+    among_many tells that many endpoints died at that time, as with a rack.
+    """
 
     learned_at_s: float
     closed: bool = False
+    among_many: bool = False
 
 
 def make_digest(*parts: bytes) -> bytes:
--- a/redwingvalve/poison/ledger.py
+++ b/redwingvalve/poison/ledger.py
@@ -6,7 +6,8 @@
 
 All that ran on an endpoint when it died is suspect after one death. A suspect
 runs alone of its kind on an endpoint, so that a second death names it and no
-other; the innocent finish elsewhere and are cleared. Two deaths refuse it.
+other; the innocent finish elsewhere and are cleared. Two deaths refuse it; the
+deaths of a rack that is lost within seconds count as one.
 Entries place suspects on disjoint sets of endpoints (rendezvous hashing), so
 that two of them do not put two suspects together without knowing.
 
@@ -24,7 +25,7 @@
 
 from redwingvalve.core import invariants
 from redwingvalve.membership import rendezvous
-from redwingvalve.poison import facts
+from redwingvalve.poison import facts, recent_deaths
 
 DEATHS_TO_REFUSE = 2
 # Entries notice one death within seconds of each other; a plain service needs
@@ -84,12 +85,13 @@
         self._running: dict[str, set[bytes]] = {}
         self._trials: dict[bytes, facts.Fact] = {}
         self._trial_numbers = itertools.count()
-        self._recent_deaths: dict[str, float] = {}
+        self._recent = recent_deaths.RecentDeaths(
+            self._settings.mass_deaths, self._settings.mass_window_s
+        )
         self.revision = 0
 
     def endpoint_died(self, death: Death, now_s: float) -> None:
         """Suspect all requests that ran there; publish encode() at once."""
-        self._recent_deaths[f'{death.endpoint}/{death.epoch}'] = now_s
         for tried in self._running.pop(death.endpoint, ()):
             self.gave_up(tried, now_s)
         for digest in death.digests:
@@ -116,7 +118,7 @@
         """Judge a request that this entry itself wants to send again."""
         if digest not in self._by_digest:
             return Verdict.FREE
-        deaths = len(self._deaths(digest))
+        deaths = self._counted_deaths(digest)
         if not deaths:
             return Verdict.FREE
         if deaths < DEATHS_TO_REFUSE:
@@ -136,9 +138,8 @@
         run one at a time; they then share an endpoint, and the price is that
         a poison request among them takes its few neighbours along.
         """
-        self._forget_recent(now_s)
         room = 1
-        if len(self._recent_deaths) >= self._settings.mass_deaths:
+        if self._recent.many(now_s):
             room = self._settings.mass_sharing
         return frozenset(
             name
@@ -223,7 +224,10 @@
     def _learn(self, fact: facts.Fact, now_s: float, *, closed: bool) -> None:
         state = self._states.get(fact)
         if state is None:
-            self._states[fact] = facts.FactState(now_s, closed)
+            state = facts.FactState(now_s, closed)
+            self._states[fact] = state
+            if not fact.trial:
+                self._recent.note(fact, state, now_s)
             self._by_digest.setdefault(fact.digest, set()).add(fact)
             self.revision += 1
             return
@@ -238,6 +242,13 @@
             if not fact.trial and not self._states[fact].closed
         ]
 
+    def _counted_deaths(self, digest: bytes) -> int:
+        among_many = [
+            self._states[fact].among_many for fact in self._deaths(digest)
+        ]
+        # All deaths of a lost rack are one event and not the request's doing.
+        return among_many.count(False) + any(among_many)
+
     def _on_trial_elsewhere(self, digest: bytes, now_s: float) -> bool:
         if digest in self._trials:
             return False
@@ -256,14 +267,6 @@
         if not known:
             del self._by_digest[fact.digest]
 
-    def _forget_recent(self, now_s: float) -> None:
-        oldest_s = now_s - self._settings.mass_window_s
-        self._recent_deaths = {
-            name: at_s
-            for name, at_s in self._recent_deaths.items()
-            if at_s >= oldest_s
-        }
-
 
 def home_entry(digest: bytes, entries: collections_abc.Iterable[str]) -> str:
     """Return the entry that runs a resent suspect (rendezvous hashing)."""
--- a/redwingvalve/poison/tests/test_ledger.py
+++ b/redwingvalve/poison/tests/test_ledger.py
@@ -93,11 +93,25 @@
     die(where, 'r1', POISON, INNOCENT)
     where.started(POISON, 'r2', 0.0)
     assert where.free_endpoints(['r2', 'r3'], 0.0) == {'r3'}
-    for number in range(3):
+    for number in range(2):
         die(where, f'x{number}', INNOCENT)
     assert where.free_endpoints(['r2', 'r3'], 0.0) == {'r2', 'r3'}
 
 
+def test_a_lost_rack_does_not_make_its_requests_poison():
+    """A caller's request is lost twice within seconds as a rack goes.
+
+    It was sent again to a replica of the same rack. Three deaths so close are
+    no request's doing: it is isolated, and refused only after one more death.
+    """
+    where = make_ledger()
+    for number in range(3):
+        die(where, f'r{number}', INNOCENT, now_s=float(number))
+    assert where.judge_again(INNOCENT, 3.0) == Verdict.ISOLATE
+    die(where, 'r9', INNOCENT, now_s=60.0)
+    assert where.judge_again(INNOCENT, 60.0) == Verdict.REFUSE
+
+
 def test_entries_put_suspects_on_disjoint_endpoints():
     """No two entries put suspects together, and every endpoint is used."""
     endpoints = [f'r{number}' for number in range(60)]
