--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -5,7 +5,12 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.bench import request_path
+from redwingvalve.bench import (
+    control_cost,
+    replicas_report,
+    request_path,
+    spread,
+)
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
 
@@ -18,7 +23,21 @@
 
 # Each bench takes the seed, the output format and where to write.
 BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
-    {'request-path': _request_path}
+    {
+        'request-path': _request_path,
+        'replicas': replicas_report.write_report,
+    }
+)
+
+
+# Benches that have options of their own.
+FLEET_BENCHES: collections_abc.Mapping[str, options.Runner] = (
+    types.MappingProxyType(
+        {
+            'control-cost': control_cost.run_control_cost,
+            'spread': spread.run_spread,
+        }
+    )
 )
 
 
@@ -26,6 +45,9 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Run one bench and write its figures."""
+    of_fleets = FLEET_BENCHES.get(arguments.bench)
+    if of_fleets is not None:
+        return of_fleets(arguments, surroundings)
     bench = BENCHES[arguments.bench]
     bench(arguments.seed, arguments.output, surroundings.stdout)
     return exit_status.ExitStatus.SUCCESS
@@ -38,7 +60,9 @@
     run=run_bench,
     options=(
         options.Option(
-            dest='bench', help='what to measure', choices=tuple(BENCHES)
+            dest='bench',
+            help='what to measure',
+            choices=(*BENCHES, *FLEET_BENCHES),
         ),
         options.Option(
             dest='seed',
@@ -47,6 +71,8 @@
             default=1,
             help='the same seed gives the same load',
         ),
+        *control_cost.OPTIONS,
+        *spread.OPTIONS,
         options.OUTPUT,
     ),
 )
--- a/redwingvalve/membership/gossip.py
+++ b/redwingvalve/membership/gossip.py
@@ -15,6 +15,7 @@
     probing,
     riders,
     table,
+    urgency,
 )
 from redwingvalve.wire import handlers, messages, rpc
 
@@ -46,6 +47,7 @@
         self._clock = timers
         self._randomness = randomness
         self._urgent = anyio.Event()
+        self._pace = urgency.make_urgent_pace(member_table.bounds)
 
     # Members as other slices see them.
 
@@ -168,9 +170,8 @@
             self.table.book.take_changed()
             for member in self.choice.sample(EAGER_FANOUT):
                 group.start_soon(self.talks.with_member, member)
-            # One urgent round in an interval: a storm of changes is passed
-            # on in batches, not one by one.
-            await self._clock.sleep(self.table.bounds.eager_interval_s)
+            now_s = self._clock.monotonic_s()
+            await self._clock.sleep(self._pace.pause_s(now_s))
 
     def _pass_on(self) -> None:
         if self.table.book.take_changed():
