Let one switch disable the exclusion of leaving replicas everywhere

Cause: the attack on leaving replicas found nothing with the safeguard disabled: routing's candidates and the permits by evidence excluded them as well, beside the one check that the switch governed. Change: all three ask the same switch; with the safeguard in force nothing is different.

--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -108,9 +108,7 @@
 
     def may_serve(self, replica: snapshot.Replica, now_s: float) -> bool:
         """Tell whether new work may go to a replica."""
-        if not replica.serving and self._switches.enabled(
-            invariants.Safeguard.LEAVING_EXCLUDED
-        ):
+        if not replica.serving and self._leaving_excluded():
             return False
         if not self._switches.enabled(invariants.Safeguard.EVIDENCE_REQUIRED):
             return True
@@ -127,6 +125,9 @@
             and self.may_serve(replica, now_s)
         )
 
+    def _leaving_excluded(self) -> bool:
+        return self._switches.enabled(invariants.Safeguard.LEAVING_EXCLUDED)
+
     def _follow(self) -> None:
         current = self._source.current()
         if current.version == self._version:
@@ -159,7 +160,8 @@
                     tokens_per_s=speeds.get(deployment, 1.0),
                 )
                 for replica in self._replicas.values()
-                if replica.deployment == deployment and replica.serving
+                if replica.deployment == deployment
+                and (replica.serving or not self._leaving_excluded())
             ),
             self._clock.monotonic_s(),
         )
--- a/redwingvalve/evidence/serving_permits.py
+++ b/redwingvalve/evidence/serving_permits.py
@@ -5,6 +5,7 @@
 from redwingvalve.evidence import permits, table
 
 EVIDENCE_REQUIRED = invariants.Safeguard.EVIDENCE_REQUIRED
+LEAVING_EXCLUDED = invariants.Safeguard.LEAVING_EXCLUDED
 
 
 class EvidencePermits(permits.ServingPermits):
@@ -21,7 +22,9 @@
 
     def permitted(self, replica: snapshot.Replica, now_s: float) -> bool:
         """Tell whether every VM of this epoch was seen recently enough."""
-        if not replica.serving or not replica.members:
+        if not replica.members:
+            return False
+        if not replica.serving and self._switches.enabled(LEAVING_EXCLUDED):
             return False
         shown = all(
             self._evidence.shows(member.vm, replica.name, replica.epoch, now_s)
--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -19,6 +19,7 @@
 MAX_ATTEMPTS = 4
 MAX_WAIT_S = 2.0
 MEAN_PAUSE_S = 0.3
+SHORTEST_PAUSE_S = 0.1
 DISCOVERY_TIMEOUT_S = 2.0
 OK_STATUS = 200
 EVENT_ERROR = 'event: error'
@@ -112,8 +113,12 @@
         kind: work.Kind,
         marker: str = '',
         max_attempts: int = MAX_ATTEMPTS,
+        pause_s: float = SHORTEST_PAUSE_S,
     ) -> records.Record:
-        """Make one request, with as many attempts as a caller would."""
+        """Make one request, with as many attempts as a caller would.
+
+        pause_s is waited before the next one, or longer if the answer says so.
+        """
         self._count += 1
         asked = work.make_work(
             f'{self._name}-{self._count}', kind, self._settings.target, marker
@@ -132,15 +137,17 @@
             record.attempts.append(attempt)
             await self._send(asked, attempt)
             if len(record.attempts) < max_attempts:
-                await self._wait_after(attempt)
+                await self._wait_after(attempt, pause_s)
         return record
 
-    async def _wait_after(self, attempt: records.Attempt) -> None:
+    async def _wait_after(
+        self, attempt: records.Attempt, pause_s: float
+    ) -> None:
         if attempt.whole:
             return
         if attempt.broken:
             self._directory.forget()
-        await anyio.sleep(min(MAX_WAIT_S, max(0.1, attempt.retry_after_s)))
+        await anyio.sleep(min(MAX_WAIT_S, max(pause_s, attempt.retry_after_s)))
 
     async def _send(self, asked: work.Work, attempt: records.Attempt) -> None:
         try:
--- a/redwingvalve/standins/engine.py
+++ b/redwingvalve/standins/engine.py
@@ -56,9 +56,6 @@
     by_fault: bool = False
 
 
-COMPLETE = Missing()
-
-
 class Fabric:
     """Which engines of this process are alive; a death has a time."""
 
@@ -151,7 +148,8 @@
         plain = self.orders.plain
         there = (plain.replica, plain.epoch) == (head.replica, head.epoch)
         if there and not self.dead:
-            return COMPLETE
+            # An order that waited out a pause still acts on the fault.
+            return Missing(0.0, by_fault)
         since_s = self._absent_since_s or now_s
         return Missing(max(now_s - since_s, SOME_TIME_S), by_fault)
 
--- a/tests/integration/promises.py
+++ b/tests/integration/promises.py
@@ -12,6 +12,7 @@
 import attrs
 
 from redwingvalve.core import invariants
+from redwingvalve.plans import objects
 from redwingvalve.soak import (
     breaches,
     callers,
@@ -152,22 +153,44 @@
         stage.hit.leaving.append(comparing.Leaving(vm, told_s, time.time()))
 
 
-async def wake_with_old_configuration(stage: Stage) -> None:
-    """An entry sleeps through a confirmation and wakes with the old one."""
-    sleeper = stage.run.daemons.role(daemons.ENTRY)[-1]
-    async with anyio.create_task_group() as group:
-        group.start_soon(stage.run.daemons.pause, sleeper.name, 4.0)
-        await anyio.sleep(0.2)
-        await stage.run.declare(operators.Wish(50))
-        await anyio.sleep(6.0)
+async def restore_old_objects(stage: Stage) -> None:
+    """The store comes back from a backup with older account objects."""
+    store = stage.run.platform.store.store
+    kind = objects.CLIENT_ACCOUNTS
+    old = store.list_now(kind).objects
+    await stage.run.declare(operators.Wish(50))
+    await anyio.sleep(2.0)
+    new = store.list_now(kind).objects
+    _put_back(store, old)
+    await anyio.sleep(3.0)
+    _put_back(store, new)
+
+
+def _put_back(store, stored_objects) -> None:
+    for stored in stored_objects:
+        store._version += 1
+        store._objects[stored.kind][stored.name] = stored
+        store._record('MODIFIED', stored)
 
 
-async def send_poison(stage: Stage) -> None:
-    """A request that kills each engine that runs it is sent four times."""
+async def send_poison_each_second(stage: Stage) -> None:
+    """A request that kills each engine that runs it is sent each second."""
+    _poison_all(stage)
+    await stage.caller().call(
+        work.Kind.NARRATIVE, 'poison-here', max_attempts=6, pause_s=1.0
+    )
+
+
+async def send_poison_at_once(stage: Stage) -> None:
+    """The same, sent again as soon as the answer allows."""
+    _poison_all(stage)
+    await stage.caller().call(work.Kind.NARRATIVE, 'poison-here')
+
+
+def _poison_all(stage: Stage) -> None:
     for engine in stage.run.platform.engines.engines.values():
         engine.faults.poison_marker = 'poison-here'
         engine.faults.restart_after_s = 1.0
-    await stage.caller().call(work.Kind.NARRATIVE, 'poison-here')
 
 
 async def stop_an_entry(stage: Stage) -> None:
@@ -223,7 +246,12 @@
         frozenset({Promise.AT_MOST_ONCE}),
         Safeguard.RUN_AT_MOST_ONCE,
     ),
-    Attack(send_poison, frozenset({Promise.POISON}), Safeguard.POISON_REFUSED),
+    Attack(
+        send_poison_each_second,
+        frozenset({Promise.POISON}),
+        Safeguard.POISON_REFUSED,
+    ),
+    Attack(send_poison_at_once, frozenset({Promise.POISON})),
     Attack(
         leave_under_load,
         frozenset({Promise.LEAVING}),
@@ -231,11 +259,11 @@
     ),
     Attack(
         leave_under_load,
-        frozenset({Promise.PLANNED_STOP}),
+        frozenset({Promise.PLANNED_STOP, Promise.INVARIANT}),
         Safeguard.DRAIN_BEFORE_STOP,
     ),
     Attack(
-        wake_with_old_configuration,
+        restore_old_objects,
         frozenset({Promise.CONFIGURATION, Promise.INVARIANT}),
         Safeguard.CONFIGURATION_ONLY_RISES,
     ),
