Name the line of a replica that no fabric domain can hold

Cause: such a declaration was planned with everything 'not placed', as if VMs were merely short. Before: a plan. After: 422 with the place, no plan kept (test).

--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -8,6 +8,7 @@
 
 from redwingvalve.administration import (
     drains,
+    feasibility,
     operations,
     rights,
     token_operations,
@@ -19,7 +20,7 @@
 from redwingvalve.membership import members
 from redwingvalve.plans import book as plan_book
 from redwingvalve.plans import objects, plan, world
-from redwingvalve.platform_api import object_api
+from redwingvalve.platform_api import object_api, vm_list
 from redwingvalve.replicas import codec
 from redwingvalve.replicas import domain as domain_module
 
@@ -51,6 +52,7 @@
     """What the operations work with; in_force asks the live entries."""
 
     store: object_api.ObjectApi
+    vms: vm_list.VmList
     book: plan_book.PlanBook
     members: members.Members
     clock: clock.Clock
@@ -161,6 +163,12 @@
         checked = reader.read_text(call.body['declaration'], file_name)
         if checked.is_error():
             return _findings_problem(checked.error.entries)
+        vms = await self._its.vms.read()
+        if vms.is_error():
+            return Error(operations.store_error(vms.error))
+        impossible = tuple(feasibility.find_impossible(checked.ok, vms.ok))
+        if impossible:
+            return _findings_problem(impossible)
         declaration = checked.ok.content
         in_force = await world.read_current(self._its.store)
         if in_force.is_error():
--- a/redwingvalve/administration/tests/test_api.py
+++ b/redwingvalve/administration/tests/test_api.py
@@ -76,12 +76,13 @@
         plans = plan_book.make_plan_book(self.store, FixedVmList(), self.clock)
         doer = store_operations.make_store_operations(
             store_operations.Surroundings(
-                self.store,
-                plans,
-                OneMember(),
-                self.clock,
-                nothing_missing,
-                list,
+                store=self.store,
+                vms=FixedVmList(),
+                book=plans,
+                members=OneMember(),
+                clock=self.clock,
+                in_force=nothing_missing,
+                waits=list,
             )
         )
         trail = audit.AuditTrail(self.store, self.clock)
@@ -171,6 +172,30 @@
     run(scenario)
 
 
+def test_a_replica_that_no_domain_can_hold_is_a_finding_with_its_place():
+    """An operator types 40 VMs a replica; the largest domain has eight.
+
+    The answer names the line, and no plan is kept.
+    """
+
+    async def scenario(bench):
+        answer = await bench.plan(
+            text=DECLARATION.replace(
+                'vms_per_replica: 4', 'vms_per_replica: 40'
+            )
+        )
+        assert answer.status_code == 422
+        assert answer.json()['error']['findings'] == [
+            (
+                'd.yaml:4:78 (deployments[0].vms_per_replica): no fabric '
+                'domain has 40 VMs; the largest of its data centres has 8'
+            )
+        ]
+        assert not bench.store.list_now('plans').objects
+
+    run(scenario)
+
+
 def test_who_may_not_touch_a_deployment_cannot_confirm_its_plan():
     """An operator of another team is told the missing right.
 
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -89,6 +89,7 @@
     doer = store_operations.make_store_operations(
         store_operations.Surroundings(
             store=parts.objects,
+            vms=parts.vms,
             book=plan_book.make_plan_book(
                 parts.objects, parts.vms, parts.clock
             ),
