Put admission before the relay; report the relay bench; tell deaths from cut answers

Cause: a full entry sent everything on; a cut answer counted as a death. Change: waiting_room.py holds callers to the fair queue's word and answers refusals at once; only a connection that breaks counts as a death; bench relay-cost is in the table of benches.

--- a/redwingvalve/bench/relay_cost.py
+++ b/redwingvalve/bench/relay_cost.py
@@ -21,15 +21,18 @@
 import uvloop
 
 from redwingvalve.bench import relay_parts
-from redwingvalve.core import http_server
 from redwingvalve.entry import (
     aiohttp_upstream,
     app,
     httpx_upstream,
     serving,
+    upstream,
 )
 
 TOKEN_GAP_S = 0.03
+STREAMS = 60
+START_TIMEOUT_S = 20.0
+TOKENS = 150
 ENGINE_PATH = '/v1/chat/completions'
 PLAIN = 'plainest relay, httpx'
 OURS_HTTPX = 'entry, httpx'
@@ -138,8 +141,7 @@
         while part := await reader.read(65536):
             now_s = time.perf_counter()
             self.delays_s.extend(
-                now_s - float(piece)
-                for piece in part.decode().split('@')[1::2]
+                now_s - float(piece) for piece in part.decode().split('@')[1::2]
             )
             if END_MARK in part:
                 self.whole += 1
@@ -179,20 +181,22 @@
     return application
 
 
-def _make_application(name: str, engine_port: int) -> Application:
+def _make_sender(name: str) -> upstream.Upstream:
+    if name == OURS_AIOHTTP:
+        return aiohttp_upstream.make_aiohttp_upstream()
+    return httpx_upstream.make_httpx_upstream()
+
+
+def _make_application(
+    name: str, sender: upstream.Upstream, engine_port: int
+) -> Application:
     if name == PLAIN:
         return _plain_relay(engine_port)
-    if name == OURS_HTTPX:
-        sender = httpx_upstream.make_httpx_upstream()
-    else:
-        sender = aiohttp_upstream.make_aiohttp_upstream()
     return app.make_entry_app(relay_parts.make_parts(sender, engine_port))
 
 
 @contextlib.contextmanager
-def _engine(
-    tokens: int, gap_s: float
-) -> collections_abc.Iterator[int]:
+def _engine(tokens: int, gap_s: float) -> collections_abc.Iterator[int]:
     engine = _EngineThread(tokens, gap_s)
     ready = threading.Event()
     loops: list[tuple[asyncio.AbstractEventLoop, asyncio.Event]] = []
@@ -214,7 +218,10 @@
 
 
 def _relay_thread(
-    name: str, engine_port: int, called: threading.Event, told: dict
+    name: str,
+    engine_port: int,
+    called: threading.Event,
+    told: dict[str, typing.Any],
 ) -> None:
     """Serve in this thread until called; tell its port and its cost."""
 
@@ -222,14 +229,11 @@
         listener = serving.bind_socket('127.0.0.1')
         told['port'] = listener.getsockname()[1]
         stop = anyio.Event()
-        config = serving.make_config(f'fd://{listener.detach()}', 5)
+        sender = _make_sender(name)
+        application = _make_application(name, sender, engine_port)
+        bind = f'fd://{listener.detach()}'
         async with anyio.create_task_group() as group:
-            group.start_soon(
-                http_server.run,
-                _make_application(name, engine_port),
-                config,
-                stop.wait,
-            )
+            group.start_soon(serving.serve, application, bind, 5, stop.wait)
             await anyio.sleep(0.2)
             told['began_s'] = time.thread_time()
             told['ready'].set()
@@ -237,6 +241,7 @@
                 await anyio.sleep(0.05)
             told['processor_s'] = time.thread_time() - told['began_s']
             stop.set()
+        await sender.aclose()
 
     anyio.run(main, backend_options={'use_uvloop': True})
 
@@ -247,10 +252,13 @@
     told: dict[str, typing.Any] = {'ready': threading.Event()}
     with _engine(tokens, gap_s) as engine_port:
         relay = threading.Thread(
-            target=_relay_thread, args=(name, engine_port, called, told)
+            target=_relay_thread,
+            args=(name, engine_port, called, told),
+            daemon=True,
         )
         relay.start()
-        told['ready'].wait()
+        if not told['ready'].wait(START_TIMEOUT_S):
+            raise RuntimeError(f'{name}: the relay did not start')
         callers = _Callers(told['port'], streams)
         anyio.run(callers.run, backend_options={'use_uvloop': True})
         called.set()
@@ -269,7 +277,9 @@
 
 
 def measure_all(
-    streams: int, tokens: int, gap_s: float = TOKEN_GAP_S
+    streams: int = STREAMS,
+    tokens: int = TOKENS,
+    gap_s: float = TOKEN_GAP_S,
 ) -> tuple[RelayCost, ...]:
     """Measure each relay in turn; the first is the baseline."""
     return tuple(
--- a/redwingvalve/bench/relay_parts.py
+++ b/redwingvalve/bench/relay_parts.py
@@ -77,7 +77,9 @@
         clock=clock.make_system_clock(),
         settings=settings,
         metrics=metrics.NoMetrics(),
-        tracing=tracing.make_tracing(settings_schema.TracingSettings(), 'bench'),
+        tracing=tracing.make_tracing(
+            settings_schema.TracingSettings(), 'bench'
+        ),
         switches=invariants.SafeguardSwitches(),
         directory=directory.make_members_directory(
             alone, settings.discovery_keep_s
--- /dev/null
+++ b/redwingvalve/bench/tests/test_relay_cost.py
@@ -0,0 +1,16 @@
+"""The relay bench relays whole streams through each relay."""
+
+import io
+import json
+
+from redwingvalve.bench import relay_cost, relay_report
+
+
+def test_every_relay_relays_every_token():
+    costs = relay_cost.measure_all(streams=2, tokens=5, gap_s=0.001)
+    assert [cost.tokens for cost in costs] == [10, 10, 10]
+    table, rows = io.StringIO(), io.StringIO()
+    relay_report.write_report(costs, 'table', table)
+    relay_report.write_report(costs, 'json', rows)
+    assert relay_cost.PLAIN in table.getvalue()
+    assert len(json.loads(rows.getvalue())) == 3
--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -5,7 +5,7 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.bench import request_path
+from redwingvalve.bench import relay_cost, relay_report, request_path
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
 
@@ -16,9 +16,13 @@
     request_path.write_report(request_path.run_bench(seed), output, stream)
 
 
+def _relay_cost(seed: int, output: str, stream: typing.TextIO) -> None:
+    relay_report.write_report(relay_cost.measure_all(), output, stream)
+
+
 # Each bench takes the seed, the output format and where to write.
 BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
-    {'request-path': _request_path}
+    {'request-path': _request_path, 'relay-cost': _relay_cost}
 )
 
 
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -18,6 +18,7 @@
     responder,
     sends,
     suspects,
+    waiting_room,
 )
 from redwingvalve.observability import logs
 from redwingvalve.retries import budget, decisions
@@ -69,6 +70,9 @@
             entry_parts.clock,
             entry_parts.switches,
         )
+        self._room = waiting_room.WaitingRoom(
+            entry_parts.members, entry_parts.clock
+        )
         self._retries: dict[str, _Retries] = collections.defaultdict(_Retries)
 
     async def run(
@@ -108,6 +112,30 @@
         """Send until the caller has its answer; return a refusal otherwise."""
         digest = self._suspects.digest(journey.request)
         refusal = self._suspects.refusal(digest)
+        serving = self.choice.serving(journey.request.deployment.name)
+        if refusal is not None:
+            return refusal
+        if not serving:
+            return _no_replica(journey, None)
+        job_id = self._sender.next_identity(journey.request).endpoint_id
+        async with self._room.admitted(
+            journey.request, job_id, len(serving)
+        ) as turn:
+            if turn.is_error():
+                return turn.error
+            journey.turn = turn.ok
+            refusal = await self._send_until_whole(journey, digest, may_send)
+            self._suspects.gave_up(digest)
+            turn.ok.used_tokens = float(journey.delivered.count)
+        return refusal
+
+    async def _send_until_whole(
+        self,
+        journey: sends.Journey,
+        digest: bytes,
+        may_send: parts.MaySend | None,
+    ) -> outcomes.ErrorAnswer | None:
+        refusal: outcomes.ErrorAnswer | None = None
         tried: set[str] = set()
         failure: sends.SendFailure | None = None
         while refusal is None:
@@ -151,6 +179,7 @@
         )
 
         def on_first_token() -> None:
+            journey.turn.first_token()
             policy.first_token(
                 identity.endpoint_id, self._parts.clock.monotonic_s()
             )
@@ -196,7 +225,7 @@
             replica.members[0].vm,
             self._parts.clock.monotonic_s(),
         )
-        if failure.outcome != outcomes.Outcome.NOT_RUN:
+        if failure.died:
             self._suspects.endpoint_died(replica)
 
     async def _after(
@@ -208,8 +237,9 @@
         """Prepare the next send, or return the refusal that ends it."""
         if not failure.retriable:
             return _refused_by_endpoint(failure, journey)
-        if self._suspects.refused_again(digest):
-            return suspects.poison_after_run()
+        suspected = self._suspects.refusal_after_death(digest)
+        if suspected is not None:
+            return attrs.evolve(suspected, outcome=journey.responds.outcome)
         had = delivered.DeliveredText((), ended=False)
         if journey.delivered.kept and journey.delivered.count:
             had = journey.delivered.read()
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -19,6 +19,7 @@
     parts,
     responder,
     upstream,
+    waiting_room,
 )
 
 OK_STATUS = 200
@@ -34,7 +35,8 @@
     """A send that brought no whole answer; outcome is of this send alone.
 
     retriable tells whether another replica could do better; status is the
-    endpoint's own where it answered.
+    endpoint's own where it answered; died says that the connection broke, as
+    it does when an endpoint dies under a request.
     """
 
     outcome: outcomes.Outcome
@@ -42,6 +44,7 @@
     retriable: bool = True
     status: int = 0
     blames_endpoint: bool = False
+    died: bool = False
 
 
 @attrs.define
@@ -52,6 +55,7 @@
     responds: responder.Responder
     span: trace.Span
     delivered: delivered.Delivered
+    turn: waiting_room.Turn | None = None
     sends: int = 0
     resume_tokens: tuple[str, ...] = ()
     last_endpoint_id: str = ''
@@ -214,6 +218,7 @@
             return None
         body = b''.join([chunk async for chunk in answer.chunks])
         exchange.ended = True
+        on_first_token()
         whole = answer_check.check_whole_json(
             body, identity, self._parts.switches
         )
@@ -261,6 +266,7 @@
             outcomes.Outcome.NOT_RUN if not_run else outcomes.Outcome.UNKNOWN,
             str(error),
             blames_endpoint=True,
+            died=not error.surely_not_run,
         )
 
     async def _tidy(
--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -29,7 +29,9 @@
         self._clock = gate_clock
         self._myself = known.myself().name
         self._ledger = ledger.make_suspect_ledger(
-            self._myself, safeguards=switches
+            self._myself,
+            safeguards=switches,
+            incarnation=known.myself().incarnation,
         )
         self._merged: dict[str, tuple[int, int]] = {}
         self._told_revision = 0
@@ -50,23 +52,30 @@
         home = ledger.home_entry(digest, self._entries())
         verdict = self._ledger.judge(digest, home, now_s)
         if verdict == ledger.Verdict.REFUSE:
-            return _poison()
+            return _poison(outcomes.Outcome.NOT_RUN)
         if verdict == ledger.Verdict.WAIT:
-            return outcomes.ErrorAnswer(
-                status=503,
-                code='suspect-request',
-                message=f'a like request may have crashed a replica; {home} '
-                'runs it alone',
-                outcome=outcomes.Outcome.NOT_RUN,
-                retry_after_s=WAIT_RETRY_AFTER_S,
-            )
+            return _wait(home, outcomes.Outcome.NOT_RUN)
         return None
 
-    def refused_again(self, digest: bytes) -> bool:
-        """Tell whether a request that failed here may not be sent again."""
+    def refusal_after_death(self, digest: bytes) -> outcomes.ErrorAnswer | None:
+        """Return why a request that failed here is not sent again, if so."""
         self._hear()
         now_s = self._clock.monotonic_s()
-        return self._ledger.judge_again(digest, now_s) == ledger.Verdict.REFUSE
+        verdict = self._ledger.judge_again(digest, now_s)
+        if verdict == ledger.Verdict.ISOLATE:
+            # Claimed before another entry may try it; see ledger.intends.
+            self._ledger.intends(digest, now_s)
+            self._tell()
+        if verdict == ledger.Verdict.REFUSE:
+            return _poison(outcomes.Outcome.UNKNOWN)
+        if verdict == ledger.Verdict.WAIT:
+            return _wait('another entry', outcomes.Outcome.UNKNOWN)
+        return None
+
+    def gave_up(self, digest: bytes) -> None:
+        """Leave a suspect that is not sent again to its home."""
+        self._ledger.gave_up(digest, self._clock.monotonic_s())
+        self._tell()
 
     def allowed(
         self, digest: bytes, serving: collections_abc.Iterable[str]
@@ -87,7 +96,8 @@
         now_s = self._clock.monotonic_s()
         suspect = self._ledger.judge_again(digest, now_s) != ledger.Verdict.FREE
         if suspect and not self._ledger.running(digest):
-            self._ledger.started(digest, replica.name)
+            self._ledger.started(digest, replica.name, now_s)
+            self._tell()
         return suspect
 
     def ended(
@@ -132,20 +142,21 @@
             )
 
 
-def _poison() -> outcomes.ErrorAnswer:
+def _poison(outcome: outcomes.Outcome) -> outcomes.ErrorAnswer:
     return outcomes.ErrorAnswer(
         status=422,
         code='poison-request',
         message='endpoints died twice while they ran this request',
-        outcome=outcomes.Outcome.NOT_RUN,
+        outcome=outcome,
     )
 
 
-def poison_after_run() -> outcomes.ErrorAnswer:
-    """Return the answer to a request whose second death was seen here."""
+def _wait(where: str, outcome: outcomes.Outcome) -> outcomes.ErrorAnswer:
     return outcomes.ErrorAnswer(
-        status=422,
-        code='poison-request',
-        message='endpoints died twice while they ran this request',
-        outcome=outcomes.Outcome.UNKNOWN,
+        status=503,
+        code='suspect-request',
+        message=f'a like request may have crashed a replica; {where} runs it '
+        'alone',
+        outcome=outcome,
+        retry_after_s=WAIT_RETRY_AFTER_S,
     )
--- a/redwingvalve/entry/tests/test_over_http.py
+++ b/redwingvalve/entry/tests/test_over_http.py
@@ -6,7 +6,13 @@
 import pytest
 
 from redwingvalve.configuration import snapshot
-from redwingvalve.entry import app, httpx_upstream, serving
+from redwingvalve.entry import (
+    aiohttp_upstream,
+    app,
+    httpx_upstream,
+    serving,
+    upstream,
+)
 from redwingvalve.entry.tests import fakes
 
 HEADERS = {
@@ -42,14 +48,14 @@
     return application
 
 
-async def through_entry(cut, read):
+async def through_entry(make_upstream, cut, read):
     sockets = [serving.bind_socket('127.0.0.1') for _ in range(2)]
     entry_port, engine_port = (sock.getsockname()[1] for sock in sockets)
     member = snapshot.ReplicaMember('vm', f'127.0.0.1:{engine_port}')
     replica = attrs.evolve(fakes.replica('r1'), members=(member,))
     entry = app.make_entry_app(
         fakes.make_parts(
-            httpx_upstream.make_httpx_upstream(),
+            make_upstream(),
             source=fakes.Source(fakes.make_snapshot(replicas=(replica,))),
         )
     )
@@ -71,16 +77,27 @@
                 stop.set()
 
 
-def test_a_stream_over_http_is_whole():
+UPSTREAMS = pytest.mark.parametrize(
+    'make_upstream',
+    [
+        httpx_upstream.make_httpx_upstream,
+        aiohttp_upstream.make_aiohttp_upstream,
+    ],
+)
+
+
+@UPSTREAMS
+def test_a_stream_over_http_is_whole(make_upstream):
     async def read(client):
         return await client.post('/v1/chat/completions', json=BODY)
 
-    answer = anyio.run(through_entry, False, read)
+    answer = anyio.run(through_entry, make_upstream, False, read)
     assert answer.text.count('chatcmpl-mine') == 3
     assert answer.text.endswith('data: [DONE]\n\n')
 
 
-def test_a_broken_stream_has_no_clean_end():
+@UPSTREAMS
+def test_a_broken_stream_has_no_clean_end(make_upstream):
     """The caller sees one token, an error event and then a broken body.
 
     The only engine drops its connection after the first token. The entry has
@@ -97,7 +114,37 @@
                 async for text in answer.aiter_text():
                     parts.append(text)
 
-    anyio.run(through_entry, True, read)
+    anyio.run(through_entry, make_upstream, True, read)
     text = ''.join(parts)
     assert text.count('chatcmpl-mine') == 1
     assert 'event: error' in text and '[DONE]' not in text
+
+
+@UPSTREAMS
+def test_only_a_refused_connection_counts_as_not_run(make_upstream):
+    """Nobody listens: surely not run. An answer cut off: it may have run."""
+
+    async def scenario():
+        sock = serving.bind_socket('127.0.0.1')
+        port = sock.getsockname()[1]
+        request = upstream.UpstreamRequest(
+            f'127.0.0.1:{port}', 'POST', '/x', (), b'{}', 'id', 20.0
+        )
+        sender = make_upstream()
+
+        def hang_up():
+            accepted, _ = sock.accept()
+            accepted.recv(65536)
+            accepted.close()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(anyio.to_thread.run_sync, hang_up)
+            with pytest.raises(upstream.UpstreamError) as cut:
+                await sender.send(request)
+        sock.close()
+        with pytest.raises(upstream.UpstreamError) as refused:
+            await sender.send(request)
+        await sender.aclose()
+        return cut.value.surely_not_run, refused.value.surely_not_run
+
+    assert anyio.run(scenario) == (False, True)
--- a/redwingvalve/entry/tests/test_relay.py
+++ b/redwingvalve/entry/tests/test_relay.py
@@ -153,3 +153,54 @@
     assert [got.error['code'] for got in answers[:5]] == ['poison-request'] * 5
     assert len(engines.sent) == 3
     assert answers[5].tokens == [' t1', ' t2', ' t3']
+
+
+def test_a_full_entry_refuses_in_time_and_serves_who_waited():
+    """Of five callers one is served at once, others wait or are refused.
+
+    The only replica takes one job at a time and is held by the first caller.
+    Those whose target passes meanwhile are told so with a Retry-After before
+    their target, none hangs, and the next call after that is served.
+    """
+
+    async def main():
+        held = anyio.Event()
+
+        async def slow(request):
+            await held.wait()
+            return await fakes.streaming()(request)
+
+        deployment = fakes.schema.ModelDeployment(
+            'quotes',
+            'm',
+            '1',
+            1,
+            4,
+            tokens_per_s_per_replica=10.0,
+            first_token_target_s=0.3,
+        )
+        source = fakes.Source(
+            fakes.make_snapshot(('r1',), deployments=(deployment,))
+        )
+        engines = fakes.Engines({'r1:1': slow})
+        application = app.make_entry_app(
+            fakes.make_parts(engines, source=source)
+        )
+        answers = []
+
+        async def caller():
+            answers.append(await fakes.call(application))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(5):
+                group.start_soon(caller)
+            while len(answers) < 4:
+                await anyio.sleep(0.01)
+            held.set()
+        assert [got.status for got in answers[:4]] == [429] * 4
+        assert all(got.headers['retry-after'] for got in answers[:4])
+        assert {got.error['outcome'] for got in answers[:4]} == {'not-run'}
+        assert answers[4].tokens == [' t1', ' t2', ' t3']
+        assert (await fakes.call(application)).status == 200
+
+    anyio.run(main)
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -11,7 +11,7 @@
     voter,
 )
 from redwingvalve.discovery import spread_directory
-from redwingvalve.entry import daemon, httpx_upstream
+from redwingvalve.entry import aiohttp_upstream, daemon
 from redwingvalve.entry import parts as entry_parts
 from redwingvalve.evidence import prober, serving_permits, table
 from redwingvalve.process import entry_drains
@@ -87,7 +87,7 @@
         permits=serving_permits.make_serving_permits(evidence, parts.switches),
         members=parts.node.members,
         news=parts.node.news,
-        upstream=httpx_upstream.make_httpx_upstream(),
+        upstream=aiohttp_upstream.make_aiohttp_upstream(),
         clock=parts.clock,
         settings=parts.settings.requests,
         metrics=parts.metrics,
