--- a/redwingvalve/bench/relay_report.py
+++ b/redwingvalve/bench/relay_report.py
@@ -9,6 +9,7 @@
 
 from redwingvalve.bench import relay_cost
 
+TABLE_WIDTH = 110
 COLUMNS = (
     'relay',
     'tokens',
@@ -39,4 +40,4 @@
             f'{cost.delay_p50_ms:.2f}',
             f'{cost.delay_p95_ms:.2f}',
         )
-    rich.console.Console(file=stream).print(table)
+    rich.console.Console(file=stream, width=TABLE_WIDTH).print(table)
--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -5,7 +5,14 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.bench import relay_cost, relay_report, request_path
+from redwingvalve.bench import (
+    control_cost,
+    relay_cost,
+    relay_report,
+    replicas_report,
+    request_path,
+    spread,
+)
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
 
@@ -22,7 +29,22 @@
 
 # Each bench takes the seed, the output format and where to write.
 BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
-    {'request-path': _request_path, 'relay-cost': _relay_cost}
+    {
+        'request-path': _request_path,
+        'relay-cost': _relay_cost,
+        'replicas': replicas_report.write_report,
+    }
+)
+
+
+# Benches that have options of their own.
+FLEET_BENCHES: collections_abc.Mapping[str, options.Runner] = (
+    types.MappingProxyType(
+        {
+            'control-cost': control_cost.run_control_cost,
+            'spread': spread.run_spread,
+        }
+    )
 )
 
 
@@ -30,6 +52,9 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Run one bench and write its figures."""
+    of_fleets = FLEET_BENCHES.get(arguments.bench)
+    if of_fleets is not None:
+        return of_fleets(arguments, surroundings)
     bench = BENCHES[arguments.bench]
     bench(arguments.seed, arguments.output, surroundings.stdout)
     return exit_status.ExitStatus.SUCCESS
@@ -42,7 +67,9 @@
     run=run_bench,
     options=(
         options.Option(
-            dest='bench', help='what to measure', choices=tuple(BENCHES)
+            dest='bench',
+            help='what to measure',
+            choices=(*BENCHES, *FLEET_BENCHES),
         ),
         options.Option(
             dest='seed',
@@ -51,6 +78,8 @@
             default=1,
             help='the same seed gives the same load',
         ),
+        *control_cost.OPTIONS,
+        *spread.OPTIONS,
         options.OUTPUT,
     ),
 )
--- a/redwingvalve/configuration/records.py
+++ b/redwingvalve/configuration/records.py
@@ -106,6 +106,8 @@
             return False
         if held is not None and rises and record.version < held.version:
             return False
+        if rises and self._knows_past(record):
+            return False
         invariants.require(
             held is None or record.version > held.version,
             'configuration never reverts',
@@ -116,6 +118,15 @@
             self._bound_tombstones(record.kind)
         return True
 
+    def _knows_past(self, record: Record) -> bool:
+        """Tell whether what we hold is newer than this record.
+
+        Up to the group's version every live object is held at its newest. A
+        record below it that is not held was replaced or deleted since; a late
+        list or answer that still shows it would bring it back.
+        """
+        return record.version <= self._versions.get(record.group, 0)
+
     def complete(self, versions: Versions) -> None:
         """Note that everything up to these versions has been taken."""
         for group, version in versions.items():
@@ -192,12 +203,12 @@
     def _add_deletions(
         self, reply: messages.peer.RecordsReply, group: str, have: int
     ) -> None:
-        if have == 0:
-            # A newcomer holds nothing that could be deleted, and is told of
-            # no deletions; nobody may rely on it for earlier ones.
-            reply.deletions_since[group] = self._versions[group]
-            return
+        # A newcomer is told of no deletions, and nobody may rely on it for
+        # earlier ones. It asks several peers at once, so that it may hold what
+        # an older one of them gave: the names that are present tell it.
         since = self._deletions_since.get(group, 0)
+        if have == 0:
+            since = self._versions[group]
         reply.deletions_since[group] = since
         if have < since and reply.versions[group] == self._versions[group]:
             kind = group.partition('/')[0]
--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -85,6 +85,8 @@
         verdict = self._ledger.judge_again(digest, now_s)
         if verdict == ledger.Verdict.FREE:
             return None
+        if verdict == ledger.Verdict.WAIT:
+            return frozenset()
         own = ledger.own_share(self._myself, self._entries(), serving)
         busy = {name for name, running in self._on_endpoint.items() if running}
         free = self._ledger.free_endpoints(own, now_s)
