--- a/redwingvalve/routing/endpoint_state.py
+++ b/redwingvalve/routing/endpoint_state.py
@@ -51,6 +51,7 @@
         self.own_tokens = 0.0
         self._own_sent: dict[str, float] = {}
         self.others = 0.0
+        self.others_tokens = 0.0
         self.distance_s = 0.0
         self._reported_at_s = -math.inf
         self._pending: dict[str, float] = {}
--- a/redwingvalve/routing/scored.py
+++ b/redwingvalve/routing/scored.py
@@ -83,7 +83,7 @@
         self._tier_of = {tier.data_centre: tier for tier in self._tiers}
         self._homes = tiers.make_homes(self._tiers, self._settings)
         for tier in self._tiers:
-            tier.recount(self._mean_tokens)
+            tier.recount()
 
     def choose(
         self,
@@ -172,9 +172,12 @@
         if state is None:
             return
         tier = self._tier_of[state.candidate.data_centre]
-        tier.tokens -= state.others * self._mean_tokens
+        tier.tokens -= state.others_tokens
         state.reported(report, self._settings.report_smoothing)
-        tier.tokens += state.others * self._mean_tokens
+        # Kept as counted: the mean moves on, and taking away more than was
+        # added would make a data centre look empty for ever.
+        state.others_tokens = state.others * self._mean_tokens
+        tier.tokens += state.others_tokens
 
     def prefix_stored(self, name: str, prefix_hash: str) -> None:
         """Learn that an endpoint holds a prefix."""
--- a/redwingvalve/routing/tiers.py
+++ b/redwingvalve/routing/tiers.py
@@ -47,13 +47,16 @@
         """
         return self.tokens / self.tokens_per_s + self.delay_s
 
-    def recount(self, mean_tokens: float) -> None:
-        """Add the load up again; increments alone would drift."""
-        self.tokens = math.fsum(
-            state.own_tokens + state.others * mean_tokens
-            for state in self.states
+    def counted_tokens(self) -> float:
+        """Return the load added up anew."""
+        return math.fsum(
+            state.own_tokens + state.others_tokens for state in self.states
         )
 
+    def recount(self) -> None:
+        """Add the load up anew, after candidates have come or gone."""
+        self.tokens = self.counted_tokens()
+
     def sample(self, draw: int, size: int) -> dict[str, State]:
         """Return some states by a random draw, or all when there are few."""
         states = self.states
