--- a/redwingvalve/bench/replicas.py
+++ b/redwingvalve/bench/replicas.py
@@ -37,6 +37,7 @@
     Strategy('redwingvalve'),
     Strategy('no spares', spares_per_domain=0),
     Strategy('one spare a replica', spares_per_domain=10),
+    Strategy('room for a replica', spares_per_domain=4),
     Strategy('rebuild in place', spares_per_domain=0, heal_from_spares=False),
 )
 
