--- a/redwingvalve/membership/conversations.py
+++ b/redwingvalve/membership/conversations.py
@@ -7,6 +7,7 @@
 
 LOG = logs.make_logger('membership')
 Address = tuple[str, int]
+Kind = call_errors.CallErrorKind
 Exchange = messages.peer.Exchange
 # Timeouts grow up to so many times and one.
 POOREST_HEALTH = 4
@@ -57,9 +58,14 @@
         self, address: Address, asked: Exchange
     ) -> call_errors.CallError | None:
         outcome = await self._send(address, asked)
+        if outcome.is_error() and outcome.error.kind is Kind.BROKEN:
+            # A kept connection breaks when its peer restarts or dies. A new
+            # one tells these apart: it is answered, or refused at once. An
+            # exchange may be repeated.
+            outcome = await self._send(address, asked)
         self._note_health(outcome)
         if outcome.is_error():
-            if outcome.error.kind is call_errors.CallErrorKind.REFUSED:
+            if outcome.error.kind is Kind.REFUSED:
                 # The host itself answers, so that we are not cut off.
                 self._table.heard_network(self._clock.monotonic_s())
             return outcome.error
@@ -92,5 +98,5 @@
         if outcome.is_ok():
             self._poor_health = max(self._poor_health - 1, 0)
             return
-        if outcome.error.kind is call_errors.CallErrorKind.TIMEOUT:
+        if outcome.error.kind is Kind.TIMEOUT:
             self._poor_health = min(self._poor_health + 1, POOREST_HEALTH)
--- a/tests/integration/test_peer_nodes.py
+++ b/tests/integration/test_peer_nodes.py
@@ -205,8 +205,12 @@
                 await proxy.start()
                 routes['127.0.0.1', port] = parse(proxy.address)
                 self.proxies[asker, asked] = proxy
-            one.caller.close_idle()
             one.caller._connect = self._through(one.caller._connect, routes)
+            # A direct connection that carries a call now would be kept and
+            # used past the proxies; none is kept.
+            one.caller._keep = close_instead
+            one.caller.close_idle()
+        await anyio.sleep(BOUNDS.probe_timeout_s)
 
     async def cut(self, asker, asked, **faults):
         proxy = self.proxies[asker, asked]
@@ -220,6 +224,10 @@
         return connect_through
 
 
+def close_instead(address, connection):
+    connection.writer.close()
+
+
 def parse(address):
     host, _, port = address.rpartition(':')
     return host, int(port)
