--- a/redwingvalve/at_most_once/claims.py
+++ b/redwingvalve/at_most_once/claims.py
@@ -59,7 +59,13 @@
         began_s = self._clock.monotonic_s()
         named = self._voters_of(claim)
         claim = attrs.evolve(claim, voters=named)
-        votes = await self._ask(claim, named)
+        try:
+            votes = await self._ask(claim, named)
+        except BaseException:
+            # The caller hung up while voters were asked: nothing was sent, and
+            # its next attempt must not be taken for a duplicate.
+            await self.report(claim, outcomes.Outcome.NOT_RUN)
+            raise
         granted = [
             name for name, vote in votes if vote.verdict == messages.Verdict.RUN
         ]
