--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -7,6 +7,8 @@
 
 from redwingvalve.bench import (
     control_cost,
+    relay_cost,
+    relay_report,
     replicas_report,
     request_path,
     spread,
@@ -21,10 +23,15 @@
     request_path.write_report(request_path.run_bench(seed), output, stream)
 
 
+def _relay_cost(seed: int, output: str, stream: typing.TextIO) -> None:
+    relay_report.write_report(relay_cost.measure_all(), output, stream)
+
+
 # Each bench takes the seed, the output format and where to write.
 BENCHES: collections_abc.Mapping[str, Bench] = types.MappingProxyType(
     {
         'request-path': _request_path,
+        'relay-cost': _relay_cost,
         'replicas': replicas_report.write_report,
     }
 )
