--- a/redwingvalve/bench/control_cost.py
+++ b/redwingvalve/bench/control_cost.py
@@ -31,6 +31,7 @@
 ACCOUNTS = 100
 PROBERS = 2
 CHANGE_INTERVAL_S = 2.0
+DARK_DATA_CENTRE = 'dc-00'
 BATCHED_BYTES_PER_REPLICA = 7
 SINGLE_ITEM_BYTES = 190
 MS_PER_S = 1000
@@ -86,13 +87,16 @@
         await fleet.settled()
         await _declare(fleet, size)
         await fleet.clock.sleep(SETTLING_S)
+        if load == 'storm':
+            await fleet.darken(DARK_DATA_CENTRE)
         before, started_s = _read(fleet), fleet.clock.monotonic_s()
         if load == 'changes':
             await _change(fleet, measured_s)
         else:
             await fleet.clock.sleep(measured_s)
         spent = _minus(_read(fleet), before)
-        passed_s = (fleet.clock.monotonic_s() - started_s) * size
+        passed_s = fleet.clock.monotonic_s() - started_s
+        passed_s *= len(fleet.nodes)
         used_bytes = psutil.Process().memory_info().rss - memory_before
         return Cost(
             size=size,
@@ -241,7 +245,7 @@
         dest='loads',
         flags=('--loads',),
         default='rest,batched,changes',
-        help='control-cost: rest, batched, single, changes',
+        help='control-cost: rest, batched, single, changes, storm',
     ),
     options.Option(
         dest='measured_s',
--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -13,6 +13,7 @@
 
 import anyio
 import attrs
+from anyio import abc as anyio_abc
 
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock
@@ -61,6 +62,28 @@
     nodes: list[node.PeerNode]
     store: memory_store.MemoryObjectApi
     clock: clock.Clock
+    scopes: dict[str, anyio.CancelScope] = attrs.field(factory=dict)
+
+    def start(self, group: anyio_abc.TaskGroup, started: node.PeerNode) -> None:
+        """Run a node until it is stopped."""
+        scope = anyio.CancelScope()
+        self.scopes[started.members.myself().name] = scope
+        self.nodes.append(started)
+        group.start_soon(_run_in, scope, started)
+
+    async def darken(self, data_centre: str) -> None:
+        """Stop all nodes of a data centre at once, without a word."""
+        gone = [
+            each
+            for each in self.nodes
+            if each.members.myself().data_centre == data_centre
+        ]
+        for each in gone:
+            self.scopes[each.members.myself().name].cancel()
+            self.nodes.remove(each)
+        for closed in gone:
+            await closed.server.aclose(grace_s=0.0)
+            closed.caller.close_idle()
 
     async def settled(self) -> None:
         """Wait until every member knows every other one."""
@@ -125,8 +148,7 @@
                 bounds=judging,
             )
             contacts = contacts or (f'{HOST}:{started.server.port}',)
-            fleet.nodes.append(started)
-            group.start_soon(started.run)
+            fleet.start(group, started)
             # Newcomers are let in one by one, as processes start.
             await anyio.sleep(0.02)
         if load is not None:
@@ -141,6 +163,11 @@
         stopped.caller.close_idle()
 
 
+async def _run_in(scope: anyio.CancelScope, started: node.PeerNode) -> None:
+    with scope:
+        await started.run()
+
+
 async def _publish(
     news: board.NewsBoard, load: NewsLoad, timers: clock.Clock
 ) -> None:
