End a stream with the version that began it, or say that it broke

Change: once something was delivered, replicas of other models or versions are excluded; where none is left the caller sees an error event. Before: the new test receives six tokens from two versions. After: two tokens and an error event. Conclusion: an answer is one version's.

--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -146,6 +146,8 @@
                 return parts.grant_expired()
             tried.add(attempt.replica.name)
             failure = await self._send(journey, attempt, digest)
+            if journey.delivered.count and journey.begun is None:
+                journey.begun = attempt.replica
             if failure is None:
                 deployment = journey.request.deployment.name
                 self._retries[deployment].spending.succeeded()
@@ -162,7 +164,10 @@
         request = journey.request
         identity = self._sender.next_identity(request)
         route = self.choice.route_request(
-            request, identity.endpoint_id, tried, len(journey.resume_tokens)
+            request,
+            identity.endpoint_id,
+            tried | self.choice.of_other_versions(journey.begun),
+            len(journey.resume_tokens),
         )
         only = self._suspects.allowed(
             digest, self.choice.serving(request.deployment.name)
--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -114,6 +114,23 @@
             return True
         return self._permits.permitted(replica, now_s)
 
+    def of_other_versions(
+        self, begun: snapshot.Replica | None
+    ) -> frozenset[str]:
+        """Return the replicas that may not go on with an answer.
+
+        During a rolling change two versions serve at once. An answer that one
+        began and the other ended is neither's, and the caller could not tell.
+        """
+        if begun is None:
+            return frozenset()
+        weights = (begun.model, begun.version)
+        return frozenset(
+            name
+            for name, replica in self._replicas.items()
+            if (replica.model, replica.version) != weights
+        )
+
     def serving(self, deployment: str) -> tuple[str, ...]:
         """Return the names of the replicas that may get new work."""
         self._follow()
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -59,6 +59,7 @@
     sends: int = 0
     resume_tokens: tuple[str, ...] = ()
     last_endpoint_id: str = ''
+    begun: snapshot.Replica | None = None
 
 
 @attrs.define
--- a/redwingvalve/entry/tests/test_relay.py
+++ b/redwingvalve/entry/tests/test_relay.py
@@ -3,6 +3,7 @@
 import json
 
 import anyio
+import attrs
 import pytest
 
 from redwingvalve.core import invariants
@@ -39,6 +40,23 @@
     assert got.body.count(b'[DONE]') == 1
 
 
+def test_a_stream_is_not_ended_by_another_version():
+    """The caller sees tokens of one version, then an error event.
+
+    During a rolling change the replica of the old version breaks; only one of
+    the new version is left. Found by soak seed 212 over processes.
+    """
+    versions = tuple(
+        attrs.evolve(fakes.replica(name), model='m', version=version)
+        for name, version in (('r1', '1'), ('r2', '2'))
+    )
+    engines = two(fakes.streaming(6, cut_after=2))
+    source = fakes.Source(fakes.make_snapshot(replicas=versions))
+    (got,) = fakes.run(engines, {}, source=source)
+    assert got.tokens == [' t1', ' t2'] and not got.ended
+    assert len(engines.sent) == 1
+
+
 def test_what_may_run_once_is_not_resumed():
     """The caller sees its tokens, then an error event and no clean end.
 
