--- a/redwingvalve/administration/retention.py
+++ b/redwingvalve/administration/retention.py
@@ -1,13 +1,13 @@
-"""How long plans and audit entries are kept in the store.
+"""How long audit entries are kept in the store.
 
-Load pattern: 1,400 changes a day leave 1,400 plans and several thousand audit
-entries a day. Without an end the store's lists, which operators read whole,
-grow past a megabyte within a week and past its rate limits within a year.
+Load pattern: 1,400 changes a day leave several thousand audit entries a day.
+Without an end the list, which operators read whole, passes a megabyte within a
+week and the store's rate limits within a year. Plans have an end of their own
+(plans.finishing).
 
-Grounds: a fined target is disputed within a month, so audit entries stay 35
-days; of plans, the newest 500 (a third of a day's) are enough to see who won,
-and the one in force always stays. One delete every half a second uses under
-one hundredth of the store's several hundred writes a second.
+Grounds: a fined target is disputed within a month, so entries stay 35 days.
+One delete every half a second uses under one hundredth of the store's several
+hundred writes a second.
 """
 
 from collections import abc as collections_abc
@@ -17,11 +17,9 @@
 from redwingvalve.administration import audit
 from redwingvalve.core import clock
 from redwingvalve.observability import logs
-from redwingvalve.plans import objects, world
 from redwingvalve.platform_api import object_api
 
 AUDIT_KEEP_S = 35 * 86_400.0
-PLANS_KEPT = 500
 SWEEP_EVERY_S = 600.0
 DELETE_EVERY_S = 0.5
 MOST_DELETES = 1_000
@@ -43,17 +41,6 @@
     return tuple(sorted(old, key=lambda stored: stored.name))[:MOST_DELETES]
 
 
-def outdated_plans(
-    kept: collections_abc.Iterable[Stored], in_force: str
-) -> tuple[Stored, ...]:
-    """Return all but the newest plans, oldest first, never that in force."""
-    newest_last = sorted(kept, key=lambda stored: int(stored.version))
-    old = newest_last[: max(0, len(newest_last) - PLANS_KEPT)]
-    return tuple(stored for stored in old if stored.name != in_force)[
-        :MOST_DELETES
-    ]
-
-
 @attrs.frozen
 class Sweeper:
     """Deletes what is outdated; every delete is bound to a version."""
@@ -62,23 +49,13 @@
     time_source: clock.Clock
 
     async def sweep(self) -> int:
-        """Make one pass and return how many objects were deleted.
-
-        A plan that is confirmed while the sweep runs has a new version, so
-        that its delete is refused by the store.
-        """
-        current = await world.read_current(self.store)
+        """Make one pass and return how many objects were deleted."""
         audits = await self.store.list(audit.KIND)
-        plans = await self.store.list(objects.PLANS)
-        if current.is_error() or audits.is_error() or plans.is_error():
+        if audits.is_error():
             return 0
         now_s = self.time_source.wall_s()
-        outdated = (
-            *outdated_audits(audits.ok.objects, now_s),
-            *outdated_plans(plans.ok.objects, current.ok.confirmed.plan),
-        )
         deleted = 0
-        for stored in outdated:
+        for stored in outdated_audits(audits.ok.objects, now_s):
             gone = await self.store.delete(
                 stored.kind, stored.name, stored.version
             )
