--- a/redwingvalve/configuration/fetching.py
+++ b/redwingvalve/configuration/fetching.py
@@ -20,7 +20,9 @@
 Address = tuple[str, int]
 Exchange = messages.peer.Exchange
 Versions = collections_abc.Mapping[str, int]
-FETCH_TIMEOUT_S = 2.0
+# Short, so that a lost answer costs little of the 4 s in which a change is to
+# be in force; the next source is asked then.
+FETCH_TIMEOUT_S = 0.7
 # Peers remembered as having more; the newest are asked first.
 MAX_SOURCES = 8
 
