--- a/tests/integration/promises.py
+++ b/tests/integration/promises.py
@@ -53,8 +53,10 @@
             for _ in range(count):
                 group.start_soon(self.caller().call, kind)
 
-    async def ask_for(self, kind: work.Kind, duration_s: float) -> None:
-        """Let four callers make requests without a pause."""
+    async def ask_for(
+        self, kind: work.Kind, duration_s: float, count: int = 4
+    ) -> None:
+        """Let so many callers make requests without a pause."""
         ends_at_s = time.monotonic() + duration_s
 
         async def one(caller: callers.Caller) -> None:
@@ -62,7 +64,7 @@
                 await caller.call(kind)
 
         async with anyio.create_task_group() as group:
-            for _ in range(4):
+            for _ in range(count):
                 group.start_soon(one, self.caller())
 
     def proxies_of_services(self) -> list[fault_proxy.FaultProxy]:
@@ -148,7 +150,7 @@
         vm = heads[0].options.vm
         told_s = time.time() + listed.lag_s
         listed.mark(vm, 'leaving')
-        await stage.ask_for(work.Kind.QUOTE, 7.0)
+        await stage.ask_for(work.Kind.QUOTE, 7.0, 24)
         listed.mark(vm, 'live')
         stage.hit.leaving.append(comparing.Leaving(vm, told_s, time.time()))
 
