Hold the limits of accounts over all entries in the request path

Cause: the limits slice decided and no entry asked it; tokens_per_s and requests_per_s of an account had no effect. Change: a gate that follows configuration and news and asks before admission; streams are charged what they used. Before: no limit.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -11,6 +11,7 @@
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.declaration import schema
 from redwingvalve.entry import (
+    account_gate,
     accounts,
     caller,
     model_request,
@@ -35,7 +36,8 @@
         """Answer requests with entry_parts."""
         self._parts = entry_parts
         self._accounts = accounts.AccountBook(entry_parts.source)
-        self._models = relay.ModelRelay(entry_parts)
+        self.gate = account_gate.make_account_gate(entry_parts)
+        self._models = relay.ModelRelay(entry_parts, self.gate)
         self._services = services.ServiceRelay(entry_parts)
         self._once = _make_once(entry_parts)
         self.in_progress = 0
@@ -135,6 +137,11 @@
         self, work: 'Work', responds: responder.Responder, span: trace.Span
     ) -> None:
         """Run work, under a claim of its key if it may run only once."""
+        refusal = self.gate.refuse_request(work.account)
+        if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
+            await responds.send_error(refusal)
+            return
         if self._once is None or work.request.idempotent:
             await work.run(work.request, responds, span, None)
             return
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -11,6 +11,7 @@
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import outcomes
 from redwingvalve.entry import (
+    account_gate,
     delivered,
     model_request,
     parts,
@@ -53,9 +54,12 @@
 class ModelRelay:
     """Chooses, sends, tries again where that is safe, and answers."""
 
-    def __init__(self, entry_parts: parts.EntryParts) -> None:
-        """Carry requests with entry_parts."""
+    def __init__(
+        self, entry_parts: parts.EntryParts, gate: account_gate.AccountGate
+    ) -> None:
+        """Carry requests with entry_parts, within the limits of gate."""
         self._parts = entry_parts
+        self._gate = gate
         self._sender = sends.Sender(entry_parts)
         self.choice = replica_choice.ReplicaChoice(
             entry_parts.source,
@@ -117,6 +121,27 @@
             return refusal
         if not serving:
             return _no_replica(journey, None)
+        account = journey.request.account
+        estimated = waiting_room.estimated_tokens(journey.request)
+        refusal = self._gate.refuse_tokens(account, estimated)
+        if refusal is not None:
+            return refusal
+        try:
+            return await self._carry_admitted(journey, digest, may_send)
+        finally:
+            # Only streams are counted token by token; an answer in one piece
+            # is charged as estimated.
+            if journey.request.stream:
+                used = journey.delivered.count
+                self._gate.correct_tokens(account, used - estimated)
+
+    async def _carry_admitted(
+        self,
+        journey: sends.Journey,
+        digest: bytes,
+        may_send: parts.MaySend | None,
+    ) -> outcomes.ErrorAnswer | None:
+        serving = self.choice.serving(journey.request.deployment.name)
         job_id = self._sender.next_identity(journey.request).endpoint_id
         async with self._room.admitted(
             journey.request, job_id, len(serving)
--- a/redwingvalve/entry/waiting_room.py
+++ b/redwingvalve/entry/waiting_room.py
@@ -168,10 +168,15 @@
         return room
 
 
+def estimated_tokens(request: model_request.ModelRequest) -> float:
+    """Return what a request may cost, in generated tokens."""
+    prompt_tokens = len(str(request.prompt)) / CHARACTERS_PER_TOKEN
+    return request.max_tokens + prompt_tokens * PROMPT_TOKEN_SHARE
+
+
 def _admission_request(
     request: model_request.ModelRequest, job_id: str
 ) -> messages.AdmissionRequest:
-    prompt_tokens = len(str(request.prompt)) / CHARACTERS_PER_TOKEN
     target_s = (
         request.account.first_token_target_s
         or request.deployment.first_token_target_s
@@ -182,9 +187,7 @@
     return messages.AdmissionRequest(
         request_id=job_id,
         account=request.account.name,
-        estimated_tokens=(
-            request.max_tokens + prompt_tokens * PROMPT_TOKEN_SHARE
-        ),
+        estimated_tokens=estimated_tokens(request),
         arrived_s=request.head.arrived_s,
         deadline_s=request.head.arrived_s
         + min(target_s, request.head.deadline_s),
