Prove the comparison of the voters' names with a test of its own

Change: a directed test with a newcomer that one voter knows and a claimant does not; it fails on a copy without the comparison.

--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -318,3 +318,26 @@
     fleet = Fleet(disabled=(RUN,))
     assert fleet.send('e1', 'k') == 'ran' == fleet.send('e2', 'k')
     assert len(fleet.runs['k']) == 2
+
+
+def test_a_voter_that_knows_a_newcomer_is_silent_to_old_voters():
+    """The caller sees a refusal and sends again; nothing can run twice.
+
+    A new entry has joined; one voter knows it and has told it its claims, the
+    claimant does not. A grant by the old voters after that would be unknown
+    to the newcomer, which may then vote for a second run.
+    """
+    fleet = Fleet()
+    fleet.start('n6')
+    fleet.side['e2'] = 1
+    anyio.run(fleet.entries['e1'].look_once)
+    knows = fleet.entries['e1'].voter
+    stale = fleet.entries['e2'].voter.roster
+    verdicts = set()
+    for key in (f'k{number}' for number in range(100)):
+        old, new = stale.voters('s', key), knows.roster.voters('s', key)
+        if 'e1' in old and 'e1' in new:
+            claim = messages.Claim('s', key, 'e2', 1, 'e2-0', 'd', old)
+            granted = knows.vote(claim).verdict == messages.Verdict.RUN
+            verdicts.add((old == new, granted))
+    assert verdicts == {(True, True), (False, False)}
