Let routing know of other entries' work through the evidence

Cause: routing counts an entry's own requests and was never told of the others'; with seven entries six sevenths of the load were unseen. Ruled out: reading GET /load, a call more for each prober and replica, and later news.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -14,6 +14,7 @@
     account_gate,
     accounts,
     caller,
+    load_watch,
     model_request,
     once,
     parts,
@@ -38,6 +39,12 @@
         self._accounts = accounts.AccountBook(entry_parts.source)
         self.gate = account_gate.make_account_gate(entry_parts)
         self._models = relay.ModelRelay(entry_parts, self.gate)
+        self.loads = load_watch.make_load_watch(
+            entry_parts.source,
+            entry_parts.permits,
+            self._models.choice,
+            entry_parts.clock,
+        )
         self._services = services.ServiceRelay(entry_parts)
         self._once = _make_once(entry_parts)
         self.in_progress = 0
--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -29,6 +29,7 @@
     LOGGER.info('the entry listens', extra={'address': bind})
     async with anyio.create_task_group() as group:
         group.start_soon(application.gate.run)
+        group.start_soon(application.loads.run)
         if entry_parts.key_claims is not None:
             group.start_soon(entry_parts.key_claims.keep_looking)
         await serving.serve(
--- a/redwingvalve/entry/tests/fakes.py
+++ b/redwingvalve/entry/tests/fakes.py
@@ -36,6 +36,9 @@
     def permitted(self, replica, now_s):
         return replica.name not in self.refused
 
+    def reported_load(self, replica, now_s):
+        return None
+
     def report_failure(self, replica, vm, now_s):
         self.failures.append(vm)
 
--- a/redwingvalve/evidence/findings_wire.py
+++ b/redwingvalve/evidence/findings_wire.py
@@ -3,7 +3,8 @@
 Load pattern: at the size to come a prober has 13 replicas and tells 72 members
 of its region every 0.7 s. As one JSON item of 190 bytes for each replica that
 was 350 KB a second to each member, against a budget of 20. Here a replica is
-6 bytes that stand for its name and epoch, and one byte for each member's age;
+6 bytes that stand for its name and epoch, two for its load and one byte for
+each member's age;
 the reader knows names, epochs and members from its configuration.
 
 Ages and not times are sent, since the clocks of two processes have nothing in
@@ -30,7 +31,8 @@
 # 48 bits: among 480 replicas of a region two share them once in two billion
 # epochs, and then both would have to be probed by the same two entries.
 MARK_BYTES = 6
-HEAD = struct.Struct(f'!{MARK_BYTES}sB')
+HEAD = struct.Struct(f'!{MARK_BYTES}sHB')
+MOST_IN_FLIGHT = 65_535
 AGE_UNIT_S = 0.02
 NOT_SEEN = 255
 REPLICAS_PER_ITEM = 200
@@ -38,10 +40,14 @@
 
 @attrs.frozen
 class ReplicaFinding:
-    """What one prober found: ages in AGE_UNIT_S or NOT_SEEN, head first."""
+    """What one prober found: ages in AGE_UNIT_S or NOT_SEEN, head first.
+
+    in_flight is the head's count of requests, which serves routing as load.
+    """
 
     mark: bytes
     ages: bytes
+    in_flight: int = 0
 
 
 def mark_of(replica: snapshot.Replica) -> bytes:
@@ -61,7 +67,8 @@
     """Return the body of one news item."""
     parts = []
     for finding in findings:
-        parts.append(HEAD.pack(finding.mark, len(finding.ages)))
+        in_flight = min(finding.in_flight, MOST_IN_FLIGHT)
+        parts.append(HEAD.pack(finding.mark, in_flight, len(finding.ages)))
         parts.append(finding.ages)
     return b''.join(parts)
 
@@ -71,12 +78,12 @@
     found = []
     start = 0
     while start + HEAD.size <= len(body):
-        mark, count = HEAD.unpack_from(body, start)
+        mark, in_flight, count = HEAD.unpack_from(body, start)
         start += HEAD.size
         ages = body[start : start + count]
         if len(ages) < count:
             break
-        found.append(ReplicaFinding(mark, ages))
+        found.append(ReplicaFinding(mark, ages, in_flight))
         start += count
     return tuple(found)
 
@@ -106,4 +113,5 @@
                 replica=replica.name,
                 epoch=replica.epoch,
                 seen_s=said_s - code * AGE_UNIT_S,
+                in_flight=finding.in_flight,
             )
--- a/redwingvalve/evidence/prober.py
+++ b/redwingvalve/evidence/prober.py
@@ -137,8 +137,11 @@
             findings_wire.age_code(self._age_s(member.vm, replica, now_s))
             for member in replica.members
         )
+        head = self._evidence.fresh(replica.members[0].vm, now_s)
         return findings_wire.ReplicaFinding(
-            findings_wire.mark_of(replica), ages
+            findings_wire.mark_of(replica),
+            ages,
+            0 if head is None else head.in_flight,
         )
 
     def _age_s(
--- a/redwingvalve/evidence/serving_permits.py
+++ b/redwingvalve/evidence/serving_permits.py
@@ -42,6 +42,17 @@
         )
         return True
 
+    def reported_load(
+        self, replica: snapshot.Replica, now_s: float
+    ) -> permits.ReportedLoad | None:
+        """Return the head's count of requests in this epoch."""
+        if not replica.members:
+            return None
+        seen = self._evidence.fresh(replica.members[0].vm, now_s)
+        if seen is None or seen.epoch != replica.epoch:
+            return None
+        return permits.ReportedLoad(seen.in_flight, seen.seen_s)
+
     def report_failure(
         self, replica: snapshot.Replica, vm: str, now_s: float
     ) -> None:
--- a/redwingvalve/evidence/table.py
+++ b/redwingvalve/evidence/table.py
@@ -27,6 +27,7 @@
     replica: str
     epoch: int
     seen_s: float
+    in_flight: int = 0
 
 
 class EvidenceTable:
@@ -87,4 +88,5 @@
         replica=state.replica,
         epoch=state.epoch,
         seen_s=seen_s,
+        in_flight=state.in_flight,
     )
--- a/redwingvalve/evidence/tests/test_evidence.py
+++ b/redwingvalve/evidence/tests/test_evidence.py
@@ -234,12 +234,14 @@
     finding = findings_wire.ReplicaFinding(
         findings_wire.mark_of(REPLICA),
         bytes(map(findings_wire.age_code, ages)),
+        17,
     )
     body = findings_wire.encode([finding])
-    assert len(body) == 10
+    assert len(body) == 12
     published = board.NewsItem('evidence', 'e1', 1, '0', 1, body, 0.3)
     seen = list(findings_wire.sightings([published], [REPLICA], 100.0))
     assert [each.vm for each in seen] == ['vm-0', 'vm-1']
+    assert seen[0].in_flight == 17
     for each, age_s in zip(seen, ages, strict=False):
         assert each.seen_s <= 100.0 - 0.3 - age_s
     other = attrs.evolve(REPLICA, epoch=REPLICA.epoch + 1)
