--- a/redwingvalve/bench/relay_parts.py
+++ b/redwingvalve/bench/relay_parts.py
@@ -39,6 +39,11 @@
     def permitted(self, replica: snapshot.Replica, now_s: float) -> bool:
         return True
 
+    def reported_load(
+        self, replica: snapshot.Replica, now_s: float
+    ) -> permits.ReportedLoad:
+        return permits.ReportedLoad(0, now_s)
+
     def report_failure(
         self, replica: snapshot.Replica, vm: str, now_s: float
     ) -> None:
