--- a/redwingvalve/declaration/schema.py
+++ b/redwingvalve/declaration/schema.py
@@ -1,7 +1,7 @@
 """The declaration as attrs classes; field names carry their unit.
 
 Prices are in the operator's own currency; only their ratios matter to the
-decisions (see docs/design/prices.md).
+decisions (see docs/design/0010-replicas.md).
 """
 
 import enum
