Wait until a restarted daemon listens before it may be stopped again

Cause: a SIGTERM that came before the handler ended the process with -15, which the promises' test counted as a breach; the harness was at fault.

--- a/redwingvalve/soak/daemons.py
+++ b/redwingvalve/soak/daemons.py
@@ -68,6 +68,7 @@
         await self.end_now(daemon)
         await anyio.sleep(away_s)
         await self.start(daemon)
+        await self.wait_listening(daemon)
         self._came_back(daemon)
 
     async def stop(self, name: str, away_s: float) -> float:
@@ -81,6 +82,7 @@
         daemon.stopping = False
         await anyio.sleep(away_s)
         await self.start(daemon)
+        await self.wait_listening(daemon)
         self._came_back(daemon)
         return took_s
 
@@ -120,6 +122,9 @@
     async def end_gracefully(self, daemon: Daemon) -> None:
         """Ask a daemon to end and wait until it has."""
 
+    async def wait_listening(self, daemon: Daemon) -> None:
+        """Return once a restarted daemon can be told to stop again."""
+
     async def freeze(self, daemon: Daemon, duration_s: float) -> None:
         """Stop a daemon in its tracks and let it go on."""
         raise NotImplementedError
--- a/tests/integration/process_daemons.py
+++ b/tests/integration/process_daemons.py
@@ -13,6 +13,7 @@
 from tests.integration import processes
 
 END_TIMEOUT_S = 60.0
+LISTENING_TIMEOUT_S = 20.0
 BREACH_MARK = 'InvariantBreachError'
 
 
@@ -35,6 +36,13 @@
         file = self._children.write_yaml(daemon.name, plain)
         self._children.start(daemon.name, 'redwingvalve', daemon.role, file)
 
+    async def wait_listening(self, daemon: daemons.Daemon) -> None:
+        # A SIGTERM before the daemon has its handler just ends the process.
+        host, _, port = daemon.address.rpartition(':')
+        with anyio.move_on_after(LISTENING_TIMEOUT_S):
+            while not await listens(host, int(port)):
+                await anyio.sleep(0.05)
+
     async def end_now(self, daemon: daemons.Daemon) -> None:
         self._children.children[daemon.name].kill()
 
@@ -67,3 +75,13 @@
                         time.time(),
                     )
                 )
+
+
+async def listens(host: str, port: int) -> bool:
+    """Tell whether a port accepts connections."""
+    try:
+        stream = await anyio.connect_tcp(host, port)
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
