--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -11,8 +11,10 @@
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.declaration import schema
 from redwingvalve.entry import (
+    account_gate,
     accounts,
     caller,
+    load_watch,
     model_request,
     once,
     parts,
@@ -35,7 +37,14 @@
         """Answer requests with entry_parts."""
         self._parts = entry_parts
         self._accounts = accounts.AccountBook(entry_parts.source)
-        self._models = relay.ModelRelay(entry_parts)
+        self.gate = account_gate.make_account_gate(entry_parts)
+        self._models = relay.ModelRelay(entry_parts, self.gate)
+        self.loads = load_watch.make_load_watch(
+            entry_parts.source,
+            entry_parts.permits,
+            self._models.choice,
+            entry_parts.clock,
+        )
         self._services = services.ServiceRelay(entry_parts)
         self._once = _make_once(entry_parts)
         self.in_progress = 0
@@ -135,6 +144,11 @@
         self, work: 'Work', responds: responder.Responder, span: trace.Span
     ) -> None:
         """Run work, under a claim of its key if it may run only once."""
+        refusal = self.gate.refuse_request(work.account)
+        if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
+            await responds.send_error(refusal)
+            return
         if self._once is None or work.request.idempotent:
             await work.run(work.request, responds, span, None)
             return
--- a/redwingvalve/evidence/table.py
+++ b/redwingvalve/evidence/table.py
@@ -26,10 +26,8 @@
     vm: str
     replica: str
     epoch: int
-    incarnation: str
-    model: str
-    version: str
     seen_s: float
+    in_flight: int = 0
 
 
 class EvidenceTable:
@@ -89,8 +87,6 @@
         vm=state.vm,
         replica=state.replica,
         epoch=state.epoch,
-        incarnation=state.incarnation,
-        model=state.model,
-        version=state.version,
         seen_s=seen_s,
+        in_flight=state.in_flight,
     )
