--- a/tests/integration/fault_proxy.py
+++ b/tests/integration/fault_proxy.py
@@ -77,10 +77,10 @@
     async def reset_all(self) -> None:
         """Break every open connection."""
         for stream in tuple(self._streams):
-            raw = stream.extra(anyio_abc.SocketAttribute.raw_socket)
-            # Closing with a linger of 0 s sends RST instead of FIN.
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0_S)
             with contextlib.suppress(*BROKEN):
+                raw = stream.extra(anyio_abc.SocketAttribute.raw_socket)
+                # Closing with a linger of 0 s sends RST instead of FIN.
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0_S)
                 await stream.aclose()
 
     async def _connected(self, client: anyio_abc.SocketStream) -> None:
