Spread suspects and leaving VMs at once; keep the error shape on our own faults

A poison request sent again at once through another entry met one that had not heard and killed a third engine: the news waited for the next exchange. A VM that left while the store was silent went on getting work, since its drain could not be written. And a fault inside the entry showed as a bare 500. Change: urgent channels go out and are passed on at once; two controllers tell the list's leaving VMs as news and entries stop by it, with the store up or down; faults of our own are logged and answered in the error shape with the true outcome.

--- a/redwingvalve/demo/platform.py
+++ b/redwingvalve/demo/platform.py
@@ -35,6 +35,7 @@
     store: memory_store.MemoryObjectApi
     engines: engine_host.EngineHost
     service: plain_service.PlainService
+    vms: vm_list.LaggingVmList
 
 
 @contextlib.asynccontextmanager
@@ -43,16 +44,13 @@
 ) -> collections_abc.AsyncIterator[DemoPlatform]:
     """Run stand-ins with so many VMs in each fabric domain."""
     async with engine_host.host_engines(HOST) as engines:
-        rows = [
-            await _add_vm(engines, domain, index)
-            for domain, count in domains.items()
-            for index in range(count)
-        ]
+        rows = await _add_vms(engines, domains)
         store = memory_store.make_memory_object_api()
         service = plain_service.PlainService('records')
+        list_app, listed = vm_list.make_vm_list(rows, VM_LIST_LAG_S)
         apps = (
             object_api_app.make_object_api(store)[0],
-            vm_list.make_vm_list(rows, VM_LIST_LAG_S)[0],
+            list_app,
             weight_store.make_weight_store()[0],
             plain_service.make_plain_service_app(service),
         )
@@ -67,12 +65,24 @@
                 store,
                 engines,
                 service,
+                listed,
             )
         finally:
             for server in servers:
                 server.abort()
 
 
+async def _add_vms(
+    engines: engine_host.EngineHost,
+    domains: collections_abc.Mapping[str, int],
+) -> list[vm_list.VmRow]:
+    return [
+        await _add_vm(engines, domain, index)
+        for domain, count in domains.items()
+        for index in range(count)
+    ]
+
+
 async def _add_vm(
     engines: engine_host.EngineHost, domain: str, index: int
 ) -> vm_list.VmRow:
--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -97,12 +97,16 @@
             },
         )
         try:
-            await self._serve(head, receive, responds, span)
+            with invariants.breaches_alone():
+                await self._serve(head, receive, responds, span)
         except caller.CallerGoneError:
             span.add_event('caller gone')
         except invariants.InvariantBreachError:
             LOGGER.exception('an invariant was broken')
             raise
+        except Exception:
+            LOGGER.exception('a request failed inside the entry')
+            await responds.send_error(_failed_inside(responds.outcome))
         finally:
             span.end()
 
@@ -279,6 +283,16 @@
     return once.OnceGuard(entry_parts.key_claims, entry_parts.members.myself())
 
 
+def _failed_inside(outcome: outcomes.Outcome) -> outcomes.ErrorAnswer:
+    """Return the answer to a request that met a fault of our own."""
+    return outcomes.ErrorAnswer(
+        status=500,
+        code='internal',
+        message='the entry failed on this request; its log says why',
+        outcome=outcome,
+    )
+
+
 def _no_keys() -> outcomes.ErrorAnswer:
     return outcomes.ErrorAnswer(
         status=503,
--- /dev/null
+++ b/redwingvalve/evidence/leaving.py
@@ -0,0 +1,60 @@
+"""VMs that leave, told to the entries without the store.
+
+Load pattern: 650 VMs a day are replaced, and each must get no new work within
+seconds of the platform's list showing it as leaving. The way through the domain
+object needs the store; while it is silent a leaving VM would go on getting work
+until it is gone, and the requests that it then runs break off. Two controllers
+tell what the list shows as news; entries stop at once, and the drain itself is
+written down when the store answers again.
+"""
+
+import json
+from collections import abc as collections_abc
+
+from redwingvalve.news import board
+
+TELL_EVERY_S = 0.5
+# A controller that dies must not make a leaving VM look live again before
+# another has taken its duty over.
+CHANNEL = board.Channel(
+    name='leaving',
+    reach=board.Reach.REGION,
+    max_age_s=30.0,
+    max_item_bytes=16_000,
+    urgent=True,
+)
+KEY = 'vms'
+MOST_VMS = 300
+
+
+def tell(
+    news: board.NewsBoard,
+    leaving: collections_abc.Iterable[str],
+    told: frozenset[str],
+) -> frozenset[str]:
+    """Publish which VMs leave; return what is now told.
+
+    The same word is repeated, so that it does not grow too old. More than
+    MOST_VMS leaving at once is the loss of a data centre, which evidence and
+    healing answer; the item keeps its size.
+    """
+    named = frozenset(sorted(leaving)[:MOST_VMS])
+    if named or told:
+        body = json.dumps(sorted(named)).encode() if named else b''
+        news.publish(CHANNEL, KEY, body)
+    return named
+
+
+def read(news: board.NewsBoard) -> frozenset[str]:
+    """Return the VMs that any controller says are leaving."""
+    return frozenset(
+        name for told in news.read(CHANNEL) for name in _names(told.body)
+    )
+
+
+def _names(body: bytes) -> list[str]:
+    try:
+        named = json.loads(body)
+    except ValueError:
+        return []
+    return [str(name) for name in named] if isinstance(named, list) else []
--- a/redwingvalve/evidence/serving_permits.py
+++ b/redwingvalve/evidence/serving_permits.py
@@ -19,12 +19,19 @@
         """Judge by evidence."""
         self._evidence = evidence
         self._switches = switches
+        self._leaving: frozenset[str] = frozenset()
+
+    def replace_leaving(self, vms: frozenset[str]) -> None:
+        """Take over which VMs leave; their replicas get no new work."""
+        self._leaving = vms
 
     def permitted(self, replica: snapshot.Replica, now_s: float) -> bool:
         """Tell whether every VM of this epoch was seen recently enough."""
         if not replica.members:
             return False
-        if not replica.serving and self._switches.enabled(LEAVING_EXCLUDED):
+        if self._switches.enabled(LEAVING_EXCLUDED) and (
+            not replica.serving or self._loses_member(replica)
+        ):
             return False
         shown = all(
             self._evidence.shows(member.vm, replica.name, replica.epoch, now_s)
@@ -42,6 +49,13 @@
         )
         return True
 
+    def _loses_member(self, replica: snapshot.Replica) -> bool:
+        # The store may be silent for hours; the domain object then still
+        # shows a replica as serving whose VM the platform takes away.
+        return not self._leaving.isdisjoint(
+            member.vm for member in replica.members
+        )
+
     def reported_load(
         self, replica: snapshot.Replica, now_s: float
     ) -> permits.ReportedLoad | None:
@@ -62,6 +76,6 @@
 
 def make_serving_permits(
     evidence: table.EvidenceTable, switches: invariants.SafeguardSwitches
-) -> permits.ServingPermits:
+) -> EvidencePermits:
     """Return permits that judge by an evidence table."""
     return EvidencePermits(evidence, switches)
--- a/redwingvalve/evidence/tests/test_evidence.py
+++ b/redwingvalve/evidence/tests/test_evidence.py
@@ -11,6 +11,7 @@
 from redwingvalve.evidence import (
     entry_witness,
     findings_wire,
+    leaving,
     prober,
     serving_permits,
     table,
@@ -247,3 +248,26 @@
     other = attrs.evolve(REPLICA, epoch=REPLICA.epoch + 1)
     assert not list(findings_wire.sightings([published], [other], 100.0))
     assert findings_wire.age_code(9.0) == findings_wire.NOT_SEEN
+
+
+def test_a_replica_whose_vm_leaves_gets_no_new_work_without_the_store():
+    """A caller's next request goes elsewhere, though the VM still answers.
+
+    The domain object still says that the replica serves; the news of the
+    leaving VM decides, and only the safeguard's switch takes it back.
+    """
+
+    async def scenario(disabled, wanted):
+        bench = Bench(disabled)
+        await bench.run(3)
+        teller = Board('control', bench.news, bench.clock)
+        told = leaving.tell(teller, {'vm-1', 'other'}, frozenset())
+        for entry in bench.entries.values():
+            entry.permits.replace_leaving(leaving.read(teller))
+        assert set(bench.permitted()) == {wanted}
+        leaving.tell(teller, (), told)
+        assert leaving.read(teller) == frozenset()
+
+    anyio.run(scenario, (), False)
+    off = (invariants.Safeguard.LEAVING_EXCLUDED,)
+    anyio.run(scenario, off, True)
--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -109,6 +109,7 @@
         present, news, caller, timers, replicas_of, switches
     )
     present.add_rider(news)
+    news.hurry_with(present.hurry)
     present.add_rider(configured.fetcher)
     handler.gossip_handler = present
     handler.configuration_handler = configured.reports
--- a/redwingvalve/news/board.py
+++ b/redwingvalve/news/board.py
@@ -15,12 +15,17 @@
 
 @attrs.frozen
 class Channel:
-    """One kind of news; older items are dropped by every reader."""
+    """One kind of news; older items are dropped by every reader.
+
+    An urgent channel's items go out at once and are passed on at once, instead
+    of waiting for the next exchange; only for what is rare and short.
+    """
 
     name: str
     reach: Reach
     max_age_s: float
     max_item_bytes: int
+    urgent: bool = False
 
 
 @attrs.frozen
--- a/redwingvalve/news/gossip_board.py
+++ b/redwingvalve/news/gossip_board.py
@@ -32,8 +32,14 @@
         self._region = store.NewsStore(me)
         self._everywhere = store.NewsStore(me)
         self._last_number = 0
+        self._urgent: set[str] = set()
+        self._hurry: collections_abc.Callable[[], None] = _nothing
         self._dropped_s = timers.monotonic_s()
 
+    def hurry_with(self, hurry: collections_abc.Callable[[], None]) -> None:
+        """Call hurry whenever urgent news is said or heard."""
+        self._hurry = hurry
+
     # The board as other slices see it.
 
     def publish(self, channel: board.Channel, key: str, body: bytes) -> None:
@@ -56,10 +62,15 @@
             max_age_s=channel.max_age_s,
         )
         self._store(channel.reach).put(item, now_s)
+        if channel.urgent:
+            self._urgent.add(channel.name)
+            self._hurry()
 
     def read(self, channel: board.Channel) -> tuple[board.NewsItem, ...]:
         """Return all items of a channel that are not too old."""
         now_s = self._clock.monotonic_s()
+        if channel.urgent:
+            self._urgent.add(channel.name)
         return tuple(
             board.NewsItem(
                 channel=item.channel,
@@ -140,8 +151,11 @@
     def _take(self, kept: store.NewsStore, heard: list[Record] | None) -> None:
         now_s = self._clock.monotonic_s()
         for record in heard or ():
-            if _sound(record) and kept.may_speak(record.owner):
-                kept.put(_from_record(record, now_s), now_s)
+            if not _sound(record) or not kept.may_speak(record.owner):
+                continue
+            is_new = kept.put(_from_record(record, now_s), now_s)
+            if is_new and record.channel in self._urgent:
+                self._hurry()
 
     def _drop_old(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -204,6 +218,10 @@
     )
 
 
+def _nothing() -> None:
+    """Do nothing."""
+
+
 def make_gossip_news(
     present: members.Members, timers: clock.Clock
 ) -> GossipNews:
--- a/redwingvalve/poison/channel.py
+++ b/redwingvalve/poison/channel.py
@@ -10,4 +10,7 @@
     reach=board.Reach.EVERYWHERE,
     max_age_s=3600.0,
     max_item_bytes=facts.MAX_ENCODED_FACTS * facts.RECORD.size,
+    # A caller sends again within milliseconds of the reset that killed its
+    # endpoint; news that waits for the next exchange comes a death too late.
+    urgent=True,
 )
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -18,7 +18,7 @@
 from redwingvalve.evidence import entry_witness
 from redwingvalve.observability import logs
 from redwingvalve.plans import book as plan_book
-from redwingvalve.process import duties, entry_drains, waits
+from redwingvalve.process import duties, entry_drains, leaving_vms, waits
 from redwingvalve.process import parts as process_parts
 from redwingvalve.replicas import controller
 from redwingvalve.settings import schema
@@ -47,8 +47,7 @@
             control_loop = make_loop(parts)
             loops.start_soon(control_loop.run)
             loops.start_soon(waits.publish, control_loop, parts)
-            loops.start_soon(entry_drains.publish, parts)
-            loops.start_soon(_sweep, parts)
+            loops.start_soon(_run_duties, parts)
             LOGGER.info('The controller is ready.')
             await server.serve_api(
                 _make_api(parts, book),
@@ -115,6 +114,14 @@
     return in_force.merge(answers)
 
 
+async def _run_duties(parts: process_parts.ProcessParts) -> None:
+    """Run what a few controllers do for all, until cancelled."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(entry_drains.publish, parts)
+        group.start_soon(leaving_vms.LeavingTeller(parts).run)
+        group.start_soon(_sweep, parts)
+
+
 async def _sweep(parts: process_parts.ProcessParts) -> None:
     sweeper = retention.Sweeper(parts.objects, parts.clock)
     await sweeper.run(lambda: duties.is_mine(parts, 'sweep', holders=1))
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -14,7 +14,7 @@
 from redwingvalve.entry import aiohttp_upstream, daemon
 from redwingvalve.entry import parts as entry_parts
 from redwingvalve.evidence import prober, serving_permits, table
-from redwingvalve.process import entry_drains
+from redwingvalve.process import entry_drains, leaving_vms
 from redwingvalve.process import parts as process_parts
 from redwingvalve.settings import schema
 
@@ -28,10 +28,12 @@
         anyio.create_task_group() as group,
     ):
         evidence = table.EvidenceTable()
+        permits = serving_permits.make_serving_permits(evidence, parts.switches)
         group.start_soon(_make_prober(parts, evidence).run)
+        group.start_soon(leaving_vms.follow, parts, permits)
         group.start_soon(entry_drains.follow, parts, parts.node.members.leave)
         await daemon.serve_entry(
-            _make_entry_parts(parts, evidence, await _make_claims(parts)),
+            _make_entry_parts(parts, permits, await _make_claims(parts)),
             settings,
             stop.wait,
             parts.node.members.leave,
@@ -79,12 +81,12 @@
 
 def _make_entry_parts(
     parts: process_parts.ProcessParts,
-    evidence: table.EvidenceTable,
+    permits: serving_permits.EvidencePermits,
     key_claims: claims.KeyClaims,
 ) -> entry_parts.EntryParts:
     return entry_parts.EntryParts(
         source=parts.node.configuration,
-        permits=serving_permits.make_serving_permits(evidence, parts.switches),
+        permits=permits,
         members=parts.node.members,
         news=parts.node.news,
         upstream=aiohttp_upstream.make_aiohttp_upstream(),
--- /dev/null
+++ b/redwingvalve/process/leaving_vms.py
@@ -0,0 +1,73 @@
+"""Takes VMs that leave from the platform's list to the entries, past the store.
+
+Two controllers read the list every second and tell the names as news; see
+evidence.leaving for why the store's way is not enough.
+"""
+
+import anyio
+
+from redwingvalve.administration import drains
+from redwingvalve.evidence import leaving, serving_permits
+from redwingvalve.platform_api import vm_list
+from redwingvalve.process import duties
+from redwingvalve.process import parts as process_parts
+
+READ_DRAINS_EVERY_S = 2.0
+LOOK_EVERY_S = 0.25
+DUTY = 'leaving-vms'
+
+
+class LeavingTeller:
+    """One controller's part in telling which VMs leave."""
+
+    def __init__(self, parts: process_parts.ProcessParts) -> None:
+        """Know of none."""
+        self._parts = parts
+        self._drained: frozenset[str] = frozenset()
+        self._told: frozenset[str] = frozenset()
+
+    async def run(self) -> None:
+        """Tell until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_drains)
+            group.start_soon(self._follow_list)
+
+    async def _follow_drains(self) -> None:
+        """Keep operators' drains; a silent store must not hold up the list."""
+        while True:
+            if self._on_duty():
+                found = await drains.read_drains(self._parts.objects)
+                if found.is_ok():
+                    self._drained = drains.drained_vms(found.ok)
+            await self._parts.clock.sleep(READ_DRAINS_EVERY_S)
+
+    async def _follow_list(self) -> None:
+        interval_s = self._parts.settings.platform.vm_list_interval_s
+        while True:
+            if self._on_duty():
+                await self._tell()
+            await self._parts.clock.sleep(interval_s)
+
+    async def _tell(self) -> None:
+        listed = await self._parts.vms.read()
+        if listed.is_error():
+            # The last word holds until it is too old.
+            return
+        gone = {
+            vm.name for vm in listed.ok if vm.state == vm_list.VmState.LEAVING
+        }
+        self._told = leaving.tell(
+            self._parts.node.news, gone | self._drained, self._told
+        )
+
+    def _on_duty(self) -> bool:
+        return duties.is_mine(self._parts, DUTY)
+
+
+async def follow(
+    parts: process_parts.ProcessParts, permits: serving_permits.EvidencePermits
+) -> None:
+    """Keep an entry's permits up to date until cancelled."""
+    while True:
+        permits.replace_leaving(leaving.read(parts.node.news))
+        await parts.clock.sleep(LOOK_EVERY_S)
--- a/redwingvalve/process/tests/test_drains.py
+++ b/redwingvalve/process/tests/test_drains.py
@@ -80,3 +80,74 @@
         return entries[0]
 
     anyio.run(scenario)
+
+
+def test_a_vm_that_leaves_while_the_store_is_silent_gets_no_new_work():
+    """Callers go on being answered, none of them by the leaving VM's replica.
+
+    The store goes away, then the platform's list shows a VM as leaving. The
+    drain cannot be written down; controllers tell the entries by news.
+    """
+
+    async def scenario():
+        async with platform.run_platform({'d-1': 4, 'd-2': 4}) as small:
+            fleet = story.make_fleet(small)
+            bearer = await operator.issue_first_token(small.store)
+            stop = anyio.Event()
+            async with anyio.create_task_group() as group:
+                for settings in fleet.entries:
+                    group.start_soon(entry.run_entry, settings, stop)
+                group.start_soon(control.run_control, fleet.control, stop)
+                await serve(fleet, small, bearer)
+                await lose_store_and_vm(fleet, small)
+                stop.set()
+
+    async def serve(fleet, small, bearer):
+        acting = operator.DemoOperator(
+            story.http_address(fleet.control), bearer
+        )
+        await acting.wait_until_reachable()
+        await acting.wait_until_listed(8)
+        text = story.DECLARATION.read_text().replace(
+            story.UNSET_ADDRESS, small.service_address
+        )
+        await acting.confirm((await acting.plan(text, 'demo.yaml'))['name'])
+        await acting.wait_until_serving('quotes', 2)
+
+    async def lose_store_and_vm(fleet, small):
+        entries = tuple(story.http_address(each) for each in fleet.entries)
+        calling = caller.DemoCaller(entries, story.CREDENTIAL)
+
+        async def used():
+            """Return the domains whose heads ran one of twelve streams."""
+            before = runs(small)
+            whole = 0
+            for number in range(12):
+                got = await calling.stream_chat('quotes', f'{number}', 2)
+                whole += got.whole
+            ran = {
+                name
+                for name, count in runs(small).items()
+                if count > before[name]
+            }
+            return {name[:3] for name in ran}, whole
+
+        async def both_are_used():
+            return await used() == ({'d-1', 'd-2'}, 12)
+
+        async def only_one_is_used():
+            return await used() == ({'d-2'}, 12)
+
+        await until(both_are_used)
+        small.store.set_outage(outage=True)
+        small.vms.mark('d-1-vm-2', 'leaving')
+        await until(only_one_is_used)
+        assert await only_one_is_used()
+
+    def runs(small):
+        return {
+            name: len(engine.ledger.entries)
+            for name, engine in small.engines.engines.items()
+        }
+
+    anyio.run(scenario)
--- a/tests/integration/test_peer_nodes.py
+++ b/tests/integration/test_peer_nodes.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import attrs
 
 from redwingvalve.core import clock
 from redwingvalve.membership import bounds, members, node
@@ -41,7 +42,9 @@
         self.scopes = {}
         self.contacts = ()
 
-    async def start(self, name, region='r1', objects=True, incarnation=1):
+    async def start(
+        self, name, region='r1', objects=True, incarnation=1, within=BOUNDS
+    ):
         me = members.Member(
             name, incarnation, 'entry', '127.0.0.1', 0, 1, f'{region}-a', region
         )
@@ -50,7 +53,7 @@
             clock.make_system_clock(),
             self.contacts,
             self.store if objects else None,
-            bounds=BOUNDS,
+            bounds=within,
         )
         self.contacts += (f'127.0.0.1:{started.server.port}',)
         scope = anyio.CancelScope()
@@ -188,6 +191,37 @@
     anyio.run(scenario)
 
 
+def test_urgent_news_does_not_wait_for_the_next_exchange():
+    """A poison request sent again at once meets entries that know of it.
+
+    Exchanges are as good as never due here; an urgent item is passed on from
+    entry to entry all the same.
+    """
+    rare = attrs.evolve(BOUNDS, round_s=1000.0, foreign_interval_s=1000.0)
+    urgent = attrs.evolve(CHANNEL, name='urgent', urgent=True)
+
+    async def scenario():
+        async with make_fleet() as fleet:
+            names = [f'e{number}' for number in range(7)]
+            for name in names:
+                started = await fleet.start(name, within=rare)
+                started.news.read(urgent)
+            await until(
+                lambda: all(
+                    len(each.members.alive()) == 7
+                    for each in fleet.nodes.values()
+                )
+            )
+            fleet.nodes['e0'].news.publish(urgent, 'k', b'1')
+            await until(
+                lambda: all(
+                    each.news.read(urgent) for each in fleet.nodes.values()
+                )
+            )
+
+    anyio.run(scenario)
+
+
 class Links:
     """A fault proxy on each way between two nodes."""
 
