--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -222,7 +222,7 @@
         'content-type': 'application/json',
     }
     if not asked.idempotent:
-        headers[outcomes.REQUEST_KEY_HEADER] = f'key-{asked.name}'
+        headers[outcomes.REQUEST_KEY_HEADER] = asked.request_key
     return headers
 
 
--- a/redwingvalve/soak/work.py
+++ b/redwingvalve/soak/work.py
@@ -7,6 +7,7 @@
 import enum
 import json
 import random
+import time
 import types
 import typing
 
@@ -64,6 +65,18 @@
     prompt: str = ''
     max_tokens: int = 0
     poison: bool = False
+    made_s: int = attrs.field(factory=lambda: int(time.time()), eq=False)
+
+    @property
+    def request_key(self) -> str:
+        """Return the caller's own key; flags carry the time in front.
+
+        Both forms that callers may choose are attacked: a key with a time is
+        decided by entries that have just started, one without is not.
+        """
+        if self.kind == Kind.FLAG:
+            return f'at-{self.made_s}-{self.name}'
+        return f'key-{self.name}'
 
     @property
     def idempotent(self) -> bool:
