--- /dev/null
+++ b/redwingvalve/administration/drain_operations.py
@@ -0,0 +1,103 @@
+"""The action that drains a VM, a replica or an entry."""
+
+from collections import abc as collections_abc
+
+import attrs
+from expression import Error, Ok, Result
+
+from redwingvalve.administration import drains, operations, rights
+from redwingvalve.core import clock
+from redwingvalve.membership import members
+from redwingvalve.platform_api import object_api
+from redwingvalve.replicas import domain as domain_module
+
+DomainsResult = Result[
+    tuple[domain_module.FabricDomain, ...], operations.OperationError
+]
+DomainReader = collections_abc.Callable[
+    [], collections_abc.Awaitable[DomainsResult]
+]
+
+
+class DrainOperations:
+    """Writes and deletes drains in the store."""
+
+    def __init__(
+        self,
+        store: object_api.ObjectApi,
+        known_members: members.Members,
+        time_source: clock.Clock,
+        read_domains: DomainReader,
+    ) -> None:
+        """Find targets among known_members and what read_domains gives."""
+        self._store = store
+        self._members = known_members
+        self._clock = time_source
+        self._domains = read_domains
+
+    async def drain(self, call: operations.Call) -> operations.Answer:
+        """Drain a VM, replica or entry, or take that back."""
+        kind = call.body['kind']
+        name = call.body['name']
+        if kind not in drains.KINDS:
+            return operations.refuse(
+                operations.STATUS_UNPROCESSABLE,
+                'bad-drain',
+                f'{kind!r} is not one of {", ".join(drains.KINDS)}',
+            )
+        target = await self._find_target(kind, name)
+        if target.is_error():
+            return Error(target.error)
+        allowed = rights.check_scope(call.principal, target.ok.names)
+        if allowed.is_error():
+            return Error(operations.missing_right(allowed.error))
+        if call.body.get('undo'):
+            return await self._undo(kind, name)
+        wanted = drains.Drain(
+            kind,
+            name,
+            call.principal.name,
+            self._clock.wall_s(),
+            target.ok.vms,
+        )
+        made = await self._store.create(
+            drains.KIND, drains.object_name(kind, name), attrs.asdict(wanted)
+        )
+        already = made.is_error() and isinstance(
+            made.error, object_api.Conflict
+        )
+        if made.is_error() and not already:
+            return Error(operations.store_error(made.error))
+        return Ok({'message': f'{kind} {name} drains; nothing is cut off'})
+
+    async def _find_target(
+        self, kind: str, name: str
+    ) -> Result[drains.Target, operations.OperationError]:
+        if kind == drains.ENTRY:
+            known = {each.name for each in self._members.known()}
+            found = drains.Target() if name in known else None
+        else:
+            domains = await self._domains()
+            if domains.is_error():
+                return Error(domains.error)
+            found = drains.find_target(kind, name, domains.ok)
+        if found is not None:
+            return Ok(found)
+        return operations.refuse(
+            operations.STATUS_NOT_FOUND,
+            'not-found',
+            f'no {kind} is named {name!r}',
+        )
+
+    async def _undo(self, kind: str, name: str) -> operations.Answer:
+        object_name = drains.object_name(kind, name)
+        found = await self._store.get(drains.KIND, object_name)
+        if found.is_error():
+            return Error(operations.store_error(found.error))
+        gone = await self._store.delete(
+            drains.KIND, object_name, found.ok.version
+        )
+        if gone.is_error():
+            return Error(operations.store_error(gone.error))
+        when = 'after its restart' if kind == drains.ENTRY else 'again'
+        return Ok({'message': f'{kind} {name} takes work {when}'})
--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from redwingvalve.administration import (
+    drain_operations,
     drains,
     feasibility,
     operations,
@@ -66,6 +67,12 @@
     def __init__(self, surroundings: Surroundings) -> None:
         """Work with surroundings."""
         self._its = surroundings
+        drainer = drain_operations.DrainOperations(
+            surroundings.store,
+            surroundings.members,
+            surroundings.clock,
+            self._domains,
+        )
         held = token_operations.TokenOperations(surroundings.store)
         self._runners: dict[str, Runner] = {
             'status': self._status,
@@ -78,7 +85,7 @@
             'plan': self._plan,
             'confirm': self._confirm,
             'discard': self._discard,
-            'drain': self._drain,
+            'drain': drainer.drain,
             'tokens': held.listed,
             'token-create': held.create,
             'token-revoke': held.revoke,
@@ -198,72 +205,6 @@
             return _plan_problem(discarded.error)
         return Ok({'message': f'{name} is discarded', 'plan': name})
 
-    async def _drain(self, call: operations.Call) -> Answer:
-        kind = call.body['kind']
-        name = call.body['name']
-        if kind not in drains.KINDS:
-            return operations.refuse(
-                operations.STATUS_UNPROCESSABLE,
-                'bad-drain',
-                f'{kind!r} is not one of {", ".join(drains.KINDS)}',
-            )
-        target = await self._drain_target(kind, name)
-        if target.is_error():
-            return Error(target.error)
-        allowed = rights.check_scope(call.principal, target.ok.names)
-        if allowed.is_error():
-            return Error(operations.missing_right(allowed.error))
-        if call.body.get('undo'):
-            return await self._undo_drain(kind, name)
-        wanted = drains.Drain(
-            kind,
-            name,
-            call.principal.name,
-            self._its.clock.wall_s(),
-            target.ok.vms,
-        )
-        made = await self._its.store.create(
-            drains.KIND, drains.object_name(kind, name), attrs.asdict(wanted)
-        )
-        already = made.is_error() and isinstance(
-            made.error, object_api.Conflict
-        )
-        if made.is_error() and not already:
-            return Error(operations.store_error(made.error))
-        return Ok({'message': f'{kind} {name} drains; nothing is cut off'})
-
-    async def _drain_target(
-        self, kind: str, name: str
-    ) -> Result[drains.Target, operations.OperationError]:
-        if kind == drains.ENTRY:
-            known = {each.name for each in self._its.members.known()}
-            found = drains.Target() if name in known else None
-        else:
-            domains = await self._domains()
-            if domains.is_error():
-                return Error(domains.error)
-            found = drains.find_target(kind, name, domains.ok)
-        if found is not None:
-            return Ok(found)
-        return operations.refuse(
-            operations.STATUS_NOT_FOUND,
-            'not-found',
-            f'no {kind} is named {name!r}',
-        )
-
-    async def _undo_drain(self, kind: str, name: str) -> Answer:
-        object_name = drains.object_name(kind, name)
-        found = await self._its.store.get(drains.KIND, object_name)
-        if found.is_error():
-            return Error(operations.store_error(found.error))
-        gone = await self._its.store.delete(
-            drains.KIND, object_name, found.ok.version
-        )
-        if gone.is_error():
-            return Error(operations.store_error(gone.error))
-        when = 'after its restart' if kind == drains.ENTRY else 'again'
-        return Ok({'message': f'{kind} {name} takes work {when}'})
-
     async def _domains(
         self,
     ) -> Result[
--- a/redwingvalve/bench/spread_fleet.py
+++ b/redwingvalve/bench/spread_fleet.py
@@ -7,7 +7,6 @@
 import contextlib
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +18,7 @@
 from anyio import abc as anyio_abc
 
 from redwingvalve.platform_api import http_object_api, object_api
+from redwingvalve.standins import ports
 
 HOST = '127.0.0.1'
 STORE_TIMEOUT_S = 5.0
@@ -193,7 +193,7 @@
     size: int, regions: int, loss: float
 ) -> collections_abc.AsyncIterator[SpreadFleet]:
     """Start a store and size processes, and end them all."""
-    port = _free_port()
+    port = ports.free_ports(1)[0]
     url = f'http://{HOST}:{port}'
     command = [sys.executable, '-m', 'redwingvalve.standins', 'object-api']
     command += [f'--port={port}', '--reads-per-s=2000', '--writes-per-s=300']
@@ -219,12 +219,6 @@
             await anyio.sleep(POLL_S)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def states_seen(fleet: SpreadFleet) -> collections.Counter[str]:
     """Count the states that live processes see each other in."""
     return collections.Counter(
--- a/redwingvalve/entry/aiohttp_upstream.py
+++ b/redwingvalve/entry/aiohttp_upstream.py
@@ -2,7 +2,8 @@
 
 httpx is the rule of the house. Its reader takes two to three times as much
 processor time for a token as all the rest of the relay; see
-docs/design/0032-relay-cost.md for the profile. Only endpoints are read with this.
+docs/design/0032-relay-cost.md for the profile. Only endpoints are read with
+this.
 """
 
 import asyncio
--- a/redwingvalve/soak/wiring.py
+++ b/redwingvalve/soak/wiring.py
@@ -1,10 +1,8 @@
 """Settings of the daemons of a run, on free ports."""
 
-import contextlib
-import socket
-
 from redwingvalve.settings import schema
 from redwingvalve.soak import daemons, platform
+from redwingvalve.standins import ports as standin_ports
 
 ENTRIES = 3
 CONTROLS = 2
@@ -24,7 +22,7 @@
     names = [f'entry-{number}' for number in range(1, ENTRIES + 1)]
     names.extend(f'control-{number}' for number in range(1, CONTROLS + 1))
     # Drawn together, so that no port is drawn twice.
-    ports = free_ports(2 * len(names))
+    ports = standin_ports.free_ports(2 * len(names))
     contacts = tuple(f'{platform.HOST}:{port}' for port in ports[-CONTACTS:])
     made = []
     for index, name in enumerate(names):
@@ -56,12 +54,3 @@
     if not spans_folder:
         return schema.TracingSettings()
     return schema.TracingSettings('file', f'{spans_folder}/{name}.spans')
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback that were free a moment ago."""
-    with contextlib.ExitStack() as held:
-        sockets = [held.enter_context(socket.socket()) for _ in range(count)]
-        for bound in sockets:
-            bound.bind((platform.HOST, 0))
-        return [int(held_port.getsockname()[1]) for held_port in sockets]
