--- a/redwingvalve/cli/tests/test_operate.py
+++ b/redwingvalve/cli/tests/test_operate.py
@@ -75,7 +75,7 @@
     async def scenario():
         async with running_fleet() as (small, fleet):
             text = story.DECLARATION.read_text()
-            text = text.replace(story.UNSET_ADDRESS, small.service_address)
+            text = text.replace(story.SERVICE_ADDRESS, small.service_address)
             wanted.write_text(text.replace('replicas: 2', 'replicas: 1', 1))
             shell = Shell(
                 {
--- a/redwingvalve/demo/story.py
+++ b/redwingvalve/demo/story.py
@@ -24,7 +24,7 @@
 MAX_TOKENS = 40
 SERVE_TIMEOUT_S = 30.0
 DECLARATION = pathlib.Path(__file__).parents[2] / 'examples' / 'demo.yaml'
-UNSET_ADDRESS = '127.0.0.1:0'
+SERVICE_ADDRESS = '127.0.0.1:9101'
 
 
 @attrs.frozen
@@ -56,7 +56,7 @@
     await acting.wait_until_reachable()
     await acting.wait_until_listed(sum(DOMAINS.values()))
     text = declaration_file.read_text(encoding='utf-8').replace(
-        UNSET_ADDRESS, small.service_address
+        SERVICE_ADDRESS, small.service_address
     )
     plan = await acting.plan(text, declaration_file.name)
     operate.print_plan(plan, surroundings)
--- a/redwingvalve/process/tests/test_drains.py
+++ b/redwingvalve/process/tests/test_drains.py
@@ -43,7 +43,7 @@
         await acting.wait_until_reachable()
         await acting.wait_until_listed(9)
         text = story.DECLARATION.read_text().replace(
-            story.UNSET_ADDRESS, small.service_address
+            story.SERVICE_ADDRESS, small.service_address
         )
         plan = await acting.plan(text, 'demo.yaml')
         await acting.confirm(plan['name'])
@@ -109,7 +109,7 @@
         await acting.wait_until_reachable()
         await acting.wait_until_listed(8)
         text = story.DECLARATION.read_text().replace(
-            story.UNSET_ADDRESS, small.service_address
+            story.SERVICE_ADDRESS, small.service_address
         )
         await acting.confirm((await acting.plan(text, 'demo.yaml'))['name'])
         await acting.wait_until_serving('quotes', 2)
