--- a/redwingvalve/process/parts.py
+++ b/redwingvalve/process/parts.py
@@ -7,6 +7,7 @@
 import attrs
 from anyio import abc as anyio_abc
 
+from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock, invariants
 from redwingvalve.membership import node
 from redwingvalve.observability import logs, metrics, tracing
@@ -138,7 +139,7 @@
 
 def _replicas_of(
     stored: object_api.StoredObject,
-) -> tuple[domain_module.snapshot.Replica, ...]:
+) -> tuple[snapshot.Replica, ...]:
     return domain_module.replicas_of(domain_module.from_stored(stored))
 
 
