--- a/redwingvalve/administration/app.py
+++ b/redwingvalve/administration/app.py
@@ -14,7 +14,7 @@
     rights,
     tokens,
 )
-from redwingvalve.core import clock
+from redwingvalve.core import clock, outcomes
 from redwingvalve.observability import logs
 
 MAX_BODY_BYTES = 1_500_000
@@ -62,8 +62,14 @@
             answer = await self._api.run(self._action, call)
         except Exception:
             LOGGER.exception('%s failed.', self._action.name)
-            return _problem(
-                STATUS_SERVER_ERROR, 'internal', 'see the log of the controller'
+            # The fault may have come after a write that stands.
+            return _error(
+                operations.OperationError(
+                    STATUS_SERVER_ERROR,
+                    'internal',
+                    'see the log of the controller',
+                    outcome=outcomes.Outcome.UNKNOWN,
+                )
             )
         if answer.is_error():
             return _error(answer.error)
--- a/redwingvalve/administration/operations.py
+++ b/redwingvalve/administration/operations.py
@@ -8,6 +8,7 @@
 
 from redwingvalve.administration import rights
 from redwingvalve.core import findings as findings_module
+from redwingvalve.core import outcomes
 from redwingvalve.platform_api import object_api
 
 STATUS_FORBIDDEN = 403
@@ -28,20 +29,21 @@
 
 @attrs.frozen
 class OperationError:
-    """Why an action was not done; nothing changed unless it says so."""
+    """Why an action was not done; unknown says that it may have been."""
 
     status: int
     code: str
     message: str
     findings: tuple[findings_module.Finding, ...] = ()
     retry_after_s: float = 0.0
+    outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
 
     def body(self) -> dict[str, typing.Any]:
         """Return the stable JSON shape, the same as callers get."""
         error: dict[str, typing.Any] = {
             'code': self.code,
             'message': self.message,
-            'outcome': 'not-run',
+            'outcome': self.outcome.value,
             'findings': [str(finding) for finding in self.findings],
         }
         if self.retry_after_s:
@@ -85,10 +87,18 @@
             'store-away',
             f'the platform store is away, so this waits: {error.message}',
             retry_after_s=error.retry_after_s,
+            outcome=outcome_of(error.maybe_applied),
         )
     return OperationError(STATUS_CONFLICT, 'refused', str(error))
 
 
+def outcome_of(maybe_applied: bool) -> outcomes.Outcome:
+    """Return not-run only if a write surely did not take effect."""
+    if maybe_applied:
+        return outcomes.Outcome.UNKNOWN
+    return outcomes.Outcome.NOT_RUN
+
+
 def refuse(status: int, code: str, message: str) -> Answer:
     """Return a refusal as a result."""
     return Error(OperationError(status, code, message))
--- a/redwingvalve/administration/store_operations.py
+++ b/redwingvalve/administration/store_operations.py
@@ -252,10 +252,13 @@
             f'no plan is named {error.plan!r}',
         )
     if isinstance(error, plan.StoreTrouble):
-        return operations.refuse(
-            operations.STATUS_UNAVAILABLE,
-            'store-away',
-            f'this waits for the platform store: {error.message}',
+        return Error(
+            operations.OperationError(
+                operations.STATUS_UNAVAILABLE,
+                'store-away',
+                f'this waits for the platform store: {error.message}',
+                outcome=operations.outcome_of(error.maybe_applied),
+            )
         )
     return operations.refuse(
         operations.STATUS_CONFLICT, type(error).__name__, _reason(error)
--- a/redwingvalve/administration/tests/test_api.py
+++ b/redwingvalve/administration/tests/test_api.py
@@ -9,6 +9,7 @@
     actions,
     app,
     audit,
+    operations,
     rights,
     store_operations,
     tokens,
@@ -17,7 +18,7 @@
 from redwingvalve.core import clock
 from redwingvalve.membership import members
 from redwingvalve.plans import book as plan_book
-from redwingvalve.platform_api import vm_list
+from redwingvalve.platform_api import object_api, vm_list
 from redwingvalve.standins import memory_store
 
 DECLARATION = """
@@ -266,6 +267,20 @@
     run(scenario)
 
 
+def test_an_action_whose_write_may_stand_is_not_called_not_run():
+    """An operator whose plan may have been kept must not read "not-run".
+
+    A store error that may hide a write that stands is told as unknown.
+    """
+    lost = object_api.Unavailable('no answer', maybe_applied=True)
+    sure = object_api.Unavailable('no answer', maybe_applied=False)
+    outcomes_told = [
+        operations.store_error(error).body()['error']['outcome']
+        for error in (lost, sure)
+    ]
+    assert outcomes_told == ['unknown', 'not-run']
+
+
 def test_a_revoked_or_expired_token_is_refused():
     async def scenario(bench):
         made = await bench.call(
--- a/redwingvalve/bench/relay_cost.py
+++ b/redwingvalve/bench/relay_cost.py
@@ -43,7 +43,6 @@
 )
 US_PER_S = 1_000_000
 MS_PER_S = 1000
-TOKEN_MARK = b'"delta"'
 END_MARK = b'data: [DONE]'
 Application = collections_abc.Callable[..., collections_abc.Awaitable[None]]
 
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -23,7 +23,6 @@
 )
 
 OK_STATUS = 200
-CONFLICT_STATUS = 409
 FIRST_SERVER_ERROR = 500
 CANCEL_TIMEOUT_S = 2.0
 CANCEL_PATH = '/v1/cancel'
--- a/redwingvalve/evidence/leaving.py
+++ b/redwingvalve/evidence/leaving.py
@@ -13,7 +13,6 @@
 
 from redwingvalve.news import board
 
-TELL_EVERY_S = 0.5
 # A controller that dies must not make a leaving VM look live again before
 # another has taken its duty over.
 CHANNEL = board.Channel(
--- a/redwingvalve/standins/object_api_app.py
+++ b/redwingvalve/standins/object_api_app.py
@@ -13,7 +13,6 @@
 GROUP = 'redwingvalve.io/v1'
 PREFIX = f'/apis/{GROUP}/'
 DEFAULT_WATCH_S = 30.0
-MAX_SILENCE_S = 600.0
 
 
 @attrs.define
