Give stalled streams up long before their deadline

Cause: a replica that hangs while its connection stands was seen only by the caller's deadline. Ruled out: a timer for each stream (it rings for all of them when the entry itself was paused, and must be moved on with each token); taking the replica for failed (it hangs, and may be paused for a moment).

Routing now hears of token gaps in the entry too.

--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -30,6 +30,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(application.gate.run)
         group.start_soon(application.loads.run)
+        group.start_soon(application.stalls.run)
         if entry_parts.key_claims is not None:
             group.start_soon(entry_parts.key_claims.keep_looking)
         await serving.serve(
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -18,11 +18,12 @@
     replica_choice,
     responder,
     sends,
+    stall_watch,
     suspects,
     waiting_room,
 )
 from redwingvalve.observability import logs
-from redwingvalve.retries import budget, decisions
+from redwingvalve.retries import budget, decisions, stalls
 from redwingvalve.routing import messages as routing_messages
 
 LOGGER = logs.make_logger('relay')
@@ -78,6 +79,7 @@
             entry_parts.members, entry_parts.clock
         )
         self._retries: dict[str, _Retries] = collections.defaultdict(_Retries)
+        self.stalls = stall_watch.make_stall_watch(entry_parts.clock)
 
     async def run(
         self,
@@ -170,7 +172,9 @@
             if may_send is not None and not may_send():
                 return parts.grant_expired()
             tried.add(attempt.replica.name)
-            failure = await self._send(journey, attempt, digest)
+            failure = await self._send(
+                journey, attempt, digest, frozenset(tried)
+            )
             if journey.delivered.count and journey.begun is None:
                 journey.begun = attempt.replica
             if failure is None:
@@ -201,7 +205,11 @@
         return None if replica is None else _Attempt(replica, route)
 
     async def _send(
-        self, journey: sends.Journey, attempt: _Attempt, digest: bytes
+        self,
+        journey: sends.Journey,
+        attempt: _Attempt,
+        digest: bytes,
+        tried: frozenset[str],
     ) -> sends.SendFailure | None:
         policy = self.choice.routing(journey.request.deployment.name)
         identity = sends.answer_check.AnswerIdentity(
@@ -214,15 +222,60 @@
                 identity.endpoint_id, self._parts.clock.monotonic_s()
             )
 
-        with self._counted(journey, attempt, digest):
+        watched = stall_watch.Watched(
+            stalls.Pulse(attempt.replica.name, attempt.route.prompt_tokens),
+            identity.endpoint_id,
+            journey.request.deployment.name,
+            policy,
+            lambda: self._may_stop(journey, attempt, watched.pulse, tried),
+        )
+        with (
+            self._counted(journey, attempt, digest),
+            self._watched(journey, watched),
+        ):
             failure = await self._sender.send(
-                journey, attempt.replica, identity, on_first_token
+                journey, attempt.replica, identity, watched, on_first_token
             )
             attempt.whole = failure is None
             if failure is not None and failure.blames_endpoint:
                 self._blame(attempt.replica, failure)
         return failure
 
+    def _watched(
+        self, journey: sends.Journey, watched: stall_watch.Watched
+    ) -> contextlib.AbstractContextManager[None]:
+        if journey.request.stream:
+            return self.stalls.watching(watched)
+        # An answer in one piece shows nothing until it is whole.
+        return contextlib.nullcontext()
+
+    def _may_stop(
+        self,
+        journey: sends.Journey,
+        attempt: _Attempt,
+        pulse: stalls.Pulse,
+        tried: frozenset[str],
+    ) -> bool:
+        """Tell whether giving a stalled send up serves its caller.
+
+        What can't be continued ends at once, so that the caller may decide,
+        but only once it has begun: before, a long prompt looks the same, and
+        the answer of what may run only once is worth the wait.
+        """
+        if not _may_repeat(journey):
+            return bool(pulse.tokens)
+        retries = self._retries[journey.request.deployment.name]
+        if not retries.policy.could_repeat(
+            _failed_attempt(journey, may_repeat=True, not_run=False),
+            self._parts.clock.monotonic_s(),
+        ):
+            return False
+        begun = attempt.replica if pulse.tokens else journey.begun
+        return self.choice.has_other(
+            journey.request.deployment.name,
+            tried | self.choice.of_other_versions(begun),
+        )
+
     @contextlib.contextmanager
     def _counted(
         self, journey: sends.Journey, attempt: _Attempt, digest: bytes
@@ -277,10 +330,7 @@
             # Only the end mark was lost: the caller has every token.
             await sends.finish_stream(journey.responds)
             return _failed(failure, outcomes.Outcome.RAN)
-        may_repeat = journey.request.idempotent and (
-            journey.delivered.kept or not journey.delivered.count
-        )
-        decision = self._decide(journey, failure, may_repeat=may_repeat)
+        decision = self._decide(journey, failure)
         journey.span.add_event(
             'after failure',
             {
@@ -290,34 +340,49 @@
             },
         )
         if decision.step == NextStep.GIVE_UP:
+            if failure.stalled:
+                # It began, and may stand still or run on to its end.
+                journey.responds.outcome = outcomes.Outcome.UNKNOWN
+                return _failed(failure, outcomes.Outcome.UNKNOWN)
             return _failed(failure, decision.outcome)
         self._parts.metrics.count(f'entry.{decision.step.value}')
         journey.resume_tokens = had.tokens
         return None
 
     def _decide(
-        self,
-        journey: sends.Journey,
-        failure: sends.SendFailure,
-        *,
-        may_repeat: bool,
+        self, journey: sends.Journey, failure: sends.SendFailure
     ) -> decisions.RetryDecision:
-        head = journey.request.head
-        not_run = outcomes.Outcome.NOT_RUN
         retries = self._retries[journey.request.deployment.name]
         return retries.policy.after_failure(
-            decisions.FailedAttempt(
-                idempotent=may_repeat,
-                surely_not_run=failure.outcome == not_run,
-                attempts=journey.sends,
-                delivered_tokens=journey.delivered.count,
-                earlier_unknown=journey.responds.outcome != not_run,
-                deadline_s=head.arrived_s + head.deadline_s,
+            _failed_attempt(
+                journey,
+                may_repeat=_may_repeat(journey),
+                not_run=failure.outcome == outcomes.Outcome.NOT_RUN,
             ),
             self._parts.clock.monotonic_s(),
         )
 
 
+def _may_repeat(journey: sends.Journey) -> bool:
+    return journey.request.idempotent and (
+        journey.delivered.kept or not journey.delivered.count
+    )
+
+
+def _failed_attempt(
+    journey: sends.Journey, *, may_repeat: bool, not_run: bool
+) -> decisions.FailedAttempt:
+    head = journey.request.head
+    return decisions.FailedAttempt(
+        idempotent=may_repeat,
+        surely_not_run=not_run,
+        attempts=journey.sends,
+        delivered_tokens=journey.delivered.count,
+        earlier_unknown=journey.responds.outcome != outcomes.Outcome.NOT_RUN,
+        deadline_s=head.arrived_s + head.deadline_s,
+    )
+
+
 def _no_replica(
     journey: sends.Journey, failure: sends.SendFailure | None
 ) -> outcomes.ErrorAnswer:
--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -106,6 +106,17 @@
         )
         return self._replicas[chosen.name]
 
+    def has_other(self, deployment: str, excluded: frozenset[str]) -> bool:
+        """Tell whether a replica outside excluded may be sent to now."""
+        self._follow()
+        now_s = self._clock.monotonic_s()
+        return any(
+            replica.deployment == deployment
+            and replica.name not in excluded
+            and self.may_serve(replica, now_s)
+            for replica in self._replicas.values()
+        )
+
     def may_serve(self, replica: snapshot.Replica, now_s: float) -> bool:
         """Tell whether new work may go to a replica."""
         if not replica.serving and self._leaving_excluded():
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -18,6 +18,7 @@
     model_request,
     parts,
     responder,
+    stall_watch,
     upstream,
     waiting_room,
 )
@@ -25,6 +26,9 @@
 OK_STATUS = 200
 FIRST_SERVER_ERROR = 500
 CANCEL_TIMEOUT_S = 2.0
+# A replica that hangs answers no cancellation either, and its caller waits to
+# go on elsewhere; the closed connection says the same.
+STALL_CANCEL_TIMEOUT_S = 0.2
 CANCEL_PATH = '/v1/cancel'
 MS_PER_S = 1000
 
@@ -35,7 +39,8 @@
 
     retriable tells whether another replica could do better; status is the
     endpoint's own where it answered; died says that the connection broke, as
-    it does when an endpoint dies under a request.
+    it does when an endpoint dies under a request. stalled says that the stream
+    stood still while its connection stood.
     """
 
     outcome: outcomes.Outcome
@@ -44,6 +49,7 @@
     status: int = 0
     blames_endpoint: bool = False
     died: bool = False
+    stalled: bool = False
 
 
 @attrs.define
@@ -61,10 +67,15 @@
     begun: snapshot.Replica | None = None
 
 
+class StalledError(Exception):
+    """The stream stood still and was given up."""
+
+
 @attrs.define
 class _Exchange:
     """An answer under way; ended once the endpoint has nothing left of it."""
 
+    watched: stall_watch.Watched
     answer: upstream.UpstreamAnswer | None = None
     ended: bool = False
 
@@ -95,9 +106,13 @@
         journey: Journey,
         replica: snapshot.Replica,
         identity: answer_check.AnswerIdentity,
+        watched: stall_watch.Watched,
         on_first_token: collections_abc.Callable[[], None],
     ) -> SendFailure | None:
-        """Send once; None when the caller has the whole answer."""
+        """Send once; None when the caller has the whole answer.
+
+        The stream is given up when the scope of watched is cancelled.
+        """
         span = self._parts.tracing.start_span(
             'endpoint request',
             parent=journey.span,
@@ -115,7 +130,7 @@
             journey.responds.outcome = outcomes.Outcome.UNKNOWN
         with contextlib.closing(_Ending(span)):
             failure = await self._try(
-                journey, outgoing, identity, on_first_token
+                journey, outgoing, identity, watched, on_first_token
             )
             if failure is not None:
                 span.set_attribute('redwingvalve.failure', failure.message)
@@ -128,12 +143,13 @@
         journey: Journey,
         outgoing: upstream.UpstreamRequest,
         identity: answer_check.AnswerIdentity,
+        watched: stall_watch.Watched,
         on_first_token: collections_abc.Callable[[], None],
     ) -> SendFailure | None:
         try:
-            async with self._exchange(outgoing) as exchange:
-                return await self._receive(
-                    exchange, journey, identity, on_first_token
+            with watched.scope, contextlib.suppress(StalledError):
+                return await self._exchange_once(
+                    journey, outgoing, identity, watched, on_first_token
                 )
         except upstream.UpstreamError as error:
             return self._failed_send(error)
@@ -143,13 +159,27 @@
             return SendFailure(
                 outcomes.Outcome.UNKNOWN, str(error), blames_endpoint=True
             )
+        return _stalled()
+
+    async def _exchange_once(
+        self,
+        journey: Journey,
+        outgoing: upstream.UpstreamRequest,
+        identity: answer_check.AnswerIdentity,
+        watched: stall_watch.Watched,
+        on_first_token: collections_abc.Callable[[], None],
+    ) -> SendFailure | None:
+        async with self._exchange(outgoing, watched) as exchange:
+            return await self._receive(
+                exchange, journey, identity, on_first_token
+            )
 
     @contextlib.asynccontextmanager
     async def _exchange(
-        self, outgoing: upstream.UpstreamRequest
+        self, outgoing: upstream.UpstreamRequest, watched: stall_watch.Watched
     ) -> collections_abc.AsyncIterator['_Exchange']:
         """Open an answer; on leaving early, cancel it and free its tokens."""
-        exchange = _Exchange()
+        exchange = _Exchange(watched)
         try:
             exchange.answer = await self._parts.upstream.send(outgoing)
             yield exchange
@@ -213,7 +243,9 @@
             return refusal
         answer_check.check_head(answer.headers, identity, self._parts.switches)
         if journey.request.stream:
-            await self._relay_stream(answer, identity, journey, on_first_token)
+            await self._relay_stream(
+                exchange, identity, journey, on_first_token
+            )
             exchange.ended = True
             return None
         body = b''.join([chunk async for chunk in answer.chunks])
@@ -227,18 +259,24 @@
 
     async def _relay_stream(
         self,
-        answer: upstream.UpstreamAnswer,
+        exchange: '_Exchange',
         identity: answer_check.AnswerIdentity,
         journey: Journey,
         on_first_token: collections_abc.Callable[[], None],
     ) -> None:
         checker = answer_check.StreamChecker(identity, self._parts.switches)
         responds = journey.responds
+        pulse = exchange.watched.pulse
         told = False
-        async for chunk in answer.chunks:
+        async for chunk in exchange.answer.chunks:
+            if pulse.stalled:
+                # The chunk came with the cancellation. Delivering would be
+                # cut off after counting; the next replica makes it again.
+                raise StalledError
             events = checker.feed(chunk)
             if not events:
                 continue
+            pulse.held = True
             if not told:
                 told = True
                 on_first_token()
@@ -246,7 +284,10 @@
             # Counted before they are written: a caller that hangs up in
             # between gets no second answer, so nothing can be sent twice.
             journey.delivered.add(events)
+            pulse.tokens += len(events)
             await responds.write(b''.join(events))
+            pulse.held = False
+        pulse.held = True
         complete = checker.done or not self._parts.switches.enabled(
             invariants.Safeguard.ANSWER_COMPLETENESS
         )
@@ -276,17 +317,22 @@
             if exchange.answer is not None:
                 await self._parts.upstream.release(exchange.answer)
             if not exchange.ended:
-                await self._cancel(outgoing)
+                timeout_s = CANCEL_TIMEOUT_S
+                if exchange.watched.pulse.stalled:
+                    timeout_s = STALL_CANCEL_TIMEOUT_S
+                await self._cancel(outgoing, timeout_s)
 
-    async def _cancel(self, outgoing: upstream.UpstreamRequest) -> None:
+    async def _cancel(
+        self, outgoing: upstream.UpstreamRequest, timeout_s: float
+    ) -> None:
         """Free the tokens of a request whose answer nobody will read."""
         cancel = attrs.evolve(
             outgoing,
             path=CANCEL_PATH,
             body=json.dumps({'request_id': outgoing.request_id}).encode(),
-            timeout_s=CANCEL_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
-        with anyio.move_on_after(CANCEL_TIMEOUT_S):
+        with anyio.move_on_after(timeout_s):
             try:
                 answer = await self._parts.upstream.send(cancel)
             except upstream.UpstreamError:
@@ -305,6 +351,13 @@
         self.span.end()
 
 
+def _stalled() -> SendFailure:
+    # Easing the replica off is routing's part: it hangs, and isn't gone.
+    return SendFailure(
+        outcomes.Outcome.UNKNOWN, 'the stream stood still', stalled=True
+    )
+
+
 async def finish_stream(responds: responder.Responder) -> None:
     """End a stream that is whole."""
     await _start_once(responds)
--- a/redwingvalve/retries/decisions.py
+++ b/redwingvalve/retries/decisions.py
@@ -99,6 +99,20 @@
         step = NextStep.RESUME if attempt.delivered_tokens else NextStep.RETRY
         return RetryDecision(step, outcome)
 
+    def could_repeat(self, attempt: FailedAttempt, now_s: float) -> bool:
+        """Tell whether after_failure would send again; spends nothing.
+
+        A stalled stream that can't go on elsewhere is better waited for.
+        """
+        outcome = _outcome(attempt)
+        if outcome != outcomes.Outcome.NOT_RUN and not attempt.idempotent:
+            return False
+        return (
+            now_s + attempt.expected_time_s < attempt.deadline_s
+            and attempt.attempts < self._settings.max_attempts
+            and self._budget.available(now_s) >= 1
+        )
+
     def may_hedge(
         self,
         *,
--- a/redwingvalve/routing/baselines.py
+++ b/redwingvalve/routing/baselines.py
@@ -33,6 +33,9 @@
     def progressed(self, request_id: str, tokens: float, now_s: float) -> None:
         """Learn nothing."""
 
+    def stalled(self, request_id: str, now_s: float) -> None:
+        """Learn nothing."""
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Learn nothing."""
 
--- a/redwingvalve/routing/policy.py
+++ b/redwingvalve/routing/policy.py
@@ -54,6 +54,10 @@
         Call it about once a second for each stream, not for each token.
         """
 
+    @abc.abstractmethod
+    def stalled(self, request_id: str, now_s: float) -> None:
+        """Learn that a stream stands still although it isn't finished."""
+
     @abc.abstractmethod
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a request no longer."""
--- a/redwingvalve/routing/scored.py
+++ b/redwingvalve/routing/scored.py
@@ -153,6 +153,20 @@
         bounded_s = min(gap_s, 2 * self._usual_gap_s)
         self._usual_gap_s += USUAL_STEP * (bounded_s - self._usual_gap_s)
 
+    def stalled(self, request_id: str, now_s: float) -> None:
+        """Ease the endpoint off as one that is slower by the utmost.
+
+        One stall takes it beyond probe_above_slowness: it gets one request at
+        a time until the memory fades or its answers are in time again.
+        """
+        own = self._own.get(request_id)
+        if own is not None:
+            own.state.observed(
+                endpoint_state.MAX_RATIO,
+                now_s,
+                self._settings.slowness_half_life_s,
+            )
+
     def finished(self, request_id: str, now_s: float) -> None:
         """Count a request no longer."""
         own = self._own.pop(request_id, None)
