Feed the engines' cache events to routing

Cause: nobody read the events, and entries named prefixes in a way of their own, so that no event could have been matched.

Ruled out: passing every event on (10 KB a second for each busy replica, to 72 members); each entry reading all replicas of its region.

Change: prefixes are named as the engines name them; one entry of the region reads a replica's events within 4 KB/s, and tells the others on the board of news which hot prefixes it holds and lost, as a state of at most 40 bytes each 5 s. Gaps count against what was stored before them: it is believed only while a lost event removed it with a chance of at most a tenth; skipped events count as lost, and silence, a new epoch and large gaps make readers forget.

--- a/redwingvalve/bench/request_path_entries.py
+++ b/redwingvalve/bench/request_path_entries.py
@@ -9,6 +9,7 @@
 from collections import abc as collections_abc
 
 import attrs
+import xxhash
 
 from redwingvalve.admission import baselines as admission_baselines
 from redwingvalve.admission import capacity, fair_queue, messages, queue
@@ -19,8 +20,8 @@
 from redwingvalve.poison import ledger
 from redwingvalve.retries import budget, decisions
 from redwingvalve.routing import baselines as routing_baselines
+from redwingvalve.routing import cache_news, policy, scored
 from redwingvalve.routing import messages as routing_messages
-from redwingvalve.routing import policy, scored
 
 LONG_TOKENS = 1000.0
 DEADLINE_S = 30.0
@@ -118,6 +119,7 @@
         self._dead: set[str] = set()
         self.queue = _make_queue(arrangement.admission)
         self.routing = _make_routing(arrangement.routing, self._home)
+        self.asked = cache_news.AskedPrefixes()
         self.ledger = ledger.make_suspect_ledger(self.name)
         self._budget: budget.RetryBudget = budget.make_retry_budget()
         if not arrangement.budgeted:
@@ -244,7 +246,9 @@
     ) -> routing_messages.RouteRequest:
         prefixes: tuple[routing_messages.Prefix, ...] = ()
         if job.prefix:
-            prefixes = (routing_messages.Prefix(job.prefix, job.prefix_tokens),)
+            name = prefix_name(job.prefix)
+            prefixes = (routing_messages.Prefix(name, job.prefix_tokens),)
+            self.asked.asked((name,))
         return routing_messages.RouteRequest(
             request_id=job.request_id,
             draw=self._random.getrandbits(64),
@@ -306,6 +310,11 @@
         self._at.pop(job.request_id, None)
 
 
+def prefix_name(prefix: str) -> str:
+    """Return the name that entries give a prefix."""
+    return cache_news.short_name(xxhash.xxh64_hexdigest(prefix.encode()))
+
+
 def _digest(job: replicas.Job) -> bytes:
     return b'poison!!' if job.poison else job.request_id.rjust(8).encode()
 
--- a/redwingvalve/bench/request_path_run.py
+++ b/redwingvalve/bench/request_path_run.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from redwingvalve.bench import request_path_caches
 from redwingvalve.bench import request_path_cases as cases
 from redwingvalve.bench import request_path_entries as entries
 from redwingvalve.bench import request_path_replicas as replicas
@@ -19,7 +20,6 @@
 DRAIN_S = 15.0
 SLOW_REPLICA = 'r1'
 BUSY_SHARE = 0.8
-LOST_EVENT = 10
 LATE_REFUSAL_MS = 100
 WARM_UP_S = 5.0
 
@@ -85,6 +85,9 @@
         self._next_report_s = 0.0
         self._deaths = 0
         self._busy: dict[int, float] = {}
+        self._caches = request_path_caches.CacheSpread(
+            self._fleet, self._entries
+        )
 
     def figures(self) -> Figures:
         """Run to the end and return the figures."""
@@ -150,7 +153,7 @@
         if now_s >= self._next_report_s:
             self._next_report_s = now_s + REPORT_EVERY_S
             self._report_loads(now_s)
-            self._spread_cache_events()
+            self._caches.step(now_s)
             self._report_progress(now_s)
         while self._reports and self._reports[0][0] <= now_s:
             (_, name, report) = self._reports.popleft()
@@ -173,21 +176,6 @@
                 entry = self._entries[job.entry]
                 entry.routing.progressed(job.request_id, job.delivered, now_s)
 
-    def _spread_cache_events(self) -> None:
-        # Half a second late by the rhythm of reports, and one in ten is lost.
-        for replica in self._fleet.values():
-            for number, event in enumerate(replica.cache_events):
-                if number % LOST_EVENT:
-                    self._learn_cache_event(replica.name, event)
-            replica.cache_events.clear()
-
-    def _learn_cache_event(self, name: str, event: replicas.CacheEvent) -> None:
-        for entry in self._entries:
-            learn = entry.routing.prefix_removed
-            if event.stored:
-                learn = entry.routing.prefix_stored
-            learn(name, event.prefix)
-
     def _spread_suspects(self, now_s: float) -> None:
         for number, entry in enumerate(self._entries):
             if entry.ledger.revision != self._revisions[number]:
--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -13,6 +13,7 @@
 from redwingvalve.entry import (
     account_gate,
     accounts,
+    cache_watch,
     caller,
     load_watch,
     model_request,
@@ -46,6 +47,9 @@
             entry_parts.clock,
         )
         self.stalls = self._models.stalls
+        self.caches = cache_watch.make_cache_watch(
+            entry_parts, self._models.choice
+        )
         self._services = services.ServiceRelay(entry_parts)
         self._once = _make_once(entry_parts)
         self.in_progress = 0
--- /dev/null
+++ b/redwingvalve/entry/cache_watch.py
@@ -0,0 +1,214 @@
+"""Feeds routing with what engines say of their prefix caches.
+
+Each replica is read by one entry of its region, by rendezvous hashing, which
+tells the others on the board of news; what is told and believed is decided in
+routing.cache_follower and routing.cache_news.
+"""
+
+import json
+import math
+from collections import abc as collections_abc
+
+import anyio
+
+from redwingvalve.configuration import snapshot
+from redwingvalve.entry import parts, replica_choice, upstream
+from redwingvalve.evidence import findings_wire
+from redwingvalve.membership import rendezvous
+from redwingvalve.news import board
+from redwingvalve.routing import (
+    cache_follower,
+    cache_news,
+    cache_reader,
+    policy,
+)
+
+LOOK_EVERY_S = 0.5
+TELL_EVERY_S = 5.0
+TELL_AGAIN_S = 10.0
+FETCH_TIMEOUT_S = 0.5
+# The request line and the headers of both sides, about.
+OVERHEAD_BYTES = 400
+REPLICAS_PER_ITEM = 200
+ENTRY_ROLE = 'entry'
+EVENTS_PATH = '/cache-events'
+CHANNEL = board.Channel(
+    name='cache',
+    reach=board.Reach.REGION,
+    max_age_s=25.0,
+    max_item_bytes=8192,
+)
+BROKEN = (upstream.UpstreamError, ValueError, LookupError, TypeError)
+
+
+class CacheWatch:
+    """One entry's reading and telling; run it beside the application."""
+
+    def __init__(
+        self,
+        entry_parts: parts.EntryParts,
+        choice: replica_choice.ReplicaChoice,
+    ) -> None:
+        """Feed the policies of choice."""
+        self._parts = entry_parts
+        self._choice = choice
+        self._follower = cache_follower.make_cache_follower()
+        self._reader = cache_reader.make_cache_reader()
+        self._replicas: dict[str, snapshot.Replica] = {}
+        self._told: dict[str, bytes] = {}
+        self._told_s = -math.inf
+        self._told_anew_s = -math.inf
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await self.step()
+            await self._parts.clock.sleep(LOOK_EVERY_S)
+
+    async def step(self) -> None:
+        """Read what the budget allows, tell, and take in what is told."""
+        self._replicas = {
+            replica.name: replica
+            for replica in self._parts.source.current().replicas
+            if replica.serving and self._in_region(replica)
+        }
+        mine = self._assigned()
+        self._follower.follow({name: self._epoch(name) for name in mine})
+        fetch = self._follower.next_fetch(self._parts.clock.monotonic_s())
+        while fetch is not None:
+            await self._read(fetch)
+            fetch = self._follower.next_fetch(self._parts.clock.monotonic_s())
+        self._tell(mine)
+        self._take_in()
+
+    def _assigned(self) -> tuple[str, ...]:
+        myself = self._parts.members.myself()
+        names = {
+            member.name
+            for member in self._parts.members.alive(ENTRY_ROLE)
+            if member.region == myself.region
+        }
+        names.add(myself.name)
+        return tuple(
+            name
+            for name in self._replicas
+            if rendezvous.holders(names, name, 1) == (myself.name,)
+        )
+
+    async def _read(self, fetch: cache_follower.Fetch) -> None:
+        replica = self._replicas[fetch.name]
+        now_s = self._parts.clock.monotonic_s()
+        if not self._choice.may_serve(replica, now_s):
+            self._follower.failed(fetch, now_s)
+            return
+        with anyio.move_on_after(FETCH_TIMEOUT_S):
+            try:
+                body = await self._fetch(replica, fetch.after)
+                events = read_events(body)
+            except BROKEN:
+                self._follower.failed(fetch, now_s)
+                return
+            self._follower.took(
+                fetch, events, len(body) + OVERHEAD_BYTES, now_s
+            )
+            return
+        self._follower.failed(fetch, now_s)
+
+    async def _fetch(self, replica: snapshot.Replica, after: int) -> bytes:
+        answer = await self._parts.upstream.send(
+            upstream.UpstreamRequest(
+                address=replica.members[0].address,
+                method='GET',
+                path=f'{EVENTS_PATH}?after={after}',
+                headers=(),
+                body=b'',
+                request_id='',
+                timeout_s=FETCH_TIMEOUT_S,
+            )
+        )
+        try:
+            return b''.join([chunk async for chunk in answer.chunks])
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._parts.upstream.release(answer)
+
+    def _tell(self, mine: tuple[str, ...]) -> None:
+        now_s = self._parts.clock.monotonic_s()
+        if now_s - self._told_s < TELL_EVERY_S:
+            return
+        self._told_s = now_s
+        words = [
+            cache_news.make_word(
+                findings_wire.mark_of(self._replicas[name]),
+                self._follower,
+                name,
+                self._choice.asked,
+                now_s,
+            )
+            for name in mine
+        ]
+        items = {
+            str(start): cache_news.encode(
+                words[start : start + REPLICAS_PER_ITEM]
+            )
+            for start in range(0, len(words), REPLICAS_PER_ITEM)
+        }
+        again = now_s - self._told_anew_s >= TELL_AGAIN_S
+        if again:
+            self._told_anew_s = now_s
+        self._publish(items, again=again)
+
+    def _publish(self, items: dict[str, bytes], *, again: bool) -> None:
+        for gone in self._told.keys() - items.keys():
+            self._parts.news.publish(CHANNEL, gone, b'')
+        for key, body in items.items():
+            if again or self._told.get(key) != body:
+                self._parts.news.publish(CHANNEL, key, body)
+        self._told = items
+
+    def _take_in(self) -> None:
+        marks = {
+            findings_wire.mark_of(replica): name
+            for name, replica in self._replicas.items()
+        }
+        words = {
+            marks[word.mark]: word
+            for news in self._parts.news.read(CHANNEL)
+            for word in cache_news.decode(news.body)
+            if word.mark in marks
+        }
+        self._reader.take(words, self._routing_of)
+
+    def _routing_of(self, name: str) -> policy.RoutingPolicy | None:
+        replica = self._replicas.get(name)
+        if replica is None:
+            return None
+        return self._choice.routing(replica.deployment)
+
+    def _in_region(self, replica: snapshot.Replica) -> bool:
+        own = self._parts.members.myself().region
+        return not replica.region or replica.region == own
+
+    def _epoch(self, name: str) -> int:
+        return self._replicas[name].epoch
+
+
+def read_events(
+    body: bytes,
+) -> collections_abc.Sequence[cache_follower.CacheEvent]:
+    """Return the events of an engine's answer; ValueError if malformed."""
+    return [
+        cache_follower.CacheEvent(
+            int(row['number']),
+            cache_news.short_name(str(row['prefix_hash'])),
+            row['type'] == 'stored',
+        )
+        for row in json.loads(body)['events']
+    ]
+
+
+def make_cache_watch(
+    entry_parts: parts.EntryParts, choice: replica_choice.ReplicaChoice
+) -> CacheWatch:
+    """Return the watch of one entry."""
+    return CacheWatch(entry_parts, choice)
--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -31,6 +31,7 @@
         group.start_soon(application.gate.run)
         group.start_soon(application.loads.run)
         group.start_soon(application.stalls.run)
+        group.start_soon(application.caches.run)
         if entry_parts.key_claims is not None:
             group.start_soon(entry_parts.key_claims.keep_looking)
         await serving.serve(
--- a/redwingvalve/entry/replica_choice.py
+++ b/redwingvalve/entry/replica_choice.py
@@ -1,9 +1,7 @@
 """Which replica gets the next send; the policy stands in routing."""
 
-import json
 import random
 
-import xxhash
 from opentelemetry import trace
 
 from redwingvalve.configuration import snapshot
@@ -11,15 +9,17 @@
 from redwingvalve.entry import model_request
 from redwingvalve.evidence import permits
 from redwingvalve.membership import members
+from redwingvalve.platform_api import prefix_hashes
+from redwingvalve.routing import cache_news, policy, scored
 from redwingvalve.routing import messages as routing_messages
-from redwingvalve.routing import policy, scored
 
 # Without a measured delay: a data centre of the own region is near, another
 # region is far enough that only a region without room sends there.
 NEAR_DELAY_S = 0.001
 FAR_DELAY_S = 0.05
 # Prompts are alike at their beginning: instructions first, then the case.
-PREFIX_LENGTHS = (8192, 2048, 512)
+# Blocks of an engine's cache after which a beginning is looked up.
+PREFIX_BLOCKS = (2, 8, 32)
 CHARACTERS_PER_TOKEN = 4
 DRAW_BITS = 64
 
@@ -46,6 +46,7 @@
         self._replicas: dict[str, snapshot.Replica] = {}
         self._policies: dict[str, policy.RoutingPolicy] = {}
         self._regions: dict[str, str] = {}
+        self.asked = cache_news.AskedPrefixes()
 
     def routing(self, deployment: str) -> policy.RoutingPolicy:
         """Return the policy of a deployment in the configuration in force."""
@@ -62,20 +63,15 @@
         delivered_tokens: int,
     ) -> routing_messages.RouteRequest:
         """Return what routing needs to know of one send."""
-        text = json.dumps(request.prompt)
+        text = prefix_hashes.prompt_text(request.prompt)
+        prefixes = _prefixes(text)
+        self.asked.asked(prefix.prefix_hash for prefix in prefixes)
         return routing_messages.RouteRequest(
             request_id=send_id,
             draw=self._random.getrandbits(DRAW_BITS),
             prompt_tokens=len(text) / CHARACTERS_PER_TOKEN + delivered_tokens,
             output_tokens=max(request.max_tokens - delivered_tokens, 1),
-            prefixes=tuple(
-                routing_messages.Prefix(
-                    xxhash.xxh64_hexdigest(text[:length].encode()),
-                    length / CHARACTERS_PER_TOKEN,
-                )
-                for length in PREFIX_LENGTHS
-                if length < len(text)
-            ),
+            prefixes=prefixes,
             excluded=excluded,
         )
 
@@ -200,3 +196,16 @@
         if self._regions.get(data_centre) == self._myself.region:
             return NEAR_DELAY_S
         return FAR_DELAY_S
+
+
+def _prefixes(text: str) -> tuple[routing_messages.Prefix, ...]:
+    """Return the beginnings to look up, the longest first."""
+    hashes = prefix_hashes.prefix_hashes(text, PREFIX_BLOCKS)
+    known = zip(hashes, PREFIX_BLOCKS, strict=False)
+    return tuple(
+        routing_messages.Prefix(
+            cache_news.short_name(prefix_hash),
+            blocks * prefix_hashes.BLOCK_CHARACTERS / CHARACTERS_PER_TOKEN,
+        )
+        for prefix_hash, blocks in reversed(tuple(known))
+    )
--- /dev/null
+++ b/redwingvalve/entry/tests/test_cache_watch.py
@@ -0,0 +1,106 @@
+"""What entries learn from each other of the engines' prefix caches."""
+
+import json
+
+import anyio
+import attrs
+import pytest
+
+from redwingvalve.core import clock
+from redwingvalve.entry import app
+from redwingvalve.entry.tests import fakes
+from redwingvalve.platform_api import prefix_hashes
+
+NAMES = tuple(f'r{number}' for number in range(1, 9))
+PROMPT = 'the rules of the house ' * 60
+ASK = {
+    'body': {
+        'model': 'quotes',
+        'messages': [{'role': 'user', 'content': PROMPT}],
+        'stream': True,
+    }
+}
+
+
+@attrs.define
+class Caching(fakes.Engines):
+    """Engines that publish cache events; lost is a gap in the numbers."""
+
+    rows: dict = attrs.field(factory=dict)
+
+    async def send(self, request):
+        if not request.path.startswith('/cache-events'):
+            return await super().send(request)
+        after = int(request.path.partition('=')[2])
+        rows = [
+            row
+            for row in self.rows.get(request.address, ())
+            if row['number'] > after
+        ]
+        body = json.dumps({'events': rows, 'first': 1}).encode()
+        return fakes.upstream.UpstreamAnswer(200, (), fakes.chunks_of((body,)))
+
+
+class Region:
+    """Two entries on one board; every replica is read by one of them."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock(100.0)
+        self.engines = Caching(
+            {f'{name}:1': fakes.streaming() for name in NAMES}
+        )
+        both = [attrs.evolve(fakes.ENTRY, name=name) for name in ('e1', 'e2')]
+        items = {}
+        self.entries = [
+            app.make_entry_app(
+                fakes.make_parts(
+                    self.engines,
+                    clock=self.clock,
+                    members=fakes.Members((other,), me),
+                    news=fakes.Board(items, me.name),
+                    source=fakes.Source(fakes.make_snapshot(NAMES)),
+                )
+            )
+            for me, other in (both, both[::-1])
+        ]
+
+    async def ask(self, entry):
+        before = len(self.engines.sent)
+        await fakes.call(entry, **ASK)
+        return self.engines.sent[before].address
+
+    async def spread(self):
+        self.clock.advance(6.0)
+        for _ in range(2):
+            for entry in self.entries:
+                await entry.caches.step()
+
+    def publish(self, address, number, event_type):
+        hashes = prefix_hashes.prefix_hashes(f'user: {PROMPT}', (2,))
+        self.engines.rows.setdefault(address, []).append(
+            {'number': number, 'type': event_type, 'prefix_hash': hashes[0]}
+        )
+
+
+@pytest.mark.parametrize('asking', [0, 1])
+def test_an_entry_finds_the_holder_that_an_engine_published(asking):
+    """Another entry's requests made a replica compute a hot prefix.
+
+    Whichever of both entries reads that replica's events, the other sends the
+    next request with the same beginning there.
+    """
+
+    async def main():
+        region = Region()
+        for entry in region.entries:
+            for _ in range(2):
+                await region.ask(entry)
+        known = {await region.ask(entry) for entry in region.entries}
+        holder = next(f'{name}:1' for name in NAMES if f'{name}:1' not in known)
+        for address in known:
+            region.publish(address, 1, 'removed')
+        region.publish(holder, 1, 'stored')
+        await region.spread()
+        assert await region.ask(region.entries[asking]) == holder
+
+    anyio.run(main)
--- a/redwingvalve/standins/answers.py
+++ b/redwingvalve/standins/answers.py
@@ -7,8 +7,10 @@
 import hashlib
 import typing
 
+from redwingvalve.platform_api import prefix_hashes as prefixes
+
 CHARACTERS_PER_TOKEN = 4
-PREFIX_BLOCK_CHARACTERS = 256
+PREFIX_BLOCK_CHARACTERS = prefixes.BLOCK_CHARACTERS
 DEFAULT_MAX_TOKENS = 16
 
 
@@ -31,10 +33,7 @@
     """Return the prompt of a chat or plain completion request."""
     if 'messages' not in body:
         return str(body.get('prompt', ''))
-    return '\n'.join(
-        f'{message["role"]}: {message["content"]}'
-        for message in body['messages']
-    )
+    return prefixes.prompt_text(body['messages'])
 
 
 def prompt_digest(prompt: str) -> str:
@@ -49,11 +48,5 @@
 
 def prefix_hashes(prompt: str) -> tuple[str, ...]:
     """Return one hash for each whole block, over all text up to its end."""
-    running = hashlib.sha256()
-    hashes = []
     blocks = len(prompt) // PREFIX_BLOCK_CHARACTERS
-    for block in range(blocks):
-        start = block * PREFIX_BLOCK_CHARACTERS
-        running.update(prompt[start : start + PREFIX_BLOCK_CHARACTERS].encode())
-        hashes.append(running.hexdigest()[:16])
-    return tuple(hashes)
+    return prefixes.prefix_hashes(prompt, range(1, blocks + 1))
