Give plain services a queue with deadlines, like models

Cause: a service had only a bound of calls in flight; what came above it was refused at once whoever asked, and a few exports could hold every place.

Ruled out: calls as units of one token (an export of half a minute counts as a light call); an entry's part of the declared bound (a service has a few addresses and the fleet hundreds of entries); declared costs of paths.

Change: the same queue stands before each service. A call costs the time for which it holds a place, learned by path; what has never ended may be long and leaves room for others.

messages.AdmissionSettings has most_over_declared in place of a constant.

--- a/redwingvalve/admission/capacity.py
+++ b/redwingvalve/admission/capacity.py
@@ -7,8 +7,8 @@
 # gap target leaves room for prompts between the steps; the queue raises the
 # bound where the engine does better.
 BATCH_SHARE = 0.5
-# Speed of a service until it is measured: calls of a tenth of a second.
-SERVICE_CALL_S = 0.1
+# A service's tokens are milliseconds for which calls hold their places.
+PLACE_MS_PER_S = 1000.0
 
 
 def make_model_capacity(
@@ -21,10 +21,15 @@
 
 
 def make_service_capacity(
-    service: schema.PlainService, part: float
+    service: schema.PlainService,
 ) -> messages.Capacity:
-    """Return an entry's part of a plain service; a call is one token."""
-    calls = service.max_in_flight_per_address * len(service.addresses) * part
+    """Return what one entry may have in flight at a plain service.
+
+    The declared bound is one entry's. Parts of it would leave an entry with
+    many callers one place while the others idle, for a service has a few
+    addresses and the fleet hundreds of entries.
+    """
+    calls = service.max_in_flight_per_address * len(service.addresses)
     return messages.Capacity(
-        in_flight=calls, tokens_per_s=calls / SERVICE_CALL_S
+        in_flight=calls, tokens_per_s=calls * PLACE_MS_PER_S
     )
--- a/redwingvalve/admission/estimates.py
+++ b/redwingvalve/admission/estimates.py
@@ -11,13 +11,13 @@
 # The in-flight limit falls by a tenth while answers are late, and then waits
 # until first tokens can show the effect: falling on each late answer halves
 # the limit before the first one can be in time. It rises by a five hundredth
-# for each answer in time while work waits, to twice what is declared.
+# for each answer in time while work waits, to most_over_declared times what
+# is declared.
 PRESSURE_PAUSE_S = 0.3
 PRESSURE_PAUSE_DELAYS = 2.0
 PRESSURE_FALL = 0.97
 PRESSURE_RISE = 0.002
 PRESSURE_MIN_FACTOR = 0.2
-PRESSURE_MAX_FACTOR = 2.0
 LATE_SHARE = 0.2
 LATE_STEP = 0.05
 MANY_LATE = 0.2
@@ -60,8 +60,11 @@
     bound.
     """
 
-    def __init__(self, first_token_s: float, token_gap_s: float) -> None:
+    def __init__(
+        self, first_token_s: float, token_gap_s: float, max_factor: float
+    ) -> None:
         """Start with an expected delay, a gap target and the whole bound."""
+        self._max_factor = max_factor
         self.first_token_s = first_token_s
         self.factor = 1.0
         self._gap_target_s = token_gap_s
@@ -96,7 +99,7 @@
         early = self._gap_s < GAP_EARLY_SHARE * self._gap_target_s
         if self.factor < 1 or (waiting and early):
             risen = self.factor + PRESSURE_RISE
-            self.factor = min(risen, PRESSURE_MAX_FACTOR)
+            self.factor = min(risen, self._max_factor)
 
     def _fall(self, now_s: float) -> None:
         if now_s >= self._next_fall_s:
--- a/redwingvalve/admission/in_flight.py
+++ b/redwingvalve/admission/in_flight.py
@@ -39,7 +39,9 @@
     ) -> None:
         """Start with nothing sent and no capacity."""
         self.pressure = estimates.Pressure(
-            settings.first_token_s, settings.token_gap_s
+            settings.first_token_s,
+            settings.token_gap_s,
+            settings.most_over_declared,
         )
         self._lanes = all_lanes
         self._declared = 0.0
--- a/redwingvalve/admission/messages.py
+++ b/redwingvalve/admission/messages.py
@@ -73,7 +73,8 @@
     """What this entry may use of a deployment or a service.
 
     in_flight bounds the jobs sent and not yet finished; tokens_per_s is the
-    declared speed behind them. For a service a call counts as one token.
+    declared speed behind them. For a service a token is a millisecond for
+    which a call holds its place.
     """
 
     in_flight: float
@@ -95,6 +96,7 @@
     moderate_wait_margin: float = 0.6
     greedy_wait_margin: float = 0.3
     first_token_s: float = 0.2
+    most_over_declared: float = 2.0
     token_gap_s: float = 0.06
     min_retry_after_s: float = 0.5
     max_waiting: int = 5000
--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -206,7 +206,7 @@
             )
         return Work(
             self._services.run,
-            services.ServiceRequest(head, service, body),
+            services.ServiceRequest(head, account, service, body),
             account,
             body,
         )
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -8,6 +8,7 @@
 import attrs
 from opentelemetry import trace
 
+from redwingvalve.admission import capacity
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import outcomes
 from redwingvalve.entry import (
@@ -145,8 +146,13 @@
     ) -> outcomes.ErrorAnswer | None:
         serving = self.choice.serving(journey.request.deployment.name)
         job_id = self._sender.next_identity(journey.request).endpoint_id
+        deployment = journey.request.deployment
         async with self._room.admitted(
-            journey.request, job_id, len(serving)
+            deployment.name,
+            capacity.make_model_capacity(
+                deployment, len(serving), self._room.part()
+            ),
+            waiting_room.admission_request(journey.request, job_id),
         ) as turn:
             if turn.is_error():
                 return turn.error
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -9,7 +9,14 @@
 
 from redwingvalve.core import outcomes
 from redwingvalve.declaration import schema
-from redwingvalve.entry import answer_check, caller, parts, responder, upstream
+from redwingvalve.entry import (
+    answer_check,
+    caller,
+    parts,
+    responder,
+    service_queue,
+    upstream,
+)
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
@@ -46,6 +53,7 @@
     """A request for a plain service."""
 
     head: caller.CallerHead
+    account: schema.ClientAccount
     service: schema.PlainService
     body: bytes
 
@@ -90,6 +98,9 @@
         self._in_flight: dict[str, int] = {}
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}-s'
+        self._queue = service_queue.make_service_queue(
+            entry_parts.members, entry_parts.clock
+        )
 
     async def run(
         self,
@@ -98,7 +109,23 @@
         span: trace.Span,
         may_send: parts.MaySend | None,
     ) -> None:
-        """Answer the request by its deadline."""
+        """Answer the request by its deadline, or refuse it early."""
+        async with self._queue.turn(
+            request.head, request.account, request.service
+        ) as turn:
+            if turn.is_error():
+                span.set_attribute('redwingvalve.refused', turn.error.code)
+                await responds.send_error(turn.error)
+                return
+            await self._carry(request, responds, span, may_send)
+
+    async def _carry(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend | None,
+    ) -> None:
         tried: set[str] = set()
         refusal = _busy()
         may_send = may_send or _always
--- /dev/null
+++ b/redwingvalve/entry/tests/test_service_queue.py
@@ -0,0 +1,143 @@
+"""What callers of a plain service receive while more is asked than fits."""
+
+import anyio
+
+from redwingvalve.core import clock
+from redwingvalve.entry import app
+from redwingvalve.entry.tests import fakes
+
+DEAR, CHEAP = 'dear', 'cheap'
+
+
+class Service:
+    """One place; an entry in front of it whose clock moves by hand."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock(10.0)
+        self.place = anyio.Semaphore(0)
+        self.engines = fakes.Engines({'s1:1': self._serve})
+        accounts = tuple(
+            fakes.schema.ClientAccount(
+                name,
+                fakes.hashlib.sha256(name.encode()).hexdigest(),
+                5,
+                penalty_per_missed_request=penalty,
+            )
+            for name, penalty in ((DEAR, 9.0), (CHEAP, 0.0))
+        )
+        declared = fakes.schema.PlainService(
+            'parts', '/parts', ('s1:1',), max_in_flight_per_address=1
+        )
+        self.application = app.make_entry_app(
+            fakes.make_parts(
+                self.engines,
+                clock=self.clock,
+                source=fakes.Source(
+                    fakes.make_snapshot(
+                        services=(declared,), client_accounts=accounts
+                    )
+                ),
+            )
+        )
+        self.answers = []
+
+    async def _serve(self, request):
+        await self.place.acquire()
+        self.clock.advance(1.0)
+        return await fakes.answering(200)(request)
+
+    async def call(self, name):
+        got = await fakes.call(
+            self.application,
+            path='/parts/17',
+            body=b'',
+            method='GET',
+            headers={'authorization': f'Bearer {name}'},
+        )
+        self.answers.append((name, got))
+
+    async def finish(self, count):
+        for _ in range(count):
+            self.place.release()
+            await anyio.wait_all_tasks_blocked()
+
+
+def run(play):
+    async def main():
+        service = Service()
+        async with anyio.create_task_group() as group:
+
+            async def begin(name):
+                group.start_soon(service.call, name)
+                await anyio.wait_all_tasks_blocked()
+
+            await play(service, begin)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_who_waits_is_served_by_penalty_and_never_lost():
+    """One call runs, two cheap ones wait, then a dear one comes.
+
+    Before, all but the first were refused. The dear one goes second at the
+    latest (fair turns and preferred ones alternate), and all get answers.
+    """
+
+    async def play(service, begin):
+        await begin(CHEAP)
+        for name in (CHEAP, CHEAP, CHEAP, DEAR):
+            await begin(name)
+        assert len(service.engines.sent) == 1
+        await service.finish(5)
+        assert [got.status for _, got in service.answers] == [200] * 5
+        assert [name for name, _ in service.answers].index(DEAR) <= 2
+
+    run(play)
+
+
+def test_what_cannot_be_answered_in_time_is_refused_at_once():
+    """A call takes a second and the timeout is ten; a hundred callers come.
+
+    Those too many hear so on arrival, with Retry-After and not-run; nobody
+    is held until the deadline, and the service ran only what was answered.
+    """
+
+    async def play(service, begin):
+        await begin(CHEAP)
+        await service.finish(1)
+        for _ in range(30):
+            await begin(CHEAP)
+        refused = [got for _, got in service.answers[1:]]
+        assert 15 < len(refused) < 30
+        assert {got.status for got in refused} == {429}
+        assert {got.error['outcome'] for got in refused} == {'not-run'}
+        assert all(got.headers['retry-after'] for got in refused)
+        ran = len(service.engines.sent)
+        assert ran == 2
+
+    run(play)
+
+
+def test_a_caller_that_hangs_up_gives_its_place_to_the_next():
+    async def play(service, begin):
+        gone = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                lambda: fakes.call(
+                    service.application,
+                    path='/parts/17',
+                    body=b'',
+                    method='GET',
+                    headers={'authorization': f'Bearer {CHEAP}'},
+                    hang_up=gone,
+                )
+            )
+            await anyio.wait_all_tasks_blocked()
+            await begin(DEAR)
+            gone.set()
+            await anyio.wait_all_tasks_blocked()
+            await service.finish(1)
+        assert [name for name, _ in service.answers] == [DEAR]
+
+    run(play)
--- a/redwingvalve/entry/waiting_room.py
+++ b/redwingvalve/entry/waiting_room.py
@@ -1,4 +1,4 @@
-"""Admission in front of the relay: one queue for each deployment.
+"""Admission in front of a relay: one queue for each deployment or service.
 
 The policy stands in admission; here callers wait for its word. A caller that
 cannot be served in time is told so at once, with when to come back.
@@ -11,9 +11,8 @@
 import attrs
 from expression import Error, Ok, Result
 
-from redwingvalve.admission import capacity, fair_queue, messages, queue
+from redwingvalve.admission import fair_queue, messages, queue
 from redwingvalve.core import clock, outcomes
-from redwingvalve.declaration import schema
 from redwingvalve.entry import model_request
 from redwingvalve.membership import members
 
@@ -25,6 +24,8 @@
 # Decode takes the time of an engine, a prompt token a tenth of that.
 PROMPT_TOKEN_SHARE = 0.1
 
+Asked = messages.AdmissionRequest
+
 
 @attrs.define(eq=False)
 class _Waiter:
@@ -43,7 +44,7 @@
 
 @attrs.define(eq=False)
 class Turn:
-    """Leave to use the deployment; tells the queue what became of it."""
+    """Leave to be sent; tells the queue what became of it."""
 
     room: queue.AdmissionQueue
     request_id: str
@@ -56,39 +57,46 @@
 
 
 class WaitingRoom:
-    """The queues of all deployments at this entry."""
+    """The queues of all deployments, or of all services, at this entry."""
 
-    def __init__(self, known: members.Members, room_clock: clock.Clock) -> None:
-        """Share each deployment's capacity with the entries of known."""
+    def __init__(
+        self,
+        known: members.Members,
+        room_clock: clock.Clock,
+        settings: messages.AdmissionSettings | None = None,
+    ) -> None:
+        """Share deployments with the entries of known."""
         self._members = known
         self._clock = room_clock
+        self._settings = settings
         self._queues: dict[str, queue.AdmissionQueue] = {}
         self._waiters: dict[str, _Waiter] = {}
         self._sweeper: _Waiter | None = None
 
     @contextlib.asynccontextmanager
     async def admitted(
-        self,
-        request: model_request.ModelRequest,
-        job_id: str,
-        replicas: int,
+        self, name: str, usable: messages.Capacity, asked: Asked
     ) -> collections_abc.AsyncIterator[Result[Turn, outcomes.ErrorAnswer]]:
-        """Wait for a turn; the deployment is free again with the block."""
-        room = self._room(request.deployment, replicas)
-        asked = _admission_request(request, job_id)
+        """Wait for a turn at what is named; it is free again with the block.
+
+        usable is what this entry may use of it now.
+        """
+        room = self._room(name, usable)
         refused = await self._wait(room, asked)
         if refused is not None:
             yield Error(_refusal(refused))
             return
-        turn = Turn(room, job_id, self._clock)
+        turn = Turn(room, asked.request_id, self._clock)
         try:
             yield Ok(turn)
         finally:
-            room.finished(job_id, turn.used_tokens, self._clock.monotonic_s())
+            room.finished(
+                asked.request_id, turn.used_tokens, self._clock.monotonic_s()
+            )
             self._call_next(room)
 
     async def _wait(
-        self, room: queue.AdmissionQueue, asked: messages.AdmissionRequest
+        self, room: queue.AdmissionQueue, asked: Asked
     ) -> messages.RefusedNow | None:
         decision = room.offer(asked, self._clock.monotonic_s())
         if isinstance(decision, messages.Admitted):
@@ -132,7 +140,7 @@
     def _hung_up(
         self,
         room: queue.AdmissionQueue,
-        asked: messages.AdmissionRequest,
+        asked: Asked,
     ) -> None:
         if room.withdraw(asked.request_id):
             return
@@ -155,15 +163,17 @@
                 waiter.call()
             ready = room.next_ready(self._clock.monotonic_s())
 
+    def part(self) -> float:
+        """Return this entry's share of what all entries use."""
+        return 1 / max(len(self._members.alive()), 1)
+
     def _room(
-        self, deployment: schema.ModelDeployment, replicas: int
+        self, name: str, usable: messages.Capacity
     ) -> queue.AdmissionQueue:
-        entries = max(len(self._members.alive()), 1)
-        usable = capacity.make_model_capacity(deployment, replicas, 1 / entries)
-        room = self._queues.get(deployment.name)
+        room = self._queues.get(name)
         if room is None:
-            room = fair_queue.make_admission_queue(usable)
-            self._queues[deployment.name] = room
+            room = fair_queue.make_admission_queue(usable, self._settings)
+            self._queues[name] = room
         room.resize(usable, self._clock.monotonic_s())
         return room
 
@@ -174,9 +184,10 @@
     return request.max_tokens + prompt_tokens * PROMPT_TOKEN_SHARE
 
 
-def _admission_request(
+def admission_request(
     request: model_request.ModelRequest, job_id: str
-) -> messages.AdmissionRequest:
+) -> Asked:
+    """Return what the queue needs to know of a request for a model."""
     target_s = (
         request.account.first_token_target_s
         or request.deployment.first_token_target_s
