--- a/redwingvalve/admission/account_line.py
+++ b/redwingvalve/admission/account_line.py
@@ -17,6 +17,7 @@
 # not over less than this, or a burst of a small account would look like a
 # flood. Over the whole window, the first seconds of an overload look moderate.
 ASKED_LEAST_S = 3.5
+ASKED_LONG_S = 25.0
 
 # Each late refusal takes a fifth off the wait that a line may promise, at most
 # ten times a second; seven dispatches give that back. If it took longer, an
@@ -107,6 +108,8 @@
     def asked_tokens_per_s(self) -> float:
         """Return the rate asked for, as of the last request."""
         asking_s = max(self.asked_at_s - self._first_asked_s, ASKED_LEAST_S)
+        if asking_s > ASKED_LONG_S:
+            return self._asked_tokens / ASKED_WINDOW_S
         window_s = ASKED_WINDOW_S * -math.expm1(-asking_s / ASKED_WINDOW_S)
         return self._asked_tokens / window_s
 
--- a/redwingvalve/admission/fair_queue.py
+++ b/redwingvalve/admission/fair_queue.py
@@ -131,9 +131,9 @@
     def expired(self, now_s: float) -> tuple[messages.RefusedNow, ...]:
         """Remove and return what can no longer meet its target."""
         refused = self._past_latest_start(now_s)
-        for in_lane in self._lanes:
-            if in_lane.waiting_count:
-                self._refuse_tails(in_lane, now_s, refused)
+        for kind in messages.JobKind:
+            if self._lanes[kind].waiting_count:
+                self._refuse_tails(kind, now_s, refused)
         return tuple(refused)
 
     def expected_tokens(self, request: messages.AdmissionRequest) -> float:
@@ -157,9 +157,9 @@
         now_s: float,
     ) -> messages.Decision:
         in_lane = self._lanes[request.kind]
-        wait_s = self._wait_s(
-            in_lane, line, line.backlog_ahead(request.priority), now_s
-        )
+        speed = self._speed(request.kind)
+        ahead_tokens = line.backlog_ahead(request.priority)
+        wait_s = self._wait_s(in_lane, line, ahead_tokens, speed, now_s)
         latest_start_s = (
             request.deadline_s - self._in_flight.pressure.first_token_s
         )
@@ -190,12 +190,9 @@
         in_lane: lane.Lane,
         line: account_line.AccountLine,
         ahead_tokens: float,
+        speed: float,
         now_s: float,
     ) -> float:
-        part = self._lanes.speed_part(in_lane, self._in_flight.limit())
-        # With more or fewer places than declared goes that much more or less.
-        speed = part * self._capacity.tokens_per_s
-        speed *= self._in_flight.pressure.factor
         expected_rate = in_lane.shares.expected(line, speed, now_s)
         floor_rate = speed * in_lane.fair_share(line)
         floor_rate *= 1.0 - self._settings.preferred_share
@@ -205,6 +202,13 @@
         turn_s = in_lane.turn_in_s(line, speed)
         return ahead_tokens / rate + turn_s
 
+    def _speed(self, kind: messages.JobKind) -> float:
+        """Return what a lane may count on, in tokens a second."""
+        part = self._lanes.speed_part(kind, self._in_flight.limit())
+        # With more or fewer places than declared goes that much more or less.
+        declared = part * self._capacity.tokens_per_s
+        return declared * self._in_flight.pressure.factor
+
     def _drain_time_s(self) -> float:
         speed = max(self._capacity.tokens_per_s, 1e-9)
         return self._lanes.waiting_tokens() / speed
@@ -231,15 +235,17 @@
 
     def _refuse_tails(
         self,
-        in_lane: lane.Lane,
+        kind: messages.JobKind,
         now_s: float,
         refused: list[messages.RefusedNow],
     ) -> None:
+        in_lane = self._lanes[kind]
+        speed = self._speed(kind)
         for line in in_lane.lines.values():
             while line.waiting:
                 (_, _, cost, request) = line.waiting[-1]
                 ahead = line.backlog_tokens - cost
-                wait_s = self._wait_s(in_lane, line, ahead, now_s)
+                wait_s = self._wait_s(in_lane, line, ahead, speed, now_s)
                 latest_start_s = (
                     request.deadline_s - self._in_flight.pressure.first_token_s
                 )
--- a/redwingvalve/admission/lanes.py
+++ b/redwingvalve/admission/lanes.py
@@ -9,7 +9,6 @@
 short ones, since what they hold comes back only after many seconds.
 """
 
-import math
 import typing
 
 from redwingvalve.admission import account_line, estimates, lane, messages
@@ -82,7 +81,7 @@
         tokens = light.waiting_tokens + short.waiting_tokens
         return tokens + long.waiting_tokens
 
-    def speed_part(self, in_lane: lane.Lane, limit: float) -> float:
+    def speed_part(self, kind: messages.JobKind, limit: float) -> float:
         """Return the part of the speed that a lane may count on.
 
         What other lanes have in flight holds places for as long as it lasts;
@@ -90,9 +89,9 @@
         """
         if limit <= 0:
             return 1.0
-        kind = self._lanes.index(in_lane)
-        held = math.fsum(one.in_flight for one in self._lanes)
-        part = 1 - (held - in_lane.in_flight) / limit
+        (light, short, long) = self._lanes
+        held = light.in_flight + short.in_flight + long.in_flight
+        part = 1 - (held - self._lanes[kind].in_flight) / limit
         if kind == messages.JobKind.LONG:
             part = min(part, 1 - self._reserve(limit))
         return max(part, self._floors[kind])
