--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -245,6 +245,12 @@
             attempt.whole = failure is None
             if failure is not None and failure.blames_endpoint:
                 self._blame(attempt.replica, failure)
+            if failure is not None and failure.stalled:
+                LOGGER.warning(
+                    'a stream stood still',
+                    extra={'replica': attempt.replica.name},
+                )
+                self._parts.metrics.count('entry.stalled')
         return failure
 
     def _watched(
