Pay for going on elsewhere before a stalled stream is given up

Asked without spending, all streams of a hung replica were given up at one look, and those beyond the retry budget ended in errors. A test with 120 callers fails without it.

--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -276,17 +276,18 @@
         """
         if not _may_repeat(journey):
             return bool(pulse.tokens)
-        retries = self._retries[journey.request.deployment.name]
-        if not retries.policy.could_repeat(
-            _failed_attempt(journey, may_repeat=True, not_run=False),
-            self._parts.clock.monotonic_s(),
-        ):
-            return False
         begun = attempt.replica if pulse.tokens else journey.begun
-        return self.choice.has_other(
+        if not self.choice.has_other(
             journey.request.deployment.name,
             tried | self.choice.of_other_versions(begun),
+        ):
+            return False
+        retries = self._retries[journey.request.deployment.name]
+        journey.paid = retries.policy.pay_ahead(
+            _failed_attempt(journey, may_repeat=True, not_run=False),
+            self._parts.clock.monotonic_s(),
         )
+        return journey.paid
 
     @contextlib.contextmanager
     def _counted(
@@ -365,7 +366,7 @@
         self, journey: sends.Journey, failure: sends.SendFailure
     ) -> decisions.RetryDecision:
         retries = self._retries[journey.request.deployment.name]
-        return retries.policy.after_failure(
+        decision = retries.policy.after_failure(
             _failed_attempt(
                 journey,
                 may_repeat=_may_repeat(journey),
@@ -373,6 +374,8 @@
             ),
             self._parts.clock.monotonic_s(),
         )
+        journey.paid = False
+        return decision
 
 
 def _may_repeat(journey: sends.Journey) -> bool:
@@ -392,6 +395,7 @@
         delivered_tokens=journey.delivered.count,
         earlier_unknown=journey.responds.outcome != outcomes.Outcome.NOT_RUN,
         deadline_s=head.arrived_s + head.deadline_s,
+        paid=journey.paid,
     )
 
 
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -65,6 +65,8 @@
     resume_tokens: tuple[str, ...] = ()
     last_endpoint_id: str = ''
     begun: snapshot.Replica | None = None
+    # The retry budget has paid for going on elsewhere.
+    paid: bool = False
 
 
 class StalledError(Exception):
--- a/redwingvalve/entry/tests/test_stalls.py
+++ b/redwingvalve/entry/tests/test_stalls.py
@@ -160,3 +160,35 @@
     hung, *later = scene.engines.sent
     again = [sent for sent in later[1:] if sent.address == hung.address]
     assert len(again) <= 1
+
+
+def test_streams_beyond_the_retry_budget_are_waited_for():
+    """A replica with 60 streams hangs for ten seconds; the budget is 20.
+
+    Some callers get the rest of their answer elsewhere, the others when the
+    replica goes on. Nobody gets an error for lack of budget.
+    """
+
+    async def main():
+        scene, hanging = Scene(None), Hanging(2)
+        scene.engines.scripts = {
+            'r1:1': hanging,
+            'r2:1': fakes.streaming(6),
+        }
+        answers = [fakes.Received() for _ in range(120)]
+        async with anyio.create_task_group() as group:
+            for got in answers:
+                group.start_soon(
+                    lambda one: fakes.call(scene.application, received=one),
+                    got,
+                )
+            await hanging.hangs.wait()
+            await anyio.wait_all_tasks_blocked()
+            hung = sum(not got.ended for got in answers)
+            await scene.look(12)
+            waiting = sum(not got.ended for got in answers)
+            hanging.released.set()
+        assert hung > 40 and 0 < waiting < hung - 15
+        assert all(got.tokens == WHOLE and got.ended for got in answers)
+
+    anyio.run(main)
--- a/redwingvalve/retries/decisions.py
+++ b/redwingvalve/retries/decisions.py
@@ -36,7 +36,7 @@
 
     surely_not_run means that no byte reached the endpoint, or that it said
     that it did not start. earlier_unknown is set when an earlier attempt of
-    the same request may have run.
+    the same request may have run. paid is set once pay_ahead took the budget.
     """
 
     idempotent: bool
@@ -46,6 +46,7 @@
     earlier_unknown: bool = False
     deadline_s: float = 0.0
     expected_time_s: float = 0.0
+    paid: bool = False
 
 
 @attrs.frozen
@@ -89,7 +90,7 @@
             return _give_up(outcome, GiveUpReason.DEADLINE)
         if attempt.attempts >= self._settings.max_attempts:
             return _give_up(outcome, GiveUpReason.TOO_MANY_ATTEMPTS)
-        if not self._budget.try_spend(now_s):
+        if not attempt.paid and not self._budget.try_spend(now_s):
             return _give_up(outcome, GiveUpReason.NO_BUDGET)
         invariants.require(
             attempt.idempotent or outcome == outcomes.Outcome.NOT_RUN,
@@ -99,10 +100,12 @@
         step = NextStep.RESUME if attempt.delivered_tokens else NextStep.RETRY
         return RetryDecision(step, outcome)
 
-    def could_repeat(self, attempt: FailedAttempt, now_s: float) -> bool:
-        """Tell whether after_failure would send again; spends nothing.
+    def pay_ahead(self, attempt: FailedAttempt, now_s: float) -> bool:
+        """Spend for a repetition before the attempt is given up.
 
-        A stalled stream that can't go on elsewhere is better waited for.
+        A stalled stream that can't go on elsewhere is better waited for. Asked
+        without spending, all streams of a hung replica would be given up at
+        one look, and those beyond the budget would end in errors.
         """
         outcome = _outcome(attempt)
         if outcome != outcomes.Outcome.NOT_RUN and not attempt.idempotent:
@@ -110,7 +113,7 @@
         return (
             now_s + attempt.expected_time_s < attempt.deadline_s
             and attempt.attempts < self._settings.max_attempts
-            and self._budget.available(now_s) >= 1
+            and self._budget.try_spend(now_s)
         )
 
     def may_hedge(
