Serve no connection that arrives while the peer server closes

Cause: aclose listed the connections to end before it let the loop run. A connection that was accepted a few turns earlier registered itself only after that and was served for as long as its peer kept it, so that a stopped member went on answering exchanges and was held for alive.

Change: a connection that starts while the server closes is closed unread.

--- a/redwingvalve/wire/server.py
+++ b/redwingvalve/wire/server.py
@@ -40,6 +40,7 @@
         self._processor = _Processor(messages.peer.Peer, handler)
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        self._closing = False
 
     @property
     def port(self) -> int:
@@ -70,6 +71,7 @@
         """Stop listening, let calls in progress end, then close."""
         if self._server is None:
             return
+        self._closing = True
         self._server.close()
         if self._processor.busy:
             await asyncio.wait(set(self._processor.busy), timeout=grace_s)
@@ -81,6 +83,13 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        # A connection accepted just before the close comes here after aclose
+        # has listed what it must end. Served, a stopped member would go on
+        # answering its peers and be held for alive; nothing of it was read
+        # yet, so that closing it cuts no call off.
+        if self._closing:
+            writer.close()
+            return
         connection = asyncio.current_task()
         self._connections.add(connection)
         try:
