Attack the exclusion of leaving endpoints so that it is needed

Change: the leaving head holds long work until the controllers are gone, and no other head can be reached.

--- a/tests/integration/promises.py
+++ b/tests/integration/promises.py
@@ -24,11 +24,15 @@
     targets,
     work,
 )
+from redwingvalve.standins import engine
 from tests.integration import fault_proxy, process_daemons, processes
 
 Promise = breaches.Promise
 Safeguard = invariants.Safeguard
 SETTLE_S = 15.0
+OTHERS_GONE_S = 8.0
+# The platform's list lags, and two controllers tell what it shows.
+TOLD_S = 2.0
 
 
 @attrs.define
@@ -118,24 +122,33 @@
     await stage.ask(work.Kind.FLAG, 6)
 
 
-async def lose_workers(stage: Stage) -> None:
-    """Each replica loses a VM while no controller is there to see it."""
+@contextlib.asynccontextmanager
+async def without_controllers(
+    stage: Stage,
+) -> collections_abc.AsyncIterator[None]:
+    """Kill every controller and start them again after the block."""
     controls = stage.run.daemons.role(daemons.CONTROL)
     for daemon in controls:
         daemon.away = True
         await stage.run.daemons.end_now(daemon)
+    yield
+    for daemon in controls:
+        await stage.run.daemons.start(daemon)
+        daemon.away = False
+
+
+async def lose_workers(stage: Stage) -> None:
+    """Each replica loses a VM while no controller is there to see it."""
     workers = [
         head.state().members[-1] for head in stage.run.platform.serving_heads()
     ]
     engines = stage.run.platform.engines
-    for worker in workers:
-        engines.engines[worker].die()
-    await stage.ask_for(work.Kind.NARRATIVE, 6.0)
-    for worker in workers:
-        await engines.revive(worker)
-    for daemon in controls:
-        await stage.run.daemons.start(daemon)
-        daemon.away = False
+    async with without_controllers(stage):
+        for worker in workers:
+            engines.engines[worker].die()
+        await stage.ask_for(work.Kind.NARRATIVE, 6.0)
+        for worker in workers:
+            await engines.revive(worker)
 
 
 async def leave_under_load(stage: Stage) -> None:
@@ -146,13 +159,48 @@
     async with anyio.create_task_group() as group:
         group.start_soon(stage.ask, work.Kind.SCAN, 8)
         await anyio.sleep(0.5)
-        listed = stage.run.platform.listed
-        vm = heads[0].options.vm
-        told_s = time.time() + listed.lag_s
-        listed.mark(vm, 'leaving')
-        await stage.ask_for(work.Kind.QUOTE, 7.0, 24)
-        listed.mark(vm, 'live')
-        stage.hit.leaving.append(comparing.Leaving(vm, told_s, time.time()))
+        await _leave(stage, heads[0], 24)
+
+
+async def leave_while_wanted(stage: Stage) -> None:
+    """A head is told to leave, then no controller and no other head is there.
+
+    Long work keeps it from being stopped before, and routing has nobody else;
+    only the safeguard keeps new work away from it.
+    """
+    heads = stage.run.platform.serving_heads()
+    for head in heads:
+        head.faults.straggle_factor = 3.0
+    async with anyio.create_task_group() as group:
+        group.start_soon(stage.ask, work.Kind.SCAN, 2 * len(heads))
+        await anyio.sleep(0.5)
+        leaving = max(heads, key=_running)
+        group.start_soon(_leave, stage, leaving, 6)
+        await anyio.sleep(TOLD_S)
+        for head in heads:
+            if head is leaving:
+                continue
+            head.faults.unreachable_until_s = time.monotonic() + OTHERS_GONE_S
+            head.note_disturbance()
+        async with without_controllers(stage):
+            leaving.faults.straggle_factor = 1.0
+            await anyio.sleep(OTHERS_GONE_S)
+
+
+def _running(head: engine.Engine) -> int:
+    return sum(
+        run.finished is None and not run.cut for run in head.ledger.entries
+    )
+
+
+async def _leave(stage: Stage, head: engine.Engine, count: int) -> None:
+    listed = stage.run.platform.listed
+    vm = head.options.vm
+    told_s = time.time() + listed.lag_s
+    listed.mark(vm, 'leaving')
+    await stage.ask_for(work.Kind.QUOTE, 7.0, count)
+    listed.mark(vm, 'live')
+    stage.hit.leaving.append(comparing.Leaving(vm, told_s, time.time()))
 
 
 async def restore_old_objects(stage: Stage) -> None:
@@ -190,9 +238,9 @@
 
 
 def _poison_all(stage: Stage) -> None:
-    for engine in stage.run.platform.engines.engines.values():
-        engine.faults.poison_marker = 'poison-here'
-        engine.faults.restart_after_s = 1.0
+    for each in stage.run.platform.engines.engines.values():
+        each.faults.poison_marker = 'poison-here'
+        each.faults.restart_after_s = 1.0
 
 
 async def stop_an_entry(stage: Stage) -> None:
@@ -255,7 +303,7 @@
     ),
     Attack(send_poison_at_once, frozenset({Promise.POISON})),
     Attack(
-        leave_under_load,
+        leave_while_wanted,
         frozenset({Promise.LEAVING}),
         Safeguard.LEAVING_EXCLUDED,
     ),
