Count a missing VM from the arrival of a request, not from its start

Cause: a request that waits at a paused head starts when the pause ends; the ledger counted the pause as time in which the entry should have known. Ruled out: late evidence at the entry, which had no pause in between.

Change: the ledger's missing_s is taken back to the request's arrival. What is sent late is found as before (asserted).

--- a/redwingvalve/standins/asgi.py
+++ b/redwingvalve/standins/asgi.py
@@ -1,6 +1,7 @@
 """The few lines of ASGI that every stand-in shares: one call, one exchange."""
 
 import json
+import time
 import typing
 import urllib.parse
 from collections import abc as collections_abc
@@ -30,6 +31,7 @@
     receive: Receive
     send: Send
     disconnected: bool = False
+    arrived_s: float = attrs.field(factory=time.monotonic)
 
     @property
     def method(self) -> str:
--- a/redwingvalve/standins/engine.py
+++ b/redwingvalve/standins/engine.py
@@ -140,6 +140,15 @@
         """Return for how long a VM of this replica has been missing."""
         return self._fabric.missing(self.orders.plain, time.monotonic())
 
+    def missing_at(self, earlier_s: float) -> float:
+        """Return for how long a VM had been missing at a monotonic time.
+
+        A request that arrives at a paused head runs when the pause ends; who
+        sent it knew no later than its arrival.
+        """
+        since_s = time.monotonic() - earlier_s
+        return max(0.0, self.missing().duration_s - since_s)
+
     def absence(self, head: engine_orders.EngineState, now_s: float) -> Missing:
         """Return for how long this VM has not been there for a replica."""
         by_fault = now_s < self._disturbed_until_s
--- a/redwingvalve/standins/engine_app.py
+++ b/redwingvalve/standins/engine_app.py
@@ -200,7 +200,7 @@
                 vm=state.vm,
                 path=exchange.path,
                 first_token=request.resumed,
-                missing_s=served.missing().duration_s,
+                missing_s=served.missing_at(exchange.arrived_s),
                 members=state.members,
             )
         )
--- a/redwingvalve/standins/ledger.py
+++ b/redwingvalve/standins/ledger.py
@@ -9,8 +9,8 @@
 
     cut says why a run ended before its end: cancelled, disconnected, order
     (nothing had failed), incomplete (a VM had failed), died. missing_s is how
-    long a VM of the replica had been missing when the run started, 0.0 when
-    none was. first_token is where a resume went on.
+    long a VM of the replica had been missing when the request arrived, 0.0
+    when none was. first_token is where a resume went on.
     """
 
     request_id: str
--- a/redwingvalve/standins/tests/test_engine.py
+++ b/redwingvalve/standins/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import time
 
 import anyio
 import httpx
@@ -238,3 +239,22 @@
     run_with_engine(
         scenario, cache_lag_s=60.0, load_lag_s=60.0, cache_gap_share=0.0
     )
+
+
+def test_what_waited_at_a_paused_head_counts_from_its_arrival():
+    """An entry sends to a paused head, whose worker died just before.
+
+    The request runs when the pause ends, long after the death. The entry had
+    no time to learn of it; one that sends that late itself is still found.
+    """
+
+    async def scenario(client, host):
+        head = host.engines['vm-0']
+        gone_s = 60.0
+        head.missing = lambda: engine.Missing(gone_s, by_fault=True)
+        now_s = time.monotonic()
+        assert head.missing_at(now_s - 59.9) < 0.2
+        assert head.missing_at(now_s - 61.0) == 0.0
+        assert head.missing_at(now_s) > 3.0
+
+    run_with_engine(scenario)
