--- a/redwingvalve/entry/cache_watch.py
+++ b/redwingvalve/entry/cache_watch.py
@@ -24,6 +24,7 @@
 )
 
 LOOK_EVERY_S = 0.5
+TAKE_IN_EVERY_S = 2.0
 TELL_EVERY_S = 5.0
 TELL_AGAIN_S = 10.0
 FETCH_TIMEOUT_S = 0.5
@@ -55,6 +56,10 @@
         self._follower = cache_follower.make_cache_follower()
         self._reader = cache_reader.make_cache_reader()
         self._replicas: dict[str, snapshot.Replica] = {}
+        self._marks: dict[bytes, str] = {}
+        self._mine: tuple[str, ...] = ()
+        self._sorted_for: tuple[object, ...] = ()
+        self._taken_in_s = -math.inf
         self._told: dict[str, bytes] = {}
         self._told_s = -math.inf
         self._told_anew_s = -math.inf
@@ -67,33 +72,52 @@
 
     async def step(self) -> None:
         """Read what the budget allows, tell, and take in what is told."""
-        self._replicas = {
-            replica.name: replica
-            for replica in self._parts.source.current().replicas
-            if replica.serving and self._in_region(replica)
-        }
-        mine = self._assigned()
-        self._follower.follow({name: self._epoch(name) for name in mine})
+        self._sort_replicas()
         fetch = self._follower.next_fetch(self._parts.clock.monotonic_s())
         while fetch is not None:
             await self._read(fetch)
             fetch = self._follower.next_fetch(self._parts.clock.monotonic_s())
-        self._tell(mine)
-        self._take_in()
-
-    def _assigned(self) -> tuple[str, ...]:
+        now_s = self._parts.clock.monotonic_s()
+        if now_s - self._told_s >= TELL_EVERY_S:
+            self._told_s = now_s
+            self._tell(now_s)
+        if now_s - self._taken_in_s >= TAKE_IN_EVERY_S:
+            self._taken_in_s = now_s
+            self._take_in()
+
+    def _sort_replicas(self) -> None:
+        """Find the replicas that fall to this entry, after any change.
+
+        At 480 replicas and 72 entries a look at all pairs takes 30 ms, which
+        twice a second would be five times what a node may spend.
+        """
         myself = self._parts.members.myself()
-        names = {
+        names = frozenset(
             member.name
             for member in self._parts.members.alive(ENTRY_ROLE)
             if member.region == myself.region
+        ) | {myself.name}
+        current = self._parts.source.current()
+        if self._sorted_for == (current.version, names):
+            return
+        self._sorted_for = (current.version, names)
+        self._replicas = {
+            replica.name: replica
+            for replica in current.replicas
+            if replica.serving and self._in_region(replica)
         }
-        names.add(myself.name)
-        return tuple(
+        self._marks = {
+            findings_wire.mark_of(replica): name
+            for name, replica in self._replicas.items()
+        }
+        self._mine = tuple(
             name
             for name in self._replicas
             if rendezvous.holders(names, name, 1) == (myself.name,)
         )
+        self._follower.follow(
+            {name: self._replicas[name].epoch for name in self._mine}
+        )
 
     async def _read(self, fetch: cache_follower.Fetch) -> None:
         replica = self._replicas[fetch.name]
@@ -132,11 +156,7 @@
             with anyio.CancelScope(shield=True):
                 await self._parts.upstream.release(answer)
 
-    def _tell(self, mine: tuple[str, ...]) -> None:
-        now_s = self._parts.clock.monotonic_s()
-        if now_s - self._told_s < TELL_EVERY_S:
-            return
-        self._told_s = now_s
+    def _tell(self, now_s: float) -> None:
         words = [
             cache_news.make_word(
                 findings_wire.mark_of(self._replicas[name]),
@@ -145,7 +165,7 @@
                 self._choice.asked,
                 now_s,
             )
-            for name in mine
+            for name in self._mine
         ]
         items = {
             str(start): cache_news.encode(
@@ -167,15 +187,11 @@
         self._told = items
 
     def _take_in(self) -> None:
-        marks = {
-            findings_wire.mark_of(replica): name
-            for name, replica in self._replicas.items()
-        }
         words = {
-            marks[word.mark]: word
+            self._marks[word.mark]: word
             for news in self._parts.news.read(CHANNEL)
             for word in cache_news.decode(news.body)
-            if word.mark in marks
+            if word.mark in self._marks
         }
         self._reader.take(words, self._routing_of)
 
@@ -189,9 +205,6 @@
         own = self._parts.members.myself().region
         return not replica.region or replica.region == own
 
-    def _epoch(self, name: str) -> int:
-        return self._replicas[name].epoch
-
 
 def read_events(
     body: bytes,
--- a/redwingvalve/entry/tests/test_cache_watch.py
+++ b/redwingvalve/entry/tests/test_cache_watch.py
@@ -70,8 +70,8 @@
         return self.engines.sent[before].address
 
     async def spread(self):
-        self.clock.advance(6.0)
         for _ in range(2):
+            self.clock.advance(6.0)
             for entry in self.entries:
                 await entry.caches.step()
 
