--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -276,16 +276,19 @@
         """
         if not _may_repeat(journey):
             return bool(pulse.tokens)
+        now_s = self._parts.clock.monotonic_s()
+        retries = self._retries[journey.request.deployment.name]
+        # Asked at each look for each stream that waits on: cheap ones first.
+        if retries.spending.available(now_s) < 1:
+            return False
         begun = attempt.replica if pulse.tokens else journey.begun
         if not self.choice.has_other(
             journey.request.deployment.name,
             tried | self.choice.of_other_versions(begun),
         ):
             return False
-        retries = self._retries[journey.request.deployment.name]
         journey.paid = retries.policy.pay_ahead(
-            _failed_attempt(journey, may_repeat=True, not_run=False),
-            self._parts.clock.monotonic_s(),
+            _failed_attempt(journey, may_repeat=True, not_run=False), now_s
         )
         return journey.paid
 
