Give each send to a plain service a span; count what becomes of requests

Change: a hop of its own for each send to a service with its context passed on; metrics of requests, outcomes, errors, tokens and times, listed in docs/operating/watching.md.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -19,6 +19,7 @@
     once,
     parts,
     relay,
+    request_metrics,
     responder,
     services,
 )
@@ -61,32 +62,42 @@
             return
         if scope['type'] != 'http':
             return
-        with self._counted():
-            await self._answer(scope, receive, send)
+        responds = responder.Responder('', send)
+        with self._counted(responds):
+            await self._answer(scope, receive, responds)
 
     @contextlib.contextmanager
-    def _counted(self) -> collections_abc.Iterator[None]:
-        self.in_progress += 1
+    def _counted(
+        self, responds: responder.Responder
+    ) -> collections_abc.Iterator[None]:
+        began_s = self._parts.clock.monotonic_s()
+        self._count_in_progress(1)
         try:
             yield
         finally:
-            self.in_progress -= 1
+            self._count_in_progress(-1)
+            took_s = self._parts.clock.monotonic_s() - began_s
+            request_metrics.tell(self._parts.metrics, responds, took_s)
+
+    def _count_in_progress(self, change: int) -> None:
+        self.in_progress += change
+        self._parts.metrics.gauge(request_metrics.IN_PROGRESS, self.in_progress)
 
     async def _answer(
         self,
         scope: caller.Scope,
         receive: caller.Receive,
-        send: responder.Send,
+        responds: responder.Responder,
     ) -> None:
         read = caller.read_head(
             scope, self._parts.settings, self._parts.clock.monotonic_s()
         )
         if read.is_error():
-            responds = responder.Responder(read.error.request_id, send)
+            responds.request_id = read.error.request_id
             await responds.send_error(read.error)
             return
         head = read.ok
-        responds = responder.Responder(head.request_id, send)
+        responds.request_id = head.request_id
         span = self._parts.tracing.start_span(
             'entry request',
             head.headers,
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -16,6 +16,7 @@
     model_request,
     parts,
     replica_choice,
+    request_metrics,
     responder,
     sends,
     suspects,
@@ -133,6 +134,7 @@
             # is charged as estimated.
             if journey.request.stream:
                 used = journey.delivered.count
+                self._parts.metrics.count(request_metrics.TOKENS, used)
                 self._gate.correct_tokens(account, used - estimated)
 
     async def _carry_admitted(
@@ -209,10 +211,15 @@
         )
 
         def on_first_token() -> None:
+            now_s = self._parts.clock.monotonic_s()
             journey.turn.first_token()
-            policy.first_token(
-                identity.endpoint_id, self._parts.clock.monotonic_s()
-            )
+            policy.first_token(identity.endpoint_id, now_s)
+            if not journey.delivered.count:
+                waited_s = now_s - journey.request.head.arrived_s
+                self._parts.metrics.timing(
+                    request_metrics.FIRST_TOKEN_TIME,
+                    waited_s * request_metrics.MS_PER_S,
+                )
 
         with self._counted(journey, attempt, digest):
             failure = await self._sender.send(
--- /dev/null
+++ b/redwingvalve/entry/request_metrics.py
@@ -0,0 +1,30 @@
+"""What metrics say of each request; docs/operating/watching.md lists them."""
+
+from redwingvalve.entry import responder
+from redwingvalve.observability import metrics
+
+MS_PER_S = 1000
+REQUESTS = 'entry.requests'
+IN_PROGRESS = 'entry.in_progress'
+REQUEST_TIME = 'entry.request_time'
+FIRST_TOKEN_TIME = 'entry.first_token_time'
+TOKENS = 'entry.tokens'
+CALLERS_GONE = 'entry.callers_gone'
+CUT_OFF = 'entry.cut_off'
+
+
+def tell(
+    sink: metrics.Metrics, responds: responder.Responder, took_s: float
+) -> None:
+    """Count one request that has ended, with how and after how long."""
+    sink.count(REQUESTS)
+    sink.timing(REQUEST_TIME, took_s * MS_PER_S)
+    if not responds.started:
+        sink.count(CALLERS_GONE)
+        return
+    sink.count(f'entry.status.{responds.status}')
+    sink.count(f'entry.outcome.{responds.outcome.value}')
+    if responds.error_code:
+        sink.count(f'entry.error.{responds.error_code}')
+    if not responds.finished:
+        sink.count(CUT_OFF)
--- a/redwingvalve/entry/responder.py
+++ b/redwingvalve/entry/responder.py
@@ -24,6 +24,9 @@
     send: Send
     started: bool = False
     finished: bool = False
+    # What metrics tell of the answer; empty and 0 until there is one.
+    status: int = 0
+    error_code: str = ''
     # What is known if the answer is cut off; sends set it as they begin.
     outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
 
@@ -36,6 +39,7 @@
     ) -> None:
         """Send the head."""
         self.started = True
+        self.status = status
         self.outcome = outcome
         headers = (
             ('content-type', content_type),
@@ -100,6 +104,7 @@
         without its end: a caller that reads only up to the end of the body
         would otherwise take half an answer for a whole one.
         """
+        self.error_code = answer.code
         answer = attrs.evolve(answer, request_id=self.request_id)
         body = json.dumps(answer.body())
         if self.started:
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -140,27 +140,45 @@
     ) -> upstream.UpstreamError | None:
         before = responds.outcome
         responds.outcome = outcomes.Outcome.UNKNOWN
+        hop = self._start_hop(request, address, span)
         self._in_flight[address] = self._in_flight.get(address, 0) + 1
         try:
-            await self._exchange(request, address, responds, span)
+            await self._exchange(request, address, responds, hop)
         except upstream.UpstreamError as error:
             if error.surely_not_run:
                 responds.outcome = before
+            hop.set_attribute('redwingvalve.failure', str(error))
+            self._parts.metrics.count('entry.service_send_failed')
             return error
         finally:
             self._in_flight[address] -= 1
+            hop.end()
         return None
 
+    def _start_hop(
+        self, request: ServiceRequest, address: str, span: trace.Span
+    ) -> trace.Span:
+        """Start the span of one send; each send has its own."""
+        return self._parts.tracing.start_span(
+            'service request',
+            parent=span,
+            attributes={
+                'redwingvalve.service': request.service.name,
+                'server.address': address,
+            },
+        )
+
     async def _exchange(
         self,
         request: ServiceRequest,
         address: str,
         responds: responder.Responder,
-        span: trace.Span,
+        hop: trace.Span,
     ) -> None:
-        outgoing = self._build(request, address, span)
+        outgoing = self._build(request, address, hop)
         with anyio.move_on_after(outgoing.timeout_s):
             answer, body = await self._fetch(outgoing)
+            hop.set_attribute('http.response.status_code', answer.status)
             await responds.send_whole(
                 answer.status,
                 dict(answer.headers).get('content-type', ''),
@@ -186,15 +204,16 @@
         return answer, body
 
     def _build(
-        self, request: ServiceRequest, address: str, span: trace.Span
+        self, request: ServiceRequest, address: str, hop: trace.Span
     ) -> upstream.UpstreamRequest:
         head = request.head
         endpoint_id = answer_check.make_endpoint_id(
             head.request_id, self._entry, next(self._numbers)
         )
+        hop.set_attribute('redwingvalve.endpoint_request_id', endpoint_id)
         own = {
             outcomes.REQUEST_ID_HEADER: endpoint_id,
-            **self._parts.tracing.headers(span),
+            **self._parts.tracing.headers(hop),
         }
         query = f'?{head.query}' if head.query else ''
         remaining_s = head.remaining_s(self._parts.clock.monotonic_s())
