Measure what the libraries of the relay take alone

Cause: the aim of a quarter needs to know how much of a token's cost is ours. Change: a plainest relay over the entry's own libraries in the same bench; the body's iterator is no generator.

--- a/redwingvalve/bench/relay_cost.py
+++ b/redwingvalve/bench/relay_cost.py
@@ -47,6 +47,8 @@
 OURS_AIOHTTP_WEB = 'entry (aiohttp, aiohttp.web)'
 OURS_HTTPX_UVICORN = 'entry (httpx, uvicorn)'
 OURS = 'entry (aiohttp, uvicorn)'
+# What the libraries alone take: no check, no admission, no count.
+BARE = 'plainest (aiohttp, uvicorn)'
 CHUNKED_HEAD = (
     'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
     'transfer-encoding: chunked\r\nx-request-id: {}\r\n\r\n'
@@ -212,11 +214,11 @@
 
 @attrs.frozen
 class _Relay:
-    """What a relay is made of; plain is not an entry."""
+    """What a relay is made of."""
 
     make_sender: collections_abc.Callable[[], upstream.Upstream]
     make_server: collections_abc.Callable[[], caller_server.CallerServer]
-    plain: bool = False
+    entry: bool = True
 
 
 # The first is the baseline.
@@ -225,7 +227,7 @@
         PLAIN: _Relay(
             httpx_upstream.make_httpx_upstream,
             hypercorn_server.make_hypercorn_server,
-            plain=True,
+            entry=False,
         ),
         OURS_HTTPX: _Relay(
             httpx_upstream.make_httpx_upstream,
@@ -247,15 +249,53 @@
             aiohttp_upstream.make_aiohttp_upstream,
             uvicorn_server.make_uvicorn_server,
         ),
+        BARE: _Relay(
+            aiohttp_upstream.make_aiohttp_upstream,
+            uvicorn_server.make_uvicorn_server,
+            entry=False,
+        ),
     }
 )
 
 
+def _bare_relay(engine_port: int, sender: upstream.Upstream) -> Application:
+    """Do as the plainest relay does, but with what the entry reads with."""
+
+    async def application(
+        scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        message = await receive()
+        answer = await sender.send(
+            upstream.UpstreamRequest(
+                address=f'127.0.0.1:{engine_port}',
+                method='POST',
+                path=ENGINE_PATH,
+                headers=(('x-request-id', 'plain'),),
+                body=message['body'],
+                request_id='plain',
+                timeout_s=60,
+            )
+        )
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        async for chunk in answer.chunks:
+            await send(
+                {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+            )
+        await sender.release(answer)
+        await send({'type': 'http.response.body'})
+
+    return application
+
+
 def _make_application(
     relay: _Relay, sender: upstream.Upstream, engine_port: int
 ) -> Application:
-    if relay.plain:
+    if relay is RELAYS[PLAIN]:
         return _plain_relay(engine_port)
+    if not relay.entry:
+        return _bare_relay(engine_port, sender)
     return app.make_entry_app(relay_parts.make_parts(sender, engine_port))
 
 
--- a/redwingvalve/entry/aiohttp_upstream.py
+++ b/redwingvalve/entry/aiohttp_upstream.py
@@ -66,7 +66,7 @@
             headers=tuple(
                 (name.lower(), text) for name, text in response.headers.items()
             ),
-            chunks=_chunks(response),
+            chunks=_Chunks(response),
         )
         self._open[id(answer)] = response
         return answer
@@ -83,17 +83,22 @@
             await self._session.close()
 
 
-async def _chunks(
-    response: aiohttp.ClientResponse,
-) -> collections_abc.AsyncIterator[bytes]:
-    read = response.content.readany
-    try:
-        while chunk := await read():
-            yield chunk
-    except BROKEN as error:
-        raise upstream.UpstreamError(
-            _describe(error), surely_not_run=False
-        ) from error
+class _Chunks(collections_abc.AsyncIterator[bytes]):
+    """The body as it arrives; a generator would cost more than the read."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._read = response.content.readany
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = await self._read()
+        except BROKEN as error:
+            raise upstream.UpstreamError(
+                _describe(error), surely_not_run=False
+            ) from error
+        if chunk:
+            return chunk
+        raise StopAsyncIteration
 
 
 def _describe(error: Exception) -> str:
