Let five voters, controllers too, decide about request keys

Cause: a restarted voter had to copy both other voters of three, and each of them had to be whole. Two that died within seconds of each other waited for each other for an hour, and keys without a time were undecided meanwhile.

Ruled out: not-run as the outcome (an earlier send may have run), leases (each single death would hold keys up), a record in the store (an outage would block or break it), files (VMs keep nothing).

Change: five voters a key, among entries and controllers; a restarted voter is whole once fewer names than a majority are uncopied and one copied voter knows all from before the roster; copies wait until the voter has settled and claimants count no late vote, so that no claim is half lost with a process. After a lost majority, keys are decided after requests.key_resend_s (an hour).

Tests: any two of five die together; a lost majority; the state machine crashes and pauses several at once and asserts that new keys are decided in time.

--- a/redwingvalve/at_most_once/claims.py
+++ b/redwingvalve/at_most_once/claims.py
@@ -6,7 +6,14 @@
 import attrs
 from expression import Error, Ok, Result
 
-from redwingvalve.at_most_once import keys, messages, peers, voter, voters
+from redwingvalve.at_most_once import (
+    keys,
+    messages,
+    peers,
+    roster,
+    voter,
+    voters,
+)
 from redwingvalve.core import clock, invariants, outcomes
 from redwingvalve.membership import members
 from redwingvalve.observability import logs
@@ -69,6 +76,11 @@
         granted = [
             name for name, vote in votes if vote.verdict == messages.Verdict.RUN
         ]
+        asked_s = self._clock.monotonic_s() - began_s
+        if asked_s > roster.SETTLE_S:
+            # A claimant that was paused while it asked: voters that have
+            # restarted since may know nothing of their votes.
+            granted.clear()
         if len(granted) >= voters.votes_needed(len(named)):
             return Ok(Grant(claim, began_s + GRANT_VALID_S))
         # What was granted in vain is given back, so that the caller's next
@@ -101,7 +113,7 @@
         known = self._members.known()
         self.voter.roster.observe(known, now_s)
         async with anyio.create_task_group() as group:
-            for name in self.voter.roster.missing():
+            for name in self.voter.roster.to_copy(now_s):
                 member = self._find(name)
                 if member is not None:
                     group.start_soon(self._copy_from, member)
@@ -155,7 +167,7 @@
 
     def _find(self, name: str) -> members.Member | None:
         for member in self._members.known():
-            if member.name == name and member.role == 'entry':
+            if member.name == name and member.role in voters.ROLES:
                 return member
         return None
 
--- a/redwingvalve/at_most_once/ledger.py
+++ b/redwingvalve/at_most_once/ledger.py
@@ -4,8 +4,8 @@
 then the same key again within seconds or minutes. Without the ledger a resend
 runs a second time: a quote is billed twice. A claim is kept for an hour after
 the last word on it, so that 22,000 requests a second on 360 entries, one in
-ten with a key and each known to three entries, need about 70,000 claims of
-some 400 bytes on an entry. Beyond MAX_CLAIMS new claims are refused; forgetting
+ten with a key and each known to five of them, need about 110,000 claims of some
+400 bytes on each. Beyond MAX_CLAIMS new claims are refused; forgetting
 an old one would let it run again.
 """
 
@@ -17,7 +17,7 @@
 from redwingvalve.core import invariants, outcomes
 
 MEMORY_S = 3600.0
-MAX_CLAIMS = 100_000
+MAX_CLAIMS = 150_000
 
 LedgerKey = tuple[str, str]
 
--- a/redwingvalve/at_most_once/messages.py
+++ b/redwingvalve/at_most_once/messages.py
@@ -47,9 +47,11 @@
 class Copy:
     """A voter's claims, for an entry that has just become a voter.
 
-    whole says that the voter has lost none that its name ever granted.
+    whole says that the voter has lost none that its name ever granted;
+    complete, that it has all that were granted before these names held.
     """
 
     claims: tuple[tuple[Claim, outcomes.Outcome], ...]
     names: tuple[str, ...]
     whole: bool
+    complete: bool = False
--- a/redwingvalve/at_most_once/roster.py
+++ b/redwingvalve/at_most_once/roster.py
@@ -1,4 +1,4 @@
-"""The entries that may vote, as one entry sees them, and what it knows.
+"""The processes that may vote, as one of them sees them, and what it knows.
 
 Load pattern: entries restart, are replaced, pause, and lose each other for up
 to hours. Without rules for these times two entries that see different fleets
@@ -14,9 +14,16 @@
 * After a pause an entry looks around for SETTLE_S before it votes: what it
   believed of the others is as old as the pause.
 * A voter decides about a key only if it knows the key's earlier claims. It
-  has been a voter of the key for as long as claims are remembered, or the key
-  carries a time after it became one, or it has copied the claims of so many
-  of the key's other voters that every majority among them held one of these.
+  has been a voter of the key for as long as callers send again (resend_s), or
+  the key carries a time after it became one, or it has copied the claims of so
+  many of the key's other voters that every majority held one of these.
+* A restarted voter has lost what its name granted. It has got all of that back
+  once fewer names than a majority are left uncopied, itself included: every
+  majority held one that was copied. That is so for the roster that holds now;
+  of earlier and smaller ones, one of those copied must have everything.
+* What was granted just before the end of a process may still be granted by
+  others just after it. Copies therefore begin when the voter has settled, and
+  a claimant counts no vote that is as old.
 """
 
 import collections
@@ -25,7 +32,7 @@
 
 import attrs
 
-from redwingvalve.at_most_once import keys, ledger, voters
+from redwingvalve.at_most_once import keys, ledger, messages, voters
 from redwingvalve.membership import members
 
 SETTLE_S = 2.0
@@ -36,11 +43,15 @@
 
 @attrs.define
 class _Period:
-    """A roster, when it began to hold, and whose claims were copied since."""
+    """A roster, when it began to hold, and whose claims were copied since.
+
+    complete says that all claims from before it are known.
+    """
 
     since_s: float
     names: frozenset[str]
     learned: set[str] = attrs.field(factory=set)
+    complete: bool = False
 
 
 class Roster:
@@ -53,12 +64,16 @@
         *,
         first_start: bool,
         alone: bool = False,
+        resend_s: float = ledger.MEMORY_S,
     ) -> None:
         """Start with the own name only.
 
         first_start says that no process had this name before, so that no
-        claim was lost with one; alone says that no other entry is expected.
+        claim was lost with one; alone says that no other voter is expected.
+        No caller sends a request again later than resend_s after the first
+        time; at most as long as claims are remembered.
         """
+        self._resend_s = min(resend_s, ledger.MEMORY_S)
         self._myself = myself
         self._started_s = now_s
         self._whole = first_start
@@ -91,7 +106,7 @@
         present = {self._myself} | {
             member.name
             for member in known
-            if member.role == 'entry'
+            if member.role in voters.ROLES
             and member.state != members.MemberState.DEAD
         }
         self._majority = 2 * len(self.names & present) > len(self.names)
@@ -99,7 +114,7 @@
             return
         self._change((self.names | present) - self._gone(present, now_s), now_s)
         while len(self._periods) > 1 and (
-            now_s - self._periods[1].since_s > ledger.MEMORY_S
+            now_s - self._periods[1].since_s > self._resend_s
         ):
             self._periods.popleft()
 
@@ -118,24 +133,40 @@
         """Return the names whose claims are still to be copied."""
         return self.names - self._periods[-1].learned - {self._myself}
 
+    def to_copy(self, now_s: float) -> frozenset[str]:
+        """Return whose claims may be copied now; none before it settled."""
+        if now_s < self._settled_s and not self._whole:
+            return frozenset()
+        return self.missing()
+
     def learned_from(
-        self,
-        name: str,
-        their_names: collections_abc.Iterable[str],
-        now_s: float,
-        *,
-        whole: bool,
+        self, name: str, copied: messages.Copy, now_s: float
     ) -> None:
-        """Count the claims of another entry in; whole says it lost none."""
-        self.introduce(their_names, now_s)
-        if whole:
-            self._periods[-1].learned.add(name)
+        """Count the claims of another voter in."""
+        self.introduce(copied.names, now_s)
+        period = self._periods[-1]
+        if frozenset(copied.names) != period.names or not copied.whole:
+            # Under other names it may go on to grant what we would not know.
+            return
+        period.learned.add(name)
+        period.complete = period.complete or copied.complete
         if not self.missing():
             self._whole = True
+            period.complete = True
+        uncopied = len(period.names - period.learned)
+        chosen = min(len(period.names), voters.VOTERS_PER_KEY)
+        if period.complete and uncopied < voters.votes_needed(chosen):
+            self._whole = True
 
     def is_whole(self, now_s: float) -> bool:
-        """Tell whether this entry has every claim that its name granted."""
-        return self._whole or now_s - self._started_s > ledger.MEMORY_S
+        """Tell whether this voter has every claim that its name granted."""
+        return self._whole or now_s - self._started_s > self._resend_s
+
+    def is_complete(self, now_s: float) -> bool:
+        """Tell whether it has all claims from before its names held."""
+        period = self._periods[-1]
+        since_s = now_s - period.since_s
+        return period.complete or since_s > self._resend_s
 
     def why_not(
         self, account: str, request_key: str, now_s: float, wall_s: float
@@ -147,9 +178,9 @@
             return 'this voter has just started or was paused'
         lonely = len(self.names) == 1 and not self._alone
         if lonely or not self._majority:
-            return 'this voter sees too few entries'
+            return 'this voter sees too few others'
         if not self._votes(self._periods[-1], account, request_key):
-            return 'this entry is no voter of the key'
+            return 'this process is no voter of the key'
         if _too_old(request_key, wall_s):
             return 'the key is older than claims are remembered'
         if self._knows(account, request_key, now_s, wall_s):
@@ -168,7 +199,7 @@
             if not self._votes(period, account, request_key):
                 return False
             voter_for_s = now_s - period.since_s
-            if voter_for_s > ledger.MEMORY_S:
+            if voter_for_s > self._resend_s:
                 return True
             became_wall_s = wall_s - voter_for_s
             if made_at_s > became_wall_s + CLOCK_SKEW_S:
--- a/redwingvalve/at_most_once/thrift_peers.py
+++ b/redwingvalve/at_most_once/thrift_peers.py
@@ -64,6 +64,7 @@
                 ),
                 names=tuple(copied.names),
                 whole=copied.whole,
+                complete=bool(copied.complete),
             )
         )
 
@@ -111,6 +112,7 @@
             ],
             names=list(copied.names),
             whole=copied.whole,
+            complete=copied.complete,
         )
 
 
--- a/redwingvalve/at_most_once/voter.py
+++ b/redwingvalve/at_most_once/voter.py
@@ -75,13 +75,14 @@
             claims=self._chosen.copy(now_s),
             names=tuple(sorted(self.roster.names)),
             whole=self.roster.is_whole(now_s),
+            complete=self.roster.is_complete(now_s),
         )
 
     def learn(self, name: str, copied: messages.Copy) -> None:
         """Take another voter's claims in."""
         now_s = self._clock.monotonic_s()
         self._chosen.learn(copied.claims, now_s)
-        self.roster.learned_from(name, copied.names, now_s, whole=copied.whole)
+        self.roster.learned_from(name, copied, now_s)
 
     def remembered(self) -> int:
         """Return how many claims are kept."""
@@ -113,8 +114,9 @@
     *,
     first_start: bool,
     alone: bool = False,
+    resend_s: float = ledger.MEMORY_S,
 ) -> Voter:
-    """Return the voter of a starting entry; see roster.Roster."""
+    """Return the voter of a starting process; see roster.Roster."""
     return Voter(
         myself,
         voter_clock,
@@ -123,6 +125,7 @@
             voter_clock.monotonic_s(),
             first_start=first_start,
             alone=alone,
+            resend_s=resend_s,
         ),
         switches,
     )
--- a/redwingvalve/at_most_once/voters.py
+++ b/redwingvalve/at_most_once/voters.py
@@ -1,10 +1,17 @@
-"""Which entries decide about a caller's own key."""
+"""Which processes decide about a caller's own key.
+
+Entries and controllers both vote: what is remembered is in memory only, and
+two that die within seconds of each other must not take a majority along.
+"""
 
 from collections import abc as collections_abc
 
 from redwingvalve.membership import rendezvous
 
-VOTERS_PER_KEY = 3
+# A majority of five outlives any two of them; three did not. A request asks
+# two voters more, at the same time as the others.
+VOTERS_PER_KEY = 5
+ROLES = frozenset(('entry', 'control'))
 
 
 def voters_of(
--- a/redwingvalve/entry/once.py
+++ b/redwingvalve/entry/once.py
@@ -102,7 +102,8 @@
     return outcomes.ErrorAnswer(
         status=503,
         code='request-key-undecided',
-        message=f'{refused.reason}; send again with the same key',
+        message='this send was not run, but an earlier one with the key may '
+        f'have been: {refused.reason}; send again with the same key',
         outcome=refused.outcome,
         request_id=head.request_id,
         retry_after_s=RETRY_AFTER_S,
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -18,7 +18,13 @@
 from redwingvalve.evidence import entry_witness
 from redwingvalve.observability import logs
 from redwingvalve.plans import book as plan_book
-from redwingvalve.process import duties, entry_drains, leaving_vms, waits
+from redwingvalve.process import (
+    duties,
+    entry_drains,
+    key_votes,
+    leaving_vms,
+    waits,
+)
 from redwingvalve.process import parts as process_parts
 from redwingvalve.replicas import controller
 from redwingvalve.settings import schema
@@ -41,6 +47,7 @@
     ):
         book = tokens.TokenBook()
         group.start_soon(_follow_tokens, parts, book)
+        group.start_soon(key_votes.vote, parts)
         if tls.ok is not None:
             group.start_soon(tls.ok.follow, parts.clock)
         async with anyio.create_task_group() as loops:
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -4,17 +4,12 @@
 
 import anyio
 
-from redwingvalve.at_most_once import (
-    claims,
-    first_start,
-    thrift_peers,
-    voter,
-)
+from redwingvalve.at_most_once import claims
 from redwingvalve.discovery import spread_directory
 from redwingvalve.entry import aiohttp_upstream, daemon
 from redwingvalve.entry import parts as entry_parts
 from redwingvalve.evidence import prober, serving_permits, table
-from redwingvalve.process import entry_drains, leaving_vms
+from redwingvalve.process import entry_drains, key_votes, leaving_vms
 from redwingvalve.process import parts as process_parts
 from redwingvalve.settings import schema
 
@@ -33,7 +28,9 @@
         group.start_soon(leaving_vms.follow, parts, permits)
         group.start_soon(entry_drains.follow, parts, parts.node.members.leave)
         await daemon.serve_entry(
-            _make_entry_parts(parts, permits, await _make_claims(parts)),
+            _make_entry_parts(
+                parts, permits, await key_votes.make_claims(parts)
+            ),
             settings,
             stop.wait,
             parts.node.members.leave,
@@ -54,31 +51,6 @@
     )
 
 
-async def _make_claims(
-    parts: process_parts.ProcessParts,
-) -> claims.KeyClaims:
-    """Return the claims of request keys, answering the other entries too."""
-    myself = parts.node.members.myself()
-    own_voter = voter.make_voter(
-        myself,
-        parts.clock,
-        parts.switches,
-        first_start=await first_start.is_first_start(
-            parts.objects, myself.name
-        ),
-        alone=not parts.settings.peers.contacts,
-    )
-    answers = thrift_peers.VoterHandler(own_voter)
-    parts.node.handler.key_claim_handler = answers
-    parts.node.handler.key_memory_handler = answers
-    return claims.make_claims(
-        own_voter,
-        thrift_peers.make_thrift_key_peers(parts.node.caller),
-        parts.node.members,
-        parts.clock,
-    )
-
-
 def _make_entry_parts(
     parts: process_parts.ProcessParts,
     permits: serving_permits.EvidencePermits,
--- a/redwingvalve/settings/loader.py
+++ b/redwingvalve/settings/loader.py
@@ -97,6 +97,7 @@
         ('requests', 'max_deadline_s'),
         ('requests', 'discovery_keep_s'),
         ('requests', 'drain_timeout_s'),
+        ('requests', 'key_resend_s'),
     )
     for section, name in positive:
         if getattr(getattr(settings, section), name) <= 0:
--- a/redwingvalve/settings/schema.py
+++ b/redwingvalve/settings/schema.py
@@ -48,13 +48,18 @@
 
 @attrs.frozen
 class RequestSettings:
-    """Bounds of the request path."""
+    """Bounds of the request path.
+
+    key_resend_s is how long after its first send a caller may send a
+    non-idempotent request again; the same in all processes of a fleet.
+    """
 
     max_body_bytes: int = 4_000_000
     default_deadline_s: float = 60.0
     max_deadline_s: float = 600.0
     discovery_keep_s: float = 10.0
     drain_timeout_s: float = 600.0
+    key_resend_s: float = 3600.0
 
 
 @attrs.frozen
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -84,6 +84,7 @@
   1: list<KeyReport> claims
   2: list<string> names
   3: bool whole
+  4: bool complete
 }
 
 struct KeyVerdict {
