Refuse requests that crash plain services after two deaths

Ruled out: an own ledger for services (its news would overwrite that of the models' under the one key), and sending a suspect anywhere (a poison request and an innocent meet, and both are refused).

Change: services use the models' gate; the home of a suspect is an entry that owns one of the few addresses. A request that nobody suspects no longer costs a rendezvous over all entries on arrival.

Tests: three entries with shared news: one and several addresses, resends at once, innocents that shared the instance, calls that may not repeat, and the breach without the safeguard.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -45,7 +45,9 @@
             self._models.choice,
             entry_parts.clock,
         )
-        self._services = services.ServiceRelay(entry_parts)
+        self._services = services.ServiceRelay(
+            entry_parts, self._models.suspect_gate
+        )
         self._once = _make_once(entry_parts)
         self.in_progress = 0
 
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -1,5 +1,7 @@
 """Carries requests to plain services."""
 
+import contextlib
+import functools
 import itertools
 from collections import abc as collections_abc
 
@@ -9,7 +11,15 @@
 
 from redwingvalve.core import outcomes
 from redwingvalve.declaration import schema
-from redwingvalve.entry import answer_check, caller, parts, responder, upstream
+from redwingvalve.entry import (
+    answer_check,
+    caller,
+    parts,
+    responder,
+    service_suspects,
+    suspects,
+    upstream,
+)
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
@@ -83,8 +93,13 @@
 class ServiceRelay:
     """Sends to the address with the fewest own requests in flight."""
 
-    def __init__(self, entry_parts: parts.EntryParts) -> None:
-        """Carry requests with entry_parts."""
+    def __init__(
+        self,
+        entry_parts: parts.EntryParts,
+        suspect_gate: suspects.SuspectGate,
+    ) -> None:
+        """Carry requests with entry_parts, suspects as suspect_gate says."""
+        self._suspects = suspect_gate
         self._parts = entry_parts
         self._numbers = itertools.count(1)
         self._in_flight: dict[str, int] = {}
@@ -99,29 +114,66 @@
         may_send: parts.MaySend | None,
     ) -> None:
         """Answer the request by its deadline."""
+        with contextlib.closing(self._watch(request)) as watched:
+            refusal = watched.refusal() or await self._send_until_whole(
+                request, responds, span, may_send or _always, watched
+            )
+        if refusal is not None:
+            await responds.send_error(refusal)
+
+    async def _send_until_whole(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+        watched: service_suspects.WatchedCall,
+    ) -> outcomes.ErrorAnswer | None:
         tried: set[str] = set()
         refusal = _busy()
-        may_send = may_send or _always
-        address = self._choose(request.service, tried)
+        address = self._choose(request.service, tried, watched)
         while address is not None and may_send():
             tried.add(address)
-            failure = await self._send(request, address, responds, span)
+            failure = await watched.send(
+                address,
+                functools.partial(self._send, request, address, responds, span),
+            )
             if failure is None:
-                return
+                return None
             span.add_event('send failed', {'why': str(failure)})
+            suspected = watched.refusal_after(responds.outcome)
+            if suspected is not None:
+                return suspected
             refusal = _failed(failure, refusal)
             address = None
             if failure.surely_not_run or request.idempotent:
-                address = self._choose(request.service, tried)
-        await responds.send_error(refusal)
+                address = self._choose(request.service, tried, watched)
+        return refusal
+
+    def _watch(self, request: ServiceRequest) -> service_suspects.WatchedCall:
+        head = request.head
+        return service_suspects.make_watched_call(
+            self._suspects,
+            request.service.addresses,
+            request.service.name.encode(),
+            head.method.encode(),
+            head.path.encode(),
+            head.query.encode(),
+            request.body,
+        )
 
     def _choose(
-        self, service: schema.PlainService, tried: set[str]
+        self,
+        service: schema.PlainService,
+        tried: set[str],
+        watched: service_suspects.WatchedCall,
     ) -> str | None:
+        allowed = watched.allowed()
         free = [
             address
             for address in service.addresses
             if address not in tried
+            and address in allowed
             and self._in_flight.get(address, 0)
             < service.max_in_flight_per_address
         ]
@@ -169,7 +221,7 @@
                 _passed_headers(answer.headers, ('content-type',)),
             )
             return
-        raise upstream.UpstreamError(
+        raise service_suspects.AnsweredError(
             'no answer by the timeout', surely_not_run=False
         )
 
@@ -219,7 +271,7 @@
                 answer.headers, identity, self._parts.switches
             )
         except answer_check.WrongAnswerError as error:
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 str(error), surely_not_run=False
             ) from error
         body = b''.join([chunk async for chunk in answer.chunks])
@@ -230,7 +282,7 @@
             and framed.isdisjoint(dict(answer.headers))
         ):
             # Without a length, a body that was cut off ends like a whole one.
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 'the end of the body cannot be told', surely_not_run=False
             )
         return body
--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -3,16 +3,29 @@
 import json
 from collections import abc as collections_abc
 
+import attrs
+
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock, invariants, outcomes
 from redwingvalve.entry import model_request
-from redwingvalve.membership import members
+from redwingvalve.membership import members, rendezvous
 from redwingvalve.news import board
 from redwingvalve.poison import channel, facts, ledger
 
 WAIT_RETRY_AFTER_S = 2.0
 
 
+@attrs.frozen
+class ServiceAddress:
+    """An instance of a plain service; it restarts without a new epoch."""
+
+    name: str
+    epoch: int = 0
+
+
+Endpoint = snapshot.Replica | ServiceAddress
+
+
 class SuspectGate:
     """What this entry runs where, and the suspects of all entries."""
 
@@ -45,11 +58,19 @@
             json.dumps(request.prompt, sort_keys=True).encode(),
         )
 
-    def refusal(self, digest: bytes) -> outcomes.ErrorAnswer | None:
-        """Return why a request that has just arrived is not run, if so."""
+    def refusal(
+        self, digest: bytes, addresses: collections_abc.Collection[str] = ()
+    ) -> outcomes.ErrorAnswer | None:
+        """Return why a request that has just arrived is not run, if so.
+
+        Give the addresses where endpoints are few: most entries may then put
+        suspects nowhere, so that the home must be one that may.
+        """
         self._hear()
         now_s = self._clock.monotonic_s()
-        home = ledger.home_entry(digest, self._entries())
+        if self._ledger.judge_again(digest, now_s) == ledger.Verdict.FREE:
+            return None
+        home = self._home(digest, addresses)
         verdict = self._ledger.judge(digest, home, now_s)
         if verdict == ledger.Verdict.REFUSE:
             return _poison(outcomes.Outcome.NOT_RUN)
@@ -92,7 +113,7 @@
         free = self._ledger.free_endpoints(own, now_s)
         return (free - busy) or free
 
-    def began(self, digest: bytes, replica: snapshot.Replica) -> bool:
+    def began(self, digest: bytes, replica: Endpoint) -> bool:
         """Count a send; True when it is one of a suspect."""
         self._on_endpoint.setdefault(replica.name, []).append(digest)
         now_s = self._clock.monotonic_s()
@@ -102,9 +123,7 @@
             self._tell()
         return suspect
 
-    def ended(
-        self, digest: bytes, replica: snapshot.Replica, *, whole: bool
-    ) -> None:
+    def ended(self, digest: bytes, replica: Endpoint, *, whole: bool) -> None:
         """Count the end of a send; a whole answer clears a suspect."""
         running = self._on_endpoint.get(replica.name, [])
         if digest in running:
@@ -115,7 +134,7 @@
         self._ledger.ended(digest, replica.name, now_s, whole=whole)
         self._tell()
 
-    def endpoint_died(self, replica: snapshot.Replica) -> None:
+    def endpoint_died(self, replica: Endpoint) -> None:
         """Suspect all that ran there, and tell the others at once."""
         now_s = self._clock.monotonic_s()
         running = frozenset(self._on_endpoint.get(replica.name, ()))
@@ -125,6 +144,15 @@
             )
             self._tell()
 
+    def _home(
+        self, digest: bytes, addresses: collections_abc.Collection[str]
+    ) -> str:
+        entries = self._entries()
+        if not addresses:
+            return ledger.home_entry(digest, entries)
+        nearest = rendezvous.holders(addresses, digest.hex(), 1)[0]
+        return ledger.home_entry(nearest.encode(), entries)
+
     def _entries(self) -> tuple[str, ...]:
         return tuple(member.name for member in self._members.alive())
 
--- /dev/null
+++ b/redwingvalve/entry/tests/test_service_suspects.py
@@ -0,0 +1,174 @@
+"""Requests that crash plain services, over three entries that share news."""
+
+import itertools
+
+import anyio
+import attrs
+import pytest
+
+from redwingvalve.core import clock, invariants
+from redwingvalve.entry import app
+from redwingvalve.entry.tests import fakes
+
+NAMES = ('e1', 'e2', 'e3')
+MEMBERS = tuple(attrs.evolve(fakes.ENTRY, name=name) for name in NAMES)
+POISON = {'path': '/parts/crash', 'method': 'GET', 'body': b''}
+INNOCENT = {'path': '/parts/42', 'method': 'GET', 'body': b''}
+OTHER = {**INNOCENT, 'path': '/parts/43'}
+# News is settled, and one death is told from the next at the same address.
+APART_S = 11.0
+ALONE = ('s1:1',)
+SEVERAL = ('s1:1', 's2:1', 's3:1', 's4:1')
+
+
+class Services(fakes.Engines):
+    """Instances that crash under /parts/crash with all that they run."""
+
+    def __init__(self):
+        super().__init__()
+        self.deaths = []
+        self.hold = False
+        self.running = {}
+
+    async def send(self, request):
+        self.sent.append(request)
+        crashed = anyio.Event()
+        peers = self.running.setdefault(request.address, [])
+        peers.append(crashed)
+        await anyio.lowlevel.checkpoint()
+        if 'crash' in request.path:
+            self.deaths.append(request.address)
+            for each in self.running.pop(request.address):
+                each.set()
+        elif self.hold:
+            await crashed.wait()
+        if crashed.is_set():
+            raise fakes.broken()
+        peers.remove(crashed)
+        return await fakes.answering(200, request.path.encode())(request)
+
+
+def make_fleet(services, addresses=SEVERAL, disabled=()):
+    ticks, items = clock.ManualClock(1000.0), {}
+    listed = fakes.make_snapshot()
+    service = attrs.evolve(listed.services[0], addresses=addresses)
+    source = fakes.Source(attrs.evolve(listed, services=(service,)))
+    entries = [
+        app.make_entry_app(
+            fakes.make_parts(
+                services,
+                source=source,
+                clock=ticks,
+                members=fakes.Members(
+                    me=member,
+                    others=tuple(each for each in MEMBERS if each != member),
+                ),
+                news=fakes.Board(items=items, owner=member.name),
+                switches=invariants.SafeguardSwitches(disabled),
+            )
+        )
+        for member in MEMBERS
+    ]
+    return entries, ticks
+
+
+async def resend(entries, ticks, asked, times=12):
+    """Send to one entry after the other, as its caller would."""
+    answers = []
+    for entry in itertools.islice(itertools.cycle(entries), times):
+        answers.append(await fakes.call(entry, **asked))
+        ticks.advance(APART_S)
+    return answers
+
+
+@pytest.mark.parametrize('addresses', (ALONE, SEVERAL))
+def test_a_poison_request_kills_two_instances_of_a_service(addresses):
+    """The caller is told poison-request after two deaths, through any entry.
+
+    It sends a request that crashes each instance that runs it, again and
+    again, to one entry after the other.
+    """
+    services = Services()
+
+    async def main():
+        return await resend(*make_fleet(services, addresses), POISON)
+
+    answers = anyio.run(main)
+    assert len(services.deaths) == 2
+    assert [got.status for got in answers[-3:]] == [422] * 3
+    assert answers[-1].error['outcome'] == 'not-run'
+
+
+def test_a_resend_at_once_kills_no_third_instance():
+    """The caller sends without a pause; entries know of the first death."""
+    services = Services()
+
+    async def main():
+        entries, _ = make_fleet(services)
+        for entry in entries * 3:
+            await fakes.call(entry, **POISON)
+
+    anyio.run(main)
+    assert 1 <= len(services.deaths) <= 2
+
+
+def test_innocents_that_shared_an_instance_are_served_and_cleared():
+    """The caller of a part record waits seconds at most and is then served.
+
+    A poison request crashes an instance that runs an innocent one too. Each is
+    tried alone; the innocent is answered and no longer suspect anywhere, also
+    when the poison request is sent again.
+    """
+    services = Services()
+
+    async def main():
+        entries, ticks = make_fleet(services, ('s1:1', 's2:1'))
+        services.hold = True
+        async with anyio.create_task_group() as group:
+            for asked in (INNOCENT, OTHER):
+                group.start_soon(
+                    lambda one: fakes.call(entries[0], **one), asked
+                )
+            while len(services.running) < 2:
+                await anyio.sleep(0)
+            services.hold = False
+            await fakes.call(entries[0], **POISON)
+            for running in services.running.values():
+                for each in running:
+                    each.set()
+        for asked in (INNOCENT, POISON, OTHER, POISON):
+            ticks.advance(APART_S)
+            await resend(entries, ticks, asked, 3)
+        return [
+            await resend(entries, ticks, asked, 3)
+            for asked in (INNOCENT, OTHER, POISON)
+        ]
+
+    innocent, other, poison = anyio.run(main)
+    assert [got.status for got in innocent + other] == [200] * 6
+    assert [got.status for got in poison] == [422] * 3
+    assert len(services.deaths) == 2
+
+
+def test_a_lost_answer_to_a_call_that_may_not_repeat_stays_unknown():
+    """The caller sees unknown, and the call is not sent to a second one."""
+    services = Services()
+    bill = {**POISON, 'method': 'POST', 'body': {'bill': 7}}
+
+    async def main():
+        entries, _ = make_fleet(services)
+        return await fakes.call(entries[0], **bill)
+
+    assert anyio.run(main).error['outcome'] == 'unknown'
+    assert len(services.deaths) == 1
+
+
+def test_without_the_safeguard_the_breach_is_found():
+    services = Services()
+    disabled = (invariants.Safeguard.POISON_REFUSED,)
+
+    async def main():
+        await resend(*make_fleet(services, disabled=disabled), POISON)
+
+    anyio.run(main)
+    assert len(services.deaths) > 2
