Let drains of what is gone be undone; read drains in one place

Cause: undoing looked the target up first, so that the drain of a VM that the platform had taken away stood for good and would have hit a later VM of that name. The drains were read by the controllers' VM list, by the teller of leaving VMs and by the teller of entries, each for itself.

Test: a drain, its VM and domain gone, a refused and an allowed undo; it failed before.

--- a/redwingvalve/administration/drain_operations.py
+++ b/redwingvalve/administration/drain_operations.py
@@ -45,20 +45,21 @@
                 'bad-drain',
                 f'{kind!r} is not one of {", ".join(drains.KINDS)}',
             )
+        if call.body.get('undo'):
+            return await self._undo(call, kind, name)
         target = await self._find_target(kind, name)
         if target.is_error():
             return Error(target.error)
         allowed = rights.check_scope(call.principal, target.ok.names)
         if allowed.is_error():
             return Error(operations.missing_right(allowed.error))
-        if call.body.get('undo'):
-            return await self._undo(kind, name)
         wanted = drains.Drain(
             kind,
             name,
             call.principal.name,
             self._clock.wall_s(),
             target.ok.vms,
+            target.ok.names,
         )
         made = await self._store.create(
             drains.KIND, drains.object_name(kind, name), attrs.asdict(wanted)
@@ -89,15 +90,35 @@
             f'no {kind} is named {name!r}',
         )
 
-    async def _undo(self, kind: str, name: str) -> operations.Answer:
+    async def _undo(
+        self, call: operations.Call, kind: str, name: str
+    ) -> operations.Answer:
+        """Delete a drain, whether its target is still there or not."""
         object_name = drains.object_name(kind, name)
         found = await self._store.get(drains.KIND, object_name)
         if found.is_error():
             return Error(operations.store_error(found.error))
-        gone = await self._store.delete(
-            drains.KIND, object_name, found.ok.version
+        target = await self._find_target(kind, name)
+        gone = target.is_error() and (
+            target.error.status == operations.STATUS_NOT_FOUND
+        )
+        if target.is_error() and not gone:
+            return Error(target.error)
+        names = set(drains.read_drain(found.ok).names)
+        if target.is_ok():
+            names.update(target.ok.names)
+        allowed = rights.check_scope(call.principal, names)
+        if allowed.is_error():
+            return Error(operations.missing_right(allowed.error))
+        return await self._delete(kind, name, found.ok)
+
+    async def _delete(
+        self, kind: str, name: str, stored: object_api.StoredObject
+    ) -> operations.Answer:
+        deleted = await self._store.delete(
+            drains.KIND, stored.name, stored.version
         )
-        if gone.is_error():
-            return Error(operations.store_error(gone.error))
+        if deleted.is_error():
+            return Error(operations.store_error(deleted.error))
         when = 'after its restart' if kind == drains.ENTRY else 'again'
         return Ok({'message': f'{kind} {name} takes work {when}'})
--- a/redwingvalve/administration/tests/test_api.py
+++ b/redwingvalve/administration/tests/test_api.py
@@ -19,6 +19,7 @@
 from redwingvalve.membership import members
 from redwingvalve.plans import book as plan_book
 from redwingvalve.platform_api import object_api, vm_list
+from redwingvalve.replicas import domain as domain_module
 from redwingvalve.standins import memory_store
 
 DECLARATION = """
@@ -173,6 +174,54 @@
     run(scenario)
 
 
+def test_the_drain_of_a_vm_that_is_gone_can_be_undone():
+    """An operator takes a drain back after the platform took the VM away.
+
+    No domain names the VM or its replica any more. Otherwise the drain would
+    stand for good and hit a later VM of that name. Who may not change the
+    deployment that was drained may not take it back either.
+    """
+
+    async def scenario(bench):
+        replica = domain_module.DomainReplica(
+            'q-1',
+            'quotes',
+            1,
+            domain_module.ReplicaState.SERVING,
+            ('vm-1',),
+            'quote',
+            '1',
+        )
+        made = await bench.store.create(
+            domain_module.KIND,
+            'd-1',
+            domain_module.to_body(
+                domain_module.FabricDomain(
+                    'd-1',
+                    'nave-a',
+                    next_epoch=2,
+                    vms=(domain_module.DomainVm('vm-1', '127.0.0.1:9001'),),
+                    replicas=(replica,),
+                )
+            ),
+        )
+        drain = {'kind': 'vm', 'name': 'vm-1'}
+        undo = {**drain, 'undo': True}
+        answer = await bench.call('operator', 'POST', '/drains', drain)
+        assert answer.status_code == 200
+        await bench.store.delete(domain_module.KIND, 'd-1', made.ok.version)
+        answer = await bench.call('outsider', 'POST', '/drains', undo)
+        assert answer.status_code == 403
+        assert bench.store.list_now('drains').objects
+        answer = await bench.call('operator', 'POST', '/drains', undo)
+        assert answer.status_code == 200
+        assert not bench.store.list_now('drains').objects
+        answer = await bench.call('operator', 'POST', '/drains', undo)
+        assert answer.status_code == 404
+
+    run(scenario)
+
+
 def test_a_replica_that_no_domain_can_hold_is_a_finding_with_its_place():
     """An operator types 40 VMs a replica; the largest domain has eight.
 
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -51,10 +51,11 @@
         if tls.ok is not None:
             group.start_soon(tls.ok.follow, parts.clock)
         async with anyio.create_task_group() as loops:
-            control_loop = make_loop(parts)
+            reader = drains.make_drain_reader(parts.objects)
+            control_loop = make_loop(parts, reader)
             loops.start_soon(control_loop.run)
             loops.start_soon(waits.publish, control_loop, parts)
-            loops.start_soon(_run_duties, parts)
+            loops.start_soon(_run_duties, parts, reader)
             LOGGER.info('The controller is ready.')
             await server.serve_api(
                 _make_api(parts, book),
@@ -70,7 +71,9 @@
     LOGGER.info('The controller has ended.')
 
 
-def make_loop(parts: process_parts.ProcessParts) -> loop.ControlLoop:
+def make_loop(
+    parts: process_parts.ProcessParts, reader: drains.DrainReader
+) -> loop.ControlLoop:
     """Return the control loop of one process."""
     me = parts.node.members.myself()
     owner = f'{me.name}/{me.incarnation}'
@@ -85,7 +88,7 @@
         chance=random.Random(owner),
         switches=parts.switches,
     )
-    listed = drains.make_drained_vm_list(parts.vms, parts.objects)
+    listed = drains.make_drained_vm_list(parts.vms, reader)
     return loop.make_control_loop(owner, tools, listed, parts.node.members)
 
 
@@ -121,11 +124,14 @@
     return in_force.merge(answers)
 
 
-async def _run_duties(parts: process_parts.ProcessParts) -> None:
+async def _run_duties(
+    parts: process_parts.ProcessParts, reader: drains.DrainReader
+) -> None:
     """Run what a few controllers do for all, until cancelled."""
     async with anyio.create_task_group() as group:
-        group.start_soon(entry_drains.publish, parts)
-        group.start_soon(leaving_vms.LeavingTeller(parts).run)
+        group.start_soon(reader.follow, parts.clock)
+        group.start_soon(entry_drains.publish, parts, reader)
+        group.start_soon(leaving_vms.LeavingTeller(parts, reader).run)
         group.start_soon(_sweep, parts)
 
 
--- a/redwingvalve/process/entry_drains.py
+++ b/redwingvalve/process/entry_drains.py
@@ -13,7 +13,7 @@
 from redwingvalve.process import duties
 from redwingvalve.process import parts as process_parts
 
-READ_EVERY_S = 2.0
+TELL_EVERY_S = 2.0
 LISTEN_EVERY_S = 0.5
 LOGGER = logs.make_logger('drains')
 CHANNEL = board.Channel(
@@ -24,15 +24,17 @@
 )
 
 
-async def publish(parts: process_parts.ProcessParts) -> None:
+async def publish(
+    parts: process_parts.ProcessParts, reader: drains.DrainReader
+) -> None:
     """Tell, until cancelled, which entries operators want drained."""
     told: set[str] = set()
     while True:
         if duties.is_mine(parts, CHANNEL.name):
-            found = await drains.read_drains(parts.objects)
-            if found.is_ok():
-                told = _tell(parts.node.news, told, found.ok)
-        await parts.clock.sleep(READ_EVERY_S)
+            wanted = reader.entries
+            if wanted is not None:
+                told = _tell(parts.node.news, told, wanted)
+        await parts.clock.sleep(TELL_EVERY_S)
 
 
 async def follow(
@@ -54,11 +56,8 @@
 def _tell(
     news: board.NewsBoard,
     told: set[str],
-    found: collections_abc.Iterable[drains.Drain],
+    wanted: dict[str, str],
 ) -> set[str]:
-    wanted = {
-        drain.name: drain.by for drain in found if drain.kind == drains.ENTRY
-    }
     for gone in told - set(wanted):
         news.publish(CHANNEL, gone, b'')
     for name, by in wanted.items():
--- a/redwingvalve/process/leaving_vms.py
+++ b/redwingvalve/process/leaving_vms.py
@@ -4,15 +4,12 @@
 evidence.leaving for why the store's way is not enough.
 """
 
-import anyio
-
 from redwingvalve.administration import drains
 from redwingvalve.evidence import leaving, serving_permits
 from redwingvalve.platform_api import vm_list
 from redwingvalve.process import duties
 from redwingvalve.process import parts as process_parts
 
-READ_DRAINS_EVERY_S = 2.0
 LOOK_EVERY_S = 0.25
 DUTY = 'leaving-vms'
 
@@ -20,28 +17,19 @@
 class LeavingTeller:
     """One controller's part in telling which VMs leave."""
 
-    def __init__(self, parts: process_parts.ProcessParts) -> None:
-        """Know of none."""
+    def __init__(
+        self, parts: process_parts.ProcessParts, reader: drains.DrainReader
+    ) -> None:
+        """Know of none; drains come from reader, which nobody waits for.
+
+        A silent store must not hold up the platform's list.
+        """
         self._parts = parts
-        self._drained: frozenset[str] = frozenset()
+        self._reader = reader
         self._told: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Tell until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._follow_drains)
-            group.start_soon(self._follow_list)
-
-    async def _follow_drains(self) -> None:
-        """Keep operators' drains; a silent store must not hold up the list."""
-        while True:
-            if self._on_duty():
-                found = await drains.read_drains(self._parts.objects)
-                if found.is_ok():
-                    self._drained = drains.drained_vms(found.ok)
-            await self._parts.clock.sleep(READ_DRAINS_EVERY_S)
-
-    async def _follow_list(self) -> None:
         interval_s = self._parts.settings.platform.vm_list_interval_s
         while True:
             if self._on_duty():
@@ -57,7 +45,7 @@
             vm.name for vm in listed.ok if vm.state == vm_list.VmState.LEAVING
         }
         self._told = leaving.tell(
-            self._parts.node.news, gone | self._drained, self._told
+            self._parts.node.news, gone | self._reader.vms, self._told
         )
 
     def _on_duty(self) -> bool:
