Keep newcomers that see only each other from deciding about keys

Cause: a starting voter knew only the members it could reach. Two that started while all others were paused or cut off saw a fleet of two, had lost nothing, and ran again what the others had run.

Change: each voter's object in the store carries when it was last there; a starting voter begins with the names of the last two hours. Starts without the store are now part of the state machine.

--- a/redwingvalve/administration/retention.py
+++ b/redwingvalve/administration/retention.py
@@ -5,16 +5,20 @@
 week and the store's rate limits within a year. Plans have an end of their own
 (plans.finishing).
 
+Names of voters that are long gone (at_most_once.first_start) go with them.
+
 Grounds: a fined target is disputed within a month, so entries stay 35 days.
 One delete every half a second uses under one hundredth of the store's several
 hundred writes a second.
 """
 
+import types
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.administration import audit
+from redwingvalve.at_most_once import first_start
 from redwingvalve.core import clock
 from redwingvalve.observability import logs
 from redwingvalve.platform_api import object_api
@@ -41,6 +45,11 @@
     return tuple(sorted(old, key=lambda stored: stored.name))[:MOST_DELETES]
 
 
+OUTDATED = types.MappingProxyType(
+    {audit.KIND: outdated_audits, first_start.KIND: first_start.outdated}
+)
+
+
 @attrs.frozen
 class Sweeper:
     """Deletes what is outdated; every delete is bound to a version."""
@@ -50,12 +59,8 @@
 
     async def sweep(self) -> int:
         """Make one pass and return how many objects were deleted."""
-        audits = await self.store.list(audit.KIND)
-        if audits.is_error():
-            return 0
-        now_s = self.time_source.wall_s()
         deleted = 0
-        for stored in outdated_audits(audits.ok.objects, now_s):
+        for stored in await self._outdated():
             gone = await self.store.delete(
                 stored.kind, stored.name, stored.version
             )
@@ -65,6 +70,15 @@
             LOGGER.info('%d outdated objects were deleted.', deleted)
         return deleted
 
+    async def _outdated(self) -> tuple[Stored, ...]:
+        found: list[Stored] = []
+        now_s = self.time_source.wall_s()
+        for kind, choose in OUTDATED.items():
+            listed = await self.store.list(kind)
+            if listed.is_ok():
+                found.extend(choose(listed.ok.objects, now_s))
+        return tuple(found)
+
     async def run(self, on_duty: collections_abc.Callable[[], bool]) -> None:
         """Sweep until cancelled, whenever this process is on duty."""
         while True:
--- a/redwingvalve/at_most_once/roster.py
+++ b/redwingvalve/at_most_once/roster.py
@@ -6,6 +6,8 @@
 
 The rules, each for one failure:
 
+* A voter starts with the names that the store holds, also of those that it
+  cannot reach: newcomers that see only each other must not be a fleet.
 * A name stays in the roster until it has been gone for LONGEST_ABSENCE_S: a
   partition must not move keys to voters on both its sides. Claims are older
   than the memory of any voter by then.
@@ -63,10 +65,11 @@
         now_s: float,
         *,
         first_start: bool,
+        names: collections_abc.Iterable[str] = (),
         alone: bool = False,
         resend_s: float = ledger.MEMORY_S,
     ) -> None:
-        """Start with the own name only.
+        """Start with the own name and the names that the store holds.
 
         first_start says that no process had this name before, so that no
         claim was lost with one; alone says that no other voter is expected.
@@ -83,7 +86,8 @@
         self._absent_since: dict[str, float] = {}
         self._majority = True
         self._periods: collections.deque[_Period] = collections.deque()
-        self._begin_period(frozenset((myself,)), now_s)
+        others = frozenset(() if alone else names)
+        self._begin_period(others | {myself}, now_s)
 
     @property
     def names(self) -> frozenset[str]:
--- /dev/null
+++ b/redwingvalve/at_most_once/tests/test_first_start.py
@@ -0,0 +1,41 @@
+"""What a voter learns from the store when it starts."""
+
+import anyio
+
+from redwingvalve.at_most_once import first_start, roster
+from redwingvalve.standins import memory_store
+
+HOUR_S = 3600.0
+
+
+def test_a_voter_learns_who_else_votes_and_whether_it_did_before():
+    """Long gone names are left out, and outdated ones may be deleted."""
+
+    async def scenario():
+        store = memory_store.make_memory_object_api()
+        first = await first_start.register(store, 'e1', 0.0)
+        second = await first_start.register(store, 'e2', HOUR_S)
+        again = await first_start.register(store, 'e1', HOUR_S)
+        assert await first_start.refresh(store, 'e1', HOUR_S)
+        later_s = HOUR_S + roster.LONGEST_ABSENCE_S + 1
+        assert await first_start.refresh(store, 'e2', later_s)
+        late = await first_start.register(store, 'e3', later_s)
+        kept = (await store.list(first_start.KIND)).ok.objects
+        gone = first_start.outdated(kept, HOUR_S + first_start.KEEP_S + 1)
+        store.set_outage(outage=True)
+        assert not await first_start.refresh(store, 'e2', later_s)
+        return (
+            first,
+            second,
+            again,
+            late,
+            gone,
+            await first_start.register(store, 'e4', later_s),
+        )
+
+    first, second, again, late, gone, away = anyio.run(scenario)
+    assert (first.first, second.first, again.first) == (True, True, False)
+    assert second.names == again.names == {'e1', 'e2'}
+    assert late.names == {'e2', 'e3'}
+    assert [stored.name for stored in gone] == ['e1']
+    assert away == first_start.Start(first=False)
--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -12,7 +12,14 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from redwingvalve.at_most_once import claims, ledger, messages, peers, voter
+from redwingvalve.at_most_once import (
+    claims,
+    ledger,
+    messages,
+    peers,
+    roster,
+    voter,
+)
 from redwingvalve.core import clock, invariants, outcomes
 from redwingvalve.membership import members
 
@@ -31,6 +38,7 @@
     def __init__(self, names=BASE_NAMES, disabled=(), resend_s=MEMORY_S):
         self.resend_s = resend_s
         self.paused = set()
+        self.seen_s = {}
         self.clock = clock.ManualClock(10_000.0)
         self.switches = invariants.SafeguardSwitches(disabled)
         self.side = {}
@@ -42,7 +50,13 @@
             self.start(name)
         self.settle()
 
-    def start(self, name):
+    def start(self, name, store=True):
+        """Start a process; without the store it counts as restarted."""
+        now_s = self.clock.monotonic_s()
+        if store:
+            self.seen_s[name] = now_s
+        oldest_s = now_s - roster.LONGEST_ABSENCE_S
+        names = [key for key, seen in self.seen_s.items() if seen >= oldest_s]
         self.incarnations[name] += 1
         self.side.setdefault(name, 0)
         me = members.Member(
@@ -53,7 +67,8 @@
             me,
             self.clock,
             self.switches,
-            first_start=self.incarnations[name] == 1,
+            first_start=store and self.incarnations[name] == 1,
+            names=frozenset(names if store else ()),
             resend_s=self.resend_s,
         )
         self.entries[name] = claims.make_claims(
@@ -83,6 +98,7 @@
         for _ in range(rounds):
             self.clock.advance(1.0)
             for name in self.awake():
+                self.seen_s[name] = self.clock.monotonic_s()
                 anyio.run(self.entries[name].look_once)
 
     def advance(self, duration_s):
@@ -203,15 +219,17 @@
                 self.fleet.run(name, grant)
         self.grants.clear()
 
-    @stateful.rule(number=st.integers(0, 9), restart=st.booleans())
-    def crash(self, number, restart):
+    @stateful.rule(
+        number=st.integers(0, 9), restart=st.booleans(), store=st.booleans()
+    )
+    def crash(self, number, restart, store):
         if len(self.fleet.awake()) < 2:
             return
         name = self.pick(number)
         self.fleet.crash(name)
         self.grants = [held for held in self.grants if held[0] != name]
         if restart:
-            self.fleet.start(name)
+            self.fleet.start(name, store)
 
     def several(self, seed):
         """Some that are awake, mostly a majority; one is left."""
@@ -260,10 +278,10 @@
     def fresh_key(self):
         return f'fresh-{next(self.fresh)}'
 
-    @stateful.rule()
-    def replace(self):
+    @stateful.rule(store=st.booleans())
+    def replace(self, store):
         if len(self.fleet.incarnations) < 9:
-            self.fleet.start(f'n{len(self.fleet.incarnations)}')
+            self.fleet.start(f'n{len(self.fleet.incarnations)}', store)
 
     @stateful.rule(seed=st.integers(0, 999))
     def partition(self, seed):
@@ -379,6 +397,45 @@
     assert fleet.send(third, 'last') == 'ran'
 
 
+def test_newcomers_beside_a_cut_off_voter_do_not_outvote_the_others():
+    """The caller that sends again on the smaller side sees no second run.
+
+    e3 is cut off while e1 and e2 run quotes. Two new voters start on its side
+    and make three of five with it; none of them knows of the quotes.
+    """
+    fleet = Fleet(('e1', 'e2', 'e3'))
+    fleet.side['e3'] = 1
+    fleet.settle(2)
+    quotes = [f'quote-{number}' for number in range(30)]
+    assert {fleet.send('e1', quote) for quote in quotes} == {'ran'}
+    for name in ('n4', 'n5'):
+        fleet.side[name] = 1
+        fleet.start(name)
+    fleet.settle(READY_S)
+    for quote in quotes:
+        for name in ('n4', 'n5', 'e3'):
+            assert fleet.send(name, quote) != 'ran'
+
+
+def test_newcomers_that_see_only_each_other_are_no_fleet():
+    """The caller sends again to a newcomer while all others are paused.
+
+    The newcomers have never met the others and see a fleet of their own. The
+    store's names tell them that they are two of five.
+    """
+    fleet = Fleet(('e1', 'e2', 'e3'))
+    assert fleet.send('e1', 'quote') == 'ran'
+    fleet.paused.update(('e1', 'e2', 'e3'))
+    fleet.start('n4')
+    fleet.start('n5')
+    fleet.settle(READY_S)
+    assert fleet.send('n4', 'quote').outcome == outcomes.Outcome.UNKNOWN
+    fleet.paused.clear()
+    fleet.settle(READY_S)
+    assert fleet.send('n4', 'quote').outcome == outcomes.Outcome.RAN
+    assert fleet.send('n5', 'other') == 'ran'
+
+
 @pytest.mark.parametrize('lost', (3, 4, 5))
 def test_a_lost_majority_decides_again_when_callers_have_given_up(lost):
     """The caller of a key without a time is told unknown for resend_s.
--- a/redwingvalve/at_most_once/voter.py
+++ b/redwingvalve/at_most_once/voter.py
@@ -1,6 +1,7 @@
 """One entry's own vote on request keys, and what others may ask of it."""
 
 import itertools
+from collections import abc as collections_abc
 
 from redwingvalve.at_most_once import keys, ledger, messages, roster
 from redwingvalve.core import clock, invariants, outcomes
@@ -113,6 +114,7 @@
     switches: invariants.SafeguardSwitches,
     *,
     first_start: bool,
+    names: collections_abc.Iterable[str] = (),
     alone: bool = False,
     resend_s: float = ledger.MEMORY_S,
 ) -> Voter:
@@ -124,6 +126,7 @@
             myself.name,
             voter_clock.monotonic_s(),
             first_start=first_start,
+            names=names,
             alone=alone,
             resend_s=resend_s,
         ),
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -26,6 +26,7 @@
         permits = serving_permits.make_serving_permits(evidence, parts.switches)
         group.start_soon(_make_prober(parts, evidence).run)
         group.start_soon(leaving_vms.follow, parts, permits)
+        group.start_soon(key_votes.keep_registered, parts)
         group.start_soon(entry_drains.follow, parts, parts.node.members.leave)
         await daemon.serve_entry(
             _make_entry_parts(
--- a/redwingvalve/process/key_votes.py
+++ b/redwingvalve/process/key_votes.py
@@ -1,5 +1,7 @@
 """This process's vote on request keys, for entries and controllers."""
 
+import anyio
+
 from redwingvalve.at_most_once import (
     claims,
     first_start,
@@ -14,13 +16,15 @@
 ) -> claims.KeyClaims:
     """Return the claims of request keys, answering the other voters too."""
     myself = parts.node.members.myself()
+    started = await first_start.register(
+        parts.objects, myself.name, parts.clock.wall_s()
+    )
     own_voter = voter.make_voter(
         myself,
         parts.clock,
         parts.switches,
-        first_start=await first_start.is_first_start(
-            parts.objects, myself.name
-        ),
+        first_start=started.first,
+        names=started.names,
         alone=not parts.settings.peers.contacts,
         resend_s=parts.settings.requests.key_resend_s,
     )
@@ -35,7 +39,16 @@
     )
 
 
+async def keep_registered(parts: process_parts.ProcessParts) -> None:
+    """Let voters that start know of this one, until cancelled."""
+    await first_start.keep_fresh(
+        parts.objects, parts.settings.node.name, parts.clock
+    )
+
+
 async def vote(parts: process_parts.ProcessParts) -> None:
     """Vote for ever, as a process does that makes no claims itself."""
     key_claims = await make_claims(parts)
-    await key_claims.keep_looking()
+    async with anyio.create_task_group() as group:
+        group.start_soon(keep_registered, parts)
+        group.start_soon(key_claims.keep_looking)
