Tell callers of undecided keys when to come back

Cause: Retry-After was always a second, also when a lost majority decides only after key_resend_s; its callers asked five voters each second meanwhile.

Change: an undecided voter says how long at most; the caller is told when enough of them may decide, 1 to 30 s (a voter that remembers may come back sooner).

--- a/redwingvalve/at_most_once/claims.py
+++ b/redwingvalve/at_most_once/claims.py
@@ -38,11 +38,15 @@
 
 @attrs.frozen
 class ClaimRefused:
-    """The request must not be sent; outcome is what is known of the key."""
+    """The request must not be sent; outcome is what is known of the key.
+
+    wait_s is when enough voters may decide, 0 if nobody knows.
+    """
 
     outcome: outcomes.Outcome
     reason: str
     duplicate: bool
+    wait_s: float = 0.0
 
 
 class KeyClaims:
@@ -182,11 +186,17 @@
     if duplicates:
         return ClaimRefused(outcome, duplicates[0].reason, duplicate=True)
     reasons = collections.Counter(vote.reason for vote in votes if vote.reason)
+    undecided = [
+        vote for vote in votes if vote.verdict == messages.Verdict.UNKNOWN
+    ]
     silent = asked - len(votes)
     if silent:
         reasons['no answer came'] += silent
     said = '; '.join(sorted(reasons)) or 'the votes were split'
-    return ClaimRefused(outcome, said, duplicate=False)
+    lacking = voters.votes_needed(asked) - len(votes) + len(undecided)
+    waits_s = sorted(vote.wait_s for vote in undecided)
+    wait_s = waits_s[lacking - 1] if 0 < lacking <= len(waits_s) else 0.0
+    return ClaimRefused(outcome, said, duplicate=False, wait_s=wait_s)
 
 
 def make_claims(
--- a/redwingvalve/at_most_once/messages.py
+++ b/redwingvalve/at_most_once/messages.py
@@ -36,11 +36,15 @@
 
 @attrs.frozen
 class Vote:
-    """A voter's word; outcome is what it knows of the earlier request."""
+    """A voter's word; outcome is what it knows of the earlier request.
+
+    wait_s is how long an undecided voter stays so at most, 0 if it can't tell.
+    """
 
     verdict: Verdict
     outcome: outcomes.Outcome = outcomes.Outcome.UNKNOWN
     reason: str = ''
+    wait_s: float = 0.0
 
 
 @attrs.frozen
--- a/redwingvalve/at_most_once/roster.py
+++ b/redwingvalve/at_most_once/roster.py
@@ -191,6 +191,17 @@
             return ''
         return 'this voter does not yet know the earlier uses of the key'
 
+    def wait_s(self, now_s: float) -> float:
+        """Return after how long this voter decides at the latest, 0 if unknown.
+
+        Copies may come sooner, for which nobody knows the time.
+        """
+        if now_s < self._settled_s:
+            return self._settled_s - now_s
+        if self.is_whole(now_s):
+            return 0.0
+        return self._started_s + self._resend_s - now_s
+
     def _knows(
         self, account: str, request_key: str, now_s: float, wall_s: float
     ) -> bool:
--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -449,7 +449,9 @@
     fleet.crash_together(WITH_CONTROLS[-lost:])
     fleet.settle(50)
     assert fleet.send('e1', 'before') != 'ran'
-    assert fleet.send('e1', 'new').outcome == outcomes.Outcome.UNKNOWN
+    refused = fleet.send('e1', 'new')
+    assert refused.outcome == outcomes.Outcome.UNKNOWN
+    assert refused.wait_s == 10
     fleet.settle(READY_S + 2)
     assert fleet.send('e1', 'new') == 'ran'
 
--- a/redwingvalve/at_most_once/thrift_peers.py
+++ b/redwingvalve/at_most_once/thrift_peers.py
@@ -33,6 +33,7 @@
                 messages.Verdict(verdict.verdict),
                 outcomes.Outcome(verdict.outcome),
                 verdict.detail,
+                verdict.wait_s or 0.0,
             )
         )
 
@@ -93,6 +94,7 @@
             verdict=vote.verdict.value,
             outcome=vote.outcome.value,
             detail=vote.reason,
+            wait_s=vote.wait_s,
         )
 
     async def report_key(self, report: wire.KeyReport) -> bool:
--- a/redwingvalve/at_most_once/voter.py
+++ b/redwingvalve/at_most_once/voter.py
@@ -58,7 +58,11 @@
         ):
             why_not = 'the voters of the key are changing'
         if why_not:
-            return messages.Vote(messages.Verdict.UNKNOWN, reason=why_not)
+            return messages.Vote(
+                messages.Verdict.UNKNOWN,
+                reason=why_not,
+                wait_s=self.roster.wait_s(now_s),
+            )
         return self._chosen.vote(claim, now_s)
 
     def report(self, claim: messages.Claim, outcome: outcomes.Outcome) -> None:
--- a/redwingvalve/entry/once.py
+++ b/redwingvalve/entry/once.py
@@ -13,6 +13,9 @@
 
 CALLERS_ID_PREFIX = 'id:'
 RETRY_AFTER_S = 1.0
+# A lost majority may last an hour; it ends sooner when a voter comes back that
+# still remembers, such as after a partition.
+MOST_RETRY_AFTER_S = 30.0
 
 
 class OnceGuard:
@@ -106,5 +109,7 @@
         f'have been: {refused.reason}; send again with the same key',
         outcome=refused.outcome,
         request_id=head.request_id,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=min(
+            max(refused.wait_s, RETRY_AFTER_S), MOST_RETRY_AFTER_S
+        ),
     )
--- a/redwingvalve/entry/tests/test_once.py
+++ b/redwingvalve/entry/tests/test_once.py
@@ -111,6 +111,24 @@
     assert len(engines.sent) == 1
 
 
+def test_after_a_lost_majority_the_caller_is_told_when_to_come_back():
+    """The caller of a new key sees unknown, and is not asked to hurry.
+
+    Three of five voters have lost their memory. Nothing is sent; the answer
+    comes at once.
+    """
+    engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
+    fleet = test_fleet.Fleet()
+    fleet.crash_together(('e2', 'e3', 'e4'))
+    fleet.settle(test_fleet.READY_S)
+    (got,) = send(
+        make_entries(fleet, engines), ('e1', {'headers': KEY, 'body': BODY})
+    )
+    assert (got.status, got.error['outcome']) == (503, 'unknown')
+    assert got.error['retry_after_s'] == 30
+    assert not engines.sent
+
+
 def test_an_issued_key_is_given_out_and_works_once():
     engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
     entries = make_entries(test_fleet.Fleet(), engines)
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -92,6 +92,8 @@
   1: string verdict
   2: string outcome
   3: string detail
+  // When an undecided voter will decide, as far as it knows.
+  4: double wait_s
 }
 
 struct RegionSight {
