Copy claims between voters in pages

Cause: a restarted voter copied all claims of another in one answer, within a second. Above some thousand claims in memory no restarted voter ever got its memory back, and the source stood still while it packed.

Change: claims are numbered by each incarnation and copied 200 at a time; the next look goes on where the last one ended, also for a changed roster. A source that restarts between pages is copied from its start.

--- a/redwingvalve/at_most_once/claims.py
+++ b/redwingvalve/at_most_once/claims.py
@@ -49,6 +49,14 @@
     wait_s: float = 0.0
 
 
+@attrs.frozen
+class _Copied:
+    """Up to which of its claims another voter has been copied."""
+
+    incarnation: int = 0
+    reached: int = 0
+
+
 class KeyClaims:
     """Asks a key's voters, and keeps this entry's own vote up to date."""
 
@@ -64,6 +72,7 @@
         self._peers = key_peers
         self._members = known_members
         self._clock = claims_clock
+        self._copied: dict[str, _Copied] = {}
 
     async def claim(self, claim: messages.Claim) -> Result[Grant, ClaimRefused]:
         """Return leave to send, or why the request must not be sent."""
@@ -163,11 +172,26 @@
                 await self._peers.report(member, claim, outcome)
 
     async def _copy_from(self, member: members.Member) -> None:
-        names = tuple(sorted(self.voter.roster.names))
+        """Copy pages for a while; the next look goes on from there."""
+        more = True
         with anyio.move_on_after(ASK_TIMEOUT_S):
-            copied = await self._peers.copy(member, names)
-            if copied.is_ok():
-                self.voter.learn(member.name, copied.ok)
+            while more:
+                more = await self._copy_page(member)
+
+    async def _copy_page(self, member: members.Member) -> bool:
+        names = tuple(sorted(self.voter.roster.names))
+        known = self._copied.get(member.name, _Copied())
+        copied = await self._peers.copy(member, names, known.reached)
+        if copied.is_error():
+            return False
+        page = copied.ok
+        if known.reached and page.incarnation != known.incarnation:
+            # It has restarted and numbers its claims from one again.
+            self._copied.pop(member.name)
+            return True
+        self._copied[member.name] = _Copied(page.incarnation, page.reached)
+        self.voter.learn(member.name, page)
+        return page.more
 
     def _find(self, name: str) -> members.Member | None:
         for member in self._members.known():
--- a/redwingvalve/at_most_once/ledger.py
+++ b/redwingvalve/at_most_once/ledger.py
@@ -7,9 +7,13 @@
 ten with a key and each known to five of them, need about 110,000 claims of some
 400 bytes on each. Beyond MAX_CLAIMS new claims are refused; forgetting
 an old one would let it run again.
+
+Copies are handed out in pages: 100,000 claims in one answer would hold up the
+requests of the voter that packs them for seconds, and never arrive in time.
 """
 
 import collections
+import itertools
 
 import attrs
 
@@ -18,16 +22,18 @@
 
 MEMORY_S = 3600.0
 MAX_CLAIMS = 150_000
+PAGE_CLAIMS = 200
 
 LedgerKey = tuple[str, str]
 
 
 @attrs.define
-class _Granted:
+class Granted:
     """A granted claim and what became of it."""
 
     claim: messages.Claim
     granted_s: float
+    number: int
     outcome: outcomes.Outcome = outcomes.Outcome.UNKNOWN
 
 
@@ -37,9 +43,11 @@
     def __init__(self, memory_s: float = MEMORY_S) -> None:
         """Start empty; claims are kept for memory_s."""
         self._memory_s = memory_s
-        self._granted: collections.OrderedDict[LedgerKey, _Granted] = (
+        self._granted: collections.OrderedDict[LedgerKey, Granted] = (
             collections.OrderedDict()
         )
+        self._numbers = itertools.count(1)
+        self._by_number: dict[int, Granted] = {}
 
     def vote(self, claim: messages.Claim, now_s: float) -> messages.Vote:
         """Grant the claim if its key is free, and remember it."""
@@ -72,21 +80,21 @@
                 'a request that ran is never freed to run again',
                 f'{claim}',
             )
-            self._granted.pop(key)
+            self._drop(key)
             return
         granted.outcome = outcome
         granted.granted_s = now_s
         self._granted.move_to_end(key)
 
-    def copy(
-        self, now_s: float
-    ) -> tuple[tuple[messages.Claim, outcomes.Outcome], ...]:
-        """Return every claim that is remembered."""
+    def page(self, after: int, now_s: float) -> tuple[Granted, ...]:
+        """Return the next claims by number, at most PAGE_CLAIMS."""
         self._forget_old(now_s)
-        return tuple(
-            (granted.claim, granted.outcome)
-            for granted in self._granted.values()
+        later = (
+            granted
+            for number, granted in self._by_number.items()
+            if number > after
         )
+        return tuple(itertools.islice(later, PAGE_CLAIMS))
 
     def learn(
         self,
@@ -97,7 +105,7 @@
         for claim, outcome in copied:
             key = (claim.account, claim.request_key)
             if key not in self._granted:
-                self._granted[key] = _Granted(claim, now_s, outcome)
+                self._keep(key, claim, now_s, outcome)
 
     def __len__(self) -> int:
         """Return how many claims are remembered."""
@@ -110,12 +118,28 @@
             return messages.Vote(
                 messages.Verdict.UNKNOWN, reason='too many keys are remembered'
             )
-        self._granted[key] = _Granted(claim, now_s)
+        self._keep(key, claim, now_s, outcomes.Outcome.UNKNOWN)
         return messages.Vote(messages.Verdict.RUN)
 
+    def _keep(
+        self,
+        key: LedgerKey,
+        claim: messages.Claim,
+        now_s: float,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        number = next(self._numbers)
+        granted = Granted(claim, now_s, number, outcome)
+        self._granted[key] = granted
+        self._by_number[number] = granted
+
+    def _drop(self, key: LedgerKey) -> None:
+        granted = self._granted.pop(key)
+        self._by_number.pop(granted.number)
+
     def _forget_old(self, now_s: float) -> None:
         while self._granted:
-            oldest = next(iter(self._granted.values()))
+            key, oldest = next(iter(self._granted.items()))
             if now_s - oldest.granted_s <= self._memory_s:
                 return
-            self._granted.popitem(last=False)
+            self._drop(key)
--- a/redwingvalve/at_most_once/messages.py
+++ b/redwingvalve/at_most_once/messages.py
@@ -49,7 +49,10 @@
 
 @attrs.frozen
 class Copy:
-    """A voter's claims, for an entry that has just become a voter.
+    """A page of a voter's claims, for one that has just become a voter.
+
+    An incarnation numbers its claims; the page ends with reached, and more
+    says that another one follows.
 
     whole says that the voter has lost none that its name ever granted;
     complete, that it has all that were granted before these names held.
@@ -59,3 +62,6 @@
     names: tuple[str, ...]
     whole: bool
     complete: bool = False
+    incarnation: int = 0
+    reached: int = 0
+    more: bool = False
--- a/redwingvalve/at_most_once/peers.py
+++ b/redwingvalve/at_most_once/peers.py
@@ -29,6 +29,6 @@
 
     @abc.abstractmethod
     async def copy(
-        self, member: members.Member, names: tuple[str, ...]
+        self, member: members.Member, names: tuple[str, ...], after: int
     ) -> Result[messages.Copy, str]:
-        """Copy a voter's claims; names are the entries that we know of."""
+        """Copy a page of a voter's claims; names are the voters we know of."""
--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -32,6 +32,14 @@
 RUN = invariants.Safeguard.RUN_AT_MOST_ONCE
 
 
+@pytest.fixture(autouse=True, scope='module')
+def _small_pages():
+    """Copies take several pages, with anything in between."""
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(ledger, 'PAGE_CLAIMS', 2)
+        yield
+
+
 class Fleet:
     """Entries in one process; a link is up when both ends share a side."""
 
@@ -39,6 +47,7 @@
         self.resend_s = resend_s
         self.paused = set()
         self.seen_s = {}
+        self.on_copy = lambda source: None
         self.clock = clock.ManualClock(10_000.0)
         self.switches = invariants.SafeguardSwitches(disabled)
         self.side = {}
@@ -180,8 +189,9 @@
     async def report(self, member, claim, outcome):
         return await self._call(member, 'report', claim, outcome)
 
-    async def copy(self, member, names):
-        return await self._call(member, 'copy', names)
+    async def copy(self, member, names, after):
+        self.fleet.on_copy(member.name)
+        return await self._call(member, 'copy', names, after)
 
 
 class FleetMachine(stateful.RuleBasedStateMachine):
@@ -417,6 +427,33 @@
             assert fleet.send(name, quote) != 'ran'
 
 
+def test_a_source_that_restarts_between_pages_is_copied_from_the_start():
+    """The caller that sends again is refused; new keys are decided.
+
+    e1 restarts and copies two pages of e2's claims; then e2 restarts too and
+    numbers its claims anew, which must not be taken for the rest.
+    """
+    fleet = Fleet()
+    quotes = [f'quote-{number}' for number in range(9)]
+    assert {fleet.send('e1', quote) for quote in quotes} == {'ran'}
+    pages = []
+
+    def restart_e2(source):
+        pages.append(source)
+        if pages.count('e2') == 3:
+            fleet.on_copy = lambda source: None
+            fleet.crash_together(['e2'])
+
+    fleet.on_copy = restart_e2
+    fleet.crash_together(['e1'])
+    fleet.settle(2 * READY_S)
+    assert pages.count('e2') == 3
+    for name in BASE_NAMES:
+        assert fleet.entries[name].voter.remembered() == len(quotes)
+        assert fleet.send(name, 'quote-8').outcome == outcomes.Outcome.RAN
+    assert fleet.send('e2', 'new') == 'ran'
+
+
 def test_newcomers_that_see_only_each_other_are_no_fleet():
     """The caller sends again to a newcomer while all others are paused.
 
--- a/redwingvalve/at_most_once/tests/test_thrift_peers.py
+++ b/redwingvalve/at_most_once/tests/test_thrift_peers.py
@@ -36,7 +36,7 @@
         first = await asked.claim(member, CLAIM)
         await asked.report(member, CLAIM, outcomes.Outcome.RAN)
         again = await asked.claim(member, attrs.evolve(CLAIM, send_id='x'))
-        copied = await asked.copy(member, ('e1',))
+        copied = await asked.copy(member, ('e1',), 0)
         await listening.aclose()
         gone = await asked.claim(member, CLAIM)
         caller.close_idle()
@@ -47,4 +47,5 @@
     assert again.verdict == messages.Verdict.DUPLICATE
     assert again.outcome == outcomes.Outcome.RAN
     assert copied.claims == ((CLAIM, outcomes.Outcome.RAN),) and copied.whole
+    assert (copied.incarnation, copied.reached, copied.more) == (7, 1, False)
     assert gone.is_error()
--- a/redwingvalve/at_most_once/thrift_peers.py
+++ b/redwingvalve/at_most_once/thrift_peers.py
@@ -49,10 +49,10 @@
         return Error(called.error) if called.is_error() else Ok(None)
 
     async def copy(
-        self, member: members.Member, names: tuple[str, ...]
+        self, member: members.Member, names: tuple[str, ...], after: int
     ) -> Result[messages.Copy, str]:
-        """Copy a voter's claims."""
-        request = wire.KeyCopyRequest(names=list(names))
+        """Copy a page of a voter's claims."""
+        request = wire.KeyCopyRequest(names=list(names), after=after)
         called = await self._call(member, 'copy_keys', request)
         if called.is_error():
             return Error(called.error)
@@ -66,6 +66,9 @@
                 names=tuple(copied.names),
                 whole=copied.whole,
                 complete=bool(copied.complete),
+                incarnation=copied.incarnation,
+                reached=copied.reached,
+                more=copied.more,
             )
         )
 
@@ -105,8 +108,8 @@
         return True
 
     async def copy_keys(self, request: wire.KeyCopyRequest) -> wire.KeyCopy:
-        """Hand out all claims."""
-        copied = self._voter.copy(tuple(request.names))
+        """Hand out a page of claims."""
+        copied = self._voter.copy(tuple(request.names), request.after or 0)
         return wire.KeyCopy(
             claims=[
                 wire.KeyReport(claim=_to_wire(claim), outcome=outcome.value)
@@ -115,6 +118,9 @@
             names=list(copied.names),
             whole=copied.whole,
             complete=copied.complete,
+            incarnation=copied.incarnation,
+            reached=copied.reached,
+            more=copied.more,
         )
 
 
--- a/redwingvalve/at_most_once/voter.py
+++ b/redwingvalve/at_most_once/voter.py
@@ -72,22 +72,27 @@
             remembered = self._issued
         remembered.report(claim, outcome, self._clock.monotonic_s())
 
-    def copy(self, names: tuple[str, ...]) -> messages.Copy:
-        """Return all claims; from now on names count as entries here too."""
+    def copy(self, names: tuple[str, ...], after: int) -> messages.Copy:
+        """Return claims numbered after; names count as voters from now on."""
         now_s = self._clock.monotonic_s()
         self.roster.introduce(names, now_s)
+        page = self._chosen.page(after, now_s)
         return messages.Copy(
-            claims=self._chosen.copy(now_s),
+            claims=tuple((granted.claim, granted.outcome) for granted in page),
             names=tuple(sorted(self.roster.names)),
             whole=self.roster.is_whole(now_s),
             complete=self.roster.is_complete(now_s),
+            incarnation=self.myself.incarnation,
+            reached=page[-1].number if page else after,
+            more=len(page) == ledger.PAGE_CLAIMS,
         )
 
     def learn(self, name: str, copied: messages.Copy) -> None:
-        """Take another voter's claims in."""
+        """Take a page of another voter's claims in."""
         now_s = self._clock.monotonic_s()
         self._chosen.learn(copied.claims, now_s)
-        self.roster.learned_from(name, copied, now_s)
+        if not copied.more:
+            self.roster.learned_from(name, copied, now_s)
 
     def remembered(self) -> int:
         """Return how many claims are kept."""
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -78,6 +78,8 @@
 
 struct KeyCopyRequest {
   1: list<string> names
+  // Claims up to this number are known to the asker.
+  2: i64 after
 }
 
 struct KeyCopy {
@@ -85,6 +87,10 @@
   2: list<string> names
   3: bool whole
   4: bool complete
+  // A later incarnation numbers its claims anew.
+  5: i64 incarnation
+  6: i64 reached
+  7: bool more
 }
 
 struct KeyVerdict {
