--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -45,9 +45,7 @@
             self._models.choice,
             entry_parts.clock,
         )
-        self._services = services.ServiceRelay(
-            entry_parts, self._models.suspect_gate
-        )
+        self._services = services.ServiceRelay(entry_parts)
         self._once = _make_once(entry_parts)
         self.in_progress = 0
 
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -79,11 +79,6 @@
         )
         self._retries: dict[str, _Retries] = collections.defaultdict(_Retries)
 
-    @property
-    def suspect_gate(self) -> suspects.SuspectGate:
-        """Return the gate, which services share: its news has one key."""
-        return self._suspects
-
     async def run(
         self,
         request: model_request.ModelRequest,
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -20,6 +20,7 @@
     suspects,
     upstream,
 )
+from redwingvalve.poison import channel
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
@@ -93,13 +94,15 @@
 class ServiceRelay:
     """Sends to the address with the fewest own requests in flight."""
 
-    def __init__(
-        self,
-        entry_parts: parts.EntryParts,
-        suspect_gate: suspects.SuspectGate,
-    ) -> None:
-        """Carry requests with entry_parts, suspects as suspect_gate says."""
-        self._suspects = suspect_gate
+    def __init__(self, entry_parts: parts.EntryParts) -> None:
+        """Carry requests with entry_parts."""
+        self._suspects = suspects.SuspectGate(
+            entry_parts.members,
+            entry_parts.news,
+            entry_parts.clock,
+            entry_parts.switches,
+            channel.SERVICE_KEY,
+        )
         self._parts = entry_parts
         self._numbers = itertools.count(1)
         self._in_flight: dict[str, int] = {}
--- a/redwingvalve/entry/suspects.py
+++ b/redwingvalve/entry/suspects.py
@@ -35,8 +35,10 @@
         news: board.NewsBoard,
         gate_clock: clock.Clock,
         switches: invariants.SafeguardSwitches,
+        key: str = channel.KEY,
     ) -> None:
-        """Tell and hear of suspects through news."""
+        """Tell and hear of suspects through news under a key."""
+        self._key = key
         self._members = known
         self._news = news
         self._clock = gate_clock
@@ -159,6 +161,8 @@
     def _hear(self) -> None:
         now_s = self._clock.monotonic_s()
         for item in self._news.read(channel.SUSPECTS):
+            if item.key != self._key:
+                continue
             seen = (item.owner_incarnation, item.number)
             if self._merged.get(item.owner) != seen:
                 self._merged[item.owner] = seen
@@ -168,7 +172,7 @@
         if self._ledger.revision != self._told_revision:
             self._told_revision = self._ledger.revision
             self._news.publish(
-                channel.SUSPECTS, channel.KEY, self._ledger.encode()
+                channel.SUSPECTS, self._key, self._ledger.encode()
             )
 
 
--- a/redwingvalve/poison/channel.py
+++ b/redwingvalve/poison/channel.py
@@ -4,6 +4,9 @@
 from redwingvalve.poison import facts
 
 KEY = 'suspects'
+# Apart from the models': connections of services break more often, and three
+# deaths within seconds count as a lost rack, for which the rules are eased.
+SERVICE_KEY = 'service-suspects'
 
 SUSPECTS = board.Channel(
     name='suspects',
