Let new voters decide only with all that was granted before them

Cause: a newcomer counted copies from others as new as itself. Two of three run a quote, three newcomers start beside the cut-off third, the two die: a majority of six decided and none had the quote.

Change: copies count only in a period for which everything from before is known: everybody was copied, one that has everything was, or fewer than a majority of the last complete roster are uncopied. A voter that has lost its memory may so decide keys of which it copied enough voters: three of nine that die together hold up only the keys of which they are the majority (test).

--- a/redwingvalve/at_most_once/roster.py
+++ b/redwingvalve/at_most_once/roster.py
@@ -23,6 +23,8 @@
   once fewer names than a majority are left uncopied, itself included: every
   majority held one that was copied. That is so for the roster that holds now;
   of earlier and smaller ones, one of those copied must have everything.
+* A new voter needs the same of one that has everything, or of everybody: its
+  sources may be as new as itself, and a majority from before may have died.
 * What was granted just before the end of a process may still be granted by
   others just after it. Copies therefore begin when the voter has settled, and
   a claimant counts no vote that is as old.
@@ -88,6 +90,8 @@
         self._periods: collections.deque[_Period] = collections.deque()
         others = frozenset(() if alone else names)
         self._begin_period(others | {myself}, now_s)
+        # Where nobody has voted nothing is to be known.
+        self._periods[-1].complete = first_start and not self.missing()
 
     @property
     def names(self) -> frozenset[str]:
@@ -157,9 +161,9 @@
         if not self.missing():
             self._whole = True
             period.complete = True
+        self._inherit(now_s)
         uncopied = len(period.names - period.learned)
-        chosen = min(len(period.names), voters.VOTERS_PER_KEY)
-        if period.complete and uncopied < voters.votes_needed(chosen):
+        if period.complete and uncopied < _majority_of(period.names):
             self._whole = True
 
     def is_whole(self, now_s: float) -> bool:
@@ -228,6 +232,10 @@
         sources = set(self._periods[index].learned)
         if self._whole:
             sources.add(self._myself)
+        if not self._periods[index].complete:
+            # A majority of a roster before this process started may have died
+            # with all that it granted; the sources would not know of it.
+            return False
         for period in itertools.islice(self._periods, index + 1):
             for names in (period.names, period.names - {self._myself}):
                 chosen = voters.voters_of(names, account, request_key)
@@ -241,6 +249,22 @@
             period.names, account, request_key
         )
 
+    def _inherit(self, now_s: float) -> None:
+        """Complete this period from the last one that was complete.
+
+        What was granted between the two was granted by a majority. Fewer than
+        that are neither copied since nor this process itself.
+        """
+        period = self._periods[-1]
+        uncopied = len(period.names - period.learned - {self._myself})
+        smallest = _majority_of(period.names)
+        for earlier in reversed(self._periods):
+            smallest = min(smallest, _majority_of(earlier.names))
+            old = now_s - earlier.since_s > self._resend_s
+            if earlier.complete or old:
+                period.complete = period.complete or uncopied < smallest
+                return
+
     def _change(self, names: frozenset[str], now_s: float) -> None:
         if names != self.names:
             self._begin_period(names, now_s)
@@ -260,6 +284,10 @@
         }
 
 
+def _majority_of(names: frozenset[str]) -> int:
+    return voters.votes_needed(min(len(names), voters.VOTERS_PER_KEY))
+
+
 def _too_old(request_key: str, wall_s: float) -> bool:
     made_at_s = keys.made_at_s(request_key)
     if made_at_s is None:
--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -454,6 +454,30 @@
     assert fleet.send('e2', 'new') == 'ran'
 
 
+def test_newcomers_do_not_run_what_died_with_an_earlier_majority():
+    """The caller that sends again sees unknown; only the dead knew its quote.
+
+    Two of three run a quote while the third is cut off. Three newcomers start
+    on its side, then the two die and restart, and all meet. Four of six
+    have lost nothing that their names granted, and none has the quote.
+    """
+    fleet = Fleet(('e1', 'e2', 'e3'))
+    fleet.side['e3'] = 1
+    fleet.settle(2)
+    quotes = [f'quote-{number}' for number in range(20)]
+    assert {fleet.send('e1', quote) for quote in quotes} == {'ran'}
+    for name in ('n4', 'n5', 'n6'):
+        fleet.side[name] = 1
+        fleet.start(name)
+    fleet.settle(READY_S)
+    fleet.crash_together(['e1', 'e2'])
+    fleet.side = dict.fromkeys(fleet.side, 0)
+    fleet.settle(READY_S)
+    for quote in quotes:
+        for name in ('e1', 'e3', 'n4', 'n5', 'n6'):
+            assert fleet.send(name, quote) != 'ran'
+
+
 def test_newcomers_that_see_only_each_other_are_no_fleet():
     """The caller sends again to a newcomer while all others are paused.
 
@@ -473,6 +497,23 @@
     assert fleet.send('n5', 'other') == 'ran'
 
 
+def test_three_of_nine_that_die_together_hold_only_their_own_keys_up():
+    """Callers see unknown only where a majority of a key's voters is lost.
+
+    A data centre of three of nine processes loses its power and comes back.
+    """
+    lost = {'e1', 'e2', 'c1'}
+    fleet = Fleet(('e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'c1', 'c2', 'c3'))
+    fleet.crash_together(sorted(lost))
+    fleet.settle(READY_S)
+    seen = set()
+    for number in range(100):
+        chosen = fleet.entries['e1'].voter.roster.voters('shop', f'k{number}')
+        decided = fleet.send('e1', f'k{number}') == 'ran'
+        seen.add((len(lost.intersection(chosen)) < 3, decided))
+    assert seen == {(True, True), (False, False)}
+
+
 @pytest.mark.parametrize('lost', (3, 4, 5))
 def test_a_lost_majority_decides_again_when_callers_have_given_up(lost):
     """The caller of a key without a time is told unknown for resend_s.
