Decode frames whole; count the time that news waits on its way

(2) An item's age was taken when the message was packed: a message that waited in a socket while its sender or receiver was paused made a sighting of a VM younger by the pause, so that work could go to a replica longer than 3 s after a loss. Ruled out: dating items by wall clocks (two processes' clocks have nothing in common); bounding it by the call's timeout (a paused reader's bytes stay). Change: frames are read whole and decoded by the compiled codec (same bytes on the wire); an answer counts from its question, a supplement from the clock that the answer gave and that it gives back; without it its news is not taken. Test: what is no message, and any bytes; late answers and supplements. The test of late connections speaks through the new framing, with the same assertions.

--- a/redwingvalve/configuration/fetching.py
+++ b/redwingvalve/configuration/fetching.py
@@ -64,7 +64,7 @@
         supplement.configuration_versions = mine
         return True
 
-    def absorb(self, heard: Exchange, address: Address) -> None:
+    def absorb(self, heard: Exchange, address: Address, delay_s: float) -> None:
         """Fetch from the sender when it knows more."""
         theirs = heard.configuration_versions or {}
         if not _lacks(self._table.versions(), theirs, self._region()):
--- a/redwingvalve/membership/conversations.py
+++ b/redwingvalve/membership/conversations.py
@@ -57,6 +57,7 @@
     async def _ask(
         self, address: Address, asked: Exchange
     ) -> call_errors.CallError | None:
+        asked_s = self._clock.monotonic_s()
         outcome = await self._send(address, asked)
         if outcome.is_error() and outcome.error.kind is Kind.BROKEN:
             # A kept connection breaks when its peer restarts or dies. A new
@@ -73,12 +74,14 @@
         if heard.is_error():
             LOG.warning(f'{address} answered with {heard.error}')
             return None
-        await self._take_answer(address, heard.ok)
+        await self._take_answer(address, heard.ok, asked_s)
         return None
 
-    async def _take_answer(self, address: Address, heard: Exchange) -> None:
+    async def _take_answer(
+        self, address: Address, heard: Exchange, asked_s: float
+    ) -> None:
         now_s = self._clock.monotonic_s()
-        self.exchanges.absorb(heard, address, now_s)
+        self.exchanges.absorb(heard, address, now_s, asked_s)
         supplement = self.exchanges.supplement(heard)
         if supplement is not None:
             await self._send(address, supplement)
--- a/redwingvalve/membership/exchanges.py
+++ b/redwingvalve/membership/exchanges.py
@@ -7,6 +7,8 @@
 (van Renesse et al. 2008) is where this comes from.
 """
 
+import math
+
 import attrs
 
 from redwingvalve.membership import members, records, riders, table, words
@@ -21,6 +23,8 @@
 # so many brings them.
 REGIONS_EVERY = 4
 MS_PER_S = 1000
+# A supplement that claims more gives back the clock of another process.
+LONGEST_DELAY_S = 60.0
 
 
 @attrs.define
@@ -48,6 +52,7 @@
     def answer(self, heard: Exchange, now_s: float) -> Exchange:
         """Return the answer to a question or supplement, once absorbed."""
         reply = self._start(heard.sender.name, now_s)
+        reply.clock_ms = int(now_s * MS_PER_S)
         held = self.members.book.get(heard.sender.name)
         if held is not None and _older(heard.sender, held):
             self._add_words(reply, [held])
@@ -63,6 +68,7 @@
         """Return what an answer showed to be lacking there, if anything."""
         added = Exchange(sender=self._record(self.members.own.word()))
         added.changes = []
+        added.clock_ms = heard.clock_ms
         self._settle(heard, added)
         if heard.table_digests:
             added.table_digests = self.members.book.digests()
@@ -72,9 +78,16 @@
         return None
 
     def absorb(
-        self, heard: Exchange, address: Address | None, now_s: float
+        self,
+        heard: Exchange,
+        address: Address | None,
+        now_s: float,
+        asked_s: float | None = None,
     ) -> bool:
-        """Take an exchange; False when it has no sound sender."""
+        """Take an exchange; False when it has no sound sender.
+
+        asked_s is when the question was packed, if this is its answer.
+        """
         if heard.sender is None:
             return False
         fresh = [
@@ -90,7 +103,7 @@
         self.members.heard_from(sender.name, now_s)
         source = address or (sender.member.host, sender.member.peer_port)
         for rider in self.parts:
-            rider.absorb(heard, source)
+            rider.absorb(heard, source, _delay_s(heard, asked_s, now_s))
         return True
 
     def _start(self, receiver: str, now_s: float) -> Exchange:
@@ -155,3 +168,20 @@
         for sight in heard.regions or ()
         if sight.region and sight.age_ms is not None
     }
+
+
+def _delay_s(heard: Exchange, asked_s: float | None, now_s: float) -> float:
+    """Return how long ago an exchange was packed at most.
+
+    A message waits in a socket while its sender or receiver is paused. Were
+    that time not counted, what it says of a VM would look younger by the
+    pause, and a replica that lost the VM would get work for so much longer.
+    """
+    if asked_s is not None:
+        return max(now_s - asked_s, 0.0)
+    if heard.clock_ms is None:
+        return math.inf
+    delay_s = now_s - heard.clock_ms / MS_PER_S
+    if delay_s < 0 or delay_s > LONGEST_DELAY_S:
+        return math.inf
+    return delay_s
--- a/redwingvalve/membership/riders.py
+++ b/redwingvalve/membership/riders.py
@@ -23,5 +23,10 @@
         """Give what an answer named as lacking; False when nothing is."""
 
     @abc.abstractmethod
-    def absorb(self, heard: Exchange, address: tuple[str, int]) -> None:
-        """Take what the other side gave."""
+    def absorb(
+        self, heard: Exchange, address: tuple[str, int], delay_s: float
+    ) -> None:
+        """Take what the other side gave, packed at most delay_s ago.
+
+        delay_s is infinite when the message does not show it.
+        """
--- a/redwingvalve/news/gossip_board.py
+++ b/redwingvalve/news/gossip_board.py
@@ -1,5 +1,6 @@
 """The board of news on the exchanges of membership."""
 
+import math
 from collections import abc as collections_abc
 
 from redwingvalve.core import clock
@@ -123,11 +124,18 @@
             )
         return bool(supplement.region_news or supplement.everywhere_news)
 
-    def absorb(self, heard: Exchange, address: tuple[str, int]) -> None:
-        """Take the other side's news."""
+    def absorb(
+        self, heard: Exchange, address: tuple[str, int], delay_s: float
+    ) -> None:
+        """Take the other side's news, older by the time on the way."""
+        if math.isinf(delay_s):
+            # Its age is not known. It is not lost: the next exchange offers
+            # it again, since its number was not taken either.
+            return
+        packed_s = self._clock.monotonic_s() - delay_s
         if self._same_region(heard):
-            self._take(self._region, heard.region_news)
-        self._take(self._everywhere, heard.everywhere_news)
+            self._take(self._region, heard.region_news, packed_s)
+        self._take(self._everywhere, heard.everywhere_news, packed_s)
 
     def _store(self, reach: board.Reach) -> store.NewsStore:
         if reach is board.Reach.REGION:
@@ -148,12 +156,17 @@
         lacking = kept.missing_from(theirs, now_s, only_named=only_named)
         return [_to_record(item, now_s) for item in lacking]
 
-    def _take(self, kept: store.NewsStore, heard: list[Record] | None) -> None:
+    def _take(
+        self,
+        kept: store.NewsStore,
+        heard: list[Record] | None,
+        packed_s: float,
+    ) -> None:
         now_s = self._clock.monotonic_s()
         for record in heard or ():
             if not _sound(record) or not kept.may_speak(record.owner):
                 continue
-            is_new = kept.put(_from_record(record, now_s), now_s)
+            is_new = kept.put(_from_record(record, packed_s), now_s)
             if is_new and record.channel in self._urgent:
                 self._hurry()
 
@@ -174,7 +187,8 @@
         key=item.key or None,
         number=item.number,
         body=item.body,
-        age_ms=int((now_s - item.said_s) * MS_PER_S),
+        # Rounded up, so that nothing grows younger on its way.
+        age_ms=math.ceil((now_s - item.said_s) * MS_PER_S),
         max_age_ms=int(item.max_age_s * MS_PER_S),
     )
 
@@ -185,7 +199,7 @@
     return item.owner_incarnation
 
 
-def _from_record(record: Record, now_s: float) -> store.Item:
+def _from_record(record: Record, packed_s: float) -> store.Item:
     return store.Item(
         channel=record.channel,
         owner=record.owner,
@@ -195,7 +209,7 @@
         key=record.key or '',
         number=record.number,
         body=record.body or b'',
-        said_s=now_s - (record.age_ms or 0) / MS_PER_S,
+        said_s=packed_s - (record.age_ms or 0) / MS_PER_S,
         max_age_s=(record.max_age_ms or 0) / MS_PER_S,
     )
 
--- /dev/null
+++ b/redwingvalve/news/tests/test_ages.py
@@ -0,0 +1,112 @@
+"""News does not grow younger while it waits on its way."""
+
+import pytest
+
+from redwingvalve.core import clock
+from redwingvalve.membership import exchanges, members, table
+from redwingvalve.news import board, gossip_board
+from redwingvalve.wire import messages, packing
+
+EVIDENCE = board.Channel('evidence', board.Reach.REGION, 2.5, 100)
+ROUNDING_S = 1e-6
+
+
+class _Known(members.Members):
+    def __init__(self, me):
+        self.me = me
+
+    def myself(self):
+        return self.me
+
+    def known(self):
+        return (self.me,)
+
+    def isolated(self):
+        return False
+
+
+class _Process:
+    """One process with its own clock; clocks have nothing in common."""
+
+    def __init__(self, name, start_s):
+        self.clock = clock.ManualClock(start_s)
+        me = members.Member(name, 1, 'entry', name, 1, 2, 'a', 'r1')
+        self.news = gossip_board.make_gossip_news(_Known(me), self.clock)
+        self.exchanges = exchanges.Exchanges(
+            table.make_member_table(me, start_s), [self.news]
+        )
+
+    def now_s(self):
+        return self.clock.monotonic_s()
+
+    def absorb(self, message, asked_s=None):
+        copied = packing.unpack(
+            messages.peer.Exchange(), packing.pack(message)
+        ).ok
+        self.exchanges.absorb(copied, None, self.now_s(), asked_s)
+        return copied
+
+    def ages(self):
+        return [item.age_s for item in self.news.read(EVIDENCE)]
+
+
+def _pass(duration_s, *processes):
+    for process in processes:
+        process.clock.advance(duration_s)
+
+
+@pytest.mark.parametrize('waits_s', [0.01, 2.0, 2.5])
+def test_an_answer_read_late_is_as_old_as_it_is(waits_s):
+    """An entry is paused just after it asked; the answer waits in its socket.
+
+    It wakes up and reads that a VM was seen a tenth of a second ago. The VM may
+    have died meanwhile: the sighting counts from when it was made.
+    """
+    asker, asked = _Process('a', 100.0), _Process('b', 7.0)
+    asked.news.publish(EVIDENCE, 'k', b'seen')
+    _pass(0.1, asker, asked)
+    asked_s = asker.now_s()
+    heard = asked.absorb(asker.exchanges.question('b', 'r1', asked_s))
+    answer = asked.exchanges.answer(heard, asked.now_s())
+    _pass(waits_s, asker, asked)
+    asker.absorb(answer, asked_s)
+    assert all(age_s > 0.1 + waits_s - ROUNDING_S for age_s in asker.ages())
+    assert bool(asker.ages()) == (waits_s < 2.4)
+
+
+@pytest.mark.parametrize('waits_s', [0.01, 2.0])
+def test_a_supplement_read_late_is_as_old_as_it_is(waits_s):
+    """The entry that was asked is paused; the supplement waits in its socket.
+
+    It knows from its own clock, given back to it, when it answered.
+    """
+    asker, asked = _Process('a', 100.0), _Process('b', 7.0)
+    asker.news.publish(EVIDENCE, 'k', b'seen')
+    _pass(0.1, asker, asked)
+    asked_s = asker.now_s()
+    heard = asked.absorb(asker.exchanges.question('b', 'r1', asked_s))
+    answer = asked.exchanges.answer(heard, asked.now_s())
+    supplement = asker.exchanges.supplement(asker.absorb(answer, asked_s))
+    _pass(waits_s, asker, asked)
+    asked.absorb(supplement)
+    assert len(asked.ages()) == 1
+    assert asked.ages()[0] > 0.1 + waits_s - ROUNDING_S
+
+
+@pytest.mark.parametrize('clock_ms', [None, 10**12, 0])
+def test_a_supplement_that_shows_no_age_brings_no_news(clock_ms):
+    """A supplement for an earlier process of this address arrives.
+
+    How old it is cannot be told; the news comes with the next exchange.
+    """
+    asker, asked = _Process('a', 100.0), _Process('b', 700.0)
+    asker.news.publish(EVIDENCE, 'k', b'seen')
+    heard = asked.absorb(asker.exchanges.question('b', 'r1', 100.0))
+    answer = asked.exchanges.answer(heard, asked.now_s())
+    supplement = asker.exchanges.supplement(asker.absorb(answer, 100.0))
+    supplement.clock_ms = clock_ms
+    asked.absorb(supplement)
+    assert not asked.ages()
+    supplement.clock_ms = answer.clock_ms
+    asked.absorb(supplement)
+    assert len(asked.ages()) == 1
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -121,6 +121,9 @@
   10: i32 table_size
   11: i64 table_digest
   12: i64 configuration_digest
+  // In an answer the answerer's own clock, which the supplement gives back:
+  // how long the supplement can have been on its way at most.
+  13: i64 clock_ms
 }
 
 struct ProbeRequest {
--- a/redwingvalve/wire/rpc.py
+++ b/redwingvalve/wire/rpc.py
@@ -15,10 +15,9 @@
 import attrs
 from expression import Error, Ok, Result
 from thriftpy2 import thrift
-from thriftpy2.contrib.aio import client as aio_client
 
 from redwingvalve.core import clock
-from redwingvalve.wire import call_errors, messages, server, traffic
+from redwingvalve.wire import call_errors, framing, traffic
 
 # Peers of the same region meet every few seconds; a connection that has been
 # idle for longer is not worth its memory.
@@ -34,7 +33,7 @@
 
 @attrs.define(eq=False)
 class _Connection:
-    client: aio_client.TAsyncClient
+    reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     idle_since_s: float = 0.0
 
@@ -110,13 +109,13 @@
                 )
         kept = False
         try:
-            answer = await getattr(connection.client, method)(argument)
+            answer = await self._ask(connection, method, argument)
             kept = True
             return Ok(answer)
         except thrift.TApplicationException as error:
             kept = True
             return failed(Kind.REMOTE, str(error.message))
-        except server.BROKEN_CONNECTION as error:
+        except framing.BROKEN_CONNECTION as error:
             return failed(Kind.BROKEN, str(error))
         finally:
             # A call that was cut short leaves its answer in the stream; the
@@ -126,15 +125,23 @@
             else:
                 connection.writer.close()
 
+    async def _ask(
+        self, connection: _Connection, method: str, argument: typing.Any
+    ) -> typing.Any:
+        await framing.write_frame(
+            connection.writer,
+            framing.encode_call(method, argument),
+            self.traffic,
+        )
+        frame = await framing.read_frame(connection.reader, self.traffic)
+        return framing.decode_answer(method, frame)
+
     async def _connect(self, address: Address) -> _Connection:
         host, port = address
         reader, writer = await asyncio.open_connection(
             host, port, ssl=self._tls
         )
-        stream = traffic.CountingStream(reader, writer, self.traffic)
-        protocol = server.make_protocol(stream)
-        client = aio_client.TAsyncClient(messages.peer.Peer, protocol)
-        return _Connection(client, writer)
+        return _Connection(reader, writer)
 
     def _take_idle(self, address: Address) -> _Connection | None:
         connections = self._idle.get(address, [])
--- a/redwingvalve/wire/server.py
+++ b/redwingvalve/wire/server.py
@@ -1,8 +1,8 @@
 """The thrift server of a process, on the loop that already runs.
 
-thriftpy2 brings the codec, the framed transport and the processor. Its own
-server starts a loop, ends each connection after three seconds and lets a
-handler's failure close the connection; this one does not.
+thriftpy2 brings the codec. Its own server starts a loop, ends each connection
+after three seconds and lets a handler's failure close the connection; this one
+does not.
 """
 
 import asyncio
@@ -10,23 +10,11 @@
 import typing
 
 from thriftpy2 import thrift
-from thriftpy2.contrib.aio import processor as aio_processor
-from thriftpy2.contrib.aio import socket as aio_socket
-from thriftpy2.contrib.aio.protocol import binary
-from thriftpy2.contrib.aio.transport import framed
-from thriftpy2.protocol import exc as protocol_exc
-from thriftpy2.transport import TTransportException
 
 from redwingvalve.observability import logs
-from redwingvalve.wire import handlers, messages, traffic
+from redwingvalve.wire import framing, handlers, traffic
 
 LOG = logs.make_logger('wire')
-BROKEN_CONNECTION = (
-    OSError,
-    EOFError,
-    TTransportException,
-    protocol_exc.TProtocolException,
-)
 
 
 class PeerServer:
@@ -37,7 +25,8 @@
     ) -> None:
         """Dispatch calls to handler."""
         self._traffic = counted
-        self._processor = _Processor(messages.peer.Peer, handler)
+        self._handler = handler
+        self._busy: set[asyncio.Task[typing.Any]] = set()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._closing = False
@@ -73,8 +62,8 @@
             return
         self._closing = True
         self._server.close()
-        if self._processor.busy:
-            await asyncio.wait(set(self._processor.busy), timeout=grace_s)
+        if self._busy:
+            await asyncio.wait(set(self._busy), timeout=grace_s)
         remaining = set(self._connections)
         for connection in remaining:
             connection.cancel()
@@ -94,7 +83,7 @@
         self._connections.add(connection)
         try:
             await self._serve_calls(reader, writer)
-        except BROKEN_CONNECTION:
+        except framing.BROKEN_CONNECTION:
             LOG.debug('a peer closed its connection')
         except asyncio.CancelledError:
             LOG.debug('a connection was closed by us')
@@ -105,60 +94,46 @@
     async def _serve_calls(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        stream = traffic.CountingStream(reader, writer, self._traffic)
-        protocol = make_protocol(stream)
         while not reader.at_eof():
-            await self._processor.process(protocol, protocol)
+            call = framing.decode_call(
+                await framing.read_frame(reader, self._traffic)
+            )
+            await self._serve(call, writer)
             self._traffic.calls_answered += 1
 
-
-class _Processor(aio_processor.TAsyncProcessor):
-    """Answers a handler's failure with an exception message.
-
-    The library's own processor lets it escape, which closes the connection;
-    the caller then can't tell a fault in the handler from a dead process.
-    """
-
-    def __init__(self, service: typing.Any, handler: typing.Any) -> None:
-        super().__init__(service, handler)
-        self.busy: set[asyncio.Task[typing.Any]] = set()
-
-    async def process(self, iprot: typing.Any, oprot: typing.Any) -> None:
-        api, seqid, answer, call = await self.process_in(iprot)
-        if isinstance(answer, thrift.TApplicationException):
-            await self.send_exception(oprot, api, answer, seqid)
-            return
+    async def _serve(
+        self, call: framing.Call, writer: asyncio.StreamWriter
+    ) -> None:
         current = asyncio.current_task()
-        self.busy.add(current)
+        self._busy.add(current)
         try:
-            await self._answer(oprot, api, seqid, answer, call)
+            frame = await self._answer(call)
+            await framing.write_frame(writer, frame, self._traffic)
         finally:
-            self.busy.discard(current)
-
-    async def _answer(
-        self,
-        oprot: typing.Any,
-        api: str,
-        seqid: int,
-        answer: typing.Any,
-        call: typing.Any,
-    ) -> None:
+            self._busy.discard(current)
+
+    async def _answer(self, call: framing.Call) -> bytes:
+        """Return a frame, also for a failure of the handler.
+
+        Were the connection closed instead, the caller could not tell a fault
+        in the handler from a dead process.
+        """
+        if not call.method:
+            return framing.encode_failure(
+                call,
+                thrift.TApplicationException(
+                    thrift.TApplicationException.UNKNOWN_METHOD
+                ),
+            )
         try:
-            answer.success = await call()
+            answer = await getattr(self._handler, call.method)(*call.arguments)
+            return framing.encode_answer(call, answer)
         except Exception as error:  # noqa: BLE001 - told to the caller
-            LOG.warning(f'the call {api} failed: {error!r}')
+            LOG.warning(f'the call {call.name} failed: {error!r}')
             failure = thrift.TApplicationException(
                 thrift.TApplicationException.INTERNAL_ERROR, repr(error)
             )
-            await self.send_exception(oprot, api, failure, seqid)
-            return
-        await self.send_result(oprot, api, answer, seqid)
-
-
-def make_protocol(stream: aio_socket.StreamHandler) -> typing.Any:
-    """Return the framed binary protocol over a stream, for both sides."""
-    transport = framed.TAsyncFramedTransportFactory().get_transport(stream)
-    return binary.TAsyncBinaryProtocolFactory().get_protocol(transport)
+            return framing.encode_failure(call, failure)
 
 
 def make_peer_server(
--- a/redwingvalve/wire/tests/test_late_connections.py
+++ b/redwingvalve/wire/tests/test_late_connections.py
@@ -5,9 +5,8 @@
 
 import anyio
 import pytest
-from thriftpy2.contrib.aio import client as aio_client
 
-from redwingvalve.wire import handlers, messages, server, traffic
+from redwingvalve.wire import framing, handlers, messages, server, traffic
 
 # Accepting takes a few turns of the loop; the close falls into each of them.
 TURNS = range(8)
@@ -15,7 +14,7 @@
 # over when the server closes, without ending it: it stays silent instead.
 # The pause is no bound: a slow machine can only make a served one look silent.
 SILENCE_S = 1.0
-UNSERVED = (*server.BROKEN_CONNECTION, TimeoutError)
+UNSERVED = (*framing.BROKEN_CONNECTION, TimeoutError)
 
 
 class _Claims(handlers.KeyClaimHandler):
@@ -58,9 +57,11 @@
 
 async def _claim_over(connected):
     reader, writer = await asyncio.open_connection(sock=connected)
-    stream = traffic.CountingStream(reader, writer, traffic.Traffic())
-    client = aio_client.TAsyncClient(
-        messages.peer.Peer, server.make_protocol(stream)
-    )
+    counted = traffic.Traffic()
+    claim = messages.peer.KeyClaim(account='a')
     with anyio.fail_after(SILENCE_S):
-        return await client.claim_key(messages.peer.KeyClaim(account='a'))
+        await framing.write_frame(
+            writer, framing.encode_call('claim_key', claim), counted
+        )
+        frame = await framing.read_frame(reader, counted)
+    return framing.decode_answer('claim_key', frame)
--- a/redwingvalve/wire/tests/test_rpc.py
+++ b/redwingvalve/wire/tests/test_rpc.py
@@ -1,9 +1,20 @@
 """Calls between processes over real sockets on the loopback."""
 
+import asyncio
+
 import anyio
+import hypothesis
+from hypothesis import strategies
 
 from redwingvalve.core import clock
-from redwingvalve.wire import call_errors, handlers, messages, rpc, server
+from redwingvalve.wire import (
+    call_errors,
+    framing,
+    handlers,
+    messages,
+    rpc,
+    server,
+)
 
 Kind = call_errors.CallErrorKind
 
@@ -87,3 +98,43 @@
         caller.close_idle()
 
     anyio.run(scenario)
+
+
+def test_what_is_no_message_ends_its_own_connection_only():
+    """Something else connects to the port, or a message is cut or forged.
+
+    Its connection ends; the length that it claims is not believed, and the
+    next caller is answered as before.
+    """
+
+    async def scenario():
+        _, peer_server, caller = await _started()
+        address = ('127.0.0.1', peer_server.port)
+        call = framing.encode_call('claim_key', _claim('a'))
+        broken = (
+            b'GET / HTTP/1.1\r\nHost: a\r\n\r\n',
+            framing.LENGTH.pack(-1),
+            framing.LENGTH.pack(framing.MAX_FRAME_BYTES + 1),
+            framing.LENGTH.pack(len(call)) + call[:-4],
+            framing.LENGTH.pack(40) + b'\xff' * 40,
+        )
+        for sent in broken:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(sent)
+            writer.write_eof()
+            assert await reader.read() == b''
+            writer.close()
+        after = await caller.call(address, 'claim_key', _claim('c'))
+        assert after.ok.detail == 'c'
+        await peer_server.aclose()
+        caller.close_idle()
+
+    anyio.run(scenario)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_frame_is_read_or_refused(frame):
+    try:
+        assert framing.decode_call(frame) is not None
+    except framing.BROKEN_CONNECTION as refused:
+        assert refused is not None
