--- a/redwingvalve/bench/control_cost.py
+++ b/redwingvalve/bench/control_cost.py
@@ -39,6 +39,13 @@
 SHARES_LOADS = types.MappingProxyType({'shares': False, 'skewed': True})
 PROBED_REPLICAS = math.ceil(REPLICAS * PROBERS / TARGET_SIZE)
 DARK_DATA_CENTRE = 'dc-00'
+LOST_REGION = 'region-4'
+# Long enough that a region's members are shown as suspect; the dead are kept
+# for two hours, so that an hour differs from it in nothing that travels.
+LOST_S = 20.0
+RACK_DOMAINS = 2
+RACK_REPLICAS = 10
+WRITES_PER_REPLICA = 3
 BATCHED_BYTES_PER_REPLICA = 7
 SINGLE_ITEM_BYTES = 190
 MS_PER_S = 1000
@@ -94,13 +101,9 @@
         await fleet.settled()
         await _declare(fleet, size)
         await fleet.clock.sleep(SETTLING_S)
-        if load == 'storm':
-            await fleet.darken(DARK_DATA_CENTRE)
+        await _prepare(fleet, load)
         before, started_s = _read(fleet), fleet.clock.monotonic_s()
-        if load == 'changes':
-            await _change(fleet, measured_s)
-        else:
-            await fleet.clock.sleep(measured_s)
+        await _pass(fleet, load, measured_s)
         spent = _minus(_read(fleet), before)
         passed_s = fleet.clock.monotonic_s() - started_s
         passed_s *= len(fleet.nodes)
@@ -130,6 +133,49 @@
         await fleet.store.create('clientaccounts', name, body)
 
 
+async def _prepare(fleet: peer_fleet.Fleet, load: str) -> None:
+    """Bring about what is measured, just before."""
+    if load == 'storm':
+        await fleet.darken(DARK_DATA_CENTRE)
+    if load == 'return':
+        gone = [
+            each.members.myself()
+            for each in fleet.nodes
+            if each.members.myself().region == LOST_REGION
+        ]
+        for data_centre in sorted({each.data_centre for each in gone}):
+            await fleet.darken(data_centre)
+        await fleet.clock.sleep(LOST_S)
+        await fleet.bring_back(gone)
+
+
+async def _pass(fleet: peer_fleet.Fleet, load: str, measured_s: float) -> None:
+    """Let the measured time pass."""
+    if load == 'changes':
+        await _change(fleet, measured_s)
+    elif load == 'rack':
+        await _lose_rack(fleet, measured_s)
+    else:
+        await fleet.clock.sleep(measured_s)
+
+
+async def _lose_rack(fleet: peer_fleet.Fleet, measured_s: float) -> None:
+    """Change a rack's domains as their holders form its replicas anew.
+
+    40 VMs are the members of ten replicas; each ends, is formed and serves
+    again, which is three writes of its domain.
+    """
+    names = [f'domain-{index:03d}' for index in range(RACK_DOMAINS)]
+    writes = RACK_REPLICAS * WRITES_PER_REPLICA
+    for number in range(writes):
+        name = names[number % len(names)]
+        found = await fleet.store.get('fabricdomains', name)
+        if found.is_ok():
+            body = {**found.ok.body, 'epoch': found.ok.body['epoch'] + 1}
+            await fleet.store.update(attrs.evolve(found.ok, body=body))
+        await fleet.clock.sleep(measured_s / writes)
+
+
 async def _change(fleet: peer_fleet.Fleet, measured_s: float) -> None:
     for number in range(int(measured_s / CHANGE_INTERVAL_S)):
         name = f'account-{number % ACCOUNTS:03d}'
@@ -290,8 +336,8 @@
         flags=('--loads',),
         default='rest,batched,changes',
         help=(
-            'control-cost: rest, batched, single, changes, storm, probing,'
-            ' vouched, shares, skewed'
+            'control-cost: rest, batched, single, changes, storm, rack,'
+            ' return, probing, vouched, shares, skewed'
         ),
     ),
     options.Option(
--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -63,6 +63,8 @@
     nodes: list[node.PeerNode]
     store: memory_store.MemoryObjectApi
     clock: clock.Clock
+    bounds: bounds.MembershipBounds
+    group: anyio_abc.TaskGroup
     scopes: dict[str, anyio.CancelScope] = attrs.field(factory=dict)
 
     def start(self, group: anyio_abc.TaskGroup, started: node.PeerNode) -> None:
@@ -86,6 +88,25 @@
             await closed.server.aclose(grace_s=0.0)
             closed.caller.close_idle()
 
+    async def bring_back(self, gone: list[members.Member]) -> None:
+        """Start processes of the same names again, all at once."""
+        contact = f'{HOST}:{self.nodes[0].server.port}'
+        for member in gone:
+            again = attrs.evolve(
+                member,
+                incarnation=member.incarnation + 1,
+                peer_port=0,
+            )
+            started = await node.start_peer_node(
+                again,
+                self.clock,
+                (contact,),
+                self.store,
+                replicas_of=replicas_in,
+                bounds=self.bounds,
+            )
+            self.start(self.group, started)
+
     async def settled(self) -> None:
         """Wait until every member knows every other one."""
         size = len(self.nodes)
@@ -136,8 +157,9 @@
     judging = bounds.MembershipBounds(
         probe_timeout_s=bounds.DEFAULT_BOUNDS.probe_timeout_s * factor
     )
-    fleet = Fleet([], memory_store.make_memory_object_api(), timers)
     async with anyio.create_task_group() as group:
+        store = memory_store.make_memory_object_api()
+        fleet = Fleet([], store, timers, judging, group)
         contacts: tuple[str, ...] = ()
         for index in range(size):
             started = await node.start_peer_node(
