--- a/redwingvalve/standins/tests/test_engine.py
+++ b/redwingvalve/standins/tests/test_engine.py
@@ -7,7 +7,13 @@
 import anyio
 import httpx
 
-from redwingvalve.standins import answers, batching, engine, engine_host
+from redwingvalve.standins import (
+    answers,
+    batching,
+    engine,
+    engine_host,
+    orders,
+)
 
 ORDER = {
     'vm': 'vm-0',
@@ -258,3 +264,36 @@
         assert head.missing_at(now_s) > 3.0
 
     run_with_engine(scenario)
+
+
+def test_a_head_vouches_for_the_members_that_take_part_in_its_epoch():
+    """A probe of the head shows its members; one that is lost or has been
+    given to another replica is no longer named."""
+
+    async def scenario():
+        async with engine_host.host_engines() as host:
+            names = ('vm-0', 'vm-1', 'vm-2')
+            for name in names:
+                await host.add(
+                    engine.EngineOptions(
+                        vm=name, load_time_s=0.0, vouches_for_members=True
+                    )
+                )
+            for name in names:
+                wanted = orders.parse_order(
+                    {**ORDER, 'vm': name, 'members': list(names)}
+                )
+                host.engines[name].apply(wanted)
+            head = host.engines['vm-0']
+
+            def seen():
+                return [each.vm for each in head.state().members_seen]
+
+            assert seen() == ['vm-1', 'vm-2']
+            host.engines['vm-1'].die()
+            assert seen() == ['vm-2']
+            other = orders.parse_order({**ORDER, 'vm': 'vm-2', 'epoch': 2})
+            host.engines['vm-2'].apply(other)
+            assert not seen()
+
+    anyio.run(scenario)
