--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -16,6 +16,7 @@
     caller,
     parts,
     responder,
+    service_queue,
     service_suspects,
     suspects,
     upstream,
@@ -57,6 +58,7 @@
     """A request for a plain service."""
 
     head: caller.CallerHead
+    account: schema.ClientAccount
     service: schema.PlainService
     body: bytes
 
@@ -108,6 +110,9 @@
         self._in_flight: dict[str, int] = {}
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}-s'
+        self._queue = service_queue.make_service_queue(
+            entry_parts.members, entry_parts.clock
+        )
 
     async def run(
         self,
@@ -116,14 +121,33 @@
         span: trace.Span,
         may_send: parts.MaySend | None,
     ) -> None:
-        """Answer the request by its deadline."""
-        with contextlib.closing(self._watch(request)) as watched:
-            refusal = watched.refusal() or await self._send_until_whole(
-                request, responds, span, may_send or _always, watched
-            )
+        """Answer the request by its deadline, or refuse it early."""
+        async with self._queue.turn(
+            request.head, request.account, request.service
+        ) as turn:
+            refusal = turn.error if turn.is_error() else None
+            if refusal is None:
+                refusal = await self._send_watched(
+                    request, responds, span, may_send or _always
+                )
         if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
             await responds.send_error(refusal)
 
+    async def _send_watched(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+    ) -> outcomes.ErrorAnswer | None:
+        # Asked after the wait for a turn: what waited may have become suspect
+        # meanwhile.
+        with contextlib.closing(self._watch(request)) as watched:
+            return watched.refusal() or await self._send_until_whole(
+                request, responds, span, may_send, watched
+            )
+
     async def _send_until_whole(
         self,
         request: ServiceRequest,
