Move replicas between domains before their old place is given up

Cause: a change of version drained replicas in place where a domain had no VMs free for one more, and a share taken from a domain at once cost a load when the domain came back first. Ruled out: a record of a spare set with a holder (three states to repair after each death), a fleet-wide leader, and in-place reloads by default. Change: open moves in the allocation object: the new place forms first, the old one drops when it serves; the VMs freed are the room for the next. Relief of a short domain begins at once and is called off when the VMs come back. accepts_change_in_place declares that replicas above the floor may be drained where no domain has room; the plan gives price and time.

--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from redwingvalve.control import relief
+from redwingvalve.control import moves
 from redwingvalve.control import surroundings as surroundings_module
 from redwingvalve.core import invariants
 from redwingvalve.membership import members as members_module
@@ -16,7 +16,7 @@
 from redwingvalve.observability import logs
 from redwingvalve.plans import book, finishing
 from redwingvalve.platform_api import object_api, vm_list
-from redwingvalve.replicas import controller
+from redwingvalve.replicas import controller, moving
 from redwingvalve.replicas import domain as domain_module
 
 STEP_EVERY_S = 0.5
@@ -34,7 +34,9 @@
     """One domain that this process watches."""
 
     controller: controller.DomainController
-    relief_from_s: float = 0.0
+    look_from_s: float = 0.0
+    seek_from_s: float = 0.0
+    without_room: frozenset[str] = frozenset()
     created: bool = False
 
 
@@ -57,6 +59,7 @@
         self._reader = surroundings_module.SurroundingsReader(
             tools.objects, vms, tools.clock
         )
+        self._mover = moves.make_mover(tools.objects, vms)
         self._domains: dict[str, _Domain] = {}
         self._finish_from_s = 0.0
         self._list_plans_from_s = 0.0
@@ -151,15 +154,31 @@
     async def _step_domain(self, name: str, watched: _Domain) -> None:
         if not watched.created:
             watched.created = await self._create(name)
-        await watched.controller.step(self._reader.of(name))
+        await watched.controller.step(
+            self._reader.of(name, watched.without_room)
+        )
+        await self._move(name, watched)
+
+    async def _move(self, name: str, watched: _Domain) -> None:
+        """Begin or end moves of replicas into or out of the domain."""
         now_s = self._tools.clock.monotonic_s()
-        short_for_s = watched.controller.short_for_s()
-        if short_for_s < relief.SHORT_FOR_S or now_s < watched.relief_from_s:
+        place = watched.controller.place()
+        deployments, agreed = self._reader.agreed()
+        if place is None or agreed is None or now_s < watched.look_from_s:
+            return
+        if not moving.concerns(place, agreed, deployments):
+            watched.without_room = frozenset()
             return
-        watched.relief_from_s = now_s + relief.TRY_EVERY_S
-        moved = await relief.relieve(self._tools.objects, self._vm_list)
-        if moved:
-            LOG.info('Shares were moved', extra={'out_of': name})
+        jitter = self._tools.chance.uniform(0.75, 1.25)
+        done = await self._mover.step(
+            place, deployments, may_seek=now_s >= watched.seek_from_s
+        )
+        watched.look_from_s = now_s + moves.LOOK_EVERY_S * jitter
+        if done.listed:
+            watched.seek_from_s = now_s + moves.SEEK_EVERY_S * jitter
+            watched.without_room = done.without_room
+        if done.changed:
+            LOG.info('Moves of replicas changed', extra={'domain': name})
 
     async def _create(self, name: str) -> bool:
         """Create the domain's object; tell whether it is there."""
--- a/redwingvalve/control/surroundings.py
+++ b/redwingvalve/control/surroundings.py
@@ -18,6 +18,7 @@
 from redwingvalve.replicas import view as view_module
 
 READ_EVERY_S = 2.0
+NO_DEPLOYMENTS: frozenset[str] = frozenset()
 
 Deployments = dict[str, schema.ModelDeployment]
 
@@ -59,22 +60,43 @@
             self._deployments = declared.ok
             self._shares = agreed.ok[0]
 
-    def of(self, domain: str) -> controller.Surroundings:
-        """Return what the controller of a domain works from."""
-        return controller.Surroundings(self.vms, self._wanted(domain))
+    def of(
+        self, domain: str, without_room: frozenset[str] = NO_DEPLOYMENTS
+    ) -> controller.Surroundings:
+        """Return what the controller of a domain works from.
 
-    def _wanted(self, domain: str) -> tuple[view_module.Wanted, ...] | None:
+        without_room names deployments whose change found no VMs anywhere.
+        """
         if self._deployments is None or self._shares is None:
-            return None
-        return tuple(
-            view_module.Wanted(
-                self._deployments[share.deployment],
-                share.replicas,
-                share.floor_replicas,
-            )
-            for share in self._shares.shares
-            if share.domain == domain and share.deployment in self._deployments
+            return controller.Surroundings(self.vms, None)
+        wanted = wanted_of(
+            domain, self._shares, self._deployments, without_room
         )
+        return controller.Surroundings(self.vms, wanted)
+
+    def agreed(self) -> tuple[Deployments, shares.Allocation | None]:
+        """Return what is declared and allocated, as far as it is known."""
+        return self._deployments or {}, self._shares
+
+
+def wanted_of(
+    domain: str,
+    agreed: shares.Allocation,
+    deployments: Deployments,
+    without_room: frozenset[str],
+) -> tuple[view_module.Wanted, ...]:
+    """Return the shares of one domain."""
+    return tuple(
+        view_module.Wanted(
+            deployments[share.deployment],
+            share.replicas,
+            share.floor_replicas,
+            in_place=share.deployment in without_room
+            and deployments[share.deployment].accepts_change_in_place,
+        )
+        for share in agreed.shares
+        if share.domain == domain and share.deployment in deployments
+    )
 
 
 async def read_deployments(
--- a/redwingvalve/declaration/schema.py
+++ b/redwingvalve/declaration/schema.py
@@ -26,7 +26,12 @@
 
 @attrs.frozen
 class ModelDeployment:
-    """A model served by replicas that span several VMs of one domain."""
+    """A model served by replicas that span several VMs of one domain.
+
+    Where no domain has VMs free for one more replica, a change of model,
+    version or adapters waits, unless accepts_change_in_place is declared:
+    then replicas above the floor are drained before others are formed.
+    """
 
     name: str
     model: str
@@ -35,6 +40,7 @@
     vms_per_replica: int
     accelerators_per_vm: int = 1
     floor_replicas: int = 0
+    accepts_change_in_place: bool = False
     adapters: tuple[str, ...] = ()
     tokens_per_s_per_replica: float = 2000.0
     max_batch_tokens: int = 8192
--- a/redwingvalve/plans/making.py
+++ b/redwingvalve/plans/making.py
@@ -9,10 +9,12 @@
 from redwingvalve.declaration import schema
 from redwingvalve.plans import objects, plan
 from redwingvalve.platform_api import vm_list
-from redwingvalve.replicas import codec, shares, spares
+from redwingvalve.replicas import codec, moving, shares, spares, witness
 from redwingvalve.replicas import domain as domain_module
 
 SECONDS_PER_MINUTE = 60.0
+# Entries stop sending before a drained replica is loaded anew.
+CHANGE_DRAIN_S = witness.SENDERS_STOPPED_AFTER_S
 
 
 @attrs.frozen
@@ -256,14 +258,39 @@
                 deployment, short, SECONDS_PER_MINUTE, 'not placed, each minute'
             )
         known = old.get(deployment.name)
-        reloads = known is not None and needs_reload(known, deployment)
-        if reloads and not _has_surge(deployment, world, allocated):
-            yield _risk(
-                deployment,
-                allocated.total(deployment.name),
-                deployment.load_time_s,
-                'reloaded in place: no domain has VMs free for a whole replica',
-            )
+        if known is not None and needs_reload(known, deployment):
+            yield from _change_risks(deployment, after, world, allocated)
+
+
+def _change_risks(
+    deployment: schema.ModelDeployment,
+    after: schema.Declaration,
+    world: World,
+    allocated: shares.Allocation,
+) -> collections_abc.Iterator[plan.Risk]:
+    """Say what a change costs where no domain has room for one replica more.
+
+    Each replica is then drained and loaded in turn, or, unless that is
+    accepted or while the floor allows none, the change waits.
+    """
+    deployments = {each.name: each for each in after.deployments}
+    capacities = capacities_of(world)
+    if moving.has_room(deployment, deployments, capacities, allocated):
+        return
+    placed = allocated.total(deployment.name)
+    accepted = deployment.accepts_change_in_place
+    above_floor = placed - deployment.floor_replicas
+    reason = 'reloaded in place above the floor'
+    if not accepted:
+        reason = 'the change waits; accepts_change_in_place would reload'
+    elif above_floor <= 0:
+        reason = 'the change waits: the floor leaves no replica to drain'
+    yield _risk(
+        deployment,
+        placed,
+        deployment.load_time_s + CHANGE_DRAIN_S,
+        f'{reason}: no domain has VMs free for a whole replica',
+    )
 
 
 def _spares(
@@ -291,23 +318,6 @@
         )
 
 
-def _has_surge(
-    deployment: schema.ModelDeployment,
-    world: World,
-    allocated: shares.Allocation,
-) -> bool:
-    used: dict[str, int] = {}
-    for share in allocated.shares:
-        if share.deployment == deployment.name:
-            used[share.domain] = share.replicas * deployment.vms_per_replica
-    return all(
-        capacity.usable_vms - used[capacity.domain]
-        >= deployment.vms_per_replica
-        for capacity in capacities_of(world)
-        if capacity.domain in used
-    )
-
-
 def _risk(
     deployment: schema.ModelDeployment,
     replicas: int,
--- a/redwingvalve/plans/tests/test_book.py
+++ b/redwingvalve/plans/tests/test_book.py
@@ -203,3 +203,33 @@
         assert (await plans.confirm(made.name, 'ana')).is_ok()
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('replicas', 'floor', 'accepts', 'said'),
+    [
+        (3, 0, False, ''),
+        (4, 0, False, 'the change waits; accepts_change_in_place'),
+        (4, 3, True, 'reloaded in place above the floor'),
+        (4, 4, True, 'the floor leaves no replica to drain'),
+    ],
+)
+def test_a_change_without_room_says_its_price(replicas, floor, accepts, said):
+    async def scenario():
+        plans = make_book(memory_store.make_memory_object_api())
+        made = (await plans.propose(declared(replicas=replicas), 'ana')).ok
+        assert (await plans.confirm(made.name, 'ana')).is_ok()
+        wanted = declared('2', replicas)
+        changed = attrs.evolve(
+            wanted.deployments[0],
+            floor_replicas=floor,
+            accepts_change_in_place=accepts,
+        )
+        wanted = attrs.evolve(wanted, deployments=(changed,))
+        risks = (await plans.propose(wanted, 'ana')).ok.risks
+        assert len(risks) == bool(said)
+        for risk in risks:
+            assert said in risk.reason
+            assert risk.price == pytest.approx(4 * 75 / 60, abs=0.01)
+
+    anyio.run(scenario)
--- a/redwingvalve/replicas/controller.py
+++ b/redwingvalve/replicas/controller.py
@@ -22,6 +22,7 @@
     domain_store,
     draft,
     lease,
+    moving,
     ordering,
     placement,
     watching,
@@ -30,6 +31,7 @@
 from redwingvalve.replicas import view as view_module
 
 WATCH_EVERY_S = 2.5
+SHORT_FOR_S = 5.0
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 8.0
 LOG = logs.make_logger('replicas')
@@ -98,6 +100,7 @@
         self._store_from_s = 0.0
         self._backoff_s = 0.0
         self._store_lost_s: float | None = None
+        self._short: frozenset[str] = frozenset()
         self._short_since_s: float | None = None
 
     async def step(self, surroundings: Surroundings) -> None:
@@ -141,9 +144,26 @@
             self._read.domain if self._read else None,
         )
 
-    def short_for_s(self) -> float:
-        """Return for how long the domain could not hold its shares."""
-        if self._short_since_s is None or self._holding is None:
+    def place(self) -> moving.Place | None:
+        """Return the domain and what it cannot hold; None without the lease.
+
+        What lost a VM counts at once. What could not be formed counts after
+        SHORT_FOR_S, since VMs of a new domain are seen one after another.
+        """
+        if self._read is None or self._holding is None:
+            return None
+        short = set(self._short)
+        if self._short_for_s() < SHORT_FOR_S:
+            broken = domain_module.ReplicaState.BROKEN
+            short &= {
+                each.deployment
+                for each in self._read.domain.replicas
+                if each.state == broken
+            }
+        return moving.Place(self._read.domain, frozenset(short))
+
+    def _short_for_s(self) -> float:
+        if self._short_since_s is None:
             return 0.0
         return self._now_s() - self._short_since_s
 
@@ -152,7 +172,8 @@
         following: domain_module.FabricDomain,
         wanted: tuple[view_module.Wanted, ...],
     ) -> None:
-        if not _is_short(following, wanted):
+        self._short = _short(following, wanted)
+        if not self._short:
             self._short_since_s = None
         elif self._short_since_s is None:
             self._short_since_s = self._now_s()
@@ -309,18 +330,20 @@
         return self._tools.clock.monotonic_s()
 
 
-def _is_short(
+def _short(
     domain: domain_module.FabricDomain,
     wanted: tuple[view_module.Wanted, ...],
-) -> bool:
+) -> frozenset[str]:
+    """Return the deployments of which the domain cannot hold its share."""
     broken = domain_module.ReplicaState.BROKEN
-    return any(
-        share.replicas
+    return frozenset(
+        share.deployment.name
+        for share in wanted
+        if share.replicas
         > sum(
             each.deployment == share.deployment.name and each.state != broken
             for each in domain.replicas
         )
-        for share in wanted
     )
 
 
--- /dev/null
+++ b/redwingvalve/replicas/moving.py
@@ -0,0 +1,266 @@
+"""Decides when a replica's place moves to another fabric domain; pure.
+
+Load pattern: a VM or a rack is lost where no spare is left, a domain goes
+dark, a version rolls through domains without room for one more replica. A
+share that is taken from one domain and given to another in one step costs a
+load of downtime whenever the old place still serves or comes back first.
+
+A move therefore begins by adding the replica at its new place. Only when all
+of that place serves does the old one give its replica up, and its VMs are the
+room for the next one. A move is called off when its new place is short itself
+or its old one does not need it any more. Each step is one conditional write
+of the allocation, so that any controller may carry on after another's death.
+"""
+
+import collections
+
+import attrs
+
+from redwingvalve.declaration import schema
+from redwingvalve.replicas import domain as domain_module
+from redwingvalve.replicas import shares
+
+State = domain_module.ReplicaState
+Deployments = dict[str, schema.ModelDeployment]
+
+
+@attrs.frozen
+class Place:
+    """A domain as its own controller sees it; short names deployments."""
+
+    domain: domain_module.FabricDomain
+    short: frozenset[str] = frozenset()
+
+
+def concerns(
+    place: Place, agreed: shares.Allocation, deployments: Deployments
+) -> bool:
+    """Tell whether the domain has a move to begin, end or call off."""
+    name = place.domain.name
+    return (
+        bool(place.short)
+        or any(each.from_domain == name for each in agreed.moves)
+        or any(needs_room(place.domain, each) for each in deployments.values())
+    )
+
+
+def needs_room(
+    domain: domain_module.FabricDomain, deployment: schema.ModelDeployment
+) -> bool:
+    """Tell whether a change waits for VMs that the domain has not."""
+    held = [
+        each for each in domain.replicas if each.deployment == deployment.name
+    ]
+    busy = any(each.state in {State.FORMING, State.DRAINING} for each in held)
+    outdated = any(_outdated(each, deployment) for each in held)
+    lacking = free_vms(domain) < deployment.vms_per_replica
+    return outdated and lacking and not busy
+
+
+def free_vms(domain: domain_module.FabricDomain) -> int:
+    """Return how many VMs belong to no replica and are there."""
+    return sum(not vm.missing and not vm.leaving for vm in domain.spare_vms())
+
+
+def called_off(
+    place: Place, agreed: shares.Allocation, deployments: Deployments
+) -> tuple[shares.Move, ...]:
+    """Return the open moves that the domain should call off."""
+    return tuple(
+        move
+        for move in agreed.moves
+        if _into_short(move, place) or _not_needed(move, place, deployments)
+    )
+
+
+def _into_short(move: shares.Move, place: Place) -> bool:
+    return (
+        move.to_domain == place.domain.name and move.deployment in place.short
+    )
+
+
+def _not_needed(
+    move: shares.Move, place: Place, deployments: Deployments
+) -> bool:
+    if move.from_domain != place.domain.name:
+        return False
+    deployment = deployments.get(move.deployment)
+    if deployment is None:
+        return True
+    if move.reason == shares.MoveReason.RELIEF:
+        return move.deployment not in place.short
+    return not any(
+        _outdated(each, deployment) for each in place.domain.replicas
+    )
+
+
+def holds_share(
+    domain: domain_module.FabricDomain,
+    agreed: shares.Allocation,
+    deployment: str,
+) -> bool:
+    """Tell whether a domain serves its whole share."""
+    serving = domain_module.count_serving((domain,), deployment)
+    return serving >= agreed.replicas(domain.name, deployment)
+
+
+def relief_moves(
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    agreed: shares.Allocation,
+) -> shares.Allocation:
+    """Begin moving what its domain cannot hold; what has no place stays."""
+    target = shares.after_moves(agreed, agreed.moves)
+    wanted = shares.reallocate(deployments.values(), capacities, target)
+    lost, gained = shares.differences(target, wanted)
+    moves: list[shares.Move] = []
+    for (domain, name), count in sorted(lost.items()):
+        for _ in range(count):
+            to_domain = _take(gained, name)
+            if to_domain:
+                moves.append(
+                    shares.Move(
+                        name, domain, to_domain, shares.MoveReason.RELIEF
+                    )
+                )
+    return shares.added(shares.with_moves(agreed, tuple(moves)), +gained)
+
+
+def room_moves(
+    place: Place,
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    domains: tuple[domain_module.FabricDomain, ...],
+    agreed: shares.Allocation,
+) -> tuple[shares.Move, ...]:
+    """Begin to free VMs for one replica of each deployment that waits."""
+    name = place.domain.name
+    moving = {
+        each.deployment for each in agreed.moves if each.from_domain == name
+    }
+    found: list[shares.Move] = []
+    for deployment in deployments.values():
+        if deployment.name in moving or not needs_room(
+            place.domain, deployment
+        ):
+            continue
+        host = _host(name, deployment, deployments, capacities, domains, agreed)
+        if host:
+            move = shares.Move(
+                deployment.name, name, host, shares.MoveReason.ROOM
+            )
+            found.append(move)
+            agreed = shares.with_moves(agreed, (move,))
+    return tuple(found)
+
+
+def _host(
+    mover: str,
+    deployment: schema.ModelDeployment,
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    domains: tuple[domain_module.FabricDomain, ...],
+    agreed: shares.Allocation,
+) -> str:
+    """Choose the roomiest domain that has ended its own change."""
+    busy = {each.to_domain for each in agreed.moves}
+    busy.update(each.from_domain for each in agreed.moves)
+    left = rooms(deployments, capacities, agreed)
+    allowed = {
+        each.domain
+        for each in capacities
+        if not deployment.data_centres
+        or each.data_centre in deployment.data_centres
+    }
+    candidates = [
+        domain.name
+        for domain in domains
+        if domain.name in allowed - busy - {mover}
+        and left.get(domain.name, 0) >= deployment.vms_per_replica
+        and free_vms(domain) >= deployment.vms_per_replica
+        and _is_settled(domain, deployments)
+    ]
+    return max(candidates, key=left.__getitem__, default='')
+
+
+def without_room(
+    place: Place,
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    agreed: shares.Allocation,
+) -> frozenset[str]:
+    """Return the deployments whose change finds no room in any domain."""
+    moving = {each.deployment for each in agreed.moves}
+    return frozenset(
+        each.name
+        for each in deployments.values()
+        if needs_room(place.domain, each)
+        and each.name not in moving
+        and not has_room(each, deployments, capacities, agreed)
+    )
+
+
+def has_room(
+    deployment: schema.ModelDeployment,
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    agreed: shares.Allocation,
+) -> bool:
+    """Tell whether some domain can hold one more replica."""
+    left = rooms(deployments, capacities, agreed)
+    return any(
+        left[each.domain] >= deployment.vms_per_replica
+        for each in capacities
+        if not deployment.data_centres
+        or each.data_centre in deployment.data_centres
+    )
+
+
+def rooms(
+    deployments: Deployments,
+    capacities: tuple[shares.DomainCapacity, ...],
+    agreed: shares.Allocation,
+) -> dict[str, int]:
+    """Return the usable VMs of each domain beyond its shares."""
+    left = {each.domain: each.usable_vms for each in capacities}
+    for share in agreed.shares:
+        declared = deployments.get(share.deployment)
+        if declared is not None and share.domain in left:
+            left[share.domain] -= share.replicas * declared.vms_per_replica
+    return left
+
+
+def _is_settled(
+    domain: domain_module.FabricDomain, deployments: Deployments
+) -> bool:
+    return all(
+        each.state == State.SERVING
+        and each.deployment in deployments
+        and not _outdated(each, deployments[each.deployment])
+        for each in domain.replicas
+    )
+
+
+def _outdated(
+    replica: domain_module.DomainReplica, deployment: schema.ModelDeployment
+) -> bool:
+    return replica.deployment == deployment.name and (
+        replica.model,
+        replica.version,
+        replica.adapters,
+        len(replica.members),
+    ) != (
+        deployment.model,
+        deployment.version,
+        deployment.adapters,
+        deployment.vms_per_replica,
+    )
+
+
+def _take(gained: collections.Counter[tuple[str, str]], name: str) -> str:
+    """Take one place of a deployment off the gains; empty without one."""
+    for domain, deployment in sorted(+gained):
+        if deployment == name:
+            gained[domain, name] -= 1
+            return domain
+    return ''
--- a/redwingvalve/replicas/placement.py
+++ b/redwingvalve/replicas/placement.py
@@ -128,6 +128,7 @@
         return
     victim = min(outdated, key=draft.keep_rank)
     leaving = draft.has_leaving(victim)
-    if leaving or len(serving) > wanted.floor_replicas:
+    above_floor = len(serving) > wanted.floor_replicas
+    if leaving or (wanted.in_place and above_floor):
         reason = 'a VM is leaving' if leaving else 'outdated'
         draft.set_state(victim, State.DRAINING, reason)
--- a/redwingvalve/replicas/shares.py
+++ b/redwingvalve/replicas/shares.py
@@ -10,6 +10,8 @@
 """
 
 import collections
+import enum
+import itertools
 import math
 from collections import abc as collections_abc
 
@@ -20,6 +22,9 @@
 KIND = 'allocations'
 NAME = 'current'
 
+Counts = collections.Counter[tuple[str, str]]
+Deployments = collections_abc.Iterable[schema.ModelDeployment]
+
 
 @attrs.frozen
 class DomainCapacity:
@@ -40,12 +45,36 @@
     floor_replicas: int = 0
 
 
+class MoveReason(enum.StrEnum):
+    """Why one replica's place moves; it decides when that is called off."""
+
+    RELIEF = 'relief'
+    ROOM = 'room'
+
+
+@attrs.frozen
+class Move:
+    """One replica that is formed in to_domain before from_domain drops it.
+
+    Until then its share stands in both domains.
+    """
+
+    deployment: str
+    from_domain: str
+    to_domain: str
+    reason: MoveReason
+
+
 @attrs.frozen
 class Allocation:
-    """The agreed shares, and which generation they were made for."""
+    """The agreed shares, and which generation they were made for.
+
+    moves are open: each has added one to its to_domain already.
+    """
 
     generation: int = 0
     shares: tuple[Share, ...] = ()
+    moves: tuple[Move, ...] = ()
 
     def replicas(self, domain: str, deployment: str) -> int:
         """Return the share of one domain in one deployment."""
@@ -67,13 +96,17 @@
 
 def allocate(
     generation: int,
-    deployments: collections_abc.Iterable[schema.ModelDeployment],
+    deployments: Deployments,
     capacities: tuple[DomainCapacity, ...],
     previous: Allocation,
 ) -> Allocation:
-    """Return new shares, the dearest deployment first, close to previous."""
+    """Return new shares, the dearest deployment first, close to previous.
+
+    What was moving stays where it still serves.
+    """
+    previous = without_moves(previous, previous.moves)
     free = {each.domain: each.usable_vms for each in capacities}
-    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    counts: Counts = collections.Counter()
     ordered = sorted(deployments, key=_rank)
     for deployment in ordered:
         domains = _allowed(deployment, capacities)
@@ -85,7 +118,7 @@
 
 
 def reallocate(
-    deployments: collections_abc.Iterable[schema.ModelDeployment],
+    deployments: Deployments,
     capacities: tuple[DomainCapacity, ...],
     before: Allocation,
 ) -> Allocation:
@@ -96,7 +129,7 @@
     """
     declared = tuple(deployments)
     after = allocate(before.generation, declared, capacities, before)
-    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    counts: Counts = collections.Counter()
     for share in after.shares:
         counts[share.domain, share.deployment] = share.replicas
     for deployment in declared:
@@ -112,6 +145,71 @@
     return Allocation(before.generation, tuple(_shares(ordered, counts)))
 
 
+def with_moves(allocation: Allocation, moves: tuple[Move, ...]) -> Allocation:
+    """Return the allocation with moves begun: one more at each place to."""
+    counts = _counts(allocation)
+    counts.update((each.to_domain, each.deployment) for each in moves)
+    return _recounted(allocation, counts, (*allocation.moves, *moves))
+
+
+def without_moves(
+    allocation: Allocation, moves: tuple[Move, ...]
+) -> Allocation:
+    """Return the allocation with open moves called off."""
+    counts = _counts(allocation)
+    counts.subtract((each.to_domain, each.deployment) for each in moves)
+    return _recounted(allocation, counts, _others(allocation, moves))
+
+
+def after_moves(allocation: Allocation, moves: tuple[Move, ...]) -> Allocation:
+    """Return the allocation with open moves ended: one less at from."""
+    counts = _counts(allocation)
+    counts.subtract((each.from_domain, each.deployment) for each in moves)
+    return _recounted(allocation, counts, _others(allocation, moves))
+
+
+def added(allocation: Allocation, places: Counts) -> Allocation:
+    """Return the allocation with replicas more at some places."""
+    return _recounted(
+        allocation, _counts(allocation) + places, allocation.moves
+    )
+
+
+def differences(before: Allocation, after: Allocation) -> tuple[Counts, Counts]:
+    """Return what each place loses and what it gains."""
+    old, new = _counts(before), _counts(after)
+    return old - new, new - old
+
+
+def _counts(allocation: Allocation) -> Counts:
+    return collections.Counter(
+        {
+            (share.domain, share.deployment): share.replicas
+            for share in allocation.shares
+        }
+    )
+
+
+def _others(
+    allocation: Allocation, moves: tuple[Move, ...]
+) -> tuple[Move, ...]:
+    left = collections.Counter(allocation.moves)
+    left.subtract(moves)
+    return tuple((+left).elements())
+
+
+def _recounted(
+    allocation: Allocation, counts: Counts, moves: tuple[Move, ...]
+) -> Allocation:
+    """Return other counts; each deployment's floor is split anew."""
+    floors: collections.Counter[str] = collections.Counter()
+    for share in allocation.shares:
+        floors[share.deployment] += share.floor_replicas
+    parts = (_shares_of(name, floors[name], counts) for name in floors)
+    changed = tuple(itertools.chain.from_iterable(parts))
+    return Allocation(allocation.generation, changed, moves)
+
+
 def _rank(deployment: schema.ModelDeployment) -> tuple[float, str]:
     value_per_vm = (
         deployment.prices.downtime_per_replica_minute
@@ -136,7 +234,7 @@
     deployment: schema.ModelDeployment,
     domains: list[str],
     free: dict[str, int],
-    counts: collections.Counter[tuple[str, str]],
+    counts: Counts,
     previous: Allocation,
 ) -> None:
     left = deployment.replicas
@@ -154,7 +252,7 @@
     deployment: schema.ModelDeployment,
     domains: list[str],
     free: dict[str, int],
-    counts: collections.Counter[tuple[str, str]],
+    counts: Counts,
 ) -> None:
     held = sum(counts[name, deployment.name] for name in domains)
     for _ in range(deployment.replicas - held):
@@ -169,7 +267,7 @@
     domain: str,
     replicas: int,
     free: dict[str, int],
-    counts: collections.Counter[tuple[str, str]],
+    counts: Counts,
 ) -> None:
     free[domain] -= replicas * deployment.vms_per_replica
     counts[domain, deployment.name] += replicas
@@ -177,19 +275,27 @@
 
 def _shares(
     deployments: list[schema.ModelDeployment],
-    counts: collections.Counter[tuple[str, str]],
+    counts: Counts,
 ) -> collections_abc.Iterator[Share]:
-    """Split each floor over the domains so that no sum falls below it."""
     for deployment in deployments:
-        floor_left = deployment.floor_replicas
-        held = {
-            domain: count
-            for (domain, name), count in counts.items()
-            if name == deployment.name and count
-        }
-        total = sum(held.values())
-        for domain in sorted(held):
-            exact = deployment.floor_replicas * held[domain] / max(total, 1)
-            floor = min(held[domain], floor_left, math.ceil(exact))
-            floor_left -= floor
-            yield Share(domain, deployment.name, held[domain], floor)
+        yield from _shares_of(
+            deployment.name, deployment.floor_replicas, counts
+        )
+
+
+def _shares_of(
+    deployment: str, floor_replicas: int, counts: Counts
+) -> collections_abc.Iterator[Share]:
+    """Split the floor over the domains so that no sum falls below it."""
+    floor_left = floor_replicas
+    held = {
+        domain: count
+        for (domain, name), count in counts.items()
+        if name == deployment and count > 0
+    }
+    total = sum(held.values())
+    for domain in sorted(held):
+        exact = floor_replicas * held[domain] / max(total, 1)
+        floor = min(held[domain], floor_left, math.ceil(exact))
+        floor_left -= floor
+        yield Share(domain, deployment, held[domain], floor)
--- a/redwingvalve/replicas/view.py
+++ b/redwingvalve/replicas/view.py
@@ -33,11 +33,16 @@
 
 @attrs.frozen
 class Wanted:
-    """The share of this domain in one deployment."""
+    """The share of this domain in one deployment.
+
+    in_place lets a change drain replicas above the floor where no VMs are
+    free for the new one first.
+    """
 
     deployment: schema.ModelDeployment
     replicas: int
     floor_replicas: int = 0
+    in_place: bool = True
 
 
 @attrs.frozen
--- a/redwingvalve/soak/operators.py
+++ b/redwingvalve/soak/operators.py
@@ -62,6 +62,7 @@
         'replicas': wish.replicas,
         'vms_per_replica': 4,
         'floor_replicas': 2,
+        'accepts_change_in_place': True,
         'load_time_s': load_time_s,
     }
     service = {
