--- a/redwingvalve/entry/tests/test_caller_server.py
+++ b/redwingvalve/entry/tests/test_caller_server.py
@@ -98,18 +98,20 @@
         await send(part(b'last', more=False))
 
     async def scenario():
-        async with served(halfway) as (port, stop, ended):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                begun = await read_until(stream, b'first')
-                stop.set()
-                with contextlib.suppress(OSError):
-                    while True:
-                        async with await anyio.connect_tcp('127.0.0.1', port):
-                            await anyio.sleep(0.01)
-                early = ended.is_set()
-                go_on.set()
-                rest = await read_all(stream)
+        async with (
+            served(halfway) as (port, stop, ended),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(GET)
+            begun = await read_until(stream, b'first')
+            stop.set()
+            with contextlib.suppress(OSError):
+                while True:
+                    async with await anyio.connect_tcp('127.0.0.1', port):
+                        await anyio.sleep(0.01)
+            early = ended.is_set()
+            go_on.set()
+            rest = await read_all(stream)
             await ended.wait()
             return begun + rest, early
 
@@ -131,14 +133,16 @@
             seen.append('cancelled')
 
     async def scenario():
-        async with served(hang, timeout_s=0.2) as (port, stop, ended):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                await read_until(stream, b'first')
-                stop.set()
-                rest = await read_all(stream)
-                await ended.wait()
-                return rest
+        async with (
+            served(hang, timeout_s=0.2) as (port, stop, ended),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(GET)
+            await read_until(stream, b'first')
+            stop.set()
+            rest = await read_all(stream)
+            await ended.wait()
+            return rest
 
     assert not anyio.run(scenario).endswith(LAST_CHUNK)
     assert seen == ['cancelled']
@@ -191,10 +195,12 @@
     entry = make_entry(engines, one_token)
 
     async def scenario():
-        async with served(entry) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(ask())
-                await read_until(stream, b't1')
+        async with (
+            served(entry) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(ask())
+            await read_until(stream, b't1')
             while not engines.cancelled:
                 await anyio.sleep(0.01)
 
@@ -239,19 +245,21 @@
         await send(part(b'', more=False))
 
     async def scenario():
-        async with served(flood) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                before = -1
-                while before != len(written):
-                    before = len(written)
-                    await anyio.sleep(0.3)
-                held = before
-                size = 0
-                while len(written) < 4096:
-                    size += len(await stream.receive())
-                size += len(await read_until(stream, LAST_CHUNK))
-                return held, size
+        async with (
+            served(flood) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(GET)
+            before = -1
+            while before != len(written):
+                before = len(written)
+                await anyio.sleep(0.3)
+            held = before
+            size = 0
+            while len(written) < 4096:
+                size += len(await stream.receive())
+            size += len(await read_until(stream, LAST_CHUNK))
+            return held, size
 
     held, size = anyio.run(scenario)
     assert 0 < held < 1024
@@ -273,10 +281,12 @@
     entry = make_entry(fakes.Engines(), None, max_body_bytes=1000)
 
     async def scenario():
-        async with served(entry) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(request_bytes)
-                return await read_until(stream, b'}}')
+        async with (
+            served(entry) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(request_bytes)
+            return await read_until(stream, b'}}')
 
     answer = anyio.run(scenario)
     assert answer.startswith(b'HTTP/1.1 413 ')
@@ -293,10 +303,14 @@
         b'GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n',
         b'GET / HTTP/1.1\r\nhost x\r\n\r\n',
         b'GET / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n',
-        b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n'
-        b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n',
-        b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
-        b'zz\r\n',
+        (
+            b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n'
+            b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n'
+        ),
+        (
+            b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'zz\r\n'
+        ),
     ],
 )
 def test_bytes_that_are_no_request_get_an_error(request_bytes):
@@ -332,12 +346,14 @@
         await anyio.sleep_forever()
 
     async def scenario():
-        async with served(halfway, timeout_s=0.2) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                begun = await read_until(stream, b'first')
-                await stream.send(b'\x00 nonsense\r\n\r\n')
-                return begun + await read_all(stream)
+        async with (
+            served(halfway, timeout_s=0.2) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(GET)
+            begun = await read_until(stream, b'first')
+            await stream.send(b'\x00 nonsense\r\n\r\n')
+            return begun + await read_all(stream)
 
     answer = anyio.run(scenario)
     assert answer.count(b'HTTP/1.1') == 1
@@ -349,11 +365,13 @@
     """Callers connect and say nothing, or half a head; both are closed."""
 
     async def scenario():
-        async with served(hello, head_timeout_s=0.1) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                if dribble:
-                    await stream.send(dribble)
-                return await read_all(stream)
+        async with (
+            served(hello, head_timeout_s=0.1) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            if dribble:
+                await stream.send(dribble)
+            return await read_all(stream)
 
     assert anyio.run(scenario) == b''
 
@@ -368,23 +386,27 @@
         await send(part(b'hello', more=False))
 
     async def scenario():
-        async with served(slow_hello, head_timeout_s=0.1) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                return await read_until(stream, LAST_CHUNK)
+        async with (
+            served(slow_hello, head_timeout_s=0.1) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(GET)
+            return await read_until(stream, LAST_CHUNK)
 
     assert b'hello' in anyio.run(scenario)
 
 
 def test_a_head_above_its_bound_is_refused():
     async def scenario():
-        async with served(hello) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(b'GET / HTTP/1.1\r\nx-long: ')
-                for _ in range(3):
-                    await stream.send(b'x' * 8192)
-                    await anyio.sleep(0.01)
-                return await read_until(stream, b'}}')
+        async with (
+            served(hello) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            await stream.send(b'GET / HTTP/1.1\r\nx-long: ')
+            for _ in range(3):
+                await stream.send(b'x' * 8192)
+                await anyio.sleep(0.01)
+            return await read_until(stream, b'}}')
 
     assert anyio.run(scenario).startswith(b'HTTP/1.1 431 ')
 
@@ -393,15 +415,17 @@
     """Also when the second one comes in pieces, after empty lines."""
 
     async def scenario():
-        async with served(hello) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                answers = []
-                for pieces in ([GET], [b'\r\n', GET[:9], GET[9:]]):
-                    for piece in pieces:
-                        await stream.send(piece)
-                        await anyio.sleep(0.01)
-                    answers.append(await read_until(stream, LAST_CHUNK))
-                return answers
+        async with (
+            served(hello) as (port, _, _),
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+        ):
+            answers = []
+            for pieces in ([GET], [b'\r\n', GET[:9], GET[9:]]):
+                for piece in pieces:
+                    await stream.send(piece)
+                    await anyio.sleep(0.01)
+                answers.append(await read_until(stream, LAST_CHUNK))
+            return answers
 
     answers = anyio.run(scenario)
     assert [answer.count(b'hello') for answer in answers] == [1, 1]
--- a/redwingvalve/entry/tests/test_service_suspects.py
+++ b/redwingvalve/entry/tests/test_service_suspects.py
@@ -3,6 +3,7 @@
 import itertools
 
 import anyio
+import anyio.lowlevel
 import attrs
 import pytest
 
@@ -130,7 +131,7 @@
                     lambda one: fakes.call(entries[0], **one), asked
                 )
             while len(services.running) < 2:
-                await anyio.sleep(0)
+                await anyio.lowlevel.checkpoint()
             services.hold = False
             await fakes.call(entries[0], **POISON)
             for running in services.running.values():
