Combine only those with-statements that end together

Combining one whose outer block goes on kept the connection open and made test_a_caller_that_hangs_up_frees_its_tokens wait for ever (seen once, before this commit).

--- a/redwingvalve/entry/tests/test_caller_server.py
+++ b/redwingvalve/entry/tests/test_caller_server.py
@@ -98,20 +98,18 @@
         await send(part(b'last', more=False))
 
     async def scenario():
-        async with (
-            served(halfway) as (port, stop, ended),
-            await anyio.connect_tcp('127.0.0.1', port) as stream,
-        ):
-            await stream.send(GET)
-            begun = await read_until(stream, b'first')
-            stop.set()
-            with contextlib.suppress(OSError):
-                while True:
-                    async with await anyio.connect_tcp('127.0.0.1', port):
-                        await anyio.sleep(0.01)
-            early = ended.is_set()
-            go_on.set()
-            rest = await read_all(stream)
+        async with served(halfway) as (port, stop, ended):
+            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+                await stream.send(GET)
+                begun = await read_until(stream, b'first')
+                stop.set()
+                with contextlib.suppress(OSError):
+                    while True:
+                        async with await anyio.connect_tcp('127.0.0.1', port):
+                            await anyio.sleep(0.01)
+                early = ended.is_set()
+                go_on.set()
+                rest = await read_all(stream)
             await ended.wait()
             return begun + rest, early
 
@@ -195,12 +193,10 @@
     entry = make_entry(engines, one_token)
 
     async def scenario():
-        async with (
-            served(entry) as (port, _, _),
-            await anyio.connect_tcp('127.0.0.1', port) as stream,
-        ):
-            await stream.send(ask())
-            await read_until(stream, b't1')
+        async with served(entry) as (port, _, _):
+            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+                await stream.send(ask())
+                await read_until(stream, b't1')
             while not engines.cancelled:
                 await anyio.sleep(0.01)
 
