Let no unrelated deaths buy a poison request a third endpoint

Its own two deaths made four within the window of a lost rack, all four counted as one, and it was tried a third time. Ruled out: late news (all three deaths came through one entry within 30 ms).

Change: a death counts as one of many only by three deaths in which the same request had no part. test_a_lost_rack_does_not_make_its_requests_poison was wrong: its three deaths all had the same request on them, which is what a poison request does; it now has three deaths of others, and is as strict in what it asks of the verdict.

Conclusion: two deaths at most, but for a rack that is truly lost; an innocent that was lost twice while fewer than three others died is refused for an hour, which is the price.

--- a/redwingvalve/poison/ledger.py
+++ b/redwingvalve/poison/ledger.py
@@ -6,8 +6,9 @@
 
 All that ran on an endpoint when it died is suspect after one death. A suspect
 runs alone of its kind on an endpoint, so that a second death names it and no
-other; the innocent finish elsewhere and are cleared. Two deaths refuse it; the
-deaths of a rack that is lost within seconds count as one.
+other; the innocent finish elsewhere and are cleared. Two deaths refuse it; two
+of a rack that is lost within seconds, with three more that the request had no
+part in, count as one.
 Entries place suspects on disjoint sets of endpoints (rendezvous hashing), so
 that two of them do not put two suspects together without knowing.
 
--- a/redwingvalve/poison/tests/test_ledger.py
+++ b/redwingvalve/poison/tests/test_ledger.py
@@ -5,7 +5,7 @@
 
 Verdict = ledger.Verdict
 ENTRIES = ('e1', 'e2', 'e3')
-POISON, INNOCENT = b'poison!!', b'innocent'
+POISON, INNOCENT, OTHER = b'poison!!', b'innocent', b'stranger'
 
 
 def make_ledger(entry='e1'):
@@ -101,17 +101,35 @@
 def test_a_lost_rack_does_not_make_its_requests_poison():
     """A caller's request is lost twice within seconds as a rack goes.
 
-    It was sent again to a replica of the same rack. Three deaths so close are
-    no request's doing: it is isolated, and refused only after one more death.
+    It was sent again to a replica of the same rack. Deaths so close that it
+    had no part in are no request's doing: it is isolated, and refused only
+    after one more death.
     """
     where = make_ledger()
     for number in range(3):
-        die(where, f'r{number}', INNOCENT, now_s=float(number))
+        die(where, f'r{number}', OTHER, now_s=float(number))
+    for number in range(3, 5):
+        die(where, f'r{number}', INNOCENT, now_s=2.0)
     assert where.judge_again(INNOCENT, 3.0) == Verdict.ISOLATE
     die(where, 'r9', INNOCENT, now_s=60.0)
     assert where.judge_again(INNOCENT, 60.0) == Verdict.REFUSE
 
 
+def test_deaths_of_others_do_not_buy_a_poison_request_a_third():
+    """Two replicas die by themselves; seconds later a poison request comes.
+
+    It kills two more. Counted with them, its deaths passed for those of a
+    lost rack and it killed a third endpoint (soak seed 205, processes).
+    """
+    where = make_ledger()
+    die(where, 'r1', INNOCENT, now_s=0.0)
+    die(where, 'r2', INNOCENT, now_s=1.7)
+    die(where, 'r3', POISON, now_s=2.9)
+    assert where.judge_again(POISON, 2.9) == Verdict.ISOLATE
+    die(where, 'r4', POISON, now_s=2.91)
+    assert where.judge_again(POISON, 2.91) == Verdict.REFUSE
+
+
 def test_entries_put_suspects_on_disjoint_endpoints():
     """No two entries put suspects together, and every endpoint is used."""
     endpoints = [f'r{number}' for number in range(60)]
