--- a/redwingvalve/at_most_once/messages.py
+++ b/redwingvalve/at_most_once/messages.py
@@ -36,20 +36,32 @@
 
 @attrs.frozen
 class Vote:
-    """A voter's word; outcome is what it knows of the earlier request."""
+    """A voter's word; outcome is what it knows of the earlier request.
+
+    wait_s is how long an undecided voter stays so at most, 0 if it can't tell.
+    """
 
     verdict: Verdict
     outcome: outcomes.Outcome = outcomes.Outcome.UNKNOWN
     reason: str = ''
+    wait_s: float = 0.0
 
 
 @attrs.frozen
 class Copy:
-    """A voter's claims, for an entry that has just become a voter.
+    """A page of a voter's claims, for one that has just become a voter.
+
+    An incarnation numbers its claims; the page ends with reached, and more
+    says that another one follows.
 
-    whole says that the voter has lost none that its name ever granted.
+    whole says that the voter has lost none that its name ever granted;
+    complete, that it has all that were granted before these names held.
     """
 
     claims: tuple[tuple[Claim, outcomes.Outcome], ...]
     names: tuple[str, ...]
     whole: bool
+    complete: bool = False
+    incarnation: int = 0
+    reached: int = 0
+    more: bool = False
--- a/redwingvalve/at_most_once/thrift_peers.py
+++ b/redwingvalve/at_most_once/thrift_peers.py
@@ -33,6 +33,7 @@
                 messages.Verdict(verdict.verdict),
                 outcomes.Outcome(verdict.outcome),
                 verdict.detail,
+                verdict.wait_s or 0.0,
             )
         )
 
@@ -48,10 +49,10 @@
         return Error(called.error) if called.is_error() else Ok(None)
 
     async def copy(
-        self, member: members.Member, names: tuple[str, ...]
+        self, member: members.Member, names: tuple[str, ...], after: int
     ) -> Result[messages.Copy, str]:
-        """Copy a voter's claims."""
-        request = wire.KeyCopyRequest(names=list(names))
+        """Copy a page of a voter's claims."""
+        request = wire.KeyCopyRequest(names=list(names), after=after)
         called = await self._call(member, 'copy_keys', request)
         if called.is_error():
             return Error(called.error)
@@ -64,6 +65,10 @@
                 ),
                 names=tuple(copied.names),
                 whole=copied.whole,
+                complete=bool(copied.complete),
+                incarnation=copied.incarnation,
+                reached=copied.reached,
+                more=copied.more,
             )
         )
 
@@ -92,6 +97,7 @@
             verdict=vote.verdict.value,
             outcome=vote.outcome.value,
             detail=vote.reason,
+            wait_s=vote.wait_s,
         )
 
     async def report_key(self, report: wire.KeyReport) -> bool:
@@ -102,8 +108,8 @@
         return True
 
     async def copy_keys(self, request: wire.KeyCopyRequest) -> wire.KeyCopy:
-        """Hand out all claims."""
-        copied = self._voter.copy(tuple(request.names))
+        """Hand out a page of claims."""
+        copied = self._voter.copy(tuple(request.names), request.after or 0)
         return wire.KeyCopy(
             claims=[
                 wire.KeyReport(claim=_to_wire(claim), outcome=outcome.value)
@@ -111,6 +117,10 @@
             ],
             names=list(copied.names),
             whole=copied.whole,
+            complete=copied.complete,
+            incarnation=copied.incarnation,
+            reached=copied.reached,
+            more=copied.more,
         )
 
 
