--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -48,6 +48,7 @@
         self.paused = set()
         self.seen_s = {}
         self.on_copy = lambda source: None
+        self.on_vote = lambda: None
         self.clock = clock.ManualClock(10_000.0)
         self.switches = invariants.SafeguardSwitches(disabled)
         self.side = {}
@@ -184,6 +185,7 @@
         return Ok(getattr(target, method)(*arguments))
 
     async def claim(self, member, claim):
+        self.fleet.on_vote()
         return await self._call(member, 'vote', claim)
 
     async def report(self, member, claim, outcome):
@@ -454,6 +456,42 @@
     assert fleet.send('e2', 'new') == 'ran'
 
 
+def test_a_claim_that_a_restart_falls_into_is_not_half_forgotten():
+    """The caller that sends again is refused; its first send had its votes.
+
+    e1 votes and dies. It is back within a second and looks at the others before
+    the votes of e2 and e3 are asked. Had it copied them then, it would let
+    e4 and e5 run with it what ran under the votes of e1, e2 and e3.
+    """
+    fleet = Fleet()
+    chosen = fleet.entries['e4'].voter.roster.voters('shop', 'quote')
+    claim = messages.Claim('shop', 'quote', 'e4', 1, 'x', 'digest', chosen)
+    votes = [fleet.entries['e1'].voter.vote(claim)]
+    fleet.crash_together(['e1'])
+    for _ in range(3):
+        fleet.clock.advance(0.4)
+        anyio.run(fleet.entries['e1'].look_once)
+    votes.extend(fleet.entries[name].voter.vote(claim) for name in ('e2', 'e3'))
+    assert {vote.verdict for vote in votes} == {messages.Verdict.RUN}
+    fleet.settle(READY_S)
+    assert fleet.send('e5', 'quote') != 'ran'
+    assert fleet.send('e5', 'other') == 'ran'
+
+
+def test_votes_that_come_late_are_not_counted():
+    """The caller sees a refusal, and its next send runs.
+
+    The claimant is held up between its questions. A voter that answered first
+    may have restarted and copied the others by the time the last is asked.
+    """
+    fleet = Fleet()
+    fleet.on_vote = lambda: fleet.clock.advance(0.6)
+    assert fleet.send('e1', 'quote').outcome == outcomes.Outcome.UNKNOWN
+    fleet.on_vote = lambda: None
+    fleet.settle(READY_S)
+    assert fleet.send('e1', 'quote') == 'ran'
+
+
 def test_newcomers_do_not_run_what_died_with_an_earlier_majority():
     """The caller that sends again sees unknown; only the dead knew its quote.
 
