--- a/redwingvalve/at_most_once/tests/test_fleet.py
+++ b/redwingvalve/at_most_once/tests/test_fleet.py
@@ -492,27 +492,36 @@
     assert fleet.send('e1', 'quote') == 'ran'
 
 
-def test_newcomers_do_not_run_what_died_with_an_earlier_majority():
+@pytest.mark.parametrize(
+    ('majority', 'others', 'newcomers'),
+    [
+        (('e1', 'e2'), ('e3',), ('n4', 'n5', 'n6')),
+        (('e1', 'e2', 'e3'), ('e4', 'e5'), ('n6', 'n7')),
+    ],
+)
+def test_newcomers_do_not_run_what_died_with_an_earlier_majority(
+    majority, others, newcomers
+):
     """The caller that sends again sees unknown; only the dead knew its quote.
 
-    Two of three run a quote while the third is cut off. Three newcomers start
-    on its side, then the two die and restart, and all meet. Four of six
-    have lost nothing that their names granted, and none has the quote.
+    A majority runs a quote while the others are cut off. Newcomers start on
+    their side, then the majority dies and restarts, and all meet. Most have
+    lost nothing that their names granted, and none has the quote.
     """
-    fleet = Fleet(('e1', 'e2', 'e3'))
-    fleet.side['e3'] = 1
+    fleet = Fleet(majority + others)
+    fleet.side.update(dict.fromkeys(others, 1))
     fleet.settle(2)
     quotes = [f'quote-{number}' for number in range(20)]
     assert {fleet.send('e1', quote) for quote in quotes} == {'ran'}
-    for name in ('n4', 'n5', 'n6'):
+    for name in newcomers:
         fleet.side[name] = 1
         fleet.start(name)
     fleet.settle(READY_S)
-    fleet.crash_together(['e1', 'e2'])
+    fleet.crash_together(majority)
     fleet.side = dict.fromkeys(fleet.side, 0)
     fleet.settle(READY_S)
     for quote in quotes:
-        for name in ('e1', 'e3', 'n4', 'n5', 'n6'):
+        for name in fleet.awake():
             assert fleet.send(name, quote) != 'ran'
 
 
