--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -16,6 +16,7 @@
     caller,
     parts,
     responder,
+    service_queue,
     service_suspects,
     suspects,
     upstream,
@@ -57,6 +58,7 @@
     """A request for a plain service."""
 
     head: caller.CallerHead
+    account: schema.ClientAccount
     service: schema.PlainService
     body: bytes
 
@@ -108,6 +110,9 @@
         self._in_flight: dict[str, int] = {}
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}-s'
+        self._queue = service_queue.make_service_queue(
+            entry_parts.members, entry_parts.clock
+        )
 
     async def run(
         self,
@@ -116,14 +121,33 @@
         span: trace.Span,
         may_send: parts.MaySend | None,
     ) -> None:
-        """Answer the request by its deadline."""
-        with contextlib.closing(self._watch(request)) as watched:
-            refusal = watched.refusal() or await self._send_until_whole(
-                request, responds, span, may_send or _always, watched
-            )
+        """Answer the request by its deadline, or refuse it early."""
+        async with self._queue.turn(
+            request.head, request.account, request.service
+        ) as turn:
+            refusal = turn.error if turn.is_error() else None
+            if refusal is None:
+                refusal = await self._send_watched(
+                    request, responds, span, may_send or _always
+                )
         if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
             await responds.send_error(refusal)
 
+    async def _send_watched(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+    ) -> outcomes.ErrorAnswer | None:
+        # Asked after the wait for a turn: what waited may have become suspect
+        # meanwhile.
+        with contextlib.closing(self._watch(request)) as watched:
+            return watched.refusal() or await self._send_until_whole(
+                request, responds, span, may_send, watched
+            )
+
     async def _send_until_whole(
         self,
         request: ServiceRequest,
@@ -195,27 +219,45 @@
     ) -> upstream.UpstreamError | None:
         before = responds.outcome
         responds.outcome = outcomes.Outcome.UNKNOWN
+        hop = self._start_hop(request, address, span)
         self._in_flight[address] = self._in_flight.get(address, 0) + 1
         try:
-            await self._exchange(request, address, responds, span)
+            await self._exchange(request, address, responds, hop)
         except upstream.UpstreamError as error:
             if error.surely_not_run:
                 responds.outcome = before
+            hop.set_attribute('redwingvalve.failure', str(error))
+            self._parts.metrics.count('entry.service_send_failed')
             return error
         finally:
             self._in_flight[address] -= 1
+            hop.end()
         return None
 
+    def _start_hop(
+        self, request: ServiceRequest, address: str, span: trace.Span
+    ) -> trace.Span:
+        """Start the span of one send; each send has its own."""
+        return self._parts.tracing.start_span(
+            'service request',
+            parent=span,
+            attributes={
+                'redwingvalve.service': request.service.name,
+                'server.address': address,
+            },
+        )
+
     async def _exchange(
         self,
         request: ServiceRequest,
         address: str,
         responds: responder.Responder,
-        span: trace.Span,
+        hop: trace.Span,
     ) -> None:
-        outgoing = self._build(request, address, span)
+        outgoing = self._build(request, address, hop)
         with anyio.move_on_after(outgoing.timeout_s):
             answer, body = await self._fetch(outgoing)
+            hop.set_attribute('http.response.status_code', answer.status)
             await responds.send_whole(
                 answer.status,
                 dict(answer.headers).get('content-type', ''),
@@ -241,15 +283,16 @@
         return answer, body
 
     def _build(
-        self, request: ServiceRequest, address: str, span: trace.Span
+        self, request: ServiceRequest, address: str, hop: trace.Span
     ) -> upstream.UpstreamRequest:
         head = request.head
         endpoint_id = answer_check.make_endpoint_id(
             head.request_id, self._entry, next(self._numbers)
         )
+        hop.set_attribute('redwingvalve.endpoint_request_id', endpoint_id)
         own = {
             outcomes.REQUEST_ID_HEADER: endpoint_id,
-            **self._parts.tracing.headers(span),
+            **self._parts.tracing.headers(hop),
         }
         query = f'?{head.query}' if head.query else ''
         remaining_s = head.remaining_s(self._parts.clock.monotonic_s())
