Report all findings of a file at once; let the entry's leftovers end in order

Cause: check stopped after the first kind of finding (keys that stand twice, then types, then ranges), so a person mended one only to be shown the next. uvicorn's own stop timeout answered a cancelled request with a text without an outcome, and a cancelled server left its listening socket in the loop, both found by tests. Change: faulty parts are blanked and the rest is checked; what rests on a blank is left out. Leftover connections are broken before their work is cancelled. Conclusion: one check shows every finding, in reading order.

--- a/redwingvalve/declaration/reader.py
+++ b/redwingvalve/declaration/reader.py
@@ -3,7 +3,7 @@
 import re
 from collections import abc as collections_abc
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from redwingvalve.core import findings
 from redwingvalve.declaration import schema
@@ -31,13 +31,7 @@
 
 def read_text(text: str, file_name: str) -> Result[Bound, findings.Findings]:
     """Check a declaration given as text; file_name is for the findings."""
-    bound = binder.bind_text(text, file_name, schema.Declaration)
-    if bound.is_error():
-        return Error(bound.error)
-    found = tuple(_check(bound.ok))
-    if found:
-        return Error(findings.Findings(found))
-    return Ok(bound.ok)
+    return binder.bind_text(text, file_name, schema.Declaration, _check)
 
 
 def _check(bound: Bound) -> FoundIterator:
@@ -77,7 +71,9 @@
             )
         if deployment.replicas < 0:
             yield _finding(bound, 'must not be negative', *path, 'replicas')
-        if not 0 <= deployment.floor_replicas <= max(deployment.replicas, 0):
+        if (
+            not 0 <= deployment.floor_replicas <= max(deployment.replicas, 0)
+        ) and bound.intact(*path, 'replicas'):
             yield _finding(
                 bound, 'must be from 0 to replicas', *path, 'floor_replicas'
             )
@@ -151,7 +147,6 @@
 
 
 def _check_accounts(bound: Bound) -> FoundIterator:
-    known = {deployment.name for deployment in bound.content.deployments}
     for index, account in enumerate(bound.content.client_accounts):
         path = ('client_accounts', index)
         if not SHA256_PATTERN.fullmatch(account.credential_sha256):
@@ -176,15 +171,28 @@
         ):
             if getattr(account, name) < 0:
                 yield _finding(bound, 'must not be negative', *path, name)
-        for place, wanted in enumerate(account.deployments):
-            if wanted not in known:
-                yield _finding(
-                    bound,
-                    f'no deployment is named {wanted!r}',
-                    *path,
-                    'deployments',
-                    place,
-                )
+        yield from _check_wanted(bound, account, path)
+
+
+def _check_wanted(
+    bound: Bound, account: schema.ClientAccount, path: tuple[str, int]
+) -> FoundIterator:
+    deployments = bound.content.deployments
+    if not all(
+        bound.intact('deployments', index, 'name')
+        for index in range(len(deployments))
+    ):
+        return
+    known = {deployment.name for deployment in deployments}
+    for place, wanted in enumerate(account.deployments):
+        if wanted not in known:
+            yield _finding(
+                bound,
+                f'no deployment is named {wanted!r}',
+                *path,
+                'deployments',
+                place,
+            )
 
 
 def _check_positive(
--- a/redwingvalve/declaration/tests/test_reader.py
+++ b/redwingvalve/declaration/tests/test_reader.py
@@ -91,3 +91,35 @@
 def test_a_spoilt_declaration_gives_findings_and_never_a_crash(word, spoilt):
     checked = reader.read_text(GOOD.replace(word, spoilt), 'wanted.yaml')
     assert checked.is_error() or checked.ok.content.operator is not None
+
+
+def test_a_wrong_type_hides_no_other_finding():
+    """A field of each kind of fault; what rests on a blank is left out."""
+    bad = (
+        GOOD.replace('operator: tapiceria', 'operatr: tapiceria')
+        .replace('replicas: 2', 'replicas: two\n    floor_replicas: 1')
+        .replace('vms_per_replica: 4', 'vms_per_replica: 0')
+        .replace('priority: 5', 'priority: 12')
+        .replace('    path_prefix: /records', '    path_prefix: [1]')
+        .replace(
+            'addresses: ["', 'timeout_s: 1.0\n    timeout_s: 2.0\n    x: ["'
+        )
+    )
+    found = findings_of(bad)
+    assert [line.partition(' (')[2].partition(')')[0] for line in found] == [
+        'operator',
+        'operatr',
+        'deployments[0].replicas',
+        'deployments[0].vms_per_replica',
+        'services[0].addresses',
+        'services[0].path_prefix',
+        'services[0].timeout_s',
+        'services[0].x',
+        'client_accounts[0].priority',
+    ]
+
+
+def test_a_deployment_without_a_shape_blames_no_account():
+    found = findings_of(GOOD.replace('  - name: quotes\n', '  - 3\n  - b: 1\n'))
+    assert not any('no deployment is named' in line for line in found)
+    assert any('deployments[0]' in line for line in found)
--- a/redwingvalve/documents/binder.py
+++ b/redwingvalve/documents/binder.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+from collections import abc as collections_abc
 
 import attrs
 import cattrs
@@ -14,6 +15,7 @@
 from expression import Error, Ok, Result
 
 from redwingvalve.core import findings
+from redwingvalve.documents import mending
 
 BoundType = typing.TypeVar('BoundType')
 PathParts = tuple[str | int, ...]
@@ -30,6 +32,25 @@
 
     content: BoundType
     places: 'DocumentPlaces'
+    faulty: tuple[PathParts, ...] = ()
+
+    def intact(self, *path: str | int) -> bool:
+        """Tell whether what stands at path is the document's own word.
+
+        False where it, a part of it or what holds it was faulty and blanked;
+        a check of one field against another asks this first.
+        """
+        return not any(
+            path[: len(fault)] == fault[: len(path)] for fault in self.faulty
+        )
+
+
+@attrs.frozen
+class _Fault:
+    """A finding of the binding, and the path that it spoils."""
+
+    path: PathParts
+    finding: findings.Finding
 
 
 class DocumentPlaces:
@@ -72,10 +93,22 @@
         return self.place(*path)
 
 
+Check = collections_abc.Callable[
+    [BoundDocument[typing.Any]], collections_abc.Iterable[findings.Finding]
+]
+
+
 def bind_text(
-    text: str, file_name: str, target: type[BoundType]
+    text: str,
+    file_name: str,
+    target: type[BoundType],
+    check: Check | None = None,
 ) -> Result[BoundDocument[BoundType], findings.Findings]:
-    """Bind YAML text to target, or return every finding with its place."""
+    """Bind YAML text to target, or return every finding with its place.
+
+    check adds the findings on what is bound. It is also asked when parts are
+    faulty, about the rest; see BoundDocument.intact.
+    """
     if len(text.encode()) > MAX_DOCUMENT_BYTES:
         return _single(file_name, 'the document is larger than 1 MB')
     try:
@@ -85,41 +118,78 @@
     except (yaml.YAMLError, ValueError, RecursionError) as error:
         return _single(file_name, f'this is not YAML: {error}')
     places = DocumentPlaces(file_name, root)
-    duplicates = _duplicate_keys(root, (), places)
-    if duplicates:
-        return Error(findings.Findings(tuple(duplicates)))
-    return _structure(text, places, target)
-
-
-def _structure(
-    text: str, places: DocumentPlaces, target: type[BoundType]
-) -> Result[BoundDocument[BoundType], findings.Findings]:
     try:
         plain = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError, RecursionError) as error:
-        return _single(places.place().file_name, f'this is not YAML: {error}')
+        return _single(file_name, f'this is not YAML: {error}')
     if not isinstance(plain, dict):
-        return Error(
-            findings.Findings(
-                (findings.Finding(places.place(), 'a mapping is wanted here'),)
-            )
-        )
+        return _single(file_name, 'a mapping is wanted here')
+    twice = _duplicate_keys(root, (), places)
+    return _bind_whole(plain, places, target, twice, check)
+
+
+def _bind_whole(
+    plain: dict[str, typing.Any],
+    places: DocumentPlaces,
+    target: type[BoundType],
+    twice: list[_Fault],
+    check: Check | None,
+) -> Result[BoundDocument[BoundType], findings.Findings]:
+    bound, found = _bind_plain(plain, places, target)
+    found.extend(fault.finding for fault in twice)
+    if bound is not None:
+        faulty = (*bound.faulty, *(fault.path for fault in twice))
+        bound = attrs.evolve(bound, faulty=faulty)
+        if check is not None:
+            found.extend(_findings_on_intact(bound, check))
+    if bound is None or found:
+        found.sort(key=lambda one: (one.place.line, one.place.column))
+        return Error(findings.Findings(tuple(found)))
+    return Ok(bound)
+
+
+def _bind_plain(
+    plain: dict[str, typing.Any],
+    places: DocumentPlaces,
+    target: type[BoundType],
+) -> tuple[BoundDocument[BoundType] | None, list[findings.Finding]]:
+    """Bind what can be bound, and find what cannot."""
     try:
-        content = CONVERTER.structure(plain, target)
+        return BoundDocument(CONVERTER.structure(plain, target), places), []
     except Exception as error:  # noqa: BLE001 - reported with its place
-        found = list(_walk(error, (), places))
-        return Error(findings.Findings(tuple(found)))
-    return Ok(BoundDocument(content, places))
+        faults = list(_walk(error, (), places))
+    found = [fault.finding for fault in faults]
+    paths = tuple(fault.path for fault in faults)
+    try:
+        mended = mending.mend(plain, target, paths)
+    except mending.UnmendableError:
+        return None, found
+    content = CONVERTER.structure(mended, target)
+    return BoundDocument(content, places, paths), found
+
+
+def _findings_on_intact(
+    bound: BoundDocument[typing.Any], check: Check
+) -> typing.Iterator[findings.Finding]:
+    spoilt = [_dotted_path(path) for path in bound.faulty]
+    for finding in check(bound):
+        if not any(_is_within(finding.place.path, path) for path in spoilt):
+            yield finding
+
+
+def _is_within(path: str, outer: str) -> bool:
+    return path == outer or path.startswith((f'{outer}.', f'{outer}['))
 
 
 def _walk(
     error: Exception, path: PathParts, places: DocumentPlaces
-) -> typing.Iterator[findings.Finding]:
+) -> typing.Iterator[_Fault]:
     if isinstance(error, cattrs_errors.ForbiddenExtraKeysError):
         for name in sorted(map(str, error.extra_fields)):
-            yield findings.Finding(
+            finding = findings.Finding(
                 places.key_place(*path, name), f'unknown field {name!r}'
             )
+            yield _Fault((*path, name), finding)
         return
     if isinstance(error, cattrs_errors.ClassValidationError):
         noted, bare = error.group_exceptions()
@@ -135,7 +205,8 @@
         for inner in bare:
             yield from _walk(inner, path, places)
         return
-    yield findings.Finding(places.place(*path), _explain(error, path))
+    finding = findings.Finding(places.place(*path), _explain(error, path))
+    yield _Fault(path, finding)
 
 
 def _explain(error: Exception, path: PathParts) -> str:
@@ -176,8 +247,8 @@
 
 def _duplicate_keys(
     node: yaml.Node | None, path: PathParts, places: DocumentPlaces
-) -> list[findings.Finding]:
-    found: list[findings.Finding] = []
+) -> list[_Fault]:
+    found: list[_Fault] = []
     if isinstance(node, yaml.SequenceNode):
         for index, member in enumerate(node.value):
             found.extend(_duplicate_keys(member, (*path, index), places))
@@ -195,7 +266,8 @@
                 mark.column + 1,
                 _dotted_path((*path, key)),
             )
-            found.append(findings.Finding(place, f'{key!r} stands twice'))
+            finding = findings.Finding(place, f'{key!r} stands twice')
+            found.append(_Fault((*path, key), finding))
         seen.add(key)
         found.extend(_duplicate_keys(value_node, (*path, key), places))
     return found
--- a/redwingvalve/entry/tests/test_caller_server.py
+++ b/redwingvalve/entry/tests/test_caller_server.py
@@ -118,13 +118,20 @@
     assert not early
 
 
-def test_a_stop_cuts_off_what_outlives_its_time():
-    """A request hangs for ever; the stop ends it and shows a broken body."""
-    seen = []
+@pytest.mark.parametrize('begun', [b'', b'first'])
+def test_a_stop_cuts_off_what_outlives_its_time(begun):
+    """A request hangs for ever when the entry is told to stop.
+
+    It is cancelled after its time. Its caller sees a connection that broke,
+    and no answer that the server made up without an outcome.
+    """
+    started, seen = anyio.Event(), []
 
     async def hang(scope, receive, send):
-        await send(START)
-        await send(part(b'first'))
+        if begun:
+            await send(START)
+            await send(part(begun))
+        started.set()
         try:
             await anyio.sleep_forever()
         finally:
@@ -134,14 +141,16 @@
         async with served(hang, timeout_s=0.2) as (port, stop, ended):
             async with await anyio.connect_tcp('127.0.0.1', port) as stream:
                 await stream.send(GET)
-                await read_until(stream, b'first')
+                await started.wait()
                 stop.set()
-                rest = await read_all(stream)
+                answer = await read_all(stream)
                 await ended.wait()
-                return rest
+                return answer
 
-    assert not anyio.run(scenario).endswith(LAST_CHUNK)
+    answer = anyio.run(scenario)
     assert seen == ['cancelled']
+    assert not answer.endswith(LAST_CHUNK)
+    assert answer.count(b'HTTP/1.1') == len(begun[:1])
 
 
 def test_a_cancelled_server_breaks_what_is_open():
--- a/redwingvalve/entry/uvicorn_server.py
+++ b/redwingvalve/entry/uvicorn_server.py
@@ -45,11 +45,9 @@
         stop: caller_server.Stop,
     ) -> None:
         """Serve until stop returns, then let requests in progress finish."""
-        server = _QuietServer(
-            _make_config(application, graceful_timeout_s, self._protocol)
-        )
+        server = _QuietServer(_make_config(application, self._protocol))
         async with anyio.create_task_group() as group:
-            group.start_soon(_exit_after, server, stop)
+            group.start_soon(_exit_after, server, stop, graceful_timeout_s)
             try:
                 await server.serve(sockets=[listener])
             finally:
@@ -59,7 +57,6 @@
 
 def _make_config(
     application: caller_server.Application,
-    graceful_timeout_s: float,
     protocol: type[uvicorn_protocol.CallerProtocol],
 ) -> uvicorn.Config:
     return uvicorn.Config(
@@ -78,36 +75,44 @@
         server_header=False,
         backlog=BACKLOG,
         timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=graceful_timeout_s,
     )
 
 
-async def _exit_after(server: uvicorn.Server, stop: caller_server.Stop) -> None:
+async def _exit_after(
+    server: uvicorn.Server, stop: caller_server.Stop, graceful_timeout_s: float
+) -> None:
     await stop()
     server.should_exit = True
+    # uvicorn's own timeout cancels requests, which it then answers with a
+    # text of its own, without an outcome. Told to hurry, it leaves them to us.
+    await anyio.sleep(graceful_timeout_s)
+    server.force_exit = True
 
 
 async def _end_leftovers(
     server: uvicorn.Server, listener: socket.socket
 ) -> None:
-    """Cancel what outlived its time and break its connections.
+    """Break what outlived its time, then cancel the work behind it.
 
-    uvicorn cancels these tasks without waiting for them, and leaves the
-    connections of callers that read nothing open. Symptom without this: the
-    entry ends while requests still write, with tracebacks in its log.
+    uvicorn leaves both as they are. Symptom without this: the entry ends while
+    requests still write, with tracebacks in its log. The connections go first:
+    uvicorn answers a cancelled request by itself, which callers would read.
     """
+    for listening in getattr(server, 'servers', ()):
+        listening.close()
     listener.close()
     state = server.server_state
     with anyio.CancelScope(shield=True):
+        for connection in tuple(state.connections):
+            connection.transport.abort()
+        # The loop tells a connection of its end in its next round.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
         tasks = tuple(state.tasks)
         for task in tasks:
             task.cancel()
         if tasks:
             await asyncio.wait(tasks, timeout=LAST_WORD_S)
-        for connection in tuple(state.connections):
-            connection.transport.abort()
-        # Lost connections are told so before the loop may end.
-        await asyncio.sleep(0)
 
 
 def make_uvicorn_server(
--- a/redwingvalve/settings/loader.py
+++ b/redwingvalve/settings/loader.py
@@ -4,7 +4,7 @@
 import urllib.parse
 from collections import abc as collections_abc
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from redwingvalve.core import findings, invariants
 from redwingvalve.documents import binder, files
@@ -29,13 +29,8 @@
     text: str, file_name: str
 ) -> Result[schema.Settings, findings.Findings]:
     """Check settings given as text; file_name is for the findings."""
-    bound = binder.bind_text(text, file_name, schema.Settings)
-    if bound.is_error():
-        return Error(bound.error)
-    found = tuple(_check(bound.ok))
-    if found:
-        return Error(findings.Findings(found))
-    return Ok(bound.ok.content)
+    bound = binder.bind_text(text, file_name, schema.Settings, _check)
+    return bound.map(lambda document: document.content)
 
 
 def _check(bound: Bound) -> FoundIterator:
@@ -56,7 +51,8 @@
         port = getattr(settings.listen, port_name)
         if not 0 < port <= HIGHEST_PORT:
             yield _finding(bound, f'{port} is not a port', 'listen', port_name)
-    if settings.listen.http_port == settings.listen.peer_port:
+    same = settings.listen.http_port == settings.listen.peer_port
+    if same and bound.intact('listen'):
         yield _finding(bound, 'http_port and peer_port must differ', 'listen')
 
 
@@ -102,7 +98,9 @@
         if getattr(getattr(settings, section), name) <= 0:
             yield _finding(bound, 'must be above zero', section, name)
     requests = settings.requests
-    if requests.default_deadline_s > requests.max_deadline_s:
+    if requests.default_deadline_s > requests.max_deadline_s and bound.intact(
+        'requests'
+    ):
         yield _finding(
             bound,
             'must not be above max_deadline_s',
@@ -134,7 +132,7 @@
         path = ('testing', 'disabled_safeguards', index)
         if name not in set(invariants.Safeguard):
             yield _finding(bound, f'{name!r} is no safeguard', *path)
-        if not testing.in_test:
+        if not testing.in_test and bound.intact('testing', 'in_test'):
             yield _finding(bound, 'needs testing.in_test: true', *path)
 
 
