Say in one line that an entry's port is taken; test help and completion

Cause: a taken port ended an entry with a nested traceback. Change: a ListenError that the command prints. Tests: every command's help names an example of itself, completion is asked as the shell asks.

--- a/redwingvalve/cli/daemons.py
+++ b/redwingvalve/cli/daemons.py
@@ -9,6 +9,7 @@
 
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
+from redwingvalve.entry import serving
 from redwingvalve.observability import logs
 from redwingvalve.process import control, entry
 from redwingvalve.process import parts as process_parts
@@ -52,13 +53,24 @@
             group.start_soon(_set_on_signal, stop)
             await daemon(settings, stop)
             group.cancel_scope.cancel()
-    except* process_parts.ProcessError as problems:
-        for problem in problems.exceptions:
+    except* (process_parts.ProcessError, serving.ListenError) as problems:
+        for problem in _leaves(problems):
             surroundings.stderr.write(f'{problem}\n')
         status = exit_status.ExitStatus.FAILURE
     return status
 
 
+def _leaves(
+    problems: BaseExceptionGroup[BaseException],
+) -> collections_abc.Iterator[BaseException]:
+    """Yield the problems themselves; each task group wraps them once more."""
+    for problem in problems.exceptions:
+        if isinstance(problem, BaseExceptionGroup):
+            yield from _leaves(problem)
+        else:
+            yield problem
+
+
 async def _set_on_signal(stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for received in signals:
--- a/redwingvalve/cli/tests/test_main.py
+++ b/redwingvalve/cli/tests/test_main.py
@@ -1,9 +1,14 @@
 """The command runs in-process with streams of the test's own."""
 
 import io
+import os
+import socket
+import subprocess
+import sys
 
-from redwingvalve.cli import main
+from redwingvalve.cli import commands, main
 from redwingvalve.core import clock, environment, exit_status
+from redwingvalve.entry import serving
 
 
 def run(*arguments):
@@ -30,3 +35,51 @@
 
 def test_an_unknown_command_is_a_usage_error():
     assert run('fly')[0] == exit_status.ExitStatus.USAGE
+
+
+def test_every_command_has_help_with_an_example_that_names_it(capsys):
+    for command in commands.ALL:
+        status, _, _ = run(command.name, '--help')
+        shown = capsys.readouterr().out
+        assert status == exit_status.ExitStatus.SUCCESS
+        assert f'example:\n  redwingvalve {command.name}' in shown
+
+
+def test_an_entry_whose_port_is_taken_says_so(tmp_path):
+    """No traceback: the operator reads which address, and why."""
+    with serving.bind_socket('127.0.0.1') as taken, socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        ports = [one.getsockname()[1] for one in (taken, free)]
+        settings = tmp_path / 'entry.yaml'
+        settings.write_text(
+            'node: {name: e1, data_centre: a, region: r}\n'
+            f'listen: {{http_port: {ports[0]}, peer_port: {ports[1]}}}\n'
+            'platform: {object_api_url: "http://127.0.0.1:9"}\n'
+        )
+        free.close()
+        status, _, errors = run('entry', str(settings))
+    assert status == exit_status.ExitStatus.FAILURE
+    said = [line for line in errors.splitlines() if not line.startswith('{')]
+    assert len(said) == 1
+    assert said[0].startswith(f'127.0.0.1:{ports[0]} cannot be listened on')
+
+
+def test_completion_offers_the_commands(tmp_path):
+    """argcomplete asks the program itself, as the shell's hook does."""
+    offered = tmp_path / 'offered'
+    line = 'redwingvalve d'
+    asked = {
+        '_ARGCOMPLETE': '1',
+        '_ARGCOMPLETE_SHELL': 'bash',
+        '_ARGCOMPLETE_STDOUT_FILENAME': str(offered),
+        '_ARGCOMPLETE_COMP_WORDBREAKS': ' ',
+        'COMP_LINE': line,
+        'COMP_POINT': str(len(line)),
+        'COMP_TYPE': '9',
+    }
+    subprocess.run(
+        [sys.executable, '-m', 'redwingvalve'],
+        env={**os.environ, **asked},
+        check=True,
+    )
+    assert set(offered.read_text().split('\x0b')) >= {'drain', 'describe'}
--- a/redwingvalve/entry/serving.py
+++ b/redwingvalve/entry/serving.py
@@ -7,6 +7,10 @@
 FD_PREFIX = 'fd://'
 
 
+class ListenError(Exception):
+    """An address cannot be listened on; the message is for the operator."""
+
+
 async def serve(
     application: caller_server.Application,
     bind: str,
@@ -16,7 +20,7 @@
 ) -> None:
     """Serve until stop returns, then let requests in progress finish.
 
-    bind is host:port or fd://N; OSError when the address is taken.
+    bind is host:port or fd://N; ListenError when the address is taken.
     """
     chosen = server or uvicorn_server.make_uvicorn_server()
     await chosen.serve(
@@ -37,7 +41,10 @@
     if bind.startswith(FD_PREFIX):
         return socket.socket(fileno=int(bind.removeprefix(FD_PREFIX)))
     host, _, port = bind.rpartition(':')
-    return bind_socket(host.strip('[]'), int(port))
+    try:
+        return bind_socket(host.strip('[]'), int(port))
+    except OSError as error:
+        raise ListenError(f'{bind} cannot be listened on: {error}') from error
 
 
 def _family(host: str) -> socket.AddressFamily:
