--- a/redwingvalve/bench/relay_cost.py
+++ b/redwingvalve/bench/relay_cost.py
@@ -93,7 +93,12 @@
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            # Kept connections end with the run; asyncio would log each.
+            asyncio.CancelledError,
+        ):
             while True:
                 await self._answer_one(reader, writer)
         writer.close()
