Tell the end of an answer from a caller that has hung up

Cause: the server says disconnect after each answer too; every whole answer's span said that its caller had gone, and what the entry does after an answer could be cut off. Ruled out: claims were never lost, their report is shielded. Change: a finished answer is no hang-up. The new test fails on the old code.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -151,9 +151,12 @@
         if isinstance(work, outcomes.ErrorAnswer):
             await responds.send_error(work)
             return
-        await _run_until_gone(
-            receive, span, self._run_work, work, responds, span
-        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                _cancel_when_gone, receive, group.cancel_scope, responds, span
+            )
+            await self._run_work(work, responds, span)
+            group.cancel_scope.cancel()
 
     async def _run_work(
         self, work: 'Work', responds: responder.Responder, span: trace.Span
@@ -255,25 +258,22 @@
     body: bytes
 
 
-async def _run_until_gone(
+async def _cancel_when_gone(
     receive: caller.Receive,
+    scope: anyio.CancelScope,
+    responds: responder.Responder,
     span: trace.Span,
-    run: collections_abc.Callable[..., collections_abc.Awaitable[None]],
-    *arguments: typing.Any,
 ) -> None:
-    """Run; when the caller hangs up, cancel it and free its tokens."""
-    async with anyio.create_task_group() as group:
-        group.start_soon(_cancel_when_gone, receive, group.cancel_scope, span)
-        await run(*arguments)
-        group.cancel_scope.cancel()
+    """Cancel the work of a caller that hangs up, and free its tokens.
 
-
-async def _cancel_when_gone(
-    receive: caller.Receive, scope: anyio.CancelScope, span: trace.Span
-) -> None:
+    Servers say the same at the end of an answer. Its caller has not gone, and
+    what is done after the answer must not be cut off.
+    """
     message = await receive()
     while message['type'] != 'http.disconnect':
         message = await receive()
+    if responds.finished:
+        return
     span.add_event('caller gone')
     scope.cancel()
 
--- a/redwingvalve/entry/tests/test_caller_server.py
+++ b/redwingvalve/entry/tests/test_caller_server.py
@@ -5,6 +5,9 @@
 
 import anyio
 import pytest
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
 from redwingvalve.entry import (
     app,
@@ -14,12 +17,15 @@
     uvicorn_server,
 )
 from redwingvalve.entry.tests import fakes
+from redwingvalve.observability import tracing
 from redwingvalve.settings import schema
 
 GUARD_S = 30
 PATIENCE_S = 20
 START = {'type': 'http.response.start', 'status': 200, 'headers': []}
 GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
+POST = b'POST / HTTP/1.1\r\nhost: x\r\n'
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
 ASK = json.dumps(
     {'model': 'quotes', 'messages': [{'role': 'user'}], 'stream': True}
@@ -61,6 +67,16 @@
             stop.set()
 
 
+@contextlib.asynccontextmanager
+async def connected(application, **options):
+    """Serve one connection; give it, the stop event and that of the end."""
+    async with (
+        served(application, **options) as (port, stop, ended),
+        await anyio.connect_tcp('127.0.0.1', port) as stream,
+    ):
+        yield stream, stop, ended
+
+
 async def read_all(stream):
     """Read to the end; a reset counts as one."""
     parts = []
@@ -138,14 +154,13 @@
             seen.append('cancelled')
 
     async def scenario():
-        async with served(hang, timeout_s=0.2) as (port, stop, ended):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                await started.wait()
-                stop.set()
-                answer = await read_all(stream)
-                await ended.wait()
-                return answer
+        async with connected(hang, timeout_s=0.2) as (stream, stop, ended):
+            await stream.send(GET)
+            await started.wait()
+            stop.set()
+            answer = await read_all(stream)
+            await ended.wait()
+            return answer
 
     answer = anyio.run(scenario)
     assert seen == ['cancelled']
@@ -211,14 +226,42 @@
     assert engines.cancelled == [engines.sent[0].request_id]
 
 
-def make_entry(engines, script, **settings):
+def test_the_end_of_an_answer_is_not_a_caller_that_hung_up():
+    """The server says disconnect after each answer, also when it is whole."""
+    exporter = in_memory_span_exporter.InMemorySpanExporter()
+    provider = sdk_trace.TracerProvider()
+    provider.add_span_processor(export.SimpleSpanProcessor(exporter))
+    entry = make_entry(
+        fakes.Engines(), fakes.streaming(), traced=tracing.Tracing(provider)
+    )
+
+    async def scenario():
+        async with connected(entry) as (stream, _, _):
+            for _ in range(5):
+                await stream.send(ask())
+                await read_until(stream, LAST_CHUNK)
+
+    anyio.run(scenario)
+    ended = [
+        span
+        for span in exporter.get_finished_spans()
+        if span.name == 'entry request'
+    ]
+    assert len(ended) == 5
+    said = [event.name for span in ended for event in span.events]
+    assert 'caller gone' not in said
+
+
+def make_entry(engines, script, traced=None, **settings):
     replica = fakes.replica('r1')
+    changes = {} if traced is None else {'tracing': traced}
     engines.scripts[replica.members[0].address] = script
     return app.make_entry_app(
         fakes.make_parts(
             engines,
             source=fakes.Source(fakes.make_snapshot(replicas=(replica,))),
             settings=schema.RequestSettings(**settings),
+            **changes,
         )
     )
 
@@ -248,19 +291,18 @@
         await send(part(b'', more=False))
 
     async def scenario():
-        async with served(flood) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                before = -1
-                while before != len(written):
-                    before = len(written)
-                    await anyio.sleep(0.3)
-                held = before
-                size = 0
-                while len(written) < 4096:
-                    size += len(await stream.receive())
-                size += len(await read_until(stream, LAST_CHUNK))
-                return held, size
+        async with connected(flood) as (stream, _, _):
+            await stream.send(GET)
+            before = -1
+            while before != len(written):
+                before = len(written)
+                await anyio.sleep(0.3)
+            held = before
+            size = 0
+            while len(written) < 4096:
+                size += len(await stream.receive())
+            size += len(await read_until(stream, LAST_CHUNK))
+            return held, size
 
     held, size = anyio.run(scenario)
     assert 0 < held < 1024
@@ -282,10 +324,9 @@
     entry = make_entry(fakes.Engines(), None, max_body_bytes=1000)
 
     async def scenario():
-        async with served(entry) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(request_bytes)
-                return await read_until(stream, b'}}')
+        async with connected(entry) as (stream, _, _):
+            await stream.send(request_bytes)
+            return await read_until(stream, b'}}')
 
     answer = anyio.run(scenario)
     assert answer.startswith(b'HTTP/1.1 413 ')
@@ -302,10 +343,8 @@
         b'GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n',
         b'GET / HTTP/1.1\r\nhost x\r\n\r\n',
         b'GET / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n',
-        b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n'
-        b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n',
-        b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
-        b'zz\r\n',
+        POST + b'content-length: 2\r\n' + CHUNKED + b'0\r\n\r\n',
+        POST + CHUNKED + b'zz\r\n',
     ],
 )
 def test_bytes_that_are_no_request_get_an_error(request_bytes):
@@ -341,12 +380,11 @@
         await anyio.sleep_forever()
 
     async def scenario():
-        async with served(halfway, timeout_s=0.2) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                begun = await read_until(stream, b'first')
-                await stream.send(b'\x00 nonsense\r\n\r\n')
-                return begun + await read_all(stream)
+        async with connected(halfway, timeout_s=0.2) as (stream, _, _):
+            await stream.send(GET)
+            begun = await read_until(stream, b'first')
+            await stream.send(b'\x00 nonsense\r\n\r\n')
+            return begun + await read_all(stream)
 
     answer = anyio.run(scenario)
     assert answer.count(b'HTTP/1.1') == 1
@@ -358,11 +396,10 @@
     """Callers connect and say nothing, or half a head; both are closed."""
 
     async def scenario():
-        async with served(hello, head_timeout_s=0.1) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                if dribble:
-                    await stream.send(dribble)
-                return await read_all(stream)
+        async with connected(hello, head_timeout_s=0.1) as (stream, _, _):
+            if dribble:
+                await stream.send(dribble)
+            return await read_all(stream)
 
     assert anyio.run(scenario) == b''
 
@@ -377,23 +414,21 @@
         await send(part(b'hello', more=False))
 
     async def scenario():
-        async with served(slow_hello, head_timeout_s=0.1) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                return await read_until(stream, LAST_CHUNK)
+        async with connected(slow_hello, head_timeout_s=0.1) as (stream, _, _):
+            await stream.send(GET)
+            return await read_until(stream, LAST_CHUNK)
 
     assert b'hello' in anyio.run(scenario)
 
 
 def test_a_head_above_its_bound_is_refused():
     async def scenario():
-        async with served(hello) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(b'GET / HTTP/1.1\r\nx-long: ')
-                for _ in range(3):
-                    await stream.send(b'x' * 8192)
-                    await anyio.sleep(0.01)
-                return await read_until(stream, b'}}')
+        async with connected(hello) as (stream, _, _):
+            await stream.send(b'GET / HTTP/1.1\r\nx-long: ')
+            for _ in range(3):
+                await stream.send(b'x' * 8192)
+                await anyio.sleep(0.01)
+            return await read_until(stream, b'}}')
 
     assert anyio.run(scenario).startswith(b'HTTP/1.1 431 ')
 
@@ -402,15 +437,14 @@
     """Also when the second one comes in pieces, after empty lines."""
 
     async def scenario():
-        async with served(hello) as (port, _, _):
-            async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                answers = []
-                for pieces in ([GET], [b'\r\n', GET[:9], GET[9:]]):
-                    for piece in pieces:
-                        await stream.send(piece)
-                        await anyio.sleep(0.01)
-                    answers.append(await read_until(stream, LAST_CHUNK))
-                return answers
+        async with connected(hello) as (stream, _, _):
+            answers = []
+            for pieces in ([GET], [b'\r\n', GET[:9], GET[9:]]):
+                for piece in pieces:
+                    await stream.send(piece)
+                    await anyio.sleep(0.01)
+                answers.append(await read_until(stream, LAST_CHUNK))
+            return answers
 
     answers = anyio.run(scenario)
     assert [answer.count(b'hello') for answer in answers] == [1, 1]
