--- a/redwingvalve/administration/server.py
+++ b/redwingvalve/administration/server.py
@@ -35,9 +35,13 @@
     stop: http_server.Stop,
     reloading: contexts.ReloadingContext | None = None,
 ) -> None:
-    """Serve until stop returns, then let calls in progress finish."""
+    """Serve until stop returns, then let calls in progress finish.
+
+    ListenError when the address is taken.
+    """
+    listener = http_server.open_listener(host, port)
     config = _ApiConfig()
-    config.bind = [f'{host}:{port}']
+    config.bind = [f'fd://{listener.detach()}']
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.include_server_header = False
     config.errorlog = None
--- a/redwingvalve/cli/daemons.py
+++ b/redwingvalve/cli/daemons.py
@@ -8,8 +8,7 @@
 import anyio
 
 from redwingvalve.cli import options
-from redwingvalve.core import environment, exit_status
-from redwingvalve.entry import serving
+from redwingvalve.core import environment, exit_status, http_server
 from redwingvalve.observability import logs
 from redwingvalve.process import control, entry
 from redwingvalve.process import parts as process_parts
@@ -53,7 +52,7 @@
             group.start_soon(_set_on_signal, stop)
             await daemon(settings, stop)
             group.cancel_scope.cancel()
-    except* (process_parts.ProcessError, serving.ListenError) as problems:
+    except* (process_parts.ProcessError, http_server.ListenError) as problems:
         for problem in _leaves(problems):
             surroundings.stderr.write(f'{problem}\n')
         status = exit_status.ExitStatus.FAILURE
--- a/redwingvalve/cli/tests/test_main.py
+++ b/redwingvalve/cli/tests/test_main.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from redwingvalve.cli import commands, main
 from redwingvalve.core import clock, environment, exit_status
 from redwingvalve.entry import serving
@@ -45,7 +47,8 @@
         assert f'example:\n  redwingvalve {command.name}' in shown
 
 
-def test_an_entry_whose_port_is_taken_says_so(tmp_path):
+@pytest.mark.parametrize('daemon', ['entry', 'control'])
+def test_a_daemon_whose_port_is_taken_says_so(daemon, tmp_path):
     """No traceback: the operator reads which address, and why."""
     with serving.bind_socket('127.0.0.1') as taken, socket.socket() as free:
         free.bind(('127.0.0.1', 0))
@@ -57,7 +60,7 @@
             'platform: {object_api_url: "http://127.0.0.1:9"}\n'
         )
         free.close()
-        status, _, errors = run('entry', str(settings))
+        status, _, errors = run(daemon, str(settings))
     assert status == exit_status.ExitStatus.FAILURE
     said = [line for line in errors.splitlines() if not line.startswith('{')]
     assert len(said) == 1
--- a/redwingvalve/core/http_server.py
+++ b/redwingvalve/core/http_server.py
@@ -1,6 +1,7 @@
-"""Serves ASGI applications with hypercorn, and lets a cancellation through."""
+"""Listening sockets, and hypercorn with cancellations let through."""
 
 import asyncio
+import socket
 import typing
 from collections import abc as collections_abc
 
@@ -11,6 +12,26 @@
 Stop = collections_abc.Callable[[], collections_abc.Awaitable[None]]
 
 
+class ListenError(Exception):
+    """An address cannot be listened on; the message is for the operator."""
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket; ListenError when the address is taken."""
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        raise ListenError(
+            f'{host}:{port} cannot be listened on: {error}'
+        ) from error
+    listener.listen()
+    return listener
+
+
 async def serve(
     application: typing.Any, config: hypercorn.config.Config, stop: Stop
 ) -> None:
--- a/redwingvalve/entry/serving.py
+++ b/redwingvalve/entry/serving.py
@@ -2,15 +2,12 @@
 
 import socket
 
+from redwingvalve.core import http_server
 from redwingvalve.entry import caller_server, uvicorn_server
 
 FD_PREFIX = 'fd://'
 
 
-class ListenError(Exception):
-    """An address cannot be listened on; the message is for the operator."""
-
-
 async def serve(
     application: caller_server.Application,
     bind: str,
@@ -30,22 +27,11 @@
 
 def bind_socket(host: str, port: int = 0) -> socket.socket:
     """Return a listening socket; port 0 takes a free one."""
-    listener = socket.socket(_family(host))
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen()
-    return listener
+    return http_server.open_listener(host, port)
 
 
 def _open_listener(bind: str) -> socket.socket:
     if bind.startswith(FD_PREFIX):
         return socket.socket(fileno=int(bind.removeprefix(FD_PREFIX)))
     host, _, port = bind.rpartition(':')
-    try:
-        return bind_socket(host.strip('[]'), int(port))
-    except OSError as error:
-        raise ListenError(f'{bind} cannot be listened on: {error}') from error
-
-
-def _family(host: str) -> socket.AddressFamily:
-    return socket.AF_INET6 if ':' in host else socket.AF_INET
+    return bind_socket(host.strip('[]'), int(port))
