--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -1,5 +1,7 @@
 """Carries requests to plain services."""
 
+import contextlib
+import functools
 import itertools
 from collections import abc as collections_abc
 
@@ -9,7 +11,17 @@
 
 from redwingvalve.core import outcomes
 from redwingvalve.declaration import schema
-from redwingvalve.entry import answer_check, caller, parts, responder, upstream
+from redwingvalve.entry import (
+    answer_check,
+    caller,
+    parts,
+    responder,
+    service_queue,
+    service_suspects,
+    suspects,
+    upstream,
+)
+from redwingvalve.poison import channel
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
@@ -46,6 +58,7 @@
     """A request for a plain service."""
 
     head: caller.CallerHead
+    account: schema.ClientAccount
     service: schema.PlainService
     body: bytes
 
@@ -85,11 +98,21 @@
 
     def __init__(self, entry_parts: parts.EntryParts) -> None:
         """Carry requests with entry_parts."""
+        self._suspects = suspects.SuspectGate(
+            entry_parts.members,
+            entry_parts.news,
+            entry_parts.clock,
+            entry_parts.switches,
+            channel.SERVICE_KEY,
+        )
         self._parts = entry_parts
         self._numbers = itertools.count(1)
         self._in_flight: dict[str, int] = {}
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}-s'
+        self._queue = service_queue.make_service_queue(
+            entry_parts.members, entry_parts.clock
+        )
 
     async def run(
         self,
@@ -98,30 +121,86 @@
         span: trace.Span,
         may_send: parts.MaySend | None,
     ) -> None:
-        """Answer the request by its deadline."""
+        """Answer the request by its deadline, or refuse it early."""
+        async with self._queue.turn(
+            request.head, request.account, request.service
+        ) as turn:
+            refusal = turn.error if turn.is_error() else None
+            if refusal is None:
+                refusal = await self._send_watched(
+                    request, responds, span, may_send or _always
+                )
+        if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
+            await responds.send_error(refusal)
+
+    async def _send_watched(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+    ) -> outcomes.ErrorAnswer | None:
+        # Asked after the wait for a turn: what waited may have become suspect
+        # meanwhile.
+        with contextlib.closing(self._watch(request)) as watched:
+            return watched.refusal() or await self._send_until_whole(
+                request, responds, span, may_send, watched
+            )
+
+    async def _send_until_whole(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+        watched: service_suspects.WatchedCall,
+    ) -> outcomes.ErrorAnswer | None:
         tried: set[str] = set()
         refusal = _busy()
-        may_send = may_send or _always
-        address = self._choose(request.service, tried)
+        address = self._choose(request.service, tried, watched)
         while address is not None and may_send():
             tried.add(address)
-            failure = await self._send(request, address, responds, span)
+            failure = await watched.send(
+                address,
+                functools.partial(self._send, request, address, responds, span),
+            )
             if failure is None:
-                return
+                return None
             span.add_event('send failed', {'why': str(failure)})
+            suspected = watched.refusal_after(responds.outcome)
+            if suspected is not None:
+                return suspected
             refusal = _failed(failure, refusal)
             address = None
             if failure.surely_not_run or request.idempotent:
-                address = self._choose(request.service, tried)
-        await responds.send_error(refusal)
+                address = self._choose(request.service, tried, watched)
+        return refusal
+
+    def _watch(self, request: ServiceRequest) -> service_suspects.WatchedCall:
+        head = request.head
+        return service_suspects.make_watched_call(
+            self._suspects,
+            request.service.addresses,
+            request.service.name.encode(),
+            head.method.encode(),
+            head.path.encode(),
+            head.query.encode(),
+            request.body,
+        )
 
     def _choose(
-        self, service: schema.PlainService, tried: set[str]
+        self,
+        service: schema.PlainService,
+        tried: set[str],
+        watched: service_suspects.WatchedCall,
     ) -> str | None:
+        allowed = watched.allowed()
         free = [
             address
             for address in service.addresses
             if address not in tried
+            and address in allowed
             and self._in_flight.get(address, 0)
             < service.max_in_flight_per_address
         ]
@@ -187,7 +266,7 @@
                 _passed_headers(answer.headers, ('content-type',)),
             )
             return
-        raise upstream.UpstreamError(
+        raise service_suspects.AnsweredError(
             'no answer by the timeout', surely_not_run=False
         )
 
@@ -238,7 +317,7 @@
                 answer.headers, identity, self._parts.switches
             )
         except answer_check.WrongAnswerError as error:
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 str(error), surely_not_run=False
             ) from error
         body = b''.join([chunk async for chunk in answer.chunks])
@@ -249,7 +328,7 @@
             and framed.isdisjoint(dict(answer.headers))
         ):
             # Without a length, a body that was cut off ends like a whole one.
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 'the end of the body cannot be told', surely_not_run=False
             )
         return body
