--- a/redwingvalve/entry/serving.py
+++ b/redwingvalve/entry/serving.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from redwingvalve.core import http_server
 from redwingvalve.entry import caller_server, uvicorn_server
 
 FD_PREFIX = 'fd://'
@@ -16,7 +17,7 @@
 ) -> None:
     """Serve until stop returns, then let requests in progress finish.
 
-    bind is host:port or fd://N; OSError when the address is taken.
+    bind is host:port or fd://N; ListenError when the address is taken.
     """
     chosen = server or uvicorn_server.make_uvicorn_server()
     await chosen.serve(
@@ -26,11 +27,7 @@
 
 def bind_socket(host: str, port: int = 0) -> socket.socket:
     """Return a listening socket; port 0 takes a free one."""
-    listener = socket.socket(_family(host))
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen()
-    return listener
+    return http_server.open_listener(host, port)
 
 
 def _open_listener(bind: str) -> socket.socket:
@@ -38,7 +35,3 @@
         return socket.socket(fileno=int(bind.removeprefix(FD_PREFIX)))
     host, _, port = bind.rpartition(':')
     return bind_socket(host.strip('[]'), int(port))
-
-
-def _family(host: str) -> socket.AddressFamily:
-    return socket.AF_INET6 if ':' in host else socket.AF_INET
