Let lenders choose different borrowers, so that none is left out

Ruled out: more grants in a report (bytes). Change: a lender chooses eight by hashing and lends by what all lack.

--- a/redwingvalve/limits/shares.py
+++ b/redwingvalve/limits/shares.py
@@ -24,6 +24,7 @@
 import collections
 import math
 import typing
+import zlib
 from collections import abc as collections_abc
 
 import attrs
@@ -176,15 +177,27 @@
                 unmet[report.entry] = missing
             else:
                 all_surplus -= missing
-        largest = sorted(unmet, key=unmet.__getitem__, reverse=True)
-        largest = largest[: self._settings.max_borrowers]
-        total = math.fsum(unmet[entry] for entry in largest)
+        chosen = self._chosen(unmet)
+        total = math.fsum(unmet[entry] for entry in chosen)
         if total <= 0:
             return {}
         # All lenders give the same part of their surplus, and no more than
-        # is asked for.
-        lent = surplus * min(1.0, total / all_surplus)
-        return {entry: lent * unmet[entry] / total for entry in largest}
+        # is asked for by all borrowers, chosen here or elsewhere.
+        lent = surplus * min(1.0, math.fsum(unmet.values()) / all_surplus)
+        return {entry: lent * unmet[entry] / total for entry in chosen}
+
+    def _chosen(
+        self, unmet: collections_abc.Mapping[str, float]
+    ) -> collections_abc.Sequence[str]:
+        """Return the borrowers that this entry lends to.
+
+        Were all lenders to choose the largest, 72 borrowers of a region would
+        leave 64 with nothing; each lender chooses others.
+        """
+        return sorted(unmet, key=self._rank)[: self._settings.max_borrowers]
+
+    def _rank(self, entry: str) -> int:
+        return zlib.crc32(f'{self._entry}/{entry}'.encode())
 
     def _fit(
         self, wanted: dict[str, float], equal_part: float, now_s: float
--- a/redwingvalve/limits/tests/test_shares.py
+++ b/redwingvalve/limits/tests/test_shares.py
@@ -153,3 +153,35 @@
     assert 1 <= waits.count(0.0) <= LIMIT / 4 / 50 + 1
     assert 0 < waits[-1] <= 8
     assert limits.ask('unlimited', 10**9, fleet.now_s) == 0
+
+
+def test_more_borrowers_than_a_lender_names_all_get_a_share():
+    """An account is used in a region of 20 of 60 entries.
+
+    A lender names eight; were all to name the same, twelve entries would
+    refuse callers although the account is far below its limit.
+    """
+    names = tuple(f'e{index}' for index in range(60))
+    entries = {name: account_limits.make_account_limits(name) for name in names}
+    busy, demand = names[:20], LIMIT * 0.6 / 20
+    bodies = {}
+    for turn in range(24):
+        now_s = turn * STEP_S
+        for name, limits in entries.items():
+            limits.replace_limits({'a': LIMIT})
+            if name in busy:
+                limits.ask('a', demand * STEP_S, now_s)
+        bodies = {
+            name: limits.update(
+                names,
+                [(other, body, 0.1) for other, body in bodies.items()],
+                now_s,
+            )
+            for name, limits in entries.items()
+        }
+    shares = {
+        name: limits.usable_per_s('a', now_s)
+        for name, limits in entries.items()
+    }
+    assert min(shares[name] for name in busy) > 0.8 * demand
+    assert sum(shares.values()) <= LIMIT * 1.00001
