--- a/redwingvalve/evidence/entry_witness.py
+++ b/redwingvalve/evidence/entry_witness.py
@@ -10,7 +10,9 @@
 from redwingvalve.replicas import witness
 
 READ_EVERY_S = 0.5
-VOUCHED_AGE_S = 1.2
+# Entries see a VM each second. After this age, a step of the controller (0.5 s)
+# and its probe's timeout (0.5 s) a lost VM is decided on 2.5 s after its loss.
+VOUCHED_AGE_S = 1.5
 
 
 class NewsWitness(witness.Witness):
@@ -45,7 +47,7 @@
     ) -> bool:
         """Tell whether an entry saw the VM ready in this epoch just now.
 
-        Half of the usual age: once the sightings stop, this process has to
+        Less than the usual age: once the sightings stop, this process has to
         probe by itself in time to decide within 3 s of the loss.
         """
         self._refresh(now_s)
