--- a/redwingvalve/at_most_once/voter.py
+++ b/redwingvalve/at_most_once/voter.py
@@ -1,6 +1,7 @@
 """One entry's own vote on request keys, and what others may ask of it."""
 
 import itertools
+from collections import abc as collections_abc
 
 from redwingvalve.at_most_once import keys, ledger, messages, roster
 from redwingvalve.core import clock, invariants, outcomes
@@ -57,7 +58,11 @@
         ):
             why_not = 'the voters of the key are changing'
         if why_not:
-            return messages.Vote(messages.Verdict.UNKNOWN, reason=why_not)
+            return messages.Vote(
+                messages.Verdict.UNKNOWN,
+                reason=why_not,
+                wait_s=self.roster.wait_s(now_s),
+            )
         return self._chosen.vote(claim, now_s)
 
     def report(self, claim: messages.Claim, outcome: outcomes.Outcome) -> None:
@@ -67,21 +72,27 @@
             remembered = self._issued
         remembered.report(claim, outcome, self._clock.monotonic_s())
 
-    def copy(self, names: tuple[str, ...]) -> messages.Copy:
-        """Return all claims; from now on names count as entries here too."""
+    def copy(self, names: tuple[str, ...], after: int) -> messages.Copy:
+        """Return claims numbered after; names count as voters from now on."""
         now_s = self._clock.monotonic_s()
         self.roster.introduce(names, now_s)
+        page = self._chosen.page(after, now_s)
         return messages.Copy(
-            claims=self._chosen.copy(now_s),
+            claims=tuple((granted.claim, granted.outcome) for granted in page),
             names=tuple(sorted(self.roster.names)),
             whole=self.roster.is_whole(now_s),
+            complete=self.roster.is_complete(now_s),
+            incarnation=self.myself.incarnation,
+            reached=page[-1].number if page else after,
+            more=len(page) == ledger.PAGE_CLAIMS,
         )
 
     def learn(self, name: str, copied: messages.Copy) -> None:
-        """Take another voter's claims in."""
+        """Take a page of another voter's claims in."""
         now_s = self._clock.monotonic_s()
         self._chosen.learn(copied.claims, now_s)
-        self.roster.learned_from(name, copied.names, now_s, whole=copied.whole)
+        if not copied.more:
+            self.roster.learned_from(name, copied, now_s)
 
     def remembered(self) -> int:
         """Return how many claims are kept."""
@@ -112,9 +123,11 @@
     switches: invariants.SafeguardSwitches,
     *,
     first_start: bool,
+    names: collections_abc.Iterable[str] = (),
     alone: bool = False,
+    resend_s: float = ledger.MEMORY_S,
 ) -> Voter:
-    """Return the voter of a starting entry; see roster.Roster."""
+    """Return the voter of a starting process; see roster.Roster."""
     return Voter(
         myself,
         voter_clock,
@@ -122,7 +135,9 @@
             myself.name,
             voter_clock.monotonic_s(),
             first_start=first_start,
+            names=names,
             alone=alone,
+            resend_s=resend_s,
         ),
         switches,
     )
--- a/redwingvalve/standins/tests/test_engine.py
+++ b/redwingvalve/standins/tests/test_engine.py
@@ -247,6 +247,25 @@
     )
 
 
+def test_what_waited_at_a_paused_head_counts_from_its_arrival():
+    """An entry sends to a paused head, whose worker died just before.
+
+    The request runs when the pause ends, long after the death. The entry had
+    no time to learn of it; one that sends that late itself is still found.
+    """
+
+    async def scenario(client, host):
+        head = host.engines['vm-0']
+        gone_s = 60.0
+        head.missing = lambda: engine.Missing(gone_s, by_fault=True)
+        now_s = time.monotonic()
+        assert head.missing_at(now_s - 59.9) < 0.2
+        assert head.missing_at(now_s - 61.0) == 0.0
+        assert head.missing_at(now_s) > 3.0
+
+    run_with_engine(scenario)
+
+
 def test_a_head_vouches_for_the_members_that_take_part_in_its_epoch():
     """A probe of the head shows its members; one that is lost or has been
     given to another replica is no longer named."""
@@ -278,22 +297,3 @@
             assert not seen()
 
     anyio.run(scenario)
-
-
-def test_what_waited_at_a_paused_head_counts_from_its_arrival():
-    """An entry sends to a paused head, whose worker died just before.
-
-    The request runs when the pause ends, long after the death. The entry had
-    no time to learn of it; one that sends that late itself is still found.
-    """
-
-    async def scenario(client, host):
-        head = host.engines['vm-0']
-        gone_s = 60.0
-        head.missing = lambda: engine.Missing(gone_s, by_fault=True)
-        now_s = time.monotonic()
-        assert head.missing_at(now_s - 59.9) < 0.2
-        assert head.missing_at(now_s - 61.0) == 0.0
-        assert head.missing_at(now_s) > 3.0
-
-    run_with_engine(scenario)
