--- a/redwingvalve/bench/peer_fleet.py
+++ b/redwingvalve/bench/peer_fleet.py
@@ -88,6 +88,14 @@
             await closed.server.aclose(grace_s=0.0)
             closed.caller.close_idle()
 
+    def holder_in(self, region: str) -> node.PeerNode:
+        """Return a process of a region."""
+        return next(
+            each
+            for each in self.nodes
+            if each.members.myself().region == region
+        )
+
     async def bring_back(self, gone: list[members.Member]) -> None:
         """Start processes of the same names again, all at once."""
         contact = f'{HOST}:{self.nodes[0].server.port}'
