Pool spares between domains; declare failure figures; time decisions

Cause: the advised spares (one a domain) healed single VMs only, and on a lost rack were no better than none; failure rates and repair times were constants. Ruled out: a share of spares in every domain (six VMs insure less than one set of four that any domain may use). The bench runs allocation and moves; the fake fleet finds an engine by name at once; domains at rest are stepped less often.

--- a/redwingvalve/bench/replicas.py
+++ b/redwingvalve/bench/replicas.py
@@ -22,13 +22,17 @@
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
 USERS = ('lonestar', 'tapiceria')
-REPAIR_S = 600.0
-DARK_S = 1800.0
-RACK_VMS = 8
+FIGURES = schema.FailureFigures()
+REPAIR_S = FIGURES.vm_repair_time_s
+RACK_REPAIR_S = FIGURES.rack_repair_time_s
+DARK_S = FIGURES.domain_repair_time_s
+RACK_VMS = FIGURES.rack_vms
 DAY_S = 86400.0
+LONGEST_CHANGE_S = 14400.0
 WARM_UP_S = 20.0
-FAILURES_A_DAY = 47 / 9600
-RESTARTS_A_DAY = 650 / 9600
+OUTAGES_PER_VM_DAY = (
+    FIGURES.vm_failures_per_vm_day + FIGURES.vm_restarts_per_vm_day
+)
 DOMAIN_VMS = 64
 
 Fleet = replicas_fleet.BenchFleet
@@ -36,8 +40,8 @@
 STRATEGIES = (
     Strategy('redwingvalve'),
     Strategy('no spares', spares_per_domain=0),
+    Strategy('one spare a domain', spares_per_domain=1),
     Strategy('one spare a replica', spares_per_domain=10),
-    Strategy('room for a replica', spares_per_domain=4),
     Strategy('rebuild in place', spares_per_domain=0, heal_from_spares=False),
 )
 
@@ -54,6 +58,7 @@
     stranded_s: float
     price: float
     whole_again_s: float
+    decided_after_s: float
 
 
 Scenario = collections_abc.Callable[
@@ -74,7 +79,7 @@
     domain = chance.choice(fleet.domains())
     names = [vm.name for vm in domain.vms]
     first = chance.randrange(len(names) - RACK_VMS)
-    return await _lose(fleet, names[first : first + RACK_VMS], REPAIR_S)
+    return await _lose(fleet, names[first : first + RACK_VMS], RACK_REPAIR_S)
 
 
 async def domain_dark(fleet: Fleet, chance: random.Random) -> float:
@@ -94,7 +99,7 @@
 async def day_of_failures(fleet: Fleet, chance: random.Random) -> float:
     """Fail and restart VMs for 24 hours at the letter's rate a VM."""
     names = [engine.vm.name for engine in fleet.fleet.engines.values()]
-    rate = (FAILURES_A_DAY + RESTARTS_A_DAY) * len(names) / DAY_S
+    rate = OUTAGES_PER_VM_DAY * len(names) / DAY_S
     began_s = fleet.clock.monotonic_s()
     next_s = chance.expovariate(rate)
     while next_s < DAY_S:
@@ -110,8 +115,9 @@
 
 async def rolling_change(fleet: Fleet, chance: random.Random) -> float:
     """Declare another version and wait until all replicas serve it."""
-    fleet.deployment = attrs.evolve(fleet.deployment, version='next')
-    return await fleet.settle(4 * 3600.0)
+    await fleet.declare(attrs.evolve(fleet.deployment, version='next'))
+    fleet.step_s = replicas_fleet.COARSE_STEP_S
+    return await fleet.settle(LONGEST_CHANGE_S)
 
 
 SCENARIOS = types.MappingProxyType(
@@ -129,6 +135,7 @@
 async def _lose(fleet: Fleet, names: list[str], repair_s: float) -> float:
     """Lose VMs that come back empty after repair_s; settle both times."""
     began_s = fleet.clock.monotonic_s()
+    fleet.lose()
     for name in names:
         fleet.fleet.engine(name).alive = False
     whole_s = await fleet.settle(repair_s)
@@ -172,11 +179,12 @@
         user=user,
         scenario=scenario,
         strategy=strategy.name,
-        spares=fleet.spares_per_domain * len(fleet.names),
+        spares=fleet.spares,
         downtime_s=fleet.totals.downtime_s,
         stranded_s=fleet.totals.stranded_s,
         price=fleet.totals.price(deployment.prices),
         whole_again_s=whole_again_s,
+        decided_after_s=fleet.decided_after_s or 0.0,
     )
 
 
--- a/redwingvalve/bench/replicas_fleet.py
+++ b/redwingvalve/bench/replicas_fleet.py
@@ -10,15 +10,31 @@
 
 import attrs
 
+from redwingvalve.control import moves, surroundings
 from redwingvalve.core import clock
 from redwingvalve.declaration import schema
+from redwingvalve.plans import objects
 from redwingvalve.platform_api import vm_list
-from redwingvalve.replicas import controller, draft, spares, view, witness
+from redwingvalve.replicas import (
+    codec,
+    controller,
+    draft,
+    shares,
+    spares,
+    witness,
+)
 from redwingvalve.replicas import domain as domain_module
 from redwingvalve.standins import memory_fleet, memory_store
 
 DOMAINS = 6
 STEP_S = 0.5
+# Where no loss has to be timed, and in quiet domains, controllers step less
+# often, but still before they would take the gap for a pause of their own.
+COARSE_STEP_S = 1.5
+QUIET_STEPS = 3
+BEGIN_LOAD_S = 5.0
+# A change that waits for VMs for so long waits for ever here.
+WAITING_S = 120.0
 NOTICED_S = 15.0
 LOADS_PER_S = 0.5
 LOAD_BURST = 6
@@ -27,7 +43,10 @@
 
 @attrs.frozen
 class Strategy:
-    """How a fleet is run; spares None means as advised by the prices."""
+    """How a fleet is run; spares None means as advised by the prices.
+
+    Without heal_from_spares a replica waits for its own VMs and nothing moves.
+    """
 
     name: str
     spares_per_domain: int | None = None
@@ -77,12 +96,17 @@
         domains: int = DOMAINS,
     ) -> None:
         """Lay out the VMs; nothing is formed yet."""
-        self.deployment = deployment
+        # The bench lays out halls of its own.
+        self.deployment = attrs.evolve(deployment, data_centres=())
         self.clock = clock.ManualClock(1000.0)
         self.store = memory_store.make_memory_object_api()
         self.totals = Totals()
         self.per_domain = deployment.replicas // domains
         self.names = tuple(f'd{index}' for index in range(domains))
+        self.decided_after_s: float | None = None
+        self._lost_s = 0.0
+        self._steps = 0
+        self.step_s = STEP_S
         self.fleet = memory_fleet.MemoryFleet(
             self._vms(strategy), self.clock, deployment.load_time_s
         )
@@ -90,14 +114,26 @@
             self.clock, LOADS_PER_S, LOAD_BURST
         )
         self.controllers = self._controllers(strategy, seed)
+        self._chance = random.Random(seed)
+        self._movers = {
+            name: moves.make_mover(
+                self.store, self.fleet, self.clock, self._chance
+            )
+            for name in self.names
+            if strategy.heal_from_spares
+        }
+        self._reader = surroundings.SurroundingsReader(
+            self.store, self.fleet, self.clock
+        )
         self._read: dict[str, tuple[str, domain_module.FabricDomain]] = {}
 
     def _vms(self, strategy: Strategy) -> tuple[vm_list.Vm, ...]:
-        need = spares.Need(self.deployment, self.per_domain)
-        kept = strategy.spares_per_domain
-        if kept is None:
-            kept = spares.advise((need,), spares.FailureRates()).spares
-        self.spares_per_domain = kept
+        needs = (spares.Need(self.deployment, self.per_domain),)
+        kept = (strategy.spares_per_domain or 0,) * len(self.names)
+        if strategy.spares_per_domain is None:
+            domains = (needs,) * len(self.names)
+            kept = spares.advise_pool(domains, schema.FailureFigures()).spares
+        self.spares = sum(kept)
         return tuple(
             vm_list.Vm(
                 f'{name}-vm-{index:03}',
@@ -106,12 +142,12 @@
                 name,
             )
             for place, name in enumerate(self.names)
-            for index in range(need.vms() + kept)
+            for index in range(needs[0].vms() + kept[place])
         )
 
     def _controllers(
         self, strategy: Strategy, seed: int
-    ) -> tuple[controller.DomainController, ...]:
+    ) -> dict[str, controller.DomainController]:
         tools = controller.Tools(
             objects=self.store,
             orders=memory_fleet.MemoryOrders(self.fleet),
@@ -121,10 +157,12 @@
             chance=random.Random(seed),
             policy=draft.Policy(heal_from_spares=strategy.heal_from_spares),
         )
-        return tuple(
-            controller.make_domain_controller(name, f'bench-{name}', tools)
+        return {
+            name: controller.make_domain_controller(
+                name, f'bench-{name}', tools
+            )
             for name in self.names
-        )
+        }
 
     async def begin(self) -> None:
         """Form all replicas; the time until then is not counted."""
@@ -133,36 +171,93 @@
             await self.store.create(
                 domain_module.KIND, name, domain_module.to_body(empty)
             )
-        wanted = self.per_domain * len(self.names)
-        while self.serving() < wanted:
+        agreed = shares.Allocation(
+            1,
+            tuple(
+                shares.Share(
+                    place,
+                    self.deployment.name,
+                    self.per_domain,
+                    self.deployment.floor_replicas // len(self.names),
+                )
+                for place in self.names
+            ),
+        )
+        await self.store.create(shares.KIND, shares.NAME, codec.to_body(agreed))
+        await self.declare(self.deployment)
+        self.step_s = COARSE_STEP_S
+        self.fleet.load_time_s = BEGIN_LOAD_S
+        while self.serving() < self.per_domain * len(self.names):
             await self.step()
+        self.fleet.load_time_s = self.deployment.load_time_s
+        self.step_s = STEP_S
         self.totals = Totals()
+        self.lose()
+
+    async def declare(self, deployment: schema.ModelDeployment) -> None:
+        """Put a deployment in force, as an applied plan would."""
+        self.deployment = deployment
+        body = objects.declared_body(1, deployment)
+        name = deployment.name
+        found = await self.store.get(objects.DEPLOYMENTS, name)
+        if found.is_ok():
+            changed = attrs.evolve(found.ok, body=body)
+            await self.store.update(changed)
+            return
+        await self.store.create(objects.DEPLOYMENTS, name, body)
+
+    def lose(self) -> None:
+        """Time the next decision from now on."""
+        self.decided_after_s = None
+        self._lost_s = self.clock.monotonic_s()
 
     async def step(self) -> None:
         """Step every domain and count the time until the next step."""
-        share = view.Wanted(
-            self.deployment,
-            self.per_domain,
-            self.deployment.floor_replicas // len(self.names),
-        )
-        surroundings = controller.Surroundings(self.fleet.vms(), (share,))
-        for each in self.controllers:
-            await each.step(surroundings)
-        self._count(STEP_S)
-        self.clock.advance(STEP_S)
+        await self._reader.refresh()
+        self._steps += 1
+        for domain in self.domains():
+            coarse = self.step_s > STEP_S or self._steps % QUIET_STEPS == 0
+            if coarse or not _is_quiet(self.fleet, domain, self.per_domain):
+                await self._step_domain(domain.name)
+        if self.decided_after_s is None and self.moving():
+            self.decided_after_s = self.clock.monotonic_s() - self._lost_s
+        self._count(self.step_s)
+        self.clock.advance(self.step_s)
+
+    async def _step_domain(self, name: str) -> None:
+        each = self.controllers[name]
+        mover = self._movers.get(name)
+        without_room = frozenset((self.deployment.name,))
+        if mover is not None:
+            without_room = mover.without_room
+        await each.step(self._reader.of(name, without_room))
+        place = each.place()
+        deployments, agreed = self._reader.agreed()
+        if mover is not None and place is not None and agreed is not None:
+            await mover.step(place, deployments, agreed)
+
+    def moves(self) -> tuple[shares.Move, ...]:
+        """Return the open moves of replicas."""
+        stored = self.store.list_now(shares.KIND).objects[0]
+        return codec.from_body(stored.body, shares.Allocation).moves
 
     async def run(self, duration_s: float) -> None:
         """Step for a time."""
-        for _ in range(int(duration_s / STEP_S)):
+        for _ in range(int(duration_s / self.step_s)):
             await self.step()
 
     async def settle(self, longest_s: float) -> float:
         """Step until all serves; return the time that it took."""
         began_s = self.clock.monotonic_s()
+        moved_s = began_s
         while self.clock.monotonic_s() - began_s < longest_s:
             await self.step()
-            passed_s = self.clock.monotonic_s() - began_s
-            if not self.changing() or (passed_s > NOTICED_S and self.stuck()):
+            now_s = self.clock.monotonic_s()
+            if self.moving():
+                moved_s = now_s
+            if not self.changing() or now_s - moved_s > WAITING_S:
+                break
+            if now_s - began_s > NOTICED_S and self.stuck():
                 break
         return self.clock.monotonic_s() - began_s
 
@@ -176,6 +271,7 @@
         wanted = self.per_domain * len(self.names)
         return (
             self.serving() != wanted
+            or bool(self.moves())
             or not self._versions_are_current()
             or any(
                 replica.state != domain_module.ReplicaState.SERVING
@@ -203,16 +299,19 @@
 
     def stuck(self) -> bool:
         """Tell whether what is broken can only wait for its VMs."""
-        states = {
-            replica.state
-            for domain in self.domains()
-            for replica in domain.replicas
-        }
+        return not self.moving() and self._versions_are_current()
+
+    def moving(self) -> bool:
+        """Tell whether something is formed, drained or moved."""
         moving = {
             domain_module.ReplicaState.FORMING,
             domain_module.ReplicaState.DRAINING,
         }
-        return not states & moving and self._versions_are_current()
+        return bool(self.moves()) or any(
+            replica.state in moving
+            for domain in self.domains()
+            for replica in domain.replicas
+        )
 
     def serving(self) -> int:
         """Return the replicas that truly serve."""
@@ -222,17 +321,10 @@
         found: set[str] = set()
         for domain in self.domains():
             for replica in domain.replicas:
-                if self._serves(replica):
+                if _serves(self.fleet, replica):
                     found.update(replica.members)
         return found
 
-    def _serves(self, replica: domain_module.DomainReplica) -> bool:
-        engines = [self.fleet.engine(name) for name in replica.members]
-        return replica.state == domain_module.ReplicaState.SERVING and all(
-            engine.alive and engine.state.epoch == replica.epoch
-            for engine in engines
-        )
-
     def _count(self, duration_s: float) -> None:
         serving_vms = len(self._serving_vms())
         wanted = self.per_domain * len(self.names)
@@ -240,3 +332,25 @@
         stranded = len(self.fleet.engines) - serving_vms
         self.totals.downtime_s += max(down, 0) * duration_s
         self.totals.stranded_s += stranded * duration_s
+
+
+def _serves(
+    fleet: memory_fleet.MemoryFleet, replica: domain_module.DomainReplica
+) -> bool:
+    engines = [fleet.engine(name) for name in replica.members]
+    return replica.state == domain_module.ReplicaState.SERVING and all(
+        engine.alive and engine.state.epoch == replica.epoch
+        for engine in engines
+    )
+
+
+def _is_quiet(
+    fleet: memory_fleet.MemoryFleet,
+    domain: domain_module.FabricDomain,
+    replicas: int,
+) -> bool:
+    return (
+        len(domain.replicas) >= replicas
+        and all(fleet.engine(vm.name).alive for vm in domain.vms)
+        and all(_serves(fleet, replica) for replica in domain.replicas)
+    )
--- a/redwingvalve/bench/replicas_report.py
+++ b/redwingvalve/bench/replicas_report.py
@@ -31,6 +31,7 @@
         rest = (
             f'down {row.downtime_s:9.1f} s  stranded {row.stranded_s:11.1f} s'
             f'  price {row.price:9.2f}  whole after {row.whole_again_s:8.1f} s'
+            f'  decided after {row.decided_after_s:6.1f} s'
         )
         _print(
             LINE.format(
--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -16,7 +16,7 @@
 from redwingvalve.observability import logs
 from redwingvalve.plans import book, finishing
 from redwingvalve.platform_api import object_api, vm_list
-from redwingvalve.replicas import controller, moving
+from redwingvalve.replicas import controller
 from redwingvalve.replicas import domain as domain_module
 
 STEP_EVERY_S = 0.5
@@ -34,9 +34,7 @@
     """One domain that this process watches."""
 
     controller: controller.DomainController
-    look_from_s: float = 0.0
-    seek_from_s: float = 0.0
-    without_room: frozenset[str] = frozenset()
+    mover: moves.Mover
     created: bool = False
 
 
@@ -59,7 +57,6 @@
         self._reader = surroundings_module.SurroundingsReader(
             tools.objects, vms, tools.clock
         )
-        self._mover = moves.make_mover(tools.objects, vms)
         self._domains: dict[str, _Domain] = {}
         self._finish_from_s = 0.0
         self._list_plans_from_s = 0.0
@@ -125,15 +122,21 @@
         }
         for name in sorted(near - set(self._domains)):
             if self._is_candidate(name):
-                made = controller.make_domain_controller(
-                    name, self._owner, self._tools
-                )
-                self._domains[name] = _Domain(made)
+                self._domains[name] = self._watch(name)
         for name in tuple(self._domains):
             holds = self._domains[name].controller.status().holds_lease
             if not holds and not self._is_candidate(name):
                 self._domains.pop(name)
 
+    def _watch(self, name: str) -> _Domain:
+        tools = self._tools
+        return _Domain(
+            controller.make_domain_controller(name, self._owner, tools),
+            moves.make_mover(
+                tools.objects, self._vm_list, tools.clock, tools.chance
+            ),
+        )
+
     def _is_candidate(self, duty: str) -> bool:
         if self._members is None:
             return True
@@ -155,29 +158,13 @@
         if not watched.created:
             watched.created = await self._create(name)
         await watched.controller.step(
-            self._reader.of(name, watched.without_room)
+            self._reader.of(name, watched.mover.without_room)
         )
-        await self._move(name, watched)
-
-    async def _move(self, name: str, watched: _Domain) -> None:
-        """Begin or end moves of replicas into or out of the domain."""
-        now_s = self._tools.clock.monotonic_s()
         place = watched.controller.place()
         deployments, agreed = self._reader.agreed()
-        if place is None or agreed is None or now_s < watched.look_from_s:
+        if place is None or agreed is None:
             return
-        if not moving.concerns(place, agreed, deployments):
-            watched.without_room = frozenset()
-            return
-        jitter = self._tools.chance.uniform(0.75, 1.25)
-        done = await self._mover.step(
-            place, deployments, may_seek=now_s >= watched.seek_from_s
-        )
-        watched.look_from_s = now_s + moves.LOOK_EVERY_S * jitter
-        if done.listed:
-            watched.seek_from_s = now_s + moves.SEEK_EVERY_S * jitter
-            watched.without_room = done.without_room
-        if done.changed:
+        if await watched.mover.step(place, deployments, agreed):
             LOG.info('Moves of replicas changed', extra={'domain': name})
 
     async def _create(self, name: str) -> bool:
--- a/redwingvalve/control/moves.py
+++ b/redwingvalve/control/moves.py
@@ -7,9 +7,12 @@
 list is some megabytes; an open move costs one read of one domain.
 """
 
+import random
+
 import attrs
 from expression import Error, Ok, Result
 
+from redwingvalve.core import clock
 from redwingvalve.plans import making
 from redwingvalve.plans import world as world_module
 from redwingvalve.platform_api import object_api, vm_list
@@ -36,23 +39,58 @@
 
 
 class Mover:
-    """Takes one step at a time for a domain of which this process is holder."""
+    """Takes the steps of one domain, no more often than stated above."""
 
     def __init__(
-        self, store: object_api.ObjectApi, vms: vm_list.VmList
+        self,
+        store: object_api.ObjectApi,
+        vms: vm_list.VmList,
+        time_source: clock.Clock,
+        chance: random.Random,
     ) -> None:
-        """Agree through store."""
+        """Agree through store; without_room is for the next decision."""
         self._store = store
         self._vms = vms
+        self._clock = time_source
+        self._chance = chance
+        self._look_from_s = 0.0
+        self._seek_from_s = 0.0
+        self.without_room: frozenset[str] = frozenset()
 
     async def step(
+        self,
+        place: moving.Place,
+        deployments: moving.Deployments,
+        agreed: shares.Allocation,
+    ) -> bool:
+        """Make one pass; tell whether moves changed.
+
+        agreed may be some seconds old: it only tells whether to look.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s < self._look_from_s:
+            return False
+        if not moving.concerns(place, agreed, deployments):
+            self.without_room = frozenset()
+            return False
+        done = await self._advance(
+            place, deployments, may_seek=now_s >= self._seek_from_s
+        )
+        jitter = self._chance.uniform(0.75, 1.25)
+        self._look_from_s = now_s + LOOK_EVERY_S * jitter
+        if done.listed:
+            self._seek_from_s = now_s + SEEK_EVERY_S * jitter
+            self.without_room = done.without_room
+        return done.changed
+
+    async def _advance(
         self,
         place: moving.Place,
         deployments: moving.Deployments,
         *,
         may_seek: bool,
     ) -> Step:
-        """Make one pass; errors leave all to the next one."""
+        """Take one step; errors leave all to the next pass."""
         agreed = await world_module.read_allocation(self._store)
         if agreed.is_error() or not agreed.ok[1]:
             return Step()
@@ -126,6 +164,11 @@
         return written.is_ok()
 
 
-def make_mover(store: object_api.ObjectApi, vms: vm_list.VmList) -> Mover:
-    """Return a mover of one process."""
-    return Mover(store, vms)
+def make_mover(
+    store: object_api.ObjectApi,
+    vms: vm_list.VmList,
+    time_source: clock.Clock,
+    chance: random.Random,
+) -> Mover:
+    """Return the mover of one domain."""
+    return Mover(store, vms, time_source, chance)
--- a/redwingvalve/declaration/reader.py
+++ b/redwingvalve/declaration/reader.py
@@ -3,6 +3,7 @@
 import re
 from collections import abc as collections_abc
 
+import attrs
 from expression import Error, Ok, Result
 
 from redwingvalve.core import findings
@@ -46,6 +47,7 @@
     yield from _check_deployments(bound)
     yield from _check_services(bound)
     yield from _check_accounts(bound)
+    yield from _check_failures(bound)
 
 
 def _check_names(bound: Bound, section: str) -> FoundIterator:
@@ -187,6 +189,12 @@
                 )
 
 
+def _check_failures(bound: Bound) -> FoundIterator:
+    for name in attrs.fields_dict(schema.FailureFigures):
+        if getattr(bound.content.failures, name) < 0:
+            yield _finding(bound, 'must not be negative', 'failures', name)
+
+
 def _check_positive(
     bound: Bound,
     declared: object,
--- a/redwingvalve/declaration/schema.py
+++ b/redwingvalve/declaration/schema.py
@@ -79,6 +79,27 @@
     deployments: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class FailureFigures:
+    """How often things fail and how long they stay away; from records.
+
+    The defaults are those of a fleet of 9,600 VMs, scaled to one VM: 47 VMs
+    fail and 650 are restarted or replaced in a day, a rack or switch goes in
+    45 days, and each of 13 data centres goes every nine years. A restart
+    takes ten minutes; that a rack stays away for four hours and a dark domain
+    for half an hour is assumed until an operator declares his own.
+    """
+
+    vm_failures_per_vm_day: float = 47 / 9600
+    vm_restarts_per_vm_day: float = 650 / 9600
+    rack_failures_per_vm_day: float = 1 / (45 * 9600)
+    domain_failures_per_day: float = 1.5 / (365 * 13)
+    rack_vms: int = 8
+    vm_repair_time_s: float = 600.0
+    rack_repair_time_s: float = 14400.0
+    domain_repair_time_s: float = 1800.0
+
+
 @attrs.frozen
 class Declaration:
     """Everything an operator wants; the whole of it, never a difference."""
@@ -87,3 +108,4 @@
     deployments: tuple[ModelDeployment, ...] = ()
     services: tuple[PlainService, ...] = ()
     client_accounts: tuple[ClientAccount, ...] = ()
+    failures: FailureFigures = attrs.field(factory=FailureFigures)
--- a/redwingvalve/plans/making.py
+++ b/redwingvalve/plans/making.py
@@ -298,26 +298,44 @@
     world: World,
     allocated: shares.Allocation,
 ) -> collections_abc.Iterator[plan.SpareAdvice]:
-    rates = spares.FailureRates()
-    for capacity in capacities_of(world):
-        needs = tuple(
-            spares.Need(each, allocated.replicas(capacity.domain, each.name))
-            for each in declaration.deployments
-        )
-        used = sum(need.vms() for need in needs)
-        free = capacity.usable_vms - used
-        if not used:
-            continue
-        advice = spares.advise(needs, rates)
+    """Advise on all domains together, the roomiest first to hold sets."""
+    needs = {
+        capacity.domain: _needs_of(capacity.domain, declaration, allocated)
+        for capacity in capacities_of(world)
+    }
+    free = {
+        capacity.domain: capacity.usable_vms
+        - sum(need.vms() for need in needs[capacity.domain])
+        for capacity in capacities_of(world)
+    }
+    roomiest = sorted(free, key=free.__getitem__, reverse=True)
+    used = [
+        name for name in roomiest if any(need.vms() for need in needs[name])
+    ]
+    kept = tuple(needs[name] for name in used)
+    advice = spares.advise_pool(kept, declaration.failures)
+    price = spares.pool_price_per_minute(
+        kept, declaration.failures, tuple(free[name] for name in used)
+    )
+    for name, advised in sorted(zip(used, advice.spares, strict=True)):
         yield plan.SpareAdvice(
-            capacity.domain,
-            free,
-            advice.spares,
-            round(spares.price_per_minute(needs, rates, free), 4),
+            name,
+            free[name],
+            advised,
+            round(price, 4),
             round(advice.price_per_minute, 4),
         )
 
 
+def _needs_of(
+    domain: str, declaration: schema.Declaration, allocated: shares.Allocation
+) -> tuple[spares.Need, ...]:
+    return tuple(
+        spares.Need(each, allocated.replicas(domain, each.name))
+        for each in declaration.deployments
+    )
+
+
 def _risk(
     deployment: schema.ModelDeployment,
     replicas: int,
--- a/redwingvalve/plans/plan.py
+++ b/redwingvalve/plans/plan.py
@@ -51,8 +51,8 @@
 class SpareAdvice:
     """Spare VMs of a domain under the plan, and how many would pay.
 
-    Prices are those of a minute, of idle spares and of downtime without them
-    together.
+    Prices are those of a minute in all domains, of idle spares and of downtime
+    without them together: domains lend each other VMs for whole replicas.
     """
 
     domain: str
--- a/redwingvalve/replicas/spares.py
+++ b/redwingvalve/replicas/spares.py
@@ -1,10 +1,16 @@
-"""How many spare VMs a fabric domain should keep, by the operator's prices.
+"""How many spare VMs to keep, and where, by the operator's two prices.
 
-Load pattern: VMs fail one by one, and a rack or switch takes several at once
-now and then; each VM is back after the repair time. With too few spares a
-replica is down until its own VM is repaired; each spare too many is paid for
+Load pattern: VMs fail one by one, a rack or switch takes several at once now
+and then, a domain goes dark; each is back after its own repair time. With too
+few spares a replica is down until the repair; each spare too many is paid for
 and serves nobody.
 
+A spare VM heals its own fabric domain only. VMs for one whole replica, free
+in one domain, are a set: any domain may move a broken replica into it, so
+one set insures all domains, where one spare in each of six domains costs half
+as much again. What the set's user leaves behind is the next set, once the lost
+VM is back.
+
 Grounds: VMs out of use are Poisson distributed with mean failures x repair
 time (the M/G/infinity queue, for which only the mean repair time matters). A
 replica short of spares waits for a repair; with a spare it only waits for the
@@ -12,6 +18,7 @@
 while the downtime that it saves costs more than it does while it lies idle.
 """
 
+import itertools
 import math
 
 import attrs
@@ -22,21 +29,7 @@
 SECONDS_PER_DAY = 86400.0
 SECONDS_PER_MINUTE = 60.0
 
-
-@attrs.frozen
-class FailureRates:
-    """What fails; from the operator's records or the figures of the fleet.
-
-    The defaults are 47 failing VMs and 650 restarts or replacements a day
-    among 9,600, and a rack or switch in 45 days for a fleet of 150 domains,
-    of which one loses rack_vms. A spare stands in for a restart as well.
-    """
-
-    vm_failures_per_day: float = 47 / 9600
-    vm_restarts_per_day: float = 650 / 9600
-    rack_failures_per_day: float = 1 / (45 * 150)
-    rack_vms: int = 8
-    repair_time_s: float = 600.0
+FailureRates = schema.FailureFigures
 
 
 @attrs.frozen
@@ -51,6 +44,9 @@
         return self.replicas * self.deployment.vms_per_replica
 
 
+Needs = tuple[Need, ...]
+
+
 @attrs.frozen
 class Advice:
     """How many spares pay, and the price of a minute with and without."""
@@ -60,8 +56,25 @@
     price_without_per_minute: float
 
 
-def advise(needs: tuple[Need, ...], rates: FailureRates) -> Advice:
-    """Return the number of spares with the lowest price."""
+@attrs.frozen
+class PoolAdvice:
+    """Spare VMs for each domain, in the order of the needs given."""
+
+    spares: tuple[int, ...]
+    price_per_minute: float
+    price_without_per_minute: float
+
+
+@attrs.frozen
+class _Outage:
+    """A share of time in which one domain is short of so many replicas."""
+
+    share: float
+    replicas: int
+
+
+def advise(needs: Needs, rates: FailureRates) -> Advice:
+    """Return the number of spares with the lowest price for one domain."""
     prices = [
         price_per_minute(needs, rates, spares)
         for spares in range(_most_useful(needs) + 1)
@@ -70,32 +83,124 @@
     return Advice(best, prices[best], prices[0])
 
 
-def price_per_minute(
-    needs: tuple[Need, ...], rates: FailureRates, spares: int
+def price_per_minute(needs: Needs, rates: FailureRates, spares: int) -> float:
+    """Return the price of a minute of one domain that shares no spares."""
+    return pool_price_per_minute((needs,), rates, (spares,))
+
+
+def advise_pool(domains: tuple[Needs, ...], rates: FailureRates) -> PoolAdvice:
+    """Return the layout with the lowest price.
+
+    Weighed are equal spares in every domain, and whole sets in the first
+    domains beside them. The price of either falls and then rises, so that
+    the search of each ends at the first rise.
+    """
+    best = _with_sets(domains, rates, 0)
+    for spares in range(1, _set_vms(domains) + 1):
+        found = _with_sets(domains, rates, spares)
+        if found.price_per_minute < best.price_per_minute:
+            best = found
+    return best
+
+
+def _with_sets(
+    domains: tuple[Needs, ...], rates: FailureRates, spares: int
+) -> PoolAdvice:
+    """Return the best number of sets beside so many spares a domain."""
+    places = range(len(domains))
+    set_vms = _set_vms(domains)
+    without = pool_price_per_minute(domains, rates, (0,) * len(domains))
+    best = PoolAdvice((0,) * len(domains), without, without)
+    for sets in range(len(domains) + 1):
+        layout = tuple(spares + set_vms * (place < sets) for place in places)
+        price = pool_price_per_minute(domains, rates, layout)
+        if price < best.price_per_minute:
+            best = PoolAdvice(layout, price, without)
+        elif sets:
+            break
+    return best
+
+
+def pool_price_per_minute(
+    domains: tuple[Needs, ...], rates: FailureRates, spares: tuple[int, ...]
 ) -> float:
     """Return what spares and downtime together cost in a minute.
 
     Broken replicas short of a spare are counted as one for each VM that is
-    short, the dearest last, since healing serves the dearest first.
+    short, the cheapest last, since healing serves the dearest first. Sets are
+    whatever of a domain's spares makes whole replicas; with one domain there
+    is none to share them with.
     """
-    stranded = spares * _dearest_accelerators(needs)
-    down = _expected_short(_vms(needs), rates, spares) * _cheapest(needs)
-    return stranded + down
+    stranded = sum(
+        count * _dearest_accelerators(needs)
+        for needs, count in zip(domains, spares, strict=True)
+    )
+    cheapest = min(
+        (_cheapest(needs) for needs in domains if _vms(needs)), default=0.0
+    )
+    return stranded + cheapest * _expected_short(domains, rates, spares)
+
 
+def _expected_short(
+    domains: tuple[Needs, ...], rates: FailureRates, spares: tuple[int, ...]
+) -> float:
+    """Return the mean number of replicas that only a repair can bring back."""
+    set_vms = _set_vms(domains)
+    shared = len(domains) > 1
+    sets = sum(count // set_vms for count in spares) if shared else 0
+    mean = sum(
+        _poisson_excess(_vms_out(needs, rates), count)
+        for needs, count in zip(domains, spares, strict=True)
+    )
+    outages = [
+        outage
+        for needs, count in zip(domains, spares, strict=True)
+        for outage in _outages(needs, rates, count, set_vms)
+    ]
+    quiet = 1 - min(sum(outage.share for outage in outages), 1.0)
+    short = quiet * _poisson_excess(mean, sets)
+    return short + sum(
+        outage.share * _poisson_excess(mean, sets - outage.replicas)
+        for outage in outages
+    )
 
-def _expected_short(vms: int, rates: FailureRates, spares: int) -> float:
-    """Return the mean number of VMs out of use beyond the spares.
 
-    Single failures make the Poisson part; a rack that is out takes rack_vms
-    at once, for the share of time that racks are.
-    """
-    repair_days = rates.repair_time_s / SECONDS_PER_DAY
-    outages_per_day = rates.vm_failures_per_day + rates.vm_restarts_per_day
-    mean = vms * outages_per_day * repair_days
-    rack_share = min(rates.rack_failures_per_day * repair_days, 1.0)
-    single = _poisson_excess(mean, spares)
-    with_rack = _poisson_excess(mean, spares - rates.rack_vms)
-    return (1 - rack_share) * single + rack_share * with_rack
+def _vms_out(needs: Needs, rates: FailureRates) -> float:
+    """Return the mean of VMs out of use one by one."""
+    outages_per_day = (
+        rates.vm_failures_per_vm_day + rates.vm_restarts_per_vm_day
+    )
+    repair_days = rates.vm_repair_time_s / SECONDS_PER_DAY
+    return _vms(needs) * outages_per_day * repair_days
+
+
+def _outages(
+    needs: Needs, rates: FailureRates, spares: int, set_vms: int
+) -> tuple[_Outage, _Outage]:
+    """Return the loss of a rack, whose remnants merge, and of the domain."""
+    rack_days = rates.rack_repair_time_s / SECONDS_PER_DAY
+    dark_days = rates.domain_repair_time_s / SECONDS_PER_DAY
+    lost = min(rates.rack_vms, _vms(needs))
+    short = math.ceil(max(lost - spares, 0) / set_vms)
+    replicas = sum(need.replicas for need in needs)
+    return (
+        _Outage(
+            _vms(needs) * rates.rack_failures_per_vm_day * rack_days, short
+        ),
+        _Outage(rates.domain_failures_per_day * dark_days, replicas),
+    )
+
+
+def _set_vms(domains: tuple[Needs, ...]) -> int:
+    """Return the VMs that hold any one replica."""
+    return max(
+        (
+            need.deployment.vms_per_replica
+            for need in itertools.chain.from_iterable(domains)
+            if need.replicas
+        ),
+        default=1,
+    )
 
 
 def _poisson_excess(mean: float, spares: int) -> float:
@@ -113,15 +218,15 @@
     return max(excess, 0.0)
 
 
-def _most_useful(needs: tuple[Need, ...]) -> int:
+def _most_useful(needs: Needs) -> int:
     return min(_vms(needs), MOST_SPARES)
 
 
-def _vms(needs: tuple[Need, ...]) -> int:
+def _vms(needs: Needs) -> int:
     return sum(need.vms() for need in needs)
 
 
-def _dearest_accelerators(needs: tuple[Need, ...]) -> float:
+def _dearest_accelerators(needs: Needs) -> float:
     """Return the stranded price of one spare VM a minute."""
     return max(
         (
@@ -133,7 +238,7 @@
     )
 
 
-def _cheapest(needs: tuple[Need, ...]) -> float:
+def _cheapest(needs: Needs) -> float:
     """Return the price of a minute of the replica that is healed last."""
     return min(
         (
--- a/redwingvalve/standins/memory_fleet.py
+++ b/redwingvalve/standins/memory_fleet.py
@@ -102,6 +102,9 @@
     ) -> None:
         """Start with all engines idle."""
         self.engines = {vm.address: MemoryEngine(vm) for vm in vms}
+        self._by_name = {
+            engine.vm.name: engine for engine in self.engines.values()
+        }
         self.clock = time_source
         self.load_time_s = load_time_s
 
@@ -117,10 +120,7 @@
 
     def engine(self, name: str) -> MemoryEngine:
         """Return the engine of a VM."""
-        found = (
-            engine for engine in self.engines.values() if engine.vm.name == name
-        )
-        return next(found)
+        return self._by_name[name]
 
     def set_leaving(self, name: str) -> None:
         """Show a VM as leaving."""
