--- a/redwingvalve/replicas/tests/test_spares.py
+++ b/redwingvalve/replicas/tests/test_spares.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -84,3 +85,38 @@
         )
         made = shares.allocate(1, declared, capacities(7), shares.Allocation())
         assert (made.total(dear), made.total(cheap)) == (2, 0)
+
+
+def pool(file_name, **failures):
+    declared = reader.read_file(file_name).ok.content
+    needs = (spares.Need(declared.deployments[0], 10),)
+    rates = attrs.evolve(declared.failures, **failures)
+    return spares.advise_pool((needs,) * 6, rates)
+
+
+def test_one_set_for_all_domains_is_cheaper_than_a_spare_in_each():
+    advice = pool('examples/lonestar.yaml')
+    assert sorted(advice.spares) == [0, 0, 0, 0, 0, 4]
+    assert sum(pool('examples/tapiceria.yaml').spares) == 0
+    declared = reader.read_file('examples/lonestar.yaml').ok.content
+    needs = ((spares.Need(declared.deployments[0], 10),),) * 6
+    each = spares.pool_price_per_minute(needs, declared.failures, (1,) * 6)
+    assert advice.price_per_minute < each < advice.price_without_per_minute
+
+
+def test_the_declared_figures_decide():
+    """Racks that go every day and stay away for a day make a second set pay;
+    VMs that hardly ever fail make none pay."""
+    often = pool(
+        'examples/lonestar.yaml',
+        rack_failures_per_vm_day=1 / 240,
+        rack_repair_time_s=86400.0,
+    )
+    assert sum(often.spares) >= 8
+    never = pool(
+        'examples/lonestar.yaml',
+        vm_failures_per_vm_day=0.0,
+        vm_restarts_per_vm_day=0.0,
+        rack_failures_per_vm_day=0.0,
+    )
+    assert sum(never.spares) == 0
