--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -103,11 +103,20 @@
         )
 
 
-async def confirm(fleet):
+async def wait_for_platform(fleet):
     async with httpx.AsyncClient() as client:
         kind = f'{http_object_api.GROUP_PATH}/tokens'
         await processes.wait_answering(client, f'{fleet.store_url}{kind}')
         await processes.wait_answering(client, f'http://{fleet.api}/healthz')
+
+
+async def engine_state(address):
+    async with httpx.AsyncClient() as client:
+        return (await client.get(f'http://{address}/state')).json()
+
+
+async def confirm(fleet):
+    await wait_for_platform(fleet)
     store = http_object_api.make_http_object_api(fleet.store_url, 5.0)
     bearer = await operator.issue_first_token(store)
     await store.aclose()
