--- a/redwingvalve/bench/replicas.py
+++ b/redwingvalve/bench/replicas.py
@@ -86,10 +86,12 @@
     """Cut a whole domain off; its engines come back as they were."""
     domain = chance.choice(fleet.domains())
     engines = [fleet.fleet.engine(vm.name) for vm in domain.vms]
+    fleet.lose()
     for engine in engines:
         engine.alive = False
-    await fleet.run(WARM_UP_S)
-    fleet.jump(DARK_S - 2 * WARM_UP_S)
+    # Until what can be formed elsewhere serves there.
+    passed_s = await fleet.settle(DARK_S - WARM_UP_S)
+    fleet.jump(DARK_S - WARM_UP_S - passed_s)
     await fleet.run(WARM_UP_S)
     for engine in engines:
         engine.alive = True
