--- a/redwingvalve/control/tests/test_moves.py
+++ b/redwingvalve/control/tests/test_moves.py
@@ -173,3 +173,26 @@
         assert bench.truly_serving() == 5
 
     anyio.run(scenario)
+
+
+def test_lost_answers_and_pauses_never_move_a_replica_twice():
+    """Two controllers take turns for longer than a lease, and every few
+    seconds a write takes effect without an answer. The second controller must
+    not move once more what the first one moved; callers find five replicas."""
+
+    async def scenario():
+        bench = Bench()
+        loops = bench.loop('one'), bench.loop('two')
+        await bench.begin(loops[0])
+        for turn in range(GUARD_STEPS):
+            if bench.all_current():
+                break
+            bench.store.faults.lose_answers = 1
+            for _ in range(10):
+                await bench.run(5, loops[turn % 2])
+                assert bench.truly_serving() >= 5
+                assert bench.allocation().total('quotes') <= 6
+        assert bench.all_current()
+        assert bench.serving() == bench.allocation().total('quotes') == 5
+
+    anyio.run(scenario)
--- a/redwingvalve/replicas/tests/fixtures.py
+++ b/redwingvalve/replicas/tests/fixtures.py
@@ -54,7 +54,7 @@
             self.weights,
             self.clock,
             witness.BoundedWitness(),
-            random.Random(1),
+            random.Random(owner),
             invariants.SafeguardSwitches(self.disabled),
             draft.Policy(),
         )
