--- a/redwingvalve/bench/replicas_fleet.py
+++ b/redwingvalve/bench/replicas_fleet.py
@@ -106,6 +106,7 @@
         self.decided_after_s: float | None = None
         self._lost_s = 0.0
         self._steps = 0
+        self._read_at_write = 0
         self.step_s = STEP_S
         self.fleet = memory_fleet.MemoryFleet(
             self._vms(strategy), self.clock, deployment.load_time_s
@@ -289,12 +290,14 @@
 
     def domains(self) -> tuple[domain_module.FabricDomain, ...]:
         """Return the domains as the store has them."""
-        listed = self.store.list_now(domain_module.KIND).objects
-        for stored in listed:
-            known = self._read.get(stored.name)
-            if known is None or known[0] != stored.version:
-                domain = domain_module.from_stored(stored)
-                self._read[stored.name] = (stored.version, domain)
+        writes = self.store.calls.writes
+        if writes != self._read_at_write:
+            self._read_at_write = writes
+            for stored in self.store.list_now(domain_module.KIND).objects:
+                known = self._read.get(stored.name)
+                if known is None or known[0] != stored.version:
+                    domain = domain_module.from_stored(stored)
+                    self._read[stored.name] = (stored.version, domain)
         return tuple(self._read[name][1] for name in self.names)
 
     def stuck(self) -> bool:
