Refuse a plan that would take back a replica which has moved since

Cause: a plan holds the allocation of when it was made; confirmed after a move ended, it drained the replica at its new place before the old one served. The test fails without the check.

--- a/redwingvalve/plans/book.py
+++ b/redwingvalve/plans/book.py
@@ -238,6 +238,9 @@
             proposed.name, proposed.proposed_by, proposed.proposed_at_s
         ),
     )
+    moved = _moved_since(proposed, remade, world)
+    if moved:
+        return f'replicas moved in {", ".join(moved)}'
     fits = making.placement_fits(proposed, world)
     if fits and _promises(remade) == _promises(proposed):
         return ''
@@ -245,6 +248,25 @@
     return f'VMs or replicas changed in {where}'
 
 
+def _moved_since(
+    proposed: plan.Plan, remade: plan.Plan, world: making.World
+) -> list[str]:
+    """Name the domains to which replicas moved after the plan was made.
+
+    The plan would take them back in one step, without their old place being
+    formed first: callers would miss a replica for the time of a load.
+    """
+    return [
+        share.domain
+        for share in remade.allocation.shares
+        if proposed.allocation.replicas(share.domain, share.deployment)
+        < min(
+            share.replicas,
+            world.allocation.replicas(share.domain, share.deployment),
+        )
+    ]
+
+
 def _promises(made: plan.Plan) -> tuple[object, ...]:
     counts = tuple(
         (change.kind, change.subject, change.count) for change in made.changes
--- a/redwingvalve/plans/tests/test_book.py
+++ b/redwingvalve/plans/tests/test_book.py
@@ -9,6 +9,7 @@
 from redwingvalve.declaration import schema
 from redwingvalve.plans import book, finishing, objects, plan
 from redwingvalve.platform_api import object_api, vm_list
+from redwingvalve.replicas import codec, shares
 from redwingvalve.replicas import domain as domain_module
 from redwingvalve.standins import memory_store
 
@@ -233,3 +234,33 @@
             assert risk.price == pytest.approx(4 * 75 / 60, abs=0.01)
 
     anyio.run(scenario)
+
+
+def test_a_plan_from_before_a_move_does_not_take_the_replica_back():
+    """A replica moves from d0 to d1 after the plan was made. Confirmed as it
+    is, the plan would drain it in d1 before d0 serves it again; it is refused
+    and the one made next holds."""
+
+    async def scenario():
+        store = memory_store.make_memory_object_api()
+        plans = make_book(store)
+        made = (await plans.propose(declared(), 'ana')).ok
+        assert (await plans.confirm(made.name, 'ana')).is_ok()
+        late = (await plans.propose(declared('2'), 'ana')).ok
+        stored = (await store.get(shares.KIND, shares.NAME)).ok
+        agreed = codec.from_body(stored.body, shares.Allocation)
+        full, roomy = sorted(
+            ('d0', 'd1'), key=lambda name: -agreed.replicas(name, 'quotes')
+        )
+        move = shares.Move('quotes', full, roomy, shares.MoveReason.ROOM)
+        moved = shares.after_moves(shares.with_moves(agreed, (move,)), (move,))
+        body = codec.to_body(moved)
+        await store.update(attrs.evolve(stored, body=body))
+        refused = await plans.confirm(late.name, 'ana')
+        assert isinstance(refused.error, plan.PlanOutdated)
+        assert f'replicas moved in {roomy}' in refused.error.reason
+        again = (await plans.propose(declared('2'), 'ana')).ok
+        assert again.allocation.shares == moved.shares
+        assert (await plans.confirm(again.name, 'ana')).is_ok()
+
+    anyio.run(scenario)
