--- a/redwingvalve/at_most_once/claims.py
+++ b/redwingvalve/at_most_once/claims.py
@@ -6,7 +6,14 @@
 import attrs
 from expression import Error, Ok, Result
 
-from redwingvalve.at_most_once import keys, messages, peers, voter, voters
+from redwingvalve.at_most_once import (
+    keys,
+    messages,
+    peers,
+    roster,
+    voter,
+    voters,
+)
 from redwingvalve.core import clock, invariants, outcomes
 from redwingvalve.membership import members
 from redwingvalve.observability import logs
@@ -31,11 +38,23 @@
 
 @attrs.frozen
 class ClaimRefused:
-    """The request must not be sent; outcome is what is known of the key."""
+    """The request must not be sent; outcome is what is known of the key.
+
+    wait_s is when enough voters may decide, 0 if nobody knows.
+    """
 
     outcome: outcomes.Outcome
     reason: str
     duplicate: bool
+    wait_s: float = 0.0
+
+
+@attrs.frozen
+class _Copied:
+    """Up to which of its claims another voter has been copied."""
+
+    incarnation: int = 0
+    reached: int = 0
 
 
 class KeyClaims:
@@ -53,6 +72,7 @@
         self._peers = key_peers
         self._members = known_members
         self._clock = claims_clock
+        self._copied: dict[str, _Copied] = {}
 
     async def claim(self, claim: messages.Claim) -> Result[Grant, ClaimRefused]:
         """Return leave to send, or why the request must not be sent."""
@@ -69,6 +89,11 @@
         granted = [
             name for name, vote in votes if vote.verdict == messages.Verdict.RUN
         ]
+        asked_s = self._clock.monotonic_s() - began_s
+        if asked_s > roster.SETTLE_S:
+            # A claimant that was paused while it asked: voters that have
+            # restarted since may know nothing of their votes.
+            granted.clear()
         if len(granted) >= voters.votes_needed(len(named)):
             return Ok(Grant(claim, began_s + GRANT_VALID_S))
         # What was granted in vain is given back, so that the caller's next
@@ -101,7 +126,7 @@
         known = self._members.known()
         self.voter.roster.observe(known, now_s)
         async with anyio.create_task_group() as group:
-            for name in self.voter.roster.missing():
+            for name in self.voter.roster.to_copy(now_s):
                 member = self._find(name)
                 if member is not None:
                     group.start_soon(self._copy_from, member)
@@ -147,15 +172,30 @@
                 await self._peers.report(member, claim, outcome)
 
     async def _copy_from(self, member: members.Member) -> None:
-        names = tuple(sorted(self.voter.roster.names))
+        """Copy pages for a while; the next look goes on from there."""
+        more = True
         with anyio.move_on_after(ASK_TIMEOUT_S):
-            copied = await self._peers.copy(member, names)
-            if copied.is_ok():
-                self.voter.learn(member.name, copied.ok)
+            while more:
+                more = await self._copy_page(member)
+
+    async def _copy_page(self, member: members.Member) -> bool:
+        names = tuple(sorted(self.voter.roster.names))
+        known = self._copied.get(member.name, _Copied())
+        copied = await self._peers.copy(member, names, known.reached)
+        if copied.is_error():
+            return False
+        page = copied.ok
+        if known.reached and page.incarnation != known.incarnation:
+            # It has restarted and numbers its claims from one again.
+            self._copied.pop(member.name)
+            return True
+        self._copied[member.name] = _Copied(page.incarnation, page.reached)
+        self.voter.learn(member.name, page)
+        return page.more
 
     def _find(self, name: str) -> members.Member | None:
         for member in self._members.known():
-            if member.name == name and member.role == 'entry':
+            if member.name == name and member.role in voters.ROLES:
                 return member
         return None
 
@@ -170,11 +210,17 @@
     if duplicates:
         return ClaimRefused(outcome, duplicates[0].reason, duplicate=True)
     reasons = collections.Counter(vote.reason for vote in votes if vote.reason)
+    undecided = [
+        vote for vote in votes if vote.verdict == messages.Verdict.UNKNOWN
+    ]
     silent = asked - len(votes)
     if silent:
         reasons['no answer came'] += silent
     said = '; '.join(sorted(reasons)) or 'the votes were split'
-    return ClaimRefused(outcome, said, duplicate=False)
+    lacking = voters.votes_needed(asked) - len(votes) + len(undecided)
+    waits_s = sorted(vote.wait_s for vote in undecided)
+    wait_s = waits_s[lacking - 1] if 0 < lacking <= len(waits_s) else 0.0
+    return ClaimRefused(outcome, said, duplicate=False, wait_s=wait_s)
 
 
 def make_claims(
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -1,5 +1,7 @@
 """Carries requests to plain services."""
 
+import contextlib
+import functools
 import itertools
 from collections import abc as collections_abc
 
@@ -9,7 +11,17 @@
 
 from redwingvalve.core import outcomes
 from redwingvalve.declaration import schema
-from redwingvalve.entry import answer_check, caller, parts, responder, upstream
+from redwingvalve.entry import (
+    answer_check,
+    caller,
+    parts,
+    responder,
+    service_queue,
+    service_suspects,
+    suspects,
+    upstream,
+)
+from redwingvalve.poison import channel
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller says so.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
@@ -46,6 +58,7 @@
     """A request for a plain service."""
 
     head: caller.CallerHead
+    account: schema.ClientAccount
     service: schema.PlainService
     body: bytes
 
@@ -85,11 +98,21 @@
 
     def __init__(self, entry_parts: parts.EntryParts) -> None:
         """Carry requests with entry_parts."""
+        self._suspects = suspects.SuspectGate(
+            entry_parts.members,
+            entry_parts.news,
+            entry_parts.clock,
+            entry_parts.switches,
+            channel.SERVICE_KEY,
+        )
         self._parts = entry_parts
         self._numbers = itertools.count(1)
         self._in_flight: dict[str, int] = {}
         myself = entry_parts.members.myself()
         self._entry = f'{myself.name}-{myself.incarnation}-s'
+        self._queue = service_queue.make_service_queue(
+            entry_parts.members, entry_parts.clock
+        )
 
     async def run(
         self,
@@ -98,30 +121,86 @@
         span: trace.Span,
         may_send: parts.MaySend | None,
     ) -> None:
-        """Answer the request by its deadline."""
+        """Answer the request by its deadline, or refuse it early."""
+        async with self._queue.turn(
+            request.head, request.account, request.service
+        ) as turn:
+            refusal = turn.error if turn.is_error() else None
+            if refusal is None:
+                refusal = await self._send_watched(
+                    request, responds, span, may_send or _always
+                )
+        if refusal is not None:
+            span.set_attribute('redwingvalve.refused', refusal.code)
+            await responds.send_error(refusal)
+
+    async def _send_watched(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+    ) -> outcomes.ErrorAnswer | None:
+        # Asked after the wait for a turn: what waited may have become suspect
+        # meanwhile.
+        with contextlib.closing(self._watch(request)) as watched:
+            return watched.refusal() or await self._send_until_whole(
+                request, responds, span, may_send, watched
+            )
+
+    async def _send_until_whole(
+        self,
+        request: ServiceRequest,
+        responds: responder.Responder,
+        span: trace.Span,
+        may_send: parts.MaySend,
+        watched: service_suspects.WatchedCall,
+    ) -> outcomes.ErrorAnswer | None:
         tried: set[str] = set()
         refusal = _busy()
-        may_send = may_send or _always
-        address = self._choose(request.service, tried)
+        address = self._choose(request.service, tried, watched)
         while address is not None and may_send():
             tried.add(address)
-            failure = await self._send(request, address, responds, span)
+            failure = await watched.send(
+                address,
+                functools.partial(self._send, request, address, responds, span),
+            )
             if failure is None:
-                return
+                return None
             span.add_event('send failed', {'why': str(failure)})
+            suspected = watched.refusal_after(responds.outcome)
+            if suspected is not None:
+                return suspected
             refusal = _failed(failure, refusal)
             address = None
             if failure.surely_not_run or request.idempotent:
-                address = self._choose(request.service, tried)
-        await responds.send_error(refusal)
+                address = self._choose(request.service, tried, watched)
+        return refusal
+
+    def _watch(self, request: ServiceRequest) -> service_suspects.WatchedCall:
+        head = request.head
+        return service_suspects.make_watched_call(
+            self._suspects,
+            request.service.addresses,
+            request.service.name.encode(),
+            head.method.encode(),
+            head.path.encode(),
+            head.query.encode(),
+            request.body,
+        )
 
     def _choose(
-        self, service: schema.PlainService, tried: set[str]
+        self,
+        service: schema.PlainService,
+        tried: set[str],
+        watched: service_suspects.WatchedCall,
     ) -> str | None:
+        allowed = watched.allowed()
         free = [
             address
             for address in service.addresses
             if address not in tried
+            and address in allowed
             and self._in_flight.get(address, 0)
             < service.max_in_flight_per_address
         ]
@@ -140,27 +219,45 @@
     ) -> upstream.UpstreamError | None:
         before = responds.outcome
         responds.outcome = outcomes.Outcome.UNKNOWN
+        hop = self._start_hop(request, address, span)
         self._in_flight[address] = self._in_flight.get(address, 0) + 1
         try:
-            await self._exchange(request, address, responds, span)
+            await self._exchange(request, address, responds, hop)
         except upstream.UpstreamError as error:
             if error.surely_not_run:
                 responds.outcome = before
+            hop.set_attribute('redwingvalve.failure', str(error))
+            self._parts.metrics.count('entry.service_send_failed')
             return error
         finally:
             self._in_flight[address] -= 1
+            hop.end()
         return None
 
+    def _start_hop(
+        self, request: ServiceRequest, address: str, span: trace.Span
+    ) -> trace.Span:
+        """Start the span of one send; each send has its own."""
+        return self._parts.tracing.start_span(
+            'service request',
+            parent=span,
+            attributes={
+                'redwingvalve.service': request.service.name,
+                'server.address': address,
+            },
+        )
+
     async def _exchange(
         self,
         request: ServiceRequest,
         address: str,
         responds: responder.Responder,
-        span: trace.Span,
+        hop: trace.Span,
     ) -> None:
-        outgoing = self._build(request, address, span)
+        outgoing = self._build(request, address, hop)
         with anyio.move_on_after(outgoing.timeout_s):
             answer, body = await self._fetch(outgoing)
+            hop.set_attribute('http.response.status_code', answer.status)
             await responds.send_whole(
                 answer.status,
                 dict(answer.headers).get('content-type', ''),
@@ -169,7 +266,7 @@
                 _passed_headers(answer.headers, ('content-type',)),
             )
             return
-        raise upstream.UpstreamError(
+        raise service_suspects.AnsweredError(
             'no answer by the timeout', surely_not_run=False
         )
 
@@ -186,15 +283,16 @@
         return answer, body
 
     def _build(
-        self, request: ServiceRequest, address: str, span: trace.Span
+        self, request: ServiceRequest, address: str, hop: trace.Span
     ) -> upstream.UpstreamRequest:
         head = request.head
         endpoint_id = answer_check.make_endpoint_id(
             head.request_id, self._entry, next(self._numbers)
         )
+        hop.set_attribute('redwingvalve.endpoint_request_id', endpoint_id)
         own = {
             outcomes.REQUEST_ID_HEADER: endpoint_id,
-            **self._parts.tracing.headers(span),
+            **self._parts.tracing.headers(hop),
         }
         query = f'?{head.query}' if head.query else ''
         remaining_s = head.remaining_s(self._parts.clock.monotonic_s())
@@ -219,7 +317,7 @@
                 answer.headers, identity, self._parts.switches
             )
         except answer_check.WrongAnswerError as error:
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 str(error), surely_not_run=False
             ) from error
         body = b''.join([chunk async for chunk in answer.chunks])
@@ -230,7 +328,7 @@
             and framed.isdisjoint(dict(answer.headers))
         ):
             # Without a length, a body that was cut off ends like a whole one.
-            raise upstream.UpstreamError(
+            raise service_suspects.AnsweredError(
                 'the end of the body cannot be told', surely_not_run=False
             )
         return body
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -78,12 +78,19 @@
 
 struct KeyCopyRequest {
   1: list<string> names
+  // Claims up to this number are known to the asker.
+  2: i64 after
 }
 
 struct KeyCopy {
   1: list<KeyReport> claims
   2: list<string> names
   3: bool whole
+  4: bool complete
+  // A later incarnation numbers its claims anew.
+  5: i64 incarnation
+  6: i64 reached
+  7: bool more
 }
 
 struct KeyVerdict {
@@ -91,6 +98,8 @@
   1: string verdict
   2: string outcome
   3: string detail
+  // When an undecided voter will decide, as far as it knows.
+  4: double wait_s
 }
 
 struct RegionSight {
@@ -121,6 +130,9 @@
   10: i32 table_size
   11: i64 table_digest
   12: i64 configuration_digest
+  // In an answer the answerer's own clock, which the supplement gives back:
+  // how long the supplement can have been on its way at most.
+  13: i64 clock_ms
 }
 
 struct ProbeRequest {
