--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -23,14 +23,20 @@
 
 
 @attrs.frozen
-class PeerTls:
-    """Contexts for calls between our processes; None means plain TCP."""
+class PeerSockets:
+    """How calls between our processes are carried.
 
-    server: ssl.SSLContext | None = None
-    client: ssl.SSLContext | None = None
+    None as a context means plain TCP. listen_host is listened on instead of
+    the member's own host; calls come from local_host.
+    """
+
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    listen_host: str = ''
+    local_host: str = ''
 
 
-NO_TLS = PeerTls()
+PLAIN_SOCKETS = PeerSockets()
 
 
 @attrs.define
@@ -89,7 +95,7 @@
     seed: int = 0,
     bounds: member_bounds.MembershipBounds = member_bounds.DEFAULT_BOUNDS,
     switches: invariants.SafeguardSwitches | None = None,
-    tls: PeerTls = NO_TLS,
+    sockets: PeerSockets = PLAIN_SOCKETS,
 ) -> PeerNode:
     """Listen on me.host and me.peer_port, 0 for any; then run the result.
 
@@ -98,9 +104,13 @@
     handler = handlers.make_peer_handler()
     counted = traffic.Traffic()
     peer_server = server.make_peer_server(handler, counted)
-    await peer_server.start(me.host, me.peer_port, tls.server)
+    await peer_server.start(
+        sockets.listen_host or me.host, me.peer_port, sockets.server_tls
+    )
     listening = attrs.evolve(me, peer_port=peer_server.port)
-    caller = rpc.make_peer_caller(timers, tls.client, counted)
+    caller = rpc.make_peer_caller(
+        timers, sockets.client_tls, counted, sockets.local_host
+    )
     present = gossip.make_gossip_members(
         listening, caller, timers, contacts, seed, bounds, switches
     )
--- a/redwingvalve/process/parts.py
+++ b/redwingvalve/process/parts.py
@@ -129,9 +129,11 @@
             _replicas_of,
             settings.node.seed,
             switches=switches,
-            tls=node.PeerTls(
+            sockets=node.PeerSockets(
                 server_tls.context if server_tls else None,
                 client_tls.context if client_tls else None,
+                settings.listen.peer_host,
+                settings.peers.local_host,
             ),
         )
     except OSError as error:
--- a/redwingvalve/settings/schema.py
+++ b/redwingvalve/settings/schema.py
@@ -21,10 +21,15 @@
 
 @attrs.frozen
 class ListenSettings:
-    """Ports of this process; all on node.host."""
+    """Ports of this process; all on node.host.
+
+    peer_host is listened on for peers instead, where peers reach node.host
+    through something that passes connections on, such as address translation.
+    """
 
     http_port: int
     peer_port: int
+    peer_host: str = ''
 
 
 @attrs.frozen
@@ -40,10 +45,14 @@
 
 @attrs.frozen
 class PeerSettings:
-    """First contacts; the store's node objects name the others."""
+    """First contacts; the store's node objects name the others.
+
+    Calls to peers come from local_host; empty lets the system choose it.
+    """
 
     contacts: tuple[str, ...] = ()
     call_timeout_s: float = 1.0
+    local_host: str = ''
 
 
 @attrs.frozen
--- a/redwingvalve/soak/attack.py
+++ b/redwingvalve/soak/attack.py
@@ -38,6 +38,8 @@
         Name.CONTROL_DIES: daemon_faults.control_dies,
         Name.CONTROL_PAUSES: daemon_faults.control_pauses,
         Name.OPERATORS_RACE: daemon_faults.operators_race,
+        Name.PEERS_CUT: daemon_faults.peers_cut,
+        Name.PEERS_CUT_ONE_WAY: daemon_faults.peers_cut_one_way,
     }
 )
 
--- a/redwingvalve/soak/daemon_faults.py
+++ b/redwingvalve/soak/daemon_faults.py
@@ -6,6 +6,9 @@
 VERSIONS = 3
 FEWEST_REPLICAS = 3
 NOBODY = 'nobody'
+# From below the time after which a process knows that it is cut off (4 s) to
+# beyond that after which its peers call it dead.
+CUT_FACTOR = 2.0
 
 
 async def entry_dies(hit: targets.Targets, fault: schedule.Fault) -> str:
@@ -62,6 +65,33 @@
     )
 
 
+async def peers_cut(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Cut a daemon off from all its peers, in both ways."""
+    return await _cut(hit, fault, from_others=True)
+
+
+async def peers_cut_one_way(hit: targets.Targets, fault: schedule.Fault) -> str:
+    """Lose what a daemon asks its peers; they still reach it."""
+    return await _cut(hit, fault, from_others=False)
+
+
+async def _cut(
+    hit: targets.Targets, fault: schedule.Fault, *, from_others: bool
+) -> str:
+    present = [
+        daemon
+        for daemon in hit.daemons.by_name.values()
+        if not (daemon.away or daemon.stopping)
+    ]
+    if not hit.daemons.can_cut or not present:
+        return NOBODY
+    victim = targets.pick(present, fault.where)
+    await hit.daemons.cut(
+        victim.name, CUT_FACTOR * fault.duration_s, from_others=from_others
+    )
+    return victim.name
+
+
 async def _away(hit: targets.Targets, role: str, fault: schedule.Fault) -> str:
     victim = hit.daemon(role, fault)
     if victim is None:
--- a/redwingvalve/soak/daemons.py
+++ b/redwingvalve/soak/daemons.py
@@ -39,6 +39,7 @@
     """All daemons of a run by name."""
 
     can_pause = False
+    can_cut = False
 
     def __init__(self) -> None:
         """Start without any."""
@@ -93,6 +94,19 @@
         await self.freeze(daemon, duration_s)
         self._came_back(daemon)
 
+    async def cut(
+        self, name: str, duration_s: float, *, from_others: bool
+    ) -> None:
+        """Lose what a daemon asks its peers, and what they ask it too.
+
+        It still reaches the platform, the endpoints and its callers, so that
+        it stays bound by every promise.
+        """
+        daemon = self.by_name[name]
+        await self.cut_links(daemon, from_others=from_others)
+        await anyio.sleep(duration_s)
+        await self.heal_links(daemon)
+
     def _note_breach(self, daemon: Daemon, error: BaseException) -> None:
         self.breaches.append(
             breaches.Breach(
@@ -129,6 +143,14 @@
         """Stop a daemon in its tracks and let it go on."""
         raise NotImplementedError
 
+    async def cut_links(self, daemon: Daemon, *, from_others: bool) -> None:
+        """Hold back all bytes between a daemon and its peers."""
+        raise NotImplementedError
+
+    async def heal_links(self, daemon: Daemon) -> None:
+        """Let the bytes that were held back flow again, late."""
+        raise NotImplementedError
+
     def _came_back(self, daemon: Daemon) -> None:
         daemon.away = False
         daemon.disturbed_until_s = time.time() + SETTLING_S
--- a/redwingvalve/soak/fleet_run.py
+++ b/redwingvalve/soak/fleet_run.py
@@ -109,6 +109,7 @@
             self.options.seed,
             self.options.disabled,
             self.options.spans_folder,
+            own_hosts=self.daemons.can_cut,
         ):
             self.daemons.by_name[daemon.name] = daemon
             await self.daemons.start(daemon)
--- a/redwingvalve/soak/runner.py
+++ b/redwingvalve/soak/runner.py
@@ -10,17 +10,22 @@
 PAUSES = frozenset(
     (schedule.FaultName.ENTRY_PAUSES, schedule.FaultName.CONTROL_PAUSES)
 )
+CUTS = frozenset(
+    (schedule.FaultName.PEERS_CUT, schedule.FaultName.PEERS_CUT_ONE_WAY)
+)
 
 
 def plan_faults(
-    options: fleet_run.Options, *, can_pause: bool
+    options: fleet_run.Options, *, can_pause: bool, can_cut: bool = False
 ) -> fleet_run.Faults:
-    """Return the schedule of a run."""
+    """Return the schedule of a run; seeds keep theirs where none is cut."""
     left_out = set(options.left_out)
     if options.only:
         left_out |= set(schedule.FaultName) - set(options.only)
     if not can_pause:
         left_out |= PAUSES
+    if not can_cut:
+        left_out |= CUTS
     return schedule.make_schedule(
         options.seed, options.duration_s, frozenset(left_out)
     )
@@ -34,7 +39,11 @@
         run = await stack.enter_async_context(
             fleet_run.open_run(options, make_daemons)
         )
-        planned = plan_faults(options, can_pause=run.daemons.can_pause)
+        planned = plan_faults(
+            options,
+            can_pause=run.daemons.can_pause,
+            can_cut=run.daemons.can_cut,
+        )
         ends_at_s = time.monotonic() + options.duration_s
         calling = [
             run.make_caller(f'c{index}', index)
--- a/redwingvalve/soak/schedule.py
+++ b/redwingvalve/soak/schedule.py
@@ -36,6 +36,8 @@
     CONTROL_DIES = 'control-dies'
     CONTROL_PAUSES = 'control-pauses'
     OPERATORS_RACE = 'operators-race'
+    PEERS_CUT = 'peers-cut'
+    PEERS_CUT_ONE_WAY = 'peers-cut-one-way'
 
 
 SHARES = types.MappingProxyType(
@@ -59,6 +61,8 @@
         FaultName.CONTROL_DIES: 2,
         FaultName.CONTROL_PAUSES: 2,
         FaultName.OPERATORS_RACE: 4,
+        FaultName.PEERS_CUT: 4,
+        FaultName.PEERS_CUT_ONE_WAY: 3,
     }
 )
 
--- a/redwingvalve/soak/wiring.py
+++ b/redwingvalve/soak/wiring.py
@@ -17,13 +17,25 @@
     seed: int,
     disabled: tuple[str, ...] = (),
     spans_folder: str = '',
+    *,
+    own_hosts: bool = False,
 ) -> list[daemons.Daemon]:
-    """Return the daemons of a run; disabled names safeguards."""
+    """Return the daemons of a run; disabled names safeguards.
+
+    With own_hosts each has a loopback address of its own that its calls come
+    from, and listens for peers on another, so that a proxy fits in between.
+    """
     names = [f'entry-{number}' for number in range(1, ENTRIES + 1)]
     names.extend(f'control-{number}' for number in range(1, CONTROLS + 1))
     # Drawn together, so that no port is drawn twice.
     ports = standin_ports.free_ports(2 * len(names))
-    contacts = tuple(f'{platform.HOST}:{port}' for port in ports[-CONTACTS:])
+    hosts = [
+        f'127.0.1.{number}' if own_hosts else platform.HOST
+        for number in range(1, len(names) + 1)
+    ]
+    contacts = tuple(
+        f'{hosts[index]}:{ports[-1 - index]}' for index in range(CONTACTS)
+    )
     made = []
     for index, name in enumerate(names):
         settings = schema.Settings(
@@ -31,14 +43,20 @@
                 name,
                 DATA_CENTRES[index % len(DATA_CENTRES)],
                 platform.REGION,
-                platform.HOST,
+                hosts[index],
                 seed + index,
             ),
-            listen=schema.ListenSettings(ports[index], ports[-1 - index]),
+            listen=schema.ListenSettings(
+                ports[index],
+                ports[-1 - index],
+                f'127.0.2.{index + 1}' if own_hosts else '',
+            ),
             platform=schema.PlatformSettings(
                 small.urls['objects'], small.urls['vms'], small.urls['weights']
             ),
-            peers=schema.PeerSettings(contacts),
+            peers=schema.PeerSettings(
+                contacts, local_host=hosts[index] if own_hosts else ''
+            ),
             requests=schema.RequestSettings(
                 discovery_keep_s=KEEP_S, drain_timeout_s=DRAIN_TIMEOUT_S
             ),
--- a/redwingvalve/wire/rpc.py
+++ b/redwingvalve/wire/rpc.py
@@ -52,8 +52,10 @@
         timers: clock.Clock,
         tls: ssl.SSLContext | None,
         counted: traffic.Traffic,
+        local_host: str = '',
     ) -> None:
         """Use tls for new connections unless it is None."""
+        self._local = (local_host, 0) if local_host else None
         self.traffic = counted
         self._clock = timers
         self._tls = tls
@@ -139,7 +141,7 @@
     async def _connect(self, address: Address) -> _Connection:
         host, port = address
         reader, writer = await asyncio.open_connection(
-            host, port, ssl=self._tls
+            host, port, ssl=self._tls, local_addr=self._local
         )
         return _Connection(reader, writer)
 
@@ -187,6 +189,7 @@
     timers: clock.Clock,
     tls: ssl.SSLContext | None = None,
     counted: traffic.Traffic | None = None,
+    local_host: str = '',
 ) -> PeerCaller:
-    """Return a caller without connections."""
-    return PeerCaller(timers, tls, counted or traffic.Traffic())
+    """Return a caller without connections; calls come from local_host."""
+    return PeerCaller(timers, tls, counted or traffic.Traffic(), local_host)
