Count a death that a foreign answer or a leaving caller hides

A send that ends early for another reason stops reading, so that the death that follows was nobody's. Ruled out: many deaths at once (one poison request, no other death within 5 s).

Change: the cancellation of such a send finds nobody there; that is counted as the endpoint's death under all that ran on it, also when the caller has left.

Before: both new tests fail (three sends and no refusal; a second send runs). After: refused after the second death, held back after the first.

--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -246,9 +246,16 @@
             self._counted(journey, attempt, digest),
             self._watched(journey, watched),
         ):
-            failure = await self._sender.send(
-                journey, attempt.replica, identity, watched, on_first_token
-            )
+            try:
+                failure = await self._sender.send(
+                    journey, attempt.replica, identity, watched, on_first_token
+                )
+            finally:
+                # A send that ends early for another reason, as by a wrong
+                # answer or a caller that leaves, hides the death of its
+                # endpoint: sent again, a poison request would have one more.
+                if watched.endpoint_gone:
+                    self._suspects.endpoint_died(attempt.replica)
             attempt.whole = failure is None
             if failure is not None and failure.blames_endpoint:
                 self._blame(attempt.replica, failure)
--- a/redwingvalve/entry/sends.py
+++ b/redwingvalve/entry/sends.py
@@ -322,12 +322,16 @@
                 timeout_s = CANCEL_TIMEOUT_S
                 if exchange.watched.pulse.stalled:
                     timeout_s = STALL_CANCEL_TIMEOUT_S
-                await self._cancel(outgoing, timeout_s)
+                reached = await self._cancel(outgoing, timeout_s)
+                exchange.watched.endpoint_gone = not reached
 
     async def _cancel(
         self, outgoing: upstream.UpstreamRequest, timeout_s: float
-    ) -> None:
-        """Free the tokens of a request whose answer nobody will read."""
+    ) -> bool:
+        """Free the tokens of a request whose answer nobody will read.
+
+        False when nobody is there: the endpoint has gone since.
+        """
         cancel = attrs.evolve(
             outgoing,
             path=CANCEL_PATH,
@@ -338,8 +342,9 @@
             try:
                 answer = await self._parts.upstream.send(cancel)
             except upstream.UpstreamError:
-                return
+                return False
             await self._parts.upstream.release(answer)
+        return True
 
 
 @attrs.frozen
--- a/redwingvalve/entry/stall_watch.py
+++ b/redwingvalve/entry/stall_watch.py
@@ -22,7 +22,10 @@
 
 @attrs.define(eq=False)
 class Watched:
-    """A send under way; scope ends it, may_stop says whether that helps."""
+    """A send under way; scope ends it, may_stop says whether that helps.
+
+    endpoint_gone says that nobody was there to be told of its early end.
+    """
 
     pulse: stalls.Pulse
     request_id: str
@@ -31,6 +34,7 @@
     may_stop: collections_abc.Callable[[], bool]
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     read_slowly: bool = False
+    endpoint_gone: bool = False
 
 
 class StallWatch:
--- a/redwingvalve/entry/tests/fakes.py
+++ b/redwingvalve/entry/tests/fakes.py
@@ -87,8 +87,11 @@
     scripts: dict = attrs.field(factory=dict)
     sent: list = attrs.field(factory=list)
     cancelled: list = attrs.field(factory=list)
+    gone: set = attrs.field(factory=set)
 
     async def send(self, request):
+        if request.path == '/v1/cancel' and request.address in self.gone:
+            raise upstream.UpstreamError('refused', surely_not_run=True)
         if request.path == '/v1/cancel':
             self.cancelled.append(json.loads(request.body)['request_id'])
             return upstream.UpstreamAnswer(200, (), chunks_of(()))
--- a/redwingvalve/entry/tests/test_relay.py
+++ b/redwingvalve/entry/tests/test_relay.py
@@ -13,6 +13,7 @@
 WHOLE = [' t1', ' t2', ' t3', ' t4', ' t5', ' t6']
 ONCE = {'headers': {'x-redwingvalve-idempotent': 'false'}}
 Safeguard = invariants.Safeguard
+FOREIGN = (('x-request-id', 'of another'),)
 
 
 def two(first, second=None):
@@ -173,6 +174,52 @@
     assert answers[5].tokens == [' t1', ' t2', ' t3']
 
 
+POISON = {'body': {'model': 'quotes', 'messages': [{'content': 'poison'}]}}
+
+
+def test_a_death_that_a_foreign_answer_hides_counts_all_the_same():
+    """A poison request kills two endpoints and is refused.
+
+    At the first a foreign answer comes before the death, so that the entry
+    has stopped reading. Only the cancellation finds nobody there. Not
+    counted, the request would kill a third endpoint.
+    """
+
+    async def dying(request):
+        engines.gone.add(request.address)
+        if len(engines.sent) > 1:
+            raise fakes.broken()
+        return await fakes.answering(200, headers=FOREIGN)(request)
+
+    names = ('r1', 'r2', 'r3', 'r4')
+    engines = fakes.Engines({f'{name}:1': dying for name in names})
+    got = fakes.run(
+        engines, POISON, source=fakes.Source(fakes.make_snapshot(names))
+    )[0]
+    assert got.error['code'] == 'poison-request'
+    assert len(engines.sent) == 2
+
+
+def test_a_death_after_its_caller_has_left_counts_all_the_same():
+    """A caller leaves while its request kills the endpoint, and sends again.
+
+    The second send waits for news like that of any suspect. Not counted, each
+    send of an impatient caller would have an endpoint of its own.
+    """
+    left = anyio.Event()
+
+    async def dying(request):
+        engines.gone.add(request.address)
+        left.set()
+        await anyio.sleep_forever()
+
+    engines = fakes.Engines({'r1:1': dying, 'r2:1': dying})
+    again = fakes.run(engines, {**POISON, 'hang_up': left}, POISON)[1]
+    assert again.error['code'] == 'suspect-request'
+    assert again.error['outcome'] == 'not-run'
+    assert len(engines.sent) == 1
+
+
 def test_a_full_entry_refuses_in_time_and_serves_who_waited():
     """Of five callers one is served at once, others wait or are refused.
 
