Declare flags by their name, and give the control bench's report a module

Change: options.flag derives a flag from its name; control_cost_report.py holds the command, the table and the lines; targets.one_of_each_region is gone and process.parts calls domain.decode_replicas.

--- a/redwingvalve/bench/spread.py
+++ b/redwingvalve/bench/spread.py
@@ -201,17 +201,10 @@
 
 
 OPTIONS = (
-    options.Option(
-        dest='faults',
-        flags=('--faults',),
-        default='none,loss,pause',
-        help='spread: none, loss (5%% of messages), pause (a third for 2 s)',
-    ),
-    options.Option(
-        dest='regions',
-        flags=('--regions',),
-        type=int,
-        default=1,
-        help='spread: 1 or 5 regions',
+    options.flag(
+        'faults',
+        'spread: none, loss (5%% of messages), pause (a third for 2 s)',
+        'none,loss,pause',
     ),
+    options.flag('regions', 'spread: 1 or 5 regions', 1, int),
 )
--- a/redwingvalve/cli/bench.py
+++ b/redwingvalve/cli/bench.py
@@ -6,7 +6,7 @@
 from collections import abc as collections_abc
 
 from redwingvalve.bench import (
-    control_cost,
+    control_cost_report,
     relay_cost,
     relay_report,
     replicas_report,
@@ -43,7 +43,7 @@
 FLEET_BENCHES: collections_abc.Mapping[str, options.Runner] = (
     types.MappingProxyType(
         {
-            'control-cost': control_cost.run_control_cost,
+            'control-cost': control_cost_report.run_control_cost,
             'spread': spread.run_spread,
         }
     )
@@ -73,14 +73,8 @@
             help='what to measure',
             choices=(*BENCHES, *FLEET_BENCHES),
         ),
-        options.Option(
-            dest='seed',
-            flags=('--seed',),
-            type=int,
-            default=1,
-            help='the same seed gives the same load',
-        ),
-        *control_cost.OPTIONS,
+        options.flag('seed', 'the same seed gives the same load', 1, int),
+        *control_cost_report.OPTIONS,
         *spread.OPTIONS,
         options.OUTPUT,
     ),
--- a/redwingvalve/cli/options.py
+++ b/redwingvalve/cli/options.py
@@ -39,6 +39,17 @@
     options: tuple[Option, ...] = ()
 
 
+def flag(
+    dest: str,
+    explained: str,
+    default: typing.Any = None,
+    type_: collections_abc.Callable[[str], typing.Any] | None = None,
+) -> Option:
+    """Return an option whose flag is its name, as --duration-s."""
+    name = dest.replace('_', '-')
+    return Option(dest, explained, (f'--{name}',), default, type_)
+
+
 OUTPUT = Option(
     dest='output',
     flags=('--output',),
--- a/redwingvalve/cli/soak.py
+++ b/redwingvalve/cli/soak.py
@@ -62,38 +62,22 @@
     example='redwingvalve soak --seed 7 --duration-s 120',
     run=run_soak,
     options=(
-        options.Option(
-            dest='seed',
-            flags=('--seed',),
-            type=int,
-            default=1,
-            help='derives the schedule and what callers ask',
+        options.flag(
+            'seed', 'derives the schedule and what callers ask', 1, int
         ),
-        options.Option(
-            dest='duration_s',
-            flags=('--duration-s',),
-            type=float,
-            default=60.0,
-            help='how long callers call, in seconds',
+        options.flag(
+            'duration_s', 'how long callers call, in seconds', 60.0, float
         ),
-        options.Option(
-            dest='callers',
-            flags=('--callers',),
-            type=int,
-            default=10,
-            help='how many callers there are',
+        options.flag('callers', 'how many callers there are', 10, int),
+        options.flag(
+            'only',
+            'faults to schedule, separated by commas; all by default',
+            '',
         ),
-        options.Option(
-            dest='only',
-            flags=('--only',),
-            default='',
-            help='faults to schedule, separated by commas; all by default',
-        ),
-        options.Option(
-            dest='disable',
-            flags=('--disable',),
-            default='',
-            help='safeguards to switch off, to see that breaches are found',
+        options.flag(
+            'disable',
+            'safeguards to switch off, to see that breaches are found',
+            '',
         ),
     ),
 )
--- a/redwingvalve/membership/targets.py
+++ b/redwingvalve/membership/targets.py
@@ -73,20 +73,6 @@
     return randomness.choice(by_region[randomness.choice(sorted(by_region))])
 
 
-def one_of_each_region(
-    held: Words, me: members.Member, randomness: random.Random
-) -> tuple[members.Member, ...]:
-    """Return one member of each other region."""
-    by_region: dict[str, list[members.Member]] = {}
-    for word in held.values():
-        member = word.member
-        if member.region != me.region and member.state is not DEAD:
-            by_region.setdefault(member.region, []).append(member)
-    return tuple(
-        randomness.choice(by_region[region]) for region in sorted(by_region)
-    )
-
-
 def dead(held: Words, randomness: random.Random) -> members.Member | None:
     """Return one of the dead, to find out whether it has come back."""
     gone = [word.member for word in held.values() if word.state is DEAD]
--- a/redwingvalve/process/parts.py
+++ b/redwingvalve/process/parts.py
@@ -7,7 +7,6 @@
 import attrs
 from anyio import abc as anyio_abc
 
-from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock, invariants
 from redwingvalve.membership import node
 from redwingvalve.observability import logs, metrics, tracing
@@ -126,7 +125,7 @@
             time_source,
             settings.peers.contacts,
             objects,
-            _replicas_of,
+            domain_module.decode_replicas,
             settings.node.seed,
             switches=switches,
             sockets=node.PeerSockets(
@@ -142,12 +141,6 @@
         ) from error
 
 
-def _replicas_of(
-    stored: object_api.StoredObject,
-) -> tuple[snapshot.Replica, ...]:
-    return domain_module.replicas_of(domain_module.from_stored(stored))
-
-
 def _peer_tls(settings: schema.TlsSettings) -> TlsPair:
     server = contexts.make_server_context(settings, mutual=True)
     client = contexts.make_client_context(settings)
