Ask in one place whether a replica is as declared

Cause: the moves between domains compared weights and size with a copy of the comparison that the draft of a domain already made; an added field of a deployment would have had to be remembered twice.

Change: domain.is_as_declared serves both. Behaviour is as before: the tests of replicas, control and plans, the frozen controller and the whole path pass.

--- a/redwingvalve/replicas/domain.py
+++ b/redwingvalve/replicas/domain.py
@@ -228,6 +228,23 @@
     return replicas_of(from_stored(stored))
 
 
+def is_as_declared(
+    replica: DomainReplica, deployment: schema.ModelDeployment
+) -> bool:
+    """Tell whether a replica has the weights and the size of a deployment."""
+    return (
+        replica.model,
+        replica.version,
+        replica.adapters,
+        len(replica.members),
+    ) == (
+        deployment.model,
+        deployment.version,
+        deployment.adapters,
+        deployment.vms_per_replica,
+    )
+
+
 def count_serving(
     domains: collections_abc.Iterable[FabricDomain], deployment: str
 ) -> int:
--- a/redwingvalve/replicas/draft.py
+++ b/redwingvalve/replicas/draft.py
@@ -91,18 +91,7 @@
         wanted = self.view.wants(replica.deployment)
         if wanted is None or self.has_leaving(replica):
             return True
-        deployment = wanted.deployment
-        return (
-            replica.model,
-            replica.version,
-            replica.adapters,
-            len(replica.members),
-        ) != (
-            deployment.model,
-            deployment.version,
-            deployment.adapters,
-            deployment.vms_per_replica,
-        )
+        return not domain_module.is_as_declared(replica, wanted.deployment)
 
     def keep_rank(self, replica: Replica) -> tuple[bool, bool, int]:
         """Order by what is drained first: leaving, outdated, newest."""
--- a/redwingvalve/replicas/moving.py
+++ b/redwingvalve/replicas/moving.py
@@ -244,16 +244,9 @@
 def _outdated(
     replica: domain_module.DomainReplica, deployment: schema.ModelDeployment
 ) -> bool:
-    return replica.deployment == deployment.name and (
-        replica.model,
-        replica.version,
-        replica.adapters,
-        len(replica.members),
-    ) != (
-        deployment.model,
-        deployment.version,
-        deployment.adapters,
-        deployment.vms_per_replica,
+    return (
+        replica.deployment == deployment.name
+        and not domain_module.is_as_declared(replica, deployment)
     )
 
 
