Give each fabric domain one model; bound silence by the prompts of others

Ruled out: a wider bound for all models (the small one's pauses may last 200 ms); lack of capacity (27 places for 21 in use). Change: the bound grows by two prompts as long as nine in ten are at most; the last send a route allows is kept; a domain is dealt to one model.

--- a/redwingvalve/fleet/planning.py
+++ b/redwingvalve/fleet/planning.py
@@ -15,6 +15,9 @@
 from redwingvalve.fleet import endpoints
 from redwingvalve.ingress import routes
 
+# With fewer domains than this a dark one would take a model with it.
+DOMAINS_PER_MODEL = 2
+
 Domains: typing.TypeAlias = dict[str, list[endpoints.Endpoint]]
 
 
@@ -33,26 +36,43 @@
 ) -> dict[str, str]:
     """Return a model for each empty endpoint of a fleet that starts.
 
-    Each domain is dealt by the models' shares; what a domain is too small
-    for is carried to the next one, the largest models first.
+    Where there are enough domains, each holds one model only: VMs of lost
+    replicas are then spares for the others of their domain. Split evenly, ten
+    VMs hold one replica of four with one spare, and two losses leave three
+    VMs that no replica can use.
     """
-    dealt: dict[str, str] = {}
     owed = dict.fromkeys((model.name for model in models), 0.0)
+    if len(domains) < DOMAINS_PER_MODEL * len(models):
+        return _deal_within(domains, models, owed)
+    dealt: dict[str, str] = {}
+    for name in sorted(domains):
+        members = domains[name]
+        for model in models:
+            owed[model.name] += model.share * len(members)
+        fitting = [model for model in models if model.size <= len(members)]
+        if not fitting:
+            continue
+        chosen = max(fitting, key=lambda model: (owed[model.name], model.size))
+        owed[chosen.name] -= len(members)
+        for endpoint in members:
+            dealt[endpoint.endpoint_id] = chosen.name
+    return dealt
+
+
+def _deal_within(
+    domains: Domains, models: tuple[routes.Model, ...], owed: dict[str, float]
+) -> dict[str, str]:
+    dealt: dict[str, str] = {}
     largest_first = sorted(models, key=_size, reverse=True)
     for name in sorted(domains):
         free = list(domains[name])
         for model in largest_first:
             owed[model.name] += model.share * len(domains[name])
-        for model in largest_first:
             count = _deal_count(owed[model.name], model, len(free), models)
             for endpoint in free[:count]:
                 dealt[endpoint.endpoint_id] = model.name
             owed[model.name] -= count
             free = free[count:]
-        for endpoint in free:
-            smallest = largest_first[-1].name
-            dealt[endpoint.endpoint_id] = smallest
-            owed[smallest] -= 1
     return dealt
 
 
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -74,6 +74,7 @@
         self._may_have_run = False
         self._failure: sends.Send | None = None
         self._connect_failures = 0
+        self._admission: Admission | None = None
 
     async def run(self) -> None:
         """Answer the request."""
@@ -82,6 +83,8 @@
         admission = self._admit()
         if admission is None:
             return
+        self._admission = admission
+        self._state.prompts(admission.model).saw(admission.prompt_s)
         self._state.window(admission.service).count_request(self._began_s)
         while not self._responder.is_gone:
             target = await self._take_place(admission)
@@ -126,9 +129,9 @@
         if must_have_key and account is None:
             self._refuse(refusals.UNKNOWN_KEY)
             return None
-        return self._admission(configuration, route, account)
+        return self._make_admission(configuration, route, account)
 
-    def _admission(
+    def _make_admission(
         self,
         configuration: routes.Configuration,
         route: routes.Route,
@@ -152,15 +155,10 @@
             urgency=min(priority, MAX_URGENCY),
             timeout_at_s=self._began_s + timeout_ms / _MS_IN_S,
             caller_until_s=self._began_s + caller_ms / _MS_IN_S,
-            prompt_s=self._prompt_s(engine),
+            prompt_s=_prompt_s(engine, self._caller),
             pause_s=_pause_s(engine, self._caller.model),
         )
 
-    def _prompt_s(self, engine: routes.Engine | None) -> float:
-        if engine is None:
-            return 0
-        return self._caller.prompt_tokens / engine.read_per_s
-
     async def _take_place(self, admission: Admission) -> placing.Target | None:
         state = self._state
         room = state.room(admission.service, admission.model)
@@ -264,8 +262,15 @@
         return ending
 
     def head_is_silent(self) -> None:
-        """End the send that is under way, to go on elsewhere."""
-        if self._send is not None:
+        """End the send that is under way if it may go on elsewhere.
+
+        The last send that the route allows stays: a head that is only slow
+        still finishes it.
+        """
+        admission = self._admission
+        if admission is None or self._send is None:
+            return
+        if self._sent < admission.route.max_attempts:
             self._send.end(sends.Ending.SILENT)
 
     def _timed_out(self, admission: Admission) -> sends.Ending:
@@ -292,6 +297,7 @@
             sent_s=time.monotonic(),
             prompt_s=admission.prompt_s,
             pause_s=admission.pause_s,
+            others_s=self._state.prompts(admission.model).others_s(),
         )
         self._state.silence.begin(self._pulse)
 
@@ -439,11 +445,18 @@
 )
 
 
-def _pause_s(engine: routes.Engine | None, model: str) -> float:
-    if engine is None:
+def _prompt_s(
+    engine: routes.Engine | None, caller: caller_requests.CallerRequest
+) -> float:
+    model = engine.find_model(caller.model) if engine else None
+    if engine is None or model is None:
+        return 0
+    return caller.prompt_tokens / engine.read_per_s * model.pace
+
+
+def _pause_s(engine: routes.Engine | None, name: str) -> float:
+    model = engine.find_model(name) if engine else None
+    if engine is None or model is None:
         return 0
-    for known in engine.models:
-        if known.name == model:
-            step_ms = engine.step_ms + engine.slots * engine.request_step_ms
-            return step_ms * engine.stride * known.pace / _MS_IN_S
-    return 0
+    step_ms = engine.step_ms + engine.slots * engine.request_step_ms
+    return step_ms * engine.stride * model.pace / _MS_IN_S
--- a/redwingvalve/ingress/routes.py
+++ b/redwingvalve/ingress/routes.py
@@ -46,6 +46,13 @@
     loads_at_once: int
     open_ms: float
 
+    def find_model(self, name: str) -> Model | None:
+        """Return a model by its name."""
+        for model in self.models:
+            if model.name == name:
+                return model
+        return None
+
 
 @attrs.frozen
 class Service:
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -11,6 +11,8 @@
 don't count the time in between.
 """
 
+import collections
+
 import attrs
 
 LOOK_EVERY_S = 0.025
@@ -19,13 +21,37 @@
 # Silence for this many usual pauses between events; below three, the
 # variation of step times raises false alarms.
 PAUSES = 3.0
-# Covers prompts that other nodes have sent to the same head: one chunk of a
-# large prompt for each token step of a pass.
-MIN_SILENCE_S = 0.11
+# Below this, delays of the network and of timers raise false alarms.
+MIN_SILENCE_S = 0.1
+# Prompts that other nodes may have sent to the same head at the same moment,
+# each as long as nine in ten are at most.
+OTHER_PROMPTS = 2
+PROMPTS_KEPT = 40
 # Network both ways, and waiting for the pass that is under way.
 FIRST_EVENT_S = 0.12
 
 
+class PromptSizes:
+    """How long endpoints read the prompts of one model, lately."""
+
+    def __init__(self) -> None:
+        """Start without prompts."""
+        self._seen_s: collections.deque[float] = collections.deque(
+            maxlen=PROMPTS_KEPT
+        )
+
+    def saw(self, prompt_s: float) -> None:
+        """Take one more prompt, in seconds of reading."""
+        self._seen_s.append(prompt_s)
+
+    def others_s(self) -> float:
+        """Return what the prompts of other nodes may hold a head up."""
+        if not self._seen_s:
+            return 0
+        largest = sorted(self._seen_s)[len(self._seen_s) * 9 // 10]
+        return OTHER_PROMPTS * largest
+
+
 @attrs.define(eq=False)
 class StreamPulse:
     """One stream at a head; its owner notes each event."""
@@ -36,6 +62,8 @@
     prompt_s: float
     # Seconds between two events.
     pause_s: float
+    # Seconds that reading other nodes' prompts may take.
+    others_s: float = 0.0
     has_begun: bool = False
     # While the caller doesn't read, nothing can be said about the head.
     is_held: bool = False
@@ -109,11 +137,14 @@
     reading_s = sum(
         pulse.prompt_s for pulse in live if not pulse.has_begun
     )
-    bound_s = max(MIN_SILENCE_S, PAUSES * begun[0].pause_s) + reading_s
+    usual = begun[0]
+    bound_s = max(MIN_SILENCE_S, PAUSES * usual.pause_s)
+    bound_s += reading_s + usual.others_s
     return now_s - head.last_event_s > bound_s
 
 
 def _is_overdue(pulse: StreamPulse, head: _Head, now_s: float) -> bool:
-    bound_s = FIRST_EVENT_S + PAUSES * pulse.pause_s + pulse.prompt_s
+    bound_s = FIRST_EVENT_S + PAUSES * pulse.pause_s
+    bound_s += pulse.prompt_s + pulse.others_s
     since_s = max(pulse.sent_s, head.last_event_s)
     return now_s - since_s > bound_s
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -61,6 +61,9 @@
     _rooms: dict[tuple[str, str], waiting.WaitingRoom] = attrs.field(
         factory=dict
     )
+    _prompts: dict[str, silence_module.PromptSizes] = attrs.field(
+        factory=dict
+    )
     _windows: dict[str, retry_window.RetryWindow] = attrs.field(factory=dict)
 
     def room(self, service: str, model: str) -> waiting.WaitingRoom:
@@ -76,6 +79,12 @@
             self._windows[service] = retry_window.RetryWindow(self.allowance)
         return self._windows[service]
 
+    def prompts(self, model: str) -> silence_module.PromptSizes:
+        """Return how long prompts of a model were lately."""
+        if model not in self._prompts:
+            self._prompts[model] = silence_module.PromptSizes()
+        return self._prompts[model]
+
     def poke(self) -> None:
         """Let waiting requests look for a place again."""
         for room in self._rooms.values():
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -211,7 +211,9 @@
         dealt = planning.deal_models(planning.by_domain(empty), engine.models)
         for model in engine.models:
             chosen = [
-                one for one in empty if dealt[one.endpoint_id] == model.name
+                one
+                for one in empty
+                if dealt.get(one.endpoint_id) == model.name
             ]
             load_s = model.load_s * EARLY_LOAD_SHARE
             for members in planning.by_domain(chosen).values():
