Split the request path and the controller into modules of one job

Cause: three classes had more than twenty methods each. Change: admitting, answering and passing from the relay; reading from the caller server; forming and tasks from the controller. No change of behaviour is meant.

--- a/redwingvalve/fleet/endpoints.py
+++ b/redwingvalve/fleet/endpoints.py
@@ -104,9 +104,7 @@
     found: dict[str, list[Replica]] = {}
     for (service, name, epoch), group in members.items():
         group.sort(key=_rank)
-        found.setdefault(service, []).append(
-            Replica(name, epoch, tuple(group))
-        )
+        found.setdefault(service, []).append(Replica(name, epoch, tuple(group)))
     return found
 
 
--- a/redwingvalve/fleet/planning.py
+++ b/redwingvalve/fleet/planning.py
@@ -47,18 +47,33 @@
     dealt: dict[str, str] = {}
     for name in sorted(domains):
         members = domains[name]
-        for model in models:
-            owed[model.name] += model.share * len(members)
-        fitting = [model for model in models if model.size <= len(members)]
+        _owe(owed, models, len(members))
+        fitting = [one for one in models if one.size <= len(members)]
         if not fitting:
             continue
-        chosen = max(fitting, key=lambda model: (owed[model.name], model.size))
+        chosen = _most_owed(fitting, owed)
         owed[chosen.name] -= len(members)
         for endpoint in members:
             dealt[endpoint.endpoint_id] = chosen.name
     return dealt
 
 
+def _owe(
+    owed: dict[str, float], models: tuple[routes.Model, ...], count: int
+) -> None:
+    for model in models:
+        owed[model.name] += model.share * count
+
+
+def _most_owed(
+    models: list[routes.Model], owed: dict[str, float]
+) -> routes.Model:
+    def rank(model: routes.Model) -> tuple[float, int]:
+        return owed[model.name], model.size
+
+    return max(models, key=rank)
+
+
 def _deal_within(
     domains: Domains, models: tuple[routes.Model, ...], owed: dict[str, float]
 ) -> dict[str, str]:
@@ -133,9 +148,10 @@
     for members in by_domain(free).values():
         if len(members) < model.size:
             continue
-        warm_first = sorted(members, key=lambda one: not is_warm(one))
-        picked = tuple(warm_first[: model.size])
-        cold = sum(1 for one in picked if not is_warm(one))
+        warm_first = [one for one in members if is_warm(one)]
+        rest = [one for one in members if not is_warm(one)]
+        picked = (*warm_first, *rest)[: model.size]
+        cold = max(0, model.size - len(warm_first))
         if best is None or cold < best_cold:
             best = picked
             best_cold = cold
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -47,9 +47,7 @@
     def replaced(self, listed: list[store.Document]) -> None:
         """Take a whole listing."""
         found = dict(_decode_all(listed))
-        missing = [
-            name for name in self.live if name not in found
-        ]
+        missing = [name for name in self.live if name not in found]
         for name in missing:
             self._lapse(name)
         self.live.update(found)
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from redwingvalve.fleet import endpoints, registry as registry_module
+from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import placing, routes, state
 from redwingvalve.observability import logs
 
@@ -82,9 +83,9 @@
     def take_suspicion(self, suspicion: Suspicion) -> bool:
         """Take an endpoint out of use; return whether that is new."""
         known = self._suspicions.get(suspicion.endpoint_id)
-        if known is not None and known.epoch >= suspicion.epoch:
-            if known.until_s > time.monotonic():
-                return False
+        is_known = known is not None and known.epoch >= suspicion.epoch
+        if is_known and known.until_s > time.monotonic():
+            return False
         self._suspicions[suspicion.endpoint_id] = suspicion
         self.rebuild()
         return True
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -7,45 +7,36 @@
 import abc
 import asyncio
 import collections
+import types
 import typing
 
-import attrs
-import httptools
-
-from redwingvalve.http1 import messages
+from redwingvalve.http1 import messages, reading
 
 # Requests that a caller sent ahead; more are not read until some are answered.
 MAX_PIPELINED = 8
-_REASONS: typing.Final = {
-    200: b'OK',
-    400: b'Bad Request',
-    401: b'Unauthorized',
-    404: b'Not Found',
-    408: b'Request Timeout',
-    413: b'Content Too Large',
-    431: b'Request Header Fields Too Large',
-    500: b'Internal Server Error',
-    502: b'Bad Gateway',
-    503: b'Service Unavailable',
-    504: b'Gateway Timeout',
-}
-
-
-@attrs.frozen
-class ServerLimits:
-    """Bounds on what a caller may send, and how slowly."""
-
-    head_bytes: int
-    body_bytes: int
-    head_timeout_s: float
-    idle_timeout_s: float
+HEAD_TIMEOUT = 408
+_REASONS: typing.Final = types.MappingProxyType(
+    {
+        200: b'OK',
+        400: b'Bad Request',
+        401: b'Unauthorized',
+        404: b'Not Found',
+        408: b'Request Timeout',
+        413: b'Content Too Large',
+        431: b'Request Header Fields Too Large',
+        500: b'Internal Server Error',
+        502: b'Bad Gateway',
+        503: b'Service Unavailable',
+        504: b'Gateway Timeout',
+    }
+)
 
 
 class Application(abc.ABC):
     """What answers the requests of all connections."""
 
     @abc.abstractmethod
-    def limits(self) -> ServerLimits:
+    def limits(self) -> reading.ServerLimits:
         """Return the bounds in force."""
 
     @abc.abstractmethod
@@ -53,9 +44,7 @@
         """Return whether answers should end their connections."""
 
     @abc.abstractmethod
-    def serve(
-        self, request: messages.Request, responder: 'Responder'
-    ) -> None:
+    def serve(self, request: messages.Request, responder: 'Responder') -> None:
         """Start to answer a request; returns at once."""
 
 
@@ -135,7 +124,7 @@
         self._connection.answered(self._keep)
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, reading.RequestTaker):
     """One connection of a caller."""
 
     def __init__(self, application: Application) -> None:
@@ -145,26 +134,17 @@
         self.is_full = False
         self.is_idle = True
         self._transport: asyncio.Transport | None = None
-        self._parser: typing.Any = httptools.HttpRequestParser(self)
+        self._reader = reading.RequestReader(self, application.limits)
         self._timer: asyncio.TimerHandle | None = None
-        self._waiting: collections.deque[messages.Request] = (
-            collections.deque()
-        )
+        self._waiting: collections.deque[messages.Request] = collections.deque()
         self._current: Responder | None = None
-        self._target = b''
-        self._headers: messages.Headers = []
-        self._body: list[bytes] = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._in_head = False
-        self._refused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Expect the first head within the idle time."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._restart_timer(self.application.limits().idle_timeout_s)
 
-    def connection_lost(self, error: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:
         """Tell the request that is being answered."""
         self.is_lost = True
         self._stop_timer()
@@ -191,71 +171,32 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
-        if self._refused:
-            return
         self.is_idle = False
-        if self._in_head:
-            self._count_head(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError:
-            self._refuse(400)
-
-    def on_message_begin(self) -> None:
-        """Bound the time and size of a new head."""
-        self._in_head = True
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._target = b''
-        self._headers = []
-        self._body = []
+        self._reader.feed(data)
+
+    def begun(self) -> None:
+        """Bound the time of a head."""
         self._restart_timer(self.application.limits().head_timeout_s)
 
-    def on_url(self, target: bytes) -> None:
-        """Collect the target, which may come in pieces."""
-        self._target += target
-        self._count_head(len(target))
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), content))
-        self._count_head(len(name) + len(content))
-
-    def on_headers_complete(self) -> None:
-        """Answer a caller that waits before it sends its body."""
-        self._in_head = False
-        for name, content in self._headers:
-            if name == b'expect' and content.lower() == b'100-continue':
-                self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, chunk: bytes) -> None:
-        """Collect a piece of the body."""
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self.application.limits().body_bytes:
-            self._refuse(413)
-            return
-        self._body.append(chunk)
+    def head_read(self) -> None:
+        """Bound the time of a body, which may be long and the link slow."""
+        self._restart_timer(self.application.limits().idle_timeout_s)
 
-    def on_message_complete(self) -> None:
-        """Answer the request when those before it are answered."""
-        if self._refused:
-            return
+    def taken(self, request: messages.Request) -> None:
+        """Answer a request when those before it are answered."""
         self._stop_timer()
-        self._waiting.append(
-            messages.Request(
-                method=self._parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=b''.join(self._body),
-                keep_alive=self._parser.should_keep_alive(),
-            )
-        )
+        self._waiting.append(request)
         if len(self._waiting) > MAX_PIPELINED and self._transport:
             self._transport.pause_reading()
         self._serve_next()
 
+    def refused(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        if self._current is None:
+            Responder(self, keep=False).answer(status, [], b'')
+        elif self._transport is not None:
+            self._transport.close()
+
     def write(self, data: bytes) -> None:
         """Send bytes if the caller is still there."""
         if self._transport is not None and not self._transport.is_closing():
@@ -273,15 +214,14 @@
         if self._transport is None or self._transport.is_closing():
             return
         if not keep:
-            self._refused = True
             self._transport.close()
             return
-        self.is_idle = not self._waiting
         if self._waiting:
             self._transport.resume_reading()
             self._serve_next()
-            return
-        self._restart_timer(self.application.limits().idle_timeout_s)
+        elif not self._reader.is_reading:
+            self.is_idle = True
+            self._restart_timer(self.application.limits().idle_timeout_s)
 
     def close_if_idle(self) -> None:
         """Close a connection on which no request waits."""
@@ -296,20 +236,6 @@
         self._current = responder
         self.application.serve(request, responder)
 
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self.application.limits().head_bytes:
-            self._refuse(431)
-
-    def _refuse(self, status: int) -> None:
-        if self._refused:
-            return
-        self._refused = True
-        if self._current is None:
-            Responder(self, keep=False).answer(status, [], b'')
-        elif self._transport is not None:
-            self._transport.close()
-
     def _restart_timer(self, duration_s: float) -> None:
         self._stop_timer()
         loop = asyncio.get_running_loop()
@@ -321,7 +247,7 @@
             self._timer = None
 
     def _expire(self) -> None:
-        if self._in_head or self._body:
-            self._refuse(408)
+        if self._reader.is_reading:
+            self._reader.refuse(HEAD_TIMEOUT)
         elif self._transport is not None:
             self._transport.close()
--- /dev/null
+++ b/redwingvalve/ingress/admitting.py
@@ -0,0 +1,96 @@
+"""What is decided about a request before it is sent anywhere."""
+
+import random
+
+import attrs
+
+from redwingvalve.ingress import refusals, routes
+from redwingvalve.platform import caller_requests
+
+_MS_IN_S = 1000.0
+# Callers that state no deadline and routes without a timeout.
+DEFAULT_TIMEOUT_MS = 30_000
+# The least urgent value that endpoints know.
+MAX_URGENCY = 9
+
+
+@attrs.frozen
+class Admission:
+    """What was decided about a request before any send."""
+
+    route: routes.Route
+    service: str
+    model: str
+    account: str | None
+    urgency: int
+    # Moments of this process's monotonic clock.
+    timeout_at_s: float
+    caller_until_s: float
+    # Seconds to read the prompt, and between two events, at an endpoint.
+    prompt_s: float
+    pause_s: float
+
+
+def admit(
+    configuration: routes.Configuration | None,
+    caller: caller_requests.CallerRequest,
+    chance: random.Random,
+    now_s: float,
+) -> Admission | refusals.Refusal:
+    """Find route and account of a request, or why it is refused."""
+    if configuration is None:
+        return refusals.NO_CONFIGURATION
+    route = configuration.find_route(caller.host, caller.path)
+    if route is None:
+        return refusals.NO_ROUTE
+    account = configuration.accounts_by_key.get(caller.key)
+    must_have_key = configuration.needs_keys and not route.anonymous
+    if must_have_key and account is None:
+        return refusals.UNKNOWN_KEY
+    service = routes.pick_service(route, chance)
+    engine = configuration.engine_of(service)
+    timeout_ms, caller_ms = _waits_ms(route, caller)
+    return Admission(
+        route=route,
+        service=service,
+        model=caller.model if engine else '',
+        account=account.name if account else None,
+        urgency=min(_priority(route, account), MAX_URGENCY),
+        timeout_at_s=now_s + timeout_ms / _MS_IN_S,
+        caller_until_s=now_s + caller_ms / _MS_IN_S,
+        prompt_s=_prompt_s(engine, caller),
+        pause_s=_pause_s(engine, caller.model),
+    )
+
+
+def _waits_ms(
+    route: routes.Route, caller: caller_requests.CallerRequest
+) -> tuple[int, int]:
+    """Return how long we may take, and how long the caller waits."""
+    timeout_ms = route.timeout_ms or DEFAULT_TIMEOUT_MS
+    if caller.deadline_ms is None:
+        return timeout_ms, timeout_ms
+    return min(timeout_ms, caller.deadline_ms), caller.deadline_ms
+
+
+def _priority(route: routes.Route, account: routes.ClientAccount | None) -> int:
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
+
+
+def _prompt_s(
+    engine: routes.Engine | None, caller: caller_requests.CallerRequest
+) -> float:
+    model = engine.find_model(caller.model) if engine else None
+    if engine is None or model is None:
+        return 0
+    return caller.prompt_tokens / engine.read_per_s * model.pace
+
+
+def _pause_s(engine: routes.Engine | None, name: str) -> float:
+    model = engine.find_model(name) if engine else None
+    if engine is None or model is None:
+        return 0
+    step_ms = engine.step_ms + engine.slots * engine.request_step_ms
+    return step_ms * engine.stride * model.pace / _MS_IN_S
--- /dev/null
+++ b/redwingvalve/ingress/answering.py
@@ -0,0 +1,78 @@
+"""Gives callers their answers and writes down why."""
+
+from redwingvalve.http1 import messages, server
+from redwingvalve.ingress import admitting, placing, refusals
+from redwingvalve.ingress import sends as sends_module
+from redwingvalve.observability import logs
+from redwingvalve.platform import caller_requests, names
+
+LOG = logs.make_logger('ingress')
+_MS_IN_S = 1000.0
+
+
+def answer(responder: server.Responder, send: sends_module.Send) -> None:
+    """Pass a whole answer on, or end a stream whose events were passed."""
+    if responder.is_started:
+        responder.finish()
+        return
+    head = send.head
+    assert head is not None
+    headers = messages.end_to_end(head.headers)
+    if isinstance(send, sends_module.StreamSend) and send.is_stream:
+        responder.start(head.status, headers)
+        responder.finish()
+        return
+    responder.answer(head.status, headers, send.body)
+
+
+def refuse(
+    responder: server.Responder,
+    caller: caller_requests.CallerRequest,
+    refusal: refusals.Refusal,
+) -> None:
+    """Answer with a status of our own."""
+    LOG.info(
+        'refused',
+        extra={
+            'request': _text(caller.attempt_id),
+            'status': refusal.status,
+            'reason': refusal.reason,
+            'retry_after_s': refusal.retry_after_s,
+        },
+    )
+    attempt = (names.ATTEMPT_ID, caller.attempt_id)
+    responder.answer(
+        refusal.status, [attempt, *refusal.headers()], refusal.body()
+    )
+
+
+def log_decision(
+    outcome: str,
+    caller: caller_requests.CallerRequest,
+    admission: admitting.Admission,
+    target: placing.Target,
+    *,
+    sends: int,
+    last_event: int | None,
+    reason: str,
+    took_s: float,
+) -> None:
+    """Write one line on what became of a send."""
+    LOG.info(
+        outcome,
+        extra={
+            'request': _text(caller.attempt_id),
+            'route': admission.route.name,
+            'endpoint': target.endpoint_id,
+            'replica': target.replica,
+            'epoch': target.epoch,
+            'sends': sends,
+            'last_event': last_event,
+            'took_ms': int(took_s * _MS_IN_S),
+            'reason': reason,
+        },
+    )
+
+
+def _text(raw: bytes) -> str:
+    return raw.decode('latin-1')
--- a/redwingvalve/ingress/sends.py
+++ b/redwingvalve/ingress/sends.py
@@ -111,16 +111,16 @@
         super().__init__(attempt_id)
         self._taker = taker
         self._splitter = events.EventSplitter()
-        self._is_stream = False
+        self.is_stream = False
 
     def head_received(self, head: messages.AnswerHead) -> None:
         """Tell a stream from a failure."""
         super().head_received(head)
-        self._is_stream = self.judge() is Ending.WHOLE
+        self.is_stream = self.judge() is Ending.WHOLE
 
     def body_received(self, chunk: bytes) -> None:
         """Hand whole events on."""
-        if not self._is_stream:
+        if not self.is_stream:
             super().body_received(chunk)
             return
         for event in self._splitter.feed(chunk):
@@ -130,7 +130,7 @@
 
     def completed(self) -> None:
         """End; half an event at the end is no whole stream."""
-        if self._is_stream and not self._splitter.is_between_events:
+        if self.is_stream and not self._splitter.is_between_events:
             self.reason = 'ended inside an event'
             self.end(Ending.BROKEN)
             return
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -134,9 +134,7 @@
     begun = [pulse for pulse in live if pulse.has_begun]
     if not begun:
         return any(_is_overdue(pulse, head, now_s) for pulse in live)
-    reading_s = sum(
-        pulse.prompt_s for pulse in live if not pulse.has_begun
-    )
+    reading_s = sum(pulse.prompt_s for pulse in live if not pulse.has_begun)
     usual = begun[0]
     bound_s = max(MIN_SILENCE_S, PAUSES * usual.pause_s)
     bound_s += reading_s + usual.others_s
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -11,9 +11,11 @@
     placing,
     retry_window,
     routes,
-    silence as silence_module,
     waiting,
 )
+from redwingvalve.ingress import (
+    silence as silence_module,
+)
 
 
 class OpenSend(abc.ABC):
@@ -61,9 +63,7 @@
     _rooms: dict[tuple[str, str], waiting.WaitingRoom] = attrs.field(
         factory=dict
     )
-    _prompts: dict[str, silence_module.PromptSizes] = attrs.field(
-        factory=dict
-    )
+    _prompts: dict[str, silence_module.PromptSizes] = attrs.field(factory=dict)
     _windows: dict[str, retry_window.RetryWindow] = attrs.field(factory=dict)
 
     def room(self, service: str, model: str) -> waiting.WaitingRoom:
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -7,25 +7,36 @@
 import anyio
 import attrs
 
-from redwingvalve.fleet import registry as registry_module, serving
+from redwingvalve.fleet import registry as registry_module
+from redwingvalve.fleet import serving
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import (
     retry_window,
     routes,
     silence,
+)
+from redwingvalve.ingress import (
     state as state_module,
 )
 from redwingvalve.node import (
     controller as controller_module,
+)
+from redwingvalve.node import (
     front,
-    lease as lease_module,
-    peers as peers_module,
     watching,
     words,
 )
+from redwingvalve.node import (
+    lease as lease_module,
+)
+from redwingvalve.node import (
+    peers as peers_module,
+)
 from redwingvalve.observability import logs
 from redwingvalve.platform import (
     configuration as configuration_module,
+)
+from redwingvalve.platform import (
     endpoint_orders,
     names,
     settings,
@@ -33,6 +44,7 @@
 )
 
 LOG = logs.make_logger('node')
+Loop: typing.TypeAlias = typing.Callable[[], typing.Awaitable[None]]
 # A connection to the store that fell silent is noticed after this; endpoints
 # that leave and new configurations must be known within two seconds.
 WATCH_WAIT_S = 2.5
@@ -153,7 +165,8 @@
             self.state, self.peers, self.settings.bounds.directory_ttl_max_s
         )
         await peers_module.open_datagrams(self.peers)
-        for address in {self.settings.ready, self.settings.directory}:
+        addresses = {self.settings.ready, self.settings.directory}
+        for address in addresses:
             await front.Listener(node_application).listen(
                 address.host, address.port
             )
@@ -162,7 +175,7 @@
         )
         LOG.info('started', extra={'front': str(self.settings.front)})
 
-    def _loops(self) -> list[typing.Callable[[], typing.Awaitable[None]]]:
+    def _loops(self) -> list[Loop]:
         client = self.client
         configurations = ConfigurationFollower(self.state, self._configure)
         watches = (
@@ -260,9 +273,7 @@
                 words.SuspectWord(
                     endpoint_id=suspicion.endpoint_id,
                     epoch=suspicion.epoch,
-                    left_ms=int(
-                        (suspicion.until_s - time.monotonic()) * 1000
-                    ),
+                    left_ms=int((suspicion.until_s - time.monotonic()) * 1000),
                 )
                 for suspicion in self.table.own_suspicions()
             ],
@@ -387,5 +398,3 @@
     """Run a node in this process until it is told to stop."""
     node = make_node(node_settings)
     anyio.run(node.run, backend_options={'use_uvloop': True})
-
-
--- /dev/null
+++ b/redwingvalve/node/forming.py
@@ -0,0 +1,182 @@
+"""Turns free endpoints into replicas, spares and VMs that load a model."""
+
+import time
+
+import attrs
+
+from redwingvalve.fleet import endpoints, planning
+from redwingvalve.ingress import routes
+from redwingvalve.node import replica_orders, tasks
+from redwingvalve.observability import logs
+from redwingvalve.platform import endpoint_orders
+
+LOG = logs.make_logger('forming')
+# Loads take a tenth of the time before the first request.
+EARLY_LOAD_SHARE = 0.1
+# An order to load that shows no effect is given again after twice the time.
+LOAD_PATIENCE = 2.0
+# A join of an endpoint whose last replica was of the same model.
+WARM_JOIN_S = 0.2
+
+Endpoints = list[endpoints.Endpoint]
+
+
+@attrs.define(eq=False)
+class _Loading:
+    model: str
+    until_s: float
+
+
+class Former:
+    """Decides what free endpoints of one service do next."""
+
+    def __init__(
+        self,
+        client: endpoint_orders.EndpointClient,
+        orders: replica_orders.ReplicaOrders,
+        running: tasks.EndpointTasks,
+    ) -> None:
+        """Run orders as tasks."""
+        self.term = 0
+        self._client = client
+        self._orders = orders
+        self._tasks = running
+        self._number = 0
+        self._loading: dict[tuple[str, int], _Loading] = {}
+        self._last_model: dict[tuple[str, int], str] = {}
+        self._loads: planning.LoadBudget | None = None
+
+    def note(self, endpoint: endpoints.Endpoint) -> None:
+        """Remember the model of an endpoint's last replica."""
+        membership = endpoint.membership
+        if membership is not None:
+            model = endpoints.model_of(membership.replica)
+            self._last_model[endpoint.incarnation] = model
+
+    def start_all(self, free: Endpoints, engine: routes.Engine) -> None:
+        """Deal models to a fleet that has served nobody yet."""
+        empty = [
+            one
+            for one in free
+            if not one.staged and one.incarnation not in self._loading
+        ]
+        dealt = planning.deal_models(planning.by_domain(empty), engine.models)
+        for model in engine.models:
+            chosen = [
+                one for one in empty if dealt.get(one.endpoint_id) == model.name
+            ]
+            for members in planning.by_domain(chosen).values():
+                self._start_domain(members, model)
+
+    def form_all(self, free: Endpoints, engine: routes.Engine) -> None:
+        """Form what can be formed, the largest models first."""
+        for model in sorted(engine.models, key=_size, reverse=True):
+            spares = self._form_model(free, model)
+            for spare in spares:
+                if not self._is_warm(spare, model):
+                    self._warm(spare, model, model.load_from_host_s)
+
+    def load_all(
+        self, free: Endpoints, live: Endpoints, engine: routes.Engine
+    ) -> None:
+        """Let empty endpoints load a model, as fast as the store allows."""
+        if self._loads is None:
+            self._loads = planning.LoadBudget(
+                engine.loads_per_s, engine.loads_at_once
+            )
+        now_s = time.monotonic()
+        held = [
+            (one, one.staged[-1] if one.staged else self._model_loading(one))
+            for one in live
+        ]
+        for endpoint in free:
+            if endpoint.staged or self._model_loading(endpoint):
+                continue
+            name = planning.newcomer_model(endpoint, held, engine.models)
+            model = engine.find_model(name)
+            if model is None or not self._loads.try_take(now_s, model.load_s):
+                return
+            self._loading[endpoint.incarnation] = _Loading(
+                name, now_s + model.load_s * LOAD_PATIENCE
+            )
+            held.append((endpoint, name))
+            self._tasks.start((endpoint,), self._stage(endpoint, name))
+
+    def _start_domain(self, members: Endpoints, model: routes.Model) -> None:
+        load_s = model.load_s * EARLY_LOAD_SHARE
+        while len(members) >= model.size:
+            self._form(tuple(members[: model.size]), model, load_s)
+            members = members[model.size :]
+        for spare in members:
+            self._warm(spare, model, load_s)
+
+    def _form_model(self, free: Endpoints, model: routes.Model) -> Endpoints:
+        """Form replicas while there are members; return what is left."""
+
+        def is_warm(one: endpoints.Endpoint) -> bool:
+            return self._is_warm(one, model)
+
+        while True:
+            staged = [
+                one
+                for one in free
+                if model.name in one.staged and not self._tasks.is_busy(one)
+            ]
+            picked = planning.pick_members(staged, model, is_warm)
+            if picked is None:
+                return staged
+            join_s = model.load_from_host_s
+            if all(map(is_warm, picked)):
+                join_s = WARM_JOIN_S
+            self._form(picked, model, join_s)
+
+    def _model_loading(self, endpoint: endpoints.Endpoint) -> str:
+        loading = self._loading.get(endpoint.incarnation)
+        if loading is None or loading.until_s < time.monotonic():
+            return ''
+        return loading.model
+
+    def _is_warm(
+        self, endpoint: endpoints.Endpoint, model: routes.Model
+    ) -> bool:
+        return self._last_model.get(endpoint.incarnation) == model.name
+
+    def _form(
+        self, members: tasks.Members, model: routes.Model, join_s: float
+    ) -> None:
+        forming = self._make_forming(members, model, join_s)
+        self._tasks.start(members, self._orders.form(forming))
+
+    def _warm(
+        self, spare: endpoints.Endpoint, model: routes.Model, join_s: float
+    ) -> None:
+        """Let a spare join alone, so that its next join takes a moment."""
+        forming = self._make_forming((spare,), model, join_s)
+        self._last_model[spare.incarnation] = model.name
+        self._tasks.start((spare,), self._orders.form(forming, opens=False))
+
+    def _make_forming(
+        self, members: tasks.Members, model: routes.Model, join_s: float
+    ) -> replica_orders.Forming:
+        self._number += 1
+        return replica_orders.Forming(
+            name=endpoints.replica_name(model.name, self.term, self._number),
+            epoch=self.term * replica_orders.EPOCHS_PER_TERM + self._number,
+            members=members,
+            join_s=join_s,
+        )
+
+    async def _stage(self, endpoint: endpoints.Endpoint, model: str) -> None:
+        result = await self._client.stage(endpoint, model)
+        LOG.info(
+            'load ordered',
+            extra={
+                'endpoint': endpoint.endpoint_id,
+                'model': model,
+                'result': result.value,
+            },
+        )
+
+
+def _size(model: routes.Model) -> int:
+    return model.size
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -5,8 +5,9 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.http1 import messages, server
-from redwingvalve.ingress import relay, routes, state as state_module
+from redwingvalve.http1 import messages, reading, server
+from redwingvalve.ingress import relay, routes
+from redwingvalve.ingress import state as state_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import names
@@ -31,13 +32,13 @@
         self.running: set[asyncio.Task[None]] = set()
         self.has_served = False
 
-    def limits(self) -> server.ServerLimits:
+    def limits(self) -> reading.ServerLimits:
         """Return the configured bounds."""
         configuration = self._state.configuration
-        limits = configuration.limits if configuration else (
-            routes.DEFAULT_LIMITS
+        limits = (
+            configuration.limits if configuration else (routes.DEFAULT_LIMITS)
         )
-        return server.ServerLimits(
+        return reading.ServerLimits(
             head_bytes=limits.head_bytes,
             body_bytes=limits.body_bytes,
             head_timeout_s=limits.head_timeout_ms / 1000,
@@ -54,9 +55,7 @@
         """Relay one request in a task of its own."""
         self.has_served = True
         run = relay.RequestRun(self._state, request, responder)
-        task = asyncio.get_running_loop().create_task(
-            self._run(run, responder)
-        )
+        task = asyncio.get_running_loop().create_task(self._run(run, responder))
         self.running.add(task)
         task.add_done_callback(self.running.discard)
 
@@ -86,10 +85,10 @@
         self._peers = peers
         self._ttl_s = min(DIRECTORY_TTL_S, ttl_max_s)
 
-    def limits(self) -> server.ServerLimits:
+    def limits(self) -> reading.ServerLimits:
         """Return bounds that any small request keeps."""
         limits = routes.DEFAULT_LIMITS
-        return server.ServerLimits(
+        return reading.ServerLimits(
             head_bytes=limits.head_bytes,
             body_bytes=limits.head_bytes,
             head_timeout_s=limits.head_timeout_ms / 1000,
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -13,7 +13,8 @@
 import anyio
 import attrs
 
-from redwingvalve.fleet import endpoints, registry as registry_module
+from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import registry as registry_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -185,19 +186,21 @@
         while time.monotonic() < until_s and self._may_order():
             if not self._is_ready(forming):
                 return False
-            result = await self._client.open(
-                head, forming.name, forming.epoch
-            )
+            result = await self._client.open(head, forming.name, forming.epoch)
             if result in {Result.ACCEPTED, Result.UNKNOWN}:
                 # The head needs some time; until then it says it is ready.
-                return await self._wait(
-                    lambda: self._is_serving(head, forming.key), until_s
-                )
+                return await self._wait_open(forming, until_s)
             if result is not Result.CONFLICT:
                 return False
             await anyio.sleep(OPEN_RETRY_S)
         return False
 
+    async def _wait_open(self, forming: Forming, until_s: float) -> bool:
+        head = forming.members[0]
+        return await self._wait(
+            lambda: self._is_serving(head, forming.key), until_s
+        )
+
     async def _wait(
         self, is_done: typing.Callable[[], bool], until_s: float
     ) -> bool:
@@ -279,9 +282,7 @@
     return (was.replica, was.epoch) == (now.replica, now.epoch)
 
 
-def _serves(
-    head: endpoints.Endpoint, report: endpoint_orders.Report
-) -> bool:
+def _serves(head: endpoints.Endpoint, report: endpoint_orders.Report) -> bool:
     if not _is_same(head, report):
         return False
     return report.membership.state not in _SETTLED
--- /dev/null
+++ b/redwingvalve/node/tasks.py
@@ -0,0 +1,41 @@
+"""Work on endpoints, one task at a time for each of them."""
+
+import typing
+
+import anyio
+import anyio.abc
+
+from redwingvalve.fleet import endpoints
+
+Work: typing.TypeAlias = typing.Coroutine[typing.Any, typing.Any, typing.Any]
+Members: typing.TypeAlias = tuple[endpoints.Endpoint, ...]
+
+
+class EndpointTasks:
+    """Runs tasks and knows which endpoints they concern."""
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        """Run tasks in group."""
+        self._group = group
+        self._busy: set[str] = set()
+
+    def is_busy(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether a task concerns an endpoint."""
+        return endpoint.endpoint_id in self._busy
+
+    def is_any_busy(self, members: Members) -> bool:
+        """Return whether a task concerns one of the endpoints."""
+        return any(map(self.is_busy, members))
+
+    def start(self, members: Members, work: Work) -> None:
+        """Run work that concerns members."""
+        for member in members:
+            self._busy.add(member.endpoint_id)
+        self._group.start_soon(self._run, members, work)
+
+    async def _run(self, members: Members, work: Work) -> None:
+        try:
+            await work
+        finally:
+            for member in members:
+                self._busy.discard(member.endpoint_id)
--- a/redwingvalve/node/words.py
+++ b/redwingvalve/node/words.py
@@ -29,7 +29,7 @@
     """Return the word in a datagram; raises WordError."""
     try:
         word = utils.deserialize(NodeWord(), packed, _FACTORY)
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         # The codec raises many kinds for bytes that are no struct.
         raise WordError(str(error)) from error
     if not word.vm or word.number is None:
--- a/redwingvalve/platform/configuration.py
+++ b/redwingvalve/platform/configuration.py
@@ -1,17 +1,24 @@
 """Decodes the operator's configuration object."""
 
+import types
 import typing
 
 from redwingvalve.ingress import routes
 
-_KINDS: typing.Final = {
-    'idempotent': routes.RouteKind.IDEMPOTENT,
-    'non_idempotent': routes.RouteKind.NON_IDEMPOTENT,
-    'stream': routes.RouteKind.STREAM,
-}
+_KINDS: typing.Final = types.MappingProxyType(
+    {
+        'idempotent': routes.RouteKind.IDEMPOTENT,
+        'non_idempotent': routes.RouteKind.NON_IDEMPOTENT,
+        'stream': routes.RouteKind.STREAM,
+    }
+)
 Document = dict[str, typing.Any]
 
 
+# What reading a document of another shape raises.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
 class ConfigurationError(ValueError):
     """A configuration that can't be used; the text says why."""
 
@@ -20,7 +27,7 @@
     """Turn the stored object into a version; raises ConfigurationError."""
     try:
         return _decode(stored['metadata']['revision'], stored['spec'])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise ConfigurationError(f'{type(error).__name__}: {error}') from error
 
 
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -1,6 +1,7 @@
 """Spells orders to endpoints and reads their reports."""
 
 import enum
+import types
 import typing
 
 import attrs
@@ -37,13 +38,15 @@
     UNREACHED = 'unreached'
 
 
-_RESULTS: typing.Final = {
-    _BEGUN: OrderResult.ACCEPTED,
-    _HOLDS: OrderResult.ACCEPTED,
-    _CONFLICT: OrderResult.CONFLICT,
-    _OUTDATED: OrderResult.OUTDATED,
-    _OTHER_ENDPOINT: OrderResult.OTHER_ENDPOINT,
-}
+_RESULTS: typing.Final = types.MappingProxyType(
+    {
+        _BEGUN: OrderResult.ACCEPTED,
+        _HOLDS: OrderResult.ACCEPTED,
+        _CONFLICT: OrderResult.CONFLICT,
+        _OUTDATED: OrderResult.OUTDATED,
+        _OTHER_ENDPOINT: OrderResult.OTHER_ENDPOINT,
+    }
+)
 
 
 @attrs.frozen
--- a/redwingvalve/platform/entries.py
+++ b/redwingvalve/platform/entries.py
@@ -9,6 +9,10 @@
 _DRAINING = 'draining'
 
 
+# What reading a document of another shape raises.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
 class EntryError(ValueError):
     """An entry that names no usable endpoint; the text says why."""
 
@@ -21,7 +25,7 @@
     """
     try:
         return _decode(stored['metadata']['name'], stored['spec'])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise EntryError(f'{type(error).__name__}: {error}') from error
 
 
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -9,6 +9,8 @@
 
 from redwingvalve.platform import names
 
+_UNREADABLE = (TypeError, ValueError, AttributeError, IndexError)
+
 
 class SettingsError(Exception):
     """The settings file can't be used; the text names the place."""
@@ -65,9 +67,7 @@
 
 def settings_path() -> pathlib.Path:
     """Return where the platform has put the settings of this process."""
-    path = os.environ.get(
-        names.SETTINGS_VARIABLE, names.DEFAULT_SETTINGS_PATH
-    )
+    path = os.environ.get(names.SETTINGS_VARIABLE, names.DEFAULT_SETTINGS_PATH)
     return pathlib.Path(path)
 
 
@@ -87,7 +87,7 @@
         return _decode(document)
     except KeyError as error:
         raise SettingsError(f'settings: field {error} is missing') from error
-    except (TypeError, ValueError, AttributeError, IndexError) as error:
+    except _UNREADABLE as error:
         raise SettingsError(f'settings: {error}') from error
 
 
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -238,9 +238,7 @@
             return None
         return _checked(status, body)
 
-    async def _write(
-        self, start: str, document: Document | None
-    ) -> typing.Any:
+    async def _write(self, start: str, document: Document | None) -> typing.Any:
         status, body = await self._json.call(
             self._address, start, document, CALL_TIMEOUT_S
         )
