Prove the node's request path and control against a stand-in of the platform

Change: stand-ins for the store and for endpoints, 32 tests over real connections, loops and endpoint tasks that survive an error, and a released lease that is taken at once. Cause of the last: the word after the release carried no revision, so that others waited the old term; the test fails before (none in 1 s) and passes.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -57,18 +57,18 @@
         self.on_drained: typing.Callable[[], None] | None = None
         self.is_started = False
         self.is_done = False
-        self._connection = connection
+        self.connection = connection
         self._keep = keep
 
     @property
     def is_gone(self) -> bool:
         """Return whether the caller has left."""
-        return self._connection.is_lost
+        return self.connection.is_lost
 
     @property
     def is_full(self) -> bool:
         """Return whether the caller reads more slowly than we write."""
-        return self._connection.is_full
+        return self.connection.is_full
 
     def answer(
         self, status: int, headers: messages.Headers, body: bytes
@@ -79,26 +79,26 @@
         length = (b'content-length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
         self.is_started = True
-        self._connection.write(head + body)
+        self.connection.write(head + body)
         self._end()
 
     def start(self, status: int, headers: messages.Headers) -> None:
         """Begin an answer whose length isn't known."""
         self.is_started = True
         chunked = (b'transfer-encoding', b'chunked')
-        self._connection.write(self._head(status, [*headers, chunked]))
+        self.connection.write(self._head(status, [*headers, chunked]))
 
     def write(self, piece: bytes) -> None:
         """Send a piece of the body; it must not be empty."""
         if self.is_done:
             return
-        self._connection.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        self.connection.write(b'%x\r\n%b\r\n' % (len(piece), piece))
 
     def finish(self) -> None:
         """End an answer that start began."""
         if self.is_done:
             return
-        self._connection.write(b'0\r\n\r\n')
+        self.connection.write(b'0\r\n\r\n')
         self._end()
 
     def abort(self) -> None:
@@ -106,11 +106,11 @@
         if self.is_done:
             return
         self.is_done = True
-        self._connection.break_off()
+        self.connection.break_off()
 
     def _head(self, status: int, headers: messages.Headers) -> bytes:
         reason = _REASONS.get(status, b'Status')
-        if self._connection.application.is_closing():
+        if self.connection.application.is_closing():
             self._keep = False
         if not self._keep:
             headers = [*headers, (b'connection', b'close')]
@@ -121,7 +121,7 @@
     def _end(self) -> None:
         self.is_done = True
         self.on_gone = None
-        self._connection.answered(self._keep)
+        self.connection.answered(self._keep)
 
 
 class CallerConnection(asyncio.Protocol, reading.RequestTaker):
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -1,5 +1,6 @@
 """Puts a node together and runs it until it is told to stop."""
 
+import functools
 import signal
 import time
 import typing
@@ -18,20 +19,10 @@
 from redwingvalve.ingress import (
     state as state_module,
 )
-from redwingvalve.node import (
-    controller as controller_module,
-)
-from redwingvalve.node import (
-    front,
-    watching,
-    words,
-)
-from redwingvalve.node import (
-    lease as lease_module,
-)
-from redwingvalve.node import (
-    peers as peers_module,
-)
+from redwingvalve.node import controller as controller_module
+from redwingvalve.node import front, supervision, watching, words
+from redwingvalve.node import lease as lease_module
+from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import (
     configuration as configuration_module,
@@ -44,7 +35,6 @@
 )
 
 LOG = logs.make_logger('node')
-Loop: typing.TypeAlias = typing.Callable[[], typing.Awaitable[None]]
 # A connection to the store that fell silent is noticed after this; endpoints
 # that leave and new configurations must be known within two seconds.
 WATCH_WAIT_S = 2.5
@@ -120,9 +110,10 @@
     cleared: dict[str, int] = attrs.field(factory=dict)
     others_served: bool = False
     has_news: bool = False
+    is_listening: bool = False
 
-    async def run(self) -> None:
-        """Run until a signal has stopped the node."""
+    async def run(self, stop: anyio.Event) -> None:
+        """Run until stop is set, and then until all requests have ended."""
         own = peers_module.own_address(self.settings, self.born_ms)
         self.peers = peers_module.Peers(own, self)
         self.table.on_suspect = self._suspected
@@ -131,9 +122,13 @@
         await self._listen()
         async with anyio.create_task_group() as group:
             for loop in self._loops():
-                group.start_soon(loop)
-            group.start_soon(self._control, group)
-            await self._until_stopped()
+                group.start_soon(supervision.keep_running, loop)
+            group.start_soon(
+                supervision.keep_running,
+                functools.partial(self._control, group),
+            )
+            await stop.wait()
+            await self._stop()
             group.cancel_scope.cancel()
         LOG.info('stopped')
 
@@ -173,9 +168,10 @@
         await self.listener.listen(
             self.settings.front.host, self.settings.front.port
         )
+        self.is_listening = True
         LOG.info('started', extra={'front': str(self.settings.front)})
 
-    def _loops(self) -> list[Loop]:
+    def _loops(self) -> list[supervision.Loop]:
         client = self.client
         configurations = ConfigurationFollower(self.state, self._configure)
         watches = (
@@ -280,7 +276,7 @@
             has_served=self.front.has_served,
             cleared=self.cleared,
         )
-        if self.lease.is_held():
+        if self.lease.is_held() or self.lease.is_releasing:
             word.lease_revision = self.lease.revision
             word.lease_left_ms = self.lease.left_ms()
         return word
@@ -333,17 +329,6 @@
         if control.holds and service.engine is not None:
             control.look(service.engine)
 
-    async def _until_stopped(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as received:
-            async for number in received:
-                if number is signal.SIGHUP:
-                    LOG.info('settings are read at the next start only')
-                    continue
-                break
-        await self._stop()
-
     async def _stop(self) -> None:
         LOG.info('stopping', extra={'running': len(self.front.running)})
         began_s = time.monotonic()
@@ -394,7 +379,28 @@
     )
 
 
+async def serve(node: Node) -> None:
+    """Run a node until a signal stops it."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_wait_for_signal, stop)
+        await node.run(stop)
+        group.cancel_scope.cancel()
+
+
+async def _wait_for_signal(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        async for number in received:
+            if number is not signal.SIGHUP:
+                stop.set()
+                return
+            # What may change in the settings is read from the store.
+            LOG.info('settings are read at the start only')
+
+
 def run(node_settings: settings.NodeSettings) -> None:
     """Run a node in this process until it is told to stop."""
     node = make_node(node_settings)
-    anyio.run(node.run, backend_options={'use_uvloop': True})
+    anyio.run(serve, node, backend_options={'use_uvloop': True})
--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -81,7 +81,8 @@
             return
         self.until_s = 0
         try:
-            await self._write(holder='')
+            stored = await self._write(holder='')
+            self.revision = store.revision_of(stored)
         except store.StoreError as error:
             LOG.warning('not released', extra={'error': str(error)})
 
--- a/redwingvalve/node/tasks.py
+++ b/redwingvalve/node/tasks.py
@@ -6,7 +6,9 @@
 import anyio.abc
 
 from redwingvalve.fleet import endpoints
+from redwingvalve.observability import logs
 
+LOG = logs.make_logger('tasks')
 Work: typing.TypeAlias = typing.Coroutine[typing.Any, typing.Any, typing.Any]
 Members: typing.TypeAlias = tuple[endpoints.Endpoint, ...]
 
@@ -36,6 +38,10 @@
     async def _run(self, members: Members, work: Work) -> None:
         try:
             await work
+        except Exception:
+            # The fleet is looked at again in a moment, and what is still to
+            # be done is started anew; an error here must not end the node.
+            LOG.exception('work on endpoints failed')
         finally:
             for member in members:
                 self._busy.discard(member.endpoint_id)
--- /dev/null
+++ b/redwingvalve/node/tests/fleet.py
@@ -0,0 +1,303 @@
+"""A store, endpoints and nodes on one loop, and callers that ask them."""
+
+import asyncio
+import contextlib
+import json
+import time
+
+import anyio
+import attrs
+
+from redwingvalve.http1 import client, messages, server
+from redwingvalve.node import daemon
+from redwingvalve.platform import settings
+from redwingvalve.standins import platform_endpoint, platform_store, ports
+
+LARGE = 'large'
+SMALL = 'small'
+ENGINE = 'engine-service'
+PLAIN = 'plain-service'
+KEY = 'key-of-workshop'
+HOST = 'caller.example'
+BOUNDS = {
+    'drain_ms': 2000,
+    'grace_s': 4,
+    'retry_budget_ratio': 0.2,
+    'budget_window_s': 10,
+    'budget_extra': 100,
+    'ttl_max_s': 5,
+    'stall_ms': 6000,
+}
+
+
+def route(name, prefix, kind, service, **more):
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 4000,
+        'goal_ms': 400,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'anonymous': False,
+        **more,
+    }
+
+
+def configuration(version=1, **more):
+    return {
+        'version': version,
+        'routes': [
+            route('draft', '/draft/', 'stream', ENGINE, resumable=True),
+            route('quote', '/quote/', 'non_idempotent', PLAIN, max_attempts=1),
+            route('card', '/card/', 'idempotent', PLAIN),
+            route('open', '/open/', 'idempotent', PLAIN, anonymous=True),
+        ],
+        'services': [
+            {'name': PLAIN, 'health_path': '/health', 'max_conns': 50},
+            {
+                'name': ENGINE,
+                'health_path': '/health',
+                'max_conns': 50,
+                'engine': {
+                    'slots': 4,
+                    'models': [
+                        {
+                            'name': SMALL,
+                            'size': 2,
+                            'share': 1.0,
+                            'pace': 1.0,
+                            'load_s': 1.0,
+                            'warm_s': 0.1,
+                        }
+                    ],
+                    'step_ms': 4.0,
+                    'per_seq_ms': 0.1,
+                    'read_per_s': 40000.0,
+                    'stride': 5,
+                    'loads_per_s': 5,
+                    'loads_at_once': 7,
+                    'form_ms': 30,
+                },
+            },
+        ],
+        'limits': {
+            'header_bytes': 16384,
+            'max_body_bytes': 100000,
+            'header_timeout_ms': 1000,
+            'idle_timeout_ms': 5000,
+        },
+        'tenants': [{'name': 'workshop', 'api_keys': [KEY], 'priority': 0}],
+        **more,
+    }
+
+
+@attrs.frozen
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    # 'whole', or how the connection ended before the answer did.
+    ending: str
+
+    @property
+    def events(self):
+        return [
+            int(line.removeprefix(b'id: '))
+            for line in self.body.splitlines()
+            if line.startswith(b'id: ')
+        ]
+
+
+class _Taker(client.Exchange):
+    def __init__(self):
+        self.done = asyncio.get_running_loop().create_future()
+        self.head = None
+        self.body = b''
+
+    def accepts(self, head):
+        return True
+
+    def head_received(self, head):
+        self.head = head
+
+    def body_received(self, chunk):
+        self.body += chunk
+
+    def completed(self):
+        self.done.set_result('whole')
+
+    def broken(self, reason):
+        self.done.set_result(reason)
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One connection to one address."""
+
+    address: tuple
+    connection: client.Connection | None = None
+    number: int = 0
+
+    async def ask(self, path, body=b'', *, key=KEY, headers=(), host=HOST):
+        taker = await self.begin(
+            path, body, key=key, headers=headers, host=host
+        )
+        async with asyncio.timeout(8):
+            ending = await taker.done
+        head = taker.head
+        return Answer(
+            head.status if head else 0,
+            dict(head.headers) if head else {},
+            taker.body,
+            ending,
+        )
+
+    async def begin(self, path, body=b'', *, key=KEY, headers=(), host=HOST):
+        if self.connection is None or not self.connection.is_open:
+            loop = asyncio.get_running_loop()
+            _, self.connection = await loop.create_connection(
+                client.Connection, *self.address
+            )
+        self.number += 1
+        taker = _Taker()
+        sent = [
+            (b'Host', host.encode()),
+            (b'X-Attempt-Id', b'a%d-%d' % (id(self), self.number)),
+            (b'X-Deadline-Ms', b'3000'),
+            (b'Content-Length', b'%d' % len(body)),
+            *headers,
+        ]
+        if key:
+            sent.append((b'Api-Key', key.encode()))
+        head = messages.render_head(b'POST %b HTTP/1.1' % path.encode(), sent)
+        self.connection.send(head + body, taker, lambda one: None)
+        return taker
+
+    async def stream(self, **more):
+        return await self.ask(
+            '/draft/1',
+            b'prompt',
+            headers=[
+                (b'X-Model', SMALL.encode()),
+                (b'X-Token-Counts', b'100,20'),
+            ],
+            **more,
+        )
+
+    def leave(self):
+        self.connection.abandon()
+
+
+@attrs.define(eq=False)
+class Fleet:
+    store: platform_store.PlatformStore
+    store_address: str
+    endpoints: dict
+    nodes: list = attrs.field(factory=list)
+
+    def caller(self, index=0):
+        front = self.nodes[index].settings.front
+        return Caller((front.host, front.port))
+
+    def directory(self, index=0):
+        address = self.nodes[index].settings.directory
+        return Caller((address.host, address.port))
+
+    def targets(self, index=0):
+        return self.nodes[index].table.of(ENGINE, SMALL)
+
+    def head(self, index=0):
+        target = self.targets(index)[0]
+        return self.endpoints[target.endpoint_id]
+
+    async def until(self, is_so, timeout_s=6.0):
+        limit_s = time.monotonic() + timeout_s
+        while not is_so():
+            assert time.monotonic() < limit_s, 'not so in time'
+            await anyio.sleep(0.01)
+
+    async def add_endpoint(self, name, service, domain=''):
+        endpoint = platform_endpoint.PlatformEndpoint(
+            self.store, name, service, domain
+        )
+        await endpoint.start()
+        self.endpoints[name] = endpoint
+        return endpoint
+
+
+def node_settings(name, store_address):
+    free = ports.free_ports(4)
+    document = {
+        'node': name,
+        'ip': '127.0.0.1',
+        'zone': 'zone-1',
+        'region': 'region-1',
+        'listen': {
+            'front': f'127.0.0.1:{free[0]}',
+            'ready': f'127.0.0.1:{free[1]}',
+            'directory': f'127.0.0.1:{free[2]}',
+        },
+        'internal_ports': [free[3], free[3]],
+        'heartbeat_ms': 1200,
+        'bounds': BOUNDS,
+        'platform': {'address': store_address},
+    }
+    return settings.decode_settings(json.loads(json.dumps(document)))
+
+
+@contextlib.asynccontextmanager
+async def running(nodes=1, engines=4, plain=2, version=configuration):
+    """Yield a fleet whose nodes serve."""
+    store = platform_store.PlatformStore()
+    loop = asyncio.get_running_loop()
+    listening = await loop.create_server(
+        lambda: server.CallerConnection(store), '127.0.0.1', 0
+    )
+    port = listening.sockets[0].getsockname()[1]
+    fleet = Fleet(store, f'127.0.0.1:{port}', {})
+    if version is not None:
+        store.put('config', 'main', version())
+    for number in range(engines):
+        await fleet.add_endpoint(f'e{number}', ENGINE, 'domain-1')
+    for number in range(plain):
+        await fleet.add_endpoint(f'p{number}', PLAIN)
+    async with anyio.create_task_group() as group:
+        for number in range(nodes):
+            made = daemon.make_node(
+                node_settings(f'node-{number}', fleet.store_address)
+            )
+            fleet.nodes.append(made)
+            group.start_soon(made.run, anyio.Event())
+        await fleet.until(
+            lambda: all(node.is_listening for node in fleet.nodes)
+        )
+        if version is not None and plain:
+            await fleet.until(
+                lambda: all(
+                    len(node.table.of(PLAIN, '')) == plain
+                    for node in fleet.nodes
+                )
+            )
+        if version is not None and engines:
+            await fleet.until(
+                lambda: all(
+                    len(fleet.targets(index)) == engines // 2
+                    for index in range(nodes)
+                )
+            )
+        yield fleet
+        group.cancel_scope.cancel()
+    listening.close()
+
+
+def run(test, **shape):
+    """Run a coroutine function with a fleet of this shape."""
+
+    async def main():
+        async with running(**shape) as fleet:
+            await test(fleet)
+
+    anyio.run(main)
--- /dev/null
+++ b/redwingvalve/node/tests/test_control.py
@@ -0,0 +1,268 @@
+"""How nodes form, mend and close replicas, and hand the lease on."""
+
+import anyio
+
+from redwingvalve.node import lease as lease_module
+from redwingvalve.node.tests import fleet as fleets
+
+
+def holders(fleet):
+    return [node for node in fleet.nodes if node.lease.is_held()]
+
+
+def member_ids(fleet):
+    return {
+        name: tuple(endpoint.members)
+        for name, endpoint in fleet.endpoints.items()
+        if endpoint.group and endpoint.group['state'] == 'open'
+    }
+
+
+def test_only_one_node_gives_orders():
+    async def test(fleet):
+        assert len(holders(fleet)) == 1
+        joins = [
+            order
+            for endpoint in fleet.endpoints.values()
+            for order in endpoint.orders
+            if order['operation'] == 'join'
+        ]
+        assert len(joins) == 4
+
+    fleets.run(test, nodes=3)
+
+
+def test_a_dead_member_is_replaced_by_the_spare():
+    """Requests go on, and the survivor serves with the spare in seconds.
+
+    The second member of a replica crashes; its head stands still. The head is
+    closed before its replica's survivor joins another one.
+    """
+
+    async def test(fleet):
+        spare = await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await fleet.until(lambda: bool(spare.group))
+        head = fleet.head()
+        dead = fleet.endpoints[head.members[1]]
+        head.faults.stands_still = True
+        dead.crash()
+        for _ in range(3):
+            got = await fleet.caller().stream()
+            assert got.events == [1, 2, 3, 4, 5, 6]
+
+        def is_mended():
+            head.faults.stands_still = head.members[1] == dead.endpoint_id
+            return len(fleet.targets()) == 2
+
+        await fleet.until(is_mended)
+        for name, members in member_ids(fleet).items():
+            assert name == members[0] and dead.endpoint_id not in members
+        operations = [order['operation'] for order in head.orders]
+        closed = operations.index('close')
+        assert operations[closed + 1 :].count('join') == 1
+
+    fleets.run(test)
+
+
+def test_a_dark_head_is_not_replaced_before_its_entry_is_gone():
+    """No VM is in two replicas: the head may be open beyond a cut.
+
+    The head answers nobody, but its entry stands: its member stays where it
+    is until the entry has lapsed.
+    """
+
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        before = len(member.orders)
+        head.faults.is_dark = True
+        got = await fleet.caller().stream()
+        assert got.ending == 'whole' or got.status == 502
+        await anyio.sleep(1.5)
+        assert len(member.orders) == before
+        fleet.store.remove('servers', head.endpoint_id)
+        spare = await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await fleet.until(lambda: bool(member.orders[before:]))
+        await fleet.until(lambda: bool(spare.orders))
+
+    fleets.run(test)
+
+
+def test_a_leaving_member_lets_the_replica_finish_and_no_new_work_in():
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        member.drain()
+        await fleet.until(
+            lambda: (
+                head.endpoint_id
+                not in {target.endpoint_id for target in fleet.targets()}
+            ),
+            1,
+        )
+        closes = [o for o in head.orders if o['operation'] == 'close']
+        await fleet.until(
+            lambda: any(o['operation'] == 'close' for o in head.orders)
+        )
+        closes = [o for o in head.orders if o['operation'] == 'close']
+        assert closes[0]['close_mode'] == 'queue'
+        await fleet.until(
+            lambda: all(
+                member.endpoint_id not in members
+                for members in member_ids(fleet).values()
+            )
+        )
+
+    fleets.run(test)
+
+
+def test_the_lease_passes_on_soon_after_its_holder_stops():
+    async def test(fleet):
+        (holder,) = holders(fleet)
+        holder.lease.is_releasing = True
+        # As after a kill: it says and renews nothing more.
+        holder.peers.say = lambda word: None
+        limit_s = lease_module.TERM_S * 2 + 1
+        await fleet.until(
+            lambda: any(node is not holder for node in holders(fleet)), limit_s
+        )
+        (new,) = [node for node in holders(fleet) if node is not holder]
+        assert new.lease.term == holder.lease.term + 1
+
+    fleets.run(test, nodes=3)
+
+
+def test_a_released_lease_is_taken_at_once():
+    async def test(fleet):
+        (holder,) = holders(fleet)
+        await holder.lease.release()
+        holder.peers.say(holder._make_word({}))
+        await fleet.until(lambda: bool(holders(fleet)), 1)
+
+    fleets.run(test, nodes=3)
+
+
+def test_a_holder_that_lost_the_store_stops_ordering():
+    """Two nodes never give orders at the same time.
+
+    The store falls silent; the holder counts its term from before its last
+    renewal and stops when it is over.
+    """
+
+    async def test(fleet):
+        fleet.store.faults.is_silent = True
+        await fleet.until(lambda: not holders(fleet), lease_module.TERM_S + 1)
+        fleet.store.faults.is_silent = False
+        await fleet.until(lambda: len(holders(fleet)) == 1, 6)
+
+    fleets.run(test, nodes=2)
+
+
+def test_a_renewal_whose_answer_is_lost_does_not_lock_the_fleet_out():
+    async def test(fleet):
+        fleet.store.faults.loses_write_answers = True
+        await anyio.sleep(lease_module.TERM_S + 1)
+        fleet.store.faults.loses_write_answers = False
+        await fleet.until(lambda: len(holders(fleet)) == 1, 6)
+
+    fleets.run(test, nodes=2, engines=0)
+
+
+def test_requests_are_served_while_the_store_is_away():
+    async def test(fleet):
+        fleet.store.faults.refuses_status = 503
+        await anyio.sleep(0.5)
+        got = await fleet.caller().stream()
+        assert got.events == [1, 2, 3, 4, 5, 6]
+        fleet.store.faults.refuses_status = 0
+
+    fleets.run(test)
+
+
+def test_entries_that_lapsed_with_the_store_stay_in_use_for_a_moment():
+    """Callers are served right after the store is back.
+
+    While it was away all entries lapsed and its history went; living
+    endpoints write theirs anew within two seconds.
+    """
+
+    async def test(fleet):
+        fleet.store.faults.refuses_status = 503
+        await anyio.sleep(0.5)
+        for name in list(fleet.endpoints):
+            fleet.store.objects['servers'].pop(name)
+        fleet.store.revision += 10
+        fleet.store.drop_history()
+        fleet.store.faults.refuses_status = 0
+        await anyio.sleep(0.8)
+        got = await fleet.caller().ask('/card/1')
+        assert got.status == 200
+        await anyio.sleep(2.2)
+        assert not fleet.nodes[0].table.of(fleets.PLAIN, '')
+
+    fleets.run(test, engines=0)
+
+
+def test_entries_of_another_writer_name_no_endpoint():
+    async def test(fleet):
+        known = len(fleet.nodes[0].registry.live)
+        for number, spec in enumerate(
+            ({}, {'service': 1}, 'text', None, {'state': 'sleeping'}, [])
+        ):
+            fleet.store.put('servers', f'odd-{number}', spec)
+        await anyio.sleep(0.2)
+        assert len(fleet.nodes[0].registry.live) == known
+        assert (await fleet.caller().ask('/card/1')).status == 200
+
+    fleets.run(test, engines=0)
+
+
+def test_callers_are_told_living_nodes_only():
+    async def test(fleet):
+        fronts = {str(node.settings.front) for node in fleet.nodes}
+        path = '/redwingvalve/resolve?name=x&region=r&zone=z'
+
+        async def told():
+            got = await fleet.directory().ask(path)
+            return set(fleets.json.loads(got.body)['addresses'])
+
+        await anyio.sleep(0.5)
+        assert await told() == fronts
+        gone = fleet.nodes[2]
+        gone.peers.say = lambda word: None
+        gone.state.is_leaving = True
+        await anyio.sleep(1.5)
+        assert await told() == fronts - {str(gone.settings.front)}
+
+    fleets.run(test, nodes=3, engines=0)
+
+
+def test_a_node_that_stops_finishes_its_requests():
+    """A planned stop cuts nothing.
+
+    The node is told to stop in the middle of a stream: it isn't ready any
+    more, but the stream ends whole, and the node after it.
+    """
+
+    async def test(fleet):
+        node = fleet.nodes[0]
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[(b'X-Model', fleets.SMALL.encode())],
+        )
+        await fleet.until(lambda: b'id: ' in taker.body)
+        address = node.settings.ready
+        async with anyio.create_task_group() as group:
+            group.start_soon(node._stop)
+            await anyio.sleep(0.05)
+            ready = fleets.Caller((address.host, address.port))
+            got = await ready.ask('/redwingvalve/ready')
+            assert got.status == 503
+            await fleet.until(taker.done.done, 2)
+            assert taker.done.result() == 'whole'
+            assert taker.body.count(b'id: ') == 6
+
+    fleets.run(test)
--- /dev/null
+++ b/redwingvalve/node/tests/test_requests.py
@@ -0,0 +1,281 @@
+"""What callers get from a node, over real connections."""
+
+import anyio
+import pytest
+
+from redwingvalve.node.tests import fleet as fleets
+
+
+def test_a_stream_arrives_whole_and_in_order():
+    async def test(fleet):
+        got = await fleet.caller().stream()
+        assert got.status == 200 and got.ending == 'whole'
+        assert got.events == [1, 2, 3, 4, 5, 6]
+        assert (
+            got.headers[b'x-server-seal']
+            == (fleet.targets()[0].endpoint_id.encode())
+            or len(fleet.targets()) > 1
+        )
+
+    fleets.run(test)
+
+
+def test_a_body_is_passed_unchanged_and_the_key_is_not():
+    async def test(fleet):
+        got = await fleet.caller().ask('/quote/seat?x=%20y', b'\0\xffbytes')
+        assert got.status == 200
+        (ran,) = [
+            run for name in ('p0', 'p1') for run in fleet.endpoints[name].runs
+        ]
+        sent = dict(ran.headers)
+        assert ran.target == b'/quote/seat?x=%20y'
+        assert sent[b'x-tenant'] == b'workshop'
+        assert b'api-key' not in sent
+        assert 0 < int(sent[b'x-deadline-ms']) <= 3000
+        assert got.body == b'body of %b' % ran.attempt_id
+
+    fleets.run(test, engines=0)
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/none/1', fleets.KEY, 404),
+        ('/card/1', 'unknown', 401),
+        ('/card/1', '', 401),
+        ('/open/1', '', 200),
+        ('/open/1', 'unknown', 200),
+    ],
+)
+def test_routes_and_keys_decide_who_is_served(path, key, status):
+    async def test(fleet):
+        got = await fleet.caller().ask(path, key=key)
+        assert got.status == status
+
+    fleets.run(test, engines=0)
+
+
+def test_a_caller_cannot_choose_its_account():
+    async def test(fleet):
+        await fleet.caller().ask('/card/1', headers=[(b'X-Tenant', b'another')])
+        (ran,) = [
+            run for name in ('p0', 'p1') for run in fleet.endpoints[name].runs
+        ]
+        accounts = [
+            content for name, content in ran.headers if name == b'x-tenant'
+        ]
+        assert accounts == [b'workshop']
+
+    fleets.run(test, engines=0)
+
+
+def test_without_a_configuration_requests_are_refused_as_not_run():
+    async def test(fleet):
+        await fleet.until(lambda: fleet.nodes[0].listener is not None)
+        await anyio.sleep(0.1)
+        got = await fleet.caller().ask('/card/1')
+        assert got.status == 503 and float(got.headers[b'retry-after']) > 0
+
+    fleets.run(test, engines=0, version=None)
+
+
+def test_a_key_that_is_taken_away_is_refused_within_a_second():
+    async def test(fleet):
+        caller = fleet.caller()
+        assert (await caller.ask('/card/1')).status == 200
+        fleet.store.put(
+            'config', 'main', fleets.configuration(version=2, tenants=[])
+        )
+        await fleet.until(
+            lambda: fleet.nodes[0].state.configuration.version == 2, 1
+        )
+        assert (await caller.ask('/card/1')).status == 401
+
+    fleets.run(test, engines=0)
+
+
+def test_an_unusable_configuration_changes_nothing():
+    async def test(fleet):
+        fleet.store.put('config', 'main', {'version': 2, 'routes': 'none'})
+        await anyio.sleep(0.2)
+        assert fleet.nodes[0].state.configuration.version == 1
+        assert (await fleet.caller().ask('/card/1')).status == 200
+
+    fleets.run(test, engines=0)
+
+
+def test_a_refused_request_that_may_not_repeat_is_not_sent_again():
+    """The caller is told that nothing ran, and nothing ever does.
+
+    Both endpoints refuse; the route allows one send.
+    """
+
+    async def test(fleet):
+        for name in ('p0', 'p1'):
+            fleet.endpoints[name].faults.refuses = True
+        got = await fleet.caller().ask('/quote/1')
+        assert got.status == 503 and b'retry-after' in got.headers
+        assert not fleet.endpoints['p0'].runs + fleet.endpoints['p1'].runs
+
+    fleets.run(test, engines=0)
+
+
+def test_a_request_of_unknown_fate_is_not_called_not_run():
+    """The endpoint dies while it runs a request that must not repeat.
+
+    503 would promise that it never ran, and the caller would send it again.
+    """
+
+    async def test(fleet):
+        caller = fleet.caller()
+        taker = await caller.begin('/quote/1')
+        ran = []
+
+        def has_run():
+            for name in ('p0', 'p1'):
+                if fleet.endpoints[name].runs:
+                    ran.append(name)
+            return bool(ran)
+
+        await fleet.until(has_run)
+        fleet.endpoints[ran[0]].crash()
+        await fleet.until(taker.done.done)
+        assert taker.head.status == 502
+        total = sum(len(fleet.endpoints[name].runs) for name in ('p0', 'p1'))
+        assert total == 1
+
+    fleets.run(test, engines=0)
+
+
+def test_a_failed_request_that_may_repeat_is_sent_elsewhere():
+    async def test(fleet):
+        fleet.endpoints['p0'].faults.fails = True
+        caller = fleet.caller()
+        for _ in range(6):
+            got = await caller.ask('/card/1')
+            assert got.status == 200
+
+    fleets.run(test, engines=0)
+
+
+def test_an_answer_that_comes_twice_reaches_nobody_else():
+    """Each caller gets the whole of its own answer.
+
+    The endpoint sends each answer twice; the second one lies on a connection
+    that would be used for the next request.
+    """
+
+    async def test(fleet):
+        for name in ('p0', 'p1'):
+            fleet.endpoints[name].faults.answers_twice = True
+        caller = fleet.caller()
+        for _ in range(8):
+            got = await caller.ask('/card/1')
+            ran = fleet.endpoints['p0'].runs + fleet.endpoints['p1'].runs
+            assert got.status == 200
+            assert got.body in {b'body of %b' % run.attempt_id for run in ran}
+            expected = b'a%d-%d' % (id(caller), caller.number)
+            assert got.body == b'body of ' + expected
+
+    fleets.run(test, engines=0)
+
+
+def test_a_stream_that_breaks_inside_an_event_goes_on_elsewhere():
+    """The caller sees each event once, in order, and a whole stream.
+
+    The head resets its connection in the middle of the third event; another
+    replica goes on after the second.
+    """
+
+    async def test(fleet):
+        for target in fleet.targets():
+            head = fleet.endpoints[target.endpoint_id]
+            head.faults.breaks_after_events = 3
+        got_task = []
+
+        async def ask():
+            got_task.append(await fleet.caller().stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            heads = [
+                fleet.endpoints[target.endpoint_id]
+                for target in fleet.targets()
+            ]
+            await fleet.until(lambda: any(head.runs for head in heads))
+            for head in heads:
+                if not head.runs:
+                    head.faults.breaks_after_events = None
+        assert got_task[0].events == [1, 2, 3, 4, 5, 6]
+        assert got_task[0].ending == 'whole'
+        resumed = [run.last_event for head in heads for run in head.runs]
+        assert sorted(resumed, key=str) == [2, None]
+
+    fleets.run(test)
+
+
+def test_a_stream_of_a_silent_head_goes_on_elsewhere_soon():
+    """The caller sees one pause of less than half a second.
+
+    A member of the replica is lost: its head stands still, with the
+    connection open, and says nothing for seconds.
+    """
+
+    async def test(fleet):
+        heads = [
+            fleet.endpoints[target.endpoint_id] for target in fleet.targets()
+        ]
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[
+                (b'X-Model', fleets.SMALL.encode()),
+                (b'X-Token-Counts', b'100,20'),
+            ],
+        )
+        await fleet.until(lambda: taker.body.count(b'id: ') >= 2)
+        (first,) = [head for head in heads if head.runs]
+        (second,) = [head for head in heads if not head.runs]
+        first.faults.stands_still = True
+        await fleet.until(lambda: bool(second.runs), 0.5)
+        await fleet.until(taker.done.done, 1)
+        assert taker.done.result() == 'whole'
+        assert taker.body.count(b'id: ') == 6
+        await fleet.until(lambda: bool(first.left), 0.5)
+
+    fleets.run(test)
+
+
+def test_a_caller_that_leaves_frees_its_replica():
+    async def test(fleet):
+        heads = [
+            fleet.endpoints[target.endpoint_id] for target in fleet.targets()
+        ]
+        for head in heads:
+            head.events_in_answer = 200
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[(b'X-Model', fleets.SMALL.encode())],
+        )
+        await fleet.until(lambda: b'id: ' in taker.body)
+        caller.leave()
+        await fleet.until(lambda: any(head.left for head in heads), 0.5)
+        assert not fleet.nodes[0].state.loads.own
+
+    fleets.run(test)
+
+
+def test_a_request_with_a_long_head_or_body_is_refused():
+    async def test(fleet):
+        long_head = [(b'X-Long', b'x' * 20000)]
+        got = await fleet.caller().ask('/card/1', headers=long_head)
+        assert got.status == 431
+        got = await fleet.caller().ask('/card/1', b'x' * 100001)
+        assert got.status == 413
+        got = await fleet.caller().ask('/card/1', b'x' * 100000)
+        assert got.status == 200
+
+    fleets.run(test, engines=0)
--- /dev/null
+++ b/redwingvalve/standins/platform_store.py
@@ -0,0 +1,203 @@
+"""A stand-in for the users' object store: objects, revisions and watches.
+
+It speaks what the platform's pages publish. Faults: silence, refusal, answers
+that are lost after the write was made, and history that is dropped.
+"""
+
+import asyncio
+import json
+import typing
+import urllib.parse
+
+import attrs
+
+from redwingvalve.http1 import messages, reading, server
+
+Document = dict[str, typing.Any]
+PREFIX = '/redwingvalve/objects/'
+_LIMITS = reading.ServerLimits(65_536, 4_194_304, 10, 60)
+_JSON = ((b'content-type', b'application/json'),)
+
+
+@attrs.define
+class StoreFaults:
+    """What the store does wrong now."""
+
+    is_silent: bool = False
+    refuses_status: int = 0
+    loses_write_answers: bool = False
+
+
+@attrs.frozen
+class _Event:
+    revision: int
+    kind: str
+    stored: Document
+    is_removed: bool
+
+
+class PlatformStore(server.Application):
+    """Objects by kind and name, in memory."""
+
+    def __init__(self) -> None:
+        """Start at revision 100 without objects."""
+        self.faults = StoreFaults()
+        self.calls = 0
+        self.objects: dict[str, dict[str, Document]] = {}
+        self.revision = 100
+        self.first_told = 100
+        self._events: list[_Event] = []
+        self._changed = asyncio.Event()
+
+    def limits(self) -> reading.ServerLimits:
+        """Return wide bounds."""
+        return _LIMITS
+
+    def is_closing(self) -> bool:
+        """Keep connections."""
+        return False
+
+    def put(self, kind: str, name: str, spec: Document) -> Document:
+        """Write an object, as the operator or an endpoint does."""
+        self.revision += 1
+        found = self.objects.setdefault(kind, {})
+        created = (
+            found[name]['metadata']['created']
+            if name in found
+            else (self.revision)
+        )
+        stored = {
+            'metadata': {
+                'name': name,
+                'revision': self.revision,
+                'created': created,
+                'finalizers': [],
+                'deletion_pending': False,
+            },
+            'spec': spec,
+            'status': None,
+        }
+        found[name] = stored
+        self._tell(kind, stored, is_removed=False)
+        return stored
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object if it is there."""
+        stored = self.objects.get(kind, {}).pop(name, None)
+        if stored is not None:
+            self.revision += 1
+            self._tell(kind, stored, is_removed=True)
+
+    def drop_history(self) -> None:
+        """Forget all changes, so that watches from before get 410."""
+        self.first_told = self.revision
+        self._events.clear()
+
+    def serve(
+        self, request: messages.Request, responder: server.Responder
+    ) -> None:
+        """Answer one call, now or when a watch has something to tell."""
+        self.calls += 1
+        if self.faults.is_silent:
+            return
+        if self.faults.refuses_status:
+            _answer(responder, self.faults.refuses_status, {})
+            return
+        target = request.target.decode()
+        path, _, query_text = target.partition('?')
+        query = dict(urllib.parse.parse_qsl(query_text))
+        kind, _, name = path.removeprefix(PREFIX).partition('/')
+        body = json.loads(request.body) if request.body else {}
+        if request.method != b'GET':
+            status, answer = self._write(request.method, kind, name, body)
+            if not self.faults.loses_write_answers:
+                _answer(responder, status, answer)
+            return
+        if 'watch' in query:
+            asyncio.get_running_loop().create_task(
+                self._watch(kind, query, responder)
+            )
+            return
+        self._read(kind, name, responder)
+
+    def _read(self, kind: str, name: str, responder: server.Responder) -> None:
+        found = self.objects.get(kind, {})
+        if not name:
+            listed = {
+                'items': list(found.values()),
+                'has_more': False,
+                'store_revision': self.revision,
+            }
+            _answer(responder, 200, listed)
+            return
+        stored = found.get(name)
+        if stored is None:
+            _answer(responder, 404, {'error': 'none'})
+            return
+        _answer(responder, 200, stored)
+
+    def _write(
+        self, method: bytes, kind: str, name: str, body: Document
+    ) -> tuple[int, Document]:
+        found = self.objects.setdefault(kind, {})
+        metadata = body.get('metadata') or {}
+        if method == b'POST':
+            name = metadata['name']
+            if name in found:
+                return 409, found[name]
+            return 201, self.put(kind, name, body['spec'])
+        if name not in found:
+            return 404, {'error': 'none'}
+        if method == b'DELETE':
+            self.remove(kind, name)
+            return 200, {}
+        stored = found[name]
+        known = stored['metadata']['revision']
+        if metadata.get('revision', known) != known:
+            return 409, stored
+        return 200, self.put(kind, name, body['spec'])
+
+    async def _watch(
+        self, kind: str, query: dict[str, str], responder: server.Responder
+    ) -> None:
+        since = int(query['watch'])
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + int(query['wait_ms']) / 1000
+        while True:
+            if since < self.first_told:
+                _answer(responder, 410, {'error': 'gone'})
+                return
+            found = [
+                event
+                for event in self._events
+                if event.kind == kind and event.revision > since
+            ]
+            left_s = until_s - loop.time()
+            if found or left_s <= 0:
+                break
+            await self._wait_change(left_s)
+        events = [
+            {'deleted': event.is_removed, 'object': event.stored}
+            for event in found
+        ]
+        _answer(
+            responder,
+            200,
+            {'events': events, 'store_revision': self.revision},
+        )
+
+    async def _wait_change(self, left_s: float) -> None:
+        try:
+            async with asyncio.timeout(left_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _tell(self, kind: str, stored: Document, *, is_removed: bool) -> None:
+        self._events.append(_Event(self.revision, kind, stored, is_removed))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _answer(responder: server.Responder, status: int, answer: Document) -> None:
+    responder.answer(status, list(_JSON), json.dumps(answer).encode())
