Keep members where they are until a leaving head has finished

Ruled out: a late order; two holders (one term throughout in the trace). Change: all nodes remember whole replicas and since when a head is gone; a head that answers after that is closed gracefully and has ended only by its own word or 13 s; all-clears carry their age, so that a repeated datagram doesn't clear a later suspicion. Tests: members_stay_while_a_head_that_left, a_suspicion_after_an_all_clear.

--- /dev/null
+++ b/redwingvalve/fleet/history.py
@@ -0,0 +1,76 @@
+"""Replicas as they were when last seen whole, and since when heads are gone.
+
+Load pattern: a head's entry goes because it died, because it leaves without a
+word, or because it is cut off from the store; in the last two cases it may
+still be at work for ten seconds. Its members may join nothing else meanwhile,
+so each node keeps in mind who the head was and when it went: the next holder
+of the lease needs to know too.
+"""
+
+import attrs
+
+from redwingvalve.fleet import endpoints
+from redwingvalve.ingress import routes
+
+Key = tuple[str, int]
+# A replica that has not been seen for this long has no members left.
+FORGET_S = 60.0
+_ACTIVE = frozenset((endpoints.MemberState.OPEN, endpoints.MemberState.CLOSING))
+
+
+@attrs.define(eq=False)
+class Past:
+    """What is known of one forming of a replica."""
+
+    # None if it was never seen with all its members.
+    whole: endpoints.Replica | None
+    seen_s: float
+    head_gone_s: float | None = None
+    has_served: bool = False
+    # Its head is known to serve no more.
+    is_ended: bool = False
+
+
+class ReplicaHistory:
+    """All replicas that have been seen lately."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._past: dict[Key, Past] = {}
+
+    def note(
+        self,
+        replicas: list[endpoints.Replica],
+        engine: routes.Engine,
+        now_s: float,
+    ) -> None:
+        """Take replicas as they are seen now."""
+        for replica in replicas:
+            self._note_one(replica, engine, now_s)
+        forgotten = [
+            key
+            for key, past in self._past.items()
+            if now_s - past.seen_s > FORGET_S
+        ]
+        for key in forgotten:
+            self._past.pop(key)
+
+    def of(self, key: Key) -> Past | None:
+        """Return what is known of a replica."""
+        return self._past.get(key)
+
+    def _note_one(
+        self, replica: endpoints.Replica, engine: routes.Engine, now_s: float
+    ) -> None:
+        past = self._past.setdefault(replica.key, Past(None, now_s))
+        past.seen_s = now_s
+        head = replica.head
+        if head is None:
+            if past.head_gone_s is None:
+                past.head_gone_s = now_s
+            return
+        past.head_gone_s = None
+        past.has_served = past.has_served or head.membership.state in _ACTIVE
+        model = engine.find_model(replica.model)
+        if model is not None and len(replica.members) == model.size:
+            past.whole = replica
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -28,6 +28,7 @@
     endpoint_id: str
     epoch: int
     until_s: float
+    since_s: float
 
 
 class ServingTable(state.Targets):
@@ -66,7 +67,8 @@
         membership = endpoint.membership
         epoch = membership.epoch if membership else 0
         wait_s = HEAD_SUSPECT_S if membership else PLAIN_SUSPECT_S
-        suspicion = Suspicion(endpoint_id, epoch, time.monotonic() + wait_s)
+        now_s = time.monotonic()
+        suspicion = Suspicion(endpoint_id, epoch, now_s + wait_s, now_s)
         self._own.add(endpoint_id)
         if self.take_suspicion(suspicion):
             LOG.warning(
@@ -103,10 +105,14 @@
         if self._suspicions.pop(endpoint_id, None) is not None:
             self.rebuild()
 
-    def clear_epoch(self, endpoint_id: str, epoch: int) -> None:
+    def clear_older(
+        self, endpoint_id: str, epoch: int, cleared_s: float
+    ) -> None:
         """Put an endpoint back into use unless it is suspect anew."""
         suspicion = self._suspicions.get(endpoint_id)
-        if suspicion is not None and suspicion.epoch <= epoch:
+        if suspicion is None or suspicion.epoch > epoch:
+            return
+        if suspicion.since_s < cleared_s:
             self.clear(endpoint_id)
 
     def own_suspicions(self) -> list[Suspicion]:
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -4,7 +4,7 @@
 
 import anyio.abc
 
-from redwingvalve.fleet import endpoints, serving
+from redwingvalve.fleet import endpoints, history, serving
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
 from redwingvalve.node import forming, replica_orders, tasks
@@ -49,14 +49,17 @@
         )
         self._former = forming.Former(client, self._orders, self._tasks)
         self._inspected_s: dict[replica_orders.Key, float] = {}
-        self._whole: dict[replica_orders.Key, endpoints.Replica] = {}
+        self._history = history.ReplicaHistory()
         self._count = 0
         self._changed_s = 0.0
 
-    def note_fleet(self) -> None:
+    def note_fleet(self, engine: routes.Engine) -> None:
         """Remember what is only told by passing states."""
-        for endpoint in self._registry.live.values():
+        live = self._live()
+        for endpoint in live:
             self._former.note(endpoint)
+        replicas = endpoints.find_replicas(live).get(self._service, [])
+        self._history.note(replicas, engine, time.monotonic())
 
     def look(self, engine: routes.Engine) -> None:
         """Start what is to be done now."""
@@ -102,13 +105,11 @@
         head = replica.head
         model = engine.find_model(replica.model)
         is_missing = model is None or len(replica.members) != model.size
-        if not is_missing:
-            self._whole[replica.key] = replica
         if head is None or self._tasks.is_any_busy(replica.members):
             return
         state = head.membership.state
         if state is endpoints.MemberState.OPEN and replica.is_leaving:
-            self._tasks.start(replica.members, self._orders.retire(replica))
+            self._tasks.start(replica.members, self._retire(replica))
             return
         is_suspect = self._table.is_suspect(head.endpoint_id)
         if state in _ACTIVE and (is_missing or is_suspect):
@@ -120,9 +121,25 @@
         if now_s - asked_s < INSPECT_AGAIN_S:
             return
         self._inspected_s[replica.key] = now_s
-        known = self._whole.get(replica.key, replica)
+        past = self._history.of(replica.key)
+        known = past.whole if past and past.whole else replica
         self._tasks.start(known.members, self._inspect(known))
 
+    async def _retire(self, replica: endpoints.Replica) -> None:
+        await self._orders.retire(replica.members[0], time.monotonic())
+        self._mark_ended(replica.key)
+
+    async def _end_missing(
+        self, replica: endpoints.Replica, gone_s: float
+    ) -> None:
+        if await self._orders.end_missing(replica.members[0], gone_s):
+            self._mark_ended(replica.key)
+
+    def _mark_ended(self, key: replica_orders.Key) -> None:
+        past = self._history.of(key)
+        if past is not None:
+            past.is_ended = True
+
     async def _inspect(self, replica: endpoints.Replica) -> None:
         is_whole = await self._orders.inspect(replica.members)
         if is_whole:
@@ -156,17 +173,17 @@
         head = replica.head
         if head is not None:
             return head.membership.state in _ACTIVE
-        known = self._whole.get(replica.key)
-        if known is None:
-            return False
-        gone = known.members[0]
-        if gone.endpoint_id in self._registry.live:
-            return False
-        # Its entry has lapsed. The head may be open and cut off from the
-        # store, until inspection has closed it or found it gone.
-        if gone.incarnation in self._orders.lost:
+        past = self._history.of(replica.key)
+        if past is None or past.is_ended or past.head_gone_s is None:
             return False
-        if gone.membership.state not in _ACTIVE:
+        gone_s = past.head_gone_s
+        if past.whole is None:
+            # Nobody here knows the head: it has time to finish.
+            return time.monotonic() - gone_s < replica_orders.LEAVING_S
+        if not past.has_served:
             return False
-        self._start_inspection(known)
+        if not self._tasks.is_any_busy(past.whole.members):
+            self._tasks.start(
+                past.whole.members, self._end_missing(past.whole, gone_s)
+            )
         return True
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -20,7 +20,13 @@
     state as state_module,
 )
 from redwingvalve.node import controller as controller_module
-from redwingvalve.node import front, supervision, watching, words
+from redwingvalve.node import (
+    front,
+    supervision,
+    watching,
+    word_parts,
+    words,
+)
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs
@@ -107,7 +113,7 @@
     controllers: dict[str, controller_module.Controller] = attrs.field(
         factory=dict
     )
-    cleared: dict[str, int] = attrs.field(factory=dict)
+    cleared: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     others_served: bool = False
     has_news: bool = False
     is_listening: bool = False
@@ -146,10 +152,13 @@
                     suspect.endpoint_id,
                     suspect.epoch,
                     now_s + suspect.left_ms / 1000,
+                    now_s,
                 )
             )
-        for endpoint_id, epoch in (word.cleared or {}).items():
-            self.table.clear_epoch(endpoint_id, epoch)
+        for clear in word.cleared or ():
+            self.table.clear_older(
+                clear.endpoint_id, clear.epoch, now_s - clear.age_ms / 1000
+            )
         self.state.poke()
 
     def node_lost(self, vm: str) -> None:
@@ -266,16 +275,9 @@
             is_leaving=self.state.is_leaving,
             is_ready=self.state.configuration is not None,
             loads=loads,
-            suspects=[
-                words.SuspectWord(
-                    endpoint_id=suspicion.endpoint_id,
-                    epoch=suspicion.epoch,
-                    left_ms=int((suspicion.until_s - time.monotonic()) * 1000),
-                )
-                for suspicion in self.table.own_suspicions()
-            ],
+            suspects=word_parts.suspect_words(self.table),
             has_served=self.front.has_served,
-            cleared=self.cleared,
+            cleared=word_parts.clear_words(self.cleared),
         )
         if self.lease.is_held() or self.lease.is_releasing:
             word.lease_revision = self.lease.revision
@@ -283,7 +285,7 @@
         return word
 
     def _cleared(self, endpoint_id: str, epoch: int) -> None:
-        self.cleared[endpoint_id] = epoch
+        self.cleared[endpoint_id] = (epoch, time.monotonic())
         self._say_now()
 
     def _say_now(self) -> None:
@@ -326,7 +328,8 @@
                 group,
             )
             self.controllers[service.name] = control
-        control.note_fleet()
+        if service.engine is not None:
+            control.note_fleet(service.engine)
         control.holds = self.lease.is_held()
         control.term = self.lease.term
         control.has_served = self.front.has_served or self.others_served
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -6,6 +6,12 @@
   3: i32 left_ms
 }
 
+struct ClearWord {
+  1: string endpoint_id
+  2: i64 epoch
+  3: i32 age_ms
+}
+
 struct NodeWord {
   1: string vm
   2: i64 born_ms
@@ -20,8 +26,8 @@
   9: i32 lease_left_ms
   // Requests have been seen, so that loads of weights take their full time.
   10: bool has_served
-  // Endpoints that are sound again, by id, with the epoch they were at.
-  11: map<string, i64> cleared
+  // Endpoints that were found sound lately.
+  11: list<ClearWord> cleared
   // Bodies that crashed endpoints, by hash, and how often.
   12: map<i64, i32> crashes
 }
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -25,9 +25,14 @@
 JOIN_SLACK_S = 2.0
 OPEN_TIMEOUT_S = 2.0
 OPEN_RETRY_S = 0.05
-# A head that finishes its requests; longest streams last some seconds.
-GRACEFUL_CLOSE_S = 10.0
-SEVER_TIMEOUT_S = 1.0
+# An endpoint that leaves finishes its requests for ten seconds at most, after
+# the two in which it is known to leave.
+LEAVING_S = 13.0
+# Between two questions to a head that has no entry; each has a price.
+ASK_S = 0.3
+# A head that leaves without a word serves on for two seconds after its entry
+# is gone: if it doesn't answer within the first, it has died.
+GONE_KNOWN_S = 1.0
 # A dark head's entry lapses after three heartbeats; after that nothing of it
 # answers, or it could be closed.
 DARK_HEAD_S = 7.0
@@ -137,9 +142,9 @@
         assert membership is not None
         until_s = time.monotonic() + DARK_HEAD_S
         while time.monotonic() < until_s and self._may_order():
-            if report is not None and not _serves(head, report):
+            if report is not None and not _serves_as(head, report.membership):
                 return
-            if report is None and self._is_gone(head):
+            if report is None and self._is_gone(head) and not head.draining:
                 return
             if report is not None:
                 await self._client.close(
@@ -148,15 +153,45 @@
             await anyio.sleep(LOOK_S)
             report = await self._client.report(head)
 
-    async def retire(self, replica: endpoints.Replica) -> None:
-        """Let a replica finish its requests and serve no more."""
-        head = replica.members[0]
-        LOG.info('replica closes', extra={'replica': replica.name})
-        await self._client.close(head, replica.name, replica.epoch, True)
-        until_s = time.monotonic() + GRACEFUL_CLOSE_S
-        await self._wait(
-            lambda: not self._is_serving(head, replica.key), until_s
+    async def retire(self, head: endpoints.Endpoint, began_s: float) -> None:
+        """Let a replica finish its requests; return when it serves no more.
+
+        A head that leaves stops to listen before its last requests end, so
+        that only its own word, or time, shows that it has finished.
+        """
+        membership = head.membership
+        assert membership is not None
+        LOG.info('replica closes', extra={'replica': membership.replica})
+        await self._client.close(
+            head, membership.replica, membership.epoch, True
         )
+        until_s = began_s + LEAVING_S
+        while time.monotonic() < until_s and self._may_order():
+            seen = self._registry.live.get(head.endpoint_id)
+            if seen is not None:
+                if not _serves_as(head, seen.membership):
+                    return
+                await anyio.sleep(LOOK_S)
+                continue
+            report = await self._client.report(head)
+            if report is not None and not _serves_as(head, report.membership):
+                return
+            await anyio.sleep(ASK_S)
+
+    async def end_missing(
+        self, head: endpoints.Endpoint, gone_s: float
+    ) -> bool:
+        """End a replica whose head's entry is gone; return if it has ended.
+
+        A head that is asked just after its entry went and doesn't answer has
+        died. One that answers leaves, or is cut off from the store.
+        """
+        asked_s = time.monotonic()
+        report = await self._client.report(head)
+        if report is None and asked_s - gone_s < GONE_KNOWN_S:
+            return True
+        await self.retire(head, gone_s)
+        return self._may_order()
 
     async def _join(
         self,
@@ -282,7 +317,12 @@
     return (was.replica, was.epoch) == (now.replica, now.epoch)
 
 
-def _serves(head: endpoints.Endpoint, report: endpoint_orders.Report) -> bool:
-    if not _is_same(head, report):
+def _serves_as(
+    head: endpoints.Endpoint, now: endpoints.Membership | None
+) -> bool:
+    was = head.membership
+    if was is None or now is None:
+        return False
+    if (was.replica, was.epoch) != (now.replica, now.epoch):
         return False
-    return report.membership.state not in _SETTLED
+    return now.state not in _SETTLED
--- a/redwingvalve/node/tests/test_control.py
+++ b/redwingvalve/node/tests/test_control.py
@@ -305,3 +305,48 @@
         assert len(dead.orders) == before
 
     fleets.run(test)
+
+
+def test_members_stay_while_a_head_that_left_finishes_its_requests():
+    """No VM is in two replicas while a leaving head still works.
+
+    The head leaves without a word: its entry goes, it answers on for a while,
+    then it listens no more but its last stream goes on.
+    """
+
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await anyio.sleep(0.5)
+        before = len(member.orders)
+        head.faults.never_finishes = True
+        fleet.store.remove('servers', head.endpoint_id)
+        # It serves on for two seconds at least.
+        await anyio.sleep(2.1)
+        # It listens no more, as it does before its last stream ends.
+        head.stop_listening()
+        await anyio.sleep(4)
+        assert len(member.orders) == before
+
+    fleets.run(test)
+
+
+def test_a_suspicion_after_an_all_clear_stands():
+    """An endpoint that falls silent again is out of use again.
+
+    The holder said that it is sound; datagrams that repeat this arrive after
+    the new suspicion.
+    """
+
+    async def test(fleet):
+        table = fleet.nodes[1].table
+        target = fleet.targets(1)[0]
+        table.suspect(target.endpoint_id, 'silent')
+        table.clear_older(target.endpoint_id, target.epoch, 0.0)
+        assert table.is_suspect(target.endpoint_id)
+        now_s = fleets.time.monotonic()
+        table.clear_older(target.endpoint_id, target.epoch, now_s)
+        assert not table.is_suspect(target.endpoint_id)
+
+    fleets.run(test, nodes=2)
--- /dev/null
+++ b/redwingvalve/node/word_parts.py
@@ -0,0 +1,43 @@
+"""What a node tells the others about endpoints."""
+
+import time
+import typing
+
+from redwingvalve.fleet import serving
+from redwingvalve.node import words
+
+# A lost datagram is made up for by some of those that follow.
+CLEAR_TOLD_S = 1.0
+_MS_IN_S = 1000
+
+
+def suspect_words(table: serving.ServingTable) -> list[typing.Any]:
+    """Return the endpoints that this node has taken out of use."""
+    now_s = time.monotonic()
+    return [
+        words.SuspectWord(
+            endpoint_id=suspicion.endpoint_id,
+            epoch=suspicion.epoch,
+            left_ms=int((suspicion.until_s - now_s) * _MS_IN_S),
+        )
+        for suspicion in table.own_suspicions()
+    ]
+
+
+def clear_words(
+    cleared: dict[str, tuple[int, float]],
+) -> list[typing.Any]:
+    """Return the endpoints that were found sound lately.
+
+    cleared holds the epoch and the moment of each finding.
+    """
+    now_s = time.monotonic()
+    return [
+        words.ClearWord(
+            endpoint_id=endpoint_id,
+            epoch=epoch,
+            age_ms=int((now_s - cleared_s) * _MS_IN_S),
+        )
+        for endpoint_id, (epoch, cleared_s) in cleared.items()
+        if now_s - cleared_s < CLEAR_TOLD_S
+    ]
--- a/redwingvalve/standins/platform_endpoint.py
+++ b/redwingvalve/standins/platform_endpoint.py
@@ -35,6 +35,8 @@
     fails: bool = False
     order_delay_s: float = 0.0
     omits_length: bool = False
+    # A close that lets requests finish never ends.
+    never_finishes: bool = False
 
 
 @attrs.frozen
@@ -85,6 +87,13 @@
         self.address = f'127.0.0.1:{port}'
         self.write_entry()
 
+    def stop_listening(self) -> None:
+        """Take no new connections and end the idle ones."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections:
+            connection.close_if_idle()
+
     def crash(self) -> None:
         """End at once, with all connections, and lose the entry."""
         if self._server is not None:
@@ -99,7 +108,11 @@
         self.write_entry()
 
     def write_entry(self) -> None:
-        """Write what it says of itself."""
+        """Write what it says of itself, unless the entry was removed."""
+        if self._sequence and self.endpoint_id not in self._store.objects.get(
+            'servers', {}
+        ):
+            return
         self._store.put('servers', self.endpoint_id, self._entry())
 
     def limits(self) -> reading.ServerLimits:
@@ -197,7 +210,9 @@
                 return 409
             self._later(OPEN_S, self.group, 'open')
         elif operation == 'close':
-            self.group = {**self.group, 'state': 'ready'}
+            waits = self.faults.never_finishes
+            state = 'closing' if waits else 'ready'
+            self.group = {**self.group, 'state': state}
         elif operation == 'leave':
             self.group = None
         self.write_entry()
--- a/redwingvalve/standins/platform_store.py
+++ b/redwingvalve/standins/platform_store.py
@@ -146,12 +146,12 @@
             if name in found:
                 return 409, found[name]
             return 201, self.put(kind, name, body['spec'])
-        if name not in found:
+        stored = found.get(name)
+        if stored is None:
             return 404, {'error': 'none'}
         if method == b'DELETE':
             self.remove(kind, name)
             return 200, {}
-        stored = found[name]
         known = stored['metadata']['revision']
         if metadata.get('revision', known) != known:
             return 409, stored
