Treat a replica that was told to open as one that may serve

Ruled out: a late order (the open was answered 202 in the trace). Change: a head that was told to open, or was seen ready with all its members, counts as serving until its own word, its leaving, or 13 s; replicas found ready are opened or left for good by the next holder.

--- a/redwingvalve/fleet/history.py
+++ b/redwingvalve/fleet/history.py
@@ -27,6 +27,8 @@
     seen_s: float
     head_gone_s: float | None = None
     has_served: bool = False
+    # All members were ready at once: an order to open it may be under way.
+    was_ready: bool = False
     # Its head is known to serve no more.
     is_ended: bool = False
 
@@ -72,5 +74,15 @@
         past.head_gone_s = None
         past.has_served = past.has_served or head.membership.state in _ACTIVE
         model = engine.find_model(replica.model)
-        if model is not None and len(replica.members) == model.size:
-            past.whole = replica
+        if model is None or len(replica.members) != model.size:
+            return
+        past.whole = replica
+        past.was_ready = past.was_ready or _is_ready(replica)
+
+
+def _is_ready(replica: endpoints.Replica) -> bool:
+    return all(
+        member.membership is not None
+        and member.membership.state is endpoints.MemberState.READY
+        for member in replica.members
+    )
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -50,11 +50,20 @@
         self._former = forming.Former(client, self._orders, self._tasks)
         self._inspected_s: dict[replica_orders.Key, float] = {}
         self._history = history.ReplicaHistory()
+        self._engine: routes.Engine | None = None
         self._count = 0
         self._changed_s = 0.0
+        registry.on_change.append(self.note_fleet)
 
-    def note_fleet(self, engine: routes.Engine) -> None:
+    def configure(self, engine: routes.Engine) -> None:
+        """Take how the service's endpoints work."""
+        self._engine = engine
+
+    def note_fleet(self) -> None:
         """Remember what is only told by passing states."""
+        engine = self._engine
+        if engine is None:
+            return
         live = self._live()
         for endpoint in live:
             self._former.note(endpoint)
@@ -135,6 +144,16 @@
         if await self._orders.end_missing(replica.members[0], gone_s):
             self._mark_ended(replica.key)
 
+    async def _settle(self, replica: endpoints.Replica) -> None:
+        """Open a replica that is ready, or see to it that it never opens."""
+        past = self._history.of(replica.key)
+        known = past.whole if past is not None else None
+        is_whole = known and len(known.members) == len(replica.members)
+        if is_whole and await self._orders.open_ready(replica):
+            return
+        if await self._orders.abandon(replica.members[0]):
+            self._mark_ended(replica.key)
+
     def _mark_ended(self, key: replica_orders.Key) -> None:
         past = self._history.of(key)
         if past is not None:
@@ -142,9 +161,11 @@
 
     async def _inspect(self, replica: endpoints.Replica) -> None:
         is_whole = await self._orders.inspect(replica.members)
-        if is_whole:
-            LOG.info('replica is whole', extra={'replica': replica.name})
-            self._table.found_sound(replica.members[0].endpoint_id)
+        if not is_whole:
+            self._mark_ended(replica.key)
+            return
+        LOG.info('replica is whole', extra={'replica': replica.name})
+        self._table.found_sound(replica.members[0].endpoint_id)
 
     def _free(
         self,
@@ -169,10 +190,35 @@
         lost_s = self._orders.lost.get(endpoint.incarnation)
         return lost_s is not None and time.monotonic() - lost_s < LOST_S
 
+    def _may_open(
+        self, replica: endpoints.Replica, head: endpoints.Endpoint
+    ) -> bool:
+        """Return whether a head serves, or may begin to by a late order.
+
+        An order to open that was never answered may be carried out seconds
+        later, when the other members have joined another replica.
+        """
+        if head.membership.state in _ACTIVE:
+            return True
+        past = self._history.of(replica.key)
+        if past is None or past.is_ended or not self._was_ready(past, replica):
+            return False
+        if head.membership.state is endpoints.MemberState.BROKEN:
+            return False
+        if not self._tasks.is_any_busy(replica.members):
+            self._tasks.start(replica.members, self._settle(replica))
+        return True
+
+    def _was_ready(
+        self, past: history.Past, replica: endpoints.Replica
+    ) -> bool:
+        # The states in between may pass too fast to be seen.
+        return past.was_ready or replica.key in self._orders.told_to_open
+
     def _may_serve(self, replica: endpoints.Replica) -> bool:
         head = replica.head
         if head is not None:
-            return head.membership.state in _ACTIVE
+            return self._may_open(replica, head)
         past = self._history.of(replica.key)
         if past is None or past.is_ended or past.head_gone_s is None:
             return False
@@ -180,7 +226,8 @@
         if past.whole is None:
             # Nobody here knows the head: it has time to finish.
             return time.monotonic() - gone_s < replica_orders.LEAVING_S
-        if not past.has_served:
+        # Cut off from the store, a head may have opened without a word there.
+        if not past.has_served and not self._was_ready(past, replica):
             return False
         if not self._tasks.is_any_busy(past.whole.members):
             self._tasks.start(
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -329,7 +329,7 @@
             )
             self.controllers[service.name] = control
         if service.engine is not None:
-            control.note_fleet(service.engine)
+            control.configure(service.engine)
         control.holds = self.lease.is_held()
         control.term = self.lease.term
         control.has_served = self.front.has_served or self.others_served
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -78,6 +78,8 @@
     ) -> None:
         """Give orders only while may_order holds."""
         self.lost: dict[tuple[str, int], float] = {}
+        # Replicas whose head was told to open, whatever it answered.
+        self.told_to_open: set[Key] = set()
         self._client = client
         self._registry = registry
         self._may_order = may_order
@@ -103,16 +105,40 @@
         self._log_forming(forming, outcome, began_s)
         return is_open
 
+    async def open_ready(self, replica: endpoints.Replica) -> bool:
+        """Open a replica that some holder has formed; return if it serves."""
+        if replica.is_leaving or not await self._are_sound(replica.members):
+            return False
+        forming = Forming(replica.name, replica.epoch, replica.members, 0)
+        return await self._open(forming)
+
+    async def abandon(self, head: endpoints.Endpoint) -> bool:
+        """Let a head leave its replica, so that no late order can open it.
+
+        Returns whether it has left, or is gone.
+        """
+        membership = head.membership
+        assert membership is not None
+        until_s = time.monotonic() + LEAVING_S
+        while time.monotonic() < until_s and self._may_order():
+            result = await self._client.leave(
+                head, membership.replica, membership.epoch
+            )
+            if result in {Result.ACCEPTED, Result.OTHER_ENDPOINT}:
+                return True
+            if self._is_gone(head):
+                return True
+            await anyio.sleep(ASK_S)
+        # Orders are carried out twelve seconds late at most.
+        return self._may_order()
+
     async def inspect(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
         """Find out whether a replica is whole; close it if it isn't.
 
         Returns True if all members answer and belong to it. Otherwise its
         head no longer serves when this returns, or is known to be gone.
         """
-        reports: dict[str, endpoint_orders.Report | None] = {}
-        async with anyio.create_task_group() as group:
-            for member in members:
-                group.start_soon(self._ask, member, reports)
+        reports = await self._ask_all(members)
         head = members[0]
         sound = [one for one in members if _is_sound(one, reports)]
         if len(sound) == len(members):
@@ -208,6 +234,19 @@
         if result in {Result.UNREACHED, Result.UNKNOWN}:
             self.lost[member.incarnation] = time.monotonic()
 
+    async def _are_sound(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
+        reports = await self._ask_all(members)
+        return all(_is_sound(member, reports) for member in members)
+
+    async def _ask_all(
+        self, members: tuple[endpoints.Endpoint, ...]
+    ) -> dict[str, endpoint_orders.Report | None]:
+        reports: dict[str, endpoint_orders.Report | None] = {}
+        async with anyio.create_task_group() as group:
+            for member in members:
+                group.start_soon(self._ask, member, reports)
+        return reports
+
     async def _ask(
         self,
         member: endpoints.Endpoint,
--- a/redwingvalve/node/tests/test_control.py
+++ b/redwingvalve/node/tests/test_control.py
@@ -350,3 +350,80 @@
         assert not table.is_suspect(target.endpoint_id)
 
     fleets.run(test, nodes=2)
+
+
+def test_a_head_that_may_still_be_opened_keeps_its_members():
+    """No VM is in two replicas when an order to open is carried out late.
+
+    The head doesn't answer the order to open, then its member is ordered
+    elsewhere; seconds later the order is carried out after all.
+    """
+
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        spare = await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await fleet.until(lambda: bool(spare.group))
+        await fleet.caller().stream()
+        # The replica is formed anew, and the head keeps the next order back.
+        head.faults.late_operations = ('open',)
+        head.crash_and_return()
+        joined = []
+
+        def is_in_two():
+            for endpoint in fleet.endpoints.values():
+                group = endpoint.group
+                if not group or group['state'] != 'open':
+                    continue
+                for name in endpoint.members:
+                    other = fleet.endpoints[name].group
+                    if other and other['name'] != group['name']:
+                        joined.append((name, other['name'], group['name']))
+
+        limit_s = fleets.time.monotonic() + 8
+        while fleets.time.monotonic() < limit_s:
+            is_in_two()
+            assert not joined
+            await anyio.sleep(0.02)
+        assert member.group
+
+    fleets.run(test)
+
+
+def test_a_head_that_opened_beyond_a_cut_keeps_its_member():
+    """No VM is in two replicas while a head is cut off from the store.
+
+    The head takes the order to open, but its entry still says ready and then
+    lapses: only the head itself can tell that it serves.
+    """
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = await fleet.add_endpoint('e8', fleets.ENGINE, 'domain-2')
+        member = await fleet.add_endpoint('e9', fleets.ENGINE, 'domain-2')
+        for endpoint in (head, member):
+            endpoint.staged = [fleets.SMALL]
+            endpoint.write_entry()
+
+        def is_ready():
+            states = [
+                (endpoint.group or {}).get('state')
+                for endpoint in (head, member)
+            ]
+            head.faults.is_cut_off = states[0] == 'ready'
+            return states == ['ready', 'ready']
+
+        await fleet.until(is_ready)
+        await fleet.until(lambda: (head.group or {}).get('state') == 'open')
+        fleet.store.remove('servers', head.endpoint_id)
+        other = await fleet.add_endpoint('e7', fleets.ENGINE, 'domain-2')
+        other.staged = [fleets.SMALL]
+        other.write_entry()
+        limit_s = fleets.time.monotonic() + 4
+        while fleets.time.monotonic() < limit_s:
+            if head.group and head.group['state'] == 'open':
+                assert member.group['name'] == head.group['name']
+            await anyio.sleep(0.02)
+        assert member.group['name'] != head.group['name']
+
+    fleets.run(test)
--- a/redwingvalve/standins/platform_endpoint.py
+++ b/redwingvalve/standins/platform_endpoint.py
@@ -33,8 +33,12 @@
     breaks_after_events: int | None = None
     refuses: bool = False
     fails: bool = False
-    order_delay_s: float = 0.0
+    # Operations that are carried out late, and never answered.
+    late_operations: tuple[str, ...] = ()
+    order_delay_s: float = 2.5
     omits_length: bool = False
+    # Its entry stays as it was.
+    is_cut_off: bool = False
     # A close that lets requests finish never ends.
     never_finishes: bool = False
 
@@ -76,6 +80,7 @@
         self._domain = domain
         self._sequence = 0
         self._epoch = 0
+        self._born = 1000
         self._server: asyncio.Server | None = None
         self._connections: list[server.CallerConnection] = []
 
@@ -102,6 +107,17 @@
             connection.break_off()
         self._store.remove('servers', self.endpoint_id)
 
+    def crash_and_return(self) -> None:
+        """Start again under the same id, without any memory."""
+        for connection in self._connections:
+            connection.break_off()
+        self.group = None
+        self.members = []
+        self._epoch = 0
+        self._sequence = 0
+        self._born += 1000
+        self.write_entry()
+
     def drain(self) -> None:
         """Say that it is about to leave."""
         self.state = 'draining'
@@ -109,9 +125,9 @@
 
     def write_entry(self) -> None:
         """Write what it says of itself, unless the entry was removed."""
-        if self._sequence and self.endpoint_id not in self._store.objects.get(
-            'servers', {}
-        ):
+        entries = self._store.objects.get('servers', {})
+        was_removed = self._sequence and self.endpoint_id not in entries
+        if was_removed or self.faults.is_cut_off:
             return
         self._store.put('servers', self.endpoint_id, self._entry())
 
@@ -156,7 +172,7 @@
             'state': self.state,
             'cold_left_ms': 0,
             'seq': self._sequence,
-            'born': 1000,
+            'born': self._born,
             'domain': self._domain,
             'staged': self.staged,
             'models': [],
@@ -165,11 +181,9 @@
 
     def _order(self, order: Document, responder: server.Responder) -> None:
         self.orders.append(order)
-        delay_s = self.faults.order_delay_s
-        if delay_s:
-            # Carried out late, and never answered.
+        if order['operation'] in self.faults.late_operations:
             loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._obey, order)
+            loop.call_later(self.faults.order_delay_s, self._obey, order)
             return
         _json(responder, self._obey(order), {})
 
--- a/redwingvalve/standins/platform_store.py
+++ b/redwingvalve/standins/platform_store.py
@@ -139,14 +139,13 @@
     def _write(
         self, method: bytes, kind: str, name: str, body: Document
     ) -> tuple[int, Document]:
-        found = self.objects.setdefault(kind, {})
         metadata = body.get('metadata') or {}
+        name = name or metadata['name']
+        stored = self.objects.get(kind, {}).get(name)
         if method == b'POST':
-            name = metadata['name']
-            if name in found:
-                return 409, found[name]
+            if stored is not None:
+                return 409, stored
             return 201, self.put(kind, name, body['spec'])
-        stored = found.get(name)
         if stored is None:
             return 404, {'error': 'none'}
         if method == b'DELETE':
