Serve metrics, and write logs that neither block nor flood

Cause: a full pipe stopped the process that logged, and a storm of refusals wrote a line each without bound for plain answers. Change: BoundedHandler (100 routine lines a second, the rest counted; failures are never left out while the pipe takes them), NodeMetrics, /metrics on 9464.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -8,7 +8,7 @@
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import placing, routes, state
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('serving')
 # A head whose replica lost a member stands still for this long before it
@@ -71,6 +71,7 @@
         suspicion = Suspicion(endpoint_id, epoch, now_s + wait_s, now_s)
         self._own.add(endpoint_id)
         if self.take_suspicion(suspicion):
+            node_metrics.METRICS.count('redwingvalve_suspicions')
             LOG.warning(
                 'endpoint out of use',
                 extra={
--- a/redwingvalve/ingress/answering.py
+++ b/redwingvalve/ingress/answering.py
@@ -3,11 +3,12 @@
 from redwingvalve.http1 import messages, server
 from redwingvalve.ingress import admitting, placing, refusals
 from redwingvalve.ingress import sends as sends_module
-from redwingvalve.observability import logs
+from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import caller_requests, names
 
 LOG = logs.make_logger('ingress')
 _MS_IN_S = 1000.0
+ANSWERED = 'answered'
 
 
 def answer(responder: server.Responder, send: sends_module.Send) -> None:
@@ -31,6 +32,7 @@
     refusal: refusals.Refusal,
 ) -> None:
     """Answer with a status of our own."""
+    node_metrics.METRICS.count('redwingvalve_refusals', reason=refusal.reason)
     LOG.info(
         'refused',
         extra={
@@ -58,9 +60,21 @@
     took_s: float,
 ) -> None:
     """Write one line on what became of a send."""
+    node_metrics.METRICS.count(
+        'redwingvalve_sends',
+        outcome=outcome,
+        route_kind=admission.route.kind.value,
+    )
+    if outcome == ANSWERED:
+        node_metrics.METRICS.observe(
+            'redwingvalve_answer_seconds',
+            took_s,
+            route_kind=admission.route.kind.value,
+        )
     LOG.info(
         outcome,
         extra={
+            bounded_logs.ROUTINE: outcome == ANSWERED,
             'request': _text(caller.attempt_id),
             'route': admission.route.name,
             'endpoint': target.endpoint_id,
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -246,7 +246,7 @@
             self._log(admission, target, 'caller left')
             return True
         if ending is sends.Ending.WHOLE:
-            self._log(admission, target, 'answered')
+            self._log(admission, target, answering.ANSWERED)
             assert self._send is not None
             answering.answer(self._responder, self._send)
             return True
--- a/redwingvalve/node/__main__.py
+++ b/redwingvalve/node/__main__.py
@@ -4,7 +4,7 @@
 
 from redwingvalve.core import exit_status
 from redwingvalve.node import daemon
-from redwingvalve.observability import logs
+from redwingvalve.observability import bounded_logs
 from redwingvalve.platform import settings
 
 
@@ -16,8 +16,10 @@
     except settings.SettingsError as error:
         sys.stderr.write(f'redwingvalve: {error}\n')
         return exit_status.ExitStatus.FINDINGS
-    logs.configure('INFO', sys.stdout, node_settings.vm)
-    daemon.run(node_settings)
+    handler = bounded_logs.configure(
+        'INFO', sys.stdout.fileno(), node_settings.vm
+    )
+    daemon.run(node_settings, handler)
     return exit_status.ExitStatus.SUCCESS
 
 
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -22,6 +22,7 @@
 from redwingvalve.node import controller as controller_module
 from redwingvalve.node import (
     front,
+    registration,
     supervision,
     watching,
     word_parts,
@@ -29,7 +30,7 @@
 )
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
-from redwingvalve.observability import logs
+from redwingvalve.observability import bounded_logs, logs
 from redwingvalve.platform import (
     configuration as configuration_module,
 )
@@ -50,6 +51,8 @@
 ENDPOINT_PAUSE_S = 0.02
 # Loads and suspicions are told again after this without a change.
 REST_WORDS = 3
+# Lines that a full pipe held up are written within this.
+LOG_LOOK_S = 0.5
 STOP_IDLE_CLOSE_S = 2.5
 STOP_EXIT_S = 4.0
 # Before the platform's kill.
@@ -117,6 +120,7 @@
     others_served: bool = False
     has_news: bool = False
     is_listening: bool = False
+    log_handler: bounded_logs.BoundedHandler | None = None
 
     async def run(self, stop: anyio.Event) -> None:
         """Run until stop is set, and then until all requests have ended."""
@@ -170,7 +174,13 @@
             self.state, self.peers, self.settings.bounds.directory_ttl_max_s
         )
         await peers_module.open_datagrams(self.peers)
-        addresses = {self.settings.ready, self.settings.directory}
+        addresses = {
+            self.settings.ready,
+            self.settings.directory,
+            settings.SocketAddress(
+                self.settings.ip, self.settings.metrics_port
+            ),
+        }
         for address in addresses:
             await front.Listener(node_application).listen(
                 address.host, address.port
@@ -201,12 +211,27 @@
         )
         return [
             *(watch.run for watch in watches),
-            self._register,
+            self._registration().keep,
             self._speak,
             self._watch_silence,
             self._hold_lease,
+            self._tell_logs,
         ]
 
+    def _registration(self) -> registration.Registration:
+        return registration.Registration(self.client, self.peers.own)
+
+    async def _tell_logs(self) -> None:
+        while self.log_handler is not None:
+            await anyio.sleep(LOG_LOOK_S)
+            self.log_handler.flush()
+            counts = self.log_handler.take_counts()
+            if counts is not None:
+                LOG.info(
+                    'log lines left out',
+                    extra={'routine': counts[0], 'dropped': counts[1]},
+                )
+
     async def _hold_lease(self) -> None:
         await self.lease.run(self._lease_rank)
 
@@ -225,31 +250,6 @@
         )
         self.table.configure(configuration)
 
-    async def _register(self) -> None:
-        spec = attrs.asdict(self.peers.own)
-        while True:
-            try:
-                await self.client.create(
-                    peers_module.NODE_KIND, self.settings.vm, spec
-                )
-                return
-            except store.ConflictError:
-                if await self._replace_registration(spec):
-                    return
-            except store.StoreError as error:
-                LOG.warning('not registered', extra={'error': str(error)})
-            await anyio.sleep(0.2)
-
-    async def _replace_registration(self, spec: store.Document) -> bool:
-        try:
-            await self.client.replace(
-                peers_module.NODE_KIND, self.settings.vm, spec, None
-            )
-        except store.StoreError as error:
-            LOG.warning('not registered', extra={'error': str(error)})
-            return False
-        return True
-
     async def _speak(self) -> None:
         rests = 0
         said: dict[str, int] = {}
@@ -351,13 +351,7 @@
             if stopped_s > STOP_EXIT_S and not self.front.running:
                 break
             await anyio.sleep(0.1)
-        await self._deregister()
-
-    async def _deregister(self) -> None:
-        try:
-            await self.client.remove(peers_module.NODE_KIND, self.settings.vm)
-        except store.StoreError as error:
-            LOG.warning('not deregistered', extra={'error': str(error)})
+        await self._registration().remove()
 
 
 def make_node(node_settings: settings.NodeSettings) -> Node:
@@ -407,7 +401,10 @@
             LOG.info('settings are read at the start only')
 
 
-def run(node_settings: settings.NodeSettings) -> None:
+def run(
+    node_settings: settings.NodeSettings, handler: bounded_logs.BoundedHandler
+) -> None:
     """Run a node in this process until it is told to stop."""
     node = make_node(node_settings)
+    node.log_handler = handler
     anyio.run(serve, node, backend_options={'use_uvloop': True})
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -9,7 +9,7 @@
 from redwingvalve.ingress import relay, routes
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import peers as peers_module
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import names
 
 LOG = logs.make_logger('front')
@@ -17,6 +17,7 @@
 DIRECTORY_TTL_S = 1
 # Callers reuse connections up to four fifths of the configured idle time.
 IDLE_MARGIN = 1.2
+METRICS_PATH = '/metrics'
 _JSON = (b'content-type', b'application/json')
 _OK = 200
 _NOT_FOUND = 404
@@ -107,6 +108,10 @@
         if path == names.READY_PATH:
             status = _OK if self.is_ready() else _UNAVAILABLE
             responder.answer(status, [_JSON], b'{}')
+        elif path == METRICS_PATH:
+            text = (b'content-type', b'text/plain; version=0.0.4')
+            body = node_metrics.METRICS.render()
+            responder.answer(_OK, [text], body)
         elif path == names.RESOLVE_PATH:
             self._resolve(responder)
         else:
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -15,7 +15,7 @@
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
 LOG = logs.make_logger('replicas')
@@ -146,6 +146,7 @@
         for member in members:
             if reports[member.endpoint_id] is None:
                 self.lost[member.incarnation] = time.monotonic()
+        node_metrics.METRICS.count('redwingvalve_broken_replicas')
         LOG.warning(
             'replica broken',
             extra={
@@ -308,6 +309,7 @@
     def _log_forming(
         self, forming: Forming, outcome: str, began_s: float
     ) -> None:
+        node_metrics.METRICS.count('redwingvalve_formings', outcome=outcome)
         LOG.info(
             outcome,
             extra={
--- a/redwingvalve/node/tests/fleet.py
+++ b/redwingvalve/node/tests/fleet.py
@@ -229,7 +229,7 @@
 
 
 def node_settings(name, store_address):
-    free = ports.free_ports(4)
+    free = ports.free_ports(5)
     document = {
         'node': name,
         'ip': '127.0.0.1',
@@ -245,7 +245,8 @@
         'bounds': BOUNDS,
         'platform': {'address': store_address},
     }
-    return settings.decode_settings(json.loads(json.dumps(document)))
+    made = settings.decode_settings(json.loads(json.dumps(document)))
+    return attrs.evolve(made, metrics_port=free[4])
 
 
 @contextlib.asynccontextmanager
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -279,3 +279,16 @@
         assert got.status == 200
 
     fleets.run(test, engines=0)
+
+
+def test_metrics_are_read_at_their_own_address():
+    async def test(fleet):
+        await fleet.caller().ask('/card/1')
+        settings = fleet.nodes[0].settings
+        reader = fleets.Caller((settings.ip, settings.metrics_port))
+        got = await reader.ask('/metrics')
+        assert got.status == 200
+        assert b'redwingvalve_sends_total{outcome="answered"' in got.body
+        assert b'redwingvalve_calls_total' in got.body
+
+    fleets.run(test, engines=0)
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -12,6 +12,10 @@
 _UNREADABLE = (TypeError, ValueError, AttributeError, IndexError)
 
 
+# Where metrics are read; the deploy file names the same port and path.
+METRICS_PORT = 9464
+
+
 class SettingsError(Exception):
     """The settings file can't be used; the text names the place."""
 
@@ -56,6 +60,7 @@
     peer_port: int
     store: SocketAddress
     endpoint_heartbeat_ms: int
+    metrics_port: int
     bounds: Bounds
 
 
@@ -104,6 +109,7 @@
         peer_port=int(document['internal_ports'][0]),
         store=parse_address(document['platform']['address']),
         endpoint_heartbeat_ms=int(document['heartbeat_ms']),
+        metrics_port=METRICS_PORT,
         bounds=_decode_bounds(document['bounds']),
     )
 
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -13,6 +13,7 @@
 import attrs
 
 from redwingvalve.http1 import client, messages, pool
+from redwingvalve.observability import node_metrics
 from redwingvalve.platform import names, settings
 
 Document = dict[str, typing.Any]
@@ -132,6 +133,7 @@
         start is method and target, as `GET /path`.
         """
         self.calls += 1
+        node_metrics.METRICS.count('redwingvalve_calls', call=_call_name(start))
         answer = _Answer()
         body = b'' if document is None else json.dumps(document).encode()
         connection = await self._take(address, timeout_s)
@@ -249,6 +251,13 @@
         return _checked(status, body)
 
 
+def _call_name(start: str) -> str:
+    # Method and kind, without the names of objects.
+    method, _, target = start.partition(' ')
+    path = target.partition('?')[0].removeprefix(names.OBJECTS_PATH)
+    return f'{method} {path.partition("/")[0] or path}'
+
+
 def _path(kind: str, name: str = '') -> str:
     path = names.OBJECTS_PATH + urllib.parse.quote(kind, safe='')
     if name:
