Let two nodes of a data centre watch the store for the others

Ruled out: words by datagram (a lost one loses a leaving endpoint); each node watching with longer pauses (bounded by the time to know of leaving ones). Change: mirrors of each kind, which nodes of fleets of 12 or more ask first; relays watch for 1 s at most and say when they lost the store; ready nodes watch themselves when both fail. Nodes that hold no lease leave 0.12 s between watches of endpoints (was 0.02). Tests: redwingvalve/node/tests/test_relays.py.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -19,21 +19,21 @@
 from redwingvalve.ingress import (
     state as state_module,
 )
-from redwingvalve.node import controller as controller_module
 from redwingvalve.node import (
+    configuration_watch,
     front,
+    log_telling,
     registration,
+    sources,
     supervision,
     watching,
     word_parts,
     words,
 )
+from redwingvalve.node import controller as controller_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import bounded_logs, logs
-from redwingvalve.platform import (
-    configuration as configuration_module,
-)
 from redwingvalve.platform import (
     endpoint_orders,
     names,
@@ -42,61 +42,19 @@
 )
 
 LOG = logs.make_logger('node')
-# A connection to the store that fell silent is noticed after this; endpoints
-# that leave and new configurations must be known within two seconds.
-WATCH_WAIT_S = 2.5
-# Nodes come and go rarely, and their words tell who lives.
-NODE_WATCH_WAIT_S = 8.0
-# Changes of endpoints that come close together cost one call.
-ENDPOINT_PAUSE_S = 0.02
+# Changes of endpoints that come close together cost one call. The holder of
+# the lease mends with what it sees; to the others a replica that opens a tenth
+# of a second later makes no difference.
+ENDPOINT_PAUSE_S = 0.12
+HOLDER_PAUSE_S = 0.02
 # Loads and suspicions are told again after this without a change.
 REST_WORDS = 3
-# Lines that a full pipe held up are written within this.
-LOG_LOOK_S = 0.5
 STOP_IDLE_CLOSE_S = 2.5
 STOP_EXIT_S = 4.0
 # Before the platform's kill.
 STOP_MARGIN_S = 0.6
 
 
-class ConfigurationFollower(watching.Follower):
-    """Takes configurations, never an older one than is in force."""
-
-    def __init__(
-        self, state: state_module.IngressState, taker: front.ConfigurationTaker
-    ) -> None:
-        """Tell the taker of each new version."""
-        self._state = state
-        self._taker = taker
-
-    def replaced(self, listed: list[store.Document]) -> None:
-        """Take what the store lists."""
-        for stored in listed:
-            self._take(stored)
-
-    def changed(self, changes: list[store.Change]) -> None:
-        """Take the newest of some changes."""
-        for change in changes:
-            if not change.is_removed:
-                self._take(change.stored)
-
-    def troubled(self) -> None:
-        """Go on with the configuration in force."""
-
-    def _take(self, stored: store.Document) -> None:
-        if stored['metadata']['name'] != names.CONFIGURATION_NAME:
-            return
-        try:
-            found = configuration_module.decode_configuration(stored)
-        except configuration_module.ConfigurationError as error:
-            LOG.error('unusable configuration', extra={'error': str(error)})
-            return
-        known = self._state.configuration
-        if known is not None and found.revision <= known.revision:
-            return
-        self._taker(found)
-
-
 @attrs.define(eq=False)
 class Node:
     """All parts of one node."""
@@ -111,7 +69,9 @@
     lease: lease_module.Lease
     front: front.FrontApplication
     listener: front.Listener
+    json_client: store.JsonClient
     peers: peers_module.Peers = attrs.field(init=False)
+    watches: list[watching.KindWatch] = attrs.field(init=False)
     word_number: int = 0
     controllers: dict[str, controller_module.Controller] = attrs.field(
         factory=dict
@@ -130,6 +90,7 @@
         self.table.on_clear = self._cleared
         self.lease.on_renewed = self._say_now
         self.table.on_rebuilt = self.state.poke
+        self.watches = self._make_watches()
         await self._listen()
         async with anyio.create_task_group() as group:
             for loop in self._loops():
@@ -174,6 +135,10 @@
             self.state, self.peers, self.settings.bounds.directory_ttl_max_s
         )
         await peers_module.open_datagrams(self.peers)
+        mirrors = {watch.kind: watch.mirror for watch in self.watches}
+        await front.Listener(sources.RelayApplication(mirrors)).listen(
+            self.settings.ip, self.settings.peer_port
+        )
         addresses = {
             self.settings.ready,
             self.settings.directory,
@@ -192,46 +157,43 @@
         LOG.info('started', extra={'front': str(self.settings.front)})
 
     def _loops(self) -> list[supervision.Loop]:
-        client = self.client
-        configurations = ConfigurationFollower(self.state, self._configure)
-        watches = (
+        return [
+            *(watch.run for watch in self.watches),
+            self._registration().keep,
+            self._speak,
+            self._watch_silence,
+            self._hold_lease,
+            functools.partial(log_telling.run, self.log_handler),
+        ]
+
+    def _make_watches(self) -> list[watching.KindWatch]:
+        chooser = sources.Sources(
+            self.client, self.json_client, self.peers, self.lease.is_held
+        )
+        configurations = configuration_watch.ConfigurationFollower(
+            self.state, self._configure
+        )
+        return [
             watching.KindWatch(
-                client, names.CONFIGURATION_KIND, configurations, WATCH_WAIT_S
+                names.CONFIGURATION_KIND, configurations, chooser.now
             ),
             watching.KindWatch(
-                client,
                 names.ENDPOINT_KIND,
                 self.registry,
-                WATCH_WAIT_S,
-                ENDPOINT_PAUSE_S,
+                chooser.now,
+                self._endpoint_pause_s,
             ),
             watching.KindWatch(
-                client, peers_module.NODE_KIND, self.peers, NODE_WATCH_WAIT_S
+                peers_module.NODE_KIND, self.peers, chooser.of_nodes
             ),
-        )
-        return [
-            *(watch.run for watch in watches),
-            self._registration().keep,
-            self._speak,
-            self._watch_silence,
-            self._hold_lease,
-            self._tell_logs,
         ]
 
+    def _endpoint_pause_s(self) -> float:
+        return HOLDER_PAUSE_S if self.lease.is_held() else ENDPOINT_PAUSE_S
+
     def _registration(self) -> registration.Registration:
         return registration.Registration(self.client, self.peers.own)
 
-    async def _tell_logs(self) -> None:
-        while self.log_handler is not None:
-            await anyio.sleep(LOG_LOOK_S)
-            self.log_handler.flush()
-            counts = self.log_handler.take_counts()
-            if counts is not None:
-                LOG.info(
-                    'log lines left out',
-                    extra={'routine': counts[0], 'dropped': counts[1]},
-                )
-
     async def _hold_lease(self) -> None:
         await self.lease.run(self._lease_rank)
 
@@ -377,6 +339,7 @@
         lease=lease_module.Lease(node_settings.vm, client),
         front=application,
         listener=front.Listener(application),
+        json_client=json_client,
     )
 
 
--- /dev/null
+++ b/redwingvalve/node/following.py
@@ -0,0 +1,21 @@
+"""What is told of the objects of a kind."""
+
+import abc
+
+from redwingvalve.platform import store
+
+
+class Follower(abc.ABC):
+    """What is told of a kind's objects."""
+
+    @abc.abstractmethod
+    def replaced(self, listed: list[store.Document]) -> None:
+        """Take all objects of the kind."""
+
+    @abc.abstractmethod
+    def changed(self, changes: list[store.Change]) -> None:
+        """Take changes in their order."""
+
+    @abc.abstractmethod
+    def troubled(self) -> None:
+        """Note that the store gives no usable answers."""
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from redwingvalve.node import watching, words
+from redwingvalve.node import following, words
 from redwingvalve.observability import logs
 from redwingvalve.platform import settings, store
 
@@ -64,7 +64,7 @@
         """Forget what a node that is gone has said."""
 
 
-class Peers(watching.Follower, asyncio.DatagramProtocol):
+class Peers(following.Follower, asyncio.DatagramProtocol):
     """All other nodes."""
 
     def __init__(self, own: PeerAddress, taker: WordTaker) -> None:
--- /dev/null
+++ b/redwingvalve/node/tests/test_relays.py
@@ -0,0 +1,107 @@
+"""Nodes of a large fleet hear of changes by way of a few of them."""
+
+import anyio
+import pytest
+
+from redwingvalve.node import mirror as mirror_module
+from redwingvalve.node import sources
+from redwingvalve.node.tests import fleet as fleets
+from redwingvalve.platform import store
+
+
+def change(name, revision, is_removed=False):
+    stored = {'metadata': {'name': name, 'revision': revision}, 'spec': {}}
+    return store.Change(stored, is_removed)
+
+
+@pytest.fixture
+def relayed(monkeypatch):
+    monkeypatch.setattr(sources, 'RELAY_FROM_NODES', 3)
+
+
+def test_changes_reach_nodes_behind_relays(relayed):
+    """All nodes know the configuration within a second, at two watches."""
+
+    async def test(fleet):
+        await anyio.sleep(1.5)
+        calls = fleet.store.calls
+        fleet.store.put('config', 'main', fleets.configuration(version=2))
+        await fleet.until(
+            lambda: all(
+                node.state.configuration.version == 2 for node in fleet.nodes
+            ),
+            1,
+        )
+        assert fleet.store.calls - calls < 12
+
+    fleets.run(test, nodes=5, engines=0)
+
+
+def test_a_node_behind_silent_relays_turns_to_the_store(relayed):
+    """A leaving endpoint is known in two seconds though both relays hang.
+
+    The relays take questions and answer none, as frozen processes do.
+    """
+
+    async def test(fleet):
+        await anyio.sleep(1.5)
+        for node in fleet.nodes[:2]:
+            for watch in node.watches:
+                # The relay's loop stands still, its sockets do not.
+                watch.mirror.changes_after = hang
+        fleet.endpoints['p0'].drain()
+        last = fleet.nodes[-1]
+        await fleet.until(
+            lambda: len(last.table.of(fleets.PLAIN, '')) == 1, 3.5
+        )
+
+    fleets.run(test, nodes=5, engines=0)
+
+
+async def hang(after_revision, wait_s):
+    await anyio.sleep(60)
+
+
+def test_a_relay_that_lost_the_store_says_so():
+    async def main():
+        mirror = mirror_module.Mirror()
+        assert not mirror.is_in_touch
+        mirror.heard(0.0, is_from_store=True)
+        assert mirror.is_in_touch
+        await anyio.sleep(mirror_module.CONTACT_SLACK_S + 0.05)
+        assert not mirror.is_in_touch
+        mirror.heard(5.0, is_from_store=False)
+        assert not mirror.is_in_touch
+
+    anyio.run(main)
+
+
+def test_a_mirror_tells_a_batch_that_reaches_past_the_revision_whole():
+    """A node that comes from another source ends with the newest states."""
+
+    async def main():
+        mirror = mirror_module.Mirror()
+        mirror.replaced(store.Listing([], 100))
+        mirror.changed(store.Changes([change('a', 101), change('b', 104)], 106))
+        found = await mirror.changes_after(103, 0.0)
+        assert [one.name for one in found.changes] == ['a', 'b']
+        assert found.revision == 106
+        found = await mirror.changes_after(106, 0.0)
+        assert not found.changes
+        # A node ahead of the mirror never goes back.
+        assert (await mirror.changes_after(110, 0.0)).revision == 110
+
+    anyio.run(main)
+
+
+def test_a_mirror_knows_which_history_it_has():
+    async def main():
+        mirror = mirror_module.Mirror()
+        mirror.replaced(store.Listing([], 100))
+        assert not mirror.has_history(99) and mirror.has_history(100)
+        for number in range(mirror_module.KEPT_BATCHES + 1):
+            batch = [change('a', 101 + number)]
+            mirror.changed(store.Changes(batch, 101 + number))
+        assert not mirror.has_history(100) and mirror.has_history(101)
+
+    anyio.run(main)
--- a/redwingvalve/node/watching.py
+++ b/redwingvalve/node/watching.py
@@ -1,11 +1,13 @@
 """Follows one kind of objects in the store."""
 
-import abc
 import random
+import time
 import typing
 
 import anyio
 
+from redwingvalve.node import following, sources
+from redwingvalve.node import mirror as mirror_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import store
 
@@ -14,22 +16,16 @@
 # it together don't return together.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
+# A relay that failed is preferred again after this.
+FORGIVE_S = 3.0
 
 
-class Follower(abc.ABC):
-    """What is told of a kind's objects."""
+PauseChooser: typing.TypeAlias = typing.Callable[[], float]
 
-    @abc.abstractmethod
-    def replaced(self, listed: list[store.Document]) -> None:
-        """Take all objects of the kind."""
 
-    @abc.abstractmethod
-    def changed(self, changes: list[store.Change]) -> None:
-        """Take changes in their order."""
-
-    @abc.abstractmethod
-    def troubled(self) -> None:
-        """Note that the store gives no usable answers."""
+def no_pause() -> float:
+    """Watch on at once."""
+    return 0
 
 
 class KindWatch:
@@ -37,65 +33,84 @@
 
     def __init__(
         self,
-        client: store.StoreClient,
         kind: str,
-        follower: Follower,
-        wait_s: float,
-        pause_s: float = 0.0,
+        follower: following.Follower,
+        choose: sources.SourceChooser,
+        pause_s: PauseChooser = no_pause,
     ) -> None:
-        """Tell the follower.
+        """Tell the follower what the chosen sources say.
 
-        wait_s bounds how long a connection that fell silent goes unnoticed;
         pause_s is left between two watches, so that changes that come close
         together cost one call.
         """
-        self._client = client
-        self._kind = kind
+        self.mirror = mirror_module.Mirror()
+        self.kind = kind
         self._follower = follower
-        self._wait_s = wait_s
+        self._choose = choose
         self._pause_s = pause_s
         self._revision: int | None = None
+        self._failures = 0
+        self._failed_s = 0.0
         self._is_lost = False
 
     async def run(self) -> typing.NoReturn:
         """Follow until cancelled."""
         while True:
+            found = self._choose()
+            self._forgive()
+            source = found[self._failures % len(found)]
             try:
-                await self._step()
+                await self._step(source)
             except store.HistoryGoneError:
-                LOG.info('history gone', extra={'kind': self._kind})
+                LOG.info('history gone', extra={'kind': self.kind})
                 self._revision = None
                 self._follower.troubled()
             except store.StoreError as error:
-                await self._lost(error)
+                await self._failed(source, error)
             except (KeyError, TypeError, ValueError) as error:
-                await self._lost(error)
+                await self._failed(source, error)
 
-    async def _step(self) -> None:
+    async def _step(self, source: sources.Source) -> None:
         if self._revision is None:
-            listing = await self._client.list_kind(self._kind)
+            listing = await source.client.list_kind(self.kind)
             self._revision = listing.revision
-            self._found()
+            self._found(source)
+            self.mirror.replaced(listing)
             self._follower.replaced(listing.objects)
             return
-        found = await self._client.watch(
-            self._kind, self._revision, self._wait_s
+        found = await source.client.watch(
+            self.kind, self._revision, source.wait_s
         )
         self._revision = found.revision
-        self._found()
+        self._found(source)
+        self.mirror.changed(found)
         self._follower.changed(found.changes)
-        await anyio.sleep(self._pause_s)
-
-    async def _lost(self, error: Exception) -> None:
+        await anyio.sleep(self._pause_s())
+
+    def _forgive(self) -> None:
+        """Go back to the preferred source some time after a failure."""
+        if time.monotonic() - self._failed_s > FORGIVE_S:
+            self._failures = 0
+
+    async def _failed(self, source: sources.Source, error: Exception) -> None:
+        self._failures += 1
+        self._failed_s = time.monotonic()
+        if not source.is_store:
+            # The next source is asked at once.
+            LOG.info(
+                'relay lost', extra={'kind': self.kind, 'error': str(error)}
+            )
+            return
         self._follower.troubled()
         if not self._is_lost:
             LOG.warning(
-                'store lost', extra={'kind': self._kind, 'error': str(error)}
+                'store lost', extra={'kind': self.kind, 'error': str(error)}
             )
         self._is_lost = True
         await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
-    def _found(self) -> None:
+    def _found(self, source: sources.Source) -> None:
+        self.mirror.heard(source.wait_s + self._pause_s(), source.is_store)
         if self._is_lost:
-            LOG.info('store is back', extra={'kind': self._kind})
+            LOG.info('store is back', extra={'kind': self.kind})
         self._is_lost = False
