Refuse a request that has crashed three endpoints, at every node

Cause: a request that crashes whatever runs it comes again at any node. Ruled out: counting broken connections (lost answers break them too); the endpoint's life must be seen to end. Test: redwingvalve/ingress/tests/test_poison.py.

--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -77,6 +77,10 @@
         ]
         return [*self.live.values(), *kept]
 
+    def incarnations(self) -> set[tuple[str, int]]:
+        """Return the lives that the store tells of."""
+        return {endpoint.incarnation for endpoint in self.usable()}
+
     def drop_lapsed(self) -> None:
         """Forget endpoints that did not come back in time."""
         until_s = self._clock() - LAPSE_GRACE_S
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -241,6 +241,7 @@
         port=endpoint.port,
         slots=endpoint.slots,
         data_centre=endpoint.data_centre,
+        born_ms=endpoint.born_ms,
     )
 
 
@@ -252,6 +253,7 @@
         port=head.port,
         slots=slots,
         data_centre=head.data_centre,
+        born_ms=head.born_ms,
         replica=replica.name,
         epoch=replica.epoch,
     )
--- a/redwingvalve/ingress/placing.py
+++ b/redwingvalve/ingress/placing.py
@@ -24,10 +24,16 @@
     port: int
     slots: int
     data_centre: str
+    born_ms: int = 0
     # Name and epoch of the replica, empty and 0 for plain endpoints.
     replica: str = ''
     epoch: int = 0
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Return what tells this life from others of the same id."""
+        return self.endpoint_id, self.born_ms
+
     @property
     def address(self) -> tuple[str, int]:
         """Return host and port."""
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -16,6 +16,8 @@
 # A wave lasts some seconds; most of those that come back after this find a
 # place, and callers honour it up to a third of the time that they have left.
 RETRY_AFTER_S = 0.4
+# A request that crashes endpoints is not wanted back soon.
+POISON_RETRY_AFTER_S = 30.0
 # Beginning later than the goal earns the late credit only, but earlier than
 # a caller that has to come back.
 WAIT_GOALS = 3.0
@@ -51,6 +53,9 @@
 NO_PLACE: typing.Final = Refusal(
     UNAVAILABLE, 'no endpoint has a free place', RETRY_AFTER_S
 )
+POISON: typing.Final = Refusal(
+    UNAVAILABLE, 'this request has crashed endpoints', POISON_RETRY_AFTER_S
+)
 UNKNOWN_FATE: typing.Final = Refusal(
     BAD_GATEWAY, 'the endpoint gave no whole answer; it may have run'
 )
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -9,6 +9,7 @@
     answering,
     passing,
     placing,
+    poison,
     refusals,
     routes,
     sends,
@@ -57,6 +58,7 @@
         self._failure: sends.Send | None = None
         self._connect_failures = 0
         self._admission: admitting.Admission | None = None
+        self._fingerprint = 0
 
     async def run(self) -> None:
         """Answer the request."""
@@ -65,6 +67,12 @@
         if admission is None:
             return
         self._admission = admission
+        self._fingerprint = poison.fingerprint(
+            self._request.target, admission.account, self._request.body
+        )
+        if self._state.poison.is_poison(self._fingerprint):
+            answering.refuse(self._responder, self._caller, refusals.POISON)
+            return
         self._state.prompts(admission.model).saw(admission.prompt_s)
         self._state.window(admission.service).count_request(self._began_s)
         while not self._responder.is_gone:
@@ -248,6 +256,7 @@
         if ending is sends.Ending.WHOLE:
             self._log(admission, target, answering.ANSWERED)
             assert self._send is not None
+            self._state.poison.answered(self._fingerprint)
             answering.answer(self._responder, self._send)
             return True
         if ending is sends.Ending.TIMEOUT:
@@ -268,6 +277,8 @@
         if ending is sends.Ending.NOT_RUN:
             return
         self._may_have_run = True
+        if ending is sends.Ending.BROKEN:
+            self._state.poison.broke(self._fingerprint, target.incarnation)
         if ending is sends.Ending.FAILURE:
             self._failure = self._send
         elif ending is sends.Ending.BROKEN and target.replica:
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -13,6 +13,7 @@
     routes,
     waiting,
 )
+from redwingvalve.ingress import poison as poison_module
 from redwingvalve.ingress import (
     silence as silence_module,
 )
@@ -58,6 +59,9 @@
         factory=silence_module.SilenceWatch
     )
     chance: random.Random = attrs.field(factory=random.Random)
+    poison: poison_module.PoisonBook = attrs.field(
+        factory=poison_module.PoisonBook
+    )
     # Sends that end when their head falls silent, by endpoint.
     open_sends: dict[str, set['OpenSend']] = attrs.field(factory=dict)
     _rooms: dict[tuple[str, str], waiting.WaitingRoom] = attrs.field(
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -110,6 +110,7 @@
         if word.lease_revision:
             self.lease.heard(word.lease_revision, word.lease_left_ms)
         self.others_served = self.others_served or bool(word.has_served)
+        self.state.poison.heard(word.crashes or {})
         now_s = time.monotonic()
         for suspect in word.suspects or ():
             self.table.take_suspicion(
@@ -225,6 +226,7 @@
                 rests = 0
             self.peers.drop_silent()
             self.registry.drop_lapsed()
+            self.state.poison.look(self.registry.incarnations())
             self.state.node_count = 1 + len(self.peers.alive())
             await anyio.sleep(self.peers.word_pause_s)
 
@@ -238,6 +240,7 @@
             is_ready=self.state.configuration is not None,
             loads=loads,
             suspects=word_parts.suspect_words(self.table),
+            crashes=self.state.poison.counts(),
             has_served=self.front.has_served,
             cleared=word_parts.clear_words(self.cleared),
         )
