--- /dev/null
+++ b/redwingvalve/fleet/tests/test_planning.py
@@ -0,0 +1,102 @@
+"""Which VMs load and form what."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from redwingvalve.fleet import endpoints, planning
+from redwingvalve.ingress import routes
+
+
+def model(name, size, share=0.5):
+    return routes.Model(name, size, share, 1.0, 16.0, 1.6)
+
+
+def vm(number, domain, staged=()):
+    return endpoints.Endpoint(
+        f'e{number:03}', 1, 's', 'h', 1, 'dc', 9, False, domain, staged
+    )
+
+
+def fleet(domains, size):
+    return [
+        vm(number, f'd{number // size}') for number in range(domains * size)
+    ]
+
+
+LARGE, SMALL = model('large', 4), model('small', 2)
+
+
+def test_each_domain_is_dealt_one_model_by_share():
+    found = planning.by_domain(fleet(6, 10))
+    dealt = planning.deal_models(found, (LARGE, SMALL))
+    by_domain = [
+        {dealt[one.endpoint_id] for one in members}
+        for members in found.values()
+    ]
+    assert all(len(models) == 1 for models in by_domain)
+    assert sum(models == {'large'} for models in by_domain) == 3
+
+
+def test_a_fleet_of_one_domain_serves_all_models():
+    found = planning.by_domain(fleet(1, 10))
+    dealt = planning.deal_models(found, (LARGE, SMALL))
+    names = list(dealt.values())
+    assert names.count('large') >= 4 and names.count('small') >= 2
+
+
+@hypothesis.given(
+    strategies.integers(1, 12),
+    strategies.integers(1, 20),
+    strategies.integers(1, 8),
+    strategies.floats(0.1, 0.9),
+)
+def test_dealing_gives_each_vm_one_model_at_most(domains, size, large, share):
+    models = (model('large', large, share), model('small', 1, 1 - share))
+    found = planning.by_domain(fleet(domains, size))
+    dealt = planning.deal_models(found, models)
+    assert set(dealt) <= {f'e{number:03}' for number in range(domains * size)}
+    assert set(dealt.values()) <= {'large', 'small'}
+
+
+def test_members_lie_in_one_domain_and_the_warm_ones_first():
+    free = [vm(1, 'd1'), vm(2, 'd1'), vm(3, 'd2'), vm(4, 'd2'), vm(5, 'd2')]
+    warm = {'e004', 'e005'}
+    picked = planning.pick_members(
+        free, SMALL, lambda one: one.endpoint_id in warm
+    )
+    assert {one.endpoint_id for one in picked} == warm
+    assert planning.pick_members(free, LARGE, lambda one: True) is None
+
+
+def test_a_newcomer_loads_what_the_fleet_lacks_most():
+    held = [(vm(number, 'd1'), 'small') for number in range(30)]
+    held += [(vm(40 + number, 'd2'), 'large') for number in range(8)]
+    found = planning.newcomer_model(vm(99, 'd2'), held, (LARGE, SMALL))
+    assert found == 'large'
+
+
+def test_loads_keep_to_the_stores_rate():
+    """No more begin in any five seconds than the store allows, and so many
+    at once."""
+    budget = planning.LoadBudget(per_s=5.0, at_once=100)
+    begun = []
+    now_s = 0.0
+    chance = random.Random(1)
+    while now_s < 30:
+        if budget.try_take(now_s, 16.0):
+            begun.append(now_s)
+        now_s += chance.uniform(0, 0.05)
+    for start_s in begun:
+        within = [at_s for at_s in begun if start_s <= at_s < start_s + 5]
+        assert len(within) <= 5 * 5 * 1.1 + 3
+    assert len(begun) > 90
+
+
+def test_loads_at_once_are_bounded():
+    budget = planning.LoadBudget(per_s=100.0, at_once=7)
+    assert not budget.try_take(0.0, 16.0)
+    taken = sum(budget.try_take(1 + number / 100, 16.0) for number in range(50))
+    assert taken == 7
+    assert budget.try_take(20.0, 16.0)
--- /dev/null
+++ b/redwingvalve/ingress/tests/test_deciding.py
@@ -0,0 +1,281 @@
+"""Routes, placing, waiting, retries and silence, without a network."""
+
+import asyncio
+import random
+
+import anyio
+import anyio.lowlevel
+import hypothesis
+from hypothesis import strategies
+
+from redwingvalve.ingress import (
+    events,
+    placing,
+    refusals,
+    retry_window,
+    routes,
+    silence,
+    waiting,
+)
+
+
+def route(prefix, host='h.example', splits=(('s', 1.0),)):
+    return routes.Route(
+        name=prefix,
+        host=host,
+        path_prefix=prefix,
+        kind=routes.RouteKind.IDEMPOTENT,
+        splits=tuple(routes.Split(*split) for split in splits),
+        timeout_ms=1000,
+        goal_ms=100,
+        max_attempts=2,
+        priority=1,
+        anonymous=False,
+        resumable=False,
+        gap_goal_ms=0,
+    )
+
+
+def configuration(*found):
+    return routes.Configuration(
+        version=1,
+        revision=1,
+        routes=found,
+        services={},
+        accounts_by_key={},
+        needs_keys=False,
+        limits=routes.DEFAULT_LIMITS,
+    )
+
+
+def test_the_longest_prefix_of_the_host_is_taken():
+    known = configuration(
+        route('/a/'), route('/a/b/'), route('/', 'other.example')
+    )
+    assert known.find_route('h.example', '/a/b/c').name == '/a/b/'
+    assert known.find_route('H.Example:80', '/a/x').name == '/a/'
+    assert known.find_route('h.example', '/b/') is None
+    assert known.find_route('other.example', '/b').name == '/'
+
+
+def test_a_split_follows_the_weights():
+    split = route('/', splits=(('s', 90.0), ('t', 10.0)))
+    chance = random.Random(1)
+    picked = [routes.pick_service(split, chance) for _ in range(2000)]
+    assert 130 < picked.count('t') < 270
+
+
+def target(name, slots=4):
+    return placing.Target(name, 'h', 1, slots, 'dc')
+
+
+def test_the_least_filled_target_of_all_nodes_is_chosen():
+    loads = placing.Loads()
+    loads.begin('a')
+    loads.heard('other', {'b': 3})
+    chance = random.Random(1)
+    targets = [target('a'), target('b'), target('c')]
+    assert placing.choose(targets, loads, chance).endpoint_id == 'c'
+    assert placing.choose(targets, loads, chance, {'c'}).endpoint_id == 'a'
+    loads.heard('other', {'c': 4})
+    loads.begin('a')
+    assert placing.choose(targets, loads, chance).endpoint_id == 'b'
+
+
+def test_no_target_is_chosen_when_all_are_full():
+    loads = placing.Loads()
+    loads.heard('other', {'a': 4})
+    chance = random.Random(1)
+    assert placing.choose([target('a')], loads, chance) is None
+    loads.forget('other')
+    assert placing.choose([target('a')], loads, chance) is not None
+
+
+def test_equal_targets_are_shared_by_chance():
+    loads = placing.Loads()
+    chance = random.Random(1)
+    targets = [target('a'), target('b')]
+    picked = {
+        placing.choose(targets, loads, chance).endpoint_id for _ in range(50)
+    }
+    assert picked == {'a', 'b'}
+
+
+def test_the_most_urgent_waits_least():
+    async def main():
+        room = waiting.WaitingRoom(lambda: 0.0)
+        free = []
+        order = []
+
+        def select():
+            return free.pop() if free else None
+
+        async def wait(urgency):
+            if await room.take(urgency, select, 1.0):
+                order.append(urgency)
+
+        async with anyio.create_task_group() as group:
+            for urgency in (5, 1, 3):
+                group.start_soon(wait, urgency)
+                await anyio.lowlevel.checkpoint()
+            for _ in range(3):
+                free.append(target('a'))
+                room.poke()
+                await anyio.lowlevel.checkpoint()
+        assert order == [1, 3, 5]
+
+    anyio.run(main)
+
+
+def test_a_place_that_is_granted_as_the_wait_ends_is_not_lost():
+    """Places that leak stay counted and are never used again.
+
+    The wait's time is over in the same turn of the loop in which a place is
+    granted; the request must get it.
+    """
+
+    async def main():
+        room = waiting.WaitingRoom(lambda: 0.0)
+        free = []
+
+        def select():
+            return free.pop() if free else None
+
+        async def grant():
+            await anyio.sleep(0.02)
+            free.append(target('a'))
+            room.poke()
+
+        task = asyncio.create_task(grant())
+        got = await room.take(1, select, 0.02)
+        await task
+        assert got is not None or free
+
+    for _ in range(20):
+        anyio.run(main)
+
+
+def test_who_would_wait_too_long_is_refused_at_once():
+    async def main():
+        now_s = [0.0]
+        room = waiting.WaitingRoom(lambda: now_s[0])
+
+        def nothing():
+            return None
+
+        async with anyio.create_task_group() as group:
+            for _ in range(waiting.MIN_WAITING):
+                group.start_soon(room.take, 1, nothing, 0.3)
+            await anyio.lowlevel.checkpoint()
+            assert room.is_full()
+            started_s = anyio.current_time()
+            assert await room.take(1, nothing, 0.3) is None
+            assert anyio.current_time() - started_s < 0.05
+
+    anyio.run(main)
+
+
+def test_retries_are_a_share_of_requests_and_of_the_allowance():
+    allowance = retry_window.RetryAllowance(0.2, 60, 10.0)
+    window = retry_window.RetryWindow(allowance)
+    for _ in range(100):
+        window.count_request(0.0)
+    spent = sum(window.try_spend(1.0, nodes=6) for _ in range(200))
+    assert spent == int((0.2 * 100 + 60 / 6) * retry_window.USED_SHARE)
+    assert window.try_spend(11.5, nodes=6)
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 999), min_size=1, max_size=8),
+    strategies.integers(1, 17),
+    strategies.sampled_from([b'\n\n', b'\r\n\r\n']),
+)
+def test_events_are_the_same_however_they_are_cut(numbers, size, separator):
+    line = separator[: len(separator) // 2]
+    text = b''.join(
+        b'id: %d%bdata: x%b' % (number, line, separator) for number in numbers
+    )
+    splitter = events.EventSplitter()
+    found = []
+    for start in range(0, len(text), size):
+        found.extend(splitter.feed(text[start : start + size]))
+    assert [event.number for event in found] == numbers
+    assert b''.join(event.raw for event in found) == text
+    assert splitter.is_between_events
+
+
+def pulse(head='h', sent_s=0.0, prompt_s=0.02, pause_s=0.04, others_s=0.0):
+    return silence.StreamPulse(head, sent_s, prompt_s, pause_s, others_s)
+
+
+def look_until(watch, from_s, to_s):
+    """Look as the node does; return when a head was first found silent."""
+    now_s = from_s
+    while now_s < to_s:
+        if watch.look(now_s):
+            return now_s
+        now_s += silence.LOOK_EVERY_S
+    return None
+
+
+def test_a_head_that_stops_writing_is_found_within_three_pauses():
+    watch = silence.SilenceWatch()
+    one = pulse()
+    watch.begin(one)
+    watch.noted(one, 1.0)
+    found_s = look_until(watch, 1.0, 3.0)
+    assert found_s is not None and found_s - 1.0 < 0.12 + 0.03
+
+
+def test_a_head_that_writes_to_one_stream_is_not_silent():
+    watch = silence.SilenceWatch()
+    one, two = pulse(), pulse()
+    for each in (one, two):
+        watch.begin(each)
+        watch.noted(each, 0.0)
+    now_s = 0.0
+    while now_s < 1.0:
+        watch.noted(one, now_s)
+        assert not watch.look(now_s)
+        now_s += silence.LOOK_EVERY_S
+
+
+def test_prompts_of_others_are_allowed_for():
+    watch = silence.SilenceWatch()
+    one = pulse(others_s=0.2)
+    watch.begin(one)
+    watch.noted(one, 0.0)
+    assert look_until(watch, 0.0, 0.3) is None
+
+
+def test_a_pause_of_this_process_is_no_silence():
+    """No stream moves because its own node stood still for a second."""
+    watch = silence.SilenceWatch()
+    one = pulse()
+    watch.begin(one)
+    watch.noted(one, 0.0)
+    assert not watch.look(0.01)
+    assert not watch.look(1.0)
+    assert not watch.look(1.05)
+
+
+def test_a_caller_that_reads_slowly_says_nothing_about_the_head():
+    watch = silence.SilenceWatch()
+    one = pulse()
+    watch.begin(one)
+    watch.noted(one, 0.0)
+    one.is_held = True
+    assert look_until(watch, 0.0, 2.0) is None
+
+
+def test_a_stream_that_never_begins_is_found():
+    watch = silence.SilenceWatch()
+    watch.begin(pulse(sent_s=0.0))
+    found_s = look_until(watch, 0.0, 2.0)
+    assert found_s is not None and found_s < 0.4
+
+
+def test_what_may_have_run_is_never_called_not_run():
+    assert refusals.of(may_have_run=False, is_timeout=True).status == 503
+    assert refusals.of(may_have_run=True, is_timeout=True).status == 504
+    assert refusals.of(may_have_run=True, is_timeout=False).status == 502
--- /dev/null
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -0,0 +1,176 @@
+"""What the platform writes, decoded once; what is odd, refused with a place."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from redwingvalve.fleet import endpoints
+from redwingvalve.http1 import messages
+from redwingvalve.ingress import routes
+from redwingvalve.platform import (
+    caller_requests,
+    configuration,
+    entries,
+    settings,
+)
+
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'slots': 9,
+    'state': 'ready',
+    'seq': 4,
+    'born': 1700000000000,
+    'domain': 'd',
+    'staged': ['m'],
+    'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    'group': {'name': 'm.1.1', 'epoch': 7, 'rank': 0, 'state': 'open'},
+}
+
+
+def stored(spec, name='i-1'):
+    return {'metadata': {'name': name, 'revision': 5}, 'spec': spec}
+
+
+def test_an_entry_becomes_an_endpoint():
+    found = entries.decode_endpoint(stored(ENTRY))
+    assert (found.host, found.port, found.slots) == ('10.0.0.1', 80, 9)
+    assert found.staged == found.models == ('m',)
+    assert found.membership.state is endpoints.MemberState.OPEN
+    assert not found.draining
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {'state': 'asleep'},
+        {'service': 3},
+        {'address': 'nowhere'},
+        {'slots': '9'},
+        {'slots': True},
+        {'born': 1.5},
+        {'group': {'name': 'g'}},
+        {'group': {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'odd'}},
+        {'staged': [3]},
+    ],
+)
+def test_an_odd_entry_names_no_endpoint(odd):
+    with pytest.raises(entries.EntryError):
+        entries.decode_endpoint(stored({**ENTRY, **odd}))
+
+
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=5,
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(strategies.sampled_from(sorted(ENTRY)), json_values)
+)
+def test_any_entry_is_decoded_or_refused(odd):
+    try:
+        entries.decode_endpoint(stored({**ENTRY, **odd}))
+    except entries.EntryError:
+        return
+
+
+@hypothesis.given(json_values)
+def test_any_configuration_is_decoded_or_refused(spec):
+    try:
+        configuration.decode_configuration(stored(spec))
+    except configuration.ConfigurationError:
+        return
+
+
+@hypothesis.given(json_values)
+def test_any_settings_are_decoded_or_refused(document):
+    try:
+        settings.decode_settings(document)
+    except settings.SettingsError:
+        return
+
+
+def test_settings_that_lack_a_field_name_it(tmp_path):
+    path = tmp_path / 'settings.json'
+    path.write_text('{"node": "n"}')
+    with pytest.raises(settings.SettingsError, match="'listen'"):
+        settings.read_settings(path)
+    path.write_text('{')
+    with pytest.raises(settings.SettingsError, match='settings.json'):
+        settings.read_settings(path)
+
+
+def test_a_stream_may_be_repeated_only_if_it_may_be_resumed():
+    spec = {
+        'version': 3,
+        'routes': [
+            {
+                'name': 'r',
+                'host': 'h',
+                'path_prefix': '/',
+                'kind': 'stream',
+                'service': 's',
+                'resumable': resumable,
+            }
+            for resumable in (True, False)
+        ],
+        'services': [],
+    }
+    found = configuration.decode_configuration(stored(spec))
+    assert [one.may_repeat for one in found.routes] == [True, False]
+    assert not found.needs_keys
+    assert found.limits == routes.DEFAULT_LIMITS
+
+
+def test_what_this_system_sets_is_never_the_callers():
+    request = messages.Request(
+        method=b'POST',
+        target=b'/a',
+        headers=[
+            (b'host', b'h:80'),
+            (b'x-tenant', b'another'),
+            (b'x-request-urgency', b'0'),
+            (b'x-expect-instance', b'i-9'),
+            (b'api-key', b'secret'),
+            (b'connection', b'x-hop'),
+            (b'x-hop', b'1'),
+            (b'x-attempt-id', b'a1'),
+            (b'x-model', b'm'),
+            (b'x-token-counts', b'10,20'),
+            (b'x-deadline-ms', b'900'),
+            (b'last-event-id', b'12'),
+        ],
+        body=b'{}',
+        keep_alive=True,
+    )
+    caller = caller_requests.read_request(request)
+    assert (caller.prompt_tokens, caller.answer_tokens) == (10, 20)
+    assert (caller.deadline_ms, caller.last_event) == (900, 12)
+    sending = caller_requests.Sending('i-1', 700, 'workshop', 3, 15)
+    sent = caller_requests.render_request(request, caller, sending)
+    head, _, body = sent.partition(b'\r\n\r\n')
+    lines = head.split(b'\r\n')
+    assert body == b'{}' and lines[0] == b'POST /a HTTP/1.1'
+    assert b'x-tenant: workshop' in lines and b'x-expect-instance: i-1' in lines
+    assert b'x-deadline-ms: 700' in lines and b'last-event-id: 15' in lines
+    assert b'x-request-urgency: 3' in lines and b'x-model: m' in lines
+    assert not any(b'secret' in line or b'x-hop' in line for line in lines)
+    assert not any(b'another' in line or b'i-9' in line for line in lines)
+
+
+@pytest.mark.parametrize('text', ['', 'x', '1.5', '-3', '9' * 30, '²'])
+def test_an_unreadable_deadline_counts_as_none(text):
+    request = messages.Request(
+        b'GET', b'/', [(b'x-deadline-ms', text.encode())], b'', True
+    )
+    found = caller_requests.read_request(request).deadline_ms
+    assert found is None or found == int(text)
