--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -43,6 +43,8 @@
         self._clock = clock
         self._lapsed: dict[str, _Lapsed] = {}
         self._trouble_s: float | None = None
+        # Those that said that they would leave, until they are forgotten.
+        self._leavers: dict[tuple[str, int], float] = {}
 
     def replaced(self, listed: list[store.Document]) -> None:
         """Take a whole listing."""
@@ -50,9 +52,8 @@
         missing = [name for name in self.live if name not in found]
         for name in missing:
             self._lapse(name)
-        self.live.update(found)
-        for name in found:
-            self._lapsed.pop(name, None)
+        for endpoint in found.values():
+            self._take(endpoint)
         self.is_known = True
         self._tell()
 
@@ -67,6 +68,19 @@
         """Note that the store gives no usable answers."""
         self._trouble_s = self._clock()
 
+    def may_leave(self, endpoint: endpoints.Endpoint, within_s: float) -> bool:
+        """Return whether an endpoint may be leaving rather than dead.
+
+        It said so, or the store has been away within within_s and could not
+        tell. An endpoint that leaves stops to listen before it has finished.
+        """
+        now_s = self._clock()
+        said_s = self._leavers.get(endpoint.incarnation)
+        if said_s is not None and now_s - said_s < within_s:
+            return True
+        trouble_s = self._trouble_s
+        return trouble_s is not None and now_s - trouble_s < within_s
+
     def usable(self) -> list[endpoints.Endpoint]:
         """Return live endpoints and those whose lapse may be an error."""
         until_s = self._clock() - LAPSE_GRACE_S
@@ -105,8 +119,13 @@
             LOG.warning('unusable entry', extra={'error': str(error)})
             self.live.pop(change.name, None)
             return
-        self.live[change.name] = endpoint
-        self._lapsed.pop(change.name, None)
+        self._take(endpoint)
+
+    def _take(self, endpoint: endpoints.Endpoint) -> None:
+        self.live[endpoint.endpoint_id] = endpoint
+        self._lapsed.pop(endpoint.endpoint_id, None)
+        if endpoint.draining:
+            self._leavers.setdefault(endpoint.incarnation, self._clock())
 
     def _lapse(self, name: str) -> None:
         endpoint = self.live.pop(name)
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -33,9 +33,6 @@
 # A head that leaves without a word serves on for two seconds after its entry
 # is gone: if it doesn't answer within the first, it has died.
 GONE_KNOWN_S = 1.0
-# A dark head's entry lapses after three heartbeats; after that nothing of it
-# answers, or it could be closed.
-DARK_HEAD_S = 7.0
 # Epochs of one holder; the next holder's begin above them.
 EPOCHS_PER_TERM = 100_000
 
@@ -167,11 +164,11 @@
         """Return when a head no longer serves its replica."""
         membership = head.membership
         assert membership is not None
-        until_s = time.monotonic() + DARK_HEAD_S
+        until_s = time.monotonic() + LEAVING_S
         while time.monotonic() < until_s and self._may_order():
             if report is not None and not _serves_as(head, report.membership):
                 return
-            if report is None and self._is_gone(head) and not head.draining:
+            if report is None and self._is_dead(head):
                 return
             if report is not None:
                 await self._client.close(
@@ -302,6 +299,12 @@
             return False
         return seen.membership.state not in _SETTLED
 
+    def _is_dead(self, head: endpoints.Endpoint) -> bool:
+        # A dark head's entry lapses after three heartbeats.
+        if self._registry.may_leave(head, LEAVING_S):
+            return False
+        return self._is_gone(head)
+
     def _is_gone(self, head: endpoints.Endpoint) -> bool:
         seen = self._registry.live.get(head.endpoint_id)
         return seen is None or seen.born_ms != head.born_ms
--- a/redwingvalve/node/tests/test_control.py
+++ b/redwingvalve/node/tests/test_control.py
@@ -427,3 +427,30 @@
         assert member.group['name'] != head.group['name']
 
     fleets.run(test)
+
+
+def test_a_head_that_left_while_the_store_was_away_is_not_taken_for_dead():
+    """No VM is in two replicas after an outage of the store.
+
+    The head began to leave unseen; when the store is back it listens no more,
+    its last stream goes on, and its entry goes.
+    """
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await anyio.sleep(0.5)
+        fleet.store.faults.refuses_status = 503
+        await anyio.sleep(3)
+        fleet.store.faults.refuses_status = 0
+        head.stop_listening()
+        fleet.nodes[0].table.suspect(head.endpoint_id, 'refused')
+        before = len(member.orders)
+        await anyio.sleep(0.7)
+        fleet.store.remove('servers', head.endpoint_id)
+        await anyio.sleep(3)
+        assert len(member.orders) == before
+
+    fleets.run(test)
