Share a new head's places between nodes; give slow heads more time

Ruled out: lack of places (idle VMs formed replicas at the same time); the store (in touch throughout).

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -40,6 +40,8 @@
         self.on_suspect = None
         self.on_clear: collections_abc.Callable[[str, int], None] | None
         self.on_clear = None
+        self.on_sound: collections_abc.Callable[[str, float], None] | None
+        self.on_sound = None
         self.on_rebuilt: collections_abc.Callable[[], None] | None = None
         self._registry = registry
         self._configuration: routes.Configuration | None = None
@@ -103,8 +105,11 @@
     def clear(self, endpoint_id: str) -> None:
         """Put an endpoint back into use."""
         self._own.discard(endpoint_id)
-        if self._suspicions.pop(endpoint_id, None) is not None:
-            self.rebuild()
+        if self._suspicions.pop(endpoint_id, None) is None:
+            return
+        if self.on_sound is not None:
+            self.on_sound(endpoint_id, time.monotonic())
+        self.rebuild()
 
     def clear_older(
         self, endpoint_id: str, epoch: int, cleared_s: float
--- a/redwingvalve/ingress/placing.py
+++ b/redwingvalve/ingress/placing.py
@@ -7,6 +7,11 @@
 Ties are broken by chance, so that nodes that see the same counts don't all
 pick the same head.
 
+A head that is new has free places in all nodes' eyes at once. With requests
+waiting everywhere, each node would fill it alone, and several times as many
+would queue there as it has places. So what was sent within the last words'
+time counts for the others too.
+
 In a large fleet the counts of others are old when they arrive, and all nodes
 would send to the one head that was idle a moment ago. There each request looks
 at two heads drawn by chance and takes the less filled one, which stays close
@@ -14,11 +19,17 @@
 """
 
 import random
+import time
 import typing
 from collections import abc as collections_abc
 
 import attrs
 
+# Words of other nodes come this often while something changes.
+UNSEEN_S = 0.12
+# What the others are taken to send meanwhile, for each request sent from here:
+# half of the nodes see the same free places and have as many that wait.
+UNSEEN_SHARE = 0.5
 # With more nodes than this, words come less often than requests end.
 FRESH_COUNTS_NODES = 12
 DRAWN_TARGETS = 2
@@ -52,9 +63,15 @@
 class Loads:
     """Requests under way at each endpoint, here and at other nodes."""
 
-    def __init__(self) -> None:
-        """Start without requests."""
+    def __init__(
+        self, clock: collections_abc.Callable[[], float] = time.monotonic
+    ) -> None:
+        """Start without requests, alone."""
         self.own: dict[str, int] = {}
+        self.node_count = 1
+        self._clock = clock
+        # Requests sent lately, and since when they are counted.
+        self._unseen: dict[str, tuple[float, int]] = {}
         self._by_node: dict[str, dict[str, int]] = {}
         self._others: dict[str, int] = {}
 
@@ -63,8 +80,21 @@
         own = self.own.get(endpoint_id, 0)
         return own + self._others.get(endpoint_id, 0)
 
+    def expected(self, endpoint_id: str) -> float:
+        """Return the known requests and those that others send just now."""
+        known = self.of(endpoint_id)
+        since_s, count = self._unseen.get(endpoint_id, (0.0, 0))
+        if not count or self._clock() - since_s > UNSEEN_S:
+            return known
+        return known + count * (self.node_count - 1) * UNSEEN_SHARE
+
     def begin(self, endpoint_id: str) -> None:
         """Count a request of this node."""
+        now_s = self._clock()
+        since_s, count = self._unseen.get(endpoint_id, (0.0, 0))
+        if now_s - since_s > UNSEEN_S:
+            since_s, count = now_s, 0
+        self._unseen[endpoint_id] = (since_s, count + 1)
         self.own[endpoint_id] = self.own.get(endpoint_id, 0) + 1
 
     def end(self, endpoint_id: str) -> None:
@@ -114,7 +144,7 @@
     for target in targets:
         if target.endpoint_id in avoid:
             continue
-        filled = loads.of(target.endpoint_id) / max(target.slots, 1)
+        filled = loads.expected(target.endpoint_id) / max(target.slots, 1)
         rank = (filled, chance.random())
         if rank < best_rank:
             best = target
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -27,8 +27,14 @@
 # each as long as nine in ten are at most.
 OTHER_PROMPTS = 2
 PROMPTS_KEPT = 40
-# Network both ways, and waiting for the pass that is under way.
-FIRST_EVENT_S = 0.12
+# Network both ways, waiting for the pass that is under way, and for a place
+# at a head that other nodes have filled meanwhile.
+FIRST_EVENT_S = 0.3
+# A head that was found sound is slow, not lost: for some seconds its bound is
+# wider. Else it is taken out of use again and again, and its requests fill
+# the others until those are slow too.
+SLOW_FACTOR = 3.0
+SLOW_S = 6.0
 
 
 class PromptSizes:
@@ -82,6 +88,7 @@
         """Start without streams."""
         self._heads: dict[str, _Head] = {}
         self._looked_s: float | None = None
+        self._slow_until_s: dict[str, float] = {}
 
     def begin(self, pulse: StreamPulse) -> None:
         """Look at a stream from now on."""
@@ -107,6 +114,10 @@
         if head is not None:
             head.last_event_s = now_s
 
+    def found_sound(self, head: str, now_s: float) -> None:
+        """Allow a head more time: it was silent, but nothing is lost."""
+        self._slow_until_s[head] = now_s + SLOW_S
+
     def look(self, now_s: float) -> list[str]:
         """Return the heads that are silent for too long."""
         before_s = self._looked_s
@@ -119,9 +130,14 @@
         return [
             name
             for name, head in self._heads.items()
-            if _is_silent(head, now_s)
+            if _is_silent(head, now_s, self._factor(name, now_s))
         ]
 
+    def _factor(self, head: str, now_s: float) -> float:
+        if self._slow_until_s.get(head, 0) > now_s:
+            return SLOW_FACTOR
+        return 1.0
+
     def _forgive(self, now_s: float) -> None:
         for head in self._heads.values():
             head.last_event_s = now_s
@@ -129,20 +145,22 @@
                 pulse.sent_s = max(pulse.sent_s, now_s - FIRST_EVENT_S)
 
 
-def _is_silent(head: _Head, now_s: float) -> bool:
+def _is_silent(head: _Head, now_s: float, factor: float) -> bool:
     live = [pulse for pulse in head.streams.values() if not pulse.is_held]
     begun = [pulse for pulse in live if pulse.has_begun]
     if not begun:
-        return any(_is_overdue(pulse, head, now_s) for pulse in live)
+        return any(_is_overdue(pulse, head, now_s, factor) for pulse in live)
     reading_s = sum(pulse.prompt_s for pulse in live if not pulse.has_begun)
     usual = begun[0]
     bound_s = max(MIN_SILENCE_S, PAUSES * usual.pause_s)
     bound_s += reading_s + usual.others_s
-    return now_s - head.last_event_s > bound_s
+    return now_s - head.last_event_s > bound_s * factor
 
 
-def _is_overdue(pulse: StreamPulse, head: _Head, now_s: float) -> bool:
+def _is_overdue(
+    pulse: StreamPulse, head: _Head, now_s: float, factor: float
+) -> bool:
     bound_s = FIRST_EVENT_S + PAUSES * pulse.pause_s
     bound_s += pulse.prompt_s + pulse.others_s
     since_s = max(pulse.sent_s, head.last_event_s)
-    return now_s - since_s > bound_s
+    return now_s - since_s > bound_s * factor
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -14,8 +14,10 @@
 LOG = logs.make_logger('controller')
 # Between two looks at the fleet; a loss is mended in about a second.
 LOOK_S = 0.05
-# A replica that was found whole is not asked again sooner than this.
+# A replica that was found whole is not asked again sooner than this, unless
+# it is suspect anew: until it is asked it serves nobody.
 INSPECT_AGAIN_S = 1.5
+SUSPECT_AGAIN_S = 0.3
 # An endpoint that did not answer is left alone until its entry has surely
 # lapsed, which takes three heartbeats: ordered to join, it would hold up three
 # others that live.
@@ -121,13 +123,17 @@
             self._tasks.start(replica.members, self._retire(replica))
             return
         is_suspect = self._table.is_suspect(head.endpoint_id)
-        if state in _ACTIVE and (is_missing or is_suspect):
-            self._start_inspection(replica)
+        if state in _ACTIVE and is_suspect:
+            self._start_inspection(replica, SUSPECT_AGAIN_S)
+        elif state in _ACTIVE and is_missing:
+            self._start_inspection(replica, INSPECT_AGAIN_S)
 
-    def _start_inspection(self, replica: endpoints.Replica) -> None:
+    def _start_inspection(
+        self, replica: endpoints.Replica, again_s: float
+    ) -> None:
         now_s = time.monotonic()
         asked_s = self._inspected_s.get(replica.key, 0)
-        if now_s - asked_s < INSPECT_AGAIN_S:
+        if now_s - asked_s < again_s:
             return
         self._inspected_s[replica.key] = now_s
         past = self._history.of(replica.key)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -89,6 +89,7 @@
         self.table.on_suspect = self._suspected
         self.table.on_clear = self._cleared
         self.lease.on_renewed = self._say_now
+        self.table.on_sound = self.state.silence.found_sound
         self.table.on_rebuilt = self.state.poke
         self.watches = self._make_watches()
         await self._listen()
@@ -228,6 +229,7 @@
             self.registry.drop_lapsed()
             self.state.poison.look(self.registry.incarnations())
             self.state.node_count = 1 + len(self.peers.alive())
+            self.state.loads.node_count = self.state.node_count
             await anyio.sleep(self.peers.word_pause_s)
 
     def _make_word(self, loads: dict[str, int]) -> typing.Any:
