--- a/redwingvalve/ingress/answering.py
+++ b/redwingvalve/ingress/answering.py
@@ -48,6 +48,28 @@
     )
 
 
+def log_no_place(
+    caller: caller_requests.CallerRequest,
+    admission: admitting.Admission,
+    *,
+    targets: int,
+    under_way: int,
+    waiting: int,
+) -> None:
+    """Write down why no endpoint was offered a request."""
+    LOG.info(
+        'no place',
+        extra={
+            'request': _text(caller.attempt_id),
+            'route': admission.route.name,
+            'model': admission.model,
+            'targets': targets,
+            'under_way': under_way,
+            'waiting': waiting,
+        },
+    )
+
+
 def log_decision(
     outcome: str,
     caller: caller_requests.CallerRequest,
--- a/redwingvalve/ingress/placing.py
+++ b/redwingvalve/ingress/placing.py
@@ -83,6 +83,9 @@
     def expected(self, endpoint_id: str) -> float:
         """Return the known requests and those that others send just now."""
         known = self.of(endpoint_id)
+        if self.node_count > FRESH_COUNTS_NODES:
+            # Requests of many nodes that draw by chance spread by themselves.
+            return known
         since_s, count = self._unseen.get(endpoint_id, (0.0, 0))
         if not count or self._clock() - since_s > UNSEEN_S:
             return known
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -78,6 +78,7 @@
         while not self._responder.is_gone:
             target = await self._take_place(admission)
             if target is None:
+                self._log_no_place(admission)
                 self._give_up('no free place')
                 return
             ending = await self._offer(admission, target)
@@ -122,6 +123,17 @@
             return found
         return placing.choose(targets, state.loads, state.chance, self._tried)
 
+    def _log_no_place(self, admission: admitting.Admission) -> None:
+        state = self._state
+        targets = state.targets.of(admission.service, admission.model)
+        answering.log_no_place(
+            self._caller,
+            admission,
+            targets=len(targets),
+            under_way=sum(state.loads.of(one.endpoint_id) for one in targets),
+            waiting=len(state.room(admission.service, admission.model)),
+        )
+
     async def _offer(
         self, admission: admitting.Admission, target: placing.Target
     ) -> sends.Ending:
