--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -14,6 +14,7 @@
     routes,
     sends,
     silence,
+    taking,
 )
 from redwingvalve.ingress import (
     state as state_module,
@@ -30,8 +31,6 @@
 # Sends beyond the attempts that a route allows, for refusals that say that
 # nothing ran: one more look elsewhere.
 MAX_CONNECT_FAILURES = 3
-# Timers may fire this much early.
-TIMER_SLACK_S = 0.001
 
 
 class RequestRun(state_module.OpenSend):
@@ -61,6 +60,8 @@
         self._connect_failures = 0
         self._admission: admitting.Admission | None = None
         self._fingerprint = 0
+        # A repeated send was taken from the budget already.
+        self._is_paid = False
 
     async def run(self) -> None:
         """Answer the request."""
@@ -78,9 +79,10 @@
         self._state.prompts(admission.model).saw(admission.prompt_s)
         self._state.window(admission.service).count_request(self._began_s)
         while not self._responder.is_gone:
-            target = await self._take_place(admission)
+            target = await taking.take_place(
+                self._state, self._caller, admission, self._tried
+            )
             if target is None:
-                self._log_no_place(admission)
                 self._give_up('no free place')
                 return
             ending = await self._offer(admission, target)
@@ -99,43 +101,6 @@
             return None
         return decided
 
-    async def _take_place(
-        self, admission: admitting.Admission
-    ) -> placing.Target | None:
-        state = self._state
-        room = state.room(admission.service, admission.model)
-        left_s = admission.timeout_at_s - time.monotonic()
-        wait_s = max(0, min(left_s, refusals.wait_s(admission.route)))
-
-        def select() -> placing.Target | None:
-            found = self._choose(admission)
-            if found is not None:
-                # Counted at once, so that no other request takes the place.
-                state.loads.begin(found.endpoint_id)
-            return found
-
-        return await room.take(admission.urgency, select, wait_s)
-
-    def _choose(self, admission: admitting.Admission) -> placing.Target | None:
-        state = self._state
-        targets = state.targets.of(admission.service, admission.model)
-        drawn = placing.draw(targets, state.node_count, state.chance)
-        found = placing.choose(drawn, state.loads, state.chance, self._tried)
-        if found is not None or drawn is targets:
-            return found
-        return placing.choose(targets, state.loads, state.chance, self._tried)
-
-    def _log_no_place(self, admission: admitting.Admission) -> None:
-        state = self._state
-        targets = state.targets.of(admission.service, admission.model)
-        answering.log_no_place(
-            self._caller,
-            admission,
-            targets=len(targets),
-            under_way=sum(state.loads.of(one.endpoint_id) for one in targets),
-            waiting=len(state.room(admission.service, admission.model)),
-        )
-
     async def _offer(
         self, admission: admitting.Admission, target: placing.Target
     ) -> sends.Ending:
@@ -205,18 +170,8 @@
             target.endpoint_id, set()
         )
         open_sends.add(self)
-        until_s = admission.timeout_at_s
-        if self._may_hedge(admission):
-            goal_s = admission.route.goal_ms / _MS_IN_S
-            until_s = min(until_s, time.monotonic() + goal_s)
         try:
-            async with asyncio.timeout(until_s - time.monotonic()):
-                ending = await asyncio.shield(send.ended)
-        except TimeoutError:
-            ending = sends.Ending.TIMEOUT
-            if time.monotonic() < admission.timeout_at_s - TIMER_SLACK_S:
-                # Only this send's time is over.
-                ending = sends.Ending.SILENT
+            ending = await self._wait_for(admission, send)
         finally:
             open_sends.discard(self)
             self._passing.end()
@@ -225,6 +180,43 @@
         self._connection = None
         return ending
 
+    async def _wait_for(
+        self, admission: admitting.Admission, send: sends.Send
+    ) -> sends.Ending:
+        if self._may_hedge(admission):
+            goal_s = time.monotonic() + admission.route.goal_ms / _MS_IN_S
+            until_s = min(goal_s, admission.timeout_at_s)
+            ending = await self._wait_until(send, until_s)
+            if ending is not None:
+                return ending
+            if time.monotonic() < admission.timeout_at_s and self._pay():
+                return sends.Ending.SILENT
+        ending = await self._wait_until(send, admission.timeout_at_s)
+        return ending or sends.Ending.TIMEOUT
+
+    async def _wait_until(
+        self, send: sends.Send, until_s: float
+    ) -> sends.Ending | None:
+        try:
+            async with asyncio.timeout(until_s - time.monotonic()):
+                return await asyncio.shield(send.ended)
+        except TimeoutError:
+            return None
+
+    def _pay(self) -> bool:
+        """Take one repeated send from the budget, for later.
+
+        A send that can't be repeated is better waited for than given up.
+        """
+        admission = self._admission
+        if admission is None:
+            return False
+        window = self._state.window(admission.service)
+        self._is_paid = window.try_spend(
+            time.monotonic(), self._state.node_count
+        )
+        return self._is_paid
+
     def head_is_silent(self) -> None:
         """End the send that is under way if it may go on elsewhere.
 
@@ -234,7 +226,9 @@
         admission = self._admission
         if admission is None or self._send is None:
             return
-        if self._sent < admission.route.max_attempts:
+        if self._send.ended.done():
+            return
+        if self._sent < admission.route.max_attempts and self._pay():
             self._send.end(sends.Ending.SILENT)
 
     def _may_hedge(self, admission: admitting.Admission) -> bool:
@@ -314,8 +308,9 @@
             return False
         if not self._sent:
             return True
-        window = self._state.window(admission.service)
-        return window.try_spend(time.monotonic(), self._state.node_count)
+        is_paid = self._is_paid or self._pay()
+        self._is_paid = False
+        return is_paid
 
     def _give_up(self, reason: str) -> None:
         if self._responder.is_started:
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -292,3 +292,36 @@
         assert b'redwingvalve_calls_total' in got.body
 
     fleets.run(test, engines=0)
+
+
+def test_a_slow_stream_is_waited_for_when_no_retry_is_left():
+    """The caller gets its whole stream, late, and no failure.
+
+    The head stands still for half a second, and this node has used its share
+    of the retries: ending the send would end the stream for good.
+    """
+
+    async def test(fleet):
+        window = fleet.nodes[0].state.window(fleets.ENGINE)
+        window.try_spend = lambda now_s, nodes: False
+        heads = [
+            fleet.endpoints[target.endpoint_id] for target in fleet.targets()
+        ]
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[(b'X-Model', fleets.SMALL.encode())],
+        )
+        await fleet.until(lambda: taker.body.count(b'id: ') >= 2)
+        for head in heads:
+            head.faults.stands_still = True
+        await anyio.sleep(0.6)
+        for head in heads:
+            head.faults.stands_still = False
+        await fleet.until(taker.done.done, 2)
+        assert taker.done.result() == 'whole'
+        assert taker.body.count(b'id: ') == 6
+        assert sum(len(head.runs) for head in heads) == 1
+
+    fleets.run(test)
