Judge the lease by a clock that goes on while the VM is suspended

Cause, found by reading: the steady clock stands still while a VM is suspended, so that a holder that wakes takes its lease for valid and orders what another node has ordered since; and tasks looked at a flag that is set each 50 ms. Ruled out: comparing wall clocks (they jump). Change: CLOCK_BOOTTIME for the lease and for all waits on heads that may serve; each order asks the lease itself. Test: a_holder_that_was_suspended fails before and passes.

--- a/redwingvalve/core/clock.py
+++ b/redwingvalve/core/clock.py
@@ -38,6 +38,15 @@
         await anyio.sleep(duration_s)
 
 
+def boot_s() -> float:
+    """Return seconds since boot, with those in which the VM was suspended.
+
+    The monotonic clock stands still meanwhile: a lease that is judged by it
+    seems to hold long after another process has taken it.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told; sleeping moves it at once."""
 
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -6,12 +6,12 @@
 trouble stay in use for LAPSE_GRACE_S, in which living endpoints return.
 """
 
-import time
 import typing
 from collections import abc as collections_abc
 
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.observability import logs
 from redwingvalve.platform import entries, store
@@ -34,7 +34,7 @@
     """Endpoints by id."""
 
     def __init__(
-        self, clock: collections_abc.Callable[[], float] = time.monotonic
+        self, clock: collections_abc.Callable[[], float] = clock.boot_s
     ) -> None:
         """Start without endpoints."""
         self.live: dict[str, endpoints.Endpoint] = {}
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -1,9 +1,10 @@
 """Keeps the fleet in replicas while this node holds the lease."""
 
-import time
+import typing
 
 import anyio.abc
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, history, serving
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
@@ -37,17 +38,21 @@
         table: serving.ServingTable,
         client: endpoint_orders.EndpointClient,
         group: anyio.abc.TaskGroup,
+        holds_lease: typing.Callable[[], bool],
     ) -> None:
-        """Run tasks in group."""
+        """Run tasks in group; give orders while holds_lease says so.
+
+        It is asked before each order: a task that was held up with the whole
+        process goes on before anything else notices.
+        """
         self.term = 0
         self.has_served = False
-        self.holds = False
         self._service = service
         self._registry = registry
         self._table = table
         self._tasks = tasks.EndpointTasks(group)
         self._orders = replica_orders.ReplicaOrders(
-            client, registry, self._may_order
+            client, registry, holds_lease
         )
         self._former = forming.Former(client, self._orders, self._tasks)
         self._inspected_s: dict[replica_orders.Key, float] = {}
@@ -70,7 +75,7 @@
         for endpoint in live:
             self._former.note(endpoint)
         replicas = endpoints.find_replicas(live).get(self._service, [])
-        self._history.note(replicas, engine, time.monotonic())
+        self._history.note(replicas, engine, clock.boot_s())
 
     def look(self, engine: routes.Engine) -> None:
         """Start what is to be done now."""
@@ -88,9 +93,6 @@
         self._former.form_all(free, engine)
         self._former.load_all(free, live, engine)
 
-    def _may_order(self) -> bool:
-        return self.holds
-
     def _is_early(self) -> bool:
         # Whoever holds the lease: it may pass on before the first replica is
         # formed, and loads are free only until the first request.
@@ -106,7 +108,7 @@
     def _is_settled(self, live: list[endpoints.Endpoint]) -> bool:
         if not self._is_early():
             return True
-        now_s = time.monotonic()
+        now_s = clock.boot_s()
         if len(live) != self._count:
             self._count = len(live)
             self._changed_s = now_s
@@ -133,7 +135,7 @@
     def _start_inspection(
         self, replica: endpoints.Replica, again_s: float
     ) -> None:
-        now_s = time.monotonic()
+        now_s = clock.boot_s()
         asked_s = self._inspected_s.get(replica.key, 0)
         if now_s - asked_s < again_s:
             return
@@ -143,7 +145,7 @@
         self._tasks.start(known.members, self._inspect(known))
 
     async def _retire(self, replica: endpoints.Replica) -> None:
-        await self._orders.retire(replica.members[0], time.monotonic())
+        await self._orders.retire(replica.members[0], clock.boot_s())
         self._mark_ended(replica.key)
 
     async def _end_missing(
@@ -196,7 +198,7 @@
 
     def _is_lost(self, endpoint: endpoints.Endpoint) -> bool:
         lost_s = self._orders.lost.get(endpoint.incarnation)
-        return lost_s is not None and time.monotonic() - lost_s < LOST_S
+        return lost_s is not None and clock.boot_s() - lost_s < LOST_S
 
     def _may_open(
         self, replica: endpoints.Replica, head: endpoints.Endpoint
@@ -233,7 +235,7 @@
         gone_s = past.head_gone_s
         if past.whole is None:
             # Nobody here knows the head: it has time to finish.
-            return time.monotonic() - gone_s < replica_orders.LEAVING_S
+            return clock.boot_s() - gone_s < replica_orders.LEAVING_S
         # Cut off from the store, a head may have opened without a word there.
         if not past.has_served and not self._was_ready(past, replica):
             return False
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -293,14 +293,14 @@
                 self.table,
                 self.endpoint_client,
                 group,
+                self.lease.is_held,
             )
             self.controllers[service.name] = control
         if service.engine is not None:
             control.configure(service.engine)
-        control.holds = self.lease.is_held()
         control.term = self.lease.term
         control.has_served = self.front.has_served or self.others_served
-        if control.holds and service.engine is not None:
+        if self.lease.is_held() and service.engine is not None:
             control.look(service.engine)
 
     async def _stop(self) -> None:
--- a/redwingvalve/node/forming.py
+++ b/redwingvalve/node/forming.py
@@ -1,9 +1,8 @@
 """Turns free endpoints into replicas, spares and VMs that load a model."""
 
-import time
-
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, planning
 from redwingvalve.ingress import routes
 from redwingvalve.node import replica_orders, tasks
@@ -84,7 +83,7 @@
             self._loads = planning.LoadBudget(
                 engine.loads_per_s, engine.loads_at_once
             )
-        now_s = time.monotonic()
+        now_s = clock.boot_s()
         held = [
             (one, one.staged[-1] if one.staged else self._model_loading(one))
             for one in live
@@ -132,7 +131,7 @@
 
     def _model_loading(self, endpoint: endpoints.Endpoint) -> str:
         loading = self._loading.get(endpoint.incarnation)
-        if loading is None or loading.until_s < time.monotonic():
+        if loading is None or loading.until_s < clock.boot_s():
             return ''
         return loading.model
 
--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -6,7 +6,8 @@
 renewal, and others wait the whole term after they last saw or heard of one.
 A write under the lease's revision is the only way to take it, so that two
 nodes can't both succeed; a holder that wakes from a pause finds its term over
-by its own clock before it orders anything.
+by its own clock before it orders anything. That clock goes on while the VM is
+suspended.
 """
 
 import time
@@ -15,6 +16,7 @@
 import anyio
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.observability import logs
 from redwingvalve.platform import store
 
@@ -49,18 +51,18 @@
 
     def is_held(self) -> bool:
         """Return whether this node may give orders now."""
-        return time.monotonic() < self.until_s
+        return clock.boot_s() < self.until_s
 
     def left_ms(self) -> int:
         """Return for how long this node still holds the lease."""
-        return max(0, int((self.until_s - time.monotonic()) * 1000))
+        return max(0, int((self.until_s - clock.boot_s()) * 1000))
 
     def heard(self, revision: int, left_ms: int) -> None:
         """Take a holder's word."""
         if revision < self.heard_revision:
             return
         self.heard_revision = revision
-        self.heard_until_s = time.monotonic() + left_ms / 1000 + MARGIN_S
+        self.heard_until_s = clock.boot_s() + left_ms / 1000 + MARGIN_S
 
     async def run(self, rank: typing.Callable[[], int]) -> typing.NoReturn:
         """Take, keep and lose the lease until cancelled.
@@ -93,14 +95,14 @@
             await anyio.sleep(TERM_S)
         elif self.is_held():
             await self._renew()
-        elif time.monotonic() < self.heard_until_s:
-            await anyio.sleep(self.heard_until_s - time.monotonic())
+        elif clock.boot_s() < self.heard_until_s:
+            await anyio.sleep(self.heard_until_s - clock.boot_s())
         else:
             await anyio.sleep(STAGGER_S * rank())
             await self._try_take()
 
     async def _renew(self) -> None:
-        began_s = time.monotonic()
+        began_s = clock.boot_s()
         stored = await self._write(self.vm)
         if self.is_releasing:
             return
@@ -110,11 +112,11 @@
         await anyio.sleep(RENEW_S)
 
     async def _try_take(self) -> None:
-        if time.monotonic() < self.heard_until_s:
+        if clock.boot_s() < self.heard_until_s:
             return
         stored = await self.client.read(LEASE_KIND, LEASE_NAME)
         if stored is None:
-            began_s = time.monotonic()
+            began_s = clock.boot_s()
             self.term = 1
             made = await self.client.create(
                 LEASE_KIND, LEASE_NAME, self._spec(self.vm)
@@ -132,7 +134,7 @@
             return
         self.revision = revision
         self.term = int(spec['term']) + 1
-        began_s = time.monotonic()
+        began_s = clock.boot_s()
         self._taken(await self._write(self.vm), began_s)
 
     def _taken(self, stored: store.Document, began_s: float) -> None:
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -7,12 +7,12 @@
 order that is carried out late is refused by whoever has joined since.
 """
 
-import time
 import typing
 
 import anyio
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.observability import logs, node_metrics
@@ -83,7 +83,7 @@
 
     async def form(self, forming: Forming, opens: bool = True) -> bool:
         """Join all members and open the head; return whether it serves."""
-        began_s = time.monotonic()
+        began_s = clock.boot_s()
         results: dict[str, Result] = {}
         async with anyio.create_task_group() as group:
             for member in forming.members:
@@ -91,7 +91,7 @@
         if not all(map(_may_hold, results.values())):
             self._log_forming(forming, 'join refused', began_s)
             return False
-        until_s = time.monotonic() + forming.join_s + JOIN_SLACK_S
+        until_s = clock.boot_s() + forming.join_s + JOIN_SLACK_S
         if not await self._wait(lambda: self._is_ready(forming), until_s):
             self._log_forming(forming, 'not ready in time', began_s)
             return False
@@ -116,8 +116,8 @@
         """
         membership = head.membership
         assert membership is not None
-        until_s = time.monotonic() + LEAVING_S
-        while time.monotonic() < until_s and self._may_order():
+        until_s = clock.boot_s() + LEAVING_S
+        while clock.boot_s() < until_s and self._may_order():
             result = await self._client.leave(
                 head, membership.replica, membership.epoch
             )
@@ -142,7 +142,7 @@
             return True
         for member in members:
             if reports[member.endpoint_id] is None:
-                self.lost[member.incarnation] = time.monotonic()
+                self.lost[member.incarnation] = clock.boot_s()
         node_metrics.METRICS.count('redwingvalve_broken_replicas')
         LOG.warning(
             'replica broken',
@@ -164,8 +164,8 @@
         """Return when a head no longer serves its replica."""
         membership = head.membership
         assert membership is not None
-        until_s = time.monotonic() + LEAVING_S
-        while time.monotonic() < until_s and self._may_order():
+        until_s = clock.boot_s() + LEAVING_S
+        while clock.boot_s() < until_s and self._may_order():
             if report is not None and not _serves_as(head, report.membership):
                 return
             if report is None and self._is_dead(head):
@@ -190,7 +190,7 @@
             head, membership.replica, membership.epoch, True
         )
         until_s = began_s + LEAVING_S
-        while time.monotonic() < until_s and self._may_order():
+        while clock.boot_s() < until_s and self._may_order():
             seen = self._registry.live.get(head.endpoint_id)
             if seen is not None:
                 if not _serves_as(head, seen.membership):
@@ -210,7 +210,7 @@
         A head that is asked just after its entry went and doesn't answer has
         died. One that answers leaves, or is cut off from the store.
         """
-        asked_s = time.monotonic()
+        asked_s = clock.boot_s()
         report = await self._client.report(head)
         if report is None and asked_s - gone_s < GONE_KNOWN_S:
             return True
@@ -230,7 +230,7 @@
             )
         results[member.endpoint_id] = result
         if result in {Result.UNREACHED, Result.UNKNOWN}:
-            self.lost[member.incarnation] = time.monotonic()
+            self.lost[member.incarnation] = clock.boot_s()
 
     async def _are_sound(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
         reports = await self._ask_all(members)
@@ -254,8 +254,8 @@
 
     async def _open(self, forming: Forming) -> bool:
         head = forming.members[0]
-        until_s = time.monotonic() + OPEN_TIMEOUT_S
-        while time.monotonic() < until_s and self._may_order():
+        until_s = clock.boot_s() + OPEN_TIMEOUT_S
+        while clock.boot_s() < until_s and self._may_order():
             if not self._is_ready(forming):
                 return False
             result = await self._client.open(head, forming.name, forming.epoch)
@@ -276,7 +276,7 @@
     async def _wait(
         self, is_done: typing.Callable[[], bool], until_s: float
     ) -> bool:
-        while time.monotonic() < until_s and self._may_order():
+        while clock.boot_s() < until_s and self._may_order():
             if is_done():
                 return True
             await anyio.sleep(LOOK_S)
@@ -319,7 +319,7 @@
                 'replica': forming.name,
                 'epoch': forming.epoch,
                 'members': forming.member_ids,
-                'took_ms': int((time.monotonic() - began_s) * 1000),
+                'took_ms': int((clock.boot_s() - began_s) * 1000),
             },
         )
 
--- a/redwingvalve/node/tests/test_control.py
+++ b/redwingvalve/node/tests/test_control.py
@@ -472,3 +472,25 @@
         assert joins.count('join') == 8 and 'stage' not in joins
 
     fleets.run(test, engines=8, lease_term=1)
+
+
+def test_a_holder_that_was_suspended_gives_no_more_orders(monkeypatch):
+    """Two nodes never give orders: the sleeper finds its term over.
+
+    Its VM is suspended for three seconds, in which its steady clock stands
+    still; another node takes the lease. The first thing that runs when it
+    wakes is a task in the middle of its orders.
+    """
+
+    async def test(fleet):
+        (node,) = fleet.nodes
+        (control,) = node.controllers.values()
+        assert node.lease.is_held()
+        boot_s = lease_module.clock.boot_s
+        monkeypatch.setattr(
+            lease_module.clock, 'boot_s', lambda: boot_s() + 3.0
+        )
+        assert not control._orders._may_order()
+        monkeypatch.undo()
+
+    fleets.run(test)
