Open a replica only under the newest epoch its members were told

Ruled out: a stale view of the new holder (it knew the replica was ready); two holders (one term since 18.1 s). Change: what is ready under an older epoch, or from an earlier holder, is left and formed anew; the newest epoch makes members refuse all orders before it. Test: a_replica_is_not_opened_while_a_later_join fails before and passes.

--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -77,6 +77,8 @@
         self.lost: dict[tuple[str, int], float] = {}
         # Replicas whose head was told to open, whatever it answered.
         self.told_to_open: set[Key] = set()
+        # The last epoch that each endpoint was told to join, obeyed or not.
+        self._told_epochs: dict[tuple[str, int], int] = {}
         self._client = client
         self._registry = registry
         self._may_order = may_order
@@ -103,8 +105,12 @@
         return is_open
 
     async def open_ready(self, replica: endpoints.Replica) -> bool:
-        """Open a replica that some holder has formed; return if it serves."""
-        if replica.is_leaving or not await self._are_sound(replica.members):
+        """Open a replica that this holder formed; return if it serves."""
+        if replica.is_leaving or _may_join_elsewhere(
+            replica, self._told_epochs
+        ):
+            return False
+        if not await self._are_sound(replica.members):
             return False
         forming = Forming(replica.name, replica.epoch, replica.members, 0)
         return await self._open(forming)
@@ -224,6 +230,7 @@
         results: dict[str, Result],
     ) -> None:
         result = Result.UNREACHED
+        self._told_epochs[member.incarnation] = forming.epoch
         if self._may_order():
             result = await self._client.join(
                 member, forming.name, forming.epoch, forming.member_ids
@@ -370,3 +377,18 @@
     if (was.replica, was.epoch) != (now.replica, now.epoch):
         return False
     return now.state not in _SETTLED
+
+
+def _may_join_elsewhere(
+    replica: endpoints.Replica, told_epochs: dict[tuple[str, int], int]
+) -> bool:
+    """Return whether a later order to join may still reach a member.
+
+    Orders are carried out up to twelve seconds late, and those of an earlier
+    holder aren't known here: a member would leave a replica that was opened
+    meanwhile. Only the newest epoch refuses all of them.
+    """
+    return any(
+        told_epochs.get(member.incarnation) != replica.epoch
+        for member in replica.members
+    )
--- a/redwingvalve/node/tests/test_control.py
+++ b/redwingvalve/node/tests/test_control.py
@@ -494,3 +494,46 @@
         monkeypatch.undo()
 
     fleets.run(test)
+
+
+def test_a_replica_is_not_opened_while_a_later_join_may_reach_a_member():
+    """No VM leaves a replica that serves when an order comes late.
+
+    The head was told to join another replica and didn't answer; its old one
+    is ready, so that it looked fit to be opened. Seconds later it joins.
+    """
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        # The next joins stay unanswered and are carried out late.
+        for endpoint in (head, member):
+            endpoint.faults.late_operations = ('join',)
+            endpoint.faults.order_delay_s = 4.5
+        (control,) = fleet.nodes[0].controllers.values()
+        await fleet.nodes[0].endpoint_client.close(
+            fleet.nodes[0].registry.live[head.endpoint_id],
+            head.group['name'],
+            head.group['epoch'],
+            False,
+        )
+        old = head.group['name']
+        past = control._history.of((old, head.group['epoch']))
+        past.is_ended = True
+        await fleet.until(
+            lambda: any(
+                order['operation'] == 'join' and order['group'] != old
+                for order in head.orders
+            )
+        )
+        past.is_ended = False
+        limit_s = fleets.time.monotonic() + 5
+        while fleets.time.monotonic() < limit_s:
+            group = head.group
+            is_old = group and group['name'] == old
+            assert not (is_old and group['state'] == 'open')
+            await anyio.sleep(0.02)
+        assert member.group
+
+    fleets.run(test)
