--- /dev/null
+++ b/redwingvalve/at_most_once/tests/test_fleet_machine.py
@@ -0,0 +1,153 @@
+"""A fleet of voters under any order of faults."""
+
+import itertools
+import random
+
+import anyio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from redwingvalve.at_most_once import (
+    claims,
+)
+from redwingvalve.at_most_once.tests import fleet as fleets
+
+# Copies take several pages in this module too.
+small_pages = fleets.small_pages
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Callers send the same few keys again and again, everywhere."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = fleets.Fleet()
+        self.grants = []
+        self.fresh = itertools.count()
+
+    @stateful.initialize(resend_s=st.sampled_from((600, fleets.MEMORY_S)))
+    def declare(self, resend_s):
+        self.fleet = fleets.Fleet(resend_s=resend_s)
+
+    def pick(self, number):
+        names = self.fleet.awake()
+        return names[number % len(names)]
+
+    @stateful.rule(number=st.integers(0, 9), key=st.sampled_from(fleets.KEYS))
+    def send(self, number, key):
+        self.fleet.send(self.pick(number), key)
+
+    @stateful.rule(number=st.integers(0, 9), key=st.sampled_from(fleets.KEYS))
+    def claim_and_pause(self, number, key):
+        name = self.pick(number)
+        asked = self.fleet.ask(name, key)
+        if asked.is_ok():
+            self.grants.append((name, asked.ok))
+
+    @stateful.rule()
+    def wake_up(self):
+        for name, grant in self.grants:
+            if name in self.fleet.awake():
+                self.fleet.run(name, grant)
+        self.grants.clear()
+
+    @stateful.rule(
+        number=st.integers(0, 9), restart=st.booleans(), store=st.booleans()
+    )
+    def crash(self, number, restart, store):
+        if len(self.fleet.awake()) < 2:
+            return
+        name = self.pick(number)
+        self.fleet.crash(name)
+        self.grants = [held for held in self.grants if held[0] != name]
+        if restart:
+            self.fleet.start(name, store)
+
+    def several(self, seed):
+        """Some that are awake, mostly a majority; one is left."""
+        names = self.fleet.awake()
+        chance = random.Random(seed)
+        most = len(names) - 1
+        return chance.sample(names, min(most, chance.choice((2, 3, 3, 4))))
+
+    @stateful.rule(seed=st.integers(0, 999))
+    def crash_together(self, seed):
+        gone = self.several(seed)
+        self.fleet.crash_together(gone)
+        self.grants = [held for held in self.grants if held[0] not in gone]
+
+    @stateful.rule(seed=st.integers(0, 999))
+    def pause_together(self, seed):
+        self.fleet.paused.update(self.several(seed))
+
+    @stateful.rule()
+    def resume(self):
+        self.fleet.paused.clear()
+
+    @stateful.rule(number=st.integers(0, 9))
+    def fresh_keys_run_once_all_were_up_for_the_bound(self, number):
+        self.bring_back()
+        self.fleet.advance(self.fleet.resend_s + fleets.READY_S)
+        assert self.fleet.send(self.pick(number), self.fresh_key()) == 'ran'
+
+    @stateful.rule(seed=st.integers(0, 999))
+    def two_that_die_together_hold_nothing_up(self, seed):
+        self.bring_back()
+        self.fleet.advance(self.fleet.resend_s + fleets.READY_S)
+        gone = random.Random(seed).sample(self.fleet.awake(), 2)
+        self.fleet.crash_together(gone)
+        self.grants = [held for held in self.grants if held[0] not in gone]
+        self.fleet.settle(fleets.READY_S)
+        for name in self.fleet.awake():
+            assert self.fleet.send(name, self.fresh_key()) == 'ran'
+
+    def bring_back(self):
+        self.fleet.paused.clear()
+        self.heal()
+        for name in self.fleet.incarnations.keys() - self.fleet.entries.keys():
+            self.fleet.start(name)
+
+    def fresh_key(self):
+        return f'fresh-{next(self.fresh)}'
+
+    @stateful.rule(store=st.booleans())
+    def replace(self, store):
+        if len(self.fleet.incarnations) < 9:
+            self.fleet.start(f'n{len(self.fleet.incarnations)}', store)
+
+    @stateful.rule(seed=st.integers(0, 999))
+    def partition(self, seed):
+        chance = random.Random(seed)
+        for name in self.fleet.side:
+            self.fleet.side[name] = chance.choice((0, 0, 1))
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.side = dict.fromkeys(self.fleet.side, 0)
+
+    @stateful.rule()
+    def settle(self):
+        self.fleet.settle()
+
+    @stateful.rule(number=st.integers(0, 9))
+    def one_looks(self, number):
+        self.fleet.clock.advance(0.5)
+        anyio.run(self.fleet.entries[self.pick(number)].look_once)
+
+    @stateful.rule(duration_s=st.sampled_from((10, 1000, 4000)))
+    def advance(self, duration_s):
+        self.fleet.advance(duration_s)
+
+    @stateful.invariant()
+    def no_key_runs_twice_while_it_is_remembered(self):
+        apart_s = self.fleet.resend_s - claims.GRANT_VALID_S
+        for times in self.fleet.runs.values():
+            for earlier, later in itertools.pairwise(times):
+                assert later - earlier > apart_s
+
+
+FleetMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
+test_no_key_runs_twice = FleetMachine.TestCase
--- a/redwingvalve/bench/relay_cost.py
+++ b/redwingvalve/bench/relay_cost.py
@@ -19,9 +19,8 @@
 import anyio
 import attrs
 import httpx
-import uvloop
 
-from redwingvalve.bench import aiohttp_server, relay_parts
+from redwingvalve.bench import aiohttp_server, relay_engine, relay_parts
 from redwingvalve.entry import (
     aiohttp_upstream,
     app,
@@ -49,15 +48,6 @@
 OURS = 'entry (aiohttp, uvicorn)'
 # What the libraries alone take: no check, no admission, no count.
 BARE = 'plainest (aiohttp, uvicorn)'
-CHUNKED_HEAD = (
-    'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
-    'transfer-encoding: chunked\r\nx-request-id: {}\r\n\r\n'
-)
-WHOLE_HEAD = (
-    'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n'
-    'x-request-id: {}\r\ncontent-length: {}\r\n\r\n'
-)
-NOT_STREAMED = b'"stream": false'
 US_PER_S = 1_000_000
 MS_PER_S = 1000
 END_MARK = b'data: [DONE]'
@@ -75,81 +65,6 @@
     delay_p95_ms: float
 
 
-class _EngineThread:
-    """Streams tokens over plain asyncio streams; not part of the product."""
-
-    def __init__(self, tokens: int, gap_s: float) -> None:
-        self._tokens = tokens
-        self._gap_s = gap_s
-        self.port = 0
-
-    async def serve(self, ready: threading.Event, stop: asyncio.Event) -> None:
-        server = await asyncio.start_server(self._answer, '127.0.0.1', 0)
-        self.port = server.sockets[0].getsockname()[1]
-        ready.set()
-        await stop.wait()
-        server.close()
-
-    async def _answer(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(
-            asyncio.IncompleteReadError,
-            ConnectionError,
-            # Kept connections end with the run; asyncio would log each.
-            asyncio.CancelledError,
-        ):
-            while True:
-                await self._answer_one(reader, writer)
-        writer.close()
-
-    async def _answer_one(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
-        fields = dict(
-            line.split(': ', 1) for line in head.splitlines()[1:] if line
-        )
-        body = await reader.readexactly(int(fields['content-length']))
-        request_id = fields['x-request-id']
-        if NOT_STREAMED in body:
-            whole = _chunk(request_id, 0).encode()
-            writer.write(WHOLE_HEAD.format(request_id, len(whole)).encode())
-            writer.write(whole)
-            return
-        writer.write(CHUNKED_HEAD.format(request_id).encode())
-        for number in range(self._tokens):
-            await asyncio.sleep(self._gap_s)
-            _write_chunk(writer, _event(request_id, number))
-        _write_chunk(writer, b'data: [DONE]\n\n')
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-
-
-def _chunk(request_id: str, number: int) -> str:
-    chunk = {
-        'id': f'chatcmpl-{request_id}',
-        'object': 'chat.completion.chunk',
-        'model': 'm',
-        'choices': [
-            {
-                'index': 0,
-                'finish_reason': None,
-                'delta': {'content': f' t{number}@{time.perf_counter():.6f}@'},
-            }
-        ],
-    }
-    return json.dumps(chunk)
-
-
-def _event(request_id: str, number: int) -> bytes:
-    return f'data: {_chunk(request_id, number)}\n\n'.encode()
-
-
-def _write_chunk(writer: asyncio.StreamWriter, body: bytes) -> None:
-    writer.write(b'%x\r\n%b\r\n' % (len(body), body))
-
-
 class _Callers:
     """Reads all streams and notes the delay of each token."""
 
@@ -304,28 +219,6 @@
     return app.make_entry_app(relay_parts.make_parts(sender, engine_port))
 
 
-@contextlib.contextmanager
-def _engine(tokens: int, gap_s: float) -> collections_abc.Iterator[int]:
-    engine = _EngineThread(tokens, gap_s)
-    ready = threading.Event()
-    loops: list[tuple[asyncio.AbstractEventLoop, asyncio.Event]] = []
-
-    async def main() -> None:
-        stop = asyncio.Event()
-        loops.append((asyncio.get_running_loop(), stop))
-        await engine.serve(ready, stop)
-
-    thread = threading.Thread(target=uvloop.run, args=(main(),))
-    thread.start()
-    ready.wait()
-    try:
-        yield engine.port
-    finally:
-        loop, stop = loops[0]
-        loop.call_soon_threadsafe(stop.set)
-        thread.join()
-
-
 class OpenRelay:
     """One relay in a thread of its own, before an engine.
 
@@ -388,7 +281,7 @@
     name: str, tokens: int, gap_s: float
 ) -> collections_abc.Iterator[OpenRelay]:
     """Serve one relay before an engine of so many tokens a stream."""
-    with _engine(tokens, gap_s) as engine_port:
+    with relay_engine.running(tokens, gap_s) as engine_port:
         relay = OpenRelay(name, engine_port)
         relay.start()
         try:
--- a/redwingvalve/entry/tests/test_caller_server.py
+++ b/redwingvalve/entry/tests/test_caller_server.py
@@ -1,7 +1,6 @@
-"""The server of callers' traffic over real loopback sockets."""
+"""The server of callers' traffic: stops, streams and callers that leave."""
 
 import contextlib
-import json
 
 import anyio
 import pytest
@@ -10,93 +9,11 @@
 from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
 from redwingvalve.entry import (
-    app,
     serving,
     upstream,
-    uvicorn_protocol,
-    uvicorn_server,
 )
-from redwingvalve.entry.tests import fakes
+from redwingvalve.entry.tests import callers, fakes
 from redwingvalve.observability import tracing
-from redwingvalve.settings import schema
-
-GUARD_S = 30
-PATIENCE_S = 20
-START = {'type': 'http.response.start', 'status': 200, 'headers': []}
-GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
-POST = b'POST / HTTP/1.1\r\nhost: x\r\n'
-CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
-LAST_CHUNK = b'0\r\n\r\n'
-ASK = json.dumps(
-    {'model': 'quotes', 'messages': [{'role': 'user'}], 'stream': True}
-).encode()
-
-
-def part(body, more=True):
-    return {'type': 'http.response.body', 'body': body, 'more_body': more}
-
-
-async def hello(scope, receive, send):
-    await receive()
-    await send(START)
-    await send(part(b'hello', more=False))
-
-
-@contextlib.asynccontextmanager
-async def served(application, timeout_s=PATIENCE_S, head_timeout_s=PATIENCE_S):
-    """Serve; give the port, the stop event and the event of the end."""
-
-    class Protocol(uvicorn_protocol.CallerProtocol):
-        pass
-
-    Protocol.head_timeout_s = head_timeout_s
-    listener = serving.bind_socket('127.0.0.1')
-    port = listener.getsockname()[1]
-    stop, ended = anyio.Event(), anyio.Event()
-
-    async def run():
-        server = uvicorn_server.make_uvicorn_server(Protocol)
-        bind = f'fd://{listener.detach()}'
-        await serving.serve(application, bind, timeout_s, stop.wait, server)
-        ended.set()
-
-    with anyio.fail_after(GUARD_S):
-        async with anyio.create_task_group() as group:
-            group.start_soon(run)
-            yield port, stop, ended
-            stop.set()
-
-
-@contextlib.asynccontextmanager
-async def connected(application, **options):
-    """Serve one connection; give it, the stop event and that of the end."""
-    async with (
-        served(application, **options) as (port, stop, ended),
-        await anyio.connect_tcp('127.0.0.1', port) as stream,
-    ):
-        yield stream, stop, ended
-
-
-async def read_all(stream):
-    """Read to the end; a reset counts as one."""
-    parts = []
-    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
-        while True:
-            parts.append(await stream.receive())
-    return b''.join(parts)
-
-
-async def read_until(stream, mark):
-    received = b''
-    while mark not in received:
-        received += await stream.receive()
-    return received
-
-
-async def exchange(port, request):
-    async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-        await stream.send(request)
-        return await read_all(stream)
 
 
 def test_a_stop_lets_a_stream_end_whole():
@@ -108,16 +25,16 @@
     go_on = anyio.Event()
 
     async def halfway(scope, receive, send):
-        await send(START)
-        await send(part(b'first'))
+        await send(callers.START)
+        await send(callers.part(b'first'))
         await go_on.wait()
-        await send(part(b'last', more=False))
+        await send(callers.part(b'last', more=False))
 
     async def scenario():
-        async with served(halfway) as (port, stop, ended):
+        async with callers.served(halfway) as (port, stop, ended):
             async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                begun = await read_until(stream, b'first')
+                await stream.send(callers.GET)
+                begun = await callers.read_until(stream, b'first')
                 stop.set()
                 with contextlib.suppress(OSError):
                     while True:
@@ -125,12 +42,12 @@
                             await anyio.sleep(0.01)
                 early = ended.is_set()
                 go_on.set()
-                rest = await read_all(stream)
+                rest = await callers.read_all(stream)
             await ended.wait()
             return begun + rest, early
 
     answer, early = anyio.run(scenario)
-    assert b'last' in answer and answer.endswith(LAST_CHUNK)
+    assert b'last' in answer and answer.endswith(callers.LAST_CHUNK)
     assert not early
 
 
@@ -145,8 +62,8 @@
 
     async def hang(scope, receive, send):
         if begun:
-            await send(START)
-            await send(part(begun))
+            await send(callers.START)
+            await send(callers.part(begun))
         started.set()
         try:
             await anyio.sleep_forever()
@@ -154,17 +71,21 @@
             seen.append('cancelled')
 
     async def scenario():
-        async with connected(hang, timeout_s=0.2) as (stream, stop, ended):
-            await stream.send(GET)
+        async with callers.connected(hang, timeout_s=0.2) as (
+            stream,
+            stop,
+            ended,
+        ):
+            await stream.send(callers.GET)
             await started.wait()
             stop.set()
-            answer = await read_all(stream)
+            answer = await callers.read_all(stream)
             await ended.wait()
             return answer
 
     answer = anyio.run(scenario)
     assert seen == ['cancelled']
-    assert not answer.endswith(LAST_CHUNK)
+    assert not answer.endswith(callers.LAST_CHUNK)
     assert answer.count(b'HTTP/1.1') == len(begun[:1])
 
 
@@ -173,8 +94,8 @@
     answers = []
 
     async def hang(scope, receive, send):
-        await send(START)
-        await send(part(b'first'))
+        await send(callers.START)
+        await send(callers.part(b'first'))
         await anyio.sleep_forever()
 
     async def scenario():
@@ -185,18 +106,21 @@
                 serving.serve,
                 hang,
                 f'fd://{listener.detach()}',
-                PATIENCE_S,
+                callers.PATIENCE_S,
                 anyio.sleep_forever,
             )
             async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(GET)
-                await read_until(stream, b'first')
+                await stream.send(callers.GET)
+                await callers.read_until(stream, b'first')
                 group.cancel_scope.cancel()
-                with anyio.CancelScope(shield=True), anyio.fail_after(GUARD_S):
-                    answers.append(await read_all(stream))
+                with (
+                    anyio.CancelScope(shield=True),
+                    anyio.fail_after(callers.GUARD_S),
+                ):
+                    answers.append(await callers.read_all(stream))
 
     anyio.run(scenario)
-    assert len(answers) == 1 and not answers[0].endswith(LAST_CHUNK)
+    assert len(answers) == 1 and not answers[0].endswith(callers.LAST_CHUNK)
 
 
 def test_a_caller_that_hangs_up_frees_its_tokens():
@@ -212,13 +136,13 @@
             200, (('x-request-id', request.request_id),), chunks()
         )
 
-    entry = make_entry(engines, one_token)
+    entry = callers.make_entry(engines, one_token)
 
     async def scenario():
-        async with served(entry) as (port, _, _):
+        async with callers.served(entry) as (port, _, _):
             async with await anyio.connect_tcp('127.0.0.1', port) as stream:
-                await stream.send(ask())
-                await read_until(stream, b't1')
+                await stream.send(callers.ask())
+                await callers.read_until(stream, b't1')
             while not engines.cancelled:
                 await anyio.sleep(0.01)
 
@@ -231,15 +155,15 @@
     exporter = in_memory_span_exporter.InMemorySpanExporter()
     provider = sdk_trace.TracerProvider()
     provider.add_span_processor(export.SimpleSpanProcessor(exporter))
-    entry = make_entry(
+    entry = callers.make_entry(
         fakes.Engines(), fakes.streaming(), traced=tracing.Tracing(provider)
     )
 
     async def scenario():
-        async with connected(entry) as (stream, _, _):
+        async with callers.connected(entry) as (stream, _, _):
             for _ in range(5):
-                await stream.send(ask())
-                await read_until(stream, LAST_CHUNK)
+                await stream.send(callers.ask())
+                await callers.read_until(stream, callers.LAST_CHUNK)
 
     anyio.run(scenario)
     ended = [
@@ -252,29 +176,6 @@
     assert 'caller gone' not in said
 
 
-def make_entry(engines, script, traced=None, **settings):
-    replica = fakes.replica('r1')
-    changes = {} if traced is None else {'tracing': traced}
-    engines.scripts[replica.members[0].address] = script
-    return app.make_entry_app(
-        fakes.make_parts(
-            engines,
-            source=fakes.Source(fakes.make_snapshot(replicas=(replica,))),
-            settings=schema.RequestSettings(**settings),
-            **changes,
-        )
-    )
-
-
-def ask(body=ASK, extra=''):
-    length = f'content-length: {len(body)}\r\n'
-    head = (
-        'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
-        f'authorization: Bearer {fakes.CREDENTIAL}\r\n{extra or length}\r\n'
-    )
-    return head.encode() + body
-
-
 def test_a_slow_reader_holds_its_own_stream_back():
     """The caller reads nothing while the engine could send 256 MB.
 
@@ -284,15 +185,15 @@
     written = []
 
     async def flood(scope, receive, send):
-        await send(START)
+        await send(callers.START)
         for _ in range(4096):
-            await send(part(bytes(65536)))
+            await send(callers.part(bytes(65536)))
             written.append(65536)
-        await send(part(b'', more=False))
+        await send(callers.part(b'', more=False))
 
     async def scenario():
-        async with connected(flood) as (stream, _, _):
-            await stream.send(GET)
+        async with callers.connected(flood) as (stream, _, _):
+            await stream.send(callers.GET)
             before = -1
             while before != len(written):
                 before = len(written)
@@ -301,166 +202,9 @@
             size = 0
             while len(written) < 4096:
                 size += len(await stream.receive())
-            size += len(await read_until(stream, LAST_CHUNK))
+            size += len(await callers.read_until(stream, callers.LAST_CHUNK))
             return held, size
 
     held, size = anyio.run(scenario)
     assert 0 < held < 1024
     assert size > 4096 * 65536
-
-
-@pytest.mark.parametrize(
-    'request_bytes',
-    [
-        ask(ASK + bytes(2000)),
-        ask(
-            b'%x\r\n%b\r\n0\r\n\r\n' % (2000, bytes(2000)),
-            'transfer-encoding: chunked\r\n',
-        ),
-    ],
-    ids=['announced', 'chunked'],
-)
-def test_a_body_above_its_bound_is_refused(request_bytes):
-    entry = make_entry(fakes.Engines(), None, max_body_bytes=1000)
-
-    async def scenario():
-        async with connected(entry) as (stream, _, _):
-            await stream.send(request_bytes)
-            return await read_until(stream, b'}}')
-
-    answer = anyio.run(scenario)
-    assert answer.startswith(b'HTTP/1.1 413 ')
-    assert b'x-redwingvalve-outcome: not-run' in answer
-
-
-@pytest.mark.parametrize(
-    'request_bytes',
-    [
-        b'hello there\r\n\r\n',
-        b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
-        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n',
-        b'CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n',
-        b'GET /\xff HTTP/1.1\r\nhost: x\r\n\r\n',
-        b'GET / HTTP/1.1\r\nhost x\r\n\r\n',
-        b'GET / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n',
-        POST + b'content-length: 2\r\n' + CHUNKED + b'0\r\n\r\n',
-        POST + CHUNKED + b'zz\r\n',
-    ],
-)
-def test_bytes_that_are_no_request_get_an_error(request_bytes):
-    """Each gets 400 in the JSON shape of all errors, and the next is served."""
-
-    async def scenario():
-        async with served(hello) as (port, _, _):
-            refused = await exchange(port, request_bytes)
-            after = await exchange(
-                port, b'GET / HTTP/1.1\r\nconnection: close\r\n\r\n'
-            )
-            return refused, after
-
-    refused, after = anyio.run(scenario)
-    head, _, body = refused.partition(b'\r\n\r\n')
-    assert head.startswith(b'HTTP/1.1 400 ')
-    assert b'x-redwingvalve-outcome: not-run' in head
-    error = json.loads(body)['error']
-    assert (error['code'], error['outcome']) == ('malformed-request', 'not-run')
-    assert b'hello' in after
-
-
-def test_garbage_behind_a_request_does_not_enter_its_answer():
-    """Half a stream is out when its caller sends nonsense.
-
-    An error written then would look like a part of the body. The connection
-    is cut instead, without the body's end.
-    """
-
-    async def halfway(scope, receive, send):
-        await send(START)
-        await send(part(b'first'))
-        await anyio.sleep_forever()
-
-    async def scenario():
-        async with connected(halfway, timeout_s=0.2) as (stream, _, _):
-            await stream.send(GET)
-            begun = await read_until(stream, b'first')
-            await stream.send(b'\x00 nonsense\r\n\r\n')
-            return begun + await read_all(stream)
-
-    answer = anyio.run(scenario)
-    assert answer.count(b'HTTP/1.1') == 1
-    assert answer.endswith(b'first\r\n')
-
-
-@pytest.mark.parametrize('dribble', [b'', b'GET / HTTP/1.1\r\nx-slow: '])
-def test_a_head_that_does_not_come_is_not_waited_for(dribble):
-    """Callers connect and say nothing, or half a head; both are closed."""
-
-    async def scenario():
-        async with connected(hello, head_timeout_s=0.1) as (stream, _, _):
-            if dribble:
-                await stream.send(dribble)
-            return await read_all(stream)
-
-    assert anyio.run(scenario) == b''
-
-
-def test_a_slow_answer_is_not_taken_for_a_slow_head():
-    """The head's time ends with the head, however long the answer takes."""
-
-    async def slow_hello(scope, receive, send):
-        await receive()
-        await anyio.sleep(0.5)
-        await send(START)
-        await send(part(b'hello', more=False))
-
-    async def scenario():
-        async with connected(slow_hello, head_timeout_s=0.1) as (stream, _, _):
-            await stream.send(GET)
-            return await read_until(stream, LAST_CHUNK)
-
-    assert b'hello' in anyio.run(scenario)
-
-
-def test_a_head_above_its_bound_is_refused():
-    async def scenario():
-        async with connected(hello) as (stream, _, _):
-            await stream.send(b'GET / HTTP/1.1\r\nx-long: ')
-            for _ in range(3):
-                await stream.send(b'x' * 8192)
-                await anyio.sleep(0.01)
-            return await read_until(stream, b'}}')
-
-    assert anyio.run(scenario).startswith(b'HTTP/1.1 431 ')
-
-
-def test_a_connection_serves_one_request_after_the_other():
-    """Also when the second one comes in pieces, after empty lines."""
-
-    async def scenario():
-        async with connected(hello) as (stream, _, _):
-            answers = []
-            for pieces in ([GET], [b'\r\n', GET[:9], GET[9:]]):
-                for piece in pieces:
-                    await stream.send(piece)
-                    await anyio.sleep(0.01)
-                answers.append(await read_until(stream, LAST_CHUNK))
-            return answers
-
-    answers = anyio.run(scenario)
-    assert [answer.count(b'hello') for answer in answers] == [1, 1]
-
-
-def test_an_upgrade_is_answered_plainly_and_closes():
-    """The parser stops after it; a kept connection would never answer."""
-    request = (
-        b'GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\n'
-        b'upgrade: websocket\r\n\r\n'
-    )
-
-    async def scenario():
-        async with served(hello) as (port, _, _):
-            return await exchange(port, request)
-
-    answer = anyio.run(scenario)
-    assert answer.startswith(b'HTTP/1.1 200 ')
-    assert answer.endswith(LAST_CHUNK)
--- a/redwingvalve/http1/messages.py
+++ b/redwingvalve/http1/messages.py
@@ -36,10 +36,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
-        for found, content in self.headers:
-            if found == name:
-                return content
-        return None
+        return _first(self.headers, name)
 
 
 @attrs.frozen
@@ -52,10 +49,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
-        for found, content in self.headers:
-            if found == name:
-                return content
-        return None
+        return _first(self.headers, name)
 
 
 def render_head(start_line: bytes, headers: Headers) -> bytes:
@@ -73,3 +67,10 @@
         if name == b'connection':
             named.update(part.strip().lower() for part in content.split(b','))
     return [header for header in headers if header[0] not in named]
+
+
+def _first(headers: Headers, name: bytes) -> bytes | None:
+    for found, content in headers:
+        if found == name:
+            return content
+    return None
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -5,8 +5,8 @@
 
 from redwingvalve.node import mirror as mirror_module
 from redwingvalve.node import sources
-from redwingvalve.node.tests import fleet as fleets
 from redwingvalve.platform import store
+from redwingvalve.platform.tests import fleet as fleets
 
 
 def change(name, revision, is_removed=False):
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from redwingvalve.node.tests import fleet as fleets
+from redwingvalve.platform.tests import fleet as fleets
 
 
 def test_a_stream_arrives_whole_and_in_order():
--- a/redwingvalve/observability/bounded_logs.py
+++ b/redwingvalve/observability/bounded_logs.py
@@ -12,8 +12,6 @@
 import os
 import time
 
-from pythonjsonlogger import json as json_logger
-
 from redwingvalve.observability import logs
 
 # A line takes some 30 microseconds and 300 bytes: at this rate the routine
@@ -95,16 +93,5 @@
 def configure(level: str, descriptor: int, node: str) -> BoundedHandler:
     """Send all logs of this process to a descriptor."""
     handler = BoundedHandler(descriptor)
-    handler.setFormatter(
-        json_logger.JsonFormatter(
-            logs.FORMAT,
-            style='{',
-            rename_fields={'asctime': 'time', 'levelname': 'level'},
-            static_fields={'node': node},
-        )
-    )
-    root = logging.getLogger('redwingvalve')
-    root.handlers = [handler]
-    root.setLevel(level)
-    root.propagate = False
+    logs.attach(handler, level, node)
     return handler
--- a/redwingvalve/observability/logs.py
+++ b/redwingvalve/observability/logs.py
@@ -27,7 +27,11 @@
 
 def configure(level: str, stream: typing.TextIO, node: str) -> None:
     """Send all logs of this process to stream, one JSON object a line."""
-    handler = logging.StreamHandler(stream)
+    attach(logging.StreamHandler(stream), level, node)
+
+
+def attach(handler: logging.Handler, level: str, node: str) -> None:
+    """Send all logs of this process to a handler, one JSON object a line."""
     handler.setFormatter(
         json_logger.JsonFormatter(
             FORMAT,
--- a/redwingvalve/standins/platform_endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -13,7 +13,7 @@
 import attrs
 
 from redwingvalve.http1 import messages, reading, server
-from redwingvalve.standins import platform_store
+from redwingvalve.platform.standins import store as platform_store
 
 _LIMITS = reading.ServerLimits(65_536, 4_194_304, 10, 60)
 Document = dict[str, typing.Any]
--- a/redwingvalve/node/tests/fleet.py
+++ b/redwingvalve/platform/tests/fleet.py
@@ -11,7 +11,9 @@
 from redwingvalve.http1 import client, messages, server
 from redwingvalve.node import daemon, lease
 from redwingvalve.platform import settings
-from redwingvalve.standins import platform_endpoint, platform_store, ports
+from redwingvalve.platform.standins import endpoint as platform_endpoint
+from redwingvalve.platform.standins import store as platform_store
+from redwingvalve.standins import ports
 
 LARGE = 'large'
 SMALL = 'small'
@@ -307,3 +309,15 @@
             await test(fleet)
 
     anyio.run(main)
+
+
+def holders(fleet):
+    return [node for node in fleet.nodes if node.lease.is_held()]
+
+
+def member_ids(fleet):
+    return {
+        name: tuple(endpoint.members)
+        for name, endpoint in fleet.endpoints.items()
+        if endpoint.group and endpoint.group['state'] == 'open'
+    }
--- /dev/null
+++ b/redwingvalve/platform/tests/test_leaving.py
@@ -0,0 +1,136 @@
+"""How endpoints and nodes leave without a cut."""
+
+import anyio
+
+from redwingvalve.platform.tests import fleet as fleets
+
+
+def test_a_leaving_member_lets_the_replica_finish_and_no_new_work_in():
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        member.drain()
+        await fleet.until(
+            lambda: (
+                head.endpoint_id
+                not in {target.endpoint_id for target in fleet.targets()}
+            ),
+            1,
+        )
+        closes = [o for o in head.orders if o['operation'] == 'close']
+        await fleet.until(
+            lambda: any(o['operation'] == 'close' for o in head.orders)
+        )
+        closes = [o for o in head.orders if o['operation'] == 'close']
+        assert closes[0]['close_mode'] == 'queue'
+        await fleet.until(
+            lambda: all(
+                member.endpoint_id not in members
+                for members in fleets.member_ids(fleet).values()
+            )
+        )
+
+    fleets.run(test)
+
+
+def test_callers_are_told_living_nodes_only():
+    async def test(fleet):
+        fronts = {str(node.settings.front) for node in fleet.nodes}
+        path = '/redwingvalve/resolve?name=x&region=r&zone=z'
+
+        async def told():
+            got = await fleet.directory().ask(path)
+            return set(fleets.json.loads(got.body)['addresses'])
+
+        await anyio.sleep(0.5)
+        assert await told() == fronts
+        gone = fleet.nodes[2]
+        gone.peers.say = lambda word: None
+        gone.state.is_leaving = True
+        await anyio.sleep(1.5)
+        assert await told() == fronts - {str(gone.settings.front)}
+
+    fleets.run(test, nodes=3, engines=0)
+
+
+def test_a_node_that_stops_finishes_its_requests():
+    """A planned stop cuts nothing.
+
+    The node is told to stop in the middle of a stream: it isn't ready any
+    more, but the stream ends whole, and the node after it.
+    """
+
+    async def test(fleet):
+        node = fleet.nodes[0]
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[(b'X-Model', fleets.SMALL.encode())],
+        )
+        await fleet.until(lambda: b'id: ' in taker.body)
+        address = node.settings.ready
+        async with anyio.create_task_group() as group:
+            group.start_soon(node._stop)
+            await anyio.sleep(0.05)
+            ready = fleets.Caller((address.host, address.port))
+            got = await ready.ask('/redwingvalve/ready')
+            assert got.status == 503
+            await fleet.until(taker.done.done, 2)
+            assert taker.done.result() == 'whole'
+            assert taker.body.count(b'id: ') == 6
+
+    fleets.run(test)
+
+
+def test_members_stay_while_a_head_that_left_finishes_its_requests():
+    """No VM is in two replicas while a leaving head still works.
+
+    The head leaves without a word: its entry goes, it answers on for a while,
+    then it listens no more but its last stream goes on.
+    """
+
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await anyio.sleep(0.5)
+        before = len(member.orders)
+        head.faults.never_finishes = True
+        fleet.store.remove('servers', head.endpoint_id)
+        # It serves on for two seconds at least.
+        await anyio.sleep(2.1)
+        # It listens no more, as it does before its last stream ends.
+        head.stop_listening()
+        await anyio.sleep(4)
+        assert len(member.orders) == before
+
+    fleets.run(test)
+
+
+def test_a_head_that_left_while_the_store_was_away_is_not_taken_for_dead():
+    """No VM is in two replicas after an outage of the store.
+
+    The head began to leave unseen; when the store is back it listens no more,
+    its last stream goes on, and its entry goes.
+    """
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint('spare', fleets.ENGINE, 'domain-1')
+        await anyio.sleep(0.5)
+        fleet.store.faults.refuses_status = 503
+        await anyio.sleep(3)
+        fleet.store.faults.refuses_status = 0
+        head.stop_listening()
+        fleet.nodes[0].table.suspect(head.endpoint_id, 'refused')
+        before = len(member.orders)
+        await anyio.sleep(0.7)
+        fleet.store.remove('servers', head.endpoint_id)
+        await anyio.sleep(3)
+        assert len(member.orders) == before
+
+    fleets.run(test)
