--- a/redwingvalve/entry/tests/test_once.py
+++ b/redwingvalve/entry/tests/test_once.py
@@ -3,7 +3,7 @@
 import anyio
 import attrs
 
-from redwingvalve.at_most_once.tests import test_fleet
+from redwingvalve.at_most_once.tests import fleet as fleets
 from redwingvalve.entry import app
 from redwingvalve.entry.tests import fakes
 
@@ -50,7 +50,7 @@
     key, as a caller does that saw its connection break.
     """
     engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
-    entries = make_entries(test_fleet.Fleet(), engines)
+    entries = make_entries(fleets.Fleet(), engines)
     by_id = {'x-request-id': 'q8', 'x-redwingvalve-idempotent': 'false'}
     got = send(
         entries,
@@ -71,7 +71,7 @@
     second, since nothing ran.
     """
     engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
-    fleet = test_fleet.Fleet()
+    fleet = fleets.Fleet()
     entries = make_entries(fleet, engines)
     nowhere = app.make_entry_app(
         fakes.make_parts(
@@ -101,7 +101,7 @@
             'r2:1': fakes.failing(fakes.broken()),
         }
     )
-    entries = make_entries(test_fleet.Fleet(), engines)
+    entries = make_entries(fleets.Fleet(), engines)
     got = send(
         entries,
         ('e1', {'headers': KEY, 'body': BODY}),
@@ -118,9 +118,9 @@
     comes at once.
     """
     engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
-    fleet = test_fleet.Fleet()
+    fleet = fleets.Fleet()
     fleet.crash_together(('e2', 'e3', 'e4'))
-    fleet.settle(test_fleet.READY_S)
+    fleet.settle(fleets.READY_S)
     (got,) = send(
         make_entries(fleet, engines), ('e1', {'headers': KEY, 'body': BODY})
     )
@@ -131,7 +131,7 @@
 
 def test_an_issued_key_is_given_out_and_works_once():
     engines = fakes.Engines({'r1:1': whole, 'r2:1': whole})
-    entries = make_entries(test_fleet.Fleet(), engines)
+    entries = make_entries(fleets.Fleet(), engines)
     (issued,) = send(entries, ('e1', {'path': '/v1/request-keys'}))
     key = {'idempotency-key': fakes.json.loads(issued.body)['key']}
     got = send(
--- a/redwingvalve/node/configuration_watch.py
+++ b/redwingvalve/node/configuration_watch.py
@@ -1,20 +1,23 @@
 """Takes each new configuration from the store."""
 
+import typing
+from collections import abc as collections_abc
+
+from redwingvalve.ingress import routes
 from redwingvalve.ingress import state as state_module
-from redwingvalve.node import following, front
+from redwingvalve.node import following
 from redwingvalve.observability import logs
 from redwingvalve.platform import configuration as configuration_module
 from redwingvalve.platform import names, store
 
 LOG = logs.make_logger('configuration')
+Taker: typing.TypeAlias = collections_abc.Callable[[routes.Configuration], None]
 
 
 class ConfigurationFollower(following.Follower):
     """Takes configurations, never an older one than is in force."""
 
-    def __init__(
-        self, state: state_module.IngressState, taker: front.ConfigurationTaker
-    ) -> None:
+    def __init__(self, state: state_module.IngressState, taker: Taker) -> None:
         """Tell the taker of each new version."""
         self._state = state
         self._taker = taker
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -3,7 +3,6 @@
 import functools
 import signal
 import time
-import typing
 
 import anyio
 import attrs
@@ -22,13 +21,13 @@
 from redwingvalve.node import (
     configuration_watch,
     front,
+    listening,
     log_telling,
     registration,
     sources,
     supervision,
+    telling,
     watching,
-    word_parts,
-    words,
 )
 from redwingvalve.node import controller as controller_module
 from redwingvalve.node import lease as lease_module
@@ -47,8 +46,6 @@
 # of a second later makes no difference.
 ENDPOINT_PAUSE_S = 0.12
 HOLDER_PAUSE_S = 0.02
-# Loads and suspicions are told again after this without a change.
-REST_WORDS = 3
 STOP_IDLE_CLOSE_S = 2.5
 STOP_EXIT_S = 4.0
 # Before the platform's kill.
@@ -60,7 +57,6 @@
     """All parts of one node."""
 
     settings: settings.NodeSettings
-    born_ms: int
     state: state_module.IngressState
     registry: registry_module.Registry
     table: serving.ServingTable
@@ -68,31 +64,35 @@
     endpoint_client: endpoint_orders.EndpointClient
     lease: lease_module.Lease
     front: front.FrontApplication
-    listener: front.Listener
+    listeners: listening.Listeners
     json_client: store.JsonClient
-    peers: peers_module.Peers = attrs.field(init=False)
+    teller: telling.Teller
     watches: list[watching.KindWatch] = attrs.field(init=False)
-    word_number: int = 0
     controllers: dict[str, controller_module.Controller] = attrs.field(
         factory=dict
     )
-    cleared: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-    others_served: bool = False
-    has_news: bool = False
+    front_listener: listening.Listener | None = None
     is_listening: bool = False
     log_handler: bounded_logs.BoundedHandler | None = None
 
+    @property
+    def peers(self) -> peers_module.Peers:
+        """Return the other nodes."""
+        return self.teller.peers
+
     async def run(self, stop: anyio.Event) -> None:
         """Run until stop is set, and then until all requests have ended."""
-        own = peers_module.own_address(self.settings, self.born_ms)
-        self.peers = peers_module.Peers(own, self)
-        self.table.on_suspect = self._suspected
-        self.table.on_clear = self._cleared
-        self.lease.on_renewed = self._say_now
         self.table.on_sound = self.state.silence.found_sound
         self.table.on_rebuilt = self.state.poke
         self.watches = self._make_watches()
-        await self._listen()
+        try:
+            await self._listen()
+            await self._serve(stop)
+        finally:
+            self._close()
+        LOG.info('stopped')
+
+    async def _serve(self, stop: anyio.Event) -> None:
         async with anyio.create_task_group() as group:
             for loop in self._loops():
                 group.start_soon(supervision.keep_running, loop)
@@ -103,34 +103,6 @@
             await stop.wait()
             await self._stop()
             group.cancel_scope.cancel()
-        LOG.info('stopped')
-
-    def word(self, word: typing.Any) -> None:
-        """Take another node's word."""
-        self.state.loads.heard(word.vm, word.loads or {})
-        if word.lease_revision:
-            self.lease.heard(word.lease_revision, word.lease_left_ms)
-        self.others_served = self.others_served or bool(word.has_served)
-        self.state.poison.heard(word.crashes or {})
-        now_s = time.monotonic()
-        for suspect in word.suspects or ():
-            self.table.take_suspicion(
-                serving.Suspicion(
-                    suspect.endpoint_id,
-                    suspect.epoch,
-                    now_s + suspect.left_ms / 1000,
-                    now_s,
-                )
-            )
-        for clear in word.cleared or ():
-            self.table.clear_older(
-                clear.endpoint_id, clear.epoch, now_s - clear.age_ms / 1000
-            )
-        self.state.poke()
-
-    def node_lost(self, vm: str) -> None:
-        """Forget what a silent node had under way."""
-        self.state.loads.forget(vm)
 
     async def _listen(self) -> None:
         node_application = front.NodeApplication(
@@ -138,31 +110,33 @@
         )
         await peers_module.open_datagrams(self.peers)
         mirrors = {watch.kind: watch.mirror for watch in self.watches}
-        await front.Listener(sources.RelayApplication(mirrors)).listen(
-            self.settings.ip, self.settings.peer_port
+        ip = self.settings.ip
+        await self.listeners.serve(
+            sources.RelayApplication(mirrors),
+            settings.SocketAddress(ip, self.settings.peer_port),
         )
         addresses = {
             self.settings.ready,
             self.settings.directory,
-            settings.SocketAddress(
-                self.settings.ip, self.settings.metrics_port
-            ),
+            settings.SocketAddress(ip, self.settings.metrics_port),
         }
         for address in addresses:
-            await front.Listener(node_application).listen(
-                address.host, address.port
-            )
-        await self.listener.listen(
-            self.settings.front.host, self.settings.front.port
+            await self.listeners.serve(node_application, address)
+        self.front_listener = await self.listeners.serve(
+            self.front, self.settings.front
         )
         self.is_listening = True
         LOG.info('started', extra={'front': str(self.settings.front)})
 
+    def _close(self) -> None:
+        self.peers.close()
+        self.listeners.close()
+
     def _loops(self) -> list[supervision.Loop]:
         return [
             *(watch.run for watch in self.watches),
             self._registration().keep,
-            self._speak,
+            self.teller.run,
             self._watch_silence,
             self._hold_lease,
             functools.partial(log_telling.run, self.log_handler),
@@ -214,55 +188,6 @@
         )
         self.table.configure(configuration)
 
-    async def _speak(self) -> None:
-        rests = 0
-        said: dict[str, int] = {}
-        while True:
-            loads = dict(self.state.loads.own)
-            rests += 1
-            if loads != said or self.has_news or rests >= REST_WORDS:
-                self.has_news = False
-                self.peers.say(self._make_word(loads))
-                said = loads
-                rests = 0
-            self.peers.drop_silent()
-            self.registry.drop_lapsed()
-            self.state.poison.look(self.registry.incarnations())
-            self.state.node_count = 1 + len(self.peers.alive())
-            self.state.loads.node_count = self.state.node_count
-            await anyio.sleep(self.peers.word_pause_s)
-
-    def _make_word(self, loads: dict[str, int]) -> typing.Any:
-        self.word_number += 1
-        word = words.NodeWord(
-            vm=self.settings.vm,
-            born_ms=self.born_ms,
-            number=self.word_number,
-            is_leaving=self.state.is_leaving,
-            is_ready=self.state.configuration is not None,
-            loads=loads,
-            suspects=word_parts.suspect_words(self.table),
-            crashes=self.state.poison.counts(),
-            has_served=self.front.has_served,
-            cleared=word_parts.clear_words(self.cleared),
-        )
-        if self.lease.is_held() or self.lease.is_releasing:
-            word.lease_revision = self.lease.revision
-            word.lease_left_ms = self.lease.left_ms()
-        return word
-
-    def _cleared(self, endpoint_id: str, epoch: int) -> None:
-        self.cleared[endpoint_id] = (epoch, time.monotonic())
-        self._say_now()
-
-    def _say_now(self) -> None:
-        self.peers.say(self._make_word(dict(self.state.loads.own)))
-
-    def _suspected(self, suspicion: serving.Suspicion) -> None:
-        # Told at once: requests go there from all nodes.
-        self.cleared.pop(suspicion.endpoint_id, None)
-        self._say_now()
-
     async def _watch_silence(self) -> None:
         while True:
             await anyio.sleep(silence.LOOK_EVERY_S)
@@ -299,7 +224,7 @@
         if service.engine is not None:
             control.configure(service.engine)
         control.term = self.lease.term
-        control.has_served = self.front.has_served or self.others_served
+        control.has_served = self.teller.fleet_has_served
         if self.lease.is_held() and service.engine is not None:
             control.look(service.engine)
 
@@ -307,14 +232,14 @@
         LOG.info('stopping', extra={'running': len(self.front.running)})
         began_s = time.monotonic()
         self.state.is_leaving = True
-        self._say_now()
+        self.teller.say_now()
         await self.lease.release()
-        self._say_now()
+        self.teller.say_now()
         until_s = began_s + self.settings.bounds.grace_s - STOP_MARGIN_S
         while time.monotonic() < until_s:
             stopped_s = time.monotonic() - began_s
-            if stopped_s > STOP_IDLE_CLOSE_S:
-                self.listener.close_idle()
+            if stopped_s > STOP_IDLE_CLOSE_S and self.front_listener:
+                self.front_listener.close_idle()
             if stopped_s > STOP_EXIT_S and not self.front.running:
                 break
             await anyio.sleep(0.1)
@@ -332,18 +257,20 @@
     state = state_module.IngressState(table, allowance)
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
+    lease = lease_module.Lease(node_settings.vm, client)
     application = front.FrontApplication(state)
+    own = peers_module.own_address(node_settings, int(time.time() * 1000))
     return Node(
         settings=node_settings,
-        born_ms=int(time.time() * 1000),
         state=state,
         registry=registry,
         table=table,
         client=client,
         endpoint_client=endpoint_orders.EndpointClient(json_client),
-        lease=lease_module.Lease(node_settings.vm, client),
+        lease=lease,
         front=application,
-        listener=front.Listener(application),
+        teller=telling.Teller(own, state, registry, table, lease, application),
+        listeners=listening.Listeners(),
         json_client=json_client,
     )
 
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import json
-import typing
-from collections import abc as collections_abc
 
 from redwingvalve.http1 import messages, reading, server
 from redwingvalve.ingress import relay, routes
@@ -131,39 +129,3 @@
             return
         body = {'addresses': addresses, 'ttl_s': self._ttl_s}
         responder.answer(_OK, [_JSON], json.dumps(body).encode())
-
-
-class Listener:
-    """Listens at one address and knows its connections."""
-
-    def __init__(self, application: server.Application) -> None:
-        """Serve an application."""
-        self._application = application
-        self._connections: list[server.CallerConnection] = []
-
-    async def listen(self, host: str, port: int) -> None:
-        """Start to listen; raises OSError."""
-        loop = asyncio.get_running_loop()
-        await loop.create_server(
-            self._make, host, port, backlog=BACKLOG, reuse_address=True
-        )
-
-    def close_idle(self) -> None:
-        """Close connections on which no request waits."""
-        for connection in self._connections:
-            connection.close_if_idle()
-
-    def _make(self) -> server.CallerConnection:
-        connection = server.CallerConnection(self._application)
-        self._connections = [
-            one for one in self._connections if not one.is_lost
-        ]
-        self._connections.append(connection)
-        return connection
-
-
-# A dropped opening packet is sent again only after a second.
-BACKLOG = 1024
-ConfigurationTaker: typing.TypeAlias = collections_abc.Callable[
-    [routes.Configuration], None
-]
--- /dev/null
+++ b/redwingvalve/node/listening.py
@@ -0,0 +1,73 @@
+"""Addresses that a node listens at, and how it gives them back."""
+
+import asyncio
+
+from redwingvalve.http1 import server
+from redwingvalve.platform import settings
+
+# Connections that wait to be accepted: a dropped opening packet is sent again
+# only after a second.
+BACKLOG = 1024
+
+
+class Listener:
+    """Listens at one address and knows its connections."""
+
+    def __init__(self, application: server.Application) -> None:
+        """Serve an application."""
+        self._application = application
+        self._connections: list[server.CallerConnection] = []
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: settings.SocketAddress) -> None:
+        """Start to listen; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make,
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def close(self) -> None:
+        """Give the address back and break off what is left."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections:
+            connection.break_off()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request waits."""
+        for connection in self._connections:
+            connection.close_if_idle()
+
+    def _make(self) -> server.CallerConnection:
+        connection = server.CallerConnection(self._application)
+        self._connections = [
+            one for one in self._connections if not one.is_lost
+        ]
+        self._connections.append(connection)
+        return connection
+
+
+class Listeners:
+    """All addresses of one node."""
+
+    def __init__(self) -> None:
+        """Listen nowhere yet."""
+        self._listeners: list[Listener] = []
+
+    async def serve(
+        self, application: server.Application, address: settings.SocketAddress
+    ) -> Listener:
+        """Serve an application at an address; raises OSError."""
+        listener = Listener(application)
+        self._listeners.append(listener)
+        await listener.listen(address)
+        return listener
+
+    def close(self) -> None:
+        """Give all addresses back."""
+        for listener in self._listeners:
+            listener.close()
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 import typing
-from collections import abc as collections_abc
 
 import attrs
 
@@ -134,6 +133,12 @@
     def troubled(self) -> None:
         """Go on with the nodes that are known."""
 
+    def close(self) -> None:
+        """Give the address of datagrams back."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
@@ -215,6 +220,3 @@
     except (KeyError, TypeError) as error:
         LOG.warning('unusable node object', extra={'error': str(error)})
         return None
-
-
-Sayer: typing.TypeAlias = collections_abc.Callable[[], None]
--- /dev/null
+++ b/redwingvalve/node/telling.py
@@ -0,0 +1,121 @@
+"""What this node tells the others, and what it takes from their words."""
+
+import time
+import typing
+
+import anyio
+import attrs
+
+from redwingvalve.fleet import registry as registry_module
+from redwingvalve.fleet import serving
+from redwingvalve.ingress import state as state_module
+from redwingvalve.node import front as front_module
+from redwingvalve.node import lease as lease_module
+from redwingvalve.node import peers as peers_module
+from redwingvalve.node import word_parts, words
+
+# Loads and suspicions are told again after this many pauses without a change.
+REST_WORDS = 3
+
+
+@attrs.define(eq=False)
+class Teller(peers_module.WordTaker):
+    """Speaks for a node, and hands on what the others say."""
+
+    own: peers_module.PeerAddress
+    state: state_module.IngressState
+    registry: registry_module.Registry
+    table: serving.ServingTable
+    lease: lease_module.Lease
+    front: front_module.FrontApplication
+    peers: peers_module.Peers = attrs.field(init=False)
+    # Another node has seen requests.
+    others_served: bool = False
+    _number: int = 0
+    # Endpoints found sound here: their epoch and when.
+    _cleared: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Tell at once what others can't wait for."""
+        self.peers = peers_module.Peers(self.own, self)
+        self.table.on_suspect = self._suspected
+        self.table.on_clear = self._found_sound
+        self.lease.on_renewed = self.say_now
+
+    @property
+    def fleet_has_served(self) -> bool:
+        """Return whether any node has seen a request."""
+        return self.front.has_served or self.others_served
+
+    async def run(self) -> typing.NoReturn:
+        """Speak whenever something has changed, and now and then at rest."""
+        rests = 0
+        said: dict[str, int] = {}
+        while True:
+            loads = dict(self.state.loads.own)
+            rests += 1
+            if loads != said or rests >= REST_WORDS:
+                self.say_now()
+                said = loads
+                rests = 0
+            self._look_around()
+            await anyio.sleep(self.peers.word_pause_s)
+
+    def say_now(self) -> None:
+        """Send a word to all other nodes."""
+        self.peers.say(self.make_word(dict(self.state.loads.own)))
+
+    def make_word(self, loads: dict[str, int]) -> typing.Any:
+        """Return the next word of this node."""
+        self._number += 1
+        word = words.NodeWord(
+            vm=self.own.vm,
+            born_ms=self.own.born_ms,
+            number=self._number,
+            is_leaving=self.state.is_leaving,
+            is_ready=self.state.configuration is not None,
+            loads=loads,
+            suspects=word_parts.suspect_words(self.table),
+            crashes=self.state.poison.counts(),
+            has_served=self.front.has_served,
+            cleared=word_parts.clear_words(self._cleared),
+        )
+        if self.lease.is_held() or self.lease.is_releasing:
+            word.lease_revision = self.lease.revision
+            word.lease_left_ms = self.lease.left_ms()
+        return word
+
+    def word(self, word: typing.Any) -> None:
+        """Take another node's word."""
+        self.state.loads.heard(word.vm, word.loads or {})
+        if word.lease_revision:
+            self.lease.heard(word.lease_revision, word.lease_left_ms)
+        self.others_served = self.others_served or bool(word.has_served)
+        self.state.poison.heard(word.crashes or {})
+        for suspicion in word_parts.read_suspicions(word):
+            self.table.take_suspicion(suspicion)
+        for clear in word_parts.read_clears(word):
+            self.table.clear_older(
+                clear.endpoint_id, clear.epoch, clear.since_s
+            )
+        self.state.poke()
+
+    def node_lost(self, vm: str) -> None:
+        """Forget what a silent node had under way."""
+        self.state.loads.forget(vm)
+
+    def _look_around(self) -> None:
+        self.peers.drop_silent()
+        self.registry.drop_lapsed()
+        self.state.poison.look(self.registry.incarnations())
+        self.state.node_count = 1 + len(self.peers.alive())
+        self.state.loads.node_count = self.state.node_count
+
+    def _found_sound(self, endpoint_id: str, epoch: int) -> None:
+        self._cleared[endpoint_id] = (epoch, time.monotonic())
+        self.say_now()
+
+    def _suspected(self, suspicion: serving.Suspicion) -> None:
+        # Told at once: requests go there from all nodes.
+        self._cleared.pop(suspicion.endpoint_id, None)
+        self.say_now()
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -71,7 +71,7 @@
 
 def test_without_a_configuration_requests_are_refused_as_not_run():
     async def test(fleet):
-        await fleet.until(lambda: fleet.nodes[0].listener is not None)
+        await fleet.until(lambda: fleet.nodes[0].is_listening)
         await anyio.sleep(0.1)
         got = await fleet.caller().ask('/card/1')
         assert got.status == 503 and float(got.headers[b'retry-after']) > 0
--- a/redwingvalve/node/word_parts.py
+++ b/redwingvalve/node/word_parts.py
@@ -3,6 +3,8 @@
 import time
 import typing
 
+import attrs
+
 from redwingvalve.fleet import serving
 from redwingvalve.node import words
 
@@ -11,6 +13,15 @@
 _MS_IN_S = 1000
 
 
+@attrs.frozen
+class Clearing:
+    """An endpoint that another node found sound, and when, on this clock."""
+
+    endpoint_id: str
+    epoch: int
+    since_s: float
+
+
 def suspect_words(table: serving.ServingTable) -> list[typing.Any]:
     """Return the endpoints that this node has taken out of use."""
     now_s = time.monotonic()
@@ -41,3 +52,28 @@
         for endpoint_id, (epoch, cleared_s) in cleared.items()
         if now_s - cleared_s < CLEAR_TOLD_S
     ]
+
+
+def read_suspicions(word: typing.Any) -> list[serving.Suspicion]:
+    """Return the endpoints that another node has taken out of use."""
+    now_s = time.monotonic()
+    return [
+        serving.Suspicion(
+            suspect.endpoint_id,
+            suspect.epoch,
+            now_s + suspect.left_ms / _MS_IN_S,
+            now_s,
+        )
+        for suspect in word.suspects or ()
+    ]
+
+
+def read_clears(word: typing.Any) -> list[Clearing]:
+    """Return the endpoints that another node has found sound."""
+    now_s = time.monotonic()
+    return [
+        Clearing(
+            clear.endpoint_id, clear.epoch, now_s - clear.age_ms / _MS_IN_S
+        )
+        for clear in word.cleared or ()
+    ]
--- a/redwingvalve/platform/tests/test_lease_and_store.py
+++ b/redwingvalve/platform/tests/test_lease_and_store.py
@@ -27,7 +27,7 @@
     async def test(fleet):
         (holder,) = fleets.holders(fleet)
         await holder.lease.release()
-        holder.peers.say(holder._make_word({}))
+        holder.peers.say(holder.teller.make_word({}))
         await fleet.until(lambda: bool(fleets.holders(fleet)), 1)
 
     fleets.run(test, nodes=3)
--- a/redwingvalve/platform/tests/test_leaving.py
+++ b/redwingvalve/platform/tests/test_leaving.py
@@ -1,5 +1,8 @@
 """How endpoints and nodes leave without a cut."""
 
+import contextlib
+import socket
+
 import anyio
 
 from redwingvalve.platform.tests import fleet as fleets
@@ -134,3 +137,21 @@
         assert len(member.orders) == before
 
     fleets.run(test)
+
+
+def test_a_node_that_ends_gives_its_addresses_back():
+    """The next process at these addresses listens at once.
+
+    A node runs and ends; its port for the words of other nodes, which carries
+    both streams and datagrams, is bound again in the same process.
+    """
+
+    async def run():
+        async with fleets.running(nodes=1, engines=0, plain=0) as fleet:
+            node = fleet.nodes[0]
+        return node.settings.ip, node.settings.peer_port
+
+    address = anyio.run(run)
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with contextlib.closing(socket.socket(type=kind)) as again:
+            again.bind(address)
