Tell a node that waits at a relay when the relay has listed anew

The store dropped its history; relay d-2 listed all objects anew at 2.585 s, which brought version 14 without an event. Nodes that waited at that relay were woken, found no batches after their revision, and were told 'no changes' with the new revision: version 14 was skipped for good. Entries of leaving endpoints could be skipped the same way.

The store's own watch: no node that watched it missed the version. A relay that was out of touch: d-2 was in touch and had the version itself.

A mirror says that the history is gone also after the wait.

Also nodes no longer watch each other's objects in the store: each writes its own, reads all once, and is made known by its words (node/meeting.py).

Before: test_a_node_that_waits_while_its_relay_lists_anew_lists_too fails ('did not raise'). After: it passes; 51 tests of node and platform pass.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -23,7 +23,7 @@
     front,
     listening,
     log_telling,
-    registration,
+    meeting,
     sources,
     supervision,
     telling,
@@ -67,6 +67,7 @@
     listeners: listening.Listeners
     json_client: store.JsonClient
     teller: telling.Teller
+    meeting: meeting.Meeting
     watches: list[watching.KindWatch] = attrs.field(init=False)
     controllers: dict[str, controller_module.Controller] = attrs.field(
         factory=dict
@@ -135,7 +136,7 @@
     def _loops(self) -> list[supervision.Loop]:
         return [
             *(watch.run for watch in self.watches),
-            self._registration().keep,
+            self.meeting.run,
             self.teller.run,
             self._watch_silence,
             self._hold_lease,
@@ -159,17 +160,11 @@
                 chooser.now,
                 self._endpoint_pause_s,
             ),
-            watching.KindWatch(
-                peers_module.NODE_KIND, self.peers, chooser.of_nodes
-            ),
         ]
 
     def _endpoint_pause_s(self) -> float:
         return HOLDER_PAUSE_S if self.lease.is_held() else ENDPOINT_PAUSE_S
 
-    def _registration(self) -> registration.Registration:
-        return registration.Registration(self.client, self.peers.own)
-
     async def _hold_lease(self) -> None:
         await self.lease.run(self._lease_rank)
 
@@ -243,23 +238,20 @@
             if stopped_s > STOP_EXIT_S and not self.front.running:
                 break
             await anyio.sleep(0.1)
-        await self._registration().remove()
+        await self.meeting.leave()
 
 
 def make_node(node_settings: settings.NodeSettings) -> Node:
     """Return a node that isn't running yet."""
-    bounds = node_settings.bounds
     registry = registry_module.Registry()
     table = serving.ServingTable(registry)
-    allowance = retry_window.RetryAllowance(
-        bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
-    )
-    state = state_module.IngressState(table, allowance)
+    state = state_module.IngressState(table, _allowance(node_settings.bounds))
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
     lease = lease_module.Lease(node_settings.vm, client)
     application = front.FrontApplication(state)
     own = peers_module.own_address(node_settings, int(time.time() * 1000))
+    teller = telling.Teller(own, state, registry, table, lease, application)
     return Node(
         settings=node_settings,
         state=state,
@@ -269,12 +261,19 @@
         endpoint_client=endpoint_orders.EndpointClient(json_client),
         lease=lease,
         front=application,
-        teller=telling.Teller(own, state, registry, table, lease, application),
+        teller=teller,
+        meeting=meeting.Meeting(client, teller.peers),
         listeners=listening.Listeners(),
         json_client=json_client,
     )
 
 
+def _allowance(bounds: settings.Bounds) -> retry_window.RetryAllowance:
+    return retry_window.RetryAllowance(
+        bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+    )
+
+
 async def serve(node: Node) -> None:
     """Run a node until a signal stops it."""
     stop = anyio.Event()
--- a/redwingvalve/node/mirror.py
+++ b/redwingvalve/node/mirror.py
@@ -99,11 +99,18 @@
 
         A batch that reaches past the revision is told whole: it may repeat
         changes from before, but ends with the newest state of each object.
+
+        Raises HistoryGoneError if changes after the revision aren't kept. The
+        mirror may have been listed anew during the wait: told 'no changes' and
+        the new revision then, a node would never hear of what the listing
+        brought, such as a key that was taken away.
         """
         found = self._after(after_revision)
         if not found:
             await self._wait(wait_s)
             found = self._after(after_revision)
+        if not self.has_history(after_revision):
+            raise store.HistoryGoneError('listed anew')
         return store.Changes(found, max(self.revision, after_revision))
 
     def _after(self, revision: int) -> list[store.Change]:
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -12,6 +12,14 @@
   3: i32 age_ms
 }
 
+// Where a node is, for those that have not read its object in the store.
+struct AddressWord {
+  1: string ip
+  2: i32 peer_port
+  3: string front
+  4: string data_centre
+}
+
 struct NodeWord {
   1: string vm
   2: i64 born_ms
@@ -30,4 +38,6 @@
   11: list<ClearWord> cleared
   // Bodies that crashed endpoints, by hash, and how often.
   12: map<i64, i32> crashes
+  // In the first words of a node and some of the later ones.
+  13: AddressWord address
 }
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -1,8 +1,8 @@
 """The other nodes: where they are, which live, and what they last said.
 
 Each node says by datagram what it has under way, whom it suspects and what it
-knows of the lease. A lost datagram is made up for by the next. Nodes meet in
-the store, where each keeps one object for as long as it runs.
+knows of the lease. A lost datagram is made up for by the next. A node that the
+others don't know yet introduces itself in its first words.
 """
 
 import asyncio
@@ -11,12 +11,17 @@
 
 import attrs
 
-from redwingvalve.node import following, words
+from redwingvalve.node import words
 from redwingvalve.observability import logs
-from redwingvalve.platform import settings, store
+from redwingvalve.platform import settings
 
 LOG = logs.make_logger('peers')
-NODE_KIND = 'redwingvalve-nodes'
+# A node that the store lists no more is forgotten after this silence; a stale
+# listing may lack one that has just come.
+FORGET_S = 15.0
+# After the store was read, each word says where the node is for so long: some
+# ten words, of which the network loses a few.
+INTRODUCE_S = 3.0
 # A node is given to callers while it was heard within this; four words of a
 # node at rest.
 ALIVE_S = 1.2
@@ -52,6 +57,11 @@
     is_leaving: bool = False
     is_ready: bool = True
 
+    @property
+    def last_sign_s(self) -> float:
+        """Return when the node was heard last, or came to be known."""
+        return self.first_seen_s if self.heard_s is None else self.heard_s
+
 
 class WordTaker(typing.Protocol):
     """What takes the words of other nodes."""
@@ -63,7 +73,7 @@
         """Forget what a node that is gone has said."""
 
 
-class Peers(following.Follower, asyncio.DatagramProtocol):
+class Peers(asyncio.DatagramProtocol):
     """All other nodes."""
 
     def __init__(self, own: PeerAddress, taker: WordTaker) -> None:
@@ -72,6 +82,12 @@
         self.own = own
         self._taker = taker
         self._transport: asyncio.DatagramTransport | None = None
+        self._introduce_until_s = 0.0
+
+    @property
+    def is_introducing(self) -> bool:
+        """Return whether others may not know this node yet."""
+        return time.monotonic() < self._introduce_until_s
 
     @property
     def word_pause_s(self) -> float:
@@ -113,25 +129,23 @@
             address = peer.address
             self._transport.sendto(packed, (address.ip, address.peer_port))
 
-    def replaced(self, listed: list[store.Document]) -> None:
-        """Take all nodes in the store."""
-        addresses = [_read_address(stored) for stored in listed]
-        found = {address.vm for address in addresses if address}
-        for name in set(self.known) - found:
+    def listed(self, found: list[PeerAddress]) -> None:
+        """Take the nodes that the store lists, perhaps seconds late.
+
+        A node that isn't listed is gone once it is also silent.
+        """
+        names = {address.vm for address in found}
+        since_s = time.monotonic() - FORGET_S
+        gone = [
+            name
+            for name, peer in self.known.items()
+            if name not in names and peer.last_sign_s < since_s
+        ]
+        for name in gone:
             self._drop(name)
-        for address in addresses:
+        for address in found:
             self._add(address)
-
-    def changed(self, changes: list[store.Change]) -> None:
-        """Take nodes that came or left."""
-        for change in changes:
-            if change.is_removed:
-                self._drop(change.name)
-            else:
-                self._add(_read_address(change.stored))
-
-    def troubled(self) -> None:
-        """Go on with the nodes that are known."""
+        self._introduce_until_s = time.monotonic() + INTRODUCE_S
 
     def close(self) -> None:
         """Give the address of datagrams back."""
@@ -152,6 +166,9 @@
         except words.WordError as error:
             LOG.warning('unusable datagram', extra={'error': str(error)})
             return
+        introduced = _introduced(word)
+        if introduced is not None:
+            self._add(introduced)
         peer = self.known.get(word.vm)
         if peer is None:
             return
@@ -183,7 +200,7 @@
         if address is None or address.vm == self.own.vm:
             return
         known = self.known.get(address.vm)
-        if known is not None and known.address == address:
+        if known is not None and known.address.born_ms >= address.born_ms:
             return
         LOG.info('node known', extra={'vm': address.vm, 'ip': address.ip})
         self.known[address.vm] = Peer(address, time.monotonic())
@@ -214,9 +231,15 @@
     )
 
 
-def _read_address(stored: store.Document) -> PeerAddress | None:
-    try:
-        return PeerAddress(**stored['spec'])
-    except (KeyError, TypeError) as error:
-        LOG.warning('unusable node object', extra={'error': str(error)})
+def _introduced(word: typing.Any) -> PeerAddress | None:
+    address = word.address
+    if address is None or not (address.ip and address.peer_port):
         return None
+    return PeerAddress(
+        vm=word.vm,
+        ip=address.ip,
+        peer_port=address.peer_port,
+        front=address.front or '',
+        data_centre=address.data_centre or '',
+        born_ms=word.born_ms or 0,
+    )
--- a/redwingvalve/node/sources.py
+++ b/redwingvalve/node/sources.py
@@ -25,7 +25,6 @@
 # relay and behind it, fit into the time to know of leaving endpoints.
 RELAY_WAIT_S = 1.0
 STORE_WAIT_S = 2.5
-NODE_WAIT_S = 8.0
 _JSON = (b'content-type', b'application/json')
 _OK = 200
 _NOT_FOUND = 404
@@ -68,13 +67,6 @@
             return [own]
         return [*map(self._relay_source, relays.values()), own]
 
-    def of_nodes(self) -> list[Source]:
-        """Return the store: relays are found among the nodes only.
-
-        Nodes come and go rarely, and their words tell who lives.
-        """
-        return [Source(self._store, is_store=True, wait_s=NODE_WAIT_S)]
-
     def _relays(self) -> dict[str, peers_module.PeerAddress]:
         own = self._peers.own
         living = {own.vm: own}
@@ -137,10 +129,11 @@
         page = store_pages.write_listing(mirror.objects(), mirror.revision)
         responder.answer(_OK, [_JSON], page)
         return
-    if not mirror.has_history(asked.after_revision):
+    try:
+        found = await mirror.changes_after(asked.after_revision, asked.wait_s)
+    except store.HistoryGoneError:
         responder.answer(_HISTORY_GONE, [_JSON], b'{}')
         return
-    found = await mirror.changes_after(asked.after_revision, asked.wait_s)
     if not (found.changes or mirror.is_in_touch):
         responder.answer(_UNAVAILABLE, [_JSON], b'{}')
         return
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -80,6 +80,8 @@
             has_served=self.front.has_served,
             cleared=word_parts.clear_words(self._cleared),
         )
+        if self.peers.is_introducing:
+            word.address = word_parts.address_word(self.own)
         if self.lease.is_held() or self.lease.is_releasing:
             word.lease_revision = self.lease.revision
             word.lease_left_ms = self.lease.left_ms()
--- /dev/null
+++ b/redwingvalve/node/tests/test_meeting.py
@@ -0,0 +1,68 @@
+"""Nodes find each other by few calls to the store."""
+
+import itertools
+
+from redwingvalve.node import peers, word_parts, words
+from redwingvalve.platform.tests import fleet as fleets
+
+NODES = 6
+# Writing the own object, perhaps in place of an older one, and reading all;
+# one more for a try that came too early.
+CALLS_TO_MEET = 3
+CALLS_OTHERWISE = 8
+
+
+class NoWords(peers.WordTaker):
+    def word(self, word):
+        """Nothing is taken."""
+
+    def node_lost(self, vm):
+        """Nothing is kept."""
+
+
+def address(vm, born_ms=1, ip='127.0.0.1'):
+    return peers.PeerAddress(vm, ip, 7000, f'{ip}:80', 'zone-1', born_ms)
+
+
+def know(fleet):
+    return all(len(node.peers.known) == NODES - 1 for node in fleet.nodes)
+
+
+def test_a_fleet_that_starts_meets_by_a_few_calls_of_each_node():
+    """Callers are given all nodes, and the store isn't asked for each pair.
+
+    Six nodes start together. Each writes its object and reads the others';
+    whoever wrote later is made known by its own words.
+    """
+
+    async def test(fleet):
+        await fleet.until(lambda: know(fleet), 2)
+        assert fleet.store.calls <= NODES * (CALLS_TO_MEET + CALLS_OTHERWISE)
+
+    fleets.run(test, nodes=NODES, engines=0, plain=0)
+
+
+def test_a_node_that_starts_again_elsewhere_is_known_there():
+    """Requests and words go to the new address at once.
+
+    A VM is replaced: its node has the old name, a new address and a later
+    start. An old listing that is read afterwards changes nothing.
+    """
+    known = peers.Peers(address('vm-1'), NoWords())
+    known.listed([address('vm-1'), address('vm-2')])
+    moved = address('vm-2', born_ms=2, ip='127.0.0.2')
+    word = words.NodeWord(vm='vm-2', born_ms=2, number=1, is_ready=True)
+    word.address = word_parts.address_word(moved)
+    known.datagram_received(words.pack(word), ('127.0.0.2', 7000))
+    known.listed([address('vm-1'), address('vm-2')])
+    assert known.known['vm-2'].address == moved
+    assert known.callable_fronts() == [moved.front]
+
+
+def test_a_node_is_forgotten_once_it_is_neither_listed_nor_heard(monkeypatch):
+    ticks = itertools.count(100.0, peers.FORGET_S / 4)
+    known = peers.Peers(address('vm-1'), NoWords())
+    known.listed([address('vm-2')])
+    monkeypatch.setattr(peers.time, 'monotonic', lambda: next(ticks) + 1e9)
+    known.listed([])
+    assert not known.known
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -105,3 +105,29 @@
         assert not mirror.has_history(100) and mirror.has_history(101)
 
     anyio.run(main)
+
+
+def test_a_node_that_waits_while_its_relay_lists_anew_lists_too():
+    """A key that was taken away is refused everywhere within the bound.
+
+    The store's history is dropped; a relay lists all objects anew, which
+    brings a configuration that no event told of. A node waits at that relay
+    for events meanwhile: told 'none' and the new revision, it would never
+    hear of this configuration.
+    """
+
+    async def main():
+        mirror = mirror_module.Mirror()
+        mirror.replaced(store.Listing([], 10))
+        async with anyio.create_task_group() as group:
+            group.start_soon(list_anew, mirror)
+            with pytest.raises(store.HistoryGoneError):
+                await mirror.changes_after(10, 1.0)
+
+    anyio.run(main)
+
+
+async def list_anew(mirror):
+    await anyio.sleep(0.02)
+    stored = {'metadata': {'name': 'main', 'revision': 15}, 'spec': {}}
+    mirror.replaced(store.Listing([stored], 20))
--- a/redwingvalve/node/word_parts.py
+++ b/redwingvalve/node/word_parts.py
@@ -6,7 +6,7 @@
 import attrs
 
 from redwingvalve.fleet import serving
-from redwingvalve.node import words
+from redwingvalve.node import peers, words
 
 # A lost datagram is made up for by some of those that follow.
 CLEAR_TOLD_S = 1.0
@@ -22,6 +22,16 @@
     since_s: float
 
 
+def address_word(own: peers.PeerAddress) -> typing.Any:
+    """Return where a node is."""
+    return words.AddressWord(
+        ip=own.ip,
+        peer_port=own.peer_port,
+        front=own.front,
+        data_centre=own.data_centre,
+    )
+
+
 def suspect_words(table: serving.ServingTable) -> list[typing.Any]:
     """Return the endpoints that this node has taken out of use."""
     now_s = time.monotonic()
--- a/redwingvalve/node/words.py
+++ b/redwingvalve/node/words.py
@@ -12,6 +12,7 @@
     module_name='redwingvalve_node_thrift',
 )
 NodeWord: typing.Any = _THRIFT.NodeWord
+AddressWord: typing.Any = _THRIFT.AddressWord
 ClearWord: typing.Any = _THRIFT.ClearWord
 SuspectWord: typing.Any = _THRIFT.SuspectWord
 _FACTORY = cybin.TCyBinaryProtocolFactory()
