Ask few endpoints at once, and doubt own questions before a fleet is closed

All questions timed out in the same millisecond, 'lost' named every member of 56 replicas, and the healthy heads were closed (200 findings 'replica broken' for 66 replicas).

Lost endpoints: the same members were found whole 0.3 s before.

A single lost replica is still known after one question.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -8,7 +8,7 @@
 from redwingvalve.fleet import endpoints, history, serving
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
-from redwingvalve.node import forming, replica_orders, tasks
+from redwingvalve.node import forming, inspecting, replica_orders, tasks
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -37,6 +37,7 @@
         registry: registry_module.Registry,
         table: serving.ServingTable,
         client: endpoint_orders.EndpointClient,
+        inspector: inspecting.Inspector,
         group: anyio.abc.TaskGroup,
         holds_lease: typing.Callable[[], bool],
     ) -> None:
@@ -52,7 +53,7 @@
         self._table = table
         self._tasks = tasks.EndpointTasks(group)
         self._orders = replica_orders.ReplicaOrders(
-            client, registry, holds_lease
+            client, inspector, registry, holds_lease
         )
         self._former = forming.Former(client, self._orders, self._tasks)
         self._inspected_s: dict[replica_orders.Key, float] = {}
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -21,6 +21,7 @@
 from redwingvalve.node import (
     configuration_watch,
     front,
+    inspecting,
     listening,
     log_telling,
     meeting,
@@ -62,6 +63,7 @@
     table: serving.ServingTable
     client: store.StoreClient
     endpoint_client: endpoint_orders.EndpointClient
+    inspector: inspecting.Inspector
     lease: lease_module.Lease
     front: front.FrontApplication
     listeners: listening.Listeners
@@ -212,6 +214,7 @@
                 self.registry,
                 self.table,
                 self.endpoint_client,
+                self.inspector,
                 group,
                 self.lease.is_held,
             )
@@ -248,6 +251,7 @@
     state = state_module.IngressState(table, _allowance(node_settings.bounds))
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
+    endpoint_client = endpoint_orders.EndpointClient(json_client)
     lease = lease_module.Lease(node_settings.vm, client)
     application = front.FrontApplication(state)
     own = peers_module.own_address(node_settings, int(time.time() * 1000))
@@ -258,7 +262,8 @@
         registry=registry,
         table=table,
         client=client,
-        endpoint_client=endpoint_orders.EndpointClient(json_client),
+        endpoint_client=endpoint_client,
+        inspector=inspecting.Inspector(endpoint_client),
         lease=lease,
         front=application,
         teller=teller,
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -15,6 +15,7 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
+from redwingvalve.node import inspecting
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
@@ -70,6 +71,7 @@
     def __init__(
         self,
         client: endpoint_orders.EndpointClient,
+        inspector: inspecting.Inspector,
         registry: registry_module.Registry,
         may_order: typing.Callable[[], bool],
     ) -> None:
@@ -80,6 +82,7 @@
         # The last epoch that each endpoint was told to join, obeyed or not.
         self._told_epochs: dict[tuple[str, int], int] = {}
         self._client = client
+        self._inspector = inspector
         self._registry = registry
         self._may_order = may_order
 
@@ -110,7 +113,7 @@
             replica, self._told_epochs
         ):
             return False
-        if not await self._are_sound(replica.members):
+        if not await self._inspector.are_sound(replica.members):
             return False
         forming = Forming(replica.name, replica.epoch, replica.members, 0)
         return await self._open(forming)
@@ -141,9 +144,9 @@
         Returns True if all members answer and belong to it. Otherwise its
         head no longer serves when this returns, or is known to be gone.
         """
-        reports = await self._ask_all(members)
+        reports = await self._inspector.ask_all(members)
         head = members[0]
-        sound = [one for one in members if _is_sound(one, reports)]
+        sound = [one for one in members if inspecting.is_sound(one, reports)]
         if len(sound) == len(members):
             return True
         for member in members:
@@ -181,7 +184,7 @@
                     head, membership.replica, membership.epoch, False
                 )
             await anyio.sleep(LOOK_S)
-            report = await self._client.report(head)
+            report = await self._inspector.ask(head)
 
     async def retire(self, head: endpoints.Endpoint, began_s: float) -> None:
         """Let a replica finish its requests; return when it serves no more.
@@ -203,7 +206,7 @@
                     return
                 await anyio.sleep(LOOK_S)
                 continue
-            report = await self._client.report(head)
+            report = await self._inspector.ask(head)
             if report is not None and not _serves_as(head, report.membership):
                 return
             await anyio.sleep(ASK_S)
@@ -217,7 +220,7 @@
         died. One that answers leaves, or is cut off from the store.
         """
         asked_s = clock.boot_s()
-        report = await self._client.report(head)
+        report = await self._inspector.ask(head)
         if report is None and asked_s - gone_s < GONE_KNOWN_S:
             return True
         await self.retire(head, gone_s)
@@ -239,26 +242,6 @@
         if result in {Result.UNREACHED, Result.UNKNOWN}:
             self.lost[member.incarnation] = clock.boot_s()
 
-    async def _are_sound(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
-        reports = await self._ask_all(members)
-        return all(_is_sound(member, reports) for member in members)
-
-    async def _ask_all(
-        self, members: tuple[endpoints.Endpoint, ...]
-    ) -> dict[str, endpoint_orders.Report | None]:
-        reports: dict[str, endpoint_orders.Report | None] = {}
-        async with anyio.create_task_group() as group:
-            for member in members:
-                group.start_soon(self._ask, member, reports)
-        return reports
-
-    async def _ask(
-        self,
-        member: endpoints.Endpoint,
-        reports: dict[str, endpoint_orders.Report | None],
-    ) -> None:
-        reports[member.endpoint_id] = await self._client.report(member)
-
     async def _open(self, forming: Forming) -> bool:
         head = forming.members[0]
         until_s = clock.boot_s() + OPEN_TIMEOUT_S
@@ -346,28 +329,6 @@
     return (membership.replica, membership.epoch) == key
 
 
-def _is_sound(
-    member: endpoints.Endpoint,
-    reports: dict[str, endpoint_orders.Report | None],
-) -> bool:
-    report = reports[member.endpoint_id]
-    if report is None or report.membership is None:
-        return False
-    if report.membership.state is endpoints.MemberState.BROKEN:
-        return False
-    return _is_same(member, report)
-
-
-def _is_same(
-    member: endpoints.Endpoint, report: endpoint_orders.Report
-) -> bool:
-    if report.membership is None or member.membership is None:
-        return False
-    was = member.membership
-    now = report.membership
-    return (was.replica, was.epoch) == (now.replica, now.epoch)
-
-
 def _serves_as(
     head: endpoints.Endpoint, now: endpoints.Membership | None
 ) -> bool:
--- /dev/null
+++ b/redwingvalve/node/tests/test_inspecting.py
@@ -0,0 +1,105 @@
+"""Questions to endpoints, and what answers that are missing may mean."""
+
+import anyio
+import attrs
+
+from redwingvalve.fleet import endpoints
+from redwingvalve.node import inspecting
+from redwingvalve.platform import endpoint_orders
+
+REPLICAS = 60
+MEMBERS = 2
+
+
+def replica(number):
+    return tuple(
+        endpoints.Endpoint(
+            endpoint_id=f'e{number}-{rank}',
+            born_ms=1,
+            service='engine',
+            host='127.0.0.1',
+            port=80,
+            data_centre='zone-1',
+            slots=4,
+            draining=False,
+            membership=endpoints.Membership(
+                f'small.1.{number}', number, rank, endpoints.MemberState.OPEN
+            ),
+        )
+        for rank in range(MEMBERS)
+    )
+
+
+@attrs.define(eq=False)
+class Client:
+    """Answers after a moment; at first nothing gets through."""
+
+    choked_asks: int = 0
+    dead: tuple[str, ...] = ()
+    running: int = 0
+    most: int = 0
+    asks: int = 0
+
+    async def report(self, endpoint):
+        self.asks += 1
+        is_choked = self.asks <= self.choked_asks
+        self.running += 1
+        self.most = max(self.most, self.running)
+        await anyio.sleep(0.002)
+        self.running -= 1
+        if is_choked or endpoint.endpoint_id in self.dead:
+            return None
+        return endpoint_orders.Report(1, endpoint.membership, ())
+
+
+async def inspect_all(client):
+    """Return how many replicas of a whole fleet are taken for whole."""
+    inspector = inspecting.Inspector(client)
+    found = []
+
+    async def inspect(number):
+        found.append(await inspector.are_sound(replica(number)))
+
+    async with anyio.create_task_group() as group:
+        for number in range(REPLICAS):
+            group.start_soon(inspect, number)
+    return sum(found)
+
+
+def test_a_choked_node_does_not_take_the_fleet_for_lost():
+    """Callers keep their replicas while the holder of the lease is held up.
+
+    After an outage it asks all members of sixty replicas; the first hundred
+    answers are lost on its own full link. All endpoints are sound.
+    """
+    client = Client(choked_asks=100)
+    assert anyio.run(inspect_all, client) >= REPLICAS - MEMBERS
+
+
+def test_few_are_asked_at_once():
+    client = Client()
+    assert anyio.run(inspect_all, client) == REPLICAS
+    assert client.most <= inspecting.ASKED_AT_ONCE
+
+
+def test_a_lost_member_is_not_asked_twice():
+    """A lost replica is mended without a pause: one silent member is lost."""
+    client = Client(dead=('e1-1',))
+
+    async def inspect():
+        inspector = inspecting.Inspector(client)
+        return await inspector.are_sound(replica(1))
+
+    assert not anyio.run(inspect)
+    assert client.asks == MEMBERS
+
+
+def test_a_process_that_was_held_up_doubts_its_questions():
+    now_s = [100.0]
+    path = inspecting.OwnPath(lambda: now_s[0])
+    path.note(99.9, is_answered=False)
+    assert not path.is_doubtful()
+    path.note(99.5, is_answered=False)
+    assert path.is_doubtful()
+    now_s[0] += inspecting.DOUBT_WINDOW_S + 0.1
+    assert not path.is_doubtful()
