Ask about a full head before it goes out of use; clear suspicions unattended

In a fleet of 59 nodes each has one or two requests at a head, so that one request that waits for a place looked like a silent head; and while nobody can renew the lease, nothing clears a suspicion before its six seconds are over.

Lost members: when the lease was back, 40 of the heads out of use were found whole at once. Streams that had begun and stopped aren't asked about: there the loss is known for nothing, and a pause of 200 ms still earns in full.

Change. node/loss_watch.py: in fleets of over 12 nodes the members are asked before a head with unbegun requests only goes out of use; a slow head gets the wider bound. While nobody holds the lease, each node asks about its own suspicions once a second. Smaller fleets are as before but for that.

Before: all five tests of test_loss_watch.py fail (the head goes out of use unasked, nobody clears). After: they pass.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -121,6 +121,14 @@
         if suspicion.since_s < cleared_s:
             self.clear(endpoint_id)
 
+    def replica_of(self, head_id: str) -> endpoints.Replica | None:
+        """Return the replica of a head with all its members, if known."""
+        head = self._registry.live.get(head_id)
+        if head is None or head.membership is None:
+            return None
+        membership = head.membership
+        return self._whole.get((membership.replica, membership.epoch))
+
     def own_suspicions(self) -> list[Suspicion]:
         """Return suspicions that this node itself holds."""
         now_s = time.monotonic()
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -75,11 +75,24 @@
     is_held: bool = False
 
 
+@attrs.frozen
+class SilentHead:
+    """A head from which nothing came for too long."""
+
+    head: str
+    # Streams that had begun have stopped; else the head may be full or slow.
+    has_begun: bool
+
+
 @attrs.define(eq=False)
 class _Head:
     last_event_s: float
     streams: dict[int, StreamPulse] = attrs.field(factory=dict)
 
+    def live(self) -> list[StreamPulse]:
+        """Return the streams whose callers read."""
+        return [one for one in self.streams.values() if not one.is_held]
+
 
 class SilenceWatch:
     """Looks at all streams of this node."""
@@ -118,7 +131,7 @@
         """Allow a head more time: it was silent, but nothing is lost."""
         self._slow_until_s[head] = now_s + SLOW_S
 
-    def look(self, now_s: float) -> list[str]:
+    def look(self, now_s: float) -> list[SilentHead]:
         """Return the heads that are silent for too long."""
         before_s = self._looked_s
         self._looked_s = now_s
@@ -128,7 +141,7 @@
                 self._forgive(now_s)
                 return []
         return [
-            name
+            SilentHead(name, any(one.has_begun for one in head.live()))
             for name, head in self._heads.items()
             if _is_silent(head, now_s, self._factor(name, now_s))
         ]
@@ -146,7 +159,7 @@
 
 
 def _is_silent(head: _Head, now_s: float, factor: float) -> bool:
-    live = [pulse for pulse in head.streams.values() if not pulse.is_held]
+    live = head.live()
     begun = [pulse for pulse in live if pulse.has_begun]
     if not begun:
         return any(_is_overdue(pulse, head, now_s, factor) for pulse in live)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -13,7 +13,6 @@
 from redwingvalve.ingress import (
     retry_window,
     routes,
-    silence,
 )
 from redwingvalve.ingress import (
     state as state_module,
@@ -24,6 +23,7 @@
     inspecting,
     listening,
     log_telling,
+    loss_watch,
     meeting,
     sources,
     supervision,
@@ -64,6 +64,7 @@
     client: store.StoreClient
     endpoint_client: endpoint_orders.EndpointClient
     inspector: inspecting.Inspector
+    losses: loss_watch.LossWatch
     lease: lease_module.Lease
     front: front.FrontApplication
     listeners: listening.Listeners
@@ -140,7 +141,7 @@
             *(watch.run for watch in self.watches),
             self.meeting.run,
             self.teller.run,
-            self._watch_silence,
+            self.losses.run,
             self._hold_lease,
             functools.partial(log_telling.run, self.log_handler),
         ]
@@ -185,15 +186,6 @@
         )
         self.table.configure(configuration)
 
-    async def _watch_silence(self) -> None:
-        while True:
-            await anyio.sleep(silence.LOOK_EVERY_S)
-            now_s = time.monotonic()
-            for head in self.state.silence.look(now_s):
-                self.table.suspect(head, 'silent')
-                for send in list(self.state.open_sends.get(head, ())):
-                    send.head_is_silent()
-
     async def _control(self, group: anyio.abc.TaskGroup) -> None:
         while True:
             await anyio.sleep(controller_module.LOOK_S)
@@ -252,10 +244,12 @@
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
     endpoint_client = endpoint_orders.EndpointClient(json_client)
+    inspector = inspecting.Inspector(endpoint_client)
     lease = lease_module.Lease(node_settings.vm, client)
     application = front.FrontApplication(state)
-    own = peers_module.own_address(node_settings, int(time.time() * 1000))
-    teller = telling.Teller(own, state, registry, table, lease, application)
+    teller = telling.Teller(
+        _own_address(node_settings), state, registry, table, lease, application
+    )
     return Node(
         settings=node_settings,
         state=state,
@@ -263,7 +257,8 @@
         table=table,
         client=client,
         endpoint_client=endpoint_client,
-        inspector=inspecting.Inspector(endpoint_client),
+        inspector=inspector,
+        losses=loss_watch.LossWatch(state, table, inspector, lease),
         lease=lease,
         front=application,
         teller=teller,
@@ -273,6 +268,12 @@
     )
 
 
+def _own_address(
+    node_settings: settings.NodeSettings,
+) -> peers_module.PeerAddress:
+    return peers_module.own_address(node_settings, int(time.time() * 1000))
+
+
 def _allowance(bounds: settings.Bounds) -> retry_window.RetryAllowance:
     return retry_window.RetryAllowance(
         bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
--- /dev/null
+++ b/redwingvalve/node/loss_watch.py
@@ -0,0 +1,114 @@
+"""Takes heads out of use whose replicas have lost a member.
+
+Load pattern: of a few dozen heads one falls silent every few seconds, and in
+a burst many are slow at once. Streams that had begun and stop show a loss at
+once. A request that has not begun may only wait for a place: with many nodes
+each has one or two requests at a head, which others have filled. Taken for
+silent, slow heads go out of use and fill the others, until none is left. So
+in a large fleet the members are asked first: a lost one doesn't answer.
+
+While nobody holds the lease, as in an outage of the store, no controller
+clears suspicions. Each node then asks about its own.
+"""
+
+import time
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from redwingvalve.fleet import serving
+from redwingvalve.ingress import silence
+from redwingvalve.ingress import state as state_module
+from redwingvalve.node import inspecting
+from redwingvalve.node import lease as lease_module
+from redwingvalve.observability import logs
+
+LOG = logs.make_logger('losses')
+# With more nodes than this each has about one request at a head.
+FEW_NODES = 12
+# Between two looks at suspicions that nobody clears; each question is priced.
+RECHECK_S = 1.0
+
+
+@attrs.define(eq=False)
+class LossWatch:
+    """Watches this node's streams for heads that fell silent."""
+
+    state: state_module.IngressState
+    table: serving.ServingTable
+    inspector: inspecting.Inspector
+    lease: lease_module.Lease
+    _asking: set[str] = attrs.field(factory=set)
+    _rechecked_s: float = 0.0
+
+    async def run(self) -> typing.NoReturn:
+        """Look until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(silence.LOOK_EVERY_S)
+                self.look(group)
+
+    def look(self, group: anyio.abc.TaskGroup) -> None:
+        """Take silent heads out of use, or ask about them first."""
+        now_s = time.monotonic()
+        for found in self.state.silence.look(now_s):
+            if found.has_begun or self.state.node_count <= FEW_NODES:
+                self._lose(found.head)
+            else:
+                self._start(group, found.head, self._ask_first)
+        if now_s - self._rechecked_s > RECHECK_S:
+            self._rechecked_s = now_s
+            self._recheck(group)
+
+    def _recheck(self, group: anyio.abc.TaskGroup) -> None:
+        if self.lease.is_in_hands():
+            return
+        for suspicion in self.table.own_suspicions():
+            self._start(group, suspicion.endpoint_id, self._clear_if_sound)
+
+    def _start(
+        self,
+        group: anyio.abc.TaskGroup,
+        head: str,
+        work: typing.Callable[[str], typing.Awaitable[None]],
+    ) -> None:
+        if head in self._asking:
+            return
+        self._asking.add(head)
+        group.start_soon(self._run, head, work)
+
+    async def _run(
+        self, head: str, work: typing.Callable[[str], typing.Awaitable[None]]
+    ) -> None:
+        try:
+            await work(head)
+        except Exception:
+            # The head is looked at again in a moment.
+            LOG.exception('not inspected', extra={'endpoint': head})
+        finally:
+            self._asking.discard(head)
+
+    async def _ask_first(self, head: str) -> None:
+        if await self._is_whole(head):
+            LOG.info('head is slow', extra={'endpoint': head})
+            self.state.silence.found_sound(head, time.monotonic())
+        else:
+            self._lose(head)
+
+    async def _clear_if_sound(self, head: str) -> None:
+        if await self._is_whole(head):
+            LOG.info('suspicion cleared', extra={'endpoint': head})
+            self.table.found_sound(head)
+
+    async def _is_whole(self, head: str) -> bool:
+        replica = self.table.replica_of(head)
+        if replica is None:
+            return False
+        return await self.inspector.are_sound(replica.members)
+
+    def _lose(self, head: str) -> None:
+        self.table.suspect(head, 'silent')
+        for send in list(self.state.open_sends.get(head, ())):
+            send.head_is_silent()
--- /dev/null
+++ b/redwingvalve/node/tests/test_loss_watch.py
@@ -0,0 +1,139 @@
+"""Heads that are slow stay in use; heads that lost a member don't."""
+
+import anyio
+import attrs
+
+from redwingvalve.ingress import retry_window, silence
+from redwingvalve.ingress import state as state_module
+from redwingvalve.node import loss_watch
+
+MANY_NODES = 59
+
+
+@attrs.define(eq=False)
+class Table:
+    """Knows one head; notes what is taken out of use or cleared."""
+
+    suspects: list = attrs.field(factory=list)
+    cleared: list = attrs.field(factory=list)
+
+    def replica_of(self, head):
+        return Replica()
+
+    def suspect(self, head, reason):
+        self.suspects.append(head)
+
+    def own_suspicions(self):
+        return [Suspicion(head) for head in self.suspects]
+
+    def found_sound(self, head):
+        self.cleared.append(head)
+
+
+@attrs.frozen
+class Replica:
+    members: tuple = ('head', 'member')
+
+
+@attrs.frozen
+class Suspicion:
+    endpoint_id: str
+
+
+@attrs.define(eq=False)
+class Inspector:
+    is_whole: bool
+    asked: int = 0
+
+    async def are_sound(self, members):
+        self.asked += 1
+        return self.is_whole
+
+
+@attrs.frozen
+class Lease:
+    has_holder: bool
+
+    def is_in_hands(self):
+        return self.has_holder
+
+
+def watch(is_whole, *, nodes=MANY_NODES, has_holder=True):
+    allowance = retry_window.RetryAllowance(0.2, 100, 10)
+    table = Table()
+    state = state_module.IngressState(table, allowance)
+    state.node_count = nodes
+    return loss_watch.LossWatch(
+        state, table, Inspector(is_whole), Lease(has_holder)
+    )
+
+
+def look_after_silence(made, *, has_begun):
+    """Look twice at a head from which nothing has come for ten seconds."""
+
+    async def main():
+        pulse = silence.StreamPulse(
+            'head', sent_s=0.0, prompt_s=0, pause_s=0.05
+        )
+        made.state.silence.begin(pulse)
+        if has_begun:
+            made.state.silence.noted(pulse, 0.0)
+        async with anyio.create_task_group() as group:
+            made.look(group)
+
+    anyio.run(main)
+
+
+def test_a_full_head_of_a_large_fleet_stays_in_use():
+    """Callers find heads during a burst.
+
+    One request of this node waits at a head that other nodes have filled. All
+    members answer: the head is slow. Taken out of use, it would fill others.
+    """
+    made = watch(is_whole=True)
+    look_after_silence(made, has_begun=False)
+    assert made.inspector.asked == 1
+    assert not made.table.suspects
+
+
+def test_a_head_without_a_member_goes_out_of_use():
+    made = watch(is_whole=False)
+    look_after_silence(made, has_begun=False)
+    assert made.table.suspects == ['head']
+
+
+def test_streams_that_stop_need_no_question():
+    """A broken stream goes on elsewhere within its allowed pause."""
+    made = watch(is_whole=True)
+    look_after_silence(made, has_begun=True)
+    assert made.inspector.asked == 0
+    assert made.table.suspects == ['head']
+
+
+def test_without_a_holder_of_the_lease_nodes_clear_their_own_suspicions():
+    """Callers are served on through an outage of the store.
+
+    Nobody can renew the lease, so that no controller inspects anything. A
+    node took a slow head out of use; left so, heads run out one by one.
+    """
+    made = watch(is_whole=True, has_holder=False)
+    made.table.suspects.append('head')
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made.look(group)
+
+    anyio.run(main)
+    assert made.table.cleared == ['head']
+
+
+def test_a_holder_clears_suspicions_alone():
+    made = watch(is_whole=True, has_holder=True)
+    made.table.suspects.append('head')
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made.look(group)
+
+    anyio.run(main)
+    assert made.inspector.asked == 0
