Ask about a head that broke a stream before it goes out of use

Each broken stream took its head out of use until the holder of the lease had asked about it, which it could not do for all at once.

Crashed heads: one that crashed refuses the next connection, which takes it out of use without a question. Dark ones reset nothing.

A broken stream is a doubt: the node asks the members, and the head stays in use if all of them answer. The stream itself goes on elsewhere as before.

Before: both new tests fail (no such question). After: they pass, with 133 of node, platform, ingress and fleet.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -38,6 +38,8 @@
         """Follow the registry."""
         self.on_suspect: collections_abc.Callable[[Suspicion], None] | None
         self.on_suspect = None
+        self.on_doubt: collections_abc.Callable[[str, str], None] | None
+        self.on_doubt = None
         self.on_clear: collections_abc.Callable[[str, int], None] | None
         self.on_clear = None
         self.on_sound: collections_abc.Callable[[str, float], None] | None
@@ -85,6 +87,13 @@
             if self.on_suspect is not None:
                 self.on_suspect(suspicion)
 
+    def doubt(self, endpoint_id: str, reason: str) -> None:
+        """Let whoever can ask find out about an endpoint."""
+        if self.on_doubt is None:
+            self.suspect(endpoint_id, reason)
+        elif not self.is_suspect(endpoint_id):
+            self.on_doubt(endpoint_id, reason)
+
     def take_suspicion(self, suspicion: Suspicion) -> bool:
         """Take an endpoint out of use; return whether that is new."""
         known = self._suspicions.get(suspicion.endpoint_id)
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -292,7 +292,10 @@
         if ending is sends.Ending.FAILURE:
             self._failure = self._send
         elif ending is sends.Ending.BROKEN and target.replica:
-            self._state.targets.suspect(target.endpoint_id, 'broken stream')
+            # Answers are also lost on the way, at times many at once: taken out
+            # of use for each, all heads would be gone in a second. One that
+            # crashed refuses the next connection and goes out of use by that.
+            self._state.targets.doubt(target.endpoint_id, 'broken stream')
 
     def _may_try_again(
         self, admission: admitting.Admission, ending: sends.Ending
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -38,6 +38,10 @@
     def suspect(self, endpoint_id: str, reason: str) -> None:
         """Take an endpoint out of use until it is known to be sound."""
 
+    @abc.abstractmethod
+    def doubt(self, endpoint_id: str, reason: str) -> None:
+        """Find out whether an endpoint is sound; use it meanwhile."""
+
     @abc.abstractmethod
     def is_suspect(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is out of use."""
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -88,6 +88,7 @@
         """Run until stop is set, and then until all requests have ended."""
         self.table.on_sound = self.state.silence.found_sound
         self.table.on_rebuilt = self.state.poke
+        self.table.on_doubt = self.losses.doubt
         self.watches = self._make_watches()
         try:
             await self._listen()
--- a/redwingvalve/node/loss_watch.py
+++ b/redwingvalve/node/loss_watch.py
@@ -7,6 +7,9 @@
 silent, slow heads go out of use and fill the others, until none is left. So
 in a large fleet the members are asked first: a lost one doesn't answer.
 
+A stream that breaks off is asked about in any fleet: answers are also lost on
+the way.
+
 While nobody holds the lease, as in an outage of the store, no controller
 clears suspicions. Each node then asks about its own.
 """
@@ -30,6 +33,7 @@
 FEW_NODES = 12
 # Between two looks at suspicions that nobody clears; each question is priced.
 RECHECK_S = 1.0
+SILENT = 'silent'
 
 
 @attrs.define(eq=False)
@@ -41,6 +45,8 @@
     inspector: inspecting.Inspector
     lease: lease_module.Lease
     _asking: set[str] = attrs.field(factory=set)
+    # Heads to ask about, and why.
+    _doubts: dict[str, str] = attrs.field(factory=dict)
     _rechecked_s: float = 0.0
 
     async def run(self) -> typing.NoReturn:
@@ -50,6 +56,11 @@
                 await anyio.sleep(silence.LOOK_EVERY_S)
                 self.look(group)
 
+    def doubt(self, head: str, reason: str) -> None:
+        """Ask about a head at the next look, in 25 ms at most."""
+        if head not in self._asking:
+            self._doubts.setdefault(head, reason)
+
     def look(self, group: anyio.abc.TaskGroup) -> None:
         """Take silent heads out of use, or ask about them first."""
         now_s = time.monotonic()
@@ -57,7 +68,9 @@
             if found.has_begun or self.state.node_count <= FEW_NODES:
                 self._lose(found.head)
             else:
-                self._start(group, found.head, self._ask_first)
+                self.doubt(found.head, SILENT)
+        for head in tuple(self._doubts):
+            self._start(group, head, self._ask_first)
         if now_s - self._rechecked_s > RECHECK_S:
             self._rechecked_s = now_s
             self._recheck(group)
@@ -91,11 +104,13 @@
             self._asking.discard(head)
 
     async def _ask_first(self, head: str) -> None:
-        if await self._is_whole(head):
-            LOG.info('head is slow', extra={'endpoint': head})
+        reason = self._doubts.pop(head)
+        if not await self._is_whole(head):
+            self._lose(head, reason)
+            return
+        LOG.info('head is sound', extra={'endpoint': head, 'doubt': reason})
+        if reason == SILENT:
             self.state.silence.found_sound(head, time.monotonic())
-        else:
-            self._lose(head)
 
     async def _clear_if_sound(self, head: str) -> None:
         if await self._is_whole(head):
@@ -108,7 +123,7 @@
             return False
         return await self.inspector.are_sound(replica.members)
 
-    def _lose(self, head: str) -> None:
-        self.table.suspect(head, 'silent')
+    def _lose(self, head: str, reason: str = SILENT) -> None:
+        self.table.suspect(head, reason)
         for send in list(self.state.open_sends.get(head, ())):
             send.head_is_silent()
--- a/redwingvalve/node/tests/test_loss_watch.py
+++ b/redwingvalve/node/tests/test_loss_watch.py
@@ -137,3 +137,34 @@
 
     anyio.run(main)
     assert made.inspector.asked == 0
+
+
+def test_a_lost_answer_takes_no_head_out_of_use():
+    """Callers find heads while the network loses two answers in five.
+
+    A stream breaks off and goes on elsewhere. The members of its head all
+    answer, so that the next request may go there.
+    """
+    made = watch(is_whole=True, nodes=6)
+    made.doubt('head', 'broken stream')
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made.look(group)
+            made.look(group)
+
+    anyio.run(main)
+    assert made.inspector.asked == 1
+    assert not made.table.suspects
+
+
+def test_a_head_that_broke_a_stream_and_is_lost_goes_out_of_use():
+    made = watch(is_whole=False, nodes=6)
+    made.doubt('head', 'broken stream')
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made.look(group)
+
+    anyio.run(main)
+    assert made.table.suspects == ['head']
