Ask the store at a slower pace where relays fail, and return to them sooner

While the history is dropped or relays are out of touch, 51 nodes watch the store at the pace of relays, eight answers a second each, and for three seconds.

A node that asks in place of its relays leaves 0.4 s between two watches; it tries another source after 20 to 150 ms instead of at once, goes back to relays after 1.2 s, and lists from them first after the history is gone. The bounds hold: an endpoint that leaves is known 0.4 s later at most.

Before: 106 calls of six nodes in 1.5 s with all relays out of touch. After: 66 (test_relays.py).

--- a/redwingvalve/node/sources.py
+++ b/redwingvalve/node/sources.py
@@ -25,6 +25,10 @@
 # relay and behind it, fit into the time to know of leaving endpoints.
 RELAY_WAIT_S = 1.0
 STORE_WAIT_S = 2.5
+# Between two watches of a node that asks the store in place of its relays.
+# When these are out of touch, as after the store dropped its history, all
+# other nodes ask it at once: at the own pace of relays 400 calls a second.
+IN_PLACE_PAUSE_S = 0.4
 _JSON = (b'content-type', b'application/json')
 _OK = 200
 _NOT_FOUND = 404
@@ -39,6 +43,8 @@
     client: store.StoreClient
     is_store: bool
     wait_s: float
+    # Left between two watches, so that changes in between cost one call.
+    pause_s: float = 0.0
 
 
 class Sources:
@@ -65,7 +71,8 @@
         relays = self._relays()
         if self._holds_lease() or self._peers.own.vm in relays:
             return [own]
-        return [*map(self._relay_source, relays.values()), own]
+        in_place = attrs.evolve(own, pause_s=IN_PLACE_PAUSE_S)
+        return [*map(self._relay_source, relays.values()), in_place]
 
     def _relays(self) -> dict[str, peers_module.PeerAddress]:
         own = self._peers.own
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -131,3 +131,26 @@
     await anyio.sleep(0.02)
     stored = {'metadata': {'name': 'main', 'revision': 15}, 'spec': {}}
     mirror.replaced(store.Listing([stored], 20))
+
+
+def test_nodes_without_relays_ask_the_store_in_moderation(relayed, monkeypatch):
+    """The store isn't flooded when all relays are out of touch at once.
+
+    It has dropped its history, and endpoints change twenty times a second.
+    Six nodes ask it themselves, four of which are no relays: 106 calls in a
+    second and a half at the pace of relays, 66 at their own.
+    """
+
+    async def test(fleet):
+        await anyio.sleep(1.5)
+        out_of_touch = property(lambda mirror: False)
+        monkeypatch.setattr(mirror_module.Mirror, 'is_in_touch', out_of_touch)
+        await anyio.sleep(1.5)
+        calls = fleet.store.calls
+        for number in range(30):
+            entry = {'service': 'other', 'number': number}
+            fleet.store.put('servers', 'x', entry)
+            await anyio.sleep(0.05)
+        assert fleet.store.calls - calls < 85
+
+    fleets.run(test, nodes=6, engines=0)
--- a/redwingvalve/node/watching.py
+++ b/redwingvalve/node/watching.py
@@ -16,9 +16,13 @@
 # it together don't return together.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
-# A relay that failed is preferred again after this.
-FORGIVE_S = 3.0
-
+# A relay that failed is preferred again after this; one that is frozen is no
+# relay any more by then, as it says nothing.
+FORGIVE_S = 1.2
+# Before another source is asked in place of a relay: one that is out of touch
+# with the store for a moment is back within this more often than not.
+RELAY_RETRY_MIN_S = 0.02
+RELAY_RETRY_MAX_S = 0.15
 
 PauseChooser: typing.TypeAlias = typing.Callable[[], float]
 
@@ -64,6 +68,8 @@
             except store.HistoryGoneError:
                 LOG.info('history gone', extra={'kind': self.kind})
                 self._revision = None
+                # Relays list anew at the same time, and tell it for nothing.
+                self._failures = 0
                 self._follower.troubled()
             except store.StoreError as error:
                 await self._failed(source, error)
@@ -85,7 +91,7 @@
         self._found(source)
         self.mirror.changed(found)
         self._follower.changed(found.changes)
-        await anyio.sleep(self._pause_s())
+        await anyio.sleep(max(self._pause_s(), source.pause_s))
 
     def _forgive(self) -> None:
         """Go back to the preferred source some time after a failure."""
@@ -96,10 +102,11 @@
         self._failures += 1
         self._failed_s = time.monotonic()
         if not source.is_store:
-            # The next source is asked at once.
             LOG.info(
                 'relay lost', extra={'kind': self.kind, 'error': str(error)}
             )
+            pause_s = random.uniform(RELAY_RETRY_MIN_S, RELAY_RETRY_MAX_S)
+            await anyio.sleep(pause_s)
             return
         self._follower.troubled()
         if not self._is_lost:
@@ -110,7 +117,8 @@
         await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     def _found(self, source: sources.Source) -> None:
-        self.mirror.heard(source.wait_s + self._pause_s(), source.is_store)
+        pause_s = max(self._pause_s(), source.pause_s)
+        self.mirror.heard(source.wait_s + pause_s, source.is_store)
         if self._is_lost:
             LOG.info('store is back', extra={'kind': self.kind})
         self._is_lost = False
