Load newcomers and surplus spares with the model whose places are in use

A declared share also says nothing of how many VMs a model fills.

Late loads: newcomers were ordered to load within 0.3 s. Losses of the small model alone: both lost in proportion.

Change. fleet/demand.py keeps the recent peak of places in use for each model; a newcomer loads the model with the least VMs for those it fills, and when none is empty a spare of a model with more than twice its need loads one with less than 1.6 times, where its domain keeps another spare.

Before, the five new tests of test_planning.py fail.

--- a/redwingvalve/fleet/planning.py
+++ b/redwingvalve/fleet/planning.py
@@ -17,6 +17,13 @@
 
 # With fewer domains than this a dark one would take a model with it.
 DOMAINS_PER_MODEL = 2
+# Models whose covers differ by less count as equally well off.
+NEARLY_EQUAL = 0.25
+# A model with fewer VMs than this for each that it fills is short when a wave
+# comes or a domain goes dark.
+POOR_COVER = 1.6
+# And one with more than this after giving one away is not.
+RICH_COVER = 2.0
 
 Domains: typing.TypeAlias = dict[str, list[endpoints.Endpoint]]
 
@@ -106,34 +113,87 @@
     return wanted if wanted <= free else 0
 
 
+@attrs.frozen
+class Stock:
+    """How many VMs have or load each model, beside what it needs."""
+
+    held: tuple[tuple[endpoints.Endpoint, str], ...]
+    # By model; only their proportions count.
+    needed_vms: dict[str, float]
+
+    def cover(self, model: str, change: int = 0) -> float:
+        """Return a model's VMs, and some more or less, for those it needs."""
+        count = sum(1 for _, name in self.held if name == model)
+        return (count + change) / max(self.needed_vms[model], 0.01)
+
+    def missing_in(self, domain: str, model: routes.Model) -> int:
+        """Return how many VMs a domain lacks for one more whole replica."""
+        local = sum(
+            1
+            for other, name in self.held
+            if name == model.name and other.domain == domain
+        )
+        return -local % model.size
+
+
 def newcomer_model(
     endpoint: endpoints.Endpoint,
-    held: collections_abc.Iterable[tuple[endpoints.Endpoint, str]],
+    stock: Stock,
     models: tuple[routes.Model, ...],
 ) -> str:
     """Return the model that an empty VM should load.
 
-    held are the VMs that have or load a model already. The model with the
-    least VMs for its share comes first; among nearly equal ones, that which
-    lacks the fewest VMs of a whole replica in this domain.
+    The model with the least VMs for its need comes first; among nearly equal
+    ones, that which lacks the fewest VMs of a whole replica in this domain.
     """
-    totals = dict.fromkeys((model.name for model in models), 0)
-    local = dict(totals)
-    for other, name in held:
-        if name not in totals:
-            continue
-        totals[name] += 1
-        if other.domain == endpoint.domain:
-            local[name] += 1
 
-    def rank(model: routes.Model) -> tuple[float, int]:
-        filled = totals[model.name] / max(model.share, 0.01)
-        missing = -local[model.name] % model.size
-        return (round(filled / (3 * model.size)), missing)
+    def rank(model: routes.Model) -> tuple[int, int]:
+        missing = stock.missing_in(endpoint.domain, model)
+        return round(stock.cover(model.name) / NEARLY_EQUAL), missing
 
     return min(models, key=rank).name
 
 
+def surplus_spare(
+    spares: list[endpoints.Endpoint],
+    stock: Stock,
+    models: tuple[routes.Model, ...],
+) -> tuple[endpoints.Endpoint, str] | None:
+    """Return a spare of a rich model, and the poor model that it should load.
+
+    A load takes over ten seconds, so that it starts well before the poor model
+    runs out, and only where the rich one keeps a spare in the same domain.
+    """
+    poor = min(models, key=lambda model: stock.cover(model.name))
+    if stock.cover(poor.name) >= POOR_COVER:
+        return None
+    found = [
+        spare
+        for spare in spares
+        if spare.staged
+        and spare.staged[-1] in stock.needed_vms
+        and stock.cover(spare.staged[-1], -1) >= RICH_COVER
+        and _has_twin(spare, spares)
+    ]
+    if not found:
+        return None
+    chosen = min(
+        found,
+        key=lambda spare: stock.missing_in(spare.domain, poor) or poor.size,
+    )
+    return chosen, poor.name
+
+
+def _has_twin(
+    spare: endpoints.Endpoint, spares: list[endpoints.Endpoint]
+) -> bool:
+    return any(
+        other.domain == spare.domain and other.staged == spare.staged
+        for other in spares
+        if other is not spare
+    )
+
+
 def pick_members(
     free: list[endpoints.Endpoint],
     model: routes.Model,
--- a/redwingvalve/fleet/tests/test_planning.py
+++ b/redwingvalve/fleet/tests/test_planning.py
@@ -3,9 +3,10 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
-from redwingvalve.fleet import endpoints, planning
+from redwingvalve.fleet import demand, endpoints, planning
 from redwingvalve.ingress import routes
 
 
@@ -70,13 +71,72 @@
     assert planning.pick_members(free, LARGE, lambda one: True) is None
 
 
+def stock(large, small, needed_vms=None):
+    """VMs of the large model in domain d2, of the small one in d1."""
+    held = [(vm(number, 'd1', ('small',)), 'small') for number in range(small)]
+    held += [
+        (vm(100 + number, 'd2', ('large',)), 'large') for number in range(large)
+    ]
+    return planning.Stock(
+        tuple(held), needed_vms or {'large': 0.5, 'small': 0.5}
+    )
+
+
 def test_a_newcomer_loads_what_the_fleet_lacks_most():
-    held = [(vm(number, 'd1'), 'small') for number in range(30)]
-    held += [(vm(40 + number, 'd2'), 'large') for number in range(8)]
-    found = planning.newcomer_model(vm(99, 'd2'), held, (LARGE, SMALL))
+    found = planning.newcomer_model(vm(99, 'd2'), stock(8, 30), (LARGE, SMALL))
     assert found == 'large'
 
 
+def test_a_newcomer_goes_where_the_places_are_in_use():
+    """Callers of the model with most requests find places after losses.
+
+    Twenty-six VMs of the large model serve 20 places, twenty of the small one
+    66: the small model runs out first, though it has more replicas.
+    """
+    uses = demand.ModelDemand()
+    uses.note('large', 20, 0.0)
+    uses.note('small', 66, 0.0)
+    needed = uses.needed_vms((LARGE, SMALL), 9)
+    found = planning.newcomer_model(
+        vm(99, 'd2'), stock(26, 20, needed), (LARGE, SMALL)
+    )
+    assert found == 'small'
+
+
+def test_a_spare_of_a_rich_model_loads_a_poor_one():
+    spares = [vm(100 + number, 'd2', ('large',)) for number in range(2)]
+    needed = {'large': 9.0, 'small': 15.0}
+    moved = planning.surplus_spare(
+        spares, stock(26, 20, needed), (LARGE, SMALL)
+    )
+    assert moved is not None and moved[1] == 'small'
+
+
+@pytest.mark.parametrize(
+    ('large', 'small', 'spare_count'), [(26, 25, 2), (18, 20, 2), (26, 20, 1)]
+)
+def test_no_spare_moves_without_need_or_surplus(large, small, spare_count):
+    spares = [vm(100 + one, 'd2', ('large',)) for one in range(spare_count)]
+    needed = {'large': 9.0, 'small': 15.0}
+    held = stock(large, small, needed)
+    assert planning.surplus_spare(spares, held, (LARGE, SMALL)) is None
+
+
+def test_demand_keeps_the_peak_of_a_wave():
+    uses = demand.ModelDemand()
+    uses.note('small', 90, 0.0)
+    uses.note('small', 30, 5.0)
+    assert 50 < uses.needed_vms((SMALL,), 9)['small'] / 2 * 9 < 60
+    uses.note('small', 30, 60.0)
+    assert round(uses.needed_vms((SMALL,), 9)['small'] / 2 * 9) == 30
+
+
+def test_before_traffic_shares_count():
+    uses = demand.ModelDemand()
+    uses.note('small', 1, 0.0)
+    assert uses.needed_vms((LARGE, SMALL), 9) == {'large': 0.5, 'small': 0.5}
+
+
 def test_loads_keep_to_the_stores_rate():
     """No more begin in any five seconds than the store allows, and so many
     at once."""
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -81,6 +81,15 @@
             self._rooms[key] = waiting.WaitingRoom(time.monotonic)
         return self._rooms[key]
 
+    def in_use(self, service: str, model: str) -> float:
+        """Return the places in use in the whole fleet, and those wanted.
+
+        Other nodes have about as many requests that wait as this one.
+        """
+        targets = self.targets.of(service, model)
+        taken = sum(self.loads.of(one.endpoint_id) for one in targets)
+        return taken + len(self.room(service, model)) * self.node_count
+
     def window(self, service: str) -> retry_window.RetryWindow:
         """Return the retries of a service."""
         if service not in self._windows:
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -5,7 +5,7 @@
 import anyio.abc
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, history, serving
+from redwingvalve.fleet import demand, endpoints, history, serving
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
 from redwingvalve.node import forming, inspecting, replica_orders, tasks
@@ -40,9 +40,12 @@
         inspector: inspecting.Inspector,
         group: anyio.abc.TaskGroup,
         holds_lease: typing.Callable[[], bool],
+        in_use: typing.Callable[[str, str], float],
     ) -> None:
         """Run tasks in group; give orders while holds_lease says so.
 
+        in_use returns the places that a service's model has in use.
+
         It is asked before each order: a task that was held up with the whole
         process goes on before anything else notices.
         """
@@ -58,6 +61,8 @@
         self._former = forming.Former(client, self._orders, self._tasks)
         self._inspected_s: dict[replica_orders.Key, float] = {}
         self._history = history.ReplicaHistory()
+        self._demand = demand.ModelDemand()
+        self._in_use = in_use
         self._engine: routes.Engine | None = None
         self._count = 0
         self._changed_s = 0.0
@@ -92,7 +97,14 @@
             self._former.start_all(free, engine)
             return
         self._former.form_all(free, engine)
-        self._former.load_all(free, live, engine)
+        self._former.load_all(free, live, engine, self._needed_vms(engine))
+
+    def _needed_vms(self, engine: routes.Engine) -> dict[str, float]:
+        now_s = clock.boot_s()
+        for model in engine.models:
+            places = self._in_use(self._service, model.name)
+            self._demand.note(model.name, places, now_s)
+        return self._demand.needed_vms(engine.models, engine.slots)
 
     def _is_early(self) -> bool:
         # Whoever holds the lease: it may pass on before the first replica is
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -210,6 +210,7 @@
                 self.inspector,
                 group,
                 self.lease.is_held,
+                self.state.in_use,
             )
             self.controllers[service.name] = control
         if service.engine is not None:
--- a/redwingvalve/node/forming.py
+++ b/redwingvalve/node/forming.py
@@ -76,30 +76,60 @@
                     self._warm(spare, model, model.load_from_host_s)
 
     def load_all(
-        self, free: Endpoints, live: Endpoints, engine: routes.Engine
+        self,
+        free: Endpoints,
+        live: Endpoints,
+        engine: routes.Engine,
+        needed_vms: dict[str, float],
     ) -> None:
-        """Let empty endpoints load a model, as fast as the store allows."""
+        """Let empty endpoints load a model, as fast as the store allows.
+
+        When none is empty, a spare of a model that has plenty loads one that
+        is short.
+        """
         if self._loads is None:
             self._loads = planning.LoadBudget(
                 engine.loads_per_s, engine.loads_at_once
             )
-        now_s = clock.boot_s()
-        held = [
-            (one, one.staged[-1] if one.staged else self._model_loading(one))
-            for one in live
-        ]
-        for endpoint in free:
-            if endpoint.staged or self._model_loading(endpoint):
-                continue
-            name = planning.newcomer_model(endpoint, held, engine.models)
-            model = engine.find_model(name)
-            if model is None or not self._loads.try_take(now_s, model.load_s):
+        empty = [one for one in free if not self._model_held(one)]
+        for endpoint in empty:
+            stock = self._stock(live, needed_vms)
+            name = planning.newcomer_model(endpoint, stock, engine.models)
+            if not self._load(endpoint, engine.find_model(name)):
                 return
-            self._loading[endpoint.incarnation] = _Loading(
-                name, now_s + model.load_s * LOAD_PATIENCE
-            )
-            held.append((endpoint, name))
-            self._tasks.start((endpoint,), self._stage(endpoint, name))
+        if empty:
+            return
+        spares = [one for one in free if not self._model_loading(one)]
+        stock = self._stock(live, needed_vms)
+        moved = planning.surplus_spare(spares, stock, engine.models)
+        if moved is not None:
+            self._load(moved[0], engine.find_model(moved[1]))
+
+    def _load(
+        self, endpoint: endpoints.Endpoint, model: routes.Model | None
+    ) -> bool:
+        """Start a load; return whether the store's rate allows it."""
+        now_s = clock.boot_s()
+        if model is None or self._loads is None:
+            return False
+        if not self._loads.try_take(now_s, model.load_s):
+            return False
+        self._loading[endpoint.incarnation] = _Loading(
+            model.name, now_s + model.load_s * LOAD_PATIENCE
+        )
+        self._tasks.start((endpoint,), self._stage(endpoint, model.name))
+        return True
+
+    def _stock(
+        self, live: Endpoints, needed_vms: dict[str, float]
+    ) -> planning.Stock:
+        held = ((one, self._model_held(one)) for one in live)
+        return planning.Stock(tuple(held), needed_vms)
+
+    def _model_held(self, endpoint: endpoints.Endpoint) -> str:
+        """Return the model that an endpoint loads, or else has."""
+        staged = endpoint.staged[-1] if endpoint.staged else ''
+        return self._model_loading(endpoint) or staged
 
     def _start_domain(self, members: Endpoints, model: routes.Model) -> None:
         load_s = model.load_s * EARLY_LOAD_SHARE
