Note replicas that were listed before the configuration was known

A controller begins when the configuration is known and noted replicas only at the next change of the list; until then members of heads that are not listed counted as free.

The lease: one holder only gave orders. So that this was its cause rests on the test.

The first configuration of a controller notes what is listed.

Before: test_fresh_holder.py fails (both members are told to join). After: it passes.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -70,7 +70,12 @@
 
     def configure(self, engine: routes.Engine) -> None:
         """Take how the service's endpoints work."""
+        is_first = self._engine is None
         self._engine = engine
+        if is_first:
+            # Endpoints may be listed before the configuration is known. Not
+            # noted, members whose head isn't listed yet would count as free.
+            self.note_fleet()
 
     def note_fleet(self) -> None:
         """Remember what is only told by passing states."""
--- /dev/null
+++ b/redwingvalve/node/tests/test_fresh_holder.py
@@ -0,0 +1,91 @@
+"""A process that has just started and takes the lease knows no history."""
+
+import anyio
+import attrs
+
+from redwingvalve.fleet import endpoints, serving
+from redwingvalve.fleet import registry as registry_module
+from redwingvalve.ingress import routes
+from redwingvalve.node import controller, inspecting
+from redwingvalve.platform import endpoint_orders
+
+SMALL = routes.Model('small', 2, 1.0, 1.0, 12.0, 1.1)
+ENGINE = routes.Engine(
+    slots=4,
+    models=(SMALL,),
+    step_ms=4.0,
+    request_step_ms=0.1,
+    read_per_s=40_000.0,
+    stride=5,
+    loads_per_s=5.0,
+    loads_at_once=7,
+    open_ms=30.0,
+)
+
+
+@attrs.define(eq=False)
+class Client:
+    """Notes who is told to join; nobody answers questions."""
+
+    joins: list = attrs.field(factory=list)
+
+    async def join(self, endpoint, replica, epoch, member_ids):
+        self.joins.append(endpoint.endpoint_id)
+        return endpoint_orders.OrderResult.ACCEPTED
+
+    async def report(self, endpoint):
+        return None
+
+
+def member(number):
+    """The second member of a replica whose head isn't listed."""
+    return endpoints.Endpoint(
+        endpoint_id=f'e{number}',
+        born_ms=1,
+        service='engine',
+        host='127.0.0.1',
+        port=80,
+        data_centre='zone-1',
+        slots=4,
+        draining=False,
+        domain='d1',
+        staged=('small',),
+        membership=endpoints.Membership(
+            f'small.1.{number}', number, 1, endpoints.MemberState.READY
+        ),
+    )
+
+
+def test_members_of_heads_that_are_not_back_yet_stay_where_they_are():
+    """No VM is in two replicas after an outage of the store.
+
+    Entries lapsed with the store and return one by one within two seconds.
+    The holder was killed meanwhile; its next process is told of the members
+    first, takes the lease at once and looks at the fleet. Both heads live,
+    are open, and are not listed yet.
+    """
+    client = Client()
+    registry = registry_module.Registry()
+    registry.live = {f'e{number}': member(number) for number in (1, 2)}
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made = controller.Controller(
+                'engine',
+                registry,
+                serving.ServingTable(registry),
+                client,
+                inspecting.Inspector(client),
+                group,
+                lambda: True,
+                lambda service, model: 0,
+            )
+            made.has_served = True
+            made.configure(ENGINE)
+            for _ in range(5):
+                made.look(ENGINE)
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert not client.joins
