--- a/redwingvalve/node/meeting.py
+++ b/redwingvalve/node/meeting.py
@@ -37,17 +37,19 @@
     client: store.StoreClient
     peers: peers_module.Peers
     _is_written: bool = False
-    _has_read: bool = False
+    _has_met: bool = False
 
     async def run(self) -> typing.NoReturn:
         """Meet the others, and read again now and then."""
         while True:
             self._is_written = self._is_written or await self._write()
-            is_read = await self._read(is_stale=self._has_read)
+            is_read = await self._read(is_stale=self._has_met)
             # What was read before the own object stood may lack a node that
             # has not read it either.
-            self._has_read = is_read and self._is_written
-            if self._has_read:
+            if is_read and self._is_written:
+                self._has_met = True
+            if self._has_met:
+                # Also after a reading that failed: the others are known.
                 await anyio.sleep(READ_AGAIN_S)
             else:
                 await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -148,8 +148,11 @@
         ]
         for name in gone:
             self._drop(name)
+        before = len(self.known)
         for address in found:
             self._add(address)
+        if len(self.known) > before:
+            LOG.info('nodes listed', extra={'known': len(self.known)})
         self._introduce_until_s = time.monotonic() + INTRODUCE_S
 
     def close(self) -> None:
@@ -171,9 +174,7 @@
         except words.WordError as error:
             LOG.warning('unusable datagram', extra={'error': str(error)})
             return
-        introduced = _introduced(word)
-        if introduced is not None:
-            self._add(introduced)
+        self._meet(word)
         peer = self.known.get(word.vm)
         if peer is None:
             return
@@ -201,13 +202,20 @@
             self._taker.node_lost(name)
         return silent
 
-    def _add(self, address: PeerAddress | None) -> None:
-        if address is None or address.vm == self.own.vm:
+    def _meet(self, word: typing.Any) -> None:
+        introduced = _introduced(word)
+        if introduced is None:
+            return
+        if introduced.vm not in self.known:
+            LOG.info('node known', extra={'vm': word.vm, 'ip': introduced.ip})
+        self._add(introduced)
+
+    def _add(self, address: PeerAddress) -> None:
+        if address.vm == self.own.vm:
             return
         known = self.known.get(address.vm)
         if known is not None and known.address.born_ms >= address.born_ms:
             return
-        LOG.info('node known', extra={'vm': address.vm, 'ip': address.ip})
         self.known[address.vm] = Peer(address, time.monotonic())
 
     def _drop(self, name: str) -> None:
--- a/redwingvalve/node/tests/test_meeting.py
+++ b/redwingvalve/node/tests/test_meeting.py
@@ -2,7 +2,10 @@
 
 import itertools
 
-from redwingvalve.node import peers, word_parts, words
+import anyio
+
+from redwingvalve.node import meeting, peers, word_parts, words
+from redwingvalve.platform import store
 from redwingvalve.platform.tests import fleet as fleets
 
 NODES = 6
@@ -66,3 +69,28 @@
     monkeypatch.setattr(peers.time, 'monotonic', lambda: next(ticks) + 1e9)
     known.listed([])
     assert not known.known
+
+
+def test_a_node_that_has_met_the_others_does_not_press_the_store(monkeypatch):
+    """A store that turns nodes away is asked again after the usual time.
+
+    It refuses one node for seconds. That node knows the others; each further
+    call is refused too, and priced.
+    """
+    monkeypatch.setattr(meeting, 'READ_AGAIN_S', 0.4)
+
+    async def test(fleet):
+        await fleet.until(lambda: len(fleet.nodes[0].peers.known) == 1)
+        asked = []
+        node = fleet.nodes[0].meeting
+
+        async def refuse(kind, is_stale):
+            asked.append(is_stale)
+            raise store.StoreRefusedError('status 429')
+
+        monkeypatch.setattr(node.client, 'list_kind', refuse)
+        await anyio.sleep(1.3)
+        assert 1 <= len(asked) <= 4
+        assert all(asked)
+
+    fleets.run(test, nodes=2, engines=0, plain=0)
