--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # One virtual environment serves every target; it is made anew when the pins change.
 VENV ?= .venv
 PYTHON ?= python3
+# Tests of one file run in one process, one after the other; most of them wait.
+TEST_PROCESSES ?= 3
 BIN = $(VENV)/bin
 
 .PHONY: demo test lint format soak bench install
@@ -16,7 +18,7 @@
 	$(BIN)/python -m redwingvalve demo
 
 test: install
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: install
 	$(BIN)/ruff format --check .
