Soak node processes with faults injected from outside

The old soak attacks the product's own daemons; for nodes there was none. A run starts four real node processes, each behind a proxy to the platform's stand-in, and freezes, kills, stops and restarts them by signals, silences, cuts and resets their paths to the store, drops its history and its answers, and lets endpoints die, start again under the same id and obey late. Faults overlap. It checks, from what callers and endpoints see: the whole of the own answer, at most one run, true refusals, no VM in two replicas, no new work 2 s after a leaving, and that nine in ten are served 4 s after all faults.

Each check is shown to fail (tests/integration/test_node_soak.py). Callers of the tests have a serial number each: the address of an object, which was used, is given again and made two attempts one.

--- a/redwingvalve/platform/tests/fleet.py
+++ b/redwingvalve/platform/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import time
 
@@ -129,10 +130,15 @@
         self.body += chunk
 
     def completed(self):
-        self.done.set_result('whole')
+        self._end('whole')
 
     def broken(self, reason):
-        self.done.set_result(reason)
+        self._end(reason)
+
+    def _end(self, ending):
+        # Whoever waited may have given up meanwhile.
+        if not self.done.done():
+            self.done.set_result(ending)
 
 
 @attrs.define(eq=False)
@@ -142,6 +148,10 @@
     address: tuple
     connection: client.Connection | None = None
     number: int = 0
+    serial: int = attrs.field(factory=itertools.count(1).__next__)
+
+    def attempt(self, number):
+        return b'a%d-%d' % (self.serial, number)
 
     async def ask(self, path, body=b'', *, key=KEY, headers=(), host=HOST):
         taker = await self.begin(
@@ -167,7 +177,7 @@
         taker = _Taker()
         sent = [
             (b'Host', host.encode()),
-            (b'X-Attempt-Id', b'a%d-%d' % (id(self), self.number)),
+            (b'X-Attempt-Id', self.attempt(self.number)),
             (b'X-Deadline-Ms', b'3000'),
             (b'Content-Length', b'%d' % len(body)),
             *headers,
--- /dev/null
+++ b/tests/integration/node_world.py
@@ -0,0 +1,219 @@
+"""Node processes on the loopback, with the platform's stand-ins around them.
+
+The store and the endpoints run in this process and keep what nodes do to
+them; each node is a process of its own and reaches the store through a proxy.
+"""
+
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+import anyio
+import attrs
+
+from redwingvalve.http1 import server
+from redwingvalve.platform.standins import endpoint as platform_endpoint
+from redwingvalve.platform.standins import store as platform_store
+from redwingvalve.platform.tests import fleet as fleets
+from tests.integration import fault_proxy
+
+ROOT = pathlib.Path(__file__).parents[2]
+FRONT_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = (
+    20_001,
+    20_002,
+    20_003,
+    20_004,
+)
+ENGINES = 9
+PLAIN = 3
+STOP_TIMEOUT_S = 8.0
+_SERVES = frozenset(('open', 'closing'))
+
+
+class WatchedEndpoint(platform_endpoint.PlatformEndpoint):
+    """An endpoint that knows when an order breaks a promise."""
+
+    def __init__(self, world, name, service, domain=''):
+        super().__init__(world.store, name, service, domain)
+        self.world = world
+        self.is_alive = True
+
+    def serves(self, group):
+        """Return whether this head serves a group now."""
+        is_same = self.group is not None and (
+            (self.group['name'], self.group['epoch'])
+            == (group['name'], group['epoch'])
+        )
+        return self.is_alive and is_same and self.group['state'] in _SERVES
+
+    def crash(self):
+        self.is_alive = False
+        head = self.world.head_of(self)
+        super().crash()
+        if head is not None and head is not self:
+            # It goes on accepting requests, and nothing moves.
+            head.faults.stands_still = True
+
+    def _join(self, order):
+        old = self.group
+        head = self.world.head_of(self)
+        key = (order['group'], order['epoch'])
+        is_other = old is not None and (old['name'], old['epoch']) != key
+        is_taken = is_other and order['epoch'] >= self._epoch
+        if is_taken and head is not None and head.serves(old):
+            self.world.breaches.append(
+                f'{self.endpoint_id} joined {key} while {old} was served'
+            )
+        status = super()._join(order)
+        if status == 202:
+            self.faults.stands_still = False
+        return status
+
+
+@attrs.define(eq=False)
+class NodeProcess:
+    """One node: its settings file, its log and its process."""
+
+    number: int
+    ip: str
+    proxy: fault_proxy.FaultProxy
+    folder: pathlib.Path
+    process: subprocess.Popen | None = None
+    is_paused: bool = False
+
+    def write_settings(self):
+        document = {
+            'node': f'node-{self.number}',
+            'ip': self.ip,
+            'zone': 'zone-1',
+            'region': 'region-1',
+            'listen': {
+                'front': f'{self.ip}:{FRONT_PORT}',
+                'ready': f'{self.ip}:{READY_PORT}',
+                'directory': f'{self.ip}:{DIRECTORY_PORT}',
+            },
+            'internal_ports': [PEER_PORT, PEER_PORT],
+            'heartbeat_ms': 1200,
+            'bounds': fleets.BOUNDS,
+            'platform': {'address': self.proxy.address},
+        }
+        self.settings_path.write_text(json.dumps(document))
+
+    @property
+    def settings_path(self):
+        return self.folder / f'node-{self.number}.json'
+
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def start(self):
+        environment = {
+            **os.environ,
+            'REDWINGVALVE_BOOT': str(self.settings_path),
+        }
+        with (self.folder / f'node-{self.number}.log').open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'redwingvalve.node'],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                cwd=ROOT,
+                env=environment,
+            )
+
+    def send(self, number):
+        if self.is_running:
+            os.kill(self.process.pid, number)
+
+    def kill(self):
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    async def end(self):
+        """Wait for a process that was told to stop."""
+        with anyio.move_on_after(STOP_TIMEOUT_S):
+            while self.is_running:
+                await anyio.sleep(0.02)
+            return
+        self.kill()
+
+
+class World:
+    """Store, endpoints and nodes of one run."""
+
+    def __init__(self, seed, nodes, folder):
+        self.chance = random.Random(seed)
+        self.store = platform_store.PlatformStore()
+        self.endpoints = {}
+        self.nodes = []
+        self.breaches = []
+        self._count = nodes
+        self._folder = pathlib.Path(folder)
+        self._numbers = 0
+        # Each run has addresses of its own on the loopback.
+        chance = random.SystemRandom()
+        self._net = f'127.{chance.randint(1, 254)}.{chance.randint(0, 254)}'
+
+    async def start(self, group):
+        listening = await _listen(self.store)
+        self.store.put('config', 'main', fleets.configuration())
+        for _ in range(ENGINES):
+            await self.add(fleets.ENGINE, 'domain-1')
+        for _ in range(PLAIN):
+            await self.add(fleets.PLAIN)
+        for number in range(self._count):
+            proxy = fault_proxy.FaultProxy(listening, group)
+            await proxy.start()
+            node = NodeProcess(
+                number, f'{self._net}.{number + 1}', proxy, self._folder
+            )
+            node.write_settings()
+            node.start()
+            self.nodes.append(node)
+
+    async def add(self, service, domain=''):
+        self._numbers += 1
+        name = f'e{self._numbers}'
+        endpoint = WatchedEndpoint(self, name, service, domain)
+        self.endpoints[name] = endpoint
+        await endpoint.start()
+        return endpoint
+
+    def living(self, service):
+        return [
+            one
+            for one in self.endpoints.values()
+            if one.is_alive and one.state == 'ready' and one._service == service
+        ]
+
+    def head_of(self, member):
+        if member.group is None or not member.members:
+            return None
+        return self.endpoints.get(member.members[0])
+
+    def runs_of(self, attempt):
+        return sum(
+            1
+            for endpoint in self.endpoints.values()
+            for run in endpoint.runs
+            if run.attempt_id == attempt
+        )
+
+    def kill_all(self):
+        for node in self.nodes:
+            node.kill()
+
+
+async def _listen(application):
+    loop = fleets.asyncio.get_running_loop()
+    listening = await loop.create_server(
+        lambda: server.CallerConnection(application), '127.0.0.1', 0
+    )
+    return f'127.0.0.1:{listening.sockets[0].getsockname()[1]}'
--- /dev/null
+++ b/tests/integration/test_node_soak.py
@@ -0,0 +1,103 @@
+"""A short soak of node processes, and proof that its checks can fail."""
+
+import anyio
+import pytest
+
+from redwingvalve.platform.standins import endpoint as platform_endpoint
+from redwingvalve.platform.tests import fleet as fleets
+from tests.integration import node_soak, node_world
+
+GUARD_S = 120
+DURATION_S = 8.0
+SEED = 3
+NODES = 4
+JOIN = {'operation': 'join', 'model': fleets.SMALL}
+
+
+@pytest.mark.slow
+def test_no_promise_breaks_in_a_short_run(tmp_path):
+    """Callers get the whole of their own answers or the truth.
+
+    Nodes are frozen, killed and stopped, lose the store and its answers;
+    endpoints die, start again and obey late; then one leaves in a calm moment.
+    """
+
+    async def scenario():
+        with anyio.fail_after(GUARD_S):
+            return await node_soak.soak(SEED, DURATION_S, NODES, tmp_path)
+
+    tally, _, breaches = anyio.run(scenario)
+    assert not breaches
+    assert tally.served > tally.asked / 2
+
+
+@pytest.fixture
+def world(tmp_path):
+    return node_world.World(SEED, NODES, tmp_path)
+
+
+def served_tally():
+    return node_soak.Tally(last=[(1.0, True)])
+
+
+def run_of(attempt):
+    return platform_endpoint.Run(attempt, b'/quote/1', (), None)
+
+
+def test_a_quote_that_ran_twice_is_noticed(world):
+    endpoint = node_world.WatchedEndpoint(world, 'e1', fleets.PLAIN)
+    world.endpoints['e1'] = endpoint
+    endpoint.runs += [run_of(b'a1-1'), run_of(b'a1-1')]
+    tally = served_tally()
+    tally.quotes.append(b'a1-1')
+    assert node_soak.check(world, tally) == ["b'a1-1' ran 2 times"]
+
+
+def test_a_refusal_that_is_not_true_is_noticed(world):
+    endpoint = node_world.WatchedEndpoint(world, 'e1', fleets.PLAIN)
+    world.endpoints['e1'] = endpoint
+    endpoint.runs.append(run_of(b'a1-1'))
+    tally = served_tally()
+    tally.not_run.append(b'a1-1')
+    assert len(node_soak.check(world, tally)) == 1
+
+
+def test_a_fleet_that_stays_down_is_noticed(world):
+    tally = node_soak.Tally(last=[(1.0, False), (2.0, True)])
+    assert node_soak.check(world, tally) == ['recovered 1 of 2']
+
+
+def test_a_member_of_two_replicas_is_noticed(world):
+    """A member joins elsewhere while the head of its replica is open."""
+
+    async def scenario():
+        for name in ('e1', 'e2'):
+            one = node_world.WatchedEndpoint(world, name, fleets.ENGINE)
+            world.endpoints[name] = one
+            one._join(
+                {**JOIN, 'group': 'g', 'epoch': 1, 'members': ['e1', 'e2']}
+            )
+        head, member = world.endpoints.values()
+        head.group = {**head.group, 'state': 'open'}
+        member._join({**JOIN, 'group': 'h', 'epoch': 2, 'members': ['e2']})
+
+    anyio.run(scenario)
+    assert len(world.breaches) == 1
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'is_breach'),
+    [
+        (200, b'body of %b', False),
+        (200, b'another body', True),
+        (503, b'', False),
+    ],
+)
+def test_another_answer_is_noticed(world, status, body, is_breach):
+    tally = node_soak.Tally()
+    caller = node_soak.Caller(world, tally, world.chance)
+    caller.connection = fleets.Caller(('127.0.0.1', 1))
+    attempt = caller.connection.attempt(0)
+    answer = fleets.Answer(status, {}, body.replace(b'%b', attempt), 'whole')
+    caller._judge('card', answer)
+    assert bool(tally.breaches) == is_breach
