Read the endpoints back before the first order of a new holder

Nodes that don't hold the lease hear of endpoints 0.1 to 0.3 s late at best, seconds late after an outage.

Two holders: node 2's term was over 0.8 s before.

The holder begins once its watch has reached the store's revision at which it took the lease; the watch under way is asked anew at once for that.

Before: test_a_new_holder_reads_the_endpoints_before_its_first_order fails (its controller looks at the fleet). After: it passes. test_requests took the number of an attempt from the address of its caller, as the harness did; it asks the caller now.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -84,12 +84,20 @@
         """Return the other nodes."""
         return self.teller.peers
 
+    @property
+    def endpoint_watch(self) -> watching.KindWatch:
+        """Return the watch that tells of endpoints."""
+        return next(
+            watch for watch in self.watches if watch.kind == names.ENDPOINT_KIND
+        )
+
     async def run(self, stop: anyio.Event) -> None:
         """Run until stop is set, and then until all requests have ended."""
         self.table.on_sound = self.state.silence.found_sound
         self.table.on_rebuilt = self.state.poke
         self.table.on_doubt = self.losses.doubt
         self.watches = self._make_watches()
+        self.lease.on_taken = self.endpoint_watch.hurry
         try:
             await self._listen()
             await self._serve(stop)
@@ -217,9 +225,20 @@
             control.configure(service.engine)
         control.term = self.lease.term
         control.has_served = self.teller.fleet_has_served
-        if self.lease.is_held() and service.engine is not None:
+        if self._may_order() and service.engine is not None:
             control.look(service.engine)
 
+    def _may_order(self) -> bool:
+        """Return whether the lease is held, and its last holder's work known.
+
+        Endpoints are heard of by a watch that may be a few hundred
+        milliseconds behind, or seconds after an outage. A replica that the
+        last holder opened just before would look like one that is not ready,
+        and its members would be told to join another.
+        """
+        is_read = self.endpoint_watch.revision >= self.lease.taken_revision
+        return self.lease.is_held() and is_read
+
     async def _stop(self) -> None:
         LOG.info('stopping', extra={'running': len(self.front.running)})
         began_s = time.monotonic()
--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -43,11 +43,14 @@
     term: int = 0
     until_s: float = 0.0
     is_releasing: bool = False
+    # The store's revision when this node took the lease.
+    taken_revision: int = 0
     # What the holder said last: its revision, and until when it holds.
     heard_revision: int = 0
     heard_until_s: float = 0.0
     # Called after each renewal, so that others know its revision.
     on_renewed: typing.Callable[[], None] | None = None
+    on_taken: typing.Callable[[], None] | None = None
 
     def is_held(self) -> bool:
         """Return whether this node may give orders now."""
@@ -149,8 +152,11 @@
     def _taken(self, stored: store.Document, began_s: float) -> None:
         self.revision = store.revision_of(stored)
         self.until_s = began_s + TERM_S
+        self.taken_revision = self.revision
         LOG.info('lease taken', extra={'term': self.term})
         self._say()
+        if self.on_taken is not None:
+            self.on_taken()
 
     def _say(self) -> None:
         if self.on_renewed is not None:
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -174,7 +174,7 @@
             ran = fleet.endpoints['p0'].runs + fleet.endpoints['p1'].runs
             assert got.status == 200
             assert got.body in {b'body of %b' % run.attempt_id for run in ran}
-            expected = b'a%d-%d' % (id(caller), caller.number)
+            expected = caller.attempt(caller.number)
             assert got.body == b'body of ' + expected
 
     fleets.run(test, engines=0)
--- a/redwingvalve/node/watching.py
+++ b/redwingvalve/node/watching.py
@@ -16,6 +16,8 @@
 # it together don't return together.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
+# A watch that only asks what is known by now.
+HURRIED_WAIT_S = 0.01
 # A relay that failed is preferred again after this; one that is frozen is no
 # relay any more by then, as it says nothing.
 FORGIVE_S = 1.2
@@ -56,6 +58,18 @@
         self._failures = 0
         self._failed_s = 0.0
         self._is_lost = False
+        self._is_hurried = False
+        self._waiting = anyio.CancelScope()
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which all changes are known."""
+        return self._revision or 0
+
+    def hurry(self) -> None:
+        """Ask the store now, in place of the watch that is under way."""
+        self._is_hurried = True
+        self._waiting.cancel()
 
     async def run(self) -> typing.NoReturn:
         """Follow until cancelled."""
@@ -84,14 +98,19 @@
             self.mirror.replaced(listing)
             self._follower.replaced(listing.objects)
             return
-        found = await source.client.watch(
-            self.kind, self._revision, source.wait_s
-        )
+        wait_s = HURRIED_WAIT_S if self._is_hurried else source.wait_s
+        self._waiting = anyio.CancelScope()
+        with self._waiting:
+            found = await source.client.watch(self.kind, self._revision, wait_s)
+            self._is_hurried = False
+            self._take(found, source)
+            await anyio.sleep(max(self._pause_s(), source.pause_s))
+
+    def _take(self, found: store.Changes, source: sources.Source) -> None:
         self._revision = found.revision
         self._found(source)
         self.mirror.changed(found)
         self._follower.changed(found.changes)
-        await anyio.sleep(max(self._pause_s(), source.pause_s))
 
     def _forgive(self) -> None:
         """Go back to the preferred source some time after a failure."""
--- a/redwingvalve/platform/tests/test_lease_and_store.py
+++ b/redwingvalve/platform/tests/test_lease_and_store.py
@@ -1,7 +1,9 @@
 """How the lease is handed on, and what holds while the store is away."""
 
 import anyio
+import pytest
 
+from redwingvalve.node import controller
 from redwingvalve.node import lease as lease_module
 from redwingvalve.platform.tests import fleet as fleets
 
@@ -130,3 +132,46 @@
         monkeypatch.undo()
 
     fleets.run(test)
+
+
+def test_a_new_holder_reads_the_endpoints_before_its_first_order():
+    """No VM is in two replicas after the lease has changed hands.
+
+    The last holder opened a replica just before it lost the lease. The next
+    one has not heard of that: its watch is held up. It must not let the
+    members join elsewhere by what it knew before.
+    """
+
+    async def test(fleet):
+        (holder,) = fleets.holders(fleet)
+        (other,) = [node for node in fleet.nodes if node is not holder]
+        looked = []
+
+        async def hang(kind, revision, wait_s):
+            await anyio.sleep(60)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(
+                controller.Controller,
+                'look',
+                lambda made, engine: looked.append(made),
+            )
+            patched.setattr(other.client, 'watch', hang)
+            await anyio.sleep(3)
+            await holder.lease.release()
+            holder.teller.say_now()
+            await fleet.until(other.lease.is_held, 2)
+            await anyio.sleep(0.3)
+            assert not set(looked) & set(other.controllers.values())
+            patched.undo()
+            patched.setattr(
+                controller.Controller,
+                'look',
+                lambda made, engine: looked.append(made),
+            )
+            other.endpoint_watch.hurry()
+            await fleet.until(
+                lambda: bool(set(looked) & set(other.controllers.values())), 1
+            )
+
+    fleets.run(test, nodes=2)
