Cut a head off by its own write, not by a poll that may come late

The test polled each 10 ms for a state that lasts some 40 ms, to cut the head off while it said ready; a turn of the loop that came later missed it for good.

The product: nothing was wrong when the state was missed but that the scenario had not been set up.

The write that says ready cuts the head off, so that the scenario always happens. What is asserted stays. With the safeguard (an order to open counts as serving) taken out the test fails.

--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -187,16 +187,18 @@
             endpoint.staged = [fleets.SMALL]
             endpoint.write_entry()
 
-        def is_ready():
-            states = [
-                (endpoint.group or {}).get('state')
-                for endpoint in (head, member)
-            ]
-            head.faults.is_cut_off = states[0] == 'ready'
-            return states == ['ready', 'ready']
-
-        await fleet.until(is_ready)
+        write_entry = head.write_entry
+
+        def write_and_be_cut_off():
+            """Be cut off by the write that says ready, for both members."""
+            write_entry()
+            state = (head.group or {}).get('state')
+            if state == 'ready' and len(head.members) == 2:
+                head.faults.is_cut_off = True
+
+        head.write_entry = write_and_be_cut_off
         await fleet.until(lambda: (head.group or {}).get('state') == 'open')
+        assert head.faults.is_cut_off
         fleet.store.remove('servers', head.endpoint_id)
         other = await fleet.add_endpoint('e7', fleets.ENGINE, 'domain-2')
         other.staged = [fleets.SMALL]
