--- a/tests/integration/test_node_soak.py
+++ b/tests/integration/test_node_soak.py
@@ -10,12 +10,16 @@
 GUARD_S = 120
 DURATION_S = 8.0
 SEED = 3
+# Seeds that once showed a breach, with its cause:
+# 45: a new holder of the lease ordered by what it had known before an outage.
+BROKEN_SEEDS = (45,)
 NODES = 4
 JOIN = {'operation': 'join', 'model': fleets.SMALL}
 
 
 @pytest.mark.slow
-def test_no_promise_breaks_in_a_short_run(tmp_path):
+@pytest.mark.parametrize('seed', [SEED, *BROKEN_SEEDS])
+def test_no_promise_breaks_in_a_short_run(tmp_path, seed):
     """Callers get the whole of their own answers or the truth.
 
     Nodes are frozen, killed and stopped, lose the store and its answers;
@@ -24,7 +28,7 @@
 
     async def scenario():
         with anyio.fail_after(GUARD_S):
-            return await node_soak.soak(SEED, DURATION_S, NODES, tmp_path)
+            return await node_soak.soak(seed, DURATION_S, NODES, tmp_path)
 
     tally, _, breaches = anyio.run(scenario)
     assert not breaches
