Compare memberships in one place; drop state and work that can be derived

Read-through of the change; behaviour stays. A membership names its replica and epoch as one key, which five places put together themselves. Which models are rich is worked out once a look and not for each spare of a fleet of two hundred endpoints, twenty times a second. is_listening follows from the front's listener; the rest between two watches is worked out in one place. Tests share a member and a look; no assertion changed.

--- a/redwingvalve/fleet/endpoints.py
+++ b/redwingvalve/fleet/endpoints.py
@@ -24,6 +24,11 @@
     rank: int
     state: MemberState
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return name and epoch; both name one forming."""
+        return self.replica, self.epoch
+
 
 @attrs.frozen
 class Endpoint:
@@ -99,7 +104,7 @@
         membership = endpoint.membership
         if membership is None:
             continue
-        key = (endpoint.service, membership.replica, membership.epoch)
+        key = (endpoint.service, *membership.key)
         members.setdefault(key, []).append(endpoint)
     found: dict[str, list[Replica]] = {}
     for (service, name, epoch), group in members.items():
--- a/redwingvalve/fleet/planning.py
+++ b/redwingvalve/fleet/planning.py
@@ -167,12 +167,16 @@
     poor = min(models, key=lambda model: stock.cover(model.name))
     if stock.cover(poor.name) >= POOR_COVER:
         return None
+    rich = {
+        model.name
+        for model in models
+        if stock.cover(model.name, -1) >= RICH_COVER
+    }
     found = [
         spare
         for spare in spares
         if spare.staged
-        and spare.staged[-1] in stock.needed_vms
-        and stock.cover(spare.staged[-1], -1) >= RICH_COVER
+        and spare.staged[-1] in rich
         and _has_twin(spare, spares)
     ]
     if not found:
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -135,8 +135,7 @@
         head = self._registry.live.get(head_id)
         if head is None or head.membership is None:
             return None
-        membership = head.membership
-        return self._whole.get((membership.replica, membership.epoch))
+        return self._whole.get(head.membership.key)
 
     def own_suspicions(self) -> list[Suspicion]:
         """Return suspicions that this node itself holds."""
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -76,7 +76,6 @@
         factory=dict
     )
     front_listener: listening.Listener | None = None
-    is_listening: bool = False
     log_handler: bounded_logs.BoundedHandler | None = None
 
     @property
@@ -84,6 +83,11 @@
         """Return the other nodes."""
         return self.teller.peers
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether callers are served; their address is the last."""
+        return self.front_listener is not None
+
     @property
     def endpoint_watch(self) -> watching.KindWatch:
         """Return the watch that tells of endpoints."""
@@ -138,7 +142,6 @@
         self.front_listener = await self.listeners.serve(
             self.front, self.settings.front
         )
-        self.is_listening = True
         LOG.info('started', extra={'front': str(self.settings.front)})
 
     def _close(self) -> None:
--- a/redwingvalve/node/inspecting.py
+++ b/redwingvalve/node/inspecting.py
@@ -132,9 +132,7 @@
         return False
     if report.membership.state is endpoints.MemberState.BROKEN:
         return False
-    was = member.membership
-    now = report.membership
-    return (was.replica, was.epoch) == (now.replica, now.epoch)
+    return report.membership.key == member.membership.key
 
 
 def _unanswered(
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -326,7 +326,7 @@
     membership = endpoint.membership
     if membership is None:
         return False
-    return (membership.replica, membership.epoch) == key
+    return membership.key == key
 
 
 def _serves_as(
@@ -335,7 +335,7 @@
     was = head.membership
     if was is None or now is None:
         return False
-    if (was.replica, was.epoch) != (now.replica, now.epoch):
+    if was.key != now.key:
         return False
     return now.state not in _SETTLED
 
--- a/redwingvalve/node/tests/test_fresh_holder.py
+++ b/redwingvalve/node/tests/test_fresh_holder.py
@@ -7,6 +7,7 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
 from redwingvalve.node import controller, inspecting
+from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
 
 SMALL = routes.Model('small', 2, 1.0, 1.0, 12.0, 1.1)
@@ -39,20 +40,8 @@
 
 def member(number):
     """The second member of a replica whose head isn't listed."""
-    return endpoints.Endpoint(
-        endpoint_id=f'e{number}',
-        born_ms=1,
-        service='engine',
-        host='127.0.0.1',
-        port=80,
-        data_centre='zone-1',
-        slots=4,
-        draining=False,
-        domain='d1',
-        staged=('small',),
-        membership=endpoints.Membership(
-            f'small.1.{number}', number, 1, endpoints.MemberState.READY
-        ),
+    return members.make_member(
+        f'e{number}', number, 1, endpoints.MemberState.READY
     )
 
 
--- a/redwingvalve/node/tests/test_inspecting.py
+++ b/redwingvalve/node/tests/test_inspecting.py
@@ -5,6 +5,7 @@
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.node import inspecting
+from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
 
 REPLICAS = 60
@@ -13,18 +14,8 @@
 
 def replica(number):
     return tuple(
-        endpoints.Endpoint(
-            endpoint_id=f'e{number}-{rank}',
-            born_ms=1,
-            service='engine',
-            host='127.0.0.1',
-            port=80,
-            data_centre='zone-1',
-            slots=4,
-            draining=False,
-            membership=endpoints.Membership(
-                f'small.1.{number}', number, rank, endpoints.MemberState.OPEN
-            ),
+        members.make_member(
+            f'e{number}-{rank}', number, rank, endpoints.MemberState.OPEN
         )
         for rank in range(MEMBERS)
     )
--- a/redwingvalve/node/tests/test_loss_watch.py
+++ b/redwingvalve/node/tests/test_loss_watch.py
@@ -68,22 +68,26 @@
     )
 
 
-def look_after_silence(made, *, has_begun):
-    """Look twice at a head from which nothing has come for ten seconds."""
+def look(made, times=1):
+    """Look, and let all questions be answered."""
 
     async def main():
-        pulse = silence.StreamPulse(
-            'head', sent_s=0.0, prompt_s=0, pause_s=0.05
-        )
-        made.state.silence.begin(pulse)
-        if has_begun:
-            made.state.silence.noted(pulse, 0.0)
         async with anyio.create_task_group() as group:
-            made.look(group)
+            for _ in range(times):
+                made.look(group)
 
     anyio.run(main)
 
 
+def look_after_silence(made, *, has_begun):
+    """Look at a head from which nothing has come for a long time."""
+    pulse = silence.StreamPulse('head', sent_s=0.0, prompt_s=0, pause_s=0.05)
+    made.state.silence.begin(pulse)
+    if has_begun:
+        made.state.silence.noted(pulse, 0.0)
+    look(made)
+
+
 def test_a_full_head_of_a_large_fleet_stays_in_use():
     """Callers find heads during a burst.
 
@@ -119,11 +123,7 @@
     made = watch(is_whole=True, has_holder=False)
     made.table.suspects.append('head')
 
-    async def main():
-        async with anyio.create_task_group() as group:
-            made.look(group)
-
-    anyio.run(main)
+    look(made)
     assert made.table.cleared == ['head']
 
 
@@ -131,11 +131,7 @@
     made = watch(is_whole=True, has_holder=True)
     made.table.suspects.append('head')
 
-    async def main():
-        async with anyio.create_task_group() as group:
-            made.look(group)
-
-    anyio.run(main)
+    look(made)
     assert made.inspector.asked == 0
 
 
@@ -148,12 +144,7 @@
     made = watch(is_whole=True, nodes=6)
     made.doubt('head', 'broken stream')
 
-    async def main():
-        async with anyio.create_task_group() as group:
-            made.look(group)
-            made.look(group)
-
-    anyio.run(main)
+    look(made, times=2)
     assert made.inspector.asked == 1
     assert not made.table.suspects
 
@@ -162,9 +153,5 @@
     made = watch(is_whole=False, nodes=6)
     made.doubt('head', 'broken stream')
 
-    async def main():
-        async with anyio.create_task_group() as group:
-            made.look(group)
-
-    anyio.run(main)
+    look(made)
     assert made.table.suspects == ['head']
--- a/redwingvalve/node/watching.py
+++ b/redwingvalve/node/watching.py
@@ -104,7 +104,7 @@
             found = await source.client.watch(self.kind, self._revision, wait_s)
             self._is_hurried = False
             self._take(found, source)
-            await anyio.sleep(max(self._pause_s(), source.pause_s))
+            await anyio.sleep(self._rest_s(source))
 
     def _take(self, found: store.Changes, source: sources.Source) -> None:
         self._revision = found.revision
@@ -112,6 +112,9 @@
         self.mirror.changed(found)
         self._follower.changed(found.changes)
 
+    def _rest_s(self, source: sources.Source) -> float:
+        return max(self._pause_s(), source.pause_s)
+
     def _forgive(self) -> None:
         """Go back to the preferred source some time after a failure."""
         if time.monotonic() - self._failed_s > FORGIVE_S:
@@ -136,8 +139,8 @@
         await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     def _found(self, source: sources.Source) -> None:
-        pause_s = max(self._pause_s(), source.pause_s)
-        self.mirror.heard(source.wait_s + pause_s, source.is_store)
+        until_next_s = source.wait_s + self._rest_s(source)
+        self.mirror.heard(until_next_s, source.is_store)
         if self._is_lost:
             LOG.info('store is back', extra={'kind': self.kind})
         self._is_lost = False
--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import random
 import shutil
 import signal
 import sys
@@ -13,6 +14,7 @@
 import anyio
 import attrs
 
+from redwingvalve.platform.standins import store as platform_store
 from redwingvalve.platform.tests import fleet as fleets
 from tests.integration import node_world
 
@@ -231,7 +233,7 @@
 
 async def heal(world):
     """End all faults and start what is down."""
-    world.store.faults = type(world.store.faults)()
+    world.store.faults = platform_store.StoreFaults()
     for node in world.nodes:
         node.proxy.heal()
         node.send(signal.SIGCONT)
@@ -251,7 +253,7 @@
             await world.start(group)
             await anyio.sleep(CALM_S)
             for _ in range(CALLERS):
-                chance = type(world.chance)(world.chance.random())
+                chance = random.Random(world.chance.random())
                 group.start_soon(Caller(world, tally, chance).run)
             found += await drain_one(world)
             async with anyio.create_task_group() as fault_group:
--- a/tests/integration/node_world.py
+++ b/tests/integration/node_world.py
@@ -4,6 +4,7 @@
 them; each node is a process of its own and reaches the store through a proxy.
 """
 
+import asyncio
 import json
 import os
 import pathlib
@@ -212,7 +213,7 @@
 
 
 async def _listen(application):
-    loop = fleets.asyncio.get_running_loop()
+    loop = asyncio.get_running_loop()
     listening = await loop.create_server(
         lambda: server.CallerConnection(application), '127.0.0.1', 0
     )
