Forget requests of killed nodes in 0.35 s; hear nodes whose clock was set back

The endpoints drop their requests, but the other nodes count them until the killed nodes are taken for gone after 1.2 s: 64 under way on 63 places, 92 requests refused with places free. Now a node with requests speaks in every pause, and its requests count for 3.5 pauses after its last word.

Words of a process were told from those of the last one by the time of day of their starts. Set back by seconds before a restart, the clock made all words of the new process look old; no caller was sent to it. A start that looks earlier now counts once the other has been silent.

With 82 nodes words came each second, or three at rest, and a node counted as gone after 1.2 s. Words now get rarer from 16 nodes on (8 before: 160 words a second of some 80 us each), rest is a time and no count, and the time to count as gone follows the pause.

Ruled out for cause 1: places lost with the replicas (seven heads stood open).

Each new test fails before.

--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -22,15 +22,21 @@
 # After the store was read, each word says where the node is for so long: some
 # ten words, of which the network loses a few.
 INTRODUCE_S = 3.0
-# A node is given to callers while it was heard within this; four words of a
-# node at rest.
+INTRODUCE_PAUSES = 4
+# A node is given to callers while it was heard within this, or within so many
+# pauses between words where that is longer; four words of a node at rest.
 ALIVE_S = 1.2
+ALIVE_PAUSES = 2.4
+# The requests of a node count while it was heard within this many pauses: one
+# word that is lost on the way makes no difference.
+COUNTED_PAUSES = 3.5
 # Words while something changes, and at rest.
 BUSY_WORD_S = 0.1
 REST_WORD_S = 0.3
 # Each node hears all others; beyond this many the words get rarer, so that
-# what a node spends on them stays the same.
-PLAIN_NODES = 8
+# what a node spends on them stays the same: 160 words a second, of some 80
+# microseconds each.
+PLAIN_NODES = 16
 
 
 @attrs.frozen
@@ -99,9 +105,14 @@
         """Return how much rarer words are than in a small fleet."""
         return max(1.0, len(self.known) / PLAIN_NODES)
 
+    @property
+    def alive_s(self) -> float:
+        """Return how long a node may be silent and count as living."""
+        return max(ALIVE_S, ALIVE_PAUSES * self.word_pause_s)
+
     def alive(self) -> list[Peer]:
         """Return the nodes that were heard lately."""
-        since_s = time.monotonic() - ALIVE_S
+        since_s = time.monotonic() - self.alive_s
         return [
             peer
             for peer in self.known.values()
@@ -111,7 +122,7 @@
     def callable_fronts(self) -> list[str]:
         """Return addresses of nodes that callers may be given."""
         alive = self.alive()
-        since_s = time.monotonic() - ALIVE_S
+        since_s = time.monotonic() - self.alive_s
         newcomers = [
             peer
             for peer in self.known.values()
@@ -153,7 +164,8 @@
             self._add(address)
         if len(self.known) > before:
             LOG.info('nodes listed', extra={'known': len(self.known)})
-        self._introduce_until_s = time.monotonic() + INTRODUCE_S
+        introduce_s = max(INTRODUCE_S, INTRODUCE_PAUSES * self.word_pause_s)
+        self._introduce_until_s = time.monotonic() + introduce_s
 
     def close(self) -> None:
         """Give the address of datagrams back."""
@@ -178,7 +190,7 @@
         peer = self.known.get(word.vm)
         if peer is None:
             return
-        if (word.born_ms, word.number) <= (peer.born_ms, peer.number):
+        if not self._is_news(word, peer):
             return
         peer.born_ms = word.born_ms
         peer.number = word.number
@@ -190,26 +202,46 @@
     def error_received(self, exc: Exception) -> None:
         """Do without: a peer that isn't there is known by its silence."""
 
-    def drop_silent(self) -> list[str]:
-        """Return nodes that fell silent, whose words no longer hold."""
-        since_s = time.monotonic() - ALIVE_S
-        silent = [
-            name
-            for name, peer in self.known.items()
-            if peer.heard_s is not None and peer.heard_s < since_s
-        ]
-        for name in silent:
-            self._taker.node_lost(name)
-        return silent
+    def drop_silent(self) -> None:
+        """Let the requests of nodes that fell silent count no more.
+
+        A node that is killed takes its connections with it, and endpoints drop
+        what ran there. Counted until the node itself is taken for gone, those
+        requests keep others out of places that are free.
+        """
+        since_s = time.monotonic() - COUNTED_PAUSES * self.word_pause_s
+        for name, peer in self.known.items():
+            if peer.heard_s is not None and peer.heard_s < since_s:
+                self._taker.node_lost(name)
 
     def _meet(self, word: typing.Any) -> None:
         introduced = _introduced(word)
         if introduced is None:
             return
-        if introduced.vm not in self.known:
+        known = self.known.get(word.vm)
+        if known is None:
             LOG.info('node known', extra={'vm': word.vm, 'ip': introduced.ip})
+        elif known.address != introduced and self._is_news(word, known):
+            # Its clock may have been set back since: its start then looks
+            # earlier than that of the process which it replaces.
+            self.known.pop(word.vm)
         self._add(introduced)
 
+    def _is_news(self, word: typing.Any, peer: Peer) -> bool:
+        """Return whether a word is newer than the last one of its node.
+
+        Starts are told apart by the time of day, which may be set back by
+        seconds before a process starts again. Its words would be taken for old
+        ones, and no caller sent to it, until its clock has caught up. So
+        another start counts as the later one once the process that was heard
+        before has fallen silent; of one start, a word that is repeated or late
+        never counts.
+        """
+        if word.born_ms == peer.born_ms:
+            return bool(word.number > peer.number)
+        is_silent = peer.last_sign_s < time.monotonic() - self.alive_s
+        return is_silent or word.born_ms > peer.born_ms
+
     def _add(self, address: PeerAddress) -> None:
         if address.vm == self.own.vm:
             return
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -15,8 +15,6 @@
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import word_parts, words
 
-# Loads and suspicions are told again after this many pauses without a change.
-REST_WORDS = 3
 # News that come close together go in one word. A node that finds forty heads
 # sound at once would else send forty words to each other node: 3 MB with 59
 # nodes, which fill a link of 10 Mbit/s for seconds, and its questions to
@@ -57,15 +55,14 @@
 
     async def run(self) -> typing.NoReturn:
         """Speak whenever something has changed, and now and then at rest."""
-        rests = 0
         said: dict[str, int] = {}
         while True:
             loads = dict(self.state.loads.own)
-            rests += 1
-            if loads != said or rests >= REST_WORDS:
+            rest_s = time.monotonic() - self._said_s
+            # While requests run here, silence means that they have ended.
+            if loads or said or rest_s >= peers_module.REST_WORD_S:
                 self.say_now()
                 said = loads
-                rests = 0
             self._look_around()
             await anyio.sleep(self.peers.word_pause_s)
 
@@ -136,6 +133,8 @@
         self.state.poison.look(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
         self.state.loads.node_count = self.state.node_count
+        # Places of nodes that fell silent are free.
+        self.state.poke()
 
     def _found_sound(self, endpoint_id: str, epoch: int) -> None:
         self._cleared[endpoint_id] = (epoch, time.monotonic())
--- a/redwingvalve/node/tests/test_meeting.py
+++ b/redwingvalve/node/tests/test_meeting.py
@@ -23,6 +23,37 @@
         """Nothing is kept."""
 
 
+class HeardWords(peers.WordTaker):
+    def __init__(self):
+        self.words = []
+
+    def word(self, word):
+        self.words.append(word)
+
+    def node_lost(self, vm):
+        """Nothing is kept."""
+
+
+class FakeTime:
+    """The monotonic clock of peers, moved by hand."""
+
+    def __init__(self, monkeypatch):
+        self._now_s = 100.0
+        monkeypatch.setattr(peers.time, 'monotonic', lambda: self._now_s)
+
+    def pass_s(self, seconds):
+        self._now_s += seconds
+
+
+def say(known, own, number):
+    """Let a node's word arrive."""
+    word = words.NodeWord(
+        vm=own.vm, born_ms=own.born_ms, number=number, is_ready=True
+    )
+    word.address = word_parts.address_word(own)
+    known.datagram_received(words.pack(word), (own.ip, own.peer_port))
+
+
 def address(vm, born_ms=1, ip='127.0.0.1'):
     return peers.PeerAddress(vm, ip, 7000, f'{ip}:80', 'zone-1', born_ms)
 
@@ -94,3 +125,38 @@
         assert all(asked)
 
     fleets.run(test, nodes=2, engines=0, plain=0)
+
+
+def test_a_node_that_starts_again_with_a_clock_set_back_is_heard(monkeypatch):
+    """Callers are given the node again as soon as it serves.
+
+    The time of day jumps back on a VM, and its node is killed and starts
+    again: it states an earlier start than before. Its words are taken once
+    the earlier process has been silent, at its new address.
+    """
+    heard = HeardWords()
+    now = FakeTime(monkeypatch)
+    known = peers.Peers(address('vm-1'), heard)
+    say(known, address('vm-2', born_ms=9000), number=70)
+    restarted = address('vm-2', born_ms=5000, ip='127.0.0.2')
+    say(known, restarted, number=1)
+    assert [word.number for word in heard.words] == [70]
+    now.pass_s(peers.ALIVE_S + 0.1)
+    say(known, restarted, number=2)
+    assert [word.number for word in heard.words] == [70, 2]
+    assert known.known['vm-2'].address.ip == '127.0.0.2'
+    assert known.callable_fronts() == ['127.0.0.2:80']
+
+
+def test_a_repeated_word_of_a_silent_node_is_not_taken(monkeypatch):
+    """Old counts of requests don't come back with a late datagram.
+
+    A node falls silent, and its last word but one arrives seconds late.
+    """
+    heard = HeardWords()
+    now = FakeTime(monkeypatch)
+    known = peers.Peers(address('vm-1'), heard)
+    say(known, address('vm-2'), number=7)
+    now.pass_s(peers.ALIVE_S + 0.1)
+    say(known, address('vm-2'), number=6)
+    assert [word.number for word in heard.words] == [7]
--- a/redwingvalve/node/tests/test_telling.py
+++ b/redwingvalve/node/tests/test_telling.py
@@ -1,7 +1,10 @@
 """What a node tells the others, and how often."""
 
+from unittest import mock
+
 import anyio
 
+from redwingvalve.node import peers
 from redwingvalve.platform.tests import fleet as fleets
 
 FOUND = 40
@@ -28,3 +31,58 @@
         assert len(said[-1].cleared) == FOUND
 
     fleets.run(test, nodes=2, engines=0, plain=0)
+
+
+def test_requests_of_a_killed_node_stop_counting_within_half_a_second():
+    """Callers of the other nodes are given the places that a kill frees.
+
+    Four of seven nodes are killed at once. Their connections close and the
+    endpoints drop their requests, but the others go on counting those: every
+    head looks full, and 92 requests were refused in 1.2 s with places free.
+    """
+
+    async def test(fleet):
+        asked, killed = fleet.nodes
+        killed.state.loads.begin('e1')
+        await fleet.until(lambda: asked.state.loads.of('e1') == 1)
+        killed.peers.say = lambda word: None
+        await fleet.until(lambda: not asked.state.loads.of('e1'), 0.6)
+
+    fleets.run(test, nodes=2, engines=0, plain=0)
+
+
+def test_a_long_request_of_a_living_node_counts_all_the_time():
+    """A head isn't filled twice while its streams take seconds."""
+
+    async def test(fleet):
+        asked, other = fleet.nodes
+        other.state.loads.begin('e1')
+        await fleet.until(lambda: asked.state.loads.of('e1') == 1)
+        for _ in range(60):
+            await anyio.sleep(0.02)
+            assert asked.state.loads.of('e1') == 1
+
+    fleets.run(test, nodes=2, engines=0, plain=0)
+
+
+def test_nodes_of_a_large_fleet_speak_before_they_count_as_gone():
+    """Callers are given all nodes of a fleet with few requests.
+
+    Words get rarer with the number of nodes. A node that is heard each second
+    and taken for gone after 1.2 s is left out whenever a word is lost.
+    """
+    for nodes in (7, 59, 82, 361):
+        found = [peer_address(number) for number in range(nodes)]
+        known = peers.Peers(found[0], telling_nobody())
+        known.listed(found)
+        rest_s = max(peers.REST_WORD_S, known.word_pause_s)
+        assert known.alive_s >= 2 * rest_s
+
+
+def peer_address(number):
+    ip = f'127.1.0.{number % 250}'
+    return peers.PeerAddress(f'vm-{number}', ip, 7000, f'{ip}:80', 'zone-1', 1)
+
+
+def telling_nobody():
+    return mock.create_autospec(peers.WordTaker, instance=True)
