Serve first who can still be on time; tell others when to come back

In a wave of more than a second requests waited in the order of their age.

Too few places: as many answers are given either way. Waits at the endpoints: nothing waits there.

Of equally urgent requests those go first that can still begin in time (0.4 of the goal; an answer that needn't wait begins after half of it), and a full room refuses the least urgent, then late, then newest one instead of the one that comes. Retry-After follows the share that was refused in the last 2 s, 0.4 to 2 s, spread by a quarter, so that those who are refused together don't return together into the same wave.

--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -1,6 +1,7 @@
 """Answers of this system's own, and how long a request may wait for a place."""
 
 import json
+import random
 import typing
 
 import attrs
@@ -21,6 +22,9 @@
 # Beginning later than the goal earns the late credit only, but earlier than
 # a caller that has to come back.
 WAIT_GOALS = 3.0
+# Answers that needn't wait begin after half of their goal.
+ON_TIME_WAIT_SHARE = 0.4
+RETRY_SPREAD = 0.25
 _MS_IN_S = 1000.0
 
 
@@ -73,6 +77,22 @@
     return TOO_LATE if is_timeout else UNKNOWN_FATE
 
 
+def no_place(retry_after_s: float, chance: random.Random) -> Refusal:
+    """Return the refusal of a request that found no place.
+
+    Callers that are refused together don't come back together.
+    """
+    spread = chance.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    return attrs.evolve(
+        NO_PLACE, retry_after_s=round(retry_after_s * spread, 2)
+    )
+
+
+def on_time_wait_s(route: routes.Route) -> float:
+    """Return after what wait an answer begins late, in seconds."""
+    return route.goal_ms * ON_TIME_WAIT_SHARE / _MS_IN_S
+
+
 def wait_s(route: routes.Route) -> float:
     """Return how long a request may wait for a place, in seconds."""
     return route.goal_ms * WAIT_GOALS / _MS_IN_S
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -323,6 +323,8 @@
             answering.answer(self._responder, self._failure)
             return
         refusal = refusals.of(self._may_have_run, reason == _TIMEOUT)
+        if refusal is refusals.NO_PLACE and self._admission is not None:
+            refusal = _no_place(self._state, self._admission)
         answering.refuse(self._responder, self._caller, refusal)
 
     def _log(
@@ -347,6 +349,13 @@
             self._send.end(sends.Ending.GONE)
 
 
+def _no_place(
+    state: state_module.IngressState, admission: admitting.Admission
+) -> refusals.Refusal:
+    room = state.room(admission.service, admission.model)
+    return refusals.no_place(room.retry_after_s(), state.chance)
+
+
 _CUT_SHORT = frozenset(
     (
         sends.Ending.GONE,
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -29,7 +29,8 @@
             state.loads.begin(found.endpoint_id)
         return found
 
-    target = await room.take(admission.urgency, select, wait_s)
+    on_time_s = refusals.on_time_wait_s(admission.route)
+    target = await room.take(admission.urgency, select, wait_s, on_time_s)
     if target is None:
         _log_no_place(state, caller, admission)
     return target
--- a/redwingvalve/platform/tests/test_starting.py
+++ b/redwingvalve/platform/tests/test_starting.py
@@ -68,7 +68,8 @@
         'import sys, redwingvalve.node.__main__;'
         f'sys.exit({module!r} in sys.modules)'
     )
-    assert subprocess.run([sys.executable, '-c', code]).returncode == 0
+    ended = subprocess.run([sys.executable, '-c', code], check=False)
+    assert ended.returncode == 0
 
 
 def test_an_address_in_use_is_named():
