Tell waits, call results and what a node is like among its metrics

On-call engineers could not see from the metrics why requests are refused: no targets, no lease holder, no retries left. New: gauges for configuration, lease, living nodes, targets, requests under way and waiting by model, retries left, loop delay and memory; histograms of waits and formings; calls by outcome. Each name is now declared once: with two label values it was declared twice, which readers of the format reject (the new test fails before).

--- a/redwingvalve/ingress/retry_window.py
+++ b/redwingvalve/ingress/retry_window.py
@@ -40,14 +40,18 @@
 
     def try_spend(self, now_s: float, nodes: int) -> bool:
         """Count one more repeated send if this node's share allows it."""
+        if self.left(now_s, nodes) < 1:
+            return False
+        self._retries.append(now_s)
+        return True
+
+    def left(self, now_s: float, nodes: int) -> float:
+        """Return the repeated sends that this node's share still allows."""
         self._drop_old(now_s)
         allowance = self._allowance
         allowed = allowance.ratio * len(self._requests)
         allowed += allowance.extra / max(nodes, 1)
-        if len(self._retries) + 1 > allowed * USED_SHARE:
-            return False
-        self._retries.append(now_s)
-        return True
+        return max(0.0, allowed * USED_SHARE - len(self._retries))
 
     def _drop_old(self, now_s: float) -> None:
         since_s = now_s - self._allowance.window_s
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -5,6 +5,7 @@
 
 from redwingvalve.ingress import admitting, answering, placing, refusals
 from redwingvalve.ingress import state as state_module
+from redwingvalve.observability import node_metrics
 from redwingvalve.platform import caller_requests
 
 
@@ -30,7 +31,14 @@
         return found
 
     on_time_s = refusals.on_time_wait_s(admission.route)
+    began_s = time.monotonic()
     target = await room.take(admission.urgency, select, wait_s, on_time_s)
+    node_metrics.METRICS.observe(
+        'redwingvalve_wait_seconds',
+        time.monotonic() - began_s,
+        outcome='no place' if target is None else 'place',
+        model=admission.model,
+    )
     if target is None:
         _log_no_place(state, caller, admission)
     return target
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -22,6 +22,7 @@
     configuration_watch,
     early_sockets,
     front,
+    gauges,
     inspecting,
     listening,
     log_telling,
@@ -35,7 +36,7 @@
 from redwingvalve.node import controller as controller_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
-from redwingvalve.observability import bounded_logs, logs
+from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import (
     endpoint_orders,
     names,
@@ -77,6 +78,7 @@
     json_client: store.JsonClient
     teller: telling.Teller
     meeting: meeting.Meeting
+    gauges: gauges.NodeGauges
     watches: list[watching.KindWatch] = attrs.field(init=False)
     controllers: dict[str, controller_module.Controller] = attrs.field(
         factory=dict
@@ -176,6 +178,7 @@
             self.teller.run,
             self.losses.run,
             self._hold_lease,
+            self.gauges.run,
             functools.partial(log_telling.run, self.log_handler),
         ]
 
@@ -314,6 +317,7 @@
         front=application,
         teller=teller,
         meeting=meeting.Meeting(client, teller.peers),
+        gauges=gauges.NodeGauges(state, table, lease, teller.peers),
         listeners=listening.Listeners(early or {}),
         json_client=json_client,
     )
@@ -360,5 +364,6 @@
         'INFO', sys.stdout.fileno(), node_settings.vm
     )
     node = make_node(node_settings, early)
+    node.gauges.register(node_metrics.METRICS)
     node.log_handler = handler
     anyio.run(serve, node, backend_options={'use_uvloop': True})
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -302,14 +302,18 @@
     def _log_forming(
         self, forming: Forming, outcome: str, began_s: float
     ) -> None:
+        took_s = clock.boot_s() - began_s
         node_metrics.METRICS.count('redwingvalve_formings', outcome=outcome)
+        node_metrics.METRICS.observe(
+            'redwingvalve_forming_seconds', took_s, outcome=outcome
+        )
         LOG.info(
             outcome,
             extra={
                 'replica': forming.name,
                 'epoch': forming.epoch,
                 'members': forming.member_ids,
-                'took_ms': int((clock.boot_s() - began_s) * 1000),
+                'took_ms': int(took_s * 1000),
             },
         )
 
--- a/redwingvalve/observability/node_metrics.py
+++ b/redwingvalve/observability/node_metrics.py
@@ -31,7 +31,19 @@
     8.0,
 )
 Labels = tuple[tuple[str, str], ...]
-Gauge = collections_abc.Callable[[], float]
+_Counted = typing.TypeVar('_Counted')
+_Samples = list[tuple[Labels, _Counted]]
+
+
+@attrs.frozen
+class Reading:
+    """One value of a gauge."""
+
+    value: float
+    labels: Labels = ()
+
+
+Gauge = collections_abc.Callable[[], collections_abc.Iterable[Reading]]
 
 
 def _zeros() -> list[int]:
@@ -81,7 +93,7 @@
         self._histograms[key].observe(seconds)
 
     def gauge(self, name: str, read: Gauge) -> None:
-        """Read a value whenever the metrics are read."""
+        """Read values whenever the metrics are read."""
         self._gauges[name] = read
 
     def value(self, name: str, **labels: str) -> int:
@@ -96,25 +108,50 @@
         return bytes(library.generate_latest(registry))
 
     def families(self, core: typing.Any) -> typing.Iterator[typing.Any]:
-        """Yield the library's families for all that was counted."""
-        for (name, labels), count in list(self._counts.items()):
-            family = core.CounterMetricFamily(
-                name, name, labels=[label for label, _ in labels]
-            )
-            family.add_metric([text for _, text in labels], count)
+        """Yield the library's families for all that was counted.
+
+        A family holds all label values of a name: readers of the text format
+        reject a name that is declared twice.
+        """
+        for name, samples in _by_name(self._counts).items():
+            family = core.CounterMetricFamily(name, name, labels=_keys(samples))
+            for labels, count in samples:
+                family.add_metric(_texts(labels), count)
             yield family
-        for (name, labels), histogram in list(self._histograms.items()):
+        for name, observed in _by_name(self._histograms).items():
             family = core.HistogramMetricFamily(
-                name, name, labels=[label for label, _ in labels]
-            )
-            family.add_metric(
-                [text for _, text in labels],
-                buckets=histogram.buckets(),
-                sum_value=histogram.total,
+                name, name, labels=_keys(observed)
             )
+            for labels, histogram in observed:
+                family.add_metric(
+                    _texts(labels),
+                    buckets=histogram.buckets(),
+                    sum_value=histogram.total,
+                )
             yield family
         for name, read in self._gauges.items():
-            yield core.GaugeMetricFamily(name, name, value=read())
+            readings = [(found.labels, found.value) for found in read()]
+            family = core.GaugeMetricFamily(name, name, labels=_keys(readings))
+            for labels, value in readings:
+                family.add_metric(_texts(labels), value)
+            yield family
+
+
+def _by_name(
+    counted: dict[tuple[str, Labels], _Counted],
+) -> dict[str, _Samples[_Counted]]:
+    found: dict[str, _Samples[_Counted]] = {}
+    for (name, labels), content in list(counted.items()):
+        found.setdefault(name, []).append((labels, content))
+    return found
+
+
+def _keys(samples: _Samples[_Counted]) -> list[str]:
+    return [label for label, _ in samples[0][0]] if samples else []
+
+
+def _texts(labels: Labels) -> list[str]:
+    return [text for _, text in labels]
 
 
 class _Collector:
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -133,12 +133,34 @@
         start is method and target, as `GET /path`.
         """
         self.calls += 1
-        node_metrics.METRICS.count('redwingvalve_calls', call=_call_name(start))
+        outcome = 'no answer'
+        try:
+            status, content = await self._exchange(
+                address, start, document, timeout_s, headers or []
+            )
+            outcome = str(status)
+        except StoreRefusedError:
+            outcome = 'no connection'
+            raise
+        finally:
+            node_metrics.METRICS.count(
+                'redwingvalve_calls', call=_call_name(start), outcome=outcome
+            )
+        return status, content
+
+    async def _exchange(
+        self,
+        address: tuple[str, int],
+        start: str,
+        document: Document | None,
+        timeout_s: float,
+        headers: messages.Headers,
+    ) -> tuple[int, typing.Any]:
         answer = _Answer()
         body = b'' if document is None else json.dumps(document).encode()
         connection = await self._take(address, timeout_s)
         connection.send(
-            _render(address, start, body, headers or []),
+            _render(address, start, body, headers),
             answer,
             self._connections.keeper(address),
         )
