Tell all findings of a node's settings at once, also by redwingvalve check

A settings file with several faults named the first one only, and check read it as a declaration. Each field is now read by its path; all findings come together, with file and path. Ports, times and counts are checked for their range. The command takes files that end in .json for those of a node.

--- a/redwingvalve/cli/check.py
+++ b/redwingvalve/cli/check.py
@@ -4,11 +4,12 @@
 import json
 import pathlib
 
-from expression import Result
+from expression import Error, Ok, Result
 
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status, findings
 from redwingvalve.declaration import reader
+from redwingvalve.platform import settings as platform_settings
 from redwingvalve.settings import loader
 
 SETTINGS_KEYS = ('node:', 'listen:')
@@ -17,7 +18,7 @@
 def run_check(
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
-    """Check a declaration or a settings file."""
+    """Check a declaration, a settings file or a platform's settings."""
     checked = _check_file(arguments.file)
     if checked.is_error():
         _print_findings(checked.error, arguments.output, surroundings)
@@ -30,11 +31,26 @@
 
 
 def _check_file(file_name: str) -> Result[object, findings.Findings]:
+    if _is_json(file_name):
+        return _check_platform_settings(file_name)
     if _looks_like_settings(file_name):
         return loader.load_file(file_name)
     return reader.read_file(file_name)
 
 
+def _is_json(file_name: str) -> bool:
+    return pathlib.Path(file_name).suffix == '.json'
+
+
+def _check_platform_settings(
+    file_name: str,
+) -> Result[object, findings.Findings]:
+    try:
+        return Ok(platform_settings.read_settings(pathlib.Path(file_name)))
+    except platform_settings.SettingsError as error:
+        return Error(error.found)
+
+
 def _looks_like_settings(file_name: str) -> bool:
     try:
         text = pathlib.Path(file_name).read_text(encoding='utf-8')
@@ -68,7 +84,10 @@
     example='redwingvalve check examples/tapiceria.yaml',
     run=run_check,
     options=(
-        options.Option(dest='file', help='the YAML file'),
+        options.Option(
+            dest='file',
+            help='the YAML file, or the JSON settings of a node',
+        ),
         options.OUTPUT,
     ),
 )
--- a/redwingvalve/cli/tests/test_main.py
+++ b/redwingvalve/cli/tests/test_main.py
@@ -29,6 +29,15 @@
     )
 
 
+def test_check_tells_all_that_is_wrong_with_a_nodes_settings(tmp_path):
+    path = tmp_path / 'settings.json'
+    path.write_text('{"node": "vm-1", "listen": {"front": "nowhere"}}')
+    status, _, errors = run('check', str(path))
+    assert status == exit_status.ExitStatus.FINDINGS
+    assert f'{path} (listen.front)' in errors
+    assert f'{path} (platform.address)' in errors
+
+
 def test_check_reports_a_missing_file():
     status, _, errors = run('check', 'no-such-file.yaml')
     assert status == exit_status.ExitStatus.FINDINGS
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -7,17 +7,23 @@
 
 import attrs
 
+from redwingvalve.core import findings
 from redwingvalve.platform import names
 
 _UNREADABLE = (TypeError, ValueError, AttributeError, IndexError)
-
+HIGHEST_PORT = 65_535
 
 # Where metrics are read; the deploy file names the same port and path.
 METRICS_PORT = 9464
 
 
 class SettingsError(Exception):
-    """The settings file can't be used; the text names the place."""
+    """The settings file can't be used; the text names every place."""
+
+    def __init__(self, found: findings.Findings) -> None:
+        """Keep all findings."""
+        super().__init__(str(found))
+        self.found = found
 
 
 @attrs.frozen
@@ -67,7 +73,9 @@
 def parse_address(text: str) -> SocketAddress:
     """Split host:port; raises ValueError."""
     host, _, port = text.rpartition(':')
-    return SocketAddress(host, int(port))
+    if not host:
+        raise ValueError(f'{text!r} is not host:port')
+    return SocketAddress(host, _port(port))
 
 
 def settings_path() -> pathlib.Path:
@@ -77,50 +85,122 @@
 
 
 def read_settings(path: pathlib.Path) -> NodeSettings:
-    """Read and check the file; raises SettingsError with the place."""
+    """Read and check the file; raises SettingsError with all places."""
     try:
-        return decode_settings(json.loads(path.read_text()))
-    except (OSError, ValueError) as error:
-        raise SettingsError(f'{path}: {error}') from error
+        document = json.loads(path.read_text(encoding='utf-8'))
+    except OSError as error:
+        raise _error(path, error.strerror or str(error)) from error
+    except ValueError as error:
+        raise _error(path, f'not JSON: {error}') from error
+    return decode_settings(document, str(path))
 
 
-def decode_settings(document: typing.Any) -> NodeSettings:
+def decode_settings(
+    document: typing.Any, file_name: str = 'settings'
+) -> NodeSettings:
     """Turn the file's content into settings; raises SettingsError."""
-    if not isinstance(document, dict):
-        raise SettingsError('settings: not an object')
-    try:
-        return _decode(document)
-    except KeyError as error:
-        raise SettingsError(f'settings: field {error} is missing') from error
-    except _UNREADABLE as error:
-        raise SettingsError(f'settings: {error}') from error
-
-
-def _decode(document: dict[str, typing.Any]) -> NodeSettings:
-    listen = document['listen']
+    fields = _Fields(document, file_name)
+    made = _decode(fields)
+    if fields.found:
+        raise SettingsError(findings.Findings(tuple(fields.found)))
+    return made
+
+
+class _Fields:
+    """Reads fields by their path, and collects what is wrong with them."""
+
+    def __init__(self, document: typing.Any, file_name: str) -> None:
+        self.found: list[findings.Finding] = []
+        self._document = document
+        self._file_name = file_name
+
+    def read(
+        self, path: str, convert: typing.Callable[..., typing.Any]
+    ) -> typing.Any:
+        """Return a converted field, or None with one more finding."""
+        try:
+            return convert(self._find(path))
+        except KeyError as error:
+            self._note(path, f'field {error} is missing')
+        except _UNREADABLE as error:
+            self._note(path, str(error))
+        return None
+
+    def _find(self, path: str) -> typing.Any:
+        found = self._document
+        for name in path.split('.'):
+            if not isinstance(found, dict):
+                raise TypeError('not an object')
+            found = found[name]
+        return found
+
+    def _note(self, path: str, message: str) -> None:
+        place = findings.Place(self._file_name, path=path)
+        self.found.append(findings.Finding(place, message))
+
+
+def _decode(fields: _Fields) -> NodeSettings:
     return NodeSettings(
-        vm=document['node'],
-        ip=document['ip'],
-        data_centre=document['zone'],
-        region=document['region'],
-        front=parse_address(listen['front']),
-        ready=parse_address(listen['ready']),
-        directory=parse_address(listen['directory']),
-        peer_port=int(document['internal_ports'][0]),
-        store=parse_address(document['platform']['address']),
-        endpoint_heartbeat_ms=int(document['heartbeat_ms']),
+        vm=fields.read('node', _text),
+        ip=fields.read('ip', _text),
+        data_centre=fields.read('zone', _text),
+        region=fields.read('region', _text),
+        front=fields.read('listen.front', parse_address),
+        ready=fields.read('listen.ready', parse_address),
+        directory=fields.read('listen.directory', parse_address),
+        peer_port=fields.read('internal_ports', _first_port),
+        store=fields.read('platform.address', parse_address),
+        endpoint_heartbeat_ms=fields.read('heartbeat_ms', _positive),
         metrics_port=METRICS_PORT,
-        bounds=_decode_bounds(document['bounds']),
+        bounds=Bounds(
+            drain_ms=fields.read('bounds.drain_ms', _positive),
+            grace_s=fields.read('bounds.grace_s', _positive),
+            retry_ratio=fields.read('bounds.retry_budget_ratio', _not_negative),
+            retry_window_s=fields.read('bounds.budget_window_s', _positive),
+            retry_extra=fields.read('bounds.budget_extra', _not_negative),
+            directory_ttl_max_s=fields.read('bounds.ttl_max_s', _positive),
+            stall_ms=fields.read('bounds.stall_ms', _positive),
+        ),
     )
 
 
-def _decode_bounds(bounds: dict[str, typing.Any]) -> Bounds:
-    return Bounds(
-        drain_ms=int(bounds['drain_ms']),
-        grace_s=float(bounds['grace_s']),
-        retry_ratio=float(bounds['retry_budget_ratio']),
-        retry_window_s=float(bounds['budget_window_s']),
-        retry_extra=int(bounds['budget_extra']),
-        directory_ttl_max_s=float(bounds['ttl_max_s']),
-        stall_ms=int(bounds['stall_ms']),
-    )
+def _text(found: typing.Any) -> str:
+    if not isinstance(found, str) or not found:
+        raise ValueError(f'{found!r} is not a text')
+    return found
+
+
+def _port(found: typing.Any) -> int:
+    port = int(found)
+    if not 0 < port <= HIGHEST_PORT:
+        raise ValueError(f'{found!r} is not a port')
+    return port
+
+
+def _first_port(found: typing.Any) -> int:
+    if not isinstance(found, list) or not found:
+        raise ValueError(f'{found!r} is not a list of ports')
+    return _port(found[0])
+
+
+def _positive(found: typing.Any) -> float:
+    if not _number(found) > 0:
+        raise ValueError(f'{found!r} is not above 0')
+    return _number(found)
+
+
+def _not_negative(found: typing.Any) -> float:
+    if not _number(found) >= 0:
+        raise ValueError(f'{found!r} is below 0')
+    return _number(found)
+
+
+def _number(found: typing.Any) -> float:
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        raise TypeError(f'{found!r} is not a number')
+    return found
+
+
+def _error(path: pathlib.Path, message: str) -> SettingsError:
+    place = findings.Place(str(path))
+    return SettingsError(findings.Findings((findings.Finding(place, message),)))
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -1,5 +1,7 @@
 """What the platform writes, decoded once; what is odd, refused with a place."""
 
+import json
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -174,3 +176,38 @@
     )
     found = caller_requests.read_request(request).deadline_ms
     assert found is None or found == int(text)
+
+
+def test_all_that_is_wrong_with_settings_is_told_at_once(tmp_path):
+    """An operator mends a file in one go; nothing listens meanwhile."""
+    path = tmp_path / 'settings.json'
+    document = {
+        'node': 7,
+        'ip': '127.0.0.1',
+        'zone': 'zone-1',
+        'region': '',
+        'listen': {'front': '127.0.0.1:99999', 'ready': 'here'},
+        'internal_ports': [],
+        'platform': [],
+        'heartbeat_ms': True,
+        'bounds': {'drain_ms': 0, 'budget_extra': -1},
+    }
+    path.write_text(json.dumps(document))
+    with pytest.raises(settings.SettingsError) as caught:
+        settings.read_settings(path)
+    found = {one.place.path: one.message for one in caught.value.found.entries}
+    assert {
+        'node',
+        'region',
+        'listen.front',
+        'listen.ready',
+        'listen.directory',
+        'internal_ports',
+        'platform.address',
+        'heartbeat_ms',
+        'bounds.drain_ms',
+        'bounds.grace_s',
+        'bounds.budget_extra',
+    } <= set(found)
+    assert 'zone' not in found
+    assert all(str(path) in line for line in str(caught.value).splitlines())
