Soak nodes with changing configurations, taken keys and spoiled answers

The soak of node processes changed no configuration and spoiled no answer. Each version now adds a route and takes the last key away; a process that was seen to use a version and goes back behind it is a breach, and so is a node that lacks the last one once the faults are over. Endpoints answer twice, without length, break streams off, fail, or are cut off from the store. The new checks are shown to fail on made-up answers.

--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -16,7 +16,7 @@
 
 from redwingvalve.platform.standins import store as platform_store
 from redwingvalve.platform.tests import fleet as fleets
-from tests.integration import node_world
+from tests.integration import node_versions, node_world
 
 CALLERS = 6
 # What was served of the last requests, once all faults are over.
@@ -26,6 +26,13 @@
 DRAIN_S = fleets.BOUNDS['drain_ms'] / 1000
 CALM_S = 2.5
 EVENTS = list(range(1, 7))
+# How an endpoint spoils its answers: a fault, its value, and without it.
+SPOILED = (
+    ('answers_twice', True, False),
+    ('omits_length', True, False),
+    ('breaks_after_events', 2, None),
+    ('fails', True, False),
+)
 NOT_RUN = frozenset((408, 421, 429, 503))
 
 
@@ -122,8 +129,9 @@
 class Faults:
     """What happens to nodes, the store and endpoints, by chance."""
 
-    def __init__(self, world, group):
+    def __init__(self, world, versions, group):
         self.world = world
+        self.versions = versions
         self.chance = world.chance
         self.group = group
         self.told = []
@@ -140,6 +148,9 @@
             self.crash_endpoint,
             self.restart_endpoint,
             self.obey_late,
+            self.change_configuration,
+            self.spoil_answers,
+            self.cut_endpoint_off,
         )
 
     async def run(self, duration_s):
@@ -214,6 +225,25 @@
         await anyio.sleep(2)
         endpoint.faults.late_operations = ()
 
+    async def spoil_answers(self):
+        service = self.chance.choice((fleets.ENGINE, fleets.PLAIN))
+        endpoint = self.chance.choice(self.world.living(service))
+        name, value, healed = self.chance.choice(SPOILED)
+        setattr(endpoint.faults, name, value)
+        await anyio.sleep(self.chance.uniform(0.5, 3))
+        setattr(endpoint.faults, name, healed)
+
+    async def cut_endpoint_off(self):
+        endpoint = self.chance.choice(self.world.living(fleets.ENGINE))
+        endpoint.faults.is_cut_off = True
+        await anyio.sleep(self.chance.uniform(0.5, 3))
+        endpoint.faults.is_cut_off = False
+
+    async def change_configuration(self):
+        for _ in range(self.chance.randint(1, 3)):
+            self.versions.change()
+            await anyio.sleep(self.chance.uniform(0, 0.4))
+
     async def _store_fault(self, name, value, healed):
         setattr(self.world.store.faults, name, value)
         await anyio.sleep(self.chance.uniform(0.5, 3))
@@ -245,26 +275,31 @@
 async def soak(seed, duration_s, nodes, folder):
     """Play one seed; return its tally, its faults and its breaches."""
     world = node_world.World(seed, nodes, folder)
+    versions = node_versions.Versions(world, random.Random(seed))
     tally = Tally()
     found = []
     told = []
     async with anyio.create_task_group() as group:
         try:
             await world.start(group)
+            versions.write()
             await anyio.sleep(CALM_S)
+            group.start_soon(versions.watch)
             for _ in range(CALLERS):
                 chance = random.Random(world.chance.random())
                 group.start_soon(Caller(world, tally, chance).run)
             found += await drain_one(world)
             async with anyio.create_task_group() as fault_group:
-                faults = Faults(world, fault_group)
+                faults = Faults(world, versions, fault_group)
                 await faults.run(duration_s)
                 told = faults.told
             await heal(world)
             found += await drain_one(world)
+            found += await versions.check_calm()
         finally:
             world.kill_all()
             group.cancel_scope.cancel()
+    found += versions.breaches
     return tally, told, [*found, *check(world, tally)]
 
 
--- a/tests/integration/test_node_soak.py
+++ b/tests/integration/test_node_soak.py
@@ -5,7 +5,7 @@
 
 from redwingvalve.platform.standins import endpoint as platform_endpoint
 from redwingvalve.platform.tests import fleet as fleets
-from tests.integration import node_soak, node_world
+from tests.integration import node_soak, node_versions, node_world
 
 GUARD_S = 120
 DURATION_S = 8.0
@@ -105,3 +105,34 @@
     answer = fleets.Answer(status, {}, body.replace(b'%b', attempt), 'whole')
     caller._judge('card', answer)
     assert bool(tally.breaches) == is_breach
+
+
+@pytest.mark.parametrize(
+    ('answers', 'is_breach'),
+    [
+        # In use, then gone again.
+        ([(2, 200, 1.0), (2, 404, 2.0)], True),
+        ([(2, 200, 1.0), (1, 404, 2.0)], True),
+        # A request from before, and a version that has not come yet.
+        ([(2, 200, 1.0), (2, 404, 1.1)], False),
+        ([(2, 200, 1.0), (3, 404, 2.0)], False),
+        ([(2, 404, 1.0), (2, 200, 2.0)], False),
+    ],
+)
+def test_a_configuration_that_goes_back_is_noticed(world, answers, is_breach):
+    versions = node_versions.Versions(world, world.chance)
+    for version, status, at_s in answers:
+        versions.note(7, version, status, at_s, at_s)
+    assert bool(versions.breaches) == is_breach
+
+
+def test_a_node_that_keeps_an_old_configuration_is_noticed(world, monkeypatch):
+    """Its callers get 404 on a new route, and a key taken away still works."""
+
+    async def ask(node, path, key):
+        return 404 if 'version' in path else 200
+
+    monkeypatch.setattr(node_versions, '_ask', ask)
+    world.nodes.append(node_world.NodeProcess(0, '127.0.0.1', None, None))
+    versions = node_versions.Versions(world, world.chance, number=3)
+    assert len(anyio.run(versions.check_calm)) == 2
