Write a line for a stream that reaches its time

A send that ended by the request's time was given up without a line; a stream that has begun is broken off without a status, so that nothing was written at all, and a 504 named no endpoint. The new test fails before.

--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -271,6 +271,9 @@
             return True
         if ending is sends.Ending.TIMEOUT:
             self._may_have_run = True
+            # A stream that has begun ends without a status: nothing else
+            # tells which endpoint it waited for.
+            self._log(admission, target, f'given up: {_TIMEOUT}')
             self._give_up(_TIMEOUT)
             return True
         self._note_failure(ending, target)
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -1,5 +1,7 @@
 """What callers get from a node, over real connections."""
 
+import logging
+
 import anyio
 import pytest
 
@@ -325,3 +327,39 @@
         assert sum(len(head.runs) for head in heads) == 1
 
     fleets.run(test)
+
+
+def test_a_stream_that_reaches_its_time_is_found_in_the_logs(caplog):
+    """On-call engineers find the endpoint that a cut stream waited for.
+
+    The head stands still after two events, and no retry is left. At the
+    caller's deadline the stream breaks off; it has had its status already.
+    """
+
+    async def test(fleet):
+        logging.getLogger('redwingvalve').propagate = True
+        window = fleet.nodes[0].state.window(fleets.ENGINE)
+        window.try_spend = lambda now_s, nodes: False
+        caller = fleet.caller()
+        taker = await caller.begin(
+            '/draft/1',
+            b'prompt',
+            headers=[(b'X-Model', fleets.SMALL.encode())],
+        )
+        await fleet.until(lambda: taker.body.count(b'id: ') >= 2)
+        for target in fleet.targets():
+            head = fleet.endpoints[target.endpoint_id]
+            head.faults.stands_still = True
+        await fleet.until(taker.done.done, 5)
+        assert taker.done.result() != 'whole'
+
+    with caplog.at_level('INFO', logger='redwingvalve'):
+        fleets.run(test)
+    found = [
+        line
+        for line in caplog.records
+        if line.getMessage() == 'ingress: given up: timeout'
+    ]
+    assert [line.sends for line in found] == [1]
+    assert found[0].last_event >= 2
+    assert found[0].endpoint
