--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -20,6 +20,7 @@
 )
 from redwingvalve.node import (
     configuration_watch,
+    control_loop,
     early_sockets,
     front,
     gauges,
@@ -33,7 +34,6 @@
     telling,
     watching,
 )
-from redwingvalve.node import controller as controller_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import bounded_logs, logs, node_metrics
@@ -81,9 +81,7 @@
     meeting: meeting.Meeting
     gauges: gauges.NodeGauges
     watches: list[watching.KindWatch] = attrs.field(init=False)
-    controllers: dict[str, controller_module.Controller] = attrs.field(
-        factory=dict
-    )
+    control: control_loop.ControlLoop = attrs.field(init=False)
     front_listener: listening.Listener | None = None
     log_handler: bounded_logs.BoundedHandler | None = None
 
@@ -111,7 +109,8 @@
         self.table.on_doubt = self.losses.doubt
         self.table.on_told_sound = self.losses.told_sound
         self.watches = self._make_watches()
-        self.lease.on_taken = self.endpoint_watch.hurry
+        self.control = self._make_control()
+        self.lease.on_taken = self._lease_taken
         try:
             await self._listen()
             await self._serve(stop)
@@ -125,7 +124,7 @@
                 group.start_soon(supervision.keep_running, loop)
             group.start_soon(
                 supervision.keep_running,
-                functools.partial(self._control, group),
+                functools.partial(self.control.run, group),
             )
             group.start_soon(self._accept_callers)
             await stop.wait()
@@ -210,6 +209,22 @@
     def _endpoint_pause_s(self) -> float:
         return HOLDER_PAUSE_S if self.lease.is_held() else ENDPOINT_PAUSE_S
 
+    def _make_control(self) -> control_loop.ControlLoop:
+        return control_loop.ControlLoop(
+            state=self.state,
+            registry=self.registry,
+            table=self.table,
+            client=self.endpoint_client,
+            inspector=self.inspector,
+            lease=self.lease,
+            teller=self.teller,
+            endpoint_watch=self.endpoint_watch,
+        )
+
+    def _lease_taken(self) -> None:
+        self.endpoint_watch.hurry()
+        self.control.wake()
+
     async def _hold_lease(self) -> None:
         await self.lease.run(self._lease_rank)
 
@@ -228,50 +243,6 @@
         )
         self.table.configure(configuration)
 
-    async def _control(self, group: anyio.abc.TaskGroup) -> None:
-        while True:
-            await anyio.sleep(controller_module.LOOK_S)
-            configuration = self.state.configuration
-            if configuration is None or not self.registry.is_known:
-                continue
-            for service in configuration.services.values():
-                if service.engine is not None:
-                    self._control_service(service, group)
-
-    def _control_service(
-        self, service: routes.Service, group: anyio.abc.TaskGroup
-    ) -> None:
-        control = self.controllers.get(service.name)
-        if control is None:
-            control = controller_module.Controller(
-                service.name,
-                self.registry,
-                self.table,
-                self.endpoint_client,
-                self.inspector,
-                group,
-                self.lease.is_held,
-                self.state.in_use,
-            )
-            self.controllers[service.name] = control
-        if service.engine is not None:
-            control.configure(service.engine)
-        control.term = self.lease.term
-        control.has_served = self.teller.fleet_has_served
-        if self._may_order() and service.engine is not None:
-            control.look(service.engine)
-
-    def _may_order(self) -> bool:
-        """Return whether the lease is held, and its last holder's work known.
-
-        Endpoints are heard of by a watch that may be a few hundred
-        milliseconds behind, or seconds after an outage. A replica that the
-        last holder opened just before would look like one that is not ready,
-        and its members would be told to join another.
-        """
-        is_read = self.endpoint_watch.revision >= self.lease.taken_revision
-        return self.lease.is_held() and is_read
-
     async def _stop(self) -> None:
         LOG.info('stopping', extra={'running': len(self.front.running)})
         began_s = time.monotonic()
--- a/redwingvalve/platform/tests/test_lease_and_store.py
+++ b/redwingvalve/platform/tests/test_lease_and_store.py
@@ -122,7 +122,7 @@
 
     async def test(fleet):
         (node,) = fleet.nodes
-        (control,) = node.controllers.values()
+        (control,) = node.control.controllers.values()
         assert node.lease.is_held()
         boot_s = lease_module.clock.boot_s
         monkeypatch.setattr(
@@ -162,7 +162,7 @@
             holder.teller.say_now()
             await fleet.until(other.lease.is_held, 2)
             await anyio.sleep(0.3)
-            assert not set(looked) & set(other.controllers.values())
+            assert not set(looked) & set(other.control.controllers.values())
             patched.undo()
             patched.setattr(
                 controller.Controller,
@@ -171,7 +171,10 @@
             )
             other.endpoint_watch.hurry()
             await fleet.until(
-                lambda: bool(set(looked) & set(other.controllers.values())), 1
+                lambda: bool(
+                    set(looked) & set(other.control.controllers.values())
+                ),
+                1,
             )
 
     fleets.run(test, nodes=2)
--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -246,7 +246,7 @@
         for endpoint in (head, member):
             endpoint.faults.late_operations = ('join',)
             endpoint.faults.order_delay_s = 4.5
-        (control,) = fleet.nodes[0].controllers.values()
+        (control,) = fleet.nodes[0].control.controllers.values()
         await fleet.nodes[0].endpoint_client.close(
             fleet.nodes[0].registry.live[head.endpoint_id],
             head.group['name'],
--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -16,7 +16,7 @@
 
 from redwingvalve.platform.standins import store as platform_store
 from redwingvalve.platform.tests import fleet as fleets
-from tests.integration import node_versions, node_world
+from tests.integration import node_faults, node_versions, node_world
 
 CALLERS = 6
 # What was served of the last requests, once all faults are over.
@@ -26,13 +26,6 @@
 DRAIN_S = fleets.BOUNDS['drain_ms'] / 1000
 CALM_S = 2.5
 EVENTS = list(range(1, 7))
-# How an endpoint spoils its answers: a fault, its value, and without it.
-SPOILED = (
-    ('answers_twice', True, False),
-    ('omits_length', True, False),
-    ('breaks_after_events', 2, None),
-    ('fails', True, False),
-)
 NOT_RUN = frozenset((408, 421, 429, 503))
 
 
@@ -126,130 +119,6 @@
     return breaches
 
 
-class Faults:
-    """What happens to nodes, the store and endpoints, by chance."""
-
-    def __init__(self, world, versions, group):
-        self.world = world
-        self.versions = versions
-        self.chance = world.chance
-        self.group = group
-        self.told = []
-        self._kinds = (
-            self.pause_node,
-            self.kill_node,
-            self.stop_node,
-            self.silence_store,
-            self.refuse_calls,
-            self.lose_answers,
-            self.drop_history,
-            self.cut_node,
-            self.reset_node,
-            self.crash_endpoint,
-            self.restart_endpoint,
-            self.obey_late,
-            self.change_configuration,
-            self.spoil_answers,
-            self.cut_endpoint_off,
-        )
-
-    async def run(self, duration_s):
-        until_s = anyio.current_time() + duration_s
-        while anyio.current_time() < until_s:
-            fault = self.chance.choice(self._kinds)
-            self.told.append(fault.__name__)
-            self.group.start_soon(fault)
-            await anyio.sleep(self.chance.uniform(0.3, 1.5))
-
-    async def pause_node(self):
-        node = self.chance.choice(self.world.nodes)
-        node.send(signal.SIGSTOP)
-        await anyio.sleep(self.chance.uniform(0.3, 3))
-        node.send(signal.SIGCONT)
-
-    async def kill_node(self):
-        node = self.chance.choice(self.world.nodes)
-        node.kill()
-        await anyio.sleep(0.3)
-        if not node.is_running:
-            node.start()
-
-    async def stop_node(self):
-        node = self.chance.choice(self.world.nodes)
-        node.send(signal.SIGCONT)
-        node.send(signal.SIGTERM)
-        await node.end()
-        if not node.is_running:
-            node.start()
-
-    async def silence_store(self):
-        await self._store_fault('is_silent', True, False)
-
-    async def refuse_calls(self):
-        await self._store_fault('refuses_status', 503, 0)
-
-    async def lose_answers(self):
-        await self._store_fault('loses_write_answers', True, False)
-
-    async def drop_history(self):
-        self.world.store.drop_history()
-
-    async def cut_node(self):
-        proxy = self.chance.choice(self.world.nodes).proxy
-        name = self.chance.choice(('black_hole', 'cut_answers', 'stall'))
-        setattr(proxy.faults, name, True)
-        await anyio.sleep(self.chance.uniform(0.5, 3))
-        proxy.heal()
-
-    async def reset_node(self):
-        await self.chance.choice(self.world.nodes).proxy.reset_all()
-
-    async def crash_endpoint(self):
-        service = self.chance.choice(
-            (fleets.ENGINE, fleets.ENGINE, fleets.PLAIN)
-        )
-        living = self.world.living(service)
-        if len(living) > 2:
-            self.chance.choice(living).crash()
-        domain = 'domain-1' if service == fleets.ENGINE else ''
-        await anyio.sleep(1)
-        await self.world.add(service, domain)
-
-    async def restart_endpoint(self):
-        self.chance.choice(self.world.living(fleets.ENGINE)).crash_and_return()
-
-    async def obey_late(self):
-        endpoint = self.chance.choice(self.world.living(fleets.ENGINE))
-        name = self.chance.choice(('join', 'open', 'close'))
-        endpoint.faults.late_operations = (name,)
-        await anyio.sleep(2)
-        endpoint.faults.late_operations = ()
-
-    async def spoil_answers(self):
-        service = self.chance.choice((fleets.ENGINE, fleets.PLAIN))
-        endpoint = self.chance.choice(self.world.living(service))
-        name, value, healed = self.chance.choice(SPOILED)
-        setattr(endpoint.faults, name, value)
-        await anyio.sleep(self.chance.uniform(0.5, 3))
-        setattr(endpoint.faults, name, healed)
-
-    async def cut_endpoint_off(self):
-        endpoint = self.chance.choice(self.world.living(fleets.ENGINE))
-        endpoint.faults.is_cut_off = True
-        await anyio.sleep(self.chance.uniform(0.5, 3))
-        endpoint.faults.is_cut_off = False
-
-    async def change_configuration(self):
-        for _ in range(self.chance.randint(1, 3)):
-            self.versions.change()
-            await anyio.sleep(self.chance.uniform(0, 0.4))
-
-    async def _store_fault(self, name, value, healed):
-        setattr(self.world.store.faults, name, value)
-        await anyio.sleep(self.chance.uniform(0.5, 3))
-        setattr(self.world.store.faults, name, healed)
-
-
 async def drain_one(world):
     """Let an endpoint leave in a calm moment; return what went there late."""
     endpoint = world.chance.choice(world.living(fleets.PLAIN))
@@ -290,7 +159,7 @@
                 group.start_soon(Caller(world, tally, chance).run)
             found += await drain_one(world)
             async with anyio.create_task_group() as fault_group:
-                faults = Faults(world, versions, fault_group)
+                faults = node_faults.Faults(world, versions, fault_group)
                 await faults.run(duration_s)
                 told = faults.told
             await heal(world)
