Keep a late word of a replaced process out; return refused callers sooner

A node that is only listed by the store took any start that a word named for newer, also that of the process before, with its old address; the new test fails before. The longest Retry-After is 1.6 s, so that with its spread it stays within the third of six seconds that callers heed.

--- a/redwingvalve/ingress/waiting.py
+++ b/redwingvalve/ingress/waiting.py
@@ -33,10 +33,10 @@
 # Requests that may always wait: at the start no place has become free yet.
 MIN_WAITING = 6
 # When those that are refused may come back: most of a short wave has passed
-# after the first; longer than the second, callers with six seconds would not
-# wait, as they heed a third of what they have left.
+# after the first. With the second and its spread callers who have six seconds
+# still wait: they heed a third of what they have left.
 RETRY_AFTER_MIN_S = 0.4
-RETRY_AFTER_MAX_S = 2.0
+RETRY_AFTER_MAX_S = 1.6
 
 
 @attrs.define(eq=False)
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -238,10 +238,12 @@
         before has fallen silent; of one start, a word that is repeated or late
         never counts.
         """
-        if word.born_ms == peer.born_ms:
+        # Before its first word only the store tells of a start.
+        born_ms = peer.born_ms or peer.address.born_ms
+        if word.born_ms == born_ms:
             return bool(word.number > peer.number)
         is_silent = peer.last_sign_s < time.monotonic() - self.alive_s
-        return is_silent or word.born_ms > peer.born_ms
+        return is_silent or word.born_ms > born_ms
 
     def _add(self, address: PeerAddress) -> None:
         if address.vm == self.own.vm:
--- a/redwingvalve/node/tests/test_meeting.py
+++ b/redwingvalve/node/tests/test_meeting.py
@@ -160,3 +160,20 @@
     now.pass_s(peers.ALIVE_S + 0.1)
     say(known, address('vm-2'), number=6)
     assert [word.number for word in heard.words] == [7]
+
+
+def test_a_late_word_of_the_last_process_does_not_bring_it_back():
+    """Callers are given the new address of a VM that was replaced.
+
+    The store lists the new process; a word of the old one, with its address,
+    was held up on the way and arrives afterwards.
+    """
+    heard = HeardWords()
+    known = peers.Peers(address('vm-1'), heard)
+    replaced = address('vm-2', born_ms=9000, ip='127.0.0.2')
+    known.listed([replaced])
+    say(known, address('vm-2', born_ms=5000), number=70)
+    assert known.known['vm-2'].address == replaced
+    assert not heard.words
+    say(known, replaced, number=1)
+    assert [word.number for word in heard.words] == [1]
