Ask again before an endpoint that gave no answer to a join counts as lost

A pause of the holder's process while members join lets the timeouts of its orders pass before the answers are read; all of them counted as lost and were left out of replicas for 5 s.

Such an endpoint is asked once; only if it doesn't answer that either, it counts as lost. The new test fails before.

--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -240,6 +240,16 @@
             )
         results[member.endpoint_id] = result
         if result in {Result.UNREACHED, Result.UNKNOWN}:
+            await self._note_if_lost(member)
+
+    async def _note_if_lost(self, member: endpoints.Endpoint) -> None:
+        """Leave an endpoint alone for a while if it doesn't answer now.
+
+        A pause of this process lets timeouts pass before answers are read.
+        Taken for lost, all endpoints that were ordered just then would be left
+        out of replicas for seconds after a pause of 0.3 s.
+        """
+        if await self._inspector.ask(member) is None:
             self.lost[member.incarnation] = clock.boot_s()
 
     async def _open(self, forming: Forming) -> bool:
--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -1,7 +1,11 @@
 """How nodes form and mend replicas, and which head keeps its members."""
 
+import asyncio
+import time
+
 import anyio
 
+from redwingvalve.platform import endpoint_orders
 from redwingvalve.platform.tests import fleet as fleets
 
 
@@ -272,3 +276,30 @@
         assert member.group
 
     fleets.run(test)
+
+
+def test_a_pause_while_members_join_leaves_no_endpoint_out(monkeypatch):
+    """A fleet is formed a moment later, not five seconds later.
+
+    The holder of the lease stands still for 0.4 s just after it has told the
+    members to join. Its timeouts have passed when it goes on, before it reads
+    the answers; no endpoint is lost.
+    """
+    join = endpoint_orders.EndpointClient.join
+    joined = []
+
+    async def join_and_pause(self, *order):
+        joined.append(order)
+        if len(joined) == 2:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.0005, time.sleep, 0.4)
+        return await join(self, *order)
+
+    monkeypatch.setattr(endpoint_orders.EndpointClient, 'join', join_and_pause)
+
+    async def test(fleet):
+        assert len(joined) > 4
+
+    began_s = time.monotonic()
+    fleets.run(test)
+    assert time.monotonic() - began_s < 5
