Prove a head dead by more than one question, and let doubt outlast its answers

The entry of a head that is cut off from the store lapses; the holder asks it once and, without an answer, lets its members join elsewhere. From 20 s on half of the nodes run six times slower: timeouts pass before answers are read.

The first questions that were lost were judged before enough of the others had ended, the last ones when answers came again.

A second holder, a late order, a head that opened again.

A head whose entry is gone counts as dead after two questions without an answer, and not while this node's own path is in doubt. Both new tests of ask_surely fail before, as there is no such question.

--- a/redwingvalve/node/inspecting.py
+++ b/redwingvalve/node/inspecting.py
@@ -15,6 +15,7 @@
 import anyio
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.platform import endpoint_orders
 
@@ -25,14 +26,23 @@
 # answer: a lost replica of eight lacks eight at most.
 LOOKED_AT = 24
 DOUBT_UNANSWERED = 10
+# Questions that were asked together end together: the first that has no answer
+# is judged with the others.
+DOUBT_LOOK_S = 0.02
 # Older answers say nothing about the path now.
 DOUBT_WINDOW_S = 1.0
+# Doubt outlasts the answers that end it: those that were lost just before are
+# still to be judged.
+DOUBT_MEMORY_S = 0.3
 # Before questions are repeated: a queue on the own link drains meanwhile.
 DOUBT_PAUSE_S = 0.3
 # An answer that is this much later than its timeout was held up with the whole
 # process.
 HELD_UP_S = 0.1
 
+# Questions without an answer that prove an endpoint dead.
+SURE_QUESTIONS = 2
+
 Reports = dict[str, endpoint_orders.Report | None]
 
 
@@ -54,6 +64,7 @@
             maxlen=LOOKED_AT
         )
         self._held_up_s = float('-inf')
+        self._doubted_s = float('-inf')
 
     def note(self, began_s: float, is_answered: bool) -> None:
         """Take the outcome of a question."""
@@ -62,18 +73,23 @@
         if took_s > endpoint_orders.REPORT_TIMEOUT_S + HELD_UP_S:
             self._held_up_s = now_s
         self._asked.append(_Asked(now_s, is_answered))
+        if self._unanswered(now_s) >= DOUBT_UNANSWERED:
+            self._doubted_s = now_s
 
     def is_doubtful(self) -> bool:
         """Return whether answers may have been lost on this node's side."""
-        since_s = self._clock() - DOUBT_WINDOW_S
-        if self._held_up_s > since_s:
+        now_s = self._clock()
+        if self._held_up_s > now_s - DOUBT_WINDOW_S:
             return True
-        unanswered = [
-            one
+        return self._doubted_s > now_s - DOUBT_MEMORY_S
+
+    def _unanswered(self, now_s: float) -> int:
+        since_s = now_s - DOUBT_WINDOW_S
+        return sum(
+            1
             for one in self._asked
             if one.at_s > since_s and not one.is_answered
-        ]
-        return len(unanswered) >= DOUBT_UNANSWERED
+        )
 
 
 class Inspector:
@@ -95,11 +111,39 @@
             self._path.note(began_s, report is not None)
         return report
 
+    async def ask_surely(
+        self, endpoint: endpoints.Endpoint, until_s: float
+    ) -> endpoint_orders.Report | None:
+        """Return what an endpoint says, or None if it surely doesn't answer.
+
+        One question without an answer is no proof: on a node that runs slowly
+        timeouts pass before answers are read. So it is asked again, and for as
+        long as this node's own path is in doubt, until until_s of the boot
+        clock. A head that is cut off from the store and taken for dead so
+        would serve on while its members join another replica.
+        """
+        unanswered = 0
+        while clock.boot_s() < until_s:
+            report = await self.ask(endpoint)
+            if report is not None:
+                return report
+            unanswered += 1
+            if unanswered >= SURE_QUESTIONS and not self.is_doubtful():
+                break
+            await anyio.sleep(DOUBT_PAUSE_S)
+        return None
+
+    def is_doubtful(self) -> bool:
+        """Return whether answers may be lost on this node's side."""
+        return self._path.is_doubtful()
+
     async def ask_all(self, members: tuple[endpoints.Endpoint, ...]) -> Reports:
         """Return what each member says, None for those that are lost."""
         reports: Reports = {}
         await self._ask_into(reports, members)
         missing = _unanswered(reports, members)
+        if missing:
+            await anyio.sleep(DOUBT_LOOK_S)
         if missing and self._path.is_doubtful():
             await anyio.sleep(DOUBT_PAUSE_S)
             await self._ask_into(reports, missing)
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -220,7 +220,7 @@
         died. One that answers leaves, or is cut off from the store.
         """
         asked_s = clock.boot_s()
-        report = await self._inspector.ask(head)
+        report = await self._inspector.ask_surely(head, gone_s + LEAVING_S)
         if report is None and asked_s - gone_s < GONE_KNOWN_S:
             return True
         await self.retire(head, gone_s)
@@ -300,9 +300,12 @@
         return seen.membership.state not in _SETTLED
 
     def _is_dead(self, head: endpoints.Endpoint) -> bool:
-        # A dark head's entry lapses after three heartbeats.
+        # A dark head's entry lapses after three heartbeats; so does that of one
+        # that is cut off from the store, whose answers may be lost here.
         if self._registry.may_leave(head, LEAVING_S):
             return False
+        if self._inspector.is_doubtful():
+            return False
         return self._is_gone(head)
 
     def _is_gone(self, head: endpoints.Endpoint) -> bool:
--- a/redwingvalve/node/tests/test_inspecting.py
+++ b/redwingvalve/node/tests/test_inspecting.py
@@ -3,6 +3,7 @@
 import anyio
 import attrs
 
+from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.node import inspecting
 from redwingvalve.node.tests import members
@@ -94,3 +95,42 @@
     assert path.is_doubtful()
     now_s[0] += inspecting.DOUBT_WINDOW_S + 0.1
     assert not path.is_doubtful()
+
+
+def test_a_slow_node_does_not_take_a_living_head_for_dead():
+    """No VM is in two replicas when the holder of the lease runs slowly.
+
+    A head is cut off from the store, and its entry lapses; it serves on. The
+    holder asks it, and is so slow that its timeouts pass before it reads the
+    answers. Taken for dead, the head would be open while its members join
+    another replica.
+    """
+    head = replica(1)[0]
+
+    @attrs.define(eq=False)
+    class SlowClient(Client):
+        async def report(self, endpoint):
+            answered = await super().report(endpoint)
+            if answered is None:
+                # Held up with the whole process.
+                await anyio.sleep(endpoint_orders.REPORT_TIMEOUT_S + 0.15)
+            return answered
+
+    async def ask(client):
+        inspector = inspecting.Inspector(client)
+        return await inspector.ask_surely(head, clock.boot_s() + 10)
+
+    found = anyio.run(ask, SlowClient(choked_asks=3))
+    assert found is not None and found.membership == head.membership
+
+
+def test_one_lost_answer_does_not_prove_a_head_dead():
+    async def ask(client):
+        inspector = inspecting.Inspector(client)
+        head = replica(1)[0]
+        return await inspector.ask_surely(head, clock.boot_s() + 10)
+
+    assert anyio.run(ask, Client(choked_asks=1)) is not None
+    dead = Client(dead=('e1-0',))
+    assert anyio.run(ask, dead) is None
+    assert dead.asks == inspecting.SURE_QUESTIONS
