Hold members of a replica that may have opened unseen

A node that saw a replica only while its members joined took it for one that never opened when its head's entry was gone, and let a member join elsewhere while the head was open.

Its members are held for as long as a leaving head may serve.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -251,12 +251,11 @@
         if past is None or past.is_ended or past.head_gone_s is None:
             return False
         gone_s = past.head_gone_s
-        if past.whole is None:
-            # Nobody here knows the head: it has time to finish.
+        is_seen_ready = past.has_served or self._was_ready(past, replica)
+        if past.whole is None or not is_seen_ready:
+            # Nobody here knows the head, or saw it get ready: it may have
+            # opened while the store was away, and has time to finish.
             return clock.boot_s() - gone_s < replica_orders.LEAVING_S
-        # Cut off from the store, a head may have opened without a word there.
-        if not past.has_served and not self._was_ready(past, replica):
-            return False
         if not self._tasks.is_any_busy(past.whole.members):
             self._tasks.start(
                 past.whole.members, self._end_missing(past.whole, gone_s)
--- a/redwingvalve/node/tests/test_fresh_holder.py
+++ b/redwingvalve/node/tests/test_fresh_holder.py
@@ -78,3 +78,48 @@
 
     anyio.run(main)
     assert not client.joins
+
+
+def test_members_stay_if_their_replica_may_have_opened_unseen():
+    """No VM is in two replicas when a replica opens just before an outage.
+
+    The next holder of the lease saw two replicas while their members joined.
+    The store went away, both were opened meanwhile, and the entries of the
+    members are back before those of the heads.
+    """
+    client = Client()
+    registry = registry_module.Registry()
+    seen = [
+        members.make_member(
+            f'e{number}-{rank}', number, rank, endpoints.MemberState.JOINING
+        )
+        for number in (1, 2)
+        for rank in (0, 1)
+    ]
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            made = controller.Controller(
+                'engine',
+                registry,
+                serving.ServingTable(registry),
+                client,
+                inspecting.Inspector(client),
+                group,
+                lambda: True,
+                lambda service, model: 0,
+            )
+            made.has_served = True
+            registry.live = {one.endpoint_id: one for one in seen}
+            made.configure(ENGINE)
+            registry.live = {
+                one.endpoint_id: one for one in seen if one.membership.rank == 1
+            }
+            made.note_fleet()
+            for _ in range(5):
+                made.look(ENGINE)
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert not client.joins
