--- a/redwingvalve/fleet/planning.py
+++ b/redwingvalve/fleet/planning.py
@@ -131,12 +131,12 @@
         What a domain has beyond its whole replicas serves nobody: with three
         domains of six VMs, half of a model's VMs would be counted in vain.
         """
-        by_domain = collections.Counter(
+        counts = collections.Counter(
             endpoint.domain
             for endpoint, name in self.held
             if name == model.name
         )
-        whole = sum(count // model.size for count in by_domain.values())
+        whole = sum(count // model.size for count in counts.values())
         return whole * model.size / max(self.needed_vms[model.name], 0.01)
 
     def left_over(self, domain: str, model: routes.Model) -> int:
@@ -185,13 +185,14 @@
     A load takes over ten seconds, so that it starts well before the poor model
     runs out, and only where the other one keeps a spare in the same domain.
     """
-    poor = min(models, key=stock.cover)
-    if stock.cover(poor) >= POOR_COVER:
+    covers = {model.name: stock.cover(model) for model in models}
+    poor = min(models, key=lambda model: covers[model.name])
+    if covers[poor.name] >= POOR_COVER:
         return None
     rich = {
-        model.name
-        for model in models
-        if stock.cover(model) >= stock.cover(poor) + CLEARLY_MORE
+        name
+        for name, cover in covers.items()
+        if cover >= covers[poor.name] + CLEARLY_MORE
     }
     found = [
         spare
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -66,26 +66,28 @@
 TOO_LATE: typing.Final = Refusal(GATEWAY_TIMEOUT, 'no answer in time')
 
 
-def of(may_have_run: bool, is_timeout: bool) -> Refusal:
+def of(
+    may_have_run: bool,
+    is_timeout: bool,
+    retry_after_s: float = RETRY_AFTER_S,
+) -> Refusal:
     """Return the answer to a request that is given up.
 
     503 promises that the request did not run and never will, so that it is
-    only used if no endpoint may have begun it.
+    only used if no endpoint may have begun it; it says when to come back.
     """
     if not may_have_run:
-        return NO_PLACE
+        return attrs.evolve(NO_PLACE, retry_after_s=retry_after_s)
     return TOO_LATE if is_timeout else UNKNOWN_FATE
 
 
-def no_place(retry_after_s: float, chance: random.Random) -> Refusal:
-    """Return the refusal of a request that found no place.
+def spread_s(retry_after_s: float, chance: random.Random) -> float:
+    """Return a time about retry_after_s, in seconds.
 
     Callers that are refused together don't come back together.
     """
-    spread = chance.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
-    return attrs.evolve(
-        NO_PLACE, retry_after_s=round(retry_after_s * spread, 2)
-    )
+    factor = chance.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+    return round(retry_after_s * factor, 2)
 
 
 def on_time_wait_s(route: routes.Route) -> float:
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -325,9 +325,12 @@
         if self._failure is not None:
             answering.answer(self._responder, self._failure)
             return
-        refusal = refusals.of(self._may_have_run, reason == _TIMEOUT)
-        if refusal is refusals.NO_PLACE and self._admission is not None:
-            refusal = _no_place(self._state, self._admission)
+        assert self._admission is not None
+        refusal = refusals.of(
+            self._may_have_run,
+            reason == _TIMEOUT,
+            _retry_after_s(self._state, self._admission),
+        )
         answering.refuse(self._responder, self._caller, refusal)
 
     def _log(
@@ -352,11 +355,11 @@
             self._send.end(sends.Ending.GONE)
 
 
-def _no_place(
+def _retry_after_s(
     state: state_module.IngressState, admission: admitting.Admission
-) -> refusals.Refusal:
+) -> float:
     room = state.room(admission.service, admission.model)
-    return refusals.no_place(room.retry_after_s(), state.chance)
+    return refusals.spread_s(room.retry_after_s(), state.chance)
 
 
 _CUT_SHORT = frozenset(
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -81,13 +81,17 @@
             self._rooms[key] = waiting.WaitingRoom(time.monotonic)
         return self._rooms[key]
 
+    def under_way(self, service: str, model: str) -> int:
+        """Return the requests at a model's targets, those of all nodes."""
+        targets = self.targets.of(service, model)
+        return sum(self.loads.of(one.endpoint_id) for one in targets)
+
     def in_use(self, service: str, model: str) -> float:
         """Return the places in use in the whole fleet, and those wanted.
 
         Other nodes have about as many requests that wait as this one.
         """
-        targets = self.targets.of(service, model)
-        taken = sum(self.loads.of(one.endpoint_id) for one in targets)
+        taken = self.under_way(service, model)
         return taken + len(self.room(service, model)) * self.node_count
 
     def window(self, service: str) -> retry_window.RetryWindow:
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -62,11 +62,11 @@
     caller: caller_requests.CallerRequest,
     admission: admitting.Admission,
 ) -> None:
-    targets = state.targets.of(admission.service, admission.model)
+    service, model = admission.service, admission.model
     answering.log_no_place(
         caller,
         admission,
-        targets=len(targets),
-        under_way=sum(state.loads.of(one.endpoint_id) for one in targets),
-        waiting=len(state.room(admission.service, admission.model)),
+        targets=len(state.targets.of(service, model)),
+        under_way=state.under_way(service, model),
+        waiting=len(state.room(service, model)),
     )
--- a/redwingvalve/ingress/waiting.py
+++ b/redwingvalve/ingress/waiting.py
@@ -70,7 +70,7 @@
 
     def is_full(self) -> bool:
         """Return whether one more would wait longer than MAX_WAIT_S."""
-        return len(self._waiters) >= self._limit()
+        return len(self._waiters) + 1 > self._limit()
 
     def retry_after_s(self) -> float:
         """Return when a refused caller may come back, in seconds.
@@ -128,8 +128,10 @@
         waiter = _Waiter(
             urgency, next(self._numbers), late_at_s, select, granted
         )
+        is_full = self.is_full()
         self._waiters.append(waiter)
-        self._refuse_surplus()
+        if is_full:
+            self._refuse_last()
         try:
             async with asyncio.timeout(wait_s):
                 return await granted
@@ -143,9 +145,7 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def _refuse_surplus(self) -> None:
-        if len(self._waiters) <= self._limit():
-            return
+    def _refuse_last(self) -> None:
         last = self._in_order()[-1]
         self._waiters.remove(last)
         if not last.granted.done():
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -67,30 +67,15 @@
         return _one(1 + len(self.peers.alive()))
 
     def _targets(self) -> _Readings:
-        return [
-            _reading(len(self.table.of(service, model)), service, model)
-            for service, model in self._models()
-        ]
+        table = self.table
+        return self._by_model(lambda *model: len(table.of(*model)))
 
     def _under_way(self) -> _Readings:
-        loads = self.state.loads
-        return [
-            _reading(
-                sum(
-                    loads.of(target.endpoint_id)
-                    for target in self.table.of(service, model)
-                ),
-                service,
-                model,
-            )
-            for service, model in self._models()
-        ]
+        return self._by_model(self.state.under_way)
 
     def _waiting(self) -> _Readings:
-        return [
-            _reading(len(self.state.room(service, model)), service, model)
-            for service, model in self._models()
-        ]
+        state = self.state
+        return self._by_model(lambda *model: len(state.room(*model)))
 
     def _retries_left(self) -> _Readings:
         now_s = time.monotonic()
@@ -113,13 +98,15 @@
         configuration = self.state.configuration
         return list(configuration.services.values()) if configuration else []
 
-    def _models(self) -> list[tuple[str, str]]:
-        """Return each service with each of its models, '' without any."""
+    def _by_model(self, read: typing.Callable[[str, str], float]) -> _Readings:
+        """Read a value for each service and model, '' without any."""
         found = []
         for service in self._services():
             models = service.engine.models if service.engine else ()
-            names = [model.name for model in models] or ['']
-            found.extend((service.name, name) for name in names)
+            for name in [model.name for model in models] or ['']:
+                labels = (('service', service.name), ('model', name))
+                count = read(service.name, name)
+                found.append(node_metrics.Reading(count, labels))
         return found
 
 
@@ -127,11 +114,6 @@
     return [node_metrics.Reading(value)]
 
 
-def _reading(value: float, service: str, model: str) -> node_metrics.Reading:
-    labels = (('service', service), ('model', model))
-    return node_metrics.Reading(value, labels)
-
-
 def _memory() -> _Readings:
     pages = int(_STATM.read_text().split()[1])
     return _one(pages * resource.getpagesize())
--- a/redwingvalve/node/inspecting.py
+++ b/redwingvalve/node/inspecting.py
@@ -39,7 +39,6 @@
 # An answer that is this much later than its timeout was held up with the whole
 # process.
 HELD_UP_S = 0.1
-
 # Questions without an answer that prove an endpoint dead.
 SURE_QUESTIONS = 2
 
@@ -142,9 +141,10 @@
         reports: Reports = {}
         await self._ask_into(reports, members)
         missing = _unanswered(reports, members)
-        if missing:
-            await anyio.sleep(DOUBT_LOOK_S)
-        if missing and self._path.is_doubtful():
+        if not missing:
+            return reports
+        await anyio.sleep(DOUBT_LOOK_S)
+        if self.is_doubtful():
             await anyio.sleep(DOUBT_PAUSE_S)
             await self._ask_into(reports, missing)
         return reports
--- a/redwingvalve/node/tests/test_fresh_holder.py
+++ b/redwingvalve/node/tests/test_fresh_holder.py
@@ -45,17 +45,12 @@
     )
 
 
-def test_members_of_heads_that_are_not_back_yet_stay_where_they_are():
-    """No VM is in two replicas after an outage of the store.
+def look(registry, change=lambda made: None):
+    """Let a new holder look at the fleet a few times; return who joined.
 
-    Entries lapsed with the store and return one by one within two seconds.
-    The holder was killed meanwhile; its next process is told of the members
-    first, takes the lease at once and looks at the fleet. Both heads live,
-    are open, and are not listed yet.
+    change is called once the controller knows the engine.
     """
     client = Client()
-    registry = registry_module.Registry()
-    registry.live = {f'e{number}': member(number) for number in (1, 2)}
 
     async def main():
         async with anyio.create_task_group() as group:
@@ -71,13 +66,27 @@
             )
             made.has_served = True
             made.configure(ENGINE)
+            change(made)
             for _ in range(5):
                 made.look(ENGINE)
                 await anyio.sleep(0.01)
             group.cancel_scope.cancel()
 
     anyio.run(main)
-    assert not client.joins
+    return client.joins
+
+
+def test_members_of_heads_that_are_not_back_yet_stay_where_they_are():
+    """No VM is in two replicas after an outage of the store.
+
+    Entries lapsed with the store and return one by one within two seconds.
+    The holder was killed meanwhile; its next process is told of the members
+    first, takes the lease at once and looks at the fleet. Both heads live,
+    are open, and are not listed yet.
+    """
+    registry = registry_module.Registry()
+    registry.live = {f'e{number}': member(number) for number in (1, 2)}
+    assert not look(registry)
 
 
 def test_members_stay_if_their_replica_may_have_opened_unseen():
@@ -87,7 +96,6 @@
     The store went away, both were opened meanwhile, and the entries of the
     members are back before those of the heads.
     """
-    client = Client()
     registry = registry_module.Registry()
     seen = [
         members.make_member(
@@ -96,30 +104,12 @@
         for number in (1, 2)
         for rank in (0, 1)
     ]
+    registry.live = {one.endpoint_id: one for one in seen}
 
-    async def main():
-        async with anyio.create_task_group() as group:
-            made = controller.Controller(
-                'engine',
-                registry,
-                serving.ServingTable(registry),
-                client,
-                inspecting.Inspector(client),
-                group,
-                lambda: True,
-                lambda service, model: 0,
-            )
-            made.has_served = True
-            registry.live = {one.endpoint_id: one for one in seen}
-            made.configure(ENGINE)
-            registry.live = {
-                one.endpoint_id: one for one in seen if one.membership.rank == 1
-            }
-            made.note_fleet()
-            for _ in range(5):
-                made.look(ENGINE)
-                await anyio.sleep(0.01)
-            group.cancel_scope.cancel()
+    def lose_heads(made):
+        registry.live = {
+            one.endpoint_id: one for one in seen if one.membership.rank == 1
+        }
+        made.note_fleet()
 
-    anyio.run(main)
-    assert not client.joins
+    assert not look(registry, lose_heads)
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -257,11 +257,7 @@
         for head in heads:
             head.events_in_answer = 200
         caller = fleet.caller()
-        taker = await caller.begin(
-            '/draft/1',
-            b'prompt',
-            headers=[(b'X-Model', fleets.SMALL.encode())],
-        )
+        taker = await caller.begin_draft()
         await fleet.until(lambda: b'id: ' in taker.body)
         caller.leave()
         await fleet.until(lambda: any(head.left for head in heads), 0.5)
@@ -310,11 +306,7 @@
             fleet.endpoints[target.endpoint_id] for target in fleet.targets()
         ]
         caller = fleet.caller()
-        taker = await caller.begin(
-            '/draft/1',
-            b'prompt',
-            headers=[(b'X-Model', fleets.SMALL.encode())],
-        )
+        taker = await caller.begin_draft()
         await fleet.until(lambda: taker.body.count(b'id: ') >= 2)
         for head in heads:
             head.faults.stands_still = True
@@ -341,11 +333,7 @@
         window = fleet.nodes[0].state.window(fleets.ENGINE)
         window.try_spend = lambda now_s, nodes: False
         caller = fleet.caller()
-        taker = await caller.begin(
-            '/draft/1',
-            b'prompt',
-            headers=[(b'X-Model', fleets.SMALL.encode())],
-        )
+        taker = await caller.begin_draft()
         await fleet.until(lambda: taker.body.count(b'id: ') >= 2)
         for target in fleet.targets():
             head = fleet.endpoints[target.endpoint_id]
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -184,15 +184,17 @@
 
 
 def _positive(found: typing.Any) -> float:
-    if not _number(found) > 0:
+    number = _number(found)
+    if not number > 0:
         raise ValueError(f'{found!r} is not above 0')
-    return _number(found)
+    return number
 
 
 def _not_negative(found: typing.Any) -> float:
-    if not _number(found) >= 0:
+    number = _number(found)
+    if not number >= 0:
         raise ValueError(f'{found!r} is below 0')
-    return _number(found)
+    return number
 
 
 def _number(found: typing.Any) -> float:
--- a/redwingvalve/platform/tests/fleet.py
+++ b/redwingvalve/platform/tests/fleet.py
@@ -199,6 +199,12 @@
             **more,
         )
 
+    async def begin_draft(self):
+        """Begin a stream without hints of its size."""
+        return await self.begin(
+            '/draft/1', b'prompt', headers=[(b'X-Model', SMALL.encode())]
+        )
+
     def leave(self):
         self.connection.abandon()
 
--- a/redwingvalve/platform/tests/test_leaving.py
+++ b/redwingvalve/platform/tests/test_leaving.py
@@ -67,11 +67,7 @@
     async def test(fleet):
         node = fleet.nodes[0]
         caller = fleet.caller()
-        taker = await caller.begin(
-            '/draft/1',
-            b'prompt',
-            headers=[(b'X-Model', fleets.SMALL.encode())],
-        )
+        taker = await caller.begin_draft()
         await fleet.until(lambda: b'id: ' in taker.body)
         address = node.settings.ready
         async with anyio.create_task_group() as group:
