--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -25,6 +25,8 @@
 PATIENCE_GOALS = 4.0
 PATIENCE_PAUSES = 8.0
 WAIT_SHARE = 0.75
+# Of the time that a request still has.
+LEFT_SHARE = 0.5
 # What a request may wait and be on time is at least and at most this share of
 # its goal, however long answers seem to take to begin.
 ON_TIME_LEAST_SHARE = 0.1
@@ -106,11 +108,15 @@
     return min(max(goal_s - begin_s, least_s), most_s)
 
 
-def wait_s(route: routes.Route) -> float:
-    """Return how long a request may wait for a place, in seconds."""
+def wait_s(route: routes.Route, left_s: float) -> float:
+    """Return how long a request may wait for a place, in seconds.
+
+    left_s is the time until its answer must be whole: who is refused needs
+    some of it to come back, and who gets a place needs some to be served.
+    """
     patience_s = max(
         PATIENCE_S,
         PATIENCE_GOALS * route.goal_ms / _MS_IN_S,
         PATIENCE_PAUSES * route.gap_goal_ms / _MS_IN_S,
     )
-    return WAIT_SHARE * patience_s
+    return max(0, min(WAIT_SHARE * patience_s, LEFT_SHARE * left_s))
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -62,7 +62,7 @@
     return waiting.Ask(
         urgency=admission.urgency,
         on_time_s=refusals.on_time_wait_s(admission.route, begin_s),
-        wait_s=max(0, min(left_s, refusals.wait_s(admission.route))),
+        wait_s=refusals.wait_s(admission.route, left_s),
         has_returned=admission.has_returned,
         is_resumed=is_resumed,
     )
--- a/redwingvalve/ingress/tests/played_load.py
+++ b/redwingvalve/ingress/tests/played_load.py
@@ -179,7 +179,9 @@
         ask = waiting.Ask(
             urgency=1,
             on_time_s=refusals.on_time_wait_s(route, self.times.begin.seconds),
-            wait_s=refusals.wait_s(route),
+            wait_s=refusals.wait_s(
+                route, first_s + DEADLINE_S - anyio.current_time()
+            ),
             has_returned=has_returned and play.knows_returners,
         )
         target = await self.room.take(ask, self.select)
--- a/redwingvalve/ingress/tests/test_waiting.py
+++ b/redwingvalve/ingress/tests/test_waiting.py
@@ -7,7 +7,8 @@
 import anyio
 import anyio.lowlevel
 
-from redwingvalve.ingress import placing, returners, waiting
+from redwingvalve.ingress import placing, refusals, returners, waiting
+from redwingvalve.ingress.tests import played_load
 
 
 def target(name):
@@ -237,3 +238,15 @@
     for now_s in range(2, 60):
         is_return = deadlines.is_return(key, 3000, now_s)
     assert not is_return
+
+
+def test_nobody_waits_for_most_of_the_time_that_it_has():
+    """Who is refused at last can still come back, and who is served is whole.
+
+    Callers leave a silent stream after two seconds, four goals or eight
+    pauses; one that has little time left is told sooner.
+    """
+    route = played_load.make_route(0.3)
+    assert refusals.wait_s(route, 6.0) == 1.5
+    assert refusals.wait_s(route, 1.0) == 0.5
+    assert refusals.wait_s(route, -1.0) == 0
