Pass on only places that came free at sound endpoints

Cause, found in the read-through: the place of every ended send went to the first that waits, also that of an endpoint that broke off, fell silent or refused; a waiting request was then sent to the endpoint that had just failed, here or at another node.

Change: only a whole answer, an endpoint's own failure or a caller that left leaves a place to pass on. Names: hand-off for a place that is passed to another node; Places is an abstract base class.

--- a/redwingvalve/ingress/capacity.py
+++ b/redwingvalve/ingress/capacity.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from redwingvalve.ingress import observed, placing
+from redwingvalve.ingress import observed, placing, waiting
 
 # Places that late requests leave free, in spreads of the number in use, and at
 # most as a share of all.
@@ -26,7 +26,7 @@
 
 
 @attrs.define(eq=False)
-class ModelPlaces:
+class ModelPlaces(waiting.Places):
     """The places of one service and model, those of all nodes."""
 
     # What the places are for; other nodes name it likewise.
@@ -37,7 +37,7 @@
     chance: random.Random
     clock: collections_abc.Callable[[], float]
     # Tells another node of a place that came free here.
-    send_gift: collections_abc.Callable[[str, str], None]
+    send_handoff: collections_abc.Callable[[str, str], None]
     _tried_s: float = -math.inf
 
     def free(self) -> float:
@@ -91,7 +91,7 @@
         reserved = min(strays, slots * MOST_RESERVED_SHARE)
         return self.free() > reserved
 
-    def give(self, freed: placing.Target) -> bool:
+    def hand_off(self, freed: placing.Target) -> bool:
         """Let another node have a place that came free here, if one wants it.
 
         By itself it would hear of the place a word later, together with all
@@ -100,7 +100,7 @@
         nodes = self.loads.wanting_nodes(self.name)
         if not (nodes and self.is_free(freed)):
             return False
-        self.send_gift(self.chance.choice(nodes), freed.endpoint_id)
+        self.send_handoff(self.chance.choice(nodes), freed.endpoint_id)
         return True
 
     def _share(
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -114,12 +114,13 @@
     ) -> sends.Ending:
         self._tried.add(target.endpoint_id)
         began_s = time.monotonic()
+        ending = sends.Ending.BROKEN
         try:
             ending = await self._send_to(admission, target)
         finally:
             self._state.loads.end(target.endpoint_id)
             room = self._state.room(admission.service, admission.model)
-            room.poke(target)
+            room.poke(target if ending in _LEAVES_PLACE else None)
         if ending is sends.Ending.WHOLE:
             self._times.teach(
                 self._state.times(admission.service, admission.model),
@@ -388,3 +389,8 @@
         sends.Ending.BROKEN,
     )
 )
+# After these the endpoint has a place for another request. One that broke off,
+# fell silent or refused may be dead or full: the next would be lost there too.
+_LEAVES_PLACE = frozenset(
+    (sends.Ending.WHOLE, sends.Ending.FAILURE, sends.Ending.GONE)
+)
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -75,7 +75,7 @@
         factory=returners.FirstDeadlines
     )
     # Tells a node of a place that came free here: its name and the endpoint.
-    on_gift: collections_abc.Callable[[str, str], None] | None = None
+    on_handoff: collections_abc.Callable[[str, str], None] | None = None
     # Sends that end when their head falls silent, by endpoint.
     open_sends: dict[str, set['OpenSend']] = attrs.field(factory=dict)
     _rooms: dict[tuple[str, str], waiting.WaitingRoom] = attrs.field(
@@ -109,11 +109,11 @@
                 times=self.times(service, model),
                 chance=self.chance,
                 clock=time.monotonic,
-                send_gift=self._send_gift,
+                send_handoff=self._send_handoff,
             )
         return self._places[key]
 
-    def gift(self, endpoint_id: str) -> None:
+    def take_handoff(self, endpoint_id: str) -> None:
         """Take a place that came free at another node, if one is wanted."""
         for key, room in self._rooms.items():
             for target in self.targets.of(*key):
@@ -140,9 +140,9 @@
         targets = self.targets.of(service, model)
         return sum(self.loads.of(one.endpoint_id) for one in targets)
 
-    def _send_gift(self, node: str, endpoint_id: str) -> None:
-        if self.on_gift is not None:
-            self.on_gift(node, endpoint_id)
+    def _send_handoff(self, node: str, endpoint_id: str) -> None:
+        if self.on_handoff is not None:
+            self.on_handoff(node, endpoint_id)
 
     def in_use(self, service: str, model: str) -> float:
         """Return the places in use in the whole fleet, and those wanted.
--- a/redwingvalve/ingress/tests/played_load.py
+++ b/redwingvalve/ingress/tests/played_load.py
@@ -26,7 +26,7 @@
 
 WORD_S = 0.1
 SHORT_WORD_S = 0.025
-GIFT_S = 0.001
+HANDOFF_S = 0.001
 PATIENCE_S = 2.0
 DEADLINE_S = 6.0
 # Callers heed a third of the time that they have left.
@@ -122,7 +122,7 @@
             times=self.times,
             chance=play.chance,
             clock=anyio.current_time,
-            send_gift=self.give,
+            send_handoff=self.hand_off,
         )
         self.room = waiting.WaitingRoom(anyio.current_time, self.places)
 
@@ -140,7 +140,7 @@
             self.loads.begin(found.endpoint_id)
         return found
 
-    def give(self, name, endpoint_id):
+    def hand_off(self, name, endpoint_id):
         """Tell another node of a place that came free here."""
         other = next(one for one in self._play.nodes if one.name == name)
         freed = next(
@@ -148,10 +148,14 @@
         )
         loop = asyncio.get_running_loop()
         loop.call_later(
-            GIFT_S, other.given, self.name, dict(self.loads.own), freed
+            HANDOFF_S,
+            other.take_handoff,
+            self.name,
+            dict(self.loads.own),
+            freed,
         )
 
-    def given(self, name, counts, freed):
+    def take_handoff(self, name, counts, freed):
         """Take a place that came free at another node."""
         self.loads.heard(name, counts)
         if self.room.wanting():
--- a/redwingvalve/ingress/tests/test_observed.py
+++ b/redwingvalve/ingress/tests/test_observed.py
@@ -43,14 +43,14 @@
     assert typical(2.0).seconds == 2.0
 
 
-def make_places(slots=4, heads=2, nodes=4, now_s=lambda: 0.0, gifts=None):
+def make_places(slots=4, heads=2, nodes=4, now_s=lambda: 0.0, handoffs=None):
     loads = placing.Loads(now_s)
     loads.node_count = nodes
     targets = tuple(
         placing.Target(f'h{number}', 'h', 1, slots, 'dc')
         for number in range(heads)
     )
-    gifts = [] if gifts is None else gifts
+    handoffs = [] if handoffs is None else handoffs
     return capacity.ModelPlaces(
         name='model',
         targets=lambda: targets,
@@ -58,7 +58,7 @@
         times=observed.make_place_times(),
         chance=random.Random(1),
         clock=now_s,
-        send_gift=lambda *gift: gifts.append(gift),
+        send_handoff=lambda *handoff: handoffs.append(handoff),
     )
 
 
@@ -98,15 +98,15 @@
 
 
 def test_a_place_is_given_to_a_node_that_wants_it():
-    gifts = []
-    places = make_places(gifts=gifts)
+    handoffs = []
+    places = make_places(handoffs=handoffs)
     freed = places.targets()[0]
-    assert not places.give(freed)
+    assert not places.hand_off(freed)
     places.loads.heard_wanting('vm-2', {'model': 1})
-    assert places.give(freed)
-    assert gifts == [('vm-2', 'h0')]
+    assert places.hand_off(freed)
+    assert handoffs == [('vm-2', 'h0')]
     places.loads.forget('vm-2')
-    assert not places.give(freed)
+    assert not places.hand_off(freed)
 
 
 def test_late_requests_leave_places_for_those_that_come():
--- a/redwingvalve/ingress/tests/test_waiting.py
+++ b/redwingvalve/ingress/tests/test_waiting.py
@@ -15,12 +15,12 @@
     return placing.Target(name, 'h', 1, 4, 'dc')
 
 
-class FewPlaces:
+class FewPlaces(waiting.Places):
     """Places that are all taken; as many come free a second as told."""
 
     def __init__(self, freed_per_s=100.0, *, is_spare=False):
         self.is_spare = is_spare
-        self.given = []
+        self.handed_off = []
         self._freed_per_s = freed_per_s
 
     def freed_per_s(self):
@@ -29,8 +29,8 @@
     def has_spare(self):
         return self.is_spare
 
-    def give(self, freed):
-        self.given.append(freed)
+    def hand_off(self, freed):
+        self.handed_off.append(freed)
         return True
 
 
@@ -146,7 +146,7 @@
             )
             await settle()
             taker.room.poke(target('a'))
-            assert taker.places.given == [target('a')]
+            assert taker.places.handed_off == [target('a')]
             group.cancel_scope.cancel()
 
     anyio.run(main)
--- a/redwingvalve/ingress/waiting.py
+++ b/redwingvalve/ingress/waiting.py
@@ -10,18 +10,19 @@
 that are late. Served by age alone, each request of a long wave waits as long
 as the queue is, and all answers are late though the places are as busy as ever.
 
-A late request takes a place while some are to spare, and else one for each
-few places that others got here. The nodes don't see each other's
-queues, and a place that a late request takes is missing for one elsewhere that
-could be on time: with no bound, a long overload would be answered late as a
-whole. With no share at all, a slight one would turn those away for good who
-come back after a refusal, as callers do only once.
+A late request takes a place while some are to spare, and else one for every
+few places that others got here. The nodes don't see each other's queues, and a
+place that a late request takes is missing for one elsewhere that could be on
+time: with no bound, a long overload would be answered late as a whole. With no
+share at all, a slight one would turn those away for good who come back after a
+refusal, as callers do only once.
 
 A request is refused at once if those before it need longer than it has, judged
 by the places that become free, and if as many late ones wait as lately got a
 place. A caller that is told so at once can come back, one that waits can't.
 """
 
+import abc
 import asyncio
 import itertools
 import typing
@@ -33,8 +34,8 @@
 
 # Refusals and grants are compared over this time.
 RATE_WINDOW_S = 2.0
-# Late requests that wait here while places were to spare lately. Each that
-# waits in vain halves the number, each that is served adds one.
+# Late requests that may wait here at once. Each that waits in vain halves the
+# number, each that is served adds one.
 LATE_WAITERS = 6
 # Late requests get so many places for each that others got, also when none is
 # to spare: enough that nobody is turned away for good while few are refused,
@@ -66,16 +67,19 @@
     is_resumed: bool = False
 
 
-class Places(typing.Protocol):
+class Places(abc.ABC):
     """What a room knows of the places that it waits for."""
 
+    @abc.abstractmethod
     def freed_per_s(self) -> float:
         """Return the places that this node gets while all are taken."""
 
+    @abc.abstractmethod
     def has_spare(self) -> bool:
         """Return whether late requests may take a place now."""
 
-    def give(self, freed: placing.Target) -> bool:
+    @abc.abstractmethod
+    def hand_off(self, freed: placing.Target) -> bool:
         """Offer a place that came free here to a node that wants it."""
 
 
@@ -185,7 +189,7 @@
     def _is_for_others(self, freed: placing.Target | None) -> bool:
         if freed is None or self.wanting() or self._late_share >= 1:
             return False
-        return self._places.give(freed)
+        return self._places.hand_off(freed)
 
     async def _place(self, waiter: _Waiter) -> placing.Target | None:
         self.poke()
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -44,5 +44,5 @@
   // Requests that could be on time and want a place, by service and model.
   14: map<string, i32> wanting
   // To one node: the endpoint at which a place came free for it.
-  15: string gift
+  15: string handoff
 }
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -50,7 +50,7 @@
         self.table.on_clear = self._found_sound
         self.table.on_tell_sound = self._note_sound
         self.lease.on_renewed = self.say_soon
-        self.state.on_gift = self._give
+        self.state.on_handoff = self._hand_off
 
     @property
     def fleet_has_served(self) -> bool:
@@ -128,8 +128,8 @@
             self.table.clear_older(
                 clear.endpoint_id, clear.epoch, clear.since_s
             )
-        if word.gift:
-            self.state.gift(word.gift)
+        if word.handoff:
+            self.state.take_handoff(word.handoff)
         self.state.poke()
 
     def node_lost(self, vm: str) -> None:
@@ -147,9 +147,9 @@
         is_short = self.state.wanting() or loads.is_wanted
         return pause_s * SHORT_PAUSE_SHARE if is_short else pause_s
 
-    def _give(self, vm: str, endpoint_id: str) -> None:
+    def _hand_off(self, vm: str, endpoint_id: str) -> None:
         word = self.make_word(dict(self.state.loads.own))
-        word.gift = endpoint_id
+        word.handoff = endpoint_id
         self.peers.say_to(vm, word)
 
     def _look_around(self) -> None:
--- a/redwingvalve/node/tests/test_telling.py
+++ b/redwingvalve/node/tests/test_telling.py
@@ -65,6 +65,29 @@
     fleets.run(test, nodes=2, engines=0, plain=0)
 
 
+def test_a_freed_place_reaches_the_node_that_wants_it_at_once():
+    """A request that waits at one node gets the place that another frees.
+
+    By the next regular word it would come a tenth of a second later, and all
+    other nodes would hear of it too.
+    """
+
+    async def test(fleet):
+        freeing, wanting = fleet.nodes
+        room = wanting.state.room(fleets.PLAIN, '')
+        offered = []
+        room.wanting = lambda: 1
+        room.poke = lambda freed=None: offered.append(freed)
+        vm = wanting.settings.vm
+        await fleet.until(lambda: vm in freeing.peers.known)
+        (target, *_) = wanting.table.of(fleets.PLAIN, '')
+        freeing.state.on_handoff(vm, target.endpoint_id)
+        await fleet.until(lambda: any(offered), 1)
+        assert {one for one in offered if one} == {target}
+
+    fleets.run(test, nodes=2, engines=0)
+
+
 def test_a_head_found_sound_is_told_with_the_next_word():
     """Other nodes needn't ask the same endpoints about the same head."""
 
--- a/redwingvalve/node/words.py
+++ b/redwingvalve/node/words.py
@@ -59,7 +59,7 @@
     (_Type.MAP, 'crashes', (_Type.I64, _Type.I32)),
     (_Type.STRUCT, 'address', AddressWord),
     (_Type.MAP, 'wanting', (_Type.STRING, _Type.I32)),
-    (_Type.STRING, 'gift'),
+    (_Type.STRING, 'handoff'),
 )
 _FACTORY = cybin.TCyBinaryProtocolFactory()
 
