--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -5,10 +5,9 @@
 import anyio
 import pytest
 
-from redwingvalve.core import clock
 from redwingvalve.node import following, peers, sources, watching
 from redwingvalve.node import mirror as mirror_module
-from redwingvalve.platform import store, store_pages
+from redwingvalve.platform import store
 from redwingvalve.platform.tests import fleet as fleets
 
 # In which a change must be known.
@@ -17,11 +16,6 @@
 RELIED_ON_S = 0.3
 
 
-def change(name, revision, is_removed=False):
-    stored = {'metadata': {'name': name, 'revision': revision}, 'spec': {}}
-    return store.Change(stored, is_removed)
-
-
 @pytest.fixture
 def relayed(monkeypatch):
     monkeypatch.setattr(sources, 'RELAY_FROM_NODES', 3)
@@ -155,131 +149,6 @@
     return sources.Source(client, is_store=True, wait_s=0.1)
 
 
-def test_a_mirror_says_how_old_its_knowledge_is(monkeypatch):
-    """Time in which the relay was suspended counts.
-
-    It wakes with the changes of seconds ago; by a clock that stood still they
-    would pass for new.
-    """
-    now_s = [100.0]
-    monkeypatch.setattr(clock, 'boot_s', lambda: now_s[0])
-    mirror = mirror_module.Mirror()
-    assert mirror.age_s == mirror_module.NEVER_S
-    mirror.replaced(store.Listing([], 10))
-    mirror.heard(1.0, is_from_store=True)
-    now_s[0] += 4
-    assert mirror.listing().age_s == pytest.approx(4)
-    assert not mirror.is_in_touch
-
-
-def test_a_question_is_answered_when_the_store_was_heard_again():
-    """'No changes' is as new as the relay's own knowledge."""
-
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 10))
-        async with anyio.create_task_group() as group:
-            group.start_soon(hear_later, mirror)
-            began_s = anyio.current_time()
-            found = await mirror.changes_after(10, 5.0)
-            assert anyio.current_time() - began_s < 1
-            assert not found.changes
-            assert found.age_s < 0.1
-
-    anyio.run(main)
-
-
-async def hear_later(mirror):
-    await anyio.sleep(0.05)
-    mirror.heard(1.0, is_from_store=True)
-
-
-def test_a_relay_that_lost_the_store_says_so():
-    async def main():
-        mirror = mirror_module.Mirror()
-        assert not mirror.is_in_touch
-        mirror.heard(0.0, is_from_store=True)
-        assert mirror.is_in_touch
-        await anyio.sleep(mirror_module.CONTACT_SLACK_S + 0.05)
-        assert not mirror.is_in_touch
-        mirror.heard(5.0, is_from_store=False)
-        assert not mirror.is_in_touch
-
-    anyio.run(main)
-
-
-def test_a_mirror_tells_a_batch_that_reaches_past_the_revision_whole():
-    """A node that comes from another source ends with the newest states."""
-
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 100))
-        mirror.changed(store.Changes([change('a', 101), change('b', 104)], 106))
-        found = await mirror.changes_after(103, 0.0)
-        assert [one.name for one in found.changes] == ['a', 'b']
-        assert found.revision == 106
-        found = await mirror.changes_after(106, 0.0)
-        assert not found.changes
-        # A node ahead of the mirror never goes back.
-        assert (await mirror.changes_after(110, 0.0)).revision == 110
-
-    anyio.run(main)
-
-
-def test_a_series_of_versions_is_told_by_its_last():
-    """All nodes hear of a key that was taken away, in a storm of changes.
-
-    Four versions a second of some 100 KB each, told in full to twenty nodes,
-    fill a relay's link of 20 Mbit/s: it loses touch with the store and all
-    nodes behind it go on with an old version for seconds.
-    """
-
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 100))
-        for revision in range(101, 111):
-            batch = [change('main', revision), change(f'x{revision}', revision)]
-            mirror.changed(store.Changes(batch, revision))
-        found = await mirror.changes_after(100, 0.0)
-        versions = [one for one in found.changes if one.name == 'main']
-        assert [store.revision_of(one.stored) for one in versions] == [110]
-        assert len(found.changes) == 11
-
-    anyio.run(main)
-
-
-def test_a_removal_is_told_with_the_state_before_it():
-    """An endpoint that said it would leave isn't taken for a dead one."""
-
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 100))
-        for revision, is_removed in ((101, False), (102, False), (103, True)):
-            batch = [change('a', revision, is_removed)]
-            mirror.changed(store.Changes(batch, revision))
-        found = await mirror.changes_after(100, 0.0)
-        revisions = [store.revision_of(one.stored) for one in found.changes]
-        assert revisions == [102, 103]
-
-    anyio.run(main)
-
-
-def test_a_configuration_takes_little_of_a_relays_link():
-    """Twenty nodes hear of four versions a second over 20 Mbit/s."""
-    routes = [
-        fleets.route(f'r{number}', f'/{number * 7919:x}/', 'stream', 'one')
-        for number in range(400)
-    ]
-    stored = {
-        'metadata': {'name': 'main', 'revision': 7},
-        'spec': {'version': 1, 'routes': routes},
-    }
-    listing = store.Listing([stored], 7)
-    page = store_pages.write_listing(listing)
-    bits_per_s = len(page) * 8 * 20 * 4
-    assert bits_per_s < 0.5 * 20e6
-
-
 def test_the_nodes_with_the_widest_links_are_the_relays(monkeypatch):
     """A VM with a narrow link doesn't speak for a data centre."""
     known = [node_address(f'vm-{number}', 20) for number in range(1, 9)]
@@ -302,45 +171,6 @@
     return peers.PeerAddress(vm, '127.0.0.1', 1, '', 'dc', 1, link_mbps)
 
 
-def test_a_mirror_knows_which_history_it_has():
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 100))
-        assert not mirror.has_history(99) and mirror.has_history(100)
-        for number in range(mirror_module.KEPT_BATCHES + 1):
-            batch = [change('a', 101 + number)]
-            mirror.changed(store.Changes(batch, 101 + number))
-        assert not mirror.has_history(100) and mirror.has_history(101)
-
-    anyio.run(main)
-
-
-def test_a_node_that_waits_while_its_relay_lists_anew_lists_too():
-    """A key that was taken away is refused everywhere within the bound.
-
-    The store's history is dropped; a relay lists all objects anew, which
-    brings a configuration that no event told of. A node waits at that relay
-    for events meanwhile: told 'none' and the new revision, it would never
-    hear of this configuration.
-    """
-
-    async def main():
-        mirror = mirror_module.Mirror()
-        mirror.replaced(store.Listing([], 10))
-        async with anyio.create_task_group() as group:
-            group.start_soon(list_anew, mirror)
-            with pytest.raises(store.HistoryGoneError):
-                await mirror.changes_after(10, 1.0)
-
-    anyio.run(main)
-
-
-async def list_anew(mirror):
-    await anyio.sleep(0.02)
-    stored = {'metadata': {'name': 'main', 'revision': 15}, 'spec': {}}
-    mirror.replaced(store.Listing([stored], 20))
-
-
 def test_nodes_without_relays_ask_the_store_in_moderation(relayed, monkeypatch):
     """The store isn't flooded when all relays are out of touch at once.
 
