Choose a place, count what was lately and read logs in one piece of code each

Cause, found in reading the change once more: - played_load.py chose a place by a copy of taking._choose, so that the played tests did not play the product's choice: both call ModelPlaces.take now. - Each word of another node made a room count the places of all heads though nobody waited; a room without waiters returns at once, as it did before. - Moments within a window were kept twice, in WaitingRoom by copying lists at each grant, in RetryWindow by a deque: recent.Moments serves both. - The number of nodes stood in two places that were always set together. - Heads that were ever slow were kept for ever and looked at by each request. - explain and losses each named files, stripped prefixes and parsed lines: observability/log_files.py. - A guard that the estimate's own lower bound makes dead, an error class that nobody raised, a clock that was read twice an event, a copy of each admission that changed nothing, and the sending of a word written twice.

Behaviour is as it was, but that a grant or refusal exactly two seconds old counts still.

--- a/redwingvalve/cli/explain.py
+++ b/redwingvalve/cli/explain.py
@@ -1,11 +1,10 @@
 """The explain command: why one request ended as it did, from nodes' logs."""
 
 import argparse
-import glob
 
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status
-from redwingvalve.observability import explaining
+from redwingvalve.observability import explaining, log_files
 
 HIDDEN = frozenset(('time', 'node', 'message', 'level', explaining.REQUEST))
 
@@ -14,11 +13,7 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Print a request's lines in order, and the cause in a sentence."""
-    paths = [
-        name
-        for pattern in arguments.logs
-        for name in sorted(glob.glob(pattern)) or [pattern]
-    ]
+    paths = log_files.expand(arguments.logs)
     try:
         found = explaining.explain(arguments.request_id, paths)
     except OSError as error:
--- a/redwingvalve/cli/losses.py
+++ b/redwingvalve/cli/losses.py
@@ -1,14 +1,13 @@
 """The losses command: where requests were lost or late, from nodes' logs."""
 
 import argparse
-import glob
 import pathlib
 import typing
 from collections import abc as collections_abc
 
 from redwingvalve.cli import options, tables
 from redwingvalve.core import environment, exit_status
-from redwingvalve.observability import losing
+from redwingvalve.observability import log_files, losing
 
 # Endpoints that are listed, those with the most losses first.
 MOST_ENDPOINTS = 12
@@ -22,11 +21,7 @@
     arguments: argparse.Namespace, surroundings: environment.Environment
 ) -> exit_status.ExitStatus:
     """Print losses by cause, route, endpoint and moment."""
-    paths = [
-        name
-        for pattern in arguments.logs
-        for name in sorted(glob.glob(pattern)) or [pattern]
-    ]
+    paths = log_files.expand(arguments.logs)
     try:
         found = losing.read(paths)
     except OSError as error:
--- a/redwingvalve/ingress/admitting.py
+++ b/redwingvalve/ingress/admitting.py
@@ -75,8 +75,9 @@
     if caller.deadline_ms is None:
         return admission
     key = (admission.route.name, admission.account)
-    is_return = deadlines.is_return(key, caller.deadline_ms, now_s)
-    return attrs.evolve(admission, has_returned=is_return)
+    if not deadlines.is_return(key, caller.deadline_ms, now_s):
+        return admission
+    return attrs.evolve(admission, has_returned=True)
 
 
 def _waits_ms(
--- a/redwingvalve/ingress/capacity.py
+++ b/redwingvalve/ingress/capacity.py
@@ -19,8 +19,6 @@
 # most as a share of all.
 RESERVED_SPREADS = 0.5
 MOST_RESERVED_SHARE = 0.25
-# Guards against a division by nothing while nothing was observed.
-_LEAST_HOLD_S = 1e-3
 
 Targets = collections_abc.Callable[[], collections_abc.Sequence[placing.Target]]
 
@@ -69,6 +67,23 @@
             return False
         return self.loads.of(target.endpoint_id) < target.slots
 
+    def take(
+        self,
+        freed: placing.Target | None,
+        avoid: collections_abc.Container[str] = (),
+        slow: collections_abc.Container[str] = (),
+    ) -> placing.Target | None:
+        """Return a target that counts the request already, or None.
+
+        freed is the one at which a place has just come free; avoid names the
+        endpoints that were tried, slow those that are chosen last.
+        """
+        found = self._choose(freed, avoid, slow)
+        if found is not None:
+            # Counted at once, so that no other request takes the place.
+            self.loads.begin(found.endpoint_id)
+        return found
+
     def freed_per_s(self) -> float:
         """Return the places that this node gets while all are taken.
 
@@ -76,8 +91,7 @@
         """
         targets = self.targets()
         slots = sum(target.slots for target in targets)
-        hold_s = max(self.times.hold.seconds, _LEAST_HOLD_S)
-        return slots / hold_s * self._share(targets)
+        return slots / self.times.hold.seconds * self._share(targets)
 
     def has_spare(self) -> bool:
         """Return whether late requests may take a place now.
@@ -103,6 +117,27 @@
         self.send_handoff(self.chance.choice(nodes), freed.endpoint_id)
         return True
 
+    def _choose(
+        self,
+        freed: placing.Target | None,
+        avoid: collections_abc.Container[str],
+        slow: collections_abc.Container[str],
+    ) -> placing.Target | None:
+        if (
+            freed is not None
+            and freed.endpoint_id not in avoid
+            and self.is_free(freed)
+        ):
+            return freed
+        if not self.may_try():
+            return None
+        targets = self.targets()
+        drawn = placing.draw(targets, self.loads.node_count, self.chance)
+        found = placing.choose(drawn, self.loads, self.chance, avoid, slow)
+        if found is not None or drawn is targets:
+            return found
+        return placing.choose(targets, self.loads, self.chance, avoid, slow)
+
     def _share(
         self, targets: collections_abc.Sequence[placing.Target]
     ) -> float:
--- a/redwingvalve/ingress/passing.py
+++ b/redwingvalve/ingress/passing.py
@@ -46,9 +46,10 @@
 
     def take(self, event: events.Event, send: sends_module.StreamSend) -> None:
         """Hand an event on unless the caller has it already."""
-        self._times.note_event(time.monotonic())
+        now_s = time.monotonic()
+        self._times.note_event(now_s)
         if self._pulse is not None:
-            self._watch.noted(self._pulse, time.monotonic())
+            self._watch.noted(self._pulse, now_s)
         if self._is_repeated(event):
             return
         if not self._responder.is_started:
--- a/redwingvalve/ingress/retry_window.py
+++ b/redwingvalve/ingress/retry_window.py
@@ -6,10 +6,10 @@
 keeps to its own share, so that the sum holds without a word between nodes.
 """
 
-import collections
-
 import attrs
 
+from redwingvalve.ingress import recent
+
 # Other nodes may see a part of the same window and a new process starts its
 # count anew, so that a part of the allowance stays unused.
 USED_SHARE = 0.8
@@ -30,31 +30,23 @@
     def __init__(self, allowance: RetryAllowance) -> None:
         """Start without sends."""
         self._allowance = allowance
-        self._requests: collections.deque[float] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
+        self._requests = recent.Moments(allowance.window_s)
+        self._retries = recent.Moments(allowance.window_s)
 
     def count_request(self, now_s: float) -> None:
         """Count a caller's request."""
-        self._requests.append(now_s)
-        self._drop_old(now_s)
+        self._requests.note(now_s)
 
     def try_spend(self, now_s: float, nodes: int) -> bool:
         """Count one more repeated send if this node's share allows it."""
         if self.left(now_s, nodes) < 1:
             return False
-        self._retries.append(now_s)
+        self._retries.note(now_s)
         return True
 
     def left(self, now_s: float, nodes: int) -> float:
         """Return the repeated sends that this node's share still allows."""
-        self._drop_old(now_s)
         allowance = self._allowance
-        allowed = allowance.ratio * len(self._requests)
+        allowed = allowance.ratio * self._requests.count(now_s)
         allowed += allowance.extra / max(nodes, 1)
-        return max(0.0, allowed * USED_SHARE - len(self._retries))
-
-    def _drop_old(self, now_s: float) -> None:
-        since_s = now_s - self._allowance.window_s
-        for times in (self._requests, self._retries):
-            while times and times[0] < since_s:
-                times.popleft()
+        return max(0.0, allowed * USED_SHARE - self._retries.count(now_s))
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -141,8 +141,12 @@
 
     def found_sound(self, head: str, now_s: float) -> None:
         """Allow a head more time: it was silent, but nothing is lost."""
+        # Forgotten here: requests look at all slow heads.
+        self._slow = {
+            name: one for name, one in self._slow.items() if one.until_s > now_s
+        }
         slow = self._slow.get(head)
-        if slow is None or slow.until_s <= now_s:
+        if slow is None:
             self._slow[head] = _Slow(SLOW_FACTOR, now_s, now_s + SLOW_S)
             return
         slow.until_s = now_s + SLOW_S
@@ -158,7 +162,7 @@
     def slow_heads(self, now_s: float) -> frozenset[str]:
         """Return the heads that were silent lately and are not lost."""
         return frozenset(
-            head for head, slow in self._slow.items() if slow.until_s > now_s
+            head for head in self._slow if self.is_slow(head, now_s)
         )
 
     def look(self, now_s: float) -> list[SilentHead]:
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -27,13 +27,11 @@
     """
     service, model = admission.service, admission.model
     room = state.room(service, model)
+    places = state.places(service, model)
 
     def select(freed: placing.Target | None) -> placing.Target | None:
-        found = _choose(state, admission, avoid, freed)
-        if found is not None:
-            # Counted at once, so that no other request takes the place.
-            state.loads.begin(found.endpoint_id)
-        return found
+        slow = state.silence.slow_heads(time.monotonic())
+        return places.take(freed, avoid, slow)
 
     ask = _ask(state, admission, is_resumed=bool(avoid))
     began_s = time.monotonic()
@@ -68,31 +66,6 @@
     )
 
 
-def _choose(
-    state: state_module.IngressState,
-    admission: admitting.Admission,
-    avoid: collections_abc.Container[str],
-    freed: placing.Target | None,
-) -> placing.Target | None:
-    service, model = admission.service, admission.model
-    places = state.places(service, model)
-    if (
-        freed is not None
-        and freed.endpoint_id not in avoid
-        and places.is_free(freed)
-    ):
-        return freed
-    if not places.may_try():
-        return None
-    targets = state.targets.of(service, model)
-    drawn = placing.draw(targets, state.node_count, state.chance)
-    slow = state.silence.slow_heads(time.monotonic())
-    found = placing.choose(drawn, state.loads, state.chance, avoid, slow)
-    if found is not None or drawn is targets:
-        return found
-    return placing.choose(targets, state.loads, state.chance, avoid, slow)
-
-
 def _log_no_place(
     state: state_module.IngressState,
     caller: caller_requests.CallerRequest,
--- a/redwingvalve/ingress/tests/played_load.py
+++ b/redwingvalve/ingress/tests/played_load.py
@@ -126,20 +126,6 @@
         )
         self.room = waiting.WaitingRoom(anyio.current_time, self.places)
 
-    def select(self, freed):
-        """Take a place."""
-        play = self._play
-        if freed is not None and self.places.is_free(freed):
-            self.loads.begin(freed.endpoint_id)
-            return freed
-        if not self.places.may_try():
-            return None
-        drawn = placing.draw(play.targets, play.deployment.nodes, play.chance)
-        found = placing.choose(drawn, self.loads, play.chance)
-        if found is not None:
-            self.loads.begin(found.endpoint_id)
-        return found
-
     def hand_off(self, name, endpoint_id):
         """Tell another node of a place that came free here."""
         other = next(one for one in self._play.nodes if one.name == name)
@@ -188,7 +174,7 @@
             ),
             has_returned=has_returned and play.knows_returners,
         )
-        target = await self.room.take(ask, self.select)
+        target = await self.room.take(ask, self.places.take)
         if target is None:
             play.got.held_s.append(anyio.current_time() - began_s)
             return refusals.spread_s(self.room.retry_after_s(), play.chance)
--- a/redwingvalve/ingress/waiting.py
+++ b/redwingvalve/ingress/waiting.py
@@ -30,8 +30,10 @@
 
 import attrs
 
-from redwingvalve.ingress import placing
+from redwingvalve.ingress import placing, recent
 
+# While no endpoint is known; whoever isn't first then waits too long.
+LEAST_FREED_PER_S = 1e-3
 # Refusals and grants are compared over this time.
 RATE_WINDOW_S = 2.0
 # Late requests that may wait here at once. Each that waits in vain halves the
@@ -123,8 +125,8 @@
         self._places = places
         self._numbers = itertools.count()
         self._waiters: list[_Waiter] = []
-        self._served_s: list[float] = []
-        self._refused_s: list[float] = []
+        self._served = recent.Moments(RATE_WINDOW_S)
+        self._refused = recent.Moments(RATE_WINDOW_S)
         self._late_limit = float(LATE_WAITERS)
         # Places that late requests may take though none is to spare.
         self._late_share = 0.0
@@ -164,7 +166,7 @@
         finally:
             self._forget(waiter)
         if target is None:
-            self._refused_s.append(self._clock())
+            self._refused.note(self._clock())
         return target
 
     def poke(self, freed: placing.Target | None = None) -> None:
@@ -176,6 +178,9 @@
         """
         if self._is_for_others(freed):
             freed = None
+        if not self._waiters:
+            # Each word of another node comes by here.
+            return
         has_spare = self._places.has_spare()
         for waiter in self._in_order():
             is_late = waiter.is_late(self._clock())
@@ -230,7 +235,8 @@
         before = sum(1 for one in self._waiters if one.rank(now_s) < rank)
         if not before:
             return 0
-        return (before + 1) / max(self._places.freed_per_s(), 1e-3)
+        freed_per_s = max(self._places.freed_per_s(), LEAST_FREED_PER_S)
+        return (before + 1) / freed_per_s
 
     def _has_late_room(self, waiter: _Waiter) -> bool:
         """Return whether a late request may wait for a place to spare.
@@ -256,7 +262,7 @@
     def _grant(
         self, waiter: _Waiter, target: placing.Target, *, is_late: bool
     ) -> None:
-        self._served_s.append(self._clock())
+        self._served.note(self._clock())
         self._forget(waiter)
         waiter.granted.set_result(target)
         if is_late:
@@ -273,9 +279,8 @@
 
     def _refused_for_each(self) -> float:
         """Return the refusals for each place that was given lately."""
-        self._served_s = self._recent(self._served_s)
-        self._refused_s = self._recent(self._refused_s)
-        return len(self._refused_s) / max(len(self._served_s), 1)
+        now_s = self._clock()
+        return self._refused.count(now_s) / max(self._served.count(now_s), 1)
 
     def _forget(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
@@ -290,10 +295,6 @@
 
         return sorted(self._waiters, key=rank)
 
-    def _recent(self, moments_s: list[float]) -> list[float]:
-        since_s = self._clock() - RATE_WINDOW_S
-        return [at_s for at_s in moments_s if at_s > since_s]
-
 
 def _granted(waiter: _Waiter) -> placing.Target | None:
     return waiter.granted.result() if waiter.granted.done() else None
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -52,6 +52,11 @@
     # 0 where a node does not say.
     link_mbps: float = 0
 
+    @property
+    def socket(self) -> tuple[str, int]:
+        """Return where the node's datagrams go."""
+        return self.ip, self.peer_port
+
 
 @attrs.define(eq=False)
 class Peer:
@@ -144,18 +149,14 @@
             return
         packed = words.pack(word)
         for peer in self.known.values():
-            address = peer.address
-            self._transport.sendto(packed, (address.ip, address.peer_port))
+            self._transport.sendto(packed, peer.address.socket)
 
     def say_to(self, name: str, word: typing.Any) -> None:
         """Send a word to one node."""
         peer = self.known.get(name)
         if self._transport is None or peer is None:
             return
-        address = peer.address
-        self._transport.sendto(
-            words.pack(word), (address.ip, address.peer_port)
-        )
+        self._transport.sendto(words.pack(word), peer.address.socket)
 
     def listed(self, found: list[PeerAddress]) -> None:
         """Take the nodes that the store lists, perhaps seconds late.
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -156,8 +156,7 @@
         self.peers.drop_silent()
         self.registry.drop_lapsed()
         self.state.poison.look(self.registry.incarnations())
-        self.state.node_count = 1 + len(self.peers.alive())
-        self.state.loads.node_count = self.state.node_count
+        self.state.loads.node_count = 1 + len(self.peers.alive())
         # Places of nodes that fell silent are free.
         self.state.poke()
 
--- a/redwingvalve/observability/explaining.py
+++ b/redwingvalve/observability/explaining.py
@@ -1,12 +1,12 @@
 """One request's log lines of all nodes, and what they say of its cause."""
 
-import json
-import pathlib
 import typing
 from collections import abc as collections_abc
 
 import attrs
 
+from redwingvalve.observability import log_files
+
 REQUEST = 'request'
 # The last line that has one of these messages decides; X stands for more.
 _CAUSES: typing.Final = (
@@ -57,7 +57,8 @@
 
     Lines that are no JSON objects are passed over.
     """
-    entries = sorted(_read_all(paths), key=_time)
+    read = (line.entry for path in paths for line in log_files.read(path))
+    entries = sorted((entry for entry in read if entry), key=_time)
     lines = [entry for entry in entries if entry.get(REQUEST) == request_id]
     replicas = {entry.get('replica') for entry in lines} - {None, ''}
     about = [
@@ -85,27 +86,5 @@
         return '?'
 
 
-def _read_all(
-    paths: collections_abc.Iterable[str],
-) -> typing.Iterator[dict[str, typing.Any]]:
-    for path in paths:
-        for line in pathlib.Path(path).read_text(errors='replace').split('\n'):
-            entry = _parse(line)
-            if entry is not None:
-                yield entry
-
-
-def _parse(line: str) -> dict[str, typing.Any] | None:
-    # Collectors put their own prefix before a line.
-    start = line.find('{')
-    if start < 0:
-        return None
-    try:
-        entry = json.loads(line[start:])
-    except ValueError:
-        return None
-    return entry if isinstance(entry, dict) else None
-
-
 def _time(entry: dict[str, typing.Any]) -> str:
     return str(entry.get('time', ''))
--- a/redwingvalve/observability/losing.py
+++ b/redwingvalve/observability/losing.py
@@ -6,13 +6,13 @@
 
 import collections
 import datetime
-import json
-import pathlib
 import typing
 from collections import abc as collections_abc
 
 import attrs
 
+from redwingvalve.observability import log_files
+
 ON_TIME: typing.Final = 'on time'
 RETURNED: typing.Final = 'late: refused before'
 RESUMED: typing.Final = 'late: sent again'
@@ -24,6 +24,8 @@
 BUCKET_S = 2.0
 # A wait that is this share of the time to the first event made it late.
 WAITED_SHARE = 0.25
+# Each line of a node begins so.
+_START = '{"time"'
 _INGRESS = 'ingress: '
 _ANSWERED = 'ingress: answered'
 _GIVEN_UP = 'ingress: given up: '
@@ -34,10 +36,6 @@
 _NOT_OWED = frozenset((401, 404))
 
 
-class LogError(ValueError):
-    """A line that is no log line of a node; names file and line."""
-
-
 @attrs.frozen
 class Outcome:
     """What became of one request."""
@@ -101,19 +99,12 @@
     path: str, errors: list[str]
 ) -> typing.Iterator[dict[str, typing.Any]]:
     is_node_log = False
-    text = pathlib.Path(path).read_text(errors='replace')
-    for number, line in enumerate(text.split('\n'), 1):
-        # Collectors put their own prefix before a line.
-        start = line.find('{"time"')
-        if start < 0:
-            continue
-        try:
-            entry = json.loads(line[start:])
-        except ValueError as error:
-            errors.append(f'{path}:{number}: cut or no JSON: {error}')
+    for line in log_files.read(path, _START):
+        if line.error:
+            errors.append(f'{line.place}: {line.error}')
             continue
-        is_node_log = is_node_log or 'message' in entry
-        yield entry
+        is_node_log = is_node_log or 'message' in line.entry
+        yield line.entry
     if not is_node_log:
         errors.append(f"{path}:1: no line of a node's log")
 
