Take a lease that lapses between two readings of the clock

Cause: the loop counted its sleep after it had found the lease in hands; when the term ended in between the sleep was negative, anyio raises ValueError, and what mends replicas stopped until it was started anew. The test fails before and passes after.

--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -64,6 +64,11 @@
         """Return for how long this node still holds the lease."""
         return max(0, int((self.until_s - clock.boot_s()) * 1000))
 
+    def heard_left_ms(self) -> int:
+        """Return for how long the holder that was heard of still holds it."""
+        left_s = self.heard_until_s - MARGIN_S - clock.boot_s()
+        return max(0, int(left_s * 1000))
+
     def heard(self, revision: int, left_ms: int) -> None:
         """Take a holder's word.
 
@@ -112,7 +117,7 @@
         elif self.is_held():
             await self._renew()
         elif self.is_in_hands():
-            await anyio.sleep(self.heard_until_s - clock.boot_s())
+            await anyio.sleep(max(0, self.heard_until_s - clock.boot_s()))
         else:
             await anyio.sleep(STAGGER_S * rank())
             await self._try_take()
--- a/redwingvalve/node/tests/test_lease.py
+++ b/redwingvalve/node/tests/test_lease.py
@@ -96,3 +96,21 @@
 
     anyio.run(main)
     assert client.spec['holder'] == 'vm-2'
+
+
+def test_a_lease_that_lapses_between_two_looks_at_the_clock_is_taken(
+    monkeypatch,
+):
+    """The loop goes on when the term ends just before its sleep is counted.
+
+    A negative sleep raised ValueError, which stopped all that mends replicas
+    on this node until it was started anew.
+    """
+    readings_s = iter((10.0, 10.0, 10.0, 10.2))
+    monkeypatch.setattr(
+        lease_module.clock, 'boot_s', lambda: next(readings_s, 10.2)
+    )
+    found = lease_module.Lease('vm-2', Client(spec={'holder': '', 'term': 3}))
+    found.heard_until_s = 10.1
+    try_once(found.client, found)
+    assert found.is_held()
