--- a/redwingvalve/observability/bounded_logs.py
+++ b/redwingvalve/observability/bounded_logs.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import json
 import logging
 import os
 import time
@@ -19,6 +20,10 @@
 ROUTINE_PER_S = 100
 MAX_BUFFERED_LINES = 2000
 TELL_EVERY_S = 5.0
+# Readers cut longer lines.
+MAX_LINE_BYTES = 8000
+# What is left of a field that makes its line too long.
+SHORTENED_CHARS = 400
 # Attribute of a record that says nothing went wrong.
 ROUTINE = 'is_routine'
 
@@ -46,7 +51,7 @@
         if len(self._buffer) >= MAX_BUFFERED_LINES:
             self.dropped += 1
             return
-        self._buffer.append(f'{self.format(record)}\n'.encode())
+        self._buffer.append(f'{_bounded(self.format(record))}\n'.encode())
         self.flush()
 
     def flush(self) -> None:
@@ -95,3 +100,23 @@
     handler = BoundedHandler(descriptor)
     logs.attach(handler, level, node)
     return handler
+
+
+def _bounded(line: str) -> str:
+    """Return a line with its longest fields shortened until it fits."""
+    if len(line) < MAX_LINE_BYTES:
+        return line
+    try:
+        fields = json.loads(line)
+    except ValueError:
+        return line[: MAX_LINE_BYTES - 1]
+    shortened: list[str] = []
+    while len(line) >= MAX_LINE_BYTES - 1:
+        texts = {name: json.dumps(one) for name, one in fields.items()}
+        _, longest = max((len(text), name) for name, text in texts.items())
+        if longest in shortened:
+            return line[: MAX_LINE_BYTES - 1]
+        shortened.append(longest)
+        fields[longest] = texts[longest][:SHORTENED_CHARS]
+        line = json.dumps({**fields, 'shortened': shortened})
+    return line
--- a/redwingvalve/observability/tests/test_bounded_logs.py
+++ b/redwingvalve/observability/tests/test_bounded_logs.py
@@ -5,6 +5,7 @@
 import os
 
 import pytest
+from pythonjsonlogger import json as json_logger
 
 from redwingvalve.observability import bounded_logs
 
@@ -74,3 +75,24 @@
     logging.getLogger('redwingvalve').removeHandler(handler)
     os.close(reader)
     os.close(writer)
+
+
+def test_a_record_too_long_for_one_line_is_shortened_and_stays_readable(piped):
+    """A line that the reader cuts can't be parsed, and its record is lost."""
+    logger, handler, reader = piped
+    handler.setFormatter(json_logger.JsonFormatter('{message}', style='{'))
+    heads = [f'endpoint-{number}' for number in range(2000)]
+    logger.info('listed', extra={'heads': heads, 'request': 'r1'})
+    [line] = read_lines(reader)
+    entry = json.loads(line)
+    assert len(line) < bounded_logs.MAX_LINE_BYTES
+    assert entry['request'] == 'r1'
+    assert entry['heads'].startswith('["endpoint-0", "endpoint-1"')
+    assert entry['shortened'] == ['heads']
+
+
+def test_a_long_line_that_is_no_json_is_cut(piped):
+    logger, _, reader = piped
+    logger.info('x' * 20_000)
+    [line] = read_lines(reader)
+    assert len(line) < bounded_logs.MAX_LINE_BYTES
