--- /dev/null
+++ b/redwingvalve/allocation/__init__.py
@@ -0,0 +1,1 @@
+"""Places at endpoints are granted by the node that counts them."""
--- /dev/null
+++ b/redwingvalve/allocation/messages.py
@@ -0,0 +1,282 @@
+"""What nodes say to each other about places, and its bytes."""
+
+import enum
+import typing
+
+import attrs
+
+from redwingvalve.ingress import waiting
+from redwingvalve.wire import structs
+
+# Endpoints to be avoided or chosen last that one request names at most; it
+# keeps a datagram within one packet.
+MOST_NAMED = 16
+_MS_IN_S = 1000.0
+_Type = structs.Type
+
+
+class MessageError(ValueError):
+    """A datagram that is no message about places."""
+
+
+class Outcome(enum.IntEnum):
+    """What became of an ask."""
+
+    GRANTED = 1
+    # It waits; another reply follows.
+    QUEUED = 2
+    # No place is free now, and it was not to wait.
+    FULL = 3
+    # It would not get a place in time.
+    REFUSED = 4
+    # The node that was asked knows no endpoints of the pool.
+    UNABLE = 5
+
+
+@attrs.frozen
+class Pool:
+    """Places that are counted together."""
+
+    service: str
+    # Empty for services without models.
+    model: str
+    # Empty if the endpoints of all data centres belong to the pool.
+    data_centre: str
+
+
+@attrs.frozen
+class Sender:
+    """One life of a node."""
+
+    vm: str
+    born_ms: int
+
+
+@attrs.frozen
+class Ask:
+    """A request wants a place."""
+
+    number: int
+    pool: Pool
+    may_wait: bool
+    need: waiting.Ask
+    avoid: tuple[str, ...] = ()
+    slow: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Reply:
+    """What became of an ask."""
+
+    number: int
+    outcome: Outcome
+    endpoint_id: str = ''
+    retry_after_s: float = 0
+    # How long it would wait.
+    expected_s: float = 0
+
+
+@attrs.frozen
+class Release:
+    """A place is no longer held, or wanted."""
+
+    number: int
+    # The endpoint refused the request: its places are taken by others.
+    was_refused: bool = False
+
+
+@attrs.frozen
+class Holdings:
+    """All places of a pool that a node holds, by number."""
+
+    pool: Pool
+    endpoint_ids: dict[int, str]
+
+
+Message: typing.TypeAlias = Ask | Reply | Release | Holdings
+
+
+@attrs.frozen
+class Envelope:
+    """A message and who sent it."""
+
+    sender: Sender
+    message: Message
+
+
+_PoolStruct: typing.Any = structs.make_struct(
+    'Pool',
+    (_Type.STRING, 'service'),
+    (_Type.STRING, 'model'),
+    (_Type.STRING, 'data_centre'),
+)
+_AskStruct: typing.Any = structs.make_struct(
+    'Ask',
+    (_Type.I64, 'number'),
+    (_Type.STRUCT, 'pool', _PoolStruct),
+    (_Type.BOOL, 'may_wait'),
+    (_Type.I32, 'urgency'),
+    (_Type.I32, 'on_time_ms'),
+    (_Type.I32, 'wait_ms'),
+    (_Type.BOOL, 'has_returned'),
+    (_Type.BOOL, 'is_resumed'),
+    (_Type.LIST, 'avoid', _Type.STRING),
+    (_Type.LIST, 'slow', _Type.STRING),
+)
+_ReplyStruct: typing.Any = structs.make_struct(
+    'Reply',
+    (_Type.I64, 'number'),
+    (_Type.I32, 'outcome'),
+    (_Type.STRING, 'endpoint_id'),
+    (_Type.I32, 'retry_after_ms'),
+    (_Type.I32, 'expected_ms'),
+)
+_ReleaseStruct: typing.Any = structs.make_struct(
+    'Release',
+    (_Type.I64, 'number'),
+    (_Type.BOOL, 'was_refused'),
+)
+_HoldingsStruct: typing.Any = structs.make_struct(
+    'Holdings',
+    (_Type.STRUCT, 'pool', _PoolStruct),
+    (_Type.MAP, 'endpoint_ids', (_Type.I64, _Type.STRING)),
+)
+_EnvelopeStruct: typing.Any = structs.make_struct(
+    'Envelope',
+    (_Type.STRING, 'vm'),
+    (_Type.I64, 'born_ms'),
+    (_Type.STRUCT, 'ask', _AskStruct),
+    (_Type.STRUCT, 'reply', _ReplyStruct),
+    (_Type.STRUCT, 'release', _ReleaseStruct),
+    (_Type.STRUCT, 'holdings', _HoldingsStruct),
+)
+
+
+def pack(envelope: Envelope) -> bytes:
+    """Return the bytes of a datagram."""
+    struct = _EnvelopeStruct(
+        vm=envelope.sender.vm, born_ms=envelope.sender.born_ms
+    )
+    message = envelope.message
+    if isinstance(message, Ask):
+        struct.ask = _ask_struct(message)
+    elif isinstance(message, Reply):
+        struct.reply = _ReplyStruct(
+            number=message.number,
+            outcome=int(message.outcome),
+            endpoint_id=message.endpoint_id,
+            retry_after_ms=_ms(message.retry_after_s),
+            expected_ms=_ms(message.expected_s),
+        )
+    elif isinstance(message, Release):
+        struct.release = _ReleaseStruct(
+            number=message.number, was_refused=message.was_refused
+        )
+    else:
+        struct.holdings = _HoldingsStruct(
+            pool=_pool_struct(message.pool), endpoint_ids=message.endpoint_ids
+        )
+    return structs.pack(struct)
+
+
+def unpack(packed: bytes) -> Envelope:
+    """Return what a datagram says; raises MessageError."""
+    try:
+        struct = structs.unpack(packed, _EnvelopeStruct)
+        sender = Sender(_text(struct.vm), _whole(struct.born_ms))
+        return Envelope(sender, _read(struct))
+    except (structs.StructError, AttributeError, TypeError) as error:
+        raise MessageError(str(error)) from error
+
+
+def _read(struct: typing.Any) -> Message:
+    if struct.ask is not None:
+        return _read_ask(struct.ask)
+    if struct.reply is not None:
+        return _read_reply(struct.reply)
+    if struct.release is not None:
+        return Release(
+            _whole(struct.release.number), bool(struct.release.was_refused)
+        )
+    if struct.holdings is not None:
+        return Holdings(
+            _read_pool(struct.holdings.pool),
+            dict(struct.holdings.endpoint_ids or {}),
+        )
+    raise MessageError('no known message')
+
+
+def _ask_struct(ask: Ask) -> typing.Any:
+    need = ask.need
+    return _AskStruct(
+        number=ask.number,
+        pool=_pool_struct(ask.pool),
+        may_wait=ask.may_wait,
+        urgency=need.urgency,
+        on_time_ms=_ms(need.on_time_s),
+        wait_ms=_ms(need.wait_s),
+        has_returned=need.has_returned,
+        is_resumed=need.is_resumed,
+        avoid=list(ask.avoid[:MOST_NAMED]),
+        slow=list(ask.slow[:MOST_NAMED]),
+    )
+
+
+def _read_ask(struct: typing.Any) -> Ask:
+    need = waiting.Ask(
+        urgency=_whole(struct.urgency),
+        on_time_s=_whole(struct.on_time_ms) / _MS_IN_S,
+        wait_s=_whole(struct.wait_ms) / _MS_IN_S,
+        has_returned=bool(struct.has_returned),
+        is_resumed=bool(struct.is_resumed),
+    )
+    return Ask(
+        number=_whole(struct.number),
+        pool=_read_pool(struct.pool),
+        may_wait=bool(struct.may_wait),
+        need=need,
+        avoid=tuple(struct.avoid or ()),
+        slow=tuple(struct.slow or ()),
+    )
+
+
+def _read_reply(struct: typing.Any) -> Reply:
+    try:
+        outcome = Outcome(struct.outcome)
+    except ValueError as error:
+        raise MessageError(f'unknown outcome {struct.outcome!r}') from error
+    return Reply(
+        number=_whole(struct.number),
+        outcome=outcome,
+        endpoint_id=struct.endpoint_id or '',
+        retry_after_s=(struct.retry_after_ms or 0) / _MS_IN_S,
+        expected_s=(struct.expected_ms or 0) / _MS_IN_S,
+    )
+
+
+def _pool_struct(pool: Pool) -> typing.Any:
+    return _PoolStruct(
+        service=pool.service, model=pool.model, data_centre=pool.data_centre
+    )
+
+
+def _read_pool(struct: typing.Any) -> Pool:
+    return Pool(
+        _text(struct.service), struct.model or '', struct.data_centre or ''
+    )
+
+
+def _ms(seconds: float) -> int:
+    return int(min(seconds, 1e6) * _MS_IN_S)
+
+
+def _text(found: typing.Any) -> str:
+    if not found:
+        raise MessageError('a name is missing')
+    return str(found)
+
+
+def _whole(found: typing.Any) -> int:
+    if not isinstance(found, int):
+        raise MessageError('a number is missing')
+    return found
--- /dev/null
+++ b/redwingvalve/allocation/pool.py
@@ -0,0 +1,167 @@
+"""The places of one pool: who waits for them, and who gets the next one.
+
+Load answered: requests of a model come to hundreds of nodes, a few a second to
+each, and its places change hands several times a second. What any node
+remembers of the others is older than a request lasts. So one node counts the
+places of a pool, and the waiting room stands where they are counted.
+"""
+
+import functools
+import math
+import random
+import typing
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.allocation import ledger as ledger_module
+from redwingvalve.allocation import messages
+from redwingvalve.ingress import observed, placing, waiting
+
+# Places that late requests leave free, in spreads of the number in use, and at
+# most as a share of all.
+RESERVED_SPREADS = 0.5
+MOST_RESERVED_SHARE = 0.25
+# An endpoint that refuses although places seem free serves requests that
+# nobody holds any more; they end within this.
+REFUSED_S = 0.25
+# An endpoint that a node found slow is chosen last for this long.
+SLOW_S = 2.0
+
+Clock = collections_abc.Callable[[], float]
+Targets = collections_abc.Callable[[], collections_abc.Sequence[placing.Target]]
+
+
+@attrs.define(eq=False)
+class PlacePool(waiting.Places):
+    """Counts, grants and queues for one pool."""
+
+    targets: Targets
+    chance: random.Random
+    clock: Clock
+    ledger: ledger_module.Ledger = attrs.field(factory=ledger_module.Ledger)
+    _hold: observed.Typical = attrs.field(
+        factory=lambda: observed.make_place_times().hold
+    )
+    _refused_until_s: dict[str, float] = attrs.field(factory=dict)
+    _slow_until_s: dict[str, float] = attrs.field(factory=dict)
+    room: waiting.WaitingRoom = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the waiting room."""
+        self.room = waiting.WaitingRoom(self.clock, self)
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether places are held or waited for."""
+        return bool(len(self.ledger) or len(self.room))
+
+    def selector(
+        self, sender: messages.Sender, ask: messages.Ask
+    ) -> placing.Selector:
+        """Return what takes a place for an ask."""
+        return functools.partial(self._take, sender, ask)
+
+    def note_slow(self, ask: messages.Ask) -> None:
+        """Take what a node has found slow."""
+        until_s = self.clock() + SLOW_S
+        for endpoint_id in ask.slow:
+            self._slow_until_s[endpoint_id] = until_s
+
+    def release(self, key: ledger_module.Key, *, was_refused: bool) -> None:
+        """Free a place and give it to the first that waits."""
+        hold = self.ledger.release(key)
+        if hold is None:
+            return
+        now_s = self.clock()
+        if was_refused:
+            self._refused_until_s[hold.endpoint_id] = now_s + REFUSED_S
+        else:
+            self._hold.saw(now_s - hold.since_s)
+        self.room.poke()
+
+    def confirm(
+        self, sender: messages.Sender, endpoint_ids: dict[int, str]
+    ) -> None:
+        """Take what a node holds."""
+        self.ledger.confirm(sender, endpoint_ids, self.clock())
+        self.room.poke()
+
+    def node_lost(self, vm: str) -> None:
+        """Free what a node held that is gone."""
+        if self.ledger.drop_node(vm):
+            self.room.poke()
+
+    def look(self) -> None:
+        """Forget what is over, and let those that wait look again."""
+        now_s = self.clock()
+        self.ledger.drop_lapsed(now_s)
+        self._refused_until_s = _unexpired(self._refused_until_s, now_s)
+        self._slow_until_s = _unexpired(self._slow_until_s, now_s)
+        self.room.poke()
+
+    def expected_s(self, ask: waiting.Ask) -> float:
+        """Return how long a request would wait."""
+        next_s = 1 / max(self.freed_per_s(), waiting.LEAST_FREED_PER_S)
+        return max(self.room.expected_s(ask), next_s)
+
+    def free(self) -> int:
+        """Return the places that are free."""
+        return sum(map(self._free_at, self.targets()))
+
+    def slots(self) -> int:
+        """Return all places, taken or free."""
+        return sum(target.slots for target in self.targets())
+
+    def freed_per_s(self) -> float:
+        """Return the places that come free in a second while all are taken."""
+        return self.slots() / self._hold.seconds
+
+    def has_spare(self) -> bool:
+        """Return whether late requests may take a place now.
+
+        Some places are kept for requests that can be on time: half of the
+        square root of all, which is how far their number strays by chance.
+        """
+        slots = self.slots()
+        strays = RESERVED_SPREADS * math.sqrt(slots)
+        return self.free() > min(strays, slots * MOST_RESERVED_SHARE)
+
+    def _take(
+        self, sender: messages.Sender, ask: messages.Ask
+    ) -> placing.Target | None:
+        found = self._choose(ask.avoid)
+        if found is not None:
+            key = (sender, ask.number)
+            self.ledger.hold(key, found.endpoint_id, self.clock())
+        return found
+
+    def _choose(
+        self, avoid: collections_abc.Container[str]
+    ) -> placing.Target | None:
+        free = [
+            target
+            for target in self.targets()
+            if target.endpoint_id not in avoid and self._free_at(target) > 0
+        ]
+        return min(free, key=self._rank, default=None)
+
+    def _rank(self, target: placing.Target) -> tuple[bool, float, float]:
+        filled = self.ledger.count(target.endpoint_id) / target.slots
+        is_slow = target.endpoint_id in self._slow_until_s
+        return is_slow, filled, self.chance.random()
+
+    def _free_at(self, target: placing.Target) -> int:
+        now_s = self.clock()
+        if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
+            return 0
+        return max(0, target.slots - self.ledger.count(target.endpoint_id))
+
+
+def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
+    return {name: one for name, one in until_s.items() if one > now_s}
+
+
+PoolTargets: typing.TypeAlias = collections_abc.Callable[
+    [messages.Pool], collections_abc.Sequence[placing.Target]
+]
--- /dev/null
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -0,0 +1,53 @@
+"""Messages about places arrive as they were sent, or not at all."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from redwingvalve.allocation import messages
+from redwingvalve.ingress import waiting
+
+SENDER = messages.Sender('vm-1', 1_700_000_000_000)
+POOL = messages.Pool('engine', 'small', 'zone-1')
+NEED = waiting.Ask(1, 0.25, 1.5, has_returned=True)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        messages.Ask(7, POOL, True, NEED, ('e1',), ('e2', 'e3')),
+        messages.Reply(7, messages.Outcome.GRANTED, 'e1'),
+        messages.Reply(7, messages.Outcome.REFUSED, retry_after_s=0.8),
+        messages.Reply(7, messages.Outcome.FULL, expected_s=0.02),
+        messages.Release(7, was_refused=True),
+        messages.Holdings(POOL, {7: 'e1', 9: 'e2'}),
+    ],
+)
+def test_a_message_arrives_as_it_was_sent(message):
+    sent = messages.Envelope(SENDER, message)
+    assert messages.unpack(messages.pack(sent)) == sent
+
+
+@hypothesis.given(strategies.binary(max_size=80))
+def test_other_bytes_are_no_message(packed):
+    with pytest.raises(messages.MessageError):
+        messages.unpack(packed)
+
+
+@hypothesis.given(strategies.integers(0, 60), strategies.integers(0, 255))
+def test_a_message_that_was_cut_or_changed_raises_nothing_else(place, byte):
+    sent = messages.Envelope(SENDER, messages.Ask(7, POOL, True, NEED))
+    packed = bytearray(messages.pack(sent))
+    packed[place % len(packed)] = byte
+    for found in (bytes(packed), bytes(packed[:place])):
+        try:
+            messages.unpack(found)
+        except messages.MessageError:
+            continue
+
+
+def test_a_datagram_names_a_bounded_number_of_endpoints():
+    """An ask fits into one packet however many endpoints were tried."""
+    many = tuple(f'endpoint-{number}' for number in range(500))
+    ask = messages.Ask(7, POOL, True, NEED, many, many)
+    assert len(messages.pack(messages.Envelope(SENDER, ask))) < 1200
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -69,6 +69,11 @@
             one for one in self._breaks if one.fingerprint != fingerprint
         ]
 
+    @property
+    def has_breaks(self) -> bool:
+        """Return whether broken connections are still to be judged."""
+        return bool(self._breaks)
+
     def look(self, living: typing.Container[tuple[str, int]]) -> None:
         """Count the breaks whose endpoints have died since."""
         now_s = self._clock()
--- /dev/null
+++ b/redwingvalve/ingress/reserving.py
@@ -0,0 +1,47 @@
+"""A place at an endpoint for one request, from whoever grants it."""
+
+import abc
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.ingress import placing, waiting
+
+
+class Reservation(abc.ABC):
+    """A place that is held for a request until it is released."""
+
+    target: placing.Target
+
+    @abc.abstractmethod
+    def release(self, *, was_refused: bool) -> None:
+        """Give the place back.
+
+        was_refused: the endpoint has said that it has no place.
+        """
+
+
+@attrs.frozen
+class NoPlace:
+    """Nothing is free in time; the caller may come back."""
+
+    retry_after_s: float
+
+
+class Reserver(abc.ABC):
+    """Finds places."""
+
+    @abc.abstractmethod
+    async def reserve(
+        self,
+        service: str,
+        model: str,
+        need: waiting.Ask,
+        avoid: collections_abc.Collection[str],
+        slow: collections_abc.Collection[str],
+    ) -> Reservation | NoPlace:
+        """Return a place for a request, or when its caller may come back.
+
+        avoid names the endpoints that were tried, slow those that are chosen
+        last.
+        """
--- a/redwingvalve/ingress/silence.py
+++ b/redwingvalve/ingress/silence.py
@@ -16,6 +16,8 @@
 import attrs
 
 LOOK_EVERY_S = 0.025
+# No stream that begins after a look is silent for too long before this.
+LONGEST_LOOK_S = 0.1
 # A look that is this late was held up with the whole process.
 LATE_LOOK_S = 0.05
 # Silence for this many usual pauses between events; below three, the
@@ -112,7 +114,8 @@
     def __init__(self) -> None:
         """Start without streams."""
         self._heads: dict[str, _Head] = {}
-        self._looked_s: float | None = None
+        # When the next look is due; None while there is nothing to look at.
+        self._due_s: float | None = None
         self._slow: dict[str, _Slow] = {}
 
     def begin(self, pulse: StreamPulse) -> None:
@@ -165,21 +168,37 @@
             head for head in self._slow if self.is_slow(head, now_s)
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no stream is looked at."""
+        return not self._heads
+
     def look(self, now_s: float) -> list[SilentHead]:
         """Return the heads that are silent for too long."""
-        before_s = self._looked_s
-        self._looked_s = now_s
-        if before_s is not None:
-            late_s = now_s - before_s - LOOK_EVERY_S
-            if late_s > LATE_LOOK_S:
-                self._forgive(now_s)
-                return []
+        due_s = self._due_s
+        self._due_s = None
+        if self.is_idle:
+            return []
+        if due_s is not None and now_s - due_s > LATE_LOOK_S:
+            self._forgive(now_s)
+        left_s = {
+            name: _left_s(head, now_s, self._factor(name, now_s))
+            for name, head in self._heads.items()
+        }
+        pause_s = max(min(left_s.values()), LOOK_EVERY_S)
+        self._due_s = now_s + min(pause_s, LONGEST_LOOK_S)
         return [
             SilentHead(name, any(one.has_begun for one in head.live()))
             for name, head in self._heads.items()
-            if _is_silent(head, now_s, self._factor(name, now_s))
+            if left_s[name] < 0
         ]
 
+    def pause_s(self, now_s: float) -> float:
+        """Return the time until the next look is due."""
+        if self._due_s is None:
+            return LONGEST_LOOK_S
+        return max(self._due_s - now_s, 0)
+
     def _factor(self, head: str, now_s: float) -> float:
         return self._slow[head].factor if self.is_slow(head, now_s) else 1.0
 
@@ -190,22 +209,25 @@
                 pulse.sent_s = max(pulse.sent_s, now_s - FIRST_EVENT_S)
 
 
-def _is_silent(head: _Head, now_s: float, factor: float) -> bool:
+def _left_s(head: _Head, now_s: float, factor: float) -> float:
+    """Return for how long a head may still be silent; negative if too long."""
     live = head.live()
+    if not live:
+        return LONGEST_LOOK_S
     begun = [pulse for pulse in live if pulse.has_begun]
     if not begun:
-        return any(_is_overdue(pulse, head, now_s, factor) for pulse in live)
+        return min(_begin_left_s(one, head, now_s, factor) for one in live)
     reading_s = sum(pulse.prompt_s for pulse in live if not pulse.has_begun)
     usual = begun[0]
     bound_s = max(MIN_SILENCE_S, PAUSES * usual.pause_s)
     bound_s += reading_s + usual.others_s
-    return now_s - head.last_event_s > bound_s * factor
+    return head.last_event_s + bound_s * factor - now_s
 
 
-def _is_overdue(
+def _begin_left_s(
     pulse: StreamPulse, head: _Head, now_s: float, factor: float
-) -> bool:
+) -> float:
     bound_s = FIRST_EVENT_S + PAUSES * pulse.pause_s
     bound_s += pulse.prompt_s + pulse.others_s
     since_s = max(pulse.sent_s, head.last_event_s)
-    return now_s - since_s > bound_s * factor
+    return since_s + bound_s * factor - now_s
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -1,22 +1,19 @@
 """What the request path of a node shares between its requests."""
 
 import abc
-import functools
 import random
-import time
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import (
-    capacity,
     observed,
     placing,
+    reserving,
     retry_window,
     returners,
     routes,
-    waiting,
 )
 from redwingvalve.ingress import poison as poison_module
 from redwingvalve.ingress import (
@@ -52,6 +49,11 @@
         """Return whether an endpoint is out of use."""
 
 
+def _nothing_in_use(service: str, model: str) -> int:
+    """Return 0: nothing is granted yet."""
+    return 0
+
+
 @attrs.define(eq=False)
 class IngressState:
     """Everything that one request needs of the node."""
@@ -72,16 +74,13 @@
     first_deadlines: returners.FirstDeadlines = attrs.field(
         factory=returners.FirstDeadlines
     )
-    # Tells a node of a place that came free here: its name and the endpoint.
-    on_handoff: collections_abc.Callable[[str, str], None] | None = None
+    reserver: reserving.Reserver | None = None
+    # Places of a service and model in use and wanted, in the whole fleet.
+    in_use: collections_abc.Callable[[str, str], int] = _nothing_in_use
+    # Requests that wait for places which this node grants.
+    waiting: collections_abc.Callable[[str, str], int] = _nothing_in_use
     # Sends that end when their head falls silent, by endpoint.
     open_sends: dict[str, set['OpenSend']] = attrs.field(factory=dict)
-    _rooms: dict[tuple[str, str], waiting.WaitingRoom] = attrs.field(
-        factory=dict
-    )
-    _places: dict[tuple[str, str], capacity.ModelPlaces] = attrs.field(
-        factory=dict
-    )
     _times: dict[tuple[str, str], observed.PlaceTimes] = attrs.field(
         factory=dict
     )
@@ -93,44 +92,6 @@
         """Return how many nodes serve callers, this one included."""
         return self.loads.node_count
 
-    def room(self, service: str, model: str) -> waiting.WaitingRoom:
-        """Return where requests for a model wait."""
-        key = (service, model)
-        if key not in self._rooms:
-            places = self.places(service, model)
-            self._rooms[key] = waiting.WaitingRoom(time.monotonic, places)
-        return self._rooms[key]
-
-    def places(self, service: str, model: str) -> capacity.ModelPlaces:
-        """Return the places of a model."""
-        key = (service, model)
-        if key not in self._places:
-            self._places[key] = capacity.ModelPlaces(
-                name=f'{service}/{model}',
-                targets=functools.partial(self.targets.of, service, model),
-                loads=self.loads,
-                times=self.times(service, model),
-                chance=self.chance,
-                clock=time.monotonic,
-                send_handoff=self._send_handoff,
-            )
-        return self._places[key]
-
-    def take_handoff(self, endpoint_id: str) -> None:
-        """Take a place that came free at another node, if one is wanted."""
-        for key, room in self._rooms.items():
-            for target in self.targets.of(*key):
-                if target.endpoint_id == endpoint_id and room.wanting():
-                    room.poke(target)
-
-    def wanting(self) -> dict[str, int]:
-        """Return how many requests want a place here, by what they want."""
-        wanting = {
-            self.places(*key).name: room.wanting()
-            for key, room in self._rooms.items()
-        }
-        return {name: count for name, count in wanting.items() if count}
-
     def times(self, service: str, model: str) -> observed.PlaceTimes:
         """Return how long requests for a model take."""
         key = (service, model)
@@ -138,23 +99,6 @@
             self._times[key] = observed.make_place_times()
         return self._times[key]
 
-    def under_way(self, service: str, model: str) -> int:
-        """Return the requests at a model's targets, those of all nodes."""
-        targets = self.targets.of(service, model)
-        return sum(self.loads.of(one.endpoint_id) for one in targets)
-
-    def _send_handoff(self, node: str, endpoint_id: str) -> None:
-        if self.on_handoff is not None:
-            self.on_handoff(node, endpoint_id)
-
-    def in_use(self, service: str, model: str) -> float:
-        """Return the places in use in the whole fleet, and those wanted.
-
-        Other nodes have about as many requests that wait as this one.
-        """
-        taken = self.under_way(service, model)
-        return taken + len(self.room(service, model)) * self.node_count
-
     def window(self, service: str) -> retry_window.RetryWindow:
         """Return the retries of a service."""
         if service not in self._windows:
@@ -166,8 +110,3 @@
         if model not in self._prompts:
             self._prompts[model] = silence_module.PromptSizes()
         return self._prompts[model]
-
-    def poke(self) -> None:
-        """Let waiting requests look for a place again."""
-        for room in self._rooms.values():
-            room.poke()
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -6,8 +6,8 @@
 from redwingvalve.ingress import (
     admitting,
     answering,
-    placing,
     refusals,
+    reserving,
     waiting,
 )
 from redwingvalve.ingress import state as state_module
@@ -19,33 +19,32 @@
     state: state_module.IngressState,
     caller: caller_requests.CallerRequest,
     admission: admitting.Admission,
-    avoid: collections_abc.Container[str],
-) -> placing.Target | None:
-    """Return a target that counts the request already, or None.
+    avoid: collections_abc.Collection[str],
+) -> reserving.Reservation | reserving.NoPlace:
+    """Return a place, or when the caller may come back.
 
     avoid names the endpoints that were tried.
     """
-    service, model = admission.service, admission.model
-    room = state.room(service, model)
-    places = state.places(service, model)
-
-    def select(freed: placing.Target | None) -> placing.Target | None:
-        slow = state.silence.slow_heads(time.monotonic())
-        return places.take(freed, avoid, slow)
-
-    ask = _ask(state, admission, is_resumed=bool(avoid))
+    assert state.reserver is not None
     began_s = time.monotonic()
-    target = await room.take(ask, select)
+    found = await state.reserver.reserve(
+        admission.service,
+        admission.model,
+        _ask(state, admission, is_resumed=bool(avoid)),
+        avoid,
+        state.silence.slow_heads(began_s),
+    )
+    has_place = isinstance(found, reserving.Reservation)
+    held_s = time.monotonic() - began_s
     node_metrics.METRICS.observe(
         'redwingvalve_wait_seconds',
-        time.monotonic() - began_s,
-        outcome='no place' if target is None else 'place',
-        model=model,
+        held_s,
+        outcome='place' if has_place else 'no place',
+        model=admission.model,
     )
-    if target is None:
-        held_s = time.monotonic() - began_s
+    if not has_place:
         _log_no_place(state, caller, admission, held_s)
-    return target
+    return found
 
 
 def _ask(
@@ -77,7 +76,7 @@
         caller,
         admission,
         targets=len(state.targets.of(service, model)),
-        under_way=state.under_way(service, model),
-        waiting=len(state.room(service, model)),
+        under_way=state.in_use(service, model),
+        waiting=state.waiting(service, model),
         held_s=held_s,
     )
--- a/redwingvalve/ingress/waiting.py
+++ b/redwingvalve/ingress/waiting.py
@@ -1,4 +1,4 @@
-"""Requests that wait at this node for a free place, and whom to refuse.
+"""Requests that wait for a free place, and whom to refuse.
 
 Load pattern: callers come in waves that exceed the free places for a second
 or two, and now and then at several times what the endpoints can do for many
@@ -11,11 +11,10 @@
 as the queue is, and all answers are late though the places are as busy as ever.
 
 A late request takes a place while some are to spare, and else one for every
-few places that others got here. The nodes don't see each other's queues, and a
-place that a late request takes is missing for one elsewhere that could be on
-time: with no bound, a long overload would be answered late as a whole. With no
-share at all, a slight one would turn those away for good who come back after a
-refusal, as callers do only once.
+few places that others got. A place that a late request takes is missing for one
+that could be on time: with no bound, a long overload would be answered late as
+a whole. With no share at all, a slight one would turn those away for good who
+come back after a refusal, as callers do only once.
 
 A request is refused at once if those before it need longer than it has, judged
 by the places that become free, and if as many late ones wait as lately got a
@@ -25,6 +24,7 @@
 import abc
 import asyncio
 import itertools
+import math
 import typing
 from collections import abc as collections_abc
 
@@ -36,17 +36,22 @@
 LEAST_FREED_PER_S = 1e-3
 # Refusals and grants are compared over this time.
 RATE_WINDOW_S = 2.0
-# Late requests that may wait here at once. Each that waits in vain halves the
-# number, each that is served adds one.
-LATE_WAITERS = 6
+# Late requests that may wait at once, by the places of all endpoints. Each that
+# waits in vain halves the number, each that is served adds one.
+LATE_WAITERS_SHARE = 0.5
+LEAST_LATE_WAITERS = 6
 # Late requests get so many places for each that others got, also when none is
 # to spare: enough that nobody is turned away for good while few are refused,
 # and little once many are. So many places at once at most.
 LATE_SHARE_OF_FEW = 0.33
-LATE_SHARE_OF_MANY = 0.1
+LATE_SHARE_OF_MANY = 0.05
 MOST_LATE_AT_ONCE = 2.0
 # Refusals for each place given, from which on many are refused.
 MANY_REFUSED = 0.3
+# A request waits if it is expected to get its place within this share of the
+# time in which it can be on time. Places come free unevenly: of those that are
+# expected to get one at the last moment, half would be late.
+EXPECTED_SHARE = 0.6
 # When those that are refused may come back: most of a short wave has passed
 # after the first. Callers with six seconds heed the second: they heed a third
 # of what they have left.
@@ -74,15 +79,15 @@
 
     @abc.abstractmethod
     def freed_per_s(self) -> float:
-        """Return the places that this node gets while all are taken."""
+        """Return the places that come free in a second while all are taken."""
 
     @abc.abstractmethod
-    def has_spare(self) -> bool:
-        """Return whether late requests may take a place now."""
+    def slots(self) -> int:
+        """Return all places, taken or free."""
 
     @abc.abstractmethod
-    def hand_off(self, freed: placing.Target) -> bool:
-        """Offer a place that came free here to a node that wants it."""
+    def has_spare(self) -> bool:
+        """Return whether late requests may take a place now."""
 
 
 _Rank: typing.TypeAlias = tuple[bool, bool, int, bool, int]
@@ -127,7 +132,7 @@
         self._waiters: list[_Waiter] = []
         self._served = recent.Moments(RATE_WINDOW_S)
         self._refused = recent.Moments(RATE_WINDOW_S)
-        self._late_limit = float(LATE_WAITERS)
+        self._late_limit = math.inf
         # Places that late requests may take though none is to spare.
         self._late_share = 0.0
 
@@ -135,11 +140,6 @@
         """Return how many wait."""
         return len(self._waiters)
 
-    def wanting(self) -> int:
-        """Return how many requests that can be on time want a place."""
-        now_s = self._clock()
-        return sum(1 for one in self._waiters if not one.is_late(now_s))
-
     def retry_after_s(self) -> float:
         """Return when a refused caller may come back, in seconds.
 
@@ -149,17 +149,25 @@
         retry_after_s = RETRY_AFTER_MIN_S * (1 + self._refused_for_each())
         return min(retry_after_s, RETRY_AFTER_MAX_S)
 
+    def expected_s(self, ask: Ask) -> float:
+        """Return how long a request that comes now will wait."""
+        return self._expected_s(self._make_waiter(ask, _select_nothing))
+
+    def take_now(
+        self, ask: Ask, select: placing.Selector
+    ) -> placing.Target | None:
+        """Return a place if one is free for this request now."""
+        waiter = self._make_waiter(ask, select)
+        self._waiters.append(waiter)
+        self.poke()
+        self._forget(waiter)
+        return _granted(waiter)
+
     async def take(
         self, ask: Ask, select: placing.Selector
     ) -> placing.Target | None:
         """Return a place, or None if the request won't get one in time."""
-        waiter = _Waiter(
-            ask,
-            next(self._numbers),
-            self._clock() + ask.on_time_s,
-            select,
-            asyncio.get_running_loop().create_future(),
-        )
+        waiter = self._make_waiter(ask, select)
         self._waiters.append(waiter)
         try:
             target = await self._place(waiter)
@@ -169,32 +177,27 @@
             self._refused.note(self._clock())
         return target
 
-    def poke(self, freed: placing.Target | None = None) -> None:
-        """Give places that became free to those who wait.
-
-        A place that came free here goes to the first that waits here: the
-        other nodes don't know of it yet, and need not compete for it. If only
-        late requests wait, it goes to another node that wants one.
-        """
-        if self._is_for_others(freed):
-            freed = None
+    def poke(self) -> None:
+        """Give places that became free to those who wait."""
         if not self._waiters:
-            # Each word of another node comes by here.
             return
         has_spare = self._places.has_spare()
         for waiter in self._in_order():
             is_late = waiter.is_late(self._clock())
             if is_late and not (has_spare or self._late_share >= 1):
                 continue
-            target = waiter.select(freed)
+            target = waiter.select()
             if target is not None:
-                freed = None
                 self._grant(waiter, target, is_late=is_late)
 
-    def _is_for_others(self, freed: placing.Target | None) -> bool:
-        if freed is None or self.wanting() or self._late_share >= 1:
-            return False
-        return self._places.hand_off(freed)
+    def _make_waiter(self, ask: Ask, select: placing.Selector) -> _Waiter:
+        return _Waiter(
+            ask,
+            next(self._numbers),
+            self._clock() + ask.on_time_s,
+            select,
+            asyncio.get_running_loop().create_future(),
+        )
 
     async def _place(self, waiter: _Waiter) -> placing.Target | None:
         self.poke()
@@ -210,7 +213,7 @@
                 return _granted(waiter)
         await self._until(waiter, give_up_s)
         if not waiter.granted.done():
-            self._late_limit /= 2
+            self._late_limit = self._late_limit_now() / 2
         return _granted(waiter)
 
     async def _until(self, waiter: _Waiter, moment_s: float) -> None:
@@ -223,7 +226,8 @@
             return True
         now_s = self._clock()
         if not waiter.is_late(now_s):
-            if self._expected_s(waiter) <= waiter.ask.on_time_s:
+            on_time_s = waiter.ask.on_time_s * EXPECTED_SHARE
+            if self._expected_s(waiter) <= on_time_s:
                 return True
             waiter.late_at_s = now_s
         return self._has_late_room(waiter)
@@ -250,7 +254,7 @@
             for one in self._in_order()
             if one is not waiter and one.is_late(now_s)
         ]
-        if len(late) < max(self._late_limit, 1):
+        if len(late) < max(self._late_limit_now(), 1):
             return True
         last = late[-1]
         if last.ask.has_returned or not waiter.ask.has_returned:
@@ -266,12 +270,16 @@
         self._forget(waiter)
         waiter.granted.set_result(target)
         if is_late:
-            self._late_limit = min(self._late_limit + 1, LATE_WAITERS)
+            self._late_limit += 1
             self._late_share = max(self._late_share - 1, 0)
         else:
             share = self._late_share + self._late_per_fresh()
             self._late_share = min(share, MOST_LATE_AT_ONCE)
 
+    def _late_limit_now(self) -> float:
+        most = LATE_WAITERS_SHARE * self._places.slots()
+        return min(self._late_limit, max(most, LEAST_LATE_WAITERS))
+
     def _late_per_fresh(self) -> float:
         """Return the places for late requests, for each that others get."""
         is_many = self._refused_for_each() > MANY_REFUSED
@@ -296,5 +304,9 @@
         return sorted(self._waiters, key=rank)
 
 
+def _select_nothing() -> None:
+    """Select no place."""
+
+
 def _granted(waiter: _Waiter) -> placing.Target | None:
     return waiter.granted.result() if waiter.granted.done() else None
--- a/redwingvalve/node/control_loop.py
+++ b/redwingvalve/node/control_loop.py
@@ -17,7 +17,7 @@
 
 # Between two looks of a node that may give no orders: it only follows the
 # services of the configuration. Each wake-up has its price, on all nodes.
-IDLE_LOOK_S = 0.25
+IDLE_LOOK_S = 1.0
 
 
 @attrs.define(eq=False)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -28,13 +28,15 @@
     listening,
     log_telling,
     loss_watch,
-    meeting,
+    place_messages,
     sources,
     supervision,
     telling,
     watching,
 )
+from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
+from redwingvalve.node import meeting as meeting_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import (
@@ -78,7 +80,8 @@
     listeners: listening.Listeners
     json_client: store.JsonClient
     teller: telling.Teller
-    meeting: meeting.Meeting
+    meeting: meeting_module.Meeting
+    places: place_messages.PlaceMessages
     gauges: gauges.NodeGauges
     watches: list[watching.KindWatch] = attrs.field(init=False)
     control: control_loop.ControlLoop = attrs.field(init=False)
@@ -105,7 +108,7 @@
     async def run(self, stop: anyio.Event) -> None:
         """Run until stop is set, and then until all requests have ended."""
         self.table.on_sound = self.state.silence.found_sound
-        self.table.on_rebuilt = self.state.poke
+        self.table.on_rebuilt = self.places.allocator.look
         self.table.on_doubt = self.losses.doubt
         self.table.on_told_sound = self.losses.told_sound
         self.watches = self._make_watches()
@@ -166,7 +169,8 @@
         LOG.info('started', extra={'front': str(self.settings.front)})
 
     def _knows_enough(self) -> bool:
-        return self.state.configuration is not None and self.registry.is_known
+        has_routes = self.state.configuration is not None
+        return has_routes and self.registry.is_known and self.meeting.has_met
 
     def _close(self) -> None:
         self.peers.close()
@@ -177,6 +181,8 @@
             *(watch.run for watch in self.watches),
             self.meeting.run,
             self.teller.run,
+            self.places.run,
+            self.places.reserver.run,
             self.losses.run,
             self._hold_lease,
             self.gauges.run,
@@ -188,6 +194,7 @@
             self.client,
             self.json_client,
             self.peers,
+            self.teller.hubs,
             self.lease.is_held,
             self._known_within_s(),
         )
@@ -233,8 +240,7 @@
         await self.lease.run(self._lease_rank)
 
     def _lease_rank(self) -> int:
-        alive = [peer.address.vm for peer in self.peers.alive()]
-        return sum(1 for vm in alive if vm < self.settings.vm)
+        return hubs_module.lease_rank(self.peers)
 
     def _configure(self, configuration: routes.Configuration) -> None:
         self.state.configuration = configuration
@@ -246,6 +252,7 @@
             },
         )
         self.table.configure(configuration)
+        self.control.wake()
 
     async def _stop(self) -> None:
         LOG.info('stopping', extra={'running': len(self.front.running)})
@@ -297,7 +304,8 @@
         lease=lease,
         front=application,
         teller=teller,
-        meeting=meeting.Meeting(client, teller.peers),
+        meeting=meeting_module.Meeting(client, teller.peers),
+        places=place_messages.make_places(state, teller),
         gauges=gauges.NodeGauges(state, table, lease, teller.peers),
         listeners=listening.Listeners(early or {}),
         json_client=json_client,
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -6,9 +6,10 @@
 from redwingvalve.http1 import messages, reading, server
 from redwingvalve.ingress import relay, routes
 from redwingvalve.ingress import state as state_module
+from redwingvalve.node import fronts
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs, node_metrics
-from redwingvalve.platform import names
+from redwingvalve.platform import caller_requests, names
 
 LOG = logs.make_logger('front')
 # Callers keep an answer of the directory for this long, some three times.
@@ -111,7 +112,7 @@
             body = node_metrics.METRICS.render()
             responder.answer(_OK, [text], body)
         elif path == names.RESOLVE_PATH:
-            self._resolve(responder)
+            self._resolve(request, responder)
         else:
             responder.answer(_NOT_FOUND, [_JSON], b'{"error":"no such path"}')
 
@@ -120,9 +121,12 @@
         state = self._state
         return state.configuration is not None and not state.is_leaving
 
-    def _resolve(self, responder: server.Responder) -> None:
-        addresses = self._peers.callable_fronts()
-        if self.is_ready():
+    def _resolve(
+        self, request: messages.Request, responder: server.Responder
+    ) -> None:
+        data_centre = caller_requests.read_data_centre(request)
+        addresses = fronts.callable_fronts(self._peers, data_centre)
+        if self.is_ready() and len(addresses) < fronts.MOST_FRONTS:
             addresses.append(self._peers.own.front)
         if not addresses:
             responder.answer(_UNAVAILABLE, [_JSON], b'{"error":"none ready"}')
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -71,11 +71,10 @@
         return self._by_model(lambda *model: len(table.of(*model)))
 
     def _under_way(self) -> _Readings:
-        return self._by_model(self.state.under_way)
+        return self._by_model(self.state.in_use)
 
     def _waiting(self) -> _Readings:
-        state = self.state
-        return self._by_model(lambda *model: len(state.room(*model)))
+        return self._by_model(self.state.waiting)
 
     def _retries_left(self) -> _Readings:
         now_s = time.monotonic()
--- /dev/null
+++ b/redwingvalve/node/hubs.py
@@ -0,0 +1,170 @@
+"""Who speaks to whom in a large fleet, and whose silence means something.
+
+Each node speaks to the hubs of its data centre: its two living nodes with the
+widest links. Hubs speak to each other and to their nodes. So what a node spends
+doesn't grow with the fleet, and what a hub spends grows with its data centre.
+"""
+
+import time
+import typing
+
+import attrs
+
+from redwingvalve.node import peers as peers_module
+
+HUBS = 2
+# The choice is made anew this often.
+HUBS_KEPT_S = 0.1
+# A node that was heard within this is not down, whatever a hub says: it would
+# have been silent for longer. Two words.
+SURELY_HEARD_S = 0.5
+# Silence of all others for this long is this node's own.
+DEAF_S = 0.5
+
+
+@attrs.frozen
+class Audiences:
+    """To whom a node speaks."""
+
+    # Those that pass on what they hear, in a large fleet.
+    hubs: tuple[str, ...]
+    nodes: tuple[str, ...]
+
+
+_Choice: typing.TypeAlias = dict[str, peers_module.PeerAddress]
+
+
+class Hubs:
+    """The hubs of all data centres, as this node sees them."""
+
+    def __init__(
+        self,
+        peers: peers_module.Peers,
+        on_changed: typing.Callable[[peers_module.Peer], None],
+    ) -> None:
+        """Tell on_changed of nodes that fell silent."""
+        self._peers = peers
+        self._on_changed = on_changed
+        self._chosen: dict[str, _Choice] = {}
+        self._chosen_s = 0.0
+        # Until when silence is excused: others were not heard here.
+        self._forgiven_s = 0.0
+
+    @property
+    def is_hub(self) -> bool:
+        """Return whether nodes of this data centre speak to this one."""
+        own = self._peers.own
+        return self._peers.is_large and own.vm in self.of(own.data_centre)
+
+    def of(self, data_centre: str) -> _Choice:
+        """Return the hubs of a data centre, the first one first."""
+        now_s = time.monotonic()
+        if now_s - self._chosen_s > HUBS_KEPT_S:
+            self._chosen_s = now_s
+            self._chosen.clear()
+        known = self._chosen.get(data_centre)
+        if known is None:
+            known = self._choose(data_centre)
+            self._chosen[data_centre] = known
+        return known
+
+    def audiences(self) -> Audiences:
+        """Return to whom this node speaks."""
+        peers = self._peers
+        if not peers.is_large:
+            return Audiences(hubs=(), nodes=tuple(peers.known))
+        near = self.of(peers.own.data_centre)
+        if peers.own.vm not in near:
+            return Audiences(hubs=tuple(near), nodes=())
+        data_centres = {one.address.data_centre for one in peers.known.values()}
+        hubs = {vm for name in data_centres for vm in self.of(name)}
+        hubs.discard(peers.own.vm)
+        nodes = [
+            vm
+            for vm, peer in peers.known.items()
+            if self._is_near(peer) and vm not in hubs
+        ]
+        return Audiences(hubs=tuple(hubs), nodes=tuple(nodes))
+
+    def hears(self, peer: peers_module.Peer) -> bool:
+        """Return whether a node's own words come here."""
+        if self._is_near(peer) and self.is_hub:
+            return True
+        if peer.address.vm not in self.of(peer.address.data_centre):
+            return False
+        return self._is_near(peer) or self.is_hub
+
+    def drop_silent(self) -> None:
+        """Take nodes for down whose words should come here and don't."""
+        now_s = time.monotonic()
+        if self._peers.deaf_s > DEAF_S:
+            # What others said meanwhile was lost here.
+            self._peers.deaf_s = 0
+            self._forgiven_s = now_s
+        if now_s - self._peers.heard_s > DEAF_S:
+            return
+        since_s = now_s - peers_module.HUB_ALIVE_S
+        for peer in self._peers.known.values():
+            if not self.hears(peer):
+                peer.expected_s = None
+            elif self._heard_s(peer, now_s) < since_s and not peer.is_down:
+                self._peers.set_down(peer, is_down=True)
+                self._on_changed(peer)
+
+    def take_state(self, state: typing.Any) -> None:
+        """Take what a hub says of a node."""
+        peer = self._find(state)
+        if peer is None or (state.born_ms or 0) < peer.born_ms:
+            return
+        since_s = time.monotonic() - SURELY_HEARD_S
+        is_heard = peer.heard_s is not None and peer.heard_s >= since_s
+        if not state.is_up and is_heard and self.hears(peer):
+            # The hub that said so is cut off from it.
+            self._on_changed(peer)
+            return
+        peer.born_ms = state.born_ms or 0
+        peer.is_leaving = bool(state.is_leaving)
+        peer.is_ready = bool(state.is_ready)
+        self._peers.set_down(peer, is_down=not state.is_up)
+
+    def _find(self, state: typing.Any) -> peers_module.Peer | None:
+        known = self._peers.known
+        if state.vm not in known:
+            address = peers_module.introduced(state)
+            if address is not None:
+                self._peers.add(address)
+        return known.get(state.vm)
+
+    def _heard_s(self, peer: peers_module.Peer, now_s: float) -> float:
+        if peer.expected_s is None:
+            peer.expected_s = now_s
+        return max(peer.last_sign_s, peer.expected_s, self._forgiven_s)
+
+    def _is_near(self, peer: peers_module.Peer) -> bool:
+        return peer.address.data_centre == self._peers.own.data_centre
+
+    def _choose(self, data_centre: str) -> _Choice:
+        own = self._peers.own
+        found = [
+            peer.address
+            for peer in self._peers.alive()
+            if peer.address.data_centre == data_centre and not peer.is_leaving
+        ]
+        if data_centre == own.data_centre:
+            found.append(own)
+        found.sort(key=width_rank)
+        return {address.vm: address for address in found[:HUBS]}
+
+
+def width_rank(address: peers_module.PeerAddress) -> tuple[float, str]:
+    """Rank nodes with wide links first: a hub speaks to some forty nodes."""
+    return -address.link_mbps, address.vm
+
+
+def lease_rank(peers: peers_module.Peers) -> int:
+    """Return how many living nodes would rather hold the lease.
+
+    The holder has most to do: the widest VMs of a fleet come first.
+    """
+    own = width_rank(peers.own)
+    return sum(width_rank(peer.address) < own for peer in peers.alive())
--- a/redwingvalve/node/loss_watch.py
+++ b/redwingvalve/node/loss_watch.py
@@ -59,11 +59,17 @@
         """Look until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                await anyio.sleep(silence.LOOK_EVERY_S)
+                await anyio.sleep(self._pause_s())
                 self.look(group)
 
+    def _pause_s(self) -> float:
+        """Return the time until the next look; each wakes an idle process."""
+        if self._doubts:
+            return silence.LOOK_EVERY_S
+        return self.state.silence.pause_s(time.monotonic())
+
     def doubt(self, head: str, reason: str) -> None:
-        """Ask about a head at the next look, in 25 ms at most."""
+        """Ask about a head at the next look, within 0.1 s."""
         if head not in self._asking:
             self._doubts.setdefault(head, reason)
 
--- a/redwingvalve/node/meeting.py
+++ b/redwingvalve/node/meeting.py
@@ -56,6 +56,11 @@
             else:
                 await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
+    @property
+    def has_met(self) -> bool:
+        """Return whether the other nodes have been read."""
+        return self._has_met
+
     async def leave(self) -> None:
         """Remove the own object, so that no other node looks for this one."""
         try:
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -21,14 +21,29 @@
   5: double link_mbps
 }
 
+// What a node of a large fleet has been told of another one.
+struct StateWord {
+  1: string vm
+  2: i64 born_ms
+  3: bool is_up
+  4: bool is_leaving
+  5: bool is_ready
+  // Where others may not know it yet.
+  6: AddressWord address
+}
+
+struct UsageWord {
+  1: string vm
+  2: map<string, i32> usage
+}
+
+// 6, 14 and 15 were used once and are not to be used again.
 struct NodeWord {
   1: string vm
   2: i64 born_ms
   3: i64 number
   4: bool is_leaving
   5: bool is_ready
-  // Requests under way at endpoints, by endpoint id.
-  6: map<string, i32> loads
   7: list<SuspectWord> suspects
   // What the holder of the lease says of it; absent from all others.
   8: i64 lease_revision
@@ -41,8 +56,10 @@
   12: map<i64, i32> crashes
   // In the first words of a node and some of the later ones.
   13: AddressWord address
-  // Requests that could be on time and want a place, by service and model.
-  14: map<string, i32> wanting
-  // To one node: the endpoint at which a place came free for it.
-  15: string handoff
+  // Places in use and wanted, of those that this node grants, by service and
+  // model.
+  16: map<string, i32> usage
+  // From here on a hub passes on what others have said.
+  17: list<StateWord> states
+  18: list<UsageWord> usages
 }
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -1,13 +1,19 @@
 """The other nodes: where they are, which live, and what they last said.
 
-Each node says by datagram what it has under way, whom it suspects and what it
-knows of the lease. A lost datagram is made up for by the next. A node that the
-others don't know yet introduces itself in its first words.
+Each node says by datagram whom it suspects and what it knows of the lease. A
+lost datagram is made up for by the next. A node that the others don't know yet
+introduces itself in its first words.
+
+In a small fleet all nodes hear each other. In a large one a node speaks to the
+hubs of its data centre, two living nodes with the widest links, and hears from
+them what has happened to others; so what it spends doesn't grow with the fleet.
+A node that no hub has told of as down counts as living.
 """
 
 import asyncio
 import time
 import typing
+from collections import abc as collections_abc
 
 import attrs
 
@@ -23,20 +29,28 @@
 # ten words, of which the network loses a few.
 INTRODUCE_S = 3.0
 INTRODUCE_PAUSES = 4
-# A node is given to callers while it was heard within this, or within so many
-# pauses between words where that is longer; four words of a node at rest.
+# A node is given to callers while it was heard within this; four words of a
+# node at rest.
 ALIVE_S = 1.2
-ALIVE_PAUSES = 2.4
+# Words between a hub and its nodes. Two in a row may be lost before a node
+# counts as down.
+HUB_WORD_S = 0.25
+HUB_ALIVE_S = 0.9
 # The requests of a node count while it was heard within this many pauses: one
 # word that is lost on the way makes no difference.
 COUNTED_PAUSES = 3.5
 # Words while something changes, and at rest.
 BUSY_WORD_S = 0.1
 REST_WORD_S = 0.3
-# Each node hears all others; beyond this many the words get rarer, so that
-# what a node spends on them stays the same: 80 words a second, each
-# of 18 microseconds (measured) and a system call.
+# In a small fleet of more nodes than this words get rarer.
 PLAIN_NODES = 8
+# From this many nodes on some watch the store for the others.
+LARGE_FROM_NODES = 12
+# The first byte of datagrams that are no words: no struct begins with it.
+TAG = b'\xff'
+
+
+Address: typing.TypeAlias = tuple[str, int]
 
 
 @attrs.frozen
@@ -69,6 +83,11 @@
     number: int = -1
     is_leaving: bool = False
     is_ready: bool = True
+    # A hub of a large fleet has said so.
+    is_down: bool = False
+    # Since when its words are to come here; None while they are not. Who has
+    # just become a hub has heard nobody yet.
+    expected_s: float | None = None
 
     @property
     def last_sign_s(self) -> float:
@@ -85,6 +104,9 @@
     def node_lost(self, vm: str) -> None:
         """Forget what a node that is gone has said."""
 
+    def node_changed(self, peer: 'Peer') -> None:
+        """Pass on that a node that speaks to this hub has changed."""
+
 
 class Peers(asyncio.DatagramProtocol):
     """All other nodes."""
@@ -96,6 +118,12 @@
         self._taker = taker
         self._transport: asyncio.DatagramTransport | None = None
         self._introduce_until_s = 0.0
+        # When any other node was heard last.
+        self.heard_s = 0.0
+        # After which silence of all others it was.
+        self.deaf_s = 0.0
+        # Takes datagrams that are no words, and where they came from.
+        self.on_tagged: typing.Callable[[bytes, Address], None] | None = None
 
     @property
     def is_introducing(self) -> bool:
@@ -105,20 +133,24 @@
     @property
     def word_pause_s(self) -> float:
         """Return the time between two words while something changes."""
-        return BUSY_WORD_S * self.crowd
+        if self.is_large:
+            return HUB_WORD_S
+        return BUSY_WORD_S * max(1.0, len(self.known) / PLAIN_NODES)
 
     @property
-    def crowd(self) -> float:
-        """Return how much rarer words are than in a small fleet."""
-        return max(1.0, len(self.known) / PLAIN_NODES)
+    def is_large(self) -> bool:
+        """Return whether the fleet is too large for each to watch the store."""
+        return len(self.known) + 1 >= LARGE_FROM_NODES
 
     @property
     def alive_s(self) -> float:
         """Return how long a node may be silent and count as living."""
-        return max(ALIVE_S, ALIVE_PAUSES * self.word_pause_s)
+        return HUB_ALIVE_S if self.is_large else ALIVE_S
 
     def alive(self) -> list[Peer]:
-        """Return the nodes that were heard lately."""
+        """Return the nodes that seem to live."""
+        if self.is_large:
+            return [one for one in self.known.values() if not one.is_down]
         since_s = time.monotonic() - self.alive_s
         return [
             peer
@@ -126,37 +158,22 @@
             if peer.heard_s is not None and peer.heard_s >= since_s
         ]
 
-    def callable_fronts(self) -> list[str]:
-        """Return addresses of nodes that callers may be given."""
-        alive = self.alive()
-        since_s = time.monotonic() - self.alive_s
-        newcomers = [
-            peer
-            for peer in self.known.values()
-            if peer.heard_s is None and peer.first_seen_s >= since_s
-        ]
-        # A node that hears nobody is itself cut off, or all others are new.
-        found = alive or newcomers
-        return [
-            peer.address.front
-            for peer in found
-            if peer.is_ready and not peer.is_leaving
-        ]
-
-    def say(self, word: typing.Any) -> None:
-        """Send a word to all other nodes."""
+    def say(
+        self, word: typing.Any, names: collections_abc.Iterable[str]
+    ) -> None:
+        """Send a word to some nodes."""
         if self._transport is None:
             return
         packed = words.pack(word)
-        for peer in self.known.values():
-            self._transport.sendto(packed, peer.address.socket)
+        for name in names:
+            peer = self.known.get(name)
+            if peer is not None:
+                self._transport.sendto(packed, peer.address.socket)
 
-    def say_to(self, name: str, word: typing.Any) -> None:
-        """Send a word to one node."""
-        peer = self.known.get(name)
-        if self._transport is None or peer is None:
-            return
-        self._transport.sendto(words.pack(word), peer.address.socket)
+    def send_tagged(self, packed: bytes, socket: Address) -> None:
+        """Send a datagram that is no word."""
+        if self._transport is not None:
+            self._transport.sendto(TAG + packed, socket)
 
     def listed(self, found: list[PeerAddress]) -> None:
         """Take the nodes that the store lists, perhaps seconds late.
@@ -174,7 +191,7 @@
             self._drop(name)
         before = len(self.known)
         for address in found:
-            self._add(address)
+            self.add(address)
         if len(self.known) > before:
             LOG.info('nodes listed', extra={'known': len(self.known)})
         introduce_s = max(INTRODUCE_S, INTRODUCE_PAUSES * self.word_pause_s)
@@ -194,6 +211,10 @@
         self, data: bytes, addr: tuple[str | typing.Any, int]
     ) -> None:
         """Take a word unless a newer one of the same node came first."""
+        if data.startswith(TAG):
+            if self.on_tagged is not None:
+                self.on_tagged(data[len(TAG) :], addr)
+            return
         try:
             word = words.unpack(data)
         except words.WordError as error:
@@ -205,11 +226,7 @@
             return
         if not self._is_news(word, peer):
             return
-        peer.born_ms = word.born_ms
-        peer.number = word.number
-        peer.heard_s = time.monotonic()
-        peer.is_leaving = bool(word.is_leaving)
-        peer.is_ready = bool(word.is_ready)
+        self._note_heard(peer, word)
         self._taker.word(word)
 
     def error_received(self, exc: Exception) -> None:
@@ -228,18 +245,39 @@
             if peer.heard_s is not None and peer.heard_s < since_s:
                 self._taker.node_lost(name)
 
+    def _note_heard(self, peer: Peer, word: typing.Any) -> None:
+        now_s = time.monotonic()
+        self.deaf_s = now_s - self.heard_s
+        self.heard_s = now_s
+        before = (peer.born_ms, peer.is_leaving, peer.is_ready, peer.is_down)
+        peer.born_ms = word.born_ms
+        peer.number = word.number
+        peer.heard_s = now_s
+        peer.is_leaving = bool(word.is_leaving)
+        peer.is_ready = bool(word.is_ready)
+        peer.is_down = False
+        after = (peer.born_ms, peer.is_leaving, peer.is_ready, peer.is_down)
+        if before != after:
+            self._taker.node_changed(peer)
+
+    def set_down(self, peer: Peer, *, is_down: bool) -> None:
+        """Note whether a node is down."""
+        if is_down and not peer.is_down:
+            self._taker.node_lost(peer.address.vm)
+        peer.is_down = is_down
+
     def _meet(self, word: typing.Any) -> None:
-        introduced = _introduced(word)
-        if introduced is None:
+        address = introduced(word)
+        if address is None:
             return
         known = self.known.get(word.vm)
         if known is None:
-            LOG.info('node known', extra={'vm': word.vm, 'ip': introduced.ip})
-        elif known.address != introduced and self._is_news(word, known):
+            LOG.info('node known', extra={'vm': word.vm, 'ip': address.ip})
+        elif known.address != address and self._is_news(word, known):
             # Its clock may have been set back since: its start then looks
             # earlier than that of the process which it replaces.
             self.known.pop(word.vm)
-        self._add(introduced)
+        self.add(address)
 
     def _is_news(self, word: typing.Any, peer: Peer) -> bool:
         """Return whether a word is newer than the last one of its node.
@@ -258,7 +296,8 @@
         is_silent = peer.last_sign_s < time.monotonic() - self.alive_s
         return is_silent or word.born_ms > born_ms
 
-    def _add(self, address: PeerAddress) -> None:
+    def add(self, address: PeerAddress) -> None:
+        """Take where a node is, unless a later start of it is known."""
         if address.vm == self.own.vm:
             return
         known = self.known.get(address.vm)
@@ -293,7 +332,8 @@
     )
 
 
-def _introduced(word: typing.Any) -> PeerAddress | None:
+def introduced(word: typing.Any) -> PeerAddress | None:
+    """Return where a word says that its node is, if it does."""
     address = word.address
     if address is None or not (address.ip and address.peer_port):
         return None
--- /dev/null
+++ b/redwingvalve/node/place_messages.py
@@ -0,0 +1,125 @@
+"""Carries messages about places between nodes, and to this node itself."""
+
+import functools
+import time
+import typing
+
+import anyio
+import attrs
+
+from redwingvalve.allocation import allocator as allocator_module
+from redwingvalve.allocation import messages, owners
+from redwingvalve.allocation import reserver as reserver_module
+from redwingvalve.ingress import placing
+from redwingvalve.ingress import state as state_module
+from redwingvalve.node import fronts, telling
+from redwingvalve.node import peers as peers_module
+from redwingvalve.observability import logs
+
+LOG = logs.make_logger('places')
+# Lapsed holds are looked for, and late requests may take spare places.
+LOOK_S = 0.1
+# While nothing is granted here.
+IDLE_S = 0.5
+
+
+@attrs.define(eq=False)
+class PlaceMessages(reserver_module.Transport):
+    """This node's part in granting places."""
+
+    peers: peers_module.Peers
+    allocator: allocator_module.Allocator
+    reserver: reserver_module.NodeReserver = attrs.field(init=False)
+
+    @property
+    def _sender(self) -> messages.Sender:
+        own = self.peers.own
+        return messages.Sender(own.vm, own.born_ms)
+
+    def send(self, vm: str, message: messages.Message) -> None:
+        """Send a message to a node; it may get lost."""
+        envelope = messages.Envelope(self._sender, message)
+        if vm == self.peers.own.vm:
+            self._take(envelope, functools.partial(self.send, vm))
+            return
+        peer = self.peers.known.get(vm)
+        if peer is not None:
+            packed = messages.pack(envelope)
+            self.peers.send_tagged(packed, peer.address.socket)
+
+    def received(self, packed: bytes, address: tuple[str, int]) -> None:
+        """Take a datagram about places."""
+        try:
+            envelope = messages.unpack(packed)
+        except messages.MessageError as error:
+            LOG.warning('unusable datagram', extra={'error': str(error)})
+            return
+        self._take(envelope, functools.partial(self._reply, address))
+
+    async def run(self) -> typing.NoReturn:
+        """Look after what is granted here until cancelled."""
+        while True:
+            await anyio.sleep(LOOK_S if self.allocator.is_busy else IDLE_S)
+            self.allocator.look()
+
+    def _take(
+        self,
+        envelope: messages.Envelope,
+        reply: allocator_module.Replier,
+    ) -> None:
+        sender, message = envelope.sender, envelope.message
+        if isinstance(message, messages.Ask):
+            self.allocator.ask(sender, message, reply)
+        elif isinstance(message, messages.Reply):
+            self.reserver.heard(sender.vm, message)
+        elif isinstance(message, messages.Release):
+            self.allocator.release(sender, message)
+        else:
+            self.allocator.holdings(sender, message)
+
+    def _reply(self, address: tuple[str, int], reply: messages.Reply) -> None:
+        packed = messages.pack(messages.Envelope(self._sender, reply))
+        self.peers.send_tagged(packed, address)
+
+
+def make_places(
+    state: state_module.IngressState, teller: telling.Teller
+) -> PlaceMessages:
+    """Return a node's part in granting places, known to its other parts."""
+    peers = teller.peers
+
+    def targets_of(pool: messages.Pool) -> tuple[placing.Target, ...]:
+        return tuple(
+            target
+            for target in state.targets.of(pool.service, pool.model)
+            if pool.data_centre in {'', target.data_centre}
+        )
+
+    allocator = allocator_module.Allocator(targets_of, time.monotonic)
+    made = PlaceMessages(peers, allocator)
+    made.reserver = reserver_module.NodeReserver(
+        vm=peers.own.vm,
+        data_centre=peers.own.data_centre,
+        targets=state.targets,
+        owners=owners.Owners(lambda: _candidates(peers), time.monotonic),
+        transport=made,
+        loads=state.loads,
+        clock=time.monotonic,
+        is_divided=lambda: peers.is_large,
+    )
+    peers.on_tagged = made.received
+    state.reserver = made.reserver
+    state.in_use = teller.usage.of
+    state.waiting = allocator.waiting
+    teller.own_usage = allocator.usage
+    teller.on_node_lost = allocator.node_lost
+    return made
+
+
+def _candidates(peers: peers_module.Peers) -> list[owners.Candidate]:
+    own = owners.Candidate(peers.own.vm, peers.own.data_centre)
+    return [own, *map(_candidate, fronts.usable(peers))]
+
+
+def _candidate(peer: peers_module.Peer) -> owners.Candidate:
+    return owners.Candidate(peer.address.vm, peer.address.data_centre)
--- a/redwingvalve/node/sources.py
+++ b/redwingvalve/node/sources.py
@@ -1,9 +1,9 @@
 """From whom a node hears what the store holds.
 
-In a small fleet each node watches the store. In a large one only two living
-nodes of each data centre do, those with the widest links, and the holder of
-the lease, which must see changes at once; the others watch those two, and the
-store if they fail.
+In a small fleet each node watches the store. In a large one only the first hub
+of each data centre does, and the holder of the lease, which must see changes at
+once. The second hub watches the first, the others watch both, and the store if
+they fail.
 
 Endpoints change several times a second, and each answer of the store has its
 price. Only the holder acts on a change at once; all others leave a pause
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import itertools
 import math
 import typing
 from collections import abc as collections_abc
@@ -24,14 +25,12 @@
 
 from redwingvalve.http1 import messages, reading, server
 from redwingvalve.ingress import routes
+from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import mirror as mirror_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.platform import settings as settings_module
 from redwingvalve.platform import store, store_pages
 
-# With fewer nodes a watch of each costs less than the detour's delay.
-RELAY_FROM_NODES = 12
-RELAYS = 2
 # How long a connection to the store that fell silent may go unnoticed.
 STORE_WAIT_S = 2.5
 # Shares of the time in which a node must know of a change. A relay leaves a
@@ -71,6 +70,7 @@
         store_client: store.StoreClient,
         json_client: store.JsonClient,
         peers: peers_module.Peers,
+        hubs: hubs_module.Hubs,
         holds_lease: collections_abc.Callable[[], bool],
         bound_s: float,
     ) -> None:
@@ -81,12 +81,13 @@
         self._store = store_client
         self._json = json_client
         self._peers = peers
+        self._hubs = hubs
         self._holds_lease = holds_lease
         self._bound_s = bound_s
 
     def now(self) -> list[Source]:
         """Return the sources, the preferred one first."""
-        is_large = len(self._peers.known) + 1 >= RELAY_FROM_NODES
+        is_large = self._peers.is_large
         relay_wait_s = RELAY_WAIT_SHARE * self._bound_s
         wait_s = relay_wait_s if is_large else STORE_WAIT_S
         at_once = Source(self._store, is_store=True, wait_s=wait_s)
@@ -95,20 +96,13 @@
         own = attrs.evolve(at_once, pause_s=PAUSE_SHARE * self._bound_s)
         if not is_large:
             return [own]
-        relays = self._relays()
-        if self._peers.own.vm in relays:
-            return [own]
-        return [*map(self._relay_source, relays.values()), own]
-
-    def _relays(self) -> dict[str, peers_module.PeerAddress]:
-        own = self._peers.own
-        living = {own.vm: own}
-        for peer in self._peers.alive():
-            address = peer.address
-            if address.data_centre == own.data_centre and not peer.is_leaving:
-                living[address.vm] = address
-        first = sorted(living.values(), key=_relay_rank)[:RELAYS]
-        return {address.vm: address for address in first}
+        relays = self._hubs.of(self._peers.own.data_centre)
+        # The second hub follows the first, so that a data centre costs the
+        # store the calls of one node.
+        before = itertools.takewhile(
+            lambda address: address.vm != self._peers.own.vm, relays.values()
+        )
+        return [*map(self._relay_source, before), own]
 
     def _relay_source(self, address: peers_module.PeerAddress) -> Source:
         socket = settings_module.SocketAddress(address.ip, address.peer_port)
@@ -200,9 +194,4 @@
         return page
 
 
-def _relay_rank(address: peers_module.PeerAddress) -> tuple[float, str]:
-    # The widest link first: a relay speaks to some twenty nodes at once.
-    return -address.link_mbps, address.vm
-
-
 SourceChooser: typing.TypeAlias = collections_abc.Callable[[], list[Source]]
--- /dev/null
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -0,0 +1,147 @@
+"""Nodes of a large fleet hear of each other by way of two hubs."""
+
+import anyio
+import pytest
+
+from redwingvalve.node import fronts as fronts_module
+from redwingvalve.node import hubs, peers
+from redwingvalve.platform.tests import fleet as fleets
+
+NODES = 6
+# What callers may be told of a dead node, and how long a suspicion may take.
+GONE_S = 1.5
+SPREAD_S = 0.3
+
+
+@pytest.fixture
+def large(monkeypatch):
+    monkeypatch.setattr(peers, 'LARGE_FROM_NODES', 3)
+
+
+def by_duty(fleet):
+    """Return the hubs and the other nodes."""
+    found = [node for node in fleet.nodes if node.teller.hubs.is_hub]
+    return found, [node for node in fleet.nodes if node not in found]
+
+
+async def met(fleet):
+    """Wait until all nodes know each other and the same hubs."""
+    await fleet.until(
+        lambda: all(
+            len(node.peers.known) == len(fleet.nodes) - 1
+            for node in fleet.nodes
+        )
+    )
+    await fleet.until(lambda: len(by_duty(fleet)[0]) == 2)
+
+
+def silence(node):
+    """Let a node say nothing more, as after a kill."""
+    node.peers.say = lambda word, names: None
+    node.peers.send_tagged = lambda packed, address: None
+
+
+def fronts(node):
+    return set(fronts_module.callable_fronts(node.peers))
+
+
+@pytest.mark.parametrize('duty', [0, 1])
+def test_callers_are_not_given_a_dead_node_for_long(large, duty):
+    """A hub, or any other node, is killed and leaves the directory."""
+
+    async def test(fleet):
+        await met(fleet)
+        dead = by_duty(fleet)[duty][0]
+        others = [node for node in fleet.nodes if node is not dead]
+        front = dead.peers.own.front
+        assert all(front in fronts(node) for node in others)
+        silence(dead)
+        await fleet.until(
+            lambda: not any(front in fronts(node) for node in others), GONE_S
+        )
+        assert all(len(fronts(node)) == NODES - 2 for node in others)
+
+    fleets.run(test, nodes=NODES, engines=0, plain=1)
+
+
+def test_a_suspicion_reaches_all_nodes_soon(large):
+    """Requests don't go to a lost endpoint until each node finds it lost."""
+
+    async def test(fleet):
+        await met(fleet)
+        plain = by_duty(fleet)[1][0]
+        head = plain.table.of(fleets.ENGINE, fleets.SMALL)[0].endpoint_id
+        plain.table.suspect(head, 'silent')
+        await fleet.until(
+            lambda: all(node.table.is_suspect(head) for node in fleet.nodes),
+            SPREAD_S,
+        )
+
+    fleets.run(test, nodes=NODES, plain=0)
+
+
+def test_a_node_that_leaves_is_told_to_all(large):
+    """A leaving node gets no new callers."""
+
+    async def test(fleet):
+        await met(fleet)
+        leaving = by_duty(fleet)[1][0]
+        leaving.state.is_leaving = True
+        leaving.teller.say_now()
+        front = leaving.peers.own.front
+        others = [node for node in fleet.nodes if node is not leaving]
+        await fleet.until(
+            lambda: not any(front in fronts(node) for node in others), SPREAD_S
+        )
+
+    fleets.run(test, nodes=NODES, engines=0, plain=1)
+
+
+def test_a_hub_that_was_deaf_takes_nobody_for_dead(large):
+    """A node that was cut off hears the others again before it judges them."""
+
+    async def test(fleet):
+        await met(fleet)
+        hub = by_duty(fleet)[0][0]
+        take = hub.peers.datagram_received
+        hub.peers.datagram_received = lambda packed, address: None
+        await anyio.sleep(1.6)
+        hub.peers.datagram_received = take
+        down = []
+        for _ in range(20):
+            await anyio.sleep(0.02)
+            down += [one for one in hub.peers.known.values() if one.is_down]
+        assert not down
+
+    fleets.run(test, nodes=NODES, engines=0, plain=1)
+
+
+def count_words(nodes):
+    """Return the words that the busiest plain node sends in a second."""
+    sent = []
+
+    async def test(fleet):
+        await met(fleet)
+        await anyio.sleep(1)
+        plain = by_duty(fleet)[1]
+        counts = dict.fromkeys((node.settings.vm for node in plain), 0)
+        for node in plain:
+            say = node.peers.say
+
+            def note(word, names, vm=node.settings.vm, say=say):
+                counts[vm] += len(tuple(names))
+                say(word, names)
+
+            node.peers.say = note
+        await anyio.sleep(2)
+        sent.append(max(counts.values()) / 2)
+
+    fleets.run(test, nodes=nodes, engines=0, plain=1)
+    return sent[0]
+
+
+def test_what_a_node_says_does_not_grow_with_the_fleet(large):
+    """The cost of 361 nodes is that of a few for each of them."""
+    most = hubs.HUBS * 1.5 / peers.HUB_WORD_S
+    assert count_words(5) <= most
+    assert count_words(10) <= most
--- a/redwingvalve/node/word_parts.py
+++ b/redwingvalve/node/word_parts.py
@@ -2,6 +2,7 @@
 
 import time
 import typing
+from collections import abc as collections_abc
 
 import attrs
 
@@ -36,6 +37,13 @@
 
 def suspect_words(table: serving.ServingTable) -> list[typing.Any]:
     """Return the endpoints that this node has taken out of use."""
+    return suspicion_words(table.own_suspicions())
+
+
+def suspicion_words(
+    suspicions: collections_abc.Iterable[serving.Suspicion],
+) -> list[typing.Any]:
+    """Return how suspicions are told."""
     now_s = time.monotonic()
     return [
         words.SuspectWord(
@@ -43,7 +51,7 @@
             epoch=suspicion.epoch,
             left_ms=int((suspicion.until_s - now_s) * _MS_IN_S),
         )
-        for suspicion in table.own_suspicions()
+        for suspicion in suspicions
     ]
 
 
@@ -54,15 +62,26 @@
 
     cleared holds the epoch and the moment of each finding.
     """
+    since_s = time.monotonic() - CLEAR_TOLD_S
+    return clearing_words(
+        Clearing(endpoint_id, epoch, cleared_s)
+        for endpoint_id, (epoch, cleared_s) in cleared.items()
+        if cleared_s > since_s
+    )
+
+
+def clearing_words(
+    clearings: collections_abc.Iterable[Clearing],
+) -> list[typing.Any]:
+    """Return how clearings are told."""
     now_s = time.monotonic()
     return [
         words.ClearWord(
-            endpoint_id=endpoint_id,
-            epoch=epoch,
-            age_ms=int((now_s - cleared_s) * _MS_IN_S),
+            endpoint_id=clearing.endpoint_id,
+            epoch=clearing.epoch,
+            age_ms=int((now_s - clearing.since_s) * _MS_IN_S),
         )
-        for endpoint_id, (epoch, cleared_s) in cleared.items()
-        if now_s - cleared_s < CLEAR_TOLD_S
+        for clearing in clearings
     ]
 
 
--- a/redwingvalve/node/words.py
+++ b/redwingvalve/node/words.py
@@ -1,28 +1,14 @@
 """Packs and reads the datagrams between nodes.
 
-node.thrift declares them. Its fields stand here once more, since reading that
-file takes 0.05 s of processor time at each start, while callers wait.
+node.thrift declares them; their fields stand here once more.
 """
 
 import typing
 
-from thriftpy2 import thrift, utils
-from thriftpy2.protocol import cybin
-
-_Type = thrift.TType
-
-
-def _struct(name: str, *fields: tuple[typing.Any, ...]) -> typing.Any:
-    """Return a struct with fields of type, name and, if nested, content."""
-    members = {
-        'thrift_spec': {
-            number: (*field, False) for number, field in enumerate(fields, 1)
-        },
-        'default_spec': [(field[1], None) for field in fields],
-    }
-    return thrift.TPayloadMeta(name, (thrift.TPayload,), members)
-
+from redwingvalve.wire import structs
 
+_Type = structs.Type
+_struct = structs.make_struct
 AddressWord: typing.Any = _struct(
     'AddressWord',
     (_Type.STRING, 'ip'),
@@ -43,6 +29,20 @@
     (_Type.I64, 'epoch'),
     (_Type.I32, 'left_ms'),
 )
+StateWord: typing.Any = _struct(
+    'StateWord',
+    (_Type.STRING, 'vm'),
+    (_Type.I64, 'born_ms'),
+    (_Type.BOOL, 'is_up'),
+    (_Type.BOOL, 'is_leaving'),
+    (_Type.BOOL, 'is_ready'),
+    (_Type.STRUCT, 'address', AddressWord),
+)
+UsageWord: typing.Any = _struct(
+    'UsageWord',
+    (_Type.STRING, 'vm'),
+    (_Type.MAP, 'usage', (_Type.STRING, _Type.I32)),
+)
 NodeWord: typing.Any = _struct(
     'NodeWord',
     (_Type.STRING, 'vm'),
@@ -50,7 +50,7 @@
     (_Type.I64, 'number'),
     (_Type.BOOL, 'is_leaving'),
     (_Type.BOOL, 'is_ready'),
-    (_Type.MAP, 'loads', (_Type.STRING, _Type.I32)),
+    None,
     (_Type.LIST, 'suspects', (_Type.STRUCT, SuspectWord)),
     (_Type.I64, 'lease_revision'),
     (_Type.I32, 'lease_left_ms'),
@@ -58,10 +58,12 @@
     (_Type.LIST, 'cleared', (_Type.STRUCT, ClearWord)),
     (_Type.MAP, 'crashes', (_Type.I64, _Type.I32)),
     (_Type.STRUCT, 'address', AddressWord),
-    (_Type.MAP, 'wanting', (_Type.STRING, _Type.I32)),
-    (_Type.STRING, 'handoff'),
+    None,
+    None,
+    (_Type.MAP, 'usage', (_Type.STRING, _Type.I32)),
+    (_Type.LIST, 'states', (_Type.STRUCT, StateWord)),
+    (_Type.LIST, 'usages', (_Type.STRUCT, UsageWord)),
 )
-_FACTORY = cybin.TCyBinaryProtocolFactory()
 
 
 class WordError(ValueError):
@@ -70,15 +72,14 @@
 
 def pack(word: typing.Any) -> bytes:
     """Return the bytes of a word."""
-    return utils.serialize(word, _FACTORY)
+    return structs.pack(word)
 
 
 def unpack(packed: bytes) -> typing.Any:
     """Return the word in a datagram; raises WordError."""
     try:
-        word = utils.deserialize(NodeWord(), packed, _FACTORY)
-    except Exception as error:
-        # The codec raises many kinds for bytes that are no struct.
+        word = structs.unpack(packed, NodeWord)
+    except structs.StructError as error:
         raise WordError(str(error)) from error
     if not word.vm or word.number is None:
         raise WordError('fields are missing')
--- a/redwingvalve/platform/caller_requests.py
+++ b/redwingvalve/platform/caller_requests.py
@@ -1,5 +1,7 @@
 """Reads what callers state in headers, and writes what endpoints are told."""
 
+import urllib.parse
+
 import attrs
 
 from redwingvalve.http1 import messages
@@ -37,6 +39,13 @@
     passed_headers: messages.Headers
 
 
+def read_data_centre(request: messages.Request) -> str:
+    """Return where a caller that asks the directory is, '' if unknown."""
+    query = urllib.parse.urlsplit(request.target.decode('latin-1')).query
+    found = urllib.parse.parse_qs(query).get(names.DATA_CENTRE_PARAMETER)
+    return found[0] if found else ''
+
+
 def read_request(request: messages.Request) -> CallerRequest:
     """Read a caller's headers; unreadable numbers count as not stated."""
     stated = dict(reversed(request.headers))
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -31,3 +31,5 @@
 SEAL: typing.Final = b'x-server-seal'
 NOT_RUN: typing.Final = b'x-not-run'
 ENDPOINT_AT_FAULT: typing.Final = b'at-server'
+# In the query of callers that ask the directory.
+DATA_CENTRE_PARAMETER = 'zone'
