Ask a relay that fails again more and more rarely

Cause: a node went back to its first relay 1.2 s after each failure. The test fails before (4 questions in 4.8 s) and passes after.

--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -111,6 +111,22 @@
     assert is_relied_on == (age_s < RELIED_ON_S)
 
 
+def test_a_relay_that_fails_again_is_asked_more_rarely():
+    """A relay that has lost the store costs the nodes behind it few calls."""
+    relay = Lost(0)
+    platform = Told(0)
+
+    async def main():
+        watch = watching.KindWatch(
+            'config', Deaf(), lambda: [of_relay(relay), of_store(platform)]
+        )
+        with anyio.move_on_after(4 * watching.FORGIVE_S):
+            await watch.run()
+
+    anyio.run(main)
+    assert 2 <= relay.asked <= 3
+
+
 class Told:
     """A source that has nothing new, as of some time ago."""
 
@@ -128,6 +144,14 @@
         return store.Changes([], revision, self._age_s)
 
 
+class Lost(Told):
+    """A relay that has lost the store."""
+
+    async def watch(self, kind, revision, wait_s):
+        self.asked += 1
+        raise store.StoreError('no touch')
+
+
 class Deaf(following.Follower):
     """Takes what it is told."""
 
--- a/redwingvalve/node/watching.py
+++ b/redwingvalve/node/watching.py
@@ -28,6 +28,9 @@
 # A relay that failed is preferred again after this; one that is frozen is no
 # relay any more by then, as it says nothing.
 FORGIVE_S = 1.2
+# Each time that it fails again, twice that, up to this: one that has lost the
+# store for many seconds would cost each node behind it a call each time.
+FORGIVE_MOST_S = 4.8
 # Before another source is asked in place of a relay: one that is out of touch
 # with the store for a moment is back within this more often than not.
 RELAY_RETRY_MIN_S = 0.02
@@ -66,6 +69,7 @@
         self._revision: int | None = None
         self._failures = 0
         self._failed_s = 0.0
+        self._forgive_s = FORGIVE_S
         self._is_lost = False
         self._is_hurried = False
         self._waiting = anyio.CancelScope()
@@ -155,12 +159,17 @@
 
     def _forgive(self) -> None:
         """Go back to the preferred source some time after a failure."""
-        if time.monotonic() - self._failed_s > FORGIVE_S:
+        if time.monotonic() - self._failed_s > self._forgive_s:
             self._failures = 0
 
     async def _failed(self, source: sources.Source, error: Exception) -> None:
+        now_s = time.monotonic()
+        if not self._failures:
+            is_again = now_s - self._failed_s < 2 * self._forgive_s
+            longer_s = min(2 * self._forgive_s, FORGIVE_MOST_S)
+            self._forgive_s = longer_s if is_again else FORGIVE_S
         self._failures += 1
-        self._failed_s = time.monotonic()
+        self._failed_s = now_s
         if not source.is_store:
             LOG.info(
                 'relay lost', extra={'kind': self.kind, 'error': str(error)}
