--- a/redwingvalve/node/mirror.py
+++ b/redwingvalve/node/mirror.py
@@ -77,11 +77,22 @@
         self._tell()
 
     def replaced(self, listing: store.Listing) -> None:
-        """Take all objects at a revision; changes before it are unknown."""
-        self._objects = {
+        """Take all objects at a revision.
+
+        What differs from what was known is told as changes. When the store
+        forgets its history, its relays list anew, and the hundreds of nodes
+        behind them need not.
+        """
+        found = {
             str(stored['metadata']['name']): stored
             for stored in listing.objects
         }
+        if self.revision and listing.revision >= self.revision:
+            missed = _differences(self._objects, found)
+            self.changed(store.Changes(missed, listing.revision))
+            self._tell()
+            return
+        self._objects = found
         self._batches.clear()
         self.revision = listing.revision
         self._first_revision = listing.revision
@@ -150,6 +161,24 @@
         self._changed = asyncio.Event()
 
 
+def _differences(
+    known: dict[str, store.Document], found: dict[str, store.Document]
+) -> list[store.Change]:
+    """Return the changes that lead from the known objects to those found."""
+    removed = [
+        store.Change(stored, is_removed=True)
+        for name, stored in known.items()
+        if name not in found
+    ]
+    changed = [
+        store.Change(stored, is_removed=False)
+        for name, stored in found.items()
+        if name not in known
+        or store.revision_of(known[name]) != store.revision_of(stored)
+    ]
+    return [*removed, *changed]
+
+
 def _newest(
     changes: collections_abc.Iterable[store.Change],
 ) -> list[store.Change]:
