Let one lost answer cost one place, and not all of its endpoint's

Cause: a request that ended without an answer kept its whole endpoint from others for 0.25 s, like one that the endpoint refused. Where answers are lost on the way, four in ten for seconds, heads would have been left alone most of the time. Found by reading; only a refusal now closes the endpoint, a lost answer keeps its own place back. Hubs also pass on that requests have been seen.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -84,7 +84,7 @@
             waits.is_withdrawn = True
             waits.task.cancel()
         for pool in self._pools.values():
-            pool.release(key, was_refused=release.was_refused)
+            pool.release(key, release.leaving)
 
     def holdings(
         self, sender: messages.Sender, holdings: messages.Holdings
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from redwingvalve.ingress import waiting
+from redwingvalve.ingress import reserving, waiting
 from redwingvalve.wire import structs
 
 # Endpoints to be avoided or chosen last that one request names at most; it
@@ -81,8 +81,7 @@
     """A place is no longer held, or wanted."""
 
     number: int
-    # The endpoint refused the request: its places are taken by others.
-    was_refused: bool = False
+    leaving: reserving.Leaving = reserving.Leaving.FREE
 
 
 @attrs.frozen
@@ -134,7 +133,7 @@
 _ReleaseStruct: typing.Any = structs.make_struct(
     'Release',
     (_Type.I64, 'number'),
-    (_Type.BOOL, 'was_refused'),
+    (_Type.I32, 'leaving'),
 )
 _HoldingsStruct: typing.Any = structs.make_struct(
     'Holdings',
@@ -170,7 +169,7 @@
         )
     elif isinstance(message, Release):
         struct.release = _ReleaseStruct(
-            number=message.number, was_refused=message.was_refused
+            number=message.number, leaving=message.leaving.value
         )
     else:
         struct.holdings = _HoldingsStruct(
@@ -195,9 +194,7 @@
     if struct.reply is not None:
         return _read_reply(struct.reply)
     if struct.release is not None:
-        return Release(
-            _whole(struct.release.number), bool(struct.release.was_refused)
-        )
+        return _read_release(struct.release)
     if struct.holdings is not None:
         return Holdings(
             _read_pool(struct.holdings.pool),
@@ -254,6 +251,14 @@
     )
 
 
+def _read_release(struct: typing.Any) -> Release:
+    try:
+        leaving = reserving.Leaving(struct.leaving)
+    except ValueError as error:
+        raise MessageError(f'unknown state {struct.leaving!r}') from error
+    return Release(_whole(struct.number), leaving)
+
+
 def _pool_struct(pool: Pool) -> typing.Any:
     return _PoolStruct(
         service=pool.service, model=pool.model, data_centre=pool.data_centre
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -16,7 +16,7 @@
 
 from redwingvalve.allocation import ledger as ledger_module
 from redwingvalve.allocation import messages
-from redwingvalve.ingress import observed, placing, waiting
+from redwingvalve.ingress import observed, placing, reserving, waiting
 
 # Places that late requests leave free, in spreads of the number in use, and at
 # most as a share of all.
@@ -25,6 +25,9 @@
 # An endpoint that refuses although places seem free serves requests that
 # nobody holds any more; they end within this.
 REFUSED_S = 0.25
+# A place whose request ended without an answer is left alone for as long: its
+# endpoint may be dead, which the next connection shows.
+UNSURE_S = 0.25
 # An endpoint that a node found slow is chosen last for this long.
 SLOW_S = 2.0
 
@@ -32,6 +35,14 @@
 Targets = collections_abc.Callable[[], collections_abc.Sequence[placing.Target]]
 
 
+@attrs.frozen
+class _Unsure:
+    """A place that may still be taken, or be a dead endpoint's."""
+
+    endpoint_id: str
+    until_s: float
+
+
 @attrs.define(eq=False)
 class PlacePool(waiting.Places):
     """Counts, grants and queues for one pool."""
@@ -45,6 +56,7 @@
     )
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
+    _unsure: list[_Unsure] = attrs.field(factory=list)
     room: waiting.WaitingRoom = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -68,14 +80,18 @@
         for endpoint_id in ask.slow:
             self._slow_until_s[endpoint_id] = until_s
 
-    def release(self, key: ledger_module.Key, *, was_refused: bool) -> None:
+    def release(
+        self, key: ledger_module.Key, leaving: reserving.Leaving
+    ) -> None:
         """Free a place and give it to the first that waits."""
         hold = self.ledger.release(key)
         if hold is None:
             return
         now_s = self.clock()
-        if was_refused:
+        if leaving is reserving.Leaving.REFUSED:
             self._refused_until_s[hold.endpoint_id] = now_s + REFUSED_S
+        elif leaving is reserving.Leaving.UNSURE:
+            self._unsure.append(_Unsure(hold.endpoint_id, now_s + UNSURE_S))
         else:
             self._hold.saw(now_s - hold.since_s)
         self.room.poke()
@@ -98,6 +114,7 @@
         self.ledger.drop_lapsed(now_s)
         self._refused_until_s = _unexpired(self._refused_until_s, now_s)
         self._slow_until_s = _unexpired(self._slow_until_s, now_s)
+        self._unsure = [one for one in self._unsure if one.until_s > now_s]
         self.room.poke()
 
     def expected_s(self, ask: waiting.Ask) -> float:
@@ -155,7 +172,12 @@
         now_s = self.clock()
         if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
             return 0
-        return max(0, target.slots - self.ledger.count(target.endpoint_id))
+        unsure = sum(
+            one.endpoint_id == target.endpoint_id and one.until_s > now_s
+            for one in self._unsure
+        )
+        held = self.ledger.count(target.endpoint_id) + unsure
+        return max(0, target.slots - held)
 
 
 def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -89,8 +89,8 @@
     _number: int
     _reserver: 'NodeReserver'
 
-    def release(self, *, was_refused: bool) -> None:
-        self._reserver.give_back(self._number, was_refused=was_refused)
+    def release(self, leaving: reserving.Leaving) -> None:
+        self._reserver.give_back(self._number, leaving)
 
 
 @attrs.define(eq=False)
@@ -147,7 +147,7 @@
             # Nobody waits for it any more.
             self.transport.send(vm, messages.Release(reply.number))
 
-    def give_back(self, number: int, *, was_refused: bool) -> None:
+    def give_back(self, number: int, leaving: reserving.Leaving) -> None:
         """Release a place."""
         held = self._held.pop(number, None)
         if held is None:
@@ -155,8 +155,7 @@
         self.loads.end(held.target.endpoint_id)
         owner = held.granter or self._owner(held.pool)
         if owner:
-            release = messages.Release(number, was_refused=was_refused)
-            self.transport.send(owner, release)
+            self.transport.send(owner, messages.Release(number, leaving))
 
     async def run(self) -> typing.NoReturn:
         """Tell owners what is held here until cancelled."""
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import types
 
 from redwingvalve.http1 import client, messages, pool, server
 from redwingvalve.ingress import (
@@ -122,7 +123,7 @@
         try:
             ending = await self._send_to(admission, target)
         finally:
-            place.release(was_refused=ending not in _LEAVES_PLACE)
+            place.release(_LEAVING.get(ending, reserving.Leaving.UNSURE))
         if ending is sends.Ending.WHOLE:
             self._times.teach(
                 self._state.times(admission.service, admission.model),
@@ -383,8 +384,12 @@
         sends.Ending.BROKEN,
     )
 )
-# After these the endpoint has a place for another request. One that broke off,
-# fell silent or refused may be dead or full: the next would be lost there too.
-_LEAVES_PLACE = frozenset(
-    (sends.Ending.WHOLE, sends.Ending.FAILURE, sends.Ending.GONE)
+# After any other ending the endpoint may be dead.
+_LEAVING = types.MappingProxyType(
+    {
+        sends.Ending.WHOLE: reserving.Leaving.FREE,
+        sends.Ending.FAILURE: reserving.Leaving.FREE,
+        sends.Ending.GONE: reserving.Leaving.FREE,
+        sends.Ending.NOT_RUN: reserving.Leaving.REFUSED,
+    }
 )
--- a/redwingvalve/ingress/reserving.py
+++ b/redwingvalve/ingress/reserving.py
@@ -1,6 +1,7 @@
 """A place at an endpoint for one request, from whoever grants it."""
 
 import abc
+import enum
 from collections import abc as collections_abc
 
 import attrs
@@ -8,17 +9,25 @@
 from redwingvalve.ingress import placing, waiting
 
 
+class Leaving(enum.Enum):
+    """In what state a request leaves its place."""
+
+    FREE = 1
+    # The endpoint broke off, fell silent or gave no answer in time: it may
+    # still be at work on the request, or dead.
+    UNSURE = 2
+    # The endpoint has said that it has no place.
+    REFUSED = 3
+
+
 class Reservation(abc.ABC):
     """A place that is held for a request until it is released."""
 
     target: placing.Target
 
     @abc.abstractmethod
-    def release(self, *, was_refused: bool) -> None:
-        """Give the place back.
-
-        was_refused: the endpoint has said that it has no place.
-        """
+    def release(self, leaving: Leaving) -> None:
+        """Give the place back."""
 
 
 @attrs.frozen
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -123,7 +123,7 @@
             is_ready=self.state.configuration is not None,
             suspects=word_parts.suspect_words(self.table),
             crashes=self.state.poison.counts(),
-            has_served=self.front.has_served,
+            has_served=self._knows_served(),
             cleared=word_parts.clear_words(self._cleared),
             usage=usage,
         )
@@ -137,6 +137,12 @@
             word.lease_left_ms = self.lease.heard_left_ms()
         return word
 
+    def _knows_served(self) -> bool:
+        # In a large fleet most hear of it from a hub only.
+        if self.peers.is_large:
+            return self.fleet_has_served
+        return self.front.has_served
+
     def word(self, word: typing.Any) -> None:
         """Take another node's word."""
         if self.peers.is_large:
