--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -111,21 +111,23 @@
                 self._peers.set_down(peer, is_down=True)
                 self._on_changed(peer)
 
-    def take_state(self, state: typing.Any) -> None:
-        """Take what a hub says of a node."""
+    def take_state(self, state: typing.Any) -> bool:
+        """Take what a hub says of a node; return whether it was news."""
         peer = self._find(state)
         if peer is None or (state.born_ms or 0) < peer.born_ms:
-            return
+            return False
         since_s = time.monotonic() - SURELY_HEARD_S
         is_heard = peer.heard_s is not None and peer.heard_s >= since_s
         if not state.is_up and is_heard and self.hears(peer):
             # The hub that said so is cut off from it.
             self._on_changed(peer)
-            return
+            return False
+        before = _belief(peer)
         peer.born_ms = state.born_ms or 0
         peer.is_leaving = bool(state.is_leaving)
         peer.is_ready = bool(state.is_ready)
         self._peers.set_down(peer, is_down=not state.is_up)
+        return before != _belief(peer)
 
     def _find(self, state: typing.Any) -> peers_module.Peer | None:
         known = self._peers.known
@@ -156,6 +158,11 @@
         return {address.vm: address for address in found[:HUBS]}
 
 
+def _belief(peer: peers_module.Peer) -> tuple[int, bool, bool, bool]:
+    born_ms = peer.born_ms or peer.address.born_ms
+    return born_ms, peer.is_leaving, peer.is_ready, peer.is_down
+
+
 def width_rank(address: peers_module.PeerAddress) -> tuple[float, str]:
     """Rank nodes with wide links first: a hub speaks to some forty nodes."""
     return -address.link_mbps, address.vm
--- a/redwingvalve/node/passing_on.py
+++ b/redwingvalve/node/passing_on.py
@@ -81,8 +81,12 @@
         factory=lambda: collections.defaultdict(collections.deque)
     )
 
-    def heard(self, word: typing.Any) -> bool:
-        """Take a word of another node; return whether others can't wait."""
+    def heard(self, word: typing.Any, news: list[typing.Any]) -> bool:
+        """Take a word of another node; return whether others can't wait.
+
+        news are those of its states that were not known here. What hubs
+        repeat is no news: passed on at once, it would be repeated for ever.
+        """
         heard = self._near if self._is_near(word.vm) else self._far
         is_urgent = False
         for suspicion in word_parts.read_suspicions(word):
@@ -91,9 +95,10 @@
         for clearing in word_parts.read_clears(word):
             key = (clearing.endpoint_id, clearing.epoch)
             is_urgent |= heard.clearings.note(key, clearing)
-        for state in word.states or ():
+        for state in news:
+            is_urgent = True
             key = (state.vm, state.born_ms, state.is_up, state.is_leaving)
-            is_urgent |= heard.states.note(key, state)
+            heard.states.note(key, state)
         for usage in word.usages or ():
             heard.usages.note(usage.vm, usage)
         if word.usage:
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -166,11 +166,10 @@
             self.say_soon()
 
     def _take_passed_on(self, word: typing.Any) -> None:
-        for state in word.states or ():
-            self.hubs.take_state(state)
+        news = list(filter(self.hubs.take_state, word.states or ()))
         for usage in word.usages or ():
             self.usage.heard(usage.vm, usage.usage or {})
-        if self.hubs.is_hub and self._hub_news.heard(word):
+        if self.hubs.is_hub and self._hub_news.heard(word, news):
             self.say_soon()
 
     def node_lost(self, vm: str) -> None:
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -1,6 +1,7 @@
 """Nodes of a large fleet hear of each other by way of two hubs."""
 
 import anyio
+import attrs
 import pytest
 
 from redwingvalve.node import fronts as fronts_module
@@ -145,3 +146,36 @@
     most = hubs.HUBS * 1.5 / peers.HUB_WORD_S
     assert count_words(5) <= most
     assert count_words(10) <= most
+
+
+def test_hubs_do_not_answer_each_others_repetitions(large):
+    """Many nodes are down, and hubs speak no more often for it.
+
+    Each told the others again of those that are down, took what it heard for
+    news, and passed it on at once: fifty words a second from each hub to all
+    of its nodes, which had no processor left for callers.
+    """
+    sent = []
+
+    async def test(fleet):
+        await met(fleet)
+        hubs = by_duty(fleet)[0]
+        for hub in hubs:
+            for number in range(40):
+                gone = attrs.evolve(
+                    hub.peers.own, vm=f'gone-{number}', born_ms=1
+                )
+                hub.peers.add(gone)
+                hub.peers.known[gone.vm].is_down = True
+            say = hub.peers.say
+
+            def note(word, names, say=say):
+                sent.append(word)
+                say(word, names)
+
+            hub.peers.say = note
+        await anyio.sleep(3)
+
+    fleets.run(test, nodes=4, engines=0, plain=1)
+    # To hubs and to nodes, from two hubs, and half again.
+    assert len(sent) <= 3 / peers.HUB_WORD_S * 2 * 2 * 1.5
