Say once who is heard, and pick a pool's targets once

Read again: a plain node went over all nodes of the fleet each 0.25 s, asking of each whether it should be heard, though it hears its two hubs; who is heard is who is spoken to, and hubs.audiences says that already. The state for it stood on each peer. Each ask filtered the targets of its pool some five times; now once for each table. The number of nodes stood among the requests under way, which no longer use it. A twin protocol of state.Targets, and a field that nothing read, are gone. Behaviour is as before; no assertion changed.

--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -17,7 +17,7 @@
 
 from redwingvalve.allocation import messages
 from redwingvalve.allocation import owners as owners_module
-from redwingvalve.ingress import placing, reserving, waiting
+from redwingvalve.ingress import placing, reserving, state, waiting
 from redwingvalve.observability import node_metrics
 
 # A round trip between data centres takes a few milliseconds, a busy node
@@ -53,13 +53,6 @@
         """Send a message to a node, or drop it if the node isn't known."""
 
 
-class PlaceFinder(typing.Protocol):
-    """Knows which endpoints take requests now."""
-
-    def of(self, service: str, model: str) -> tuple[placing.Target, ...]:
-        """Return the targets for a model, or of a plain service."""
-
-
 @attrs.define(eq=False)
 class _Pending:
     number: int
@@ -97,9 +90,8 @@
 class NodeReserver(reserving.Reserver):
     """Reserves places for one node."""
 
-    vm: str
     data_centre: str
-    targets: PlaceFinder
+    targets: state.Targets
     owners: owners_module.Owners
     transport: Transport
     loads: placing.Loads
--- a/redwingvalve/ingress/placing.py
+++ b/redwingvalve/ingress/placing.py
@@ -45,9 +45,8 @@
     """Requests of this node under way at each endpoint."""
 
     def __init__(self) -> None:
-        """Start without requests, alone."""
+        """Start without requests."""
         self.own: dict[str, int] = {}
-        self.node_count = 1
 
     def begin(self, endpoint_id: str) -> None:
         """Count a request."""
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -62,6 +62,8 @@
     allowance: retry_window.RetryAllowance
     configuration: routes.Configuration | None = None
     is_leaving: bool = False
+    # Nodes that serve callers, this one included.
+    node_count: int = 1
     loads: placing.Loads = attrs.field(factory=placing.Loads)
     connections: pool.Pool = attrs.field(factory=pool.Pool)
     silence: silence_module.SilenceWatch = attrs.field(
@@ -87,11 +89,6 @@
     _prompts: dict[str, silence_module.PromptSizes] = attrs.field(factory=dict)
     _windows: dict[str, retry_window.RetryWindow] = attrs.field(factory=dict)
 
-    @property
-    def node_count(self) -> int:
-        """Return how many nodes serve callers, this one included."""
-        return self.loads.node_count
-
     def times(self, service: str, model: str) -> observed.PlaceTimes:
         """Return how long requests for a model take."""
         key = (service, model)
--- a/redwingvalve/ingress/tests/played_load.py
+++ b/redwingvalve/ingress/tests/played_load.py
@@ -121,7 +121,6 @@
         self.name = name
         self._play = play
         self.loads = placing.Loads()
-        self.loads.node_count = play.deployment.nodes
         self.times = observed.make_place_times()
         number = int(name.rpartition('-')[2])
         self.data_centre = f'dc-{number % play.deployment.data_centres}'
@@ -139,7 +138,6 @@
             self._targets_of, anyio.current_time, self._play.chance
         )
         self.reserver = reserver.NodeReserver(
-            vm=self.name,
             data_centre=self.data_centre,
             targets=self,
             owners=owners.Owners(self._play.candidates, anyio.current_time),
--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -49,6 +49,9 @@
         self._chosen_s = 0.0
         # Until when silence is excused: others were not heard here.
         self._forgiven_s = 0.0
+        # Since when words of a node are to come here: who has just become a
+        # hub has heard nobody yet.
+        self._expected_s: dict[str, float] = {}
 
     @property
     def is_hub(self) -> bool:
@@ -88,11 +91,7 @@
 
     def hears(self, peer: peers_module.Peer) -> bool:
         """Return whether a node's own words come here."""
-        if self._is_near(peer) and self.is_hub:
-            return True
-        if peer.address.vm not in self.of(peer.address.data_centre):
-            return False
-        return self._is_near(peer) or self.is_hub
+        return peer.address.vm in self._speakers()
 
     def drop_silent(self) -> None:
         """Take nodes for down whose words should come here and don't."""
@@ -104,10 +103,15 @@
         if now_s - self._peers.heard_s > DEAF_S:
             return
         since_s = now_s - peers_module.HUB_ALIVE_S
-        for peer in self._peers.known.values():
-            if not self.hears(peer):
-                peer.expected_s = None
-            elif self._heard_s(peer, now_s) < since_s and not peer.is_down:
+        self._expected_s = {
+            vm: self._expected_s.get(vm, now_s) for vm in self._speakers()
+        }
+        for vm, expected_s in self._expected_s.items():
+            peer = self._peers.known.get(vm)
+            if peer is None or peer.is_down:
+                continue
+            heard_s = max(peer.last_sign_s, expected_s, self._forgiven_s)
+            if heard_s < since_s:
                 self._peers.set_down(peer, is_down=True)
                 self._on_changed(peer)
 
@@ -137,10 +141,10 @@
                 self._peers.add(address)
         return known.get(state.vm)
 
-    def _heard_s(self, peer: peers_module.Peer, now_s: float) -> float:
-        if peer.expected_s is None:
-            peer.expected_s = now_s
-        return max(peer.last_sign_s, peer.expected_s, self._forgiven_s)
+    def _speakers(self) -> tuple[str, ...]:
+        """Return the nodes that speak to this one: those it speaks to."""
+        audiences = self.audiences()
+        return (*audiences.hubs, *audiences.nodes)
 
     def _is_near(self, peer: peers_module.Peer) -> bool:
         return peer.address.data_centre == self._peers.own.data_centre
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -85,9 +85,6 @@
     is_ready: bool = True
     # A hub of a large fleet has said so.
     is_down: bool = False
-    # Since when its words are to come here; None while they are not. Who has
-    # just become a hub has heard nobody yet.
-    expected_s: float | None = None
 
     @property
     def last_sign_s(self) -> float:
--- a/redwingvalve/node/place_messages.py
+++ b/redwingvalve/node/place_messages.py
@@ -21,6 +21,7 @@
 LOOK_S = 0.1
 # While nothing is granted here.
 IDLE_S = 0.5
+_Targets: typing.TypeAlias = tuple[placing.Target, ...]
 
 
 @attrs.define(eq=False)
@@ -82,23 +83,41 @@
         self.peers.send_tagged(packed, address)
 
 
+@attrs.define(eq=False)
+class _PoolTargets:
+    """The targets of each pool, picked once for each table of targets."""
+
+    targets: state_module.Targets
+    _picked: dict[messages.Pool, tuple[_Targets, _Targets]] = attrs.field(
+        factory=dict
+    )
+
+    def of(self, pool: messages.Pool) -> _Targets:
+        """Return the targets that take requests now."""
+        table = self.targets.of(pool.service, pool.model)
+        known_table, picked = self._picked.get(pool, ((), ()))
+        if known_table is table:
+            return picked
+        picked = tuple(
+            target
+            for target in table
+            if pool.data_centre in {'', target.data_centre}
+        )
+        self._picked[pool] = (table, picked)
+        return picked
+
+
 def make_places(
     state: state_module.IngressState, teller: telling.Teller
 ) -> PlaceMessages:
     """Return a node's part in granting places, known to its other parts."""
     peers = teller.peers
 
-    def targets_of(pool: messages.Pool) -> tuple[placing.Target, ...]:
-        return tuple(
-            target
-            for target in state.targets.of(pool.service, pool.model)
-            if pool.data_centre in {'', target.data_centre}
-        )
-
-    allocator = allocator_module.Allocator(targets_of, time.monotonic)
+    allocator = allocator_module.Allocator(
+        _PoolTargets(state.targets).of, time.monotonic
+    )
     made = PlaceMessages(peers, allocator)
     made.reserver = reserver_module.NodeReserver(
-        vm=peers.own.vm,
         data_centre=peers.own.data_centre,
         targets=state.targets,
         owners=owners.Owners(lambda: _candidates(peers), time.monotonic),
--- a/redwingvalve/node/telling.py
+++ b/redwingvalve/node/telling.py
@@ -186,7 +186,7 @@
         self.registry.drop_lapsed()
         if self.state.poison.has_breaks:
             self.state.poison.look(self.registry.incarnations())
-        self.state.loads.node_count = 1 + len(self.peers.alive())
+        self.state.node_count = 1 + len(self.peers.alive())
 
     def _found_sound(self, endpoint_id: str, epoch: int) -> None:
         self._note_sound(endpoint_id, epoch)
--- a/redwingvalve/node/tests/test_loss_watch.py
+++ b/redwingvalve/node/tests/test_loss_watch.py
@@ -68,7 +68,7 @@
     allowance = retry_window.RetryAllowance(0.2, 100, 10)
     table = Table()
     state = state_module.IngressState(table, allowance)
-    state.loads.node_count = nodes
+    state.node_count = nodes
     return loss_watch.LossWatch(
         state, table, Inspector(is_whole), Lease(has_holder)
     )
