Let a hub keep the newest state of a node only

A hub kept a state for each pair of up and leaving, and told a superseded one beside the newest for a second; other hubs then took each in turn for news. Keyed by the node, the newest replaces the one before; what others end up believing is the same. The new test fails before.

--- a/redwingvalve/node/passing_on.py
+++ b/redwingvalve/node/passing_on.py
@@ -97,8 +97,7 @@
             is_urgent |= heard.clearings.note(key, clearing)
         for state in news:
             is_urgent = True
-            key = (state.vm, state.born_ms, state.is_up, state.is_leaving)
-            heard.states.note(key, state)
+            heard.states.note(state.vm, state)
         for usage in word.usages or ():
             heard.usages.note(usage.vm, usage)
         if word.usage:
@@ -108,9 +107,7 @@
 
     def changed(self, peer: peers_module.Peer) -> None:
         """Note that a node that is heard here has changed."""
-        state = _state_of(peer)
-        key = (state.vm, state.born_ms, state.is_up, state.is_leaving)
-        self._near.states.note(key, state)
+        self._near.states.note(peer.address.vm, _state_of(peer))
 
     def add_to(self, word: typing.Any, *, with_far: bool) -> None:
         """Add what is to be passed on to a word of this node."""
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -1,11 +1,13 @@
 """Nodes of a large fleet hear of each other by way of two hubs."""
 
+from unittest import mock
+
 import anyio
 import attrs
 import pytest
 
 from redwingvalve.node import fronts as fronts_module
-from redwingvalve.node import hubs, peers
+from redwingvalve.node import hubs, passing_on, peers, words
 from redwingvalve.platform.tests import fleet as fleets
 
 NODES = 6
@@ -179,3 +181,23 @@
     fleets.run(test, nodes=4, engines=0, plain=1)
     # To hubs and to nodes, from two hubs, and half again.
     assert len(sent) <= 3 / peers.HUB_WORD_S * 2 * 2 * 1.5
+
+
+def test_a_hub_tells_the_newest_state_of_a_node_only():
+    """A node that leaves and ends isn't told as up and down in turn.
+
+    Told both for a second, other hubs take each for news of the other.
+    """
+    nobody = mock.create_autospec(peers.WordTaker, instance=True)
+    own = peers.PeerAddress('vm-1', '127.0.0.1', 1, '', 'dc', 1)
+    known = peers.Peers(own, nobody)
+    known.add(attrs.evolve(own, vm='vm-2'))
+    news = passing_on.HubNews(known, hubs.Hubs(known, None))
+    leaving = known.known['vm-2']
+    leaving.is_leaving = True
+    news.changed(leaving)
+    leaving.is_down = True
+    news.changed(leaving)
+    word = words.NodeWord(suspects=[], cleared=[])
+    news.add_to(word, with_far=False)
+    assert {state.is_up for state in word.states} == {False}
