Decide a reply in one place, and drop what nobody reads

The reserver read the same reply in two places and passed a bare tuple on; one method decides it now, and a grant has a type. The dispatch of messages about places stood in the node and again in the play: allocation.delivery serves both. How long a place is held was still learnt at each node, though only the pool asks for it. INTRODUCE_PAUSES and a minimum in drop_silent never decided, since a small fleet's words come each 0.14 s at most. Behaviour as before; no assertion changed.

--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -51,9 +51,7 @@
     chance: random.Random
     clock: Clock
     ledger: ledger_module.Ledger = attrs.field(factory=ledger_module.Ledger)
-    _hold: observed.Typical = attrs.field(
-        factory=lambda: observed.make_place_times().hold
-    )
+    _hold: observed.Typical = attrs.field(factory=observed.make_hold)
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _unsure: list[_Unsure] = attrs.field(factory=list)
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -68,6 +68,15 @@
         self.changed.set()
 
 
+@attrs.frozen
+class _Grant:
+    number: int
+    pool: messages.Pool
+    # Empty if this node chose by itself.
+    granter: str
+    endpoint_id: str
+
+
 @attrs.frozen
 class _Held:
     pool: messages.Pool
@@ -118,15 +127,20 @@
         avoided = list(avoid)
         need = _later(need, GRANT_SLACK_S)
         for _ in range(MOST_UNKNOWN):
-            found = await self._find(service, model, need, avoided, slow)
+            pools = self._pools(service, model)
+            if not pools:
+                break
+            ask = messages.Ask(
+                0, pools[0], len(pools) == 1, need, tuple(avoided), tuple(slow)
+            )
+            found = await self._find(pools, ask)
             if isinstance(found, reserving.NoPlace):
                 return found
-            number, pool, granter, endpoint_id = found
-            target = self._known(service, model, endpoint_id)
+            target = self._known(found)
             if target is not None:
-                return self._keep(number, _Held(pool, target, granter))
-            self.transport.send(granter, messages.Release(number))
-            avoided.append(endpoint_id)
+                return self._keep(found, target)
+            self.transport.send(found.granter, messages.Release(found.number))
+            avoided.append(found.endpoint_id)
         return reserving.NoPlace(RETRY_AFTER_S)
 
     def heard(self, vm: str, reply: messages.Reply) -> None:
@@ -162,43 +176,37 @@
             self._report_pool(pool)
 
     async def _find(
-        self,
-        service: str,
-        model: str,
-        need: waiting.Ask,
-        avoid: list[str],
-        slow: collections_abc.Collection[str],
-    ) -> tuple[int, messages.Pool, str, str] | reserving.NoPlace:
-        """Return number, pool, granter and endpoint of a place."""
-        pools = self._pools(service, model)
-        if not pools:
-            return reserving.NoPlace(RETRY_AFTER_S)
+        self, pools: list[messages.Pool], ask: messages.Ask
+    ) -> _Grant | reserving.NoPlace:
+        """Return a place in the first pool that has one, or wait for one."""
         began_s = self.clock()
         shortest, shortest_s = pools[0], float('inf')
-        ask = messages.Ask(
-            0, pools[0], len(pools) == 1, need, tuple(avoid), tuple(slow)
-        )
         for pool in pools:
-            found = await self._ask(attrs.evolve(ask, pool=pool))
-            if found is None:
-                return self._choose(pool, service, model, avoid, slow)
-            vm, reply = found
-            if reply.outcome is _GRANTED:
-                return reply.number, pool, vm, reply.endpoint_id
-            if ask.may_wait:
-                return reserving.NoPlace(reply.retry_after_s)
-            if reply.expected_s < shortest_s:
-                shortest, shortest_s = pool, reply.expected_s
-        need = _later(need, self.clock() - began_s)
-        found = await self._ask(
-            attrs.evolve(ask, pool=shortest, may_wait=True, need=need)
-        )
+            decided = await self._try(attrs.evolve(ask, pool=pool))
+            if not isinstance(decided, messages.Reply):
+                return decided
+            if decided.expected_s < shortest_s:
+                shortest, shortest_s = pool, decided.expected_s
+        need = _later(ask.need, self.clock() - began_s)
+        last = attrs.evolve(ask, pool=shortest, may_wait=True, need=need)
+        decided = await self._try(last)
+        if isinstance(decided, messages.Reply):
+            return reserving.NoPlace(decided.retry_after_s)
+        return decided
+
+    async def _try(
+        self, ask: messages.Ask
+    ) -> _Grant | reserving.NoPlace | messages.Reply:
+        """Return a place or a refusal; the reply if the pool is full."""
+        found = await self._ask(ask)
         if found is None:
-            return self._choose(shortest, service, model, avoid, slow)
+            return self._choose(ask)
         vm, reply = found
         if reply.outcome is _GRANTED:
-            return reply.number, shortest, vm, reply.endpoint_id
-        return reserving.NoPlace(reply.retry_after_s)
+            return _Grant(reply.number, ask.pool, vm, reply.endpoint_id)
+        if ask.may_wait:
+            return reserving.NoPlace(reply.retry_after_s)
+        return reply
 
     def _pools(self, service: str, model: str) -> list[messages.Pool]:
         """Return the pools to be asked, that of this data centre first."""
@@ -283,39 +291,33 @@
         pending.changed.clear()
         return pending.latest
 
-    def _choose(
-        self,
-        pool: messages.Pool,
-        service: str,
-        model: str,
-        avoid: collections_abc.Container[str],
-        slow: collections_abc.Container[str],
-    ) -> tuple[int, messages.Pool, str, str] | reserving.NoPlace:
+    def _choose(self, ask: messages.Ask) -> _Grant | reserving.NoPlace:
         """Choose by what this node knows itself."""
         node_metrics.METRICS.count('redwingvalve_places_chosen_alone')
-        targets = self.targets.of(service, model)
+        targets = self.targets.of(ask.pool.service, ask.pool.model)
         drawn = placing.draw(targets, self.chance)
-        found = placing.choose(drawn, self.loads, self.chance, avoid, slow)
-        if found is None:
+        for among in (drawn, targets):
             found = placing.choose(
-                targets, self.loads, self.chance, avoid, slow
+                among, self.loads, self.chance, ask.avoid, ask.slow
             )
-        if found is None:
-            return reserving.NoPlace(RETRY_AFTER_S)
-        return next(self._numbers), pool, '', found.endpoint_id
-
-    def _known(
-        self, service: str, model: str, endpoint_id: str
-    ) -> placing.Target | None:
-        for target in self.targets.of(service, model):
-            if target.endpoint_id == endpoint_id:
+            if found is not None:
+                number = next(self._numbers)
+                return _Grant(number, ask.pool, '', found.endpoint_id)
+        return reserving.NoPlace(RETRY_AFTER_S)
+
+    def _known(self, grant: _Grant) -> placing.Target | None:
+        pool = grant.pool
+        for target in self.targets.of(pool.service, pool.model):
+            if target.endpoint_id == grant.endpoint_id:
                 return target
         return None
 
-    def _keep(self, number: int, held: _Held) -> reserving.Reservation:
-        self._held[number] = held
-        self.loads.begin(held.target.endpoint_id)
-        return _Place(held.target, number, self)
+    def _keep(
+        self, grant: _Grant, target: placing.Target
+    ) -> reserving.Reservation:
+        self._held[grant.number] = _Held(grant.pool, target, grant.granter)
+        self.loads.begin(target.endpoint_id)
+        return _Place(target, grant.number, self)
 
     def _owner(self, pool: messages.Pool) -> str:
         return next(iter(self.owners.of(pool)), '')
--- a/redwingvalve/ingress/observed.py
+++ b/redwingvalve/ingress/observed.py
@@ -35,19 +35,14 @@
         self.seconds += STEP * (bounded_s - self.seconds)
 
 
-@attrs.define
-class PlaceTimes:
-    """How long requests of one service and model take."""
+def make_begin() -> Typical:
+    """Return how long an answer takes to begin, before any was seen.
 
-    # From a send to the first byte for the caller, without reading the prompt.
-    begin: Typical
-    # For how long a request holds its place.
-    hold: Typical
+    From a send to the first byte for the caller, without reading the prompt.
+    """
+    return Typical(BEGIN_START_S, LEAST_S, BEGIN_MOST_S)
 
 
-def make_place_times() -> PlaceTimes:
-    """Return estimates before anything was seen."""
-    return PlaceTimes(
-        begin=Typical(BEGIN_START_S, LEAST_S, BEGIN_MOST_S),
-        hold=Typical(HOLD_START_S, LEAST_S, HOLD_MOST_S),
-    )
+def make_hold() -> Typical:
+    """Return for how long a request holds its place, before any was seen."""
+    return Typical(HOLD_START_S, LEAST_S, HOLD_MOST_S)
--- a/redwingvalve/ingress/relay.py
+++ b/redwingvalve/ingress/relay.py
@@ -124,12 +124,11 @@
             ending = await self._send_to(admission, target)
         finally:
             place.release(_LEAVING.get(ending, reserving.Leaving.UNSURE))
-        if ending is sends.Ending.WHOLE:
+        if ending is sends.Ending.WHOLE and self._sent == 1:
             self._times.teach(
-                self._state.times(admission.service, admission.model),
+                self._state.begin(admission.service, admission.model),
                 began_s,
                 admission.prompt_s,
-                is_only_send=self._sent == 1,
             )
         return ending
 
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -83,18 +83,16 @@
     waiting: collections_abc.Callable[[str, str], int] = _nothing_in_use
     # Sends that end when their head falls silent, by endpoint.
     open_sends: dict[str, set['OpenSend']] = attrs.field(factory=dict)
-    _times: dict[tuple[str, str], observed.PlaceTimes] = attrs.field(
-        factory=dict
-    )
+    _begin: dict[tuple[str, str], observed.Typical] = attrs.field(factory=dict)
     _prompts: dict[str, silence_module.PromptSizes] = attrs.field(factory=dict)
     _windows: dict[str, retry_window.RetryWindow] = attrs.field(factory=dict)
 
-    def times(self, service: str, model: str) -> observed.PlaceTimes:
-        """Return how long requests for a model take."""
+    def begin(self, service: str, model: str) -> observed.Typical:
+        """Return how long answers of a model take to begin."""
         key = (service, model)
-        if key not in self._times:
-            self._times[key] = observed.make_place_times()
-        return self._times[key]
+        if key not in self._begin:
+            self._begin[key] = observed.make_begin()
+        return self._begin[key]
 
     def window(self, service: str) -> retry_window.RetryWindow:
         """Return the retries of a service."""
--- a/redwingvalve/ingress/taking.py
+++ b/redwingvalve/ingress/taking.py
@@ -53,9 +53,9 @@
     *,
     is_resumed: bool,
 ) -> waiting.Ask:
-    times = state.times(admission.service, admission.model)
+    begin = state.begin(admission.service, admission.model)
     left_s = admission.timeout_at_s - time.monotonic()
-    begin_s = times.begin.seconds + admission.prompt_s
+    begin_s = begin.seconds + admission.prompt_s
     return waiting.Ask(
         urgency=admission.urgency,
         on_time_s=refusals.on_time_wait_s(admission.route, begin_s),
--- a/redwingvalve/ingress/tests/played_load.py
+++ b/redwingvalve/ingress/tests/played_load.py
@@ -15,7 +15,13 @@
 import attrs
 import looptime
 
-from redwingvalve.allocation import allocator, messages, owners, reserver
+from redwingvalve.allocation import (
+    allocator,
+    delivery,
+    messages,
+    owners,
+    reserver,
+)
 from redwingvalve.ingress import (
     observed,
     placing,
@@ -121,7 +127,7 @@
         self.name = name
         self._play = play
         self.loads = placing.Loads()
-        self.times = observed.make_place_times()
+        self.begin = observed.make_begin()
         number = int(name.rpartition('-')[2])
         self.data_centre = f'dc-{number % play.deployment.data_centres}'
         self.is_up = True
@@ -157,18 +163,13 @@
 
     def receive(self, envelope):
         """Take a datagram."""
-        message = envelope.message
-        sender = envelope.sender
-        if isinstance(message, messages.Ask):
-            self.allocator.ask(
-                sender, message, lambda reply: self.send(sender.vm, reply)
-            )
-        elif isinstance(message, messages.Reply):
-            self.reserver.heard(sender.vm, message)
-        elif isinstance(message, messages.Release):
-            self.allocator.release(sender, message)
-        else:
-            self.allocator.holdings(sender, message)
+        sender = envelope.sender.vm
+        delivery.deliver(
+            envelope,
+            self.allocator,
+            self.reserver,
+            functools.partial(self.send, sender),
+        )
 
     async def speak(self):
         """Report holdings, and look at what has lapsed."""
@@ -189,7 +190,7 @@
         began_s = anyio.current_time()
         ask = waiting.Ask(
             urgency=1,
-            on_time_s=refusals.on_time_wait_s(route, self.times.begin.seconds),
+            on_time_s=refusals.on_time_wait_s(route, self.begin.seconds),
             wait_s=refusals.wait_s(
                 route, first_s + DEADLINE_S - anyio.current_time()
             ),
@@ -205,7 +206,6 @@
             await play.heads[target.endpoint_id].serve(
                 play.deployment.begin_s, play.draw_service_s(), begun
             )
-            self.times.hold.saw(anyio.current_time() - sent_s)
         self.give_back(target)
         if patience.cancelled_caught:
             play.got.lost.append(first_s)
@@ -236,7 +236,7 @@
     def _begun(self, first_s, sent_s, patience):
         now_s = anyio.current_time()
         patience.deadline = math.inf
-        self.times.begin.saw(now_s - sent_s)
+        self.begin.saw(now_s - sent_s)
         play = self._play
         is_on_time = now_s - first_s <= play.deployment.goal_s
         (play.got.on_time if is_on_time else play.got.late).append(first_s)
--- a/redwingvalve/ingress/timing.py
+++ b/redwingvalve/ingress/timing.py
@@ -56,16 +56,8 @@
         self._last_s = now_s
 
     def teach(
-        self,
-        times: observed.PlaceTimes,
-        sent_s: float,
-        prompt_s: float,
-        *,
-        is_only_send: bool,
+        self, begin: observed.Typical, sent_s: float, prompt_s: float
     ) -> None:
-        """Learn from a whole answer that was sent for at sent_s."""
-        now_s = time.monotonic()
-        times.hold.saw(now_s - sent_s)
-        if is_only_send:
-            first_s = self.first_s or now_s
-            times.begin.saw(first_s - sent_s - prompt_s)
+        """Learn from the whole answer to an only send at sent_s."""
+        first_s = self.first_s or time.monotonic()
+        begin.saw(first_s - sent_s - prompt_s)
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -28,7 +28,6 @@
 # After the store was read, each word says where the node is for so long: some
 # ten words, of which the network loses a few.
 INTRODUCE_S = 3.0
-INTRODUCE_PAUSES = 4
 # A node is given to callers while it was heard within this; four words of a
 # node at rest.
 ALIVE_S = 1.2
@@ -191,8 +190,7 @@
             self.add(address)
         if len(self.known) > before:
             LOG.info('nodes listed', extra={'known': len(self.known)})
-        introduce_s = max(INTRODUCE_S, INTRODUCE_PAUSES * self.word_pause_s)
-        self._introduce_until_s = time.monotonic() + introduce_s
+        self._introduce_until_s = time.monotonic() + INTRODUCE_S
 
     def close(self) -> None:
         """Give the address of datagrams back."""
@@ -236,8 +234,7 @@
         what ran there. Counted until the node itself is taken for gone, those
         requests keep others out of places that are free.
         """
-        counted_s = min(COUNTED_PAUSES * self.word_pause_s, self.alive_s)
-        since_s = time.monotonic() - counted_s
+        since_s = time.monotonic() - COUNTED_PAUSES * self.word_pause_s
         for name, peer in self.known.items():
             if peer.heard_s is not None and peer.heard_s < since_s:
                 self._taker.node_lost(name)
--- a/redwingvalve/node/place_messages.py
+++ b/redwingvalve/node/place_messages.py
@@ -8,7 +8,7 @@
 import attrs
 
 from redwingvalve.allocation import allocator as allocator_module
-from redwingvalve.allocation import messages, owners
+from redwingvalve.allocation import delivery, messages, owners
 from redwingvalve.allocation import reserver as reserver_module
 from redwingvalve.ingress import placing
 from redwingvalve.ingress import state as state_module
@@ -68,15 +68,7 @@
         envelope: messages.Envelope,
         reply: allocator_module.Replier,
     ) -> None:
-        sender, message = envelope.sender, envelope.message
-        if isinstance(message, messages.Ask):
-            self.allocator.ask(sender, message, reply)
-        elif isinstance(message, messages.Reply):
-            self.reserver.heard(sender.vm, message)
-        elif isinstance(message, messages.Release):
-            self.allocator.release(sender, message)
-        else:
-            self.allocator.holdings(sender, message)
+        delivery.deliver(envelope, self.allocator, self.reserver, reply)
 
     def _reply(self, address: tuple[str, int], reply: messages.Reply) -> None:
         packed = messages.pack(messages.Envelope(self._sender, reply))
