Send nothing for a caller that is gone or past its deadline

Cause: a request was checked against its deadline only when it was resent, and against its caller's disconnect only before the wait for a slot and after the connect.

Change: both waits end with the caller (CallerWait): at its disconnect or its deadline, whichever comes first, on first sends, resumptions and hedges of all kinds. A slot granted to a request that has just ended is given back. Such a request answers 503 only if nothing has run. The handler is split along its duties: admission, retries, one send.

--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -242,6 +242,7 @@
             pending = _PendingAsk(next(self._numbers), vm)
             self._pending_asks[pending.number] = pending
             need = _deduct_elapsed(ask.need, self.clock() - asked_s)
+            reply = None
             try:
                 reply = await self._exchange(
                     pending,
@@ -249,7 +250,8 @@
                 )
             finally:
                 self._pending_asks.pop(pending.number)
-                if not _is_final(pending.latest):
+                # A cancelled request leaves a slot that was just granted.
+                if reply is None or not _is_final(pending.latest):
                     release = messages.Release(pending.number)
                     self.transport.send(vm, release)
             if reply is not None and reply.outcome is not _NO_ENDPOINTS:
--- /dev/null
+++ b/redwingvalve/ingress/admitted_request.py
@@ -0,0 +1,249 @@
+"""Sends an admitted request until it is answered or given up."""
+
+import time
+import types
+
+import attrs
+
+from redwingvalve.http1 import messages, server
+from redwingvalve.ingress import (
+    admission_control,
+    caller_wait,
+    load_balancing,
+    refusals,
+    reservations,
+    responses,
+    slot_requests,
+    stream_forwarding,
+    timing,
+    upstream,
+    upstream_sender,
+)
+from redwingvalve.ingress import state as state_module
+from redwingvalve.platform import caller_requests
+
+_TIMEOUT = 'timeout'
+_CALLER_LEFT = 'caller left'
+# Failed connections don't count against the route's attempts, because nothing
+# ran: the request tries other endpoints until this number is exceeded.
+MAX_CONNECT_FAILURES = 3
+# Stands in log lines for the target of a request that got none.
+_NO_TARGET = load_balancing.Target('', '', 0, 0, '')
+
+
+@attrs.define(eq=False)
+class AdmittedRequest:
+    """One admitted request, across all endpoints that it is sent to."""
+
+    _state: state_module.IngressState
+    _caller: caller_requests.CallerRequest
+    _responder: server.Responder
+    _admission: admission_control.Admission
+    _times: timing.RequestTiming
+    _fingerprint: int
+    _wait: caller_wait.CallerWait
+    _forwarder: stream_forwarding.StreamForwarder
+    _sender: upstream_sender.UpstreamSender
+    _tried_endpoints: set[str] = attrs.field(factory=set)
+    _may_have_run: bool = False
+    _failure_response: upstream.UpstreamRequest | None = None
+    _retry_after_s: float = refusals.RETRY_AFTER_S
+
+    async def run(self) -> None:
+        """Send the request until the response is complete."""
+        self._responder.on_disconnect = self._on_caller_gone
+        while not self._wait.is_caller_gone:
+            reservation = await self._reserve_slot()
+            if reservation is None:
+                return
+            outcome = await self._try_target(reservation)
+            if self._finish_unless_retry(reservation.target, outcome):
+                return
+
+    async def _reserve_slot(self) -> reservations.Reservation | None:
+        """Return a slot, or respond and return None."""
+        wait_started_s = time.monotonic()
+        found: reservations.Reservation | reservations.NoSlot | None = None
+        with self._wait.open_scope():
+            found = await slot_requests.reserve_slot(
+                self._state,
+                self._caller,
+                self._admission,
+                self._tried_endpoints,
+            )
+        self._times.add_wait_since(wait_started_s)
+        if isinstance(found, reservations.Reservation):
+            return found
+        if isinstance(found, reservations.NoSlot):
+            self._retry_after_s = found.retry_after_s
+            self._fail('no free slot')
+        elif self._wait.is_caller_gone:
+            self._log_outcome(_NO_TARGET, _CALLER_LEFT)
+        else:
+            self._log_outcome(_NO_TARGET, f'given up: {_TIMEOUT}')
+            self._fail(_TIMEOUT)
+        return None
+
+    async def _try_target(
+        self, reservation: reservations.Reservation
+    ) -> upstream.Outcome:
+        target = reservation.target
+        self._tried_endpoints.add(target.endpoint_id)
+        sent_s = time.monotonic()
+        outcome = upstream.Outcome.BROKEN
+        try:
+            outcome = await self._sender.send(target)
+        finally:
+            reservation.release(
+                _RELEASE_STATES.get(
+                    outcome, reservations.ReleaseState.UNCERTAIN
+                )
+            )
+        if outcome is upstream.Outcome.COMPLETE and (
+            self._sender.sent_count == 1
+        ):
+            admission = self._admission
+            self._times.update_estimate(
+                self._state.first_event_estimate(
+                    admission.service, admission.model
+                ),
+                sent_s,
+                admission.prompt_read_s,
+            )
+        return outcome
+
+    def _finish_unless_retry(
+        self, target: load_balancing.Target, outcome: upstream.Outcome
+    ) -> bool:
+        """Respond unless another attempt follows; return whether finished."""
+        if outcome is upstream.Outcome.CALLER_GONE:
+            self._log_outcome(target, _CALLER_LEFT)
+            return True
+        if outcome is upstream.Outcome.COMPLETE:
+            self._log_outcome(target, responses.ANSWERED)
+            answer = self._sender.upstream_request
+            assert answer is not None
+            self._state.poison.record_answer(self._fingerprint)
+            responses.send_response(self._responder, answer)
+            return True
+        if outcome in _OUT_OF_TIME:
+            self._may_have_run |= outcome is upstream.Outcome.TIMEOUT
+            # A started stream ends without a status: only this line tells
+            # which endpoint it waited for.
+            self._log_outcome(target, f'given up: {_TIMEOUT}')
+            self._fail(_TIMEOUT)
+            return True
+        self._record_failure(outcome, target)
+        if self._may_retry(outcome):
+            self._log_outcome(target, f'sent again: {outcome.value}')
+            return False
+        self._log_outcome(target, f'given up: {outcome.value}')
+        self._fail(outcome.value)
+        return True
+
+    def _record_failure(
+        self, outcome: upstream.Outcome, target: load_balancing.Target
+    ) -> None:
+        if outcome is upstream.Outcome.NOT_RUN:
+            return
+        self._may_have_run = True
+        if outcome is upstream.Outcome.BROKEN:
+            self._state.poison.record_disconnect(
+                self._fingerprint, target.incarnation
+            )
+        if outcome is upstream.Outcome.FAILURE:
+            self._failure_response = self._sender.upstream_request
+        elif outcome is upstream.Outcome.BROKEN and target.replica:
+            # Answers also get lost in the network, sometimes many at once. If
+            # each took its head out of use, no head would be left within a
+            # second. A crashed head refuses the next connection and is taken
+            # out of use then.
+            self._state.targets.check_endpoint(
+                target.endpoint_id, 'broken stream'
+            )
+
+    def _may_retry(self, outcome: upstream.Outcome) -> bool:
+        route = self._admission.route
+        if outcome is not upstream.Outcome.NOT_RUN and not route.may_repeat:
+            return False
+        if self._sender.connect_failures > MAX_CONNECT_FAILURES:
+            return False
+        if self._sender.sent_count >= route.max_attempts:
+            return False
+        if self._wait.is_expired:
+            return False
+        return not self._sender.sent_count or self._sender.spend_retry()
+
+    def _fail(self, reason: str) -> None:
+        if self._responder.is_started:
+            self._responder.abort()
+            return
+        if self._failure_response is not None:
+            responses.send_response(self._responder, self._failure_response)
+            return
+        refusal = refusals.for_failed_request(
+            self._may_have_run,
+            reason == _TIMEOUT,
+            refusals.with_jitter_s(self._retry_after_s, self._state.rng),
+        )
+        responses.send_refusal(self._responder, self._caller, refusal)
+
+    def _log_outcome(self, target: load_balancing.Target, outcome: str) -> None:
+        latest = self._sender.upstream_request
+        responses.log_upstream_outcome(
+            outcome,
+            self._caller,
+            self._admission,
+            target,
+            sends=self._sender.sent_count,
+            last_event=self._forwarder.last_event,
+            reason=latest.reason if latest else '',
+            times=self._times,
+        )
+
+    def _on_caller_gone(self) -> None:
+        self._wait.cancel()
+        self._sender.cancel()
+
+
+def make_admitted_request(
+    state: state_module.IngressState,
+    request: messages.Request,
+    caller: caller_requests.CallerRequest,
+    responder: server.Responder,
+    admission: admission_control.Admission,
+    times: timing.RequestTiming,
+    fingerprint: int,
+) -> AdmittedRequest:
+    """Return a request that is ready to run; times began at its arrival."""
+    wait = caller_wait.CallerWait(responder, admission.timeout_at_s)
+    forwarder = stream_forwarding.StreamForwarder(
+        state.stall_detector, responder, caller.last_event, times
+    )
+    sender = upstream_sender.UpstreamSender(
+        state, request, caller, admission, wait, forwarder
+    )
+    return AdmittedRequest(
+        state=state,
+        caller=caller,
+        responder=responder,
+        admission=admission,
+        times=times,
+        fingerprint=fingerprint,
+        wait=wait,
+        forwarder=forwarder,
+        sender=sender,
+    )
+
+
+_OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
+# After any other outcome the endpoint may have crashed.
+_RELEASE_STATES = types.MappingProxyType(
+    {
+        upstream.Outcome.COMPLETE: reservations.ReleaseState.FREE,
+        upstream.Outcome.FAILURE: reservations.ReleaseState.FREE,
+        upstream.Outcome.CALLER_GONE: reservations.ReleaseState.FREE,
+        upstream.Outcome.EXPIRED: reservations.ReleaseState.FREE,
+        upstream.Outcome.NOT_RUN: reservations.ReleaseState.REFUSED,
+    }
+)
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -29,6 +29,8 @@
     CALLER_GONE = 'gone'
     # The time limit of the whole request passed.
     TIMEOUT = 'timeout'
+    # The same, but before anything was sent to the endpoint.
+    EXPIRED = 'expired'
 
 
 class UpstreamRequest(client.ResponseHandler):
--- /dev/null
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -0,0 +1,232 @@
+"""Sends one request to endpoints and awaits the outcome of each attempt."""
+
+import asyncio
+import time
+
+from redwingvalve.http1 import client, messages, pool
+from redwingvalve.ingress import (
+    admission_control,
+    caller_wait,
+    load_balancing,
+    routes,
+    stall_detection,
+    stream_forwarding,
+    upstream,
+)
+from redwingvalve.ingress import state as state_module
+from redwingvalve.platform import caller_requests
+
+_MS_IN_S = 1000.0
+# The peer may close an idle connection at any moment. A request that must not
+# run twice can't be retried then, so it uses a connection that was in use
+# moments ago, or a new one.
+NON_REPEATABLE_MAX_IDLE_S = 0.5
+REPEATABLE_MAX_IDLE_S = 4.0
+
+
+class UpstreamSender(state_module.InFlightRequest):
+    """Sends one admitted request, to one endpoint at a time."""
+
+    def __init__(
+        self,
+        state: state_module.IngressState,
+        request: messages.Request,
+        caller: caller_requests.CallerRequest,
+        admission: admission_control.Admission,
+        wait: caller_wait.CallerWait,
+        forwarder: stream_forwarding.StreamForwarder,
+    ) -> None:
+        """Send the request while wait lasts; events go to forwarder."""
+        self.sent_count = 0
+        self.connect_failures = 0
+        # The latest attempt that was sent.
+        self.upstream_request: upstream.UpstreamRequest | None = None
+        self._state = state
+        self._request = request
+        self._caller = caller
+        self._admission = admission
+        self._wait = wait
+        self._forwarder = forwarder
+        self._connection: client.Connection | None = None
+        # The next retry is already taken from the budget.
+        self._is_retry_paid = False
+
+    async def send(self, target: load_balancing.Target) -> upstream.Outcome:
+        """Send the request to an endpoint and return the outcome."""
+        connection = await self._connect(target)
+        if isinstance(connection, upstream.Outcome):
+            return connection
+        self.sent_count += 1
+        upstream_request = self._make_upstream_request()
+        self.upstream_request = upstream_request
+        self._connection = connection
+        connection.send(
+            self._render_request(target),
+            upstream_request,
+            self._state.connections.release_callback(target.address),
+        )
+        return await self._await_outcome(target, upstream_request)
+
+    def cancel(self) -> None:
+        """End the current attempt, as the caller has left."""
+        if self.upstream_request is not None:
+            self.upstream_request.finish(upstream.Outcome.CALLER_GONE)
+
+    def head_stalled(self) -> None:
+        """End the current attempt if another one is allowed.
+
+        The last attempt of the route is kept: a head that is only slow still
+        completes it.
+        """
+        if self.upstream_request is None or self.upstream_request.ended.done():
+            return
+        if self._has_attempts and self._reserve_retry():
+            self.upstream_request.finish(upstream.Outcome.STALLED)
+
+    def spend_retry(self) -> bool:
+        """Take a retry from the budget, unless the next one is already paid."""
+        is_paid = self._is_retry_paid or self._reserve_retry()
+        self._is_retry_paid = False
+        return is_paid
+
+    def _reserve_retry(self) -> bool:
+        """Take the next retry from the budget, before this send is ended.
+
+        Without a retry it is better to wait for a send than to end it.
+        """
+        budget = self._state.retry_budget(self._admission.service)
+        self._is_retry_paid = budget.try_spend(
+            time.monotonic(), self._state.node_count
+        )
+        return self._is_retry_paid
+
+    @property
+    def _has_attempts(self) -> bool:
+        return self.sent_count < self._admission.route.max_attempts
+
+    async def _connect(
+        self, target: load_balancing.Target
+    ) -> client.Connection | upstream.Outcome:
+        """Return a connection, or the outcome of an attempt without one."""
+        connections = self._state.connections
+        max_idle_s = (
+            REPEATABLE_MAX_IDLE_S
+            if self._admission.route.may_repeat
+            else NON_REPEATABLE_MAX_IDLE_S
+        )
+        connection = None
+        try:
+            with self._wait.open_scope():
+                connection = await connections.take(target.address, max_idle_s)
+        except pool.ConnectError as error:
+            self.connect_failures += 1
+            self._state.targets.suspect(target.endpoint_id, str(error))
+            return upstream.Outcome.NOT_RUN
+        if connection is not None and not self._wait.has_ended:
+            return connection
+        if connection is not None:
+            connections.release(target.address, connection)
+        return (
+            upstream.Outcome.CALLER_GONE
+            if self._wait.is_caller_gone
+            else upstream.Outcome.EXPIRED
+        )
+
+    def _make_upstream_request(self) -> upstream.UpstreamRequest:
+        attempt_id = self._caller.attempt_id
+        if self._admission.route.kind is routes.RouteKind.STREAM:
+            return upstream.UpstreamStream(attempt_id, self._forwarder)
+        return upstream.UpstreamRequest(attempt_id)
+
+    def _render_request(self, target: load_balancing.Target) -> bytes:
+        admission = self._admission
+        left_s = admission.caller_deadline_s - time.monotonic()
+        forwarding_headers = caller_requests.ForwardingHeaders(
+            endpoint_id=target.endpoint_id,
+            deadline_ms=max(1, int(left_s * _MS_IN_S)),
+            client_account=admission.account,
+            urgency=admission.urgency,
+            last_event=self._forwarder.last_event,
+        )
+        return caller_requests.render_request(
+            self._request, self._caller, forwarding_headers
+        )
+
+    async def _await_outcome(
+        self,
+        target: load_balancing.Target,
+        upstream_request: upstream.UpstreamRequest,
+    ) -> upstream.Outcome:
+        self._forwarder.attach(
+            self._connection, self._make_monitored_stream(target)
+        )
+        in_flight_requests = self._state.in_flight_requests.setdefault(
+            target.endpoint_id, set()
+        )
+        in_flight_requests.add(self)
+        try:
+            outcome = await self._wait_for_outcome(upstream_request)
+        finally:
+            in_flight_requests.discard(self)
+            self._forwarder.detach()
+        if outcome in _ABANDONED and self._connection is not None:
+            self._connection.abandon()
+        self._connection = None
+        return outcome
+
+    async def _wait_for_outcome(
+        self, upstream_request: upstream.UpstreamRequest
+    ) -> upstream.Outcome:
+        timeout_at_s = self._admission.timeout_at_s
+        if self._may_hedge():
+            goal_s = self._admission.route.goal_ms / _MS_IN_S
+            until_s = min(time.monotonic() + goal_s, timeout_at_s)
+            outcome = await _wait_until(upstream_request, until_s)
+            if outcome is not None:
+                return outcome
+            if time.monotonic() < timeout_at_s and self._reserve_retry():
+                return upstream.Outcome.STALLED
+        outcome = await _wait_until(upstream_request, timeout_at_s)
+        return outcome or upstream.Outcome.TIMEOUT
+
+    def _may_hedge(self) -> bool:
+        kind = self._admission.route.kind
+        return kind is routes.RouteKind.IDEMPOTENT and self._has_attempts
+
+    def _make_monitored_stream(
+        self, target: load_balancing.Target
+    ) -> stall_detection.MonitoredStream | None:
+        admission = self._admission
+        route = admission.route
+        is_stream = route.kind is routes.RouteKind.STREAM
+        if not (is_stream and admission.model and route.may_repeat):
+            return None
+        return stall_detection.MonitoredStream(
+            head=target.endpoint_id,
+            sent_s=time.monotonic(),
+            prompt_read_s=admission.prompt_read_s,
+            event_interval_s=admission.event_interval_s,
+            other_prompts_s=self._state.prompt_read_times(
+                admission.model
+            ).other_prompts_s(),
+        )
+
+
+async def _wait_until(
+    upstream_request: upstream.UpstreamRequest, until_s: float
+) -> upstream.Outcome | None:
+    try:
+        async with asyncio.timeout(until_s - time.monotonic()):
+            return await asyncio.shield(upstream_request.ended)
+    except TimeoutError:
+        return None
+
+
+_ABANDONED = frozenset(
+    (
+        upstream.Outcome.CALLER_GONE,
+        upstream.Outcome.STALLED,
+        upstream.Outcome.TIMEOUT,
+        upstream.Outcome.BROKEN,
+    )
+)
