Eject endpoints that fail more requests than the others

Cause: nothing judged an endpoint by its answers. The retry budget was spent on the same heads.

Change: a request's result travels with the release of its slot to the owner of the pool, so that all nodes' results meet where the slots are granted. A cumulative sum of log-likelihood ratios, against the usual failure rate of the pool and of the reporting node, ejects an endpoint; below that it counts as fuller. Probes are first sends of requests that may run twice. Failures no longer shorten the estimate of how long a slot is held. Nodes of the build before ignore the new fields, and their releases say nothing of results.

Also: a test of a crashed endpoint's slot failed once beside load, since the node may see the removed entry before the broken connection. The entry now stays, so that the assertion always concerns the broken connection.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -88,7 +88,7 @@
             waiting_ask.is_cancelled = True
             waiting_ask.task.cancel()
         for pool in self._pools.values():
-            pool.release(key, release.leaving)
+            pool.release(key, release.leaving, release.result)
 
     def holdings(
         self, sender: messages.Sender, holdings: messages.Holdings
--- a/redwingvalve/allocation/hold_table.py
+++ b/redwingvalve/allocation/hold_table.py
@@ -26,6 +26,8 @@
     endpoint_id: str
     since_s: float
     confirmed_s: float
+    # The request probes an endpoint that is out of use.
+    is_probe: bool = False
 
 
 class HoldTable:
@@ -49,10 +51,17 @@
         """Return the hold that was granted for an ask, or None."""
         return self._holds.get(key)
 
-    def add(self, key: Key, endpoint_id: str, now_s: float) -> None:
+    def add(
+        self,
+        key: Key,
+        endpoint_id: str,
+        now_s: float,
+        *,
+        is_probe: bool = False,
+    ) -> None:
         """Record a hold in place of an older one with the same key."""
         self.release(key)
-        self._holds[key] = Hold(endpoint_id, now_s, now_s)
+        self._holds[key] = Hold(endpoint_id, now_s, now_s, is_probe)
         self._counts[endpoint_id] = self.count(endpoint_id) + 1
         sender, number = key
         self._numbers_by_sender.setdefault(sender, set()).add(number)
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -82,6 +82,7 @@
 
     number: int
     leaving: reservations.ReleaseState = reservations.ReleaseState.FREE
+    result: reservations.EndpointResult = reservations.EndpointResult.UNKNOWN
 
 
 @attrs.frozen
@@ -121,6 +122,7 @@
     (_Type.BOOL, 'is_resumed'),
     (_Type.LIST, 'avoid', _Type.STRING),
     (_Type.LIST, 'slow', _Type.STRING),
+    (_Type.BOOL, 'may_probe'),
 )
 _ReplyStruct: typing.Any = structs.make_struct(
     'Reply',
@@ -134,6 +136,7 @@
     'Release',
     (_Type.I64, 'number'),
     (_Type.I32, 'leaving'),
+    (_Type.I32, 'result'),
 )
 _HoldingsStruct: typing.Any = structs.make_struct(
     'Holdings',
@@ -169,7 +172,9 @@
         )
     elif isinstance(message, Release):
         struct.release = _ReleaseStruct(
-            number=message.number, leaving=message.leaving.value
+            number=message.number,
+            leaving=message.leaving.value,
+            result=message.result.value,
         )
     else:
         struct.holdings = _HoldingsStruct(
@@ -216,6 +221,7 @@
         is_resumed=need.is_resumed,
         avoid=list(ask.avoid[:MAX_NAMED_ENDPOINTS]),
         slow=list(ask.slow[:MAX_NAMED_ENDPOINTS]),
+        may_probe=need.may_probe,
     )
 
 
@@ -226,6 +232,7 @@
         wait_s=_integer(struct.wait_ms) / _MS_IN_S,
         has_returned=bool(struct.has_returned),
         is_resumed=bool(struct.is_resumed),
+        may_probe=bool(struct.may_probe),
     )
     return Ask(
         number=_integer(struct.number),
@@ -254,11 +261,10 @@
 def _read_release(struct: typing.Any) -> Release:
     try:
         leaving = reservations.ReleaseState(struct.leaving)
+        result = reservations.EndpointResult(struct.result or 0)
     except ValueError as error:
-        raise MessageError(
-            f'unknown release state {struct.leaving!r}'
-        ) from error
-    return Release(_integer(struct.number), leaving)
+        raise MessageError(f'invalid release: {error}') from error
+    return Release(_integer(struct.number), leaving, result)
 
 
 def _pool_struct(pool: Pool) -> typing.Any:
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -18,10 +18,13 @@
 from redwingvalve.ingress import (
     duration_estimates,
     load_balancing,
+    outlier_detection,
     reservations,
     wait_queue,
 )
+from redwingvalve.observability import logs
 
+LOG = logs.make_logger('allocation')
 # Slots that late requests leave free: in standard deviations of the number in
 # use, and at most this share of all slots.
 RESERVED_STDDEVS = 0.5
@@ -63,11 +66,13 @@
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _uncertain_slots: list[_UncertainSlot] = attrs.field(factory=list)
+    _outliers: outlier_detection.OutlierDetector = attrs.field(init=False)
     queue: wait_queue.WaitQueue = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the queue."""
+        """Create the queue and the outlier detector."""
         self.queue = wait_queue.WaitQueue(self.clock, self)
+        self._outliers = outlier_detection.OutlierDetector(self.clock)
 
     @property
     def is_busy(self) -> bool:
@@ -87,20 +92,24 @@
             self._slow_until_s[endpoint_id] = until_s
 
     def release(
-        self, key: hold_table.Key, leaving: reservations.ReleaseState
+        self,
+        key: hold_table.Key,
+        leaving: reservations.ReleaseState,
+        result: reservations.EndpointResult,
     ) -> None:
         """Free a slot and serve the queue."""
         hold = self.holds.release(key)
         if hold is None:
             return
         now_s = self.clock()
+        self._record_result(hold, key[0].vm, result)
         if leaving is reservations.ReleaseState.REFUSED:
             self._refused_until_s[hold.endpoint_id] = now_s + REFUSAL_COOLDOWN_S
         elif leaving is reservations.ReleaseState.UNCERTAIN:
             self._uncertain_slots.append(
                 _UncertainSlot(hold.endpoint_id, now_s + UNCERTAIN_SLOT_S)
             )
-        else:
+        elif result is not reservations.EndpointResult.FAILURE:
             self._hold_time.observe(now_s - hold.since_s)
         self.queue.dispatch()
 
@@ -125,6 +134,7 @@
         self._uncertain_slots = [
             one for one in self._uncertain_slots if one.until_s > now_s
         ]
+        self._outliers.tick({one.endpoint_id for one in self.targets()})
         self.queue.dispatch()
 
     def expected_wait_s(self, ask: wait_queue.SlotRequest) -> float:
@@ -133,12 +143,12 @@
         return max(self.queue.expected_wait_s(ask), next_s)
 
     def free_slots(self) -> int:
-        """Return the number of free slots."""
-        return sum(map(self._free_slots_at, self.targets()))
+        """Return the number of free slots in use."""
+        return sum(map(self._free_slots_at, self._in_use()))
 
     def slots(self) -> int:
-        """Return the number of all slots, held or free."""
-        return sum(target.slots for target in self.targets())
+        """Return the number of all slots in use, held or free."""
+        return sum(target.slots for target in self._in_use())
 
     def freed_per_s(self) -> float:
         """Return the slots freed per second while all are held."""
@@ -155,30 +165,79 @@
         reserved = RESERVED_STDDEVS * math.sqrt(slots)
         return self.free_slots() > min(reserved, slots * MAX_RESERVED_SHARE)
 
+    def _record_result(
+        self,
+        hold: hold_table.Hold,
+        reporter: str,
+        result: reservations.EndpointResult,
+    ) -> None:
+        if result is reservations.EndpointResult.UNKNOWN:
+            return
+        is_failure = result is reservations.EndpointResult.FAILURE
+        if hold.is_probe:
+            self._outliers.record_probe(hold.endpoint_id, is_failure=is_failure)
+            return
+        self._outliers.record(hold.endpoint_id, reporter, is_failure=is_failure)
+
+    def _in_use(self) -> collections_abc.Sequence[load_balancing.Target]:
+        """Return the endpoints that get more than probes."""
+        return [
+            target
+            for target in self.targets()
+            if not self._outliers.is_ejected(target.endpoint_id)
+        ]
+
     def _acquire(
         self, sender: messages.Sender, ask: messages.Ask
     ) -> load_balancing.Target | None:
+        key = (sender, ask.number)
+        probed = self._choose_probe_target(ask)
+        if probed is not None:
+            self._outliers.start_probe(probed.endpoint_id)
+            self.holds.add(key, probed.endpoint_id, self.clock(), is_probe=True)
+            return probed
         target = self._choose_target(ask.avoid)
         if target is not None:
-            key = (sender, ask.number)
             self.holds.add(key, target.endpoint_id, self.clock())
         return target
 
+    def _choose_probe_target(
+        self, ask: messages.Ask
+    ) -> load_balancing.Target | None:
+        if not ask.need.may_probe:
+            return None
+        for target in self.targets():
+            is_due = self._outliers.needs_probe(target.endpoint_id)
+            if is_due and self._free_slots_at(target) > 0:
+                return target
+        return None
+
     def _choose_target(
         self, avoid: collections_abc.Container[str]
     ) -> load_balancing.Target | None:
-        free = [
+        untried = [
             target
             for target in self.targets()
             if target.endpoint_id not in avoid
-            and self._free_slots_at(target) > 0
+        ]
+        in_use = [
+            target
+            for target in untried
+            if not self._outliers.is_ejected(target.endpoint_id)
+        ]
+        # An ejected endpoint is better than none.
+        free = [
+            target
+            for target in in_use or untried
+            if self._free_slots_at(target) > 0
         ]
         return min(free, key=self._rank, default=None)
 
     def _rank(self, target: load_balancing.Target) -> tuple[bool, float, float]:
         load = self.holds.count(target.endpoint_id) / target.slots
         is_slow = target.endpoint_id in self._slow_until_s
-        return is_slow, load, self.rng.random()
+        penalty = self._outliers.penalty(target.endpoint_id)
+        return is_slow, load + penalty, self.rng.random()
 
     def _free_slots_at(self, target: load_balancing.Target) -> int:
         now_s = self.clock()
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -91,8 +91,15 @@
     _number: int
     _reserver: 'NodeReserver'
 
-    def release(self, leaving: reservations.ReleaseState) -> None:
-        self._reserver.release_slot(self._number, leaving)
+    def release(
+        self,
+        leaving: reservations.ReleaseState,
+        result: reservations.EndpointResult = (
+            reservations.EndpointResult.UNKNOWN
+        ),
+    ) -> None:
+        release = messages.Release(self._number, leaving, result)
+        self._reserver.release_slot(release)
 
 
 @attrs.define(eq=False)
@@ -158,17 +165,15 @@
             # No request waits for the slot any more.
             self.transport.send(vm, messages.Release(reply.number))
 
-    def release_slot(
-        self, number: int, leaving: reservations.ReleaseState
-    ) -> None:
+    def release_slot(self, release: messages.Release) -> None:
         """Release a slot."""
-        held = self._held_slots.pop(number, None)
+        held = self._held_slots.pop(release.number, None)
         if held is None:
             return
         self.loads.remove_request(held.target.endpoint_id)
         owner = held.owner or self._current_owner(held.pool)
         if owner:
-            self.transport.send(owner, messages.Release(number, leaving))
+            self.transport.send(owner, release)
 
     async def run(self) -> typing.NoReturn:
         """Report held slots to their owners until cancelled."""
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -1,7 +1,6 @@
 """Sends an admitted request until it is answered or given up."""
 
 import time
-import types
 
 import attrs
 
@@ -90,15 +89,11 @@
         target = reservation.target
         self._tried_endpoints.add(target.endpoint_id)
         sent_s = time.monotonic()
-        outcome = upstream.Outcome.BROKEN
+        outcome: upstream.Outcome | None = None
         try:
             outcome = await self._sender.send(target)
         finally:
-            reservation.release(
-                _RELEASE_STATES.get(
-                    outcome, reservations.ReleaseState.UNCERTAIN
-                )
-            )
+            reservation.release(_release_state(outcome), _result(outcome))
         if outcome is upstream.Outcome.COMPLETE and (
             self._sender.sent_count == 1
         ):
@@ -236,14 +231,34 @@
     )
 
 
+def _release_state(
+    outcome: upstream.Outcome | None,
+) -> reservations.ReleaseState:
+    if outcome in _FREES_SLOT:
+        return reservations.ReleaseState.FREE
+    if outcome is upstream.Outcome.NOT_RUN:
+        return reservations.ReleaseState.REFUSED
+    # The endpoint may have crashed.
+    return reservations.ReleaseState.UNCERTAIN
+
+
+def _result(outcome: upstream.Outcome | None) -> reservations.EndpointResult:
+    if outcome is upstream.Outcome.COMPLETE:
+        return reservations.EndpointResult.SUCCESS
+    if outcome in _SAYS_NOTHING:
+        return reservations.EndpointResult.UNKNOWN
+    return reservations.EndpointResult.FAILURE
+
+
 _OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
-# After any other outcome the endpoint may have crashed.
-_RELEASE_STATES = types.MappingProxyType(
-    {
-        upstream.Outcome.COMPLETE: reservations.ReleaseState.FREE,
-        upstream.Outcome.FAILURE: reservations.ReleaseState.FREE,
-        upstream.Outcome.CALLER_GONE: reservations.ReleaseState.FREE,
-        upstream.Outcome.EXPIRED: reservations.ReleaseState.FREE,
-        upstream.Outcome.NOT_RUN: reservations.ReleaseState.REFUSED,
-    }
+_FREES_SLOT = frozenset(
+    (
+        upstream.Outcome.COMPLETE,
+        upstream.Outcome.FAILURE,
+        upstream.Outcome.CALLER_GONE,
+        upstream.Outcome.EXPIRED,
+    )
+)
+_SAYS_NOTHING = frozenset(
+    (None, upstream.Outcome.CALLER_GONE, upstream.Outcome.EXPIRED)
 )
--- a/redwingvalve/ingress/reservations.py
+++ b/redwingvalve/ingress/reservations.py
@@ -20,14 +20,27 @@
     REFUSED = 3
 
 
+class EndpointResult(enum.Enum):
+    """What the outcome of a request says about its endpoint."""
+
+    # Nothing: the caller left, or nothing was sent.
+    UNKNOWN = 0
+    SUCCESS = 1
+    FAILURE = 2
+
+
 class Reservation(abc.ABC):
     """A slot that is held for a request until it is released."""
 
     target: load_balancing.Target
 
     @abc.abstractmethod
-    def release(self, leaving: ReleaseState) -> None:
-        """Release the slot."""
+    def release(
+        self,
+        leaving: ReleaseState,
+        result: EndpointResult = EndpointResult.UNKNOWN,
+    ) -> None:
+        """Release the slot, with the result of its request."""
 
 
 @attrs.frozen
--- a/redwingvalve/ingress/slot_requests.py
+++ b/redwingvalve/ingress/slot_requests.py
@@ -8,6 +8,7 @@
     refusals,
     reservations,
     responses,
+    routes,
     wait_queue,
 )
 from redwingvalve.ingress import state as state_module
@@ -62,9 +63,14 @@
         wait_s=refusals.wait_s(admission.route, left_s),
         has_returned=admission.has_returned,
         is_resumed=is_resumed,
+        may_probe=not is_resumed and _may_be_sent_twice(admission.route),
     )
 
 
+def _may_be_sent_twice(route: routes.Route) -> bool:
+    return route.may_repeat and route.max_attempts > 1
+
+
 def _log_no_slot(
     state: state_module.IngressState,
     caller: caller_requests.CallerRequest,
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -77,6 +77,8 @@
     has_returned: bool = False
     # The request was running elsewhere and lost its endpoint.
     is_resumed: bool = False
+    # The request can be sent to another endpoint if this one fails.
+    may_probe: bool = False
 
 
 class SlotCapacity(abc.ABC):
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -242,6 +242,8 @@
         ran, idle = sorted(
             names, key=lambda name: not fleet.endpoints[name].runs
         )
+        # The nodes learn of the crash by the broken connection alone.
+        fleet.store.remove = lambda kind, name: None
         fleet.endpoints[ran].crash()
         await fleet.wait_until(reader.done.done)
         pool = messages.Pool(fleet_harness.PLAIN_SERVICE, '', '')
