Repeat no updates in urgent messages of hubs

Cause: each urgent message of a hub carried every update of the last second, each state with an address.

Change: urgent messages carry what is new since the message before; regular ones, four a second, repeat the updates of a second as before, for lost datagrams. States of nodes that are down or leaving carry no address.

--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -1,6 +1,7 @@
 """Sends this node's status to other nodes and applies theirs."""
 
 import asyncio
+import functools
 import time
 import typing
 
@@ -82,39 +83,43 @@
             self._run_checks()
             await anyio.sleep(self.peers.status_interval_s)
 
-    def broadcast_now(self) -> None:
-        """Send the status to all recipients."""
+    def broadcast_now(self, *, is_urgent: bool = False) -> None:
+        """Send the status to all recipients.
+
+        An urgent message repeats no updates that this hub has forwarded.
+        """
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._sent_s = time.monotonic()
         recipients = self.hubs.recipients()
         is_hub = bool(recipients.hubs and recipients.nodes)
-        self._send(recipients.hubs, is_hub=is_hub, with_hub_updates=False)
-        self._send(recipients.nodes, is_hub=is_hub, with_hub_updates=True)
-
-    def _send(
-        self, names: tuple[str, ...], *, is_hub: bool, with_hub_updates: bool
-    ) -> None:
-        if not names:
-            return
-        message = self.build_message()
-        if is_hub:
-            self._forwarded_updates.add_to(
-                message, with_hub_updates=with_hub_updates
-            )
-        self.peers.send_status(message, names)
+        for names, with_hub_updates in (
+            (recipients.hubs, False),
+            (recipients.nodes, True),
+        ):
+            if not names:
+                continue
+            message = self.build_message()
+            if is_hub:
+                self._forwarded_updates.add_to(
+                    message,
+                    with_hub_updates=with_hub_updates,
+                    is_urgent=is_urgent,
+                )
+            self.peers.send_status(message, names)
 
     def broadcast_soon(self) -> None:
         """Send the status, at most once per COALESCE_S."""
         if self._timer is not None:
             return
         wait_s = self._sent_s + COALESCE_S - time.monotonic()
+        urgent = functools.partial(self.broadcast_now, is_urgent=True)
         if wait_s <= 0:
-            self.broadcast_now()
+            urgent()
             return
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(wait_s, self.broadcast_now)
+        self._timer = loop.call_later(wait_s, urgent)
 
     def build_message(self) -> typing.Any:
         """Return the next status message of this node."""
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -215,3 +215,32 @@
     message = status_messages.StatusMessage(suspects=[], cleared=[])
     news.add_to(message, with_hub_updates=False)
     assert {state.is_up for state in message.states} == {False}
+
+
+def test_urgent_messages_repeat_no_updates():
+    """Nodes that restart one after the other must not saturate a hub's link.
+
+    Each change causes an urgent message to forty nodes; with all changes of
+    the last second in each, a hub at 10 Mbit/s sends for seconds.
+    """
+    observer = mock.create_autospec(peers.PeerObserver, instance=True)
+    local = peers.PeerAddress('vm-1', '127.0.0.1', 1, '', 'dc', 1)
+    known = peers.Peers(local, observer)
+    updates = update_forwarding.ForwardedUpdates(
+        known, hubs.Hubs(known, lambda peer: None)
+    )
+    for number in range(2, 32):
+        known.add(attrs.evolve(local, vm=f'vm-{number}'))
+        known.known[f'vm-{number}'].is_leaving = True
+        updates.record_change(known.known[f'vm-{number}'])
+        sent = _forwarded_states(updates, is_urgent=True)
+        assert sent == [f'vm-{number}']
+    # The regular message makes up for lost datagrams.
+    repeated = _forwarded_states(updates, is_urgent=False)
+    assert set(repeated) >= {f'vm-{number}' for number in range(20, 32)}
+
+
+def _forwarded_states(updates, *, is_urgent):
+    message = status_messages.StatusMessage(suspects=[], cleared=[])
+    updates.add_to(message, with_hub_updates=True, is_urgent=is_urgent)
+    return [state.vm for state in message.states]
--- a/redwingvalve/node/update_forwarding.py
+++ b/redwingvalve/node/update_forwarding.py
@@ -3,12 +3,16 @@
 Load pattern: in a large fleet a node detects a lost head to which two hundred
 other nodes send requests. Its update goes to the hubs of its data centre, from
 there to all other hubs and to the nodes of that data centre, and from each hub
-to its own nodes (spokes): three hops, a few milliseconds in total. Updates are
-repeated for FORWARD_FOR_S, so that a lost datagram delays them by one status
-interval.
+to its own nodes (spokes): three hops, a few milliseconds in total.
+
+Regular messages repeat updates for FORWARD_FOR_S, so that a lost datagram
+delays them by one status interval. Urgent ones carry only what is new. While
+nodes restart one after the other they are sent at many times the regular rate,
+and repetitions in them would saturate the link of a hub.
 """
 
 import collections
+import math
 import time
 import typing
 from collections import abc as collections_abc
@@ -36,7 +40,9 @@
 @attrs.frozen
 class _Update:
     content: typing.Any
-    at_s: float
+    # When the key was first received, and when its latest repetition was.
+    first_s: float
+    latest_s: float
 
 
 class RecentUpdates:
@@ -48,19 +54,36 @@
 
     def record(self, key: _Key, content: typing.Any) -> bool:
         """Replace a key's update; return whether the key was not present."""
+        now_s = time.monotonic()
         known = self._updates.pop(key, None)
-        self._updates[key] = _Update(content, time.monotonic())
+        first_s = known.first_s if known else now_s
+        self._updates[key] = _Update(content, first_s, now_s)
         return known is None
 
-    def recent(self, limit: int) -> list[typing.Any]:
-        """Return the latest updates, and drop those that have expired."""
+    def replace(self, key: _Key, content: typing.Any) -> None:
+        """Record an update that is new even if its key is known."""
+        self._updates.pop(key, None)
+        self.record(key, content)
+
+    def recent(
+        self, limit: int, first_since_s: float = -math.inf
+    ) -> list[typing.Any]:
+        """Return the latest updates, and drop those that have expired.
+
+        first_since_s leaves out those that were first received earlier.
+        """
         since_s = time.monotonic() - FORWARD_FOR_S
         self._updates = {
             key: one
             for key, one in self._updates.items()
-            if one.at_s >= since_s
+            if one.latest_s >= since_s
         }
-        return [one.content for one in list(self._updates.values())[-limit:]]
+        found = [
+            one.content
+            for one in self._updates.values()
+            if one.first_s >= first_since_s
+        ]
+        return found[-limit:]
 
 
 @attrs.define(eq=False)
@@ -83,6 +106,10 @@
     _repeat_queues: dict[bool, collections.deque[str]] = attrs.field(
         factory=lambda: collections.defaultdict(collections.deque)
     )
+    # When the latest message was sent, by the same groups.
+    _sent_s: dict[bool, float] = attrs.field(
+        factory=lambda: collections.defaultdict(float)
+    )
 
     def record_received(
         self, message: typing.Any, news: list[typing.Any]
@@ -105,7 +132,7 @@
             is_urgent |= updates.clearances.record(key, clearance)
         for state in news:
             is_urgent = True
-            updates.states.record(state.vm, state)
+            updates.states.replace(state.vm, state)
         for usage in message.usages or ():
             updates.usages.record(usage.vm, usage)
         if message.usage:
@@ -117,13 +144,22 @@
 
     def record_change(self, peer: peers_module.Peer) -> None:
         """Record the state of a node that this hub has seen change."""
-        self._from_spokes.states.record(peer.address.vm, _state_message(peer))
-
-    def add_to(self, message: typing.Any, *, with_hub_updates: bool) -> None:
+        self._from_spokes.states.replace(peer.address.vm, _state_message(peer))
+
+    def add_to(
+        self,
+        message: typing.Any,
+        *,
+        with_hub_updates: bool,
+        is_urgent: bool = False,
+    ) -> None:
         """Add the updates to be forwarded to a message of this node.
 
         Messages to spokes contain the updates of hubs; those to hubs don't.
         """
+        sent_s = self._sent_s[with_hub_updates]
+        self._sent_s[with_hub_updates] = time.monotonic()
+        since_s = sent_s if is_urgent else -math.inf
         received = (
             [self._from_spokes, self._from_hubs]
             if with_hub_updates
@@ -131,15 +167,17 @@
         )
         suspicions: list[serving.Suspicion] = []
         clearances: list[status_fields.Clearance] = []
-        message.states = self._next_repeated_states(
-            with_hub_updates=with_hub_updates
-        )
+        message.states = []
         message.usages = []
+        if not is_urgent:
+            message.states += self._next_repeated_states(
+                with_hub_updates=with_hub_updates
+            )
         for updates in received:
-            suspicions += updates.suspicions.recent(MAX_FINDINGS)
-            clearances += updates.clearances.recent(MAX_FINDINGS)
-            message.states += updates.states.recent(MAX_STATES)
-            message.usages += updates.usages.recent(MAX_USAGES)
+            suspicions += updates.suspicions.recent(MAX_FINDINGS, since_s)
+            clearances += updates.clearances.recent(MAX_FINDINGS, since_s)
+            message.states += updates.states.recent(MAX_STATES, since_s)
+            message.usages += updates.usages.recent(MAX_USAGES, since_s)
         message.suspects += status_fields.suspicion_messages(suspicions)
         message.cleared += status_fields.clearance_messages(clearances)
 
@@ -174,11 +212,14 @@
 
 
 def _state_message(peer: peers_module.Peer) -> typing.Any:
-    return status_messages.PeerState(
+    message = status_messages.PeerState(
         vm=peer.address.vm,
         born_ms=peer.born_ms or peer.address.born_ms,
         is_up=not peer.is_down,
         is_leaving=peer.is_leaving,
         is_ready=peer.is_ready,
-        address=status_fields.address_message(peer.address),
     )
+    # Nobody has to reach a node that is down or leaving.
+    if message.is_up and not message.is_leaving:
+        message.address = status_fields.address_message(peer.address)
+    return message
