Resume streams in another fabric domain than the one that lost them

Cause: a domain fails as a whole.

Change: the owner prefers endpoints whose domain is not that of an endpoint where the request failed; the domain is used if the others are full.

--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -38,6 +38,10 @@
 # An endpoint that a node reported as slow is chosen last for this long.
 SLOW_ENDPOINT_S = 2.0
 
+# Limit on the endpoints whose domains are known, including those that are gone.
+MAX_KNOWN_DOMAINS = 10_000
+
+_Rank: typing.TypeAlias = tuple[bool, bool, float, float]
 Clock = collections_abc.Callable[[], float]
 Targets = collections_abc.Callable[
     [], collections_abc.Sequence[load_balancing.Target]
@@ -66,6 +70,8 @@
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _uncertain_slots: list[_UncertainSlot] = attrs.field(factory=list)
+    # Domains by endpoint, also of endpoints that are gone.
+    _domains: dict[str, str] = attrs.field(factory=dict)
     _outliers: outlier_detection.OutlierDetector = attrs.field(init=False)
     queue: wait_queue.WaitQueue = attrs.field(init=False)
 
@@ -134,7 +140,11 @@
         self._uncertain_slots = [
             one for one in self._uncertain_slots if one.until_s > now_s
         ]
-        self._outliers.tick({one.endpoint_id for one in self.targets()})
+        domains = {one.endpoint_id: one.domain for one in self.targets()}
+        self._outliers.tick(domains)
+        if len(self._domains) > MAX_KNOWN_DOMAINS:
+            self._domains.clear()
+        self._domains.update(domains)
         self.queue.dispatch()
 
     def expected_wait_s(self, ask: wait_queue.SlotRequest) -> float:
@@ -213,8 +223,13 @@
         return None
 
     def _choose_target(
-        self, avoid: collections_abc.Container[str]
+        self, avoid: collections_abc.Collection[str]
     ) -> load_balancing.Target | None:
+        """Return the least loaded endpoint, of another domain if possible.
+
+        A domain fails as a whole, and its heads stall all at once: a stream
+        that one of them has lost must not be resumed at the next one.
+        """
         untried = [
             target
             for target in self.targets()
@@ -231,7 +246,14 @@
             for target in in_use or untried
             if self._free_slots_at(target) > 0
         ]
-        return min(free, key=self._rank, default=None)
+        failed_domains = {
+            self._domains.get(endpoint_id, '') for endpoint_id in avoid
+        } - {''}
+
+        def rank(target: load_balancing.Target) -> _Rank:
+            return target.domain in failed_domains, *self._rank(target)
+
+        return min(free, key=rank, default=None)
 
     def _rank(self, target: load_balancing.Target) -> tuple[bool, float, float]:
         load = self.holds.count(target.endpoint_id) / target.slots
--- a/redwingvalve/allocation/tests/test_pool.py
+++ b/redwingvalve/allocation/tests/test_pool.py
@@ -190,3 +190,29 @@
         assert not owner.pool(POOL).has_spare_slots()
 
     run(test)
+
+
+def test_a_resumed_stream_is_granted_a_slot_in_another_domain():
+    """A domain fails as a whole, and all its heads stall at the same time."""
+
+    async def test():
+        targets = tuple(
+            load_balancing.Target(
+                f'e{number}', 'h', 1, 9, 'zone-1', domain=f'd{number % 2}'
+            )
+            for number in range(6)
+        )
+        owner = allocator.Allocator(
+            lambda pool: targets, lambda: 1.0, random.Random(1)
+        )
+        owner.pool(POOL).tick()
+        granted = {
+            ask(owner, NODES[0], number, avoid=('e0',))[-1].endpoint_id
+            for number in range(27)
+        }
+        assert granted == {'e1', 'e3', 'e5'}
+        # The domain is chosen once the others are full.
+        last = ask(owner, NODES[0], 27, avoid=('e0',))[-1].endpoint_id
+        assert last in {'e2', 'e4'}
+
+    run(test)
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -310,4 +310,5 @@
         born_ms=head.born_ms,
         replica=replica.name,
         epoch=replica.epoch,
+        domain=head.domain,
     )
--- a/redwingvalve/ingress/load_balancing.py
+++ b/redwingvalve/ingress/load_balancing.py
@@ -29,6 +29,8 @@
     # Name and epoch of the replica, empty and 0 for plain endpoints.
     replica: str = ''
     epoch: int = 0
+    # Fabric domain, which fails as a whole; empty for plain endpoints.
+    domain: str = ''
 
     @property
     def incarnation(self) -> tuple[str, int]:
