Give a process that restarts after leaving an incarnation of its own

Cause: a VM's clock that runs behind can give a restarted process the incarnation of the one before. If that one had left, all others kept taking the new one for leaving, since leaving is final within an incarnation.

Change: a process that is told that its own incarnation is leaving, though it never left, takes the next incarnation.

Measured: the test fails before and passes after.

--- a/redwingvalve/membership/local_status.py
+++ b/redwingvalve/membership/local_status.py
@@ -51,6 +51,9 @@
         if reported.member.incarnation > current.member.incarnation:
             self._handle_later_incarnation(reported)
             return
+        if self._is_predecessor_leaving(reported):
+            self._start_incarnation_after(reported)
+            return
         if (
             reported.order() > current.order()
             and current.state is not State.DEAD
@@ -66,6 +69,26 @@
         if self._joined and reported.state is not State.DEAD:
             self.superseded = True
             return
+        self._start_incarnation_after(reported)
+
+    def _is_predecessor_leaving(
+        self, reported: member_status.MemberStatus
+    ) -> bool:
+        """Return whether a process of the same incarnation left before.
+
+        Leaving is final within an incarnation, so a restarted process under
+        the same number would be taken for leaving for ever.
+        """
+        current = self.status()
+        return (
+            current.state is State.ALIVE
+            and reported.state is State.LEAVING
+            and reported.member.incarnation == current.member.incarnation
+        )
+
+    def _start_incarnation_after(
+        self, reported: member_status.MemberStatus
+    ) -> None:
         incarnation = reported.member.incarnation + 1
         restarted = attrs.evolve(self.member(), incarnation=incarnation)
         self._statuses.put(member_status.MemberStatus(restarted, 0))
--- a/redwingvalve/membership/tests/test_faults.py
+++ b/redwingvalve/membership/tests/test_faults.py
@@ -69,6 +69,20 @@
     assert not own.superseded
 
 
+def test_a_restart_under_the_incarnation_of_a_leaving_process_is_alive():
+    """The VM's clock runs behind, and the earlier process had left.
+
+    Leaving is final within an incarnation: without a new one, the restarted
+    process would be taken for leaving for ever.
+    """
+    net = make_fleet(4)
+    net.processes['e1'].table.own.leave()
+    net.step(3)
+    net.start('e1', incarnation=1, region='r0', contact='e0')
+    net.step(20)
+    assert set(net.states('e1').values()) == {State.ALIVE}
+
+
 def test_the_older_of_two_processes_with_one_name_is_superseded():
     """A process still runs when its replacement with the same name starts.
 
