--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -37,7 +37,6 @@
 UNCERTAIN_SLOT_S = 0.25
 # An endpoint that a node reported as slow is chosen last for this long.
 SLOW_ENDPOINT_S = 2.0
-
 # Limit on the endpoints whose domains are known, including those that are gone.
 MAX_KNOWN_DOMAINS = 10_000
 
@@ -183,11 +182,17 @@
     ) -> None:
         if result is reservations.EndpointResult.UNKNOWN:
             return
+        endpoint_id = hold.endpoint_id
         is_failure = result is reservations.EndpointResult.FAILURE
+        was_ejected = self._outliers.is_ejected(endpoint_id)
         if hold.is_probe:
-            self._outliers.record_probe(hold.endpoint_id, is_failure=is_failure)
-            return
-        self._outliers.record(hold.endpoint_id, reporter, is_failure=is_failure)
+            self._outliers.record_probe(endpoint_id, is_failure=is_failure)
+        else:
+            self._outliers.record(endpoint_id, reporter, is_failure=is_failure)
+        is_ejected = self._outliers.is_ejected(endpoint_id)
+        if is_ejected != was_ejected:
+            change = 'ejected' if is_ejected else 'returned by probe'
+            LOG.warning(f'endpoint {change}', extra={'endpoint': endpoint_id})
 
     def _in_use(self) -> collections_abc.Sequence[load_balancing.Target]:
         """Return the endpoints that get more than probes."""
