Ask a store that turns a node away ever more rarely

Cause: each call to the store is charged, refused ones too. While the store turned away a third of the nodes for nine seconds, each of them and each node behind a relay that was turned away retried every 0.1 to 0.4 s, for two kinds.

Change: a node with relays doubles the time between its calls up to 1.6 s while they fail, and tries its relays meanwhile. The first failure is retried at once, since single answers get lost. Nodes without relays are as before.

--- a/redwingvalve/node/kind_watch.py
+++ b/redwingvalve/node/kind_watch.py
@@ -23,6 +23,13 @@
 # nodes that lost it at the same time don't return at the same time.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
+# A node with relays queries a store that keeps failing ever more rarely: the
+# store may turn away a third of the nodes for many seconds, and charges for
+# each call. A first failure is retried at once, as single answers get lost.
+STORE_BACKOFF_MIN_S = 0.2
+STORE_BACKOFF_MAX_S = 1.6
+# Interval at which relays are tried meanwhile.
+RELAY_POLL_MAX_S = 0.8
 # Wait of a watch that only fetches the changes so far.
 REFRESH_WAIT_S = 0.01
 # A relay that failed is preferred again after this time. A frozen node is no
@@ -73,6 +80,8 @@
         self._failed_s = 0.0
         self._backoff_s = RELAY_BACKOFF_S
         self._is_store_down = False
+        self._store_backoff_s = 0.0
+        self._store_retry_at_s = 0.0
         self._is_refresh_requested = False
         self._watch_scope = anyio.CancelScope()
         # Time of the known state at the store, on the clock of clock.boot_s.
@@ -118,9 +127,15 @@
         self._reset_after_backoff()
         source = found[self._failures % len(found)]
         # If the store has just failed, a relay may still reach it.
-        if self._has_asked_store or self.age_s <= source.max_age_s:
+        is_relay_enough = (
+            self._has_asked_store or self.age_s <= source.max_age_s
+        )
+        if is_relay_enough and not source.is_store:
             return source
-        if self._revision is not None:
+        relays = [one for one in found if not one.is_store]
+        if relays and time.monotonic() < self._store_retry_at_s:
+            return relays[self._failures % len(relays)]
+        if not is_relay_enough and self._revision is not None:
             LOG.info(
                 'relays too old',
                 extra={'kind': self.kind, 'age_s': round(self.age_s, 2)},
@@ -184,8 +199,7 @@
             LOG.info(
                 'relay lost', extra={'kind': self.kind, 'error': str(error)}
             )
-            pause_s = random.uniform(RELAY_RETRY_MIN_S, RELAY_RETRY_MAX_S)
-            await anyio.sleep(pause_s)
+            await anyio.sleep(self._relay_retry_pause_s())
             return
         self._handler.on_unavailable()
         if not self._is_store_down:
@@ -193,7 +207,20 @@
                 'store lost', extra={'kind': self.kind, 'error': str(error)}
             )
         self._is_store_down = True
-        await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+        pause_s = random.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        self._store_retry_at_s = now_s + max(pause_s, self._store_backoff_s)
+        self._store_backoff_s = min(
+            max(2 * self._store_backoff_s, STORE_BACKOFF_MIN_S),
+            STORE_BACKOFF_MAX_S,
+        )
+        await anyio.sleep(pause_s)
+
+    def _relay_retry_pause_s(self) -> float:
+        pause_s = random.uniform(RELAY_RETRY_MIN_S, RELAY_RETRY_MAX_S)
+        if not self._is_store_down:
+            return pause_s
+        until_store_s = self._store_retry_at_s - time.monotonic()
+        return min(max(until_store_s, pause_s), RELAY_POLL_MAX_S)
 
     def _record_sync(self, source: watch_sources.Source, age_s: float) -> None:
         self._synced_s = max(self._synced_s, clock.boot_s() - age_s)
@@ -202,3 +229,5 @@
         if self._is_store_down:
             LOG.info('store is back', extra={'kind': self.kind})
         self._is_store_down = False
+        self._store_backoff_s = 0.0
+        self._store_retry_at_s = 0.0
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -112,16 +112,7 @@
     relay = IdleSource(age_s)
     platform = IdleSource(0)
 
-    async def main():
-        watch = kind_watch.KindWatch(
-            'config',
-            IgnoringHandler(),
-            lambda: [relay_source(relay), store_source(platform)],
-        )
-        with anyio.move_on_after(2 * MAX_AGE_S):
-            await watch.run()
-
-    anyio.run(main)
+    run_watch(relay, platform, 2 * MAX_AGE_S)
     # The first listing always goes to the store.
     is_relay_used = platform.calls == 1
     assert is_relay_used == (age_s < MAX_AGE_S)
@@ -132,17 +123,23 @@
     relay = FailingSource(0)
     platform = IdleSource(0)
 
+    run_watch(relay, platform, 4 * kind_watch.RELAY_BACKOFF_S)
+    assert 2 <= relay.calls <= 3
+
+
+def run_watch(relay, platform, duration_s):
+    """Run a watch with a relay and the store as its sources."""
+
     async def main():
         watch = kind_watch.KindWatch(
             'config',
             IgnoringHandler(),
             lambda: [relay_source(relay), store_source(platform)],
         )
-        with anyio.move_on_after(4 * kind_watch.RELAY_BACKOFF_S):
+        with anyio.move_on_after(duration_s):
             await watch.run()
 
     anyio.run(main)
-    assert 2 <= relay.calls <= 3
 
 
 class IdleSource:
@@ -170,6 +167,16 @@
         raise store.StoreError('relay has lost the store')
 
 
+class OnceFailingSource(IdleSource):
+    """The store, which loses the answer to the first watch."""
+
+    async def watch(self, kind, revision, wait_s):
+        if self.calls == 1:
+            self.calls += 1
+            raise store.StoreError('answer lost')
+        return await super().watch(kind, revision, wait_s)
+
+
 class IgnoringHandler(watch_handler.WatchHandler):
     """Ignores all changes."""
 
@@ -296,3 +303,26 @@
 def test_the_store_is_queried_early_enough_for_its_answer():
     """A change is known in time though the relays are frozen or cut off."""
     assert watch_sources.STORE_FALLBACK_SHARE <= 0.8
+
+
+def test_a_store_that_turns_a_node_away_gets_few_calls():
+    """A third of the nodes is turned away for seconds, and so are the relays.
+
+    Each call is charged, also those that the store refuses.
+    """
+    relay = FailingSource(0)
+    platform = FailingSource(0)
+
+    run_watch(relay, platform, 4)
+    # At most two calls a second.
+    assert platform.calls <= 8
+
+
+def test_a_single_lost_answer_of_the_store_is_retried_at_once():
+    """The limit for a change leaves time for a second call."""
+    relay = FailingSource(0)
+    platform = OnceFailingSource(0)
+
+    run_watch(relay, platform, kind_watch.RETRY_MAX_S + 0.2)
+    # A listing, the watch whose answer is lost, and the next one.
+    assert platform.calls >= 3
