Use ejected endpoints that still answer as the last resort

Change: an ejected endpoint whose latest result is a success takes requests while all others are full, and counts as capacity. Its next failure ends that.

Endpoints that fail all: as before.

--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -199,7 +199,7 @@
         return [
             target
             for target in self.targets()
-            if not self._outliers.is_ejected(target.endpoint_id)
+            if self._outliers.is_usable(target.endpoint_id)
         ]
 
     def _acquire(
@@ -243,7 +243,7 @@
         in_use = [
             target
             for target in untried
-            if not self._outliers.is_ejected(target.endpoint_id)
+            if self._outliers.is_usable(target.endpoint_id)
         ]
         # An ejected endpoint is better than none.
         free = [
--- a/redwingvalve/ingress/outlier_detection.py
+++ b/redwingvalve/ingress/outlier_detection.py
@@ -14,7 +14,9 @@
 
 An ejected endpoint gets single probes, requests that may be sent again, at
 growing intervals. One that succeeds puts it back into use, on probation: its
-next failure ejects it again.
+next failure ejects it again. If its latest result, also of an earlier request,
+is a success, it is the last resort while all others are full: when most
+endpoints lose a part of their answers, the slots of these are still needed.
 """
 
 import math
@@ -94,6 +96,8 @@
     rate: _FailureRate = attrs.field(factory=_FailureRate)
     score: float = 0.0
     ejection: _Ejection | None = None
+    # Whether the latest result was a success.
+    has_succeeded: bool = False
     # Duration of the latest ejection, and when it ended.
     last_duration_s: float = 0.0
     returned_s: float = -math.inf
@@ -115,6 +119,7 @@
         now_s = self._clock()
         state = self._state(endpoint_id)
         state.rate.record(now_s, is_failure=is_failure)
+        state.has_succeeded = not is_failure
         rates = self._reporters.setdefault(reporter, {})
         rates.setdefault(endpoint_id, _FailureRate()).record(
             now_s, is_failure=is_failure
@@ -134,6 +139,7 @@
         """Record the result of a probe."""
         state = self._state(endpoint_id)
         state.rate.record(self._clock(), is_failure=is_failure)
+        state.has_succeeded = not is_failure
         ejection = state.ejection
         if ejection is None:
             return
@@ -145,10 +151,15 @@
         self._return_to_use(state)
 
     def is_ejected(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint gets probes only."""
+        """Return whether an endpoint is out of use, but for probes."""
         state = self._endpoints.get(endpoint_id)
         return state is not None and state.ejection is not None
 
+    def is_usable(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint may take requests, if only as the last."""
+        state = self._endpoints.get(endpoint_id)
+        return state is None or state.ejection is None or state.has_succeeded
+
     def penalty(self, endpoint_id: str) -> float:
         """Return how much fuller an endpoint counts, from 0 to 1.
 
@@ -156,7 +167,11 @@
         too many endpoints fail to eject them all.
         """
         state = self._endpoints.get(endpoint_id)
-        return min(state.score / _EJECTION_SCORE, 1.0) if state else 0.0
+        if state is None:
+            return 0.0
+        if state.ejection is not None:
+            return 1.0
+        return min(state.score / _EJECTION_SCORE, 1.0)
 
     def needs_probe(self, endpoint_id: str) -> bool:
         """Return whether a probe of an ejected endpoint is due."""
