Let a cut-off node end no ejections

Cause: when the usual failure rate reached that of a failing endpoint, all ejected endpoints returned, since then all fail. That rate included what the reporting node sees elsewhere, so three failures of one cut-off node sufficed.

Change: only the median of the pool's other endpoints counts for it.

--- a/redwingvalve/ingress/outlier_detection.py
+++ b/redwingvalve/ingress/outlier_detection.py
@@ -127,13 +127,16 @@
         # What was sent before an ejection says nothing about its end.
         if state.ejection is not None or not (is_failure or state.score):
             return
-        usual_rate = self._usual_rate(endpoint_id, reporter)
+        pool_rate = self._median_rate_of_others(endpoint_id)
+        if pool_rate >= FAILING_RATE:
+            self._return_all()
+            return
+        reporter_rate = self._rate_elsewhere(endpoint_id, reporter)
+        usual_rate = max(pool_rate, reporter_rate, MIN_USUAL_RATE)
         score = state.score + _evidence(usual_rate, is_failure=is_failure)
         state.score = min(max(score, 0.0), _MAX_SCORE)
         if is_failure and state.score >= _EJECTION_SCORE:
             self._eject(state)
-        if usual_rate >= FAILING_RATE:
-            self._return_all()
 
     def record_probe(self, endpoint_id: str, *, is_failure: bool) -> None:
         """Record the result of a probe."""
@@ -218,7 +221,7 @@
     def _state(self, endpoint_id: str) -> _EndpointState:
         return self._endpoints.setdefault(endpoint_id, _EndpointState())
 
-    def _usual_rate(self, endpoint_id: str, reporter: str) -> float:
+    def _median_rate_of_others(self, endpoint_id: str) -> float:
         """Return the failure rate to expect if the endpoint is sound."""
         now_s = self._clock()
         others = [
@@ -231,9 +234,7 @@
             _rate(state.rate.counts(now_s), ENDPOINT_PRIOR_COUNT)
             for state in in_use or others
         ]
-        median = statistics.median_low(rates) if rates else 0.0
-        reporter_rate = self._rate_elsewhere(endpoint_id, reporter)
-        return max(median, reporter_rate, MIN_USUAL_RATE)
+        return statistics.median_low(rates) if rates else 0.0
 
     def _rate_elsewhere(self, endpoint_id: str, reporter: str) -> float:
         """Return the failure rate that a node sees at other endpoints."""
--- a/redwingvalve/ingress/tests/test_outlier_detection.py
+++ b/redwingvalve/ingress/tests/test_outlier_detection.py
@@ -87,6 +87,18 @@
     assert len(pool.ejected()) <= 1
 
 
+def test_a_node_that_is_cut_off_ends_no_ejection():
+    """Its failures say nothing of the endpoints, in either direction."""
+    pool = Pool(endpoints=12)
+    for name in pool.names:
+        pool.record(name, '....', reporter='vm-2')
+    pool.record('e1', 'xx', reporter='vm-2')
+    for name in pool.names[2:]:
+        pool.record(name, 'xx', reporter='vm-1')
+        pool.record(name, '.', reporter='vm-2')
+    assert 'e1' in pool.ejected()
+
+
 def test_at_most_half_of_a_pool_is_ejected():
     pool = Pool()
     for name in pool.names[:4]:
