--- a/redwingvalve/entry/model_attempts.py
+++ b/redwingvalve/entry/model_attempts.py
@@ -14,6 +14,7 @@
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.entry import (
     admission_queues,
+    attempt_failures,
     delivered_events,
     dependencies,
     model_request,
@@ -24,7 +25,6 @@
 )
 
 OK_STATUS = 200
-FIRST_SERVER_ERROR = 500
 CANCEL_TIMEOUT_S = 2.0
 # A hung replica doesn't answer a cancellation either, and its caller waits to
 # resume elsewhere; the closed connection has the same effect.
@@ -33,25 +33,6 @@
 MS_PER_S = 1000
 
 
-@attrs.frozen
-class AttemptFailure:
-    """An attempt without a complete response; outcome is of this attempt only.
-
-    retriable means that another replica may succeed; status is the endpoint's
-    status if it responded. connection_lost means that the connection broke, as
-    it does if an endpoint crashes while it runs the request. stalled means that
-    the stream stalled although its connection was open.
-    """
-
-    outcome: outcomes.Outcome
-    message: str
-    retriable: bool = True
-    status: int = 0
-    endpoint_fault: bool = False
-    connection_lost: bool = False
-    stalled: bool = False
-
-
 @attrs.define
 class RequestProgress:
     """State of one request over all of its attempts."""
@@ -112,7 +93,7 @@
         identity: response_check.ResponseIdentity,
         monitored: stall_monitor.MonitoredAttempt,
         on_first_token: collections_abc.Callable[[], None],
-    ) -> AttemptFailure | None:
+    ) -> attempt_failures.AttemptFailure | None:
         """Run one attempt; return None if the caller got a complete response.
 
         Cancelling the scope of monitored aborts the stream.
@@ -149,7 +130,7 @@
         identity: response_check.ResponseIdentity,
         monitored: stall_monitor.MonitoredAttempt,
         on_first_token: collections_abc.Callable[[], None],
-    ) -> AttemptFailure | None:
+    ) -> attempt_failures.AttemptFailure | None:
         try:
             with monitored.scope, contextlib.suppress(StalledError):
                 return await self._exchange_once(
@@ -160,14 +141,18 @@
                     on_first_token,
                 )
         except upstream.UpstreamError as error:
-            return self._connection_failure(error)
+            return attempt_failures.for_lost_connection(
+                error, self._dependencies.switches
+            )
         except response_check.ResponseMismatchError as error:
-            return AttemptFailure(outcomes.Outcome.UNKNOWN, str(error))
+            return attempt_failures.AttemptFailure(
+                outcomes.Outcome.UNKNOWN, str(error)
+            )
         except response_check.IncompleteResponseError as error:
-            return AttemptFailure(
+            return attempt_failures.AttemptFailure(
                 outcomes.Outcome.UNKNOWN, str(error), endpoint_fault=True
             )
-        return _stall_failure()
+        return attempt_failures.for_stall()
 
     async def _exchange_once(
         self,
@@ -176,7 +161,7 @@
         identity: response_check.ResponseIdentity,
         monitored: stall_monitor.MonitoredAttempt,
         on_first_token: collections_abc.Callable[[], None],
-    ) -> AttemptFailure | None:
+    ) -> attempt_failures.AttemptFailure | None:
         async with self._exchange(upstream_request, monitored) as exchange:
             return await self._receive(
                 exchange, progress, identity, on_first_token
@@ -248,10 +233,10 @@
         progress: RequestProgress,
         identity: response_check.ResponseIdentity,
         on_first_token: collections_abc.Callable[[], None],
-    ) -> AttemptFailure | None:
+    ) -> attempt_failures.AttemptFailure | None:
         response = exchange.response
         if response.status != OK_STATUS:
-            refusal = await _read_refusal(response)
+            refusal = await attempt_failures.read_refusal(response)
             exchange.ended = True
             return refusal
         response_check.check_headers(
@@ -315,24 +300,6 @@
             )
         await finish_stream(writer)
 
-    def _connection_failure(
-        self, error: upstream.UpstreamError
-    ) -> AttemptFailure:
-        # Only a connection that was never established proves that nothing ran.
-        # After the first byte the endpoint may have run the whole request and
-        # crashed.
-        not_run = error.not_sent
-        if not self._dependencies.switches.enabled(
-            invariants.Safeguard.TRUTHFUL_NOT_RUN
-        ):
-            not_run = True
-        return AttemptFailure(
-            outcomes.Outcome.NOT_RUN if not_run else outcomes.Outcome.UNKNOWN,
-            str(error),
-            endpoint_fault=True,
-            connection_lost=not error.not_sent,
-        )
-
     async def _clean_up(
         self, exchange: '_Exchange', upstream_request: upstream.UpstreamRequest
     ) -> None:
@@ -381,14 +348,6 @@
         self.span.end()
 
 
-def _stall_failure() -> AttemptFailure:
-    # No endpoint_fault: the replica hangs but is alive, and routing already
-    # sends less work to it.
-    return AttemptFailure(
-        outcomes.Outcome.UNKNOWN, 'the stream stalled', stalled=True
-    )
-
-
 async def finish_stream(writer: response_writer.ResponseWriter) -> None:
     """End a complete stream."""
     await _ensure_started(writer)
@@ -400,21 +359,3 @@
         await writer.start(
             OK_STATUS, response_writer.SSE_TYPE, outcomes.Outcome.RAN
         )
-
-
-async def _read_refusal(response: upstream.UpstreamResponse) -> AttemptFailure:
-    """Return the failure for a response that isn't a success."""
-    chunk_sizes = [len(chunk) async for chunk in response.chunks]
-    stated = dict(response.headers).get(outcomes.OUTCOME_HEADER, '')
-    not_run = stated == outcomes.Outcome.NOT_RUN
-    ran = stated == outcomes.Outcome.RAN
-    outcome = outcomes.Outcome.UNKNOWN
-    if not_run or ran:
-        outcome = outcomes.Outcome(stated)
-    return AttemptFailure(
-        outcome=outcome,
-        message=f'the endpoint responded with status {response.status}, '
-        f'{sum(chunk_sizes)} bytes',
-        retriable=not_run or response.status >= FIRST_SERVER_ERROR,
-        status=response.status,
-    )
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -13,6 +13,7 @@
 from redwingvalve.entry import (
     account_limiter,
     admission_queues,
+    attempt_failures,
     delivered_events,
     dependencies,
     model_attempts,
@@ -170,7 +171,7 @@
     ) -> outcomes.ErrorResponse | None:
         refusal: outcomes.ErrorResponse | None = None
         tried: set[str] = set()
-        failure: model_attempts.AttemptFailure | None = None
+        failure: attempt_failures.AttemptFailure | None = None
         while refusal is None:
             attempt = self._next_attempt(progress, digest, frozenset(tried))
             if attempt is None:
@@ -216,7 +217,7 @@
         attempt: _Attempt,
         digest: bytes,
         tried: frozenset[str],
-    ) -> model_attempts.AttemptFailure | None:
+    ) -> attempt_failures.AttemptFailure | None:
         policy = self.selector.routing(progress.request.deployment.name)
         identity = model_attempts.response_check.ResponseIdentity(
             attempt.route.request_id, progress.request.head.request_id
@@ -337,7 +338,9 @@
             )
 
     def _report_failure(
-        self, replica: snapshot.Replica, failure: model_attempts.AttemptFailure
+        self,
+        replica: snapshot.Replica,
+        failure: attempt_failures.AttemptFailure,
     ) -> None:
         LOGGER.warning(
             'upstream request failed',
@@ -355,7 +358,7 @@
     async def _after_failure(
         self,
         progress: model_attempts.RequestProgress,
-        failure: model_attempts.AttemptFailure,
+        failure: attempt_failures.AttemptFailure,
         digest: bytes,
     ) -> outcomes.ErrorResponse | None:
         """Prepare the next attempt, or return the error of the request."""
--- a/redwingvalve/entry/relay_refusals.py
+++ b/redwingvalve/entry/relay_refusals.py
@@ -1,14 +1,14 @@
 """The errors returned to callers of model requests."""
 
 from redwingvalve.core import outcomes
-from redwingvalve.entry import model_attempts
+from redwingvalve.entry import attempt_failures, model_attempts
 
 RETRY_AFTER_S = 1.0
 
 
 def no_replica(
     progress: model_attempts.RequestProgress,
-    failure: model_attempts.AttemptFailure | None,
+    failure: attempt_failures.AttemptFailure | None,
 ) -> outcomes.ErrorResponse:
     """Return the error if no replica is left to send to."""
     if failure is not None:
@@ -23,7 +23,7 @@
 
 
 def refused_by_endpoint(
-    failure: model_attempts.AttemptFailure,
+    failure: attempt_failures.AttemptFailure,
     progress: model_attempts.RequestProgress,
 ) -> outcomes.ErrorResponse:
     """Return an endpoint's refusal with its own status."""
@@ -36,7 +36,7 @@
 
 
 def failed(
-    failure: model_attempts.AttemptFailure, outcome: outcomes.Outcome
+    failure: attempt_failures.AttemptFailure, outcome: outcomes.Outcome
 ) -> outcomes.ErrorResponse:
     """Return the error of a request whose last attempt failed."""
     return outcomes.ErrorResponse(
--- a/redwingvalve/entry/relay_retries.py
+++ b/redwingvalve/entry/relay_retries.py
@@ -5,7 +5,7 @@
 import attrs
 
 from redwingvalve.core import clock, outcomes
-from redwingvalve.entry import model_attempts
+from redwingvalve.entry import attempt_failures, model_attempts
 from redwingvalve.retries import budget, decisions
 
 
@@ -54,7 +54,7 @@
     def decide(
         self,
         progress: model_attempts.RequestProgress,
-        failure: model_attempts.AttemptFailure,
+        failure: attempt_failures.AttemptFailure,
     ) -> decisions.RetryDecision:
         """Return the next step after a failed attempt."""
         retries = self._retries[progress.request.deployment.name]
