--- a/redwingvalve/replicas/controller.py
+++ b/redwingvalve/replicas/controller.py
@@ -19,6 +19,7 @@
 )
 from redwingvalve.replicas import domain as domain_module
 from redwingvalve.replicas import (
+    domain_changes,
     domain_monitor,
     domain_store,
     draft,
@@ -187,7 +188,9 @@
         next_domain: domain_module.FabricDomain,
         desired: tuple[view_module.DesiredShare, ...],
     ) -> None:
-        self._short_deployments = _short_deployments(next_domain, desired)
+        self._short_deployments = domain_changes.short_deployments(
+            next_domain, desired
+        )
         if not self._short_deployments:
             self._short_since_s = None
         elif self._short_since_s is None:
@@ -301,7 +304,7 @@
             view, self._dependencies.switches, self._dependencies.policy
         )
         self._record_shortage(next_domain, inputs.desired)
-        return _with_events(
+        return domain_changes.with_events(
             current, next_domain, self._dependencies.clock.wall_s()
         )
 
@@ -360,50 +363,6 @@
         return self._dependencies.clock.monotonic_s()
 
 
-def _short_deployments(
-    domain: domain_module.FabricDomain,
-    desired: tuple[view_module.DesiredShare, ...],
-) -> frozenset[str]:
-    """Return the deployments of which the domain does not hold its share."""
-    broken = domain_module.ReplicaState.BROKEN
-    return frozenset(
-        share.deployment.name
-        for share in desired
-        if share.replicas
-        > sum(
-            each.deployment == share.deployment.name and each.state != broken
-            for each in domain.replicas
-        )
-    )
-
-
-def _with_events(
-    before: domain_module.FabricDomain,
-    after: domain_module.FabricDomain,
-    at_s: float,
-) -> domain_module.FabricDomain:
-    updated = after
-    for replica in after.replicas:
-        old = before.replica(replica.name)
-        if old is not None and (old.state, old.epoch) == (
-            replica.state,
-            replica.epoch,
-        ):
-            continue
-        reason = f': {replica.reason}' if replica.reason else ''
-        updated = updated.with_event(
-            domain_module.DomainEvent(
-                at_s, replica.name, f'{replica.state.value}{reason}'
-            )
-        )
-    for gone in before.replicas:
-        if after.replica(gone.name) is None:
-            updated = updated.with_event(
-                domain_module.DomainEvent(at_s, gone.name, 'ended')
-            )
-    return updated
-
-
 def make_domain_controller(
     name: str, owner: str, dependencies: Dependencies
 ) -> DomainController:
