--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -234,7 +234,7 @@
 def _release_state(
     outcome: upstream.Outcome | None,
 ) -> reservations.ReleaseState:
-    if outcome in _FREES_SLOT:
+    if outcome in _SLOT_IS_FREE:
         return reservations.ReleaseState.FREE
     if outcome is upstream.Outcome.NOT_RUN:
         return reservations.ReleaseState.REFUSED
@@ -245,13 +245,13 @@
 def _result(outcome: upstream.Outcome | None) -> reservations.EndpointResult:
     if outcome is upstream.Outcome.COMPLETE:
         return reservations.EndpointResult.SUCCESS
-    if outcome in _SAYS_NOTHING:
+    if outcome in _INCONCLUSIVE:
         return reservations.EndpointResult.UNKNOWN
     return reservations.EndpointResult.FAILURE
 
 
 _OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
-_FREES_SLOT = frozenset(
+_SLOT_IS_FREE = frozenset(
     (
         upstream.Outcome.COMPLETE,
         upstream.Outcome.FAILURE,
@@ -259,6 +259,6 @@
         upstream.Outcome.EXPIRED,
     )
 )
-_SAYS_NOTHING = frozenset(
+_INCONCLUSIVE = frozenset(
     (None, upstream.Outcome.CALLER_GONE, upstream.Outcome.EXPIRED)
 )
--- a/redwingvalve/ingress/outlier_detection.py
+++ b/redwingvalve/ingress/outlier_detection.py
@@ -43,6 +43,8 @@
 # whose requests fail at two endpoints has more likely met two that fail.
 ENDPOINT_PRIOR_COUNT = 1.0
 REPORTER_PRIOR_COUNT = 4.0
+# Nodes without results for this long are forgotten; their rates are near 0.
+REPORTER_RETENTION_S = 5 * RATE_DECAY_S
 # How long an endpoint is out of use before a probe; doubles each time.
 EJECTION_MIN_S = 0.5
 EJECTION_MAX_S = 2.0
@@ -214,7 +216,8 @@
             reporter: rates
             for reporter, rates in self._reporters.items()
             if any(
-                now_s - rate.updated_s < RELAPSE_S for rate in rates.values()
+                now_s - rate.updated_s < REPORTER_RETENTION_S
+                for rate in rates.values()
             )
         }
 
