Restore the package's logger after each test

Tests of observability and of the command line configure the logs of a daemon and left the logger so; pytest attaches its handler to a logger that doesn't propagate, and the test then turned propagation on.

Change: a fixture restores handlers, level and propagation after each test; the test no longer touches them. Its assertions are unchanged.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Shared pytest and Hypothesis configuration."""
 
+import logging
 import os
 import pathlib
 
@@ -23,6 +24,22 @@
 hypothesis.settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
+@pytest.fixture(autouse=True)
+def restored_logger():
+    """Undo what a test does to the package's logger.
+
+    Otherwise log lines are captured twice, or not at all, by later tests of a
+    process whose earlier test configured the logs of a daemon.
+    """
+    logger = logging.getLogger('redwingvalve')
+    handlers, level = list(logger.handlers), logger.level
+    propagate = logger.propagate
+    yield
+    logger.handlers[:] = handlers
+    logger.setLevel(level)
+    logger.propagate = propagate
+
+
 def known_red():
     """Return the entries of KNOWN-RED.txt by test id."""
     if not KNOWN_RED.exists():
--- a/redwingvalve/node/tests/test_streams.py
+++ b/redwingvalve/node/tests/test_streams.py
@@ -1,7 +1,5 @@
 """Streams that callers get from a node, over real connections."""
 
-import logging
-
 import anyio
 
 from redwingvalve.platform.tests import fleet_harness
@@ -146,7 +144,6 @@
     """
 
     async def test(fleet):
-        logging.getLogger('redwingvalve').propagate = True
         retry_budget = fleet.nodes[0].state.retry_budget(
             fleet_harness.ENGINE_SERVICE
         )
