Log the rate limits that endpoints state in their answers

Answers carry Server-Limit, the requests a second that an endpoint takes from all nodes together. The log lines of requests now say what each answer stated, so that the logs show when a limit began, which nodes were told and what was sent afterwards. Nothing is decided by it yet.

Header values that can't be read, and answers of another endpoint that has taken over the address (421), say nothing; the former are logged.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -184,7 +184,6 @@
         responses.send_refusal(self._responder, self._caller, refusal)
 
     def _log_outcome(self, target: load_balancing.Target, outcome: str) -> None:
-        latest = self._sender.upstream_request
         responses.log_upstream_outcome(
             outcome,
             self._caller,
@@ -192,7 +191,7 @@
             target,
             sends=self._sender.sent_count,
             last_event=self._forwarder.last_event,
-            reason=latest.reason if latest else '',
+            latest=self._sender.upstream_request,
             times=self._times,
         )
 
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -92,10 +92,10 @@
     *,
     sends: int,
     last_event: int | None,
-    reason: str,
+    latest: upstream.UpstreamRequest | None,
     times: timing.RequestTiming,
 ) -> None:
-    """Log the outcome of one upstream request."""
+    """Log the outcome of the latest upstream request, None without one."""
     node_metrics.METRICS.count(
         'redwingvalve_sends',
         outcome=outcome,
@@ -128,10 +128,17 @@
             'has_returned': admission.has_returned,
             'is_late_first': is_first_event_late,
             'on_time': on_time,
-            'reason': reason,
+            'reason': latest.reason if latest else '',
+            'endpoint_limit_per_s': _stated_limit(latest),
         },
     )
 
 
+def _stated_limit(latest: upstream.UpstreamRequest | None) -> float | None:
+    """Return the requests per second that the endpoint stated to take."""
+    statement = latest.statement if latest else None
+    return statement.requests_per_s if statement else None
+
+
 def _decode(raw: bytes) -> str:
     return raw.decode('latin-1')
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -6,7 +6,7 @@
 
 from redwingvalve.http1 import client, messages
 from redwingvalve.ingress import events
-from redwingvalve.platform import names
+from redwingvalve.platform import endpoint_statements, names
 
 _OK = 200
 _REDIRECT = 300
@@ -41,6 +41,8 @@
         loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[Outcome] = loop.create_future()
         self.head: messages.ResponseHead | None = None
+        # What the endpoint stated about itself, None before the head.
+        self.statement: endpoint_statements.Statement | None = None
         self.reason = ''
         self._attempt_id = attempt_id
         self._body: list[bytes] = []
@@ -62,8 +64,9 @@
         return echoed == self._attempt_id
 
     def head_received(self, head: messages.ResponseHead) -> None:
-        """Store the response head."""
+        """Store the response head and what it states."""
         self.head = head
+        self.statement = endpoint_statements.read_statement(head)
 
     def body_received(self, chunk: bytes) -> None:
         """Append to the body."""
--- /dev/null
+++ b/redwingvalve/platform/endpoint_statements.py
@@ -0,0 +1,63 @@
+"""Reads what endpoints state about themselves in the heads of answers."""
+
+import math
+import typing
+
+import attrs
+
+from redwingvalve.http1 import messages
+from redwingvalve.observability import logs
+from redwingvalve.platform import names
+
+LOG = logs.make_logger('statements')
+_OTHER_ENDPOINT = 421
+
+
+class InvalidStatementError(ValueError):
+    """A header whose value cannot be read."""
+
+
+@attrs.frozen
+class Statement:
+    """What an endpoint states in one answer."""
+
+    # Requests per second that it takes from all nodes together; None if it
+    # states no limit.
+    requests_per_s: float | None = None
+
+
+NOTHING: typing.Final = Statement()
+
+
+def read_statement(head: messages.ResponseHead) -> Statement | None:
+    """Return the statement in an answer, or None if there is no valid one.
+
+    An answer from another endpoint, to which the address belongs now, says
+    nothing about the one that was asked.
+    """
+    if head.status == _OTHER_ENDPOINT:
+        return None
+    try:
+        return Statement(requests_per_s=_number(head, names.RATE_LIMIT_HEADER))
+    except InvalidStatementError as error:
+        LOG.warning('unusable statement', extra={'error': str(error)})
+        return None
+
+
+def _number(head: messages.ResponseHead, name: bytes) -> float | None:
+    """Return a header's finite, non-negative number, None without one."""
+    raw = head.header(name)
+    if raw is None:
+        return None
+    text = raw.decode('latin-1')
+    try:
+        number = float(text)
+    except ValueError as error:
+        raise _invalid(name, text) from error
+    if not math.isfinite(number) or number < 0:
+        raise _invalid(name, text)
+    return number
+
+
+def _invalid(name: bytes, text: str) -> InvalidStatementError:
+    return InvalidStatementError(f'{name.decode()}: {text!r} is no number >= 0')
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import time
 import typing
 
 import attrs
@@ -41,6 +42,8 @@
     is_cut_off_from_store: bool = False
     # After an order to close, the endpoint stays in the closing state.
     never_drains: bool = False
+    # Stated in all answers to requests, but not enforced.
+    stated_requests_per_s: float | None = None
 
 
 @attrs.frozen
@@ -67,6 +70,8 @@
         self.endpoint_id = endpoint_id
         self.faults = EndpointFaults()
         self.runs: list[Run] = []
+        # Times at which requests arrived, by the monotonic clock.
+        self.arrivals_s: list[float] = []
         self.orders: list[Document] = []
         self.cancelled_attempts: list[bytes] = []
         self.events_per_response = 6
@@ -255,9 +260,11 @@
     async def _run(
         self, request: messages.Request, responder: server.Responder
     ) -> None:
+        self.arrivals_s.append(time.monotonic())
         attempt = request.header(b'x-attempt-id') or b''
+        stated = self._statement_headers()
         if self.faults.rejects_requests:
-            responder.send_response(503, [(b'x-not-run', b'1')], b'')
+            responder.send_response(503, [(b'x-not-run', b'1'), *stated], b'')
             return
         last = request.header(b'last-event-id')
         self.runs.append(
@@ -274,6 +281,7 @@
         headers = [
             (b'x-attempt-id', attempt),
             (b'x-server-seal', self.endpoint_id.encode()),
+            *stated,
         ]
         if self.faults.returns_server_error:
             responder.send_response(500, headers, b'failed')
@@ -283,6 +291,10 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
             self._answer(responder, headers, attempt)
 
+    def _statement_headers(self) -> messages.Headers:
+        limit = self.faults.stated_requests_per_s
+        return [] if limit is None else [(b'server-limit', b'%g' % limit)]
+
     def _answer(
         self,
         responder: server.Responder,
--- /dev/null
+++ b/redwingvalve/platform/tests/test_endpoint_statements.py
@@ -0,0 +1,33 @@
+"""What answers of endpoints say about the endpoints themselves."""
+
+import pytest
+
+from redwingvalve.http1 import messages
+from redwingvalve.platform import endpoint_statements
+
+
+def read(*headers, status=200):
+    return endpoint_statements.read_statement(
+        messages.ResponseHead(status, list(headers), True)
+    )
+
+
+@pytest.mark.parametrize(
+    ('text', 'requests_per_s'), [(b'1', 1.0), (b'0.25', 0.25), (b'0', 0.0)]
+)
+def test_a_rate_limit_is_read(text, requests_per_s):
+    assert read((b'server-limit', text)).requests_per_s == requests_per_s
+
+
+def test_an_answer_without_statements_states_no_rate_limit():
+    assert read() == endpoint_statements.NOTHING
+
+
+@pytest.mark.parametrize('text', [b'', b'many', b'-1', b'nan', b'inf', b'\xff'])
+def test_an_unreadable_rate_limit_says_nothing(text):
+    """It must not be taken for the end of a limit."""
+    assert read((b'server-limit', text)) is None
+
+
+def test_an_answer_from_another_endpoint_at_the_address_says_nothing():
+    assert read((b'server-limit', b'1'), status=421) is None
