--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -262,7 +262,7 @@
     ) -> None:
         self.arrivals_s.append(time.monotonic())
         attempt = request.header(b'x-attempt-id') or b''
-        stated = self._statement_headers()
+        stated = _statement_headers(self.faults)
         if self.faults.rejects_requests:
             responder.send_response(503, [(b'x-not-run', b'1'), *stated], b'')
             return
@@ -291,10 +291,6 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
             self._answer(responder, headers, attempt)
 
-    def _statement_headers(self) -> messages.Headers:
-        limit = self.faults.stated_requests_per_s
-        return [] if limit is None else [(b'server-limit', b'%g' % limit)]
-
     def _answer(
         self,
         responder: server.Responder,
@@ -331,6 +327,11 @@
         responder.finish()
 
 
+def _statement_headers(faults: EndpointFaults) -> messages.Headers:
+    limit = faults.stated_requests_per_s
+    return [] if limit is None else [(b'server-limit', b'%g' % limit)]
+
+
 def _answer_json(
     responder: server.Responder, status: int, document: Document
 ) -> None:
