--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -6,16 +6,23 @@
 
 import asyncio
 import collections
+import functools
 import random
+import typing
 from collections import abc as collections_abc
 
 import attrs
 
-from redwingvalve.allocation import messages
+from redwingvalve.allocation import (
+    hold_table,
+    limit_messages,
+    messages,
+    rate_limits,
+)
 from redwingvalve.allocation import pool as pool_module
 from redwingvalve.allocation import usage as usage_module
 from redwingvalve.ingress import load_balancing
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('allocation')
 
@@ -30,6 +37,16 @@
     is_cancelled: bool = False
 
 
+# Sends a message to the other nodes that may be asked for a pool's slots.
+Forward: typing.TypeAlias = collections_abc.Callable[
+    [messages.Pool, messages.Message], None
+]
+
+
+def _forward_nothing(pool: messages.Pool, message: messages.Message) -> None:
+    """Forward nothing, as no other node is known."""
+
+
 @attrs.define(eq=False)
 class Allocator:
     """All pools that this node owns."""
@@ -37,6 +54,8 @@
     targets: pool_module.PoolTargets
     clock: pool_module.Clock
     rng: random.Random = attrs.field(factory=random.Random)
+    limits: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
+    forward: Forward = _forward_nothing
     _pools: dict[messages.Pool, pool_module.SlotPool] = attrs.field(
         factory=dict
     )
@@ -60,13 +79,13 @@
         pool = self.pool(ask.pool)
         held = pool.holds.find(key)
         if held is not None:
-            reply(_granted_reply(ask, held.endpoint_id))
+            reply(self._granted_reply(ask, held.endpoint_id))
             return
-        pool.record_slow_endpoints(ask)
-        acquire_slot = pool.acquirer_for(sender, ask)
+        pool.endpoint_slots.mark_slow(ask.slow)
+        acquire_slot = functools.partial(pool.acquire, sender, ask)
         target = pool.queue.try_acquire(ask.need, acquire_slot)
         if target is not None:
-            reply(_granted_reply(ask, target.endpoint_id))
+            reply(self._granted_reply(ask, target.endpoint_id))
         elif ask.may_wait:
             self._enqueue(key, ask, reply)
         else:
@@ -96,6 +115,30 @@
         """Reconcile the holds of a node with those that it reports."""
         self.pool(holdings.pool).reconcile(sender, holdings.endpoint_ids)
 
+    def record_limits(
+        self, sender: messages.Sender, report: limit_messages.LimitReport
+    ) -> None:
+        """Apply the rate limits and the starts that a node reports."""
+        now_s = self.clock()
+        for limit in report.limits:
+            if self.limits.record(limit.to_statement(now_s)):
+                node_metrics.METRICS.count('redwingvalve_rate_limit_changes')
+                LOG.info(
+                    'rate limit changed',
+                    extra={
+                        'endpoint': limit.endpoint_id,
+                        'limit_per_s': limit.requests_per_s,
+                        'told_by': sender.vm,
+                    },
+                )
+        for start in report.starts:
+            holder = sender
+            if start.vm:
+                holder = messages.Sender(start.vm, start.born_ms)
+            self.limits.record_start(
+                start.endpoint_id, (holder, start.number), now_s - start.ago_s
+            )
+
     def drop_node(self, vm: str) -> None:
         """Free the slots of a node that is gone."""
         for pool in self._pools.values():
@@ -103,6 +146,7 @@
 
     def tick(self) -> None:
         """Drop expired state of all pools and serve their queues."""
+        self.limits.drop_expired(self.clock())
         for pool in self._pools.values():
             pool.tick()
 
@@ -136,6 +180,8 @@
             targets=lambda: self.targets(key),
             rng=self.rng,
             clock=self.clock,
+            limits=self.limits,
+            on_limited_start=functools.partial(self._forward_start, key),
         )
         self._pools[key] = created
         LOG.info('pool counted here', extra=attrs.asdict(key))
@@ -162,7 +208,7 @@
         waiting_ask: _WaitingAsk,
     ) -> None:
         pool = self.pool(ask.pool)
-        acquire = pool.acquirer_for(key[0], ask)
+        acquire = functools.partial(pool.acquire, key[0], ask)
 
         def acquire_slot() -> load_balancing.Target | None:
             return None if waiting_ask.is_cancelled else acquire()
@@ -173,19 +219,36 @@
             if self._waiting_asks.get(key) is waiting_ask:
                 self._waiting_asks.pop(key)
         if target is not None:
-            waiting_ask.reply(_granted_reply(ask, target.endpoint_id))
+            waiting_ask.reply(self._granted_reply(ask, target.endpoint_id))
             return
         refused = messages.Reply(
             ask.number,
             messages.Outcome.REFUSED,
-            retry_after_s=pool.queue.retry_after_s(),
+            retry_after_s=pool.retry_after_s(),
         )
         waiting_ask.reply(refused)
 
+    def _forward_start(
+        self, pool: messages.Pool, key: hold_table.Key, endpoint_id: str
+    ) -> None:
+        """Tell the node that would be asked next, or was asked in vain."""
+        node_metrics.METRICS.count('redwingvalve_rate_limited_starts')
+        holder, number = key
+        start = limit_messages.Start(
+            endpoint_id, number, 0.0, holder.vm, holder.born_ms
+        )
+        self.forward(pool, limit_messages.LimitReport((), (start,)))
 
-def _queued_reply(ask: messages.Ask) -> messages.Reply:
-    return messages.Reply(ask.number, messages.Outcome.QUEUED)
+    def _granted_reply(
+        self, ask: messages.Ask, endpoint_id: str
+    ) -> messages.Reply:
+        return messages.Reply(
+            ask.number,
+            messages.Outcome.GRANTED,
+            endpoint_id,
+            is_rate_limited=self.limits.is_limited(endpoint_id),
+        )
 
 
-def _granted_reply(ask: messages.Ask, endpoint_id: str) -> messages.Reply:
-    return messages.Reply(ask.number, messages.Outcome.GRANTED, endpoint_id)
+def _queued_reply(ask: messages.Ask) -> messages.Reply:
+    return messages.Reply(ask.number, messages.Outcome.QUEUED)
--- /dev/null
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -0,0 +1,109 @@
+"""Tells which slots of each endpoint may be granted now.
+
+Load pattern: endpoints refuse requests although slots seem free, restart while
+requests are in progress, turn slow, or limit their rate far below what their
+slots admit.
+"""
+
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.allocation import hold_table, rate_limits
+from redwingvalve.ingress import load_balancing
+
+# An endpoint that refuses a request although slots seem free is still serving
+# requests whose holds are gone; they end within this time.
+REFUSAL_COOLDOWN_S = 0.25
+# A slot whose request ended without an answer is not granted for this long: its
+# endpoint may be dead, which the next connection reveals.
+UNCERTAIN_SLOT_S = 0.25
+# An endpoint that a node reported as slow is chosen last for this long.
+SLOW_ENDPOINT_S = 2.0
+
+
+@attrs.frozen
+class _UncertainSlot:
+    """A slot that may still be in use, or belong to a dead endpoint."""
+
+    endpoint_id: str
+    until_s: float
+
+
+@attrs.define(eq=False)
+class EndpointSlots:
+    """The slots of the endpoints of one pool."""
+
+    clock: collections_abc.Callable[[], float]
+    limits: rate_limits.RateLimits
+    holds: hold_table.HoldTable = attrs.field(factory=hold_table.HoldTable)
+    _refused_until_s: dict[str, float] = attrs.field(factory=dict)
+    _slow_until_s: dict[str, float] = attrs.field(factory=dict)
+    _uncertain_slots: list[_UncertainSlot] = attrs.field(factory=list)
+
+    def hold(
+        self,
+        key: hold_table.Key,
+        target: load_balancing.Target,
+        *,
+        is_probe: bool = False,
+    ) -> None:
+        """Hold a slot for a request that starts now."""
+        now_s = self.clock()
+        self.holds.add(key, target.endpoint_id, now_s, is_probe=is_probe)
+        self.limits.record_start(target.endpoint_id, key, now_s)
+
+    def mark_refused(self, endpoint_id: str) -> None:
+        """Grant no slot of an endpoint that has just refused a request."""
+        self._refused_until_s[endpoint_id] = self.clock() + REFUSAL_COOLDOWN_S
+
+    def mark_uncertain(self, endpoint_id: str) -> None:
+        """Keep a slot that may still be in use from being granted."""
+        until_s = self.clock() + UNCERTAIN_SLOT_S
+        self._uncertain_slots.append(_UncertainSlot(endpoint_id, until_s))
+
+    def mark_slow(self, endpoint_ids: collections_abc.Iterable[str]) -> None:
+        """Choose endpoints last that a node found slow."""
+        until_s = self.clock() + SLOW_ENDPOINT_S
+        for endpoint_id in endpoint_ids:
+            self._slow_until_s[endpoint_id] = until_s
+
+    def is_slow(self, endpoint_id: str) -> bool:
+        """Return whether a node found an endpoint slow."""
+        return endpoint_id in self._slow_until_s
+
+    def usable_at(self, target: load_balancing.Target, hold_s: float) -> float:
+        """Return the slots that an endpoint's requests can fill.
+
+        hold_s is how long a request holds a slot.
+        """
+        limit_per_s = self.limits.requests_per_s(target.endpoint_id)
+        return min(target.slots, limit_per_s * hold_s)
+
+    def free_at(self, target: load_balancing.Target) -> int:
+        """Return the slots of an endpoint that may be granted now."""
+        now_s = self.clock()
+        if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
+            return 0
+        if self.limits.wait_s(target.endpoint_id, now_s) > 0:
+            return 0
+        uncertain = sum(
+            one.endpoint_id == target.endpoint_id and one.until_s > now_s
+            for one in self._uncertain_slots
+        )
+        held = self.holds.count(target.endpoint_id) + uncertain
+        return max(0, target.slots - held)
+
+    def drop_expired(self) -> None:
+        """Drop expired state."""
+        now_s = self.clock()
+        self.holds.drop_expired(now_s)
+        self._refused_until_s = _unexpired(self._refused_until_s, now_s)
+        self._slow_until_s = _unexpired(self._slow_until_s, now_s)
+        self._uncertain_slots = [
+            one for one in self._uncertain_slots if one.until_s > now_s
+        ]
+
+
+def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
+    return {name: one for name, one in until_s.items() if one > now_s}
--- /dev/null
+++ b/redwingvalve/allocation/held_slots.py
@@ -0,0 +1,147 @@
+"""The slots that requests of this node hold, and reports of them."""
+
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.allocation import limit_reporter as limit_reporter_module
+from redwingvalve.allocation import messages, owners
+from redwingvalve.ingress import load_balancing, reservations, state
+from redwingvalve.platform import endpoint_statements
+
+
+@attrs.frozen
+class Grant:
+    """A slot that was granted to this node."""
+
+    number: int
+    pool: messages.Pool
+    # Empty if this node chose the target locally.
+    owner: str
+    endpoint_id: str
+    is_rate_limited: bool = False
+
+
+@attrs.frozen
+class _HeldSlot:
+    grant: Grant
+    target: load_balancing.Target
+    started_s: float
+
+
+@attrs.frozen
+class _SlotReservation(reservations.Reservation):
+    target: load_balancing.Target
+    _number: int
+    _slots: 'HeldSlots'
+
+    def record_statement(
+        self, statement: endpoint_statements.Statement
+    ) -> None:
+        self._slots.record_statement(self._number, statement)
+
+    def release(
+        self,
+        leaving: reservations.ReleaseState,
+        result: reservations.EndpointResult = (
+            reservations.EndpointResult.UNKNOWN
+        ),
+    ) -> None:
+        self._slots.release(messages.Release(self._number, leaving, result))
+
+
+@attrs.define(eq=False)
+class HeldSlots:
+    """All slots that this node holds, by number of the ask."""
+
+    owners: owners.PoolOwners
+    transport: messages.Transport
+    loads: load_balancing.EndpointLoads
+    clock: collections_abc.Callable[[], float]
+    limit_reporter: limit_reporter_module.LimitReporter
+    _held: dict[int, _HeldSlot] = attrs.field(factory=dict)
+    _last_owners: dict[messages.Pool, str] = attrs.field(factory=dict)
+
+    def __contains__(self, number: object) -> bool:
+        """Return whether the slot granted for an ask is held."""
+        return number in self._held
+
+    def hold(
+        self, grant: Grant, target: load_balancing.Target
+    ) -> reservations.Reservation:
+        """Hold a granted slot until it is released."""
+        self._held[grant.number] = _HeldSlot(grant, target, self.clock())
+        self.loads.add_request(target.endpoint_id)
+        self.limit_reporter.record_start(target.endpoint_id, grant.number)
+        return _SlotReservation(target, grant.number, self)
+
+    def record_statement(
+        self, number: int, statement: endpoint_statements.Statement
+    ) -> None:
+        """Record what the endpoint of a held slot states in its answer."""
+        held = self._held.get(number)
+        if held is None:
+            return
+        request = limit_reporter_module.AnsweredRequest(
+            held.grant.pool,
+            number,
+            held.grant.endpoint_id,
+            held.started_s,
+            held.grant.is_rate_limited,
+        )
+        self.limit_reporter.record_answer(request, statement.requests_per_s)
+
+    def release(self, release: messages.Release) -> None:
+        """Release a slot."""
+        held = self._held.pop(release.number, None)
+        if held is None:
+            return
+        self.loads.remove_request(held.target.endpoint_id)
+        owner = held.grant.owner or self._current_owner(held.grant.pool)
+        if owner:
+            self.transport.send(owner, release)
+
+    def report(self) -> None:
+        """Report held slots and rate limits to the owners of their pools."""
+        self.limit_reporter.report(self._last_owners)
+        pools = {held.grant.pool for held in self._held.values()}
+        for pool in pools:
+            self._report_pool(pool)
+
+    def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
+        """Report to an owner before it grants more."""
+        self.limit_reporter.report_before_ask(pool, vm)
+        if self._last_owners.get(pool) == vm:
+            return
+        is_first = pool not in self._last_owners
+        self._last_owners[pool] = vm
+        if not is_first:
+            self._report_pool(pool)
+
+    def _current_owner(self, pool: messages.Pool) -> str:
+        return next(iter(self.owners.ranked_for(pool)), '')
+
+    def _report_pool(self, pool: messages.Pool) -> None:
+        owner = self._current_owner(pool)
+        endpoint_ids = {
+            number: held.target.endpoint_id
+            for number, held in self._held.items()
+            if held.grant.pool == pool
+        }
+        if owner and endpoint_ids:
+            holdings = messages.Holdings(pool, endpoint_ids)
+            self.transport.send(owner, holdings)
+
+
+def make_held_slots(
+    pool_owners: owners.PoolOwners,
+    transport: messages.Transport,
+    loads: load_balancing.EndpointLoads,
+    targets: state.TargetProvider,
+    clock: collections_abc.Callable[[], float],
+) -> HeldSlots:
+    """Return an empty table with its reporter of rate limits."""
+    reporter = limit_reporter_module.LimitReporter(
+        targets, pool_owners, transport, clock
+    )
+    return HeldSlots(pool_owners, transport, loads, clock, reporter)
--- /dev/null
+++ b/redwingvalve/allocation/limit_messages.py
@@ -0,0 +1,148 @@
+"""Reports of rate limits between nodes, and their encoding.
+
+Moments are sent as ages, because the clocks of nodes differ.
+"""
+
+import typing
+
+import attrs
+
+from redwingvalve.allocation import rate_limits
+from redwingvalve.wire import structs
+
+# Keeps a report within one packet.
+MAX_REPORTED_ENDPOINTS = 16
+MAX_REPORTED_STARTS = 16
+_MS_IN_S = 1000.0
+_Type = structs.Type
+
+
+@attrs.frozen
+class StatedLimit:
+    """A rate limit that an endpoint stated in an answer to a node."""
+
+    endpoint_id: str
+    # Over all nodes together; infinite if the limit is over.
+    requests_per_s: float
+    asked_ago_s: float
+    stated_ago_s: float
+
+    def to_statement(self, now_s: float) -> rate_limits.LimitStatement:
+        """Return the statement with times of the local clock."""
+        return rate_limits.LimitStatement(
+            self.endpoint_id,
+            self.requests_per_s,
+            now_s - self.asked_ago_s,
+            now_s - self.stated_ago_s,
+        )
+
+
+@attrs.frozen
+class Start:
+    """A request that a rate-limited endpoint gets."""
+
+    endpoint_id: str
+    # Number of the ask that got the slot.
+    number: int
+    ago_s: float
+    # The node that sends it, empty for the sender of the report.
+    vm: str = ''
+    born_ms: int = 0
+
+
+@attrs.frozen
+class LimitReport:
+    """What a node was told by endpoints, and starts that it knows of."""
+
+    limits: tuple[StatedLimit, ...]
+    starts: tuple[Start, ...]
+
+
+_LimitStruct: typing.Any = structs.make_struct(
+    'StatedLimit',
+    (_Type.STRING, 'endpoint_id'),
+    (_Type.DOUBLE, 'requests_per_s'),
+    (_Type.I32, 'asked_ago_ms'),
+    (_Type.I32, 'stated_ago_ms'),
+)
+_StartStruct: typing.Any = structs.make_struct(
+    'Start',
+    (_Type.STRING, 'endpoint_id'),
+    (_Type.I64, 'number'),
+    (_Type.I32, 'ago_ms'),
+    (_Type.STRING, 'vm'),
+    (_Type.I64, 'born_ms'),
+)
+LimitReportStruct: typing.Any = structs.make_struct(
+    'LimitReport',
+    (_Type.LIST, 'limits', (_Type.STRUCT, _LimitStruct)),
+    (_Type.LIST, 'starts', (_Type.STRUCT, _StartStruct)),
+)
+
+
+def make_stated_limit(
+    statement: rate_limits.LimitStatement, now_s: float
+) -> StatedLimit:
+    """Return a statement in the form in which it is sent."""
+    return StatedLimit(
+        statement.endpoint_id,
+        statement.requests_per_s,
+        now_s - statement.asked_s,
+        now_s - statement.stated_s,
+    )
+
+
+def to_struct(report: LimitReport) -> typing.Any:
+    """Return the thrift form of a report."""
+    return LimitReportStruct(
+        limits=[
+            _LimitStruct(
+                endpoint_id=limit.endpoint_id,
+                requests_per_s=limit.requests_per_s,
+                asked_ago_ms=int(limit.asked_ago_s * _MS_IN_S),
+                stated_ago_ms=int(limit.stated_ago_s * _MS_IN_S),
+            )
+            for limit in report.limits
+        ],
+        starts=[
+            _StartStruct(
+                endpoint_id=start.endpoint_id,
+                number=start.number,
+                ago_ms=int(start.ago_s * _MS_IN_S),
+                vm=start.vm or None,
+                born_ms=start.born_ms or None,
+            )
+            for start in report.starts
+        ],
+    )
+
+
+def from_struct(struct: typing.Any) -> LimitReport:
+    """Return the report in a thrift struct; raises TypeError."""
+    return LimitReport(
+        tuple(_read_limit(one) for one in struct.limits or ()),
+        tuple(_read_start(one) for one in struct.starts or ()),
+    )
+
+
+def _read_limit(struct: typing.Any) -> StatedLimit:
+    if not struct.endpoint_id or not struct.requests_per_s >= 0:
+        raise TypeError('limit without an endpoint or a valid rate')
+    return StatedLimit(
+        struct.endpoint_id,
+        struct.requests_per_s,
+        struct.asked_ago_ms / _MS_IN_S,
+        struct.stated_ago_ms / _MS_IN_S,
+    )
+
+
+def _read_start(struct: typing.Any) -> Start:
+    if not struct.endpoint_id or struct.number is None:
+        raise TypeError('start without an endpoint or a number')
+    return Start(
+        struct.endpoint_id,
+        struct.number,
+        struct.ago_ms / _MS_IN_S,
+        struct.vm or '',
+        struct.born_ms or 0,
+    )
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from redwingvalve.allocation import limit_messages
 from redwingvalve.ingress import reservations, wait_queue
 from redwingvalve.wire import structs
 
@@ -74,6 +75,8 @@
     retry_after_s: float = 0
     # Expected wait for a slot.
     expected_wait_s: float = 0
+    # Whether the granted endpoint has a rate limit.
+    is_rate_limited: bool = False
 
 
 @attrs.frozen
@@ -93,7 +96,16 @@
     endpoint_ids: dict[int, str]
 
 
-Message: typing.TypeAlias = Ask | Reply | Release | Holdings
+Message: typing.TypeAlias = (
+    Ask | Reply | Release | Holdings | limit_messages.LimitReport
+)
+
+
+class Transport(typing.Protocol):
+    """Sends messages to other nodes; messages may be lost."""
+
+    def send(self, vm: str, message: Message) -> None:
+        """Send a message to a node, or drop it if the node is unknown."""
 
 
 @attrs.frozen
@@ -131,6 +143,7 @@
     (_Type.STRING, 'endpoint_id'),
     (_Type.I32, 'retry_after_ms'),
     (_Type.I32, 'expected_ms'),
+    (_Type.BOOL, 'is_rate_limited'),
 )
 _ReleaseStruct: typing.Any = structs.make_struct(
     'Release',
@@ -151,6 +164,7 @@
     (_Type.STRUCT, 'reply', _ReplyStruct),
     (_Type.STRUCT, 'release', _ReleaseStruct),
     (_Type.STRUCT, 'holdings', _HoldingsStruct),
+    (_Type.STRUCT, 'limits', limit_messages.LimitReportStruct),
 )
 
 
@@ -169,6 +183,7 @@
             endpoint_id=message.endpoint_id,
             retry_after_ms=_ms(message.retry_after_s),
             expected_ms=_ms(message.expected_wait_s),
+            is_rate_limited=message.is_rate_limited,
         )
     elif isinstance(message, Release):
         struct.release = _ReleaseStruct(
@@ -176,6 +191,8 @@
             leaving=message.leaving.value,
             result=message.result.value,
         )
+    elif isinstance(message, limit_messages.LimitReport):
+        struct.limits = limit_messages.to_struct(message)
     else:
         struct.holdings = _HoldingsStruct(
             pool=_pool_struct(message.pool), endpoint_ids=message.endpoint_ids
@@ -205,6 +222,8 @@
             _read_pool(struct.holdings.pool),
             dict(struct.holdings.endpoint_ids or {}),
         )
+    if struct.limits is not None:
+        return limit_messages.from_struct(struct.limits)
     raise MessageError('datagram contains no known message')
 
 
@@ -255,6 +274,7 @@
         endpoint_id=struct.endpoint_id or '',
         retry_after_s=(struct.retry_after_ms or 0) / _MS_IN_S,
         expected_wait_s=(struct.expected_ms or 0) / _MS_IN_S,
+        is_rate_limited=bool(struct.is_rate_limited),
     )
 
 
--- a/redwingvalve/allocation/owners.py
+++ b/redwingvalve/allocation/owners.py
@@ -95,3 +95,16 @@
         names = local or [candidate.vm for candidate in candidates]
         pool_key = f'{pool.service}\0{pool.model}\0{pool.data_centre}'
         return rendezvous.select(names, pool_key, len(names))
+
+
+def send_to_owners(
+    pool_owners: PoolOwners,
+    transport: messages.Transport,
+    local_vm: str,
+    pool: messages.Pool,
+    message: messages.Message,
+) -> None:
+    """Send a message to the other nodes that are asked for a pool's slots."""
+    for vm in pool_owners.ranked_for(pool):
+        if vm != local_vm:
+            transport.send(vm, message)
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -6,7 +6,6 @@
 the owner, counts the slots of a pool and keeps the queue for them.
 """
 
-import functools
 import math
 import random
 import typing
@@ -14,11 +13,13 @@
 
 import attrs
 
-from redwingvalve.allocation import hold_table, messages
+from redwingvalve.allocation import endpoint_slots as endpoint_slots_module
+from redwingvalve.allocation import hold_table, messages, rate_limits
 from redwingvalve.ingress import (
     duration_estimates,
     load_balancing,
     outlier_detection,
+    refusals,
     reservations,
     wait_queue,
 )
@@ -29,32 +30,19 @@
 # use, and at most this share of all slots.
 RESERVED_STDDEVS = 0.5
 MAX_RESERVED_SHARE = 0.25
-# An endpoint that refuses a request although slots seem free is still serving
-# requests whose holds are gone; they end within this time.
-REFUSAL_COOLDOWN_S = 0.25
-# A slot whose request ended without an answer is not granted for this long: its
-# endpoint may be dead, which the next connection reveals.
-UNCERTAIN_SLOT_S = 0.25
-# An endpoint that a node reported as slow is chosen last for this long.
-SLOW_ENDPOINT_S = 2.0
 # Limit on the endpoints whose domains are known, including those that are gone.
 MAX_KNOWN_DOMAINS = 10_000
 
 _Rank: typing.TypeAlias = tuple[bool, bool, float, float]
 Clock = collections_abc.Callable[[], float]
+OnLimitedStart: typing.TypeAlias = collections_abc.Callable[
+    [hold_table.Key, str], None
+]
 Targets = collections_abc.Callable[
     [], collections_abc.Sequence[load_balancing.Target]
 ]
 
 
-@attrs.frozen
-class _UncertainSlot:
-    """A slot that may still be in use, or belong to a dead endpoint."""
-
-    endpoint_id: str
-    until_s: float
-
-
 @attrs.define(eq=False)
 class SlotPool(wait_queue.SlotCapacity):
     """The slots of one pool, and the queue for them."""
@@ -62,39 +50,53 @@
     targets: Targets
     rng: random.Random
     clock: Clock
-    holds: hold_table.HoldTable = attrs.field(factory=hold_table.HoldTable)
+    limits: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
+    # Called with each hold that counts against a rate limit.
+    on_limited_start: OnLimitedStart = lambda key, endpoint_id: None
     _hold_time: duration_estimates.DurationEstimate = attrs.field(
         factory=duration_estimates.make_hold_time_estimate
     )
-    _refused_until_s: dict[str, float] = attrs.field(factory=dict)
-    _slow_until_s: dict[str, float] = attrs.field(factory=dict)
-    _uncertain_slots: list[_UncertainSlot] = attrs.field(factory=list)
     # Domains by endpoint, also of endpoints that are gone.
     _domains: dict[str, str] = attrs.field(factory=dict)
     _outliers: outlier_detection.OutlierDetector = attrs.field(init=False)
+    endpoint_slots: endpoint_slots_module.EndpointSlots = attrs.field(
+        init=False
+    )
     queue: wait_queue.WaitQueue = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the queue and the outlier detector."""
+        """Create the queue, the slots and the outlier detector."""
+        self.endpoint_slots = endpoint_slots_module.EndpointSlots(
+            self.clock, self.limits
+        )
         self.queue = wait_queue.WaitQueue(self.clock, self)
         self._outliers = outlier_detection.OutlierDetector(self.clock)
 
+    @property
+    def holds(self) -> hold_table.HoldTable:
+        """Return the slots that are held."""
+        return self.endpoint_slots.holds
+
     @property
     def is_busy(self) -> bool:
         """Return whether slots are held or waited for."""
         return bool(len(self.holds) or len(self.queue))
 
-    def acquirer_for(
+    def acquire(
         self, sender: messages.Sender, ask: messages.Ask
-    ) -> load_balancing.AcquireSlot:
-        """Return the callback that acquires a slot for an ask."""
-        return functools.partial(self._acquire, sender, ask)
-
-    def record_slow_endpoints(self, ask: messages.Ask) -> None:
-        """Record the endpoints that the asking node found slow."""
-        until_s = self.clock() + SLOW_ENDPOINT_S
-        for endpoint_id in ask.slow:
-            self._slow_until_s[endpoint_id] = until_s
+    ) -> load_balancing.Target | None:
+        """Hold a slot for an ask if one is free; return its target."""
+        probed = self._choose_probe_target(ask)
+        target = probed or self._choose_target(ask.avoid)
+        if target is None:
+            return None
+        if probed is not None:
+            self._outliers.start_probe(probed.endpoint_id)
+        key = (sender, ask.number)
+        self.endpoint_slots.hold(key, target, is_probe=probed is not None)
+        if self.limits.is_limited(target.endpoint_id):
+            self.on_limited_start(key, target.endpoint_id)
+        return target
 
     def release(
         self,
@@ -109,11 +111,9 @@
         now_s = self.clock()
         self._record_result(hold, key[0].vm, result)
         if leaving is reservations.ReleaseState.REFUSED:
-            self._refused_until_s[hold.endpoint_id] = now_s + REFUSAL_COOLDOWN_S
+            self.endpoint_slots.mark_refused(hold.endpoint_id)
         elif leaving is reservations.ReleaseState.UNCERTAIN:
-            self._uncertain_slots.append(
-                _UncertainSlot(hold.endpoint_id, now_s + UNCERTAIN_SLOT_S)
-            )
+            self.endpoint_slots.mark_uncertain(hold.endpoint_id)
         elif result is not reservations.EndpointResult.FAILURE:
             self._hold_time.observe(now_s - hold.since_s)
         self.queue.dispatch()
@@ -132,13 +132,7 @@
 
     def tick(self) -> None:
         """Drop expired state, then serve the queue."""
-        now_s = self.clock()
-        self.holds.drop_expired(now_s)
-        self._refused_until_s = _unexpired(self._refused_until_s, now_s)
-        self._slow_until_s = _unexpired(self._slow_until_s, now_s)
-        self._uncertain_slots = [
-            one for one in self._uncertain_slots if one.until_s > now_s
-        ]
+        self.endpoint_slots.drop_expired()
         domains = {one.endpoint_id: one.domain for one in self.targets()}
         self._outliers.tick(domains)
         if len(self._domains) > MAX_KNOWN_DOMAINS:
@@ -153,16 +147,37 @@
 
     def free_slots(self) -> int:
         """Return the number of free slots in use."""
-        return sum(map(self._free_slots_at, self._in_use()))
+        return sum(map(self.endpoint_slots.free_at, self._in_use()))
 
     def slots(self) -> int:
         """Return the number of all slots in use, held or free."""
-        return sum(target.slots for target in self._in_use())
+        return int(
+            sum(
+                self.endpoint_slots.usable_at(target, self._hold_time.seconds)
+                for target in self._in_use()
+            )
+        )
 
     def freed_per_s(self) -> float:
         """Return the slots freed per second while all are held."""
         return self.slots() / self._hold_time.seconds
 
+    def blocked_s(self) -> float:
+        """Return how long rate limits keep all endpoints from a request."""
+        now_s = self.clock()
+        return min(
+            (
+                self.limits.wait_s(target.endpoint_id, now_s)
+                for target in self._in_use()
+            ),
+            default=0.0,
+        )
+
+    def retry_after_s(self) -> float:
+        """Return after how many seconds a refused caller should retry."""
+        not_before_s = refusals.before_jitter_s(self.blocked_s())
+        return max(self.queue.retry_after_s(), not_before_s)
+
     def has_spare_slots(self) -> bool:
         """Return whether late requests may take a slot now.
 
@@ -202,20 +217,6 @@
             if self._outliers.is_usable(target.endpoint_id)
         ]
 
-    def _acquire(
-        self, sender: messages.Sender, ask: messages.Ask
-    ) -> load_balancing.Target | None:
-        key = (sender, ask.number)
-        probed = self._choose_probe_target(ask)
-        if probed is not None:
-            self._outliers.start_probe(probed.endpoint_id)
-            self.holds.add(key, probed.endpoint_id, self.clock(), is_probe=True)
-            return probed
-        target = self._choose_target(ask.avoid)
-        if target is not None:
-            self.holds.add(key, target.endpoint_id, self.clock())
-        return target
-
     def _choose_probe_target(
         self, ask: messages.Ask
     ) -> load_balancing.Target | None:
@@ -223,7 +224,7 @@
             return None
         for target in self.targets():
             is_due = self._outliers.needs_probe(target.endpoint_id)
-            if is_due and self._free_slots_at(target) > 0:
+            if is_due and self.endpoint_slots.free_at(target) > 0:
                 return target
         return None
 
@@ -249,7 +250,7 @@
         free = [
             target
             for target in in_use or untried
-            if self._free_slots_at(target) > 0
+            if self.endpoint_slots.free_at(target) > 0
         ]
         failed_domains = {
             self._domains.get(endpoint_id, '') for endpoint_id in avoid
@@ -262,25 +263,10 @@
 
     def _rank(self, target: load_balancing.Target) -> tuple[bool, float, float]:
         load = self.holds.count(target.endpoint_id) / target.slots
-        is_slow = target.endpoint_id in self._slow_until_s
+        is_slow = self.endpoint_slots.is_slow(target.endpoint_id)
         penalty = self._outliers.penalty(target.endpoint_id)
         return is_slow, load + penalty, self.rng.random()
 
-    def _free_slots_at(self, target: load_balancing.Target) -> int:
-        now_s = self.clock()
-        if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
-            return 0
-        uncertain = sum(
-            one.endpoint_id == target.endpoint_id and one.until_s > now_s
-            for one in self._uncertain_slots
-        )
-        held = self.holds.count(target.endpoint_id) + uncertain
-        return max(0, target.slots - held)
-
-
-def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
-    return {name: one for name, one in until_s.items() if one > now_s}
-
 
 PoolTargets: typing.TypeAlias = collections_abc.Callable[
     [messages.Pool], collections_abc.Sequence[load_balancing.Target]
--- /dev/null
+++ b/redwingvalve/allocation/rate_limits.py
@@ -0,0 +1,155 @@
+"""Counts the requests that rate-limited endpoints get from all nodes.
+
+Load pattern: an endpoint in trouble states in its answers how many requests per
+second it takes from all nodes together, far fewer than its slots admit. Nodes
+learn this at different times, from answers that overtake each other, and the
+node that grants the endpoint's slots may change meanwhile.
+
+Statements and starts can be merged in any order and repeatedly, so each node
+reports what it knows to whichever node grants the slots.
+"""
+
+import math
+from collections import abc as collections_abc
+
+import attrs
+
+# Lower bound of a limit: only an answer shows that a limit has ended, so an
+# endpoint that takes nothing still gets a request from time to time.
+MIN_REQUESTS_PER_S = 0.1
+# The longest window in which the starts at an endpoint are counted.
+MAX_WINDOW_S = 1 / MIN_REQUESTS_PER_S
+# Endpoints that gave no answer for this long are forgotten.
+RETENTION_S = 60.0
+
+
+@attrs.frozen
+class LimitStatement:
+    """The rate limit that an endpoint stated in one answer."""
+
+    endpoint_id: str
+    # Over all nodes together; infinite without a limit.
+    requests_per_s: float
+    # Not later than the moment at which the answered request was sent.
+    asked_s: float
+    # When the answer arrived.
+    stated_s: float
+
+    def supersedes(self, other: 'LimitStatement') -> bool:
+        """Return whether this statement counts and not another one.
+
+        If it is uncertain which is newer, the stricter one counts.
+        """
+        if self.asked_s >= other.stated_s:
+            return True
+        if other.asked_s >= self.stated_s:
+            return False
+        if self.requests_per_s == other.requests_per_s:
+            return self.stated_s > other.stated_s
+        return self.requests_per_s < other.requests_per_s
+
+
+@attrs.define(eq=False)
+class RateLimits:
+    """Stated limits of endpoints, and the starts that count against them."""
+
+    _statements: dict[str, LimitStatement] = attrs.field(factory=dict)
+    # Start times by endpoint and by what identifies each request.
+    _starts: dict[str, dict[collections_abc.Hashable, float]] = attrs.field(
+        factory=dict
+    )
+
+    def record(self, statement: LimitStatement) -> bool:
+        """Record a statement; return whether it changes a limit."""
+        endpoint_id = statement.endpoint_id
+        known = self._statements.get(endpoint_id)
+        if known is not None and not statement.supersedes(known):
+            return False
+        before_per_s = self.requests_per_s(endpoint_id)
+        self._statements[endpoint_id] = statement
+        return before_per_s != self.requests_per_s(endpoint_id)
+
+    def record_start(
+        self,
+        endpoint_id: str,
+        key: collections_abc.Hashable,
+        started_s: float,
+    ) -> None:
+        """Count a request once against an endpoint's limit, if it has one."""
+        if self.is_limited(endpoint_id):
+            starts = self._starts.setdefault(endpoint_id, {})
+            starts.setdefault(key, started_s)
+
+    def requests_per_s(self, endpoint_id: str) -> float:
+        """Return an endpoint's limit, infinite if it has none."""
+        statement = self._statements.get(endpoint_id)
+        if statement is None:
+            return math.inf
+        return max(statement.requests_per_s, MIN_REQUESTS_PER_S)
+
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint has a limit."""
+        return math.isfinite(self.requests_per_s(endpoint_id))
+
+    def limited(self) -> list[str]:
+        """Return the endpoints that have a limit."""
+        return [name for name in self._statements if self.is_limited(name)]
+
+    def wait_s(self, endpoint_id: str, now_s: float) -> float:
+        """Return how long an endpoint takes no further request."""
+        starts = self._starts.get(endpoint_id)
+        if not starts or not self.is_limited(endpoint_id):
+            return 0
+        count, window_s = _window(self.requests_per_s(endpoint_id))
+        latest = sorted(starts.values())[-count:]
+        if len(latest) < count:
+            return 0
+        return max(0, latest[0] + window_s - now_s)
+
+    def statements(self, since_s: float) -> list[LimitStatement]:
+        """Return the statements that arrived after a moment."""
+        return [
+            statement
+            for statement in self._statements.values()
+            if statement.stated_s > since_s
+        ]
+
+    def recent_starts(
+        self, endpoint_id: str, now_s: float
+    ) -> dict[collections_abc.Hashable, float]:
+        """Return the starts that still count at an endpoint, by request."""
+        if not self.is_limited(endpoint_id):
+            return {}
+        _, window_s = _window(self.requests_per_s(endpoint_id))
+        return {
+            key: started_s
+            for key, started_s in self._starts.get(endpoint_id, {}).items()
+            if started_s > now_s - window_s
+        }
+
+    def drop_expired(self, now_s: float) -> None:
+        """Forget endpoints without recent answers, and starts long ago."""
+        self._statements = {
+            endpoint_id: statement
+            for endpoint_id, statement in self._statements.items()
+            if statement.stated_s > now_s - RETENTION_S
+        }
+        self._starts = {
+            endpoint_id: {
+                key: started_s
+                for key, started_s in starts.items()
+                if started_s > now_s - MAX_WINDOW_S
+            }
+            for endpoint_id, starts in self._starts.items()
+            if self.is_limited(endpoint_id)
+        }
+
+
+def _window(requests_per_s: float) -> tuple[int, float]:
+    """Return how many requests may start within a window, and its length.
+
+    The window holds a whole number of requests, so that fractions of a request
+    per second are neither lost nor exceeded.
+    """
+    count = math.ceil(requests_per_s)
+    return count, count / requests_per_s
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -15,7 +15,7 @@
 import anyio
 import attrs
 
-from redwingvalve.allocation import messages
+from redwingvalve.allocation import held_slots, messages
 from redwingvalve.allocation import owners as owners_module
 from redwingvalve.ingress import load_balancing, reservations, state, wait_queue
 from redwingvalve.observability import node_metrics
@@ -46,13 +46,6 @@
 _NO_ENDPOINTS = messages.Outcome.NO_ENDPOINTS
 
 
-class Transport(typing.Protocol):
-    """Sends messages to other nodes; messages may be lost."""
-
-    def send(self, vm: str, message: messages.Message) -> None:
-        """Send a message to a node, or drop it if the node is unknown."""
-
-
 @attrs.define(eq=False)
 class _PendingAsk:
     number: int
@@ -68,40 +61,6 @@
         self.changed.set()
 
 
-@attrs.frozen
-class _Grant:
-    number: int
-    pool: messages.Pool
-    # Empty if this node chose the target locally.
-    owner: str
-    endpoint_id: str
-
-
-@attrs.frozen
-class _HeldSlot:
-    pool: messages.Pool
-    target: load_balancing.Target
-    # Node that granted it; empty if this node chose the target locally.
-    owner: str
-
-
-@attrs.frozen
-class _SlotReservation(reservations.Reservation):
-    target: load_balancing.Target
-    _number: int
-    _reserver: 'NodeReserver'
-
-    def release(
-        self,
-        leaving: reservations.ReleaseState,
-        result: reservations.EndpointResult = (
-            reservations.EndpointResult.UNKNOWN
-        ),
-    ) -> None:
-        release = messages.Release(self._number, leaving, result)
-        self._reserver.release_slot(release)
-
-
 @attrs.define(eq=False)
 class NodeReserver(reservations.Reserver):
     """Reserves slots for the requests of one node."""
@@ -109,7 +68,7 @@
     data_centre: str
     targets: state.TargetProvider
     owners: owners_module.PoolOwners
-    transport: Transport
+    transport: messages.Transport
     loads: load_balancing.EndpointLoads
     clock: collections_abc.Callable[[], float]
     rng: random.Random = attrs.field(factory=random.Random)
@@ -119,8 +78,13 @@
         factory=lambda: itertools.count(1)
     )
     _pending_asks: dict[int, _PendingAsk] = attrs.field(factory=dict)
-    _held_slots: dict[int, _HeldSlot] = attrs.field(factory=dict)
-    _last_owners: dict[messages.Pool, str] = attrs.field(factory=dict)
+    _held_slots: held_slots.HeldSlots = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the table of held slots."""
+        self._held_slots = held_slots.make_held_slots(
+            self.owners, self.transport, self.loads, self.targets, self.clock
+        )
 
     async def reserve(
         self,
@@ -150,7 +114,7 @@
                 return found
             target = self._find_granted_target(found)
             if target is not None:
-                return self._record_hold(found, target)
+                return self._held_slots.hold(found, target)
             self.transport.send(found.owner, messages.Release(found.number))
             avoided_ids.append(found.endpoint_id)
         return reservations.NoSlot(RETRY_AFTER_S)
@@ -165,16 +129,6 @@
             # No request waits for the slot any more.
             self.transport.send(vm, messages.Release(reply.number))
 
-    def release_slot(self, release: messages.Release) -> None:
-        """Release a slot."""
-        held = self._held_slots.pop(release.number, None)
-        if held is None:
-            return
-        self.loads.remove_request(held.target.endpoint_id)
-        owner = held.owner or self._current_owner(held.pool)
-        if owner:
-            self.transport.send(owner, release)
-
     async def run(self) -> typing.NoReturn:
         """Report held slots to their owners until cancelled."""
         while True:
@@ -182,14 +136,12 @@
             self.report()
 
     def report(self) -> None:
-        """Report held slots to their owners."""
-        pools = {held.pool for held in self._held_slots.values()}
-        for pool in pools:
-            self._report_pool(pool)
+        """Report held slots and rate limits to their owners."""
+        self._held_slots.report()
 
     async def _find_slot(
         self, pools: list[messages.Pool], ask: messages.Ask
-    ) -> _Grant | reservations.NoSlot:
+    ) -> held_slots.Grant | reservations.NoSlot:
         """Return a slot of the first pool that has one, or wait for one.
 
         If all pools are full, the request waits for the one with the shortest
@@ -212,14 +164,20 @@
 
     async def _try_pool(
         self, ask: messages.Ask
-    ) -> _Grant | reservations.NoSlot | messages.Reply:
+    ) -> held_slots.Grant | reservations.NoSlot | messages.Reply:
         """Return a slot or a refusal, or the reply if the pool is full."""
         found = await self._ask_owners(ask)
         if found is None:
             return self._choose_locally(ask)
         vm, reply = found
         if reply.outcome is _GRANTED:
-            return _Grant(reply.number, ask.pool, vm, reply.endpoint_id)
+            return held_slots.Grant(
+                reply.number,
+                ask.pool,
+                vm,
+                reply.endpoint_id,
+                reply.is_rate_limited,
+            )
         if ask.may_wait:
             return reservations.NoSlot(reply.retry_after_s)
         return reply
@@ -243,7 +201,7 @@
         """Return the owner that answered and its reply, or None."""
         asked_s = self.clock()
         for vm in self.owners.ranked_for(ask.pool):
-            self._report_to_new_owner(ask.pool, vm)
+            self._held_slots.report_before_ask(ask.pool, vm)
             pending = _PendingAsk(next(self._numbers), vm)
             self._pending_asks[pending.number] = pending
             need = _deduct_elapsed(ask.need, self.clock() - asked_s)
@@ -313,22 +271,24 @@
 
     def _choose_locally(
         self, ask: messages.Ask
-    ) -> _Grant | reservations.NoSlot:
+    ) -> held_slots.Grant | reservations.NoSlot:
         """Choose an endpoint by this node's own view."""
         node_metrics.METRICS.count('redwingvalve_places_chosen_alone')
         targets = self.targets.find_targets(ask.pool.service, ask.pool.model)
+        # Only an owner knows how much of a rate limit other nodes have used.
+        avoid = (*ask.avoid, *self._held_slots.limit_reporter.limited())
         sampled = load_balancing.sample_candidates(targets, self.rng)
         for candidates in (sampled, targets):
             found = load_balancing.choose_least_loaded(
-                candidates, self.loads, self.rng, ask.avoid, ask.slow
+                candidates, self.loads, self.rng, avoid, ask.slow
             )
             if found is not None:
                 number = next(self._numbers)
-                return _Grant(number, ask.pool, '', found.endpoint_id)
+                return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
         return reservations.NoSlot(RETRY_AFTER_S)
 
     def _find_granted_target(
-        self, grant: _Grant
+        self, grant: held_slots.Grant
     ) -> load_balancing.Target | None:
         pool = grant.pool
         for target in self.targets.find_targets(pool.service, pool.model):
@@ -336,38 +296,6 @@
                 return target
         return None
 
-    def _record_hold(
-        self, grant: _Grant, target: load_balancing.Target
-    ) -> reservations.Reservation:
-        self._held_slots[grant.number] = _HeldSlot(
-            grant.pool, target, grant.owner
-        )
-        self.loads.add_request(target.endpoint_id)
-        return _SlotReservation(target, grant.number, self)
-
-    def _current_owner(self, pool: messages.Pool) -> str:
-        return next(iter(self.owners.ranked_for(pool)), '')
-
-    def _report_to_new_owner(self, pool: messages.Pool, vm: str) -> None:
-        """Report held slots to a new owner before it grants more."""
-        if self._last_owners.get(pool) == vm:
-            return
-        is_first = pool not in self._last_owners
-        self._last_owners[pool] = vm
-        if not is_first:
-            self._report_pool(pool)
-
-    def _report_pool(self, pool: messages.Pool) -> None:
-        owner = self._current_owner(pool)
-        endpoint_ids = {
-            number: held.target.endpoint_id
-            for number, held in self._held_slots.items()
-            if held.pool == pool
-        }
-        if owner and endpoint_ids:
-            holdings = messages.Holdings(pool, endpoint_ids)
-            self.transport.send(owner, holdings)
-
 
 def _deduct_elapsed(
     need: wait_queue.SlotRequest, elapsed_s: float
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -91,7 +91,9 @@
         sent_s = time.monotonic()
         outcome: upstream.Outcome | None = None
         try:
-            outcome = await self._sender.send(target)
+            outcome = await self._sender.send(
+                target, reservation.record_statement
+            )
         finally:
             reservation.release(_release_state(outcome), _result(outcome))
         if outcome is upstream.Outcome.COMPLETE and (
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -99,6 +99,11 @@
     return round(retry_after_s * factor, 2)
 
 
+def before_jitter_s(not_before_s: float) -> float:
+    """Return the Retry-After that jitter makes no shorter than a time."""
+    return not_before_s / (1 - RETRY_AFTER_JITTER)
+
+
 def on_time_wait_s(route: routes.Route, first_event_s: float) -> float:
     """Return the longest wait after which an answer still starts in time.
 
--- a/redwingvalve/ingress/reservations.py
+++ b/redwingvalve/ingress/reservations.py
@@ -7,6 +7,7 @@
 import attrs
 
 from redwingvalve.ingress import load_balancing, wait_queue
+from redwingvalve.platform import endpoint_statements
 
 
 class ReleaseState(enum.Enum):
@@ -34,6 +35,12 @@
 
     target: load_balancing.Target
 
+    @abc.abstractmethod
+    def record_statement(
+        self, statement: endpoint_statements.Statement
+    ) -> None:
+        """Record what the endpoint states in the head of its answer."""
+
     @abc.abstractmethod
     def release(
         self,
--- a/redwingvalve/ingress/tests/load_simulation.py
+++ b/redwingvalve/ingress/tests/load_simulation.py
@@ -30,6 +30,7 @@
     routes,
     wait_queue,
 )
+from redwingvalve.platform import endpoint_statements
 
 # One-way delay between nodes.
 DATAGRAM_DELAY_S = 0.001
@@ -108,9 +109,14 @@
         self._slots = anyio.Semaphore(slots)
         # Requests that arrived when all slots were taken.
         self.queued = 0
+        # Stated in each answer, None without a limit; not enforced.
+        self.stated_requests_per_s = None
+        # Arrivals: time, name and incarnation of the node that sent it.
+        self.arrivals = []
 
-    async def serve(self, first_event_s, service_s, on_first_event):
+    async def serve(self, node, first_event_s, service_s, on_first_event):
         """Run one request; on_first_event is called at its first event."""
+        self.arrivals.append((anyio.current_time(), node.name, node.born_ms))
         if self._slots.value == 0:
             self.queued += 1
         async with self._slots:
@@ -134,7 +140,6 @@
         self.data_centre = f'dc-{number % simulation.deployment.data_centres}'
         self.is_up = True
         self.born_ms = 0
-        self._reservations = {}
         self.start()
 
     def start(self):
@@ -145,12 +150,16 @@
         self.allocator = allocator.Allocator(
             self._pool_targets, anyio.current_time, self._simulation.rng
         )
+        pool_owners = owners.PoolOwners(
+            self._simulation.candidates, anyio.current_time
+        )
+        self.allocator.forward = functools.partial(
+            owners.send_to_owners, pool_owners, self, self.name
+        )
         self.reserver = reserver.NodeReserver(
             data_centre=self.data_centre,
             targets=self,
-            owners=owners.PoolOwners(
-                self._simulation.candidates, anyio.current_time
-            ),
+            owners=pool_owners,
             transport=self,
             loads=self.loads,
             clock=anyio.current_time,
@@ -202,42 +211,32 @@
             ),
             has_returned=has_returned and simulation.detects_caller_retries,
         )
-        target, retry_after_s = await self.reserve_slot(ask)
-        if target is None:
+        found = await self.reserver.reserve('s', 'model', ask, (), ())
+        if isinstance(found, reservations.NoSlot):
             simulation.results.held_s.append(anyio.current_time() - started_s)
-            return refusals.with_jitter_s(retry_after_s, simulation.rng)
+            return refusals.with_jitter_s(found.retry_after_s, simulation.rng)
         sent_s = anyio.current_time()
         with anyio.move_on_after(
             CALLER_PATIENCE_S - (sent_s - started_s)
         ) as timeout_scope:
             on_first_event = functools.partial(
-                self._on_first_event, first_attempt_s, sent_s, timeout_scope
+                self._on_first_event,
+                first_attempt_s,
+                sent_s,
+                timeout_scope,
+                found,
             )
-            await simulation.heads[target.endpoint_id].serve(
+            await simulation.heads[found.target.endpoint_id].serve(
+                self,
                 simulation.deployment.first_event_s,
                 simulation.sample_service_s(),
                 on_first_event,
             )
-        self.release_slot(target)
+        found.release(reservations.ReleaseState.FREE)
         if timeout_scope.cancelled_caught:
             simulation.results.lost.append(first_attempt_s)
         return None
 
-    async def reserve_slot(self, ask):
-        """Return the target of a slot, and otherwise the time to the retry."""
-        found = await self.reserver.reserve('s', 'model', ask, (), ())
-        if isinstance(found, reservations.NoSlot):
-            return None, found.retry_after_s
-        self._reservations.setdefault(found.target.endpoint_id, []).append(
-            found
-        )
-        return found.target, 0
-
-    def release_slot(self, target):
-        """Release a slot."""
-        held = self._reservations[target.endpoint_id].pop()
-        held.release(reservations.ReleaseState.FREE)
-
     def _pool_targets(self, pool):
         return tuple(
             target
@@ -245,8 +244,14 @@
             if pool.data_centre in {'', target.data_centre}
         )
 
-    def _on_first_event(self, first_attempt_s, sent_s, timeout_scope):
+    def _on_first_event(
+        self, first_attempt_s, sent_s, timeout_scope, reservation
+    ):
         now_s = anyio.current_time()
+        head = self._simulation.heads[reservation.target.endpoint_id]
+        self._simulation.answer_received(self, head)
+        statement = endpoint_statements.Statement(head.stated_requests_per_s)
+        reservation.record_statement(statement)
         timeout_scope.deadline = math.inf
         self.first_event_estimate.observe(now_s - sent_s)
         simulation = self._simulation
@@ -304,6 +309,9 @@
     async def inject_faults(self):
         """Inject no faults; subclasses override this."""
 
+    def answer_received(self, node, head):
+        """Observe the first event of an answer; subclasses override this."""
+
     def candidates(self):
         """Return all nodes, including those that are down."""
         return [
--- a/redwingvalve/ingress/tests/test_wait_queue.py
+++ b/redwingvalve/ingress/tests/test_wait_queue.py
@@ -33,6 +33,9 @@
     def slots(self):
         return 0
 
+    def blocked_s(self):
+        return 0.0
+
     def has_spare_slots(self):
         return self.has_spare
 
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import typing
+from collections import abc as collections_abc
 
 from redwingvalve.http1 import client, messages
 from redwingvalve.ingress import events
@@ -12,6 +13,12 @@
 _REDIRECT = 300
 
 
+# Called with what an endpoint states about itself, once its head is received.
+OnStatement: typing.TypeAlias = collections_abc.Callable[
+    [endpoint_statements.Statement], None
+]
+
+
 class Outcome(enum.Enum):
     """Outcome of an upstream request."""
 
@@ -36,7 +43,7 @@
 class UpstreamRequest(client.ResponseHandler):
     """Collects one answer; the future ended holds the outcome."""
 
-    def __init__(self, attempt_id: bytes) -> None:
+    def __init__(self, attempt_id: bytes, on_statement: OnStatement) -> None:
         """Expect an answer that echoes the caller's attempt_id."""
         loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[Outcome] = loop.create_future()
@@ -45,6 +52,7 @@
         self.statement: endpoint_statements.Statement | None = None
         self.reason = ''
         self._attempt_id = attempt_id
+        self._on_statement = on_statement
         self._body: list[bytes] = []
 
     @property
@@ -67,6 +75,8 @@
         """Store the response head and what it states."""
         self.head = head
         self.statement = endpoint_statements.read_statement(head)
+        if self.statement is not None:
+            self._on_statement(self.statement)
 
     def body_received(self, chunk: bytes) -> None:
         """Append to the body."""
@@ -116,9 +126,11 @@
 class UpstreamStream(UpstreamRequest):
     """Forwards the events of a successful answer as they arrive."""
 
-    def __init__(self, attempt_id: bytes, sink: EventSink) -> None:
+    def __init__(
+        self, attempt_id: bytes, on_statement: OnStatement, sink: EventSink
+    ) -> None:
         """Forward events to sink."""
-        super().__init__(attempt_id)
+        super().__init__(attempt_id, on_statement)
         self._sink = sink
         self._splitter = events.EventSplitter()
         self.is_stream = False
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -51,13 +51,15 @@
         # The next retry is already taken from the budget.
         self._is_retry_paid = False
 
-    async def send(self, target: load_balancing.Target) -> upstream.Outcome:
+    async def send(
+        self, target: load_balancing.Target, on_statement: upstream.OnStatement
+    ) -> upstream.Outcome:
         """Send the request to an endpoint and return the outcome."""
         connection = await self._connect(target)
         if isinstance(connection, upstream.Outcome):
             return connection
         self.sent_count += 1
-        upstream_request = self._make_upstream_request()
+        upstream_request = self._make_upstream_request(on_statement)
         self.upstream_request = upstream_request
         self._connection = connection
         connection.send(
@@ -132,11 +134,15 @@
             else upstream.Outcome.EXPIRED
         )
 
-    def _make_upstream_request(self) -> upstream.UpstreamRequest:
+    def _make_upstream_request(
+        self, on_statement: upstream.OnStatement
+    ) -> upstream.UpstreamRequest:
         attempt_id = self._caller.attempt_id
         if self._admission.route.kind is routes.RouteKind.STREAM:
-            return upstream.UpstreamStream(attempt_id, self._forwarder)
-        return upstream.UpstreamRequest(attempt_id)
+            return upstream.UpstreamStream(
+                attempt_id, on_statement, self._forwarder
+            )
+        return upstream.UpstreamRequest(attempt_id, on_statement)
 
     def _render_request(self, target: load_balancing.Target) -> bytes:
         admission = self._admission
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -92,6 +92,10 @@
     def slots(self) -> int:
         """Return the number of slots, taken or free."""
 
+    @abc.abstractmethod
+    def blocked_s(self) -> float:
+        """Return how long no request can start, whatever becomes free."""
+
     @abc.abstractmethod
     def has_spare_slots(self) -> bool:
         """Return whether late requests may take a slot now."""
@@ -233,6 +237,8 @@
         await asyncio.wait((waiter.granted,), timeout=left_s)
 
     def _may_wait(self, waiter: _Waiter) -> bool:
+        if self._capacity.blocked_s() > waiter.ask.wait_s:
+            return False
         if waiter.ask.is_resumed:
             return True
         now_s = self._clock()
@@ -248,10 +254,11 @@
         now_s = self._clock()
         rank = waiter.rank(now_s)
         ahead = sum(1 for one in self._waiters if one.rank(now_s) < rank)
+        blocked_s = self._capacity.blocked_s()
         if not ahead:
-            return 0
+            return blocked_s
         freed_per_s = max(self._capacity.freed_per_s(), MIN_FREED_PER_S)
-        return (ahead + 1) / freed_per_s
+        return max((ahead + 1) / freed_per_s, blocked_s)
 
     def _admit_late(self, waiter: _Waiter) -> bool:
         """Return whether a late request may wait for a spare slot.
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -27,7 +27,7 @@
 
 
 @attrs.define(eq=False)
-class AllocationTransport(reserver_module.Transport):
+class AllocationTransport(messages.Transport):
     """Delivers messages to this node's allocator and reserver, and to peers."""
 
     peers: peers_module.Peers
@@ -120,10 +120,14 @@
         _PoolTargets(state.targets).of, time.monotonic
     )
     transport = AllocationTransport(peers, allocator)
+    pool_owners = owners.PoolOwners(lambda: _candidates(peers), time.monotonic)
+    allocator.forward = functools.partial(
+        owners.send_to_owners, pool_owners, transport, peers.local.vm
+    )
     transport.reserver = reserver_module.NodeReserver(
         data_centre=peers.local.data_centre,
         targets=state.targets,
-        owners=owners.PoolOwners(lambda: _candidates(peers), time.monotonic),
+        owners=pool_owners,
         transport=transport,
         loads=state.loads,
         clock=time.monotonic,
