Log the rest that endpoints ask for when they turn requests away

An endpoint that answers 503 (or 429) may add Retry-After: it wants nothing from that node for so long. The log lines of requests now say so; nothing is decided by it yet.

--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -9,7 +9,11 @@
     upstream,
 )
 from redwingvalve.observability import bounded_logs, logs, node_metrics
-from redwingvalve.platform import caller_requests, names
+from redwingvalve.platform import (
+    caller_requests,
+    endpoint_statements,
+    names,
+)
 
 LOG = logs.make_logger('ingress')
 _MS_IN_S = 1000.0
@@ -108,6 +112,9 @@
             route_kind=admission.route.kind.value,
         )
     is_first_event_late = times.is_first_event_late(admission)
+    statement = endpoint_statements.NOTHING
+    if latest is not None and latest.statement is not None:
+        statement = latest.statement
     on_time = not (is_first_event_late or times.is_gap_late(admission))
     LOG.info(
         outcome,
@@ -129,16 +136,11 @@
             'is_late_first': is_first_event_late,
             'on_time': on_time,
             'reason': latest.reason if latest else '',
-            'endpoint_limit_per_s': _stated_limit(latest),
+            'endpoint_limit_per_s': statement.requests_per_s,
+            'endpoint_rest_s': statement.rest_s,
         },
     )
 
 
-def _stated_limit(latest: upstream.UpstreamRequest | None) -> float | None:
-    """Return the requests per second that the endpoint stated to take."""
-    statement = latest.statement if latest else None
-    return statement.requests_per_s if statement else None
-
-
 def _decode(raw: bytes) -> str:
     return raw.decode('latin-1')
--- a/redwingvalve/platform/endpoint_statements.py
+++ b/redwingvalve/platform/endpoint_statements.py
@@ -11,6 +11,7 @@
 
 LOG = logs.make_logger('statements')
 _OTHER_ENDPOINT = 421
+_TURNED_AWAY = frozenset((429, 503))
 
 
 class InvalidStatementError(ValueError):
@@ -24,6 +25,8 @@
     # Requests per second that it takes from all nodes together; None if it
     # states no limit.
     requests_per_s: float | None = None
+    # How long it wants no request from this node; None if it asks for no rest.
+    rest_s: float | None = None
 
 
 NOTHING: typing.Final = Statement()
@@ -38,12 +41,21 @@
     if head.status == _OTHER_ENDPOINT:
         return None
     try:
-        return Statement(requests_per_s=_number(head, names.RATE_LIMIT_HEADER))
+        return Statement(
+            requests_per_s=_number(head, names.RATE_LIMIT_HEADER),
+            rest_s=_rest_s(head),
+        )
     except InvalidStatementError as error:
         LOG.warning('unusable statement', extra={'error': str(error)})
         return None
 
 
+def _rest_s(head: messages.ResponseHead) -> float | None:
+    if head.status not in _TURNED_AWAY:
+        return None
+    return _number(head, names.RETRY_AFTER_HEADER)
+
+
 def _number(head: messages.ResponseHead, name: bytes) -> float | None:
     """Return a header's finite, non-negative number, None without one."""
     raw = head.header(name)
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -44,6 +44,8 @@
     never_drains: bool = False
     # Stated in all answers to requests, but not enforced.
     stated_requests_per_s: float | None = None
+    # Stated in answers that reject a request, but not enforced.
+    stated_rest_s: float | None = None
 
 
 @attrs.frozen
@@ -264,6 +266,9 @@
         attempt = request.header(b'x-attempt-id') or b''
         stated = _statement_headers(self.faults)
         if self.faults.rejects_requests:
+            if self.faults.stated_rest_s is not None:
+                rest = b'%g' % self.faults.stated_rest_s
+                stated.append((b'retry-after', rest))
             responder.send_response(503, [(b'x-not-run', b'1'), *stated], b'')
             return
         last = request.header(b'last-event-id')
--- a/redwingvalve/platform/tests/test_endpoint_statements.py
+++ b/redwingvalve/platform/tests/test_endpoint_statements.py
@@ -31,3 +31,13 @@
 
 def test_an_answer_from_another_endpoint_at_the_address_says_nothing():
     assert read((b'server-limit', b'1'), status=421) is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'rest_s'), [(503, 2.5), (429, 2.5), (500, None), (200, None)]
+)
+def test_an_endpoint_asks_for_rest_only_when_it_turns_a_request_away(
+    status, rest_s
+):
+    statement = read((b'retry-after', b'2.5'), status=status)
+    assert statement.rest_s == rest_s
