Show that endpoints get no rest from a node that they asked for it

Four endpoints that turn every other request away and ask for 3 s of rest get 33 requests from that node in the time, 2 allowed. Where all of them rest, a request is sent to them all the same and refused after 0.49 s. A single endpoint that does this is ejected as an outlier after two failures, which hides the fault; when all do, none is.

--- a/redwingvalve/node/tests/test_endpoint_limits.py
+++ b/redwingvalve/node/tests/test_endpoint_limits.py
@@ -10,6 +10,9 @@
 # A stated limit binds after this time.
 GRACE_S = 3.0
 WINDOW_S = 4.0
+REST_S = 3.0
+# Requests that reach an endpoint so soon after it asked for rest do not count.
+REST_GRACE_S = 0.5
 
 
 def most_in_window(timestamps_s, window_s):
@@ -54,3 +57,46 @@
         assert 1 <= most_in_window(arrivals_s, WINDOW_S) <= allowed
 
     fleet_harness.run(test, nodes=3, engines=0)
+
+
+def test_endpoints_that_asked_a_node_for_rest_get_it():
+    """Two requests may still be on their way when they have asked for it."""
+
+    async def test(fleet):
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.rejects_every_other_request = True
+            endpoint.faults.stated_rest_s = REST_S
+        statuses = await call_in_turn(fleet, '/card/1', 2 * REST_S)
+        assert set(statuses) <= {200, 503}
+        arrived_while_resting = [
+            sum(
+                asked_s + REST_GRACE_S < at_s < asked_s + REST_S
+                for at_s in endpoint.arrivals_s
+            )
+            for endpoint in fleet.endpoints.values()
+            for asked_s in endpoint.rejections_s
+        ]
+        assert max(arrived_while_resting) <= 2
+
+    fleet_harness.run(test, engines=0, plain=4)
+
+
+def test_a_caller_is_told_when_all_endpoints_have_rested():
+    """It is refused at once, as nothing may be sent for it before."""
+
+    async def test(fleet):
+        for name in ('p0', 'p1'):
+            fleet.endpoints[name].faults.rejects_requests = True
+            fleet.endpoints[name].faults.stated_rest_s = REST_S
+        caller = fleet.caller()
+        assert (await caller.ask('/card/1')).status == 503
+        asked_s = time.monotonic()
+        response = await caller.ask('/card/1')
+        assert time.monotonic() - asked_s < 0.2
+        assert response.status == 503
+        assert float(response.headers[b'retry-after']) >= REST_S - 0.5
+        assert [
+            len(fleet.endpoints[name].arrivals_s) for name in ('p0', 'p1')
+        ] == [1, 1]
+
+    fleet_harness.run(test, engines=0)
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -33,6 +33,7 @@
     duplicates_response: bool = False
     aborts_at_event: int | None = None
     rejects_requests: bool = False
+    rejects_every_other_request: bool = False
     returns_server_error: bool = False
     # Orders with these operations are executed late and never acknowledged.
     delayed_operations: tuple[str, ...] = ()
@@ -74,6 +75,8 @@
         self.runs: list[Run] = []
         # Times at which requests arrived, by the monotonic clock.
         self.arrivals_s: list[float] = []
+        # Those that were rejected.
+        self.rejections_s: list[float] = []
         self.orders: list[Document] = []
         self.cancelled_attempts: list[bytes] = []
         self.events_per_response = 6
@@ -265,7 +268,8 @@
         self.arrivals_s.append(time.monotonic())
         attempt = request.header(b'x-attempt-id') or b''
         stated = _statement_headers(self.faults)
-        if self.faults.rejects_requests:
+        if _rejects(self.faults, len(self.arrivals_s)):
+            self.rejections_s.append(self.arrivals_s[-1])
             if self.faults.stated_rest_s is not None:
                 rest = b'%g' % self.faults.stated_rest_s
                 stated.append((b'retry-after', rest))
@@ -332,6 +336,13 @@
         responder.finish()
 
 
+def _rejects(faults: EndpointFaults, number: int) -> bool:
+    is_even = number % 2 == 0
+    return faults.rejects_requests or (
+        faults.rejects_every_other_request and is_even
+    )
+
+
 def _statement_headers(faults: EndpointFaults) -> messages.Headers:
     limit = faults.stated_requests_per_s
     return [] if limit is None else [(b'server-limit', b'%g' % limit)]
