Leave endpoints alone that asked this node for rest

Cause: nobody read Retry-After in answers of endpoints, the same class of fault as with Server-Limit. A head that refuses was left alone for 0.25 s whatever it asked for, and then looked the emptiest. A single one is ejected as an outlier after two failures, which hid the fault; when all fail alike none is ejected.

A rest is between one endpoint and one node, so the node keeps it: its asks name resting endpoints, a slot that was granted there meanwhile is given back, and where every endpoint that may be tried rests the caller is refused at once with the time until the first rest ends, on every path, as all sends need a reservation.

--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from redwingvalve.allocation import endpoint_rests, messages, owners
 from redwingvalve.allocation import limit_reporter as limit_reporter_module
-from redwingvalve.allocation import messages, owners
 from redwingvalve.ingress import load_balancing, reservations, state
 from redwingvalve.platform import endpoint_statements
 
@@ -59,6 +59,7 @@
     loads: load_balancing.EndpointLoads
     clock: collections_abc.Callable[[], float]
     limit_reporter: limit_reporter_module.LimitReporter
+    rests: endpoint_rests.EndpointRests
     _held: dict[int, _HeldSlot] = attrs.field(factory=dict)
     _last_owners: dict[messages.Pool, str] = attrs.field(factory=dict)
 
@@ -82,6 +83,8 @@
         held = self._held.get(number)
         if held is None:
             return
+        if statement.rest_s:
+            self.rests.start(held.grant.endpoint_id, statement.rest_s)
         request = limit_reporter_module.AnsweredRequest(
             held.grant.pool,
             number,
@@ -140,8 +143,9 @@
     targets: state.TargetProvider,
     clock: collections_abc.Callable[[], float],
 ) -> HeldSlots:
-    """Return an empty table with its reporter of rate limits."""
+    """Return an empty table, with what endpoints state to this node."""
     reporter = limit_reporter_module.LimitReporter(
         targets, pool_owners, transport, clock
     )
-    return HeldSlots(pool_owners, transport, loads, clock, reporter)
+    rests = endpoint_rests.EndpointRests(clock)
+    return HeldSlots(pool_owners, transport, loads, clock, reporter, rests)
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -12,6 +12,7 @@
 # Limit on the endpoints to avoid, and on the slow ones, in one request. Keeps
 # the datagram within one packet.
 MAX_NAMED_ENDPOINTS = 16
+MAX_RESTING_ENDPOINTS = 24
 _MS_IN_S = 1000.0
 _Type = structs.Type
 
@@ -63,6 +64,8 @@
     need: wait_queue.SlotRequest
     avoid: tuple[str, ...] = ()
     slow: tuple[str, ...] = ()
+    # Endpoints that want no request from the asking node.
+    resting: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -135,6 +138,7 @@
     (_Type.LIST, 'avoid', _Type.STRING),
     (_Type.LIST, 'slow', _Type.STRING),
     (_Type.BOOL, 'may_probe'),
+    (_Type.LIST, 'resting', _Type.STRING),
 )
 _ReplyStruct: typing.Any = structs.make_struct(
     'Reply',
@@ -241,6 +245,7 @@
         avoid=list(ask.avoid[:MAX_NAMED_ENDPOINTS]),
         slow=list(ask.slow[:MAX_NAMED_ENDPOINTS]),
         may_probe=need.may_probe,
+        resting=list(ask.resting[:MAX_RESTING_ENDPOINTS]),
     )
 
 
@@ -260,6 +265,7 @@
         need=need,
         avoid=tuple(struct.avoid or ()),
         slow=tuple(struct.slow or ()),
+        resting=tuple(struct.resting or ()),
     )
 
 
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -87,7 +87,7 @@
     ) -> load_balancing.Target | None:
         """Hold a slot for an ask if one is free; return its target."""
         probed = self._choose_probe_target(ask)
-        target = probed or self._choose_target(ask.avoid)
+        target = probed or self._choose_target(ask)
         if target is None:
             return None
         if probed is not None:
@@ -224,13 +224,13 @@
             return None
         for target in self.targets():
             is_due = self._outliers.needs_probe(target.endpoint_id)
+            if target.endpoint_id in ask.resting:
+                continue
             if is_due and self.endpoint_slots.free_at(target) > 0:
                 return target
         return None
 
-    def _choose_target(
-        self, avoid: collections_abc.Collection[str]
-    ) -> load_balancing.Target | None:
+    def _choose_target(self, ask: messages.Ask) -> load_balancing.Target | None:
         """Return the least loaded endpoint, of another domain if possible.
 
         A domain fails as a whole, and its heads stall all at once: a stream
@@ -239,7 +239,7 @@
         untried = [
             target
             for target in self.targets()
-            if target.endpoint_id not in avoid
+            if target.endpoint_id not in {*ask.avoid, *ask.resting}
         ]
         in_use = [
             target
@@ -253,7 +253,7 @@
             if self.endpoint_slots.free_at(target) > 0
         ]
         failed_domains = {
-            self._domains.get(endpoint_id, '') for endpoint_id in avoid
+            self._domains.get(endpoint_id, '') for endpoint_id in ask.avoid
         } - {''}
 
         def rank(target: load_balancing.Target) -> _Rank:
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -17,7 +17,13 @@
 
 from redwingvalve.allocation import held_slots, messages
 from redwingvalve.allocation import owners as owners_module
-from redwingvalve.ingress import load_balancing, reservations, state, wait_queue
+from redwingvalve.ingress import (
+    load_balancing,
+    refusals,
+    reservations,
+    state,
+    wait_queue,
+)
 from redwingvalve.observability import node_metrics
 
 # A round trip between data centres takes a few milliseconds, and a busy node
@@ -34,8 +40,9 @@
 # Deducted from the time that a request may wait: the grant has to arrive, and
 # the request has to be sent.
 GRANT_SLACK_S = 0.01
-# Attempts per request while owners grant targets that this node does not know.
-MAX_UNKNOWN_TARGETS = 3
+# Attempts per request while owners grant targets that this node does not know,
+# or that have just asked it for rest.
+MAX_UNUSABLE_GRANTS = 3
 # Interval between two reports of the held slots.
 REPORT_INTERVAL_S = 0.5
 # Callers retry after this time if no owner answers.
@@ -97,7 +104,11 @@
         """Return a slot for a request, or when its caller may retry."""
         avoided_ids = list(avoid)
         need = _deduct_elapsed(need, GRANT_SLACK_S)
-        for _ in range(MAX_UNKNOWN_TARGETS):
+        began_s = self.clock()
+        for _ in range(MAX_UNUSABLE_GRANTS):
+            rest_s = self._rest_left_s(service, model, avoided_ids)
+            if rest_s > 0:
+                return reservations.NoSlot(refusals.before_jitter_s(rest_s))
             pools = self._pools_to_ask(service, model)
             if not pools:
                 break
@@ -105,9 +116,10 @@
                 0,
                 pools[0],
                 len(pools) == 1,
-                need,
+                _deduct_elapsed(need, self.clock() - began_s),
                 tuple(avoided_ids),
                 tuple(slow),
+                self._resting(service, model),
             )
             found = await self._find_slot(pools, ask)
             if isinstance(found, reservations.NoSlot):
@@ -116,7 +128,7 @@
             if target is not None:
                 return self._held_slots.hold(found, target)
             self.transport.send(found.owner, messages.Release(found.number))
-            avoided_ids.append(found.endpoint_id)
+            avoided_ids.insert(0, found.endpoint_id)
         return reservations.NoSlot(RETRY_AFTER_S)
 
     def handle_reply(self, vm: str, reply: messages.Reply) -> None:
@@ -188,7 +200,11 @@
         if not (model and self.is_split_by_data_centre()):
             found = [messages.Pool(service, model, '')]
             return found if targets else []
-        data_centres = {target.data_centre for target in targets}
+        data_centres = {
+            target.data_centre
+            for target in targets
+            if not self._held_slots.rests.left_s(target.endpoint_id)
+        }
         others = sorted(data_centres - {self.data_centre})
         sampled = self.rng.sample(others, min(len(others), REMOTE_POOLS_ASKED))
         if self.data_centre in data_centres:
@@ -276,7 +292,8 @@
         node_metrics.METRICS.count('redwingvalve_places_chosen_alone')
         targets = self.targets.find_targets(ask.pool.service, ask.pool.model)
         # Only an owner knows how much of a rate limit other nodes have used.
-        avoid = (*ask.avoid, *self._held_slots.limit_reporter.limited())
+        limited = self._held_slots.limit_reporter.limited()
+        avoid = (*ask.avoid, *ask.resting, *limited)
         sampled = load_balancing.sample_candidates(targets, self.rng)
         for candidates in (sampled, targets):
             found = load_balancing.choose_least_loaded(
@@ -287,10 +304,39 @@
                 return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
         return reservations.NoSlot(RETRY_AFTER_S)
 
+    def _resting(self, service: str, model: str) -> tuple[str, ...]:
+        """Return the targets that rest, those that rest longest first."""
+        names = self._held_slots.rests.resting()
+        if not names:
+            return ()
+        targets = {
+            target.endpoint_id
+            for target in self.targets.find_targets(service, model)
+        }
+        return tuple(name for name in names if name in targets)
+
+    def _rest_left_s(
+        self,
+        service: str,
+        model: str,
+        avoid: collections_abc.Collection[str],
+    ) -> float:
+        """Return how much longer all endpoints that may be tried rest."""
+        return min(
+            (
+                self._held_slots.rests.left_s(target.endpoint_id)
+                for target in self.targets.find_targets(service, model)
+                if target.endpoint_id not in avoid
+            ),
+            default=0.0,
+        )
+
     def _find_granted_target(
         self, grant: held_slots.Grant
     ) -> load_balancing.Target | None:
         pool = grant.pool
+        if self._held_slots.rests.left_s(grant.endpoint_id) > 0:
+            return None
         for target in self.targets.find_targets(pool.service, pool.model):
             if target.endpoint_id == grant.endpoint_id:
                 return target
--- a/redwingvalve/allocation/tests/test_messages.py
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -15,7 +15,7 @@
 @pytest.mark.parametrize(
     'message',
     [
-        messages.Ask(7, POOL, True, NEED, ('e1',), ('e2', 'e3')),
+        messages.Ask(7, POOL, True, NEED, ('e1',), ('e2', 'e3'), ('e4',)),
         messages.Reply(7, messages.Outcome.GRANTED, 'e1'),
         messages.Reply(7, messages.Outcome.REFUSED, retry_after_s=0.8),
         messages.Reply(7, messages.Outcome.FULL, expected_wait_s=0.02),
@@ -49,5 +49,5 @@
 def test_an_ask_names_a_bounded_number_of_endpoints():
     """An ask must fit into one packet however many endpoints were tried."""
     many = tuple(f'endpoint-{number}' for number in range(500))
-    ask = messages.Ask(7, POOL, True, NEED, many, many)
+    ask = messages.Ask(7, POOL, True, NEED, many, many, many)
     assert len(messages.pack(messages.Envelope(SENDER, ask))) < 1200
