Show that endpoints that say that they leave get new requests

Answers of an endpoint that leaves carry Server-Leaving, at times before its entry in the store says so, or without its ever doing so. Nobody reads it: an endpoint gets 11 new requests in the next second, a head five of six new streams.

--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -138,6 +138,7 @@
             'reason': latest.reason if latest else '',
             'endpoint_limit_per_s': statement.requests_per_s,
             'endpoint_rest_s': statement.rest_s,
+            'endpoint_leaves': statement.is_leaving,
         },
     )
 
--- a/redwingvalve/node/tests/test_endpoint_limits.py
+++ b/redwingvalve/node/tests/test_endpoint_limits.py
@@ -13,6 +13,8 @@
 REST_S = 3.0
 # Requests that reach an endpoint so soon after it asked for rest do not count.
 REST_GRACE_S = 0.5
+# Time in which all nodes learn that an endpoint leaves.
+LEAVING_SPREAD_S = 0.2
 
 
 def most_in_window(timestamps_s, window_s):
@@ -100,3 +102,36 @@
         ] == [1, 1]
 
     fleet_harness.run(test, engines=0)
+
+
+def test_an_endpoint_that_says_that_it_leaves_gets_no_new_requests():
+    """Its entry in the store still says that it is ready."""
+
+    async def test(fleet):
+        leaving = fleet.endpoints['p0']
+        leaving.faults.states_leaving = True
+        # One node is told; the other one has to learn it.
+        while not leaving.arrivals_s:
+            await fleet.caller().ask('/card/1')
+        await anyio.sleep(LEAVING_SPREAD_S)
+        before = len(leaving.arrivals_s)
+        statuses = await call_in_turn(fleet, '/card/1', 1.0)
+        assert set(statuses) == {200}
+        assert len(leaving.arrivals_s) == before
+
+    fleet_harness.run(test, nodes=2, engines=0)
+
+
+def test_a_head_that_says_that_it_leaves_gets_no_new_streams():
+    async def test(fleet):
+        leaving = fleet.head()
+        leaving.faults.states_leaving = True
+        caller = fleet.caller()
+        while not leaving.arrivals_s:
+            await caller.stream()
+        before = len(leaving.arrivals_s)
+        for _ in range(6):
+            assert (await caller.stream()).status == 200
+        assert len(leaving.arrivals_s) == before
+
+    fleet_harness.run(test)
--- a/redwingvalve/platform/endpoint_statements.py
+++ b/redwingvalve/platform/endpoint_statements.py
@@ -11,6 +11,7 @@
 
 LOG = logs.make_logger('statements')
 _OTHER_ENDPOINT = 421
+_LEAVES = b'1'
 _TURNED_AWAY = frozenset((429, 503))
 
 
@@ -27,6 +28,8 @@
     requests_per_s: float | None = None
     # How long it wants no request from this node; None if it asks for no rest.
     rest_s: float | None = None
+    # Whether it is going to stop and takes no new requests.
+    is_leaving: bool = False
 
 
 NOTHING: typing.Final = Statement()
@@ -44,6 +47,7 @@
         return Statement(
             requests_per_s=_number(head, names.RATE_LIMIT_HEADER),
             rest_s=_rest_s(head),
+            is_leaving=head.header(names.LEAVING_HEADER) == _LEAVES,
         )
     except InvalidStatementError as error:
         LOG.warning('unusable statement', extra={'error': str(error)})
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -31,6 +31,7 @@
 SEAL_HEADER: typing.Final = b'x-server-seal'
 NOT_RUN_HEADER: typing.Final = b'x-not-run'
 RATE_LIMIT_HEADER: typing.Final = b'server-limit'
+LEAVING_HEADER: typing.Final = b'server-leaving'
 RETRY_AFTER_HEADER: typing.Final = b'retry-after'
 ENDPOINT_AT_FAULT: typing.Final = b'at-server'
 # Query parameter of directory requests.
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -47,6 +47,8 @@
     stated_requests_per_s: float | None = None
     # Stated in answers that reject a request, but not enforced.
     stated_rest_s: float | None = None
+    # Stated in all answers to requests, while the entry is unchanged.
+    states_leaving: bool = False
 
 
 @attrs.frozen
@@ -344,8 +346,13 @@
 
 
 def _statement_headers(faults: EndpointFaults) -> messages.Headers:
-    limit = faults.stated_requests_per_s
-    return [] if limit is None else [(b'server-limit', b'%g' % limit)]
+    headers: messages.Headers = []
+    if faults.stated_requests_per_s is not None:
+        limit = b'%g' % faults.stated_requests_per_s
+        headers.append((b'server-limit', limit))
+    if faults.states_leaving:
+        headers.append((b'server-leaving', b'1'))
+    return headers
 
 
 def _answer_json(
--- a/redwingvalve/platform/tests/test_endpoint_statements.py
+++ b/redwingvalve/platform/tests/test_endpoint_statements.py
@@ -41,3 +41,11 @@
 ):
     statement = read((b'retry-after', b'2.5'), status=status)
     assert statement.rest_s == rest_s
+
+
+@pytest.mark.parametrize(
+    ('headers', 'is_leaving'),
+    [([(b'server-leaving', b'1')], True), ([(b'server-leaving', b'0')], False)],
+)
+def test_an_endpoint_says_that_it_leaves(headers, is_leaving):
+    assert read(*headers).is_leaving is is_leaving
