Send nothing new to endpoints that say that they leave

Callers' requests went on to endpoints that had already said in their answers that they leave (Server-Leaving), until the store's entry said so or, where it never does, until the endpoint stopped and cut them off.

The node that reads it takes the endpoint out of its targets for good, so that a slot which was granted before is given back too, and tells the owners that it would ask, which grant none of its slots. Limits, starts and leaving endpoints now travel in one report, hence the new names of its modules.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -14,8 +14,8 @@
 import attrs
 
 from redwingvalve.allocation import (
+    endpoint_reports,
     hold_table,
-    limit_messages,
     messages,
     rate_limits,
 )
@@ -47,6 +47,10 @@
     """Forward nothing, as no other node is known."""
 
 
+def _ignore_leaving(endpoint_id: str) -> None:
+    """Ignore an endpoint that leaves, as there are no targets yet."""
+
+
 @attrs.define(eq=False)
 class Allocator:
     """All pools that this node owns."""
@@ -56,6 +60,8 @@
     rng: random.Random = attrs.field(factory=random.Random)
     limits: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
     forward: Forward = _forward_nothing
+    # Takes an endpoint that leaves out of the targets.
+    mark_leaving: collections_abc.Callable[[str], None] = _ignore_leaving
     _pools: dict[messages.Pool, pool_module.SlotPool] = attrs.field(
         factory=dict
     )
@@ -115,11 +121,13 @@
         """Reconcile the holds of a node with those that it reports."""
         self.pool(holdings.pool).reconcile(sender, holdings.endpoint_ids)
 
-    def record_limits(
-        self, sender: messages.Sender, report: limit_messages.LimitReport
+    def record_report(
+        self, sender: messages.Sender, report: endpoint_reports.EndpointReport
     ) -> None:
-        """Apply the rate limits and the starts that a node reports."""
+        """Apply what a node reports of endpoints, and its starts there."""
         now_s = self.clock()
+        for endpoint_id in report.leaving:
+            self.mark_leaving(endpoint_id)
         for limit in report.limits:
             if self.limits.record(limit.to_statement(now_s)):
                 node_metrics.METRICS.count('redwingvalve_rate_limit_changes')
@@ -234,10 +242,10 @@
         """Tell the node that would be asked next, or was asked in vain."""
         node_metrics.METRICS.count('redwingvalve_rate_limited_starts')
         holder, number = key
-        start = limit_messages.Start(
+        start = endpoint_reports.Start(
             endpoint_id, number, 0.0, holder.vm, holder.born_ms
         )
-        self.forward(pool, limit_messages.LimitReport((), (start,)))
+        self.forward(pool, endpoint_reports.EndpointReport(starts=(start,)))
 
     def _granted_reply(
         self, ask: messages.Ask, endpoint_id: str
--- a/redwingvalve/allocation/dispatch.py
+++ b/redwingvalve/allocation/dispatch.py
@@ -1,7 +1,7 @@
 """Dispatches a message about slots to the allocator or the reserver."""
 
 from redwingvalve.allocation import allocator as allocator_module
-from redwingvalve.allocation import limit_messages, messages
+from redwingvalve.allocation import endpoint_reports, messages
 from redwingvalve.allocation import reserver as reserver_module
 
 
@@ -22,7 +22,7 @@
         reserver.handle_reply(sender.vm, message)
     elif isinstance(message, messages.Release):
         allocator.release(sender, message)
-    elif isinstance(message, limit_messages.LimitReport):
-        allocator.record_limits(sender, message)
+    elif isinstance(message, endpoint_reports.EndpointReport):
+        allocator.record_report(sender, message)
     else:
         allocator.holdings(sender, message)
--- a/redwingvalve/allocation/limit_reporter.py
+++ b/redwingvalve/allocation/endpoint_reporter.py
@@ -1,9 +1,9 @@
-"""Reports rate limits that endpoints state to the owners of their pools.
+"""Reports what endpoints state to the owners of their pools.
 
 Load pattern: the owner of a pool is replaced, restarts without any knowledge or
-misses datagrams while endpoints of the pool are rate-limited. So a node reports
-a new limit at once to the owners that it would ask, and repeats what it knows
-at intervals and before it asks one of them.
+misses datagrams while endpoints of the pool are rate-limited or leave. So a
+node reports a new statement at once to the owners that it would ask, and
+repeats what it knows at intervals and before it asks one of them.
 """
 
 import itertools
@@ -13,7 +13,7 @@
 import attrs
 
 from redwingvalve.allocation import (
-    limit_messages,
+    endpoint_reports,
     messages,
     owners,
     rate_limits,
@@ -23,7 +23,8 @@
 # Interval of the repetitions to one owner that is asked many times.
 REPEAT_INTERVAL_S = 0.1
 # A limited endpoint gets a request, and states its limit to some node, at least
-# this often; older statements are others' to repeat.
+# this often; older statements are others' to repeat. Most endpoints that leave
+# have stopped by then, or their entries say so.
 REPEATED_FOR_S = rate_limits.MAX_WINDOW_S
 
 
@@ -40,8 +41,8 @@
 
 
 @attrs.define(eq=False)
-class LimitReporter:
-    """Rate limits as stated to this node, and this node's starts."""
+class EndpointReporter:
+    """What endpoints stated to this node, and this node's starts."""
 
     targets: state.TargetProvider
     owners: owners.PoolOwners
@@ -50,6 +51,8 @@
     _limits: rate_limits.RateLimits = attrs.field(
         factory=rate_limits.RateLimits
     )
+    # When endpoints first said that they leave.
+    _leaving_since_s: dict[str, float] = attrs.field(factory=dict)
     _reported_s: dict[tuple[messages.Pool, str], float] = attrs.field(
         factory=dict
     )
@@ -86,6 +89,16 @@
             for vm in self.owners.ranked_for(request.pool):
                 self._send([statement], vm)
 
+    def record_leaving(self, pool: messages.Pool, endpoint_id: str) -> None:
+        """Record that an endpoint leaves: nobody sends it new requests."""
+        if endpoint_id in self._leaving_since_s:
+            return
+        self._leaving_since_s[endpoint_id] = self.clock()
+        self.targets.mark_leaving(endpoint_id)
+        report = endpoint_reports.EndpointReport(leaving=(endpoint_id,))
+        for vm in self.owners.ranked_for(pool):
+            self.transport.send(vm, report)
+
     def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
         """Report to an owner that is going to be asked."""
         reported_s = self._reported_s.get((pool, vm), -math.inf)
@@ -94,7 +107,13 @@
 
     def report(self, pools: collections_abc.Iterable[messages.Pool]) -> None:
         """Report to the owners of pools."""
-        self._limits.drop_expired(self.clock())
+        now_s = self.clock()
+        self._limits.drop_expired(now_s)
+        self._leaving_since_s = {
+            endpoint_id: since_s
+            for endpoint_id, since_s in self._leaving_since_s.items()
+            if since_s > now_s - REPEATED_FOR_S
+        }
         for pool in pools:
             for vm in self.owners.ranked_for(pool):
                 self._report(pool, vm)
@@ -102,16 +121,21 @@
     def _report(self, pool: messages.Pool, vm: str) -> None:
         now_s = self.clock()
         statements = self._limits.statements(now_s - REPEATED_FOR_S)
-        if not statements:
+        if not (statements or self._leaving_since_s):
             return
         self._reported_s[pool, vm] = now_s
+        if self._leaving_since_s:
+            leaving = tuple(self._leaving_since_s)
+            self.transport.send(
+                vm, endpoint_reports.EndpointReport(leaving=leaving)
+            )
         in_pool = {
             target.endpoint_id
             for target in self.targets.find_targets(pool.service, pool.model)
             if pool.data_centre in {'', target.data_centre}
         }
         known = [one for one in statements if one.endpoint_id in in_pool]
-        size = limit_messages.MAX_REPORTED_ENDPOINTS
+        size = endpoint_reports.MAX_REPORTED_ENDPOINTS
         for first in range(0, len(known), size):
             self._send(known[first : first + size], vm)
 
@@ -124,24 +148,24 @@
             for statement in statements
         )
         newest = sorted(starts, key=_age_s)
-        report = limit_messages.LimitReport(
+        report = endpoint_reports.EndpointReport(
             tuple(
-                limit_messages.make_stated_limit(statement, now_s)
+                endpoint_reports.make_stated_limit(statement, now_s)
                 for statement in statements
             ),
-            tuple(newest[: limit_messages.MAX_REPORTED_STARTS]),
+            tuple(newest[: endpoint_reports.MAX_REPORTED_STARTS]),
         )
         self.transport.send(vm, report)
 
     def _starts_at(
         self, endpoint_id: str, now_s: float
-    ) -> list[limit_messages.Start]:
+    ) -> list[endpoint_reports.Start]:
         starts = self._limits.recent_starts(endpoint_id, now_s)
         return [
-            limit_messages.Start(endpoint_id, number, now_s - started_s)
+            endpoint_reports.Start(endpoint_id, number, now_s - started_s)
             for number, started_s in starts.items()
         ]
 
 
-def _age_s(start: limit_messages.Start) -> float:
+def _age_s(start: endpoint_reports.Start) -> float:
     return start.ago_s
--- a/redwingvalve/allocation/limit_messages.py
+++ b/redwingvalve/allocation/endpoint_reports.py
@@ -1,4 +1,4 @@
-"""Reports of rate limits between nodes, and their encoding.
+"""Reports of what endpoints state, between nodes, and their encoding.
 
 Moments are sent as ages, because the clocks of nodes differ.
 """
@@ -51,11 +51,13 @@
 
 
 @attrs.frozen
-class LimitReport:
+class EndpointReport:
     """What a node was told by endpoints, and starts that it knows of."""
 
-    limits: tuple[StatedLimit, ...]
-    starts: tuple[Start, ...]
+    limits: tuple[StatedLimit, ...] = ()
+    starts: tuple[Start, ...] = ()
+    # Endpoints that leave.
+    leaving: tuple[str, ...] = ()
 
 
 _LimitStruct: typing.Any = structs.make_struct(
@@ -73,10 +75,11 @@
     (_Type.STRING, 'vm'),
     (_Type.I64, 'born_ms'),
 )
-LimitReportStruct: typing.Any = structs.make_struct(
-    'LimitReport',
+EndpointReportStruct: typing.Any = structs.make_struct(
+    'EndpointReport',
     (_Type.LIST, 'limits', (_Type.STRUCT, _LimitStruct)),
     (_Type.LIST, 'starts', (_Type.STRUCT, _StartStruct)),
+    (_Type.LIST, 'leaving', _Type.STRING),
 )
 
 
@@ -92,9 +95,9 @@
     )
 
 
-def to_struct(report: LimitReport) -> typing.Any:
+def to_struct(report: EndpointReport) -> typing.Any:
     """Return the thrift form of a report."""
-    return LimitReportStruct(
+    return EndpointReportStruct(
         limits=[
             _LimitStruct(
                 endpoint_id=limit.endpoint_id,
@@ -114,14 +117,16 @@
             )
             for start in report.starts
         ],
+        leaving=list(report.leaving),
     )
 
 
-def from_struct(struct: typing.Any) -> LimitReport:
+def from_struct(struct: typing.Any) -> EndpointReport:
     """Return the report in a thrift struct; raises TypeError."""
-    return LimitReport(
+    return EndpointReport(
         tuple(_read_limit(one) for one in struct.limits or ()),
         tuple(_read_start(one) for one in struct.starts or ()),
+        tuple(struct.leaving or ()),
     )
 
 
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -4,8 +4,10 @@
 
 import attrs
 
+from redwingvalve.allocation import (
+    endpoint_reporter as endpoint_reporter_module,
+)
 from redwingvalve.allocation import endpoint_rests, messages, owners
-from redwingvalve.allocation import limit_reporter as limit_reporter_module
 from redwingvalve.ingress import load_balancing, reservations, state
 from redwingvalve.platform import endpoint_statements
 
@@ -58,7 +60,7 @@
     transport: messages.Transport
     loads: load_balancing.EndpointLoads
     clock: collections_abc.Callable[[], float]
-    limit_reporter: limit_reporter_module.LimitReporter
+    endpoint_reporter: endpoint_reporter_module.EndpointReporter
     rests: endpoint_rests.EndpointRests
     _held: dict[int, _HeldSlot] = attrs.field(factory=dict)
     _last_owners: dict[messages.Pool, str] = attrs.field(factory=dict)
@@ -73,7 +75,7 @@
         """Hold a granted slot until it is released."""
         self._held[grant.number] = _HeldSlot(grant, target, self.clock())
         self.loads.add_request(target.endpoint_id)
-        self.limit_reporter.record_start(target.endpoint_id, grant.number)
+        self.endpoint_reporter.record_start(target.endpoint_id, grant.number)
         return _SlotReservation(target, grant.number, self)
 
     def record_statement(
@@ -85,14 +87,18 @@
             return
         if statement.rest_s:
             self.rests.start(held.grant.endpoint_id, statement.rest_s)
-        request = limit_reporter_module.AnsweredRequest(
+        request = endpoint_reporter_module.AnsweredRequest(
             held.grant.pool,
             number,
             held.grant.endpoint_id,
             held.started_s,
             held.grant.is_rate_limited,
         )
-        self.limit_reporter.record_answer(request, statement.requests_per_s)
+        self.endpoint_reporter.record_answer(request, statement.requests_per_s)
+        if statement.is_leaving:
+            self.endpoint_reporter.record_leaving(
+                held.grant.pool, held.grant.endpoint_id
+            )
 
     def release(self, release: messages.Release) -> None:
         """Release a slot."""
@@ -106,14 +112,14 @@
 
     def report(self) -> None:
         """Report held slots and rate limits to the owners of their pools."""
-        self.limit_reporter.report(self._last_owners)
+        self.endpoint_reporter.report(self._last_owners)
         pools = {held.grant.pool for held in self._held.values()}
         for pool in pools:
             self._report_pool(pool)
 
     def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
         """Report to an owner before it grants more."""
-        self.limit_reporter.report_before_ask(pool, vm)
+        self.endpoint_reporter.report_before_ask(pool, vm)
         if self._last_owners.get(pool) == vm:
             return
         is_first = pool not in self._last_owners
@@ -144,7 +150,7 @@
     clock: collections_abc.Callable[[], float],
 ) -> HeldSlots:
     """Return an empty table, with what endpoints state to this node."""
-    reporter = limit_reporter_module.LimitReporter(
+    reporter = endpoint_reporter_module.EndpointReporter(
         targets, pool_owners, transport, clock
     )
     rests = endpoint_rests.EndpointRests(clock)
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from redwingvalve.allocation import limit_messages
+from redwingvalve.allocation import endpoint_reports
 from redwingvalve.ingress import reservations, wait_queue
 from redwingvalve.wire import structs
 
@@ -100,7 +100,7 @@
 
 
 Message: typing.TypeAlias = (
-    Ask | Reply | Release | Holdings | limit_messages.LimitReport
+    Ask | Reply | Release | Holdings | endpoint_reports.EndpointReport
 )
 
 
@@ -168,7 +168,7 @@
     (_Type.STRUCT, 'reply', _ReplyStruct),
     (_Type.STRUCT, 'release', _ReleaseStruct),
     (_Type.STRUCT, 'holdings', _HoldingsStruct),
-    (_Type.STRUCT, 'limits', limit_messages.LimitReportStruct),
+    (_Type.STRUCT, 'limits', endpoint_reports.EndpointReportStruct),
 )
 
 
@@ -195,8 +195,8 @@
             leaving=message.leaving.value,
             result=message.result.value,
         )
-    elif isinstance(message, limit_messages.LimitReport):
-        struct.limits = limit_messages.to_struct(message)
+    elif isinstance(message, endpoint_reports.EndpointReport):
+        struct.limits = endpoint_reports.to_struct(message)
     else:
         struct.holdings = _HoldingsStruct(
             pool=_pool_struct(message.pool), endpoint_ids=message.endpoint_ids
@@ -227,7 +227,7 @@
             dict(struct.holdings.endpoint_ids or {}),
         )
     if struct.limits is not None:
-        return limit_messages.from_struct(struct.limits)
+        return endpoint_reports.from_struct(struct.limits)
     raise MessageError('datagram contains no known message')
 
 
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -292,7 +292,7 @@
         node_metrics.METRICS.count('redwingvalve_places_chosen_alone')
         targets = self.targets.find_targets(ask.pool.service, ask.pool.model)
         # Only an owner knows how much of a rate limit other nodes have used.
-        limited = self._held_slots.limit_reporter.limited()
+        limited = self._held_slots.endpoint_reporter.limited()
         avoid = (*ask.avoid, *ask.resting, *limited)
         sampled = load_balancing.sample_candidates(targets, self.rng)
         for candidates in (sampled, targets):
--- a/redwingvalve/allocation/tests/test_messages.py
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies
 
-from redwingvalve.allocation import messages
+from redwingvalve.allocation import endpoint_reports, messages
 from redwingvalve.ingress import reservations, wait_queue
 
 SENDER = messages.Sender('vm-1', 1_700_000_000_000)
@@ -21,6 +21,7 @@
         messages.Reply(7, messages.Outcome.FULL, expected_wait_s=0.02),
         messages.Release(7, reservations.ReleaseState.REFUSED),
         messages.Holdings(POOL, {7: 'e1', 9: 'e2'}),
+        endpoint_reports.EndpointReport(leaving=('e1',)),
     ],
 )
 def test_messages_survive_a_round_trip(message):
--- a/redwingvalve/allocation/tests/test_rate_limits.py
+++ b/redwingvalve/allocation/tests/test_rate_limits.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from redwingvalve.allocation import limit_messages, messages, rate_limits
+from redwingvalve.allocation import endpoint_reports, messages, rate_limits
 from redwingvalve.ingress.tests import load_simulation
 
 SENDER = messages.Sender('vm-1', 1)
@@ -91,14 +91,14 @@
 
 
 def test_a_full_report_fits_into_one_packet():
-    report = limit_messages.LimitReport(
+    report = endpoint_reports.EndpointReport(
         tuple(
-            limit_messages.StatedLimit(f'i-{number:010x}', 1.5, 0.3, 0.1)
-            for number in range(limit_messages.MAX_REPORTED_ENDPOINTS)
+            endpoint_reports.StatedLimit(f'i-{number:010x}', 1.5, 0.3, 0.1)
+            for number in range(endpoint_reports.MAX_REPORTED_ENDPOINTS)
         ),
         tuple(
-            limit_messages.Start(f'i-{number:010x}', number, 0.1)
-            for number in range(limit_messages.MAX_REPORTED_STARTS)
+            endpoint_reports.Start(f'i-{number:010x}', number, 0.1)
+            for number in range(endpoint_reports.MAX_REPORTED_STARTS)
         ),
     )
     packed = messages.pack(messages.Envelope(SENDER, report))
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -14,6 +14,8 @@
 # A head whose replica lost a member stalls for this long before it reports the
 # loss itself; the controller repairs the replica long before.
 HEAD_SUSPICION_S = 6.0
+# Limit on the endpoints that are known to leave, including those that are gone.
+MAX_KNOWN_LEAVING = 10_000
 # Time until a plain endpoint that could not be reached is tried again.
 PLAIN_SUSPICION_S = 1.0
 _SERVING_STATES = frozenset(
@@ -62,6 +64,8 @@
         ] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
+        # Endpoints that leave, and the incarnation that said so.
+        self._leaving: dict[str, int] = {}
         # Replicas as last seen with all members, by name and epoch.
         self._complete_replicas: dict[tuple[str, int], endpoints.Replica] = {}
         registry.on_change.append(self.rebuild)
@@ -101,6 +105,20 @@
             if self.on_suspect is not None:
                 self.on_suspect(suspicion)
 
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Take an endpoint that is going to stop out of use for good.
+
+        Its entry may say so later or never.
+        """
+        endpoint = self._registry.live.get(endpoint_id)
+        if endpoint is None or self._is_leaving(endpoint):
+            return
+        LOG.info('endpoint leaves', extra={'endpoint': endpoint_id})
+        if len(self._leaving) >= MAX_KNOWN_LEAVING:
+            self._leaving.clear()
+        self._leaving[endpoint_id] = endpoint.born_ms
+        self.rebuild()
+
     def check_endpoint(self, endpoint_id: str, reason: str) -> None:
         """Request a check of an endpoint, or suspect it if nobody checks."""
         if self.on_check_requested is None:
@@ -215,7 +233,7 @@
         ready = [
             endpoint
             for endpoint in usable
-            if endpoint.service == service and not endpoint.draining
+            if endpoint.service == service and not self._is_leaving(endpoint)
         ]
         healthy = [
             endpoint
@@ -271,9 +289,16 @@
                 return None
         return observed
 
+    def _is_leaving(self, endpoint: endpoints.Endpoint) -> bool:
+        if endpoint.draining:
+            return True
+        return self._leaving.get(endpoint.endpoint_id) == endpoint.born_ms
+
     def _is_serving(self, replica: endpoints.Replica) -> bool:
         head = replica.head
-        if head is None or head.draining or head.membership is None:
+        if head is None or head.membership is None:
+            return False
+        if self._is_leaving(head):
             return False
         if head.membership.state is not endpoints.MemberState.OPEN:
             return False
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -40,6 +40,10 @@
     def suspect(self, endpoint_id: str, reason: str) -> None:
         """Take an endpoint out of use until it is known to be healthy."""
 
+    @abc.abstractmethod
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Take an endpoint that is going to stop out of use for good."""
+
     @abc.abstractmethod
     def check_endpoint(self, endpoint_id: str, reason: str) -> None:
         """Check whether an endpoint is healthy; it stays in use meanwhile."""
--- a/redwingvalve/ingress/tests/load_simulation.py
+++ b/redwingvalve/ingress/tests/load_simulation.py
@@ -170,6 +170,9 @@
         """Return the targets, which are the same on all nodes."""
         return self._simulation.targets
 
+    def mark_leaving(self, endpoint_id):
+        """Ignore endpoints that leave; the targets are fixed."""
+
     def send(self, vm, message):
         """Send a message over a network that delays and loses datagrams."""
         self._simulation.send_datagram(self, vm, message)
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -121,6 +121,7 @@
     )
     transport = AllocationTransport(peers, allocator)
     pool_owners = owners.PoolOwners(lambda: _candidates(peers), time.monotonic)
+    allocator.mark_leaving = state.targets.mark_leaving
     allocator.forward = functools.partial(
         owners.send_to_owners, pool_owners, transport, peers.local.vm
     )
