Check a head that refuses because of another member of its replica

Requests went on to a head that had lost a member, until its streams stalled, or it was ejected as an outlier: answers with 503 name the endpoint at fault (At-Server), and nobody read it.

Evidence: with a member that no longer answers and whose entry is still there, a head that blames it stayed in use (the new test fails without the change: two targets after one second).

The head's members are probed as after a broken stream; the head goes out of use only if one of them is lost. A sender no longer shows the answer of an earlier attempt while it connects to the next endpoint, which would have blamed the wrong head.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -142,6 +142,10 @@
         self, outcome: upstream.Outcome, target: load_balancing.Target
     ) -> None:
         if outcome is upstream.Outcome.NOT_RUN:
+            if self._blames_member(target):
+                self._state.targets.check_endpoint(
+                    target.endpoint_id, 'member at fault'
+                )
             return
         self._may_have_run = True
         if outcome is upstream.Outcome.BROKEN:
@@ -159,6 +163,14 @@
                 target.endpoint_id, 'broken stream'
             )
 
+    def _blames_member(self, target: load_balancing.Target) -> bool:
+        """Return whether a head refused because of another member."""
+        latest = self._sender.upstream_request
+        if not target.replica or latest is None or latest.statement is None:
+            return False
+        at_fault = latest.statement.at_fault
+        return at_fault not in {'', f'{target.host}:{target.port}'}
+
     def _may_retry(self, outcome: upstream.Outcome) -> bool:
         route = self._admission.route
         if outcome is not upstream.Outcome.NOT_RUN and not route.may_repeat:
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -139,6 +139,7 @@
             'endpoint_limit_per_s': statement.requests_per_s,
             'endpoint_rest_s': statement.rest_s,
             'endpoint_leaves': statement.is_leaving,
+            'endpoint_at_fault': statement.at_fault,
         },
     )
 
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -39,7 +39,7 @@
         """Send the request while wait lasts; events go to forwarder."""
         self.sent_count = 0
         self.connect_failures = 0
-        # The latest attempt that was sent.
+        # The latest attempt, None until it is sent.
         self.upstream_request: upstream.UpstreamRequest | None = None
         self._state = state
         self._request = request
@@ -55,6 +55,7 @@
         self, target: load_balancing.Target, on_statement: upstream.OnStatement
     ) -> upstream.Outcome:
         """Send the request to an endpoint and return the outcome."""
+        self.upstream_request = None
         connection = await self._connect(target)
         if isinstance(connection, upstream.Outcome):
             return connection
--- a/redwingvalve/node/tests/test_endpoint_limits.py
+++ b/redwingvalve/node/tests/test_endpoint_limits.py
@@ -135,3 +135,34 @@
         assert len(leaving.arrivals_s) == before
 
     fleet_harness.run(test)
+
+
+def test_a_head_that_blames_a_member_goes_out_of_use_if_the_member_is_lost():
+    """The member's entry is still there; only the head has noticed."""
+
+    async def test(fleet):
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        member.faults.is_unresponsive = True
+        head.faults.rejects_requests = True
+        head.faults.stated_at_fault = member.address
+        caller = fleet.caller()
+        while not head.arrivals_s:
+            assert (await caller.stream()).status == 200
+        await fleet.wait_until(lambda: len(fleet.targets()) == 1, 1.0)
+
+    fleet_harness.run(test)
+
+
+def test_a_full_head_that_blames_itself_stays_in_use():
+    async def test(fleet):
+        head = fleet.head()
+        head.faults.rejects_requests = True
+        head.faults.stated_at_fault = head.address
+        caller = fleet.caller()
+        while not head.arrivals_s:
+            assert (await caller.stream()).status == 200
+        await anyio.sleep(0.5)
+        assert len(fleet.targets()) == 2
+
+    fleet_harness.run(test)
--- a/redwingvalve/platform/endpoint_statements.py
+++ b/redwingvalve/platform/endpoint_statements.py
@@ -30,6 +30,9 @@
     rest_s: float | None = None
     # Whether it is going to stop and takes no new requests.
     is_leaving: bool = False
+    # Address of the endpoint because of which it turned the request away,
+    # itself or another member of its replica; empty if not stated.
+    at_fault: str = ''
 
 
 NOTHING: typing.Final = Statement()
@@ -48,12 +51,17 @@
             requests_per_s=_number(head, names.RATE_LIMIT_HEADER),
             rest_s=_rest_s(head),
             is_leaving=head.header(names.LEAVING_HEADER) == _LEAVES,
+            at_fault=_text(head, names.ENDPOINT_AT_FAULT_HEADER),
         )
     except InvalidStatementError as error:
         LOG.warning('unusable statement', extra={'error': str(error)})
         return None
 
 
+def _text(head: messages.ResponseHead, name: bytes) -> str:
+    return (head.header(name) or b'').decode('latin-1').strip()
+
+
 def _rest_s(head: messages.ResponseHead) -> float | None:
     if head.status not in _TURNED_AWAY:
         return None
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -33,6 +33,6 @@
 RATE_LIMIT_HEADER: typing.Final = b'server-limit'
 LEAVING_HEADER: typing.Final = b'server-leaving'
 RETRY_AFTER_HEADER: typing.Final = b'retry-after'
-ENDPOINT_AT_FAULT: typing.Final = b'at-server'
+ENDPOINT_AT_FAULT_HEADER: typing.Final = b'at-server'
 # Query parameter of directory requests.
 DATA_CENTRE_PARAMETER = 'zone'
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -47,6 +47,8 @@
     stated_requests_per_s: float | None = None
     # Stated in answers that reject a request, but not enforced.
     stated_rest_s: float | None = None
+    # Address of the endpoint because of which requests are rejected.
+    stated_at_fault: str = ''
     # Stated in all answers to requests, while the entry is unchanged.
     states_leaving: bool = False
 
@@ -275,6 +277,9 @@
             if self.faults.stated_rest_s is not None:
                 rest = b'%g' % self.faults.stated_rest_s
                 stated.append((b'retry-after', rest))
+            if self.faults.stated_at_fault:
+                at_fault = self.faults.stated_at_fault.encode()
+                stated.append((b'at-server', at_fault))
             responder.send_response(503, [(b'x-not-run', b'1'), *stated], b'')
             return
         last = request.header(b'last-event-id')
