Wait for a rest that ends in time where a stream has begun

A resumed stream was broken off at once when the only endpoint that it had not tried asked for rest, although the rest ended within the time that it may wait; it can't be refused any more. The estimate of a queue now counts parts of slots where limits are low: rounded down to none, every request expected an endless wait.

--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -72,13 +72,22 @@
         """Return whether a node found an endpoint slow."""
         return endpoint_id in self._slow_until_s
 
-    def usable_at(self, target: load_balancing.Target, hold_s: float) -> float:
-        """Return the slots that an endpoint's requests can fill.
+    def usable(
+        self,
+        targets: collections_abc.Iterable[load_balancing.Target],
+        hold_s: float,
+    ) -> float:
+        """Return how many slots of endpoints their rate limits let fill.
 
         hold_s is how long a request holds a slot.
         """
-        limit_per_s = self.limits.requests_per_s(target.endpoint_id)
-        return min(target.slots, limit_per_s * hold_s)
+        return sum(
+            min(
+                target.slots,
+                self.limits.requests_per_s(target.endpoint_id) * hold_s,
+            )
+            for target in targets
+        )
 
     def free_at(self, target: load_balancing.Target) -> int:
         """Return the slots of an endpoint that may be granted now."""
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -150,17 +150,14 @@
         return sum(map(self.endpoint_slots.free_at, self._in_use()))
 
     def slots(self) -> int:
-        """Return the number of all slots in use, held or free."""
-        return int(
-            sum(
-                self.endpoint_slots.usable_at(target, self._hold_time.seconds)
-                for target in self._in_use()
-            )
-        )
+        """Return the number of usable slots in use, held or free."""
+        hold_s = self._hold_time.seconds
+        return math.ceil(self.endpoint_slots.usable(self._in_use(), hold_s))
 
     def freed_per_s(self) -> float:
         """Return the slots freed per second while all are held."""
-        return self.slots() / self._hold_time.seconds
+        hold_s = self._hold_time.seconds
+        return self.endpoint_slots.usable(self._in_use(), hold_s) / hold_s
 
     def blocked_s(self) -> float:
         """Return how long rate limits keep all endpoints from a request."""
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -107,8 +107,10 @@
         began_s = self.clock()
         for _ in range(MAX_UNUSABLE_GRANTS):
             rest_s = self._rest_left_s(service, model, avoided_ids)
-            if rest_s > 0:
+            left = _deduct_elapsed(need, self.clock() - began_s)
+            if rest_s > _longest_rest_s(left):
                 return reservations.NoSlot(refusals.before_jitter_s(rest_s))
+            await _wait_for_rest(rest_s)
             pools = self._pools_to_ask(service, model)
             if not pools:
                 break
@@ -354,5 +356,20 @@
     )
 
 
+def _longest_rest_s(need: wait_queue.SlotRequest) -> float:
+    """Return how long a request may wait until an endpoint has rested.
+
+    A request that was sent before may be a stream that its caller receives: it
+    can't be refused any more, only broken off.
+    """
+    return need.wait_s if need.is_resumed else 0.0
+
+
+async def _wait_for_rest(rest_s: float) -> None:
+    # Even a sleep of 0 s lets all other tasks go first.
+    if rest_s > 0:
+        await anyio.sleep(rest_s)
+
+
 def _is_final(reply: messages.Reply | None) -> bool:
     return reply is not None and reply.outcome is not _QUEUED
--- a/redwingvalve/allocation/tests/test_endpoint_rests.py
+++ b/redwingvalve/allocation/tests/test_endpoint_rests.py
@@ -1,6 +1,7 @@
 """Endpoints that asked one node for rest, in virtual time."""
 
 import anyio
+import attrs
 import looptime
 import pytest
 
@@ -117,15 +118,20 @@
     run(test)
 
 
-def test_a_resumed_request_does_not_wait_for_endpoints_that_rest():
-    """The only endpoint that was not tried yet rests."""
+@pytest.mark.parametrize(('rested_s', 'is_served'), [(0.5, False), (2.0, True)])
+def test_a_resumed_request_waits_for_rests_that_end_in_time(
+    rested_s, is_served
+):
+    """A stream that has begun can't be refused any more, only broken off."""
 
     async def test():
         fleet = Fleet(heads=2)
         resting = await fleet.turn_away()
         (tried,) = {'head-0', 'head-1'} - {resting}
-        found = await fleet.reserve(avoid=[tried])
-        assert isinstance(found, reservations.NoSlot)
+        await anyio.sleep(rested_s)
+        resumed = attrs.evolve(NEED, is_resumed=True)
+        found = await fleet.reserve(need=resumed, avoid=[tried])
+        assert isinstance(found, reservations.Reservation) is is_served
 
     run(test)
 
