Remember that an endpoint leaves while its entry is gone

An answer that says that its endpoint leaves was ignored if the entry of the endpoint had expired, as entries do while the store is down; when the entry came back, new requests went there. The new test failed before: two targets where one was left.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -64,8 +64,9 @@
         ] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
-        # Endpoints that leave, and the incarnation that said so.
-        self._leaving: dict[str, int] = {}
+        # Endpoints that leave, and the incarnation that said so, None if its
+        # entry was gone.
+        self._leaving: dict[str, int | None] = {}
         # Replicas as last seen with all members, by name and epoch.
         self._complete_replicas: dict[tuple[str, int], endpoints.Replica] = {}
         registry.on_change.append(self.rebuild)
@@ -111,12 +112,13 @@
         Its entry may say so later or never.
         """
         endpoint = self._registry.live.get(endpoint_id)
-        if endpoint is None or self._is_leaving(endpoint):
+        born_ms = endpoint.born_ms if endpoint else None
+        if self._leaving.get(endpoint_id, -1) == born_ms:
             return
         LOG.info('endpoint leaves', extra={'endpoint': endpoint_id})
         if len(self._leaving) >= MAX_KNOWN_LEAVING:
             self._leaving.clear()
-        self._leaving[endpoint_id] = endpoint.born_ms
+        self._leaving[endpoint_id] = born_ms
         self.rebuild()
 
     def check_endpoint(self, endpoint_id: str, reason: str) -> None:
@@ -292,7 +294,9 @@
     def _is_leaving(self, endpoint: endpoints.Endpoint) -> bool:
         if endpoint.draining:
             return True
-        return self._leaving.get(endpoint.endpoint_id) == endpoint.born_ms
+        if endpoint.endpoint_id not in self._leaving:
+            return False
+        return self._leaving[endpoint.endpoint_id] in {None, endpoint.born_ms}
 
     def _is_serving(self, replica: endpoints.Replica) -> bool:
         head = replica.head
--- a/redwingvalve/node/tests/test_endpoint_limits.py
+++ b/redwingvalve/node/tests/test_endpoint_limits.py
@@ -166,3 +166,23 @@
         assert len(fleet.targets()) == 2
 
     fleet_harness.run(test)
+
+
+def test_an_endpoint_that_leaves_stays_out_of_use_when_its_entry_returns():
+    """Entries expire while the store is down and come back after it."""
+
+    async def test(fleet):
+        table = fleet.nodes[0].table
+
+        def targets():
+            return table.find_targets(fleet_harness.PLAIN_SERVICE, '')
+
+        entry = fleet.store.objects['servers']['p0']['spec']
+        fleet.store.remove('servers', 'p0')
+        await fleet.wait_until(lambda: len(targets()) == 1)
+        table.mark_leaving('p0')
+        fleet.store.put('servers', 'p0', entry)
+        await anyio.sleep(0.3)
+        assert len(targets()) == 1
+
+    fleet_harness.run(test, engines=0)
