--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -27,6 +27,10 @@
 LOG = logs.make_logger('allocation')
 
 ReplyCallback = collections_abc.Callable[[messages.Reply], None]
+# Sends a message to the other nodes that may be asked for a pool's slots.
+Forward: typing.TypeAlias = collections_abc.Callable[
+    [messages.Pool, messages.Message], None
+]
 
 
 @attrs.define(eq=False)
@@ -37,12 +41,6 @@
     is_cancelled: bool = False
 
 
-# Sends a message to the other nodes that may be asked for a pool's slots.
-Forward: typing.TypeAlias = collections_abc.Callable[
-    [messages.Pool, messages.Message], None
-]
-
-
 def _forward_nothing(pool: messages.Pool, message: messages.Message) -> None:
     """Forward nothing, as no other node is known."""
 
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -113,7 +113,8 @@
         """
         endpoint = self._registry.live.get(endpoint_id)
         born_ms = endpoint.born_ms if endpoint else None
-        if self._leaving.get(endpoint_id, -1) == born_ms:
+        is_known = endpoint_id in self._leaving
+        if is_known and self._leaving[endpoint_id] == born_ms:
             return
         LOG.info('endpoint leaves', extra={'endpoint': endpoint_id})
         if len(self._leaving) >= MAX_KNOWN_LEAVING:
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -20,9 +20,8 @@
 A request is refused immediately if its expected wait, from the requests ahead
 of it and the rate at which slots become free, exceeds its time, if rate limits
 of all endpoints outlast the time that it may wait, and if the limit of waiting
-late requests is reached; the limit follows how many of them got a slot
-lately. A caller that is refused immediately can retry; one that
-waits can't.
+late requests is reached; the limit follows how many of them got a slot lately.
+A caller that is refused immediately can retry; one that waits can't.
 """
 
 import abc
