Let a node that leaves ask others for slots

A node that was stopping went on to grant slots to its own requests while the other nodes asked the next owner: both counted the same endpoints, and their slots and rate limits were used twice until the node had gone. The new test failed before: the leaving node still ranked itself first.

--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -120,7 +120,9 @@
         _PoolTargets(state.targets).of, time.monotonic
     )
     transport = AllocationTransport(peers, allocator)
-    pool_owners = owners.PoolOwners(lambda: _candidates(peers), time.monotonic)
+    pool_owners = owners.PoolOwners(
+        lambda: _candidates(peers, state), time.monotonic
+    )
     allocator.mark_leaving = state.targets.mark_leaving
     allocator.forward = functools.partial(
         owners.send_to_owners, pool_owners, transport, peers.local.vm
@@ -143,9 +145,15 @@
     return transport
 
 
-def _candidates(peers: peers_module.Peers) -> list[owners.Candidate]:
+def _candidates(
+    peers: peers_module.Peers, state: state_module.IngressState
+) -> list[owners.Candidate]:
+    others = list(map(_candidate, front_selection.available_peers(peers)))
+    # The other nodes no longer ask this one for slots, nor tell it of theirs.
+    if state.is_leaving and others:
+        return others
     local = owners.Candidate(peers.local.vm, peers.local.data_centre)
-    return [local, *map(_candidate, front_selection.available_peers(peers))]
+    return [local, *others]
 
 
 def _candidate(peer: peers_module.Peer) -> owners.Candidate:
--- a/redwingvalve/node/tests/test_status_exchange.py
+++ b/redwingvalve/node/tests/test_status_exchange.py
@@ -162,3 +162,23 @@
 
 def make_observer():
     return mock.create_autospec(peers.PeerObserver, instance=True)
+
+
+def test_a_node_that_leaves_grants_itself_no_slots_that_others_count():
+    """The other nodes no longer ask it, and don't tell it what they grant."""
+
+    async def test(fleet):
+        await fleet.wait_until(lambda: holder_and_owner(fleet))
+        other, owner = holder_and_owner(fleet)
+        owner.state.is_leaving = True
+        owners = owner.allocation.reserver.owners
+        await fleet.wait_until(
+            lambda: owners.ranked_for(PLAIN_POOL) == (other.settings.vm,), 1.0
+        )
+        for node in fleet.nodes:
+            node.state.is_leaving = True
+        await fleet.wait_until(
+            lambda: owners.ranked_for(PLAIN_POOL) == (owner.settings.vm,), 2.0
+        )
+
+    fleet_harness.run(test, nodes=2, engines=0, plain=1)
