Log the source, age and duration of each try of a watch

A late configuration could not be traced: the lines named neither the source that failed, nor how old the known state was, nor how long the call took. So a lost answer of the store, a relay that hangs and a busy process looked alike.

--- a/redwingvalve/node/kind_watch.py
+++ b/redwingvalve/node/kind_watch.py
@@ -87,6 +87,7 @@
         # Time of the known state at the store, on the clock of clock.boot_s.
         self._synced_s = -math.inf
         self._has_asked_store = False
+        self._asked_s = 0.0
 
     @property
     def age_s(self) -> float:
@@ -108,6 +109,7 @@
         while True:
             source = self._next_source()
             self._has_asked_store = source.is_store
+            self._asked_s = time.monotonic()
             try:
                 await self._step(source)
             except store.HistoryGoneError:
@@ -196,16 +198,14 @@
         self._failures += 1
         self._failed_s = now_s
         if not source.is_store:
-            LOG.info(
-                'relay lost', extra={'kind': self.kind, 'error': str(error)}
-            )
+            LOG.info('relay lost', extra=self._log_fields(source, error))
             await anyio.sleep(self._relay_retry_pause_s())
             return
         self._handler.on_unavailable()
-        if not self._is_store_down:
-            LOG.warning(
-                'store lost', extra={'kind': self.kind, 'error': str(error)}
-            )
+        if self._is_store_down:
+            LOG.info('store still lost', extra=self._log_fields(source, error))
+        else:
+            LOG.warning('store lost', extra=self._log_fields(source, error))
         self._is_store_down = True
         pause_s = random.uniform(RETRY_MIN_S, RETRY_MAX_S)
         self._store_retry_at_s = now_s + max(pause_s, self._store_backoff_s)
@@ -215,6 +215,19 @@
         )
         await anyio.sleep(pause_s)
 
+    def _log_fields(
+        self, source: watch_sources.Source, error: Exception | None = None
+    ) -> dict[str, str | float]:
+        fields: dict[str, str | float] = {
+            'kind': self.kind,
+            'source': source.name,
+            'age_s': round(self.age_s, 2),
+            'took_s': round(time.monotonic() - self._asked_s, 2),
+        }
+        if error is not None:
+            fields['error'] = str(error)
+        return fields
+
     def _relay_retry_pause_s(self) -> float:
         pause_s = random.uniform(RELAY_RETRY_MIN_S, RELAY_RETRY_MAX_S)
         if not self._is_store_down:
@@ -223,6 +236,7 @@
         return min(max(until_store_s, pause_s), RELAY_POLL_MAX_S)
 
     def _record_sync(self, source: watch_sources.Source, age_s: float) -> None:
+        LOG.debug('answered', extra=self._log_fields(source))
         self._synced_s = max(self._synced_s, clock.boot_s() - age_s)
         until_next_s = source.wait_s + self._interval_s(source)
         self.cache.record_sync(until_next_s, source.is_store)
--- a/redwingvalve/node/watch_sources.py
+++ b/redwingvalve/node/watch_sources.py
@@ -61,6 +61,8 @@
     pause_s: float = 0.0
     # If the known state is older than this, the store is queried instead.
     max_age_s: float = math.inf
+    # Name in logs: the relay's VM, or 'store'.
+    name: str = 'store'
 
 
 class SourceSelector:
@@ -114,6 +116,7 @@
             is_store=False,
             wait_s=(PAUSE_SHARE + RELAY_WAIT_SHARE) * self._bound_s,
             max_age_s=STORE_FALLBACK_SHARE * self._bound_s,
+            name=address.vm,
         )
 
 
