Ask the store by the age of the known state, whatever a watch waits for

Callers saw: a key that was revoked, or an endpoint that leaves, could be used for longer than the limit of 2 s on a node whose relays hang, and for 3.3 s on a node of a small fleet, if one answer of the store was late or lost.

Cause: a watch waited for one thing after the other, and the waits added up: the age limit of its relays, a pause, the time limit of a call to the store, a pause, relays again. Only the first was tied to the age of the state.

Why it works: an extra call is due at 0.7 of the limit of the state's age, beside the relay or watch that is waited for, and is repeated after an eighth of the limit without an answer; the first answer counts, so that a late one does too. Watches of small fleets at the store are due within 0.55 of the limit.

test_relays.py only imports two constants from their new module. The profile 'free' draws new examples in each run, for searches by hand.

--- a/conftest.py
+++ b/conftest.py
@@ -21,6 +21,15 @@
     database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+# For runs by hand that look for failures: new examples in each run, or those
+# of --hypothesis-seed.
+hypothesis.settings.register_profile(
+    'free',
+    derandomize=False,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
 hypothesis.settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
 
 
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -9,6 +9,7 @@
     hubs,
     kind_watch,
     peers,
+    source_schedule,
     watch_cache,
     watch_handler,
     watch_sources,
@@ -123,7 +124,7 @@
     relay = FailingSource(0)
     platform = IdleSource(0)
 
-    run_watch(relay, platform, 4 * kind_watch.RELAY_BACKOFF_S)
+    run_watch(relay, platform, 4 * source_schedule.RELAY_BACKOFF_S)
     assert 2 <= relay.calls <= 3
 
 
@@ -323,6 +324,6 @@
     relay = FailingSource(0)
     platform = OnceFailingSource(0)
 
-    run_watch(relay, platform, kind_watch.RETRY_MAX_S + 0.2)
+    run_watch(relay, platform, source_schedule.RETRY_MAX_S + 0.2)
     # A listing, the watch whose answer is lost, and the next one.
     assert platform.calls >= 3
--- a/redwingvalve/node/watch_sources.py
+++ b/redwingvalve/node/watch_sources.py
@@ -31,16 +31,19 @@
 from redwingvalve.platform import settings as settings_module
 from redwingvalve.platform import store, store_responses
 
-# Wait of a watch at the store, and so the time in which a silent connection
-# goes unnoticed.
-STORE_WAIT_S = 2.5
+# Longest wait of a watch at the store.
+STORE_WAIT_MAX_S = 2.5
 # Shares of the time limit for learning of a change. A relay pauses and then
 # waits at the store, so its answers are at most as old as both together. A node
-# behind it queries the store if its state is older than STORE_FALLBACK_SHARE,
-# which leaves the remaining time for the answer.
+# whose state is older than STORE_FALLBACK_SHARE makes an extra call to the
+# store, and another one after each STORE_HEDGE_SHARE without an answer, so that
+# one lost answer leaves time for the next.
 PAUSE_SHARE = 0.25
 RELAY_WAIT_SHARE = 0.25
 STORE_FALLBACK_SHARE = 0.7
+STORE_HEDGE_SHARE = 0.125
+# Age of the state at which a node without relays gets the next answer.
+UNRELAYED_AGE_SHARE = 0.55
 # Ages are sent in steps of a tenth of a second.
 _AGE_STEPS_PER_S = 10
 _JSON = (b'content-type', b'application/json')
@@ -59,12 +62,52 @@
     wait_s: float
     # Pause between two watches, so that changes in between cost one call.
     pause_s: float = 0.0
-    # If the known state is older than this, the store is queried instead.
+    # If the known state is older than this, the store is queried in addition.
     max_age_s: float = math.inf
+    # Delay until that query is repeated if it isn't answered.
+    hedge_delay_s: float = 0.25
     # Name in logs: the relay's VM, or 'store'.
     name: str = 'store'
 
 
+def make_store_source(
+    client: store.StoreClient,
+    bound_s: float,
+    *,
+    is_relayed: bool,
+    is_paused: bool,
+) -> Source:
+    """Return the store as a source that answers well within bound_s.
+
+    is_relayed means that other nodes depend on the age of the answers.
+    """
+    pause_s = PAUSE_SHARE * bound_s if is_paused else 0.0
+    wait_s = UNRELAYED_AGE_SHARE * bound_s - pause_s
+    if is_relayed:
+        wait_s = RELAY_WAIT_SHARE * bound_s
+    return Source(
+        client,
+        is_store=True,
+        wait_s=min(wait_s, STORE_WAIT_MAX_S),
+        pause_s=pause_s,
+        max_age_s=STORE_FALLBACK_SHARE * bound_s,
+        hedge_delay_s=STORE_HEDGE_SHARE * bound_s,
+    )
+
+
+def make_relay_source(
+    client: store.StoreClient, bound_s: float, name: str
+) -> Source:
+    """Return a relay as a source; the store is queried if it is too late."""
+    return Source(
+        client,
+        is_store=False,
+        wait_s=(PAUSE_SHARE + RELAY_WAIT_SHARE) * bound_s,
+        max_age_s=STORE_FALLBACK_SHARE * bound_s,
+        name=name,
+    )
+
+
 class SourceSelector:
     """Selects this node's sources from the hubs that are alive."""
 
@@ -91,15 +134,14 @@
     def select(self) -> list[Source]:
         """Return the sources in order of preference."""
         is_large_fleet = self._peers.is_large_fleet
-        relay_wait_s = RELAY_WAIT_SHARE * self._bound_s
-        wait_s = relay_wait_s if is_large_fleet else STORE_WAIT_S
-        unpaused = Source(self._store, is_store=True, wait_s=wait_s)
-        if self._holds_lease():
-            return [unpaused]
-        store_source = attrs.evolve(
-            unpaused, pause_s=PAUSE_SHARE * self._bound_s
+        holds_lease = self._holds_lease()
+        store_source = make_store_source(
+            self._store,
+            self._bound_s,
+            is_relayed=is_large_fleet,
+            is_paused=not holds_lease,
         )
-        if not is_large_fleet:
+        if holds_lease or not is_large_fleet:
             return [store_source]
         relays = self._hubs.of(self._peers.local.data_centre)
         # The second hub watches the first, so that a data centre costs the
@@ -111,13 +153,8 @@
 
     def _relay_source(self, address: peers_module.PeerAddress) -> Source:
         socket = settings_module.SocketAddress(address.ip, address.peer_port)
-        return Source(
-            client=store.StoreClient(socket, self._json),
-            is_store=False,
-            wait_s=(PAUSE_SHARE + RELAY_WAIT_SHARE) * self._bound_s,
-            max_age_s=STORE_FALLBACK_SHARE * self._bound_s,
-            name=address.vm,
-        )
+        client = store.StoreClient(socket, self._json)
+        return make_relay_source(client, self._bound_s, address.vm)
 
 
 class WatchRelayApplication(server.Application):
