Log when a member is superseded, raises its incarnation or is declared dead

A process that took itself for superseded left no trace of which report made it think so, and a table that declared a member dead did not say for which incarnation, so stale reports, lost first exchanges and second processes of one name could not be told apart.

--- a/redwingvalve/membership/local_status.py
+++ b/redwingvalve/membership/local_status.py
@@ -3,7 +3,9 @@
 import attrs
 
 from redwingvalve.membership import member_status, members, status_store
+from redwingvalve.observability import logs
 
+LOG = logs.make_logger('membership')
 State = members.MemberState
 
 
@@ -67,6 +69,8 @@
         # clock of this VM merely runs behind. Otherwise another process with
         # the same name started later, and only one of the two may continue.
         if self._joined and reported.state is not State.DEAD:
+            if not self.superseded:
+                LOG.warning('superseded', extra=self._log_fields(reported))
             self.superseded = True
             return
         self._start_incarnation_after(reported)
@@ -89,6 +93,7 @@
     def _start_incarnation_after(
         self, reported: member_status.MemberStatus
     ) -> None:
+        LOG.info('incarnation raised', extra=self._log_fields(reported))
         incarnation = reported.member.incarnation + 1
         restarted = attrs.evolve(self.member(), incarnation=incarnation)
         self._statuses.put(member_status.MemberStatus(restarted, 0))
@@ -105,3 +110,13 @@
         self._statuses.put(
             member_status.MemberStatus(changed, current.heartbeat + 1)
         )
+
+    def _log_fields(
+        self, reported: member_status.MemberStatus
+    ) -> dict[str, str | int]:
+        return {
+            'member': self._name,
+            'incarnation': self.member().incarnation,
+            'reported_incarnation': reported.member.incarnation,
+            'reported_state': reported.state.value,
+        }
--- a/redwingvalve/membership/table.py
+++ b/redwingvalve/membership/table.py
@@ -21,7 +21,9 @@
     members,
     status_store,
 )
+from redwingvalve.observability import logs
 
+LOG = logs.make_logger('membership')
 State = members.MemberState
 # With fewer live members, a region may not detect its own failures.
 MIN_SELF_JUDGING_MEMBERS = 3
@@ -161,6 +163,13 @@
             if status is not None and status.state is not State.DEAD:
                 self._died_at_s[name] = now_s
                 self.statuses.put(status.with_state(State.DEAD))
+                LOG.info(
+                    'declared dead',
+                    extra={
+                        'member': name,
+                        'incarnation': status.member.incarnation,
+                    },
+                )
 
     def _remove_expired(self, now_s: float) -> None:
         too_old_s = now_s - self.bounds.dead_retention_s
