Declare a later process of one's name dead if it doesn't answer

Callers saw: a process that runs alone under its name took itself for superseded for good, so it was isolated and got no work.

Cause: a process that hears of a later incarnation of its name stands back until that one is declared dead. Nobody ever did: all peers reach the process that stands back under that name, and took its answers for contact with the later one.

Change: a message of an earlier incarnation no longer counts as contact with the known one. It raises a suspicion against it, every contest_interval_s at most, which a process that lives refutes and one that is gone does not. Once it is declared dead, the process that runs starts above it, as it did before, and is superseded no more. A reply of an earlier incarnation to a probe fails the probe.

Why it works: only the later process can raise its heartbeat, so either it refutes or it is dead, whichever way the others learned of it. A process that has joined still never takes over from one that lives.

test_a_process_is_not_superseded_for_good_by_one_that_is_gone fails before (superseded holds after 21 s).

--- a/redwingvalve/membership/bounds.py
+++ b/redwingvalve/membership/bounds.py
@@ -24,6 +24,9 @@
     refused_suspicion_s: suspicion time when the host refuses the connection.
         A pause can't explain a refusal, so the process has exited; this
         leaves time to learn of a restart.
+    contest_interval_s: a member is suspected this often while a process of an
+        earlier incarnation uses its name. A member that lives refutes each
+        time, and has the whole suspicion time for it.
     isolation_s: a process that has had no contact for this long
         considers itself cut off.
     region_silence_s: no reachable member has contacted a region for this
@@ -44,6 +47,7 @@
     suspicion_s: float = 5.0
     refused_suspicion_s: float = 1.5
     pause_bound_s: float = 4.0
+    contest_interval_s: float = 10.0
     isolation_s: float = 4.0
     region_silence_s: float = 15.0
     max_tick_gap_s: float = 1.5
--- a/redwingvalve/membership/exchange_transport.py
+++ b/redwingvalve/membership/exchange_transport.py
@@ -48,7 +48,9 @@
         """Exchange with a member; return the error, or None on success."""
         now_s = self._clock.monotonic_s()
         request = self.exchanges.make_request(member.name, member.region, now_s)
-        return await self._ask((member.host, member.peer_port), request)
+        return await self._ask(
+            (member.host, member.peer_port), request, member.incarnation
+        )
 
     async def exchange_with_address(
         self, address: Address
@@ -60,7 +62,7 @@
         )
 
     async def _ask(
-        self, address: Address, request: Exchange
+        self, address: Address, request: Exchange, incarnation: int = 0
     ) -> call_errors.CallError | None:
         sent_s = self._clock.monotonic_s()
         outcome = await self._send(address, request)
@@ -83,6 +85,11 @@
             )
             return None
         await self._receive_reply(address, received.ok, sent_s)
+        if _incarnation_of(received.ok) < incarnation:
+            # The address belongs to another process now.
+            return call_errors.CallError(
+                Kind.REFUSED, 'an earlier incarnation answered'
+            )
         return None
 
     async def _receive_reply(
@@ -114,3 +121,9 @@
             return
         if outcome.error.kind is Kind.TIMEOUT:
             self._health_score = min(self._health_score + 1, MAX_HEALTH_SCORE)
+
+
+def _incarnation_of(received: Exchange) -> int:
+    if received.sender is None:
+        return 0
+    return received.sender.incarnation or 0
--- a/redwingvalve/membership/exchanges.py
+++ b/redwingvalve/membership/exchanges.py
@@ -118,7 +118,9 @@
         if sender is None:
             return False
         self.members.merge_region_ages(_region_ages(received), now_s)
-        self.members.record_contact(sender.name, now_s)
+        self.members.record_contact(
+            sender.name, received.sender.incarnation or 0, now_s
+        )
         source = address or (sender.member.host, sender.member.peer_port)
         for delegate in self.registered_delegates:
             delegate.receive(
--- a/redwingvalve/membership/local_status.py
+++ b/redwingvalve/membership/local_status.py
@@ -68,11 +68,14 @@
         # Before the first exchange, or if the later incarnation is dead, the
         # clock of this VM merely runs behind. Otherwise another process with
         # the same name started later, and only one of the two may continue.
+        # If that process is gone, it is declared dead, as its peers hear only
+        # from this one.
         if self._joined and reported.state is not State.DEAD:
             if not self.superseded:
                 LOG.warning('superseded', extra=self._log_fields(reported))
             self.superseded = True
             return
+        self.superseded = False
         self._start_incarnation_after(reported)
 
     def _is_predecessor_leaving(
--- a/redwingvalve/membership/table.py
+++ b/redwingvalve/membership/table.py
@@ -45,6 +45,8 @@
         self.own = local_status.LocalStatus(me, self.statuses)
         self._death_due_s: dict[str, float] = {}
         self._died_at_s: dict[str, float] = {}
+        # When members may be suspected for an earlier incarnation again.
+        self._contest_due_s: dict[str, float] = {}
         self._region_seen_s: dict[str, float] = {me.region: now_s}
         self._last_contact_s = now_s
         self._ticked_s = now_s
@@ -100,14 +102,23 @@
             known_s = self._region_seen_s.get(region, float('-inf'))
             self._region_seen_s[region] = max(seen_s, known_s)
 
-    def record_contact(self, name: str, now_s: float) -> None:
-        """Record that a member has sent a message to this process."""
+    def record_contact(self, name: str, incarnation: int, now_s: float) -> None:
+        """Record that a process has sent a message under a member's name.
+
+        A message of an earlier incarnation is no proof that the known one is
+        alive, so that one is suspected: it refutes, or is declared dead.
+        """
         self.record_connectivity(now_s)
         self._has_contacted_peer = True
         status = self.statuses.get(name)
-        if status is not None:
-            self._region_seen_s[status.member.region] = now_s
+        if status is None:
+            return
+        self._region_seen_s[status.member.region] = now_s
+        if incarnation >= status.member.incarnation:
             self._death_due_s.pop(name, None)
+        elif self._contest_due_s.get(name, now_s) <= now_s:
+            self._contest_due_s[name] = now_s + self.bounds.contest_interval_s
+            self.suspect(name, now_s, refused=False)
 
     def record_connectivity(self, now_s: float) -> None:
         """Record proof, such as a store reply, of network connectivity."""
@@ -177,6 +188,7 @@
             if died_at_s < too_old_s:
                 del self._died_at_s[name]
                 self._death_due_s.pop(name, None)
+                self._contest_due_s.pop(name, None)
                 self.statuses.remove(name)
 
     def _apply(self, status: member_status.MemberStatus, now_s: float) -> None:
--- a/redwingvalve/membership/tests/test_faults.py
+++ b/redwingvalve/membership/tests/test_faults.py
@@ -173,3 +173,33 @@
         statuses, statuses['0-entry-2'].member
     )
     assert [peer.name for peer in local_peers] == ['0-control']
+
+
+def test_a_process_is_not_superseded_for_good_by_one_that_is_gone():
+    """Only e3 heard of a later process of e1 before that was lost.
+
+    The one that runs would be isolated for ever, and get no work.
+    """
+    net = make_fleet(4)
+    lost = network.make_status(network.make_member('e1', 10, 'r0'))
+    net.processes['e3'].table.merge([lost], net.now_s)
+    net.step(60)
+    assert not net.processes['e1'].table.own.superseded
+    assert set(net.states('e1').values()) == {State.ALIVE}
+    assert net.processes['e1'].table.own.member().incarnation == 11
+
+
+def test_a_member_is_not_declared_dead_for_an_earlier_process_of_its_name():
+    """Two processes of one name run for a minute; the later one refutes."""
+    net = make_fleet(4)
+    earlier = net.processes['e1']
+    net.start('e1', incarnation=5, region='r0', contact='e0')
+    for _ in range(170):
+        net.step()
+        asked = earlier.exchanges.make_request('e0', 'r0', net.now_s)
+        net.processes['e0'].exchanges.receive(asked, None, net.now_s)
+        answer = net.processes['e0'].exchanges.make_reply(asked, net.now_s)
+        earlier.exchanges.receive(answer, None, net.now_s)
+    assert not net.deaths
+    assert earlier.table.own.superseded
+    assert not net.processes['e1'].table.own.superseded
