Keep an incarnation provisional until an informed member has answered

Callers saw: new work went to a member that leaves, as other members kept it alive; and a process was superseded by an earlier one that was gone.

Cause: a process counted as joined once its first exchange had ended, also if that was lost or its contact knew nobody. It then went on under an incarnation below, or equal to, that of an earlier process of its name, which the others still knew as alive: its leaving was older news to them. Evidence: restart at 20, restart at 1 with the first exchange lost, leave: the member whose status is (20, 0) alive never learns of (1, 1) leaving.

Change: an incarnation is provisional until a member that knows the fleet has answered with the incarnation that it knew of the name before, and for two seconds more. Answers repeat a token of the process, so that a late one to an earlier process doesn't count, and only members that were told so themselves give them; a process without contacts is the first. Until then it starts above any incarnation that it hears of, keeps its state, and its status orders as the newest, as no other member can know it yet. If all members start at once, they stop waiting after 30 s.

Why it works: whoever has joined has been told of all earlier processes that an informed member knew, whichever exchange was lost.

Before: test_a_lost_first_exchange_does_not_make_a_restart_superseded (superseded) and test_a_restart_that_leaves_before_it_has_joined_gets_no_new_work (suspect instead of leaving) fail. After: they pass, the tests of single faults as they were too.

--- a/redwingvalve/membership/bounds.py
+++ b/redwingvalve/membership/bounds.py
@@ -15,6 +15,11 @@
         max_urgent_interval_s while further changes arrive, so that a burst
         of changes adds four exchanges per second to a member instead of
         forty.
+    settle_s: how long the incarnation of a process stays provisional after
+        it was told of earlier processes of its name, so that what only a few
+        members knew reaches it.
+    join_timeout_s: a process stops waiting for a member that knows the fleet
+        if all that it met for this long had just started too.
     probe_timeout_s: a peer in the region answers within milliseconds; half
         a second allows for a busy event loop.
     suspicion_s: how long a suspect has to refute the suspicion. A process
@@ -43,6 +48,8 @@
     reconnect_interval_s: float = 5.0
     urgent_interval_s: float = 0.1
     max_urgent_interval_s: float = 1.0
+    settle_s: float = 2.0
+    join_timeout_s: float = 30.0
     probe_timeout_s: float = 0.5
     suspicion_s: float = 5.0
     refused_suspicion_s: float = 1.5
--- a/redwingvalve/membership/exchanges.py
+++ b/redwingvalve/membership/exchanges.py
@@ -42,6 +42,9 @@
         factory=list
     )
     _started: int = 0
+    # For each name, the token of the last process that joined and the
+    # incarnation known before it.
+    _joining: dict[str, tuple[int, int | None]] = attrs.field(factory=dict)
     _record_cache: dict[str, tuple[member_status.MemberStatus, Record]] = (
         attrs.field(factory=dict)
     )
@@ -50,6 +53,7 @@
         self, receiver: str, region: str, now_s: float
     ) -> Exchange:
         """Return the request for one receiver."""
+        self.members.own.record_request()
         request = self._start(receiver, now_s)
         current = self.members.statuses.get(receiver)
         if (
@@ -68,6 +72,7 @@
         """Return the reply to a request or follow-up already received."""
         reply = self._start(received.sender.name, now_s)
         reply.clock_ms = int(now_s * MS_PER_S)
+        self._answer_join(received, reply)
         current = self.members.statuses.get(received.sender.name)
         if current is not None and _is_older(received.sender, current):
             self._add_statuses(reply, [current])
@@ -85,13 +90,15 @@
         follow_up.changes = []
         follow_up.clock_ms = received.clock_ms
         self._add_differing(received, follow_up)
+        self._answer_join(received, follow_up)
         if received.table_digests:
             follow_up.table_digests = self.members.statuses.digests()
         has_content = [
             delegate.follow_up(received, follow_up)
             for delegate in self.registered_delegates
         ]
-        if received.table_digests or any(has_content):
+        is_expected = received.table_digests or follow_up.answered_token
+        if is_expected or any(has_content):
             return follow_up
         return None
 
@@ -108,6 +115,7 @@
         """
         if received.sender is None:
             return False
+        self._note_join(received)
         new_records = [
             record
             for record in (received.sender, *(received.changes or ()))
@@ -121,6 +129,10 @@
         self.members.record_contact(
             sender.name, received.sender.incarnation or 0, now_s
         )
+        if received.answered_token is not None:
+            self.members.own.record_answer(
+                received.answered_token, received.predecessor, now_s
+            )
         source = address or (sender.member.host, sender.member.peer_port)
         for delegate in self.registered_delegates:
             delegate.receive(
@@ -131,6 +143,7 @@
     def _start(self, receiver: str, now_s: float) -> Exchange:
         started = Exchange(sender=self._record(self.members.own.status()))
         started.changes = []
+        started.join_token = self.members.own.join_token
         self._add_statuses(
             started, self.members.statuses.take_broadcasts(receiver)
         )
@@ -142,6 +155,24 @@
             ]
         return started
 
+    def _note_join(self, received: Exchange) -> None:
+        """Remember who had the sender's name before it, while that is known."""
+        name = received.sender.name or ''
+        token = received.join_token
+        if token is None or self._joining.get(name, (None, 0))[0] == token:
+            return
+        current = self.members.statuses.get(name)
+        predecessor = current.member.incarnation if current else None
+        self._joining[name] = (token, predecessor)
+
+    def _answer_join(self, received: Exchange, answer: Exchange) -> None:
+        if received.join_token is None or not self.members.own.is_informed:
+            return
+        noted = self._joining.get(received.sender.name or '')
+        if noted is not None and noted[0] == received.join_token:
+            answer.answered_token = received.join_token
+            answer.predecessor = noted[1]
+
     def _add_table_difference(
         self, received: Exchange, reply: Exchange
     ) -> None:
@@ -191,7 +222,7 @@
 
 def _is_older(sender: Record, current: member_status.MemberStatus) -> bool:
     reported = (sender.incarnation or 0, sender.heartbeat or 0)
-    return current.order() > (*reported, 0)
+    return current.version() > (*reported, 0)
 
 
 def _region_ages(received: Exchange) -> dict[str, float]:
--- a/redwingvalve/membership/member_status.py
+++ b/redwingvalve/membership/member_status.py
@@ -29,6 +29,8 @@
 
     member: members.Member
     heartbeat: int
+    # Of the local process only, until its incarnation is final.
+    is_provisional: bool = False
 
     @property
     def name(self) -> str:
@@ -40,11 +42,19 @@
         """Return the member's state."""
         return self.member.state
 
-    def order(self) -> tuple[int, int, int]:
-        """Return a sort key that is greater for newer statuses."""
+    def version(self) -> tuple[int, int, int]:
+        """Return the incarnation, the heartbeat and the state's precedence."""
         precedence = _PRECEDENCE[self.member.state]
         return (self.member.incarnation, self.heartbeat, precedence)
 
+    def order(self) -> tuple[bool, int, int, int]:
+        """Return a sort key that is greater for newer statuses.
+
+        A provisional status is the newest: its incarnation will be above all
+        others of the name, but by how much isn't known yet.
+        """
+        return (self.is_provisional, *self.version())
+
     def with_state(self, state: members.MemberState) -> 'MemberStatus':
         """Return a copy with another state and the same heartbeat."""
         return MemberStatus(
--- a/redwingvalve/membership/status_store.py
+++ b/redwingvalve/membership/status_store.py
@@ -120,8 +120,11 @@
 ) -> None:
     if current is None:
         return
+    is_settled = (
+        current.is_provisional and status.version() >= current.version()
+    )
     invariants.require(
-        status.order() > current.order(),
+        is_settled or status.order() > current.order(),
         'one incarnation',
         f'{status.name} would go back'
         f' from {current.order()} to {status.order()}',
--- a/redwingvalve/membership/table.py
+++ b/redwingvalve/membership/table.py
@@ -42,7 +42,7 @@
         """Start with me as the only member."""
         self.bounds = bounds
         self.statuses = status_store.StatusStore(switches)
-        self.own = local_status.LocalStatus(me, self.statuses)
+        self.own = local_status.LocalStatus(me, self.statuses, bounds, now_s)
         self._death_due_s: dict[str, float] = {}
         self._died_at_s: dict[str, float] = {}
         # When members may be suspected for an earlier incarnation again.
@@ -147,6 +147,7 @@
         """Declare expired suspects dead and remove members long dead."""
         gap_s = now_s - self._ticked_s
         self._ticked_s = now_s
+        self.own.tick(now_s, has_peers=self._has_contacted_peer)
         if gap_s > self.bounds.max_tick_gap_s:
             self._resume(gap_s)
         if not self._is_cut_off(now_s):
--- a/redwingvalve/membership/tests/test_faults.py
+++ b/redwingvalve/membership/tests/test_faults.py
@@ -203,3 +203,60 @@
     assert not net.deaths
     assert earlier.table.own.superseded
     assert not net.processes['e1'].table.own.superseded
+
+
+def restart_behind_its_predecessor(net):
+    """Start e1 at 20, then at 1 with its first exchange lost."""
+    net.start('e1', incarnation=20, region='r0', contact='e0')
+    net.step(3)
+    net.loss = 1.0
+    net.start('e1', incarnation=1, region='r0', contact='e0')
+    net.loss = 0.0
+    return net.processes['e1'].table.own
+
+
+def test_a_lost_first_exchange_does_not_make_a_restart_superseded():
+    """The VM's clock runs behind, and nobody told the process of the earlier.
+
+    It would stand back for a process that is gone, and get no work meanwhile.
+    """
+    net = make_fleet(4)
+    own = restart_behind_its_predecessor(net)
+    for _ in range(30):
+        net.step()
+        assert not own.superseded
+    assert own.member().incarnation == 21
+    assert set(net.states('e1').values()) == {State.ALIVE}
+
+
+def test_a_restart_that_leaves_before_it_has_joined_gets_no_new_work():
+    """The others know only the earlier process, which was alive."""
+    net = make_fleet(4)
+    own = restart_behind_its_predecessor(net)
+    own.leave()
+    net.step(6)
+    assert own.status().state is State.LEAVING
+    assert set(net.states('e1').values()) == {State.LEAVING}
+
+
+def test_a_late_answer_to_an_earlier_process_does_not_end_joining():
+    """It doesn't tell which processes had the name since."""
+    net = make_fleet(4)
+    earlier = net.processes['e1']
+    asked = earlier.exchanges.make_request('e0', 'r0', net.now_s)
+    late = net.processes['e0'].exchanges.make_reply(asked, net.now_s)
+    own = restart_behind_its_predecessor(net)
+    net.processes['e1'].exchanges.receive(late, None, net.now_s)
+    assert not own.is_informed
+
+
+def test_processes_that_all_start_at_once_stop_waiting_for_an_older_one():
+    """After a loss of power nobody knows the fleet."""
+    net = network.Network()
+    net.loss = 1.0
+    net.start('a', contact='b')
+    net.start('b', contact='a')
+    net.loss = 0.0
+    net.run_exchange('a', 'b')
+    net.step(100)
+    assert all(one.table.own.is_informed for one in net.processes.values())
--- a/redwingvalve/wire/peer.thrift
+++ b/redwingvalve/wire/peer.thrift
@@ -134,6 +134,12 @@
   // In a reply, the replier's own clock, which the follow-up returns: an upper
   // bound on the delivery delay of the follow-up.
   13: i64 clock_ms
+  // Set by a process that hasn't been told of earlier processes of its name.
+  14: i64 join_token
+  // In a reply or follow-up to it: the token, and the incarnation of the
+  // earlier process, if one is known.
+  15: i64 answered_token
+  16: i64 predecessor
 }
 
 struct ProbeRequest {
