Join the fleet also if nobody knows a process yet

Callers saw: a member was missing from the tables of others for good, so it got no work, or knew nobody itself.

Cause, in the product: a process that could not read the directory had no contact to ask, and counted as the first of the fleet, whose incarnation is final. Cause, in the test's network: it asked a contact once, where GossipMembers asks unknown contacts every reconnect_interval_s.

Change: without a directory listing a process is never the first. The network of the tests asks an unknown contact again at the product's interval. The checks, rules, bounds and durations of test_machine.py are untouched.

--- a/redwingvalve/membership/gossip.py
+++ b/redwingvalve/membership/gossip.py
@@ -101,12 +101,16 @@
 
     # Background loops.
 
-    async def join(self) -> None:
-        """Exchange with contacts in order until one answers."""
+    async def join(self, *, may_be_first: bool = True) -> None:
+        """Exchange with contacts in order until one answers.
+
+        may_be_first is False if there may be contacts that aren't known yet.
+        """
         for address in self.selector.contacts():
             if await self.transport.exchange_with_address(address) is None:
                 break
-        self.table.own.mark_joined()
+        if may_be_first:
+            self.table.own.mark_joined()
 
     async def run(self) -> None:
         """Exchange with peers until cancelled."""
--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -53,9 +53,10 @@
 
     async def run(self) -> None:
         """Run background tasks until cancelled; the server already listens."""
+        is_listed = True
         if self.directory is not None:
-            await self.directory.find_contacts()
-        await self.members.join()
+            is_listed = await self.directory.find_contacts()
+        await self.members.join(may_be_first=is_listed)
         async with anyio.create_task_group() as group:
             group.start_soon(self.members.run)
             group.start_soon(self.configuration.run)
--- a/redwingvalve/membership/tests/network.py
+++ b/redwingvalve/membership/tests/network.py
@@ -28,6 +28,8 @@
 
     exchanges: exchanges.Exchanges
     rotation: gossip_targets.Rotation
+    contact: str | None = None
+    reconnect_at_s: float = 0.0
     paused_until_s: float = 0.0
 
     @property
@@ -60,6 +62,8 @@
                 )
             ),
             gossip_targets.Rotation(self.rng),
+            contact,
+            self.now_s + self.bounds.reconnect_interval_s,
         )
         self.processes[name] = started
         if contact is not None:
@@ -75,6 +79,7 @@
                     continue
                 process.table.tick(self.now_s)
                 self._round(name, process)
+                self._reconnect(name, process)
             self._record_deaths()
 
     def run_exchange(self, requester, replier):
@@ -130,6 +135,14 @@
                 refused = member.name not in self.processes
                 process.table.suspect(member.name, self.now_s, refused=refused)
 
+    def _reconnect(self, name, process):
+        """Ask the contact while it is unknown, like GossipMembers."""
+        if process.contact is None or process.reconnect_at_s > self.now_s:
+            return
+        process.reconnect_at_s = self.now_s + self.bounds.reconnect_interval_s
+        if process.table.statuses.get(process.contact) is None:
+            self.run_exchange(name, process.contact)
+
     def _reached_by_others(self, requester, target):
         others = sorted(set(self.processes) - {requester, target})
         for other in self.rng.sample(others, min(2, len(others))):
