Ignore an extra call to the store that fails after the watch was answered

Cause: the extra calls went on after the watch was answered, and their failure was taken for one of the current state.

Change: an answer that is fresh enough ends the extra calls, and a dropped history counts only for the revision that is still known.

test_an_extra_call_that_fails_after_the_watch_was_answered_is_ignored fails before (one failure reported each), for both errors.

--- a/redwingvalve/node/kind_watch.py
+++ b/redwingvalve/node/kind_watch.py
@@ -65,6 +65,7 @@
         self._is_refresh_requested = False
         self._is_waiting = False
         self._watch_scope = anyio.CancelScope()
+        self._refresh_scope = anyio.CancelScope()
         # Time of the known state at the store, on the clock of clock.boot_s.
         self._synced_s = -math.inf
 
@@ -97,10 +98,11 @@
                 is_synced=math.isfinite(self._synced_s),
             )
             asked_s = time.monotonic()
+            revision = self._revision
             try:
                 await self._step(source)
             except store.HistoryGoneError:
-                self._forget_state()
+                self._forget_state(revision)
             except hedging.FAILURES as error:
                 await self._handle_failure(source, error, asked_s)
 
@@ -116,10 +118,13 @@
             asked_s = time.monotonic()
             if not self._schedule.is_refresh_due(found, self.age_s, asked_s):
                 continue
+            revision = self._revision
+            self._refresh_scope = anyio.CancelScope()
             try:
-                await self._refresh(found)
+                with self._refresh_scope:
+                    await self._refresh(found)
             except store.HistoryGoneError:
-                self._forget_state()
+                self._forget_state(revision)
             except hedging.FAILURES as error:
                 self._record_store_failure(found[-1], error, asked_s)
 
@@ -214,7 +219,10 @@
     def _interval_s(self, source: watch_sources.Source) -> float:
         return max(self._pause_s(), source.pause_s)
 
-    def _forget_state(self) -> None:
+    def _forget_state(self, revision: int | None) -> None:
+        if self._revision != revision:
+            # Another source has answered meanwhile.
+            return
         LOG.info('history gone', extra={'kind': self.kind})
         self._revision = None
         # Relays relist at the same time; listing from them costs the store
@@ -271,6 +279,8 @@
             },
         )
         self._synced_s = max(self._synced_s, clock.boot_s() - age_s)
+        if self.age_s < source.max_age_s:
+            self._refresh_scope.cancel()
         until_next_s = source.wait_s + self._interval_s(source)
         self.cache.record_sync(until_next_s, source.is_store)
         if age_s > source.max_age_s:
--- a/redwingvalve/node/tests/test_lost_answers.py
+++ b/redwingvalve/node/tests/test_lost_answers.py
@@ -85,6 +85,8 @@
 class IgnoringHandler(watch_handler.WatchHandler):
     """Ignores all changes."""
 
+    failures = 0
+
     def on_list(self, listed):
         """Ignore the listing."""
 
@@ -92,7 +94,7 @@
         """Ignore the changes."""
 
     def on_unavailable(self):
-        """Ignore the failure."""
+        self.failures += 1
 
 
 def run_watch(platform, relays, **timing):
@@ -189,3 +191,39 @@
     run_watch(platform, 0, is_relayed=False, is_paused=is_paused)
     next_s = watch_sources.UNRELAYED_AGE_SHARE * BOUND_S
     assert platform.calls <= DURATION_S / next_s + 2
+
+
+class LatePlatform(Platform):
+    """Answers the first watch late; extra calls fail after that."""
+
+    def __init__(self, error):
+        super().__init__()
+        self._error = error
+
+    async def watch(self, kind, revision, wait_s):
+        if wait_s == kind_watch.REFRESH_WAIT_S:
+            await anyio.sleep(0.5)
+            raise self._error
+        if not self._watches:
+            await anyio.sleep(1.5)
+        return await super().watch(kind, revision, wait_s)
+
+
+@pytest.mark.parametrize('error', [store.StoreError, store.HistoryGoneError])
+def test_an_extra_call_that_fails_after_the_watch_was_answered_is_ignored(
+    error,
+):
+    """The store isn't taken for lost, and nothing is listed again."""
+    platform = LatePlatform(error('late'))
+    handler = IgnoringHandler()
+    source = watch_sources.make_store_source(
+        platform, BOUND_S, is_relayed=False, is_paused=True
+    )
+
+    async def main():
+        watch = kind_watch.KindWatch('config', handler, lambda: [source])
+        with anyio.move_on_after(5):
+            await watch.run()
+
+    anyio.run(main, backend_options={'loop_factory': looptime.new_event_loop})
+    assert not handler.failures
