Ask unknown contacts in turn, and sooner until a process has joined

Callers saw: the drain of an entry that ran got 404, ten seconds after it had started; the controller did not know it.

Cause: a process asked one unknown contact every five seconds, chosen by chance, and addresses where nobody answers were chosen again and again.

Why it works: each contact is asked once before any is asked again, every half second until a member that knows the fleet has answered, so that a process meets all contacts that live within as many tries as it has contacts.

test_contacts_that_are_gone_do_not_keep_a_process_from_one_that_lives fails before.

--- a/redwingvalve/membership/bounds.py
+++ b/redwingvalve/membership/bounds.py
@@ -18,6 +18,8 @@
     settle_s: how long the incarnation of a process stays provisional after
         it was told of earlier processes of its name, so that what only a few
         members knew reaches it.
+    join_interval_s: pause between two unknown contacts until then; some
+        addresses in the directory belong to processes that are gone.
     join_timeout_s: a process stops waiting for a member that knows the fleet
         if all that it met for this long had just started too.
     probe_timeout_s: a peer in the region answers within milliseconds; half
@@ -49,6 +51,7 @@
     urgent_interval_s: float = 0.1
     max_urgent_interval_s: float = 1.0
     settle_s: float = 2.0
+    join_interval_s: float = 0.5
     join_timeout_s: float = 30.0
     probe_timeout_s: float = 0.5
     suspicion_s: float = 5.0
--- a/redwingvalve/membership/gossip.py
+++ b/redwingvalve/membership/gossip.py
@@ -127,9 +127,7 @@
                 self._start_remote_round,
                 group,
             )
-            group.start_soon(
-                self._every, bounds.reconnect_interval_s, self._reconnect, group
-            )
+            group.start_soon(self._run_reconnect, group)
 
     async def depart(self) -> None:
         """Announce to some peers that this process is stopping."""
@@ -150,6 +148,20 @@
             # synchronizing.
             await self._clock.sleep(interval_s * self._rng.uniform(0.8, 1.2))
 
+    async def _run_reconnect(self, group: anyio_abc.TaskGroup) -> None:
+        bounds = self.table.bounds
+        while True:
+            address = self.selector.unknown_contact()
+            if address is not None:
+                group.start_soon(self.transport.exchange_with_address, address)
+            member = self.selector.dead()
+            if member is not None:
+                group.start_soon(self.transport.exchange_with, member)
+            interval_s = bounds.reconnect_interval_s
+            if not self.table.own.is_informed:
+                interval_s = min(interval_s, bounds.join_interval_s)
+            await self._clock.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+
     def _start_round(self, group: anyio_abc.TaskGroup) -> None:
         member = self.selector.next()
         if member is not None:
@@ -160,14 +172,6 @@
         if member is not None:
             group.start_soon(self._prober.check_member, member)
 
-    def _reconnect(self, group: anyio_abc.TaskGroup) -> None:
-        address = self.selector.unknown_contact()
-        if address is not None:
-            group.start_soon(self.transport.exchange_with_address, address)
-        member = self.selector.dead()
-        if member is not None:
-            group.start_soon(self.transport.exchange_with, member)
-
     async def _run_ticks(self) -> None:
         while True:
             self.table.tick(self._clock.monotonic_s())
--- a/redwingvalve/membership/peers.py
+++ b/redwingvalve/membership/peers.py
@@ -1,5 +1,6 @@
 """Selects peers for one process from its member table."""
 
+import collections
 import random
 
 from redwingvalve.membership import gossip_targets, members, table
@@ -21,6 +22,8 @@
         self._contacts = contacts
         self._rng = rng
         self._rotation = gossip_targets.Rotation(rng)
+        # Number of times that unknown contacts were asked.
+        self._asked: collections.Counter[Address] = collections.Counter()
         self._regional: tuple[members.Member, ...] = ()
         self._revision = -1
 
@@ -84,7 +87,11 @@
         return [address for address in self._contacts if address != mine]
 
     def unknown_contact(self) -> Address | None:
-        """Return a random contact that belongs to no known member."""
+        """Return the next contact that belongs to no known member.
+
+        They are asked in turn, so that those that are gone don't keep this
+        process from one that lives.
+        """
         present = {
             (status.member.host, status.member.peer_port)
             for status in self._table.statuses.all().values()
@@ -92,4 +99,9 @@
         unmet = [
             address for address in self.contacts() if address not in present
         ]
-        return self._rng.choice(unmet) if unmet else None
+        if not unmet:
+            return None
+        self._rng.shuffle(unmet)
+        address = min(unmet, key=self._asked.__getitem__)
+        self._asked[address] += 1
+        return address
--- a/redwingvalve/membership/tests/test_joining.py
+++ b/redwingvalve/membership/tests/test_joining.py
@@ -1,10 +1,12 @@
 """Joining over the network when contacts or the directory don't answer."""
 
+import random
+
 import anyio
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.membership import bounds, members, node
+from redwingvalve.membership import bounds, members, node, peers, table
 from redwingvalve.standins import ports
 
 BOUNDS = attrs.evolve(
@@ -16,6 +18,23 @@
     return members.Member(name, 1, 'entry', '127.0.0.1', port, 2, 'a', 'r1')
 
 
+def test_contacts_that_are_gone_do_not_keep_a_process_from_one_that_lives():
+    """Each contact is asked once before any is asked again.
+
+    A process and the rest of the fleet would stay unknown to each other for as
+    long as chance picks the dead ones.
+    """
+    contacts = tuple(('127.0.0.1', port) for port in range(100, 110))
+    for seed in range(10):
+        selector = peers.PeerSelector(
+            table.make_member_table(make_member('a', 1), 0.0),
+            contacts,
+            random.Random(seed),
+        )
+        asked = [selector.unknown_contact() for _ in contacts]
+        assert sorted(asked) == list(contacts)
+
+
 async def start(name, port, contacts=()):
     return await node.start_peer_node(
         make_member(name, port),
