Give the members of the demo a contact that is a member

The contact was the HTTP port of the first entry, which answers no exchange, so that the members met through the directory only. It is the peer port now.

test_the_contact_of_the_demo_is_the_peer_address_of_a_member fails before.

--- a/redwingvalve/demo/tests/test_walkthrough.py
+++ b/redwingvalve/demo/tests/test_walkthrough.py
@@ -25,3 +25,16 @@
     assert 'nothing happens until: redwingvalve confirm plan-' in output
     assert 'streamed 40 of 40 tokens, whole' in output
     assert 'runs of the request at engines: 1' in output
+
+
+def test_the_contact_of_the_demo_is_the_peer_address_of_a_member():
+    """Members that miss each other at the start find each other through it."""
+    addresses = types.SimpleNamespace(
+        object_api_url='http://a', vm_list_url='http://b', weight_store_url='c'
+    )
+    fleet = walkthrough.make_fleet_settings(addresses)
+    peers = {
+        f'{member.node.host}:{member.listen.peer_port}'
+        for member in (*fleet.entries, fleet.control)
+    }
+    assert set(fleet.control.peers.contacts) <= peers
--- a/redwingvalve/demo/walkthrough.py
+++ b/redwingvalve/demo/walkthrough.py
@@ -132,7 +132,8 @@
     """Return settings of entries and a controller on free ports."""
     names = [f'entry-{number + 1}' for number in range(ENTRIES)]
     ports = standin_ports.free_ports(2 * (ENTRIES + 1))
-    contact = f'{platform.HOST}:{ports[1]}'
+    # The peer port of the first entry.
+    contact = f'{platform.HOST}:{ports[0]}'
     made = [
         _settings(name, demo_platform, (ports.pop(), ports.pop()), contact)
         for name in ('control-1', *reversed(names))
