Reserve the ports of tests across processes

Two of 46 plays of integration tests, four or five at a time, ended with 'address already in use' (a daemon of test_drains.py, a controller of test_frozen_controller.py, whose test then waited for it in vain): two test processes had chosen the same port before either listened on it.

A lock on a file of the port, held until the process exits, makes the choice exclusive. test_a_port_that_another_process_reserved_is_not_free fails before.

--- a/redwingvalve/standins/ports.py
+++ b/redwingvalve/standins/ports.py
@@ -1,9 +1,12 @@
 """Allocates loopback ports outside the ephemeral port range."""
 
 import contextlib
+import fcntl
 import os
+import pathlib
 import random
 import socket
+import tempfile
 
 HOST = '127.0.0.1'
 # Below the ephemeral port range: otherwise, on a busy machine, an outgoing
@@ -13,8 +16,10 @@
 LAST_PORT = 32_000
 MAX_ATTEMPTS = 10_000
 _RNG = random.Random(os.getpid())
-# Ports returned before; their processes may not be listening yet.
-_RESERVED_PORTS: set[int] = set()
+# Open locks of the ports returned before, whose processes may not be listening
+# yet. They are released when this process exits.
+_LOCKS: set[int] = set()
+_LOCK_DIRECTORY = pathlib.Path(tempfile.gettempdir(), 'redwingvalve-ports')
 
 
 def free_ports(count: int) -> list[int]:
@@ -23,14 +28,26 @@
         found: list[int] = []
         for _ in range(MAX_ATTEMPTS):
             port = _RNG.randint(FIRST_PORT, LAST_PORT)
-            if port not in _RESERVED_PORTS and _is_free(port, held):
-                _RESERVED_PORTS.add(port)
+            if _is_free(port, held) and _reserve(port):
                 found.append(port)
             if len(found) == count:
                 return found
     raise OSError(f'fewer than {count} free ports were found')
 
 
+def _reserve(port: int) -> bool:
+    """Reserve a port; return False if any process has reserved it before."""
+    _LOCK_DIRECTORY.mkdir(exist_ok=True)
+    lock = os.open(_LOCK_DIRECTORY / str(port), os.O_CREAT | os.O_RDWR)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(lock)
+        return False
+    _LOCKS.add(lock)
+    return True
+
+
 def _is_free(port: int, held: contextlib.ExitStack) -> bool:
     """Bind a port for TCP and UDP; return whether both were free.
 
--- a/redwingvalve/standins/tests/test_ports.py
+++ b/redwingvalve/standins/tests/test_ports.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -30,3 +32,18 @@
         monkeypatch.setattr(ports, 'MAX_ATTEMPTS', 3)
         with pytest.raises(OSError):
             ports.free_ports(1)
+
+
+def test_a_port_that_another_process_reserved_is_not_free():
+    """Test processes that run side by side choose before they listen."""
+    port = ports.free_ports(1)[0]
+    source = (
+        'from redwingvalve.standins import ports\n'
+        f'ports.FIRST_PORT = ports.LAST_PORT = {port}\n'
+        'ports.MAX_ATTEMPTS = 3\n'
+        'ports.free_ports(1)\n'
+    )
+    other = subprocess.run(
+        [sys.executable, '-c', source], capture_output=True, check=False
+    )
+    assert b'fewer than 1 free ports' in other.stderr
