--- a/redwingvalve/node/hedging.py
+++ b/redwingvalve/node/hedging.py
@@ -9,8 +9,10 @@
 
 import anyio
 
+from redwingvalve.observability import logs
 from redwingvalve.platform import store
 
+LOG = logs.make_logger('watching')
 _Answer = typing.TypeVar('_Answer')
 # Failures of a call; the last three are raised for malformed answers.
 FAILURES = (store.StoreError, KeyError, TypeError, ValueError)
@@ -29,6 +31,7 @@
         try:
             self.answers.append(await self._call())
         except FAILURES as error:
+            LOG.debug('call failed', extra={'error': str(error)})
             self.errors.append(error)
         self.ended.set()
 
