Log what a node knows of requests that may crash endpoints

The record of the incident can't tell a broken connection that nobody has counted from counts that got lost between nodes. New lines: each broken connection under a request, whether it was a crash and how long after the break that was known, and counts that another node reported.

--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -18,6 +18,9 @@
 
 import attrs
 
+from redwingvalve.observability import logs
+
+LOG = logs.make_logger('poison')
 # The end of an incarnation shows at the next missed heartbeat, or immediately
 # if the endpoint restarts.
 CRASH_DETECTION_S = 6.0
@@ -26,6 +29,7 @@
 CRASH_RETENTION_S = 120.0
 MAX_RECORDS = 10_000
 _DIGEST_BYTES = 7
+_MS_IN_S = 1000
 
 
 @attrs.define(eq=False)
@@ -63,10 +67,11 @@
         self, fingerprint: int, incarnation: tuple[str, int]
     ) -> None:
         """Record that the connection of a request broke at an endpoint."""
-        if len(self._disconnects) < MAX_RECORDS:
-            self._disconnects.append(
-                _Disconnect(fingerprint, incarnation, self._clock())
-            )
+        if len(self._disconnects) >= MAX_RECORDS:
+            return
+        now_s = self._clock()
+        self._disconnects.append(_Disconnect(fingerprint, incarnation, now_s))
+        self._log('connection broke', fingerprint, incarnation)
 
     def record_answer(self, fingerprint: int) -> None:
         """Clear a request that an endpoint has answered."""
@@ -87,10 +92,14 @@
         now_s = self._clock()
         unresolved = []
         for one in self._disconnects:
+            age_s = now_s - one.at_s
             if one.incarnation not in live_incarnations:
                 self._count(one.fingerprint, 1)
-            elif now_s - one.at_s < CRASH_DETECTION_S:
+                self._log('crash', one.fingerprint, one.incarnation, age_s)
+            elif age_s < CRASH_DETECTION_S:
                 unresolved.append(one)
+            else:
+                self._log('no crash', one.fingerprint, one.incarnation, age_s)
         self._disconnects = unresolved
 
     def recent_crashes(self) -> dict[int, int]:
@@ -102,7 +111,7 @@
             if now_s - record.last_crash_s < CRASH_DETECTION_S
         }
 
-    def merge_crashes(self, counts: dict[int, int]) -> None:
+    def merge_crashes(self, counts: dict[int, int], sender: str) -> None:
         """Merge another node's counts, taking the higher one of each request.
 
         The counts of a node include those that it received from this one.
@@ -111,6 +120,14 @@
             known = self._records.get(fingerprint)
             if known is None or known.crashes < crashes:
                 self._count(fingerprint, crashes, is_total=True)
+                LOG.info(
+                    'crashes reported',
+                    extra={
+                        'fingerprint': format_fingerprint(fingerprint),
+                        'crashes': crashes,
+                        'sender': sender,
+                    },
+                )
 
     def _count(
         self, fingerprint: int, crashes: int, *, is_total: bool = False
@@ -121,6 +138,30 @@
         record.crashes = crashes if is_total else record.crashes + crashes
         record.last_crash_s = self._clock()
 
+    def _log(
+        self,
+        message: str,
+        fingerprint: int,
+        incarnation: tuple[str, int],
+        age_s: float = 0,
+    ) -> None:
+        record = self._records.get(fingerprint)
+        LOG.info(
+            message,
+            extra={
+                'fingerprint': format_fingerprint(fingerprint),
+                'endpoint': incarnation[0],
+                'born_ms': incarnation[1],
+                'age_ms': int(age_s * _MS_IN_S),
+                'crashes': record.crashes if record else 0,
+            },
+        )
+
+
+def format_fingerprint(fingerprint: int) -> str:
+    """Return a fingerprint as logs show it, in hexadecimal."""
+    return f'{fingerprint:014x}'
+
 
 def fingerprint(target: bytes, account: str | None, body: bytes) -> int:
     """Return a hash that is the same for all attempts of one request."""
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -52,9 +52,9 @@
     here, _ = make_tracker()
     there, _ = make_tracker()
     crash(here, 7, 1)
-    there.merge_crashes(here.recent_crashes())
+    there.merge_crashes(here.recent_crashes(), 'here')
     crash(there, 7, 2)
-    here.merge_crashes(there.recent_crashes())
+    here.merge_crashes(there.recent_crashes(), 'there')
     crash(here, 7, 3)
     assert here.is_poison(7)
 
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -162,7 +162,7 @@
         if message.lease_revision:
             self.lease.observe(message.lease_revision, message.lease_left_ms)
         self.has_peer_served = self.has_peer_served or bool(message.has_served)
-        self.state.poison.merge_crashes(message.crashes or {})
+        self.state.poison.merge_crashes(message.crashes or {}, message.vm)
         for suspicion in status_fields.parse_suspicions(message):
             self.table.add_suspicion(suspicion)
         for clearance in status_fields.parse_clearances(message):
