--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -51,6 +51,12 @@
     stated_at_fault: str = ''
     # Stated in all answers to requests, while the entry is unchanged.
     states_leaving: bool = False
+    # Requests for this target crash the endpoint shortly after they begin.
+    crashing_target: bytes = b''
+    # Time from a crash until the store drops the entry.
+    entry_lapse_s: float = 0
+    # Connections of requests that began are reset instead of answered.
+    resets_answers: bool = False
 
 
 @attrs.frozen
@@ -61,6 +67,8 @@
     target: bytes
     headers: messages.Headers
     last_event: int | None
+    # By the monotonic clock.
+    began_s: float = 0
 
 
 class FakeEndpoint(server.Application):
@@ -83,6 +91,7 @@
         self.rejections_s: list[float] = []
         self.orders: list[Document] = []
         self.cancelled_attempts: list[bytes] = []
+        self.crashed_s: float | None = None
         self.events_per_response = 6
         self.state = 'ready'
         self.group: Document | None = None
@@ -116,12 +125,18 @@
             connection.close_if_idle()
 
     def crash(self) -> None:
-        """Abort all connections, stop listening and remove the entry."""
+        """Abort all connections and stop listening; the entry lapses."""
         if self._server is not None:
             self._server.close()
         for connection in self._connections:
             connection.abort()
-        self._store.remove('servers', self.endpoint_id)
+        self.crashed_s = self.crashed_s or time.monotonic()
+        asyncio.get_running_loop().call_later(
+            self.faults.entry_lapse_s,
+            self._store.remove,
+            'servers',
+            self.endpoint_id,
+        )
 
     def crash_and_restart(self) -> None:
         """Restart under the same id without any earlier state."""
@@ -143,7 +158,8 @@
         """Update the entry in the store, unless the entry was removed."""
         entries = self._store.objects.get('servers', {})
         was_removed = self._sequence and self.endpoint_id not in entries
-        if was_removed or self.faults.is_cut_off_from_store:
+        is_silent = self.crashed_s or self.faults.is_cut_off_from_store
+        if was_removed or is_silent:
             return
         self._store.put('servers', self.endpoint_id, self._entry())
 
@@ -289,6 +305,7 @@
                 request.target,
                 request.headers,
                 int(last) if last else None,
+                self.arrivals_s[-1],
             )
         )
         responder.on_disconnect = lambda: self.cancelled_attempts.append(
@@ -299,9 +316,9 @@
             (b'x-server-seal', self.endpoint_id.encode()),
             *stated,
         ]
-        if self.faults.returns_server_error:
-            responder.send_response(500, headers, b'failed')
-        elif request.header(b'x-model'):
+        if await _fails(self, request, responder, headers):
+            return
+        if request.header(b'x-model'):
             await self._stream(responder, headers, int(last or 0))
         else:
             await asyncio.sleep(EVENT_INTERVAL_S)
@@ -343,6 +360,26 @@
         responder.finish()
 
 
+async def _fails(
+    endpoint: FakeEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> bool:
+    """Fail as the endpoint's faults say; return False if the run goes on."""
+    if request.target == endpoint.faults.crashing_target:
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        endpoint.crash()
+        return True
+    if endpoint.faults.resets_answers:
+        responder.abort()
+        return True
+    if endpoint.faults.returns_server_error:
+        responder.send_response(500, headers, b'failed')
+        return True
+    return False
+
+
 def _rejects(faults: EndpointFaults, number: int) -> bool:
     is_even = number % 2 == 0
     return faults.rejects_requests or (
