Keep the crashes of a request as a set of ended endpoints, not as a number

Callers saw a request crash more endpoints than it may when two nodes had each counted some of its crashes.

Cause: nodes exchanged numbers and kept the higher one, so that two crashes seen here and two others seen there made two. On a tracker that merges two counts of two different endpoints each counts 2 and lets the request pass. Numbers were told for 6 s only and, in a large fleet, not passed on at once by hubs.

Change: each broken run is kept with its endpoint's incarnation, and status messages carry the runs. Their union is the same in any order and however often they are heard. Answers are reported too: until now one cleared the request at one node, and the next message of another node brought the count back. Field 12 of the status message is reserved; nodes of both versions ignore each other's evidence during an upgrade.

--- /dev/null
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -0,0 +1,168 @@
+"""Evidence that a request crashes endpoints: runs that broke off, and answers.
+
+Each node adds what it sees and what others report. The evidence is a set: it
+comes out the same in whatever order and how often it is received.
+"""
+
+import typing
+from collections import abc as collections_abc
+
+import attrs
+
+# Endpoint id and the start time of its process.
+Incarnation: typing.TypeAlias = tuple[str, int]
+# Requests and endpoints of which something is remembered.
+MAX_REQUESTS = 1_000
+MAX_INCARNATIONS = 4_000
+# An answer also speaks for runs of the same request that break off within this
+# time after it: a crashing request is never answered.
+ANSWER_TRUST_S = 10.0
+
+
+@attrs.frozen
+class BrokenRun:
+    """A connection that broke while an endpoint ran a request."""
+
+    fingerprint: int
+    incarnation: Incarnation
+    # By the local monotonic clock.
+    at_s: float
+    # Whether the endpoint's process is known to have ended then. Otherwise the
+    # answer may just have got lost.
+    is_crash: bool = False
+
+
+class CrashEvidence:
+    """Broken runs by fingerprint, without those that had another cause."""
+
+    def __init__(self) -> None:
+        """Start without evidence."""
+        self._runs: dict[int, dict[Incarnation, BrokenRun]] = {}
+        self._requests: dict[Incarnation, set[int]] = {}
+        self._answered_s: dict[int, float] = {}
+        self._alive_s: dict[Incarnation, float] = {}
+
+    def add(self, run: BrokenRun) -> bool:
+        """Add a run; return whether it says anything new."""
+        if self._has_other_cause(run):
+            return False
+        runs = self._runs.get(run.fingerprint, {})
+        known = runs.get(run.incarnation)
+        if known is None:
+            self._insert(run)
+            return True
+        is_new = run.is_crash and not known.is_crash
+        runs[run.incarnation] = attrs.evolve(
+            known,
+            at_s=min(known.at_s, run.at_s),
+            is_crash=known.is_crash or run.is_crash,
+        )
+        return is_new
+
+    def add_answer(self, fingerprint: int, at_s: float) -> bool:
+        """Add a complete answer; return whether it clears the request."""
+        at_s = max(at_s, self._answered_s.pop(fingerprint, at_s))
+        self._answered_s[fingerprint] = at_s
+        self._forget_old_answers(at_s)
+        runs = self._runs.get(fingerprint, {})
+        cleared = [run for run in runs.values() if self._has_other_cause(run)]
+        self._remove(cleared)
+        return bool(cleared)
+
+    def add_life_sign(self, incarnation: Incarnation, at_s: float) -> None:
+        """Record that an endpoint answered something that was sent at at_s."""
+        if incarnation not in self._requests:
+            return
+        _make_room(self._alive_s, MAX_INCARNATIONS)
+        self._alive_s[incarnation] = at_s
+        self._remove(
+            run
+            for run in self.runs_at(incarnation)
+            if self._has_other_cause(run)
+        )
+
+    def answered_s(self, fingerprint: int) -> float | None:
+        """Return when a request was last answered, None if unknown."""
+        return self._answered_s.get(fingerprint)
+
+    def mark_ended(self, incarnation: Incarnation) -> list[BrokenRun]:
+        """Record an endpoint's end; return the runs that it broke off."""
+        found = [run for run in self.runs_at(incarnation) if not run.is_crash]
+        ended = [attrs.evolve(run, is_crash=True) for run in found]
+        for run in ended:
+            self.add(run)
+        return ended
+
+    def undecided(self) -> list[Incarnation]:
+        """Return the endpoints that may have crashed or not."""
+        return [
+            incarnation
+            for incarnation in self._requests
+            if not all(run.is_crash for run in self.runs_at(incarnation))
+        ]
+
+    def fingerprints(self) -> list[int]:
+        """Return the requests with broken runs."""
+        return list(self._runs)
+
+    def runs(self, fingerprint: int) -> list[BrokenRun]:
+        """Return a request's broken runs."""
+        return list(self._runs.get(fingerprint, {}).values())
+
+    def runs_at(self, incarnation: Incarnation) -> list[BrokenRun]:
+        """Return the runs that broke off at an endpoint."""
+        return [
+            self._runs[fingerprint][incarnation]
+            for fingerprint in self._requests.get(incarnation, ())
+        ]
+
+    def forget_before(self, at_s: float) -> None:
+        """Forget requests whose latest run broke off before a time."""
+        old = [
+            fingerprint
+            for fingerprint, runs in self._runs.items()
+            if max(run.at_s for run in runs.values()) < at_s
+        ]
+        for fingerprint in old:
+            self._remove(self.runs(fingerprint))
+
+    def _has_other_cause(self, run: BrokenRun) -> bool:
+        answered_s = self._answered_s.get(run.fingerprint)
+        if answered_s is not None and run.at_s <= answered_s + ANSWER_TRUST_S:
+            return True
+        alive_s = self._alive_s.get(run.incarnation)
+        return alive_s is not None and run.at_s < alive_s
+
+    def _insert(self, run: BrokenRun) -> None:
+        if run.fingerprint not in self._runs:
+            while len(self._runs) >= MAX_REQUESTS:
+                self._remove(self.runs(next(iter(self._runs))))
+            self._runs[run.fingerprint] = {}
+        self._runs[run.fingerprint][run.incarnation] = run
+        requests = self._requests.setdefault(run.incarnation, set())
+        requests.add(run.fingerprint)
+
+    def _remove(self, runs: collections_abc.Iterable[BrokenRun]) -> None:
+        for run in tuple(runs):
+            of_request = self._runs[run.fingerprint]
+            of_request.pop(run.incarnation)
+            if not of_request:
+                self._runs.pop(run.fingerprint)
+            at_endpoint = self._requests[run.incarnation]
+            at_endpoint.discard(run.fingerprint)
+            if not at_endpoint:
+                self._requests.pop(run.incarnation)
+
+    def _forget_old_answers(self, now_s: float) -> None:
+        while self._answered_s:
+            oldest = next(iter(self._answered_s))
+            if self._answered_s[oldest] >= now_s - ANSWER_TRUST_S:
+                return
+            self._answered_s.pop(oldest)
+
+
+def _make_room(
+    remembered: dict[typing.Any, typing.Any], max_count: int
+) -> None:
+    while len(remembered) >= max_count:
+        remembered.pop(next(iter(remembered)))
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -6,154 +6,180 @@
 request is refused after three crashes.
 
 A broken connection alone is not a crash: answers get lost and connections are
-reset. It counts only if the endpoint's incarnation ends within
-CRASH_DETECTION_S, and then for all requests whose connections broke there. A
-request that any endpoint answers is cleared, so that harmless ones among them
-aren't refused.
+reset. It counts only once the endpoint's incarnation ends, and then for all
+requests whose connections broke there.
+
+What speaks for a request: an answer of any endpoint, and that an endpoint which
+broke it off answers something else.
 """
 
+import abc
+import enum
 import hashlib
 import time
 import typing
 
-import attrs
-
+from redwingvalve.ingress import crash_evidence
 from redwingvalve.observability import logs
 
 LOG = logs.make_logger('poison')
-# The end of an incarnation shows at the next missed heartbeat, or immediately
-# if the endpoint restarts.
-CRASH_DETECTION_S = 6.0
 MIN_CRASHES_TO_REFUSE = 3
-# A request is tried once more when its last crash is this long ago.
-CRASH_RETENTION_S = 120.0
-MAX_RECORDS = 10_000
+# A request without a crash for this long starts again without any.
+CRASH_RETENTION_S = 600.0
 _DIGEST_BYTES = 7
 _MS_IN_S = 1000
 
 
-@attrs.define(eq=False)
-class _Record:
-    crashes: int = 0
-    last_crash_s: float = 0.0
+class Verdict(enum.Enum):
+    """How to handle a request."""
+
+    SERVE = 'serve'
+    REFUSE = 'refuse'
+
+
+class EvidenceObserver(abc.ABC):
+    """Acts on what this node learns."""
 
+    @abc.abstractmethod
+    def run_added(self, run: crash_evidence.BrokenRun) -> None:
+        """Handle a run, or a crash, that was not known."""
 
-@attrs.frozen
-class _Disconnect:
-    fingerprint: int
-    incarnation: tuple[str, int]
-    at_s: float
+    @abc.abstractmethod
+    def request_cleared(self, fingerprint: int) -> None:
+        """Handle an answer to a request that had been suspected."""
 
 
 class PoisonRequestTracker:
-    """Crash counts by request fingerprint, from this node and others."""
+    """Crashes by request fingerprint, from this node and others."""
 
     def __init__(
         self, clock: typing.Callable[[], float] = time.monotonic
     ) -> None:
         """Start without crashes."""
+        self.evidence = crash_evidence.CrashEvidence()
+        self.observers: list[EvidenceObserver] = []
         self._clock = clock
-        self._records: dict[int, _Record] = {}
-        self._disconnects: list[_Disconnect] = []
-
-    def is_poison(self, fingerprint: int) -> bool:
-        """Return whether to refuse a request."""
-        record = self._records.get(fingerprint)
-        if record is None or record.crashes < MIN_CRASHES_TO_REFUSE:
-            return False
-        return self._clock() - record.last_crash_s < CRASH_RETENTION_S
+        # Endpoints whose entries this node has seen. Others may be new.
+        self._listed: set[crash_evidence.Incarnation] = set()
+
+    def verdict(self, fingerprint: int) -> Verdict:
+        """Return how to handle a request."""
+        runs = self.evidence.runs(fingerprint)
+        crashes = sum(run.is_crash for run in runs)
+        if crashes < MIN_CRASHES_TO_REFUSE:
+            return Verdict.SERVE
+        return Verdict.REFUSE
+
+    def refused(self) -> list[int]:
+        """Return the fingerprints that are refused."""
+        return [
+            fingerprint
+            for fingerprint in self.evidence.fingerprints()
+            if self.verdict(fingerprint) is Verdict.REFUSE
+        ]
 
     def record_disconnect(
-        self, fingerprint: int, incarnation: tuple[str, int]
+        self, fingerprint: int, incarnation: crash_evidence.Incarnation
     ) -> None:
         """Record that the connection of a request broke at an endpoint."""
-        if len(self._disconnects) >= MAX_RECORDS:
-            return
-        now_s = self._clock()
-        self._disconnects.append(_Disconnect(fingerprint, incarnation, now_s))
-        self._log('connection broke', fingerprint, incarnation)
+        self._listed.add(incarnation)
+        run = crash_evidence.BrokenRun(fingerprint, incarnation, self._clock())
+        if self._add(run):
+            self._log('connection broke', run)
 
     def record_answer(self, fingerprint: int) -> None:
         """Clear a request that an endpoint has answered."""
-        self._records.pop(fingerprint, None)
-        self._disconnects = [
-            one for one in self._disconnects if one.fingerprint != fingerprint
-        ]
+        if self.evidence.add_answer(fingerprint, self._clock()):
+            self._clear(fingerprint, '')
 
-    @property
-    def has_unresolved_disconnects(self) -> bool:
-        """Return whether some disconnects are not yet classified."""
-        return bool(self._disconnects)
+    def record_life_sign(
+        self, incarnation: crash_evidence.Incarnation, sent_s: float
+    ) -> None:
+        """Record that an endpoint answered what was sent to it at sent_s."""
+        for run in self.evidence.runs_at(incarnation):
+            if run.at_s < sent_s:
+                self._log('no crash', run)
+        self.evidence.add_life_sign(incarnation, sent_s)
+
+    def record_end(self, incarnation: crash_evidence.Incarnation) -> None:
+        """Record that an endpoint's process has ended."""
+        for run in self.evidence.mark_ended(incarnation):
+            self._log('crash', run)
+            self._notify_added(run)
+
+    def undecided(self) -> list[crash_evidence.Incarnation]:
+        """Return the endpoints that may have crashed or not."""
+        return self.evidence.undecided()
 
     def resolve_disconnects(
-        self, live_incarnations: typing.Container[tuple[str, int]]
+        self,
+        live_incarnations: typing.AbstractSet[crash_evidence.Incarnation],
     ) -> None:
         """Count the disconnects whose endpoints have crashed since."""
-        now_s = self._clock()
-        unresolved = []
-        for one in self._disconnects:
-            age_s = now_s - one.at_s
-            if one.incarnation not in live_incarnations:
-                self._count(one.fingerprint, 1)
-                self._log('crash', one.fingerprint, one.incarnation, age_s)
-            elif age_s < CRASH_DETECTION_S:
-                unresolved.append(one)
-            else:
-                self._log('no crash', one.fingerprint, one.incarnation, age_s)
-        self._disconnects = unresolved
-
-    def recent_crashes(self) -> dict[int, int]:
-        """Return recent crash counts, to be sent to other nodes."""
-        now_s = self._clock()
-        return {
-            fingerprint: record.crashes
-            for fingerprint, record in self._records.items()
-            if now_s - record.last_crash_s < CRASH_DETECTION_S
-        }
-
-    def merge_crashes(self, counts: dict[int, int], sender: str) -> None:
-        """Merge another node's counts, taking the higher one of each request.
-
-        The counts of a node include those that it received from this one.
-        """
-        for fingerprint, crashes in counts.items():
-            known = self._records.get(fingerprint)
-            if known is None or known.crashes < crashes:
-                self._count(fingerprint, crashes, is_total=True)
-                LOG.info(
-                    'crashes reported',
-                    extra={
-                        'fingerprint': format_fingerprint(fingerprint),
-                        'crashes': crashes,
-                        'sender': sender,
-                    },
-                )
-
-    def _count(
-        self, fingerprint: int, crashes: int, *, is_total: bool = False
-    ) -> None:
-        if len(self._records) >= MAX_RECORDS:
-            self._records.pop(next(iter(self._records)))
-        record = self._records.setdefault(fingerprint, _Record())
-        record.crashes = crashes if is_total else record.crashes + crashes
-        record.last_crash_s = self._clock()
+        undecided = self.undecided()
+        self._listed.update(live_incarnations.intersection(undecided))
+        for incarnation in undecided:
+            is_live = incarnation in live_incarnations
+            if not is_live and incarnation in self._listed:
+                self.record_end(incarnation)
+        self._listed.intersection_update(self.undecided())
+        self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
+
+    def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> bool:
+        """Add a run that another node reports; return whether it is news."""
+        is_news = self._add(run)
+        if is_news:
+            self._log('run reported', run, sender)
+        elif self.evidence.answered_s(run.fingerprint) is not None:
+            self._notify_cleared(run.fingerprint)
+        return is_news
+
+    def merge_answer(self, fingerprint: int, at_s: float, sender: str) -> None:
+        """Add an answer that another node reports."""
+        if self.evidence.add_answer(fingerprint, at_s):
+            self._clear(fingerprint, sender)
+
+    def _add(self, run: crash_evidence.BrokenRun) -> bool:
+        is_news = self.evidence.add(run)
+        if is_news:
+            self._notify_added(run)
+        return is_news
+
+    def _clear(self, fingerprint: int, sender: str) -> None:
+        LOG.info(
+            'request cleared',
+            extra={
+                'fingerprint': format_fingerprint(fingerprint),
+                'sender': sender,
+            },
+        )
+        self._notify_cleared(fingerprint)
+
+    def _notify_added(self, run: crash_evidence.BrokenRun) -> None:
+        for observer in self.observers:
+            observer.run_added(run)
+
+    def _notify_cleared(self, fingerprint: int) -> None:
+        for observer in self.observers:
+            observer.request_cleared(fingerprint)
 
     def _log(
-        self,
-        message: str,
-        fingerprint: int,
-        incarnation: tuple[str, int],
-        age_s: float = 0,
+        self, message: str, run: crash_evidence.BrokenRun, sender: str = ''
     ) -> None:
-        record = self._records.get(fingerprint)
+        runs = self.evidence.runs(run.fingerprint)
+        endpoint_id, born_ms = run.incarnation
         LOG.info(
             message,
             extra={
-                'fingerprint': format_fingerprint(fingerprint),
-                'endpoint': incarnation[0],
-                'born_ms': incarnation[1],
-                'age_ms': int(age_s * _MS_IN_S),
-                'crashes': record.crashes if record else 0,
+                'fingerprint': format_fingerprint(run.fingerprint),
+                'endpoint': endpoint_id,
+                'born_ms': born_ms,
+                'age_ms': int((self._clock() - run.at_s) * _MS_IN_S),
+                'is_crash': run.is_crash,
+                'runs': len(runs),
+                'crashes': sum(one.is_crash for one in runs),
+                'verdict': self.verdict(run.fingerprint).value,
+                'sender': sender,
             },
         )
 
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -7,7 +7,7 @@
 import attrs
 
 from redwingvalve.http1 import messages
-from redwingvalve.ingress import routes
+from redwingvalve.ingress import poison, routes
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -75,6 +75,11 @@
 TIMED_OUT: typing.Final = Refusal(GATEWAY_TIMEOUT, 'no answer in time')
 
 
+def for_verdict(verdict: poison.Verdict) -> Refusal | None:
+    """Return the refusal for a request that may crash endpoints, or None."""
+    return POISON if verdict is poison.Verdict.REFUSE else None
+
+
 def for_failed_request(
     may_have_run: bool,
     is_timeout: bool,
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -37,10 +37,9 @@
         fingerprint = poison.fingerprint(
             self._request.target, admission.account, self._request.body
         )
-        if self._state.poison.is_poison(fingerprint):
-            responses.send_refusal(
-                self._responder, self._caller, refusals.POISON
-            )
+        refusal = refusals.for_verdict(self._state.poison.verdict(fingerprint))
+        if refusal is not None:
+            responses.send_refusal(self._responder, self._caller, refusal)
             return
         self._state.prompt_read_times(admission.model).observe(
             admission.prompt_read_s
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -1,6 +1,10 @@
 """Tests that requests that crash endpoints are refused, and no others."""
 
-from redwingvalve.ingress import poison
+import itertools
+
+from redwingvalve.ingress import crash_evidence, poison
+
+SERVE, REFUSE = poison.Verdict
 
 
 class Clock:
@@ -20,51 +24,135 @@
     tracker.resolve_disconnects(live_incarnations=set())
 
 
+def reported(tracker, fingerprint):
+    return tracker.evidence.runs(fingerprint)
+
+
+def merge(tracker, runs):
+    for run in runs:
+        tracker.merge_run(run, 'other')
+
+
 def test_request_is_refused_after_three_crashes():
     tracker, _ = make_tracker()
     for number in range(poison.MIN_CRASHES_TO_REFUSE):
-        assert not tracker.is_poison(7)
+        assert tracker.verdict(7) is SERVE
         crash(tracker, 7, number)
-    assert tracker.is_poison(7) and not tracker.is_poison(8)
+    assert tracker.verdict(7) is REFUSE and tracker.verdict(8) is SERVE
 
 
 def test_a_lost_answer_does_not_count_as_a_crash():
     """The connection breaks but the endpoint stays alive."""
     tracker, clock = make_tracker()
-    for number in range(5):
+    live = {(f'e{number}', 1) for number in range(5)}
+    for incarnation in live:
+        tracker.record_disconnect(7, incarnation)
+        tracker.resolve_disconnects(live)
+        clock.now_s += 0.01
+        tracker.record_life_sign(incarnation, clock.now_s)
+        assert tracker.verdict(7) is SERVE
+    tracker.resolve_disconnects(set())
+    assert tracker.verdict(7) is SERVE
+
+
+def test_an_answer_sent_before_a_connection_broke_shows_no_life():
+    """It may have been under way while the endpoint crashed."""
+    tracker, clock = make_tracker()
+    sent_s = clock.now_s
+    clock.now_s += 0.01
+    for number in range(3):
         tracker.record_disconnect(7, (f'e{number}', 1))
-        tracker.resolve_disconnects(live_incarnations={(f'e{number}', 1)})
-        clock.now_s += poison.CRASH_DETECTION_S + 1
-        tracker.resolve_disconnects(live_incarnations={(f'e{number}', 1)})
-    assert not tracker.is_poison(7)
+        tracker.record_life_sign((f'e{number}', 1), sent_s)
+    assert tracker.verdict(7) is SERVE
 
 
 def test_an_answer_clears_the_crash_count():
-    tracker, _ = make_tracker()
+    tracker, clock = make_tracker()
     for number in range(2):
         crash(tracker, 7, number)
     tracker.record_answer(7)
+    clock.now_s += crash_evidence.ANSWER_TRUST_S + 1
     crash(tracker, 7, 9)
-    assert not tracker.is_poison(7)
+    assert tracker.verdict(7) is SERVE
+    for number in range(2):
+        crash(tracker, 7, number)
+    assert tracker.verdict(7) is REFUSE
+
+
+def test_a_request_answered_just_before_does_not_crash_endpoints():
+    """Copies of a sound request run on many endpoints when a domain fails."""
+    tracker, _ = make_tracker()
+    tracker.record_answer(7)
+    for number in range(8):
+        crash(tracker, 7, number)
+    assert tracker.verdict(7) is SERVE
+
+
+def test_an_answer_at_another_node_clears_the_crash_count():
+    here, clock = make_tracker()
+    for number in range(3):
+        crash(here, 7, number)
+    here.merge_answer(7, clock.now_s + 0.1, 'other')
+    assert here.verdict(7) is SERVE
 
 
 def test_crashes_reported_by_other_nodes_count():
     here, _ = make_tracker()
     there, _ = make_tracker()
     crash(here, 7, 1)
-    there.merge_crashes(here.recent_crashes(), 'here')
+    merge(there, reported(here, 7))
     crash(there, 7, 2)
-    here.merge_crashes(there.recent_crashes(), 'there')
+    merge(here, reported(there, 7))
     crash(here, 7, 3)
-    assert here.is_poison(7)
+    assert here.verdict(7) is REFUSE
+
+
+def test_crashes_seen_by_different_nodes_add_up_in_any_order():
+    """Two crashes here and two others there are four, not two."""
+    nodes = [make_tracker()[0] for _ in range(3)]
+    for number, tracker in enumerate([*nodes, *nodes]):
+        crash(tracker, 7, number)
+    runs = [run for tracker in nodes for run in reported(tracker, 7)]
+    for ordered in itertools.permutations(runs[:4]):
+        tracker, _ = make_tracker()
+        merge(tracker, ordered)
+        merge(tracker, ordered)
+        assert len(reported(tracker, 7)) == 4
+        assert tracker.verdict(7) is REFUSE
+
+
+def test_one_endpoint_reported_by_all_nodes_is_one_crash():
+    tracker, _ = make_tracker()
+    for _ in range(5):
+        crash(tracker, 7, 1)
+        merge(tracker, reported(tracker, 7))
+    assert len(reported(tracker, 7)) == 1
+
+
+def test_an_endpoint_that_this_node_has_not_listed_yet_has_not_ended():
+    """Another node may learn of a new endpoint earlier."""
+    tracker, clock = make_tracker()
+    for number in range(3):
+        run = crash_evidence.BrokenRun(7, (f'e{number}', 1), clock.now_s)
+        merge(tracker, [run])
+    tracker.resolve_disconnects(set())
+    assert tracker.verdict(7) is SERVE
 
 
 def test_refusal_ends_after_the_retention_time():
     tracker, clock = make_tracker()
     for number in range(3):
         crash(tracker, 7, number)
-    clock.now_s += poison.CRASH_RETENTION_S
-    assert not tracker.is_poison(7)
+    clock.now_s += poison.CRASH_RETENTION_S + 1
+    tracker.resolve_disconnects(set())
+    assert tracker.verdict(7) is SERVE
+
+
+def test_what_is_remembered_is_bounded():
+    tracker, _ = make_tracker()
+    for number in range(crash_evidence.MAX_REQUESTS + 50):
+        crash(tracker, number, number)
+    assert len(tracker.evidence.fingerprints()) == crash_evidence.MAX_REQUESTS
 
 
 def test_fingerprint_depends_on_target_account_and_body():
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -17,6 +17,7 @@
 from redwingvalve.platform import caller_requests
 
 _MS_IN_S = 1000.0
+_OTHER_ENDPOINT = 421
 # The peer may close an idle connection at any moment. A request that must not
 # run twice can't be retried then, so it uses a connection that was in use
 # moments ago, or a new one.
@@ -70,6 +71,17 @@
         )
         return await self._await_outcome(target, upstream_request)
 
+    @property
+    def was_answered_by_target(self) -> bool:
+        """Return whether the target of the latest attempt has answered it.
+
+        421 may come from another endpoint that now has its address.
+        """
+        latest = self.upstream_request
+        if latest is None or latest.head is None:
+            return False
+        return latest.head.status != _OTHER_ENDPOINT
+
     def cancel(self) -> None:
         """End the current attempt, as the caller has left."""
         if self.upstream_request is not None:
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -38,7 +38,24 @@
   2: map<string, i32> usage
 }
 
-// Field numbers 6, 14 and 15 were used by earlier versions and are reserved.
+// A connection that broke while an endpoint ran a request.
+struct BrokenRun {
+  // Hash of the request: target, account and body.
+  1: i64 fingerprint
+  2: string endpoint_id
+  3: i64 born_ms
+  4: i32 age_ms
+  // Whether the endpoint's process is known to have ended.
+  5: bool is_crash
+}
+
+// A request that an endpoint has answered although others broke it off.
+struct AnsweredRequest {
+  1: i64 fingerprint
+  2: i32 age_ms
+}
+
+// Field numbers 6, 12, 14 and 15 were used by earlier versions and are reserved.
 struct StatusMessage {
   1: string vm
   2: i64 born_ms
@@ -54,8 +71,6 @@
   10: bool has_served
   // Endpoints that were recently found healthy.
   11: list<ClearedEndpoint> cleared
-  // Hashes of request bodies that crashed endpoints, with the number of crashes.
-  12: map<i64, i32> crashes
   // Sent in the first messages of a node and after each listing of the store.
   13: NodeAddress address
   // Slots in use and requested, by service and model, of those that this node
@@ -64,4 +79,7 @@
   // The following fields are updates about other nodes, forwarded by a hub.
   17: list<PeerState> states
   18: list<PeerUsage> usages
+  // Evidence of requests that may crash endpoints, in small fleets too.
+  19: list<BrokenRun> broken_runs
+  20: list<AnsweredRequest> answers
 }
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -12,6 +12,7 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.fleet import serving
 from redwingvalve.ingress import state as state_module
+from redwingvalve.node import crash_reports as crash_reports_module
 from redwingvalve.node import front as front_module
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
@@ -37,6 +38,7 @@
     front: front_module.FrontApplication
     peers: peers_module.Peers = attrs.field(init=False)
     hubs: hubs_module.Hubs = attrs.field(init=False)
+    crash_reports: crash_reports_module.CrashReports = attrs.field(init=False)
     # Slots in use, as reported by the nodes that allocate them.
     usage: usage_module.FleetUsage = attrs.field(
         factory=usage_module.FleetUsage
@@ -61,6 +63,9 @@
         self._forwarded_updates = update_forwarding.ForwardedUpdates(
             self.peers, self.hubs
         )
+        self.crash_reports = crash_reports_module.CrashReports(
+            self.state.poison, self.broadcast_soon, self._forwards_crashes
+        )
         self.table.on_suspect = self._broadcast_suspicion
         self.table.on_cleared = self._broadcast_cleared
         self.table.on_announce_healthy = self._record_cleared
@@ -91,6 +96,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        urgent_since_s = self._sent_s if is_urgent else None
         self._sent_s = time.monotonic()
         recipients = self.hubs.recipients()
         is_hub = bool(recipients.hubs and recipients.nodes)
@@ -101,6 +107,7 @@
             if not names:
                 continue
             message = self.build_message()
+            self.crash_reports.add_to(message, urgent_since_s)
             if is_hub:
                 self._forwarded_updates.add_to(
                     message,
@@ -133,7 +140,6 @@
             is_leaving=self.state.is_leaving,
             is_ready=self.state.configuration is not None,
             suspects=status_fields.local_suspicion_messages(self.table),
-            crashes=self.state.poison.recent_crashes(),
             has_served=self._reports_served(),
             cleared=status_fields.recent_clearance_messages(self._cleared),
             usage=usage,
@@ -162,7 +168,7 @@
         if message.lease_revision:
             self.lease.observe(message.lease_revision, message.lease_left_ms)
         self.has_peer_served = self.has_peer_served or bool(message.has_served)
-        self.state.poison.merge_crashes(message.crashes or {}, message.vm)
+        self.crash_reports.receive(message)
         for suspicion in status_fields.parse_suspicions(message):
             self.table.add_suspicion(suspicion)
         for clearance in status_fields.parse_clearances(message):
@@ -170,6 +176,10 @@
                 clearance.endpoint_id, clearance.epoch, clearance.since_s
             )
 
+    def _forwards_crashes(self) -> bool:
+        # In a small fleet too: a node may be cut off from one other node only.
+        return not self.peers.is_large_fleet or self.hubs.is_hub
+
     def node_changed(self, peer: peers_module.Peer) -> None:
         """Forward a node's changed state if this node is a hub."""
         if self.hubs.is_hub:
@@ -197,7 +207,7 @@
         else:
             self.peers.report_silent()
         self.registry.drop_expired()
-        if self.state.poison.has_unresolved_disconnects:
+        if self.state.poison.evidence.fingerprints():
             self.state.poison.resolve_disconnects(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
 
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -43,6 +43,19 @@
     (_Type.STRING, 'vm'),
     (_Type.MAP, 'usage', (_Type.STRING, _Type.I32)),
 )
+BrokenRun: typing.Any = _struct(
+    'BrokenRun',
+    (_Type.I64, 'fingerprint'),
+    (_Type.STRING, 'endpoint_id'),
+    (_Type.I64, 'born_ms'),
+    (_Type.I32, 'age_ms'),
+    (_Type.BOOL, 'is_crash'),
+)
+AnsweredRequest: typing.Any = _struct(
+    'AnsweredRequest',
+    (_Type.I64, 'fingerprint'),
+    (_Type.I32, 'age_ms'),
+)
 StatusMessage: typing.Any = _struct(
     'StatusMessage',
     (_Type.STRING, 'vm'),
@@ -56,13 +69,15 @@
     (_Type.I32, 'lease_left_ms'),
     (_Type.BOOL, 'has_served'),
     (_Type.LIST, 'cleared', (_Type.STRUCT, ClearedEndpoint)),
-    (_Type.MAP, 'crashes', (_Type.I64, _Type.I32)),
+    None,
     (_Type.STRUCT, 'address', NodeAddress),
     None,
     None,
     (_Type.MAP, 'usage', (_Type.STRING, _Type.I32)),
     (_Type.LIST, 'states', (_Type.STRUCT, PeerState)),
     (_Type.LIST, 'usages', (_Type.STRUCT, PeerUsage)),
+    (_Type.LIST, 'broken_runs', (_Type.STRUCT, BrokenRun)),
+    (_Type.LIST, 'answers', (_Type.STRUCT, AnsweredRequest)),
 )
 
 
--- a/redwingvalve/node/tests/test_status_messages.py
+++ b/redwingvalve/node/tests/test_status_messages.py
@@ -11,6 +11,8 @@
     'NodeAddress',
     'ClearedEndpoint',
     'SuspectedEndpoint',
+    'BrokenRun',
+    'AnsweredRequest',
     'StatusMessage',
 )
 
@@ -53,7 +55,11 @@
             )
         ],
         address=status_messages.NodeAddress(ip='127.0.0.1', peer_port=7000),
-        crashes={-7: 2},
+        broken_runs=[
+            status_messages.BrokenRun(
+                fingerprint=-7, endpoint_id='e3', age_ms=20, is_crash=True
+            )
+        ],
     )
     assert status_messages.unpack(status_messages.pack(sent)) == sent
 
