Hold a request back while it isn't certain that three endpoints crashed

Cause: a broken connection counted as a crash only when the registry dropped the incarnation, up to three heartbeats later, and 6 s after the break whatever was undecided counted as harmless. With a store that is away all copies were let through for good.

Change: a request that three endpoints have broken off, none of which has shown a sign of life since, is refused for a second at a time. What ends this is evidence, not time: an answer of the endpoint to anything sent after the break, its answer to a probe (at once if two runs are in doubt, else after half a second), an answer to the request itself, or the end of the entry.

Why it works: the bound no longer depends on the heartbeat; a sound request waits for a probe at most.

--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -6,8 +6,12 @@
 request is refused after three crashes.
 
 A broken connection alone is not a crash: answers get lost and connections are
-reset. It counts only once the endpoint's incarnation ends, and then for all
-requests whose connections broke there.
+reset. Whether an endpoint has crashed is certain only when its entry lapses,
+seconds later, and a request that returns several times a second would crash a
+dozen endpoints until then. So while three endpoints have broken off a request
+and none of them has shown any sign of life, the request is held back: its
+caller is told to return in a second. Endpoints in doubt are asked at once, so
+that a sound request is held back for the time of a probe only.
 
 What speaks for a request: an answer of any endpoint, and that an endpoint which
 broke it off answers something else.
@@ -34,6 +38,8 @@
     """How to handle a request."""
 
     SERVE = 'serve'
+    # It may have crashed endpoints, which is not yet certain.
+    HOLD = 'hold'
     REFUSE = 'refuse'
 
 
@@ -65,9 +71,11 @@
     def verdict(self, fingerprint: int) -> Verdict:
         """Return how to handle a request."""
         runs = self.evidence.runs(fingerprint)
+        if len(runs) < MIN_CRASHES_TO_REFUSE:
+            return Verdict.SERVE
         crashes = sum(run.is_crash for run in runs)
         if crashes < MIN_CRASHES_TO_REFUSE:
-            return Verdict.SERVE
+            return Verdict.HOLD
         return Verdict.REFUSE
 
     def refused(self) -> list[int]:
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -19,6 +19,8 @@
 RETRY_AFTER_S = 0.4
 # Long, because a retry of a request that crashes endpoints does more damage.
 POISON_RETRY_AFTER_S = 30.0
+# By then endpoints in doubt have answered a probe, if they can.
+POISON_SUSPECT_RETRY_AFTER_S = 1.0
 # Callers abandon a silent stream after the longest of these: a fixed time,
 # multiples of the first-event goal, multiples of the gap goal. A request may
 # wait for most of that time and still reach its caller.
@@ -66,6 +68,11 @@
 NO_FREE_SLOT: typing.Final = Refusal(
     UNAVAILABLE, 'no endpoint has a free place', RETRY_AFTER_S
 )
+POISON_SUSPECT: typing.Final = Refusal(
+    UNAVAILABLE,
+    'this request may have crashed endpoints',
+    POISON_SUSPECT_RETRY_AFTER_S,
+)
 POISON: typing.Final = Refusal(
     UNAVAILABLE, 'this request has crashed endpoints', POISON_RETRY_AFTER_S
 )
@@ -77,7 +84,9 @@
 
 def for_verdict(verdict: poison.Verdict) -> Refusal | None:
     """Return the refusal for a request that may crash endpoints, or None."""
-    return POISON if verdict is poison.Verdict.REFUSE else None
+    if verdict is poison.Verdict.SERVE:
+        return None
+    return POISON if verdict is poison.Verdict.REFUSE else POISON_SUSPECT
 
 
 def for_failed_request(
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -4,7 +4,7 @@
 
 from redwingvalve.ingress import crash_evidence, poison
 
-SERVE, REFUSE = poison.Verdict
+SERVE, HOLD, REFUSE = poison.Verdict
 
 
 class Clock:
@@ -41,6 +41,20 @@
     assert tracker.verdict(7) is REFUSE and tracker.verdict(8) is SERVE
 
 
+def test_request_is_held_back_while_three_endpoints_may_have_crashed():
+    """Their entries lapse seconds later."""
+    tracker, clock = make_tracker()
+    live = {(f'e{number}', 1) for number in range(3)}
+    for incarnation in live:
+        tracker.record_disconnect(7, incarnation)
+    assert tracker.verdict(7) is HOLD
+    clock.now_s += 7
+    tracker.resolve_disconnects(live)
+    assert tracker.verdict(7) is HOLD
+    tracker.resolve_disconnects(set())
+    assert tracker.verdict(7) is REFUSE
+
+
 def test_a_lost_answer_does_not_count_as_a_crash():
     """The connection breaks but the endpoint stays alive."""
     tracker, clock = make_tracker()
@@ -63,7 +77,7 @@
     for number in range(3):
         tracker.record_disconnect(7, (f'e{number}', 1))
         tracker.record_life_sign((f'e{number}', 1), sent_s)
-    assert tracker.verdict(7) is SERVE
+    assert tracker.verdict(7) is HOLD
 
 
 def test_an_answer_clears_the_crash_count():
@@ -136,7 +150,7 @@
         run = crash_evidence.BrokenRun(7, (f'e{number}', 1), clock.now_s)
         merge(tracker, [run])
     tracker.resolve_disconnects(set())
-    assert tracker.verdict(7) is SERVE
+    assert tracker.verdict(7) is HOLD
 
 
 def test_refusal_ends_after_the_retention_time():
--- /dev/null
+++ b/redwingvalve/node/crash_checks.py
@@ -0,0 +1,128 @@
+"""Asks endpoints that broke off requests whether they are still alive.
+
+A request is held back while it is not known whether three endpoints crashed
+under it. An endpoint that answers nothing else in the meantime is asked, at
+once if other runs of the same request have broken off too.
+"""
+
+import time
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import registry as registry_module
+from redwingvalve.ingress import crash_evidence, poison
+from redwingvalve.observability import logs
+from redwingvalve.platform import endpoint_orders
+
+LOG = logs.make_logger('crash-checks')
+CHECK_INTERVAL_S = 0.1
+# Most endpoints have answered another request by then.
+SINGLE_RUN_DELAY_S = 0.5
+# Between two probes of an endpoint; doubles with each one.
+MIN_PROBE_INTERVAL_S = 0.5
+MAX_PROBE_INTERVAL_S = 8.0
+MAX_CONCURRENT_PROBES = 16
+
+
+@attrs.define(eq=False)
+class _Probes:
+    next_s: float = 0.0
+    interval_s: float = MIN_PROBE_INTERVAL_S
+    is_running: bool = False
+
+
+@attrs.define(eq=False)
+class CrashChecker(poison.EvidenceObserver):
+    """Probes the endpoints that may have crashed."""
+
+    tracker: poison.PoisonRequestTracker
+    registry: registry_module.Registry
+    client: endpoint_orders.EndpointClient
+    _probes: dict[crash_evidence.Incarnation, _Probes] = attrs.field(
+        factory=dict
+    )
+    _added: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Observe the tracker."""
+        self.tracker.observers.append(self)
+
+    def run_added(self, run: crash_evidence.BrokenRun) -> None:
+        """Check the run's endpoint."""
+        self._added.set()
+
+    def request_cleared(self, fingerprint: int) -> None:
+        """Ignore an answer: there is nothing to check."""
+
+    async def run(self) -> typing.NoReturn:
+        """Check endpoints until cancelled; idle without broken runs."""
+        async with anyio.create_task_group() as group:
+            while True:
+                undecided = self.tracker.undecided()
+                if not undecided:
+                    self._probes.clear()
+                    await self._added.wait()
+                with anyio.move_on_after(CHECK_INTERVAL_S):
+                    await self._added.wait()
+                self._added = anyio.Event()
+                self._start_probes(group)
+
+    def _start_probes(self, group: anyio.abc.TaskGroup) -> None:
+        now_s = time.monotonic()
+        running = sum(one.is_running for one in self._probes.values())
+        for incarnation in self.tracker.undecided():
+            if running >= MAX_CONCURRENT_PROBES:
+                return
+            probes = self._probes.setdefault(incarnation, _Probes())
+            endpoint = self._find(incarnation)
+            if endpoint is None or not self._is_due(incarnation, now_s):
+                continue
+            probes.is_running = True
+            running += 1
+            group.start_soon(self._probe, incarnation, endpoint, probes)
+
+    def _find(
+        self, incarnation: crash_evidence.Incarnation
+    ) -> endpoints.Endpoint | None:
+        endpoint = self.registry.live.get(incarnation[0])
+        if endpoint is None or endpoint.incarnation != incarnation:
+            return None
+        return endpoint
+
+    def _is_due(
+        self, incarnation: crash_evidence.Incarnation, now_s: float
+    ) -> bool:
+        probes = self._probes[incarnation]
+        if probes.is_running or now_s < probes.next_s:
+            return False
+        evidence = self.tracker.evidence
+        runs = evidence.runs_at(incarnation)
+        if any(len(evidence.runs(run.fingerprint)) > 1 for run in runs):
+            return True
+        return any(now_s - run.at_s >= SINGLE_RUN_DELAY_S for run in runs)
+
+    async def _probe(
+        self,
+        incarnation: crash_evidence.Incarnation,
+        endpoint: endpoints.Endpoint,
+        probes: _Probes,
+    ) -> None:
+        sent_s = time.monotonic()
+        try:
+            liveness = await self.client.check_liveness(endpoint)
+        except Exception:
+            # The next check asks again.
+            LOG.exception('probe failed', extra={'endpoint': incarnation[0]})
+            liveness = endpoint_orders.Liveness.UNKNOWN
+        finally:
+            probes.is_running = False
+            probes.next_s = time.monotonic() + probes.interval_s
+            probes.interval_s = min(2 * probes.interval_s, MAX_PROBE_INTERVAL_S)
+        if liveness is endpoint_orders.Liveness.ALIVE:
+            self.tracker.record_life_sign(incarnation, sent_s)
+        elif liveness is endpoint_orders.Liveness.ENDED:
+            self.tracker.record_end(incarnation)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -22,6 +22,7 @@
     allocation_transport,
     configuration_watch,
     control_loop,
+    crash_checks,
     early_sockets,
     endpoint_prober,
     failure_detector,
@@ -77,6 +78,7 @@
     endpoint_client: endpoint_orders.EndpointClient
     prober: endpoint_prober.EndpointProber
     detector: failure_detector.FailureDetector
+    crash_checker: crash_checks.CrashChecker
     lease: lease_module.Lease
     front: front.FrontApplication
     listeners: listeners_module.Listeners
@@ -190,6 +192,7 @@
             self.allocation.run,
             self.allocation.reserver.run,
             self.detector.run,
+            self.crash_checker.run,
             self._run_lease,
             self.gauges.run,
             functools.partial(log_drop_reporter.run, self.log_handler),
@@ -318,6 +321,9 @@
         endpoint_client=endpoint_client,
         prober=prober,
         detector=failure_detector.FailureDetector(state, table, prober, lease),
+        crash_checker=crash_checks.CrashChecker(
+            state.poison, registry, endpoint_client
+        ),
         lease=lease,
         front=front_application,
         status_exchange=status_exchange,
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -38,6 +38,15 @@
     UNREACHED = 'unreached'
 
 
+class Liveness(enum.Enum):
+    """What a probe shows about one process of an endpoint."""
+
+    ALIVE = 'alive'
+    ENDED = 'ended'
+    # No response: it may have ended, be overloaded or cut off.
+    UNKNOWN = 'unknown'
+
+
 _RESULTS_BY_STATUS: typing.Final = types.MappingProxyType(
     {
         _ACCEPTED: OrderResult.ACCEPTED,
@@ -143,6 +152,26 @@
             return None
         return _decode_report(body)
 
+    async def check_liveness(self, endpoint: endpoints.Endpoint) -> Liveness:
+        """Return whether the process of an endpoint's entry still runs."""
+        try:
+            status, body = await self._json.call(
+                (endpoint.host, endpoint.port),
+                f'GET {names.REPORT_PATH}',
+                None,
+                REPORT_TIMEOUT_S,
+                _expected_endpoint_headers(endpoint),
+            )
+        except store.StoreError:
+            return Liveness.UNKNOWN
+        if status == _OTHER_ENDPOINT:
+            return Liveness.ENDED
+        # Plain services needn't know the path; any answer shows life.
+        report = _decode_report(body) if isinstance(body, dict) else None
+        if report is not None and report.born_ms not in {0, endpoint.born_ms}:
+            return Liveness.ENDED
+        return Liveness.ALIVE
+
     async def _order(
         self, endpoint: endpoints.Endpoint, order: store.Document
     ) -> OrderResult:
