Check a request for crashes before each of its sends

Callers saw second sends and requests that had waited for a place crash endpoints although their node knew by then.

Cause: the verdict was asked for once, on arrival.

Change: it is asked for before each send: a retry, a resumption, a hedge, and after the wait for a place. The caller gets the refusal if nothing can have run, else 502.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -52,13 +52,29 @@
         """Send the request until the response is complete."""
         self._responder.on_disconnect = self._on_caller_gone
         while not self._wait.is_caller_gone:
+            if self._is_refused():
+                return
             reservation = await self._reserve_slot()
             if reservation is None:
                 return
+            # Endpoints may have crashed while it waited.
+            if self._is_refused():
+                reservation.release(reservations.ReleaseState.FREE)
+                return
             outcome = await self._try_target(reservation)
             if self._finish_unless_retry(reservation.target, outcome):
                 return
 
+    def _is_refused(self) -> bool:
+        """Refuse the request if it may crash endpoints."""
+        verdict = self._state.poison.verdict(self._fingerprint)
+        refusal = refusals.for_verdict(verdict)
+        if refusal is None:
+            return False
+        self._log_outcome(_NO_TARGET, f'given up: {refusal.reason}')
+        self._fail(refusal.reason, refusal)
+        return True
+
     async def _reserve_slot(self) -> reservations.Reservation | None:
         """Return a slot, or respond and return None."""
         wait_started_s = time.monotonic()
@@ -185,18 +201,22 @@
             return False
         return not self._sender.sent_count or self._sender.spend_retry()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(
+        self, reason: str, refusal: refusals.Refusal | None = None
+    ) -> None:
+        """End the response; refusal is sent if no endpoint can have run it."""
         if self._responder.is_started:
             self._responder.abort()
             return
         if self._failure_response is not None:
             responses.send_response(self._responder, self._failure_response)
             return
-        refusal = refusals.for_failed_request(
-            self._may_have_run,
-            reason == _TIMEOUT,
-            refusals.with_jitter_s(self._retry_after_s, self._state.rng),
-        )
+        if refusal is None or self._may_have_run:
+            refusal = refusals.for_failed_request(
+                self._may_have_run,
+                reason == _TIMEOUT,
+                refusals.with_jitter_s(self._retry_after_s, self._state.rng),
+            )
         responses.send_refusal(self._responder, self._caller, refusal)
 
     def _log_outcome(self, target: load_balancing.Target, outcome: str) -> None:
