Blame a broken run on the request that has broken off most often

Callers of sound requests could be refused after their requests ran beside a crashing one on three endpoints.

Cause: an end counted for all requests whose connections broke there.

Change: it counts only for the request with the most broken runs. Result: a neighbour on three of four endpoints that a request crashed is served (test_sound_neighbours_are_not_blamed_for_a_crashing_request; without the change it is refused).

--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -116,6 +116,22 @@
             for fingerprint in self._requests.get(incarnation, ())
         ]
 
+    def runs_to_blame(self, fingerprint: int) -> list[BrokenRun]:
+        """Return the broken runs for which a request itself is to blame.
+
+        What breaks off at an endpoint is the fault of at most one of the
+        requests there: of that which has broken off most often.
+        """
+        runs = self._runs.get(fingerprint, {})
+        return [
+            run
+            for run in runs.values()
+            if not any(
+                len(self._runs[other]) > len(runs)
+                for other in self._requests[run.incarnation]
+            )
+        ]
+
     def forget_before(self, at_s: float) -> None:
         """Forget requests whose latest run broke off before a time."""
         old = [
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -70,7 +70,7 @@
 
     def verdict(self, fingerprint: int) -> Verdict:
         """Return how to handle a request."""
-        runs = self.evidence.runs(fingerprint)
+        runs = self.evidence.runs_to_blame(fingerprint)
         if len(runs) < MIN_CRASHES_TO_REFUSE:
             return Verdict.SERVE
         crashes = sum(run.is_crash for run in runs)
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -162,6 +162,18 @@
     assert tracker.verdict(7) is SERVE
 
 
+def test_sound_neighbours_are_not_blamed_for_a_crashing_request():
+    """They ran on the endpoints that it crashed."""
+    tracker, _ = make_tracker()
+    for number in range(4):
+        crash(tracker, 7, number)
+        if number:
+            tracker.record_disconnect(8, (f'e{number}', 1))
+    tracker.resolve_disconnects(set())
+    assert tracker.verdict(7) is REFUSE
+    assert tracker.verdict(8) is SERVE
+
+
 def test_what_is_remembered_is_bounded():
     tracker, _ = make_tracker()
     for number in range(crash_evidence.MAX_REQUESTS + 50):
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -130,7 +130,7 @@
         found = []
         for _ in range(min(len(self._repeat_queue), MAX_REPEATED_REQUESTS)):
             fingerprint = self._repeat_queue.popleft()
-            runs = tracker.evidence.runs(fingerprint)
+            runs = tracker.evidence.runs_to_blame(fingerprint)
             runs.sort(key=_certainty)
             found += runs[-poison.MIN_CRASHES_TO_REFUSE :]
         return found
