Ask an endpoint that answered again after its next lost answer

Callers of a sound request were refused for seconds after all answers had been lost for two seconds.

Cause: the pause between two probes of an endpoint doubled even if it answered, up to 8 s, and what broke off after the last probe was undecided until then. Also a second broken run at the same endpoint kept the time of the first one.

Change: an answered probe starts the pauses anew, and a run that is later by more than messages are late replaces the earlier one.

--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -17,6 +17,9 @@
 # An answer also speaks for runs of the same request that break off within this
 # time after it: a crashing request is never answered.
 ANSWER_TRUST_S = 10.0
+# Reports of one run differ by the transit times of messages. A later one is of
+# another run of the same request at the same endpoint.
+SAME_RUN_S = 0.5
 
 
 @attrs.frozen
@@ -51,13 +54,13 @@
         if known is None:
             self._insert(run)
             return True
-        is_new = run.is_crash and not known.is_crash
+        is_later = run.at_s > known.at_s + SAME_RUN_S
         runs[run.incarnation] = attrs.evolve(
-            known,
-            at_s=min(known.at_s, run.at_s),
+            run,
+            at_s=run.at_s if is_later else min(known.at_s, run.at_s),
             is_crash=known.is_crash or run.is_crash,
         )
-        return is_new
+        return is_later or (run.is_crash and not known.is_crash)
 
     def add_answer(self, fingerprint: int, at_s: float) -> bool:
         """Add a complete answer; return whether it clears the request."""
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -62,7 +62,7 @@
         """Check endpoints until cancelled; idle without broken runs."""
         async with anyio.create_task_group() as group:
             while True:
-                undecided = self.tracker.undecided()
+                undecided = self.tracker.evidence.undecided()
                 if not undecided:
                     self._probes.clear()
                     await self._added.wait()
@@ -74,7 +74,7 @@
     def _start_probes(self, group: anyio.abc.TaskGroup) -> None:
         now_s = time.monotonic()
         running = sum(one.is_running for one in self._probes.values())
-        for incarnation in self.tracker.undecided():
+        for incarnation in self.tracker.evidence.undecided():
             if running >= MAX_CONCURRENT_PROBES:
                 return
             probes = self._probes.setdefault(incarnation, _Probes())
@@ -123,6 +123,8 @@
             probes.next_s = time.monotonic() + probes.interval_s
             probes.interval_s = min(2 * probes.interval_s, MAX_PROBE_INTERVAL_S)
         if liveness is endpoint_orders.Liveness.ALIVE:
+            # Runs that broke off after the probe was sent need another one.
+            self._probes.pop(incarnation, None)
             self.tracker.record_life_sign(incarnation, sent_s)
         elif liveness is endpoint_orders.Liveness.ENDED:
             self.tracker.record_end(incarnation)
