Record refused requests in the store; let one node try them again

Callers' endpoints crashed again under a known request at each node that started, and after all nodes had been replaced (10 late arrivals each in test_a_node_that_starts_refuses_a_known_crashing_request and test_new_processes_of_all_nodes_refuse_a_known_crashing_request; 3 are allowed). 120 s after its last crash each node let the request pass again.

Cause: a verdict lived as long as the process and the timer that held it.

Change: one object in the store holds the few requests that aren't served. The node with the lease writes it when a request is added or removed, 0.4 s later so that lost answers cause no writes; each node reads it before it accepts callers (one read a start, one for each new holder). A refused request is tried 30 s after its last crash, then after four times as long, by the one node whose conditional write to the object succeeds; an answer clears it everywhere and removes it. Retry-After tells when the next trial is due.

With six nodes that all get the request when a trial is due, one more endpoint crashes (test_refused_request_is_tried_by_one_node); a sound request that passes its trial is served by all nodes half a second later.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -43,6 +43,8 @@
     _wait: caller_wait.CallerWait
     _forwarder: stream_forwarding.StreamForwarder
     _sender: upstream_sender.UpstreamSender
+    # Sent once in spite of the endpoints that it has crashed.
+    _is_trial: bool = False
     _tried_endpoints: set[str] = attrs.field(factory=set)
     _may_have_run: bool = False
     _failure_response: upstream.UpstreamRequest | None = None
@@ -65,11 +67,16 @@
             if self._finish_unless_retry(reservation.target, outcome):
                 return
 
+    @property
+    def _is_first_send_of_trial(self) -> bool:
+        return self._is_trial and not self._sender.sent_count
+
     def _is_refused(self) -> bool:
         """Refuse the request if it may crash endpoints."""
-        verdict = self._state.poison.verdict(self._fingerprint)
-        refusal = refusals.for_verdict(verdict)
-        if refusal is None:
+        refusal = refusals.for_crashing_request(
+            self._state.poison, self._fingerprint
+        )
+        if refusal is None or self._is_first_send_of_trial:
             return False
         self._log_outcome(_NO_TARGET, f'given up: {refusal.reason}')
         self._fail(refusal.reason, refusal)
@@ -244,6 +251,8 @@
     admission: admission_control.Admission,
     times: timing.RequestTiming,
     fingerprint: int,
+    *,
+    is_trial: bool = False,
 ) -> AdmittedRequest:
     """Return a request that is ready to run; times began at its arrival."""
     wait = caller_wait.CallerWait(responder, admission.timeout_at_s)
@@ -263,6 +272,7 @@
         wait=wait,
         forwarder=forwarder,
         sender=sender,
+        is_trial=is_trial,
     )
 
 
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -23,13 +23,16 @@
 import time
 import typing
 
-from redwingvalve.ingress import crash_evidence
+from redwingvalve.ingress import crash_evidence, poison_trials
 from redwingvalve.observability import logs
 
 LOG = logs.make_logger('poison')
 MIN_CRASHES_TO_REFUSE = 3
 # A request without a crash for this long starts again without any.
 CRASH_RETENTION_S = 600.0
+# Entries of new endpoints reach all nodes within this time. An endpoint that is
+# still unlisted has ended before this node could see it.
+UNLISTED_END_S = 15.0
 _DIGEST_BYTES = 7
 _MS_IN_S = 1000
 
@@ -65,6 +68,8 @@
         self.evidence = crash_evidence.CrashEvidence()
         self.observers: list[EvidenceObserver] = []
         self._clock = clock
+        # Of requests that were refused, as far as this node knows.
+        self.trials: dict[int, poison_trials.TrialHistory] = {}
         # Endpoints whose entries this node has seen. Others may be new.
         self._listed: set[crash_evidence.Incarnation] = set()
 
@@ -78,14 +83,26 @@
             return Verdict.HOLD
         return Verdict.REFUSE
 
-    def refused(self) -> list[int]:
-        """Return the fingerprints that are refused."""
+    def not_served(self) -> list[int]:
+        """Return the fingerprints that are held back or refused."""
         return [
             fingerprint
             for fingerprint in self.evidence.fingerprints()
-            if self.verdict(fingerprint) is Verdict.REFUSE
+            if self.verdict(fingerprint) is not Verdict.SERVE
         ]
 
+    def time_to_trial_s(self, fingerprint: int) -> float:
+        """Return the time until a refused request may be tried, 0 if due."""
+        latest_s = max(run.at_s for run in self.evidence.runs(fingerprint))
+        history = self.trials.get(fingerprint, poison_trials.TrialHistory())
+        due_s = poison_trials.due_s(latest_s, history)
+        return max(due_s - self._clock(), 0)
+
+    def is_trial_due(self, fingerprint: int) -> bool:
+        """Return whether a refused request may be tried by some node."""
+        is_refused = self.verdict(fingerprint) is Verdict.REFUSE
+        return is_refused and not self.time_to_trial_s(fingerprint)
+
     def record_disconnect(
         self, fingerprint: int, incarnation: crash_evidence.Incarnation
     ) -> None:
@@ -115,23 +132,19 @@
             self._log('crash', run)
             self._notify_added(run)
 
-    def undecided(self) -> list[crash_evidence.Incarnation]:
-        """Return the endpoints that may have crashed or not."""
-        return self.evidence.undecided()
-
     def resolve_disconnects(
         self,
         live_incarnations: typing.AbstractSet[crash_evidence.Incarnation],
     ) -> None:
         """Count the disconnects whose endpoints have crashed since."""
-        undecided = self.undecided()
+        undecided = self.evidence.undecided()
         self._listed.update(live_incarnations.intersection(undecided))
         for incarnation in undecided:
             is_live = incarnation in live_incarnations
-            if not is_live and incarnation in self._listed:
+            if not is_live and self._was_listed(incarnation):
                 self.record_end(incarnation)
-        self._listed.intersection_update(self.undecided())
-        self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
+        self._listed.intersection_update(self.evidence.undecided())
+        self._forget_old()
 
     def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> bool:
         """Add a run that another node reports; return whether it is news."""
@@ -142,11 +155,28 @@
             self._notify_cleared(run.fingerprint)
         return is_news
 
+    def add_recorded_run(self, run: crash_evidence.BrokenRun) -> None:
+        """Add a run that was recorded before this node started."""
+        self._listed.add(run.incarnation)
+        self.merge_run(run, 'store')
+
     def merge_answer(self, fingerprint: int, at_s: float, sender: str) -> None:
         """Add an answer that another node reports."""
         if self.evidence.add_answer(fingerprint, at_s):
             self._clear(fingerprint, sender)
 
+    def _was_listed(self, incarnation: crash_evidence.Incarnation) -> bool:
+        runs = self.evidence.runs_at(incarnation)
+        first_s = min(run.at_s for run in runs)
+        is_old = self._clock() - first_s > UNLISTED_END_S
+        return is_old or incarnation in self._listed
+
+    def _forget_old(self) -> None:
+        self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
+        known = self.evidence.fingerprints()
+        for fingerprint in set(self.trials).difference(known):
+            self.trials.pop(fingerprint)
+
     def _add(self, run: crash_evidence.BrokenRun) -> bool:
         is_news = self.evidence.add(run)
         if is_news:
@@ -192,6 +222,11 @@
         )
 
 
+def certainty(run: crash_evidence.BrokenRun) -> tuple[bool, float]:
+    """Order runs by how surely they show a crash that is still of interest."""
+    return run.is_crash, run.at_s
+
+
 def format_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as logs show it, in hexadecimal."""
     return f'{fingerprint:014x}'
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -17,8 +17,8 @@
 # A burst lasts some seconds; most callers that retry after this time get a
 # slot. Callers honour it up to a third of their remaining time.
 RETRY_AFTER_S = 0.4
-# Long, because a retry of a request that crashes endpoints does more damage.
-POISON_RETRY_AFTER_S = 30.0
+# While another node tries the request.
+MIN_POISON_RETRY_AFTER_S = 5.0
 # By then endpoints in doubt have answered a probe, if they can.
 POISON_SUSPECT_RETRY_AFTER_S = 1.0
 # Callers abandon a silent stream after the longest of these: a fixed time,
@@ -74,7 +74,7 @@
     POISON_SUSPECT_RETRY_AFTER_S,
 )
 POISON: typing.Final = Refusal(
-    UNAVAILABLE, 'this request has crashed endpoints', POISON_RETRY_AFTER_S
+    UNAVAILABLE, 'this request has crashed endpoints', MIN_POISON_RETRY_AFTER_S
 )
 INCOMPLETE_ANSWER: typing.Final = Refusal(
     BAD_GATEWAY, 'the endpoint gave no whole answer; it may have run'
@@ -82,11 +82,18 @@
 TIMED_OUT: typing.Final = Refusal(GATEWAY_TIMEOUT, 'no answer in time')
 
 
-def for_verdict(verdict: poison.Verdict) -> Refusal | None:
+def for_crashing_request(
+    tracker: poison.PoisonRequestTracker, fingerprint: int
+) -> Refusal | None:
     """Return the refusal for a request that may crash endpoints, or None."""
+    verdict = tracker.verdict(fingerprint)
     if verdict is poison.Verdict.SERVE:
         return None
-    return POISON if verdict is poison.Verdict.REFUSE else POISON_SUSPECT
+    if verdict is poison.Verdict.HOLD:
+        return POISON_SUSPECT
+    trial_s = round(tracker.time_to_trial_s(fingerprint), 1)
+    retry_after_s = max(trial_s, MIN_POISON_RETRY_AFTER_S)
+    return attrs.evolve(POISON, retry_after_s=retry_after_s)
 
 
 def for_failed_request(
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -37,8 +37,9 @@
         fingerprint = poison.fingerprint(
             self._request.target, admission.account, self._request.body
         )
-        refusal = refusals.for_verdict(self._state.poison.verdict(fingerprint))
-        if refusal is not None:
+        refusal = refusals.for_crashing_request(self._state.poison, fingerprint)
+        is_trial = refusal is not None and await self._claim_trial(fingerprint)
+        if refusal is not None and not is_trial:
             responses.send_refusal(self._responder, self._caller, refusal)
             return
         self._state.prompt_read_times(admission.model).observe(
@@ -55,9 +56,17 @@
             admission,
             self._times,
             fingerprint,
+            is_trial=is_trial,
         )
         await admitted.run()
 
+    async def _claim_trial(self, fingerprint: int) -> bool:
+        """Return whether this request may be sent in spite of its crashes."""
+        claimer = self._state.trial_claimer
+        if claimer is None or not self._state.poison.is_trial_due(fingerprint):
+            return False
+        return await claimer.claim(fingerprint)
+
     def _admit(self) -> admission_control.Admission | None:
         decision = admission_control.admit(
             self._state.configuration,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -11,6 +11,7 @@
     caller_retries,
     duration_estimates,
     load_balancing,
+    poison_trials,
     reservations,
     retry_budget,
     routes,
@@ -79,6 +80,8 @@
     poison: poison_module.PoisonRequestTracker = attrs.field(
         factory=poison_module.PoisonRequestTracker
     )
+    # Without it refused requests aren't tried again.
+    trial_claimer: poison_trials.TrialClaimer | None = None
     deadline_history: caller_retries.DeadlineHistory = attrs.field(
         factory=caller_retries.DeadlineHistory
     )
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -131,7 +131,7 @@
         for _ in range(min(len(self._repeat_queue), MAX_REPEATED_REQUESTS)):
             fingerprint = self._repeat_queue.popleft()
             runs = tracker.evidence.runs_to_blame(fingerprint)
-            runs.sort(key=_certainty)
+            runs.sort(key=poison.certainty)
             found += runs[-poison.MIN_CRASHES_TO_REFUSE :]
         return found
 
@@ -154,10 +154,6 @@
         return messages
 
 
-def _certainty(run: crash_evidence.BrokenRun) -> tuple[bool, float]:
-    return run.is_crash, run.at_s
-
-
 def _run_message(run: crash_evidence.BrokenRun, now_s: float) -> typing.Any:
     endpoint_id, born_ms = run.incarnation
     return status_messages.BrokenRun(
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -30,6 +30,7 @@
     gauges,
     kind_watch,
     log_drop_reporter,
+    poison_records,
     supervision,
     watch_sources,
 )
@@ -85,6 +86,7 @@
     json_client: store.JsonClient
     status_exchange: status_exchange_module.StatusExchange
     peer_discovery: peer_discovery_module.PeerDiscovery
+    poison_records: poison_records.PoisonRecords
     allocation: allocation_transport.AllocationTransport
     gauges: gauges.NodeGauges
     watches: list[kind_watch.KindWatch] = attrs.field(init=False)
@@ -117,6 +119,7 @@
         self.table.on_reported_healthy = self.detector.note_reported_healthy
         self.watches = self._make_watches()
         self.control = self._make_control()
+        self.state.trial_claimer = self.poison_records
         self.lease.on_acquired = self._on_lease_acquired
         try:
             await self._listen()
@@ -178,6 +181,7 @@
             has_routes
             and self.registry.is_synced
             and self.peer_discovery.is_complete
+            and self.poison_records.is_loaded
         )
 
     def _close(self) -> None:
@@ -193,6 +197,7 @@
             self.allocation.reserver.run,
             self.detector.run,
             self.crash_checker.run,
+            self.poison_records.run,
             self._run_lease,
             self.gauges.run,
             functools.partial(log_drop_reporter.run, self.log_handler),
@@ -247,6 +252,7 @@
 
     def _on_lease_acquired(self) -> None:
         self.endpoint_watch.refresh_now()
+        self.poison_records.wake()
         self.control.wake()
 
     async def _run_lease(self) -> None:
@@ -330,6 +336,9 @@
         peer_discovery=peer_discovery_module.PeerDiscovery(
             client, status_exchange.peers
         ),
+        poison_records=poison_records.PoisonRecords(
+            state.poison, client, lease
+        ),
         allocation=allocation_transport.make_allocation(state, status_exchange),
         gauges=gauges.NodeGauges(state, table, lease, status_exchange.peers),
         listeners=listeners_module.Listeners(early or {}),
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -207,7 +207,9 @@
         else:
             self.peers.report_silent()
         self.registry.drop_expired()
-        if self.state.poison.evidence.fingerprints():
+        # Before that every endpoint would seem to have ended.
+        is_synced = self.registry.is_synced
+        if is_synced and self.state.poison.evidence.fingerprints():
             self.state.poison.resolve_disconnects(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
 
--- a/redwingvalve/node/tests/test_crashing_requests.py
+++ b/redwingvalve/node/tests/test_crashing_requests.py
@@ -3,7 +3,8 @@
 import anyio
 import pytest
 
-from redwingvalve.node import daemon, peers
+from redwingvalve.ingress import poison_trials
+from redwingvalve.node import daemon, peers, poison_records
 from redwingvalve.node.tests import crashing_requests
 from redwingvalve.platform.tests import fleet_harness
 
@@ -179,7 +180,7 @@
         await request.send_waves((0, 2.0, 0.1))
         request.prepare(resets_answers=False)
         await anyio.sleep(SERVED_AGAIN_S)
-        assert await request.is_served_everywhere()
+        assert await request.is_served_everywhere(), request.statuses
 
     fleet_harness.run(test, nodes=6, engines=20, plain=10)
 
@@ -199,7 +200,7 @@
             for endpoint in list(fleet.endpoints.values())[:10]:
                 endpoint.crash()
         await anyio.sleep(SERVED_AGAIN_S)
-        assert await request.is_served_everywhere()
+        assert await request.is_served_everywhere(), request.statuses
 
     fleet_harness.run(test, nodes=6, engines=0, plain=30)
 
@@ -220,6 +221,63 @@
                 group.start_soon(one.send_waves, (0, 2.0, 0.05))
         await anyio.sleep(2 + SERVED_AGAIN_S)
         for one in others:
-            assert await one.is_served_everywhere()
+            assert await one.is_served_everywhere(), one.statuses
 
     fleet_harness.run(test, nodes=3, engines=0, plain=40)
+
+
+async def crash_three_endpoints(fleet):
+    request = crashing_requests.CrashingRequest(fleet)
+    request.prepare(0.3)
+    for node in fleet.nodes[:2]:
+        await request.send(node)
+    await fleet.wait_until(
+        lambda: fleet.store.objects.get(poison_records.RECORDS_KIND)
+    )
+    return request
+
+
+async def send_everywhere(request):
+    request.statuses.clear()
+    async with anyio.create_task_group() as group:
+        for node in request.nodes:
+            group.start_soon(request.send, node)
+
+
+def test_refused_request_is_tried_by_one_node(monkeypatch):
+    """If each node tried it, a crashing request would end an endpoint each."""
+    monkeypatch.setattr(poison_trials, 'FIRST_DELAY_S', 1.5)
+
+    async def test(fleet):
+        request = await crash_three_endpoints(fleet)
+        arrivals = len(request.arrivals_s())
+        await send_everywhere(request)
+        assert set(request.statuses) == {503}
+        await anyio.sleep(2)
+        for _ in range(3):
+            await send_everywhere(request)
+        assert len(request.arrivals_s()) == arrivals + 1
+
+    fleet_harness.run(test, nodes=6, engines=0, plain=20)
+
+
+def test_request_that_passes_its_trial_is_served_everywhere(monkeypatch):
+    """It was under way on three endpoints that crashed for other reasons."""
+    monkeypatch.setattr(poison_trials, 'FIRST_DELAY_S', 1.0)
+
+    async def test(fleet):
+        request = await crash_three_endpoints(fleet)
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.crashing_target = b''
+        await anyio.sleep(1.5)
+        await send_everywhere(request)
+        assert request.statuses.count(200) == 1
+        await anyio.sleep(0.5)
+        await send_everywhere(request)
+        assert set(request.statuses) == {200}
+        objects = fleet.store.objects[poison_records.RECORDS_KIND]
+        await fleet.wait_until(
+            lambda: not objects[poison_records.RECORDS_NAME]['spec']['requests']
+        )
+
+    fleet_harness.run(test, nodes=6, engines=0, plain=20)
