Index the evidence of crashes; log single lost answers as details

After a mass crash up to 1,000 requests would have been looked through at each status message. Requests are indexed by their number of runs and endpoints by whether they are undecided. No decision changes.

--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -42,6 +42,10 @@
         """Start without evidence."""
         self._runs: dict[int, dict[Incarnation, BrokenRun]] = {}
         self._requests: dict[Incarnation, set[int]] = {}
+        # Indices for what is asked several times a second: requests by the
+        # number of their runs, endpoints that may have crashed or not.
+        self._by_runs: dict[int, set[int]] = {}
+        self._undecided: set[Incarnation] = set()
         self._answered_s: dict[int, float] = {}
         self._alive_s: dict[Incarnation, float] = {}
 
@@ -54,12 +58,14 @@
         if known is None:
             self._insert(run)
             return True
+        is_crash = known.is_crash or run.is_crash
         is_later = run.at_s > known.at_s + SAME_RUN_S
         runs[run.incarnation] = attrs.evolve(
             run,
             at_s=run.at_s if is_later else min(known.at_s, run.at_s),
-            is_crash=known.is_crash or run.is_crash,
+            is_crash=is_crash,
         )
+        self._index_endpoint(run.incarnation)
         return is_later or (run.is_crash and not known.is_crash)
 
     def add_answer(self, fingerprint: int, at_s: float) -> bool:
@@ -98,16 +104,17 @@
 
     def undecided(self) -> list[Incarnation]:
         """Return the endpoints that may have crashed or not."""
+        return list(self._undecided)
+
+    def fingerprints(self, min_runs: int = 1) -> list[int]:
+        """Return the requests with at least so many broken runs."""
         return [
-            incarnation
-            for incarnation in self._requests
-            if not all(run.is_crash for run in self.runs_at(incarnation))
+            fingerprint
+            for count, fingerprints in self._by_runs.items()
+            if count >= min_runs
+            for fingerprint in fingerprints
         ]
 
-    def fingerprints(self) -> list[int]:
-        """Return the requests with broken runs."""
-        return list(self._runs)
-
     def runs(self, fingerprint: int) -> list[BrokenRun]:
         """Return a request's broken runs."""
         return list(self._runs.get(fingerprint, {}).values())
@@ -157,13 +164,17 @@
             while len(self._runs) >= MAX_REQUESTS:
                 self._remove(self.runs(next(iter(self._runs))))
             self._runs[run.fingerprint] = {}
-        self._runs[run.fingerprint][run.incarnation] = run
+        of_request = self._runs[run.fingerprint]
+        self._index_request(run.fingerprint, len(of_request) + 1)
+        of_request[run.incarnation] = run
         requests = self._requests.setdefault(run.incarnation, set())
         requests.add(run.fingerprint)
+        self._index_endpoint(run.incarnation)
 
     def _remove(self, runs: collections_abc.Iterable[BrokenRun]) -> None:
         for run in tuple(runs):
             of_request = self._runs[run.fingerprint]
+            self._index_request(run.fingerprint, len(of_request) - 1)
             of_request.pop(run.incarnation)
             if not of_request:
                 self._runs.pop(run.fingerprint)
@@ -171,6 +182,22 @@
             at_endpoint.discard(run.fingerprint)
             if not at_endpoint:
                 self._requests.pop(run.incarnation)
+            self._index_endpoint(run.incarnation)
+
+    def _index_request(self, fingerprint: int, count: int) -> None:
+        """Move a request whose number of runs is about to be count."""
+        before = len(self._runs[fingerprint])
+        if before:
+            self._by_runs[before].discard(fingerprint)
+        if count:
+            self._by_runs.setdefault(count, set()).add(fingerprint)
+
+    def _index_endpoint(self, incarnation: Incarnation) -> None:
+        runs = self.runs_at(incarnation)
+        if all(run.is_crash for run in runs):
+            self._undecided.discard(incarnation)
+        else:
+            self._undecided.add(incarnation)
 
     def _forget_old_answers(self, now_s: float) -> None:
         while self._answered_s:
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -20,6 +20,7 @@
 import abc
 import enum
 import hashlib
+import logging
 import time
 import typing
 
@@ -87,7 +88,7 @@
         """Return the fingerprints that are held back or refused."""
         return [
             fingerprint
-            for fingerprint in self.evidence.fingerprints()
+            for fingerprint in self.evidence.fingerprints(MIN_CRASHES_TO_REFUSE)
             if self.verdict(fingerprint) is not Verdict.SERVE
         ]
 
@@ -123,7 +124,7 @@
         """Record that an endpoint answered what was sent to it at sent_s."""
         for run in self.evidence.runs_at(incarnation):
             if run.at_s < sent_s:
-                self._log('no crash', run)
+                self._log('no crash', run, is_routine=True)
         self.evidence.add_life_sign(incarnation, sent_s)
 
     def record_end(self, incarnation: crash_evidence.Incarnation) -> None:
@@ -144,13 +145,12 @@
             if not is_live and self._was_listed(incarnation):
                 self.record_end(incarnation)
         self._listed.intersection_update(self.evidence.undecided())
-        self._forget_old()
 
     def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> bool:
         """Add a run that another node reports; return whether it is news."""
         is_news = self._add(run)
         if is_news:
-            self._log('run reported', run, sender)
+            self._log('run reported', run, sender, is_routine=True)
         elif self.evidence.answered_s(run.fingerprint) is not None:
             self._notify_cleared(run.fingerprint)
         return is_news
@@ -171,7 +171,8 @@
         is_old = self._clock() - first_s > UNLISTED_END_S
         return is_old or incarnation in self._listed
 
-    def _forget_old(self) -> None:
+    def forget_old(self) -> None:
+        """Forget requests that have crashed nothing for CRASH_RETENTION_S."""
         self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
         known = self.evidence.fingerprints()
         for fingerprint in set(self.trials).difference(known):
@@ -202,11 +203,23 @@
             observer.request_cleared(fingerprint)
 
     def _log(
-        self, message: str, run: crash_evidence.BrokenRun, sender: str = ''
+        self,
+        message: str,
+        run: crash_evidence.BrokenRun,
+        sender: str = '',
+        *,
+        is_routine: bool = False,
     ) -> None:
+        verdict = self.verdict(run.fingerprint)
+        # Each lost answer reaches all nodes; only suspects are of interest.
+        is_detail = is_routine and verdict is Verdict.SERVE
+        level = logging.DEBUG if is_detail else logging.INFO
+        if not LOG.isEnabledFor(level):
+            return
         runs = self.evidence.runs(run.fingerprint)
         endpoint_id, born_ms = run.incarnation
-        LOG.info(
+        LOG.log(
+            level,
             message,
             extra={
                 'fingerprint': format_fingerprint(run.fingerprint),
@@ -216,7 +229,7 @@
                 'is_crash': run.is_crash,
                 'runs': len(runs),
                 'crashes': sum(one.is_crash for one in runs),
-                'verdict': self.verdict(run.fingerprint).value,
+                'verdict': verdict.value,
                 'sender': sender,
             },
         )
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -158,7 +158,7 @@
     for number in range(3):
         crash(tracker, 7, number)
     clock.now_s += poison.CRASH_RETENTION_S + 1
-    tracker.resolve_disconnects(set())
+    tracker.forget_old()
     assert tracker.verdict(7) is SERVE
 
 
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -122,11 +122,7 @@
         """Return the runs of the next requests that aren't served, in turn."""
         tracker = self.tracker
         if not self._repeat_queue:
-            self._repeat_queue.extend(
-                fingerprint
-                for fingerprint in tracker.evidence.fingerprints()
-                if tracker.verdict(fingerprint) is not poison.Verdict.SERVE
-            )
+            self._repeat_queue.extend(tracker.not_served())
         found = []
         for _ in range(min(len(self._repeat_queue), MAX_REPEATED_REQUESTS)):
             fingerprint = self._repeat_queue.popleft()
--- a/redwingvalve/node/poison_records.py
+++ b/redwingvalve/node/poison_records.py
@@ -84,6 +84,7 @@
             await self._load()
         while True:
             await self._wait_for_change()
+            self.tracker.forget_old()
             await anyio.sleep(WRITE_DELAY_S)
             if not self.lease.is_held():
                 continue
@@ -117,7 +118,8 @@
         self.is_loaded = True
 
     async def _wait_for_change(self) -> None:
-        is_empty = not self._stored and not self.tracker.evidence.fingerprints()
+        has_evidence = bool(self.tracker.evidence.fingerprints())
+        is_empty = not (self._stored or has_evidence)
         if is_empty and not self._must_read():
             await self._changed.wait()
         else:
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -209,7 +209,7 @@
         self.registry.drop_expired()
         # Before that every endpoint would seem to have ended.
         is_synced = self.registry.is_synced
-        if is_synced and self.state.poison.evidence.fingerprints():
+        if is_synced and self.state.poison.evidence.undecided():
             self.state.poison.resolve_disconnects(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
 
