Send the same evidence to hubs and to nodes

A hub may have told its nodes of some refused requests only, so that one that had just started let the others pass.

Cause: each group of recipients took its own turn of the requests to be repeated. With three refused requests, two in a message, one group always got the same ones (test_hubs_and_nodes_learn_of_all_refused_requests failed before).

Change: a hub chooses what to repeat once for each round of messages.

--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -33,6 +33,19 @@
 _RunKey = tuple[int, crash_evidence.Incarnation]
 
 
+@attrs.frozen
+class Evidence:
+    """Evidence as it is sent."""
+
+    broken_runs: list[typing.Any]
+    answers: list[typing.Any]
+
+    def add_to(self, message: typing.Any) -> None:
+        """Set the fields of a status message."""
+        message.broken_runs = self.broken_runs
+        message.answers = self.answers
+
+
 @attrs.define(eq=False)
 class CrashReports(poison.EvidenceObserver):
     """Chooses the evidence to be sent, and applies what is received."""
@@ -69,8 +82,8 @@
         self._cleared_s.pop(fingerprint, None)
         self._cleared_s[fingerprint] = time.monotonic()
 
-    def add_to(self, message: typing.Any, urgent_since_s: float | None) -> None:
-        """Add evidence to a message of this node.
+    def next_evidence(self, urgent_since_s: float | None) -> Evidence:
+        """Return the evidence for the next message, to all its recipients.
 
         An urgent message contains only what was learned since urgent_since_s.
         """
@@ -78,8 +91,10 @@
         if urgent_since_s is None:
             runs += self._repeated_runs()
         now_s = time.monotonic()
-        message.broken_runs = [_run_message(run, now_s) for run in runs]
-        message.answers = self._answer_messages(now_s)
+        return Evidence(
+            [_run_message(run, now_s) for run in runs],
+            self._answer_messages(now_s),
+        )
 
     def receive(self, message: typing.Any) -> None:
         """Apply the evidence of another node."""
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -98,6 +98,7 @@
             self._timer = None
         urgent_since_s = self._sent_s if is_urgent else None
         self._sent_s = time.monotonic()
+        evidence = self.crash_reports.next_evidence(urgent_since_s)
         recipients = self.hubs.recipients()
         is_hub = bool(recipients.hubs and recipients.nodes)
         for names, with_hub_updates in (
@@ -107,7 +108,7 @@
             if not names:
                 continue
             message = self.build_message()
-            self.crash_reports.add_to(message, urgent_since_s)
+            evidence.add_to(message)
             if is_hub:
                 self._forwarded_updates.add_to(
                     message,
--- a/redwingvalve/node/tests/test_crash_reports.py
+++ b/redwingvalve/node/tests/test_crash_reports.py
@@ -107,7 +107,7 @@
         network = self.network
         self.tracker.resolve_disconnects(network.listed())
         message = status_messages.StatusMessage(vm=str(self.number))
-        self.reports.add_to(message, None)
+        self.reports.next_evidence(None).add_to(message)
         for other in network.nodes:
             if other is not self and network.rng.random() >= network.loss:
                 delay_s = network.rng.uniform(0.001, 0.05)
--- a/redwingvalve/node/tests/test_status_exchange.py
+++ b/redwingvalve/node/tests/test_status_exchange.py
@@ -1,12 +1,13 @@
 """Content and frequency of status messages."""
 
+import time
 from unittest import mock
 
 import anyio
 
 from redwingvalve.allocation import messages
-from redwingvalve.ingress import reservations, wait_queue
-from redwingvalve.node import peers
+from redwingvalve.ingress import crash_evidence, reservations, wait_queue
+from redwingvalve.node import crash_reports, hubs, peers
 from redwingvalve.platform.tests import fleet_harness
 
 CLEARED_ENDPOINTS = 40
@@ -182,3 +183,30 @@
         )
 
     fleet_harness.run(test, nodes=2, engines=0, plain=1)
+
+
+def test_hubs_and_nodes_learn_of_all_refused_requests():
+    """Few requests fit into a message; both groups of recipients get each."""
+
+    async def test(fleet):
+        exchange = fleet.nodes[0].status_exchange
+        for number in range(9):
+            run = crash_evidence.BrokenRun(
+                number // 3, (f'x{number}', 1), time.monotonic() - 5, True
+            )
+            exchange.state.poison.add_recorded_run(run)
+        await anyio.sleep(crash_reports.RESEND_S)
+        groups = hubs.Recipients(hubs=('hub',), nodes=('spoke',))
+        exchange.hubs.recipients = lambda: groups
+        learned = {'hub': set(), 'spoke': set()}
+
+        def send(message, names):
+            for run in message.broken_runs:
+                learned[names[0]].add(run.fingerprint)
+
+        exchange.peers.send_status = send
+        for _ in range(6):
+            exchange.broadcast_now()
+        assert learned == {'hub': {0, 1, 2}, 'spoke': {0, 1, 2}}
+
+    fleet_harness.run(test, nodes=1, engines=0, plain=1)
