--- a/redwingvalve/node/tests/test_peer_discovery.py
+++ b/redwingvalve/node/tests/test_peer_discovery.py
@@ -5,6 +5,7 @@
 import anyio
 
 from redwingvalve.node import (
+    daemon,
     front_selection,
     peer_discovery,
     peers,
@@ -187,3 +188,34 @@
     assert not observer.messages
     receive_status(known, replaced, number=1)
     assert [message.number for message in observer.messages] == [1]
+
+
+def test_nodes_that_are_gone_are_not_given_to_callers(monkeypatch):
+    """Their objects remain in the store and make the fleet look large."""
+    monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 5)
+
+    async def test(fleet):
+        for number in range(3):
+            gone = {
+                'vm': f'gone-{number}',
+                'ip': '127.0.0.1',
+                'peer_port': 9,
+                'front': f'127.0.0.1:{number}',
+                'data_centre': 'zone-1',
+                'born_ms': 1,
+                'link_mbps': 1000,
+            }
+            fleet.store.put(peer_discovery.NODE_KIND, gone['vm'], gone)
+        late = daemon.make_node(
+            fleet_harness.node_settings('node-late', fleet.store_address)
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(late.run, anyio.Event())
+            await fleet.wait_until(lambda: late.is_listening)
+            await anyio.sleep(3)
+            found = front_selection.select_fronts(late.peers)
+            group.cancel_scope.cancel()
+        fronts = {str(node.settings.front) for node in fleet.nodes}
+        assert set(found) <= fronts
+
+    fleet_harness.run(test, nodes=2, engines=0, plain=1)
