--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -14,6 +14,7 @@
 import attrs
 
 from redwingvalve.http1 import messages, request_parser, server
+from redwingvalve.platform.standins import endpoint_faults
 from redwingvalve.platform.standins import store as fake_store
 
 _LIMITS = request_parser.ServerLimits(65_536, 4_194_304, 10, 60)
@@ -24,41 +25,6 @@
 EVENT_INTERVAL_S = 0.02
 
 
-@attrs.define
-class EndpointFaults:
-    """Faults that are currently injected into the endpoint."""
-
-    is_unresponsive: bool = False
-    is_stalled: bool = False
-    duplicates_response: bool = False
-    aborts_at_event: int | None = None
-    rejects_requests: bool = False
-    rejects_every_other_request: bool = False
-    returns_server_error: bool = False
-    # Orders with these operations are executed late and never acknowledged.
-    delayed_operations: tuple[str, ...] = ()
-    order_delay_s: float = 2.5
-    omits_content_length: bool = False
-    # The endpoint's entry in the store is no longer updated.
-    is_cut_off_from_store: bool = False
-    # After an order to close, the endpoint stays in the closing state.
-    never_drains: bool = False
-    # Stated in all answers to requests, but not enforced.
-    stated_requests_per_s: float | None = None
-    # Stated in answers that reject a request, but not enforced.
-    stated_rest_s: float | None = None
-    # Address of the endpoint because of which requests are rejected.
-    stated_at_fault: str = ''
-    # Stated in all answers to requests, while the entry is unchanged.
-    states_leaving: bool = False
-    # Requests for this target crash the endpoint shortly after they begin.
-    crashing_target: bytes = b''
-    # Time from a crash until the store drops the entry.
-    entry_lapse_s: float = 0
-    # Connections of requests that began are reset instead of answered.
-    resets_answers: bool = False
-
-
 @attrs.frozen
 class Run:
     """A request that the endpoint executed."""
@@ -83,7 +49,7 @@
     ) -> None:
         """Create an endpoint that is not listening yet."""
         self.endpoint_id = endpoint_id
-        self.faults = EndpointFaults()
+        self.faults = endpoint_faults.EndpointFaults()
         self.runs: list[Run] = []
         # Times at which requests arrived, by the monotonic clock.
         self.arrivals_s: list[float] = []
@@ -287,8 +253,8 @@
     ) -> None:
         self.arrivals_s.append(time.monotonic())
         attempt = request.header(b'x-attempt-id') or b''
-        stated = _statement_headers(self.faults)
-        if _rejects(self.faults, len(self.arrivals_s)):
+        stated = endpoint_faults.statement_headers(self.faults)
+        if endpoint_faults.rejects(self.faults, len(self.arrivals_s)):
             self.rejections_s.append(self.arrivals_s[-1])
             if self.faults.stated_rest_s is not None:
                 rest = b'%g' % self.faults.stated_rest_s
@@ -380,23 +346,6 @@
     return False
 
 
-def _rejects(faults: EndpointFaults, number: int) -> bool:
-    is_even = number % 2 == 0
-    return faults.rejects_requests or (
-        faults.rejects_every_other_request and is_even
-    )
-
-
-def _statement_headers(faults: EndpointFaults) -> messages.Headers:
-    headers: messages.Headers = []
-    if faults.stated_requests_per_s is not None:
-        limit = b'%g' % faults.stated_requests_per_s
-        headers.append((b'server-limit', limit))
-    if faults.states_leaving:
-        headers.append((b'server-leaving', b'1'))
-    return headers
-
-
 def _answer_json(
     responder: server.Responder, status: int, document: Document
 ) -> None:
--- /dev/null
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -0,0 +1,59 @@
+"""Faults of the fake endpoint, and what it states while they last."""
+
+import attrs
+
+from redwingvalve.http1 import messages
+
+
+@attrs.define
+class EndpointFaults:
+    """Faults that are currently injected into the endpoint."""
+
+    is_unresponsive: bool = False
+    is_stalled: bool = False
+    duplicates_response: bool = False
+    aborts_at_event: int | None = None
+    rejects_requests: bool = False
+    rejects_every_other_request: bool = False
+    returns_server_error: bool = False
+    # Orders with these operations are executed late and never acknowledged.
+    delayed_operations: tuple[str, ...] = ()
+    order_delay_s: float = 2.5
+    omits_content_length: bool = False
+    # The endpoint's entry in the store is no longer updated.
+    is_cut_off_from_store: bool = False
+    # After an order to close, the endpoint stays in the closing state.
+    never_drains: bool = False
+    # Stated in all answers to requests, but not enforced.
+    stated_requests_per_s: float | None = None
+    # Stated in answers that reject a request, but not enforced.
+    stated_rest_s: float | None = None
+    # Address of the endpoint because of which requests are rejected.
+    stated_at_fault: str = ''
+    # Stated in all answers to requests, while the entry is unchanged.
+    states_leaving: bool = False
+    # Requests for this target crash the endpoint shortly after they begin.
+    crashing_target: bytes = b''
+    # Time from a crash until the store drops the entry.
+    entry_lapse_s: float = 0
+    # Connections of requests that began are reset instead of answered.
+    resets_answers: bool = False
+
+
+def rejects(faults: EndpointFaults, number: int) -> bool:
+    """Return whether an endpoint rejects its numbered arrival."""
+    is_even = number % 2 == 0
+    return faults.rejects_requests or (
+        faults.rejects_every_other_request and is_even
+    )
+
+
+def statement_headers(faults: EndpointFaults) -> messages.Headers:
+    """Return what an endpoint states in the head of each answer."""
+    headers: messages.Headers = []
+    if faults.stated_requests_per_s is not None:
+        limit = b'%g' % faults.stated_requests_per_s
+        headers.append((b'server-limit', limit))
+    if faults.states_leaving:
+        headers.append((b'server-leaving', b'1'))
+    return headers
