Release a lease also while its renewal is under way

Callers of a replica that lost a member waited until the lease of a node that had stopped ran out, 1.6 s.

Cause: release and renewal are writes on the same revision; the one that comes second is refused, and the release was then given up.

Change: if the object that the conflict tells is of the holder's own term, the release is written at its revision. The renewal that comes after a release is refused as before.

--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -110,11 +110,31 @@
             return
         self.held_until_s = 0
         try:
-            stored = await self._write(holder='')
-            self.revision = store.revision_of(stored)
+            await self._write_release()
         except store.StoreError as error:
             LOG.warning('lease not released', extra={'error': str(error)})
 
+    async def _write_release(self) -> None:
+        """Write that nobody holds the lease; raises StoreError.
+
+        A renewal that was under way may have been executed first.
+        """
+        try:
+            stored = await self._write(holder='')
+        except store.ConflictError as error:
+            if not self._is_own(error.current):
+                raise
+            self.revision = store.revision_of(error.current)
+            stored = await self._write(holder='')
+        self.revision = store.revision_of(stored)
+
+    def _is_own(self, stored: store.Document | None) -> bool:
+        """Return whether an object was written by this holder, in its term."""
+        if stored is None or not stored.get('metadata'):
+            return False
+        spec = stored['spec']
+        return bool(spec['holder'] == self.vm and spec['term'] == self.term)
+
     async def _step(self, rank: typing.Callable[[], int]) -> None:
         if self.is_releasing:
             await anyio.sleep(LEASE_DURATION_S)
--- a/redwingvalve/node/tests/test_lease.py
+++ b/redwingvalve/node/tests/test_lease.py
@@ -5,6 +5,7 @@
 import pytest
 
 from redwingvalve.node import lease as lease_module
+from redwingvalve.platform import store
 
 HELD_SPEC = {'holder': 'vm-1', 'term': 3}
 
@@ -116,3 +117,44 @@
     lease.observed_until_s = 10.1
     run_briefly(lease.client, lease)
     assert lease.is_held()
+
+
+@attrs.define(eq=False)
+class SlowClient(Client):
+    """A store that executes writes late, in order, and checks revisions."""
+
+    async def replace(self, kind, name, spec, revision):
+        await anyio.sleep(0.01)
+        if revision != self.revision:
+            raise store.ConflictError(self._stored())
+        return await super().replace(kind, name, spec, revision)
+
+
+def test_a_lease_released_during_its_renewal_is_free_at_once():
+    """Otherwise no replica is repaired until it has run out."""
+    client = SlowClient(spec={'holder': '', 'term': 3})
+    lease = lease_module.Lease('vm-1', client)
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(lease.run, lambda: 0)
+            while not lease.is_held():
+                await anyio.sleep(0.001)
+            # The first renewal is under way.
+            await anyio.sleep(0.003)
+            await lease.release()
+            assert client.spec['holder'] == ''
+            await anyio.sleep(0.05)
+            assert client.spec['holder'] == ''
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_a_lease_that_another_node_holds_is_not_released():
+    """This node was cut off, and its lease ran out meanwhile."""
+    client = SlowClient(revision=41, spec={'holder': 'vm-2', 'term': 4})
+    lease = lease_module.Lease('vm-1', client, revision=40, term=3)
+    lease.held_until_s = float('inf')
+    anyio.run(lease.release)
+    assert client.spec == {'holder': 'vm-2', 'term': 4}
