Try a request again that is held back for long

Callers of a sound request that three unreachable endpoints had broken off were told to return in a second for up to ten minutes, as long as the entries of these endpoints stayed in the store.

Cause: only refused requests had trials; a doubt that nothing decides had no end but that of the evidence.

--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -69,7 +69,7 @@
         self.evidence = crash_evidence.CrashEvidence()
         self.observers: list[EvidenceObserver] = []
         self._clock = clock
-        # Of requests that were refused, as far as this node knows.
+        # Of requests that weren't served, as far as this node knows.
         self.trials: dict[int, poison_trials.TrialHistory] = {}
         # Endpoints whose entries this node has seen. Others may be new.
         self._listed: set[crash_evidence.Incarnation] = set()
@@ -93,16 +93,20 @@
         ]
 
     def time_to_trial_s(self, fingerprint: int) -> float:
-        """Return the time until a refused request may be tried, 0 if due."""
+        """Return the time until a request may be tried, 0 if due."""
         latest_s = max(run.at_s for run in self.evidence.runs(fingerprint))
         history = self.trials.get(fingerprint, poison_trials.TrialHistory())
         due_s = poison_trials.due_s(latest_s, history)
         return max(due_s - self._clock(), 0)
 
     def is_trial_due(self, fingerprint: int) -> bool:
-        """Return whether a refused request may be tried by some node."""
-        is_refused = self.verdict(fingerprint) is Verdict.REFUSE
-        return is_refused and not self.time_to_trial_s(fingerprint)
+        """Return whether a request that isn't served may be tried.
+
+        Also one that is held back: endpoints in doubt may stay out of reach,
+        and their entries in the store, for any time.
+        """
+        is_served = self.verdict(fingerprint) is Verdict.SERVE
+        return not is_served and not self.time_to_trial_s(fingerprint)
 
     def record_disconnect(
         self, fingerprint: int, incarnation: crash_evidence.Incarnation
--- a/redwingvalve/ingress/poison_trials.py
+++ b/redwingvalve/ingress/poison_trials.py
@@ -1,4 +1,4 @@
-"""When a request that is refused for its crashes is tried once more.
+"""When a request that may crash endpoints is tried once more.
 
 Load pattern: a sound request was under way on three endpoints that crashed for
 other reasons. Without a trial it would be refused for good. If each node tried
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from redwingvalve.ingress import crash_evidence, poison
+from redwingvalve.ingress import crash_evidence, poison, poison_trials
 
 SERVE, HOLD, REFUSE = poison.Verdict
 
@@ -162,6 +162,17 @@
     assert tracker.verdict(7) is SERVE
 
 
+def test_request_that_is_held_back_for_long_is_tried():
+    """Three endpoints stay out of reach, and the store drops no entry."""
+    tracker, clock = make_tracker()
+    for number in range(3):
+        tracker.record_disconnect(7, (f'e{number}', 1))
+    assert not tracker.is_trial_due(7)
+    clock.now_s += poison_trials.FIRST_DELAY_S
+    assert tracker.verdict(7) is HOLD
+    assert tracker.is_trial_due(7)
+
+
 def test_sound_neighbours_are_not_blamed_for_a_crashing_request():
     """They ran on the endpoints that it crashed."""
     tracker, _ = make_tracker()
