Known failure: a fleet that grows gives callers a dead node; correct the trace

Its log shows that it had run all the while, and that the DRAIN began when its fleet reached twelve nodes.

--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from redwingvalve.node import (
+    daemon,
     front_selection,
     hubs,
     peers,
@@ -244,3 +245,35 @@
     message = status_messages.StatusMessage(suspects=[], cleared=[])
     updates.add_to(message, with_hub_updates=True, is_urgent=is_urgent)
     return [state.vm for state in message.states]
+
+
+def test_a_dead_node_is_not_given_to_callers_when_the_fleet_grows(monkeypatch):
+    """It was known to be silent until the fleet was large enough for hubs."""
+    monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 5)
+
+    async def test(fleet):
+        dead, first, second = fleet.nodes
+        front = dead.peers.local.front
+        stop_sending(dead)
+        await anyio.sleep(GONE_S)
+        assert front not in selected_fronts(first) | selected_fronts(second)
+        late = [
+            daemon.make_node(
+                fleet_harness.node_settings(
+                    f'late-{number}', fleet.store_address
+                )
+            )
+            for number in range(2)
+        ]
+        named = 0
+        async with anyio.create_task_group() as group:
+            for node in late:
+                group.start_soon(node.run, anyio.Event())
+            for _ in range(50):
+                await anyio.sleep(0.02)
+                named += front in selected_fronts(first)
+            group.cancel_scope.cancel()
+        assert first.peers.is_large_fleet
+        assert not named
+
+    fleet_harness.run(test, nodes=3, engines=0, plain=1)
