--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -174,7 +174,7 @@
             return
         self._may_have_run = True
         if outcome is upstream.Outcome.BROKEN:
-            self._state.poison.record_disconnect(
+            self._state.poison.record_broken_run(
                 self._fingerprint, target.incarnation
             )
         if outcome is upstream.Outcome.FAILURE:
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -108,7 +108,7 @@
         is_served = self.verdict(fingerprint) is Verdict.SERVE
         return not is_served and not self.time_to_trial_s(fingerprint)
 
-    def record_disconnect(
+    def record_broken_run(
         self, fingerprint: int, incarnation: crash_evidence.Incarnation
     ) -> None:
         """Record that the connection of a request broke at an endpoint."""
@@ -137,11 +137,11 @@
             self._log('crash', run)
             self._notify_added(run)
 
-    def resolve_disconnects(
+    def resolve_broken_runs(
         self,
         live_incarnations: typing.AbstractSet[crash_evidence.Incarnation],
     ) -> None:
-        """Count the disconnects whose endpoints have crashed since."""
+        """Record the ends of endpoints that are no longer listed."""
         undecided = self.evidence.undecided()
         self._listed.update(live_incarnations.intersection(undecided))
         for incarnation in undecided:
@@ -150,14 +150,12 @@
                 self.record_end(incarnation)
         self._listed.intersection_update(self.evidence.undecided())
 
-    def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> bool:
-        """Add a run that another node reports; return whether it is news."""
-        is_news = self._add(run)
-        if is_news:
+    def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> None:
+        """Add a run that another node reports."""
+        if self._add(run):
             self._log('run reported', run, sender, is_routine=True)
         elif self.evidence.answered_s(run.fingerprint) is not None:
             self._notify_cleared(run.fingerprint)
-        return is_news
 
     def add_recorded_run(self, run: crash_evidence.BrokenRun) -> None:
         """Add a run that was recorded before this node started."""
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -20,8 +20,8 @@
 
 
 def crash(tracker, fingerprint, number):
-    tracker.record_disconnect(fingerprint, (f'e{number}', 1))
-    tracker.resolve_disconnects(live_incarnations=set())
+    tracker.record_broken_run(fingerprint, (f'e{number}', 1))
+    tracker.resolve_broken_runs(live_incarnations=set())
 
 
 def reported(tracker, fingerprint):
@@ -46,12 +46,12 @@
     tracker, clock = make_tracker()
     live = {(f'e{number}', 1) for number in range(3)}
     for incarnation in live:
-        tracker.record_disconnect(7, incarnation)
+        tracker.record_broken_run(7, incarnation)
     assert tracker.verdict(7) is HOLD
     clock.now_s += 7
-    tracker.resolve_disconnects(live)
+    tracker.resolve_broken_runs(live)
     assert tracker.verdict(7) is HOLD
-    tracker.resolve_disconnects(set())
+    tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is REFUSE
 
 
@@ -60,12 +60,12 @@
     tracker, clock = make_tracker()
     live = {(f'e{number}', 1) for number in range(5)}
     for incarnation in live:
-        tracker.record_disconnect(7, incarnation)
-        tracker.resolve_disconnects(live)
+        tracker.record_broken_run(7, incarnation)
+        tracker.resolve_broken_runs(live)
         clock.now_s += 0.01
         tracker.record_life_sign(incarnation, clock.now_s)
         assert tracker.verdict(7) is SERVE
-    tracker.resolve_disconnects(set())
+    tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is SERVE
 
 
@@ -75,7 +75,7 @@
     sent_s = clock.now_s
     clock.now_s += 0.01
     for number in range(3):
-        tracker.record_disconnect(7, (f'e{number}', 1))
+        tracker.record_broken_run(7, (f'e{number}', 1))
         tracker.record_life_sign((f'e{number}', 1), sent_s)
     assert tracker.verdict(7) is HOLD
 
@@ -149,7 +149,7 @@
     for number in range(3):
         run = crash_evidence.BrokenRun(7, (f'e{number}', 1), clock.now_s)
         merge(tracker, [run])
-    tracker.resolve_disconnects(set())
+    tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is HOLD
 
 
@@ -166,7 +166,7 @@
     """Three endpoints stay out of reach, and the store drops no entry."""
     tracker, clock = make_tracker()
     for number in range(3):
-        tracker.record_disconnect(7, (f'e{number}', 1))
+        tracker.record_broken_run(7, (f'e{number}', 1))
     assert not tracker.is_trial_due(7)
     clock.now_s += poison_trials.FIRST_DELAY_S
     assert tracker.verdict(7) is HOLD
@@ -179,8 +179,8 @@
     for number in range(4):
         crash(tracker, 7, number)
         if number:
-            tracker.record_disconnect(8, (f'e{number}', 1))
-    tracker.resolve_disconnects(set())
+            tracker.record_broken_run(8, (f'e{number}', 1))
+    tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is REFUSE
     assert tracker.verdict(8) is SERVE
 
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -21,7 +21,7 @@
 LOG = logs.make_logger('crash-checks')
 CHECK_INTERVAL_S = 0.1
 # Most endpoints have answered another request by then.
-SINGLE_RUN_DELAY_S = 0.5
+PROBE_DELAY_S = 0.5
 # Between two probes of an endpoint; doubles with each one.
 MIN_PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 8.0
@@ -103,7 +103,7 @@
         runs = evidence.runs_at(incarnation)
         if any(len(evidence.runs(run.fingerprint)) > 1 for run in runs):
             return True
-        return any(now_s - run.at_s >= SINGLE_RUN_DELAY_S for run in runs)
+        return any(now_s - run.at_s >= PROBE_DELAY_S for run in runs)
 
     async def _probe(
         self,
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -34,7 +34,7 @@
 
 
 @attrs.frozen
-class Evidence:
+class OutgoingEvidence:
     """Evidence as it is sent."""
 
     broken_runs: list[typing.Any]
@@ -82,7 +82,7 @@
         self._cleared_s.pop(fingerprint, None)
         self._cleared_s[fingerprint] = time.monotonic()
 
-    def next_evidence(self, urgent_since_s: float | None) -> Evidence:
+    def next_evidence(self, urgent_since_s: float | None) -> OutgoingEvidence:
         """Return the evidence for the next message, to all its recipients.
 
         An urgent message contains only what was learned since urgent_since_s.
@@ -91,7 +91,7 @@
         if urgent_since_s is None:
             runs += self._repeated_runs()
         now_s = time.monotonic()
-        return Evidence(
+        return OutgoingEvidence(
             [_run_message(run, now_s) for run in runs],
             self._answer_messages(now_s),
         )
@@ -103,8 +103,8 @@
         try:
             for answer in message.answers or ():
                 self.tracker.merge_answer(
-                    answer.fingerprint,
-                    now_s - answer.age_ms / _MS_IN_S,
+                    answer.fingerprint or 0,
+                    now_s - (answer.age_ms or 0) / _MS_IN_S,
                     message.vm,
                 )
             for run in message.broken_runs or ():
@@ -178,8 +178,8 @@
 
 def _parse_run(run: typing.Any, now_s: float) -> crash_evidence.BrokenRun:
     return crash_evidence.BrokenRun(
-        run.fingerprint,
-        (run.endpoint_id, run.born_ms),
-        now_s - run.age_ms / _MS_IN_S,
+        run.fingerprint or 0,
+        (run.endpoint_id or '', run.born_ms or 0),
+        now_s - (run.age_ms or 0) / _MS_IN_S,
         bool(run.is_crash),
     )
--- a/redwingvalve/node/poison_records.py
+++ b/redwingvalve/node/poison_records.py
@@ -98,8 +98,12 @@
     async def claim(self, fingerprint: int) -> bool:
         """Return whether this node may try a request that is due."""
         now_s = time.monotonic()
-        claimed_s = self._claimed_s.get(fingerprint)
-        if claimed_s is not None and now_s - claimed_s < CLAIM_INTERVAL_S:
+        self._claimed_s = {
+            claimed: claimed_s
+            for claimed, claimed_s in self._claimed_s.items()
+            if now_s - claimed_s < CLAIM_INTERVAL_S
+        }
+        if fingerprint in self._claimed_s:
             return False
         self._claimed_s[fingerprint] = now_s
         try:
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -211,7 +211,7 @@
         # Before that every endpoint would seem to have ended.
         is_synced = self.registry.is_synced
         if is_synced and self.state.poison.evidence.undecided():
-            self.state.poison.resolve_disconnects(self.registry.incarnations())
+            self.state.poison.resolve_broken_runs(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
 
     def _broadcast_cleared(self, endpoint_id: str, epoch: int) -> None:
--- a/redwingvalve/node/tests/test_crash_checks.py
+++ b/redwingvalve/node/tests/test_crash_checks.py
@@ -46,7 +46,7 @@
 
 def break_off(tracker, count=3):
     for number in range(count):
-        tracker.record_disconnect(7, (f'e{number}', 1))
+        tracker.record_broken_run(7, (f'e{number}', 1))
 
 
 async def wait_for(tracker, verdict, timeout_s=1.0):
@@ -72,7 +72,7 @@
 
     async def test(tracker, client):
         # Remains undecided, as long as the others are asked.
-        tracker.record_disconnect(9, ('gone', 1))
+        tracker.record_broken_run(9, ('gone', 1))
         for _ in range(60):
             break_off(tracker)
             await anyio.sleep(0.05)
--- a/redwingvalve/node/tests/test_crash_reports.py
+++ b/redwingvalve/node/tests/test_crash_reports.py
@@ -105,7 +105,7 @@
     def step(self):
         """Send a status message and look at the entries, as nodes do."""
         network = self.network
-        self.tracker.resolve_disconnects(network.listed())
+        self.tracker.resolve_broken_runs(network.listed())
         message = status_messages.StatusMessage(vm=str(self.number))
         self.reports.next_evidence(None).add_to(message)
         for other in network.nodes:
@@ -137,7 +137,7 @@
     def end(self, fingerprint, endpoint, crashes, sends):
         if crashes:
             self.network.gone_s.setdefault(endpoint, self.network.now_s)
-        self.tracker.record_disconnect(fingerprint, (str(endpoint), 1))
+        self.tracker.record_broken_run(fingerprint, (str(endpoint), 1))
         if sends > 1:
             self.send(fingerprint, crashes, sends - 1)
 
--- a/redwingvalve/node/tests/test_poison_records.py
+++ b/redwingvalve/node/tests/test_poison_records.py
@@ -63,7 +63,7 @@
 def crash(records, count=3):
     for number in range(count):
         incarnation = (f'e{number}', 1)
-        records.tracker.record_disconnect(FINGERPRINT, incarnation)
+        records.tracker.record_broken_run(FINGERPRINT, incarnation)
         records.tracker.record_end(incarnation)
 
 
