Log each retry with its reason and the share that paid for it

The gauge of the remainder alone can't tell an unspent share of a new process from a wrong number of nodes or a send that nobody paid for. Each retry, also one that is refused, now logs service, reason, requests and retries in the window, nodes, extra and what is left; redwingvalve_retries_total counts them.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -206,7 +206,9 @@
             return False
         if self._wait.is_expired:
             return False
-        return not self._sender.sent_count or self._sender.spend_retry()
+        return not self._sender.sent_count or self._sender.spend_retry(
+            outcome.value
+        )
 
     def _fail(
         self, reason: str, refusal: refusals.Refusal | None = None
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -5,6 +5,7 @@
     admission_control,
     load_balancing,
     refusals,
+    retry_budget,
     timing,
     upstream,
 )
@@ -88,6 +89,34 @@
     )
 
 
+def log_retry(
+    caller: caller_requests.CallerRequest,
+    service: str,
+    reason: str,
+    use: retry_budget.BudgetUse,
+    *,
+    is_allowed: bool,
+) -> None:
+    """Log a retry, or why none was sent; use is that after it."""
+    result = 'allowed' if is_allowed else 'refused'
+    node_metrics.METRICS.count(
+        'redwingvalve_retries', service=service, reason=reason, result=result
+    )
+    LOG.info(
+        f'retry {result}',
+        extra={
+            'request': _decode(caller.attempt_id),
+            'service': service,
+            'reason': reason,
+            'window_requests': use.requests,
+            'window_retries': use.retries,
+            'nodes': use.nodes,
+            'extra': round(use.extra, 2),
+            'left': round(use.left, 2),
+        },
+    )
+
+
 def log_upstream_outcome(
     outcome: str,
     caller: caller_requests.CallerRequest,
--- a/redwingvalve/ingress/retry_budget.py
+++ b/redwingvalve/ingress/retry_budget.py
@@ -25,6 +25,24 @@
     window_s: float
 
 
+@attrs.frozen
+class BudgetUse:
+    """This node's share of a budget within the window, and its use."""
+
+    requests: int
+    retries: int
+    # Nodes that the fixed part of the budget is divided by.
+    nodes: int
+    # This node's share of the fixed part.
+    extra: float
+    allowed: float
+
+    @property
+    def left(self) -> float:
+        """Return the retries that are left."""
+        return max(0.0, self.allowed - self.retries)
+
+
 class RetryBudget:
     """Retry budget of one service: requests and retries within the window."""
 
@@ -40,14 +58,20 @@
 
     def try_spend(self, now_s: float, nodes: int) -> bool:
         """Spend one retry if this node's share allows it."""
-        if self.remaining(now_s, nodes) < 1:
+        if self.use(now_s, nodes).left < 1:
             return False
         self._retries.record(now_s)
         return True
 
-    def remaining(self, now_s: float, nodes: int) -> float:
-        """Return the retries that are left in this node's share."""
+    def use(self, now_s: float, nodes: int) -> BudgetUse:
+        """Return this node's share and its use."""
         config = self._config
-        allowed = config.ratio * self._requests.count(now_s)
-        allowed += config.extra / max(nodes, 1)
-        return max(0.0, allowed * USABLE_SHARE - self._retries.count(now_s))
+        requests = self._requests.count(now_s)
+        extra = config.extra / max(nodes, 1)
+        return BudgetUse(
+            requests=requests,
+            retries=self._retries.count(now_s),
+            nodes=nodes,
+            extra=extra,
+            allowed=(config.ratio * requests + extra) * USABLE_SHARE,
+        )
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -8,6 +8,7 @@
     admission_control,
     caller_wait,
     load_balancing,
+    responses,
     routes,
     stall_detection,
     stream_forwarding,
@@ -23,6 +24,9 @@
 # moments ago, or a new one.
 NON_REPEATABLE_MAX_IDLE_S = 0.5
 REPEATABLE_MAX_IDLE_S = 4.0
+# Reasons for a retry while the previous send still runs.
+_STALLED_HEAD = 'head stalled'
+_HEDGE = 'answer overdue'
 
 
 class UpstreamSender(state_module.InFlightRequest):
@@ -95,23 +99,30 @@
         """
         if self.upstream_request is None or self.upstream_request.ended.done():
             return
-        if self._has_attempts and self._reserve_retry():
+        if self._has_attempts and self._reserve_retry(_STALLED_HEAD):
             self.upstream_request.finish(upstream.Outcome.STALLED)
 
-    def spend_retry(self) -> bool:
+    def spend_retry(self, reason: str) -> bool:
         """Take a retry from the budget, unless the next one is already paid."""
-        is_paid = self._is_retry_paid or self._reserve_retry()
+        is_paid = self._is_retry_paid or self._reserve_retry(reason)
         self._is_retry_paid = False
         return is_paid
 
-    def _reserve_retry(self) -> bool:
+    def _reserve_retry(self, reason: str) -> bool:
         """Take the next retry from the budget, before this send is ended.
 
         Without a retry it is better to wait for a send than to end it.
         """
-        budget = self._state.retry_budget(self._admission.service)
-        self._is_retry_paid = budget.try_spend(
-            time.monotonic(), self._state.node_count
+        service = self._admission.service
+        budget = self._state.retry_budget(service)
+        now_s, nodes = time.monotonic(), self._state.node_count
+        self._is_retry_paid = budget.try_spend(now_s, nodes)
+        responses.log_retry(
+            self._caller,
+            service,
+            reason,
+            budget.use(now_s, nodes),
+            is_allowed=self._is_retry_paid,
         )
         return self._is_retry_paid
 
@@ -203,7 +214,7 @@
             outcome = await _wait_until(upstream_request, until_s)
             if outcome is not None:
                 return outcome
-            if time.monotonic() < timeout_at_s and self._reserve_retry():
+            if time.monotonic() < timeout_at_s and self._reserve_retry(_HEDGE):
                 return upstream.Outcome.STALLED
         outcome = await _wait_until(upstream_request, timeout_at_s)
         return outcome or upstream.Outcome.TIMEOUT
