--- a/redwingvalve/node/tests/test_endpoint_limits.py
+++ b/redwingvalve/node/tests/test_endpoint_limits.py
@@ -53,7 +53,9 @@
         statuses = await call_in_turn(fleet, '/card/1', GRACE_S + WINDOW_S)
         assert set(statuses) == {200}
         arrivals_s = [
-            at_s for at_s in limited.arrivals_s if at_s > started_s + GRACE_S
+            at_s
+            for at_s in limited.arrivals.times_s
+            if at_s > started_s + GRACE_S
         ]
         allowed = 1.5 * WINDOW_S * limited.faults.stated_requests_per_s + 5
         assert 1 <= most_in_window(arrivals_s, WINDOW_S) <= allowed
@@ -73,7 +75,7 @@
         arrived_while_resting = [
             sum(
                 asked_s + REST_GRACE_S < at_s < asked_s + REST_S
-                for at_s in endpoint.arrivals_s
+                for at_s in endpoint.arrivals.times_s
             )
             for endpoint in fleet.endpoints.values()
             for asked_s in endpoint.rejections_s
@@ -98,7 +100,7 @@
         assert response.status == 503
         assert float(response.headers[b'retry-after']) >= REST_S - 0.5
         assert [
-            len(fleet.endpoints[name].arrivals_s) for name in ('p0', 'p1')
+            len(fleet.endpoints[name].arrivals.times_s) for name in ('p0', 'p1')
         ] == [1, 1]
 
     fleet_harness.run(test, engines=0)
@@ -111,13 +113,13 @@
         leaving = fleet.endpoints['p0']
         leaving.faults.states_leaving = True
         # One node is told; the other one has to learn it.
-        while not leaving.arrivals_s:
+        while not leaving.arrivals.times_s:
             await fleet.caller().ask('/card/1')
         await anyio.sleep(LEAVING_SPREAD_S)
-        before = len(leaving.arrivals_s)
+        before = len(leaving.arrivals.times_s)
         statuses = await call_in_turn(fleet, '/card/1', 1.0)
         assert set(statuses) == {200}
-        assert len(leaving.arrivals_s) == before
+        assert len(leaving.arrivals.times_s) == before
 
     fleet_harness.run(test, nodes=2, engines=0)
 
@@ -127,12 +129,12 @@
         leaving = fleet.head()
         leaving.faults.states_leaving = True
         caller = fleet.caller()
-        while not leaving.arrivals_s:
+        while not leaving.arrivals.times_s:
             await caller.stream()
-        before = len(leaving.arrivals_s)
+        before = len(leaving.arrivals.times_s)
         for _ in range(6):
             assert (await caller.stream()).status == 200
-        assert len(leaving.arrivals_s) == before
+        assert len(leaving.arrivals.times_s) == before
 
     fleet_harness.run(test)
 
@@ -147,7 +149,7 @@
         head.faults.rejects_requests = True
         head.faults.stated_at_fault = member.address
         caller = fleet.caller()
-        while not head.arrivals_s:
+        while not head.arrivals.times_s:
             assert (await caller.stream()).status == 200
         await fleet.wait_until(lambda: len(fleet.targets()) == 1, 1.0)
 
@@ -160,7 +162,7 @@
         head.faults.rejects_requests = True
         head.faults.stated_at_fault = head.address
         caller = fleet.caller()
-        while not head.arrivals_s:
+        while not head.arrivals.times_s:
             assert (await caller.stream()).status == 200
         await anyio.sleep(0.5)
         assert len(fleet.targets()) == 2
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -37,6 +37,15 @@
     began_s: float = 0
 
 
+@attrs.define
+class Arrivals:
+    """Requests that arrived, whether they were rejected or not."""
+
+    # By the monotonic clock.
+    times_s: list[float] = attrs.field(factory=list)
+    attempt_ids: list[bytes] = attrs.field(factory=list)
+
+
 class FakeEndpoint(server.Application):
     """An endpoint with its entry in the store."""
 
@@ -51,8 +60,7 @@
         self.endpoint_id = endpoint_id
         self.faults = endpoint_faults.EndpointFaults()
         self.runs: list[Run] = []
-        # Times at which requests arrived, by the monotonic clock.
-        self.arrivals_s: list[float] = []
+        self.arrivals = Arrivals()
         # Those that were rejected.
         self.rejections_s: list[float] = []
         self.orders: list[Document] = []
@@ -251,11 +259,17 @@
     async def _run(
         self, request: messages.Request, responder: server.Responder
     ) -> None:
-        self.arrivals_s.append(time.monotonic())
+        arrived_s = time.monotonic()
         attempt = request.header(b'x-attempt-id') or b''
+        self.arrivals.times_s.append(arrived_s)
+        self.arrivals.attempt_ids.append(attempt)
         stated = endpoint_faults.statement_headers(self.faults)
-        if endpoint_faults.rejects(self.faults, len(self.arrivals_s)):
-            self.rejections_s.append(self.arrivals_s[-1])
+        spoiling = endpoint_faults.draw_spoiling(self.faults)
+        is_rejected = spoiling is endpoint_faults.Spoiling.REJECTION
+        if is_rejected or endpoint_faults.rejects(
+            self.faults, len(self.arrivals.times_s)
+        ):
+            self.rejections_s.append(arrived_s)
             if self.faults.stated_rest_s is not None:
                 rest = b'%g' % self.faults.stated_rest_s
                 stated.append((b'retry-after', rest))
@@ -271,7 +285,7 @@
                 request.target,
                 request.headers,
                 int(last) if last else None,
-                self.arrivals_s[-1],
+                arrived_s,
             )
         )
         responder.on_disconnect = lambda: self.cancelled_attempts.append(
@@ -282,6 +296,9 @@
             (b'x-server-seal', self.endpoint_id.encode()),
             *stated,
         ]
+        if spoiling is not None:
+            _spoil(spoiling, responder, headers)
+            return
         if await _fails(self, request, responder, headers):
             return
         if request.header(b'x-model'):
@@ -346,6 +363,17 @@
     return False
 
 
+def _spoil(
+    spoiling: endpoint_faults.Spoiling,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    if spoiling is endpoint_faults.Spoiling.RESET:
+        responder.abort()
+    else:
+        responder.send_response(500, headers, b'failed')
+
+
 def _answer_json(
     responder: server.Responder, status: int, document: Document
 ) -> None:
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -1,10 +1,21 @@
 """Faults of the fake endpoint, and what it states while they last."""
 
+import enum
+import random
+
 import attrs
 
 from redwingvalve.http1 import messages
 
 
+class Spoiling(enum.Enum):
+    """How an endpoint spoils a request."""
+
+    RESET = 1
+    SERVER_ERROR = 2
+    REJECTION = 3
+
+
 @attrs.define
 class EndpointFaults:
     """Faults that are currently injected into the endpoint."""
@@ -38,6 +49,9 @@
     entry_lapse_s: float = 0
     # Connections of requests that began are reset instead of answered.
     resets_answers: bool = False
+    # Share of the requests that are spoiled in one of the ways of Spoiling.
+    spoiled_share: float = 0
+    rng: random.Random = attrs.field(factory=lambda: random.Random(0))
 
 
 def rejects(faults: EndpointFaults, number: int) -> bool:
@@ -57,3 +71,10 @@
     if faults.states_leaving:
         headers.append((b'server-leaving', b'1'))
     return headers
+
+
+def draw_spoiling(faults: EndpointFaults) -> Spoiling | None:
+    """Return how to spoil the next request, None to handle it."""
+    if not faults.spoiled_share or faults.rng.random() >= faults.spoiled_share:
+        return None
+    return faults.rng.choice(tuple(Spoiling))
--- a/redwingvalve/platform/tests/fleet_harness.py
+++ b/redwingvalve/platform/tests/fleet_harness.py
@@ -255,7 +255,7 @@
         return endpoint
 
 
-def node_settings(name, store_address):
+def node_settings(name, store_address, bounds=None):
     free_ports = ports.free_ports(5)
     document = {
         'node': name,
@@ -269,7 +269,7 @@
         },
         'internal_ports': [free_ports[3], free_ports[3]],
         'heartbeat_ms': 1200,
-        'bounds': BOUNDS,
+        'bounds': bounds or BOUNDS,
         'platform': {'address': store_address},
     }
     decoded = settings.decode_settings(json.loads(json.dumps(document)))
