Spend a share of the retry budget once per window, whoever is in touch

Cause: a process started with its whole share of the fixed budget, although its predecessor may have spent the same share a moment ago, and divided the budget by the nodes that seemed alive: by one at a node that hears no other.

Why it works: the fixed part is divided by all nodes that the store lists, silent ones included, and not spent before they are known. A process that is younger than a window may spend a tenth of it, and nothing if its predecessor was as young; so no window holds two whole shares of a node. The predecessor's age is in its registration.

--- a/redwingvalve/allocation/tests/test_failing_endpoints.py
+++ b/redwingvalve/allocation/tests/test_failing_endpoints.py
@@ -16,6 +16,7 @@
     retry_budget,
     wait_queue,
 )
+from redwingvalve.ingress.tests import budget_fleets
 
 POOL = messages.Pool('engine', 'small', 'zone-1')
 NEED = wait_queue.SlotRequest(1, 0.3, 2.0, may_probe=True)
@@ -73,7 +74,10 @@
             lambda pool: targets, anyio.current_time, self.rng
         )
         config = retry_budget.RetryBudgetConfig(0.2, 60, 10)
-        self.budgets = [retry_budget.RetryBudget(config) for _ in range(NODES)]
+        self.budgets = [
+            retry_budget.RetryBudget(config, budget_fleets.FixedFleet(NODES))
+            for _ in range(NODES)
+        ]
         self.requests_per_s = requests_per_s
         self.arrived_s = []
         self.failed_s = []
@@ -107,9 +111,7 @@
         self.budgets[node].record_request(arrived_s)
         tried = []
         while len(tried) < 2:
-            if tried and not self.budgets[node].try_spend(
-                anyio.current_time(), NODES
-            ):
+            if tried and not self.budgets[node].try_spend(anyio.current_time()):
                 break
             if tried:
                 self.sent_again_s.append(anyio.current_time())
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -2,6 +2,7 @@
 
 import abc
 import random
+import time
 from collections import abc as collections_abc
 
 import attrs
@@ -67,8 +68,12 @@
     retry_budget_config: retry_budget.RetryBudgetConfig
     configuration: routes.Configuration | None = None
     is_leaving: bool = False
-    # Nodes that serve callers, including this one.
+    # Nodes that seem to serve callers, including this one.
     node_count: int = 1
+    # Those that share the retry budgets.
+    fleet: retry_budget.Fleet = attrs.field(factory=retry_budget.SingleNode)
+    # Of this process, by the monotonic clock.
+    started_s: float = attrs.field(factory=time.monotonic)
     loads: load_balancing.EndpointLoads = attrs.field(
         factory=load_balancing.EndpointLoads
     )
@@ -119,7 +124,7 @@
         """Return the retry budget of a service."""
         if service not in self._retry_budgets:
             self._retry_budgets[service] = retry_budget.RetryBudget(
-                self.retry_budget_config
+                self.retry_budget_config, self.fleet, self.started_s
             )
         return self._retry_budgets[service]
 
--- a/redwingvalve/ingress/tests/test_routing_and_stalls.py
+++ b/redwingvalve/ingress/tests/test_routing_and_stalls.py
@@ -9,7 +9,6 @@
     events,
     load_balancing,
     refusals,
-    retry_budget,
     routes,
     stall_detection,
 )
@@ -112,16 +111,6 @@
     assert picked == {'a', 'b'}
 
 
-def test_retry_budget_grows_with_requests_and_has_a_fixed_share():
-    config = retry_budget.RetryBudgetConfig(0.2, 60, 10.0)
-    budget = retry_budget.RetryBudget(config)
-    for _ in range(100):
-        budget.record_request(0.0)
-    spent = sum(budget.try_spend(1.0, nodes=6) for _ in range(200))
-    assert spent == int((0.2 * 100 + 60 / 6) * retry_budget.USABLE_SHARE)
-    assert budget.try_spend(11.5, nodes=6)
-
-
 @hypothesis.given(
     strategies.lists(strategies.integers(1, 999), min_size=1, max_size=8),
     strategies.integers(1, 17),
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -115,13 +115,13 @@
         """
         service = self._admission.service
         budget = self._state.retry_budget(service)
-        now_s, nodes = time.monotonic(), self._state.node_count
-        self._is_retry_paid = budget.try_spend(now_s, nodes)
+        now_s = time.monotonic()
+        self._is_retry_paid = budget.try_spend(now_s)
         responses.log_retry(
             self._caller,
             service,
             reason,
-            budget.use(now_s, nodes),
+            budget.use(now_s),
             is_allowed=self._is_retry_paid,
         )
         return self._is_retry_paid
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -94,6 +94,10 @@
     front_listener: listeners_module.Listener | None = None
     log_handler: bounded_logs.NonBlockingHandler | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Share the retry budgets with the nodes that are discovered."""
+        self.state.fleet = self.peer_discovery
+
     @property
     def peers(self) -> peers_module.Peers:
         """Return this node's view of the other nodes."""
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -84,9 +84,7 @@
         now_s = time.monotonic()
         return [
             node_metrics.Sample(
-                self.state.retry_budget(service.name)
-                .use(now_s, self.state.node_count)
-                .left,
+                self.state.retry_budget(service.name).use(now_s).left,
                 (('service', service.name),),
             )
             for service in self._services()
--- a/redwingvalve/node/peer_discovery.py
+++ b/redwingvalve/node/peer_discovery.py
@@ -15,6 +15,7 @@
 import anyio
 import attrs
 
+from redwingvalve.ingress import retry_budget
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import store
@@ -28,18 +29,21 @@
 # Later listings may be stale, which costs a tenth. They make up for a node
 # whose first messages were all lost, and show which nodes are gone for good.
 RELIST_INTERVAL_S = 10.0
+_MS_IN_S = 1000.0
 
 _ADDRESS_FIELDS = tuple(attrs.fields_dict(peers_module.PeerAddress))
 
 
-@attrs.define
-class PeerDiscovery:
+@attrs.define(eq=False)
+class PeerDiscovery(retry_budget.Fleet):
     """Registers this node in the store and lists the others."""
 
     client: store.StoreClient
     peers: peers_module.Peers
     _is_registered: bool = False
     _is_complete: bool = False
+    # Unix time of the start of this node's previous process, None without one.
+    _previous_born_ms: int | None = None
 
     async def run(self) -> typing.NoReturn:
         """Register, list the peers, and relist them periodically."""
@@ -61,6 +65,21 @@
         """Return whether the other nodes have been listed."""
         return self._is_complete
 
+    def size(self) -> int:
+        """Return the number of nodes, 0 until they have been listed."""
+        return 1 + len(self.peers.known) if self._is_complete else 0
+
+    def has_restarted_within(self, window_s: float) -> bool:
+        """Return whether the previous process started that recently.
+
+        One that seems to have started later did so by a clock that was set
+        back.
+        """
+        if self._previous_born_ms is None:
+            return False
+        since_ms = self.peers.local.born_ms - window_s * _MS_IN_S
+        return self._previous_born_ms > since_ms
+
     async def deregister(self) -> None:
         """Remove this node's object, so that no other node discovers it."""
         try:
@@ -88,13 +107,20 @@
         spec = attrs.asdict(local)
         try:
             await self.client.create(NODE_KIND, local.vm, spec)
-        except store.ConflictError:
+        except store.ConflictError as error:
+            self._record_previous(error.current)
             return await self._replace_registration(spec)
         except store.StoreError as error:
             LOG.warning('not registered', extra={'error': str(error)})
             return False
         return True
 
+    def _record_previous(self, stored: store.Document | None) -> None:
+        previous = _decode_address(stored) if stored else None
+        # A lost response leaves the object that this process has created.
+        if previous and previous.born_ms != self.peers.local.born_ms:
+            self._previous_born_ms = previous.born_ms
+
     async def _replace_registration(self, spec: store.Document) -> bool:
         local = self.peers.local
         try:
--- a/redwingvalve/node/tests/test_streams.py
+++ b/redwingvalve/node/tests/test_streams.py
@@ -116,7 +116,7 @@
         retry_budget = fleet.nodes[0].state.retry_budget(
             fleet_harness.ENGINE_SERVICE
         )
-        retry_budget.try_spend = lambda now_s, nodes: False
+        retry_budget.try_spend = lambda now_s: False
         heads = [
             fleet.endpoints[target.endpoint_id] for target in fleet.targets()
         ]
@@ -147,7 +147,7 @@
         retry_budget = fleet.nodes[0].state.retry_budget(
             fleet_harness.ENGINE_SERVICE
         )
-        retry_budget.try_spend = lambda now_s, nodes: False
+        retry_budget.try_spend = lambda now_s: False
         caller = fleet.caller()
         reader = await caller.start_stream()
         await fleet.wait_until(lambda: reader.body.count(b'id: ') >= 2)
