--- /dev/null
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -0,0 +1,159 @@
+"""Cuts a node's links to all endpoints; all else still reaches the node."""
+
+import enum
+import random
+import time
+
+import anyio
+import attrs
+
+from redwingvalve.http1 import pool
+from redwingvalve.platform.tests import fleet_harness
+
+
+class CutMode(enum.Enum):
+    HANG = 'connects and open connections hang'
+    RESET = 'connects are refused, open connections are reset'
+    KEEP = 'connects are refused, open connections live on'
+
+
+class HungTransport:
+    """Drops what is written and delivers nothing."""
+
+    def __init__(self, transport):
+        self._transport = transport
+        transport.pause_reading()
+
+    def write(self, content):
+        """Drop the content."""
+
+    def pause_reading(self):
+        """Reading is paused already."""
+
+    def resume_reading(self):
+        """Reading stays paused."""
+
+    def __getattr__(self, name):
+        return getattr(self._transport, name)
+
+
+@attrs.define(eq=False)
+class NodeLinks:
+    """The links of one node to endpoints."""
+
+    node: object
+    endpoints: dict
+    mode: CutMode | None = None
+    _opened: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        for connections in (
+            self.node.state.connections,
+            self.node.json_client._connections,
+        ):
+            self._wrap(connections)
+
+    def cut(self, mode):
+        self.mode = mode
+        for connection in self._opened:
+            if connection.is_open and mode is CutMode.RESET:
+                connection.transport.abort()
+            if connection.is_open and mode is CutMode.HANG:
+                connection.transport = HungTransport(connection.transport)
+
+    def restore(self):
+        self.mode = None
+        for connection in self._opened:
+            if isinstance(connection.transport, HungTransport):
+                connection.transport.abort()
+
+    def _wrap(self, connections):
+        connect = connections.connect
+
+        async def connect_unless_cut(address):
+            known = {one.address for one in self.endpoints.values()}
+            is_endpoint = ':'.join(map(str, address)) in known
+            if not is_endpoint:
+                return await connect(address)
+            if self.mode is CutMode.HANG:
+                await anyio.sleep(pool.CONNECT_TIMEOUT_S)
+                raise pool.ConnectError('TimeoutError')
+            if self.mode is not None:
+                raise pool.ConnectError('refused', was_refused=True)
+            connection = await connect(address)
+            self._opened.append(connection)
+            return connection
+
+        connections.connect = connect_unless_cut
+
+
+@attrs.frozen
+class FirstTry:
+    node_index: int
+    sent_s: float
+    is_served: bool
+
+
+@attrs.define(eq=False)
+class CutLoad:
+    """Sends requests to random nodes while some are cut off."""
+
+    fleet: fleet_harness.Fleet
+    path: str
+    requests_per_s: float = 30.0
+    rng: random.Random = attrs.field(factory=lambda: random.Random(0))
+    links: list = attrs.field(init=False)
+    tries: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.links = [
+            NodeLinks(node, self.fleet.endpoints) for node in self.fleet.nodes
+        ]
+
+    def holder(self):
+        """Return the index of the node that holds the lease."""
+        held = [node.lease.is_held() for node in self.fleet.nodes]
+        return held.index(True)
+
+    def cut(self, indices, mode):
+        for index in indices:
+            self.links[index].cut(mode)
+
+    def restore(self):
+        for links in self.links:
+            links.restore()
+
+    async def send_for(self, duration_s):
+        """Send requests; return once they have all ended."""
+        end_s = time.monotonic() + duration_s
+        async with anyio.create_task_group() as group:
+            while time.monotonic() < end_s:
+                await anyio.sleep(self.rng.expovariate(self.requests_per_s))
+                index = self.rng.randrange(len(self.fleet.nodes))
+                group.start_soon(self._send, index)
+
+    def served_share(self, indices, from_s, to_s):
+        """Return the share of first tries at some nodes that were served."""
+        found = [
+            one.is_served
+            for one in self.tries
+            if one.node_index in indices and from_s <= one.sent_s < to_s
+        ]
+        return sum(found) / len(found)
+
+    async def _send(self, index):
+        sent_s = time.monotonic()
+        caller = self.fleet.caller(index)
+        is_served = False
+        try:
+            if self.path.startswith('/draft'):
+                response = await caller.stream()
+                is_served = len(response.events) == 6
+            else:
+                response = await caller.ask(self.path)
+            is_served = (is_served or not self.path.startswith('/draft')) and (
+                response.status == 200 and response.ending == 'whole'
+            )
+        except TimeoutError:
+            is_served = False
+        self.tries.append(FirstTry(index, sent_s, is_served))
