Keep a node that is cut off from endpoints from judging them for all

What callers saw: while some nodes had no link to any endpoint, streams failed at all nodes.

Cause: such a node told the others that each endpoint was out of use, and if it held the lease, it took replicas that it could not reach for broken and stayed the holder. What a process alone concluded bound the fleet.

Change: after a failure a node connects to a few endpoints of different domains. A suspicion is shared after a connect that began later than it, and withdrawn if no endpoint can be reached. A holder that reaches none checks no replica and hands the lease over.

--- a/redwingvalve/http1/pool.py
+++ b/redwingvalve/http1/pool.py
@@ -87,6 +87,11 @@
             return
         idle.append(connection)
 
+    def add_idle(self, address: Address, connection: client.Connection) -> None:
+        """Add a connection that was opened in advance."""
+        connection.idle_since_s = time.monotonic()
+        self.release(address, connection)
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to a peer that is gone."""
         for connection in self._idle.pop(address, ()):
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -120,6 +120,7 @@
         finally:
             reservation.release(_release_state(outcome), _result(outcome))
         if self._sender.was_answered_by_target:
+            self._state.reach.record_answer(time.monotonic())
             self._state.poison.record_life_sign(target.incarnation, sent_s)
         if outcome is upstream.Outcome.COMPLETE and (
             self._sender.sent_count == 1
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -13,6 +13,7 @@
     duration_estimates,
     load_balancing,
     poison_trials,
+    reachability,
     reservations,
     retry_budget,
     routes,
@@ -72,6 +73,9 @@
     node_count: int = 1
     # Those that share the retry budgets.
     fleet: retry_budget.Fleet = attrs.field(factory=retry_budget.SingleNode)
+    reach: reachability.EndpointReach = attrs.field(
+        factory=reachability.AssumedReach
+    )
     # Of this process, by the monotonic clock.
     started_s: float = attrs.field(factory=time.monotonic)
     loads: load_balancing.EndpointLoads = attrs.field(
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -130,6 +130,10 @@
     def _has_attempts(self) -> bool:
         return self.sent_count < self._admission.route.max_attempts
 
+    @property
+    def _is_stream(self) -> bool:
+        return self._admission.route.kind is routes.RouteKind.STREAM
+
     async def _connect(
         self, target: load_balancing.Target
     ) -> client.Connection | upstream.Outcome:
@@ -162,7 +166,7 @@
         self, on_statement: upstream.OnStatement
     ) -> upstream.UpstreamRequest:
         attempt_id = self._caller.attempt_id
-        if self._admission.route.kind is routes.RouteKind.STREAM:
+        if self._is_stream:
             return upstream.UpstreamStream(
                 attempt_id, on_statement, self._forwarder
             )
@@ -208,14 +212,17 @@
         self, upstream_request: upstream.UpstreamRequest
     ) -> upstream.Outcome:
         timeout_at_s = self._admission.timeout_at_s
-        if self._may_hedge():
+        if not self._is_stream:
             goal_s = self._admission.route.goal_ms / _MS_IN_S
-            until_s = min(time.monotonic() + goal_s, timeout_at_s)
+            sent_s = time.monotonic()
+            until_s = min(sent_s + goal_s, timeout_at_s)
             outcome = await _wait_until(upstream_request, until_s)
             if outcome is not None:
                 return outcome
-            if time.monotonic() < timeout_at_s and self._reserve_retry(_HEDGE):
-                return upstream.Outcome.STALLED
+            self._state.reach.answer_overdue(sent_s)
+        is_expired = time.monotonic() >= timeout_at_s
+        if self._may_hedge() and not is_expired and self._reserve_retry(_HEDGE):
+            return upstream.Outcome.STALLED
         outcome = await _wait_until(upstream_request, timeout_at_s)
         return outcome or upstream.Outcome.TIMEOUT
 
@@ -228,8 +235,7 @@
     ) -> stall_detection.MonitoredStream | None:
         admission = self._admission
         route = admission.route
-        is_stream = route.kind is routes.RouteKind.STREAM
-        if not (is_stream and admission.model and route.may_repeat):
+        if not (self._is_stream and admission.model and route.may_repeat):
             return None
         return stall_detection.MonitoredStream(
             head=target.endpoint_id,
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -206,9 +206,10 @@
             record.is_head_stopped = True
 
     async def _check_replica(self, replica: endpoints.Replica) -> None:
-        is_complete = await self._orders.check_replica(replica.members)
-        if not is_complete:
+        result = await self._orders.check_replica(replica.members)
+        if result is replica_orders.CheckResult.STOPPED:
             self._mark_head_stopped(replica.key)
+        if result is not replica_orders.CheckResult.HEALTHY:
             return
         LOG.info('replica is whole', extra={'replica': replica.name})
         self._table.mark_healthy(replica.members[0].endpoint_id)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -39,6 +39,7 @@
 from redwingvalve.node import listeners as listeners_module
 from redwingvalve.node import peer_discovery as peer_discovery_module
 from redwingvalve.node import peers as peers_module
+from redwingvalve.node import reachability as reachability_module
 from redwingvalve.node import status_exchange as status_exchange_module
 from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import (
@@ -81,6 +82,7 @@
     detector: failure_detector.FailureDetector
     crash_checker: crash_checks.CrashChecker
     lease: lease_module.Lease
+    reach: reachability_module.ReachabilityChecker
     front: front.FrontApplication
     listeners: listeners_module.Listeners
     json_client: store.JsonClient
@@ -200,6 +202,7 @@
             self.allocation.run,
             self.allocation.reserver.run,
             self.detector.run,
+            self.reach.run,
             self.crash_checker.run,
             self.poison_records.run,
             self._run_lease,
@@ -311,16 +314,19 @@
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
     endpoint_client = endpoint_orders.EndpointClient(json_client)
-    prober = endpoint_prober.EndpointProber(endpoint_client)
-    lease = lease_module.Lease(node_settings.vm, client)
-    front_application = front.FrontApplication(state)
+    reach = reachability_module.ReachabilityChecker(registry, state.connections)
+    state.reach = reach
+    prober = endpoint_prober.EndpointProber(endpoint_client, reach)
+    lease = lease_module.Lease(
+        node_settings.vm, client, may_hold=reach.reaches_endpoints
+    )
     status_exchange = status_exchange_module.StatusExchange(
         _local_address(node_settings),
         state,
         registry,
         table,
         lease,
-        front_application,
+        front.FrontApplication(state),
     )
     return Node(
         settings=node_settings,
@@ -335,7 +341,8 @@
             state.poison, registry, endpoint_client
         ),
         lease=lease,
-        front=front_application,
+        front=status_exchange.front,
+        reach=reach,
         status_exchange=status_exchange,
         peer_discovery=peer_discovery_module.PeerDiscovery(
             client, status_exchange.peers
--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -17,6 +17,7 @@
 
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
+from redwingvalve.ingress import reachability
 from redwingvalve.platform import endpoint_orders
 
 # Each probe takes about a millisecond of half a core, so that this many are
@@ -99,9 +100,14 @@
 class EndpointProber:
     """Probes endpoints, the members of replicas in particular."""
 
-    def __init__(self, client: endpoint_orders.EndpointClient) -> None:
-        """Send probes through client."""
+    def __init__(
+        self,
+        client: endpoint_orders.EndpointClient,
+        reach: reachability.EndpointReach | None = None,
+    ) -> None:
+        """Send probes through client; reach tells of cut links."""
         self._client = client
+        self._reach = reach or reachability.AssumedReach()
         self._local_health = LocalHealth()
         self._limit = anyio.CapacityLimiter(MAX_CONCURRENT_PROBES)
 
@@ -139,7 +145,11 @@
 
     def is_degraded(self) -> bool:
         """Return whether responses may be getting lost on this node's side."""
-        return self._local_health.is_degraded()
+        return self._reach.is_cut_off or self._local_health.is_degraded()
+
+    async def confirm_reach(self) -> bool:
+        """Return whether this node can connect to endpoints now."""
+        return await self._reach.confirm()
 
     async def ask_all(self, members: tuple[endpoints.Endpoint, ...]) -> Reports:
         """Return each member's report, None for members that are lost."""
--- a/redwingvalve/node/lease.py
+++ b/redwingvalve/node/lease.py
@@ -46,6 +46,10 @@
     term: int = 0
     held_until_s: float = 0.0
     is_releasing: bool = False
+    # Released by a node that runs on, until another node acquires it.
+    is_handed_over: bool = False
+    # Whether this node is able to carry out a holder's work.
+    may_hold: typing.Callable[[], bool] = lambda: True
     # The store's revision at which this node acquired the lease.
     acquired_revision: int = 0
     # From the latest message about another holder: the lease's revision, and
@@ -83,6 +87,8 @@
         """
         if revision < self.observed_revision:
             return
+        if revision > self.revision:
+            self.is_handed_over = False
         until_s = clock.boot_s() + left_ms / 1000 + CLOCK_MARGIN_S
         if revision == self.observed_revision:
             until_s = min(until_s, self.observed_until_s)
@@ -138,6 +144,8 @@
     async def _step(self, rank: typing.Callable[[], int]) -> None:
         if self.is_releasing:
             await anyio.sleep(LEASE_DURATION_S)
+        elif not self.may_hold():
+            await self._hand_over()
         elif self.is_held():
             await self._renew()
         elif self.has_known_holder():
@@ -146,6 +154,16 @@
             await anyio.sleep(ACQUIRE_STAGGER_S * rank())
             await self._try_acquire()
 
+    async def _hand_over(self) -> None:
+        """Let another node acquire the lease, if this one holds it."""
+        if self.is_held():
+            LOG.warning('lease handed over', extra={'term': self.term})
+            self.held_until_s = 0
+            await self._write_release()
+            self.is_handed_over = True
+            self._notify_renewed()
+        await anyio.sleep(RENEW_INTERVAL_S)
+
     async def _renew(self) -> None:
         began_s = clock.boot_s()
         stored = await self._write(self.vm)
@@ -194,6 +212,7 @@
         self.revision = store.revision_of(stored)
         self.held_until_s = began_s + LEASE_DURATION_S
         self.acquired_revision = self.revision
+        self.is_handed_over = False
         LOG.info('lease taken', extra={'term': self.term})
         self._notify_renewed()
         if self.on_acquired is not None:
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -8,6 +8,7 @@
 joined another replica since.
 """
 
+import enum
 import typing
 
 import anyio
@@ -46,6 +47,16 @@
 )
 
 
+class CheckResult(enum.Enum):
+    """What a check of a replica has shown."""
+
+    HEALTHY = 'healthy'
+    # A member is lost; the head no longer serves.
+    STOPPED = 'stopped'
+    # This node reaches no endpoint, or no longer holds the lease.
+    UNKNOWN = 'unknown'
+
+
 @attrs.frozen
 class ReplicaSpec:
     """The name, epoch and members of a replica to be formed."""
@@ -147,19 +158,17 @@
 
     async def check_replica(
         self, members: tuple[endpoints.Endpoint, ...]
-    ) -> bool:
-        """Check whether all members of a replica are healthy; else close it.
-
-        Returns True if all members answer and belong to it. Otherwise its head
-        no longer serves when this returns, or is known to be gone.
-        """
+    ) -> CheckResult:
+        """Check whether all members of a replica are healthy; else close it."""
         reports = await self._prober.ask_all(members)
         head = members[0]
         healthy = [
             one for one in members if endpoint_prober.is_healthy(one, reports)
         ]
         if len(healthy) == len(members):
-            return True
+            return CheckResult.HEALTHY
+        if None in reports.values() and not await self._prober.confirm_reach():
+            return CheckResult.UNKNOWN
         for member in members:
             if reports[member.endpoint_id] is None:
                 self.unresponsive_since_s[member.incarnation] = clock.boot_s()
@@ -174,7 +183,7 @@
             },
         )
         await self.stop_head(head, reports[head.endpoint_id])
-        return False
+        return CheckResult.STOPPED if self._may_order() else CheckResult.UNKNOWN
 
     async def stop_head(
         self,
@@ -239,10 +248,11 @@
         report = await self._prober.ask_until_certain(
             head, missing_since_s + LEAVE_TIMEOUT_S
         )
-        if (
-            report is None
-            and probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
-        ):
+        is_probed_in_time = (
+            probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
+        )
+        is_dead = report is None and is_probed_in_time
+        if is_dead and await self._prober.confirm_reach():
             return True
         await self.drain(head, missing_since_s)
         return self._may_order()
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -17,7 +17,12 @@
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
-from redwingvalve.node import status_fields, status_messages, update_forwarding
+from redwingvalve.node import (
+    status_fields,
+    status_messages,
+    suspicion_sharing,
+    update_forwarding,
+)
 
 # Changes within this time are sent in one message. Otherwise a node that finds
 # forty heads healthy at once sends forty messages to each of the others: 3 MB
@@ -43,6 +48,7 @@
     usage: usage_module.FleetUsage = attrs.field(
         factory=usage_module.FleetUsage
     )
+    suspicions: suspicion_sharing.SuspicionSharing = attrs.field(init=False)
     on_node_lost: typing.Callable[[str], None] | None = None
     local_usage: typing.Callable[[], dict[str, int]] = dict
     # Whether another node has received requests.
@@ -66,7 +72,11 @@
         self.crash_reports = crash_reports_module.CrashReports(
             self.state.poison, self.broadcast_soon, self._forwards_crashes
         )
-        self.table.on_suspect = self._broadcast_suspicion
+        self.suspicions = suspicion_sharing.SuspicionSharing(
+            self.table, self.state.reach, self._broadcast_suspicion
+        )
+        self.state.reach.add_observer(self.suspicions)
+        self.table.on_suspect = self.suspicions.add
         self.table.on_cleared = self._broadcast_cleared
         self.table.on_announce_healthy = self._record_cleared
         self.lease.on_renewed = self.broadcast_soon
@@ -140,7 +150,9 @@
             number=self._number,
             is_leaving=self.state.is_leaving,
             is_ready=self.state.configuration is not None,
-            suspects=status_fields.local_suspicion_messages(self.table),
+            suspects=status_fields.suspicion_messages(
+                self.suspicions.confirmed(self.table.local_suspicions())
+            ),
             has_served=self._reports_served(),
             cleared=status_fields.recent_clearance_messages(self._cleared),
             usage=usage,
@@ -150,6 +162,9 @@
         if self.lease.is_held() or self.lease.is_releasing:
             message.lease_revision = self.lease.revision
             message.lease_left_ms = self.lease.left_ms()
+        elif self.lease.is_handed_over:
+            message.lease_revision = self.lease.revision
+            message.lease_left_ms = 0
         elif self.peers.is_large_fleet and self.lease.observed_left_ms():
             message.lease_revision = self.lease.observed_revision
             message.lease_left_ms = self.lease.observed_left_ms()
--- a/redwingvalve/node/status_fields.py
+++ b/redwingvalve/node/status_fields.py
@@ -35,11 +35,6 @@
     )
 
 
-def local_suspicion_messages(table: serving.ServingTable) -> list[typing.Any]:
-    """Return the endpoints that this node itself suspects."""
-    return suspicion_messages(table.local_suspicions())
-
-
 def suspicion_messages(
     suspicions: collections_abc.Iterable[serving.Suspicion],
 ) -> list[typing.Any]:
