Forward requests of a node that reaches no endpoint to one that does

What callers saw: a node that lost its links to all endpoints refused everything, although the other nodes reached it and the endpoints.

Cause: a node had no way to an endpoint but its own links.

Change: once a check reaches no endpoint, requests go to another node over the address for nodes, those of the same data centre first. That node handles them as its own callers' requests, with the attempts and the time that are left, and keeps retries and resumptions to itself. It never forwards again, declines before anything has run if it is cut off or stops, and doesn't count the request for the retry budget, which the first node has done. Answers end to end as before: one that ends early is broken off, a refusal says that nothing ran.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -22,6 +22,7 @@
         401: b'Unauthorized',
         404: b'Not Found',
         408: b'Request Timeout',
+        421: b'Misdirected Request',
         413: b'Content Too Large',
         431: b'Request Header Fields Too Large',
         500: b'Internal Server Error',
--- a/redwingvalve/ingress/admission_control.py
+++ b/redwingvalve/ingress/admission_control.py
@@ -32,6 +32,11 @@
     # The caller retries after a refusal.
     has_returned: bool = False
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the answer is a stream of events."""
+        return self.route.kind is routes.RouteKind.STREAM
+
 
 def admit(
     configuration: routes.Configuration | None,
@@ -80,6 +85,18 @@
     return attrs.evolve(admission, has_returned=True)
 
 
+def limit_forwarded(
+    admission: Admission, forwarded: caller_requests.Forwarded
+) -> Admission:
+    """Return the admission with what the forwarding node has left of it."""
+    attempts = min(admission.route.max_attempts, forwarded.attempts)
+    return attrs.evolve(
+        admission,
+        route=attrs.evolve(admission.route, max_attempts=attempts),
+        has_returned=forwarded.has_returned,
+    )
+
+
 def _timeouts_ms(
     route: routes.Route, caller: caller_requests.CallerRequest
 ) -> tuple[int, int]:
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -9,6 +9,7 @@
     admission_control,
     caller_wait,
     load_balancing,
+    peer_sender,
     refusals,
     reservations,
     responses,
@@ -43,11 +44,15 @@
     _wait: caller_wait.CallerWait
     _forwarder: stream_forwarding.StreamForwarder
     _sender: upstream_sender.UpstreamSender
+    _peer_sender: peer_sender.PeerSender
+    # By another node.
+    _is_forwarded: bool = False
     # Sent once in spite of the endpoints that it has crashed.
     _is_trial: bool = False
     _tried_endpoints: set[str] = attrs.field(factory=set)
     _may_have_run: bool = False
     _failure_response: upstream.UpstreamRequest | None = None
+    _was_passed_on: bool = False
     _retry_after_s: float = refusals.RETRY_AFTER_S
 
     async def run(self) -> None:
@@ -56,6 +61,8 @@
         while not self._wait.is_caller_gone:
             if self._is_refused():
                 return
+            if self._state.reach.is_cut_off and await self._pass_on():
+                return
             reservation = await self._reserve_slot()
             if reservation is None:
                 return
@@ -82,6 +89,42 @@
         self._fail(refusal.reason, refusal)
         return True
 
+    async def _pass_on(self) -> bool:
+        """Let another node answer; return whether the request has ended."""
+        if self._is_forwarded:
+            return self._decline()
+        attempts = self._admission.route.max_attempts - self._sender.sent_count
+        if self._was_passed_on or attempts < 1:
+            return False
+        self._was_passed_on = True
+        outcome = await self._peer_sender.send(attempts)
+        if outcome is None:
+            return False
+        self._finish_passed_on(outcome)
+        return True
+
+    def _decline(self) -> bool:
+        """Let the forwarding node try another one, if nothing was sent."""
+        if self._sender.sent_count or self._responder.is_started:
+            return False
+        responses.decline(self._responder, self._caller)
+        return True
+
+    def _finish_passed_on(self, outcome: upstream.Outcome) -> None:
+        answer = self._peer_sender.answer
+        if outcome is upstream.Outcome.CALLER_GONE or answer is None:
+            return
+        if outcome is upstream.Outcome.COMPLETE:
+            self._state.poison.record_answer(self._fingerprint)
+            responses.send_response(self._responder, answer)
+            return
+        # A refusal of the other node is as good as one of this node.
+        if outcome is not upstream.Outcome.NOT_RUN:
+            self._may_have_run = True
+        if not self._may_have_run or outcome is upstream.Outcome.FAILURE:
+            self._failure_response = answer
+        self._fail(_TIMEOUT if outcome in _OUT_OF_TIME else outcome.value)
+
     async def _reserve_slot(self) -> reservations.Reservation | None:
         """Return a slot, or respond and return None."""
         wait_started_s = time.monotonic()
@@ -244,6 +287,7 @@
     def _on_caller_gone(self) -> None:
         self._wait.cancel()
         self._sender.cancel()
+        self._peer_sender.cancel()
 
 
 def make_admitted_request(
@@ -256,6 +300,7 @@
     fingerprint: int,
     *,
     is_trial: bool = False,
+    is_forwarded: bool = False,
 ) -> AdmittedRequest:
     """Return a request that is ready to run; times began at its arrival."""
     wait = caller_wait.CallerWait(responder, admission.timeout_at_s)
@@ -275,6 +320,10 @@
         wait=wait,
         forwarder=forwarder,
         sender=sender,
+        peer_sender=peer_sender.PeerSender(
+            state, request, caller, admission, wait, forwarder
+        ),
+        is_forwarded=is_forwarded,
         is_trial=is_trial,
     )
 
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -21,8 +21,13 @@
         state: state_module.IngressState,
         request: messages.Request,
         responder: server.Responder,
+        forwarded: caller_requests.Forwarded | None = None,
     ) -> None:
-        """Read the request's headers; run() handles it."""
+        """Read the request's headers; run() handles it.
+
+        forwarded is set for a request of another node's caller.
+        """
+        self._forwarded = forwarded
         self._state = state
         self._request = request
         self._responder = responder
@@ -31,6 +36,9 @@
 
     async def run(self) -> None:
         """Handle the request until the response is complete."""
+        if self._forwarded is not None and not self._takes_forwarded():
+            responses.decline(self._responder, self._caller)
+            return
         admission = self._admit()
         if admission is None:
             return
@@ -45,9 +53,11 @@
         self._state.prompt_read_times(admission.model).observe(
             admission.prompt_read_s
         )
-        self._state.retry_budget(admission.service).record_request(
-            self._times.started_s
-        )
+        # The node that a caller sent the request to counts it.
+        if self._forwarded is None:
+            self._state.retry_budget(admission.service).record_request(
+                self._times.started_s
+            )
         admitted = admitted_request.make_admitted_request(
             self._state,
             self._request,
@@ -57,9 +67,15 @@
             self._times,
             fingerprint,
             is_trial=is_trial,
+            is_forwarded=self._forwarded is not None,
         )
         await admitted.run()
 
+    def _takes_forwarded(self) -> bool:
+        state = self._state
+        is_ready = state.configuration is not None and not state.is_leaving
+        return is_ready and not state.reach.is_cut_off
+
     async def _claim_trial(self, fingerprint: int) -> bool:
         """Return whether this request may be sent in spite of its crashes."""
         claimer = self._state.trial_claimer
@@ -77,6 +93,8 @@
         if isinstance(decision, refusals.Refusal):
             responses.send_refusal(self._responder, self._caller, decision)
             return None
+        if self._forwarded is not None:
+            return admission_control.limit_forwarded(decision, self._forwarded)
         return admission_control.mark_caller_retry(
             decision,
             self._caller,
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -4,6 +4,7 @@
 from redwingvalve.ingress import (
     admission_control,
     load_balancing,
+    peer_routes,
     refusals,
     retry_budget,
     timing,
@@ -63,6 +64,14 @@
     )
 
 
+def decline(
+    responder: server.Responder, caller: caller_requests.CallerRequest
+) -> None:
+    """Let the node that forwarded a request try another one."""
+    attempt = (names.ATTEMPT_ID_HEADER, caller.attempt_id)
+    responder.send_response(peer_routes.DECLINED, [attempt], b'')
+
+
 def log_no_slot(
     caller: caller_requests.CallerRequest,
     admission: admission_control.Admission,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -12,6 +12,7 @@
     caller_retries,
     duration_estimates,
     load_balancing,
+    peer_routes,
     poison_trials,
     reachability,
     reservations,
@@ -73,6 +74,7 @@
     node_count: int = 1
     # Those that share the retry budgets.
     fleet: retry_budget.Fleet = attrs.field(factory=retry_budget.SingleNode)
+    peers: peer_routes.PeerProvider = attrs.field(factory=peer_routes.NoPeers)
     reach: reachability.EndpointReach = attrs.field(
         factory=reachability.AssumedReach
     )
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -130,27 +130,21 @@
     def _has_attempts(self) -> bool:
         return self.sent_count < self._admission.route.max_attempts
 
-    @property
-    def _is_stream(self) -> bool:
-        return self._admission.route.kind is routes.RouteKind.STREAM
-
     async def _connect(
         self, target: load_balancing.Target
     ) -> client.Connection | upstream.Outcome:
         """Return a connection, or the outcome of an attempt without one."""
         connections = self._state.connections
-        max_idle_s = (
-            REPEATABLE_MAX_IDLE_S
-            if self._admission.route.may_repeat
-            else NON_REPEATABLE_MAX_IDLE_S
-        )
+        idle_s = max_idle_s(self._admission.route)
         connection = None
         try:
             with self._wait.open_scope():
-                connection = await connections.take(target.address, max_idle_s)
+                connection = await connections.take(target.address, idle_s)
         except pool.ConnectError as error:
             self.connect_failures += 1
             self._state.targets.suspect(target.endpoint_id, str(error))
+            with self._wait.open_scope():
+                await self._state.reach.confirm()
             return upstream.Outcome.NOT_RUN
         if connection is not None and not self._wait.has_ended:
             return connection
@@ -166,7 +160,7 @@
         self, on_statement: upstream.OnStatement
     ) -> upstream.UpstreamRequest:
         attempt_id = self._caller.attempt_id
-        if self._is_stream:
+        if self._admission.is_stream:
             return upstream.UpstreamStream(
                 attempt_id, on_statement, self._forwarder
             )
@@ -203,7 +197,7 @@
         finally:
             in_flight_requests.discard(self)
             self._forwarder.detach()
-        if outcome in _ABANDONED and self._connection is not None:
+        if outcome in ABANDONED and self._connection is not None:
             self._connection.abandon()
         self._connection = None
         return outcome
@@ -212,7 +206,7 @@
         self, upstream_request: upstream.UpstreamRequest
     ) -> upstream.Outcome:
         timeout_at_s = self._admission.timeout_at_s
-        if not self._is_stream:
+        if not self._admission.is_stream:
             goal_s = self._admission.route.goal_ms / _MS_IN_S
             sent_s = time.monotonic()
             until_s = min(sent_s + goal_s, timeout_at_s)
@@ -235,7 +229,9 @@
     ) -> stall_detection.MonitoredStream | None:
         admission = self._admission
         route = admission.route
-        if not (self._is_stream and admission.model and route.may_repeat):
+        if not (
+            self._admission.is_stream and admission.model and route.may_repeat
+        ):
             return None
         return stall_detection.MonitoredStream(
             head=target.endpoint_id,
@@ -248,6 +244,13 @@
         )
 
 
+def max_idle_s(route: routes.Route) -> float:
+    """Return how long a connection may have been idle before a request."""
+    if route.may_repeat:
+        return REPEATABLE_MAX_IDLE_S
+    return NON_REPEATABLE_MAX_IDLE_S
+
+
 async def _wait_until(
     upstream_request: upstream.UpstreamRequest, until_s: float
 ) -> upstream.Outcome | None:
@@ -258,7 +261,7 @@
         return None
 
 
-_ABANDONED = frozenset(
+ABANDONED = frozenset(
     (
         upstream.Outcome.CALLER_GONE,
         upstream.Outcome.STALLED,
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -37,6 +37,7 @@
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import listeners as listeners_module
+from redwingvalve.node import peer_application as peer_application_module
 from redwingvalve.node import peer_discovery as peer_discovery_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import reachability as reachability_module
@@ -155,7 +156,9 @@
         caches = {watch.kind: watch.cache for watch in self.watches}
         ip = self.settings.ip
         await self.listeners.serve(
-            watch_sources.WatchRelayApplication(caches),
+            peer_application_module.PeerApplication(
+                watch_sources.WatchRelayApplication(caches), self.front
+            ),
             settings.SocketAddress(ip, self.settings.peer_port),
         )
         addresses = {
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -55,9 +55,26 @@
         self, request: messages.Request, responder: server.Responder
     ) -> None:
         """Proxy one request in its own task."""
+        self._start(request, responder, None)
+
+    def serve_forwarded(
+        self,
+        request: messages.Request,
+        responder: server.Responder,
+        forwarded: caller_requests.Forwarded,
+    ) -> None:
+        """Proxy a request of another node's caller."""
+        self._start(request, responder, forwarded)
+
+    def _start(
+        self,
+        request: messages.Request,
+        responder: server.Responder,
+        forwarded: caller_requests.Forwarded | None,
+    ) -> None:
         self.has_served = True
         handler = request_handler.RequestHandler(
-            self._state, request, responder
+            self._state, request, responder, forwarded
         )
         task = asyncio.get_running_loop().create_task(
             self._run(handler, responder)
--- a/redwingvalve/node/reachability.py
+++ b/redwingvalve/node/reachability.py
@@ -25,6 +25,9 @@
 # Endpoints that are tried at once, and those tried if none of them answers.
 FIRST_PROBES = 2
 MORE_PROBES = 4
+# Time for the first ones, and longest time of a check that counts.
+FIRST_PROBES_TIMEOUT_S = 0.1
+MAX_CHECK_S = FIRST_PROBES_TIMEOUT_S + pool.CONNECT_TIMEOUT_S + 0.1
 # A single dead endpoint looks like a cut.
 MIN_PROBES_FOR_CUT = 2
 # Between two checks, and between those while this node is cut off.
@@ -113,9 +116,14 @@
         )
         if len(chosen) < MIN_PROBES_FOR_CUT:
             return False
-        if await self._reaches_any(chosen[:FIRST_PROBES]):
+        began_s = time.monotonic()
+        with anyio.move_on_after(FIRST_PROBES_TIMEOUT_S):
+            if await self._reaches_any(chosen[:FIRST_PROBES]):
+                return False
+        if await self._reaches_any(chosen[FIRST_PROBES:] or chosen):
             return False
-        return not await self._reaches_any(chosen[FIRST_PROBES:])
+        # After a pause of this process all connects seem to have failed.
+        return time.monotonic() - began_s < MAX_CHECK_S
 
     async def _reaches_any(
         self, chosen: collections_abc.Sequence[endpoints.Endpoint]
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -18,6 +18,7 @@
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import (
+    forwarding_peers,
     status_fields,
     status_messages,
     suspicion_sharing,
@@ -65,6 +66,7 @@
     def __attrs_post_init__(self) -> None:
         """Subscribe to the changes that are sent without delay."""
         self.peers = peers_module.Peers(self.local, self)
+        self.state.peers = forwarding_peers.ForwardingPeers(self.peers)
         self.hubs = hubs_module.Hubs(self.peers, self.node_changed)
         self._forwarded_updates = update_forwarding.ForwardedUpdates(
             self.peers, self.hubs
--- a/redwingvalve/platform/caller_requests.py
+++ b/redwingvalve/platform/caller_requests.py
@@ -17,6 +17,17 @@
         names.URGENCY_HEADER,
         names.DEADLINE_MS_HEADER,
         names.LAST_EVENT_ID_HEADER,
+        names.ATTEMPTS_LEFT_HEADER,
+        names.HAS_RETURNED_HEADER,
+    )
+)
+# Headers that a node sets itself when it forwards a request to another node.
+_PEER_HEADERS = frozenset(
+    (
+        names.DEADLINE_MS_HEADER,
+        names.LAST_EVENT_ID_HEADER,
+        names.ATTEMPTS_LEFT_HEADER,
+        names.HAS_RETURNED_HEADER,
     )
 )
 
@@ -97,6 +108,52 @@
         headers.append((names.CLIENT_ACCOUNT_HEADER, account))
     if added.last_event is not None:
         headers.append((names.LAST_EVENT_ID_HEADER, b'%d' % added.last_event))
+    return _render(request, headers)
+
+
+@attrs.frozen
+class PeerHeaders:
+    """Values of the headers set when a request is sent to another node."""
+
+    attempts: int
+    deadline_ms: int
+    last_event: int | None
+    has_returned: bool
+
+
+@attrs.frozen
+class Forwarded:
+    """What another node states about a request that it has forwarded."""
+
+    attempts: int
+    has_returned: bool
+
+
+def render_peer_request(request: messages.Request, added: PeerHeaders) -> bytes:
+    """Return the request to another node as bytes."""
+    headers = [
+        header
+        for header in messages.end_to_end(request.headers)
+        if header[0] not in _PEER_HEADERS
+    ]
+    headers.append((names.ATTEMPTS_LEFT_HEADER, b'%d' % added.attempts))
+    headers.append((names.HAS_RETURNED_HEADER, b'%d' % added.has_returned))
+    headers.append((names.DEADLINE_MS_HEADER, b'%d' % added.deadline_ms))
+    if added.last_event is not None:
+        headers.append((names.LAST_EVENT_ID_HEADER, b'%d' % added.last_event))
+    return _render(request, headers)
+
+
+def read_forwarded(request: messages.Request) -> Forwarded | None:
+    """Return what the forwarding node states, None for other requests."""
+    attempts = request.header(names.ATTEMPTS_LEFT_HEADER)
+    if attempts is None or not attempts.isdigit():
+        return None
+    returned = request.header(names.HAS_RETURNED_HEADER)
+    return Forwarded(int(attempts), has_returned=returned == b'1')
+
+
+def _render(request: messages.Request, headers: messages.Headers) -> bytes:
     if request.body or _declares_body(request):
         headers.append((b'content-length', b'%d' % len(request.body)))
     start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -34,5 +34,9 @@
 LEAVING_HEADER: typing.Final = b'server-leaving'
 RETRY_AFTER_HEADER: typing.Final = b'retry-after'
 ENDPOINT_AT_FAULT_HEADER: typing.Final = b'at-server'
+# Headers of requests that one node forwards to another: the attempts left, and
+# whether the caller retries after a refusal.
+ATTEMPTS_LEFT_HEADER: typing.Final = b'x-redwingvalve-attempts'
+HAS_RETURNED_HEADER: typing.Final = b'x-redwingvalve-returned'
 # Query parameter of directory requests.
 DATA_CENTRE_PARAMETER = 'zone'
