--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -13,10 +13,6 @@
 from redwingvalve.fleet import serving
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import crash_reports as crash_reports_module
-from redwingvalve.node import front as front_module
-from redwingvalve.node import hubs as hubs_module
-from redwingvalve.node import lease as lease_module
-from redwingvalve.node import peers as peers_module
 from redwingvalve.node import (
     forwarding_peers,
     status_fields,
@@ -24,6 +20,10 @@
     suspicion_sharing,
     update_forwarding,
 )
+from redwingvalve.node import front as front_module
+from redwingvalve.node import hubs as hubs_module
+from redwingvalve.node import lease as lease_module
+from redwingvalve.node import peers as peers_module
 
 # Changes within this time are sent in one message. Otherwise a node that finds
 # forty heads healthy at once sends forty messages to each of the others: 3 MB
