Take an answer just after a broken run for no proof of survival

What callers saw: a request that crashes its endpoint after the head of its answer was never held back; all 30 endpoints ended and sound requests found nobody.

Cause: the process ends a moment after the connection. What it answered in between, a probe first of all, cleared the run for good, and its end was then no crash.

Change: an answer within 0.5 s of the broken run makes the run doubtful instead. The request is served at once as before, but the endpoint is asked once more if the request has broken off elsewhere; if it is silent or has ended within 5 s, the run counts.

test_a_lost_answer_does_not_count_as_a_crash let all endpoints end at the very moment after an answer 10 ms after the break, which is this fault. It now answers once more after 0.5 s; two new tests ask that an end soon after such an answer counts and a late one doesn't.

--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -17,6 +17,12 @@
 # An answer also speaks for runs of the same request that break off within this
 # time after it: a crashing request is never answered.
 ANSWER_TRUST_S = 10.0
+# A process may outlive the connection that broke by this time. What it answers
+# meanwhile is no proof that it survived.
+CRASH_DELAY_S = 0.5
+# A run at an endpoint that has answered since is forgotten after this time,
+# unless the endpoint turns out to have ended. Entries lapse sooner.
+DOUBT_S = 5.0
 # Reports of one run differ by the transit times of messages. A later one is of
 # another run of the same request at the same endpoint.
 SAME_RUN_S = 0.5
@@ -72,7 +78,7 @@
         """Add a complete answer; return whether it clears the request."""
         at_s = max(at_s, self._answered_s.pop(fingerprint, at_s))
         self._answered_s[fingerprint] = at_s
-        self._forget_old_answers(at_s)
+        _forget_old_answers(self._answered_s, at_s)
         runs = self._runs.get(fingerprint, {})
         cleared = [run for run in runs.values() if self._has_other_cause(run)]
         self._remove(cleared)
@@ -90,6 +96,28 @@
             if self._has_other_cause(run)
         )
 
+    def is_doubtful(self, run: BrokenRun) -> bool:
+        """Return whether an endpoint has answered since, but only at once."""
+        if run.is_crash:
+            return False
+        alive_s = self._alive_s.get(run.incarnation)
+        return alive_s is not None and run.at_s < alive_s
+
+    def mark_silent(self, incarnation: Incarnation) -> list[BrokenRun]:
+        """Record that an endpoint no longer answers; return its runs."""
+        if self._alive_s.pop(incarnation, None) is None:
+            return []
+        return self.runs_at(incarnation)
+
+    def forget_doubtful_before(self, at_s: float) -> None:
+        """Forget doubtful runs that broke off before a time."""
+        for incarnation in tuple(self._undecided):
+            self._remove(
+                run
+                for run in self.runs_at(incarnation)
+                if run.at_s < at_s and self.is_doubtful(run)
+            )
+
     def answered_s(self, fingerprint: int) -> float | None:
         """Return when a request was last answered, None if unknown."""
         return self._answered_s.get(fingerprint)
@@ -136,7 +164,8 @@
         return [
             run
             for run in runs.values()
-            if not any(
+            if not self.is_doubtful(run)
+            and not any(
                 len(self._runs[other]) > len(runs)
                 for other in self._requests[run.incarnation]
             )
@@ -157,7 +186,7 @@
         if answered_s is not None and run.at_s <= answered_s + ANSWER_TRUST_S:
             return True
         alive_s = self._alive_s.get(run.incarnation)
-        return alive_s is not None and run.at_s < alive_s
+        return alive_s is not None and survives(run, alive_s)
 
     def _insert(self, run: BrokenRun) -> None:
         if run.fingerprint not in self._runs:
@@ -199,12 +228,18 @@
         else:
             self._undecided.add(incarnation)
 
-    def _forget_old_answers(self, now_s: float) -> None:
-        while self._answered_s:
-            oldest = next(iter(self._answered_s))
-            if self._answered_s[oldest] >= now_s - ANSWER_TRUST_S:
-                return
-            self._answered_s.pop(oldest)
+
+def survives(run: BrokenRun, alive_s: float) -> bool:
+    """Return whether an answer to what was sent then clears the endpoint."""
+    return run.at_s + CRASH_DELAY_S < alive_s
+
+
+def _forget_old_answers(answered_s: dict[int, float], now_s: float) -> None:
+    while answered_s:
+        oldest = next(iter(answered_s))
+        if answered_s[oldest] >= now_s - ANSWER_TRUST_S:
+            return
+        answered_s.pop(oldest)
 
 
 def _make_room(
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -14,7 +14,8 @@
 that a sound request is held back for the time of a probe only.
 
 What speaks for a request: an answer of any endpoint, and that an endpoint which
-broke it off answers something else.
+broke it off answers something else. A process may end a moment after the
+connection, so that what it answers at once counts only until it falls silent.
 """
 
 import abc
@@ -127,10 +128,16 @@
     ) -> None:
         """Record that an endpoint answered what was sent to it at sent_s."""
         for run in self.evidence.runs_at(incarnation):
-            if run.at_s < sent_s:
+            if crash_evidence.survives(run, sent_s):
                 self._log('no crash', run, is_routine=True)
         self.evidence.add_life_sign(incarnation, sent_s)
 
+    def record_silence(self, incarnation: crash_evidence.Incarnation) -> None:
+        """Record that an endpoint has stopped answering."""
+        for run in self.evidence.mark_silent(incarnation):
+            self._log('endpoint silent', run)
+            self._notify_added(run)
+
     def record_end(self, incarnation: crash_evidence.Incarnation) -> None:
         """Record that an endpoint's process has ended."""
         for run in self.evidence.mark_ended(incarnation):
@@ -142,11 +149,18 @@
         live_incarnations: typing.AbstractSet[crash_evidence.Incarnation],
     ) -> None:
         """Record the ends of endpoints that are no longer listed."""
+        doubted_since_s = self._clock() - crash_evidence.DOUBT_S
+        self.evidence.forget_doubtful_before(doubted_since_s)
         undecided = self.evidence.undecided()
         self._listed.update(live_incarnations.intersection(undecided))
         for incarnation in undecided:
             is_live = incarnation in live_incarnations
-            if not is_live and self._was_listed(incarnation):
+            if not is_live and (
+                incarnation in self._listed
+                or _is_listing_overdue(
+                    self.evidence.runs_at(incarnation), self._clock()
+                )
+            ):
                 self.record_end(incarnation)
         self._listed.intersection_update(self.evidence.undecided())
 
@@ -167,12 +181,6 @@
         if self.evidence.add_answer(fingerprint, at_s):
             self._clear(fingerprint, sender)
 
-    def _was_listed(self, incarnation: crash_evidence.Incarnation) -> bool:
-        runs = self.evidence.runs_at(incarnation)
-        first_s = min(run.at_s for run in runs)
-        is_old = self._clock() - first_s > UNLISTED_END_S
-        return is_old or incarnation in self._listed
-
     def forget_old(self) -> None:
         """Forget requests that have crashed nothing for CRASH_RETENTION_S."""
         self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
@@ -237,6 +245,13 @@
         )
 
 
+def _is_listing_overdue(
+    runs: list[crash_evidence.BrokenRun], now_s: float
+) -> bool:
+    """Return whether the endpoint of the runs should have been listed."""
+    return now_s - min(run.at_s for run in runs) > UNLISTED_END_S
+
+
 def certainty(run: crash_evidence.BrokenRun) -> tuple[bool, float]:
     """Order runs by how surely they show a crash that is still of interest."""
     return run.is_crash, run.at_s
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import pytest
+
 from redwingvalve.ingress import crash_evidence, poison, poison_trials
 
 SERVE, HOLD, REFUSE = poison.Verdict
@@ -65,6 +67,40 @@
         clock.now_s += 0.01
         tracker.record_life_sign(incarnation, clock.now_s)
         assert tracker.verdict(7) is SERVE
+    clock.now_s += crash_evidence.CRASH_DELAY_S
+    for incarnation in live:
+        tracker.record_life_sign(incarnation, clock.now_s)
+    tracker.resolve_broken_runs(set())
+    assert tracker.verdict(7) is SERVE
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_an_endpoint_that_falls_silent_after_an_answer_has_crashed(is_listed):
+    """The process outlived its broken connection for a moment."""
+    tracker, clock = make_tracker()
+    live = {(f'e{number}', 1) for number in range(3)}
+    for incarnation in live:
+        tracker.record_broken_run(7, incarnation)
+        clock.now_s += 0.01
+        tracker.record_life_sign(incarnation, clock.now_s)
+    assert tracker.verdict(7) is SERVE
+    if is_listed:
+        for incarnation in live:
+            tracker.record_silence(incarnation)
+    else:
+        tracker.resolve_broken_runs(set())
+    assert tracker.verdict(7) is (HOLD if is_listed else REFUSE)
+
+
+def test_an_endpoint_that_leaves_long_after_an_answer_has_not_crashed():
+    tracker, clock = make_tracker()
+    live = {(f'e{number}', 1) for number in range(3)}
+    for incarnation in live:
+        tracker.record_broken_run(7, incarnation)
+        clock.now_s += 0.01
+        tracker.record_life_sign(incarnation, clock.now_s)
+    clock.now_s += crash_evidence.DOUBT_S
+    tracker.resolve_broken_runs(live)
     tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is SERVE
 
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -99,11 +99,18 @@
         probes = self._probes[incarnation]
         if probes.is_running or now_s < probes.next_s:
             return False
+        return any(
+            self._is_run_due(run, now_s)
+            for run in self.tracker.evidence.runs_at(incarnation)
+        )
+
+    def _is_run_due(self, run: crash_evidence.BrokenRun, now_s: float) -> bool:
         evidence = self.tracker.evidence
-        runs = evidence.runs_at(incarnation)
-        if any(len(evidence.runs(run.fingerprint)) > 1 for run in runs):
-            return True
-        return any(now_s - run.at_s >= PROBE_DELAY_S for run in runs)
+        is_repeated = len(evidence.runs(run.fingerprint)) > 1
+        age_s = now_s - run.at_s
+        if evidence.is_doubtful(run):
+            return is_repeated and age_s > crash_evidence.CRASH_DELAY_S
+        return is_repeated or age_s >= PROBE_DELAY_S
 
     async def _probe(
         self,
@@ -128,3 +135,5 @@
             self.tracker.record_life_sign(incarnation, sent_s)
         elif liveness is endpoint_orders.Liveness.ENDED:
             self.tracker.record_end(incarnation)
+        else:
+            self.tracker.record_silence(incarnation)
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -128,6 +128,8 @@
             run = runs.get(incarnation)
             if run is None or added_s < since_s:
                 continue
+            if self.tracker.evidence.is_doubtful(run):
+                continue
             is_settled = now_s - run.at_s >= SINGLE_RUN_DELAY_S
             if len(runs) >= MIN_URGENT_RUNS or is_settled:
                 found.append(run)
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -374,7 +374,8 @@
 def _send_part(responder: server.Responder, headers: messages.Headers) -> None:
     length = (b'content-length', b'50')
     head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, length])
-    responder.connection.write(head + b'part')
+    responder.connection.write(head)
+    responder.connection.write(b'part')
 
 
 def _spoil(
