Keep nodes that are gone out of the directory of a fleet that grows

What callers saw: nodes that were gone were in the directory once a fleet used hubs, and at a node that had just started.

Cause: whether a node is down was only recorded in a large fleet, so that silent nodes counted as up after the change. And a node that starts sends to hubs only: if these are gone, nobody hears of it, and it takes its own silence for a cut.

Change: silence in a small fleet counts as down in a large one; a node that only changed earlier is asked for a status message and found. A node that has heard of nobody tries the next hubs, and marks those passed over as down when one that ranks lower answers.

Evidence: test_nodes_that_are_gone_are_not_given_to_callers and test_a_dead_node_is_not_given_to_callers_when_the_fleet_grows, known failures before, pass; the latter named the dead node in 45 of 50 answers. test_a_node_that_was_silent_is_found_when_the_fleet_grows fails without the question.

--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -20,6 +20,9 @@
 # reports, since a node that is down has been silent for longer. Two status
 # intervals of hubs.
 RECENTLY_RECEIVED_S = 0.5
+# How long nodes that fell silent while the fleet was small are asked whether
+# they send to hubs only.
+ASK_DOUBTED_S = 3.0
 # If no message at all arrived for this long, this node itself was cut off.
 RECEIVE_GAP_S = 0.5
 
@@ -54,6 +57,8 @@
         # Since when each sender's messages are due here. A node that has just
         # become a hub has received none yet.
         self._expected_since_s: dict[str, float] = {}
+        # Hubs that gave no sign before any other node did.
+        self._skipped: set[str] = set()
 
     @property
     def is_hub(self) -> bool:
@@ -93,6 +98,19 @@
         ]
         return Recipients(hubs=tuple(hubs), nodes=tuple(nodes))
 
+    def doubted(self) -> list[str]:
+        """Return the nodes that may count as down for sending to hubs only."""
+        peers = self._peers
+        since_s = time.monotonic() - ASK_DOUBTED_S
+        peers.doubted_s = {
+            vm: doubted_s
+            for vm, doubted_s in peers.doubted_s.items()
+            if doubted_s >= since_s and vm in peers.known
+        }
+        if not peers.is_large_fleet:
+            return []
+        return [vm for vm in peers.doubted_s if peers.known[vm].is_down]
+
     def receives_from(self, peer: peers_module.Peer) -> bool:
         """Return whether a node sends its own status to this node."""
         return peer.address.vm in self._senders()
@@ -104,12 +122,25 @@
             # Messages of all other nodes were lost here in the meantime.
             self._peers.receive_gap_s = 0
             self._excused_s = now_s
+        if not self._peers.last_received_s:
+            # Nothing tells whether this node is cut off or the others are gone.
+            self._skipped.update(one.address.vm for one in self._silent(now_s))
+            return
+        if self._skipped:
+            self._mark_skipped_down()
         if now_s - self._peers.last_received_s > RECEIVE_GAP_S:
             return
+        for peer in self._silent(now_s):
+            self._peers.set_down(peer, is_down=True)
+            self._on_changed(peer)
+
+    def _silent(self, now_s: float) -> list[peers_module.Peer]:
+        """Return the nodes that count as up and whose messages are overdue."""
         since_s = now_s - peers_module.HUB_ALIVE_TIMEOUT_S
         self._expected_since_s = {
             vm: self._expected_since_s.get(vm, now_s) for vm in self._senders()
         }
+        found = []
         for vm, expected_since_s in self._expected_since_s.items():
             peer = self._peers.known.get(vm)
             if peer is None or peer.is_down:
@@ -118,8 +149,25 @@
                 peer.last_seen_s, expected_since_s, self._excused_s
             )
             if silent_since_s < since_s:
-                self._peers.set_down(peer, is_down=True)
-                self._on_changed(peer)
+                found.append(peer)
+        return found
+
+    def _mark_skipped_down(self) -> None:
+        """Mark skipped hubs as down if a node that ranks lower has answered.
+
+        It sends to this node only as a hub, that is, if those above it are
+        down.
+        """
+        known = self._peers.known
+        answered = [
+            bandwidth_rank(peer.address)
+            for peer in known.values()
+            if peer.last_received_s is not None
+        ]
+        for vm in self._skipped.intersection(known):
+            if bandwidth_rank(known[vm].address) < min(answered):
+                self._peers.set_down(known[vm], is_down=True)
+        self._skipped.clear()
 
     def apply_state(self, state: typing.Any) -> bool:
         """Apply a node's state from a hub; return whether it has changed."""
@@ -162,7 +210,9 @@
         found = [
             peer.address
             for peer in self._peers.alive()
-            if peer.address.data_centre == data_centre and not peer.is_leaving
+            if peer.address.data_centre == data_centre
+            and not peer.is_leaving
+            and peer.address.vm not in self._skipped
         ]
         if data_centre == local.data_centre:
             found.append(local)
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -82,4 +82,6 @@
   // Evidence of requests that may crash endpoints, in small fleets too.
   19: list<BrokenRun> broken_runs
   20: list<AnsweredRequest> answers
+  // Asks for a status message in return.
+  21: bool asks_reply
 }
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -120,6 +120,9 @@
         self.known: dict[str, Peer] = {}
         self.local = local
         self._observer = observer
+        # Nodes that were silent while the fleet was small, and when: they may
+        # have begun earlier to send to hubs only.
+        self.doubted_s: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._announce_until_s = 0.0
         # When a message of any other node was last received.
@@ -252,12 +255,17 @@
         since_s = (
             time.monotonic() - LOST_AFTER_INTERVALS * self.status_interval_s
         )
+        down_since_s = time.monotonic() - ALIVE_TIMEOUT_S
         for name, peer in self.known.items():
             if (
                 peer.last_received_s is not None
                 and peer.last_received_s < since_s
             ):
                 self._observer.node_lost(name)
+            # Also counts once the fleet has grown large.
+            peer.is_down = peer.last_seen_s < down_since_s
+            if peer.is_down:
+                self.doubted_s[name] = time.monotonic()
 
     def _record_received(self, peer: Peer, message: typing.Any) -> None:
         now_s = time.monotonic()
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -128,6 +128,16 @@
                     is_urgent=is_urgent,
                 )
             self.peers.send_status(message, names)
+        if not is_urgent:
+            self._ask_doubted()
+
+    def _ask_doubted(self) -> None:
+        doubted = self.hubs.doubted()
+        if not doubted:
+            return
+        message = self.build_message()
+        message.asks_reply = True
+        self.peers.send_status(message, doubted)
 
     def broadcast_soon(self) -> None:
         """Send the status, at most once per COALESCE_S."""
@@ -182,6 +192,8 @@
         """Apply another node's status."""
         if self.peers.is_large_fleet:
             self._apply_forwarded(message)
+        if message.asks_reply:
+            self.peers.send_status(self.build_message(), [message.vm])
         self.usage.update(message.vm, message.usage or {})
         if message.lease_revision:
             self.lease.observe(message.lease_revision, message.lease_left_ms)
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -78,6 +78,7 @@
     (_Type.LIST, 'usages', (_Type.STRUCT, PeerUsage)),
     (_Type.LIST, 'broken_runs', (_Type.STRUCT, BrokenRun)),
     (_Type.LIST, 'answers', (_Type.STRUCT, AnsweredRequest)),
+    (_Type.BOOL, 'asks_reply'),
 )
 
 
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -247,6 +247,29 @@
     return [state.vm for state in message.states]
 
 
+def test_a_node_that_was_silent_is_found_when_the_fleet_grows(monkeypatch):
+    """It has begun to send to hubs only before the others have."""
+    monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 5)
+
+    async def test(fleet):
+        early, late = fleet.nodes[-1], fleet.nodes[-2]
+        send_status = early.peers.send_status
+
+        def send_to_hubs(message, names):
+            send_status(message, [one for one in names if one != late_vm])
+
+        late_vm = late.settings.vm
+        early.peers.send_status = send_to_hubs
+        await anyio.sleep(GONE_S)
+        front = early.peers.local.front
+        assert front not in selected_fronts(late)
+        early.peers.send_status = send_status
+        monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 3)
+        await fleet.wait_until(lambda: front in selected_fronts(late), GONE_S)
+
+    fleet_harness.run(test, nodes=4, engines=0, plain=1)
+
+
 def test_a_dead_node_is_not_given_to_callers_when_the_fleet_grows(monkeypatch):
     """It was known to be silent until the fleet was large enough for hubs."""
     monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 5)
