Refuse at once while no node reaches an endpoint

Callers of a node that is cut off, while all others are too, waited for its own connects to hang. If each node that was asked declined, the request is refused with Retry-After; a node that is cut off doesn't check its links for each suspicion.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -24,6 +24,7 @@
 
 _TIMEOUT = 'timeout'
 _CALLER_LEFT = 'caller left'
+_OUT_OF_REACH = 'no endpoint in reach'
 # Failed connections don't count against the route's attempts, because nothing
 # ran: the request tries other endpoints until this number is exceeded.
 MAX_CONNECT_FAILURES = 3
@@ -98,9 +99,14 @@
             return False
         self._was_passed_on = True
         outcome = await self._peer_sender.send(attempts)
-        if outcome is None:
+        if outcome is not None:
+            self._finish_passed_on(outcome)
+            return True
+        if self._wait.has_ended or not self._peer_sender.has_tried:
             return False
-        self._finish_passed_on(outcome)
+        # No node reaches an endpoint.
+        self._log_outcome(_NO_TARGET, f'given up: {_OUT_OF_REACH}')
+        self._fail(_OUT_OF_REACH)
         return True
 
     def _decline(self) -> bool:
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -71,6 +71,7 @@
         # The answer of the node that took the request, None without one.
         self.answer: PeerAnswer | None = None
         self.vm = ''
+        self.has_tried = False
         self._state = state
         self._request = request
         self._caller = caller
@@ -86,6 +87,7 @@
         for peer in self._state.peers.candidates():
             if self._wait.has_ended:
                 break
+            self.has_tried = True
             outcome = await self._send_to(peer, attempts)
             if outcome is not None:
                 self.vm = peer.vm
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -143,8 +143,7 @@
         except pool.ConnectError as error:
             self.connect_failures += 1
             self._state.targets.suspect(target.endpoint_id, str(error))
-            with self._wait.open_scope():
-                await self._state.reach.confirm()
+            await self._check_links()
             return upstream.Outcome.NOT_RUN
         if connection is not None and not self._wait.has_ended:
             return connection
@@ -156,6 +155,13 @@
             else upstream.Outcome.EXPIRED
         )
 
+    async def _check_links(self) -> None:
+        """Find out whether the endpoint has failed or this node is cut off."""
+        if self._state.reach.is_cut_off:
+            return
+        with self._wait.open_scope():
+            await self._state.reach.confirm()
+
     def _make_upstream_request(
         self, on_statement: upstream.OnStatement
     ) -> upstream.UpstreamRequest:
@@ -229,9 +235,7 @@
     ) -> stall_detection.MonitoredStream | None:
         admission = self._admission
         route = admission.route
-        if not (
-            self._admission.is_stream and admission.model and route.may_repeat
-        ):
+        if not (admission.is_stream and admission.model and route.may_repeat):
             return None
         return stall_detection.MonitoredStream(
             head=target.endpoint_id,
--- a/redwingvalve/node/suspicion_sharing.py
+++ b/redwingvalve/node/suspicion_sharing.py
@@ -30,6 +30,9 @@
 
     def add(self, suspicion: serving.Suspicion) -> None:
         """Hold a new suspicion back until the links have been checked."""
+        if self.reach.is_cut_off:
+            self.table.clear_suspicion(suspicion.endpoint_id)
+            return
         self._held[suspicion.endpoint_id] = suspicion
         self.reach.request_check()
 
--- a/redwingvalve/node/tests/test_cut_off_nodes.py
+++ b/redwingvalve/node/tests/test_cut_off_nodes.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from redwingvalve.http1 import pool
 from redwingvalve.node import peers
 from redwingvalve.node.tests import endpoint_cuts
 from redwingvalve.platform.tests import fleet_harness
@@ -26,6 +27,8 @@
 AT_CUT_NODES = 0.9
 AT_OTHERS = 0.95
 HOLDER = 'holder'
+# Less than it takes to find out that a connect hangs.
+REFUSED_S = pool.CONNECT_TIMEOUT_S
 
 
 def run_cut(path, mode, cut, *, nodes=NODES, seed=0):
@@ -94,6 +97,28 @@
     run_cut(STREAM, mode, 4, nodes=9)
 
 
+@pytest.mark.parametrize('mode', [HANG, RESET])
+def test_callers_are_refused_soon_if_all_nodes_are_cut_off(mode):
+    """No node can serve them; they may return once the links are back."""
+
+    async def test(fleet):
+        load = endpoint_cuts.CutLoad(fleet, PLAIN)
+        load.cut(range(3), mode)
+        await load.send_for(1.5)
+        asked_s = time.monotonic()
+        response = await fleet.caller().ask(PLAIN)
+        took_s = time.monotonic() - asked_s
+        assert (response.status, took_s < REFUSED_S) == (503, True), took_s
+        assert b'retry-after' in response.headers
+        load.restore()
+        await load.send_for(NOTICE_S)
+        restored_s = time.monotonic()
+        await load.send_for(1)
+        assert load.served_share(range(3), restored_s, restored_s + 9) == 1
+
+    fleet_harness.run(test, nodes=3, engines=0, plain=6)
+
+
 @hypothesis.given(
     seed=strategies.integers(0, 1000),
     path=strategies.sampled_from([PLAIN, ONCE, STREAM]),
