--- a/redwingvalve/node/tests/endpoint_cuts.py
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -15,6 +15,7 @@
     HANG = 'connects and open connections hang'
     RESET = 'connects are refused, open connections are reset'
     KEEP = 'connects are refused, open connections live on'
+    KEEP_HANG = 'connects hang, open connections live on'
 
 
 class HungTransport:
@@ -75,7 +76,7 @@
             is_endpoint = ':'.join(map(str, address)) in known
             if not is_endpoint:
                 return await connect(address)
-            if self.mode is CutMode.HANG:
+            if self.mode in {CutMode.HANG, CutMode.KEEP_HANG}:
                 await anyio.sleep(pool.CONNECT_TIMEOUT_S)
                 raise pool.ConnectError('TimeoutError')
             if self.mode is not None:
--- a/redwingvalve/node/tests/test_cut_off_nodes.py
+++ b/redwingvalve/node/tests/test_cut_off_nodes.py
@@ -19,6 +19,7 @@
 HANG = endpoint_cuts.CutMode.HANG
 RESET = endpoint_cuts.CutMode.RESET
 KEEP = endpoint_cuts.CutMode.KEEP
+KEEP_HANG = endpoint_cuts.CutMode.KEEP_HANG
 # Nodes have this time to find out that they are cut off.
 NOTICE_S = 3.0
 MEASURED_S = 2.0
@@ -84,6 +85,11 @@
     run_cut(STREAM, mode, HOLDER)
 
 
+def test_callers_are_served_while_connects_hang_and_open_connections_work():
+    """Answers on open connections say nothing about new ones."""
+    run_cut(ONCE, KEEP_HANG, 3)
+
+
 @pytest.mark.parametrize('path', [PLAIN, STREAM])
 def test_the_last_node_in_touch_serves_for_all(path):
     """All nodes but one are cut off."""
