--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -46,14 +46,14 @@
     _forwarder: stream_forwarding.StreamForwarder
     _sender: upstream_sender.UpstreamSender
     _peer_sender: peer_sender.PeerSender
-    # By another node.
-    _is_forwarded: bool = False
+    # Forwarded by another node.
+    _is_from_peer: bool = False
     # Sent once in spite of the endpoints that it has crashed.
     _is_trial: bool = False
     _tried_endpoints: set[str] = attrs.field(factory=set)
     _may_have_run: bool = False
     _failure_response: upstream.UpstreamRequest | None = None
-    _was_passed_on: bool = False
+    _was_forwarded: bool = False
     _retry_after_s: float = refusals.RETRY_AFTER_S
 
     async def run(self) -> None:
@@ -62,7 +62,7 @@
         while not self._wait.is_caller_gone:
             if self._is_refused():
                 return
-            if self._state.reach.is_cut_off and await self._pass_on():
+            if self._state.reach.is_cut_off and await self._forward_to_peer():
                 return
             reservation = await self._reserve_slot()
             if reservation is None:
@@ -90,17 +90,17 @@
         self._fail(refusal.reason, refusal)
         return True
 
-    async def _pass_on(self) -> bool:
+    async def _forward_to_peer(self) -> bool:
         """Let another node answer; return whether the request has ended."""
-        if self._is_forwarded:
+        if self._is_from_peer:
             return self._decline()
         attempts = self._admission.route.max_attempts - self._sender.sent_count
-        if self._was_passed_on or attempts < 1:
+        if self._was_forwarded or attempts < 1:
             return False
-        self._was_passed_on = True
+        self._was_forwarded = True
         outcome = await self._peer_sender.send(attempts)
         if outcome is not None:
-            self._finish_passed_on(outcome)
+            self._finish_forwarded(outcome)
             return True
         if self._wait.has_ended or not self._peer_sender.has_tried:
             return False
@@ -116,7 +116,7 @@
         responses.decline(self._responder, self._caller)
         return True
 
-    def _finish_passed_on(self, outcome: upstream.Outcome) -> None:
+    def _finish_forwarded(self, outcome: upstream.Outcome) -> None:
         answer = self._peer_sender.answer
         if outcome is upstream.Outcome.CALLER_GONE or answer is None:
             return
@@ -306,7 +306,7 @@
     fingerprint: int,
     *,
     is_trial: bool = False,
-    is_forwarded: bool = False,
+    is_from_peer: bool = False,
 ) -> AdmittedRequest:
     """Return a request that is ready to run; times began at its arrival."""
     wait = caller_wait.CallerWait(responder, admission.timeout_at_s)
@@ -329,7 +329,7 @@
         peer_sender=peer_sender.PeerSender(
             state, request, caller, admission, wait, forwarder
         ),
-        is_forwarded=is_forwarded,
+        is_from_peer=is_from_peer,
         is_trial=is_trial,
     )
 
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -67,7 +67,7 @@
             self._times,
             fingerprint,
             is_trial=is_trial,
-            is_forwarded=self._forwarded is not None,
+            is_from_peer=self._forwarded is not None,
         )
         await admitted.run()
 
