Split the assembly and the orders of replicas by what they are for

Running a node in a process and what a replica consists of are modules of their own; nothing else changes.

--- a/redwingvalve/node/__main__.py
+++ b/redwingvalve/node/__main__.py
@@ -23,8 +23,8 @@
         return exit_status.ExitStatus.FAILURE
     # Imported after the sockets listen: connections that arrive during the
     # import wait instead of being refused.
-    daemon = importlib.import_module('redwingvalve.node.daemon')
-    daemon.run(node_settings, early)
+    runner = importlib.import_module('redwingvalve.node.runner')
+    runner.run(node_settings, early)
     return exit_status.ExitStatus.SUCCESS
 
 
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -12,6 +12,7 @@
     endpoint_prober,
     endpoint_scheduler,
     replica_orders,
+    replica_spec,
     tasks,
 )
 from redwingvalve.observability import logs
@@ -67,7 +68,7 @@
         self._scheduler = endpoint_scheduler.EndpointScheduler(
             client, self._orders, self._tasks
         )
-        self._checked_s: dict[replica_orders.ReplicaKey, float] = {}
+        self._checked_s: dict[replica_spec.ReplicaKey, float] = {}
         self._history = history.ReplicaHistory()
         self._demand = demand.ModelDemand()
         self._slot_demand = slot_demand
@@ -200,7 +201,7 @@
         if await self._orders.make_head_leave(replica.members[0]):
             self._mark_head_stopped(replica.key)
 
-    def _mark_head_stopped(self, key: replica_orders.ReplicaKey) -> None:
+    def _mark_head_stopped(self, key: replica_spec.ReplicaKey) -> None:
         record = self._history.get(key)
         if record is not None:
             record.is_head_stopped = True
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -1,8 +1,6 @@
 """Assembles a node and runs it until it is told to stop."""
 
 import functools
-import signal
-import sys
 import time
 
 import anyio
@@ -42,7 +40,7 @@
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import reachability as reachability_module
 from redwingvalve.node import status_exchange as status_exchange_module
-from redwingvalve.observability import bounded_logs, logs, node_metrics
+from redwingvalve.observability import bounded_logs, logs
 from redwingvalve.platform import (
     endpoint_orders,
     names,
@@ -372,37 +370,3 @@
     return retry_budget.RetryBudgetConfig(
         bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
     )
-
-
-async def serve(node: Node) -> None:
-    """Run a node until a signal stops it."""
-    stop = anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(_wait_for_signal, stop)
-        await node.run(stop)
-        group.cancel_scope.cancel()
-
-
-async def _wait_for_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number is not signal.SIGHUP:
-                stop.set()
-                return
-            # Configuration that may change at run time comes from the store.
-            LOG.info('SIGHUP ignored: settings are read only at startup')
-
-
-def run(
-    node_settings: settings.NodeSettings, early: early_sockets.EarlySockets
-) -> None:
-    """Run a node in this process until it is told to stop."""
-    handler = bounded_logs.configure(
-        'INFO', sys.stdout.fileno(), node_settings.vm
-    )
-    node = make_node(node_settings, early)
-    node.gauges.register(node_metrics.METRICS)
-    node.log_handler = handler
-    anyio.run(serve, node, backend_options={'use_uvloop': True})
--- a/redwingvalve/node/endpoint_scheduler.py
+++ b/redwingvalve/node/endpoint_scheduler.py
@@ -5,7 +5,7 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, planning
 from redwingvalve.ingress import routes
-from redwingvalve.node import replica_orders, tasks
+from redwingvalve.node import replica_orders, replica_spec, tasks
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -219,9 +219,9 @@
         members: tasks.Members,
         model: routes.Model,
         expected_join_s: float,
-    ) -> replica_orders.ReplicaSpec:
+    ) -> replica_spec.ReplicaSpec:
         self._replica_number += 1
-        return replica_orders.ReplicaSpec(
+        return replica_spec.ReplicaSpec(
             name=endpoints.replica_name(
                 model.name, self.term, self._replica_number
             ),
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -12,12 +12,11 @@
 import typing
 
 import anyio
-import attrs
 
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.node import endpoint_prober
+from redwingvalve.node import endpoint_prober, replica_spec
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
@@ -40,11 +39,7 @@
 # Range of epochs of one lease holder; the next holder's range follows it.
 EPOCHS_PER_TERM = 100_000
 
-ReplicaKey: typing.TypeAlias = tuple[str, int]
 OrderResult = endpoint_orders.OrderResult
-_NOT_SERVING = frozenset(
-    (endpoints.MemberState.READY, endpoints.MemberState.BROKEN)
-)
 
 
 class CheckResult(enum.Enum):
@@ -57,27 +52,6 @@
     UNKNOWN = 'unknown'
 
 
-@attrs.frozen
-class ReplicaSpec:
-    """The name, epoch and members of a replica to be formed."""
-
-    name: str
-    epoch: int
-    members: tuple[endpoints.Endpoint, ...]
-    # Duration of the slowest join.
-    expected_join_s: float
-
-    @property
-    def key(self) -> ReplicaKey:
-        """Return the name and epoch, which identify the replica."""
-        return self.name, self.epoch
-
-    @property
-    def member_ids(self) -> tuple[str, ...]:
-        """Return the ids in order, the head first."""
-        return tuple(member.endpoint_id for member in self.members)
-
-
 class ReplicaOrders:
     """Sends the orders that form, open, check and close replicas."""
 
@@ -92,7 +66,7 @@
         self.unresponsive_since_s: dict[tuple[str, int], float] = {}
         # Replicas whose head was ordered to open, whatever it answered. Read by
         # the controller; nothing adds to it at present.
-        self.open_ordered: set[ReplicaKey] = set()
+        self.open_ordered: set[replica_spec.ReplicaKey] = set()
         # The latest epoch that each endpoint was ordered to join, whether it
         # obeyed or not.
         self._ordered_epochs: dict[tuple[str, int], int] = {}
@@ -101,7 +75,9 @@
         self._registry = registry
         self._may_order = may_order
 
-    async def form(self, spec: ReplicaSpec, opens: bool = True) -> bool:
+    async def form(
+        self, spec: replica_spec.ReplicaSpec, opens: bool = True
+    ) -> bool:
         """Let all members join and open the head; return whether it serves."""
         started_s = clock.boot_s()
         results: dict[str, OrderResult] = {}
@@ -126,13 +102,15 @@
 
     async def open_if_ready(self, replica: endpoints.Replica) -> bool:
         """Open a replica that this holder formed; return whether it serves."""
-        if replica.is_leaving or _may_join_elsewhere(
+        if replica.is_leaving or replica_spec.may_join_elsewhere(
             replica, self._ordered_epochs
         ):
             return False
         if not await self._prober.are_healthy(replica.members):
             return False
-        spec = ReplicaSpec(replica.name, replica.epoch, replica.members, 0)
+        spec = replica_spec.ReplicaSpec(
+            replica.name, replica.epoch, replica.members, 0
+        )
         return await self._open(spec)
 
     async def make_head_leave(self, head: endpoints.Endpoint) -> bool:
@@ -176,7 +154,7 @@
         LOG.warning(
             'replica broken',
             extra={
-                'replica': _name_of(head),
+                'replica': replica_spec.name_of(head),
                 'lost': [
                     one.endpoint_id for one in members if one not in healthy
                 ],
@@ -195,7 +173,7 @@
         assert membership is not None
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
-            if report is not None and not _still_serves(
+            if report is not None and not replica_spec.still_serves(
                 head, report.membership
             ):
                 return
@@ -225,12 +203,12 @@
         while clock.boot_s() < deadline_s and self._may_order():
             seen = self._registry.live.get(head.endpoint_id)
             if seen is not None:
-                if not _still_serves(head, seen.membership):
+                if not replica_spec.still_serves(head, seen.membership):
                     return
                 await anyio.sleep(POLL_INTERVAL_S)
                 continue
             report = await self._prober.ask(head)
-            if report is not None and not _still_serves(
+            if report is not None and not replica_spec.still_serves(
                 head, report.membership
             ):
                 return
@@ -259,7 +237,7 @@
 
     async def _join(
         self,
-        spec: ReplicaSpec,
+        spec: replica_spec.ReplicaSpec,
         member: endpoints.Endpoint,
         results: dict[str, OrderResult],
     ) -> None:
@@ -283,7 +261,7 @@
         if await self._prober.ask(member) is None:
             self.unresponsive_since_s[member.incarnation] = clock.boot_s()
 
-    async def _open(self, spec: ReplicaSpec) -> bool:
+    async def _open(self, spec: replica_spec.ReplicaSpec) -> bool:
         head = spec.members[0]
         deadline_s = clock.boot_s() + OPEN_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
@@ -299,7 +277,7 @@
         return False
 
     async def _wait_until_serving(
-        self, spec: ReplicaSpec, deadline_s: float
+        self, spec: replica_spec.ReplicaSpec, deadline_s: float
     ) -> bool:
         head = spec.members[0]
         return await self._wait_until(
@@ -315,22 +293,24 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return is_done()
 
-    def _is_ready(self, spec: ReplicaSpec) -> bool:
+    def _is_ready(self, spec: replica_spec.ReplicaSpec) -> bool:
         for member in spec.members:
             seen = self._registry.live.get(member.endpoint_id)
             if seen is None or seen.born_ms != member.born_ms:
                 return False
-            if seen.draining or not _is_member(seen, spec.key):
+            if seen.draining or not replica_spec.is_member(seen, spec.key):
                 return False
             if seen.membership.state is not endpoints.MemberState.READY:
                 return False
         return True
 
-    def _is_serving(self, head: endpoints.Endpoint, key: ReplicaKey) -> bool:
+    def _is_serving(
+        self, head: endpoints.Endpoint, key: replica_spec.ReplicaKey
+    ) -> bool:
         seen = self._registry.live.get(head.endpoint_id)
-        if seen is None or not _is_member(seen, key):
+        if seen is None or not replica_spec.is_member(seen, key):
             return False
-        return seen.membership.state not in _NOT_SERVING
+        return seen.membership.state not in replica_spec.NOT_SERVING
 
     def _is_dead(self, head: endpoints.Endpoint) -> bool:
         # The entry of a dead head expires after three heartbeats, but so does
@@ -347,7 +327,7 @@
         return seen is None or seen.born_ms != head.born_ms
 
     def _record_outcome(
-        self, spec: ReplicaSpec, outcome: str, started_s: float
+        self, spec: replica_spec.ReplicaSpec, outcome: str, started_s: float
     ) -> None:
         took_s = clock.boot_s() - started_s
         node_metrics.METRICS.count('redwingvalve_formings', outcome=outcome)
@@ -367,40 +347,3 @@
 
 def _may_have_joined(result: OrderResult) -> bool:
     return result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}
-
-
-def _name_of(endpoint: endpoints.Endpoint) -> str:
-    return endpoint.membership.replica if endpoint.membership else ''
-
-
-def _is_member(endpoint: endpoints.Endpoint, key: ReplicaKey) -> bool:
-    membership = endpoint.membership
-    if membership is None:
-        return False
-    return membership.key == key
-
-
-def _still_serves(
-    head: endpoints.Endpoint, current: endpoints.Membership | None
-) -> bool:
-    before = head.membership
-    if before is None or current is None:
-        return False
-    if before.key != current.key:
-        return False
-    return current.state not in _NOT_SERVING
-
-
-def _may_join_elsewhere(
-    replica: endpoints.Replica, ordered_epochs: dict[tuple[str, int], int]
-) -> bool:
-    """Return whether a member may still execute an order to join elsewhere.
-
-    Orders are executed up to twelve seconds late, and those of an earlier lease
-    holder aren't known here: a member would leave a replica that was opened in
-    the meantime. Only members of the newest epoch refuse all such orders.
-    """
-    return any(
-        ordered_epochs.get(member.incarnation) != replica.epoch
-        for member in replica.members
-    )
