Ignore suspicions that are older than a clearance

Cause: a suspicion told how long it lasts, not since when, so that its repetitions by hubs and by the node that raised it put an endpoint out of use again after the lease holder had cleared it, at some nodes for 6 s. Owners of pools granted endpoints that the asking node held for out of use; after three in a row the request was refused.

Change: a suspicion states its age, and a node ignores one that is older than the latest clearance. A request that ends for want of a usable grant is logged.

--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -24,8 +24,9 @@
     state,
     wait_queue,
 )
-from redwingvalve.observability import node_metrics
+from redwingvalve.observability import logs, node_metrics
 
+LOG = logs.make_logger('reserver')
 # A round trip between data centres takes a few milliseconds, and a busy node
 # some more to answer; the latency targets of callers are hundreds of them.
 REPLY_TIMEOUT_S = 0.04
@@ -131,6 +132,16 @@
                 return self._held_slots.hold(found, target)
             self.transport.send(found.owner, messages.Release(found.number))
             avoided_ids.insert(0, found.endpoint_id)
+            node_metrics.METRICS.count('redwingvalve_unusable_grants')
+        LOG.info(
+            'no usable grant',
+            extra={
+                'service': service,
+                'model': model,
+                'endpoints': avoided_ids,
+                'is_resumed': need.is_resumed,
+            },
+        )
         return reservations.NoSlot(RETRY_AFTER_S)
 
     def handle_reply(self, vm: str, reply: messages.Reply) -> None:
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import clearances, endpoints
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import load_balancing, routes, state
 from redwingvalve.observability import logs, node_metrics
@@ -64,6 +64,7 @@
         ] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
+        self._clearances = clearances.Clearances()
         # Endpoints that leave, and the incarnation that said so, None if its
         # entry was gone.
         self._leaving: dict[str, int | None] = {}
@@ -132,8 +133,13 @@
     def add_suspicion(self, suspicion: Suspicion) -> bool:
         """Take an endpoint out of use; return False if it already was.
 
-        An expired suspicion, or one of an older epoch, is replaced.
+        An expired suspicion, or one of an older epoch, is replaced. One that is
+        older than a clearance is ignored.
         """
+        if self._clearances.overrules(
+            suspicion.endpoint_id, suspicion.epoch, suspicion.since_s
+        ):
+            return False
         known = self._suspicions.get(suspicion.endpoint_id)
         is_known = known is not None and known.epoch >= suspicion.epoch
         if is_known and known.until_s > time.monotonic():
@@ -145,6 +151,10 @@
     def mark_healthy(self, endpoint_id: str) -> None:
         """Put an endpoint back into use on all nodes."""
         suspicion = self._suspicions.get(endpoint_id)
+        if suspicion is not None:
+            self._clearances.record(
+                endpoint_id, suspicion.epoch, time.monotonic()
+            )
         if suspicion is not None and self.on_cleared is not None:
             self.on_cleared(endpoint_id, suspicion.epoch)
         self.clear_suspicion(endpoint_id)
@@ -170,6 +180,7 @@
         self, endpoint_id: str, epoch: int, cleared_s: float
     ) -> None:
         """Put an endpoint back into use unless a newer suspicion exists."""
+        self._clearances.record(endpoint_id, epoch, cleared_s)
         if self.on_reported_healthy is not None:
             self.on_reported_healthy(endpoint_id, cleared_s)
         suspicion = self._suspicions.get(endpoint_id)
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -5,6 +5,8 @@
   1: string endpoint_id
   2: i64 epoch
   3: i32 left_ms
+  // Since the endpoint was suspected.
+  4: i32 age_ms
 }
 
 struct ClearedEndpoint {
--- a/redwingvalve/node/status_fields.py
+++ b/redwingvalve/node/status_fields.py
@@ -45,6 +45,7 @@
             endpoint_id=suspicion.endpoint_id,
             epoch=suspicion.epoch,
             left_ms=int((suspicion.until_s - now_s) * _MS_IN_S),
+            age_ms=int((now_s - suspicion.since_s) * _MS_IN_S),
         )
         for suspicion in suspicions
     ]
@@ -88,7 +89,8 @@
             suspect.endpoint_id,
             suspect.epoch,
             now_s + suspect.left_ms / _MS_IN_S,
-            now_s,
+            # Nodes of earlier versions don't state the age.
+            now_s - (suspect.age_ms or 0) / _MS_IN_S,
         )
         for suspect in message.suspects or ()
     ]
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -28,6 +28,7 @@
     (_Type.STRING, 'endpoint_id'),
     (_Type.I64, 'epoch'),
     (_Type.I32, 'left_ms'),
+    (_Type.I32, 'age_ms'),
 )
 PeerState: typing.Any = _struct(
     'PeerState',
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -21,6 +21,8 @@
 # a suspicion.
 GONE_S = 1.5
 SPREAD_S = 0.3
+# Limit for the check of a head by the lease holder, which finds it healthy.
+CLEARED_S = 1.0
 
 
 @pytest.fixture
@@ -93,6 +95,31 @@
     fleet_harness.run(test, nodes=NODES, plain=0)
 
 
+def test_a_cleared_suspicion_is_not_brought_back_by_its_repetitions(large):
+    """Nodes would disagree for seconds on which heads are in use."""
+
+    async def test(fleet):
+        await wait_until_connected(fleet)
+        plain = split_by_role(fleet)[1][0]
+        head = plain.table.find_targets(
+            fleet_harness.ENGINE_SERVICE, fleet_harness.SMALL_MODEL
+        )[0].endpoint_id
+        plain.table.suspect(head, 'silent')
+
+        def suspecting():
+            return [one for one in fleet.nodes if one.table.is_suspect(head)]
+
+        await fleet.wait_until(
+            lambda: not plain.table.is_suspect(head), CLEARED_S
+        )
+        await fleet.wait_until(lambda: not suspecting(), SPREAD_S)
+        for _ in range(100):
+            await anyio.sleep(0.02)
+            assert not suspecting()
+
+    fleet_harness.run(test, nodes=NODES, plain=0)
+
+
 def test_a_leaving_node_is_removed_from_all_directories(large):
     """A leaving node gets no new callers."""
 
