--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -6,7 +6,6 @@
 before anything has run; then the next node is tried.
 """
 
-import asyncio
 import time
 
 from redwingvalve.http1 import client, messages, pool
@@ -117,7 +116,9 @@
         )
         self._forwarder.attach(connection, None)
         try:
-            outcome = await self._await(answer)
+            outcome = await upstream.wait_until(
+                answer, self._admission.timeout_at_s
+            )
         finally:
             self._forwarder.detach()
         if outcome in upstream_sender.ABANDONED:
@@ -164,14 +165,6 @@
             ),
         )
 
-    async def _await(self, answer: PeerAnswer) -> upstream.Outcome:
-        left_s = self._admission.timeout_at_s - time.monotonic()
-        try:
-            async with asyncio.timeout(left_s):
-                return await asyncio.shield(answer.ended)
-        except TimeoutError:
-            return upstream.Outcome.TIMEOUT
-
     def _log(self, outcome: str) -> None:
         node_metrics.METRICS.count(
             'redwingvalve_forwarded_requests', outcome=outcome
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import time
 import typing
 from collections import abc as collections_abc
 
@@ -162,3 +163,12 @@
 def is_success(head: messages.ResponseHead) -> bool:
     """Return whether the status is a 2xx."""
     return _OK <= head.status < _REDIRECT
+
+
+async def wait_until(request: UpstreamRequest, until_s: float) -> Outcome:
+    """Return the outcome of a request, TIMEOUT if it has none by until_s."""
+    try:
+        async with asyncio.timeout(until_s - time.monotonic()):
+            return await asyncio.shield(request.ended)
+    except TimeoutError:
+        return Outcome.TIMEOUT
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -1,6 +1,5 @@
 """Sends one request to endpoints and awaits the outcome of each attempt."""
 
-import asyncio
 import time
 
 from redwingvalve.http1 import client, messages, pool
@@ -216,15 +215,14 @@
             goal_s = self._admission.route.goal_ms / _MS_IN_S
             sent_s = time.monotonic()
             until_s = min(sent_s + goal_s, timeout_at_s)
-            outcome = await _wait_until(upstream_request, until_s)
-            if outcome is not None:
+            outcome = await upstream.wait_until(upstream_request, until_s)
+            if outcome is not upstream.Outcome.TIMEOUT:
                 return outcome
             self._state.reach.answer_overdue(sent_s)
         is_expired = time.monotonic() >= timeout_at_s
         if self._may_hedge() and not is_expired and self._reserve_retry(_HEDGE):
             return upstream.Outcome.STALLED
-        outcome = await _wait_until(upstream_request, timeout_at_s)
-        return outcome or upstream.Outcome.TIMEOUT
+        return await upstream.wait_until(upstream_request, timeout_at_s)
 
     def _may_hedge(self) -> bool:
         kind = self._admission.route.kind
@@ -255,16 +253,6 @@
     return NON_REPEATABLE_MAX_IDLE_S
 
 
-async def _wait_until(
-    upstream_request: upstream.UpstreamRequest, until_s: float
-) -> upstream.Outcome | None:
-    try:
-        async with asyncio.timeout(until_s - time.monotonic()):
-            return await asyncio.shield(upstream_request.ended)
-    except TimeoutError:
-        return None
-
-
 ABANDONED = frozenset(
     (
         upstream.Outcome.CALLER_GONE,
