Test owners, data centres, hedges and resumptions in cuts and budgets

Cuts: the owner of the pool alone, all nodes of a data centre but one, and that what must run once never runs twice. Budgets: delayed answers (hedges), streams broken off (resumptions), and all processes replaced while the store is away.

--- a/redwingvalve/node/tests/endpoint_cuts.py
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -1,5 +1,6 @@
 """Cuts a node's links to all endpoints; all else still reaches the node."""
 
+import collections
 import enum
 import random
 import time
@@ -7,10 +8,16 @@
 import anyio
 import attrs
 
+from redwingvalve.allocation import messages
 from redwingvalve.http1 import pool
 from redwingvalve.platform.tests import fleet_harness
 
 
+# The node that holds the lease, and the one that is asked first for places.
+HOLDER = 'holder'
+OWNER = 'owner'
+
+
 class CutMode(enum.Enum):
     HANG = 'connects and open connections hang'
     RESET = 'connects are refused, open connections are reset'
@@ -116,6 +123,39 @@
         held = [node.lease.is_held() for node in self.fleet.nodes]
         return held.index(True)
 
+    def owner(self):
+        """Return the index of the node that grants the load's places."""
+        service, model = fleet_harness.PLAIN_SERVICE, ''
+        if self.path.startswith('/draft'):
+            service = fleet_harness.ENGINE_SERVICE
+            model = fleet_harness.SMALL_MODEL
+        pool_owners = self.fleet.nodes[0].state.reserver.owners
+        ranked = pool_owners.ranked_for(messages.Pool(service, model, ''))
+        names = [node.settings.vm for node in self.fleet.nodes]
+        return names.index(ranked[0])
+
+    def choose(self, cut):
+        """Return the nodes to be cut off, by their number or role."""
+        if cut == HOLDER:
+            return {self.holder()}
+        if cut == OWNER:
+            return {self.owner()}
+        indices = range(len(self.fleet.nodes))
+        if isinstance(cut, int):
+            return set(self.rng.sample(indices, cut))
+        settings = [node.settings for node in self.fleet.nodes]
+        there = [one for one in indices if settings[one].data_centre == cut]
+        return set(there[1:])
+
+    def most_runs(self):
+        """Return how often the same attempt has run at most."""
+        attempts = collections.Counter(
+            run.attempt_id
+            for endpoint in self.fleet.endpoints.values()
+            for run in endpoint.runs
+        )
+        return max(attempts.values())
+
     def cut(self, indices, mode):
         for index in indices:
             self.links[index].cut(mode)
@@ -145,16 +185,18 @@
     async def _send(self, index):
         sent_s = time.monotonic()
         caller = self.fleet.caller(index)
-        is_served = False
         try:
-            if self.path.startswith('/draft'):
-                response = await caller.stream()
-                is_served = len(response.events) == 6
-            else:
-                response = await caller.ask(self.path)
-            is_served = (is_served or not self.path.startswith('/draft')) and (
-                response.status == 200 and response.ending == 'whole'
-            )
+            is_served = await self._is_served(caller)
         except TimeoutError:
             is_served = False
         self.tries.append(FirstTry(index, sent_s, is_served))
+
+    async def _is_served(self, caller):
+        is_stream = self.path.startswith('/draft')
+        if is_stream:
+            response = await caller.stream()
+        else:
+            response = await caller.ask(self.path)
+        if response.status != 200 or response.ending != 'whole':
+            return False
+        return not is_stream or len(response.events) == 6
--- a/redwingvalve/node/tests/test_cut_off_nodes.py
+++ b/redwingvalve/node/tests/test_cut_off_nodes.py
@@ -27,26 +27,23 @@
 # Shares of the first tries to be served.
 AT_CUT_NODES = 0.9
 AT_OTHERS = 0.95
-HOLDER = 'holder'
+HOLDER, OWNER = endpoint_cuts.HOLDER, endpoint_cuts.OWNER
 # Less than it takes to find out that a connect hangs.
 REFUSED_S = pool.CONNECT_TIMEOUT_S
 
 
-def run_cut(path, mode, cut, *, nodes=NODES, seed=0):
+def run_cut(path, mode, cut, *, nodes=NODES, seed=0, **shape):
     """Cut nodes off and restore them; check who is served meanwhile.
 
-    cut is the number of nodes, drawn at random, or HOLDER.
+    cut is the number of nodes, drawn at random, HOLDER, OWNER, or a data
+    centre, of which one node is left.
     """
 
     async def test(fleet):
         load = endpoint_cuts.CutLoad(fleet, path, rng=random.Random(seed))
         await fleet.wait_until(lambda: fleet_harness.lease_holders(fleet))
         await load.send_for(CALM_S)
-        indices = set(
-            load.rng.sample(range(nodes), 1 if cut == HOLDER else cut)
-        )
-        if cut == HOLDER:
-            indices = {load.holder()}
+        indices = load.choose(cut)
         others = set(range(nodes)) - indices
         load.cut(indices, mode)
         cut_s = time.monotonic()
@@ -62,6 +59,8 @@
         restored_s = time.monotonic()
         await load.send_for(NOTICE_S)
         assert load.served_share(indices, restored_s, to_s + 60) >= AT_CUT_NODES
+        if path == ONCE:
+            assert load.most_runs() == 1
 
     is_stream = path == STREAM
     fleet_harness.run(
@@ -69,6 +68,7 @@
         nodes=nodes,
         engines=24 if is_stream else 0,
         plain=0 if is_stream else 12,
+        **shape,
     )
 
 
@@ -85,6 +85,18 @@
     run_cut(STREAM, mode, HOLDER)
 
 
+@pytest.mark.parametrize('path', [PLAIN, STREAM])
+def test_a_cut_off_owner_still_grants_places(path):
+    """Only the node that is asked first for places is cut off."""
+    run_cut(path, HANG, OWNER)
+
+
+def test_a_data_centre_that_is_nearly_cut_off_is_served(monkeypatch):
+    """All nodes of a data centre but one are cut off."""
+    monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 3)
+    run_cut(STREAM, RESET, 'zone-2', nodes=8, data_centres=2)
+
+
 def test_callers_are_served_while_connects_hang_and_open_connections_work():
     """Answers on open connections say nothing about new ones."""
     run_cut(ONCE, KEEP_HANG, 3)
--- a/redwingvalve/node/tests/test_retry_budget.py
+++ b/redwingvalve/node/tests/test_retry_budget.py
@@ -1,5 +1,6 @@
 """All nodes together keep to the retry budget, whatever happens to them."""
 
+import anyio
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -44,6 +45,15 @@
     await load.replace(group, *NODES)
 
 
+async def replace_all_without_store(load, group):
+    """No process can register or list the others for a second."""
+    faults = load.fleet.store.faults
+    faults.is_unresponsive = True
+    await load.replace(group, *NODES)
+    await anyio.sleep(1)
+    faults.is_unresponsive = False
+
+
 def replace_one(name):
     async def replace(load, group):
         await load.replace(group, name)
@@ -90,7 +100,12 @@
     ),
     acts=strategies.lists(
         strategies.sampled_from(
-            [replace_all, silence_peers, *map(replace_one, NODES)]
+            [
+                replace_all,
+                replace_all_without_store,
+                silence_peers,
+                *map(replace_one, NODES),
+            ]
         ),
         min_size=6,
         max_size=6,
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -23,6 +23,8 @@
 JOIN_DURATION_S = 0.15
 OPEN_DURATION_S = 0.03
 EVENT_INTERVAL_S = 0.02
+# Of delayed answers; longer than the latency goal of routes in tests.
+ANSWER_DELAY_S = 0.5
 # From the head of an answer to the crash of its endpoint.
 CRASH_DELAY_S = 0.1
 
@@ -298,8 +300,10 @@
             (b'x-server-seal', self.endpoint_id.encode()),
             *stated,
         ]
-        if spoiling is not None:
-            _spoil(spoiling, responder, headers)
+        if spoiling is endpoint_faults.Spoiling.DELAY:
+            await asyncio.sleep(ANSWER_DELAY_S)
+        elif spoiling is not None:
+            _spoil(spoiling, request, responder, headers)
             return
         if await _fails(self, request, responder, headers):
             return
@@ -380,13 +384,23 @@
 
 def _spoil(
     spoiling: endpoint_faults.Spoiling,
+    request: messages.Request,
     responder: server.Responder,
     headers: messages.Headers,
 ) -> None:
-    if spoiling is endpoint_faults.Spoiling.RESET:
-        responder.abort()
-    else:
+    if spoiling is endpoint_faults.Spoiling.SERVER_ERROR:
         responder.send_response(500, headers, b'failed')
+        return
+    last = int(request.header(b'last-event-id') or 0)
+    is_stream = request.header(b'x-model') is not None
+    if is_stream and spoiling is endpoint_faults.Spoiling.BREAK:
+        kind = (b'content-type', b'text/event-stream')
+        responder.start(200, [*headers, kind])
+        responder.write(b'id: %d\ndata: 1\n\n' % (last + 1))
+        # The event leaves before the connection is reset.
+        asyncio.get_running_loop().call_later(EVENT_INTERVAL_S, responder.abort)
+        return
+    responder.abort()
 
 
 def _answer_json(
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -14,6 +14,10 @@
     RESET = 1
     SERVER_ERROR = 2
     REJECTION = 3
+    # Late enough for a second send.
+    DELAY = 4
+    # In the middle of a stream; like RESET for other requests.
+    BREAK = 5
 
 
 @attrs.define
--- a/redwingvalve/platform/tests/fleet_harness.py
+++ b/redwingvalve/platform/tests/fleet_harness.py
@@ -255,12 +255,12 @@
         return endpoint
 
 
-def node_settings(name, store_address, bounds=None):
+def node_settings(name, store_address, bounds=None, data_centre='zone-1'):
     free_ports = ports.free_ports(5)
     document = {
         'node': name,
         'ip': '127.0.0.1',
-        'zone': 'zone-1',
+        'zone': data_centre,
         'region': 'region-1',
         'listen': {
             'front': f'127.0.0.1:{free_ports[0]}',
@@ -278,7 +278,12 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    nodes=1, engines=4, plain=2, version=configuration, lease_term=0
+    nodes=1,
+    engines=4,
+    plain=2,
+    version=configuration,
+    lease_term=0,
+    data_centres=1,
 ):
     """Yield a fleet once its nodes are serving."""
     store = fake_store.FakeStore()
@@ -300,7 +305,11 @@
     async with anyio.create_task_group() as group:
         for number in range(nodes):
             node = daemon.make_node(
-                node_settings(f'node-{number}', fleet.store_address)
+                node_settings(
+                    f'node-{number}',
+                    fleet.store_address,
+                    data_centre=f'zone-{number % data_centres + 1}',
+                )
             )
             fleet.nodes.append(node)
             group.start_soon(node.run, anyio.Event())
