--- a/redwingvalve/node/tests/endpoint_cuts.py
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -12,7 +12,6 @@
 from redwingvalve.http1 import pool
 from redwingvalve.platform.tests import fleet_harness
 
-
 # The node that holds the lease, and the one that is asked first for places.
 HOLDER = 'holder'
 OWNER = 'owner'
