Keep a request at a silent endpoint until it has a slot elsewhere

What callers saw: an endpoint falls silent for a second and goes on. With no free slot elsewhere its streams were closed in the middle, and requests at the only endpoint of a service got 502 once they were overdue, although the answers came 0.6 s later.

Cause: a stalled or overdue send was ended first and its next slot asked for afterwards. Without a slot the request failed.

Change: ingress/relocation.py asks for the slot while the send goes on, pays from the retry budget once it has one, and only then ends the send. A head that has gone on meanwhile keeps its stream. A node that is cut off from endpoints needs no slot: the request goes to another node as before. Streams that may not run twice are no longer ended because their head stalls.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -50,7 +50,6 @@
     _is_from_peer: bool = False
     # Sent once in spite of the endpoints that it has crashed.
     _is_trial: bool = False
-    _tried_endpoints: set[str] = attrs.field(factory=set)
     _may_have_run: bool = False
     _failure_response: upstream.UpstreamRequest | None = None
     _was_forwarded: bool = False
@@ -59,12 +58,20 @@
     async def run(self) -> None:
         """Send the request until the response is complete."""
         self._responder.on_disconnect = self._on_caller_gone
+        try:
+            await self._send_until_finished()
+        finally:
+            self._sender.relocation.release()
+
+    async def _send_until_finished(self) -> None:
         while not self._wait.is_caller_gone:
             if self._is_refused():
                 return
             if self._state.reach.is_cut_off and await self._forward_to_peer():
                 return
-            reservation = await self._reserve_slot()
+            reservation = self._sender.relocation.take()
+            if reservation is None:
+                reservation = await self._reserve_slot()
             if reservation is None:
                 return
             # Endpoints may have crashed while it waited.
@@ -140,7 +147,7 @@
                 self._state,
                 self._caller,
                 self._admission,
-                self._tried_endpoints,
+                self._sender.tried_endpoints,
             )
         self._times.add_wait_since(wait_started_s)
         if isinstance(found, reservations.Reservation):
@@ -159,7 +166,6 @@
         self, reservation: reservations.Reservation
     ) -> upstream.Outcome:
         target = reservation.target
-        self._tried_endpoints.add(target.endpoint_id)
         sent_s = time.monotonic()
         outcome: upstream.Outcome | None = None
         try:
--- a/redwingvalve/ingress/retry_budget.py
+++ b/redwingvalve/ingress/retry_budget.py
@@ -100,11 +100,15 @@
 
     def try_spend(self, now_s: float) -> bool:
         """Spend one retry if this node's share allows it."""
-        if self.use(now_s).left < 1:
+        if not self.has_left(now_s):
             return False
         self._retries.record(now_s)
         return True
 
+    def has_left(self, now_s: float) -> bool:
+        """Return whether this node's share allows another retry."""
+        return self.use(now_s).left >= 1
+
     def use(self, now_s: float) -> BudgetUse:
         """Return this node's share and its use."""
         requests = self._requests.count(now_s)
--- a/redwingvalve/ingress/slot_requests.py
+++ b/redwingvalve/ingress/slot_requests.py
@@ -26,15 +26,8 @@
 
     avoid lists the endpoints that were tried already.
     """
-    assert state.reserver is not None
     started_s = time.monotonic()
-    reservation = await state.reserver.reserve(
-        admission.service,
-        admission.model,
-        _make_slot_request(state, admission, is_resumed=bool(avoid)),
-        avoid,
-        state.stall_detector.slow_heads(started_s),
-    )
+    reservation = await find_slot(state, admission, avoid)
     has_slot = isinstance(reservation, reservations.Reservation)
     held_s = time.monotonic() - started_s
     node_metrics.METRICS.observe(
@@ -48,6 +41,22 @@
     return reservation
 
 
+async def find_slot(
+    state: state_module.IngressState,
+    admission: admission_control.Admission,
+    avoid: collections_abc.Collection[str],
+) -> reservations.Reservation | reservations.NoSlot:
+    """Do the same without a record."""
+    assert state.reserver is not None
+    return await state.reserver.reserve(
+        admission.service,
+        admission.model,
+        _make_slot_request(state, admission, is_resumed=bool(avoid)),
+        avoid,
+        state.stall_detector.slow_heads(time.monotonic()),
+    )
+
+
 def _make_slot_request(
     state: state_module.IngressState,
     admission: admission_control.Admission,
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -48,6 +48,8 @@
         """Expect an answer that echoes the caller's attempt_id."""
         loop = asyncio.get_running_loop()
         self.ended: asyncio.Future[Outcome] = loop.create_future()
+        # Done while the endpoint is silent beyond its time limit.
+        self.stalled: asyncio.Future[None] = loop.create_future()
         self.head: messages.ResponseHead | None = None
         # What the endpoint stated about itself, None before the head.
         self.statement: endpoint_statements.Statement | None = None
@@ -97,6 +99,16 @@
         if not self.ended.done():
             self.ended.set_result(outcome)
 
+    def mark_stalled(self) -> None:
+        """Record that the endpoint is silent."""
+        if not self.stalled.done():
+            self.stalled.set_result(None)
+
+    def clear_stall(self) -> None:
+        """Wait for the endpoint to be found silent again."""
+        if self.stalled.done():
+            self.stalled = asyncio.get_running_loop().create_future()
+
     def classify(self) -> Outcome:
         """Return the outcome that the answer's head implies."""
         head = self.head
@@ -172,3 +184,15 @@
             return await asyncio.shield(request.ended)
     except TimeoutError:
         return Outcome.TIMEOUT
+
+
+async def wait_until_stalled(
+    request: UpstreamRequest, until_s: float
+) -> Outcome | None:
+    """Return the outcome of a request, None if it stalls or until_s passes."""
+    await asyncio.wait(
+        (request.ended, request.stalled),
+        timeout=max(0, until_s - time.monotonic()),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    return request.ended.result() if request.ended.done() else None
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -1,5 +1,6 @@
 """Sends one request to endpoints and awaits the outcome of each attempt."""
 
+import functools
 import time
 
 from redwingvalve.http1 import client, messages, pool
@@ -7,6 +8,7 @@
     admission_control,
     caller_wait,
     load_balancing,
+    relocation,
     responses,
     routes,
     stall_detection,
@@ -45,6 +47,8 @@
         self.connect_failures = 0
         # The latest attempt, None until it is sent.
         self.upstream_request: upstream.UpstreamRequest | None = None
+        self.tried_endpoints: set[str] = set()
+        self.relocation = relocation.Relocation(state, admission, forwarder)
         self._state = state
         self._request = request
         self._caller = caller
@@ -60,6 +64,7 @@
     ) -> upstream.Outcome:
         """Send the request to an endpoint and return the outcome."""
         self.upstream_request = None
+        self.tried_endpoints.add(target.endpoint_id)
         connection = await self._connect(target)
         if isinstance(connection, upstream.Outcome):
             return connection
@@ -91,15 +96,13 @@
             self.upstream_request.finish(upstream.Outcome.CALLER_GONE)
 
     def head_stalled(self) -> None:
-        """End the current attempt if another one is allowed.
+        """Move the request if another attempt is allowed.
 
         The last attempt of the route is kept: a head that is only slow still
         completes it.
         """
-        if self.upstream_request is None or self.upstream_request.ended.done():
-            return
-        if self._has_attempts and self._reserve_retry(_STALLED_HEAD):
-            self.upstream_request.finish(upstream.Outcome.STALLED)
+        if self.upstream_request is not None:
+            self.upstream_request.mark_stalled()
 
     def spend_retry(self, reason: str) -> bool:
         """Take a retry from the budget, unless the next one is already paid."""
@@ -126,8 +129,15 @@
         return self._is_retry_paid
 
     @property
-    def _has_attempts(self) -> bool:
-        return self.sent_count < self._admission.route.max_attempts
+    def _may_move(self) -> bool:
+        route = self._admission.route
+        if time.monotonic() >= self._admission.timeout_at_s:
+            return False
+        if not self._admission.is_stream and (
+            route.kind is not routes.RouteKind.IDEMPOTENT
+        ):
+            return False
+        return route.may_repeat and self.sent_count < route.max_attempts
 
     async def _connect(
         self, target: load_balancing.Target
@@ -210,23 +220,26 @@
     async def _wait_for_outcome(
         self, upstream_request: upstream.UpstreamRequest
     ) -> upstream.Outcome:
-        timeout_at_s = self._admission.timeout_at_s
+        until_s = self._admission.timeout_at_s
+        sent_s = time.monotonic()
         if not self._admission.is_stream:
             goal_s = self._admission.route.goal_ms / _MS_IN_S
-            sent_s = time.monotonic()
-            until_s = min(sent_s + goal_s, timeout_at_s)
-            outcome = await upstream.wait_until(upstream_request, until_s)
-            if outcome is not upstream.Outcome.TIMEOUT:
-                return outcome
+            until_s = min(until_s, sent_s + goal_s)
+        outcome = await upstream.wait_until_stalled(upstream_request, until_s)
+        if outcome is not None:
+            return outcome
+        if not self._admission.is_stream:
             self._state.reach.answer_overdue(sent_s)
-        is_expired = time.monotonic() >= timeout_at_s
-        if self._may_hedge() and not is_expired and self._reserve_retry(_HEDGE):
-            return upstream.Outcome.STALLED
-        return await upstream.wait_until(upstream_request, timeout_at_s)
-
-    def _may_hedge(self) -> bool:
-        kind = self._admission.route.kind
-        return kind is routes.RouteKind.IDEMPOTENT and self._has_attempts
+        if not self._may_move:
+            return await upstream.wait_until(
+                upstream_request, self._admission.timeout_at_s
+            )
+        reason = _STALLED_HEAD if self._admission.is_stream else _HEDGE
+        return await self.relocation.wait_or_move(
+            upstream_request,
+            self.tried_endpoints,
+            functools.partial(self._reserve_retry, reason),
+        )
 
     def _make_monitored_stream(
         self, target: load_balancing.Target
