Allow a silent endpoint a second before its replica is closed

What callers saw: the replica of a sound endpoint that is silent for a second was closed, so that its streams broke off and its slots were gone for seconds.

Cause: the lease holder took one probe without an answer within 0.2 s for the loss of the member. A head whose entry had lapsed as well was dead after 0.7 s of silence, and its members could join another replica while it served.

Change: silent members get 1.2 s from the first unanswered probe to report, unless nothing listens at their address or another member is lost. The same time is needed before a head without an entry counts as dead.

The fake client of a paused process now also delays patient probes.

--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -44,6 +44,9 @@
 MIN_PROCESS_PAUSE_S = 0.1
 # Unanswered probes after which an endpoint is considered dead.
 PROBES_TO_CONFIRM_DEATH = 2
+# A sound endpoint may be silent for a second; it is considered lost after this
+# time, counted from its first unanswered probe.
+MAX_SILENCE_S = 1.2
 
 Reports = dict[str, endpoint_orders.Report | None]
 
@@ -71,11 +74,16 @@
         self._process_paused_s = float('-inf')
         self._degraded_s = float('-inf')
 
-    def record(self, began_s: float, is_answered: bool) -> None:
+    def record(
+        self,
+        began_s: float,
+        is_answered: bool,
+        timeout_s: float = endpoint_orders.REPORT_TIMEOUT_S,
+    ) -> None:
         """Record the outcome of a probe that was sent at began_s."""
         now_s = self._clock()
         took_s = now_s - began_s
-        if took_s > endpoint_orders.REPORT_TIMEOUT_S + MIN_PROCESS_PAUSE_S:
+        if took_s > timeout_s + MIN_PROCESS_PAUSE_S:
             self._process_paused_s = now_s
         self._outcomes.append(_ProbeOutcome(now_s, is_answered))
         if self._count_unanswered(now_s) >= DEGRADED_MIN_UNANSWERED:
@@ -121,6 +129,19 @@
             self._local_health.record(began_s, report is not None)
         return report
 
+    async def ask_silent(
+        self, endpoint: endpoints.Endpoint
+    ) -> endpoint_orders.Report | None:
+        """Return the report of an endpoint that has left a probe unanswered.
+
+        None if it is silent for too long, or if nothing listens there any more.
+        """
+        timeout_s = MAX_SILENCE_S - endpoint_orders.REPORT_TIMEOUT_S
+        began_s = time.monotonic()
+        report = await self._client.await_report(endpoint, timeout_s)
+        self._local_health.record(began_s, report is not None, timeout_s)
+        return report
+
     async def ask_until_certain(
         self, endpoint: endpoints.Endpoint, deadline_s: float
     ) -> endpoint_orders.Report | None:
@@ -134,7 +155,8 @@
         """
         unanswered = 0
         while clock.boot_s() < deadline_s:
-            report = await self.ask(endpoint)
+            ask = self.ask_silent if unanswered else self.ask
+            report = await ask(endpoint)
             if report is not None:
                 return report
             unanswered += 1
@@ -164,6 +186,14 @@
             await self._ask_members(reports, missing)
         return reports
 
+    async def ask_all_silent(
+        self, reports: Reports, members: tuple[endpoints.Endpoint, ...]
+    ) -> None:
+        """Add the reports of members that were only silent for a while."""
+        async with anyio.create_task_group() as group:
+            for member in _without_report(reports, members):
+                group.start_soon(self._ask_one_silent, reports, member)
+
     async def are_healthy(
         self, members: tuple[endpoints.Endpoint, ...]
     ) -> bool:
@@ -183,6 +213,11 @@
     ) -> None:
         reports[member.endpoint_id] = await self.ask(member)
 
+    async def _ask_one_silent(
+        self, reports: Reports, member: endpoints.Endpoint
+    ) -> None:
+        reports[member.endpoint_id] = await self.ask_silent(member)
+
 
 def is_healthy(member: endpoints.Endpoint, reports: Reports) -> bool:
     """Return whether a member reports that it is in its replica, not broken."""
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -137,16 +137,21 @@
     async def check_replica(
         self, members: tuple[endpoints.Endpoint, ...]
     ) -> CheckResult:
-        """Check whether all members of a replica are healthy; else close it."""
+        """Check whether all members of a replica are healthy; else close it.
+
+        Members that are silent get some time, unless another one is lost.
+        """
         reports = await self._prober.ask_all(members)
+        if None in reports.values() and not await self._prober.confirm_reach():
+            return CheckResult.UNKNOWN
+        if _is_any_silent(members, reports):
+            await self._prober.ask_all_silent(reports, members)
         head = members[0]
         healthy = [
             one for one in members if endpoint_prober.is_healthy(one, reports)
         ]
         if len(healthy) == len(members):
             return CheckResult.HEALTHY
-        if None in reports.values() and not await self._prober.confirm_reach():
-            return CheckResult.UNKNOWN
         for member in members:
             if reports[member.endpoint_id] is None:
                 self.unresponsive_since_s[member.incarnation] = clock.boot_s()
@@ -347,3 +352,14 @@
 
 def _may_have_joined(result: OrderResult) -> bool:
     return result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}
+
+
+def _is_any_silent(
+    members: tuple[endpoints.Endpoint, ...], reports: endpoint_prober.Reports
+) -> bool:
+    """Return whether members are silent and all others are healthy."""
+    silent = [one for one in members if reports[one.endpoint_id] is None]
+    return bool(silent) and all(
+        one in silent or endpoint_prober.is_healthy(one, reports)
+        for one in members
+    )
--- a/redwingvalve/node/tests/test_endpoint_prober.py
+++ b/redwingvalve/node/tests/test_endpoint_prober.py
@@ -43,6 +43,9 @@
             return None
         return endpoint_orders.Report(1, endpoint.membership, ())
 
+    async def await_report(self, endpoint, timeout_s):
+        return await self.report(endpoint)
+
 
 async def probe_all_replicas(client):
     """Return how many replicas of a whole fleet are found healthy."""
@@ -116,6 +119,12 @@
                 await anyio.sleep(endpoint_orders.REPORT_TIMEOUT_S + 0.15)
             return answered
 
+        async def await_report(self, endpoint, timeout_s):
+            answered = await Client.report(self, endpoint)
+            if answered is None:
+                await anyio.sleep(timeout_s + 0.15)
+            return answered
+
     async def ask(client):
         prober = endpoint_prober.EndpointProber(client)
         return await prober.ask_until_certain(head, clock.boot_s() + 10)
@@ -124,6 +133,33 @@
     assert found is not None and found.membership == head.membership
 
 
+def test_a_head_that_is_silent_for_a_second_is_not_dead():
+    """Its entry has lapsed, since it is cut off from the store as well."""
+    head = replica(1)[0]
+
+    @attrs.define(eq=False)
+    class SilentClient(Client):
+        until_s: float = 0
+
+        async def report(self, endpoint):
+            await anyio.sleep(endpoint_orders.REPORT_TIMEOUT_S)
+            if clock.boot_s() < self.until_s:
+                return None
+            return await super().report(endpoint)
+
+        async def await_report(self, endpoint, timeout_s):
+            await anyio.sleep(max(0, self.until_s - clock.boot_s()))
+            return await super().report(endpoint)
+
+    async def ask():
+        prober = endpoint_prober.EndpointProber(
+            SilentClient(until_s=clock.boot_s() + 1)
+        )
+        return await prober.ask_until_certain(head, clock.boot_s() + 10)
+
+    assert anyio.run(ask) is not None
+
+
 def test_a_head_is_dead_only_after_repeated_unanswered_probes():
     async def ask(client):
         prober = endpoint_prober.EndpointProber(client)
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -4,16 +4,24 @@
 import types
 import typing
 
+import anyio
 import attrs
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.http1 import messages
+from redwingvalve.observability import logs
 from redwingvalve.platform import entries, names, store
 
+LOG = logs.make_logger('orders')
+
 # Endpoints acknowledge orders immediately. After a timeout the order may still
 # be executed seconds later.
 ORDER_TIMEOUT_S = 0.4
 REPORT_TIMEOUT_S = 0.2
+# Of each try while an endpoint is silent: an open connection may be dead.
+SILENT_REPORT_TIMEOUT_S = 0.4
+# Between two tries.
+SILENT_RETRY_INTERVAL_S = 0.05
 _ACCEPTED = 202
 _OK = 200
 _CONFLICT = 409
@@ -139,18 +147,35 @@
     async def report(self, endpoint: endpoints.Endpoint) -> Report | None:
         """Return the endpoint's report, or None without a valid response."""
         try:
-            status, body = await self._json.call(
-                (endpoint.host, endpoint.port),
-                f'GET {names.REPORT_PATH}',
-                None,
-                REPORT_TIMEOUT_S,
-                _expected_endpoint_headers(endpoint),
-            )
+            return await self._request_report(endpoint, REPORT_TIMEOUT_S)
         except store.StoreError:
             return None
-        if status != _OK or not isinstance(body, dict):
-            return None
-        return _decode_report(body)
+
+    async def await_report(
+        self, endpoint: endpoints.Endpoint, timeout_s: float
+    ) -> Report | None:
+        """Return the report of an endpoint that may be silent for a while.
+
+        None if it is silent for longer, or if nothing listens at its address.
+        """
+        with anyio.move_on_after(timeout_s):
+            while True:
+                try:
+                    return await self._request_report(
+                        endpoint, SILENT_REPORT_TIMEOUT_S
+                    )
+                except store.NotListeningError:
+                    return None
+                except store.StoreError as error:
+                    LOG.debug(
+                        'endpoint silent',
+                        extra={
+                            'endpoint': endpoint.endpoint_id,
+                            'error': str(error),
+                        },
+                    )
+                await anyio.sleep(SILENT_RETRY_INTERVAL_S)
+        return None
 
     async def check_liveness(self, endpoint: endpoints.Endpoint) -> Liveness:
         """Return whether the process of an endpoint's entry still runs."""
@@ -172,6 +197,20 @@
             return Liveness.ENDED
         return Liveness.ALIVE
 
+    async def _request_report(
+        self, endpoint: endpoints.Endpoint, timeout_s: float
+    ) -> Report | None:
+        status, body = await self._json.call(
+            (endpoint.host, endpoint.port),
+            f'GET {names.REPORT_PATH}',
+            None,
+            timeout_s,
+            _expected_endpoint_headers(endpoint),
+        )
+        if status != _OK or not isinstance(body, dict):
+            return None
+        return _decode_report(body)
+
     async def _order(
         self, endpoint: endpoints.Endpoint, order: store.Document
     ) -> OrderResult:
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -40,6 +40,10 @@
     """The call failed or was rejected before it had any effect."""
 
 
+class NotListeningError(StoreRefusedError):
+    """The host replied that nothing listens at the address."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer holds the changes since the revision."""
 
@@ -191,7 +195,10 @@
             async with asyncio.timeout(timeout_s):
                 return await self._connections.take(address)
         except pool.ConnectError as error:
-            raise StoreRefusedError(f'connection failed: {error}') from error
+            failure = (
+                NotListeningError if error.was_refused else StoreRefusedError
+            )
+            raise failure(f'connection failed: {error}') from error
         except TimeoutError as error:
             raise StoreRefusedError('timed out connecting') from error
 
