Repair the replica of a host that takes no connections at once

Cause: the time for silent members was also given to hosts that have lost power, whose replicas are then repaired a second later.

Change: a silent member gets time only if its host takes a new connection.

--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -44,8 +44,8 @@
 MIN_PROCESS_PAUSE_S = 0.1
 # Unanswered probes after which an endpoint is considered dead.
 PROBES_TO_CONFIRM_DEATH = 2
-# A sound endpoint may be silent for a second; it is considered lost after this
-# time, counted from its first unanswered probe.
+# A sound endpoint may be silent for a second; if its host takes connections, it
+# is considered lost after this time, counted from its first unanswered probe.
 MAX_SILENCE_S = 1.2
 
 Reports = dict[str, endpoint_orders.Report | None]
@@ -216,7 +216,8 @@
     async def _ask_one_silent(
         self, reports: Reports, member: endpoints.Endpoint
     ) -> None:
-        reports[member.endpoint_id] = await self.ask_silent(member)
+        if await self._client.accepts_connections(member):
+            reports[member.endpoint_id] = await self.ask_silent(member)
 
 
 def is_healthy(member: endpoints.Endpoint, reports: Reports) -> bool:
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -151,6 +151,18 @@
         except store.StoreError:
             return None
 
+    async def accepts_connections(self, endpoint: endpoints.Endpoint) -> bool:
+        """Return whether an endpoint's host takes a new connection."""
+        try:
+            await self._json.connect((endpoint.host, endpoint.port))
+        except store.StoreError as error:
+            LOG.debug(
+                'endpoint not reached',
+                extra={'endpoint': endpoint.endpoint_id, 'error': str(error)},
+            )
+            return False
+        return True
+
     async def await_report(
         self, endpoint: endpoints.Endpoint, timeout_s: float
     ) -> Report | None:
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -162,6 +162,14 @@
             )
         return status, content
 
+    async def connect(self, address: tuple[str, int]) -> None:
+        """Open a connection for a later call; raises StoreRefusedError."""
+        try:
+            connection = await self._connections.connect(address)
+        except pool.ConnectError as error:
+            raise _connection_failure(error) from error
+        self._connections.add_idle(address, connection)
+
     async def _exchange(
         self,
         address: tuple[str, int],
@@ -195,14 +203,16 @@
             async with asyncio.timeout(timeout_s):
                 return await self._connections.take(address)
         except pool.ConnectError as error:
-            failure = (
-                NotListeningError if error.was_refused else StoreRefusedError
-            )
-            raise failure(f'connection failed: {error}') from error
+            raise _connection_failure(error) from error
         except TimeoutError as error:
             raise StoreRefusedError('timed out connecting') from error
 
 
+def _connection_failure(error: pool.ConnectError) -> StoreRefusedError:
+    failure = NotListeningError if error.was_refused else StoreRefusedError
+    return failure(f'connection failed: {error}')
+
+
 class StoreClient:
     """Lists, watches, reads and writes objects by kind and name."""
 
