--- a/redwingvalve/node/tests/test_crashing_requests.py
+++ b/redwingvalve/node/tests/test_crashing_requests.py
@@ -52,6 +52,23 @@
     )
 
 
+@pytest.mark.parametrize('crash_delay_s', [0, 0.1, 0.3])
+def test_a_stream_that_crashes_after_its_head_is_refused(crash_delay_s):
+    """Heads of replicas end a moment after a part of the stream."""
+
+    async def test(fleet):
+        async with crashing_requests.crashing(
+            fleet,
+            entry_lapse_s=1.5,
+            target=crashing_requests.STREAM_TARGET,
+            crashes_after_head=True,
+            crash_delay_s=crash_delay_s,
+        ) as request:
+            await request.send_waves(*STEADY, abreast=1)
+
+    fleet_harness.run(test, nodes=6, engines=40, plain=0)
+
+
 @pytest.mark.parametrize('seed', [0, 1, 2])
 @pytest.mark.parametrize('crash_delay_s', [0, 0.1, 0.3])
 def test_a_request_that_crashes_after_its_head_is_refused(crash_delay_s, seed):
