--- a/redwingvalve/node/tests/test_endpoint_prober.py
+++ b/redwingvalve/node/tests/test_endpoint_prober.py
@@ -160,6 +160,26 @@
     assert anyio.run(ask) is not None
 
 
+def test_only_hosts_that_take_connections_get_time_to_answer():
+    """The replica of a host without power is repaired without delay."""
+
+    @attrs.define(eq=False)
+    class DarkClient(Client):
+        async def accepts_connections(self, endpoint):
+            return False
+
+        async def await_report(self, endpoint, timeout_s):
+            raise AssertionError(endpoint.endpoint_id)
+
+    async def probe():
+        prober = endpoint_prober.EndpointProber(DarkClient(dead=('e1-1',)))
+        reports = await prober.ask_all(replica(1))
+        await prober.ask_all_silent(reports, replica(1))
+        return reports
+
+    assert anyio.run(probe)['e1-1'] is None
+
+
 def test_a_head_is_dead_only_after_repeated_unanswered_probes():
     async def ask(client):
         prober = endpoint_prober.EndpointProber(client)
