--- a/redwingvalve/ingress/relocation.py
+++ b/redwingvalve/ingress/relocation.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import time
-import typing
 from collections import abc as collections_abc
 
 import anyio
@@ -90,8 +89,10 @@
     ) -> bool:
         """End the send if another one can follow; return whether it ended."""
         if self._state.reach.is_cut_off:
-            # Another node needs no slot of this one.
-            return pay() and _end(request)
+            # Another node will handle the request; that needs no slot.
+            if pay():
+                request.finish(upstream.Outcome.STALLED)
+            return request.ended.done()
         last_event = self._forwarder.last_event
         found = await self._find_slot(tried)
         if not isinstance(found, reservations.Reservation):
@@ -99,8 +100,9 @@
         self._reservation = found
         has_gone_on = self._forwarder.last_event != last_event
         if not has_gone_on and not request.ended.done() and pay():
-            return _end(request)
-        self.release()
+            request.finish(upstream.Outcome.STALLED)
+        else:
+            self.release()
         return request.ended.done()
 
     async def _find_slot(
@@ -113,8 +115,3 @@
         return await slot_requests.find_slot(
             self._state, self._admission, tried
         )
-
-
-def _end(request: upstream.UpstreamRequest) -> typing.Literal[True]:
-    request.finish(upstream.Outcome.STALLED)
-    return True
--- a/redwingvalve/ingress/slot_requests.py
+++ b/redwingvalve/ingress/slot_requests.py
@@ -46,7 +46,7 @@
     admission: admission_control.Admission,
     avoid: collections_abc.Collection[str],
 ) -> reservations.Reservation | reservations.NoSlot:
-    """Do the same without a record."""
+    """Do the same without counting or logging the result."""
     assert state.reserver is not None
     return await state.reserver.reserve(
         admission.service,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -28,7 +28,7 @@
 
     @abc.abstractmethod
     def head_stalled(self) -> None:
-        """End the upstream request, to continue at another endpoint."""
+        """Move the request to another endpoint, if it can be moved."""
 
 
 class TargetProvider(abc.ABC):
