--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -22,7 +22,7 @@
 # Durations from the platform's specification, shortened for tests.
 JOIN_DURATION_S = 0.15
 OPEN_DURATION_S = 0.03
-EVENT_INTERVAL_S = 0.02
+EVENT_INTERVAL_S = endpoint_faults.EVENT_INTERVAL_S
 # Of delayed answers; longer than the latency goal of routes in tests.
 ANSWER_DELAY_S = 0.5
 # From the head of an answer to the crash of its endpoint.
@@ -308,7 +308,7 @@
         if spoiling is endpoint_faults.Spoiling.DELAY:
             await asyncio.sleep(ANSWER_DELAY_S)
         elif spoiling is not None:
-            _spoil(spoiling, request, responder, headers)
+            endpoint_faults.spoil(spoiling, request, responder, headers)
             return
         if await _fails(self, request, responder, headers):
             return
@@ -363,7 +363,7 @@
     """Fail as the endpoint's faults say; return False if the run goes on."""
     if request.target == endpoint.faults.crashing_target:
         if endpoint.faults.crashes_after_head:
-            _send_part(responder, headers)
+            endpoint_faults.send_part(responder, headers)
             await asyncio.sleep(CRASH_DELAY_S)
         await asyncio.sleep(EVENT_INTERVAL_S)
         if endpoint.faults.crash_delay_s:
@@ -380,34 +380,6 @@
     return False
 
 
-def _send_part(responder: server.Responder, headers: messages.Headers) -> None:
-    length = (b'content-length', b'50')
-    head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, length])
-    responder.connection.write(head)
-    responder.connection.write(b'part')
-
-
-def _spoil(
-    spoiling: endpoint_faults.Spoiling,
-    request: messages.Request,
-    responder: server.Responder,
-    headers: messages.Headers,
-) -> None:
-    if spoiling is endpoint_faults.Spoiling.SERVER_ERROR:
-        responder.send_response(500, headers, b'failed')
-        return
-    last = int(request.header(b'last-event-id') or 0)
-    is_stream = request.header(b'x-model') is not None
-    if is_stream and spoiling is endpoint_faults.Spoiling.BREAK:
-        kind = (b'content-type', b'text/event-stream')
-        responder.start(200, [*headers, kind])
-        responder.write(b'id: %d\ndata: 1\n\n' % (last + 1))
-        # The event leaves before the connection is reset.
-        asyncio.get_running_loop().call_later(EVENT_INTERVAL_S, responder.abort)
-        return
-    responder.abort()
-
-
 def _answer_json(
     responder: server.Responder, status: int, document: Document
 ) -> None:
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -1,12 +1,16 @@
 """Faults of the fake endpoint, and what it states while they last."""
 
+import asyncio
 import enum
 import random
 import time
 
 import attrs
 
-from redwingvalve.http1 import messages
+from redwingvalve.http1 import messages, server
+
+# Between two events of a stream; shortened for tests.
+EVENT_INTERVAL_S = 0.02
 
 
 class Spoiling(enum.Enum):
@@ -99,3 +103,33 @@
     if not faults.spoiled_share or faults.rng.random() >= faults.spoiled_share:
         return None
     return faults.rng.choice(tuple(Spoiling))
+
+
+def send_part(responder: server.Responder, headers: messages.Headers) -> None:
+    """Send the head of an answer and a part of its body."""
+    length = (b'content-length', b'50')
+    head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, length])
+    responder.connection.write(head)
+    responder.connection.write(b'part')
+
+
+def spoil(
+    spoiling: Spoiling,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    """Spoil the answer to a request."""
+    if spoiling is Spoiling.SERVER_ERROR:
+        responder.send_response(500, headers, b'failed')
+        return
+    last = int(request.header(b'last-event-id') or 0)
+    is_stream = request.header(b'x-model') is not None
+    if is_stream and spoiling is Spoiling.BREAK:
+        kind = (b'content-type', b'text/event-stream')
+        responder.start(200, [*headers, kind])
+        responder.write(b'id: %d\ndata: 1\n\n' % (last + 1))
+        # The event leaves before the connection is reset.
+        asyncio.get_running_loop().call_later(EVENT_INTERVAL_S, responder.abort)
+        return
+    responder.abort()
