--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -20,7 +20,6 @@
 # Idle connections are not reused in the last fifth of the peer's keep-alive
 # timeout, so that a request does not cross with the peer's close.
 KEEP_ALIVE_FRACTION = 0.8
-_NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
 
@@ -166,7 +165,7 @@
         if self._is_skipping:
             return
         self._reusable = head.keep_alive
-        self._close_delimited = _is_close_delimited(head)
+        self._close_delimited = head.body_end is messages.BodyEnd.CONNECTION
         self._read_keep_alive(head)
         exchange.head_received(head)
 
@@ -218,11 +217,3 @@
             name, _, seconds = part.strip().partition(b'=')
             if name.lower() == b'timeout' and seconds.isdigit():
                 self.keep_alive_s = int(seconds) * KEEP_ALIVE_FRACTION
-
-
-def _is_close_delimited(head: messages.ResponseHead) -> bool:
-    if head.status in _NO_BODY_STATUSES:
-        return False
-    if head.header(b'content-length') is not None:
-        return False
-    return head.header(b'transfer-encoding') is None
--- a/redwingvalve/http1/messages.py
+++ b/redwingvalve/http1/messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and response heads as sent on a connection."""
 
+import enum
 import typing
 
 import attrs
@@ -39,6 +40,20 @@
         return _first(self.headers, name)
 
 
+_NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
+
+
+class BodyEnd(enum.Enum):
+    """How the end of a response's body is marked."""
+
+    NO_BODY = 'no body'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    # The body ends when the connection is closed, so that a whole body and one
+    # whose sender has ended look alike.
+    CONNECTION = 'connection'
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a response."""
@@ -47,6 +62,17 @@
     headers: Headers
     keep_alive: bool
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return what marks the end of the body."""
+        if self.status in _NO_BODY_STATUSES:
+            return BodyEnd.NO_BODY
+        if self.header(b'content-length') is not None:
+            return BodyEnd.LENGTH
+        if self.header(b'transfer-encoding') is not None:
+            return BodyEnd.CHUNKS
+        return BodyEnd.CONNECTION
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
         return _first(self.headers, name)
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -20,6 +20,7 @@
 LOG = logs.make_logger('ingress')
 _MS_IN_S = 1000.0
 ANSWERED = 'answered'
+MAX_LOGGED_PARTS = 16
 
 
 def send_response(
@@ -174,6 +175,8 @@
             'is_late_first': is_first_event_late,
             'on_time': on_time,
             'reason': latest.reason if latest else '',
+            'ending': _ending(latest),
+            'parts': list(caller.shared_parts[:MAX_LOGGED_PARTS]),
             'endpoint_limit_per_s': statement.requests_per_s,
             'endpoint_rest_s': statement.rest_s,
             'endpoint_leaves': statement.is_leaving,
@@ -182,5 +185,12 @@
     )
 
 
+def _ending(latest: upstream.UpstreamRequest | None) -> str:
+    """Return what marks the end of the latest answer, '' without a head."""
+    if latest is None or latest.head is None:
+        return ''
+    return latest.head.body_end.value
+
+
 def _decode(raw: bytes) -> str:
     return raw.decode('latin-1')
--- a/redwingvalve/platform/caller_requests.py
+++ b/redwingvalve/platform/caller_requests.py
@@ -45,6 +45,9 @@
     model: str
     prompt_tokens: int
     answer_tokens: int
+    # Ids of the parts of the prompt, in order, without the last one: that one
+    # belongs to this request or its session.
+    shared_parts: tuple[str, ...]
     # Id of the last stream event that the caller has received.
     last_event: int | None
     # End-to-end headers that are forwarded to the endpoint.
@@ -73,6 +76,7 @@
         model=_header_text(headers, names.MODEL_HEADER),
         prompt_tokens=_parse_int(prompt) or 0,
         answer_tokens=_parse_int(answer) or 0,
+        shared_parts=_shared_parts(request),
         last_event=_parse_int(
             _header_text(headers, names.LAST_EVENT_ID_HEADER)
         ),
@@ -167,6 +171,19 @@
     )
 
 
+def _shared_parts(request: messages.Request) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, each once."""
+    stated = b','.join(
+        content
+        for name, content in request.headers
+        if name == names.PROMPT_PREFIX_HEADER
+    )
+    entries = stated.decode('latin-1').lower().split(',')
+    stated_ids = [one.partition(':')[0].strip() for one in entries]
+    ids = list(filter(None, stated_ids))
+    return tuple(dict.fromkeys(one for one in ids if one != ids[-1]))
+
+
 def _header_text(headers: dict[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b'').decode('latin-1').strip()
 
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -214,3 +214,22 @@
     } <= set(messages_by_path)
     assert 'zone' not in messages_by_path
     assert all(str(path) in line for line in str(caught.value).splitlines())
+
+
+@pytest.mark.parametrize(
+    ('stated', 'shared'),
+    [
+        (b'', ()),
+        (b'a1:40', ()),
+        (b'A1:40,b2:7, c3:1', ('a1', 'b2')),
+        (b'a1:40,a1:40,b2:7', ('a1',)),
+        # The last part belongs to the session, wherever else it stands.
+        (b'a1:40,b2:7,a1:40', ('b2',)),
+        (b',:3,a1,b2,', ('a1',)),
+    ],
+)
+def test_parts_of_a_prompt_are_those_before_the_last(stated, shared):
+    request = messages.Request(
+        b'POST', b'/', [(b'x-prompt-prefix', stated)], b'', True
+    )
+    assert caller_requests.read_request(request).shared_parts == shared
