--- /dev/null
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -0,0 +1,166 @@
+"""Parts of prompts that crash endpoints are refused, sound ones served."""
+
+import anyio
+import pytest
+
+from redwingvalve.node import peers
+from redwingvalve.node.tests import crashing_parts, test_crashing_requests
+from redwingvalve.platform.standins import endpoint_crashes
+from redwingvalve.platform.tests import fleet_harness
+
+PLAIN = {'nodes': 6, 'engines': 0, 'plain': 40}
+STREAMS = {'nodes': 6, 'engines': 40, 'plain': 0}
+# Of the sound requests after the crashes.
+MIN_SERVED_SHARE = 0.95
+AnswerStart = endpoint_crashes.AnswerStart
+
+
+def check(crashing, served_share):
+    late = crashing.late_arrivals()
+    assert late <= crashing_parts.MAX_LATE_ARRIVALS, late
+    assert served_share >= MIN_SERVED_SHARE
+    assert not crashing.falsely_served()
+
+
+def run(shape, load=None, **more):
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet, **more)
+        share = await crashing_parts.run_crashing(crashing, **(load or {}))
+        check(crashing, share)
+
+    fleet_harness.run(test, **shape)
+
+
+@pytest.mark.parametrize('answer_start', list(AnswerStart)[:-1])
+def test_crashing_part_is_refused_however_its_answers_end(answer_start):
+    """No two requests with the part are alike."""
+    run(PLAIN, {'answer_start': answer_start})
+
+
+@pytest.mark.parametrize('answer_start', list(AnswerStart))
+def test_crashing_part_of_streams_is_refused_however_they_end(answer_start):
+    """The endpoints are heads of replicas, which form again after a crash."""
+    run(STREAMS, {'answer_start': answer_start, 'gap_s': 0.4}, is_stream=True)
+
+
+@pytest.mark.parametrize('position', list(crashing_parts.Position))
+def test_crashing_part_is_refused_wherever_it_stands(position):
+    """It is never the last one."""
+    run(PLAIN, position=position)
+
+
+@pytest.mark.parametrize('seed', [0, 1])
+def test_several_crashing_parts_are_refused(seed):
+    """Two of them by turns, in the same company."""
+    bad_parts = (crashing_parts.BAD, crashing_parts.OTHER_BAD)
+    run(PLAIN, bad_parts=bad_parts, seed=seed)
+
+
+def test_crashing_part_is_refused_when_it_comes_in_bursts():
+    """Five requests at once run on before anything is known."""
+    run(PLAIN, {'abreast': 5, 'gap_s': 0.6})
+
+
+def test_crashing_part_is_refused_in_a_large_fleet(monkeypatch):
+    """Nodes learn of crashes at other nodes through hubs."""
+    monkeypatch.setattr(peers, 'LARGE_FLEET_NODES', 3)
+    run({**PLAIN, 'nodes': 8}, {'abreast': 2})
+
+
+def test_sound_requests_go_on_whose_parts_were_never_answered():
+    """They come only after the parts beside the bad one were blamed too."""
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        crashing.prepare()
+        started_s = anyio.current_time()
+        await crashing.send_bad_until(started_s + 2.5)
+        end_s = started_s + 8
+        async with anyio.create_task_group() as group:
+            group.start_soon(crashing.send_bad_until, end_s)
+            group.start_soon(crashing.send_sound_until, end_s)
+        check(crashing, crashing.served_share(end_s - 2, end_s - 0.5))
+
+    fleet_harness.run(test, **PLAIN)
+
+
+def test_crashing_part_is_refused_that_was_answered_before():
+    """It turns bad after it has been answered for a while."""
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        await crashing.send_bad_until(anyio.current_time() + 2, gap_s=0.1)
+        assert len(crashing.falsely_served()) == len(crashing.asked)
+        crashing.asked.clear()
+        check(crashing, await crashing_parts.run_crashing(crashing))
+
+    fleet_harness.run(test, **PLAIN)
+
+
+def test_new_processes_of_all_nodes_refuse_a_known_crashing_part():
+    """No process is left that saw the crashes."""
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        crashing.prepare()
+        async with anyio.create_task_group() as first:
+            for number in range(3):
+                await test_crashing_requests.start_node(
+                    fleet, first, f'node-{number}'
+                )
+            await crashing.send_bad_until(anyio.current_time() + 2.5)
+            await anyio.sleep(1.5)
+            first.cancel_scope.cancel()
+        fleet.nodes.clear()
+        await anyio.sleep(0.5)
+        async with anyio.create_task_group() as second:
+            for number in range(3):
+                await test_crashing_requests.start_node(
+                    fleet, second, f'node-{number}'
+                )
+            end_s = anyio.current_time() + 4
+            async with anyio.create_task_group() as group:
+                group.start_soon(crashing.send_bad_until, end_s)
+                group.start_soon(crashing.send_sound_until, end_s)
+            second.cancel_scope.cancel()
+        check(crashing, crashing.served_share(end_s - 2, end_s - 0.5))
+
+    fleet_harness.run(test, nodes=0, engines=0, plain=40)
+
+
+def test_no_part_is_blamed_for_endpoints_that_end_together():
+    """Three times eight of them end, each with a sound request."""
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        crashing.bad_parts = ()
+        crashing.prepare()
+        started_s = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            group.start_soon(crashing.send_sound_until, started_s + 4.5, 60.0)
+            endpoints = list(fleet.endpoints.values())
+            for number in range(3):
+                await anyio.sleep_until(started_s + 1 + number)
+                for _ in range(16):
+                    group.start_soon(crashing.send_sound)
+                await anyio.sleep(0.01)
+                for endpoint in endpoints[8 * number : 8 * number + 8]:
+                    endpoint.crash()
+        assert crashing.served_share(started_s + 1.2) >= 0.95
+
+    fleet_harness.run(test, **PLAIN)
+
+
+def test_lost_answers_blame_no_part():
+    """A seventh of the answers is lost at endpoints that live on."""
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        crashing.bad_parts = ()
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.spoiled_share = 0.15
+        started_s = anyio.current_time()
+        await crashing.send_sound_until(started_s + 4, 60.0)
+        assert not [one for one in crashing.asked if one.status == 503]
+
+    fleet_harness.run(test, **PLAIN)
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -14,7 +14,7 @@
 import attrs
 
 from redwingvalve.http1 import messages, request_parser, server
-from redwingvalve.platform.standins import endpoint_faults
+from redwingvalve.platform.standins import endpoint_crashes, endpoint_faults
 from redwingvalve.platform.standins import store as fake_store
 
 _LIMITS = request_parser.ServerLimits(65_536, 4_194_304, 10, 60)
@@ -85,8 +85,14 @@
         self._server: asyncio.Server | None = None
         self._connections: list[server.ServerConnection] = []
 
-    async def start(self) -> None:
-        """Listen on a free port and write the entry."""
+    async def start(self, *, is_return: bool = False) -> None:
+        """Listen on a free port and write the entry.
+
+        is_return: as a new process, after a crash.
+        """
+        if is_return:
+            self.crashed_s = None
+            self._forget_state()
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._make_connection, '127.0.0.1', 0
@@ -109,7 +115,15 @@
         for connection in self._connections:
             connection.abort()
         self.crashed_s = self.crashed_s or time.monotonic()
-        asyncio.get_running_loop().call_later(
+        self.faults.crashes.crashes_s.append(time.monotonic())
+        loop = asyncio.get_running_loop()
+        return_delay_s = self.faults.crashes.return_delay_s
+        if return_delay_s is not None:
+            loop.call_later(
+                return_delay_s,
+                lambda: loop.create_task(self.start(is_return=True)),
+            )
+        loop.call_later(
             self.faults.entry_lapse_s,
             self._store.remove,
             'servers',
@@ -120,11 +134,7 @@
         """Restart under the same id without any earlier state."""
         for connection in self._connections:
             connection.abort()
-        self.group = None
-        self.members = []
-        self._epoch = 0
-        self._sequence = 0
-        self._born += 1000
+        self._forget_state()
         self.write_entry()
 
     def drain(self) -> None:
@@ -172,6 +182,13 @@
                 self._run(request, responder)
             )
 
+    def _forget_state(self) -> None:
+        self.group = None
+        self.members = []
+        self._epoch = 0
+        self._sequence = 0
+        self._born += 1000
+
     def _make_connection(self) -> server.ServerConnection:
         connection = server.ServerConnection(self)
         self._connections.append(connection)
@@ -316,21 +333,7 @@
             await self._stream(responder, headers, int(last or 0))
         else:
             await asyncio.sleep(EVENT_INTERVAL_S)
-            self._answer(responder, headers, attempt)
-
-    def _answer(
-        self,
-        responder: server.Responder,
-        headers: messages.Headers,
-        attempt: bytes,
-    ) -> None:
-        body = b'body of %b' % attempt
-        connection = responder.connection
-        responder.send_response(200, headers, body)
-        if self.faults.duplicates_response:
-            extra = (b'content-length', b'%d' % len(body))
-            head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, extra])
-            connection.write(head + body)
+            _answer(self, responder, headers, attempt)
 
     async def _stream(
         self,
@@ -354,6 +357,21 @@
         responder.finish()
 
 
+def _answer(
+    endpoint: FakeEndpoint,
+    responder: server.Responder,
+    headers: messages.Headers,
+    attempt: bytes,
+) -> None:
+    body = b'body of %b' % attempt
+    connection = responder.connection
+    responder.send_response(200, headers, body)
+    if endpoint.faults.duplicates_response:
+        extra = (b'content-length', b'%d' % len(body))
+        head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, extra])
+        connection.write(head + body)
+
+
 async def _fails(
     endpoint: FakeEndpoint,
     request: messages.Request,
@@ -361,6 +379,13 @@
     headers: messages.Headers,
 ) -> bool:
     """Fail as the endpoint's faults say; return False if the run goes on."""
+    crashes = endpoint.faults.crashes
+    if endpoint_crashes.has_crashing_part(crashes, request):
+        await endpoint_crashes.answer_until_crash(
+            crashes, request, responder, headers
+        )
+        endpoint.crash()
+        return True
     if request.target == endpoint.faults.crashing_target:
         if endpoint.faults.crashes_after_head:
             endpoint_faults.send_part(responder, headers)
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -8,6 +8,7 @@
 import attrs
 
 from redwingvalve.http1 import messages, server
+from redwingvalve.platform.standins import endpoint_crashes
 
 # Between two events of a stream; shortened for tests.
 EVENT_INTERVAL_S = 0.02
@@ -62,6 +63,10 @@
     crash_delay_s: float = 0
     # Time from a crash until the store drops the entry.
     entry_lapse_s: float = 0
+    # Under parts of the prompt.
+    crashes: endpoint_crashes.CrashFaults = attrs.field(
+        factory=endpoint_crashes.CrashFaults
+    )
     # Connections of requests that began are reset instead of answered.
     resets_answers: bool = False
     # Share of the requests that are spoiled in one of the ways of Spoiling.
