Blame a part of prompts for the endpoints that crash under it

Callers saw: requests with one part in common ended endpoint after endpoint, 51 to 55 of them, and sound streams beside them broke off or found no place.

Cause: evidence was kept by target, account and body. Requests that are never alike share no such key, so nothing was ever counted.

Now a broken run names its suspects, the request and all parts of its prompt but the last, whose evidence is the same. What breaks off at an endpoint is blamed on the suspect with most ends; what was answered before yields to what was not. A part is refused after five ends at three moments, so that endpoints that end together blame none; one that was answered before has 1.5 s to be answered again. An answer clears a part of the runs that broke off before it was asked for. What may well be sound is tried soon, by one node at a time.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -8,6 +8,7 @@
 from redwingvalve.ingress import (
     admission_control,
     caller_wait,
+    crash_keys,
     load_balancing,
     peer_sender,
     refusals,
@@ -41,7 +42,7 @@
     _responder: server.Responder
     _admission: admission_control.Admission
     _times: timing.RequestTiming
-    _fingerprint: int
+    _keys: crash_keys.RequestKeys
     _wait: caller_wait.CallerWait
     _forwarder: stream_forwarding.StreamForwarder
     _sender: upstream_sender.UpstreamSender
@@ -88,9 +89,7 @@
 
     def _is_refused(self) -> bool:
         """Refuse the request if it may crash endpoints."""
-        refusal = refusals.for_crashing_request(
-            self._state.poison, self._fingerprint
-        )
+        refusal = refusals.for_crashing_request(self._state.poison, self._keys)
         if refusal is None or self._is_first_send_of_trial:
             return False
         self._log_outcome(_NO_TARGET, f'given up: {refusal.reason}')
@@ -128,7 +127,7 @@
         if outcome is upstream.Outcome.CALLER_GONE or answer is None:
             return
         if outcome is upstream.Outcome.COMPLETE:
-            self._state.poison.record_answer(self._fingerprint)
+            self._state.poison.record_answer(self._keys.fingerprint)
             responses.send_response(self._responder, answer)
             return
         # A refusal of the other node is as good as one of this node.
@@ -201,7 +200,9 @@
             self._log_outcome(target, responses.ANSWERED)
             answer = self._sender.upstream_request
             assert answer is not None
-            self._state.poison.record_answer(self._fingerprint)
+            self._state.poison.record_answer(
+                self._keys.fingerprint, self._keys.parts, answer.sent_s
+            )
             responses.send_response(self._responder, answer)
             return True
         if outcome in _OUT_OF_TIME:
@@ -231,7 +232,7 @@
         self._may_have_run = True
         if outcome is upstream.Outcome.BROKEN:
             self._state.poison.record_broken_run(
-                self._fingerprint, target.incarnation
+                self._keys.fingerprint, target.incarnation, self._keys.parts
             )
         if outcome is upstream.Outcome.FAILURE:
             self._failure_response = self._sender.upstream_request
@@ -309,7 +310,7 @@
     responder: server.Responder,
     admission: admission_control.Admission,
     times: timing.RequestTiming,
-    fingerprint: int,
+    keys: crash_keys.RequestKeys,
     *,
     is_trial: bool = False,
     is_from_peer: bool = False,
@@ -328,7 +329,7 @@
         responder=responder,
         admission=admission,
         times=times,
-        fingerprint=fingerprint,
+        keys=keys,
         wait=wait,
         forwarder=forwarder,
         sender=sender,
--- /dev/null
+++ b/redwingvalve/ingress/crash_blame.py
@@ -0,0 +1,251 @@
+"""Decides which request or part of prompts is to blame for crashed endpoints.
+
+What breaks off at an endpoint is the fault of one suspect there: of that which
+has broken off at most endpoints. What has been answered before yields to what
+has not, if both alone explain enough crashes, or none does and they are equal.
+
+A part of prompts is shared by many requests, so that it breaks off whenever
+endpoints end for other reasons. It is blamed only for ends at several moments,
+and if it was answered before, only if no answer has followed soon.
+"""
+
+import enum
+import operator
+import typing
+from collections import abc as collections_abc
+
+import attrs
+
+from redwingvalve.ingress import broken_runs, crash_evidence, crash_keys
+
+MIN_CRASHES_TO_REFUSE = 3
+MIN_PART_CRASHES = 5
+# Endpoints that end within MOMENT_S may have one cause, such as a lost domain.
+MIN_PART_MOMENTS = 3
+MOMENT_S = 0.25
+# Until then a sound part that is in use has been answered again.
+ANSWERED_PART_GRACE_S = 1.5
+
+
+class Verdict(enum.Enum):
+    """How to handle a request."""
+
+    SERVE = 'serve'
+    # It may have crashed endpoints, which is not yet certain.
+    HOLD = 'hold'
+    REFUSE = 'refuse'
+
+
+@attrs.frozen
+class EndpointEnd:
+    """An endpoint that ended, or may have ended, under a suspect."""
+
+    at_s: float
+    is_crash: bool
+    runs: tuple[broken_runs.BrokenRun, ...]
+
+
+@attrs.frozen
+class Judgement:
+    """How to handle a request, and why."""
+
+    verdict: Verdict = Verdict.SERVE
+    # What is to blame, None if nothing is.
+    key: crash_keys.Key | None = None
+    ends: tuple[EndpointEnd, ...] = ()
+
+
+SERVED: typing.Final = Judgement()
+_Keys: typing.TypeAlias = frozenset[crash_keys.Key]
+
+
+class CrashBlame:
+    """Judges requests by the evidence."""
+
+    def __init__(
+        self,
+        evidence: crash_evidence.CrashEvidence,
+        clock: collections_abc.Callable[[], float],
+    ) -> None:
+        """Judge by the evidence as it is at each call."""
+        self._evidence = evidence
+        self._table = evidence.runs_table
+        self._clock = clock
+        self._culprits: dict[broken_runs.Incarnation, _Keys] = {}
+        self._version = -1
+
+    def judge(self, *keys: crash_keys.Key) -> Judgement:
+        """Judge what has all these keys: a request, or any part of one."""
+        company = frozenset(keys)
+        found = SERVED
+        for key in keys:
+            judgement = self._judge_key(key, company)
+            if judgement.verdict is Verdict.REFUSE:
+                return judgement
+            if judgement.verdict is Verdict.HOLD:
+                found = judgement
+        return found
+
+    def blamed(self) -> list[crash_keys.Key]:
+        """Return what isn't served whatever else a request holds."""
+        return [
+            key
+            for key in self._evidence.suspects(MIN_CRASHES_TO_REFUSE)
+            if self._judge_key(key, frozenset((key,))).key is not None
+        ]
+
+    def is_worth_a_trial(
+        self, judgement: Judgement, keys: collections_abc.Iterable[int]
+    ) -> bool:
+        """Return whether a request that isn't served may well be sound.
+
+        Its part was answered before, or no crash is known of the suspects that
+        it has alone.
+        """
+        if judgement.key is None or not crash_keys.is_part(judgement.key):
+            return False
+        if self._evidence.history.knows(judgement.key):
+            return True
+        company = frozenset(keys)
+        return not any(
+            run.suspects - {run.fingerprint} <= company
+            for end in judgement.ends
+            for run in end.runs
+        )
+
+    def decisive_runs(self, key: crash_keys.Key) -> list[broken_runs.BrokenRun]:
+        """Return runs that lead others to the same judgement of a suspect.
+
+        Only the culprits are left of their suspects.
+        """
+        judgement = self._judge_key(key, frozenset((key,)))
+        runs = [end.runs[0] for end in _most_telling(judgement.ends)]
+        return [
+            attrs.evolve(
+                run, suspects=run.suspects & self.culprits(run.incarnation)
+            )
+            for run in runs
+        ]
+
+    def is_in_doubt(self, keys: crash_keys.RequestKeys) -> bool:
+        """Return whether a request may be an early one of those to blame."""
+        knows = self._evidence.history.knows
+        return any(map(self.end_count, keys.all)) or not all(
+            map(knows, keys.parts)
+        )
+
+    def end_count(self, key: crash_keys.Key) -> int:
+        """Return the number of endpoints at which something broke off."""
+        return self._table.end_count(key)
+
+    def age_s(self, run: broken_runs.BrokenRun) -> float:
+        """Return how long ago a run broke off."""
+        return self._clock() - run.at_s
+
+    def culprits(self, incarnation: broken_runs.Incarnation) -> _Keys:
+        """Return what is to blame for the end of an endpoint."""
+        if self._version != self._table.version:
+            self._version = self._table.version
+            self._culprits.clear()
+        known = self._culprits.get(incarnation)
+        if known is None:
+            known = self._find_culprits(incarnation)
+            self._culprits[incarnation] = known
+        return known
+
+    def _judge_key(self, key: crash_keys.Key, company: _Keys) -> Judgement:
+        min_crashes = _min_crashes(key)
+        if self.end_count(key) < min_crashes:
+            return SERVED
+        ends = self._blamed_ends(key, company)
+        if len(ends) < min_crashes or not self._is_telling(key, ends):
+            return SERVED
+        crashes = sum(end.is_crash for end in ends)
+        is_certain = crashes >= min_crashes
+        verdict = Verdict.REFUSE if is_certain else Verdict.HOLD
+        return Judgement(verdict, key, tuple(ends))
+
+    def _blamed_ends(
+        self, key: crash_keys.Key, company: _Keys
+    ) -> list[EndpointEnd]:
+        """Return the ends for which one of the company is to blame."""
+        ends = []
+        for incarnation in self._table.endpoints(key):
+            end = self._find_end(key, incarnation)
+            if end is None or company.isdisjoint(self.culprits(incarnation)):
+                continue
+            ends.append(end)
+        ends.sort(key=operator.attrgetter('at_s'))
+        return ends
+
+    def _find_end(
+        self, key: crash_keys.Key, incarnation: broken_runs.Incarnation
+    ) -> EndpointEnd | None:
+        runs = [
+            run
+            for run in self._table.at_endpoint(incarnation)
+            if key in run.suspects and not self._evidence.is_doubtful(run)
+        ]
+        if not runs:
+            return None
+        return EndpointEnd(
+            at_s=min(run.at_s for run in runs),
+            is_crash=any(run.is_crash for run in runs),
+            runs=tuple(runs),
+        )
+
+    def _is_telling(self, key: crash_keys.Key, ends: list[EndpointEnd]) -> bool:
+        """Return whether enough ends can't have another cause."""
+        if not crash_keys.is_part(key):
+            return True
+        if len(_one_per_moment(ends)) < MIN_PART_MOMENTS:
+            return False
+        if not self._evidence.history.knows(key):
+            return True
+        enough_s = ends[MIN_PART_CRASHES - 1].at_s
+        return self._clock() >= enough_s + ANSWERED_PART_GRACE_S
+
+    def _find_culprits(self, incarnation: broken_runs.Incarnation) -> _Keys:
+        suspects = {
+            key
+            for run in self._table.at_endpoint(incarnation)
+            for key in run.suspects
+        }
+        if not suspects:
+            return frozenset()
+        ranks = {key: self._rank(key) for key in suspects}
+        highest = max(ranks.values())
+        return frozenset(key for key in suspects if ranks[key] == highest)
+
+    def _rank(self, key: crash_keys.Key) -> tuple[bool, int, bool]:
+        """Return the higher, the more likely it is that something crashes."""
+        count = self.end_count(key)
+        is_new = not self._evidence.history.knows(key)
+        return is_new and count >= _min_crashes(key), count, is_new
+
+
+def _min_crashes(key: crash_keys.Key) -> int:
+    if crash_keys.is_part(key):
+        return MIN_PART_CRASHES
+    return MIN_CRASHES_TO_REFUSE
+
+
+def _most_telling(
+    ends: collections_abc.Iterable[EndpointEnd],
+) -> list[EndpointEnd]:
+    """Return enough ends to refuse a part: crashes first, of some moments."""
+    crashes_first = sorted(ends, key=lambda end: (not end.is_crash, end.at_s))
+    found = _one_per_moment(crashes_first)[:MIN_PART_MOMENTS]
+    others = [end for end in crashes_first if end not in found]
+    return found + others[: MIN_PART_CRASHES - len(found)]
+
+
+def _one_per_moment(
+    ends: collections_abc.Iterable[EndpointEnd],
+) -> list[EndpointEnd]:
+    """Return the first end of each moment."""
+    found: list[EndpointEnd] = []
+    for end in ends:
+        if all(abs(end.at_s - one.at_s) > MOMENT_S for one in found):
+            found.append(end)
+    return found
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -1,14 +1,16 @@
-"""Refuses poison requests, which crash each endpoint that runs them.
+"""Refuses what crashes each endpoint that runs it.
 
 Load pattern: a single request crashes whatever runs it, and its caller retries
-it with the same path, account and body at any node. Unchecked, each attempt
-takes an endpoint, and with it a replica of several VMs, out of service. Such a
-request is refused after three crashes.
+it with the same path, account and body at any node. Or one part of prompts
+crashes whatever answers on it, and comes in requests of which no two are alike.
+Unchecked, each attempt takes an endpoint, and with it a replica of several VMs,
+out of service. A request is refused after three crashes, one with such a part
+after five.
 
 A broken connection alone is not a crash: answers get lost and connections are
 reset. Whether an endpoint has crashed is certain only when its entry lapses,
 seconds later, and a request that returns several times a second would crash a
-dozen endpoints until then. So while three endpoints have broken off a request
+dozen endpoints until then. So while enough endpoints have broken off a request
 and none of them has shown any sign of life, the request is held back: its
 caller is told to return in a second. Endpoints in doubt are asked at once, so
 that a sound request is held back for the time of a probe only.
@@ -19,134 +21,167 @@
 """
 
 import abc
-import enum
-import hashlib
-import logging
 import time
 import typing
-
-from redwingvalve.ingress import crash_evidence, poison_trials
-from redwingvalve.observability import logs
-
-LOG = logs.make_logger('poison')
-MIN_CRASHES_TO_REFUSE = 3
+from collections import abc as collections_abc
+
+from redwingvalve.ingress import (
+    broken_runs,
+    crash_blame,
+    crash_evidence,
+    crash_keys,
+    poison_logs,
+    poison_trials,
+)
+
+LOG = poison_logs.LOG
+Verdict = crash_blame.Verdict
+MIN_CRASHES_TO_REFUSE = crash_blame.MIN_CRASHES_TO_REFUSE
 # A request without a crash for this long starts again without any.
 CRASH_RETENTION_S = 600.0
 # Entries of new endpoints reach all nodes within this time. An endpoint that is
 # still unlisted has ended before this node could see it.
 UNLISTED_END_S = 15.0
-_DIGEST_BYTES = 7
-_MS_IN_S = 1000
-
-
-class Verdict(enum.Enum):
-    """How to handle a request."""
-
-    SERVE = 'serve'
-    # It may have crashed endpoints, which is not yet certain.
-    HOLD = 'hold'
-    REFUSE = 'refuse'
+# Parts that are remembered of a broken run; those that were never answered
+# come first.
+MAX_PARTS_PER_RUN = 32
 
 
 class EvidenceObserver(abc.ABC):
     """Acts on what this node learns."""
 
     @abc.abstractmethod
-    def run_added(self, run: crash_evidence.BrokenRun) -> None:
+    def run_added(self, run: broken_runs.BrokenRun) -> None:
         """Handle a run, or a crash, that was not known."""
 
     @abc.abstractmethod
-    def request_cleared(self, fingerprint: int) -> None:
-        """Handle an answer to a request that had been suspected."""
+    def suspect_cleared(self, key: crash_keys.Key) -> None:
+        """Handle an answer to something that had been suspected."""
+
+
+class EvidenceObservers(EvidenceObserver):
+    """Several observers."""
+
+    def __init__(self) -> None:
+        """Start without observers."""
+        self._observers: list[EvidenceObserver] = []
+
+    def append(self, observer: EvidenceObserver) -> None:
+        """Add an observer."""
+        self._observers.append(observer)
+
+    def run_added(self, run: broken_runs.BrokenRun) -> None:
+        """Tell all observers."""
+        for observer in self._observers:
+            observer.run_added(run)
+
+    def suspect_cleared(self, key: crash_keys.Key) -> None:
+        """Tell all observers."""
+        for observer in self._observers:
+            observer.suspect_cleared(key)
 
 
 class PoisonRequestTracker:
-    """Crashes by request fingerprint, from this node and others."""
+    """Crashes by request and part of prompts, from this node and others."""
 
     def __init__(
-        self, clock: typing.Callable[[], float] = time.monotonic
+        self, clock: collections_abc.Callable[[], float] = time.monotonic
     ) -> None:
         """Start without crashes."""
         self.evidence = crash_evidence.CrashEvidence()
-        self.observers: list[EvidenceObserver] = []
+        self.blame = crash_blame.CrashBlame(self.evidence, clock)
+        self.observers = EvidenceObservers()
         self._clock = clock
-        # Of requests that weren't served, as far as this node knows.
-        self.trials: dict[int, poison_trials.TrialHistory] = {}
+        # Of what wasn't served, as far as this node knows.
+        self.trials: dict[crash_keys.Key, poison_trials.TrialHistory] = {}
         # Endpoints whose entries this node has seen. Others may be new.
-        self._listed: set[crash_evidence.Incarnation] = set()
-
-    def verdict(self, fingerprint: int) -> Verdict:
-        """Return how to handle a request."""
-        runs = self.evidence.runs_to_blame(fingerprint)
-        if len(runs) < MIN_CRASHES_TO_REFUSE:
-            return Verdict.SERVE
-        crashes = sum(run.is_crash for run in runs)
-        if crashes < MIN_CRASHES_TO_REFUSE:
-            return Verdict.HOLD
-        return Verdict.REFUSE
-
-    def not_served(self) -> list[int]:
-        """Return the fingerprints that are held back or refused."""
-        return [
-            fingerprint
-            for fingerprint in self.evidence.fingerprints(MIN_CRASHES_TO_REFUSE)
-            if self.verdict(fingerprint) is not Verdict.SERVE
-        ]
-
-    def time_to_trial_s(self, fingerprint: int) -> float:
+        self._listed: set[broken_runs.Incarnation] = set()
+
+    def verdict(self, *keys: crash_keys.Key) -> crash_blame.Verdict:
+        """Return how to handle a request, given its key and its parts'."""
+        return self.blame.judge(*keys).verdict
+
+    def not_served(self) -> list[crash_keys.Key]:
+        """Return the requests and parts that are held back or refused."""
+        return self.blame.blamed()
+
+    def time_to_trial_s(self, *keys: crash_keys.Key) -> float:
         """Return the time until a request may be tried, 0 if due."""
-        latest_s = max(run.at_s for run in self.evidence.runs(fingerprint))
-        history = self.trials.get(fingerprint, poison_trials.TrialHistory())
-        due_s = poison_trials.due_s(latest_s, history)
+        judgement = self.blame.judge(*keys)
+        if judgement.key is None:
+            return 0
+        latest_s = max(run.at_s for end in judgement.ends for run in end.runs)
+        due_s = poison_trials.due_s(
+            latest_s,
+            self.trials.get(judgement.key, poison_trials.TrialHistory()),
+            is_promising=self.blame.is_worth_a_trial(judgement, keys),
+        )
         return max(due_s - self._clock(), 0)
 
-    def is_trial_due(self, fingerprint: int) -> bool:
+    def is_trial_due(self, *keys: crash_keys.Key) -> bool:
         """Return whether a request that isn't served may be tried.
 
         Also one that is held back: endpoints in doubt may stay out of reach,
         and their entries in the store, for any time.
         """
-        is_served = self.verdict(fingerprint) is Verdict.SERVE
-        return not is_served and not self.time_to_trial_s(fingerprint)
+        is_served = self.verdict(*keys) is Verdict.SERVE
+        return not is_served and not self.time_to_trial_s(*keys)
 
     def record_broken_run(
-        self, fingerprint: int, incarnation: crash_evidence.Incarnation
+        self,
+        fingerprint: crash_keys.Key,
+        incarnation: broken_runs.Incarnation,
+        parts: collections_abc.Iterable[crash_keys.Key] = (),
     ) -> None:
         """Record that the connection of a request broke at an endpoint."""
         self._listed.add(incarnation)
-        run = crash_evidence.BrokenRun(fingerprint, incarnation, self._clock())
+        keys = crash_keys.RequestKeys(fingerprint, tuple(parts))
+        run = _make_run(self.evidence, keys, incarnation, self._clock())
         if self._add(run):
-            self._log('connection broke', run)
+            poison_logs.log_run(self.blame, 'connection broke', run)
 
-    def record_answer(self, fingerprint: int) -> None:
-        """Clear a request that an endpoint has answered."""
-        if self.evidence.add_answer(fingerprint, self._clock()):
-            self._clear(fingerprint, '')
+    def record_answer(
+        self,
+        fingerprint: crash_keys.Key,
+        parts: collections_abc.Iterable[crash_keys.Key] = (),
+        sent_s: float | None = None,
+    ) -> None:
+        """Clear a request that an endpoint has answered, and its parts.
+
+        sent_s is when the answer was asked for.
+        """
+        now_s = self._clock()
+        sent_s = now_s if sent_s is None else sent_s
+        self.merge_answer(fingerprint, now_s, '')
+        for part in parts:
+            self.merge_answer(part, sent_s, '')
 
     def record_life_sign(
-        self, incarnation: crash_evidence.Incarnation, sent_s: float
+        self, incarnation: broken_runs.Incarnation, sent_s: float
     ) -> None:
         """Record that an endpoint answered what was sent to it at sent_s."""
         for run in self.evidence.runs_at(incarnation):
             if crash_evidence.survives(run, sent_s):
-                self._log('no crash', run, is_routine=True)
+                poison_logs.log_run(
+                    self.blame, 'no crash', run, is_routine=True
+                )
         self.evidence.add_life_sign(incarnation, sent_s)
 
-    def record_silence(self, incarnation: crash_evidence.Incarnation) -> None:
+    def record_silence(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint has stopped answering."""
         for run in self.evidence.mark_silent(incarnation):
-            self._log('endpoint silent', run)
-            self._notify_added(run)
+            poison_logs.log_run(self.blame, 'endpoint silent', run)
+            self.observers.run_added(run)
 
-    def record_end(self, incarnation: crash_evidence.Incarnation) -> None:
+    def record_end(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint's process has ended."""
         for run in self.evidence.mark_ended(incarnation):
-            self._log('crash', run)
-            self._notify_added(run)
+            poison_logs.log_run(self.blame, 'crash', run)
+            self.observers.run_added(run)
 
     def resolve_broken_runs(
         self,
-        live_incarnations: typing.AbstractSet[crash_evidence.Incarnation],
+        live_incarnations: typing.AbstractSet[broken_runs.Incarnation],
     ) -> None:
         """Record the ends of endpoints that are no longer listed."""
         doubted_since_s = self._clock() - crash_evidence.DOUBT_S
@@ -164,107 +199,75 @@
                 self.record_end(incarnation)
         self._listed.intersection_update(self.evidence.undecided())
 
-    def merge_run(self, run: crash_evidence.BrokenRun, sender: str) -> None:
+    def merge_run(self, run: broken_runs.BrokenRun, sender: str) -> None:
         """Add a run that another node reports."""
-        if self._add(run):
-            self._log('run reported', run, sender, is_routine=True)
-        elif self.evidence.answered_s(run.fingerprint) is not None:
-            self._notify_cleared(run.fingerprint)
+        is_news = self._add(run)
+        if is_news:
+            poison_logs.log_run(
+                self.blame, 'run reported', run, sender, is_routine=True
+            )
+        is_cleared = self.evidence.runs_table.get(run.run_id) is None
+        if not is_news and not is_cleared:
+            return
+        # The sender may not know of the answers.
+        for key in filter(self.evidence.history.knows, run.suspects):
+            self.observers.suspect_cleared(key)
 
-    def add_recorded_run(self, run: crash_evidence.BrokenRun) -> None:
+    def add_recorded_run(self, run: broken_runs.BrokenRun) -> None:
         """Add a run that was recorded before this node started."""
         self._listed.add(run.incarnation)
         self.merge_run(run, 'store')
 
-    def merge_answer(self, fingerprint: int, at_s: float, sender: str) -> None:
-        """Add an answer that another node reports."""
-        if self.evidence.add_answer(fingerprint, at_s):
-            self._clear(fingerprint, sender)
+    def merge_answer(
+        self, key: crash_keys.Key, at_s: float, sender: str
+    ) -> None:
+        """Add an answer, here or at another node; at_s as in the history."""
+        if not self.evidence.add_answer(key, at_s):
+            return
+        LOG.info(
+            'suspect cleared',
+            extra={'key': crash_keys.format_key(key), 'sender': sender},
+        )
+        self.observers.suspect_cleared(key)
 
     def forget_old(self) -> None:
-        """Forget requests that have crashed nothing for CRASH_RETENTION_S."""
+        """Forget what has crashed nothing for CRASH_RETENTION_S."""
         self.evidence.forget_before(self._clock() - CRASH_RETENTION_S)
-        known = self.evidence.fingerprints()
-        for fingerprint in set(self.trials).difference(known):
-            self.trials.pop(fingerprint)
+        known = self.evidence.suspects()
+        for key in set(self.trials).difference(known):
+            self.trials.pop(key)
 
-    def _add(self, run: crash_evidence.BrokenRun) -> bool:
+    def _add(self, run: broken_runs.BrokenRun) -> bool:
         is_news = self.evidence.add(run)
         if is_news:
-            self._notify_added(run)
+            self.observers.run_added(run)
         return is_news
 
-    def _clear(self, fingerprint: int, sender: str) -> None:
-        LOG.info(
-            'request cleared',
-            extra={
-                'fingerprint': format_fingerprint(fingerprint),
-                'sender': sender,
-            },
-        )
-        self._notify_cleared(fingerprint)
 
-    def _notify_added(self, run: crash_evidence.BrokenRun) -> None:
-        for observer in self.observers:
-            observer.run_added(run)
-
-    def _notify_cleared(self, fingerprint: int) -> None:
-        for observer in self.observers:
-            observer.request_cleared(fingerprint)
-
-    def _log(
-        self,
-        message: str,
-        run: crash_evidence.BrokenRun,
-        sender: str = '',
-        *,
-        is_routine: bool = False,
-    ) -> None:
-        verdict = self.verdict(run.fingerprint)
-        # Each lost answer reaches all nodes; only suspects are of interest.
-        is_detail = is_routine and verdict is Verdict.SERVE
-        level = logging.DEBUG if is_detail else logging.INFO
-        if not LOG.isEnabledFor(level):
-            return
-        runs = self.evidence.runs(run.fingerprint)
-        endpoint_id, born_ms = run.incarnation
-        LOG.log(
-            level,
-            message,
-            extra={
-                'fingerprint': format_fingerprint(run.fingerprint),
-                'endpoint': endpoint_id,
-                'born_ms': born_ms,
-                'age_ms': int((self._clock() - run.at_s) * _MS_IN_S),
-                'is_crash': run.is_crash,
-                'runs': len(runs),
-                'crashes': sum(one.is_crash for one in runs),
-                'verdict': verdict.value,
-                'sender': sender,
-            },
-        )
+def _make_run(
+    evidence: crash_evidence.CrashEvidence,
+    keys: crash_keys.RequestKeys,
+    incarnation: broken_runs.Incarnation,
+    now_s: float,
+) -> broken_runs.BrokenRun:
+    parts = sorted(keys.parts, key=evidence.history.knows)
+    return broken_runs.BrokenRun(
+        keys.fingerprint,
+        incarnation,
+        now_s,
+        suspects=frozenset((keys.fingerprint, *parts[:MAX_PARTS_PER_RUN])),
+    )
 
 
 def _is_listing_overdue(
-    runs: list[crash_evidence.BrokenRun], now_s: float
+    runs: list[broken_runs.BrokenRun], now_s: float
 ) -> bool:
     """Return whether the endpoint of the runs should have been listed."""
+    if not runs:
+        return False
     return now_s - min(run.at_s for run in runs) > UNLISTED_END_S
 
 
-def certainty(run: crash_evidence.BrokenRun) -> tuple[bool, float]:
+def certainty(run: broken_runs.BrokenRun) -> tuple[bool, float]:
     """Order runs by how surely they show a crash that is still of interest."""
     return run.is_crash, run.at_s
-
-
-def format_fingerprint(fingerprint: int) -> str:
-    """Return a fingerprint as logs show it, in hexadecimal."""
-    return f'{fingerprint:014x}'
-
-
-def fingerprint(target: bytes, account: str | None, body: bytes) -> int:
-    """Return a hash that is the same for all attempts of one request."""
-    digest = hashlib.blake2b(target, digest_size=_DIGEST_BYTES)
-    digest.update((account or '').encode())
-    digest.update(body)
-    return int.from_bytes(digest.digest(), 'big')
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -7,7 +7,7 @@
 import attrs
 
 from redwingvalve.http1 import messages
-from redwingvalve.ingress import poison, routes
+from redwingvalve.ingress import crash_keys, poison, routes
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -80,20 +80,34 @@
     BAD_GATEWAY, 'the endpoint gave no whole answer; it may have run'
 )
 TIMED_OUT: typing.Final = Refusal(GATEWAY_TIMEOUT, 'no answer in time')
+POISON_PART_SUSPECT: typing.Final = Refusal(
+    UNAVAILABLE,
+    'a part of the prompt may have crashed endpoints',
+    POISON_SUSPECT_RETRY_AFTER_S,
+)
+POISON_PART: typing.Final = Refusal(
+    UNAVAILABLE,
+    'a part of the prompt has crashed endpoints',
+    MIN_POISON_RETRY_AFTER_S,
+)
 
 
 def for_crashing_request(
-    tracker: poison.PoisonRequestTracker, fingerprint: int
+    tracker: poison.PoisonRequestTracker, keys: crash_keys.RequestKeys
 ) -> Refusal | None:
     """Return the refusal for a request that may crash endpoints, or None."""
-    verdict = tracker.verdict(fingerprint)
-    if verdict is poison.Verdict.SERVE:
+    judgement = tracker.blame.judge(*keys.all)
+    if judgement.key is None:
         return None
-    if verdict is poison.Verdict.HOLD:
-        return POISON_SUSPECT
-    trial_s = round(tracker.time_to_trial_s(fingerprint), 1)
-    retry_after_s = max(trial_s, MIN_POISON_RETRY_AFTER_S)
-    return attrs.evolve(POISON, retry_after_s=retry_after_s)
+    is_part = crash_keys.is_part(judgement.key)
+    if judgement.verdict is poison.Verdict.HOLD:
+        return POISON_PART_SUSPECT if is_part else POISON_SUSPECT
+    trial_s = round(tracker.time_to_trial_s(*keys.all), 1)
+    min_s = MIN_POISON_RETRY_AFTER_S
+    if tracker.blame.is_worth_a_trial(judgement, keys.all):
+        min_s = POISON_SUSPECT_RETRY_AFTER_S
+    refusal = POISON_PART if is_part else POISON
+    return attrs.evolve(refusal, retry_after_s=max(trial_s, min_s))
 
 
 def for_failed_request(
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -4,7 +4,7 @@
 from redwingvalve.ingress import (
     admission_control,
     admitted_request,
-    poison,
+    crash_keys,
     refusals,
     responses,
     timing,
@@ -42,11 +42,14 @@
         admission = self._admit()
         if admission is None:
             return
-        fingerprint = poison.fingerprint(
-            self._request.target, admission.account, self._request.body
+        keys = crash_keys.make_request_keys(
+            self._request.target,
+            admission.account,
+            self._request.body,
+            self._caller.shared_parts,
         )
-        refusal = refusals.for_crashing_request(self._state.poison, fingerprint)
-        is_trial = refusal is not None and await self._claim_trial(fingerprint)
+        refusal = refusals.for_crashing_request(self._state.poison, keys)
+        is_trial = refusal is not None and await self._claim_trial(keys)
         if refusal is not None and not is_trial:
             responses.send_refusal(self._responder, self._caller, refusal)
             return
@@ -65,7 +68,7 @@
             self._responder,
             admission,
             self._times,
-            fingerprint,
+            keys,
             is_trial=is_trial,
             is_from_peer=self._forwarded is not None,
         )
@@ -76,12 +79,13 @@
         is_ready = state.configuration is not None and not state.is_leaving
         return is_ready and not state.reach.is_cut_off
 
-    async def _claim_trial(self, fingerprint: int) -> bool:
+    async def _claim_trial(self, keys: crash_keys.RequestKeys) -> bool:
         """Return whether this request may be sent in spite of its crashes."""
         claimer = self._state.trial_claimer
-        if claimer is None or not self._state.poison.is_trial_due(fingerprint):
+        tracker = self._state.poison
+        if claimer is None or not tracker.is_trial_due(*keys.all):
             return False
-        return await claimer.claim(fingerprint)
+        return await claimer.claim(keys)
 
     def _admit(self) -> admission_control.Admission | None:
         decision = admission_control.admit(
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from redwingvalve.ingress import crash_evidence, poison, poison_trials
+from redwingvalve.ingress import (
+    crash_evidence,
+    crash_keys,
+    poison,
+    poison_trials,
+)
 
 SERVE, HOLD, REFUSE = poison.Verdict
 
@@ -225,14 +230,14 @@
     tracker, _ = make_tracker()
     for number in range(crash_evidence.MAX_REQUESTS + 50):
         crash(tracker, number, number)
-    assert len(tracker.evidence.fingerprints()) == crash_evidence.MAX_REQUESTS
+    assert len(tracker.evidence.suspects()) == crash_evidence.MAX_REQUESTS
 
 
 def test_fingerprint_depends_on_target_account_and_body():
     prints = {
-        poison.fingerprint(b'/a', 'x', b'1'),
-        poison.fingerprint(b'/a', 'y', b'1'),
-        poison.fingerprint(b'/a', 'x', b'2'),
-        poison.fingerprint(b'/b', 'x', b'1'),
+        crash_keys.fingerprint(b'/a', 'x', b'1'),
+        crash_keys.fingerprint(b'/a', 'y', b'1'),
+        crash_keys.fingerprint(b'/a', 'x', b'2'),
+        crash_keys.fingerprint(b'/b', 'x', b'1'),
     }
     assert len(prints) == 4
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -54,6 +54,7 @@
         # What the endpoint stated about itself, None before the head.
         self.statement: endpoint_statements.Statement | None = None
         self.reason = ''
+        self.sent_s = time.monotonic()
         self._attempt_id = attempt_id
         self._on_statement = on_statement
         self._body: list[bytes] = []
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -14,7 +14,11 @@
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.ingress import crash_evidence, poison
+from redwingvalve.ingress import (
+    crash_evidence,
+    crash_keys,
+    poison,
+)
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -55,7 +59,7 @@
         """Check the run's endpoint."""
         self._added.set()
 
-    def request_cleared(self, fingerprint: int) -> None:
+    def suspect_cleared(self, key: crash_keys.Key) -> None:
         """Ignore an answer: there is nothing to check."""
 
     async def run(self) -> typing.NoReturn:
@@ -106,7 +110,7 @@
 
     def _is_run_due(self, run: crash_evidence.BrokenRun, now_s: float) -> bool:
         evidence = self.tracker.evidence
-        is_repeated = len(evidence.runs(run.fingerprint)) > 1
+        is_repeated = evidence.is_repeated(run)
         age_s = now_s - run.at_s
         if evidence.is_doubtful(run):
             return is_repeated and age_s > crash_evidence.CRASH_DELAY_S
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -49,11 +49,15 @@
   4: i32 age_ms
   // Whether the endpoint's process is known to have ended.
   5: bool is_crash
+  // Hashes of what may have crashed the endpoint: of the request, and of parts
+  // of its prompt.
+  6: list<i64> suspects
 }
 
-// A request that an endpoint has answered although others broke it off.
+// A request, or a part of prompts, that an endpoint has answered although others
+// broke it off.
 struct AnsweredRequest {
-  1: i64 fingerprint
+  1: i64 key
   2: i32 age_ms
 }
 
--- a/redwingvalve/node/poison_records.py
+++ b/redwingvalve/node/poison_records.py
@@ -1,11 +1,11 @@
-"""Keeps the requests that may crash endpoints in the platform's store.
+"""Keeps what may crash endpoints in the platform's store.
 
 Load pattern: all nodes are replaced at once, and callers of a crashing request
 return within a second. The new processes know nothing that only the old ones
-knew. So there is one object with the few requests that aren't served. It is
-written by the node that holds the lease, only when a request is added or
-removed, and read by each node that starts. Trials are claimed by a conditional
-write to it.
+knew. So there is one object with the few requests and parts of prompts that
+aren't served. It is written by the node that holds the lease, only when one is
+added or removed, and read by each node that starts. Trials are claimed by a
+conditional write to it.
 
 Times are exchanged as wall clock times; a clock that is off by some seconds
 moves a trial by as much.
@@ -17,7 +17,12 @@
 import anyio
 import attrs
 
-from redwingvalve.ingress import crash_evidence, poison, poison_trials
+from redwingvalve.ingress import (
+    broken_runs,
+    crash_keys,
+    poison,
+    poison_trials,
+)
 from redwingvalve.node import lease as lease_module
 from redwingvalve.observability import logs
 from redwingvalve.platform import store
@@ -31,17 +36,17 @@
 # Between two looks at what changed without news: lapsed evidence, the lease.
 CHECK_INTERVAL_S = 1.0
 RETRY_INTERVAL_S = 0.3
-# Between two attempts to claim a trial of one request at this node.
-CLAIM_INTERVAL_S = 5.0
+# Between two attempts to claim a trial of the same suspect at this node.
+CLAIM_INTERVAL_S = 1.0
 MAX_RECORDS = 20
 _MS_IN_S = 1000
 
 
 @attrs.define
 class _Record:
-    """A request's entry in the object."""
+    """The entry of a suspect in the object."""
 
-    runs: list[crash_evidence.BrokenRun]
+    runs: list[broken_runs.BrokenRun]
     trials: poison_trials.TrialHistory
 
 
@@ -53,24 +58,24 @@
     client: store.StoreClient
     lease: lease_module.Lease
     is_loaded: bool = False
-    # As last read or written: the requests in the object, and its revision,
+    # As last read or written: the suspects in the object, and its revision,
     # None if there is no object.
-    _stored: set[int] = attrs.field(factory=set)
+    _stored: set[crash_keys.Key] = attrs.field(factory=set)
     _revision: int | None = None
     # The lease acquisition since which the object is known.
     _read_for: int = 0
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
-    _claimed_s: dict[int, float] = attrs.field(factory=dict)
+    _claimed_s: dict[crash_keys.Key, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Observe the tracker."""
         self.tracker.observers.append(self)
 
-    def run_added(self, run: crash_evidence.BrokenRun) -> None:
+    def run_added(self, run: broken_runs.BrokenRun) -> None:
         """Have the records compared soon."""
         self._changed.set()
 
-    def request_cleared(self, fingerprint: int) -> None:
+    def suspect_cleared(self, key: crash_keys.Key) -> None:
         """Have the records compared soon."""
         self._changed.set()
 
@@ -95,7 +100,7 @@
                 self._read_for = 0
                 LOG.warning('not recorded', extra={'error': str(error)})
 
-    async def claim(self, fingerprint: int) -> bool:
+    async def claim(self, keys: crash_keys.RequestKeys) -> bool:
         """Return whether this node may try a request that is due."""
         now_s = time.monotonic()
         self._claimed_s = {
@@ -103,11 +108,12 @@
             for claimed, claimed_s in self._claimed_s.items()
             if now_s - claimed_s < CLAIM_INTERVAL_S
         }
-        if fingerprint in self._claimed_s:
+        suspect = self.tracker.blame.judge(*keys.all).key
+        if suspect is None or suspect in self._claimed_s:
             return False
-        self._claimed_s[fingerprint] = now_s
+        self._claimed_s[suspect] = now_s
         try:
-            return await self._claim(fingerprint)
+            return await self._claim(suspect, keys)
         except store.StoreError as error:
             LOG.warning('trial not claimed', extra={'error': str(error)})
             return False
@@ -122,7 +128,7 @@
         self.is_loaded = True
 
     async def _wait_for_change(self) -> None:
-        has_evidence = bool(self.tracker.evidence.fingerprints())
+        has_evidence = bool(self.tracker.evidence.suspects())
         is_empty = not (self._stored or has_evidence)
         if is_empty and not self._must_read():
             await self._changed.wait()
@@ -145,22 +151,23 @@
         wanted = set(self.tracker.not_served()[-MAX_RECORDS:])
         if wanted == self._stored:
             return
-        await self._write({'requests': [self._encode(one) for one in wanted]})
+        await self._write({'suspects': [self._encode(one) for one in wanted]})
         self._stored = wanted
-        LOG.info('recorded', extra={'requests': len(wanted)})
+        LOG.info('recorded', extra={'suspects': len(wanted)})
 
-    async def _claim(self, fingerprint: int) -> bool:
+    async def _claim(
+        self, suspect: crash_keys.Key, keys: crash_keys.RequestKeys
+    ) -> bool:
         document = await self._read()
-        is_recorded = fingerprint in self._stored
-        if not is_recorded or not self.tracker.is_trial_due(fingerprint):
+        is_recorded = suspect in self._stored
+        if not is_recorded or not self.tracker.is_trial_due(*keys.all):
             return False
-        known = self.tracker.trials[fingerprint]
+        known = self.tracker.trials[suspect]
         history = poison_trials.TrialHistory(known.count + 1, time.monotonic())
-        await self._write(_with_trial(document, fingerprint, history))
-        self.tracker.trials[fingerprint] = history
+        await self._write(_with_trial(document, suspect, history))
+        self.tracker.trials[suspect] = history
         LOG.info(
-            'trial claimed',
-            extra={'fingerprint': poison.format_fingerprint(fingerprint)},
+            'trial claimed', extra={'suspect': crash_keys.format_key(suspect)}
         )
         return True
 
@@ -170,8 +177,8 @@
         records = _decode(document) if document else {}
         self._revision = store.revision_of(document) if document else None
         self._stored = set(records)
-        for fingerprint, record in records.items():
-            self.tracker.trials[fingerprint] = record.trials
+        for suspect, record in records.items():
+            self.tracker.trials[suspect] = record.trials
             for run in record.runs:
                 self.tracker.add_recorded_run(run)
         return document
@@ -186,17 +193,19 @@
             )
         self._revision = store.revision_of(stored)
 
-    def _encode(self, fingerprint: int) -> store.Document:
-        runs = self.tracker.evidence.runs_to_blame(fingerprint)
-        runs.sort(key=poison.certainty)
-        trials = self.tracker.trials.get(
-            fingerprint, poison_trials.TrialHistory()
-        )
+    def _encode(self, suspect: crash_keys.Key) -> store.Document:
+        trials = self.tracker.trials.get(suspect, poison_trials.TrialHistory())
         return {
-            'fingerprint': poison.format_fingerprint(fingerprint),
+            'suspect': crash_keys.format_key(suspect),
             'runs': [
-                [*run.incarnation, _to_wall_ms(run.at_s), run.is_crash]
-                for run in runs[-poison.MIN_CRASHES_TO_REFUSE :]
+                [
+                    crash_keys.format_key(run.fingerprint),
+                    *run.incarnation,
+                    _to_wall_ms(run.at_s),
+                    run.is_crash,
+                    [crash_keys.format_key(one) for one in run.suspects],
+                ]
+                for run in self.tracker.blame.decisive_runs(suspect)
             ],
             'trials': trials.count,
             'tried_ms': _to_wall_ms(trials.latest_s) if trials.count else 0,
@@ -205,57 +214,65 @@
 
 def _with_trial(
     document: store.Document | None,
-    fingerprint: int,
+    suspect: crash_keys.Key,
     history: poison_trials.TrialHistory,
 ) -> store.Document:
-    """Return the object's content with a new trial of one request."""
-    name = poison.format_fingerprint(fingerprint)
-    requests = document['spec']['requests'] if document else []
+    """Return the object's content with a new trial of one suspect."""
+    name = crash_keys.format_key(suspect)
+    records = document['spec']['suspects'] if document else []
     trial = {
         'trials': history.count,
         'tried_ms': _to_wall_ms(history.latest_s),
     }
     return {
-        'requests': [
-            {**one, **trial} if one.get('fingerprint') == name else one
-            for one in requests
+        'suspects': [
+            {**one, **trial} if one.get('suspect') == name else one
+            for one in records
         ]
     }
 
 
-def _decode(document: store.Document) -> dict[int, _Record]:
+def _decode(document: store.Document) -> dict[crash_keys.Key, _Record]:
     """Return the records; one that can't be read is left out."""
-    records = {}
+    found = {}
     try:
-        requests = list(document['spec']['requests'])
+        records = list(document['spec']['suspects'])
     except (KeyError, TypeError) as error:
         LOG.error('invalid records', extra={'error': str(error)})
         return {}
-    for request in requests:
+    for record in records:
         try:
-            fingerprint, record = _decode_request(request)
+            suspect, decoded = _decode_record(record)
         except (KeyError, TypeError, ValueError) as error:
             LOG.error('invalid record', extra={'error': str(error)})
             continue
-        records[fingerprint] = record
-    return records
-
-
-def _decode_request(request: store.Document) -> tuple[int, _Record]:
-    fingerprint = int(request['fingerprint'], 16)
-    count = int(request['trials'])
-    latest_s = _to_monotonic_s(request['tried_ms']) if count else 0
-    runs = [
-        crash_evidence.BrokenRun(
-            fingerprint,
-            (str(endpoint_id), int(born_ms)),
-            _to_monotonic_s(at_ms),
-            bool(is_crash),
-        )
-        for endpoint_id, born_ms, at_ms, is_crash in request['runs']
-    ]
-    trials = poison_trials.TrialHistory(count, latest_s)
-    return fingerprint, _Record(runs, trials)
+        found[suspect] = decoded
+    return found
+
+
+def _decode_record(record: store.Document) -> tuple[crash_keys.Key, _Record]:
+    suspect = int(record['suspect'], 16)
+    count = int(record['trials'])
+    latest_s = _to_monotonic_s(record['tried_ms']) if count else 0
+    runs = [_decode_run(*run) for run in record['runs']]
+    return suspect, _Record(runs, poison_trials.TrialHistory(count, latest_s))
+
+
+def _decode_run(
+    fingerprint: str,
+    endpoint_id: str,
+    born_ms: int,
+    at_ms: int,
+    is_crash: bool,
+    suspects: list[str],
+) -> broken_runs.BrokenRun:
+    return broken_runs.BrokenRun(
+        int(fingerprint, 16),
+        (str(endpoint_id), int(born_ms)),
+        _to_monotonic_s(at_ms),
+        bool(is_crash),
+        frozenset(int(one, 16) for one in suspects),
+    )
 
 
 def _to_wall_ms(monotonic_s: float) -> int:
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -51,10 +51,11 @@
     (_Type.I64, 'born_ms'),
     (_Type.I32, 'age_ms'),
     (_Type.BOOL, 'is_crash'),
+    (_Type.LIST, 'suspects', _Type.I64),
 )
 AnsweredRequest: typing.Any = _struct(
     'AnsweredRequest',
-    (_Type.I64, 'fingerprint'),
+    (_Type.I64, 'key'),
     (_Type.I32, 'age_ms'),
 )
 StatusMessage: typing.Any = _struct(
--- a/redwingvalve/node/tests/test_crashing_requests.py
+++ b/redwingvalve/node/tests/test_crashing_requests.py
@@ -320,7 +320,7 @@
         assert set(request.statuses) == {200}
         objects = fleet.store.objects[poison_records.RECORDS_KIND]
         await fleet.wait_until(
-            lambda: not objects[poison_records.RECORDS_NAME]['spec']['requests']
+            lambda: not objects[poison_records.RECORDS_NAME]['spec']['suspects']
         )
 
     fleet_harness.run(test, nodes=6, engines=0, plain=20)
--- a/redwingvalve/node/tests/test_poison_records.py
+++ b/redwingvalve/node/tests/test_poison_records.py
@@ -5,11 +5,12 @@
 import anyio
 import pytest
 
-from redwingvalve.ingress import poison, poison_trials
+from redwingvalve.ingress import crash_keys, poison, poison_trials
 from redwingvalve.node import poison_records
 from redwingvalve.platform import store
 
 FINGERPRINT = 7
+KEYS = crash_keys.RequestKeys(FINGERPRINT)
 
 
 class Store:
@@ -145,7 +146,7 @@
     async def claim(records):
         await records._load()
         await anyio.sleep(0.6)
-        claimed.append(await records.claim(FINGERPRINT))
+        claimed.append(await records.claim(KEYS))
 
     async def main():
         async with anyio.create_task_group() as group:
@@ -160,9 +161,9 @@
     'spec',
     [
         {},
-        {'requests': 3},
-        {'requests': [{}, {'fingerprint': 'x', 'runs': [], 'trials': 0}]},
-        {'requests': [{'fingerprint': '7', 'runs': [[1]], 'trials': 0}]},
+        {'suspects': 3},
+        {'suspects': [{}, {'suspect': 'x', 'runs': [], 'trials': 0}]},
+        {'suspects': [{'suspect': '7', 'runs': [[1]], 'trials': 0}]},
     ],
 )
 def test_records_that_cannot_be_read_are_left_out(spec):
