Check an endpoint whose answer ended with its connection

Callers saw: 200 with half a body, where an endpoint crashed in the middle of an answer that has neither a length nor chunks. The fleet took the same answer for a proof that its parts are harmless.

Cause: a body without a length ends with its connection, so that a whole answer and one whose sender has ended look alike; the second was read as whole.

Now the endpoint is asked before the caller is told of the end: if it is gone, the answer is broken off. A request that may be an early one of those that crash endpoints is checked 0.15 s later, since a process can outlive its connection.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -200,9 +200,7 @@
             self._log_outcome(target, responses.ANSWERED)
             answer = self._sender.upstream_request
             assert answer is not None
-            self._state.poison.record_answer(
-                self._keys.fingerprint, self._keys.parts, answer.sent_s
-            )
+            self._record_answer(answer, target)
             responses.send_response(self._responder, answer)
             return True
         if outcome in _OUT_OF_TIME:
@@ -220,6 +218,21 @@
         self._fail(outcome.value)
         return True
 
+    def _record_answer(
+        self,
+        answer: upstream.UpstreamRequest,
+        target: load_balancing.Target,
+    ) -> None:
+        tracker = self._state.poison
+        if answer.ends_with_connection:
+            tracker.record_open_end(
+                self._keys, target.incarnation, answer.sent_s
+            )
+        else:
+            tracker.record_answer(
+                self._keys.fingerprint, self._keys.parts, answer.sent_s
+            )
+
     def _record_failure(
         self, outcome: upstream.Outcome, target: load_balancing.Target
     ) -> None:
@@ -321,7 +334,7 @@
         state.stall_detector, responder, caller.last_event, times
     )
     sender = upstream_sender.UpstreamSender(
-        state, request, caller, admission, wait, forwarder
+        state, request, caller, admission, wait, forwarder, keys
     )
     return AdmittedRequest(
         state=state,
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -18,6 +18,7 @@
 What speaks for a request: an answer of any endpoint, and that an endpoint which
 broke it off answers something else. A process may end a moment after the
 connection, so that what it answers at once counts only until it falls silent.
+An answer that ends with its connection counts once its endpoint has survived.
 """
 
 import abc
@@ -30,6 +31,7 @@
     crash_blame,
     crash_evidence,
     crash_keys,
+    open_ends,
     poison_logs,
     poison_trials,
 )
@@ -58,6 +60,9 @@
     def suspect_cleared(self, key: crash_keys.Key) -> None:
         """Handle an answer to something that had been suspected."""
 
+    def open_end_added(self) -> None:
+        """Handle an answer that ended with its connection."""
+
 
 class EvidenceObservers(EvidenceObserver):
     """Several observers."""
@@ -80,6 +85,11 @@
         for observer in self._observers:
             observer.suspect_cleared(key)
 
+    def open_end_added(self) -> None:
+        """Tell all observers."""
+        for observer in self._observers:
+            observer.open_end_added()
+
 
 class PoisonRequestTracker:
     """Crashes by request and part of prompts, from this node and others."""
@@ -89,6 +99,7 @@
     ) -> None:
         """Start without crashes."""
         self.evidence = crash_evidence.CrashEvidence()
+        self.open_ends = open_ends.OpenEnds()
         self.blame = crash_blame.CrashBlame(self.evidence, clock)
         self.observers = EvidenceObservers()
         self._clock = clock
@@ -140,6 +151,18 @@
         if self._add(run):
             poison_logs.log_run(self.blame, 'connection broke', run)
 
+    def record_open_end(
+        self,
+        keys: crash_keys.RequestKeys,
+        incarnation: broken_runs.Incarnation,
+        sent_s: float,
+    ) -> None:
+        """Record an answer, asked for at sent_s, that may have broken off."""
+        self._listed.add(incarnation)
+        run = _make_run(self.evidence, keys, incarnation, self._clock())
+        self.open_ends.add(open_ends.OpenEnd(run, sent_s))
+        self.observers.open_end_added()
+
     def record_answer(
         self,
         fingerprint: crash_keys.Key,
@@ -166,19 +189,28 @@
                     self.blame, 'no crash', run, is_routine=True
                 )
         self.evidence.add_life_sign(incarnation, sent_s)
+        self._add_survived(self.open_ends.take_survived(incarnation, sent_s))
 
     def record_silence(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint has stopped answering."""
+        self._add_broken_off(incarnation)
         for run in self.evidence.mark_silent(incarnation):
             poison_logs.log_run(self.blame, 'endpoint silent', run)
             self.observers.run_added(run)
 
     def record_end(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint's process has ended."""
+        self._add_broken_off(incarnation)
         for run in self.evidence.mark_ended(incarnation):
             poison_logs.log_run(self.blame, 'crash', run)
             self.observers.run_added(run)
 
+    def undecided(self) -> list[broken_runs.Incarnation]:
+        """Return the endpoints of which is not known whether they live."""
+        found = set(self.evidence.undecided())
+        found.update(end.run.incarnation for end in self.open_ends.all())
+        return list(found)
+
     def resolve_broken_runs(
         self,
         live_incarnations: typing.AbstractSet[broken_runs.Incarnation],
@@ -186,7 +218,7 @@
         """Record the ends of endpoints that are no longer listed."""
         doubted_since_s = self._clock() - crash_evidence.DOUBT_S
         self.evidence.forget_doubtful_before(doubted_since_s)
-        undecided = self.evidence.undecided()
+        undecided = self.undecided()
         self._listed.update(live_incarnations.intersection(undecided))
         for incarnation in undecided:
             is_live = incarnation in live_incarnations
@@ -197,7 +229,8 @@
                 )
             ):
                 self.record_end(incarnation)
-        self._listed.intersection_update(self.evidence.undecided())
+        self._add_survived(self.open_ends.take_before(doubted_since_s))
+        self._listed.intersection_update(self.undecided())
 
     def merge_run(self, run: broken_runs.BrokenRun, sender: str) -> None:
         """Add a run that another node reports."""
@@ -243,6 +276,22 @@
             self.observers.run_added(run)
         return is_news
 
+    def _add_survived(
+        self, ends: collections_abc.Iterable[open_ends.OpenEnd]
+    ) -> None:
+        for end in ends:
+            self.record_answer(
+                end.run.fingerprint,
+                end.run.suspects - {end.run.fingerprint},
+                end.sent_s,
+            )
+
+    def _add_broken_off(self, incarnation: broken_runs.Incarnation) -> None:
+        """Take the open answers of an endpoint that is gone for broken off."""
+        for run in self.open_ends.take_at(incarnation):
+            if self._add(run):
+                poison_logs.log_run(self.blame, 'answer was not whole', run)
+
 
 def _make_run(
     evidence: crash_evidence.CrashEvidence,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -9,6 +9,7 @@
 
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import (
+    answer_ends,
     caller_retries,
     duration_estimates,
     load_balancing,
@@ -91,6 +92,9 @@
     poison: poison_module.PoisonRequestTracker = attrs.field(
         factory=poison_module.PoisonRequestTracker
     )
+    end_checker: answer_ends.AnswerEndChecker = attrs.field(
+        factory=answer_ends.AssumedWhole
+    )
     # Without it refused requests aren't tried again.
     trial_claimer: poison_trials.TrialClaimer | None = None
     deadline_history: caller_retries.DeadlineHistory = attrs.field(
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -64,6 +64,14 @@
         """Return the body received so far."""
         return b''.join(self._body)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the connection's end marks that of the answer."""
+        head = self.head
+        return head is not None and (
+            head.body_end is messages.BodyEnd.CONNECTION
+        )
+
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether an answer belongs to this attempt."""
         echoed = head.header(names.ATTEMPT_ID_HEADER)
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -7,6 +7,7 @@
 from redwingvalve.ingress import (
     admission_control,
     caller_wait,
+    crash_keys,
     load_balancing,
     relocation,
     responses,
@@ -41,6 +42,7 @@
         admission: admission_control.Admission,
         wait: caller_wait.CallerWait,
         forwarder: stream_forwarding.StreamForwarder,
+        keys: crash_keys.RequestKeys,
     ) -> None:
         """Send the request while wait lasts; events go to forwarder."""
         self.sent_count = 0
@@ -55,6 +57,7 @@
         self._admission = admission
         self._wait = wait
         self._forwarder = forwarder
+        self._keys = keys
         self._connection: client.Connection | None = None
         # The next retry is already taken from the budget.
         self._is_retry_paid = False
@@ -212,11 +215,30 @@
         finally:
             in_flight_requests.discard(self)
             self._forwarder.detach()
+        if (
+            outcome is upstream.Outcome.COMPLETE
+            and upstream_request.ends_with_connection
+        ):
+            outcome = await self._check_end(target, upstream_request)
         if outcome in ABANDONED and self._connection is not None:
             self._connection.abandon()
         self._connection = None
         return outcome
 
+    async def _check_end(
+        self,
+        target: load_balancing.Target,
+        upstream_request: upstream.UpstreamRequest,
+    ) -> upstream.Outcome:
+        """Return BROKEN if an answer ended because its endpoint did."""
+        is_in_doubt = self._state.poison.blame.is_in_doubt(self._keys)
+        if not await self._state.end_checker.has_ended(
+            target, is_in_doubt=is_in_doubt
+        ):
+            return upstream.Outcome.COMPLETE
+        upstream_request.reason = 'the endpoint ended'
+        return upstream.Outcome.BROKEN
+
     async def _wait_for_outcome(
         self, upstream_request: upstream.UpstreamRequest
     ) -> upstream.Outcome:
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -15,8 +15,10 @@
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import (
+    answer_ends,
     crash_evidence,
     crash_keys,
+    load_balancing,
     poison,
 )
 from redwingvalve.observability import logs
@@ -30,6 +32,11 @@
 MIN_PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 8.0
 MAX_CONCURRENT_PROBES = 16
+# A process may outlive the connection of its answer by a moment.
+ANSWER_END_DELAY_S = 0.15
+_GONE = frozenset(
+    (endpoint_orders.Liveness.ENDED, endpoint_orders.Liveness.NOT_LISTENING)
+)
 
 
 @attrs.define(eq=False)
@@ -62,11 +69,15 @@
     def suspect_cleared(self, key: crash_keys.Key) -> None:
         """Ignore an answer: there is nothing to check."""
 
+    def open_end_added(self) -> None:
+        """Check the answer's endpoint."""
+        self._added.set()
+
     async def run(self) -> typing.NoReturn:
         """Check endpoints until cancelled; idle without broken runs."""
         async with anyio.create_task_group() as group:
             while True:
-                undecided = self.tracker.evidence.undecided()
+                undecided = self.tracker.undecided()
                 if not undecided:
                     self._probes.clear()
                     await self._added.wait()
@@ -78,7 +89,7 @@
     def _start_probes(self, group: anyio.abc.TaskGroup) -> None:
         now_s = time.monotonic()
         running = sum(one.is_running for one in self._probes.values())
-        for incarnation in self.tracker.evidence.undecided():
+        for incarnation in self.tracker.undecided():
             if running >= MAX_CONCURRENT_PROBES:
                 return
             probes = self._probes.setdefault(incarnation, _Probes())
@@ -106,6 +117,9 @@
         return any(
             self._is_run_due(run, now_s)
             for run in self.tracker.evidence.runs_at(incarnation)
+        ) or any(
+            now_s - end.run.at_s > crash_evidence.CRASH_DELAY_S
+            for end in self.tracker.open_ends.at_endpoint(incarnation)
         )
 
     def _is_run_due(self, run: crash_evidence.BrokenRun, now_s: float) -> bool:
@@ -141,3 +155,34 @@
             self.tracker.record_end(incarnation)
         else:
             self.tracker.record_silence(incarnation)
+
+
+@attrs.define(eq=False)
+class EndpointAnswerEnds(answer_ends.AnswerEndChecker):
+    """Probes the endpoint of each answer that ended with its connection.
+
+    A caller that took half of an answer for whole could not tell.
+    """
+
+    registry: registry_module.Registry
+    client: endpoint_orders.EndpointClient
+
+    async def has_ended(
+        self, target: load_balancing.Target, *, is_in_doubt: bool
+    ) -> bool:
+        """Return whether the endpoint is gone, or nothing listens there."""
+        if is_in_doubt:
+            await anyio.sleep(ANSWER_END_DELAY_S)
+        endpoint = self.registry.live.get(target.endpoint_id)
+        if endpoint is None or endpoint.incarnation != target.incarnation:
+            return True
+        liveness = await self.client.check_liveness(endpoint)
+        LOG.info(
+            'answer ended with its connection',
+            extra={
+                'endpoint': target.endpoint_id,
+                'liveness': liveness.value,
+                'is_in_doubt': is_in_doubt,
+            },
+        )
+        return liveness in _GONE
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -329,6 +329,9 @@
         lease,
         front.FrontApplication(state),
     )
+    state.end_checker = crash_checks.EndpointAnswerEnds(
+        registry, endpoint_client
+    )
     return Node(
         settings=node_settings,
         state=state,
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -239,7 +239,7 @@
         self.registry.drop_expired()
         # Before that every endpoint would seem to have ended.
         is_synced = self.registry.is_synced
-        if is_synced and self.state.poison.evidence.undecided():
+        if is_synced and self.state.poison.undecided():
             self.state.poison.resolve_broken_runs(self.registry.incarnations())
         self.state.node_count = 1 + len(self.peers.alive())
 
--- a/redwingvalve/node/tests/test_crash_checks.py
+++ b/redwingvalve/node/tests/test_crash_checks.py
@@ -11,7 +11,7 @@
 from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
 
-ALIVE, ENDED, UNKNOWN = endpoint_orders.Liveness
+ALIVE, ENDED, NOT_LISTENING, UNKNOWN = endpoint_orders.Liveness
 
 
 class Endpoints:
--- a/redwingvalve/node/tests/test_crashing_parts.py
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -164,3 +164,43 @@
         assert not [one for one in crashing.asked if one.status == 503]
 
     fleet_harness.run(test, **PLAIN)
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+def test_whole_answers_that_end_with_connections_reach_callers(is_stream):
+    """Half an answer of an endpoint that has crashed looks the same."""
+
+    async def test(fleet):
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.closes_after_answers = True
+        crashing = crashing_parts.CrashingPart(fleet, is_stream)
+        started_s = anyio.current_time()
+        await crashing.send_sound_until(started_s + 1.5)
+        assert crashing.served_share(started_s) == 1
+        crashing.prepare(answer_start=AnswerStart.NEITHER)
+        await crashing.send_bad()
+        assert not crashing.falsely_served()
+
+    fleet_harness.run(test, **(STREAMS if is_stream else PLAIN))
+
+
+@pytest.mark.parametrize('outlives_answer_s', [0.05, 0.3])
+@pytest.mark.parametrize('closes', [False, True])
+def test_crashing_part_is_refused_whose_endpoints_outlive_its_answers(
+    outlives_answer_s, closes
+):
+    """The endpoint answers a probe after half an answer, and ends then."""
+
+    async def test(fleet):
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.closes_after_answers = closes
+        crashing = crashing_parts.CrashingPart(fleet)
+        share = await crashing_parts.run_crashing(
+            crashing,
+            answer_start=AnswerStart.NEITHER,
+            outlives_answer_s=outlives_answer_s,
+        )
+        assert crashing.late_arrivals() <= crashing_parts.MAX_LATE_ARRIVALS
+        assert share >= MIN_SERVED_SHARE
+
+    fleet_harness.run(test, **PLAIN)
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -51,6 +51,9 @@
 
     ALIVE = 'alive'
     ENDED = 'ended'
+    # Its host replied that nothing listens at its address. A full endpoint may
+    # refuse connections too.
+    NOT_LISTENING = 'not-listening'
     # No response: it may have ended, be overloaded or cut off.
     UNKNOWN = 'unknown'
 
@@ -199,6 +202,8 @@
                 REPORT_TIMEOUT_S,
                 _expected_endpoint_headers(endpoint),
             )
+        except store.NotListeningError:
+            return Liveness.NOT_LISTENING
         except store.StoreError:
             return Liveness.UNKNOWN
         if status == _OTHER_ENDPOINT:
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -329,32 +329,50 @@
             return
         if await _fails(self, request, responder, headers):
             return
-        if request.header(b'x-model'):
-            await self._stream(responder, headers, int(last or 0))
-        else:
-            await asyncio.sleep(EVENT_INTERVAL_S)
-            _answer(self, responder, headers, attempt)
+        await _reply(self, request, responder, headers)
 
-    async def _stream(
-        self,
-        responder: server.Responder,
-        headers: messages.Headers,
-        last: int,
-    ) -> None:
-        kind = (b'content-type', b'text/event-stream')
-        responder.start(200, [*headers, kind])
-        for number in range(last + 1, self.events_per_response + 1):
+
+async def _reply(
+    endpoint: FakeEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    """Answer a request as its kind and the endpoint's faults say."""
+    if endpoint.faults.closes_after_answers:
+        pieces = _pieces(endpoint, request)
+        await endpoint_crashes.answer_until_closed(
+            responder, headers, pieces, EVENT_INTERVAL_S
+        )
+    elif request.header(b'x-model'):
+        last = int(request.header(b'last-event-id') or 0)
+        await _stream(endpoint, responder, headers, last)
+    else:
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        attempt = request.header(b'x-attempt-id') or b''
+        _answer(endpoint, responder, headers, attempt)
+
+
+async def _stream(
+    endpoint: FakeEndpoint,
+    responder: server.Responder,
+    headers: messages.Headers,
+    last: int,
+) -> None:
+    kind = (b'content-type', b'text/event-stream')
+    responder.start(200, [*headers, kind])
+    for number in range(last + 1, endpoint.events_per_response + 1):
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        while endpoint_faults.is_stalled(endpoint.faults):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            while endpoint_faults.is_stalled(self.faults):
-                await asyncio.sleep(EVENT_INTERVAL_S)
-            if number == self.faults.aborts_at_event:
-                # Abort in the middle of an event.
-                responder.write(b'id: %d\ndata: ha' % number)
-                await asyncio.sleep(0)
-                responder.abort()
-                return
-            responder.write(b'id: %d\ndata: %d\n\n' % (number, number))
-        responder.finish()
+        if number == endpoint.faults.aborts_at_event:
+            # Abort in the middle of an event.
+            responder.write(b'id: %d\ndata: ha' % number)
+            await asyncio.sleep(0)
+            responder.abort()
+            return
+        responder.write(b'id: %d\ndata: %d\n\n' % (number, number))
+    responder.finish()
 
 
 def _answer(
@@ -372,6 +390,16 @@
         connection.write(head + body)
 
 
+def _pieces(endpoint: FakeEndpoint, request: messages.Request) -> list[bytes]:
+    """Return the body of an answer, or the events of a stream."""
+    if request.header(b'x-model') is None:
+        attempt = request.header(b'x-attempt-id') or b''
+        return [b'body of %b' % attempt]
+    last = int(request.header(b'last-event-id') or 0)
+    numbers = range(last + 1, endpoint.events_per_response + 1)
+    return [b'id: %d\ndata: %d\n\n' % (one, one) for one in numbers]
+
+
 async def _fails(
     endpoint: FakeEndpoint,
     request: messages.Request,
--- a/redwingvalve/platform/standins/endpoint_crashes.py
+++ b/redwingvalve/platform/standins/endpoint_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import typing
+from collections import abc as collections_abc
 
 import attrs
 
@@ -37,6 +38,8 @@
     answer_start: AnswerStart = AnswerStart.NOTHING
     # From the start of the answer to the crash.
     delay_s: float = 0.05
+    # From the end of an answer that ends with its connection to the crash.
+    outlives_answer_s: float = 0
     # From the crash to the return under the same id, None to stay away.
     return_delay_s: float | None = None
     # All crashes of the endpoint, by the monotonic clock.
@@ -63,7 +66,7 @@
     await asyncio.sleep(faults.delay_s)
     _end_answer(faults, responder)
     # The end of the connection leaves before those of the others.
-    await asyncio.sleep(0)
+    await asyncio.sleep(faults.outlives_answer_s)
 
 
 def _start_answer(
@@ -88,6 +91,21 @@
     responder.connection.write(head + piece)
 
 
+async def answer_until_closed(
+    responder: server.Responder,
+    headers: messages.Headers,
+    pieces: collections_abc.Sequence[bytes],
+    interval_s: float,
+) -> None:
+    """Send a whole answer whose end is that of its connection."""
+    head = messages.render_head(b'HTTP/1.1 200 OK', headers)
+    responder.connection.write(head)
+    for piece in pieces:
+        await asyncio.sleep(interval_s)
+        responder.connection.write(piece)
+    responder.connection.response_completed(keep=False)
+
+
 def _end_answer(faults: CrashFaults, responder: server.Responder) -> None:
     """Close the connection if its end is that of the answer."""
     if faults.answer_start in {AnswerStart.NEITHER, AnswerStart.HALF_EVENT}:
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -35,6 +35,8 @@
     # Nothing is read or sent until this time by the monotonic clock.
     silent_until_s: float = 0
     duplicates_response: bool = False
+    # Answers have neither a length nor chunks and end with their connections.
+    closes_after_answers: bool = False
     aborts_at_event: int | None = None
     rejects_requests: bool = False
     rejects_every_other_request: bool = False
