Blame a part only for ends that follow one another

A drawn test found a fourth late send: three requests at once, each sent twice, then a pause of four seconds and two more. Their ends at 0.05 and 0.10 s counted as one moment, so the part was served until a third. Ends were told apart by 0.25 s, which a burst undercuts.

Now a run names when it was sent, and ends are separate causes if each befell a request that was sent after the one before. Two such ends suffice for a part that was never answered; until a third it is tried soon, as two domains may have gone dark. Parts that were answered before need three.

The drawn test of many companies found another: of two bad parts that share some requests the weaker was served once more whenever the stronger gained an end. A part with five ends now needs three of its own.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -245,7 +245,10 @@
         self._may_have_run = True
         if outcome is upstream.Outcome.BROKEN:
             self._state.poison.record_broken_run(
-                self._keys.fingerprint, target.incarnation, self._keys.parts
+                self._keys.fingerprint,
+                target.incarnation,
+                self._keys.parts,
+                self._latest_sent_s,
             )
         if outcome is upstream.Outcome.FAILURE:
             self._failure_response = self._sender.upstream_request
@@ -258,6 +261,11 @@
                 target.endpoint_id, 'broken stream'
             )
 
+    @property
+    def _latest_sent_s(self) -> float | None:
+        latest = self._sender.upstream_request
+        return None if latest is None else latest.sent_s
+
     def _blames_member(self, target: load_balancing.Target) -> bool:
         """Return whether a head refused because of another member."""
         latest = self._sender.upstream_request
--- a/redwingvalve/ingress/broken_runs.py
+++ b/redwingvalve/ingress/broken_runs.py
@@ -33,6 +33,10 @@
             lambda run: frozenset((run.fingerprint,)), takes_self=True
         )
     )
+    # When the request was sent to the endpoint.
+    sent_s: float = attrs.field(
+        default=attrs.Factory(lambda run: run.at_s, takes_self=True)
+    )
 
     @property
     def run_id(self) -> RunId:
--- a/redwingvalve/ingress/crash_blame.py
+++ b/redwingvalve/ingress/crash_blame.py
@@ -2,11 +2,13 @@
 
 What breaks off at an endpoint is the fault of one suspect there: of that which
 has broken off at most endpoints. What has been answered before yields to what
-has not, if both alone explain enough crashes, or none does and they are equal.
+has not, if that alone explains enough crashes, or if they are equal. A suspect
+is blamed if enough of its ends have no other culprit.
 
 A part of prompts is shared by many requests, so that it breaks off whenever
-endpoints end for other reasons. It is blamed only for ends at several moments,
-and if it was answered before, only if no answer has followed soon.
+endpoints end for other reasons, often together. It is blamed only if requests
+that were sent after an end have ended other endpoints, and if it was answered
+before, only if no answer has followed soon.
 """
 
 import enum
@@ -20,9 +22,10 @@
 
 MIN_CRASHES_TO_REFUSE = 3
 MIN_PART_CRASHES = 5
-# Endpoints that end within MOMENT_S may have one cause, such as a lost domain.
-MIN_PART_MOMENTS = 3
-MOMENT_S = 0.25
+# Ends of which each befell a request that was sent after the one before: to be
+# blamed, and to rule out that endpoints ended together, twice.
+MIN_SUCCESSIVE_ENDS = 2
+MIN_CERTAIN_SUCCESSIVE_ENDS = 3
 # Until then a sound part that is in use has been answered again.
 ANSWERED_PART_GRACE_S = 1.5
 
@@ -40,10 +43,17 @@
 class EndpointEnd:
     """An endpoint that ended, or may have ended, under a suspect."""
 
+    incarnation: broken_runs.Incarnation
     at_s: float
     is_crash: bool
+    # Those of the suspect.
     runs: tuple[broken_runs.BrokenRun, ...]
 
+    @property
+    def sent_s(self) -> float:
+        """Return when the last of the runs was sent."""
+        return max(run.sent_s for run in self.runs)
+
 
 @attrs.frozen
 class Judgement:
@@ -52,7 +62,10 @@
     verdict: Verdict = Verdict.SERVE
     # What is to blame, None if nothing is.
     key: crash_keys.Key | None = None
+    # The ends for which it, or another part of the request, is to blame.
     ends: tuple[EndpointEnd, ...] = ()
+    # All ends that it was part of.
+    all_ends: tuple[EndpointEnd, ...] = ()
 
 
 SERVED: typing.Final = Judgement()
@@ -99,13 +112,16 @@
     ) -> bool:
         """Return whether a request that isn't served may well be sound.
 
-        Its part was answered before, or no crash is known of the suspects that
-        it has alone.
+        Its part was answered before, or the endpoints may have ended together
+        for another reason, or no crash is known of the suspects that it has
+        alone.
         """
         if judgement.key is None or not crash_keys.is_part(judgement.key):
             return False
         if self._evidence.history.knows(judgement.key):
             return True
+        if len(_successive(judgement.ends)) < MIN_CERTAIN_SUCCESSIVE_ENDS:
+            return True
         company = frozenset(keys)
         return not any(
             run.suspects - {run.fingerprint} <= company
@@ -116,13 +132,18 @@
     def decisive_runs(self, key: crash_keys.Key) -> list[broken_runs.BrokenRun]:
         """Return runs that lead others to the same judgement of a suspect.
 
-        Only the culprits are left of their suspects.
+        Of their suspects only the culprits and this one are left.
         """
         judgement = self._judge_key(key, frozenset((key,)))
-        runs = [end.runs[0] for end in _most_telling(judgement.ends)]
+        others = [
+            one for one in judgement.all_ends if one not in judgement.ends
+        ]
+        ends = _most_telling(judgement.ends) + _crashes_first(others)
+        runs = [end.runs[0] for end in ends[:MIN_PART_CRASHES]]
         return [
             attrs.evolve(
-                run, suspects=run.suspects & self.culprits(run.incarnation)
+                run,
+                suspects=run.suspects & {key, *self.culprits(run.incarnation)},
             )
             for run in runs
         ]
@@ -157,26 +178,29 @@
         min_crashes = _min_crashes(key)
         if self.end_count(key) < min_crashes:
             return SERVED
-        ends = self._blamed_ends(key, company)
-        if len(ends) < min_crashes or not self._is_telling(key, ends):
+        ends = self._find_ends(key)
+        blamed = [
+            end
+            for end in ends
+            if not company.isdisjoint(self.culprits(end.incarnation))
+        ]
+        if len(ends) < min_crashes or not self._is_telling(key, blamed):
+            return SERVED
+        if self._may_be_answered_soon(key, ends):
             return SERVED
         crashes = sum(end.is_crash for end in ends)
         is_certain = crashes >= min_crashes
         verdict = Verdict.REFUSE if is_certain else Verdict.HOLD
-        return Judgement(verdict, key, tuple(ends))
-
-    def _blamed_ends(
-        self, key: crash_keys.Key, company: _Keys
-    ) -> list[EndpointEnd]:
-        """Return the ends for which one of the company is to blame."""
-        ends = []
-        for incarnation in self._table.endpoints(key):
-            end = self._find_end(key, incarnation)
-            if end is None or company.isdisjoint(self.culprits(incarnation)):
-                continue
-            ends.append(end)
-        ends.sort(key=operator.attrgetter('at_s'))
-        return ends
+        return Judgement(verdict, key, tuple(blamed), tuple(ends))
+
+    def _find_ends(self, key: crash_keys.Key) -> list[EndpointEnd]:
+        """Return the ends that something was part of, in order of time."""
+        found = [
+            self._find_end(key, incarnation)
+            for incarnation in self._table.endpoints(key)
+        ]
+        ends = [end for end in found if end is not None]
+        return sorted(ends, key=operator.attrgetter('at_s'))
 
     def _find_end(
         self, key: crash_keys.Key, incarnation: broken_runs.Incarnation
@@ -189,21 +213,31 @@
         if not runs:
             return None
         return EndpointEnd(
+            incarnation=incarnation,
             at_s=min(run.at_s for run in runs),
             is_crash=any(run.is_crash for run in runs),
             runs=tuple(runs),
         )
 
     def _is_telling(self, key: crash_keys.Key, ends: list[EndpointEnd]) -> bool:
-        """Return whether enough ends can't have another cause."""
+        """Return whether so many ends can't have another cause."""
+        if len(ends) < MIN_CRASHES_TO_REFUSE:
+            return False
         if not crash_keys.is_part(key):
             return True
-        if len(_one_per_moment(ends)) < MIN_PART_MOMENTS:
-            return False
+        successive = len(_successive(ends))
         if not self._evidence.history.knows(key):
-            return True
+            return successive >= MIN_SUCCESSIVE_ENDS
+        return successive >= MIN_CERTAIN_SUCCESSIVE_ENDS
+
+    def _may_be_answered_soon(
+        self, key: crash_keys.Key, ends: list[EndpointEnd]
+    ) -> bool:
+        """Return whether a part that was answered before needs more time."""
+        if not (crash_keys.is_part(key) and self._evidence.history.knows(key)):
+            return False
         enough_s = ends[MIN_PART_CRASHES - 1].at_s
-        return self._clock() >= enough_s + ANSWERED_PART_GRACE_S
+        return self._clock() < enough_s + ANSWERED_PART_GRACE_S
 
     def _find_culprits(self, incarnation: broken_runs.Incarnation) -> _Keys:
         suspects = {
@@ -233,19 +267,24 @@
 def _most_telling(
     ends: collections_abc.Iterable[EndpointEnd],
 ) -> list[EndpointEnd]:
-    """Return enough ends to refuse a part: crashes first, of some moments."""
-    crashes_first = sorted(ends, key=lambda end: (not end.is_crash, end.at_s))
-    found = _one_per_moment(crashes_first)[:MIN_PART_MOMENTS]
-    others = [end for end in crashes_first if end not in found]
-    return found + others[: MIN_PART_CRASHES - len(found)]
+    """Return the ends in the order in which they convince other nodes."""
+    ordered = _crashes_first(ends)
+    found = _successive(ordered)[:MIN_SUCCESSIVE_ENDS]
+    return found + [end for end in ordered if end not in found]
+
+
+def _crashes_first(
+    ends: collections_abc.Iterable[EndpointEnd],
+) -> list[EndpointEnd]:
+    return sorted(ends, key=lambda end: (not end.is_crash, end.at_s))
 
 
-def _one_per_moment(
+def _successive(
     ends: collections_abc.Iterable[EndpointEnd],
 ) -> list[EndpointEnd]:
-    """Return the first end of each moment."""
+    """Return ends that befell requests sent after the previous one of them."""
     found: list[EndpointEnd] = []
     for end in ends:
-        if all(abs(end.at_s - one.at_s) > MOMENT_S for one in found):
+        if not found or end.sent_s > found[-1].at_s:
             found.append(end)
     return found
--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -48,9 +48,9 @@
             self._put(run)
             return True
         is_later = run.at_s > known.at_s + SAME_RUN_S
+        is_older = run.at_s < known.at_s
         merged = attrs.evolve(
-            run,
-            at_s=run.at_s if is_later else min(known.at_s, run.at_s),
+            run if is_later or is_older else known,
             is_crash=known.is_crash or run.is_crash,
             suspects=known.suspects | run.suspects,
         )
--- a/redwingvalve/ingress/open_ends.py
+++ b/redwingvalve/ingress/open_ends.py
@@ -20,8 +20,6 @@
 
     # As if it had broken off.
     run: broken_runs.BrokenRun
-    # When it was asked for.
-    sent_s: float
 
 
 class OpenEnds:
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -143,11 +143,22 @@
         fingerprint: crash_keys.Key,
         incarnation: broken_runs.Incarnation,
         parts: collections_abc.Iterable[crash_keys.Key] = (),
+        sent_s: float | None = None,
     ) -> None:
-        """Record that the connection of a request broke at an endpoint."""
+        """Record that the connection of a request broke at an endpoint.
+
+        sent_s is when it was sent there, now by default.
+        """
         self._listed.add(incarnation)
         keys = crash_keys.RequestKeys(fingerprint, tuple(parts))
-        run = _make_run(self.evidence, keys, incarnation, self._clock())
+        now_s = self._clock()
+        run = _make_run(
+            self.evidence,
+            keys,
+            incarnation,
+            now_s,
+            now_s if sent_s is None else sent_s,
+        )
         if self._add(run):
             poison_logs.log_run(self.blame, 'connection broke', run)
 
@@ -159,8 +170,8 @@
     ) -> None:
         """Record an answer, asked for at sent_s, that may have broken off."""
         self._listed.add(incarnation)
-        run = _make_run(self.evidence, keys, incarnation, self._clock())
-        self.open_ends.add(open_ends.OpenEnd(run, sent_s))
+        run = _make_run(self.evidence, keys, incarnation, self._clock(), sent_s)
+        self.open_ends.add(open_ends.OpenEnd(run))
         self.observers.open_end_added()
 
     def record_answer(
@@ -283,7 +294,7 @@
             self.record_answer(
                 end.run.fingerprint,
                 end.run.suspects - {end.run.fingerprint},
-                end.sent_s,
+                end.run.sent_s,
             )
 
     def _add_broken_off(self, incarnation: broken_runs.Incarnation) -> None:
@@ -298,6 +309,7 @@
     keys: crash_keys.RequestKeys,
     incarnation: broken_runs.Incarnation,
     now_s: float,
+    sent_s: float,
 ) -> broken_runs.BrokenRun:
     parts = sorted(keys.parts, key=evidence.history.knows)
     return broken_runs.BrokenRun(
@@ -305,6 +317,7 @@
         incarnation,
         now_s,
         suspects=frozenset((keys.fingerprint, *parts[:MAX_PARTS_PER_RUN])),
+        sent_s=sent_s,
     )
 
 
--- a/redwingvalve/ingress/tests/test_crash_blame.py
+++ b/redwingvalve/ingress/tests/test_crash_blame.py
@@ -48,6 +48,22 @@
     def is_trial_due(self, *parts):
         return self.tracker.is_trial_due(next(self._numbers), *parts)
 
+    def ask(self, company, bad):
+        """Send a request if it is served, or its trial is due."""
+        self.now_s += 0.3
+        if self.verdict(*company) is not SERVE:
+            if not self.is_trial_due(*company):
+                return
+            key = self.tracker.blame.judge(0, *company).key
+            known = self.tracker.trials.get(key, poison_trials.TrialHistory())
+            self.tracker.trials[key] = poison_trials.TrialHistory(
+                known.count + 1, self.now_s
+            )
+        if bad.isdisjoint(company):
+            self.answer(*company)
+        else:
+            self.crash(*company)
+
 
 def test_part_is_refused_after_five_crashes_of_requests_that_differ():
     fleet = Fleet()
@@ -71,8 +87,31 @@
 def test_endpoints_that_end_together_blame_no_part():
     fleet = Fleet()
     fleet.crash(FIRST, copies=20)
-    fleet.crash(FIRST, copies=20)
     assert fleet.verdict(FIRST) is SERVE
+    fleet.answer(OTHER)
+    for _ in range(2):
+        fleet.crash(OTHER, copies=20)
+    assert fleet.verdict(OTHER) is SERVE
+
+
+def test_part_is_tried_soon_whose_endpoints_may_have_ended_together():
+    """Two domains go dark before it has ever been answered."""
+    fleet = Fleet()
+    for _ in range(2):
+        fleet.crash(FIRST, copies=20)
+    fleet.now_s += poison_trials.PROMISING_FIRST_DELAY_S
+    assert fleet.is_trial_due(FIRST)
+    fleet.crash(FIRST)
+    fleet.now_s += poison_trials.PROMISING_FIRST_DELAY_S
+    assert not fleet.is_trial_due(FIRST)
+
+
+def test_part_is_refused_that_comes_once_in_a_burst():
+    """All first sends end together, and then all second ones."""
+    fleet = Fleet()
+    fleet.crash(BAD, copies=3)
+    fleet.crash(BAD, copies=3, gap_s=0.05)
+    assert fleet.verdict(BAD) is REFUSE
 
 
 def test_companions_that_were_answered_before_are_not_blamed():
@@ -229,29 +268,11 @@
 ):
     """Whatever companies they come in; due trials are made by this node."""
     fleet = Fleet()
-
-    def ask(company):
-        fleet.now_s += 0.3
-        if fleet.verdict(*company) is not SERVE:
-            if not fleet.is_trial_due(*company):
-                return
-            key = fleet.tracker.blame.judge(0, *company).key
-            known = fleet.tracker.trials.get(key, poison_trials.TrialHistory())
-            fleet.tracker.trials[key] = poison_trials.TrialHistory(
-                known.count + 1, fleet.now_s
-            )
-        if bad.isdisjoint(company):
-            fleet.answer(*company)
-        else:
-            fleet.crash(*company)
-
-    for company in companies:
-        ask(company)
     # Each part comes alone as well, and all come for a while.
     everything = [{part} for part in PARTS] * 8 + companies
     order.shuffle(everything)
-    for company in everything:
-        ask(company)
+    for company in companies + everything:
+        fleet.ask(company, bad)
     fleet.now_s += crash_blame.ANSWERED_PART_GRACE_S
     for part in bad:
         assert fleet.verdict(part) is not SERVE
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -180,16 +180,19 @@
         age_ms=int((now_s - run.at_s) * _MS_IN_S),
         is_crash=run.is_crash,
         suspects=sorted(run.suspects),
+        lasted_ms=int((run.at_s - run.sent_s) * _MS_IN_S),
     )
 
 
 def _parse_run(run: typing.Any, now_s: float) -> broken_runs.BrokenRun:
     fingerprint = run.fingerprint or 0
+    at_s = now_s - (run.age_ms or 0) / _MS_IN_S
     return broken_runs.BrokenRun(
         fingerprint,
         (run.endpoint_id or '', run.born_ms or 0),
-        now_s - (run.age_ms or 0) / _MS_IN_S,
+        at_s,
         bool(run.is_crash),
         # Nodes of an earlier version state none.
         frozenset(run.suspects or (fingerprint,)),
+        at_s - (run.lasted_ms or 0) / _MS_IN_S,
     )
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -52,6 +52,8 @@
   // Hashes of what may have crashed the endpoint: of the request, and of parts
   // of its prompt.
   6: list<i64> suspects
+  // From the send to the end.
+  7: i32 lasted_ms
 }
 
 // A request, or a part of prompts, that an endpoint has answered although others
--- a/redwingvalve/node/poison_records.py
+++ b/redwingvalve/node/poison_records.py
@@ -204,6 +204,7 @@
                     _to_wall_ms(run.at_s),
                     run.is_crash,
                     [crash_keys.format_key(one) for one in run.suspects],
+                    int((run.at_s - run.sent_s) * _MS_IN_S),
                 ]
                 for run in self.tracker.blame.decisive_runs(suspect)
             ],
@@ -265,13 +266,16 @@
     at_ms: int,
     is_crash: bool,
     suspects: list[str],
+    lasted_ms: int,
 ) -> broken_runs.BrokenRun:
+    at_s = _to_monotonic_s(at_ms)
     return broken_runs.BrokenRun(
         int(fingerprint, 16),
         (str(endpoint_id), int(born_ms)),
-        _to_monotonic_s(at_ms),
+        at_s,
         bool(is_crash),
         frozenset(int(one, 16) for one in suspects),
+        at_s - int(lasted_ms) / _MS_IN_S,
     )
 
 
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -52,6 +52,7 @@
     (_Type.I32, 'age_ms'),
     (_Type.BOOL, 'is_crash'),
     (_Type.LIST, 'suspects', _Type.I64),
+    (_Type.I32, 'lasted_ms'),
 )
 AnsweredRequest: typing.Any = _struct(
     'AnsweredRequest',
--- a/redwingvalve/node/tests/test_crash_reports.py
+++ b/redwingvalve/node/tests/test_crash_reports.py
@@ -1,5 +1,6 @@
 """Nodes that exchange evidence over lossy links, in virtual time."""
 
+import functools
 import heapq
 import itertools
 import random
@@ -10,14 +11,16 @@
 import pytest
 from hypothesis import strategies as st
 
-from redwingvalve.ingress import poison
+from redwingvalve.ingress import crash_keys, poison
 from redwingvalve.node import crash_reports, status_messages
-from redwingvalve.node.tests import crashing_requests
+from redwingvalve.node.tests import crashing_parts, crashing_requests
 
 STEP_S = 0.1
 CRASH_DELAY_S = 0.05
 PROBE_S = 0.01
 ENDPOINTS = 60
+PARTS = tuple(map(crash_keys.part_key, ('bad', 'first', 'other')))
+BAD, FIRST, OTHER = PARTS
 
 
 class Network:
@@ -68,16 +71,22 @@
     def recorded_runs(self):
         """Return what the store holds of requests that aren't served."""
         for node in self.nodes:
-            for fingerprint in node.tracker.not_served():
-                yield from node.tracker.evidence.runs(fingerprint)
+            for suspect in node.tracker.not_served():
+                yield from node.tracker.blame.decisive_runs(suspect)
 
-    def late_arrivals(self, fingerprint):
+    def send_part(self, *parts, crashes):
+        """Send a request that is like no other, with some parts."""
+        fingerprint = 1_000 + next(self._numbers)
+        node = self.rng.choice(self.nodes)
+        node.send(fingerprint, crashes, parts=parts)
+
+    def late_arrivals(self, key, crashes=crashing_requests.CRASHES):
         """Return the arrivals when all nodes in touch have to know."""
-        ended_s = sorted(self.arrivals.get(fingerprint, ()))
-        if len(ended_s) < crashing_requests.CRASHES:
+        ended_s = sorted(self.arrivals.get(key, ()))
+        if len(ended_s) < crashes:
             return 0
-        third_s = ended_s[crashing_requests.CRASHES - 1] + CRASH_DELAY_S
-        known_s = third_s + crashing_requests.KNOWN_EVERYWHERE_S
+        decisive_s = ended_s[crashes - 1] + CRASH_DELAY_S
+        known_s = decisive_s + crashing_requests.KNOWN_EVERYWHERE_S
         return sum(at_s > known_s for at_s in ended_s)
 
 
@@ -124,22 +133,53 @@
         if int(incarnation[0]) not in self.network.gone_s:
             self.tracker.record_life_sign(incarnation, sent_s)
 
-    def send(self, fingerprint, crashes, sends=2):
+    def send(self, fingerprint, crashes, sends=2, parts=()):
         network = self.network
-        if self.tracker.verdict(fingerprint) is not poison.Verdict.SERVE:
+        if self.tracker.verdict(fingerprint, *parts) is not (
+            poison.Verdict.SERVE
+        ):
             return
         endpoint = network.rng.choice(network.live_endpoints())
-        network.arrivals.setdefault(fingerprint, []).append(network.now_s)
+        for key in (fingerprint, *parts):
+            network.arrivals.setdefault(key, []).append(network.now_s)
         network.at(
-            CRASH_DELAY_S, self.end, fingerprint, endpoint, crashes, sends
+            CRASH_DELAY_S,
+            self.end,
+            fingerprint,
+            endpoint,
+            crashes,
+            sends,
+            parts,
         )
 
-    def end(self, fingerprint, endpoint, crashes, sends):
+    def end(self, fingerprint, endpoint, crashes, sends, parts):
         if crashes:
             self.network.gone_s.setdefault(endpoint, self.network.now_s)
-        self.tracker.record_broken_run(fingerprint, (str(endpoint), 1))
+        self.tracker.record_broken_run(
+            fingerprint,
+            (str(endpoint), 1),
+            parts,
+            self.network.now_s - CRASH_DELAY_S,
+        )
         if sends > 1:
-            self.send(fingerprint, crashes, sends - 1)
+            self.send(fingerprint, crashes, sends - 1, parts)
+
+    def ask_sound(self, parts):
+        """Send a sound request; return whether it is sent at once."""
+        network = self.network
+        fingerprint = 1_000 + next(network._numbers)
+        if self.tracker.verdict(fingerprint, *parts) is not (
+            poison.Verdict.SERVE
+        ):
+            return False
+        network.at(
+            network.rng.uniform(0.02, 0.6),
+            self.tracker.record_answer,
+            fingerprint,
+            parts,
+            network.now_s,
+        )
+        return True
 
 
 def networks(draw, monkeypatch):
@@ -186,3 +226,35 @@
         network.run(max(lost_s) + 1)
         verdicts = {node.tracker.verdict(9) for node in network.nodes}
         assert verdicts == {poison.Verdict.SERVE}
+
+
+@hypothesis.given(data=st.data())
+@hypothesis.settings(max_examples=80)
+def test_crashing_parts_are_refused_at_any_moment(data):
+    """Beside a crashing request, with lost messages and restarting nodes."""
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        network = networks(data.draw, monkeypatch)
+        for at_s in data.draw(TIMES):
+            network.at(at_s, functools.partial(send_bad_part, network))
+        for at_s in data.draw(TIMES):
+            network.at(at_s, network.send_anywhere, 8, True)
+        sound = data.draw(st.booleans())
+        asked = []
+        for number in range(160 if sound else 0):
+            network.at(number * 0.1, ask_sound, network, asked)
+        for at_s in data.draw(st.lists(st.floats(0, 12), max_size=2)):
+            network.at(at_s, network.rng.choice(network.nodes).restart)
+        network.run(17)
+        late = network.late_arrivals(BAD, crashing_parts.CRASHES)
+        assert late <= crashing_parts.MAX_LATE_ARRIVALS
+        assert network.late_arrivals(8) <= crashing_requests.MAX_LATE_ARRIVALS
+        assert not asked or sum(asked) >= 0.9 * len(asked)
+
+
+def send_bad_part(network):
+    network.send_part(FIRST, BAD, OTHER, crashes=True)
+
+
+def ask_sound(network, asked):
+    node = network.rng.choice(network.nodes)
+    asked.append(node.ask_sound((FIRST, OTHER)))
