Leave answers of leaving endpoints alone; log clearances of few ends less

An endpoint that leaves stops listening while its last answers are under way. One that ended with its connection was then taken for broken off, and its caller got 502. Now only endpoints that are listed and not draining are asked; the answer of another is passed on, and proves nothing.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -7,6 +7,7 @@
 from redwingvalve.http1 import messages, server
 from redwingvalve.ingress import (
     admission_control,
+    answer_ends,
     caller_wait,
     crash_keys,
     load_balancing,
@@ -224,11 +225,11 @@
         target: load_balancing.Target,
     ) -> None:
         tracker = self._state.poison
-        if answer.ends_with_connection:
+        if answer.end is answer_ends.AnswerEnd.OPEN:
             tracker.record_open_end(
                 self._keys, target.incarnation, answer.sent_s
             )
-        else:
+        elif answer.end is answer_ends.AnswerEnd.MARKED:
             tracker.record_answer(
                 self._keys.fingerprint, self._keys.parts, answer.sent_s
             )
--- a/redwingvalve/ingress/answer_ends.py
+++ b/redwingvalve/ingress/answer_ends.py
@@ -1,18 +1,32 @@
-"""Whether an answer that ended with its connection was cut by a crash."""
+"""What the end of an answer tells of the endpoint that gave it."""
 
 import abc
+import enum
 
 from redwingvalve.ingress import load_balancing
 
 
+class AnswerEnd(enum.Enum):
+    """How an answer ended."""
+
+    # With its length or last chunk, so that it is whole.
+    MARKED = 'marked'
+    # With its connection, at an endpoint that seems to live.
+    OPEN = 'open'
+    # With its connection, at an endpoint that leaves as planned.
+    LEAVING = 'leaving'
+    # With its endpoint.
+    CRASH = 'crash'
+
+
 class AnswerEndChecker(abc.ABC):
-    """Finds out whether the endpoint of an answer has ended with it."""
+    """Finds out how an answer that ended with its connection ended."""
 
     @abc.abstractmethod
-    async def has_ended(
+    async def check(
         self, target: load_balancing.Target, *, is_in_doubt: bool
-    ) -> bool:
-        """Return whether an endpoint is known to have ended.
+    ) -> AnswerEnd:
+        """Return how it ended.
 
         is_in_doubt: its request may be one that crashes endpoints.
         """
@@ -21,8 +35,8 @@
 class AssumedWhole(AnswerEndChecker):
     """Takes each answer for whole."""
 
-    async def has_ended(
+    async def check(
         self, target: load_balancing.Target, *, is_in_doubt: bool
-    ) -> bool:
-        """Return False."""
-        return False
+    ) -> AnswerEnd:
+        """Return OPEN."""
+        return AnswerEnd.OPEN
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -36,7 +36,6 @@
     poison_trials,
 )
 
-LOG = poison_logs.LOG
 Verdict = crash_blame.Verdict
 MIN_CRASHES_TO_REFUSE = crash_blame.MIN_CRASHES_TO_REFUSE
 # A request without a crash for this long starts again without any.
@@ -266,12 +265,10 @@
         self, key: crash_keys.Key, at_s: float, sender: str
     ) -> None:
         """Add an answer, here or at another node; at_s as in the history."""
+        end_count = self.blame.end_count(key)
         if not self.evidence.add_answer(key, at_s):
             return
-        LOG.info(
-            'suspect cleared',
-            extra={'key': crash_keys.format_key(key), 'sender': sender},
-        )
+        poison_logs.log_cleared(key, end_count, sender)
         self.observers.suspect_cleared(key)
 
     def forget_old(self) -> None:
--- a/redwingvalve/ingress/poison_logs.py
+++ b/redwingvalve/ingress/poison_logs.py
@@ -49,3 +49,18 @@
             'sender': sender,
         },
     )
+
+
+def log_cleared(key: crash_keys.Key, end_count: int, sender: str) -> None:
+    """Log an answer to a suspect, which has broken off at so many endpoints."""
+    # The parts of each request that breaks off are cleared a moment later.
+    is_detail = end_count < crash_blame.MIN_CRASHES_TO_REFUSE
+    LOG.log(
+        logging.DEBUG if is_detail else logging.INFO,
+        'suspect cleared',
+        extra={
+            'key': crash_keys.format_key(key),
+            'endpoints': end_count,
+            'sender': sender,
+        },
+    )
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -7,7 +7,7 @@
 from collections import abc as collections_abc
 
 from redwingvalve.http1 import client, messages
-from redwingvalve.ingress import events
+from redwingvalve.ingress import answer_ends, events
 from redwingvalve.platform import endpoint_statements, names
 
 _OK = 200
@@ -55,6 +55,7 @@
         self.statement: endpoint_statements.Statement | None = None
         self.reason = ''
         self.sent_s = time.monotonic()
+        self.end = answer_ends.AnswerEnd.MARKED
         self._attempt_id = attempt_id
         self._on_statement = on_statement
         self._body: list[bytes] = []
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -6,6 +6,7 @@
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.ingress import (
     admission_control,
+    answer_ends,
     caller_wait,
     crash_keys,
     load_balancing,
@@ -231,10 +232,12 @@
         upstream_request: upstream.UpstreamRequest,
     ) -> upstream.Outcome:
         """Return BROKEN if an answer ended because its endpoint did."""
-        is_in_doubt = self._state.poison.blame.is_in_doubt(self._keys)
-        if not await self._state.end_checker.has_ended(
-            target, is_in_doubt=is_in_doubt
-        ):
+        end = await self._state.end_checker.check(
+            target,
+            is_in_doubt=self._state.poison.blame.is_in_doubt(self._keys),
+        )
+        upstream_request.end = end
+        if end is not answer_ends.AnswerEnd.CRASH:
             return upstream.Outcome.COMPLETE
         upstream_request.reason = 'the endpoint ended'
         return upstream.Outcome.BROKEN
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -167,15 +167,17 @@
     registry: registry_module.Registry
     client: endpoint_orders.EndpointClient
 
-    async def has_ended(
+    async def check(
         self, target: load_balancing.Target, *, is_in_doubt: bool
-    ) -> bool:
-        """Return whether the endpoint is gone, or nothing listens there."""
+    ) -> answer_ends.AnswerEnd:
+        """Ask the endpoint, unless it is about to stop listening."""
         if is_in_doubt:
             await anyio.sleep(ANSWER_END_DELAY_S)
         endpoint = self.registry.live.get(target.endpoint_id)
-        if endpoint is None or endpoint.incarnation != target.incarnation:
-            return True
+        if endpoint is None or endpoint.draining:
+            return answer_ends.AnswerEnd.LEAVING
+        if endpoint.incarnation != target.incarnation:
+            return answer_ends.AnswerEnd.CRASH
         liveness = await self.client.check_liveness(endpoint)
         LOG.info(
             'answer ended with its connection',
@@ -185,4 +187,6 @@
                 'is_in_doubt': is_in_doubt,
             },
         )
-        return liveness in _GONE
+        if liveness in _GONE:
+            return answer_ends.AnswerEnd.CRASH
+        return answer_ends.AnswerEnd.OPEN
--- a/redwingvalve/node/tests/test_crashing_parts.py
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -1,11 +1,13 @@
 """Parts of prompts that crash endpoints are refused, sound ones served."""
 
+import types
+
 import anyio
 import pytest
 
 from redwingvalve.node import peers
 from redwingvalve.node.tests import crashing_parts, test_crashing_requests
-from redwingvalve.platform.standins import endpoint_crashes
+from redwingvalve.platform.standins import endpoint_crashes, endpoint_faults
 from redwingvalve.platform.tests import fleet_harness
 
 PLAIN = {'nodes': 6, 'engines': 0, 'plain': 40}
@@ -204,3 +206,36 @@
         assert share >= MIN_SERVED_SHARE
 
     fleet_harness.run(test, **PLAIN)
+
+
+@pytest.mark.parametrize('announces', [False, True])
+def test_an_endpoint_that_leaves_cuts_no_answer_that_ends_with_it(announces):
+    """It stops listening while its last answers are under way."""
+
+    async def leave(fleet, endpoint):
+        await anyio.sleep(0.05)
+        if announces:
+            endpoint.drain()
+        else:
+            fleet.store.remove('servers', endpoint.endpoint_id)
+        await anyio.sleep(0.3)
+        endpoint.stop_listening()
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        started_s = anyio.current_time()
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.closes_after_answers = True
+            endpoint.faults.spoiled_share = 1
+            endpoint.faults.rng = types.SimpleNamespace(
+                random=lambda: 0,
+                choice=lambda _: endpoint_faults.Spoiling.DELAY,
+            )
+        async with anyio.create_task_group() as group:
+            for _ in range(6):
+                group.start_soon(crashing.send_sound)
+            for endpoint in fleet.endpoints.values():
+                group.start_soon(leave, fleet, endpoint)
+        assert crashing.served_share(started_s) == 1
+
+    fleet_harness.run(test, nodes=1, engines=0, plain=2)
