--- a/redwingvalve/node/tests/crashing_parts.py
+++ b/redwingvalve/node/tests/crashing_parts.py
@@ -15,6 +15,7 @@
 FIRST = b'f1'
 OTHERS = (b'a1', b'b2')
 CRASHES = 5
+CRASH_DELAY_S = 0.05
 # Time in which all nodes in touch have to know of the last of them, and the
 # sends that are allowed later.
 KNOWN_EVERYWHERE_S = 3.0
@@ -51,6 +52,8 @@
     seed: int = 0
     rng: random.Random = attrs.field(init=False)
     asked: list[Asked] = attrs.field(factory=list)
+    # Since when the part crashes endpoints.
+    prepared_s: float = 0
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self):
@@ -58,11 +61,13 @@
 
     def prepare(self, entry_lapse_s=1.5, return_delay_s=3.0, **crashes):
         """Make all endpoints crash under the bad parts, and return."""
+        self.prepared_s = anyio.current_time()
         for endpoint in self.fleet.endpoints.values():
             endpoint.faults.entry_lapse_s = entry_lapse_s
             endpoint.faults.crashes = endpoint_crashes.CrashFaults(
                 parts=frozenset(self.bad_parts),
                 return_delay_s=return_delay_s,
+                delay_s=CRASH_DELAY_S,
                 **crashes,
             )
 
@@ -126,21 +131,20 @@
         )
 
     def late_arrivals(self):
-        """Return how often a bad part arrived when it had to be refused."""
-        crashes_s = self.crashes_s()
-        assert len(crashes_s) >= CRASHES, crashes_s
-        known_s = crashes_s[CRASHES - 1] + KNOWN_EVERYWHERE_S
-        return sum(
-            run.began_s > known_s
+        """Return how often any bad part arrived when it had to be refused."""
+        return max(map(self._late_arrivals, self.bad_parts))
+
+    def _late_arrivals(self, part):
+        """Each arrival crashes an endpoint a moment later."""
+        arrivals_s = sorted(
+            run.began_s
             for endpoint in self.fleet.endpoints.values()
             for run in endpoint.runs
-            if self._is_bad(run)
+            if part in _shared_parts(run) and run.began_s >= self.prepared_s
         )
-
-    def _is_bad(self, run):
-        prefix = dict(run.headers).get(b'x-prompt-prefix', b'')
-        ids = [entry.partition(b':')[0] for entry in prefix.split(b',')]
-        return not set(ids).isdisjoint(self.bad_parts)
+        assert len(arrivals_s) >= CRASHES, arrivals_s
+        known_s = arrivals_s[CRASHES - 1] + CRASH_DELAY_S + KNOWN_EVERYWHERE_S
+        return sum(at_s > known_s for at_s in arrivals_s)
 
     def served_share(self, since_s, until_s=float('inf')):
         """Return the share of the sound requests that were answered whole."""
@@ -157,6 +161,11 @@
         return [one for one in self.asked if one.is_bad and is_served(one)]
 
 
+def _shared_parts(run):
+    prefix = dict(run.headers).get(b'x-prompt-prefix', b'')
+    return [entry.partition(b':')[0] for entry in prefix.split(b',')][:-1]
+
+
 def is_served(one):
     return one.status == 200 and one.ending == 'whole'
 
