--- a/redwingvalve/ingress/crash_blame.py
+++ b/redwingvalve/ingress/crash_blame.py
@@ -179,12 +179,15 @@
         if self.end_count(key) < min_crashes:
             return SERVED
         ends = self._find_ends(key)
+        # The culprits cost most to find, and are rarely needed.
+        if len(ends) < min_crashes or not self._is_telling(key, ends):
+            return SERVED
         blamed = [
             end
             for end in ends
             if not company.isdisjoint(self.culprits(end.incarnation))
         ]
-        if len(ends) < min_crashes or not self._is_telling(key, blamed):
+        if not self._is_telling(key, blamed):
             return SERVED
         if self._may_be_answered_soon(key, ends):
             return SERVED
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -325,8 +325,3 @@
     if not runs:
         return False
     return now_s - min(run.at_s for run in runs) > UNLISTED_END_S
-
-
-def certainty(run: broken_runs.BrokenRun) -> tuple[bool, float]:
-    """Order runs by how surely they show a crash that is still of interest."""
-    return run.is_crash, run.at_s
