--- a/redwingvalve/ingress/broken_runs.py
+++ b/redwingvalve/ingress/broken_runs.py
@@ -100,6 +100,13 @@
             for run_id in run_ids
         ]
 
+    def suspected_at(
+        self, key: crash_keys.Key, incarnation: Incarnation
+    ) -> list[BrokenRun]:
+        """Return those of these runs that broke off at an endpoint."""
+        run_ids = self._ends.get(key, {}).get(incarnation, ())
+        return [self._runs[run_id] for run_id in run_ids]
+
     def at_endpoint(self, incarnation: Incarnation) -> list[BrokenRun]:
         """Return the runs that broke off at an endpoint."""
         run_ids = self._by_endpoint.get(incarnation, ())
--- a/redwingvalve/ingress/crash_blame.py
+++ b/redwingvalve/ingress/crash_blame.py
@@ -210,8 +210,8 @@
     ) -> EndpointEnd | None:
         runs = [
             run
-            for run in self._table.at_endpoint(incarnation)
-            if key in run.suspects and not self._evidence.is_doubtful(run)
+            for run in self._table.suspected_at(key, incarnation)
+            if not self._evidence.is_doubtful(run)
         ]
         if not runs:
             return None
