--- /dev/null
+++ b/redwingvalve/platform/standins/endpoint_answers.py
@@ -0,0 +1,134 @@
+"""What the fake endpoint answers to a request that it runs."""
+
+import asyncio
+import typing
+
+from redwingvalve.http1 import messages, server
+from redwingvalve.platform.standins import endpoint_crashes, endpoint_faults
+
+# From the head of an answer to the crash of its endpoint.
+CRASH_DELAY_S = 0.1
+
+
+class AnsweringEndpoint(typing.Protocol):
+    """What an answer depends on."""
+
+    faults: endpoint_faults.EndpointFaults
+    events_per_response: int
+
+    def crash(self) -> None:
+        """Abort all connections and stop listening."""
+
+
+async def answer(
+    endpoint: AnsweringEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    """Answer a request, or fail, as the endpoint's faults say."""
+    if not await _fails(endpoint, request, responder, headers):
+        await _reply(endpoint, request, responder, headers)
+
+
+async def _reply(
+    endpoint: AnsweringEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    """Answer a request as its kind and the endpoint's faults say."""
+    if endpoint.faults.closes_after_answers:
+        pieces = _pieces(endpoint, request)
+        await endpoint_crashes.answer_until_closed(
+            responder, headers, pieces, endpoint_faults.EVENT_INTERVAL_S
+        )
+    elif request.header(b'x-model'):
+        last = int(request.header(b'last-event-id') or 0)
+        await _stream(endpoint, responder, headers, last)
+    else:
+        await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+        attempt = request.header(b'x-attempt-id') or b''
+        _answer(endpoint, responder, headers, attempt)
+
+
+async def _stream(
+    endpoint: AnsweringEndpoint,
+    responder: server.Responder,
+    headers: messages.Headers,
+    last: int,
+) -> None:
+    kind = (b'content-type', b'text/event-stream')
+    responder.start(200, [*headers, kind])
+    for number in range(last + 1, endpoint.events_per_response + 1):
+        await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+        while endpoint_faults.is_stalled(endpoint.faults):
+            await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+        if number == endpoint.faults.aborts_at_event:
+            # Abort in the middle of an event.
+            responder.write(b'id: %d\ndata: ha' % number)
+            await asyncio.sleep(0)
+            responder.abort()
+            return
+        responder.write(b'id: %d\ndata: %d\n\n' % (number, number))
+    responder.finish()
+
+
+def _answer(
+    endpoint: AnsweringEndpoint,
+    responder: server.Responder,
+    headers: messages.Headers,
+    attempt: bytes,
+) -> None:
+    body = b'body of %b' % attempt
+    connection = responder.connection
+    responder.send_response(200, headers, body)
+    if endpoint.faults.duplicates_response:
+        extra = (b'content-length', b'%d' % len(body))
+        head = messages.render_head(b'HTTP/1.1 200 OK', [*headers, extra])
+        connection.write(head + body)
+
+
+def _pieces(
+    endpoint: AnsweringEndpoint, request: messages.Request
+) -> list[bytes]:
+    """Return the body of an answer, or the events of a stream."""
+    if request.header(b'x-model') is None:
+        attempt = request.header(b'x-attempt-id') or b''
+        return [b'body of %b' % attempt]
+    last = int(request.header(b'last-event-id') or 0)
+    numbers = range(last + 1, endpoint.events_per_response + 1)
+    return [b'id: %d\ndata: %d\n\n' % (one, one) for one in numbers]
+
+
+async def _fails(
+    endpoint: AnsweringEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> bool:
+    """Fail as the endpoint's faults say; return False if the run goes on."""
+    crashes = endpoint.faults.crashes
+    if endpoint_crashes.has_crashing_part(crashes, request):
+        await endpoint_crashes.answer_until_crash(
+            crashes, request, responder, headers
+        )
+        endpoint.crash()
+        return True
+    if request.target == endpoint.faults.crashing_target:
+        if endpoint.faults.crashes_after_head:
+            endpoint_faults.send_part(responder, headers)
+            await asyncio.sleep(CRASH_DELAY_S)
+        await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+        if endpoint.faults.crash_delay_s:
+            responder.abort()
+            await asyncio.sleep(endpoint.faults.crash_delay_s)
+        endpoint.crash()
+        return True
+    if endpoint.faults.resets_answers:
+        responder.abort()
+        return True
+    if endpoint.faults.returns_server_error:
+        responder.send_response(500, headers, b'failed')
+        return True
+    return False
