--- a/redwingvalve/platform/tests/fleet_harness.py
+++ b/redwingvalve/platform/tests/fleet_harness.py
@@ -22,6 +22,8 @@
 PLAIN_SERVICE = 'plain-service'
 API_KEY = 'key-of-workshop'
 HOST = 'caller.example'
+# Several times what the longest test takes.
+TIME_LIMIT_S = 240
 BOUNDS = {
     'drain_ms': 2000,
     'config_apply_ms': 2000,
@@ -339,8 +341,10 @@
     """Run an async test function with a fleet; shape as for running()."""
 
     async def main():
-        async with running(**shape) as fleet:
-            await test(fleet)
+        # A test that hangs fails with its logs.
+        with anyio.fail_after(TIME_LIMIT_S):
+            async with running(**shape) as fleet:
+                await test(fleet)
 
     anyio.run(main)
 
