Keep evidence of crashes within one packet

The limit of 150 suspects a message, said to fit into one packet, allowed 1,288 to 1,324 bytes of evidence alone (1,250 are left beside the other fields of an idle node), so that a lost fragment lost it all. Found while reading; no caller is known to have seen it. With 110 it fits: test_evidence_of_countless_parts_fits_into_one_packet failed in all three cases before.

--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -25,8 +25,8 @@
 SINGLE_RUN_DELAY_S = 0.15
 # Limits that keep a message within one packet. A run counts as many suspects as
 # its other fields are long.
-MAX_SUSPECTS = 150
-RUN_OVERHEAD = 8
+MAX_SUSPECTS = 110
+RUN_OVERHEAD = 9
 MAX_REPEATED = 2
 MAX_ANSWERS = 16
 _MS_IN_S = 1000
--- a/redwingvalve/node/tests/test_crash_reports.py
+++ b/redwingvalve/node/tests/test_crash_reports.py
@@ -258,3 +258,26 @@
 def ask_sound(network, asked):
     node = network.rng.choice(network.nodes)
     asked.append(node.ask_sound((FIRST, OTHER)))
+
+
+# What a datagram holds in one packet, without the fields of an idle node.
+EVIDENCE_BYTES = 1_250
+
+
+@pytest.mark.parametrize('count', [1, 4, poison.MAX_PARTS_PER_RUN])
+def test_evidence_of_countless_parts_fits_into_one_packet(count):
+    """Each request has parts of its own, which all break off and return."""
+    tracker = poison.PoisonRequestTracker()
+    reports = crash_reports.CrashReports(tracker, lambda: None, lambda: True)
+    for number in range(2_000):
+        parts = [crash_keys.part_key(f'{number}-{one}') for one in range(count)]
+        tracker.record_answer(number, parts, 0.0)
+        incarnation = (f'i-{number:010x}', 1_764_800_000_000)
+        tracker.record_broken_run(number + 10_000, incarnation, parts)
+        tracker.record_end(incarnation)
+    for part in parts:
+        reports.suspect_cleared(part)
+    message = status_messages.StatusMessage(vm='')
+    reports.next_evidence(None).add_to(message)
+    assert message.broken_runs
+    assert len(status_messages.pack(message)) <= EVIDENCE_BYTES
