Let the grace of answered parts follow from the platform's bounds

It is now half of bounds.stable_window_ms, 3,000 if that isn't set. Names that stood for one thing twice are gone: crash_evidence.BrokenRun and Incarnation (broken_runs), poison.Verdict (crash_blame), ANSWER_TRUST_S (answer_history).

--- a/redwingvalve/ingress/crash_blame.py
+++ b/redwingvalve/ingress/crash_blame.py
@@ -26,7 +26,8 @@
 # blamed, and to rule out that endpoints ended together, twice.
 MIN_SUCCESSIVE_ENDS = 2
 MIN_CERTAIN_SUCCESSIVE_ENDS = 3
-# Until then a sound part that is in use has been answered again.
+# For a part that was answered before: a sound one that is in use is answered
+# again by then.
 ANSWERED_PART_GRACE_S = 1.5
 
 
@@ -79,8 +80,10 @@
         self,
         evidence: crash_evidence.CrashEvidence,
         clock: collections_abc.Callable[[], float],
+        answered_part_grace_s: float = ANSWERED_PART_GRACE_S,
     ) -> None:
         """Judge by the evidence as it is at each call."""
+        self._grace_s = answered_part_grace_s
         self._evidence = evidence
         self._table = evidence.runs_table
         self._clock = clock
@@ -240,7 +243,7 @@
         if not (crash_keys.is_part(key) and self._evidence.history.knows(key)):
             return False
         enough_s = ends[MIN_PART_CRASHES - 1].at_s
-        return self._clock() < enough_s + ANSWERED_PART_GRACE_S
+        return self._clock() < enough_s + self._grace_s
 
     def _find_culprits(self, incarnation: broken_runs.Incarnation) -> _Keys:
         suspects = {
--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -4,18 +4,13 @@
 comes out the same in whatever order and how often it is received.
 """
 
-import typing
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.ingress import answer_history, broken_runs, crash_keys
 
-BrokenRun = broken_runs.BrokenRun
-Incarnation: typing.TypeAlias = broken_runs.Incarnation
-MAX_REQUESTS = broken_runs.MAX_REQUESTS
 MAX_INCARNATIONS = 4_000
-ANSWER_TRUST_S = answer_history.REQUEST_TRUST_S
 # A process may outlive the connection that broke by this time. What it answers
 # meanwhile is no proof that it survived.
 CRASH_DELAY_S = 0.5
@@ -35,10 +30,10 @@
         self.runs_table = broken_runs.BrokenRunTable()
         self.history = answer_history.AnswerHistory()
         # Endpoints that may have crashed or not.
-        self._undecided: set[Incarnation] = set()
-        self._alive_s: dict[Incarnation, float] = {}
+        self._undecided: set[broken_runs.Incarnation] = set()
+        self._alive_s: dict[broken_runs.Incarnation, float] = {}
 
-    def add(self, run: BrokenRun) -> bool:
+    def add(self, run: broken_runs.BrokenRun) -> bool:
         """Add a run; return whether it says anything new."""
         run = self._without_cleared(run)
         if not run.suspects or self._has_survived(run):
@@ -76,7 +71,9 @@
             self.runs_table.version += 1
         return is_first or bool(cleared)
 
-    def add_life_sign(self, incarnation: Incarnation, at_s: float) -> None:
+    def add_life_sign(
+        self, incarnation: broken_runs.Incarnation, at_s: float
+    ) -> None:
         """Record that an endpoint answered something that was sent at at_s."""
         runs = self.runs_at(incarnation)
         if not runs:
@@ -87,14 +84,16 @@
         self.runs_table.version += 1
         self._remove(run for run in runs if self._has_survived(run))
 
-    def is_doubtful(self, run: BrokenRun) -> bool:
+    def is_doubtful(self, run: broken_runs.BrokenRun) -> bool:
         """Return whether an endpoint has answered since, but only at once."""
         if run.is_crash:
             return False
         alive_s = self._alive_s.get(run.incarnation)
         return alive_s is not None and run.at_s < alive_s
 
-    def mark_silent(self, incarnation: Incarnation) -> list[BrokenRun]:
+    def mark_silent(
+        self, incarnation: broken_runs.Incarnation
+    ) -> list[broken_runs.BrokenRun]:
         """Record that an endpoint no longer answers; return its runs."""
         if self._alive_s.pop(incarnation, None) is None:
             return []
@@ -110,7 +109,9 @@
                 if run.at_s < at_s and self.is_doubtful(run)
             )
 
-    def mark_ended(self, incarnation: Incarnation) -> list[BrokenRun]:
+    def mark_ended(
+        self, incarnation: broken_runs.Incarnation
+    ) -> list[broken_runs.BrokenRun]:
         """Record an endpoint's end; return the runs that it broke off."""
         found = [run for run in self.runs_at(incarnation) if not run.is_crash]
         ended = [attrs.evolve(run, is_crash=True) for run in found]
@@ -118,7 +119,7 @@
             self.add(run)
         return ended
 
-    def undecided(self) -> list[Incarnation]:
+    def undecided(self) -> list[broken_runs.Incarnation]:
         """Return the endpoints that may have crashed or not."""
         return list(self._undecided)
 
@@ -126,15 +127,17 @@
         """Return what may have crashed at least so many endpoints."""
         return self.runs_table.suspects(min_ends)
 
-    def runs(self, key: crash_keys.Key) -> list[BrokenRun]:
+    def runs(self, key: crash_keys.Key) -> list[broken_runs.BrokenRun]:
         """Return the broken runs of which something is a suspect."""
         return self.runs_table.suspected(key)
 
-    def runs_at(self, incarnation: Incarnation) -> list[BrokenRun]:
+    def runs_at(
+        self, incarnation: broken_runs.Incarnation
+    ) -> list[broken_runs.BrokenRun]:
         """Return the runs that broke off at an endpoint."""
         return self.runs_table.at_endpoint(incarnation)
 
-    def is_repeated(self, run: BrokenRun) -> bool:
+    def is_repeated(self, run: broken_runs.BrokenRun) -> bool:
         """Return whether one of a run's suspects broke off another one.
 
         What has been answered before doesn't count: it is under way on many
@@ -156,7 +159,9 @@
         }
         self._remove(run for run in runs if recent.isdisjoint(run.suspects))
 
-    def _without_cleared(self, run: BrokenRun) -> BrokenRun:
+    def _without_cleared(
+        self, run: broken_runs.BrokenRun
+    ) -> broken_runs.BrokenRun:
         cleared = {
             key for key in run.suspects if self.history.clears(key, run.at_s)
         }
@@ -164,28 +169,32 @@
             return run
         return attrs.evolve(run, suspects=run.suspects - cleared)
 
-    def _clear_suspect(self, run: BrokenRun, key: crash_keys.Key) -> None:
+    def _clear_suspect(
+        self, run: broken_runs.BrokenRun, key: crash_keys.Key
+    ) -> None:
         suspects = run.suspects - {key}
         if suspects:
             self._put(attrs.evolve(run, suspects=suspects))
         else:
             self._remove((run,))
 
-    def _has_survived(self, run: BrokenRun) -> bool:
+    def _has_survived(self, run: broken_runs.BrokenRun) -> bool:
         alive_s = self._alive_s.get(run.incarnation)
         return alive_s is not None and survives(run, alive_s)
 
-    def _put(self, run: BrokenRun) -> None:
+    def _put(self, run: broken_runs.BrokenRun) -> None:
         self.runs_table.put(run)
         self._index_endpoint(run.incarnation)
 
-    def _remove(self, runs: collections_abc.Iterable[BrokenRun]) -> None:
+    def _remove(
+        self, runs: collections_abc.Iterable[broken_runs.BrokenRun]
+    ) -> None:
         removed = tuple(runs)
         self.runs_table.remove(removed)
         for run in removed:
             self._index_endpoint(run.incarnation)
 
-    def _index_endpoint(self, incarnation: Incarnation) -> None:
+    def _index_endpoint(self, incarnation: broken_runs.Incarnation) -> None:
         runs = self.runs_at(incarnation)
         if all(run.is_crash for run in runs):
             self._undecided.discard(incarnation)
@@ -193,6 +202,6 @@
             self._undecided.add(incarnation)
 
 
-def survives(run: BrokenRun, alive_s: float) -> bool:
+def survives(run: broken_runs.BrokenRun, alive_s: float) -> bool:
     """Return whether an answer to what was sent then clears the endpoint."""
     return run.at_s + CRASH_DELAY_S < alive_s
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -36,8 +36,6 @@
     poison_trials,
 )
 
-Verdict = crash_blame.Verdict
-MIN_CRASHES_TO_REFUSE = crash_blame.MIN_CRASHES_TO_REFUSE
 # A request without a crash for this long starts again without any.
 CRASH_RETENTION_S = 600.0
 # Entries of new endpoints reach all nodes within this time. An endpoint that is
@@ -94,12 +92,16 @@
     """Crashes by request and part of prompts, from this node and others."""
 
     def __init__(
-        self, clock: collections_abc.Callable[[], float] = time.monotonic
+        self,
+        clock: collections_abc.Callable[[], float] = time.monotonic,
+        answered_part_grace_s: float = crash_blame.ANSWERED_PART_GRACE_S,
     ) -> None:
-        """Start without crashes."""
+        """Start without crashes; the grace is as for CrashBlame."""
         self.evidence = crash_evidence.CrashEvidence()
         self.open_ends = open_ends.OpenEnds()
-        self.blame = crash_blame.CrashBlame(self.evidence, clock)
+        self.blame = crash_blame.CrashBlame(
+            self.evidence, clock, answered_part_grace_s
+        )
         self.observers = EvidenceObservers()
         self._clock = clock
         # Of what wasn't served, as far as this node knows.
@@ -134,7 +136,7 @@
         Also one that is held back: endpoints in doubt may stay out of reach,
         and their entries in the store, for any time.
         """
-        is_served = self.verdict(*keys) is Verdict.SERVE
+        is_served = self.verdict(*keys) is crash_blame.Verdict.SERVE
         return not is_served and not self.time_to_trial_s(*keys)
 
     def record_broken_run(
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -7,7 +7,12 @@
 import attrs
 
 from redwingvalve.http1 import messages
-from redwingvalve.ingress import crash_keys, poison, routes
+from redwingvalve.ingress import (
+    crash_blame,
+    crash_keys,
+    poison,
+    routes,
+)
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -100,7 +105,7 @@
     if judgement.key is None:
         return None
     is_part = crash_keys.is_part(judgement.key)
-    if judgement.verdict is poison.Verdict.HOLD:
+    if judgement.verdict is crash_blame.Verdict.HOLD:
         return POISON_PART_SUSPECT if is_part else POISON_SUSPECT
     trial_s = round(tracker.time_to_trial_s(*keys.all), 1)
     min_s = MIN_POISON_RETRY_AFTER_S
--- a/redwingvalve/ingress/tests/test_crash_blame.py
+++ b/redwingvalve/ingress/tests/test_crash_blame.py
@@ -15,7 +15,7 @@
     poison_trials,
 )
 
-SERVE, HOLD, REFUSE = poison.Verdict
+SERVE, HOLD, REFUSE = crash_blame.Verdict
 BAD, WORSE, FIRST, OTHER, RARE = map(
     crash_keys.part_key, ('bad', 'worse', 'first', 'other', 'rare')
 )
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -5,13 +5,16 @@
 import pytest
 
 from redwingvalve.ingress import (
+    answer_history,
+    broken_runs,
+    crash_blame,
     crash_evidence,
     crash_keys,
     poison,
     poison_trials,
 )
 
-SERVE, HOLD, REFUSE = poison.Verdict
+SERVE, HOLD, REFUSE = crash_blame.Verdict
 
 
 class Clock:
@@ -42,7 +45,7 @@
 
 def test_request_is_refused_after_three_crashes():
     tracker, _ = make_tracker()
-    for number in range(poison.MIN_CRASHES_TO_REFUSE):
+    for number in range(crash_blame.MIN_CRASHES_TO_REFUSE):
         assert tracker.verdict(7) is SERVE
         crash(tracker, 7, number)
     assert tracker.verdict(7) is REFUSE and tracker.verdict(8) is SERVE
@@ -126,7 +129,7 @@
     for number in range(2):
         crash(tracker, 7, number)
     tracker.record_answer(7)
-    clock.now_s += crash_evidence.ANSWER_TRUST_S + 1
+    clock.now_s += answer_history.REQUEST_TRUST_S + 1
     crash(tracker, 7, 9)
     assert tracker.verdict(7) is SERVE
     for number in range(2):
@@ -188,7 +191,7 @@
     """Another node may learn of a new endpoint earlier."""
     tracker, clock = make_tracker()
     for number in range(3):
-        run = crash_evidence.BrokenRun(7, (f'e{number}', 1), clock.now_s)
+        run = broken_runs.BrokenRun(7, (f'e{number}', 1), clock.now_s)
         merge(tracker, [run])
     tracker.resolve_broken_runs(set())
     assert tracker.verdict(7) is HOLD
@@ -228,9 +231,9 @@
 
 def test_what_is_remembered_is_bounded():
     tracker, _ = make_tracker()
-    for number in range(crash_evidence.MAX_REQUESTS + 50):
+    for number in range(broken_runs.MAX_REQUESTS + 50):
         crash(tracker, number, number)
-    assert len(tracker.evidence.suspects()) == crash_evidence.MAX_REQUESTS
+    assert len(tracker.evidence.suspects()) == broken_runs.MAX_REQUESTS
 
 
 def test_fingerprint_depends_on_target_account_and_body():
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -16,6 +16,7 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import (
     answer_ends,
+    broken_runs,
     crash_evidence,
     crash_keys,
     load_balancing,
@@ -53,16 +54,14 @@
     tracker: poison.PoisonRequestTracker
     registry: registry_module.Registry
     client: endpoint_orders.EndpointClient
-    _probes: dict[crash_evidence.Incarnation, _Probes] = attrs.field(
-        factory=dict
-    )
+    _probes: dict[broken_runs.Incarnation, _Probes] = attrs.field(factory=dict)
     _added: anyio.Event = attrs.field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Observe the tracker."""
         self.tracker.observers.append(self)
 
-    def run_added(self, run: crash_evidence.BrokenRun) -> None:
+    def run_added(self, run: broken_runs.BrokenRun) -> None:
         """Check the run's endpoint."""
         self._added.set()
 
@@ -101,7 +100,7 @@
             group.start_soon(self._probe, incarnation, endpoint, probes)
 
     def _find(
-        self, incarnation: crash_evidence.Incarnation
+        self, incarnation: broken_runs.Incarnation
     ) -> endpoints.Endpoint | None:
         endpoint = self.registry.live.get(incarnation[0])
         if endpoint is None or endpoint.incarnation != incarnation:
@@ -109,7 +108,7 @@
         return endpoint
 
     def _is_due(
-        self, incarnation: crash_evidence.Incarnation, now_s: float
+        self, incarnation: broken_runs.Incarnation, now_s: float
     ) -> bool:
         probes = self._probes[incarnation]
         if probes.is_running or now_s < probes.next_s:
@@ -122,7 +121,7 @@
             for end in self.tracker.open_ends.at_endpoint(incarnation)
         )
 
-    def _is_run_due(self, run: crash_evidence.BrokenRun, now_s: float) -> bool:
+    def _is_run_due(self, run: broken_runs.BrokenRun, now_s: float) -> bool:
         evidence = self.tracker.evidence
         is_repeated = evidence.is_repeated(run)
         age_s = now_s - run.at_s
@@ -132,7 +131,7 @@
 
     async def _probe(
         self,
-        incarnation: crash_evidence.Incarnation,
+        incarnation: broken_runs.Incarnation,
         endpoint: endpoints.Endpoint,
         probes: _Probes,
     ) -> None:
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -10,6 +10,7 @@
 from redwingvalve.fleet import serving
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import (
+    poison,
     retry_budget,
     routes,
 )
@@ -310,7 +311,9 @@
     registry = registry_module.Registry()
     table = serving.ServingTable(registry)
     state = state_module.IngressState(
-        table, _retry_budget_config(node_settings.bounds)
+        table,
+        _retry_budget_config(node_settings.bounds),
+        poison=_make_poison_tracker(node_settings.bounds),
     )
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
@@ -367,6 +370,14 @@
     return peers_module.local_address(node_settings, int(time.time() * 1000))
 
 
+def _make_poison_tracker(
+    bounds: settings.Bounds,
+) -> poison.PoisonRequestTracker:
+    # The other half is left for the news to reach all nodes.
+    grace_s = bounds.stable_window_ms / _MS_IN_S / 2
+    return poison.PoisonRequestTracker(answered_part_grace_s=grace_s)
+
+
 def _retry_budget_config(
     bounds: settings.Bounds,
 ) -> retry_budget.RetryBudgetConfig:
--- a/redwingvalve/node/tests/test_crash_checks.py
+++ b/redwingvalve/node/tests/test_crash_checks.py
@@ -6,7 +6,10 @@
 import anyio
 
 from redwingvalve.fleet import registry
-from redwingvalve.ingress import poison
+from redwingvalve.ingress import (
+    crash_blame,
+    poison,
+)
 from redwingvalve.node import crash_checks
 from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
@@ -61,8 +64,8 @@
 
     async def test(tracker, client):
         break_off(tracker)
-        assert tracker.verdict(7) is poison.Verdict.HOLD
-        await wait_for(tracker, poison.Verdict.SERVE, 0.3)
+        assert tracker.verdict(7) is crash_blame.Verdict.HOLD
+        await wait_for(tracker, crash_blame.Verdict.SERVE, 0.3)
 
     run_checks(ALIVE, test)
 
@@ -76,7 +79,7 @@
         for _ in range(60):
             break_off(tracker)
             await anyio.sleep(0.05)
-        await wait_for(tracker, poison.Verdict.SERVE, 0.3)
+        await wait_for(tracker, crash_blame.Verdict.SERVE, 0.3)
 
     run_checks(ALIVE, test)
 
@@ -84,7 +87,7 @@
 def test_request_is_refused_if_other_processes_have_the_addresses():
     async def test(tracker, client):
         break_off(tracker)
-        await wait_for(tracker, poison.Verdict.REFUSE, 0.3)
+        await wait_for(tracker, crash_blame.Verdict.REFUSE, 0.3)
 
     run_checks(ENDED, test)
 
@@ -93,7 +96,7 @@
     async def test(tracker, client):
         break_off(tracker)
         await anyio.sleep(2.2)
-        assert tracker.verdict(7) is poison.Verdict.HOLD
+        assert tracker.verdict(7) is crash_blame.Verdict.HOLD
         assert client.probes <= 3 * 3
 
     run_checks(UNKNOWN, test)
--- a/redwingvalve/node/tests/test_crash_reports.py
+++ b/redwingvalve/node/tests/test_crash_reports.py
@@ -11,7 +11,11 @@
 import pytest
 from hypothesis import strategies as st
 
-from redwingvalve.ingress import crash_keys, poison
+from redwingvalve.ingress import (
+    crash_blame,
+    crash_keys,
+    poison,
+)
 from redwingvalve.node import crash_reports, status_messages
 from redwingvalve.node.tests import crashing_parts, crashing_requests
 
@@ -136,7 +140,7 @@
     def send(self, fingerprint, crashes, sends=2, parts=()):
         network = self.network
         if self.tracker.verdict(fingerprint, *parts) is not (
-            poison.Verdict.SERVE
+            crash_blame.Verdict.SERVE
         ):
             return
         endpoint = network.rng.choice(network.live_endpoints())
@@ -169,7 +173,7 @@
         network = self.network
         fingerprint = 1_000 + next(network._numbers)
         if self.tracker.verdict(fingerprint, *parts) is not (
-            poison.Verdict.SERVE
+            crash_blame.Verdict.SERVE
         ):
             return False
         network.at(
@@ -225,7 +229,7 @@
             network.at(at_s, network.send_anywhere, 9, False)
         network.run(max(lost_s) + 1)
         verdicts = {node.tracker.verdict(9) for node in network.nodes}
-        assert verdicts == {poison.Verdict.SERVE}
+        assert verdicts == {crash_blame.Verdict.SERVE}
 
 
 @hypothesis.given(data=st.data())
--- a/redwingvalve/node/tests/test_poison_records.py
+++ b/redwingvalve/node/tests/test_poison_records.py
@@ -5,7 +5,12 @@
 import anyio
 import pytest
 
-from redwingvalve.ingress import crash_keys, poison, poison_trials
+from redwingvalve.ingress import (
+    crash_blame,
+    crash_keys,
+    poison,
+    poison_trials,
+)
 from redwingvalve.node import poison_records
 from redwingvalve.platform import store
 
@@ -102,7 +107,7 @@
     async def test():
         await wait_until(lambda: records.is_loaded)
         verdict = records.tracker.verdict(FINGERPRINT)
-        assert verdict is poison.Verdict.REFUSE
+        assert verdict is crash_blame.Verdict.REFUSE
 
     run(records, test)
     assert client.writes == 1
--- a/redwingvalve/node/tests/test_status_exchange.py
+++ b/redwingvalve/node/tests/test_status_exchange.py
@@ -6,7 +6,11 @@
 import anyio
 
 from redwingvalve.allocation import messages
-from redwingvalve.ingress import crash_evidence, reservations, wait_queue
+from redwingvalve.ingress import (
+    broken_runs,
+    reservations,
+    wait_queue,
+)
 from redwingvalve.node import crash_reports, hubs, peers
 from redwingvalve.platform.tests import fleet_harness
 
@@ -191,7 +195,7 @@
     async def test(fleet):
         exchange = fleet.nodes[0].status_exchange
         for number in range(9):
-            run = crash_evidence.BrokenRun(
+            run = broken_runs.BrokenRun(
                 number // 3, (f'x{number}', 1), time.monotonic() - 5, True
             )
             exchange.state.poison.add_recorded_run(run)
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -16,6 +16,7 @@
 
 # Port for Prometheus scrapes; the deployment file uses the same port and path.
 METRICS_PORT = 9464
+DEFAULT_STABLE_WINDOW_MS = 3_000
 
 
 class SettingsError(Exception):
@@ -52,6 +53,8 @@
     retry_extra: int
     directory_ttl_max_s: float
     stall_ms: int
+    # Time in which all nodes have to know what one of them has seen.
+    stable_window_ms: int = DEFAULT_STABLE_WINDOW_MS
 
 
 @attrs.frozen
@@ -190,6 +193,11 @@
                 'bounds.ttl_max_s', _require_positive
             ),
             stall_ms=fields.read('bounds.stall_ms', _require_positive),
+            stable_window_ms=fields.read_or(
+                'bounds.stable_window_ms',
+                _require_positive,
+                DEFAULT_STABLE_WINDOW_MS,
+            ),
         ),
     )
 
