Conclude nothing from answers that end while a node is cut off

Found while reading the diff; callers saw 502 instead of whole answers: on a node that loses its links to all endpoints while open connections live on, an answer that ended with its connection was taken for cut by a crash, since its endpoint refused the probe like all others. The run then counted against its parts at all nodes.

Cause: a probe's failure was read without asking whether the node reaches anything. Now the links are confirmed first; out of reach, the answer is passed on and proves nothing.

--- a/redwingvalve/ingress/answer_ends.py
+++ b/redwingvalve/ingress/answer_ends.py
@@ -13,8 +13,8 @@
     MARKED = 'marked'
     # With its connection, at an endpoint that seems to live.
     OPEN = 'open'
-    # With its connection, at an endpoint that leaves as planned.
-    LEAVING = 'leaving'
+    # With its connection, at an endpoint that leaves, or out of reach.
+    UNKNOWN = 'unknown'
     # With its endpoint.
     CRASH = 'crash'
 
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -21,6 +21,7 @@
     crash_keys,
     load_balancing,
     poison,
+    reachability,
 )
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
@@ -165,6 +166,7 @@
 
     registry: registry_module.Registry
     client: endpoint_orders.EndpointClient
+    reach: reachability.EndpointReach
 
     async def check(
         self, target: load_balancing.Target, *, is_in_doubt: bool
@@ -174,7 +176,7 @@
             await anyio.sleep(ANSWER_END_DELAY_S)
         endpoint = self.registry.live.get(target.endpoint_id)
         if endpoint is None or endpoint.draining:
-            return answer_ends.AnswerEnd.LEAVING
+            return answer_ends.AnswerEnd.UNKNOWN
         if endpoint.incarnation != target.incarnation:
             return answer_ends.AnswerEnd.CRASH
         liveness = await self.client.check_liveness(endpoint)
@@ -186,6 +188,11 @@
                 'is_in_doubt': is_in_doubt,
             },
         )
+        if liveness is endpoint_orders.Liveness.ALIVE:
+            return answer_ends.AnswerEnd.OPEN
+        # To a node that is cut off all endpoints seem gone.
+        if not await self.reach.confirm():
+            return answer_ends.AnswerEnd.UNKNOWN
         if liveness in _GONE:
             return answer_ends.AnswerEnd.CRASH
         return answer_ends.AnswerEnd.OPEN
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -333,7 +333,7 @@
         front.FrontApplication(state),
     )
     state.end_checker = crash_checks.EndpointAnswerEnds(
-        registry, endpoint_client
+        registry, endpoint_client, reach
     )
     return Node(
         settings=node_settings,
--- a/redwingvalve/node/tests/test_crashing_parts.py
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -1,12 +1,18 @@
 """Parts of prompts that crash endpoints are refused, sound ones served."""
 
+import functools
 import types
 
 import anyio
 import pytest
 
 from redwingvalve.node import peers
-from redwingvalve.node.tests import crashing_parts, test_crashing_requests
+from redwingvalve.node.tests import (
+    crashing_parts,
+    endpoint_cuts,
+    test_crashing_requests,
+)
+from redwingvalve.platform.standins import endpoint as fake_endpoint
 from redwingvalve.platform.standins import endpoint_crashes, endpoint_faults
 from redwingvalve.platform.tests import fleet_harness
 
@@ -208,6 +214,16 @@
     fleet_harness.run(test, **PLAIN)
 
 
+def delay_closing_answers(fleet):
+    """Make endpoints answer late, and close the connection then."""
+    for endpoint in fleet.endpoints.values():
+        endpoint.faults.closes_after_answers = True
+        endpoint.faults.spoiled_share = 1
+        endpoint.faults.rng = types.SimpleNamespace(
+            random=lambda: 0, choice=lambda _: endpoint_faults.Spoiling.DELAY
+        )
+
+
 @pytest.mark.parametrize('announces', [False, True])
 def test_an_endpoint_that_leaves_cuts_no_answer_that_ends_with_it(announces):
     """It stops listening while its last answers are under way."""
@@ -224,13 +240,7 @@
     async def test(fleet):
         crashing = crashing_parts.CrashingPart(fleet)
         started_s = anyio.current_time()
-        for endpoint in fleet.endpoints.values():
-            endpoint.faults.closes_after_answers = True
-            endpoint.faults.spoiled_share = 1
-            endpoint.faults.rng = types.SimpleNamespace(
-                random=lambda: 0,
-                choice=lambda _: endpoint_faults.Spoiling.DELAY,
-            )
+        delay_closing_answers(fleet)
         async with anyio.create_task_group() as group:
             for _ in range(6):
                 group.start_soon(crashing.send_sound)
@@ -239,3 +249,33 @@
         assert crashing.served_share(started_s) == 1
 
     fleet_harness.run(test, nodes=1, engines=0, plain=2)
+
+
+@pytest.mark.parametrize('mode', list(endpoint_cuts.CutMode)[2:])
+def test_a_cut_off_node_cuts_no_answer_that_ends_with_its_connection(
+    monkeypatch, mode
+):
+    """Open connections live on, and new ones are refused or hang."""
+    # In time, so that no answer is overdue.
+    monkeypatch.setattr(fake_endpoint, 'ANSWER_DELAY_S', 0.3)
+
+    async def test(fleet):
+        crashing = crashing_parts.CrashingPart(fleet)
+        cuts = endpoint_cuts.CutLoad(fleet, '/card/1')
+        started_s = anyio.current_time()
+        delay_closing_answers(fleet)
+        parts = (crashing_parts.FIRST, *crashing_parts.OTHERS)
+        async with anyio.create_task_group() as group:
+            for _ in range(6):
+                send = functools.partial(
+                    crashing.send, parts, is_bad=False, node=fleet.nodes[0]
+                )
+                group.start_soon(send)
+            await anyio.sleep(0.2)
+            cuts.links[0].cut(mode)
+        assert crashing.served_share(started_s) == 1
+        await anyio.sleep(1)
+        for node in fleet.nodes:
+            assert not node.state.poison.evidence.suspects()
+
+    fleet_harness.run(test, nodes=2, engines=0, plain=3)
