Claim no trial at a node that reaches no endpoint

Found while reading the diff. A node that is cut off forwards its requests; the other node refuses what is refused. A trial that the first one claimed was lost so, and the next one was due four times later, for sound requests too. Evidence: test_a_node_without_endpoints_claims_no_trial failed for a node that is cut off.

--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -83,7 +83,10 @@
         """Return whether this request may be sent in spite of its crashes."""
         claimer = self._state.trial_claimer
         tracker = self._state.poison
-        if claimer is None or not tracker.is_trial_due(*keys.all):
+        # Another node, to which it would be forwarded, refuses it.
+        if claimer is None or self._state.reach.is_cut_off:
+            return False
+        if not tracker.is_trial_due(*keys.all):
             return False
         return await claimer.claim(keys)
 
