Keep watching kinds with objects whose name can't be read

Cause: a listing with one object without readable metadata raised in the watch cache, and the watch of the whole kind restarted forever.

Change: such objects are left out of the cache; an object with a readable name needs no revision there. Change.name is '' for unreadable objects.

--- a/redwingvalve/node/watch_cache.py
+++ b/redwingvalve/node/watch_cache.py
@@ -83,10 +83,9 @@
         history, only its relays have to relist, and not the hundreds of nodes
         behind them.
         """
-        found = {
-            str(stored['metadata']['name']): stored
-            for stored in listing.objects
-        }
+        # Objects without a readable name can't be told apart.
+        found = {store.name_of(stored): stored for stored in listing.objects}
+        found.pop('', None)
         if self.revision and listing.revision >= self.revision:
             missed = _diff(self._objects, found)
             self.apply_changes(store.Changes(missed, listing.revision))
@@ -176,11 +175,16 @@
         store.Change(stored, is_removed=False)
         for name, stored in found.items()
         if name not in known
-        or store.revision_of(known[name]) != store.revision_of(stored)
+        or _raw_revision(known[name]) != _raw_revision(stored)
     ]
     return [*removed, *apply_changes]
 
 
+def _raw_revision(stored: store.Document) -> object:
+    """Return the revision as the store sent it, in whatever form."""
+    return stored['metadata'].get('revision')
+
+
 def _compact(
     changes: collections_abc.Iterable[store.Change],
 ) -> list[store.Change]:
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -79,8 +79,8 @@
 
     @property
     def name(self) -> str:
-        """Name of the object."""
-        return str(self.stored['metadata']['name'])
+        """Name of the object, empty if it can't be read."""
+        return name_of(self.stored)
 
 
 @attrs.frozen
@@ -93,6 +93,13 @@
     age_s: float = 0
 
 
+def name_of(stored: typing.Any) -> str:
+    """Return the name of an object, '' if it can't be read."""
+    metadata = stored.get('metadata') if isinstance(stored, dict) else None
+    name = metadata.get('name') if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ''
+
+
 def revision_of(stored: Document) -> int:
     """Return the revision of the object's last change."""
     return int(stored['metadata']['revision'])
