Evacuate data centres: send nothing new to their endpoints

Change: fleet/evacuations.py holds the entries in force, by the highest store revision, from a watch with the time limit bounds.evacuate_ms and from status messages, which carry the names and the revision. The table of targets leaves out endpoints and replicas of evacuated data centres. A request is checked once more before it is written to a connection; what isn't written costs neither an attempt nor a retry, and says nothing about the endpoint. Asks queued for a pool without endpoints end at once. A node that knows nothing yet holds requests back, for the time limit at most. What replicas looked like with all members moves to fleet/complete_replicas.py.

--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -82,6 +82,10 @@
     rng: random.Random = attrs.field(factory=random.Random)
     # Whether each data centre has its own pool per model.
     is_split_by_data_centre: collections_abc.Callable[[], bool] = lambda: True
+    # Whether an evacuation has left a pool without endpoints.
+    is_evacuated: collections_abc.Callable[[messages.Pool], bool] = (
+        lambda pool: False
+    )
     _numbers: typing.Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
@@ -124,15 +128,9 @@
                 tuple(slow),
                 self._resting(service, model),
             )
-            found = await self._find_slot(pools, ask)
-            if isinstance(found, reservations.NoSlot):
+            found = await self._try_pools(pools, ask, avoided_ids)
+            if found is not None:
                 return found
-            target = self._find_granted_target(found)
-            if target is not None:
-                return self._held_slots.hold(found, target)
-            self.transport.send(found.owner, messages.Release(found.number))
-            avoided_ids.insert(0, found.endpoint_id)
-            node_metrics.METRICS.count('redwingvalve_unusable_grants')
         LOG.info(
             'no usable grant',
             extra={
@@ -164,6 +162,22 @@
         """Report held slots and rate limits to their owners."""
         self._held_slots.report()
 
+    async def _try_pools(
+        self, pools: list[messages.Pool], ask: messages.Ask, avoided: list[str]
+    ) -> reservations.Reservation | reservations.NoSlot | None:
+        """Return a slot or a refusal, None if another try may find a slot."""
+        found = await self._find_slot(pools, ask)
+        if isinstance(found, reservations.NoSlot):
+            # Other pools may serve what waited for an evacuated one.
+            return None if any(map(self.is_evacuated, pools)) else found
+        target = self._find_granted_target(found)
+        if target is not None:
+            return self._held_slots.hold(found, target)
+        self.transport.send(found.owner, messages.Release(found.number))
+        avoided.insert(0, found.endpoint_id)
+        node_metrics.METRICS.count('redwingvalve_unusable_grants')
+        return None
+
     async def _find_slot(
         self, pools: list[messages.Pool], ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot:
@@ -260,7 +274,7 @@
         reply = await self._send_and_wait(pending, ask, REPLY_TIMEOUT_S)
         missed = 0
         while reply is not None and reply.outcome is _QUEUED:
-            if self.clock() > until_s:
+            if self.clock() > until_s or self.is_evacuated(ask.pool):
                 return messages.Reply(
                     ask.number,
                     messages.Outcome.REFUSED,
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from redwingvalve.fleet import clearances, endpoints
+from redwingvalve.fleet import clearances, complete_replicas, endpoints
+from redwingvalve.fleet import evacuations as evacuations_module
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import load_balancing, routes, state
 from redwingvalve.observability import logs, node_metrics
@@ -36,8 +37,15 @@
 class ServingTable(state.TargetProvider):
     """Targets by service and model, rebuilt at each change."""
 
-    def __init__(self, registry: registry_module.Registry) -> None:
-        """Rebuild the table whenever the registry changes."""
+    def __init__(
+        self,
+        registry: registry_module.Registry,
+        evacuations: evacuations_module.Evacuations | None = None,
+    ) -> None:
+        """Rebuild the table at each change of the registry or evacuations."""
+        self.evacuations = evacuations or evacuations_module.Evacuations(
+            is_enabled=False
+        )
         self.on_suspect: collections_abc.Callable[[Suspicion], None] | None
         self.on_suspect = None
         self.on_check_requested: (
@@ -68,9 +76,11 @@
         # Endpoints that leave, and the incarnation that said so, None if its
         # entry was gone.
         self._leaving: dict[str, int | None] = {}
-        # Replicas as last seen with all members, by name and epoch.
-        self._complete_replicas: dict[tuple[str, int], endpoints.Replica] = {}
+        self._complete_replicas = complete_replicas.CompleteReplicas(
+            self.evacuations
+        )
         registry.on_change.append(self.rebuild)
+        self.evacuations.on_change.append(self.rebuild)
 
     def find_targets(
         self, service: str, model: str
@@ -194,7 +204,7 @@
         head = self._registry.live.get(head_id)
         if head is None or head.membership is None:
             return None
-        return self._complete_replicas.get(head.membership.key)
+        return self._complete_replicas.find(head.membership.key)
 
     def local_suspicions(self) -> list[Suspicion]:
         """Return the active suspicions that this node raised itself."""
@@ -218,6 +228,14 @@
             return True
         return endpoint.membership.epoch <= suspicion.epoch
 
+    def is_evacuated(self, target: load_balancing.Target) -> bool:
+        """Return whether a member of a target is being evacuated."""
+        if self.evacuations.is_evacuated(target.data_centre):
+            return True
+        return self._complete_replicas.is_evacuated(
+            (target.replica, target.epoch)
+        )
+
     def rebuild(self) -> None:
         """Rebuild the targets from the registry and the suspicions."""
         configuration = self._configuration
@@ -247,7 +265,9 @@
         ready = [
             endpoint
             for endpoint in usable
-            if endpoint.service == service and not self._is_leaving(endpoint)
+            if endpoint.service == service
+            and not self._is_leaving(endpoint)
+            and not self.evacuations.is_evacuated(endpoint.data_centre)
         ]
         healthy = [
             endpoint
@@ -268,8 +288,14 @@
         for observed in replicas:
             if observed.model != model.name:
                 continue
-            replica = self._usable_replica(observed, model.size, by_id)
-            if replica is not None and self._is_serving(replica):
+            replica = self._complete_replicas.usable(
+                observed, model.size, by_id
+            )
+            if replica is None or self._complete_replicas.is_evacuated(
+                replica.key
+            ):
+                continue
+            if self._is_serving(replica):
                 serving.append(replica)
         staying = [one for one in serving if not one.is_leaving]
         return tuple(
@@ -277,32 +303,6 @@
             for replica in staying or serving
         )
 
-    def _usable_replica(
-        self,
-        observed: endpoints.Replica,
-        size: int,
-        by_id: dict[str, endpoints.Endpoint],
-    ) -> endpoints.Replica | None:
-        """Return the replica if all its members may still serve, or None.
-
-        A member whose entry has only expired may be alive and cut off from the
-        store; the replica is used until its head stalls. A member that reports
-        another replica, or that has restarted, is lost for good.
-        """
-        if len(observed.members) == size:
-            self._complete_replicas[observed.key] = observed
-            return observed
-        known = self._complete_replicas.get(observed.key)
-        if known is None or observed.head is None:
-            return None
-        present = {member.endpoint_id for member in observed.members}
-        for member in known.members:
-            if member.endpoint_id in present:
-                continue
-            if member.endpoint_id in by_id or member.draining:
-                return None
-        return observed
-
     def _is_leaving(self, endpoint: endpoints.Endpoint) -> bool:
         if endpoint.draining:
             return True
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -204,6 +204,9 @@
             self._record_answer(answer, target)
             responses.send_response(self._responder, answer)
             return True
+        if outcome is upstream.Outcome.EVACUATED:
+            self._log_outcome(target, f'not sent: {outcome.value}')
+            return False
         if outcome in _OUT_OF_TIME:
             self._may_have_run |= outcome is upstream.Outcome.TIMEOUT
             # A started stream ends without a status: only this line tells
@@ -383,14 +386,10 @@
 
 
 _OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
-_SLOT_IS_FREE = frozenset(
-    (
-        upstream.Outcome.COMPLETE,
-        upstream.Outcome.FAILURE,
-        upstream.Outcome.CALLER_GONE,
-        upstream.Outcome.EXPIRED,
-    )
-)
-_INCONCLUSIVE = frozenset(
-    (None, upstream.Outcome.CALLER_GONE, upstream.Outcome.EXPIRED)
-)
+_NOT_SENT = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.EVACUATED))
+_SLOT_IS_FREE = _NOT_SENT | {
+    upstream.Outcome.COMPLETE,
+    upstream.Outcome.FAILURE,
+    upstream.Outcome.CALLER_GONE,
+}
+_INCONCLUSIVE = _NOT_SENT | {None, upstream.Outcome.CALLER_GONE}
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -57,6 +57,10 @@
     def is_suspect(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is out of use."""
 
+    def is_evacuated(self, target: load_balancing.Target) -> bool:
+        """Return whether nothing new may be sent to a target."""
+        return False
+
 
 def _no_requests(service: str, model: str) -> int:
     """Return 0, the count until the slot reserver is connected."""
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -39,6 +39,8 @@
     TIMEOUT = 'timeout'
     # The same, but before anything was sent to the endpoint.
     EXPIRED = 'expired'
+    # Nothing was sent, as the endpoint's data centre is being evacuated.
+    EVACUATED = 'evacuated'
 
 
 class UpstreamRequest(client.ResponseHandler):
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -68,10 +68,14 @@
     ) -> upstream.Outcome:
         """Send the request to an endpoint and return the outcome."""
         self.upstream_request = None
-        self.tried_endpoints.add(target.endpoint_id)
         connection = await self._connect(target)
         if isinstance(connection, upstream.Outcome):
             return connection
+        # Nothing is awaited between this check and the write.
+        if self._state.targets.is_evacuated(target):
+            self._state.connections.release(target.address, connection)
+            return upstream.Outcome.EVACUATED
+        self.tried_endpoints.add(target.endpoint_id)
         self.sent_count += 1
         upstream_request = self._make_upstream_request(on_statement)
         self.upstream_request = upstream_request
@@ -155,6 +159,7 @@
                 connection = await connections.take(target.address, idle_s)
         except pool.ConnectError as error:
             self.connect_failures += 1
+            self.tried_endpoints.add(target.endpoint_id)
             self._state.targets.suspect(target.endpoint_id, str(error))
             await self._check_links()
             return upstream.Outcome.NOT_RUN
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -116,9 +116,9 @@
     """Create the allocator, reserver and transport, and wire them up."""
     peers = status_exchange.peers
 
-    allocator = allocator_module.Allocator(
-        _PoolTargets(state.targets).of, time.monotonic
-    )
+    pool_targets = _PoolTargets(state.targets)
+    evacuations = status_exchange.table.evacuations
+    allocator = allocator_module.Allocator(pool_targets.of, time.monotonic)
     transport = AllocationTransport(peers, allocator)
     pool_owners = owners.PoolOwners(
         lambda: _candidates(peers, state), time.monotonic
@@ -135,6 +135,9 @@
         loads=state.loads,
         clock=time.monotonic,
         is_split_by_data_centre=lambda: peers.is_large_fleet,
+        is_evacuated=lambda pool: (
+            evacuations.is_any_evacuated and not pool_targets.of(pool)
+        ),
     )
     peers.on_tagged = transport.datagram_received
     state.reserver = transport.reserver
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -33,6 +33,7 @@
     supervision,
     watch_sources,
 )
+from redwingvalve.node import evacuation_watch as evacuation_watch_module
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import listeners as listeners_module
@@ -185,9 +186,11 @@
 
     def _can_serve(self) -> bool:
         has_routes = self.state.configuration is not None
+        is_evacuation_known = self.table.evacuations.is_synced
+        has_endpoints = self.registry.is_synced and is_evacuation_known
         return (
             has_routes
-            and self.registry.is_synced
+            and has_endpoints
             and self.peer_discovery.is_complete
             and self.poison_records.is_loaded
         )
@@ -213,14 +216,15 @@
         ]
 
     def _make_watches(self) -> list[kind_watch.KindWatch]:
-        selector = watch_sources.SourceSelector(
+        make_selector = functools.partial(
+            watch_sources.SourceSelector,
             self.client,
             self.json_client,
             self.peers,
             self.status_exchange.hubs,
             self.lease.is_held,
-            self._max_staleness_s(),
         )
+        selector = make_selector(self._max_staleness_s())
         configuration_handler = configuration_watch.ConfigurationHandler(
             self.state, self._apply_configuration
         )
@@ -234,6 +238,9 @@
                 selector.select,
                 self._watch_batch_delay_s,
             ),
+            *evacuation_watch_module.make_watches(
+                self.settings.bounds, self.status_exchange, make_selector
+            ),
         ]
 
     def _max_staleness_s(self) -> float:
@@ -309,7 +316,9 @@
     early holds the sockets that are already listening.
     """
     registry = registry_module.Registry()
-    table = serving.ServingTable(registry)
+    table = serving.ServingTable(
+        registry, evacuation_watch_module.make_evacuations(node_settings.bounds)
+    )
     state = state_module.IngressState(
         table,
         _retry_budget_config(node_settings.bounds),
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -48,6 +48,10 @@
         metrics.gauge('redwingvalve_retries_left', self._retries_left)
         metrics.gauge('redwingvalve_loop_delay_seconds', self._take_loop_delay)
         metrics.gauge('redwingvalve_memory_bytes', _memory)
+        if self.table.evacuations.is_enabled:
+            metrics.gauge(
+                'redwingvalve_evacuated', self.table.evacuations.gauge
+            )
 
     async def run(self) -> typing.NoReturn:
         """Measure the delay of the event loop until cancelled."""
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -92,4 +92,8 @@
   20: list<AnsweredRequest> answers
   // Asks for a status message in return.
   21: bool asks_reply
+  // Names of the entries that evacuate data centres, as the sender knows them,
+  // and the revision of the store at which it knew them; 0 if it doesn't.
+  22: i64 evacuation_revision
+  23: list<string> evacuated
 }
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -82,6 +82,7 @@
         self.table.on_cleared = self._broadcast_cleared
         self.table.on_announce_healthy = self._record_cleared
         self.lease.on_renewed = self.broadcast_soon
+        self.table.evacuations.on_change.append(self.broadcast_soon)
 
     @property
     def fleet_has_served(self) -> bool:
@@ -168,6 +169,8 @@
             has_served=self._reports_served(),
             cleared=status_fields.recent_clearance_messages(self._cleared),
             usage=usage,
+            evacuation_revision=self.table.evacuations.revision,
+            evacuated=self.table.evacuations.shared_names(),
         )
         if self.peers.is_announcing:
             message.address = status_fields.address_message(self.local)
@@ -199,6 +202,9 @@
             self.lease.observe(message.lease_revision, message.lease_left_ms)
         self.has_peer_served = self.has_peer_served or bool(message.has_served)
         self.crash_reports.receive(message)
+        self.table.evacuations.observe(
+            message.evacuation_revision or 0, message.evacuated or ()
+        )
         for suspicion in status_fields.parse_suspicions(message):
             self.table.add_suspicion(suspicion)
         for clearance in status_fields.parse_clearances(message):
@@ -237,6 +243,7 @@
         else:
             self.peers.report_silent()
         self.registry.drop_expired()
+        self.table.evacuations.tick()
         # Before that every endpoint would seem to have ended.
         is_synced = self.registry.is_synced
         if is_synced and self.state.poison.undecided():
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -82,6 +82,8 @@
     (_Type.LIST, 'broken_runs', (_Type.STRUCT, BrokenRun)),
     (_Type.LIST, 'answers', (_Type.STRUCT, AnsweredRequest)),
     (_Type.BOOL, 'asks_reply'),
+    (_Type.I64, 'evacuation_revision'),
+    (_Type.LIST, 'evacuated', _Type.STRING),
 )
 
 
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -15,6 +15,7 @@
 ENDPOINT_KIND: typing.Final = 'servers'
 CONFIGURATION_KIND: typing.Final = 'config'
 CONFIGURATION_NAME: typing.Final = 'main'
+EVACUATION_KIND: typing.Final = 'evacuations'
 
 # Headers, in lower case because they are compared that way.
 ATTEMPT_ID_HEADER: typing.Final = b'x-attempt-id'
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -55,6 +55,9 @@
     stall_ms: int
     # Time in which all nodes have to know what one of them has seen.
     stable_window_ms: int = DEFAULT_STABLE_WINDOW_MS
+    # Time from the acknowledgement of an evacuation until it is in force, None
+    # if the platform evacuates no data centres.
+    evacuate_ms: int | None = None
 
 
 @attrs.frozen
@@ -198,6 +201,9 @@
                 _require_positive,
                 DEFAULT_STABLE_WINDOW_MS,
             ),
+            evacuate_ms=fields.read_or(
+                'bounds.evacuate_ms', _require_positive, None
+            ),
         ),
     )
 
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -57,6 +57,7 @@
         endpoint_id: str,
         service: str,
         domain: str = '',
+        data_centre: str = 'zone-1',
     ) -> None:
         """Create an endpoint that is not listening yet."""
         self.endpoint_id = endpoint_id
@@ -77,6 +78,7 @@
         self._store = store
         self._service = service
         self._domain = domain
+        self._data_centre = data_centre
         self._sequence = 0
         self._epoch = 0
         self._born = 1000
@@ -196,7 +198,7 @@
         return {
             'service': self._service,
             'address': self.address,
-            'zone': 'zone-1',
+            'zone': self._data_centre,
             'version': 'v1',
             'slots': 4,
             'state': self.state,
--- a/redwingvalve/platform/tests/fleet_harness.py
+++ b/redwingvalve/platform/tests/fleet_harness.py
@@ -250,8 +250,12 @@
             assert time.monotonic() < deadline_s, 'condition not met in time'
             await anyio.sleep(0.01)
 
-    async def add_endpoint(self, name, service, domain=''):
-        endpoint = fake_endpoint.FakeEndpoint(self.store, name, service, domain)
+    async def add_endpoint(
+        self, name, service, domain='', data_centre='zone-1'
+    ):
+        endpoint = fake_endpoint.FakeEndpoint(
+            self.store, name, service, domain, data_centre
+        )
         await endpoint.start()
         self.endpoints[name] = endpoint
         return endpoint
@@ -286,6 +290,7 @@
     version=configuration,
     lease_term=0,
     data_centres=1,
+    bounds=None,
 ):
     """Yield a fleet once its nodes are serving."""
     store = fake_store.FakeStore()
@@ -310,6 +315,7 @@
                 node_settings(
                     f'node-{number}',
                     fleet.store_address,
+                    bounds,
                     data_centre=f'zone-{number % data_centres + 1}',
                 )
             )
