Hold requests back after a pause in which an evacuation may have begun

Cause: a process or VM that was stopped for seconds finds callers' requests in its sockets when it runs again, before the answers that tell it of an evacuation; these are as old as the pause.

Change: after a stop of half the time limit a node counts all data centres as evacuated for 0.75 s, and fetches the kind anew. The check is made before each send. The limit is an argument of Evacuations, None without the setting.

--- a/redwingvalve/fleet/evacuations.py
+++ b/redwingvalve/fleet/evacuations.py
@@ -7,23 +7,30 @@
 revision of the store at which they knew it. The highest revision wins, since
 messages may arrive late, repeatedly and in any order.
 
-A node that has just started and knows nothing yet counts every data centre as
-evacuated, for at most hold_s. It would otherwise send to an evacuated one if
-the store answers the other watches first.
+While a node may know less than the time limit allows, it counts every data
+centre as evacuated, and its callers are told to retry: after its start until it
+knows anything, for the time limit at most, and for a moment after its process
+or VM was stopped for a large part of the limit.
 """
 
-import time
 import typing
 from collections import abc as collections_abc
 
 import attrs
 
+from redwingvalve.core import clock as clock_module
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import store
 
 LOG = logs.make_logger('evacuations')
 # Limit on the names in a status message, which has to fit into one packet.
 MAX_SHARED_NAMES = 16
+# A process that was stopped for this share of the time limit may have missed
+# the start of an evacuation. The rest is left for what it knew to be old.
+PAUSE_SHARE = 0.5
+# After that pause, until status messages of other nodes and an answer of the
+# store have arrived: three status intervals of a large fleet.
+PAUSE_HOLD_S = 0.75
 
 _Names: typing.TypeAlias = frozenset[str]
 
@@ -45,20 +52,25 @@
     """Return None until the data centres of the fleet are known."""
 
 
+def _refresh_nothing() -> None:
+    """Refresh nothing while no watch is connected."""
+
+
 class Evacuations:
     """The evacuated data centres, from the watch and from other nodes."""
 
     def __init__(
         self,
-        *,
-        is_enabled: bool = True,
-        hold_s: float = 0,
-        clock: collections_abc.Callable[[], float] = time.monotonic,
+        limit_s: float | None,
+        clock: collections_abc.Callable[[], float] = clock_module.boot_s,
     ) -> None:
-        """Know nothing yet; without is_enabled nothing is ever evacuated."""
-        self.is_enabled = is_enabled
+        """Know nothing yet; without limit_s nothing is ever evacuated.
+
+        limit_s is the time from a change of the store until it is in force.
+        """
+        self.is_enabled = limit_s is not None
         # Whether the kind has been listed.
-        self.is_synced = not is_enabled
+        self.is_synced = limit_s is None
         # Called when a data centre is evacuated or no longer is.
         self.on_change: list[collections_abc.Callable[[], None]] = []
         # Returns the revision of what the watch has just delivered.
@@ -67,9 +79,14 @@
         self.data_centres: collections_abc.Callable[
             [], collections_abc.Collection[str] | None
         ] = _not_known
+        # Has the kind fetched at once, whatever the watch is waiting for.
+        self.refresh_now: collections_abc.Callable[[], None] = _refresh_nothing
         self._clock = clock
-        self._hold_until_s = clock() + hold_s
-        self._is_holding = is_enabled and hold_s > 0
+        self._limit_s = limit_s or 0.0
+        # When this process last showed that it runs.
+        self._ran_s = clock()
+        self._hold_until_s = self._ran_s + self._limit_s
+        self._is_holding = limit_s is not None
         self._watched_names: _Names = frozenset()
         # None until anything is known.
         self._in_force: EvacuationState | None = None
@@ -127,11 +144,31 @@
         if self.is_enabled and revision > self.revision:
             self._put_in_force(EvacuationState(revision, frozenset(names)))
 
+    def check_pause(self) -> None:
+        """Hold requests back if this process was stopped for too long.
+
+        To be called before each send and, by tick(), several times a second.
+        """
+        if not self.is_enabled:
+            return
+        now_s = self._clock()
+        paused_s = now_s - self._ran_s
+        self._ran_s = now_s
+        if paused_s < PAUSE_SHARE * self._limit_s:
+            return
+        LOG.warning('stopped too long', extra={'paused_s': round(paused_s, 2)})
+        self._hold_until_s = max(self._hold_until_s, now_s + PAUSE_HOLD_S)
+        self._is_holding = True
+        self.refresh_now()
+        self._notify_listeners()
+
     def tick(self) -> None:
-        """End the hold of a start, and log names once they can be told."""
+        """End a hold in time, and log names once they can be told."""
+        self.check_pause()
         if self._is_holding and self._clock() >= self._hold_until_s:
             self._is_holding = False
-            LOG.warning('evacuations unknown, all data centres in use')
+            if self._in_force is None:
+                LOG.warning('evacuations unknown, all data centres in use')
             self._notify_listeners()
         if not self.names() <= self._begun:
             self._log_changes()
@@ -151,13 +188,15 @@
             self._put_in_force(EvacuationState(revision, self._watched_names))
 
     def _put_in_force(self, found: EvacuationState) -> None:
-        was_holding = self._is_holding
+        is_first = self._in_force is None
         before = self.names()
         self._in_force = found
-        self._is_holding = False
+        if is_first:
+            self._is_holding = False
+            self._hold_until_s = 0.0
         if found.names != before:
             self._log_changes()
-        if found.names != before or was_holding:
+        if found.names != before or is_first:
             self._notify_listeners()
 
     def _notify_listeners(self) -> None:
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -43,9 +43,7 @@
         evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         """Rebuild the table at each change of the registry or evacuations."""
-        self.evacuations = evacuations or evacuations_module.Evacuations(
-            is_enabled=False
-        )
+        self.evacuations = evacuations or evacuations_module.Evacuations(None)
         self.on_suspect: collections_abc.Callable[[Suspicion], None] | None
         self.on_suspect = None
         self.on_check_requested: (
@@ -230,6 +228,7 @@
 
     def is_evacuated(self, target: load_balancing.Target) -> bool:
         """Return whether a member of a target is being evacuated."""
+        self.evacuations.check_pause()
         if self.evacuations.is_evacuated(target.data_centre):
             return True
         return self._complete_replicas.is_evacuated(
--- a/redwingvalve/fleet/tests/test_evacuations.py
+++ b/redwingvalve/fleet/tests/test_evacuations.py
@@ -8,17 +8,19 @@
 from redwingvalve.fleet import evacuations
 from redwingvalve.platform import store
 
+LIMIT_S = 5.0
+
 
 class Watch:
     """Delivers listings and changes at given revisions."""
 
-    def __init__(self, **options):
+    def __init__(self, limit_s=LIMIT_S):
         self.now_s = 0.0
         self.revision = 0
         self.changes = 0
-        self.state = evacuations.Evacuations(
-            clock=lambda: self.now_s, **options
-        )
+        self.refreshes = 0
+        self.state = evacuations.Evacuations(limit_s, lambda: self.now_s)
+        self.state.refresh_now = self.refresh
         self.state.watched_revision = lambda: self.revision
         self.state.data_centres = lambda: {'zone-1', 'zone-2'}
         self.state.on_change.append(self.count_change)
@@ -26,6 +28,15 @@
     def count_change(self):
         self.changes += 1
 
+    def refresh(self):
+        self.refreshes += 1
+
+    def run_until(self, until_s):
+        """Tick several times a second, as a node does."""
+        while self.now_s < until_s:
+            self.now_s = min(self.now_s + 0.25, until_s)
+            self.state.tick()
+
     def list(self, revision, *names):
         self.revision = revision
         self.state.on_list([stored(name) for name in names])
@@ -49,7 +60,7 @@
     assert not watch.state.is_evacuated('zone-1')
     watch.change(12, ('zone-2', True))
     assert not watch.state.is_evacuated('zone-2')
-    assert (watch.state.revision, watch.changes) == (12, 2)
+    assert (watch.state.revision, watch.changes) == (12, 3)
 
 
 def test_removals_of_entries_that_do_not_exist_change_nothing():
@@ -131,7 +142,7 @@
 
 def test_messages_of_nodes_that_know_nothing_are_ignored():
     """Such nodes have just started, or are of an earlier version."""
-    watch = Watch(hold_s=5)
+    watch = Watch()
     watch.state.observe(0, [])
     assert watch.state.is_evacuated('zone-1')
     watch.state.observe(7, ['zone-2'])
@@ -142,24 +153,47 @@
 
 def test_a_node_that_knows_nothing_sends_nothing_for_a_limited_time():
     """The store answers all watches but this one."""
-    watch = Watch(hold_s=5)
-    watch.now_s = 4.9
-    watch.state.tick()
+    watch = Watch()
+    watch.run_until(LIMIT_S - 0.1)
     assert watch.state.is_evacuated('zone-1')
-    watch.now_s = 5.0
-    watch.state.tick()
+    watch.run_until(LIMIT_S)
     assert (watch.state.is_evacuated('zone-1'), watch.changes) == (False, 1)
 
 
 def test_the_first_listing_ends_the_hold():
     """Targets must be built again although no name has changed."""
-    watch = Watch(hold_s=5)
+    watch = Watch()
     watch.list(10)
     assert (watch.state.is_evacuated('zone-1'), watch.changes) == (False, 1)
 
 
+def test_a_process_that_was_stopped_first_learns_what_it_missed():
+    """Messages that waited in its buffers are as old as the pause."""
+    watch = Watch()
+    watch.list(10)
+    watch.now_s = 4.0
+    watch.state.check_pause()
+    watch.state.observe(11, [])
+    assert watch.state.is_evacuated('zone-1')
+    assert (watch.changes, watch.refreshes) == (2, 1)
+    watch.run_until(4.0 + evacuations.PAUSE_HOLD_S)
+    assert not watch.state.is_evacuated('zone-1')
+    assert (watch.changes, watch.refreshes) == (3, 1)
+
+
+def test_short_stops_hold_nothing_back():
+    """Nodes of a busy machine stop for a second now and then."""
+    watch = Watch()
+    watch.list(10)
+    for _ in range(10):
+        watch.now_s += 1.0
+        watch.state.check_pause()
+        watch.state.tick()
+    assert watch.changes == 1
+
+
 def test_nothing_is_evacuated_where_the_settings_do_not_ask_for_it():
-    watch = Watch(is_enabled=False, hold_s=5)
+    watch = Watch(None)
     watch.state.observe(7, ['zone-2'])
     assert not watch.state.is_any_evacuated
     assert watch.state.is_synced
--- a/redwingvalve/node/evacuation_watch.py
+++ b/redwingvalve/node/evacuation_watch.py
@@ -20,9 +20,9 @@
 
 def make_evacuations(bounds: settings.Bounds) -> evacuations_module.Evacuations:
     """Return the state of evacuations; disabled without a time limit."""
+    limit_ms = bounds.evacuate_ms
     return evacuations_module.Evacuations(
-        is_enabled=bounds.evacuate_ms is not None,
-        hold_s=(bounds.evacuate_ms or 0) / _MS_IN_S,
+        None if limit_ms is None else limit_ms / _MS_IN_S
     )
 
 
@@ -43,6 +43,7 @@
         names.EVACUATION_KIND, evacuations, selector.select
     )
     evacuations.watched_revision = lambda: watch.revision
+    evacuations.refresh_now = watch.refresh_now
     evacuations.data_centres = lambda: _data_centres(exchange)
     return [watch]
 
--- a/redwingvalve/node/tests/test_evacuations.py
+++ b/redwingvalve/node/tests/test_evacuations.py
@@ -519,6 +519,31 @@
     run(test, nodes=2, engines=0)
 
 
+def test_a_node_that_was_stopped_sends_nothing_before_it_knows_the_state():
+    """Callers' requests waited in its sockets, and so did old answers."""
+
+    async def test(fleet):
+        node = fleet.nodes[0]
+        evacuations = node.table.evacuations
+        await fleet.wait_until(lambda: evacuations.is_synced)
+        heal = cut_off_from_store(node)
+        receive = node.peers.datagram_received
+        node.peers.datagram_received = lambda packed, address: None
+        evacuate(fleet)
+        clock = evacuations._clock
+        evacuations._clock = lambda: clock() + BOUND_S
+        took_s = await refuse_all(fleet, [PLAIN])
+        assert max(took_s) < REFUSED_S
+        heal()
+        node.peers.datagram_received = receive
+        await fleet.wait_until(lambda: plain_targets(node), BOUND_S)
+        answers = await send_many(fleet, 20)
+        assert {one.status for one in answers} == {200}
+        assert not arrivals(fleet)
+
+    run(test, nodes=2)
+
+
 def test_requests_handed_to_another_node_stay_out():
     """A node without links to endpoints hands its requests over."""
 
