Decode what the platform says about cold endpoints

Endpoints that have just started crash under the load of warm ones. The platform states how long they stay cold (cold_left_ms of entries, X-Cold-Ms of answers), what services tolerate (cold_s, cold_per_s) and the bound (bounds.cold_excess, bounds.cold_slack). All are optional; nothing uses them yet.

--- a/redwingvalve/fleet/endpoints.py
+++ b/redwingvalve/fleet/endpoints.py
@@ -49,6 +49,8 @@
     staged: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
     membership: Membership | None = None
+    # How much longer it was cold when the entry was written.
+    cold_left_ms: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/redwingvalve/ingress/routes.py
+++ b/redwingvalve/ingress/routes.py
@@ -62,6 +62,11 @@
     # Connections that an endpoint accepts from all nodes together.
     max_connections: int
     engine: Engine | None = None
+    # How long an endpoint is cold after its start.
+    cold_s: float = 0
+    # Requests per second that a cold endpoint takes from all nodes together;
+    # 0: no limit.
+    cold_per_s: float = 0
 
 
 @attrs.frozen
--- a/redwingvalve/platform/configuration.py
+++ b/redwingvalve/platform/configuration.py
@@ -83,6 +83,8 @@
         health_path=entry.get('health_path') or '/health',
         max_connections=int(entry.get('max_conns') or 0),
         engine=_decode_engine(engine) if engine else None,
+        cold_s=float(entry.get('cold_s') or 0),
+        cold_per_s=float(entry.get('cold_per_s') or 0),
     )
 
 
--- a/redwingvalve/platform/endpoint_statements.py
+++ b/redwingvalve/platform/endpoint_statements.py
@@ -13,6 +13,7 @@
 _OTHER_ENDPOINT = 421
 _LEAVES = b'1'
 _TURNED_AWAY = frozenset((429, 503))
+_MS_IN_S = 1000.0
 
 
 class InvalidStatementError(ValueError):
@@ -33,6 +34,8 @@
     # Address of the endpoint because of which it turned the request away,
     # itself or another member of its replica; empty if not stated.
     at_fault: str = ''
+    # How much longer it stays cold; None if it does not say so.
+    cold_left_s: float | None = None
 
 
 NOTHING: typing.Final = Statement()
@@ -52,6 +55,7 @@
             rest_s=_rest_s(head),
             is_leaving=head.header(names.LEAVING_HEADER) == _LEAVES,
             at_fault=_text(head, names.ENDPOINT_AT_FAULT_HEADER),
+            cold_left_s=_cold_left_s(head),
         )
     except InvalidStatementError as error:
         LOG.warning('unusable statement', extra={'error': str(error)})
@@ -68,6 +72,11 @@
     return _number(head, names.RETRY_AFTER_HEADER)
 
 
+def _cold_left_s(head: messages.ResponseHead) -> float | None:
+    left_ms = _number(head, names.COLD_MS_HEADER)
+    return None if left_ms is None else left_ms / _MS_IN_S
+
+
 def _number(head: messages.ResponseHead, name: bytes) -> float | None:
     """Return a header's finite, non-negative number, None without one."""
     raw = head.header(name)
--- a/redwingvalve/platform/entries.py
+++ b/redwingvalve/platform/entries.py
@@ -47,6 +47,7 @@
         staged=decode_models(entry.get('staged')),
         models=decode_models(entry.get('models')),
         membership=decode_membership(entry.get('group')),
+        cold_left_ms=_require_duration_ms(entry.get('cold_left_ms', 0)),
     )
 
 
@@ -86,3 +87,10 @@
     if isinstance(value, bool) or not isinstance(value, int):
         raise EndpointEntryError(f'expected an integer, got {value!r}')
     return value
+
+
+def _require_duration_ms(value: typing.Any) -> int:
+    duration_ms = _require_int(value)
+    if duration_ms < 0:
+        raise EndpointEntryError(f'expected a duration, got {value!r}')
+    return duration_ms
--- a/redwingvalve/platform/names.py
+++ b/redwingvalve/platform/names.py
@@ -32,6 +32,7 @@
 NOT_RUN_HEADER: typing.Final = b'x-not-run'
 RATE_LIMIT_HEADER: typing.Final = b'server-limit'
 LEAVING_HEADER: typing.Final = b'server-leaving'
+COLD_MS_HEADER: typing.Final = b'x-cold-ms'
 RETRY_AFTER_HEADER: typing.Final = b'retry-after'
 ENDPOINT_AT_FAULT_HEADER: typing.Final = b'at-server'
 # Headers of requests that one node forwards to another: the attempts left, and
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -17,6 +17,8 @@
 # Port for Prometheus scrapes; the deployment file uses the same port and path.
 METRICS_PORT = 9464
 DEFAULT_STABLE_WINDOW_MS = 3_000
+DEFAULT_COLD_EXCESS = 1.5
+DEFAULT_COLD_SLACK = 5
 
 
 class SettingsError(Exception):
@@ -55,6 +57,10 @@
     stall_ms: int
     # Time in which all nodes have to know what one of them has seen.
     stable_window_ms: int = DEFAULT_STABLE_WINDOW_MS
+    # In any one second a cold endpoint gets at most the rate of its service
+    # times this, plus cold_slack requests.
+    cold_excess: float = DEFAULT_COLD_EXCESS
+    cold_slack: float = DEFAULT_COLD_SLACK
 
 
 @attrs.frozen
@@ -198,6 +204,12 @@
                 _require_positive,
                 DEFAULT_STABLE_WINDOW_MS,
             ),
+            cold_excess=fields.read_or(
+                'bounds.cold_excess', _require_positive, DEFAULT_COLD_EXCESS
+            ),
+            cold_slack=fields.read_or(
+                'bounds.cold_slack', _require_not_negative, DEFAULT_COLD_SLACK
+            ),
         ),
     )
 
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -22,6 +22,7 @@
     'zone': 'z',
     'slots': 9,
     'state': 'ready',
+    'cold_left_ms': 2500,
     'seq': 4,
     'born': 1700000000000,
     'domain': 'd',
@@ -41,6 +42,7 @@
     assert endpoint.staged == endpoint.models == ('m',)
     assert endpoint.membership.state is endpoints.MemberState.OPEN
     assert not endpoint.draining
+    assert endpoint.cold_left_ms == 2500
 
 
 @pytest.mark.parametrize(
@@ -52,6 +54,8 @@
         {'slots': '9'},
         {'slots': True},
         {'born': 1.5},
+        {'cold_left_ms': '9'},
+        {'cold_left_ms': -1},
         {'group': {'name': 'g'}},
         {'group': {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'odd'}},
         {'staged': [3]},
@@ -133,6 +137,21 @@
     assert decoded.limits == routes.DEFAULT_LIMITS
 
 
+def test_cold_limits_of_services_are_optional():
+    """Earlier deployments have none, and must be served as before."""
+    spec = {
+        'version': 1,
+        'routes': [],
+        'services': [
+            {'name': 'a'},
+            {'name': 'b', 'cold_s': 20, 'cold_per_s': 14},
+        ],
+    }
+    services = configuration.decode_configuration(stored(spec)).services
+    assert (services['a'].cold_s, services['a'].cold_per_s) == (0, 0)
+    assert (services['b'].cold_s, services['b'].cold_per_s) == (20, 14)
+
+
 def test_callers_cannot_set_headers_of_this_system():
     request = messages.Request(
         method=b'POST',
--- a/redwingvalve/platform/tests/test_endpoint_statements.py
+++ b/redwingvalve/platform/tests/test_endpoint_statements.py
@@ -49,3 +49,9 @@
 )
 def test_an_endpoint_says_that_it_leaves(headers, is_leaving):
     assert read(*headers).is_leaving is is_leaving
+
+
+def test_an_endpoint_says_how_much_longer_it_is_cold():
+    assert read((b'x-cold-ms', b'1500')).cold_left_s == 1.5
+    assert read((b'x-cold-ms', b'soon')) is None
+    assert read().cold_left_s is None
