--- a/redwingvalve/allocation/rate_limits.py
+++ b/redwingvalve/allocation/rate_limits.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from redwingvalve.allocation import start_times
+
 # Lower bound of a limit: only an answer shows that a limit has ended, so an
 # endpoint that takes nothing still gets a request from time to time.
 MIN_REQUESTS_PER_S = 0.1
@@ -54,9 +56,8 @@
     """Stated limits of endpoints, and the starts that count against them."""
 
     _statements: dict[str, LimitStatement] = attrs.field(factory=dict)
-    # Start times by endpoint and by what identifies each request.
-    _starts: dict[str, dict[collections_abc.Hashable, float]] = attrs.field(
-        factory=dict
+    _starts: start_times.StartTimes = attrs.field(
+        factory=start_times.StartTimes
     )
 
     def record(self, statement: LimitStatement) -> bool:
@@ -77,8 +78,7 @@
     ) -> None:
         """Count a request once against an endpoint's limit, if it has one."""
         if self.is_limited(endpoint_id):
-            starts = self._starts.setdefault(endpoint_id, {})
-            starts.setdefault(key, started_s)
+            self._starts.record(endpoint_id, key, started_s)
 
     def requests_per_s(self, endpoint_id: str) -> float:
         """Return an endpoint's limit, infinite if it has none."""
@@ -97,14 +97,10 @@
 
     def wait_s(self, endpoint_id: str, now_s: float) -> float:
         """Return how long an endpoint takes no further request."""
-        starts = self._starts.get(endpoint_id)
-        if not starts or not self.is_limited(endpoint_id):
-            return 0
-        count, window_s = _window(self.requests_per_s(endpoint_id))
-        latest = sorted(starts.values())[-count:]
-        if len(latest) < count:
+        if not self.is_limited(endpoint_id):
             return 0
-        return max(0, latest[0] + window_s - now_s)
+        window = _window(self.requests_per_s(endpoint_id))
+        return self._starts.wait_s(endpoint_id, window, now_s)
 
     def statements(self, since_s: float) -> list[LimitStatement]:
         """Return the statements that arrived after a moment."""
@@ -116,16 +112,12 @@
 
     def recent_starts(
         self, endpoint_id: str, now_s: float
-    ) -> dict[collections_abc.Hashable, float]:
+    ) -> start_times.Starts:
         """Return the starts that still count at an endpoint, by request."""
         if not self.is_limited(endpoint_id):
             return {}
-        _, window_s = _window(self.requests_per_s(endpoint_id))
-        return {
-            key: started_s
-            for key, started_s in self._starts.get(endpoint_id, {}).items()
-            if started_s > now_s - window_s
-        }
+        window = _window(self.requests_per_s(endpoint_id))
+        return self._starts.since(endpoint_id, now_s - window.length_s)
 
     def drop_expired(self, now_s: float) -> None:
         """Forget endpoints without recent answers, and starts long ago."""
@@ -134,22 +126,17 @@
             for endpoint_id, statement in self._statements.items()
             if statement.stated_s > now_s - RETENTION_S
         }
-        self._starts = {
-            endpoint_id: {
-                key: started_s
-                for key, started_s in starts.items()
-                if started_s > now_s - MAX_WINDOW_S
-            }
-            for endpoint_id, starts in self._starts.items()
-            if self.is_limited(endpoint_id)
-        }
+        self._starts.drop_until(now_s - MAX_WINDOW_S)
+        for endpoint_id in self._starts.endpoint_ids():
+            if not self.is_limited(endpoint_id):
+                self._starts.forget(endpoint_id)
 
 
-def _window(requests_per_s: float) -> tuple[int, float]:
+def _window(requests_per_s: float) -> start_times.Window:
     """Return how many requests may start within a window, and its length.
 
     The window holds a whole number of requests, so that fractions of a request
     per second are neither lost nor exceeded.
     """
     count = math.ceil(requests_per_s)
-    return count, count / requests_per_s
+    return start_times.Window(count, count / requests_per_s)
