Limit what cold endpoints get from all nodes together

For services with cold_per_s, the owner of a pool counts all starts at its endpoints. Cold ones accept cold_per_s in a second, all others cold_excess times as many, and none accept more in a short time than the bound leaves for starts that bunch up on their way. Owners tell each other what they grant, nodes repeat their starts at cold endpoints, and an owner that can't know the last second grants little. A node without an owner chooses no cold endpoint.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -8,16 +8,18 @@
 import collections
 import functools
 import random
-import typing
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.allocation import (
+    cold_starts,
     endpoint_reports,
     hold_table,
     messages,
+    owner_knowledge,
     rate_limits,
+    start_forwarder,
 )
 from redwingvalve.allocation import pool as pool_module
 from redwingvalve.allocation import usage as usage_module
@@ -27,10 +29,6 @@
 LOG = logs.make_logger('allocation')
 
 ReplyCallback = collections_abc.Callable[[messages.Reply], None]
-# Sends a message to the other nodes that may be asked for a pool's slots.
-Forward: typing.TypeAlias = collections_abc.Callable[
-    [messages.Pool, messages.Message], None
-]
 
 
 @attrs.define(eq=False)
@@ -41,10 +39,6 @@
     is_cancelled: bool = False
 
 
-def _forward_nothing(pool: messages.Pool, message: messages.Message) -> None:
-    """Forward nothing, as no other node is known."""
-
-
 def _ignore_leaving(endpoint_id: str) -> None:
     """Ignore an endpoint that leaves, as there are no targets yet."""
 
@@ -57,7 +51,15 @@
     clock: pool_module.Clock
     rng: random.Random = attrs.field(factory=random.Random)
     limits: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
-    forward: Forward = _forward_nothing
+    cold: cold_starts.ColdStarts = attrs.field(
+        factory=cold_starts.make_unlimited
+    )
+    forwarder: start_forwarder.StartForwarder = attrs.field(
+        factory=start_forwarder.StartForwarder
+    )
+    knowledge: owner_knowledge.OwnerKnowledge = attrs.field(
+        factory=owner_knowledge.OwnerKnowledge
+    )
     # Takes an endpoint that leaves out of the targets.
     mark_leaving: collections_abc.Callable[[str], None] = _ignore_leaving
     _pools: dict[messages.Pool, pool_module.SlotPool] = attrs.field(
@@ -90,7 +92,10 @@
         target = pool.queue.try_acquire(ask.need, acquire_slot)
         if target is not None:
             reply(self._granted_reply(ask, target.endpoint_id))
-        elif ask.may_wait:
+            return
+        if pool.endpoint_slots.waits_for_cold(pool.targets()):
+            node_metrics.METRICS.count('redwingvalve_cold_waits')
+        if ask.may_wait:
             self._enqueue(key, ask, reply)
         else:
             expected_wait_s = pool.expected_wait_s(ask.need)
@@ -141,8 +146,13 @@
             holder = sender
             if start.vm:
                 holder = messages.Sender(start.vm, start.born_ms)
-            self.limits.record_start(
-                start.endpoint_id, (holder, start.number), now_s - start.ago_s
+            key = (holder, start.number)
+            started_s = now_s - start.ago_s
+            self.limits.record_start(start.endpoint_id, key, started_s)
+            self.cold.record(start.endpoint_id, key, started_s)
+        for mark in report.cold:
+            self.cold.endpoints.record(
+                mark.endpoint_id, mark.born_ms, mark.left_s
             )
 
     def drop_node(self, vm: str) -> None:
@@ -152,7 +162,12 @@
 
     def tick(self) -> None:
         """Drop expired state of all pools and serve their queues."""
-        self.limits.drop_expired(self.clock())
+        now_s = self.clock()
+        self.limits.drop_expired(now_s)
+        self.cold.drop_expired(now_s)
+        self.cold.endpoints.drop_expired()
+        self.forwarder.flush(now_s)
+        self.knowledge.tick(now_s)
         for pool in self._pools.values():
             pool.tick()
 
@@ -187,6 +202,8 @@
             rng=self.rng,
             clock=self.clock,
             limits=self.limits,
+            cold=self.cold,
+            is_informed=lambda: self.knowledge.is_informed(key, self.clock()),
             on_limited_start=functools.partial(self._forward_start, key),
         )
         self._pools[key] = created
@@ -238,12 +255,16 @@
         self, pool: messages.Pool, key: hold_table.Key, endpoint_id: str
     ) -> None:
         """Tell the node that would be asked next, or was asked in vain."""
-        node_metrics.METRICS.count('redwingvalve_rate_limited_starts')
-        holder, number = key
-        start = endpoint_reports.Start(
-            endpoint_id, number, 0.0, holder.vm, holder.born_ms
-        )
-        self.forward(pool, endpoint_reports.EndpointReport(starts=(start,)))
+        is_rate_limited = self.limits.is_limited(endpoint_id)
+        is_cold = self.cold.endpoints.is_cold(endpoint_id)
+        if is_rate_limited:
+            node_metrics.METRICS.count('redwingvalve_rate_limited_starts')
+        if is_cold:
+            node_metrics.METRICS.count('redwingvalve_cold_starts')
+        now_s = self.clock()
+        self.forwarder.add(pool, key, endpoint_id, now_s)
+        if is_rate_limited or is_cold:
+            self.forwarder.flush(now_s)
 
     def _granted_reply(
         self, ask: messages.Ask, endpoint_id: str
@@ -253,6 +274,7 @@
             messages.Outcome.GRANTED,
             endpoint_id,
             is_rate_limited=self.limits.is_limited(endpoint_id),
+            is_cold=self.cold.endpoints.is_cold(endpoint_id),
         )
 
 
--- a/redwingvalve/allocation/endpoint_reports.py
+++ b/redwingvalve/allocation/endpoint_reports.py
@@ -14,6 +14,8 @@
 MAX_REPORTED_ENDPOINTS = 16
 MAX_REPORTED_STARTS = 16
 _MS_IN_S = 1000.0
+# Fits into the milliseconds of a thrift field.
+_MAX_LEFT_S = 1e6
 _Type = structs.Type
 
 
@@ -50,6 +52,15 @@
     born_ms: int = 0
 
 
+@attrs.frozen
+class ColdMark:
+    """An endpoint that said to a node that it is cold."""
+
+    endpoint_id: str
+    born_ms: int
+    left_s: float
+
+
 @attrs.frozen
 class EndpointReport:
     """What a node was told by endpoints, and starts that it knows of."""
@@ -58,6 +69,7 @@
     starts: tuple[Start, ...] = ()
     # Endpoints that leave.
     leaving: tuple[str, ...] = ()
+    cold: tuple[ColdMark, ...] = ()
 
 
 _LimitStruct: typing.Any = structs.make_struct(
@@ -75,11 +87,18 @@
     (_Type.STRING, 'vm'),
     (_Type.I64, 'born_ms'),
 )
+_ColdStruct: typing.Any = structs.make_struct(
+    'ColdMark',
+    (_Type.STRING, 'endpoint_id'),
+    (_Type.I64, 'born_ms'),
+    (_Type.I32, 'left_ms'),
+)
 EndpointReportStruct: typing.Any = structs.make_struct(
     'EndpointReport',
     (_Type.LIST, 'limits', (_Type.STRUCT, _LimitStruct)),
     (_Type.LIST, 'starts', (_Type.STRUCT, _StartStruct)),
     (_Type.LIST, 'leaving', _Type.STRING),
+    (_Type.LIST, 'cold', (_Type.STRUCT, _ColdStruct)),
 )
 
 
@@ -118,6 +137,14 @@
             for start in report.starts
         ],
         leaving=list(report.leaving),
+        cold=[
+            _ColdStruct(
+                endpoint_id=mark.endpoint_id,
+                born_ms=mark.born_ms,
+                left_ms=int(min(mark.left_s, _MAX_LEFT_S) * _MS_IN_S),
+            )
+            for mark in report.cold
+        ],
     )
 
 
@@ -127,6 +154,7 @@
         tuple(_read_limit(one) for one in struct.limits or ()),
         tuple(_read_start(one) for one in struct.starts or ()),
         tuple(struct.leaving or ()),
+        tuple(_read_cold_mark(one) for one in struct.cold or ()),
     )
 
 
@@ -151,3 +179,11 @@
         struct.vm or '',
         struct.born_ms or 0,
     )
+
+
+def _read_cold_mark(struct: typing.Any) -> ColdMark:
+    if not struct.endpoint_id or struct.left_ms is None:
+        raise TypeError('cold mark without an endpoint or a time')
+    return ColdMark(
+        struct.endpoint_id, struct.born_ms or 0, struct.left_ms / _MS_IN_S
+    )
--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from redwingvalve.allocation import hold_table, rate_limits
+from redwingvalve.allocation import cold_starts, hold_table, rate_limits
 from redwingvalve.ingress import load_balancing
 
 # An endpoint that refuses a request although slots seem free is still serving
@@ -36,6 +36,9 @@
 
     clock: collections_abc.Callable[[], float]
     limits: rate_limits.RateLimits
+    cold: cold_starts.ColdStarts
+    # Whether all starts of the last second in this pool are known here.
+    is_informed: collections_abc.Callable[[], bool]
     holds: hold_table.HoldTable = attrs.field(factory=hold_table.HoldTable)
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
@@ -52,6 +55,13 @@
         now_s = self.clock()
         self.holds.add(key, target.endpoint_id, now_s, is_probe=is_probe)
         self.limits.record_start(target.endpoint_id, key, now_s)
+        self.cold.record(target.endpoint_id, key, now_s)
+
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Return whether each start at an endpoint counts."""
+        return self.limits.is_limited(endpoint_id) or (
+            self.cold.endpoints.is_limited(endpoint_id)
+        )
 
     def mark_refused(self, endpoint_id: str) -> None:
         """Grant no slot of an endpoint that has just refused a request."""
@@ -77,7 +87,7 @@
         targets: collections_abc.Iterable[load_balancing.Target],
         hold_s: float,
     ) -> float:
-        """Return how many slots of endpoints their rate limits let fill.
+        """Return how many slots of endpoints their limits let fill.
 
         hold_s is how long a request holds a slot.
         """
@@ -85,16 +95,32 @@
             min(
                 target.slots,
                 self.limits.requests_per_s(target.endpoint_id) * hold_s,
+                self.cold.starts_per_s(target.endpoint_id) * hold_s,
             )
             for target in targets
         )
 
+    def blocked_s(self, endpoint_id: str) -> float:
+        """Return how long limits keep an endpoint from a further request."""
+        limit_s = self.limits.wait_s(endpoint_id, self.clock())
+        return max(limit_s, self._cold_wait_s(endpoint_id))
+
+    def waits_for_cold(
+        self, targets: collections_abc.Iterable[load_balancing.Target]
+    ) -> bool:
+        """Return whether only what cold endpoints tolerate keeps slots free."""
+        return any(
+            self._cold_wait_s(target.endpoint_id) > 0
+            and self.holds.count(target.endpoint_id) < target.slots
+            for target in targets
+        )
+
     def free_at(self, target: load_balancing.Target) -> int:
         """Return the slots of an endpoint that may be granted now."""
         now_s = self.clock()
         if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
             return 0
-        if self.limits.wait_s(target.endpoint_id, now_s) > 0:
+        if self.blocked_s(target.endpoint_id) > 0:
             return 0
         uncertain = sum(
             one.endpoint_id == target.endpoint_id and one.until_s > now_s
@@ -113,6 +139,11 @@
             one for one in self._uncertain_slots if one.until_s > now_s
         ]
 
+    def _cold_wait_s(self, endpoint_id: str) -> float:
+        return self.cold.wait_s(
+            endpoint_id, self.clock(), is_informed=self.is_informed()
+        )
+
 
 def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
     return {name: one for name, one in until_s.items() if one > now_s}
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -4,10 +4,16 @@
 
 import attrs
 
+from redwingvalve.allocation import cold_reporter as cold_reporter_module
+from redwingvalve.allocation import (
+    cold_starts,
+    endpoint_rests,
+    messages,
+    owners,
+)
 from redwingvalve.allocation import (
     endpoint_reporter as endpoint_reporter_module,
 )
-from redwingvalve.allocation import endpoint_rests, messages, owners
 from redwingvalve.ingress import load_balancing, reservations, state
 from redwingvalve.platform import endpoint_statements
 
@@ -22,6 +28,7 @@
     owner: str
     endpoint_id: str
     is_rate_limited: bool = False
+    is_cold: bool = False
 
 
 @attrs.frozen
@@ -62,6 +69,7 @@
     clock: collections_abc.Callable[[], float]
     endpoint_reporter: endpoint_reporter_module.EndpointReporter
     rests: endpoint_rests.EndpointRests
+    cold_reporter: cold_reporter_module.ColdReporter
     _held: dict[int, _HeldSlot] = attrs.field(factory=dict)
     _last_owners: dict[messages.Pool, str] = attrs.field(factory=dict)
 
@@ -73,9 +81,19 @@
         self, grant: Grant, target: load_balancing.Target
     ) -> reservations.Reservation:
         """Hold a granted slot until it is released."""
-        self._held[grant.number] = _HeldSlot(grant, target, self.clock())
+        now_s = self.clock()
+        self._held[grant.number] = _HeldSlot(grant, target, now_s)
         self.loads.add_request(target.endpoint_id)
         self.endpoint_reporter.record_start(target.endpoint_id, grant.number)
+        self.cold_reporter.record_start(
+            cold_reporter_module.OwnStart(
+                grant.pool,
+                target.endpoint_id,
+                grant.number,
+                grant.owner,
+                now_s,
+            )
+        )
         return _SlotReservation(target, grant.number, self)
 
     def record_statement(
@@ -95,6 +113,13 @@
             held.grant.is_rate_limited,
         )
         self.endpoint_reporter.record_answer(request, statement.requests_per_s)
+        if statement.cold_left_s:
+            self.cold_reporter.record_cold(
+                held.grant.pool,
+                held.target,
+                statement.cold_left_s,
+                is_known_to_owner=held.grant.is_cold,
+            )
         if statement.is_leaving:
             self.endpoint_reporter.record_leaving(
                 held.grant.pool, held.grant.endpoint_id
@@ -113,6 +138,7 @@
     def report(self) -> None:
         """Report held slots and rate limits to the owners of their pools."""
         self.endpoint_reporter.report(self._last_owners)
+        self.cold_reporter.report(self._last_owners)
         pools = {held.grant.pool for held in self._held.values()}
         for pool in pools:
             self._report_pool(pool)
@@ -120,7 +146,11 @@
     def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
         """Report to an owner before it grants more."""
         self.endpoint_reporter.report_before_ask(pool, vm)
-        if self._last_owners.get(pool) == vm:
+        is_new_owner = self._last_owners.get(pool) != vm
+        self.cold_reporter.report_before_ask(
+            pool, vm, is_new_owner=is_new_owner
+        )
+        if not is_new_owner:
             return
         is_first = pool not in self._last_owners
         self._last_owners[pool] = vm
@@ -148,10 +178,16 @@
     loads: load_balancing.EndpointLoads,
     targets: state.TargetProvider,
     clock: collections_abc.Callable[[], float],
+    cold: cold_starts.ColdStarts,
 ) -> HeldSlots:
     """Return an empty table, with what endpoints state to this node."""
     reporter = endpoint_reporter_module.EndpointReporter(
         targets, pool_owners, transport, clock
     )
     rests = endpoint_rests.EndpointRests(clock)
-    return HeldSlots(pool_owners, transport, loads, clock, reporter, rests)
+    cold_reporter = cold_reporter_module.ColdReporter(
+        cold, pool_owners, transport, clock
+    )
+    return HeldSlots(
+        pool_owners, transport, loads, clock, reporter, rests, cold_reporter
+    )
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -80,6 +80,8 @@
     expected_wait_s: float = 0
     # Whether the granted endpoint has a rate limit.
     is_rate_limited: bool = False
+    # Whether the owner knows that the granted endpoint is cold.
+    is_cold: bool = False
 
 
 @attrs.frozen
@@ -148,6 +150,7 @@
     (_Type.I32, 'retry_after_ms'),
     (_Type.I32, 'expected_ms'),
     (_Type.BOOL, 'is_rate_limited'),
+    (_Type.BOOL, 'is_cold'),
 )
 _ReleaseStruct: typing.Any = structs.make_struct(
     'Release',
@@ -188,6 +191,7 @@
             retry_after_ms=_ms(message.retry_after_s),
             expected_ms=_ms(message.expected_wait_s),
             is_rate_limited=message.is_rate_limited,
+            is_cold=message.is_cold,
         )
     elif isinstance(message, Release):
         struct.release = _ReleaseStruct(
@@ -281,6 +285,7 @@
         retry_after_s=(struct.retry_after_ms or 0) / _MS_IN_S,
         expected_wait_s=(struct.expected_ms or 0) / _MS_IN_S,
         is_rate_limited=bool(struct.is_rate_limited),
+        is_cold=bool(struct.is_cold),
     )
 
 
--- a/redwingvalve/allocation/owners.py
+++ b/redwingvalve/allocation/owners.py
@@ -6,6 +6,7 @@
 before the failed node is declared dead.
 """
 
+import math
 import typing
 from collections import abc as collections_abc
 
@@ -53,21 +54,21 @@
     _rankings: dict[messages.Pool, tuple[str, ...]] = attrs.field(factory=dict)
     _ranked_at_s: float = 0.0
     _backoffs: dict[str, _Backoff] = attrs.field(factory=dict)
+    _names: frozenset[str] = frozenset()
+    # When the living nodes changed as this node sees them.
+    changed_s: float = -math.inf
 
     def ranked_for(self, pool: messages.Pool) -> tuple[str, ...]:
         """Return the owners to ask for slots of a pool, in order."""
-        now_s = self.clock()
-        if now_s - self._ranked_at_s > RANKING_TTL_S:
-            self._ranked_at_s = now_s
-            self._rankings.clear()
-        ranked = self._rankings.get(pool)
-        if ranked is None:
-            ranked = self._rank(pool)
-            self._rankings[pool] = ranked
+        ranked = self._ranked(pool)
         return tuple(vm for vm in ranked if not self._is_backing_off(vm))[
             :OWNERS_TO_ASK
         ]
 
+    def first_for(self, pool: messages.Pool) -> tuple[str, ...]:
+        """Return the owners that nodes ask which get answers from all."""
+        return self._ranked(pool)[:OWNERS_TO_ASK]
+
     def mark_unresponsive(self, vm: str) -> None:
         """Skip a node that gave no answer until its backoff ends."""
         known = self._backoffs.get(vm)
@@ -80,21 +81,36 @@
         """End the backoff of a node that has answered."""
         self._backoffs.pop(vm, None)
 
+    def _ranked(self, pool: messages.Pool) -> tuple[str, ...]:
+        now_s = self.clock()
+        if now_s - self._ranked_at_s > RANKING_TTL_S:
+            self._ranked_at_s = now_s
+            self._rankings.clear()
+        ranked = self._rankings.get(pool)
+        if ranked is None:
+            ranked = self._rank(pool)
+            self._rankings[pool] = ranked
+        return ranked
+
     def _is_backing_off(self, vm: str) -> bool:
         backoff = self._backoffs.get(vm)
         return backoff is not None and backoff.until_s > self.clock()
 
     def _rank(self, pool: messages.Pool) -> tuple[str, ...]:
         candidates = list(self.candidates())
+        names = frozenset(candidate.vm for candidate in candidates)
+        if names != self._names:
+            self._names = names
+            self.changed_s = self.clock()
         local = [
             candidate.vm
             for candidate in candidates
             if pool.data_centre in {'', candidate.data_centre}
         ]
         # In a data centre without nodes, any node may own the pool.
-        names = local or [candidate.vm for candidate in candidates]
+        vms = local or [candidate.vm for candidate in candidates]
         pool_key = f'{pool.service}\0{pool.model}\0{pool.data_centre}'
-        return rendezvous.select(names, pool_key, len(names))
+        return rendezvous.select(vms, pool_key, len(vms))
 
 
 def send_to_owners(
@@ -104,7 +120,11 @@
     pool: messages.Pool,
     message: messages.Message,
 ) -> None:
-    """Send a message to the other nodes that are asked for a pool's slots."""
-    for vm in pool_owners.ranked_for(pool):
+    """Send a message to the other nodes that are asked for a pool's slots.
+
+    Other nodes may ask one that doesn't answer this node.
+    """
+    asked = (*pool_owners.ranked_for(pool), *pool_owners.first_for(pool))
+    for vm in dict.fromkeys(asked):
         if vm != local_vm:
             transport.send(vm, message)
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -13,8 +13,13 @@
 
 import attrs
 
+from redwingvalve.allocation import (
+    cold_starts,
+    hold_table,
+    messages,
+    rate_limits,
+)
 from redwingvalve.allocation import endpoint_slots as endpoint_slots_module
-from redwingvalve.allocation import hold_table, messages, rate_limits
 from redwingvalve.ingress import (
     duration_estimates,
     load_balancing,
@@ -51,7 +56,12 @@
     rng: random.Random
     clock: Clock
     limits: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
-    # Called with each hold that counts against a rate limit.
+    cold: cold_starts.ColdStarts = attrs.field(
+        factory=cold_starts.make_unlimited
+    )
+    # Whether all starts of the last second are known here.
+    is_informed: collections_abc.Callable[[], bool] = lambda: True
+    # Called with each hold that counts against a limit.
     on_limited_start: OnLimitedStart = lambda key, endpoint_id: None
     _hold_time: duration_estimates.DurationEstimate = attrs.field(
         factory=duration_estimates.make_hold_time_estimate
@@ -67,7 +77,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the queue, the slots and the outlier detector."""
         self.endpoint_slots = endpoint_slots_module.EndpointSlots(
-            self.clock, self.limits
+            self.clock, self.limits, self.cold, self.is_informed
         )
         self.queue = wait_queue.WaitQueue(self.clock, self)
         self._outliers = outlier_detection.OutlierDetector(self.clock)
@@ -94,7 +104,7 @@
             self._outliers.start_probe(probed.endpoint_id)
         key = (sender, ask.number)
         self.endpoint_slots.hold(key, target, is_probe=probed is not None)
-        if self.limits.is_limited(target.endpoint_id):
+        if self.endpoint_slots.is_limited(target.endpoint_id):
             self.on_limited_start(key, target.endpoint_id)
         return target
 
@@ -160,11 +170,10 @@
         return self.endpoint_slots.usable(self._in_use(), hold_s) / hold_s
 
     def blocked_s(self) -> float:
-        """Return how long rate limits keep all endpoints from a request."""
-        now_s = self.clock()
+        """Return how long limits keep all endpoints from a request."""
         return min(
             (
-                self.limits.wait_s(target.endpoint_id, now_s)
+                self.endpoint_slots.blocked_s(target.endpoint_id)
                 for target in self._in_use()
             ),
             default=0.0,
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -15,7 +15,7 @@
 import anyio
 import attrs
 
-from redwingvalve.allocation import held_slots, messages
+from redwingvalve.allocation import cold_starts, held_slots, messages
 from redwingvalve.allocation import owners as owners_module
 from redwingvalve.ingress import (
     load_balancing,
@@ -82,6 +82,10 @@
     rng: random.Random = attrs.field(factory=random.Random)
     # Whether each data centre has its own pool per model.
     is_split_by_data_centre: collections_abc.Callable[[], bool] = lambda: True
+    # This node's own starts.
+    cold: cold_starts.ColdStarts = attrs.field(
+        factory=cold_starts.make_unlimited
+    )
     _numbers: typing.Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
@@ -91,7 +95,12 @@
     def __attrs_post_init__(self) -> None:
         """Create the table of held slots."""
         self._held_slots = held_slots.make_held_slots(
-            self.owners, self.transport, self.loads, self.targets, self.clock
+            self.owners,
+            self.transport,
+            self.loads,
+            self.targets,
+            self.clock,
+            self.cold,
         )
 
     async def reserve(
@@ -202,6 +211,7 @@
                 vm,
                 reply.endpoint_id,
                 reply.is_rate_limited,
+                reply.is_cold,
             )
         if ask.may_wait:
             return reservations.NoSlot(reply.retry_after_s)
@@ -306,7 +316,8 @@
         targets = self.targets.find_targets(ask.pool.service, ask.pool.model)
         # Only an owner knows how much of a rate limit other nodes have used.
         limited = self._held_slots.endpoint_reporter.limited()
-        avoid = (*ask.avoid, *ask.resting, *limited)
+        unusable = self._held_slots.cold_reporter.unusable()
+        avoid = (*ask.avoid, *ask.resting, *limited, *unusable)
         sampled = load_balancing.sample_candidates(targets, self.rng)
         for candidates in (sampled, targets):
             found = load_balancing.choose_least_loaded(
--- a/redwingvalve/ingress/tests/load_simulation.py
+++ b/redwingvalve/ingress/tests/load_simulation.py
@@ -17,8 +17,11 @@
 
 from redwingvalve.allocation import (
     allocator,
+    cold_endpoints,
+    cold_starts,
     dispatch,
     messages,
+    owner_knowledge,
     owners,
     reserver,
 )
@@ -80,6 +83,9 @@
         self.queued = 0
         # Stated in each answer, None without a limit; not enforced.
         self.stated_requests_per_s = None
+        self.cold_until_s = -math.inf
+        # Whether its answers say how long it is cold.
+        self.states_cold = True
         # Arrivals: time, name and incarnation of the node that sent it.
         self.arrivals = []
 
@@ -116,13 +122,22 @@
         self.born_ms += 1
         self.is_up = True
         self.loads.by_endpoint.clear()
-        self.allocator = allocator.Allocator(
-            self._pool_targets, anyio.current_time, self._simulation.rng
-        )
         pool_owners = owners.PoolOwners(
             self._simulation.candidates, anyio.current_time
         )
-        self.allocator.forward = functools.partial(
+        self.cold_endpoints = cold_endpoints.ColdEndpoints(anyio.current_time)
+        self.allocator = allocator.Allocator(
+            self._pool_targets,
+            anyio.current_time,
+            self._simulation.rng,
+            cold=cold_starts.ColdStarts(self.cold_endpoints),
+            knowledge=owner_knowledge.OwnerKnowledge(
+                lambda pool: self.name in pool_owners.first_for(pool),
+                lambda: pool_owners.changed_s,
+                anyio.current_time(),
+            ),
+        )
+        self.allocator.forwarder.forward = functools.partial(
             owners.send_to_owners, pool_owners, self, self.name
         )
         self.reserver = reserver.NodeReserver(
@@ -133,7 +148,9 @@
             loads=self.loads,
             clock=anyio.current_time,
             rng=self._simulation.rng,
+            cold=cold_starts.ColdStarts(self.cold_endpoints),
         )
+        self._simulation.node_started(self)
 
     def find_targets(self, service, model):
         """Return the targets, which are the same on all nodes."""
@@ -222,7 +239,10 @@
         now_s = anyio.current_time()
         head = self._simulation.heads[reservation.target.endpoint_id]
         self._simulation.answer_received(self, head)
-        statement = endpoint_statements.Statement(head.stated_requests_per_s)
+        left_s = max(0, head.cold_until_s - now_s) if head.states_cold else None
+        statement = endpoint_statements.Statement(
+            head.stated_requests_per_s, cold_left_s=left_s
+        )
         reservation.record_statement(statement)
         timeout_scope.deadline = math.inf
         self.first_event_estimate.observe(now_s - sent_s)
@@ -284,6 +304,9 @@
     def answer_received(self, node, head):
         """Observe the first event of an answer; subclasses override this."""
 
+    def node_started(self, node):
+        """Set up a node that has just started; subclasses override this."""
+
     def candidates(self):
         """Return all nodes, including those that are down."""
         return [
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -8,14 +8,22 @@
 import attrs
 
 from redwingvalve.allocation import allocator as allocator_module
-from redwingvalve.allocation import dispatch, messages, owners
+from redwingvalve.allocation import (
+    cold_endpoints,
+    cold_starts,
+    dispatch,
+    messages,
+    owner_knowledge,
+    owners,
+)
 from redwingvalve.allocation import reserver as reserver_module
-from redwingvalve.ingress import load_balancing
+from redwingvalve.ingress import load_balancing, routes
 from redwingvalve.ingress import state as state_module
-from redwingvalve.node import front_selection
+from redwingvalve.node import cold_watch, front_selection
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import status_exchange as status_exchange_module
 from redwingvalve.observability import logs
+from redwingvalve.platform import settings
 
 LOG = logs.make_logger('places')
 # Interval at which expired holds are freed and late requests may take spare
@@ -34,6 +42,15 @@
     allocator: allocator_module.Allocator
     reserver: reserver_module.NodeReserver = attrs.field(init=False)
 
+    @property
+    def cold_endpoints(self) -> cold_endpoints.ColdEndpoints:
+        """Return which endpoints are cold."""
+        return self.allocator.cold.endpoints
+
+    def configure(self, configuration: routes.Configuration) -> None:
+        """Apply the services of a new configuration."""
+        self.cold_endpoints.configure(configuration.services.values())
+
     @property
     def _sender(self) -> messages.Sender:
         local = self.peers.local
@@ -112,19 +129,27 @@
 def make_allocation(
     state: state_module.IngressState,
     status_exchange: status_exchange_module.StatusExchange,
+    bounds: settings.Bounds,
 ) -> AllocationTransport:
     """Create the allocator, reserver and transport, and wire them up."""
     peers = status_exchange.peers
-
-    allocator = allocator_module.Allocator(
-        _PoolTargets(state.targets).of, time.monotonic
-    )
-    transport = AllocationTransport(peers, allocator)
+    cold = cold_watch.make_cold_endpoints(bounds, status_exchange.registry)
     pool_owners = owners.PoolOwners(
         lambda: _candidates(peers, state), time.monotonic
     )
+    allocator = allocator_module.Allocator(
+        _PoolTargets(state.targets).of,
+        time.monotonic,
+        cold=cold_starts.ColdStarts(cold),
+        knowledge=owner_knowledge.OwnerKnowledge(
+            lambda pool: peers.local.vm in pool_owners.first_for(pool),
+            lambda: pool_owners.changed_s,
+            time.monotonic(),
+        ),
+    )
+    transport = AllocationTransport(peers, allocator)
     allocator.mark_leaving = state.targets.mark_leaving
-    allocator.forward = functools.partial(
+    allocator.forwarder.forward = functools.partial(
         owners.send_to_owners, pool_owners, transport, peers.local.vm
     )
     transport.reserver = reserver_module.NodeReserver(
@@ -135,6 +160,7 @@
         loads=state.loads,
         clock=time.monotonic,
         is_split_by_data_centre=lambda: peers.is_large_fleet,
+        cold=cold_starts.ColdStarts(cold),
     )
     peers.on_tagged = transport.datagram_received
     state.reserver = transport.reserver
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -279,6 +279,7 @@
                 'revision': configuration.revision,
             },
         )
+        self.allocation.configure(configuration)
         self.table.configure(configuration)
         self.control.wake()
 
@@ -357,7 +358,11 @@
         poison_records=poison_records.PoisonRecords(
             state.poison, client, lease
         ),
-        allocation=allocation_transport.make_allocation(state, status_exchange),
+        allocation=allocation_transport.make_allocation(
+            state,
+            status_exchange,
+            node_settings.bounds,
+        ),
         gauges=gauges.NodeGauges(state, table, lease, status_exchange.peers),
         listeners=listeners_module.Listeners(early or {}),
         json_client=json_client,
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -42,5 +42,8 @@
     )
     node = daemon.make_node(node_settings, early)
     node.gauges.register(node_metrics.METRICS)
+    node_metrics.METRICS.gauge(
+        'redwingvalve_cold_endpoints', node.allocation.cold_endpoints.samples
+    )
     node.log_handler = handler
     anyio.run(serve, node, backend_options={'use_uvloop': True})
