Read pages of the store with unreadable objects

A single object with bytes that are not JSON or not UTF-8, without metadata or with another structure made the whole page unusable: watches failed until the object was removed, and relays raised out of the watch.

Such pages are now split into their objects, and an unreadable one is replaced by a placeholder that keeps its name. Relays pass placeholders on. A change without a readable name causes a listing, since it may concern any object.

--- a/redwingvalve/node/configuration_watch.py
+++ b/redwingvalve/node/configuration_watch.py
@@ -43,7 +43,7 @@
         """Do nothing: the configuration in force stays."""
 
     def _apply_if_newer(self, stored: store.Document) -> None:
-        if stored['metadata']['name'] != names.CONFIGURATION_NAME:
+        if store.name_of(stored) != names.CONFIGURATION_NAME:
             return
         try:
             found = configuration_module.decode_configuration(stored)
--- a/redwingvalve/node/kind_watch.py
+++ b/redwingvalve/node/kind_watch.py
@@ -214,6 +214,9 @@
         self._record_sync(source, found.age_s)
         self.cache.apply_changes(found)
         self._handler.on_changes(found.changes)
+        if not all(change.name for change in found.changes):
+            # The listing tells which objects are still readable.
+            self._revision = None
         return True
 
     def _interval_s(self, source: watch_sources.Source) -> float:
--- a/redwingvalve/node/watch_cache.py
+++ b/redwingvalve/node/watch_cache.py
@@ -83,10 +83,10 @@
         history, only its relays have to relist, and not the hundreds of nodes
         behind them.
         """
-        found = {
-            str(stored['metadata']['name']): stored
-            for stored in listing.objects
-        }
+        # Objects whose name can't be read can't be told apart; they name no
+        # endpoint to use.
+        found = {store.name_of(stored): stored for stored in listing.objects}
+        found.pop('', None)
         if self.revision and listing.revision >= self.revision:
             missed = _diff(self._objects, found)
             self.apply_changes(store.Changes(missed, listing.revision))
@@ -101,16 +101,17 @@
     def apply_changes(self, found: store.Changes) -> None:
         """Apply changes in order."""
         self.revision = max(self.revision, found.revision)
-        if not found.changes:
+        changes = [change for change in found.changes if change.name]
+        if not changes:
             return
-        for change in found.changes:
+        for change in changes:
             if change.is_removed:
                 self._objects.pop(change.name, None)
             else:
                 self._objects[change.name] = change.stored
         if len(self._batches) == MAX_BATCHES:
             self._first_revision = self._batches[0].revision
-        self._batches.append(_Batch(found.revision, found.changes))
+        self._batches.append(_Batch(found.revision, changes))
         self._notify_waiters()
 
     def has_history(self, after_revision: int) -> bool:
@@ -175,12 +176,18 @@
     apply_changes = [
         store.Change(stored, is_removed=False)
         for name, stored in found.items()
-        if name not in known
-        or store.revision_of(known[name]) != store.revision_of(stored)
+        if name not in known or _has_changed(known[name], stored)
     ]
     return [*removed, *apply_changes]
 
 
+def _has_changed(known: store.Document, stored: store.Document) -> bool:
+    revision = store.revision_or_zero(stored)
+    if not revision:
+        return known != stored
+    return revision != store.revision_or_zero(known)
+
+
 def _compact(
     changes: collections_abc.Iterable[store.Change],
 ) -> list[store.Change]:
--- a/redwingvalve/platform/configuration.py
+++ b/redwingvalve/platform/configuration.py
@@ -16,7 +16,13 @@
 
 
 # Raised when a document has an unexpected structure.
-_MALFORMED_DOCUMENT = (KeyError, TypeError, ValueError, AttributeError)
+_MALFORMED_DOCUMENT = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class ConfigurationError(ValueError):
--- a/redwingvalve/platform/standins/store.py
+++ b/redwingvalve/platform/standins/store.py
@@ -46,6 +46,8 @@
         self.objects: dict[str, dict[str, Document]] = {}
         self.revision = 100
         self.first_watchable_revision = 100
+        # Bytes that are sent in place of a JSON text.
+        self._substitutes: dict[bytes, bytes] = {}
         self._events: list[_Event] = []
         self._changed = asyncio.Event()
 
@@ -81,6 +83,17 @@
         self._publish(kind, stored, is_removed=False)
         return stored
 
+    def put_raw_spec(self, kind: str, name: str, spec: bytes) -> None:
+        """Store a spec that isn't sent as JSON text but as these bytes."""
+        marker = f'substitute-{len(self._substitutes)}'
+        self._substitutes[json.dumps({'raw': marker}).encode()] = spec
+        self.put(kind, name, {'raw': marker})
+
+    def publish_object(self, kind: str, stored: typing.Any) -> None:
+        """Report an object of any structure to watches only."""
+        self.revision += 1
+        self._publish(kind, stored, is_removed=False)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
         stored = self.objects.get(kind, {}).pop(name, None)
@@ -101,7 +114,7 @@
         if self.faults.is_unresponsive:
             return
         if self.faults.error_status:
-            _answer(responder, self.faults.error_status, {})
+            self._answer(responder, self.faults.error_status, {})
             return
         target = request.target.decode()
         path, _, query_text = target.partition('?')
@@ -111,7 +124,7 @@
         if request.method != b'GET':
             status, answer = self._write(request.method, kind, name, body)
             if not self.faults.drops_write_responses:
-                _answer(responder, status, answer)
+                self._answer(responder, status, answer)
             return
         if 'watch' in query:
             asyncio.get_running_loop().create_task(
@@ -128,13 +141,13 @@
                 'has_more': False,
                 'store_revision': self.revision,
             }
-            _answer(responder, 200, listing)
+            self._answer(responder, 200, listing)
             return
         stored = objects.get(name)
         if stored is None:
-            _answer(responder, 404, {'error': 'none'})
+            self._answer(responder, 404, {'error': 'none'})
             return
-        _answer(responder, 200, stored)
+        self._answer(responder, 200, stored)
 
     def _write(
         self, method: bytes, kind: str, name: str, body: Document
@@ -164,7 +177,7 @@
         deadline_s = loop.time() + int(query['wait_ms']) / 1000
         while True:
             if since < self.first_watchable_revision:
-                _answer(responder, 410, {'error': 'gone'})
+                self._answer(responder, 410, {'error': 'gone'})
                 return
             matching = [
                 event
@@ -179,7 +192,7 @@
             {'deleted': event.is_removed, 'object': event.stored}
             for event in matching
         ]
-        _answer(
+        self._answer(
             responder,
             200,
             {'events': events, 'store_revision': self.revision},
@@ -199,6 +212,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-
-def _answer(responder: server.Responder, status: int, answer: Document) -> None:
-    responder.send_response(status, list(_JSON), json.dumps(answer).encode())
+    def _answer(
+        self, responder: server.Responder, status: int, answer: Document
+    ) -> None:
+        body = json.dumps(answer).encode()
+        for text, substitute in self._substitutes.items():
+            body = body.replace(text, substitute)
+        responder.send_response(status, list(_JSON), body)
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -15,7 +15,7 @@
 
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.observability import node_metrics
-from redwingvalve.platform import names, settings
+from redwingvalve.platform import damaged_pages, names, settings
 
 Document = dict[str, typing.Any]
 # The store responds in 4 ms, but takes up to 60 times as long on slow days.
@@ -79,8 +79,8 @@
 
     @property
     def name(self) -> str:
-        """Name of the object."""
-        return str(self.stored['metadata']['name'])
+        """Name of the object, empty if it can't be read."""
+        return name_of(self.stored)
 
 
 @attrs.frozen
@@ -98,6 +98,20 @@
     return int(stored['metadata']['revision'])
 
 
+def revision_or_zero(stored: Document) -> int:
+    """Return the revision of the object's last change, 0 if unreadable."""
+    metadata = stored.get('metadata')
+    revision = metadata.get('revision') if isinstance(metadata, dict) else 0
+    return revision if isinstance(revision, int) else 0
+
+
+def name_of(stored: Document) -> str:
+    """Return the name of an object of any writer, empty if unreadable."""
+    metadata = stored.get('metadata')
+    name = metadata.get('name') if isinstance(metadata, dict) else ''
+    return name if isinstance(name, str) else ''
+
+
 class _Answer(client.ResponseHandler):
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
@@ -232,12 +246,12 @@
         query = {'is_stale': '1'} if is_stale else {}
         while True:
             page = await self._get(_path(kind), query, CALL_TIMEOUT_S)
-            objects.extend(page['items'])
+            objects.extend(map(damaged_pages.bounded, page['items']))
             if revision is None:
                 revision = int(page['store_revision'])
             if not page.get('has_more') or not page['items']:
                 return Listing(objects, revision, _age_s(page))
-            query['since_rev'] = str(objects[-1]['metadata']['name'])
+            query['since_rev'] = _next_start(objects, query)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Return the changes after a revision; may be empty after wait_s.
@@ -250,10 +264,7 @@
             _path(kind), query, wait_s + WATCH_TIMEOUT_MARGIN_S
         )
         return Changes(
-            [
-                Change(event['object'], bool(event.get('deleted')))
-                for event in page['events']
-            ],
+            list(map(_change, page['events'])),
             int(page['store_revision']),
             _age_s(page),
         )
@@ -289,7 +300,9 @@
     ) -> typing.Any:
         target = path
         if query:
-            target = f'{path}?{urllib.parse.urlencode(query)}'
+            # Names may contain bytes that aren't UTF-8.
+            encoded = urllib.parse.urlencode(query, errors='surrogateescape')
+            target = f'{path}?{encoded}'
         status, body = await self._json.call(
             self._address, f'GET {target}', None, timeout_s
         )
@@ -308,6 +321,23 @@
         return _checked(status, body)
 
 
+def _change(event: typing.Any) -> Change:
+    if not isinstance(event, dict):
+        return Change(damaged_pages.bounded(None), is_removed=False)
+    return Change(
+        damaged_pages.bounded(event.get('object')), bool(event.get('deleted'))
+    )
+
+
+def _next_start(objects: list[Document], query: dict[str, str]) -> str:
+    """Return the last readable name, after which the next page starts."""
+    named = filter(None, map(name_of, reversed(objects)))
+    start = next(named, '')
+    if start == query.get('since_rev', ''):
+        raise StoreError('a page without any readable name')
+    return start
+
+
 def _age_s(page: Document) -> float:
     # Only nodes that relay the store's data send an age.
     return float(page.get('age_s', 0))
@@ -342,10 +372,14 @@
     if not body:
         return {}
     try:
-        return json.loads(zlib.decompress(body) if answer.is_deflated else body)
-    except (ValueError, zlib.error):
+        raw = zlib.decompress(body) if answer.is_deflated else body
+    except zlib.error:
         # _checked reports that the response is not a JSON object.
         return None
+    try:
+        return json.loads(raw)
+    except (ValueError, RecursionError):
+        return damaged_pages.recover(raw)
 
 
 def _render(
