Use no endpoint whose entry is malformed

Entries of other writers were used with a missing version, group or fabric domain, with any list-like models and with numbers that no message between nodes can hold. One that became unusable stayed in use for the grace period of expired entries after an outage of the store, and each listing logged it again.

All fields are checked now; entries of plain services may lack the fields of models, and none has to state its start. An endpoint whose entry becomes unusable is out of use at once. Each change of an unusable entry is logged once, with its name and reason; so is an endpoint of an unknown service.

--- a/redwingvalve/fleet/endpoints.py
+++ b/redwingvalve/fleet/endpoints.py
@@ -49,6 +49,8 @@
     staged: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
     membership: Membership | None = None
+    # Whether the entry has all the fields that a served model needs.
+    has_model_fields: bool = True
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -7,17 +7,14 @@
 endpoints register again.
 """
 
-import typing
 from collections import abc as collections_abc
 
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints
-from redwingvalve.observability import logs
+from redwingvalve.fleet import endpoints, unusable_entries
 from redwingvalve.platform import entries, store
 
-LOG = logs.make_logger('registry')
 # Living endpoints register again within 2 s. The grace period ends earlier,
 # because a request routed at its end still takes some time to send.
 EXPIRY_GRACE_S = 1.8
@@ -31,6 +28,14 @@
     since_s: float
 
 
+@attrs.frozen
+class _Decoded:
+    """Endpoints by id, and the unusable entries of a listing with reasons."""
+
+    found: dict[str, endpoints.Endpoint] = attrs.field(factory=dict)
+    unusable: list[tuple[store.Document, str]] = attrs.field(factory=list)
+
+
 class Registry:
     """Endpoints by id, as the store last listed them."""
 
@@ -46,10 +51,16 @@
         self._last_outage_s: float | None = None
         # When each incarnation was first seen draining.
         self._draining_since_s: dict[tuple[str, int], float] = {}
+        self._unusable = unusable_entries.UnusableEntries()
+        self._unknown_services = unusable_entries.UnknownServices()
 
     def on_list(self, listed: list[store.Document]) -> None:
         """Replace all entries with a complete listing."""
-        found = dict(_decode_all(listed))
+        decoded = _decode_all(listed)
+        found = decoded.found
+        self._unusable.replace(decoded.unusable)
+        for stored, _ in decoded.unusable:
+            self._drop(store.name_of(stored))
         missing = [name for name in self.live if name not in found]
         for name in missing:
             self._expire(name)
@@ -69,6 +80,13 @@
         """Record that the store gives no usable answers."""
         self._last_outage_s = self._clock()
 
+    def set_services(
+        self, has_engine: collections_abc.Mapping[str, bool]
+    ) -> None:
+        """Apply the configured services, and which of them serve models."""
+        self._unknown_services.set_services(has_engine)
+        self._unknown_services.check(self.live)
+
     def may_be_leaving(
         self, endpoint: endpoints.Endpoint, within_s: float
     ) -> bool:
@@ -114,19 +132,24 @@
 
     def _apply_change(self, change: store.Change) -> None:
         if change.is_removed:
+            self._unusable.remove(change.name)
             if change.name in self.live:
                 self._expire(change.name)
             return
         try:
             endpoint = entries.decode_endpoint(change.stored)
         except entries.EndpointEntryError as error:
-            LOG.warning(
-                'ignoring invalid endpoint entry', extra={'error': str(error)}
-            )
-            self.live.pop(change.name, None)
+            self._unusable.add(change.stored, str(error))
+            self._drop(change.name)
             return
+        self._unusable.remove(change.name)
         self._add(endpoint)
 
+    def _drop(self, name: str) -> None:
+        """Take an endpoint out of use without a grace period."""
+        self.live.pop(name, None)
+        self._expired.pop(name, None)
+
     def _add(self, endpoint: endpoints.Endpoint) -> None:
         self.live[endpoint.endpoint_id] = endpoint
         self._expired.pop(endpoint.endpoint_id, None)
@@ -147,19 +170,18 @@
             self._expired[name] = _Expired(endpoint, now_s)
 
     def _notify_listeners(self) -> None:
+        self._unknown_services.check(self.live)
         for listener in self.on_change:
             listener()
 
 
-def _decode_all(
-    listed: list[store.Document],
-) -> typing.Iterator[tuple[str, endpoints.Endpoint]]:
+def _decode_all(listed: list[store.Document]) -> _Decoded:
+    decoded = _Decoded()
     for stored in listed:
         try:
             endpoint = entries.decode_endpoint(stored)
         except entries.EndpointEntryError as error:
-            LOG.warning(
-                'ignoring invalid endpoint entry', extra={'error': str(error)}
-            )
+            decoded.unusable.append((stored, str(error)))
             continue
-        yield endpoint.endpoint_id, endpoint
+        decoded.found[endpoint.endpoint_id] = endpoint
+    return decoded
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -81,6 +81,12 @@
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply the services of a new configuration."""
         self._configuration = configuration
+        self._registry.set_services(
+            {
+                service.name: service.engine is not None
+                for service in configuration.services.values()
+            }
+        )
         self.rebuild()
 
     def suspect(self, endpoint_id: str, reason: str) -> None:
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -133,7 +133,7 @@
         return [
             endpoint
             for endpoint in self._registry.live.values()
-            if endpoint.service == self._service
+            if endpoint.service == self._service and endpoint.has_model_fields
         ]
 
     def _is_settled(self, live: list[endpoints.Endpoint]) -> bool:
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -20,8 +20,10 @@
     'service': 's',
     'address': '10.0.0.1:80',
     'zone': 'z',
+    'version': 'v1',
     'slots': 9,
     'state': 'ready',
+    'cold_left_ms': 0,
     'seq': 4,
     'born': 1700000000000,
     'domain': 'd',
@@ -55,6 +57,18 @@
         {'group': {'name': 'g'}},
         {'group': {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'odd'}},
         {'staged': [3]},
+        {'staged': 'm'},
+        {'models': {'m': 1}},
+        {'models': [{}]},
+        {'domain': 5},
+        {'group': ['m.1.1']},
+        {'group': {'name': ['g'], 'epoch': 1, 'rank': 0, 'state': 'open'}},
+        {'slots': 2**31},
+        {'seq': None},
+        {'cold_left_ms': float('nan')},
+        {'cold_left_ms': 'soon'},
+        {'version': 1},
+        {'zone': 'a\nb'},
     ],
 )
 def test_invalid_entry_is_rejected(invalid):
@@ -62,6 +76,35 @@
         entries.decode_endpoint(stored({**ENTRY, **invalid}))
 
 
+@pytest.mark.parametrize('name', ['domain', 'group', 'models', 'staged'])
+def test_entry_with_only_some_fields_of_models_is_rejected(name):
+    """Its replica or its place in the fabric would be guessed."""
+    entry = {key: one for key, one in ENTRY.items() if key != name}
+    with pytest.raises(entries.EndpointEntryError, match=name):
+        entries.decode_endpoint(stored(entry))
+
+
+@pytest.mark.parametrize('foreign', [0, '', [], False])
+def test_group_of_another_type_is_no_missing_group(foreign):
+    with pytest.raises(entries.EndpointEntryError, match='group'):
+        entries.decode_endpoint(stored({**ENTRY, 'group': foreign}))
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'domain': '', 'group': None, 'models': [], 'staged': []},
+        {'domain': None, 'group': {}, 'models': None, 'staged': None},
+        {'cold_left_ms': 12.5},
+    ],
+)
+def test_entries_of_earlier_deployments_stay_usable(changes):
+    """Some have no start time, and plain ones empty or no model fields."""
+    entry = {**ENTRY, **changes}
+    entry.pop('born')
+    assert entries.decode_endpoint(stored(entry)).born_ms == 0
+
+
 json_values = strategies.recursive(
     strategies.none()
     | strategies.booleans()
