Name only nodes that have shown life to callers

Registrations of killed nodes stay in the store. A node that had just started named them: for 1.2 s in a small fleet, and in a large one until hubs had reported each as down.

A node now asks each listed node for one status message, and names those that replied or that a hub has reported as up. One that registered within 3 s by its clock is named before that, so that a fleet that starts together spreads its callers. Nodes that are marked down are asked again after each listing.

--- a/redwingvalve/node/front_selection.py
+++ b/redwingvalve/node/front_selection.py
@@ -10,6 +10,12 @@
 # If a caller's data centre has at least this many nodes, the caller is given no
 # others, so that requests and answers stay within the data centre.
 MIN_LOCAL_FRONTS = 8
+# A node that registered within this time, by its clock and this one's, is given
+# to callers before it has sent a message: when a whole fleet starts, callers
+# are spread at once. A killed node may be given for 7 s; this leaves four for
+# clocks that differ.
+NEW_NODE_S = 3.0
+_MS_IN_S = 1000
 
 
 def available_peers(peers: peers_module.Peers) -> list[peers_module.Peer]:
@@ -29,9 +35,19 @@
     """Return the front addresses to give to callers of a data centre."""
     # If no peer counts as alive, this node is cut off or all peers are new.
     found = peers.alive() or available_peers(peers)
-    ready = [one for one in found if one.is_ready and not one.is_leaving]
+    ready = [
+        one
+        for one in found
+        if one.is_ready and not one.is_leaving and _has_shown_life(one)
+    ]
     local = [one for one in ready if one.address.data_centre == data_centre]
     chosen = local if len(local) >= MIN_LOCAL_FRONTS else ready
     if len(chosen) > MAX_FRONTS:
         chosen = random.sample(chosen, MAX_FRONTS)
     return [peer.address.front for peer in chosen]
+
+
+def _has_shown_life(peer: peers_module.Peer) -> bool:
+    """Return whether a node is known by more than an old registration."""
+    age_s = time.time() - peer.address.born_ms / _MS_IN_S
+    return peer.is_confirmed or abs(age_s) < NEW_NODE_S
--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -186,6 +186,7 @@
         peer.born_ms = state.born_ms or 0
         peer.is_leaving = bool(state.is_leaving)
         peer.is_ready = bool(state.is_ready)
+        peer.is_confirmed = peer.is_confirmed or bool(state.is_up)
         self._peers.set_down(peer, is_down=not state.is_up)
         return before != _view_of(peer)
 
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -48,6 +48,10 @@
 FULL_RATE_PEERS = 8
 # A fleet of at least this many nodes uses hubs, and relays for store watches.
 LARGE_FLEET_NODES = 12
+# Status messages that ask a newly listed node for a reply, of which the network
+# loses a few, and those after each later listing.
+ASKS_OF_LISTED_NODES = 4
+ASKS_AFTER_LISTING = 1
 # First byte of datagrams that aren't status messages. No Thrift struct begins
 # with it.
 TAG = b'\xff'
@@ -88,6 +92,11 @@
     is_ready: bool = True
     # Marked down in a large fleet, here or by a hub.
     is_down: bool = False
+    # Whether this process has sent a message, or a hub has received one.
+    # Registrations of nodes that were killed stay in the store.
+    is_confirmed: bool = False
+    # Messages that still ask an unconfirmed node for a reply.
+    asks_left: int = ASKS_OF_LISTED_NODES
 
     @property
     def last_seen_s(self) -> float:
@@ -129,6 +138,8 @@
         self.last_received_s = 0.0
         # Time without any message before that one.
         self.receive_gap_s = 0.0
+        # Called when a listing of the store has been applied.
+        self.on_listed: typing.Callable[[], None] | None = None
         # Called with tagged datagrams and their sender's address.
         self.on_tagged: typing.Callable[[bytes, SocketAddress], None] | None = (
             None
@@ -208,7 +219,11 @@
             LOG.info(
                 'new nodes listed by store', extra={'known': len(self.known)}
             )
+        for peer in self.known.values():
+            peer.asks_left = max(peer.asks_left, ASKS_AFTER_LISTING)
         self._announce_until_s = time.monotonic() + ANNOUNCE_S
+        if self.on_listed is not None:
+            self.on_listed()
 
     def close(self) -> None:
         """Close the datagram socket."""
@@ -278,6 +293,7 @@
         peer.is_leaving = bool(message.is_leaving)
         peer.is_ready = bool(message.is_ready)
         peer.is_down = False
+        peer.is_confirmed = True
         after = (peer.born_ms, peer.is_leaving, peer.is_ready, peer.is_down)
         if before != after:
             self._observer.node_changed(peer)
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -15,6 +15,7 @@
 from redwingvalve.node import crash_reports as crash_reports_module
 from redwingvalve.node import (
     forwarding_peers,
+    node_asks,
     status_fields,
     status_messages,
     suspicion_sharing,
@@ -67,6 +68,7 @@
         """Subscribe to the changes that are sent without delay."""
         self.peers = peers_module.Peers(self.local, self)
         self.state.peers = forwarding_peers.ForwardingPeers(self.peers)
+        self.peers.on_listed = self._ask_doubted
         self.hubs = hubs_module.Hubs(self.peers, self.node_changed)
         self._forwarded_updates = update_forwarding.ForwardedUpdates(
             self.peers, self.hubs
@@ -132,7 +134,7 @@
             self._ask_doubted()
 
     def _ask_doubted(self) -> None:
-        doubted = self.hubs.doubted()
+        doubted = {*self.hubs.doubted(), *node_asks.next_asked(self.peers)}
         if not doubted:
             return
         message = self.build_message()
