Leave a lost data centre out of the directory at once

Hubs of other data centres hear from a data centre's hubs only. When all its nodes ended together, each next two of them were waited for in turn, and callers were given the others meanwhile.

All nodes of a data centre whose hubs fell silent are now asked for a status message, and those that send none are marked down together. A data centre without any live node is asked again at each status interval, so that it returns after a cut link. Hubs repeat more states while many nodes went down.

--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from redwingvalve.node import lost_data_centres
 from redwingvalve.node import peers as peers_module
 
 HUBS_PER_DATA_CENTRE = 2
@@ -59,6 +60,7 @@
         self._expected_since_s: dict[str, float] = {}
         # Hubs that gave no sign before any other node did.
         self._skipped: set[str] = set()
+        self._lost = lost_data_centres.LostDataCentres(peers, on_changed)
 
     @property
     def is_hub(self) -> bool:
@@ -109,7 +111,8 @@
         }
         if not peers.is_large_fleet:
             return []
-        return [vm for vm in peers.doubted_s if peers.known[vm].is_down]
+        found = [vm for vm in peers.doubted_s if peers.known[vm].is_down]
+        return [*found, *self._lost.next_asked()] if self.is_hub else found
 
     def receives_from(self, peer: peers_module.Peer) -> bool:
         """Return whether a node sends its own status to this node."""
@@ -133,6 +136,8 @@
         for peer in self._silent(now_s):
             self._peers.set_down(peer, is_down=True)
             self._on_changed(peer)
+            self._lost.hub_silent(peer)
+        self._lost.mark_silent_down(self._excused_s)
 
     def _silent(self, now_s: float) -> list[peers_module.Peer]:
         """Return the nodes that count as up and whose messages are overdue."""
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import math
 import time
 import typing
 from collections import abc as collections_abc
@@ -92,6 +93,8 @@
     is_ready: bool = True
     # Marked down in a large fleet, here or by a hub.
     is_down: bool = False
+    # When it was last marked down there.
+    down_since_s: float = -math.inf
     # Whether this process has sent a message, or a hub has received one.
     # Registrations of nodes that were killed stay in the store.
     is_confirmed: bool = False
@@ -302,6 +305,7 @@
         """Mark a node as down or up."""
         if is_down and not peer.is_down:
             self._observer.node_lost(peer.address.vm)
+            peer.down_since_s = time.monotonic()
         peer.is_down = is_down
 
     def _update_address(self, message: typing.Any) -> None:
--- a/redwingvalve/node/tests/test_gone_nodes.py
+++ b/redwingvalve/node/tests/test_gone_nodes.py
@@ -8,8 +8,12 @@
 from redwingvalve.node import (
     daemon,
     front_selection,
+    hubs,
+    node_asks,
     peer_discovery,
     peers,
+    status_fields,
+    status_messages,
 )
 from redwingvalve.platform.tests import fleet_harness
 
@@ -17,6 +21,9 @@
 GONE = 12
 # Within this time after its first listing a node names all that are alive.
 FOUND_S = 0.5
+# Callers may be given a node for 4 + 3 s after its end. Some of that is left
+# for the news to reach the other nodes.
+LEFT_OUT_S = 3.5
 BORN_LONG_AGO_MS = 1_700_000_000_000
 
 
@@ -108,3 +115,94 @@
         assert not any(front in fronts for at_s, fronts in named if at_s > 4)
 
     fleet_harness.run(test, nodes=LIVE, engines=0, plain=1)
+
+
+class Observer(peers.PeerObserver):
+    def status_received(self, message):
+        """Ignore the message."""
+
+    def node_lost(self, vm):
+        """Ignore the loss."""
+
+    def node_changed(self, peer):
+        """Ignore the change."""
+
+
+def make_address(zone, number):
+    return peers.PeerAddress(
+        f'{zone}-{number}', '127.0.0.1', 7000, f'{zone}:{number}', zone, 1
+    )
+
+
+def receive(known, sender, number):
+    message = status_messages.StatusMessage(
+        vm=sender.vm, born_ms=1, number=number, is_ready=True
+    )
+    message.address = status_fields.address_message(sender)
+    known.datagram_received(status_messages.pack(message), ('127.0.0.1', 7000))
+
+
+def named_in(known, zone):
+    """Return the fronts of a data centre that its callers may be given."""
+    return [
+        one for one in front_selection.select_fronts(known, zone) if zone in one
+    ]
+
+
+@pytest.mark.parametrize('lost_nodes', [6, 30, 120])
+def test_a_lost_data_centre_is_soon_left_out(lost_nodes, monkeypatch):
+    """All nodes of a data centre end at once, with both of its hubs.
+
+    Hubs of other data centres hear only from its hubs. If they waited for each
+    next two of its nodes in turn, callers would be given lost nodes for a
+    minute.
+    """
+    now_s = [1000.0]
+    monkeypatch.setattr(time, 'monotonic', lambda: now_s[0])
+    local = make_address('zone-1', 1)
+    known = peers.Peers(local, Observer())
+    selected = hubs.Hubs(known, lambda peer: None)
+    staying = [make_address('zone-1', number) for number in range(2, 20)]
+    lost = [make_address('zone-2', number) for number in range(lost_nodes)]
+    for sender in (*staying, *lost):
+        receive(known, sender, 1)
+    assert len(named_in(known, 'zone-2')) > lost_nodes / 3
+    lost_s = now_s[0]
+    for number in range(2, 30):
+        now_s[0] += peers.HUB_STATUS_INTERVAL_S
+        for sender in staying:
+            receive(known, sender, number)
+        selected.mark_silent_down()
+        selected.doubted()
+        assert len(named_in(known, 'zone-1')) == len(staying)
+        if not named_in(known, 'zone-2'):
+            break
+    assert now_s[0] - lost_s < LEFT_OUT_S
+
+
+def test_a_data_centre_that_was_cut_off_is_named_again(monkeypatch):
+    """Its nodes are marked down together, and must not stay so.
+
+    Nodes that are down are no hubs, so that no regular message reaches them.
+    """
+    now_s = [1000.0]
+    monkeypatch.setattr(time, 'monotonic', lambda: now_s[0])
+    known = peers.Peers(make_address('zone-1', 1), Observer())
+    selected = hubs.Hubs(known, lambda peer: None)
+    near = [make_address('zone-1', number) for number in range(2, 20)]
+    cut_off = [make_address('zone-2', number) for number in range(10)]
+    for sender in (*near, *cut_off):
+        receive(known, sender, 1)
+    for number in range(2, 60):
+        now_s[0] += peers.HUB_STATUS_INTERVAL_S
+        asked = {*selected.doubted(), *node_asks.next_asked(known)}
+        is_cut_off = number < 20
+        replying = [one for one in cut_off if one.vm in asked]
+        for sender in (*near, *(() if is_cut_off else replying)):
+            receive(known, sender, number)
+        selected.mark_silent_down()
+        if number == 19:
+            assert not named_in(known, 'zone-2')
+        if number == 24:
+            assert len(named_in(known, 'zone-2')) == len(cut_off)
+            break
--- a/redwingvalve/node/update_forwarding.py
+++ b/redwingvalve/node/update_forwarding.py
@@ -33,6 +33,10 @@
 # Nodes that are down or leaving, repeated in turn in each message, so that a
 # node that has just started learns of them.
 REPEATED_STATES = 4
+# After a data centre was lost: 120 nodes are repeated within two seconds. An
+# urgent message has room for the latest changes only.
+REPEATED_LOST_STATES = 16
+LOST_WITHIN_S = 5.0
 
 _Key = collections_abc.Hashable
 
@@ -205,11 +209,18 @@
                     or peer.address.data_centre == local_data_centre
                 )
             )
-        count = min(len(queue), REPEATED_STATES)
+        count = min(len(queue), self._repeated_states())
         names = [queue.popleft() for _ in range(count)]
         found = [self.peers.known.get(name) for name in names]
         return [_state_message(peer) for peer in found if peer is not None]
 
+    def _repeated_states(self) -> int:
+        since_s = time.monotonic() - LOST_WITHIN_S
+        lost = sum(
+            peer.down_since_s >= since_s for peer in self.peers.known.values()
+        )
+        return REPEATED_LOST_STATES if lost > MAX_STATES else REPEATED_STATES
+
 
 def _state_message(peer: peers_module.Peer) -> typing.Any:
     message = status_messages.PeerState(
