Detect new incarnations of endpoints in the registry

An endpoint that restarts keeps its id, and nothing told listeners of it. A delayed write of the previous process put its entry back in place of the new one, and a late removal took the new process out of use.

The registry now tells listeners that an id has a new incarnation, by the start time in its entry, or by the count of its changes where none is stated. Entries of a previous process are ignored, unless the known one has been silent for 3 s: then the clock was set back.

--- a/redwingvalve/fleet/endpoints.py
+++ b/redwingvalve/fleet/endpoints.py
@@ -51,6 +51,8 @@
     membership: Membership | None = None
     # Whether the entry has all the fields that a served model needs.
     has_model_fields: bool = True
+    # Count of the changes that this incarnation has written.
+    sequence: int = attrs.field(default=0, eq=False)
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -12,9 +12,11 @@
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, unusable_entries
+from redwingvalve.fleet import endpoints, lives, unusable_entries
+from redwingvalve.observability import logs
 from redwingvalve.platform import entries, store
 
+LOG = logs.make_logger('registry')
 # Living endpoints register again within 2 s. The grace period ends earlier,
 # because a request routed at its end still takes some time to send.
 EXPIRY_GRACE_S = 1.8
@@ -46,6 +48,10 @@
         self.live: dict[str, endpoints.Endpoint] = {}
         self.is_synced = False
         self.on_change: list[collections_abc.Callable[[], None]] = []
+        # Called with the id of an endpoint that has a new incarnation, before
+        # on_change: nothing remembered about the id applies to it.
+        self.on_new_life: list[collections_abc.Callable[[str], None]] = []
+        self.lives = lives.Lives(clock)
         self._clock = clock
         self._expired: dict[str, _Expired] = {}
         self._last_outage_s: float | None = None
@@ -132,6 +138,9 @@
 
     def _apply_change(self, change: store.Change) -> None:
         if change.is_removed:
+            born_ms = entries.born_ms_of(change.stored)
+            if self.lives.is_past(change.name, born_ms):
+                return
             self._unusable.remove(change.name)
             if change.name in self.live:
                 self._expire(change.name)
@@ -151,6 +160,14 @@
         self._expired.pop(name, None)
 
     def _add(self, endpoint: endpoints.Endpoint) -> None:
+        endpoint_id = endpoint.endpoint_id
+        observed = self.lives.observe(
+            endpoint_id, endpoint.born_ms, endpoint.sequence
+        )
+        if observed is lives.Observation.OUTDATED:
+            return
+        if observed is lives.Observation.NEW:
+            self._begin_life(endpoint)
         self.live[endpoint.endpoint_id] = endpoint
         self._expired.pop(endpoint.endpoint_id, None)
         if endpoint.draining:
@@ -158,6 +175,22 @@
                 endpoint.incarnation, self._clock()
             )
 
+    def _begin_life(self, endpoint: endpoints.Endpoint) -> None:
+        LOG.info(
+            'endpoint has restarted',
+            extra={
+                'endpoint': endpoint.endpoint_id,
+                'born_ms': endpoint.born_ms,
+            },
+        )
+        self._draining_since_s = {
+            incarnation: since_s
+            for incarnation, since_s in self._draining_since_s.items()
+            if incarnation[0] != endpoint.endpoint_id
+        }
+        for listener in self.on_new_life:
+            listener(endpoint.endpoint_id)
+
     def _expire(self, name: str) -> None:
         endpoint = self.live.pop(name)
         now_s = self._clock()
--- a/redwingvalve/fleet/tests/test_foreign_entries.py
+++ b/redwingvalve/fleet/tests/test_foreign_entries.py
@@ -5,18 +5,11 @@
 import pytest
 
 from redwingvalve.fleet import registry as registry_module
+from redwingvalve.fleet.tests import foreign_entries
 from redwingvalve.platform import store
 
-ENTRY = {
-    'service': 's',
-    'address': '10.0.0.1:80',
-    'zone': 'z',
-    'version': 'v1',
-    'slots': 9,
-    'state': 'ready',
-    'cold_left_ms': 0,
-    'seq': 4,
-}
+ENTRY = foreign_entries.ENTRY
+stored = foreign_entries.stored
 UNUSABLE_OBJECTS = [
     {'metadata': {'name': 'bad', 'revision': 7}},
     {'metadata': {'name': 'bad', 'revision': 7}, 'spec': None},
@@ -48,11 +41,6 @@
     return found
 
 
-def stored(name, revision=5, **changes):
-    spec = {**ENTRY, **changes}
-    return {'metadata': {'name': name, 'revision': revision}, 'spec': spec}
-
-
 def change(document, is_removed=False):
     return store.Change(document, is_removed)
 
--- a/redwingvalve/platform/entries.py
+++ b/redwingvalve/platform/entries.py
@@ -53,6 +53,13 @@
         raise EndpointEntryError(f'{type(error).__name__}: {error}') from error
 
 
+def born_ms_of(stored: dict[str, typing.Any]) -> int:
+    """Return the start time in a stored entry, 0 if it can't be read."""
+    spec = stored.get('spec')
+    born_ms = spec.get('born') if isinstance(spec, dict) else 0
+    return born_ms if isinstance(born_ms, int) else 0
+
+
 def _decode(name: str, entry: dict[str, typing.Any]) -> endpoints.Endpoint:
     if not isinstance(entry, dict):
         raise EndpointEntryError('spec is not an object')
@@ -76,6 +83,7 @@
         models=decode_models(entry.get('models')),
         membership=decode_membership(entry.get('group')),
         has_model_fields=all(name in entry for name in _MODEL_FIELDS),
+        sequence=_require_int(entry['seq']),
     )
 
 
@@ -83,7 +91,6 @@
     """Check fields that no decision reads: every writer knows them."""
     if entry['version'] != '':
         _require_text(entry['version'])
-    _require_int(entry['seq'])
     cold_left_ms = entry['cold_left_ms']
     if isinstance(cold_left_ms, float) and math.isfinite(cold_left_ms):
         return
