Forget findings about a previous process of an endpoint

Suspicions, clearances and leaving marks are kept by id. An endpoint that restarted under its id stayed out of use for what its previous process did, and hubs repeated that for a second. A mark that came after the entry's end applied to every later process.

Each finding carries the start of its process now, in the table and at the end of the structs of status messages; absent means unknown. Findings of a previous process are ignored, and those of the next one wait for its entry.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from redwingvalve.fleet import clearances, endpoints
+from redwingvalve.fleet import clearances, endpoints, leaving_marks, lives
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import load_balancing, routes, state
 from redwingvalve.observability import logs, node_metrics
@@ -14,8 +14,6 @@
 # A head whose replica lost a member stalls for this long before it reports the
 # loss itself; the controller repairs the replica long before.
 HEAD_SUSPICION_S = 6.0
-# Limit on the endpoints that are known to leave, including those that are gone.
-MAX_KNOWN_LEAVING = 10_000
 # Time until a plain endpoint that could not be reached is tried again.
 PLAIN_SUSPICION_S = 1.0
 _SERVING_STATES = frozenset(
@@ -31,6 +29,8 @@
     epoch: int
     until_s: float
     since_s: float
+    # Start of the process that is suspected, 0 if unknown.
+    born_ms: int = 0
 
 
 class ServingTable(state.TargetProvider):
@@ -65,12 +65,11 @@
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
         self._clearances = clearances.Clearances()
-        # Endpoints that leave, and the incarnation that said so, None if its
-        # entry was gone.
-        self._leaving: dict[str, int | None] = {}
+        self._leaving = leaving_marks.LeavingMarks(registry.lives)
         # Replicas as last seen with all members, by name and epoch.
         self._complete_replicas: dict[tuple[str, int], endpoints.Replica] = {}
         registry.on_change.append(self.rebuild)
+        registry.on_new_life.append(self._forget)
 
     def find_targets(
         self, service: str, model: str
@@ -89,16 +88,21 @@
         )
         self.rebuild()
 
-    def suspect(self, endpoint_id: str, reason: str) -> None:
-        """Take an endpoint out of use and notify other nodes."""
+    def suspect(self, endpoint_id: str, reason: str, born_ms: int = 0) -> None:
+        """Take an endpoint out of use and notify other nodes.
+
+        born_ms is the start of the process that failed, 0 if unknown.
+        """
         endpoint = self._registry.live.get(endpoint_id)
-        if endpoint is None:
+        if endpoint is None or not lives.is_same(endpoint.born_ms, born_ms):
             return
         membership = endpoint.membership
         epoch = membership.epoch if membership else 0
         wait_s = HEAD_SUSPICION_S if membership else PLAIN_SUSPICION_S
         now_s = time.monotonic()
-        suspicion = Suspicion(endpoint_id, epoch, now_s + wait_s, now_s)
+        suspicion = Suspicion(
+            endpoint_id, epoch, now_s + wait_s, now_s, endpoint.born_ms
+        )
         self._locally_suspected.add(endpoint_id)
         if self.add_suspicion(suspicion):
             node_metrics.METRICS.count('redwingvalve_suspicions')
@@ -113,24 +117,25 @@
             if self.on_suspect is not None:
                 self.on_suspect(suspicion)
 
-    def mark_leaving(self, endpoint_id: str) -> None:
+    def mark_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Take an endpoint that is going to stop out of use for good.
 
-        Its entry may say so later or never.
+        Its entry may say so later or never. born_ms is the start of the process
+        that leaves, 0 if unknown.
         """
-        endpoint = self._registry.live.get(endpoint_id)
-        born_ms = endpoint.born_ms if endpoint else None
-        is_known = endpoint_id in self._leaving
-        if is_known and self._leaving[endpoint_id] == born_ms:
-            return
-        LOG.info('endpoint leaves', extra={'endpoint': endpoint_id})
-        if len(self._leaving) >= MAX_KNOWN_LEAVING:
-            self._leaving.clear()
-        self._leaving[endpoint_id] = born_ms
-        self.rebuild()
+        if self._leaving.add(endpoint_id, born_ms):
+            LOG.info('endpoint leaves', extra={'endpoint': endpoint_id})
+            self.rebuild()
 
-    def check_endpoint(self, endpoint_id: str, reason: str) -> None:
-        """Request a check of an endpoint, or suspect it if nobody checks."""
+    def check_endpoint(
+        self, endpoint_id: str, reason: str, born_ms: int = 0
+    ) -> None:
+        """Request a check of an endpoint, or suspect it if nobody checks.
+
+        born_ms is the start of the process that failed, 0 if unknown.
+        """
+        if self._registry.lives.is_past(endpoint_id, born_ms):
+            return
         if self.on_check_requested is None:
             self.suspect(endpoint_id, reason)
         elif not self.is_suspect(endpoint_id):
@@ -140,15 +145,22 @@
         """Take an endpoint out of use; return False if it already was.
 
         An expired suspicion, or one of an older epoch, is replaced. One that is
-        older than a clearance is ignored.
+        older than a clearance, or of a previous process, is ignored.
         """
+        endpoint_id, born_ms = suspicion.endpoint_id, suspicion.born_ms
+        if self._registry.lives.is_past(endpoint_id, born_ms):
+            return False
         if self._clearances.overrules(
-            suspicion.endpoint_id, suspicion.epoch, suspicion.since_s
+            endpoint_id, suspicion.epoch, suspicion.since_s, born_ms
         ):
             return False
-        known = self._suspicions.get(suspicion.endpoint_id)
-        is_known = known is not None and known.epoch >= suspicion.epoch
-        if is_known and known.until_s > time.monotonic():
+        known = self._suspicions.get(endpoint_id)
+        is_known = (
+            known is not None
+            and known.epoch >= suspicion.epoch
+            and lives.is_same(known.born_ms, born_ms)
+        )
+        if known is not None and is_known and known.until_s > time.monotonic():
             return False
         self._suspicions[suspicion.endpoint_id] = suspicion
         self.rebuild()
@@ -159,7 +171,10 @@
         suspicion = self._suspicions.get(endpoint_id)
         if suspicion is not None:
             self._clearances.record(
-                endpoint_id, suspicion.epoch, time.monotonic()
+                endpoint_id,
+                suspicion.epoch,
+                time.monotonic(),
+                suspicion.born_ms,
             )
         if suspicion is not None and self.on_cleared is not None:
             self.on_cleared(endpoint_id, suspicion.epoch)
@@ -183,15 +198,23 @@
         self.rebuild()
 
     def clear_if_older(
-        self, endpoint_id: str, epoch: int, cleared_s: float
+        self,
+        endpoint_id: str,
+        epoch: int,
+        cleared_s: float,
+        born_ms: int = 0,
     ) -> None:
         """Put an endpoint back into use unless a newer suspicion exists."""
-        self._clearances.record(endpoint_id, epoch, cleared_s)
+        if self._registry.lives.is_past(endpoint_id, born_ms):
+            return
+        self._clearances.record(endpoint_id, epoch, cleared_s, born_ms)
         if self.on_reported_healthy is not None:
             self.on_reported_healthy(endpoint_id, cleared_s)
         suspicion = self._suspicions.get(endpoint_id)
         if suspicion is None or suspicion.epoch > epoch:
             return
+        if not lives.is_same(suspicion.born_ms, born_ms):
+            return
         if suspicion.since_s < cleared_s:
             self.clear_suspicion(endpoint_id)
 
@@ -220,7 +243,11 @@
         if suspicion.until_s <= time.monotonic():
             return False
         endpoint = self._registry.live.get(endpoint_id)
-        if endpoint is None or endpoint.membership is None:
+        if endpoint is None:
+            return True
+        if not lives.is_same(endpoint.born_ms, suspicion.born_ms):
+            return False
+        if endpoint.membership is None:
             return True
         return endpoint.membership.epoch <= suspicion.epoch
 
@@ -253,7 +280,8 @@
         ready = [
             endpoint
             for endpoint in usable
-            if endpoint.service == service and not self._is_leaving(endpoint)
+            if endpoint.service == service
+            and not self._leaving.is_leaving(endpoint)
         ]
         healthy = [
             endpoint
@@ -309,18 +337,22 @@
                 return None
         return observed
 
-    def _is_leaving(self, endpoint: endpoints.Endpoint) -> bool:
-        if endpoint.draining:
-            return True
-        if endpoint.endpoint_id not in self._leaving:
-            return False
-        return self._leaving[endpoint.endpoint_id] in {None, endpoint.born_ms}
+    def _forget(self, endpoint_id: str) -> None:
+        """Forget what is known of the previous processes of an endpoint."""
+        born_ms = self._registry.lives.born_ms(endpoint_id)
+        self._leaving.forget(endpoint_id, born_ms)
+        self._clearances.forget(endpoint_id, born_ms)
+        suspicion = self._suspicions.get(endpoint_id)
+        if suspicion is not None and born_ms and suspicion.born_ms == born_ms:
+            return
+        self._suspicions.pop(endpoint_id, None)
+        self._locally_suspected.discard(endpoint_id)
 
     def _is_serving(self, replica: endpoints.Replica) -> bool:
         head = replica.head
         if head is None or head.membership is None:
             return False
-        if self._is_leaving(head):
+        if self._leaving.is_leaving(head):
             return False
         if head.membership.state is not endpoints.MemberState.OPEN:
             return False
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -240,7 +240,7 @@
         if outcome is upstream.Outcome.NOT_RUN:
             if self._blames_member(target):
                 self._state.targets.check_endpoint(
-                    target.endpoint_id, 'member at fault'
+                    target.endpoint_id, 'member at fault', target.born_ms
                 )
             return
         self._may_have_run = True
@@ -259,7 +259,7 @@
             # second. A crashed head refuses the next connection and is taken
             # out of use then.
             self._state.targets.check_endpoint(
-                target.endpoint_id, 'broken stream'
+                target.endpoint_id, 'broken stream', target.born_ms
             )
 
     @property
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -42,15 +42,20 @@
         """Return the targets of a model, or of a plain service."""
 
     @abc.abstractmethod
-    def suspect(self, endpoint_id: str, reason: str) -> None:
-        """Take an endpoint out of use until it is known to be healthy."""
+    def suspect(self, endpoint_id: str, reason: str, born_ms: int = 0) -> None:
+        """Take an endpoint out of use until it is known to be healthy.
+
+        born_ms is the start of the process that failed, 0 if unknown.
+        """
 
     @abc.abstractmethod
-    def mark_leaving(self, endpoint_id: str) -> None:
+    def mark_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Take an endpoint that is going to stop out of use for good."""
 
     @abc.abstractmethod
-    def check_endpoint(self, endpoint_id: str, reason: str) -> None:
+    def check_endpoint(
+        self, endpoint_id: str, reason: str, born_ms: int = 0
+    ) -> None:
         """Check whether an endpoint is healthy; it stays in use meanwhile."""
 
     @abc.abstractmethod
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -155,7 +155,9 @@
                 connection = await connections.take(target.address, idle_s)
         except pool.ConnectError as error:
             self.connect_failures += 1
-            self._state.targets.suspect(target.endpoint_id, str(error))
+            self._state.targets.suspect(
+                target.endpoint_id, str(error), target.born_ms
+            )
             await self._check_links()
             return upstream.Outcome.NOT_RUN
         if connection is not None and not self._wait.has_ended:
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -7,12 +7,16 @@
   3: i32 left_ms
   // Since the endpoint was suspected.
   4: i32 age_ms
+  // Start of the process that is suspected, absent if unknown.
+  5: i64 born_ms
 }
 
 struct ClearedEndpoint {
   1: string endpoint_id
   2: i64 epoch
   3: i32 age_ms
+  // Start of the process that was found healthy, absent if unknown.
+  4: i64 born_ms
 }
 
 // Address of a node, for nodes that have not read its object in the store.
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -61,8 +61,8 @@
     _number: int = 0
     _sent_s: float = 0.0
     _timer: asyncio.TimerHandle | None = None
-    # Endpoints that this node found healthy: epoch and time of the check.
-    _cleared: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    # Endpoints that this node found healthy.
+    _cleared: dict[str, status_fields.Clearance] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to the changes that are sent without delay."""
@@ -168,7 +168,9 @@
                 self.suspicions.confirmed(self.table.local_suspicions())
             ),
             has_served=self._reports_served(),
-            cleared=status_fields.recent_clearance_messages(self._cleared),
+            cleared=status_fields.recent_clearance_messages(
+                self._cleared.values()
+            ),
             usage=usage,
         )
         if self.peers.is_announcing:
@@ -205,7 +207,10 @@
             self.table.add_suspicion(suspicion)
         for clearance in status_fields.parse_clearances(message):
             self.table.clear_if_older(
-                clearance.endpoint_id, clearance.epoch, clearance.since_s
+                clearance.endpoint_id,
+                clearance.epoch,
+                clearance.since_s,
+                clearance.born_ms,
             )
 
     def _forwards_crashes(self) -> bool:
@@ -251,7 +256,12 @@
 
     def _record_cleared(self, endpoint_id: str, epoch: int) -> None:
         # Not urgent: sent with the next status message.
-        self._cleared[endpoint_id] = (epoch, time.monotonic())
+        self._cleared[endpoint_id] = status_fields.Clearance(
+            endpoint_id,
+            epoch,
+            time.monotonic(),
+            self.registry.lives.born_ms(endpoint_id),
+        )
 
     def _broadcast_suspicion(self, suspicion: serving.Suspicion) -> None:
         # Urgent: all nodes still send requests to this endpoint.
--- a/redwingvalve/node/status_fields.py
+++ b/redwingvalve/node/status_fields.py
@@ -22,6 +22,8 @@
     endpoint_id: str
     epoch: int
     since_s: float
+    # Start of the process that was found healthy, 0 if unknown.
+    born_ms: int = 0
 
 
 def address_message(address: peers.PeerAddress) -> typing.Any:
@@ -46,24 +48,18 @@
             epoch=suspicion.epoch,
             left_ms=int((suspicion.until_s - now_s) * _MS_IN_S),
             age_ms=int((now_s - suspicion.since_s) * _MS_IN_S),
+            born_ms=suspicion.born_ms or None,
         )
         for suspicion in suspicions
     ]
 
 
 def recent_clearance_messages(
-    cleared: dict[str, tuple[int, float]],
+    cleared: collections_abc.Iterable[Clearance],
 ) -> list[typing.Any]:
-    """Return the endpoints that were found healthy within CLEARED_REPEAT_S.
-
-    cleared maps endpoints to the epoch and time of the check.
-    """
+    """Return the endpoints that were found healthy within CLEARED_REPEAT_S."""
     since_s = time.monotonic() - CLEARED_REPEAT_S
-    return clearance_messages(
-        Clearance(endpoint_id, epoch, cleared_s)
-        for endpoint_id, (epoch, cleared_s) in cleared.items()
-        if cleared_s > since_s
-    )
+    return clearance_messages(one for one in cleared if one.since_s > since_s)
 
 
 def clearance_messages(
@@ -76,6 +72,7 @@
             endpoint_id=clearance.endpoint_id,
             epoch=clearance.epoch,
             age_ms=int((now_s - clearance.since_s) * _MS_IN_S),
+            born_ms=clearance.born_ms or None,
         )
         for clearance in clearances
     ]
@@ -91,6 +88,7 @@
             now_s + suspect.left_ms / _MS_IN_S,
             # Nodes of earlier versions don't state the age.
             now_s - (suspect.age_ms or 0) / _MS_IN_S,
+            suspect.born_ms or 0,
         )
         for suspect in message.suspects or ()
     ]
@@ -104,6 +102,7 @@
             cleared.endpoint_id,
             cleared.epoch,
             now_s - cleared.age_ms / _MS_IN_S,
+            cleared.born_ms or 0,
         )
         for cleared in message.cleared or ()
     ]
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -22,6 +22,7 @@
     (_Type.STRING, 'endpoint_id'),
     (_Type.I64, 'epoch'),
     (_Type.I32, 'age_ms'),
+    (_Type.I64, 'born_ms'),
 )
 SuspectedEndpoint: typing.Any = _struct(
     'SuspectedEndpoint',
@@ -29,6 +30,7 @@
     (_Type.I64, 'epoch'),
     (_Type.I32, 'left_ms'),
     (_Type.I32, 'age_ms'),
+    (_Type.I64, 'born_ms'),
 )
 PeerState: typing.Any = _struct(
     'PeerState',
--- a/redwingvalve/node/update_forwarding.py
+++ b/redwingvalve/node/update_forwarding.py
@@ -129,10 +129,10 @@
         )
         is_urgent = False
         for suspicion in status_fields.parse_suspicions(message):
-            key = (suspicion.endpoint_id, suspicion.epoch)
+            key = (suspicion.endpoint_id, suspicion.epoch, suspicion.born_ms)
             is_urgent |= updates.suspicions.record(key, suspicion)
         for clearance in status_fields.parse_clearances(message):
-            key = (clearance.endpoint_id, clearance.epoch)
+            key = (clearance.endpoint_id, clearance.epoch, clearance.born_ms)
             is_urgent |= updates.clearances.record(key, clearance)
         for state in news:
             is_urgent = True
