--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -160,7 +160,9 @@
         except pool.ConnectError as error:
             self.connect_failures += 1
             self.tried_endpoints.add(target.endpoint_id)
-            self._state.targets.suspect(target.endpoint_id, str(error))
+            self._state.targets.suspect(
+                target.endpoint_id, str(error), target.born_ms
+            )
             await self._check_links()
             return upstream.Outcome.NOT_RUN
         if connection is not None and not self._wait.has_ended:
