Collect the slots in use before a new owner of a pool grants any

Cause: a node that takes a pool over knows of no slot in use until the others report, up to half a second later, and grants each slot once more. A node that stops went on granting slots to the asks that waited there, beside the next owner.

A node that stops, or whose pool another node takes over, sends the waiting asks there. Asks of owners move from the reserver to a module of their own.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -20,10 +20,11 @@
     owner_knowledge,
     rate_limits,
     start_forwarder,
+    takeover,
 )
 from redwingvalve.allocation import pool as pool_module
 from redwingvalve.allocation import usage as usage_module
-from redwingvalve.ingress import load_balancing
+from redwingvalve.ingress import load_balancing, wait_queue
 from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('allocation')
@@ -33,6 +34,7 @@
 
 @attrs.define(eq=False)
 class _WaitingAsk:
+    pool: messages.Pool
     reply: ReplyCallback
     task: asyncio.Task[None] | None = None
     # The task may not have ended yet; a slot granted to it would be lost.
@@ -68,6 +70,33 @@
     _waiting_asks: dict[tuple[messages.Sender, int], _WaitingAsk] = attrs.field(
         factory=dict
     )
+    # Whether the other nodes grant all slots from now on.
+    is_resigned: bool = False
+    takeovers: takeover.Takeovers = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Answer delayed asks once the slots in use are known."""
+        self.takeovers = takeover.Takeovers(self.clock, self._answer_delayed)
+
+    def resign(self) -> None:
+        """Grant no more slots: all asks are for the next owners."""
+        self.is_resigned = True
+        for delayed in self.takeovers.take_delayed():
+            delayed.reply(_moved_reply(delayed.ask.number))
+        for key in list(self._waiting_asks):
+            self._hand_over(key)
+
+    def yield_pool(self, pool: messages.Pool) -> None:
+        """Leave the asks that wait here to another node that asks for slots.
+
+        Otherwise both would grant each slot that becomes free.
+        """
+        is_owner = self.takeovers.owns(pool)
+        if is_owner or self.takeovers.is_collecting(pool):
+            return
+        for key, waiting_ask in list(self._waiting_asks.items()):
+            if waiting_ask.pool == pool:
+                self._hand_over(key)
 
     def ask(
         self, sender: messages.Sender, ask: messages.Ask, reply: ReplyCallback
@@ -79,9 +108,15 @@
             waiting_ask.reply = reply
             reply(_queued_reply(ask))
             return
+        if self.is_resigned:
+            reply(_moved_reply(ask.number))
+            return
         if not self.targets(ask.pool):
             reply(messages.Reply(ask.number, messages.Outcome.NO_ENDPOINTS))
             return
+        if self.takeovers.delay(sender, ask, reply):
+            reply(_queued_reply(ask))
+            return
         pool = self.pool(ask.pool)
         held = pool.holds.find(key)
         if held is not None:
@@ -111,10 +146,8 @@
     ) -> None:
         """Free a slot, or cancel the ask that waits for one."""
         key = (sender, release.number)
-        waiting_ask = self._waiting_asks.pop(key, None)
-        if waiting_ask is not None and waiting_ask.task is not None:
-            waiting_ask.is_cancelled = True
-            waiting_ask.task.cancel()
+        self.takeovers.cancel(key)
+        self._cancel_waiting(key)
         for pool in self._pools.values():
             pool.release(key, release.leaving, release.result)
 
@@ -123,6 +156,7 @@
     ) -> None:
         """Reconcile the holds of a node with those that it reports."""
         self.pool(holdings.pool).reconcile(sender, holdings.endpoint_ids)
+        self.takeovers.record_report(holdings.pool, sender.vm)
 
     def record_report(
         self, sender: messages.Sender, report: endpoint_reports.EndpointReport
@@ -168,6 +202,7 @@
         self.cold.endpoints.drop_expired()
         self.forwarder.flush(now_s)
         self.knowledge.tick(now_s)
+        self.takeovers.check_ownership()
         for pool in self._pools.values():
             pool.tick()
 
@@ -210,13 +245,31 @@
         LOG.info('pool counted here', extra=attrs.asdict(key))
         return created
 
+    def _answer_delayed(self, delayed: list[takeover.DelayedAsk]) -> None:
+        for one in delayed:
+            waited_s = self.clock() - one.arrived_s
+            need = wait_queue.deduct_elapsed(one.ask.need, waited_s)
+            self.ask(one.sender, attrs.evolve(one.ask, need=need), one.reply)
+
+    def _hand_over(self, key: hold_table.Key) -> None:
+        """Have an ask that waits here sent to another node."""
+        waiting_ask = self._waiting_asks[key]
+        self._cancel_waiting(key)
+        waiting_ask.reply(_moved_reply(key[1]))
+
+    def _cancel_waiting(self, key: hold_table.Key) -> None:
+        waiting_ask = self._waiting_asks.pop(key, None)
+        if waiting_ask is not None and waiting_ask.task is not None:
+            waiting_ask.is_cancelled = True
+            waiting_ask.task.cancel()
+
     def _enqueue(
         self,
         key: tuple[messages.Sender, int],
         ask: messages.Ask,
         reply: ReplyCallback,
     ) -> None:
-        waiting_ask = _WaitingAsk(reply)
+        waiting_ask = _WaitingAsk(ask.pool, reply)
         self._waiting_asks[key] = waiting_ask
         loop = asyncio.get_running_loop()
         waiting_ask.task = loop.create_task(
@@ -278,5 +331,9 @@
         )
 
 
+def _moved_reply(number: int) -> messages.Reply:
+    return messages.Reply(number, messages.Outcome.MOVED)
+
+
 def _queued_reply(ask: messages.Ask) -> messages.Reply:
     return messages.Reply(ask.number, messages.Outcome.QUEUED)
--- a/redwingvalve/allocation/dispatch.py
+++ b/redwingvalve/allocation/dispatch.py
@@ -24,5 +24,8 @@
         allocator.release(sender, message)
     elif isinstance(message, endpoint_reports.EndpointReport):
         allocator.record_report(sender, message)
+    elif isinstance(message, messages.HoldingsRequest):
+        allocator.yield_pool(message.pool)
+        reserver.report_pool(message.pool, sender.vm)
     else:
         allocator.holdings(sender, message)
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -141,7 +141,7 @@
         self.cold_reporter.report(self._last_owners)
         pools = {held.grant.pool for held in self._held.values()}
         for pool in pools:
-            self._report_pool(pool)
+            self._report_to_owner(pool)
 
     def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
         """Report to an owner before it grants more."""
@@ -155,21 +155,27 @@
         is_first = pool not in self._last_owners
         self._last_owners[pool] = vm
         if not is_first:
-            self._report_pool(pool)
+            self._report_to_owner(pool)
 
     def _current_owner(self, pool: messages.Pool) -> str:
         return next(iter(self.owners.ranked_for(pool)), '')
 
-    def _report_pool(self, pool: messages.Pool) -> None:
+    def report_pool(self, pool: messages.Pool, vm: str) -> None:
+        """Report the slots of a pool to a node, also if there are none."""
+        holdings = messages.Holdings(pool, self._endpoint_ids(pool))
+        self.transport.send(vm, holdings)
+
+    def _report_to_owner(self, pool: messages.Pool) -> None:
         owner = self._current_owner(pool)
-        endpoint_ids = {
+        if owner and self._endpoint_ids(pool):
+            self.report_pool(pool, owner)
+
+    def _endpoint_ids(self, pool: messages.Pool) -> dict[int, str]:
+        return {
             number: held.target.endpoint_id
             for number, held in self._held.items()
             if held.grant.pool == pool
         }
-        if owner and endpoint_ids:
-            holdings = messages.Holdings(pool, endpoint_ids)
-            self.transport.send(owner, holdings)
 
 
 def make_held_slots(
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -33,6 +33,8 @@
     REFUSED = 4
     # The node that was asked knows of no endpoints in the pool.
     NO_ENDPOINTS = 5
+    # Another node grants the slots of the pool now.
+    MOVED = 6
 
 
 @attrs.frozen
@@ -101,8 +103,20 @@
     endpoint_ids: dict[int, str]
 
 
+@attrs.frozen
+class HoldingsRequest:
+    """Asks a node for its Holdings of a pool."""
+
+    pool: Pool
+
+
 Message: typing.TypeAlias = (
-    Ask | Reply | Release | Holdings | endpoint_reports.EndpointReport
+    Ask
+    | Reply
+    | Release
+    | Holdings
+    | HoldingsRequest
+    | endpoint_reports.EndpointReport
 )
 
 
@@ -172,6 +186,7 @@
     (_Type.STRUCT, 'release', _ReleaseStruct),
     (_Type.STRUCT, 'holdings', _HoldingsStruct),
     (_Type.STRUCT, 'limits', endpoint_reports.EndpointReportStruct),
+    (_Type.STRUCT, 'holdings_request', _PoolStruct),
 )
 
 
@@ -201,6 +216,8 @@
         )
     elif isinstance(message, endpoint_reports.EndpointReport):
         struct.limits = endpoint_reports.to_struct(message)
+    elif isinstance(message, HoldingsRequest):
+        struct.holdings_request = _pool_struct(message.pool)
     else:
         struct.holdings = _HoldingsStruct(
             pool=_pool_struct(message.pool), endpoint_ids=message.endpoint_ids
@@ -232,6 +249,8 @@
         )
     if struct.limits is not None:
         return endpoint_reports.from_struct(struct.limits)
+    if struct.holdings_request is not None:
+        return HoldingsRequest(_read_pool(struct.holdings_request))
     raise MessageError('datagram contains no known message')
 
 
--- a/redwingvalve/allocation/owners.py
+++ b/redwingvalve/allocation/owners.py
@@ -69,6 +69,14 @@
         """Return the owners that nodes ask which get answers from all."""
         return self._ranked(pool)[:OWNERS_TO_ASK]
 
+    def is_first(self, vm: str, pool: messages.Pool) -> bool:
+        """Return whether a node is the one that others ask first."""
+        return self._ranked(pool)[:1] == (vm,)
+
+    def refresh(self) -> None:
+        """Rank the nodes again, as another one has taken a pool over."""
+        self._rankings.clear()
+
     def mark_unresponsive(self, vm: str) -> None:
         """Skip a node that gave no answer until its backoff ends."""
         known = self._backoffs.get(vm)
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -6,7 +6,6 @@
 way to the next owner together with the granted ones.
 """
 
-import asyncio
 import itertools
 import random
 import typing
@@ -15,7 +14,12 @@
 import anyio
 import attrs
 
-from redwingvalve.allocation import cold_starts, held_slots, messages
+from redwingvalve.allocation import (
+    cold_starts,
+    held_slots,
+    messages,
+    owner_asks,
+)
 from redwingvalve.allocation import owners as owners_module
 from redwingvalve.ingress import (
     load_balancing,
@@ -27,14 +31,6 @@
 from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('reserver')
-# A round trip between data centres takes a few milliseconds, and a busy node
-# some more to answer; the latency targets of callers are hundreds of them.
-REPLY_TIMEOUT_S = 0.04
-# Interval at which a queued ask is checked; a single lost answer is tolerated.
-POLL_INTERVAL_S = 0.1
-MAX_MISSED_POLLS = 2
-# Added to the time that a request may wait.
-WAIT_SLACK_S = 0.2
 # Other data centres that are asked when the local one is full: two random ones
 # avoid the fullest as well as asking all of them.
 REMOTE_POOLS_ASKED = 2
@@ -46,27 +42,8 @@
 MAX_UNUSABLE_GRANTS = 3
 # Interval between two reports of the held slots.
 REPORT_INTERVAL_S = 0.5
-# Callers retry after this time if no owner answers.
-RETRY_AFTER_S = 0.8
 
 _GRANTED = messages.Outcome.GRANTED
-_QUEUED = messages.Outcome.QUEUED
-_NO_ENDPOINTS = messages.Outcome.NO_ENDPOINTS
-
-
-@attrs.define(eq=False)
-class _PendingAsk:
-    number: int
-    vm: str
-    latest: messages.Reply | None = None
-    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    def accept(self, reply: messages.Reply) -> None:
-        """Accept a reply unless it was overtaken by the final one."""
-        if reply.outcome is _QUEUED and _is_final(self.latest):
-            return
-        self.latest = reply
-        self.changed.set()
 
 
 @attrs.define(eq=False)
@@ -93,11 +70,11 @@
     _numbers: typing.Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
     )
-    _pending_asks: dict[int, _PendingAsk] = attrs.field(factory=dict)
+    _asks: owner_asks.OwnerAsks = attrs.field(init=False)
     _held_slots: held_slots.HeldSlots = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the table of held slots."""
+        """Create the table of held slots, and the asks for more."""
         self._held_slots = held_slots.make_held_slots(
             self.owners,
             self.transport,
@@ -106,6 +83,14 @@
             self.clock,
             self.cold,
         )
+        self._asks = owner_asks.OwnerAsks(
+            self.owners,
+            self.transport,
+            self.clock,
+            self._numbers,
+            self._held_slots.report_before_ask,
+            self.is_evacuated,
+        )
 
     async def reserve(
         self,
@@ -117,11 +102,11 @@
     ) -> reservations.Reservation | reservations.NoSlot:
         """Return a slot for a request, or when its caller may retry."""
         avoided_ids = list(avoid)
-        need = _deduct_elapsed(need, GRANT_SLACK_S)
+        need = wait_queue.deduct_elapsed(need, GRANT_SLACK_S)
         began_s = self.clock()
         for _ in range(MAX_UNUSABLE_GRANTS):
             rest_s = self._rest_left_s(service, model, avoided_ids)
-            left = _deduct_elapsed(need, self.clock() - began_s)
+            left = wait_queue.deduct_elapsed(need, self.clock() - began_s)
             if rest_s > _longest_rest_s(left):
                 return reservations.NoSlot(refusals.before_jitter_s(rest_s))
             await _wait_for_rest(rest_s)
@@ -132,7 +117,7 @@
                 0,
                 pools[0],
                 len(pools) == 1,
-                _deduct_elapsed(need, self.clock() - began_s),
+                wait_queue.deduct_elapsed(need, self.clock() - began_s),
                 tuple(avoided_ids),
                 tuple(slow),
                 self._resting(service, model),
@@ -149,15 +134,14 @@
                 'is_resumed': need.is_resumed,
             },
         )
-        return reservations.NoSlot(RETRY_AFTER_S)
+        return reservations.NoSlot(owner_asks.RETRY_AFTER_S)
 
     def handle_reply(self, vm: str, reply: messages.Reply) -> None:
         """Handle a reply to an ask."""
         self.owners.mark_responsive(vm)
-        pending = self._pending_asks.get(reply.number)
-        if pending is not None and pending.vm == vm:
-            pending.accept(reply)
-        elif reply.outcome is _GRANTED and reply.number not in self._held_slots:
+        if self._asks.accept(vm, reply):
+            return
+        if reply.outcome is _GRANTED and reply.number not in self._held_slots:
             # No request waits for the slot any more.
             self.transport.send(vm, messages.Release(reply.number))
 
@@ -187,6 +171,10 @@
         node_metrics.METRICS.count('redwingvalve_unusable_grants')
         return None
 
+    def report_pool(self, pool: messages.Pool, vm: str) -> None:
+        """Report the held slots of a pool to a node that takes it over."""
+        self._held_slots.report_pool(pool, vm)
+
     async def _find_slot(
         self, pools: list[messages.Pool], ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot:
@@ -203,7 +191,7 @@
                 return answer
             if answer.expected_wait_s < shortest_s:
                 shortest_pool, shortest_s = pool, answer.expected_wait_s
-        need = _deduct_elapsed(ask.need, self.clock() - began_s)
+        need = wait_queue.deduct_elapsed(ask.need, self.clock() - began_s)
         last = attrs.evolve(ask, pool=shortest_pool, may_wait=True, need=need)
         answer = await self._try_pool(last)
         if isinstance(answer, messages.Reply):
@@ -214,7 +202,7 @@
         self, ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot | messages.Reply:
         """Return a slot or a refusal, or the reply if the pool is full."""
-        found = await self._ask_owners(ask)
+        found = await self._asks.ask(ask)
         if found is None:
             return self._choose_locally(ask)
         vm, reply = found
@@ -248,80 +236,6 @@
             sampled.insert(0, self.data_centre)
         return [messages.Pool(service, model, one) for one in sampled]
 
-    async def _ask_owners(
-        self, ask: messages.Ask
-    ) -> tuple[str, messages.Reply] | None:
-        """Return the owner that answered and its reply, or None."""
-        asked_s = self.clock()
-        for vm in self.owners.ranked_for(ask.pool):
-            self._held_slots.report_before_ask(ask.pool, vm)
-            pending = _PendingAsk(next(self._numbers), vm)
-            self._pending_asks[pending.number] = pending
-            need = _deduct_elapsed(ask.need, self.clock() - asked_s)
-            reply = None
-            try:
-                reply = await self._exchange(
-                    pending,
-                    attrs.evolve(ask, number=pending.number, need=need),
-                )
-            finally:
-                self._pending_asks.pop(pending.number)
-                # A cancelled request leaves a slot that was just granted.
-                if reply is None or not _is_final(pending.latest):
-                    release = messages.Release(pending.number)
-                    self.transport.send(vm, release)
-            if reply is not None and reply.outcome is not _NO_ENDPOINTS:
-                return vm, reply
-            self.owners.mark_unresponsive(vm)
-            node_metrics.METRICS.count('redwingvalve_silent_owners')
-        return None
-
-    async def _exchange(
-        self, pending: _PendingAsk, ask: messages.Ask
-    ) -> messages.Reply | None:
-        began_s = self.clock()
-        until_s = began_s + ask.need.wait_s + WAIT_SLACK_S
-        reply = await self._send_and_wait(pending, ask, REPLY_TIMEOUT_S)
-        missed = 0
-        while reply is not None and reply.outcome is _QUEUED:
-            if self.clock() > until_s or self.is_evacuated(ask.pool):
-                return messages.Reply(
-                    ask.number,
-                    messages.Outcome.REFUSED,
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            next_reply = await self._wait(pending, POLL_INTERVAL_S)
-            if next_reply is None:
-                need = _deduct_elapsed(ask.need, self.clock() - began_s)
-                repeated = attrs.evolve(ask, need=need)
-                next_reply = await self._send_and_wait(
-                    pending, repeated, REPLY_TIMEOUT_S
-                )
-            missed = 0 if next_reply else missed + 1
-            if missed >= MAX_MISSED_POLLS:
-                return None
-            reply = next_reply or reply
-        return reply
-
-    async def _send_and_wait(
-        self, pending: _PendingAsk, ask: messages.Ask, timeout_s: float
-    ) -> messages.Reply | None:
-        pending.changed.clear()
-        self.transport.send(pending.vm, ask)
-        return await self._wait(pending, timeout_s)
-
-    async def _wait(
-        self, pending: _PendingAsk, timeout_s: float
-    ) -> messages.Reply | None:
-        if not pending.changed.is_set():
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await pending.changed.wait()
-            except TimeoutError:
-                return None
-        pending.changed.clear()
-        return pending.latest
-
     def _choose_locally(
         self, ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot:
@@ -340,7 +254,7 @@
             if found is not None:
                 number = next(self._numbers)
                 return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
-        return reservations.NoSlot(RETRY_AFTER_S)
+        return reservations.NoSlot(owner_asks.RETRY_AFTER_S)
 
     def _resting(self, service: str, model: str) -> tuple[str, ...]:
         """Return the targets that rest, those that rest longest first."""
@@ -381,17 +295,6 @@
         return None
 
 
-def _deduct_elapsed(
-    need: wait_queue.SlotRequest, elapsed_s: float
-) -> wait_queue.SlotRequest:
-    """Return the request with its time limits reduced by elapsed_s."""
-    return attrs.evolve(
-        need,
-        on_time_s=max(0, need.on_time_s - elapsed_s),
-        wait_s=max(0, need.wait_s - elapsed_s),
-    )
-
-
 def _longest_rest_s(need: wait_queue.SlotRequest) -> float:
     """Return how long a request may wait until an endpoint has rested.
 
@@ -405,7 +308,3 @@
     # Even a sleep of 0 s lets all other tasks go first.
     if rest_s > 0:
         await anyio.sleep(rest_s)
-
-
-def _is_final(reply: messages.Reply | None) -> bool:
-    return reply is not None and reply.outcome is not _QUEUED
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -81,6 +81,15 @@
     may_probe: bool = False
 
 
+def deduct_elapsed(ask: SlotRequest, elapsed_s: float) -> SlotRequest:
+    """Return the request with its time limits reduced by elapsed_s."""
+    return attrs.evolve(
+        ask,
+        on_time_s=max(0, ask.on_time_s - elapsed_s),
+        wait_s=max(0, ask.wait_s - elapsed_s),
+    )
+
+
 class SlotCapacity(abc.ABC):
     """Capacity of the endpoints whose slots a queue hands out."""
 
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -156,6 +156,10 @@
     allocator.forwarder.forward = functools.partial(
         owners.send_to_owners, pool_owners, transport, peers.local.vm
     )
+    takeovers = allocator.takeovers
+    takeovers.holders = lambda: _holders(peers)
+    takeovers.request = transport.send
+    takeovers.owns = functools.partial(pool_owners.is_first, peers.local.vm)
     transport.reserver = reserver_module.NodeReserver(
         data_centre=peers.local.data_centre,
         targets=state.targets,
@@ -189,5 +193,10 @@
     return [local, *others]
 
 
+def _holders(peers: peers_module.Peers) -> list[str]:
+    """Return all nodes that seem to live, also those that are leaving."""
+    return [peers.local.vm, *(peer.address.vm for peer in peers.alive())]
+
+
 def _candidate(peer: peers_module.Peer) -> owners.Candidate:
     return owners.Candidate(peer.address.vm, peer.address.data_centre)
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -26,6 +26,7 @@
     endpoint_prober,
     failure_detector,
     front,
+    front_selection,
     gauges,
     kind_watch,
     log_drop_reporter,
@@ -295,6 +296,8 @@
         started_s = time.monotonic()
         self.state.is_leaving = True
         self.status_exchange.broadcast_now()
+        if front_selection.available_peers(self.peers):
+            self.allocation.allocator.resign()
         await self.lease.release()
         self.status_exchange.broadcast_now()
         deadline_s = started_s + self.settings.bounds.grace_s - KILL_MARGIN_S
