Check links to endpoints that serve, not to evacuated ones

Cause: a node whose links to all serving endpoints are cut, but not those to an evacuated data centre, counted as in reach. It refused its callers instead of handing their requests to another node.

Change: link checks choose endpoints of evacuated data centres only if there are no others.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -327,7 +327,9 @@
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
     endpoint_client = endpoint_orders.EndpointClient(json_client)
-    reach = reachability_module.ReachabilityChecker(registry, state.connections)
+    reach = reachability_module.ReachabilityChecker(
+        registry, state.connections, table.evacuations
+    )
     state.reach = reach
     prober = endpoint_prober.EndpointProber(endpoint_client, reach)
     lease = lease_module.Lease(
--- a/redwingvalve/node/reachability.py
+++ b/redwingvalve/node/reachability.py
@@ -1,6 +1,7 @@
 """Checks whether this node can connect to endpoints.
 
-A check connects to a few endpoints of different services and fabric domains.
+A check connects to a few endpoints of different services and fabric domains,
+of evacuated data centres only if there are no others: they serve no requests.
 Only new connections count: open ones may live on while new ones are refused.
 The connections are kept for requests.
 """
@@ -16,6 +17,7 @@
 import attrs
 
 from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import evacuations as evacuations_module
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import reachability
@@ -41,6 +43,9 @@
 
     registry: registry_module.Registry
     connections: pool.Pool
+    evacuations: evacuations_module.Evacuations = attrs.field(
+        factory=lambda: evacuations_module.Evacuations(None)
+    )
     rng: random.Random = attrs.field(factory=random.Random)
     _observers: list[reachability.ReachObserver] = attrs.field(factory=list)
     _is_cut_off: bool = False
@@ -117,8 +122,14 @@
         self._finished = anyio.Event()
 
     async def _reaches_none(self) -> bool:
+        usable = self.registry.usable()
+        serving = [
+            endpoint
+            for endpoint in usable
+            if not self.evacuations.is_evacuated(endpoint.data_centre)
+        ]
         chosen = select_probes(
-            self.registry.usable(), FIRST_PROBES + MORE_PROBES, self.rng
+            serving or usable, FIRST_PROBES + MORE_PROBES, self.rng
         )
         if len(chosen) < MIN_PROBES_FOR_CUT:
             return False
