Tests of evacuations that fail for each part alone

Cause: with single parts taken out of a scratch copy, three tests still passed: the table's filter, the state in which a slot is released, and the hold of a start were covered by other parts.

Change: the tests look at the targets, at the released slots, and at a new node that at first hears nobody.

--- a/redwingvalve/node/tests/test_evacuations.py
+++ b/redwingvalve/node/tests/test_evacuations.py
@@ -5,6 +5,8 @@
 import anyio
 import pytest
 
+from redwingvalve.allocation import held_slots
+from redwingvalve.ingress import reservations
 from redwingvalve.node import peers
 from redwingvalve.node.tests import endpoint_cuts
 from redwingvalve.observability import node_metrics
@@ -143,6 +145,8 @@
         assert arrivals(fleet)
         evacuate(fleet)
         await wait_until_in_force(fleet)
+        assert len(plain_targets(fleet.nodes[0])) == 2
+        assert len(fleet.targets()) == 2
         before = arrivals(fleet)
         answers = await send_many(fleet)
         assert {one.status for one in answers} == {200}
@@ -249,7 +253,9 @@
 
 
 @pytest.mark.parametrize('path', [PLAIN, ONCE])
-def test_a_request_with_a_slot_is_not_written_after_the_evacuation(path):
+def test_a_request_with_a_slot_is_not_written_after_the_evacuation(
+    path, monkeypatch
+):
     """It gets another slot, for none of its attempts and no retry.
 
     Its connection is opened while the evacuation begins.
@@ -270,6 +276,14 @@
             return await connect(address)
 
         node.state.connections.connect = connect_late
+        released = []
+        release = held_slots.HeldSlots.release
+
+        def record(slots, message):
+            released.append(message)
+            release(slots, message)
+
+        monkeypatch.setattr(held_slots.HeldSlots, 'release', record)
         budget = retries()
         answers = []
 
@@ -283,11 +297,14 @@
         assert {one.status for one in answers} == {200}
         assert not arrivals(fleet)
         assert retries() == budget
-        # The endpoints don't count as having refused anything.
-        restore(fleet)
-        await wait_until_in_force(fleet, is_evacuated=False)
-        (pool,) = node.allocation.allocator._pools.values()
-        assert pool.free_slots() == pool.slots() == 16
+        # Nothing counts as a failure of the endpoints that were left.
+        assert {one.leaving for one in released} == {
+            reservations.ReleaseState.FREE
+        }
+        assert {one.result for one in released} == {
+            reservations.EndpointResult.SUCCESS,
+            reservations.EndpointResult.UNKNOWN,
+        }
 
     run(test, engines=0)
 
@@ -486,33 +503,40 @@
     run(test, nodes=2, engines=0)
 
 
-@pytest.mark.parametrize('kinds', [(), (KIND,)])
-def test_a_new_node_sends_nothing_to_an_evacuated_data_centre(kinds):
+@pytest.mark.parametrize('knows_nothing', [False, True])
+def test_a_new_node_sends_nothing_to_an_evacuated_data_centre(knows_nothing):
     """It reads the kind before it accepts callers, or waits for other nodes.
 
-    In the second case the store answers it about all kinds but this one.
+    knows_nothing: the store answers it about all kinds but this one, and at
+    first it hears no other node.
     """
 
     async def test(fleet):
         evacuate(fleet)
         await wait_until_in_force(fleet)
-        before = arrivals(fleet)
         node = fleet_harness.daemon.make_node(
             fleet_harness.node_settings('node-9', fleet.store_address, BOUNDS)
         )
-        cut_off_from_store(node, kinds)
+        receive = node.peers.datagram_received
+        if knows_nothing:
+            cut_off_from_store(node, (KIND,))
+            node.peers.datagram_received = lambda packed, address: None
         async with anyio.create_task_group() as group:
             group.start_soon(node.run, anyio.Event())
             await fleet.wait_until(lambda: node.is_listening)
+            await fleet.wait_until(lambda: node.registry.is_synced)
             fleet.nodes.append(node)
-            answers = [await fleet.caller(-1).ask(PLAIN) for _ in range(40)]
-            assert arrivals(fleet) == before
-            await fleet.wait_until(
-                lambda: node.table.evacuations.names() == {AWAY}, BOUND_S
-            )
-            answers = [await fleet.caller(-1).ask(PLAIN) for _ in range(20)]
-            assert {one.status for one in answers} == {200}
-            assert arrivals(fleet) == before
+            statuses = {
+                (await fleet.caller(-1).ask(PLAIN)).status for _ in range(20)
+            }
+            assert statuses == {503 if knows_nothing else 200}
+            node.peers.datagram_received = receive
+            await fleet.wait_until(lambda: len(plain_targets(node)) == 2)
+            statuses = {
+                (await fleet.caller(-1).ask(PLAIN)).status for _ in range(20)
+            }
+            assert statuses == {200}
+            assert not arrivals(fleet)
             fleet.nodes.remove(node)
             group.cancel_scope.cancel()
 
@@ -565,6 +589,26 @@
     run(test, nodes=3, engines=0)
 
 
+def test_a_node_that_reaches_evacuated_endpoints_only_hands_requests_over():
+    """Its links to all other endpoints are cut: it serves nobody itself."""
+
+    async def test(fleet):
+        here = {
+            endpoint.endpoint_id: endpoint
+            for endpoint in endpoints_of(fleet, 'zone-1')
+        }
+        evacuate(fleet)
+        await wait_until_in_force(fleet)
+        links = endpoint_cuts.NodeLinks(fleet.nodes[0], here)
+        links.cut(endpoint_cuts.CutMode.RESET)
+        await send_many(fleet)
+        answers = [await fleet.caller(0).ask(PLAIN) for _ in range(20)]
+        assert {one.status for one in answers} == {200}
+        assert not arrivals(fleet)
+
+    run(test, nodes=3)
+
+
 def test_an_ejected_endpoint_is_not_probed_with_requests():
     """Its evacuation begins while it is out of use for its failures."""
 
