Let owners that don't hear each other grant less

While a fleet was cut in two, both owners of a pool granted a full limit: up to 29 requests in one second reached a cold endpoint with 7 nodes, 27 with 68 (26 are allowed). Nodes without an owner chose warm endpoints up to a full limit each.

Owners now confirm each other that they hear each other. Without that, each keeps to half of the bound at warm endpoints and to what the bound leaves beside a full limit at cold ones, until contact has lasted for 1.2 s; a node without an owner likewise by its own starts. Starts are kept in order, so that a window is looked up without sorting.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -17,7 +17,6 @@
     endpoint_reports,
     hold_table,
     messages,
-    owner_knowledge,
     rate_limits,
     start_forwarder,
 )
@@ -57,9 +56,6 @@
     forwarder: start_forwarder.StartForwarder = attrs.field(
         factory=start_forwarder.StartForwarder
     )
-    knowledge: owner_knowledge.OwnerKnowledge = attrs.field(
-        factory=owner_knowledge.OwnerKnowledge
-    )
     # Takes an endpoint that leaves out of the targets.
     mark_leaving: collections_abc.Callable[[str], None] = _ignore_leaving
     _pools: dict[messages.Pool, pool_module.SlotPool] = attrs.field(
@@ -129,6 +125,10 @@
     ) -> None:
         """Apply what a node reports of endpoints, and its starts there."""
         now_s = self.clock()
+        if report.is_confirmation:
+            self.forwarder.knowledge.record_confirmation(sender.vm, now_s)
+        if report.asks_confirmation:
+            self.forwarder.confirm(sender.vm)
         for endpoint_id in report.leaving:
             self.mark_leaving(endpoint_id)
         for limit in report.limits:
@@ -167,7 +167,8 @@
         self.cold.drop_expired(now_s)
         self.cold.endpoints.drop_expired()
         self.forwarder.flush(now_s)
-        self.knowledge.tick(now_s)
+        self.forwarder.knowledge.tick(now_s)
+        self.forwarder.ask_confirmations(now_s)
         for pool in self._pools.values():
             pool.tick()
 
@@ -203,7 +204,9 @@
             clock=self.clock,
             limits=self.limits,
             cold=self.cold,
-            is_informed=lambda: self.knowledge.is_informed(key, self.clock()),
+            knowledge=lambda: self.forwarder.knowledge.of_pool(
+                key, self.clock()
+            ),
             on_limited_start=functools.partial(self._forward_start, key),
         )
         self._pools[key] = created
--- a/redwingvalve/allocation/cold_endpoints.py
+++ b/redwingvalve/allocation/cold_endpoints.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from redwingvalve.allocation import start_limits
+from redwingvalve.allocation import owner_knowledge, start_limits
 from redwingvalve.fleet import endpoints as fleet_endpoints
 from redwingvalve.ingress import routes
 from redwingvalve.observability import logs, node_metrics
@@ -143,19 +143,20 @@
         return known.service in self._limits
 
     def limit(
-        self, endpoint_id: str, *, is_informed: bool
+        self, endpoint_id: str, knowledge: owner_knowledge.Knowledge
     ) -> start_limits.StartLimit | None:
-        """Return an endpoint's limit, or None if it has none.
-
-        is_informed: all recent starts at the endpoint are known.
-        """
+        """Return an endpoint's limit, or None if it has none."""
         known = self._known.get(endpoint_id)
         limits = self._limits.get(known.service) if known else None
         if limits is None:
             return None
-        if not is_informed:
+        if knowledge is owner_knowledge.Knowledge.NONE:
             return limits.uninformed
-        return limits.cold if self.is_cold(endpoint_id) else limits.warm
+        if self.is_cold(endpoint_id):
+            is_told = knowledge <= owner_knowledge.Knowledge.MOST
+            return limits.cold if is_told else limits.uninformed
+        is_told = knowledge is owner_knowledge.Knowledge.ALL
+        return limits.warm if is_told else limits.shared
 
     def cold_ids(self) -> list[str]:
         """Return the endpoints that are cold."""
--- a/redwingvalve/allocation/cold_reporter.py
+++ b/redwingvalve/allocation/cold_reporter.py
@@ -15,10 +15,12 @@
     cold_starts,
     endpoint_reports,
     messages,
+    owner_knowledge,
     owners,
 )
 from redwingvalve.ingress import load_balancing
 
+_NONE = owner_knowledge.Knowledge.NONE
 # Interval of the repetitions to one owner that is asked many times.
 REPEAT_INTERVAL_S = 0.1
 # Entries say after 1.2 s and the lag of the watch that an endpoint is cold.
@@ -101,7 +103,7 @@
         full = [
             endpoint_id
             for endpoint_id in started
-            if self.starts.wait_s(endpoint_id, now_s) > 0
+            if self.starts.wait_s(endpoint_id, now_s, _NONE) > 0
         ]
         return [*endpoints.cold_ids(), *full]
 
--- a/redwingvalve/allocation/cold_starts.py
+++ b/redwingvalve/allocation/cold_starts.py
@@ -15,7 +15,13 @@
 
 import attrs
 
-from redwingvalve.allocation import cold_endpoints, start_times
+from redwingvalve.allocation import (
+    cold_endpoints,
+    owner_knowledge,
+    start_times,
+)
+
+_ALL = owner_knowledge.Knowledge.ALL
 
 
 @attrs.define(eq=False)
@@ -38,13 +44,13 @@
             self._starts.record(endpoint_id, key, started_s)
 
     def wait_s(
-        self, endpoint_id: str, now_s: float, *, is_informed: bool = True
+        self,
+        endpoint_id: str,
+        now_s: float,
+        knowledge: owner_knowledge.Knowledge = _ALL,
     ) -> float:
-        """Return how long an endpoint accepts no further start.
-
-        is_informed: all starts of the last second are known here.
-        """
-        limit = self.endpoints.limit(endpoint_id, is_informed=is_informed)
+        """Return how long an endpoint accepts no further start."""
+        limit = self.endpoints.limit(endpoint_id, knowledge)
         if limit is None:
             return 0
         return max(
@@ -54,7 +60,7 @@
 
     def starts_per_s(self, endpoint_id: str) -> float:
         """Return the rate at which an endpoint accepts starts."""
-        limit = self.endpoints.limit(endpoint_id, is_informed=True)
+        limit = self.endpoints.limit(endpoint_id, _ALL)
         return float('inf') if limit is None else limit.per_s
 
     def drop_expired(self, now_s: float) -> None:
--- a/redwingvalve/allocation/endpoint_reports.py
+++ b/redwingvalve/allocation/endpoint_reports.py
@@ -70,6 +70,9 @@
     # Endpoints that leave.
     leaving: tuple[str, ...] = ()
     cold: tuple[ColdMark, ...] = ()
+    # The sender owns a pool, and asks whether this report has arrived.
+    asks_confirmation: bool = False
+    is_confirmation: bool = False
 
 
 _LimitStruct: typing.Any = structs.make_struct(
@@ -99,6 +102,8 @@
     (_Type.LIST, 'starts', (_Type.STRUCT, _StartStruct)),
     (_Type.LIST, 'leaving', _Type.STRING),
     (_Type.LIST, 'cold', (_Type.STRUCT, _ColdStruct)),
+    (_Type.BOOL, 'asks_confirmation'),
+    (_Type.BOOL, 'is_confirmation'),
 )
 
 
@@ -145,6 +150,8 @@
             )
             for mark in report.cold
         ],
+        asks_confirmation=report.asks_confirmation or None,
+        is_confirmation=report.is_confirmation or None,
     )
 
 
@@ -155,6 +162,8 @@
         tuple(_read_start(one) for one in struct.starts or ()),
         tuple(struct.leaving or ()),
         tuple(_read_cold_mark(one) for one in struct.cold or ()),
+        bool(struct.asks_confirmation),
+        bool(struct.is_confirmation),
     )
 
 
--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -9,7 +9,12 @@
 
 import attrs
 
-from redwingvalve.allocation import cold_starts, hold_table, rate_limits
+from redwingvalve.allocation import (
+    cold_starts,
+    hold_table,
+    owner_knowledge,
+    rate_limits,
+)
 from redwingvalve.ingress import load_balancing
 
 # An endpoint that refuses a request although slots seem free is still serving
@@ -37,8 +42,8 @@
     clock: collections_abc.Callable[[], float]
     limits: rate_limits.RateLimits
     cold: cold_starts.ColdStarts
-    # Whether all starts of the last second in this pool are known here.
-    is_informed: collections_abc.Callable[[], bool]
+    # What is known here of the starts of the last second in this pool.
+    knowledge: collections_abc.Callable[[], owner_knowledge.Knowledge]
     holds: hold_table.HoldTable = attrs.field(factory=hold_table.HoldTable)
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
@@ -110,8 +115,8 @@
     ) -> bool:
         """Return whether only what cold endpoints tolerate keeps slots free."""
         return any(
-            self._cold_wait_s(target.endpoint_id) > 0
-            and self.holds.count(target.endpoint_id) < target.slots
+            self.holds.count(target.endpoint_id) < target.slots
+            and self._cold_wait_s(target.endpoint_id) > 0
             for target in targets
         )
 
@@ -120,14 +125,14 @@
         now_s = self.clock()
         if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
             return 0
-        if self.blocked_s(target.endpoint_id) > 0:
-            return 0
         uncertain = sum(
             one.endpoint_id == target.endpoint_id and one.until_s > now_s
             for one in self._uncertain_slots
         )
         held = self.holds.count(target.endpoint_id) + uncertain
-        return max(0, target.slots - held)
+        if held >= target.slots or self.blocked_s(target.endpoint_id) > 0:
+            return 0
+        return target.slots - held
 
     def drop_expired(self) -> None:
         """Drop expired state."""
@@ -140,9 +145,9 @@
         ]
 
     def _cold_wait_s(self, endpoint_id: str) -> float:
-        return self.cold.wait_s(
-            endpoint_id, self.clock(), is_informed=self.is_informed()
-        )
+        if not self.cold.endpoints.is_limited(endpoint_id):
+            return 0
+        return self.cold.wait_s(endpoint_id, self.clock(), self.knowledge())
 
 
 def _unexpired(until_s: dict[str, float], now_s: float) -> dict[str, float]:
--- a/redwingvalve/allocation/owners.py
+++ b/redwingvalve/allocation/owners.py
@@ -69,6 +69,15 @@
         """Return the owners that nodes ask which get answers from all."""
         return self._ranked(pool)[:OWNERS_TO_ASK]
 
+    def all_for(self, pool: messages.Pool) -> tuple[str, ...]:
+        """Return all nodes that are likely to be asked.
+
+        Other nodes may ask one that doesn't answer this node.
+        """
+        return tuple(
+            dict.fromkeys((*self.ranked_for(pool), *self.first_for(pool)))
+        )
+
     def mark_unresponsive(self, vm: str) -> None:
         """Skip a node that gave no answer until its backoff ends."""
         known = self._backoffs.get(vm)
@@ -111,20 +120,3 @@
         vms = local or [candidate.vm for candidate in candidates]
         pool_key = f'{pool.service}\0{pool.model}\0{pool.data_centre}'
         return rendezvous.select(vms, pool_key, len(vms))
-
-
-def send_to_owners(
-    pool_owners: PoolOwners,
-    transport: messages.Transport,
-    local_vm: str,
-    pool: messages.Pool,
-    message: messages.Message,
-) -> None:
-    """Send a message to the other nodes that are asked for a pool's slots.
-
-    Other nodes may ask one that doesn't answer this node.
-    """
-    asked = (*pool_owners.ranked_for(pool), *pool_owners.first_for(pool))
-    for vm in dict.fromkeys(asked):
-        if vm != local_vm:
-            transport.send(vm, message)
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -17,6 +17,7 @@
     cold_starts,
     hold_table,
     messages,
+    owner_knowledge,
     rate_limits,
 )
 from redwingvalve.allocation import endpoint_slots as endpoint_slots_module
@@ -59,8 +60,10 @@
     cold: cold_starts.ColdStarts = attrs.field(
         factory=cold_starts.make_unlimited
     )
-    # Whether all starts of the last second are known here.
-    is_informed: collections_abc.Callable[[], bool] = lambda: True
+    # What is known here of the starts of the last second.
+    knowledge: collections_abc.Callable[[], owner_knowledge.Knowledge] = (
+        lambda: owner_knowledge.Knowledge.ALL
+    )
     # Called with each hold that counts against a limit.
     on_limited_start: OnLimitedStart = lambda key, endpoint_id: None
     _hold_time: duration_estimates.DurationEstimate = attrs.field(
@@ -77,7 +80,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the queue, the slots and the outlier detector."""
         self.endpoint_slots = endpoint_slots_module.EndpointSlots(
-            self.clock, self.limits, self.cold, self.is_informed
+            self.clock, self.limits, self.cold, self.knowledge
         )
         self.queue = wait_queue.WaitQueue(self.clock, self)
         self._outliers = outlier_detection.OutlierDetector(self.clock)
--- a/redwingvalve/allocation/start_forwarder.py
+++ b/redwingvalve/allocation/start_forwarder.py
@@ -10,19 +10,29 @@
 
 import attrs
 
-from redwingvalve.allocation import endpoint_reports, hold_table, messages
+from redwingvalve.allocation import (
+    endpoint_reports,
+    hold_table,
+    messages,
+    owner_knowledge,
+    owners,
+)
 
-# Sends a message to the other nodes that may be asked for a pool's slots.
-Forward: typing.TypeAlias = collections_abc.Callable[
-    [messages.Pool, messages.Message], None
+Send: typing.TypeAlias = collections_abc.Callable[[str, messages.Message], None]
+Owners: typing.TypeAlias = collections_abc.Callable[
+    [messages.Pool], collections_abc.Iterable[str]
 ]
 # Starts that wait to be forwarded, for at most the interval of flushes. If
 # their owner fails, only the nodes know them that they were granted to.
 MAX_UNSENT = 4
 
 
-def _forward_nothing(pool: messages.Pool, message: messages.Message) -> None:
-    """Forward nothing, as no other node is known."""
+def _send_nothing(vm: str, message: messages.Message) -> None:
+    """Send nothing, as no other node is known."""
+
+
+def _no_owners(pool: messages.Pool) -> tuple[str, ...]:
+    return ()
 
 
 @attrs.frozen
@@ -37,7 +47,12 @@
 class StartForwarder:
     """Granted starts that were not forwarded yet."""
 
-    forward: Forward = _forward_nothing
+    send: Send = _send_nothing
+    # The other nodes that may be asked for a pool's slots.
+    others: Owners = _no_owners
+    knowledge: owner_knowledge.OwnerKnowledge = attrs.field(
+        factory=owner_knowledge.OwnerKnowledge
+    )
     _unsent: list[_Start] = attrs.field(factory=list)
 
     def add(
@@ -70,4 +85,35 @@
                 if start.pool == pool
             )
             report = endpoint_reports.EndpointReport(starts=starts)
-            self.forward(pool, report)
+            for vm in self.others(pool):
+                self.send(vm, report)
+
+    def ask_confirmations(self, now_s: float) -> None:
+        """Ask other owners whether they hear this node."""
+        question = endpoint_reports.EndpointReport(asks_confirmation=True)
+        for vm in self.knowledge.contacts_to_ask(now_s):
+            self.send(vm, question)
+
+    def confirm(self, vm: str) -> None:
+        """Tell another owner that what it granted is known here."""
+        self.send(vm, endpoint_reports.EndpointReport(is_confirmation=True))
+
+
+def make_forwarder(
+    local_vm: str,
+    pool_owners: owners.PoolOwners,
+    transport: messages.Transport,
+    started_s: float,
+) -> StartForwarder:
+    """Return a forwarder for a node that started at a moment."""
+
+    def others(pool: messages.Pool) -> list[str]:
+        return [vm for vm in pool_owners.all_for(pool) if vm != local_vm]
+
+    knowledge = owner_knowledge.OwnerKnowledge(
+        local_vm,
+        pool_owners.first_for,
+        lambda: pool_owners.changed_s,
+        started_s,
+    )
+    return StartForwarder(transport.send, others, knowledge)
--- a/redwingvalve/allocation/start_limits.py
+++ b/redwingvalve/allocation/start_limits.py
@@ -21,6 +21,9 @@
 COLD_SPREAD_S = 0.5
 WARM_SPREAD_S = 0.1
 
+# Owners of a pool that may grant at the same time.
+OWNERS = 2
+
 
 @attrs.frozen
 class Bound:
@@ -49,6 +52,8 @@
     cold: StartLimit
     # Of endpoints that may have turned cold without anybody knowing.
     warm: StartLimit
+    # Of the same, if another owner may be granting unheard.
+    shared: StartLimit
     # While what others have granted in the last second isn't known: what the
     # bound leaves beside a full warm limit.
     uninformed: StartLimit
@@ -58,7 +63,7 @@
         """Return for how long starts have to be remembered."""
         return max(
             window.length_s
-            for limit in (self.cold, self.warm, self.uninformed)
+            for limit in (self.cold, self.warm, self.shared, self.uninformed)
             for window in limit.windows
         )
 
@@ -73,6 +78,7 @@
     return ServiceLimits(
         cold=_make_limit(cold_per_s, total, COLD_SPREAD_S),
         warm=warm,
+        shared=_make_limit(total / OWNERS, total, WARM_SPREAD_S),
         uninformed=StartLimit(spare, (uninformed,)),
     )
 
--- a/redwingvalve/allocation/start_times.py
+++ b/redwingvalve/allocation/start_times.py
@@ -4,6 +4,7 @@
 can be told everything again.
 """
 
+import bisect
 import typing
 from collections import abc as collections_abc
 
@@ -20,11 +21,19 @@
     length_s: float
 
 
+@attrs.define
+class _EndpointStarts:
+    by_key: Starts = attrs.field(factory=dict)
+    # The same times; windows are looked up for each endpoint of a pool and
+    # each waiting request.
+    in_order_s: list[float] = attrs.field(factory=list)
+
+
 @attrs.define(eq=False)
 class StartTimes:
     """Start times by endpoint and by what identifies each request."""
 
-    _by_endpoint: dict[str, Starts] = attrs.field(factory=dict)
+    _by_endpoint: dict[str, _EndpointStarts] = attrs.field(factory=dict)
 
     def record(
         self,
@@ -33,24 +42,29 @@
         started_s: float,
     ) -> None:
         """Count a request once; its first recorded time counts."""
-        starts = self._by_endpoint.setdefault(endpoint_id, {})
-        starts.setdefault(key, started_s)
+        starts = self._by_endpoint.setdefault(endpoint_id, _EndpointStarts())
+        if key not in starts.by_key:
+            starts.by_key[key] = started_s
+            bisect.insort(starts.in_order_s, started_s)
 
     def wait_s(self, endpoint_id: str, window: Window, now_s: float) -> float:
         """Return how long the window admits no further start."""
         if not window.count:
             return window.length_s
-        starts = self._by_endpoint.get(endpoint_id, {})
-        if len(starts) < window.count:
+        starts = self._by_endpoint.get(endpoint_id)
+        if starts is None or len(starts.in_order_s) < window.count:
             return 0
-        earliest_s = sorted(starts.values())[-window.count]
+        earliest_s = starts.in_order_s[-window.count]
         return max(0, earliest_s + window.length_s - now_s)
 
     def since(self, endpoint_id: str, since_s: float) -> Starts:
         """Return the starts at an endpoint after a moment, by request."""
+        starts = self._by_endpoint.get(endpoint_id)
+        if starts is None:
+            return {}
         return {
             key: started_s
-            for key, started_s in self._by_endpoint.get(endpoint_id, {}).items()
+            for key, started_s in starts.by_key.items()
             if started_s > since_s
         }
 
@@ -65,8 +79,12 @@
     def drop_until(self, until_s: float) -> None:
         """Drop the starts up to a moment."""
         for endpoint_id in self.endpoint_ids():
+            if self._by_endpoint[endpoint_id].in_order_s[0] > until_s:
+                continue
             starts = self.since(endpoint_id, until_s)
             if starts:
-                self._by_endpoint[endpoint_id] = starts
+                self._by_endpoint[endpoint_id] = _EndpointStarts(
+                    starts, sorted(starts.values())
+                )
             else:
                 self.forget(endpoint_id)
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -13,8 +13,8 @@
     cold_starts,
     dispatch,
     messages,
-    owner_knowledge,
     owners,
+    start_forwarder,
 )
 from redwingvalve.allocation import reserver as reserver_module
 from redwingvalve.ingress import load_balancing, routes
@@ -29,7 +29,8 @@
 # Interval at which expired holds are freed and late requests may take spare
 # slots.
 CHECK_INTERVAL_S = 0.1
-# Interval while this node allocates no slots.
+# Interval while this node allocates no slots and owns no pool of a service
+# whose cold endpoints tolerate few requests.
 IDLE_CHECK_INTERVAL_S = 0.5
 _Targets: typing.TypeAlias = tuple[load_balancing.Target, ...]
 
@@ -83,7 +84,7 @@
         while True:
             await anyio.sleep(
                 CHECK_INTERVAL_S
-                if self.allocator.is_busy
+                if self.allocator.is_busy or self.cold_endpoints.is_enabled
                 else IDLE_CHECK_INTERVAL_S
             )
             self.allocator.tick()
@@ -141,16 +142,11 @@
         _PoolTargets(state.targets).of,
         time.monotonic,
         cold=cold_starts.ColdStarts(cold),
-        knowledge=owner_knowledge.OwnerKnowledge(
-            lambda pool: peers.local.vm in pool_owners.first_for(pool),
-            lambda: pool_owners.changed_s,
-            time.monotonic(),
-        ),
     )
     transport = AllocationTransport(peers, allocator)
     allocator.mark_leaving = state.targets.mark_leaving
-    allocator.forwarder.forward = functools.partial(
-        owners.send_to_owners, pool_owners, transport, peers.local.vm
+    allocator.forwarder = start_forwarder.make_forwarder(
+        peers.local.vm, pool_owners, transport, time.monotonic()
     )
     transport.reserver = reserver_module.NodeReserver(
         data_centre=peers.local.data_centre,
