Forget checks and stalls of a head that restarted

A head that was slow, reported healthy or being checked when its process ended passed that on to the next process, and its old streams made the next one look stalled. The failure detector forgets them with the process, drops the result of a check in progress, and moves the streams that were sent to the previous process, since they get no further event.

--- a/redwingvalve/ingress/stall_detection.py
+++ b/redwingvalve/ingress/stall_detection.py
@@ -131,15 +131,15 @@
         head = self._heads.get(stream.head)
         if head is None:
             return
-        head.streams.pop(id(stream), None)
-        if not head.streams:
+        known = head.streams.pop(id(stream), None)
+        if known is not None and not head.streams:
             self._heads.pop(stream.head)
 
     def record_event(self, stream: MonitoredStream, now_s: float) -> None:
         """Restart the time limit of a stream's head."""
         stream.has_started = True
         head = self._heads.get(stream.head)
-        if head is not None:
+        if head is not None and id(stream) in head.streams:
             head.last_event_s = now_s
 
     def mark_slow(self, head: str, now_s: float) -> None:
@@ -172,6 +172,15 @@
             head for head in self._slow_heads if self.is_slow(head, now_s)
         )
 
+    def forget(self, head: str) -> bool:
+        """Forget a head whose process has restarted, and its streams.
+
+        Streams of the previous process get no further event. Return whether
+        there were any.
+        """
+        self._slow_heads.pop(head, None)
+        return self._heads.pop(head, None) is not None
+
     @property
     def is_idle(self) -> bool:
         """Return whether no stream is monitored."""
--- a/redwingvalve/node/failure_detector.py
+++ b/redwingvalve/node/failure_detector.py
@@ -50,7 +50,8 @@
     table: serving.ServingTable
     prober: endpoint_prober.EndpointProber
     lease: lease_module.Lease
-    _being_checked: set[str] = attrs.field(factory=set)
+    # Heads being checked, each with what identifies its check.
+    _being_checked: dict[str, object] = attrs.field(factory=dict)
     # Heads to check, and the reasons.
     _requested_checks: dict[str, str] = attrs.field(factory=dict)
     _suspicions_rechecked_s: float = 0.0
@@ -79,6 +80,18 @@
         """Record that another node found all members of a head's replica."""
         self._reported_healthy_s[head] = reported_s
 
+    def forget(self, head: str) -> None:
+        """Forget a head whose process has restarted.
+
+        The result of a check in progress is about the previous process, and
+        streams sent to that one get no further event.
+        """
+        self._being_checked.pop(head, None)
+        self._requested_checks.pop(head, None)
+        self._reported_healthy_s.pop(head, None)
+        if self.state.stall_detector.forget(head):
+            self._move_streams(head)
+
     def check_streams(self, group: anyio.abc.TaskGroup) -> None:
         """Suspect stalled heads, or start checks of their replicas first."""
         now_s = time.monotonic()
@@ -115,27 +128,35 @@
         self,
         group: anyio.abc.TaskGroup,
         head: str,
-        check: typing.Callable[[str], typing.Awaitable[None]],
+        check: typing.Callable[[str, object], typing.Awaitable[None]],
     ) -> None:
         if head in self._being_checked:
             return
-        self._being_checked.add(head)
-        group.start_soon(self._run_check, head, check)
+        token = object()
+        self._being_checked[head] = token
+        group.start_soon(self._run_check, head, check, token)
 
     async def _run_check(
-        self, head: str, check: typing.Callable[[str], typing.Awaitable[None]]
+        self,
+        head: str,
+        check: typing.Callable[[str, object], typing.Awaitable[None]],
+        token: object,
     ) -> None:
         try:
-            await check(head)
+            await check(head, token)
         except Exception:
             # The next check_streams finds the head again, a moment later.
             LOG.exception('head check failed', extra={'endpoint': head})
         finally:
-            self._being_checked.discard(head)
+            if self._being_checked.get(head) is token:
+                self._being_checked.pop(head)
 
-    async def _check_requested(self, head: str) -> None:
+    async def _check_requested(self, head: str, token: object) -> None:
         reason = self._requested_checks.pop(head)
-        if not await self._is_healthy(head):
+        is_healthy = await self._is_healthy(head)
+        if self._being_checked.get(head) is not token:
+            return
+        if not is_healthy:
             self._suspect(head, reason)
             return
         LOG.info('head is sound', extra={'endpoint': head, 'doubt': reason})
@@ -143,8 +164,9 @@
             self.state.stall_detector.mark_slow(head, time.monotonic())
             self.table.announce_healthy(head)
 
-    async def _clear_if_healthy(self, head: str) -> None:
-        if await self._is_healthy(head):
+    async def _clear_if_healthy(self, head: str, token: object) -> None:
+        is_healthy = await self._is_healthy(head)
+        if is_healthy and self._being_checked.get(head) is token:
             LOG.info('suspicion cleared', extra={'endpoint': head})
             self.table.mark_healthy(head)
 
@@ -156,5 +178,8 @@
 
     def _suspect(self, head: str, reason: str = STALLED) -> None:
         self.table.suspect(head, reason)
+        self._move_streams(head)
+
+    def _move_streams(self, head: str) -> None:
         for request in list(self.state.in_flight_requests.get(head, ())):
             request.head_stalled()
--- a/redwingvalve/node/tests/test_failure_detector.py
+++ b/redwingvalve/node/tests/test_failure_detector.py
@@ -4,6 +4,7 @@
 
 import anyio
 import attrs
+import pytest
 
 from redwingvalve.ingress import retry_budget, stall_detection
 from redwingvalve.ingress import state as state_module
@@ -193,3 +194,67 @@
 
     check_streams(detector)
     assert detector.table.suspects == ['head']
+
+
+def test_findings_about_a_head_end_with_its_process():
+    """The next process would be held back for what the previous one did."""
+    detector = make_detector(is_healthy=True)
+    detector.note_reported_healthy('head', time.monotonic())
+    detector.state.stall_detector.mark_slow('head', time.monotonic())
+    detector.request_check('head', 'broken stream')
+    detector.forget('head')
+    assert not detector.state.stall_detector.slow_heads(time.monotonic())
+    check_streams(detector)
+    assert detector.prober.probes == 0
+    check_after_stall(detector, has_started=False)
+    assert detector.prober.probes == 1
+
+
+@pytest.mark.parametrize('is_healthy', [False, True])
+def test_a_check_of_the_previous_process_says_nothing_of_the_next(is_healthy):
+    """The members are probed while the head restarts."""
+    detector = make_detector(is_healthy=is_healthy, has_holder=False)
+    detector.table.suspects.append('other')
+    probing = []
+
+    class RestartingProber(Prober):
+        async def are_healthy(self, members):
+            probing.append(members)
+            detector.forget('head')
+            detector.forget('other')
+            return is_healthy
+
+    detector.prober = RestartingProber(is_healthy)
+    detector.request_check('head', failure_detector.STALLED)
+    check_streams(detector)
+    assert len(probing) == 2
+    assert detector.table.suspects == ['other']
+    assert not (detector.table.announced or detector.table.cleared)
+
+
+def test_streams_of_the_previous_process_move_and_suspect_nobody():
+    """They get no further event, and the next process isn't to blame."""
+    detector = make_detector(is_healthy=True)
+    moved = []
+
+    class Request(state_module.InFlightRequest):
+        def head_stalled(self):
+            moved.append(self)
+
+    stream = stall_detection.MonitoredStream(
+        'head', sent_s=0.0, prompt_read_s=0, event_interval_s=0.05
+    )
+    stalls = detector.state.stall_detector
+    stalls.add(stream)
+    stalls.record_event(stream, 0.0)
+    detector.state.in_flight_requests['head'] = {Request()}
+    detector.forget('head')
+    check_streams(detector)
+    assert len(moved) == 1 and not detector.table.suspects
+    # Its end must not end the monitoring of the next process.
+    later = attrs.evolve(stream)
+    stalls.add(later)
+    stalls.remove(stream)
+    stalls.record_event(stream, time.monotonic())
+    check_streams(detector)
+    assert detector.table.suspects == ['head']
