--- a/redwingvalve/ingress/tests/load_simulation.py
+++ b/redwingvalve/ingress/tests/load_simulation.py
@@ -266,7 +266,7 @@
     async def run(self):
         """Run all load phases and wait for the callers to finish."""
         self.nodes = [
-            Node(f'vm-{number}', self)
+            self.make_node(f'vm-{number}')
             for number in range(self.deployment.nodes)
         ]
         async with anyio.create_task_group() as background:
@@ -278,6 +278,10 @@
             background.cancel_scope.cancel()
         return self.results
 
+    def make_node(self, name):
+        """Return a node of the fleet; subclasses may override this."""
+        return Node(name, self)
+
     async def inject_faults(self):
         """Inject no faults; subclasses override this."""
 
