Share the slots of a pool among competing client accounts

While slots were short, requests were served by urgency and age alone: a large account got slots in proportion to what it asked for, and less urgent kinds and large prompts were late or refused.

Where a configuration has several client accounts, requests for a service with an engine now carry account, kind and prompt rank. The owner of a pool serves requests of equal rank by the use of their accounts; groups that are served too seldom go first; late requests get spare slots only. Holdings name accounts, so that a new owner starts from what each account holds. Requests without a kind are queued as before.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -117,7 +117,9 @@
         self, sender: messages.Sender, holdings: messages.Holdings
     ) -> None:
         """Reconcile the holds of a node with those that it reports."""
-        self.pool(holdings.pool).reconcile(sender, holdings.endpoint_ids)
+        self.pool(holdings.pool).reconcile(
+            sender, holdings.endpoint_ids, holdings.accounts
+        )
 
     def record_report(
         self, sender: messages.Sender, report: endpoint_reports.EndpointReport
--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -47,10 +47,13 @@
         target: load_balancing.Target,
         *,
         is_probe: bool = False,
+        account: str = '',
     ) -> None:
         """Hold a slot for a request that starts now."""
         now_s = self.clock()
-        self.holds.add(key, target.endpoint_id, now_s, is_probe=is_probe)
+        self.holds.add(
+            key, target.endpoint_id, now_s, is_probe=is_probe, account=account
+        )
         self.limits.record_start(target.endpoint_id, key, now_s)
 
     def mark_refused(self, endpoint_id: str) -> None:
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -22,6 +22,8 @@
     owner: str
     endpoint_id: str
     is_rate_limited: bool = False
+    # The client account, empty if none.
+    account: str = ''
 
 
 @attrs.frozen
@@ -137,8 +139,13 @@
             for number, held in self._held.items()
             if held.grant.pool == pool
         }
+        accounts = {
+            number: self._held[number].grant.account
+            for number in endpoint_ids
+            if self._held[number].grant.account
+        }
         if owner and endpoint_ids:
-            holdings = messages.Holdings(pool, endpoint_ids)
+            holdings = messages.Holdings(pool, endpoint_ids, accounts)
             self.transport.send(owner, holdings)
 
 
--- a/redwingvalve/allocation/hold_table.py
+++ b/redwingvalve/allocation/hold_table.py
@@ -6,6 +6,10 @@
 reported for HOLD_TIMEOUT_S.
 """
 
+import types
+import typing
+from collections import abc as collections_abc
+
 import attrs
 
 from redwingvalve.allocation import messages
@@ -17,6 +21,7 @@
 GRANT_FLIGHT_S = 0.3
 
 Key = tuple[messages.Sender, int]
+_NO_ACCOUNTS: typing.Final = types.MappingProxyType[int, str]({})
 
 
 @attrs.define
@@ -28,6 +33,12 @@
     confirmed_s: float
     # The request probes an endpoint that is out of use.
     is_probe: bool = False
+    # The client account, empty if none.
+    account: str = ''
+
+
+def _ignore_change(account: str, by: int) -> None:
+    """Ignore a change, as no client accounts are counted."""
 
 
 class HoldTable:
@@ -38,6 +49,10 @@
         self._holds: dict[Key, Hold] = {}
         self._counts: dict[str, int] = {}
         self._numbers_by_sender: dict[messages.Sender, set[int]] = {}
+        # Called with the client account and the change of its held slots.
+        self.on_change: collections_abc.Callable[[str, int], None] = (
+            _ignore_change
+        )
 
     def __len__(self) -> int:
         """Return the number of held slots."""
@@ -58,10 +73,12 @@
         now_s: float,
         *,
         is_probe: bool = False,
+        account: str = '',
     ) -> None:
         """Record a hold in place of an older one with the same key."""
         self.release(key)
-        self._holds[key] = Hold(endpoint_id, now_s, now_s, is_probe)
+        self._holds[key] = Hold(endpoint_id, now_s, now_s, is_probe, account)
+        self.on_change(account, 1)
         self._counts[endpoint_id] = self.count(endpoint_id) + 1
         sender, number = key
         self._numbers_by_sender.setdefault(sender, set()).add(number)
@@ -71,6 +88,7 @@
         hold = self._holds.pop(key, None)
         if hold is None:
             return None
+        self.on_change(hold.account, -1)
         remaining = self.count(hold.endpoint_id) - 1
         if remaining:
             self._counts[hold.endpoint_id] = remaining
@@ -88,6 +106,7 @@
         sender: messages.Sender,
         endpoint_ids: dict[int, str],
         now_s: float,
+        accounts: collections_abc.Mapping[int, str] = _NO_ACCOUNTS,
     ) -> None:
         """Replace the holds of a node, but for new ones, with its report."""
         for number in tuple(self._numbers_by_sender.get(sender, ())):
@@ -100,7 +119,8 @@
             if known is not None and known.endpoint_id == endpoint_id:
                 known.confirmed_s = now_s
                 continue
-            self.add((sender, number), endpoint_id, now_s)
+            account = accounts.get(number, '')
+            self.add((sender, number), endpoint_id, now_s, account=account)
 
     def drop_node(self, vm: str) -> bool:
         """Free all slots of a node; return whether it held any."""
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -97,6 +97,8 @@
 
     pool: Pool
     endpoint_ids: dict[int, str]
+    # Client accounts by request number, without those that have none.
+    accounts: dict[int, str] = attrs.field(factory=dict)
 
 
 Message: typing.TypeAlias = (
@@ -139,6 +141,9 @@
     (_Type.LIST, 'slow', _Type.STRING),
     (_Type.BOOL, 'may_probe'),
     (_Type.LIST, 'resting', _Type.STRING),
+    (_Type.STRING, 'account'),
+    (_Type.STRING, 'kind'),
+    (_Type.I32, 'size_rank'),
 )
 _ReplyStruct: typing.Any = structs.make_struct(
     'Reply',
@@ -159,6 +164,7 @@
     'Holdings',
     (_Type.STRUCT, 'pool', _PoolStruct),
     (_Type.MAP, 'endpoint_ids', (_Type.I64, _Type.STRING)),
+    (_Type.MAP, 'accounts', (_Type.I64, _Type.STRING)),
 )
 _EnvelopeStruct: typing.Any = structs.make_struct(
     'Envelope',
@@ -199,7 +205,9 @@
         struct.limits = endpoint_reports.to_struct(message)
     else:
         struct.holdings = _HoldingsStruct(
-            pool=_pool_struct(message.pool), endpoint_ids=message.endpoint_ids
+            pool=_pool_struct(message.pool),
+            endpoint_ids=message.endpoint_ids,
+            accounts=message.accounts,
         )
     return structs.pack(struct)
 
@@ -225,6 +233,7 @@
         return Holdings(
             _read_pool(struct.holdings.pool),
             dict(struct.holdings.endpoint_ids or {}),
+            dict(struct.holdings.accounts or {}),
         )
     if struct.limits is not None:
         return endpoint_reports.from_struct(struct.limits)
@@ -246,6 +255,9 @@
         slow=list(ask.slow[:MAX_NAMED_ENDPOINTS]),
         may_probe=need.may_probe,
         resting=list(ask.resting[:MAX_RESTING_ENDPOINTS]),
+        account=need.account,
+        kind=need.kind,
+        size_rank=need.size_rank,
     )
 
 
@@ -257,6 +269,9 @@
         has_returned=bool(struct.has_returned),
         is_resumed=bool(struct.is_resumed),
         may_probe=bool(struct.may_probe),
+        account=struct.account or '',
+        kind=struct.kind or '',
+        size_rank=struct.size_rank or 0,
     )
     return Ask(
         number=_integer(struct.number),
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -19,6 +19,7 @@
     duration_estimates,
     load_balancing,
     outlier_detection,
+    pool_queue,
     refusals,
     reservations,
     wait_queue,
@@ -62,14 +63,15 @@
     endpoint_slots: endpoint_slots_module.EndpointSlots = attrs.field(
         init=False
     )
-    queue: wait_queue.WaitQueue = attrs.field(init=False)
+    queue: pool_queue.PoolQueue = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the queue, the slots and the outlier detector."""
         self.endpoint_slots = endpoint_slots_module.EndpointSlots(
             self.clock, self.limits
         )
-        self.queue = wait_queue.WaitQueue(self.clock, self)
+        self.queue = pool_queue.PoolQueue(self.clock, self)
+        self.holds.on_change = self.queue.change_held
         self._outliers = outlier_detection.OutlierDetector(self.clock)
 
     @property
@@ -93,7 +95,12 @@
         if probed is not None:
             self._outliers.start_probe(probed.endpoint_id)
         key = (sender, ask.number)
-        self.endpoint_slots.hold(key, target, is_probe=probed is not None)
+        self.endpoint_slots.hold(
+            key,
+            target,
+            is_probe=probed is not None,
+            account=ask.need.account,
+        )
         if self.limits.is_limited(target.endpoint_id):
             self.on_limited_start(key, target.endpoint_id)
         return target
@@ -119,10 +126,13 @@
         self.queue.dispatch()
 
     def reconcile(
-        self, sender: messages.Sender, endpoint_ids: dict[int, str]
+        self,
+        sender: messages.Sender,
+        endpoint_ids: dict[int, str],
+        accounts: dict[int, str],
     ) -> None:
         """Replace the holds of a node with those that it reports."""
-        self.holds.reconcile(sender, endpoint_ids, self.clock())
+        self.holds.reconcile(sender, endpoint_ids, self.clock(), accounts)
         self.queue.dispatch()
 
     def drop_node(self, vm: str) -> None:
@@ -175,6 +185,10 @@
         not_before_s = refusals.before_jitter_s(self.blocked_s())
         return max(self.queue.retry_after_s(), not_before_s)
 
+    def has_free_slots(self) -> bool:
+        """Return False if no request can get a slot now."""
+        return any(map(self.endpoint_slots.free_at, self.targets()))
+
     def has_spare_slots(self) -> bool:
         """Return whether late requests may take a slot now.
 
@@ -254,16 +268,14 @@
         } - {''}
 
         def rank(target: load_balancing.Target) -> _Rank:
-            return target.domain in failed_domains, *self._rank(target)
+            load = self.holds.count(target.endpoint_id) / target.slots
+            is_slow = self.endpoint_slots.is_slow(target.endpoint_id)
+            penalty = self._outliers.penalty(target.endpoint_id)
+            is_failed = target.domain in failed_domains
+            return is_failed, is_slow, load + penalty, self.rng.random()
 
         return min(free, key=rank, default=None)
 
-    def _rank(self, target: load_balancing.Target) -> tuple[bool, float, float]:
-        load = self.holds.count(target.endpoint_id) / target.slots
-        is_slow = self.endpoint_slots.is_slow(target.endpoint_id)
-        penalty = self._outliers.penalty(target.endpoint_id)
-        return is_slow, load + penalty, self.rng.random()
-
 
 PoolTargets: typing.TypeAlias = collections_abc.Callable[
     [messages.Pool], collections_abc.Sequence[load_balancing.Target]
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -202,6 +202,7 @@
                 vm,
                 reply.endpoint_id,
                 reply.is_rate_limited,
+                ask.need.account,
             )
         if ask.may_wait:
             return reservations.NoSlot(reply.retry_after_s)
@@ -314,7 +315,13 @@
             )
             if found is not None:
                 number = next(self._numbers)
-                return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
+                return held_slots.Grant(
+                    number,
+                    ask.pool,
+                    '',
+                    found.endpoint_id,
+                    account=ask.need.account,
+                )
         return reservations.NoSlot(RETRY_AFTER_S)
 
     def _resting(self, service: str, model: str) -> tuple[str, ...]:
--- a/redwingvalve/allocation/tests/test_messages.py
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -10,6 +10,9 @@
 SENDER = messages.Sender('vm-1', 1_700_000_000_000)
 POOL = messages.Pool('engine', 'small', 'zone-1')
 NEED = wait_queue.SlotRequest(1, 0.25, 1.5, has_returned=True)
+COMPETING = wait_queue.SlotRequest(
+    1, 0.25, 1.5, account='an account', kind='a route', size_rank=2
+)
 
 
 @pytest.mark.parametrize(
@@ -20,7 +23,9 @@
         messages.Reply(7, messages.Outcome.REFUSED, retry_after_s=0.8),
         messages.Reply(7, messages.Outcome.FULL, expected_wait_s=0.02),
         messages.Release(7, reservations.ReleaseState.REFUSED),
+        messages.Ask(7, POOL, True, COMPETING),
         messages.Holdings(POOL, {7: 'e1', 9: 'e2'}),
+        messages.Holdings(POOL, {7: 'e1', 9: 'e2'}, {7: 'an account'}),
         endpoint_reports.EndpointReport(leaving=('e1',)),
     ],
 )
--- a/redwingvalve/ingress/routes.py
+++ b/redwingvalve/ingress/routes.py
@@ -140,6 +140,7 @@
     needs_keys: bool
     limits: RequestLimits
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False)
+    _has_several_accounts: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Sort each host's routes, the longest prefix first."""
@@ -151,6 +152,8 @@
             for host, found in hosts.items()
         }
         object.__setattr__(self, '_by_host', sorted_hosts)
+        names = {account.name for account in self.accounts_by_key.values()}
+        object.__setattr__(self, '_has_several_accounts', len(names) > 1)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest matching prefix."""
@@ -165,6 +168,12 @@
         found = self.services.get(service)
         return found.engine if found else None
 
+    def has_competing_accounts(self, service: str) -> bool:
+        """Return whether client accounts compete for a service's slots."""
+        if not self._has_several_accounts:
+            return False
+        return self.find_engine(service) is not None
+
 
 def pick_service(route: Route, rng: random.Random) -> str:
     """Return one of the route's services, chosen randomly by weight."""
--- a/redwingvalve/ingress/slot_requests.py
+++ b/redwingvalve/ingress/slot_requests.py
@@ -3,6 +3,8 @@
 import time
 from collections import abc as collections_abc
 
+import attrs
+
 from redwingvalve.ingress import (
     admission_control,
     refusals,
@@ -15,6 +17,8 @@
 from redwingvalve.observability import node_metrics
 from redwingvalve.platform import caller_requests
 
+_MS_IN_S = 1000.0
+
 
 async def reserve_slot(
     state: state_module.IngressState,
@@ -66,7 +70,7 @@
     estimate = state.first_event_estimate(admission.service, admission.model)
     left_s = admission.timeout_at_s - time.monotonic()
     first_event_s = estimate.seconds + admission.prompt_read_s
-    return wait_queue.SlotRequest(
+    need = wait_queue.SlotRequest(
         urgency=admission.urgency,
         on_time_s=refusals.on_time_wait_s(admission.route, first_event_s),
         wait_s=refusals.wait_s(admission.route, left_s),
@@ -74,6 +78,35 @@
         is_resumed=is_resumed,
         may_probe=not is_resumed and _may_be_sent_twice(admission.route),
     )
+    if not _has_competition(state, admission):
+        return need
+    return _for_competition(state, admission, need)
+
+
+def _has_competition(
+    state: state_module.IngressState, admission: admission_control.Admission
+) -> bool:
+    configuration = state.configuration
+    return configuration is not None and configuration.has_competing_accounts(
+        admission.service
+    )
+
+
+def _for_competition(
+    state: state_module.IngressState,
+    admission: admission_control.Admission,
+    need: wait_queue.SlotRequest,
+) -> wait_queue.SlotRequest:
+    """Return the request with what its queue needs to share slots."""
+    route = admission.route
+    is_too_large = admission.prompt_read_s * _MS_IN_S >= route.goal_ms
+    return attrs.evolve(
+        need,
+        on_time_s=0 if is_too_large else need.on_time_s,
+        account=admission.account or '',
+        kind=route.name,
+        size_rank=state.prompt_ranks.rank(route.name, admission.prompt_read_s),
+    )
 
 
 def _may_be_sent_twice(route: routes.Route) -> bool:
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -15,6 +15,7 @@
     load_balancing,
     peer_routes,
     poison_trials,
+    prompt_sizes,
     reachability,
     reservations,
     retry_budget,
@@ -100,6 +101,9 @@
     deadline_history: caller_retries.DeadlineHistory = attrs.field(
         factory=caller_retries.DeadlineHistory
     )
+    prompt_ranks: prompt_sizes.PromptSizes = attrs.field(
+        factory=prompt_sizes.PromptSizes
+    )
     reserver: reservations.Reserver | None = None
     # Slots of a service and model in use or waited for in the whole fleet.
     slot_demand: collections_abc.Callable[[str, str], int] = _no_requests
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -79,6 +79,18 @@
     is_resumed: bool = False
     # The request can be sent to another endpoint if this one fails.
     may_probe: bool = False
+    # Name of the client account, empty if none.
+    account: str = ''
+    # Kind of request. Empty where no client accounts compete.
+    kind: str = ''
+    # Size of the prompt within its kind: 2 for the largest tenth, 1 for the
+    # fifth below it.
+    size_rank: int = 0
+
+    @property
+    def is_competing(self) -> bool:
+        """Return whether client accounts compete for the slot."""
+        return bool(self.kind)
 
 
 class SlotCapacity(abc.ABC):
@@ -100,12 +112,21 @@
     def has_spare_slots(self) -> bool:
         """Return whether late requests may take a slot now."""
 
+    def has_free_slots(self) -> bool:
+        """Return False if no request can get a slot now.
+
+        Spares the queue a search of the endpoints for each waiting request.
+        """
+        return True
+
 
 _Rank: typing.TypeAlias = tuple[bool, bool, int, bool, int]
 
 
 @attrs.define(eq=False)
-class _Waiter:
+class Waiter:
+    """A waiting request."""
+
     ask: SlotRequest
     number: int
     # From this moment on its answer can't start in time.
@@ -114,6 +135,7 @@
     granted: asyncio.Future[load_balancing.Target | None]
 
     def is_late(self, now_s: float) -> bool:
+        """Return whether its answer can't start in time any more."""
         if self.ask.is_resumed:
             return False
         return self.ask.has_returned or now_s >= self.late_at_s
@@ -140,7 +162,7 @@
         self._clock = clock
         self._capacity = capacity
         self._numbers = itertools.count()
-        self._waiters: list[_Waiter] = []
+        self._waiters: list[Waiter] = []
         self._grants = sliding_window.SlidingWindowCounter(RATE_WINDOW_S)
         self._refusals = sliding_window.SlidingWindowCounter(RATE_WINDOW_S)
         self._late_limit = math.inf
@@ -169,7 +191,7 @@
     ) -> load_balancing.Target | None:
         """Return the target of a slot if one is free for the request now."""
         waiter = self._make_waiter(ask, acquire_slot)
-        self._waiters.append(waiter)
+        self._add(waiter)
         self.dispatch()
         self._remove(waiter)
         return _granted_target(waiter)
@@ -179,7 +201,7 @@
     ) -> load_balancing.Target | None:
         """Wait for a slot; return None if the request gets none in time."""
         waiter = self._make_waiter(ask, acquire_slot)
-        self._waiters.append(waiter)
+        self._add(waiter)
         try:
             target = await self._wait_for_slot(waiter)
         finally:
@@ -203,8 +225,8 @@
 
     def _make_waiter(
         self, ask: SlotRequest, acquire_slot: load_balancing.AcquireSlot
-    ) -> _Waiter:
-        return _Waiter(
+    ) -> Waiter:
+        return Waiter(
             ask,
             next(self._numbers),
             self._clock() + ask.on_time_s,
@@ -213,7 +235,7 @@
         )
 
     async def _wait_for_slot(
-        self, waiter: _Waiter
+        self, waiter: Waiter
     ) -> load_balancing.Target | None:
         self.dispatch()
         if waiter.granted.done():
@@ -231,12 +253,12 @@
             self._late_limit = self._current_late_limit() / 2
         return _granted_target(waiter)
 
-    async def _wait_until(self, waiter: _Waiter, moment_s: float) -> None:
+    async def _wait_until(self, waiter: Waiter, moment_s: float) -> None:
         """Wait for a grant until a moment of the queue's clock."""
         left_s = max(moment_s - self._clock(), 0)
         await asyncio.wait((waiter.granted,), timeout=left_s)
 
-    def _may_wait(self, waiter: _Waiter) -> bool:
+    def _may_wait(self, waiter: Waiter) -> bool:
         if self._capacity.blocked_s() > waiter.ask.wait_s:
             return False
         if waiter.ask.is_resumed:
@@ -249,7 +271,7 @@
             waiter.late_at_s = now_s
         return self._admit_late(waiter)
 
-    def _expected_wait_s(self, waiter: _Waiter) -> float:
+    def _expected_wait_s(self, waiter: Waiter) -> float:
         """Return the expected wait behind the requests ahead of it."""
         now_s = self._clock()
         rank = waiter.rank(now_s)
@@ -260,7 +282,7 @@
         freed_per_s = max(self._capacity.freed_per_s(), MIN_FREED_PER_S)
         return max((ahead + 1) / freed_per_s, blocked_s)
 
-    def _admit_late(self, waiter: _Waiter) -> bool:
+    def _admit_late(self, waiter: Waiter) -> bool:
         """Return whether a late request may wait for a spare slot.
 
         A caller that already retried has no other chance: at the limit, its
@@ -282,7 +304,7 @@
         return True
 
     def _grant(
-        self, waiter: _Waiter, target: load_balancing.Target, *, is_late: bool
+        self, waiter: Waiter, target: load_balancing.Target, *, is_late: bool
     ) -> None:
         self._grants.record(self._clock())
         self._remove(waiter)
@@ -312,15 +334,18 @@
         now_s = self._clock()
         return self._refusals.count(now_s) / max(self._grants.count(now_s), 1)
 
-    def _remove(self, waiter: _Waiter) -> None:
+    def _add(self, waiter: Waiter) -> None:
+        self._waiters.append(waiter)
+
+    def _remove(self, waiter: Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def _sorted_waiters(self) -> list[_Waiter]:
+    def _sorted_waiters(self) -> list[Waiter]:
         now_s = self._clock()
         late_first = self._late_credit >= 1
 
-        def rank(waiter: _Waiter) -> _Rank:
+        def rank(waiter: Waiter) -> _Rank:
             return waiter.rank(now_s, late_first=late_first)
 
         return sorted(self._waiters, key=rank)
@@ -330,5 +355,5 @@
     """Acquire no slot."""
 
 
-def _granted_target(waiter: _Waiter) -> load_balancing.Target | None:
+def _granted_target(waiter: Waiter) -> load_balancing.Target | None:
     return waiter.granted.result() if waiter.granted.done() else None
