--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -151,7 +151,9 @@
         self, sender: messages.Sender, holdings: messages.Holdings
     ) -> None:
         """Reconcile the holds of a node with those that it reports."""
-        self.pool(holdings.pool).reconcile(sender, holdings.endpoint_ids)
+        self.pool(holdings.pool).reconcile(
+            sender, holdings.endpoint_ids, holdings.accounts
+        )
         self.takeovers.record_report(holdings.pool, sender.vm)
 
     def record_report(
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -29,6 +29,8 @@
     endpoint_id: str
     is_rate_limited: bool = False
     is_cold: bool = False
+    # The client account, empty if none.
+    account: str = ''
 
 
 @attrs.frozen
@@ -162,7 +164,13 @@
 
     def report_pool(self, pool: messages.Pool, vm: str) -> None:
         """Report the slots of a pool to a node, also if there are none."""
-        holdings = messages.Holdings(pool, self._endpoint_ids(pool))
+        endpoint_ids = self._endpoint_ids(pool)
+        accounts = {
+            number: self._held[number].grant.account
+            for number in endpoint_ids
+            if self._held[number].grant.account
+        }
+        holdings = messages.Holdings(pool, endpoint_ids, accounts)
         self.transport.send(vm, holdings)
 
     def _report_to_owner(self, pool: messages.Pool) -> None:
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -213,7 +213,8 @@
                 vm,
                 reply.endpoint_id,
                 reply.is_rate_limited,
-                reply.is_cold,
+                is_cold=reply.is_cold,
+                account=ask.need.account,
             )
         if ask.may_wait:
             return reservations.NoSlot(reply.retry_after_s)
@@ -253,7 +254,13 @@
             )
             if found is not None:
                 number = next(self._numbers)
-                return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
+                return held_slots.Grant(
+                    number,
+                    ask.pool,
+                    '',
+                    found.endpoint_id,
+                    account=ask.need.account,
+                )
         return reservations.NoSlot(owner_asks.RETRY_AFTER_S)
 
     def _resting(self, service: str, model: str) -> tuple[str, ...]:
