Grant hedges only slots that no other request needs

A hedge is a second send of a request that still runs elsewhere. An ordinary ask for its slot could wait, take the slot of a waiting request, or go to an endpoint that is slow or limited itself. SlotRequest.is_hedge (a new last field of the Ask struct) marks it: the owner grants it only while no request waits and spare slots are left, and never at a limited, slow, resting or ejected endpoint. A node asks the nearest pool only, and never chooses without an owner.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -18,6 +18,7 @@
     hold_table,
     messages,
     rate_limits,
+    spare_slots,
 )
 from redwingvalve.allocation import pool as pool_module
 from redwingvalve.allocation import usage as usage_module
@@ -87,7 +88,11 @@
             return
         pool.endpoint_slots.mark_slow(ask.slow)
         acquire_slot = functools.partial(pool.acquire, sender, ask)
-        target = pool.queue.try_acquire(ask.need, acquire_slot)
+        target = (
+            spare_slots.acquire(pool, sender, ask)
+            if ask.need.is_hedge
+            else pool.queue.try_acquire(ask.need, acquire_slot)
+        )
         if target is not None:
             reply(self._granted_reply(ask, target.endpoint_id))
         elif ask.may_wait:
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -139,6 +139,7 @@
     (_Type.LIST, 'slow', _Type.STRING),
     (_Type.BOOL, 'may_probe'),
     (_Type.LIST, 'resting', _Type.STRING),
+    (_Type.BOOL, 'is_hedge'),
 )
 _ReplyStruct: typing.Any = structs.make_struct(
     'Reply',
@@ -246,6 +247,7 @@
         slow=list(ask.slow[:MAX_NAMED_ENDPOINTS]),
         may_probe=need.may_probe,
         resting=list(ask.resting[:MAX_RESTING_ENDPOINTS]),
+        is_hedge=need.is_hedge,
     )
 
 
@@ -257,6 +259,7 @@
         has_returned=bool(struct.has_returned),
         is_resumed=bool(struct.is_resumed),
         may_probe=bool(struct.may_probe),
+        is_hedge=bool(struct.is_hedge),
     )
     return Ask(
         number=_integer(struct.number),
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -243,10 +243,11 @@
             for target in untried
             if self._outliers.is_usable(target.endpoint_id)
         ]
-        # An ejected endpoint is better than none.
+        # An ejected endpoint is better than none, except for a hedge.
+        usable = in_use if ask.need.is_hedge else in_use or untried
         free = [
             target
-            for target in in_use or untried
+            for target in usable
             if self.endpoint_slots.free_at(target) > 0
         ]
         failed_domains = {
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -118,11 +118,11 @@
             ask = messages.Ask(
                 0,
                 pools[0],
-                len(pools) == 1,
+                len(pools) == 1 and not need.is_hedge,
                 _deduct_elapsed(need, self.clock() - began_s),
                 tuple(avoided_ids),
                 tuple(slow),
-                self._resting(service, model),
+                self._resting(service, model, need),
             )
             found = await self._find_slot(pools, ask)
             if isinstance(found, reservations.NoSlot):
@@ -172,6 +172,12 @@
         If all pools are full, the request waits for the one with the shortest
         expected wait.
         """
+        if ask.need.is_hedge:
+            # Only the nearest pool: traffic to other data centres is expensive.
+            spare = await self._try_pool(ask)
+            if isinstance(spare, messages.Reply):
+                return reservations.NoSlot(spare.retry_after_s)
+            return spare
         began_s = self.clock()
         shortest_pool, shortest_s = pools[0], float('inf')
         for pool in pools:
@@ -302,6 +308,9 @@
         self, ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot:
         """Choose an endpoint by this node's own view."""
+        if ask.need.is_hedge:
+            # Only an owner knows whether requests wait for the slot.
+            return reservations.NoSlot(RETRY_AFTER_S)
         node_metrics.METRICS.count('redwingvalve_places_chosen_alone')
         targets = self.targets.find_targets(ask.pool.service, ask.pool.model)
         # Only an owner knows how much of a rate limit other nodes have used.
@@ -317,9 +326,13 @@
                 return held_slots.Grant(number, ask.pool, '', found.endpoint_id)
         return reservations.NoSlot(RETRY_AFTER_S)
 
-    def _resting(self, service: str, model: str) -> tuple[str, ...]:
-        """Return the targets that rest, those that rest longest first."""
+    def _resting(
+        self, service: str, model: str, need: wait_queue.SlotRequest
+    ) -> tuple[str, ...]:
+        """Return the targets that rest, for a hedge also limited ones."""
         names = self._held_slots.rests.resting()
+        if need.is_hedge:
+            names += self._held_slots.endpoint_reporter.limited()
         if not names:
             return ()
         targets = {
--- a/redwingvalve/allocation/tests/test_messages.py
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -16,6 +16,9 @@
     'message',
     [
         messages.Ask(7, POOL, True, NEED, ('e1',), ('e2', 'e3'), ('e4',)),
+        messages.Ask(
+            7, POOL, False, wait_queue.SlotRequest(1, 0, 0, is_hedge=True)
+        ),
         messages.Reply(7, messages.Outcome.GRANTED, 'e1'),
         messages.Reply(7, messages.Outcome.REFUSED, retry_after_s=0.8),
         messages.Reply(7, messages.Outcome.FULL, expected_wait_s=0.02),
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -79,6 +79,8 @@
     is_resumed: bool = False
     # The request can be sent to another endpoint if this one fails.
     may_probe: bool = False
+    # The request is running elsewhere: it takes only a slot that is spare.
+    is_hedge: bool = False
 
 
 class SlotCapacity(abc.ABC):
