Hedge overdue requests at a second endpoint

A plain request or a stream whose endpoint is slow waited until its goal passed or its head counted as silent. With a share set by the operator, a repeatable request that takes longer than usual is sent to a second endpoint. The first answer counts (of a stream, its first event), the other connection is closed at once, and the send that loses is no failure of its endpoint. A hedge counts as an attempt of the route and of the retry budget. The share is 0 by default, and the path of a request is then the same as before. Slot releases and results of sends move to send_results.py, senders of a request to request_senders.py.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -7,19 +7,19 @@
 from redwingvalve.http1 import messages, server
 from redwingvalve.ingress import (
     admission_control,
-    answer_ends,
     caller_wait,
     crash_keys,
     load_balancing,
     peer_sender,
     refusals,
+    request_senders,
     reservations,
     responses,
+    send_results,
     slot_requests,
     stream_forwarding,
     timing,
     upstream,
-    upstream_sender,
 )
 from redwingvalve.ingress import state as state_module
 from redwingvalve.platform import caller_requests
@@ -46,7 +46,7 @@
     _keys: crash_keys.RequestKeys
     _wait: caller_wait.CallerWait
     _forwarder: stream_forwarding.StreamForwarder
-    _sender: upstream_sender.UpstreamSender
+    _senders: request_senders.RequestSenders
     _peer_sender: peer_sender.PeerSender
     # Forwarded by another node.
     _is_from_peer: bool = False
@@ -63,7 +63,7 @@
         try:
             await self._send_until_finished()
         finally:
-            self._sender.relocation.release()
+            self._senders.sends.relocation.release()
 
     async def _send_until_finished(self) -> None:
         while not self._wait.is_caller_gone:
@@ -71,7 +71,7 @@
                 return
             if self._state.reach.is_cut_off and await self._forward_to_peer():
                 return
-            reservation = self._sender.relocation.take()
+            reservation = self._senders.sends.relocation.take()
             if reservation is None:
                 reservation = await self._reserve_slot()
             if reservation is None:
@@ -80,13 +80,13 @@
             if self._is_refused():
                 reservation.release(reservations.ReleaseState.FREE)
                 return
-            outcome = await self._try_target(reservation)
-            if self._finish_unless_retry(reservation.target, outcome):
+            sent = await self._try_target(reservation)
+            if self._finish_unless_retry(sent.target, sent.outcome):
                 return
 
     @property
     def _is_first_send_of_trial(self) -> bool:
-        return self._is_trial and not self._sender.sent_count
+        return self._is_trial and not self._senders.sends.sent_count
 
     def _is_refused(self) -> bool:
         """Refuse the request if it may crash endpoints."""
@@ -101,7 +101,9 @@
         """Let another node answer; return whether the request has ended."""
         if self._is_from_peer:
             return self._decline()
-        attempts = self._admission.route.max_attempts - self._sender.sent_count
+        attempts = (
+            self._admission.route.max_attempts - self._senders.sends.sent_count
+        )
         if self._was_forwarded or attempts < 1:
             return False
         self._was_forwarded = True
@@ -118,7 +120,7 @@
 
     def _decline(self) -> bool:
         """Let the forwarding node try another one, if nothing was sent."""
-        if self._sender.sent_count or self._responder.is_started:
+        if self._senders.sends.sent_count or self._responder.is_started:
             return False
         responses.decline(self._responder, self._caller)
         return True
@@ -147,7 +149,7 @@
                 self._state,
                 self._caller,
                 self._admission,
-                self._sender.tried_endpoints,
+                self._senders.sends.tried_endpoints,
             )
         self._times.add_wait_since(wait_started_s)
         if isinstance(found, reservations.Reservation):
@@ -164,21 +166,11 @@
 
     async def _try_target(
         self, reservation: reservations.Reservation
-    ) -> upstream.Outcome:
-        target = reservation.target
+    ) -> send_results.SendResult:
         sent_s = time.monotonic()
-        outcome: upstream.Outcome | None = None
-        try:
-            outcome = await self._sender.send(
-                target, reservation.record_statement
-            )
-        finally:
-            reservation.release(_release_state(outcome), _result(outcome))
-        if self._sender.was_answered_by_target:
-            self._state.reach.record_answer(time.monotonic())
-            self._state.poison.record_life_sign(target.incarnation, sent_s)
-        if outcome is upstream.Outcome.COMPLETE and (
-            self._sender.sent_count == 1
+        sent = await self._senders.send(reservation)
+        if sent.outcome is upstream.Outcome.COMPLETE and (
+            self._senders.sends.sent_count == 1
         ):
             admission = self._admission
             self._times.update_estimate(
@@ -188,7 +180,7 @@
                 sent_s,
                 admission.prompt_read_s,
             )
-        return outcome
+        return sent
 
     def _finish_unless_retry(
         self, target: load_balancing.Target, outcome: upstream.Outcome
@@ -199,9 +191,11 @@
             return True
         if outcome is upstream.Outcome.COMPLETE:
             self._log_outcome(target, responses.ANSWERED)
-            answer = self._sender.upstream_request
+            answer = self._senders.first.upstream_request
             assert answer is not None
-            self._record_answer(answer, target)
+            send_results.record_answer(
+                self._state.poison, self._keys, answer, target
+            )
             responses.send_response(self._responder, answer)
             return True
         if outcome in _OUT_OF_TIME:
@@ -211,7 +205,11 @@
             self._log_outcome(target, f'given up: {_TIMEOUT}')
             self._fail(_TIMEOUT)
             return True
-        self._record_failure(outcome, target)
+        self.record_failure(
+            send_results.SendResult(
+                outcome, target, self._senders.first.upstream_request
+            )
+        )
         if self._may_retry(outcome):
             self._log_outcome(target, f'sent again: {outcome.value}')
             return False
@@ -219,26 +217,11 @@
         self._fail(outcome.value)
         return True
 
-    def _record_answer(
-        self,
-        answer: upstream.UpstreamRequest,
-        target: load_balancing.Target,
-    ) -> None:
-        tracker = self._state.poison
-        if answer.end is answer_ends.AnswerEnd.OPEN:
-            tracker.record_open_end(
-                self._keys, target.incarnation, answer.sent_s
-            )
-        elif answer.end is answer_ends.AnswerEnd.MARKED:
-            tracker.record_answer(
-                self._keys.fingerprint, self._keys.parts, answer.sent_s
-            )
-
-    def _record_failure(
-        self, outcome: upstream.Outcome, target: load_balancing.Target
-    ) -> None:
+    def record_failure(self, sent: send_results.SendResult) -> None:
+        """Record what a failed send tells of its endpoint and request."""
+        outcome, target = sent.outcome, sent.target
         if outcome is upstream.Outcome.NOT_RUN:
-            if self._blames_member(target):
+            if _blames_member(sent):
                 self._state.targets.check_endpoint(
                     target.endpoint_id, 'member at fault'
                 )
@@ -249,10 +232,10 @@
                 self._keys.fingerprint,
                 target.incarnation,
                 self._keys.parts,
-                self._latest_sent_s,
+                None if sent.request is None else sent.request.sent_s,
             )
         if outcome is upstream.Outcome.FAILURE:
-            self._failure_response = self._sender.upstream_request
+            self._failure_response = sent.request
         elif outcome is upstream.Outcome.BROKEN and target.replica:
             # Answers also get lost in the network, sometimes many at once. If
             # each took its head out of use, no head would be left within a
@@ -262,31 +245,19 @@
                 target.endpoint_id, 'broken stream'
             )
 
-    @property
-    def _latest_sent_s(self) -> float | None:
-        latest = self._sender.upstream_request
-        return None if latest is None else latest.sent_s
-
-    def _blames_member(self, target: load_balancing.Target) -> bool:
-        """Return whether a head refused because of another member."""
-        latest = self._sender.upstream_request
-        if not target.replica or latest is None or latest.statement is None:
-            return False
-        at_fault = latest.statement.at_fault
-        return at_fault not in {'', f'{target.host}:{target.port}'}
-
     def _may_retry(self, outcome: upstream.Outcome) -> bool:
         route = self._admission.route
         if outcome is not upstream.Outcome.NOT_RUN and not route.may_repeat:
             return False
-        if self._sender.connect_failures > MAX_CONNECT_FAILURES:
+        if self._senders.sends.connect_failures > MAX_CONNECT_FAILURES:
             return False
-        if self._sender.sent_count >= route.max_attempts:
+        if self._senders.sends.sent_count >= route.max_attempts:
             return False
         if self._wait.is_expired:
             return False
-        return not self._sender.sent_count or self._sender.spend_retry(
-            outcome.value
+        return (
+            not self._senders.sends.sent_count
+            or self._senders.first.spend_retry(outcome.value)
         )
 
     def _fail(
@@ -313,15 +284,15 @@
             self._caller,
             self._admission,
             target,
-            sends=self._sender.sent_count,
+            sends=self._senders.sends.sent_count,
             last_event=self._forwarder.last_event,
-            latest=self._sender.upstream_request,
+            latest=self._senders.first.upstream_request,
             times=self._times,
         )
 
     def _on_caller_gone(self) -> None:
         self._wait.cancel()
-        self._sender.cancel()
+        self._senders.cancel()
         self._peer_sender.cancel()
 
 
@@ -342,10 +313,18 @@
     forwarder = stream_forwarding.StreamForwarder(
         state.stall_detector, responder, caller.last_event, times
     )
-    sender = upstream_sender.UpstreamSender(
-        state, request, caller, admission, wait, forwarder, keys
+    senders = request_senders.make_senders(
+        state,
+        request,
+        caller,
+        responder,
+        admission,
+        wait,
+        forwarder,
+        keys,
+        is_trial=is_trial,
     )
-    return AdmittedRequest(
+    admitted = AdmittedRequest(
         state=state,
         caller=caller,
         responder=responder,
@@ -354,43 +333,24 @@
         keys=keys,
         wait=wait,
         forwarder=forwarder,
-        sender=sender,
+        senders=senders,
         peer_sender=peer_sender.PeerSender(
             state, request, caller, admission, wait, forwarder
         ),
         is_from_peer=is_from_peer,
         is_trial=is_trial,
     )
+    senders.on_failure = admitted.record_failure
+    return admitted
 
 
-def _release_state(
-    outcome: upstream.Outcome | None,
-) -> reservations.ReleaseState:
-    if outcome in _SLOT_IS_FREE:
-        return reservations.ReleaseState.FREE
-    if outcome is upstream.Outcome.NOT_RUN:
-        return reservations.ReleaseState.REFUSED
-    # The endpoint may have crashed.
-    return reservations.ReleaseState.UNCERTAIN
-
-
-def _result(outcome: upstream.Outcome | None) -> reservations.EndpointResult:
-    if outcome is upstream.Outcome.COMPLETE:
-        return reservations.EndpointResult.SUCCESS
-    if outcome in _INCONCLUSIVE:
-        return reservations.EndpointResult.UNKNOWN
-    return reservations.EndpointResult.FAILURE
+def _blames_member(sent: send_results.SendResult) -> bool:
+    """Return whether a head refused because of another member."""
+    target, request = sent.target, sent.request
+    if not target.replica or request is None or request.statement is None:
+        return False
+    at_fault = request.statement.at_fault
+    return at_fault not in {'', f'{target.host}:{target.port}'}
 
 
 _OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
-_SLOT_IS_FREE = frozenset(
-    (
-        upstream.Outcome.COMPLETE,
-        upstream.Outcome.FAILURE,
-        upstream.Outcome.CALLER_GONE,
-        upstream.Outcome.EXPIRED,
-    )
-)
-_INCONCLUSIVE = frozenset(
-    (None, upstream.Outcome.CALLER_GONE, upstream.Outcome.EXPIRED)
-)
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -61,6 +61,9 @@
             self._state.retry_budget(admission.service).record_request(
                 self._times.started_s
             )
+            self._state.hedge_limit(admission.service).record_request(
+                self._times.started_s
+            )
         admitted = admitted_request.make_admitted_request(
             self._state,
             self._request,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -12,6 +12,8 @@
     answer_ends,
     caller_retries,
     duration_estimates,
+    hedge_limit,
+    hedge_policy,
     load_balancing,
     peer_routes,
     poison_trials,
@@ -101,6 +103,13 @@
         factory=caller_retries.DeadlineHistory
     )
     reserver: reservations.Reserver | None = None
+    # What the operator accepts; nothing is hedged by default.
+    hedge_shares: hedge_limit.HedgeShares = attrs.field(
+        factory=hedge_limit.HedgeShares
+    )
+    hedge_latencies: hedge_policy.HedgePolicy = attrs.field(
+        factory=hedge_policy.HedgePolicy
+    )
     # Slots of a service and model in use or waited for in the whole fleet.
     slot_demand: collections_abc.Callable[[str, str], int] = _no_requests
     # Requests that wait for slots which this node grants.
@@ -118,6 +127,7 @@
     _retry_budgets: dict[str, retry_budget.RetryBudget] = attrs.field(
         factory=dict
     )
+    _hedge_limits: dict[str, hedge_limit.HedgeLimit] = attrs.field(factory=dict)
 
     def first_event_estimate(
         self, service: str, model: str
@@ -138,6 +148,15 @@
             )
         return self._retry_budgets[service]
 
+    def hedge_limit(self, service: str) -> hedge_limit.HedgeLimit:
+        """Return the limit of a service's hedged requests."""
+        if service not in self._hedge_limits:
+            self._hedge_limits[service] = hedge_limit.HedgeLimit(
+                self.hedge_shares.share(service),
+                self.retry_budget_config.window_s,
+            )
+        return self._hedge_limits[service]
+
     def prompt_read_times(self, model: str) -> stall_detection.PromptReadTimes:
         """Return the recent prompt read times of a model."""
         if model not in self._prompt_read_times:
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -33,6 +33,8 @@
     BROKEN = 'broken'
     # The head stalled, or exceeded the time limit of this attempt.
     STALLED = 'silent'
+    # Another send of the same request was answered first.
+    SUPERSEDED = 'superseded'
     # The caller closed its connection.
     CALLER_GONE = 'gone'
     # The time limit of the whole request passed.
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -2,6 +2,10 @@
 
 import functools
 import time
+import typing
+from collections import abc as collections_abc
+
+import attrs
 
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.ingress import (
@@ -32,6 +36,29 @@
 _HEDGE = 'answer overdue'
 
 
+# Waits while another send of the request runs; returns whether none does.
+WaitUntilAlone: typing.TypeAlias = collections_abc.Callable[
+    [upstream.UpstreamRequest], collections_abc.Awaitable[bool]
+]
+
+
+@attrs.define(eq=False)
+class RequestSends:
+    """What all sends of one request have in common."""
+
+    relocation: relocation.Relocation
+    sent_count: int = 0
+    connect_failures: int = 0
+    tried_endpoints: set[str] = attrs.field(factory=set)
+    # The next retry is already taken from the budget.
+    is_retry_paid: bool = False
+
+
+async def _is_alone(request: upstream.UpstreamRequest) -> bool:
+    """Return True, as there is no other send."""
+    return True
+
+
 class UpstreamSender(state_module.InFlightRequest):
     """Sends one admitted request, to one endpoint at a time."""
 
@@ -44,14 +71,13 @@
         wait: caller_wait.CallerWait,
         forwarder: stream_forwarding.StreamForwarder,
         keys: crash_keys.RequestKeys,
+        sends: RequestSends,
     ) -> None:
         """Send the request while wait lasts; events go to forwarder."""
-        self.sent_count = 0
-        self.connect_failures = 0
         # The latest attempt, None until it is sent.
         self.upstream_request: upstream.UpstreamRequest | None = None
-        self.tried_endpoints: set[str] = set()
-        self.relocation = relocation.Relocation(state, admission, forwarder)
+        self.sends = sends
+        self.wait_until_alone: WaitUntilAlone = _is_alone
         self._state = state
         self._request = request
         self._caller = caller
@@ -60,19 +86,17 @@
         self._forwarder = forwarder
         self._keys = keys
         self._connection: client.Connection | None = None
-        # The next retry is already taken from the budget.
-        self._is_retry_paid = False
 
     async def send(
         self, target: load_balancing.Target, on_statement: upstream.OnStatement
     ) -> upstream.Outcome:
         """Send the request to an endpoint and return the outcome."""
         self.upstream_request = None
-        self.tried_endpoints.add(target.endpoint_id)
+        self.sends.tried_endpoints.add(target.endpoint_id)
         connection = await self._connect(target)
         if isinstance(connection, upstream.Outcome):
             return connection
-        self.sent_count += 1
+        self.sends.sent_count += 1
         upstream_request = self._make_upstream_request(on_statement)
         self.upstream_request = upstream_request
         self._connection = connection
@@ -99,6 +123,11 @@
         if self.upstream_request is not None:
             self.upstream_request.finish(upstream.Outcome.CALLER_GONE)
 
+    def supersede(self) -> None:
+        """End the current attempt, as another send was answered."""
+        if self.upstream_request is not None:
+            self.upstream_request.finish(upstream.Outcome.SUPERSEDED)
+
     def head_stalled(self) -> None:
         """Move the request if another attempt is allowed.
 
@@ -108,10 +137,15 @@
         if self.upstream_request is not None:
             self.upstream_request.mark_stalled()
 
+    def abandon(self) -> None:
+        """Close the connection of an attempt that is cancelled."""
+        if self._connection is not None:
+            self._connection.abandon()
+
     def spend_retry(self, reason: str) -> bool:
         """Take a retry from the budget, unless the next one is already paid."""
-        is_paid = self._is_retry_paid or self._reserve_retry(reason)
-        self._is_retry_paid = False
+        is_paid = self.sends.is_retry_paid or self._reserve_retry(reason)
+        self.sends.is_retry_paid = False
         return is_paid
 
     def _reserve_retry(self, reason: str) -> bool:
@@ -122,15 +156,15 @@
         service = self._admission.service
         budget = self._state.retry_budget(service)
         now_s = time.monotonic()
-        self._is_retry_paid = budget.try_spend(now_s)
+        self.sends.is_retry_paid = budget.try_spend(now_s)
         responses.log_retry(
             self._caller,
             service,
             reason,
             budget.use(now_s),
-            is_allowed=self._is_retry_paid,
+            is_allowed=self.sends.is_retry_paid,
         )
-        return self._is_retry_paid
+        return self.sends.is_retry_paid
 
     @property
     def _may_move(self) -> bool:
@@ -141,7 +175,7 @@
             route.kind is not routes.RouteKind.IDEMPOTENT
         ):
             return False
-        return route.may_repeat and self.sent_count < route.max_attempts
+        return route.may_repeat and self.sends.sent_count < route.max_attempts
 
     async def _connect(
         self, target: load_balancing.Target
@@ -154,7 +188,7 @@
             with self._wait.open_scope():
                 connection = await connections.take(target.address, idle_s)
         except pool.ConnectError as error:
-            self.connect_failures += 1
+            self.sends.connect_failures += 1
             self._state.targets.suspect(target.endpoint_id, str(error))
             await self._check_links()
             return upstream.Outcome.NOT_RUN
@@ -255,14 +289,21 @@
             return outcome
         if not self._admission.is_stream:
             self._state.reach.answer_overdue(sent_s)
+        while not await self.wait_until_alone(upstream_request):
+            upstream_request.clear_stall()
+            outcome = await upstream.wait_until_stalled(
+                upstream_request, until_s
+            )
+            if outcome is not None:
+                return outcome
         if not self._may_move:
             return await upstream.wait_until(
                 upstream_request, self._admission.timeout_at_s
             )
         reason = _STALLED_HEAD if self._admission.is_stream else _HEDGE
-        return await self.relocation.wait_or_move(
+        return await self.sends.relocation.wait_or_move(
             upstream_request,
-            self.tried_endpoints,
+            self.sends.tried_endpoints,
             functools.partial(self._reserve_retry, reason),
         )
 
@@ -294,6 +335,7 @@
 ABANDONED = frozenset(
     (
         upstream.Outcome.CALLER_GONE,
+        upstream.Outcome.SUPERSEDED,
         upstream.Outcome.STALLED,
         upstream.Outcome.TIMEOUT,
         upstream.Outcome.BROKEN,
