--- a/redwingvalve/node/__main__.py
+++ b/redwingvalve/node/__main__.py
@@ -24,8 +24,7 @@
     # Imported after the sockets listen: connections that arrive during the
     # import wait instead of being refused.
     runner = importlib.import_module('redwingvalve.node.runner')
-    runner.run(node_settings, early)
-    return exit_status.ExitStatus.SUCCESS
+    return runner.run(node_settings, early, sys.argv[1:])
 
 
 if __name__ == '__main__':
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -2,10 +2,13 @@
 
 import signal
 import sys
+from collections import abc as collections_abc
 
 import anyio
+import attrs
 
-from redwingvalve.node import daemon, early_sockets
+from redwingvalve.core import exit_status
+from redwingvalve.node import daemon, early_sockets, options
 from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import settings
 
@@ -34,13 +37,23 @@
 
 
 def run(
-    node_settings: settings.NodeSettings, early: early_sockets.EarlySockets
-) -> None:
-    """Run a node in this process until it is told to stop."""
+    node_settings: settings.NodeSettings,
+    early: early_sockets.EarlySockets,
+    arguments: collections_abc.Sequence[str] = (),
+) -> exit_status.ExitStatus:
+    """Run a node until it is told to stop; return the exit status."""
+    try:
+        chosen = options.parse(arguments)
+    except options.OptionError as error:
+        sys.stderr.write(f'redwingvalve: {error}\n')
+        return exit_status.ExitStatus.USAGE
     handler = bounded_logs.configure(
         'INFO', sys.stdout.fileno(), node_settings.vm
     )
     node = daemon.make_node(node_settings, early)
     node.gauges.register(node_metrics.METRICS)
     node.log_handler = handler
+    node.state.hedge_shares = chosen.hedge_shares
+    LOG.info('options', extra=attrs.asdict(chosen))
     anyio.run(serve, node, backend_options={'use_uvloop': True})
+    return exit_status.ExitStatus.SUCCESS
