--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -18,6 +18,7 @@
     hold_table,
     messages,
     rate_limits,
+    spare_slots,
     start_forwarder,
     takeover,
 )
@@ -120,7 +121,11 @@
             return
         pool.endpoint_slots.mark_slow(ask.slow)
         acquire_slot = functools.partial(pool.acquire, sender, ask)
-        target = pool.queue.try_acquire(ask.need, acquire_slot)
+        target = (
+            spare_slots.acquire(pool, sender, ask)
+            if ask.need.is_hedge
+            else pool.queue.try_acquire(ask.need, acquire_slot)
+        )
         if target is not None:
             reply(self._granted_reply(ask, target.endpoint_id))
             return
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -160,6 +160,7 @@
     (_Type.STRING, 'account'),
     (_Type.STRING, 'kind'),
     (_Type.I32, 'size_rank'),
+    (_Type.BOOL, 'is_hedge'),
 )
 _ReplyStruct: typing.Any = structs.make_struct(
     'Reply',
@@ -281,6 +282,7 @@
         account=need.account,
         kind=need.kind,
         size_rank=need.size_rank,
+        is_hedge=need.is_hedge,
     )
 
 
@@ -295,6 +297,7 @@
         account=struct.account or '',
         kind=struct.kind or '',
         size_rank=struct.size_rank or 0,
+        is_hedge=bool(struct.is_hedge),
     )
     return Ask(
         number=_integer(struct.number),
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -86,6 +86,8 @@
     # Size of the prompt within its kind: 2 for the largest tenth, 1 for the
     # fifth below it.
     size_rank: int = 0
+    # The request is running elsewhere: it takes only a slot that is spare.
+    is_hedge: bool = False
 
     @property
     def is_competing(self) -> bool:
