--- a/redwingvalve/allocation/dispatch.py
+++ b/redwingvalve/allocation/dispatch.py
@@ -16,16 +16,18 @@
     reply sends a reply to the sender of the message.
     """
     sender, message = envelope.sender, envelope.message
+    if isinstance(message, messages.Reply):
+        reserver.handle_reply(sender.vm, message)
+        return
+    if isinstance(message, messages.HoldingsRequest):
+        allocator.yield_pool(message.pool)
+        reserver.report_pool(message.pool, sender.vm)
+        return
     if isinstance(message, messages.Ask):
         allocator.ask(sender, message, reply)
-    elif isinstance(message, messages.Reply):
-        reserver.handle_reply(sender.vm, message)
     elif isinstance(message, messages.Release):
         allocator.release(sender, message)
     elif isinstance(message, endpoint_reports.EndpointReport):
         allocator.record_report(sender, message)
-    elif isinstance(message, messages.HoldingsRequest):
-        allocator.yield_pool(message.pool)
-        reserver.report_pool(message.pool, sender.vm)
     else:
         allocator.holdings(sender, message)
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -206,15 +206,7 @@
     if isinstance(message, Ask):
         struct.ask = _ask_struct(message)
     elif isinstance(message, Reply):
-        struct.reply = _ReplyStruct(
-            number=message.number,
-            outcome=int(message.outcome),
-            endpoint_id=message.endpoint_id,
-            retry_after_ms=_ms(message.retry_after_s),
-            expected_ms=_ms(message.expected_wait_s),
-            is_rate_limited=message.is_rate_limited,
-            is_cold=message.is_cold,
-        )
+        struct.reply = _reply_struct(message)
     elif isinstance(message, Release):
         struct.release = _ReleaseStruct(
             number=message.number,
@@ -223,17 +215,36 @@
         )
     elif isinstance(message, endpoint_reports.EndpointReport):
         struct.limits = endpoint_reports.to_struct(message)
-    elif isinstance(message, HoldingsRequest):
-        struct.holdings_request = _pool_struct(message.pool)
     else:
-        struct.holdings = _HoldingsStruct(
-            pool=_pool_struct(message.pool),
-            endpoint_ids=message.endpoint_ids,
-            accounts=message.accounts,
-        )
+        _set_holdings(struct, message)
     return structs.pack(struct)
 
 
+def _reply_struct(reply: Reply) -> typing.Any:
+    return _ReplyStruct(
+        number=reply.number,
+        outcome=int(reply.outcome),
+        endpoint_id=reply.endpoint_id,
+        retry_after_ms=_ms(reply.retry_after_s),
+        expected_ms=_ms(reply.expected_wait_s),
+        is_rate_limited=reply.is_rate_limited,
+        is_cold=reply.is_cold,
+    )
+
+
+def _set_holdings(
+    struct: typing.Any, message: Holdings | HoldingsRequest
+) -> None:
+    if isinstance(message, HoldingsRequest):
+        struct.holdings_request = _pool_struct(message.pool)
+        return
+    struct.holdings = _HoldingsStruct(
+        pool=_pool_struct(message.pool),
+        endpoint_ids=message.endpoint_ids,
+        accounts=message.accounts,
+    )
+
+
 def unpack(packed: bytes) -> Envelope:
     """Decode a datagram; raises MessageError."""
     try:
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -79,6 +79,11 @@
             return
         self._deliver(envelope, functools.partial(self._reply, address))
 
+    def resign(self) -> None:
+        """Let other nodes grant all slots, if there are any."""
+        if front_selection.available_peers(self.peers):
+            self.allocator.resign()
+
     async def run(self) -> typing.NoReturn:
         """Run the allocator's periodic checks until cancelled."""
         while True:
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -9,14 +9,8 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.fleet import serving
 from redwingvalve.http1 import pool
-from redwingvalve.ingress import (
-    poison,
-    retry_budget,
-    routes,
-)
-from redwingvalve.ingress import (
-    state as state_module,
-)
+from redwingvalve.ingress import poison, retry_budget, routes
+from redwingvalve.ingress import state as state_module
 from redwingvalve.node import (
     allocation_transport,
     configuration_watch,
@@ -26,7 +20,6 @@
     endpoint_prober,
     failure_detector,
     front,
-    front_selection,
     gauges,
     kind_watch,
     log_drop_reporter,
@@ -44,12 +37,7 @@
 from redwingvalve.node import reachability as reachability_module
 from redwingvalve.node import status_exchange as status_exchange_module
 from redwingvalve.observability import bounded_logs, logs
-from redwingvalve.platform import (
-    endpoint_orders,
-    names,
-    settings,
-    store,
-)
+from redwingvalve.platform import endpoint_orders, names, settings, store
 
 LOG = logs.make_logger('node')
 # Delays between two watch calls, so that changes of endpoints in quick
@@ -297,8 +285,7 @@
         started_s = time.monotonic()
         self.state.is_leaving = True
         self.status_exchange.broadcast_now()
-        if front_selection.available_peers(self.peers):
-            self.allocation.allocator.resign()
+        self.allocation.resign()
         await self.lease.release()
         self.status_exchange.broadcast_now()
         deadline_s = started_s + self.settings.bounds.grace_s - KILL_MARGIN_S
