Test streams that are closed inside an event before their endpoint ends

Reported: such ends blame nothing, and no sound stream is served afterwards. The fake endpoint states the content type and the close of such answers, as the reported ones did; the new cases (0.01, 0.1, 0.5 s) pass.

--- a/redwingvalve/node/tests/test_crashing_parts.py
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -214,6 +214,23 @@
     fleet_harness.run(test, **PLAIN)
 
 
+@pytest.mark.parametrize('outlives_answer_s', [0.01, 0.1, 0.5])
+def test_crashing_part_is_refused_whose_endpoints_outlive_half_an_event(
+    outlives_answer_s,
+):
+    """The stream is closed inside an event, and its endpoint ends later."""
+    run(
+        {**STREAMS, 'nodes': 4},
+        {
+            'answer_start': AnswerStart.HALF_EVENT,
+            'gap_s': 0.4,
+            'entry_lapse_s': 0,
+            'outlives_answer_s': outlives_answer_s,
+        },
+        is_stream=True,
+    )
+
+
 def delay_closing_answers(fleet):
     """Make endpoints answer late, and close the connection then."""
     for endpoint in fleet.endpoints.values():
--- a/redwingvalve/platform/standins/endpoint_crashes.py
+++ b/redwingvalve/platform/standins/endpoint_crashes.py
@@ -85,8 +85,12 @@
         responder.write(piece)
         return
     stated = headers.copy()
+    if request.header(b'x-model') is not None:
+        stated.append((b'content-type', b'text/event-stream'))
     if start is AnswerStart.LENGTH:
         stated.append((b'content-length', b'%d' % (2 * len(piece))))
+    else:
+        stated.append((b'connection', b'close'))
     head = messages.render_head(b'HTTP/1.1 200 OK', stated)
     responder.connection.write(head + piece)
 
