--- a/redwingvalve/node/tests/test_crashing_parts.py
+++ b/redwingvalve/node/tests/test_crashing_parts.py
@@ -214,7 +214,7 @@
     fleet_harness.run(test, **PLAIN)
 
 
-@pytest.mark.parametrize('outlives_answer_s', [0.01, 0.1, 0.5])
+@pytest.mark.parametrize('outlives_answer_s', [0.01, 0.1, 0.5, 2.0])
 def test_crashing_part_is_refused_whose_endpoints_outlive_half_an_event(
     outlives_answer_s,
 ):
