Read the limit of evacuations leniently, keep caches free of nameless objects

Cause: a limit of null kept a node from starting; a change with an unreadable object entered the watch cache, whose next listing failed on it.

Change: null counts as absent; the cache leaves out changes without a name. Status messages carry no fields about evacuations while nothing is known or nothing is evacuated.

--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -169,8 +169,8 @@
             has_served=self._reports_served(),
             cleared=status_fields.recent_clearance_messages(self._cleared),
             usage=usage,
-            evacuation_revision=self.table.evacuations.revision,
-            evacuated=self.table.evacuations.shared_names(),
+            evacuation_revision=self.table.evacuations.revision or None,
+            evacuated=self.table.evacuations.shared_names() or None,
         )
         if self.peers.is_announcing:
             message.address = status_fields.address_message(self.local)
--- a/redwingvalve/node/tests/test_watch_cache.py
+++ b/redwingvalve/node/tests/test_watch_cache.py
@@ -53,6 +53,19 @@
     cache.record_sync(1.0, is_from_store=True)
 
 
+@pytest.mark.parametrize('unreadable', [None, 'text', {}, {'metadata': 3}])
+def test_objects_without_a_readable_name_are_left_out(unreadable):
+    """One of them must not end the watch of its kind at all nodes."""
+    cache = watch_cache.WatchCache()
+    stored = {'metadata': {'name': 'a'}, 'spec': {}}
+    cache.apply_listing(store.Listing([unreadable, stored], 10))
+    changes = [store.Change(unreadable, is_removed=False), change('b', 11)]
+    cache.apply_changes(store.Changes(changes, 11))
+    cache.apply_listing(store.Listing([stored, unreadable], 12))
+    assert cache.listing().objects == [stored]
+    assert [one.name for one in cache._after(10)] == ['b', 'b']
+
+
 def test_a_cache_that_lost_the_store_is_not_current():
     async def main():
         cache = watch_cache.WatchCache()
--- a/redwingvalve/node/watch_cache.py
+++ b/redwingvalve/node/watch_cache.py
@@ -100,16 +100,17 @@
     def apply_changes(self, found: store.Changes) -> None:
         """Apply changes in order."""
         self.revision = max(self.revision, found.revision)
-        if not found.changes:
+        named = [change for change in found.changes if change.name]
+        if not named:
             return
-        for change in found.changes:
+        for change in named:
             if change.is_removed:
                 self._objects.pop(change.name, None)
             else:
                 self._objects[change.name] = change.stored
         if len(self._batches) == MAX_BATCHES:
             self._first_revision = self._batches[0].revision
-        self._batches.append(_Batch(found.revision, found.changes))
+        self._batches.append(_Batch(found.revision, named))
         self._notify_waiters()
 
     def has_history(self, after_revision: int) -> bool:
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -202,7 +202,7 @@
                 DEFAULT_STABLE_WINDOW_MS,
             ),
             evacuate_ms=fields.read_or(
-                'bounds.evacuate_ms', _require_positive, None
+                'bounds.evacuate_ms', _require_positive_or_none, None
             ),
         ),
     )
@@ -234,6 +234,10 @@
     return number
 
 
+def _require_positive_or_none(value: typing.Any) -> float | None:
+    return None if value is None else _require_positive(value)
+
+
 def _require_not_negative(value: typing.Any) -> float:
     number = _require_number(value)
     if not number >= 0:
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -15,6 +15,7 @@
     entries,
     settings,
 )
+from redwingvalve.platform.tests import fleet_harness
 
 ENTRY = {
     'service': 's',
@@ -178,6 +179,26 @@
     assert deadline_ms is None or deadline_ms == int(text)
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'expected'),
+    [({}, None), ({'evacuate_ms': None}, None), ({'evacuate_ms': 50}, 50)],
+)
+def test_the_limit_of_evacuations_is_optional(bounds, expected):
+    """Earlier platforms evacuate nothing and don't state it."""
+    found = fleet_harness.node_settings(
+        'node-0', '127.0.0.1:1', {**fleet_harness.BOUNDS, **bounds}
+    )
+    assert found.bounds.evacuate_ms == expected
+
+
+@pytest.mark.parametrize('invalid', [0, -1, '5000', True, []])
+def test_an_invalid_limit_of_evacuations_is_reported(invalid):
+    """With a limit that isn't in force the bound would be broken silently."""
+    bounds = {**fleet_harness.BOUNDS, 'evacuate_ms': invalid}
+    with pytest.raises(settings.SettingsError, match='evacuate_ms'):
+        fleet_harness.node_settings('node-0', '127.0.0.1:1', bounds)
+
+
 def test_all_settings_errors_are_reported_at_once(tmp_path):
     """The operator can fix the file in finding go, while no node listens."""
     path = tmp_path / 'settings.json'
