--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -173,8 +173,8 @@
                 self._cleared.values()
             ),
             usage=usage,
-            evacuation_revision=self.table.evacuations.revision,
-            evacuated=self.table.evacuations.shared_names(),
+            evacuation_revision=self.table.evacuations.revision or None,
+            evacuated=self.table.evacuations.shared_names() or None,
         )
         if self.peers.is_announcing:
             message.address = status_fields.address_message(self.local)
