--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -200,7 +200,7 @@
             'version': 'v1',
             'slots': 4,
             'state': self.state,
-            'cold_left_ms': 0,
+            'cold_left_ms': self.faults.entry_cold_left_ms,
             'seq': self._sequence,
             'born': self._born,
             'domain': self._domain,
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -51,6 +51,10 @@
     never_drains: bool = False
     # Stated in all answers to requests, but not enforced.
     stated_requests_per_s: float | None = None
+    # What the entry says; the endpoint serves as if it were warm.
+    entry_cold_left_ms: int = 0
+    # Stated in all answers to requests, while the entry is unchanged.
+    stated_cold_ms: int | None = None
     # Stated in answers that reject a request, but not enforced.
     stated_rest_s: float | None = None
     # Address of the endpoint because of which requests are rejected.
@@ -100,6 +104,8 @@
     if faults.stated_requests_per_s is not None:
         limit = b'%g' % faults.stated_requests_per_s
         headers.append((b'server-limit', limit))
+    if faults.stated_cold_ms is not None:
+        headers.append((b'x-cold-ms', b'%d' % faults.stated_cold_ms))
     if faults.states_leaving:
         headers.append((b'server-leaving', b'1'))
     return headers
