Refuse sooner, and hold back kinds that are served too often

A less urgent kind was admitted by the number of requests ahead of it and was then passed by more urgent ones that came later: its answers were late. A kind with a long goal outlasted a more urgent one and was served more often.

The expected wait now deducts the rate at which others pass. A kind that is served more often than a more urgent one gets spare slots only.

--- a/redwingvalve/ingress/fair_queue.py
+++ b/redwingvalve/ingress/fair_queue.py
@@ -14,22 +14,21 @@
   waiting and held beyond its share.
 """
 
-import typing
 from collections import abc as collections_abc
 
 from redwingvalve.ingress import (
     account_log,
     fair_shares,
+    group_precedence,
     load_balancing,
     served_shares,
     wait_queue,
     waiting_lines,
 )
 
-# Interval at which the groups served too seldom are determined.
-MISSING_INTERVAL_S = 0.02
-# Slots that a group has to miss before its request goes first.
-MIN_MISSING = 0.5
+# Share of the freed slots that a request expects at least, however many others
+# pass it: groups that get too few slots go first.
+MIN_RATE_SHARE = 0.1
 # Interval at which idle accounts and groups are forgotten.
 CLEANUP_INTERVAL_S = 1.0
 
@@ -45,12 +44,11 @@
         """Create an empty queue; clock returns seconds."""
         super().__init__(clock, capacity)
         self._uses = fair_shares.AccountUses()
-        self._served = served_shares.ServedShares()
         self._lines: waiting_lines.WaitingLines[wait_queue.Waiter] = (
             waiting_lines.WaitingLines(self._uses)
         )
-        self._missing: dict[served_shares.Group, float] = {}
-        self._missing_at_s = -MISSING_INTERVAL_S
+        self._rates = fair_shares.ServiceRates()
+        self._precedence = group_precedence.GroupPrecedence(self._lines)
         self._cleaned_s = clock()
         self._account_log = account_log.AccountLog(clock, self._uses)
 
@@ -70,7 +68,7 @@
         """Return the target of a slot if one is free for the request now."""
         target = super().try_acquire(ask, acquire_slot)
         if target is not None:
-            self._record_offered(ask)
+            _count_offered(self._precedence, ask, self._clock())
         return target
 
     async def acquire(
@@ -79,7 +77,7 @@
         acquire_slot: load_balancing.AcquireSlot,
     ) -> load_balancing.Target | None:
         """Wait for a slot; return None if the request gets none in time."""
-        self._record_offered(ask)
+        _count_offered(self._precedence, ask, self._clock())
         waited = self._account_log.start(ask.account, self._lines)
         target = await super().acquire(ask, acquire_slot)
         self._account_log.end(waited, self._lines, has_slot=target is not None)
@@ -103,41 +101,36 @@
 
     def _grant_next(self) -> bool:
         """Grant one slot; return whether there may be more to grant."""
-        has_spare_slots = self._capacity.has_spare_slots()
-        for waiter, may_be_late in self._in_order():
-            is_late = waiter.is_late(self._clock())
-            if is_late and not (has_spare_slots or may_be_late):
+        has_spare_slots: bool | None = None
+        for waiter, may_take_last in self._in_order():
+            # Counted at most once, and only if it matters.
+            if not may_take_last and has_spare_slots is None:
+                has_spare_slots = self._capacity.has_spare_slots()
+            if not (may_take_last or has_spare_slots):
                 continue
             target = waiter.acquire_slot()
             if target is not None:
+                is_late = waiter.is_late(self._clock())
                 self._grant(waiter, target, is_late=is_late)
                 return True
         return False
 
     def _in_order(
         self,
-    ) -> typing.Iterator[tuple[wait_queue.Waiter, bool]]:
-        """Yield requests and whether they may take the last slots if late."""
-        for group in self._groups_missing():
-            for is_late in (False, True):
-                first = self._lines.first_of(group, is_late=is_late)
-                if first is not None:
-                    yield first, True
-        for waiter, _ in self._lines.in_order(self._clock()):
-            yield waiter, False
-
-    def _groups_missing(self) -> list[served_shares.Group]:
-        """Return the waiting groups that are served too seldom, worst first."""
+    ) -> collections_abc.Iterator[tuple[wait_queue.Waiter, bool]]:
+        """Yield requests, and whether they may take the last free slots."""
         now_s = self._clock()
-        if now_s - self._missing_at_s >= MISSING_INTERVAL_S:
-            self._missing_at_s = now_s
-            self._missing = self._served.missing(self._lines.groups(), now_s)
-        found = [
-            group
-            for group, missing in self._missing.items()
-            if missing >= MIN_MISSING
-        ]
-        return sorted(found, key=self._missing.__getitem__, reverse=True)
+        for first in self._precedence.first(now_s):
+            yield first, True
+        for waiter, _ in self._lines.in_order(now_s):
+            yield waiter, not self._is_held_back(waiter, now_s)
+
+    def _is_held_back(self, waiter: wait_queue.Waiter, now_s: float) -> bool:
+        if waiter.ask.is_resumed:
+            return False
+        return waiter.is_late(now_s) or self._precedence.is_held_back(
+            _groups(waiter.ask), now_s
+        )
 
     def _expected_wait_s(self, waiter: wait_queue.Waiter) -> float:
         """Return the expected wait behind the requests ahead of it."""
@@ -145,15 +138,25 @@
         if waiter not in self._lines:
             return 0.0
         blocked_s = self._capacity.blocked_s()
-        ahead = 0
-        if not self._is_missing(waiter):
-            ahead = self._lines.ahead_of(waiter, now_s)
-        if not ahead:
+        if len(self._lines) == 1:
             return blocked_s
-        freed_per_s = max(
-            self._capacity.freed_per_s(), wait_queue.MIN_FREED_PER_S
+        ahead = self._lines.ahead_of(waiter, now_s)
+        wait_s = (ahead + 1) / self._rate_per_s(waiter.ask)
+        if self._goes_first(waiter):
+            first_s = self._precedence.waiting_first() / self._freed_per_s()
+            wait_s = min(wait_s, first_s)
+        return max(wait_s, blocked_s)
+
+    def _rate_per_s(self, ask: wait_queue.SlotRequest) -> float:
+        """Return the freed slots per second that others don't take first."""
+        freed_per_s = self._freed_per_s()
+        passing_per_s = self._rates.passing_per_s(
+            ask.urgency, ask.account, self._uses, self._clock()
         )
-        return max((ahead + 1) / freed_per_s, blocked_s)
+        return max(freed_per_s - passing_per_s, freed_per_s * MIN_RATE_SHARE)
+
+    def _freed_per_s(self) -> float:
+        return max(self._capacity.freed_per_s(), wait_queue.MIN_FREED_PER_S)
 
     def _admit_late(self, waiter: wait_queue.Waiter) -> bool:
         """Return whether a late request may wait for a spare slot.
@@ -162,7 +165,7 @@
         waiting and held, or whose caller can still return.
         """
         self._add(waiter)
-        if self._is_missing(waiter):
+        if self._goes_first(waiter):
             return True
         late = [one for one in self._lines.late() if one is not waiter]
         if len(late) < max(self._current_late_limit(), 1):
@@ -174,24 +177,17 @@
         self._remove(last)
         return True
 
-    def _refusal_key(self, waiter: wait_queue.Waiter) -> tuple[bool, float]:
+    def _refusal_key(self, waiter: wait_queue.Waiter) -> tuple[float, bool]:
         """Return the sort key of who is refused first; highest is first."""
-        return not waiter.ask.has_returned, self._excess(waiter.ask.account)
-
-    def _excess(self, account: str) -> float:
-        """Return what an account holds and waits for beyond its share."""
+        account = waiter.ask.account
         used = self._uses.held(account) + self._lines.waiting(account)
         share = self._capacity.slots() / max(len(self._uses), 1)
-        return max(0.0, used - share)
-
-    def _is_missing(self, waiter: wait_queue.Waiter) -> bool:
-        """Return whether a request is next of a group served too seldom."""
-        is_late = waiter.is_late(self._clock())
-        own = set(_groups(waiter.ask)).intersection(self._groups_missing())
-        return any(
-            self._missing[group]
-            > self._lines.count_of(group, is_late=is_late) - 1
-            for group in own
+        return max(0.0, used - share), not waiter.ask.has_returned
+
+    def _goes_first(self, waiter: wait_queue.Waiter) -> bool:
+        now_s = self._clock()
+        return self._precedence.goes_first(
+            _groups(waiter.ask), now_s, is_late=waiter.is_late(now_s)
         )
 
     def _grant(
@@ -204,9 +200,11 @@
         super()._grant(waiter, target, is_late=is_late)
         groups = _groups(waiter.ask)
         self._uses.record_grant(waiter.ask.account)
-        self._served.record_served(groups, self._clock())
-        for group in self._missing.keys() & groups:
-            self._missing[group] -= 1
+        now_s = self._clock()
+        self._precedence.record_served(groups, now_s)
+        if not is_late:
+            ask = waiter.ask
+            self._rates.record(ask.urgency, ask.account, now_s)
 
     def _add(self, waiter: wait_queue.Waiter) -> None:
         ask = waiter.ask
@@ -223,17 +221,13 @@
     def _remove(self, waiter: wait_queue.Waiter) -> None:
         self._lines.remove(waiter)
 
-    def _record_offered(self, ask: wait_queue.SlotRequest) -> None:
-        if not (ask.has_returned or ask.is_resumed):
-            now_s = self._clock()
-            self._served.record_offered(_groups(ask), ask.urgency, now_s)
-
     def _drop_unused(self) -> None:
         now_s = self._clock()
         if now_s - self._cleaned_s >= CLEANUP_INTERVAL_S:
             self._cleaned_s = now_s
             self._uses.drop_unused(now_s)
-            self._served.drop_unused(now_s)
+            self._precedence.drop_unused(now_s)
+            self._rates.drop_unused(now_s)
 
 
 def _groups(ask: wait_queue.SlotRequest) -> tuple[served_shares.Group, ...]:
@@ -245,5 +239,15 @@
     )
 
 
+def _count_offered(
+    precedence: group_precedence.GroupPrecedence[wait_queue.Waiter],
+    ask: wait_queue.SlotRequest,
+    now_s: float,
+) -> None:
+    """Count a request, but for one that was counted before."""
+    if not (ask.has_returned or ask.is_resumed):
+        precedence.record_offered(_groups(ask), ask.urgency, now_s)
+
+
 def _acquire_nothing() -> None:
     """Acquire no slot."""
--- a/redwingvalve/ingress/fair_shares.py
+++ b/redwingvalve/ingress/fair_shares.py
@@ -15,6 +15,8 @@
 # Time constant over which used slot time counts: about the length of a burst,
 # so that an account that has held many slots gives way for some seconds.
 USE_WINDOW_S = 4.0
+# Time constant of the rate at which accounts are served.
+RATE_WINDOW_S = 1.5
 # Uses below this count as none; such an account is forgotten.
 MIN_USE = 0.01
 
@@ -145,3 +147,57 @@
     def _last_grant(self, account: str) -> int:
         use = self._uses.get(account)
         return use.last_grant if use else 0
+
+
+@attrs.define
+class _Rate:
+    served: float = 0.0
+    updated_s: float = 0.0
+
+    def advance(self, now_s: float) -> float:
+        elapsed_s = now_s - self.updated_s
+        if elapsed_s > 0:
+            self.served *= math.exp(-elapsed_s / RATE_WINDOW_S)
+            self.updated_s = now_s
+        return self.served / RATE_WINDOW_S
+
+
+class ServiceRates:
+    """How many requests per second are served, by urgency and account."""
+
+    def __init__(self) -> None:
+        """Start without served requests."""
+        self._rates: dict[tuple[int, str], _Rate] = {}
+
+    def record(self, urgency: int, account: str, now_s: float) -> None:
+        """Count a request that got a slot while it could be on time."""
+        rate = self._rates.setdefault((urgency, account), _Rate())
+        rate.advance(now_s)
+        rate.served += 1
+
+    def passing_per_s(
+        self, urgency: int, account: str, uses: AccountUses, now_s: float
+    ) -> float:
+        """Return how many requests per second pass a waiting one.
+
+        These are more urgent ones, and those of accounts that use less.
+        """
+        own_use = uses.use(account, now_s)
+        return sum(
+            rate.advance(now_s)
+            for (other_urgency, other), rate in self._rates.items()
+            if other_urgency < urgency
+            or (
+                other_urgency == urgency
+                and other != account
+                and uses.use(other, now_s) < own_use
+            )
+        )
+
+    def drop_unused(self, now_s: float) -> None:
+        """Forget accounts that weren't served lately."""
+        self._rates = {
+            key: rate
+            for key, rate in self._rates.items()
+            if rate.advance(now_s) >= MIN_USE
+        }
--- a/redwingvalve/ingress/served_shares.py
+++ b/redwingvalve/ingress/served_shares.py
@@ -22,6 +22,8 @@
 
 # A group of requests: 'account', 'kind' or 'size', followed by its name.
 Group: typing.TypeAlias = tuple[typing.Any, ...]
+# How much more often a less urgent kind may be served: required are 5 in 100.
+MAX_LEAD = 0.02
 # Priorities of accounts take precedence over those of kinds: the mean urgency
 # of kinds with equal priorities differs a little.
 SAME_URGENCY = 0.1
@@ -83,32 +85,35 @@
     def missing(
         self, groups: collections_abc.Iterable[Group], now_s: float
     ) -> dict[Group, float]:
-        """Return the groups served too seldom: slots that each one misses.
-
-        A group has to be served MIN_SERVED_SHARE as often as all requests, and
-        a kind at least as often as any less urgent one.
-        """
+        """Return the groups served too seldom: slots that each one misses."""
         self._total.advance(now_s)
-        least = MIN_SERVED_SHARE * min(self._total.ratio, 1.0)
-        kinds = [
-            count
-            for group, count in self._counts.items()
-            if group[0] == 'kind' and count.offered >= MIN_OFFERED
-        ]
+        target = MIN_SERVED_SHARE * min(self._total.ratio, 1.0)
         found = {}
         for group in groups:
             count = self._counts.get(group)
-            if count is None:
+            if count is None or count.offered < MIN_OFFERED:
                 continue
             count.advance(now_s)
-            target = least
-            if group[0] == 'kind':
-                target = max(least, _ratio_of_less_urgent(count, kinds))
             missing = target * count.offered - count.served
-            if missing > 0 and count.offered >= MIN_OFFERED:
+            if missing > 0:
                 found[group] = missing
         return found
 
+    def kinds_ahead(self, now_s: float) -> set[Group]:
+        """Return the kinds that are served more often than more urgent ones."""
+        kinds = {
+            group: count
+            for group, count in self._counts.items()
+            if group[0] == 'kind' and count.offered >= MIN_OFFERED
+        }
+        for known in kinds.values():
+            known.advance(now_s)
+        return {
+            group
+            for group, count in kinds.items()
+            if count.ratio > _least_ratio(count, kinds.values()) + MAX_LEAD
+        }
+
     def drop_unused(self, now_s: float) -> None:
         """Forget groups without recent requests."""
         for known in self._counts.values():
@@ -130,13 +135,13 @@
         return counts
 
 
-def _ratio_of_less_urgent(
+def _least_ratio(
     count: _Count, kinds: collections_abc.Iterable[_Count]
 ) -> float:
-    """Return how often the best served kind of less urgency was served."""
+    """Return how often the least served kind of higher urgency was served."""
     ratios = (
         kind.ratio
         for kind in kinds
-        if kind.urgency > count.urgency + SAME_URGENCY
+        if kind.urgency < count.urgency - SAME_URGENCY
     )
-    return min(max(ratios, default=0.0), 1.0)
+    return min(ratios, default=math.inf)
