Stop the search of a queue when all slots are taken

Each dispatch asked the endpoints for a slot once for each waiting request, also when none was free: 10 ms with 300 waiting requests and 18 endpoints, for each ask and each freed slot.

The queues now check first whether any endpoint has a free slot, and a full endpoint is recognized by its count alone. Who is served doesn't change: a burst of 2.0 times the capacity with one account gives the same callers in time, late, lost and the same number of datagrams as before.

Measured (300 waiting requests, 24 accounts, median of a grant while others use the machine): 0.09 to 0.16 ms with competing accounts; 0.17 ms instead of 10 ms with one account.

--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -94,6 +94,9 @@
 
     def free_at(self, target: load_balancing.Target) -> int:
         """Return the slots of an endpoint that may be granted now."""
+        # The usual case while requests wait, in which most endpoints are full.
+        if self.holds.count(target.endpoint_id) >= target.slots:
+            return 0
         now_s = self.clock()
         if self._refused_until_s.get(target.endpoint_id, 0) > now_s:
             return 0
--- a/redwingvalve/ingress/wait_queue.py
+++ b/redwingvalve/ingress/wait_queue.py
@@ -212,10 +212,12 @@
 
     def dispatch(self) -> None:
         """Grant free slots to waiting requests, in order of service."""
-        if not self._waiters:
+        if not (self._waiters and self._capacity.has_free_slots()):
             return
         has_spare_slots = self._capacity.has_spare_slots()
-        for waiter in self._sorted_waiters():
+        for waiter in _while_slots_are_free(
+            self._sorted_waiters(), self._capacity
+        ):
             is_late = waiter.is_late(self._clock())
             if is_late and not (has_spare_slots or self._late_credit >= 1):
                 continue
@@ -351,6 +353,16 @@
         return sorted(self._waiters, key=rank)
 
 
+def _while_slots_are_free(
+    waiters: list[Waiter], capacity: SlotCapacity
+) -> collections_abc.Iterator[Waiter]:
+    """Yield requests until all slots are taken."""
+    for waiter in waiters:
+        if not capacity.has_free_slots():
+            return
+        yield waiter
+
+
 def _acquire_nothing() -> None:
     """Acquire no slot."""
 
