Keep requests whose hedge moment passed while the process was paused

The wait for the moment was negative then, and the error of the hedge's task ended the whole request. The wait is at least 0 now, and a fault of a hedge is logged and leaves the first send alone. The three new tests fail without this.

--- a/redwingvalve/ingress/hedge_plan.py
+++ b/redwingvalve/ingress/hedge_plan.py
@@ -82,7 +82,8 @@
         delay_s = self._latencies.delay_s(self._limit.share, time.monotonic())
         if delay_s is None:
             return _hold_back('few answers')
-        await anyio.sleep(delay_s - self.elapsed_s)
+        # The moment has passed if the process was paused.
+        await anyio.sleep(max(0, delay_s - self.elapsed_s))
         self._is_overdue = True
         self._latencies.note_overdue()
         obstacle = self._find_obstacle()
--- a/redwingvalve/ingress/hedged_send.py
+++ b/redwingvalve/ingress/hedged_send.py
@@ -144,7 +144,7 @@
         self._first_ended = asyncio.get_running_loop().create_future()
         async with anyio.create_task_group() as group:
             if self._hedge is None:
-                group.start_soon(self._hedge_when_overdue)
+                group.start_soon(self._run_hedge)
             outcome = await self._send_once(self._first, reservation)
             first = send_results.SendResult(
                 outcome, reservation.target, self._first.upstream_request
@@ -187,6 +187,13 @@
         await asyncio.wait((hedge.ended,))
         return hedge.result()
 
+    async def _run_hedge(self) -> None:
+        try:
+            await self._hedge_when_overdue()
+        except Exception:
+            # The first send goes on, as the request would without a hedge.
+            LOG.exception('hedge failed', extra=self._log_extra)
+
     async def _hedge_when_overdue(self) -> None:
         reservation = None
         self._planning = anyio.CancelScope()
--- a/redwingvalve/ingress/tests/test_hedged_send.py
+++ b/redwingvalve/ingress/tests/test_hedged_send.py
@@ -64,13 +64,20 @@
 class Connections:
     """A pool of connections, one for each send, by endpoint."""
 
+    pause_s = 0.0
+
     def __init__(self):
         self.taken = []
 
     async def take(self, address, max_idle_s):
+        self._pause()
         self.taken.append(Connection())
         return self.taken[-1]
 
+    def _pause(self):
+        """Block the whole process."""
+        time.sleep(self.pause_s)
+
     def release_callback(self, address):
         return None
 
@@ -91,6 +98,7 @@
 @attrs.define(eq=False)
 class Reserver(reservations.Reserver):
     has_spare: bool = True
+    is_faulty: bool = False
     delay_s: float = 0.0
     given: list = attrs.field(factory=list)
     hedges: int = 0
@@ -99,6 +107,8 @@
         self.hedges += need.is_hedge
         if need.is_hedge:
             await anyio.sleep(self.delay_s)
+            if self.is_faulty:
+                raise ValueError('no slots')
             if not self.has_spare:
                 return reservations.NoSlot(1.0)
         number = len(self.given)
@@ -332,6 +342,32 @@
     assert_served(exchange, event(1, b'lead') + event(2, b'lead'), released)
 
 
+def test_a_request_outlasts_a_pause_of_the_process():
+    """Its moment has passed before the wait for it begins."""
+
+    @hedged
+    async def act(exchange, first, second):
+        first.answer(b'first')
+
+    exchange = Exchange()
+    exchange.state.connections.pause_s = 2 * USUAL_S
+    play(exchange, act)
+    assert exchange.responder.body == b'first'
+
+
+@pytest.mark.parametrize('kind', [STREAM, routes.RouteKind.IDEMPOTENT])
+def test_a_request_outlasts_a_fault_of_its_hedge(kind):
+    async def act(exchange):
+        await exchange.wait_for_sends(1)
+        await anyio.sleep(3 * USUAL_S)
+        exchange.connections[0].answer(event(1, b'first'))
+
+    exchange = Exchange(kind)
+    exchange.state.reserver.is_faulty = True
+    play(exchange, act)
+    assert exchange.responder.body == event(1, b'first')
+
+
 def test_a_stream_is_not_hedged_after_its_first_event():
     async def act(exchange):
         await exchange.wait_for_sends(1)
