--- a/redwingvalve/cli/commands.py
+++ b/redwingvalve/cli/commands.py
@@ -3,6 +3,7 @@
 from redwingvalve.cli import (
     bench,
     check,
+    check_configuration,
     daemons,
     demo,
     experiment,
@@ -19,6 +20,7 @@
 ALL: tuple[options.Command, ...] = (
     bench.BENCH,
     check.CHECK,
+    check_configuration.CHECK_CONFIGURATION,
     demo.DEMO,
     *operate.ALL,
     *token.ALL,
