Evacuate the data centre at the end of each soak run

The soak had no evacuation, so that a path that still reaches an evacuated data centre beside kills, pauses and store outages wasn't looked for.

--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -27,6 +27,8 @@
 # An endpoint may receive requests for this long after it reports 'draining'.
 DRAIN_S = fleet_harness.BOUNDS['drain_ms'] / 1000
 SETTLE_S = 2.5
+# The same after an evacuation, and until one that has ended is known to all.
+EVACUATE_S = node_world.BOUNDS['evacuate_ms'] / 1000
 EVENTS = list(range(1, 7))
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -134,6 +136,18 @@
     return [f'{endpoint.endpoint_id} got {late} late'] if late else []
 
 
+async def check_evacuation(cluster):
+    """Evacuate the only data centre; report what reaches its endpoints."""
+    cluster.store.put('evacuations', 'zone-1', {})
+    await anyio.sleep(EVACUATE_S)
+    before = cluster.count_arrivals()
+    await anyio.sleep(1)
+    late = cluster.count_arrivals() - before
+    cluster.store.remove('evacuations', 'zone-1')
+    await anyio.sleep(EVACUATE_S + RECOVERY_S)
+    return [f'{late} requests reached an evacuated zone'] if late else []
+
+
 async def heal(cluster):
     """Clear all faults and start nodes that are down."""
     cluster.store.faults = fake_store.StoreFaults()
@@ -168,6 +182,7 @@
                 injected = faults.injected
             await heal(cluster)
             found += await check_drain(cluster)
+            found += await check_evacuation(cluster)
             found += await versions.check_converged()
         finally:
             cluster.kill_all()
--- a/tests/integration/node_world.py
+++ b/tests/integration/node_world.py
@@ -33,6 +33,7 @@
 ENGINE_COUNT = 9
 PLAIN_COUNT = 3
 STOP_TIMEOUT_S = 8.0
+BOUNDS = {**fleet_harness.BOUNDS, 'evacuate_ms': 2000}
 _SERVING_STATES = frozenset(('open', 'closing'))
 
 
@@ -103,7 +104,7 @@
             },
             'internal_ports': [PEER_PORT, PEER_PORT],
             'heartbeat_ms': 1200,
-            'bounds': fleet_harness.BOUNDS,
+            'bounds': BOUNDS,
             'platform': {'address': self.proxy.address},
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -211,6 +212,13 @@
             if run.attempt_id == attempt
         )
 
+    def count_arrivals(self):
+        """Return how many requests have reached any endpoint."""
+        return sum(
+            len(endpoint.arrivals.times_s)
+            for endpoint in self.endpoints.values()
+        )
+
     def kill_all(self):
         for node in self.nodes:
             node.kill()
--- a/tests/integration/test_node_soak.py
+++ b/tests/integration/test_node_soak.py
@@ -24,7 +24,7 @@
 
     Nodes are paused, killed and stopped and lose the store or its responses;
     endpoints crash, restart and apply operations late. Finally, an endpoint is
-    drained without faults.
+    drained without faults, and the data centre is evacuated and used again.
     """
 
     async def scenario():
