--- a/redwingvalve/allocation/cold_endpoints.py
+++ b/redwingvalve/allocation/cold_endpoints.py
@@ -20,6 +20,8 @@
 # Endpoints that were not listed for this long are forgotten. Entries lapse
 # while the store is unavailable; their endpoints register again within 2 s.
 RETENTION_S = 60.0
+# Interval at which it is noted that endpoints are gone or warm.
+CHECK_INTERVAL_S = 1.0
 _MS_IN_S = 1000.0
 
 
@@ -54,6 +56,7 @@
     _limits: dict[str, start_limits.ServiceLimits] = attrs.field(factory=dict)
     _known: dict[str, _Endpoint] = attrs.field(factory=dict)
     _data_centres: dict[str, _ColdDataCentre] = attrs.field(factory=dict)
+    _checked_s: float = -math.inf
 
     @property
     def is_enabled(self) -> bool:
@@ -97,7 +100,7 @@
                 known.stated_ms = endpoint.cold_left_ms
                 left_s = endpoint.cold_left_ms / _MS_IN_S
                 known.cold_until_s = max(known.cold_until_s, now_s + left_s)
-        self.drop_expired()
+            self._log_change(endpoint.endpoint_id, known)
 
     def record(self, endpoint_id: str, born_ms: int, left_s: float) -> bool:
         """Record that an endpoint is cold; return whether that is new."""
@@ -119,6 +122,7 @@
         since_s = self.clock()
         self._data_centres[data_centre] = _ColdDataCentre(since_s, cold_s)
         LOG.info('data centre cold', extra={'data_centre': data_centre})
+        self._checked_s = -math.inf
         self.drop_expired()
 
     def is_cold(self, endpoint_id: str) -> bool:
@@ -167,8 +171,14 @@
         ]
 
     def drop_expired(self) -> None:
-        """Forget endpoints that are gone; log those that are warm now."""
+        """Forget endpoints that are gone; log those that are warm now.
+
+        Owners of pools call this ten times a second.
+        """
         now_s = self.clock()
+        if now_s - self._checked_s < CHECK_INTERVAL_S:
+            return
+        self._checked_s = now_s
         self._known = {
             endpoint_id: known
             for endpoint_id, known in self._known.items()
