--- a/redwingvalve/allocation/owner_asks.py
+++ b/redwingvalve/allocation/owner_asks.py
@@ -14,8 +14,9 @@
 from redwingvalve.allocation import messages
 from redwingvalve.allocation import owners as owners_module
 from redwingvalve.ingress import wait_queue
-from redwingvalve.observability import node_metrics
+from redwingvalve.observability import logs, node_metrics
 
+LOG = logs.make_logger('reserver')
 # A round trip between data centres takes a few milliseconds, and a busy node
 # some more to answer; the latency targets of callers are hundreds of them.
 REPLY_TIMEOUT_S = 0.04
@@ -111,6 +112,10 @@
                 return vm, reply
             self.owners.mark_unresponsive(vm)
             node_metrics.METRICS.count('redwingvalve_silent_owners')
+            LOG.info(
+                'owner gave no slot' if reply else 'owner silent',
+                extra={'owner': vm, **attrs.asdict(ask.pool)},
+            )
         return None
 
     async def _exchange(
