--- a/redwingvalve/allocation/takeover.py
+++ b/redwingvalve/allocation/takeover.py
@@ -171,6 +171,8 @@
                 **attrs.asdict(pool),
                 'silent_nodes': len(collection.missing),
                 'delayed_asks': len(collection.asks),
+                'asked_by': sorted({key[0].vm for key in collection.asks}),
+                'is_first': self.owns(pool),
                 'took_ms': int((self.clock() - collection.began_s) * 1000),
             },
         )
