Forget what owners and nodes hold for a previous process

Rests, stated limits with their starts, slots, refusals, ejections and cold marks are kept by endpoint id. A new process was held back for what its predecessor stated, its slots stayed taken until reports ended, and nodes that did not know yet repeated all of that to owners. A process with an earlier start time, after a clock was set back, was never recorded as cold.

Owners and nodes forget them with the process. Holdings, stated limits, starts and leaving marks carry the start of the process at the end of their structs; what is about a previous process is ignored, and what is about the next one is kept. Client accounts hold no slots of a previous process.

The starts that count for cold endpoints are kept across processes: the entry comes up to a heartbeat after the start, so what was granted for the previous process may have reached the next one.

What owners do with reports of endpoints is now in report_recorder.py, as the allocator had become too complex.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -18,6 +18,7 @@
     hold_table,
     messages,
     rate_limits,
+    report_recorder,
     spare_slots,
     start_forwarder,
     takeover,
@@ -41,10 +42,15 @@
     is_cancelled: bool = False
 
 
-def _ignore_leaving(endpoint_id: str) -> None:
+def _ignore_leaving(endpoint_id: str, born_ms: int) -> None:
     """Ignore an endpoint that leaves, as there are no targets yet."""
 
 
+def _is_never_past(endpoint_id: str, born_ms: int) -> bool:
+    """Return False, as no processes of endpoints are known yet."""
+    return False
+
+
 @attrs.define(eq=False)
 class Allocator:
     """All pools that this node owns."""
@@ -60,7 +66,9 @@
         factory=start_forwarder.StartForwarder
     )
     # Takes an endpoint that leaves out of the targets.
-    mark_leaving: collections_abc.Callable[[str], None] = _ignore_leaving
+    mark_leaving: collections_abc.Callable[[str, int], None] = _ignore_leaving
+    # Whether an endpoint's process that started then is a previous one.
+    is_past: collections_abc.Callable[[str, int], bool] = _is_never_past
     _pools: dict[messages.Pool, pool_module.SlotPool] = attrs.field(
         factory=dict
     )
@@ -117,7 +125,7 @@
         pool = self.pool(ask.pool)
         held = pool.holds.find(key)
         if held is not None:
-            reply(self._granted_reply(ask, held.endpoint_id))
+            reply(_granted_reply(self, ask, held.endpoint_id))
             return
         pool.endpoint_slots.mark_slow(ask.slow)
         acquire_slot = functools.partial(pool.acquire, sender, ask)
@@ -127,7 +135,7 @@
             else pool.queue.try_acquire(ask.need, acquire_slot)
         )
         if target is not None:
-            reply(self._granted_reply(ask, target.endpoint_id))
+            reply(_granted_reply(self, ask, target.endpoint_id))
             return
         if pool.endpoint_slots.waits_for_cold(pool.targets()):
             node_metrics.METRICS.count('redwingvalve_cold_waits')
@@ -156,45 +164,39 @@
         self, sender: messages.Sender, holdings: messages.Holdings
     ) -> None:
         """Reconcile the holds of a node with those that it reports."""
+        endpoint_ids = {
+            number: endpoint_id
+            for number, endpoint_id in holdings.endpoint_ids.items()
+            if not self.is_past(endpoint_id, holdings.born_ms.get(number, 0))
+        }
         self.pool(holdings.pool).reconcile(
-            sender, holdings.endpoint_ids, holdings.accounts
+            sender, attrs.evolve(holdings, endpoint_ids=endpoint_ids)
         )
         self.takeovers.record_report(holdings.pool, sender.vm)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget the previous processes of an endpoint that has restarted.
+
+        Its counted starts are kept: what was granted for the previous process
+        may arrive at the next one, which may be cold.
+        """
+        self.limits.forget(endpoint_id, born_ms)
+        self.cold.endpoints.forget(endpoint_id, born_ms)
+        for pool in self._pools.values():
+            pool.endpoint_slots.forget(endpoint_id, born_ms)
+
     def record_report(
         self, sender: messages.Sender, report: endpoint_reports.EndpointReport
     ) -> None:
         """Apply what a node reports of endpoints, and its starts there."""
-        now_s = self.clock()
-        if report.is_confirmation:
-            self.forwarder.knowledge.record_confirmation(sender.vm, now_s)
-        if report.asks_confirmation:
-            self.forwarder.confirm(sender.vm)
-        for endpoint_id in report.leaving:
-            self.mark_leaving(endpoint_id)
-        for limit in report.limits:
-            if self.limits.record(limit.to_statement(now_s)):
-                node_metrics.METRICS.count('redwingvalve_rate_limit_changes')
-                LOG.info(
-                    'rate limit changed',
-                    extra={
-                        'endpoint': limit.endpoint_id,
-                        'limit_per_s': limit.requests_per_s,
-                        'told_by': sender.vm,
-                    },
-                )
-        for start in report.starts:
-            holder = sender
-            if start.vm:
-                holder = messages.Sender(start.vm, start.born_ms)
-            key = (holder, start.number)
-            started_s = now_s - start.ago_s
-            self.limits.record_start(start.endpoint_id, key, started_s)
-            self.cold.record(start.endpoint_id, key, started_s)
-        for mark in report.cold:
-            self.cold.endpoints.record(
-                mark.endpoint_id, mark.born_ms, mark.left_s
-            )
+        recorder = report_recorder.ReportRecorder(
+            self.limits,
+            self.cold,
+            self.forwarder,
+            self.mark_leaving,
+            self.is_past,
+        )
+        recorder.record(sender, report, self.clock())
 
     def drop_node(self, vm: str) -> None:
         """Free the slots of a node that is gone."""
@@ -305,7 +307,7 @@
             if self._waiting_asks.get(key) is waiting_ask:
                 self._waiting_asks.pop(key)
         if target is not None:
-            waiting_ask.reply(self._granted_reply(ask, target.endpoint_id))
+            waiting_ask.reply(_granted_reply(self, ask, target.endpoint_id))
             return
         refused = messages.Reply(
             ask.number,
@@ -325,20 +327,23 @@
         if is_cold:
             node_metrics.METRICS.count('redwingvalve_cold_starts')
         now_s = self.clock()
-        self.forwarder.add(pool, key, endpoint_id, now_s)
+        hold = self.pool(pool).holds.find(key)
+        born_ms = hold.born_ms if hold else 0
+        self.forwarder.add(pool, key, endpoint_id, now_s, born_ms)
         if is_rate_limited or is_cold:
             self.forwarder.flush(now_s)
 
-    def _granted_reply(
-        self, ask: messages.Ask, endpoint_id: str
-    ) -> messages.Reply:
-        return messages.Reply(
-            ask.number,
-            messages.Outcome.GRANTED,
-            endpoint_id,
-            is_rate_limited=self.limits.is_limited(endpoint_id),
-            is_cold=self.cold.endpoints.is_cold(endpoint_id),
-        )
+
+def _granted_reply(
+    allocator: Allocator, ask: messages.Ask, endpoint_id: str
+) -> messages.Reply:
+    return messages.Reply(
+        ask.number,
+        messages.Outcome.GRANTED,
+        endpoint_id,
+        is_rate_limited=allocator.limits.is_limited(endpoint_id),
+        is_cold=allocator.cold.endpoints.is_cold(endpoint_id),
+    )
 
 
 def _moved_reply(number: int) -> messages.Reply:
--- a/redwingvalve/allocation/cold_endpoints.py
+++ b/redwingvalve/allocation/cold_endpoints.py
@@ -113,6 +113,15 @@
         self._log_change(endpoint_id, known)
         return not was_cold
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget the previous processes of an endpoint that has restarted.
+
+        The start of the next one may be earlier, if a clock was set back.
+        """
+        known = self._known.get(endpoint_id)
+        if known is not None and not (born_ms and known.born_ms == born_ms):
+            self._begin(endpoint_id, born_ms)
+
     def mark_cold(self, data_centre: str, cold_s: float | None = None) -> None:
         """Treat all endpoints of a data centre as cold from now on.
 
@@ -208,6 +217,11 @@
             return None
         if known is not None and born_ms in {0, known.born_ms}:
             return known
+        return self._begin(endpoint_id, born_ms)
+
+    def _begin(self, endpoint_id: str, born_ms: int) -> _Endpoint:
+        """Start an incarnation of which nothing is known."""
+        known = self._known.get(endpoint_id)
         found = _Endpoint(born_ms, self.clock())
         if known is not None:
             found.service = known.service
--- a/redwingvalve/allocation/cold_reporter.py
+++ b/redwingvalve/allocation/cold_reporter.py
@@ -36,6 +36,8 @@
     number: int
     owner: str
     started_s: float
+    # Start of the endpoint's process, 0 if unknown.
+    born_ms: int = 0
 
 
 @attrs.frozen
@@ -92,6 +94,16 @@
         for vm in self.owners.ranked_for(pool):
             self._send_news(pool, vm)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget that an endpoint's previous processes were cold.
+
+        Starts are kept: requests sent to the previous process may arrive at the
+        next one.
+        """
+        news = self._news.get(endpoint_id)
+        if news is not None and not (born_ms and news.born_ms == born_ms):
+            self._news.pop(endpoint_id)
+
     def unusable(self) -> list[str]:
         """Return the endpoints that this node must not choose by itself.
 
@@ -152,7 +164,10 @@
         self._send_news(pool, vm)
         starts = [
             endpoint_reports.Start(
-                start.endpoint_id, start.number, now_s - start.started_s
+                start.endpoint_id,
+                start.number,
+                now_s - start.started_s,
+                endpoint_born_ms=start.born_ms,
             )
             for start in self._recent
             if start.pool == pool and is_reported(start)
--- a/redwingvalve/allocation/endpoint_reporter.py
+++ b/redwingvalve/allocation/endpoint_reporter.py
@@ -38,6 +38,8 @@
     started_s: float
     # Whether the owner counted it against a limit.
     is_rate_limited: bool
+    # Start of the endpoint's process, 0 if unknown.
+    born_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -53,6 +55,8 @@
     )
     # When endpoints first said that they leave.
     _leaving_since_s: dict[str, float] = attrs.field(factory=dict)
+    # Starts of their processes, 0 if unknown.
+    _leaving_born_ms: dict[str, int] = attrs.field(factory=dict)
     _reported_s: dict[tuple[messages.Pool, str], float] = attrs.field(
         factory=dict
     )
@@ -80,6 +84,7 @@
             math.inf if requests_per_s is None else requests_per_s,
             request.started_s,
             self.clock(),
+            request.born_ms,
         )
         has_changed = self._limits.record(statement)
         self._limits.record_start(
@@ -89,16 +94,31 @@
             for vm in self.owners.ranked_for(request.pool):
                 self._send([statement], vm)
 
-    def record_leaving(self, pool: messages.Pool, endpoint_id: str) -> None:
-        """Record that an endpoint leaves: nobody sends it new requests."""
-        if endpoint_id in self._leaving_since_s:
+    def record_leaving(
+        self, pool: messages.Pool, endpoint_id: str, born_ms: int = 0
+    ) -> None:
+        """Record that an endpoint leaves: nobody sends it new requests.
+
+        born_ms is the start of its process, 0 if unknown.
+        """
+        if self._leaving_born_ms.get(endpoint_id) == born_ms:
             return
         self._leaving_since_s[endpoint_id] = self.clock()
-        self.targets.mark_leaving(endpoint_id)
-        report = endpoint_reports.EndpointReport(leaving=(endpoint_id,))
+        self._leaving_born_ms[endpoint_id] = born_ms
+        self.targets.mark_leaving(endpoint_id, born_ms)
+        report = endpoint_reports.EndpointReport(
+            leaving=(endpoint_id,), leaving_born_ms=(born_ms,)
+        )
         for vm in self.owners.ranked_for(pool):
             self.transport.send(vm, report)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget what the previous processes of an endpoint stated."""
+        self._limits.forget(endpoint_id, born_ms)
+        if not born_ms or self._leaving_born_ms.get(endpoint_id) != born_ms:
+            self._leaving_since_s.pop(endpoint_id, None)
+            self._leaving_born_ms.pop(endpoint_id, None)
+
     def report_before_ask(self, pool: messages.Pool, vm: str) -> None:
         """Report to an owner that is going to be asked."""
         reported_s = self._reported_s.get((pool, vm), -math.inf)
@@ -114,6 +134,10 @@
             for endpoint_id, since_s in self._leaving_since_s.items()
             if since_s > now_s - REPEATED_FOR_S
         }
+        self._leaving_born_ms = {
+            endpoint_id: self._leaving_born_ms[endpoint_id]
+            for endpoint_id in self._leaving_since_s
+        }
         for pool in pools:
             for vm in self.owners.ranked_for(pool):
                 self._report(pool, vm)
@@ -125,9 +149,12 @@
             return
         self._reported_s[pool, vm] = now_s
         if self._leaving_since_s:
-            leaving = tuple(self._leaving_since_s)
             self.transport.send(
-                vm, endpoint_reports.EndpointReport(leaving=leaving)
+                vm,
+                endpoint_reports.EndpointReport(
+                    leaving=tuple(self._leaving_born_ms),
+                    leaving_born_ms=tuple(self._leaving_born_ms.values()),
+                ),
             )
         in_pool = {
             target.endpoint_id
@@ -144,8 +171,7 @@
     ) -> None:
         now_s = self.clock()
         starts = itertools.chain.from_iterable(
-            self._starts_at(statement.endpoint_id, now_s)
-            for statement in statements
+            self._starts_at(statement, now_s) for statement in statements
         )
         newest = sorted(starts, key=_age_s)
         report = endpoint_reports.EndpointReport(
@@ -158,11 +184,17 @@
         self.transport.send(vm, report)
 
     def _starts_at(
-        self, endpoint_id: str, now_s: float
+        self, statement: rate_limits.LimitStatement, now_s: float
     ) -> list[endpoint_reports.Start]:
+        endpoint_id = statement.endpoint_id
         starts = self._limits.recent_starts(endpoint_id, now_s)
         return [
-            endpoint_reports.Start(endpoint_id, number, now_s - started_s)
+            endpoint_reports.Start(
+                endpoint_id,
+                number,
+                now_s - started_s,
+                endpoint_born_ms=statement.born_ms,
+            )
             for number, started_s in starts.items()
         ]
 
--- a/redwingvalve/allocation/endpoint_reports.py
+++ b/redwingvalve/allocation/endpoint_reports.py
@@ -3,7 +3,9 @@
 Moments are sent as ages, because the clocks of nodes differ.
 """
 
+import itertools
 import typing
+from collections import abc as collections_abc
 
 import attrs
 
@@ -28,6 +30,8 @@
     requests_per_s: float
     asked_ago_s: float
     stated_ago_s: float
+    # Start of the endpoint's process, 0 if unknown.
+    born_ms: int = 0
 
     def to_statement(self, now_s: float) -> rate_limits.LimitStatement:
         """Return the statement with times of the local clock."""
@@ -36,6 +40,7 @@
             self.requests_per_s,
             now_s - self.asked_ago_s,
             now_s - self.stated_ago_s,
+            self.born_ms,
         )
 
 
@@ -50,6 +55,8 @@
     # The node that sends it, empty for the sender of the report.
     vm: str = ''
     born_ms: int = 0
+    # Start of the endpoint's process, 0 if unknown.
+    endpoint_born_ms: int = 0
 
 
 @attrs.frozen
@@ -73,6 +80,14 @@
     # The sender owns a pool, and asks whether this report has arrived.
     asks_confirmation: bool = False
     is_confirmation: bool = False
+    # Starts of the processes that leave, in the same order, 0 if unknown.
+    leaving_born_ms: tuple[int, ...] = ()
+
+    def leaving_processes(self) -> collections_abc.Iterable[tuple[str, int]]:
+        """Return the endpoints that leave, with the start of each."""
+        return itertools.zip_longest(
+            self.leaving, self.leaving_born_ms[: len(self.leaving)], fillvalue=0
+        )
 
 
 _LimitStruct: typing.Any = structs.make_struct(
@@ -81,6 +96,7 @@
     (_Type.DOUBLE, 'requests_per_s'),
     (_Type.I32, 'asked_ago_ms'),
     (_Type.I32, 'stated_ago_ms'),
+    (_Type.I64, 'born_ms'),
 )
 _StartStruct: typing.Any = structs.make_struct(
     'Start',
@@ -89,6 +105,7 @@
     (_Type.I32, 'ago_ms'),
     (_Type.STRING, 'vm'),
     (_Type.I64, 'born_ms'),
+    (_Type.I64, 'endpoint_born_ms'),
 )
 _ColdStruct: typing.Any = structs.make_struct(
     'ColdMark',
@@ -104,6 +121,7 @@
     (_Type.LIST, 'cold', (_Type.STRUCT, _ColdStruct)),
     (_Type.BOOL, 'asks_confirmation'),
     (_Type.BOOL, 'is_confirmation'),
+    (_Type.LIST, 'leaving_born_ms', _Type.I64),
 )
 
 
@@ -116,6 +134,7 @@
         statement.requests_per_s,
         now_s - statement.asked_s,
         now_s - statement.stated_s,
+        statement.born_ms,
     )
 
 
@@ -128,6 +147,7 @@
                 requests_per_s=limit.requests_per_s,
                 asked_ago_ms=int(limit.asked_ago_s * _MS_IN_S),
                 stated_ago_ms=int(limit.stated_ago_s * _MS_IN_S),
+                born_ms=limit.born_ms or None,
             )
             for limit in report.limits
         ],
@@ -138,6 +158,7 @@
                 ago_ms=int(start.ago_s * _MS_IN_S),
                 vm=start.vm or None,
                 born_ms=start.born_ms or None,
+                endpoint_born_ms=start.endpoint_born_ms or None,
             )
             for start in report.starts
         ],
@@ -152,6 +173,7 @@
         ],
         asks_confirmation=report.asks_confirmation or None,
         is_confirmation=report.is_confirmation or None,
+        leaving_born_ms=list(report.leaving_born_ms),
     )
 
 
@@ -164,6 +186,7 @@
         tuple(_read_cold_mark(one) for one in struct.cold or ()),
         bool(struct.asks_confirmation),
         bool(struct.is_confirmation),
+        tuple(struct.leaving_born_ms or ()),
     )
 
 
@@ -175,6 +198,7 @@
         struct.requests_per_s,
         struct.asked_ago_ms / _MS_IN_S,
         struct.stated_ago_ms / _MS_IN_S,
+        struct.born_ms or 0,
     )
 
 
@@ -187,6 +211,7 @@
         struct.ago_ms / _MS_IN_S,
         struct.vm or '',
         struct.born_ms or 0,
+        struct.endpoint_born_ms or 0,
     )
 
 
--- a/redwingvalve/allocation/endpoint_rests.py
+++ b/redwingvalve/allocation/endpoint_rests.py
@@ -33,6 +33,10 @@
         )
         self._until_s = until_s
 
+    def forget(self, endpoint_id: str) -> None:
+        """End the rest of an endpoint whose process has restarted."""
+        self._until_s.pop(endpoint_id, None)
+
     def resting(self) -> list[str]:
         """Return the endpoints that rest, those that rest longest first."""
         now_s = self.clock()
--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -27,6 +27,10 @@
 SLOW_ENDPOINT_S = 2.0
 
 
+def _ignore_forgotten(endpoint_id: str) -> None:
+    """Do nothing, as nobody else remembers the endpoints yet."""
+
+
 @attrs.frozen
 class _UncertainSlot:
     """A slot that may still be in use, or belong to a dead endpoint."""
@@ -45,6 +49,8 @@
     # What is known here of the starts of the last second in this pool.
     knowledge: collections_abc.Callable[[], owner_knowledge.Knowledge]
     holds: hold_table.HoldTable = attrs.field(factory=hold_table.HoldTable)
+    # Called with an endpoint whose process has restarted.
+    on_forgotten: collections_abc.Callable[[str], None] = _ignore_forgotten
     _refused_until_s: dict[str, float] = attrs.field(factory=dict)
     _slow_until_s: dict[str, float] = attrs.field(factory=dict)
     _uncertain_slots: list[_UncertainSlot] = attrs.field(factory=list)
@@ -60,7 +66,12 @@
         """Hold a slot for a request that starts now."""
         now_s = self.clock()
         self.holds.add(
-            key, target.endpoint_id, now_s, is_probe=is_probe, account=account
+            key,
+            target.endpoint_id,
+            now_s,
+            is_probe=is_probe,
+            account=account,
+            born_ms=target.born_ms,
         )
         self.limits.record_start(target.endpoint_id, key, now_s)
         self.cold.record(target.endpoint_id, key, now_s)
@@ -140,6 +151,19 @@
             return 0
         return target.slots - held
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget the previous processes of an endpoint that has restarted."""
+        self.holds.forget(endpoint_id, born_ms)
+        self.limits.forget(endpoint_id, born_ms)
+        self._refused_until_s.pop(endpoint_id, None)
+        self._slow_until_s.pop(endpoint_id, None)
+        self._uncertain_slots = [
+            one
+            for one in self._uncertain_slots
+            if one.endpoint_id != endpoint_id
+        ]
+        self.on_forgotten(endpoint_id)
+
     def drop_expired(self) -> None:
         """Drop expired state."""
         now_s = self.clock()
--- a/redwingvalve/allocation/held_slots.py
+++ b/redwingvalve/allocation/held_slots.py
@@ -94,6 +94,7 @@
                 grant.number,
                 grant.owner,
                 now_s,
+                target.born_ms,
             )
         )
         return _SlotReservation(target, grant.number, self)
@@ -113,6 +114,7 @@
             held.grant.endpoint_id,
             held.started_s,
             held.grant.is_rate_limited,
+            held.target.born_ms,
         )
         self.endpoint_reporter.record_answer(request, statement.requests_per_s)
         if statement.cold_left_s:
@@ -124,7 +126,7 @@
             )
         if statement.is_leaving:
             self.endpoint_reporter.record_leaving(
-                held.grant.pool, held.grant.endpoint_id
+                held.grant.pool, held.grant.endpoint_id, held.target.born_ms
             )
 
     def release(self, release: messages.Release) -> None:
@@ -137,6 +139,23 @@
         if owner:
             self.transport.send(owner, release)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Release the slots of an endpoint's previous processes.
+
+        Their requests are gone, and their answers say nothing about the next.
+        """
+        self.rests.forget(endpoint_id)
+        self.endpoint_reporter.forget(endpoint_id, born_ms)
+        self.cold_reporter.forget(endpoint_id, born_ms)
+        past = [
+            number
+            for number, held in self._held.items()
+            if held.target.endpoint_id == endpoint_id
+            and not (born_ms and held.target.born_ms == born_ms)
+        ]
+        for number in past:
+            self.release(messages.Release(number))
+
     def report(self) -> None:
         """Report held slots and rate limits to the owners of their pools."""
         self.endpoint_reporter.report(self._last_owners)
@@ -170,7 +189,12 @@
             for number in endpoint_ids
             if self._held[number].grant.account
         }
-        holdings = messages.Holdings(pool, endpoint_ids, accounts)
+        born_ms = {
+            number: self._held[number].target.born_ms
+            for number in endpoint_ids
+            if self._held[number].target.born_ms
+        }
+        holdings = messages.Holdings(pool, endpoint_ids, accounts, born_ms)
         self.transport.send(vm, holdings)
 
     def _report_to_owner(self, pool: messages.Pool) -> None:
--- a/redwingvalve/allocation/hold_table.py
+++ b/redwingvalve/allocation/hold_table.py
@@ -22,6 +22,7 @@
 
 Key = tuple[messages.Sender, int]
 _NO_ACCOUNTS: typing.Final = types.MappingProxyType[int, str]({})
+_NO_STARTS: typing.Final = types.MappingProxyType[int, int]({})
 
 
 @attrs.define
@@ -35,6 +36,8 @@
     is_probe: bool = False
     # The client account, empty if none.
     account: str = ''
+    # Start of the endpoint's process, 0 if unknown.
+    born_ms: int = 0
 
 
 def _ignore_change(account: str, by: int) -> None:
@@ -74,10 +77,13 @@
         *,
         is_probe: bool = False,
         account: str = '',
+        born_ms: int = 0,
     ) -> None:
         """Record a hold in place of an older one with the same key."""
         self.release(key)
-        self._holds[key] = Hold(endpoint_id, now_s, now_s, is_probe, account)
+        self._holds[key] = Hold(
+            endpoint_id, now_s, now_s, is_probe, account, born_ms
+        )
         self.on_change(account, 1)
         self._counts[endpoint_id] = self.count(endpoint_id) + 1
         sender, number = key
@@ -107,8 +113,12 @@
         endpoint_ids: dict[int, str],
         now_s: float,
         accounts: collections_abc.Mapping[int, str] = _NO_ACCOUNTS,
+        born_ms: collections_abc.Mapping[int, int] = _NO_STARTS,
     ) -> None:
-        """Replace the holds of a node, but for new ones, with its report."""
+        """Replace the holds of a node, but for new ones, with its report.
+
+        born_ms are the starts of the endpoints' processes, as far as known.
+        """
         for number in tuple(self._numbers_by_sender.get(sender, ())):
             hold = self._holds[sender, number]
             is_reported = number in endpoint_ids
@@ -118,9 +128,26 @@
             known = self._holds.get((sender, number))
             if known is not None and known.endpoint_id == endpoint_id:
                 known.confirmed_s = now_s
+                known.born_ms = born_ms.get(number, known.born_ms)
                 continue
-            account = accounts.get(number, '')
-            self.add((sender, number), endpoint_id, now_s, account=account)
+            self.add(
+                (sender, number),
+                endpoint_id,
+                now_s,
+                account=accounts.get(number, ''),
+                born_ms=born_ms.get(number, 0),
+            )
+
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Free the slots of an endpoint's processes but that of born_ms."""
+        keys = [
+            key
+            for key, hold in self._holds.items()
+            if hold.endpoint_id == endpoint_id
+            and not (born_ms and hold.born_ms == born_ms)
+        ]
+        for key in keys:
+            self.release(key)
 
     def drop_node(self, vm: str) -> bool:
         """Free all slots of a node; return whether it held any."""
--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -103,6 +103,8 @@
     endpoint_ids: dict[int, str]
     # Client accounts by request number, without those that have none.
     accounts: dict[int, str] = attrs.field(factory=dict)
+    # Starts of the endpoints' processes, as far as known.
+    born_ms: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -183,6 +185,7 @@
     (_Type.STRUCT, 'pool', _PoolStruct),
     (_Type.MAP, 'endpoint_ids', (_Type.I64, _Type.STRING)),
     (_Type.MAP, 'accounts', (_Type.I64, _Type.STRING)),
+    (_Type.MAP, 'born_ms', (_Type.I64, _Type.I64)),
 )
 _EnvelopeStruct: typing.Any = structs.make_struct(
     'Envelope',
@@ -242,6 +245,7 @@
         pool=_pool_struct(message.pool),
         endpoint_ids=message.endpoint_ids,
         accounts=message.accounts,
+        born_ms=message.born_ms,
     )
 
 
@@ -267,6 +271,7 @@
             _read_pool(struct.holdings.pool),
             dict(struct.holdings.endpoint_ids or {}),
             dict(struct.holdings.accounts or {}),
+            dict(struct.holdings.born_ms or {}),
         )
     if struct.limits is not None:
         return endpoint_reports.from_struct(struct.limits)
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -86,6 +86,7 @@
         self.queue = pool_queue.PoolQueue(self.clock, self)
         self.holds.on_change = self.queue.change_held
         self._outliers = outlier_detection.OutlierDetector(self.clock)
+        self.endpoint_slots.on_forgotten = self._outliers.forget
 
     @property
     def holds(self) -> hold_table.HoldTable:
@@ -141,11 +142,16 @@
     def reconcile(
         self,
         sender: messages.Sender,
-        endpoint_ids: dict[int, str],
-        accounts: dict[int, str],
+        holdings: messages.Holdings,
     ) -> None:
         """Replace the holds of a node with those that it reports."""
-        self.holds.reconcile(sender, endpoint_ids, self.clock(), accounts)
+        self.holds.reconcile(
+            sender,
+            holdings.endpoint_ids,
+            self.clock(),
+            holdings.accounts,
+            holdings.born_ms,
+        )
         self.queue.dispatch()
 
     def drop_node(self, vm: str) -> None:
--- a/redwingvalve/allocation/rate_limits.py
+++ b/redwingvalve/allocation/rate_limits.py
@@ -36,12 +36,16 @@
     asked_s: float
     # When the answer arrived.
     stated_s: float
+    # Start of the process that stated it, 0 if unknown.
+    born_ms: int = 0
 
     def supersedes(self, other: 'LimitStatement') -> bool:
         """Return whether this statement counts and not another one.
 
         If it is uncertain which is newer, the stricter one counts.
         """
+        if self.born_ms and other.born_ms and self.born_ms != other.born_ms:
+            return self.born_ms > other.born_ms
         if self.asked_s >= other.stated_s:
             return True
         if other.asked_s >= self.stated_s:
@@ -80,6 +84,14 @@
         if self.is_limited(endpoint_id):
             self._starts.record(endpoint_id, key, started_s)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget an endpoint's limit unless its process started at born_ms."""
+        known = self._statements.get(endpoint_id)
+        if known is not None and born_ms and known.born_ms == born_ms:
+            return
+        self._statements.pop(endpoint_id, None)
+        self._starts.forget(endpoint_id)
+
     def requests_per_s(self, endpoint_id: str) -> float:
         """Return an endpoint's limit, infinite if it has none."""
         statement = self._statements.get(endpoint_id)
--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -175,6 +175,10 @@
         """Report the held slots of a pool to a node that takes it over."""
         self._held_slots.report_pool(pool, vm)
 
+    def forget(self, endpoint_id: str, born_ms: int) -> None:
+        """Forget the previous processes of an endpoint that has restarted."""
+        self._held_slots.forget(endpoint_id, born_ms)
+
     async def _find_slot(
         self, pools: list[messages.Pool], ask: messages.Ask
     ) -> held_slots.Grant | reservations.NoSlot:
--- a/redwingvalve/allocation/start_forwarder.py
+++ b/redwingvalve/allocation/start_forwarder.py
@@ -41,6 +41,8 @@
     key: hold_table.Key
     endpoint_id: str
     started_s: float
+    # Start of the endpoint's process, 0 if unknown.
+    born_ms: int
 
 
 @attrs.define(eq=False)
@@ -61,9 +63,13 @@
         key: hold_table.Key,
         endpoint_id: str,
         now_s: float,
+        born_ms: int = 0,
     ) -> None:
-        """Forward a start that was granted now, or soon."""
-        self._unsent.append(_Start(pool, key, endpoint_id, now_s))
+        """Forward a start that was granted now, or soon.
+
+        born_ms is the start of the endpoint's process, 0 if unknown.
+        """
+        self._unsent.append(_Start(pool, key, endpoint_id, now_s, born_ms))
         if len(self._unsent) >= MAX_UNSENT:
             self.flush(now_s)
 
@@ -80,6 +86,7 @@
                     now_s - start.started_s,
                     start.key[0].vm,
                     start.key[0].born_ms,
+                    start.born_ms,
                 )
                 for start in unsent
                 if start.pool == pool
--- a/redwingvalve/allocation/tests/test_messages.py
+++ b/redwingvalve/allocation/tests/test_messages.py
@@ -29,7 +29,22 @@
         messages.Ask(7, POOL, True, COMPETING),
         messages.Holdings(POOL, {7: 'e1', 9: 'e2'}),
         messages.Holdings(POOL, {7: 'e1', 9: 'e2'}, {7: 'an account'}),
+        messages.Holdings(
+            POOL,
+            {7: 'e1', 9: 'e2'},
+            {9: 'an account'},
+            {7: 1_700_000_000_000},
+        ),
         endpoint_reports.EndpointReport(leaving=('e1',)),
+        endpoint_reports.EndpointReport(
+            (endpoint_reports.StatedLimit('e1', 1.5, 2.0, 1.0, 1000),),
+            (endpoint_reports.Start('e1', 7, 1.0, 'vm-2', 1, 1000),),
+            ('e1', 'e2'),
+            (endpoint_reports.ColdMark('e1', 1000, 2.5),),
+            True,
+            True,
+            (1000, 0),
+        ),
     ],
 )
 def test_messages_survive_a_round_trip(message):
--- a/redwingvalve/ingress/outlier_detection.py
+++ b/redwingvalve/ingress/outlier_detection.py
@@ -194,6 +194,12 @@
         if ejection is not None:
             ejection.probed_s = self._clock()
 
+    def forget(self, endpoint_id: str) -> None:
+        """Forget the results of an endpoint whose process has restarted."""
+        self._endpoints.pop(endpoint_id, None)
+        for rates in self._reporters.values():
+            rates.pop(endpoint_id, None)
+
     def tick(self, endpoint_ids: collections_abc.Collection[str]) -> None:
         """Drop the state of other endpoints, and end unprobed ejections."""
         now_s = self._clock()
--- a/redwingvalve/ingress/tests/load_simulation.py
+++ b/redwingvalve/ingress/tests/load_simulation.py
@@ -155,7 +155,7 @@
         """Return the targets, which are the same on all nodes."""
         return self._simulation.targets
 
-    def mark_leaving(self, endpoint_id):
+    def mark_leaving(self, endpoint_id, born_ms=0):
         """Ignore endpoints that leave; the targets are fixed."""
 
     def send(self, vm, message):
--- a/redwingvalve/ingress/tests/test_outlier_detection.py
+++ b/redwingvalve/ingress/tests/test_outlier_detection.py
@@ -172,3 +172,18 @@
     pool.pass_time(0.1)
     pool.names.append('e1')
     assert not pool.ejected()
+
+
+def test_an_ejection_ends_with_its_process():
+    """The next process would be out of use although it is healthy."""
+    pool = Pool()
+    pool.record('e0', 'xx')
+    pool.record('e1', 'x')
+    assert pool.ejected() == {'e0'}
+    for name in ('e0', 'e1'):
+        pool.detector.forget(name)
+    pool.pass_time(0.1)
+    assert not pool.ejected()
+    assert not any(map(pool.detector.penalty, pool.names))
+    pool.record('e0', 'x')
+    assert not pool.ejected()
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -17,6 +17,7 @@
     start_forwarder,
 )
 from redwingvalve.allocation import reserver as reserver_module
+from redwingvalve.fleet import lives as lives_module
 from redwingvalve.ingress import load_balancing, routes
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import cold_watch, front_selection
@@ -41,6 +42,7 @@
 
     peers: peers_module.Peers
     allocator: allocator_module.Allocator
+    lives: lives_module.Lives
     reserver: reserver_module.NodeReserver = attrs.field(init=False)
 
     @property
@@ -84,6 +86,13 @@
         if front_selection.available_peers(self.peers):
             self.allocator.resign()
 
+    def forget(self, endpoint_id: str) -> None:
+        """Forget the previous processes of an endpoint that has restarted."""
+        born_ms = self.lives.born_ms(endpoint_id)
+        # Before this node's slots are released: none is granted again here.
+        self.allocator.forget(endpoint_id, born_ms)
+        self.reserver.forget(endpoint_id, born_ms)
+
     async def run(self) -> typing.NoReturn:
         """Run the allocator's periodic checks until cancelled."""
         while True:
@@ -152,7 +161,9 @@
         time.monotonic,
         cold=cold_starts.ColdStarts(cold),
     )
-    transport = AllocationTransport(peers, allocator)
+    lives = status_exchange.registry.lives
+    allocator.is_past = lives.is_past
+    transport = AllocationTransport(peers, allocator, lives)
     allocator.mark_leaving = state.targets.mark_leaving
     allocator.forwarder = start_forwarder.make_forwarder(
         peers.local.vm, pool_owners, transport, time.monotonic()
--- a/redwingvalve/node/tests/test_peer_discovery.py
+++ b/redwingvalve/node/tests/test_peer_discovery.py
@@ -3,6 +3,8 @@
 import itertools
 
 import anyio
+import attrs
+import pytest
 
 from redwingvalve.node import (
     daemon,
@@ -113,6 +115,26 @@
     assert not known.known
 
 
+@pytest.mark.parametrize(
+    'foreign',
+    [
+        {'ip': 5},
+        {'peer_port': '7000'},
+        {'peer_port': 0},
+        {'born_ms': None},
+        {'link_mbps': 'fast'},
+        {'front': ['127.0.0.1:80']},
+    ],
+)
+def test_a_malformed_registration_names_no_node(foreign):
+    """Status messages to all nodes would fail with those to this one."""
+    spec = attrs.asdict(address('vm-2'))
+    assert peer_discovery._decode_address({'spec': spec})
+    assert not peer_discovery._decode_address({'spec': {**spec, **foreign}})
+    assert not peer_discovery._decode_address({'spec': [spec]})
+    assert not peer_discovery._decode_address({'metadata': {}})
+
+
 def test_a_refused_listing_is_retried_at_the_usual_interval(monkeypatch):
     """A node that knows its peers doesn't retry faster when it is refused.
 
