--- a/redwingvalve/allocation/tests/test_endpoint_rests.py
+++ b/redwingvalve/allocation/tests/test_endpoint_rests.py
@@ -7,7 +7,7 @@
 
 from redwingvalve.allocation import endpoint_rests, messages
 from redwingvalve.ingress import refusals, reservations, wait_queue
-from redwingvalve.ingress.tests import load_simulation
+from redwingvalve.ingress.tests import load_simulation, simulated_node
 from redwingvalve.platform import endpoint_statements
 
 NEED = wait_queue.SlotRequest(1, 0.3, 2.0)
@@ -25,7 +25,7 @@
         )
         simulation = load_simulation.Simulation(deployment, [], 1)
         simulation.nodes = [
-            load_simulation.Node(f'vm-{number}', simulation)
+            simulated_node.Node(f'vm-{number}', simulation)
             for number in range(nodes)
         ]
         self.nodes = simulation.nodes
--- a/redwingvalve/ingress/tests/competing_load.py
+++ b/redwingvalve/ingress/tests/competing_load.py
@@ -11,9 +11,9 @@
 import attrs
 
 from redwingvalve.ingress import refusals, reservations, wait_queue
-from redwingvalve.ingress.tests import load_simulation
+from redwingvalve.ingress.tests import load_simulation, simulated_node
 
-MIN_PATIENCE_S = load_simulation.CALLER_PATIENCE_S
+MIN_PATIENCE_S = simulated_node.CALLER_PATIENCE_S
 # Median and spread of the time to read a prompt: the largest tenth takes over
 # 3.6 times the median.
 PROMPT_READ_S = 0.02
@@ -94,7 +94,7 @@
     return {name: tally(found) for name, found in sorted(groups.items())}
 
 
-class CompetingNode(load_simulation.Node):
+class CompetingNode(simulated_node.Node):
     """A node whose requests have an account, a kind and a prompt size."""
 
     async def ask_for(self, caller, *, has_returned):
@@ -104,7 +104,7 @@
         started_s = anyio.current_time()
         estimate_s = self.first_event_estimate.seconds + caller.prompt_read_s
         left_s = (
-            caller.arrived_s + load_simulation.DEADLINE_S - anyio.current_time()
+            caller.arrived_s + simulated_node.DEADLINE_S - anyio.current_time()
         )
         need = wait_queue.SlotRequest(
             urgency=caller.urgency,
@@ -178,7 +178,7 @@
         if retry_after_s is None:
             return
         caller.refusals += 1
-        left_s = load_simulation.DEADLINE_S - (
+        left_s = simulated_node.DEADLINE_S - (
             anyio.current_time() - caller.arrived_s
         )
         share = load_simulation.MAX_RETRY_AFTER_SHARE
--- a/redwingvalve/node/tests/test_drawn_evacuations.py
+++ b/redwingvalve/node/tests/test_drawn_evacuations.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from redwingvalve.node import peers
-from redwingvalve.node.tests import test_evacuations as shared
+from redwingvalve.node.tests import evacuation_harness as shared
 
 NODES = 6
 DATA_CENTRES = ('zone-1', shared.AWAY)
