Ask nodes again that count as down in another data centre

Its heads were filled beyond their slots.

Cause: a hub that is cut off itself marks silent nodes of another data centre as down. The hubs there see no change that they would report.

Change: a few nodes that are down there are asked at each status interval, not only while no node of their data centre lives.

--- a/redwingvalve/node/lost_data_centres.py
+++ b/redwingvalve/node/lost_data_centres.py
@@ -6,8 +6,10 @@
 all its nodes are asked for a status message at once, and those that send none
 are marked down together.
 
-A cut link looks the same. So a few nodes of a data centre without any live node
-are asked again at each status interval, and all of them once one has replied.
+A cut link looks the same, also one that only this hub is behind: the hubs of
+the other data centre then see no change that they would report. So a few of the
+nodes that are down there are asked again at each status interval, and all of
+them once one of a data centre without any live node has replied.
 """
 
 import random
@@ -18,7 +20,7 @@
 
 from redwingvalve.node import peers as peers_module
 
-# Nodes of a data centre without any live node that are asked at each interval.
+# Nodes of a data centre that are down and asked again, at each interval.
 RETURN_ASKS = 2
 
 
@@ -72,8 +74,9 @@
                 peer.asks_left = peers_module.ASKS_AFTER_LISTING
         self._dark = dark
         asked = set(self._asked_since_s)
-        for data_centre in dark:
-            names = down[data_centre]
+        for data_centre, names in down.items():
+            if data_centre == self._peers.local.data_centre:
+                continue
             chosen = self._rng.sample(names, min(RETURN_ASKS, len(names)))
             asked.update(one.address.vm for one in chosen)
         return asked
