--- a/redwingvalve/allocation/cold_endpoints.py
+++ b/redwingvalve/allocation/cold_endpoints.py
@@ -6,6 +6,7 @@
 says so, it looks like a warm endpoint.
 """
 
+import itertools
 import math
 from collections import abc as collections_abc
 
@@ -186,12 +187,12 @@
             if known.service in self._limits:
                 found = data_centres.setdefault(known.service, {''})
                 found.add(known.data_centre)
-        return {
-            messages.Pool(name, model, data_centre)
-            for name, found in data_centres.items()
-            for model in _model_names(self._services[name])
-            for data_centre in found
-        }
+        pools: set[messages.Pool] = set()
+        for name, found in data_centres.items():
+            models = _model_names(self._services[name])
+            pairs = itertools.product(models, found)
+            pools.update(messages.Pool(name, *pair) for pair in pairs)
+        return pools
 
     def drop_expired(self) -> None:
         """Forget endpoints that are gone; log those that are warm now.
--- a/redwingvalve/allocation/owner_asks.py
+++ b/redwingvalve/allocation/owner_asks.py
@@ -92,22 +92,8 @@
         """Return the first of the ranked owners that answers, or None."""
         asked_s = self.clock()
         for vm in self.owners.ranked_for(ask.pool):
-            self.report_before_ask(ask.pool, vm)
-            pending = _PendingAsk(next(self.numbers), vm)
-            self._pending[pending.number] = pending
             need = wait_queue.deduct_elapsed(ask.need, self.clock() - asked_s)
-            reply = None
-            try:
-                reply = await self._exchange(
-                    pending,
-                    attrs.evolve(ask, number=pending.number, need=need),
-                )
-            finally:
-                self._pending.pop(pending.number)
-                # A cancelled request leaves a slot that was just granted.
-                if reply is None or not _is_final(pending.latest):
-                    release = messages.Release(pending.number)
-                    self.transport.send(vm, release)
+            reply = await self._ask_owner(vm, attrs.evolve(ask, need=need))
             if reply is not None and reply.outcome is not _NO_ENDPOINTS:
                 return vm, reply
             self.owners.mark_unresponsive(vm)
@@ -118,6 +104,26 @@
             )
         return None
 
+    async def _ask_owner(
+        self, vm: str, ask: messages.Ask
+    ) -> messages.Reply | None:
+        """Return the final reply of an owner, None if it gives none."""
+        self.report_before_ask(ask.pool, vm)
+        pending = _PendingAsk(next(self.numbers), vm)
+        self._pending[pending.number] = pending
+        reply = None
+        try:
+            reply = await self._exchange(
+                pending, attrs.evolve(ask, number=pending.number)
+            )
+        finally:
+            self._pending.pop(pending.number)
+            # A cancelled request leaves a slot that was just granted.
+            if reply is None or not _is_final(pending.latest):
+                release = messages.Release(pending.number)
+                self.transport.send(vm, release)
+        return reply
+
     async def _exchange(
         self, pending: _PendingAsk, ask: messages.Ask
     ) -> messages.Reply | None:
