--- a/redwingvalve/allocation/tests/test_restarted_cold_endpoints.py
+++ b/redwingvalve/allocation/tests/test_restarted_cold_endpoints.py
@@ -12,7 +12,7 @@
     messages,
 )
 from redwingvalve.allocation.tests import cold_simulation
-from redwingvalve.fleet import endpoints, lives
+from redwingvalve.fleet import endpoints, incarnation_tracker
 from redwingvalve.ingress import load_balancing, wait_queue
 
 POOL = messages.Pool(cold_simulation.SERVICE.name, '', '')
@@ -34,20 +34,25 @@
     def __init__(self, born_ms=OLD_MS):
         self.now_s = 100.0
         self.born_ms = born_ms
-        self.lives = lives.Lives(lambda: self.now_s)
+        self.tracker = incarnation_tracker.IncarnationTracker(
+            lambda: self.now_s
+        )
         self.endpoints = cold_endpoints.ColdEndpoints(lambda: self.now_s)
         self.endpoints.configure([cold_simulation.SERVICE])
         self.allocator = allocator.Allocator(
             lambda pool: (target(self.born_ms),),
             lambda: self.now_s,
             cold=cold_starts.ColdStarts(self.endpoints),
-            is_past=self.lives.is_past,
+            is_past=self.tracker.is_past,
         )
         self.list_entry(born_ms)
 
     def list_entry(self, born_ms, cold_left_ms=0):
         self.born_ms = born_ms
-        if self.lives.observe('e', born_ms, 5) is lives.Observation.NEW:
+        if (
+            self.tracker.observe('e', born_ms, 5)
+            is incarnation_tracker.Observation.NEW
+        ):
             self.allocator.forget('e', born_ms)
         entry = endpoints.Endpoint(
             'e',
@@ -63,9 +68,9 @@
         self.endpoints.update([entry])
 
     def restart(self, born_ms=NEW_MS, cold_left_ms=0):
-        self.now_s += 1.1 * lives.SILENT_S
+        self.now_s += 1.1 * incarnation_tracker.SILENT_S
         if not born_ms:
-            self.lives.observe('e', 0, 9)
+            self.tracker.observe('e', 0, 9)
         self.list_entry(born_ms, cold_left_ms)
 
     def report(self, **report):
--- a/redwingvalve/allocation/tests/test_restarted_endpoints.py
+++ b/redwingvalve/allocation/tests/test_restarted_endpoints.py
@@ -13,7 +13,7 @@
     held_slots,
     messages,
 )
-from redwingvalve.fleet import lives
+from redwingvalve.fleet import incarnation_tracker
 from redwingvalve.ingress import load_balancing, reservations, wait_queue
 from redwingvalve.platform import endpoint_statements
 
@@ -37,8 +37,10 @@
 
     def __init__(self, born_ms=OLD_MS):
         self.now_s = 1.0
-        self.lives = lives.Lives(lambda: self.now_s)
-        self.lives.observe('e0', born_ms, 5)
+        self.tracker = incarnation_tracker.IncarnationTracker(
+            lambda: self.now_s
+        )
+        self.tracker.observe('e0', born_ms, 5)
         self.targets = [target(f'e{number}', born_ms) for number in range(4)]
         self.marked = []
         self.allocator = allocator.Allocator(
@@ -46,12 +48,12 @@
             lambda: self.now_s,
             random.Random(1),
             mark_leaving=lambda *mark: self.marked.append(mark),
-            is_past=self.lives.is_past,
+            is_past=self.tracker.is_past,
         )
         self.pool = self.allocator.pool(POOL)
 
     def restart(self, born_ms=NEW_MS):
-        self.lives.observe('e0', born_ms, 0)
+        self.tracker.observe('e0', born_ms, 0)
         self.allocator.forget('e0', born_ms)
         self.targets[0] = target('e0', born_ms)
         self.allocator.tick()
--- a/redwingvalve/fleet/clearances.py
+++ b/redwingvalve/fleet/clearances.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from redwingvalve.fleet import lives
+from redwingvalve.fleet import incarnation_tracker
 
 # Longer than suspicions last.
 RETENTION_S = 10.0
@@ -36,7 +36,7 @@
         known = self._latest.get(endpoint_id)
         if (
             known is not None
-            and lives.is_same(known.born_ms, born_ms)
+            and incarnation_tracker.is_same(known.born_ms, born_ms)
             and (known.epoch, known.at_s) >= (epoch, at_s)
         ):
             return
@@ -49,7 +49,9 @@
     ) -> bool:
         """Return whether an endpoint was found healthy after a suspicion."""
         known = self._latest.get(endpoint_id)
-        if known is None or not lives.is_same(known.born_ms, born_ms):
+        if known is None or not incarnation_tracker.is_same(
+            known.born_ms, born_ms
+        ):
             return False
         return known.epoch >= epoch and known.at_s > since_s
 
--- a/redwingvalve/fleet/lives.py
+++ b/redwingvalve/fleet/incarnation_tracker.py
@@ -22,7 +22,7 @@
 # Earlier start times that are remembered of each endpoint.
 MAX_PREVIOUS = 4
 # Limit on the endpoints that are remembered, including those that are gone.
-MAX_LIVES = 10_000
+MAX_INCARNATIONS = 10_000
 
 
 class Observation(enum.Enum):
@@ -34,7 +34,7 @@
 
 
 @attrs.define
-class _Life:
+class _Incarnation:
     # 0 if it isn't stated.
     born_ms: int
     sequence: int
@@ -42,7 +42,7 @@
     previous_ms: tuple[int, ...] = ()
 
 
-class Lives:
+class IncarnationTracker:
     """The current process of each endpoint, as its entries say."""
 
     def __init__(
@@ -50,26 +50,28 @@
     ) -> None:
         """Start without endpoints."""
         self._clock = clock
-        self._lives: dict[str, _Life] = {}
+        self._current: dict[str, _Incarnation] = {}
 
     def observe(
         self, endpoint_id: str, born_ms: int, sequence: int
     ) -> Observation:
         """Record an entry; return which process it is of."""
         now_s = self._clock()
-        known = self._lives.pop(endpoint_id, None)
+        known = self._current.pop(endpoint_id, None)
         if known is None:
-            if len(self._lives) >= MAX_LIVES:
-                self._lives.pop(next(iter(self._lives)))
-            self._lives[endpoint_id] = _Life(born_ms, sequence, now_s)
+            if len(self._current) >= MAX_INCARNATIONS:
+                self._current.pop(next(iter(self._current)))
+            self._current[endpoint_id] = _Incarnation(born_ms, sequence, now_s)
             return Observation.KNOWN
-        self._lives[endpoint_id] = known
+        self._current[endpoint_id] = known
         if _is_new(known, born_ms, sequence):
             is_silent = now_s - known.seen_s > SILENT_S
             if _is_earlier(known, born_ms) and not is_silent:
                 return Observation.OUTDATED
             previous = (known.born_ms, *known.previous_ms)[:MAX_PREVIOUS]
-            self._lives[endpoint_id] = _Life(born_ms, sequence, now_s, previous)
+            self._current[endpoint_id] = _Incarnation(
+                born_ms, sequence, now_s, previous
+            )
             return Observation.NEW
         known.sequence = sequence
         known.seen_s = now_s
@@ -77,7 +79,7 @@
 
     def born_ms(self, endpoint_id: str) -> int:
         """Return the start time of the current process, 0 if unknown."""
-        known = self._lives.get(endpoint_id)
+        known = self._current.get(endpoint_id)
         return known.born_ms if known else 0
 
     def is_past(self, endpoint_id: str, born_ms: int | None) -> bool:
@@ -85,7 +87,7 @@
 
         One that isn't known yet may be that of the next process.
         """
-        known = self._lives.get(endpoint_id)
+        known = self._current.get(endpoint_id)
         if known is None or not known.born_ms or not born_ms:
             return False
         return born_ms != known.born_ms and _is_earlier(known, born_ms)
@@ -96,13 +98,13 @@
     return born_ms == other_ms or not (born_ms and other_ms)
 
 
-def _is_new(known: _Life, born_ms: int, sequence: int) -> bool:
+def _is_new(known: _Incarnation, born_ms: int, sequence: int) -> bool:
     if born_ms or known.born_ms:
         return born_ms != known.born_ms
     return sequence < known.sequence
 
 
-def _is_earlier(known: _Life, born_ms: int) -> bool:
+def _is_earlier(known: _Incarnation, born_ms: int) -> bool:
     if not (born_ms and known.born_ms):
         return False
     return born_ms < known.born_ms or born_ms in known.previous_ms
--- a/redwingvalve/fleet/leaving_marks.py
+++ b/redwingvalve/fleet/leaving_marks.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from redwingvalve.fleet import endpoints, lives
+from redwingvalve.fleet import endpoints, incarnation_tracker
 
 # Limit on the endpoints that are known to leave, including those that are gone.
 MAX_KNOWN_LEAVING = 10_000
@@ -16,14 +16,14 @@
 class LeavingMarks:
     """Endpoints that leave, and the start of the process that said so."""
 
-    _lives: lives.Lives
+    _tracker: incarnation_tracker.IncarnationTracker
     _born_ms: dict[str, int] = attrs.field(factory=dict)
 
     def add(self, endpoint_id: str, born_ms: int) -> bool:
         """Mark a process, the current one for 0; return whether it is new."""
-        if self._lives.is_past(endpoint_id, born_ms):
+        if self._tracker.is_past(endpoint_id, born_ms):
             return False
-        marked_ms = born_ms or self._lives.born_ms(endpoint_id)
+        marked_ms = born_ms or self._tracker.born_ms(endpoint_id)
         if self._born_ms.get(endpoint_id) == marked_ms:
             return False
         if len(self._born_ms) >= MAX_KNOWN_LEAVING:
@@ -38,7 +38,7 @@
         marked_ms = self._born_ms.get(endpoint.endpoint_id)
         if marked_ms is None:
             return False
-        return lives.is_same(marked_ms, endpoint.born_ms)
+        return incarnation_tracker.is_same(marked_ms, endpoint.born_ms)
 
     def forget(self, endpoint_id: str, born_ms: int) -> None:
         """Forget a mark unless it is of the new process."""
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -12,7 +12,7 @@
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, lives, unusable_entries
+from redwingvalve.fleet import endpoints, incarnation_tracker, unusable_entries
 from redwingvalve.observability import logs
 from redwingvalve.platform import entries, store
 
@@ -50,8 +50,10 @@
         self.on_change: list[collections_abc.Callable[[], None]] = []
         # Called with the id of an endpoint that has a new incarnation, before
         # on_change: nothing remembered about the id applies to it.
-        self.on_new_life: list[collections_abc.Callable[[str], None]] = []
-        self.lives = lives.Lives(clock)
+        self.on_new_incarnation: list[
+            collections_abc.Callable[[str], None]
+        ] = []
+        self.tracker = incarnation_tracker.IncarnationTracker(clock)
         self._clock = clock
         self._expired: dict[str, _Expired] = {}
         self._last_outage_s: float | None = None
@@ -139,7 +141,7 @@
     def _apply_change(self, change: store.Change) -> None:
         if change.is_removed:
             born_ms = entries.born_ms_of(change.stored)
-            if self.lives.is_past(change.name, born_ms):
+            if self.tracker.is_past(change.name, born_ms):
                 return
             self._unusable.remove(change.name)
             if change.name in self.live:
@@ -161,13 +163,13 @@
 
     def _add(self, endpoint: endpoints.Endpoint) -> None:
         endpoint_id = endpoint.endpoint_id
-        observed = self.lives.observe(
+        observed = self.tracker.observe(
             endpoint_id, endpoint.born_ms, endpoint.sequence
         )
-        if observed is lives.Observation.OUTDATED:
+        if observed is incarnation_tracker.Observation.OUTDATED:
             return
-        if observed is lives.Observation.NEW:
-            self._begin_life(endpoint)
+        if observed is incarnation_tracker.Observation.NEW:
+            self._begin_incarnation(endpoint)
         self.live[endpoint.endpoint_id] = endpoint
         self._expired.pop(endpoint.endpoint_id, None)
         if endpoint.draining:
@@ -175,7 +177,7 @@
                 endpoint.incarnation, self._clock()
             )
 
-    def _begin_life(self, endpoint: endpoints.Endpoint) -> None:
+    def _begin_incarnation(self, endpoint: endpoints.Endpoint) -> None:
         LOG.info(
             'endpoint has restarted',
             extra={
@@ -188,7 +190,7 @@
             for incarnation, since_s in self._draining_since_s.items()
             if incarnation[0] != endpoint.endpoint_id
         }
-        for listener in self.on_new_life:
+        for listener in self.on_new_incarnation:
             listener(endpoint.endpoint_id)
 
     def _expire(self, name: str) -> None:
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -9,8 +9,8 @@
     clearances,
     complete_replicas,
     endpoints,
+    incarnation_tracker,
     leaving_marks,
-    lives,
 )
 from redwingvalve.fleet import evacuations as evacuations_module
 from redwingvalve.fleet import registry as registry_module
@@ -77,12 +77,12 @@
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
         self._clearances = clearances.Clearances()
-        self._leaving = leaving_marks.LeavingMarks(registry.lives)
+        self._leaving = leaving_marks.LeavingMarks(registry.tracker)
         self._complete_replicas = complete_replicas.CompleteReplicas(
             self.evacuations
         )
         registry.on_change.append(self.rebuild)
-        registry.on_new_life.append(self._forget)
+        registry.on_new_incarnation.append(self._forget)
         self.evacuations.on_change.append(self.rebuild)
 
     def find_targets(
@@ -108,7 +108,9 @@
         born_ms is the start of the process that failed, 0 if unknown.
         """
         endpoint = self._registry.live.get(endpoint_id)
-        if endpoint is None or not lives.is_same(endpoint.born_ms, born_ms):
+        if endpoint is None or not incarnation_tracker.is_same(
+            endpoint.born_ms, born_ms
+        ):
             return
         membership = endpoint.membership
         epoch = membership.epoch if membership else 0
@@ -148,7 +150,7 @@
 
         born_ms is the start of the process that failed, 0 if unknown.
         """
-        if self._registry.lives.is_past(endpoint_id, born_ms):
+        if self._registry.tracker.is_past(endpoint_id, born_ms):
             return
         if self.on_check_requested is None:
             self.suspect(endpoint_id, reason)
@@ -162,7 +164,7 @@
         older than a clearance, or of a previous process, is ignored.
         """
         endpoint_id, born_ms = suspicion.endpoint_id, suspicion.born_ms
-        if self._registry.lives.is_past(endpoint_id, born_ms):
+        if self._registry.tracker.is_past(endpoint_id, born_ms):
             return False
         if self._clearances.overrules(
             endpoint_id, suspicion.epoch, suspicion.since_s, born_ms
@@ -172,7 +174,7 @@
         is_known = (
             known is not None
             and known.epoch >= suspicion.epoch
-            and lives.is_same(known.born_ms, born_ms)
+            and incarnation_tracker.is_same(known.born_ms, born_ms)
         )
         if known is not None and is_known and known.until_s > time.monotonic():
             return False
@@ -219,7 +221,7 @@
         born_ms: int = 0,
     ) -> None:
         """Put an endpoint back into use unless a newer suspicion exists."""
-        if self._registry.lives.is_past(endpoint_id, born_ms):
+        if self._registry.tracker.is_past(endpoint_id, born_ms):
             return
         self._clearances.record(endpoint_id, epoch, cleared_s, born_ms)
         if self.on_reported_healthy is not None:
@@ -227,7 +229,7 @@
         suspicion = self._suspicions.get(endpoint_id)
         if suspicion is None or suspicion.epoch > epoch:
             return
-        if not lives.is_same(suspicion.born_ms, born_ms):
+        if not incarnation_tracker.is_same(suspicion.born_ms, born_ms):
             return
         if suspicion.since_s < cleared_s:
             self.clear_suspicion(endpoint_id)
@@ -259,7 +261,7 @@
         endpoint = self._registry.live.get(endpoint_id)
         if endpoint is None:
             return True
-        if not lives.is_same(endpoint.born_ms, suspicion.born_ms):
+        if not incarnation_tracker.is_same(endpoint.born_ms, suspicion.born_ms):
             return False
         if endpoint.membership is None:
             return True
@@ -343,7 +345,7 @@
 
     def _forget(self, endpoint_id: str) -> None:
         """Forget what is known of the previous processes of an endpoint."""
-        born_ms = self._registry.lives.born_ms(endpoint_id)
+        born_ms = self._registry.tracker.born_ms(endpoint_id)
         self._leaving.forget(endpoint_id, born_ms)
         self._clearances.forget(endpoint_id, born_ms)
         suspicion = self._suspicions.get(endpoint_id)
--- a/redwingvalve/fleet/tests/test_lives.py
+++ b/redwingvalve/fleet/tests/test_incarnation_tracker.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from redwingvalve.fleet import lives
+from redwingvalve.fleet import incarnation_tracker
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.fleet.tests import foreign_entries
 from redwingvalve.platform import store
 
-KNOWN = lives.Observation.KNOWN
-NEW = lives.Observation.NEW
-OUTDATED = lives.Observation.OUTDATED
+KNOWN = incarnation_tracker.Observation.KNOWN
+NEW = incarnation_tracker.Observation.NEW
+OUTDATED = incarnation_tracker.Observation.OUTDATED
 
 
 class Clock:
@@ -27,7 +27,7 @@
 def make_registry(clock):
     registry = registry_module.Registry(clock)
     begun = []
-    registry.on_new_life.append(begun.append)
+    registry.on_new_incarnation.append(begun.append)
     return registry, begun
 
 
@@ -61,12 +61,12 @@
     put(registry, born=9000)
     put(registry, born=5000)
     assert registry.live['e'].born_ms == 9000
-    clock.now_s += lives.SILENT_S + 0.1
+    clock.now_s += incarnation_tracker.SILENT_S + 0.1
     put(registry, born=5000)
     assert begun == ['e'] and registry.live['e'].born_ms == 5000
     put(registry, born=9000)
     assert registry.live['e'].born_ms == 5000
-    assert registry.lives.is_past('e', 9000)
+    assert registry.tracker.is_past('e', 9000)
 
 
 def test_without_start_times_the_count_of_changes_tells(clock):
@@ -81,7 +81,7 @@
 
 def test_a_later_start_time_is_not_past(clock):
     """The findings of other nodes may arrive before the entry."""
-    known = lives.Lives(clock)
+    known = incarnation_tracker.IncarnationTracker(clock)
     assert known.observe('e', 1000, 0) is KNOWN
     assert not known.is_past('e', 2000)
     assert known.observe('e', 2000, 0) is NEW
@@ -90,8 +90,8 @@
 
 
 def test_memory_is_bounded(clock, monkeypatch):
-    monkeypatch.setattr(lives, 'MAX_LIVES', 3)
-    known = lives.Lives(clock)
+    monkeypatch.setattr(incarnation_tracker, 'MAX_INCARNATIONS', 3)
+    known = incarnation_tracker.IncarnationTracker(clock)
     for number in range(10):
         known.observe(f'e{number}', 1000, 0)
     assert not known.born_ms('e0') and known.born_ms('e9') == 1000
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -17,7 +17,7 @@
     start_forwarder,
 )
 from redwingvalve.allocation import reserver as reserver_module
-from redwingvalve.fleet import lives as lives_module
+from redwingvalve.fleet import incarnation_tracker
 from redwingvalve.ingress import load_balancing, routes
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import cold_watch, front_selection
@@ -42,7 +42,7 @@
 
     peers: peers_module.Peers
     allocator: allocator_module.Allocator
-    lives: lives_module.Lives
+    tracker: incarnation_tracker.IncarnationTracker
     reserver: reserver_module.NodeReserver = attrs.field(init=False)
 
     @property
@@ -88,7 +88,7 @@
 
     def forget(self, endpoint_id: str) -> None:
         """Forget the previous processes of an endpoint that has restarted."""
-        born_ms = self.lives.born_ms(endpoint_id)
+        born_ms = self.tracker.born_ms(endpoint_id)
         # Before this node's slots are released: none is granted again here.
         self.allocator.forget(endpoint_id, born_ms)
         self.reserver.forget(endpoint_id, born_ms)
@@ -161,9 +161,9 @@
         time.monotonic,
         cold=cold_starts.ColdStarts(cold),
     )
-    lives = status_exchange.registry.lives
-    allocator.is_past = lives.is_past
-    transport = AllocationTransport(peers, allocator, lives)
+    tracker = status_exchange.registry.tracker
+    allocator.is_past = tracker.is_past
+    transport = AllocationTransport(peers, allocator, tracker)
     allocator.mark_leaving = state.targets.mark_leaving
     allocator.forwarder = start_forwarder.make_forwarder(
         peers.local.vm, pool_owners, transport, time.monotonic()
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -113,8 +113,8 @@
         self.table.on_rebuilt = self.allocation.allocator.tick
         self.table.on_check_requested = self.detector.request_check
         self.table.on_reported_healthy = self.detector.note_reported_healthy
-        self.registry.on_new_life.append(self.detector.forget)
-        self.registry.on_new_life.append(self.allocation.forget)
+        self.registry.on_new_incarnation.append(self.detector.forget)
+        self.registry.on_new_incarnation.append(self.allocation.forget)
         self.watches = self._make_watches()
         self.control = self._make_control()
         self.state.trial_claimer = self.poison_records
--- a/redwingvalve/node/front_selection.py
+++ b/redwingvalve/node/front_selection.py
@@ -38,7 +38,7 @@
     ready = [
         one
         for one in found
-        if one.is_ready and not one.is_leaving and _has_shown_life(one)
+        if one.is_ready and not one.is_leaving and _is_confirmed(one)
     ]
     local = [one for one in ready if one.address.data_centre == data_centre]
     chosen = local if len(local) >= MIN_LOCAL_FRONTS else ready
@@ -47,7 +47,7 @@
     return [peer.address.front for peer in chosen]
 
 
-def _has_shown_life(peer: peers_module.Peer) -> bool:
+def _is_confirmed(peer: peers_module.Peer) -> bool:
     """Return whether a node is known by more than an old registration."""
     age_s = time.time() - peer.address.born_ms / _MS_IN_S
     return peer.is_confirmed or abs(age_s) < NEW_NODE_S
--- a/redwingvalve/node/lost_data_centres.py
+++ b/redwingvalve/node/lost_data_centres.py
@@ -34,7 +34,7 @@
     # Nodes that were asked for a message, and since when.
     _asked_since_s: dict[str, float] = attrs.field(factory=dict)
     # Data centres without any live node.
-    _dark: set[str] = attrs.field(factory=set)
+    _unreachable: set[str] = attrs.field(factory=set)
 
     def hub_silent(self, hub: peers_module.Peer) -> None:
         """Ask all nodes of a hub's data centre if no hub of it is left."""
@@ -68,11 +68,11 @@
     def next_asked(self) -> set[str]:
         """Return the nodes to be asked now for a status message."""
         down = self._down_by_data_centre()
-        dark = set(down) - self._lit()
-        for returned in self._dark - dark:
+        unreachable = set(down) - self._reachable()
+        for returned in self._unreachable - unreachable:
             for peer in down.get(returned, ()):
                 peer.asks_left = peers_module.ASKS_AFTER_LISTING
-        self._dark = dark
+        self._unreachable = unreachable
         asked = set(self._asked_since_s)
         for data_centre, names in down.items():
             if data_centre == self._peers.local.data_centre:
@@ -88,7 +88,7 @@
                 found.setdefault(peer.address.data_centre, []).append(peer)
         return found
 
-    def _lit(self) -> set[str]:
+    def _reachable(self) -> set[str]:
         """Return the data centres with a live node."""
         found = {one.address.data_centre for one in self._peers.alive()}
         return {self._peers.local.data_centre, *found}
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -267,7 +267,7 @@
             endpoint_id,
             epoch,
             time.monotonic(),
-            self.registry.lives.born_ms(endpoint_id),
+            self.registry.tracker.born_ms(endpoint_id),
         )
 
     def _broadcast_suspicion(self, suspicion: serving.Suspicion) -> None:
