--- a/redwingvalve/node/tests/endpoint_cuts.py
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -1,4 +1,4 @@
-"""Cuts a node's links to all endpoints; all else still reaches the node."""
+"""Cuts a node's links to endpoints; all else still reaches the node."""
 
 import collections
 import enum
@@ -51,6 +51,9 @@
     node: object
     endpoints: dict
     mode: CutMode | None = None
+    # Ids of the endpoints that are cut off, None for all.
+    only: frozenset | None = None
+    # Connections with the address of their endpoint.
     _opened: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
@@ -60,9 +63,13 @@
         ):
             self._wrap(connections)
 
-    def cut(self, mode):
+    def cut(self, mode, only=None):
         self.mode = mode
-        for connection in self._opened:
+        self.only = only
+        addresses = self._cut_addresses()
+        for address, connection in self._opened:
+            if address not in addresses:
+                continue
             if connection.is_open and mode is CutMode.RESET:
                 connection.transport.abort()
             if connection.is_open and mode is CutMode.HANG:
@@ -70,25 +77,32 @@
 
     def restore(self):
         self.mode = None
-        for connection in self._opened:
+        for _, connection in self._opened:
             if isinstance(connection.transport, HungTransport):
                 connection.transport.abort()
 
+    def _cut_addresses(self):
+        return {
+            one.address
+            for name, one in self.endpoints.items()
+            if self.only is None or name in self.only
+        }
+
     def _wrap(self, connections):
         connect = connections.connect
 
         async def connect_unless_cut(address):
-            known = {one.address for one in self.endpoints.values()}
-            is_endpoint = ':'.join(map(str, address)) in known
-            if not is_endpoint:
+            text = ':'.join(map(str, address))
+            if text not in {one.address for one in self.endpoints.values()}:
                 return await connect(address)
-            if self.mode in {CutMode.HANG, CutMode.KEEP_HANG}:
+            is_cut = text in self._cut_addresses()
+            if is_cut and self.mode in {CutMode.HANG, CutMode.KEEP_HANG}:
                 await anyio.sleep(pool.CONNECT_TIMEOUT_S)
                 raise pool.ConnectError('TimeoutError')
-            if self.mode is not None:
+            if is_cut and self.mode is not None:
                 raise pool.ConnectError('refused', was_refused=True)
             connection = await connect(address)
-            self._opened.append(connection)
+            self._opened.append((text, connection))
             return connection
 
         connections.connect = connect_unless_cut
