Log and count by what evidence a head counts as stopped

A head now counts as stopped by its own word, another process at its address, being out of reach, or time, and 'head stopped' says which, and how long its entry had been missing. No decision changes: the evidence isn't used yet.

--- a/redwingvalve/fleet/history.py
+++ b/redwingvalve/fleet/history.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import endpoints, head_evidence
 from redwingvalve.ingress import routes
 
 Key = tuple[str, int]
@@ -31,8 +31,8 @@
     has_served: bool = False
     # All members were ready at once, so an order to open it may be in flight.
     was_ready: bool = False
-    # The head is known not to serve any more.
-    is_head_stopped: bool = False
+    # Why the head counts as stopped, None while it may serve.
+    stopped_by: head_evidence.Evidence | None = None
 
 
 class ReplicaHistory:
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -5,7 +5,13 @@
 import anyio.abc
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import demand, endpoints, history, serving
+from redwingvalve.fleet import (
+    demand,
+    endpoints,
+    head_evidence,
+    history,
+    serving,
+)
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
 from redwingvalve.node import (
@@ -15,7 +21,7 @@
     replica_spec,
     tasks,
 )
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
 LOG = logs.make_logger('controller')
@@ -178,16 +184,18 @@
         )
 
     async def _drain(self, replica: endpoints.Replica) -> None:
-        await self._orders.drain(replica.members[0], clock.boot_s())
-        self._mark_head_stopped(replica.key)
+        evidence = await self._orders.drain(replica.members[0], clock.boot_s())
+        self._mark_head_stopped(
+            replica.key, evidence or head_evidence.Evidence.TIME_PASSED
+        )
 
     async def _stop_missing_head(
         self, replica: endpoints.Replica, missing_since_s: float
     ) -> None:
-        if await self._orders.stop_missing_head(
+        evidence = await self._orders.stop_missing_head(
             replica.members[0], missing_since_s
-        ):
-            self._mark_head_stopped(replica.key)
+        )
+        self._mark_head_stopped(replica.key, evidence)
 
     async def _open_or_dissolve(self, replica: endpoints.Replica) -> None:
         """Open a ready replica, or make sure that it can never open."""
@@ -198,19 +206,37 @@
         )
         if is_complete and await self._orders.open_if_ready(replica):
             return
-        if await self._orders.make_head_leave(replica.members[0]):
-            self._mark_head_stopped(replica.key)
+        evidence = await self._orders.make_head_leave(replica.members[0])
+        self._mark_head_stopped(replica.key, evidence)
 
-    def _mark_head_stopped(self, key: replica_spec.ReplicaKey) -> None:
+    def _mark_head_stopped(
+        self,
+        key: replica_spec.ReplicaKey,
+        evidence: head_evidence.Evidence | None,
+    ) -> None:
         record = self._history.get(key)
-        if record is not None:
-            record.is_head_stopped = True
+        if record is None or evidence is None:
+            return
+        record.stopped_by = evidence
+        missing_since_s = record.head_missing_since_s
+        missing_s = clock.boot_s() - (missing_since_s or clock.boot_s())
+        node_metrics.METRICS.count(
+            'redwingvalve_stopped_heads', evidence=evidence.value
+        )
+        LOG.info(
+            'head stopped',
+            extra={
+                'replica': key[0],
+                'epoch': key[1],
+                'evidence': evidence.value,
+                'entry_missing_ms': int(missing_s * 1000),
+            },
+        )
 
     async def _check_replica(self, replica: endpoints.Replica) -> None:
-        result = await self._orders.check_replica(replica.members)
-        if result is replica_orders.CheckResult.STOPPED:
-            self._mark_head_stopped(replica.key)
-        if result is not replica_orders.CheckResult.HEALTHY:
+        check = await self._orders.check_replica(replica.members)
+        self._mark_head_stopped(replica.key, check.evidence)
+        if check.result is not replica_orders.CheckResult.HEALTHY:
             return
         LOG.info('replica is whole', extra={'replica': replica.name})
         self._table.mark_healthy(replica.members[0].endpoint_id)
@@ -256,7 +282,7 @@
         record = self._history.get(replica.key)
         if (
             record is None
-            or record.is_head_stopped
+            or record.stopped_by
             or not self._was_ready(record, replica)
         ):
             return False
@@ -279,7 +305,7 @@
         record = self._history.get(replica.key)
         if (
             record is None
-            or record.is_head_stopped
+            or record.stopped_by
             or record.head_missing_since_s is None
         ):
             return False
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -12,9 +12,10 @@
 import typing
 
 import anyio
+import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import endpoints, head_evidence
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.node import endpoint_prober, replica_spec
 from redwingvalve.observability import logs, node_metrics
@@ -40,6 +41,7 @@
 EPOCHS_PER_TERM = 100_000
 
 OrderResult = endpoint_orders.OrderResult
+Evidence = head_evidence.Evidence
 
 
 class CheckResult(enum.Enum):
@@ -52,6 +54,14 @@
     UNKNOWN = 'unknown'
 
 
+@attrs.frozen
+class Check:
+    """Result of a check, and the evidence if the head has stopped."""
+
+    result: CheckResult
+    evidence: Evidence | None = None
+
+
 class ReplicaOrders:
     """Sends the orders that form, open, check and close replicas."""
 
@@ -113,10 +123,12 @@
         )
         return await self._open(spec)
 
-    async def make_head_leave(self, head: endpoints.Endpoint) -> bool:
+    async def make_head_leave(
+        self, head: endpoints.Endpoint
+    ) -> Evidence | None:
         """Order a head to leave its replica, so that no late order can open it.
 
-        Returns whether it has left or no longer exists.
+        Returns the evidence that it has left, None if it may still serve.
         """
         membership = head.membership
         assert membership is not None
@@ -125,25 +137,27 @@
             result = await self._client.leave(
                 head, membership.replica, membership.epoch
             )
-            if result in {OrderResult.ACCEPTED, OrderResult.OTHER_ENDPOINT}:
-                return True
+            if result is OrderResult.ACCEPTED:
+                return Evidence.STATED
+            if result is OrderResult.OTHER_ENDPOINT:
+                return Evidence.REPLACED
             if self._is_missing(head):
-                return True
+                return Evidence.UNREACHED
             await anyio.sleep(PROBE_INTERVAL_S)
         # By now no order can take effect: orders are executed at most twelve
         # seconds late.
-        return self._may_order()
+        return self._evidence_of_time()
 
     async def check_replica(
         self, members: tuple[endpoints.Endpoint, ...]
-    ) -> CheckResult:
+    ) -> Check:
         """Check whether all members of a replica are healthy; else close it.
 
         Members that are silent get some time, unless another one is lost.
         """
         reports = await self._prober.ask_all(members)
         if None in reports.values() and not await self._prober.confirm_reach():
-            return CheckResult.UNKNOWN
+            return Check(CheckResult.UNKNOWN)
         if _is_any_silent(members, reports):
             await self._prober.ask_all_silent(reports, members)
         head = members[0]
@@ -151,7 +165,7 @@
             one for one in members if endpoint_prober.is_healthy(one, reports)
         ]
         if len(healthy) == len(members):
-            return CheckResult.HEALTHY
+            return Check(CheckResult.HEALTHY)
         for member in members:
             if reports[member.endpoint_id] is None:
                 self.unresponsive_since_s[member.incarnation] = clock.boot_s()
@@ -165,15 +179,20 @@
                 ],
             },
         )
-        await self.stop_head(head, reports[head.endpoint_id])
-        return CheckResult.STOPPED if self._may_order() else CheckResult.UNKNOWN
+        evidence = await self.stop_head(head, reports[head.endpoint_id])
+        if evidence is None or not self._may_order():
+            return Check(CheckResult.UNKNOWN)
+        return Check(CheckResult.STOPPED, evidence)
 
     async def stop_head(
         self,
         head: endpoints.Endpoint,
         report: endpoint_orders.Report | None,
-    ) -> None:
-        """Close a head; return once it no longer serves its replica."""
+    ) -> Evidence | None:
+        """Close a head; return why it no longer serves its replica.
+
+        None if this node may not order it any more.
+        """
         membership = head.membership
         assert membership is not None
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
@@ -181,18 +200,21 @@
             if report is not None and not replica_spec.still_serves(
                 head, report.membership
             ):
-                return
+                return Evidence.STATED
             if report is None and self._is_dead(head):
-                return
+                return Evidence.UNREACHED
             if report is not None:
                 await self._client.close(
                     head, membership.replica, membership.epoch, False
                 )
             await anyio.sleep(POLL_INTERVAL_S)
             report = await self._prober.ask(head)
+        return self._evidence_of_time()
 
-    async def drain(self, head: endpoints.Endpoint, started_s: float) -> None:
-        """Let a replica finish its requests; return once it no longer serves.
+    async def drain(
+        self, head: endpoints.Endpoint, started_s: float
+    ) -> Evidence | None:
+        """Let a replica finish its requests; return why it no longer serves.
 
         A head that is leaving stops listening before its last requests end, so
         that only its own report or entry, or the passing of LEAVE_TIMEOUT_S,
@@ -209,20 +231,21 @@
             seen = self._registry.live.get(head.endpoint_id)
             if seen is not None:
                 if not replica_spec.still_serves(head, seen.membership):
-                    return
+                    return Evidence.STATED
                 await anyio.sleep(POLL_INTERVAL_S)
                 continue
             report = await self._prober.ask(head)
             if report is not None and not replica_spec.still_serves(
                 head, report.membership
             ):
-                return
+                return Evidence.STATED
             await anyio.sleep(PROBE_INTERVAL_S)
+        return self._evidence_of_time()
 
     async def stop_missing_head(
         self, head: endpoints.Endpoint, missing_since_s: float
-    ) -> bool:
-        """Stop a head whose entry is gone; return whether it has stopped.
+    ) -> Evidence | None:
+        """Stop a head whose entry is gone; return why it no longer serves.
 
         A head that is probed just after its entry went away and doesn't answer
         has died. One that answers is leaving, or is cut off from the store.
@@ -236,9 +259,11 @@
         )
         is_dead = report is None and is_probed_in_time
         if is_dead and await self._prober.confirm_reach():
-            return True
-        await self.drain(head, missing_since_s)
-        return self._may_order()
+            return Evidence.UNREACHED
+        return await self.drain(head, missing_since_s)
+
+    def _evidence_of_time(self) -> Evidence | None:
+        return Evidence.TIME_PASSED if self._may_order() else None
 
     async def _join(
         self,
--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from redwingvalve.fleet import head_evidence
 from redwingvalve.platform import endpoint_orders
 from redwingvalve.platform.tests import fleet_harness
 
@@ -275,14 +276,14 @@
         )
         old_name = head.group['name']
         record = control._history.get((old_name, head.group['epoch']))
-        record.is_head_stopped = True
+        record.stopped_by = head_evidence.Evidence.STATED
         await fleet.wait_until(
             lambda: any(
                 order['operation'] == 'join' and order['group'] != old_name
                 for order in head.orders
             )
         )
-        record.is_head_stopped = False
+        record.stopped_by = None
         deadline_s = fleet_harness.time.monotonic() + 5
         while fleet_harness.time.monotonic() < deadline_s:
             group = head.group
