Let members leave their replica before they join another one

Cause: a head that was cut off from the store and from all nodes looked dead, and its members were ordered to join another replica while it was open. Silence can't prove that a head has stopped, on one node or on all.

A member now leaves first, by an order that it acknowledges, unless the head has said that it doesn't serve or was never ordered to open. Nothing is waited for: a dark crash is repaired as before. OrderedReplicas remembers orders to open again, which had lost.

--- a/redwingvalve/fleet/history.py
+++ b/redwingvalve/fleet/history.py
@@ -76,9 +76,7 @@
                 record.head_missing_since_s = now_s
             return
         record.head_missing_since_s = None
-        record.has_served = (
-            record.has_served or head.membership.state in _ACTIVE_STATES
-        )
+        _record_head_state(record, head.membership.state)
         model = engine.find_model(replica.model)
         if model is None or len(replica.members) != model.size:
             return
@@ -86,6 +84,16 @@
         record.was_ready = record.was_ready or _is_ready(replica)
 
 
+def _record_head_state(
+    record: ReplicaRecord, state: endpoints.MemberState
+) -> None:
+    if state in _ACTIVE_STATES:
+        record.has_served = True
+        record.stopped_by = None
+    elif state is endpoints.MemberState.BROKEN:
+        record.stopped_by = head_evidence.Evidence.STATED
+
+
 def _is_ready(replica: endpoints.Replica) -> bool:
     return all(
         member.membership is not None
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -68,14 +68,14 @@
         self._registry = registry
         self._table = table
         self._tasks = tasks.EndpointTasks(group)
+        self._history = history.ReplicaHistory()
         self._orders = replica_orders.ReplicaOrders(
-            client, prober, registry, may_order
+            client, prober, registry, may_order, self._history
         )
         self._scheduler = endpoint_scheduler.EndpointScheduler(
             client, self._orders, self._tasks
         )
         self._checked_s: dict[replica_spec.ReplicaKey, float] = {}
-        self._history = history.ReplicaHistory()
         self._demand = demand.ModelDemand()
         self._slot_demand = slot_demand
         self._engine: routes.Engine | None = None
@@ -296,7 +296,9 @@
         self, record: history.ReplicaRecord, replica: endpoints.Replica
     ) -> bool:
         # The ready state may pass too quickly to be observed.
-        return record.was_ready or replica.key in self._orders.open_ordered
+        if record.was_ready:
+            return True
+        return self._orders.ordered.is_open_ordered(replica.key)
 
     def _may_serve(self, replica: endpoints.Replica) -> bool:
         head = replica.head
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -1,11 +1,11 @@
 """Forms, checks and closes replicas, one task for each.
 
 Two rules hold even when orders or responses are lost: a member joins another
-replica only once the head of its previous one is known not to serve, and a head
-is opened only when every member has reported that it is ready under this name
-and epoch. Epochs increase with each replica that is formed and with each lease
-holder, so that an order that is executed late is refused by endpoints that have
-joined another replica since.
+replica only once it has left its previous one, or that one's head is known not
+to serve; and a head is opened only when every member has reported that it is
+ready under this name and epoch. Epochs increase with each replica that is
+formed and with each lease holder, so that an order that is executed late is
+refused by endpoints that have joined another replica since.
 """
 
 import enum
@@ -15,9 +15,9 @@
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, head_evidence
+from redwingvalve.fleet import endpoints, head_evidence, history
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.node import endpoint_prober, replica_spec
+from redwingvalve.node import departures, endpoint_prober, replica_spec
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
@@ -71,12 +71,11 @@
         prober: endpoint_prober.EndpointProber,
         registry: registry_module.Registry,
         may_order: typing.Callable[[], bool],
+        records: history.ReplicaHistory,
     ) -> None:
         """Send orders only while may_order returns True."""
         self.unresponsive_since_s: dict[tuple[str, int], float] = {}
-        # Replicas whose head was ordered to open, whatever it answered. Read by
-        # the controller; nothing adds to it at present.
-        self.open_ordered: set[replica_spec.ReplicaKey] = set()
+        self.ordered = departures.OrderedReplicas()
         # The latest epoch that each endpoint was ordered to join, whether it
         # obeyed or not.
         self._ordered_epochs: dict[tuple[str, int], int] = {}
@@ -84,12 +83,19 @@
         self._prober = prober
         self._registry = registry
         self._may_order = may_order
+        self._departures = departures.Departures(
+            client, prober, registry, records, self.ordered
+        )
 
     async def form(
         self, spec: replica_spec.ReplicaSpec, opens: bool = True
     ) -> bool:
         """Let all members join and open the head; return whether it serves."""
         started_s = clock.boot_s()
+        if not await self._are_free(spec.members):
+            self._record_outcome(spec, 'member not free', started_s)
+            return False
+        self.ordered.record_formed(spec.key)
         results: dict[str, OrderResult] = {}
         async with anyio.create_task_group() as group:
             for member in spec.members:
@@ -265,6 +271,12 @@
     def _evidence_of_time(self) -> Evidence | None:
         return Evidence.TIME_PASSED if self._may_order() else None
 
+    async def _are_free(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
+        staying = await self._departures.leave_previous(members)
+        for member in staying:
+            await self._mark_if_unresponsive(member)
+        return not staying and self._may_order()
+
     async def _join(
         self,
         spec: replica_spec.ReplicaSpec,
@@ -297,6 +309,7 @@
         while clock.boot_s() < deadline_s and self._may_order():
             if not self._is_ready(spec):
                 return False
+            self.ordered.record_open_order(spec.key)
             result = await self._client.open(head, spec.name, spec.epoch)
             if result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
                 # The head takes some time to open; until then it reports ready.
--- a/redwingvalve/node/tests/endpoint_cuts.py
+++ b/redwingvalve/node/tests/endpoint_cuts.py
@@ -67,6 +67,8 @@
         self.mode = mode
         self.only = only
         addresses = self._cut_addresses()
+        if mode in {CutMode.HANG, CutMode.RESET}:
+            self._close_idle(addresses)
         for address, connection in self._opened:
             if address not in addresses:
                 continue
@@ -81,6 +83,15 @@
             if isinstance(connection.transport, HungTransport):
                 connection.transport.abort()
 
+    def _close_idle(self, addresses):
+        """Close idle connections, which may be older than this object."""
+        for connections in (
+            self.node.state.connections,
+            self.node.json_client._connections,
+        ):
+            for host, _, port in (text.partition(':') for text in addresses):
+                connections.forget((host, int(port)))
+
     def _cut_addresses(self):
         return {
             one.address
