Let a leaving head finish after the lease was lost meanwhile

Callers saw streams cut off: a holder that lost the lease while a leaving head finished its requests marked that head as stopped, and after it got the lease back it let the members join elsewhere. drain() returns no evidence without the lease now. That alone failed 2 of 2 still: the head's entry is gone by then, it listens no more, and two unanswered probes made it count as out of reach. A head that was seen draining gets its time first.

Test: 2 of 2 failed before, 0 of 2 now.

--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -104,12 +104,19 @@
         store was unavailable within within_s and could not report it. An
         endpoint that leaves stops listening before its requests have finished.
         """
-        now_s = self._clock()
-        draining_since_s = self._draining_since_s.get(endpoint.incarnation)
-        if draining_since_s is not None and now_s - draining_since_s < within_s:
+        if self.has_begun_to_leave(endpoint, within_s):
             return True
         last_outage_s = self._last_outage_s
-        return last_outage_s is not None and now_s - last_outage_s < within_s
+        since_s = self._clock() - within_s
+        return last_outage_s is not None and last_outage_s > since_s
+
+    def has_begun_to_leave(
+        self, endpoint: endpoints.Endpoint, within_s: float
+    ) -> bool:
+        """Return whether an endpoint was first seen draining within within_s."""
+        draining_since_s = self._draining_since_s.get(endpoint.incarnation)
+        since_s = self._clock() - within_s
+        return draining_since_s is not None and draining_since_s > since_s
 
     def usable(self) -> list[endpoints.Endpoint]:
         """Return live endpoints and those within the grace period."""
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -185,9 +185,7 @@
 
     async def _drain(self, replica: endpoints.Replica) -> None:
         evidence = await self._orders.drain(replica.members[0], clock.boot_s())
-        self._mark_head_stopped(
-            replica.key, evidence or head_evidence.Evidence.TIME_PASSED
-        )
+        self._mark_head_stopped(replica.key, evidence)
 
     async def _stop_missing_head(
         self, replica: endpoints.Replica, missing_since_s: float
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -256,6 +256,9 @@
         A head that is probed just after its entry went away and doesn't answer
         has died. One that answers is leaving, or is cut off from the store.
         """
+        if self._registry.has_begun_to_leave(head, LEAVE_TIMEOUT_S):
+            # It may have stopped listening, while its last requests go on.
+            return await self.drain(head, missing_since_s)
         probed_s = clock.boot_s()
         report = await self._prober.ask_until_certain(
             head, missing_since_s + LEAVE_TIMEOUT_S
--- a/redwingvalve/platform/tests/test_leaving.py
+++ b/redwingvalve/platform/tests/test_leaving.py
@@ -4,6 +4,7 @@
 import socket
 
 import anyio
+import pytest
 
 from redwingvalve.platform.tests import fleet_harness
 
@@ -118,6 +119,39 @@
     fleet_harness.run(test)
 
 
+@pytest.mark.parametrize('lost_for_s', [0.1, 2.5])
+def test_members_stay_with_a_closing_head_after_the_lease_was_lost(lost_for_s):
+    """A head's last requests are cut off if its members leave meanwhile.
+
+    The lease is lost while the head finishes them, and regained; the head's
+    entry is gone by then.
+    """
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        await fleet.add_endpoint(
+            'spare', fleet_harness.ENGINE_SERVICE, 'domain-1'
+        )
+        head.faults.never_drains = True
+        head.drain()
+        await fleet.wait_until(lambda: head.group['state'] == 'closing')
+        orders_before = len(member.orders)
+        lease = fleet.nodes[0].lease
+        lease.may_hold = lambda: False
+        await fleet.wait_until(lambda: not lease.is_held())
+        await anyio.sleep(lost_for_s)
+        head.stop_listening()
+        fleet.store.remove('servers', head.endpoint_id)
+        lease.may_hold = lambda: True
+        await fleet.wait_until(lease.is_held)
+        await anyio.sleep(4)
+        assert len(member.orders) == orders_before
+
+    fleet_harness.run(test)
+
+
 def test_head_that_left_during_a_store_outage_is_not_considered_dead():
     """No VM may be in two replicas after an outage of the store.
 
