Ask heads of unknown replicas before their members are needed

A lease holder without history took replicas apart whose heads had opened as the store went: they are listed as ready, and their members aren't listed yet, so that both heads counted as free. A ready head counts as one that may have opened now, unless this process formed its replica and never ordered it to open; it is asked, and left alone if it says that it serves.

Test: both heads were ordered to leave and to join elsewhere, and get no order now.

--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -113,7 +113,7 @@
     def has_begun_to_leave(
         self, endpoint: endpoints.Endpoint, within_s: float
     ) -> bool:
-        """Return whether an endpoint was first seen draining within within_s."""
+        """Return whether an endpoint was first seen draining within_s ago."""
         draining_since_s = self._draining_since_s.get(endpoint.incarnation)
         since_s = self._clock() - within_s
         return draining_since_s is not None and draining_since_s > since_s
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -15,6 +15,7 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
 from redwingvalve.node import (
+    departures,
     endpoint_prober,
     endpoint_scheduler,
     replica_orders,
@@ -281,23 +282,13 @@
         if (
             record is None
             or record.stopped_by
-            or not self._was_ready(record, replica)
+            or not _may_have_been_opened(record, head, self._orders.ordered)
         ):
             return False
-        if head.membership.state is endpoints.MemberState.BROKEN:
-            return False
         if not self._tasks.is_any_busy(replica.members):
             self._tasks.start(replica.members, self._open_or_dissolve(replica))
         return True
 
-    def _was_ready(
-        self, record: history.ReplicaRecord, replica: endpoints.Replica
-    ) -> bool:
-        # The ready state may pass too quickly to be observed.
-        if record.was_ready:
-            return True
-        return self._orders.ordered.is_open_ordered(replica.key)
-
     def _may_serve(self, replica: endpoints.Replica) -> bool:
         head = replica.head
         if head is not None:
@@ -310,7 +301,9 @@
         ):
             return False
         missing_since_s = record.head_missing_since_s
-        was_seen_ready = record.has_served or self._was_ready(record, replica)
+        was_seen_ready = record.has_served or _was_ready(
+            record, replica.key, self._orders.ordered
+        )
         if record.whole is None or not was_seen_ready:
             # This node doesn't know the head, or never saw it ready: it may
             # have opened while the store was unavailable, and gets time to
@@ -325,3 +318,28 @@
                 self._stop_missing_head(record.whole, missing_since_s),
             )
         return True
+
+
+def _may_have_been_opened(
+    record: history.ReplicaRecord,
+    head: endpoints.Endpoint,
+    ordered: departures.OrderedReplicas,
+) -> bool:
+    membership = head.membership
+    assert membership is not None
+    if membership.state is endpoints.MemberState.BROKEN:
+        return False
+    if _was_ready(record, membership.key, ordered):
+        return True
+    # Another lease holder may have ordered it to open.
+    is_ready = membership.state is endpoints.MemberState.READY
+    return is_ready and not ordered.can_never_open(membership.key)
+
+
+def _was_ready(
+    record: history.ReplicaRecord,
+    key: replica_spec.ReplicaKey,
+    ordered: departures.OrderedReplicas,
+) -> bool:
+    # The ready state may pass too quickly to be observed.
+    return record.was_ready or ordered.is_open_ordered(key)
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -138,6 +138,12 @@
         """
         membership = head.membership
         assert membership is not None
+        report = await self._prober.ask(head)
+        if report is not None and replica_spec.still_serves(
+            head, report.membership
+        ):
+            # It has opened, and its entry will say so.
+            return None
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
             result = await self._client.leave(
--- a/redwingvalve/node/tests/test_new_lease_holder.py
+++ b/redwingvalve/node/tests/test_new_lease_holder.py
@@ -26,16 +26,28 @@
 
 @attrs.define(eq=False)
 class Client:
-    """Records which endpoints are ordered to join; probes are unanswered."""
+    """Records which endpoints are ordered to join or to leave.
+
+    Probes are unanswered, except by endpoints with a current membership.
+    """
 
     joined: list = attrs.field(factory=list)
+    left: list = attrs.field(factory=list)
+    current: dict = attrs.field(factory=dict)
 
     async def join(self, endpoint, replica, epoch, member_ids):
         self.joined.append(endpoint.endpoint_id)
         return endpoint_orders.OrderResult.ACCEPTED
 
+    async def leave(self, endpoint, replica, epoch):
+        self.left.append(endpoint.endpoint_id)
+        return endpoint_orders.OrderResult.ACCEPTED
+
     async def report(self, endpoint):
-        return None
+        membership = self.current.get(endpoint.endpoint_id)
+        if membership is None:
+            return None
+        return endpoint_orders.Report(endpoint.born_ms, membership, ())
 
 
 def member(number):
@@ -45,12 +57,15 @@
     )
 
 
-def reconcile_repeatedly(registry, before_reconcile=lambda _: None):
-    """Let a new lease holder reconcile five times; return join orders.
+def reconcile_repeatedly(
+    registry, before_reconcile=lambda _: None, current=None
+):
+    """Let a new lease holder reconcile five times; return its orders.
 
-    before_reconcile is called once the controller knows the engine.
+    before_reconcile is called once the controller knows the engine. current
+    holds the memberships that endpoints report when they are asked.
     """
-    client = Client()
+    client = Client(current=current or {})
 
     async def main():
         async with anyio.create_task_group() as group:
@@ -73,7 +88,7 @@
             group.cancel_scope.cancel()
 
     anyio.run(main)
-    return client.joined
+    return client.joined + client.left
 
 
 def test_members_whose_head_is_not_listed_yet_do_not_join_elsewhere():
@@ -113,3 +128,26 @@
         new_controller.record_fleet_state()
 
     assert not reconcile_repeatedly(registry, remove_heads)
+
+
+def test_heads_that_opened_unseen_are_asked_before_their_members_are_needed():
+    """Two replicas that serve are not taken apart by a new lease holder.
+
+    Their heads executed orders to open as the store went; they are listed as
+    ready, and their members aren't listed yet.
+    """
+    heads = [
+        members.make_member(
+            f'e{number}', number, 0, endpoints.MemberState.READY
+        )
+        for number in (1, 2)
+    ]
+    registry = registry_module.Registry()
+    registry.live = {one.endpoint_id: one for one in heads}
+    current = {
+        one.endpoint_id: attrs.evolve(
+            one.membership, state=endpoints.MemberState.OPEN
+        )
+        for one in heads
+    }
+    assert not reconcile_repeatedly(registry, current=current)
