Let members leave a closed head whose order to open was never answered

Such a head may open again seconds after it has said that it is ready. Its members leave it before they join elsewhere, as those of heads that nobody reaches. Tests of what frees members, and of an order to leave that is executed late.

--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -32,6 +32,7 @@
 
     _formed: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
     _open_ordered: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
+    _open_unanswered: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
 
     def record_formed(self, key: replica_spec.ReplicaKey) -> None:
         """Record that the members of a replica are ordered to join it."""
@@ -41,6 +42,14 @@
         """Record that a head is ordered to open, whatever it answers."""
         self._open_ordered.add(key)
 
+    def record_unanswered_open(self, key: replica_spec.ReplicaKey) -> None:
+        """Record that a head may execute an order to open later."""
+        self._open_unanswered.add(key)
+
+    def may_open_late(self, key: replica_spec.ReplicaKey) -> bool:
+        """Return whether a head that has closed may open again by itself."""
+        return key in self._open_unanswered
+
     def is_open_ordered(self, key: replica_spec.ReplicaKey) -> bool:
         """Return whether this process has ordered the head to open."""
         return key in self._open_ordered
@@ -67,6 +76,8 @@
         """Return whether an endpoint must leave before it joins elsewhere."""
         if membership is None or self.ordered.can_never_open(membership.key):
             return False
+        if self.ordered.may_open_late(membership.key):
+            return True
         record = self.history.get(membership.key)
         return record is None or not head_evidence.is_proof(record.stopped_by)
 
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -320,6 +320,8 @@
                 return False
             self.ordered.record_open_order(spec.key)
             result = await self._client.open(head, spec.name, spec.epoch)
+            if result is OrderResult.UNKNOWN:
+                self.ordered.record_unanswered_open(spec.key)
             if result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
                 # The head takes some time to open; until then it reports ready.
                 return await self._wait_until_serving(spec, deadline_s)
--- /dev/null
+++ b/redwingvalve/node/tests/test_departures.py
@@ -0,0 +1,83 @@
+"""Tests of which members must leave before they join another replica."""
+
+import pytest
+
+from redwingvalve.fleet import endpoints, head_evidence, history
+from redwingvalve.fleet import registry as registry_module
+from redwingvalve.ingress import routes
+from redwingvalve.node import departures
+from redwingvalve.node.tests import members
+
+Evidence = head_evidence.Evidence
+State = endpoints.MemberState
+MODEL = routes.Model('small', 2, 1.0, 1.0, 12.0, 1.1)
+ENGINE = routes.Engine(4, (MODEL,), 4.0, 0.1, 40_000.0, 5, 5.0, 7, 30.0)
+
+
+def make_departures(state=State.OPEN):
+    """Return departures, and a member whose head was last seen in a state."""
+    head = members.make_member('e1', 1, 0, state)
+    member = members.make_member('e2', 1, 1, State.READY)
+    records = history.ReplicaHistory()
+    replica = endpoints.Replica('small.1.1', 1, (head, member))
+    records.update([replica], ENGINE, 0.0)
+    ordered = departures.OrderedReplicas()
+    made = departures.Departures(
+        None, None, registry_module.Registry(), records, ordered
+    )
+    return made, member.membership
+
+
+@pytest.mark.parametrize(
+    ('evidence', 'must_leave'),
+    [
+        (None, True),
+        (Evidence.UNREACHED, True),
+        (Evidence.TIME_PASSED, True),
+        (Evidence.STATED, False),
+        (Evidence.REPLACED, False),
+    ],
+)
+def test_only_proof_that_a_head_has_stopped_frees_its_members(
+    evidence, must_leave
+):
+    made, membership = make_departures()
+    made.history.get(membership.key).stopped_by = evidence
+    assert made.must_leave(membership) is must_leave
+
+
+def test_members_of_an_unknown_replica_leave_it_first():
+    made, membership = make_departures()
+    made.history = history.ReplicaHistory()
+    assert made.must_leave(membership)
+    assert not made.must_leave(None)
+
+
+def test_members_of_a_replica_that_was_never_told_to_open_are_free():
+    made, membership = make_departures(State.READY)
+    made.ordered.record_formed(membership.key)
+    assert not made.must_leave(membership)
+    made.ordered.record_open_order(membership.key)
+    assert made.must_leave(membership)
+
+
+def test_a_head_that_may_open_by_a_late_order_frees_no_members():
+    """It has closed, and an order to open it was never answered."""
+    made, membership = make_departures()
+    made.history.get(membership.key).stopped_by = Evidence.STATED
+    made.ordered.record_unanswered_open(membership.key)
+    assert made.must_leave(membership)
+
+
+def test_a_head_that_is_seen_open_again_is_not_stopped():
+    """What once counted as stopped must not free members hours later."""
+    made, membership = make_departures()
+    record = made.history.get(membership.key)
+    record.stopped_by = Evidence.STATED
+    made.history.update([record.whole], ENGINE, 1.0)
+    assert made.must_leave(membership)
+
+
+def test_a_broken_head_frees_its_members():
+    made, membership = make_departures(State.BROKEN)
+    assert not made.must_leave(membership)
--- a/redwingvalve/platform/tests/test_heads_out_of_reach.py
+++ b/redwingvalve/platform/tests/test_heads_out_of_reach.py
@@ -92,6 +92,26 @@
     fleet_harness.run(test, nodes=nodes)
 
 
+def test_members_that_leave_late_join_no_earlier():
+    """An order to leave that isn't acknowledged frees no member."""
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        spare = await add_spare(fleet)
+        early = record_joins(fleet)
+        member.faults.delayed_operations = ('leave',)
+        cut_off(fleet, head, CUTS[0], nodes=[0], is_listed=False)
+        fleet.nodes[0].table.suspect(head.endpoint_id, 'silent')
+        await fleet.wait_until(lambda: member.members == spare.members, 8)
+        left = [one['operation'] for one in member.orders].index('leave')
+        assert left > 0 and head.group['state'] == 'open'
+        assert not early
+
+    fleet_harness.run(test)
+
+
 @pytest.mark.parametrize('is_listed', LISTED)
 @pytest.mark.parametrize('mode', CUTS)
 def test_members_stay_with_a_head_that_other_nodes_reach(mode, is_listed):
