Break off answers whose heads, framing or skipped bodies never end

Cause: a connection to an endpoint read whatever came. Lines of a head and trailers were kept in lists, a line without an end in the parser, and nothing but the caller's time-out ended any of them. Trailers were also appended to the headers of the answer that was forwarded.

Change: ResponseMeter counts the bytes of a request's answer. All that is no body counts together (status line, lines, interim heads, chunk sizes and extensions, trailers): 64 kB, and 16 bytes for each byte of a body. Skipped bodies of other answers and bodies held in memory have 16 MB; a body announced as longer is broken off at its head. Streams pass as they come. The connection is closed, the reason names the limit, redwingvalve_answers_over_limit counts it, and the endpoint is treated as after any broken answer. Trailers are dropped.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -2,7 +2,8 @@
 
 A response is accepted only for the request that was sent. Late responses to
 earlier requests are recognized by their echoed id and skipped. A connection
-that delivers more than one response, or ends abnormally, is never reused.
+that delivers more than one response, or ends abnormally, is never reused. One
+whose bytes go on beyond the limits of a response is closed.
 """
 
 import abc
@@ -12,7 +13,8 @@
 
 import httptools
 
-from redwingvalve.http1 import messages
+from redwingvalve.http1 import messages, response_limits
+from redwingvalve.observability import node_metrics
 
 # An endpoint may send a response twice; more unrelated responses than this are
 # a protocol error.
@@ -30,6 +32,15 @@
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether the head belongs to this request's response."""
 
+    def max_body_bytes(
+        self, limits: response_limits.ResponseLimits
+    ) -> int | None:
+        """Return the limit of the body, None if it is passed on as it comes.
+
+        Called after head_received().
+        """
+        return limits.body_bytes
+
     @abc.abstractmethod
     def head_received(self, head: messages.ResponseHead) -> None:
         """Receive the status and the headers."""
@@ -50,8 +61,16 @@
 class Connection(asyncio.Protocol):
     """One client connection."""
 
-    def __init__(self) -> None:
-        """Create a connection without a transport yet."""
+    def __init__(
+        self,
+        limits: typing.Callable[
+            [], response_limits.ResponseLimits
+        ] = response_limits.default_limits,
+    ) -> None:
+        """Create a connection without a transport yet.
+
+        The limits are read again for each request.
+        """
         self.transport: asyncio.Transport | None = None
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
@@ -59,8 +78,8 @@
         self._handler: ResponseHandler | None = None
         self._parser: typing.Any = None
         self._headers: messages.Headers = []
-        self._is_skipping = False
-        self._stray_responses = 0
+        self._limits = limits
+        self._meter = response_limits.ResponseMeter(limits())
         self._is_complete = False
         self._close_delimited = False
         self._reusable = True
@@ -84,8 +103,8 @@
         self._handler = exchange
         self._on_idle = on_idle
         self._parser = httptools.HttpResponseParser(self)
+        self._meter = response_limits.ResponseMeter(self._limits())
         self._is_complete = False
-        self._stray_responses = 0
         self.used = True
         self.transport.write(request)
 
@@ -130,6 +149,7 @@
             # Unsolicited bytes belong to no request.
             self.abandon()
             return
+        self._meter.received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -139,6 +159,10 @@
             self._has_extra_bytes = True
         if self._is_complete:
             self._finish()
+            return
+        excess = self._meter.excess()
+        if excess is not None:
+            self._exceed(excess)
 
     def on_message_begin(self) -> None:
         """Start a head; one after a complete response is a stray one."""
@@ -161,30 +185,39 @@
         exchange = self._handler
         if exchange is None:
             return
-        self._is_skipping = not exchange.accepts(head)
-        if self._is_skipping:
+        # Trailers are no part of the head.
+        self._headers = []
+        self._meter.is_skipping = not exchange.accepts(head)
+        if self._meter.is_skipping:
             return
         self._reusable = head.keep_alive
         self._close_delimited = head.body_end is messages.BodyEnd.CONNECTION
         self._read_keep_alive(head)
         exchange.head_received(head)
+        self._meter.head_received(
+            exchange.max_body_bytes(self._meter.limits), head.content_length
+        )
 
     def on_body(self, chunk: bytes) -> None:
         """Pass a chunk of the body on."""
-        if self._is_skipping or self._is_complete or self._handler is None:
+        if self._is_complete or self._handler is None:
+            return
+        meter = self._meter
+        meter.body_received(len(chunk))
+        if meter.is_skipping:
             return
         self._handler.body_received(chunk)
 
     def on_message_complete(self) -> None:
         """Record the end of the response, or of a skipped one."""
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            self._meter.interim_heads += 1
             return
-        if not self._is_skipping:
+        if not self._meter.is_skipping:
             self._is_complete = True
             return
-        self._stray_responses += 1
-        self._is_skipping = False
-        if self._stray_responses > MAX_STRAY_RESPONSES:
+        self._meter.skipped_response_ended()
+        if self._meter.skipped_responses > MAX_STRAY_RESPONSES:
             self._break('answers of other requests')
 
     def _finish(self) -> None:
@@ -203,6 +236,15 @@
         if exchange is not None:
             exchange.completed()
 
+    def _exceed(self, excess: response_limits.Excess) -> None:
+        # Counted only while a request waits for the answer.
+        if self._handler is None:
+            return
+        node_metrics.METRICS.count(
+            'redwingvalve_answers_over_limit', limit=excess.limit.value
+        )
+        self._break(excess.reason)
+
     def _break(self, reason: str) -> None:
         exchange = self._handler
         self._handler = None
--- a/redwingvalve/http1/messages.py
+++ b/redwingvalve/http1/messages.py
@@ -73,6 +73,14 @@
             return BodyEnd.CHUNKS
         return BodyEnd.CONNECTION
 
+    @property
+    def content_length(self) -> int:
+        """Return the length of the body in bytes, 0 if it isn't stated."""
+        if self.body_end is not BodyEnd.LENGTH:
+            return 0
+        stated = self.header(b'content-length') or b''
+        return int(stated) if stated.isdigit() else 0
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
         return _first(self.headers, name)
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -6,7 +6,7 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.http1 import client, messages
+from redwingvalve.http1 import client, messages, response_limits
 from redwingvalve.ingress import answer_ends, events
 from redwingvalve.platform import endpoint_statements, names
 
@@ -167,6 +167,12 @@
         super().head_received(head)
         self.is_stream = self.classify() is Outcome.COMPLETE
 
+    def max_body_bytes(
+        self, limits: response_limits.ResponseLimits
+    ) -> int | None:
+        """Return None for a stream: its events are forwarded as they come."""
+        return None if self.is_stream else super().max_body_bytes(limits)
+
     def body_received(self, chunk: bytes) -> None:
         """Forward the complete events."""
         if not self.is_stream:
