Break off streams whose event never ends

Cause: an event is held until it is complete; one without an end was held until the request's deadline, and searched again from its start at each read.

Change: an event over 1 MB ends its answer as broken; the sender closes the connection, and the excess is counted as the other ones are. Counting moved to response_limits, which both readers use.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -14,7 +14,6 @@
 import httptools
 
 from redwingvalve.http1 import messages, response_limits
-from redwingvalve.observability import node_metrics
 
 # An endpoint may send a response twice; more unrelated responses than this are
 # a protocol error.
@@ -240,9 +239,7 @@
         # Counted only while a request waits for the answer.
         if self._handler is None:
             return
-        node_metrics.METRICS.count(
-            'redwingvalve_answers_over_limit', limit=excess.limit.value
-        )
+        response_limits.count(excess)
         self._break(excess.reason)
 
     def _break(self, reason: str) -> None:
--- a/redwingvalve/http1/response_limits.py
+++ b/redwingvalve/http1/response_limits.py
@@ -17,6 +17,8 @@
 
 import attrs
 
+from redwingvalve.observability import node_metrics
+
 # Bytes beside the body that each byte of a body allows. A chunk of one byte
 # has five of them.
 FRAMING_BYTES_PER_BODY_BYTE: typing.Final = 16
@@ -71,6 +73,13 @@
         return f'{self.limit.value} over {self.max_bytes} bytes'
 
 
+def count(excess: Excess) -> None:
+    """Count an answer that was broken off."""
+    node_metrics.METRICS.count(
+        'redwingvalve_answers_over_limit', limit=excess.limit.value
+    )
+
+
 class ResponseMeter:
     """Counts the bytes that are received for one request."""
 
--- a/redwingvalve/ingress/events.py
+++ b/redwingvalve/ingress/events.py
@@ -1,7 +1,12 @@
 """Splits a stream of server-sent events into events with their ids."""
 
+import typing
+
 import attrs
 
+# An event holds some tokens of an answer, or all of them. A longer one is none.
+MAX_EVENT_BYTES: typing.Final = 1_048_576
+
 
 @attrs.frozen
 class Event:
@@ -24,6 +29,11 @@
         """Return whether no event is partly received."""
         return not self._rest
 
+    @property
+    def is_too_long(self) -> bool:
+        """Return whether an event goes on without an end."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that this chunk completes."""
         text = self._rest + chunk if self._rest else chunk
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -141,6 +141,11 @@
         return Outcome.COMPLETE
 
 
+_EVENT_EXCESS: typing.Final = response_limits.Excess(
+    response_limits.Limit.EVENT, events.MAX_EVENT_BYTES
+)
+
+
 class EventSink(typing.Protocol):
     """Receives the events of a stream in order."""
 
@@ -178,10 +183,14 @@
         if not self.is_stream:
             super().body_received(chunk)
             return
+        if self.ended.done():
+            return
         for event in self._splitter.feed(chunk):
             if self.ended.done():
                 return
             self._sink.forward(event, self)
+        if self._splitter.is_too_long:
+            self._end_long_event()
 
     def completed(self) -> None:
         """Set the outcome; a stream that ends inside an event is broken."""
@@ -191,6 +200,11 @@
             return
         super().completed()
 
+    def _end_long_event(self) -> None:
+        # The sender closes the connection of a broken answer.
+        response_limits.count(_EVENT_EXCESS)
+        self.broken(_EVENT_EXCESS.reason)
+
 
 def is_success(head: messages.ResponseHead) -> bool:
     """Return whether the status is a 2xx."""
