Let limits of answers follow the configuration

Cause: answers may repeat what callers sent, and a configuration may let callers send heads and bodies as long as the fixed limits of answers.

Change: the pool of the request path reads the limits for each request: four times what callers may send, and no less than the fixed ones (64 kB of head, 16 MB of a body held in memory).

--- a/redwingvalve/http1/pool.py
+++ b/redwingvalve/http1/pool.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import time
+import typing
 
-from redwingvalve.http1 import client
+from redwingvalve.http1 import client, response_limits
 
 # A round trip between data centres takes 3 ms; a connect that takes longer
 # than this means that the peer is down or its accept queue is full.
@@ -30,9 +31,16 @@
 class Pool:
     """Connections by address; the most recently used idle one comes first."""
 
-    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        limits: typing.Callable[
+            [], response_limits.ResponseLimits
+        ] = response_limits.default_limits,
+    ) -> None:
+        """Create an empty pool; limits returns those of responses in force."""
         self.opened = 0
+        self._limits = limits
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[Address, list[client.Connection]] = {}
 
@@ -58,7 +66,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    client.Connection, *address
+                    lambda: client.Connection(self._limits), *address
                 )
         except ConnectionRefusedError as error:
             raise ConnectError('refused', was_refused=True) from error
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from redwingvalve.http1 import pool
+from redwingvalve.http1 import pool, response_limits
 from redwingvalve.ingress import (
     answer_ends,
     caller_retries,
@@ -75,6 +75,10 @@
     return 0
 
 
+def _make_pool(state: 'IngressState') -> pool.Pool:
+    return pool.Pool(limits=state.answer_limits)
+
+
 @attrs.define(eq=False)
 class IngressState:
     """Shared state and services for handling requests."""
@@ -96,7 +100,9 @@
     loads: load_balancing.EndpointLoads = attrs.field(
         factory=load_balancing.EndpointLoads
     )
-    connections: pool.Pool = attrs.field(factory=pool.Pool)
+    connections: pool.Pool = attrs.field(
+        default=attrs.Factory(_make_pool, takes_self=True)
+    )
     stall_detector: stall_detection.StallDetector = attrs.field(
         factory=stall_detection.StallDetector
     )
@@ -142,6 +148,13 @@
     )
     _hedge_limits: dict[str, hedge_limit.HedgeLimit] = attrs.field(factory=dict)
 
+    def answer_limits(self) -> response_limits.ResponseLimits:
+        """Return the limits of answers under the configuration in force."""
+        if self.configuration is None:
+            return response_limits.DEFAULT
+        limits = self.configuration.limits
+        return response_limits.make_limits(limits.head_bytes, limits.body_bytes)
+
     def first_event_estimate(
         self, service: str, model: str
     ) -> duration_estimates.DurationEstimate:
