Bound JSON bodies of reports, orders and pages, also when inflated

Cause: bodies of reports, orders, health checks and of the store and its relays were gathered up to the limit of any held body, and inflated without one.

Change: JsonAnswer reads them: 2 MB from endpoints (their entries have 1 MB at most), 32 MB from the store and nodes that relay it (all objects of a kind in one page), counted before and after inflation, which stops at the limit. The call fails as without a valid answer and the connection is closed.

--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -10,7 +10,7 @@
 from redwingvalve.fleet import endpoints
 from redwingvalve.http1 import messages
 from redwingvalve.observability import logs
-from redwingvalve.platform import entries, names, store
+from redwingvalve.platform import entries, json_answers, names, store
 
 LOG = logs.make_logger('orders')
 
@@ -201,6 +201,7 @@
                 None,
                 REPORT_TIMEOUT_S,
                 _expected_endpoint_headers(endpoint),
+                json_answers.make_report_answer(),
             )
         except store.NotListeningError:
             return Liveness.NOT_LISTENING
@@ -223,6 +224,7 @@
             None,
             timeout_s,
             _expected_endpoint_headers(endpoint),
+            json_answers.make_report_answer(),
         )
         if status != _OK or not isinstance(body, dict):
             return None
@@ -238,6 +240,7 @@
                 order,
                 ORDER_TIMEOUT_S,
                 _expected_endpoint_headers(endpoint),
+                json_answers.make_report_answer(),
             )
         except store.StoreRefusedError:
             return OrderResult.UNREACHED
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -9,13 +9,12 @@
 import json
 import typing
 import urllib.parse
-import zlib
 
 import attrs
 
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.observability import node_metrics
-from redwingvalve.platform import damaged_pages, names, settings
+from redwingvalve.platform import damaged_pages, json_answers, names, settings
 
 Document = dict[str, typing.Any]
 # The store responds in 4 ms, but takes up to 60 times as long on slow days.
@@ -23,8 +22,6 @@
 # Extra time beyond the requested wait before a watch counts as failed: its
 # connection may be cut or stall silently.
 WATCH_TIMEOUT_MARGIN_S = 0.5
-# Header set by nodes that relay the store's data.
-DEFLATE_HEADER = (b'content-encoding', b'deflate')
 _OK = 200
 _MULTIPLE = 300
 _NOT_FOUND = 404
@@ -112,34 +109,6 @@
     return revision if isinstance(revision, int) else 0
 
 
-class _Answer(client.ResponseHandler):
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[None] = loop.create_future()
-        self.status = 0
-        self.is_deflated = False
-        self.body: list[bytes] = []
-
-    def accepts(self, head: messages.ResponseHead) -> bool:
-        return True
-
-    def head_received(self, head: messages.ResponseHead) -> None:
-        self.status = head.status
-        name, encoding = DEFLATE_HEADER
-        self.is_deflated = head.header(name) == encoding
-
-    def body_received(self, chunk: bytes) -> None:
-        self.body.append(chunk)
-
-    def completed(self) -> None:
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def broken(self, reason: str) -> None:
-        if not self.done.done():
-            self.done.set_exception(StoreError(reason))
-
-
 class JsonClient:
     """HTTP client for JSON requests over pooled connections."""
 
@@ -155,16 +124,21 @@
         document: Document | None,
         timeout_s: float,
         headers: messages.Headers | None = None,
+        answer: json_answers.JsonAnswer | None = None,
     ) -> tuple[int, typing.Any]:
         """Return status and parsed body; raises StoreError.
 
-        start is the method and the target, as in `GET /path`.
+        start is the method and the target, as in `GET /path`. answer reads the
+        body, by default as that of a store.
         """
         self.calls += 1
         outcome = 'no answer'
         try:
             status, content = await self._exchange(
-                address, start, document, timeout_s, headers or []
+                address,
+                _render(address, start, _encode(document), headers or []),
+                timeout_s,
+                answer or json_answers.make_page_answer(),
             )
             outcome = str(status)
         except StoreRefusedError:
@@ -187,16 +161,14 @@
     async def _exchange(
         self,
         address: tuple[str, int],
-        start: str,
-        document: Document | None,
+        request: bytes,
         timeout_s: float,
-        headers: messages.Headers,
+        answer: json_answers.JsonAnswer,
     ) -> tuple[int, typing.Any]:
-        answer = _Answer()
-        body = b'' if document is None else json.dumps(document).encode()
         connection = await self._take(address, timeout_s)
+        answer.on_excess = connection.abandon
         connection.send(
-            _render(address, start, body, headers),
+            request,
             answer,
             self._connections.release_callback(address),
         )
@@ -208,7 +180,10 @@
         finally:
             if not answer.done.done() or answer.done.cancelled():
                 connection.abandon()
-        return answer.status, _parse(answer)
+        try:
+            return answer.status, answer.parse()
+        except json_answers.AnswerError as error:
+            raise StoreError(str(error)) from error
 
     async def _take(
         self, address: tuple[str, int], timeout_s: float
@@ -367,19 +342,8 @@
     return body
 
 
-def _parse(answer: _Answer) -> typing.Any:
-    body = b''.join(answer.body)
-    if not body:
-        return {}
-    try:
-        raw = zlib.decompress(body) if answer.is_deflated else body
-    except zlib.error:
-        # _checked reports that the response is not a JSON object.
-        return None
-    try:
-        return json.loads(raw)
-    except (ValueError, RecursionError):
-        return damaged_pages.recover(raw)
+def _encode(document: Document | None) -> bytes:
+    return b'' if document is None else json.dumps(document).encode()
 
 
 def _render(
--- a/redwingvalve/platform/store_responses.py
+++ b/redwingvalve/platform/store_responses.py
@@ -14,14 +14,14 @@
 
 import attrs
 
-from redwingvalve.platform import names, store
+from redwingvalve.platform import json_answers, names, store
 
 # The fastest level: higher levels make these pages hardly any smaller.
 _COMPRESSION_LEVEL = 1
 # Headers of every response.
 HEADERS = (
     (b'content-type', b'application/json'),
-    store.DEFLATE_HEADER,
+    json_answers.DEFLATE_HEADER,
 )
 
 
