Take a report with an infinite number for no report

Cause: a start time of 1e999 is read as infinity, and turning it into an integer raises OverflowError, which no caller of a report expects.

Change: such a report counts as one that can't be read.

Measured: the test fails with OverflowError before, passes after.

--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -58,6 +58,8 @@
     UNKNOWN = 'unknown'
 
 
+# Raised when a report has an unexpected structure.
+_MALFORMED_REPORT = (ValueError, TypeError, AttributeError, OverflowError)
 _RESULTS_BY_STATUS: typing.Final = types.MappingProxyType(
     {
         _ACCEPTED: OrderResult.ACCEPTED,
@@ -264,5 +266,5 @@
             membership=entries.decode_membership(body.get('group')),
             staged=entries.decode_models(body.get('staged')),
         )
-    except (ValueError, TypeError, AttributeError):
+    except _MALFORMED_REPORT:
         return None
--- a/redwingvalve/platform/tests/test_endless_json.py
+++ b/redwingvalve/platform/tests/test_endless_json.py
@@ -209,3 +209,10 @@
         assert time.process_time() - began_s < 0.1
 
     anyio.run(main)
+
+
+def test_a_report_with_a_number_beyond_all_is_none():
+    """The error ended the task that had asked for the report."""
+    body = b'{"born": 1e999}'
+    answer = OK + b'content-length: %d\r\nconnection: close\r\n\r\n' % len(body)
+    assert call_endpoint(answer + body, b'')[0] is None
