--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -10,7 +10,7 @@
 from redwingvalve.fleet import endpoints
 from redwingvalve.http1 import messages
 from redwingvalve.observability import logs
-from redwingvalve.platform import entries, names, store
+from redwingvalve.platform import entries, json_answers, names, store
 
 LOG = logs.make_logger('orders')
 
@@ -58,6 +58,8 @@
     UNKNOWN = 'unknown'
 
 
+# Raised when a report has an unexpected structure.
+_MALFORMED_REPORT = (ValueError, TypeError, AttributeError, OverflowError)
 _RESULTS_BY_STATUS: typing.Final = types.MappingProxyType(
     {
         _ACCEPTED: OrderResult.ACCEPTED,
@@ -201,6 +203,7 @@
                 None,
                 REPORT_TIMEOUT_S,
                 _expected_endpoint_headers(endpoint),
+                json_answers.make_report_answer(),
             )
         except store.NotListeningError:
             return Liveness.NOT_LISTENING
@@ -223,6 +226,7 @@
             None,
             timeout_s,
             _expected_endpoint_headers(endpoint),
+            json_answers.make_report_answer(),
         )
         if status != _OK or not isinstance(body, dict):
             return None
@@ -238,6 +242,7 @@
                 order,
                 ORDER_TIMEOUT_S,
                 _expected_endpoint_headers(endpoint),
+                json_answers.make_report_answer(),
             )
         except store.StoreRefusedError:
             return OrderResult.UNREACHED
@@ -261,5 +266,5 @@
             membership=entries.decode_membership(body.get('group')),
             staged=entries.decode_models(body.get('staged')),
         )
-    except (ValueError, TypeError, AttributeError):
+    except _MALFORMED_REPORT:
         return None
