Give the stops of heads a module of their own

What closes a head, waits for it and tells by what evidence it has stopped moves to head_stops.py, unchanged.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -18,6 +18,7 @@
     departures,
     endpoint_prober,
     endpoint_scheduler,
+    head_stops,
     replica_orders,
     replica_spec,
     tasks,
@@ -185,13 +186,15 @@
         )
 
     async def _drain(self, replica: endpoints.Replica) -> None:
-        evidence = await self._orders.drain(replica.members[0], clock.boot_s())
+        evidence = await self._orders.head_stops.drain(
+            replica.members[0], clock.boot_s()
+        )
         self._mark_head_stopped(replica.key, evidence)
 
     async def _stop_missing_head(
         self, replica: endpoints.Replica, missing_since_s: float
     ) -> None:
-        evidence = await self._orders.stop_missing_head(
+        evidence = await self._orders.head_stops.stop_missing_head(
             replica.members[0], missing_since_s
         )
         self._mark_head_stopped(replica.key, evidence)
@@ -205,7 +208,9 @@
         )
         if is_complete and await self._orders.open_if_ready(replica):
             return
-        evidence = await self._orders.make_head_leave(replica.members[0])
+        evidence = await self._orders.head_stops.make_head_leave(
+            replica.members[0]
+        )
         self._mark_head_stopped(replica.key, evidence)
 
     def _mark_head_stopped(
@@ -308,10 +313,7 @@
             # This node doesn't know the head, or never saw it ready: it may
             # have opened while the store was unavailable, and gets time to
             # finish its requests.
-            return (
-                clock.boot_s() - missing_since_s
-                < replica_orders.LEAVE_TIMEOUT_S
-            )
+            return clock.boot_s() - missing_since_s < head_stops.LEAVE_TIMEOUT_S
         if not self._tasks.is_any_busy(record.whole.members):
             self._tasks.start(
                 record.whole.members,
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -17,26 +17,21 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, head_evidence, history
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.node import departures, endpoint_prober, replica_spec
+from redwingvalve.node import (
+    departures,
+    endpoint_prober,
+    head_stops,
+    replica_spec,
+)
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
 LOG = logs.make_logger('replicas')
-# Entries arrive through the watch, a few milliseconds after a change.
-POLL_INTERVAL_S = 0.02
 # Time that a join may take beyond the load: propagation of entries, and
 # endpoints that are busy.
 JOIN_TIMEOUT_MARGIN_S = 2.0
 OPEN_TIMEOUT_S = 2.0
 OPEN_RETRY_INTERVAL_S = 0.05
-# An endpoint that is leaving is announced as such for two seconds and then
-# takes up to ten seconds to finish its requests.
-LEAVE_TIMEOUT_S = 13.0
-# Between two probes of a head that has no entry; each probe has a cost.
-PROBE_INTERVAL_S = 0.3
-# A head that leaves without notice goes on serving for two seconds after its
-# entry is gone: if it doesn't answer within the first, it has died.
-MISSING_HEAD_PROBE_WINDOW_S = 1.0
 # Range of epochs of one lease holder; the next holder's range follows it.
 EPOCHS_PER_TERM = 100_000
 
@@ -83,6 +78,9 @@
         self._prober = prober
         self._registry = registry
         self._may_order = may_order
+        self.head_stops = head_stops.HeadStops(
+            client, prober, registry, may_order
+        )
         self._departures = departures.Departures(
             client, prober, registry, records, self.ordered
         )
@@ -129,37 +127,6 @@
         )
         return await self._open(spec)
 
-    async def make_head_leave(
-        self, head: endpoints.Endpoint
-    ) -> Evidence | None:
-        """Order a head to leave its replica, so that no late order can open it.
-
-        Returns the evidence that it has left, None if it may still serve.
-        """
-        membership = head.membership
-        assert membership is not None
-        report = await self._prober.ask(head)
-        if report is not None and replica_spec.still_serves(
-            head, report.membership
-        ):
-            # It has opened, and its entry will say so.
-            return None
-        deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
-        while clock.boot_s() < deadline_s and self._may_order():
-            result = await self._client.leave(
-                head, membership.replica, membership.epoch
-            )
-            if result is OrderResult.ACCEPTED:
-                return Evidence.STATED
-            if result is OrderResult.OTHER_ENDPOINT:
-                return Evidence.REPLACED
-            if self._is_missing(head):
-                return Evidence.UNREACHED
-            await anyio.sleep(PROBE_INTERVAL_S)
-        # By now no order can take effect: orders are executed at most twelve
-        # seconds late.
-        return self._evidence_of_time()
-
     async def check_replica(
         self, members: tuple[endpoints.Endpoint, ...]
     ) -> Check:
@@ -191,95 +158,13 @@
                 ],
             },
         )
-        evidence = await self.stop_head(head, reports[head.endpoint_id])
+        evidence = await self.head_stops.stop_head(
+            head, reports[head.endpoint_id]
+        )
         if evidence is None or not self._may_order():
             return Check(CheckResult.UNKNOWN)
         return Check(CheckResult.STOPPED, evidence)
 
-    async def stop_head(
-        self,
-        head: endpoints.Endpoint,
-        report: endpoint_orders.Report | None,
-    ) -> Evidence | None:
-        """Close a head; return why it no longer serves its replica.
-
-        None if this node may not order it any more.
-        """
-        membership = head.membership
-        assert membership is not None
-        deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
-        while clock.boot_s() < deadline_s and self._may_order():
-            if report is not None and not replica_spec.still_serves(
-                head, report.membership
-            ):
-                return Evidence.STATED
-            if report is None and self._is_dead(head):
-                return Evidence.UNREACHED
-            if report is not None:
-                await self._client.close(
-                    head, membership.replica, membership.epoch, False
-                )
-            await anyio.sleep(POLL_INTERVAL_S)
-            report = await self._prober.ask(head)
-        return self._evidence_of_time()
-
-    async def drain(
-        self, head: endpoints.Endpoint, started_s: float
-    ) -> Evidence | None:
-        """Let a replica finish its requests; return why it no longer serves.
-
-        A head that is leaving stops listening before its last requests end, so
-        that only its own report or entry, or the passing of LEAVE_TIMEOUT_S,
-        shows that it has finished.
-        """
-        membership = head.membership
-        assert membership is not None
-        LOG.info('replica closes', extra={'replica': membership.replica})
-        await self._client.close(
-            head, membership.replica, membership.epoch, True
-        )
-        deadline_s = started_s + LEAVE_TIMEOUT_S
-        while clock.boot_s() < deadline_s and self._may_order():
-            seen = self._registry.live.get(head.endpoint_id)
-            if seen is not None:
-                if not replica_spec.still_serves(head, seen.membership):
-                    return Evidence.STATED
-                await anyio.sleep(POLL_INTERVAL_S)
-                continue
-            report = await self._prober.ask(head)
-            if report is not None and not replica_spec.still_serves(
-                head, report.membership
-            ):
-                return Evidence.STATED
-            await anyio.sleep(PROBE_INTERVAL_S)
-        return self._evidence_of_time()
-
-    async def stop_missing_head(
-        self, head: endpoints.Endpoint, missing_since_s: float
-    ) -> Evidence | None:
-        """Stop a head whose entry is gone; return why it no longer serves.
-
-        A head that is probed just after its entry went away and doesn't answer
-        has died. One that answers is leaving, or is cut off from the store.
-        """
-        if self._registry.has_begun_to_leave(head, LEAVE_TIMEOUT_S):
-            # It may have stopped listening, while its last requests go on.
-            return await self.drain(head, missing_since_s)
-        probed_s = clock.boot_s()
-        report = await self._prober.ask_until_certain(
-            head, missing_since_s + LEAVE_TIMEOUT_S
-        )
-        is_probed_in_time = (
-            probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
-        )
-        is_dead = report is None and is_probed_in_time
-        if is_dead and await self._prober.confirm_reach():
-            return Evidence.UNREACHED
-        return await self.drain(head, missing_since_s)
-
-    def _evidence_of_time(self) -> Evidence | None:
-        return Evidence.TIME_PASSED if self._may_order() else None
-
     async def _are_free(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
         staying = await self._departures.leave_previous(members)
         for member in staying:
@@ -342,7 +227,7 @@
         while clock.boot_s() < deadline_s and self._may_order():
             if is_done():
                 return True
-            await anyio.sleep(POLL_INTERVAL_S)
+            await anyio.sleep(head_stops.POLL_INTERVAL_S)
         return is_done()
 
     def _is_ready(self, spec: replica_spec.ReplicaSpec) -> bool:
@@ -364,20 +249,6 @@
             return False
         return seen.membership.state not in replica_spec.NOT_SERVING
 
-    def _is_dead(self, head: endpoints.Endpoint) -> bool:
-        # The entry of a dead head expires after three heartbeats, but so does
-        # that of a live one that is cut off from the store, whose responses may
-        # have been lost on this node's side.
-        if self._registry.may_be_leaving(head, LEAVE_TIMEOUT_S):
-            return False
-        if self._prober.is_degraded():
-            return False
-        return self._is_missing(head)
-
-    def _is_missing(self, head: endpoints.Endpoint) -> bool:
-        seen = self._registry.live.get(head.endpoint_id)
-        return seen is None or seen.born_ms != head.born_ms
-
     def _record_outcome(
         self, spec: replica_spec.ReplicaSpec, outcome: str, started_s: float
     ) -> None:
