Let nodes probe endpoints for each other

Tagged datagrams carry asks and replies beside the messages about slots. Their kind byte ends a thrift struct, so that nodes of the earlier version read an empty message and ignore it.

--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -185,7 +185,7 @@
         ),
         cold=cold_starts.ColdStarts(cold),
     )
-    peers.on_tagged = transport.datagram_received
+    peers.on_tagged[peers_module.SLOT_KIND] = transport.datagram_received
     state.reserver = transport.reserver
     state.slot_demand = status_exchange.usage.slots_in_use
     state.waiting_requests = allocator.queue_length
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -101,3 +101,38 @@
   22: i64 evacuation_revision
   23: list<string> evacuated
 }
+
+// Probes for other nodes. Each is sent as a datagram of its own, after two bytes
+// that tell it from the other kinds.
+
+// Asks for one report request to an endpoint, whose entry the asked node may lack.
+struct ProbeAsk {
+  // Tells the asks of one process apart.
+  1: i64 number
+  2: string endpoint_id
+  3: string host
+  4: i32 port
+}
+
+struct ProbedMembership {
+  1: string replica
+  2: i64 epoch
+  3: i32 rank
+  4: string state
+}
+
+struct ProbeReply {
+  1: i64 number
+  2: string endpoint_id
+  // Whether the endpoint has reported; the following fields are in its report.
+  3: bool is_answered
+  4: i64 born_ms
+  // Absent for an endpoint without a replica.
+  5: ProbedMembership membership
+}
+
+// Contains one of its fields.
+struct ProbeMessage {
+  1: ProbeAsk ask
+  2: ProbeReply reply
+}
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -56,9 +56,15 @@
 # First byte of datagrams that aren't status messages. No Thrift struct begins
 # with it.
 TAG = b'\xff'
+# Follows the tag of messages about slots.
+SLOT_KIND = b''
+# Follows the tag of messages about probes. It ends a Thrift struct: nodes that
+# don't know the kind read an empty message, and ignore it.
+PROBE_KIND = b'\x00'
 
 
 SocketAddress: typing.TypeAlias = tuple[str, int]
+_Handler: typing.TypeAlias = typing.Callable[[bytes, SocketAddress], None]
 
 
 @attrs.frozen
@@ -143,10 +149,8 @@
         self.receive_gap_s = 0.0
         # Called when a listing of the store has been applied.
         self.on_listed: typing.Callable[[], None] | None = None
-        # Called with tagged datagrams and their sender's address.
-        self.on_tagged: typing.Callable[[bytes, SocketAddress], None] | None = (
-            None
-        )
+        # Called with tagged datagrams and their sender's address, by kind.
+        self.on_tagged: dict[bytes, _Handler] = {}
 
     @property
     def is_announcing(self) -> bool:
@@ -243,8 +247,11 @@
     ) -> None:
         """Handle a datagram; a status message that is outdated is ignored."""
         if data.startswith(TAG):
-            if self.on_tagged is not None:
-                self.on_tagged(data[len(TAG) :], addr)
+            is_probe = data.startswith(TAG + PROBE_KIND)
+            kind = PROBE_KIND if is_probe else SLOT_KIND
+            handler = self.on_tagged.get(kind)
+            if handler is not None:
+                handler(data[len(TAG + kind) :], addr)
             return
         try:
             message = status_messages.unpack(data)
--- a/redwingvalve/node/tests/test_status_messages.py
+++ b/redwingvalve/node/tests/test_status_messages.py
@@ -5,7 +5,7 @@
 import pytest
 import thriftpy2
 
-from redwingvalve.node import status_messages
+from redwingvalve.node import probe_messages, status_messages
 
 STRUCTS = (
     'NodeAddress',
@@ -15,6 +15,7 @@
     'AnsweredRequest',
     'StatusMessage',
 )
+PROBE_STRUCTS = ('ProbeAsk', 'ProbedMembership', 'ProbeReply', 'ProbeMessage')
 
 
 @pytest.fixture(scope='module')
@@ -44,6 +45,13 @@
     assert by_name(found) == by_name(getattr(declared, name).thrift_spec)
 
 
+@pytest.mark.parametrize('name', PROBE_STRUCTS)
+def test_each_struct_about_probes_has_the_declared_fields(declared, name):
+    """Different versions of nodes rely on the same field numbers."""
+    found = getattr(probe_messages, name).thrift_spec
+    assert by_name(found) == by_name(getattr(declared, name).thrift_spec)
+
+
 def test_a_decoded_message_equals_the_encoded_one():
     sent = status_messages.StatusMessage(
         vm='vm-1',
--- a/redwingvalve/wire/structs.py
+++ b/redwingvalve/wire/structs.py
@@ -7,10 +7,11 @@
 import typing
 
 from thriftpy2 import thrift, utils
-from thriftpy2.protocol import cybin
+from thriftpy2.protocol import binary, cybin
 
 Type = thrift.TType
 _FACTORY = cybin.TCyBinaryProtocolFactory()
+_CHECKED_FACTORY = binary.TBinaryProtocolFactory()
 
 
 class StructError(ValueError):
@@ -42,10 +43,17 @@
     return utils.serialize(struct, _FACTORY)
 
 
-def unpack(packed: bytes, kind: typing.Any) -> typing.Any:
-    """Deserialize bytes into a struct class; raises StructError."""
+def unpack(
+    packed: bytes, kind: typing.Any, *, is_checked: bool = False
+) -> typing.Any:
+    """Deserialize bytes into a struct class; raises StructError.
+
+    The default codec allocates as many bytes as a text claims to have, up to 2
+    GB, whatever the size of packed. The checked one is slower, and does not.
+    """
+    factory = _CHECKED_FACTORY if is_checked else _FACTORY
     try:
-        return utils.deserialize(kind(), packed, _FACTORY)
+        return utils.deserialize(kind(), packed, factory)
     except Exception as error:
         # The codec raises many exception types for invalid bytes.
         raise StructError(str(error)) from error
