Keep replicas whose head only the lease holder has lost

The holder took replicas apart, or called them broken, when it alone had lost the path to a member or head. Silent endpoints, and heads before they count as out of reach, are asked through other nodes at the same time; an answer that any of them gets counts as the holder's own. Checks of suspicions without a holder ask about two heads a second; those of stalled streams ask nobody, as another node's path doesn't help the streams of this one.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -198,6 +198,7 @@
             self.allocation.run,
             self.allocation.reserver.run,
             self.detector.run,
+            self.prober.run,
             self.reach.run,
             self.crash_checker.run,
             self.poison_records.run,
@@ -324,7 +325,6 @@
         registry, state.connections, table.evacuations
     )
     state.reach = reach
-    prober = endpoint_prober.EndpointProber(endpoint_client, reach)
     lease = lease_module.Lease(
         node_settings.vm, client, may_hold=reach.reaches_endpoints
     )
@@ -336,6 +336,9 @@
         lease,
         front.FrontApplication(state),
     )
+    prober = endpoint_prober.make_prober(
+        endpoint_client, reach, status_exchange.peers
+    )
     state.end_checker = crash_checks.EndpointAnswerEnds(
         registry, endpoint_client, reach
     )
--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -18,6 +18,8 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints
 from redwingvalve.ingress import reachability
+from redwingvalve.node import indirect_probes
+from redwingvalve.node import peers as peers_module
 from redwingvalve.platform import endpoint_orders
 
 # Each probe takes about a millisecond of half a core, so that this many are
@@ -49,6 +51,9 @@
 MAX_SILENCE_S = 1.2
 
 Reports = dict[str, endpoint_orders.Report | None]
+_Ask: typing.TypeAlias = typing.Callable[
+    [endpoints.Endpoint], typing.Awaitable[endpoint_orders.Report | None]
+]
 
 
 @attrs.frozen
@@ -112,13 +117,22 @@
         self,
         client: endpoint_orders.EndpointClient,
         reach: reachability.EndpointReach | None = None,
+        others: indirect_probes.IndirectProber | None = None,
     ) -> None:
-        """Send probes through client; reach tells of cut links."""
+        """Send probes through client; reach tells of cut links.
+
+        others lets other nodes probe; by default nobody is asked.
+        """
         self._client = client
+        self._others = others or indirect_probes.AsksNobody()
         self._reach = reach or reachability.AssumedReach()
         self._local_health = LocalHealth()
         self._limit = anyio.CapacityLimiter(MAX_CONCURRENT_PROBES)
 
+    async def run(self) -> None:
+        """Probe endpoints for other nodes until cancelled."""
+        await self._others.run()
+
     async def ask(
         self, endpoint: endpoints.Endpoint
     ) -> endpoint_orders.Report | None:
@@ -129,6 +143,18 @@
             self._local_health.record(began_s, report is not None)
         return report
 
+    async def ask_others(
+        self, endpoint: endpoints.Endpoint
+    ) -> endpoint_orders.Report | None:
+        """Return the report that another node gets, None without one."""
+        return await self._others.ask(endpoint)
+
+    async def ask_with_others(
+        self, endpoint: endpoints.Endpoint
+    ) -> endpoint_orders.Report | None:
+        """Return the first report that this or another node gets."""
+        return await self._first_report(self.ask, endpoint)
+
     async def ask_silent(
         self, endpoint: endpoints.Endpoint
     ) -> endpoint_orders.Report | None:
@@ -151,12 +177,13 @@
         responses are read. So the probe is repeated, and for as long as this
         node itself is degraded, until deadline_s by the boot clock at most.
         Otherwise a head that is only cut off from the store would be considered
-        dead and go on serving while its members join another replica.
+        dead and go on serving while its members join another replica. Other
+        nodes are asked at the same time: the path may be lost here only.
         """
         unanswered = 0
         while clock.boot_s() < deadline_s:
             ask = self.ask_silent if unanswered else self.ask
-            report = await ask(endpoint)
+            report = await self._first_report(ask, endpoint)
             if report is not None:
                 return report
             unanswered += 1
@@ -189,10 +216,26 @@
     async def ask_all_silent(
         self, reports: Reports, members: tuple[endpoints.Endpoint, ...]
     ) -> None:
-        """Add the reports of members that were only silent for a while."""
+        """Add the reports of members that were only silent for a while.
+
+        Other nodes are asked at the same time.
+        """
+        silent = _without_report(reports, members)
+        scopes = {one.endpoint_id: anyio.CancelScope() for one in silent}
         async with anyio.create_task_group() as group:
-            for member in _without_report(reports, members):
-                group.start_soon(self._ask_one_silent, reports, member)
+            for member in silent:
+                scope = scopes[member.endpoint_id]
+                group.start_soon(self._ask_one_silent, reports, member, scope)
+            await self._ask_others_in_turn(reports, silent, scopes)
+
+    async def are_healthy_by_any_node(
+        self, members: tuple[endpoints.Endpoint, ...]
+    ) -> bool:
+        """Return whether all members report to some node that they are."""
+        reports = await self.ask_all(members)
+        silent = _without_report(reports, members)
+        await self._ask_others_in_turn(reports, silent, {})
+        return all(is_healthy(member, reports) for member in members)
 
     async def are_healthy(
         self, members: tuple[endpoints.Endpoint, ...]
@@ -214,10 +257,63 @@
         reports[member.endpoint_id] = await self.ask(member)
 
     async def _ask_one_silent(
-        self, reports: Reports, member: endpoints.Endpoint
+        self,
+        reports: Reports,
+        member: endpoints.Endpoint,
+        scope: anyio.CancelScope,
     ) -> None:
-        if await self._client.accepts_connections(member):
-            reports[member.endpoint_id] = await self.ask_silent(member)
+        with scope:
+            if await self._client.accepts_connections(member):
+                reports[member.endpoint_id] = await self.ask_silent(member)
+
+    async def _ask_others_in_turn(
+        self,
+        reports: Reports,
+        silent: tuple[endpoints.Endpoint, ...],
+        scopes: dict[str, anyio.CancelScope],
+    ) -> None:
+        """Add the reports that other nodes get, and cancel the scopes of these.
+
+        Ends at the first member without one, since that one's replica is broken
+        anyway: a dark data centre takes one ask for each replica.
+        """
+        for member in silent:
+            name = member.endpoint_id
+            report = await self._others.ask(member)
+            if reports[name] is None and report is not None:
+                reports[name] = report
+                scope = scopes.get(name)
+                if scope is not None:
+                    scope.cancel()
+            if reports[name] is None:
+                return
+
+    async def _first_report(
+        self, ask_directly: _Ask, endpoint: endpoints.Endpoint
+    ) -> endpoint_orders.Report | None:
+        """Ask directly and through other nodes; return the first report."""
+        found: list[endpoint_orders.Report] = []
+        async with anyio.create_task_group() as group:
+
+            async def add_report(ask: _Ask) -> None:
+                report = await ask(endpoint)
+                if report is not None:
+                    found.append(report)
+                    group.cancel_scope.cancel()
+
+            group.start_soon(add_report, ask_directly)
+            group.start_soon(add_report, self._others.ask)
+        return found[0] if found else None
+
+
+def make_prober(
+    client: endpoint_orders.EndpointClient,
+    reach: reachability.EndpointReach,
+    peers: peers_module.Peers,
+) -> EndpointProber:
+    """Return a prober that also lets the other nodes probe."""
+    others = indirect_probes.make_prober(peers, client)
+    return EndpointProber(client, reach, others)
 
 
 def is_healthy(member: endpoints.Endpoint, reports: Reports) -> bool:
--- a/redwingvalve/node/failure_detector.py
+++ b/redwingvalve/node/failure_detector.py
@@ -12,9 +12,12 @@
 responses can also be lost in the network.
 
 While no node holds the lease, as in an outage of the store, no controller
-clears suspicions. Each node then probes the heads that it suspects itself.
+clears suspicions. Each node then probes the heads that it suspects itself, and
+asks other nodes about a few of them. The checks of stalled streams ask nobody:
+that others reach a head doesn't help the streams of a node that has lost it.
 """
 
+import random
 import time
 import typing
 
@@ -39,6 +42,9 @@
 # again for this long. In a burst all nodes have a request at each such head:
 # without this limit, 82 nodes sent 52,770 probes in a day.
 REPORTED_HEALTHY_HOLD_S = 2.0
+# Suspicions about which other nodes are asked in one such check: all nodes may
+# suspect the same heads.
+MAX_ASKED_ELSEWHERE = 2
 STALLED = 'silent'
 
 
@@ -119,10 +125,17 @@
     def _recheck_suspicions(self, group: anyio.abc.TaskGroup) -> None:
         if self.lease.has_known_holder():
             return
-        for suspicion in self.table.local_suspicions():
-            self._start_check(
-                group, suspicion.endpoint_id, self._clear_if_healthy
+        heads = [one.endpoint_id for one in self.table.local_suspicions()]
+        asked_elsewhere = random.sample(
+            heads, min(len(heads), MAX_ASKED_ELSEWHERE)
+        )
+        for head in heads:
+            check = (
+                self._clear_if_healthy_anywhere
+                if head in asked_elsewhere
+                else self._clear_if_healthy
             )
+            self._start_check(group, head, check)
 
     def _start_check(
         self,
@@ -165,7 +178,18 @@
             self.table.announce_healthy(head)
 
     async def _clear_if_healthy(self, head: str, token: object) -> None:
-        is_healthy = await self._is_healthy(head)
+        self._clear(head, token, is_healthy=await self._is_healthy(head))
+
+    async def _clear_if_healthy_anywhere(
+        self, head: str, token: object
+    ) -> None:
+        replica = self.table.replica_of(head)
+        is_healthy = replica is not None and (
+            await self.prober.are_healthy_by_any_node(replica.members)
+        )
+        self._clear(head, token, is_healthy=is_healthy)
+
+    def _clear(self, head: str, token: object, *, is_healthy: bool) -> None:
         if is_healthy and self._being_checked.get(head) is token:
             LOG.info('suspicion cleared', extra={'endpoint': head})
             self.table.mark_healthy(head)
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -1,9 +1,11 @@
 """Stops heads, and tells by what evidence they have stopped.
 
 An absence that one node sees, of an answer or of an entry, says little about a
-head: it may be cut off from that node and from the store, and serve others.
+head: it may be cut off from that node and from the store, and serve others. So
+a report that another node gets counts like one that this node gets.
 """
 
+import types
 import typing
 
 import anyio
@@ -30,6 +32,13 @@
 
 OrderResult = endpoint_orders.OrderResult
 Evidence = head_evidence.Evidence
+# What the answer to an order to leave shows.
+_EVIDENCE_BY_RESULT: typing.Final = types.MappingProxyType(
+    {
+        OrderResult.ACCEPTED: Evidence.STATED,
+        OrderResult.OTHER_ENDPOINT: Evidence.REPLACED,
+    }
+)
 
 
 @attrs.define(eq=False)
@@ -51,7 +60,7 @@
         """
         membership = head.membership
         assert membership is not None
-        report = await self._prober.ask(head)
+        report = await self._prober.ask_with_others(head)
         if report is not None and replica_spec.still_serves(
             head, report.membership
         ):
@@ -62,12 +71,11 @@
             result = await self._client.leave(
                 head, membership.replica, membership.epoch
             )
-            if result is OrderResult.ACCEPTED:
-                return Evidence.STATED
-            if result is OrderResult.OTHER_ENDPOINT:
-                return Evidence.REPLACED
-            if self._is_missing(head):
-                return Evidence.UNREACHED
+            evidence = _EVIDENCE_BY_RESULT.get(result)
+            if evidence is None and self._is_missing(head):
+                evidence = await self._evidence_of_others(head)
+            if evidence is not None:
+                return evidence
             await anyio.sleep(PROBE_INTERVAL_S)
         # By now no order can take effect: orders are executed at most twelve
         # seconds late.
@@ -84,11 +92,11 @@
         """
         membership = head.membership
         assert membership is not None
+        if report is None:
+            report = await self._prober.ask_others(head)
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
-            if report is not None and not replica_spec.still_serves(
-                head, report.membership
-            ):
+            if _has_stopped(head, report):
                 return Evidence.STATED
             if report is None and self._is_dead(head):
                 return Evidence.UNREACHED
@@ -97,7 +105,7 @@
                     head, membership.replica, membership.epoch, False
                 )
             await anyio.sleep(POLL_INTERVAL_S)
-            report = await self._prober.ask(head)
+            report = await self._prober.ask_with_others(head)
         return self._evidence_of_time()
 
     async def drain(
@@ -124,9 +132,7 @@
                 await anyio.sleep(POLL_INTERVAL_S)
                 continue
             report = await self._prober.ask(head)
-            if report is not None and not replica_spec.still_serves(
-                head, report.membership
-            ):
+            if _has_stopped(head, report):
                 return Evidence.STATED
             await anyio.sleep(PROBE_INTERVAL_S)
         return self._evidence_of_time()
@@ -136,7 +142,7 @@
     ) -> Evidence | None:
         """Stop a head whose entry is gone; return why it no longer serves.
 
-        A head that is probed just after its entry went away and doesn't answer
+        A head that is probed just after its entry went away and answers no node
         has died. One that answers is leaving, or is cut off from the store.
         """
         if self._registry.has_begun_to_leave(head, LEAVE_TIMEOUT_S):
@@ -146,6 +152,8 @@
         report = await self._prober.ask_until_certain(
             head, missing_since_s + LEAVE_TIMEOUT_S
         )
+        if _has_stopped(head, report):
+            return Evidence.STATED
         is_probed_in_time = (
             probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
         )
@@ -154,6 +162,15 @@
             return Evidence.UNREACHED
         return await self.drain(head, missing_since_s)
 
+    async def _evidence_of_others(
+        self, head: endpoints.Endpoint
+    ) -> Evidence | None:
+        """Return what other nodes' probes show of a head that must leave."""
+        report = await self._prober.ask_others(head)
+        if report is None:
+            return Evidence.UNREACHED
+        return Evidence.STATED if _has_left(head, report) else None
+
     def _evidence_of_time(self) -> Evidence | None:
         return Evidence.TIME_PASSED if self._may_order() else None
 
@@ -170,3 +187,19 @@
     def _is_missing(self, head: endpoints.Endpoint) -> bool:
         seen = self._registry.live.get(head.endpoint_id)
         return seen is None or seen.born_ms != head.born_ms
+
+
+def _has_stopped(
+    head: endpoints.Endpoint, report: endpoint_orders.Report | None
+) -> bool:
+    """Return whether a head reports that it doesn't serve its replica."""
+    if report is None:
+        return False
+    return not replica_spec.still_serves(head, report.membership)
+
+
+def _has_left(head: endpoints.Endpoint, report: endpoint_orders.Report) -> bool:
+    """Return whether a head reports that it isn't in its replica any more."""
+    if head.membership is None or report.membership is None:
+        return True
+    return report.membership.key != head.membership.key
--- a/redwingvalve/node/tests/test_failure_detector.py
+++ b/redwingvalve/node/tests/test_failure_detector.py
@@ -51,11 +51,16 @@
 class Prober:
     is_healthy: bool
     probes: int = 0
+    asked_elsewhere: int = 0
 
     async def are_healthy(self, members):
         self.probes += 1
         return self.is_healthy
 
+    async def are_healthy_by_any_node(self, members):
+        self.asked_elsewhere += 1
+        return await self.are_healthy(members)
+
 
 @attrs.frozen
 class Lease:
