Test endpoints whose answers never end behind a node

The fake endpoint sends heads, lines, interim heads, chunk extensions, bodies of other answers, bodies, events and reports until the other side closes. Requests to it end soon: with another endpoint's answer on idempotent and stream routes, with 502 on others. Each answer is counted once, its connection is closed, reports, orders and checks end, memory and bytes read are bounded.

--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -14,10 +14,15 @@
 import attrs
 
 from redwingvalve.http1 import messages, request_parser, server
-from redwingvalve.platform.standins import endpoint_answers, endpoint_faults
+from redwingvalve.platform.standins import (
+    endpoint_answers,
+    endpoint_endless,
+    endpoint_faults,
+)
 from redwingvalve.platform.standins import store as fake_store
 
 _LIMITS = request_parser.ServerLimits(65_536, 4_194_304, 10, 60)
+_CALLS = (b'/redwingvalve/report', b'/redwingvalve/order')
 Document = dict[str, typing.Any]
 # Durations from the platform's specification, shortened for tests.
 JOIN_DURATION_S = 0.15
@@ -173,6 +178,8 @@
         expected = request.header(b'x-expect-instance')
         if expected is not None and expected.decode() != self.endpoint_id:
             responder.send_response(421, [], b'')
+        elif request.target in _CALLS and self.faults.endless.reports:
+            self._send_without_end(self.faults.endless.reports, responder)
         elif request.target == b'/redwingvalve/report':
             _answer_json(responder, 200, self._entry())
         elif request.target == b'/redwingvalve/order':
@@ -182,6 +189,13 @@
                 self._run(request, responder)
             )
 
+    def _send_without_end(
+        self, endless: endpoint_endless.Endless, responder: server.Responder
+    ) -> None:
+        asyncio.get_running_loop().create_task(
+            endpoint_endless.send(self.faults.endless, endless, responder, [])
+        )
+
     def _forget_state(self) -> None:
         self.group = None
         self.members = []
--- a/redwingvalve/platform/standins/endpoint_answers.py
+++ b/redwingvalve/platform/standins/endpoint_answers.py
@@ -4,7 +4,11 @@
 import typing
 
 from redwingvalve.http1 import messages, server
-from redwingvalve.platform.standins import endpoint_crashes, endpoint_faults
+from redwingvalve.platform.standins import (
+    endpoint_crashes,
+    endpoint_endless,
+    endpoint_faults,
+)
 
 # From the head of an answer to the crash of its endpoint.
 CRASH_DELAY_S = 0.1
@@ -108,6 +112,12 @@
     headers: messages.Headers,
 ) -> bool:
     """Fail as the endpoint's faults say; return False if the run goes on."""
+    endless = endpoint.faults.endless
+    if endless.answers is not None:
+        await endpoint_endless.send(
+            endless, endless.answers, responder, headers
+        )
+        return True
     crashes = endpoint.faults.crashes
     if endpoint_crashes.has_crashing_part(crashes, request):
         await endpoint_crashes.answer_until_crash(
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -8,7 +8,7 @@
 import attrs
 
 from redwingvalve.http1 import messages, server
-from redwingvalve.platform.standins import endpoint_crashes
+from redwingvalve.platform.standins import endpoint_crashes, endpoint_endless
 
 # Between two events of a stream; shortened for tests.
 EVENT_INTERVAL_S = 0.02
@@ -75,6 +75,9 @@
     )
     # Connections of requests that began are reset instead of answered.
     resets_answers: bool = False
+    endless: endpoint_endless.EndlessFaults = attrs.field(
+        factory=endpoint_endless.EndlessFaults
+    )
     # Share of the requests that are spoiled in one of the ways of Spoiling.
     spoiled_share: float = 0
     rng: random.Random = attrs.field(factory=lambda: random.Random(0))
