Build targets in a module of their own

What chooses the targets among the entries moves unchanged into target_builder. No change of behaviour; tests of redwingvalve/fleet, test_hubs.py and test_silent_endpoints.py pass.

--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -11,6 +11,7 @@
     endpoints,
     incarnation_tracker,
     leaving_marks,
+    target_builder,
 )
 from redwingvalve.fleet import evacuations as evacuations_module
 from redwingvalve.fleet import registry as registry_module
@@ -23,9 +24,6 @@
 HEAD_SUSPICION_S = 6.0
 # Time until a plain endpoint that could not be reached is tried again.
 PLAIN_SUSPICION_S = 1.0
-_SERVING_STATES = frozenset(
-    (endpoints.MemberState.READY, endpoints.MemberState.OPEN)
-)
 
 
 @attrs.frozen
@@ -81,6 +79,12 @@
         self._complete_replicas = complete_replicas.CompleteReplicas(
             self.evacuations
         )
+        self._builder = target_builder.TargetBuilder(
+            self.evacuations,
+            self._leaving,
+            self._complete_replicas,
+            self.is_suspect,
+        )
         registry.on_change.append(self.rebuild)
         registry.on_new_incarnation.append(self._forget)
         self.evacuations.on_change.append(self.rebuild)
@@ -281,68 +285,11 @@
         configuration = self._configuration
         if configuration is None:
             return
-        usable = self._registry.usable()
-        by_id = {endpoint.endpoint_id: endpoint for endpoint in usable}
-        replicas = endpoints.group_replicas(usable)
-        targets: dict[tuple[str, str], tuple[load_balancing.Target, ...]] = {}
-        for service in configuration.services.values():
-            if service.engine is None:
-                targets[service.name, ''] = self._plain_targets(
-                    service.name, usable
-                )
-                continue
-            for model in service.engine.models:
-                targets[service.name, model.name] = self._head_targets(
-                    replicas.get(service.name, []), model, service.engine, by_id
-                )
+        targets = self._builder.build(configuration, self._registry.usable())
         self._targets = targets
         if self.on_rebuilt is not None:
             self.on_rebuilt()
 
-    def _plain_targets(
-        self, service: str, usable: list[endpoints.Endpoint]
-    ) -> tuple[load_balancing.Target, ...]:
-        ready = [
-            endpoint
-            for endpoint in usable
-            if endpoint.service == service
-            and not self._leaving.is_leaving(endpoint)
-            and not self.evacuations.is_evacuated(endpoint.data_centre)
-        ]
-        healthy = [
-            endpoint
-            for endpoint in ready
-            if not self.is_suspect(endpoint.endpoint_id)
-        ]
-        # If all are suspect, any of them may still answer.
-        return tuple(_plain_target(endpoint) for endpoint in healthy or ready)
-
-    def _head_targets(
-        self,
-        replicas: list[endpoints.Replica],
-        model: routes.Model,
-        engine: routes.Engine,
-        by_id: dict[str, endpoints.Endpoint],
-    ) -> tuple[load_balancing.Target, ...]:
-        serving = []
-        for observed in replicas:
-            if observed.model != model.name:
-                continue
-            replica = self._complete_replicas.usable(
-                observed, model.size, by_id
-            )
-            if replica is None or self._complete_replicas.is_evacuated(
-                replica.key
-            ):
-                continue
-            if self._is_serving(replica):
-                serving.append(replica)
-        staying = [one for one in serving if not one.is_leaving]
-        return tuple(
-            _head_target(replica, engine.slots)
-            for replica in staying or serving
-        )
-
     def _forget(self, endpoint_id: str) -> None:
         """Forget what is known of the previous processes of an endpoint."""
         born_ms = self._registry.tracker.born_ms(endpoint_id)
@@ -353,47 +300,3 @@
             return
         self._suspicions.pop(endpoint_id, None)
         self._locally_suspected.discard(endpoint_id)
-
-    def _is_serving(self, replica: endpoints.Replica) -> bool:
-        head = replica.head
-        if head is None or head.membership is None:
-            return False
-        if self._leaving.is_leaving(head):
-            return False
-        if head.membership.state is not endpoints.MemberState.OPEN:
-            return False
-        if self.is_suspect(head.endpoint_id):
-            return False
-        return all(
-            member.membership.state in _SERVING_STATES
-            for member in replica.members
-            if member.membership is not None
-        )
-
-
-def _plain_target(endpoint: endpoints.Endpoint) -> load_balancing.Target:
-    return load_balancing.Target(
-        endpoint_id=endpoint.endpoint_id,
-        host=endpoint.host,
-        port=endpoint.port,
-        slots=endpoint.slots,
-        data_centre=endpoint.data_centre,
-        born_ms=endpoint.born_ms,
-    )
-
-
-def _head_target(
-    replica: endpoints.Replica, slots: int
-) -> load_balancing.Target:
-    head = replica.members[0]
-    return load_balancing.Target(
-        endpoint_id=head.endpoint_id,
-        host=head.host,
-        port=head.port,
-        slots=slots,
-        data_centre=head.data_centre,
-        born_ms=head.born_ms,
-        replica=replica.name,
-        epoch=replica.epoch,
-        domain=head.domain,
-    )
