--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -11,6 +11,9 @@
     endpoints,
     incarnation_tracker,
     leaving_marks,
+    lost_paths,
+    reached_targets,
+    target_builder,
 )
 from redwingvalve.fleet import evacuations as evacuations_module
 from redwingvalve.fleet import registry as registry_module
@@ -23,9 +26,6 @@
 HEAD_SUSPICION_S = 6.0
 # Time until a plain endpoint that could not be reached is tried again.
 PLAIN_SUSPICION_S = 1.0
-_SERVING_STATES = frozenset(
-    (endpoints.MemberState.READY, endpoints.MemberState.OPEN)
-)
 
 
 @attrs.frozen
@@ -69,11 +69,11 @@
         self.on_reinstated: collections_abc.Callable[[str, float], None] | None
         self.on_reinstated = None
         self.on_rebuilt: collections_abc.Callable[[], None] | None = None
+        self.on_path_doubted: collections_abc.Callable[[], None] | None = None
+        self.paths = lost_paths.LostPaths()
+        self.targets = reached_targets.ReachedTargets(self.paths)
         self._registry = registry
         self._configuration: routes.Configuration | None = None
-        self._targets: dict[
-            tuple[str, str], tuple[load_balancing.Target, ...]
-        ] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
         self._clearances = clearances.Clearances()
@@ -81,6 +81,12 @@
         self._complete_replicas = complete_replicas.CompleteReplicas(
             self.evacuations
         )
+        self._builder = target_builder.TargetBuilder(
+            self.evacuations,
+            self._leaving,
+            self._complete_replicas,
+            self.is_suspect,
+        )
         registry.on_change.append(self.rebuild)
         registry.on_new_incarnation.append(self._forget)
         self.evacuations.on_change.append(self.rebuild)
@@ -88,8 +94,12 @@
     def find_targets(
         self, service: str, model: str
     ) -> tuple[load_balancing.Target, ...]:
-        """Return the targets of a model, or of a plain service."""
-        return self._targets.get((service, model), ())
+        """Return this node's targets of a model, or of a plain service."""
+        return self.targets.find(service, model)
+
+    def is_out_of_reach(self, service: str, model: str) -> bool:
+        """Return whether this node can't connect to any target of a model."""
+        return self.targets.is_out_of_reach(service, model)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply the services of a new configuration."""
@@ -112,6 +122,8 @@
             endpoint.born_ms, born_ms
         ):
             return
+        if self.paths.is_lost(endpoint_id, endpoint.born_ms):
+            return
         membership = endpoint.membership
         epoch = membership.epoch if membership else 0
         wait_s = HEAD_SUSPICION_S if membership else PLAIN_SUSPICION_S
@@ -120,6 +132,8 @@
             endpoint_id, epoch, now_s + wait_s, now_s, endpoint.born_ms
         )
         self._locally_suspected.add(endpoint_id)
+        self.paths.doubt(endpoint_id, endpoint.born_ms, now_s)
+        self._notify_path_doubted()
         if self.add_suspicion(suspicion):
             node_metrics.METRICS.count('redwingvalve_suspicions')
             LOG.warning(
@@ -133,6 +147,26 @@
             if self.on_suspect is not None:
                 self.on_suspect(suspicion)
 
+    def connect_failed(
+        self, endpoint_id: str, reason: str, born_ms: int = 0
+    ) -> None:
+        """Suspect an endpoint, or avoid it here only if its path is lost."""
+        endpoint = self._registry.live.get(endpoint_id)
+        if endpoint is None or not incarnation_tracker.is_same(
+            endpoint.born_ms, born_ms
+        ):
+            return
+        if self.paths.record_failure(
+            endpoint_id,
+            endpoint.born_ms,
+            time.monotonic(),
+            is_suspect=self.is_suspect(endpoint_id),
+        ):
+            self.suspect(endpoint_id, reason, born_ms)
+            return
+        self._notify_path_doubted()
+        self.rebuild()
+
     def mark_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Take an endpoint that is going to stop out of use for good.
 
@@ -207,6 +241,8 @@
     def clear_suspicion(self, endpoint_id: str) -> None:
         """Put an endpoint back into use on this node."""
         self._locally_suspected.discard(endpoint_id)
+        self.paths.probe_soon(endpoint_id, time.monotonic())
+        self._notify_path_doubted()
         if self._suspicions.pop(endpoint_id, None) is None:
             return
         if self.on_reinstated is not None:
@@ -281,119 +317,23 @@
         configuration = self._configuration
         if configuration is None:
             return
-        usable = self._registry.usable()
-        by_id = {endpoint.endpoint_id: endpoint for endpoint in usable}
-        replicas = endpoints.group_replicas(usable)
-        targets: dict[tuple[str, str], tuple[load_balancing.Target, ...]] = {}
-        for service in configuration.services.values():
-            if service.engine is None:
-                targets[service.name, ''] = self._plain_targets(
-                    service.name, usable
-                )
-                continue
-            for model in service.engine.models:
-                targets[service.name, model.name] = self._head_targets(
-                    replicas.get(service.name, []), model, service.engine, by_id
-                )
-        self._targets = targets
+        targets = self._builder.build(configuration, self._registry.usable())
+        self.targets.update(targets)
         if self.on_rebuilt is not None:
             self.on_rebuilt()
 
-    def _plain_targets(
-        self, service: str, usable: list[endpoints.Endpoint]
-    ) -> tuple[load_balancing.Target, ...]:
-        ready = [
-            endpoint
-            for endpoint in usable
-            if endpoint.service == service
-            and not self._leaving.is_leaving(endpoint)
-            and not self.evacuations.is_evacuated(endpoint.data_centre)
-        ]
-        healthy = [
-            endpoint
-            for endpoint in ready
-            if not self.is_suspect(endpoint.endpoint_id)
-        ]
-        # If all are suspect, any of them may still answer.
-        return tuple(_plain_target(endpoint) for endpoint in healthy or ready)
-
-    def _head_targets(
-        self,
-        replicas: list[endpoints.Replica],
-        model: routes.Model,
-        engine: routes.Engine,
-        by_id: dict[str, endpoints.Endpoint],
-    ) -> tuple[load_balancing.Target, ...]:
-        serving = []
-        for observed in replicas:
-            if observed.model != model.name:
-                continue
-            replica = self._complete_replicas.usable(
-                observed, model.size, by_id
-            )
-            if replica is None or self._complete_replicas.is_evacuated(
-                replica.key
-            ):
-                continue
-            if self._is_serving(replica):
-                serving.append(replica)
-        staying = [one for one in serving if not one.is_leaving]
-        return tuple(
-            _head_target(replica, engine.slots)
-            for replica in staying or serving
-        )
-
     def _forget(self, endpoint_id: str) -> None:
         """Forget what is known of the previous processes of an endpoint."""
         born_ms = self._registry.tracker.born_ms(endpoint_id)
         self._leaving.forget(endpoint_id, born_ms)
         self._clearances.forget(endpoint_id, born_ms)
+        self.paths.forget(endpoint_id, born_ms)
         suspicion = self._suspicions.get(endpoint_id)
         if suspicion is not None and born_ms and suspicion.born_ms == born_ms:
             return
         self._suspicions.pop(endpoint_id, None)
         self._locally_suspected.discard(endpoint_id)
 
-    def _is_serving(self, replica: endpoints.Replica) -> bool:
-        head = replica.head
-        if head is None or head.membership is None:
-            return False
-        if self._leaving.is_leaving(head):
-            return False
-        if head.membership.state is not endpoints.MemberState.OPEN:
-            return False
-        if self.is_suspect(head.endpoint_id):
-            return False
-        return all(
-            member.membership.state in _SERVING_STATES
-            for member in replica.members
-            if member.membership is not None
-        )
-
-
-def _plain_target(endpoint: endpoints.Endpoint) -> load_balancing.Target:
-    return load_balancing.Target(
-        endpoint_id=endpoint.endpoint_id,
-        host=endpoint.host,
-        port=endpoint.port,
-        slots=endpoint.slots,
-        data_centre=endpoint.data_centre,
-        born_ms=endpoint.born_ms,
-    )
-
-
-def _head_target(
-    replica: endpoints.Replica, slots: int
-) -> load_balancing.Target:
-    head = replica.members[0]
-    return load_balancing.Target(
-        endpoint_id=head.endpoint_id,
-        host=head.host,
-        port=head.port,
-        slots=slots,
-        data_centre=head.data_centre,
-        born_ms=head.born_ms,
-        replica=replica.name,
-        epoch=replica.epoch,
-        domain=head.domain,
-    )
+    def _notify_path_doubted(self) -> None:
+        if self.on_path_doubted is not None:
+            self.on_path_doubted()
