--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -105,7 +105,12 @@
                     head, membership.replica, membership.epoch, False
                 )
             await anyio.sleep(POLL_INTERVAL_S)
-            report = await self._prober.ask_with_others(head)
+            # A head that is listed counts as alive without the others' word.
+            is_missing = self._is_missing(head)
+            ask = (
+                self._prober.ask_with_others if is_missing else self._prober.ask
+            )
+            report = await ask(head)
         return self._evidence_of_time()
 
     async def drain(
