Count endpoints, not probes, when many are unanswered

Three dark heads that were probed again and again looked like a problem of the holder itself, since ten unanswered probes within a second are one; no head counts as dead meanwhile. Probes of one endpoint count once now. Test: failed before.

--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -60,12 +60,14 @@
 class _ProbeOutcome:
     at_s: float
     is_answered: bool
+    endpoint_id: str
 
 
 class LocalHealth:
     """Tells whether unanswered probes point to a problem of this node itself.
 
-    Signs are many unanswered probes at once and pauses of the process.
+    Signs are many endpoints that leave probes unanswered at once, and pauses of
+    the process. Probes of a few dead endpoints that are repeated are none.
     """
 
     def __init__(
@@ -84,13 +86,17 @@
         began_s: float,
         is_answered: bool,
         timeout_s: float = endpoint_orders.REPORT_TIMEOUT_S,
+        endpoint_id: str = '',
     ) -> None:
-        """Record the outcome of a probe that was sent at began_s."""
+        """Record the outcome of a probe that was sent at began_s.
+
+        Without an endpoint_id it counts as that of an endpoint of its own.
+        """
         now_s = self._clock()
         took_s = now_s - began_s
         if took_s > timeout_s + MIN_PROCESS_PAUSE_S:
             self._process_paused_s = now_s
-        self._outcomes.append(_ProbeOutcome(now_s, is_answered))
+        self._outcomes.append(_ProbeOutcome(now_s, is_answered, endpoint_id))
         if self._count_unanswered(now_s) >= DEGRADED_MIN_UNANSWERED:
             self._degraded_s = now_s
 
@@ -103,11 +109,13 @@
 
     def _count_unanswered(self, now_s: float) -> int:
         since_s = now_s - DEGRADED_WINDOW_S
-        return sum(
-            1
+        unanswered = [
+            one.endpoint_id
             for one in self._outcomes
             if one.at_s > since_s and not one.is_answered
-        )
+        ]
+        named = set(filter(None, unanswered))
+        return unanswered.count('') + len(named)
 
 
 class EndpointProber:
@@ -140,7 +148,9 @@
         async with self._limit:
             began_s = time.monotonic()
             report = await self._client.report(endpoint)
-            self._local_health.record(began_s, report is not None)
+            self._local_health.record(
+                began_s, report is not None, endpoint_id=endpoint.endpoint_id
+            )
         return report
 
     async def ask_others(
@@ -165,7 +175,9 @@
         timeout_s = MAX_SILENCE_S - endpoint_orders.REPORT_TIMEOUT_S
         began_s = time.monotonic()
         report = await self._client.await_report(endpoint, timeout_s)
-        self._local_health.record(began_s, report is not None, timeout_s)
+        self._local_health.record(
+            began_s, report is not None, timeout_s, endpoint.endpoint_id
+        )
         return report
 
     async def ask_until_certain(
--- a/redwingvalve/node/tests/test_endpoint_prober.py
+++ b/redwingvalve/node/tests/test_endpoint_prober.py
@@ -100,6 +100,19 @@
     assert not path.is_degraded()
 
 
+def test_a_few_dead_endpoints_show_no_problem_of_the_node():
+    """Their probes are repeated, and their replicas would wait for the end."""
+    now_s = [100.0]
+    path = endpoint_prober.LocalHealth(lambda: now_s[0])
+    for number in range(24):
+        now_s[0] += 0.03
+        path.record(now_s[0], False, endpoint_id=f'e{number % 3}')
+        assert not path.is_degraded()
+    for number in range(10):
+        path.record(now_s[0], False, endpoint_id=f'other{number}')
+    assert path.is_degraded()
+
+
 def test_a_slow_node_does_not_consider_a_live_head_dead():
     """No VM is in two replicas when the lease holder runs slowly.
 
