Keep endpoints busy until their last task ends

Two tasks may name one endpoint: the check of a head that has come back names its old members, of which one is being ordered into another replica. Tasks are counted by endpoint.

--- a/redwingvalve/node/tasks.py
+++ b/redwingvalve/node/tasks.py
@@ -1,5 +1,6 @@
-"""Tasks that act on endpoints, at most one at a time for each endpoint."""
+"""Tasks that act on endpoints, and which endpoints they act on."""
 
+import collections
 import typing
 
 import anyio
@@ -19,11 +20,13 @@
     def __init__(self, group: anyio.abc.TaskGroup) -> None:
         """Run tasks in group."""
         self._group = group
-        self._busy: set[str] = set()
+        # Tasks by endpoint: the check of a replica may name a member that is
+        # ordered into another one meanwhile.
+        self._busy: collections.Counter[str] = collections.Counter()
 
     def is_busy(self, endpoint: endpoints.Endpoint) -> bool:
         """Return whether a task acts on an endpoint."""
-        return endpoint.endpoint_id in self._busy
+        return self._busy[endpoint.endpoint_id] > 0
 
     def is_any_busy(self, members: Members) -> bool:
         """Return whether a task acts on any of the endpoints."""
@@ -31,8 +34,7 @@
 
     def start(self, members: Members, work: Work) -> None:
         """Run work that acts on members; they are busy until it ends."""
-        for member in members:
-            self._busy.add(member.endpoint_id)
+        self._busy.update(member.endpoint_id for member in members)
         self._group.start_soon(self._run, members, work)
 
     async def _run(self, members: Members, work: Work) -> None:
@@ -43,5 +45,5 @@
             # be done again; an error here must not end the node.
             LOG.exception('endpoint task failed')
         finally:
-            for member in members:
-                self._busy.discard(member.endpoint_id)
+            self._busy.subtract(member.endpoint_id for member in members)
+            self._busy = +self._busy
