Let members leave heads that an earlier holder may have ordered to open

A head that says that it is ready may open by an order that the previous lease holder sent and that was never answered. Its members leave first now, whatever it says.

--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -47,8 +47,11 @@
         self._open_unanswered.add(key)
 
     def may_open_late(self, key: replica_spec.ReplicaKey) -> bool:
-        """Return whether a head that has closed may open again by itself."""
-        return key in self._open_unanswered
+        """Return whether a head that has closed may open again by itself.
+
+        Orders that an earlier lease holder sent aren't known here.
+        """
+        return key in self._open_unanswered or key not in self._formed
 
     def is_open_ordered(self, key: replica_spec.ReplicaKey) -> bool:
         """Return whether this process has ordered the head to open."""
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -42,6 +42,8 @@
     evidence, must_leave
 ):
     made, membership = make_departures()
+    made.ordered.record_formed(membership.key)
+    made.ordered.record_open_order(membership.key)
     made.history.get(membership.key).stopped_by = evidence
     assert made.must_leave(membership) is must_leave
 
@@ -62,9 +64,14 @@
 
 
 def test_a_head_that_may_open_by_a_late_order_frees_no_members():
-    """It has closed, and an order to open it was never answered."""
+    """It has closed, and an order to open it may not have been answered."""
     made, membership = make_departures()
     made.history.get(membership.key).stopped_by = Evidence.STATED
+    # By an earlier lease holder.
+    assert made.must_leave(membership)
+    made.ordered.record_formed(membership.key)
+    made.ordered.record_open_order(membership.key)
+    assert not made.must_leave(membership)
     made.ordered.record_unanswered_open(membership.key)
     assert made.must_leave(membership)
 
@@ -80,4 +87,6 @@
 
 def test_a_broken_head_frees_its_members():
     made, membership = make_departures(State.BROKEN)
+    made.ordered.record_formed(membership.key)
+    made.ordered.record_open_order(membership.key)
     assert not made.must_leave(membership)
