Open only replicas that were formed in the same term of the lease

A node that lost the lease and got it back opened a replica of its own earlier term, although the holder between had ordered a member to join another one, late.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -206,7 +206,10 @@
         is_complete = last_complete and len(last_complete.members) == len(
             replica.members
         )
-        if is_complete and await self._orders.open_if_ready(replica):
+        # A holder between two terms of this one may have ordered its members to
+        # join another replica.
+        is_own = replica.epoch // replica_orders.EPOCHS_PER_TERM == self.term
+        if is_complete and is_own and await self._orders.open_if_ready(replica):
             return
         evidence = await self._orders.head_stops.make_head_leave(
             replica.members[0]
