Remember that a member has left after its entry has expired

A member that had left made its old replica usable again once its entry expired: callers were sent to a head that stands still until the holder's next check. Found in review by a script; the test failed before.

--- a/redwingvalve/fleet/complete_replicas.py
+++ b/redwingvalve/fleet/complete_replicas.py
@@ -57,5 +57,7 @@
             if member.endpoint_id in present:
                 continue
             if member.endpoint_id in by_id or member.draining:
+                # It stays lost once its entry lapses as well.
+                self._known.pop(observed.key)
                 return None
         return observed
