--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -168,7 +168,7 @@
     async def _are_free(self, members: tuple[endpoints.Endpoint, ...]) -> bool:
         staying = await self._departures.leave_previous(members)
         for member in staying:
-            await self._mark_if_unresponsive(member)
+            self.unresponsive_since_s[member.incarnation] = clock.boot_s()
         return not staying and self._may_order()
 
     async def _join(
