--- a/redwingvalve/node/tests/test_failure_detector.py
+++ b/redwingvalve/node/tests/test_failure_detector.py
@@ -263,3 +263,26 @@
     stalls.record_event(stream, time.monotonic())
     check_streams(detector)
     assert detector.table.suspects == ['head']
+
+
+def test_few_suspicions_are_asked_about_at_other_nodes_in_one_check():
+    """Without a holder, all nodes may suspect the same heads of a large fleet.
+
+    If each asked eight others about each head, every node would get eight times
+    as many probes as there are suspected heads.
+    """
+    detector = make_detector(is_healthy=False, has_holder=False)
+    detector.table.suspects = [f'head-{number}' for number in range(30)]
+    check_streams(detector, times=3)
+    assert detector.prober.probes == 30
+    assert (
+        detector.prober.asked_elsewhere == failure_detector.MAX_ASKED_ELSEWHERE
+    )
+
+
+def test_other_nodes_are_not_asked_while_a_node_holds_the_lease():
+    """The holder asks on behalf of all; a burst of stalls adds no probes."""
+    detector = make_detector(is_healthy=False)
+    detector.table.suspects = [f'head-{number}' for number in range(30)]
+    check_after_stall(detector, has_started=False)
+    assert detector.prober.asked_elsewhere == 0
