Describe indirect probes: what was weighed, who may ask, the cost

Sizes of datagrams as packed with names of the users' length, headers of IP and UDP added: 92 bytes an ask, 69 a reply without a report, 138 one with.

--- a/redwingvalve/node/indirect_probes.py
+++ b/redwingvalve/node/indirect_probes.py
@@ -6,8 +6,8 @@
 nothing: the asked nodes may be cut off too, and datagrams are lost.
 
 Cost of one silent endpoint, asked once: 6 probes and 12 to 18 datagrams at 7
-nodes, 8 probes and 16 to 24 datagrams at 68 and at 361 nodes. A datagram has
-fewer than 200 bytes with its headers. The highest numbers are those of a dark
+nodes, 8 probes and 16 to 24 datagrams at 68 and at 361 nodes; 2 KB with headers
+at most if nobody gets a report. The highest numbers are those of a dark
 endpoint, whose probes outlast the time after which asks are repeated.
 """
 
