Leave endpoints behind lost paths to the other nodes

A node that lost its path to a sound head put it out of use for the whole fleet twice a second: each connect failed, the lease holder found the replica whole and cleared it, and the next connect failed. Its callers waited for a connect timeout each time.

The first failure is still shared at once. A connect that fails while the fleet doesn't doubt the endpoint counts as a lost path and is shared with nobody. Owners go on granting the endpoint to others; the node names it in its asks among those that it leaves to others. If it reaches no target of a model, another node gets the request, as for a node that is cut off.

--- a/redwingvalve/allocation/reserver.py
+++ b/redwingvalve/allocation/reserver.py
@@ -63,6 +63,10 @@
     is_evacuated: collections_abc.Callable[[messages.Pool], bool] = (
         lambda pool: False
     )
+    # Targets that this node leaves to others, as it can't connect to them.
+    unreached: collections_abc.Callable[
+        [str, str], collections_abc.Sequence[str]
+    ] = lambda service, model: ()
     # This node's own starts.
     cold: cold_starts.ColdStarts = attrs.field(
         factory=cold_starts.make_unlimited
@@ -279,17 +283,22 @@
     def _resting(
         self, service: str, model: str, need: wait_queue.SlotRequest
     ) -> tuple[str, ...]:
-        """Return the targets that rest, for a hedge also limited ones."""
+        """Return the targets to avoid that other nodes may use.
+
+        They rest or are out of reach, for a hedge they may also be limited.
+        """
+        unreached = tuple(self.unreached(service, model))
         names = self._held_slots.rests.resting()
         if need.is_hedge:
             names += self._held_slots.endpoint_reporter.limited()
         if not names:
-            return ()
+            return unreached
         targets = {
             target.endpoint_id
             for target in self.targets.find_targets(service, model)
         }
-        return tuple(name for name in names if name in targets)
+        in_use = tuple(name for name in names if name in targets)
+        return unreached + in_use
 
     def _rest_left_s(
         self,
--- a/redwingvalve/fleet/serving.py
+++ b/redwingvalve/fleet/serving.py
@@ -11,6 +11,8 @@
     endpoints,
     incarnation_tracker,
     leaving_marks,
+    lost_paths,
+    reached_targets,
     target_builder,
 )
 from redwingvalve.fleet import evacuations as evacuations_module
@@ -67,11 +69,11 @@
         self.on_reinstated: collections_abc.Callable[[str, float], None] | None
         self.on_reinstated = None
         self.on_rebuilt: collections_abc.Callable[[], None] | None = None
+        self.on_path_doubted: collections_abc.Callable[[], None] | None = None
+        self.paths = lost_paths.LostPaths()
+        self.targets = reached_targets.ReachedTargets(self.paths)
         self._registry = registry
         self._configuration: routes.Configuration | None = None
-        self._targets: dict[
-            tuple[str, str], tuple[load_balancing.Target, ...]
-        ] = {}
         self._suspicions: dict[str, Suspicion] = {}
         self._locally_suspected: set[str] = set()
         self._clearances = clearances.Clearances()
@@ -92,8 +94,12 @@
     def find_targets(
         self, service: str, model: str
     ) -> tuple[load_balancing.Target, ...]:
-        """Return the targets of a model, or of a plain service."""
-        return self._targets.get((service, model), ())
+        """Return this node's targets of a model, or of a plain service."""
+        return self.targets.find(service, model)
+
+    def is_out_of_reach(self, service: str, model: str) -> bool:
+        """Return whether this node can't connect to any target of a model."""
+        return self.targets.is_out_of_reach(service, model)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Apply the services of a new configuration."""
@@ -116,6 +122,8 @@
             endpoint.born_ms, born_ms
         ):
             return
+        if self.paths.is_lost(endpoint_id, endpoint.born_ms):
+            return
         membership = endpoint.membership
         epoch = membership.epoch if membership else 0
         wait_s = HEAD_SUSPICION_S if membership else PLAIN_SUSPICION_S
@@ -124,6 +132,8 @@
             endpoint_id, epoch, now_s + wait_s, now_s, endpoint.born_ms
         )
         self._locally_suspected.add(endpoint_id)
+        self.paths.doubt(endpoint_id, endpoint.born_ms, now_s)
+        self._notify_path_doubted()
         if self.add_suspicion(suspicion):
             node_metrics.METRICS.count('redwingvalve_suspicions')
             LOG.warning(
@@ -137,6 +147,26 @@
             if self.on_suspect is not None:
                 self.on_suspect(suspicion)
 
+    def connect_failed(
+        self, endpoint_id: str, reason: str, born_ms: int = 0
+    ) -> None:
+        """Suspect an endpoint, or avoid it here only if its path is lost."""
+        endpoint = self._registry.live.get(endpoint_id)
+        if endpoint is None or not incarnation_tracker.is_same(
+            endpoint.born_ms, born_ms
+        ):
+            return
+        if self.paths.record_failure(
+            endpoint_id,
+            endpoint.born_ms,
+            time.monotonic(),
+            is_suspect=self.is_suspect(endpoint_id),
+        ):
+            self.suspect(endpoint_id, reason, born_ms)
+            return
+        self._notify_path_doubted()
+        self.rebuild()
+
     def mark_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Take an endpoint that is going to stop out of use for good.
 
@@ -211,6 +241,8 @@
     def clear_suspicion(self, endpoint_id: str) -> None:
         """Put an endpoint back into use on this node."""
         self._locally_suspected.discard(endpoint_id)
+        self.paths.probe_soon(endpoint_id, time.monotonic())
+        self._notify_path_doubted()
         if self._suspicions.pop(endpoint_id, None) is None:
             return
         if self.on_reinstated is not None:
@@ -286,7 +318,7 @@
         if configuration is None:
             return
         targets = self._builder.build(configuration, self._registry.usable())
-        self._targets = targets
+        self.targets.update(targets)
         if self.on_rebuilt is not None:
             self.on_rebuilt()
 
@@ -295,8 +327,13 @@
         born_ms = self._registry.tracker.born_ms(endpoint_id)
         self._leaving.forget(endpoint_id, born_ms)
         self._clearances.forget(endpoint_id, born_ms)
+        self.paths.forget(endpoint_id, born_ms)
         suspicion = self._suspicions.get(endpoint_id)
         if suspicion is not None and born_ms and suspicion.born_ms == born_ms:
             return
         self._suspicions.pop(endpoint_id, None)
         self._locally_suspected.discard(endpoint_id)
+
+    def _notify_path_doubted(self) -> None:
+        if self.on_path_doubted is not None:
+            self.on_path_doubted()
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -69,7 +69,7 @@
         while not self._wait.is_caller_gone:
             if self._is_refused():
                 return
-            if self._state.reach.is_cut_off and await self._forward_to_peer():
+            if self._is_out_of_reach and await self._forward_to_peer():
                 return
             reservation = self._senders.sends.relocation.take()
             if reservation is None:
@@ -84,6 +84,15 @@
             if self._finish_unless_retry(sent.target, sent.outcome):
                 return
 
+    @property
+    def _is_out_of_reach(self) -> bool:
+        """Return whether another node may reach endpoints that this can't."""
+        return self._state.reach.is_cut_off or (
+            self._state.targets.is_out_of_reach(
+                self._admission.service, self._admission.model
+            )
+        )
+
     @property
     def _is_first_send_of_trial(self) -> bool:
         return self._is_trial and not self._senders.sends.sent_count
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -51,6 +51,19 @@
         born_ms is the start of the process that failed, 0 if unknown.
         """
 
+    def connect_failed(
+        self, endpoint_id: str, reason: str, born_ms: int = 0
+    ) -> None:
+        """Handle a failed connect: the endpoint or the path to it is lost.
+
+        born_ms is the start of the process that failed, 0 if unknown.
+        """
+        self.suspect(endpoint_id, reason, born_ms)
+
+    def is_out_of_reach(self, service: str, model: str) -> bool:
+        """Return whether this node can't connect to any target of a model."""
+        return False
+
     @abc.abstractmethod
     def mark_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Take an endpoint that is going to stop out of use for good."""
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -194,7 +194,7 @@
         except pool.ConnectError as error:
             self.sends.connect_failures += 1
             self.sends.tried_endpoints.add(target.endpoint_id)
-            self._state.targets.suspect(
+            self._state.targets.connect_failed(
                 target.endpoint_id, str(error), target.born_ms
             )
             await self._check_links()
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -121,14 +121,14 @@
 class _PoolTargets:
     """The targets of each pool, cached for each version of the target table."""
 
-    targets: state_module.TargetProvider
+    find: typing.Callable[[str, str], _Targets]
     _by_pool: dict[messages.Pool, tuple[_Targets, _Targets]] = attrs.field(
         factory=dict
     )
 
     def of(self, pool: messages.Pool) -> _Targets:
         """Return the pool's targets that accept requests now."""
-        table = self.targets.find_targets(pool.service, pool.model)
+        table = self.find(pool.service, pool.model)
         known_table, picked = self._by_pool.get(pool, ((), ()))
         if known_table is table:
             return picked
@@ -149,8 +149,10 @@
     """Create the allocator, reserver and transport, and wire them up."""
     peers = status_exchange.peers
 
-    pool_targets = _PoolTargets(state.targets)
-    evacuations = status_exchange.table.evacuations
+    table = status_exchange.table
+    # Also those that this node can't connect to: others ask it for slots there.
+    pool_targets = _PoolTargets(table.targets.find_of_fleet)
+    evacuations = table.evacuations
     cold = cold_watch.make_cold_endpoints(bounds, status_exchange.registry)
     cold_watch.EvacuationEnds(cold, evacuations)
     pool_owners = owners.PoolOwners(
@@ -183,6 +185,7 @@
         is_evacuated=lambda pool: (
             evacuations.is_any_evacuated and not pool_targets.of(pool)
         ),
+        unreached=table.targets.unreached,
         cold=cold_starts.ColdStarts(cold),
     )
     peers.on_tagged = transport.datagram_received
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -31,6 +31,7 @@
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import listeners as listeners_module
+from redwingvalve.node import path_prober as path_prober_module
 from redwingvalve.node import peer_application as peer_application_module
 from redwingvalve.node import peer_discovery as peer_discovery_module
 from redwingvalve.node import peers as peers_module
@@ -81,6 +82,7 @@
     poison_records: poison_records.PoisonRecords
     allocation: allocation_transport.AllocationTransport
     gauges: gauges.NodeGauges
+    path_prober: path_prober_module.PathProber
     watches: list[kind_watch.KindWatch] = attrs.field(init=False)
     control: control_loop.ControlLoop = attrs.field(init=False)
     front_listener: listeners_module.Listener | None = None
@@ -199,6 +201,7 @@
             self.allocation.reserver.run,
             self.detector.run,
             self.reach.run,
+            self.path_prober.run,
             self.crash_checker.run,
             self.poison_records.run,
             self._run_lease,
@@ -367,6 +370,7 @@
             node_settings.bounds,
         ),
         gauges=gauges.NodeGauges(state, table, lease, status_exchange.peers),
+        path_prober=path_prober_module.make_path_prober(state, table, registry),
         listeners=listeners_module.Listeners(early or {}),
         json_client=json_client,
     )
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -40,7 +40,7 @@
         metrics.gauge('redwingvalve_lease_held', self._lease_held)
         metrics.gauge('redwingvalve_lease_term', self._lease_term)
         metrics.gauge('redwingvalve_nodes_alive', self._nodes_alive)
-        metrics.gauge('redwingvalve_targets', self._targets)
+        self._register_targets(metrics)
         metrics.gauge(
             'redwingvalve_requests_under_way', self._requests_in_progress
         )
@@ -48,10 +48,6 @@
         metrics.gauge('redwingvalve_retries_left', self._retries_left)
         metrics.gauge('redwingvalve_loop_delay_seconds', self._take_loop_delay)
         metrics.gauge('redwingvalve_memory_bytes', _memory)
-        if self.table.evacuations.is_enabled:
-            metrics.gauge(
-                'redwingvalve_evacuated', self.table.evacuations.gauge
-            )
 
     async def run(self) -> typing.NoReturn:
         """Measure the delay of the event loop until cancelled."""
@@ -61,6 +57,14 @@
             late_s = time.monotonic() - due_s
             self._loop_delay_s = max(self._loop_delay_s, late_s)
 
+    def _register_targets(self, metrics: node_metrics.NodeMetrics) -> None:
+        metrics.gauge('redwingvalve_targets', self._targets)
+        metrics.gauge('redwingvalve_lost_paths', self._lost_paths)
+        if self.table.evacuations.is_enabled:
+            metrics.gauge(
+                'redwingvalve_evacuated', self.table.evacuations.gauge
+            )
+
     def _configuration_version(self) -> _Samples:
         configuration = self.state.configuration
         return _single_sample(configuration.version if configuration else 0)
@@ -74,6 +78,9 @@
     def _nodes_alive(self) -> _Samples:
         return _single_sample(1 + len(self.peers.alive()))
 
+    def _lost_paths(self) -> _Samples:
+        return _single_sample(len(self.table.paths))
+
     def _targets(self) -> _Samples:
         table = self.table
         return self._by_model(lambda *model: len(table.find_targets(*model)))
--- /dev/null
+++ b/redwingvalve/platform/tests/test_lost_paths.py
@@ -0,0 +1,153 @@
+"""A node that loses its path to one head leaves it to the other nodes."""
+
+import collections
+import time
+
+import anyio
+import attrs
+import pytest
+
+from redwingvalve.http1 import pool
+from redwingvalve.node.tests import endpoint_cuts
+from redwingvalve.platform.tests import fleet_harness
+
+CUTS = [endpoint_cuts.CutMode.HANG, endpoint_cuts.CutMode.RESET]
+NODES = 3
+CUT_S = 4.0
+# Until the node has found out and the fleet has cleared the head.
+NOTICE_S = 1.2
+BACK_S = 2.5
+# A node that keeps the head out of use is told of a clearance once.
+MOST_SUSPICIONS = 2
+# Fills the other heads at times, so that all of them are used.
+ASK_INTERVAL_S = 0.02
+
+
+@attrs.define(eq=False)
+class StreamLoad:
+    """Streams at all nodes, and how each of them ended."""
+
+    fleet: fleet_harness.Fleet
+    # Node, time of arrival, and the response unless all was served.
+    tries: list = attrs.field(factory=list)
+
+    async def run(self, index):
+        async with anyio.create_task_group() as group:
+            while True:
+                group.start_soon(self._ask, index)
+                await anyio.sleep(ASK_INTERVAL_S * NODES)
+
+    async def _ask(self, index):
+        sent_s = time.monotonic()
+        response = await self.fleet.caller(index).stream()
+        is_served = response.status == 200 and len(response.events) == 6
+        self.tries.append((index, sent_s, None if is_served else response))
+
+    def failed_since(self, from_s):
+        return [
+            (index, sent_s - from_s, response)
+            for index, sent_s, response in self.tries
+            if response is not None and sent_s >= from_s
+        ]
+
+
+def count_suspicions(fleet, endpoint_id):
+    """Return a list of the nodes that take an endpoint out of use."""
+    raised = []
+
+    def watch(index, node):
+        share = node.table.on_suspect
+
+        def record(suspicion):
+            if suspicion.endpoint_id == endpoint_id:
+                raised.append(index)
+            share(suspicion)
+
+        node.table.on_suspect = record
+
+    for index, node in enumerate(fleet.nodes):
+        watch(index, node)
+    return raised
+
+
+def count_connects(node, endpoint):
+    """Return a list of the failed connects of requests to an endpoint."""
+    failed = []
+    take = node.state.connections.take
+
+    async def record(address, *more):
+        try:
+            return await take(address, *more)
+        except pool.ConnectError:
+            if ':'.join(map(str, address)) == endpoint.address:
+                failed.append(time.monotonic())
+            raise
+
+    node.state.connections.take = record
+    return failed
+
+
+def users(fleet, endpoint_id):
+    """Return the numbers of the nodes that use an endpoint."""
+    return {
+        index
+        for index in range(NODES)
+        if endpoint_id in {one.endpoint_id for one in fleet.targets(index)}
+    }
+
+
+def choose_node(fleet):
+    """Return the number of a node without the lease, and its links."""
+    held = [node.lease.is_held() for node in fleet.nodes]
+    index = held.index(False)
+    return index, endpoint_cuts.NodeLinks(fleet.nodes[index], fleet.endpoints)
+
+
+@pytest.mark.parametrize('mode', CUTS)
+def test_a_lost_path_to_one_head_is_no_matter_of_the_fleet(mode):
+    """One node put the head out of use for all, again and again."""
+
+    async def test(fleet):
+        await fleet.wait_until(lambda: fleet_harness.lease_holders(fleet))
+        head = fleet.head()
+        load = StreamLoad(fleet)
+        index, links = choose_node(fleet)
+        others = set(range(NODES)) - {index}
+        raised = count_suspicions(fleet, head.endpoint_id)
+        failed = count_connects(fleet.nodes[index], head)
+        async with anyio.create_task_group() as group:
+            for number in range(NODES):
+                group.start_soon(load.run, number)
+            await anyio.sleep(0.6)
+            links.cut(mode, frozenset((head.endpoint_id,)))
+            cut_s = time.monotonic()
+            await anyio.sleep(NOTICE_S)
+            runs_before = len(head.runs)
+            used = collections.Counter()
+            while time.monotonic() < cut_s + CUT_S:
+                await anyio.sleep(0.02)
+                used.update(users(fleet, head.endpoint_id))
+                used['samples'] += 1
+            seen = {
+                'suspicions': len(raised),
+                'connects': len([at for at in failed if at > cut_s + NOTICE_S]),
+                'used by the cut node': used[index],
+                'unused by others': max(
+                    used['samples'] - used[number] for number in others
+                ),
+            }
+            assert seen == {
+                'suspicions': min(len(raised), MOST_SUSPICIONS),
+                'connects': 0,
+                'used by the cut node': 0,
+                'unused by others': 0,
+            }
+            assert len(head.runs) > runs_before
+            links.restore()
+            await fleet.wait_until(
+                lambda: index in users(fleet, head.endpoint_id), BACK_S
+            )
+            group.cancel_scope.cancel()
+        assert not load.failed_since(cut_s)
+
+    fleet_harness.run(test, nodes=NODES, engines=6, plain=0)
