--- a/redwingvalve/node/tests/test_tasks.py
+++ b/redwingvalve/node/tests/test_tasks.py
@@ -1,6 +1,7 @@
 """Tests of tasks that act on endpoints."""
 
 import anyio
+import anyio.lowlevel
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.node import tasks
@@ -16,7 +17,7 @@
             running = tasks.EndpointTasks(group)
             ends = anyio.Event()
             running.start((member,), ends.wait())
-            running.start((member,), anyio.sleep(0))
+            running.start((member,), anyio.lowlevel.checkpoint())
             await anyio.wait_all_tasks_blocked()
             assert running.is_busy(member)
             ends.set()
