Keep a replica whose head serves while only its members are out of reach

No probe tells a member that is cut off from one that is dead; the head's requests do, and nodes that see them stand still suspect the head. Test: failed before, passes now.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -241,12 +241,16 @@
         )
 
     async def _check_replica(self, replica: endpoints.Replica) -> None:
-        check = await self._orders.check_replica(replica.members)
+        head = replica.members[0]
+        check = await self._orders.check_replica(
+            replica.members,
+            is_suspect=self._table.is_suspect(head.endpoint_id),
+        )
         self._mark_head_stopped(replica.key, check.evidence)
         if check.result is not replica_orders.CheckResult.HEALTHY:
             return
         LOG.info('replica is whole', extra={'replica': replica.name})
-        self._table.mark_healthy(replica.members[0].endpoint_id)
+        self._table.mark_healthy(head.endpoint_id)
 
     def _free_endpoints(
         self,
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -128,11 +128,13 @@
         return await self._open(spec)
 
     async def check_replica(
-        self, members: tuple[endpoints.Endpoint, ...]
+        self, members: tuple[endpoints.Endpoint, ...], *, is_suspect: bool
     ) -> Check:
         """Check whether all members of a replica are healthy; else close it.
 
-        Members that are silent get some time, unless another one is lost.
+        Members that are silent get some time, unless another one is lost. If
+        the head isn't suspect, silent members don't count as lost: they may be
+        cut off from all but their head, and requests show if they aren't.
         """
         reports = await self._prober.ask_all(members)
         if None in reports.values() and not await self._prober.confirm_reach():
@@ -145,6 +147,9 @@
         ]
         if len(healthy) == len(members):
             return Check(CheckResult.HEALTHY)
+        may_serve = head in healthy and _is_any_silent(members, reports)
+        if may_serve and not is_suspect:
+            return Check(CheckResult.UNKNOWN)
         for member in members:
             if reports[member.endpoint_id] is None:
                 self.unresponsive_since_s[member.incarnation] = clock.boot_s()
--- a/redwingvalve/platform/tests/test_heads_out_of_reach.py
+++ b/redwingvalve/platform/tests/test_heads_out_of_reach.py
@@ -136,3 +136,20 @@
             assert head.endpoint_id in targets
 
     fleet_harness.run(test, nodes=3)
+
+
+def test_a_replica_serves_on_while_a_member_is_out_of_reach():
+    """Its requests would be cut off if the head were closed for that."""
+
+    async def test(fleet):
+        await fleet.caller().stream()
+        head = fleet.head()
+        member = fleet.endpoints[head.members[1]]
+        cut_off(fleet, member, CUTS[0], nodes=[0, 1], is_listed=False)
+        await anyio.sleep(4)
+        assert head.group['state'] == 'open'
+        assert all(one['operation'] != 'close' for one in head.orders)
+        targets = {one.endpoint_id for one in fleet.targets()}
+        assert head.endpoint_id in targets
+
+    fleet_harness.run(test, nodes=2)
