Reproduce parts that are cleared by connections which outlive an endpoint

Callers: streams with one bad part go on ending endpoints, as a user reported of streams that are closed inside an event 10 ms before the endpoint ends.

--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -83,7 +83,8 @@
         self._epoch = 0
         self._born = 1000
         self._server: asyncio.Server | None = None
-        self._connections: list[server.ServerConnection] = []
+        # When each connection was opened.
+        self._connections: dict[server.ServerConnection, float] = {}
 
     async def start(self, *, is_return: bool = False) -> None:
         """Listen on a free port and write the entry.
@@ -112,8 +113,10 @@
         """Abort all connections and stop listening; the entry lapses."""
         if self._server is not None:
             self._server.close()
-        for connection in self._connections:
-            connection.abort()
+        spared_since_s = time.monotonic() - self.faults.crashes.spares_newer_s
+        for connection, opened_s in self._connections.items():
+            if opened_s <= spared_since_s:
+                connection.abort()
         self.crashed_s = self.crashed_s or time.monotonic()
         self.faults.crashes.crashes_s.append(time.monotonic())
         loop = asyncio.get_running_loop()
@@ -191,7 +194,7 @@
 
     def _make_connection(self) -> server.ServerConnection:
         connection = server.ServerConnection(self)
-        self._connections.append(connection)
+        self._connections[connection] = time.monotonic()
         return connection
 
     def _entry(self) -> Document:
--- a/redwingvalve/platform/standins/endpoint_crashes.py
+++ b/redwingvalve/platform/standins/endpoint_crashes.py
@@ -40,6 +40,8 @@
     delay_s: float = 0.05
     # From the end of an answer that ends with its connection to the crash.
     outlives_answer_s: float = 0
+    # Connections that are newer than this live on, and are answered.
+    spares_newer_s: float = 0
     # From the crash to the return under the same id, None to stay away.
     return_delay_s: float | None = None
     # All crashes of the endpoint, by the monotonic clock.
