Probe endpoints in doubt over new connections

Callers: requests with a bad part go on ending endpoints, 5 to 9 sends late where 3 are allowed. Cause: probes took pooled connections, and one that was opened in the last moment of an endpoint may live on and be answered, so that what no longer takes connections counted as alive, and the runs that it broke off were cleared. A probe of the crash checks opens a connection now.

--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -138,7 +138,7 @@
     ) -> None:
         sent_s = time.monotonic()
         try:
-            liveness = await self.client.check_liveness(endpoint)
+            liveness = await self.client.check_process(endpoint)
         except Exception:
             # The next check asks again.
             LOG.exception('probe failed', extra={'endpoint': incarnation[0]})
--- a/redwingvalve/node/tests/test_crash_checks.py
+++ b/redwingvalve/node/tests/test_crash_checks.py
@@ -24,7 +24,7 @@
         self.liveness = liveness
         self.probes = 0
 
-    async def check_liveness(self, endpoint):
+    async def check_process(self, endpoint):
         self.probes += 1
         await anyio.sleep(0.01)
         return self.liveness
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -214,6 +214,19 @@
             return Liveness.ENDED
         return Liveness.ALIVE
 
+    async def check_process(self, endpoint: endpoints.Endpoint) -> Liveness:
+        """Return the same, if the endpoint takes a new connection.
+
+        Connections that are open may outlive what listened for them.
+        """
+        try:
+            await self._json.connect((endpoint.host, endpoint.port))
+        except store.NotListeningError:
+            return Liveness.NOT_LISTENING
+        except store.StoreError:
+            return Liveness.UNKNOWN
+        return await self.check_liveness(endpoint)
+
     async def _request_report(
         self, endpoint: endpoints.Endpoint, timeout_s: float
     ) -> Report | None:
