Keep silent endpoints in use while their path is probed

A node avoided an endpoint that was only silent until its probe ended, which takes slots from a fleet that is full, and a request for a model all of whose endpoints were being probed was given up if no other node took it.

Only a failed connect makes a node avoid an endpoint; a silent one is probed at once and stays in use.

--- a/redwingvalve/fleet/lost_paths.py
+++ b/redwingvalve/fleet/lost_paths.py
@@ -55,14 +55,13 @@
         return sum(path.is_lost for path in self._paths.values())
 
     def doubt(self, endpoint_id: str, born_ms: int, now_s: float) -> None:
-        """Avoid an endpoint that failed, until a probe connects to it.
+        """Have the path to a silent endpoint probed, which stays in use here.
 
         born_ms is the start of its process, 0 if unknown.
         """
         path = self._find(endpoint_id, born_ms)
-        if path is not None and path.back_s == math.inf:
-            return
-        self._add(endpoint_id, born_ms, now_s)
+        if path is None or path.back_s < math.inf:
+            self._add(endpoint_id, born_ms, now_s).probe_due_s = now_s
 
     def record_failure(
         self,
@@ -136,7 +135,9 @@
     def is_avoided(self, endpoint_id: str, born_ms: int) -> bool:
         """Return whether this node can't connect to an endpoint's process."""
         path = self._find(endpoint_id, born_ms)
-        return path is not None and path.back_s == math.inf
+        if path is None or not path.has_failed:
+            return False
+        return path.back_s == math.inf
 
     def is_lost(self, endpoint_id: str, born_ms: int) -> bool:
         """Return whether the path is lost, and the endpoint not to blame."""
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -122,6 +122,9 @@
             return True
         if self._wait.has_ended or not self._peer_sender.has_tried:
             return False
+        if not self._state.reach.is_cut_off:
+            # The paths to this model's targets may be back.
+            return False
         # No node reaches an endpoint.
         self._log_outcome(_NO_TARGET, f'given up: {_OUT_OF_REACH}')
         self._fail(_OUT_OF_REACH)
--- a/redwingvalve/node/path_prober.py
+++ b/redwingvalve/node/path_prober.py
@@ -74,8 +74,7 @@
             is_connected=is_connected,
             is_suspect=is_suspect,
         )
-        if is_connected:
-            self.table.rebuild()
+        self.table.rebuild()
 
     async def _connects(self, endpoint: endpoints.Endpoint) -> bool:
         address = (endpoint.host, endpoint.port)
