--- a/redwingvalve/platform/tests/test_lost_paths.py
+++ b/redwingvalve/platform/tests/test_lost_paths.py
@@ -154,3 +154,27 @@
         assert not load.failed_since(cut_s)
 
     fleet_harness.run(test, nodes=NODES, engines=6, plain=0)
+
+
+@pytest.mark.parametrize('mode', CUTS)
+def test_other_nodes_serve_for_a_node_without_a_path_to_the_only_head(mode):
+    """Its callers were refused, or waited for a connect to time out."""
+
+    async def test(fleet):
+        await fleet.wait_until(lambda: fleet_harness.lease_holders(fleet))
+        head = fleet.head()
+        index, links = choose_node(fleet)
+        node = fleet.nodes[index]
+        links.cut(mode, frozenset((head.endpoint_id,)))
+        await fleet.caller(index).stream()
+        await fleet.wait_until(lambda: len(node.table.paths) == 1)
+        failed = count_connects(node, head)
+        statuses = []
+        for _ in range(20):
+            response = await fleet.caller(index).stream()
+            statuses.append(response.status)
+        assert (statuses, failed) == ([200] * 20, [])
+        links.restore()
+        await fleet.wait_until(lambda: not len(node.table.paths), BACK_S)
+
+    fleet_harness.run(test, nodes=NODES, engines=2, plain=0)
