Give the stand-in of targets in the hedging tests all of its methods

The request path asks since whether a model's targets are out of reach; the stand-in had no such method, and 32 tests of hedges failed with AttributeError. It says no, as TargetProvider does by default. 34 tests of the three files pass.

--- a/redwingvalve/ingress/tests/hedged_exchange.py
+++ b/redwingvalve/ingress/tests/hedged_exchange.py
@@ -161,6 +161,7 @@
     def __init__(self, kind=routes.RouteKind.IDEMPOTENT, attempts=2):
         self.state = state_module.IngressState(
             types.SimpleNamespace(
+                is_out_of_reach=lambda service, model: False,
                 check_endpoint=lambda *about: None,
                 is_evacuated=lambda target: False,
                 find_targets=lambda service, model: (),
