Order members to leave only while the lease is held

Each try of an order to leave checks the lease now, as orders to join do: a VM that is suspended between two tries would order without it. Test: an order would have been sent before.

--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -47,9 +47,8 @@
 # of a second later.
 WATCH_BATCH_DELAY_S = 0.12
 HOLDER_WATCH_BATCH_DELAY_S = 0.02
-# Time that a starting node takes to receive the state that requests need from
-# the store, with a margin. If the store doesn't answer within this time,
-# requests are rejected with a Retry-After header.
+# If the store gives a starting node no state within this time, requests are
+# rejected with a Retry-After header.
 START_TIMEOUT_S = 0.3
 START_POLL_INTERVAL_S = 0.005
 IDLE_CLOSE_DELAY_S = 2.5
--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -8,6 +8,8 @@
 without either.
 """
 
+import typing
+
 import anyio
 import attrs
 
@@ -74,6 +76,8 @@
     registry: registry_module.Registry
     history: history.ReplicaHistory
     ordered: OrderedReplicas
+    # Orders are sent only while this returns True.
+    may_order: typing.Callable[[], bool]
 
     def must_leave(self, membership: endpoints.Membership | None) -> bool:
         """Return whether an endpoint must leave before it joins elsewhere."""
@@ -108,7 +112,7 @@
         self, member: endpoints.Endpoint, membership: endpoints.Membership
     ) -> bool:
         deadline_s = clock.boot_s() + LEAVE_PREVIOUS_TIMEOUT_S
-        while clock.boot_s() < deadline_s:
+        while clock.boot_s() < deadline_s and self.may_order():
             result = await self.client.leave(
                 member, membership.replica, membership.epoch
             )
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -82,7 +82,7 @@
             client, prober, registry, may_order
         )
         self._departures = departures.Departures(
-            client, prober, registry, records, self.ordered
+            client, prober, registry, records, self.ordered, may_order
         )
 
     async def form(
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -1,5 +1,6 @@
 """Tests of which members must leave before they join another replica."""
 
+import anyio
 import pytest
 
 from redwingvalve.fleet import endpoints, head_evidence, history
@@ -23,7 +24,12 @@
     records.update([replica], ENGINE, 0.0)
     ordered = departures.OrderedReplicas()
     made = departures.Departures(
-        None, None, registry_module.Registry(), records, ordered
+        None,
+        None,
+        registry_module.Registry(),
+        records,
+        ordered,
+        lambda: True,
     )
     return made, member.membership
 
@@ -85,6 +91,15 @@
     assert made.must_leave(membership)
 
 
+def test_a_node_without_the_lease_orders_nobody_to_leave():
+    """The lease may end, or the VM be suspended, between two orders."""
+    made, _ = make_departures()
+    made.may_order = lambda: False
+    member = members.make_member('e2', 1, 1, State.READY)
+    # Without a client, an order would fail.
+    assert anyio.run(made.leave_previous, (member,)) == [member]
+
+
 def test_a_broken_head_frees_its_members():
     made, membership = make_departures(State.BROKEN)
     made.ordered.record_formed(membership.key)
