Reserve a port before a trial socket is opened at it

Cause: a process that draws a port bound it first and then asked for its lock. The process that held the lock, but didn't listen yet, found the address taken by that trial socket, which stayed open until all ports of the call were found. The lock directory can't help against that order. Change: the lock first, then the trial. Test: it failed before.

--- a/redwingvalve/standins/ports.py
+++ b/redwingvalve/standins/ports.py
@@ -28,7 +28,9 @@
         found: list[int] = []
         for _ in range(MAX_ATTEMPTS):
             port = _RNG.randint(FIRST_PORT, LAST_PORT)
-            if _is_free(port, held) and _reserve(port):
+            # Reserved first: a trial socket at a port of another process would
+            # keep that process from listening.
+            if _reserve(port) and _is_free(port, held):
                 found.append(port)
             if len(found) == count:
                 return found
--- a/redwingvalve/standins/tests/test_ports.py
+++ b/redwingvalve/standins/tests/test_ports.py
@@ -47,3 +47,23 @@
         [sys.executable, '-c', source], capture_output=True, check=False
     )
     assert b'fewer than 1 free ports' in other.stderr
+
+
+def test_no_socket_is_opened_at_a_port_that_another_process_reserved(
+    monkeypatch,
+):
+    """A trial socket there kept the other process from listening."""
+    reserved = ports.free_ports(1)[0]
+    tried = []
+
+    def is_free(port, held):
+        tried.append(port)
+        return True
+
+    monkeypatch.setattr(ports, '_is_free', is_free)
+    monkeypatch.setattr(ports, 'FIRST_PORT', reserved)
+    monkeypatch.setattr(ports, 'LAST_PORT', reserved)
+    monkeypatch.setattr(ports, 'MAX_ATTEMPTS', 3)
+    with pytest.raises(OSError):
+        ports.free_ports(1)
+    assert tried == []
