Tell which nodes were asked to take a request, and why they declined

A refused request left "forwarded: not taken" whether six cut-off nodes of one data centre had declined or all nodes had, and a node that declined logged nothing; so "only near nodes are asked" and "nobody knows who is cut off" couldn't be told apart. Now the line names the asked nodes with what they did, their number and that of the live ones; declines are logged and counted by reason; the line of a cut tells for how long no endpoint had answered. No decision changes.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -134,7 +134,7 @@
         """Let the forwarding node try another one, if nothing was sent."""
         if self._senders.sends.sent_count or self._responder.is_started:
             return False
-        responses.decline(self._responder, self._caller)
+        responses.decline(self._responder, self._caller, _OUT_OF_REACH)
         return True
 
     def _finish_forwarded(self, outcome: upstream.Outcome) -> None:
--- a/redwingvalve/ingress/peer_routes.py
+++ b/redwingvalve/ingress/peer_routes.py
@@ -25,6 +25,10 @@
     def candidates(self) -> list[PeerTarget]:
         """Return the nodes to try, in order."""
 
+    @abc.abstractmethod
+    def live_count(self) -> int:
+        """Return the number of other nodes that seem to be alive."""
+
     @abc.abstractmethod
     def mark_declined(self, vm: str) -> None:
         """Avoid a node for a while that didn't take a request."""
@@ -37,5 +41,9 @@
         """Return no node."""
         return []
 
+    def live_count(self) -> int:
+        """Return 0."""
+        return 0
+
     def mark_declined(self, vm: str) -> None:
         """Do nothing."""
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -6,6 +6,7 @@
 before anything has run; then the next node is tried.
 """
 
+import itertools
 import time
 
 from redwingvalve.http1 import client, messages, pool
@@ -24,6 +25,9 @@
 LOG = logs.make_logger('forwarding')
 _UNAVAILABLE = 503
 _MS_IN_S = 1000.0
+_NOT_TAKEN = 'not taken'
+# Nodes that one log line names.
+MAX_LOGGED = 12
 
 
 class PeerAnswer(upstream.UpstreamRequest):
@@ -71,6 +75,8 @@
         self.answer: PeerAnswer | None = None
         self.vm = ''
         self.has_tried = False
+        # What each asked node did that didn't take the request.
+        self.asked: dict[str, str] = {}
         self._state = state
         self._request = request
         self._caller = caller
@@ -93,7 +99,7 @@
                 self._log(outcome.value)
                 return outcome
             self._state.peers.mark_declined(peer.vm)
-        self._log('not taken')
+        self._log(_NOT_TAKEN)
         return None
 
     def cancel(self) -> None:
@@ -106,6 +112,7 @@
     ) -> upstream.Outcome | None:
         connection = await self._connect(peer)
         if connection is None:
+            self.asked[peer.vm] = 'not reached'
             return None
         answer = self._make_answer()
         self.answer = answer
@@ -124,6 +131,7 @@
         if outcome in upstream_sender.ABANDONED:
             connection.abandon()
         if answer.is_declined:
+            self.asked[peer.vm] = 'declined'
             self.answer = None
             return None
         return outcome
@@ -176,6 +184,9 @@
                 'route': self._admission.route.name,
                 'vm': self.vm,
                 'last_event': self._forwarder.last_event,
+                'asked': dict(itertools.islice(self.asked.items(), MAX_LOGGED)),
+                'asked_count': len(self.asked),
+                'live_nodes': self._state.peers.live_count(),
             },
         )
 
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -36,8 +36,7 @@
 
     async def run(self) -> None:
         """Handle the request until the response is complete."""
-        if self._forwarded is not None and not self._takes_forwarded():
-            responses.decline(self._responder, self._caller)
+        if self._forwarded is not None and self._declines():
             return
         admission = self._admit()
         if admission is None:
@@ -77,10 +76,16 @@
         )
         await admitted.run()
 
-    def _takes_forwarded(self) -> bool:
-        state = self._state
-        is_ready = state.configuration is not None and not state.is_leaving
-        return is_ready and not state.reach.is_cut_off
+    def _declines(self) -> bool:
+        """Decline a forwarded request that this node can't serve either."""
+        reason = ''
+        if self._state.configuration is None or self._state.is_leaving:
+            reason = 'not ready'
+        elif self._state.reach.is_cut_off:
+            reason = 'cut off'
+        if reason:
+            responses.decline(self._responder, self._caller, reason)
+        return bool(reason)
 
     async def _claim_trial(self, keys: crash_keys.RequestKeys) -> bool:
         """Return whether this request may be sent in spite of its crashes."""
--- a/redwingvalve/ingress/responses.py
+++ b/redwingvalve/ingress/responses.py
@@ -66,9 +66,15 @@
 
 
 def decline(
-    responder: server.Responder, caller: caller_requests.CallerRequest
+    responder: server.Responder,
+    caller: caller_requests.CallerRequest,
+    reason: str,
 ) -> None:
     """Let the node that forwarded a request try another one."""
+    node_metrics.METRICS.count('redwingvalve_declined_requests', reason=reason)
+    LOG.info(
+        f'declined: {reason}', extra={'request': _decode(caller.attempt_id)}
+    )
     attempt = (names.ATTEMPT_ID_HEADER, caller.attempt_id)
     responder.send_response(peer_routes.DECLINED, [attempt], b'')
 
--- a/redwingvalve/node/forwarding_peers.py
+++ b/redwingvalve/node/forwarding_peers.py
@@ -38,6 +38,10 @@
             for address in found[:MAX_PEERS_TRIED]
         ]
 
+    def live_count(self) -> int:
+        """Return the number of other nodes that seem to be alive."""
+        return len(self.peers.alive())
+
     def mark_declined(self, vm: str) -> None:
         """Avoid a node for a while that didn't take a request."""
         self._avoided_until_s[vm] = time.monotonic() + DECLINED_HOLD_S
--- a/redwingvalve/node/reachability.py
+++ b/redwingvalve/node/reachability.py
@@ -112,7 +112,7 @@
         if is_cut_off != self._is_cut_off:
             self._is_cut_off = is_cut_off
             text = 'cut off from endpoints' if is_cut_off else 'endpoints back'
-            LOG.warning(text)
+            LOG.warning(text, extra={'silent_s': self._silent_s()})
         node_metrics.METRICS.count(
             'redwingvalve_link_checks', is_cut_off=str(is_cut_off).lower()
         )
@@ -121,6 +121,12 @@
         self._finished.set()
         self._finished = anyio.Event()
 
+    def _silent_s(self) -> float | None:
+        """Return how long no endpoint has answered a request."""
+        if self._answered_s == -math.inf:
+            return None
+        return round(time.monotonic() - self._answered_s, 3)
+
     async def _reaches_none(self) -> bool:
         usable = self.registry.usable()
         serving = [
