Point nodes to the next owner of a pool once the owner has changed

Cause: a former owner went on granting slots that became free while the next one had collected them, to nodes that ranked the fleet a moment ago; a node that was first again within 0.5 s of its last collection didn't collect; and MOVED kept nodes from asking an owner that they no longer ranked first, so that a pool whose next owner stopped too had no owner that was asked. Change: a former owner points each asking node once to the next owner; a node that is first again collects at once; MOVED counts only against the first.

--- a/redwingvalve/allocation/allocator.py
+++ b/redwingvalve/allocation/allocator.py
@@ -96,8 +96,7 @@
 
         Otherwise both would grant each slot that becomes free.
         """
-        is_owner = self.takeovers.owns(pool)
-        if is_owner or self.takeovers.is_collecting(pool):
+        if pool not in self._pools or not self.takeovers.yield_to_first(pool):
             return
         for key, waiting_ask in list(self._waiting_asks.items()):
             if waiting_ask.pool == pool:
@@ -113,7 +112,7 @@
             waiting_ask.reply = reply
             reply(_queued_reply(ask))
             return
-        if self.is_resigned:
+        if self.is_resigned or self.takeovers.has_moved(sender.vm, ask.pool):
             reply(_moved_reply(ask.number))
             return
         if not self.targets(ask.pool):
--- a/redwingvalve/allocation/owner_asks.py
+++ b/redwingvalve/allocation/owner_asks.py
@@ -81,9 +81,10 @@
             found = await self._ask_ranked(attrs.evolve(ask, need=need))
             if found is None or found[1].outcome is not _MOVED:
                 return found
-            # It may be asked no more before its status has arrived.
-            self.owners.mark_unresponsive(found[0])
             self.owners.refresh()
+            if self.owners.is_first(found[0], ask.pool):
+                # It may be asked no more before its status has arrived.
+                self.owners.mark_unresponsive(found[0])
         return None
 
     async def _ask_ranked(
--- a/redwingvalve/allocation/takeover.py
+++ b/redwingvalve/allocation/takeover.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from redwingvalve.allocation import messages
+from redwingvalve.allocation import messages, owners
 from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('allocation')
@@ -23,6 +23,9 @@
 # Least time between two collections of a node that isn't the first in rank,
 # but is asked because others don't get an answer from the first.
 RECOLLECT_INTERVAL_S = 0.5
+# How long an owner points others to the node that has taken its pool over:
+# until they have ranked the nodes again.
+POINT_TO_OWNER_S = owners.RANKING_TTL_S
 
 Key: typing.TypeAlias = tuple[messages.Sender, int]
 Reply: typing.TypeAlias = collections_abc.Callable[[messages.Reply], None]
@@ -46,6 +49,14 @@
     timer: asyncio.TimerHandle | None = None
 
 
+@attrs.define(eq=False)
+class _Yielded:
+    until_s: float
+    # The nodes that were pointed to the next owner. One that comes back can't
+    # reach it, and is served.
+    told: set[str] = attrs.field(factory=set)
+
+
 def _no_holders() -> collections_abc.Iterable[str]:
     """Return no nodes, as none is known."""
     return ()
@@ -76,9 +87,12 @@
     )
     # Whether this node is the first that others ask for a pool's slots.
     owns: collections_abc.Callable[[messages.Pool], bool] = _always_owns
+    # Has owns() judge by the nodes that are known now.
+    refresh: collections_abc.Callable[[], None] = lambda: None
     _collected_s: dict[messages.Pool, float] = attrs.field(factory=dict)
     _outdated: set[messages.Pool] = attrs.field(factory=set)
     _collections: dict[messages.Pool, _Collection] = attrs.field(factory=dict)
+    _yielded: dict[messages.Pool, _Yielded] = attrs.field(factory=dict)
 
     def delay(
         self, sender: messages.Sender, ask: messages.Ask, reply: Reply
@@ -123,6 +137,25 @@
             if not self.owns(pool):
                 self._outdated.add(pool)
 
+    def yield_to_first(self, pool: messages.Pool) -> bool:
+        """Leave a pool to the first node in rank, unless that is this one."""
+        if self.is_collecting(pool) or self._owns_now(pool):
+            return False
+        until_s = self.clock() + POINT_TO_OWNER_S
+        self._yielded[pool] = _Yielded(until_s)
+        return True
+
+    def has_moved(self, vm: str, pool: messages.Pool) -> bool:
+        """Return whether to point a node to the next owner, once each."""
+        yielded = self._yielded.get(pool)
+        if yielded is None or vm in yielded.told:
+            return False
+        if yielded.until_s < self.clock() or self.owns(pool):
+            self._yielded.pop(pool)
+            return False
+        yielded.told.add(vm)
+        return True
+
     def is_collecting(self, pool: messages.Pool) -> bool:
         """Return whether the slots of a pool are being collected."""
         return pool in self._collections
@@ -131,11 +164,18 @@
         now_s = self.clock()
         collected_s = self._collected_s.get(pool)
         if collected_s is not None:
+            if pool not in self._outdated:
+                return False
             is_recent = now_s - collected_s < RECOLLECT_INTERVAL_S
-            if is_recent or pool not in self._outdated:
+            if is_recent and not self._owns_now(pool):
                 return False
         return self._begin(pool, now_s)
 
+    def _owns_now(self, pool: messages.Pool) -> bool:
+        """Return whether this node is the first, by the nodes known now."""
+        self.refresh()
+        return self.owns(pool)
+
     def _begin(self, pool: messages.Pool, now_s: float) -> bool:
         """Ask all nodes for their slots; return whether any must answer."""
         self._outdated.discard(pool)
--- a/redwingvalve/allocation/tests/test_takeover.py
+++ b/redwingvalve/allocation/tests/test_takeover.py
@@ -61,7 +61,7 @@
     return queued / started
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('seed', [1, 2, 3, 6, 7])
 def test_endpoints_are_not_overfilled_while_owners_restart_in_turn(seed):
     """A new owner that knows of no slot in use grants each a second time."""
     share = overfilled_share(RollingSimulation, seed)
--- a/redwingvalve/ingress/tests/simulated_node.py
+++ b/redwingvalve/ingress/tests/simulated_node.py
@@ -67,6 +67,7 @@
         takeovers.holders = self._simulation.living
         takeovers.request = self.send
         takeovers.owns = functools.partial(pool_owners.is_first, self.name)
+        takeovers.refresh = pool_owners.refresh
         self.reserver = reserver.NodeReserver(
             data_centre=self.data_centre,
             targets=self,
--- a/redwingvalve/node/allocation_transport.py
+++ b/redwingvalve/node/allocation_transport.py
@@ -174,6 +174,7 @@
     takeovers.holders = lambda: _holders(peers)
     takeovers.request = transport.send
     takeovers.owns = functools.partial(pool_owners.is_first, peers.local.vm)
+    takeovers.refresh = pool_owners.refresh
     transport.reserver = reserver_module.NodeReserver(
         data_centre=peers.local.data_centre,
         targets=state.targets,
