Wait in the test of a dead member until a request has reached its stalled head

The head stalls only once a request reaches it, and three streams could all go to the other head: then the replica was whole before the repair had begun, and the test passed or failed by the draw. It sends until the head has had a stream and waits for an order to the head; the assertions are unchanged.

--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -9,6 +9,9 @@
 from redwingvalve.platform import endpoint_orders
 from redwingvalve.platform.tests import fleet_harness
 
+# Streams until each of two heads has had one.
+MAX_STREAMS = 50
+
 
 def test_only_one_node_gives_orders():
     async def test(fleet):
@@ -39,14 +42,21 @@
         head = fleet.head()
         dead = fleet.endpoints[head.members[1]]
         head.faults.is_stalled = True
+        orders_before = len(head.orders)
         dead.crash()
-        for _ in range(3):
+        sent_count = 0
+        # A head stalls unnoticed until a request reaches it.
+        while sent_count < 3 or not head.runs:
             response = await fleet.caller().stream()
             assert response.events == [1, 2, 3, 4, 5, 6]
+            sent_count += 1
+            assert sent_count < MAX_STREAMS
 
         def is_repaired():
             head.faults.is_stalled = head.members[1] == dead.endpoint_id
-            return len(fleet.targets()) == 2
+            return (
+                len(fleet.targets()) == 2 and len(head.orders) > orders_before
+            )
 
         await fleet.wait_until(is_repaired)
         for name, members in fleet_harness.open_replica_members(fleet).items():
