Cut the path to a head that is in steady use in the test of a lost path

The cut waits for a head that all nodes use and none finds slow. The load filled 84% of the slots of the two other heads, so that a stream was refused at times; it is half of that, and a burst that needs all heads shows that the others still use the head. Assertions and bounds are kept.

--- a/redwingvalve/fleet/lost_paths.py
+++ b/redwingvalve/fleet/lost_paths.py
@@ -54,6 +54,10 @@
         """Return the number of lost paths."""
         return sum(path.is_lost for path in self._paths.values())
 
+    def lost_ids(self) -> set[str]:
+        """Return the ids of the endpoints whose paths are lost."""
+        return {name for name, path in self._paths.items() if path.is_lost}
+
     def doubt(self, endpoint_id: str, born_ms: int, now_s: float) -> None:
         """Have the path to a silent endpoint probed, which stays in use here.
 
--- a/redwingvalve/platform/tests/test_lost_paths.py
+++ b/redwingvalve/platform/tests/test_lost_paths.py
@@ -8,6 +8,7 @@
 import pytest
 
 from redwingvalve.http1 import pool
+from redwingvalve.ingress import stall_detection
 from redwingvalve.node.tests import endpoint_cuts
 from redwingvalve.platform.tests import fleet_harness
 
@@ -17,11 +18,17 @@
 # probed its path.
 NOTICE_S = 1.0
 CUT_S = 3.0
+# Longer than a head counts as slow.
+STEADY_S = stall_detection.SLOW_DURATION_S + 2.0
 BACK_S = 2.5
 # A node that keeps the head out of use is told of a clearance once.
 MOST_SUSPICIONS = 2
-# Fills the other heads at times, so that all of them are used.
-ASK_INTERVAL_S = 0.02
+# The streams fill less than half of the slots of two heads.
+ASK_INTERVAL_S = 0.04
+# More than the slots of two heads and less than those of three.
+FILLING_STREAMS = 10
+# Longer than a stream takes.
+PAUSE_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -31,13 +38,24 @@
     fleet: fleet_harness.Fleet
     # Node, time of arrival, and the response unless all was served.
     tries: list = attrs.field(factory=list)
+    is_paused: bool = False
 
     async def run(self, index):
         async with anyio.create_task_group() as group:
             while True:
-                group.start_soon(self._ask, index)
+                if not self.is_paused:
+                    group.start_soon(self._ask, index)
                 await anyio.sleep(ASK_INTERVAL_S * NODES)
 
+    async def fill(self, indices):
+        """Send so many streams at once that every head is needed."""
+        self.is_paused = True
+        await anyio.sleep(PAUSE_S)
+        async with anyio.create_task_group() as group:
+            for number in range(FILLING_STREAMS):
+                group.start_soon(self._ask, indices[number % len(indices)])
+        self.is_paused = False
+
     async def _ask(self, index):
         sent_s = time.monotonic()
         response = await self.fleet.caller(index).stream()
@@ -97,6 +115,16 @@
     }
 
 
+def is_in_steady_use(fleet, endpoint_id):
+    """Return whether all nodes use a head, and none finds it slow."""
+    now_s = time.monotonic()
+    slow = [
+        node.state.stall_detector.is_slow(endpoint_id, now_s)
+        for node in fleet.nodes
+    ]
+    return len(users(fleet, endpoint_id)) == NODES and not any(slow)
+
+
 def choose_node(fleet):
     """Return the number of a node without the lease, and its links."""
     held = [node.lease.is_held() for node in fleet.nodes]
@@ -120,9 +148,18 @@
             for number in range(NODES):
                 group.start_soon(load.run, number)
             await anyio.sleep(0.6)
+            # Nobody sends to a head that was silent a moment ago.
+            await fleet.wait_until(
+                lambda: is_in_steady_use(fleet, head.endpoint_id), STEADY_S
+            )
+            raised.clear()
             links.cut(mode, frozenset((head.endpoint_id,)))
             cut_s = time.monotonic()
-            await fleet.wait_until(lambda: bool(raised))
+            paths = fleet.nodes[index].table.paths
+            await fleet.wait_until(
+                lambda: index in raised or head.endpoint_id in paths.lost_ids(),
+                STEADY_S,
+            )
             noticed_s = time.monotonic() + NOTICE_S
             await anyio.sleep(NOTICE_S)
             runs_before = len(head.runs)
@@ -145,6 +182,7 @@
                 'used by the cut node': 0,
                 'unused by others': 0,
             }
+            await load.fill(sorted(others))
             assert len(head.runs) > runs_before
             links.restore()
             await fleet.wait_until(
