Probe the other paths to a service once two of them are lost

Change: two lost paths, to endpoints that the fleet finds healthy, put the other paths to the service in doubt; they are probed in rounds as long as each finds more. A path in doubt stays in use until its probe fails.

--- a/redwingvalve/node/path_prober.py
+++ b/redwingvalve/node/path_prober.py
@@ -1,8 +1,9 @@
 """Probes the endpoints that this node avoids, until it can connect to them.
 
 A probe is a plain connect. A connection that is opened is kept for requests.
-While this node can't connect to any endpoint, no single path is to blame: all
-are forgotten, and the check of the links tells when they are back.
+Several lost paths to a service put its other paths in doubt, which are probed
+too. While this node can't connect to any endpoint, no single path is to blame:
+all are forgotten, and the check of the links tells when they are back.
 """
 
 import math
@@ -13,7 +14,7 @@
 import anyio.abc
 import attrs
 
-from redwingvalve.fleet import endpoints, serving
+from redwingvalve.fleet import endpoints, lost_services, serving
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import reachability
@@ -30,6 +31,9 @@
     table: serving.ServingTable
     registry: registry_module.Registry
     connections: pool.Pool
+    _lost_services: lost_services.LostServices = attrs.field(
+        factory=lost_services.LostServices
+    )
     _is_changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     def wake(self) -> None:
@@ -50,6 +54,7 @@
 
     def _start_probes(self, group: anyio.abc.TaskGroup) -> None:
         usable = {one.endpoint_id: one for one in self.registry.usable()}
+        self._doubt_services(usable)
         due = self.table.paths.start_probes(time.monotonic())
         for endpoint_id, born_ms in due.items():
             endpoint = usable.get(endpoint_id)
@@ -58,6 +63,21 @@
                 continue
             group.start_soon(self._probe, endpoint, born_ms)
 
+    def _doubt_services(self, usable: dict[str, endpoints.Endpoint]) -> None:
+        now_s = time.monotonic()
+        lost_ids = self.table.paths.lost_ids()
+        if len(lost_ids) < lost_services.MIN_LOST:
+            return
+        doubted = self._lost_services.find_doubted(
+            usable.values(), lost_ids, now_s
+        )
+        if doubted:
+            LOG.warning('service in doubt', extra={'endpoints': len(doubted)})
+        for endpoint in doubted:
+            self.table.paths.doubt(
+                endpoint.endpoint_id, endpoint.born_ms, now_s
+            )
+
     async def _wait_until_due(self) -> None:
         self._is_changed = anyio.Event()
         wait_s = self.table.paths.next_probe_s() - time.monotonic()
@@ -75,6 +95,7 @@
             is_suspect=is_suspect,
         )
         self.table.rebuild()
+        self.wake()
 
     async def _connects(self, endpoint: endpoints.Endpoint) -> bool:
         address = (endpoint.host, endpoint.port)
--- a/redwingvalve/platform/tests/test_lost_paths.py
+++ b/redwingvalve/platform/tests/test_lost_paths.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from redwingvalve.fleet import lost_services
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import stall_detection
 from redwingvalve.node.tests import endpoint_cuts
@@ -21,6 +22,7 @@
 # Longer than a head counts as slow.
 STEADY_S = stall_detection.SLOW_DURATION_S + 2.0
 BACK_S = 2.5
+PLAIN = 30
 # A node that keeps the head out of use is told of a clearance once.
 MOST_SUSPICIONS = 2
 # The streams fill less than half of the slots of two heads.
@@ -194,6 +196,30 @@
     fleet_harness.run(test, nodes=NODES, engines=6, plain=0)
 
 
+@pytest.mark.parametrize('mode', CUTS)
+def test_lost_paths_put_the_other_paths_of_their_service_in_doubt(mode):
+    """Each path to a lost service was learned by a request that failed."""
+
+    async def test(fleet):
+        index, links = choose_node(fleet)
+        table = fleet.nodes[index].table
+        plain = frozenset(one for one in fleet.endpoints if one.startswith('p'))
+        links.cut(mode, plain)
+        asked = 0
+        while len(table.paths) < lost_services.MIN_LOST:
+            await fleet.caller(index).ask('/card/1')
+            asked += 1
+            assert asked < PLAIN
+        await fleet.wait_until(
+            lambda: table.is_out_of_reach(fleet_harness.PLAIN_SERVICE, ''),
+            NOTICE_S + CUT_S,
+        )
+        links.restore()
+        await fleet.wait_until(lambda: not table.paths, BACK_S)
+
+    fleet_harness.run(test, nodes=NODES, engines=4, plain=PLAIN)
+
+
 @pytest.mark.parametrize('mode', CUTS)
 def test_other_nodes_serve_for_a_node_without_a_path_to_the_only_head(mode):
     """Its callers were refused, or waited for a connect to time out."""
