Tell other nodes who is cut off, and forward by what is known

Cause: a node asked six nodes to take a request, its own data centre first; all of them shared the fault, and six that declined stood for "no node reaches an endpoint". Who is cut off was learned alone, by a declined request, and forgotten after a second; a node with few requests didn't know of its own cut. A preference and a number of tries that are sound for independent faults met one that all the preferred share. Change: nodes say in their status messages that they are cut off, hubs report it by data centre; on such news others check their own links. A node confirms its links before it takes a request if nothing answered for 0.4 s. If nobody is left, the caller is refused at once.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -120,9 +120,7 @@
         if outcome is not None:
             self._finish_forwarded(outcome)
             return True
-        if self._wait.has_ended or not self._peer_sender.has_tried:
-            return False
-        if not self._state.reach.is_cut_off:
+        if self._wait.has_ended or not self._state.reach.is_cut_off:
             # The paths to this model's targets may be back.
             return False
         # No node reaches an endpoint.
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -74,7 +74,6 @@
         # The answer of the node that took the request, None without one.
         self.answer: PeerAnswer | None = None
         self.vm = ''
-        self.has_tried = False
         # What each asked node did that didn't take the request.
         self.asked: dict[str, str] = {}
         self._state = state
@@ -89,16 +88,19 @@
 
         The node makes at most so many attempts.
         """
-        for peer in self._state.peers.candidates():
+        peers = self._state.peers
+        pool_out_of_reach = self._pool_out_of_reach()
+        for peer in peers.candidates(pool_out_of_reach):
             if self._wait.has_ended:
                 break
-            self.has_tried = True
-            outcome = await self._send_to(peer, attempts)
+            with peers.track(peer.vm):
+                outcome = await self._send_to(peer, attempts)
             if outcome is not None:
+                peers.mark_taken(peer.vm)
                 self.vm = peer.vm
                 self._log(outcome.value)
                 return outcome
-            self._state.peers.mark_declined(peer.vm)
+            peers.mark_declined(peer.vm, pool_out_of_reach)
         self._log(_NOT_TAKEN)
         return None
 
@@ -107,6 +109,11 @@
         if self.answer is not None:
             self.answer.finish(upstream.Outcome.CALLER_GONE)
 
+    def _pool_out_of_reach(self) -> peer_routes.TargetPool | None:
+        if self._state.reach.is_cut_off:
+            return None
+        return self._admission.service, self._admission.model
+
     async def _send_to(
         self, peer: peer_routes.PeerTarget, attempts: int
     ) -> upstream.Outcome | None:
--- a/redwingvalve/ingress/reachability.py
+++ b/redwingvalve/ingress/reachability.py
@@ -33,6 +33,14 @@
     def request_check(self) -> None:
         """Have the links checked soon."""
 
+    @abc.abstractmethod
+    def peers_cut_off(self) -> None:
+        """Have the links checked unless they just were: others lost theirs."""
+
+    @abc.abstractmethod
+    async def confirm_unless_recent(self) -> bool:
+        """Return whether an endpoint was reached a moment ago, or now."""
+
     @abc.abstractmethod
     async def confirm(self) -> bool:
         """Check the links now; return whether an endpoint was reached."""
@@ -67,6 +75,13 @@
         for observer in self._observers:
             observer.reach_checked(time.monotonic(), is_cut_off=False)
 
+    def peers_cut_off(self) -> None:
+        """Do nothing."""
+
+    async def confirm_unless_recent(self) -> bool:
+        """Return True."""
+        return True
+
     async def confirm(self) -> bool:
         """Return True."""
         return True
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -36,7 +36,7 @@
 
     async def run(self) -> None:
         """Handle the request until the response is complete."""
-        if self._forwarded is not None and self._declines():
+        if self._forwarded is not None and await self._declines():
             return
         admission = self._admit()
         if admission is None:
@@ -76,12 +76,12 @@
         )
         await admitted.run()
 
-    def _declines(self) -> bool:
+    async def _declines(self) -> bool:
         """Decline a forwarded request that this node can't serve either."""
         reason = ''
         if self._state.configuration is None or self._state.is_leaving:
             reason = 'not ready'
-        elif self._state.reach.is_cut_off:
+        elif not await self._state.reach.confirm_unless_recent():
             reason = 'cut off'
         if reason:
             responses.decline(self._responder, self._caller, reason)
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -67,6 +67,14 @@
   2: i32 age_ms
 }
 
+// The nodes of a data centre that reach no endpoint, as known to a hub of it.
+struct CutOffReport {
+  1: string data_centre
+  2: i32 age_ms
+  // xxh32 hashes of their names. The list replaces the one before.
+  3: list<i32> nodes
+}
+
 // Field numbers 6, 12, 14 and 15 were used by earlier versions and are reserved.
 struct StatusMessage {
   1: string vm
@@ -100,6 +108,10 @@
   // and the revision of the store at which it knew them; 0 if it doesn't.
   22: i64 evacuation_revision
   23: list<string> evacuated
+  // Whether the sender reaches no endpoint; absent if it reaches any.
+  24: bool is_cut_off
+  // From hubs; absent while no node is cut off.
+  25: list<CutOffReport> cut_off_reports
 }
 
 // Probes for other nodes. Each is sent as a datagram of its own, after two bytes
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -1,9 +1,9 @@
 """Membership table of the other nodes: addresses, liveness, last status.
 
-Each node sends a status message as a UDP datagram at a fixed interval. It
-carries the endpoints that the node suspects and what it knows of the lease. A
-lost datagram needs no retransmission, since the next one repeats its content. A
-node that others may not know yet announces its address in its first messages.
+Each node sends a status message as a UDP datagram at a fixed interval, with the
+endpoints that it suspects and what it knows of the lease. A lost datagram needs
+no retransmission, since the next one repeats its content. A node that others
+may not know yet announces its address in its first messages.
 
 In a small fleet every node sends to every other node. In a large one a node
 sends only to the hubs of its data centre (two live nodes with the highest
@@ -20,7 +20,7 @@
 
 import attrs
 
-from redwingvalve.node import status_messages
+from redwingvalve.node import cut_off_nodes, status_messages
 from redwingvalve.observability import logs
 from redwingvalve.platform import settings
 
@@ -101,8 +101,8 @@
     is_down: bool = False
     # When it was last marked down there.
     down_since_s: float = -math.inf
-    # Whether this process has sent a message, or a hub has received one.
-    # Registrations of nodes that were killed stay in the store.
+    # Whether this process has sent a message, or a hub has received one: nodes
+    # that were killed stay registered.
     is_confirmed: bool = False
     # Messages that still ask an unconfirmed node for a reply.
     asks_left: int = ASKS_OF_LISTED_NODES
@@ -136,10 +136,11 @@
     def __init__(self, local: PeerAddress, observer: PeerObserver) -> None:
         """Start without peers; local is the address of this node."""
         self.known: dict[str, Peer] = {}
+        self.cut_off = cut_off_nodes.CutOffNodes()
         self.local = local
         self._observer = observer
-        # Nodes that were silent while the fleet was small, and when: they may
-        # have begun earlier to send to hubs only.
+        # Nodes that were silent while the fleet was small, and when. They may
+        # send to hubs only.
         self.doubted_s: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._announce_until_s = 0.0
@@ -147,7 +148,7 @@
         self.last_received_s = 0.0
         # Time without any message before that one.
         self.receive_gap_s = 0.0
-        # Called when a listing of the store has been applied.
+        # Called when a listing has been applied.
         self.on_listed: typing.Callable[[], None] | None = None
         # Called with tagged datagrams and their sender's address, by kind.
         self.on_tagged: dict[bytes, _Handler] = {}
@@ -260,9 +261,7 @@
             return
         self._update_address(message)
         peer = self.known.get(message.vm)
-        if peer is None:
-            return
-        if not self._is_newer(message, peer):
+        if peer is None or not self._is_newer(message, peer):
             return
         self._record_received(peer, message)
         self._observer.status_received(message)
@@ -357,6 +356,7 @@
         self.known[address.vm] = Peer(address, time.monotonic())
 
     def _remove(self, name: str) -> None:
+        self.cut_off.forget(name)
         if self.known.pop(name, None) is not None:
             LOG.info('node removed', extra={'vm': name})
             self._observer.node_lost(name)
--- a/redwingvalve/node/reachability.py
+++ b/redwingvalve/node/reachability.py
@@ -6,6 +6,7 @@
 The connections are kept for requests.
 """
 
+import asyncio
 import itertools
 import math
 import random
@@ -38,6 +39,8 @@
 # Between two checks, and between those while this node is cut off.
 MIN_INTERVAL_S = 0.02
 RECHECK_INTERVAL_S = 0.4
+# An answer or a check within this time shows that endpoints are in reach.
+RECENT_S = 0.4
 
 
 @attrs.define(eq=False)
@@ -57,6 +60,7 @@
     _answered_s: float = -math.inf
     _requested: anyio.Event = attrs.field(factory=anyio.Event)
     _finished: anyio.Event = attrs.field(factory=anyio.Event)
+    _due: asyncio.TimerHandle | None = None
 
     @property
     def is_cut_off(self) -> bool:
@@ -75,6 +79,26 @@
         """Have the links checked soon."""
         self._requested.set()
 
+    def peers_cut_off(self) -> None:
+        """Have the links checked soon, once per RECENT_S: others lost theirs.
+
+        A node that gets few requests would learn of its own cut from a caller.
+        """
+        if self._due is not None or self._is_cut_off:
+            return
+        wait_s = self._checked_s + RECENT_S - time.monotonic()
+        loop = asyncio.get_running_loop()
+        self._due = loop.call_later(max(0.0, wait_s), self._check_due)
+
+    async def confirm_unless_recent(self) -> bool:
+        """Return whether an endpoint was reached a moment ago, or now."""
+        if self._is_cut_off:
+            return False
+        since_s = time.monotonic() - RECENT_S
+        if max(self._answered_s, self._checked_s) >= since_s:
+            return True
+        return await self.confirm()
+
     async def confirm(self) -> bool:
         """Check the links now; return whether an endpoint was reached."""
         asked_s = time.monotonic()
@@ -102,6 +126,10 @@
             await self._check()
             await anyio.sleep(MIN_INTERVAL_S)
 
+    def _check_due(self) -> None:
+        self._due = None
+        self.request_check()
+
     async def _check(self) -> None:
         began_s = time.monotonic()
         is_cut_off = await self._reaches_none()
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -14,6 +14,7 @@
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import crash_reports as crash_reports_module
 from redwingvalve.node import (
+    cut_off_reports,
     forwarding_peers,
     node_asks,
     status_fields,
@@ -58,6 +59,7 @@
     _forwarded_updates: update_forwarding.ForwardedUpdates = attrs.field(
         init=False
     )
+    _cut_off_reports: cut_off_reports.CutOffReports = attrs.field(init=False)
     _number: int = 0
     _sent_s: float = 0.0
     _timer: asyncio.TimerHandle | None = None
@@ -80,6 +82,13 @@
             self.table, self.state.reach, self._broadcast_suspicion
         )
         self.state.reach.add_observer(self.suspicions)
+        self.peers.cut_off.on_news = self.state.reach.peers_cut_off
+        self._cut_off_reports = cut_off_reports.CutOffReports(
+            self.peers, self.state.reach
+        )
+        self.state.reach.add_observer(
+            cut_off_reports.CutOffBroadcast(self.broadcast_soon)
+        )
         self.table.on_suspect = self.suspicions.add
         self.table.on_cleared = self._broadcast_cleared
         self.table.on_announce_healthy = self._record_cleared
@@ -130,6 +139,10 @@
                     with_hub_updates=with_hub_updates,
                     is_urgent=is_urgent,
                 )
+            if is_hub and not is_urgent:
+                self._cut_off_reports.add_to(
+                    message, with_hub_updates=with_hub_updates
+                )
             self.peers.send_status(message, names)
         if not is_urgent:
             self._ask_doubted()
@@ -175,6 +188,7 @@
             usage=usage,
             evacuation_revision=self.table.evacuations.revision or None,
             evacuated=self.table.evacuations.shared_names() or None,
+            is_cut_off=self.state.reach.is_cut_off or None,
         )
         if self.peers.is_announcing:
             message.address = status_fields.address_message(self.local)
@@ -201,6 +215,10 @@
             self._apply_forwarded(message)
         if message.asks_reply:
             self.peers.send_status(self.build_message(), [message.vm])
+        self.peers.cut_off.record(
+            message.vm, is_cut_off=bool(message.is_cut_off)
+        )
+        self.peers.cut_off.apply(message, self.local.vm)
         self.usage.update(message.vm, message.usage or {})
         if message.lease_revision:
             self.lease.observe(message.lease_revision, message.lease_left_ms)
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -61,6 +61,12 @@
     (_Type.I64, 'key'),
     (_Type.I32, 'age_ms'),
 )
+CutOffReport: typing.Any = _struct(
+    'CutOffReport',
+    (_Type.STRING, 'data_centre'),
+    (_Type.I32, 'age_ms'),
+    (_Type.LIST, 'nodes', _Type.I32),
+)
 StatusMessage: typing.Any = _struct(
     'StatusMessage',
     (_Type.STRING, 'vm'),
@@ -86,6 +92,8 @@
     (_Type.BOOL, 'asks_reply'),
     (_Type.I64, 'evacuation_revision'),
     (_Type.LIST, 'evacuated', _Type.STRING),
+    (_Type.BOOL, 'is_cut_off'),
+    (_Type.LIST, 'cut_off_reports', (_Type.STRUCT, CutOffReport)),
 )
 
 
