--- a/redwingvalve/fleet/probe_selection.py
+++ b/redwingvalve/fleet/probe_selection.py
@@ -28,6 +28,13 @@
     vm: str
     data_centre: str
     is_leaving: bool = False
+    # Whether it says that it reaches no endpoint.
+    is_cut_off: bool = False
+
+    @property
+    def is_last_resort(self) -> bool:
+        """Return whether the node is asked only if there are too few others."""
+        return self.is_leaving or self.is_cut_off
 
 
 def select_nodes(
@@ -38,14 +45,15 @@
 ) -> list[Candidate]:
     """Return up to limit nodes to ask about an endpoint of data_centre.
 
-    Nodes that are leaving are chosen only if there are too few others.
+    Nodes that are leaving or cut off are chosen only if there are too few
+    others.
     """
     shuffled = list(candidates)
     rng.shuffle(shuffled)
-    staying = [one for one in shuffled if not one.is_leaving]
-    leaving = [one for one in shuffled if one.is_leaving]
+    preferred = [one for one in shuffled if not one.is_last_resort]
+    others = [one for one in shuffled if one.is_last_resort]
     in_order = itertools.chain(
-        _spread(staying, data_centre), _spread(leaving, data_centre)
+        _spread(preferred, data_centre), _spread(others, data_centre)
     )
     return list(itertools.islice(in_order, limit))
 
--- a/redwingvalve/fleet/tests/test_probe_selection.py
+++ b/redwingvalve/fleet/tests/test_probe_selection.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+import attrs
 import pytest
 
 from redwingvalve.fleet import probe_selection
@@ -65,3 +66,13 @@
         one.is_leaving
         for one in select(candidates + make_candidates(2, 24)[12:])
     )
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_nodes_that_are_cut_off_are_not_asked_while_others_are_left(seed):
+    """A whole data centre of them can't tell that an endpoint is dead."""
+    candidates = [
+        attrs.evolve(one, is_cut_off=one.data_centre == OWN)
+        for one in make_candidates(3, 60)
+    ]
+    assert not any(one.is_cut_off for one in select(candidates, seed))
--- a/redwingvalve/node/indirect_probes.py
+++ b/redwingvalve/node/indirect_probes.py
@@ -183,7 +183,12 @@
     ) -> dict[peers_module.SocketAddress, str]:
         candidates = [
             probe_selection.Candidate(
-                peer.address.vm, peer.address.data_centre, peer.is_leaving
+                peer.address.vm,
+                peer.address.data_centre,
+                peer.is_leaving,
+                self.peers.cut_off.is_cut_off(
+                    peer.address.vm, peer.address.data_centre
+                ),
             )
             for peer in self.peers.alive()
         ]
