Give callers nodes of other data centres if theirs is cut off

Callers of a data centre with eight nodes or more were given its nodes only, also when none of them reaches an endpoint: the same preference as in forwarding. Only nodes that reach endpoints count towards the eight. The test failed before.

--- a/redwingvalve/node/front_selection.py
+++ b/redwingvalve/node/front_selection.py
@@ -7,8 +7,8 @@
 
 # The platform ignores further addresses.
 MAX_FRONTS = 64
-# If a caller's data centre has at least this many nodes, the caller is given no
-# others, so that requests and answers stay within the data centre.
+# If a caller's data centre has at least this many nodes that reach endpoints,
+# the caller is given no others, so that requests and answers stay within it.
 MIN_LOCAL_FRONTS = 8
 # A node that registered within this time, by its clock and this one's, is given
 # to callers before it has sent a message: when a whole fleet starts, callers
@@ -41,12 +41,18 @@
         if one.is_ready and not one.is_leaving and _is_confirmed(one)
     ]
     local = [one for one in ready if one.address.data_centre == data_centre]
-    chosen = local if len(local) >= MIN_LOCAL_FRONTS else ready
+    # Those that are cut off stay in: they forward, which spreads the work.
+    in_touch = sum(not _is_cut_off(peers, one) for one in local)
+    chosen = local if in_touch >= MIN_LOCAL_FRONTS else ready
     if len(chosen) > MAX_FRONTS:
         chosen = random.sample(chosen, MAX_FRONTS)
     return [peer.address.front for peer in chosen]
 
 
+def _is_cut_off(peers: peers_module.Peers, peer: peers_module.Peer) -> bool:
+    return peers.cut_off.is_cut_off(peer.address.vm, peer.address.data_centre)
+
+
 def _is_confirmed(peer: peers_module.Peer) -> bool:
     """Return whether a node is known by more than an old registration."""
     age_s = time.time() - peer.address.born_ms / _MS_IN_S
--- a/redwingvalve/node/tests/test_cut_off_reports.py
+++ b/redwingvalve/node/tests/test_cut_off_reports.py
@@ -7,6 +7,7 @@
 from redwingvalve.node import (
     cut_off_nodes,
     cut_off_reports,
+    front_selection,
     peers,
     status_messages,
 )
@@ -178,6 +179,21 @@
     assert len(news) == 2
 
 
+def test_callers_of_a_cut_data_centre_are_given_other_nodes(clock):
+    """They would be given nodes only that reach no endpoint."""
+    known = make_peers(0, 40)
+    local = [
+        one.address.vm
+        for one in known.known.values()
+        if one.address.data_centre == 'zone-1'
+    ]
+    assert len(front_selection.select_fronts(known, 'zone-1')) == len(local)
+    for vm in local[3:]:
+        known.cut_off.record(vm, is_cut_off=True)
+    found = front_selection.select_fronts(known, 'zone-1')
+    assert len(found) == 39
+
+
 def test_a_node_that_takes_a_request_is_not_cut_off(clock):
     """What is known of it is outdated."""
     fleet = HubFleet(68)
