Keep a retry that was paid for until it is sent

Seen: streams that were open when their node lost all endpoints were closed. Each connect that failed took another retry from the budget though nothing had been sent, until none was left for resumptions. Change: a retry that was taken stays valid until a send spends it.

--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -50,7 +50,8 @@
     sent_count: int = 0
     connect_failures: int = 0
     tried_endpoints: set[str] = attrs.field(factory=set)
-    # The next retry is already taken from the budget.
+    # The next retry is already taken from the budget; stays set until a retry
+    # is sent, as an attempt without a connection repeats nothing.
     is_retry_paid: bool = False
 
 
@@ -101,6 +102,7 @@
             return upstream.Outcome.EVACUATED
         self.sends.tried_endpoints.add(target.endpoint_id)
         self.sends.sent_count += 1
+        self.sends.is_retry_paid = False
         upstream_request = self._make_upstream_request(on_statement)
         self.upstream_request = upstream_request
         self._connection = connection
@@ -148,9 +150,7 @@
 
     def spend_retry(self, reason: str) -> bool:
         """Take a retry from the budget, unless the next one is already paid."""
-        is_paid = self.sends.is_retry_paid or self._reserve_retry(reason)
-        self.sends.is_retry_paid = False
-        return is_paid
+        return self.sends.is_retry_paid or self._reserve_retry(reason)
 
     def _reserve_retry(self, reason: str) -> bool:
         """Take the next retry from the budget, before this send is ended.
