--- a/redwingvalve/node/tests/test_streams_beside_cuts.py
+++ b/redwingvalve/node/tests/test_streams_beside_cuts.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from redwingvalve.ingress import poison
 from redwingvalve.node.tests import endpoint_cuts
 from redwingvalve.platform.tests import fleet_harness
 
@@ -81,10 +82,23 @@
 
 
 @pytest.mark.parametrize('mode', endpoint_cuts.CutMode)
-def test_a_part_of_all_streams_that_a_cut_breaks_off_is_not_blamed(mode):
+def test_a_part_of_all_streams_that_a_cut_breaks_off_is_not_blamed(
+    mode, monkeypatch
+):
     """Nodes took the ends of their own links for crashes under the part."""
+    blamed = []
+    record = poison.PoisonRequestTracker.record_broken_run
+
+    def record_broken_run(tracker, fingerprint, *arguments, **options):
+        blamed.append(fingerprint)
+        record(tracker, fingerprint, *arguments, **options)
+
+    monkeypatch.setattr(
+        poison.PoisonRequestTracker, 'record_broken_run', record_broken_run
+    )
 
     async def test(fleet):
         await check_streams(fleet, mode, SHARED_PART)
 
     fleet_harness.run(test, nodes=NODES, engines=24, plain=0)
+    assert blamed == []
