Give ports back that a process reserved long ago

Seen: 3 of 12 test processes that started 25 fleets of 16 nodes each, side by side, ended with "fewer than 5 free ports were found". A port stayed reserved until its process exited; the range has 21,761, and each node takes five. Two runs of the tests side by side could use it up, and each port took a file descriptor. Change: a process keeps the last 2500. The new test failed before.

--- a/redwingvalve/standins/ports.py
+++ b/redwingvalve/standins/ports.py
@@ -1,5 +1,6 @@
 """Allocates loopback ports outside the ephemeral port range."""
 
+import collections
 import contextlib
 import fcntl
 import os
@@ -15,10 +16,14 @@
 FIRST_PORT = 10_240
 LAST_PORT = 32_000
 MAX_ATTEMPTS = 10_000
+# Ports that one process keeps reserved; half a dozen test processes that run
+# side by side must not use up the range.
+MAX_RESERVED = 2500
 _RNG = random.Random(os.getpid())
-# Open locks of the ports returned before, whose processes may not be listening
-# yet. They are released when this process exits.
-_LOCKS: set[int] = set()
+# Open locks of the ports returned last, oldest first. Their processes may not
+# be listening yet, or no longer while others still connect to them. The rest
+# are released when this process exits.
+_LOCKS: collections.deque[int] = collections.deque()
 _LOCK_DIRECTORY = pathlib.Path(tempfile.gettempdir(), 'redwingvalve-ports')
 
 
@@ -46,7 +51,9 @@
     except BlockingIOError:
         os.close(lock)
         return False
-    _LOCKS.add(lock)
+    _LOCKS.append(lock)
+    if len(_LOCKS) > MAX_RESERVED:
+        os.close(_LOCKS.popleft())
     return True
 
 
--- a/redwingvalve/standins/tests/test_ports.py
+++ b/redwingvalve/standins/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Allocation of ports for fakes and tests."""
 
+import collections
 import contextlib
 import socket
 import subprocess
@@ -67,3 +68,13 @@
     with pytest.raises(OSError):
         ports.free_ports(1)
     assert tried == []
+
+
+def test_a_process_gives_the_ports_back_that_it_reserved_long_ago(monkeypatch):
+    """Test processes that run for long used up all ports."""
+    first = ports.FIRST_PORT
+    monkeypatch.setattr(ports, 'LAST_PORT', first + 199)
+    monkeypatch.setattr(ports, 'MAX_RESERVED', 50)
+    monkeypatch.setattr(ports, '_LOCKS', collections.deque())
+    for _ in range(20):
+        assert len(set(ports.free_ports(25))) == 25
