Check the links before a hedged send that broke off is blamed

The first of two sends that breaks off while the other runs was recorded as a broken run of its request without a check of the links, so that a node's own cut could put the request and its parts in doubt. The check moves to where each send ends. Both cases of the new test failed before.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -179,8 +179,6 @@
     ) -> send_results.SendResult:
         sent_s = time.monotonic()
         sent = await self._senders.send(reservation)
-        if sent.outcome is upstream.Outcome.BROKEN:
-            await self._check_links()
         if sent.outcome is upstream.Outcome.COMPLETE and (
             self._senders.sends.sent_count == 1
         ):
@@ -194,15 +192,6 @@
             )
         return sent
 
-    async def _check_links(self) -> None:
-        """Find out whether the endpoint has failed or this node is cut off.
-
-        All streams of a node that is cut off break at once: taken for crashes,
-        they would put their requests and the parts that they share in doubt.
-        """
-        with self._wait.open_scope():
-            await self._state.reach.confirm()
-
     def _finish_unless_retry(
         self, target: load_balancing.Target, outcome: upstream.Outcome
     ) -> bool:
--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -71,6 +71,8 @@
         if sender.was_answered_by_target:
             self._state.reach.record_answer(time.monotonic())
             self._state.poison.record_life_sign(target.incarnation, sent_s)
+        if outcome is upstream.Outcome.BROKEN:
+            await sender.check_links()
         return outcome
 
     def record_failure(self, sent: send_results.SendResult) -> None:
--- a/redwingvalve/ingress/tests/test_hedged_send.py
+++ b/redwingvalve/ingress/tests/test_hedged_send.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from redwingvalve.ingress import routes
+from redwingvalve.ingress import reachability, routes
 from redwingvalve.ingress.tests import hedged_exchange
 
 
@@ -202,6 +202,33 @@
     assert exchange.broken_at == [f'e{failing}']
 
 
+class LostReach(reachability.AssumedReach):
+    """A node whose links turn out to be cut once they are checked."""
+
+    is_cut_off = False
+
+    async def confirm(self):
+        self.is_cut_off = True
+        return False
+
+
+@pytest.mark.parametrize('failing', [0, 1])
+def test_a_send_that_the_nodes_own_cut_breaks_off_is_no_evidence(failing):
+    """The loser's request was blamed without a check of the links."""
+
+    @hedged
+    async def act(exchange, *sends):
+        sends[failing].handler.broken('reset')
+        await anyio.sleep(0.01)
+        sends[1 - failing].answer(b'whole')
+
+    exchange = hedged_exchange.Exchange()
+    exchange.state.reach = LostReach()
+    hedged_exchange.play(exchange, act)
+    assert exchange.responder.body == b'whole'
+    assert exchange.broken_at == []
+
+
 @pytest.mark.parametrize('order', [(0, 1), (1, 0)])
 @pytest.mark.parametrize('attempts', [2, 3])
 def test_both_fail_and_the_request_goes_on_as_after_one_failure(
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -148,6 +148,15 @@
         if self._connection is not None:
             self._connection.abandon()
 
+    async def check_links(self) -> None:
+        """Find out whether the endpoint has failed or this node is cut off.
+
+        All streams of a node that is cut off break at once: taken for crashes,
+        they would put their requests and the parts that they share in doubt.
+        """
+        with self._wait.open_scope():
+            await self._state.reach.confirm()
+
     def spend_retry(self, reason: str) -> bool:
         """Take a retry from the budget, unless the next one is already paid."""
         return self.sends.is_retry_paid or self._reserve_retry(reason)
