Tell late reports of a broken run from another run by a number

Cause: a run was told apart by the time at which it broke off, which each hop dates later by its own delay; 0.5 s later counted as another run. And a report that was much older replaced the time of a later run, so that the evidence depended on the order of reports. Change: the node whose connection broke draws a number; reports with the same number are one run, dated by the earliest. Reports of earlier versions have none and are judged by time as before. A run takes up to 6 bytes more in a message.

--- a/redwingvalve/ingress/broken_runs.py
+++ b/redwingvalve/ingress/broken_runs.py
@@ -37,6 +37,9 @@
     sent_s: float = attrs.field(
         default=attrs.Factory(lambda run: run.at_s, takes_self=True)
     )
+    # Drawn by the node whose connection broke, the same in all reports of the
+    # run; 0 if unknown.
+    number: int = 0
 
     @property
     def run_id(self) -> RunId:
--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -8,7 +8,12 @@
 
 import attrs
 
-from redwingvalve.ingress import answer_history, broken_runs, crash_keys
+from redwingvalve.ingress import (
+    answer_history,
+    broken_runs,
+    crash_keys,
+    run_dates,
+)
 
 MAX_INCARNATIONS = 4_000
 # A process may outlive the connection that broke by this time. What it answers
@@ -17,8 +22,8 @@
 # A run at an endpoint that has answered since is forgotten after this time,
 # unless the endpoint turns out to have ended. Entries lapse sooner.
 DOUBT_S = 5.0
-# Reports of one run differ by the transit times of messages. A later one is of
-# another run of the same request at the same endpoint.
+# Reports of one run without a number differ by the transit times of messages. A
+# later one is of another run of the same request at the same endpoint.
 SAME_RUN_S = 0.5
 
 
@@ -32,18 +37,20 @@
         # Endpoints that may have crashed or not.
         self._undecided: set[broken_runs.Incarnation] = set()
         self._alive_s: dict[broken_runs.Incarnation, float] = {}
+        self._dates = run_dates.RunDates()
 
     def add(self, run: broken_runs.BrokenRun) -> bool:
         """Add a run; return whether it says anything new."""
-        run = self._without_cleared(run)
+        run = self._without_cleared(self._dates.correct(run))
         if not run.suspects or self._has_survived(run):
             return False
         known = self.runs_table.get(run.run_id)
         if known is None:
             self._put(run)
             return True
-        is_later = run.at_s > known.at_s + SAME_RUN_S
-        is_older = run.at_s < known.at_s
+        is_same = _is_same_run(run, known)
+        is_later = not is_same and run.at_s > known.at_s
+        is_older = is_same and run.at_s < known.at_s
         merged = attrs.evolve(
             run if is_later or is_older else known,
             is_crash=known.is_crash or run.is_crash,
@@ -202,6 +209,15 @@
             self._undecided.add(incarnation)
 
 
+def _is_same_run(
+    run: broken_runs.BrokenRun, known: broken_runs.BrokenRun
+) -> bool:
+    """Return whether two reports with the same id are of the same run."""
+    if run.number and run.number == known.number:
+        return True
+    return abs(run.at_s - known.at_s) <= SAME_RUN_S
+
+
 def survives(run: broken_runs.BrokenRun, alive_s: float) -> bool:
     """Return whether an answer to what was sent then clears the endpoint."""
     return run.at_s + CRASH_DELAY_S < alive_s
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -22,6 +22,7 @@
 """
 
 import abc
+import random
 import time
 import typing
 from collections import abc as collections_abc
@@ -44,6 +45,9 @@
 # Parts that are remembered of a broken run; those that were never answered
 # come first.
 MAX_PARTS_PER_RUN = 32
+# Of runs; a positive signed number of 32 bits in messages.
+MAX_RUN_NUMBER = 2**31 - 1
+_RNG = random.Random()
 
 
 class EvidenceObserver(abc.ABC):
@@ -317,6 +321,7 @@
         now_s,
         suspects=frozenset((keys.fingerprint, *parts[:MAX_PARTS_PER_RUN])),
         sent_s=sent_s,
+        number=_RNG.randint(1, MAX_RUN_NUMBER),
     )
 
 
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import pytest
 
 from redwingvalve.ingress import (
@@ -187,6 +188,37 @@
     assert len(reported(tracker, 7)) == 1
 
 
+LATE_S = 2 * crash_evidence.SAME_RUN_S
+
+
+def late_report(tracker, clock):
+    """Return a report of a tracker's only run that was long under way."""
+    (run,) = reported(tracker, 7)
+    clock.now_s += LATE_S
+    return attrs.evolve(run, at_s=clock.now_s, sent_s=clock.now_s)
+
+
+def test_a_late_report_of_a_known_run_is_no_news():
+    """Busy nodes passed it on again as another run, without end."""
+    tracker, clock = make_tracker()
+    tracker.record_broken_run(7, ('e1', 1))
+    late = late_report(tracker, clock)
+    assert not tracker.evidence.add(late)
+    other = attrs.evolve(late, number=late.number + 1)
+    assert tracker.evidence.add(other)
+    assert not tracker.evidence.add(late)
+
+
+@pytest.mark.parametrize('is_late_first', [False, True])
+def test_the_earliest_report_of_a_run_tells_its_time(is_late_first):
+    tracker, clock = make_tracker()
+    run = broken_runs.BrokenRun(7, ('e1', 1), clock.now_s, number=5)
+    late = attrs.evolve(run, at_s=run.at_s + LATE_S)
+    ordered = [late, run] if is_late_first else [run, late]
+    merge(tracker, ordered)
+    assert [one.at_s for one in reported(tracker, 7)] == [run.at_s]
+
+
 def test_an_endpoint_that_this_node_has_not_listed_yet_has_not_ended():
     """Another node may learn of a new endpoint earlier."""
     tracker, clock = make_tracker()
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -26,7 +26,7 @@
 # Limits that keep a message within one packet. A run counts as many suspects as
 # its other fields are long.
 MAX_SUSPECTS = 110
-RUN_OVERHEAD = 9
+RUN_OVERHEAD = 10
 MAX_REPEATED = 2
 MAX_ANSWERS = 16
 _MS_IN_S = 1000
@@ -181,6 +181,7 @@
         is_crash=run.is_crash,
         suspects=sorted(run.suspects),
         lasted_ms=int((run.at_s - run.sent_s) * _MS_IN_S),
+        number=run.number or None,
     )
 
 
@@ -195,4 +196,5 @@
         # Nodes of an earlier version state none.
         frozenset(run.suspects or (fingerprint,)),
         at_s - (run.lasted_ms or 0) / _MS_IN_S,
+        run.number or 0,
     )
--- a/redwingvalve/node/node.thrift
+++ b/redwingvalve/node/node.thrift
@@ -58,6 +58,8 @@
   6: list<i64> suspects
   // From the send to the end.
   7: i32 lasted_ms
+  // Drawn by the node whose connection broke; absent if it isn't known.
+  8: i32 number
 }
 
 // A request, or a part of prompts, that an endpoint has answered although others
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -55,6 +55,7 @@
     (_Type.BOOL, 'is_crash'),
     (_Type.LIST, 'suspects', _Type.I64),
     (_Type.I32, 'lasted_ms'),
+    (_Type.I32, 'number'),
 )
 AnsweredRequest: typing.Any = _struct(
     'AnsweredRequest',
