--- a/redwingvalve/allocation/messages.py
+++ b/redwingvalve/allocation/messages.py
@@ -220,7 +220,7 @@
         struct.limits = endpoint_reports.to_struct(message)
     else:
         _set_holdings(struct, message)
-    return structs.pack(struct)
+    return structs.pack_datagram(struct)
 
 
 def _reply_struct(reply: Reply) -> typing.Any:
@@ -252,7 +252,7 @@
 def unpack(packed: bytes) -> Envelope:
     """Decode a datagram; raises MessageError."""
     try:
-        struct = structs.unpack(packed, _EnvelopeStruct)
+        struct = structs.unpack_datagram(packed, _EnvelopeStruct)
         sender = Sender(_non_empty_text(struct.vm), _integer(struct.born_ms))
         return Envelope(sender, _read(struct))
     except (structs.StructError, AttributeError, TypeError) as error:
--- a/redwingvalve/node/status_messages.py
+++ b/redwingvalve/node/status_messages.py
@@ -104,13 +104,13 @@
 
 def pack(message: typing.Any) -> bytes:
     """Return the encoded message."""
-    return structs.pack(message)
+    return structs.pack_datagram(message)
 
 
 def unpack(packed: bytes) -> typing.Any:
     """Return the decoded message; raises StatusMessageError."""
     try:
-        message = structs.unpack(packed, StatusMessage)
+        message = structs.unpack_datagram(packed, StatusMessage)
     except structs.StructError as error:
         raise StatusMessageError(str(error)) from error
     if not message.vm or message.number is None:
--- a/redwingvalve/node/tests/test_cut_off_reports.py
+++ b/redwingvalve/node/tests/test_cut_off_reports.py
@@ -13,6 +13,8 @@
 )
 
 CENTRES = 3
+# Bytes of a message without content.
+EMPTY = len(status_messages.pack(status_messages.StatusMessage()))
 
 
 @pytest.fixture
@@ -84,7 +86,9 @@
                 spoke = self.spokes[index]
                 spoke.cut_off.apply(message, spoke.local.vm)
             if index == 0:
-                self.bytes_to_spoke += len(status_messages.pack(message)) - 1
+                self.bytes_to_spoke += (
+                    len(status_messages.pack(message)) - EMPTY
+                )
 
     def known(self, spoke):
         return {
--- a/redwingvalve/node/tests/test_status_messages.py
+++ b/redwingvalve/node/tests/test_status_messages.py
@@ -1,11 +1,14 @@
 """Status messages match node.thrift and survive encoding."""
 
 import pathlib
+import time
 
 import pytest
 import thriftpy2
 
+from redwingvalve.allocation import messages
 from redwingvalve.node import probe_messages, status_messages
+from redwingvalve.wire import structs
 
 STRUCTS = (
     'NodeAddress',
@@ -13,8 +16,11 @@
     'SuspectedEndpoint',
     'BrokenRun',
     'AnsweredRequest',
+    'CutOffReport',
     'StatusMessage',
 )
+# Far less than it takes to allocate what a garbled length claims.
+GARBLED_LIMIT_S = 0.5
 PROBE_STRUCTS = ('ProbeAsk', 'ProbedMembership', 'ProbeReply', 'ProbeMessage')
 
 
@@ -72,6 +78,34 @@
     assert status_messages.unpack(status_messages.pack(sent)) == sent
 
 
+def test_a_node_of_an_earlier_version_is_understood_and_understands():
+    """Its messages have no hash at their end."""
+    sent = status_messages.StatusMessage(vm='vm-1', number=3)
+    assert status_messages.unpack(structs.pack(sent)) == sent
+    packed = status_messages.pack(sent)
+    assert structs.unpack(packed, status_messages.StatusMessage) == sent
+
+
+@pytest.mark.parametrize('codec', [status_messages, messages])
+def test_a_garbled_length_does_not_stop_a_node(codec):
+    """A text that claims to have 1.5 GB took a node four seconds."""
+    packed = status_messages.pack(
+        status_messages.StatusMessage(vm='vm-1', number=3)
+    )
+    if codec is messages:
+        sender = messages.Sender('vm-1', 1)
+        pool = messages.Pool('engine', '', '')
+        packed = messages.pack(
+            messages.Envelope(sender, messages.HoldingsRequest(pool))
+        )
+    garbled = packed.replace(b'\0\0\0\x04vm-1', b'\x5e\x48\x42\xfavm-1')
+    assert garbled != packed
+    began_s = time.monotonic()
+    with pytest.raises(ValueError):
+        codec.unpack(garbled)
+    assert time.monotonic() - began_s < GARBLED_LIMIT_S
+
+
 @pytest.mark.parametrize('packed', [b'', b'not a message', bytes(40)])
 def test_other_bytes_are_rejected(packed):
     with pytest.raises(status_messages.StatusMessageError):
--- a/redwingvalve/wire/structs.py
+++ b/redwingvalve/wire/structs.py
@@ -6,12 +6,14 @@
 
 import typing
 
+import xxhash
 from thriftpy2 import thrift, utils
 from thriftpy2.protocol import binary, cybin
 
 Type = thrift.TType
 _FACTORY = cybin.TCyBinaryProtocolFactory()
 _CHECKED_FACTORY = binary.TBinaryProtocolFactory()
+_DIGEST_BYTES = 4
 
 
 class StructError(ValueError):
@@ -57,3 +59,23 @@
     except Exception as error:
         # The codec raises many exception types for invalid bytes.
         raise StructError(str(error)) from error
+
+
+def pack_datagram(struct: typing.Any) -> bytes:
+    """Serialize a struct, followed by its xxh32 hash in network byte order.
+
+    Decoders that don't know of the hash ignore it.
+    """
+    packed = pack(struct)
+    return packed + xxhash.xxh32_digest(packed)
+
+
+def unpack_datagram(datagram: bytes, kind: typing.Any) -> typing.Any:
+    """Deserialize a datagram into a struct class; raises StructError.
+
+    A datagram that is garbled, or has no hash, is left to the checked codec.
+    """
+    packed, digest = datagram[:-_DIGEST_BYTES], datagram[-_DIGEST_BYTES:]
+    if xxhash.xxh32_digest(packed) == digest:
+        return unpack(packed, kind)
+    return unpack(datagram, kind, is_checked=True)
