Let slow checks of the links count unless the loop stood still

Cause: a check that took 0.1 s longer than its time-outs counted for nothing, as connects also fail after a pause of the process. On a busy node every check takes that long, so that it never learns of its cut, and requests wait for its answer. Change: the longest pause of the loop during the check decides, not its duration: connects that had time left after it could have succeeded (node/loop_pauses.py). The test of a busy node failed before; that of a pause still passes.

--- a/redwingvalve/node/reachability.py
+++ b/redwingvalve/node/reachability.py
@@ -22,6 +22,7 @@
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.http1 import pool
 from redwingvalve.ingress import reachability
+from redwingvalve.node import loop_pauses
 from redwingvalve.observability import logs, node_metrics
 
 LOG = logs.make_logger('reachability')
@@ -31,9 +32,11 @@
 FIRST_PROBES = 2
 MORE_PROBES = 4
 WIDE_PROBES = 18
-# Time for the first ones, and longest time of a check that counts.
+# Time for the first ones.
 FIRST_PROBES_TIMEOUT_S = 0.1
-MAX_CHECK_S = FIRST_PROBES_TIMEOUT_S + pool.CONNECT_TIMEOUT_S + 0.1
+# Longest pause of the loop in a check that counts although it has reached none:
+# connects have time left to succeed after it.
+MAX_PAUSE_S = 2 / 3 * pool.CONNECT_TIMEOUT_S
 # A single dead endpoint looks like a cut.
 MIN_PROBES_FOR_CUT = 2
 # Between two checks, and between those while this node is cut off.
@@ -132,11 +135,16 @@
 
     async def _check(self) -> None:
         began_s = time.monotonic()
-        is_cut_off = await self._reaches_none()
-        if time.monotonic() - began_s > MAX_CHECK_S and is_cut_off:
+        watch = loop_pauses.PauseWatch()
+        watch.start()
+        try:
+            is_cut_off = await self._reaches_none()
+        finally:
+            watch.stop()
+        if watch.longest_s > MAX_PAUSE_S and is_cut_off:
             # After a pause of this process all connects seem to have failed,
             # which says nothing about the links.
-            LOG.info('link check too slow')
+            LOG.info('paused in link check', extra={'pause_s': watch.longest_s})
             self._requested.set()
             return
         self._checked_s = began_s
--- a/redwingvalve/node/tests/test_reachability.py
+++ b/redwingvalve/node/tests/test_reachability.py
@@ -4,6 +4,7 @@
 import anyio
 import attrs
 import pytest
+from anyio import lowlevel
 
 from redwingvalve.fleet import endpoints, registry, serving
 from redwingvalve.http1 import pool
@@ -11,6 +12,10 @@
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import reachability, suspicion_sharing
 
+# Time of each step of a busy loop, and for a node to find out about a cut.
+BUSY_S = 0.07
+NOTICE_S = 3.0
+
 
 def make_endpoint(number, domain=''):
     return endpoints.Endpoint(
@@ -34,10 +39,15 @@
     tried: list = attrs.field(factory=list)
     # Blocks the whole process in each connect.
     pause_s: float = 0
+    # Whether connects to dead ports time out.
+    hangs: bool = False
 
     async def connect(self, address):
         self.tried.append(address)
         self.pause()
+        if address[1] in self.dead_ports and self.hangs:
+            await anyio.sleep(pool.CONNECT_TIMEOUT_S)
+            raise pool.ConnectError('TimeoutError')
         if address[1] in self.dead_ports:
             raise pool.ConnectError('refused', was_refused=True)
         return address
@@ -129,6 +139,33 @@
     assert observer.verdicts == [True]
 
 
+def test_a_busy_node_finds_out_that_it_is_cut_off():
+    """Checks that took long counted for nothing, however often repeated."""
+    known = [make_endpoint(number) for number in range(8)]
+    listed = registry.Registry()
+    listed.live = {one.endpoint_id: one for one in known}
+    connections = Connections({one.port for one in known}, hangs=True)
+    checker = reachability.ReachabilityChecker(listed, connections)
+
+    busy = Connections(set(), pause_s=BUSY_S)
+
+    async def work():
+        while True:
+            busy.pause()
+            await lowlevel.checkpoint()
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(checker.run)
+            group.start_soon(work)
+            with anyio.move_on_after(NOTICE_S):
+                await checker.confirm()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert checker.is_cut_off
+
+
 def test_a_single_dead_endpoint_is_no_cut():
     known = [make_endpoint(0)]
     assert confirm(known, dead=known)
