--- a/redwingvalve/standins/tests/test_ports.py
+++ b/redwingvalve/standins/tests/test_ports.py
@@ -70,10 +70,13 @@
     assert tried == []
 
 
-def test_a_process_gives_the_ports_back_that_it_reserved_long_ago(monkeypatch):
+def test_a_process_gives_the_ports_back_that_it_reserved_long_ago(
+    monkeypatch, tmp_path
+):
     """Test processes that run for long used up all ports."""
-    first = ports.FIRST_PORT
-    monkeypatch.setattr(ports, 'LAST_PORT', first + 199)
+    # Others reserve ports of the same range.
+    monkeypatch.setattr(ports, '_LOCK_DIRECTORY', tmp_path)
+    monkeypatch.setattr(ports, 'LAST_PORT', ports.FIRST_PORT + 199)
     monkeypatch.setattr(ports, 'MAX_RESERVED', 50)
     monkeypatch.setattr(ports, '_LOCKS', collections.deque())
     for _ in range(20):
