Tell in the line of a forwarded request what is known of the other nodes

A search that ends without a node only told how many nodes seem to be alive. It now counts the nodes by state.

--- a/redwingvalve/ingress/peer_routes.py
+++ b/redwingvalve/ingress/peer_routes.py
@@ -40,8 +40,8 @@
         """Count a request as handled by a node until the context is left."""
 
     @abc.abstractmethod
-    def live_count(self) -> int:
-        """Return the number of other nodes that seem to be alive."""
+    def count_by_state(self) -> dict[str, int]:
+        """Return the numbers of other nodes by what is known of them."""
 
     @abc.abstractmethod
     def mark_declined(self, vm: str, target_pool: TargetPool | None) -> None:
@@ -68,9 +68,9 @@
         """Count nothing."""
         return contextlib.nullcontext()
 
-    def live_count(self) -> int:
-        """Return 0."""
-        return 0
+    def count_by_state(self) -> dict[str, int]:
+        """Return no numbers."""
+        return {}
 
     def mark_declined(self, vm: str, target_pool: TargetPool | None) -> None:
         """Do nothing."""
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -193,7 +193,7 @@
                 'last_event': self._forwarder.last_event,
                 'asked': dict(itertools.islice(self.asked.items(), MAX_LOGGED)),
                 'asked_count': len(self.asked),
-                'live_nodes': self._state.peers.live_count(),
+                'nodes': self._state.peers.count_by_state(),
             },
         )
 
--- a/redwingvalve/node/forwarding_peers.py
+++ b/redwingvalve/node/forwarding_peers.py
@@ -62,9 +62,11 @@
             if peer is not None:
                 yield peer_routes.PeerTarget(vm, peer.address.socket_address)
 
-    def live_count(self) -> int:
-        """Return the number of other nodes that seem to be alive."""
-        return len(self.peers.alive())
+    def count_by_state(self) -> dict[str, int]:
+        """Return the numbers of other nodes by what is known of them."""
+        return dict(
+            collections.Counter(map(self._state_of, self.peers.known.values()))
+        )
 
     @contextlib.contextmanager
     def track(self, vm: str) -> typing.Iterator[None]:
@@ -108,6 +110,18 @@
         self._found[target_pool] = (now_s + CANDIDATES_TTL_S, found)
         return found
 
+    def _state_of(self, peer: peers_module.Peer) -> str:
+        address = peer.address
+        if peer.is_down:
+            return 'down'
+        if peer.is_leaving:
+            return 'leaving'
+        if not peer.is_ready:
+            return 'not ready'
+        if self.peers.cut_off.is_cut_off(address.vm, address.data_centre):
+            return 'cut off'
+        return 'in touch'
+
     def _make_candidate(
         self, address: peers_module.PeerAddress
     ) -> forwarding_selection.Candidate:
