Ask a node that doesn't seem ready before a request is refused

A search for a node in touch left out those that didn't seem ready, as if they weren't there. What is known of others may be outdated, as with nodes that seem to be cut off: the asked node decides. If no node seems in touch, those that don't seem ready are asked first, within the two doubted ones.

The ten new cases fail without the change.

--- a/redwingvalve/fleet/forwarding_selection.py
+++ b/redwingvalve/fleet/forwarding_selection.py
@@ -17,8 +17,8 @@
 
 import attrs
 
-# Nodes that say that they are cut off and are asked all the same if there are
-# no others: what is known of them may be outdated.
+# Nodes that seem to be cut off or not ready, and are asked all the same if
+# there are no others: what is known of them may be outdated.
 MAX_DOUBTED = 2
 
 
@@ -29,6 +29,12 @@
     vm: str
     data_centre: str
     is_cut_off: bool = False
+    is_ready: bool = True
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Return whether the node can serve, as far as is known."""
+        return self.is_ready and not self.is_cut_off
 
 
 @attrs.define(eq=False)
@@ -55,12 +61,15 @@
         if len(self._asked) >= self.max_asked:
             return None
         left = [one for one in candidates if one.vm not in self._asked]
-        in_touch = [one for one in left if not one.is_cut_off]
+        in_touch = [one for one in left if one.is_in_touch]
         if in_touch:
             return self._choose(in_touch, self._preferred(left, in_touch))
         if left and self._doubted < MAX_DOUBTED:
             self._doubted += 1
-            return self._choose(left, {one.data_centre for one in left})
+            # A node that has lost its links says so; one may have become ready
+            # without this node's knowledge.
+            likely = [one for one in left if not one.is_cut_off] or left
+            return self._choose(likely, {one.data_centre for one in likely})
         return None
 
     def _preferred(
@@ -104,8 +113,8 @@
     near = [one for one in others if one.data_centre == data_centre]
     near_cut_off = 1 + sum(one.is_cut_off for one in near)
     cut_off = 1 + sum(one.is_cut_off for one in others)
-    in_touch = sum(not one.is_cut_off for one in others)
-    near_in_touch = sum(not one.is_cut_off for one in near)
+    in_touch = sum(one.is_in_touch for one in others)
+    near_in_touch = sum(one.is_in_touch for one in near)
     if not near_in_touch:
         return 0.0
     fair = max(1.0, cut_off / in_touch)
--- a/redwingvalve/fleet/tests/test_forwarding_selection.py
+++ b/redwingvalve/fleet/tests/test_forwarding_selection.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -59,6 +60,24 @@
     assert len(asked) == forwarding_selection.MAX_DOUBTED
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_a_node_that_does_not_seem_ready_is_asked_before_none_is_left(seed):
+    """Its neighbours have missed that it became ready."""
+    others = make_candidates(60, 3, range(60))
+    unready = attrs.evolve(others[11], is_cut_off=False, is_ready=False)
+    others[11] = unready
+    assert search(others, seed)[0] == unready
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_a_ready_node_is_asked_before_one_that_does_not_seem_ready(seed):
+    """A node that starts declines, which takes the caller's time."""
+    others = make_candidates(12, 3, range(12))
+    others[0] = attrs.evolve(others[0], is_cut_off=False, is_ready=False)
+    others[5] = attrs.evolve(others[5], is_cut_off=False)
+    assert search(others, seed)[0] == others[5]
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_a_search_without_news_leaves_the_data_centre(seed):
     """All neighbours share a cut that nobody has told of yet."""
--- a/redwingvalve/node/forwarding_peers.py
+++ b/redwingvalve/node/forwarding_peers.py
@@ -102,8 +102,8 @@
         if until_s > now_s:
             return found
         found = [
-            self._make_candidate(peer.address)
-            for peer in front_selection.available_peers(self.peers)
+            self._make_candidate(peer)
+            for peer in front_selection.staying_peers(self.peers)
             if self._avoided_until_s.get((peer.address.vm, target_pool), 0)
             <= now_s
         ]
@@ -123,10 +123,12 @@
         return 'in touch'
 
     def _make_candidate(
-        self, address: peers_module.PeerAddress
+        self, peer: peers_module.Peer
     ) -> forwarding_selection.Candidate:
+        address = peer.address
         return forwarding_selection.Candidate(
             address.vm,
             address.data_centre,
             self.peers.cut_off.is_cut_off(address.vm, address.data_centre),
+            peer.is_ready,
         )
--- a/redwingvalve/node/front_selection.py
+++ b/redwingvalve/node/front_selection.py
@@ -20,13 +20,18 @@
 
 def available_peers(peers: peers_module.Peers) -> list[peers_module.Peer]:
     """Return the nodes that are alive, ready and not leaving."""
+    return [peer for peer in staying_peers(peers) if peer.is_ready]
+
+
+def staying_peers(peers: peers_module.Peers) -> list[peers_module.Peer]:
+    """Return the nodes that are alive and not leaving."""
     since_s = time.monotonic() - peers.alive_timeout_s
     alive = peers.alive()
     if not peers.is_large_fleet:
         alive = [
             peer for peer in peers.known.values() if peer.last_seen_s >= since_s
         ]
-    return [peer for peer in alive if peer.is_ready and not peer.is_leaving]
+    return [peer for peer in alive if not peer.is_leaving]
 
 
 def select_fronts(
