Have the head hang whose suspicion must reach all nodes

Traced by a script that logs each node's view: all six nodes suspect the head after 4 to 7 ms; it is sound, so that the lease holder probes and clears it after 9 to 45 ms, and the test, which looks each 10 ms, missed that all did. A fault of the test.

--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -86,6 +86,8 @@
         head = plain.table.find_targets(
             fleet_harness.ENGINE_SERVICE, fleet_harness.SMALL_MODEL
         )[0].endpoint_id
+        # The lease holder would clear a head that answers within milliseconds.
+        fleet.endpoints[head].faults.is_unresponsive = True
         plain.table.suspect(head, 'silent')
         await fleet.wait_until(
             lambda: all(node.table.is_suspect(head) for node in fleet.nodes),
