Forward the slot counts of all owners in turn

A hub forwards the counts of at most twelve owners of pools, those it received last. Counts come four times a second from each owner, so that those whose messages come first in an interval were displaced each time: the lease holder decides by old counts, or none, which model empty VMs load. By reading, when looking for other places where a limit of a message drops the same content for good; with 30 owners 12 of 30 were ever forwarded (test).

Regular messages now take the counts that were sent to the same recipients least recently.

--- a/redwingvalve/node/update_forwarding.py
+++ b/redwingvalve/node/update_forwarding.py
@@ -48,6 +48,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self._updates: dict[_Key, _Update] = {}
+        # When those that are sent in turn were last sent, by recipients.
+        self._sent_s: dict[bool, dict[_Key, float]] = {}
 
     def record(self, key: _Key, content: typing.Any) -> bool:
         """Replace a key's update; return whether the key was not present."""
@@ -69,12 +71,7 @@
 
         first_since_s leaves out those that were first received earlier.
         """
-        since_s = time.monotonic() - FORWARD_FOR_S
-        self._updates = {
-            key: one
-            for key, one in self._updates.items()
-            if one.latest_s >= since_s
-        }
+        self._drop_expired()
         found = [
             one.content
             for one in self._updates.values()
@@ -82,6 +79,29 @@
         ]
         return found[-limit:]
 
+    def next_in_turn(
+        self, limit: int, *, with_hub_updates: bool
+    ) -> list[typing.Any]:
+        """Return the updates that some recipients were sent least recently.
+
+        Updates that are renewed all the time would displace each other.
+        """
+        self._drop_expired()
+        known_s = self._sent_s.get(with_hub_updates, {})
+        sent_s = {key: known_s.get(key, -math.inf) for key in self._updates}
+        chosen = sorted(sent_s, key=sent_s.__getitem__)[:limit]
+        sent_s.update(dict.fromkeys(chosen, time.monotonic()))
+        self._sent_s[with_hub_updates] = sent_s
+        return [self._updates[key].content for key in chosen]
+
+    def _drop_expired(self) -> None:
+        since_s = time.monotonic() - FORWARD_FOR_S
+        self._updates = {
+            key: one
+            for key, one in self._updates.items()
+            if one.latest_s >= since_s
+        }
+
 
 @attrs.define(eq=False)
 class _ReceivedUpdates:
@@ -173,7 +193,13 @@
             suspicions += updates.suspicions.recent(MAX_FINDINGS, since_s)
             clearances += updates.clearances.recent(MAX_FINDINGS, since_s)
             message.states += updates.states.recent(MAX_STATES, since_s)
-            message.usages += updates.usages.recent(MAX_USAGES, since_s)
+            message.usages += (
+                updates.usages.recent(MAX_USAGES, since_s)
+                if is_urgent
+                else updates.usages.next_in_turn(
+                    MAX_USAGES, with_hub_updates=with_hub_updates
+                )
+            )
         if not is_urgent:
             # Before the changes, which are later.
             repeated = self._repeated_states(
