--- a/redwingvalve/node/tests/test_forwarded_usage.py
+++ b/redwingvalve/node/tests/test_forwarded_usage.py
@@ -59,3 +59,12 @@
                     fleet_usage.update(one.vm, one.usage)
         clock.s += peers.HUB_STATUS_INTERVAL_S
     assert fleet_usage.slots_in_use('service', 'model') == OWNERS
+
+
+def test_counts_that_are_no_longer_reported_end(clock):
+    """The end of an owner's counts is told to its hubs only."""
+    fleet_usage = usage.FleetUsage()
+    fleet_usage.update('vm-1', {'service/model': 9})
+    clock.s += 10
+    fleet_usage.update('vm-2', {'service/model': 1})
+    assert fleet_usage.slots_in_use('service', 'model') == 1
