Remember a hub's own outage until it next looks for silent nodes

After an outage of its links a hub marked nodes as down that were alive, and told the other hubs: callers' directories and forwarding leave them out until their next message.

Cause: the gap without messages is stored by the message that ends it, and the next message stored its own, a few milliseconds. Unless exactly one arrived before the check, four times a second, the outage was forgotten; those who hadn't sent by then counted as silent.

The longest gap since the last check counts now. The new test fails without it.

--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -146,7 +146,8 @@
         self._announce_until_s = 0.0
         # When a message of any other node was last received.
         self.last_received_s = 0.0
-        # Time without any message before that one.
+        # Longest time without any message since the silence of nodes was last
+        # checked.
         self.receive_gap_s = 0.0
         # Called when a listing has been applied.
         self.on_listed: typing.Callable[[], None] | None = None
@@ -293,7 +294,8 @@
 
     def _record_received(self, peer: Peer, message: typing.Any) -> None:
         now_s = time.monotonic()
-        self.receive_gap_s = now_s - self.last_received_s
+        gap_s = now_s - self.last_received_s
+        self.receive_gap_s = max(self.receive_gap_s, gap_s)
         self.last_received_s = now_s
         before = (peer.born_ms, peer.is_leaving, peer.is_ready, peer.is_down)
         peer.born_ms = message.born_ms
--- a/redwingvalve/node/tests/test_hubs.py
+++ b/redwingvalve/node/tests/test_hubs.py
@@ -1,5 +1,6 @@
 """Propagation of node states and suspicions through two hubs."""
 
+import types
 from unittest import mock
 
 import anyio
@@ -159,6 +160,43 @@
     fleet_harness.run(test, nodes=NODES, engines=0, plain=1)
 
 
+def test_a_hub_whose_messages_come_again_waits_for_those_of_all(monkeypatch):
+    """Two arrive before the silence is checked, the others a moment later."""
+    now = types.SimpleNamespace(s=100.0)
+    monkeypatch.setattr(peers.time, 'monotonic', lambda: now.s)
+    observer = mock.create_autospec(peers.PeerObserver, instance=True)
+    local = peers.PeerAddress('vm-00', '127.0.0.1', 1, '', 'dc', 1)
+    known = peers.Peers(local, observer)
+    names = [f'vm-{number:02}' for number in range(1, 20)]
+    for name in names:
+        known.add(attrs.evolve(local, vm=name))
+    hub = hubs.Hubs(known, lambda peer: None)
+
+    def receive(name, number):
+        message = status_messages.StatusMessage(
+            vm=name, born_ms=1, number=number, is_ready=True
+        )
+        known.datagram_received(status_messages.pack(message), ('', 1))
+
+    for number in range(8):
+        for name in names:
+            receive(name, number)
+        hub.mark_silent_down()
+        now.s += peers.HUB_STATUS_INTERVAL_S
+    now.s += 1.6
+    for name in names[:2]:
+        receive(name, 8)
+        now.s += 0.01
+    hub.mark_silent_down()
+    assert not [one for one in known.known.values() if one.is_down]
+    for number in range(9, 14):
+        now.s += peers.HUB_STATUS_INTERVAL_S
+        receive(names[0], number)
+        hub.mark_silent_down()
+    down = {vm for vm, one in known.known.items() if one.is_down}
+    assert down == set(names[1:])
+
+
 def max_send_rate(nodes):
     """Return the messages per second of the non-hub node that sends most."""
     sent = []
