--- a/redwingvalve/platform/tests/test_endless_json.py
+++ b/redwingvalve/platform/tests/test_endless_json.py
@@ -52,16 +52,22 @@
         self.closed = 0
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(self.beginning)
-            while self.repeated:
-                writer.write(self.repeated)
-                await writer.drain()
-                self.sent_bytes += len(self.repeated)
-            await reader.read()
-        self.closed += 1
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._answer(reader, writer)
+            self.closed += 1
+        finally:
+            # Also if the test's loop ends first.
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.beginning)
+        while self.repeated:
+            writer.write(self.repeated)
+            await writer.drain()
+            self.sent_bytes += len(self.repeated)
+        await reader.read()
 
 
 @contextlib.asynccontextmanager
