--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -226,11 +226,6 @@
         return {address.vm: address for address in found[:HUBS_PER_DATA_CENTRE]}
 
 
-def is_unavailable(peer: peers_module.Peer) -> bool:
-    """Return whether callers aren't sent to a node, as far as is known."""
-    return peer.is_down or peer.is_leaving or not peer.is_ready
-
-
 def _view_of(peer: peers_module.Peer) -> tuple[int, bool, bool, bool]:
     born_ms = peer.born_ms or peer.address.born_ms
     return born_ms, peer.is_leaving, peer.is_ready, peer.is_down
--- a/redwingvalve/node/state_repetition.py
+++ b/redwingvalve/node/state_repetition.py
@@ -17,7 +17,6 @@
 
 import attrs
 
-from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import peers as peers_module
 
 # Nodes that are down, leaving, not ready or have changed, in one message.
@@ -28,7 +27,8 @@
 MANY_REPEATED_STATES = 16
 MANY_CHANGES = 12
 MANY_WITHIN_S = 5.0
-# How long a changed node is repeated: several messages in a row may be lost.
+# How long a changed node is repeated: after a loss of all messages for seconds
+# each node still has its turn.
 CHANGED_FOR_S = 18.0
 
 _Names: typing.TypeAlias = collections.deque[str]
@@ -79,7 +79,7 @@
             )
         names = _pop(
             turns.changed,
-            max(REPEATED_STATES, self._repeated_states() - changed),
+            max(REPEATED_STATES, self._limit() - changed),
         )
         names += _pop(turns.all, 1)
         found = map(self.peers.known.get, dict.fromkeys(names))
@@ -94,12 +94,13 @@
         ]
 
     def _is_repeated(self, peer: peers_module.Peer) -> bool:
-        if hubs_module.is_unavailable(peer):
+        if peer.is_down or peer.is_leaving or not peer.is_ready:
             return True
         # Nobody has heard of a killed node whose registration is left.
         return peer.is_confirmed and peer.address.vm in self._changed_s
 
-    def _repeated_states(self) -> int:
+    def _limit(self) -> int:
+        """Return how many nodes a message without changes repeats."""
         since_s = time.monotonic() - MANY_WITHIN_S
         lost = sum(
             peer.down_since_s >= since_s for peer in self.peers.known.values()
