Close the writers of the test of answer limits

Collected after each test, test_a_sound_head_keeps_the_limits_of_the_configuration leaks two. It closes them now; asserted is what was before.

--- a/redwingvalve/ingress/tests/test_answer_limits.py
+++ b/redwingvalve/ingress/tests/test_answer_limits.py
@@ -15,12 +15,17 @@
 
 
 async def answer(reader, writer):
-    await reader.readuntil(b'\r\n\r\n')
-    head = b'HTTP/1.1 200 OK\r\nx-attempt-id: a\r\nx-server-seal: s\r\n'
-    writer.write(head + LONG_HEAD)
-    await writer.drain()
-    await asyncio.sleep(0.05)
-    writer.write(b'content-length: 0\r\n\r\n')
+    try:
+        await reader.readuntil(b'\r\n\r\n')
+        head = b'HTTP/1.1 200 OK\r\nx-attempt-id: a\r\nx-server-seal: s\r\n'
+        writer.write(head + LONG_HEAD)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(b'content-length: 0\r\n\r\n')
+        await reader.read()
+    finally:
+        # Also if the test's loop ends first.
+        writer.close()
 
 
 async def ask(connections, address):
