--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -146,8 +146,7 @@
         self._announce_until_s = 0.0
         # When a message of any other node was last received.
         self.last_received_s = 0.0
-        # Longest time without any message since the silence of nodes was last
-        # checked.
+        # Longest time without any message since silent nodes were looked for.
         self.receive_gap_s = 0.0
         # Called when a listing has been applied.
         self.on_listed: typing.Callable[[], None] | None = None
