--- a/tests/integration/test_peer_nodes.py
+++ b/tests/integration/test_peer_nodes.py
@@ -74,7 +74,9 @@
 
     async def kill(self, name):
         self.scopes[name].cancel()
-        await self.nodes.pop(name).server.aclose()
+        killed = self.nodes.pop(name)
+        await killed.server.aclose()
+        killed.caller.close_idle()
 
     def states(self, name):
         return {
