Say what the limits of forwarded updates bound

The comment promised that a message stays within one packet. States alone take more in a start: the limits hold for spokes and for hubs each.

--- a/redwingvalve/node/update_forwarding.py
+++ b/redwingvalve/node/update_forwarding.py
@@ -26,7 +26,7 @@
 
 # Three regular status messages.
 FORWARD_FOR_S = 1.0
-# Limits that keep a message within one packet.
+# Limits of a message's size, for each group that the updates come from.
 MAX_STATES = 12
 MAX_FINDINGS = 16
 MAX_USAGES = 12
