--- a/review/1/run.py
+++ b/review/1/run.py
@@ -20,16 +20,17 @@
 ROLL_GAP_S = 1.0
 
 
-async def roll(machines):
+async def roll(fleet):
     """Send SIGTERM to one machine after the other."""
     if not rig.has_trouble():
         return
     await asyncio.sleep(ROLL_AT_S)
     async with asyncio.TaskGroup() as group:
         for number in range(len(ZONES)):
-            group.create_task(machines.terminate(number))
+            group.create_task(fleet.machines.terminate(number))
             await asyncio.sleep(ROLL_GAP_S)
 
 
 if __name__ == '__main__':
-    rig.play(lambda: streams.play(FOLDER, ZONES, TRAFFIC_S, roll))
+    fleet = streams.Fleet(rig.Record(FOLDER), ZONES)
+    rig.play(lambda: streams.play(fleet, TRAFFIC_S, roll))
--- a/review/rig.py
+++ b/review/rig.py
@@ -591,6 +591,8 @@
         self.body = b''
         # 'whole', 'closed', 'reset', 'no connection' or 'given up'.
         self.ending = ''
+        # Of the whole answer.
+        self.events = 0
 
 
 class Client:
--- a/review/streams.py
+++ b/review/streams.py
@@ -8,7 +8,6 @@
 
 MODEL = 'daka510000'
 SERVICE = 'lm-taller'
-REPLICAS = 16
 DOMAIN_SIZE = 8
 RATE_PER_S = 20
 CLIENTS = 240
@@ -55,21 +54,22 @@
 class Fleet:
     """Store, replicas and machines, and the clients' attempts."""
 
-    def __init__(self, record, zones):
+    def __init__(self, record, zones, replicas=16):
         self.record = record
         self.zones = zones
+        self._replica_count = replicas
         self.attempts = []
         self.replicas = []
         self.store = rig.Store()
-        self._store_port = rig.free_ports(1)[0]
+        self.store_port = rig.free_ports(1)[0]
         self.machines = rig.Machines(
-            record, f'127.0.0.1:{self._store_port}', zones
+            record, f'127.0.0.1:{self.store_port}', zones
         )
-        self._beats = []
+        self.tasks = []
 
     async def start(self):
         """Start everything; raises TimeoutError."""
-        await self.store.listen('127.0.0.1', self._store_port)
+        await self.store.listen('127.0.0.1', self.store_port)
         stream = rig.route(
             'r-2yhvz3p',
             '/lohu930/',
@@ -83,25 +83,29 @@
         )
         services = [rig.engine_service(SERVICE, MODEL, 2)]
         self.store.put('config', 'main', rig.configuration([stream], services))
-        for number, port in enumerate(rig.free_ports(REPLICAS)):
-            domain = f'domain-{number // DOMAIN_SIZE}'
-            zone = self.zones[number % len(self.zones)]
-            replica = Engine(self.store, self.record, SERVICE, zone, domain)
-            await replica.start('127.0.0.1', port)
-            self.replicas.append(replica)
-            self._beats.append(asyncio.create_task(replica.beat()))
+        for number, port in enumerate(rig.free_ports(self._replica_count)):
+            await self.start_replica(number, port)
         for number in range(len(self.zones)):
             await self.machines.start(number)
         for number in range(len(self.zones)):
             await self.machines.wait_until_ready(number)
         async with asyncio.timeout(20):
-            while self._open_heads() < REPLICAS // 2 - 1:
+            while len(self.open_heads()) < self._replica_count // 2 - 1:
                 await asyncio.sleep(0.1)
         await asyncio.sleep(1)
 
+    async def start_replica(self, number, port):
+        """Start one replica."""
+        domain = f'domain-{number // DOMAIN_SIZE}'
+        zone = self.zones[number % len(self.zones)]
+        replica = Engine(self.store, self.record, SERVICE, zone, domain)
+        await replica.start('127.0.0.1', port)
+        self.replicas.append(replica)
+        self.tasks.append(asyncio.create_task(replica.beat()))
+
     async def stop(self):
-        for beat in self._beats:
-            beat.cancel()
+        for task in self.tasks:
+            task.cancel()
         await self.machines.stop()
 
     async def send_traffic(self, duration_s):
@@ -147,11 +151,13 @@
             return 2
         return 1 if lost else 0
 
-    def _open_heads(self):
-        return sum(
-            one.group is not None and one.group['state'] == 'open'
+    def open_heads(self):
+        """Return the heads that serve."""
+        return [
+            one.id
             for one in self.replicas
-        )
+            if one.group is not None and one.group['state'] == 'open'
+        ]
 
     async def _call(self, client):
         """Send one request, and once more if it fails, as clients do."""
@@ -163,6 +169,7 @@
             if left_s < 0.1:
                 return
             attempt = rig.Attempt('stream')
+            attempt.events = events
             self.attempts.append(attempt)
             headers = [
                 ('X-Model', MODEL),
@@ -217,13 +224,12 @@
     return not (was_sent_in_time and attempt.ended_s > last_sixth_s)
 
 
-async def play(folder, zones, traffic_s, trouble):
+async def play(fleet, traffic_s, trouble):
     """Run a fleet under traffic and the trouble; return the exit status."""
-    fleet = Fleet(rig.Record(folder), zones)
     try:
         await fleet.start()
         traffic = asyncio.create_task(fleet.send_traffic(traffic_s))
-        await trouble(fleet.machines)
+        await trouble(fleet)
         await traffic
     except TimeoutError:
         fleet.record.add('the fleet did not start')
