--- a/review/rig.py
+++ b/review/rig.py
@@ -26,6 +26,7 @@
 TENANT = 'hule930'
 GRACE_S = 8.0
 RESTART_DELAY_S = 0.5
+COULD_NOT_RUN = 2
 BOUNDS = {
     'seed_lag_s': 3,
     'reuse_after_s': 2,
@@ -172,6 +173,8 @@
         super().__init__()
         self.objects = {}
         self.revision = 100
+        # Bytes that stand in pages in place of these texts.
+        self._raw = {}
         self._events = []
         self._changed = asyncio.Event()
 
@@ -193,6 +196,12 @@
         self._publish(kind, stored, False)
         return stored
 
+    def put_raw(self, kind, name, spec):
+        """Write an object whose spec is these bytes, as they are."""
+        marker = f'raw-{len(self._raw)}'
+        self._raw[json.dumps(marker).encode()] = spec
+        self.put(kind, name, marker)
+
     def remove(self, kind, name):
         """Remove an object if it exists."""
         stored = self.objects.get(kind, {}).pop(name, None)
@@ -217,6 +226,8 @@
         else:
             status, found = 200, self._list(kind)
         text = json.dumps(found or {}).encode()
+        for marker, spec in self._raw.items():
+            text = text.replace(marker, spec)
         json_type = [('Content-Type', 'application/json')]
         writer.write(render(f'HTTP/1.1 {status} x', json_type, text))
         return True
@@ -810,8 +821,19 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+async def _run(main):
+    """Run a script; SIGTERM ends it and what it has started."""
+    task = asyncio.ensure_future(main())
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        return COULD_NOT_RUN
+
+
 def play(main):
-    """Run a script and exit with its status, leaving nothing behind."""
-    status = asyncio.run(main())
+    """Run a script and exit with its status."""
+    status = asyncio.run(_run(main))
     sys.stdout.flush()
     os._exit(status)
--- a/review/streams.py
+++ b/review/streams.py
@@ -70,6 +70,20 @@
     async def start(self):
         """Start everything; raises TimeoutError."""
         await self.store.listen('127.0.0.1', self.store_port)
+        self.store.put('config', 'main', self.configuration())
+        for number, port in enumerate(rig.free_ports(self._replica_count)):
+            await self.start_replica(number, port)
+        for number in range(len(self.zones)):
+            await self.machines.start(number)
+        for number in range(len(self.zones)):
+            await self.machines.wait_until_ready(number)
+        async with asyncio.timeout(20):
+            while len(self.open_heads()) < self._replica_count // 2 - 1:
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(1)
+
+    def configuration(self):
+        """Return what the operator has configured."""
         stream = rig.route(
             'r-2yhvz3p',
             '/lohu930/',
@@ -81,18 +95,8 @@
             resumable=True,
             gap_goal_ms=300,
         )
-        services = [rig.engine_service(SERVICE, MODEL, 2)]
-        self.store.put('config', 'main', rig.configuration([stream], services))
-        for number, port in enumerate(rig.free_ports(self._replica_count)):
-            await self.start_replica(number, port)
-        for number in range(len(self.zones)):
-            await self.machines.start(number)
-        for number in range(len(self.zones)):
-            await self.machines.wait_until_ready(number)
-        async with asyncio.timeout(20):
-            while len(self.open_heads()) < self._replica_count // 2 - 1:
-                await asyncio.sleep(0.1)
-        await asyncio.sleep(1)
+        engine = rig.engine_service(SERVICE, MODEL, 2)
+        return rig.configuration([stream], [engine])
 
     async def start_replica(self, number, port):
         """Start one replica."""
