--- a/review/rig.py
+++ b/review/rig.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
@@ -826,10 +827,13 @@
     task = asyncio.ensure_future(main())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    try:
-        return await task
-    except asyncio.CancelledError:
+    await asyncio.wait((task,))
+    if task.cancelled():
+        return COULD_NOT_RUN
+    if task.exception() is not None:
+        traceback.print_exception(task.exception())
         return COULD_NOT_RUN
+    return task.result()
 
 
 def play(main):
