Log the steps of a node's stop and the requests that it cuts

A stop logged two lines: that it began and that it ended. They didn't tell a node that waits for a silent store from one that takes requests until its end, nor which requests were cut. The stop is a module of its own now; it logs when the lease was released, the drain ended and the node was deregistered, with the requests still in progress, and each request that it cuts, with its age and whether an endpoint may have received it (metric redwingvalve_cut_requests).

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -84,6 +84,11 @@
             if self._finish_unless_retry(sent.target, sent.outcome):
                 return
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether an endpoint or another node may have received it."""
+        return self._senders.sends.sent_count > 0 or self._was_forwarded
+
     @property
     def _is_out_of_reach(self) -> bool:
         """Return whether another node may reach endpoints that this can't."""
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -12,6 +12,8 @@
 from redwingvalve.ingress import state as state_module
 from redwingvalve.platform import caller_requests
 
+_MS_IN_S = 1000.0
+
 
 class RequestHandler:
     """Refuses a request, or sends it to endpoints."""
@@ -33,6 +35,22 @@
         self._responder = responder
         self._caller = caller_requests.read_request(request)
         self._times = timing.RequestTiming()
+        self._admitted: admitted_request.AdmittedRequest | None = None
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the id of the caller's attempt."""
+        return self._caller.attempt_id.decode('latin-1')
+
+    @property
+    def age_ms(self) -> int:
+        """Return the time since the request arrived."""
+        return int(self._times.elapsed_s * _MS_IN_S)
+
+    @property
+    def was_sent(self) -> bool:
+        """Return whether an endpoint may have received the request."""
+        return self._admitted is not None and self._admitted.was_sent
 
     async def run(self) -> None:
         """Handle the request until the response is complete."""
@@ -63,7 +81,7 @@
             self._state.hedge_limit(admission.service).record_request(
                 self._times.started_s
             )
-        admitted = admitted_request.make_admitted_request(
+        self._admitted = admitted_request.make_admitted_request(
             self._state,
             self._request,
             self._caller,
@@ -74,7 +92,7 @@
             is_trial=is_trial,
             is_from_peer=self._forwarded is not None,
         )
-        await admitted.run()
+        await self._admitted.run()
 
     async def _declines(self) -> bool:
         """Decline a forwarded request that this node can't serve either."""
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -28,7 +28,6 @@
     watch_sources,
 )
 from redwingvalve.node import evacuation_watch as evacuation_watch_module
-from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import listeners as listeners_module
 from redwingvalve.node import path_prober as path_prober_module
@@ -36,6 +35,7 @@
 from redwingvalve.node import peer_discovery as peer_discovery_module
 from redwingvalve.node import peers as peers_module
 from redwingvalve.node import reachability as reachability_module
+from redwingvalve.node import shutdown as shutdown_module
 from redwingvalve.node import status_exchange as status_exchange_module
 from redwingvalve.observability import bounded_logs, logs
 from redwingvalve.platform import endpoint_orders, names, settings, store
@@ -51,10 +51,6 @@
 # rejected with a Retry-After header.
 START_TIMEOUT_S = 0.3
 START_POLL_INTERVAL_S = 0.005
-IDLE_CLOSE_DELAY_S = 2.5
-MIN_STOP_DURATION_S = 4.0
-# Time left before the platform kills the process.
-KILL_MARGIN_S = 0.6
 _MS_IN_S = 1000.0
 
 
@@ -124,6 +120,7 @@
             await self._listen()
             await self._serve(stop)
         finally:
+            self.front.log_running('cut off')
             self._close()
         LOG.info('stopped')
 
@@ -266,10 +263,7 @@
         self.control.wake()
 
     async def _run_lease(self) -> None:
-        await self.lease.run(self._lease_rank)
-
-    def _lease_rank(self) -> int:
-        return hubs_module.lease_rank(self.peers)
+        await self.lease.run(self.status_exchange.hubs.lease_rank)
 
     def _apply_configuration(self, configuration: routes.Configuration) -> None:
         self.state.configuration = configuration
@@ -285,22 +279,16 @@
         self.control.wake()
 
     async def _stop(self) -> None:
-        LOG.info('stopping', extra={'running': len(self.front.running)})
-        started_s = time.monotonic()
         self.state.is_leaving = True
-        self.status_exchange.broadcast_now()
         self.allocation.resign()
-        await self.lease.release()
-        self.status_exchange.broadcast_now()
-        deadline_s = started_s + self.settings.bounds.grace_s - KILL_MARGIN_S
-        while time.monotonic() < deadline_s:
-            elapsed_s = time.monotonic() - started_s
-            if elapsed_s > IDLE_CLOSE_DELAY_S and self.front_listener:
-                self.front_listener.close_idle()
-            if elapsed_s > MIN_STOP_DURATION_S and not self.front.running:
-                break
-            await anyio.sleep(0.1)
-        await self.peer_discovery.deregister()
+        stop = shutdown_module.Shutdown(
+            self.front,
+            self.status_exchange,
+            self.lease,
+            self.peer_discovery,
+            self.settings.bounds.grace_s,
+        )
+        await stop.run(self.front_listener)
 
 
 def make_node(
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -31,7 +31,9 @@
     def __init__(self, state: state_module.IngressState) -> None:
         """Route requests by the node's state."""
         self._state = state
-        self.running: set[asyncio.Task[None]] = set()
+        self.running: dict[
+            asyncio.Task[None], request_handler.RequestHandler
+        ] = {}
         self.has_served = False
 
     def limits(self) -> request_parser.ServerLimits:
@@ -66,6 +68,21 @@
         """Proxy a request of another node's caller."""
         self._start(request, responder, forwarded)
 
+    def log_running(self, what: str) -> None:
+        """Log each request in progress."""
+        for handler in self.running.values():
+            node_metrics.METRICS.count(
+                'redwingvalve_cut_requests', was_sent=str(handler.was_sent)
+            )
+            LOG.warning(
+                what,
+                extra={
+                    'request': handler.attempt_id,
+                    'age_ms': handler.age_ms,
+                    'was_sent': handler.was_sent,
+                },
+            )
+
     def _start(
         self,
         request: messages.Request,
@@ -79,8 +96,8 @@
         task = asyncio.get_running_loop().create_task(
             self._run(handler, responder)
         )
-        self.running.add(task)
-        task.add_done_callback(self.running.discard)
+        self.running[task] = handler
+        task.add_done_callback(self.running.pop)
 
     async def _run(
         self,
--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -82,6 +82,16 @@
             self._selected[data_centre] = known
         return known
 
+    def lease_rank(self) -> int:
+        """Return how many live nodes are preferred as holder of the lease.
+
+        The holder has the most work, so nodes with more bandwidth come first.
+        """
+        local = bandwidth_rank(self._peers.local)
+        return sum(
+            bandwidth_rank(peer.address) < local for peer in self._peers.alive()
+        )
+
     def recipients(self) -> Recipients:
         """Return the nodes to send this node's status to."""
         peers = self._peers
@@ -234,12 +244,3 @@
 def bandwidth_rank(address: peers_module.PeerAddress) -> tuple[float, str]:
     """Rank by bandwidth, highest first: a hub sends to about forty nodes."""
     return -address.link_mbps, address.vm
-
-
-def lease_rank(peers: peers_module.Peers) -> int:
-    """Return how many live nodes are preferred as holder of the lease.
-
-    The holder has the most work, so nodes with more bandwidth come first.
-    """
-    local = bandwidth_rank(peers.local)
-    return sum(bandwidth_rank(peer.address) < local for peer in peers.alive())
