Handle signals from a node's first line to its end

A node that was draining ended at once with status -1, -2 or -15, and cut its requests, when it got another signal: the handlers were removed after the first SIGTERM, and during the import there were none. They are installed before anything else is imported now and stay; after the event loop has ended signals are ignored. A guard ends the process with status 0 shortly before the end of its grace if its loop doesn't. It starts with the first signal to stop.

Left: a signal in the first 20 ms or so, while the interpreter itself starts, still ends the process.

--- a/redwingvalve/node/__main__.py
+++ b/redwingvalve/node/__main__.py
@@ -3,28 +3,20 @@
 import importlib
 import sys
 
-from redwingvalve.core import exit_status
-from redwingvalve.node import early_sockets
-from redwingvalve.platform import settings
+from redwingvalve.node import stop_signals
 
 
 def main() -> int:
     """Run until stopped; return the exit status."""
-    path = settings.settings_path()
+    signals = stop_signals.ProcessSignals()
+    signals.install()
+    # Imported after the handlers are installed: a signal during an import
+    # would end the process.
+    startup = importlib.import_module('redwingvalve.node.startup')
     try:
-        node_settings = settings.read_settings(path)
-    except settings.SettingsError as error:
-        sys.stderr.write(f'redwingvalve: {error}\n')
-        return exit_status.ExitStatus.FINDINGS
-    try:
-        early = early_sockets.listen_early(node_settings)
-    except OSError as error:
-        sys.stderr.write(f'redwingvalve: {error}\n')
-        return exit_status.ExitStatus.FAILURE
-    # Imported after the sockets listen: connections that arrive during the
-    # import wait instead of being refused.
-    runner = importlib.import_module('redwingvalve.node.runner')
-    return runner.run(node_settings, early, sys.argv[1:])
+        return int(startup.run(signals, sys.argv[1:]))
+    finally:
+        signals.ignore()
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/redwingvalve/node/exit_guard.py
@@ -0,0 +1,40 @@
+"""Ends a stopping process whose event loop doesn't get to its end.
+
+Load pattern: a step of the loop that takes seconds, or a call that can't be
+cancelled, while the platform waits for the end of the process. The platform
+kills it after the grace; this guard is a little earlier.
+"""
+
+import _thread
+import os
+import time
+
+import attrs
+
+from redwingvalve.core import exit_status
+from redwingvalve.observability import logs
+
+LOG = logs.make_logger('node')
+# Left for the end of the process before it would be killed.
+EXIT_MARGIN_S = 0.2
+
+
+@attrs.define(eq=False)
+class ExitGuard:
+    """Ends the process at the end of its grace, once it has been started."""
+
+    grace_s: float
+    _is_started: bool = False
+
+    def start(self) -> None:
+        """Start to wait, unless it has started; safe in a signal handler."""
+        if self._is_started:
+            return
+        self._is_started = True
+        # The threading module takes locks that a signal may have interrupted.
+        _thread.start_new_thread(self._end_late, ())
+
+    def _end_late(self) -> None:
+        time.sleep(max(0, self.grace_s - EXIT_MARGIN_S))
+        LOG.error('stop overran its grace')
+        os._exit(exit_status.ExitStatus.SUCCESS)
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -1,5 +1,6 @@
 """Runs a node in this process until a signal stops it."""
 
+import asyncio
 import signal
 import sys
 from collections import abc as collections_abc
@@ -8,38 +9,64 @@
 import attrs
 
 from redwingvalve.core import exit_status
-from redwingvalve.node import daemon, early_sockets, options
+from redwingvalve.node import (
+    daemon,
+    early_sockets,
+    exit_guard,
+    options,
+    stop_signals,
+)
 from redwingvalve.observability import bounded_logs, logs, node_metrics
 from redwingvalve.platform import settings
 
 LOG = logs.make_logger('node')
 
 
-async def serve(node: daemon.Node) -> None:
-    """Run a node until a signal stops it."""
-    stop = anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(_wait_for_signal, stop)
-        await node.run(stop)
-        group.cancel_scope.cancel()
-
-
-async def _wait_for_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number is not signal.SIGHUP:
-                stop.set()
-                return
+@attrs.define(eq=False)
+class SignalHandler:
+    """Stops the node at the first signal to do so, and logs all signals."""
+
+    stop: anyio.Event
+
+    def handle(self, number: signal.Signals) -> None:
+        """Handle a signal, on the event loop."""
+        if number not in stop_signals.STOPPING:
             # Configuration that may change at run time comes from the store.
-            LOG.info('SIGHUP ignored: settings are read only at startup')
+            LOG.info(
+                f'{number.name} ignored: settings are read only at startup'
+            )
+        elif self.stop.is_set():
+            LOG.info(f'{number.name} ignored: the node is stopping')
+        else:
+            LOG.info(f'{number.name} received')
+            self.stop.set()
+
+
+async def serve(
+    node: daemon.Node, signals: stop_signals.ProcessSignals
+) -> None:
+    """Run a node until a signal stops it."""
+    handler = SignalHandler(anyio.Event())
+    guard = exit_guard.ExitGuard(node.settings.bounds.grace_s)
+    loop = asyncio.get_running_loop()
+
+    def receive(number: signal.Signals) -> None:
+        if number in stop_signals.STOPPING:
+            guard.start()
+        loop.call_soon_threadsafe(handler.handle, number)
+
+    signals.subscribe(receive)
+    try:
+        await node.run(handler.stop)
+    finally:
+        signals.unsubscribe()
 
 
 def run(
     node_settings: settings.NodeSettings,
     early: early_sockets.EarlySockets,
-    arguments: collections_abc.Sequence[str] = (),
+    arguments: collections_abc.Sequence[str],
+    signals: stop_signals.ProcessSignals,
 ) -> exit_status.ExitStatus:
     """Run a node until it is told to stop; return the exit status."""
     try:
@@ -58,5 +85,5 @@
     node.log_handler = handler
     node.state.hedge_shares = chosen.hedge_shares
     LOG.info('options', extra=attrs.asdict(chosen))
-    anyio.run(serve, node, backend_options={'use_uvloop': True})
+    anyio.run(serve, node, signals, backend_options={'use_uvloop': True})
     return exit_status.ExitStatus.SUCCESS
--- a/redwingvalve/node/tests/test_options.py
+++ b/redwingvalve/node/tests/test_options.py
@@ -6,7 +6,7 @@
 import pytest
 
 from redwingvalve.core import exit_status
-from redwingvalve.node import options, runner
+from redwingvalve.node import options, runner, stop_signals
 
 
 def test_without_options_nothing_is_hedged():
@@ -27,7 +27,9 @@
 
 @pytest.mark.parametrize('text', ['', 'x', '-0.1', '1.1', 'nan', 's=', 's=x'])
 def test_a_node_with_an_invalid_share_does_not_start(text, capsys):
-    status = runner.run(None, None, ['--hedge-share', text])
+    status = runner.run(
+        None, None, ['--hedge-share', text], stop_signals.ProcessSignals()
+    )
     assert status is exit_status.ExitStatus.USAGE
     assert '--hedge-share' in capsys.readouterr().err
 
@@ -44,7 +46,7 @@
 def test_sockets_listen_before_options_are_read():
     """Connections would be refused meanwhile, and callers retry only once."""
     code = (
-        'import sys, redwingvalve.node.__main__\n'
+        'import sys, redwingvalve.node.startup\n'
         'late = {"argparse", "redwingvalve.node.options", "anyio"}\n'
         'assert not late & set(sys.modules), late & set(sys.modules)'
     )
--- a/redwingvalve/platform/tests/test_starting.py
+++ b/redwingvalve/platform/tests/test_starting.py
@@ -69,7 +69,7 @@
 def test_node_listens_before_its_large_imports(module):
     """These imports take three quarters of the CPU time of a start."""
     code = (
-        'import sys, redwingvalve.node.__main__;'
+        'import sys, redwingvalve.node.startup;'
         f'sys.exit({module!r} in sys.modules)'
     )
     completed = subprocess.run([sys.executable, '-c', code], check=False)
--- a/tests/integration/planned_stops.py
+++ b/tests/integration/planned_stops.py
@@ -40,6 +40,8 @@
 LATE_SEND_S = 3.0
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MAX_EVENTS = 120
+# What fleet_harness.Caller sends; a node ends a stream at its deadline.
+DEADLINE_S = 3.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -342,9 +344,11 @@
         return ''
     if attempt.status in NOT_RUN_STATUSES and has_run:
         return 'ran although refused'
+    took_s = attempt.ended_s - attempt.sent_s
+    if took_s >= DEADLINE_S:
+        return ''
     if has_run and (attempt.ending != 'whole' or attempt.status != 200):
         return 'passed on and not answered whole'
-    took_s = attempt.ended_s - attempt.sent_s
     if attempt.ending != 'whole' and took_s > CROSSING_S:
         return 'closed unanswered'
     return ''
