Refuse what a stopping node can't finish, and bound its stop

What callers saw: around planned stops, requests that had been passed on to endpoints were cut, 41 to 52 on fleets whose nodes stop within a second, and with a silent store the process was killed after its grace.

Cause: a stop was treated as a single event of a node with neighbours on a calm platform. Nothing on a caller's way asked whether its request would end before the process; callers that no directory sends elsewhere stay until the end. The lease was released, and the node deregistered, with the store's time-outs.

Change: a stopping node passes a request on only if its deadline or what recent answers of its kind took lies before the end of the drain (StopAdmission, asked again right before each send); others get 503 and a Retry-After of when another node, or the next process, is there. If no node is ready, directories name the nodes that were stopped last, and such a node holds out until another one is back. The lease is released beside the drain; what is left at the end is answered (502 if it may have run, else 503) and flushed. A handler that raises answers its caller instead of aborting the connection.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -232,6 +232,13 @@
             self.is_idle = True
             self._restart_timer(self.application.limits().idle_timeout_s)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether written bytes haven't been sent yet."""
+        if self._transport is None or self.is_closed:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request."""
         if self.is_idle and self._transport is not None:
--- a/redwingvalve/ingress/admission_control.py
+++ b/redwingvalve/ingress/admission_control.py
@@ -1,5 +1,6 @@
 """Decides on route, account, priority and time limits of a request."""
 
+import math
 import random
 
 import attrs
@@ -29,6 +30,9 @@
     # Time to read the prompt, and the usual interval between two events.
     prompt_read_s: float
     event_interval_s: float
+    # How long the answer takes by the numbers of tokens that the caller
+    # announced, 0 if it announced none.
+    announced_s: float = 0
     # The caller retries after a refusal.
     has_returned: bool = False
 
@@ -67,6 +71,7 @@
         caller_deadline_s=now_s + caller_ms / _MS_IN_S,
         prompt_read_s=_prompt_read_s(engine, caller),
         event_interval_s=_event_interval_s(engine, caller.model),
+        announced_s=_announced_s(engine, caller),
     )
 
 
@@ -122,6 +127,17 @@
     return caller.prompt_tokens / engine.prompt_tokens_per_s * model.time_factor
 
 
+def _announced_s(
+    engine: routes.Engine | None, caller: caller_requests.CallerRequest
+) -> float:
+    if engine is None:
+        return 0
+    events = math.ceil(caller.answer_tokens / engine.steps_per_event)
+    return _prompt_read_s(engine, caller) + events * _event_interval_s(
+        engine, caller.model
+    )
+
+
 def _event_interval_s(engine: routes.Engine | None, name: str) -> float:
     model = engine.find_model(name) if engine else None
     if engine is None or model is None:
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -86,7 +86,7 @@
 
     @property
     def was_sent(self) -> bool:
-        """Return whether an endpoint or another node may have received it."""
+        """Return whether an endpoint or a node may have received it."""
         return self._senders.sends.sent_count > 0 or self._was_forwarded
 
     @property
@@ -103,13 +103,34 @@
         return self._is_trial and not self._senders.sends.sent_count
 
     def _is_refused(self) -> bool:
-        """Refuse the request if it may crash endpoints."""
+        """Refuse the request if it may crash endpoints or would be cut."""
         refusal = refusals.for_crashing_request(self._state.poison, self._keys)
         if refusal is None or self._is_first_send_of_trial:
+            return self._is_too_late()
+        self._give_up_for(refusal)
+        return True
+
+    def _is_too_late(self) -> bool:
+        """Refuse the request if this node stops before it would end."""
+        if self._may_have_run or self._responder.is_started:
             return False
+        refusal = self._state.stop_admission.refuse_late(
+            self._admission, self._state.rng
+        )
+        if refusal and not (self._is_from_peer and self._decline()):
+            self._give_up_for(refusal)
+        return refusal is not None
+
+    def _give_up_for(self, refusal: refusals.Refusal) -> None:
         self._log_outcome(_NO_TARGET, f'given up: {refusal.reason}')
         self._fail(refusal.reason, refusal)
-        return True
+
+    def give_up(self, refusal: refusals.Refusal) -> None:
+        """End the response now; refusal is sent if nothing can have run."""
+        if self._responder.is_done or self._responder.is_disconnected:
+            return
+        self._may_have_run |= self.was_sent
+        self._give_up_for(refusal)
 
     async def _forward_to_peer(self) -> bool:
         """Let another node answer; return whether the request has ended."""
@@ -195,6 +216,9 @@
                 sent_s,
                 admission.prompt_read_s,
             )
+            self._state.stop_admission.observe(
+                admission, time.monotonic() - sent_s
+            )
         return sent
 
     def _finish_unless_retry(
--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -68,6 +68,12 @@
 NO_CONFIGURATION: typing.Final = Refusal(
     UNAVAILABLE, 'no configuration is known yet', RETRY_AFTER_S
 )
+FAILED: typing.Final = Refusal(
+    UNAVAILABLE, 'this node failed to handle the request', RETRY_AFTER_S
+)
+STOPPING: typing.Final = Refusal(
+    UNAVAILABLE, 'this node is stopping', RETRY_AFTER_S
+)
 NO_ROUTE: typing.Final = Refusal(NOT_FOUND, 'no route')
 UNKNOWN_KEY: typing.Final = Refusal(UNAUTHORIZED, 'unknown key')
 NO_FREE_SLOT: typing.Final = Refusal(
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -52,6 +52,14 @@
         """Return whether an endpoint may have received the request."""
         return self._admitted is not None and self._admitted.was_sent
 
+    def give_up(self) -> None:
+        """End the response now, truly if nothing can have run."""
+        refusal = self._state.stop_admission.refuse(self._state.rng)
+        if self._admitted is not None:
+            self._admitted.give_up(refusal)
+        elif not self._responder.is_done:
+            responses.send_refusal(self._responder, self._caller, refusal)
+
     async def run(self) -> None:
         """Handle the request until the response is complete."""
         if self._forwarded is not None and await self._declines():
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -25,6 +25,7 @@
     stall_detection,
 )
 from redwingvalve.ingress import poison as poison_module
+from redwingvalve.ingress import stop_admission as stop_admission_module
 
 
 class InFlightRequest(abc.ABC):
@@ -100,6 +101,9 @@
     retry_budget_config: retry_budget.RetryBudgetConfig
     configuration: routes.Configuration | None = None
     is_leaving: bool = False
+    stop_admission: stop_admission_module.StopAdmission = attrs.field(
+        factory=stop_admission_module.StopAdmission
+    )
     # Nodes that seem to serve callers, including this one.
     node_count: int = 1
     # Those that share the retry budgets.
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -81,6 +81,8 @@
     watches: list[kind_watch.KindWatch] = attrs.field(init=False)
     control: control_loop.ControlLoop = attrs.field(init=False)
     front_listener: listeners_module.Listener | None = None
+    # When the process was told to stop, None without a signal.
+    stopped_s: float | None = None
     log_handler: bounded_logs.NonBlockingHandler | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -139,7 +141,10 @@
 
     async def _listen(self) -> None:
         node_application = front.NodeApplication(
-            self.state, self.peers, self.settings.bounds.directory_ttl_max_s
+            self.state,
+            self.peers,
+            self.status_exchange.successors,
+            self.settings.bounds.directory_ttl_max_s,
         )
         await peers_module.open_socket(self.peers)
         caches = {watch.kind: watch.cache for watch in self.watches}
@@ -279,16 +284,19 @@
         self.control.wake()
 
     async def _stop(self) -> None:
-        self.state.is_leaving = True
         self.allocation.resign()
-        stop = shutdown_module.Shutdown(
-            self.front,
+        shutdown = shutdown_module.Shutdown(
             self.status_exchange,
-            self.lease,
             self.peer_discovery,
-            self.settings.bounds.grace_s,
+            self.listeners,
+            was_listening=self.is_listening,
+            stop=shutdown_module.plan_stop(
+                self.status_exchange,
+                self.settings.bounds.grace_s,
+                self.stopped_s or time.monotonic(),
+            ),
         )
-        await stop.run(self.front_listener)
+        await shutdown.run()
 
 
 def make_node(
--- a/redwingvalve/node/exit_guard.py
+++ b/redwingvalve/node/exit_guard.py
@@ -26,15 +26,19 @@
     grace_s: float
     _is_started: bool = False
 
-    def start(self) -> None:
-        """Start to wait, unless it has started; safe in a signal handler."""
+    def start(self, stopped_s: float) -> None:
+        """Start to wait, unless it has started; safe in a signal handler.
+
+        stopped_s is when the process was told to stop.
+        """
         if self._is_started:
             return
         self._is_started = True
+        ends_s = stopped_s + self.grace_s - EXIT_MARGIN_S
         # The threading module takes locks that a signal may have interrupted.
-        _thread.start_new_thread(self._end_late, ())
+        _thread.start_new_thread(self._end_late, (ends_s,))
 
-    def _end_late(self) -> None:
-        time.sleep(max(0, self.grace_s - EXIT_MARGIN_S))
+    def _end_late(self, ends_s: float) -> None:
+        time.sleep(max(0, ends_s - time.monotonic()))
         LOG.error('stop overran its grace')
         os._exit(exit_status.ExitStatus.SUCCESS)
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -6,7 +6,7 @@
 from redwingvalve.http1 import messages, request_parser, server
 from redwingvalve.ingress import request_handler, routes
 from redwingvalve.ingress import state as state_module
-from redwingvalve.node import front_selection
+from redwingvalve.node import front_selection, successors
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import caller_requests, names
@@ -83,6 +83,13 @@
                 },
             )
 
+    def give_up_all(self) -> None:
+        """Answer the requests in progress, as this node stops now."""
+        self.log_running('cut off')
+        for task, handler in tuple(self.running.items()):
+            handler.give_up()
+            task.cancel()
+
     def _start(
         self,
         request: messages.Request,
@@ -107,9 +114,9 @@
         try:
             await handler.run()
         except Exception:
-            # The connection is aborted below: without any response the caller
-            # would wait until its deadline.
             LOG.exception('request failed')
+            handler.give_up()
+        # Without any response the caller would wait until its deadline.
         if not responder.is_done and not responder.is_disconnected:
             responder.abort()
 
@@ -121,11 +128,13 @@
         self,
         state: state_module.IngressState,
         peers: peers_module.Peers,
+        fleet_successors: successors.FleetSuccessors,
         ttl_max_s: float,
     ) -> None:
         """Respond from the node's state and its peers."""
         self._state = state
         self._peers = peers
+        self._successors = fleet_successors
         self._ttl_s = min(DIRECTORY_TTL_S, ttl_max_s)
 
     def limits(self) -> request_parser.ServerLimits:
@@ -173,6 +182,10 @@
         addresses = front_selection.select_fronts(self._peers, data_centre)
         if self.is_ready() and len(addresses) < front_selection.MAX_FRONTS:
             addresses.append(self._peers.local.front)
+        if not addresses:
+            addresses = self._successors.leaving_fronts(
+                is_local_usable=self._state.configuration is not None
+            )
         if not addresses:
             responder.send_response(
                 _UNAVAILABLE, [_JSON], b'{"error":"none ready"}'
--- a/redwingvalve/node/listeners.py
+++ b/redwingvalve/node/listeners.py
@@ -24,10 +24,23 @@
             self._make_connection, sock=listening, backlog=early_sockets.BACKLOG
         )
 
-    def close(self) -> None:
-        """Stop listening and reset the remaining connections."""
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a response hasn't been sent to its end."""
+        return any(one.has_unsent_bytes for one in self._connections)
+
+    def serves(self, application: server.Application) -> bool:
+        """Return whether this listener's requests go to an application."""
+        return self._application is application
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stop listening and reset the remaining connections."""
+        self.stop_listening()
         for connection in self._connections:
             connection.abort()
 
@@ -65,6 +78,24 @@
         await listener.listen(listening)
         return listener
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a response hasn't been sent to its end."""
+        return any(one.has_unsent_bytes for one in self._listeners)
+
+    def stop_listening(self, application: server.Application) -> None:
+        """Accept no more connections for an application."""
+        for listener in self._of(application):
+            listener.stop_listening()
+
+    def close_idle(self, application: server.Application) -> None:
+        """Close connections of an application without a pending request."""
+        for listener in self._of(application):
+            listener.close_idle()
+
+    def _of(self, application: server.Application) -> list[Listener]:
+        return [one for one in self._listeners if one.serves(application)]
+
     def close(self) -> None:
         """Close all listeners."""
         for listener in self._listeners:
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -51,8 +51,9 @@
     loop = asyncio.get_running_loop()
 
     def receive(number: signal.Signals) -> None:
-        if number in stop_signals.STOPPING:
-            guard.start()
+        if signals.stopped_s is not None:
+            node.stopped_s = signals.stopped_s
+            guard.start(signals.stopped_s)
         loop.call_soon_threadsafe(handler.handle, number)
 
     signals.subscribe(receive)
--- a/redwingvalve/node/status_exchange.py
+++ b/redwingvalve/node/status_exchange.py
@@ -26,6 +26,7 @@
 from redwingvalve.node import hubs as hubs_module
 from redwingvalve.node import lease as lease_module
 from redwingvalve.node import peers as peers_module
+from redwingvalve.node import successors as successors_module
 
 # Changes within this time are sent in one message. Otherwise a node that finds
 # forty heads healthy at once sends forty messages to each of the others: 3 MB
@@ -46,6 +47,7 @@
     front: front_module.FrontApplication
     peers: peers_module.Peers = attrs.field(init=False)
     hubs: hubs_module.Hubs = attrs.field(init=False)
+    successors: successors_module.FleetSuccessors = attrs.field(init=False)
     crash_reports: crash_reports_module.CrashReports = attrs.field(init=False)
     # Slots in use, as reported by the nodes that allocate them.
     usage: usage_module.FleetUsage = attrs.field(
@@ -69,6 +71,7 @@
     def __attrs_post_init__(self) -> None:
         """Subscribe to the changes that are sent without delay."""
         self.peers = peers_module.Peers(self.local, self)
+        self.successors = successors_module.FleetSuccessors(self.peers)
         self.state.peers = forwarding_peers.ForwardingPeers(self.peers)
         self.peers.on_listed = self._ask_doubted
         self.hubs = hubs_module.Hubs(self.peers, self.node_changed)
@@ -263,6 +266,7 @@
             self.on_node_lost(vm)
 
     def _run_checks(self) -> None:
+        self.successors.observe()
         if self.peers.is_large_fleet:
             self.hubs.mark_silent_down()
         else:
--- a/redwingvalve/node/stop_signals.py
+++ b/redwingvalve/node/stop_signals.py
@@ -10,6 +10,7 @@
 """
 
 import signal
+import time
 import types
 import typing
 
@@ -23,6 +24,8 @@
 
     def __init__(self) -> None:
         """Handle nothing until install() is called."""
+        # When the process was first told to stop, by the monotonic clock.
+        self.stopped_s: float | None = None
         self._subscriber: Subscriber | None = None
         # Received while nobody was subscribed.
         self._pending: list[signal.Signals] = []
@@ -54,6 +57,8 @@
 
     def _handle(self, number: int, frame: types.FrameType | None) -> None:
         received = signal.Signals(number)
+        if received in STOPPING and self.stopped_s is None:
+            self.stopped_s = time.monotonic()
         if self._subscriber is None:
             self._pending.append(received)
         else:
