--- a/tests/integration/planned_stops.py
+++ b/tests/integration/planned_stops.py
@@ -42,6 +42,14 @@
 MAX_EVENTS = 120
 # What fleet_harness.Caller sends; a node ends a stream at its deadline.
 DEADLINE_S = 3.0
+# The store is there, accepts and stays silent, refuses, or is gone.
+STORE_FAULTS = (
+    ('', 0),
+    ('is_unresponsive', 1),
+    ('black_hole', 1),
+    ('error_status', 503),
+    ('refuse', 1),
+)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -52,9 +60,11 @@
     at_s: float
     node: int = -1
     signal: int = 0
-    # Attribute of the store's faults and its value.
+    # Attribute of the store's faults, or of those of its links, and its value.
     fault: str = ''
     value: int = 0
+    # A version of the configuration to write.
+    version: int = 0
 
 
 @attrs.define(eq=False)
@@ -100,12 +110,22 @@
         began_s = anyio.current_time()
         for step in steps:
             await anyio.sleep_until(began_s + step.at_s)
-            if step.fault:
-                setattr(self.cluster.store.faults, step.fault, step.value)
-                continue
-            self._send_signal(step)
+            if step.version:
+                changed = fleet_harness.configuration(step.version)
+                self.cluster.store.put('config', 'main', changed)
+            elif step.fault:
+                self._set_fault(step.fault, step.value)
+            else:
+                self._send_signal(step)
         await anyio.sleep(TAIL_S)
 
+    def _set_fault(self, name, value):
+        if hasattr(self.cluster.store.faults, name):
+            setattr(self.cluster.store.faults, name, value)
+            return
+        for node in self.cluster.nodes:
+            setattr(node.proxy.faults, name, bool(value))
+
     def _send_signal(self, step):
         node = self.cluster.nodes[step.node]
         life = self.latest[step.node]
@@ -260,7 +280,7 @@
 
 
 def draw_steps(rng, nodes, duration_s):
-    """Return a series of signals at any spacing, with the store away at times.
+    """Return signals at any spacing, new versions and an outage of the store.
 
     The first signal may arrive while the processes start again.
     """
@@ -274,9 +294,11 @@
         )
         steps.append(Step(at_s, node, number))
         at_s += rng.expovariate(1 / gap_s)
-    fault, value = rng.choice(
-        (('', 0), ('is_unresponsive', 1), ('error_status', 503))
-    )
+    steps += [
+        Step(rng.uniform(0, duration_s), version=number)
+        for number in range(2, rng.randint(2, 8))
+    ]
+    fault, value = rng.choice(STORE_FAULTS)
     if fault:
         from_s = rng.uniform(0, duration_s)
         steps.append(Step(from_s, fault=fault, value=value))
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -47,6 +47,7 @@
         2,
         beside_store_fault('is_unresponsive', 1, stops(2, 4.0)),
     ),
+    'store that is gone': (2, beside_store_fault('refuse', 1, stops(2, 4.0))),
     'refusing store': (
         2,
         beside_store_fault('error_status', 503, stops(2, 4.0)),
