Don't expect an answer of unknown length to end during a stop

It counts as endless now: it is taken only if its deadline lies before the end of the drain. Guarded by test_an_answer_of_unknown_length_is_not_expected_to_end, which failed before.

--- a/redwingvalve/ingress/admission_control.py
+++ b/redwingvalve/ingress/admission_control.py
@@ -130,7 +130,7 @@
 def _announced_s(
     engine: routes.Engine | None, caller: caller_requests.CallerRequest
 ) -> float:
-    if engine is None:
+    if engine is None or not caller.answer_tokens:
         return 0
     events = math.ceil(caller.answer_tokens / engine.steps_per_event)
     return _prompt_read_s(engine, caller) + events * _event_interval_s(
--- a/redwingvalve/ingress/answer_durations.py
+++ b/redwingvalve/ingress/answer_durations.py
@@ -6,6 +6,8 @@
 in full, and the longest of them counts.
 """
 
+import math
+
 import attrs
 
 # Answers within this time, and up to twice as long ago, count.
@@ -38,12 +40,13 @@
         """Return how long a request takes at most, from now to its end.
 
         announced_s is the time that its answer takes by the size that the
-        caller announced, 0 if it announced none.
+        caller announced, 0 if it announced none. Returns infinity if nothing
+        is known.
         """
         self._age(now_s)
         excess_s = max(self._excess_s, self._previous_excess_s)
         if not self._has_answers:
-            excess_s = UNKNOWN_EXCESS_S
+            excess_s = UNKNOWN_EXCESS_S if announced_s else math.inf
         return ANNOUNCED_FACTOR * announced_s + excess_s + SLACK_S
 
     def _age(self, now_s: float) -> None:
--- a/redwingvalve/ingress/stop_admission.py
+++ b/redwingvalve/ingress/stop_admission.py
@@ -37,7 +37,7 @@
     """The stop of this node, by its monotonic clock."""
 
     began_s: float
-    # When all requests must have been answered.
+    # When all requests are expected to have been answered.
     ends_s: float
     successors: Successors
 
--- a/redwingvalve/ingress/tests/test_stop_admission.py
+++ b/redwingvalve/ingress/tests/test_stop_admission.py
@@ -1,5 +1,6 @@
 """Which requests a stopping node takes, and what it tells the others."""
 
+import math
 import random
 
 import attrs
@@ -113,6 +114,10 @@
     assert refusal.retry_after_s <= 2 * max(successor_in_s, 0.1)
 
 
+def test_an_answer_of_unknown_length_is_not_expected_to_end():
+    assert answer_durations.AnswerDurations().expected_s(0, 100) == math.inf
+
+
 def test_old_answers_count_no_more():
     durations = answer_durations.AnswerDurations()
     durations.observe(9, 1, 100)
