End a process that is stopped while it starts, and leave margins at the end

The guard begins with the signal now, 2 s are left for a start, and a node that is stopped then refuses what has connected before it ends. Idle connections are closed instead of reset at the end, and the margins cover a machine that is busy: requests are expected to end 1.2 s before the grace does, may take 0.5 s longer, and 0.35 s are left for the end of the process.

--- a/redwingvalve/node/listeners.py
+++ b/redwingvalve/node/listeners.py
@@ -39,10 +39,15 @@
             self._server.close()
 
     def close(self) -> None:
-        """Stop listening and reset the remaining connections."""
+        """Stop listening and end the remaining connections.
+
+        Those with a request in progress are reset.
+        """
         self.stop_listening()
+        self.close_idle()
         for connection in self._connections:
-            connection.abort()
+            if not connection.is_idle:
+                connection.abort()
 
     def close_idle(self) -> None:
         """Close connections without a pending request."""
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -12,7 +12,6 @@
 from redwingvalve.node import (
     daemon,
     early_sockets,
-    exit_guard,
     options,
     stop_signals,
 )
@@ -47,16 +46,13 @@
 ) -> None:
     """Run a node until a signal stops it."""
     handler = SignalHandler(anyio.Event())
-    guard = exit_guard.ExitGuard(node.settings.bounds.grace_s)
     loop = asyncio.get_running_loop()
 
     def receive(number: signal.Signals) -> None:
-        if signals.stopped_s is not None:
-            node.stopped_s = signals.stopped_s
-            guard.start(signals.stopped_s)
+        node.stopped_s = signals.stopped_s
         loop.call_soon_threadsafe(handler.handle, number)
 
-    signals.subscribe(receive)
+    signals.subscribe(receive, node.settings.bounds.grace_s)
     try:
         await node.run(handler.stop)
     finally:
--- a/redwingvalve/node/shutdown.py
+++ b/redwingvalve/node/shutdown.py
@@ -21,11 +21,15 @@
 
 LOG = logs.make_logger('node')
 IDLE_CLOSE_DELAY_S = 2.5
-# No caller has been given a node that wasn't ready yet.
+# No caller has been given a node that wasn't ready yet, but some connect to
+# the address of its previous process; they are refused once it accepts them.
 MIN_STOP_DURATION_AT_START_S = 0.6
 # Left for the last answers and the end of the process, before the platform
 # kills it.
-KILL_MARGIN_S = 0.6
+KILL_MARGIN_S = 0.7
+# Requests are expected to end this long before the drain does: answers take
+# longer while other nodes start again.
+OVERRUN_S = 0.5
 # Requests that were on their way at the end are still refused for this time.
 LINGER_S = 0.1
 # Longest time for the last answers to be sent and for the last calls.
@@ -45,6 +49,7 @@
     # Whether callers could be served when the signal arrived.
     was_listening: bool
     stop: stop_admission.PlannedStop
+    _started_s: float = attrs.field(factory=time.monotonic)
 
     async def run(self) -> None:
         """Finish the requests in progress and release the lease."""
@@ -73,7 +78,7 @@
 
     async def _drain(self) -> None:
         """Wait for the end of all requests, or of the time for them."""
-        while time.monotonic() < self.stop.ends_s:
+        while time.monotonic() < self.stop.ends_s + OVERRUN_S:
             if self._elapsed_s > IDLE_CLOSE_DELAY_S:
                 self.listeners.close_idle(self._front)
             if self._is_drained():
@@ -81,10 +86,10 @@
             await anyio.sleep(_POLL_INTERVAL_S)
 
     def _is_drained(self) -> bool:
-        min_s = MIN_STOP_DURATION_AT_START_S
+        min_end_s = self._started_s + MIN_STOP_DURATION_AT_START_S
         if self.was_listening:
-            min_s = successors.MIN_STOP_DURATION_S
-        if self._elapsed_s < min_s or self._front.running:
+            min_end_s = self.stop.began_s + successors.MIN_STOP_DURATION_S
+        if time.monotonic() < min_end_s or self._front.running:
             return False
         return not self._successors.must_hold_out
 
@@ -133,6 +138,7 @@
     began_s: float,
 ) -> stop_admission.PlannedStop:
     """Return the stop of a node that was told to stop at began_s."""
+    ends_s = began_s + grace_s - KILL_MARGIN_S - OVERRUN_S
     return stop_admission.PlannedStop(
-        began_s, began_s + grace_s - KILL_MARGIN_S, status_exchange.successors
+        began_s, ends_s, status_exchange.successors
     )
--- a/redwingvalve/node/stop_signals.py
+++ b/redwingvalve/node/stop_signals.py
@@ -1,14 +1,18 @@
-"""Handles the signals of a node's process, from its first line to its end.
+"""Handles the signals of a process, from its first line to its end.
 
-Load pattern: the platform stops and reconfigures nodes in series, so that any
-signal may arrive in any phase, also a second time. A signal without a handler
-ends the process with the requests in progress; so the handlers stay until
-nothing but the interpreter's own end is left, and then signals are ignored.
+Load pattern: the platform stops and reconfigures processes in series, so that
+any signal may arrive in any phase, also a second time. A signal without a
+handler ends the process with the requests in progress; so the handlers stay
+until nothing but the interpreter's own end is left, and then signals are
+ignored. A process that doesn't get to its end in time, because a step takes
+seconds or a call can't be cancelled, is ended shortly before it is killed.
 
 Imports nothing else of this package: handlers are installed before the rest
 is imported.
 """
 
+import _thread
+import os
 import signal
 import time
 import types
@@ -16,6 +20,11 @@
 
 STOPPING = (signal.SIGTERM, signal.SIGINT)
 HANDLED = (*STOPPING, signal.SIGHUP)
+# A process that is stopped while it starts has no requests yet.
+START_GRACE_S = 2.0
+# Left for the end of the process before it would be killed.
+EXIT_MARGIN_S = 0.35
+_GUARD_INTERVAL_S = 0.05
 Subscriber: typing.TypeAlias = typing.Callable[[signal.Signals], None]
 
 
@@ -26,6 +35,7 @@
         """Handle nothing until install() is called."""
         # When the process was first told to stop, by the monotonic clock.
         self.stopped_s: float | None = None
+        self._grace_s = START_GRACE_S
         self._subscriber: Subscriber | None = None
         # Received while nobody was subscribed.
         self._pending: list[signal.Signals] = []
@@ -40,11 +50,14 @@
         for number in HANDLED:
             signal.signal(number, signal.SIG_IGN)
 
-    def subscribe(self, subscriber: Subscriber) -> None:
+    def subscribe(self, subscriber: Subscriber, grace_s: float) -> None:
         """Pass signals on, those first that have already been received.
 
-        The subscriber is called between any two instructions.
+        The subscriber is called between any two instructions. The process
+        ends itself at the latest EXIT_MARGIN_S before the grace has passed
+        since it was told to stop.
         """
+        self._grace_s = grace_s
         self._subscriber = subscriber
         pending = self._pending
         self._pending = []
@@ -59,7 +72,16 @@
         received = signal.Signals(number)
         if received in STOPPING and self.stopped_s is None:
             self.stopped_s = time.monotonic()
+            # The threading module takes locks that may be held just now.
+            _thread.start_new_thread(self._end_late, (self.stopped_s,))
         if self._subscriber is None:
             self._pending.append(received)
         else:
             self._subscriber(received)
+
+    def _end_late(self, stopped_s: float) -> None:
+        """End the process once its grace has almost passed."""
+        while time.monotonic() < stopped_s + self._grace_s - EXIT_MARGIN_S:
+            time.sleep(_GUARD_INTERVAL_S)
+        os.write(2, b'redwingvalve: ended before its grace has passed\n')
+        os._exit(0)
