Split streams into events in linear time

Cause: EventSplitter copied and searched what it held of an unfinished event for each chunk. Each line of an event was read by a Python loop for its id, 65 ms for the longest event, and an id of over 4,300 digits raised. Whether an event ended with LF or CRLF was decided by what a chunk happened to hold.

Change: the buffer grows in place and is searched from two bytes before the new chunk; one expression finds the blank line, one the id. An id has 20 digits at most.

Left: one read holds 250,000 bytes, so that many small chunks or events still take one long step.

--- a/redwingvalve/ingress/events.py
+++ b/redwingvalve/ingress/events.py
@@ -1,11 +1,24 @@
-"""Splits a stream of server-sent events into events with their ids."""
+"""Splits a stream of server-sent events into events with their ids.
 
+Load pattern: a faulty endpoint cuts an event into chunks of one byte, or fills
+it with short lines. The work must stay linear in the bytes received: what is
+held of an unfinished event is neither copied nor searched again for each chunk.
+"""
+
+import re
 import typing
 
 import attrs
 
 # An event holds some tokens of an answer, or all of them. A longer one is none.
 MAX_EVENT_BYTES: typing.Final = 1_048_576
+# A blank line after another line, and the bytes that may precede its last one.
+_EVENT_END = re.compile(rb'\n\r?\n')
+_END_OVERLAP = 2
+# A line with an id; the digits are limited because int() isn't linear.
+_ID_LINE = re.compile(
+    rb'id:(?<![^\r\n]id:)[ \t\v\f]*+([0-9]{1,20}+)[ \t\v\f]*+[\r\n]'
+)
 
 
 @attrs.frozen
@@ -22,7 +35,7 @@
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._rest = b''
+        self._rest = bytearray()
 
     @property
     def is_between_events(self) -> bool:
@@ -36,16 +49,25 @@
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that this chunk completes."""
-        text = self._rest + chunk if self._rest else chunk
-        separator = b'\r\n\r\n' if b'\r\n\r\n' in text else b'\n\n'
-        pieces = text.split(separator)
-        self._rest = pieces.pop()
-        return [_read_event(piece + separator) for piece in pieces]
+        rest = self._rest
+        start = 0
+        if rest:
+            start = max(len(rest) - _END_OVERLAP, 0)
+            rest += chunk
+            if not _EVENT_END.search(rest, start):
+                return []
+            chunk = bytes(rest)
+            rest.clear()
+        found = []
+        begin = 0
+        for end in _EVENT_END.finditer(chunk, start):
+            found.append(_read_event(chunk[begin : end.end()]))
+            begin = end.end()
+        if begin < len(chunk):
+            rest += chunk[begin:]
+        return found
 
 
 def _read_event(raw: bytes) -> Event:
-    for line in raw.splitlines():
-        name, _, content = line.partition(b':')
-        if name == b'id' and content.strip().isdigit():
-            return Event(raw, int(content.strip()))
-    return Event(raw, None)
+    id_line = _ID_LINE.search(raw)
+    return Event(raw, int(id_line.group(1)) if id_line else None)
