Count a request's bytes as they arrive

What a caller could do: send a header line, a chunk size or extension, or a trailer without end. It was kept in memory until the head's time-out, or beyond it in a body, and copied for each part of it that arrived.

Cause: the limit of a head counted names and values only once the parser had reported them, which it does at the end of a line. The target was put together with += on each part.

Change: what was received for the current request, less what its body explains, may be four times the limit of the head; 431 beyond that. The parts of a target are joined once. What httptools copies of a line is bounded by this.

--- a/redwingvalve/http1/request_parser.py
+++ b/redwingvalve/http1/request_parser.py
@@ -1,4 +1,10 @@
-"""Parses the requests of one connection within size limits."""
+"""Parses the requests of one connection within size limits.
+
+Load pattern: a caller sends a header line, a chunk extension or trailers
+without end. The parser underneath keeps what it has of a line, copies it for
+each part of it that arrives, and reports it only when it is complete. So the
+bytes are counted as they arrive, too.
+"""
 
 import abc
 import typing
@@ -11,6 +17,12 @@
 MALFORMED = 400
 BODY_TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
+# Bytes of a head as they arrive per byte of the names and values allowed: a
+# line `a:b` has five, of which two count.
+_RAW_HEAD_FACTOR: typing.Final = 4
+# Received bytes that each byte of a body allows, itself among them. A chunk of
+# one byte has six.
+_RAW_BODY_FACTOR: typing.Final = 16
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -61,22 +73,28 @@
         self._handler = handler
         self._limits = limits
         self._parser: typing.Any = httptools.HttpRequestParser(self)
-        self._target = b''
+        self._target: list[bytes] = []
         self._headers: messages.Headers = []
         self._body: list[bytes] = []
-        self._in_head = False
         self._head_bytes = 0
         self._body_bytes = 0
+        # Received for the current request and not explained by its body.
+        self._raw_bytes = 0
         self._is_rejected = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._is_rejected:
             return
+        self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.reject(MALFORMED)
+            return
+        max_bytes = _RAW_HEAD_FACTOR * self._limits().head_bytes
+        if self.is_reading and self._raw_bytes > max_bytes:
+            self.reject(HEAD_TOO_LARGE)
 
     def reject(self, status: int) -> None:
         """Reject the current request and parse nothing more."""
@@ -87,17 +105,18 @@
     def on_message_begin(self) -> None:
         """Start a head."""
         self.is_reading = True
-        self._in_head = True
         self._head_bytes = 0
         self._body_bytes = 0
-        self._target = b''
+        self._target = []
         self._headers = []
         self._body = []
+        # What was received with the end of another request isn't counted.
+        self._raw_bytes = 0
         self._handler.head_started()
 
     def on_url(self, target: bytes) -> None:
         """Append to the target, which may arrive in several parts."""
-        self._target += target
+        self._target.append(target)
         self._count_head(len(target))
 
     def on_header(self, name: bytes, content: bytes) -> None:
@@ -107,7 +126,6 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the caller waits for it before the body."""
-        self._in_head = False
         self._handler.head_completed()
         for name, content in self._headers:
             if name == b'expect' and content.lower() == b'100-continue':
@@ -116,6 +134,7 @@
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk of the body."""
         self._body_bytes += len(chunk)
+        self._raw_bytes -= _RAW_BODY_FACTOR * len(chunk)
         if self._body_bytes > self._limits().body_bytes:
             self.reject(BODY_TOO_LARGE)
             return
@@ -129,7 +148,7 @@
         self._handler.request_completed(
             messages.Request(
                 method=self._parser.get_method(),
-                target=self._target,
+                target=b''.join(self._target),
                 headers=self._headers,
                 body=b''.join(self._body),
                 keep_alive=self._parser.should_keep_alive(),
