--- a/redwingvalve/platform/json_answers.py
+++ b/redwingvalve/platform/json_answers.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import abc as collections_abc
 
+from redwingvalve.core import collector
 from redwingvalve.http1 import client, messages, response_limits
 from redwingvalve.platform import damaged_pages
 
@@ -88,18 +89,21 @@
         self._body = []
         self._end()
 
-    def parse(self) -> typing.Any:
-        """Return the body, None if it is not JSON; raises AnswerError."""
+    async def parse(self) -> typing.Any:
+        """Return the body, None if it is not JSON; raises AnswerError.
+
+        A damaged page is read in steps, and other tasks run between them.
+        """
         if self._reason:
             raise AnswerError(self._reason)
         raw = b''.join(self._body)
         if not raw:
             return {}
         try:
-            return json.loads(raw)
+            with collector.paused():
+                return json.loads(raw)
         except (ValueError, RecursionError):
-            # Takes seconds of computing for bytes that are no page.
-            return damaged_pages.recover(raw) if self._is_page else None
+            return await _recover(raw) if self._is_page else None
 
     def _inflate(self) -> None:
         if self._is_deflated and self._body:
@@ -127,6 +131,13 @@
     return plain if inflater.eof else b''
 
 
+async def _recover(raw: bytes) -> damaged_pages.Document | None:
+    recovery = damaged_pages.Recovery(raw)
+    while recovery.step():
+        await asyncio.sleep(0)
+    return recovery.page
+
+
 def make_page_answer() -> JsonAnswer:
     """Return a reader of what a store, or a node that relays it, answers."""
     return JsonAnswer(MAX_PAGE_BYTES, is_page=True)
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -181,7 +181,7 @@
             if not answer.done.done() or answer.done.cancelled():
                 connection.abandon()
         try:
-            return answer.status, answer.parse()
+            return answer.status, await answer.parse()
         except json_answers.AnswerError as error:
             raise StoreError(str(error)) from error
 
--- a/redwingvalve/platform/tests/test_endless_json.py
+++ b/redwingvalve/platform/tests/test_endless_json.py
@@ -187,7 +187,7 @@
         answer._is_deflated = is_deflated
         answer.body_received(zlib.compress(body) if is_deflated else body)
         answer.completed()
-        assert answer.parse()['items'] == objects
+        assert (await answer.parse())['items'] == objects
 
     anyio.run(main)
 
@@ -198,7 +198,7 @@
         answer._is_deflated = True
         answer.body_received(zlib.compress(b'{"items": []}')[:-6])
         answer.completed()
-        assert answer.parse() is None
+        assert await answer.parse() is None
 
     anyio.run(main)
 
@@ -211,7 +211,7 @@
         answer.body_received(b'{"items":[{x' + b'},{"metadata":' * 18_000)
         answer.completed()
         began_s = time.process_time()
-        assert answer.parse() is None
+        assert await answer.parse() is None
         assert time.process_time() - began_s < 0.1
 
     anyio.run(main)
