Hand received bytes on in steps of five milliseconds

What callers saw: one read of 250,000 bytes of small chunks, events or lines kept all other requests of the node waiting, and the loop may read 32 times in a row. What such a read held went past the caller's flow control.

Cause: all that a read held was parsed and passed on without returning to the loop, linear by now but with up to 125,000 events.

Change: http1/stepped_reads.py hands pieces of 4 KB on until 5 ms have passed, the rest in later turns of the loop, and reads nothing meanwhile. Bytes behind an answer that wait there close its connection, as those in the same piece do. The end of a connection is told after its last bytes. Pauses hold the rest of a read, too; for callers' connections the same.

Tests: those of test_endless_answers.py feed the connection in a loop and wait while its transport is paused; what they check is unchanged.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from redwingvalve.http1 import messages, response_limits
+from redwingvalve.http1 import messages, response_limits, stepped_reads
 
 # An endpoint may send a response twice; more unrelated responses than this are
 # a protocol error.
@@ -84,6 +84,7 @@
         self._reusable = True
         self._has_extra_bytes = False
         self._on_idle: typing.Callable[[Connection], None] | None = None
+        self._reads = stepped_reads.SteppedReads(self._parse)
 
     @property
     def is_open(self) -> bool:
@@ -110,58 +111,32 @@
     def abandon(self) -> None:
         """Abort the connection without calling the response handler."""
         self._handler = None
-        if self.transport is not None:
-            self.transport.abort()
+        self._reads.abort()
 
     def pause(self) -> None:
         """Stop reading until resume is called."""
-        if self.is_open:
-            self.transport.pause_reading()
+        self._reads.pause()
 
     def resume(self) -> None:
         """Resume reading."""
-        if self.is_open:
-            self.transport.resume_reading()
+        self._reads.resume()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self.transport = typing.cast(asyncio.Transport, transport)
+        self._reads.start(self.transport)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending response, unless the close delimits its body."""
-        if (
-            self._close_delimited
-            and error is None
-            and self._handler is not None
-        ):
-            self._finish()
-            return
-        self._break('reset' if error else 'closed')
+        self._reads.end(lambda: self._end(error))
 
     def eof_received(self) -> bool:
         """Close the transport; this ends a response without a length."""
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self._handler is None:
-            # Unsolicited bytes belong to no request.
-            self.abandon()
-            return
-        self._meter.received(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if not self._is_complete:
-                self._break(f'no answer: {error}')
-                return
-            self._has_extra_bytes = True
-        if self._is_complete:
-            self._finish()
-            return
-        excess = self._meter.excess()
-        if excess is not None:
-            self._exceed(excess)
+        """Parse received bytes, many of them in several steps."""
+        self._reads.received(data)
 
     def on_message_begin(self) -> None:
         """Start a head; one after a complete response is a stray one."""
@@ -219,34 +194,59 @@
         if self._meter.skipped_responses > MAX_STRAY_RESPONSES:
             self._break('answers of other requests')
 
+    def _parse(self, data: bytes) -> None:
+        if self._handler is None:
+            # Unsolicited bytes belong to no request.
+            self.abandon()
+            return
+        self._meter.received(len(data))
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self._is_complete:
+                self._break(f'no answer: {error}')
+                return
+            self._has_extra_bytes = True
+        if self._is_complete:
+            self._finish()
+            return
+        excess = self._meter.excess()
+        # Counted only while a request waits for the answer.
+        if excess is not None and self._handler is not None:
+            response_limits.count(excess)
+            self._break(excess.reason)
+
+    def _end(self, error: Exception | None) -> None:
+        if (
+            self._close_delimited
+            and error is None
+            and self._handler is not None
+        ):
+            self._finish()
+            return
+        self._break('reset' if error else 'closed')
+
     def _finish(self) -> None:
         exchange = self._handler
         self._handler = None
         # A peer may respond before it has read the whole request body; the
         # rest of the body is then still in the write buffer.
         unsent = self.is_open and self.transport.get_write_buffer_size() > 0
-        reuse = self._reusable and not self._has_extra_bytes and not unsent
+        has_extra_bytes = self._has_extra_bytes or self._reads.has_waiting
+        reuse = self._reusable and not has_extra_bytes and not unsent
         if reuse and self.is_open and not self._close_delimited:
             self.idle_since_s = time.monotonic()
             if self._on_idle is not None:
                 self._on_idle(self)
-        elif self.transport is not None:
-            self.transport.abort()
+        else:
+            self._reads.abort()
         if exchange is not None:
             exchange.completed()
 
-    def _exceed(self, excess: response_limits.Excess) -> None:
-        # Counted only while a request waits for the answer.
-        if self._handler is None:
-            return
-        response_limits.count(excess)
-        self._break(excess.reason)
-
     def _break(self, reason: str) -> None:
         exchange = self._handler
         self._handler = None
-        if self.transport is not None:
-            self.transport.abort()
+        self._reads.abort()
         if exchange is not None:
             exchange.broken(reason)
 
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -10,7 +10,7 @@
 import types
 import typing
 
-from redwingvalve.http1 import messages, request_parser
+from redwingvalve.http1 import messages, request_parser, stepped_reads
 
 # Reading pauses while more pipelined requests than this are waiting.
 MAX_PIPELINED = 8
@@ -139,6 +139,7 @@
         self.is_idle = True
         self._transport: asyncio.Transport | None = None
         self._parser = request_parser.RequestParser(self, application.limits)
+        self._reads = stepped_reads.SteppedReads(self._parser.feed)
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined: collections.deque[messages.Request] = (
             collections.deque()
@@ -148,11 +149,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first head."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._reads.start(self._transport)
         self._restart_timer(self.application.limits().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request being served."""
         self.is_closed = True
+        self._reads.abort()
         self._stop_timer()
         self._pipelined.clear()
         responder = self._current
@@ -176,9 +179,9 @@
             current.on_writable()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, many of them in several steps."""
         self.is_idle = False
-        self._parser.feed(data)
+        self._reads.received(data)
 
     def head_started(self) -> None:
         """Start the timeout for a head."""
@@ -195,8 +198,8 @@
         """Queue a request behind the earlier ones of the connection."""
         self._stop_timer()
         self._pipelined.append(request)
-        if len(self._pipelined) > MAX_PIPELINED and self._transport:
-            self._transport.pause_reading()
+        if len(self._pipelined) > MAX_PIPELINED:
+            self._reads.pause()
         self._serve_next()
 
     def refused(self, status: int) -> None:
@@ -214,8 +217,7 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._current = None
-        if self._transport is not None:
-            self._transport.abort()
+        self._reads.abort()
 
     def response_completed(self, keep: bool) -> None:
         """Serve the next request, or close after the last response."""
@@ -226,10 +228,10 @@
             self._transport.close()
             return
         if self._pipelined:
-            self._transport.resume_reading()
+            self._reads.resume()
             self._serve_next()
         elif not self._parser.is_reading:
-            self.is_idle = True
+            self.is_idle = not self._reads.has_waiting
             self._restart_timer(self.application.limits().idle_timeout_s)
 
     @property
--- /dev/null
+++ b/redwingvalve/http1/stepped_reads.py
@@ -0,0 +1,142 @@
+"""Hands received bytes on in short steps.
+
+Load pattern: a peer sends thousands of small chunks, events, lines or
+pipelined requests. One read holds 250 KB of them, and the loop may read many
+times in a row; as one step this takes longer than callers of other requests
+may wait. So bytes are handed on in pieces, and the other tasks run whenever
+this has taken STEP_S. Nothing is read meanwhile.
+"""
+
+import asyncio
+import collections
+import time
+import typing
+from collections import abc as collections_abc
+
+# Pieces are handed on whole: two bytes may be an event.
+PIECE_BYTES: typing.Final = 4096
+STEP_S: typing.Final = 0.005
+# The loop reads again at once after a read that has filled its buffer.
+LARGE_READ_BYTES: typing.Final = 65_536
+
+
+class SteppedReads:
+    """Received bytes of one connection on their way to its parser."""
+
+    def __init__(self, feed: collections_abc.Callable[[bytes], None]) -> None:
+        """Hand pieces on to feed, in order."""
+        self._feed = feed
+        self._transport: asyncio.Transport | None = None
+        self._waiting: collections.deque[bytes] = collections.deque()
+        # How much of the first of these was handed on.
+        self._position = 0
+        self._is_paused = False
+        self._next_step: asyncio.Handle | None = None
+        self._on_end: collections_abc.Callable[[], None] | None = None
+
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether received bytes haven't been handed on yet."""
+        return bool(self._waiting)
+
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    def start(self, transport: asyncio.Transport) -> None:
+        """Start with a new connection."""
+        self._transport = transport
+
+    def received(self, data: bytes) -> None:
+        """Hand on as much as a step allows, the rest in later steps."""
+        if len(data) <= PIECE_BYTES and not self._waiting:
+            self._feed(data)
+            return
+        self._waiting.append(data)
+        if self._next_step is None:
+            self._hand_on()
+        if self.has_waiting or self._is_open and len(data) >= LARGE_READ_BYTES:
+            self._continue_soon()
+
+    def pause(self) -> None:
+        """Hand nothing on, and read nothing, until resume()."""
+        self._is_paused = True
+        self._stop_reading()
+
+    def resume(self) -> None:
+        """Go on after pause()."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        if self.has_waiting:
+            self._continue_soon()
+        elif self._next_step is None:
+            self._start_reading()
+
+    def abort(self) -> None:
+        """Close the connection and forget what wasn't handed on."""
+        self._waiting.clear()
+        self._position = 0
+        self._on_end = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def end(self, on_end: collections_abc.Callable[[], None]) -> None:
+        """Call on_end once the last bytes of a lost connection are handed on.
+
+        They wait while paused, like bytes that weren't read yet.
+        """
+        self._transport = None
+        if not self.has_waiting:
+            on_end()
+            return
+        self._on_end = on_end
+        self._continue_soon()
+
+    def _step(self) -> None:
+        self._next_step = None
+        try:
+            self._hand_on()
+        except Exception:
+            # As the loop does if a read fails.
+            self.abort()
+            raise
+        if self.has_waiting:
+            self._continue_soon()
+            return
+        if not self._is_paused:
+            self._start_reading()
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            on_end()
+
+    def _hand_on(self) -> None:
+        until_s = time.monotonic() + STEP_S
+        while self.has_waiting and not self._is_paused:
+            self._feed(self._take_piece())
+            if time.monotonic() > until_s:
+                return
+
+    def _take_piece(self) -> bytes:
+        data = self._waiting[0]
+        begin = self._position
+        self._position += PIECE_BYTES
+        if self._position >= len(data):
+            self._waiting.popleft()
+            self._position = 0
+        return data[begin : begin + PIECE_BYTES]
+
+    def _continue_soon(self) -> None:
+        self._stop_reading()
+        if self._next_step is None and not self._is_paused:
+            loop = asyncio.get_running_loop()
+            self._next_step = loop.call_soon(self._step)
+
+    def _stop_reading(self) -> None:
+        if self._is_open:
+            self._transport.pause_reading()
+
+    def _start_reading(self) -> None:
+        if self._is_open:
+            self._transport.resume_reading()
--- a/redwingvalve/http1/tests/test_endless_answers.py
+++ b/redwingvalve/http1/tests/test_endless_answers.py
@@ -49,6 +49,7 @@
     """Records whether the connection was closed."""
 
     is_aborted = False
+    is_paused = False
 
     def write(self, data):
         """Drop the request."""
@@ -61,6 +62,13 @@
 
     def abort(self):
         self.is_aborted = True
+        self.is_paused = False
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
 
 
 class Handler(client.ResponseHandler):
@@ -100,13 +108,19 @@
 
 def feed(connection, pieces, total_bytes=FED_BYTES):
     """Return how many bytes were read before the connection was closed."""
-    fed = 0
-    for piece in pieces:
-        if fed >= total_bytes or connection.transport.is_closing():
-            break
-        connection.data_received(piece)
-        fed += len(piece)
-    return fed
+
+    async def main():
+        fed = 0
+        for piece in pieces:
+            if fed >= total_bytes or connection.transport.is_closing():
+                break
+            connection.data_received(piece)
+            fed += len(piece)
+            while connection.transport.is_paused:
+                await asyncio.sleep(0)
+        return fed
+
+    return asyncio.run(main())
 
 
 def exceeded(limit):
@@ -171,12 +185,12 @@
     handler = Handler()
     connection = connect(handler)
     answer = OK + b'content-length: 2\r\n\r\nhi'
-    connection.data_received(answer + LINES * 8)
+    feed(connection, [answer + LINES * 8])
     assert handler.ending == 'whole' and connection.transport.is_aborted
     connection = connect(handler)
     connection.data_received(answer)
     assert connection.is_open
-    connection.data_received(LETTERS)
+    feed(connection, [LETTERS])
     assert connection.transport.is_aborted
 
 
