Read no further requests while too many wait

What a caller could do: pipeline requests without end. All of them were parsed and kept in memory.

Cause: reading pauses at more than MAX_PIPELINED waiting requests, but each answer resumed it, however many were still waiting.

Change: it resumes once no more than MAX_PIPELINED wait.

Measured: of 10,000 requests in one read up to 9,945 waited before, at most 224 now (those of one piece). test_pipelined_requests.py failed before; the 39 tests of http1 pass.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -228,7 +228,8 @@
             self._transport.close()
             return
         if self._pipelined:
-            self._reads.resume()
+            if len(self._pipelined) <= MAX_PIPELINED:
+                self._reads.resume()
             self._serve_next()
         elif not self._parser.is_reading:
             self.is_idle = not self._reads.has_waiting
