Read a kept connection whose last answer was paused

What callers saw, by the code: a request sent over a connection that stayed paused gets no answer until its endpoint counts as silent.

Cause: a slow caller's flow control pauses its endpoint's connection. If the answer's last bytes are in the same read, the connection went back to the pool paused; the caller's drain no longer reaches it.

Change: a connection that is kept is resumed first.

Measured: test_a_connection_is_not_kept_paused_for_the_next_request failed before; the 40 tests of http1 pass.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -236,6 +236,8 @@
         reuse = self._reusable and not has_extra_bytes and not unsent
         if reuse and self.is_open and not self._close_delimited:
             self.idle_since_s = time.monotonic()
+            # The caller of this answer may have paused it.
+            self._reads.resume()
             if self._on_idle is not None:
                 self._on_idle(self)
         else:
--- a/redwingvalve/http1/tests/test_stepped_reads.py
+++ b/redwingvalve/http1/tests/test_stepped_reads.py
@@ -135,6 +135,22 @@
     asyncio.run(main())
 
 
+def test_a_connection_is_not_kept_paused_for_the_next_request():
+    """A caller's flow control went on for another's answer."""
+
+    async def main():
+        pooled = []
+        connection = client.Connection()
+        connection.connection_made(test_endless_answers.Transport())
+        handler = Handler(lambda: connection.pause())
+        connection.send(b'x', handler, pooled.append)
+        connection.data_received(HELLO)
+        assert handler.ending == 'whole' and pooled == [connection]
+        assert not connection.transport.is_paused
+
+    asyncio.run(main())
+
+
 def test_a_paused_connection_that_is_lost_still_waits_for_its_caller():
     """It would end before its last bytes, or pass them by flow control."""
 
