Use only IP addresses of endpoints and nodes, checked where they are read

What callers saw: after one odd entry of another writer, requests ended with a closed connection or a refusal, and background loops failed. One registration of a node with an odd address, name or number ended the status messages of all nodes for good, and each answer of the directory was a closed connection.

Cause: addresses were only split at the colon. A host name was looked up in a thread (there are no lookups on the platform), and connect() raised UnicodeError, ValueError or OverflowError for names and ports that no socket takes. sendto() with such an address closes the datagram socket. Start times over 64 bits or beyond a float, NaN bandwidths and unpaired surrogates of a registration failed the directory, the messages of hubs and the ranking of owners.

Change: an address is an IPv4 literal and a port in 1..65535, refused in parse_address() (entries, settings). Registrations and announcements are checked as a whole by peer_addresses.check(). Pool.connect() opens nothing but literals and maps what else goes wrong with an address to ConnectError. The start time in an endpoint's report has the limits of that in its entry.

--- a/redwingvalve/http1/pool.py
+++ b/redwingvalve/http1/pool.py
@@ -4,6 +4,7 @@
 import time
 import typing
 
+from redwingvalve.core import ip_addresses
 from redwingvalve.http1 import client, response_limits
 
 # A round trip between data centres takes 3 ms; a connect that takes longer
@@ -14,6 +15,8 @@
 MAX_IDLE_PER_PEER = 16
 
 Address = tuple[str, int]
+# Raised for a host or port that no socket takes.
+_UNUSABLE_ADDRESS = (TypeError, ValueError, OverflowError)
 
 
 class ConnectError(Exception):
@@ -60,7 +63,12 @@
         return None
 
     async def connect(self, address: Address) -> client.Connection:
-        """Open a connection; raises ConnectError."""
+        """Open a connection; raises ConnectError.
+
+        The host is an IPv4 address: names are never looked up.
+        """
+        if not ip_addresses.is_ipv4(address[0]):
+            raise ConnectError('not an IP address')
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
@@ -72,6 +80,8 @@
             raise ConnectError('refused', was_refused=True) from error
         except (TimeoutError, OSError) as error:
             raise ConnectError(f'{type(error).__name__}') from error
+        except _UNUSABLE_ADDRESS as error:
+            raise ConnectError(f'unusable address: {error}') from error
         return connection
 
     async def take(
--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from redwingvalve.node import lost_data_centres
+from redwingvalve.node import lost_data_centres, peer_addresses
 from redwingvalve.node import peers as peers_module
 
 HUBS_PER_DATA_CENTRE = 2
@@ -208,7 +208,7 @@
     def _find_or_add(self, state: typing.Any) -> peers_module.Peer | None:
         known = self._peers.known
         if state.vm not in known:
-            address = peers_module.announced_address(state)
+            address = peer_addresses.announced_address(state)
             if address is not None:
                 self._peers.add(address)
         return known.get(state.vm)
--- a/redwingvalve/node/peer_discovery.py
+++ b/redwingvalve/node/peer_discovery.py
@@ -16,9 +16,10 @@
 import attrs
 
 from redwingvalve.ingress import retry_budget
+from redwingvalve.node import peer_addresses
 from redwingvalve.node import peers as peers_module
 from redwingvalve.observability import logs
-from redwingvalve.platform import settings, store
+from redwingvalve.platform import store
 
 LOG = logs.make_logger('meeting')
 NODE_KIND = 'redwingvalve-nodes'
@@ -139,22 +140,9 @@
             for name in _ADDRESS_FIELDS
             if name in stored['spec']
         }
-        return _checked(peers_module.PeerAddress(**known))
-    except (KeyError, TypeError) as error:
+        address = peers_module.PeerAddress(**known)
+        peer_addresses.check(address)
+    except (KeyError, TypeError, ValueError) as error:
         LOG.warning('invalid node object', extra={'error': str(error)})
         return None
-
-
-def _checked(address: peers_module.PeerAddress) -> peers_module.PeerAddress:
-    """Return the address, to which datagrams can be sent; raises TypeError."""
-    texts = (address.vm, address.ip, address.front, address.data_centre)
-    if not all(isinstance(text, str) for text in texts):
-        raise TypeError('a text of another type')
-    numbers = (address.peer_port, address.born_ms)
-    if not all(isinstance(number, int) for number in numbers):
-        raise TypeError('a number of another type')
-    if not isinstance(address.link_mbps, int | float):
-        raise TypeError('a bandwidth of another type')
-    if not 0 < address.peer_port <= settings.MAX_PORT:
-        raise TypeError('not a valid port')
     return address
--- a/redwingvalve/node/peers.py
+++ b/redwingvalve/node/peers.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from redwingvalve.node import cut_off_nodes, status_messages
+from redwingvalve.node import cut_off_nodes, peer_addresses, status_messages
 from redwingvalve.observability import logs
 from redwingvalve.platform import settings
 
@@ -63,29 +63,11 @@
 PROBE_KIND = b'\x00'
 
 
-SocketAddress: typing.TypeAlias = tuple[str, int]
+SocketAddress: typing.TypeAlias = peer_addresses.SocketAddress
+PeerAddress: typing.TypeAlias = peer_addresses.PeerAddress
 _Handler: typing.TypeAlias = typing.Callable[[bytes, SocketAddress], None]
 
 
-@attrs.frozen
-class PeerAddress:
-    """Address and attributes of a node, as registered in the store."""
-
-    vm: str
-    ip: str
-    peer_port: int
-    front: str
-    data_centre: str
-    born_ms: int
-    # 0 if the node doesn't state its bandwidth.
-    link_mbps: float = 0
-
-    @property
-    def socket_address(self) -> tuple[str, int]:
-        """Return the address for datagrams to this node."""
-        return self.ip, self.peer_port
-
-
 @attrs.define(eq=False)
 class Peer:
     """State of another node."""
@@ -316,7 +298,7 @@
         peer.is_down = is_down
 
     def _update_address(self, message: typing.Any) -> None:
-        address = announced_address(message)
+        address = peer_addresses.announced_address(message)
         if address is None:
             return
         known = self.known.get(message.vm)
@@ -382,19 +364,3 @@
     await loop.create_datagram_endpoint(
         lambda: peers, local_addr=(peers.local.ip, peers.local.peer_port)
     )
-
-
-def announced_address(message: typing.Any) -> PeerAddress | None:
-    """Return the sender's address if the message carries one."""
-    address = message.address
-    if address is None or not (address.ip and address.peer_port):
-        return None
-    return PeerAddress(
-        vm=message.vm,
-        ip=address.ip,
-        peer_port=address.peer_port,
-        front=address.front or '',
-        data_centre=address.data_centre or '',
-        born_ms=message.born_ms or 0,
-        link_mbps=address.link_mbps or 0,
-    )
--- a/redwingvalve/node/tests/test_peer_discovery.py
+++ b/redwingvalve/node/tests/test_peer_discovery.py
@@ -124,6 +124,17 @@
         {'born_ms': None},
         {'link_mbps': 'fast'},
         {'front': ['127.0.0.1:80']},
+        {'front': 'host.example:80'},
+        {'vm': ''},
+        {'vm': '\ud800'},
+        {'vm': 'v' * 70_000},
+        {'ip': 'lm..svc'},
+        {'ip': 'a\0b'},
+        {'peer_port': 65_536},
+        {'data_centre': '\ud800'},
+        {'born_ms': 2**63},
+        {'link_mbps': 10**400},
+        {'link_mbps': float('nan')},
     ],
 )
 def test_a_malformed_registration_names_no_node(foreign):
@@ -135,6 +146,20 @@
     assert not peer_discovery._decode_address({'metadata': {}})
 
 
+@pytest.mark.parametrize(
+    ('ip', 'peer_port'),
+    [('lm..svc', 7000), ('host.example', 7000), ('127.0.0.1', 65_536)],
+)
+def test_an_unusable_announcement_names_no_node(ip, peer_port):
+    """The first message to it closed the socket of all status messages."""
+    known = peers.Peers(address('vm-1'), IgnoringObserver())
+    sender = attrs.evolve(address('vm-2'), ip=ip, peer_port=peer_port)
+    receive_status(known, sender, 1)
+    assert not known.known
+    receive_status(known, address('vm-2'), 2)
+    assert known.known
+
+
 def test_a_refused_listing_is_retried_at_the_usual_interval(monkeypatch):
     """A node that knows its peers doesn't retry faster when it is refused.
 
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -275,7 +275,7 @@
 def _decode_report(body: store.Document) -> Report | None:
     try:
         return Report(
-            born_ms=int(body.get('born', 0)),
+            born_ms=entries.decode_born_ms(body),
             membership=entries.decode_membership(body.get('group')),
             staged=entries.decode_models(body.get('staged')),
         )
--- a/redwingvalve/platform/entries.py
+++ b/redwingvalve/platform/entries.py
@@ -71,7 +71,7 @@
     address = settings.parse_address(_require_text(entry['address']))
     return endpoints.Endpoint(
         endpoint_id=_require_text(name),
-        born_ms=_require_int(entry.get('born', 0)),
+        born_ms=decode_born_ms(entry),
         service=_require_text(entry['service']),
         host=address.host,
         port=address.port,
@@ -104,6 +104,14 @@
         raise EndpointEntryError(f'missing fields of models: {missing}')
 
 
+def decode_born_ms(document: dict[str, typing.Any]) -> int:
+    """Return the start time in an entry or report, 0 without one.
+
+    Raises EndpointEntryError.
+    """
+    return _require_int(document.get('born', 0))
+
+
 def decode_membership(group: typing.Any) -> endpoints.Membership | None:
     """Decode the `group` of an entry or report; raises EndpointEntryError."""
     if group is None:
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -7,12 +7,17 @@
 
 import attrs
 
-from redwingvalve.core import findings
+from redwingvalve.core import findings, ip_addresses
 from redwingvalve.platform import names
 
 # Raised by converters when a field has an unexpected type or value.
-_INVALID_FIELD = (TypeError, ValueError, AttributeError, IndexError)
-MAX_PORT = 65_535
+_INVALID_FIELD = (
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+)
 
 # Port for Prometheus scrapes; the deployment file uses the same port and path.
 METRICS_PORT = 9464
@@ -88,10 +93,17 @@
 
 
 def parse_address(text: str) -> SocketAddress:
-    """Parse host:port; raises ValueError."""
+    """Parse an IPv4 address and a port; raises ValueError.
+
+    Names are refused, as they would have to be looked up.
+    """
     host, _, port = text.rpartition(':')
     if not host:
         raise ValueError(f'{text!r} is not in the form host:port')
+    if not ip_addresses.is_ipv4(host):
+        raise ValueError(f'{host!r} is not an IPv4 address')
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(f'{port!r} is not a valid port')
     return SocketAddress(host, _parse_port(port))
 
 
@@ -228,7 +240,7 @@
 
 def _parse_port(value: typing.Any) -> int:
     port = int(value)
-    if not 0 < port <= MAX_PORT:
+    if not ip_addresses.is_port(port):
         raise ValueError(f'{value!r} is not a valid port')
     return port
 
