Take no number of over 18 digits from a caller

A deadline, token count or event id of hundreds of digits can't be divided by a float, one of over 4,300 can't be converted at all. The error was raised while the request was being read, and its connection was closed without an answer. Such a number counts as not stated now, as other malformed ones do; the same for the attempts that a forwarding node states.

--- a/redwingvalve/platform/caller_requests.py
+++ b/redwingvalve/platform/caller_requests.py
@@ -32,6 +32,11 @@
 )
 
 
+# Longer numbers are beyond what times and ids are, and some beyond what can be
+# converted or divided.
+_MAX_DIGITS = 18
+
+
 @attrs.frozen
 class CallerRequest:
     """Routing and scheduling data from a caller's request headers."""
@@ -62,7 +67,10 @@
 
 
 def read_request(request: messages.Request) -> CallerRequest:
-    """Parse a caller's headers; malformed numbers count as not stated."""
+    """Parse a caller's headers.
+
+    Malformed numbers and those over 18 digits count as not stated.
+    """
     headers = dict(reversed(request.headers))
     prompt, _, answer = _header_text(
         headers, names.TOKEN_COUNTS_HEADER
@@ -151,10 +159,11 @@
 def read_forwarded(request: messages.Request) -> Forwarded | None:
     """Return what the forwarding node states, None for other requests."""
     attempts = request.header(names.ATTEMPTS_LEFT_HEADER)
-    if attempts is None or not attempts.isdigit():
+    stated = _parse_int((attempts or b'').decode('latin-1'))
+    if stated is None:
         return None
     returned = request.header(names.HAS_RETURNED_HEADER)
-    return Forwarded(int(attempts), has_returned=returned == b'1')
+    return Forwarded(stated, has_returned=returned == b'1')
 
 
 def _render(request: messages.Request, headers: messages.Headers) -> bytes:
@@ -189,4 +198,6 @@
 
 
 def _parse_int(text: str) -> int | None:
-    return int(text) if text.isdecimal() else None
+    if not text.isdecimal() or len(text) > _MAX_DIGITS:
+        return None
+    return int(text)
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -249,6 +249,15 @@
     assert deadline_ms is None or deadline_ms == int(text)
 
 
+@pytest.mark.parametrize('digits', [19, 400, 5000])
+def test_a_deadline_too_large_counts_as_not_stated(digits):
+    """It can't be converted or divided: the connection was closed."""
+    request = messages.Request(
+        b'GET', b'/', [(b'x-deadline-ms', b'9' * digits)], b'', True
+    )
+    assert caller_requests.read_request(request).deadline_ms is None
+
+
 @pytest.mark.parametrize(
     ('bounds', 'expected'),
     [({}, None), ({'evacuate_ms': None}, None), ({'evacuate_ms': 50}, 50)],
