Answer a request whatever is raised, or received behind it

Cause: an error in serve() left a connection closed without an answer, or, if the request had waited behind another one, open without any answer to come. If ending a failed request raised as well, its caller waited until its deadline. Bytes behind a request that couldn't be parsed, or a next head that stayed incomplete for the time of a head, closed the connection although the request before them was under way.

Change: a request whose serve() raises gets 503, as nothing can have run; one that can't be given up gets 502, which promises nothing. A refusal waits until the requests before it are answered.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -11,10 +11,13 @@
 import typing
 
 from redwingvalve.http1 import messages, request_parser
+from redwingvalve.observability import logs
 
 # Reading pauses while more pipelined requests than this are waiting.
 MAX_PIPELINED = 8
 HEAD_TIMEOUT = 408
+_UNAVAILABLE = 503
+LOG = logs.make_logger('server')
 _REASONS: typing.Final = types.MappingProxyType(
     {
         200: b'OK',
@@ -46,7 +49,10 @@
 
     @abc.abstractmethod
     def serve(self, request: messages.Request, responder: 'Responder') -> None:
-        """Start serving a request; must not block."""
+        """Start serving a request; must not block.
+
+        If it raises an error, nothing may have run.
+        """
 
 
 class Responder:
@@ -144,6 +150,8 @@
             collections.deque()
         )
         self._current: Responder | None = None
+        # Of a request that could not be parsed, behind those that wait.
+        self._refused_status: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first head."""
@@ -200,11 +208,13 @@
         self._serve_next()
 
     def refused(self, status: int) -> None:
-        """Respond to a request that cannot be parsed, and close."""
-        if self._current is None:
-            Responder(self, keep=False).send_response(status, [], b'')
-        elif self._transport is not None:
-            self._transport.close()
+        """Respond to a request that cannot be parsed, and close.
+
+        The requests before it are answered first.
+        """
+        self._stop_timer()
+        self._refused_status = status
+        self._serve_next()
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closed."""
@@ -225,7 +235,7 @@
         if not keep:
             self._transport.close()
             return
-        if self._pipelined:
+        if self._pipelined or self._refused_status is not None:
             self._transport.resume_reading()
             self._serve_next()
         elif not self._parser.is_reading:
@@ -245,12 +255,21 @@
             self._transport.close()
 
     def _serve_next(self) -> None:
-        if self._current is not None or not self._pipelined:
+        if self._current is not None:
+            return
+        if not self._pipelined:
+            if self._refused_status is not None:
+                refusal = Responder(self, keep=False)
+                refusal.send_response(self._refused_status, [], b'')
             return
         request = self._pipelined.popleft()
         responder = Responder(self, request.keep_alive)
         self._current = responder
-        self.application.serve(request, responder)
+        try:
+            self.application.serve(request, responder)
+        except Exception:
+            LOG.exception('request not served')
+            responder.send_response(_UNAVAILABLE, [], b'')
 
     def _restart_timer(self, duration_s: float) -> None:
         self._stop_timer()
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -22,6 +22,7 @@
 _JSON = (b'content-type', b'application/json')
 _OK = 200
 _NOT_FOUND = 404
+_BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 
 
@@ -115,12 +116,23 @@
             await handler.run()
         except Exception:
             LOG.exception('request failed')
-            handler.give_up()
+            _give_up(handler, responder)
         # Without any response the caller would wait until its deadline.
         if not responder.is_done and not responder.is_disconnected:
             responder.abort()
 
 
+def _give_up(
+    handler: request_handler.RequestHandler, responder: server.Responder
+) -> None:
+    """Answer a failed request, whatever else fails."""
+    try:
+        handler.give_up()
+    except Exception:
+        LOG.exception('request not given up')
+        responder.send_response(_BAD_GATEWAY, [], b'')
+
+
 class NodeApplication(server.Application):
     """Serves the readiness check, the metrics and the node directory."""
 
