--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -53,6 +53,15 @@
         {'state': 'asleep'},
         {'service': 3},
         {'address': 'nowhere'},
+        {'address': 'host.example:80'},
+        {'address': 'lm..svc:8080'},
+        {'address': f'{"l" * 70}.svc:80'},
+        {'address': 'a\0b:80'},
+        {'address': '\ud800:80'},
+        {'address': '[::1]:80'},
+        {'address': '10.0.0.1:70000'},
+        {'address': '10.0.0.1:+80'},
+        {'address': f'10.0.0.1:{"9" * 5000}'},
         {'slots': '9'},
         {'slots': True},
         {'born': 1.5},
@@ -240,6 +249,15 @@
     assert deadline_ms is None or deadline_ms == int(text)
 
 
+@pytest.mark.parametrize('digits', [19, 400, 5000])
+def test_a_deadline_too_large_counts_as_not_stated(digits):
+    """It can't be converted or divided: the connection was closed."""
+    request = messages.Request(
+        b'GET', b'/', [(b'x-deadline-ms', b'9' * digits)], b'', True
+    )
+    assert caller_requests.read_request(request).deadline_ms is None
+
+
 @pytest.mark.parametrize(
     ('bounds', 'expected'),
     [({}, None), ({'evacuate_ms': None}, None), ({'evacuate_ms': 50}, 50)],
