Shorten long log lines in linear time

Cause: all fields of an overlong line were encoded again for each field that was shortened. Fields repeat what peers send, such as entries of a megabyte.

Change: each field is encoded once, and the longest ones are shortened until the line fits.

--- a/redwingvalve/observability/bounded_logs.py
+++ b/redwingvalve/observability/bounded_logs.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import time
+import typing
 
 from redwingvalve.observability import logs
 
@@ -114,13 +115,19 @@
         fields = json.loads(line)
     except ValueError:
         return line[: MAX_LINE_BYTES - 1]
+    texts = {name: json.dumps(field) for name, field in fields.items()}
     shortened: list[str] = []
-    while len(line) >= MAX_LINE_BYTES - 1:
-        texts = {name: json.dumps(field) for name, field in fields.items()}
-        _, longest = max((len(text), name) for name, text in texts.items())
-        if longest in shortened:
-            return line[: MAX_LINE_BYTES - 1]
-        shortened.append(longest)
+    length = len(_with_shortened(fields, shortened))
+    by_length = sorted((len(text), name) for name, text in texts.items())
+    for _, longest in reversed(by_length):
+        if length < MAX_LINE_BYTES - 1:
+            break
         fields[longest] = texts[longest][:SHORTENED_FIELD_CHARS]
-        line = json.dumps({**fields, 'shortened': shortened})
-    return line
+        length += len(json.dumps(fields[longest])) - len(texts[longest])
+        shortened.append(longest)
+        length += len(json.dumps(longest)) + len(', ')
+    return _with_shortened(fields, shortened)[: MAX_LINE_BYTES - 1]
+
+
+def _with_shortened(fields: dict[str, typing.Any], names: list[str]) -> str:
+    return json.dumps({**fields, 'shortened': names})
--- a/redwingvalve/observability/tests/test_bounded_logs.py
+++ b/redwingvalve/observability/tests/test_bounded_logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import time
 
 import pytest
 from pythonjsonlogger import json as json_logger
@@ -97,3 +98,18 @@
     logger.info('x' * 20_000)
     [line] = read_lines(reader)
     assert len(line) < bounded_logs.MAX_LINE_BYTES
+
+
+@pytest.mark.parametrize('count', [12, 1000])
+def test_many_long_fields_are_shortened_in_linear_time(pipe, count):
+    """All fields were encoded again for each one that was shortened."""
+    logger, handler, reader = pipe
+    handler.setFormatter(json_logger.JsonFormatter('{message}', style='{'))
+    fields = {f'field_{one}': 'x' * 1000 for one in range(count)}
+    started_s = time.process_time()
+    logger.info('long', extra=fields)
+    assert time.process_time() - started_s < 0.5
+    [line] = read_lines(reader)
+    assert len(line) < bounded_logs.MAX_LINE_BYTES
+    if count == 12:
+        assert len(json.loads(line)['shortened']) == 8
