--- a/redwingvalve/platform/tests/test_long_damaged_pages.py
+++ b/redwingvalve/platform/tests/test_long_damaged_pages.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from redwingvalve.platform import damaged_pages, json_answers, store
@@ -92,7 +93,7 @@
         async def take_turns():
             while True:
                 turns.append(None)
-                await anyio.sleep(0)
+                await anyio.lowlevel.checkpoint()
 
         async with anyio.create_task_group() as group:
             group.start_soon(take_turns)
