Record unusable entries in linear time

Cause: all known unusable entries were copied at each change of one, so that a page of many, or what is left of a damaged object, took time with their square.

Change: only the entry that changes is replaced. What is logged is unchanged.

The new test of it failed before; the tests of foreign entries pass.

--- a/redwingvalve/fleet/unusable_entries.py
+++ b/redwingvalve/fleet/unusable_entries.py
@@ -35,14 +35,15 @@
         before = self._known
         self._known = {}
         for stored, reason in found:
-            self._record(stored, reason, before)
+            name = store.name_of(stored)
+            self._record(stored, reason, before.get(name, set()))
 
     def add(self, stored: store.Document, reason: str) -> None:
         """Add the state of an entry after a change."""
-        before = self._known
         name = store.name_of(stored)
+        before = self._known.get(name, set())
         # Entries without a readable name can't be told apart.
-        self._known = {**before, name: set() if name else before.get('', set())}
+        self._known[name] = set() if name else before
         self._record(stored, reason, before)
 
     def remove(self, name: str) -> None:
@@ -50,14 +51,11 @@
         self._known.pop(name, None)
 
     def _record(
-        self,
-        stored: store.Document,
-        reason: str,
-        before: dict[str, _Versions],
+        self, stored: store.Document, reason: str, before: _Versions
     ) -> None:
         name = store.name_of(stored)
         version = (store.revision_or_zero(stored), reason)
-        is_logged = version in before.get(name, ())
+        is_logged = version in before
         self._known.setdefault(name, set()).add(version)
         if not is_logged:
             _log(name, reason)
