Take no success for whole that ended right behind a head without a length

What callers saw: an endpoint that closed its connection right behind the head of an answer without a length gave a 200 with an empty body, framed as whole. The endpoint lives on, so nothing else tells that the answer was cut off.

Change: a success with neither a length nor chunks nor a byte of body is broken. A stream that may be resumed goes on elsewhere; one that had only its end left is sent again.

What remains is another matter: a part of a body without a length that ends by FIN.

--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -63,6 +63,7 @@
         self._attempt_id = attempt_id
         self._on_statement = on_statement
         self._body: list[bytes] = []
+        self._has_body = False
 
     @property
     def body(self) -> bytes:
@@ -97,11 +98,22 @@
 
     def body_received(self, chunk: bytes) -> None:
         """Append to the body."""
+        self._has_body = True
         self._body.append(chunk)
 
     def completed(self) -> None:
-        """Set the outcome of a complete answer."""
-        self.finish(self.classify())
+        """Set the outcome of a complete answer.
+
+        A success whose connection ended right behind a head without a length
+        was cut off: nothing says that its body is empty.
+        """
+        outcome = self.classify()
+        if outcome is Outcome.COMPLETE and (
+            self.ends_with_connection and not self._has_body
+        ):
+            self.reason = 'ended behind its head'
+            outcome = Outcome.BROKEN
+        self.finish(outcome)
 
     def broken(self, reason: str) -> None:
         """Set the outcome after the connection broke."""
@@ -183,6 +195,7 @@
         if not self.is_stream:
             super().body_received(chunk)
             return
+        self._has_body = True
         if self.ended.done():
             return
         for event in self._splitter.feed(chunk):
