Ignore names of objects that can't be sent

An evacuation whose name holds an unpaired surrogate, or tens of thousands of letters, was repeated in each status message of each node. No message could be encoded or sent from then on: all nodes lost each other, and requests were refused for want of a place.

Change: a name of a data centre, VM, endpoint or model has at most 255 printable characters (texts.is_name()). Evacuations with others are ignored; endpoints and nodes there are unusable anyway.

--- a/redwingvalve/fleet/evacuations.py
+++ b/redwingvalve/fleet/evacuations.py
@@ -19,6 +19,7 @@
 import attrs
 
 from redwingvalve.core import clock as clock_module
+from redwingvalve.core import texts
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import store
 
@@ -43,6 +44,11 @@
     names: _Names = frozenset()
 
 
+def _usable(names: collections_abc.Iterable[str]) -> _Names:
+    """Return the names without those that no data centre can have."""
+    return frozenset(name for name in names if name and texts.is_name(name))
+
+
 def _no_revision() -> int:
     """Return 0, the revision while no watch is connected."""
     return 0
@@ -120,7 +126,7 @@
     def on_list(self, listed: list[store.Document]) -> None:
         """Replace all entries with a complete listing."""
         self.is_synced = True
-        self._watched_names = frozenset(map(store.name_of, listed)) - {''}
+        self._watched_names = _usable(map(store.name_of, listed))
         self._apply_watched()
 
     def on_changes(self, changes: list[store.Change]) -> None:
@@ -129,9 +135,9 @@
         for change in changes:
             if change.is_removed:
                 names.discard(change.name)
-            elif change.name:
+            else:
                 names.add(change.name)
-        self._watched_names = frozenset(names)
+        self._watched_names = _usable(names)
         self._apply_watched()
 
     def on_unavailable(self) -> None:
--- a/redwingvalve/fleet/tests/test_evacuations.py
+++ b/redwingvalve/fleet/tests/test_evacuations.py
@@ -238,6 +238,16 @@
     assert len(shared) == evacuations.MAX_SHARED_NAMES
 
 
+@pytest.mark.parametrize('name', ['\ud800', 'a\0', 'z' * 70_000])
+def test_a_name_that_cannot_be_sent_is_not_shared(name):
+    """No status message could be encoded, or sent, with it."""
+    watch = Watch()
+    watch.list(10, 'zone-2', name)
+    assert watch.state.shared_names() == ['zone-2']
+    watch.change(11, (name, False))
+    assert watch.state.shared_names() == ['zone-2']
+
+
 def test_the_gauge_tells_which_data_centres_are_evacuated():
     watch = Watch()
     watch.list(10, 'zone-2', 'zone-9')
--- a/redwingvalve/node/peer_addresses.py
+++ b/redwingvalve/node/peer_addresses.py
@@ -10,11 +10,9 @@
 
 import attrs
 
-from redwingvalve.core import ip_addresses
+from redwingvalve.core import ip_addresses, texts
 from redwingvalve.platform import settings
 
-# Of VMs and data centres; status messages of hubs name many of them.
-MAX_NAME_LENGTH = 255
 # Times are sent as 64-bit numbers.
 _MAX_BORN_MS = 2**63 - 1
 # More than any link has.
@@ -85,7 +83,7 @@
 
 
 def _check_name(name: typing.Any) -> None:
-    if not (_text(name).isprintable() and len(name) <= MAX_NAME_LENGTH):
+    if not texts.is_name(_text(name)):
         raise ValueError(f'unusable name of {len(name)} characters')
 
 
--- a/redwingvalve/node/tests/test_odd_entries.py
+++ b/redwingvalve/node/tests/test_odd_entries.py
@@ -25,6 +25,7 @@
 )
 FOREIGN = (-1, HUGE, 1e400, float('nan'), '\ud800', 'a\0', [[1]])
 ROUNDS = 12
+OBJECT_NAMES = ('\ud800', 'a\0', 'a\nb', 'x' * 70_000, 'y' * 5000)
 
 
 class Failures(logging.Handler):
@@ -89,23 +90,44 @@
 
     async def test(fleet):
         put_odd_entries(fleet.store, kind, name, addresses)
-        for number in range(ROUNDS):
-            await anyio.sleep(0.1)
-            for path in ('/card/1', '/quote/1'):
-                response = await fleet.caller(number % 2).ask(path)
-                assert response.ending == 'whole'
-            directory = fleet.directory(number % 2)
-            response = await directory.ask('/redwingvalve/resolve?name=x')
-            assert response.ending == 'whole'
-        await fleet.add_endpoint('late', fleet_harness.PLAIN_SERVICE)
-        await fleet.wait_until(
-            lambda: all(
-                'late' in {one.endpoint_id for one in node.registry.usable()}
-                for node in fleet.nodes
-            )
-        )
-        assert (await fleet.caller().ask('/card/1')).status == 200
-        assert all(len(node.peers.alive()) == 1 for node in fleet.nodes)
+        await check_service(fleet)
 
     fleet_harness.run(test, nodes=2, engines=2, plain=2)
     assert not failures
+
+
+@pytest.mark.parametrize('kind', [names.ENDPOINT_KIND, names.EVACUATION_KIND])
+def test_objects_with_odd_names_end_no_status_messages(kind, failures):
+    """Each message named them, and could be neither encoded nor sent."""
+
+    async def test(fleet):
+        sound = fleet.store.objects[names.ENDPOINT_KIND]['p0']['spec']
+        for name in OBJECT_NAMES:
+            # Nothing listens there, so that all nodes learn of its failure.
+            fleet.store.put(kind, name, {**sound, 'address': '127.0.0.1:1'})
+        await check_service(fleet)
+
+    bounds = {**fleet_harness.BOUNDS, 'evacuate_ms': 2000}
+    fleet_harness.run(test, nodes=2, engines=2, plain=2, bounds=bounds)
+    assert not failures
+
+
+async def check_service(fleet):
+    """Check that requests are answered and the list is followed."""
+    for number in range(ROUNDS):
+        await anyio.sleep(0.1)
+        for path in ('/card/1', '/quote/1'):
+            response = await fleet.caller(number % 2).ask(path)
+            assert response.ending == 'whole'
+        directory = fleet.directory(number % 2)
+        response = await directory.ask('/redwingvalve/resolve?name=x')
+        assert response.ending == 'whole'
+    await fleet.add_endpoint('late', fleet_harness.PLAIN_SERVICE)
+    await fleet.wait_until(
+        lambda: all(
+            'late' in {one.endpoint_id for one in node.registry.usable()}
+            for node in fleet.nodes
+        )
+    )
+    assert (await fleet.caller().ask('/card/1')).status == 200
+    assert all(len(node.peers.alive()) == 1 for node in fleet.nodes)
--- a/redwingvalve/platform/entries.py
+++ b/redwingvalve/platform/entries.py
@@ -8,6 +8,7 @@
 import math
 import typing
 
+from redwingvalve.core import texts
 from redwingvalve.fleet import endpoints
 from redwingvalve.platform import damaged_pages, settings
 
@@ -16,6 +17,8 @@
 # Counts are sent to other nodes as 32-bit numbers, times and epochs as 64-bit.
 _MAX_COUNT = 2**31 - 1
 _MAX_NUMBER = 2**63 - 1
+# Characters of a text that an error repeats.
+_MAX_QUOTED = 40
 # Fields of entries of services that serve a model.
 _MODEL_FIELDS = ('domain', 'group', 'models', 'staged')
 
@@ -153,9 +156,9 @@
 def _require_text(value: typing.Any) -> str:
     if not isinstance(value, str) or not value:
         raise EndpointEntryError(f'expected a non-empty string, got {value!r}')
-    # Control characters and unpaired surrogates can't be sent in a header.
-    if not value.isprintable():
-        raise EndpointEntryError(f'unprintable characters in {value!r}')
+    if not texts.is_name(value):
+        start = value[:_MAX_QUOTED]
+        raise EndpointEntryError(f'too long or unprintable: {start!r}')
     return value
 
 
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -82,6 +82,8 @@
         {'cold_left_ms': 'soon'},
         {'version': 1},
         {'zone': 'a\nb'},
+        {'zone': 'z' * 70_000},
+        {'service': '\ud800'},
     ],
 )
 def test_invalid_entry_is_rejected(invalid):
