Pass answers without a length on as whole only if known to be whole

Cause: an answer with neither a length nor chunks ends with its connection, and so does one whose process is ended. The node asked the endpoint after the end, but not one that leaves or whose entry is gone, took a silent one for alive, and passed on whatever wasn't known to have crashed.

An answer is whole if its endpoint answers a probe sent after the end, of this or another node, or if another connection to it stays open 0.3 s longer; a plain one also if its body came at once from an endpoint that leaves and had stopped listening before. All others count as broken: a stream that may be resumed goes on elsewhere, others fail openly. Error answers are checked as well. A watch holds one idle connection to each endpoint that leaves amid requests of the node, and so sees when it stops listening.

The double of other nodes in test_head_stops.py takes the new argument of ask(); its tests are unchanged.

Remains: the last answer of an endpoint that exits at once looks like one that is cut; it fails if it may run only once and there was no other sign.

--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from redwingvalve.http1 import pool, response_limits
+from redwingvalve.http1 import client, pool, response_limits
 from redwingvalve.ingress import (
     answer_ends,
     caller_retries,
@@ -31,6 +31,10 @@
 class InFlightRequest(abc.ABC):
     """A request that an endpoint is processing."""
 
+    # None before it is sent.
+    target: load_balancing.Target | None = None
+    connection: client.Connection | None = None
+
     @abc.abstractmethod
     def head_stalled(self) -> None:
         """Move the request to another endpoint, if it can be moved."""
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -59,6 +59,7 @@
         self.statement: endpoint_statements.Statement | None = None
         self.reason = ''
         self.sent_s = time.monotonic()
+        self.head_s = self.sent_s
         self.end = answer_ends.AnswerEnd.MARKED
         self._attempt_id = attempt_id
         self._on_statement = on_statement
@@ -91,6 +92,7 @@
     def head_received(self, head: messages.ResponseHead) -> None:
         """Store the response head and what it states."""
         self.head = head
+        self.head_s = time.monotonic()
         self.statement = endpoint_statements.read_statement(head)
         if self.statement is not None:
             self._on_statement(self.statement)
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -5,6 +5,7 @@
 import typing
 from collections import abc as collections_abc
 
+import anyio
 import attrs
 
 from redwingvalve.http1 import client, messages, pool
@@ -86,7 +87,6 @@
         self._wait = wait
         self._forwarder = forwarder
         self._keys = keys
-        self._connection: client.Connection | None = None
 
     async def send(
         self, target: load_balancing.Target, on_statement: upstream.OnStatement
@@ -105,7 +105,8 @@
         self.sends.is_retry_paid = False
         upstream_request = self._make_upstream_request(on_statement)
         self.upstream_request = upstream_request
-        self._connection = connection
+        self.target = target
+        self.connection = connection
         connection.send(
             self._render_request(target),
             upstream_request,
@@ -145,8 +146,8 @@
 
     def abandon(self) -> None:
         """Close the connection of an attempt that is cancelled."""
-        if self._connection is not None:
-            self._connection.abandon()
+        if self.connection is not None:
+            self.connection.abandon()
 
     async def check_links(self) -> None:
         """Find out whether the endpoint has failed or this node is cut off.
@@ -255,7 +256,7 @@
         upstream_request: upstream.UpstreamRequest,
     ) -> upstream.Outcome:
         self._forwarder.attach(
-            self._connection, self._make_monitored_stream(target)
+            self.connection, self._make_monitored_stream(target)
         )
         in_flight_requests = self._state.in_flight_requests.setdefault(
             target.endpoint_id, set()
@@ -266,30 +267,34 @@
         finally:
             in_flight_requests.discard(self)
             self._forwarder.detach()
-        if (
-            outcome is upstream.Outcome.COMPLETE
-            and upstream_request.ends_with_connection
-        ):
-            outcome = await self._check_end(target, upstream_request)
-        if outcome in ABANDONED and self._connection is not None:
-            self._connection.abandon()
-        self._connection = None
+        if outcome in _ENDED and upstream_request.ends_with_connection:
+            outcome = await self._check_end(target, upstream_request, outcome)
+        if outcome in ABANDONED and self.connection is not None:
+            self.connection.abandon()
+        self.connection = None
         return outcome
 
     async def _check_end(
         self,
         target: load_balancing.Target,
         upstream_request: upstream.UpstreamRequest,
+        outcome: upstream.Outcome,
     ) -> upstream.Outcome:
-        """Return BROKEN if an answer ended because its endpoint did."""
-        end = await self._state.end_checker.check(
+        """Return BROKEN if an answer may have ended early."""
+        answer = answer_ends.EndedAnswer(
             target,
+            is_stream=self._admission.is_stream,
+            head_s=upstream_request.head_s,
+            ended_s=time.monotonic(),
             is_in_doubt=self._state.poison.blame.is_in_doubt(self._keys),
         )
+        end = answer_ends.AnswerEnd.UNKNOWN
+        with anyio.CancelScope(deadline=self._admission.timeout_at_s):
+            end = await self._state.end_checker.check(answer)
         upstream_request.end = end
-        if end is not answer_ends.AnswerEnd.CRASH:
-            return upstream.Outcome.COMPLETE
-        upstream_request.reason = 'the endpoint ended'
+        if end.is_whole:
+            return outcome
+        upstream_request.reason = f'ended with its connection: {end.value}'
         return upstream.Outcome.BROKEN
 
     async def _wait_for_outcome(
@@ -348,6 +353,7 @@
     return NON_REPEATABLE_MAX_IDLE_S
 
 
+_ENDED = frozenset((upstream.Outcome.COMPLETE, upstream.Outcome.FAILURE))
 ABANDONED = frozenset(
     (
         upstream.Outcome.CALLER_GONE,
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -2,10 +2,13 @@
 
 A request is held back while it is not known whether three endpoints crashed
 under it. An endpoint that answers nothing else in the meantime is asked, at
-once if other runs of the same request have broken off too.
+once if other runs of the same request have broken off too. An answer that ended
+with its connection is held back until it is known whether its endpoint has
+outlived it.
 """
 
 import time
+import types
 import typing
 
 import anyio
@@ -14,6 +17,7 @@
 
 from redwingvalve.fleet import endpoints
 from redwingvalve.fleet import registry as registry_module
+from redwingvalve.http1 import client as http_client
 from redwingvalve.ingress import (
     answer_ends,
     broken_runs,
@@ -23,6 +27,8 @@
     poison,
     reachability,
 )
+from redwingvalve.ingress import state as state_module
+from redwingvalve.node import endpoint_prober, stop_watch
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -36,8 +42,20 @@
 MAX_CONCURRENT_PROBES = 16
 # A process may outlive the connection of its answer by a moment.
 ANSWER_END_DELAY_S = 0.15
-_GONE = frozenset(
-    (endpoint_orders.Liveness.ENDED, endpoint_orders.Liveness.NOT_LISTENING)
+# For an endpoint that doesn't respond, and between two probes of it.
+MAX_SILENCE_S = 0.6
+RETRY_INTERVAL_S = 0.05
+# The ends of the connections of one process may arrive this much apart, if a
+# packet is lost.
+OUTLIVE_S = 0.3
+OUTLIVE_POLL_S = 0.02
+_LIVES: typing.Final = types.MappingProxyType(
+    {
+        endpoint_orders.Liveness.ALIVE: answer_ends.Life.ALIVE,
+        endpoint_orders.Liveness.ENDED: answer_ends.Life.ENDED,
+        endpoint_orders.Liveness.NOT_LISTENING: answer_ends.Life.NOT_LISTENING,
+        endpoint_orders.Liveness.UNKNOWN: answer_ends.Life.SILENT,
+    }
 )
 
 
@@ -166,33 +184,112 @@
 
     registry: registry_module.Registry
     client: endpoint_orders.EndpointClient
+    prober: endpoint_prober.EndpointProber
     reach: reachability.EndpointReach
+    watch: stop_watch.StopWatch
 
     async def check(
-        self, target: load_balancing.Target, *, is_in_doubt: bool
+        self, answer: answer_ends.EndedAnswer
     ) -> answer_ends.AnswerEnd:
-        """Ask the endpoint, unless it is about to stop listening."""
-        if is_in_doubt:
+        """Ask the endpoint, and compare with its other connections."""
+        target = answer.target
+        others = self.watch.connections(target)
+        is_leaving = self.watch.is_leaving(target.endpoint_id)
+        if answer.is_in_doubt:
             await anyio.sleep(ANSWER_END_DELAY_S)
-        endpoint = self.registry.live.get(target.endpoint_id)
-        if endpoint is None or endpoint.draining:
-            return answer_ends.AnswerEnd.UNKNOWN
-        if endpoint.incarnation != target.incarnation:
-            return answer_ends.AnswerEnd.CRASH
-        liveness = await self.client.check_liveness(endpoint)
+        life = await self._find_life(target, answer.ended_s)
+        evidence = answer_ends.Evidence(
+            life,
+            is_leaving=is_leaving,
+            has_open_connection=(
+                life is answer_ends.Life.NOT_LISTENING
+                and await _outlasts(others, answer.ended_s)
+            ),
+            stopped_s=self.watch.stopped_s(target),
+        )
+        end = answer_ends.judge(answer, evidence)
         LOG.info(
             'answer ended with its connection',
             extra={
                 'endpoint': target.endpoint_id,
-                'liveness': liveness.value,
-                'is_in_doubt': is_in_doubt,
+                'end': end.value,
+                'life': life.value,
+                'is_leaving': is_leaving,
+                'is_in_doubt': answer.is_in_doubt,
             },
         )
-        if liveness is endpoint_orders.Liveness.ALIVE:
-            return answer_ends.AnswerEnd.OPEN
+        return end
+
+    async def run(self) -> None:
+        """Watch endpoints that leave until cancelled."""
+        await self.watch.run()
+
+    async def _find_life(
+        self, target: load_balancing.Target, ended_s: float
+    ) -> answer_ends.Life:
+        """Return what the endpoint's host says, or another node of it."""
+        listed = self.registry.live.get(target.endpoint_id)
+        if listed is not None and listed.incarnation != target.incarnation:
+            return answer_ends.Life.ENDED
+        endpoint = listed or _make_endpoint(target)
+        until_s = time.monotonic() + MAX_SILENCE_S
+        life = await self._ask(endpoint, ended_s)
+        while life is answer_ends.Life.SILENT and time.monotonic() < until_s:
+            await anyio.sleep(RETRY_INTERVAL_S)
+            life = await self._ask(endpoint, ended_s)
+        return life
+
+    async def _ask(
+        self, endpoint: endpoints.Endpoint, ended_s: float
+    ) -> answer_ends.Life:
+        life = _LIVES[await self.client.check_liveness(endpoint)]
+        if life in {answer_ends.Life.ALIVE, answer_ends.Life.ENDED}:
+            return life
         # To a node that is cut off all endpoints seem gone.
-        if not await self.reach.confirm():
-            return answer_ends.AnswerEnd.UNKNOWN
-        if liveness in _GONE:
-            return answer_ends.AnswerEnd.CRASH
-        return answer_ends.AnswerEnd.OPEN
+        is_gone = life is answer_ends.Life.NOT_LISTENING
+        if is_gone and await self.reach.confirm():
+            return life
+        report = await self.prober.ask_others(endpoint, since_s=ended_s)
+        if report is None:
+            return answer_ends.Life.SILENT
+        if report.born_ms in {0, endpoint.born_ms}:
+            return answer_ends.Life.REACHED_BY_OTHERS
+        return answer_ends.Life.ENDED
+
+
+async def _outlasts(
+    connections: list[http_client.Connection], ended_s: float
+) -> bool:
+    """Return whether a connection is open for longer than one that ended."""
+    until_s = ended_s + OUTLIVE_S
+    while any(one.is_open for one in connections):
+        left_s = until_s - time.monotonic()
+        if left_s <= 0:
+            return True
+        await anyio.sleep(min(left_s, OUTLIVE_POLL_S))
+    return False
+
+
+def make_end_checker(
+    state: state_module.IngressState,
+    registry: registry_module.Registry,
+    client: endpoint_orders.EndpointClient,
+    prober: endpoint_prober.EndpointProber,
+) -> EndpointAnswerEnds:
+    """Return a checker for the answers to the requests of a state."""
+    watch = stop_watch.StopWatch(state, registry)
+    return EndpointAnswerEnds(registry, client, prober, state.reach, watch)
+
+
+def _make_endpoint(target: load_balancing.Target) -> endpoints.Endpoint:
+    """Return an endpoint whose entry is gone, as far as a probe needs it."""
+    return endpoints.Endpoint(
+        endpoint_id=target.endpoint_id,
+        born_ms=target.born_ms,
+        service='',
+        host=target.host,
+        port=target.port,
+        data_centre=target.data_centre,
+        slots=target.slots,
+        draining=True,
+    )
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -205,6 +205,7 @@
             self.reach.run,
             self.path_prober.run,
             self.crash_checker.run,
+            self.state.end_checker.run,
             self.poison_records.run,
             self._run_lease,
             self.gauges.run,
@@ -337,8 +338,8 @@
     prober = endpoint_prober.make_prober(
         endpoint_client, reach, status_exchange.peers
     )
-    state.end_checker = crash_checks.EndpointAnswerEnds(
-        registry, endpoint_client, reach
+    state.end_checker = crash_checks.make_end_checker(
+        state, registry, endpoint_client, prober
     )
     return Node(
         settings=node_settings,
--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import math
 import time
 import typing
 
@@ -154,10 +155,13 @@
         return report
 
     async def ask_others(
-        self, endpoint: endpoints.Endpoint
+        self, endpoint: endpoints.Endpoint, since_s: float = -math.inf
     ) -> endpoint_orders.Report | None:
-        """Return the report that another node gets, None without one."""
-        return await self._others.ask(endpoint)
+        """Return the report that another node gets, None without one.
+
+        It is one that was asked for after since_s by the monotonic clock.
+        """
+        return await self._others.ask(endpoint, since_s)
 
     async def ask_with_others(
         self, endpoint: endpoints.Endpoint
--- a/redwingvalve/node/indirect_probes.py
+++ b/redwingvalve/node/indirect_probes.py
@@ -13,6 +13,7 @@
 
 import abc
 import itertools
+import math
 import random
 import time
 import typing
@@ -46,9 +47,12 @@
 
     @abc.abstractmethod
     async def ask(
-        self, endpoint: endpoints.Endpoint
+        self, endpoint: endpoints.Endpoint, since_s: float = -math.inf
     ) -> endpoint_orders.Report | None:
-        """Return the first report that another node gets, None without one."""
+        """Return the first report that another node gets, None without one.
+
+        It is one that was asked for after since_s by the monotonic clock.
+        """
 
     @abc.abstractmethod
     async def run(self) -> None:
@@ -59,7 +63,7 @@
     """For a node on its own."""
 
     async def ask(
-        self, endpoint: endpoints.Endpoint
+        self, endpoint: endpoints.Endpoint, since_s: float = -math.inf
     ) -> endpoint_orders.Report | None:
         """Return None."""
 
@@ -103,6 +107,7 @@
 
 @attrs.frozen
 class _Outcome:
+    asked_s: float
     at_s: float
     report: endpoint_orders.Report | None
 
@@ -134,7 +139,7 @@
         await self.answers.run()
 
     async def ask(
-        self, endpoint: endpoints.Endpoint
+        self, endpoint: endpoints.Endpoint, since_s: float = -math.inf
     ) -> endpoint_orders.Report | None:
         """Return the first report that another node gets, None without one.
 
@@ -143,14 +148,15 @@
         async with self._limit:
             self._forget_old_outcomes()
             known = self._outcomes.get(endpoint.incarnation)
-            if known is not None:
+            if known is not None and known.asked_s >= since_s:
                 return known.report
             asked = self._select_nodes(endpoint)
             if not asked:
                 return None
+            asked_s = time.monotonic()
             report = await self._ask_nodes(endpoint, asked)
             self._outcomes[endpoint.incarnation] = _Outcome(
-                time.monotonic(), report
+                asked_s, time.monotonic(), report
             )
         return report
 
--- /dev/null
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -0,0 +1,146 @@
+"""Answers without a length of endpoints that leave, or are ended then."""
+
+import anyio
+import pytest
+
+from redwingvalve.platform.standins import endpoint_faults
+from redwingvalve.platform.tests import fleet_harness
+
+EVENTS = list(range(1, 41))
+ENGINES = {'nodes': 1, 'engines': 4, 'plain': 0}
+PLAIN = {'nodes': 1, 'engines': 0, 'plain': 2}
+
+
+def close_after_answers(fleet):
+    for endpoint in fleet.endpoints.values():
+        endpoint.faults.closes_after_answers = True
+        endpoint.faults.entry_lapse_s = 5
+        endpoint.events_per_response = len(EVENTS)
+
+
+async def find_running(fleet, runs=1):
+    """Return the endpoint that runs so many requests, once it does."""
+
+    def running():
+        return [
+            one for one in fleet.endpoints.values() if len(one.runs) >= runs
+        ]
+
+    await fleet.wait_until(running)
+    return running()[0]
+
+
+async def leave(fleet, endpoint, announces=True):
+    """Let an endpoint leave, and the node learn of it."""
+    if announces:
+        endpoint.drain()
+    else:
+        fleet.store.remove('servers', endpoint.endpoint_id)
+    live = fleet.nodes[0].registry.live
+
+    def is_known():
+        listed = live.get(endpoint.endpoint_id)
+        return listed is None or listed.draining
+
+    await fleet.wait_until(is_known)
+
+
+def count_runs(fleet):
+    return sum(len(one.runs) for one in fleet.endpoints.values())
+
+
+@pytest.mark.parametrize('announces', [False, True])
+def test_a_stream_goes_on_whose_leaving_endpoint_is_ended(announces):
+    """What had arrived was taken for the whole answer."""
+
+    async def test(fleet):
+        close_after_answers(fleet)
+        responses = []
+
+        async def ask():
+            responses.append(await fleet.caller().stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await leave(fleet, endpoint, announces)
+            await anyio.sleep(0.1)
+            endpoint.crash()
+        assert responses[0].ending == 'whole'
+        assert responses[0].events == EVENTS
+
+    fleet_harness.run(test, **ENGINES)
+
+
+@pytest.mark.parametrize('announces', [False, True])
+def test_half_an_answer_of_a_leaving_endpoint_is_no_success(
+    monkeypatch, announces
+):
+    """A caller that must not ask again got half of an answer as a whole one."""
+    # From the head of the answer to its body.
+    monkeypatch.setattr(endpoint_faults, 'EVENT_INTERVAL_S', 0.5)
+
+    async def test(fleet):
+        close_after_answers(fleet)
+        responses = []
+
+        async def ask():
+            responses.append(await fleet.caller().ask('/quote/1', b'body'))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await leave(fleet, endpoint, announces)
+            endpoint.crash()
+        assert responses[0].status == 502
+        assert count_runs(fleet) == 1
+
+    fleet_harness.run(test, **PLAIN)
+
+
+def test_a_whole_stream_of_a_leaving_endpoint_runs_once():
+    """It was sent again to another endpoint for nothing."""
+
+    async def test(fleet):
+        close_after_answers(fleet)
+        responses = []
+
+        async def ask():
+            responses.append(await fleet.caller().stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await leave(fleet, endpoint)
+        assert responses[0].events == EVENTS
+        assert responses[0].ending == 'whole'
+        assert count_runs(fleet) == 1
+
+    fleet_harness.run(test, **ENGINES)
+
+
+def test_a_whole_stream_is_known_by_one_that_outlasts_it():
+    """The endpoint had stopped listening, so that nothing else told."""
+
+    async def test(fleet):
+        close_after_answers(fleet)
+        responses = []
+
+        async def ask():
+            responses.append(await fleet.caller().stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await anyio.sleep(0.4)
+            while len(endpoint.runs) < 2:
+                group.start_soon(ask)
+                await anyio.sleep(0.02)
+            await leave(fleet, endpoint)
+            endpoint.stop_listening()
+        assert all(one.events == EVENTS for one in responses)
+        first = endpoint.runs[0].attempt_id
+        runs = [run for one in fleet.endpoints.values() for run in one.runs]
+        assert [run.attempt_id for run in runs].count(first) == 1
+
+    fleet_harness.run(test, **ENGINES)
--- a/redwingvalve/node/tests/test_head_stops.py
+++ b/redwingvalve/node/tests/test_head_stops.py
@@ -45,7 +45,7 @@
 
     reports: list
 
-    async def ask(self, endpoint):
+    async def ask(self, endpoint, since_s=0):
         is_last = len(self.reports) == 1
         return self.reports[0] if is_last else self.reports.pop(0)
 
