Close connections after refusals that couldn't be told from late copies

Cause: UpstreamRequest.accepts() takes a 421 or an X-Not-Run answer without an attempt id for the request at hand. An endpoint that repeats such a refusal when the next request has begun on the kept connection made the node refuse that request, or send it to a second endpoint, while it ran (REFUSED, TWICE).

Change: a connection isn't kept after an answer without an id, so that no earlier answer on it can be repeated without one. A refusal without an id then belongs to the request at hand, and still is a refusal. Weighed: taking such refusals for unknown on all kept connections turns sound ones into 502 for requests that may run once; fresh connections for these requests alone leave repeatable ones to be sent again while they run.

Remains: an endpoint that sends a refusal without an id late, though all its earlier answers on the connection had one, is believed. Reports and orders have no ids at all; their connections carry nothing else, but a late copy of one would be taken for the next.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -2,8 +2,9 @@
 
 A response is accepted only for the request that was sent. Late responses to
 earlier requests are recognized by their echoed id and skipped. A connection
-that delivers more than one response, or ends abnormally, is never reused. One
-whose bytes go on beyond the limits of a response is closed.
+that delivers more than one response, or ends abnormally, is never reused, nor
+is one whose response couldn't be recognized if it came again. One whose bytes
+go on beyond the limits of a response is closed.
 """
 
 import abc
@@ -31,6 +32,13 @@
     def accepts(self, head: messages.ResponseHead) -> bool:
         """Return whether the head belongs to this request's response."""
 
+    def may_reuse_connection(self, head: messages.ResponseHead) -> bool:
+        """Return whether a late copy of the response would be recognized.
+
+        Called for a head that was accepted.
+        """
+        return True
+
     def max_body_bytes(
         self, limits: response_limits.ResponseLimits
     ) -> int | None:
@@ -164,7 +172,7 @@
         self._meter.is_skipping = not exchange.accepts(head)
         if self._meter.is_skipping:
             return
-        self._reusable = head.keep_alive
+        self._reusable = head.keep_alive and exchange.may_reuse_connection(head)
         self._close_delimited = head.body_end is messages.BodyEnd.CONNECTION
         self._read_keep_alive(head)
         exchange.head_received(head)
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -82,13 +82,22 @@
         """Return whether an answer belongs to this attempt."""
         echoed = head.header(names.ATTEMPT_ID_HEADER)
         if echoed is None:
-            # Only refusals may lack the id: they are never forwarded.
+            # Only refusals may lack the id: they are never forwarded, and no
+            # earlier one was received on this connection.
             return (
                 head.header(names.NOT_RUN_HEADER) is not None
                 or head.status == 421
             )
         return echoed == self._attempt_id
 
+    def may_reuse_connection(self, head: messages.ResponseHead) -> bool:
+        """Return whether the answer has an id.
+
+        A refusal without one that is repeated late would be taken for the
+        answer to the next request, which runs.
+        """
+        return head.header(names.ATTEMPT_ID_HEADER) is not None
+
     def head_received(self, head: messages.ResponseHead) -> None:
         """Store the response head and what it states."""
         self.head = head
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -312,10 +312,13 @@
         stated = endpoint_faults.statement_headers(self.faults)
         spoiling = endpoint_faults.draw_spoiling(self.faults)
         is_rejected = spoiling is endpoint_faults.Spoiling.REJECTION
+        endpoint_faults.repeat_rejection(self.faults, responder.connection)
         if is_rejected or endpoint_faults.rejects(
             self.faults, len(self.arrivals.times_s)
         ):
             self.rejections_s.append(arrived_s)
+            if self.faults.repeats_rejections:
+                self.faults.rejected_connections.add(responder.connection)
             if self.faults.stated_rest_s is not None:
                 rest = b'%g' % self.faults.stated_rest_s
                 stated.append((b'retry-after', rest))
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -12,6 +12,10 @@
 
 # Between two events of a stream; shortened for tests.
 EVENT_INTERVAL_S = 0.02
+_REJECTION = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'x-not-run: 1\r\ncontent-length: 0\r\n\r\n'
+)
 
 
 class Spoiling(enum.Enum):
@@ -40,6 +44,11 @@
     aborts_at_event: int | None = None
     rejects_requests: bool = False
     rejects_every_other_request: bool = False
+    # The next request on the connection gets the rejection once more, and runs.
+    repeats_rejections: bool = False
+    rejected_connections: set[server.ServerConnection] = attrs.field(
+        factory=set
+    )
     returns_server_error: bool = False
     # Orders with these operations are executed late and never acknowledged.
     delayed_operations: tuple[str, ...] = ()
@@ -101,6 +110,15 @@
     )
 
 
+def repeat_rejection(
+    faults: EndpointFaults, connection: server.ServerConnection
+) -> None:
+    """Send a rejection again if the latest answer on a connection was one."""
+    if connection in faults.rejected_connections:
+        faults.rejected_connections.discard(connection)
+        connection.write(_REJECTION)
+
+
 def statement_headers(faults: EndpointFaults) -> messages.Headers:
     """Return what an endpoint states in the head of each answer."""
     headers: messages.Headers = []
