Provoke lost requests by series of signals to daemons

Cause: none of the tests or the soak sent a daemon more than one signal, or stopped two of them at a time, and callers left a stopping entry at once.

Change: the soak's fault daemons-signalled stops several daemons at any spacing and signals each of them until it has ended; every second caller keeps its connection until its entry is gone, and a stop no longer excuses what it cuts. A process that outlives its stop time is killed, which is a breach.

--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -14,6 +14,15 @@
 LEAVE_PROPAGATION_S = 3.0
 
 
+def stop_timeout_s(settings: settings_schema.RequestSettings) -> float:
+    """Return within which time after a signal the process has ended."""
+    return (
+        settings.discovery_keep_s
+        + LEAVE_PROPAGATION_S
+        + settings.drain_timeout_s
+    )
+
+
 async def serve_entry(
     entry_dependencies: dependencies.EntryDependencies,
     settings: settings_schema.Settings,
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -31,6 +31,8 @@
 from redwingvalve.tls import contexts
 
 ROLE = 'control'
+# The process ends within this time after a signal.
+STOP_TIMEOUT_S = server.GRACEFUL_TIMEOUT_S + 3.0
 LOGGER = logs.make_logger('control')
 
 
--- a/redwingvalve/soak/callers.py
+++ b/redwingvalve/soak/callers.py
@@ -68,13 +68,15 @@
 class CallerSettings:
     """Settings of a caller.
 
-    disturbed tells whether a fault excuses an entry that does not respond.
+    disturbed tells whether a fault excuses an entry that does not respond. A
+    caller that clings keeps its connection until the entry is gone.
     """
 
     credential: str
     target: workload.Target
     first_entries: tuple[str, ...]
     disturbed: collections_abc.Callable[[str, float], bool]
+    clings: bool = False
 
 
 class Caller:
@@ -89,8 +91,11 @@
         self._chance = rng
         self._count = 0
         self._client = httpx.AsyncClient(
-            headers={'authorization': f'Bearer {settings.credential}'}
+            headers={'authorization': f'Bearer {settings.credential}'},
+            limits=httpx.Limits(keepalive_expiry=None),
         )
+        # The entry that a caller clings to, or empty.
+        self._kept = ''
         self._directory = Directory(settings.first_entries, self._client)
         self.records: list[records.Record] = []
 
@@ -131,7 +136,7 @@
         record = records.Record(request)
         self.records.append(record)
         while len(record.attempts) < max_attempts and not record.answered:
-            addresses = await self._directory.addresses(self._chance)
+            addresses = await self._addresses()
             if not addresses:
                 await anyio.sleep(MAX_WAIT_S)
                 record.attempts.append(_make_unreachable_attempt())
@@ -141,10 +146,17 @@
             )
             record.attempts.append(attempt)
             await self._send(request, attempt)
+            is_kept = self._settings.clings and not attempt.broken
+            self._kept = attempt.entry if is_kept else ''
             if len(record.attempts) < max_attempts:
                 await self._wait_after(attempt, pause_s)
         return record
 
+    async def _addresses(self) -> tuple[str, ...]:
+        if self._kept:
+            return (self._kept,)
+        return await self._directory.addresses(self._chance)
+
     async def _wait_after(
         self, attempt: records.Attempt, pause_s: float
     ) -> None:
--- a/redwingvalve/soak/daemon_faults.py
+++ b/redwingvalve/soak/daemon_faults.py
@@ -1,5 +1,9 @@
 """Faults of entries and controllers, and concurrent confirmations."""
 
+import random
+
+import anyio
+
 from redwingvalve.soak import daemons, fault_context, operators, schedule
 
 RACERS = 2
@@ -10,6 +14,8 @@
 # detects that it is isolated (4 s) to more than the time after which its peers
 # declare it dead.
 CUT_FACTOR = 2.0
+# Mean times between the signals of a series.
+SIGNAL_GAPS_S = (0.05, 0.2, 1.0, 5.0)
 
 
 async def entry_dies(
@@ -52,6 +58,31 @@
     return f'{victim.name}, ended after {took_s:.1f} s'
 
 
+async def daemons_signalled(
+    context: fault_context.FaultContext, fault: schedule.Fault
+) -> str:
+    """Stop several daemons, at any spacing, and signal them until they end."""
+    rng = random.Random(fault.where)
+    present = context.undisturbed(*context.daemons.by_name.values())
+    victims = rng.sample(
+        present, rng.randint(min(1, len(present)), len(present))
+    )
+
+    async def stop(victim: daemons.Daemon, after_s: float) -> None:
+        await anyio.sleep(after_s)
+        if context.undisturbed(victim):
+            series = daemons.SignalSeries(rng, rng.choice(SIGNAL_GAPS_S))
+            took_s = await context.daemons.stop(
+                victim.name, fault.duration_s, series
+            )
+            context.stop_times_s.append(took_s)
+
+    async with anyio.create_task_group() as group:
+        for chosen in victims:
+            group.start_soon(stop, chosen, rng.uniform(0, fault.duration_s))
+    return ', '.join([each.name for each in victims]) or NOBODY
+
+
 async def operators_race(
     context: fault_context.FaultContext, fault: schedule.Fault
 ) -> str:
--- a/redwingvalve/soak/daemons.py
+++ b/redwingvalve/soak/daemons.py
@@ -2,6 +2,8 @@
 
 import abc
 import asyncio
+import random
+import signal
 import time
 
 import anyio
@@ -9,6 +11,7 @@
 from anyio import abc as anyio_abc
 
 from redwingvalve.core import invariants
+from redwingvalve.entry import daemon as entry_daemon
 from redwingvalve.process import control, entry
 from redwingvalve.settings import schema
 from redwingvalve.soak import breaches
@@ -16,6 +19,20 @@
 ENTRY = 'entry'
 CONTROL = 'control'
 SETTLING_S = 3.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+@attrs.frozen
+class SignalSeries:
+    """Signals that a daemon gets until it has ended, gap_s apart on average."""
+
+    rng: random.Random
+    gap_s: float
+
+    def draw(self) -> tuple[float, signal.Signals]:
+        """Return the time until the next signal, and the signal."""
+        pause_s = self.rng.expovariate(1 / self.gap_s)
+        return pause_s, self.rng.choice((*STOP_SIGNALS, signal.SIGHUP))
 
 
 @attrs.define
@@ -28,12 +45,21 @@
     disturbed_until_s: float = 0.0
     stopping: bool = False
     away: bool = False
+    # Away after a planned stop, which excuses no request that it cuts.
+    was_stopped: bool = False
 
     @property
     def address(self) -> str:
         """Return host:port of the HTTP server."""
         return f'{self.settings.node.host}:{self.settings.listen.http_port}'
 
+    @property
+    def stop_timeout_s(self) -> float:
+        """Return within which time the process ends after a signal."""
+        if self.role == CONTROL:
+            return control.STOP_TIMEOUT_S
+        return entry_daemon.stop_timeout_s(self.settings.requests)
+
 
 class Daemons(abc.ABC):
     """All daemons of a run by name."""
@@ -58,7 +84,10 @@
         """Tell whether a fault hit the daemon at or after a wall-clock time."""
         return any(
             daemon.address == address
-            and (daemon.away or daemon.disturbed_until_s >= since_s)
+            and (
+                (daemon.away and not daemon.was_stopped)
+                or daemon.disturbed_until_s >= since_s
+            )
             for daemon in self.by_name.values()
         )
 
@@ -72,12 +101,19 @@
         await self.wait_listening(daemon)
         self._came_back(daemon)
 
-    async def stop(self, name: str, away_s: float) -> float:
+    async def stop(
+        self, name: str, away_s: float, series: SignalSeries | None = None
+    ) -> float:
         """Shut a daemon down, restart it and return the shutdown time."""
         daemon = self.by_name[name]
         daemon.stopping = True
+        daemon.was_stopped = True
         began_s = time.monotonic()
-        await self.shut_down(daemon)
+        async with anyio.create_task_group() as group:
+            if series is not None:
+                group.start_soon(self._send_series, daemon, series)
+            await self.shut_down(daemon)
+            group.cancel_scope.cancel()
         took_s = time.monotonic() - began_s
         daemon.away = True
         daemon.stopping = False
@@ -107,6 +143,12 @@
         await anyio.sleep(duration_s)
         await self.heal_links(daemon)
 
+    async def _send_series(self, daemon: Daemon, series: SignalSeries) -> None:
+        while True:
+            pause_s, number = series.draw()
+            await anyio.sleep(pause_s)
+            self.send_signal(daemon, number)
+
     def _note_breach(self, daemon: Daemon, error: BaseException) -> None:
         self.breaches.append(
             breaches.Breach(
@@ -136,6 +178,10 @@
     async def shut_down(self, daemon: Daemon) -> None:
         """Shut a daemon down gracefully and wait for its end."""
 
+    @abc.abstractmethod
+    def send_signal(self, daemon: Daemon, number: signal.Signals) -> None:
+        """Send a signal, unless the daemon has ended."""
+
     async def wait_listening(self, daemon: Daemon) -> None:
         """Wait until a restarted daemon can handle a stop request."""
 
@@ -153,6 +199,7 @@
 
     def _came_back(self, daemon: Daemon) -> None:
         daemon.away = False
+        daemon.was_stopped = False
         daemon.disturbed_until_s = time.time() + SETTLING_S
 
 
@@ -184,6 +231,11 @@
         self._stops[daemon.name].set()
         await self._ended[daemon.name].wait()
 
+    def send_signal(self, daemon: Daemon, number: signal.Signals) -> None:
+        """Do what a process does at a signal."""
+        if number in STOP_SIGNALS:
+            self._stops[daemon.name].set()
+
     async def _run(self, daemon: Daemon) -> None:
         ended = self._ended[daemon.name]
         scope = self._scopes[daemon.name]
--- a/redwingvalve/soak/fault_context.py
+++ b/redwingvalve/soak/fault_context.py
@@ -53,13 +53,18 @@
 
     def daemon(self, role: str, fault: schedule.Fault) -> daemons.Daemon | None:
         """Return an undisturbed daemon if at least one other remains."""
+        found = self.undisturbed(*self.daemons.role(role))
+        return pick(found, fault.where) if len(found) > 1 else None
+
+    def undisturbed(self, *present: daemons.Daemon) -> list[daemons.Daemon]:
+        """Return those of the daemons that no fault acts on."""
         now_s = time.time()
-        undisturbed = [
+        return [
             daemon
-            for daemon in self.daemons.role(role)
-            if not daemon.stopping and daemon.disturbed_until_s < now_s
+            for daemon in present
+            if not (daemon.stopping or daemon.away)
+            and daemon.disturbed_until_s < now_s
         ]
-        return pick(undisturbed, fault.where) if len(undisturbed) > 1 else None
 
 
 def pick(victims: collections_abc.Sequence[Victim], where: float) -> Victim:
--- a/redwingvalve/soak/fault_injection.py
+++ b/redwingvalve/soak/fault_injection.py
@@ -40,6 +40,7 @@
         Name.OPERATORS_RACE: daemon_faults.operators_race,
         Name.PEERS_CUT: daemon_faults.peers_cut,
         Name.PEERS_CUT_ONE_WAY: daemon_faults.peers_cut_one_way,
+        Name.DAEMONS_SIGNALLED: daemon_faults.daemons_signalled,
     }
 )
 
--- a/redwingvalve/soak/fleet_run.py
+++ b/redwingvalve/soak/fleet_run.py
@@ -186,7 +186,10 @@
     def make_caller(
         self, name: str, index: int, credential: str = ''
     ) -> callers.Caller:
-        """Return a caller whose random choices derive from the seed."""
+        """Return a caller whose random choices derive from the seed.
+
+        Every second one keeps its connection to an entry until that is gone.
+        """
         settings = callers.CallerSettings(
             credential or self.options.credential,
             TARGET,
@@ -196,6 +199,7 @@
                 if daemon.role == daemons.ENTRY
             ),
             self.daemons.disturbed,
+            clings=bool(index % 2),
         )
         rng = random.Random(self.options.seed * 1000 + index)
         return callers.Caller(name, settings, rng)
--- a/redwingvalve/soak/schedule.py
+++ b/redwingvalve/soak/schedule.py
@@ -38,6 +38,7 @@
     OPERATORS_RACE = 'operators-race'
     PEERS_CUT = 'peers-cut'
     PEERS_CUT_ONE_WAY = 'peers-cut-one-way'
+    DAEMONS_SIGNALLED = 'daemons-signalled'
 
 
 SHARES = types.MappingProxyType(
@@ -63,6 +64,7 @@
         FaultName.OPERATORS_RACE: 4,
         FaultName.PEERS_CUT: 4,
         FaultName.PEERS_CUT_ONE_WAY: 3,
+        FaultName.DAEMONS_SIGNALLED: 2,
     }
 )
 
--- a/tests/integration/process_daemons.py
+++ b/tests/integration/process_daemons.py
@@ -14,7 +14,6 @@
 from redwingvalve.soak import breaches, daemons
 from tests.integration import fault_proxy, processes
 
-END_TIMEOUT_S = 60.0
 LISTENING_TIMEOUT_S = 20.0
 BREACH_MARKER = 'InvariantBreachError'
 
@@ -60,11 +59,20 @@
     async def kill_now(self, daemon: daemons.Daemon) -> None:
         self._children.children[daemon.name].kill()
 
+    def send_signal(self, daemon, number):
+        child = self._children.children[daemon.name]
+        if child.is_running:
+            child.send_signal(number)
+
     async def shut_down(self, daemon: daemons.Daemon) -> None:
         child = self._children.children[daemon.name]
         child.resume()
         child.stop()
-        status = await child.wait(END_TIMEOUT_S)
+        try:
+            status = await child.wait(daemon.stop_timeout_s)
+        except TimeoutError:
+            child.kill()
+            status = child.exit_status
         if status != 0:
             self._note_breach(
                 daemon, RuntimeError(f'exited with status {status}')
--- a/tests/integration/processes.py
+++ b/tests/integration/processes.py
@@ -49,6 +49,15 @@
         """Return the exit status, or None while the process runs."""
         return self._process.poll()
 
+    @property
+    def handles_signals(self) -> bool:
+        """Return whether the process has got as far as its own code."""
+        if not self.is_running:
+            return False
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        caught = int(status.partition('SigCgt:')[2].split()[0], 16)
+        return bool(caught >> signal.SIGTERM - 1 & 1)
+
     def pause(self) -> None:
         """Suspend the process (SIGSTOP)."""
         os.kill(self._process.pid, signal.SIGSTOP)
@@ -57,6 +66,10 @@
         """Resume the process (SIGCONT)."""
         os.kill(self._process.pid, signal.SIGCONT)
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal."""
+        self._process.send_signal(number)
+
     def kill(self) -> None:
         """Kill the process (SIGKILL) and reap it."""
         if self.is_running:
