Handle signals from a daemon's first line to its end

What was seen: entries and controllers ended with status -1, -2 or -15 at a SIGHUP in any phase, at any signal while they were imported, and at the last moments of a stop; a blocked span file held up the end of an entry for ever.

Change: the handlers of the nodes moved to redwingvalve.core and redwingvalve.observability, and both daemons use them: installed before anything heavy is imported, kept to the end, and then signals are ignored.

--- a/redwingvalve/cli/daemons.py
+++ b/redwingvalve/cli/daemons.py
@@ -1,26 +1,44 @@
-"""The commands that run a daemon until it receives SIGTERM or SIGINT."""
+"""The commands that run a daemon until it is told to stop."""
 
 import argparse
 import functools
-import signal
 from collections import abc as collections_abc
 
 import anyio
+import attrs
 
 from redwingvalve.cli import options
 from redwingvalve.core import environment, exit_status, http_server
-from redwingvalve.observability import logs
+from redwingvalve.entry import daemon as entry_daemon
+from redwingvalve.observability import exit_guard, logs, signal_handler
 from redwingvalve.process import control, entry
 from redwingvalve.process import dependencies as process_dependencies
 from redwingvalve.settings import loader, schema
 
-LOGGER = logs.make_logger('process')
+EXAMPLES = 'examples/settings'
 Daemon = collections_abc.Callable[
     [schema.Settings, anyio.Event], collections_abc.Awaitable[None]
 ]
 
 
-def _make_runner(daemon: Daemon) -> options.Runner:
+def _entry_stop_timeout_s(settings: schema.Settings) -> float:
+    return entry_daemon.stop_timeout_s(settings.requests)
+
+
+def _control_stop_timeout_s(settings: schema.Settings) -> float:
+    return control.STOP_TIMEOUT_S
+
+
+@attrs.frozen
+class Role:
+    """A daemon, and the time in which its process ends after a signal."""
+
+    name: str
+    run: Daemon
+    stop_timeout_s: collections_abc.Callable[[schema.Settings], float]
+
+
+def _make_runner(role: Role) -> options.Runner:
     def run(
         arguments: argparse.Namespace, surroundings: environment.Environment
     ) -> exit_status.ExitStatus:
@@ -33,9 +51,7 @@
             settings.logs.level, surroundings.stderr, settings.node.name
         )
         return anyio.run(
-            functools.partial(
-                _run_until_stopped, daemon, settings, surroundings
-            ),
+            functools.partial(_run_until_stopped, role, settings, surroundings),
             backend_options={'use_uvloop': True},
         )
 
@@ -43,17 +59,18 @@
 
 
 async def _run_until_stopped(
-    daemon: Daemon,
+    role: Role,
     settings: schema.Settings,
     surroundings: environment.Environment,
 ) -> exit_status.ExitStatus:
-    stop = anyio.Event()
+    handler = signal_handler.SignalHandler(anyio.Event())
+    guard = exit_guard.ExitGuard(role.stop_timeout_s(settings))
     status = exit_status.ExitStatus.SUCCESS
     try:
-        async with anyio.create_task_group() as group:
-            group.start_soon(_set_on_signal, stop)
-            await daemon(settings, stop)
-            group.cancel_scope.cancel()
+        with signal_handler.subscribed(
+            surroundings.signals, handler, guard.start
+        ):
+            await role.run(settings, handler.stop)
     except* (
         process_dependencies.ProcessError,
         http_server.ListenError,
@@ -75,19 +92,12 @@
             yield error
 
 
-async def _set_on_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for received in signals:
-            LOGGER.info('Received signal %d, shutting down.', received)
-            stop.set()
-
-
-def _make_command(name: str, help_text: str, daemon: Daemon) -> options.Command:
+def _make_command(role: Role, help_text: str) -> options.Command:
     return options.Command(
-        name=name,
+        name=role.name,
         help=help_text,
-        example=f'redwingvalve {name} examples/settings/{name}-1.yaml',
-        run=_make_runner(daemon),
+        example=f'redwingvalve {role.name} {EXAMPLES}/{role.name}-1.yaml',
+        run=_make_runner(role),
         options=(
             options.Option(dest='settings', help='the YAML settings file'),
         ),
@@ -95,11 +105,11 @@
 
 
 ENTRY = _make_command(
-    'entry', 'run an entry, which serves client requests', entry.run_entry
+    Role('entry', entry.run_entry, _entry_stop_timeout_s),
+    'run an entry, which serves client requests',
 )
 CONTROL = _make_command(
-    'control',
+    Role('control', control.run_control, _control_stop_timeout_s),
     'run a controller, which serves administration and manages replicas',
-    control.run_control,
 )
 ALL = (ENTRY, CONTROL)
--- a/redwingvalve/core/environment.py
+++ b/redwingvalve/core/environment.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from redwingvalve.core import clock
+from redwingvalve.core import clock, stop_signals
 
 
 @attrs.define
@@ -23,9 +23,14 @@
     variables: collections_abc.Mapping[str, str]
     clock: clock.Clock
     stdout_is_terminal: bool = False
+    signals: stop_signals.ProcessSignals = attrs.field(
+        factory=stop_signals.ProcessSignals
+    )
 
 
-def make_environment() -> Environment:
+def make_environment(
+    signals: stop_signals.ProcessSignals | None = None,
+) -> Environment:
     """Return the environment of this process."""
     return Environment(
         stdout=sys.stdout,
@@ -34,4 +39,5 @@
         variables=os.environ,
         clock=clock.make_system_clock(),
         stdout_is_terminal=sys.stdout.isatty(),
+        signals=signals or stop_signals.ProcessSignals(),
     )
--- a/redwingvalve/node/stop_signals.py
+++ b/redwingvalve/core/stop_signals.py
@@ -1,9 +1,10 @@
-"""Handles the signals of a node's process, from its first line to its end.
+"""Handles the signals of a process, from its first line to its end.
 
-Load pattern: the platform stops and reconfigures nodes in series, so that any
-signal may arrive in any phase, also a second time. A signal without a handler
-ends the process with the requests in progress; so the handlers stay until
-nothing but the interpreter's own end is left, and then signals are ignored.
+Load pattern: the platform stops and reconfigures processes in series, so that
+any signal may arrive in any phase, also a second time. A signal without a
+handler ends the process with the requests in progress; so the handlers stay
+until nothing but the interpreter's own end is left, and then signals are
+ignored.
 
 Imports nothing else of this package: handlers are installed before the rest
 is imported.
--- a/redwingvalve/node/__main__.py
+++ b/redwingvalve/node/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-from redwingvalve.node import stop_signals
+from redwingvalve.core import stop_signals
 
 
 def main() -> int:
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -1,66 +1,42 @@
 """Runs a node in this process until a signal stops it."""
 
-import asyncio
-import signal
 import sys
 from collections import abc as collections_abc
 
 import anyio
 import attrs
 
-from redwingvalve.core import exit_status
+from redwingvalve.core import exit_status, stop_signals
 from redwingvalve.node import (
     daemon,
     early_sockets,
-    exit_guard,
     options,
-    stop_signals,
 )
-from redwingvalve.observability import bounded_logs, logs, node_metrics
+from redwingvalve.observability import (
+    bounded_logs,
+    exit_guard,
+    logs,
+    node_metrics,
+    signal_handler,
+)
 from redwingvalve.platform import settings
 
 LOG = logs.make_logger('node')
 
 
-@attrs.define(eq=False)
-class SignalHandler:
-    """Stops the node at the first signal to do so, and logs all signals."""
-
-    stop: anyio.Event
-
-    def handle(self, number: signal.Signals) -> None:
-        """Handle a signal, on the event loop."""
-        if number not in stop_signals.STOPPING:
-            # Configuration that may change at run time comes from the store.
-            LOG.info(
-                f'{number.name} ignored: settings are read only at startup'
-            )
-        elif self.stop.is_set():
-            LOG.info(f'{number.name} ignored: the node is stopping')
-        else:
-            LOG.info(f'{number.name} received')
-            self.stop.set()
-
-
 async def serve(
     node: daemon.Node, signals: stop_signals.ProcessSignals
 ) -> None:
     """Run a node until a signal stops it."""
-    handler = SignalHandler(anyio.Event())
+    handler = signal_handler.SignalHandler(anyio.Event())
     guard = exit_guard.ExitGuard(node.settings.bounds.grace_s)
-    loop = asyncio.get_running_loop()
 
-    def receive(number: signal.Signals) -> None:
-        if signals.stopped_s is not None:
-            node.stopped_s = signals.stopped_s
-            guard.start(signals.stopped_s)
-        loop.call_soon_threadsafe(handler.handle, number)
+    def begin(stopped_s: float) -> None:
+        node.stopped_s = stopped_s
+        guard.start(stopped_s)
 
-    signals.subscribe(receive)
-    try:
+    with signal_handler.subscribed(signals, handler, begin):
         await node.run(handler.stop)
-    finally:
-        signals.unsubscribe()
 
 
 def run(
--- a/redwingvalve/node/startup.py
+++ b/redwingvalve/node/startup.py
@@ -4,8 +4,8 @@
 import sys
 from collections import abc as collections_abc
 
-from redwingvalve.core import exit_status
-from redwingvalve.node import early_sockets, stop_signals
+from redwingvalve.core import exit_status, stop_signals
+from redwingvalve.node import early_sockets
 from redwingvalve.platform import settings
 
 
--- a/redwingvalve/node/tests/test_options.py
+++ b/redwingvalve/node/tests/test_options.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from redwingvalve.core import exit_status
-from redwingvalve.node import options, runner, stop_signals
+from redwingvalve.core import exit_status, stop_signals
+from redwingvalve.node import options, runner
 
 
 def test_without_options_nothing_is_hedged():
--- a/redwingvalve/node/exit_guard.py
+++ b/redwingvalve/observability/exit_guard.py
@@ -14,9 +14,11 @@
 from redwingvalve.core import exit_status
 from redwingvalve.observability import logs
 
-LOG = logs.make_logger('node')
+LOG = logs.make_logger('process')
 # Left for the end of the process before it would be killed.
 EXIT_MARGIN_S = 0.2
+# The log may be what the process hangs on.
+_LOG_TIMEOUT_S = 0.05
 
 
 @attrs.define(eq=False)
@@ -40,5 +42,6 @@
 
     def _end_late(self, ends_s: float) -> None:
         time.sleep(max(0, ends_s - time.monotonic()))
-        LOG.error('stop overran its grace')
+        _thread.start_new_thread(LOG.error, ('stop overran its grace',))
+        time.sleep(_LOG_TIMEOUT_S)
         os._exit(exit_status.ExitStatus.SUCCESS)
--- a/tests/integration/process_daemons.py
+++ b/tests/integration/process_daemons.py
@@ -49,8 +49,6 @@
         self._children.start(daemon.name, 'redwingvalve', daemon.role, file)
 
     async def wait_listening(self, daemon: daemons.Daemon) -> None:
-        # SIGTERM kills the process if the daemon has not yet installed its
-        # handler.
         host, _, port = daemon.address.rpartition(':')
         with anyio.move_on_after(LISTENING_TIMEOUT_S):
             while not await is_listening(host, int(port)):
