Bound the stop of a daemon, from its start on

What was seen: with a silent store, an entry that was told to stop while it started served and drained first; under load an import alone outlasted the stop time (13.1 s of 5.5 s). A controller released its leases after its last calls, one after another, each waiting for the store, and hypercorn closed calls that outlasted 10 s unanswered.

Cause: the way of a stop waited for the store, peers and clients, in sequence.

--- a/redwingvalve/__main__.py
+++ b/redwingvalve/__main__.py
@@ -14,7 +14,7 @@
     signals = stop_signals.ProcessSignals()
     is_daemon = sys.argv[1:2] and sys.argv[1] in DAEMONS
     if is_daemon:
-        signals.install()
+        signals.install(ends_before_subscriber=True)
     # Imported after the handlers are installed: a signal during an import
     # would end the process.
     environment = importlib.import_module('redwingvalve.core.environment')
--- a/redwingvalve/control/loop.py
+++ b/redwingvalve/control/loop.py
@@ -26,6 +26,8 @@
 # list 50 plans of 20 KB every 5 s instead would read 200 KB a second.
 LIST_PLANS_INTERVAL_S = 30.0
 CANDIDATES_PER_DUTY = 2
+# A lease that isn't released by then expires.
+RELEASE_TIMEOUT_S = 3.0
 CONTROL_ROLE = 'control'
 LOG = logs.make_logger('control')
 
@@ -75,7 +77,7 @@
                     max(STEP_INTERVAL_S - spent_s, 0.05)
                 )
         finally:
-            with anyio.CancelScope(shield=True):
+            with anyio.move_on_after(RELEASE_TIMEOUT_S, shield=True):
                 await self.release()
 
     async def step(self) -> None:
@@ -90,8 +92,9 @@
 
     async def release(self) -> None:
         """Release all leases."""
-        for managed in self._domains.values():
-            await managed.controller.release()
+        async with anyio.create_task_group() as group:
+            for managed in self._domains.values():
+                group.start_soon(managed.controller.release)
 
     def status(self) -> tuple[controller.DomainStatus, ...]:
         """Return the status of each domain of this process."""
--- a/redwingvalve/core/stop_signals.py
+++ b/redwingvalve/core/stop_signals.py
@@ -10,6 +10,7 @@
 is imported.
 """
 
+import os
 import signal
 import time
 import types
@@ -25,14 +26,22 @@
 
     def __init__(self) -> None:
         """Handle nothing until install() is called."""
+        # Whether a process that was told to stop ends at once, with status 0.
+        self._ends_at_once = False
         # When the process was first told to stop, by the monotonic clock.
         self.stopped_s: float | None = None
         self._subscriber: Subscriber | None = None
         # Received while nobody was subscribed.
         self._pending: list[signal.Signals] = []
 
-    def install(self) -> None:
-        """Handle signals from now on."""
+    def install(self, *, ends_before_subscriber: bool = False) -> None:
+        """Handle signals from now on.
+
+        With ends_before_subscriber a signal to stop that comes before the
+        first subscriber ends the process: nothing has been opened, and imports
+        may take longer than a stop.
+        """
+        self._ends_at_once = ends_before_subscriber
         for number in HANDLED:
             signal.signal(number, self._handle)
 
@@ -46,6 +55,7 @@
 
         The subscriber is called between any two instructions.
         """
+        self._ends_at_once = False
         self._subscriber = subscriber
         pending = self._pending
         self._pending = []
@@ -58,6 +68,8 @@
 
     def _handle(self, number: int, frame: types.FrameType | None) -> None:
         received = signal.Signals(number)
+        if received in STOPPING and self._ends_at_once:
+            os._exit(0)
         if received in STOPPING and self.stopped_s is None:
             self.stopped_s = time.monotonic()
         if self._subscriber is None:
--- a/redwingvalve/membership/node.py
+++ b/redwingvalve/membership/node.py
@@ -20,6 +20,10 @@
 from redwingvalve.wire import handlers, rpc, server, traffic
 
 MS_PER_S = 1000
+DEPART_TIMEOUT_S = 0.5
+CALL_GRACE_S = 1.0
+# Longest time for a node to close.
+CLOSE_TIMEOUT_S = DEPART_TIMEOUT_S + CALL_GRACE_S
 
 
 @attrs.frozen
@@ -65,8 +69,9 @@
 
     async def aclose(self) -> None:
         """Announce departure and close; call after run has been cancelled."""
-        await self.members.depart()
-        await self.server.aclose()
+        with anyio.move_on_after(DEPART_TIMEOUT_S):
+            await self.members.depart()
+        await self.server.aclose(CALL_GRACE_S)
         self.caller.close_idle()
 
 
--- a/redwingvalve/process/control.py
+++ b/redwingvalve/process/control.py
@@ -31,8 +31,13 @@
 from redwingvalve.tls import contexts
 
 ROLE = 'control'
-# The process ends within this time after a signal.
-STOP_TIMEOUT_S = server.GRACEFUL_TIMEOUT_S + 3.0
+# The process ends within this time after a signal; the leases are released
+# beside the last calls.
+STOP_TIMEOUT_S = (
+    max(server.GRACEFUL_TIMEOUT_S, loop.RELEASE_TIMEOUT_S)
+    + process_dependencies.FINISH_TIMEOUT_S
+    + 1.0
+)
 LOGGER = logs.make_logger('control')
 
 
@@ -52,27 +57,37 @@
         group.start_soon(key_votes.run_voter, dependencies)
         if tls.ok is not None:
             group.start_soon(tls.ok.follow, dependencies.clock)
-        async with anyio.create_task_group() as loop_group:
-            reader = drains.make_drain_reader(dependencies.objects)
-            control_loop = make_loop(dependencies, reader)
-            loop_group.start_soon(control_loop.run)
-            loop_group.start_soon(waits.publish, control_loop, dependencies)
-            loop_group.start_soon(_run_duties, dependencies, reader)
-            LOGGER.info('The controller is ready.')
-            await server.serve_api(
-                _make_api(dependencies, token_cache),
-                settings.node.host,
-                settings.listen.http_port,
-                stop.wait,
-                tls.ok,
-            )
-            # Cancelling the loop releases its leases, so that the next holder
-            # need not wait for them to expire.
-            loop_group.cancel_scope.cancel()
+        group.start_soon(_manage_replicas, dependencies, stop)
+        LOGGER.info('The controller is ready.')
+        await server.serve_api(
+            _make_api(dependencies, token_cache),
+            settings.node.host,
+            settings.listen.http_port,
+            stop.wait,
+            tls.ok,
+        )
         group.cancel_scope.cancel()
     LOGGER.info('The controller has ended.')
 
 
+async def _manage_replicas(
+    dependencies: process_dependencies.ProcessDependencies, stop: anyio.Event
+) -> None:
+    """Manage replicas until stop is set, then release the leases.
+
+    The next holder need not wait for them to expire, nor for the calls that
+    this process still answers.
+    """
+    async with anyio.create_task_group() as group:
+        reader = drains.make_drain_reader(dependencies.objects)
+        control_loop = make_loop(dependencies, reader)
+        group.start_soon(control_loop.run)
+        group.start_soon(waits.publish, control_loop, dependencies)
+        group.start_soon(_run_duties, dependencies, reader)
+        await stop.wait()
+        group.cancel_scope.cancel()
+
+
 def make_loop(
     dependencies: process_dependencies.ProcessDependencies,
     reader: drains.DrainReader,
--- a/redwingvalve/process/dependencies.py
+++ b/redwingvalve/process/dependencies.py
@@ -25,6 +25,11 @@
 from redwingvalve.tls import contexts
 
 LOGGER = logs.make_logger('process')
+# Longest time for connections to the platform to be closed.
+CLOSE_TIMEOUT_S = 0.3
+# Longest time for all that follows the last request: the departure, the calls
+# of peers in progress, the clients.
+FINISH_TIMEOUT_S = node.CLOSE_TIMEOUT_S + CLOSE_TIMEOUT_S + 0.2
 TlsPair = tuple[
     contexts.ReloadingContext | None, contexts.ReloadingContext | None
 ]
@@ -104,8 +109,10 @@
 
 async def _close(dependencies: ProcessDependencies) -> None:
     await dependencies.node.aclose()
-    await dependencies.objects.aclose()
-    await dependencies.orders.aclose()
+    with anyio.move_on_after(CLOSE_TIMEOUT_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(dependencies.objects.aclose)
+            group.start_soon(dependencies.orders.aclose)
     dependencies.tracing.shutdown()
 
 
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -17,7 +17,10 @@
 
 
 async def run_entry(settings: schema.Settings, stop: anyio.Event) -> None:
-    """Serve until stop is set and all requests in progress have ended."""
+    """Serve until stop is set and all requests in progress have ended.
+
+    A stop before it serves ends it at once.
+    """
     async with (
         process_dependencies.open_process(settings, ROLE) as dependencies,
         anyio.create_task_group() as group,
@@ -32,15 +35,32 @@
         group.start_soon(
             entry_drains.follow, dependencies, dependencies.node.members.leave
         )
-        await daemon.serve_entry(
-            _make_entry_dependencies(
-                dependencies, permits, await key_votes.make_claims(dependencies)
-            ),
-            settings,
-            stop.wait,
-            dependencies.node.members.leave,
-        )
+        key_claims = await _make_claims(dependencies, stop)
+        if key_claims is not None:
+            await daemon.serve_entry(
+                _make_entry_dependencies(dependencies, permits, key_claims),
+                settings,
+                stop.wait,
+                dependencies.node.members.leave,
+            )
+        group.cancel_scope.cancel()
+
+
+async def _make_claims(
+    dependencies: process_dependencies.ProcessDependencies, stop: anyio.Event
+) -> claims.KeyClaims | None:
+    """Wait for the claims; return None if stop is set first."""
+    key_claims: claims.KeyClaims | None = None
+
+    async def cancel() -> None:
+        await stop.wait()
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(cancel)
+        key_claims = await key_votes.make_claims(dependencies)
         group.cancel_scope.cancel()
+    return None if stop.is_set() else key_claims
 
 
 def _make_prober(
