Refuse what a stopping entry can't finish, and answer the rest

What was seen: streams of entries that stop were cut at the end of the drain (9 of the callers of three entries that stopped at once), and connections that callers kept were closed under their requests.

Cause: a stopping entry passed on whatever came, and uvicorn closes idle connections at once and the others without a word; a stop was a single event whose callers had left.

Change: a stopping entry passes on only what ends before it, by the deadline or by the slowest recent answer of the kind and size (PlannedStop); the rest gets 503 stopping, not-run. Answers say connection: close from the signal on; kept connections are served once more until nothing has run for 0.2 s. What is left at the end gets a true answer before its connection closes. The time for all of this is inside the documented sum.

A request that had been passed on before the signal and outlasts the drain still ends with an error, as there is no time left for it.

--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -17,11 +17,13 @@
     dependencies,
     load_forwarder,
     model_request,
+    planned_stop,
     prefix_cache_sync,
     relay,
     request_keys,
     request_metrics,
     response_writer,
+    running_requests,
     services,
 )
 from redwingvalve.observability import logs
@@ -62,6 +64,8 @@
         self._services = services.ServiceRelay(entry_dependencies)
         self._request_keys = _make_request_key_guard(entry_dependencies)
         self.in_progress = 0
+        self.stop = planned_stop.PlannedStop()
+        self.running = running_requests.RunningRequests()
 
     async def __call__(
         self,
@@ -75,7 +79,9 @@
             return
         if scope['type'] != 'http':
             return
-        writer = response_writer.ResponseWriter('', send)
+        writer = response_writer.ResponseWriter(
+            '', send, is_last=lambda: self.stop.has_begun
+        )
         with self._recorded(writer):
             await self._handle(scope, receive, writer)
 
@@ -127,7 +133,7 @@
             },
         )
         try:
-            with invariants.unwrap_breaches():
+            with invariants.unwrap_breaches(), self.running.track(writer):
                 await self._serve(head, receive, writer, span)
         except caller_request.CallerDisconnectedError:
             span.add_event('caller gone')
@@ -184,11 +190,28 @@
         span: trace.Span,
     ) -> None:
         """Run a request; claim its key first unless it is idempotent."""
-        refusal = self.account_limiter.check_request(routed.account)
+        refusal = self._refuse(routed)
         if refusal is not None:
             span.set_attribute('redwingvalve.refused', refusal.code)
             await writer.send_error(refusal)
             return
+        await self._run_claimed(routed, writer, span)
+        if writer.finished and writer.outcome == outcomes.Outcome.RAN:
+            now_s = self._dependencies.clock.monotonic_s()
+            took_s = now_s - routed.request.head.arrived_s
+            self.stop.observe(routed.kind, took_s, now_s)
+
+    def _refuse(self, routed: 'RoutedRequest') -> outcomes.ErrorResponse | None:
+        now_s = self._dependencies.clock.monotonic_s()
+        late = self.stop.refuse_late(routed.kind, routed.request.head, now_s)
+        return late or self.account_limiter.check_request(routed.account)
+
+    async def _run_claimed(
+        self,
+        routed: 'RoutedRequest',
+        writer: response_writer.ResponseWriter,
+        span: trace.Span,
+    ) -> None:
         if self._request_keys is None or routed.request.idempotent:
             await routed.run(routed.request, writer, span, None)
             return
@@ -227,7 +250,13 @@
                 account, read.ok.deployment, head
             )
             return refusal or RoutedRequest(
-                self._models.run, read.ok, account, body
+                self._models.run,
+                read.ok,
+                account,
+                body,
+                planned_stop.AnswerKind(
+                    f'model {read.ok.deployment.name}', read.ok.max_tokens
+                ),
             )
         service = services.find_service(head.path, current.services)
         if service is None:
@@ -242,6 +271,7 @@
             services.ServiceRequest(head, account, service, body),
             account,
             body,
+            planned_stop.AnswerKind(f'service {service.name}'),
         )
 
     async def _issue_key(self, writer: response_writer.ResponseWriter) -> None:
@@ -284,6 +314,7 @@
     request: typing.Any
     account: schema.ClientAccount
     body: bytes
+    kind: planned_stop.AnswerKind
 
 
 async def _cancel_on_disconnect(
--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -4,6 +4,7 @@
 from collections import abc as collections_abc
 
 import anyio
+from anyio import abc as anyio_abc
 
 from redwingvalve.entry import app, dependencies, serving
 from redwingvalve.observability import logs
@@ -12,6 +13,10 @@
 LOGGER = logs.make_logger('entry')
 # Other entries learn within this time that one leaves; see the news package.
 LEAVE_PROPAGATION_S = 3.0
+# Of the time to drain, left for the last answers and the end of the process.
+FINISH_S = 3.0
+# Longest time for requests that were given up to end.
+GIVE_UP_S = 0.5
 
 
 def stop_timeout_s(settings: settings_schema.RequestSettings) -> float:
@@ -23,6 +28,12 @@
     )
 
 
+def _drain_s(settings: settings_schema.RequestSettings) -> float:
+    """Return for how long requests may go on after the port has closed."""
+    drain_s = settings.drain_timeout_s
+    return max(drain_s - FINISH_S, drain_s / 2)
+
+
 async def serve_entry(
     entry_dependencies: dependencies.EntryDependencies,
     settings: settings_schema.Settings,
@@ -47,9 +58,9 @@
         await serving.serve(
             application,
             bind,
-            settings.requests.drain_timeout_s,
+            _drain_s(settings.requests) + GIVE_UP_S,
             functools.partial(
-                _drain, application, entry_dependencies, stop, leave
+                _drain, application, entry_dependencies, stop, leave, group
             ),
         )
         group.cancel_scope.cancel()
@@ -62,6 +73,7 @@
     entry_dependencies: dependencies.EntryDependencies,
     stop: collections_abc.Callable[[], collections_abc.Awaitable[None]],
     leave: collections_abc.Callable[[], None],
+    group: anyio_abc.TaskGroup,
 ) -> None:
     """Wait for stop, then keep serving while callers may still connect.
 
@@ -70,14 +82,31 @@
     requests in progress finish afterwards.
     """
     await stop()
+    settings = entry_dependencies.settings
+    keep_s = settings.discovery_keep_s + LEAVE_PROPAGATION_S
+    drain_s = keep_s + _drain_s(settings)
+    application.stop.ends_s = entry_dependencies.clock.monotonic_s() + drain_s
+    group.start_soon(_give_up_late, application, entry_dependencies)
     leave()
     LOGGER.info(
         'entry draining', extra={'in_progress': application.in_progress}
     )
-    await entry_dependencies.clock.sleep(
-        entry_dependencies.settings.discovery_keep_s + LEAVE_PROPAGATION_S
-    )
+    await entry_dependencies.clock.sleep(keep_s)
     LOGGER.info(
         'entry closing its listener',
         extra={'in_progress': application.in_progress},
     )
+
+
+async def _give_up_late(
+    application: app.EntryApp,
+    entry_dependencies: dependencies.EntryDependencies,
+) -> None:
+    """Answer the requests that are in progress at the end of the stop."""
+    time_source = entry_dependencies.clock
+    await time_source.sleep(application.stop.ends_s - time_source.monotonic_s())
+    LOGGER.info(
+        'entry giving up requests',
+        extra={'in_progress': application.in_progress},
+    )
+    await application.running.give_up_all()
--- a/redwingvalve/entry/response_writer.py
+++ b/redwingvalve/entry/response_writer.py
@@ -14,6 +14,11 @@
 ]
 JSON_TYPE = 'application/json'
 SSE_TYPE = 'text/event-stream'
+CLOSE: typing.Final = (('connection', 'close'),)
+
+
+def _never() -> bool:
+    return False
 
 
 @attrs.define
@@ -29,6 +34,8 @@
     error_code: str = ''
     # Reported if the response is cut off; each attempt updates it.
     outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN
+    # Whether a response that starts now is the last one of its connection.
+    is_last: collections_abc.Callable[[], bool] = _never
 
     async def start(
         self,
@@ -46,6 +53,7 @@
             (outcomes.REQUEST_ID_HEADER, self.request_id),
             (outcomes.OUTCOME_HEADER, outcome.value),
             *extra_headers,
+            *(CLOSE if self.is_last() else ()),
         )
         await self.send(
             {
--- a/redwingvalve/entry/uvicorn_server.py
+++ b/redwingvalve/entry/uvicorn_server.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+import typing
 from collections import abc as collections_abc
 
 import anyio
@@ -20,16 +21,41 @@
 # Cancelled requests still send a cancellation to their engines; see
 # model_attempts.py.
 CANCELLATION_TIMEOUT_S = 3.0
+# Requests that are on their way when the last one ends are still served.
+LINGER_S = 0.2
+POLL_S = 0.02
+Sockets: typing.TypeAlias = list[socket.socket] | None
 
 
-class _SignalFreeServer(uvicorn.Server):
-    """Leaves signals to the process, which stops its components in order."""
+class _DrainingServer(uvicorn.Server):
+    """Serves kept connections to the end, and leaves signals to the process.
+
+    uvicorn closes idle connections as soon as it stops, under requests that
+    are on their way, and those whose response had started before without a
+    word. Here they stay until nothing runs; each gets one more response, which
+    says that it is the last.
+    """
 
     @contextlib.contextmanager
     def capture_signals(self) -> collections_abc.Iterator[None]:
         """Install no signal handlers."""
         yield
 
+    async def shutdown(self, sockets: Sockets = None) -> None:
+        """Close the listeners, then the connections when nothing runs."""
+        for listening in (*self.servers, *(sockets or ())):
+            listening.close()
+        for connection in tuple(self.server_state.connections):
+            connection.is_stopping = True
+        quiet_s = 0.0
+        while quiet_s < LINGER_S and not self.force_exit:
+            await asyncio.sleep(POLL_S)
+            quiet_s = 0.0 if self.server_state.tasks else quiet_s + POLL_S
+        for idle in tuple(self.server_state.connections):
+            idle.shutdown()
+        while self.server_state.connections and not self.force_exit:
+            await asyncio.sleep(POLL_S)
+
 
 class UvicornServer(caller_server.CallerServer):
     """uvicorn without its own logs; the application logs instead."""
@@ -46,7 +72,7 @@
         stop: caller_server.Stop,
     ) -> None:
         """Serve until stop returns, then let requests in progress finish."""
-        server = _SignalFreeServer(_make_config(application, self._protocol))
+        server = _DrainingServer(_make_config(application, self._protocol))
         async with anyio.create_task_group() as group:
             group.start_soon(_exit_after, server, stop, graceful_timeout_s)
             try:
