--- a/redwingvalve/soak/daemon_faults.py
+++ b/redwingvalve/soak/daemon_faults.py
@@ -89,6 +89,8 @@
     """Confirm two plans concurrently that were made from the same state."""
     contenders = []
     apis = context.daemons.role(daemons.CONTROL)
+    if not apis:
+        return NOBODY
     for index in range(RACERS):
         number = next(context.wish_numbers)
         spec = operators.DeclarationSpec(
