--- a/redwingvalve/node/stop_signals.py
+++ b/redwingvalve/core/stop_signals.py
@@ -33,6 +33,8 @@
 
     def __init__(self) -> None:
         """Handle nothing until install() is called."""
+        # Whether a process that was told to stop ends at once, with status 0.
+        self._ends_at_once = False
         # When the process was first told to stop, by the monotonic clock.
         self.stopped_s: float | None = None
         self._grace_s = START_GRACE_S
@@ -40,8 +42,14 @@
         # Received while nobody was subscribed.
         self._pending: list[signal.Signals] = []
 
-    def install(self) -> None:
-        """Handle signals from now on."""
+    def install(self, *, ends_before_subscriber: bool = False) -> None:
+        """Handle signals from now on.
+
+        With ends_before_subscriber a signal to stop that comes before the
+        first subscriber ends the process: nothing has been opened, and imports
+        may take longer than a stop.
+        """
+        self._ends_at_once = ends_before_subscriber
         for number in HANDLED:
             signal.signal(number, self._handle)
 
@@ -57,6 +65,7 @@
         ends itself at the latest EXIT_MARGIN_S before the grace has passed
         since it was told to stop.
         """
+        self._ends_at_once = False
         self._grace_s = grace_s
         self._subscriber = subscriber
         pending = self._pending
@@ -70,6 +79,8 @@
 
     def _handle(self, number: int, frame: types.FrameType | None) -> None:
         received = signal.Signals(number)
+        if received in STOPPING and self._ends_at_once:
+            os._exit(0)
         if received in STOPPING and self.stopped_s is None:
             self.stopped_s = time.monotonic()
             # The threading module takes locks that may be held just now.
