Count crashes whenever a process ends after its answer broke

An answer to anything that was sent to an endpoint later than 0.5 s after a request had broken off there cleared the run for good. A request whose endpoints end 0.7 s after the break was sent without end.

A life sign now sets a run aside until the endpoint falls silent or ends; only an answer to the request or part itself clears it. Ends after life signs tell of a suspect if they outnumber its endpoints that have lived on for longer, so that lost answers beside ends for other reasons blame nothing. Endpoints that live on are asked again, ever less often. Blame is decided by ends, not by runs that were set aside.

test_a_lost_answer_does_not_count_as_a_crash let all endpoints end half a second after the break and wanted the request served: that was the fault. It now lets them live on for 50 s under life signs, and what ends sooner is test_ends_count_whatever_the_endpoints_answered_before.

Remains: an answer without a length that ends with its connection still counts as whole once its endpoint has lived on for 0.5 s.

--- a/redwingvalve/ingress/broken_runs.py
+++ b/redwingvalve/ingress/broken_runs.py
@@ -1,5 +1,6 @@
 """Runs that broke off at endpoints, indexed by what may have caused them."""
 
+import collections
 import typing
 from collections import abc as collections_abc
 
@@ -40,6 +41,9 @@
     # Drawn by the node whose connection broke, the same in all reports of the
     # run; 0 if unknown.
     number: int = 0
+    # From the break until an endpoint that had answered since was found silent
+    # or ended; 0 if it gave no sign of life.
+    outlived_s: float = 0
 
     @property
     def run_id(self) -> RunId:
@@ -61,6 +65,10 @@
         self._ends: dict[crash_keys.Key, _RunsByEndpoint] = {}
         # Suspects by the number of their endpoints.
         self._by_ends: dict[int, set[crash_keys.Key]] = {}
+        # Number of crashes by suspect.
+        self._crashes: collections.Counter[crash_keys.Key] = (
+            collections.Counter()
+        )
 
     def get(self, run_id: RunId) -> BrokenRun | None:
         """Return a run, None if unknown."""
@@ -75,12 +83,16 @@
             self._remove_suspects(known)
         self.version += 1
         self._runs[run.run_id] = run
-        self._by_request.setdefault(run.fingerprint, set()).add(run.run_id)
+        # Moved to the end, as the latest.
+        of_request = self._by_request.pop(run.fingerprint, set())
+        of_request.add(run.run_id)
+        self._by_request[run.fingerprint] = of_request
         self._by_endpoint.setdefault(run.incarnation, set()).add(run.run_id)
         for key in run.suspects:
             ends = self._ends.setdefault(key, {})
             ends.setdefault(run.incarnation, set()).add(run.run_id)
             self._index_count(key, len(ends))
+            self._crashes[key] += run.is_crash
 
     def remove(self, runs: collections_abc.Iterable[BrokenRun]) -> None:
         """Remove runs."""
@@ -123,6 +135,10 @@
         """Return the number of these endpoints."""
         return len(self._ends.get(key, ()))
 
+    def has_crash(self, key: crash_keys.Key) -> bool:
+        """Return whether an endpoint is known to have ended under it."""
+        return bool(self._crashes.get(key))
+
     def suspects(self, min_ends: int = 1) -> list[crash_keys.Key]:
         """Return the suspects at so many endpoints or more."""
         return [
@@ -151,8 +167,10 @@
             ends = self._ends[key]
             _discard(ends, run.incarnation, run.run_id)
             self._index_count(key, len(ends))
+            self._crashes[key] -= run.is_crash
             if not ends:
                 self._ends.pop(key)
+                self._crashes.pop(key)
 
     def _index_count(self, key: crash_keys.Key, count: int) -> None:
         """Move a suspect whose number of endpoints is now count."""
--- a/redwingvalve/ingress/crash_blame.py
+++ b/redwingvalve/ingress/crash_blame.py
@@ -71,6 +71,7 @@
 
 SERVED: typing.Final = Judgement()
 _Keys: typing.TypeAlias = frozenset[crash_keys.Key]
+_Rank: typing.TypeAlias = tuple[bool, int, bool, int]
 
 
 class CrashBlame:
@@ -88,6 +89,7 @@
         self._table = evidence.runs_table
         self._clock = clock
         self._culprits: dict[broken_runs.Incarnation, _Keys] = {}
+        self._ranks: dict[crash_keys.Key, _Rank] = {}
         self._version = -1
 
     def judge(self, *keys: crash_keys.Key) -> Judgement:
@@ -171,6 +173,7 @@
         if self._version != self._table.version:
             self._version = self._table.version
             self._culprits.clear()
+            self._ranks.clear()
         known = self._culprits.get(incarnation)
         if known is None:
             known = self._find_culprits(incarnation)
@@ -201,20 +204,27 @@
 
     def _find_ends(self, key: crash_keys.Key) -> list[EndpointEnd]:
         """Return the ends that something was part of, in order of time."""
+        delay_s = self._evidence.signs.telling_delay_s(
+            self._table.suspected(key)
+        )
         found = [
-            self._find_end(key, incarnation)
+            self._find_end(key, incarnation, delay_s)
             for incarnation in self._table.endpoints(key)
         ]
         ends = [end for end in found if end is not None]
         return sorted(ends, key=operator.attrgetter('at_s'))
 
     def _find_end(
-        self, key: crash_keys.Key, incarnation: broken_runs.Incarnation
+        self,
+        key: crash_keys.Key,
+        incarnation: broken_runs.Incarnation,
+        telling_delay_s: float,
     ) -> EndpointEnd | None:
         runs = [
             run
             for run in self._table.suspected_at(key, incarnation)
-            if not self._evidence.is_doubtful(run)
+            if run.outlived_s <= telling_delay_s
+            and not self._evidence.signs.is_doubtful(run)
         ]
         if not runs:
             return None
@@ -257,11 +267,20 @@
         highest = max(ranks.values())
         return frozenset(key for key in suspects if ranks[key] == highest)
 
-    def _rank(self, key: crash_keys.Key) -> tuple[bool, int, bool]:
+    def _rank(self, key: crash_keys.Key) -> _Rank:
         """Return the higher, the more likely it is that something crashes."""
-        count = self.end_count(key)
+        known = self._ranks.get(key)
+        if known is None:
+            known = self._find_rank(key)
+            self._ranks[key] = known
+        return known
+
+    def _find_rank(self, key: crash_keys.Key) -> _Rank:
+        count = len(self._find_ends(key))
         is_new = not self._evidence.history.knows(key)
-        return is_new and count >= _min_crashes(key), count, is_new
+        is_likely = is_new and count >= _min_crashes(key)
+        # Endpoints that live on speak for it.
+        return is_likely, count, is_new, -self.end_count(key)
 
 
 def _min_crashes(key: crash_keys.Key) -> int:
--- a/redwingvalve/ingress/crash_evidence.py
+++ b/redwingvalve/ingress/crash_evidence.py
@@ -2,6 +2,9 @@
 
 Each node adds what it sees and what others report. The evidence is a set: it
 comes out the same in whatever order and how often it is received.
+
+An answer of an endpoint sets its runs aside, but doesn't clear them: they count
+again once the endpoint falls silent or ends.
 """
 
 from collections import abc as collections_abc
@@ -12,16 +15,14 @@
     answer_history,
     broken_runs,
     crash_keys,
+    life_signs,
     run_dates,
 )
 
-MAX_INCARNATIONS = 4_000
-# A process may outlive the connection that broke by this time. What it answers
-# meanwhile is no proof that it survived.
-CRASH_DELAY_S = 0.5
-# A run at an endpoint that has answered since is forgotten after this time,
-# unless the endpoint turns out to have ended. Entries lapse sooner.
-DOUBT_S = 5.0
+# A run at an endpoint that has answered since is forgotten if for this time
+# neither the endpoint has ended nor one of the run's suspects has broken off
+# again.
+DOUBT_S = 30.0
 # Reports of one run without a number differ by the transit times of messages. A
 # later one is of another run of the same request at the same endpoint.
 SAME_RUN_S = 0.5
@@ -33,21 +34,21 @@
     def __init__(self) -> None:
         """Start without evidence."""
         self.runs_table = broken_runs.BrokenRunTable()
+        self.signs = life_signs.LifeSigns()
         self.history = answer_history.AnswerHistory()
         # Endpoints that may have crashed or not.
         self._undecided: set[broken_runs.Incarnation] = set()
-        self._alive_s: dict[broken_runs.Incarnation, float] = {}
         self._dates = run_dates.RunDates()
 
     def add(self, run: broken_runs.BrokenRun) -> bool:
         """Add a run; return whether it says anything new."""
         run = self._without_cleared(self._dates.correct(run))
-        if not run.suspects or self._has_survived(run):
+        if not run.suspects:
             return False
         known = self.runs_table.get(run.run_id)
         if known is None:
             self._put(run)
-            return True
+            return not self.signs.is_doubtful(run)
         is_same = _is_same_run(run, known)
         is_later = not is_same and run.at_s > known.at_s
         is_older = is_same and run.at_s < known.at_s
@@ -57,11 +58,12 @@
             suspects=known.suspects | run.suspects,
         )
         self._put(merged)
-        return (
+        is_news = (
             is_later
             or merged.is_crash != known.is_crash
             or merged.suspects != known.suspects
         )
+        return is_news and not self.signs.is_doubtful(merged)
 
     def add_answer(self, key: crash_keys.Key, at_s: float) -> bool:
         """Add a complete answer; return whether it changes any suspicion.
@@ -80,52 +82,71 @@
 
     def add_life_sign(
         self, incarnation: broken_runs.Incarnation, at_s: float
-    ) -> None:
-        """Record that an endpoint answered something that was sent at at_s."""
-        runs = self.runs_at(incarnation)
+    ) -> list[broken_runs.BrokenRun]:
+        """Record that an endpoint answered something that was sent at at_s.
+
+        Return its runs that no longer count.
+        """
+        runs = [run for run in self.runs_at(incarnation) if not run.is_crash]
         if not runs:
-            return
-        while len(self._alive_s) >= MAX_INCARNATIONS:
-            self._alive_s.pop(next(iter(self._alive_s)))
-        self._alive_s[incarnation] = at_s
-        self.runs_table.version += 1
-        self._remove(run for run in runs if self._has_survived(run))
-
-    def is_doubtful(self, run: broken_runs.BrokenRun) -> bool:
-        """Return whether an endpoint has answered since, but only at once."""
-        if run.is_crash:
-            return False
-        alive_s = self._alive_s.get(run.incarnation)
-        return alive_s is not None and run.at_s < alive_s
+            return []
+        counted = [run for run in runs if not self.signs.is_doubtful(run)]
+        self.signs.add(incarnation, at_s)
+        set_aside = [run for run in counted if self.signs.is_doubtful(run)]
+        for run in set_aside:
+            self._put(attrs.evolve(run, outlived_s=0))
+        return set_aside
 
     def mark_silent(
-        self, incarnation: broken_runs.Incarnation
+        self, incarnation: broken_runs.Incarnation, now_s: float
     ) -> list[broken_runs.BrokenRun]:
         """Record that an endpoint no longer answers; return its runs."""
-        if self._alive_s.pop(incarnation, None) is None:
+        runs = self.runs_at(incarnation)
+        silent = [self.signs.with_delay(run, now_s) for run in runs]
+        if not self.signs.forget(incarnation):
             return []
-        self.runs_table.version += 1
-        return self.runs_at(incarnation)
+        for run in silent:
+            self._put(run)
+        return silent
 
     def forget_doubtful_before(self, at_s: float) -> None:
-        """Forget doubtful runs that broke off before a time."""
+        """Forget doubtful runs whose suspects last broke off before a time."""
         for incarnation in tuple(self._undecided):
             self._remove(
                 run
                 for run in self.runs_at(incarnation)
-                if run.at_s < at_s and self.is_doubtful(run)
+                if run.at_s < at_s
+                and self.signs.is_doubtful(run)
+                and not _has_later(self.runs_table, run, at_s)
             )
 
     def mark_ended(
-        self, incarnation: broken_runs.Incarnation
+        self, incarnation: broken_runs.Incarnation, now_s: float
     ) -> list[broken_runs.BrokenRun]:
         """Record an endpoint's end; return the runs that it broke off."""
-        found = [run for run in self.runs_at(incarnation) if not run.is_crash]
-        ended = [attrs.evolve(run, is_crash=True) for run in found]
+        ended = [
+            attrs.evolve(self.signs.with_delay(run, now_s), is_crash=True)
+            for run in self.runs_at(incarnation)
+            if not run.is_crash
+        ]
         for run in ended:
-            self.add(run)
+            self._put(run)
+        self._index_endpoint(incarnation)
         return ended
 
+    def without_untold(
+        self, run: broken_runs.BrokenRun
+    ) -> broken_runs.BrokenRun:
+        """Return a run without the suspects of which its end tells nothing."""
+        if not run.outlived_s:
+            return run
+        told = {
+            key
+            for key in run.suspects
+            if run.outlived_s <= self.signs.telling_delay_s(self.runs(key))
+        }
+        return attrs.evolve(run, suspects=frozenset(told))
+
     def undecided(self) -> list[broken_runs.Incarnation]:
         """Return the endpoints that may have crashed or not."""
         return list(self._undecided)
@@ -155,6 +176,12 @@
             for key in run.suspects
         )
 
+    def is_watched(self, run: broken_runs.BrokenRun) -> bool:
+        """Return whether it matters soon whether a run's endpoint lives."""
+        return self.is_repeated(run) or any(
+            map(self.runs_table.has_crash, run.suspects)
+        )
+
     def forget_before(self, at_s: float) -> None:
         """Forget suspects whose latest run broke off before a time."""
         runs = self.runs_table.all()
@@ -185,10 +212,6 @@
         else:
             self._remove((run,))
 
-    def _has_survived(self, run: broken_runs.BrokenRun) -> bool:
-        alive_s = self._alive_s.get(run.incarnation)
-        return alive_s is not None and survives(run, alive_s)
-
     def _put(self, run: broken_runs.BrokenRun) -> None:
         self.runs_table.put(run)
         self._index_endpoint(run.incarnation)
@@ -218,6 +241,12 @@
     return abs(run.at_s - known.at_s) <= SAME_RUN_S
 
 
-def survives(run: broken_runs.BrokenRun, alive_s: float) -> bool:
-    """Return whether an answer to what was sent then clears the endpoint."""
-    return run.at_s + CRASH_DELAY_S < alive_s
+def _has_later(
+    table: broken_runs.BrokenRunTable, run: broken_runs.BrokenRun, at_s: float
+) -> bool:
+    """Return whether a suspect of a run has broken off since a time."""
+    return any(
+        other.at_s >= at_s
+        for key in run.suspects
+        for other in table.suspected(key)
+    )
--- a/redwingvalve/ingress/open_ends.py
+++ b/redwingvalve/ingress/open_ends.py
@@ -8,8 +8,12 @@
 
 import attrs
 
-from redwingvalve.ingress import broken_runs, crash_evidence
+from redwingvalve.ingress import broken_runs
 
+# A process may outlive the connection of its answer by this time.
+SURVIVAL_S = 0.5
+# Without any sign, one counts as whole after this time. Entries lapse sooner.
+MAX_WAIT_S = 5.0
 # Those that have ended least recently are forgotten first.
 MAX_OPEN_ENDS = 1_000
 
@@ -56,7 +60,7 @@
         return self._take(
             end
             for end in self.at_endpoint(incarnation)
-            if crash_evidence.survives(end.run, alive_s)
+            if end.run.at_s + SURVIVAL_S < alive_s
         )
 
     def take_at(
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -16,8 +16,8 @@
 that a sound request is held back for the time of a probe only.
 
 What speaks for a request: an answer of any endpoint, and that an endpoint which
-broke it off answers something else. A process may end a moment after the
-connection, so that what it answers at once counts only until it falls silent.
+broke it off answers something else. A process may end seconds after the
+connection, so that what it answers counts only until it falls silent.
 An answer that ends with its connection counts once its endpoint has survived.
 """
 
@@ -199,25 +199,23 @@
         self, incarnation: broken_runs.Incarnation, sent_s: float
     ) -> None:
         """Record that an endpoint answered what was sent to it at sent_s."""
-        for run in self.evidence.runs_at(incarnation):
-            if crash_evidence.survives(run, sent_s):
-                poison_logs.log_run(
-                    self.blame, 'no crash', run, is_routine=True
-                )
-        self.evidence.add_life_sign(incarnation, sent_s)
+        for run in self.evidence.add_life_sign(incarnation, sent_s):
+            poison_logs.log_run(
+                self.blame, 'endpoint answers', run, is_routine=True
+            )
         self._add_survived(self.open_ends.take_survived(incarnation, sent_s))
 
     def record_silence(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint has stopped answering."""
         self._add_broken_off(incarnation)
-        for run in self.evidence.mark_silent(incarnation):
+        for run in self.evidence.mark_silent(incarnation, self._clock()):
             poison_logs.log_run(self.blame, 'endpoint silent', run)
             self.observers.run_added(run)
 
     def record_end(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint's process has ended."""
         self._add_broken_off(incarnation)
-        for run in self.evidence.mark_ended(incarnation):
+        for run in self.evidence.mark_ended(incarnation, self._clock()):
             poison_logs.log_run(self.blame, 'crash', run)
             self.observers.run_added(run)
 
@@ -232,8 +230,8 @@
         live_incarnations: typing.AbstractSet[broken_runs.Incarnation],
     ) -> None:
         """Record the ends of endpoints that are no longer listed."""
-        doubted_since_s = self._clock() - crash_evidence.DOUBT_S
-        self.evidence.forget_doubtful_before(doubted_since_s)
+        now_s = self._clock()
+        self.evidence.forget_doubtful_before(now_s - crash_evidence.DOUBT_S)
         undecided = self.undecided()
         self._listed.update(live_incarnations.intersection(undecided))
         for incarnation in undecided:
@@ -241,11 +239,12 @@
             if not is_live and (
                 incarnation in self._listed
                 or _is_listing_overdue(
-                    self.evidence.runs_at(incarnation), self._clock()
+                    self.evidence.runs_at(incarnation), now_s
                 )
             ):
                 self.record_end(incarnation)
-        self._add_survived(self.open_ends.take_before(doubted_since_s))
+        expired_s = now_s - open_ends.MAX_WAIT_S
+        self._add_survived(self.open_ends.take_before(expired_s))
         self._listed.intersection_update(self.undecided())
 
     def merge_run(self, run: broken_runs.BrokenRun, sender: str) -> None:
--- a/redwingvalve/ingress/tests/test_poison.py
+++ b/redwingvalve/ingress/tests/test_poison.py
@@ -70,16 +70,53 @@
     """The connection breaks but the endpoint stays alive."""
     tracker, clock = make_tracker()
     live = {(f'e{number}', 1) for number in range(5)}
-    for incarnation in live:
+    for incarnation in sorted(live):
         tracker.record_broken_run(7, incarnation)
         tracker.resolve_broken_runs(live)
         clock.now_s += 0.01
         tracker.record_life_sign(incarnation, clock.now_s)
         assert tracker.verdict(7) is SERVE
-    clock.now_s += crash_evidence.CRASH_DELAY_S
+    for _ in range(100):
+        clock.now_s += 0.5
+        for incarnation in live:
+            tracker.record_life_sign(incarnation, clock.now_s)
+        tracker.resolve_broken_runs(live)
+        assert tracker.verdict(7) is SERVE
+    tracker.resolve_broken_runs(set())
+    assert tracker.verdict(7) is SERVE
+
+
+def test_ends_count_whatever_the_endpoints_answered_before():
+    """An answer half a second after the break cleared the run for good."""
+    tracker, clock = make_tracker()
+    live = {(f'e{number}', 1) for number in range(3)}
     for incarnation in live:
-        tracker.record_life_sign(incarnation, clock.now_s)
+        tracker.record_broken_run(7, incarnation)
+    for _ in range(8):
+        clock.now_s += 0.5
+        for incarnation in live:
+            tracker.record_life_sign(incarnation, clock.now_s)
+        tracker.resolve_broken_runs(live)
+        assert tracker.verdict(7) is SERVE
     tracker.resolve_broken_runs(set())
+    assert tracker.verdict(7) is REFUSE
+
+
+def test_late_ends_tell_nothing_beside_endpoints_that_live_on():
+    """Answers get lost at many endpoints, of which some end seconds later."""
+    tracker, clock = make_tracker()
+    live = {(f'e{number}', 1) for number in range(12)}
+    for incarnation in live:
+        tracker.record_broken_run(7, incarnation)
+    clock.now_s += 2
+    for incarnation in live:
+        tracker.record_life_sign(incarnation, clock.now_s)
+    live.difference_update((f'e{number}', 1) for number in range(5))
+    tracker.resolve_broken_runs(live)
+    assert tracker.verdict(7) is REFUSE
+    clock.now_s += 0.5
+    for incarnation in live:
+        tracker.record_life_sign(incarnation, clock.now_s)
     assert tracker.verdict(7) is SERVE
 
 
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -17,8 +17,8 @@
 from redwingvalve.ingress import (
     answer_ends,
     broken_runs,
-    crash_evidence,
     crash_keys,
+    crash_probes,
     load_balancing,
     poison,
     reachability,
@@ -28,11 +28,6 @@
 
 LOG = logs.make_logger('crash-checks')
 CHECK_INTERVAL_S = 0.1
-# Most endpoints have answered another request by then.
-PROBE_DELAY_S = 0.5
-# Between two probes of an endpoint; doubles with each one.
-MIN_PROBE_INTERVAL_S = 0.5
-MAX_PROBE_INTERVAL_S = 8.0
 MAX_CONCURRENT_PROBES = 16
 # A process may outlive the connection of its answer by a moment.
 ANSWER_END_DELAY_S = 0.15
@@ -44,7 +39,7 @@
 @attrs.define(eq=False)
 class _Probes:
     next_s: float = 0.0
-    interval_s: float = MIN_PROBE_INTERVAL_S
+    interval_s: float = crash_probes.MIN_INTERVAL_S
     is_running: bool = False
 
 
@@ -114,21 +109,7 @@
         probes = self._probes[incarnation]
         if probes.is_running or now_s < probes.next_s:
             return False
-        return any(
-            self._is_run_due(run, now_s)
-            for run in self.tracker.evidence.runs_at(incarnation)
-        ) or any(
-            now_s - end.run.at_s > crash_evidence.CRASH_DELAY_S
-            for end in self.tracker.open_ends.at_endpoint(incarnation)
-        )
-
-    def _is_run_due(self, run: broken_runs.BrokenRun, now_s: float) -> bool:
-        evidence = self.tracker.evidence
-        is_repeated = evidence.is_repeated(run)
-        age_s = now_s - run.at_s
-        if evidence.is_doubtful(run):
-            return is_repeated and age_s > crash_evidence.CRASH_DELAY_S
-        return is_repeated or age_s >= PROBE_DELAY_S
+        return crash_probes.is_due(self.tracker, incarnation, now_s)
 
     async def _probe(
         self,
@@ -146,7 +127,9 @@
         finally:
             probes.is_running = False
             probes.next_s = time.monotonic() + probes.interval_s
-            probes.interval_s = min(2 * probes.interval_s, MAX_PROBE_INTERVAL_S)
+            probes.interval_s = min(
+                2 * probes.interval_s, crash_probes.MAX_INTERVAL_S
+            )
         if liveness is endpoint_orders.Liveness.ALIVE:
             # Runs that broke off after the probe was sent need another one.
             self._probes.pop(incarnation, None)
--- a/redwingvalve/node/crash_reports.py
+++ b/redwingvalve/node/crash_reports.py
@@ -122,12 +122,16 @@
         found = []
         for run_id, added_s in reversed(self._added_s.items()):
             run = evidence.runs_table.get(run_id)
-            if run is None or added_s < since_s or evidence.is_doubtful(run):
+            if (
+                run is None
+                or added_s < since_s
+                or evidence.signs.is_doubtful(run)
+            ):
                 continue
             is_settled = now_s - run.at_s >= SINGLE_RUN_DELAY_S
             if is_settled or evidence.is_repeated(run):
-                found.append(run)
-        return found
+                found.append(evidence.without_untold(run))
+        return [run for run in found if run.suspects]
 
     def _repeated_runs(self) -> list[broken_runs.BrokenRun]:
         """Return the runs of the next suspects that aren't served, in turn."""
