Break no answer off because of its keep-alive time

A time of hundreds of digits in a Keep-Alive header can't be multiplied by a float or converted at all; the answer then counted as none, and a request that must not run twice got 502. Such a time counts as not stated now.

Guarded by test_a_keep_alive_time_too_large_breaks_no_answer (2 of 3 cases failed before); all pass.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -22,6 +22,8 @@
 # Idle connections are not reused in the last fifth of the peer's keep-alive
 # timeout, so that a request does not cross with the peer's close.
 KEEP_ALIVE_FRACTION = 0.8
+# Longer numbers count as not stated; some can't be converted.
+MAX_KEEP_ALIVE_DIGITS = 9
 _FIRST_FINAL_STATUS = 200
 
 
@@ -264,5 +266,7 @@
         text = head.header(b'keep-alive') or b''
         for part in text.split(b','):
             name, _, seconds = part.strip().partition(b'=')
-            if name.lower() == b'timeout' and seconds.isdigit():
+            if name.lower() != b'timeout' or not seconds.isdigit():
+                continue
+            if len(seconds) <= MAX_KEEP_ALIVE_DIGITS:
                 self.keep_alive_s = int(seconds) * KEEP_ALIVE_FRACTION
--- a/redwingvalve/http1/tests/test_endless_answers.py
+++ b/redwingvalve/http1/tests/test_endless_answers.py
@@ -194,6 +194,17 @@
     assert connection.transport.is_aborted
 
 
+@pytest.mark.parametrize('digits', [1, 400, 5000])
+def test_a_keep_alive_time_too_large_breaks_no_answer(digits):
+    """Its conversion failed, and the answer counted as none."""
+    handler = Handler()
+    connection = connect(handler)
+    time = b'keep-alive: timeout=%b\r\n' % (b'9' * digits)
+    connection.data_received(OK + time + b'content-length: 2\r\n\r\nhi')
+    assert handler.ending == 'whole'
+    assert (connection.keep_alive_s is None) is (digits > 1)
+
+
 def test_trailers_are_no_part_of_the_head():
     """They were forwarded among its headers."""
     handler = Handler()
