--- a/redwingvalve/ingress/tests/test_half_heads.py
+++ b/redwingvalve/ingress/tests/test_half_heads.py
@@ -80,13 +80,13 @@
     return cls(ATTEMPT, ignore)
 
 
-def is_whole(answer):
+async def is_whole(answer):
     """Return whether a request counts as answered, None if it has no end."""
     if isinstance(answer, json_answers.JsonAnswer):
         if not answer.done.done():
             return None
         try:
-            answer.parse()
+            await answer.parse()
         except json_answers.AnswerError:
             return False
         return True
@@ -134,28 +134,28 @@
         # An end right behind the head is seen.
         unseen_bytes -= 1
 
-    def receive(size, piece_bytes, error):
+    async def receive(size, piece_bytes, error):
         connection = client.Connection()
         connection.connection_made(Transport())
         for _ in range(uses_before):
             before = HANDLERS[handler]()
             connection.send(b'', before, lambda idle: None)
             connection.data_received(WITH_LENGTH)
-            assert is_whole(before) and connection.is_open
+            assert await is_whole(before) and connection.is_open
         answer = HANDLERS[handler]()
         connection.send(b'', answer, lambda idle: None)
         feed(connection, sent[:size], piece_bytes, error)
-        return is_whole(answer)
+        return await is_whole(answer)
 
     async def main():
         for piece_bytes in (len(sent), 1):
             for size in range(len(sent)):
-                assert receive(size, piece_bytes, RESET) is False
+                assert await receive(size, piece_bytes, RESET) is False
             for size in range(len(sent) - unseen_bytes):
-                assert receive(size, piece_bytes, None) is False
-            assert receive(len(sent), piece_bytes, None)
+                assert await receive(size, piece_bytes, None) is False
+            assert await receive(len(sent), piece_bytes, None)
             is_marked = kind != 'no length'
-            assert receive(len(sent), piece_bytes, RESET) is is_marked
+            assert await receive(len(sent), piece_bytes, RESET) is is_marked
 
     asyncio.run(main())
 
@@ -171,7 +171,7 @@
             answer = HANDLERS[handler]()
             connection.send(b'', answer, lambda idle: None)
             feed(connection, sent[:size], 1000, error)
-            assert is_whole(answer) is False
+            assert await is_whole(answer) is False
 
     asyncio.run(main())
 
@@ -189,7 +189,7 @@
             reused = []
             connection.send(b'', answer, reused.append)
             feed(connection, WITH_LENGTH[:size], 1000, error)
-            assert is_whole(answer) is (size == len(WITH_LENGTH))
+            assert await is_whole(answer) is (size == len(WITH_LENGTH))
             assert not reused
 
     asyncio.run(main())
