Break an answer that changes the protocol

The parser raises an error of its own kind for a 101. It left data_received(), and only the loop's last resort, which closes the connection, ended the request; while the rest of a lost connection was read in steps, nothing would have.

Guarded by test_a_change_of_protocol_is_no_answer (1 of 2 cases failed before); both pass.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -25,6 +25,8 @@
 # Longer numbers count as not stated; some can't be converted.
 MAX_KEEP_ALIVE_DIGITS = 9
 _FIRST_FINAL_STATUS = 200
+# Raised for bytes that are no answer, and for a change of the protocol.
+_NO_ANSWER = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 class ResponseHandler(abc.ABC):
@@ -212,7 +214,7 @@
         self._meter.received(len(data))
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except _NO_ANSWER as error:
             if not self._is_complete:
                 self._break(f'no answer: {error}')
                 return
--- a/redwingvalve/http1/tests/test_endless_answers.py
+++ b/redwingvalve/http1/tests/test_endless_answers.py
@@ -205,6 +205,18 @@
     assert (connection.keep_alive_s is None) is (digits > 1)
 
 
+@pytest.mark.parametrize('head', ['101 Switching', '200 OK'])
+def test_a_change_of_protocol_is_no_answer(head):
+    """Its error ended the task that reads, as one that nobody expected."""
+    handler = Handler()
+    connection = connect(handler)
+    upgrade = b'connection: upgrade\r\nupgrade: other\r\n\r\n'
+    connection.data_received(b'HTTP/1.1 %b\r\n' % head.encode() + upgrade)
+    is_upgrade = head.startswith('101')
+    assert (handler.ending is not None) is is_upgrade
+    assert connection.transport.is_aborted is is_upgrade
+
+
 def test_trailers_are_no_part_of_the_head():
     """They were forwarded among its headers."""
     handler = Handler()
