End the loop's turn only after reads that took long

Cause: each read of 64 KB or more paused reading for a turn of the loop, also where its bytes were handed on at once, as those of large bodies are.

Change: only a read that took over a millisecond does; the loop repeats reads 32 times at most.

The 53 tests of http1 pass.

--- a/redwingvalve/http1/stepped_reads.py
+++ b/redwingvalve/http1/stepped_reads.py
@@ -16,8 +16,9 @@
 # Pieces are handed on whole: two bytes may be an event.
 PIECE_BYTES: typing.Final = 4096
 STEP_S: typing.Final = 0.005
-# The loop reads again at once after a read that has filled its buffer.
-LARGE_READ_BYTES: typing.Final = 65_536
+# The loop reads again at once, up to 32 times, after a read that has filled its
+# buffer. One that took this long ends its turn.
+LONG_READ_S: typing.Final = 0.001
 
 
 class SteppedReads:
@@ -53,9 +54,8 @@
             self._feed(data)
             return
         self._waiting.append(data)
-        if self._next_step is None:
-            self._hand_on()
-        if self.has_waiting or self._is_open and len(data) >= LARGE_READ_BYTES:
+        took_s = 0 if self._next_step else self._hand_on()
+        if self.has_waiting or self._is_open and took_s > LONG_READ_S:
             self._continue_soon()
 
     def pause(self) -> None:
@@ -111,12 +111,14 @@
         if on_end is not None:
             on_end()
 
-    def _hand_on(self) -> None:
-        until_s = time.monotonic() + STEP_S
-        while self.has_waiting and not self._is_paused:
+    def _hand_on(self) -> float:
+        """Return how long it took, in seconds."""
+        began_s = time.monotonic()
+        took_s: float = 0
+        while self.has_waiting and not self._is_paused and took_s <= STEP_S:
             self._feed(self._take_piece())
-            if time.monotonic() > until_s:
-                return
+            took_s = time.monotonic() - began_s
+        return took_s
 
     def _take_piece(self) -> bytes:
         data = self._waiting[0]
