--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -118,6 +118,16 @@
         since_s = self._clock() - within_s
         return draining_since_s is not None and draining_since_s > since_s
 
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint drains or is gone, by its entry.
+
+        One whose entry has expired beside an outage isn't until it is dropped.
+        """
+        endpoint = self.live.get(endpoint_id)
+        if endpoint is None:
+            return endpoint_id not in self._expired
+        return endpoint.draining
+
     def usable(self) -> list[endpoints.Endpoint]:
         """Return live endpoints and those within the grace period."""
         until_s = self._clock() - EXPIRY_GRACE_S
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -194,7 +194,7 @@
         """Ask the endpoint, and compare with its other connections."""
         target = answer.target
         others = self.watch.connections(target)
-        is_leaving = self.watch.is_leaving(target.endpoint_id)
+        is_leaving = self.registry.is_leaving(target.endpoint_id)
         if answer.is_in_doubt:
             await anyio.sleep(ANSWER_END_DELAY_S)
         life = await self._find_life(target, answer.ended_s)
--- a/redwingvalve/node/stop_watch.py
+++ b/redwingvalve/node/stop_watch.py
@@ -44,11 +44,6 @@
         """Learn of endpoints that leave."""
         self.registry.on_change.append(self._entries_changed)
 
-    def is_leaving(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint leaves or is gone, as its entry says."""
-        endpoint = self.registry.live.get(endpoint_id)
-        return endpoint is None or endpoint.draining
-
     def stopped_s(self, target: load_balancing.Target) -> float | None:
         """Return when a target was first found not to listen, if it was."""
         return self._stopped_s.get(target.incarnation)
@@ -86,7 +81,7 @@
         return [
             request.target
             for endpoint_id, requests in self.state.in_flight_requests.items()
-            if requests and self.is_leaving(endpoint_id)
+            if requests and self.registry.is_leaving(endpoint_id)
             for request in requests
             if request.target is not None
         ]
--- a/redwingvalve/node/tests/test_answer_ends.py
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -119,6 +119,24 @@
     fleet_harness.run(test, **ENGINES)
 
 
+def test_no_endpoint_is_watched_whose_entry_an_outage_has_removed():
+    """All nodes connected to all endpoints at once when the store came back."""
+
+    async def test(fleet):
+        node = fleet.nodes[0]
+        node.registry.on_unavailable()
+        ids = list(fleet.endpoints)
+        for endpoint_id in ids:
+            fleet.store.remove('servers', endpoint_id)
+        await fleet.wait_until(lambda: not node.registry.live)
+        assert not any(map(node.registry.is_leaving, ids))
+        await fleet.wait_until(lambda: not node.registry.usable())
+        node.registry.drop_expired()
+        assert all(map(node.registry.is_leaving, ids))
+
+    fleet_harness.run(test, **PLAIN)
+
+
 def test_a_whole_stream_is_known_by_one_that_outlasts_it():
     """The endpoint had stopped listening, so that nothing else told."""
 
