End a hanging process although nobody reads its log

What was seen: a process whose error output is a full pipe wasn't ended at the end of its grace (test_a_blocked_log_does_not_keep_a_hanging_process failed, still running 5 s after SIGTERM with a grace of 1 s).

Cause: the guard of stop_signals wrote its last line before it ended the process; what the process hung on held up the guard too.

Change: another thread writes the line. Measured: passes, within the grace.

--- a/redwingvalve/core/stop_signals.py
+++ b/redwingvalve/core/stop_signals.py
@@ -25,6 +25,9 @@
 # Left for the end of the process before it would be killed.
 EXIT_MARGIN_S = 0.35
 _GUARD_INTERVAL_S = 0.05
+_LOG_TIMEOUT_S = 0.02
+_STDERR = 2
+_END_MESSAGE = b'redwingvalve: ended before its grace has passed\n'
 Subscriber: typing.TypeAlias = typing.Callable[[signal.Signals], None]
 
 
@@ -94,5 +97,7 @@
         """End the process once its grace has almost passed."""
         while time.monotonic() < stopped_s + self._grace_s - EXIT_MARGIN_S:
             time.sleep(_GUARD_INTERVAL_S)
-        os.write(2, b'redwingvalve: ended before its grace has passed\n')
+        # The process may hang because nobody reads its log.
+        _thread.start_new_thread(os.write, (_STDERR, _END_MESSAGE))
+        time.sleep(_LOG_TIMEOUT_S)
         os._exit(0)
