--- a/redwingvalve/http1/stepped_reads.py
+++ b/redwingvalve/http1/stepped_reads.py
@@ -13,8 +13,11 @@
 import typing
 from collections import abc as collections_abc
 
-# Pieces are handed on whole: two bytes may be an event.
+# Pieces are handed on whole: two bytes may be an event. Those after one that
+# took no time are larger.
 PIECE_BYTES: typing.Final = 4096
+LARGE_PIECE_BYTES: typing.Final = 16_384
+SHORT_PIECE_S: typing.Final = 0.0001
 STEP_S: typing.Final = 0.005
 # The loop reads again at once, up to 32 times, after a read that has filled its
 # buffer. One that took this long ends its turn.
@@ -115,19 +118,23 @@
         """Return how long it took, in seconds."""
         began_s = time.monotonic()
         took_s: float = 0
+        size_bytes = PIECE_BYTES
         while self.has_waiting and not self._is_paused and took_s <= STEP_S:
-            self._feed(self._take_piece())
+            before_s = took_s
+            self._feed(self._take_piece(size_bytes))
             took_s = time.monotonic() - began_s
+            is_short = took_s - before_s < SHORT_PIECE_S
+            size_bytes = LARGE_PIECE_BYTES if is_short else PIECE_BYTES
         return took_s
 
-    def _take_piece(self) -> bytes:
+    def _take_piece(self, size_bytes: int) -> bytes:
         data = self._waiting[0]
         begin = self._position
-        self._position += PIECE_BYTES
+        self._position += size_bytes
         if self._position >= len(data):
             self._waiting.popleft()
             self._position = 0
-        return data[begin : begin + PIECE_BYTES]
+        return data[begin : begin + size_bytes]
 
     def _continue_soon(self) -> None:
         self._stop_reading()
