Measure crashes that end late for long enough, and name open answers

run_crashing() stopped its load at a fixed time, so that with endpoints that end 2 s after their answers the share of sound requests was taken over 0.15 s or nothing. The load now goes on for as long as endpoints outlive answers.

Adds a simulation of sound requests at endpoints that close connections, and one of answers without a length that end 1 s before their endpoints.

--- a/redwingvalve/node/tests/crashing_parts.py
+++ b/redwingvalve/node/tests/crashing_parts.py
@@ -182,7 +182,8 @@
     """
     crashing.prepare(**crashes)
     bad_s = anyio.current_time() + calm_s
-    end_s = bad_s + 1.5 + RECOVERED_S + MEASURED_S
+    outlives_s = crashes.get('outlives_answer_s', 0)
+    end_s = bad_s + 1.5 + outlives_s + RECOVERED_S + MEASURED_S
     async with anyio.create_task_group() as group:
         group.start_soon(crashing.send_sound_until, end_s)
         await anyio.sleep_until(bad_s)
--- a/redwingvalve/node/tests/test_late_crashes.py
+++ b/redwingvalve/node/tests/test_late_crashes.py
@@ -54,3 +54,24 @@
         seed=seed,
     )
     check(fleet, gap_s)
+
+
+@pytest.mark.parametrize('suspect', list(late_crashes.Suspect))
+def test_what_ends_endpoints_after_open_answers_is_refused(
+    monkeypatch, suspect
+):
+    """Half an answer without a length counts as whole half a second later."""
+    fleet = late_crashes.Fleet(monkeypatch, always(1.0), suspect, 0.05)
+    fleet.is_open_end = True
+    check(fleet, 0.8)
+
+
+def test_sound_requests_are_served_whose_answers_break_off(monkeypatch):
+    """A third of the endpoints close connections inside answers, and live."""
+    fleet = late_crashes.Fleet(
+        monkeypatch, always(4.0), late_crashes.Suspect.REQUEST, 0.05
+    )
+    for endpoint in list(fleet.endpoints.values())[::3]:
+        endpoint.breaks_off = True
+    check(fleet, 0.4)
+    assert fleet.served_share(0) >= MIN_SERVED_SHARE
