Let one of several nodes that are stopped together hold out

Found by the review of the fix: each node dates its own stop exactly and the others' some tenths of a second late, so that of two nodes stopped at once each took the other for the last one, and neither held out until another was back.

--- a/redwingvalve/node/successors.py
+++ b/redwingvalve/node/successors.py
@@ -65,10 +65,8 @@
         """Return whether callers have only this node until one is back."""
         if self.stop is None or self.has_ready:
             return False
-        return (
-            bool(self._expected_s(time.monotonic()))
-            and self._last_s() <= self.stop.began_s
-        )
+        is_outlasted = any(map(self._outlasts, self._leaving_peers()))
+        return bool(self._expected_s(time.monotonic())) and not is_outlasted
 
     def leaving_fronts(self, *, is_local_usable: bool) -> list[str]:
         """Return the front addresses of the nodes that were stopped last.
@@ -98,15 +96,19 @@
             if peer.is_leaving and peer.is_ready
         ]
 
-    def _last_s(self) -> float:
-        """Return when the last other node that still runs was stopped."""
-        return max(
-            (
-                self._leaving_since_s.get(peer.address.vm, 0)
-                for peer in self._leaving_peers()
-            ),
-            default=0,
-        )
+    def _outlasts(self, peer: peers_module.Peer) -> bool:
+        """Return whether another stopping node takes requests for longer.
+
+        Its stop is known some tenths of a second late, so that of two nodes
+        that were stopped together each would wait for the other.
+        """
+        if self.stop is None:
+            return True
+        vm = peer.address.vm
+        later_s = self._leaving_since_s.get(vm, 0) - self.stop.began_s
+        if abs(later_s) <= LAST_WITHIN_S:
+            return vm > self.peers.local.vm
+        return later_s > 0
 
     def _expected_s(self, now_s: float) -> list[float]:
         """Return when the nodes that are expected back were stopped."""
