Estimate answers by route from several, and send nothing again after the end

Estimates are kept by route and need three recent answers; a second send after the time in which requests are expected to end is answered 502 instead. Guarded by three tests in test_stop_admission.py.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -112,10 +112,10 @@
 
     def _is_too_late(self) -> bool:
         """Refuse the request if this node stops before it would end."""
-        if self._may_have_run or self._responder.is_started:
+        if self._responder.is_started:
             return False
         refusal = self._state.stop_admission.refuse_late(
-            self._admission, self._state.rng
+            self._admission, self._state.rng, may_have_run=self._may_have_run
         )
         if refusal and not (self._is_from_peer and self._decline()):
             self._give_up_for(refusal)
--- a/redwingvalve/ingress/answer_durations.py
+++ b/redwingvalve/ingress/answer_durations.py
@@ -14,6 +14,8 @@
 WINDOW_S = 15.0
 # Endpoints get slower as more requests run, also during an answer.
 ANNOUNCED_FACTOR = 1.25
+# Fewer recent answers tell nothing of the longest ones.
+MIN_ANSWERS = 3
 # Without recent answers; a queue at an endpoint and a connect.
 UNKNOWN_EXCESS_S = 1.0
 # For what isn't observed, such as a busy event loop.
@@ -27,14 +29,15 @@
     _since_s: float = 0
     _excess_s: float = 0
     _previous_excess_s: float = 0
-    _has_answers: bool = False
+    _answers: int = 0
+    _previous_answers: int = 0
 
     def observe(self, took_s: float, announced_s: float, now_s: float) -> None:
         """Record a whole answer; announced_s is as for expected_s()."""
         self._age(now_s)
         excess_s = took_s - ANNOUNCED_FACTOR * announced_s
         self._excess_s = max(self._excess_s, excess_s)
-        self._has_answers = True
+        self._answers += 1
 
     def expected_s(self, announced_s: float, now_s: float) -> float:
         """Return how long a request takes at most, from now to its end.
@@ -45,7 +48,7 @@
         """
         self._age(now_s)
         excess_s = max(self._excess_s, self._previous_excess_s)
-        if not self._has_answers:
+        if self._answers + self._previous_answers < MIN_ANSWERS:
             excess_s = UNKNOWN_EXCESS_S if announced_s else math.inf
         return ANNOUNCED_FACTOR * announced_s + excess_s + SLACK_S
 
@@ -54,6 +57,7 @@
             return
         is_recent = now_s < self._since_s + 2 * WINDOW_S
         self._previous_excess_s = self._excess_s if is_recent else 0
-        self._has_answers = self._has_answers and is_recent
+        self._previous_answers = self._answers if is_recent else 0
+        self._answers = 0
         self._excess_s = 0
         self._since_s = now_s
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -32,7 +32,7 @@
         self._forwarded = forwarded
         self._state = state
         self._request = request
-        self._responder = responder
+        self.responder = responder
         self._caller = caller_requests.read_request(request)
         self._times = timing.RequestTiming()
         self._admitted: admitted_request.AdmittedRequest | None = None
@@ -57,8 +57,8 @@
         refusal = self._state.stop_admission.refuse(self._state.rng)
         if self._admitted is not None:
             self._admitted.give_up(refusal)
-        elif not self._responder.is_done:
-            responses.send_refusal(self._responder, self._caller, refusal)
+        elif not self.responder.is_done:
+            responses.send_refusal(self.responder, self._caller, refusal)
 
     async def run(self) -> None:
         """Handle the request until the response is complete."""
@@ -76,7 +76,7 @@
         refusal = refusals.for_crashing_request(self._state.poison, keys)
         is_trial = refusal is not None and await self._claim_trial(keys)
         if refusal is not None and not is_trial:
-            responses.send_refusal(self._responder, self._caller, refusal)
+            responses.send_refusal(self.responder, self._caller, refusal)
             return
         self._state.prompt_read_times(admission.model).observe(
             admission.prompt_read_s
@@ -93,7 +93,7 @@
             self._state,
             self._request,
             self._caller,
-            self._responder,
+            self.responder,
             admission,
             self._times,
             keys,
@@ -110,7 +110,7 @@
         elif not await self._state.reach.confirm_unless_recent():
             reason = 'cut off'
         if reason:
-            responses.decline(self._responder, self._caller, reason)
+            responses.decline(self.responder, self._caller, reason)
         return bool(reason)
 
     async def _claim_trial(self, keys: crash_keys.RequestKeys) -> bool:
@@ -132,7 +132,7 @@
             self._times.started_s,
         )
         if isinstance(decision, refusals.Refusal):
-            responses.send_refusal(self._responder, self._caller, decision)
+            responses.send_refusal(self.responder, self._caller, decision)
             return None
         if self._forwarded is not None:
             return admission_control.limit_forwarded(decision, self._forwarded)
--- a/redwingvalve/ingress/stop_admission.py
+++ b/redwingvalve/ingress/stop_admission.py
@@ -60,7 +60,8 @@
     """Admits everything until the node is told to stop."""
 
     planned: PlannedStop | None = None
-    _durations: dict[tuple[str, str], answer_durations.AnswerDurations] = (
+    # By route, service and model.
+    _durations: dict[tuple[str, str, str], answer_durations.AnswerDurations] = (
         attrs.field(factory=dict)
     )
 
@@ -73,12 +74,22 @@
         )
 
     def refuse_late(
-        self, admission: admission_control.Admission, rng: random.Random
+        self,
+        admission: admission_control.Admission,
+        rng: random.Random,
+        *,
+        may_have_run: bool = False,
     ) -> refusals.Refusal | None:
-        """Return the refusal of a request that wouldn't end in time."""
+        """Return the refusal of a request that wouldn't end in time.
+
+        One that may have run is sent again until the end of the stop.
+        """
         if self.planned is None:
             return None
         now_s = time.monotonic()
+        if may_have_run:
+            is_over = now_s > self.planned.ends_s
+            return refusals.INCOMPLETE_ANSWER if is_over else None
         expected_s = self._durations_of(admission).expected_s(
             admission.announced_s, now_s
         )
@@ -104,6 +115,6 @@
         self, admission: admission_control.Admission
     ) -> answer_durations.AnswerDurations:
         return self._durations.setdefault(
-            (admission.service, admission.model),
+            (admission.route.name, admission.service, admission.model),
             answer_durations.AnswerDurations(),
         )
--- a/redwingvalve/ingress/tests/test_stop_admission.py
+++ b/redwingvalve/ingress/tests/test_stop_admission.py
@@ -66,7 +66,8 @@
         request = admission(sent_s, announced_s)
         # An endpoint that takes as much longer as its batches allow.
         took_s = factor * announced_s + 0.2
-        admitting.observe(request, took_s)
+        for _ in range(answer_durations.MIN_ANSWERS):
+            admitting.observe(request, took_s)
         refusal = admitting.refuse_late(request, random.Random(1))
         assert refusal is not None or sent_s + took_s <= 107.4
 
@@ -77,7 +78,8 @@
     admitting = stopping()
     at_clock(100)
     request = admission(100, announced_s)
-    admitting.observe(request, announced_s)
+    for _ in range(answer_durations.MIN_ANSWERS):
+        admitting.observe(request, announced_s)
     assert admitting.refuse_late(request, random.Random(1)) is None
 
 
@@ -88,6 +90,38 @@
     assert admitting.refuse_late(request, random.Random(1)) is None
 
 
+def test_one_short_answer_tells_nothing_of_the_others(at_clock):
+    """Guards against a long request taken at the end for a short one."""
+    admitting = stopping()
+    at_clock(106)
+    request = admission(106, 0)
+    admitting.observe(request, 0.02)
+    assert admitting.refuse_late(request, random.Random(1)) is not None
+
+
+def test_routes_have_estimates_of_their_own(at_clock):
+    admitting = stopping()
+    at_clock(106)
+    short = admission(106, 0)
+    long = attrs.evolve(short, route=attrs.evolve(ROUTE, name='other'))
+    for _ in range(answer_durations.MIN_ANSWERS):
+        admitting.observe(short, 0.02)
+        admitting.observe(long, 2)
+    assert admitting.refuse_late(short, random.Random(1)) is None
+    assert admitting.refuse_late(long, random.Random(1)) is not None
+
+
+def test_nothing_is_sent_again_after_the_end(at_clock):
+    admitting = stopping()
+    request = admission(100, 1)
+    for now_s, is_refused in ((106, False), (107.5, True)):
+        at_clock(now_s)
+        refusal = admitting.refuse_late(
+            request, random.Random(1), may_have_run=True
+        )
+        assert (refusal is refusals.INCOMPLETE_ANSWER) is is_refused
+
+
 def test_slow_answers_are_remembered_for_a_while(at_clock):
     """Guards against estimates by the mean, which cut every second request."""
     admitting = stopping()
@@ -120,7 +154,8 @@
 
 def test_old_answers_count_no_more():
     durations = answer_durations.AnswerDurations()
-    durations.observe(9, 1, 100)
+    for _ in range(answer_durations.MIN_ANSWERS):
+        durations.observe(9, 1, 100)
     assert durations.expected_s(1, 101) > 9
     late_s = 100 + 2 * answer_durations.WINDOW_S
     unknown_s = answer_durations.AnswerDurations().expected_s(1, late_s)
