Let a stop wait for all connections in use

Requests that waited behind another one on their connection were dropped with its answer, as that said close. Idle connections were closed the moment after they had been opened. The stop waits for connections in use, up to the end of its time; waiting requests are answered before the close; connections are closed after a second without use. One answer that can't be given up, or an error while the node deregisters, no longer keeps the others from theirs.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -7,6 +7,7 @@
 import abc
 import asyncio
 import collections
+import time
 import types
 import typing
 
@@ -120,7 +121,9 @@
 
     def _head(self, status: int, headers: messages.Headers) -> bytes:
         reason = _REASONS.get(status, b'Status')
-        if self.connection.application.is_closing():
+        # Requests that wait behind this one are served before the close.
+        is_closing = self.connection.application.is_closing()
+        if is_closing and not self.connection.pipelined:
             self._keep = False
         if not self._keep:
             headers = [*headers, (b'connection', b'close')]
@@ -143,11 +146,12 @@
         self.is_closed = False
         self.is_write_paused = False
         self.is_idle = True
+        self._idle_since_s = time.monotonic()
         self._transport: asyncio.Transport | None = None
         self._parser = request_parser.RequestParser(self, application.limits)
         self._reads = stepped_reads.SteppedReads(self._parser.feed)
         self._timer: asyncio.TimerHandle | None = None
-        self._pipelined: collections.deque[messages.Request] = (
+        self.pipelined: collections.deque[messages.Request] = (
             collections.deque()
         )
         self._current: Responder | None = None
@@ -156,6 +160,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first head."""
+        self._idle_since_s = time.monotonic()
         self._transport = typing.cast(asyncio.Transport, transport)
         self._reads.start(self._transport)
         self._restart_timer(self.application.limits().idle_timeout_s)
@@ -165,7 +170,7 @@
         self.is_closed = True
         self._reads.abort()
         self._stop_timer()
-        self._pipelined.clear()
+        self.pipelined.clear()
         responder = self._current
         self._current = None
         if responder is not None and responder.on_disconnect is not None:
@@ -205,8 +210,8 @@
     def request_completed(self, request: messages.Request) -> None:
         """Queue a request behind the earlier ones of the connection."""
         self._stop_timer()
-        self._pipelined.append(request)
-        if len(self._pipelined) > MAX_PIPELINED:
+        self.pipelined.append(request)
+        if len(self.pipelined) > MAX_PIPELINED:
             self._reads.pause()
         self._serve_next()
 
@@ -237,12 +242,13 @@
         if not keep:
             self._transport.close()
             return
-        if self._pipelined or self._refused_status is not None:
-            if len(self._pipelined) <= MAX_PIPELINED:
+        if self.pipelined or self._refused_status is not None:
+            if len(self.pipelined) <= MAX_PIPELINED:
                 self._reads.resume()
             self._serve_next()
         elif not self._parser.is_reading:
             self.is_idle = not self._reads.has_waiting
+            self._idle_since_s = time.monotonic()
             self._restart_timer(self.application.limits().idle_timeout_s)
 
     @property
@@ -252,20 +258,25 @@
             return False
         return self._transport.get_write_buffer_size() > 0
 
-    def close_if_idle(self) -> None:
-        """Close the connection if it has no request."""
-        if self.is_idle and self._transport is not None:
+    def close_if_idle(self, min_idle_s: float = 0) -> None:
+        """Close the connection if it had no request for at least that long."""
+        idle_s = time.monotonic() - self._idle_since_s
+        if (
+            self.is_idle
+            and idle_s >= min_idle_s
+            and self._transport is not None
+        ):
             self._transport.close()
 
     def _serve_next(self) -> None:
         if self._current is not None:
             return
-        if not self._pipelined:
+        if not self.pipelined:
             if self._refused_status is not None:
                 refusal = Responder(self, keep=False)
                 refusal.send_response(self._refused_status, [], b'')
             return
-        request = self._pipelined.popleft()
+        request = self.pipelined.popleft()
         responder = Responder(self, request.keep_alive)
         self._current = responder
         try:
--- a/redwingvalve/http1/tests/test_pipelined_requests.py
+++ b/redwingvalve/http1/tests/test_pipelined_requests.py
@@ -38,7 +38,7 @@
         waiting = []
         connection.data_received(data)
         while len(application.targets) < count:
-            waiting.append(len(connection._pipelined))
+            waiting.append(len(connection.pipelined))
             await asyncio.sleep(0)
         expected = [b'/%d' % one for one in range(count)]
         assert application.targets == expected
--- a/redwingvalve/http1/tests/test_server.py
+++ b/redwingvalve/http1/tests/test_server.py
@@ -41,13 +41,14 @@
 
     def __init__(self, failing):
         self.failing = failing
+        self.is_stopping = False
         self.held = []
 
     def limits(self):
         return request_parser.ServerLimits(1000, 1000, 0.01, 5)
 
     def is_closing(self):
-        return False
+        return self.is_stopping
 
     def serve(self, request, responder):
         if request.target in self.failing:
@@ -96,3 +97,19 @@
         assert transport.is_closed
 
     asyncio.run(main())
+
+
+def test_requests_that_wait_are_answered_when_the_process_stops():
+    """Guards against requests lost behind an answer that says close."""
+
+    async def main():
+        application, connection, transport = connect()
+        connection.data_received(REQUEST % 1 + REQUEST % 2 + REQUEST % 3)
+        application.is_stopping = True
+        for _ in range(3):
+            application.held.pop().send_response(200, [], b'')
+        assert transport.sent.count(b'HTTP/1.1 200 ') == 3
+        assert transport.sent.count(b'connection: close') == 1
+        assert transport.is_closed
+
+    asyncio.run(main())
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -88,7 +88,7 @@
         """Answer the requests in progress, as this node stops now."""
         self.log_running('cut off')
         for task, handler in tuple(self.running.items()):
-            handler.give_up()
+            _give_up(handler)
             task.cancel()
 
     def _start(
@@ -116,21 +116,19 @@
             await handler.run()
         except Exception:
             LOG.exception('request failed')
-            _give_up(handler, responder)
+            _give_up(handler)
         # Without any response the caller would wait until its deadline.
         if not responder.is_done and not responder.is_disconnected:
             responder.abort()
 
 
-def _give_up(
-    handler: request_handler.RequestHandler, responder: server.Responder
-) -> None:
+def _give_up(handler: request_handler.RequestHandler) -> None:
     """Answer a failed request, whatever else fails."""
     try:
         handler.give_up()
     except Exception:
         LOG.exception('request not given up')
-        responder.send_response(_BAD_GATEWAY, [], b'')
+        handler.responder.send_response(_BAD_GATEWAY, [], b'')
 
 
 class NodeApplication(server.Application):
--- a/redwingvalve/node/listeners.py
+++ b/redwingvalve/node/listeners.py
@@ -7,6 +7,9 @@
 from redwingvalve.node import early_sockets
 from redwingvalve.platform import settings
 
+# A connection that was opened more recently may be about to be used.
+MIN_IDLE_S = 1.0
+
 
 class Listener:
     """Listens at one address and tracks its connections."""
@@ -49,10 +52,18 @@
             if not connection.is_idle:
                 connection.abort()
 
-    def close_idle(self) -> None:
-        """Close connections without a pending request."""
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is arriving, or a response leaving."""
+        return any(
+            one.has_unsent_bytes or not (one.is_closed or one.is_idle)
+            for one in self._connections
+        )
+
+    def close_idle(self, min_idle_s: float = 0) -> None:
+        """Close connections without a request for at least that long."""
         for connection in self._connections:
-            connection.close_if_idle()
+            connection.close_if_idle(min_idle_s)
 
     def _make_connection(self) -> server.ServerConnection:
         connection = server.ServerConnection(self._application)
@@ -93,10 +104,14 @@
         for listener in self._of(application):
             listener.stop_listening()
 
+    def is_busy(self, application: server.Application) -> bool:
+        """Return whether an application's connections are in use."""
+        return any(one.is_busy for one in self._of(application))
+
     def close_idle(self, application: server.Application) -> None:
-        """Close connections of an application without a pending request."""
+        """Close connections of an application that seem not to be used."""
         for listener in self._of(application):
-            listener.close_idle()
+            listener.close_idle(MIN_IDLE_S)
 
     def _of(self, application: server.Application) -> list[Listener]:
         return [one for one in self._listeners if one.serves(application)]
--- a/redwingvalve/node/shutdown.py
+++ b/redwingvalve/node/shutdown.py
@@ -80,14 +80,23 @@
         self._log_step('lease released')
         self.status_exchange.broadcast_now()
 
+    async def _deregister(self) -> None:
+        try:
+            await self.peer_discovery.deregister()
+        except Exception:
+            # The last answers must still be sent.
+            LOG.exception('not deregistered')
+
     async def _drain(self) -> None:
         """Wait for the end of all requests, or of the time for them."""
-        while time.monotonic() < self.stop.ends_s + OVERRUN_S:
+        ends_s = self.stop.ends_s + OVERRUN_S
+        while time.monotonic() < ends_s:
             if self._elapsed_s > IDLE_CLOSE_DELAY_S:
                 self.listeners.close_idle(self._front)
             if self._is_drained():
                 return
-            await anyio.sleep(_POLL_INTERVAL_S)
+            left_s = ends_s - time.monotonic()
+            await anyio.sleep(max(0, min(_POLL_INTERVAL_S, left_s)))
 
     def _is_drained(self) -> bool:
         min_end_s = self._started_s + MIN_STOP_DURATION_AT_START_S
@@ -95,6 +104,8 @@
             min_end_s = self.stop.began_s + successors.MIN_STOP_DURATION_S
         if time.monotonic() < min_end_s or self._front.running:
             return False
+        if self.listeners.is_busy(self._front):
+            return False
         return not self._successors.must_hold_out
 
     async def _finish(self) -> None:
@@ -104,7 +115,7 @@
         self._front.give_up_all()
         with anyio.move_on_after(FINISH_TIMEOUT_S):
             async with anyio.create_task_group() as group:
-                group.start_soon(self.peer_discovery.deregister)
+                group.start_soon(self._deregister)
                 await anyio.sleep(LINGER_S)
                 while self.listeners.has_unsent_bytes:
                     await anyio.sleep(_FLUSH_INTERVAL_S)
