Tell leaving nodes of a data centre where nobody stays

Found by the review of the fix, by reading: a data centre that leaves whole had no hubs, so that its nodes weren't told that others leave, and named these to callers. Its leaving nodes are sent to instead. test_hubs.py passes; the order of events wasn't played with twelve nodes of two data centres.

--- a/redwingvalve/node/hubs.py
+++ b/redwingvalve/node/hubs.py
@@ -223,13 +223,18 @@
 
     def _select(self, data_centre: str) -> _Selection:
         local = self._peers.local
-        found = [
-            peer.address
+        running = [
+            peer
             for peer in self._peers.alive()
             if peer.address.data_centre == data_centre
-            and not peer.is_leaving
             and peer.address.vm not in self._skipped
         ]
+        staying = [peer for peer in running if not peer.is_leaving]
+        if data_centre != local.data_centre:
+            # Nodes of a data centre that leaves whole still tell callers where
+            # to go, by what the others tell them.
+            staying = staying or running
+        found = [peer.address for peer in staying]
         if data_centre == local.data_centre:
             found.append(local)
         found.sort(key=bandwidth_rank)
