--- a/redwingvalve/cli/tests/test_check_configuration.py
+++ b/redwingvalve/cli/tests/test_check_configuration.py
@@ -164,11 +164,11 @@
         'ip': '127.0.0.1',
         'zone': 'z',
         'region': 'r',
-        'listen': dict.fromkeys(('front', 'ready', 'directory'), 'h:1'),
+        'listen': dict.fromkeys(('front', 'ready', 'directory'), '127.0.0.1:1'),
         'internal_ports': [1, 2],
         'heartbeat_ms': 1200,
         'bounds': fleet_harness.BOUNDS,
-        'platform': {'address': 'h:1'},
+        'platform': {'address': '127.0.0.1:1'},
     }
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps(document))
