--- a/tests/integration/planned_stops.py
+++ b/tests/integration/planned_stops.py
@@ -200,7 +200,7 @@
         return attempt
 
     async def _exchange(self, kind):
-        lost = fleet_harness.Response(0, {}, b'', 'given up')
+        lost = fleet_harness.Response(0, {}, b'', 'unanswered')
         try:
             if kind == 'stream':
                 return await self._stream()
@@ -361,9 +361,11 @@
 
 def _breach(attempt, has_run):
     """Return how an attempt breaches an invariant, '' if it doesn't."""
-    if not attempt.ended_s or attempt.ending == 'given up':
-        # The play ended first, or the caller left.
+    if not attempt.ended_s:
+        # The play ended first.
         return ''
+    if attempt.ending == 'unanswered':
+        return 'no answer within 8 s'
     if attempt.status in NOT_RUN_STATUSES and has_run:
         return 'ran although refused'
     took_s = attempt.ended_s - attempt.sent_s
