Take the platform's header and path names of tests from platform/

Three test files spelled names of the users' wire themselves. They use the constants of platform/names.py; what is sent and checked is the same.

--- a/redwingvalve/ingress/tests/test_half_heads.py
+++ b/redwingvalve/ingress/tests/test_half_heads.py
@@ -6,16 +6,19 @@
 
 from redwingvalve.http1 import client
 from redwingvalve.ingress import peer_sender, upstream
-from redwingvalve.platform import json_answers
+from redwingvalve.platform import json_answers, names
 
 ATTEMPT = b'a1'
-HEADERS = b'X-Attempt-Id: a1\r\nX-Server-Seal: s.1\r\n'
+HEADERS = b'%b: a1\r\n%b: s.1\r\n' % (
+    names.ATTEMPT_ID_HEADER,
+    names.SEAL_HEADER,
+)
 EVENTS = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n'
 LENGTH = b'Content-Length: %d\r\n\r\n' % len(EVENTS)
 OK = b'HTTP/1.1 200 OK\r\n'
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n%b\r\n'
 WITH_LENGTH = OK + HEADERS + LENGTH + EVENTS
-STRAY = OK + b'X-Attempt-Id: a0\r\n' + LENGTH + EVENTS
+STRAY = OK + b'%b: a0\r\n' % names.ATTEMPT_ID_HEADER + LENGTH + EVENTS
 # The answer, and how many of its last bytes an end by FIN may cut unseen: that
 # tells nothing without a length.
 ANSWERS = {
--- a/redwingvalve/node/tests/test_half_answers.py
+++ b/redwingvalve/node/tests/test_half_answers.py
@@ -15,7 +15,8 @@
 from redwingvalve.standins import ports
 
 EVENTS = b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n'
-HEADERS = b'X-Attempt-Id: %(attempt)b\r\nX-Server-Seal: s.1\r\n'
+ID = names.ATTEMPT_ID_HEADER
+HEADERS = ID + b': %(attempt)b\r\n' + names.SEAL_HEADER + b': s.1\r\n'
 LENGTH = b'Content-Length: %d\r\n\r\n' % len(EVENTS)
 OK = b'HTTP/1.1 200 OK\r\n'
 WHOLE = OK + HEADERS + LENGTH + EVENTS
@@ -24,7 +25,7 @@
     'length': WHOLE,
     'chunks': OK + HEADERS + b'Transfer-Encoding: chunked\r\n\r\n' + CHUNKS,
     'interim': b'HTTP/1.1 103 Early Hints\r\n' + HEADERS + b'\r\n' + WHOLE,
-    'another before': OK + b'X-Attempt-Id: old\r\n' + LENGTH + EVENTS + WHOLE,
+    'another before': OK + ID + b': old\r\n' + LENGTH + EVENTS + WHOLE,
     'no headers': OK + b'\r\n' + EVENTS,
     # Its end without a length could as well be that of its endpoint.
     'no body': OK + HEADERS + b'\r\n',
@@ -65,7 +66,7 @@
         )
         if not self.is_early:
             await reader.readexactly(int(fields.get(b'content-length', 0)))
-        attempt = {b'attempt': fields[b'x-attempt-id']}
+        attempt = {b'attempt': fields[ID]}
         if b'/whole/' in head or not self.cuts:
             writer.write(WHOLE % attempt)
             return True
--- a/redwingvalve/node/tests/test_odd_entries.py
+++ b/redwingvalve/node/tests/test_odd_entries.py
@@ -138,7 +138,7 @@
             response = await fleet.caller(number % 2).ask(path)
             assert response.ending == 'whole'
         directory = fleet.directory(number % 2)
-        response = await directory.ask('/redwingvalve/resolve?name=x')
+        response = await directory.ask(f'{names.RESOLVE_PATH}?name=x')
         assert response.ending == 'whole'
     await fleet.add_endpoint('late', fleet_harness.PLAIN_SERVICE)
     await fleet.wait_until(
