Parse long sound JSON in steps

Cause: only damaged pages were read in steps. What the JSON library can read was parsed in one call, and its objects were checked for their depth in another.

Change: core/json_steps.py parses a value that fits into a window of 4,096 characters by one call, a longer one member by member, and members that end alike many at a time. Parses in vain have a budget of the text's length. Bodies over 64 KB go through it: pages object by object, by the reader that damaged pages have, other bodies as a whole; other tasks run after each 5 ms. Depth is checked while reading. An array called `items` inside an object isn't taken for that of a page any more.

--- a/redwingvalve/platform/damaged_pages.py
+++ b/redwingvalve/platform/damaged_pages.py
@@ -1,11 +1,12 @@
-"""Reads pages of the store that contain objects with unreadable bytes.
+"""Reads pages of the store object by object.
 
 Load pattern: another writer stores an object with bytes that are not JSON or
 not UTF-8, and the store returns them inside its page. Such a page can't be
 parsed as a whole. Without this module a single object would hide the changes of
 all others for as long as it exists. Here the page is split into its objects,
 and an unreadable one is replaced by a placeholder with its name, as far as the
-name can be read.
+name can be read. Long pages are read in the same way, readable or not: a fleet
+of thousands of endpoints is listed by a page of megabytes.
 
 The object may consist of whatever looks like the end of the page or of an
 element, some hundred thousand times. So the work is linear in the page: each
@@ -17,9 +18,8 @@
 import json
 import re
 import typing
-from collections import abc as collections_abc
 
-from redwingvalve.core import collector
+from redwingvalve.core import collector, json_steps
 
 Document = dict[str, typing.Any]
 # Field of a placeholder that says why the object can't be read.
@@ -44,23 +44,16 @@
 _NOT_UTF8 = re.compile('[\udc80-\udcff]')
 # Whitespace and commas between elements.
 _SEPARATOR = re.compile(r'[\s,]*')
-# Elements are parsed in windows of so many characters, each larger than the one
-# before: a failure costs as much as the text up to it.
-_FIRST_WINDOW = 512
-_WINDOW_GROWTH = 4
-# A window that ends inside a literal or an escape fails so long before its end.
-_CUT_CHARS = 16
-_STEP_ELEMENTS = 256
-_STEP_CHARS = 65_536
+# Characters of an unreadable element that may be parsed without any charge.
+_FREE_CHARS = 512
+# Beginning of the metadata of an unreadable object in which its name is read.
+_METADATA_CHARS = 16_384
+_STEP_ELEMENTS = 64
 _DONE = object()
+_TOO_DEEP: typing.Final = f'nested over {MAX_DEPTH} levels'
 
-_Found = typing.TypeVar('_Found')
-# Yields between the steps, and returns what was found.
-_Reading: typing.TypeAlias = collections_abc.Generator[None, None, _Found]
 _DECODER = json.JSONDecoder()
 _UNREADABLE = (ValueError, RecursionError)
-# Of parsed JSON, whose classes have no descendants.
-_CONTAINERS = frozenset((dict, list))
 
 
 def placeholder(metadata: typing.Any, reason: str) -> Document:
@@ -72,14 +65,31 @@
     """Return the object, or a placeholder if its structure is unusable."""
     if not isinstance(stored, dict):
         return placeholder({}, 'the object is not a JSON object')
-    if _is_too_deep(stored):
+    if json_steps.is_too_deep(stored, MAX_DEPTH - 1):
         metadata = stored.get('metadata')
-        if _is_too_deep(metadata):
+        if json_steps.is_too_deep(metadata, MAX_DEPTH - 1):
             metadata = {}
-        return placeholder(metadata, f'nested over {MAX_DEPTH} levels')
+        return placeholder(metadata, _TOO_DEEP)
     return stored
 
 
+def bound(page: Document) -> None:
+    """Replace the objects of a page whose structure is unusable."""
+    items = page.get('items')
+    if isinstance(items, list):
+        page['items'] = list(map(bounded, items))
+    events = page.get('events')
+    if isinstance(events, list):
+        page['events'] = list(map(_bounded_event, events))
+
+
+def _bounded_event(event: typing.Any) -> Document:
+    if not isinstance(event, dict):
+        return {'object': bounded(None), 'deleted': False}
+    event['object'] = bounded(event.get('object'))
+    return event
+
+
 def recover(raw: bytes) -> Document | None:
     """Return the page with placeholders, or None if it isn't a page."""
     recovery = Recovery(raw)
@@ -92,7 +102,7 @@
 class Recovery:
     """Reads a page in steps of a few milliseconds.
 
-    A step reads a limited number of elements, or one longer element.
+    A step reads a limited number of elements, or a part of a longer one.
     """
 
     def __init__(self, raw: bytes) -> None:
@@ -101,27 +111,31 @@
         self.page: Document | None = None
         self._text = raw.decode('utf-8', 'surrogateescape')
         self._array = _ARRAY.search(self._text)
-        self._scan: _Scan | None = None
-        self._steps: collections_abc.Iterator[None] = iter(())
-        if self._array is not None:
-            self._scan = _Scan(self._text, self._array.group(1))
-            self._steps = self._scan.read(self._array.end())
+        self._steps = self.read()
 
     def step(self) -> bool:
         """Read some elements; return whether there is more to do."""
-        if self._scan is None or self._array is None:
-            return False
         with collector.paused():
-            if next(self._steps, _DONE) is not _DONE:
-                return True
-            end = self._scan.end
-            if end is None:
-                return False
-            begin = self._array.end()
-            self.page = _parse_rest(self._text[:begin], self._text[end:])
+            return next(self._steps, _DONE) is not _DONE
+
+    def read(self) -> json_steps.Steps[Document | None]:
+        """Read the page; the steps return it."""
+        if self._array is None:
+            return None
+        key = self._array.group(1)
+        before = self._text[: self._array.end()]
+        # An array of that name inside an object isn't that of the page.
+        is_page = yield from _parse_page(f'{before}]}}')
+        if is_page is None:
+            return None
+        scan = _Scan(self._text, key)
+        yield from scan.read(len(before))
+        if scan.end is None:
+            return None
+        self.page = yield from _parse_page(before + self._text[scan.end :])
         if self.page is not None:
-            self.page[self._array.group(1)] = self._scan.found
-        return False
+            self.page[key] = scan.found
+        return self.page
 
 
 class _Scan:
@@ -136,11 +150,14 @@
         self._boundaries = _Boundaries(
             text, _ITEM_BOUNDARY if self._is_listing else _EVENT_BOUNDARY
         )
+        # An event has one level more than its object.
+        max_depth = MAX_DEPTH - 1 if self._is_listing else MAX_DEPTH
+        self._reader = json_steps.Reader(text, max_depth)
         # Characters that may still be parsed in vain beyond a boundary.
         self._budget = len(text)
 
-    def read(self, position: int) -> collections_abc.Iterator[None]:
-        """Read the elements from a position on; each iteration is a step."""
+    def read(self, position: int) -> json_steps.Steps[None]:
+        """Read the elements from a position on."""
         for count in itertools.count(1):
             position = self._skip_separator(position)
             if self._text.startswith(']', position):
@@ -160,39 +177,44 @@
 
     def _element(
         self, position: int
-    ) -> _Reading[tuple[typing.Any, int | None]]:
-        element, end = yield from self._parse(position)
-        if end is None:
-            closing = self._boundaries.after(position)
-            if closing is None:
-                return None, None
-            segment = self._text[position:closing]
-            return self._replaced(segment, 'not JSON'), closing
-        segment = self._text[position:end]
-        if _NOT_UTF8.search(segment):
-            return self._replaced(segment, 'bytes that are not UTF-8'), end
-        return element, end
-
-    def _parse(self, position: int) -> _Reading[tuple[typing.Any, int | None]]:
-        """Return the element at position and its end, None if unreadable."""
+    ) -> json_steps.Steps[tuple[typing.Any, int | None]]:
         limit = len(self._text)
         if self._budget < 0:
             limit = self._boundaries.after(position) or limit
-        size = _FIRST_WINDOW
-        is_final = False
-        while not is_final:
-            window = self._text[position : min(position + size, limit)]
-            is_last = position + size >= limit
-            is_final, element, length = _decode(window, is_last)
-            if size > _STEP_CHARS:
-                yield
-            size *= _WINDOW_GROWTH
-        if length is None:
-            self._budget -= size // _WINDOW_GROWTH - _FIRST_WINDOW
+        try:
+            element, end = yield from self._reader.read(position, limit)
+        except json_steps.TooDeepError:
+            end = yield from self._reader.skip(position, limit)
+            if end is not None:
+                return self._replaced(position, end, _TOO_DEEP), end
+            return self._unreadable(position)
+        except json_steps.JsonError:
+            return self._unreadable(position)
+        if _NOT_UTF8.search(self._text, position, end):
+            reason = 'bytes that are not UTF-8'
+            return self._replaced(position, end, reason), end
+        return self._shaped(element), end
+
+    def _shaped(self, element: typing.Any) -> Document:
+        """Return an element that was read, with the fields of one."""
+        if self._is_listing:
+            return element if isinstance(element, dict) else bounded(element)
+        if not isinstance(element, dict):
+            return _bounded_event(element)
+        if not isinstance(element.get('object'), dict):
+            element['object'] = bounded(element.get('object'))
+        return element
+
+    def _unreadable(self, position: int) -> tuple[typing.Any, int | None]:
+        vain_chars = self._reader.reached - position
+        self._budget -= max(vain_chars - _FREE_CHARS, 0)
+        closing = self._boundaries.after(position)
+        if closing is None:
             return None, None
-        return element, position + length
+        return self._replaced(position, closing, 'not JSON'), closing
 
-    def _replaced(self, segment: str, reason: str) -> Document:
+    def _replaced(self, position: int, end: int, reason: str) -> Document:
+        segment = self._text[position:end]
         found = placeholder(_read_metadata(segment), reason)
         if self._is_listing:
             return found
@@ -235,21 +257,13 @@
     return closing if text.endswith('}', 0, before) else None
 
 
-def _decode(window: str, is_last: bool) -> tuple[bool, typing.Any, int | None]:
-    """Return if a larger window changes nothing, the element, its length."""
+def _parse_page(text: str) -> json_steps.Steps[Document | None]:
+    """Parse a page without its elements; returns None if it is none."""
     try:
-        element, length = _DECODER.raw_decode(window)
-    except _UNREADABLE as error:
-        return is_last or not _is_cut(error, len(window)), None, None
-    # A number may go on in the next window.
-    return is_last or length < len(window), element, length
-
-
-def _is_cut(error: Exception, size: int) -> bool:
-    """Return whether a longer text may be readable."""
-    if not isinstance(error, json.JSONDecodeError):
-        return False
-    return error.pos > size - _CUT_CHARS or error.msg.startswith('Unterminated')
+        page = yield from json_steps.parse(text, MAX_DEPTH)
+    except json_steps.JsonError:
+        return None
+    return page if isinstance(page, dict) else None
 
 
 def _read_metadata(segment: str) -> typing.Any:
@@ -257,14 +271,16 @@
     beginning = _METADATA.search(segment)
     if beginning is None:
         return {}
+    start = beginning.end()
+    text = segment[start : start + _METADATA_CHARS]
     try:
-        metadata, _ = _DECODER.raw_decode(segment, beginning.end())
+        metadata, _ = _DECODER.raw_decode(text)
     except _UNREADABLE:
         # Names inside other objects aren't that of the object itself.
-        inside = _FLAT.match(segment, beginning.end())
+        inside = _FLAT.match(text)
         name = _NAME.search(inside.group()) if inside else None
         return {'name': _decode_text(name.group(1))} if name else {}
-    return metadata
+    return {} if json_steps.is_too_deep(metadata, MAX_DEPTH - 1) else metadata
 
 
 def _decode_text(quoted: str) -> str:
@@ -281,23 +297,3 @@
     except _UNREADABLE:
         return None
     return page if isinstance(page, dict) else None
-
-
-def _is_too_deep(value: typing.Any) -> bool:
-    level = _containers((value,))
-    for _ in range(MAX_DEPTH - 1):
-        if not level:
-            return False
-        inside = [
-            outer.values() if isinstance(outer, dict) else outer
-            for outer in level
-        ]
-        level = _containers(itertools.chain.from_iterable(inside))
-    return bool(level)
-
-
-def _containers(
-    among: collections_abc.Iterable[typing.Any],
-) -> list[typing.Any]:
-    """Return the objects and arrays that aren't empty."""
-    return [one for one in among if one.__class__ in _CONTAINERS and one]
--- a/redwingvalve/platform/json_answers.py
+++ b/redwingvalve/platform/json_answers.py
@@ -11,7 +11,7 @@
 import zlib
 from collections import abc as collections_abc
 
-from redwingvalve.core import collector
+from redwingvalve.core import collector, json_steps
 from redwingvalve.http1 import client, messages, response_limits
 from redwingvalve.platform import damaged_pages
 
@@ -25,7 +25,8 @@
 # Pages of the store hold 1 MB or one object, those of relays all objects of a
 # kind.
 MAX_PAGE_BYTES: typing.Final = 32 * MAX_OBJECT_BYTES
-
+# Shorter bodies are parsed in one step.
+MAX_STEP_BYTES: typing.Final = 65_536
 
 # In place of a body that can't be inflated.
 _NO_JSON = b'-'
@@ -92,18 +93,25 @@
     async def parse(self) -> typing.Any:
         """Return the body, None if it is not JSON; raises AnswerError.
 
-        A damaged page is read in steps, and other tasks run between them.
+        A long body and a damaged page are read in steps, and other tasks run
+        between them. Objects of a page whose structure is unusable are
+        replaced.
         """
         if self._reason:
             raise AnswerError(self._reason)
         raw = b''.join(self._body)
         if not raw:
             return {}
+        if len(raw) > MAX_STEP_BYTES:
+            return await _parse_long(raw, self._is_page)
         try:
             with collector.paused():
-                return json.loads(raw)
+                found = json.loads(raw)
         except (ValueError, RecursionError):
             return await _recover(raw) if self._is_page else None
+        if self._is_page and isinstance(found, dict):
+            damaged_pages.bound(found)
+        return found
 
     def _inflate(self) -> None:
         if self._is_deflated and self._body:
@@ -132,10 +140,19 @@
 
 
 async def _recover(raw: bytes) -> damaged_pages.Document | None:
-    recovery = damaged_pages.Recovery(raw)
-    while recovery.step():
-        await asyncio.sleep(0)
-    return recovery.page
+    return await json_steps.run(damaged_pages.Recovery(raw).read())
+
+
+async def _parse_long(raw: bytes, is_page: bool) -> typing.Any:
+    page = await _recover(raw) if is_page else None
+    if page is not None:
+        return page
+    try:
+        return await json_steps.run(
+            json_steps.parse(raw.decode(), damaged_pages.MAX_DEPTH)
+        )
+    except ValueError:
+        return None
 
 
 def make_page_answer() -> JsonAnswer:
--- a/redwingvalve/platform/store.py
+++ b/redwingvalve/platform/store.py
@@ -14,7 +14,7 @@
 
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.observability import node_metrics
-from redwingvalve.platform import damaged_pages, json_answers, names, settings
+from redwingvalve.platform import json_answers, names, settings
 
 Document = dict[str, typing.Any]
 # The store responds in 4 ms, but takes up to 60 times as long on slow days.
@@ -221,7 +221,7 @@
         query = {'is_stale': '1'} if is_stale else {}
         while True:
             page = await self._get(_path(kind), query, CALL_TIMEOUT_S)
-            objects.extend(map(damaged_pages.bounded, page['items']))
+            objects.extend(_checked_list(page['items']))
             if revision is None:
                 revision = int(page['store_revision'])
             if not page.get('has_more') or not page['items']:
@@ -239,7 +239,7 @@
             _path(kind), query, wait_s + WATCH_TIMEOUT_MARGIN_S
         )
         return Changes(
-            list(map(_change, page['events'])),
+            list(map(_change, _checked_list(page['events']))),
             int(page['store_revision']),
             _age_s(page),
         )
@@ -296,12 +296,14 @@
         return _checked(status, body)
 
 
-def _change(event: typing.Any) -> Change:
-    if not isinstance(event, dict):
-        return Change(damaged_pages.bounded(None), is_removed=False)
-    return Change(
-        damaged_pages.bounded(event.get('object')), bool(event.get('deleted'))
-    )
+def _checked_list(elements: typing.Any) -> list[typing.Any]:
+    if not isinstance(elements, list):
+        raise StoreError('the objects of a page are not a list')
+    return elements
+
+
+def _change(event: Document) -> Change:
+    return Change(event['object'], bool(event.get('deleted')))
 
 
 def _next_start(objects: list[Document], query: dict[str, str]) -> str:
