Decode entries of endpoints in steps

Cause: the registry decoded all entries of a listing, and wrote a log line for each unusable one, in the call that applied the listing.

Change: a handler of a watch prepares what it got before it is applied. The registry decodes and logs there, in steps (core/steps.py); then everything is applied at once, unless another source has told more meanwhile. The age of what is known counts the time that this takes. An answer that has arrived isn't given up any more because its deadline passes while it is prepared. The receivers of watches are subclasses of one class now, in the slice that has them.

--- a/redwingvalve/core/json_steps.py
+++ b/redwingvalve/core/json_steps.py
@@ -10,20 +10,16 @@
 be longer than its window, has a budget of the length of the text.
 """
 
-import asyncio
 import itertools
 import json
 import re
-import time
 import types
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.core import collector
+from redwingvalve.core import steps
 
 WINDOW_CHARS: typing.Final = 4096
-# Other tasks run after so much work.
-STEP_S: typing.Final = 0.005
 # A window that ends inside a literal or an escape fails so long before its end.
 _CUT_CHARS: typing.Final = 16
 # A number that goes on behind its window may seem to end so long before that.
@@ -42,10 +38,7 @@
 _CONTAINERS: typing.Final = frozenset((dict, list))
 _DECODER = json.JSONDecoder()
 
-_Found = typing.TypeVar('_Found')
 _Object: typing.TypeAlias = dict[str, typing.Any]
-# Yields after each step, and returns what was found.
-Steps: typing.TypeAlias = collections_abc.Generator[None, None, _Found]
 
 
 class JsonError(ValueError):
@@ -56,20 +49,7 @@
     """The value has more levels than allowed."""
 
 
-async def run(steps: Steps[_Found]) -> _Found:
-    """Run the steps, and other tasks between them; return the result."""
-    while True:
-        with collector.paused():
-            until_s = time.perf_counter() + STEP_S
-            try:
-                while time.perf_counter() < until_s:
-                    next(steps)
-            except StopIteration as end:
-                return typing.cast('_Found', end.value)
-        await asyncio.sleep(0)
-
-
-def parse(text: str, max_depth: int) -> Steps[typing.Any]:
+def parse(text: str, max_depth: int) -> steps.Steps[typing.Any]:
     """Parse a document of at most max_depth levels; raises JsonError."""
     reader = Reader(text, max_depth)
     value, end = yield from reader.read(reader.after_space(0), len(text))
@@ -106,7 +86,9 @@
         self._budget = len(text)
         self._last_step = 0
 
-    def read(self, position: int, limit: int) -> Steps[tuple[typing.Any, int]]:
+    def read(
+        self, position: int, limit: int
+    ) -> steps.Steps[tuple[typing.Any, int]]:
         """Return the value at a position and its end.
 
         Reads nothing from limit on. Raises JsonError.
@@ -115,7 +97,7 @@
         self._last_step = position
         return self._value(position, self._max_depth)
 
-    def skip(self, position: int, limit: int) -> Steps[int | None]:
+    def skip(self, position: int, limit: int) -> steps.Steps[int | None]:
         """Return the end of the object or array at a position, or None.
 
         It may have any number of levels, and its members aren't checked.
@@ -138,7 +120,7 @@
 
     def _value(
         self, position: int, depth: int
-    ) -> Steps[tuple[typing.Any, int]]:
+    ) -> steps.Steps[tuple[typing.Any, int]]:
         opening = self._text[position : min(position + 1, self._limit)]
         if opening not in _CLOSING or self._budget > 0:
             found = self._in_window(position, depth)
@@ -187,7 +169,7 @@
 
     def _array(
         self, position: int, depth: int
-    ) -> Steps[tuple[typing.Any, int]]:
+    ) -> steps.Steps[tuple[typing.Any, int]]:
         found: list[typing.Any] = []
         members = _Members(self, self._text, '[', depth)
         position, is_end = self._first(position, ']')
@@ -202,7 +184,9 @@
             yield from self._step(position)
         return found, position
 
-    def _object(self, position: int, depth: int) -> Steps[tuple[_Object, int]]:
+    def _object(
+        self, position: int, depth: int
+    ) -> steps.Steps[tuple[_Object, int]]:
         found: _Object = {}
         members = _Members(self, self._text, '{', depth)
         position, is_end = self._first(position, '}')
@@ -218,7 +202,7 @@
             yield from self._step(position)
         return found, position
 
-    def _step(self, position: int) -> Steps[None]:
+    def _step(self, position: int) -> steps.Steps[None]:
         if position > self._last_step + WINDOW_CHARS:
             self._last_step = position
             yield
--- a/redwingvalve/core/tests/test_json_steps.py
+++ b/redwingvalve/core/tests/test_json_steps.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from redwingvalve.core import json_steps
+from redwingvalve.core import json_steps, steps
 
 MAX_DEPTH = 64
 STEP_S = 0.05
@@ -28,19 +28,8 @@
 )
 
 
-def finished(steps):
-    """Run all steps; return the result and how many there were."""
-    count = 0
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value, count
-        count += 1
-
-
 def parsed(text):
-    return finished(json_steps.parse(text, MAX_DEPTH))[0]
+    return steps.finish(json_steps.parse(text, MAX_DEPTH))
 
 
 @hypothesis.given(
@@ -101,12 +90,12 @@
     """An entry of a megabyte kept a node from its callers for 0.13 s."""
     shortest_s = []
     for _ in range(2):
-        steps = json_steps.parse(text, MAX_DEPTH)
+        parsing = json_steps.parse(text, MAX_DEPTH)
         durations_s = []
         is_done = False
         while not is_done:
             started_s = time.process_time()
-            is_done = next(steps, 'done') == 'done'
+            is_done = next(parsing, 'done') == 'done'
             durations_s.append(time.process_time() - started_s)
         shortest_s.append(durations_s)
     assert parsed(text) == json.loads(text)
@@ -119,5 +108,5 @@
     text = '[' * levels + '1' + ']' * levels
     with pytest.raises(json_steps.TooDeepError):
         parsed(text)
-    skipped, _ = finished(json_steps.Reader(text, 1).skip(0, len(text)))
+    skipped = steps.finish(json_steps.Reader(text, 1).skip(0, len(text)))
     assert skipped == len(text)
--- a/redwingvalve/fleet/evacuations.py
+++ b/redwingvalve/fleet/evacuations.py
@@ -20,6 +20,7 @@
 
 from redwingvalve.core import clock as clock_module
 from redwingvalve.core import texts
+from redwingvalve.fleet import watch_handler
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import store
 
@@ -62,7 +63,7 @@
     """Refresh nothing while no watch is connected."""
 
 
-class Evacuations:
+class Evacuations(watch_handler.WatchHandler):
     """The evacuated data centres, from the watch and from other nodes."""
 
     def __init__(
--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -11,8 +11,13 @@
 
 import attrs
 
-from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, incarnation_tracker, unusable_entries
+from redwingvalve.core import clock, steps
+from redwingvalve.fleet import (
+    endpoints,
+    incarnation_tracker,
+    unusable_entries,
+    watch_handler,
+)
 from redwingvalve.observability import logs
 from redwingvalve.platform import entries, store
 
@@ -32,13 +37,22 @@
 
 @attrs.frozen
 class _Decoded:
-    """Endpoints by id, and the unusable entries of a listing with reasons."""
+    """Endpoints by id, and the unusable entries of a listing."""
 
     found: dict[str, endpoints.Endpoint] = attrs.field(factory=dict)
-    unusable: list[tuple[store.Document, str]] = attrs.field(factory=list)
+    unusable: unusable_entries.Entries = attrs.field(factory=dict)
 
 
-class Registry:
+@attrs.frozen
+class _DecodedChange:
+    """A change, with its endpoint, or why its entry is unusable."""
+
+    change: store.Change
+    endpoint: endpoints.Endpoint | None = None
+    reason: str = ''
+
+
+class Registry(watch_handler.DecodingHandler[_Decoded, list[_DecodedChange]]):
     """Endpoints by id, as the store last listed them."""
 
     def __init__(
@@ -62,26 +76,51 @@
         self._unusable = unusable_entries.UnusableEntries()
         self._unknown_services = unusable_entries.UnknownServices()
 
-    def on_list(self, listed: list[store.Document]) -> None:
+    def decode_list(
+        self, listed: list[store.Document]
+    ) -> steps.Steps[_Decoded]:
+        """Decode a listing, and log its unusable entries."""
+        decoded = _Decoded()
+        for stored in listed:
+            try:
+                endpoint = entries.decode_endpoint(stored)
+            except entries.EndpointEntryError as error:
+                self._unusable.record(stored, str(error), decoded.unusable)
+            else:
+                decoded.found[endpoint.endpoint_id] = endpoint
+            yield
+        return decoded
+
+    def apply_list(self, decoded: _Decoded) -> None:
         """Replace all entries with a complete listing."""
-        decoded = _decode_all(listed)
         found = decoded.found
         self._unusable.replace(decoded.unusable)
-        for stored, _ in decoded.unusable:
-            self._drop(store.name_of(stored))
+        for unusable_id in decoded.unusable:
+            self._drop(unusable_id)
         missing = [name for name in self.live if name not in found]
-        for name in missing:
-            self._expire(name)
+        for missing_id in missing:
+            self._expire(missing_id)
         for endpoint in found.values():
             self._add(endpoint)
         self.is_synced = True
         self._notify_listeners()
 
-    def on_changes(self, changes: list[store.Change]) -> None:
-        """Apply changes in order."""
+    def decode_changes(
+        self, changes: list[store.Change]
+    ) -> steps.Steps[list[_DecodedChange]]:
+        """Decode changes, and log the unusable entries."""
+        decoded = []
         for change in changes:
-            self._apply_change(change)
-        if changes:
+            decoded.append(_decode_change(change))
+            self._unusable.log_new(change.stored, decoded[-1].reason)
+            yield
+        return decoded
+
+    def apply_changes(self, decoded: list[_DecodedChange]) -> None:
+        """Apply changes in order."""
+        for one in decoded:
+            self._apply_change(one)
+        if decoded:
             self._notify_listeners()
 
     def on_unavailable(self) -> None:
@@ -155,23 +194,25 @@
         if gone:
             self._notify_listeners()
 
-    def _apply_change(self, change: store.Change) -> None:
+    def _apply_change(self, decoded: _DecodedChange) -> None:
+        change = decoded.change
         if change.is_removed:
-            born_ms = entries.born_ms_of(change.stored)
-            if self.tracker.is_past(change.name, born_ms):
-                return
-            self._unusable.remove(change.name)
-            if change.name in self.live:
-                self._expire(change.name)
+            self._remove(change)
             return
-        try:
-            endpoint = entries.decode_endpoint(change.stored)
-        except entries.EndpointEntryError as error:
-            self._unusable.add(change.stored, str(error))
+        if decoded.endpoint is None:
+            self._unusable.add(change.stored, decoded.reason)
             self._drop(change.name)
             return
         self._unusable.remove(change.name)
-        self._add(endpoint)
+        self._add(decoded.endpoint)
+
+    def _remove(self, change: store.Change) -> None:
+        born_ms = entries.born_ms_of(change.stored)
+        if self.tracker.is_past(change.name, born_ms):
+            return
+        self._unusable.remove(change.name)
+        if change.name in self.live:
+            self._expire(change.name)
 
     def _drop(self, name: str) -> None:
         """Take an endpoint out of use without a grace period."""
@@ -227,13 +268,11 @@
             listener()
 
 
-def _decode_all(listed: list[store.Document]) -> _Decoded:
-    decoded = _Decoded()
-    for stored in listed:
-        try:
-            endpoint = entries.decode_endpoint(stored)
-        except entries.EndpointEntryError as error:
-            decoded.unusable.append((stored, str(error)))
-            continue
-        decoded.found[endpoint.endpoint_id] = endpoint
-    return decoded
+def _decode_change(change: store.Change) -> _DecodedChange:
+    if change.is_removed:
+        return _DecodedChange(change)
+    try:
+        endpoint = entries.decode_endpoint(change.stored)
+    except entries.EndpointEntryError as error:
+        return _DecodedChange(change, reason=str(error))
+    return _DecodedChange(change, endpoint)
--- a/redwingvalve/fleet/tests/test_unusable_entries.py
+++ b/redwingvalve/fleet/tests/test_unusable_entries.py
@@ -28,6 +28,9 @@
     for name in ('a', '', 'b'):
         for revision in (1, 1, 2, 1):
             known.add(entry(name, revision), 'x')
-    known.replace([(entry('a', 1), 'x'), (entry('', 2), 'x')])
+    listed = {}
+    for stored in (entry('a', 1), entry('', 2)):
+        known.record(stored, 'x', listed)
+    known.replace(listed)
     known.add(entry('b', 1), 'x')
     assert logged == ['a'] * 3 + [''] * 2 + ['b'] * 3 + ['b']
--- a/redwingvalve/fleet/unusable_entries.py
+++ b/redwingvalve/fleet/unusable_entries.py
@@ -19,6 +19,8 @@
 
 # Revisions of an entry, and why they are unusable.
 _Versions: typing.TypeAlias = set[tuple[int, str]]
+# By name; entries without a readable name can't be told apart.
+Entries: typing.TypeAlias = dict[str, _Versions]
 
 
 class UnusableEntries:
@@ -26,40 +28,41 @@
 
     def __init__(self) -> None:
         """Start without entries."""
-        self._known: dict[str, _Versions] = {}
+        self._known: Entries = {}
 
-    def replace(
-        self, found: typing.Iterable[tuple[store.Document, str]]
+    def record(
+        self, stored: store.Document, reason: str, found: Entries
     ) -> None:
+        """Add an entry of a listing to those found, and log it if it's new."""
+        name = store.name_of(stored)
+        version = (store.revision_or_zero(stored), reason)
+        is_logged = version in self._known.get(name, ())
+        found.setdefault(name, set()).add(version)
+        if not is_logged:
+            _log(name, reason)
+
+    def replace(self, found: Entries) -> None:
         """Replace all entries with the unusable ones of a listing."""
-        before = self._known
-        self._known = {}
-        for stored, reason in found:
-            name = store.name_of(stored)
-            self._record(stored, reason, before.get(name, set()))
+        self._known = found
+
+    def log_new(self, stored: store.Document, reason: str) -> None:
+        """Log a state of an entry ahead of add, unless it is known."""
+        if reason:
+            self.record(stored, reason, self._known)
 
     def add(self, stored: store.Document, reason: str) -> None:
         """Add the state of an entry after a change."""
         name = store.name_of(stored)
-        before = self._known.get(name, set())
-        # Entries without a readable name can't be told apart.
-        self._known[name] = set() if name else before
-        self._record(stored, reason, before)
+        found: Entries = {}
+        self.record(stored, reason, found)
+        if not name:
+            found[name] |= self._known.get(name, set())
+        self._known.update(found)
 
     def remove(self, name: str) -> None:
         """Forget an entry that was removed or is usable again."""
         self._known.pop(name, None)
 
-    def _record(
-        self, stored: store.Document, reason: str, before: _Versions
-    ) -> None:
-        name = store.name_of(stored)
-        version = (store.revision_or_zero(stored), reason)
-        is_logged = version in before
-        self._known.setdefault(name, set()).add(version)
-        if not is_logged:
-            _log(name, reason)
-
 
 class UnknownServices:
     """Logs live endpoints whose service has no use for them.
--- a/redwingvalve/node/configuration_watch.py
+++ b/redwingvalve/node/configuration_watch.py
@@ -3,9 +3,9 @@
 import typing
 from collections import abc as collections_abc
 
+from redwingvalve.fleet import watch_handler
 from redwingvalve.ingress import routes
 from redwingvalve.ingress import state as state_module
-from redwingvalve.node import watch_handler
 from redwingvalve.observability import logs
 from redwingvalve.platform import configuration as configuration_module
 from redwingvalve.platform import names, store
--- a/redwingvalve/node/kind_watch.py
+++ b/redwingvalve/node/kind_watch.py
@@ -14,11 +14,11 @@
 import anyio
 
 from redwingvalve.core import clock
+from redwingvalve.fleet import watch_handler
 from redwingvalve.node import (
     hedging,
     source_schedule,
     watch_cache,
-    watch_handler,
     watch_sources,
 )
 from redwingvalve.observability import logs
@@ -139,7 +139,7 @@
                 extra={'kind': self.kind, 'age_s': round(self.age_s, 2)},
             )
         if self._revision is None:
-            self._apply_listing(
+            await self._apply_listing(
                 await hedging.first_answer(
                     lambda: source.client.list_kind(self.kind),
                     attempts,
@@ -154,19 +154,19 @@
             attempts,
             source.hedge_delay_s,
         )
-        if self._apply(changes, source, revision) and self._is_waiting:
+        is_applied = await self._apply(changes, source, revision)
+        if is_applied and self._is_waiting:
             self._watch_scope.cancel()
 
     async def _step(self, source: watch_sources.Source) -> None:
         if self._revision is None:
             listing = await source.client.list_kind(self.kind)
-            self._apply_listing(listing, source)
+            await self._apply_listing(listing, source)
             return
         wait_s = REFRESH_WAIT_S if self._is_refresh_requested else source.wait_s
         self._watch_scope = anyio.CancelScope(deadline=self._deadline_s(source))
         with self._watch_scope:
             await self._watch(source, wait_s)
-            self._watch_scope.deadline = math.inf
             await anyio.sleep(self._interval_s(source))
         if self._is_refresh_requested or source.is_store:
             return
@@ -180,8 +180,9 @@
             found = await source.client.watch(self.kind, revision, wait_s)
         finally:
             self._is_waiting = False
+        self._watch_scope.deadline = math.inf
         self._is_refresh_requested = False
-        self._apply(found, source, revision)
+        await self._apply(found, source, revision)
 
     def _deadline_s(self, source: watch_sources.Source) -> float:
         """Return the deadline for an answer of a source."""
@@ -190,30 +191,36 @@
         left_s = max(source.max_age_s - self.age_s, MIN_RELAY_TIMEOUT_S)
         return anyio.current_time() + left_s
 
-    def _apply_listing(
+    async def _apply_listing(
         self, listing: store.Listing, source: watch_sources.Source
     ) -> None:
+        received_s = clock.boot_s()
+        apply = await self._handler.prepare_list(listing.objects)
         if self._revision is not None:
             # Another source has answered meanwhile.
             return
         self._revision = listing.revision
-        self._record_sync(source, listing.age_s)
+        age_s = listing.age_s + clock.boot_s() - received_s
+        self._record_sync(source, age_s)
         self.cache.apply_listing(listing)
-        self._handler.on_list(listing.objects)
+        apply()
 
-    def _apply(
+    async def _apply(
         self,
         found: store.Changes,
         source: watch_sources.Source,
         after_revision: int,
     ) -> bool:
         """Apply changes; return False if another source was faster."""
+        received_s = clock.boot_s()
+        apply = await self._handler.prepare_changes(found.changes)
         if self._revision != after_revision:
             return False
         self._revision = found.revision
-        self._record_sync(source, found.age_s)
+        age_s = found.age_s + clock.boot_s() - received_s
+        self._record_sync(source, age_s)
         self.cache.apply_changes(found)
-        self._handler.on_changes(found.changes)
+        apply()
         if not all(change.name for change in found.changes):
             # The listing tells which objects are still readable.
             self._revision = None
--- a/redwingvalve/node/tests/test_lost_answers.py
+++ b/redwingvalve/node/tests/test_lost_answers.py
@@ -13,7 +13,8 @@
 from hypothesis import strategies as st
 
 from redwingvalve.core import clock
-from redwingvalve.node import kind_watch, watch_handler, watch_sources
+from redwingvalve.fleet import watch_handler
+from redwingvalve.node import kind_watch, watch_sources
 from redwingvalve.platform import store
 
 # Time limit for learning of a change.
--- a/redwingvalve/node/tests/test_relays.py
+++ b/redwingvalve/node/tests/test_relays.py
@@ -5,13 +5,13 @@
 import anyio
 import pytest
 
+from redwingvalve.fleet import watch_handler
 from redwingvalve.node import (
     hubs,
     kind_watch,
     peers,
     source_schedule,
     watch_cache,
-    watch_handler,
     watch_sources,
 )
 from redwingvalve.platform import store
--- a/redwingvalve/platform/damaged_pages.py
+++ b/redwingvalve/platform/damaged_pages.py
@@ -19,7 +19,7 @@
 import re
 import typing
 
-from redwingvalve.core import collector, json_steps
+from redwingvalve.core import collector, json_steps, steps
 
 Document = dict[str, typing.Any]
 # Field of a placeholder that says why the object can't be read.
@@ -118,7 +118,7 @@
         with collector.paused():
             return next(self._steps, _DONE) is not _DONE
 
-    def read(self) -> json_steps.Steps[Document | None]:
+    def read(self) -> steps.Steps[Document | None]:
         """Read the page; the steps return it."""
         if self._array is None:
             return None
@@ -156,7 +156,7 @@
         # Characters that may still be parsed in vain beyond a boundary.
         self._budget = len(text)
 
-    def read(self, position: int) -> json_steps.Steps[None]:
+    def read(self, position: int) -> steps.Steps[None]:
         """Read the elements from a position on."""
         for count in itertools.count(1):
             position = self._skip_separator(position)
@@ -177,7 +177,7 @@
 
     def _element(
         self, position: int
-    ) -> json_steps.Steps[tuple[typing.Any, int | None]]:
+    ) -> steps.Steps[tuple[typing.Any, int | None]]:
         limit = len(self._text)
         if self._budget < 0:
             limit = self._boundaries.after(position) or limit
@@ -257,7 +257,7 @@
     return closing if text.endswith('}', 0, before) else None
 
 
-def _parse_page(text: str) -> json_steps.Steps[Document | None]:
+def _parse_page(text: str) -> steps.Steps[Document | None]:
     """Parse a page without its elements; returns None if it is none."""
     try:
         page = yield from json_steps.parse(text, MAX_DEPTH)
--- a/redwingvalve/platform/json_answers.py
+++ b/redwingvalve/platform/json_answers.py
@@ -11,7 +11,7 @@
 import zlib
 from collections import abc as collections_abc
 
-from redwingvalve.core import collector, json_steps
+from redwingvalve.core import collector, json_steps, steps
 from redwingvalve.http1 import client, messages, response_limits
 from redwingvalve.platform import damaged_pages
 
@@ -140,7 +140,7 @@
 
 
 async def _recover(raw: bytes) -> damaged_pages.Document | None:
-    return await json_steps.run(damaged_pages.Recovery(raw).read())
+    return await steps.run(damaged_pages.Recovery(raw).read())
 
 
 async def _parse_long(raw: bytes, is_page: bool) -> typing.Any:
@@ -148,7 +148,7 @@
     if page is not None:
         return page
     try:
-        return await json_steps.run(
+        return await steps.run(
             json_steps.parse(raw.decode(), damaged_pages.MAX_DEPTH)
         )
     except ValueError:
