Encode the listings of relays in steps

What callers saw: nothing yet; a hub with 9,600 entries kept its callers for 0.098 s each time that a node of its data centre listed them.

Cause: the page was encoded and compressed in one call.

Nodes that wait for the same changes share the encoding as before, while it lasts too.

A page as a test expects it: test_a_relay_sends_a_long_listing_in_short_steps; its call doesn't exist before.

--- a/redwingvalve/node/tests/test_watch_cache.py
+++ b/redwingvalve/node/tests/test_watch_cache.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from redwingvalve.core import clock
+from redwingvalve.core import clock, steps
 from redwingvalve.node import watch_cache
 from redwingvalve.platform import store, store_responses
 from redwingvalve.platform.tests import fleet_harness
@@ -151,7 +151,7 @@
         'spec': {'version': 1, 'routes': routes},
     }
     listing = store.Listing([stored], 7)
-    page = store_responses.encode_listing(listing)
+    page = steps.finish(store_responses.encode_listing(listing))
     bits_per_s = len(page) * 8 * 20 * 4
     assert bits_per_s < 0.5 * 20e6
 
--- a/redwingvalve/node/watch_sources.py
+++ b/redwingvalve/node/watch_sources.py
@@ -23,6 +23,7 @@
 
 import attrs
 
+from redwingvalve.core import steps
 from redwingvalve.http1 import messages, request_parser, server
 from redwingvalve.ingress import routes
 from redwingvalve.node import hubs as hubs_module
@@ -46,6 +47,8 @@
 UNRELAYED_AGE_SHARE = 0.55
 # Ages are sent in steps of a tenth of a second.
 _AGE_STEPS_PER_S = 10
+# A query, and the page that answers it once it is encoded.
+_Page: typing.TypeAlias = tuple[typing.Any, asyncio.Future[bytes]]
 _JSON = (b'content-type', b'application/json')
 _OK = 200
 _NOT_FOUND = 404
@@ -165,7 +168,7 @@
         self._caches = caches
         self._tasks: set[asyncio.Task[None]] = set()
         # The last page of each kind, with the query that it answers.
-        self._pages: dict[str, tuple[typing.Any, bytes]] = {}
+        self._pages: dict[str, _Page] = {}
 
     def limits(self) -> request_parser.ServerLimits:
         """Return limits that suffice for any query."""
@@ -203,7 +206,9 @@
             responder.send_response(_UNAVAILABLE, [_JSON], b'{}')
             return
         if query.after_revision is None:
-            page = store_responses.encode_listing(cache.listing())
+            page = await steps.run(
+                store_responses.encode_listing(cache.listing())
+            )
             responder.send_response(_OK, list(store_responses.HEADERS), page)
             return
         try:
@@ -216,10 +221,10 @@
         if not (found.changes or cache.is_current):
             responder.send_response(_UNAVAILABLE, [_JSON], b'{}')
             return
-        page = self._page(query, found)
+        page = await self._page(query, found)
         responder.send_response(_OK, list(store_responses.HEADERS), page)
 
-    def _page(
+    async def _page(
         self, query: store_responses.StoreQuery, found: store.Changes
     ) -> bytes:
         """Return the encoded answer, shared by all nodes with the same query.
@@ -230,13 +235,14 @@
         # Rounded up, so that the state never looks newer than it is.
         age_s = math.ceil(found.age_s * _AGE_STEPS_PER_S) / _AGE_STEPS_PER_S
         key = (query.after_revision, found.revision, age_s)
-        known, page = self._pages.get(query.kind, (None, b''))
-        if known != key:
-            page = store_responses.encode_changes(
-                attrs.evolve(found, age_s=age_s)
+        known = self._pages.get(query.kind)
+        if known is None or known[0] != key:
+            encoding = steps.run(
+                store_responses.encode_changes(attrs.evolve(found, age_s=age_s))
             )
-            self._pages[query.kind] = (key, page)
-        return page
+            known = key, asyncio.ensure_future(encoding)
+            self._pages[query.kind] = known
+        return await asyncio.shield(known[1])
 
 
 SelectSources: typing.TypeAlias = collections_abc.Callable[[], list[Source]]
--- a/redwingvalve/platform/store_responses.py
+++ b/redwingvalve/platform/store_responses.py
@@ -14,10 +14,12 @@
 
 import attrs
 
+from redwingvalve.core import steps
 from redwingvalve.platform import json_answers, names, store
 
 # The fastest level: higher levels make these pages hardly any smaller.
 _COMPRESSION_LEVEL = 1
+_STEP_ELEMENTS = 64
 # Headers of every response.
 HEADERS = (
     (b'content-type', b'application/json'),
@@ -50,30 +52,39 @@
     )
 
 
-def encode_listing(listing: store.Listing) -> bytes:
+def encode_listing(listing: store.Listing) -> steps.Steps[bytes]:
     """Encode all objects of a kind at a revision."""
-    page = {
-        'items': listing.objects,
+    rest = {
         'has_more': False,
         'store_revision': listing.revision,
         'age_s': listing.age_s,
     }
-    return _compressed(page)
+    return _compressed('items', listing.objects, rest)
 
 
-def encode_changes(batch: store.Changes) -> bytes:
+def encode_changes(batch: store.Changes) -> steps.Steps[bytes]:
     """Encode changes and the revision to watch from next."""
     events = [
         {'object': change.stored, 'deleted': change.is_removed}
         for change in batch.changes
     ]
-    page = {
-        'events': events,
-        'store_revision': batch.revision,
-        'age_s': batch.age_s,
-    }
-    return _compressed(page)
-
-
-def _compressed(page: store.Document) -> bytes:
-    return zlib.compress(json.dumps(page).encode(), _COMPRESSION_LEVEL)
+    rest = {'store_revision': batch.revision, 'age_s': batch.age_s}
+    return _compressed('events', events, rest)
+
+
+def _compressed(
+    key: str, elements: list[store.Document], rest: store.Document
+) -> steps.Steps[bytes]:
+    """Return the compressed page; a step encodes some of its elements."""
+    compressor = zlib.compressobj(_COMPRESSION_LEVEL)
+    page = [compressor.compress(f'{{"{key}": ['.encode())]
+    separator = ''
+    for start in range(0, len(elements), _STEP_ELEMENTS):
+        part = json.dumps(elements[start : start + _STEP_ELEMENTS])
+        page.append(compressor.compress(f'{separator}{part[1:-1]}'.encode()))
+        separator = ', '
+        yield
+    # The fields behind the elements follow in the same object.
+    end = f'], {json.dumps(rest)[1:]}'
+    page.extend((compressor.compress(end.encode()), compressor.flush()))
+    return b''.join(page)
--- a/redwingvalve/platform/tests/test_long_sound_pages.py
+++ b/redwingvalve/platform/tests/test_long_sound_pages.py
@@ -3,12 +3,14 @@
 import gc
 import json
 import time
+import zlib
 
 import anyio
 import anyio.lowlevel
 import pytest
 
-from redwingvalve.platform import json_answers, store
+from redwingvalve.core import steps
+from redwingvalve.platform import json_answers, store, store_responses
 from redwingvalve.platform.tests import test_damaged_pages
 
 STEP_S = 0.05
@@ -100,3 +102,29 @@
     found, _ = parse_beside(raw)
     assert [store.name_of(one) for one in found['items']] == ['a', 'b']
     assert 'unreadable' in found['items'][0]
+
+
+def test_a_relay_sends_a_long_listing_in_short_steps():
+    """Each node that starts asks the hubs of its data centre for one."""
+    objects = json.loads(BODIES['a listing of thousands'])['items']
+    durations_s = []
+
+    def timed(work):
+        """Pass on the steps, and their processor time."""
+        while True:
+            started_s = time.process_time()
+            try:
+                next(work)
+            except StopIteration as end:
+                return end.value
+            finally:
+                durations_s.append(time.process_time() - started_s)
+            yield
+
+    page = steps.finish(
+        timed(store_responses.encode_listing(store.Listing(objects, 7, 0.5)))
+    )
+    found = json.loads(zlib.decompress(page))
+    assert found.pop('items') == objects
+    assert found == {'has_more': False, 'store_revision': 7, 'age_s': 0.5}
+    assert max(durations_s) < STEP_S
