End a stopped process without the interpreter's own end

Cause: after main() the interpreter frees all objects, and the guard that ends the process 0.35 s before its grace is over doesn't run during that.

Change: the node and the daemons end by os._exit with their status once nothing but the interpreter's end is left; the log is flushed before.

--- a/redwingvalve/__main__.py
+++ b/redwingvalve/__main__.py
@@ -24,6 +24,8 @@
     finally:
         if is_daemon:
             signals.ignore()
+    if is_daemon:
+        signals.end(int(status))
     sys.exit(status)
 
 
--- a/redwingvalve/core/stop_signals.py
+++ b/redwingvalve/core/stop_signals.py
@@ -14,6 +14,7 @@
 import _thread
 import os
 import signal
+import sys
 import time
 import types
 import typing
@@ -61,6 +62,18 @@
         for number in HANDLED:
             signal.signal(number, signal.SIG_IGN)
 
+    def end(self, status: int) -> typing.NoReturn:
+        """End the process; nothing of it may still be needed.
+
+        The interpreter's own end frees all objects, which may take longer than
+        what is left of the grace, and stops the thread that ends the process
+        in time.
+        """
+        self.ignore()
+        for stream in (sys.stdout, sys.stderr):
+            stream.flush()
+        os._exit(status)
+
     def subscribe(self, subscriber: Subscriber, grace_s: float) -> None:
         """Pass signals on, those first that have already been received.
 
--- a/redwingvalve/node/runner.py
+++ b/redwingvalve/node/runner.py
@@ -61,4 +61,5 @@
     node.state.hedge_shares = chosen.hedge_shares
     LOG.info('options', extra=attrs.asdict(chosen))
     anyio.run(serve, node, signals, backend_options={'use_uvloop': True})
+    handler.flush()
     return exit_status.ExitStatus.SUCCESS
