Take no report from before the question for a head's word

Cause: the outcome of an ask of other nodes is returned again for 0.25 s. A head was asked about, opened, and lost its entry 0.15 s later; the report held from before, "ready", counted as its word that it doesn't serve.

Change: what shows that a head has stopped is asked for after the question arose, in the stops of heads and in checks of whole replicas. Repeated probes of one question share outcomes as before.

--- a/redwingvalve/node/endpoint_prober.py
+++ b/redwingvalve/node/endpoint_prober.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import functools
 import math
 import time
 import typing
@@ -164,10 +165,14 @@
         return await self._others.ask(endpoint, since_s)
 
     async def ask_with_others(
-        self, endpoint: endpoints.Endpoint
+        self, endpoint: endpoints.Endpoint, since_s: float = -math.inf
     ) -> endpoint_orders.Report | None:
-        """Return the first report that this or another node gets."""
-        return await self._first_report(self.ask, endpoint)
+        """Return the first report that this or another node gets.
+
+        Another node's is one that was asked for after since_s by the monotonic
+        clock.
+        """
+        return await self._first_report(self.ask, endpoint, since_s)
 
     async def ask_silent(
         self, endpoint: endpoints.Endpoint
@@ -197,9 +202,10 @@
         nodes are asked at the same time: the path may be lost here only.
         """
         unanswered = 0
+        since_s = time.monotonic()
         while clock.boot_s() < deadline_s:
             ask = self.ask_silent if unanswered else self.ask
-            report = await self._first_report(ask, endpoint)
+            report = await self._first_report(ask, endpoint, since_s)
             if report is not None:
                 return report
             unanswered += 1
@@ -236,13 +242,14 @@
 
         Other nodes are asked at the same time.
         """
+        since_s = time.monotonic()
         silent = _without_report(reports, members)
         scopes = {one.endpoint_id: anyio.CancelScope() for one in silent}
         async with anyio.create_task_group() as group:
             for member in silent:
                 scope = scopes[member.endpoint_id]
                 group.start_soon(self._ask_one_silent, reports, member, scope)
-            await self._ask_others_in_turn(reports, silent, scopes)
+            await self._ask_others_in_turn(reports, silent, scopes, since_s)
 
     async def are_healthy_by_any_node(
         self, members: tuple[endpoints.Endpoint, ...]
@@ -287,6 +294,7 @@
         reports: Reports,
         silent: tuple[endpoints.Endpoint, ...],
         scopes: dict[str, anyio.CancelScope],
+        since_s: float = -math.inf,
     ) -> None:
         """Add the reports that other nodes get, and cancel the scopes of these.
 
@@ -295,7 +303,7 @@
         """
         for member in silent:
             name = member.endpoint_id
-            report = await self._others.ask(member)
+            report = await self._others.ask(member, since_s)
             if reports[name] is None and report is not None:
                 reports[name] = report
                 scope = scopes.get(name)
@@ -305,7 +313,7 @@
                 return
 
     async def _first_report(
-        self, ask_directly: _Ask, endpoint: endpoints.Endpoint
+        self, ask_directly: _Ask, endpoint: endpoints.Endpoint, since_s: float
     ) -> endpoint_orders.Report | None:
         """Ask directly and through other nodes; return the first report."""
         found: list[endpoint_orders.Report] = []
@@ -318,7 +326,8 @@
                     group.cancel_scope.cancel()
 
             group.start_soon(add_report, ask_directly)
-            group.start_soon(add_report, self._others.ask)
+            ask_others = functools.partial(self._others.ask, since_s=since_s)
+            group.start_soon(add_report, ask_others)
         return found[0] if found else None
 
 
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -5,6 +5,7 @@
 a report that another node gets counts like one that this node gets.
 """
 
+import time
 import types
 import typing
 
@@ -60,7 +61,9 @@
         """
         membership = head.membership
         assert membership is not None
-        report = await self._prober.ask_with_others(head)
+        # What was reported before may be older than what is known of the head.
+        since_s = time.monotonic()
+        report = await self._prober.ask_with_others(head, since_s)
         if report is not None and replica_spec.still_serves(
             head, report.membership
         ):
@@ -73,7 +76,7 @@
             )
             evidence = _EVIDENCE_BY_RESULT.get(result)
             if evidence is None and self._is_missing(head):
-                evidence = await self._evidence_of_others(head)
+                evidence = await self._evidence_of_others(head, since_s)
             if evidence is not None:
                 return evidence
             await anyio.sleep(PROBE_INTERVAL_S)
@@ -92,8 +95,9 @@
         """
         membership = head.membership
         assert membership is not None
+        since_s = time.monotonic()
         if report is None:
-            report = await self._prober.ask_others(head)
+            report = await self._prober.ask_others(head, since_s)
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
             if _has_stopped(head, report):
@@ -107,10 +111,10 @@
             await anyio.sleep(POLL_INTERVAL_S)
             # A head that is listed counts as alive without the others' word.
             is_missing = self._is_missing(head)
-            ask = (
-                self._prober.ask_with_others if is_missing else self._prober.ask
-            )
-            report = await ask(head)
+            if is_missing:
+                report = await self._prober.ask_with_others(head, since_s)
+            else:
+                report = await self._prober.ask(head)
         return self._evidence_of_time()
 
     async def drain(
@@ -168,10 +172,10 @@
         return await self.drain(head, missing_since_s)
 
     async def _evidence_of_others(
-        self, head: endpoints.Endpoint
+        self, head: endpoints.Endpoint, since_s: float
     ) -> Evidence | None:
         """Return what other nodes' probes show of a head that must leave."""
-        report = await self._prober.ask_others(head)
+        report = await self._prober.ask_others(head, since_s)
         if report is None:
             return Evidence.UNREACHED
         return Evidence.STATED if _has_left(head, report) else None
--- a/redwingvalve/node/tests/test_head_stops.py
+++ b/redwingvalve/node/tests/test_head_stops.py
@@ -1,5 +1,8 @@
 """What counts as the end of a head that the lease holder doesn't reach."""
 
+import math
+import time
+
 import anyio
 import attrs
 import pytest
@@ -14,6 +17,9 @@
 HEAD = members.make_member('e1', 1, 0, endpoints.MemberState.OPEN)
 OPEN = endpoint_orders.Report(1, HEAD.membership, ())
 ENDED = endpoint_orders.Report(2, None, ())
+READY = endpoint_orders.Report(
+    1, attrs.evolve(HEAD.membership, state=endpoints.MemberState.READY), ()
+)
 BROKEN = endpoint_orders.Report(
     1, attrs.evolve(HEAD.membership, state=endpoints.MemberState.BROKEN), ()
 )
@@ -71,9 +77,10 @@
 def stop(how, reports):
     """Return the evidence, and 'waits' if there is none for a while."""
     client = CutOffClient()
+    others = OtherNodes(reports) if isinstance(reports, list) else reports
     stops = head_stops.HeadStops(
         client,
-        endpoint_prober.EndpointProber(client, others=OtherNodes(reports)),
+        endpoint_prober.EndpointProber(client, others=others),
         registry_module.Registry(),
         lambda: True,
     )
@@ -120,3 +127,22 @@
 def test_a_veto_ends_when_no_node_reaches_the_head_any_more():
     """A head that dies after another node reached it is repaired."""
     assert stop(stop_lost, [OPEN, OPEN, None]) is UNREACHED
+
+
+@attrs.define(eq=False)
+class HeldOutcome(indirect_probes.IndirectProber):
+    """Was told that the head is ready; has opened since."""
+
+    held_s: float = attrs.field(factory=time.monotonic)
+
+    async def ask(self, endpoint, since_s=-math.inf):
+        return READY if since_s <= self.held_s else OPEN
+
+    async def run(self):
+        """Nobody asks."""
+
+
+@pytest.mark.parametrize('how', STOPS)
+def test_a_report_from_before_the_question_stops_no_head(how):
+    """Members left a head that had opened 0.16 s before (TWO)."""
+    assert stop(how, HeldOutcome()) in {'waits', None}
