--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -12,11 +12,14 @@
 import typing
 
 from redwingvalve.http1 import messages, request_parser, stepped_reads
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 
 # Reading pauses while more pipelined requests than this are waiting.
 MAX_PIPELINED = 8
 HEAD_TIMEOUT = 408
+# Idle connections that are closed later than this past their limit are counted
+# apart: the process has stood still.
+LATE_CLOSE_S = 0.25
 _UNAVAILABLE = 503
 LOG = logs.make_logger('server')
 _REASONS: typing.Final = types.MappingProxyType(
@@ -117,6 +120,9 @@
         if self.is_done:
             return
         self.is_done = True
+        node_metrics.METRICS.count(
+            'redwingvalve_aborted_answers', was_started=str(self.is_started)
+        )
         self.connection.abort()
 
     def _head(self, status: int, headers: messages.Headers) -> bytes:
@@ -299,4 +305,16 @@
         if self._parser.is_reading:
             self._parser.reject(HEAD_TIMEOUT)
         elif self._transport is not None:
+            _count_idle_close(
+                time.monotonic() - self._idle_since_s,
+                self.application.limits().idle_timeout_s,
+            )
             self._transport.close()
+
+
+def _count_idle_close(idle_s: float, limit_s: float) -> None:
+    node_metrics.METRICS.count(
+        'redwingvalve_idle_closes',
+        is_early=str(idle_s < limit_s),
+        is_late=str(idle_s > limit_s + LATE_CLOSE_S),
+    )
