Judge a connection's inactivity by the limit in force and after a read

Callers on kept connections got neither an answer nor a refusal. Two ways, both shown on by the new tests: the timer of an idle connection kept the limit of the moment at which it was set, so that a raised limit didn't reach it; and uvloop runs due timers before it reads, so that a request that had arrived while the process stood still was closed unread (with a body: 408). A body that arrived steadily for longer than the idle limit was refused, too.

One timer now reads the limit when it is due, lets the loop read once more before it counts, and starts again with each part of a body.

--- a/redwingvalve/http1/request_parser.py
+++ b/redwingvalve/http1/request_parser.py
@@ -70,6 +70,7 @@
     ) -> None:
         """Create a parser that calls handler."""
         self.is_reading = False
+        self.is_in_body = False
         self._handler = handler
         self._limits = limits
         self._parser: typing.Any = httptools.HttpRequestParser(self)
@@ -126,6 +127,7 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the caller waits for it before the body."""
+        self.is_in_body = True
         self._handler.head_completed()
         for name, content in self._headers:
             if name == b'expect' and content.lower() == b'100-continue':
@@ -143,6 +145,7 @@
     def on_message_complete(self) -> None:
         """Pass the complete request on."""
         self.is_reading = False
+        self.is_in_body = False
         if self._is_rejected:
             return
         self._handler.request_completed(
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -11,7 +11,12 @@
 import types
 import typing
 
-from redwingvalve.http1 import messages, request_parser, stepped_reads
+from redwingvalve.http1 import (
+    inactivity,
+    messages,
+    request_parser,
+    stepped_reads,
+)
 from redwingvalve.observability import logs, node_metrics
 
 # Reading pauses while more pipelined requests than this are waiting.
@@ -156,7 +161,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = request_parser.RequestParser(self, application.limits)
         self._reads = stepped_reads.SteppedReads(self._parser.feed)
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = inactivity.InactivityTimer(self._expire)
         self.pipelined: collections.deque[messages.Request] = (
             collections.deque()
         )
@@ -169,13 +174,13 @@
         self._idle_since_s = time.monotonic()
         self._transport = typing.cast(asyncio.Transport, transport)
         self._reads.start(self._transport)
-        self._restart_timer(self.application.limits().idle_timeout_s)
+        self._timer.start(self._idle_limit_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request being served."""
         self.is_closed = True
         self._reads.abort()
-        self._stop_timer()
+        self._timer.stop()
         self.pipelined.clear()
         responder = self._current
         self._current = None
@@ -200,22 +205,24 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, many of them in several steps."""
         self.is_idle = False
+        if self._parser.is_in_body:
+            self._timer.touch()
         self._reads.received(data)
 
     def head_started(self) -> None:
         """Start the timeout for a head."""
-        self._restart_timer(self.application.limits().head_timeout_s)
+        self._timer.start(self._head_limit_s)
 
     def head_completed(self) -> None:
-        """Start the longer timeout for a body.
+        """Start the timeout for a body, which lasts while bytes arrive.
 
         Bodies may be long and the link slow.
         """
-        self._restart_timer(self.application.limits().idle_timeout_s)
+        self._timer.start(self._idle_limit_s)
 
     def request_completed(self, request: messages.Request) -> None:
         """Queue a request behind the earlier ones of the connection."""
-        self._stop_timer()
+        self._timer.stop()
         self.pipelined.append(request)
         if len(self.pipelined) > MAX_PIPELINED:
             self._reads.pause()
@@ -226,7 +233,7 @@
 
         The requests before it are answered first.
         """
-        self._stop_timer()
+        self._timer.stop()
         self._refused_status = status
         self._serve_next()
 
@@ -255,7 +262,7 @@
         elif not self._parser.is_reading:
             self.is_idle = not self._reads.has_waiting
             self._idle_since_s = time.monotonic()
-            self._restart_timer(self.application.limits().idle_timeout_s)
+            self._timer.start(self._idle_limit_s)
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -291,23 +298,21 @@
             LOG.exception('request not served')
             responder.send_response(_UNAVAILABLE, [], b'')
 
-    def _restart_timer(self, duration_s: float) -> None:
-        self._stop_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(duration_s, self._expire)
+    def _head_limit_s(self) -> float:
+        return self.application.limits().head_timeout_s
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def _idle_limit_s(self) -> float:
+        return self.application.limits().idle_timeout_s
 
     def _expire(self) -> None:
-        if self._parser.is_reading:
+        if self._reads.has_waiting:
+            self._timer.start(self._idle_limit_s)
+        elif self._parser.is_reading:
             self._parser.reject(HEAD_TIMEOUT)
         elif self._transport is not None:
             _count_idle_close(
                 time.monotonic() - self._idle_since_s,
-                self.application.limits().idle_timeout_s,
+                self._idle_limit_s(),
             )
             self._transport.close()
 
