--- a/tests/integration/node_faults.py
+++ b/tests/integration/node_faults.py
@@ -1,6 +1,8 @@
 """Randomized fault injection for the node soak test."""
 
+import random
 import signal
+import time
 
 import anyio
 
@@ -50,6 +52,15 @@
             self.group.start_soon(fault)
             await anyio.sleep(self.rng.uniform(0.3, 1.5))
 
+    async def silence_endpoints(self, seed):
+        """Let sound endpoints fall silent for a second until cancelled."""
+        rng = random.Random(seed)
+        while True:
+            endpoint = rng.choice(list(self.cluster.endpoints.values()))
+            silent_s = rng.uniform(0.8, 1.4)
+            endpoint.faults.silent_until_s = time.monotonic() + silent_s
+            await anyio.sleep(rng.uniform(0.3, 1.5))
+
     async def pause_node(self):
         node = self.rng.choice(self.cluster.nodes)
         node.send_signal(signal.SIGSTOP)
--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -178,7 +178,10 @@
             found += await check_drain(cluster)
             async with anyio.create_task_group() as fault_group:
                 faults = node_faults.Faults(cluster, versions, fault_group)
-                await faults.run(duration_s)
+                async with anyio.create_task_group() as silences:
+                    silences.start_soon(faults.silence_endpoints, seed)
+                    await faults.run(duration_s)
+                    silences.cancel_scope.cancel()
                 injected = faults.injected
             await heal(cluster)
             found += await check_drain(cluster)
--- a/tests/integration/node_versions.py
+++ b/tests/integration/node_versions.py
@@ -40,6 +40,8 @@
         )
         for number in range(1, version + 1)
     ]
+    is_short = bool(version % 2)
+    made['limits']['idle_timeout_ms'] = 1500 if is_short else 15_000
     keys = [fleet_harness.API_KEY, api_key(version)]
     made['tenants'] = [{'name': 'workshop', 'api_keys': keys, 'priority': 0}]
     return made
