Keep the send at a silent endpoint until another one has taken over

Callers of streams got the beginning of an answer and then a closed connection, although their endpoint was sound and went on within a second: a request of a silent endpoint was ended there once it had a slot elsewhere; if that endpoint refused it, or broke off before its first event, the route's attempts were used up and nothing was left to go on with.

A send that is ended as silent is now parked: nothing is read, the connection stays open, and the request goes back to it if the next send fails. The first event of another send, or the end of the request, closes it.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -64,6 +64,7 @@
             await self._send_until_finished()
         finally:
             self._senders.sends.relocation.release()
+            self._senders.sends.parked.drop()
 
     async def _send_until_finished(self) -> None:
         while not self._wait.is_caller_gone:
@@ -263,7 +264,7 @@
         """Record what a failed send tells of its endpoint and request."""
         outcome, target = sent.outcome, sent.target
         if outcome is upstream.Outcome.NOT_RUN:
-            if _blames_member(sent):
+            if send_results.blames_member(sent):
                 self._state.targets.check_endpoint(
                     target.endpoint_id, 'member at fault', target.born_ms
                 )
@@ -387,13 +388,4 @@
     return admitted
 
 
-def _blames_member(sent: send_results.SendResult) -> bool:
-    """Return whether a head refused because of another member."""
-    target, request = sent.target, sent.request
-    if not target.replica or request is None or request.statement is None:
-        return False
-    at_fault = request.statement.at_fault
-    return at_fault not in {'', f'{target.host}:{target.port}'}
-
-
 _OUT_OF_TIME = frozenset((upstream.Outcome.EXPIRED, upstream.Outcome.TIMEOUT))
--- a/redwingvalve/ingress/hedged_send.py
+++ b/redwingvalve/ingress/hedged_send.py
@@ -56,13 +56,6 @@
         upstream.Outcome.EXPIRED,
     )
 )
-_FAILED = frozenset(
-    (
-        upstream.Outcome.NOT_RUN,
-        upstream.Outcome.FAILURE,
-        upstream.Outcome.BROKEN,
-    )
-)
 _GIVEN_UP = frozenset((upstream.Outcome.STALLED, upstream.Outcome.TIMEOUT))
 
 
@@ -182,7 +175,7 @@
         if is_over and not is_won:
             hedge.stop()
             return first
-        if first.outcome in _FAILED:
+        if first.outcome in send_results.FAILED:
             self._on_failure(first)
         await asyncio.wait((hedge.ended,))
         return hedge.result()
@@ -237,7 +230,7 @@
         if self._race.winner is not hedge.lane:
             self._log('lost', hedge)
         assert self._first_ended is not None
-        if outcome in _FAILED and not self._first_ended.done():
+        if outcome in send_results.FAILED and not self._first_ended.done():
             self._on_failure(hedge.result())
 
     def _on_won(self, lane: hedge_race.Lane) -> None:
--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -42,7 +42,22 @@
     async def send(
         self, reservation: reservations.Reservation
     ) -> send_results.SendResult:
-        """Send at a reserved slot; return how the send that counts ended."""
+        """Send at a reserved slot; return how the send that counts ended.
+
+        If it fails, this is the send that was parked for it, if any.
+        """
+        sent = await self._send(reservation)
+        parked = self.sends.parked
+        if sent.outcome not in send_results.FAILED or not parked.can_resume:
+            return sent
+        self.on_failure(sent)
+        resumed = parked.take()
+        outcome = await self.first.send_parked(resumed)
+        return send_results.SendResult(outcome, resumed.target, resumed.request)
+
+    async def _send(
+        self, reservation: reservations.Reservation
+    ) -> send_results.SendResult:
         if self.hedged is not None:
             sent = await self.hedged.send(reservation)
             self.first.upstream_request = sent.request
--- a/redwingvalve/ingress/send_results.py
+++ b/redwingvalve/ingress/send_results.py
@@ -11,6 +11,14 @@
     upstream,
 )
 
+# Another send may follow.
+FAILED = frozenset(
+    (
+        upstream.Outcome.NOT_RUN,
+        upstream.Outcome.FAILURE,
+        upstream.Outcome.BROKEN,
+    )
+)
 _SLOT_IS_FREE = frozenset(
     (
         upstream.Outcome.COMPLETE,
@@ -76,3 +84,12 @@
         tracker.record_open_end(keys, target.incarnation, answer.sent_s)
     elif answer.end is answer_ends.AnswerEnd.MARKED:
         tracker.record_answer(keys.fingerprint, keys.parts, answer.sent_s)
+
+
+def blames_member(sent: SendResult) -> bool:
+    """Return whether a head refused because of another member."""
+    target, request = sent.target, sent.request
+    if not target.replica or request is None or request.statement is None:
+        return False
+    at_fault = request.statement.at_fault
+    return at_fault not in {'', f'{target.host}:{target.port}'}
--- a/redwingvalve/ingress/tests/hedged_exchange.py
+++ b/redwingvalve/ingress/tests/hedged_exchange.py
@@ -43,8 +43,19 @@
 
 class Connection:
     is_abandoned = False
+    is_paused = False
     handler = None
 
+    @property
+    def is_open(self):
+        return not self.is_abandoned
+
+    def pause(self):
+        self.is_paused = True
+
+    def resume(self):
+        self.is_paused = False
+
     def send(self, request, exchange, on_idle):
         self.handler = exchange
 
@@ -53,6 +64,8 @@
 
     def answer(self, body=b'', *, status=200, is_whole=True):
         """Deliver what arrives, also after the connection was closed."""
+        if self.is_paused:
+            return
         headers = [(b'x-attempt-id', ATTEMPT), (b'x-server-seal', b's')]
         headers.append((b'content-length', b'9'))
         self.handler.head_received(messages.ResponseHead(status, headers, True))
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -136,6 +136,11 @@
         if not self.ended.done():
             self.ended.set_result(outcome)
 
+    def reopen(self) -> None:
+        """Await the outcome again, after a send that was ended as silent."""
+        self.ended = asyncio.get_running_loop().create_future()
+        self.clear_stall()
+
     def mark_stalled(self) -> None:
         """Record that the endpoint is silent."""
         if not self.stalled.done():
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -15,6 +15,7 @@
     caller_wait,
     crash_keys,
     load_balancing,
+    parked_sends,
     relocation,
     responses,
     routes,
@@ -54,6 +55,9 @@
     # The next retry is already taken from the budget; stays set until a retry
     # is sent, as an attempt without a connection repeats nothing.
     is_retry_paid: bool = False
+    parked: parked_sends.ParkedSends = attrs.field(
+        factory=parked_sends.ParkedSends
+    )
 
 
 async def _is_alone(request: upstream.UpstreamRequest) -> bool:
@@ -114,6 +118,16 @@
         )
         return await self._await_outcome(target, upstream_request)
 
+    async def send_parked(
+        self, parked: parked_sends.ParkedSend
+    ) -> upstream.Outcome:
+        """Await the outcome of a send that was parked."""
+        self.upstream_request = parked.request
+        self.target = parked.target
+        self.connection = parked.connection
+        parked.resume()
+        return await self._await_outcome(parked.target, parked.request)
+
     @property
     def was_answered_by_target(self) -> bool:
         """Return whether the target of the latest attempt has answered it.
@@ -231,9 +245,8 @@
     ) -> upstream.UpstreamRequest:
         attempt_id = self._caller.attempt_id
         if self._admission.is_stream:
-            return upstream.UpstreamStream(
-                attempt_id, on_statement, self._forwarder
-            )
+            sink = parked_sends.TakeoverSink(self._forwarder, self.sends.parked)
+            return upstream.UpstreamStream(attempt_id, on_statement, sink)
         return upstream.UpstreamRequest(attempt_id, on_statement)
 
     def _render_request(self, target: load_balancing.Target) -> bytes:
@@ -270,7 +283,12 @@
         if outcome in _ENDED and upstream_request.ends_with_connection:
             outcome = await self._check_end(target, upstream_request, outcome)
         if outcome in ABANDONED and self.connection is not None:
-            self.connection.abandon()
+            self.sends.parked.leave(
+                parked_sends.ParkedSend(
+                    upstream_request, self.connection, target
+                ),
+                outcome,
+            )
         self.connection = None
         return outcome
 
--- a/redwingvalve/node/tests/test_silent_endpoints.py
+++ b/redwingvalve/node/tests/test_silent_endpoints.py
@@ -111,3 +111,21 @@
         assert statuses == [200] * 4
 
     fleet_harness.run(test, nodes=1, engines=0, plain=1)
+
+
+def test_a_stream_that_no_other_endpoint_takes_outlasts_its_silence():
+    """It was ended at its endpoint before another one had accepted it."""
+
+    async def test(fleet):
+        silent = fleet.head()
+
+        async def silence_and_reject():
+            await silence([silent])
+            for endpoint in fleet.endpoints.values():
+                endpoint.faults.rejects_requests = endpoint is not silent
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(silence_and_reject)
+            assert_whole(await send_streams(fleet, 4))
+
+    fleet_harness.run(test, nodes=1, engines=8, plain=0)
