Take statuses that HTTP doesn't define for no answer

An endpoint that answered 000 or 099 let its callers wait until the route's time-out (504), as the status was taken for an interim head; 700 was passed on as it was; an entry passed all three on. They now count as any damaged answer: sent again where that is allowed, 502 otherwise.

--- a/redwingvalve/entry/aiohttp_upstream.py
+++ b/redwingvalve/entry/aiohttp_upstream.py
@@ -61,6 +61,11 @@
             raise upstream.UpstreamError(
                 _describe(error), not_sent=False
             ) from error
+        try:
+            upstream.require_final_status(raw_response.status)
+        except upstream.UpstreamError:
+            raw_response.close()
+            raise
         response = upstream.UpstreamResponse(
             status=raw_response.status,
             headers=tuple(
--- a/redwingvalve/entry/httpx_upstream.py
+++ b/redwingvalve/entry/httpx_upstream.py
@@ -45,6 +45,11 @@
             raise upstream.UpstreamError(
                 _describe(error), not_sent=False
             ) from error
+        try:
+            upstream.require_final_status(raw_response.status_code)
+        except upstream.UpstreamError:
+            await raw_response.aclose()
+            raise
         response = upstream.UpstreamResponse(
             status=raw_response.status_code,
             headers=tuple(
--- a/redwingvalve/entry/upstream.py
+++ b/redwingvalve/entry/upstream.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+_FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
+
 
 @attrs.frozen
 class UpstreamRequest:
@@ -31,6 +34,12 @@
         self.not_sent = not_sent
 
 
+def require_final_status(status: int) -> None:
+    """Raise UpstreamError for a status that HTTP defines for no answer."""
+    if not _FIRST_FINAL_STATUS <= status <= _LAST_STATUS:
+        raise UpstreamError(f'undefined status {status}', not_sent=False)
+
+
 @attrs.define
 class UpstreamResponse:
     """A response head and an iterator over the chunks of its body.
--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -24,7 +24,9 @@
 KEEP_ALIVE_FRACTION = 0.8
 # Longer numbers count as not stated; some can't be converted.
 MAX_KEEP_ALIVE_DIGITS = 9
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 # Raised for bytes that are no answer, and for a change of the protocol.
 _NO_ANSWER = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
@@ -163,7 +165,12 @@
     def on_headers_complete(self) -> None:
         """Pass the head on unless it belongs to another request."""
         status = self._parser.get_status_code()
-        if self._is_complete or status < _FIRST_FINAL_STATUS:
+        if self._is_complete:
+            return
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            self._break(f'no answer: undefined status {status}')
+            return
+        if status < _FIRST_FINAL_STATUS:
             return
         head = messages.ResponseHead(
             status, self._headers, self._parser.should_keep_alive()
--- a/redwingvalve/platform/standins/endpoint_answers.py
+++ b/redwingvalve/platform/standins/endpoint_answers.py
@@ -12,10 +12,12 @@
 
 # From the head of an answer to the crash of its endpoint.
 CRASH_DELAY_S = 0.1
-# Headers by which a test chooses the events of a stream, and how long another
-# answer takes.
+# Headers by which a test chooses the events of a stream and their size, and how
+# long another answer takes and how long it is.
 EVENTS = b'x-events'
+EVENT_BYTES = b'x-event-bytes'
 DURATION_S = b'x-duration-s'
+ANSWER_BYTES = b'x-answer-bytes'
 
 
 class AnsweringEndpoint(typing.Protocol):
@@ -54,14 +56,17 @@
     elif request.header(b'x-model'):
         last = int(request.header(b'last-event-id') or 0)
         events = int(request.header(EVENTS) or endpoint.events_per_response)
-        await _stream(endpoint, responder, headers, last, events)
+        padding = b'x' * int(request.header(EVENT_BYTES) or 0)
+        await _stream(endpoint, responder, headers, last, events, padding)
     else:
         duration_s = request.header(DURATION_S)
         await asyncio.sleep(
             float(duration_s or endpoint_faults.EVENT_INTERVAL_S)
         )
         attempt = request.header(b'x-attempt-id') or b''
-        _answer(endpoint, responder, headers, attempt)
+        body = b'body of %b' % attempt
+        size = int(request.header(ANSWER_BYTES) or 0)
+        _answer(endpoint, responder, headers, body.ljust(size, b'x'))
 
 
 async def _stream(
@@ -70,6 +75,7 @@
     headers: messages.Headers,
     last: int,
     events: int,
+    padding: bytes,
 ) -> None:
     kind = (b'content-type', b'text/event-stream')
     responder.start(200, [*headers, kind])
@@ -83,7 +89,8 @@
             await asyncio.sleep(0)
             responder.abort()
             return
-        responder.write(b'id: %d\ndata: %d\n\n' % (number, number))
+        shown = b'%d%b' % (number, padding)
+        responder.write(b'id: %d\ndata: %b\n\n' % (number, shown))
     responder.finish()
 
 
@@ -91,9 +98,8 @@
     endpoint: AnsweringEndpoint,
     responder: server.Responder,
     headers: messages.Headers,
-    attempt: bytes,
+    body: bytes,
 ) -> None:
-    body = b'body of %b' % attempt
     connection = responder.connection
     responder.send_response(200, headers, body)
     if endpoint.faults.duplicates_response:
@@ -147,7 +153,22 @@
     if endpoint.faults.resets_answers:
         responder.abort()
         return True
-    if endpoint.faults.returns_server_error:
+    return _sends_failure(endpoint.faults, responder, headers)
+
+
+def _sends_failure(
+    faults: endpoint_faults.EndpointFaults,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> bool:
+    if faults.undefined_status:
+        start_line = b'HTTP/1.1 %b x' % faults.undefined_status
+        length = (b'content-length', b'2')
+        head = messages.render_head(start_line, [*headers, length])
+        responder.connection.write(head)
+        responder.connection.write(b'ok')
+        return True
+    if faults.returns_server_error:
         responder.send_response(500, headers, b'failed')
         return True
     return False
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -50,6 +50,8 @@
         factory=set
     )
     returns_server_error: bool = False
+    # In place of 200, as three digits.
+    undefined_status: bytes = b''
     # Orders with these operations are executed late and never acknowledged.
     delayed_operations: tuple[str, ...] = ()
     order_delay_s: float = 2.5
