Hold the bytes of callers and endpoints in one account

Callers that don't behave ended a node: many bodies of legal size at once, most stopping just short of their ends; bodies far over the limit; long answers that nobody reads. Each request and answer had its own limit and nothing their sum; a body was read before anything was known of its room, pipelined requests were answered into the buffer of a caller that read nothing, each send copied the body, and what a request held stayed until the cyclic collector ran.

Room for a body is taken with its head, else the request is refused with 503 at once; answers wait at their endpoints; slow bodies and readers give way to others; a caller that reads nothing gets no second answer. Sends share the body, and both body and answer are forgotten with the end of the answer. What is read in one turn is limited, as many connections are read before any is parsed.

test_decoding.py held that a rendered request ends with its body; the body is sent beside it now, and the test holds its stated length.

--- /dev/null
+++ b/redwingvalve/http1/answer_room.py
@@ -0,0 +1,87 @@
+"""Reads an answer as far as its reader and the account of bytes allow.
+
+Load pattern: many callers ask for long answers at once. What doesn't fit in the
+account of the process stays with the endpoints until there is room.
+"""
+
+import abc
+import asyncio
+import typing
+
+from redwingvalve.http1 import byte_account, stepped_reads
+
+# Between two looks whether there is room.
+ROOM_INTERVAL_S: typing.Final = 0.05
+
+
+class HeldAnswer(abc.ABC):
+    """An answer of which a part is held."""
+
+    # What it is counted with; None if it isn't counted.
+    memory: byte_account.Hold | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the body is held at present."""
+        return 0
+
+
+class AnswerRoom:
+    """Pauses the reads of a connection while one of two reasons holds."""
+
+    def __init__(self, reads: stepped_reads.SteppedReads) -> None:
+        """Pause and resume these reads."""
+        self._reads = reads
+        self._is_paused = False
+        self._answer: HeldAnswer | None = None
+        self._announced_bytes = 0
+        # Runs while there is no room.
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, answer: HeldAnswer, announced_bytes: int) -> None:
+        """Take room for an answer, which may have announced its length."""
+        self._answer = answer
+        self._announced_bytes = announced_bytes
+        self.take()
+
+    def end(self) -> None:
+        """Forget the answer, and read what comes next."""
+        self._answer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.resume()
+
+    def pause(self) -> None:
+        """Read nothing until resume()."""
+        self._is_paused = True
+        self._reads.pause()
+
+    def resume(self) -> None:
+        """Read on as soon as there is room."""
+        self._is_paused = False
+        if self._timer is None:
+            self._reads.resume()
+
+    def take(self) -> None:
+        """Hold what there is of the answer, or read no more until it can."""
+        if self._timer is None and not self._has_room():
+            self._reads.pause()
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(ROOM_INTERVAL_S, self._try_again)
+
+    def _try_again(self) -> None:
+        self._timer = None
+        self.take()
+        if not self._is_paused:
+            self.resume()
+
+    def _has_room(self) -> bool:
+        answer = self._answer
+        if answer is None or answer.memory is None:
+            return True
+        size_bytes = max(self._announced_bytes, answer.held_bytes)
+        if size_bytes >= answer.memory.held_bytes:
+            return answer.memory.grow_to(size_bytes)
+        answer.memory.hold(size_bytes)
+        return True
--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -14,7 +14,13 @@
 
 import httptools
 
-from redwingvalve.http1 import messages, response_limits, stepped_reads
+from redwingvalve.http1 import (
+    answer_room,
+    messages,
+    response_limits,
+    shared_buffer,
+    stepped_reads,
+)
 
 # An endpoint may send a response twice; more unrelated responses than this are
 # a protocol error.
@@ -27,11 +33,13 @@
 _FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _LAST_STATUS = 599
+# More is read in several turns.
+READ_BYTES: typing.Final = 65_536
 # Raised for bytes that are no answer, and for a change of the protocol.
 _NO_ANSWER = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
-class ResponseHandler(abc.ABC):
+class ResponseHandler(answer_room.HeldAnswer):
     """Receives the response to one request."""
 
     @abc.abstractmethod
@@ -71,9 +79,11 @@
         """Handle a connection that ended before the response was complete."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(shared_buffer.SharedBufferProtocol):
     """One client connection."""
 
+    read_buffer = shared_buffer.make_read_buffer(READ_BYTES)
+
     def __init__(
         self,
         limits: typing.Callable[
@@ -99,6 +109,7 @@
         self._has_extra_bytes = False
         self._on_idle: typing.Callable[[Connection], None] | None = None
         self._reads = stepped_reads.SteppedReads(self._parse)
+        self._room = answer_room.AnswerRoom(self._reads)
 
     @property
     def is_open(self) -> bool:
@@ -111,8 +122,12 @@
         request: bytes,
         exchange: ResponseHandler,
         on_idle: typing.Callable[['Connection'], None],
+        body: bytes = b'',
     ) -> None:
-        """Send a request; on_idle is called if the connection is reusable."""
+        """Send a request; on_idle is called if the connection is reusable.
+
+        The body is shared with other sends, and not copied.
+        """
         assert self.transport is not None
         self._handler = exchange
         self._on_idle = on_idle
@@ -121,6 +136,8 @@
         self._is_complete = False
         self.used = True
         self.transport.write(request)
+        if body:
+            self.transport.write(body)
 
     def abandon(self) -> None:
         """Abort the connection without calling the response handler."""
@@ -129,11 +146,11 @@
 
     def pause(self) -> None:
         """Stop reading until resume is called."""
-        self._reads.pause()
+        self._room.pause()
 
     def resume(self) -> None:
-        """Resume reading."""
-        self._reads.resume()
+        """Resume reading, once there is room."""
+        self._room.resume()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -144,10 +161,6 @@
         """Fail the pending response, unless the close delimits its body."""
         self._reads.end(lambda: self._end(error))
 
-    def eof_received(self) -> bool:
-        """Close the transport; this ends a response without a length."""
-        return False
-
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, many of them in several steps."""
         self._reads.received(data)
@@ -187,9 +200,13 @@
         self._close_delimited = head.body_end is messages.BodyEnd.CONNECTION
         self._read_keep_alive(head)
         exchange.head_received(head)
-        self._meter.head_received(
-            exchange.max_body_bytes(self._meter.limits), head.content_length
-        )
+        max_body_bytes = exchange.max_body_bytes(self._meter.limits)
+        self._meter.head_received(max_body_bytes, head.content_length)
+        if max_body_bytes is None:
+            self._room.start(exchange, 0)
+        else:
+            announced_bytes = min(head.content_length, max_body_bytes)
+            self._room.start(exchange, announced_bytes)
 
     def on_body(self, chunk: bytes) -> None:
         """Pass a chunk of the body on."""
@@ -200,6 +217,7 @@
         if meter.is_skipping:
             return
         self._handler.body_received(chunk)
+        self._room.take()
 
     def on_message_complete(self) -> None:
         """Record the end of the response, or of a skipped one."""
@@ -256,7 +274,7 @@
         if reuse and self.is_open and not self._close_delimited:
             self.idle_since_s = time.monotonic()
             # The caller of this answer may have paused it.
-            self._reads.resume()
+            self._room.end()
             if self._on_idle is not None:
                 self._on_idle(self)
         else:
@@ -279,3 +297,14 @@
                 continue
             if len(seconds) <= MAX_KEEP_ALIVE_DIGITS:
                 self.keep_alive_s = int(seconds) * KEEP_ALIVE_FRACTION
+
+
+def _has_room(exchange: ResponseHandler, announced_bytes: int) -> bool:
+    memory = exchange.memory
+    if memory is None:
+        return True
+    size_bytes = max(announced_bytes, exchange.held_bytes)
+    if size_bytes >= memory.held_bytes:
+        return memory.grow_to(size_bytes)
+    memory.hold(size_bytes)
+    return True
--- a/redwingvalve/http1/messages.py
+++ b/redwingvalve/http1/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from redwingvalve.http1 import byte_account
+
 Headers = list[tuple[bytes, bytes]]
 
 # Hop-by-hop headers, and those that are set anew for each hop; never forwarded.
@@ -23,7 +25,7 @@
 )
 
 
-@attrs.frozen
+@attrs.define
 class Request:
     """A complete request from a caller."""
 
@@ -34,11 +36,22 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    # What is held for it, until its response has been sent.
+    memory: byte_account.Hold | None = attrs.field(default=None, eq=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
         return _first(self.headers, name)
 
+    def release(self) -> None:
+        """Forget the body, once nothing more is sent for the request.
+
+        Objects that refer to each other keep the request for a while.
+        """
+        self.body = b''
+        if self.memory is not None:
+            self.memory.release()
+
 
 _NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -6,21 +6,28 @@
 
 import abc
 import asyncio
-import collections
 import time
 import types
 import typing
 
 from redwingvalve.http1 import (
+    byte_account,
     inactivity,
     messages,
+    pipeline,
     request_parser,
+    shared_buffer,
+    slow_reader,
     stepped_reads,
 )
 from redwingvalve.observability import logs, node_metrics
 
-# Reading pauses while more pipelined requests than this are waiting.
-MAX_PIPELINED = 8
+# More is read in several turns.
+READ_BYTES: typing.Final = 16_384
+# How long the rest of a refused body is read and dropped, so that its sender
+# gets the refusal: a connection that is closed with unread bytes is reset.
+LINGER_S: typing.Final = 2.0
+RETRY_AFTER: typing.Final = (b'retry-after', b'1')
 HEAD_TIMEOUT = 408
 # Idle connections that are closed later than this past their limit are counted
 # apart: the process has stood still.
@@ -48,6 +55,8 @@
 class Application(abc.ABC):
     """Serves the requests of all connections."""
 
+    account: byte_account.ByteAccount = byte_account.UNLIMITED
+
     @abc.abstractmethod
     def limits(self) -> request_parser.ServerLimits:
         """Return the limits in force."""
@@ -84,10 +93,13 @@
     @property
     def is_write_paused(self) -> bool:
         """Return whether the write buffer is above its high-water mark."""
-        return self.connection.is_write_paused
+        return self.connection.reader.is_paused
 
     def send_response(
-        self, status: int, headers: messages.Headers, body: bytes
+        self,
+        status: int,
+        headers: messages.Headers,
+        body: bytes,
     ) -> None:
         """Send a complete response."""
         if self.is_done or self.is_started:
@@ -95,7 +107,9 @@
         length = (b'content-length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
         self.is_started = True
-        self.connection.write(head + body)
+        self.connection.write(head)
+        if body:
+            self.connection.write(body)
         self._end()
 
     def start(self, status: int, headers: messages.Headers) -> None:
@@ -148,62 +162,71 @@
         self.connection.response_completed(self._keep)
 
 
-class ServerConnection(asyncio.Protocol, request_parser.RequestHandler):
+class ServerConnection(
+    shared_buffer.SharedBufferProtocol,
+    request_parser.RequestHandler,
+):
     """One connection of a caller."""
 
+    read_buffer = shared_buffer.make_read_buffer(READ_BYTES)
+
     def __init__(self, application: Application) -> None:
         """Pass requests to the application."""
         self.application = application
         self.is_closed = False
-        self.is_write_paused = False
         self.is_idle = True
+        self.pipelined = pipeline.Pipeline()
         self._idle_since_s = time.monotonic()
         self._transport: asyncio.Transport | None = None
-        self._parser = request_parser.RequestParser(self, application.limits)
+        self._parser = request_parser.RequestParser(
+            self, application.limits, application.account
+        )
         self._reads = stepped_reads.SteppedReads(self._parser.feed)
         self._timer = inactivity.InactivityTimer(self._expire)
-        self.pipelined: collections.deque[messages.Request] = (
-            collections.deque()
-        )
+        self.reader = slow_reader.SlowReader(application.account)
         self._current: Responder | None = None
-        # Of a request that could not be parsed, behind those that wait.
-        self._refused_status: int | None = None
+        self._request: messages.Request | None = None
+        self._is_lingering = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first head."""
         self._idle_since_s = time.monotonic()
         self._transport = typing.cast(asyncio.Transport, transport)
+        self.reader.start(self._transport)
         self._reads.start(self._transport)
         self._timer.start(self._idle_limit_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Notify the request being served."""
+        """Notify the request being served, and give back what is held."""
         self.is_closed = True
         self._reads.abort()
         self._timer.stop()
+        self.reader.end()
+        self._parser.clear()
         self.pipelined.clear()
+        self._request_ended()
         responder = self._current
         self._current = None
         if responder is not None and responder.on_disconnect is not None:
             responder.on_disconnect()
 
-    def eof_received(self) -> bool:
-        """Close; a half-closed connection counts as a disconnect."""
-        return False
-
     def pause_writing(self) -> None:
         """Record that the write buffer is full."""
-        self.is_write_paused = True
+        self.reader.paused()
 
     def resume_writing(self) -> None:
-        """Notify the response that it may write again."""
-        self.is_write_paused = False
+        """Let the response, or the next one, write again."""
+        self.reader.resumed()
         current = self._current
-        if current is not None and current.on_writable is not None:
+        if current is None:
+            self._serve_next()
+        elif current.on_writable is not None:
             current.on_writable()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, many of them in several steps."""
+        if self._is_lingering:
+            return
         self.is_idle = False
         if self._parser.is_in_body:
             self._timer.touch()
@@ -211,7 +234,7 @@
 
     def head_started(self) -> None:
         """Start the timeout for a head."""
-        self._timer.start(self._head_limit_s)
+        self._timer.start(lambda: self.application.limits().head_timeout_s)
 
     def head_completed(self) -> None:
         """Start the timeout for a body, which lasts while bytes arrive.
@@ -223,10 +246,10 @@
     def request_completed(self, request: messages.Request) -> None:
         """Queue a request behind the earlier ones of the connection."""
         self._timer.stop()
-        self.pipelined.append(request)
-        if len(self.pipelined) > MAX_PIPELINED:
-            self._reads.pause()
+        self.pipelined.push(request)
         self._serve_next()
+        if self.pipelined.is_full:
+            self._reads.pause()
 
     def refused(self, status: int) -> None:
         """Respond to a request that cannot be parsed, and close.
@@ -234,7 +257,7 @@
         The requests before it are answered first.
         """
         self._timer.stop()
-        self._refused_status = status
+        self.pipelined.refused_status = status
         self._serve_next()
 
     def write(self, data: bytes) -> None:
@@ -250,27 +273,20 @@
     def response_completed(self, keep: bool) -> None:
         """Serve the next request, or close after the last response."""
         self._current = None
+        self._request_ended()
         if self._transport is None or self._transport.is_closing():
             return
         if not keep:
-            self._transport.close()
-            return
-        if self.pipelined or self._refused_status is not None:
-            if len(self.pipelined) <= MAX_PIPELINED:
-                self._reads.resume()
+            self._end()
+        elif not self.pipelined.is_empty:
             self._serve_next()
+            if not self.pipelined.is_full:
+                self._reads.resume()
         elif not self._parser.is_reading:
             self.is_idle = not self._reads.has_waiting
             self._idle_since_s = time.monotonic()
             self._timer.start(self._idle_limit_s)
 
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Return whether written bytes haven't been sent yet."""
-        if self._transport is None or self.is_closed:
-            return False
-        return self._transport.get_write_buffer_size() > 0
-
     def close_if_idle(self, min_idle_s: float = 0) -> None:
         """Close the connection if it had no request for at least that long."""
         idle_s = time.monotonic() - self._idle_since_s
@@ -282,14 +298,18 @@
             self._transport.close()
 
     def _serve_next(self) -> None:
-        if self._current is not None:
+        if self._current is not None or self.reader.is_paused:
             return
-        if not self.pipelined:
-            if self._refused_status is not None:
-                refusal = Responder(self, keep=False)
-                refusal.send_response(self._refused_status, [], b'')
+        if self.pipelined:
+            self._serve(self.pipelined.pop())
             return
-        request = self.pipelined.popleft()
+        status = self.pipelined.refused_status
+        if status is not None and not self._is_lingering:
+            headers = [RETRY_AFTER] if status == _UNAVAILABLE else []
+            Responder(self, keep=False).send_response(status, headers, b'')
+
+    def _serve(self, request: messages.Request) -> None:
+        self._request = request
         responder = Responder(self, request.keep_alive)
         self._current = responder
         try:
@@ -298,21 +318,39 @@
             LOG.exception('request not served')
             responder.send_response(_UNAVAILABLE, [], b'')
 
-    def _head_limit_s(self) -> float:
-        return self.application.limits().head_timeout_s
+    def _request_ended(self) -> None:
+        request = self._request
+        self._request = None
+        if request is not None:
+            request.release()
+
+    def _end(self) -> None:
+        """Close after the last response, or once a refused body has ended."""
+        assert self._transport is not None
+        if not (self._parser.is_rejected and self._parser.is_in_body):
+            self._transport.close()
+            return
+        self._is_lingering = True
+        self.is_idle = True
+        self._transport.write_eof()
+        self._timer.start(lambda: LINGER_S)
 
     def _idle_limit_s(self) -> float:
         return self.application.limits().idle_timeout_s
 
     def _expire(self) -> None:
-        if self._reads.has_waiting:
+        assert self._transport is not None
+        if self._is_lingering:
+            self.abort()
+        elif self._reads.has_waiting or self.reader.note_progress():
             self._timer.start(self._idle_limit_s)
         elif self._parser.is_reading:
             self._parser.reject(HEAD_TIMEOUT)
-        elif self._transport is not None:
+        elif self.reader.is_paused:
+            self.abort()
+        else:
             _count_idle_close(
-                time.monotonic() - self._idle_since_s,
-                self._idle_limit_s(),
+                time.monotonic() - self._idle_since_s, self._idle_limit_s()
             )
             self._transport.close()
 
--- a/redwingvalve/http1/tests/test_endless_answers.py
+++ b/redwingvalve/http1/tests/test_endless_answers.py
@@ -54,6 +54,9 @@
     def write(self, data):
         """Drop the request."""
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Nothing is buffered."""
+
     def get_write_buffer_size(self):
         return 0
 
--- a/redwingvalve/http1/tests/test_pipelined_requests.py
+++ b/redwingvalve/http1/tests/test_pipelined_requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from redwingvalve.http1 import server, stepped_reads
+from redwingvalve.http1 import pipeline, server, stepped_reads
 from redwingvalve.http1.tests import test_endless_answers, test_endless_requests
 
 
@@ -43,7 +43,7 @@
         expected = [b'/%d' % one for one in range(count)]
         assert application.targets == expected
         most = stepped_reads.PIECE_BYTES // len(b'GET /1 HTTP/1.1\r\n\r\n')
-        assert max(waiting) <= server.MAX_PIPELINED + most + 1
+        assert max(waiting) <= pipeline.MAX_REQUESTS + most + 1
         for _ in range(9):
             await asyncio.sleep(0)
         assert not connection.transport.is_paused
--- a/redwingvalve/http1/tests/test_server.py
+++ b/redwingvalve/http1/tests/test_server.py
@@ -29,6 +29,12 @@
     def abort(self):
         self.is_closed = True
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Nothing is buffered."""
+
+    def get_write_buffer_size(self):
+        return 0
+
     def pause_reading(self):
         """Nothing is read."""
 
--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -63,8 +63,7 @@
         try:
             await self._send_until_finished()
         finally:
-            self._senders.sends.relocation.release()
-            self._senders.sends.parked.drop()
+            self._senders.sends.release()
 
     async def _send_until_finished(self) -> None:
         while not self._wait.is_caller_gone:
@@ -379,7 +378,7 @@
         forwarder=forwarder,
         senders=senders,
         peer_sender=peer_sender.PeerSender(
-            state, request, caller, admission, wait, forwarder
+            state, request, caller, admission, wait, forwarder, senders.sends
         ),
         is_from_peer=is_from_peer,
         is_trial=is_trial,
--- a/redwingvalve/ingress/events.py
+++ b/redwingvalve/ingress/events.py
@@ -42,6 +42,11 @@
         """Return whether no event is partly received."""
         return not self._rest
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the length of what is received of an event."""
+        return len(self._rest)
+
     @property
     def is_too_long(self) -> bool:
         """Return whether an event goes on without an end."""
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -14,6 +14,7 @@
     admission_control,
     caller_wait,
     peer_routes,
+    request_sends,
     stream_forwarding,
     upstream,
     upstream_sender,
@@ -69,6 +70,7 @@
         admission: admission_control.Admission,
         wait: caller_wait.CallerWait,
         forwarder: stream_forwarding.StreamForwarder,
+        sends: request_sends.RequestSends,
     ) -> None:
         """Send the request while wait lasts; events go to forwarder."""
         # The answer of the node that took the request, None without one.
@@ -82,6 +84,7 @@
         self._admission = admission
         self._wait = wait
         self._forwarder = forwarder
+        self._sends = sends
 
     async def send(self, attempts: int) -> upstream.Outcome | None:
         """Return the outcome, None if no node took the request.
@@ -122,11 +125,13 @@
             self.asked[peer.vm] = 'not reached'
             return None
         answer = self._make_answer()
+        self._sends.hold_answer(answer, self._state.account)
         self.answer = answer
         connection.send(
             self._render(attempts),
             answer,
             self._state.connections.release_callback(peer.address),
+            self._request.body,
         )
         self._forwarder.attach(connection, None)
         try:
--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -14,6 +14,7 @@
     hedge_race,
     hedged_send,
     relocation,
+    request_sends,
     reservations,
     send_results,
     stream_forwarding,
@@ -33,7 +34,7 @@
     """Sends a request at slots, and its hedge if it may be hedged."""
 
     _state: state_module.IngressState
-    sends: upstream_sender.RequestSends
+    sends: request_sends.RequestSends
     first: upstream_sender.UpstreamSender
     hedged: hedged_send.HedgedSend | None = None
     # Called for a send that failed while another one runs.
@@ -117,7 +118,7 @@
 
     is_trial: the request is suspected of crashes, and never hedged.
     """
-    sends = upstream_sender.RequestSends(
+    sends = request_sends.RequestSends(
         relocation.Relocation(state, admission, forwarder)
     )
     make = functools.partial(
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from redwingvalve.http1 import client, pool, response_limits
+from redwingvalve.http1 import byte_account, client, pool, response_limits
 from redwingvalve.ingress import (
     answer_ends,
     caller_retries,
@@ -104,6 +104,7 @@
     targets: TargetProvider
     retry_budget_config: retry_budget.RetryBudgetConfig
     configuration: routes.Configuration | None = None
+    account: byte_account.ByteAccount = byte_account.UNLIMITED
     is_leaving: bool = False
     stop_admission: stop_admission_module.StopAdmission = attrs.field(
         factory=stop_admission_module.StopAdmission
--- a/redwingvalve/ingress/tests/hedged_exchange.py
+++ b/redwingvalve/ingress/tests/hedged_exchange.py
@@ -56,7 +56,7 @@
     def resume(self):
         self.is_paused = False
 
-    def send(self, request, exchange, on_idle):
+    def send(self, request, exchange, on_idle, body=b''):
         self.handler = exchange
 
     def abandon(self):
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -63,13 +63,18 @@
         self.end = answer_ends.AnswerEnd.MARKED
         self._attempt_id = attempt_id
         self._on_statement = on_statement
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._has_body = False
 
     @property
     def body(self) -> bytes:
         """Return the body received so far."""
-        return b''.join(self._body)
+        return bytes(self._body)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the length of the body received so far."""
+        return len(self._body)
 
     @property
     def ends_with_connection(self) -> bool:
@@ -110,7 +115,7 @@
     def body_received(self, chunk: bytes) -> None:
         """Append to the body."""
         self._has_body = True
-        self._body.append(chunk)
+        self._body += chunk
 
     def completed(self) -> None:
         """Set the outcome of a complete answer.
@@ -151,6 +156,12 @@
         if self.stalled.done():
             self.stalled = asyncio.get_running_loop().create_future()
 
+    def release(self) -> None:
+        """Forget the body, once the caller has its answer."""
+        self._body = bytearray()
+        if self.memory is not None:
+            self.memory.release()
+
     def classify(self) -> Outcome:
         """Return the outcome that the answer's head implies."""
         head = self.head
@@ -195,6 +206,11 @@
         self._splitter = events.EventSplitter()
         self.is_stream = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Return what is held of an unfinished event, or of another answer."""
+        return self._splitter.held_bytes + super().held_bytes
+
     def head_received(self, head: messages.ResponseHead) -> None:
         """Distinguish a stream from an error response."""
         super().head_received(head)
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -6,7 +6,6 @@
 from collections import abc as collections_abc
 
 import anyio
-import attrs
 
 from redwingvalve.http1 import client, messages, pool
 from redwingvalve.ingress import (
@@ -16,7 +15,7 @@
     crash_keys,
     load_balancing,
     parked_sends,
-    relocation,
+    request_sends,
     responses,
     routes,
     stall_detection,
@@ -44,22 +43,6 @@
 ]
 
 
-@attrs.define(eq=False)
-class RequestSends:
-    """What all sends of one request have in common."""
-
-    relocation: relocation.Relocation
-    sent_count: int = 0
-    connect_failures: int = 0
-    tried_endpoints: set[str] = attrs.field(factory=set)
-    # The next retry is already taken from the budget; stays set until a retry
-    # is sent, as an attempt without a connection repeats nothing.
-    is_retry_paid: bool = False
-    parked: parked_sends.ParkedSends = attrs.field(
-        factory=parked_sends.ParkedSends
-    )
-
-
 async def _is_alone(request: upstream.UpstreamRequest) -> bool:
     """Return True, as there is no other send."""
     return True
@@ -77,7 +60,7 @@
         wait: caller_wait.CallerWait,
         forwarder: stream_forwarding.StreamForwarder,
         keys: crash_keys.RequestKeys,
-        sends: RequestSends,
+        sends: request_sends.RequestSends,
     ) -> None:
         """Send the request while wait lasts; events go to forwarder."""
         # The latest attempt, None until it is sent.
@@ -108,6 +91,7 @@
         self.sends.sent_count += 1
         self.sends.is_retry_paid = False
         upstream_request = self._make_upstream_request(on_statement)
+        self.sends.hold_answer(upstream_request, self._state.account)
         self.upstream_request = upstream_request
         self.target = target
         self.connection = connection
@@ -115,6 +99,7 @@
             self._render_request(target),
             upstream_request,
             self._state.connections.release_callback(target.address),
+            self._request.body,
         )
         return await self._await_outcome(target, upstream_request)
 
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -8,7 +8,7 @@
 
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.fleet import serving
-from redwingvalve.http1 import pool
+from redwingvalve.http1 import byte_account, pool
 from redwingvalve.ingress import poison, retry_budget, routes
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import (
@@ -316,6 +316,7 @@
         table,
         _retry_budget_config(node_settings.bounds),
         poison=_make_poison_tracker(node_settings.bounds),
+        account=byte_account.make_account(node_settings.limits.memory_mb),
     )
     json_client = store.JsonClient(pool.Pool())
     client = store.StoreClient(node_settings.store, json_client)
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -32,6 +32,7 @@
     def __init__(self, state: state_module.IngressState) -> None:
         """Route requests by the node's state."""
         self._state = state
+        self.account = state.account
         self.running: dict[
             asyncio.Task[None], request_handler.RequestHandler
         ] = {}
@@ -143,6 +144,7 @@
     ) -> None:
         """Respond from the node's state and its peers."""
         self._state = state
+        self.account = state.account
         self._peers = peers
         self._successors = fleet_successors
         self._ttl_s = min(DIRECTORY_TTL_S, ttl_max_s)
--- a/redwingvalve/node/gauges.py
+++ b/redwingvalve/node/gauges.py
@@ -9,6 +9,7 @@
 import attrs
 
 from redwingvalve.fleet import serving
+from redwingvalve.http1 import byte_account
 from redwingvalve.ingress import routes
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import lease as lease_module
@@ -48,6 +49,7 @@
         metrics.gauge('redwingvalve_retries_left', self._retries_left)
         metrics.gauge('redwingvalve_loop_delay_seconds', self._take_loop_delay)
         metrics.gauge('redwingvalve_memory_bytes', _memory)
+        metrics.gauge('redwingvalve_held_bytes', self._held_bytes)
 
     async def run(self) -> typing.NoReturn:
         """Measure the delay of the event loop until cancelled."""
@@ -65,6 +67,15 @@
                 'redwingvalve_evacuated', self.table.evacuations.gauge
             )
 
+    def _held_bytes(self) -> _Samples:
+        return [
+            node_metrics.Sample(
+                self.state.account.held_bytes(part),
+                (('part', part.name.lower()),),
+            )
+            for part in byte_account.Part
+        ]
+
     def _configuration_version(self) -> _Samples:
         configuration = self.state.configuration
         return _single_sample(configuration.version if configuration else 0)
--- a/redwingvalve/node/listeners.py
+++ b/redwingvalve/node/listeners.py
@@ -30,7 +30,7 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Return whether a response hasn't been sent to its end."""
-        return any(one.has_unsent_bytes for one in self._connections)
+        return any(one.reader.unsent_bytes for one in self._connections)
 
     def serves(self, application: server.Application) -> bool:
         """Return whether this listener's requests go to an application."""
@@ -56,7 +56,7 @@
     def is_busy(self) -> bool:
         """Return whether a request is arriving, or a response leaving."""
         return any(
-            one.has_unsent_bytes or not (one.is_closed or one.is_idle)
+            one.reader.unsent_bytes or not (one.is_closed or one.is_idle)
             for one in self._connections
         )
 
--- a/redwingvalve/node/peer_application.py
+++ b/redwingvalve/node/peer_application.py
@@ -18,6 +18,7 @@
         front: front_module.FrontApplication,
     ) -> None:
         """Answer watches by relay and callers' requests by front."""
+        self.account = front.account
         self._relay = relay
         self._front = front
 
--- a/redwingvalve/platform/caller_requests.py
+++ b/redwingvalve/platform/caller_requests.py
@@ -110,7 +110,7 @@
 def render_request(
     request: messages.Request, caller: CallerRequest, added: ForwardingHeaders
 ) -> bytes:
-    """Return the request to the endpoint as bytes."""
+    """Return the head of the request to the endpoint; its body follows."""
     headers = list(caller.forwarded_headers)
     headers.append((names.EXPECTED_ENDPOINT_HEADER, added.endpoint_id.encode()))
     headers.append((names.DEADLINE_MS_HEADER, b'%d' % added.deadline_ms))
@@ -142,7 +142,7 @@
 
 
 def render_peer_request(request: messages.Request, added: PeerHeaders) -> bytes:
-    """Return the request to another node as bytes."""
+    """Return the head of the request to another node; its body follows."""
     headers = [
         header
         for header in messages.end_to_end(request.headers)
@@ -170,7 +170,7 @@
     if request.body or _declares_body(request):
         headers.append((b'content-length', b'%d' % len(request.body)))
     start_line = b'%b %b HTTP/1.1' % (request.method, request.target)
-    return messages.render_head(start_line, headers) + request.body
+    return messages.render_head(start_line, headers)
 
 
 def _declares_body(request: messages.Request) -> bool:
--- a/redwingvalve/platform/settings.py
+++ b/redwingvalve/platform/settings.py
@@ -24,6 +24,11 @@
 DEFAULT_STABLE_WINDOW_MS = 3_000
 DEFAULT_COLD_EXCESS = 1.5
 DEFAULT_COLD_SLACK = 5
+# Of a process whose settings don't name them.
+DEFAULT_MEMORY_MB = 256
+DEFAULT_DESCRIPTORS = 4096
+# Descriptors that the platform keeps for files.
+FILE_DESCRIPTORS = 200
 
 
 class SettingsError(Exception):
@@ -71,6 +76,19 @@
     cold_slack: float = DEFAULT_COLD_SLACK
 
 
+@attrs.frozen
+class ProcessLimits:
+    """What a process may use before the platform ends it."""
+
+    memory_mb: float = DEFAULT_MEMORY_MB
+    descriptors: int = DEFAULT_DESCRIPTORS
+
+    @property
+    def sockets(self) -> int:
+        """Return how many descriptors are for sockets and pipes."""
+        return max(1, self.descriptors - FILE_DESCRIPTORS)
+
+
 @attrs.frozen
 class NodeSettings:
     """Settings that a process receives when it starts."""
@@ -90,6 +108,7 @@
     # 0 if the platform does not specify it.
     link_mbps: float
     bounds: Bounds
+    limits: ProcessLimits = ProcessLimits()
 
 
 def parse_address(text: str) -> SocketAddress:
@@ -195,6 +214,14 @@
         endpoint_heartbeat_ms=fields.read('heartbeat_ms', _require_positive),
         metrics_port=METRICS_PORT,
         link_mbps=fields.read_or('limits.link_mbps', _require_not_negative, 0),
+        limits=ProcessLimits(
+            memory_mb=fields.read_or(
+                'limits.memory_mb', _require_positive, DEFAULT_MEMORY_MB
+            ),
+            descriptors=fields.read_or(
+                'limits.max_fds', _require_positive, DEFAULT_DESCRIPTORS
+            ),
+        ),
         bounds=Bounds(
             drain_ms=fields.read('bounds.drain_ms', _require_positive),
             configuration_ms=fields.read(
--- a/redwingvalve/platform/standins/endpoint_endless.py
+++ b/redwingvalve/platform/standins/endpoint_endless.py
@@ -56,7 +56,7 @@
     connection.write(start)
     sent_bytes = len(start)
     while not connection.is_closed:
-        if connection.is_write_paused:
+        if connection.reader.is_paused:
             await asyncio.sleep(_PAUSE_S)
             continue
         connection.write(repeated)
--- a/redwingvalve/platform/tests/test_decoding.py
+++ b/redwingvalve/platform/tests/test_decoding.py
@@ -234,7 +234,8 @@
     sent = caller_requests.render_request(request, caller, sending)
     head, _, body = sent.partition(b'\r\n\r\n')
     lines = head.split(b'\r\n')
-    assert body == b'{}' and lines[0] == b'POST /a HTTP/1.1'
+    assert not body and lines[0] == b'POST /a HTTP/1.1'
+    assert b'content-length: 2' in lines
     assert b'x-tenant: workshop' in lines and b'x-expect-instance: i-1' in lines
     assert b'x-deadline-ms: 700' in lines and b'last-event-id: 15' in lines
     assert b'x-request-urgency: 3' in lines and b'x-model: m' in lines
--- a/tests/integration/node_world.py
+++ b/tests/integration/node_world.py
@@ -91,6 +91,7 @@
     process: subprocess.Popen | None = None
     is_paused: bool = False
     bounds: dict = attrs.field(factory=lambda: BOUNDS)
+    limits: dict = attrs.field(factory=dict)
 
     def write_settings(self):
         settings = {
@@ -106,6 +107,7 @@
             'internal_ports': [PEER_PORT, PEER_PORT],
             'heartbeat_ms': 1200,
             'bounds': self.bounds,
+            'limits': self.limits,
             'platform': {'address': self.proxy.address},
         }
         self.settings_path.write_text(json.dumps(settings))
@@ -167,7 +169,7 @@
 class NodeCluster:
     """The store, endpoints and nodes of one run."""
 
-    def __init__(self, seed, nodes, directory, bounds=None):
+    def __init__(self, seed, nodes, directory, bounds=None, limits=None):
         self.rng = random.Random(seed)
         self.store = fake_store.FakeStore()
         self.endpoints = {}
@@ -177,6 +179,7 @@
         self._directory = pathlib.Path(directory)
         self._endpoint_count = 0
         self._bounds = bounds or BOUNDS
+        self._limits = limits or {}
         # Each run uses its own loopback subnet, so that runs do not collide.
         rng = random.SystemRandom()
         self._subnet = f'127.{rng.randint(1, 254)}.{rng.randint(0, 254)}'
@@ -197,6 +200,7 @@
                 proxy,
                 self._directory,
                 bounds=self._bounds,
+                limits=self._limits,
             )
             node.write_settings()
             node.start()
