Limit the connections of callers by the descriptors of the process

Callers get half of the sockets, other nodes an eighth, readiness, directory and metrics an eighth. At the limit a new connection takes the place of the one that has been without a whole request for longest, if for over a second.

--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -12,6 +12,7 @@
 
 from redwingvalve.http1 import (
     byte_account,
+    connection_limit,
     inactivity,
     messages,
     pipeline,
@@ -56,6 +57,9 @@
     """Serves the requests of all connections."""
 
     account: byte_account.ByteAccount = byte_account.UNLIMITED
+    connections = connection_limit.ConnectionLimit()
+    # Of the sockets of the process; what all leave is for its own connects.
+    socket_share = 0.125
 
     @abc.abstractmethod
     def limits(self) -> request_parser.ServerLimits:
@@ -165,6 +169,7 @@
 class ServerConnection(
     shared_buffer.SharedBufferProtocol,
     request_parser.RequestHandler,
+    connection_limit.Closable,
 ):
     """One connection of a caller."""
 
@@ -195,6 +200,7 @@
         self.reader.start(self._transport)
         self._reads.start(self._transport)
         self._timer.start(self._idle_limit_s)
+        self.application.connections.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the request being served, and give back what is held."""
@@ -205,6 +211,7 @@
         self._parser.clear()
         self.pipelined.clear()
         self._request_ended()
+        self.application.connections.closed(self)
         responder = self._current
         self._current = None
         if responder is not None and responder.on_disconnect is not None:
@@ -310,6 +317,7 @@
 
     def _serve(self, request: messages.Request) -> None:
         self._request = request
+        self.application.connections.request_started(self)
         responder = Responder(self, request.keep_alive)
         self._current = responder
         try:
@@ -323,6 +331,7 @@
         self._request = None
         if request is not None:
             request.release()
+            self.application.connections.request_ended(self)
 
     def _end(self) -> None:
         """Close after the last response, or once a refused body has ended."""
--- a/redwingvalve/node/daemon.py
+++ b/redwingvalve/node/daemon.py
@@ -371,7 +371,7 @@
         ),
         gauges=gauges.NodeGauges(state, table, lease, status_exchange.peers),
         path_prober=path_prober_module.make_path_prober(state, table, registry),
-        listeners=listeners_module.Listeners(early or {}),
+        listeners=listeners_module.Listeners(early or {}, node_settings.limits),
         json_client=json_client,
     )
 
--- a/redwingvalve/node/front.py
+++ b/redwingvalve/node/front.py
@@ -29,6 +29,8 @@
 class FrontApplication(server.Application):
     """Proxies callers' requests to endpoints."""
 
+    socket_share = 0.5
+
     def __init__(self, state: state_module.IngressState) -> None:
         """Route requests by the node's state."""
         self._state = state
--- a/redwingvalve/node/listeners.py
+++ b/redwingvalve/node/listeners.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from redwingvalve.http1 import server
+from redwingvalve.http1 import connection_limit, server
 from redwingvalve.node import early_sockets
 from redwingvalve.platform import settings
 
@@ -77,15 +77,27 @@
 class Listeners:
     """All listening addresses of one node."""
 
-    def __init__(self, early: early_sockets.EarlySockets) -> None:
-        """Take over the sockets that are already listening."""
+    def __init__(
+        self,
+        early: early_sockets.EarlySockets,
+        limits: settings.ProcessLimits,
+    ) -> None:
+        """Take over the sockets that are already listening.
+
+        The connections of all applications stay below the limits.
+        """
         self._listeners: list[Listener] = []
         self._early = early
+        self._limits = limits
 
     async def serve(
         self, application: server.Application, address: settings.SocketAddress
     ) -> Listener:
         """Serve an application at an address; raises OSError."""
+        if not self._of(application):
+            application.connections = connection_limit.make_limit(
+                int(application.socket_share * self._limits.sockets)
+            )
         listener = Listener(application)
         self._listeners.append(listener)
         listening = self._early.pop(address, None)
