--- a/redwingvalve/entry/app.py
+++ b/redwingvalve/entry/app.py
@@ -166,22 +166,26 @@
         if head.path == MODELS_PATH and head.method == 'GET':
             await self._list_models(writer)
             return
-        read = await caller_request.read_body(
-            receive, head, self._dependencies.settings.max_body_bytes
-        )
-        if read.is_error():
-            await writer.send_error(read.error)
-            return
-        routed = self._route(head, authenticated.ok, read.ok)
-        if isinstance(routed, outcomes.ErrorResponse):
-            await writer.send_error(routed)
-            return
-        async with anyio.create_task_group() as group:
-            group.start_soon(
-                _cancel_on_disconnect, receive, group.cancel_scope, writer, span
+        with contextlib.closing(
+            caller_request.BodyReader(self._dependencies.account)
+        ) as reader:
+            read = await reader.read(
+                receive, head, self._dependencies.settings.max_body_bytes
             )
-            await self._run_routed(routed, writer, span)
-            group.cancel_scope.cancel()
+            if read.is_error():
+                await writer.send_error(read.error)
+                return
+            routed = self._route(head, authenticated.ok, read.ok)
+            if isinstance(routed, outcomes.ErrorResponse):
+                await writer.send_error(routed)
+                return
+            async with anyio.create_task_group() as group:
+                scope = group.cancel_scope
+                group.start_soon(
+                    _cancel_on_disconnect, receive, scope, writer, span
+                )
+                await self._run_routed(routed, writer, span)
+                scope.cancel()
 
     async def _run_routed(
         self,
--- a/redwingvalve/entry/caller_request.py
+++ b/redwingvalve/entry/caller_request.py
@@ -1,4 +1,9 @@
-"""Reads and validates callers' requests from ASGI."""
+"""Reads and validates callers' requests from ASGI.
+
+Load pattern: many callers send long bodies at once, in tiny pieces, or stop
+just before their ends and stay. Bodies are held within the account of the
+process.
+"""
 
 import json
 import re
@@ -6,10 +11,12 @@
 import uuid
 from collections import abc as collections_abc
 
+import anyio
 import attrs
 from expression import Error, Ok, Result
 
 from redwingvalve.core import outcomes
+from redwingvalve.http1 import byte_account
 from redwingvalve.settings import schema as settings_schema
 
 Receive = collections_abc.Callable[
@@ -22,6 +29,7 @@
 TRUE_VALUES = frozenset(('true', '1'))
 FALSE_VALUES = frozenset(('false', '0'))
 MS_PER_S = 1000
+RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen
@@ -80,31 +88,75 @@
     return Ok(head)
 
 
-async def read_body(
-    receive: Receive,
-    head: RequestHead,
-    max_body_bytes: int,
-) -> Result[bytes, outcomes.ErrorResponse]:
-    """Read the body up to max_body_bytes.
-
-    Raises CallerDisconnectedError if the caller disconnects.
-    """
-    announced = head.headers.get('content-length', '')
-    if announced.isdigit() and int(announced) > max_body_bytes:
-        return Error(_body_too_large(max_body_bytes, head.request_id))
-    parts: list[bytes] = []
-    size_bytes = 0
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise CallerDisconnectedError(head.request_id)
-        part = message.get('body', b'')
-        size_bytes += len(part)
-        if size_bytes > max_body_bytes:
-            return Error(_body_too_large(max_body_bytes, head.request_id))
-        parts.append(part)
-        if not message.get('more_body', False):
-            return Ok(b''.join(parts))
+class BodyReader(byte_account.Holder):
+    """The body of one request, held until close()."""
+
+    def __init__(self, account: byte_account.ByteAccount) -> None:
+        """Take room from an account."""
+        self._memory = account.open(byte_account.Part.LONG_REQUESTS, self)
+        self._body = bytearray()
+        self._scope = anyio.CancelScope()
+
+    async def read(
+        self,
+        receive: Receive,
+        head: RequestHead,
+        max_body_bytes: int,
+    ) -> Result[bytes, outcomes.ErrorResponse]:
+        """Read the body up to max_body_bytes, if there is room for it.
+
+        Raises CallerDisconnectedError if the caller disconnects.
+        """
+        announced = head.headers.get('content-length', '')
+        announced_bytes = int(announced) if announced.isdigit() else 0
+        error: outcomes.ErrorResponse | None = _no_room(head)
+        with self._scope:
+            error = await self._read(
+                receive, head, max_body_bytes, announced_bytes
+            )
+        if error is not None:
+            self.close()
+            return Error(error)
+        self._memory.settle()
+        body = bytes(self._body)
+        self._body = bytearray()
+        return Ok(body)
+
+    def close(self) -> None:
+        """Forget the body."""
+        self._body = bytearray()
+        self._memory.release()
+
+    def moved_bytes(self) -> int:
+        """Return what has arrived."""
+        return len(self._body)
+
+    def evict(self) -> None:
+        """Refuse the request, which arrives too slowly."""
+        self._scope.cancel()
+
+    async def _read(
+        self,
+        receive: Receive,
+        head: RequestHead,
+        max_body_bytes: int,
+        announced_bytes: int,
+    ) -> outcomes.ErrorResponse | None:
+        has_more = True
+        while has_more:
+            size_bytes = max(announced_bytes, len(self._body))
+            if size_bytes > max_body_bytes:
+                return _body_too_large(max_body_bytes, head.request_id)
+            if not self._memory.grow_to(size_bytes):
+                return _no_room(head)
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerDisconnectedError(head.request_id)
+            self._body += message.get('body', b'')
+            has_more = message.get('more_body', False)
+        if len(self._body) > max_body_bytes:
+            return _body_too_large(max_body_bytes, head.request_id)
+        return None
 
 
 def parse_json_object(
@@ -146,6 +198,17 @@
     )
 
 
+def _no_room(head: RequestHead) -> outcomes.ErrorResponse:
+    return outcomes.ErrorResponse(
+        status=503,
+        code='no-room',
+        message='too many long requests at once; retry later',
+        outcome=outcomes.Outcome.NOT_RUN,
+        request_id=head.request_id,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _request_id(headers: dict[str, str], problems: list[str]) -> str:
     value = headers.get(outcomes.REQUEST_ID_HEADER, '')
     if not value:
--- a/redwingvalve/entry/dependencies.py
+++ b/redwingvalve/entry/dependencies.py
@@ -9,6 +9,7 @@
 from redwingvalve.core import clock, invariants, outcomes
 from redwingvalve.entry import directory, upstream
 from redwingvalve.evidence import permits
+from redwingvalve.http1 import byte_account
 from redwingvalve.membership import members
 from redwingvalve.news import bus
 from redwingvalve.observability import metrics, tracing
@@ -34,6 +35,8 @@
     switches: invariants.SafeguardSwitches
     directory: directory.EntryDirectory
     key_claims: claims.KeyClaims | None = None
+    # Of the bodies of all requests.
+    account: byte_account.ByteAccount = byte_account.UNLIMITED
 
 
 def grant_expired() -> outcomes.ErrorResponse:
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -9,6 +9,7 @@
 from redwingvalve.entry import aiohttp_upstream, daemon
 from redwingvalve.entry import dependencies as entry_dependencies
 from redwingvalve.evidence import prober, serving_permits, table
+from redwingvalve.http1 import byte_account
 from redwingvalve.process import dependencies as process_dependencies
 from redwingvalve.process import entry_drains, key_votes, leaving_vms
 from redwingvalve.settings import schema
@@ -100,4 +101,7 @@
             random.Random(dependencies.settings.node.name),
         ),
         key_claims=key_claims,
+        account=byte_account.make_account(
+            dependencies.settings.limits.memory_mb
+        ),
     )
--- a/redwingvalve/settings/schema.py
+++ b/redwingvalve/settings/schema.py
@@ -72,6 +72,16 @@
     key_resend_s: float = 3600.0
 
 
+@attrs.frozen
+class LimitSettings:
+    """What the process may use.
+
+    Bodies of requests get a quarter of memory_mb at most.
+    """
+
+    memory_mb: float = 300.0
+
+
 @attrs.frozen
 class LogSettings:
     """JSON logs; level is a standard level name."""
@@ -123,6 +133,7 @@
     platform: PlatformSettings
     peers: PeerSettings = attrs.field(factory=PeerSettings)
     requests: RequestSettings = attrs.field(factory=RequestSettings)
+    limits: LimitSettings = attrs.field(factory=LimitSettings)
     logs: LogSettings = attrs.field(factory=LogSettings)
     metrics: MetricSettings = attrs.field(factory=MetricSettings)
     tracing: TracingSettings = attrs.field(factory=TracingSettings)
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -83,8 +83,9 @@
             kind, 'redwingvalve.standins', kind, '--port', port, *more
         )
 
-    def _daemon(self, role, name, index):
-        settings = {
+    def settings(self, name, index):
+        """Return the settings of a daemon."""
+        return {
             'node': {'name': name, 'data_centre': 'nave-a', 'region': 'mvd'},
             'listen': {
                 'http_port': self.ports[index],
@@ -98,9 +99,10 @@
             'peers': {'contacts': [self.address(4)]},
             'requests': {'discovery_keep_s': 1.0},
         }
-        self.children.start(
-            name, 'redwingvalve', role, self.children.write_yaml(name, settings)
-        )
+
+    def _daemon(self, role, name, index):
+        settings = self.children.write_yaml(name, self.settings(name, index))
+        self.children.start(name, 'redwingvalve', role, settings)
 
 
 async def wait_for_platform(fleet):
