--- a/redwingvalve/http1/byte_account.py
+++ b/redwingvalve/http1/byte_account.py
@@ -72,13 +72,13 @@
             return True
         return self.held_bytes + size_bytes <= self.max_bytes
 
-    def slowest(self, now_s: float) -> 'Hold | None':
+    def slowest(self, now_s: float, spared: 'Hold') -> 'Hold | None':
         """Return the slowest of the oldest holds that are slow."""
         found = None
         least = float(MIN_BYTES_PER_S)
         for hold in itertools.islice(self.evictable, _COMPARED):
             bytes_per_s = hold.bytes_per_s(now_s)
-            if bytes_per_s < least:
+            if bytes_per_s < least and hold is not spared:
                 least = bytes_per_s
                 found = hold
         return found
@@ -109,11 +109,11 @@
         """
         return Hold(self._parts, long_part, holder, self)
 
-    def make_room(self, part: Part, size_bytes: int) -> bool:
+    def make_room(self, part: Part, size_bytes: int, asker: 'Hold') -> bool:
         """Evict slow holds until there is room; return whether there is."""
         state = self._parts[part]
         while not state.has_room(size_bytes):
-            slowest = state.slowest(self.clock())
+            slowest = state.slowest(self.clock(), asker)
             if slowest is None:
                 return False
             node_metrics.METRICS.count(
@@ -157,7 +157,7 @@
         extra_bytes = size_bytes
         if part is self._part:
             extra_bytes -= self.held_bytes
-        if not self._account.make_room(part, extra_bytes):
+        if not self._account.make_room(part, extra_bytes, self):
             return False
         self._move_to(part, size_bytes)
         return True
--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -143,6 +143,7 @@
         """Abort the connection without calling the response handler."""
         self._handler = None
         self._reads.abort()
+        self._room.end()
 
     def pause(self) -> None:
         """Stop reading until resume is called."""
@@ -279,6 +280,7 @@
                 self._on_idle(self)
         else:
             self._reads.abort()
+            self._room.end()
         if exchange is not None:
             exchange.completed()
 
@@ -286,6 +288,7 @@
         exchange = self._handler
         self._handler = None
         self._reads.abort()
+        self._room.end()
         if exchange is not None:
             exchange.broken(reason)
 
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -305,7 +305,12 @@
             self._transport.close()
 
     def _serve_next(self) -> None:
-        if self._current is not None or self.reader.is_paused:
+        if self._current is not None:
+            return
+        if self.reader.is_paused:
+            # Ends unless the caller reads its last answer.
+            if not self._parser.is_reading:
+                self._timer.start(self._idle_limit_s)
             return
         if self.pipelined:
             self._serve(self.pipelined.pop())
@@ -317,6 +322,8 @@
 
     def _serve(self, request: messages.Request) -> None:
         self._request = request
+        if not self._parser.is_reading:
+            self._timer.stop()
         self.application.connections.request_started(self)
         responder = Responder(self, request.keep_alive)
         self._current = responder
@@ -355,7 +362,7 @@
             self._timer.start(self._idle_limit_s)
         elif self._parser.is_reading:
             self._parser.reject(HEAD_TIMEOUT)
-        elif self.reader.is_paused:
+        elif self.reader.unsent_bytes:
             self.abort()
         else:
             _count_idle_close(
--- a/redwingvalve/http1/slow_reader.py
+++ b/redwingvalve/http1/slow_reader.py
@@ -49,6 +49,7 @@
     def resumed(self) -> None:
         """Count nothing, as most of it is sent."""
         self.is_paused = False
+        self._paused_at_bytes = 0
         self._memory.release()
 
     def note_progress(self) -> bool:
--- a/redwingvalve/http1/tests/test_byte_account.py
+++ b/redwingvalve/http1/tests/test_byte_account.py
@@ -114,3 +114,15 @@
     hold.hold(3 * LONG_BYTES)
     hold.hold(HALF_BYTES)
     assert account.held_bytes(LONG) == HALF_BYTES
+
+
+def test_a_slow_request_is_not_dropped_for_itself(account, clock):
+    """Its room was counted once more, for good."""
+    holder = Holder(account)
+    assert holder.hold.grow_to(HALF_BYTES)
+    assert account.open(LONG).grow_to(HALF_BYTES)
+    clock.now_s = 10
+    assert not holder.hold.grow_to(2 * HALF_BYTES)
+    assert not holder.is_evicted
+    holder.hold.release()
+    assert account.held_bytes(LONG) == HALF_BYTES
--- a/redwingvalve/http1/tests/test_idle_connections.py
+++ b/redwingvalve/http1/tests/test_idle_connections.py
@@ -158,3 +158,34 @@
             assert await read_status(caller) == b'408'
 
     run(main)
+
+
+class LargeApplication(Application):
+    """Answers with more than the kernel keeps for a caller."""
+
+    def serve(self, request, responder):
+        responder.send_response(200, [], b'x' * 20_000_000)
+
+
+def test_a_caller_that_reads_nothing_is_disconnected():
+    """Its pipelined requests, and the unread answer, were kept for good."""
+
+    async def main():
+        application = LargeApplication()
+        loop = asyncio.get_running_loop()
+        made = []
+
+        def make():
+            made.append(server.ServerConnection(application))
+            return made[-1]
+
+        listening = await loop.create_server(make, '127.0.0.1', 0)
+        address = listening.sockets[0].getsockname()
+        with socket.create_connection(address) as caller:
+            caller.sendall(3 * REQUEST)
+            with anyio.fail_after(3):
+                while not (made and made[0].is_closed):
+                    await anyio.sleep(0.02)
+        listening.close()
+
+    run(main)
