--- a/redwingvalve/entry/tests/callers.py
+++ b/redwingvalve/entry/tests/callers.py
@@ -38,11 +38,14 @@
 
 @contextlib.asynccontextmanager
 async def served(
-    application, timeout_s=DEFAULT_TIMEOUT_S, head_timeout_s=DEFAULT_TIMEOUT_S
+    application,
+    timeout_s=DEFAULT_TIMEOUT_S,
+    head_timeout_s=DEFAULT_TIMEOUT_S,
+    protocol=uvicorn_protocol.CallerProtocol,
 ):
     """Serve; yield the port, the stop event and the server-stopped event."""
 
-    class Protocol(uvicorn_protocol.CallerProtocol):
+    class Protocol(protocol):
         pass
 
     Protocol.head_timeout_s = head_timeout_s
--- a/redwingvalve/entry/uvicorn_protocol.py
+++ b/redwingvalve/entry/uvicorn_protocol.py
@@ -21,6 +21,9 @@
 HEAD_TIMEOUT_S = 30.0
 # The limit of hypercorn and most proxies; trace state and credentials fit.
 MAX_HEAD_BYTES = 16_384
+# Loops run timers before they read: what has arrived while the process stood
+# still is read before a connection counts as idle.
+SETTLE_S = 0.01
 MALFORMED_STATUS = 400
 HEAD_TOO_LARGE_STATUS = 431
 
@@ -81,6 +84,12 @@
             # this connection would never be answered.
             self.cycle.keep_alive = False
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection unless a request has arrived."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            SETTLE_S, super().timeout_keep_alive_handler
+        )
+
     @property
     def _idle(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
@@ -136,6 +145,9 @@
             self._head_timer = None
 
     def _on_head_timeout(self) -> None:
+        self._head_timer = self.loop.call_later(SETTLE_S, self._close_if_idle)
+
+    def _close_if_idle(self) -> None:
         self._head_timer = None
         if self._idle:
             self.transport.close()
