Read nothing behind a refused request

Found by reading the diff: a connection whose request was refused while its caller read nothing of an earlier answer had no timer, and the next head of the same read started one anew. A refused request is no longer one that is being read.

--- a/redwingvalve/http1/request_parser.py
+++ b/redwingvalve/http1/request_parser.py
@@ -108,6 +108,7 @@
         """Reject the current request and parse nothing more."""
         if not self.is_rejected:
             self.is_rejected = True
+            self.is_reading = False
             node_metrics.METRICS.count(
                 'redwingvalve_refused_reads', status=str(status)
             )
@@ -134,6 +135,8 @@
 
     def on_message_begin(self) -> None:
         """Start a head."""
+        if self.is_rejected:
+            return
         self.is_reading = True
         self._head_bytes = 0
         self._announced_bytes = 0
--- a/redwingvalve/http1/tests/test_endless_requests.py
+++ b/redwingvalve/http1/tests/test_endless_requests.py
@@ -86,3 +86,13 @@
     for _ in range(400_000):
         parser.on_url(b'x')
     assert time.process_time() - started_s < 1.5
+
+
+def test_nothing_is_read_behind_a_refused_request():
+    """The next head started its timer anew."""
+    handler = Handler()
+    parser = request_parser.RequestParser(handler, lambda: LIMITS)
+    announced = b'POST /a HTTP/1.1\r\ncontent-length: 9999999\r\n\r\n'
+    parser.feed(announced + CHUNKED + b'0\r\n\r\n' + HEAD)
+    assert handler.statuses == [request_parser.BODY_TOO_LARGE]
+    assert not handler.requests and not parser.is_reading
--- a/redwingvalve/http1/tests/test_idle_connections.py
+++ b/redwingvalve/http1/tests/test_idle_connections.py
@@ -167,7 +167,8 @@
         responder.send_response(200, [], b'x' * 20_000_000)
 
 
-def test_a_caller_that_reads_nothing_is_disconnected():
+@pytest.mark.parametrize('behind', [2 * REQUEST, b'malformed\r\n\r\n'])
+def test_a_caller_that_reads_nothing_is_disconnected(behind):
     """Its pipelined requests, and the unread answer, were kept for good."""
 
     async def main():
@@ -182,7 +183,7 @@
         listening = await loop.create_server(make, '127.0.0.1', 0)
         address = listening.sockets[0].getsockname()
         with socket.create_connection(address) as caller:
-            caller.sendall(3 * REQUEST)
+            caller.sendall(REQUEST + behind)
             with anyio.fail_after(3):
                 while not (made and made[0].is_closed):
                     await anyio.sleep(0.02)
