Keep no connections where there is no limit

A limit that is infinite now keeps none; nor does an account. Nodes have limits, and their loop closes all connections.

test_connections_without_a_limit_are_not_kept failed before and passes.

--- a/redwingvalve/http1/byte_account.py
+++ b/redwingvalve/http1/byte_account.py
@@ -191,7 +191,9 @@
         if part is not self._part or not self.held_bytes:
             self.release()
             self._part = part
-            if self._holder is not None:
+            # Without a limit none is kept, as some outlive their loop.
+            is_limited = self._parts[part].max_bytes < math.inf
+            if self._holder is not None and is_limited:
                 self._parts[part].evictable[self] = None
         self._parts[part].held_bytes += size_bytes - self.held_bytes
         self.held_bytes = size_bytes
--- a/redwingvalve/http1/connection_limit.py
+++ b/redwingvalve/http1/connection_limit.py
@@ -45,7 +45,7 @@
     def opened(self, connection: Closable) -> None:
         """Count a new connection; close it or another one at the limit."""
         self.count += 1
-        self._free_since_s[connection] = self._clock()
+        self.request_ended(connection)
         if self.count <= self._max_connections:
             return
         node_metrics.METRICS.count('redwingvalve_connections_over_limit')
@@ -62,7 +62,9 @@
 
     def request_ended(self, connection: Closable) -> None:
         """Let a connection be closed for another one."""
-        self._free_since_s[connection] = self._clock()
+        # Without a limit none is kept, as some outlive their loop.
+        if self._max_connections < math.inf:
+            self._free_since_s[connection] = self._clock()
 
     def _choose(self, newest: Closable) -> Closable:
         oldest, since_s = next(iter(self._free_since_s.items()))
--- a/redwingvalve/http1/tests/test_connection_limit.py
+++ b/redwingvalve/http1/tests/test_connection_limit.py
@@ -1,5 +1,8 @@
 """Which connection gives way, by a clock that the test sets."""
 
+import gc
+import weakref
+
 import pytest
 
 from redwingvalve.http1 import connection_limit
@@ -56,3 +59,15 @@
     now_s[0] = 20
     assert not Connection(limit).is_aborted
     assert [one.is_aborted for one in before] == [False, True, False]
+
+
+def test_connections_without_a_limit_are_not_kept():
+    """Those of loops that had ended kept their descriptors for good."""
+    unlimited = connection_limit.ConnectionLimit()
+    connection = Connection(unlimited)
+    unlimited.request_started(connection)
+    unlimited.request_ended(connection)
+    kept = weakref.ref(connection)
+    del connection
+    gc.collect()
+    assert kept() is None
