Test undefined statuses of streams and of forwarded requests

Four cases of the fix that had no test: streams, and requests that another node forwards. All four failed with the check taken out of http1/client.py, and pass with it (one run each).

--- a/redwingvalve/node/tests/test_undefined_statuses.py
+++ b/redwingvalve/node/tests/test_undefined_statuses.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from redwingvalve.platform import names
 from redwingvalve.platform.tests import fleet_harness
 
 
@@ -31,3 +32,32 @@
         assert statuses == {200}
 
     fleet_harness.run(test, engines=0)
+
+
+@pytest.mark.parametrize('status', [b'000', b'700'])
+def test_an_undefined_status_reaches_no_caller_of_a_stream(status):
+    """Callers waited until the time-out, or got the status as an answer."""
+
+    async def test(fleet):
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.undefined_status = status
+        response = await fleet.caller().stream()
+        assert response.status == 502
+
+    fleet_harness.run(test, plain=0)
+
+
+@pytest.mark.parametrize('status', [b'000', b'700'])
+def test_an_undefined_status_reaches_no_forwarding_node(status):
+    """The node that forwards a request would have passed it on."""
+
+    async def test(fleet):
+        for endpoint in fleet.endpoints.values():
+            endpoint.faults.undefined_status = status
+        node = fleet.nodes[0].settings
+        peer = fleet_harness.Caller((node.ip, node.peer_port))
+        forwarded = [(names.ATTEMPTS_LEFT_HEADER, b'1')]
+        response = await peer.ask('/card/1', headers=forwarded)
+        assert response.status == 502
+
+    fleet_harness.run(test, engines=0)
