Send a short body in one segment with its head

On accepted sockets asyncio leaves Nagle's algorithm on unless the listening socket names its protocol, so the second segment of an answer waited 40 ms for the acknowledgement of the first; forwarded answers waited twice. Nodes run on uvloop, which sets TCP_NODELAY and gathers writes: only processes on asyncio's own loop were slow.

The trace: a 502 whose head arrives at 7096.3 ms and whose body at 7139.0 ms, at both hops.

Bodies up to 16 KiB are joined with their heads again; longer ones stay shared. Listening sockets of nodes name TCP.

--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -126,7 +126,7 @@
     ) -> None:
         """Send a request; on_idle is called if the connection is reusable.
 
-        The body is shared with other sends, and not copied.
+        A long body is shared with other sends, and not copied.
         """
         assert self.transport is not None
         self._handler = exchange
@@ -135,9 +135,7 @@
         self._meter = response_limits.ResponseMeter(self._limits())
         self._is_complete = False
         self.used = True
-        self.transport.write(request)
-        if body:
-            self.transport.write(body)
+        messages.write(self.transport.write, request, body)
 
     def abandon(self) -> None:
         """Abort the connection without calling the response handler."""
@@ -300,14 +298,3 @@
                 continue
             if len(seconds) <= MAX_KEEP_ALIVE_DIGITS:
                 self.keep_alive_s = int(seconds) * KEEP_ALIVE_FRACTION
-
-
-def _has_room(exchange: ResponseHandler, announced_bytes: int) -> bool:
-    memory = exchange.memory
-    if memory is None:
-        return True
-    size_bytes = max(announced_bytes, exchange.held_bytes)
-    if size_bytes >= memory.held_bytes:
-        return memory.grow_to(size_bytes)
-    memory.hold(size_bytes)
-    return True
--- a/redwingvalve/http1/messages.py
+++ b/redwingvalve/http1/messages.py
@@ -2,6 +2,7 @@
 
 import enum
 import typing
+from collections import abc as collections_abc
 
 import attrs
 
@@ -9,6 +10,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Longer bodies are sent apart from their heads.
+JOINED_BYTES: typing.Final = 16_384
 # Hop-by-hop headers, and those that are set anew for each hop; never forwarded.
 HOP_HEADERS: typing.Final = frozenset(
     (
@@ -107,6 +110,21 @@
     return b'\r\n'.join(lines)
 
 
+def write(
+    send: collections_abc.Callable[[bytes], None], head: bytes, body: bytes
+) -> None:
+    """Send a head and its body, together if the body is short.
+
+    The second of two segments may wait for the peer's delayed acknowledgement
+    of the first. A long body isn't copied.
+    """
+    if len(body) <= JOINED_BYTES:
+        send(head + body)
+        return
+    send(head)
+    send(body)
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers without hop-by-hop ones."""
     named = set(HOP_HEADERS)
--- a/redwingvalve/http1/server.py
+++ b/redwingvalve/http1/server.py
@@ -111,9 +111,7 @@
         length = (b'content-length', b'%d' % len(body))
         head = self._head(status, [*headers, length])
         self.is_started = True
-        self.connection.write(head)
-        if body:
-            self.connection.write(body)
+        messages.write(self.connection.write, head, body)
         self._end()
 
     def start(self, status: int, headers: messages.Headers) -> None:
--- a/redwingvalve/http1/tests/test_server.py
+++ b/redwingvalve/http1/tests/test_server.py
@@ -14,11 +14,15 @@
 
     def __init__(self):
         super().__init__()
-        self.sent = b''
+        self.writes = []
         self.is_closed = False
 
+    @property
+    def sent(self):
+        return b''.join(self.writes)
+
     def write(self, data):
-        self.sent += data
+        self.writes.append(data)
 
     def is_closing(self):
         return self.is_closed
@@ -119,3 +123,17 @@
         assert transport.is_closed
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(('length', 'count'), [(0, 1), (63, 1), (90_000, 2)])
+def test_a_short_answer_is_one_segment(length, count):
+    """Its body waited for the delayed acknowledgement of its head."""
+
+    async def main():
+        application, connection, transport = connect()
+        connection.data_received(REQUEST % 1)
+        application.held.pop().send_response(200, [], b'x' * length)
+        assert len(transport.writes) == count
+        assert transport.sent.endswith(b'\r\n\r\n' + b'x' * length)
+
+    asyncio.run(main())
--- a/redwingvalve/node/early_sockets.py
+++ b/redwingvalve/node/early_sockets.py
@@ -33,7 +33,10 @@
 
 def listen_at(address: settings.SocketAddress) -> socket.socket:
     """Return a non-blocking socket listening at an address; raises OSError."""
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets with an explicit protocol.
+    listening = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listening.bind((address.host, address.port))
--- a/redwingvalve/node/tests/test_listeners.py
+++ b/redwingvalve/node/tests/test_listeners.py
@@ -1,11 +1,14 @@
 """What a node's connections tell about its stop."""
 
 import asyncio
+import socket
 
 import pytest
 
 from redwingvalve.http1.tests import test_server
-from redwingvalve.node import listeners
+from redwingvalve.node import early_sockets, listeners
+from redwingvalve.platform import settings
+from redwingvalve.standins import ports
 
 REQUEST = test_server.REQUEST % 1
 
@@ -63,3 +66,25 @@
         connection.connection_lost(None)
 
     asyncio.run(main())
+
+
+def test_accepted_sockets_send_short_segments_at_once():
+    """Answers waited 40 ms for the acknowledgement of an earlier segment."""
+
+    async def main():
+        port = ports.free_ports(1)[0]
+        listening = early_sockets.listen_at(
+            settings.SocketAddress(ports.HOST, port)
+        )
+        accepted = asyncio.Queue()
+        await asyncio.start_server(
+            lambda _, writer: accepted.put_nowait(writer), sock=listening
+        )
+        _, caller = await asyncio.open_connection(ports.HOST, port)
+        writer = await accepted.get()
+        raw = writer.get_extra_info('socket')
+        assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        caller.close()
+        writer.close()
+
+    asyncio.run(main())
