Let the half answers' two endpoints share their cuts

Each endpoint had its own list of answers to cut, and the test ended when both were empty. A node avoids an endpoint that fails while another one serves: once one list was empty first, the other endpoint got no requests any more. Seen in the play of [False-True]: 26 cuts left at one endpoint, all requests answered by the other with 200 for 80 s, until the test's 240 s ended.

Both take from one list of twice every cut, as many as before, and the number of cuts that were made is checked as before.

--- a/redwingvalve/node/tests/test_half_answers.py
+++ b/redwingvalve/node/tests/test_half_answers.py
@@ -167,9 +167,10 @@
         if is_forwarded:
             links = endpoint_cuts.NodeLinks(fleet.nodes[0], fleet.endpoints)
             links.cut(endpoint_cuts.CutMode.RESET)
+        cuts = 2 * every_cut()
         for endpoint in endpoints:
             endpoint.is_early = is_early
-            endpoint.cuts.extend(every_cut())
+            endpoint.cuts = cuts
         body = LONG_BODY if is_early else b'body '
         found = await ask_for_all(fleet, endpoints, body)
         assert sum(one.made for one in endpoints) == 2 * len(every_cut())
