Go back to a parked send wherever a request would be given up

A parked send was gone back to only if the next send failed. A stream that had begun was reset although its silent endpoint would have gone on, if nothing could follow at all: the new endpoint was being evacuated and no other had a slot; the node lost its links and no other node took the request; the request had come under suspicion of crashes meanwhile.

Now a request is failed only when no parked send can be resumed, or when its time is over. A process that stops ends the parked send first. The counts of sends and failed connects move to RequestSends, which has them.

The first event that another node delivers ends the parked send, too.

--- a/redwingvalve/ingress/admitted_request.py
+++ b/redwingvalve/ingress/admitted_request.py
@@ -27,9 +27,6 @@
 _TIMEOUT = 'timeout'
 _CALLER_LEFT = 'caller left'
 _OUT_OF_REACH = 'no endpoint in reach'
-# Failed connections don't count against the route's attempts, because nothing
-# ran: the request tries other endpoints until this number is exceeded.
-MAX_CONNECT_FAILURES = 3
 # Stands in log lines for the target of a request that got none.
 _NO_TARGET = load_balancing.Target('', '', 0, 0, '')
 
@@ -67,22 +64,31 @@
 
     async def _send_until_finished(self) -> None:
         while not self._wait.is_caller_gone:
-            if self._is_refused():
-                return
-            if self._is_out_of_reach and await self._forward_to_peer():
-                return
-            reservation = self._senders.sends.relocation.take()
-            if reservation is None:
-                reservation = await self._reserve_slot()
-            if reservation is None:
-                return
-            # Endpoints may have crashed while it waited.
-            if self._is_refused():
-                reservation.release(reservations.ReleaseState.FREE)
-                return
-            sent = await self._try_target(reservation)
-            if self._finish_unless_retry(sent.target, sent.outcome):
-                return
+            sent = await self._send()
+            while self._finish_unless_retry(sent):
+                if not self._can_resume:
+                    return
+                sent = await self._senders.resume()
+
+    async def _send(self) -> send_results.SendResult | None:
+        """Return how the next send ended, None if there was none."""
+        if self._is_refused():
+            return None
+        is_out_of_reach = self._state.is_out_of_reach(
+            self._admission.service, self._admission.model
+        )
+        if is_out_of_reach and await self._forward_to_peer():
+            return None
+        reservation = self._senders.sends.relocation.take()
+        if reservation is None:
+            reservation = await self._reserve_slot()
+        if reservation is None:
+            return None
+        # Endpoints may have crashed while it waited.
+        if self._is_refused():
+            reservation.release(reservations.ReleaseState.FREE)
+            return None
+        return await self._try_target(reservation)
 
     @property
     def was_sent(self) -> bool:
@@ -90,24 +96,19 @@
         return self._senders.sends.sent_count > 0 or self._was_forwarded
 
     @property
-    def _is_out_of_reach(self) -> bool:
-        """Return whether another node may reach endpoints that this can't."""
-        return self._state.reach.is_cut_off or (
-            self._state.targets.is_out_of_reach(
-                self._admission.service, self._admission.model
-            )
-        )
-
-    @property
-    def _is_first_send_of_trial(self) -> bool:
-        return self._is_trial and not self._senders.sends.sent_count
+    def _can_resume(self) -> bool:
+        """Return whether a parked send may still complete the answer."""
+        if self._responder.is_done or self._wait.is_caller_gone:
+            return False
+        return self._senders.sends.parked.can_resume
 
     def _is_refused(self) -> bool:
         """Refuse the request if it may crash endpoints or would be cut."""
         refusal = refusals.for_crashing_request(self._state.poison, self._keys)
-        if refusal is None or self._is_first_send_of_trial:
+        is_first_send = not self._senders.sends.sent_count
+        if refusal is None or (self._is_trial and is_first_send):
             return self._is_too_late()
-        self._give_up_for(refusal)
+        self._give_up(refusal.reason, refusal)
         return True
 
     def _is_too_late(self) -> bool:
@@ -118,19 +119,27 @@
             self._admission, self._state.rng, may_have_run=self._may_have_run
         )
         if refusal and not (self._is_from_peer and self._decline()):
-            self._give_up_for(refusal)
+            self._give_up(refusal.reason, refusal)
         return refusal is not None
 
-    def _give_up_for(self, refusal: refusals.Refusal) -> None:
-        self._log_outcome(_NO_TARGET, f'given up: {refusal.reason}')
-        self._fail(refusal.reason, refusal)
+    def _give_up(
+        self,
+        reason: str,
+        refusal: refusals.Refusal | None = None,
+        target: load_balancing.Target = _NO_TARGET,
+    ) -> None:
+        """Log the reason and fail, unless a parked send can be resumed."""
+        if not self._can_resume:
+            self._log_outcome(target, f'given up: {reason}')
+            self._fail(reason, refusal)
 
     def give_up(self, refusal: refusals.Refusal) -> None:
         """End the response now; refusal is sent if nothing can have run."""
         if self._responder.is_done or self._responder.is_disconnected:
             return
         self._may_have_run |= self.was_sent
-        self._give_up_for(refusal)
+        self._senders.sends.parked.drop()
+        self._give_up(refusal.reason, refusal)
 
     async def _forward_to_peer(self) -> bool:
         """Let another node answer; return whether the request has ended."""
@@ -150,8 +159,7 @@
             # The paths to this model's targets may be back.
             return False
         # No node reaches an endpoint.
-        self._log_outcome(_NO_TARGET, f'given up: {_OUT_OF_REACH}')
-        self._fail(_OUT_OF_REACH)
+        self._give_up(_OUT_OF_REACH)
         return True
 
     def _decline(self) -> bool:
@@ -222,9 +230,12 @@
         return sent
 
     def _finish_unless_retry(
-        self, target: load_balancing.Target, outcome: upstream.Outcome
+        self, sent: send_results.SendResult | None
     ) -> bool:
-        """Respond unless another attempt follows; return whether finished."""
+        """Respond unless another send follows; return whether none does."""
+        if sent is None:
+            return True
+        outcome, target = sent.outcome, sent.target
         if outcome is upstream.Outcome.CALLER_GONE:
             self._log_outcome(target, _CALLER_LEFT)
             return True
@@ -247,16 +258,11 @@
             self._log_outcome(target, f'given up: {_TIMEOUT}')
             self._fail(_TIMEOUT)
             return True
-        self.record_failure(
-            send_results.SendResult(
-                outcome, target, self._senders.first.upstream_request
-            )
-        )
+        self.record_failure(sent)
         if self._may_retry(outcome):
             self._log_outcome(target, f'sent again: {outcome.value}')
             return False
-        self._log_outcome(target, f'given up: {outcome.value}')
-        self._fail(outcome.value)
+        self._give_up(outcome.value, target=target)
         return True
 
     def record_failure(self, sent: send_results.SendResult) -> None:
@@ -292,9 +298,7 @@
         route = self._admission.route
         if outcome is not upstream.Outcome.NOT_RUN and not route.may_repeat:
             return False
-        if self._senders.sends.connect_failures > MAX_CONNECT_FAILURES:
-            return False
-        if self._senders.sends.sent_count >= route.max_attempts:
+        if not self._senders.sends.may_follow(route.max_attempts):
             return False
         if self._wait.is_expired:
             return False
@@ -306,7 +310,12 @@
     def _fail(
         self, reason: str, refusal: refusals.Refusal | None = None
     ) -> None:
-        """End the response; refusal is sent if no endpoint can have run it."""
+        """End the response; refusal is sent if no endpoint can have run it.
+
+        A parked send may still complete it, unless the time is over.
+        """
+        if reason != _TIMEOUT and self._can_resume:
+            return
         if self._responder.is_started:
             self._responder.abort()
             return
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -13,6 +13,7 @@
 from redwingvalve.ingress import (
     admission_control,
     caller_wait,
+    parked_sends,
     peer_routes,
     request_sends,
     stream_forwarding,
@@ -170,7 +171,10 @@
     def _make_answer(self) -> PeerAnswer:
         attempt_id = self._caller.attempt_id
         if self._admission.is_stream:
-            return PeerStream(attempt_id, _ignore, self._forwarder)
+            sink = parked_sends.TakeoverSink(
+                self._forwarder, self._sends.parked
+            )
+            return PeerStream(attempt_id, _ignore, sink)
         return PeerAnswer(attempt_id, _ignore)
 
     def _render(self, attempts: int) -> bytes:
--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -48,10 +48,19 @@
         If it fails, this is the send that was parked for it, if any.
         """
         sent = await self._send(reservation)
-        parked = self.sends.parked
-        if sent.outcome not in send_results.FAILED or not parked.can_resume:
+        if (
+            sent.outcome not in send_results.FAILED
+            or not self.sends.parked.can_resume
+        ):
             return sent
         self.on_failure(sent)
+        return await self.resume() or sent
+
+    async def resume(self) -> send_results.SendResult | None:
+        """Return how the parked send ended, None without one."""
+        parked = self.sends.parked
+        if not parked.can_resume:
+            return None
         resumed = parked.take()
         outcome = await self.first.send_parked(resumed)
         return send_results.SendResult(outcome, resumed.target, resumed.request)
--- a/redwingvalve/ingress/request_sends.py
+++ b/redwingvalve/ingress/request_sends.py
@@ -1,10 +1,16 @@
 """What all sends of one request have in common."""
 
+import typing
+
 import attrs
 
 from redwingvalve.http1 import byte_account
 from redwingvalve.ingress import parked_sends, relocation, upstream
 
+# Failed connections don't count against the route's attempts, because nothing
+# ran: the request tries other endpoints until this number is exceeded.
+MAX_CONNECT_FAILURES: typing.Final = 3
+
 
 @attrs.define(eq=False)
 class RequestSends:
@@ -22,6 +28,12 @@
     )
     _answers: list[upstream.UpstreamRequest] = attrs.field(factory=list)
 
+    def may_follow(self, max_attempts: int) -> bool:
+        """Return whether the numbers of sends and connects allow another."""
+        if self.connect_failures > MAX_CONNECT_FAILURES:
+            return False
+        return self.sent_count < max_attempts
+
     def hold_answer(
         self,
         answer: upstream.UpstreamRequest,
--- a/redwingvalve/ingress/state.py
+++ b/redwingvalve/ingress/state.py
@@ -177,6 +177,12 @@
         limits = self.configuration.limits
         return response_limits.make_limits(limits.head_bytes, limits.body_bytes)
 
+    def is_out_of_reach(self, service: str, model: str) -> bool:
+        """Return whether another node may reach endpoints that this can't."""
+        if self.reach.is_cut_off:
+            return True
+        return self.targets.is_out_of_reach(service, model)
+
     def first_event_estimate(
         self, service: str, model: str
     ) -> duration_estimates.DurationEstimate:
--- a/redwingvalve/ingress/tests/hedged_exchange.py
+++ b/redwingvalve/ingress/tests/hedged_exchange.py
@@ -44,6 +44,7 @@
 class Connection:
     is_abandoned = False
     is_paused = False
+    was_paused = False
     handler = None
 
     @property
@@ -52,6 +53,7 @@
 
     def pause(self):
         self.is_paused = True
+        self.was_paused = True
 
     def resume(self):
         self.is_paused = False
@@ -91,6 +93,9 @@
         """Block the whole process."""
         time.sleep(self.pause_s)
 
+    def release(self, address, connection):
+        """Keep nothing."""
+
     def release_callback(self, address):
         return None
 
