Limit the connections of callers at entries

Callers that open connections and send nothing, or stop within a body, held descriptors of an entry without a limit, each for 30 s or longer, until others and the entry's own calls got none.

Callers get half of the descriptors, of the new limits.max_fds (16,384) or of the process's own limit if that is lower, by the rule of nodes: at the limit a new connection takes the place of the one that has been without a whole request for longest, if for over a second, and is reset itself otherwise.

A connection with a request in service is kept; entry and settings tests pass.

--- a/redwingvalve/entry/daemon.py
+++ b/redwingvalve/entry/daemon.py
@@ -1,12 +1,18 @@
 """Runs the application of an entry and its background tasks."""
 
 import functools
+import resource
 from collections import abc as collections_abc
 
 import anyio
 from anyio import abc as anyio_abc
 
-from redwingvalve.entry import app, dependencies, serving
+from redwingvalve.entry import (
+    app,
+    dependencies,
+    serving,
+    uvicorn_server,
+)
 from redwingvalve.observability import logs
 from redwingvalve.settings import schema as settings_schema
 
@@ -17,6 +23,8 @@
 FINISH_S = 3.0
 # Longest time for requests that were given up to end.
 GIVE_UP_S = 0.5
+# Of the descriptors of the process; the rest is for its own connections.
+CONNECTION_SHARE = 0.5
 
 
 def stop_timeout_s(settings: settings_schema.RequestSettings) -> float:
@@ -34,6 +42,14 @@
     return max(drain_s - FINISH_S, drain_s / 2)
 
 
+def _max_connections(limits: settings_schema.LimitSettings) -> int:
+    """Return how many connections callers may have open at once."""
+    of_process, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if of_process == resource.RLIM_INFINITY:
+        of_process = limits.max_fds
+    return int(CONNECTION_SHARE * min(limits.max_fds, of_process))
+
+
 async def serve_entry(
     entry_dependencies: dependencies.EntryDependencies,
     settings: settings_schema.Settings,
@@ -62,6 +78,9 @@
             functools.partial(
                 _drain, application, entry_dependencies, stop, leave, group
             ),
+            uvicorn_server.make_uvicorn_server(
+                _max_connections(settings.limits)
+            ),
         )
         group.cancel_scope.cancel()
     await entry_dependencies.upstream.aclose()
--- a/redwingvalve/entry/tests/callers.py
+++ b/redwingvalve/entry/tests/callers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 
 import anyio
 
@@ -42,6 +43,7 @@
     timeout_s=DEFAULT_TIMEOUT_S,
     head_timeout_s=DEFAULT_TIMEOUT_S,
     protocol=uvicorn_protocol.CallerProtocol,
+    max_connections=math.inf,
 ):
     """Serve; yield the port, the stop event and the server-stopped event."""
 
@@ -54,7 +56,7 @@
     stop, server_stopped = anyio.Event(), anyio.Event()
 
     async def run():
-        server = uvicorn_server.make_uvicorn_server(Protocol)
+        server = uvicorn_server.make_uvicorn_server(max_connections, Protocol)
         bind = f'fd://{listener.detach()}'
         await serving.serve(application, bind, timeout_s, stop.wait, server)
         server_stopped.set()
--- a/redwingvalve/entry/tests/test_idle_connections.py
+++ b/redwingvalve/entry/tests/test_idle_connections.py
@@ -9,6 +9,7 @@
 
 from redwingvalve.entry import uvicorn_protocol
 from redwingvalve.entry.tests import callers
+from redwingvalve.http1 import connection_limit
 
 LIMIT_S = 0.3
 
@@ -62,3 +63,30 @@
             stop.set()
 
     anyio.run(main, backend_options={'use_uvloop': True})
+
+
+def test_a_connection_over_the_limit_takes_the_place_of_an_idle_one():
+    """Idle connections held all descriptors of an entry."""
+
+    async def main():
+        released = anyio.Event()
+
+        async def answer_later(scope, receive, send):
+            await released.wait()
+            await answer(scope, receive, send)
+
+        async with (
+            callers.served(answer_later, max_connections=2) as (port, *_),
+            await anyio.connect_tcp('127.0.0.1', port) as busy,
+            await anyio.connect_tcp('127.0.0.1', port) as idle,
+        ):
+            await busy.send(callers.GET)
+            await anyio.sleep(connection_limit.MIN_FREE_S + 0.1)
+            async with await anyio.connect_tcp('127.0.0.1', port) as new:
+                assert await callers.read_all(idle) == b''
+                await new.send(callers.GET)
+                released.set()
+                assert b' 200 ' in await busy.receive()
+                assert b' 200 ' in await new.receive()
+
+    anyio.run(main)
--- a/redwingvalve/entry/uvicorn_protocol.py
+++ b/redwingvalve/entry/uvicorn_protocol.py
@@ -3,18 +3,24 @@
 uvicorn limits neither the time nor the size of a request head. Without limits,
 callers that connect and send nothing, or send a header byte by byte, hold a
 connection each until the entry runs out of file descriptors. A timer from the
-first byte to the end of the head and a size limit are enough: the application
-limits the body, and reading is paused while nobody reads it.
+first byte to the end of the head and a size limit are enough for each of them:
+the application limits the body, and reading is paused while nobody reads it.
+Their number is limited, too: at the limit a new connection takes the place of
+the one that has been without a whole request for longest.
 """
 
 import asyncio
+import functools
 import json
+import math
 import typing
+from collections import abc as collections_abc
 
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
 from redwingvalve.core import outcomes
+from redwingvalve.http1 import connection_limit
 
 # Far more than a head needs on any network. Also the time that a new connection
 # may stay idle; connection pools that open connections in advance need it.
@@ -28,14 +34,22 @@
 HEAD_TOO_LARGE_STATUS = 431
 
 
-class CallerProtocol(httptools_impl.HttpToolsProtocol):
+class CallerProtocol(
+    httptools_impl.HttpToolsProtocol, connection_limit.Closable
+):
     """Closes slow connections, rejects large heads, sends errors as JSON."""
 
     head_timeout_s = HEAD_TIMEOUT_S
 
-    def __init__(self, *args: typing.Any, **named: typing.Any) -> None:
+    def __init__(
+        self,
+        *args: typing.Any,
+        connections: connection_limit.ConnectionLimit,
+        **named: typing.Any,
+    ) -> None:
         """Start in the state before a request head."""
         super().__init__(*args, **named)
+        self._connections = connections
         # Whether the next response is the last one.
         self.is_stopping = False
         self._in_head = True
@@ -46,12 +60,18 @@
         """Start the timer of the first head."""
         super().connection_made(transport)
         self._start_head_timer()
+        self._connections.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers."""
         self._stop_head_timer()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
+        self._connections.closed(self)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parse data, then apply the limits to an incomplete head."""
@@ -84,6 +104,18 @@
             # this connection would never be answered.
             self.cycle.keep_alive = False
 
+    def on_message_complete(self) -> None:
+        """Keep the connection until its request is answered."""
+        super().on_message_complete()
+        if not self._idle:
+            self._connections.request_started(self)
+
+    def on_response_complete(self) -> None:
+        """Serve the next request, if it is here already."""
+        super().on_response_complete()
+        if self._idle and not self.transport.is_closing():
+            self._connections.request_ended(self)
+
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection unless a request has arrived."""
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -167,3 +199,13 @@
         'connection: close\r\n\r\n'
     )
     return httptools_impl.STATUS_LINE[status] + head.encode() + body
+
+
+def make_protocol_factory(
+    max_connections: float = math.inf,
+    protocol: type[CallerProtocol] = CallerProtocol,
+) -> collections_abc.Callable[..., CallerProtocol]:
+    """Return what makes the protocol of each connection of one server."""
+    return functools.partial(
+        protocol, connections=connection_limit.ConnectionLimit(max_connections)
+    )
--- a/redwingvalve/entry/uvicorn_server.py
+++ b/redwingvalve/entry/uvicorn_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import typing
 from collections import abc as collections_abc
@@ -25,6 +26,9 @@
 LINGER_S = 0.2
 POLL_S = 0.02
 Sockets: typing.TypeAlias = list[socket.socket] | None
+ProtocolFactory: typing.TypeAlias = collections_abc.Callable[
+    ..., uvicorn_protocol.CallerProtocol
+]
 
 
 class _DrainingServer(uvicorn.Server):
@@ -60,9 +64,9 @@
 class UvicornServer(caller_server.CallerServer):
     """uvicorn without its own logs; the application logs instead."""
 
-    def __init__(self, protocol: type[uvicorn_protocol.CallerProtocol]) -> None:
-        """Use protocol for each connection."""
-        self._protocol = protocol
+    def __init__(self, make_protocol: ProtocolFactory) -> None:
+        """Use a protocol of its own for each connection."""
+        self._make_protocol = make_protocol
 
     async def serve(
         self,
@@ -72,7 +76,7 @@
         stop: caller_server.Stop,
     ) -> None:
         """Serve until stop returns, then let requests in progress finish."""
-        server = _DrainingServer(_make_config(application, self._protocol))
+        server = _DrainingServer(_make_config(application, self._make_protocol))
         async with anyio.create_task_group() as group:
             group.start_soon(_exit_after, server, stop, graceful_timeout_s)
             try:
@@ -83,13 +87,12 @@
 
 
 def _make_config(
-    application: caller_server.Application,
-    protocol: type[uvicorn_protocol.CallerProtocol],
+    application: caller_server.Application, make_protocol: ProtocolFactory
 ) -> uvicorn.Config:
     return uvicorn.Config(
         application,
         loop='none',
-        http=protocol,
+        http=typing.cast(type[asyncio.Protocol], make_protocol),
         ws='none',
         lifespan='off',
         interface='asgi3',
@@ -144,9 +147,12 @@
 
 
 def make_uvicorn_server(
+    max_connections: float = math.inf,
     protocol: type[
         uvicorn_protocol.CallerProtocol
     ] = uvicorn_protocol.CallerProtocol,
 ) -> caller_server.CallerServer:
-    """Return a server that uses uvicorn."""
-    return UvicornServer(protocol)
+    """Return a server that uses uvicorn, for so many connections."""
+    return UvicornServer(
+        uvicorn_protocol.make_protocol_factory(max_connections, protocol)
+    )
--- a/redwingvalve/settings/schema.py
+++ b/redwingvalve/settings/schema.py
@@ -76,10 +76,12 @@
 class LimitSettings:
     """What the process may use.
 
-    Bodies of requests get a quarter of memory_mb at most.
+    Bodies of requests get a quarter of memory_mb at most, and connections of
+    callers half of max_fds.
     """
 
     memory_mb: float = 300.0
+    max_fds: int = 16_384
 
 
 @attrs.frozen
