Test crowds that read a few kilobytes a second

The crowds of large answers and streams so far read nothing. These read 2.5 KB a second of each connection.

--- a/tests/integration/crowds.py
+++ b/tests/integration/crowds.py
@@ -15,6 +15,9 @@
 # How long a crowd has to send what it can.
 SENDING_S = 10
 RECEIVE_BUFFER_BYTES = 4096
+# What a slow reader takes at once, and how often.
+SLOW_READ_BYTES = 512
+SLOW_READ_S = 0.2
 _ATTEMPTS = itertools.count(1)
 
 
@@ -59,6 +62,14 @@
                 for parts in parts_of_each:
                     group.start_soon(self._send_one, parts)
 
+    async def read_slowly(self):
+        """Read a few KB a second of each connection until cancelled."""
+        while True:
+            for one in self.sockets:
+                with contextlib.suppress(OSError):
+                    one.recv(SLOW_READ_BYTES)
+            await anyio.sleep(SLOW_READ_S)
+
     def close(self):
         for one in self.sockets:
             one.close()
--- a/tests/integration/test_crowds.py
+++ b/tests/integration/test_crowds.py
@@ -225,6 +225,25 @@
     play(tmp_path, CROWDS[way])
 
 
+@pytest.mark.slow
+@pytest.mark.parametrize(
+    'way', ['answers-unread', 'answers-unread-pipelined', 'streams-unread']
+)
+def test_a_crowd_that_reads_slowly_ends_no_process(tmp_path, way):
+    """Guards against answers that are kept for callers that do read."""
+
+    async def main():
+        async with running(tmp_path) as cluster:
+            node = cluster.nodes[0]
+            crowd = crowds.Crowd((node.ip, node_world.FRONT_PORT))
+            async with anyio.create_task_group() as group:
+                group.start_soon(crowd.read_slowly)
+                await assert_withstands(node, crowd, CROWDS[way]())
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 # As another node forwards them.
 FORWARDED = [(names.ATTEMPTS_LEFT_HEADER, b'1')]
 LISTENERS = {
