Release the slot of a move when a parked send is resumed

A request that moves away from a silent endpoint has a slot elsewhere already. If it was then refused as suspect of crashes, it went back to its parked send and kept the other slot until its end; a second move would have lost it. Found reading the diff; the slot is released first. The case [suspect] of test_parked_sends.py, which now looks at the slots too, failed before.

--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -61,6 +61,8 @@
         parked = self.sends.parked
         if not parked.can_resume:
             return None
+        # A slot that was reserved for another send isn't needed now.
+        self.sends.relocation.release()
         resumed = parked.take()
         outcome = await self.first.send_parked(resumed)
         return send_results.SendResult(outcome, resumed.target, resumed.request)
--- a/redwingvalve/ingress/tests/test_parked_sends.py
+++ b/redwingvalve/ingress/tests/test_parked_sends.py
@@ -54,6 +54,7 @@
             while first.is_paused:
                 assert not first.is_abandoned
                 await anyio.sleep(0.002)
+        assert None not in exchange.released
         first.answer(b'first')
 
     exchange = hedged_exchange.Exchange()
