Order unused connections by their last answer

A connection whose request was answered before it was whole, such as a refused body, kept its place in the order of unused ones: at the limit a new connection was reset although others had been unused for longer. Found reading the diff of the entries' limit, where such answers are common; the new test failed before.

--- a/redwingvalve/http1/connection_limit.py
+++ b/redwingvalve/http1/connection_limit.py
@@ -64,6 +64,7 @@
         """Let a connection be closed for another one."""
         # Without a limit none is kept, as some outlive their loop.
         if self._max_connections < math.inf:
+            self._free_since_s.pop(connection, None)
             self._free_since_s[connection] = self._clock()
 
     def _choose(self, newest: Closable) -> Closable:
--- a/redwingvalve/http1/tests/test_connection_limit.py
+++ b/redwingvalve/http1/tests/test_connection_limit.py
@@ -49,6 +49,17 @@
     assert not any(one.is_aborted for one in before)
 
 
+def test_a_connection_that_was_just_answered_is_not_the_longest_unused(
+    limit, now_s
+):
+    """Guards against answers to unfinished requests that keep a place."""
+    answered, unused, _ = (Connection(limit) for _ in range(MAX_CONNECTIONS))
+    now_s[0] = 2 * connection_limit.MIN_FREE_S
+    limit.request_ended(answered)
+    assert not Connection(limit).is_aborted
+    assert unused.is_aborted and not answered.is_aborted
+
+
 def test_connections_with_requests_are_not_closed(limit, now_s):
     before = [Connection(limit) for _ in range(MAX_CONNECTIONS)]
     for one in before:
