Count answers by grains of what arrives

An answer asks once per 4 KiB received, which is what the account leaves uncounted for a single request.

--- a/redwingvalve/http1/answer_room.py
+++ b/redwingvalve/http1/answer_room.py
@@ -35,6 +35,8 @@
         self._is_paused = False
         self._answer: HeldAnswer | None = None
         self._announced_bytes = 0
+        # Received since the account was asked.
+        self._uncounted_bytes = 0
         # Runs while there is no room.
         self._timer: asyncio.TimerHandle | None = None
 
@@ -42,6 +44,7 @@
         """Take room for an answer, which may have announced its length."""
         self._answer = answer
         self._announced_bytes = announced_bytes
+        self._uncounted_bytes = 0
         self.take()
 
     def end(self) -> None:
@@ -63,6 +66,13 @@
         if self._timer is None:
             self._reads.resume()
 
+    def received(self, size_bytes: int) -> None:
+        """Hold what has arrived, once it is enough to count."""
+        self._uncounted_bytes += size_bytes
+        if self._uncounted_bytes >= byte_account.GRAIN_BYTES:
+            self._uncounted_bytes = 0
+            self.take()
+
     def take(self) -> None:
         """Hold what there is of the answer, or read no more until it can."""
         if self._timer is None and not self._has_room():
--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -216,7 +216,7 @@
         if meter.is_skipping:
             return
         self._handler.body_received(chunk)
-        self._room.take()
+        self._room.received(len(chunk))
 
     def on_message_complete(self) -> None:
         """Record the end of the response, or of a skipped one."""
