--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,11 @@
-"""Bodies of legal size arrive piece by piece, while others ask for little."""
+"""Replicas leave without notice, while the groups of others form anew."""
 
 import asyncio
+import collections
 import itertools
+import json
 import pathlib
+import random
 import sys
 import time
 
@@ -10,123 +13,155 @@
 sys.path.insert(0, str(FOLDER.parent))
 import rig2
 
-# Clients that send long bodies, all at the first node.
-SENDERS = 60
-# Below the limit of the configuration, 4,194,304.
-BODY_BYTES = 4_000_000
-PIECE = b'1\r\nx\r\n'
-WRITE_BYTES = 65_536
-CALLERS = 10
-CALL_INTERVAL_S = 0.25
-CALM_S = 4.0
-PRESS_S = 25.0
-TIMEOUT_MS = 1000
-# The bound of CONFIG: half a second past the timeout of the route.
-LATE_S = TIMEOUT_MS / 1000 + 0.5
-CALLER_DEADLINE_MS = 4000
-MIN_UNANSWERED = 20
-
-
-class Calls:
-    """What ordinary callers sent during the press, and what they got."""
-
-    def __init__(self, record):
-        self.took_s = []
-        self.statuses = {}
-        self._record = record
-        self._numbers = itertools.count(1)
-
-    async def run(self, node, until_s):
-        while time.monotonic() < until_s:
-            await self._call(node)
-            await asyncio.sleep(CALL_INTERVAL_S)
-
-    async def _call(self, node):
-        number = next(self._numbers)
-        client = rig2.Client(node.front)
-        headers = [
-            ('X-Attempt-Id', f'call-{number}'),
-            ('X-Deadline-Ms', str(CALLER_DEADLINE_MS)),
-        ]
-        sent_s = time.monotonic()
-        answer = await client.ask(
-            '/ping/1', headers=headers, timeout_s=CALLER_DEADLINE_MS / 1000
-        )
-        client.close()
-        took_s = time.monotonic() - sent_s
-        self.took_s.append(took_s)
-        found = f'{answer.status} {answer.ending}'
-        self.statuses[found] = self.statuses.get(found, 0) + 1
-        if number % 10 == 1 or took_s > LATE_S:
-            self._record.note(f'call-{number}: {found} after {took_s:.2f} s')
-
-
-async def send_body(node, number, pieces, until_s):
-    """Send one long body after the other, in chunks of one byte."""
-    for turn in itertools.count():
-        if time.monotonic() > until_s:
+from redwingvalve.platform.standins import endpoint as endpoint_standin
+
+# Of the sheet: a join that is warm, and form_ms.
+endpoint_standin.JOIN_DURATION_S = 0.2
+endpoint_standin.OPEN_DURATION_S = 0.3
+# Of the configuration (report_lag_ms): how old the values of a report are.
+REPORT_LAG_S = 0.2
+REPORT_PATH = b'/redwingvalve/report'
+REPLICAS = 24
+DOMAINS = 2
+# As `scale_in` says, twice in each round.
+SHARE = 0.15
+ROUND_S = 2.0
+PAUSE_S = (0.55, 0.75)
+RUN_S = 95.0
+# How long a replica that has left goes on serving: drain_ms and a little more.
+SERVES_ON_S = 2.5
+SERVING = frozenset(('open', 'closing'))
+
+
+class Replica(endpoint_standin.FakeEndpoint):
+    """A replica whose reports are as of some hundred milliseconds ago."""
+
+    def __init__(self, fleet, name, domain):
+        super().__init__(fleet.store, name, rig2.ENGINE_SERVICE, domain)
+        self._fleet = fleet
+        self._past = collections.deque(maxlen=50)
+        self.has_left = False
+        self.has_ended = False
+
+    def write_entry(self):
+        self._past.append((time.monotonic(), self._entry()))
+        if not self.has_left:
+            super().write_entry()
+
+    def serve(self, request, responder):
+        expected = request.header(b'x-expect-instance')
+        is_own = expected is None or expected.decode() == self.endpoint_id
+        if request.target == REPORT_PATH and is_own:
+            body = json.dumps(self._reported()).encode()
+            kind = (b'content-type', b'application/json')
+            responder.send_response(200, [kind], body)
             return
-        headers = [
-            ('X-Attempt-Id', f'body-{number}-{turn}'),
-            ('X-Deadline-Ms', '60000'),
-            ('Transfer-Encoding', 'chunked'),
-        ]
-        head = rig2.render('/ping/1', headers)
-        head = head.replace(b'Content-Length: 0\r\n', b'')
-        try:
-            _, writer = await asyncio.open_connection(*node.front)
-            writer.write(head)
-            for start in range(0, len(pieces), WRITE_BYTES):
-                writer.write(pieces[start : start + WRITE_BYTES])
-                await writer.drain()
-                if time.monotonic() > until_s:
-                    break
-            writer.close()
-        except OSError:
-            await asyncio.sleep(0.2)
+        super().serve(request, responder)
+
+    def leave_without_notice(self):
+        """Remove the entry, and serve on for some seconds."""
+        self.has_left = True
+        self._fleet.store.remove('servers', self.endpoint_id)
+        loop = asyncio.get_running_loop()
+        loop.call_later(SERVES_ON_S, self.end)
+
+    def end(self):
+        self.has_ended = True
+        self.crash()
+
+    def _reported(self):
+        until_s = time.monotonic() - REPORT_LAG_S
+        known = [entry for at_s, entry in self._past if at_s <= until_s]
+        return known[-1] if known else self._past[0][1]
+
+    def _join(self, order):
+        before, members = self.group, list(self.members)
+        status = super()._join(order)
+        if status == 202 and before is not None:
+            self._check_two(before, members, order)
+        return status
+
+    def _check_two(self, before, members, order):
+        """Record a join of another group while the head of this one serves."""
+        key = (before['name'], before['epoch'])
+        if key == (order['group'], order['epoch']):
+            return
+        head = self._fleet.endpoints.get(members[0])
+        if head is None or head.has_ended or head.group is None:
+            return
+        head_key = (head.group['name'], head.group['epoch'])
+        if head_key == key and head.group['state'] in SERVING:
+            self._fleet.broken += 1
+            self._fleet.record.note(
+                f'TWO: {self.endpoint_id} joins {order["group"]}, while '
+                f'{key[0]} of {head.endpoint_id}, which it has not left, is '
+                f'{head.group["state"]}'
+            )
+
+
+async def add_replica(fleet, number):
+    name = f'i-{number:04}'
+    found = Replica(fleet, name, f'domain-{number % DOMAINS}')
+    fleet.endpoints[name] = found
+    await found.start()
+
+
+def pick(fleet, rng):
+    """Return 15 in 100 of the replicas."""
+    there = [one for one in fleet.engines() if not one.has_left]
+    return rng.sample(there, round(SHARE * REPLICAS))
+
+
+async def scale_in_and_out(fleet, rng, numbers):
+    """Take replicas away that report nothing, and add as many empty ones."""
+    for one in pick(fleet, rng):
+        state = one.group['state'] if one.group else 'in no group'
+        fleet.record.note(f'{one.endpoint_id}, {state}, leaves')
+        one.leave_without_notice()
+        await add_replica(fleet, next(numbers))
+
+
+async def disturb(fleet, rng, until_s):
+    numbers = itertools.count(REPLICAS)
+    while time.monotonic() < until_s:
+        began_s = time.monotonic()
+        await scale_in_and_out(fleet, rng, numbers)
+        # The groups of those that left are formed anew meanwhile.
+        await asyncio.sleep(rng.uniform(*PAUSE_S))
+        await scale_in_and_out(fleet, rng, numbers)
+        left_s = began_s + ROUND_S - time.monotonic()
+        await asyncio.sleep(max(left_s, 0))
 
 
 async def case(fleet, has_trouble):
-    version = rig2.configuration()
-    for route in version['routes']:
-        if route['name'] == 'ping':
-            route['timeout_ms'] = TIMEOUT_MS
-    await fleet.start_store(version)
-    for number in range(3):
-        await fleet.add_endpoint(f'p{number}', rig2.PLAIN_SERVICE)
+    await fleet.start_store(rig2.configuration())
+    fleet.broken = 0
+    fleet.engines = lambda: [
+        one for one in fleet.endpoints.values() if isinstance(one, Replica)
+    ]
+    for number in range(REPLICAS):
+        await add_replica(fleet, number)
+    await fleet.add_endpoint('p0', rig2.PLAIN_SERVICE)
     nodes = [await fleet.add_node(f'front-{one}') for one in range(2)]
+    known = [('X-Model', rig2.MODEL), ('X-Token-Counts', '100,20')]
     for node in nodes:
-        await fleet.wait_until_serving(node)
-    record = fleet.record
-    record.note('both nodes serve')
-    calm = Calls(record)
-    await calm.run(nodes[0], time.monotonic() + CALM_S)
-    record.note(f'calm: {calm.statuses}, longest {max(calm.took_s):.2f} s')
-    until_s = time.monotonic() + PRESS_S
-    senders = []
+        await fleet.wait_until_serving(node, '/recap/1', known)
+    fleet.record.note('both nodes serve')
+    seed = random.randrange(10_000)
+    fleet.record.note(f'seed {seed}')
+    until_s = time.monotonic() + RUN_S
     if has_trouble:
-        pieces = PIECE * BODY_BYTES + b'0\r\n\r\n'
-        senders = [
-            asyncio.create_task(send_body(nodes[0], one, pieces, until_s))
-            for one in range(SENDERS)
-        ]
-        record.note(f'{SENDERS} clients send bodies piece by piece')
-        await asyncio.sleep(2)
-    pressed, beside = Calls(record), Calls(record)
-    await asyncio.gather(
-        *(pressed.run(nodes[0], until_s) for _ in range(CALLERS)),
-        beside.run(nodes[1], until_s),
+        await disturb(fleet, random.Random(seed), until_s)
+        await asyncio.sleep(SERVES_ON_S)
+    else:
+        await asyncio.sleep(RUN_S / 3)
+    joins = sum(
+        order['operation'] == 'join'
+        for one in fleet.engines()
+        for order in one.orders
     )
-    for sender in senders:
-        sender.cancel()
-    unanswered = [one for one in pressed.took_s if one > TIMEOUT_MS / 1000]
-    late = [one for one in unanswered if one > LATE_S]
-    record.note(f'pressed node: {len(pressed.took_s)} calls {pressed.statuses}')
-    record.note(f'other node: {len(beside.took_s)} calls {beside.statuses}')
-    record.note(f'unanswered at the timeout: {len(unanswered)}')
-    record.note(f'of these still unanswered 0.5 s later: {len(late)}')
-    is_broken = len(unanswered) >= MIN_UNANSWERED
-    return not (is_broken and len(late) > len(unanswered) / 2)
+    fleet.record.note(f'{joins} joins ordered, {fleet.broken} broke the rule')
+    return not fleet.broken
 
 
 rig2.run(case, FOLDER)
