Count what arrives for sends that have an outcome

Nothing told the three hypotheses of missing pieces apart: bytes, events and ends that reached a send behind its outcome, and events of lost races, were dropped without a trace; only the log said what an end with the connection was taken for. They are counted now. No logic changes.

--- a/redwingvalve/ingress/hedge_race.py
+++ b/redwingvalve/ingress/hedge_race.py
@@ -16,6 +16,7 @@
     stream_forwarding,
     upstream,
 )
+from redwingvalve.observability import node_metrics
 
 
 @attrs.define(eq=False)
@@ -78,6 +79,8 @@
         """Forward an event, unless the other send was answered first."""
         if self._race.claim(self):
             self._race.forwarder.forward(event, upstream_request)
+            return
+        node_metrics.METRICS.count('redwingvalve_events_of_lost_races')
 
 
 def _ignore_winner(lane: Lane) -> None:
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -8,6 +8,7 @@
 
 from redwingvalve.http1 import client, messages, response_limits
 from redwingvalve.ingress import answer_ends, events
+from redwingvalve.observability import node_metrics
 from redwingvalve.platform import endpoint_statements, names
 
 _OK = 200
@@ -138,8 +139,10 @@
 
     def finish(self, outcome: Outcome) -> None:
         """Set the outcome unless it is already set."""
-        if not self.ended.done():
-            self.ended.set_result(outcome)
+        if self.ended.done():
+            self._count_late(outcome.value)
+            return
+        self.ended.set_result(outcome)
 
     def reopen(self) -> None:
         """Await the outcome again, after a send that was ended as silent."""
@@ -156,6 +159,14 @@
         if self.stalled.done():
             self.stalled = asyncio.get_running_loop().create_future()
 
+    def _count_late(self, arrival: str) -> None:
+        """Count what arrives for a send that has an outcome already."""
+        node_metrics.METRICS.count(
+            'redwingvalve_late_arrivals',
+            outcome=self.ended.result().value,
+            arrival=arrival,
+        )
+
     def release(self) -> None:
         """Forget the body, once the caller has its answer."""
         self._body = bytearray()
@@ -229,9 +240,11 @@
             return
         self._has_body = True
         if self.ended.done():
+            self._count_late('bytes')
             return
         for event in self._splitter.feed(chunk):
             if self.ended.done():
+                self._count_late('event')
                 return
             self._sink.forward(event, self)
         if self._splitter.is_too_long:
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -29,7 +29,7 @@
 )
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import endpoint_prober, stop_watch
-from redwingvalve.observability import logs
+from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
 LOG = logs.make_logger('crash-checks')
@@ -191,6 +191,13 @@
             stopped_s=self.watch.stopped_s(target),
         )
         end = answer_ends.judge(answer, evidence)
+        node_metrics.METRICS.count(
+            'redwingvalve_ends_with_connections',
+            end=end.value,
+            life=life.value,
+            is_leaving=str(is_leaving),
+            is_stream=str(answer.is_stream),
+        )
         LOG.info(
             'answer ended with its connection',
             extra={
@@ -198,6 +205,7 @@
                 'end': end.value,
                 'life': life.value,
                 'is_leaving': is_leaving,
+                'is_stream': answer.is_stream,
                 'is_in_doubt': answer.is_in_doubt,
             },
         )
