End and park sends in the turn in which this is decided

Callers got a stream without what had been read between the decision to move it and the pause of its connection, with a proper end; or the stream was cut off although its end had arrived.

Cause: an outcome was set on the request in one turn of the loop and took effect on its connection some turns later. Meanwhile bytes reached a request that had an outcome and were dropped, and by the time of the effect the connection could be in use by another request.

A send is now parked, stopped or superseded together with its connection. What is done to an exchange whose answer has ended does nothing, so that a pause, a resume or an abort never hits the next request. The reasons of a pause are kept apart: the caller's flow control resumed parked sends. A lost connection that is paused reports its end when it goes on. A time-out beside an answer no longer wins over it.

A run proves that nothing of it is missing: it knows the last event that it has delivered, and ends as a gap, never as complete, if a piece of it was dropped or another run has gone on meanwhile.

--- a/redwingvalve/http1/answer_room.py
+++ b/redwingvalve/http1/answer_room.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import enum
 import typing
 
 from redwingvalve.http1 import byte_account, stepped_reads
@@ -14,6 +15,15 @@
 ROOM_INTERVAL_S: typing.Final = 0.05
 
 
+class PauseReason(enum.Enum):
+    """Why nothing is read; each reason ends by itself."""
+
+    # The reader of the answer is slow.
+    READER = 'reader'
+    # Nobody waits for the answer at present.
+    PARKED = 'parked'
+
+
 class HeldAnswer(abc.ABC):
     """An answer of which a part is held."""
 
@@ -27,12 +37,12 @@
 
 
 class AnswerRoom:
-    """Pauses the reads of a connection while one of two reasons holds."""
+    """Pauses the reads of a connection while there is a reason to."""
 
     def __init__(self, reads: stepped_reads.SteppedReads) -> None:
         """Pause and resume these reads."""
         self._reads = reads
-        self._is_paused = False
+        self._pauses: set[PauseReason] = set()
         self._answer: HeldAnswer | None = None
         self._announced_bytes = 0
         # Received since the account was asked.
@@ -53,18 +63,18 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self.resume()
+        self._pauses.clear()
+        self._reads.resume()
 
-    def pause(self) -> None:
-        """Read nothing until resume()."""
-        self._is_paused = True
+    def pause(self, reason: PauseReason) -> None:
+        """Read nothing until resume() for the same reason."""
+        self._pauses.add(reason)
         self._reads.pause()
 
-    def resume(self) -> None:
-        """Read on as soon as there is room."""
-        self._is_paused = False
-        if self._timer is None:
-            self._reads.resume()
+    def resume(self, reason: PauseReason) -> None:
+        """Read on as soon as there is room and no other reason not to."""
+        self._pauses.discard(reason)
+        self._read_on()
 
     def received(self, size_bytes: int) -> None:
         """Hold what has arrived, once it is enough to count."""
@@ -83,8 +93,11 @@
     def _try_again(self) -> None:
         self._timer = None
         self.take()
-        if not self._is_paused:
-            self.resume()
+        self._read_on()
+
+    def _read_on(self) -> None:
+        if self._timer is None and not self._pauses:
+            self._reads.resume()
 
     def _has_room(self) -> bool:
         answer = self._answer
--- a/redwingvalve/http1/client.py
+++ b/redwingvalve/http1/client.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+import attrs
 import httptools
 
 from redwingvalve.http1 import (
@@ -123,7 +124,7 @@
         exchange: ResponseHandler,
         on_idle: typing.Callable[['Connection'], None],
         body: bytes = b'',
-    ) -> None:
+    ) -> 'Exchange':
         """Send a request; on_idle is called if the connection is reusable.
 
         A long body is shared with other sends, and not copied.
@@ -136,6 +137,11 @@
         self._is_complete = False
         self.used = True
         messages.write(self.transport.write, request, body)
+        return Exchange(self, exchange)
+
+    def serves(self, exchange: ResponseHandler) -> bool:
+        """Return whether the response to a request hasn't ended yet."""
+        return self._handler is exchange
 
     def abandon(self) -> None:
         """Abort the connection without calling the response handler."""
@@ -143,13 +149,13 @@
         self._reads.abort()
         self._room.end()
 
-    def pause(self) -> None:
-        """Stop reading until resume is called."""
-        self._room.pause()
+    def pause(self, reason: answer_room.PauseReason) -> None:
+        """Stop reading until resume is called for the same reason."""
+        self._room.pause(reason)
 
-    def resume(self) -> None:
-        """Resume reading, once there is room."""
-        self._room.resume()
+    def resume(self, reason: answer_room.PauseReason) -> None:
+        """Resume reading, once there is room and no other reason not to."""
+        self._room.resume(reason)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -298,3 +304,35 @@
                 continue
             if len(seconds) <= MAX_KEEP_ALIVE_DIGITS:
                 self.keep_alive_s = int(seconds) * KEEP_ALIVE_FRACTION
+
+
+@attrs.frozen(eq=False)
+class Exchange:
+    """One request on a connection, until its response has ended.
+
+    Whatever is called later does nothing, as the connection may be used by
+    another request then.
+    """
+
+    connection: Connection
+    _handler: ResponseHandler
+
+    @property
+    def is_pending(self) -> bool:
+        """Return whether the end of the response is still to come."""
+        return self.connection.serves(self._handler)
+
+    def pause(self, reason: answer_room.PauseReason) -> None:
+        """Stop reading, so that nothing more reaches the handler."""
+        if self.is_pending:
+            self.connection.pause(reason)
+
+    def resume(self, reason: answer_room.PauseReason) -> None:
+        """Resume reading unless there is another reason not to."""
+        if self.is_pending:
+            self.connection.resume(reason)
+
+    def abandon(self) -> None:
+        """Abort the connection without calling the handler."""
+        if self.is_pending:
+            self.connection.abandon()
--- a/redwingvalve/http1/stepped_reads.py
+++ b/redwingvalve/http1/stepped_reads.py
@@ -53,7 +53,8 @@
 
     def received(self, data: bytes) -> None:
         """Hand on as much as a step allows, the rest in later steps."""
-        if len(data) <= PIECE_BYTES and not self._waiting:
+        is_first = not (self._waiting or self._is_paused)
+        if is_first and len(data) <= PIECE_BYTES:
             self._feed(data)
             return
         self._waiting.append(data)
@@ -71,7 +72,7 @@
         if not self._is_paused:
             return
         self._is_paused = False
-        if self.has_waiting:
+        if self.has_waiting or self._on_end is not None:
             self._continue_soon()
         elif self._next_step is None:
             self._start_reading()
@@ -87,10 +88,10 @@
     def end(self, on_end: collections_abc.Callable[[], None]) -> None:
         """Call on_end once the last bytes of a lost connection are handed on.
 
-        They wait while paused, like bytes that weren't read yet.
+        They and the end wait while paused, as if they weren't read yet.
         """
         self._transport = None
-        if not self.has_waiting:
+        if not (self.has_waiting or self._is_paused):
             on_end()
             return
         self._on_end = on_end
--- a/redwingvalve/http1/tests/test_stepped_reads.py
+++ b/redwingvalve/http1/tests/test_stepped_reads.py
@@ -5,9 +5,11 @@
 
 import pytest
 
-from redwingvalve.http1 import client, stepped_reads
+from redwingvalve.http1 import answer_room, client, stepped_reads
 from redwingvalve.http1.tests import test_endless_answers
 
+READER = answer_room.PauseReason.READER
+
 # The loop's buffer.
 READ_BYTES = 250_000
 STEP_S = 0.05
@@ -120,7 +122,7 @@
     """The rest of a read passed the caller's flow control by."""
 
     async def main():
-        handler = Handler(lambda: connection.pause())
+        handler = Handler(lambda: connection.pause(READER))
         connection = test_endless_answers.connect(handler)
         connection.data_received(ENDLESS + b'x' * 20_000)
         for _ in range(9):
@@ -128,7 +130,7 @@
         received_bytes = len(handler.body)
         assert 0 < received_bytes <= stepped_reads.PIECE_BYTES
         handler.on_chunk = None
-        connection.resume()
+        connection.resume(READER)
         await settle(connection)
         assert handler.body == b'x' * 20_000
 
@@ -142,7 +144,7 @@
         pooled = []
         connection = client.Connection()
         connection.connection_made(test_endless_answers.Transport())
-        handler = Handler(lambda: connection.pause())
+        handler = Handler(lambda: connection.pause(READER))
         connection.send(b'x', handler, pooled.append)
         connection.data_received(HELLO)
         assert handler.ending == 'whole' and pooled == [connection]
@@ -155,13 +157,13 @@
     """It would end before its last bytes, or pass them by flow control."""
 
     async def main():
-        handler = Handler(lambda: connection.pause())
+        handler = Handler(lambda: connection.pause(READER))
         connection = test_endless_answers.connect(handler)
         connection.data_received(ENDLESS + b'x' * 20_000)
         connection.connection_lost(None)
         while len(handler.body) < 20_000:
             assert handler.ending is None
-            connection.resume()
+            connection.resume(READER)
             await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert handler.ending == 'whole'
@@ -169,6 +171,62 @@
     asyncio.run(main())
 
 
+def test_the_end_of_a_lost_connection_waits_while_it_is_paused():
+    """An answer ended that nobody waited for at that moment."""
+
+    async def main():
+        handler = Handler()
+        connection = test_endless_answers.connect(handler)
+        connection.data_received(ENDLESS + b'x')
+        connection.pause(READER)
+        connection.connection_lost(None)
+        await asyncio.sleep(0)
+        assert handler.ending is None
+        connection.resume(READER)
+        await asyncio.sleep(0)
+        assert handler.ending == 'whole'
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_two_wait_for_is_paused_by_either():
+    """The caller's flow control resumed a send that was parked."""
+
+    async def main():
+        handler = Handler()
+        connection = test_endless_answers.connect(handler)
+        for reason in answer_room.PauseReason:
+            connection.pause(reason)
+        connection.resume(READER)
+        assert connection.transport.is_paused
+        connection.resume(answer_room.PauseReason.PARKED)
+        assert not connection.transport.is_paused
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('action', ['pause', 'resume', 'abandon'])
+def test_an_exchange_leaves_the_next_one_of_its_connection_alone(action):
+    """A time-out beside an answer closed the connection of another request."""
+
+    async def main():
+        connection = client.Connection()
+        connection.connection_made(test_endless_answers.Transport())
+        ended = connection.send(b'x', Handler(), lambda idle: None)
+        connection.data_received(HELLO)
+        handler = Handler()
+        current = connection.send(b'x', handler, lambda idle: None)
+        if action == 'resume':
+            current.pause(READER)
+        was_paused = connection.transport.is_paused
+        arguments = [] if action == 'abandon' else [READER]
+        getattr(ended, action)(*arguments)
+        assert current.is_pending and not connection.transport.is_aborted
+        assert connection.transport.is_paused == was_paused
+
+    asyncio.run(main())
+
+
 def test_a_failure_in_a_later_step_closes_the_connection():
     """It would neither be read nor be closed."""
     sizes_bytes = []
--- a/redwingvalve/ingress/hedge_race.py
+++ b/redwingvalve/ingress/hedge_race.py
@@ -27,7 +27,7 @@
     """
 
     _race: 'Race'
-    _connection: client.Connection | None = None
+    _exchange: client.Exchange | None = None
     _monitored: stall_detection.MonitoredStream | None = None
 
     @property
@@ -37,14 +37,14 @@
 
     def attach(
         self,
-        connection: client.Connection | None,
+        exchange: client.Exchange | None,
         monitored: stall_detection.MonitoredStream | None,
     ) -> None:
-        """Start to receive events from a connection."""
-        self._connection = connection
+        """Start to receive the events of an exchange."""
+        self._exchange = exchange
         self._monitored = monitored
         if self._race.leader is self:
-            self._race.forwarder.attach(connection, monitored)
+            self._race.forwarder.attach(exchange, monitored)
         elif monitored is not None:
             self._race.stall_detector.add(monitored)
 
@@ -54,7 +54,7 @@
             self._race.forwarder.detach()
         elif self._monitored is not None:
             self._race.stall_detector.remove(self._monitored)
-        self._connection = None
+        self._exchange = None
         self._monitored = None
 
     def lead(self) -> None:
@@ -65,12 +65,12 @@
         if self._monitored is not None:
             self._race.stall_detector.remove(self._monitored)
         self._race.leader = self
-        self._race.forwarder.attach(self._connection, self._monitored)
+        self._race.forwarder.attach(self._exchange, self._monitored)
 
     def fall_behind(self) -> None:
         """Give the caller's stream to another lane."""
         self._race.forwarder.detach()
-        self._connection = None
+        self._exchange = None
         self._monitored = None
 
     def forward(
@@ -81,6 +81,7 @@
             self._race.forwarder.forward(event, upstream_request)
             return
         node_metrics.METRICS.count('redwingvalve_events_of_lost_races')
+        upstream_request.break_off()
 
 
 def _ignore_winner(lane: Lane) -> None:
--- a/redwingvalve/ingress/parked_sends.py
+++ b/redwingvalve/ingress/parked_sends.py
@@ -4,13 +4,12 @@
 request moves to refuses it, or breaks off before it has answered anything. The
 first answer would have gone on.
 
-Nothing is read for a parked send. It is ended by the first event that another
-send delivers, or together with its request.
+Nothing is read for a send from the moment at which it is parked. It is ended by
+the first event that another send delivers, or together with its request.
 """
 
 import attrs
 
-from redwingvalve.http1 import client
 from redwingvalve.ingress import events, load_balancing, upstream
 from redwingvalve.observability import logs, node_metrics
 
@@ -22,7 +21,6 @@
     """A send whose outcome isn't awaited at present."""
 
     request: upstream.UpstreamRequest
-    connection: client.Connection
     target: load_balancing.Target
 
     def resume(self) -> None:
@@ -30,7 +28,6 @@
         node_metrics.METRICS.count('redwingvalve_resumed_sends')
         LOG.info('send resumed', extra={'endpoint': self.target.endpoint_id})
         self.request.reopen()
-        self.connection.resume()
 
 
 @attrs.define(eq=False)
@@ -41,16 +38,13 @@
 
     @property
     def can_resume(self) -> bool:
-        """Return whether a send is parked whose connection is open."""
-        return self._parked is not None and self._parked.connection.is_open
-
-    def leave(self, send: ParkedSend, outcome: upstream.Outcome) -> None:
-        """Park a send that was silent, end any other."""
-        if outcome is not upstream.Outcome.STALLED:
-            send.connection.abandon()
-            return
+        """Return whether a send is parked whose answer may go on."""
+        return self._parked is not None and self._parked.request.is_pending
+
+    def park(self, send: ParkedSend) -> None:
+        """End a send as silent, and keep it in place of an earlier one."""
         self.drop()
-        send.connection.pause()
+        send.request.park()
         self._parked = send
 
     def take(self) -> ParkedSend:
@@ -64,8 +58,8 @@
         """End the parked send."""
         parked = self._parked
         self._parked = None
-        if parked is not None:
-            parked.connection.abandon()
+        if parked is not None and parked.request.exchange is not None:
+            parked.request.exchange.abandon()
 
 
 @attrs.define(eq=False)
@@ -79,5 +73,6 @@
         self, event: events.Event, upstream_request: upstream.UpstreamStream
     ) -> None:
         """Pass an event on."""
-        self._parked.drop()
         self._sink.forward(event, upstream_request)
+        if not upstream_request.ended.done():
+            self._parked.drop()
--- a/redwingvalve/ingress/peer_sender.py
+++ b/redwingvalve/ingress/peer_sender.py
@@ -111,7 +111,7 @@
     def cancel(self) -> None:
         """End the current attempt, as the caller has left."""
         if self.answer is not None:
-            self.answer.finish(upstream.Outcome.CALLER_GONE)
+            self.answer.stop(upstream.Outcome.CALLER_GONE)
 
     def _pool_out_of_reach(self) -> peer_routes.TargetPool | None:
         if self._state.reach.is_cut_off:
@@ -128,13 +128,13 @@
         answer = self._make_answer()
         self._sends.hold_answer(answer, self._state.account)
         self.answer = answer
-        connection.send(
+        answer.exchange = connection.send(
             self._render(attempts),
             answer,
             self._state.connections.release_callback(peer.address),
             self._request.body,
         )
-        self._forwarder.attach(connection, None)
+        self._forwarder.attach(answer.exchange, None)
         try:
             outcome = await upstream.wait_until(
                 answer, self._admission.timeout_at_s
@@ -142,7 +142,7 @@
         finally:
             self._forwarder.detach()
         if outcome in upstream_sender.ABANDONED:
-            connection.abandon()
+            answer.exchange.abandon()
         if answer.is_declined:
             self.asked[peer.vm] = 'declined'
             self.answer = None
@@ -174,7 +174,9 @@
             sink = parked_sends.TakeoverSink(
                 self._forwarder, self._sends.parked
             )
-            return PeerStream(attempt_id, _ignore, sink)
+            return PeerStream(
+                attempt_id, _ignore, sink, self._forwarder.last_event
+            )
         return PeerAnswer(attempt_id, _ignore)
 
     def _render(self, attempts: int) -> bytes:
--- a/redwingvalve/ingress/relocation.py
+++ b/redwingvalve/ingress/relocation.py
@@ -10,6 +10,7 @@
 from collections import abc as collections_abc
 
 import anyio
+import attrs
 
 from redwingvalve.ingress import (
     admission_control,
@@ -24,6 +25,24 @@
 RETRY_INTERVAL_S = 0.25
 
 
+@attrs.frozen
+class _Move:
+    request: upstream.UpstreamRequest
+    tried: collections_abc.Collection[str]
+    pay: collections_abc.Callable[[], bool]
+    park: collections_abc.Callable[[], None]
+
+    @property
+    def has_ended(self) -> bool:
+        return self.request.ended.done()
+
+    def park_if_paid(self) -> bool:
+        if self.has_ended or not self.pay():
+            return False
+        self.park()
+        return True
+
+
 class Relocation:
     """The move of one request; its slot is kept until take() or release()."""
 
@@ -56,54 +75,44 @@
         request: upstream.UpstreamRequest,
         tried: collections_abc.Collection[str],
         pay: collections_abc.Callable[[], bool],
+        park: collections_abc.Callable[[], None],
     ) -> upstream.Outcome:
         """Return the outcome of a silent send, STALLED once it can move.
 
-        tried lists the endpoints to avoid; pay takes a retry from the budget.
+        tried lists the endpoints to avoid; pay takes a retry from the budget;
+        park ends the send as silent.
         """
+        move = _Move(request, tried, pay, park)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._move, request, tried, pay)
+            group.start_soon(self._move, move)
             outcome = await upstream.wait_until(
                 request, self._admission.timeout_at_s
             )
             group.cancel_scope.cancel()
         return outcome
 
-    async def _move(
-        self,
-        request: upstream.UpstreamRequest,
-        tried: collections_abc.Collection[str],
-        pay: collections_abc.Callable[[], bool],
-    ) -> None:
-        while not await self._try_move(request, tried, pay):
+    async def _move(self, move: _Move) -> None:
+        while not await self._try_move(move):
             await anyio.sleep(RETRY_INTERVAL_S)
             if self._admission.is_stream:
-                request.clear_stall()
-                await asyncio.shield(request.stalled)
+                move.request.clear_stall()
+                await asyncio.shield(move.request.stalled)
 
-    async def _try_move(
-        self,
-        request: upstream.UpstreamRequest,
-        tried: collections_abc.Collection[str],
-        pay: collections_abc.Callable[[], bool],
-    ) -> bool:
+    async def _try_move(self, move: _Move) -> bool:
         """End the send if another one can follow; return whether it ended."""
         if self._state.reach.is_cut_off:
             # Another node will handle the request; that needs no slot.
-            if pay():
-                request.finish(upstream.Outcome.STALLED)
-            return request.ended.done()
+            move.park_if_paid()
+            return move.has_ended
         last_event = self._forwarder.last_event
-        found = await self._find_slot(tried)
+        found = await self._find_slot(move.tried)
         if not isinstance(found, reservations.Reservation):
             return False
         self._reservation = found
         has_gone_on = self._forwarder.last_event != last_event
-        if not has_gone_on and not request.ended.done() and pay():
-            request.finish(upstream.Outcome.STALLED)
-        else:
+        if has_gone_on or not move.park_if_paid():
             self.release()
-        return request.ended.done()
+        return move.has_ended
 
     async def _find_slot(
         self, tried: collections_abc.Collection[str]
--- a/redwingvalve/ingress/send_results.py
+++ b/redwingvalve/ingress/send_results.py
@@ -36,6 +36,8 @@
         upstream.Outcome.EVACUATED,
         # An endpoint that answers later than another one has not failed.
         upstream.Outcome.SUPERSEDED,
+        # Nor has one whose answer this node has dropped.
+        upstream.Outcome.GAP,
     )
 )
 
--- a/redwingvalve/ingress/stream_forwarding.py
+++ b/redwingvalve/ingress/stream_forwarding.py
@@ -2,7 +2,7 @@
 
 import time
 
-from redwingvalve.http1 import client, messages, server
+from redwingvalve.http1 import answer_room, client, messages, server
 from redwingvalve.ingress import events, stall_detection, timing, upstream
 
 
@@ -21,24 +21,24 @@
         self._times = times
         self._stall_detector = stall_detector
         self._responder = responder
-        self._connection: client.Connection | None = None
+        self._exchange: client.Exchange | None = None
         self._monitored_stream: stall_detection.MonitoredStream | None = None
         responder.on_writable = self._resume
 
     def attach(
         self,
-        connection: client.Connection | None,
+        exchange: client.Exchange | None,
         monitored_stream: stall_detection.MonitoredStream | None,
     ) -> None:
-        """Start to receive events from a connection."""
-        self._connection = connection
+        """Start to receive the events of an exchange."""
+        self._exchange = exchange
         self._monitored_stream = monitored_stream
         if monitored_stream is not None:
             self._stall_detector.add(monitored_stream)
 
     def detach(self) -> None:
         """Stop receiving events until the next attach()."""
-        self._connection = None
+        self._exchange = None
         if self._monitored_stream is not None:
             self._stall_detector.remove(self._monitored_stream)
             self._monitored_stream = None
@@ -51,8 +51,13 @@
         self._times.record_event(now_s)
         if self._monitored_stream is not None:
             self._stall_detector.record_event(self._monitored_stream, now_s)
+        if upstream_request.last_event != self.last_event:
+            # Another run has gone on meanwhile.
+            upstream_request.break_off()
+            return
         if self._is_duplicate(event):
             return
+        upstream_request.last_event = self.last_event
         if not self._responder.is_started:
             assert upstream_request.head is not None
             self._responder.start(
@@ -73,14 +78,14 @@
         return False
 
     def _pause(self) -> None:
-        if self._connection is not None:
-            self._connection.pause()
+        if self._exchange is not None:
+            self._exchange.pause(answer_room.PauseReason.READER)
         if self._monitored_stream is not None:
             self._monitored_stream.is_paused = True
 
     def _resume(self) -> None:
-        if self._connection is not None:
-            self._connection.resume()
+        if self._exchange is not None:
+            self._exchange.resume(answer_room.PauseReason.READER)
         if self._monitored_stream is not None:
             self._monitored_stream.is_paused = False
             self._stall_detector.record_event(
--- a/redwingvalve/ingress/tests/hedged_exchange.py
+++ b/redwingvalve/ingress/tests/hedged_exchange.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from redwingvalve.http1 import messages
+from redwingvalve.http1 import client, messages
 from redwingvalve.ingress import (
     admission_control,
     admitted_request,
@@ -45,21 +45,26 @@
     is_abandoned = False
     is_paused = False
     was_paused = False
+    has_answered = False
     handler = None
 
     @property
     def is_open(self):
         return not self.is_abandoned
 
-    def pause(self):
+    def serves(self, exchange):
+        return self.handler is exchange and not self.has_answered
+
+    def pause(self, reason):
         self.is_paused = True
         self.was_paused = True
 
-    def resume(self):
+    def resume(self, reason):
         self.is_paused = False
 
     def send(self, request, exchange, on_idle, body=b''):
         self.handler = exchange
+        return client.Exchange(self, exchange)
 
     def abandon(self):
         self.is_abandoned = True
@@ -73,6 +78,7 @@
         self.handler.head_received(messages.ResponseHead(status, headers, True))
         self.handler.body_received(body)
         if is_whole:
+            self.has_answered = True
             self.handler.completed()
 
 
--- a/redwingvalve/ingress/tests/test_relocation.py
+++ b/redwingvalve/ingress/tests/test_relocation.py
@@ -80,7 +80,7 @@
             if act is not None:
                 group.start_soon(self._act_later, act)
             return await self.mover.wait_or_move(
-                self.request, {'silent'}, self._pay
+                self.request, {'silent'}, self._pay, self.request.park
             )
 
     async def _act_later(self, act):
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -6,7 +6,7 @@
 import typing
 from collections import abc as collections_abc
 
-from redwingvalve.http1 import client, messages, response_limits
+from redwingvalve.http1 import answer_room, client, messages, response_limits
 from redwingvalve.ingress import answer_ends, events
 from redwingvalve.observability import node_metrics
 from redwingvalve.platform import endpoint_statements, names
@@ -36,6 +36,8 @@
     STALLED = 'silent'
     # Another send of the same request was answered first.
     SUPERSEDED = 'superseded'
+    # A piece of a stream that was received can't reach the caller any more.
+    GAP = 'gap'
     # The caller closed its connection.
     CALLER_GONE = 'gone'
     # The time limit of the whole request passed.
@@ -55,6 +57,8 @@
         self.ended: asyncio.Future[Outcome] = loop.create_future()
         # Done while the endpoint is silent beyond its time limit.
         self.stalled: asyncio.Future[None] = loop.create_future()
+        # None until the request is sent.
+        self.exchange: client.Exchange | None = None
         self.head: messages.ResponseHead | None = None
         # What the endpoint stated about itself, None before the head.
         self.statement: endpoint_statements.Statement | None = None
@@ -144,10 +148,29 @@
             return
         self.ended.set_result(outcome)
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether more of the answer may still arrive."""
+        return self.exchange is not None and self.exchange.is_pending
+
+    def stop(self, outcome: Outcome) -> None:
+        """End the send from outside, before anything more is received."""
+        self.finish(outcome)
+        if self.ended.result() is outcome and self.exchange is not None:
+            self.exchange.abandon()
+
+    def park(self) -> None:
+        """End the send as silent; what arrives now waits for reopen()."""
+        self.finish(Outcome.STALLED)
+        if self.exchange is not None:
+            self.exchange.pause(answer_room.PauseReason.PARKED)
+
     def reopen(self) -> None:
-        """Await the outcome again, after a send that was ended as silent."""
+        """Await the outcome of a parked send again."""
         self.ended = asyncio.get_running_loop().create_future()
         self.clear_stall()
+        if self.exchange is not None:
+            self.exchange.resume(answer_room.PauseReason.PARKED)
 
     def mark_stalled(self) -> None:
         """Record that the endpoint is silent."""
@@ -209,10 +232,17 @@
     """Forwards the events of a successful answer as they arrive."""
 
     def __init__(
-        self, attempt_id: bytes, on_statement: OnStatement, sink: EventSink
+        self,
+        attempt_id: bytes,
+        on_statement: OnStatement,
+        sink: EventSink,
+        last_event: int | None = None,
     ) -> None:
-        """Forward events to sink."""
+        """Forward events that follow last_event to sink."""
         super().__init__(attempt_id, on_statement)
+        # The last event that this run has delivered or needn't deliver.
+        self.last_event = last_event
+        self._has_gap = False
         self._sink = sink
         self._splitter = events.EventSplitter()
         self.is_stream = False
@@ -240,16 +270,32 @@
             return
         self._has_body = True
         if self.ended.done():
+            self._has_gap = True
             self._count_late('bytes')
             return
         for event in self._splitter.feed(chunk):
             if self.ended.done():
+                self._has_gap = True
                 self._count_late('event')
                 return
             self._sink.forward(event, self)
         if self._splitter.is_too_long:
             self._end_long_event()
 
+    def reopen(self) -> None:
+        """Await the outcome again, unless a part of the stream is lost."""
+        super().reopen()
+        if self._has_gap:
+            self.break_off()
+
+    def break_off(self) -> None:
+        """End a run of which the caller hasn't got a piece.
+
+        What follows can't be passed on, and its end isn't the caller's.
+        """
+        self._has_gap = True
+        self.stop(Outcome.GAP)
+
     def completed(self) -> None:
         """Set the outcome; a stream that ends inside an event is broken."""
         if self.is_stream and not self._splitter.is_between_events:
@@ -270,12 +316,13 @@
 
 
 async def wait_until(request: UpstreamRequest, until_s: float) -> Outcome:
-    """Return the outcome of a request, TIMEOUT if it has none by until_s."""
+    """Return the outcome of a request; stop it if it has none by until_s."""
     try:
         async with asyncio.timeout(until_s - time.monotonic()):
             return await asyncio.shield(request.ended)
     except TimeoutError:
-        return Outcome.TIMEOUT
+        request.stop(Outcome.TIMEOUT)
+        return request.ended.result()
 
 
 async def wait_until_stalled(
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -95,7 +95,7 @@
         self.upstream_request = upstream_request
         self.target = target
         self.connection = connection
-        connection.send(
+        upstream_request.exchange = connection.send(
             self._render_request(target),
             upstream_request,
             self._state.connections.release_callback(target.address),
@@ -109,7 +109,8 @@
         """Await the outcome of a send that was parked."""
         self.upstream_request = parked.request
         self.target = parked.target
-        self.connection = parked.connection
+        if parked.request.exchange is not None:
+            self.connection = parked.request.exchange.connection
         parked.resume()
         return await self._await_outcome(parked.target, parked.request)
 
@@ -127,12 +128,12 @@
     def cancel(self) -> None:
         """End the current attempt, as the caller has left."""
         if self.upstream_request is not None:
-            self.upstream_request.finish(upstream.Outcome.CALLER_GONE)
+            self.upstream_request.stop(upstream.Outcome.CALLER_GONE)
 
     def supersede(self) -> None:
         """End the current attempt, as another send was answered."""
         if self.upstream_request is not None:
-            self.upstream_request.finish(upstream.Outcome.SUPERSEDED)
+            self.upstream_request.stop(upstream.Outcome.SUPERSEDED)
 
     def head_stalled(self) -> None:
         """Move the request if another attempt is allowed.
@@ -145,8 +146,8 @@
 
     def abandon(self) -> None:
         """Close the connection of an attempt that is cancelled."""
-        if self.connection is not None:
-            self.connection.abandon()
+        if self.upstream_request is not None:
+            _abandon(self.upstream_request)
 
     async def check_links(self) -> None:
         """Find out whether the endpoint has failed or this node is cut off.
@@ -231,7 +232,9 @@
         attempt_id = self._caller.attempt_id
         if self._admission.is_stream:
             sink = parked_sends.TakeoverSink(self._forwarder, self.sends.parked)
-            return upstream.UpstreamStream(attempt_id, on_statement, sink)
+            return upstream.UpstreamStream(
+                attempt_id, on_statement, sink, self._forwarder.last_event
+            )
         return upstream.UpstreamRequest(attempt_id, on_statement)
 
     def _render_request(self, target: load_balancing.Target) -> bytes:
@@ -254,26 +257,21 @@
         upstream_request: upstream.UpstreamRequest,
     ) -> upstream.Outcome:
         self._forwarder.attach(
-            self.connection, self._make_monitored_stream(target)
+            upstream_request.exchange, self._make_monitored_stream(target)
         )
         in_flight_requests = self._state.in_flight_requests.setdefault(
             target.endpoint_id, set()
         )
         in_flight_requests.add(self)
         try:
-            outcome = await self._wait_for_outcome(upstream_request)
+            outcome = await self._wait_for_outcome(target, upstream_request)
         finally:
             in_flight_requests.discard(self)
             self._forwarder.detach()
         if outcome in _ENDED and upstream_request.ends_with_connection:
             outcome = await self._check_end(target, upstream_request, outcome)
-        if outcome in ABANDONED and self.connection is not None:
-            self.sends.parked.leave(
-                parked_sends.ParkedSend(
-                    upstream_request, self.connection, target
-                ),
-                outcome,
-            )
+        if outcome in ABANDONED:
+            _abandon(upstream_request)
         self.connection = None
         return outcome
 
@@ -301,7 +299,9 @@
         return upstream.Outcome.BROKEN
 
     async def _wait_for_outcome(
-        self, upstream_request: upstream.UpstreamRequest
+        self,
+        target: load_balancing.Target,
+        upstream_request: upstream.UpstreamRequest,
     ) -> upstream.Outcome:
         until_s = self._admission.timeout_at_s
         sent_s = time.monotonic()
@@ -329,6 +329,10 @@
             upstream_request,
             self.sends.tried_endpoints,
             functools.partial(self._reserve_retry, reason),
+            functools.partial(
+                self.sends.parked.park,
+                parked_sends.ParkedSend(upstream_request, target),
+            ),
         )
 
     def _make_monitored_stream(
@@ -356,12 +360,17 @@
     return NON_REPEATABLE_MAX_IDLE_S
 
 
+def _abandon(upstream_request: upstream.UpstreamRequest) -> None:
+    if upstream_request.exchange is not None:
+        upstream_request.exchange.abandon()
+
+
 _ENDED = frozenset((upstream.Outcome.COMPLETE, upstream.Outcome.FAILURE))
 ABANDONED = frozenset(
     (
         upstream.Outcome.CALLER_GONE,
         upstream.Outcome.SUPERSEDED,
-        upstream.Outcome.STALLED,
+        upstream.Outcome.GAP,
         upstream.Outcome.TIMEOUT,
         upstream.Outcome.BROKEN,
     )
