Share the turns of the loop among all slow reads

Cause: the time of a step was bounded for each connection, not for all of them. In each turn of the loop every connection took a step of some milliseconds, so that a turn took 0.3 s, and a request needs about ten.

A connection that is paused again before its step reports no end.

--- a/redwingvalve/http1/tests/test_stepped_reads.py
+++ b/redwingvalve/http1/tests/test_stepped_reads.py
@@ -227,6 +227,44 @@
     asyncio.run(main())
 
 
+def test_the_end_of_a_connection_that_is_paused_again_waits():
+    """A pause between resume() and the next step was passed by."""
+
+    async def main():
+        handler = Handler()
+        connection = test_endless_answers.connect(handler)
+        connection.data_received(ENDLESS + b'x')
+        connection.pause(READER)
+        connection.connection_lost(None)
+        connection.resume(READER)
+        connection.pause(READER)
+        await asyncio.sleep(0)
+        assert handler.ending is None
+
+    asyncio.run(main())
+
+
+def test_a_crowd_of_slow_reads_takes_short_turns():
+    """Each of them took a step in each turn, so that others had none."""
+
+    async def main():
+        data = CHUNKED + b'1\r\nx\r\n' * 2_500
+        crowd = [test_endless_answers.connect(SlowHandler()) for _ in range(60)]
+        for connection in crowd:
+            connection.data_received(CHUNKED)
+        longest_s = 0
+        started_s = time.process_time()
+        for connection in crowd:
+            connection.data_received(data[len(CHUNKED) :])
+        while any(one.transport.is_paused for one in crowd):
+            longest_s = max(longest_s, time.process_time() - started_s)
+            started_s = time.process_time()
+            await asyncio.sleep(0)
+        assert longest_s < STEP_S
+
+    asyncio.run(main())
+
+
 def test_a_failure_in_a_later_step_closes_the_connection():
     """It would neither be read nor be closed."""
     sizes_bytes = []
