Let parked hedges and streams of slow callers go on

A request whose hedge had been parked was given up although its endpoint went on; a parked stream whose caller read on meanwhile stood still until its time was over.

Cause: the end of a hedge closed its exchange, which is still pending while it is parked. A resumed hedge delivered its events to the lane of the hedge, took it for the winner and superseded the sender that had resumed it: itself. The pause for a slow caller was ended only at the exchange that was attached at that moment, and a parked one isn't.

A parked request is left alone by its former sender, and delivers to the sender that resumes it. Attaching an exchange brings its pause up to date.

--- a/redwingvalve/ingress/hedged_send.py
+++ b/redwingvalve/ingress/hedged_send.py
@@ -147,6 +147,10 @@
             group.cancel_scope.cancel()
         return found
 
+    def prepare_resumption(self) -> None:
+        """Let the first lane go on with a send that was parked."""
+        self._race.restart()
+
     def cancel(self) -> None:
         """End the hedge, as the caller has left."""
         self._stop_planning()
@@ -238,7 +242,8 @@
         self._plan.observe()
         self._stop_planning()
         hedge = self._hedge
-        if hedge is None:
+        # A hedge that has ended may be parked, and resumed by the first sender.
+        if hedge is None or hedge.ended.done():
             return
         if lane is hedge.lane:
             self._first.supersede()
--- a/redwingvalve/ingress/request_senders.py
+++ b/redwingvalve/ingress/request_senders.py
@@ -63,6 +63,8 @@
             return None
         # A slot that was reserved for another send isn't needed now.
         self.sends.relocation.release()
+        if self.hedged is not None:
+            self.hedged.prepare_resumption()
         resumed = parked.take()
         outcome = await self.first.send_parked(resumed)
         return send_results.SendResult(outcome, resumed.target, resumed.request)
--- a/redwingvalve/ingress/stream_forwarding.py
+++ b/redwingvalve/ingress/stream_forwarding.py
@@ -35,6 +35,11 @@
         self._monitored_stream = monitored_stream
         if monitored_stream is not None:
             self._stall_detector.add(monitored_stream)
+        # The caller may have read, or filled its buffer, since the last one.
+        if self._responder.is_write_paused:
+            self._pause()
+        elif exchange is not None:
+            exchange.resume(answer_room.PauseReason.READER)
 
     def detach(self) -> None:
         """Stop receiving events until the next attach()."""
@@ -51,8 +56,7 @@
         self._times.record_event(now_s)
         if self._monitored_stream is not None:
             self._stall_detector.record_event(self._monitored_stream, now_s)
-        if upstream_request.last_event != self.last_event:
-            # Another run has gone on meanwhile.
+        if not self._continues(upstream_request):
             upstream_request.break_off()
             return
         if self._is_duplicate(event):
@@ -68,6 +72,10 @@
         if self._responder.is_write_paused:
             self._pause()
 
+    def _continues(self, run: upstream.UpstreamStream) -> bool:
+        """Return whether a run goes on where the caller's stream has ended."""
+        return run.last_event == self.last_event
+
     def _is_duplicate(self, event: events.Event) -> bool:
         number = event.number
         if number is None:
--- /dev/null
+++ b/redwingvalve/ingress/tests/test_resumed_sends.py
@@ -0,0 +1,93 @@
+"""Parked sends that go on, over the connections' own code."""
+
+import anyio
+import pytest
+
+from redwingvalve.ingress import routes
+from redwingvalve.ingress.tests import hedged_exchange, wire_exchange
+
+EVENTS = wire_exchange.EVENTS
+WHOLE = b'HTTP/1.1 200 x\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n' % (
+    hedged_exchange.ATTEMPT
+)
+
+
+def play(exchange, act):
+    hedged_exchange.play(exchange, act)
+    wire_exchange.assert_ordered(exchange)
+
+
+@pytest.mark.parametrize('is_framed', [True, False])
+def test_a_hedge_that_was_parked_goes_on(is_framed):
+    """Its connection was closed, or it was superseded by itself."""
+    exchange = wire_exchange.Exchange(attempts=3)
+    exchange.is_trial = False
+
+    async def act(exchange):
+        await exchange.wait_for_sends(2)
+        hedge = wire_exchange.Stream(exchange, 1, is_framed=is_framed)
+        hedge.start()
+        hedge.send(1, 4)
+        await anyio.sleep(0.02)
+        exchange.stall()
+        await exchange.wait_for_sends(3)
+        exchange.refuse(2)
+        await anyio.sleep(0.02)
+        for number in range(5, EVENTS + 1):
+            hedge.send(number, number)
+        hedge.finish()
+        await exchange.wait_until_done()
+
+    play(exchange, act)
+    assert exchange.responder.is_done
+
+
+def test_a_plain_hedge_that_was_parked_is_answered():
+    """Its connection was closed, and no other endpoint took the request."""
+    exchange = wire_exchange.Exchange(
+        attempts=3, kind=routes.RouteKind.IDEMPOTENT
+    )
+    exchange.is_trial = False
+
+    async def act(exchange):
+        await exchange.wait_for_sends(2)
+        exchange.refuse(0)
+        await exchange.wait_for_sends(3)
+        exchange.refuse(2)
+        await anyio.sleep(0.02)
+        exchange.connections[1].transport.deliver(
+            WHOLE + b'Content-Length: 5\r\n\r\nwhole'
+        )
+        await exchange.wait_until_done()
+
+    hedged_exchange.play(exchange, act)
+    assert exchange.responder.body == b'whole'
+
+
+@pytest.mark.parametrize('reads_again', ['parked', 'resumed'])
+def test_a_parked_stream_of_a_slow_caller_goes_on(reads_again):
+    """Nobody ended the pause of a caller that read on meanwhile."""
+    exchange = wire_exchange.Exchange()
+
+    async def act(exchange):
+        responder = exchange.responder
+        await exchange.wait_for_sends(1)
+        stream = wire_exchange.Stream(exchange, 0, is_framed=True)
+        stream.start()
+        responder.is_write_paused = True
+        stream.send(1, 4)
+        exchange.stall()
+        await exchange.wait_for_sends(2)
+        if reads_again == 'resumed':
+            exchange.refuse(1)
+            await anyio.sleep(0.02)
+        responder.is_write_paused = False
+        responder.on_writable()
+        if reads_again == 'parked':
+            exchange.refuse(1)
+        stream.send(5, EVENTS)
+        stream.finish()
+        await exchange.wait_until_done()
+
+    play(exchange, act)
+    assert exchange.responder.is_done
--- a/redwingvalve/ingress/tests/wire_exchange.py
+++ b/redwingvalve/ingress/tests/wire_exchange.py
@@ -103,10 +103,10 @@
 
 
 class Exchange(hedged_exchange.Exchange):
-    """One resumable stream over connections of this module."""
+    """One request over connections of this module, a resumable stream."""
 
-    def __init__(self, attempts=2):
-        super().__init__(hedged_exchange.STREAM, attempts)
+    def __init__(self, attempts=2, kind=hedged_exchange.STREAM):
+        super().__init__(kind, attempts)
         self.state.connections = Connections()
         self.state.reserver = Reserver()
         self.is_trial = True
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -59,6 +59,8 @@
         self.stalled: asyncio.Future[None] = loop.create_future()
         # None until the request is sent.
         self.exchange: client.Exchange | None = None
+        # Ended as silent, until it is reopened.
+        self.is_parked = False
         self.head: messages.ResponseHead | None = None
         # What the endpoint stated about itself, None before the head.
         self.statement: endpoint_statements.Statement | None = None
@@ -162,11 +164,13 @@
     def park(self) -> None:
         """End the send as silent; what arrives now waits for reopen()."""
         self.finish(Outcome.STALLED)
+        self.is_parked = True
         if self.exchange is not None:
             self.exchange.pause(answer_room.PauseReason.PARKED)
 
     def reopen(self) -> None:
         """Await the outcome of a parked send again."""
+        self.is_parked = False
         self.ended = asyncio.get_running_loop().create_future()
         self.clear_stall()
         if self.exchange is not None:
@@ -242,8 +246,8 @@
         super().__init__(attempt_id, on_statement)
         # The last event that this run has delivered or needn't deliver.
         self.last_event = last_event
+        self.sink = sink
         self._has_gap = False
-        self._sink = sink
         self._splitter = events.EventSplitter()
         self.is_stream = False
 
@@ -278,7 +282,7 @@
                 self._has_gap = True
                 self._count_late('event')
                 return
-            self._sink.forward(event, self)
+            self.sink.forward(event, self)
         if self._splitter.is_too_long:
             self._end_long_event()
 
@@ -299,10 +303,9 @@
     def completed(self) -> None:
         """Set the outcome; a stream that ends inside an event is broken."""
         if self.is_stream and not self._splitter.is_between_events:
-            self.reason = 'ended inside an event'
-            self.finish(Outcome.BROKEN)
-            return
-        super().completed()
+            self.broken('ended inside an event')
+        else:
+            super().completed()
 
     def _end_long_event(self) -> None:
         # The sender closes the connection of a broken answer.
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -111,6 +111,11 @@
         self.target = parked.target
         if parked.request.exchange is not None:
             self.connection = parked.request.exchange.connection
+        if isinstance(parked.request, upstream.UpstreamStream):
+            # It may have been sent by a hedge.
+            parked.request.sink = parked_sends.TakeoverSink(
+                self._forwarder, self.sends.parked
+            )
         parked.resume()
         return await self._await_outcome(parked.target, parked.request)
 
@@ -146,8 +151,9 @@
 
     def abandon(self) -> None:
         """Close the connection of an attempt that is cancelled."""
-        if self.upstream_request is not None:
-            _abandon(self.upstream_request)
+        latest = self.upstream_request
+        if latest is not None and not latest.is_parked:
+            _abandon(latest)
 
     async def check_links(self) -> None:
         """Find out whether the endpoint has failed or this node is cut off.
@@ -231,9 +237,11 @@
     ) -> upstream.UpstreamRequest:
         attempt_id = self._caller.attempt_id
         if self._admission.is_stream:
-            sink = parked_sends.TakeoverSink(self._forwarder, self.sends.parked)
             return upstream.UpstreamStream(
-                attempt_id, on_statement, sink, self._forwarder.last_event
+                attempt_id,
+                on_statement,
+                parked_sends.TakeoverSink(self._forwarder, self.sends.parked),
+                self._forwarder.last_event,
             )
         return upstream.UpstreamRequest(attempt_id, on_statement)
 
