End a run that can't be the rest of the caller's stream

A run that began anew instead of behind Last-Event-Id and ended early was passed on as the end of the stream. Events without a number came twice when a stream was moved.

A run that ends below the caller's last event is broken. Behind an event without a number no other run goes on. An event that the caller already has doesn't end the parked send.

--- a/redwingvalve/ingress/parked_sends.py
+++ b/redwingvalve/ingress/parked_sends.py
@@ -74,5 +74,7 @@
     ) -> None:
         """Pass an event on."""
         self._sink.forward(event, upstream_request)
-        if not upstream_request.ended.done():
+        # Not dropped by one that the caller already has.
+        is_new = event.number in {None, upstream_request.last_event}
+        if is_new and not upstream_request.ended.done():
             self._parked.drop()
--- a/redwingvalve/ingress/stream_forwarding.py
+++ b/redwingvalve/ingress/stream_forwarding.py
@@ -22,6 +22,8 @@
         self._stall_detector = stall_detector
         self._responder = responder
         self._exchange: client.Exchange | None = None
+        # The run that has delivered an event without a number.
+        self._unnumbered_run: upstream.UpstreamStream | None = None
         self._monitored_stream: stall_detection.MonitoredStream | None = None
         responder.on_writable = self._resume
 
@@ -62,6 +64,8 @@
         if self._is_duplicate(event):
             return
         upstream_request.last_event = self.last_event
+        if event.number is None:
+            self._unnumbered_run = upstream_request
         if not self._responder.is_started:
             assert upstream_request.head is not None
             self._responder.start(
@@ -73,7 +77,12 @@
             self._pause()
 
     def _continues(self, run: upstream.UpstreamStream) -> bool:
-        """Return whether a run goes on where the caller's stream has ended."""
+        """Return whether a run goes on where the caller's stream has ended.
+
+        After an event without a number no other run can.
+        """
+        if self._unnumbered_run not in {None, run}:
+            return False
         return run.last_event == self.last_event
 
     def _is_duplicate(self, event: events.Event) -> bool:
--- a/redwingvalve/ingress/tests/test_resumed_sends.py
+++ b/redwingvalve/ingress/tests/test_resumed_sends.py
@@ -91,3 +91,51 @@
 
     play(exchange, act)
     assert exchange.responder.is_done
+
+
+@pytest.mark.parametrize('is_framed', [True, False])
+def test_a_run_that_ends_before_the_caller_is_not_the_answer(is_framed):
+    """It began anew, and its early end was passed on as that of the stream."""
+    exchange = wire_exchange.Exchange()
+
+    async def act(exchange):
+        await exchange.wait_for_sends(1)
+        first = wire_exchange.Stream(exchange, 0, is_framed=True)
+        first.start()
+        first.send(1, 4)
+        exchange.stall()
+        await exchange.wait_for_sends(2)
+        second = wire_exchange.Stream(exchange, 1, is_framed=is_framed)
+        second.start()
+        second.send(1, 2)
+        second.finish()
+        await anyio.sleep(0.02)
+        first.send(5, EVENTS)
+        first.finish()
+        await exchange.wait_until_done()
+
+    play(exchange, act)
+    assert exchange.responder.is_done
+
+
+def test_events_without_numbers_are_not_delivered_twice():
+    """No run can go on behind them, and the next one began anew."""
+    exchange = wire_exchange.Exchange()
+    piece = b'data: x\n\n'
+
+    def send(number):
+        transport = exchange.connections[number].transport
+        transport.deliver(WHOLE + b'\r\n' + piece)
+        return transport
+
+    async def act(exchange):
+        await exchange.wait_for_sends(1)
+        send(0)
+        exchange.stall()
+        await exchange.wait_for_sends(2)
+        send(1).end()
+        await exchange.wait_until_done()
+
+    hedged_exchange.play(exchange, act)
+    assert exchange.responder.body == piece
+    assert not exchange.responder.is_done
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -248,6 +248,8 @@
         self.last_event = last_event
         self.sink = sink
         self._has_gap = False
+        # Of the events received, None before one with a number.
+        self._highest: int | None = None
         self._splitter = events.EventSplitter()
         self.is_stream = False
 
@@ -282,7 +284,7 @@
                 self._has_gap = True
                 self._count_late('event')
                 return
-            self.sink.forward(event, self)
+            self._forward(event)
         if self._splitter.is_too_long:
             self._end_long_event()
 
@@ -304,9 +306,22 @@
         """Set the outcome; a stream that ends inside an event is broken."""
         if self.is_stream and not self._splitter.is_between_events:
             self.broken('ended inside an event')
+        elif self._is_behind:
+            self.broken('ended before events that another run has delivered')
         else:
             super().completed()
 
+    @property
+    def _is_behind(self) -> bool:
+        if self._highest is None or self.last_event is None:
+            return False
+        return self._highest < self.last_event
+
+    def _forward(self, event: events.Event) -> None:
+        if event.number is not None:
+            self._highest = max(event.number, self._highest or 0)
+        self.sink.forward(event, self)
+
     def _end_long_event(self) -> None:
         # The sender closes the connection of a broken answer.
         response_limits.count(_EVENT_EXCESS)
