Refuse models that no endpoint has before anything is kept

Cause: the name that a caller states was the key of estimates, queues and metrics before anybody knew whether there is such a model, and none is dropped.

A model that is neither configured for the service nor had by any endpoint is refused at once with 503 and Retry-After, as before, but ahead of all tables. Services whose configuration lists no models still take any name.

--- a/redwingvalve/ingress/refusals.py
+++ b/redwingvalve/ingress/refusals.py
@@ -79,6 +79,9 @@
 NO_FREE_SLOT: typing.Final = Refusal(
     UNAVAILABLE, 'no endpoint has a free place', RETRY_AFTER_S
 )
+UNKNOWN_MODEL: typing.Final = Refusal(
+    UNAVAILABLE, 'no endpoint has this model', RETRY_AFTER_S
+)
 POISON_SUSPECT: typing.Final = Refusal(
     UNAVAILABLE,
     'this request may have crashed endpoints',
--- a/redwingvalve/ingress/request_handler.py
+++ b/redwingvalve/ingress/request_handler.py
@@ -134,6 +134,10 @@
         if isinstance(decision, refusals.Refusal):
             responses.send_refusal(self.responder, self._caller, decision)
             return None
+        if not self._has_model(decision):
+            refusal = refusals.UNKNOWN_MODEL
+            responses.send_refusal(self.responder, self._caller, refusal)
+            return None
         if self._forwarded is not None:
             return admission_control.limit_forwarded(decision, self._forwarded)
         return admission_control.mark_caller_retry(
@@ -142,3 +146,14 @@
             self._state.deadline_history,
             self._times.started_s,
         )
+
+    def _has_model(self, admission: admission_control.Admission) -> bool:
+        """Return whether any endpoint has the model, or may be given it.
+
+        Callers choose the name, so that nothing may be kept for one before.
+        """
+        configuration = self._state.configuration
+        service, model = admission.service, admission.model
+        if configuration is None or configuration.has_model(service, model):
+            return True
+        return bool(self._state.targets.find_targets(service, model))
--- a/redwingvalve/ingress/routes.py
+++ b/redwingvalve/ingress/routes.py
@@ -173,6 +173,16 @@
         found = self.services.get(service)
         return found.engine if found else None
 
+    def has_model(self, service: str, model: str) -> bool:
+        """Return whether endpoints of a service may be given a model.
+
+        A service without a list of models takes any name.
+        """
+        engine = self.find_engine(service)
+        if engine is None or not engine.models:
+            return True
+        return engine.find_model(model) is not None
+
     def has_competing_accounts(self, service: str) -> bool:
         """Return whether client accounts compete for a service's slots."""
         if not self._has_several_accounts:
--- a/redwingvalve/node/tests/test_requests.py
+++ b/redwingvalve/node/tests/test_requests.py
@@ -4,6 +4,7 @@
 import pytest
 
 from redwingvalve.allocation import messages
+from redwingvalve.observability import node_metrics
 from redwingvalve.platform.tests import fleet_harness
 
 
@@ -234,3 +235,21 @@
         assert b'redwingvalve_calls_total' in response.body
 
     fleet_harness.run(test, engines=0)
+
+
+def test_names_of_unknown_models_leave_nothing_behind():
+    """Each of them was kept for good, until the process ran out of memory."""
+
+    async def test(fleet):
+        caller = fleet.caller()
+        for number in range(20):
+            headers = [(b'X-Model', b'unknown-%d' % number)]
+            response = await caller.ask('/draft/1', headers=headers)
+            assert (response.status, response.ending) == (503, 'whole')
+            assert b'retry-after' in response.headers
+        assert b'unknown-' not in node_metrics.METRICS.render()
+        state = fleet.nodes[0].state
+        kept = [*state._prompt_read_times, *state._first_event_estimates]
+        assert 'unknown-' not in str(kept)
+
+    fleet_harness.run(test, nodes=1, engines=4, plain=0)
