Don't judge an answer by times at which it was read late

Half of an answer without a length counted as whole: its endpoint was leaving and was ended amid the answer, which was parked at that moment.

Cause: such an answer is taken for whole if it came at once, some time after its endpoint had stopped listening. Bytes that wait unread have the times of the resumption.

An answer that was parked, or waited for room, isn't judged by its times.

test_half_an_answer_that_waited_unread_is_not_whole failed before.

--- a/redwingvalve/http1/answer_room.py
+++ b/redwingvalve/http1/answer_room.py
@@ -29,6 +29,8 @@
 
     # What it is counted with; None if it isn't counted.
     memory: byte_account.Hold | None = None
+    # Bytes of it have waited unread, so that their times tell nothing.
+    was_held = False
 
     @property
     def held_bytes(self) -> int:
@@ -86,6 +88,8 @@
     def take(self) -> None:
         """Hold what there is of the answer, or read no more until it can."""
         if self._timer is None and not self._has_room():
+            if self._answer is not None:
+                self._answer.was_held = True
             self._reads.pause()
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(ROOM_INTERVAL_S, self._try_again)
--- a/redwingvalve/ingress/answer_ends.py
+++ b/redwingvalve/ingress/answer_ends.py
@@ -88,6 +88,8 @@
     ended_s: float
     # Its request may be one that crashes endpoints.
     is_in_doubt: bool = False
+    # Its bytes have waited unread, so that the times are later than their own.
+    was_held: bool = False
 
 
 @attrs.frozen
@@ -149,7 +151,7 @@
 
     The events of a stream come one by one, so that an early end is as likely.
     """
-    if evidence.stopped_s is None:
+    if evidence.stopped_s is None or answer.was_held:
         return False
     has_outlived_stop = answer.ended_s - evidence.stopped_s >= MIN_STOPPED_S
     return has_outlived_stop and (
--- a/redwingvalve/ingress/tests/test_resumed_sends.py
+++ b/redwingvalve/ingress/tests/test_resumed_sends.py
@@ -1,9 +1,11 @@
 """Parked sends that go on, over the connections' own code."""
 
+import time
+
 import anyio
 import pytest
 
-from redwingvalve.ingress import routes
+from redwingvalve.ingress import answer_ends, routes
 from redwingvalve.ingress.tests import hedged_exchange, wire_exchange
 
 EVENTS = wire_exchange.EVENTS
@@ -139,3 +141,39 @@
     hedged_exchange.play(exchange, act)
     assert exchange.responder.body == piece
     assert not exchange.responder.is_done
+
+
+def test_half_an_answer_that_waited_unread_is_not_whole():
+    """Its times were those of the resumption, long after its endpoint's end."""
+    exchange = wire_exchange.Exchange(kind=routes.RouteKind.IDEMPOTENT)
+    exchange.state.end_checker = StoppedEndpoint()
+
+    async def act(exchange):
+        await exchange.wait_for_sends(2)
+        transport = exchange.connections[0].transport
+        transport.deliver(WHOLE + b'\r\nhalf')
+        transport.end()
+        exchange.state.end_checker.stopped_s = time.monotonic()
+        await anyio.sleep(2 * answer_ends.MIN_STOPPED_S)
+        exchange.refuse(1)
+        await exchange.wait_until_done()
+
+    hedged_exchange.play(exchange, act)
+    assert exchange.responder.body != b'half'
+
+
+class StoppedEndpoint(answer_ends.AnswerEndChecker):
+    """An endpoint that was leaving, and was ended amid its answer."""
+
+    stopped_s = 0
+
+    async def check(self, answer):
+        evidence = answer_ends.Evidence(
+            answer_ends.Life.NOT_LISTENING,
+            is_leaving=True,
+            stopped_s=self.stopped_s,
+        )
+        return answer_ends.judge(answer, evidence)
+
+    async def run(self):
+        """Gather nothing."""
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -165,6 +165,7 @@
         """End the send as silent; what arrives now waits for reopen()."""
         self.finish(Outcome.STALLED)
         self.is_parked = True
+        self.was_held = True
         if self.exchange is not None:
             self.exchange.pause(answer_room.PauseReason.PARKED)
 
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -294,6 +294,7 @@
             target,
             is_stream=self._admission.is_stream,
             head_s=upstream_request.head_s,
+            was_held=upstream_request.was_held,
             ended_s=time.monotonic(),
             is_in_doubt=self._state.poison.blame.is_in_doubt(self._keys),
         )
