Take no answer for whole that its replica may have cut off

Callers saw a stream without a length or chunks end as complete with its first part only: 10 of 40 events, status 200 and a proper end.

Cause: such an answer counted as whole if its endpoint's process answered afterwards. A head whose replica is broken, closed at once, or which joins another replica cuts off its work and answers reports as before.

Change: the report that shows life is read too, by this node or another one. The answer is whole only if the replica of the answer (name and epoch) is open or closing by it, or was seen closing before; not if the report or the entry says broken. The decision is fleet/replica_standing.py, without a network. The stand-in reports `closing` until its last answer, as the platform's page says; before, it was `ready` amid its answers.

Not covered: a report that still says `open` some hundred milliseconds after the cut, if the entry is late too.

--- a/redwingvalve/fleet/registry.py
+++ b/redwingvalve/fleet/registry.py
@@ -13,6 +13,7 @@
 
 from redwingvalve.core import clock, steps
 from redwingvalve.fleet import (
+    closing_marks,
     endpoints,
     incarnation_tracker,
     unusable_entries,
@@ -69,6 +70,7 @@
             collections_abc.Callable[[str], None]
         ] = []
         self.tracker = incarnation_tracker.IncarnationTracker(clock)
+        self.closing = closing_marks.ClosingMarks()
         self._clock = clock
         self._expired: dict[str, _Expired] = {}
         self._last_outage_s: float | None = None
@@ -229,6 +231,7 @@
         if observed is incarnation_tracker.Observation.NEW:
             self._begin_incarnation(endpoint)
         self.live[endpoint.endpoint_id] = endpoint
+        self.closing.observe(endpoint)
         self._expired.pop(endpoint.endpoint_id, None)
         if endpoint.draining:
             self._draining_since_s.setdefault(
--- a/redwingvalve/ingress/answer_ends.py
+++ b/redwingvalve/ingress/answer_ends.py
@@ -6,9 +6,13 @@
 look whole to its caller. An endpoint that leaves finishes its answers, and may
 stop listening before.
 
-An answer is whole if its endpoint outlives it. It is taken for whole too if its
-body came at once from an endpoint that had stopped listening some time before:
-one that is ended stops listening at the same moment. All others may be cut off.
+A head may cut off the answers of its replica and live on: a member is lost, or
+the replica is closed at once. Its process tells nothing then.
+
+An answer is whole if its endpoint outlives it, and its replica too. It is taken
+for whole too if its body came at once from an endpoint that had stopped
+listening some time before: one that is ended stops listening at the same
+moment. All others may be cut off.
 """
 
 import abc
@@ -62,6 +66,17 @@
     SILENT = 'silent'
 
 
+class Standing(enum.Enum):
+    """What is known of the replica of an answer after it has ended."""
+
+    # It takes requests or finishes them, or there is none.
+    SERVES = 'serves'
+    # Its work is cut off, or may be.
+    CUT_OFF = 'cut off'
+    # Nobody has reported of it.
+    UNTOLD = 'untold'
+
+
 @attrs.frozen
 class EndedAnswer:
     """An answer that ended with its connection."""
@@ -85,6 +100,7 @@
     has_open_connection: bool = False
     # When it was first found not to listen, None if it wasn't.
     stopped_s: float | None = None
+    standing: Standing = Standing.SERVES
 
 
 _OTHERS: typing.Final = types.MappingProxyType(
@@ -98,6 +114,24 @@
 
 def judge(answer: EndedAnswer, evidence: Evidence) -> AnswerEnd:
     """Return how an answer ended."""
+    end = _judge_life(answer, evidence)
+    if end.is_whole and _may_be_cut_off(evidence):
+        return AnswerEnd.UNKNOWN
+    return end
+
+
+def _may_be_cut_off(evidence: Evidence) -> bool:
+    """Return whether a replica may have cut off what its head outlives.
+
+    A head that doesn't listen any more can't be asked for its report.
+    """
+    if evidence.standing is Standing.UNTOLD:
+        return evidence.life is not Life.NOT_LISTENING
+    return evidence.standing is Standing.CUT_OFF
+
+
+def _judge_life(answer: EndedAnswer, evidence: Evidence) -> AnswerEnd:
+    """Return how an answer ended as far as its endpoint's life tells."""
     whole = AnswerEnd.UNTRACKED if evidence.is_leaving else AnswerEnd.OPEN
     if evidence.life is not Life.NOT_LISTENING:
         return whole if evidence.life is Life.ALIVE else _OTHERS[evidence.life]
--- a/redwingvalve/ingress/tests/test_answer_ends.py
+++ b/redwingvalve/ingress/tests/test_answer_ends.py
@@ -5,6 +5,7 @@
 from redwingvalve.ingress import answer_ends, load_balancing
 
 End, Life = answer_ends.AnswerEnd, answer_ends.Life
+Standing = answer_ends.Standing
 TARGET = load_balancing.Target('e1', '127.0.0.1', 1, 4, 'zone-1')
 
 
@@ -58,3 +59,31 @@
         stopped_s=stopped_s,
     )
     assert found is end
+
+
+@pytest.mark.parametrize('is_leaving', [False, True])
+@pytest.mark.parametrize('life', [Life.ALIVE, Life.REACHED_BY_OTHERS])
+@pytest.mark.parametrize('standing', [Standing.CUT_OFF, Standing.UNTOLD])
+def test_a_process_that_lives_tells_nothing_of_its_replica(
+    life, standing, is_leaving
+):
+    """Heads that cut off answers live on, and these counted as whole."""
+    found = judge(life, standing=standing, is_leaving=is_leaving)
+    assert found is End.UNKNOWN
+
+
+@pytest.mark.parametrize('life', [Life.ENDED, Life.SILENT])
+def test_the_end_of_a_process_counts_whatever_its_replica_is(life):
+    """Crashes weren't counted as such."""
+    assert judge(life, standing=Standing.CUT_OFF) is judge(life)
+
+
+def test_an_open_connection_tells_of_a_head_that_can_not_be_asked():
+    """The last answers of heads that leave weren't passed on."""
+    found = judge(
+        Life.NOT_LISTENING,
+        standing=Standing.UNTOLD,
+        has_open_connection=True,
+        is_stream=True,
+    )
+    assert found is End.OPEN
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -15,7 +15,7 @@
 import anyio.abc
 import attrs
 
-from redwingvalve.fleet import endpoints
+from redwingvalve.fleet import endpoints, replica_standing
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.http1 import client as http_client
 from redwingvalve.ingress import (
@@ -158,6 +158,14 @@
             self.tracker.record_silence(incarnation)
 
 
+@attrs.frozen
+class _Found:
+    """What is found out about an endpoint, and what it reports if it does."""
+
+    life: answer_ends.Life
+    report: endpoint_orders.Report | None = None
+
+
 @attrs.define(eq=False)
 class EndpointAnswerEnds(answer_ends.AnswerEndChecker):
     """Probes the endpoint of each answer that ended with its connection.
@@ -180,7 +188,8 @@
         is_leaving = self.registry.is_leaving(target.endpoint_id)
         if answer.is_in_doubt:
             await anyio.sleep(ANSWER_END_DELAY_S)
-        life = await self._find_life(target, answer.ended_s)
+        found = await self._find_life(target, answer.ended_s)
+        life = found.life
         evidence = answer_ends.Evidence(
             life,
             is_leaving=is_leaving,
@@ -189,12 +198,14 @@
                 and await _outlasts(others, answer.ended_s)
             ),
             stopped_s=self.watch.stopped_s(target),
+            standing=self._find_standing(target, found.report),
         )
         end = answer_ends.judge(answer, evidence)
         node_metrics.METRICS.count(
             'redwingvalve_ends_with_connections',
             end=end.value,
             life=life.value,
+            standing=evidence.standing.value,
             is_leaving=str(is_leaving),
             is_stream=str(answer.is_stream),
         )
@@ -204,6 +215,7 @@
                 'endpoint': target.endpoint_id,
                 'end': end.value,
                 'life': life.value,
+                'standing': evidence.standing.value,
                 'is_leaving': is_leaving,
                 'is_stream': answer.is_stream,
                 'is_in_doubt': answer.is_in_doubt,
@@ -215,37 +227,55 @@
         """Watch endpoints that leave until cancelled."""
         await self.watch.run()
 
+    def _find_standing(
+        self,
+        target: load_balancing.Target,
+        report: endpoint_orders.Report | None,
+    ) -> answer_ends.Standing:
+        """Return how a target's replica stands by its report and entry."""
+        listed = self.registry.live.get(target.endpoint_id)
+        key = (target.replica, target.epoch)
+        return replica_standing.judge(
+            key,
+            listed=None if listed is None else listed.membership,
+            report=report,
+            was_closing=self.registry.closing.has(target.incarnation, key),
+        )
+
     async def _find_life(
         self, target: load_balancing.Target, ended_s: float
-    ) -> answer_ends.Life:
+    ) -> _Found:
         """Return what the endpoint's host says, or another node of it."""
         listed = self.registry.live.get(target.endpoint_id)
         if listed is not None and listed.incarnation != target.incarnation:
-            return answer_ends.Life.ENDED
+            return _Found(answer_ends.Life.ENDED)
         endpoint = listed or _make_endpoint(target)
         until_s = time.monotonic() + MAX_SILENCE_S
-        life = await self._ask(endpoint, ended_s)
-        while life is answer_ends.Life.SILENT and time.monotonic() < until_s:
+        found = await self._ask(endpoint, ended_s)
+        while (
+            found.life is answer_ends.Life.SILENT and time.monotonic() < until_s
+        ):
             await anyio.sleep(RETRY_INTERVAL_S)
-            life = await self._ask(endpoint, ended_s)
-        return life
+            found = await self._ask(endpoint, ended_s)
+        return found
 
     async def _ask(
         self, endpoint: endpoints.Endpoint, ended_s: float
-    ) -> answer_ends.Life:
-        life = _LIVES[await self.client.check_liveness(endpoint)]
+    ) -> _Found:
+        probed = await self.client.probe(endpoint)
+        life = _LIVES[probed.liveness]
         if life in {answer_ends.Life.ALIVE, answer_ends.Life.ENDED}:
-            return life
+            return _Found(life, probed.report)
         # To a node that is cut off all endpoints seem gone.
         is_gone = life is answer_ends.Life.NOT_LISTENING
         if is_gone and await self.reach.confirm():
-            return life
+            return _Found(life)
         report = await self.prober.ask_others(endpoint, since_s=ended_s)
         if report is None:
-            return answer_ends.Life.SILENT
+            return _Found(answer_ends.Life.SILENT)
         if report.born_ms in {0, endpoint.born_ms}:
-            return answer_ends.Life.REACHED_BY_OTHERS
-        return answer_ends.Life.ENDED
+            return _Found(answer_ends.Life.REACHED_BY_OTHERS, report)
+        return _Found(answer_ends.Life.ENDED)
 
 
 async def _outlasts(
--- a/redwingvalve/node/tests/test_answer_ends.py
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from redwingvalve.platform.standins import endpoint as fake_endpoint
 from redwingvalve.platform.standins import endpoint_faults
 from redwingvalve.platform.tests import fleet_harness
 
@@ -162,3 +163,75 @@
         assert [run.attempt_id for run in runs].count(first) == 1
 
     fleet_harness.run(test, **ENGINES)
+
+
+def ask_while(change):
+    """Return the answer to a stream that a change meets, and its runs."""
+    found = []
+
+    async def test(fleet):
+        close_after_answers(fleet)
+
+        async def ask():
+            found.append(await fleet.caller().stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await anyio.sleep(0.2)
+            await change(fleet, endpoint)
+        found.append(count_runs(fleet))
+
+    fleet_harness.run(test, **ENGINES)
+    return found
+
+
+async def know_closing(fleet, endpoint):
+    """Let a head close its replica, and the node learn of it."""
+    fake_endpoint.report_state(endpoint, 'closing')
+    live = fleet.nodes[0].registry.live
+    known = live[endpoint.endpoint_id]
+    await fleet.wait_until(lambda: live[endpoint.endpoint_id] is not known)
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+@pytest.mark.parametrize('state', ['broken', 'ready'])
+def test_a_stream_goes_on_that_its_replica_has_cut_off(state, leaves):
+    """Its head answers on, so that the caller got the start as the whole."""
+
+    async def cut_off(fleet, endpoint):
+        if leaves:
+            await leave(fleet, endpoint)
+        endpoint.faults.cuts_off_answers = True
+        fake_endpoint.report_state(endpoint, state)
+
+    response, runs = ask_while(cut_off)
+    assert response.ending == 'whole'
+    assert response.events == EVENTS
+    assert runs == 2
+
+
+def test_a_stream_goes_on_whose_head_has_left_its_replica():
+    """It joins another one at once, and answers for that."""
+
+    async def rejoin(fleet, endpoint):
+        endpoint.faults.cuts_off_answers = True
+        endpoint.group = None
+        endpoint.write_entry()
+
+    response, runs = ask_while(rejoin)
+    assert response.events == EVENTS
+    assert runs == 2
+
+
+def test_a_whole_stream_of_a_replica_that_closes_runs_once():
+    """Its replica had closed when it was asked, and it was sent again."""
+
+    async def close(fleet, endpoint):
+        await know_closing(fleet, endpoint)
+        fake_endpoint.report_state(endpoint, 'ready')
+
+    response, runs = ask_while(close)
+    assert response.events == EVENTS
+    assert response.ending == 'whole'
+    assert runs == 1
--- a/redwingvalve/platform/endpoint_orders.py
+++ b/redwingvalve/platform/endpoint_orders.py
@@ -80,6 +80,15 @@
     staged: tuple[str, ...]
 
 
+@attrs.frozen
+class LifeProbe:
+    """What the answer to a probe shows about one process, and its report."""
+
+    liveness: Liveness
+    # None without a valid one.
+    report: Report | None = None
+
+
 class EndpointClient:
     """Sends orders and report requests to endpoints."""
 
@@ -196,6 +205,11 @@
 
     async def check_liveness(self, endpoint: endpoints.Endpoint) -> Liveness:
         """Return whether the process of an endpoint's entry still runs."""
+        probed = await self.probe(endpoint)
+        return probed.liveness
+
+    async def probe(self, endpoint: endpoints.Endpoint) -> LifeProbe:
+        """Return the same, and what the process reports."""
         try:
             status, body = await self._json.call(
                 (endpoint.host, endpoint.port),
@@ -206,16 +220,16 @@
                 json_answers.make_report_answer(),
             )
         except store.NotListeningError:
-            return Liveness.NOT_LISTENING
+            return LifeProbe(Liveness.NOT_LISTENING)
         except store.StoreError:
-            return Liveness.UNKNOWN
+            return LifeProbe(Liveness.UNKNOWN)
         if status == _OTHER_ENDPOINT:
-            return Liveness.ENDED
+            return LifeProbe(Liveness.ENDED)
         # Plain services needn't know the path; any answer shows life.
         report = _decode_report(body) if isinstance(body, dict) else None
         if report is not None and report.born_ms not in {0, endpoint.born_ms}:
-            return Liveness.ENDED
-        return Liveness.ALIVE
+            return LifeProbe(Liveness.ENDED)
+        return LifeProbe(Liveness.ALIVE, report)
 
     async def check_process(self, endpoint: endpoints.Endpoint) -> Liveness:
         """Return the same, if the endpoint takes a new connection.
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -52,6 +52,8 @@
     # By the monotonic clock.
     times_s: list[float] = attrs.field(factory=list)
     attempt_ids: list[bytes] = attrs.field(factory=list)
+    # Answers in progress.
+    running: int = 0
 
 
 class FakeEndpoint(server.Application):
@@ -258,7 +260,7 @@
         key = (order['group'], order['epoch'])
         if group is None or (group['name'], group['epoch']) != key:
             return 409
-        return self._change_state(operation)
+        return self._change_state(order)
 
     def _join(self, order: Document) -> int:
         if order['epoch'] < self._epoch:
@@ -277,16 +279,17 @@
         )
         return 202
 
-    def _change_state(self, operation: str) -> int:
+    def _change_state(self, order: Document) -> int:
         assert self.group is not None
+        operation = order['operation']
         if operation == 'open':
             if self.group['state'] != 'ready':
                 return 409
             self._schedule_state(OPEN_DURATION_S, self.group, 'open')
         elif operation == 'close':
-            is_stuck = self.faults.never_drains
-            state = 'closing' if is_stuck else 'ready'
-            self.group = {**self.group, 'state': state}
+            finishes = order['close_mode'] == 'queue' and self.arrivals.running
+            is_closing = finishes or self.faults.never_drains
+            report_state(self, 'closing' if is_closing else 'ready')
         elif operation == 'leave':
             self.group = None
         self.write_entry()
@@ -352,7 +355,36 @@
         elif spoiling is not None:
             endpoint_faults.spoil(spoiling, request, responder, headers)
             return
-        await endpoint_answers.answer(self, request, responder, headers)
+        await _answer_counted(self, request, responder, headers)
+
+
+def report_state(endpoint: FakeEndpoint, state: str) -> None:
+    """Report another state of the replica, at once."""
+    if endpoint.group is not None:
+        endpoint.group = {**endpoint.group, 'state': state}
+    endpoint.write_entry()
+
+
+async def _answer_counted(
+    endpoint: FakeEndpoint,
+    request: messages.Request,
+    responder: server.Responder,
+    headers: messages.Headers,
+) -> None:
+    endpoint.arrivals.running += 1
+    try:
+        await endpoint_answers.answer(endpoint, request, responder, headers)
+    finally:
+        endpoint.arrivals.running -= 1
+        _end_closing(endpoint)
+
+
+def _end_closing(endpoint: FakeEndpoint) -> None:
+    """Report that a replica which closes has finished its last answer."""
+    state = endpoint.group and endpoint.group['state']
+    is_busy = endpoint.arrivals.running or endpoint.faults.never_drains
+    if state == 'closing' and not is_busy:
+        report_state(endpoint, 'ready')
 
 
 def _answer_json(
--- a/redwingvalve/platform/standins/endpoint_answers.py
+++ b/redwingvalve/platform/standins/endpoint_answers.py
@@ -51,7 +51,11 @@
     if endpoint.faults.closes_after_answers:
         pieces = _pieces(endpoint, request)
         await endpoint_crashes.answer_until_closed(
-            responder, headers, pieces, endpoint_faults.EVENT_INTERVAL_S
+            responder,
+            headers,
+            pieces,
+            endpoint_faults.EVENT_INTERVAL_S,
+            lambda: endpoint.faults.cuts_off_answers,
         )
     elif request.header(b'x-model'):
         last = int(request.header(b'last-event-id') or 0)
--- a/redwingvalve/platform/standins/endpoint_crashes.py
+++ b/redwingvalve/platform/standins/endpoint_crashes.py
@@ -102,12 +102,15 @@
     headers: messages.Headers,
     pieces: collections_abc.Sequence[bytes],
     interval_s: float,
+    is_cut_off: collections_abc.Callable[[], bool],
 ) -> None:
-    """Send a whole answer whose end is that of its connection."""
+    """Send an answer whose end is that of its connection."""
     head = messages.render_head(b'HTTP/1.1 200 OK', headers)
     responder.connection.write(head)
     for piece in pieces:
         await asyncio.sleep(interval_s)
+        if is_cut_off():
+            break
         responder.connection.write(piece)
     responder.connection.response_completed(keep=False)
 
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -41,6 +41,8 @@
     duplicates_response: bool = False
     # Answers have neither a length nor chunks and end with their connections.
     closes_after_answers: bool = False
+    # Such answers end where they are, as if they were whole.
+    cuts_off_answers: bool = False
     aborts_at_event: int | None = None
     rejects_requests: bool = False
     rejects_every_other_request: bool = False
