Don't take a head's state from before its opening for its end

Cause: `ready` is also the state before a head opens, for form_ms after the order and for as long as reports lag behind. stop_missing_head(), stop_head() and drain() took it for the head's word that it has stopped, so that its members didn't leave and nobody closed it.

Change: HeadStops knows when an order to open was sent (node/head_statements.py, pure). Until 0.6 s + form_ms + report_lag_ms after it, only `broken`, a later epoch or another process at the address count. Meanwhile a missing head is closed, and closed again if it then says that it is open; one that must stop at once is told to leave, and its answer counts. Entries count in drain() if an earlier one said that the head served. report_lag_ms is read from the configuration.

--- a/redwingvalve/ingress/routes.py
+++ b/redwingvalve/ingress/routes.py
@@ -44,6 +44,8 @@
     loads_per_s: float
     max_concurrent_loads: int
     formation_ms: float
+    # How old the values of an endpoint's report are.
+    report_lag_ms: float = 0
 
     def find_model(self, name: str) -> Model | None:
         """Return the model of a name, if it is configured."""
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -89,6 +89,7 @@
         """Set the engine configuration of the service's endpoints."""
         is_first = self._engine is None
         self._engine = engine
+        self._orders.open_orders.engine = engine
         if is_first:
             # Endpoints may be listed before the configuration is known. If they
             # were not recorded here, members whose head isn't listed yet would
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -5,6 +5,7 @@
 a report that another node gets counts like one that this node gets.
 """
 
+import math
 import time
 import types
 import typing
@@ -15,7 +16,11 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, head_evidence
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.node import endpoint_prober, replica_spec
+from redwingvalve.node import (
+    endpoint_prober,
+    head_statements,
+    replica_spec,
+)
 from redwingvalve.observability import logs
 from redwingvalve.platform import endpoint_orders
 
@@ -51,6 +56,9 @@
     _registry: registry_module.Registry
     # Orders are sent only while this returns True.
     _may_order: typing.Callable[[], bool]
+    _open_orders: head_statements.OpenOrders = attrs.field(
+        factory=head_statements.OpenOrders
+    )
 
     async def make_head_leave(
         self, head: endpoints.Endpoint
@@ -88,31 +96,34 @@
         self,
         head: endpoints.Endpoint,
         report: endpoint_orders.Report | None,
+        asked_s: float = -math.inf,
     ) -> Evidence | None:
         """Close a head; return why it no longer serves its replica.
 
-        None if this node may not order it any more.
+        None if this node may not order it any more. The report was asked for
+        after asked_s by the monotonic clock.
         """
         membership = head.membership
         assert membership is not None
         since_s = time.monotonic()
         if report is None:
+            asked_s = since_s
             report = await self._prober.ask_others(head, since_s)
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
-            if _has_stopped(head, report):
+            if self._has_stopped(head, report, asked_s):
                 return Evidence.STATED
             if report is None and self._is_dead(head):
                 return Evidence.UNREACHED
-            if report is not None:
-                await self._client.close(
-                    head, membership.replica, membership.epoch, False
-                )
+            evidence = await self._order_to_stop(head, report)
+            if evidence is not None:
+                return evidence
             await anyio.sleep(POLL_INTERVAL_S)
+            asked_s = self._question_s(head, since_s)
             # A head that is listed counts as alive without the others' word.
             is_missing = self._is_missing(head)
             if is_missing:
-                report = await self._prober.ask_with_others(head, since_s)
+                report = await self._prober.ask_with_others(head, asked_s)
             else:
                 report = await self._prober.ask(head)
         return self._evidence_of_time()
@@ -135,14 +146,20 @@
         deadline_s = started_s + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
             seen = self._registry.live.get(head.endpoint_id)
-            if seen is not None:
+            if seen is not None and head_statements.was_seen_serving(head):
                 if not replica_spec.still_serves(head, seen.membership):
                     return Evidence.STATED
                 await anyio.sleep(POLL_INTERVAL_S)
                 continue
+            asked_s = time.monotonic()
             report = await self._prober.ask(head)
-            if _has_stopped(head, report):
+            if self._has_stopped(head, report, asked_s):
                 return Evidence.STATED
+            if _is_open(head, report):
+                # It opened, or gets requests, in spite of the first order.
+                await self._client.close(
+                    head, membership.replica, membership.epoch, True
+                )
             await anyio.sleep(PROBE_INTERVAL_S)
         return self._evidence_of_time()
 
@@ -158,10 +175,11 @@
             # It may have stopped listening, while its last requests go on.
             return await self.drain(head, missing_since_s)
         probed_s = clock.boot_s()
+        asked_s = time.monotonic()
         report = await self._prober.ask_until_certain(
             head, missing_since_s + LEAVE_TIMEOUT_S
         )
-        if _has_stopped(head, report):
+        if self._has_stopped(head, report, asked_s):
             return Evidence.STATED
         is_probed_in_time = (
             probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
@@ -178,7 +196,45 @@
         report = await self._prober.ask_others(head, since_s)
         if report is None:
             return Evidence.UNREACHED
-        return Evidence.STATED if _has_left(head, report) else None
+        is_settled = since_s >= self._open_orders.settled_s(head)
+        has_left = head_statements.shows_departure(head, report, is_settled)
+        return Evidence.STATED if has_left else None
+
+    async def _order_to_stop(
+        self, head: endpoints.Endpoint, report: endpoint_orders.Report | None
+    ) -> Evidence | None:
+        """Order a head that answers to stop; return what its answer shows."""
+        membership = head.membership
+        if report is None or membership is None:
+            return None
+        if replica_spec.still_serves(head, report.membership):
+            await self._client.close(
+                head, membership.replica, membership.epoch, False
+            )
+            return None
+        # It may be about to open, which only an order to leave prevents.
+        result = await self._client.leave(
+            head, membership.replica, membership.epoch
+        )
+        evidence = _EVIDENCE_BY_RESULT.get(result)
+        if evidence is None:
+            await anyio.sleep(PROBE_INTERVAL_S)
+        return evidence
+
+    def _question_s(self, head: endpoints.Endpoint, since_s: float) -> float:
+        """Return since when a report has to be asked for."""
+        settled_s = self._open_orders.settled_s(head)
+        is_settled = time.monotonic() >= settled_s
+        return max(since_s, settled_s) if is_settled else since_s
+
+    def _has_stopped(
+        self,
+        head: endpoints.Endpoint,
+        report: endpoint_orders.Report | None,
+        asked_s: float,
+    ) -> bool:
+        is_settled = asked_s >= self._open_orders.settled_s(head)
+        return head_statements.shows_stop(head, report, is_settled)
 
     def _evidence_of_time(self) -> Evidence | None:
         return Evidence.TIME_PASSED if self._may_order() else None
@@ -198,17 +254,12 @@
         return seen is None or seen.born_ms != head.born_ms
 
 
-def _has_stopped(
+def _is_open(
     head: endpoints.Endpoint, report: endpoint_orders.Report | None
 ) -> bool:
-    """Return whether a head reports that it doesn't serve its replica."""
-    if report is None:
-        return False
-    return not replica_spec.still_serves(head, report.membership)
-
-
-def _has_left(head: endpoints.Endpoint, report: endpoint_orders.Report) -> bool:
-    """Return whether a head reports that it isn't in its replica any more."""
-    if head.membership is None or report.membership is None:
-        return True
-    return report.membership.key != head.membership.key
+    membership = report.membership if report is not None else None
+    return (
+        membership is not None
+        and replica_spec.is_member(head, membership.key)
+        and membership.state is endpoints.MemberState.OPEN
+    )
--- a/redwingvalve/platform/configuration.py
+++ b/redwingvalve/platform/configuration.py
@@ -105,6 +105,7 @@
         loads_per_s=float(entry.get('loads_per_s') or 1),
         max_concurrent_loads=int(entry.get('loads_at_once') or 1),
         formation_ms=float(entry.get('form_ms') or 0),
+        report_lag_ms=float(entry.get('report_lag_ms') or 0),
     )
 
 
