Count an order to open from its answer on

Seen: by reading. A node that is paused between noting an order to open and sending it (SIGSTOP, for a second) sends it after the time at which the head's reports count, so that `ready` states its end too early.

Cause: only the time before the send was kept.

Change: the time of the answer replaces it. An order without an answer still makes the members leave.

Not reproduced; no test of its own.

--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -215,6 +215,8 @@
             self.ordered.record_open_order(spec.key)
             self.open_orders.record(spec.key, time.monotonic())
             result = await self._client.open(head, spec.name, spec.epoch)
+            # A process that was paused sends it later than it said.
+            self.open_orders.record(spec.key, time.monotonic())
             if result is OrderResult.UNKNOWN:
                 self.ordered.record_unanswered_open(spec.key)
             if result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
