Let unframed streams of the stand-in have drawn lengths and silences

Cause: answers that end with their connections always had the default number of events, and went on while the endpoint was silent. Change: both kinds of streams send the same events, at the same turns.

--- a/redwingvalve/platform/standins/endpoint_answers.py
+++ b/redwingvalve/platform/standins/endpoint_answers.py
@@ -51,13 +51,10 @@
     if endpoint.faults.closes_after_answers:
         pieces = _pieces(endpoint, request)
         await endpoint_crashes.answer_until_closed(
-            responder, headers, pieces, endpoint_faults.EVENT_INTERVAL_S
+            responder, headers, pieces, lambda: _wait_for_turn(endpoint)
         )
     elif request.header(b'x-model'):
-        last = int(request.header(b'last-event-id') or 0)
-        events = int(request.header(EVENTS) or endpoint.events_per_response)
-        padding = b'x' * int(request.header(EVENT_BYTES) or 0)
-        await _stream(endpoint, responder, headers, last, events, padding)
+        await _stream(endpoint, responder, headers, request)
     else:
         duration_s = request.header(DURATION_S)
         await asyncio.sleep(
@@ -73,27 +70,30 @@
     endpoint: AnsweringEndpoint,
     responder: server.Responder,
     headers: messages.Headers,
-    last: int,
-    events: int,
-    padding: bytes,
+    request: messages.Request,
 ) -> None:
     kind = (b'content-type', b'text/event-stream')
     responder.start(200, [*headers, kind])
-    for number in range(last + 1, events + 1):
-        await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
-        while endpoint_faults.is_stalled(endpoint.faults):
-            await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+    first = _last_event(request) + 1
+    for number, event in enumerate(_pieces(endpoint, request), first):
+        await _wait_for_turn(endpoint)
         if number == endpoint.faults.aborts_at_event:
             # Abort in the middle of an event.
             responder.write(b'id: %d\ndata: ha' % number)
             await asyncio.sleep(0)
             responder.abort()
             return
-        shown = b'%d%b' % (number, padding)
-        responder.write(b'id: %d\ndata: %b\n\n' % (number, shown))
+        responder.write(event)
     responder.finish()
 
 
+async def _wait_for_turn(endpoint: AnsweringEndpoint) -> None:
+    """Wait until the next piece is due and the endpoint isn't silent."""
+    await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+    while endpoint_faults.is_stalled(endpoint.faults):
+        await asyncio.sleep(endpoint_faults.EVENT_INTERVAL_S)
+
+
 def _answer(
     endpoint: AnsweringEndpoint,
     responder: server.Responder,
@@ -115,9 +115,20 @@
     if request.header(b'x-model') is None:
         attempt = request.header(b'x-attempt-id') or b''
         return [b'body of %b' % attempt]
-    last = int(request.header(b'last-event-id') or 0)
-    numbers = range(last + 1, endpoint.events_per_response + 1)
-    return [b'id: %d\ndata: %d\n\n' % (one, one) for one in numbers]
+    events = int(request.header(EVENTS) or endpoint.events_per_response)
+    padding = b'x' * int(request.header(EVENT_BYTES) or 0)
+    numbers = range(_last_event(request) + 1, events + 1)
+    return [make_event(number, padding) for number in numbers]
+
+
+def make_event(number: int, padding: bytes = b'') -> bytes:
+    """Return an event of a stream, as each run sends it."""
+    return b'id: %d\ndata: %d%b\n\n' % (number, number, padding)
+
+
+def _last_event(request: messages.Request) -> int:
+    """Return the last event that a caller has, 0 without any."""
+    return int(request.header(b'last-event-id') or 0)
 
 
 async def _fails(
--- a/redwingvalve/platform/standins/endpoint_crashes.py
+++ b/redwingvalve/platform/standins/endpoint_crashes.py
@@ -101,13 +101,16 @@
     responder: server.Responder,
     headers: messages.Headers,
     pieces: collections_abc.Sequence[bytes],
-    interval_s: float,
+    wait: collections_abc.Callable[[], collections_abc.Awaitable[None]],
 ) -> None:
-    """Send a whole answer whose end is that of its connection."""
+    """Send a whole answer whose end is that of its connection.
+
+    wait returns once the next piece is due.
+    """
     head = messages.render_head(b'HTTP/1.1 200 OK', headers)
     responder.connection.write(head)
     for piece in pieces:
-        await asyncio.sleep(interval_s)
+        await wait()
         responder.connection.write(piece)
     responder.connection.response_completed(keep=False)
 
