Check the start of a broken stream in the daemons' soak

Cause: only texts of whole answers were compared, so that a piece missing from a stream that broke later went unseen. Change: Guarantee.ORDER; the text of a broken answer starts the expected one. Result: two cases in test_checker.py show the breach, one that a broken stream in order is none; they pass. The daemons' soak wasn't run for it.

--- a/redwingvalve/soak/breaches.py
+++ b/redwingvalve/soak/breaches.py
@@ -13,6 +13,7 @@
 
     ANSWERED = 'every request gets one final answer'
     WHOLE_AND_OWN = 'every answer is whole and belongs to its request'
+    ORDER = 'what a broken stream delivered is the start of its answer'
     NOT_RUN = 'a request called not-run was not run'
     AT_MOST_ONCE = 'a non-idempotent request runs at most once'
     NO_VM_MISSING = 'no replica serves while one of its VMs is missing'
--- a/redwingvalve/soak/checker.py
+++ b/redwingvalve/soak/checker.py
@@ -97,32 +97,39 @@
 ) -> Found:
     for record in all_records:
         for attempt in record.attempts:
-            if attempt.whole and not _is_expected_text(
-                record.request, attempt, versions
-            ):
+            guarantee = _broken_by_text(record.request, attempt, versions)
+            if guarantee is not None:
+                state = 'whole' if attempt.whole else 'a part'
                 yield breaches.Breach(
-                    Guarantee.WHOLE_AND_OWN,
+                    guarantee,
                     record.request.name,
                     f'{attempt.entry} gave {attempt.text[:80]!r}'
-                    f' ({len(attempt.text)} characters) as whole',
+                    f' ({len(attempt.text)} characters) as {state}',
                     attempt.ended_s or attempt.started_s,
                 )
 
 
-def _is_expected_text(
+def _broken_by_text(
     request: workload.Request,
     attempt: records.Attempt,
     versions: frozenset[tuple[str, str]],
-) -> bool:
-    if not request.prompt:
-        return attempt.text == request.digest
-    return any(
-        attempt.text
-        == generated_text.full_text(
-            request.prompt, model, version, request.max_tokens
-        )
-        for model, version in versions
-    )
+) -> Guarantee | None:
+    """Return what a text breaks; a stream may end early if it says so."""
+    if not attempt.whole and not attempt.text:
+        return None
+    expected = [request.digest]
+    if request.prompt:
+        expected = [
+            generated_text.full_text(
+                request.prompt, model, version, request.max_tokens
+            )
+            for model, version in versions
+        ]
+    if attempt.whole:
+        is_right = attempt.text in expected
+        return None if is_right else Guarantee.WHOLE_AND_OWN
+    is_right = any(text.startswith(attempt.text) for text in expected)
+    return None if is_right else Guarantee.ORDER
 
 
 def _false_not_run(all_records: Records, runs: Runs) -> Found:
--- a/redwingvalve/soak/tests/test_checker.py
+++ b/redwingvalve/soak/tests/test_checker.py
@@ -54,6 +54,16 @@
         [records.Record(STREAM, [attempt(whole=True, text=text_of(QUOTE))])],
         [],
     ),
+    (
+        breaches.Guarantee.ORDER,
+        [records.Record(STREAM, [attempt(text=text_of(STREAM)[5:40])])],
+        [],
+    ),
+    (
+        breaches.Guarantee.ORDER,
+        [records.Record(STREAM, [attempt(text=text_of(STREAM) + ' t0')])],
+        [],
+    ),
     (
         breaches.Guarantee.NOT_RUN,
         [records.Record(QUOTE, [attempt(outcome='not-run')])],
@@ -86,9 +96,9 @@
 def test_allowed_behaviour_is_not_reported():
     """Retries after not-run and repeated idempotent requests are allowed.
 
-    The second attempt of the quote runs. The stream resumes on another replica
-    after a VM of the first one died. Requests in the first seconds after a VM
-    starts to leave are already in flight.
+    The second attempt of the quote runs. The stream is broken once, and resumes
+    on another replica after a VM of the first one died. Requests in the first
+    seconds after a VM starts to leave are already in flight.
     """
     seen = [
         records.Record(
@@ -106,7 +116,11 @@
             ],
         ),
         records.Record(
-            STREAM, [attempt(whole=True, text=text_of(STREAM, '2'))]
+            STREAM,
+            [
+                attempt(text=text_of(STREAM, '2')[:40]),
+                attempt(whole=True, text=text_of(STREAM, '2')),
+            ],
         ),
     ]
     ran = [
