Check each stream of the node soak for its order

Cause: only streams of six events that ended as whole were checked, with framed answers and four nodes, so that a missing piece could go unseen. Change: five more callers ask for streams of up to 60 events and up to 12 kB an event; some read slowly or use a connection until its process is gone. A part of the endpoints ends answers with the connection. Heads fall silent for 0.08 to 3 s while the other engines refuse. What arrives is compared byte for byte with what one run sends, whatever the end. New draws have random generators of their own.

--- a/tests/integration/node_faults.py
+++ b/tests/integration/node_faults.py
@@ -61,6 +61,31 @@
             endpoint.faults.silent_until_s = time.monotonic() + silent_s
             await anyio.sleep(rng.uniform(0.3, 1.5))
 
+    async def silence_while_others_refuse(self):
+        """Let streams fall silent that can go nowhere else, until cancelled.
+
+        Some silences end at about the time when their streams are moved.
+        """
+        rng = random.Random(f'refusals {self.cluster.seed}')
+        while True:
+            heads = self.cluster.ready_endpoints(fleet_harness.ENGINE_SERVICE)
+            opened = [one for one in heads if _is_open_head(one)]
+            silent = rng.choice(opened or heads)
+            silent_s = rng.choice((rng.uniform(0.08, 0.6), rng.uniform(0.6, 3)))
+            await self._refuse(silent, heads, silent_s, rng.uniform(0.1, 0.6))
+            await anyio.sleep(rng.uniform(0.5, 2.5))
+
+    async def _refuse(self, silent, heads, silent_s, refusing_s):
+        others = [one for one in heads if one is not silent]
+        for one in others:
+            one.faults.rejects_requests = True
+        silent.faults.silent_until_s = time.monotonic() + silent_s
+        try:
+            await anyio.sleep(silent_s + refusing_s)
+        finally:
+            for one in others:
+                one.faults.rejects_requests = False
+
     async def pause_node(self):
         node = self.rng.choice(self.cluster.nodes)
         node.send_signal(signal.SIGSTOP)
@@ -160,3 +185,8 @@
         setattr(self.cluster.store.faults, name, value)
         await anyio.sleep(self.rng.uniform(0.5, 3))
         setattr(self.cluster.store.faults, name, healed)
+
+
+def _is_open_head(endpoint):
+    is_open = endpoint.group and endpoint.group['state'] == 'open'
+    return is_open and endpoint.members[0] == endpoint.endpoint_id
--- a/tests/integration/node_soak.py
+++ b/tests/integration/node_soak.py
@@ -17,9 +17,17 @@
 
 from redwingvalve.platform.standins import store as fake_store
 from redwingvalve.platform.tests import fleet_harness
-from tests.integration import node_faults, node_versions, node_world
+from tests.integration import (
+    node_faults,
+    node_versions,
+    node_world,
+    soak_streams,
+)
 
 CALLERS = 6
+# In addition, callers of streams of drawn lengths only. They are counted apart,
+# as a long stream takes the time of many refusals.
+STREAM_CALLERS = 5
 # After all faults are healed, requests must recover within this time to this
 # fraction of successful responses.
 RECOVERY_S = 4.0
@@ -29,7 +37,11 @@
 SETTLE_S = 2.5
 # The same after an evacuation, and until one that has ended is known to all.
 EVACUATE_S = node_world.BOUNDS['evacuate_ms'] / 1000
-EVENTS = list(range(1, 7))
+MAX_NODES = 12
+# Callers that use an open connection until its process is gone.
+CLINGING_PART = 0.3
+# Endpoints whose answers end with their connections.
+UNFRAMED_PART = 0.3
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -44,6 +56,8 @@
     at_most_once: list = attrs.field(factory=list)
     not_run: list = attrs.field(factory=list)
     outcomes: list = attrs.field(factory=list)
+    # Those of the callers of streams only.
+    streams: 'RunResults | None' = None
 
 
 @attrs.define(eq=False)
@@ -53,11 +67,16 @@
     cluster: node_world.NodeCluster
     results: RunResults
     rng: object
+    # Draws the streams of a caller of streams only.
+    stream_rng: object | None = None
     connection: fleet_harness.Caller | None = None
+    stream: soak_streams.Stream | None = None
 
     async def run(self):
+        clings = self.stream_rng and self.stream_rng.random() < CLINGING_PART
         while True:
-            if self.connection is None or self.rng.random() < 0.3:
+            changes = self.rng.random() < 0.3 and not clings
+            if self.connection is None or changes:
                 node = self.rng.choice(self.cluster.nodes)
                 self.connection = fleet_harness.Caller(
                     (node.ip, node_world.FRONT_PORT)
@@ -66,7 +85,9 @@
             await anyio.sleep(self.rng.uniform(0, 0.05))
 
     async def _send_request(self):
-        kind = self.rng.choice(('stream', 'quote', 'card'))
+        kind = 'stream'
+        if self.stream_rng is None:
+            kind = self.rng.choice(('stream', 'quote', 'card'))
         self.results.sent += 1
         is_served = False
         try:
@@ -80,7 +101,8 @@
 
     async def _send(self, kind):
         if kind == 'stream':
-            return await self.connection.stream()
+            self.stream = soak_streams.draw(self.stream_rng)
+            return await soak_streams.ask(self.connection, self.stream)
         if kind == 'quote':
             number = self.connection.number + 1
             self.results.at_most_once.append(self.connection.attempt_id(number))
@@ -89,6 +111,10 @@
     def _check_response(self, kind, response):
         """Return whether the request was served; record any breach."""
         attempt = self.connection.attempt_id(self.connection.number)
+        if kind == 'stream':
+            problem = soak_streams.find_breach(self.stream, response)
+            if problem:
+                self.results.breaches.append(f'{attempt} {problem}')
         if response.ending != 'whole':
             self.connection = None
             return False
@@ -96,8 +122,6 @@
             self.results.not_run.append(attempt)
         if response.status != 200:
             return False
-        if kind == 'stream' and response.events != EVENTS:
-            self.results.breaches.append(f'{attempt}: events {response.events}')
         if kind != 'stream' and response.body != b'body of %b' % attempt:
             self.results.breaches.append(f'{attempt}: body {response.body}')
         return True
@@ -161,9 +185,11 @@
 
 async def soak(seed, duration_s, nodes, directory):
     """Run one seed; return its results, injected faults and breaches."""
-    cluster = node_world.NodeCluster(seed, nodes, directory)
+    cluster = node_world.NodeCluster(
+        seed, nodes, directory, unframed_part=UNFRAMED_PART
+    )
     versions = node_versions.Versions(cluster, random.Random(seed))
-    results = RunResults()
+    results = RunResults(streams=RunResults())
     found = []
     injected = []
     async with anyio.create_task_group() as group:
@@ -175,11 +201,16 @@
             for _ in range(CALLERS):
                 rng = random.Random(cluster.rng.random())
                 group.start_soon(Caller(cluster, results, rng).run)
+            for number in range(STREAM_CALLERS):
+                rng = random.Random(f'streams {seed} {number}')
+                caller = Caller(cluster, results.streams, rng, rng)
+                group.start_soon(caller.run)
             found += await check_drain(cluster)
             async with anyio.create_task_group() as fault_group:
                 faults = node_faults.Faults(cluster, versions, fault_group)
                 async with anyio.create_task_group() as silences:
                     silences.start_soon(faults.silence_endpoints, seed)
+                    silences.start_soon(faults.silence_while_others_refuse)
                     await faults.run(duration_s)
                     silences.cancel_scope.cancel()
                 injected = faults.injected
@@ -190,28 +221,34 @@
         finally:
             cluster.kill_all()
             group.cancel_scope.cancel()
-    found += versions.breaches
+    found += [*versions.breaches, *results.streams.breaches]
     return results, injected, [*found, *check(cluster, results)]
 
 
+def draw_nodes(seed):
+    return random.Random(f'nodes {seed}').randint(1, MAX_NODES)
+
+
 def main(arguments=None):
     """Run all seeds; return 1 if any of them had a breach."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='1-5')
     parser.add_argument('--duration-s', type=float, default=20)
-    parser.add_argument('--nodes', type=int, default=4)
+    parser.add_argument('--nodes', type=int, help='drawn by default')
     options = parser.parse_args(arguments)
     first, _, last = options.seeds.partition('-')
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
         directory = tempfile.mkdtemp(prefix=f'node-soak-{seed}-')
+        nodes = options.nodes or draw_nodes(seed)
         results, injected, breaches = anyio.run(
-            soak, seed, options.duration_s, options.nodes, directory
+            soak, seed, options.duration_s, nodes, directory
         )
         broken += bool(breaches)
         sys.stdout.write(
-            f'seed {seed}: {len(injected)} faults,'
+            f'seed {seed}: {nodes} nodes, {len(injected)} faults,'
             f' {results.served} of {results.sent} served,'
+            f' {results.streams.served} of {results.streams.sent} streams,'
             f' {len(breaches)} breaches\n'
         )
         for breach in breaches[:5]:
--- a/tests/integration/node_world.py
+++ b/tests/integration/node_world.py
@@ -169,8 +169,19 @@
 class NodeCluster:
     """The store, endpoints and nodes of one run."""
 
-    def __init__(self, seed, nodes, directory, bounds=None, limits=None):
+    def __init__(
+        self,
+        seed,
+        nodes,
+        directory,
+        bounds=None,
+        limits=None,
+        unframed_part=0,
+    ):
+        self.seed = seed
         self.rng = random.Random(seed)
+        self._unframed_part = unframed_part
+        self._unframed_rng = random.Random(f'unframed {seed}')
         self.store = fake_store.FakeStore()
         self.endpoints = {}
         self.nodes = []
@@ -210,6 +221,8 @@
         self._endpoint_count += 1
         name = f'e{self._endpoint_count}'
         endpoint = WatchedEndpoint(self, name, service, domain)
+        is_unframed = self._unframed_rng.random() < self._unframed_part
+        endpoint.faults.closes_after_answers = is_unframed
         self.endpoints[name] = endpoint
         await endpoint.start()
         return endpoint
--- a/tests/integration/test_node_soak.py
+++ b/tests/integration/test_node_soak.py
@@ -5,7 +5,12 @@
 
 from redwingvalve.platform.standins import endpoint as fake_endpoint
 from redwingvalve.platform.tests import fleet_harness
-from tests.integration import node_soak, node_versions, node_world
+from tests.integration import (
+    node_soak,
+    node_versions,
+    node_world,
+    soak_streams,
+)
 
 GUARD_S = 120
 DURATION_S = 8.0
@@ -34,6 +39,7 @@
     results, _, breaches = anyio.run(scenario)
     assert not breaches
     assert results.served > results.sent / 2
+    assert results.streams.served
 
 
 @pytest.fixture
@@ -116,6 +122,48 @@
     assert bool(results.breaches) == is_breach
 
 
+def event(number):
+    return b'id: %d\ndata: %d\n\n' % (number, number)
+
+
+@pytest.mark.parametrize('ending', ['whole', 'closed', 'not ended in time'])
+@pytest.mark.parametrize(
+    ('body', 'is_start'),
+    [
+        (b'', True),
+        (event(1) + event(2), True),
+        (event(1) + event(2)[:9], True),
+        (event(1) + event(3), False),
+        (event(1) + event(2) + event(2), False),
+        (event(2) + event(1), False),
+        (event(1) + event(2)[:9] + event(2), False),
+        (event(1) + event(2) + event(3) + event(4), False),
+        (event(1) + b'id: 2\ndata: 3\n\n', False),
+    ],
+)
+def test_reports_stream_that_is_out_of_order(cluster, body, is_start, ending):
+    """A piece is missing or doubled, or the end comes early, in any stream."""
+    results = node_soak.RunResults()
+    caller = node_soak.Caller(cluster, results, cluster.rng)
+    caller.connection = fleet_harness.Caller(('127.0.0.1', 1))
+    caller.stream = soak_streams.Stream(3)
+    response = fleet_harness.Response(200, {}, body, ending)
+    caller._check_response('stream', response)
+    is_allowed = is_start and ending != 'whole'
+    assert len(results.breaches) == (not is_allowed)
+
+
+def test_accepts_whole_stream(cluster):
+    results = node_soak.RunResults()
+    caller = node_soak.Caller(cluster, results, cluster.rng)
+    caller.connection = fleet_harness.Caller(('127.0.0.1', 1))
+    caller.stream = soak_streams.Stream(3)
+    body = event(1) + event(2) + event(3)
+    response = fleet_harness.Response(200, {}, body, 'whole')
+    assert caller._check_response('stream', response)
+    assert not results.breaches
+
+
 @pytest.mark.parametrize(
     ('responses', 'is_breach'),
     [
