End answers whose head or framing has no end in the daemons

aiohttp limits the lines of a head and their number, which allows a head of 1 MB, and sets no limit to interim heads and chunk extensions: they are read until the deadline of the request. The connections of entry and control now count what arrives beside a body, as those of nodes do, and are aborted at 64 KB.

--- a/redwingvalve/entry/aiohttp_upstream.py
+++ b/redwingvalve/entry/aiohttp_upstream.py
@@ -14,6 +14,7 @@
 import yarl
 
 from redwingvalve.entry import upstream
+from redwingvalve.http1 import limited_sessions
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 4096
@@ -113,7 +114,7 @@
 
 def _make_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=limited_sessions.make_connector(
             limit=MAX_CONNECTIONS,
             keepalive_timeout=IDLE_CONNECTION_TIMEOUT_S,
             use_dns_cache=False,
--- a/redwingvalve/http1/response_limits.py
+++ b/redwingvalve/http1/response_limits.py
@@ -56,6 +56,9 @@
     body_bytes: int
 
 
+# Of one event of a stream, which holds some tokens of an answer or all of them.
+# A longer one is none.
+MAX_EVENT_BYTES: typing.Final = 1_048_576
 # For peers whose answers the configuration says nothing about.
 DEFAULT: typing.Final = ResponseLimits(head_bytes=65_536, body_bytes=16_777_216)
 
@@ -146,6 +149,19 @@
         return Limit.INTERIM if self.interim_heads else Limit.HEAD
 
 
+def excess_beside_body(
+    received_bytes: int, body_bytes: int, limits: ResponseLimits
+) -> Excess | None:
+    """Return the limit that the bytes beside a body exceed, None if none.
+
+    For parsers that don't tell heads from framing.
+    """
+    if received_bytes - _ALLOWANCE * body_bytes <= limits.head_bytes:
+        return None
+    limit = Limit.FRAMING if body_bytes else Limit.HEAD
+    return Excess(limit, limits.head_bytes)
+
+
 def default_limits() -> ResponseLimits:
     """Return the limits without a configuration."""
     return DEFAULT
--- a/redwingvalve/ingress/events.py
+++ b/redwingvalve/ingress/events.py
@@ -10,8 +10,9 @@
 
 import attrs
 
-# An event holds some tokens of an answer, or all of them. A longer one is none.
-MAX_EVENT_BYTES: typing.Final = 1_048_576
+from redwingvalve.http1 import response_limits
+
+MAX_EVENT_BYTES: typing.Final = response_limits.MAX_EVENT_BYTES
 # A blank line after another line, and the bytes that may precede its last one.
 _EVENT_END = re.compile(rb'\n\r?\n')
 _END_OVERLAP = 2
--- a/redwingvalve/platform_api/http_engine_orders.py
+++ b/redwingvalve/platform_api/http_engine_orders.py
@@ -15,6 +15,7 @@
 import cattrs
 from expression import Error, Ok, Result
 
+from redwingvalve.http1 import limited_sessions
 from redwingvalve.platform_api import engine_orders, http_responses
 
 OrderResult = Result[engine_orders.EngineState, engine_orders.OrderError]
@@ -90,7 +91,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
+            connector = limited_sessions.make_connector(limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
