Bound what an entry holds of an answer without end

An entry joined all that a replica or service sent, kept an entry of a list for each piece of a refusal, and copied an unfinished event anew for each chunk. Bodies end at the nodes' limit (16 MiB, or four times the longest request) and are counted in the account of the process; without room the rest stays with the endpoint. An event ends at 1 MiB, and is searched once. What is longer is a broken answer: its connection is closed, its outcome is unknown, the endpoint is at fault, a service's instance hasn't crashed.

--- a/redwingvalve/entry/attempt_failures.py
+++ b/redwingvalve/entry/attempt_failures.py
@@ -4,6 +4,7 @@
 
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.entry import upstream
+from redwingvalve.http1 import held_bodies
 
 FIRST_SERVER_ERROR = 500
 
@@ -54,9 +55,16 @@
     )
 
 
-async def read_refusal(response: upstream.UpstreamResponse) -> AttemptFailure:
-    """Return the failure for a response that isn't a success."""
-    chunk_sizes = [len(chunk) async for chunk in response.chunks]
+async def read_refusal(
+    response: upstream.UpstreamResponse, max_bytes: int
+) -> AttemptFailure:
+    """Return the failure for a response that isn't a success.
+
+    Raises OverLimitError for a body of more than max_bytes.
+    """
+    body = held_bodies.HeldBody(max_bytes)
+    async for chunk in response.chunks:
+        body.count(chunk)
     stated = dict(response.headers).get(outcomes.OUTCOME_HEADER, '')
     not_run = stated == outcomes.Outcome.NOT_RUN
     ran = stated == outcomes.Outcome.RAN
@@ -66,7 +74,7 @@
     return AttemptFailure(
         outcome=outcome,
         message=f'the endpoint responded with status {response.status}, '
-        f'{sum(chunk_sizes)} bytes',
+        f'{body.size_bytes} bytes',
         retriable=not_run or response.status >= FIRST_SERVER_ERROR,
         status=response.status,
     )
--- a/redwingvalve/entry/model_attempts.py
+++ b/redwingvalve/entry/model_attempts.py
@@ -14,6 +14,7 @@
 from redwingvalve.core import invariants, outcomes
 from redwingvalve.entry import (
     admission_queues,
+    answer_body,
     attempt_failures,
     delivered_events,
     dependencies,
@@ -23,6 +24,7 @@
     stall_monitor,
     upstream,
 )
+from redwingvalve.http1 import held_bodies
 
 OK_STATUS = 200
 CANCEL_TIMEOUT_S = 2.0
@@ -148,7 +150,10 @@
             return attempt_failures.AttemptFailure(
                 outcomes.Outcome.UNKNOWN, str(error)
             )
-        except response_check.IncompleteResponseError as error:
+        except (
+            response_check.IncompleteResponseError,
+            held_bodies.OverLimitError,
+        ) as error:
             return attempt_failures.AttemptFailure(
                 outcomes.Outcome.UNKNOWN, str(error), endpoint_fault=True
             )
@@ -236,7 +241,9 @@
     ) -> attempt_failures.AttemptFailure | None:
         response = exchange.response
         if response.status != OK_STATUS:
-            refusal = await attempt_failures.read_refusal(response)
+            refusal = await attempt_failures.read_refusal(
+                response, answer_body.max_bytes(self._dependencies)
+            )
             exchange.ended = True
             return refusal
         response_check.check_headers(
@@ -248,13 +255,15 @@
             )
             exchange.ended = True
             return None
-        body = b''.join([chunk async for chunk in response.chunks])
-        exchange.ended = True
-        on_first_token()
-        whole = response_check.check_json_body(
-            body, identity, self._dependencies.switches
-        )
-        await progress.writer.send_json(OK_STATUS, whole, outcomes.Outcome.RAN)
+        async with answer_body.read(response, self._dependencies) as body:
+            exchange.ended = True
+            on_first_token()
+            whole = response_check.check_json_body(
+                body, identity, self._dependencies.switches
+            )
+            await progress.writer.send_json(
+                OK_STATUS, whole, outcomes.Outcome.RAN
+            )
         return None
 
     async def _relay_stream(
--- a/redwingvalve/entry/response_check.py
+++ b/redwingvalve/entry/response_check.py
@@ -16,6 +16,7 @@
 import attrs
 
 from redwingvalve.core import invariants, outcomes
+from redwingvalve.http1 import held_bodies, response_limits
 
 DONE_TEXT = b'[DONE]'
 DONE_EVENT = b'data: [DONE]\n\n'
@@ -87,7 +88,11 @@
         self._check_identity = switches.enabled(
             invariants.Safeguard.ANSWER_IDENTITY
         )
-        self._pending = b''
+        # Bytes of an unfinished event, neither copied nor searched again for
+        # each chunk.
+        self._pending = bytearray()
+        # A carriage return whose line feed may follow.
+        self._held_back = b''
         self._expected_prefix = b''
         self._replacement_prefix = b''
 
@@ -97,20 +102,36 @@
             return [
                 self._replacement_prefix + chunk[len(self._expected_prefix) :]
             ]
-        received = self._pending + chunk if self._pending else chunk
-        if b'\r' in received:
-            received = received.replace(b'\r\n', b'\n')
-        events = received.split(EVENT_END)
-        self._pending = events.pop()
         return [
             rewritten
-            for event in events
+            for event in self._split(chunk)
             if (rewritten := self._rewrite_event(event))
         ]
 
+    def _split(self, chunk: bytes) -> list[bytes]:
+        received = self._held_back + chunk
+        self._held_back = b''
+        if b'\r' in received:
+            if received.endswith(b'\r'):
+                self._held_back = b'\r'
+                received = received[:-1]
+            received = received.replace(b'\r\n', b'\n')
+        searched_bytes = max(0, len(self._pending) - 1)
+        self._pending += received
+        events: list[bytes] = []
+        if self._pending.find(EVENT_END, searched_bytes) >= 0:
+            events = bytes(self._pending).split(EVENT_END)
+            self._pending = bytearray(events.pop())
+        if len(self._pending) > response_limits.MAX_EVENT_BYTES:
+            raise held_bodies.over_limit(
+                response_limits.Limit.EVENT, response_limits.MAX_EVENT_BYTES
+            )
+        return events
+
     def _is_single_token_event(self, chunk: bytes) -> bool:
         """Return whether chunk is exactly one token event; nearly all are."""
-        if self._pending or not self._expected_prefix or b'\r' in chunk:
+        is_between = not self._pending and not self._held_back
+        if not is_between or not self._expected_prefix or b'\r' in chunk:
             return False
         is_single = chunk.find(EVENT_END) == len(chunk) - len(EVENT_END)
         return is_single and chunk.startswith(self._expected_prefix)
--- a/redwingvalve/entry/services.py
+++ b/redwingvalve/entry/services.py
@@ -12,6 +12,7 @@
 from redwingvalve.core import outcomes
 from redwingvalve.declaration import schema
 from redwingvalve.entry import (
+    answer_body,
     caller_request,
     dependencies,
     response_check,
@@ -21,6 +22,7 @@
     suspects,
     upstream,
 )
+from redwingvalve.http1 import held_bodies
 from redwingvalve.poison import channel
 
 # RFC 9110, section 9.2.2; a POST is idempotent only if the caller states it.
@@ -258,33 +260,39 @@
     ) -> None:
         outgoing = self._build(request, address, attempt_span)
         with anyio.move_on_after(outgoing.timeout_s):
-            response, body = await self._fetch(outgoing)
-            attempt_span.set_attribute(
-                'http.response.status_code', response.status
-            )
-            await writer.send_response(
-                response.status,
-                dict(response.headers).get('content-type', ''),
-                body,
-                outcomes.Outcome.RAN,
-                _forwarded_headers(response.headers, ('content-type',)),
-            )
-            return
+            async with self._fetch(outgoing) as (response, body):
+                attempt_span.set_attribute(
+                    'http.response.status_code', response.status
+                )
+                await writer.send_response(
+                    response.status,
+                    dict(response.headers).get('content-type', ''),
+                    body,
+                    outcomes.Outcome.RAN,
+                    _forwarded_headers(response.headers, ('content-type',)),
+                )
+                return
         raise service_suspects.EndpointAliveError(
             'no response before the timeout', not_sent=False
         )
 
+    @contextlib.asynccontextmanager
     async def _fetch(
         self, outgoing: upstream.UpstreamRequest
-    ) -> tuple[upstream.UpstreamResponse, bytes]:
+    ) -> collections_abc.AsyncIterator[tuple[upstream.UpstreamResponse, bytes]]:
+        """Hold the whole response during the block."""
         response = await self._dependencies.upstream.send(outgoing)
         try:
-            body = await self._read(response, outgoing)
-        except BaseException:
+            self._check_identity(response, outgoing)
+            async with answer_body.read(response, self._dependencies) as body:
+                _check_length(response, outgoing)
+                yield response, body
+        except held_bodies.OverLimitError as error:
+            raise service_suspects.EndpointAliveError(
+                str(error), not_sent=False
+            ) from error
+        finally:
             await self._dependencies.upstream.release(response)
-            raise
-        await self._dependencies.upstream.release(response)
-        return response, body
 
     def _build(
         self, request: ServiceRequest, address: str, attempt_span: trace.Span
@@ -312,11 +320,11 @@
             timeout_s=max(min(remaining_s, request.service.timeout_s), 0.001),
         )
 
-    async def _read(
+    def _check_identity(
         self,
         response: upstream.UpstreamResponse,
         outgoing: upstream.UpstreamRequest,
-    ) -> bytes:
+    ) -> None:
         identity = response_check.ResponseIdentity(outgoing.request_id, '')
         try:
             response_check.check_headers(
@@ -326,20 +334,22 @@
             raise service_suspects.EndpointAliveError(
                 str(error), not_sent=False
             ) from error
-        body = b''.join([chunk async for chunk in response.chunks])
-        length_headers = {'content-length', 'transfer-encoding'}
-        if (
-            response.status not in NO_BODY_STATUSES
-            and outgoing.method != 'HEAD'
-            and length_headers.isdisjoint(dict(response.headers))
-        ):
-            # Without a length, a truncated body can't be told from a complete
-            # one.
-            raise service_suspects.EndpointAliveError(
-                'response without content-length or transfer-encoding',
-                not_sent=False,
-            )
-        return body
+
+
+def _check_length(
+    response: upstream.UpstreamResponse, outgoing: upstream.UpstreamRequest
+) -> None:
+    length_headers = {'content-length', 'transfer-encoding'}
+    if (
+        response.status not in NO_BODY_STATUSES
+        and outgoing.method != 'HEAD'
+        and length_headers.isdisjoint(dict(response.headers))
+    ):
+        # Without a length, a truncated body can't be told from a complete one.
+        raise service_suspects.EndpointAliveError(
+            'response without content-length or transfer-encoding',
+            not_sent=False,
+        )
 
 
 def _always_allowed() -> bool:
