Bound the answers of engines and of the platform in the daemons

Probes, orders, the object API, the VM list and the weight store read bodies to their end, whatever it was, and httpx begins a read's timeout anew with each interim head. A state ends at 1 MiB; platform bodies, and each line of a watch, at 16 MiB; a head at the sum of the call's timeouts; compressed bodies, which aren't asked for, are refused. What is longer is handled as no answer: a write may have been applied, an order may have been received.

--- a/redwingvalve/platform_api/http_engine_orders.py
+++ b/redwingvalve/platform_api/http_engine_orders.py
@@ -15,12 +15,19 @@
 import cattrs
 from expression import Error, Ok, Result
 
-from redwingvalve.http1 import limited_sessions
+from redwingvalve.http1 import held_bodies, limited_sessions
 from redwingvalve.platform_api import engine_orders, http_responses
 
 OrderResult = Result[engine_orders.EngineState, engine_orders.OrderError]
+# A state names the VMs and adapters of one replica.
+MAX_STATE_BYTES = 1_048_576
 StateResult = Result[engine_orders.EngineState, engine_orders.EngineUnreachable]
-CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
+CONNECTION_ERRORS = (
+    aiohttp.ClientError,
+    held_bodies.OverLimitError,
+    OSError,
+    TimeoutError,
+)
 CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -87,7 +94,10 @@
         async with self._get_session().request(
             method, url, timeout=timeout, **more
         ) as response:
-            return _Response(response.status, await response.read())
+            body = held_bodies.HeldBody(MAX_STATE_BYTES)
+            async for chunk in response.content.iter_any():
+                body.add(chunk)
+            return _Response(response.status, body.joined())
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/redwingvalve/platform_api/http_object_api.py
+++ b/redwingvalve/platform_api/http_object_api.py
@@ -13,7 +13,11 @@
 import httpx
 from expression import Error, Ok, Result
 
-from redwingvalve.platform_api import http_responses, object_api
+from redwingvalve.platform_api import (
+    http_responses,
+    limited_clients,
+    object_api,
+)
 
 GROUP_PATH = '/apis/redwingvalve.io/v1'
 API_VERSION = 'redwingvalve.io/v1'
@@ -100,7 +104,10 @@
         timeout = httpx.Timeout(WATCH_TIMEOUT_S * 2)
         try:
             async with self._client.stream(
-                'GET', url, timeout=timeout
+                'GET',
+                url,
+                timeout=timeout,
+                extensions=dict(limited_clients.EACH_LINE),
             ) as response:
                 async for event in _events(response, kind):
                     yield event
@@ -153,8 +160,8 @@
 
 def make_http_object_api(base_url: str, timeout_s: float) -> HttpObjectApi:
     """Return a client of the object API at base_url."""
-    client = httpx.AsyncClient(
-        timeout=timeout_s,
+    client = limited_clients.make_client(
+        timeout_s,
         limits=httpx.Limits(max_connections=64, max_keepalive_connections=16),
     )
     return HttpObjectApi(base_url, client)
--- a/redwingvalve/platform_api/http_vm_list.py
+++ b/redwingvalve/platform_api/http_vm_list.py
@@ -4,7 +4,12 @@
 import httpx
 from expression import Error, Ok, Result
 
-from redwingvalve.platform_api import http_responses, object_api, vm_list
+from redwingvalve.platform_api import (
+    http_responses,
+    limited_clients,
+    object_api,
+    vm_list,
+)
 
 
 class HttpVmList(vm_list.VmList):
@@ -31,7 +36,7 @@
 
 def make_http_vm_list(url: str, timeout_s: float) -> HttpVmList:
     """Return a reader of the list at url."""
-    return HttpVmList(url, httpx.AsyncClient(timeout=timeout_s))
+    return HttpVmList(url, limited_clients.make_client(timeout_s))
 
 
 def _unavailable(
--- a/redwingvalve/platform_api/http_weight_store.py
+++ b/redwingvalve/platform_api/http_weight_store.py
@@ -5,6 +5,7 @@
 
 from redwingvalve.platform_api import (
     http_responses,
+    limited_clients,
     object_api,
     weight_store,
 )
@@ -32,7 +33,7 @@
 
 def make_http_weight_store(url: str, timeout_s: float) -> HttpWeightStore:
     """Return a client of the weight store at url."""
-    return HttpWeightStore(url, httpx.AsyncClient(timeout=timeout_s))
+    return HttpWeightStore(url, limited_clients.make_client(timeout_s))
 
 
 def _decode_ticket(
