Show that a stopping node answers what comes late in its grace

No test said that requests of each kind came late in a stop: the plays would pass if callers had all left. The last 3 s before the only node's process is gone now have to hold answers to streams, idempotent and non-idempotent requests over kept connections, and no breach.

--- a/tests/integration/planned_stops.py
+++ b/tests/integration/planned_stops.py
@@ -221,6 +221,21 @@
     return breaches
 
 
+def late_kinds(played, within_s):
+    """Return the kinds of what stopping nodes answered shortly before the end.
+
+    Only of requests that were sent within_s before the process was gone.
+    """
+    return {
+        attempt.kind
+        for attempt in played.attempts
+        for life in played.lives
+        if life.node == attempt.node
+        and life.ended_s - within_s < attempt.sent_s < life.ended_s
+        and attempt.ending == 'whole'
+    }
+
+
 def _breach(attempt, has_run):
     """Return how an attempt breaches an invariant, '' if it doesn't."""
     if not attempt.ended_s:
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -12,6 +12,8 @@
 from tests.integration import planned_stops
 
 GUARD_S = 120
+# Of a grace of 8 s.
+LATE_S = 3.0
 TERM, INT, HUP = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
 Step = planned_stops.Step
 
@@ -72,6 +74,21 @@
     assert not find_breaches(tmp_path, *CASES[case])
 
 
+@pytest.mark.slow
+def test_what_comes_late_in_the_grace_is_answered(tmp_path):
+    """Requests that were taken late in a stop were cut at its end."""
+
+    async def scenario():
+        with anyio.fail_after(GUARD_S):
+            return await planned_stops.play(0, 1, tmp_path, stops(1, 0))
+
+    played = anyio.run(scenario)
+    assert not planned_stops.find_breaches(played)
+    # A quote is not idempotent.
+    found = planned_stops.late_kinds(played, LATE_S)
+    assert found == {'stream', 'quote', 'card'}
+
+
 @pytest.mark.slow
 @pytest.mark.parametrize(('seed', 'nodes'), [(1, 2), (2, 4)])
 def test_drawn_series_of_signals_cut_no_request(tmp_path, seed, nodes):
