Show that stopping entries answer what comes late in their stop

As for nodes: where all entries stop at once, the last 5 s of each have to hold idempotent and non-idempotent requests that were taken, each answered whole or refused as not run.

--- a/tests/integration/test_daemon_stops.py
+++ b/tests/integration/test_daemon_stops.py
@@ -23,6 +23,8 @@
 GUARD_S = 150
 KEEP_S, DRAIN_S = 1.0, 5.0
 TAIL_S = 4.0
+# Of some 9 s between the signal and the end.
+LATE_S = 5.0
 ENTRIES = ('entry-1', 'entry-2', 'entry-3')
 CONTROLS = ('control-1', 'control-2')
 # Which daemons are stopped how far apart, the mean time between further
@@ -50,6 +52,8 @@
 
 
 async def play(names, apart_s, gap_s, is_silent):
+    """Return the outcome, and when the process of each address had ended."""
+    ends_s = {}
     with processes.make_processes() as children:
         async with fleet_run.open_run(
             fleet_run.Options(1, 0),
@@ -62,7 +66,10 @@
             async def stop(name, after_s):
                 await anyio.sleep(after_s)
                 series = daemons.SignalSeries(random.Random(name), gap_s)
-                await run.daemons.stop(name, 0.5, series)
+                began_s = time.time()
+                took_s = await run.daemons.stop(name, 0.5, series)
+                address = run.daemons.by_name[name].address
+                ends_s[address] = began_s + took_s
 
             async def call(caller):
                 await caller.run(time.monotonic() + 3600)
@@ -79,7 +86,7 @@
                 await run.platform.heal_store()
                 await anyio.sleep(TAIL_S)
                 group.cancel_scope.cancel()
-        return run.compare((), context, callers)
+        return run.compare((), context, callers), ends_s
 
 
 @pytest.mark.parametrize('case', CASES)
@@ -90,7 +97,7 @@
         with anyio.fail_after(GUARD_S):
             return await play(*CASES[case])
 
-    outcome = anyio.run(scenario)
+    outcome, _ = anyio.run(scenario)
     attempts = [one for record in outcome.records for one in record.attempts]
     assert sum(one.whole for one in attempts) > 50
     assert outcome.breaches == ()
@@ -98,6 +105,27 @@
     assert {one.outcome for one in given_up} <= {'not-run'}
 
 
+def test_what_comes_late_in_a_stop_is_answered():
+    """Requests that were taken late in a stop were cut at its end."""
+
+    async def scenario():
+        with anyio.fail_after(GUARD_S):
+            return await play(*CASES['all entries at once'])
+
+    outcome, ends_s = anyio.run(scenario)
+    assert len(ends_s) == len(ENTRIES)
+    assert outcome.breaches == ()
+    late = [
+        (record.request.idempotent, one)
+        for record in outcome.records
+        for one in record.attempts
+        if 0 < ends_s.get(one.entry, 0) - one.started_s < LATE_S
+        and not one.broken
+    ]
+    assert {idempotent for idempotent, _ in late} == {True, False}
+    assert all(one.whole or one.outcome == 'not-run' for _, one in late)
+
+
 async def end_by_signals(role, after_s, **sections):
     """Signal a daemon whose store is silent; return its status and log."""
     store = await anyio.create_tcp_listener(local_host='127.0.0.1')
