Keep the time spent on received bytes with its loop

Cause: the budget for bytes that are parsed as they arrive belonged to the module. Callers weren't concerned: a process has one loop.

The budget belongs to the turns of a loop, and bytes fed where no loop runs have one of their own, as no other connection waits there.

--- a/redwingvalve/http1/read_turns.py
+++ b/redwingvalve/http1/read_turns.py
@@ -49,10 +49,6 @@
         self._at_s = now_s
 
 
-# All connections of a process are served by one thread.
-BUDGET: typing.Final = ReadBudget()
-
-
 class Reader(abc.ABC):
     """A connection whose received bytes are parsed in steps."""
 
@@ -73,6 +69,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Run steps in a loop."""
+        self.budget = ReadBudget()
         self._call_soon = loop.call_soon
         self._queue: collections.deque[Reader] = collections.deque()
         self._is_scheduled = False
@@ -101,7 +98,7 @@
         finally:
             if self._queue:
                 self._schedule()
-        BUDGET.spend(took_s)
+        self.budget.spend(took_s)
 
 
 def _step(reader: Reader) -> None:
@@ -119,6 +116,16 @@
 )
 
 
+def budget() -> ReadBudget:
+    """Return what is left for all connections of the running loop."""
+    try:
+        turns = of_running_loop()
+    except RuntimeError:
+        # No other connection waits where no loop runs.
+        return ReadBudget()
+    return turns.budget
+
+
 def of_running_loop() -> ReadTurns:
     """Return the turns that all connections of the running loop share."""
     loop = asyncio.get_running_loop()
--- a/redwingvalve/http1/stepped_reads.py
+++ b/redwingvalve/http1/stepped_reads.py
@@ -64,7 +64,7 @@
             self._piece_bytes = PIECE_BYTES
         self._waiting.append(data)
         took_s = 0.0
-        if read_turns.BUDGET.is_left and not self.is_queued:
+        if not self.is_queued and read_turns.budget().is_left:
             took_s = self._hand_on_waiting()
         if self.has_waiting or self._is_open and took_s > LONG_READ_S:
             self._continue_soon()
@@ -126,7 +126,7 @@
         if self._waiting or self._is_paused:
             return False
         is_short = size_bytes * self._byte_s < LONG_READ_S
-        return is_short or read_turns.BUDGET.is_left
+        return is_short or read_turns.budget().is_left
 
     def _hand_on_waiting(self) -> float:
         """Return how long it took, in seconds."""
@@ -143,7 +143,7 @@
         is_short = took_s < SHORT_PIECE_S
         self._piece_bytes = LARGE_PIECE_BYTES if is_short else PIECE_BYTES
         if not is_short:
-            read_turns.BUDGET.spend(took_s)
+            read_turns.budget().spend(took_s)
         if len(piece) >= PIECE_BYTES:
             self._byte_s = took_s / len(piece)
         return took_s
--- a/redwingvalve/http1/tests/test_stepped_reads.py
+++ b/redwingvalve/http1/tests/test_stepped_reads.py
@@ -301,3 +301,25 @@
         assert handler.ending is None
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize('has_loop', [True, False])
+def test_slow_reads_of_an_ended_loop_delay_no_others(has_loop):
+    """The time they had taken outlived their loop, and later bytes waited."""
+
+    async def read_slowly():
+        connection = test_endless_answers.connect(SlowHandler())
+        connection.data_received(ENDLESS + b'x' * 20_000)
+        await settle(connection)
+
+    async def read():
+        return read_at_once()
+
+    def read_at_once():
+        handler = test_endless_answers.Handler()
+        connection = test_endless_answers.connect(handler)
+        connection.data_received(ENDLESS + b'x' * 20_000)
+        return handler.body_bytes
+
+    asyncio.run(read_slowly())
+    assert (asyncio.run(read()) if has_loop else read_at_once()) == 20_000
