Blame requests whose endpoints outlive their open answers

Cause: such an answer spoke for its request once its endpoint had answered something half a second later, as if the process could not end later. Late ends were known for answers that break off only.

An answer without a length now speaks for the parts of its prompt after half a second, as before, and for the request only after 4.5 s. An endpoint that ends in between counts as a late end, with the time by which it has outlived its answer. It is asked again only for requests that have come before, and what is remembered is bounded, by endpoint too.

--- a/redwingvalve/ingress/crash_probes.py
+++ b/redwingvalve/ingress/crash_probes.py
@@ -25,12 +25,19 @@
     now_s: float,
 ) -> bool:
     """Return whether an endpoint is to be asked, by its runs and answers."""
-    return any(
-        _is_run_due(tracker, run, now_s)
-        for run in tracker.evidence.runs_at(incarnation)
-    ) or any(
-        now_s - end.run.at_s > open_ends.SURVIVAL_S
-        for end in tracker.open_ends.at_endpoint(incarnation)
+    return (
+        any(
+            _is_run_due(tracker, run, now_s)
+            for run in tracker.evidence.runs_at(incarnation)
+        )
+        or any(
+            now_s - end.run.at_s > open_ends.PART_SURVIVAL_S
+            for end in tracker.open_ends.at_endpoint(incarnation)
+        )
+        or any(
+            _is_request_due(tracker, end, now_s)
+            for end in tracker.open_requests.at_endpoint(incarnation)
+        )
     )
 
 
@@ -47,6 +54,18 @@
     return evidence.is_repeated(run) or now_s - run.at_s >= PROBE_DELAY_S
 
 
+def _is_request_due(
+    tracker: poison.PoisonRequestTracker,
+    end: open_ends.OpenEnd,
+    now_s: float,
+) -> bool:
+    if now_s - end.alive_s < _interval_s(end.lived_s):
+        return False
+    request = end.run.fingerprint
+    copies = tracker.open_requests.copies(request)
+    return copies > 1 or tracker.blame.end_count(request) > 0
+
+
 def _interval_s(lived_s: float) -> float:
     """Return when to ask an endpoint again that has lived on for so long."""
     interval_s = max(SIGN_AGE_SHARE * lived_s, MIN_INTERVAL_S)
--- a/redwingvalve/ingress/poison.py
+++ b/redwingvalve/ingress/poison.py
@@ -22,11 +22,14 @@
 """
 
 import abc
+import operator
 import random
 import time
 import typing
 from collections import abc as collections_abc
 
+import attrs
+
 from redwingvalve.ingress import (
     broken_runs,
     crash_blame,
@@ -48,6 +51,9 @@
 # Of runs; a positive signed number of 32 bits in messages.
 MAX_RUN_NUMBER = 2**31 - 1
 _RNG = random.Random()
+_Take: typing.TypeAlias = collections_abc.Callable[
+    [open_ends.OpenEnds], list[open_ends.OpenEnd]
+]
 
 
 class EvidenceObserver(abc.ABC):
@@ -102,7 +108,13 @@
     ) -> None:
         """Start without crashes; the grace is as for CrashBlame."""
         self.evidence = crash_evidence.CrashEvidence()
-        self.open_ends = open_ends.OpenEnds()
+        self.open_ends = open_ends.OpenEnds(
+            open_ends.PART_SURVIVAL_S, open_ends.PART_MAX_WAIT_S
+        )
+        # Those that speak for their parts, and not yet for the requests.
+        self.open_requests = open_ends.OpenEnds(
+            open_ends.REQUEST_SURVIVAL_S, open_ends.REQUEST_MAX_WAIT_S
+        )
         self.blame = crash_blame.CrashBlame(
             self.evidence, clock, answered_part_grace_s
         )
@@ -203,7 +215,9 @@
             poison_logs.log_run(
                 self.blame, 'endpoint answers', run, is_routine=True
             )
-        self._add_survived(self.open_ends.take_survived(incarnation, sent_s))
+        self._clear_survived(
+            operator.methodcaller('take_survived', incarnation, sent_s)
+        )
 
     def record_silence(self, incarnation: broken_runs.Incarnation) -> None:
         """Record that an endpoint has stopped answering."""
@@ -222,7 +236,8 @@
     def undecided(self) -> list[broken_runs.Incarnation]:
         """Return the endpoints of which is not known whether they live."""
         found = set(self.evidence.undecided())
-        found.update(end.run.incarnation for end in self.open_ends.all())
+        found.update(self.open_ends.endpoints())
+        found.update(self.open_requests.endpoints())
         return list(found)
 
     def resolve_broken_runs(
@@ -243,8 +258,7 @@
                 )
             ):
                 self.record_end(incarnation)
-        expired_s = now_s - open_ends.MAX_WAIT_S
-        self._add_survived(self.open_ends.take_before(expired_s))
+        self._clear_survived(operator.methodcaller('take_expired', now_s))
         self._listed.intersection_update(self.undecided())
 
     def merge_run(self, run: broken_runs.BrokenRun, sender: str) -> None:
@@ -289,21 +303,25 @@
             self.observers.run_added(run)
         return is_news
 
-    def _add_survived(
-        self, ends: collections_abc.Iterable[open_ends.OpenEnd]
-    ) -> None:
-        for end in ends:
-            self.record_answer(
-                end.run.fingerprint,
-                end.run.suspects - {end.run.fingerprint},
-                end.run.sent_s,
-            )
+    def _clear_survived(self, take: _Take) -> None:
+        """Clear what open answers speak for that their endpoints outlived."""
+        for end in take(self.open_ends):
+            request = end.run.fingerprint
+            for part in end.run.suspects - {request}:
+                self.merge_answer(part, end.run.sent_s, '')
+            run = attrs.evolve(end.run, suspects=frozenset((request,)))
+            self.open_requests.add(open_ends.OpenEnd(run, end.alive_s))
+        for end in take(self.open_requests):
+            self.merge_answer(end.run.fingerprint, end.run.at_s, '')
 
     def _add_broken_off(self, incarnation: broken_runs.Incarnation) -> None:
         """Take the open answers of an endpoint that is gone for broken off."""
-        for run in self.open_ends.take_at(incarnation):
-            if self._add(run):
-                poison_logs.log_run(self.blame, 'answer was not whole', run)
+        now_s = self._clock()
+        for open_answers in (self.open_ends, self.open_requests):
+            for end in open_answers.take_at(incarnation):
+                run = end.as_broken_off(now_s)
+                if self._add(run):
+                    poison_logs.log_run(self.blame, 'answer was not whole', run)
 
 
 def _make_run(
