Remember that a replica broke when it closes afterwards

Cause: the replica broke and cut its streams off, and the order to close of the planned stop arrived then. The head reported `closing`, later `ready`, as if it finished its answers. The mark of its closing replaced what was known.

That a replica broke is remembered for its head's process, whatever it reports later. The cases in test_replica_standing.py fail without it.

--- a/redwingvalve/fleet/replica_standing.py
+++ b/redwingvalve/fleet/replica_standing.py
@@ -21,16 +21,18 @@
     listed: endpoints.Membership | None,
     report: endpoint_orders.Report | None,
     was_closing: bool,
+    has_broken: bool = False,
 ) -> Standing:
     """Return how a replica stands after an answer, by its head's report.
 
     key holds its name, empty for a plain endpoint, and its epoch; listed is
-    what the head's entry says; was_closing that it was seen to finish answers.
+    what the head's entry says; was_closing that it was seen to finish answers,
+    has_broken that it was seen broken, and may be told to close since.
     """
     if not key[0]:
         return Standing.SERVES
     # The entry may be older than the report, or newer: only its end is final.
-    if _state(key, listed) is State.BROKEN:
+    if has_broken or _state(key, listed) is State.BROKEN:
         return Standing.CUT_OFF
     if report is None:
         return Standing.UNTOLD
--- a/redwingvalve/fleet/tests/test_replica_standing.py
+++ b/redwingvalve/fleet/tests/test_replica_standing.py
@@ -69,6 +69,7 @@
         (State.CLOSING, True),
         (State.READY, True),
         (State.BROKEN, False),
+        (State.CLOSING, False),
         (State.READY, False),
     ):
         marks.observe(
@@ -77,3 +78,16 @@
             )
         )
         assert marks.has(('e1', 1), KEY) is has
+    assert marks.has_broken(('e1', 1), KEY)
+
+
+def test_a_broken_replica_that_reports_to_close_has_cut_off_its_answer():
+    """It is told to close when it has broken, and reports that it does."""
+    found = replica_standing.judge(
+        KEY,
+        listed=member(State.CLOSING),
+        report=endpoint_orders.Report(1, member(State.CLOSING), ()),
+        was_closing=True,
+        has_broken=True,
+    )
+    assert found is Standing.CUT_OFF
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -235,11 +235,13 @@
         """Return how a target's replica stands by its report and entry."""
         listed = self.registry.live.get(target.endpoint_id)
         key = (target.replica, target.epoch)
+        closing = self.registry.closing
         return replica_standing.judge(
             key,
             listed=None if listed is None else listed.membership,
             report=report,
-            was_closing=self.registry.closing.has(target.incarnation, key),
+            was_closing=closing.has(target.incarnation, key),
+            has_broken=closing.has_broken(target.incarnation, key),
         )
 
     async def _find_life(
