Judge the ends of streams by reports of after the end

Cause: the report of a head is some hundred milliseconds old (report_lag_ms). One that was asked for as the connection ended still said `open` when the replica had been closed at once or had broken, and the entry that says so may arrive later than the end. So the start counted as the whole.

Such an end is judged by a report that was asked for once the lag has passed. It costs an answer without a frame of a replica that time at its end; what isn't whole by the first report is known at once as before, and a replica that was seen to close needs no second report if it is gone by then.

--- a/redwingvalve/fleet/replica_standing.py
+++ b/redwingvalve/fleet/replica_standing.py
@@ -44,6 +44,16 @@
     return Standing.CUT_OFF
 
 
+def may_be_outdated(
+    key: tuple[str, int], report: endpoint_orders.Report | None
+) -> bool:
+    """Return whether a later report may tell that a replica cut an answer off.
+
+    Reports are some hundred milliseconds old.
+    """
+    return report is not None and _state(key, report.membership) in _SERVING
+
+
 def _state(
     key: tuple[str, int], membership: endpoints.Membership | None
 ) -> State | None:
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -25,7 +25,6 @@
     crash_probes,
     load_balancing,
     poison,
-    reachability,
 )
 from redwingvalve.ingress import state as state_module
 from redwingvalve.node import endpoint_prober, stop_watch
@@ -44,6 +43,7 @@
 # packet is lost.
 OUTLIVE_S = 0.3
 OUTLIVE_POLL_S = 0.02
+_MS_PER_S = 1000
 _LIVES: typing.Final = types.MappingProxyType(
     {
         endpoint_orders.Liveness.ALIVE: answer_ends.Life.ALIVE,
@@ -176,7 +176,7 @@
     registry: registry_module.Registry
     client: endpoint_orders.EndpointClient
     prober: endpoint_prober.EndpointProber
-    reach: reachability.EndpointReach
+    state: state_module.IngressState
     watch: stop_watch.StopWatch
 
     async def check(
@@ -198,7 +198,7 @@
                 and await _outlasts(others, answer.ended_s)
             ),
             stopped_s=self.watch.stopped_s(target),
-            standing=self._find_standing(target, found.report),
+            standing=await self._find_standing(answer, found.report),
         )
         end = answer_ends.judge(answer, evidence)
         node_metrics.METRICS.count(
@@ -227,12 +227,32 @@
         """Watch endpoints that leave until cancelled."""
         await self.watch.run()
 
-    def _find_standing(
+    async def _find_standing(
+        self,
+        answer: answer_ends.EndedAnswer,
+        report: endpoint_orders.Report | None,
+    ) -> answer_ends.Standing:
+        """Return how a replica stands by a report of the time of the end."""
+        target = answer.target
+        standing = self._judge_standing(target, report)
+        settled_s = answer.ended_s + self._report_lag_s()
+        key = (target.replica, target.epoch)
+        is_settled = time.monotonic() > settled_s
+        if is_settled or not replica_standing.may_be_outdated(key, report):
+            return standing
+        await anyio.sleep(settled_s - time.monotonic())
+        later = await self._find_life(target, settled_s)
+        is_closing = self.registry.closing.has(target.incarnation, key)
+        if later.report is None and is_closing:
+            # It ends soon after its last answer.
+            return standing
+        return self._judge_standing(target, later.report)
+
+    def _judge_standing(
         self,
         target: load_balancing.Target,
         report: endpoint_orders.Report | None,
     ) -> answer_ends.Standing:
-        """Return how a target's replica stands by its report and entry."""
         listed = self.registry.live.get(target.endpoint_id)
         key = (target.replica, target.epoch)
         closing = self.registry.closing
@@ -244,6 +264,15 @@
             has_broken=closing.has_broken(target.incarnation, key),
         )
 
+    def _report_lag_s(self) -> float:
+        """Return how old reports of heads may be."""
+        if self.state.configuration is None:
+            return 0
+        services = self.state.configuration.services.values()
+        engines = [one.engine for one in services if one.engine is not None]
+        lags_ms = [engine.report_lag_ms for engine in engines]
+        return max(lags_ms, default=0) / _MS_PER_S
+
     async def _find_life(
         self, target: load_balancing.Target, ended_s: float
     ) -> _Found:
@@ -270,7 +299,7 @@
             return _Found(life, probed.report)
         # To a node that is cut off all endpoints seem gone.
         is_gone = life is answer_ends.Life.NOT_LISTENING
-        if is_gone and await self.reach.confirm():
+        if is_gone and await self.state.reach.confirm():
             return _Found(life)
         report = await self.prober.ask_others(endpoint, since_s=ended_s)
         if report is None:
@@ -301,7 +330,7 @@
 ) -> EndpointAnswerEnds:
     """Return a checker for the answers to the requests of a state."""
     watch = stop_watch.StopWatch(state, registry)
-    return EndpointAnswerEnds(registry, client, prober, state.reach, watch)
+    return EndpointAnswerEnds(registry, client, prober, state, watch)
 
 
 def _make_endpoint(target: load_balancing.Target) -> endpoints.Endpoint:
--- a/redwingvalve/node/tests/test_answer_ends.py
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -1,5 +1,7 @@
 """Answers without a length of endpoints that leave, or are ended then."""
 
+import time
+
 import anyio
 import pytest
 
@@ -211,6 +213,33 @@
     assert runs == 2
 
 
+@pytest.mark.parametrize('state', ['broken', 'ready'])
+def test_a_stream_goes_on_that_was_cut_off_after_the_last_report(state):
+    """Reports are some hundred milliseconds old: it still said `open`."""
+
+    async def cut_off(fleet, endpoint):
+        configuration = fleet_harness.configuration()
+        for service in configuration['services']:
+            service.get('engine', {})['report_lag_ms'] = 300
+        fleet.store.put('config', 'main', configuration)
+        await fleet.wait_until(lambda: knows_lag(fleet.nodes[0]))
+        endpoint.faults.old_group = endpoint.group
+        endpoint.faults.old_until_s = time.monotonic() + 0.25
+        # The entry arrives later than the end.
+        endpoint.faults.is_cut_off_from_store = True
+        endpoint.faults.cuts_off_answers = True
+        fake_endpoint.report_state(endpoint, state)
+
+    response, runs = ask_while(cut_off)
+    assert response.events == EVENTS
+    assert runs == 2
+
+
+def knows_lag(node):
+    services = node.state.configuration.services.values()
+    return any(one.engine and one.engine.report_lag_ms for one in services)
+
+
 def test_a_stream_goes_on_whose_head_has_left_its_replica():
     """It joins another one at once, and answers for that."""
 
--- a/redwingvalve/platform/standins/endpoint.py
+++ b/redwingvalve/platform/standins/endpoint.py
@@ -191,7 +191,8 @@
         elif request.target in _CALLS and self.faults.endless.reports:
             self._send_without_end(self.faults.endless.reports, responder)
         elif request.target == b'/redwingvalve/report':
-            _answer_json(responder, 200, self._entry())
+            report = endpoint_faults.age_report(self.faults, self._entry())
+            _answer_json(responder, 200, report)
         elif request.target == b'/redwingvalve/order':
             self._handle_order(json.loads(request.body), responder)
         else:
--- a/redwingvalve/platform/standins/endpoint_faults.py
+++ b/redwingvalve/platform/standins/endpoint_faults.py
@@ -4,6 +4,7 @@
 import enum
 import random
 import time
+import typing
 
 import attrs
 
@@ -43,6 +44,9 @@
     closes_after_answers: bool = False
     # Such answers end where they are, as if they were whole.
     cuts_off_answers: bool = False
+    # What reports say of the replica until a time, by the monotonic clock.
+    old_group: dict[str, typing.Any] | None = None
+    old_until_s: float = 0
     aborts_at_event: int | None = None
     rejects_requests: bool = False
     rejects_every_other_request: bool = False
@@ -143,6 +147,15 @@
     return faults.rng.choice(tuple(Spoiling))
 
 
+def age_report(
+    faults: EndpointFaults, entry: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    """Return what an endpoint reports whose entry says this."""
+    if time.monotonic() < faults.old_until_s:
+        return {**entry, 'group': faults.old_group}
+    return entry
+
+
 def send_part(responder: server.Responder, headers: messages.Headers) -> None:
     """Send the head of an answer and a part of its body."""
     length = (b'content-length', b'50')
