--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -208,11 +208,9 @@
         if report is None or membership is None:
             return None
         if replica_spec.still_serves(head, report.membership):
-            # What a replica cuts off while it closes looks finished to nodes.
-            if not _is_closing(report):
-                await self._client.close(
-                    head, membership.replica, membership.epoch, False
-                )
+            await self._client.close(
+                head, membership.replica, membership.epoch, False
+            )
             return None
         # It may be about to open, which only an order to leave prevents.
         result = await self._client.leave(
@@ -265,11 +263,3 @@
         and replica_spec.is_member(head, membership.key)
         and membership.state is endpoints.MemberState.OPEN
     )
-
-
-def _is_closing(report: endpoint_orders.Report) -> bool:
-    membership = report.membership
-    return (
-        membership is not None
-        and membership.state is endpoints.MemberState.CLOSING
-    )
