Take the names of headers in tests from the platform's module

The doubles of parked and moved streams spelled the users' header names out, which belong into platform/ only.

--- a/redwingvalve/ingress/tests/test_resumed_sends.py
+++ b/redwingvalve/ingress/tests/test_resumed_sends.py
@@ -9,9 +9,6 @@
 from redwingvalve.ingress.tests import hedged_exchange, wire_exchange
 
 EVENTS = wire_exchange.EVENTS
-WHOLE = b'HTTP/1.1 200 x\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\n' % (
-    hedged_exchange.ATTEMPT
-)
 
 
 def play(exchange, act):
@@ -58,7 +55,7 @@
         exchange.refuse(2)
         await anyio.sleep(0.02)
         exchange.connections[1].transport.deliver(
-            WHOLE + b'Content-Length: 5\r\n\r\nwhole'
+            wire_exchange.render_success((b'content-length', b'5')) + b'whole'
         )
         await exchange.wait_until_done()
 
@@ -127,7 +124,7 @@
 
     def send(number):
         transport = exchange.connections[number].transport
-        transport.deliver(WHOLE + b'\r\n' + piece)
+        transport.deliver(wire_exchange.render_success() + piece)
         return transport
 
     async def act(exchange):
@@ -151,7 +148,7 @@
     async def act(exchange):
         await exchange.wait_for_sends(2)
         transport = exchange.connections[0].transport
-        transport.deliver(WHOLE + b'\r\nhalf')
+        transport.deliver(wire_exchange.render_success() + b'half')
         transport.end()
         exchange.state.end_checker.stopped_s = time.monotonic()
         await anyio.sleep(2 * answer_ends.MIN_STOPPED_S)
--- a/redwingvalve/ingress/tests/wire_exchange.py
+++ b/redwingvalve/ingress/tests/wire_exchange.py
@@ -4,15 +4,23 @@
 
 import anyio
 
-from redwingvalve.http1 import client
+from redwingvalve.http1 import client, messages
 from redwingvalve.ingress import reservations
 from redwingvalve.ingress.tests import hedged_exchange
+from redwingvalve.platform import names
 
 EVENTS = 12
-_HEAD = (
-    b'HTTP/1.1 %d x\r\nX-Attempt-Id: ' + hedged_exchange.ATTEMPT + b'\r\n%b\r\n'
-)
-_REFUSED = _HEAD % (503, b'X-Not-Run: 1\r\nContent-Length: 0\r\n')
+_FRAMING = (b'transfer-encoding', b'chunked')
+
+
+def render_head(status, *headers):
+    """Return the head of an endpoint's answer to the one attempt."""
+    attempt = (names.ATTEMPT_ID_HEADER, hedged_exchange.ATTEMPT)
+    return messages.render_head(b'HTTP/1.1 %d x' % status, [attempt, *headers])
+
+
+def render_success(*headers):
+    return render_head(200, (names.SEAL_HEADER, b's'), *headers)
 
 
 class Transport(asyncio.Transport):
@@ -130,7 +138,10 @@
                 request.head_stalled()
 
     def refuse(self, number):
-        self.connections[number].transport.deliver(_REFUSED)
+        refusal = render_head(
+            503, (names.NOT_RUN_HEADER, b'1'), (b'content-length', b'0')
+        )
+        self.connections[number].transport.deliver(refusal)
 
 
 class Stream:
@@ -141,10 +152,8 @@
         self._is_framed = is_framed
 
     def start(self):
-        framing = b'Transfer-Encoding: chunked\r\n' if self._is_framed else b''
-        self._transport.deliver(
-            _HEAD % (200, b'X-Server-Seal: s\r\n' + framing)
-        )
+        framing = [_FRAMING] if self._is_framed else []
+        self._transport.deliver(render_success(*framing))
 
     def send(self, first, last):
         """Send the events of these numbers in one piece."""
