Let heads that close leave when they are stopped

What callers could see: the start of a stream without length or chunks as the whole of it (ORDER), if its replica was seen to close and was closed at once then, as when a member is lost amid a planned stop.

Cause: both ends of a replica made its head `ready`, so that nodes couldn't tell work that was cut off from work that was finished.

A head that may be closing is told to leave instead, which ends its work as well but leaves it without a replica.

The case [ready-True] of test_a_stream_goes_on_that_its_replica_has_cut_off made a replica ready at once that the holder had told to close, which no order does any more; [left-True] takes its place with what the holder does instead, and the same checks.

--- a/redwingvalve/fleet/closing_marks.py
+++ b/redwingvalve/fleet/closing_marks.py
@@ -1,10 +1,12 @@
-"""Remembers which replicas were seen to close after their last answers.
+"""Remembers how replicas were seen to end: after their last answers, or not.
 
 Load pattern: a head that has finished reports like one that was closed at once,
 and joins another replica within milliseconds. One that has broken has finished
-nothing, though it may be told to close then, and report that it does.
+nothing, though it may be told to close then, and report that it does. One that
+is told to leave while it closes cuts off what it hasn't finished.
 """
 
+import enum
 import typing
 
 import attrs
@@ -16,31 +18,60 @@
 _Key: typing.TypeAlias = tuple[str, int]
 
 
+class Past(enum.Enum):
+    """What was seen of a replica before it stopped serving."""
+
+    # It was not seen to close, as far as is known.
+    UNKNOWN = 'unknown'
+    CLOSING = 'closing'
+    # It was ready again after it closed, or its head was in another one.
+    FINISHED = 'finished'
+    # It broke, or its head left it while it closed.
+    CUT_OFF = 'cut off'
+
+
 @attrs.define(eq=False)
 class ClosingMarks:
     """The last replicas that each incarnation of a head closed, or broke."""
 
     _closing: dict[_Key, _Key] = attrs.field(factory=dict)
-    _broken: dict[_Key, _Key] = attrs.field(factory=dict)
+    _finished: dict[_Key, _Key] = attrs.field(factory=dict)
+    _cut_off: dict[_Key, _Key] = attrs.field(factory=dict)
 
     def observe(self, endpoint: endpoints.Endpoint) -> None:
-        """Mark an endpoint's replica if it closes, or if it has broken."""
-        membership = endpoint.membership
+        """Mark an endpoint's replica if it closes, or if it was cut off."""
+        incarnation, membership = endpoint.incarnation, endpoint.membership
         if membership is None:
+            self._observe_departure(incarnation)
             return
         if membership.state is endpoints.MemberState.BROKEN:
-            _mark(self._broken, endpoint.incarnation, membership.key)
+            _mark(self._cut_off, incarnation, membership.key)
         if membership.state is endpoints.MemberState.CLOSING:
-            _mark(self._closing, endpoint.incarnation, membership.key)
+            _mark(self._closing, incarnation, membership.key)
+            self._finished.pop(incarnation, None)
+            return
+        closed = self._closing.get(incarnation)
+        is_ready = membership.state is endpoints.MemberState.READY
+        if closed is not None and (is_ready or membership.key != closed):
+            _mark(self._finished, incarnation, closed)
 
-    def has_broken(self, incarnation: _Key, key: _Key) -> bool:
-        """Return whether an endpoint's replica was seen broken."""
-        return self._broken.get(incarnation) == key
+    def past_of(self, incarnation: _Key, key: _Key) -> Past:
+        """Return what was seen of an endpoint's replica."""
+        if self._cut_off.get(incarnation) == key:
+            return Past.CUT_OFF
+        if self._closing.get(incarnation) != key:
+            return Past.UNKNOWN
+        if self._finished.get(incarnation) == key:
+            return Past.FINISHED
+        return Past.CLOSING
 
-    def has(self, incarnation: _Key, key: _Key) -> bool:
-        """Return whether an endpoint was seen to close a whole replica."""
-        is_whole = not self.has_broken(incarnation, key)
-        return is_whole and self._closing.get(incarnation) == key
+    def _observe_departure(self, incarnation: _Key) -> None:
+        """Mark the replica of a head that is in none any more."""
+        key = self._closing.get(incarnation)
+        if key is None:
+            return
+        if self.past_of(incarnation, key) is Past.CLOSING:
+            _mark(self._cut_off, incarnation, key)
 
 
 def _mark(marks: dict[_Key, _Key], incarnation: _Key, key: _Key) -> None:
--- a/redwingvalve/fleet/tests/test_replica_standing.py
+++ b/redwingvalve/fleet/tests/test_replica_standing.py
@@ -6,6 +6,7 @@
 from redwingvalve.platform import endpoint_orders
 
 State, Standing = endpoints.MemberState, replica_standing.Standing
+Past = closing_marks.Past
 KEY = ('small.1.1', 7)
 
 
@@ -13,25 +14,27 @@
     return endpoints.Membership(*key, 0, state)
 
 
-def judge(reported, *, key=KEY, listed=None, was_closing=False):
+def judge(reported, *, key=KEY, listed=None, past=Past.UNKNOWN):
     return replica_standing.judge(
         key,
         listed=listed,
         report=endpoint_orders.Report(1, reported, ()),
-        was_closing=was_closing,
+        past=past,
     )
 
 
 @pytest.mark.parametrize('state', list(State))
-@pytest.mark.parametrize('was_closing', [False, True])
+@pytest.mark.parametrize('past', list(Past))
 def test_a_replica_that_no_longer_serves_may_have_cut_off_its_answer(
-    state, was_closing
+    state, past
 ):
     """Heads that cut off answers live on, and these counted as whole."""
     serves = state in {State.OPEN, State.CLOSING}
-    finished = was_closing and state is not State.BROKEN
-    assert judge(member(state), was_closing=was_closing) is (
-        Standing.SERVES if serves or finished else Standing.CUT_OFF
+    closed = past in {Past.CLOSING, Past.FINISHED}
+    finished = closed and state is not State.BROKEN
+    is_whole = past is not Past.CUT_OFF and (serves or finished)
+    assert judge(member(state), past=past) is (
+        Standing.SERVES if is_whole else Standing.CUT_OFF
     )
 
 
@@ -39,7 +42,12 @@
 def test_a_head_of_another_replica_has_left_that_of_the_answer(reported):
     """It serves again under the same name a moment later."""
     assert judge(reported) is Standing.CUT_OFF
-    assert judge(reported, was_closing=True) is Standing.SERVES
+    assert judge(reported, past=Past.FINISHED) is Standing.SERVES
+
+
+def test_a_head_that_left_while_it_closed_has_cut_off_its_answer():
+    """The start of a stream was taken for the whole of it."""
+    assert judge(None, past=Past.CLOSING) is Standing.CUT_OFF
 
 
 def test_an_entry_shows_a_broken_replica_whose_report_is_older():
@@ -56,29 +64,40 @@
 def test_without_report_nothing_is_known():
     """An answer that shows life only says nothing of the replica."""
     found = replica_standing.judge(
-        KEY, listed=None, report=None, was_closing=True
+        KEY, listed=None, report=None, past=Past.CLOSING
     )
     assert found is Standing.UNTOLD
 
 
-def test_a_replica_that_broke_while_it_closed_has_not_finished():
-    """Its later states look like those of one that has."""
+OTHER = member(State.JOINING, ('small.1.2', 8))
+
+
+@pytest.mark.parametrize(
+    ('seen', 'past'),
+    [
+        ((State.READY, State.OPEN), Past.UNKNOWN),
+        ((State.READY, State.OPEN, State.CLOSING), Past.CLOSING),
+        ((State.CLOSING, State.READY), Past.FINISHED),
+        ((State.CLOSING, State.READY, None), Past.FINISHED),
+        ((State.CLOSING, OTHER), Past.FINISHED),
+        ((State.CLOSING, OTHER, None), Past.FINISHED),
+        ((State.CLOSING, None), Past.CUT_OFF),
+        ((State.CLOSING, None, OTHER), Past.CUT_OFF),
+        ((State.CLOSING, State.READY, State.BROKEN), Past.CUT_OFF),
+        ((State.BROKEN, State.CLOSING, State.READY), Past.CUT_OFF),
+    ],
+)
+def test_only_a_replica_that_was_ready_again_has_finished(seen, past):
+    """One that broke or was left as it closed looked like it afterwards."""
     marks = closing_marks.ClosingMarks()
-    for state, has in (
-        (State.OPEN, False),
-        (State.CLOSING, True),
-        (State.READY, True),
-        (State.BROKEN, False),
-        (State.CLOSING, False),
-        (State.READY, False),
-    ):
+    for state in seen:
+        membership = member(state) if isinstance(state, State) else state
         marks.observe(
             endpoints.Endpoint(
-                'e1', 1, 's', 'h', 1, 'z', 4, False, membership=member(state)
+                'e1', 1, 's', 'h', 1, 'z', 4, False, membership=membership
             )
         )
-        assert marks.has(('e1', 1), KEY) is has
-    assert marks.has_broken(('e1', 1), KEY)
+    assert marks.past_of(('e1', 1), KEY) is past
 
 
 def test_a_broken_replica_that_reports_to_close_has_cut_off_its_answer():
@@ -87,7 +106,6 @@
         KEY,
         listed=member(State.CLOSING),
         report=endpoint_orders.Report(1, member(State.CLOSING), ()),
-        was_closing=True,
-        has_broken=True,
+        past=Past.CUT_OFF,
     )
     assert found is Standing.CUT_OFF
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -15,7 +15,7 @@
 import anyio.abc
 import attrs
 
-from redwingvalve.fleet import endpoints, replica_standing
+from redwingvalve.fleet import closing_marks, endpoints, replica_standing
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.http1 import client as http_client
 from redwingvalve.ingress import (
@@ -44,6 +44,9 @@
 OUTLIVE_S = 0.3
 OUTLIVE_POLL_S = 0.02
 _MS_PER_S = 1000
+_FINISHING: typing.Final = frozenset(
+    (closing_marks.Past.CLOSING, closing_marks.Past.FINISHED)
+)
 _LIVES: typing.Final = types.MappingProxyType(
     {
         endpoint_orders.Liveness.ALIVE: answer_ends.Life.ALIVE,
@@ -242,8 +245,8 @@
             return standing
         await anyio.sleep(settled_s - time.monotonic())
         later = await self._find_life(target, settled_s)
-        is_closing = self.registry.closing.has(target.incarnation, key)
-        if later.report is None and is_closing:
+        past = self.registry.closing.past_of(target.incarnation, key)
+        if later.report is None and past in _FINISHING:
             # It ends soon after its last answer.
             return standing
         return self._judge_standing(target, later.report)
@@ -255,13 +258,11 @@
     ) -> answer_ends.Standing:
         listed = self.registry.live.get(target.endpoint_id)
         key = (target.replica, target.epoch)
-        closing = self.registry.closing
         return replica_standing.judge(
             key,
             listed=None if listed is None else listed.membership,
             report=report,
-            was_closing=closing.has(target.incarnation, key),
-            has_broken=closing.has_broken(target.incarnation, key),
+            past=self.registry.closing.past_of(target.incarnation, key),
         )
 
     def _report_lag_s(self) -> float:
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -14,7 +14,7 @@
 import attrs
 
 from redwingvalve.core import clock
-from redwingvalve.fleet import endpoints, head_evidence
+from redwingvalve.fleet import closing_marks, endpoints, head_evidence
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.node import (
     endpoint_prober,
@@ -59,6 +59,8 @@
     _open_orders: head_statements.OpenOrders = attrs.field(
         factory=head_statements.OpenOrders
     )
+    # Replicas that were told to finish their requests.
+    _drained: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
 
     async def make_head_leave(
         self, head: endpoints.Endpoint
@@ -140,6 +142,7 @@
         membership = head.membership
         assert membership is not None
         LOG.info('replica closes', extra={'replica': membership.replica})
+        self._drained.add(membership.key)
         await self._client.close(
             head, membership.replica, membership.epoch, True
         )
@@ -207,12 +210,14 @@
         membership = head.membership
         if report is None or membership is None:
             return None
-        if replica_spec.still_serves(head, report.membership):
+        still_serves = replica_spec.still_serves(head, report.membership)
+        if still_serves and not self._may_be_closing(head, report):
             await self._client.close(
                 head, membership.replica, membership.epoch, False
             )
             return None
-        # It may be about to open, which only an order to leave prevents.
+        # It may be about to open, which only an order to leave prevents. One
+        # that closes would be ready like one that has finished.
         result = await self._client.leave(
             head, membership.replica, membership.epoch
         )
@@ -221,6 +226,20 @@
             await anyio.sleep(PROBE_INTERVAL_S)
         return evidence
 
+    def _may_be_closing(
+        self, head: endpoints.Endpoint, report: endpoint_orders.Report
+    ) -> bool:
+        membership = head.membership
+        assert membership is not None
+        if membership.key in self._drained:
+            return True
+        marks = self._registry.closing
+        past = marks.past_of(head.incarnation, membership.key)
+        return past is closing_marks.Past.CLOSING or (
+            report.membership is not None
+            and report.membership.state is endpoints.MemberState.CLOSING
+        )
+
     def _question_s(self, head: endpoints.Endpoint, since_s: float) -> float:
         """Return since when a report has to be asked for."""
         settled_s = self._open_orders.settled_s(head)
--- a/redwingvalve/node/tests/test_answer_ends.py
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -196,14 +196,26 @@
     await fleet.wait_until(lambda: live[endpoint.endpoint_id] is not known)
 
 
-@pytest.mark.parametrize('leaves', [False, True])
-@pytest.mark.parametrize('state', ['broken', 'ready'])
+def stop_replica(endpoint):
+    """Let a head leave its replica, which cuts off its answers."""
+    endpoint.faults.cuts_off_answers = True
+    endpoint.group = None
+    endpoint.write_entry()
+
+
+@pytest.mark.parametrize(
+    ('state', 'leaves'),
+    [('broken', False), ('broken', True), ('ready', False), ('left', True)],
+)
 def test_a_stream_goes_on_that_its_replica_has_cut_off(state, leaves):
     """Its head answers on, so that the caller got the start as the whole."""
 
     async def cut_off(fleet, endpoint):
         if leaves:
             await leave(fleet, endpoint)
+        if state == 'left':
+            stop_replica(endpoint)
+            return
         endpoint.faults.cuts_off_answers = True
         fake_endpoint.report_state(endpoint, state)
 
@@ -244,15 +256,26 @@
     """It joins another one at once, and answers for that."""
 
     async def rejoin(fleet, endpoint):
-        endpoint.faults.cuts_off_answers = True
-        endpoint.group = None
-        endpoint.write_entry()
+        stop_replica(endpoint)
 
     response, runs = ask_while(rejoin)
     assert response.events == EVENTS
     assert runs == 2
 
 
+def test_a_stream_goes_on_whose_replica_is_stopped_as_it_closes():
+    """It looked like one that had finished its last answer."""
+
+    async def stop(fleet, endpoint):
+        await know_closing(fleet, endpoint)
+        stop_replica(endpoint)
+
+    response, runs = ask_while(stop)
+    assert response.ending == 'whole'
+    assert response.events == EVENTS
+    assert runs == 2
+
+
 def test_a_whole_stream_of_a_replica_that_closes_runs_once():
     """Its replica had closed when it was asked, and it was sent again."""
 
--- a/redwingvalve/node/tests/test_head_stops.py
+++ b/redwingvalve/node/tests/test_head_stops.py
@@ -146,3 +146,61 @@
 def test_a_report_from_before_the_question_stops_no_head(how):
     """Members left a head that had opened 0.16 s before (TWO)."""
     assert stop(how, HeldOutcome()) in {'waits', None}
+
+
+CLOSING = endpoint_orders.Report(
+    1, attrs.evolve(HEAD.membership, state=endpoints.MemberState.CLOSING), ()
+)
+
+
+@attrs.define(eq=False)
+class OrderedHead(CutOffClient):
+    """Executes orders at once."""
+
+    orders: list = attrs.field(factory=list)
+
+    async def report(self, endpoint):
+        return READY if self.orders else CLOSING
+
+    async def close(self, head, replica, epoch, is_graceful):
+        self.orders.append('queue' if is_graceful else 'sever')
+        return endpoint_orders.OrderResult.ACCEPTED
+
+    async def leave(self, endpoint, replica, epoch):
+        self.orders.append('leave')
+        return endpoint_orders.OrderResult.ACCEPTED
+
+
+@pytest.mark.parametrize(
+    ('report', 'orders'),
+    [(OPEN, ['sever']), (CLOSING, ['leave'])],
+)
+def test_a_head_that_closes_is_not_closed_at_once(report, orders):
+    """It was ready then, as if it had finished what it had cut off (ORDER)."""
+    client = OrderedHead()
+    stops = head_stops.HeadStops(
+        client,
+        endpoint_prober.EndpointProber(client, others=OtherNodes([READY])),
+        registry_module.Registry(),
+        lambda: True,
+    )
+    assert anyio.run(stops.stop_head, HEAD, report) is STATED
+    assert client.orders == orders
+
+
+def test_a_head_that_was_told_to_finish_is_not_closed_at_once():
+    """Its report is older than the order, and says that it is open."""
+    client = OrderedHead()
+    stops = head_stops.HeadStops(
+        client,
+        endpoint_prober.EndpointProber(client, others=OtherNodes([READY])),
+        registry_module.Registry(),
+        lambda: True,
+    )
+
+    async def main():
+        await stops.drain(HEAD, clock.boot_s())
+        await stops.stop_head(HEAD, OPEN)
+
+    anyio.run(main)
+    assert client.orders == ['queue', 'leave']
