Do less for each byte of an event without an end

Cause: each chunk of an unfinished event was searched for the event's end, its line ends were replaced and its (empty) list of events rewritten, even where it had no line feed, without which no event can end. Change: chunks without a line feed are only appended; events are rewritten only if there are any.

--- a/redwingvalve/entry/response_check.py
+++ b/redwingvalve/entry/response_check.py
@@ -102,36 +102,48 @@
             return [
                 self._replacement_prefix + chunk[len(self._expected_prefix) :]
             ]
+        events = self._split(chunk)
+        if not events:
+            return events
         return [
             rewritten
-            for event in self._split(chunk)
+            for event in events
             if (rewritten := self._rewrite_event(event))
         ]
 
     def _split(self, chunk: bytes) -> list[bytes]:
         received = self._held_back + chunk
         self._held_back = b''
-        if b'\r' in received:
-            if received.endswith(b'\r'):
-                self._held_back = b'\r'
-                received = received[:-1]
-            received = received.replace(b'\r\n', b'\n')
-        searched_bytes = max(0, len(self._pending) - 1)
-        self._pending += received
+        if received[-1:] == b'\r':
+            self._held_back = b'\r'
+            received = received[:-1]
+        # Without a line feed no event ends, and no line end is to be replaced.
         events: list[bytes] = []
-        if self._pending.find(EVENT_END, searched_bytes) >= 0:
-            events = bytes(self._pending).split(EVENT_END)
-            self._pending = bytearray(events.pop())
+        if b'\n' in received:
+            events = self._complete(received.replace(b'\r\n', b'\n'))
+        else:
+            self._pending += received
         if len(self._pending) > response_limits.MAX_EVENT_BYTES:
             raise held_bodies.over_limit(
                 response_limits.Limit.EVENT, response_limits.MAX_EVENT_BYTES
             )
         return events
 
+    def _complete(self, received: bytes) -> list[bytes]:
+        """Return the events that end in bytes with a line feed."""
+        searched_bytes = max(0, len(self._pending) - 1)
+        self._pending += received
+        if self._pending.find(EVENT_END, searched_bytes) < 0:
+            return []
+        events = bytes(self._pending).split(EVENT_END)
+        self._pending = bytearray(events.pop())
+        return events
+
     def _is_single_token_event(self, chunk: bytes) -> bool:
         """Return whether chunk is exactly one token event; nearly all are."""
-        is_between = not self._pending and not self._held_back
-        if not is_between or not self._expected_prefix or b'\r' in chunk:
+        if not self._expected_prefix or self._pending or self._held_back:
+            return False
+        if b'\r' in chunk:
             return False
         is_single = chunk.find(EVENT_END) == len(chunk) - len(EVENT_END)
         return is_single and chunk.startswith(self._expected_prefix)
