Read what is left of a text with one call

Cause: once the characters that may be parsed in vain were used up, each element of a damaged page was read member by member, though a boundary lay a few characters ahead; and skipping asked each token for two groups. Change: a value of which the rest of the text fits into a window is parsed by one call: it can't go on behind it, so the call is never in vain. Skipping takes the one group that matched.

--- a/redwingvalve/core/json_steps.py
+++ b/redwingvalve/core/json_steps.py
@@ -33,6 +33,8 @@
 _BRACKET = re.compile(
     r'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)|([\[{])|([\]}])', re.DOTALL
 )
+# By the group of _BRACKET.
+_DEPTH_CHANGES: typing.Final = types.MappingProxyType({None: 0, 1: 1, 2: -1})
 _CLOSING: typing.Final = types.MappingProxyType({'[': ']', '{': '}'})
 # Of parsed JSON, whose classes have no descendants.
 _CONTAINERS: typing.Final = frozenset((dict, list))
@@ -105,7 +107,7 @@
         depth = 0
         tokens = _BRACKET.finditer(self._text, position, limit)
         for count, token in enumerate(tokens):
-            depth += bool(token.group(1)) - bool(token.group(2))
+            depth += _DEPTH_CHANGES[token.lastindex]
             if not depth:
                 return token.end()
             if not count % _STEP_TOKENS:
@@ -122,7 +124,9 @@
         self, position: int, depth: int
     ) -> steps.Steps[tuple[typing.Any, int]]:
         opening = self._text[position : min(position + 1, self._limit)]
-        if opening not in _CLOSING or self._budget > 0:
+        # No value goes on behind the last window, so none is parsed in vain.
+        is_last = self._limit - position <= WINDOW_CHARS
+        if is_last or opening not in _CLOSING or self._budget > 0:
             found = self._in_window(position, depth)
             if found is not None:
                 return found
