Keep a parked send until another one has a new event

What callers saw: a stream broken off although its first endpoint went on, when a second run began anew and broke after the event that the caller had last.

Cause: an event counted as new if its number was that of the run's last event, which is also so for a repetition of just this one.

An event is new if it has moved the run's last event on.

--- a/redwingvalve/ingress/parked_sends.py
+++ b/redwingvalve/ingress/parked_sends.py
@@ -73,8 +73,11 @@
         self, event: events.Event, upstream_request: upstream.UpstreamStream
     ) -> None:
         """Pass an event on."""
+        last_event = upstream_request.last_event
         self._sink.forward(event, upstream_request)
         # Not dropped by one that the caller already has.
-        is_new = event.number in {None, upstream_request.last_event}
+        is_new = event.number is None or (
+            upstream_request.last_event != last_event
+        )
         if is_new and not upstream_request.ended.done():
             self._parked.drop()
