Let two runs that end alike end an unframed stream

What callers saw: all events of a stream, then a broken connection, in a planned leave without any fault.

A run that is resumed where another one has ended may be empty. Its own end is checked as before, and a run that is empty where none has ended still breaks.

--- a/redwingvalve/ingress/answer_ends.py
+++ b/redwingvalve/ingress/answer_ends.py
@@ -88,6 +88,8 @@
     ended_s: float
     # Its request may be one that crashes endpoints.
     is_in_doubt: bool = False
+    # Its request may be sent again, to find out whether anything follows.
+    may_repeat: bool = False
     # Its bytes have waited unread, so that the times are later than their own.
     was_held: bool = False
 
--- a/redwingvalve/ingress/hedge_race.py
+++ b/redwingvalve/ingress/hedge_race.py
@@ -35,6 +35,15 @@
         """Return the last event that the caller has."""
         return self._race.forwarder.last_event
 
+    @property
+    def may_have_ended(self) -> bool:
+        """Return whether a further run may find that nothing follows."""
+        return self._race.forwarder.may_have_ended
+
+    def record_possible_end(self, last_event: int | None) -> None:
+        """Record that a run, maybe cut off, has ended after last_event."""
+        self._race.forwarder.record_possible_end(last_event)
+
     def attach(
         self,
         exchange: client.Exchange | None,
--- a/redwingvalve/ingress/stream_forwarding.py
+++ b/redwingvalve/ingress/stream_forwarding.py
@@ -24,6 +24,8 @@
         self._exchange: client.Exchange | None = None
         # The run that has delivered an event without a number.
         self._unnumbered_run: upstream.UpstreamStream | None = None
+        # After which a run has ended that may have been cut off there.
+        self._possible_end: int | None = None
         self._monitored_stream: stall_detection.MonitoredStream | None = None
         responder.on_writable = self._resume
 
@@ -76,6 +78,17 @@
         if self._responder.is_write_paused:
             self._pause()
 
+    def record_possible_end(self, last_event: int | None) -> None:
+        """Record that a run, maybe cut off, has ended after last_event."""
+        self._possible_end = last_event
+
+    @property
+    def may_have_ended(self) -> bool:
+        """Return whether a further run may find that nothing follows."""
+        return self.last_event is not None and (
+            self._possible_end == self.last_event
+        )
+
     def _continues(self, run: upstream.UpstreamStream) -> bool:
         """Return whether a run goes on where the caller's stream has ended.
 
--- a/redwingvalve/ingress/tests/test_resumed_sends.py
+++ b/redwingvalve/ingress/tests/test_resumed_sends.py
@@ -174,3 +174,76 @@
 
     async def run(self):
         """Gather nothing."""
+
+
+class CutOffReplica(answer_ends.AnswerEndChecker):
+    """Takes the first ends for cut off, further ones for whole."""
+
+    doubted = 1
+
+    async def check(self, answer):
+        self.doubted -= 1
+        if self.doubted >= 0:
+            return answer_ends.AnswerEnd.UNKNOWN
+        return answer_ends.AnswerEnd.OPEN
+
+    async def run(self):
+        """Gather nothing."""
+
+
+@pytest.mark.parametrize('first_ends', [True, False])
+def test_nothing_follows_where_two_runs_have_ended(first_ends):
+    """A whole stream whose end was in doubt was broken off by the second."""
+    exchange = wire_exchange.Exchange()
+    exchange.state.end_checker = CutOffReplica()
+    exchange.state.end_checker.doubted = int(first_ends)
+
+    async def act(exchange):
+        await exchange.wait_for_sends(1)
+        first = wire_exchange.Stream(exchange, 0, is_framed=False)
+        first.start()
+        first.send(1, EVENTS)
+        await anyio.sleep(0.02)
+        if first_ends:
+            first.finish()
+        else:
+            # The endpoint has fallen silent, and may have more to send.
+            exchange.stall()
+        await exchange.wait_for_sends(2)
+        second = wire_exchange.Stream(exchange, 1, is_framed=False)
+        second.start()
+        second.finish()
+        await anyio.sleep(0.05)
+        assert exchange.responder.is_done is first_ends
+        if not first_ends:
+            first.finish()
+        await exchange.wait_until_done()
+
+    play(exchange, act)
+    assert exchange.responder.is_done
+
+
+@pytest.mark.parametrize('repeated', [3, 4])
+def test_a_run_that_repeats_what_the_caller_has_ends_no_parked_send(repeated):
+    """The last event that the caller had was taken for a new one."""
+    exchange = wire_exchange.Exchange()
+
+    async def act(exchange):
+        await exchange.wait_for_sends(1)
+        first = wire_exchange.Stream(exchange, 0, is_framed=True)
+        first.start()
+        first.send(1, 4)
+        exchange.stall()
+        await exchange.wait_for_sends(2)
+        second = wire_exchange.Stream(exchange, 1, is_framed=True)
+        second.start()
+        second.send(1, repeated)
+        await anyio.sleep(0.02)
+        exchange.connections[1].transport.abort()
+        await anyio.sleep(0.02)
+        first.send(5, EVENTS)
+        first.finish()
+        await exchange.wait_until_done()
+
+    play(exchange, act)
+    assert exchange.responder.is_done
--- a/redwingvalve/ingress/upstream.py
+++ b/redwingvalve/ingress/upstream.py
@@ -72,6 +72,8 @@
         self._on_statement = on_statement
         self._body = bytearray()
         self._has_body = False
+        # The last event that a stream has delivered or needn't deliver.
+        self.last_event: int | None = None
 
     @property
     def body(self) -> bytes:
@@ -242,12 +244,17 @@
         on_statement: OnStatement,
         sink: EventSink,
         last_event: int | None = None,
+        *,
+        may_be_empty: bool = False,
     ) -> None:
-        """Forward events that follow last_event to sink."""
+        """Forward events that follow last_event to sink.
+
+        may_be_empty: another run has ended there, too.
+        """
         super().__init__(attempt_id, on_statement)
-        # The last event that this run has delivered or needn't deliver.
         self.last_event = last_event
         self.sink = sink
+        self._has_body = may_be_empty
         self._has_gap = False
         # Of the events received, None before one with a number.
         self._highest: int | None = None
--- a/redwingvalve/ingress/upstream_sender.py
+++ b/redwingvalve/ingress/upstream_sender.py
@@ -242,6 +242,7 @@
                 on_statement,
                 parked_sends.TakeoverSink(self._forwarder, self.sends.parked),
                 self._forwarder.last_event,
+                may_be_empty=self._forwarder.may_have_ended,
             )
         return upstream.UpstreamRequest(attempt_id, on_statement)
 
@@ -297,6 +298,7 @@
             was_held=upstream_request.was_held,
             ended_s=time.monotonic(),
             is_in_doubt=self._state.poison.blame.is_in_doubt(self._keys),
+            may_repeat=self._admission.route.may_repeat,
         )
         end = answer_ends.AnswerEnd.UNKNOWN
         with anyio.CancelScope(deadline=self._admission.timeout_at_s):
@@ -304,6 +306,8 @@
         upstream_request.end = end
         if end.is_whole:
             return outcome
+        if outcome is upstream.Outcome.COMPLETE:
+            self._forwarder.record_possible_end(upstream_request.last_event)
         upstream_request.reason = f'ended with its connection: {end.value}'
         return upstream.Outcome.BROKEN
 
