Take only replicas that were ready again for finished

What callers saw: 10 of 40 events with a proper end, if a head was stopped as it closed and joined another replica soon, or if it ended a moment after its connection; and whole streams sent again if a node learnt late that a replica had closed.

Cause: any later replica of a head counted as a sign that it had finished, the last sign of life of a closing head counted after its end, and reports were judged by entries that were older.

A replica has finished only if it was seen closing and then ready under its own key; a mark ends when it opens again. An end is judged after the entry has followed the report, for 0.8 s at most. A closing head that can't be asked again counts as finished only for requests that can't be sent again.

Two expectations of test_replica_standing are stricter than before: `closing` followed by another replica or by `joining` was taken for finished.

--- a/redwingvalve/fleet/closing_marks.py
+++ b/redwingvalve/fleet/closing_marks.py
@@ -28,9 +28,9 @@
     # It was not seen to close, as far as is known.
     UNKNOWN = 'unknown'
     CLOSING = 'closing'
-    # It was ready again after it closed, or its head was in another one.
+    # It was ready again after it closed.
     FINISHED = 'finished'
-    # It broke, or its head left it while it closed.
+    # It broke.
     CUT_OFF = 'cut off'
 
 
@@ -45,9 +45,11 @@
     def observe(self, endpoint: endpoints.Endpoint) -> None:
         """Mark an endpoint's replica if it closes, or if it was cut off."""
         membership = endpoint.membership
-        if membership is not None and membership.state is _BROKEN:
+        if membership is None:
+            return
+        if membership.state is _BROKEN:
             _mark(self._cut_off, endpoint.incarnation, membership.key)
-        if membership is not None and membership.state is _CLOSING:
+        if membership.state is _CLOSING:
             _mark(self._closing, endpoint.incarnation, membership.key)
             self._finished.pop(endpoint.incarnation, None)
             return
@@ -66,21 +68,16 @@
         return Past.CLOSING
 
     def _observe_after(
-        self, incarnation: _Key, membership: endpoints.Membership | None
+        self, incarnation: _Key, membership: endpoints.Membership
     ) -> None:
-        """Mark the replica that a head closed, if it closes it no more."""
-        closed = self._closing.get(incarnation)
-        if closed is None:
+        """Mark a replica that was closing if it is ready or open again."""
+        if self._closing.get(incarnation) != membership.key:
             return
-        if membership is None:
-            self._observe_departure(incarnation, closed)
-        elif membership.state is _READY or membership.key != closed:
-            _mark(self._finished, incarnation, closed)
-
-    def _observe_departure(self, incarnation: _Key, key: _Key) -> None:
-        """Mark the replica of a head that is in none any more."""
-        if self.past_of(incarnation, key) is Past.CLOSING:
-            _mark(self._cut_off, incarnation, key)
+        if membership.state is _READY:
+            _mark(self._finished, incarnation, membership.key)
+        else:
+            self._closing.pop(incarnation)
+            self._finished.pop(incarnation, None)
 
 
 def _mark(marks: dict[_Key, _Key], incarnation: _Key, key: _Key) -> None:
--- a/redwingvalve/fleet/replica_standing.py
+++ b/redwingvalve/fleet/replica_standing.py
@@ -38,20 +38,25 @@
     state = _state(key, report.membership)
     if state in _SERVING:
         return Standing.SERVES
-    has_finished = _has_finished(past, report.membership)
+    # A head that is stopped as it closes leaves, and one that has finished is
+    # ready, before either joins another replica.
+    has_finished = past is Past.FINISHED or (
+        past is Past.CLOSING and state is State.READY
+    )
     if has_finished and state is not State.BROKEN:
         return Standing.SERVES
     return Standing.CUT_OFF
 
 
-def _has_finished(past: Past, current: endpoints.Membership | None) -> bool:
-    """Return whether a head that doesn't serve a replica has finished it.
-
-    One that finishes is ready; one that is told to leave is in no replica.
-    """
-    if past is Past.CLOSING:
-        return current is not None
-    return past is Past.FINISHED
+def is_entry_older(
+    key: tuple[str, int],
+    listed: endpoints.Membership | None,
+    report: endpoint_orders.Report | None,
+) -> bool:
+    """Return whether a report tells of an end that the entry will tell of."""
+    if report is None or _state(key, report.membership) in _SERVING:
+        return False
+    return _state(key, listed) in _SERVING
 
 
 def may_be_outdated(
--- a/redwingvalve/fleet/tests/test_replica_standing.py
+++ b/redwingvalve/fleet/tests/test_replica_standing.py
@@ -30,8 +30,11 @@
 ):
     """Heads that cut off answers live on, and these counted as whole."""
     serves = state in {State.OPEN, State.CLOSING}
-    closed = past in {Past.CLOSING, Past.FINISHED}
-    finished = closed and state is not State.BROKEN
+    may_finish = {
+        Past.CLOSING: {State.READY},
+        Past.FINISHED: set(State) - {State.BROKEN},
+    }
+    finished = state in may_finish.get(past, set())
     is_whole = past is not Past.CUT_OFF and (serves or finished)
     assert judge(member(state), past=past) is (
         Standing.SERVES if is_whole else Standing.CUT_OFF
@@ -45,9 +48,10 @@
     assert judge(reported, past=Past.FINISHED) is Standing.SERVES
 
 
-def test_a_head_that_left_while_it_closed_has_cut_off_its_answer():
+@pytest.mark.parametrize('reported', [None, member(State.OPEN, (KEY[0], 8))])
+def test_a_head_that_left_while_it_closed_has_cut_off_its_answer(reported):
     """The start of a stream was taken for the whole of it."""
-    assert judge(None, past=Past.CLOSING) is Standing.CUT_OFF
+    assert judge(reported, past=Past.CLOSING) is Standing.CUT_OFF
 
 
 def test_an_entry_shows_a_broken_replica_whose_report_is_older():
@@ -79,10 +83,10 @@
         ((State.READY, State.OPEN, State.CLOSING), Past.CLOSING),
         ((State.CLOSING, State.READY), Past.FINISHED),
         ((State.CLOSING, State.READY, None), Past.FINISHED),
-        ((State.CLOSING, OTHER), Past.FINISHED),
-        ((State.CLOSING, OTHER, None), Past.FINISHED),
-        ((State.CLOSING, None), Past.CUT_OFF),
-        ((State.CLOSING, None, OTHER), Past.CUT_OFF),
+        ((State.CLOSING, State.READY, OTHER), Past.FINISHED),
+        ((State.CLOSING, OTHER), Past.CLOSING),
+        ((State.CLOSING, None), Past.CLOSING),
+        ((State.CLOSING, State.READY, State.OPEN), Past.UNKNOWN),
         ((State.CLOSING, State.READY, State.BROKEN), Past.CUT_OFF),
         ((State.BROKEN, State.CLOSING, State.READY), Past.CUT_OFF),
     ],
--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -43,6 +43,9 @@
 # packet is lost.
 OUTLIVE_S = 0.3
 OUTLIVE_POLL_S = 0.02
+# Entries follow reports at most this much later, unless the store is away.
+MAX_ENTRY_DELAY_S = 0.8
+ENTRY_POLL_S = 0.02
 _MS_PER_S = 1000
 _FINISHING: typing.Final = frozenset(
     (closing_marks.Past.CLOSING, closing_marks.Past.FINISHED)
@@ -242,15 +245,36 @@
         key = (target.replica, target.epoch)
         is_settled = time.monotonic() > settled_s
         if is_settled or not replica_standing.may_be_outdated(key, report):
-            return standing
+            await self._wait_for_entry(target, report)
+            return self._judge_standing(target, report)
         await anyio.sleep(settled_s - time.monotonic())
         later = await self._find_life(target, settled_s)
         past = self.registry.closing.past_of(target.incarnation, key)
-        if later.report is None and past in _FINISHING:
+        is_ending = later.report is None and past in _FINISHING
+        if is_ending and not answer.may_repeat:
             # It ends soon after its last answer.
             return standing
+        await self._wait_for_entry(target, later.report)
         return self._judge_standing(target, later.report)
 
+    async def _wait_for_entry(
+        self,
+        target: load_balancing.Target,
+        report: endpoint_orders.Report | None,
+    ) -> None:
+        """Wait until the entry has followed a report of a replica's end.
+
+        Only entries tell whether it was closing, and they arrive later.
+        """
+        key = (target.replica, target.epoch)
+        until_s = time.monotonic() + MAX_ENTRY_DELAY_S
+        while time.monotonic() < until_s:
+            listed = self.registry.live.get(target.endpoint_id)
+            membership = None if listed is None else listed.membership
+            if not replica_standing.is_entry_older(key, membership, report):
+                return
+            await anyio.sleep(ENTRY_POLL_S)
+
     def _judge_standing(
         self,
         target: load_balancing.Target,
--- a/redwingvalve/node/tests/test_answer_ends.py
+++ b/redwingvalve/node/tests/test_answer_ends.py
@@ -230,11 +230,7 @@
     """Reports are some hundred milliseconds old: it still said `open`."""
 
     async def cut_off(fleet, endpoint):
-        configuration = fleet_harness.configuration()
-        for service in configuration['services']:
-            service.get('engine', {})['report_lag_ms'] = 300
-        fleet.store.put('config', 'main', configuration)
-        await fleet.wait_until(lambda: knows_lag(fleet.nodes[0]))
+        await delay_reports(fleet, 300)
         endpoint.faults.old_group = endpoint.group
         endpoint.faults.old_until_s = time.monotonic() + 0.25
         # The entry arrives later than the end.
@@ -276,6 +272,83 @@
     assert runs == 2
 
 
+@pytest.mark.parametrize('leaves_at_once', [False, True])
+def test_a_stream_goes_on_whose_stopped_replica_is_followed_by_another(
+    leaves_at_once,
+):
+    """Its head looked like one that had finished, and joined another one."""
+
+    async def rejoin(fleet, endpoint):
+        await know_closing(fleet, endpoint)
+        group = endpoint.group
+        stop_replica(endpoint)
+        if not leaves_at_once:
+            await anyio.sleep(0.05)
+        endpoint.group = {**group, 'epoch': group['epoch'] + 1, 'state': 'open'}
+        endpoint.write_entry()
+
+    response, _ = ask_while(rejoin)
+    assert response.ending == 'whole'
+    assert response.events == EVENTS
+
+
+async def delay_reports(fleet, lag_ms=200):
+    """Let reports be some hundred milliseconds old, and the node know it."""
+    configuration = fleet_harness.configuration()
+    for service in configuration['services']:
+        service.get('engine', {})['report_lag_ms'] = lag_ms
+    fleet.store.put('config', 'main', configuration)
+    await fleet.wait_until(lambda: knows_lag(fleet.nodes[0]))
+
+
+def test_a_stream_goes_on_whose_closing_head_ends_after_its_connection():
+    """Its last sign of life was older than its end."""
+
+    async def stop(fleet, endpoint):
+        await delay_reports(fleet)
+        await know_closing(fleet, endpoint)
+        endpoint.faults.old_group = endpoint.group
+        endpoint.faults.old_until_s = time.monotonic() + 0.25
+        endpoint.faults.is_cut_off_from_store = True
+        endpoint.faults.cuts_off_answers = True
+        await anyio.sleep(0.1)
+        endpoint.crash()
+
+    response, _ = ask_while(stop)
+    assert response.ending == 'whole'
+    assert response.events == EVENTS
+
+
+@pytest.mark.parametrize('stays_s', [0.5, 0.65])
+def test_a_planned_leave_breaks_no_stream_of_a_node_that_learns_of_it_late(
+    stays_s,
+):
+    """The replica had closed by its report and was open by its older entry."""
+    found = []
+
+    async def test(fleet):
+        close_after_answers(fleet)
+        holders = fleet_harness.lease_holders(fleet)
+        number = next(
+            number
+            for number, node in enumerate(fleet.nodes)
+            if node not in holders
+        )
+
+        async def ask():
+            found.append(await fleet.caller(number).stream())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            endpoint = await find_running(fleet)
+            await anyio.sleep(stays_s)
+            endpoint.drain()
+
+    fleet_harness.run(test, nodes=3, engines=4, plain=0)
+    assert found[0].ending == 'whole'
+    assert found[0].events == EVENTS
+
+
 def test_a_whole_stream_of_a_replica_that_closes_runs_once():
     """Its replica had closed when it was asked, and it was sent again."""
 
