Take no pause of a node for the silence of endpoints

Cause: endpoints that broke off a request are probed again and again, with 0.2 s to answer. If the event loop of the node stands still for longer, all probes under way time out at once. Each counted as the silence of its endpoint: its runs, set aside by earlier answers, counted again, and the next probe came 0.5 s later or more, as the interval doubled. In a traced failure the last answer was lost at 12.34 s; a pause of 0.36 s at 12.9 s made two nodes take three endpoints each for silent, until 13.5 s.

A probe without an answer now tells nothing if the loop has paused for more than half of the time that the endpoint has; it is repeated at the next check. Probes that are refused, or time out in a node that runs, count as before.

One trace has reports of runs dated up to 1 s after the last break; whether that holds the request back isn't shown.

--- a/redwingvalve/node/crash_checks.py
+++ b/redwingvalve/node/crash_checks.py
@@ -27,13 +27,16 @@
     poison,
 )
 from redwingvalve.ingress import state as state_module
-from redwingvalve.node import endpoint_prober, stop_watch
+from redwingvalve.node import endpoint_prober, loop_pauses, stop_watch
 from redwingvalve.observability import logs, node_metrics
 from redwingvalve.platform import endpoint_orders
 
 LOG = logs.make_logger('crash-checks')
 CHECK_INTERVAL_S = 0.1
 MAX_CONCURRENT_PROBES = 16
+# Longest pause of the loop in a probe that counts although nothing was
+# answered: an answer has time left after it.
+MAX_PAUSE_S = endpoint_orders.REPORT_TIMEOUT_S / 2
 # A process may outlive the connection of its answer by a moment.
 ANSWER_END_DELAY_S = 0.15
 # For an endpoint that doesn't respond, and between two probes of it.
@@ -60,6 +63,11 @@
     interval_s: float = crash_probes.MIN_INTERVAL_S
     is_running: bool = False
 
+    def postpone(self) -> None:
+        """Wait before the next probe, longer each time."""
+        self.next_s = time.monotonic() + self.interval_s
+        self.interval_s = min(2 * self.interval_s, crash_probes.MAX_INTERVAL_S)
+
 
 @attrs.define(eq=False)
 class CrashChecker(poison.EvidenceObserver):
@@ -136,6 +144,8 @@
         probes: _Probes,
     ) -> None:
         sent_s = time.monotonic()
+        watch = loop_pauses.PauseWatch()
+        watch.start()
         try:
             liveness = await self.client.check_process(endpoint)
         except Exception:
@@ -143,11 +153,23 @@
             LOG.exception('probe failed', extra={'endpoint': incarnation[0]})
             liveness = endpoint_orders.Liveness.UNKNOWN
         finally:
+            watch.stop()
             probes.is_running = False
-            probes.next_s = time.monotonic() + probes.interval_s
-            probes.interval_s = min(
-                2 * probes.interval_s, crash_probes.MAX_INTERVAL_S
-            )
+        is_unknown = liveness is endpoint_orders.Liveness.UNKNOWN
+        if is_unknown and watch.longest_s > MAX_PAUSE_S:
+            # After a pause of this process all endpoints seem silent, which
+            # says nothing about them.
+            LOG.info('paused in probe', extra={'pause_s': watch.longest_s})
+            return
+        probes.postpone()
+        self._record(incarnation, liveness, sent_s)
+
+    def _record(
+        self,
+        incarnation: broken_runs.Incarnation,
+        liveness: endpoint_orders.Liveness,
+        sent_s: float,
+    ) -> None:
         if liveness is endpoint_orders.Liveness.ALIVE:
             # Runs that broke off after the probe was sent need another one.
             self._probes.pop(incarnation, None)
--- a/redwingvalve/node/tests/test_crash_checks.py
+++ b/redwingvalve/node/tests/test_crash_checks.py
@@ -4,6 +4,7 @@
 import time
 
 import anyio
+import pytest
 
 from redwingvalve.fleet import registry
 from redwingvalve.ingress import (
@@ -14,6 +15,8 @@
 from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
 
+# Longer than an endpoint may take to answer a probe.
+PAUSE_S = 0.25
 ALIVE, ENDED, NOT_LISTENING, UNKNOWN = endpoint_orders.Liveness
 
 
@@ -23,11 +26,21 @@
     def __init__(self, liveness):
         self.liveness = liveness
         self.probes = 0
+        # The whole process stands still amid the next probes, which time out.
+        self.pause_s = 0
 
     async def check_process(self, endpoint):
         self.probes += 1
+        began_s = time.monotonic()
         await anyio.sleep(0.01)
-        return self.liveness
+        self.pause()
+        lasted_s = time.monotonic() - began_s
+        is_late = lasted_s > endpoint_orders.REPORT_TIMEOUT_S
+        return UNKNOWN if is_late else self.liveness
+
+    def pause(self):
+        pause_s, self.pause_s = self.pause_s, 0
+        time.sleep(pause_s)
 
 
 def run_checks(liveness, test):
@@ -102,6 +115,49 @@
     run_checks(UNKNOWN, test)
 
 
+def test_a_pause_of_the_node_is_no_silence_of_its_endpoints():
+    """They had answered: requests would be held back again by a busy node."""
+
+    async def test(tracker, client):
+        break_off(tracker)
+        await wait_for(tracker, crash_blame.Verdict.SERVE, 0.3)
+        for number in range(3):
+            client.pause_s = PAUSE_S
+            while client.pause_s:
+                await anyio.sleep(0.005)
+            await anyio.sleep(0.02)
+            assert tracker.verdict(7) is crash_blame.Verdict.SERVE, number
+
+    run_checks(ALIVE, test)
+
+
+@pytest.mark.parametrize('pauses', [1, 3])
+def test_endpoints_are_asked_again_soon_after_a_pause_of_the_node(pauses):
+    """A busy node would hold a sound request back for seconds."""
+
+    async def test(tracker, client):
+        break_off(tracker)
+        for _ in range(pauses):
+            client.pause_s = PAUSE_S
+            while client.pause_s:
+                await anyio.sleep(0.005)
+        await wait_for(tracker, crash_blame.Verdict.SERVE, 0.3)
+
+    run_checks(ALIVE, test)
+
+
+def test_request_is_held_back_again_once_its_endpoints_are_silent():
+    """Without a pause of the node, their silence counts at once."""
+
+    async def test(tracker, client):
+        break_off(tracker)
+        await wait_for(tracker, crash_blame.Verdict.SERVE, 0.3)
+        client.liveness = UNKNOWN
+        await wait_for(tracker, crash_blame.Verdict.HOLD)
+
+    run_checks(ALIVE, test)
+
+
 def test_a_single_lost_answer_of_a_busy_endpoint_causes_no_probe():
     """It answers other requests in the meantime."""
 
