Do less for each grant

Cause: for each grant the endpoints were asked one by one through several calls whether they have a free slot, sets of those to avoid were built anew for each endpoint, usable ones were sought among the full ones, and a record of each account that waits was made for each request in order. Change: full endpoints are passed over by their counts; whether others are usable is asked only where a free one isn't; accounts keep their record until their first request changes; counts of groups are made only if missing.

--- a/redwingvalve/allocation/endpoint_slots.py
+++ b/redwingvalve/allocation/endpoint_slots.py
@@ -134,9 +134,19 @@
             for target in targets
         )
 
+    def with_free(
+        self, targets: collections_abc.Iterable[load_balancing.Target]
+    ) -> collections_abc.Iterator[load_balancing.Target]:
+        """Yield the endpoints of which a slot may be granted now."""
+        counts = self.holds.counts()
+        for target in targets:
+            # While requests wait, most endpoints are full.
+            held = counts.get(target.endpoint_id, 0)
+            if held < target.slots and self.free_at(target) > 0:
+                yield target
+
     def free_at(self, target: load_balancing.Target) -> int:
         """Return the slots of an endpoint that may be granted now."""
-        # The usual case while requests wait, in which most endpoints are full.
         if self.holds.count(target.endpoint_id) >= target.slots:
             return 0
         now_s = self.clock()
--- a/redwingvalve/allocation/hold_table.py
+++ b/redwingvalve/allocation/hold_table.py
@@ -61,6 +61,10 @@
         """Return the number of held slots."""
         return len(self._holds)
 
+    def counts(self) -> collections_abc.Mapping[str, int]:
+        """Return the numbers of held slots, by endpoint with any."""
+        return types.MappingProxyType(self._counts)
+
     def count(self, endpoint_id: str) -> int:
         """Return the number of held slots at an endpoint."""
         return self._counts.get(endpoint_id, 0)
--- a/redwingvalve/allocation/pool.py
+++ b/redwingvalve/allocation/pool.py
@@ -205,7 +205,8 @@
 
     def has_free_slots(self) -> bool:
         """Return False if no request can get a slot now."""
-        return any(map(self.endpoint_slots.free_at, self.targets()))
+        free = self.endpoint_slots.with_free(self.targets())
+        return next(free, None) is not None
 
     def has_spare_slots(self) -> bool:
         """Return whether late requests may take a slot now.
@@ -240,11 +241,7 @@
 
     def _in_use(self) -> collections_abc.Sequence[load_balancing.Target]:
         """Return the endpoints that get more than probes."""
-        return [
-            target
-            for target in self.targets()
-            if self._outliers.is_usable(target.endpoint_id)
-        ]
+        return _usable(self.targets(), self._outliers)
 
     def _choose_probe_target(
         self, ask: messages.Ask
@@ -265,23 +262,17 @@
         A domain fails as a whole, and its heads stall all at once: a stream
         that one of them has lost must not be resumed at the next one.
         """
+        excluded = {*ask.avoid, *ask.resting}
         untried = [
             target
             for target in self.targets()
-            if target.endpoint_id not in {*ask.avoid, *ask.resting}
-        ]
-        in_use = [
-            target
-            for target in untried
-            if self._outliers.is_usable(target.endpoint_id)
+            if target.endpoint_id not in excluded
         ]
+        free = list(self.endpoint_slots.with_free(untried))
+        in_use = _usable(free, self._outliers)
         # An ejected endpoint is better than none, except for a hedge.
-        usable = in_use if ask.need.is_hedge else in_use or untried
-        free = [
-            target
-            for target in usable
-            if self.endpoint_slots.free_at(target) > 0
-        ]
+        if free and not (in_use or ask.need.is_hedge):
+            in_use = [] if _usable(untried, self._outliers) else free
         failed_domains = {
             self._domains.get(endpoint_id, '') for endpoint_id in ask.avoid
         } - {''}
@@ -293,7 +284,15 @@
             is_failed = target.domain in failed_domains
             return is_failed, is_slow, load + penalty, self.rng.random()
 
-        return min(free, key=rank, default=None)
+        return min(in_use, key=rank, default=None)
+
+
+def _usable(
+    targets: collections_abc.Iterable[load_balancing.Target],
+    outliers: outlier_detection.OutlierDetector,
+) -> list[load_balancing.Target]:
+    """Return those of the endpoints that get more than probes."""
+    return [one for one in targets if outliers.is_usable(one.endpoint_id)]
 
 
 PoolTargets: typing.TypeAlias = collections_abc.Callable[
--- a/redwingvalve/ingress/fair_shares.py
+++ b/redwingvalve/ingress/fair_shares.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import operator
 from collections import abc as collections_abc
 
 import attrs
@@ -21,6 +22,9 @@
 MIN_USE = 0.01
 
 
+_first_since = operator.attrgetter('first_since')
+
+
 @attrs.define
 class _Use:
     """Slots that one account holds, and held lately on average."""
@@ -99,9 +103,9 @@
 
         waiting lists the accounts that wait for slots.
         """
-        total = sum(use.advance(now_s) for use in self._uses.values())
-        new = sum(account not in self._uses for account in waiting)
-        return total / max(len(self._uses) + new, 1)
+        uses = self._uses.values()
+        total = sum([use.advance(now_s) for use in uses])
+        return total / max(len(self._uses.keys() | waiting), 1)
 
     def choose(
         self,
@@ -115,13 +119,21 @@
         one that uses less than an equal share came to the front: that one
         waits for one request of each account at most.
         """
-        uses = [self.use(one.account, now_s) for one in contenders]
+        known = self._uses
+        uses = [
+            use.advance(now_s) if (use := known.get(one.account)) else 0.0
+            for one in contenders
+        ]
+        least = min(uses)
         # Equal uses, of new accounts for instance: the older request first.
-        least = min(
-            range(len(uses)),
-            key=lambda index: (uses[index], contenders[index].first_since),
-        )
-        chosen = contenders[least]
+        equal = [
+            one
+            for one, use in zip(contenders, uses, strict=True)
+            if use == least
+        ]
+        chosen = min(equal, key=_first_since)
+        if least >= share:
+            return chosen
         served = self._last_grant(chosen.account)
         overtaken = [
             one
--- a/redwingvalve/ingress/served_shares.py
+++ b/redwingvalve/ingress/served_shares.py
@@ -133,7 +133,11 @@
     ) -> list[_Count]:
         counts = [self._total]
         for group in groups:
-            counts.append(self._counts.setdefault(group, _Count()))
+            count = self._counts.get(group)
+            if count is None:
+                count = _Count()
+                self._counts[group] = count
+            counts.append(count)
         for current in counts:
             current.advance(now_s)
         return counts
--- a/redwingvalve/ingress/waiting_lines.py
+++ b/redwingvalve/ingress/waiting_lines.py
@@ -36,9 +36,8 @@
 
 @attrs.define
 class _AccountLine(typing.Generic[_Waiter]):
+    contender: fair_shares.Contender
     waiters: _Line[_Waiter] = attrs.field(factory=dict)
-    # Number of the last grant when its first request became the first.
-    first_since: int = 0
 
 
 _AccountLines: typing.TypeAlias = dict[str, _AccountLine[_Waiter]]
@@ -71,7 +70,7 @@
         lines = self._by_rank.setdefault(place.rank, {})
         line = lines.get(place.account)
         if line is None:
-            line = _AccountLine(first_since=self._uses.last_grant)
+            line = _AccountLine(self._contender(place.account))
             lines[place.account] = line
         line.waiters[waiter] = None
         for group in place.groups:
@@ -88,7 +87,7 @@
         lines = self._by_rank[place.rank]
         line = lines[place.account]
         if next(iter(line.waiters)) is waiter:
-            line.first_since = self._uses.last_grant
+            line.contender = self._contender(place.account)
         line.waiters.pop(waiter)
         if not line.waiters:
             lines.pop(place.account)
@@ -149,17 +148,12 @@
         """
         share = self._uses.equal_share(self._by_account, now_s)
         for rank in sorted(self._by_rank):
+            lines = self._by_rank[rank]
             left = {
-                account: iter(line.waiters)
-                for account, line in self._by_rank[rank].items()
+                account: iter(line.waiters) for account, line in lines.items()
             }
             while left:
-                contenders = [
-                    fair_shares.Contender(
-                        account, self._by_rank[rank][account].first_since
-                    )
-                    for account in left
-                ]
+                contenders = [lines[account].contender for account in left]
                 chosen = self._uses.choose(contenders, share, now_s)
                 waiter = next(left[chosen.account], None)
                 if waiter is None:
@@ -186,6 +180,10 @@
         )
         return self._better_than(place.rank) + own_ahead + others
 
+    def _contender(self, account: str) -> fair_shares.Contender:
+        """Return an account whose first request has just become the first."""
+        return fair_shares.Contender(account, self._uses.last_grant)
+
     def _better_than(self, rank: Rank) -> int:
         """Return the number of requests of better ranks."""
         return sum(
