Bound what an entry keeps to resume streams

A faulty replica that sends events of a request without end had all of them kept by the entry until its caller closed, so that the entry's memory ended, and the requests of other callers with it. Records of streams had no limit, of one or of all together. They now share an eighth of limits.memory_mb; without room the longest is dropped, which is that of a stream without end. Such a stream goes on, and isn't resumed if its replica fails.

--- a/redwingvalve/entry/delivered_events.py
+++ b/redwingvalve/entry/delivered_events.py
@@ -1,4 +1,9 @@
-"""Records the events delivered to a caller, so that a stream can resume."""
+"""Records the events delivered to a caller, so that a stream can resume.
+
+Load pattern: faulty replicas send events of their requests without end. The
+records of all streams together have a limit; beyond it the longest is dropped,
+which is that of a stream without end rather than that of an ordinary one.
+"""
 
 import json
 import typing
@@ -8,18 +13,50 @@
 from redwingvalve.entry import response_check
 
 DATA_FIELD = b'data:'
+# Of the memory of a process, for the records of all streams.
+MEMORY_SHARE: typing.Final = 0.125
+_BYTES_PER_MB = 1_048_576
+
+
+@attrs.define(eq=False)
+class RecordRoom:
+    """The records of all streams of a process, with a common limit."""
+
+    max_bytes: float
+    held_bytes: int = 0
+    _recorded: dict['DeliveredEvents', None] = attrs.field(factory=dict)
+
+    def grow(self, record: 'DeliveredEvents', size_bytes: int) -> None:
+        """Count bytes of a record; drop the longest ones without room."""
+        self._recorded[record] = None
+        self.held_bytes += size_bytes
+        while self.held_bytes > self.max_bytes:
+            max(self._recorded, key=DeliveredEvents.recorded_bytes).drop()
+
+    def forget(self, record: 'DeliveredEvents') -> None:
+        """Count a record no more."""
+        if record in self._recorded:
+            self._recorded.pop(record)
+            self.held_bytes -= record.recorded_bytes()
+
+
+def make_room(memory_mb: float) -> RecordRoom:
+    """Return the room of a process that may use so much memory."""
+    return RecordRoom(MEMORY_SHARE * memory_mb * _BYTES_PER_MB)
 
 
-@attrs.define
+@attrs.define(eq=False)
 class DeliveredEvents:
     """The events written to the caller by all attempts.
 
     They are stored as bytes and parsed only if a stream breaks: parsing each
     token would cost more than relaying it. recorded is false for requests that
-    are never resumed; their events are only counted.
+    are never resumed, and once the room is needed for others; their events are
+    only counted.
     """
 
     recorded: bool
+    room: RecordRoom
     count: int = 0
     _events: bytearray = attrs.field(factory=bytearray)
 
@@ -27,8 +64,23 @@
         """Add delivered events."""
         self.count += len(events)
         if self.recorded:
-            for event in events:
-                self._events += event
+            added = b''.join(events)
+            self._events += added
+            self.room.grow(self, len(added))
+
+    def recorded_bytes(self) -> int:
+        """Return the length of the record."""
+        return len(self._events)
+
+    def drop(self) -> None:
+        """Record no longer; the stream can't be resumed any more."""
+        self.recorded = False
+        self.close()
+
+    def close(self) -> None:
+        """Give the record up."""
+        self.room.forget(self)
+        self._events = bytearray()
 
     def parse(self) -> 'DeliveredText':
         """Return the delivered tokens and whether the answer was finished."""
--- a/redwingvalve/entry/dependencies.py
+++ b/redwingvalve/entry/dependencies.py
@@ -1,5 +1,6 @@
 """The dependencies of the request path, mostly abstract base classes."""
 
+import math
 from collections import abc as collections_abc
 
 import attrs
@@ -7,7 +8,7 @@
 from redwingvalve.at_most_once import claims
 from redwingvalve.configuration import snapshot
 from redwingvalve.core import clock, invariants, outcomes
-from redwingvalve.entry import directory, upstream
+from redwingvalve.entry import delivered_events, directory, upstream
 from redwingvalve.evidence import permits
 from redwingvalve.http1 import byte_account
 from redwingvalve.membership import members
@@ -37,6 +38,10 @@
     key_claims: claims.KeyClaims | None = None
     # Of the bodies of all requests.
     account: byte_account.ByteAccount = byte_account.UNLIMITED
+    # Of what streams have delivered, to resume them.
+    records: delivered_events.RecordRoom = attrs.field(
+        factory=lambda: delivered_events.RecordRoom(math.inf)
+    )
 
 
 def grant_expired() -> outcomes.ErrorResponse:
--- a/redwingvalve/entry/relay.py
+++ b/redwingvalve/entry/relay.py
@@ -94,12 +94,13 @@
             delivered_events.DeliveredEvents(
                 recorded=request.idempotent
                 and request.stream
-                and delivered_events.is_resumable(request.fields)
+                and delivered_events.is_resumable(request.fields),
+                room=self._dependencies.records,
             ),
         )
         refusal: outcomes.ErrorResponse | None = None
         scope = anyio.move_on_after(max(remaining_s, 0))
-        with scope:
+        with scope, contextlib.closing(progress.delivered):
             refusal = await self._process(progress, may_send)
         if writer.finished:
             return
--- a/redwingvalve/process/entry.py
+++ b/redwingvalve/process/entry.py
@@ -6,7 +6,7 @@
 
 from redwingvalve.at_most_once import claims
 from redwingvalve.discovery import balanced_directory
-from redwingvalve.entry import aiohttp_upstream, daemon
+from redwingvalve.entry import aiohttp_upstream, daemon, delivered_events
 from redwingvalve.entry import dependencies as entry_dependencies
 from redwingvalve.evidence import prober, serving_permits, table
 from redwingvalve.http1 import byte_account
@@ -104,4 +104,7 @@
         account=byte_account.make_account(
             dependencies.settings.limits.memory_mb
         ),
+        records=delivered_events.make_room(
+            dependencies.settings.limits.memory_mb
+        ),
     )
