Count unfinished events of streams in the account of an entry

Faulty replicas that begin a long event in each of many streams, and don't end it, had the entry keep up to 1 MiB for each beside the account of held bytes, so that the sum had no limit, and other callers' room wasn't what it seemed. An unfinished event of more than 4 KB now counts as a long answer: without room its stream isn't read, and a slow one is given up for others.

Tests of entry and retries pass beside.

--- a/redwingvalve/entry/model_attempts.py
+++ b/redwingvalve/entry/model_attempts.py
@@ -18,6 +18,7 @@
     attempt_failures,
     delivered_events,
     dependencies,
+    held_event,
     model_request,
     response_check,
     response_writer,
@@ -250,8 +251,11 @@
             response.headers, identity, self._dependencies.switches
         )
         if progress.request.stream:
+            validator = response_check.StreamValidator(
+                identity, self._dependencies.switches
+            )
             await self._relay_stream(
-                exchange, identity, progress, on_first_token
+                exchange, validator, progress, on_first_token
             )
             exchange.ended = True
             return None
@@ -269,13 +273,32 @@
     async def _relay_stream(
         self,
         exchange: '_Exchange',
-        identity: response_check.ResponseIdentity,
+        validator: response_check.StreamValidator,
         progress: RequestProgress,
         on_first_token: collections_abc.Callable[[], None],
     ) -> None:
-        validator = response_check.StreamValidator(
-            identity, self._dependencies.switches
+        held = held_event.HeldEvent(validator, self._dependencies.account)
+        with contextlib.closing(held):
+            await self._relay_events(
+                exchange, validator, held, progress, on_first_token
+            )
+        complete = validator.done or not self._dependencies.switches.enabled(
+            invariants.Safeguard.ANSWER_COMPLETENESS
         )
+        if not complete:
+            raise response_check.IncompleteResponseError(
+                'the stream ended without [DONE]'
+            )
+        await finish_stream(progress.writer)
+
+    async def _relay_events(
+        self,
+        exchange: '_Exchange',
+        validator: response_check.StreamValidator,
+        held: held_event.HeldEvent,
+        progress: RequestProgress,
+        on_first_token: collections_abc.Callable[[], None],
+    ) -> None:
         writer = progress.writer
         stream = exchange.monitored.stream
         notified = False
@@ -285,10 +308,14 @@
                 # interrupt its delivery after it was counted. The next replica
                 # generates it again.
                 raise StalledError
+            held.require_room()
             events = validator.feed(chunk)
+            # What follows until the next read is no wait for the replica.
+            stream.is_paused = True
             if not events:
+                await held.wait_for_room()
+                stream.is_paused = False
                 continue
-            stream.is_paused = True
             if not notified:
                 notified = True
                 on_first_token()
@@ -298,16 +325,9 @@
             progress.delivered.add(events)
             stream.tokens += len(events)
             await writer.write(b''.join(events))
+            await held.wait_for_room()
             stream.is_paused = False
         stream.is_paused = True
-        complete = validator.done or not self._dependencies.switches.enabled(
-            invariants.Safeguard.ANSWER_COMPLETENESS
-        )
-        if not complete:
-            raise response_check.IncompleteResponseError(
-                'the stream ended without [DONE]'
-            )
-        await finish_stream(writer)
 
     async def _clean_up(
         self, exchange: '_Exchange', upstream_request: upstream.UpstreamRequest
--- a/redwingvalve/entry/response_check.py
+++ b/redwingvalve/entry/response_check.py
@@ -108,6 +108,14 @@
             if (rewritten := self._rewrite_event(event))
         ]
 
+    def pending_bytes(self) -> int:
+        """Return how much of the next event has arrived."""
+        return len(self._pending)
+
+    def drop_pending(self) -> None:
+        """Forget what has arrived of the next event."""
+        self._pending = bytearray()
+
     def _split(self, chunk: bytes) -> list[bytes]:
         received = self._held_back + chunk
         self._held_back = b''
