Measure entries beside forty replicas' answers without end

The memory of a real entry process was never measured while replicas send bytes without end. The limit of the test is limits.memory_mb.

--- a/tests/integration/test_endless_replicas.py
+++ b/tests/integration/test_endless_replicas.py
@@ -27,7 +27,12 @@
 # The faults, and from how many replicas' answers at once.
 CASES = (
     (Fault.HEAD, 40),
+    (Fault.INTERIM, 40),
+    (Fault.BODY, 40),
+    (Fault.EVENT, 40),
+    (Fault.HELD_EVENT, 40),
     (Fault.EVENTS, 1),
+    (Fault.EVENTS, 40),
     (Fault.EXTENSION, 40),
 )
 
