Count an order to open as unanswered until its answer

A task that is cancelled between the order to open and its answer, as when its node loses the lease, left the replica as one whose orders had all been answered. Once its head had closed, its members counted as free, though the order might still be carried out and open the head.

Cause: only a timeout recorded the order as unanswered, after the fact.

Change: orders are counted before they are sent, and answers as they come.

Measured: the new test failed before (the replica counted as one that can't open late) and passes now.

--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -8,6 +8,7 @@
 without either.
 """
 
+import collections
 import typing
 
 import anyio
@@ -26,6 +27,7 @@
 _RETRY_INTERVAL_S = 0.05
 
 OrderResult = endpoint_orders.OrderResult
+Counts: typing.TypeAlias = collections.Counter[replica_spec.ReplicaKey]
 
 
 @attrs.define(eq=False)
@@ -33,27 +35,29 @@
     """The replicas that this process has formed, and ordered to open."""
 
     _formed: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
-    _open_ordered: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
-    _open_unanswered: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
+    _open_ordered: Counts = attrs.field(factory=collections.Counter)
+    _open_answered: Counts = attrs.field(factory=collections.Counter)
 
     def record_formed(self, key: replica_spec.ReplicaKey) -> None:
         """Record that the members of a replica are ordered to join it."""
         self._formed.add(key)
 
     def record_open_order(self, key: replica_spec.ReplicaKey) -> None:
-        """Record that a head is ordered to open, whatever it answers."""
-        self._open_ordered.add(key)
+        """Record that a head is ordered to open, before the order is sent."""
+        self._open_ordered[key] += 1
 
-    def record_unanswered_open(self, key: replica_spec.ReplicaKey) -> None:
-        """Record that a head may execute an order to open later."""
-        self._open_unanswered.add(key)
+    def record_open_answer(self, key: replica_spec.ReplicaKey) -> None:
+        """Record that an order to open was answered, or never sent."""
+        self._open_answered[key] += 1
 
     def may_open_late(self, key: replica_spec.ReplicaKey) -> bool:
         """Return whether a head that has closed may open again by itself.
 
         Orders that an earlier lease holder sent aren't known here.
         """
-        return key in self._open_unanswered or key not in self._formed
+        if key not in self._formed:
+            return True
+        return self._open_ordered[key] > self._open_answered[key]
 
     def is_open_ordered(self, key: replica_spec.ReplicaKey) -> bool:
         """Return whether this process has ordered the head to open."""
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -217,8 +217,8 @@
             result = await self._client.open(head, spec.name, spec.epoch)
             # A process that was paused sends it later than it said.
             self.open_orders.record(spec.key, time.monotonic())
-            if result is OrderResult.UNKNOWN:
-                self.ordered.record_unanswered_open(spec.key)
+            if result is not OrderResult.UNKNOWN:
+                self.ordered.record_open_answer(spec.key)
             if result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
                 # The head takes some time to open; until then it reports ready.
                 return await self._wait_until_serving(spec, deadline_s)
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -6,7 +6,12 @@
 from redwingvalve.fleet import endpoints, head_evidence, history
 from redwingvalve.fleet import registry as registry_module
 from redwingvalve.ingress import routes
-from redwingvalve.node import departures
+from redwingvalve.node import (
+    departures,
+    endpoint_prober,
+    replica_orders,
+    replica_spec,
+)
 from redwingvalve.node.tests import members
 
 Evidence = head_evidence.Evidence
@@ -50,6 +55,7 @@
     made, membership = make_departures()
     made.ordered.record_formed(membership.key)
     made.ordered.record_open_order(membership.key)
+    made.ordered.record_open_answer(membership.key)
     made.history.get(membership.key).stopped_by = evidence
     assert made.must_leave(membership) is must_leave
 
@@ -77,8 +83,10 @@
     assert made.must_leave(membership)
     made.ordered.record_formed(membership.key)
     made.ordered.record_open_order(membership.key)
+    assert made.must_leave(membership)
+    made.ordered.record_open_answer(membership.key)
     assert not made.must_leave(membership)
-    made.ordered.record_unanswered_open(membership.key)
+    made.ordered.record_open_order(membership.key)
     assert made.must_leave(membership)
 
 
@@ -104,4 +112,42 @@
     made, membership = make_departures(State.BROKEN)
     made.ordered.record_formed(membership.key)
     made.ordered.record_open_order(membership.key)
+    made.ordered.record_open_answer(membership.key)
     assert not made.must_leave(membership)
+
+
+class CancelledClient:
+    """Whose answers this process doesn't live to see."""
+
+    async def open(self, head, replica, epoch):
+        await anyio.sleep_forever()
+
+
+def test_an_order_to_open_that_was_broken_off_may_be_executed_late():
+    """A task that ended with the lease left a head that could open (TWO)."""
+    spec = replica_spec.ReplicaSpec(
+        'small.1.1',
+        1,
+        (
+            members.make_member('e1', 1, 0, State.READY),
+            members.make_member('e2', 1, 1, State.READY),
+        ),
+        0.2,
+    )
+    registry = registry_module.Registry()
+    registry.live = {one.endpoint_id: one for one in spec.members}
+    orders = replica_orders.ReplicaOrders(
+        CancelledClient(),
+        endpoint_prober.EndpointProber(CancelledClient()),
+        registry,
+        lambda: True,
+        history.ReplicaHistory(),
+    )
+    orders.ordered.record_formed(spec.key)
+
+    async def main():
+        with anyio.move_on_after(0.05):
+            await orders._open(spec)
+
+    anyio.run(main)
+    assert orders.ordered.may_open_late(spec.key)
