Take only a head's answer to leave for its end, and no time

What callers saw: a member joined another replica while the head of its replica was open (TWO), so that the head's requests stood still.

Cause: took a report `ready` for the end of a head from 0.6 s + form_ms + report_lag_ms after the order to open on. A head that opens later, or whose reports are older, says `ready` after that time too, though it is open.

Change: what a head says counts as its end only if it can't be of before its opening: another process, a later epoch, `broken`, or an entry after one that said that it served. Anything else makes the holder order the head to leave, which takes effect at once: its answer is proof. Without an answer the end is claimed, which is no proof, and the members leave first. A head that has to stop at once leaves right after it is closed, so that no report is waited for.

Tests: an open head whose reports stay those of before; and, with all delays drawn at up to five times what is stated, heads that go as they open. The order of a head that has to stop at once was `sever`; it is `sever`, `leave` now: that one which closes gets no `sever` is tested as before.

--- a/redwingvalve/fleet/head_evidence.py
+++ b/redwingvalve/fleet/head_evidence.py
@@ -14,10 +14,12 @@
 class Evidence(enum.Enum):
     """Why a head counts as stopped."""
 
-    # Its own report, entry or answer to an order.
+    # Its entry, its answer to an order, or a report that can't be older.
     STATED = 'stated'
     # Another process answers at its address.
     REPLACED = 'replaced'
+    # Its report, which may be older than its opening: it may still be open.
+    CLAIMED = 'claimed'
     # Its entry is gone and no node gets an answer: it may still be open.
     UNREACHED = 'unreached'
     # It had the time that an endpoint takes to leave: it may still be open.
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -39,6 +39,7 @@
 UNRESPONSIVE_HOLD_S = 5.0
 # When a fleet starts, all endpoints are listed within this time of the first.
 STARTUP_SETTLE_S = 0.8
+_MS_PER_S = 1000
 _ACTIVE = frozenset((endpoints.MemberState.OPEN, endpoints.MemberState.CLOSING))
 
 
@@ -89,7 +90,8 @@
         """Set the engine configuration of the service's endpoints."""
         is_first = self._engine is None
         self._engine = engine
-        self._orders.open_orders.engine = engine
+        lag_s = engine.report_lag_ms / _MS_PER_S
+        self._orders.head_stops.report_lag_s = lag_s
         if is_first:
             # Endpoints may be listed before the configuration is known. If they
             # were not recorded here, members whose head isn't listed yet would
@@ -193,10 +195,13 @@
         self._mark_head_stopped(replica.key, evidence)
 
     async def _stop_missing_head(
-        self, replica: endpoints.Replica, missing_since_s: float
+        self,
+        replica: endpoints.Replica,
+        missing_since_s: float,
+        has_served: bool,
     ) -> None:
         evidence = await self._orders.head_stops.stop_missing_head(
-            replica.members[0], missing_since_s
+            replica.members[0], missing_since_s, has_served=has_served
         )
         self._mark_head_stopped(replica.key, evidence)
 
@@ -325,7 +330,9 @@
         if not self._tasks.is_any_busy(record.whole.members):
             self._tasks.start(
                 record.whole.members,
-                self._stop_missing_head(record.whole, missing_since_s),
+                self._stop_missing_head(
+                    record.whole, missing_since_s, record.has_served
+                ),
             )
         return True
 
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -5,7 +5,6 @@
 a report that another node gets counts like one that this node gets.
 """
 
-import math
 import time
 import types
 import typing
@@ -38,11 +37,13 @@
 
 OrderResult = endpoint_orders.OrderResult
 Evidence = head_evidence.Evidence
-# What the answer to an order to leave shows.
+# What the answer to an order to leave shows. A head that refuses it is in no
+# such replica, by its own word about now.
 _EVIDENCE_BY_RESULT: typing.Final = types.MappingProxyType(
     {
         OrderResult.ACCEPTED: Evidence.STATED,
         OrderResult.OTHER_ENDPOINT: Evidence.REPLACED,
+        OrderResult.CONFLICT: Evidence.CLAIMED,
     }
 )
 
@@ -56,11 +57,11 @@
     _registry: registry_module.Registry
     # Orders are sent only while this returns True.
     _may_order: typing.Callable[[], bool]
-    _open_orders: head_statements.OpenOrders = attrs.field(
-        factory=head_statements.OpenOrders
-    )
-    # Replicas that were told to finish their requests.
-    _drained: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
+    # How old reports are said to be. It decides when a head is asked to leave,
+    # never whether it has.
+    report_lag_s: float = 0.0
+    # When replicas were last told to finish their requests, monotonic.
+    _drained_s: dict[replica_spec.ReplicaKey, float] = attrs.field(factory=dict)
 
     async def make_head_leave(
         self, head: endpoints.Endpoint
@@ -79,41 +80,21 @@
         ):
             # It has opened, and its entry will say so.
             return None
-        deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
-        while clock.boot_s() < deadline_s and self._may_order():
-            result = await self._client.leave(
-                head, membership.replica, membership.epoch
-            )
-            evidence = _EVIDENCE_BY_RESULT.get(result)
-            if evidence is None and self._is_missing(head):
-                evidence = await self._evidence_of_others(head, since_s)
-            if evidence is not None:
-                return evidence
-            await anyio.sleep(PROBE_INTERVAL_S)
-        # By now no order can take effect: orders are executed at most twelve
-        # seconds late.
-        return self._evidence_of_time()
+        return await self._order_to_leave(head, since_s)
 
     async def stop_head(
-        self,
-        head: endpoints.Endpoint,
-        report: endpoint_orders.Report | None,
-        asked_s: float = -math.inf,
+        self, head: endpoints.Endpoint, report: endpoint_orders.Report | None
     ) -> Evidence | None:
         """Close a head; return why it no longer serves its replica.
 
-        None if this node may not order it any more. The report was asked for
-        after asked_s by the monotonic clock.
+        None if this node may not order it any more.
         """
-        membership = head.membership
-        assert membership is not None
         since_s = time.monotonic()
         if report is None:
-            asked_s = since_s
             report = await self._prober.ask_others(head, since_s)
         deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
-            if self._has_stopped(head, report, asked_s):
+            if head_statements.proves_stop(head, report):
                 return Evidence.STATED
             if report is None and self._is_dead(head):
                 return Evidence.UNREACHED
@@ -121,11 +102,9 @@
             if evidence is not None:
                 return evidence
             await anyio.sleep(POLL_INTERVAL_S)
-            asked_s = self._question_s(head, since_s)
             # A head that is listed counts as alive without the others' word.
-            is_missing = self._is_missing(head)
-            if is_missing:
-                report = await self._prober.ask_with_others(head, asked_s)
+            if self._is_missing(head):
+                report = await self._prober.ask_with_others(head, since_s)
             else:
                 report = await self._prober.ask(head)
         return self._evidence_of_time()
@@ -136,16 +115,14 @@
         """Let a replica finish its requests; return why it no longer serves.
 
         A head that is leaving stops listening before its last requests end, so
-        that only its own report or entry, or the passing of LEAVE_TIMEOUT_S,
-        shows that it has finished.
+        that only its entry or its answer to an order to leave shows that it has
+        finished. It is ordered to leave once it says that it has; its entry, if
+        it has one, is waited for instead.
         """
-        membership = head.membership
-        assert membership is not None
-        LOG.info('replica closes', extra={'replica': membership.replica})
-        self._drained.add(membership.key)
-        await self._client.close(
-            head, membership.replica, membership.epoch, True
+        LOG.info(
+            'replica closes', extra={'replica': replica_spec.name_of(head)}
         )
+        await self._order_to_finish(head)
         deadline_s = started_s + LEAVE_TIMEOUT_S
         while clock.boot_s() < deadline_s and self._may_order():
             seen = self._registry.live.get(head.endpoint_id)
@@ -154,36 +131,37 @@
                     return Evidence.STATED
                 await anyio.sleep(POLL_INTERVAL_S)
                 continue
-            asked_s = time.monotonic()
-            report = await self._prober.ask(head)
-            if self._has_stopped(head, report, asked_s):
-                return Evidence.STATED
-            if _is_open(head, report):
-                # It opened, or gets requests, in spite of the first order.
-                await self._client.close(
-                    head, membership.replica, membership.epoch, True
-                )
+            evidence = await self._evidence_of_finish(head)
+            if evidence is not None:
+                return evidence
             await anyio.sleep(PROBE_INTERVAL_S)
         return self._evidence_of_time()
 
     async def stop_missing_head(
-        self, head: endpoints.Endpoint, missing_since_s: float
+        self,
+        head: endpoints.Endpoint,
+        missing_since_s: float,
+        *,
+        has_served: bool = True,
     ) -> Evidence | None:
         """Stop a head whose entry is gone; return why it no longer serves.
 
         A head that is probed just after its entry went away and answers no node
-        has died. One that answers is leaving, or is cut off from the store.
+        has died. One that answers is leaving, or is cut off from the store. One
+        whose entry never said that it serves has no requests to finish.
         """
         if self._registry.has_begun_to_leave(head, LEAVE_TIMEOUT_S):
             # It may have stopped listening, while its last requests go on.
             return await self.drain(head, missing_since_s)
         probed_s = clock.boot_s()
-        asked_s = time.monotonic()
+        since_s = time.monotonic()
         report = await self._prober.ask_until_certain(
             head, missing_since_s + LEAVE_TIMEOUT_S
         )
-        if self._has_stopped(head, report, asked_s):
+        if head_statements.proves_stop(head, report):
             return Evidence.STATED
+        if not has_served and head_statements.claims_stop(head, report):
+            return await self._order_to_leave(head, since_s)
         is_probed_in_time = (
             probed_s - missing_since_s < MISSING_HEAD_PROBE_WINDOW_S
         )
@@ -192,6 +170,71 @@
             return Evidence.UNREACHED
         return await self.drain(head, missing_since_s)
 
+    async def _order_to_leave(
+        self, head: endpoints.Endpoint, since_s: float
+    ) -> Evidence | None:
+        """Order a head to leave its replica until something shows that it has.
+
+        since_s: other nodes' reports have to be asked for after this time, by
+        the monotonic clock.
+        """
+        deadline_s = clock.boot_s() + LEAVE_TIMEOUT_S
+        while clock.boot_s() < deadline_s and self._may_order():
+            evidence = await self._leave(head)
+            if evidence is None and self._is_missing(head):
+                evidence = await self._evidence_of_others(head, since_s)
+            if evidence is not None:
+                return evidence
+            await anyio.sleep(PROBE_INTERVAL_S)
+        return self._evidence_of_time()
+
+    async def _leave(self, head: endpoints.Endpoint) -> Evidence | None:
+        """Order a head to leave once; return what its answer shows."""
+        membership = head.membership
+        assert membership is not None
+        result = await self._client.leave(
+            head, membership.replica, membership.epoch
+        )
+        LOG.info(
+            'head told to leave',
+            extra={'replica': membership.replica, 'result': result.value},
+        )
+        return _EVIDENCE_BY_RESULT.get(result)
+
+    async def _order_to_finish(self, head: endpoints.Endpoint) -> None:
+        """Order a head to stop serving once its requests have ended."""
+        membership = head.membership
+        assert membership is not None
+        self._drained_s[membership.key] = time.monotonic()
+        await self._client.close(
+            head, membership.replica, membership.epoch, True
+        )
+        self._drained_s[membership.key] = time.monotonic()
+
+    async def _evidence_of_finish(
+        self, head: endpoints.Endpoint
+    ) -> Evidence | None:
+        """Ask a head that was told to finish whether it has."""
+        membership = head.membership
+        assert membership is not None
+        asked_s = time.monotonic()
+        report = await self._prober.ask(head)
+        if head_statements.proves_stop(head, report):
+            return Evidence.STATED
+        if asked_s < self._drained_s[membership.key] + self.report_lag_s:
+            return None
+        if head_statements.claims_stop(head, report):
+            return await self._leave_after_claim(head)
+        if _is_open(head, report):
+            # It opened, or gets requests, in spite of the first order.
+            await self._order_to_finish(head)
+        return None
+
+    async def _leave_after_claim(self, head: endpoints.Endpoint) -> Evidence:
+        """Order a head to leave that says that it doesn't serve."""
+        evidence = await self._leave(head)
+        return evidence or Evidence.CLAIMED
+
     async def _evidence_of_others(
         self, head: endpoints.Endpoint, since_s: float
     ) -> Evidence | None:
@@ -199,29 +242,29 @@
         report = await self._prober.ask_others(head, since_s)
         if report is None:
             return Evidence.UNREACHED
-        is_settled = since_s >= self._open_orders.settled_s(head)
-        has_left = head_statements.shows_departure(head, report, is_settled)
-        return Evidence.STATED if has_left else None
+        if head_statements.proves_stop(head, report):
+            return Evidence.STATED
+        has_claimed = head_statements.claims_stop(head, report)
+        return Evidence.CLAIMED if has_claimed else None
 
     async def _order_to_stop(
         self, head: endpoints.Endpoint, report: endpoint_orders.Report | None
     ) -> Evidence | None:
-        """Order a head that answers to stop; return what its answer shows."""
+        """Order a head that answers to stop; return what its answer shows.
+
+        It is closed first, so that its requests end at once. A head that is
+        closing would be ready like one that has finished, and only leaves.
+        """
         membership = head.membership
         if report is None or membership is None:
             return None
-        still_serves = replica_spec.still_serves(head, report.membership)
-        if still_serves and not self._may_be_closing(head, report):
+        if head_statements.claims_stop(head, report):
+            return await self._leave_after_claim(head)
+        if not self._may_be_closing(head, report):
             await self._client.close(
                 head, membership.replica, membership.epoch, False
             )
-            return None
-        # It may be about to open, which only an order to leave prevents. One
-        # that closes would be ready like one that has finished.
-        result = await self._client.leave(
-            head, membership.replica, membership.epoch
-        )
-        evidence = _EVIDENCE_BY_RESULT.get(result)
+        evidence = await self._leave(head)
         if evidence is None:
             await anyio.sleep(PROBE_INTERVAL_S)
         return evidence
@@ -231,7 +274,7 @@
     ) -> bool:
         membership = head.membership
         assert membership is not None
-        if membership.key in self._drained:
+        if membership.key in self._drained_s:
             return True
         marks = self._registry.closing
         past = marks.past_of(head.incarnation, membership.key)
@@ -240,21 +283,6 @@
             and report.membership.state is endpoints.MemberState.CLOSING
         )
 
-    def _question_s(self, head: endpoints.Endpoint, since_s: float) -> float:
-        """Return since when a report has to be asked for."""
-        settled_s = self._open_orders.settled_s(head)
-        is_settled = time.monotonic() >= settled_s
-        return max(since_s, settled_s) if is_settled else since_s
-
-    def _has_stopped(
-        self,
-        head: endpoints.Endpoint,
-        report: endpoint_orders.Report | None,
-        asked_s: float,
-    ) -> bool:
-        is_settled = asked_s >= self._open_orders.settled_s(head)
-        return head_statements.shows_stop(head, report, is_settled)
-
     def _evidence_of_time(self) -> Evidence | None:
         return Evidence.TIME_PASSED if self._may_order() else None
 
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -9,7 +9,6 @@
 """
 
 import enum
-import time
 import typing
 
 import anyio
@@ -21,7 +20,6 @@
 from redwingvalve.node import (
     departures,
     endpoint_prober,
-    head_statements,
     head_stops,
     replica_spec,
 )
@@ -73,7 +71,6 @@
         """Send orders only while may_order returns True."""
         self.unresponsive_since_s: dict[tuple[str, int], float] = {}
         self.ordered = departures.OrderedReplicas()
-        self.open_orders = head_statements.OpenOrders()
         # The latest epoch that each endpoint was ordered to join, whether it
         # obeyed or not.
         self._ordered_epochs: dict[tuple[str, int], int] = {}
@@ -82,7 +79,7 @@
         self._registry = registry
         self._may_order = may_order
         self.head_stops = head_stops.HeadStops(
-            client, prober, registry, may_order, self.open_orders
+            client, prober, registry, may_order
         )
         self._departures = departures.Departures(
             client, prober, registry, records, self.ordered, may_order
@@ -139,7 +136,6 @@
         the head isn't suspect, silent members don't count as lost: they may be
         cut off from all but their head, and requests show if they aren't.
         """
-        asked_s = time.monotonic()
         reports = await self._prober.ask_all(members)
         if None in reports.values() and not await self._prober.confirm_reach():
             return Check(CheckResult.UNKNOWN)
@@ -168,7 +164,7 @@
             },
         )
         evidence = await self.head_stops.stop_head(
-            head, reports[head.endpoint_id], asked_s
+            head, reports[head.endpoint_id]
         )
         if evidence is None or not self._may_order():
             return Check(CheckResult.UNKNOWN)
@@ -213,10 +209,7 @@
             if not self._is_ready(spec):
                 return False
             self.ordered.record_open_order(spec.key)
-            self.open_orders.record(spec.key, time.monotonic())
             result = await self._client.open(head, spec.name, spec.epoch)
-            # A process that was paused sends it later than it said.
-            self.open_orders.record(spec.key, time.monotonic())
             if result is not OrderResult.UNKNOWN:
                 self.ordered.record_open_answer(spec.key)
             if result in {OrderResult.ACCEPTED, OrderResult.UNKNOWN}:
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -43,6 +43,7 @@
     ('evidence', 'must_leave'),
     [
         (None, True),
+        (Evidence.CLAIMED, True),
         (Evidence.UNREACHED, True),
         (Evidence.TIME_PASSED, True),
         (Evidence.STATED, False),
--- a/redwingvalve/node/tests/test_head_statements.py
+++ b/redwingvalve/node/tests/test_head_statements.py
@@ -1,4 +1,4 @@
-"""Which words of a head, and how old, count as the end of its service."""
+"""Which words of a head count as the end of its service."""
 
 import time
 
@@ -9,17 +9,14 @@
 from redwingvalve.core import clock
 from redwingvalve.fleet import endpoints, head_evidence
 from redwingvalve.fleet import registry as registry_module
-from redwingvalve.ingress import routes
 from redwingvalve.node import endpoint_prober, head_statements, head_stops
 from redwingvalve.node.tests import members
 from redwingvalve.platform import endpoint_orders
 
 State = endpoints.MemberState
-# An open head takes 0.3 s to open, and its reports are 0.2 s old.
-ENGINE = routes.Engine(4, (), 4.0, 0.1, 40_000.0, 5, 5.0, 7, 300.0, 200.0)
-SETTLES_S = head_statements.MAX_EXECUTION_DELAY_S + 0.5
 HEAD = members.make_member('e1', 5, 0, State.READY)
-ACCEPTED = endpoint_orders.OrderResult.ACCEPTED
+OrderResult = endpoint_orders.OrderResult
+Evidence = head_evidence.Evidence
 
 
 def in_state(state):
@@ -34,88 +31,101 @@
 
 NO_REPLICA = endpoint_orders.Report(1, None, ())
 RESTARTED = endpoint_orders.Report(2, None, ())
+BEFORE_OPENING = [in_state(State.READY), NO_REPLICA, in_replica(4)]
 
 
 @pytest.mark.parametrize(
-    ('report', 'at_once', 'later'),
+    ('report', 'is_claim', 'is_proof'),
     [
         (None, False, False),
         (in_state(State.OPEN), False, False),
         (in_state(State.CLOSING), False, False),
-        (in_state(State.READY), False, True),
-        (NO_REPLICA, False, True),
-        (in_replica(4), False, True),
+        (in_state(State.READY), True, False),
+        (NO_REPLICA, True, False),
+        (in_replica(4), True, False),
         (in_state(State.BROKEN), True, True),
         (in_replica(6), True, True),
         (RESTARTED, True, True),
     ],
 )
-def test_a_state_before_the_opening_is_no_end(report, at_once, later):
+def test_a_state_before_the_opening_is_no_end(report, is_claim, is_proof):
     """A report may be older than the opening that it is asked about."""
-    assert head_statements.shows_stop(HEAD, report, False) is at_once
-    assert head_statements.shows_stop(HEAD, report, True) is later
-
-
-def test_orders_to_open_settle_once_reports_are_newer():
-    orders = head_statements.OpenOrders(ENGINE)
-    assert orders.settled_s(HEAD) < 0
-    orders.record(HEAD.membership.key, 7)
-    assert orders.settled_s(HEAD) == pytest.approx(7 + SETTLES_S)
+    assert head_statements.claims_stop(HEAD, report) is is_claim
+    assert head_statements.proves_stop(HEAD, report) is is_proof
 
 
 @attrs.define(eq=False)
 class LaggingHead:
-    """Opened just now; its reports say so 0.3 s later, and obey orders."""
+    """Has opened; its reports are of before that, for longer than a test."""
 
-    born_s: float = attrs.field(factory=time.monotonic)
-    closed_s: float | None = None
+    report_before: endpoint_orders.Report
+    leave_result: OrderResult = OrderResult.ACCEPTED
     has_left: bool = False
 
     async def report(self, endpoint):
-        now_s = time.monotonic()
-        if self.has_left:
-            return NO_REPLICA
-        is_old = now_s < self.born_s + 0.3
-        is_closed = self.closed_s is not None and now_s > self.closed_s + 0.3
-        state = State.READY if is_old or is_closed else State.OPEN
-        return in_state(state)
+        return self.report_before
 
     async def close(self, head, replica, epoch, is_graceful):
-        if time.monotonic() < self.born_s + 0.1:
-            # It isn't open yet.
-            return endpoint_orders.OrderResult.CONFLICT
-        self.closed_s = self.closed_s or time.monotonic()
-        return ACCEPTED
+        return OrderResult.ACCEPTED
 
     async def leave(self, endpoint, replica, epoch):
-        self.has_left = True
-        return ACCEPTED
+        self.has_left = self.leave_result is OrderResult.ACCEPTED
+        return self.leave_result
 
 
 async def stop_missing(stops):
     return await stops.stop_missing_head(HEAD, clock.boot_s())
 
 
+async def stop_unserved(stops):
+    now_s = clock.boot_s()
+    return await stops.stop_missing_head(HEAD, now_s, has_served=False)
+
+
 async def stop_lost(stops):
-    asked_s = time.monotonic()
-    return await stops.stop_head(HEAD, in_state(State.READY), asked_s)
+    report = await stops._prober.ask(HEAD)
+    return await stops.stop_head(HEAD, report)
 
 
-@pytest.mark.parametrize('how', [stop_missing, stop_lost])
-def test_members_of_a_head_that_just_opened_are_not_free(how):
-    """They joined elsewhere while it was open, on its word from before."""
-    client = LaggingHead()
-    orders = head_statements.OpenOrders(ENGINE)
-    orders.record(HEAD.membership.key, time.monotonic())
+async def drain(stops):
+    return await stops.drain(HEAD, clock.boot_s())
+
+
+async def make_leave(stops):
+    return await stops.make_head_leave(HEAD)
+
+
+STOPS = [stop_missing, stop_unserved, stop_lost, drain, make_leave]
+
+
+def stop(how, client):
     stops = head_stops.HeadStops(
         client,
         endpoint_prober.EndpointProber(client),
         registry_module.Registry(),
         lambda: True,
-        orders,
     )
+    return anyio.run(how, stops)
+
+
+@pytest.mark.parametrize('report', BEFORE_OPENING)
+@pytest.mark.parametrize('how', STOPS)
+def test_members_of_a_head_that_just_opened_are_not_free(how, report):
+    """They joined elsewhere while it was open, on its word from before."""
+    client = LaggingHead(report)
     began_s = time.monotonic()
-    evidence = anyio.run(how, stops)
-    assert evidence is head_evidence.Evidence.STATED
-    assert client.closed_s or client.has_left
-    assert time.monotonic() - began_s < SETTLES_S + 1
+    assert stop(how, client) is Evidence.STATED
+    assert client.has_left
+    # Its answer is waited for, and no time that an order may take.
+    assert time.monotonic() - began_s < 0.5
+
+
+@pytest.mark.parametrize(
+    'result', [OrderResult.UNKNOWN, OrderResult.UNREACHED, OrderResult.CONFLICT]
+)
+@pytest.mark.parametrize('how', STOPS)
+def test_a_head_that_is_not_known_to_have_left_proves_nothing(how, result):
+    """Its members leave it instead, and wait for nothing."""
+    found = stop(how, LaggingHead(in_state(State.READY), result))
+    assert found is not None
+    assert not head_evidence.is_proof(found)
--- a/redwingvalve/node/tests/test_head_stops.py
+++ b/redwingvalve/node/tests/test_head_stops.py
@@ -118,6 +118,12 @@
     assert stop(how, [ENDED]) is STATED
 
 
+@pytest.mark.parametrize('how', STOPS)
+def test_a_head_that_says_to_others_that_it_is_ready_may_have_opened(how):
+    """Its members joined elsewhere on a word from before its opening (TWO)."""
+    assert stop(how, [READY]) in {'waits', head_evidence.Evidence.CLAIMED}
+
+
 @pytest.mark.parametrize('report', [BROKEN, ENDED])
 def test_a_lost_head_has_stopped_once_it_says_so_to_another_node(report):
     """Members of a replica that broke don't wait for the holder's path."""
@@ -173,7 +179,7 @@
 
 @pytest.mark.parametrize(
     ('report', 'orders'),
-    [(OPEN, ['sever']), (CLOSING, ['leave'])],
+    [(OPEN, ['sever', 'leave']), (CLOSING, ['leave'])],
 )
 def test_a_head_that_closes_is_not_closed_at_once(report, orders):
     """It was ready then, as if it had finished what it had cut off (ORDER)."""
@@ -203,4 +209,4 @@
         await stops.stop_head(HEAD, OPEN)
 
     anyio.run(main)
-    assert client.orders == ['queue', 'leave']
+    assert client.orders == ['queue', 'leave', 'leave']
--- a/redwingvalve/platform/tests/test_orders.py
+++ b/redwingvalve/platform/tests/test_orders.py
@@ -227,6 +227,7 @@
             lambda: (head.group or {}).get('state') == 'open'
         )
         assert head.faults.is_cut_off_from_store
+        name = head.group['name']
         fleet.store.remove('servers', head.endpoint_id)
         other = await fleet.add_endpoint(
             'e7', fleet_harness.ENGINE_SERVICE, 'domain-2'
@@ -238,7 +239,7 @@
             if head.group and head.group['state'] == 'open':
                 assert member.group['name'] == head.group['name']
             await anyio.sleep(0.02)
-        assert member.group['name'] != head.group['name']
+        assert member.group['name'] != name
 
     fleet_harness.run(test)
 
