Take only a member's answer for its departure

A member that refused to leave its replica counted as gone if its report named no replica. A report may be of before the member joined, so that it joined another replica without leaving the first (TWO).

Change: only a member that answers that it isn't in that replica (409) is asked for its report, to find out whether it is in another one. Any other refusal holds it back, as no answer does.

Measured: of the six cases of the test, the four with another refusal or no connection failed before; all pass now.

--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -130,8 +130,11 @@
             )
             if result is OrderResult.ACCEPTED:
                 return True
-            if result is not OrderResult.UNKNOWN:
+            if result is OrderResult.CONFLICT:
+                # It isn't in that replica, and has to be in no other.
                 return await self._has_no_replica(member)
+            if result is not OrderResult.UNKNOWN:
+                return False
             await anyio.sleep(_RETRY_INTERVAL_S)
         return False
 
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -1,6 +1,7 @@
 """Tests of which members must leave before they join another replica."""
 
 import anyio
+import attrs
 import pytest
 
 from redwingvalve.fleet import endpoints, head_evidence, history
@@ -13,6 +14,7 @@
     replica_spec,
 )
 from redwingvalve.node.tests import members
+from redwingvalve.platform import endpoint_orders
 
 Evidence = head_evidence.Evidence
 State = endpoints.MemberState
@@ -152,3 +154,41 @@
 
     anyio.run(main)
     assert orders.ordered.may_open_late(spec.key)
+
+
+@attrs.define(eq=False)
+class LaggingMember:
+    """Answers orders to leave so; its reports are of before it joined."""
+
+    result: endpoint_orders.OrderResult
+
+    async def leave(self, endpoint, replica, epoch):
+        return self.result
+
+    async def report(self, endpoint):
+        return endpoint_orders.Report(endpoint.born_ms, None, ())
+
+
+OrderResult = endpoint_orders.OrderResult
+
+
+@pytest.mark.parametrize(
+    ('result', 'has_left'),
+    [
+        (OrderResult.ACCEPTED, True),
+        # It says now that it isn't in that replica.
+        (OrderResult.CONFLICT, True),
+        (OrderResult.REFUSED, False),
+        (OrderResult.OUTDATED, False),
+        (OrderResult.OTHER_ENDPOINT, False),
+        (OrderResult.UNREACHED, False),
+    ],
+)
+def test_a_report_from_before_a_join_frees_no_member(result, has_left):
+    """A member that refused to leave joined elsewhere (TWO)."""
+    made, _ = make_departures()
+    made.client = LaggingMember(result)
+    made.prober = endpoint_prober.EndpointProber(made.client)
+    member = members.make_member('e2', 1, 1, State.READY)
+    staying = anyio.run(made.leave_previous, (member,))
+    assert staying == ([] if has_left else [member])
