Free the members of a head that goes before it opens

What callers saw: members of a replica whose head left as it was formed served nobody for 2 s, or for 13 s if the head had not been ready yet.

Cause: the wait for a replica to be ready or open lasted until its deadline, though the entry of an awaited endpoint had gone; and a head that was never ordered to open was given the time to finish its requests.

Change: the wait ends once an awaited endpoint drains or is gone. A replica that this process formed and never ordered to open serves nobody.

--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -316,6 +316,7 @@
             record is None
             or record.stopped_by
             or record.head_missing_since_s is None
+            or self._orders.ordered.can_never_open(replica.key)
         ):
             return False
         missing_since_s = record.head_missing_since_s
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -104,7 +104,9 @@
         deadline_s = (
             clock.boot_s() + spec.expected_join_s + JOIN_TIMEOUT_MARGIN_S
         )
-        if not await self._wait_until(lambda: self._is_ready(spec), deadline_s):
+        if not await self._wait_until(
+            lambda: self._is_ready(spec), spec.members, deadline_s
+        ):
             self._record_outcome(spec, 'not ready in time', started_s)
             return False
         if not opens:
@@ -225,15 +227,23 @@
     ) -> bool:
         head = spec.members[0]
         return await self._wait_until(
-            lambda: self._is_serving(head, spec.key), deadline_s
+            lambda: self._is_serving(head, spec.key), (head,), deadline_s
         )
 
     async def _wait_until(
-        self, is_done: typing.Callable[[], bool], deadline_s: float
+        self,
+        is_done: typing.Callable[[], bool],
+        awaited: tuple[endpoints.Endpoint, ...],
+        deadline_s: float,
     ) -> bool:
+        """Wait while all awaited endpoints may still do their part."""
         while clock.boot_s() < deadline_s and self._may_order():
             if is_done():
                 return True
+            if any(
+                self._registry.is_leaving(one.endpoint_id) for one in awaited
+            ):
+                return False
             await anyio.sleep(head_stops.POLL_INTERVAL_S)
         return is_done()
 
--- a/redwingvalve/platform/tests/test_slow_statements.py
+++ b/redwingvalve/platform/tests/test_slow_statements.py
@@ -59,16 +59,17 @@
     return head.group['name'] == group['name']
 
 
-def opening_heads(fleet):
-    """Return the heads that were told to open and haven't opened yet."""
+def heads(fleet, state, operation):
+    """Return the heads in a state whose latest order was for this."""
     return [
         one
         for one in fleet.endpoints.values()
         if one.group
         and not one.has_left
         and one.group['rank'] == 0
-        and one.group['state'] == 'ready'
-        and one.orders[-1]['operation'] == 'open'
+        and len(one.members) > 1
+        and one.group['state'] == state
+        and one.orders[-1]['operation'] == operation
     ]
 
 
@@ -96,8 +97,9 @@
 
     async def replace_one(self):
         """Let one leave within the time that it takes to open, and a bit."""
-        await self.fleet.wait_until(lambda: opening_heads(self.fleet), 20)
-        head = opening_heads(self.fleet)[0]
+        opening = ('ready', 'open')
+        await self.fleet.wait_until(lambda: heads(self.fleet, *opening), 20)
+        head = heads(self.fleet, *opening)[0]
         await anyio.sleep(self._rng.uniform(0, 1.2) * head.delays.open_s)
         head.leave_without_notice(SERVES_ON_S)
         await self.add()
@@ -123,3 +125,36 @@
     fleet_harness.run(
         test, engines=0, plain=0, version=configuration, lease_term=1
     )
+
+
+@pytest.mark.parametrize(
+    ('state', 'operation'), [('joining', 'join'), ('ready', 'open')]
+)
+def test_members_of_a_head_that_leaves_early_are_not_held(state, operation):
+    """They waited for two seconds for a head that was gone."""
+
+    async def test(fleet):
+        replacements = Replacements(fleet, random.Random(0), 1)
+        for _ in range(5):
+            await replacements.add()
+        await fleet.wait_until(lambda: len(fleet.targets()) == 2)
+        await fleet.caller().stream()
+        fleet.head().leave_without_notice(SERVES_ON_S)
+        # Its member joins the spare.
+        await fleet.wait_until(lambda: heads(fleet, state, operation))
+        (head,) = heads(fleet, state, operation)
+        member = fleet.endpoints[head.members[1]]
+        head.leave_without_notice(SERVES_ON_S)
+        await replacements.add()
+        await fleet.wait_until(
+            lambda: (
+                head.endpoint_id not in member.members
+                and len(member.members) == 2
+            ),
+            1.5,
+        )
+        assert not replacements.early
+
+    fleet_harness.run(
+        test, engines=0, plain=0, version=configuration, lease_term=1
+    )
