Open no replica again that a member was told to leave

A replica that was ready is opened again if its members' entries and reports say that they are in it. Both may be of before an order to leave that a member has carried out, so that the head would serve without it (PARTIAL).

Change: the holder remembers which replicas it told a member to leave, whatever the answer, and opens none of these.

Measured: the test's second case failed before (one order to open); both pass.

--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -122,6 +122,9 @@
             replica, self._ordered_epochs
         ):
             return False
+        if self.ordered.has_departures(replica.key):
+            # Entries and reports may be of before the order to leave.
+            return False
         if not await self._prober.are_healthy(replica.members):
             return False
         spec = replica_spec.ReplicaSpec(
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -17,6 +17,7 @@
 from redwingvalve.platform import endpoint_orders
 
 Evidence = head_evidence.Evidence
+OrderResult = endpoint_orders.OrderResult
 State = endpoints.MemberState
 MODEL = routes.Model('small', 2, 1.0, 1.0, 12.0, 1.1)
 ENGINE = routes.Engine(4, (MODEL,), 4.0, 0.1, 40_000.0, 5, 5.0, 7, 30.0)
@@ -119,6 +120,34 @@
     assert not made.must_leave(membership)
 
 
+SPEC = replica_spec.ReplicaSpec(
+    'small.1.1',
+    1,
+    (
+        members.make_member('e1', 1, 0, State.READY),
+        members.make_member('e2', 1, 1, State.READY),
+    ),
+    0.2,
+)
+
+
+def make_orders(client):
+    """Return orders that have formed a replica, which its entries confirm."""
+    registry = registry_module.Registry()
+    registry.live = {one.endpoint_id: one for one in SPEC.members}
+    orders = replica_orders.ReplicaOrders(
+        client,
+        endpoint_prober.EndpointProber(client),
+        registry,
+        lambda: True,
+        history.ReplicaHistory(),
+    )
+    orders.ordered.record_formed(SPEC.key)
+    for member in SPEC.members:
+        orders._ordered_epochs[member.incarnation] = SPEC.epoch
+    return orders
+
+
 class CancelledClient:
     """Whose answers this process doesn't live to see."""
 
@@ -128,39 +157,55 @@
 
 def test_an_order_to_open_that_was_broken_off_may_be_executed_late():
     """A task that ended with the lease left a head that could open (TWO)."""
-    spec = replica_spec.ReplicaSpec(
-        'small.1.1',
-        1,
-        (
-            members.make_member('e1', 1, 0, State.READY),
-            members.make_member('e2', 1, 1, State.READY),
-        ),
-        0.2,
-    )
-    registry = registry_module.Registry()
-    registry.live = {one.endpoint_id: one for one in spec.members}
-    orders = replica_orders.ReplicaOrders(
-        CancelledClient(),
-        endpoint_prober.EndpointProber(CancelledClient()),
-        registry,
-        lambda: True,
-        history.ReplicaHistory(),
-    )
-    orders.ordered.record_formed(spec.key)
+    orders = make_orders(CancelledClient())
 
     async def main():
         with anyio.move_on_after(0.05):
-            await orders._open(spec)
+            await orders._open(SPEC)
 
     anyio.run(main)
-    assert orders.ordered.may_open_late(spec.key)
+    assert orders.ordered.may_open_late(SPEC.key)
+
+
+@attrs.define(eq=False)
+class LaggingReplica:
+    """Reports that nobody has left it; counts the orders to open."""
+
+    opened: int = 0
+
+    async def report(self, endpoint):
+        return endpoint_orders.Report(endpoint.born_ms, endpoint.membership, ())
+
+    async def leave(self, endpoint, replica, epoch):
+        return OrderResult.UNKNOWN
+
+    async def open(self, head, replica, epoch):
+        self.opened += 1
+        return OrderResult.REFUSED
+
+
+@pytest.mark.parametrize('is_told_to_leave', [False, True])
+def test_a_replica_that_a_member_may_have_left_is_not_opened(is_told_to_leave):
+    """Its entry and its report were of before it left (PARTIAL)."""
+    client = LaggingReplica()
+    orders = make_orders(client)
+    replica = endpoints.Replica(SPEC.name, SPEC.epoch, SPEC.members)
+
+    async def main():
+        if is_told_to_leave:
+            orders.ordered.record_open_order(SPEC.key)
+            await orders._departures.leave_previous(SPEC.members[1:])
+        await orders.open_if_ready(replica)
+
+    anyio.run(main)
+    assert client.opened == (0 if is_told_to_leave else 1)
 
 
 @attrs.define(eq=False)
 class LaggingMember:
     """Answers orders to leave so; its reports are of before it joined."""
 
-    result: endpoint_orders.OrderResult
+    result: OrderResult
 
     async def leave(self, endpoint, replica, epoch):
         return self.result
@@ -169,9 +214,6 @@
         return endpoint_orders.Report(endpoint.born_ms, None, ())
 
 
-OrderResult = endpoint_orders.OrderResult
-
-
 @pytest.mark.parametrize(
     ('result', 'has_left'),
     [
