Ask a head that was told to finish once its reports can tell

A report of before the order to finish was asked for, dropped, and the next one asked for 0.3 s later; the members of a head that leaves without notice waited for that. The first one is now asked for as old as reports are said to be after the order. And no order to leave is sent once the lease is lost between a report and the order.

--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -192,6 +192,8 @@
         """Order a head to leave once; return what its answer shows."""
         membership = head.membership
         assert membership is not None
+        if not self._may_order():
+            return None
         result = await self._client.leave(
             head, membership.replica, membership.epoch
         )
@@ -217,12 +219,12 @@
         """Ask a head that was told to finish whether it has."""
         membership = head.membership
         assert membership is not None
-        asked_s = time.monotonic()
+        # Earlier reports are of before the order.
+        newer_s = self._drained_s[membership.key] + self.report_lag_s
+        await anyio.sleep(max(0, newer_s - time.monotonic()))
         report = await self._prober.ask(head)
         if head_statements.proves_stop(head, report):
             return Evidence.STATED
-        if asked_s < self._drained_s[membership.key] + self.report_lag_s:
-            return None
         if head_statements.claims_stop(head, report):
             return await self._leave_after_claim(head)
         if _is_open(head, report):
@@ -230,10 +232,14 @@
             await self._order_to_finish(head)
         return None
 
-    async def _leave_after_claim(self, head: endpoints.Endpoint) -> Evidence:
+    async def _leave_after_claim(
+        self, head: endpoints.Endpoint
+    ) -> Evidence | None:
         """Order a head to leave that says that it doesn't serve."""
         evidence = await self._leave(head)
-        return evidence or Evidence.CLAIMED
+        if evidence is None and self._may_order():
+            return Evidence.CLAIMED
+        return evidence
 
     async def _evidence_of_others(
         self, head: endpoints.Endpoint, since_s: float
