Hold no members for an entry from before their head left

What callers saw: the members of a head that had been told to leave served nobody for another 0.5 s. Its entry still said `open` for a moment, which counted as a head that had opened again, so that it was asked, closed and told to leave once more.

Cause: any evidence was taken back by an entry that says that the head serves. That is right for a head that has closed, and may be opened again. One that has left, or whose process is another, never serves that replica again.

Change: these two are final, and free the members before the entry follows. Evidence `left` names the answer to an order to leave, which was `stated`.

The test failed before.

--- a/redwingvalve/fleet/head_evidence.py
+++ b/redwingvalve/fleet/head_evidence.py
@@ -14,8 +14,10 @@
 class Evidence(enum.Enum):
     """Why a head counts as stopped."""
 
-    # Its entry, its answer to an order, or a report that can't be older.
+    # Its entry, or a report that can't be of before it served.
     STATED = 'stated'
+    # Its answer to an order to leave.
+    LEFT = 'left'
     # Another process answers at its address.
     REPLACED = 'replaced'
     # Its report, which may be older than its opening: it may still be open.
@@ -26,9 +28,19 @@
     TIME_PASSED = 'time-passed'
 
 
-_PROOFS: typing.Final = frozenset((Evidence.STATED, Evidence.REPLACED))
+# A head that has closed may be opened again; who has left stays away.
+_FINAL: typing.Final = frozenset((Evidence.LEFT, Evidence.REPLACED))
+_PROOFS: typing.Final = _FINAL | {Evidence.STATED}
 
 
 def is_proof(evidence: Evidence | None) -> bool:
     """Return whether a head certainly doesn't serve its replica any more."""
     return evidence in _PROOFS
+
+
+def is_final(evidence: Evidence | None) -> bool:
+    """Return whether a head will certainly never serve its replica again.
+
+    An entry that says otherwise is older.
+    """
+    return evidence in _FINAL
--- a/redwingvalve/fleet/history.py
+++ b/redwingvalve/fleet/history.py
@@ -89,7 +89,8 @@
 ) -> None:
     if state in _ACTIVE_STATES:
         record.has_served = True
-        record.stopped_by = None
+        if not head_evidence.is_final(record.stopped_by):
+            record.stopped_by = None
     elif state is endpoints.MemberState.BROKEN:
         record.stopped_by = head_evidence.Evidence.STATED
 
--- a/redwingvalve/node/controller.py
+++ b/redwingvalve/node/controller.py
@@ -164,6 +164,8 @@
         is_incomplete = model is None or len(replica.members) != model.size
         if head is None or self._tasks.is_any_busy(replica.members):
             return
+        if self._has_stopped_for_good(replica.key):
+            return
         state = head.membership.state
         if state is endpoints.MemberState.OPEN and replica.is_leaving:
             self._tasks.start(replica.members, self._drain(replica))
@@ -286,6 +288,11 @@
             and clock.boot_s() - unresponsive_s < UNRESPONSIVE_HOLD_S
         )
 
+    def _has_stopped_for_good(self, key: replica_spec.ReplicaKey) -> bool:
+        """Return whether a head never serves again, whatever its entry says."""
+        record = self._history.get(key)
+        return record is not None and head_evidence.is_final(record.stopped_by)
+
     def _may_open(
         self, replica: endpoints.Replica, head: endpoints.Endpoint
     ) -> bool:
@@ -295,7 +302,7 @@
         when the other members have joined another replica.
         """
         if head.membership.state in _ACTIVE:
-            return True
+            return not self._has_stopped_for_good(replica.key)
         record = self._history.get(replica.key)
         if (
             record is None
--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -41,7 +41,7 @@
 # such replica, by its own word about now.
 _EVIDENCE_BY_RESULT: typing.Final = types.MappingProxyType(
     {
-        OrderResult.ACCEPTED: Evidence.STATED,
+        OrderResult.ACCEPTED: Evidence.LEFT,
         OrderResult.OTHER_ENDPOINT: Evidence.REPLACED,
         OrderResult.CONFLICT: Evidence.CLAIMED,
     }
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -50,6 +50,7 @@
         (Evidence.UNREACHED, True),
         (Evidence.TIME_PASSED, True),
         (Evidence.STATED, False),
+        (Evidence.LEFT, False),
         (Evidence.REPLACED, False),
     ],
 )
@@ -103,6 +104,17 @@
     assert made.must_leave(membership)
 
 
+@pytest.mark.parametrize('evidence', [Evidence.LEFT, Evidence.REPLACED])
+def test_an_entry_from_before_a_head_left_holds_no_members(evidence):
+    """They waited for the head to be asked a second time."""
+    made, membership = make_departures()
+    made.ordered.record_formed(membership.key)
+    record = made.history.get(membership.key)
+    record.stopped_by = evidence
+    made.history.update([record.whole], ENGINE, 1.0)
+    assert not made.must_leave(membership)
+
+
 def test_a_node_without_the_lease_orders_nobody_to_leave():
     """The lease may end, or the VM be suspended, between two orders."""
     made, _ = make_departures()
--- a/redwingvalve/node/tests/test_head_statements.py
+++ b/redwingvalve/node/tests/test_head_statements.py
@@ -114,7 +114,7 @@
     """They joined elsewhere while it was open, on its word from before."""
     client = LaggingHead(report)
     began_s = time.monotonic()
-    assert stop(how, client) is Evidence.STATED
+    assert stop(how, client) is Evidence.LEFT
     assert client.has_left
     # Its answer is waited for, and no time that an order may take.
     assert time.monotonic() - began_s < 0.5
--- a/redwingvalve/node/tests/test_head_stops.py
+++ b/redwingvalve/node/tests/test_head_stops.py
@@ -190,7 +190,8 @@
         registry_module.Registry(),
         lambda: True,
     )
-    assert anyio.run(stops.stop_head, HEAD, report) is STATED
+    found = anyio.run(stops.stop_head, HEAD, report)
+    assert found is head_evidence.Evidence.LEFT
     assert client.orders == orders
 
 
