--- a/redwingvalve/node/head_stops.py
+++ b/redwingvalve/node/head_stops.py
@@ -3,6 +3,9 @@
 An absence that one node sees, of an answer or of an entry, says little about a
 head: it may be cut off from that node and from the store, and serve others. So
 a report that another node gets counts like one that this node gets.
+
+A report that a head doesn't serve may be of before it opened. Such a head is
+ordered to leave its replica, and its answer counts; see head_statements.
 """
 
 import time
@@ -37,8 +40,8 @@
 
 OrderResult = endpoint_orders.OrderResult
 Evidence = head_evidence.Evidence
-# What the answer to an order to leave shows. A head that refuses it is in no
-# such replica, by its own word about now.
+# What the answer to an order to leave shows. A conflict may have other reasons
+# than that the head is in no such replica.
 _EVIDENCE_BY_RESULT: typing.Final = types.MappingProxyType(
     {
         OrderResult.ACCEPTED: Evidence.LEFT,
@@ -207,6 +210,7 @@
         """Order a head to stop serving once its requests have ended."""
         membership = head.membership
         assert membership is not None
+        # The order may be carried out although this task is cancelled.
         self._drained_s[membership.key] = time.monotonic()
         await self._client.close(
             head, membership.replica, membership.epoch, True
