--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -109,6 +109,8 @@
     """They waited for the head to be asked a second time."""
     made, membership = make_departures()
     made.ordered.record_formed(membership.key)
+    made.ordered.record_open_order(membership.key)
+    made.ordered.record_open_answer(membership.key)
     record = made.history.get(membership.key)
     record.stopped_by = evidence
     made.history.update([record.whole], ENGINE, 1.0)
