--- a/redwingvalve/fleet/head_evidence.py
+++ b/redwingvalve/fleet/head_evidence.py
@@ -28,7 +28,7 @@
     TIME_PASSED = 'time-passed'
 
 
-# A head that has closed may be opened again; who has left stays away.
+# A head that has closed may be opened again; one that has left can't.
 _FINAL: typing.Final = frozenset((Evidence.LEFT, Evidence.REPLACED))
 _PROOFS: typing.Final = _FINAL | {Evidence.STATED}
 
--- a/redwingvalve/node/departures.py
+++ b/redwingvalve/node/departures.py
@@ -37,7 +37,7 @@
     _formed: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
     _open_ordered: Counts = attrs.field(factory=collections.Counter)
     _open_answered: Counts = attrs.field(factory=collections.Counter)
-    _told_to_leave: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
+    _leave_ordered: set[replica_spec.ReplicaKey] = attrs.field(factory=set)
 
     def record_formed(self, key: replica_spec.ReplicaKey) -> None:
         """Record that the members of a replica are ordered to join it."""
@@ -51,13 +51,13 @@
         """Record that an order to open was answered, or never sent."""
         self._open_answered[key] += 1
 
-    def record_departure(self, key: replica_spec.ReplicaKey) -> None:
+    def record_leave_order(self, key: replica_spec.ReplicaKey) -> None:
         """Record that a member is ordered to leave, whatever it answers."""
-        self._told_to_leave.add(key)
+        self._leave_ordered.add(key)
 
-    def has_departures(self, key: replica_spec.ReplicaKey) -> bool:
-        """Return whether a member was ordered to leave, or may be gone."""
-        return key in self._told_to_leave
+    def is_leave_ordered(self, key: replica_spec.ReplicaKey) -> bool:
+        """Return whether this process has ordered a member to leave."""
+        return key in self._leave_ordered
 
     def may_open_late(self, key: replica_spec.ReplicaKey) -> bool:
         """Return whether a head that has closed may open again by itself.
@@ -124,7 +124,7 @@
     async def _leave(
         self, member: endpoints.Endpoint, membership: endpoints.Membership
     ) -> bool:
-        self.ordered.record_departure(membership.key)
+        self.ordered.record_leave_order(membership.key)
         deadline_s = clock.boot_s() + LEAVE_PREVIOUS_TIMEOUT_S
         while clock.boot_s() < deadline_s and self.may_order():
             result = await self.client.leave(
--- a/redwingvalve/node/replica_orders.py
+++ b/redwingvalve/node/replica_orders.py
@@ -122,7 +122,7 @@
             replica, self._ordered_epochs
         ):
             return False
-        if self.ordered.has_departures(replica.key):
+        if self.ordered.is_leave_ordered(replica.key):
             # Entries and reports may be of before the order to leave.
             return False
         if not await self._prober.are_healthy(replica.members):
--- a/redwingvalve/node/tests/test_departures.py
+++ b/redwingvalve/node/tests/test_departures.py
@@ -198,21 +198,21 @@
         return OrderResult.REFUSED
 
 
-@pytest.mark.parametrize('is_told_to_leave', [False, True])
-def test_a_replica_that_a_member_may_have_left_is_not_opened(is_told_to_leave):
+@pytest.mark.parametrize('is_leave_ordered', [False, True])
+def test_a_replica_that_a_member_may_have_left_is_not_opened(is_leave_ordered):
     """Its entry and its report were of before it left (PARTIAL)."""
     client = LaggingReplica()
     orders = make_orders(client)
     replica = endpoints.Replica(SPEC.name, SPEC.epoch, SPEC.members)
 
     async def main():
-        if is_told_to_leave:
+        if is_leave_ordered:
             orders.ordered.record_open_order(SPEC.key)
             await orders._departures.leave_previous(SPEC.members[1:])
         await orders.open_if_ready(replica)
 
     anyio.run(main)
-    assert client.opened == (0 if is_told_to_leave else 1)
+    assert client.opened == (0 if is_leave_ordered else 1)
 
 
 @attrs.define(eq=False)
--- a/redwingvalve/platform/standins/slow_endpoint.py
+++ b/redwingvalve/platform/standins/slow_endpoint.py
@@ -14,6 +14,7 @@
 _REPORT = b'/redwingvalve/report'
 # Changes that a report may still be older than.
 _MAX_CHANGES = 50
+_Past: typing.TypeAlias = collections.deque[tuple[float, endpoint.Document]]
 
 
 @attrs.frozen
@@ -37,8 +38,8 @@
         self.delays = delays
         self.has_left = False
         self.has_ended = False
-        self._past: collections.deque[tuple[float, endpoint.Document]]
-        self._past = collections.deque(maxlen=_MAX_CHANGES)
+        # What the entry said, and since when, by the monotonic clock.
+        self._past: _Past = collections.deque(maxlen=_MAX_CHANGES)
 
     def write_entry(self) -> None:
         """Update the entry once it has been due for some time."""
